Lay out the workspace and the contracts of the decision packages

Cause: nothing exists yet, and several parts are to be written side by side. Plans and strings are implemented and tested.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,39 @@
+# Front for CMake: `make demo` and `make check` are the two commands that a
+# newcomer needs; the rest serves development.
+BUILD ?= build
+SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
+C_SOURCES = $(shell git ls-files '*.c' | grep -v '\.pb-c\.')
+
+.PHONY: all build deps check check-sanitize check-long demo format format-check lint bench slopes install clean
+
+all: build
+
+deps:
+	tools/install-deps.sh
+
+build:
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD)
+
+check: build
+	ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+check-sanitize:
+	cmake -S . -B build-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DMQ_SANITIZE=ON
+	cmake --build build-sanitize
+	ctest --test-dir build-sanitize --output-on-failure -j 4
+
+format:
+	clang-format -i $(SOURCES)
+
+format-check:
+	clang-format --dry-run -Werror $(SOURCES)
+
+lint:
+	printf '%s\n' $(C_SOURCES) | xargs -P 8 -n 4 clang-tidy -p $(BUILD) --quiet
+
+install: build
+	cmake --install $(BUILD)
+
+clean:
+	rm -rf build build-sanitize build-release
--- /dev/null
+++ b/include/mq/entry.h
@@ -0,0 +1,233 @@
+/* The entry: the life of each request that a caller gave this router.
+
+   Pure: it takes typed events with the time passed in and returns typed
+   actions; no I/O, clock, global or random source inside (jitter comes from
+   a generator seeded at the start).  It holds the request aggregate: what
+   was sent, what the caller has, which attempt is awaited, and the outcome.
+
+   Invariants:
+   - each accepted CALL ends in exactly one END action;
+   - a token goes to the caller only at the next position of its request, in
+     the attempt that is awaited, with receipts that cover every layer once;
+   - MQ_OUTCOME_NOT_RUN is said only when nothing that could start work was
+     handed to an upstream, or the upstream said that it did not run;
+   - a call that may not be repeated is sent at most once.  */
+
+#ifndef MQ_ENTRY_H
+#define MQ_ENTRY_H
+
+#include <glib.h>
+#include <mq/config.h>
+#include <mq/outcome.h>
+#include <mq/plan.h>
+#include <mq/planner.h>
+
+G_BEGIN_DECLS
+
+/* How a call guards itself against running twice.  */
+typedef enum mq_guard_kind
+{
+  MQ_GUARD_NONE,
+  MQ_GUARD_TICKET, /* Minted by a router's ask; see mq/ticket.h.  */
+  MQ_GUARD_KEY     /* The caller's own Idempotency-Key: needs a claim.  */
+} mq_guard_kind;
+
+typedef struct mq_call
+{
+  uint64_t handle; /* The adapter's name for the caller's exchange. */
+  mq_span organisation;
+  mq_span service;
+  uint64_t deadline_us; /* From now; 0: the service's own.  */
+  int32_t priority;     /* -1: the service's own.  */
+  mq_guard_kind guard;
+  mq_span guard_value; /* The key; or the ticket, already opened: its
+                          number as text.  */
+  uint64_t body_hash;  /* Tells one body from another under one key.  */
+  /* For a service of kind model.  */
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  uint64_t prefix_hash;
+  /* For a plain service.  */
+  mq_span method;
+  mq_span path;
+} mq_call;
+
+typedef enum mq_claim_result
+{
+  MQ_CLAIM_WON,        /* Ours: nobody else runs this key.  */
+  MQ_CLAIM_LOST,       /* Somebody else's, for the same body.  */
+  MQ_CLAIM_MISMATCH,   /* Somebody else's, for another body.  */
+  MQ_CLAIM_UNAVAILABLE /* The platform did not say: do not run.  */
+} mq_claim_result;
+
+/* How a send to an upstream went wrong.  */
+typedef struct mq_send_failure
+{
+  bool maybe_sent;   /* A byte may have reached the upstream.  */
+  bool said_not_run; /* The upstream itself said it did not run.  */
+  bool timed_out;
+} mq_send_failure;
+
+typedef enum mq_entry_event_kind
+{
+  MQ_ENTRY_CONFIG,
+  MQ_ENTRY_CALL,
+  MQ_ENTRY_CALLER_GONE,
+  MQ_ENTRY_PLANNED,     /* The planner's answer to an ask.  */
+  MQ_ENTRY_LIMITED,     /* The limiter's answer.  */
+  MQ_ENTRY_CLAIMED,     /* What came of a claim.  */
+  MQ_ENTRY_STREAM_OPEN, /* The head took the stream.  */
+  MQ_ENTRY_TOKEN,
+  MQ_ENTRY_STREAM_END,    /* The head's own last line.  */
+  MQ_ENTRY_STREAM_FAILED, /* The connection or the answer broke.  */
+  MQ_ENTRY_REPLY,         /* A plain service answered whole.  */
+  MQ_ENTRY_SEND_FAILED,   /* A plain service did not.  */
+  MQ_ENTRY_DRAIN,         /* Take no new work.  */
+  MQ_ENTRY_TICK
+} mq_entry_event_kind;
+
+typedef enum mq_stream_end
+{
+  MQ_STREAM_DONE,
+  MQ_STREAM_CANCELLED,
+  MQ_STREAM_DEADLINE,
+  MQ_STREAM_STAGE_LOST,
+  MQ_STREAM_EVICTED
+} mq_stream_end;
+
+typedef struct mq_entry_event
+{
+  mq_entry_event_kind kind;
+  uint64_t now_us;  /* Monotonic.  */
+  uint64_t handle;  /* All but CONFIG, DRAIN and TICK.  */
+  uint32_t attempt; /* PLANNED to SEND_FAILED.  */
+  union
+  {
+    mq_config *config; /* Borrowed.  */
+    mq_call call;
+    struct
+    {
+      bool admitted;
+      const mq_plan *plan; /* Borrowed.  */
+      mq_reason reason;
+      uint64_t retry_after_us;
+      mq_plan_figures figures;
+    } planned;
+    struct
+    {
+      bool allowed;
+      uint64_t retry_after_us;
+    } limited;
+    mq_claim_result claim;
+    struct
+    {
+      uint32_t position;
+      mq_span text;
+      const mq_receipt *receipts;
+      size_t n_receipts;
+    } token;
+    struct
+    {
+      mq_stream_end end;
+      uint32_t stage; /* STAGE_LOST.  */
+    } stream_end;
+    mq_send_failure failure; /* STREAM_FAILED and SEND_FAILED.  */
+    unsigned status;         /* REPLY.  */
+  } u;
+} mq_entry_event;
+
+typedef enum mq_entry_action_kind
+{
+  MQ_ENTRY_ASK_LIMIT, /* May this organisation run one more?  */
+  MQ_ENTRY_ASK_PLAN,
+  MQ_ENTRY_RELEASE_PLAN, /* Tell the planner that an attempt is over.  */
+  MQ_ENTRY_RELEASE_LIMIT,
+  MQ_ENTRY_CLAIM, /* Create the claim object if absent.  */
+  MQ_ENTRY_OPEN_STREAM,
+  MQ_ENTRY_CANCEL_STREAM,
+  MQ_ENTRY_SEND, /* To an instance of a plain service.  */
+  MQ_ENTRY_CANCEL_SEND,
+  MQ_ENTRY_DELIVER,    /* One token to the caller.  */
+  MQ_ENTRY_PASS_REPLY, /* The plain service's reply to the caller.  */
+  MQ_ENTRY_END,        /* The last word on a request.  */
+  MQ_ENTRY_DRAINED     /* Nothing is in flight any more; said once.  */
+} mq_entry_action_kind;
+
+typedef struct mq_entry_action
+{
+  mq_entry_action_kind kind;
+  uint64_t handle;
+  uint32_t attempt;
+  mq_request_id id;
+  union
+  {
+    mq_plan_ask ask; /* Spans are borrowed from the request, which
+                        lives until its END action is carried out. */
+    mq_plan_release release;
+    struct
+    {
+      mq_span organisation;
+      uint32_t tokens; /* Asked for, or used when released.  */
+    } limit;
+    struct
+    {
+      mq_span organisation;
+      mq_span key;
+      uint64_t body_hash;
+      uint64_t lifetime_us;
+    } claim;
+    struct
+    {
+      const mq_plan *plan;  /* Borrowed from the request.  */
+      uint32_t sent_tokens; /* The adapter holds their text.  */
+      uint32_t max_tokens;  /* Over all attempts.  */
+      int32_t priority;
+      uint64_t deadline_us; /* Left.  */
+    } open;
+    struct
+    {
+      mq_span url;          /* Of the instance.  */
+      uint64_t deadline_us; /* Left.  */
+    } send;
+    struct
+    {
+      uint32_t position;
+      mq_span text; /* Borrowed from the event.  */
+    } deliver;
+    struct
+    {
+      mq_outcome outcome;
+      mq_reason reason;
+      uint64_t retry_after_us; /* 0: no use in coming back.  */
+      uint32_t tokens;         /* With the caller.  */
+    } end;
+  } u;
+} mq_entry_action;
+
+typedef struct mq_entry mq_entry;
+
+typedef struct mq_entry_options
+{
+  uint64_t router; /* Incarnation of this process.  */
+  uint64_t seed;   /* For jitter.  */
+  mq_span failure_domain;
+} mq_entry_options;
+
+mq_entry *mq_entry_new (const mq_entry_options *options);
+void mq_entry_free (mq_entry *entry);
+
+/* Take EVENT and append the actions it calls for to ACTIONS (a GArray of
+   mq_entry_action, cleared by the caller before).  What actions borrow stays
+   valid until the next call.  */
+void mq_entry_handle (mq_entry *entry, const mq_entry_event *event,
+                      GArray *actions);
+
+/* Requests that have not ended.  */
+uint32_t mq_entry_in_flight (const mq_entry *entry);
+
+/* When the next TICK is due, in the time of the events; UINT64_MAX: none. */
+uint64_t mq_entry_next_tick (const mq_entry *entry);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/http_client.h
@@ -0,0 +1,89 @@
+/* HTTP towards upstreams and the platform: libcurl's multi interface inside
+   the program's libev loop.
+
+   A call reports to one sink as typed events and ends with exactly one
+   MQ_HTTP_CLIENT_END, after which its pointer is dead.  A cancelled call
+   reports nothing more.  The end event says whether any byte of the request
+   may have reached the upstream: "not run" may be told to a caller only when
+   it can't have.  */
+
+#ifndef MQ_HTTP_CLIENT_H
+#define MQ_HTTP_CLIENT_H
+
+#include <ev.h>
+#include <glib.h>
+#include <mq/http_server.h>
+#include <mq/str.h>
+
+G_BEGIN_DECLS
+
+typedef struct mq_http_client mq_http_client;
+typedef struct mq_http_call mq_http_call;
+
+typedef enum mq_http_client_event_kind
+{
+  MQ_HTTP_CLIENT_HEADERS, /* Status and all headers have arrived.  */
+  MQ_HTTP_CLIENT_DATA,    /* Some of the body; only for streamed calls.  */
+  MQ_HTTP_CLIENT_END      /* The last event.  */
+} mq_http_client_event_kind;
+
+typedef enum mq_http_result
+{
+  MQ_HTTP_OK,      /* A whole answer, of whatever status.  */
+  MQ_HTTP_CONNECT, /* No connection: nothing was sent.  */
+  MQ_HTTP_TIMEOUT, /* Out of time.  */
+  MQ_HTTP_BROKEN   /* The connection broke or the answer made no sense. */
+} mq_http_result;
+
+typedef struct mq_http_client_event
+{
+  mq_http_client_event_kind kind;
+  mq_http_call *call; /* Borrowed.  */
+  mq_http_result result;
+  unsigned status; /* HTTP status, 0 before one has come.  */
+  bool maybe_sent; /* A byte of the request may have reached the upstream. */
+  mq_span data;    /* DATA: the piece.  END of a call that is not streamed:
+                      the whole body.  Borrowed.  */
+} mq_http_client_event;
+
+typedef void (*mq_http_client_sink) (void *context,
+                                     const mq_http_client_event *event);
+
+typedef struct mq_http_call_options
+{
+  mq_span method; /* Empty means GET.  */
+  mq_span url;
+  const mq_http_header *headers;
+  size_t n_headers;
+  mq_span body;        /* Copied.  */
+  uint64_t connect_ms; /* 0 means 1000.  */
+  uint64_t timeout_ms; /* For the whole call; 0 means none.  */
+  bool streamed;       /* Report DATA events.  */
+  size_t body_limit;   /* Bytes for a body that is not streamed; 0: 1 MiB. */
+} mq_http_call_options;
+
+/* A new client on LOOP.  CA_FILE, when not empty, is the PEM file against
+   which https upstreams are checked.  */
+mq_http_client *mq_http_client_new (struct ev_loop *loop, mq_span ca_file);
+
+/* Cancel all calls and free the client.  */
+void mq_http_client_free (mq_http_client *client);
+
+/* Start a call.  The pointer is borrowed and valid until END was reported or
+   the call was cancelled.  Never reports from inside this function.  */
+mq_http_call *mq_http_client_start (mq_http_client *client,
+                                    const mq_http_call_options *options,
+                                    mq_http_client_sink sink, void *context);
+
+/* Cut the call; nothing more is reported.  */
+void mq_http_call_cancel (mq_http_call *call);
+
+/* Stop or go on reading the answer, for back pressure.  */
+void mq_http_call_pause (mq_http_call *call, bool paused);
+
+/* A header of the answer, empty when missing; valid during the sink.  */
+mq_span mq_http_call_header (const mq_http_call *call, const char *name);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/tests/test_plan.cc
@@ -0,0 +1,60 @@
+/* Plans: the layers must be covered once, in order.  */
+
+#include <gtest/gtest.h>
+#include <mq/plan.h>
+
+namespace
+{
+
+/* A plan over LAYERS layers with stages cut at the given bounds.  */
+mq_plan
+make_plan (uint32_t layers, std::initializer_list<std::pair<int, int> > cuts)
+{
+  mq_plan p;
+  mq_str *name = mq_str_new (MQ_SPAN ("e"));
+
+  mq_plan_init (&p);
+  p.layers = layers;
+  p.version = mq_str_new (MQ_SPAN ("v1"));
+  for (auto cut : cuts)
+    mq_plan_add (&p, name, name, cut.first, cut.second);
+  mq_str_unref (name);
+  return p;
+}
+
+mq_plan_check
+check (uint32_t layers, std::initializer_list<std::pair<int, int> > cuts)
+{
+  mq_plan p = make_plan (layers, cuts);
+  mq_plan_check result = mq_plan_check_cover (&p);
+
+  mq_plan_finish (&p);
+  return result;
+}
+
+} // namespace
+
+TEST (Plan, CoverFindsGapsAndOverlaps)
+{
+  EXPECT_EQ (check (8, { { 0, 4 }, { 4, 8 } }), MQ_PLAN_OK);
+  EXPECT_EQ (check (8, {}), MQ_PLAN_EMPTY);
+  EXPECT_EQ (check (8, { { 0, 4 }, { 5, 8 } }), MQ_PLAN_GAP);
+  EXPECT_EQ (check (8, { { 0, 4 } }), MQ_PLAN_GAP);
+  EXPECT_EQ (check (8, { { 1, 8 } }), MQ_PLAN_GAP);
+  EXPECT_EQ (check (8, { { 0, 5 }, { 4, 8 } }), MQ_PLAN_OVERLAP);
+  EXPECT_EQ (check (8, { { 0, 4 }, { 4, 9 } }), MQ_PLAN_OVERLAP);
+}
+
+TEST (Plan, ReceiptsMustMatchStageByStage)
+{
+  mq_plan p = make_plan (8, { { 0, 4 }, { 4, 8 } });
+  mq_receipt good[] = { { 0, 4, MQ_SPAN ("v1") }, { 4, 8, MQ_SPAN ("v1") } };
+  mq_receipt gap[] = { { 0, 4, MQ_SPAN ("v1") }, { 5, 8, MQ_SPAN ("v1") } };
+  mq_receipt old[] = { { 0, 4, MQ_SPAN ("v1") }, { 4, 8, MQ_SPAN ("v0") } };
+
+  EXPECT_EQ (mq_plan_check_receipts (&p, good, 2), MQ_PLAN_OK);
+  EXPECT_EQ (mq_plan_check_receipts (&p, good, 1), MQ_PLAN_GAP);
+  EXPECT_EQ (mq_plan_check_receipts (&p, gap, 2), MQ_PLAN_GAP);
+  EXPECT_EQ (mq_plan_check_receipts (&p, old, 2), MQ_PLAN_VERSION);
+  mq_plan_finish (&p);
+}
