--- /dev/null
+++ b/include/mq/audit.h
@@ -0,0 +1,126 @@
+/* The audit trail: who changed what, why, before and after.
+
+   Each router gathers its records and writes them to the platform in
+   batches, one object a batch under a name that nobody else uses, so that a
+   write whose reply was lost is simply done again: the object is there
+   already.  A batch waits for a while to fill, so writes stay few.
+
+   Invariants:
+   - memory is bounded: when the platform is away for long the oldest records
+     are dropped, and a record says how many;
+   - a batch holds whole records, is below the platform's size for a value,
+     and never changes once its first write was tried;
+   - texts are cut to MQ_AUDIT_TEXT_SIZE; secrets are never handed in.
+
+   Pure: times are passed in.  docs/design/state.md has the object's layout;
+   in short, the object "audit/YYYY-MM-DD/MILLISECONDS-ROUTER-SEQUENCE" holds
+   one JSON record a line, and names sort by time within a day.  */
+
+#ifndef MQ_AUDIT_H
+#define MQ_AUDIT_H
+
+#include <glib.h>
+#include <mq/store.h>
+
+G_BEGIN_DECLS
+
+#define MQ_AUDIT_TEXT_SIZE 512
+
+#define MQ_AUDIT_ERROR (mq_audit_error_quark ())
+GQuark mq_audit_error_quark (void);
+
+typedef enum mq_audit_error
+{
+  MQ_AUDIT_ERROR_FORM /* Not a record, or of an unknown kind.  */
+} mq_audit_error;
+
+typedef enum mq_audit_kind
+{
+  MQ_AUDIT_CONFIGURATION,
+  MQ_AUDIT_ORDER,
+  MQ_AUDIT_MEMBERSHIP,
+  MQ_AUDIT_MODE, /* Draining, platform away, and the like.  */
+  MQ_AUDIT_LOST  /* Records were dropped; WHAT says how many.  */
+} mq_audit_kind;
+
+/* One change.  Spans are borrowed.  */
+typedef struct mq_audit_record
+{
+  mq_audit_kind kind;
+  uint64_t wall_ms; /* Since 1970.  */
+  uint64_t router;  /* Incarnation that wrote the record; 0: none.  */
+  mq_span who;      /* An operator, or the router's name.  */
+  mq_span what;     /* The thing changed: a file, an engine, a VM.  */
+  mq_span why;
+  mq_span before;
+  mq_span after;
+} mq_audit_record;
+
+/* "configuration", "order", "membership", "mode" or "lost".  */
+const char *mq_audit_kind_name (mq_audit_kind kind);
+
+/* Append RECORD as one line of JSON, newline included, to TEXT.  */
+void mq_audit_encode (const mq_audit_record *record, GString *text);
+
+/* Called with each record that was read; its spans die with the call.  */
+typedef void (*mq_audit_reader) (void *context, const mq_audit_record *record);
+
+/* Read the lines of one object.  Returns 0, or -1 with ERROR set at the
+   first line that is no record; those before it were handed to READER.  */
+int mq_audit_decode (mq_span text, mq_audit_reader reader, void *context,
+                     GError **error);
+
+typedef enum mq_audit_event_kind
+{
+  MQ_AUDIT_ADD,
+  MQ_AUDIT_REPLY, /* To the write that is under way.  */
+  MQ_AUDIT_FLUSH, /* Write what there is now: the router is ending.  */
+  MQ_AUDIT_TICK
+} mq_audit_event_kind;
+
+typedef struct mq_audit_event
+{
+  mq_audit_event_kind kind;
+  uint64_t now_us;        /* Monotonic.  */
+  uint64_t wall_ms;       /* Since 1970.  */
+  mq_audit_record record; /* ADD; its wall_ms and router are set here.  */
+  mq_store_result result; /* REPLY.  */
+} mq_audit_event;
+
+/* The one action: create the object NAME with VALUE if it is absent.  */
+typedef struct mq_audit_action
+{
+  mq_str *name;  /* Owned by the action.  */
+  mq_str *value; /* Owned.  */
+} mq_audit_action;
+
+typedef struct mq_audit_options
+{
+  uint64_t router;    /* Incarnation of this process.  */
+  uint64_t linger_us; /* How long a batch waits to fill.  */
+  uint64_t retry_us;  /* Between two tries at one write.  */
+  size_t batch_bytes; /* Written at once, at the most.  */
+  size_t limit_bytes; /* Kept, at the most.  */
+} mq_audit_options;
+
+typedef struct mq_audit mq_audit;
+
+mq_audit *mq_audit_new (const mq_audit_options *options);
+void mq_audit_free (mq_audit *audit);
+
+/* An empty list whose elements are cleared when they are removed.  */
+GArray *mq_audit_actions_new (void);
+
+void mq_audit_handle (mq_audit *audit, const mq_audit_event *event,
+                      GArray *actions);
+
+/* Records not yet known to be written, and records dropped so far.  */
+uint32_t mq_audit_pending (const mq_audit *audit);
+uint64_t mq_audit_dropped (const mq_audit *audit);
+
+/* When the next TICK is due; UINT64_MAX: none.  */
+uint64_t mq_audit_next_tick (const mq_audit *audit);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/order.h
@@ -0,0 +1,149 @@
+/* Orders: bring engines to the state that a plan wants.
+
+   An order states the wanted end (model, version, layers), so that a repeat
+   is harmless.  The executor sends it only under a valid lease (mq/lease.h),
+   one at a time for each engine, and no faster than the weight store gives
+   weights out.  It reads the engine back before and after.
+
+   Some engines ignore the fencing number.  For those the executor waits,
+   after the lease was taken, until no order of an earlier holder can still
+   be under way, then reads back; and for as long as the lease is held it
+   reads them again now and then and repeats the order when something else
+   stands there.  So the last holder's wanted end is what remains.
+
+   Pure: time is passed in, monotonic.  */
+
+#ifndef MQ_ORDER_H
+#define MQ_ORDER_H
+
+#include <glib.h>
+#include <mq/str.h>
+
+G_BEGIN_DECLS
+
+/* The state that an engine shall come to.  */
+typedef struct mq_order_want
+{
+  mq_span engine; /* Name.  */
+  mq_span model;
+  mq_span version;
+  uint32_t first; /* Layers [first, end).  */
+  uint32_t end;
+  bool checks_fencing;
+  uint64_t weight_bytes; /* To be loaded; 0: not known.  */
+} mq_order_want;
+
+/* What an engine says that it holds.  */
+typedef struct mq_order_holds
+{
+  mq_span model;
+  mq_span version;
+  uint32_t first;
+  uint32_t end;
+  bool loading;
+  uint64_t fencing; /* 0 where it keeps none.  */
+} mq_order_holds;
+
+typedef enum mq_orders_event_kind
+{
+  MQ_ORDERS_WANT,
+  MQ_ORDERS_FORGET, /* The engine is gone or no longer ours to order.  */
+  MQ_ORDERS_LEASE,  /* Held; FENCING and UNTIL_US are new.  */
+  MQ_ORDERS_LEASE_LOST,
+  MQ_ORDERS_SENT,  /* The reply to an order.  */
+  MQ_ORDERS_HOLDS, /* The reply to a read.  */
+  MQ_ORDERS_TICK
+} mq_orders_event_kind;
+
+typedef enum mq_order_reply
+{
+  MQ_ORDER_ACCEPTED, /* 202 */
+  MQ_ORDER_FENCED,   /* 409: a higher fencing number was there.  */
+  MQ_ORDER_NO_REPLY  /* Anything else: it may have been taken.  */
+} mq_order_reply;
+
+typedef struct mq_orders_event
+{
+  mq_orders_event_kind kind;
+  uint64_t now_us;
+  union
+  {
+    mq_order_want want; /* WANT; copied.  */
+    mq_span engine;     /* FORGET.  */
+    struct
+    {
+      uint64_t fencing;
+      uint64_t until_us;
+      bool taken;       /* Just taken, not renewed.  */
+      bool handed_over; /* By the last holder, in order.  */
+    } lease;
+    struct
+    {
+      uint64_t order; /* From the action.  */
+      mq_order_reply reply;
+    } sent;
+    struct
+    {
+      uint64_t order;
+      bool known; /* False: the engine did not answer.  */
+      mq_order_holds holds;
+    } holds;
+  } u;
+} mq_orders_event;
+
+typedef enum mq_orders_action_kind
+{
+  MQ_ORDERS_NEED_LEASE, /* There is something to order.  Said once until the
+                           lease is held or nothing is left to do.  */
+  MQ_ORDERS_SEND,
+  MQ_ORDERS_READ,    /* What does the engine hold?  */
+  MQ_ORDERS_REACHED, /* The engine holds what is wanted.  */
+  MQ_ORDERS_STOPPED, /* A higher fencing number is there: another holder. */
+  MQ_ORDERS_IDLE     /* Nothing left to do: the lease may be given up.  */
+} mq_orders_action_kind;
+
+typedef struct mq_orders_action
+{
+  mq_orders_action_kind kind;
+  uint64_t order;    /* Names this order; also its id on the wire.  */
+  uint64_t fencing;  /* SEND.  */
+  uint64_t until_us; /* SEND: the lease's end.  The adapter looks at its
+                        clock once more and sends nothing after this.  */
+  mq_str *engine;    /* Owned by the action.  */
+  mq_str *model;     /* SEND and REACHED; owned.  */
+  mq_str *version;
+  uint32_t first;
+  uint32_t end;
+} mq_orders_action;
+
+typedef struct mq_orders_options
+{
+  uint64_t router;       /* Incarnation; part of the order ids.  */
+  uint64_t flight_us;    /* The longest that an order is under way.  */
+  uint64_t poll_us;      /* Between two reads of an engine that loads.  */
+  uint64_t verify_us;    /* Between two reads of one that ignores fencing. */
+  uint64_t bytes_per_s;  /* Weight store's rate; 0: no limit.  */
+  uint32_t concurrent;   /* Engines that load at once; 0: no limit.  */
+  uint64_t load_time_us; /* A load that takes longer is ordered again.  */
+} mq_orders_options;
+
+typedef struct mq_orders mq_orders;
+
+mq_orders *mq_orders_new (const mq_orders_options *options);
+void mq_orders_free (mq_orders *orders);
+
+/* An empty list whose elements are cleared when they are removed.  */
+GArray *mq_orders_actions_new (void);
+
+void mq_orders_handle (mq_orders *orders, const mq_orders_event *event,
+                       GArray *actions);
+
+/* Wanted ends that have not been reached.  */
+uint32_t mq_orders_pending (const mq_orders *orders);
+
+/* When the next TICK is due; UINT64_MAX: none.  */
+uint64_t mq_orders_next_tick (const mq_orders *orders);
+
+G_END_DECLS
+
+#endif
