--- /dev/null
+++ b/packages/config/json.c
@@ -0,0 +1,691 @@
+/* Typed reading of JSON with comments: see mq/json.h.
+
+   Invariants: `root` is never NULL; `sources` holds the files merged so far
+   in their order, so that the last one that holds a path gave its value.  */
+
+#include <mq/json.h>
+
+#include <errno.h>
+#include <fcntl.h>
+#include <inttypes.h>
+#include <math.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+#include <mq/internal/json_places.h>
+
+#define EXPECTED_SIZE 96
+
+typedef struct json_source
+{
+  mq_str *file;
+  GHashTable *places; /* Path to line; shared between documents.  */
+} json_source;
+
+struct mq_json_doc
+{
+  struct json_object *root; /* Owned.  */
+  GArray *sources;          /* of json_source  */
+  GHashTable *asked;        /* Object to GPtrArray of borrowed keys.  */
+  GPtrArray *faults;        /* of char *  */
+  unsigned fault_count;     /* Also those that were not kept.  */
+  bool partial;
+};
+
+G_DEFINE_QUARK (mq - json - error - quark, mq_json_error)
+
+static void
+json_source_clear (gpointer data)
+{
+  json_source *s = data;
+
+  mq_str_unref (s->file);
+  g_hash_table_unref (s->places);
+}
+
+static mq_json_doc *
+json_doc_new (struct json_object *root)
+{
+  mq_json_doc *doc = g_new0 (mq_json_doc, 1);
+
+  doc->root = root;
+  doc->sources = g_array_new (FALSE, FALSE, sizeof (json_source));
+  g_array_set_clear_func (doc->sources, json_source_clear);
+  doc->asked = g_hash_table_new_full (NULL, NULL, NULL,
+                                      (GDestroyNotify)g_ptr_array_unref);
+  doc->faults = g_ptr_array_new_with_free_func (g_free);
+  return doc;
+}
+
+/* Add a source that shares PLACES.  */
+static void
+json_doc_add_source (mq_json_doc *doc, mq_str *file, GHashTable *places)
+{
+  json_source s = { mq_str_ref (file), g_hash_table_ref (places) };
+
+  g_array_append_val (doc->sources, s);
+}
+
+/* Parse TEXT, which holds no comments any more.  The result may be NULL for
+   the value null.  Returns -1 with *OFFSET and *MESSAGE set on failure.  */
+static int
+json_parse_text (mq_span text, struct json_object **root, size_t *offset,
+                 const char **message)
+{
+  struct json_tokener *t = json_tokener_new ();
+  enum json_tokener_error e;
+
+  json_tokener_set_flags (t, JSON_TOKENER_STRICT | JSON_TOKENER_VALIDATE_UTF8);
+  *root = json_tokener_parse_ex (t, text.data, (int)text.size + 1);
+  e = json_tokener_get_error (t);
+  *offset = json_tokener_get_parse_end (t);
+  *message = json_tokener_error_desc (e);
+  json_tokener_free (t);
+  if (e == json_tokener_success)
+    return 0;
+  if (*root != NULL)
+    json_object_put (*root);
+  return -1;
+}
+
+static struct json_object *
+json_lookup (const mq_json *object, const char *key)
+{
+  struct json_object *v = NULL;
+
+  if (!json_object_is_type (object->value, json_type_object))
+    return NULL;
+  json_object_object_get_ex (object->value, key, &v);
+  return v;
+}
+
+/* Remember that KEY of OBJECT is a known one.  */
+static void
+json_note_asked (const mq_json *object, const char *key)
+{
+  GPtrArray *keys = g_hash_table_lookup (object->doc->asked, object->value);
+
+  if (keys == NULL)
+    {
+      keys = g_ptr_array_new ();
+      g_hash_table_insert (object->doc->asked, object->value, keys);
+    }
+  if (!g_ptr_array_find_with_equal_func (keys, key, g_str_equal, NULL))
+    g_ptr_array_add (keys, (gpointer)key);
+}
+
+static struct json_object *
+json_ask (const mq_json *object, const char *key)
+{
+  json_note_asked (object, key);
+  return json_lookup (object, key);
+}
+
+static void
+json_append_path (GString *path, const mq_json *json)
+{
+  if (json->parent == NULL)
+    return;
+  json_append_path (path, json->parent);
+  if (json_object_is_type (json->parent->value, json_type_array))
+    {
+      g_string_append_printf (path, "[%zu]", json->index);
+      return;
+    }
+  if (path->len > 0)
+    g_string_append_c (path, '.');
+  g_string_append_len (path, json->key.data, (gssize)json->key.size);
+}
+
+/* What holds the value at PATH: the path up to its last part.  */
+static void
+json_cut_path (char *path)
+{
+  size_t n = strlen (path);
+
+  while (n > 0 && path[n - 1] != '.' && path[n - 1] != '[')
+    n--;
+  path[n > 0 ? n - 1 : 0] = '\0';
+}
+
+/* The last source that holds PATH or, failing that, what is around it.  */
+static const json_source *
+json_find_place (const mq_json_doc *doc, const char *path, unsigned *line)
+{
+  char *p = g_strdup (path);
+  const json_source *found = NULL;
+
+  for (;;)
+    {
+      for (guint i = doc->sources->len; i > 0 && found == NULL; i--)
+        {
+          const json_source *s
+              = &g_array_index (doc->sources, json_source, i - 1);
+          gpointer at = g_hash_table_lookup (s->places, p);
+
+          if (at != NULL)
+            {
+              *line = GPOINTER_TO_UINT (at);
+              found = s;
+            }
+        }
+      if (found != NULL || *p == '\0')
+        break;
+      json_cut_path (p);
+    }
+  g_free (p);
+  return found;
+}
+
+/* The dotted path of KEY in OBJECT; KEY may be NULL.  */
+static char *
+json_path_of (const mq_json *object, const char *key)
+{
+  GString *path = g_string_new (NULL);
+
+  json_append_path (path, object);
+  if (key != NULL && path->len > 0)
+    g_string_append_c (path, '.');
+  g_string_append (path, key ? key : "");
+  return g_string_free (path, FALSE);
+}
+
+static void
+json_fault_text (const mq_json *object, const char *key, const char *text)
+{
+  mq_json_doc *doc = object->doc;
+  char *path;
+  const json_source *s;
+  unsigned line = 0;
+
+  if (doc->fault_count++ >= MQ_JSON_FAULTS)
+    return;
+  path = json_path_of (object, key);
+  s = json_find_place (doc, path, &line);
+  g_ptr_array_add (doc->faults,
+                   g_strdup_printf ("%s:%u: %s%s%s",
+                                    s ? mq_str_cstr (s->file) : "?", line,
+                                    path, *path ? ": " : "", text));
+  g_free (path);
+}
+
+/* How VALUE is shown in a message.  */
+static const char *
+json_shown (struct json_object *value)
+{
+  switch (json_object_get_type (value))
+    {
+    case json_type_object:
+      return "an object";
+    case json_type_array:
+      return "an array";
+    case json_type_null:
+    case json_type_boolean:
+    case json_type_double:
+    case json_type_int:
+    case json_type_string:
+      break;
+    }
+  return json_object_to_json_string_ext (value, JSON_C_TO_STRING_PLAIN);
+}
+
+static void
+json_fault_type (const mq_json *object, const char *key,
+                 struct json_object *value, const char *expected)
+{
+  mq_json_fault (object, key, "found %s, expected %s", json_shown (value),
+                 expected);
+}
+
+static bool
+json_child (const mq_json *object, const char *key, json_type type,
+            const char *expected, mq_json *child)
+{
+  struct json_object *v = json_ask (object, key);
+
+  if (v == NULL)
+    return false;
+  if (!json_object_is_type (v, type))
+    {
+      json_fault_type (object, key, v, expected);
+      return false;
+    }
+  *child = (mq_json){
+    .doc = object->doc, .parent = object, .key = mq_span_from (key), .value = v
+  };
+  return true;
+}
+
+/* Merge the members of FROM over those of INTO.  */
+static void
+json_merge_object (struct json_object *into, struct json_object *from)
+{
+  json_object_object_foreach (from, key, value)
+  {
+    struct json_object *old = NULL;
+    struct json_object *copy = NULL;
+
+    if (value == NULL)
+      {
+        json_object_object_del (into, key);
+        continue;
+      }
+    json_object_object_get_ex (into, key, &old);
+    if (json_object_is_type (value, json_type_object))
+      {
+        /* Copied member by member, so that nulls inside vanish too.  */
+        if (!json_object_is_type (old, json_type_object))
+          {
+            old = json_object_new_object ();
+            json_object_object_add (into, key, old);
+          }
+        json_merge_object (old, value);
+        continue;
+      }
+    json_object_deep_copy (value, &copy, NULL);
+    json_object_object_add (into, key, copy);
+  }
+}
+
+mq_json_doc *
+mq_json_parse (mq_span file, mq_span text, GError **error)
+{
+  char *copy = NULL;
+  struct json_object *root = NULL;
+  GHashTable *places = NULL;
+  mq_json_doc *doc = NULL;
+  mq_str *name = mq_str_new (file);
+  char *fault = NULL;
+  const char *message = NULL;
+  unsigned line = 0;
+  size_t offset = 0;
+
+  if (text.size > MQ_JSON_FILE_LIMIT)
+    {
+      g_set_error (error, MQ_JSON_ERROR, MQ_JSON_ERROR_IO,
+                   "%s: %zu bytes, expected at most %zu", name->data,
+                   text.size, MQ_JSON_FILE_LIMIT);
+      goto done;
+    }
+  copy = g_strndup (text.size ? text.data : "", text.size);
+  if (text.size > 0 && memchr (text.data, '\0', text.size) != NULL)
+    {
+      offset = strlen (copy);
+      message = "a NUL byte";
+      goto syntax;
+    }
+  offset = mq_json_blank_comments (copy, text.size);
+  if (offset < text.size)
+    {
+      message = "a comment that never ends";
+      goto syntax;
+    }
+  if (json_parse_text ((mq_span){ copy, text.size }, &root, &offset, &message)
+      < 0)
+    goto syntax;
+  if (root == NULL)
+    {
+      message = "null, expected a value";
+      goto syntax;
+    }
+  places = mq_json_places ((mq_span){ copy, text.size }, &fault, &line);
+  if (places == NULL)
+    {
+      g_set_error (error, MQ_JSON_ERROR, MQ_JSON_ERROR_SYNTAX, "%s:%u: %s",
+                   name->data, line, fault);
+      goto done;
+    }
+  doc = json_doc_new (json_object_get (root));
+  json_doc_add_source (doc, name, places);
+  goto done;
+
+syntax:
+  g_set_error (
+      error, MQ_JSON_ERROR, MQ_JSON_ERROR_SYNTAX, "%s:%u: %s", name->data,
+      mq_json_line_at ((mq_span){ copy, text.size }, offset), message);
+done:
+  if (root != NULL)
+    json_object_put (root);
+  if (places != NULL)
+    g_hash_table_unref (places);
+  g_free (fault);
+  g_free (copy);
+  mq_str_unref (name);
+  return doc;
+}
+
+mq_json_doc *
+mq_json_read (const char *path, GError **error)
+{
+  char *text = NULL;
+  gsize size = 0;
+  GError *io = NULL;
+  mq_json_doc *doc;
+
+  if (!g_file_get_contents (path, &text, &size, &io))
+    {
+      g_set_error (error, MQ_JSON_ERROR, MQ_JSON_ERROR_IO, "%s", io->message);
+      g_error_free (io);
+      return NULL;
+    }
+  doc = mq_json_parse (mq_span_from (path), (mq_span){ text, size }, error);
+  g_free (text);
+  return doc;
+}
+
+mq_json_doc *
+mq_json_doc_new (void)
+{
+  return json_doc_new (json_object_new_object ());
+}
+
+void
+mq_json_doc_free (mq_json_doc *doc)
+{
+  if (doc == NULL)
+    return;
+  json_object_put (doc->root);
+  g_array_unref (doc->sources);
+  g_hash_table_unref (doc->asked);
+  g_ptr_array_unref (doc->faults);
+  g_free (doc);
+}
+
+void
+mq_json_merge (mq_json_doc *into, const mq_json_doc *from)
+{
+  for (guint i = 0; i < from->sources->len; i++)
+    {
+      const json_source *s = &g_array_index (from->sources, json_source, i);
+
+      json_doc_add_source (into, s->file, s->places);
+    }
+  if (json_object_is_type (from->root, json_type_object))
+    json_merge_object (into->root, from->root);
+}
+
+mq_str *
+mq_json_where (const mq_json_doc *doc, const char *path, unsigned *line)
+{
+  const json_source *s = json_find_place (doc, path, line);
+
+  return s ? mq_str_ref (s->file) : NULL;
+}
+
+void
+mq_json_doc_set_partial (mq_json_doc *doc, bool partial)
+{
+  doc->partial = partial;
+}
+
+int
+mq_json_doc_check (mq_json_doc *doc, GError **error)
+{
+  GString *all;
+
+  if (doc->fault_count == 0)
+    return 0;
+  all = g_string_new (NULL);
+  for (guint i = 0; i < doc->faults->len; i++)
+    g_string_append_printf (all, "%s%s", i > 0 ? "\n" : "",
+                            (char *)g_ptr_array_index (doc->faults, i));
+  if (doc->fault_count > doc->faults->len)
+    g_string_append_printf (all, "\n... and %u more",
+                            doc->fault_count - doc->faults->len);
+  g_set_error (error, MQ_JSON_ERROR, MQ_JSON_ERROR_VALUE, "%s", all->str);
+  g_string_free (all, TRUE);
+  return -1;
+}
+
+mq_json
+mq_json_root (mq_json_doc *doc)
+{
+  mq_json root = { .doc = doc, .value = doc->root };
+
+  if (!json_object_is_type (doc->root, json_type_object))
+    json_fault_type (&root, NULL, doc->root, "an object");
+  return root;
+}
+
+void
+mq_json_require (const mq_json *object, const char *key, ...)
+{
+  va_list keys;
+
+  va_start (keys, key);
+  for (; key != NULL; key = va_arg (keys, const char *))
+    {
+      json_note_asked (object, key);
+      if (!object->doc->partial && json_lookup (object, key) == NULL)
+        mq_json_fault (object, key, "missing");
+    }
+  va_end (keys);
+}
+
+bool
+mq_json_has (const mq_json *object, const char *key)
+{
+  return json_ask (object, key) != NULL;
+}
+
+uint64_t
+mq_json_u64 (const mq_json *object, const char *key, uint64_t min,
+             uint64_t max, uint64_t fallback)
+{
+  struct json_object *v = json_ask (object, key);
+  char expected[EXPECTED_SIZE];
+
+  if (v == NULL)
+    return fallback;
+  if (json_object_is_type (v, json_type_int) && json_object_get_int64 (v) >= 0
+      && json_object_get_uint64 (v) >= min
+      && json_object_get_uint64 (v) <= max)
+    return json_object_get_uint64 (v);
+  snprintf (expected, sizeof expected,
+            "a whole number from %" PRIu64 " to %" PRIu64, min, max);
+  json_fault_type (object, key, v, expected);
+  return fallback;
+}
+
+double
+mq_json_double (const mq_json *object, const char *key, double min, double max,
+                double fallback)
+{
+  struct json_object *v = json_ask (object, key);
+  char expected[EXPECTED_SIZE];
+  double d;
+
+  if (v == NULL)
+    return fallback;
+  d = json_object_get_double (v);
+  if ((json_object_is_type (v, json_type_int)
+       || json_object_is_type (v, json_type_double))
+      && isfinite (d) && d >= min && d <= max)
+    return d;
+  snprintf (expected, sizeof expected, "a number from %g to %g", min, max);
+  json_fault_type (object, key, v, expected);
+  return fallback;
+}
+
+bool
+mq_json_bool (const mq_json *object, const char *key, bool fallback)
+{
+  struct json_object *v = json_ask (object, key);
+
+  if (v == NULL)
+    return fallback;
+  if (json_object_is_type (v, json_type_boolean))
+    return json_object_get_boolean (v);
+  json_fault_type (object, key, v, "true or false");
+  return fallback;
+}
+
+mq_span
+mq_json_span (const mq_json *object, const char *key, mq_span fallback)
+{
+  struct json_object *v = json_ask (object, key);
+
+  if (v == NULL)
+    return fallback;
+  if (json_object_is_type (v, json_type_string)
+      && json_object_get_string_len (v) > 0)
+    return (mq_span){ json_object_get_string (v),
+                      (size_t)json_object_get_string_len (v) };
+  json_fault_type (object, key, v, "a string that is not empty");
+  return fallback;
+}
+
+mq_str *
+mq_json_str (const mq_json *object, const char *key)
+{
+  mq_span s = mq_json_span (object, key, (mq_span){ NULL, 0 });
+
+  return s.data ? mq_str_new (s) : NULL;
+}
+
+int
+mq_json_enum (const mq_json *object, const char *key, const char *const *names,
+              int fallback)
+{
+  struct json_object *v = json_ask (object, key);
+  GString *expected;
+
+  if (v == NULL)
+    return fallback;
+  if (json_object_is_type (v, json_type_string))
+    for (int i = 0; names[i] != NULL; i++)
+      if (strcmp (names[i], json_object_get_string (v)) == 0)
+        return i;
+  expected = g_string_new (NULL);
+  for (int i = 0; names[i] != NULL; i++)
+    g_string_append_printf (expected, "%s\"%s\"", i > 0 ? " or " : "",
+                            names[i]);
+  json_fault_type (object, key, v, expected->str);
+  g_string_free (expected, TRUE);
+  return fallback;
+}
+
+bool
+mq_json_object (const mq_json *object, const char *key, mq_json *child)
+{
+  return json_child (object, key, json_type_object, "an object", child);
+}
+
+bool
+mq_json_array (const mq_json *object, const char *key, mq_json *child)
+{
+  return json_child (object, key, json_type_array, "an array", child);
+}
+
+size_t
+mq_json_size (const mq_json *json)
+{
+  if (json_object_is_type (json->value, json_type_array))
+    return json_object_array_length (json->value);
+  if (json_object_is_type (json->value, json_type_object))
+    return (size_t)json_object_object_length (json->value);
+  return 0;
+}
+
+bool
+mq_json_element (const mq_json *array, size_t i, mq_json *child)
+{
+  struct json_object *v = json_object_array_get_idx (array->value, i);
+
+  *child = (mq_json){
+    .doc = array->doc, .parent = array, .index = i, .value = v
+  };
+  if (json_object_is_type (v, json_type_object))
+    return true;
+  json_fault_type (child, NULL, v, "an object");
+  return false;
+}
+
+mq_span
+mq_json_element_span (const mq_json *array, size_t i)
+{
+  struct json_object *v = json_object_array_get_idx (array->value, i);
+  mq_json child
+      = { .doc = array->doc, .parent = array, .index = i, .value = v };
+
+  if (json_object_is_type (v, json_type_string)
+      && json_object_get_string_len (v) > 0)
+    return (mq_span){ json_object_get_string (v),
+                      (size_t)json_object_get_string_len (v) };
+  json_fault_type (&child, NULL, v, "a string that is not empty");
+  return (mq_span){ NULL, 0 };
+}
+
+void
+mq_json_iter_init (mq_json_iter *iter, const mq_json *object)
+{
+  iter->object = object;
+  iter->at = json_object_iter_begin (object->value);
+  iter->end = json_object_iter_end (object->value);
+}
+
+bool
+mq_json_iter_next (mq_json_iter *iter, mq_json *child)
+{
+  while (!json_object_iter_equal (&iter->at, &iter->end))
+    {
+      const char *key = json_object_iter_peek_name (&iter->at);
+      struct json_object *v = json_object_iter_peek_value (&iter->at);
+
+      json_object_iter_next (&iter->at);
+      if (v == NULL)
+        continue;
+      *child = (mq_json){ .doc = iter->object->doc,
+                          .parent = iter->object,
+                          .key = mq_span_from (key),
+                          .value = v };
+      if (json_object_is_type (v, json_type_object))
+        return true;
+      json_fault_type (child, NULL, v, "an object");
+    }
+  return false;
+}
+
+void
+mq_json_done (const mq_json *object)
+{
+  GPtrArray *asked = g_hash_table_lookup (object->doc->asked, object->value);
+
+  if (!json_object_is_type (object->value, json_type_object))
+    return;
+  json_object_object_foreach (object->value, key, value)
+  {
+    GString *expected;
+
+    (void)value;
+    if (asked != NULL
+        && g_ptr_array_find_with_equal_func (asked, key, g_str_equal, NULL))
+      continue;
+    expected = g_string_new (NULL);
+    for (guint i = 0; asked != NULL && i < asked->len; i++)
+      g_string_append_printf (expected, "%s%s", i > 0 ? ", " : "",
+                              (char *)g_ptr_array_index (asked, i));
+    mq_json_fault (object, key, "unknown key, expected one of: %s",
+                   expected->str);
+    g_string_free (expected, TRUE);
+  }
+}
+
+void
+mq_json_fault (const mq_json *object, const char *key, const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  json_fault_text (object, key, text);
+  g_free (text);
+}
+
+char *
+mq_json_path (const mq_json *json)
+{
+  return json_path_of (json, NULL);
+}
