Serve and call HTTP inside the libev loop

libmicrohttpd runs on its epoll descriptor, at most once in each loop iteration; libcurl's multi sockets and timer are watched by libev, and its callbacks only store, so that sinks may start and cancel calls.

Contract: mq_http_call_options.once, mq_http_call_maybe_sent, the error domain of the server, GONE is not sent after a reply, an end or an abort.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -30,8 +30,8 @@
 typedef enum mq_http_result
 {
   MQ_HTTP_OK,      /* A whole answer, of whatever status.  */
-  MQ_HTTP_CONNECT, /* No connection: nothing was sent.  */
-  MQ_HTTP_TIMEOUT, /* Out of time.  */
+  MQ_HTTP_CONNECT, /* No connection, also not in time: nothing was sent.  */
+  MQ_HTTP_TIMEOUT, /* The time for the whole call is over.  */
   MQ_HTTP_BROKEN   /* The connection broke or the answer made no sense. */
 } mq_http_result;
 
@@ -59,6 +59,9 @@
   uint64_t connect_ms; /* 0 means 1000.  */
   uint64_t timeout_ms; /* For the whole call; 0 means none.  */
   bool streamed;       /* Report DATA events.  */
+  bool once;           /* Never sent twice.  Without it libcurl may send a
+                          request again by itself when a kept connection turns
+                          out to be closed before any answer.  */
   size_t body_limit;   /* Bytes for a body that is not streamed; 0: 1 MiB. */
 } mq_http_call_options;
 
@@ -66,7 +69,7 @@
    which https upstreams are checked.  */
 mq_http_client *mq_http_client_new (struct ev_loop *loop, mq_span ca_file);
 
-/* Cancel all calls and free the client.  */
+/* Cancel all calls and free the client.  Not to be called from a sink.  */
 void mq_http_client_free (mq_http_client *client);
 
 /* Start a call.  The pointer is borrowed and valid until END was reported or
@@ -75,10 +78,14 @@
                                     const mq_http_call_options *options,
                                     mq_http_client_sink sink, void *context);
 
+/* True when a byte of the request may have reached the upstream by now.  */
+bool mq_http_call_maybe_sent (const mq_http_call *call);
+
 /* Cut the call; nothing more is reported.  */
 void mq_http_call_cancel (mq_http_call *call);
 
-/* Stop or go on reading the answer, for back pressure.  */
+/* Stop or go on reading the answer, for back pressure.  While paused neither
+   DATA nor END is reported.  */
 void mq_http_call_pause (mq_http_call *call, bool paused);
 
 /* A header of the answer, empty when missing; valid during the sink.  */
--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -19,6 +19,16 @@
 typedef struct mq_http_server mq_http_server;
 typedef struct mq_http_exchange mq_http_exchange;
 
+#define MQ_HTTP_SERVER_ERROR (mq_http_server_error_quark ())
+GQuark mq_http_server_error_quark (void);
+
+typedef enum mq_http_server_error
+{
+  MQ_HTTP_SERVER_ERROR_ADDRESS, /* It can't be bound.  */
+  MQ_HTTP_SERVER_ERROR_TLS,     /* The certificate or key is no good.  */
+  MQ_HTTP_SERVER_ERROR_LIBRARY  /* The system gave out.  */
+} mq_http_server_error;
+
 /* A header of a request or a reply.  Both spans are borrowed and copied by
    whoever keeps them.  */
 typedef struct mq_http_header
@@ -33,8 +43,9 @@
                              later.  */
   MQ_HTTP_SERVER_DRAINED, /* What a stream had queued fell below half of
                              MQ_HTTP_STREAM_HIGH.  */
-  MQ_HTTP_SERVER_GONE     /* The caller went away before the answer was
-                             whole.  Sent once; not after a whole answer.  */
+  MQ_HTTP_SERVER_GONE     /* The caller went away before the user gave the
+                             whole answer.  Sent at most once, and not after
+                             a reply, an end or an abort.  */
 } mq_http_server_event_kind;
 
 typedef struct mq_http_server_event
@@ -66,7 +77,9 @@
                                     mq_http_server_sink sink, void *context,
                                     GError **error);
 
-/* Stop listening, cut what is open and free the server.  */
+/* Stop listening, cut what is open and free the server.  Reports nothing.
+   Not to be called from the sink.  Exchanges of which a reference is held
+   stay readable.  */
 void mq_http_server_free (mq_http_server *server);
 
 /* Stop taking new connections; those that are open go on.  */
@@ -84,7 +97,8 @@
 mq_http_exchange *mq_http_exchange_ref (mq_http_exchange *exchange);
 void mq_http_exchange_unref (mq_http_exchange *exchange);
 
-/* Parts of the request; the spans live as long as the exchange.  A header
+/* Parts of the request; the spans live as long as the exchange.  The path is
+   as sent, percent-encoding and all; query arguments are decoded.  A header
    or query argument that is missing gives an empty span with NULL data.  */
 mq_span mq_http_exchange_method (const mq_http_exchange *exchange);
 mq_span mq_http_exchange_path (const mq_http_exchange *exchange);
--- /dev/null
+++ b/packages/net/http_client.c
@@ -0,0 +1,579 @@
+/* HTTP towards upstreams: see mq/http_client.h.
+
+   libcurl asks for its sockets and its one timer to be watched; libev does
+   so.  libcurl's own callbacks only store what has arrived and put the call
+   into the ready queue; the user's sink runs after libcurl has returned, so
+   that it may start, pause and cancel calls freely.
+
+   A call is out of "maybe sent" only until libcurl says, by its pre-request
+   callback, that a connection stands and the request is about to be written.
+   That is a little earlier than the first byte, hence safe.  A call that may
+   go only once gets a connection of its own, since libcurl resends by itself
+   what it had put on a kept connection that turned out to be closed; should
+   the pre-request callback all the same be called twice, it refuses.  */
+
+#include <mq/http_client.h>
+
+#include <mq/log.h>
+
+#include <curl/curl.h>
+#include <string.h>
+
+#define CONNECT_MS 1000
+#define BODY_LIMIT (1024 * 1024)
+#define HEADER_LIMIT (64 * 1024)
+#define STATUS_FINAL 200
+
+struct mq_http_client
+{
+  struct ev_loop *loop; /* Borrowed.  */
+  CURLM *multi;
+  ev_timer timer;
+  GQueue calls;   /* All, owned.  */
+  GQueue ready;   /* Those with something to report, borrowed.  */
+  GString *spare; /* Takes turns with the calls' bodies.  */
+  mq_str *ca_file;
+};
+
+/* A socket that libcurl wants watched.  */
+typedef struct client_socket
+{
+  ev_io io;
+  mq_http_client *client;
+} client_socket;
+
+struct mq_http_call
+{
+  mq_http_client *client; /* Borrowed.  */
+  CURL *easy;
+  struct curl_slist *headers;
+  mq_http_client_sink sink;
+  void *context;
+  GList link;       /* In the client's calls.  */
+  GList ready_link; /* In the client's ready queue.  */
+  uint64_t timeout_ms;
+  size_t body_limit;
+  GString *head; /* Status line and headers of the answer.  */
+  GString *body; /* What has not been reported yet.  */
+  CURLcode code; /* How it ended.  */
+  unsigned status;
+  bool streamed;
+  bool once;
+  bool maybe_sent;
+  bool is_ready;   /* In the ready queue.  */
+  bool head_whole; /* All headers have come.  */
+  bool head_reported;
+  bool ended;        /* libcurl is done with it.  */
+  bool end_reported; /* The user is done with it.  */
+  bool paused;
+};
+
+static void
+client_mark_ready (mq_http_call *call)
+{
+  if (call->is_ready)
+    return;
+  call->is_ready = true;
+  g_queue_push_tail_link (&call->client->ready, &call->ready_link);
+}
+
+/* Free CALL, which may be under way.  */
+static void
+client_drop (mq_http_call *call)
+{
+  mq_http_client *c = call->client;
+
+  if (call->is_ready)
+    g_queue_unlink (&c->ready, &call->ready_link);
+  g_queue_unlink (&c->calls, &call->link);
+  curl_multi_remove_handle (c->multi, call->easy);
+  curl_easy_cleanup (call->easy);
+  curl_slist_free_all (call->headers);
+  g_string_free (call->head, TRUE);
+  g_string_free (call->body, TRUE);
+  g_free (call);
+}
+
+static size_t
+client_store_header (char *data, size_t unit, size_t count, void *context)
+{
+  mq_http_call *call = context;
+  size_t n = unit * count;
+
+  if (n >= 5 && memcmp (data, "HTTP/", 5) == 0)
+    {
+      long status = 0;
+
+      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
+      call->status = (unsigned)status;
+      g_string_truncate (call->head, 0);
+    }
+  if (call->head->len + n > HEADER_LIMIT)
+    return 0;
+  g_string_append_len (call->head, data, (gssize)n);
+  if (data[0] != '\r' && data[0] != '\n')
+    return n;
+  if (call->status >= STATUS_FINAL)
+    {
+      call->head_whole = true;
+      client_mark_ready (call);
+    }
+  return n;
+}
+
+static size_t
+client_store_body (char *data, size_t unit, size_t count, void *context)
+{
+  mq_http_call *call = context;
+  size_t n = unit * count;
+
+  if (!call->streamed && call->body->len + n > call->body_limit)
+    return 0;
+  g_string_append_len (call->body, data, (gssize)n);
+  if (call->streamed)
+    client_mark_ready (call);
+  return n;
+}
+
+static int
+client_before_request (void *context, char *remote_address,
+                       char *local_address, int remote_port, int local_port)
+{
+  mq_http_call *call = context;
+
+  (void)remote_address;
+  (void)local_address;
+  (void)remote_port;
+  (void)local_port;
+  if (call->once && call->maybe_sent)
+    return CURL_PREREQFUNC_ABORT;
+  call->maybe_sent = true;
+  return CURL_PREREQFUNC_OK;
+}
+
+static mq_http_result
+client_result (const mq_http_call *call)
+{
+  curl_off_t total_us = 0;
+
+  if (call->code == CURLE_OK)
+    return MQ_HTTP_OK;
+  if (call->code != CURLE_OPERATION_TIMEDOUT)
+    return call->maybe_sent ? MQ_HTTP_BROKEN : MQ_HTTP_CONNECT;
+  curl_easy_getinfo (call->easy, CURLINFO_TOTAL_TIME_T, &total_us);
+  if (call->maybe_sent
+      || (call->timeout_ms > 0
+          && (uint64_t)total_us >= call->timeout_ms * 1000))
+    return MQ_HTTP_TIMEOUT;
+  return MQ_HTTP_CONNECT;
+}
+
+/* Take the calls that libcurl has finished.  */
+static void
+client_collect (mq_http_client *client)
+{
+  CURLMsg *m;
+  int left;
+
+  while ((m = curl_multi_info_read (client->multi, &left)) != NULL)
+    {
+      char *data = NULL;
+      mq_http_call *call;
+
+      if (m->msg != CURLMSG_DONE)
+        continue;
+      curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, &data);
+      call = (mq_http_call *)(void *)data;
+      call->code = m->data.result;
+      call->ended = true;
+      client_mark_ready (call);
+    }
+}
+
+/* Fill EVENT with the next one of CALL; false when there is none.  */
+static bool
+client_next_event (mq_http_call *call, mq_http_client_event *event)
+{
+  *event = (mq_http_client_event){ .call = call,
+                                   .result = MQ_HTTP_OK,
+                                   .status = call->status,
+                                   .maybe_sent = call->maybe_sent };
+  if (call->head_whole && !call->head_reported)
+    {
+      call->head_reported = true;
+      event->kind = MQ_HTTP_CLIENT_HEADERS;
+      return true;
+    }
+  if (call->paused)
+    return false;
+  if (call->streamed && call->body->len > 0)
+    {
+      event->kind = MQ_HTTP_CLIENT_DATA;
+      return true;
+    }
+  if (!call->ended)
+    return false;
+  call->end_reported = true;
+  event->kind = MQ_HTTP_CLIENT_END;
+  event->result = client_result (call);
+  event->data = (mq_span){ call->body->str, call->body->len };
+  return true;
+}
+
+/* Report a DATA event.  The sink may cancel CALL, so its bytes change places
+   with the spare string first.  */
+static void
+client_report_data (mq_http_call *call, mq_http_client_event *event)
+{
+  mq_http_client *c = call->client;
+  GString *body = call->body;
+
+  call->body = c->spare;
+  c->spare = body;
+  event->data = (mq_span){ body->str, body->len };
+  call->sink (call->context, event);
+  g_string_truncate (body, 0);
+}
+
+/* Report the next event of CALL.  */
+static void
+client_report (mq_http_call *call)
+{
+  mq_http_client_event e;
+
+  if (!client_next_event (call, &e))
+    return;
+  switch (e.kind)
+    {
+    case MQ_HTTP_CLIENT_HEADERS:
+      client_mark_ready (call);
+      call->sink (call->context, &e);
+      break;
+    case MQ_HTTP_CLIENT_DATA:
+      client_mark_ready (call);
+      client_report_data (call, &e);
+      break;
+    case MQ_HTTP_CLIENT_END:
+      call->sink (call->context, &e);
+      client_drop (call);
+      break;
+    }
+}
+
+/* Report until nothing is left.  A call goes to the queue's end after each
+   event, so that its sink may cancel it, or another, at any time.  */
+static void
+client_report_all (mq_http_client *client)
+{
+  GList *l;
+
+  client_collect (client);
+  while ((l = g_queue_pop_head_link (&client->ready)) != NULL)
+    {
+      mq_http_call *call = l->data;
+
+      call->is_ready = false;
+      client_report (call);
+    }
+}
+
+static void
+client_act (mq_http_client *client, curl_socket_t fd, int events)
+{
+  int running;
+
+  curl_multi_socket_action (client->multi, fd, events, &running);
+  client_report_all (client);
+}
+
+static void
+client_socket_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  client_socket *s = watcher->data;
+  int bits = (events & EV_READ ? CURL_CSELECT_IN : 0)
+             | (events & EV_WRITE ? CURL_CSELECT_OUT : 0);
+
+  (void)loop;
+  client_act (s->client, watcher->fd, bits);
+}
+
+static void
+client_timer_ready (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  client_act (watcher->data, CURL_SOCKET_TIMEOUT, 0);
+}
+
+/* libcurl wants FD watched for WHAT.  */
+static int
+client_watch_socket (CURL *easy, curl_socket_t fd, int what, void *context,
+                     void *slot)
+{
+  mq_http_client *c = context;
+  client_socket *s = slot;
+  int events = (what & CURL_POLL_IN ? EV_READ : 0)
+               | (what & CURL_POLL_OUT ? EV_WRITE : 0);
+
+  (void)easy;
+  if (what == CURL_POLL_REMOVE)
+    {
+      if (s != NULL)
+        ev_io_stop (c->loop, &s->io);
+      g_free (s);
+      curl_multi_assign (c->multi, fd, NULL);
+      return 0;
+    }
+  if (s == NULL)
+    {
+      s = g_new0 (client_socket, 1);
+      s->client = c;
+      ev_io_init (&s->io, client_socket_ready, fd, events);
+      s->io.data = s;
+      curl_multi_assign (c->multi, fd, s);
+    }
+  else
+    {
+      ev_io_stop (c->loop, &s->io);
+      ev_io_set (&s->io, fd, events);
+    }
+  ev_io_start (c->loop, &s->io);
+  return 0;
+}
+
+/* libcurl wants to be called in MS milliseconds, or not at all (-1).  */
+static int
+client_watch_timer (CURLM *multi, long ms, void *context)
+{
+  mq_http_client *c = context;
+
+  (void)multi;
+  ev_timer_stop (c->loop, &c->timer);
+  if (ms < 0)
+    return 0;
+  ev_timer_set (&c->timer, (ev_tstamp)ms / 1000., 0.);
+  ev_timer_start (c->loop, &c->timer);
+  return 0;
+}
+
+/* True when the client writes the header NAME itself.  */
+static bool
+client_owns_header (mq_span name)
+{
+  static const char *const own[]
+      = { "Content-Length", "Transfer-Encoding", "Expect", "Connection" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (own); i++)
+    if (name.size == strlen (own[i])
+        && g_ascii_strncasecmp (name.data, own[i], name.size) == 0)
+      return true;
+  return false;
+}
+
+static bool
+client_is_line (mq_span span)
+{
+  return span.size == 0
+         || (memchr (span.data, '\r', span.size) == NULL
+             && memchr (span.data, '\n', span.size) == NULL
+             && memchr (span.data, '\0', span.size) == NULL);
+}
+
+static void
+client_set_headers (mq_http_call *call, const mq_http_call_options *options)
+{
+  GString *line = g_string_new (NULL);
+  bool typed = false;
+
+  for (size_t i = 0; i < options->n_headers; i++)
+    {
+      mq_span name = options->headers[i].name;
+      mq_span value = options->headers[i].value;
+
+      if (name.size == 0 || client_owns_header (name) || !client_is_line (name)
+          || !client_is_line (value))
+        continue;
+      typed
+          = typed
+            || g_ascii_strncasecmp (name.data, "Content-Type", name.size) == 0;
+      g_string_truncate (line, 0);
+      g_string_append_len (line, name.data, (gssize)name.size);
+      g_string_append (line, value.size == 0 ? ";" : ": ");
+      g_string_append_len (line, value.data, (gssize)value.size);
+      call->headers = curl_slist_append (call->headers, line->str);
+    }
+  if (!typed)
+    call->headers = curl_slist_append (call->headers, "Content-Type:");
+  call->headers = curl_slist_append (call->headers, "Expect:");
+  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
+  g_string_free (line, TRUE);
+}
+
+static void
+client_set_method (mq_http_call *call, const mq_http_call_options *options)
+{
+  char *method = options->method.size == 0
+                     ? g_strdup ("GET")
+                     : g_strndup (options->method.data, options->method.size);
+  bool bare = strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0
+              || strcmp (method, "OPTIONS") == 0;
+
+  if (strcmp (method, "HEAD") == 0)
+    curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L);
+  else if (!bare || options->body.size > 0)
+    {
+      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
+                        (curl_off_t)options->body.size);
+      curl_easy_setopt (call->easy, CURLOPT_COPYPOSTFIELDS,
+                        options->body.size == 0 ? "" : options->body.data);
+      curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, method);
+    }
+  else
+    curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, method);
+  g_free (method);
+}
+
+static void
+client_set_up (mq_http_call *call, const mq_http_call_options *options)
+{
+  CURL *e = call->easy;
+  char *url = g_strndup (options->url.data, options->url.size);
+  uint64_t connect_ms
+      = options->connect_ms == 0 ? CONNECT_MS : options->connect_ms;
+
+  curl_easy_setopt (e, CURLOPT_PRIVATE, call);
+  curl_easy_setopt (e, CURLOPT_URL, url);
+  curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (e, CURLOPT_PROXY, ""); /* Not from the environment.  */
+  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+  curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, client_store_header);
+  curl_easy_setopt (e, CURLOPT_HEADERDATA, call);
+  curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, client_store_body);
+  curl_easy_setopt (e, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, client_before_request);
+  curl_easy_setopt (e, CURLOPT_PREREQDATA, call);
+  if (options->once)
+    curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
+  if (call->client->ca_file != NULL)
+    curl_easy_setopt (e, CURLOPT_CAINFO, mq_str_cstr (call->client->ca_file));
+  client_set_method (call, options);
+  client_set_headers (call, options);
+  g_free (url);
+}
+
+mq_http_client *
+mq_http_client_new (struct ev_loop *loop, mq_span ca_file)
+{
+  mq_http_client *c = g_new0 (mq_http_client, 1);
+
+  curl_global_init (CURL_GLOBAL_DEFAULT);
+  c->loop = loop;
+  c->ca_file = ca_file.size == 0 ? NULL : mq_str_new (ca_file);
+  c->spare = g_string_new (NULL);
+  g_queue_init (&c->calls);
+  g_queue_init (&c->ready);
+  ev_timer_init (&c->timer, client_timer_ready, 0., 0.);
+  c->timer.data = c;
+  c->multi = curl_multi_init ();
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, client_watch_socket);
+  curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, client_watch_timer);
+  curl_multi_setopt (c->multi, CURLMOPT_TIMERDATA, c);
+  return c;
+}
+
+void
+mq_http_client_free (mq_http_client *client)
+{
+  if (client == NULL)
+    return;
+  while (client->calls.head != NULL)
+    client_drop (client->calls.head->data);
+  curl_multi_cleanup (client->multi);
+  ev_timer_stop (client->loop, &client->timer);
+  g_string_free (client->spare, TRUE);
+  mq_str_unref (client->ca_file);
+  g_free (client);
+  curl_global_cleanup ();
+}
+
+mq_http_call *
+mq_http_client_start (mq_http_client *client,
+                      const mq_http_call_options *options,
+                      mq_http_client_sink sink, void *context)
+{
+  mq_http_call *call = g_new0 (mq_http_call, 1);
+
+  call->client = client;
+  call->sink = sink;
+  call->context = context;
+  call->link.data = call;
+  call->ready_link.data = call;
+  call->timeout_ms = options->timeout_ms;
+  call->body_limit
+      = options->body_limit == 0 ? BODY_LIMIT : options->body_limit;
+  call->streamed = options->streamed;
+  call->once = options->once;
+  call->head = g_string_new (NULL);
+  call->body = g_string_new (NULL);
+  call->easy = curl_easy_init ();
+  client_set_up (call, options);
+  g_queue_push_tail_link (&client->calls, &call->link);
+  curl_multi_add_handle (client->multi, call->easy);
+  return call;
+}
+
+bool
+mq_http_call_maybe_sent (const mq_http_call *call)
+{
+  return call->maybe_sent;
+}
+
+void
+mq_http_call_cancel (mq_http_call *call)
+{
+  if (!call->end_reported)
+    client_drop (call);
+}
+
+void
+mq_http_call_pause (mq_http_call *call, bool paused)
+{
+  mq_http_client *c = call->client;
+
+  if (call->paused == paused)
+    return;
+  call->paused = paused;
+  curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+  if (paused)
+    return;
+  client_mark_ready (call);
+  ev_feed_event (c->loop, &c->timer, EV_TIMER);
+}
+
+mq_span
+mq_http_call_header (const mq_http_call *call, const char *name)
+{
+  size_t size = strlen (name);
+  const char *line = call->head->str;
+  const char *end;
+
+  for (; (end = strchr (line, '\n')) != NULL; line = end + 1)
+    {
+      const char *value = line + size + 1;
+
+      if ((size_t)(end - line) <= size || line[size] != ':'
+          || g_ascii_strncasecmp (line, name, size) != 0)
+        continue;
+      while (value < end && g_ascii_isspace (*value))
+        value++;
+      while (end > value && g_ascii_isspace (end[-1]))
+        end--;
+      return (mq_span){ value, (size_t)(end - value) };
+    }
+  return (mq_span){ NULL, 0 };
+}
--- /dev/null
+++ b/packages/net/http_exchange.c
@@ -0,0 +1,389 @@
+/* One request and its answer: see mq/http_server.h.
+
+   The user writes into a queue; libmicrohttpd takes from it when the socket
+   has room.  While the queue is empty the connection is suspended, and the
+   first write of a loop iteration resumes it; later writes of the iteration
+   only append, so that they leave in one chunk.  */
+
+#include <mq/internal/http_exchange.h>
+
+#include <string.h>
+#include <sys/socket.h>
+
+#define TEXT_BLOCK 1024
+
+/* libmicrohttpd wants a buffer size for callers of HTTP/1.0, which get the
+   stream without chunks.  */
+#define PLAIN_BLOCK 4096
+
+/* A queue whose memory grew above this is given back once it is empty.  */
+#define QUEUE_KEEP 4096
+
+static mq_span
+exchange_copy (mq_http_exchange *exchange, const char *data, size_t size)
+{
+  if (data == NULL)
+    return (mq_span){ "", 0 };
+  return (mq_span){
+    g_string_chunk_insert_len (exchange->text, data, (gssize)size), size
+  };
+}
+
+static mq_span
+exchange_find (const GArray *pairs, const char *name)
+{
+  size_t size = strlen (name);
+
+  for (guint i = 0; i < pairs->len; i++)
+    {
+      const mq_http_header *h = &g_array_index (pairs, mq_http_header, i);
+
+      if (h->name.size == size
+          && g_ascii_strncasecmp (h->name.data, name, size) == 0)
+        return h->value;
+    }
+  return (mq_span){ NULL, 0 };
+}
+
+static enum MHD_Result
+exchange_add_pair (void *context, enum MHD_ValueKind kind, const char *name,
+                   size_t name_size, const char *value, size_t value_size)
+{
+  mq_http_exchange *x = context;
+  mq_http_header h = { exchange_copy (x, name, name_size),
+                       exchange_copy (x, value, value_size) };
+
+  if (kind == MHD_HEADER_KIND)
+    g_array_append_val (x->headers, h);
+  else
+    g_array_append_val (x->query, h);
+  return MHD_YES;
+}
+
+/* True when SPAN may stand in a header line.  */
+static bool
+exchange_is_line (mq_span span)
+{
+  return memchr (span.data, '\r', span.size) == NULL
+         && memchr (span.data, '\n', span.size) == NULL
+         && memchr (span.data, '\0', span.size) == NULL;
+}
+
+static void
+exchange_add_headers (mq_http_exchange *exchange,
+                      struct MHD_Response *response,
+                      const mq_http_header *headers, size_t n_headers)
+{
+  for (size_t i = 0; i < n_headers; i++)
+    {
+      const mq_http_header *h = &headers[i];
+      char *name;
+      char *value;
+
+      if (h->name.size == 0 || h->value.size == 0
+          || !exchange_is_line (h->name) || !exchange_is_line (h->value))
+        continue;
+      name = g_strndup (h->name.data, h->name.size);
+      value = g_strndup (h->value.data, h->value.size);
+      MHD_add_response_header (response, name, value);
+      g_free (name);
+      g_free (value);
+    }
+  if (mq_http_server_is_quiet (exchange->server))
+    MHD_add_response_header (response, "Connection", "close");
+}
+
+/* Have libmicrohttpd look at the connection again.  */
+static void
+exchange_wake (mq_http_exchange *exchange)
+{
+  if (!exchange->suspended)
+    return;
+  exchange->suspended = false;
+  MHD_resume_connection (exchange->mhd);
+  mq_http_server_wake (exchange->server);
+}
+
+static size_t
+exchange_queued (const mq_http_exchange *exchange)
+{
+  return exchange->queue->len - exchange->queue_head;
+}
+
+static void
+exchange_clear_queue (mq_http_exchange *exchange)
+{
+  exchange->queue_head = 0;
+  if (exchange->queue->allocated_len <= QUEUE_KEEP)
+    {
+      g_string_truncate (exchange->queue, 0);
+      return;
+    }
+  g_string_free (exchange->queue, TRUE);
+  exchange->queue = g_string_new (NULL);
+}
+
+static void
+exchange_report_drained (mq_http_exchange *exchange)
+{
+  if (!exchange->was_full
+      || exchange_queued (exchange) >= MQ_HTTP_STREAM_HIGH / 2)
+    return;
+  exchange->was_full = false;
+  if (exchange->phase == MQ_HTTP_PHASE_STREAMING)
+    mq_http_server_report (exchange->server, MQ_HTTP_SERVER_DRAINED, exchange);
+}
+
+/* libmicrohttpd's content reader: hand over up to MAX queued bytes.  */
+static ssize_t
+exchange_take (void *context, uint64_t position, char *buffer, size_t max)
+{
+  mq_http_exchange *x = context;
+  size_t n = MIN (max, exchange_queued (x));
+
+  (void)position;
+  if (x->phase == MQ_HTTP_PHASE_CUT)
+    return MHD_CONTENT_READER_END_WITH_ERROR;
+  if (n == 0 && x->phase == MQ_HTTP_PHASE_ENDED)
+    return MHD_CONTENT_READER_END_OF_STREAM;
+  if (n == 0)
+    {
+      x->suspended = true;
+      MHD_suspend_connection (x->mhd);
+      return 0;
+    }
+  memcpy (buffer, x->queue->str + x->queue_head, n);
+  x->queue_head += n;
+  if (x->queue_head == x->queue->len)
+    exchange_clear_queue (x);
+  exchange_report_drained (x);
+  return (ssize_t)n;
+}
+
+static void
+exchange_response_freed (void *context)
+{
+  mq_http_exchange_unref (context);
+}
+
+/* Drop what was sent from the front of the queue when it is the larger
+   part, so that memory stays within twice what is queued.  */
+static void
+exchange_compact (mq_http_exchange *exchange)
+{
+  if (exchange->queue_head <= exchange->queue->len / 2)
+    return;
+  g_string_erase (exchange->queue, 0, (gssize)exchange->queue_head);
+  exchange->queue_head = 0;
+}
+
+mq_http_exchange *
+mq_http_exchange_new (mq_http_connection *connection,
+                      struct MHD_Connection *mhd, const char *uri)
+{
+  mq_http_exchange *x = g_new0 (mq_http_exchange, 1);
+  const char *mark = strchr (uri, '?');
+  size_t path_size = mark == NULL ? strlen (uri) : (size_t)(mark - uri);
+
+  x->refs = 1;
+  x->phase = MQ_HTTP_PHASE_HEAD;
+  x->server = connection->server;
+  x->connection = connection;
+  x->mhd = mhd;
+  x->link.data = x;
+  x->text = g_string_chunk_new (TEXT_BLOCK);
+  x->headers = g_array_new (FALSE, FALSE, sizeof (mq_http_header));
+  x->query = g_array_new (FALSE, FALSE, sizeof (mq_http_header));
+  x->body = g_string_new (NULL);
+  x->queue = g_string_new (NULL);
+  x->path = exchange_copy (x, uri, path_size);
+  if (mark != NULL)
+    x->query_string = exchange_copy (x, mark + 1, strlen (mark + 1));
+  x->peer = exchange_copy (x, connection->peer, strlen (connection->peer));
+  return x;
+}
+
+void
+mq_http_exchange_read_head (mq_http_exchange *exchange, const char *method)
+{
+  exchange->method = exchange_copy (exchange, method, strlen (method));
+  MHD_get_connection_values_n (exchange->mhd, MHD_HEADER_KIND,
+                               exchange_add_pair, exchange);
+  MHD_get_connection_values_n (exchange->mhd, MHD_GET_ARGUMENT_KIND,
+                               exchange_add_pair, exchange);
+}
+
+/* Send no more.  A connection that is suspended finds out when it is
+   resumed; one that waits for its socket finds out by the socket's end.  */
+static void
+exchange_cut (mq_http_exchange *exchange)
+{
+  exchange->phase = MQ_HTTP_PHASE_CUT;
+  if (exchange->mhd == NULL)
+    return;
+  if (exchange->suspended)
+    exchange_wake (exchange);
+  else
+    shutdown (exchange->connection->fd, SHUT_RDWR);
+}
+
+void
+mq_http_exchange_lose (mq_http_exchange *exchange)
+{
+  if (exchange->phase != MQ_HTTP_PHASE_WAITING
+      && exchange->phase != MQ_HTTP_PHASE_STREAMING)
+    return;
+  mq_http_exchange_ref (exchange);
+  exchange_cut (exchange);
+  mq_http_server_report (exchange->server, MQ_HTTP_SERVER_GONE, exchange);
+  mq_http_exchange_unref (exchange);
+}
+
+void
+mq_http_exchange_detach (mq_http_exchange *exchange)
+{
+  exchange->suspended = false;
+  exchange->connection = NULL;
+  exchange->mhd = NULL;
+}
+
+mq_http_exchange *
+mq_http_exchange_ref (mq_http_exchange *exchange)
+{
+  exchange->refs++;
+  return exchange;
+}
+
+void
+mq_http_exchange_unref (mq_http_exchange *exchange)
+{
+  if (--exchange->refs > 0)
+    return;
+  g_clear_pointer (&exchange->response, MHD_destroy_response);
+  g_string_chunk_free (exchange->text);
+  g_array_unref (exchange->headers);
+  g_array_unref (exchange->query);
+  g_string_free (exchange->body, TRUE);
+  g_string_free (exchange->queue, TRUE);
+  g_free (exchange);
+}
+
+mq_span
+mq_http_exchange_method (const mq_http_exchange *exchange)
+{
+  return exchange->method;
+}
+
+mq_span
+mq_http_exchange_path (const mq_http_exchange *exchange)
+{
+  return exchange->path;
+}
+
+mq_span
+mq_http_exchange_query (const mq_http_exchange *exchange, const char *name)
+{
+  return exchange_find (exchange->query, name);
+}
+
+mq_span
+mq_http_exchange_header (const mq_http_exchange *exchange, const char *name)
+{
+  return exchange_find (exchange->headers, name);
+}
+
+mq_span
+mq_http_exchange_body (const mq_http_exchange *exchange)
+{
+  return (mq_span){ exchange->body->str, exchange->body->len };
+}
+
+mq_span
+mq_http_exchange_query_string (const mq_http_exchange *exchange)
+{
+  return exchange->query_string;
+}
+
+mq_span
+mq_http_exchange_peer (const mq_http_exchange *exchange)
+{
+  return exchange->peer;
+}
+
+void
+mq_http_exchange_set_user (mq_http_exchange *exchange, void *user)
+{
+  exchange->user = user;
+}
+
+void *
+mq_http_exchange_user (const mq_http_exchange *exchange)
+{
+  return exchange->user;
+}
+
+void
+mq_http_exchange_reply (mq_http_exchange *exchange, unsigned status,
+                        const mq_http_header *headers, size_t n_headers,
+                        mq_span body)
+{
+  if (exchange->phase != MQ_HTTP_PHASE_WAITING || exchange->mhd == NULL)
+    return;
+  exchange->response = MHD_create_response_from_buffer (
+      body.size, (void *)body.data, MHD_RESPMEM_MUST_COPY);
+  exchange_add_headers (exchange, exchange->response, headers, n_headers);
+  exchange->phase = MQ_HTTP_PHASE_ANSWERED;
+  exchange->status = status;
+  exchange_wake (exchange);
+}
+
+void
+mq_http_exchange_begin (mq_http_exchange *exchange, unsigned status,
+                        const mq_http_header *headers, size_t n_headers)
+{
+  if (exchange->phase != MQ_HTTP_PHASE_WAITING || exchange->mhd == NULL)
+    return;
+  exchange->response = MHD_create_response_from_callback (
+      MHD_SIZE_UNKNOWN, PLAIN_BLOCK, exchange_take,
+      mq_http_exchange_ref (exchange), exchange_response_freed);
+  exchange_add_headers (exchange, exchange->response, headers, n_headers);
+  exchange->phase = MQ_HTTP_PHASE_STREAMING;
+  exchange->status = status;
+  exchange_wake (exchange);
+}
+
+size_t
+mq_http_exchange_write (mq_http_exchange *exchange, mq_span data)
+{
+  size_t n;
+
+  if (exchange->phase != MQ_HTTP_PHASE_STREAMING || exchange->mhd == NULL)
+    return 0;
+  exchange_compact (exchange);
+  g_string_append_len (exchange->queue, data.data, (gssize)data.size);
+  n = exchange_queued (exchange);
+  if (n >= MQ_HTTP_STREAM_HIGH / 2)
+    exchange->was_full = true;
+  if (n > 0)
+    exchange_wake (exchange);
+  return n;
+}
+
+void
+mq_http_exchange_end (mq_http_exchange *exchange)
+{
+  if (exchange->phase != MQ_HTTP_PHASE_STREAMING)
+    return;
+  exchange->phase = MQ_HTTP_PHASE_ENDED;
+  if (exchange->mhd != NULL)
+    exchange_wake (exchange);
+}
+
+void
+mq_http_exchange_abort (mq_http_exchange *exchange)
+{
+  if (exchange->mhd == NULL || exchange->phase < MQ_HTTP_PHASE_WAITING
+      || exchange->phase == MQ_HTTP_PHASE_CUT)
+    return;
+  exchange_cut (exchange);
+}
