--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -58,7 +58,7 @@
                                      const mq_http_server_event *event);
 
 /* Bytes queued for one stream above which its producer should pause.  */
-#define MQ_HTTP_STREAM_HIGH (256 * 1024)
+#define MQ_HTTP_STREAM_HIGH ((size_t)256 * 1024)
 
 typedef struct mq_http_server_options
 {
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -20,8 +20,8 @@
 #include <string.h>
 
 #define CONNECT_MS 1000
-#define BODY_LIMIT (1024 * 1024)
-#define HEADER_LIMIT (64 * 1024)
+#define BODY_LIMIT ((size_t)1024 * 1024)
+#define HEADER_LIMIT ((size_t)64 * 1024)
 #define STATUS_FINAL 200
 
 struct mq_http_client
@@ -489,10 +489,12 @@
 void
 mq_http_client_free (mq_http_client *client)
 {
+  mq_http_call *call;
+
   if (client == NULL)
     return;
-  while (client->calls.head != NULL)
-    client_drop (client->calls.head->data);
+  while ((call = g_queue_peek_head (&client->calls)) != NULL)
+    client_drop (call);
   curl_multi_cleanup (client->multi);
   ev_timer_stop (client->loop, &client->timer);
   g_string_free (client->spare, TRUE);
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -28,7 +28,7 @@
 
 /* An oversized body is read on, so that its sender sees the 413, but not for
    ever.  */
-#define DISCARD_LIMIT (64 * 1024 * 1024)
+#define DISCARD_LIMIT ((size_t)64 * 1024 * 1024)
 
 #define TOO_LARGE                                                             \
   "{\"error\":{\"code\":\"body-too-large\",\"reason\":\"the body is larger "  \
