--- a/include/mq/entry.h
+++ b/include/mq/entry.h
@@ -6,24 +6,45 @@
    was sent, what the caller has, which attempt is awaited, and the outcome.
 
    Invariants:
-   - each accepted CALL ends in exactly one END action;
+   - each CALL, accepted or refused, ends in exactly one END action, and after
+     it no action carries its handle but those that clean up;
    - a token goes to the caller only at the next position of its request, in
      the attempt that is awaited, with receipts that cover every layer once;
    - MQ_OUTCOME_NOT_RUN is said only when nothing that could start work was
      handed to an upstream, or the upstream said that it did not run;
-   - a call that may not be repeated is sent at most once.  */
+   - a call that may not be repeated is sent at most once, unless the send
+     before is proven not to have run;
+   - each ASK_LIMIT that was not refused is matched by one RELEASE_LIMIT, each
+     ASK_PLAN that was not refused by one RELEASE_PLAN, in the same or a later
+     list of actions, and no later than END;
+   - an OPEN_STREAM that did not end by itself is matched by one
+     CANCEL_STREAM, and the same for SEND and CANCEL_SEND;
+   - a final answer is given as soon as it is known: END is never held back.
+
+   What an outcome speaks of.  NOT_RUN, FAILED, DONE and UNKNOWN are said of
+   the call that ends, with one exception: a call that repeats a ticket or key
+   of this router's memory (MQ_REASON_TICKET_SPENT, KEY_SPENT, KEY_IN_FLIGHT)
+   is told what came of the first call, since that is what its caller wants to
+   know; UNKNOWN while the first still runs.  */
 
 #ifndef MQ_ENTRY_H
 #define MQ_ENTRY_H
 
 #include <glib.h>
 #include <mq/config.h>
+#include <mq/decision_log.h>
 #include <mq/outcome.h>
 #include <mq/plan.h>
 #include <mq/planner.h>
 
 G_BEGIN_DECLS
 
+/* How long the outcome of a guarded call is remembered after its end.  A
+   ticket must expire sooner.  */
+#define MQ_ENTRY_GUARD_MEMORY_US (UINT64_C (15) * 60 * 1000000)
+/* How long a claim guards its key.  */
+#define MQ_ENTRY_CLAIM_LIFETIME_US (UINT64_C (24) * 3600 * 1000000)
+
 /* How a call guards itself against running twice.  */
 typedef enum mq_guard_kind
 {
@@ -204,6 +225,30 @@
   } u;
 } mq_entry_action;
 
+/* What an entry counted since it was made.  */
+typedef struct mq_entry_counters
+{
+  uint64_t calls;                         /* Taken, accepted or not.  */
+  uint64_t refused;                       /* Ended before any send.  */
+  uint64_t ended[MQ_OUTCOME_UNKNOWN + 1]; /* By outcome, refused too.  */
+  uint64_t reasons[MQ_REASON_COUNT];      /* By reason, refused too.  */
+  uint64_t late;             /* Accepted, then ended for their deadline.  */
+  uint64_t ended_early;      /* Of those: before the deadline, as hopeless.  */
+  uint64_t tokens;           /* Delivered.  */
+  uint64_t dropped_attempt;  /* Events of an attempt that is not awaited.  */
+  uint64_t dropped_position; /* Tokens that are with the caller already.  */
+  uint64_t wrong_position;   /* Tokens left out: the attempt is given up.  */
+  uint64_t wrong_receipts;   /* Layers or versions not as planned.  */
+  uint64_t streams;          /* Opened.  */
+  uint64_t stalls;
+  uint64_t replans;        /* Plans asked for after the first.  */
+  uint64_t queued_replans; /* Of those: had to wait for their turn.  */
+  uint64_t sends;          /* To plain services, retries too.  */
+  uint64_t retries;        /* Of those: repeated sends.  */
+  uint64_t retries_denied; /* By a retry budget.  */
+  uint64_t guard_hits;     /* Repeated tickets and keys.  */
+} mq_entry_counters;
+
 typedef struct mq_entry mq_entry;
 
 typedef struct mq_entry_options
@@ -222,6 +267,12 @@
 void mq_entry_handle (mq_entry *entry, const mq_entry_event *event,
                       GArray *actions);
 
+/* The counters; borrowed, valid while ENTRY lives.  */
+const mq_entry_counters *mq_entry_read_counters (const mq_entry *entry);
+
+/* The record of what was decided of late; borrowed.  */
+const mq_decision_log *mq_entry_decisions (const mq_entry *entry);
+
 /* Requests that have not ended.  */
 uint32_t mq_entry_in_flight (const mq_entry *entry);
 
--- /dev/null
+++ b/include/mq/internal/request.h
@@ -0,0 +1,111 @@
+/* Internal to packages/decide: one request and its timer.
+
+   A request belongs to the entry (mq/entry.h) that accepted it.  It knows
+   what was handed to upstreams, what the caller has and which attempt is
+   awaited; from these alone follows what may be said of it at its end.
+
+   Invariants:
+   - may_have_run never goes back to false;
+   - tokens only grows, by one a delivered token;
+   - attempt only grows, by one a plan asked for or a send.  */
+
+#ifndef MQ_INTERNAL_REQUEST_H
+#define MQ_INTERNAL_REQUEST_H
+
+#include <mq/entry.h>
+
+G_BEGIN_DECLS
+
+typedef enum mq_request_state
+{
+  MQ_REQUEST_LIMITING,  /* Waits for the limiter.  */
+  MQ_REQUEST_PLANNING,  /* Waits for the planner.  */
+  MQ_REQUEST_CLAIMING,  /* Waits for its claim.  */
+  MQ_REQUEST_OPENING,   /* The head was sent the stream.  */
+  MQ_REQUEST_STREAMING, /* The head has taken the stream.  */
+  MQ_REQUEST_CALLING,   /* A plain service was sent the call.  */
+  MQ_REQUEST_RESTING,   /* Waits for its time to try again.  */
+  MQ_REQUEST_IDLE,      /* Between two of these, within one event.  */
+  MQ_REQUEST_QUEUED,    /* Waits for its turn among those that recover.  */
+  MQ_REQUEST_ENDED
+} mq_request_state;
+
+/* How many gaps between tokens the estimate of the work is made of.  */
+#define MQ_REQUEST_GAPS 8
+
+typedef struct mq_request
+{
+  mq_request_id id;
+  uint64_t handle;
+  mq_request_state state;
+  mq_service_kind kind;
+  mq_str *organisation;
+  mq_str *service;
+  uint64_t started_us;
+  uint64_t deadline_us; /* In the time of the events.  */
+  int32_t priority;
+  mq_guard_kind guard;
+  mq_str *guard_value;
+  uint64_t body_hash;
+  uint32_t attempt;
+  bool guarded;       /* The memory of guarded calls holds it.  */
+  bool limit_held;    /* The limiter was asked and did not refuse.  */
+  bool claimed;       /* The claim is won.  */
+  bool may_have_run;  /* An attempt that is over may have started work.  */
+  bool seen_running;  /* An upstream gave proof of work.  */
+  bool caller_gone;   /* Nobody waits; it runs on to learn its outcome.  */
+  uint64_t since_us;  /* When the state or the stream last moved.  */
+  uint64_t resume_us; /* RESTING: when to try again.  */
+  uint32_t rests;     /* In a row, for the back-off.  */
+  size_t heap_index;  /* Place among the timers.  */
+  uint64_t heap_us;   /* Due time as the timers know it.  */
+
+  /* Of kind model.  */
+  uint32_t prompt_tokens;
+  uint32_t max_tokens;
+  uint64_t prefix_hash;
+  uint32_t tokens; /* With the caller.  */
+  mq_plan plan;    /* Of the present attempt; empty before.  */
+  bool plan_held;  /* The planner counts the present attempt.  */
+  mq_plan_figures figures;
+  mq_str *avoid[MQ_PLAN_STAGES];
+  uint32_t n_avoid;
+  uint64_t opened_us;             /* Of the present attempt.  */
+  uint64_t first_us;              /* Its first token; 0: none yet.  */
+  uint64_t last_us;               /* Its last token.  */
+  uint32_t attempt_tokens;        /* Delivered in it.  */
+  uint32_t gaps[MQ_REQUEST_GAPS]; /* Last gaps between its tokens, us.  */
+
+  /* Of kind plain.  */
+  mq_str *method;
+  mq_str *path;
+  mq_str *instance; /* That has the present attempt, or NULL.  */
+  bool repeatable;  /* Declared so, or the service honours its key.  */
+} mq_request;
+
+/* A request for CALL of SERVICE, with copies of what it borrows.  */
+mq_request *mq_request_new (const mq_call *call, const mq_service *service,
+                            mq_request_id id, uint64_t now_us);
+void mq_request_free (mq_request *request);
+
+/* An attempt is with an upstream.  */
+bool mq_request_is_out (const mq_request *request);
+/* What may be said of REQUEST if it ends now without its whole answer.  */
+mq_outcome mq_request_outcome (const mq_request *request);
+/* Time left until its deadline; 0 when past.  */
+uint64_t mq_request_left (const mq_request *request, uint64_t now_us);
+/* What its remaining tokens are thought to take; 0 when not known.  */
+uint64_t mq_request_work (const mq_request *request);
+/* Left less work; below 0 when it is late already.  */
+int64_t mq_request_slack (const mq_request *request, uint64_t now_us);
+/* No hope to finish by its deadline, also when the estimate of the work is
+   too high by a fair margin.  */
+bool mq_request_is_hopeless (const mq_request *request, uint64_t now_us);
+/* Note that a token came in the present attempt.  */
+void mq_request_note_token (mq_request *request, uint64_t now_us);
+/* Keep ENGINE out of the next plan.  */
+void mq_request_avoid (mq_request *request, mq_str *engine);
+
+G_END_DECLS
+
+#endif
--- a/include/mq/outcome.h
+++ b/include/mq/outcome.h
@@ -25,6 +25,7 @@
   MQ_REASON_UNKNOWN_SERVICE,      /* 404 */
   MQ_REASON_KEY_MISMATCH,         /* 422: same key, other body */
   MQ_REASON_KEY_IN_FLIGHT,        /* 409: the first call still runs */
+  MQ_REASON_KEY_SPENT,            /* 409: the first call has ended */
   MQ_REASON_WRONG_ROUTER,         /* 421: the ticket is another router's */
   MQ_REASON_TICKET_SPENT,         /* 409 */
   MQ_REASON_TICKET_INVALID,       /* 400 */
@@ -39,7 +40,8 @@
   MQ_REASON_PLATFORM_UNAVAILABLE, /* 503: a claim can't be made */
   MQ_REASON_UPSTREAM_FAILED,      /* 502 */
   MQ_REASON_UPSTREAM_REFUSED,     /* 502 */
-  MQ_REASON_CALLER_GONE           /* told to nobody; for logs and explain */
+  MQ_REASON_CALLER_GONE,          /* told to nobody; for logs and explain */
+  MQ_REASON_COUNT
 } mq_reason;
 
 /* "done", "not-run", "failed" or "unknown".  */
--- a/include/mq/planner.h
+++ b/include/mq/planner.h
@@ -56,12 +56,16 @@
   MQ_ATTEMPT_STAGE_WRONG    /* Ran other layers or another version.  */
 } mq_attempt_end;
 
+/* The stage at fault where it is not known which one is (a hang shows at the
+   head alone) or where none is.  */
+#define MQ_STAGE_NONE UINT32_MAX
+
 typedef struct mq_plan_release
 {
   mq_request_id id;
   uint32_t attempt;
   mq_attempt_end end;
-  uint32_t stage;          /* The one at fault, where there is one.  */
+  uint32_t stage;          /* The one at fault, or MQ_STAGE_NONE.  */
   uint32_t tokens;         /* Made in this attempt.  */
   uint64_t first_token_us; /* 0: none came.  */
   uint64_t mean_gap_us;    /* Between tokens; 0: fewer than two came.  */
--- /dev/null
+++ b/packages/decide/entry.c
@@ -0,0 +1,714 @@
+/* The entry: takes events, holds the requests, gives the last word.
+
+   See mq/entry.h for the contract and mq/internal/entry.h for the parts.  */
+
+#include <mq/internal/entry.h>
+#include <mq/internal/request_heap.h>
+
+#define DECISIONS_KEPT 4096
+/* Guarded calls remembered, and for how long after their end.  A ticket must
+   not outlive its place here: see MQ_ENTRY_GUARD_MEMORY_US.  */
+#define GUARDS_KEPT 200000
+#define RETRY_BURST 10
+/* The limiter, the planner and the platform answer within this time, or the
+   request goes on without them.  */
+#define ANSWER_US 500000
+/* Told to callers when to come back.  */
+#define SOON_US 200000
+#define LATER_US 1000000
+
+mq_entry_action *
+mq_entry_emit (mq_entry *entry, const mq_request *request,
+               mq_entry_action_kind kind)
+{
+  mq_entry_action *a;
+
+  g_array_set_size (entry->actions, entry->actions->len + 1);
+  a = &g_array_index (entry->actions, mq_entry_action,
+                      entry->actions->len - 1);
+  *a = (mq_entry_action){ .kind = kind };
+  if (request != NULL)
+    {
+      a->handle = request->handle;
+      a->attempt = request->attempt;
+      a->id = request->id;
+    }
+  return a;
+}
+
+/* When REQUEST has to be looked at next.  */
+static uint64_t
+entry_due (const mq_entry *entry, const mq_request *request)
+{
+  uint64_t due = request->deadline_us;
+
+  switch (request->state)
+    {
+    case MQ_REQUEST_LIMITING:
+    case MQ_REQUEST_PLANNING:
+    case MQ_REQUEST_CLAIMING:
+      return MIN (due, request->since_us + ANSWER_US);
+    case MQ_REQUEST_OPENING:
+    case MQ_REQUEST_STREAMING:
+      return MIN (due, mq_stream_stall_us (entry, request));
+    case MQ_REQUEST_RESTING:
+      return MIN (due, request->resume_us);
+    case MQ_REQUEST_CALLING:
+    case MQ_REQUEST_IDLE:
+    case MQ_REQUEST_QUEUED:
+    case MQ_REQUEST_ENDED:
+      break;
+    }
+  return due;
+}
+
+void
+mq_entry_enter (mq_entry *entry, mq_request *request, mq_request_state state)
+{
+  request->state = state;
+  request->since_us = entry->now_us;
+  mq_request_heap_put (entry->timers, request, entry_due (entry, request));
+}
+
+bool
+mq_entry_keeps_deadlines (const mq_entry *entry)
+{
+  return entry->config->policy.routing == MQ_ROUTING_DEADLINE;
+}
+
+mq_decision
+mq_entry_decision (const mq_entry *entry, const mq_request *request,
+                   mq_decision_kind kind)
+{
+  return (mq_decision){ .kind = kind,
+                        .at_us = entry->now_us,
+                        .id = request->id,
+                        .handle = request->handle,
+                        .attempt = request->attempt,
+                        .tokens = request->tokens,
+                        .left_us = mq_request_left (request, entry->now_us),
+                        .work_us = mq_request_work (request),
+                        .figures = request->figures };
+}
+
+static void
+entry_count_end (mq_entry *entry, mq_outcome outcome, mq_reason reason,
+                 bool sent)
+{
+  entry->counters.ended[outcome]++;
+  entry->counters.reasons[reason]++;
+  if (!sent)
+    entry->counters.refused++;
+}
+
+static void
+entry_count_late (mq_entry *entry, const mq_request *request)
+{
+  entry->counters.late++;
+  if (mq_request_left (request, entry->now_us) > 0)
+    entry->counters.ended_early++;
+}
+
+static void
+entry_record_end (mq_entry *entry, const mq_request *request,
+                  mq_outcome outcome, mq_reason reason,
+                  uint64_t retry_after_us)
+{
+  bool sent = request->may_have_run || request->attempt > 1;
+  mq_decision d = mq_entry_decision (
+      entry, request, sent ? MQ_DECISION_ENDED : MQ_DECISION_REFUSED);
+
+  d.outcome = outcome;
+  d.reason = reason;
+  d.retry_after_us = retry_after_us;
+  mq_decision_log_add (entry->decisions, &d);
+}
+
+/* Say it once that nothing is in flight any more.  */
+static void
+entry_check_drained (mq_entry *entry)
+{
+  if (!entry->draining || entry->told_drained
+      || g_hash_table_size (entry->requests) > 0)
+    return;
+  entry->told_drained = true;
+  mq_entry_emit (entry, NULL, MQ_ENTRY_DRAINED);
+}
+
+static void
+entry_release_limit (mq_entry *entry, mq_request *request)
+{
+  mq_entry_action *a;
+
+  if (!request->limit_held)
+    return;
+  request->limit_held = false;
+  a = mq_entry_emit (entry, request, MQ_ENTRY_RELEASE_LIMIT);
+  a->u.limit.organisation = mq_str_span (request->organisation);
+  a->u.limit.tokens = request->tokens;
+}
+
+static void
+entry_finish_guard (mq_entry *entry, const mq_request *request,
+                    mq_outcome outcome)
+{
+  if (request->guarded)
+    mq_idempotency_finish (
+        entry->memory, request->guard, mq_str_span (request->organisation),
+        mq_str_span (request->guard_value), outcome, entry->now_us);
+}
+
+void
+mq_entry_end (mq_entry *entry, mq_request *request, mq_outcome outcome,
+              mq_reason reason, uint64_t retry_after_us)
+{
+  mq_entry_action *a;
+
+  switch (request->kind)
+    {
+    case MQ_SERVICE_MODEL:
+      mq_stream_close (entry, request, outcome);
+      break;
+    case MQ_SERVICE_PLAIN:
+      mq_service_call_close (entry, request);
+      break;
+    }
+  entry_release_limit (entry, request);
+  entry_finish_guard (entry, request, outcome);
+  entry_count_end (entry, outcome, reason,
+                   request->may_have_run || request->attempt > 1
+                       || outcome != MQ_OUTCOME_NOT_RUN);
+  if (reason == MQ_REASON_DEADLINE_MISSED)
+    entry_count_late (entry, request);
+  entry_record_end (entry, request, outcome, reason, retry_after_us);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_END);
+  a->u.end.outcome = outcome;
+  a->u.end.reason = reason;
+  a->u.end.retry_after_us = retry_after_us;
+  a->u.end.tokens = request->tokens;
+  request->state = MQ_REQUEST_ENDED;
+  mq_request_heap_remove (entry->timers, request);
+  g_ptr_array_add (entry->ended, request);
+  g_hash_table_steal (entry->requests, &request->handle);
+  entry_check_drained (entry);
+}
+
+void
+mq_entry_give_up (mq_entry *entry, mq_request *request, mq_reason reason,
+                  uint64_t retry_after_us)
+{
+  mq_entry_end (entry, request, mq_request_outcome (request), reason,
+                retry_after_us);
+}
+
+void
+mq_entry_claim (mq_entry *entry, mq_request *request)
+{
+  mq_entry_action *a;
+
+  mq_entry_enter (entry, request, MQ_REQUEST_CLAIMING);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_CLAIM);
+  a->u.claim.organisation = mq_str_span (request->organisation);
+  a->u.claim.key = mq_str_span (request->guard_value);
+  a->u.claim.body_hash = request->body_hash;
+  a->u.claim.lifetime_us = MQ_ENTRY_CLAIM_LIFETIME_US;
+}
+
+/* Refuse a call that has not become a request.  */
+static void
+entry_refuse (mq_entry *entry, uint64_t handle, mq_outcome outcome,
+              mq_reason reason, uint64_t retry_after_us)
+{
+  mq_decision d = { .kind = MQ_DECISION_REFUSED,
+                    .at_us = entry->now_us,
+                    .handle = handle,
+                    .outcome = outcome,
+                    .reason = reason,
+                    .retry_after_us = retry_after_us };
+  mq_entry_action *a = mq_entry_emit (entry, NULL, MQ_ENTRY_END);
+
+  a->handle = handle;
+  a->u.end.outcome = outcome;
+  a->u.end.reason = reason;
+  a->u.end.retry_after_us = retry_after_us;
+  mq_decision_log_add (entry->decisions, &d);
+  entry_count_end (entry, outcome, reason, false);
+}
+
+static bool
+call_deadline_is_valid (const mq_call *call, const mq_service *service)
+{
+  uint64_t most = (uint64_t)service->max_deadline_ms * 1000;
+
+  if (call->deadline_us == 0)
+    return service->deadline_ms > 0;
+  return most == 0 || call->deadline_us <= most;
+}
+
+static bool
+call_size_is_valid (const mq_call *call, const mq_service *service)
+{
+  uint32_t most;
+
+  if (service->kind != MQ_SERVICE_MODEL)
+    return true;
+  most = service->u.model.max_tokens;
+  return call->max_tokens > 0 ? most == 0 || call->max_tokens <= most
+                              : most > 0;
+}
+
+/* Why this call can't be taken, whatever the state of the system; or
+   MQ_REASON_NONE.  */
+static mq_reason
+entry_check_call (const mq_entry *entry, const mq_call *call,
+                  const mq_service *service)
+{
+  if (mq_config_organisation (entry->config, call->organisation) == NULL)
+    return MQ_REASON_UNAUTHENTICATED;
+  if (service == NULL)
+    return MQ_REASON_UNKNOWN_SERVICE;
+  if (!call_deadline_is_valid (call, service)
+      || !call_size_is_valid (call, service) || call->priority > 9)
+    return MQ_REASON_BAD_REQUEST;
+  if (call->guard != MQ_GUARD_NONE && call->guard_value.size == 0)
+    return MQ_REASON_BAD_REQUEST;
+  return MQ_REASON_NONE;
+}
+
+/* What is said of a call whose guard was used before.  */
+static void
+entry_refuse_guarded (mq_entry *entry, const mq_entry_event *event,
+                      mq_guard_verdict verdict, mq_outcome first)
+{
+  bool ticket = event->u.call.guard == MQ_GUARD_TICKET;
+
+  if (verdict != MQ_GUARD_FULL)
+    entry->counters.guard_hits++;
+  switch (verdict)
+    {
+    case MQ_GUARD_RUN:
+      break;
+    case MQ_GUARD_IN_FLIGHT:
+      entry_refuse (entry, event->handle, MQ_OUTCOME_UNKNOWN,
+                    MQ_REASON_KEY_IN_FLIGHT, SOON_US);
+      break;
+    case MQ_GUARD_OTHER_BODY:
+      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
+                    ticket ? MQ_REASON_TICKET_SPENT : MQ_REASON_KEY_MISMATCH,
+                    0);
+      break;
+    case MQ_GUARD_FINISHED:
+      entry_refuse (entry, event->handle, first,
+                    ticket ? MQ_REASON_TICKET_SPENT : MQ_REASON_KEY_SPENT, 0);
+      break;
+    case MQ_GUARD_FULL:
+      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
+                    MQ_REASON_OVERLOADED, LATER_US);
+      break;
+    }
+}
+
+/* A key guards nothing where a call may be repeated anyway.  */
+static mq_guard_kind
+entry_guard_needed (const mq_call *call, bool repeatable)
+{
+  if (repeatable && call->guard == MQ_GUARD_KEY)
+    return MQ_GUARD_NONE;
+  return call->guard;
+}
+
+static void
+entry_ask_limit (mq_entry *entry, mq_request *request)
+{
+  mq_entry_action *a;
+
+  request->limit_held = true;
+  mq_entry_enter (entry, request, MQ_REQUEST_LIMITING);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_ASK_LIMIT);
+  a->u.limit.organisation = mq_str_span (request->organisation);
+  a->u.limit.tokens = request->max_tokens;
+}
+
+static void
+entry_take (mq_entry *entry, const mq_entry_event *event,
+            const mq_service *service, mq_guard_kind guard, bool repeatable)
+{
+  mq_request_id id = { entry->router, ++entry->sequence };
+  mq_request *r = mq_request_new (&event->u.call, service, id, entry->now_us);
+
+  r->handle = event->handle;
+  r->guard = guard;
+  r->guarded = guard != MQ_GUARD_NONE;
+  r->repeatable = repeatable;
+  g_hash_table_insert (entry->requests, &r->handle, r);
+  entry_ask_limit (entry, r);
+}
+
+static void
+entry_call (mq_entry *entry, const mq_entry_event *event)
+{
+  const mq_call *call = &event->u.call;
+  const mq_service *service;
+  mq_guard_kind guard;
+  mq_guard_verdict verdict = MQ_GUARD_RUN;
+  mq_outcome first = MQ_OUTCOME_UNKNOWN;
+  mq_reason reason;
+  bool repeatable;
+
+  entry->counters.calls++;
+  if (entry->config == NULL)
+    {
+      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
+                    MQ_REASON_NO_CONFIGURATION, LATER_US);
+      return;
+    }
+  service = mq_config_service (entry->config, call->service);
+  reason = entry_check_call (entry, call, service);
+  if (reason != MQ_REASON_NONE)
+    {
+      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN, reason, 0);
+      return;
+    }
+  repeatable = mq_service_call_repeatable (service, call);
+  guard = entry_guard_needed (call, repeatable);
+  /* Before all refusals that pass: a repeated ticket is told what came of
+     the first call, also when this VM leaves.  */
+  if (guard != MQ_GUARD_NONE)
+    verdict = mq_idempotency_begin (entry->memory, guard, call->organisation,
+                                    call->guard_value, call->body_hash,
+                                    entry->now_us, &first);
+  if (verdict != MQ_GUARD_RUN)
+    entry_refuse_guarded (entry, event, verdict, first);
+  else if (entry->draining)
+    {
+      if (guard != MQ_GUARD_NONE)
+        mq_idempotency_finish (entry->memory, guard, call->organisation,
+                               call->guard_value, MQ_OUTCOME_NOT_RUN,
+                               entry->now_us);
+      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
+                    MQ_REASON_LEAVING, SOON_US);
+    }
+  else
+    entry_take (entry, event, service, guard, repeatable);
+}
+
+static void
+entry_caller_gone (mq_entry *entry, mq_request *request)
+{
+  if (request->state == MQ_REQUEST_CALLING && request->guarded)
+    {
+      /* It runs on, so that the memory learns what came of it.  */
+      request->caller_gone = true;
+      return;
+    }
+  mq_entry_give_up (entry, request, MQ_REASON_CALLER_GONE, 0);
+}
+
+static void
+entry_limited (mq_entry *entry, mq_request *request,
+               const mq_entry_event *event)
+{
+  if (request->state != MQ_REQUEST_LIMITING)
+    {
+      entry->counters.dropped_attempt++;
+      return;
+    }
+  if (!event->u.limited.allowed)
+    {
+      request->limit_held = false;
+      mq_entry_give_up (entry, request, MQ_REASON_ORGANISATION_LIMIT,
+                        event->u.limited.retry_after_us);
+      return;
+    }
+  switch (request->kind)
+    {
+    case MQ_SERVICE_MODEL:
+      mq_stream_ask (entry, request);
+      break;
+    case MQ_SERVICE_PLAIN:
+      if (request->guard == MQ_GUARD_KEY)
+        mq_entry_claim (entry, request);
+      else
+        mq_service_call_send (entry, request);
+      break;
+    }
+}
+
+static void
+entry_claim_won (mq_entry *entry, mq_request *request)
+{
+  request->claimed = true;
+  switch (request->kind)
+    {
+    case MQ_SERVICE_MODEL:
+      mq_stream_open (entry, request);
+      break;
+    case MQ_SERVICE_PLAIN:
+      mq_service_call_send (entry, request);
+      break;
+    }
+}
+
+static void
+entry_claimed (mq_entry *entry, mq_request *request, mq_claim_result result)
+{
+  if (request->state != MQ_REQUEST_CLAIMING)
+    {
+      entry->counters.dropped_attempt++;
+      return;
+    }
+  switch (result)
+    {
+    case MQ_CLAIM_WON:
+      entry_claim_won (entry, request);
+      break;
+    case MQ_CLAIM_LOST:
+      /* The first call, here or elsewhere, may run or have run.  */
+      mq_entry_end (entry, request, MQ_OUTCOME_UNKNOWN,
+                    MQ_REASON_KEY_IN_FLIGHT, LATER_US);
+      break;
+    case MQ_CLAIM_MISMATCH:
+      mq_entry_end (entry, request, MQ_OUTCOME_NOT_RUN, MQ_REASON_KEY_MISMATCH,
+                    0);
+      break;
+    case MQ_CLAIM_UNAVAILABLE:
+      mq_entry_end (entry, request, MQ_OUTCOME_NOT_RUN,
+                    MQ_REASON_PLATFORM_UNAVAILABLE, LATER_US);
+      break;
+    }
+}
+
+static void
+entry_configure (mq_entry *entry, mq_config *config)
+{
+  GHashTableIter iter;
+  gpointer request;
+
+  mq_config_ref (config);
+  mq_config_unref (entry->config);
+  entry->config = config;
+  mq_retry_budget_clear (entry->service_budget);
+  mq_retry_budget_clear (entry->organisation_budget);
+  mq_service_call_configure (entry);
+  /* The policy's times may have changed.  */
+  g_hash_table_iter_init (&iter, entry->requests);
+  while (g_hash_table_iter_next (&iter, NULL, &request))
+    mq_request_heap_put (entry->timers, request, entry_due (entry, request));
+}
+
+static void
+entry_resume (mq_entry *entry, mq_request *request)
+{
+  switch (request->kind)
+    {
+    case MQ_SERVICE_MODEL:
+      mq_stream_ask (entry, request);
+      break;
+    case MQ_SERVICE_PLAIN:
+      mq_service_call_send (entry, request);
+      break;
+    }
+}
+
+/* REQUEST is due.  */
+static void
+entry_fire (mq_entry *entry, mq_request *request)
+{
+  if (request->deadline_us <= entry->now_us)
+    {
+      mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+      return;
+    }
+  switch (request->state)
+    {
+    case MQ_REQUEST_LIMITING:
+      mq_entry_give_up (entry, request, MQ_REASON_OVERLOADED, SOON_US);
+      break;
+    case MQ_REQUEST_PLANNING:
+      mq_stream_unplanned (entry, request);
+      break;
+    case MQ_REQUEST_CLAIMING:
+      entry_claimed (entry, request, MQ_CLAIM_UNAVAILABLE);
+      break;
+    case MQ_REQUEST_OPENING:
+    case MQ_REQUEST_STREAMING:
+      mq_stream_stalled (entry, request);
+      break;
+    case MQ_REQUEST_RESTING:
+      entry_resume (entry, request);
+      break;
+    case MQ_REQUEST_CALLING:
+    case MQ_REQUEST_IDLE:
+    case MQ_REQUEST_QUEUED:
+    case MQ_REQUEST_ENDED:
+      break;
+    }
+}
+
+static void
+entry_tick (mq_entry *entry)
+{
+  mq_request *r;
+
+  while ((r = mq_request_heap_first (entry->timers)) != NULL
+         && r->heap_us <= entry->now_us)
+    {
+      uint64_t due = entry_due (entry, r);
+
+      if (due > entry->now_us)
+        mq_request_heap_put (entry->timers, r, due);
+      else
+        entry_fire (entry, r);
+    }
+  mq_stream_recover (entry);
+}
+
+/* Events that speak of one request.  */
+static void
+entry_dispatch (mq_entry *entry, mq_request *request,
+                const mq_entry_event *event)
+{
+  switch (event->kind)
+    {
+    case MQ_ENTRY_CALLER_GONE:
+      entry_caller_gone (entry, request);
+      break;
+    case MQ_ENTRY_PLANNED:
+      mq_stream_planned (entry, request, event);
+      break;
+    case MQ_ENTRY_LIMITED:
+      entry_limited (entry, request, event);
+      break;
+    case MQ_ENTRY_CLAIMED:
+      entry_claimed (entry, request, event->u.claim);
+      break;
+    case MQ_ENTRY_STREAM_OPEN:
+      mq_stream_opened (entry, request, event);
+      break;
+    case MQ_ENTRY_TOKEN:
+      mq_stream_token (entry, request, event);
+      break;
+    case MQ_ENTRY_STREAM_END:
+      mq_stream_ended (entry, request, event);
+      break;
+    case MQ_ENTRY_STREAM_FAILED:
+      mq_stream_failed (entry, request, event);
+      break;
+    case MQ_ENTRY_REPLY:
+      mq_service_call_reply (entry, request, event);
+      break;
+    case MQ_ENTRY_SEND_FAILED:
+      mq_service_call_failed (entry, request, event);
+      break;
+    case MQ_ENTRY_CONFIG:
+    case MQ_ENTRY_CALL:
+    case MQ_ENTRY_DRAIN:
+    case MQ_ENTRY_TICK:
+      break;
+    }
+}
+
+static void
+entry_request_free (gpointer request)
+{
+  mq_request_free (request);
+}
+
+mq_entry *
+mq_entry_new (const mq_entry_options *options)
+{
+  mq_entry *e = g_new0 (mq_entry, 1);
+
+  e->router = options->router;
+  e->failure_domain = mq_str_new (options->failure_domain);
+  e->random = options->seed;
+  e->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                       entry_request_free);
+  e->timers = g_ptr_array_new ();
+  e->queued = g_ptr_array_new ();
+  e->ended = g_ptr_array_new_with_free_func (entry_request_free);
+  e->memory = mq_idempotency_new (GUARDS_KEPT, MQ_ENTRY_GUARD_MEMORY_US);
+  e->service_budget = mq_retry_budget_new (RETRY_BURST);
+  e->organisation_budget = mq_retry_budget_new (RETRY_BURST);
+  e->instances = mq_service_call_instances_new ();
+  e->decisions = mq_decision_log_new (DECISIONS_KEPT);
+  return e;
+}
+
+void
+mq_entry_free (mq_entry *entry)
+{
+  if (entry == NULL)
+    return;
+  g_hash_table_unref (entry->requests);
+  g_ptr_array_unref (entry->timers);
+  g_ptr_array_unref (entry->queued);
+  g_ptr_array_unref (entry->ended);
+  mq_idempotency_free (entry->memory);
+  mq_retry_budget_free (entry->service_budget);
+  mq_retry_budget_free (entry->organisation_budget);
+  g_hash_table_unref (entry->instances);
+  mq_decision_log_free (entry->decisions);
+  mq_str_unref (entry->failure_domain);
+  mq_config_unref (entry->config);
+  g_free (entry);
+}
+
+void
+mq_entry_handle (mq_entry *entry, const mq_entry_event *event, GArray *actions)
+{
+  mq_request *r;
+
+  g_ptr_array_set_size (entry->ended, 0);
+  entry->now_us = event->now_us;
+  entry->actions = actions;
+  switch (event->kind)
+    {
+    case MQ_ENTRY_CONFIG:
+      entry_configure (entry, event->u.config);
+      return;
+    case MQ_ENTRY_DRAIN:
+      entry->draining = true;
+      entry_check_drained (entry);
+      return;
+    case MQ_ENTRY_TICK:
+      entry_tick (entry);
+      return;
+    default:
+      break;
+    }
+  r = g_hash_table_lookup (entry->requests, &event->handle);
+  if (event->kind == MQ_ENTRY_CALL && r == NULL)
+    entry_call (entry, event);
+  else if (r != NULL)
+    entry_dispatch (entry, r, event);
+  else
+    entry->counters.dropped_attempt++;
+}
+
+uint32_t
+mq_entry_in_flight (const mq_entry *entry)
+{
+  return g_hash_table_size (entry->requests);
+}
+
+uint64_t
+mq_entry_next_tick (const mq_entry *entry)
+{
+  const mq_request *r = mq_request_heap_first (entry->timers);
+  uint64_t due = mq_stream_recover_us (entry);
+
+  return r != NULL ? MIN (due, r->heap_us) : due;
+}
+
+const mq_entry_counters *
+mq_entry_read_counters (const mq_entry *entry)
+{
+  return &entry->counters;
+}
+
+const mq_decision_log *
+mq_entry_decisions (const mq_entry *entry)
+{
+  return entry->decisions;
+}
--- /dev/null
+++ b/packages/decide/idempotency.c
@@ -0,0 +1,151 @@
+/* Memory of guarded calls: see mq/internal/idempotency.h.
+
+   Values that ended lie in a queue in the order of their ends, which is also
+   the order in which they may be forgotten.  */
+
+#include <mq/internal/idempotency.h>
+
+typedef struct guard_entry
+{
+  mq_str *name; /* Also the key in the table, which borrows it.  */
+  uint64_t body_hash;
+  bool running;
+  mq_outcome outcome;
+  uint64_t forget_us;
+} guard_entry;
+
+struct mq_idempotency
+{
+  uint32_t limit;
+  uint64_t memory_us;
+  GHashTable *entries; /* mq_str name to guard_entry, owned.  */
+  GQueue finished;     /* of guard_entry, borrowed, oldest end first.  */
+};
+
+static guint
+guard_hash (gconstpointer key)
+{
+  return (guint)mq_span_hash (mq_str_span (key));
+}
+
+static gboolean
+guard_equal (gconstpointer a, gconstpointer b)
+{
+  return mq_span_equal (mq_str_span (a), mq_str_span (b));
+}
+
+static void
+guard_entry_free (gpointer data)
+{
+  guard_entry *g = data;
+
+  mq_str_unref (g->name);
+  g_free (g);
+}
+
+/* The organisation's length is part of the name, so that no two pairs of
+   organisation and value share one.  */
+static mq_str *
+guard_name (mq_guard_kind kind, mq_span organisation, mq_span value)
+{
+  return mq_str_printf ("%d:%zu:%.*s:%.*s", (int)kind, organisation.size,
+                        MQ_SPAN_ARG (organisation), MQ_SPAN_ARG (value));
+}
+
+static void
+idempotency_expire (mq_idempotency *memory, uint64_t now_us)
+{
+  guard_entry *g;
+
+  while ((g = g_queue_peek_head (&memory->finished)) != NULL
+         && g->forget_us <= now_us)
+    {
+      g_queue_pop_head (&memory->finished);
+      g_hash_table_remove (memory->entries, g->name);
+    }
+}
+
+mq_idempotency *
+mq_idempotency_new (uint32_t limit, uint64_t memory_us)
+{
+  mq_idempotency *m = g_new0 (mq_idempotency, 1);
+
+  m->limit = limit;
+  m->memory_us = memory_us;
+  m->entries = g_hash_table_new_full (guard_hash, guard_equal, NULL,
+                                      guard_entry_free);
+  g_queue_init (&m->finished);
+  return m;
+}
+
+void
+mq_idempotency_free (mq_idempotency *memory)
+{
+  if (memory == NULL)
+    return;
+  g_queue_clear (&memory->finished);
+  g_hash_table_unref (memory->entries);
+  g_free (memory);
+}
+
+mq_guard_verdict
+mq_idempotency_begin (mq_idempotency *memory, mq_guard_kind kind,
+                      mq_span organisation, mq_span value, uint64_t body_hash,
+                      uint64_t now_us, mq_outcome *outcome)
+{
+  mq_str *name = guard_name (kind, organisation, value);
+  guard_entry *g;
+
+  idempotency_expire (memory, now_us);
+  g = g_hash_table_lookup (memory->entries, name);
+  if (g != NULL)
+    {
+      mq_str_unref (name);
+      if (g->body_hash != body_hash)
+        return MQ_GUARD_OTHER_BODY;
+      if (g->running)
+        return MQ_GUARD_IN_FLIGHT;
+      *outcome = g->outcome;
+      return MQ_GUARD_FINISHED;
+    }
+  if (g_hash_table_size (memory->entries) >= memory->limit)
+    {
+      mq_str_unref (name);
+      return MQ_GUARD_FULL;
+    }
+  g = g_new0 (guard_entry, 1);
+  g->name = name;
+  g->body_hash = body_hash;
+  g->running = true;
+  g_hash_table_insert (memory->entries, name, g);
+  return MQ_GUARD_RUN;
+}
+
+void
+mq_idempotency_finish (mq_idempotency *memory, mq_guard_kind kind,
+                       mq_span organisation, mq_span value, mq_outcome outcome,
+                       uint64_t now_us)
+{
+  mq_str *name = guard_name (kind, organisation, value);
+  guard_entry *g = g_hash_table_lookup (memory->entries, name);
+
+  if (g != NULL && g->running)
+    {
+      if (outcome == MQ_OUTCOME_NOT_RUN)
+        g_hash_table_remove (memory->entries, name);
+      else
+        {
+          g->running = false;
+          g->outcome = outcome;
+          g->forget_us = now_us + memory->memory_us;
+          g_queue_push_tail (&memory->finished, g);
+        }
+    }
+  mq_str_unref (name);
+}
+
+uint32_t
+mq_idempotency_count (const mq_idempotency *memory)
+{
+  return g_hash_table_size (memory->entries);
+}
--- a/packages/decide/outcome.c
+++ b/packages/decide/outcome.c
@@ -15,6 +15,7 @@
   [MQ_REASON_UNKNOWN_SERVICE] = { "unknown-service", 404 },
   [MQ_REASON_KEY_MISMATCH] = { "key-mismatch", 422 },
   [MQ_REASON_KEY_IN_FLIGHT] = { "key-in-flight", 409 },
+  [MQ_REASON_KEY_SPENT] = { "key-spent", 409 },
   [MQ_REASON_WRONG_ROUTER] = { "wrong-router", 421 },
   [MQ_REASON_TICKET_SPENT] = { "ticket-spent", 409 },
   [MQ_REASON_TICKET_INVALID] = { "ticket-invalid", 400 },
--- /dev/null
+++ b/packages/decide/request.c
@@ -0,0 +1,183 @@
+/* One request: see mq/internal/request.h.  */
+
+#include <mq/internal/request.h>
+
+/* The share of the estimated work that must be too long before a request is
+   given up: estimates err, and a request ended in error is a lost one.  */
+#define CERTAIN_PERCENT 75
+
+static uint64_t
+request_deadline (const mq_call *call, const mq_service *service)
+{
+  if (call->deadline_us > 0)
+    return call->deadline_us;
+  return (uint64_t)service->deadline_ms * 1000;
+}
+
+/* The gap between tokens that the planner thought of, or 0.  */
+static uint64_t
+request_planned_gap (const mq_request *request)
+{
+  const mq_plan_figures *f = &request->figures;
+
+  if (f->predicted_finish_us <= f->predicted_first_us
+      || request->max_tokens < 2)
+    return 0;
+  return (f->predicted_finish_us - f->predicted_first_us)
+         / (request->max_tokens - 1);
+}
+
+/* The mean of the last gaps without the longest, so that one pause does not
+   pass for slowness; 0 before there are enough of them.  */
+static uint64_t
+request_measured_gap (const mq_request *request)
+{
+  uint64_t sum = 0;
+  uint32_t longest = 0;
+
+  if (request->attempt_tokens <= MQ_REQUEST_GAPS)
+    return 0;
+  for (int i = 0; i < MQ_REQUEST_GAPS; i++)
+    {
+      sum += request->gaps[i];
+      longest = MAX (longest, request->gaps[i]);
+    }
+  return (sum - longest) / (MQ_REQUEST_GAPS - 1);
+}
+
+mq_request *
+mq_request_new (const mq_call *call, const mq_service *service,
+                mq_request_id id, uint64_t now_us)
+{
+  mq_request *r = g_new0 (mq_request, 1);
+
+  r->id = id;
+  r->handle = call->handle;
+  r->kind = service->kind;
+  r->organisation = mq_str_new (call->organisation);
+  r->service = mq_str_ref (service->name);
+  r->started_us = now_us;
+  r->since_us = now_us;
+  r->deadline_us = now_us + request_deadline (call, service);
+  r->priority = call->priority < 0 ? service->priority : call->priority;
+  r->guard = call->guard;
+  r->guard_value = mq_str_new (call->guard_value);
+  r->body_hash = call->body_hash;
+  r->heap_index = SIZE_MAX;
+  switch (service->kind)
+    {
+    case MQ_SERVICE_MODEL:
+      r->prompt_tokens = call->prompt_tokens;
+      r->max_tokens = call->max_tokens > 0 ? call->max_tokens
+                                           : service->u.model.max_tokens;
+      r->prefix_hash = call->prefix_hash;
+      break;
+    case MQ_SERVICE_PLAIN:
+      r->method = mq_str_new (call->method);
+      r->path = mq_str_new (call->path);
+      break;
+    }
+  return r;
+}
+
+void
+mq_request_free (mq_request *request)
+{
+  if (request == NULL)
+    return;
+  mq_str_unref (request->organisation);
+  mq_str_unref (request->service);
+  mq_str_unref (request->guard_value);
+  mq_str_unref (request->method);
+  mq_str_unref (request->path);
+  mq_str_unref (request->instance);
+  for (uint32_t i = 0; i < request->n_avoid; i++)
+    mq_str_unref (request->avoid[i]);
+  mq_plan_finish (&request->plan);
+  g_free (request);
+}
+
+bool
+mq_request_is_out (const mq_request *request)
+{
+  return request->state == MQ_REQUEST_OPENING
+         || request->state == MQ_REQUEST_STREAMING
+         || request->state == MQ_REQUEST_CALLING;
+}
+
+mq_outcome
+mq_request_outcome (const mq_request *request)
+{
+  if (request->seen_running)
+    return MQ_OUTCOME_FAILED;
+  if (request->may_have_run || mq_request_is_out (request))
+    return MQ_OUTCOME_UNKNOWN;
+  return MQ_OUTCOME_NOT_RUN;
+}
+
+uint64_t
+mq_request_left (const mq_request *request, uint64_t now_us)
+{
+  if (request->deadline_us <= now_us)
+    return 0;
+  return request->deadline_us - now_us;
+}
+
+uint64_t
+mq_request_work (const mq_request *request)
+{
+  uint32_t rest = request->max_tokens - request->tokens;
+
+  if (request->kind != MQ_SERVICE_MODEL)
+    return 0;
+  if (request->attempt_tokens > MQ_REQUEST_GAPS)
+    return rest * request_measured_gap (request);
+  return rest * request_planned_gap (request);
+}
+
+int64_t
+mq_request_slack (const mq_request *request, uint64_t now_us)
+{
+  int64_t left = (int64_t)request->deadline_us - (int64_t)now_us;
+
+  return left - (int64_t)mq_request_work (request);
+}
+
+bool
+mq_request_is_hopeless (const mq_request *request, uint64_t now_us)
+{
+  uint64_t sure = mq_request_work (request) * CERTAIN_PERCENT / 100;
+
+  return sure > mq_request_left (request, now_us);
+}
+
+void
+mq_request_note_token (mq_request *request, uint64_t now_us)
+{
+  if (request->attempt_tokens == 0)
+    request->first_us = now_us;
+  else
+    {
+      uint64_t gap = now_us - request->last_us;
+
+      request->gaps[request->attempt_tokens % MQ_REQUEST_GAPS]
+          = (uint32_t)MIN (gap, UINT32_MAX);
+    }
+  request->last_us = now_us;
+  request->since_us = now_us;
+  request->attempt_tokens++;
+  request->tokens++;
+}
+
+void
+mq_request_avoid (mq_request *request, mq_str *engine)
+{
+  if (request->n_avoid == MQ_PLAN_STAGES)
+    {
+      mq_str_unref (request->avoid[0]);
+      request->n_avoid--;
+      for (uint32_t i = 0; i < request->n_avoid; i++)
+        request->avoid[i] = request->avoid[i + 1];
+    }
+  request->avoid[request->n_avoid++] = mq_str_ref (engine);
+}
--- /dev/null
+++ b/packages/decide/service_call.c
@@ -0,0 +1,370 @@
+/* Calls of plain services: choice of an instance, one send, proven retries.
+
+   Invariants:
+   - a call is out at no more than one instance at a time;
+   - a call that may not be repeated is sent again only when each send before
+     is proven not to have run;
+   - an instance has no more of this router's calls in flight than the
+     service allows.  */
+
+#include <mq/internal/entry.h>
+
+#define DEFAULT_CONCURRENT 64
+/* Sends of one call at the most.  */
+#define SENDS_MAX 4
+/* Back-off between them.  */
+#define RETRY_BASE_US 10000
+#define RETRY_CAP_US 500000
+/* An instance that failed is put aside for so long, doubled each time.  */
+#define ASIDE_BASE_US 100000
+#define ASIDE_CAP_US 5000000
+/* Told to callers that found all instances full.  */
+#define FULL_RETRY_US 200000
+
+typedef struct instance_state
+{
+  uint32_t in_flight;
+  uint32_t failures; /* In a row.  */
+  uint64_t aside_us; /* Not used before, while others can be.  */
+} instance_state;
+
+static guint
+instance_hash (gconstpointer key)
+{
+  return (guint)mq_span_hash (mq_str_span (key));
+}
+
+static gboolean
+instance_equal (gconstpointer a, gconstpointer b)
+{
+  return mq_span_equal (mq_str_span (a), mq_str_span (b));
+}
+
+static void
+instance_name_free (gpointer name)
+{
+  mq_str_unref (name);
+}
+
+static instance_state *
+instance_get (mq_entry *entry, mq_str *url)
+{
+  instance_state *i = g_hash_table_lookup (entry->instances, url);
+
+  if (i == NULL)
+    {
+      i = g_new0 (instance_state, 1);
+      g_hash_table_insert (entry->instances, mq_str_ref (url), i);
+    }
+  return i;
+}
+
+/* How much rather not to use an instance: first those put aside, then by
+   calls in flight, then by distance.  */
+static uint64_t
+instance_cost (const mq_entry *entry, const mq_instance *instance,
+               const instance_state *state)
+{
+  bool aside = state->aside_us > entry->now_us;
+  bool far = !mq_span_equal (mq_str_span (instance->failure_domain),
+                             mq_str_span (entry->failure_domain));
+
+  return ((uint64_t)aside << 40) + ((uint64_t)state->in_flight << 1) + far;
+}
+
+/* The instance to use, borrowed, or NULL when all are full.  */
+static mq_str *
+call_choose_instance (mq_entry *entry, const mq_service *service)
+{
+  const GArray *all = service->u.plain.instances;
+  uint32_t most = service->u.plain.concurrent > 0 ? service->u.plain.concurrent
+                                                  : DEFAULT_CONCURRENT;
+  mq_str *best = NULL;
+  uint64_t best_cost = UINT64_MAX;
+  uint64_t turn = entry->turn++;
+
+  for (guint k = 0; k < all->len; k++)
+    {
+      const mq_instance *i
+          = &g_array_index (all, mq_instance, (k + turn) % all->len);
+      const instance_state *s = instance_get (entry, i->url);
+      uint64_t cost = instance_cost (entry, i, s);
+
+      if (s->in_flight >= most)
+        continue;
+      if (!mq_entry_keeps_deadlines (entry))
+        return i->url;
+      if (cost < best_cost)
+        {
+          best = i->url;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+/* The call is no longer out.  */
+static void
+call_take_back (mq_entry *entry, mq_request *request)
+{
+  instance_get (entry, request->instance)->in_flight--;
+  g_clear_pointer (&request->instance, mq_str_unref);
+}
+
+static void
+call_note_failure (mq_entry *entry, mq_str *url)
+{
+  instance_state *s = instance_get (entry, url);
+  uint64_t aside = (uint64_t)ASIDE_BASE_US << MIN (s->failures, 16);
+
+  s->failures++;
+  s->aside_us = entry->now_us + MIN (aside, ASIDE_CAP_US);
+}
+
+static const mq_service *
+call_service (const mq_entry *entry, const mq_request *request)
+{
+  const mq_service *s
+      = mq_config_service (entry->config, mq_str_span (request->service));
+
+  return s != NULL && s->kind == MQ_SERVICE_PLAIN ? s : NULL;
+}
+
+/* A retry is left in the budgets of the service and the organisation.  */
+static bool
+call_has_budget (mq_entry *entry, const mq_request *request,
+                 const mq_service *service)
+{
+  mq_span organisation = mq_str_span (request->organisation);
+
+  if (!mq_entry_keeps_deadlines (entry))
+    return true;
+  return service->retry_percent > 0
+         && mq_retry_budget_has (entry->service_budget,
+                                 mq_str_span (service->name))
+         && mq_retry_budget_has (entry->organisation_budget, organisation);
+}
+
+static void
+call_spend_budget (mq_entry *entry, const mq_request *request)
+{
+  mq_retry_budget_spend (entry->service_budget,
+                         mq_str_span (request->service));
+  mq_retry_budget_spend (entry->organisation_budget,
+                         mq_str_span (request->organisation));
+}
+
+static void
+call_earn_budget (mq_entry *entry, const mq_request *request,
+                  const mq_service *service)
+{
+  mq_retry_budget_earn (entry->service_budget, mq_str_span (service->name),
+                        service->retry_percent);
+  mq_retry_budget_earn (entry->organisation_budget,
+                        mq_str_span (request->organisation),
+                        service->retry_percent);
+}
+
+/* Send REQUEST, which nothing is out for, once more.  False: it may not be,
+   or there is no use in it.  */
+static bool
+call_retry (mq_entry *entry, mq_request *request)
+{
+  const mq_service *s = call_service (entry, request);
+  uint64_t wait;
+
+  if (s == NULL || request->attempt >= SENDS_MAX)
+    return false;
+  if (request->may_have_run && !request->repeatable)
+    return false;
+  wait = mq_backoff_us (&entry->random, request->rests++, RETRY_BASE_US,
+                        RETRY_CAP_US);
+  if (wait >= mq_request_left (request, entry->now_us))
+    return false;
+  if (!call_has_budget (entry, request, s))
+    {
+      entry->counters.retries_denied++;
+      return false;
+    }
+  call_spend_budget (entry, request);
+  request->resume_us = entry->now_us + wait;
+  mq_entry_enter (entry, request, MQ_REQUEST_RESTING);
+  return true;
+}
+
+/* A reply that says the upstream could not do its work just now.  */
+static bool
+call_status_passes (unsigned status)
+{
+  return status == 502 || status == 503 || status == 504;
+}
+
+static bool
+call_is_awaited (mq_entry *entry, const mq_request *request, uint32_t attempt)
+{
+  if (request->state == MQ_REQUEST_CALLING && attempt == request->attempt)
+    return true;
+  entry->counters.dropped_attempt++;
+  return false;
+}
+
+static void
+call_note_sent (mq_entry *entry, const mq_request *request)
+{
+  mq_decision_kind kind
+      = request->attempt == 1 ? MQ_DECISION_ADMITTED : MQ_DECISION_RETRIED;
+  mq_decision d = mq_entry_decision (entry, request, kind);
+
+  mq_decision_log_add (entry->decisions, &d);
+  entry->counters.sends++;
+  if (request->attempt > 1)
+    entry->counters.retries++;
+}
+
+void
+mq_service_call_send (mq_entry *entry, mq_request *request)
+{
+  const mq_service *s = call_service (entry, request);
+  mq_str *url;
+  mq_entry_action *a;
+
+  if (s == NULL)
+    {
+      mq_entry_give_up (entry, request, MQ_REASON_UNKNOWN_SERVICE, 0);
+      return;
+    }
+  url = call_choose_instance (entry, s);
+  if (url == NULL)
+    {
+      mq_entry_give_up (entry, request, MQ_REASON_OVERLOADED, FULL_RETRY_US);
+      return;
+    }
+  if (request->attempt++ == 0)
+    call_earn_budget (entry, request, s);
+  request->instance = mq_str_ref (url);
+  instance_get (entry, url)->in_flight++;
+  call_note_sent (entry, request);
+  mq_entry_enter (entry, request, MQ_REQUEST_CALLING);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_SEND);
+  a->u.send.url = mq_str_span (url);
+  a->u.send.deadline_us = mq_request_left (request, entry->now_us);
+}
+
+void
+mq_service_call_reply (mq_entry *entry, mq_request *request,
+                       const mq_entry_event *event)
+{
+  unsigned status = event->u.status;
+
+  if (!call_is_awaited (entry, request, event->attempt))
+    return;
+  if (call_status_passes (status))
+    call_note_failure (entry, request->instance);
+  else
+    instance_get (entry, request->instance)->failures = 0;
+  call_take_back (entry, request);
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  request->may_have_run = true;
+  if (call_status_passes (status) && call_retry (entry, request))
+    return;
+  if (!request->caller_gone)
+    mq_entry_emit (entry, request, MQ_ENTRY_PASS_REPLY);
+  if (status < 500)
+    mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
+  else
+    mq_entry_end (entry, request, MQ_OUTCOME_UNKNOWN,
+                  MQ_REASON_UPSTREAM_FAILED, 0);
+}
+
+void
+mq_service_call_failed (mq_entry *entry, mq_request *request,
+                        const mq_entry_event *event)
+{
+  const mq_send_failure *f = &event->u.failure;
+
+  if (!call_is_awaited (entry, request, event->attempt))
+    return;
+  call_note_failure (entry, request->instance);
+  call_take_back (entry, request);
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  if (f->maybe_sent && !f->said_not_run)
+    request->may_have_run = true;
+  if (call_retry (entry, request))
+    return;
+  mq_entry_give_up (entry, request,
+                    f->said_not_run ? MQ_REASON_UPSTREAM_REFUSED
+                                    : MQ_REASON_UPSTREAM_FAILED,
+                    RETRY_CAP_US);
+}
+
+void
+mq_service_call_close (mq_entry *entry, mq_request *request)
+{
+  if (request->state != MQ_REQUEST_CALLING)
+    return;
+  mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_SEND);
+  call_take_back (entry, request);
+}
+
+bool
+mq_service_call_repeatable (const mq_service *service, const mq_call *call)
+{
+  const GArray *all;
+
+  if (service->kind != MQ_SERVICE_PLAIN)
+    return false;
+  if (service->u.plain.honours_keys && call->guard == MQ_GUARD_KEY)
+    return true;
+  all = service->u.plain.repeatable;
+  for (guint k = 0; k < all->len; k++)
+    {
+      const mq_repeatable_call *c
+          = &g_array_index (all, mq_repeatable_call, k);
+
+      if (mq_span_equal (mq_str_span (c->method), call->method)
+          && mq_span_starts_with (call->path, mq_str_span (c->path_prefix)))
+        return true;
+    }
+  return false;
+}
+
+GHashTable *
+mq_service_call_instances_new (void)
+{
+  return g_hash_table_new_full (instance_hash, instance_equal,
+                                instance_name_free, g_free);
+}
+
+static bool
+instance_is_named (const mq_config *config, mq_span url)
+{
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      const mq_service *s = &g_array_index (config->services, mq_service, i);
+
+      if (s->kind != MQ_SERVICE_PLAIN)
+        continue;
+      for (guint k = 0; k < s->u.plain.instances->len; k++)
+        if (mq_span_equal (
+                mq_str_span (
+                    g_array_index (s->u.plain.instances, mq_instance, k).url),
+                url))
+          return true;
+    }
+  return false;
+}
+
+static gboolean
+instance_is_dead (gpointer key, gpointer value, gpointer config)
+{
+  const instance_state *s = value;
+
+  return s->in_flight == 0 && !instance_is_named (config, mq_str_span (key));
+}
+
+void
+mq_service_call_configure (mq_entry *entry)
+{
+  g_hash_table_foreach_remove (entry->instances, instance_is_dead,
+                               entry->config);
+}
--- /dev/null
+++ b/packages/decide/stream.c
@@ -0,0 +1,517 @@
+/* The attempts of a request to a model: plan, stream, tokens, recovery.
+
+   Invariants:
+   - a token is taken only from the attempt that is awaited, at the position
+     that is awaited, with receipts that say that each layer ran once;
+   - an attempt that is given up is cancelled and released before the next
+     one is asked for;
+   - within one window no more than RECOVERY_BURST attempts are asked for in
+     place of lost ones, those with the least slack first, so that the
+     survivors of a failure are not stormed.  */
+
+#include <mq/internal/entry.h>
+
+/* A window of recoveries, and how many it lets go.  */
+#define RECOVERY_WINDOW_US 5000
+#define RECOVERY_BURST 16
+/* Attempts of one request at the most.  */
+#define ATTEMPTS_MAX 24
+/* Back-off after a refused recovery.  */
+#define REST_BASE_US 10000
+#define REST_CAP_US 200000
+/* A first token may take so many times longer than predicted.  */
+#define FIRST_TOKEN_FACTOR 3
+/* Unanswered asks in a row before a request is given up.  */
+#define UNPLANNED_MAX 2
+
+static bool
+stream_is_awaited (mq_entry *entry, const mq_request *request,
+                   uint32_t attempt)
+{
+  bool out = request->state == MQ_REQUEST_OPENING
+             || request->state == MQ_REQUEST_STREAMING;
+
+  if (out && attempt == request->attempt)
+    return true;
+  entry->counters.dropped_attempt++;
+  return false;
+}
+
+static bool
+stream_is_whole (const mq_request *request)
+{
+  return request->tokens > 0 && request->tokens == request->max_tokens;
+}
+
+static uint64_t
+stream_mean_gap (const mq_request *request)
+{
+  if (request->attempt_tokens < 2)
+    return 0;
+  return (request->last_us - request->first_us)
+         / (request->attempt_tokens - 1);
+}
+
+/* Tell the planner that the present attempt is over.  */
+static void
+stream_release (mq_entry *entry, mq_request *request, mq_attempt_end end,
+                uint32_t stage)
+{
+  mq_entry_action *a;
+  mq_plan_release *p;
+
+  if (!request->plan_held)
+    return;
+  request->plan_held = false;
+  a = mq_entry_emit (entry, request, MQ_ENTRY_RELEASE_PLAN);
+  p = &a->u.release;
+  p->id = request->id;
+  p->attempt = request->attempt;
+  p->end = end;
+  p->stage = stage;
+  p->tokens = request->attempt_tokens;
+  if (request->attempt_tokens > 0)
+    p->first_token_us = request->first_us - request->opened_us;
+  p->mean_gap_us = stream_mean_gap (request);
+}
+
+static void
+stream_avoid (mq_request *request, uint32_t stage)
+{
+  if (stage < request->plan.n_stages)
+    mq_request_avoid (request, request->plan.stages[stage].engine);
+}
+
+static void
+stream_avoid_all (mq_request *request)
+{
+  for (uint32_t i = 0; i < request->plan.n_stages; i++)
+    stream_avoid (request, i);
+}
+
+static void
+stream_forgive (mq_request *request)
+{
+  while (request->n_avoid > 0)
+    mq_str_unref (request->avoid[--request->n_avoid]);
+}
+
+/* Ask for the next attempt, now or when its turn comes.  */
+static void
+stream_again (mq_entry *entry, mq_request *request)
+{
+  if (entry->now_us >= entry->replan_us + RECOVERY_WINDOW_US)
+    {
+      entry->replan_us = entry->now_us;
+      entry->replans = 0;
+    }
+  if (entry->replans < RECOVERY_BURST && entry->queued->len == 0)
+    {
+      entry->replans++;
+      mq_stream_ask (entry, request);
+      return;
+    }
+  entry->counters.queued_replans++;
+  mq_entry_enter (entry, request, MQ_REQUEST_QUEUED);
+  g_ptr_array_add (entry->queued, request);
+}
+
+/* Go on after a lost attempt, unless there is no use in it.  */
+static void
+stream_go_on (mq_entry *entry, mq_request *request)
+{
+  if (stream_is_whole (request))
+    mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
+  else if (request->attempt >= ATTEMPTS_MAX)
+    mq_entry_give_up (entry, request, MQ_REASON_UPSTREAM_FAILED, 0);
+  else if (mq_entry_keeps_deadlines (entry)
+           && mq_request_is_hopeless (request, entry->now_us))
+    mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+  else
+    stream_again (entry, request);
+}
+
+/* The present attempt is over without a whole answer.  */
+static void
+stream_lose (mq_entry *entry, mq_request *request, mq_attempt_end end,
+             uint32_t stage, bool cancel, bool proven_not_run)
+{
+  mq_decision d = mq_entry_decision (entry, request, MQ_DECISION_MOVED);
+
+  d.lost = end;
+  d.stage = stage;
+  mq_decision_log_add (entry->decisions, &d);
+  if (cancel)
+    mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
+  if (!proven_not_run)
+    request->may_have_run = true;
+  stream_avoid (request, stage);
+  stream_release (entry, request, end, stage);
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  stream_go_on (entry, request);
+}
+
+/* The first stage whose receipt is not as planned.  */
+static uint32_t
+stream_wrong_stage (const mq_plan *plan, const mq_receipt *receipts, size_t n)
+{
+  for (uint32_t i = 0; i < plan->n_stages; i++)
+    {
+      const mq_stage *s = &plan->stages[i];
+
+      if (i >= n || receipts[i].first != s->first || receipts[i].end != s->end
+          || !mq_span_equal (receipts[i].version, mq_str_span (plan->version)))
+        return i;
+    }
+  return MQ_STAGE_NONE;
+}
+
+/* Wait a little, then ask again.  */
+static void
+stream_rest (mq_entry *entry, mq_request *request)
+{
+  request->resume_us = entry->now_us
+                       + mq_backoff_us (&entry->random, request->rests++,
+                                        REST_BASE_US, REST_CAP_US);
+  stream_forgive (request);
+  mq_entry_enter (entry, request, MQ_REQUEST_RESTING);
+}
+
+/* No plan for another attempt: some reasons pass, others don't.  */
+static void
+stream_refused_again (mq_entry *entry, mq_request *request, mq_reason reason)
+{
+  switch (reason)
+    {
+    case MQ_REASON_OVERLOADED:
+    case MQ_REASON_NO_PIPELINE:
+    case MQ_REASON_NO_CONFIGURATION:
+    case MQ_REASON_LEAVING:
+      if (mq_entry_keeps_deadlines (entry)
+          && mq_request_is_hopeless (request, entry->now_us))
+        mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+      else
+        stream_rest (entry, request);
+      break;
+    case MQ_REASON_DEADLINE_UNREACHABLE:
+      mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+      break;
+    default:
+      mq_entry_give_up (entry, request, reason, 0);
+      break;
+    }
+}
+
+static void
+stream_refused (mq_entry *entry, mq_request *request,
+                const mq_entry_event *event)
+{
+  request->plan_held = false;
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  if (request->attempt > 1)
+    stream_refused_again (entry, request, event->u.planned.reason);
+  else
+    mq_entry_give_up (entry, request, event->u.planned.reason,
+                      event->u.planned.retry_after_us);
+}
+
+/* A plan that this request can run: it covers the layers of its model, in
+   the version that the caller's first tokens were made with.  */
+static bool
+stream_plan_fits (const mq_entry *entry, const mq_request *request,
+                  const mq_plan *plan)
+{
+  const mq_service *s
+      = mq_config_service (entry->config, mq_str_span (request->service));
+  const mq_model *m = NULL;
+
+  if (s != NULL && s->kind == MQ_SERVICE_MODEL)
+    m = mq_config_model (entry->config, mq_str_span (s->u.model.model));
+  if (m != NULL && m->layers != plan->layers)
+    return false;
+  if (request->tokens > 0
+      && !mq_span_equal (mq_str_span (plan->version),
+                         mq_str_span (request->plan.version)))
+    return false;
+  return mq_plan_check_cover (plan) == MQ_PLAN_OK;
+}
+
+void
+mq_stream_ask (mq_entry *entry, mq_request *request)
+{
+  mq_entry_action *a;
+  mq_plan_ask *ask;
+
+  request->attempt++;
+  request->attempt_tokens = 0;
+  request->plan_held = true;
+  if (request->attempt > 1)
+    entry->counters.replans++;
+  mq_entry_enter (entry, request, MQ_REQUEST_PLANNING);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_ASK_PLAN);
+  ask = &a->u.ask;
+  ask->id = request->id;
+  ask->attempt = request->attempt;
+  ask->service = mq_str_span (request->service);
+  ask->organisation = mq_str_span (request->organisation);
+  ask->prompt_tokens = request->prompt_tokens;
+  ask->sent_tokens = request->tokens;
+  ask->max_tokens = request->max_tokens - request->tokens;
+  ask->priority = request->priority;
+  ask->deadline_us = mq_request_left (request, entry->now_us);
+  ask->prefix_hash = request->prefix_hash;
+  ask->n_avoid = request->n_avoid;
+  for (uint32_t i = 0; i < request->n_avoid; i++)
+    ask->avoid[i] = mq_str_span (request->avoid[i]);
+}
+
+void
+mq_stream_planned (mq_entry *entry, mq_request *request,
+                   const mq_entry_event *event)
+{
+  const mq_plan *plan = event->u.planned.plan;
+
+  if (request->state != MQ_REQUEST_PLANNING
+      || event->attempt != request->attempt)
+    {
+      entry->counters.dropped_attempt++;
+      return;
+    }
+  request->figures = event->u.planned.figures;
+  if (!event->u.planned.admitted)
+    {
+      stream_refused (entry, request, event);
+      return;
+    }
+  if (!stream_plan_fits (entry, request, plan))
+    {
+      stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
+      mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+      stream_refused_again (entry, request, MQ_REASON_NO_PIPELINE);
+      return;
+    }
+  mq_plan_finish (&request->plan);
+  mq_plan_copy (&request->plan, plan);
+  if (request->guard == MQ_GUARD_KEY && !request->claimed)
+    mq_entry_claim (entry, request);
+  else
+    mq_stream_open (entry, request);
+}
+
+void
+mq_stream_open (mq_entry *entry, mq_request *request)
+{
+  mq_entry_action *a;
+  mq_decision d;
+
+  if (!request->may_have_run)
+    {
+      d = mq_entry_decision (entry, request, MQ_DECISION_ADMITTED);
+      mq_decision_log_add (entry->decisions, &d);
+    }
+  entry->counters.streams++;
+  request->opened_us = entry->now_us;
+  mq_entry_enter (entry, request, MQ_REQUEST_OPENING);
+  a = mq_entry_emit (entry, request, MQ_ENTRY_OPEN_STREAM);
+  a->u.open.plan = &request->plan;
+  a->u.open.sent_tokens = request->tokens;
+  a->u.open.max_tokens = request->max_tokens;
+  a->u.open.priority = request->priority;
+  a->u.open.deadline_us = mq_request_left (request, entry->now_us);
+}
+
+void
+mq_stream_opened (mq_entry *entry, mq_request *request,
+                  const mq_entry_event *event)
+{
+  if (!stream_is_awaited (entry, request, event->attempt))
+    return;
+  if (request->state == MQ_REQUEST_OPENING)
+    mq_entry_enter (entry, request, MQ_REQUEST_STREAMING);
+}
+
+void
+mq_stream_token (mq_entry *entry, mq_request *request,
+                 const mq_entry_event *event)
+{
+  uint32_t position = event->u.token.position;
+  const mq_receipt *receipts = event->u.token.receipts;
+  size_t n = event->u.token.n_receipts;
+  mq_entry_action *a;
+
+  if (!stream_is_awaited (entry, request, event->attempt))
+    return;
+  if (position < request->tokens || position >= request->max_tokens)
+    {
+      entry->counters.dropped_position++;
+      return;
+    }
+  request->seen_running = true;
+  if (position > request->tokens)
+    {
+      entry->counters.wrong_position++;
+      stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG, 0, true, false);
+      return;
+    }
+  if (mq_plan_check_receipts (&request->plan, receipts, n) != MQ_PLAN_OK)
+    {
+      entry->counters.wrong_receipts++;
+      stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG,
+                   stream_wrong_stage (&request->plan, receipts, n), true,
+                   false);
+      return;
+    }
+  request->rests = 0;
+  mq_request_note_token (request, entry->now_us);
+  if (request->attempt_tokens == 1)
+    mq_entry_enter (entry, request, MQ_REQUEST_STREAMING);
+  entry->counters.tokens++;
+  a = mq_entry_emit (entry, request, MQ_ENTRY_DELIVER);
+  a->u.deliver.position = position;
+  a->u.deliver.text = event->u.token.text;
+  if (mq_entry_keeps_deadlines (entry)
+      && mq_request_is_hopeless (request, entry->now_us))
+    mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+}
+
+void
+mq_stream_ended (mq_entry *entry, mq_request *request,
+                 const mq_entry_event *event)
+{
+  uint32_t stage = event->u.stream_end.stage;
+
+  if (!stream_is_awaited (entry, request, event->attempt))
+    return;
+  switch (event->u.stream_end.end)
+    {
+    case MQ_STREAM_DONE:
+      if (request->tokens > 0)
+        {
+          stream_release (entry, request, MQ_ATTEMPT_DONE, MQ_STAGE_NONE);
+          mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+          mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
+        }
+      else
+        /* Nothing proves that any layer ran.  */
+        stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG, 0, false, false);
+      break;
+    case MQ_STREAM_CANCELLED:
+    case MQ_STREAM_EVICTED:
+      stream_lose (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE, false,
+                   false);
+      break;
+    case MQ_STREAM_DEADLINE:
+      request->may_have_run = true;
+      stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
+      mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+      mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+      break;
+    case MQ_STREAM_STAGE_LOST:
+      if (stage >= request->plan.n_stages)
+        stage = MQ_STAGE_NONE;
+      stream_lose (entry, request, MQ_ATTEMPT_STAGE_DIED, stage, false, false);
+      break;
+    }
+}
+
+void
+mq_stream_failed (mq_entry *entry, mq_request *request,
+                  const mq_entry_event *event)
+{
+  const mq_send_failure *f = &event->u.failure;
+
+  if (!stream_is_awaited (entry, request, event->attempt))
+    return;
+  stream_lose (entry, request,
+               f->said_not_run ? MQ_ATTEMPT_STAGE_REFUSED
+               : f->timed_out  ? MQ_ATTEMPT_STAGE_STALLED
+                               : MQ_ATTEMPT_STAGE_DIED,
+               0, false, f->said_not_run || !f->maybe_sent);
+}
+
+uint64_t
+mq_stream_stall_us (const mq_entry *entry, const mq_request *request)
+{
+  uint64_t stall = (uint64_t)entry->config->policy.stall_ms * 1000;
+
+  if (request->attempt_tokens == 0)
+    stall += request->figures.predicted_first_us * FIRST_TOKEN_FACTOR;
+  return request->since_us + stall;
+}
+
+void
+mq_stream_stalled (mq_entry *entry, mq_request *request)
+{
+  entry->counters.stalls++;
+  /* Which stage hangs does not show at the head: avoid them all, for as long
+     as there are others.  */
+  stream_avoid_all (request);
+  stream_lose (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE, true,
+               false);
+}
+
+void
+mq_stream_unplanned (mq_entry *entry, mq_request *request)
+{
+  stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  if (request->rests++ < UNPLANNED_MAX)
+    mq_stream_ask (entry, request);
+  else
+    mq_entry_give_up (entry, request, MQ_REASON_OVERLOADED, REST_CAP_US);
+}
+
+void
+mq_stream_close (mq_entry *entry, mq_request *request, mq_outcome outcome)
+{
+  bool out = request->state == MQ_REQUEST_OPENING
+             || request->state == MQ_REQUEST_STREAMING;
+
+  if (out)
+    mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
+  if (request->state == MQ_REQUEST_QUEUED)
+    g_ptr_array_remove_fast (entry->queued, request);
+  stream_release (entry, request,
+                  outcome == MQ_OUTCOME_DONE ? MQ_ATTEMPT_DONE
+                                             : MQ_ATTEMPT_CANCELLED,
+                  MQ_STAGE_NONE);
+}
+
+static gint
+stream_by_slack (gconstpointer a, gconstpointer b, gpointer now_us)
+{
+  const mq_request *x = *(const mq_request *const *)a;
+  const mq_request *y = *(const mq_request *const *)b;
+  int64_t x_slack = mq_request_slack (x, *(uint64_t *)now_us);
+  int64_t y_slack = mq_request_slack (y, *(uint64_t *)now_us);
+
+  if (x_slack != y_slack)
+    return x_slack < y_slack ? -1 : 1;
+  return x->id.sequence < y->id.sequence ? -1 : 1;
+}
+
+void
+mq_stream_recover (mq_entry *entry)
+{
+  GPtrArray *queued = entry->queued;
+  guint n;
+
+  if (queued->len == 0
+      || entry->now_us < entry->replan_us + RECOVERY_WINDOW_US)
+    return;
+  entry->replan_us = entry->now_us;
+  g_ptr_array_sort_with_data (queued, stream_by_slack, &entry->now_us);
+  n = MIN (queued->len, RECOVERY_BURST);
+  entry->replans = n;
+  for (guint i = 0; i < n; i++)
+    mq_stream_ask (entry, g_ptr_array_index (queued, i));
+  g_ptr_array_remove_range (queued, 0, n);
+}
+
+uint64_t
+mq_stream_recover_us (const mq_entry *entry)
+{
+  if (entry->queued->len == 0)
+    return UINT64_MAX;
+  return entry->replan_us + RECOVERY_WINDOW_US;
+}
