--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -37,50 +37,50 @@
 {
   mq_request_id id;
   uint64_t handle;
-  mq_request_state state;
-  mq_service_kind kind;
   mq_str *organisation;
   mq_str *service;
+  mq_str *guard_value;
+  uint64_t body_hash;
   uint64_t started_us;
   uint64_t deadline_us; /* In the time of the events.  */
-  int32_t priority;
+  uint64_t since_us;    /* When the state or the stream last moved.  */
+  uint64_t resume_us;   /* RESTING: when to try again.  */
+  size_t heap_index;    /* Place among the timers.  */
+  uint64_t heap_us;     /* Due time as the timers know it.  */
+  mq_request_state state;
+  mq_service_kind kind;
   mq_guard_kind guard;
-  mq_str *guard_value;
-  uint64_t body_hash;
+  int32_t priority;
   uint32_t attempt;
-  bool guarded;       /* The memory of guarded calls holds it.  */
-  bool limit_held;    /* The limiter was asked and did not refuse.  */
-  bool claimed;       /* The claim is won.  */
-  bool may_have_run;  /* An attempt that is over may have started work.  */
-  bool seen_running;  /* An upstream gave proof of work.  */
-  bool caller_gone;   /* Nobody waits; it runs on to learn its outcome.  */
-  uint64_t since_us;  /* When the state or the stream last moved.  */
-  uint64_t resume_us; /* RESTING: when to try again.  */
-  uint32_t rests;     /* In a row, for the back-off.  */
-  size_t heap_index;  /* Place among the timers.  */
-  uint64_t heap_us;   /* Due time as the timers know it.  */
+  uint32_t rests;    /* In a row, for the back-off.  */
+  bool guarded;      /* The memory of guarded calls holds it.  */
+  bool limit_held;   /* The limiter was asked and did not refuse.  */
+  bool claimed;      /* The claim is won.  */
+  bool may_have_run; /* An attempt that is over may have started work.  */
+  bool seen_running; /* An upstream gave proof of work.  */
+  bool caller_gone;  /* Nobody waits; it runs on to learn its outcome.  */
+  bool plan_held;    /* Model: the planner counts the present attempt.  */
+  bool repeatable;   /* Plain: declared so, or the service honours its key. */
 
   /* Of kind model.  */
   uint32_t prompt_tokens;
   uint32_t max_tokens;
-  uint64_t prefix_hash;
   uint32_t tokens; /* With the caller.  */
-  mq_plan plan;    /* Of the present attempt; empty before.  */
-  bool plan_held;  /* The planner counts the present attempt.  */
+  uint32_t n_avoid;
+  uint64_t prefix_hash;
+  mq_plan plan; /* Of the present attempt; empty before.  */
   mq_plan_figures figures;
   mq_str *avoid[MQ_PLAN_STAGES];
-  uint32_t n_avoid;
   uint64_t opened_us;             /* Of the present attempt.  */
-  uint64_t first_us;              /* Its first token; 0: none yet.  */
+  uint64_t first_us;              /* Its first token.  */
   uint64_t last_us;               /* Its last token.  */
-  uint32_t attempt_tokens;        /* Delivered in it.  */
   uint32_t gaps[MQ_REQUEST_GAPS]; /* Last gaps between its tokens, us.  */
+  uint32_t attempt_tokens;        /* Delivered in it.  */
 
   /* Of kind plain.  */
   mq_str *method;
   mq_str *path;
   mq_str *instance; /* That has the present attempt, or NULL.  */
-  bool repeatable;  /* Declared so, or the service honours its key.  */
 } mq_request;
 
 /* A request for CALL of SERVICE, with copies of what it borrows.  */
