--- /dev/null
+++ b/tools/standin/main.c
@@ -0,0 +1,32 @@
+/* mqstand: stand-ins for what the system does not own.
+
+   One binary with a role each: the platform's object service and VM list, a
+   model engine, a plain service.  They serve tests, the demo and the bench
+   and speak what docs/UPSTREAMS.md says.  */
+
+#include <standin/stand.h>
+
+#include <mq/log.h>
+#include <stdio.h>
+#include <string.h>
+
+static const struct
+{
+  const char *name;
+  int (*run) (int argc, char **argv);
+} roles[] = { { "platform", mq_platform_main },
+              { "engine", mq_engine_main },
+              { "plain", mq_plain_main } };
+
+int
+main (int argc, char **argv)
+{
+  mq_log_init ("warning");
+  for (size_t i = 0; argc > 1 && i < G_N_ELEMENTS (roles); i++)
+    if (strcmp (argv[1], roles[i].name) == 0)
+      return roles[i].run (argc - 1, argv + 1);
+  fprintf (stderr, "usage: mqstand platform|engine|plain --listen IP:PORT "
+                   "[OPTION...]\n"
+                   "       mqstand ROLE --help\n");
+  return 2;
+}
