Read, merge and check configuration files

Files merge in byte order of their names; each is checked alone and the result as a whole; a fault names the file and line that gave the value.

--- a/include/mq/json.h
+++ b/include/mq/json.h
@@ -134,6 +134,13 @@
 void mq_json_fault (const mq_json *object, const char *key, const char *format,
                     ...) G_GNUC_PRINTF (3, 4);
 
+/* The same at PATH, such as "services.quotes.model".  */
+void mq_json_fault_at (mq_json_doc *doc, const char *path, const char *format,
+                       ...) G_GNUC_PRINTF (3, 4);
+
+/* FILE:LINE: PATH of the value at PATH, for messages; free with g_free.  */
+char *mq_json_place (const mq_json_doc *doc, const char *path);
+
 /* The dotted path of JSON; free with g_free.  */
 char *mq_json_path (const mq_json *json);
 
--- /dev/null
+++ b/packages/config/files.c
@@ -0,0 +1,289 @@
+/* Configuration files: see mq/files.h.
+
+   Invariant: a set is sorted by name and holds each name once.  */
+
+#include <mq/files.h>
+
+#include <errno.h>
+#include <sodium.h>
+#include <string.h>
+#include <mq/internal/config_read.h>
+
+G_DEFINE_QUARK (mq-config-error-quark, mq_config_error)
+
+static void
+file_clear (gpointer data)
+{
+  mq_file *f = data;
+
+  mq_str_unref (f->name);
+  mq_str_unref (f->text);
+}
+
+/* The index of NAME in FILES, or where it would stand.  */
+static guint
+files_position (const GArray *files, mq_span name, bool *found)
+{
+  guint low = 0;
+  guint high = files->len;
+
+  *found = false;
+  while (low < high)
+    {
+      guint mid = (low + high) / 2;
+      const mq_file *f = &g_array_index (files, mq_file, mid);
+      int order = mq_span_compare (mq_str_span (f->name), name);
+
+      if (order == 0)
+        {
+          *found = true;
+          return mid;
+        }
+      if (order < 0)
+        low = mid + 1;
+      else
+        high = mid;
+    }
+  return low;
+}
+
+/* Turn an error of the JSON reader into one of this layer.  */
+static void
+files_turn_error (GError **error, mq_config_error code, GError *from)
+{
+  g_set_error (error, MQ_CONFIG_ERROR, code, "%s", from->message);
+  g_error_free (from);
+}
+
+/* Add the file at PATH to FILES under NAME.  */
+static int
+files_add_path (GArray *files, const char *path, const char *name,
+                GError **error)
+{
+  char *text = NULL;
+  gsize size = 0;
+  GError *io = NULL;
+  mq_str *n = NULL;
+  mq_str *t = NULL;
+  int result = -1;
+
+  if (!mq_file_name_valid (mq_span_from (name)))
+    {
+      g_set_error (error, MQ_CONFIG_ERROR, MQ_CONFIG_ERROR_NAME,
+                   "%s: bad file name, expected at most %d letters, digits, "
+                   "'.', '-' and '_', and .json at the end",
+                   path, MQ_FILE_NAME_LIMIT);
+      return -1;
+    }
+  if (!g_file_get_contents (path, &text, &size, &io))
+    {
+      files_turn_error (error, MQ_CONFIG_ERROR_IO, io);
+      return -1;
+    }
+  if (size > MQ_JSON_FILE_LIMIT)
+    {
+      g_set_error (error, MQ_CONFIG_ERROR, MQ_CONFIG_ERROR_IO,
+                   "%s: %zu bytes, expected at most %zu", path, (size_t)size,
+                   MQ_JSON_FILE_LIMIT);
+      goto done;
+    }
+  n = mq_str_new (mq_span_from (name));
+  t = mq_str_new ((mq_span){ text, size });
+  mq_files_put (files, n, t);
+  result = 0;
+done:
+  mq_str_unref (n);
+  mq_str_unref (t);
+  g_free (text);
+  return result;
+}
+
+/* Parse FILE and check it alone.  */
+static mq_json_doc *
+file_parse (const mq_file *file, GError **error)
+{
+  GError *json = NULL;
+  mq_json_doc *doc = mq_json_parse (mq_str_span (file->name),
+                                    mq_str_span (file->text), &json);
+
+  if (doc == NULL)
+    {
+      files_turn_error (error, MQ_CONFIG_ERROR_FILE, json);
+      return NULL;
+    }
+  mq_json_doc_set_partial (doc, true);
+  mq_config_unref (mq_config_read (doc, 0));
+  if (mq_json_doc_check (doc, &json) < 0)
+    {
+      files_turn_error (error, MQ_CONFIG_ERROR_FILE, json);
+      mq_json_doc_free (doc);
+      return NULL;
+    }
+  return doc;
+}
+
+GArray *
+mq_files_new (void)
+{
+  GArray *files = g_array_new (FALSE, FALSE, sizeof (mq_file));
+
+  g_array_set_clear_func (files, file_clear);
+  return files;
+}
+
+void
+mq_files_put (GArray *files, mq_str *name, mq_str *text)
+{
+  mq_file f = { mq_str_ref (name), mq_str_ref (text) };
+  bool found;
+  guint at = files_position (files, mq_str_span (name), &found);
+
+  if (found)
+    g_array_remove_index (files, at);
+  g_array_insert_val (files, at, f);
+}
+
+bool
+mq_files_remove (GArray *files, mq_span name)
+{
+  bool found;
+  guint at = files_position (files, name, &found);
+
+  if (found)
+    g_array_remove_index (files, at);
+  return found;
+}
+
+const mq_file *
+mq_files_find (const GArray *files, mq_span name)
+{
+  bool found;
+  guint at = files_position (files, name, &found);
+
+  return found ? &g_array_index (files, mq_file, at) : NULL;
+}
+
+bool
+mq_file_name_valid (mq_span name)
+{
+  static const mq_span suffix = { ".json", 5 };
+
+  if (name.size <= suffix.size || name.size > MQ_FILE_NAME_LIMIT
+      || name.data[0] == '.')
+    return false;
+  for (size_t i = 0; i < name.size; i++)
+    if (!g_ascii_isalnum (name.data[i]) && !strchr (".-_", name.data[i]))
+      return false;
+  return memcmp (name.data + name.size - suffix.size, suffix.data, suffix.size)
+         == 0;
+}
+
+void
+mq_file_digest (mq_span text, char digest[MQ_DIGEST_SIZE])
+{
+  unsigned char hash[crypto_hash_sha256_BYTES];
+
+  crypto_hash_sha256 (hash, (const unsigned char *)text.data, text.size);
+  sodium_bin2hex (digest, MQ_DIGEST_SIZE, hash, sizeof hash);
+}
+
+GArray *
+mq_files_read (const char *path, GError **error)
+{
+  GArray *files = mq_files_new ();
+  char *name = g_path_get_basename (path);
+  int result = files_add_path (files, path, name, error);
+
+  g_free (name);
+  if (result == 0)
+    return files;
+  g_array_unref (files);
+  return NULL;
+}
+
+GArray *
+mq_files_read_folder (const char *path, GError **error)
+{
+  GError *io = NULL;
+  GDir *dir = g_dir_open (path, 0, &io);
+  GArray *files;
+  const char *name;
+  int result = 0;
+
+  if (dir == NULL)
+    {
+      files_turn_error (error, MQ_CONFIG_ERROR_IO, io);
+      return NULL;
+    }
+  files = mq_files_new ();
+  while (result == 0 && (name = g_dir_read_name (dir)) != NULL)
+    {
+      char *full;
+
+      if (name[0] == '.' || !g_str_has_suffix (name, ".json"))
+        continue;
+      full = g_build_filename (path, name, NULL);
+      result = files_add_path (files, full, name, error);
+      g_free (full);
+    }
+  g_dir_close (dir);
+  if (result == 0)
+    return files;
+  g_array_unref (files);
+  return NULL;
+}
+
+int
+mq_file_check (const mq_file *file, GError **error)
+{
+  mq_json_doc *doc = file_parse (file, error);
+
+  if (doc == NULL)
+    return -1;
+  mq_json_doc_free (doc);
+  return 0;
+}
+
+mq_json_doc *
+mq_files_merge (const GArray *files, GError **error)
+{
+  mq_json_doc *merged = mq_json_doc_new ();
+
+  for (guint i = 0; i < files->len; i++)
+    {
+      mq_json_doc *doc
+          = file_parse (&g_array_index (files, mq_file, i), error);
+
+      if (doc == NULL)
+        {
+          mq_json_doc_free (merged);
+          return NULL;
+        }
+      mq_json_merge (merged, doc);
+      mq_json_doc_free (doc);
+    }
+  return merged;
+}
+
+mq_config *
+mq_files_load (const GArray *files, uint64_t generation, GPtrArray *warnings,
+               GError **error)
+{
+  mq_json_doc *merged = mq_files_merge (files, error);
+  GError *json = NULL;
+  mq_config *config;
+
+  if (merged == NULL)
+    return NULL;
+  config = mq_config_read (merged, generation);
+  /* Rules are only worth checking on entries that are themselves right.  */
+  if (mq_json_doc_check (merged, NULL) == 0)
+    mq_config_check_whole (merged, config, warnings);
+  if (mq_json_doc_check (merged, &json) < 0)
+    {
+      files_turn_error (error, MQ_CONFIG_ERROR_WHOLE, json);
+      g_clear_pointer (&config, mq_config_unref);
+    }
+  mq_json_doc_free (merged);
+  return config;
+}
--- a/packages/config/json.c
+++ b/packages/config/json.c
@@ -191,22 +191,15 @@
 }
 
 static void
-json_fault_text (const mq_json *object, const char *key, const char *text)
+json_fault_text (mq_json_doc *doc, const char *path, const char *text)
 {
-  mq_json_doc *doc = object->doc;
-  char *path;
-  const json_source *s;
-  unsigned line = 0;
+  char *place;
 
   if (doc->fault_count++ >= MQ_JSON_FAULTS)
     return;
-  path = json_path_of (object, key);
-  s = json_find_place (doc, path, &line);
-  g_ptr_array_add (doc->faults,
-                   g_strdup_printf ("%s:%u: %s%s%s",
-                                    s ? mq_str_cstr (s->file) : "?", line,
-                                    path, *path ? ": " : "", text));
-  g_free (path);
+  place = mq_json_place (doc, path);
+  g_ptr_array_add (doc->faults, g_strdup_printf ("%s: %s", place, text));
+  g_free (place);
 }
 
 /* How VALUE is shown in a message.  */
@@ -673,6 +666,21 @@
 
 void
 mq_json_fault (const mq_json *object, const char *key, const char *format, ...)
+{
+  char *path = json_path_of (object, key);
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  json_fault_text (object->doc, path, text);
+  g_free (text);
+  g_free (path);
+}
+
+void
+mq_json_fault_at (mq_json_doc *doc, const char *path, const char *format, ...)
 {
   va_list args;
   char *text;
@@ -680,10 +688,20 @@
   va_start (args, format);
   text = g_strdup_vprintf (format, args);
   va_end (args);
-  json_fault_text (object, key, text);
+  json_fault_text (doc, path, text);
   g_free (text);
 }
 
+char *
+mq_json_place (const mq_json_doc *doc, const char *path)
+{
+  unsigned line = 0;
+  const json_source *s = json_find_place (doc, path, &line);
+
+  return g_strdup_printf ("%s:%u%s%s", s ? mq_str_cstr (s->file) : "?", line,
+                          *path ? ": " : "", path);
+}
+
 char *
 mq_json_path (const mq_json *json)
 {
