Call the platform's object service

Typed results keep apart what was not done (unavailable, busy) from what may have been (unknown): only a write whose request may have left, or that met a server's fault, is unknown. Counted by kind and result.

--- a/include/mq/platform.h
+++ b/include/mq/platform.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 #include <mq/http_client.h>
+#include <mq/store.h>
 #include <mq/str.h>
 
 G_BEGIN_DECLS
@@ -123,6 +124,9 @@
 /* Calls so far, by kind and by result; borrowed.  */
 const mq_platform_counters *mq_platform_count (const mq_platform *platform);
 
+/* REPLY as the decisions of mq/store.h see it; the value is borrowed.  */
+mq_store_reply mq_platform_store_reply (const mq_platform_reply *reply);
+
 /* "get", "put", ... and "ok", "missing", ...  */
 const char *mq_platform_op_name (mq_platform_op op);
 const char *mq_platform_result_name (mq_platform_result result);
--- a/packages/config/config_read.c
+++ b/packages/config/config_read.c
@@ -105,8 +105,9 @@
                       NULL)
           < 0
       || n != MQ_SHA256_SIZE)
-    mq_json_fault (json, key, "expected the SHA-256 of the token, 64 hex "
-                              "digits");
+    mq_json_fault (json, key,
+                   "expected the SHA-256 of the token, 64 hex "
+                   "digits");
 }
 
 static int32_t
@@ -146,8 +147,8 @@
   mq_json_require (json, "version", "layers", NULL);
   m.version = mq_json_str (json, "version");
   m.layers = config_u32 (json, "layers", 1, LAYERS_LIMIT, 1);
-  m.kv_bytes_per_token = config_u32 (json, "kv_bytes_per_token", 1,
-                                     1000000000, DEFAULT_KV_BYTES);
+  m.kv_bytes_per_token = config_u32 (json, "kv_bytes_per_token", 1, 1000000000,
+                                     DEFAULT_KV_BYTES);
   m.activation_bytes = config_u32 (json, "activation_bytes", 1, 1000000000,
                                    DEFAULT_ACTIVATION_BYTES);
   g_array_append_val (config->models, m);
@@ -247,8 +248,9 @@
       call.method = mq_str_new (method);
       call.path_prefix = mq_json_str (&json, "path_prefix");
       if (call.path_prefix != NULL && call.path_prefix->data[0] != '/')
-        mq_json_fault (&json, "path_prefix", "expected a path that begins "
-                                             "with /");
+        mq_json_fault (&json, "path_prefix",
+                       "expected a path that begins "
+                       "with /");
       mq_json_done (&json);
       g_array_append_val (repeatable, call);
     }
@@ -332,13 +334,13 @@
     return;
   p->routing
       = (mq_routing)mq_json_enum (&json, "routing", routings, p->routing);
-  p->ask_ttl_ms = config_u32 (&json, "ask_ttl_ms", 100, HOUR_MS,
-                              p->ask_ttl_ms);
+  p->ask_ttl_ms
+      = config_u32 (&json, "ask_ttl_ms", 100, HOUR_MS, p->ask_ttl_ms);
   p->heartbeat_ms
       = config_u32 (&json, "heartbeat_ms", 0, 60000, p->heartbeat_ms);
   p->stall_ms = config_u32 (&json, "stall_ms", 10, 600000, p->stall_ms);
-  p->put_aside_percent = config_u32 (&json, "put_aside_percent", 0, 100,
-                                     p->put_aside_percent);
+  p->put_aside_percent
+      = config_u32 (&json, "put_aside_percent", 0, 100, p->put_aside_percent);
   mq_json_done (&json);
 }
 
--- a/packages/config/config_rules.c
+++ b/packages/config/config_rules.c
@@ -63,9 +63,8 @@
 static void
 rules_check_organisations (const rules_check *c)
 {
-  GHashTable *seen
-      = g_hash_table_new_full (g_bytes_hash, g_bytes_equal,
-                               (GDestroyNotify)g_bytes_unref, NULL);
+  GHashTable *seen = g_hash_table_new_full (
+      g_bytes_hash, g_bytes_equal, (GDestroyNotify)g_bytes_unref, NULL);
 
   for (guint i = 0; i < c->config->organisations->len; i++)
     {
@@ -214,9 +213,8 @@
         {
           char *path = g_strdup_printf ("models.%s", m->name->data);
 
-          rules_warn (c, path,
-                      "no engine holds layers %u to %u of version %s", first,
-                      k - 1, mq_str_cstr (m->version));
+          rules_warn (c, path, "no engine holds layers %u to %u of version %s",
+                      first, k - 1, mq_str_cstr (m->version));
           g_free (path);
         }
       while (k < m->layers && held[k])
--- a/packages/config/files.c
+++ b/packages/config/files.c
@@ -9,7 +9,7 @@
 #include <string.h>
 #include <mq/internal/config_read.h>
 
-G_DEFINE_QUARK (mq-config-error-quark, mq_config_error)
+G_DEFINE_QUARK (mq - config - error - quark, mq_config_error)
 
 static void
 file_clear (gpointer data)
--- /dev/null
+++ b/packages/net/platform.c
@@ -0,0 +1,473 @@
+/* The platform's object service: see mq/platform.h.
+
+   Invariant: a call is in `calls` from its start until it has reported or
+   was cancelled, and is freed then.  */
+
+#include <mq/platform.h>
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <mq/json.h>
+
+#define DEFAULT_TIMEOUT_MS 2000
+#define VERSION_SIZE 32
+#define US_PER_S 1000000
+
+#define HTTP_OK 200
+#define HTTP_NO_CONTENT 204
+#define HTTP_NOT_MODIFIED 304
+#define HTTP_NOT_FOUND 404
+#define HTTP_PRECONDITION_FAILED 412
+#define HTTP_TOO_MANY_REQUESTS 429
+#define HTTP_SERVER_ERROR 500
+#define HTTP_UNAVAILABLE 503
+
+struct mq_platform
+{
+  mq_http_client *client; /* Borrowed.  */
+  mq_str *url;
+  uint64_t timeout_ms;
+  GHashTable *calls; /* Set of mq_platform_call, owned.  */
+  mq_platform_counters counters;
+};
+
+struct mq_platform_call
+{
+  mq_platform *platform;
+  mq_platform_op op;
+  mq_http_call *http; /* Borrowed; dead once it has ended.  */
+  mq_platform_sink sink;
+  void *context;
+};
+
+/* What to send.  */
+typedef struct platform_request
+{
+  mq_platform_op op;
+  char *url;        /* Owned; freed by platform_start.  */
+  uint64_t version; /* For If-Match.  */
+  mq_span value;
+  uint64_t wait_ms; /* How long a watch waits.  */
+} platform_request;
+
+static bool
+platform_op_writes (mq_platform_op op)
+{
+  return op == MQ_PLATFORM_PUT || op == MQ_PLATFORM_CREATE
+         || op == MQ_PLATFORM_DELETE;
+}
+
+/* The number in an ETag such as "12", or 0.  */
+static uint64_t
+platform_version (mq_span etag)
+{
+  uint64_t version = 0;
+
+  if (etag.size < 2 || etag.data[0] != '"')
+    return 0;
+  if (mq_span_to_u64 ((mq_span){ etag.data + 1, etag.size - 2 }, &version) < 0)
+    return 0;
+  return version;
+}
+
+/* What a call of kind OP that got no proper answer has come to.  */
+static mq_platform_result
+platform_no_answer (mq_platform_op op, bool maybe_sent)
+{
+  return platform_op_writes (op) && maybe_sent ? MQ_PLATFORM_UNKNOWN
+                                               : MQ_PLATFORM_UNAVAILABLE;
+}
+
+static mq_platform_result
+platform_judge (mq_platform_op op, const mq_http_client_event *event)
+{
+  if (event->result != MQ_HTTP_OK)
+    return platform_no_answer (op, event->maybe_sent);
+  switch (event->status)
+    {
+    case HTTP_OK:
+    case HTTP_NO_CONTENT:
+      return MQ_PLATFORM_OK;
+    case HTTP_NOT_MODIFIED:
+      return MQ_PLATFORM_UNCHANGED;
+    case HTTP_NOT_FOUND:
+      return MQ_PLATFORM_MISSING;
+    case HTTP_PRECONDITION_FAILED:
+      return MQ_PLATFORM_CONFLICT;
+    case HTTP_TOO_MANY_REQUESTS:
+      return MQ_PLATFORM_BUSY;
+    case HTTP_UNAVAILABLE:
+      return MQ_PLATFORM_UNAVAILABLE;
+    default:
+      /* After a server's fault nobody knows what was done before it.  */
+      return event->status < HTTP_SERVER_ERROR ? MQ_PLATFORM_REFUSED
+                                               : platform_no_answer (op, true);
+    }
+}
+
+static void
+platform_read_objects (const mq_json *list, GArray *objects)
+{
+  for (size_t i = 0; i < mq_json_size (list); i++)
+    {
+      mq_platform_object o = { 0 };
+      mq_json json;
+
+      if (!mq_json_element (list, i, &json))
+        return;
+      mq_json_require (&json, "name", "version", NULL);
+      o.name = mq_json_span (&json, "name", MQ_SPAN (""));
+      o.version = mq_json_u64 (&json, "version", 0, UINT64_MAX, 0);
+      g_array_append_val (objects, o);
+    }
+}
+
+static void
+platform_read_vms (const mq_json *list, GArray *vms)
+{
+  static const char *const states[] = { "live", "leaving", NULL };
+
+  for (size_t i = 0; i < mq_json_size (list); i++)
+    {
+      mq_platform_vm vm = { 0 };
+      mq_json json;
+
+      if (!mq_json_element (list, i, &json))
+        return;
+      mq_json_require (&json, "name", "address", "state", NULL);
+      vm.name = mq_json_span (&json, "name", MQ_SPAN (""));
+      vm.address = mq_json_span (&json, "address", MQ_SPAN (""));
+      vm.leaving = mq_json_enum (&json, "state", states, 0) == 1;
+      g_array_append_val (vms, vm);
+    }
+}
+
+/* Decode the list that a LIST or VMS answer holds into ITEMS.  Returns the
+   document that ITEMS borrows from, or NULL when the answer is nonsense.  */
+static mq_json_doc *
+platform_read_list (mq_platform_op op, mq_span body, GArray *items)
+{
+  const char *key = op == MQ_PLATFORM_VMS ? "vms" : "objects";
+  mq_json_doc *doc = mq_json_parse (MQ_SPAN ("platform"), body, NULL);
+  mq_json root;
+  mq_json list;
+
+  if (doc == NULL)
+    return NULL;
+  root = mq_json_root (doc);
+  mq_json_require (&root, key, NULL);
+  if (mq_json_array (&root, key, &list))
+    {
+      if (op == MQ_PLATFORM_VMS)
+        platform_read_vms (&list, items);
+      else
+        platform_read_objects (&list, items);
+    }
+  if (mq_json_doc_check (doc, NULL) == 0)
+    return doc;
+  mq_json_doc_free (doc);
+  return NULL;
+}
+
+/* Report REPLY to CALL's sink; CALL is dead afterwards.  */
+static void
+platform_report (mq_platform_call *call, const mq_platform_reply *reply)
+{
+  mq_platform_sink sink = call->sink;
+  void *context = call->context;
+
+  call->platform->counters.results[reply->op][reply->result]++;
+  g_hash_table_remove (call->platform->calls, call);
+  sink (context, reply);
+}
+
+/* Report a LIST or VMS whose answer is BODY.  */
+static void
+platform_report_list (mq_platform_call *call, mq_platform_reply *reply,
+                      mq_span body)
+{
+  bool vms = call->op == MQ_PLATFORM_VMS;
+  GArray *items = g_array_new (FALSE, FALSE,
+                               vms ? sizeof (mq_platform_vm)
+                                   : sizeof (mq_platform_object));
+  mq_json_doc *doc = platform_read_list (call->op, body, items);
+
+  if (doc == NULL)
+    reply->result = MQ_PLATFORM_UNAVAILABLE;
+  else if (vms)
+    {
+      reply->vms = (const mq_platform_vm *)(void *)items->data;
+      reply->n_vms = items->len;
+    }
+  else
+    {
+      reply->objects = (const mq_platform_object *)(void *)items->data;
+      reply->n_objects = items->len;
+    }
+  platform_report (call, reply);
+  mq_json_doc_free (doc);
+  g_array_unref (items);
+}
+
+static void
+platform_on_http (void *context, const mq_http_client_event *event)
+{
+  mq_platform_call *call = context;
+  mq_platform_reply reply = { .op = call->op };
+  uint64_t seconds = 0;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  reply.result = platform_judge (call->op, event);
+  reply.version = platform_version (mq_http_call_header (event->call, "ETag"));
+  if (reply.result == MQ_PLATFORM_BUSY
+      && mq_span_to_u64 (mq_http_call_header (event->call, "Retry-After"),
+                         &seconds)
+             == 0)
+    reply.retry_after_us = seconds * US_PER_S;
+  if (reply.result == MQ_PLATFORM_OK)
+    {
+      if (call->op == MQ_PLATFORM_LIST || call->op == MQ_PLATFORM_VMS)
+        {
+          platform_report_list (call, &reply, event->data);
+          return;
+        }
+      if (call->op == MQ_PLATFORM_GET || call->op == MQ_PLATFORM_WATCH)
+        reply.value = event->data;
+      /* An answer without a version is no answer of the object service.  */
+      if (call->op != MQ_PLATFORM_DELETE && reply.version == 0)
+        reply.result = platform_no_answer (call->op, true);
+    }
+  platform_report (call, &reply);
+}
+
+static const char *
+platform_method (mq_platform_op op)
+{
+  switch (op)
+    {
+    case MQ_PLATFORM_PUT:
+    case MQ_PLATFORM_CREATE:
+      return "PUT";
+    case MQ_PLATFORM_DELETE:
+      return "DELETE";
+    case MQ_PLATFORM_GET:
+    case MQ_PLATFORM_LIST:
+    case MQ_PLATFORM_WATCH:
+    case MQ_PLATFORM_VMS:
+    case MQ_PLATFORM_OPS:
+      break;
+    }
+  return "GET";
+}
+
+static mq_platform_call *
+platform_start (mq_platform *p, const platform_request *request,
+                mq_platform_sink sink, void *context)
+{
+  mq_platform_call *call = g_new0 (mq_platform_call, 1);
+  char etag[VERSION_SIZE];
+  mq_http_header condition;
+  mq_http_call_options options
+      = { .method = mq_span_from (platform_method (request->op)),
+          .url = mq_span_from (request->url),
+          .headers = &condition,
+          .n_headers = platform_op_writes (request->op) ? 1 : 0,
+          .body = request->value,
+          .timeout_ms = p->timeout_ms + request->wait_ms,
+          .body_limit = MQ_PLATFORM_VALUE_LIMIT };
+
+  if (request->op == MQ_PLATFORM_CREATE)
+    condition = (mq_http_header){ MQ_SPAN ("If-None-Match"), MQ_SPAN ("*") };
+  else
+    {
+      snprintf (etag, sizeof etag, "\"%" PRIu64 "\"", request->version);
+      condition
+          = (mq_http_header){ MQ_SPAN ("If-Match"), mq_span_from (etag) };
+    }
+  call->platform = p;
+  call->op = request->op;
+  call->sink = sink;
+  call->context = context;
+  p->counters.calls[request->op]++;
+  g_hash_table_add (p->calls, call);
+  call->http
+      = mq_http_client_start (p->client, &options, platform_on_http, call);
+  g_free (request->url);
+  return call;
+}
+
+/* The URL of NAME under PATH; free with g_free.  */
+static char *
+platform_url (const mq_platform *p, const char *path, mq_span name)
+{
+  char *text = g_strndup (name.size ? name.data : "", name.size);
+  char *escaped = g_uri_escape_string (text, "/", FALSE);
+  char *url = g_strconcat (mq_str_cstr (p->url), path, escaped, NULL);
+
+  g_free (escaped);
+  g_free (text);
+  return url;
+}
+
+mq_platform *
+mq_platform_new (mq_http_client *client, mq_span url, uint64_t timeout_ms)
+{
+  mq_platform *p = g_new0 (mq_platform, 1);
+
+  while (url.size > 0 && url.data[url.size - 1] == '/')
+    url.size--;
+  p->client = client;
+  p->url = mq_str_new (url);
+  p->timeout_ms = timeout_ms ? timeout_ms : DEFAULT_TIMEOUT_MS;
+  p->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  return p;
+}
+
+void
+mq_platform_free (mq_platform *platform)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  if (platform == NULL)
+    return;
+  g_hash_table_iter_init (&iter, platform->calls);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    mq_http_call_cancel (((mq_platform_call *)key)->http);
+  g_hash_table_unref (platform->calls);
+  mq_str_unref (platform->url);
+  g_free (platform);
+}
+
+mq_platform_call *
+mq_platform_get (mq_platform *platform, mq_span name, mq_platform_sink sink,
+                 void *context)
+{
+  platform_request r
+      = { .op = MQ_PLATFORM_GET,
+          .url = platform_url (platform, "/v1/objects/", name) };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_put (mq_platform *platform, mq_span name, uint64_t version,
+                 mq_span value, mq_platform_sink sink, void *context)
+{
+  platform_request r = { .op = MQ_PLATFORM_PUT,
+                         .url = platform_url (platform, "/v1/objects/", name),
+                         .version = version,
+                         .value = value };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_create (mq_platform *platform, mq_span name, mq_span value,
+                    mq_platform_sink sink, void *context)
+{
+  platform_request r = { .op = MQ_PLATFORM_CREATE,
+                         .url = platform_url (platform, "/v1/objects/", name),
+                         .value = value };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_delete (mq_platform *platform, mq_span name, uint64_t version,
+                    mq_platform_sink sink, void *context)
+{
+  platform_request r = { .op = MQ_PLATFORM_DELETE,
+                         .url = platform_url (platform, "/v1/objects/", name),
+                         .version = version };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_list (mq_platform *platform, mq_span prefix, mq_platform_sink sink,
+                  void *context)
+{
+  platform_request r
+      = { .op = MQ_PLATFORM_LIST,
+          .url = platform_url (platform, "/v1/objects?prefix=", prefix) };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_watch (mq_platform *platform, mq_span name, uint64_t after,
+                   uint64_t wait_ms, mq_platform_sink sink, void *context)
+{
+  char *path = platform_url (platform, "/v1/watch/", name);
+  platform_request r
+      = { .op = MQ_PLATFORM_WATCH,
+          .url = g_strdup_printf ("%s?after=%" PRIu64 "&wait_ms=%" PRIu64,
+                                  path, after, wait_ms),
+          .wait_ms = wait_ms };
+
+  g_free (path);
+  return platform_start (platform, &r, sink, context);
+}
+
+mq_platform_call *
+mq_platform_vms (mq_platform *platform, mq_platform_sink sink, void *context)
+{
+  platform_request r
+      = { .op = MQ_PLATFORM_VMS,
+          .url = platform_url (platform, "/v1/vms", MQ_SPAN ("")) };
+
+  return platform_start (platform, &r, sink, context);
+}
+
+void
+mq_platform_cancel (mq_platform_call *call)
+{
+  mq_http_call_cancel (call->http);
+  g_hash_table_remove (call->platform->calls, call);
+}
+
+const mq_platform_counters *
+mq_platform_count (const mq_platform *platform)
+{
+  return &platform->counters;
+}
+
+mq_store_reply
+mq_platform_store_reply (const mq_platform_reply *reply)
+{
+  static const mq_store_result results[MQ_PLATFORM_RESULTS]
+      = { [MQ_PLATFORM_OK] = MQ_STORE_OK,
+          [MQ_PLATFORM_MISSING] = MQ_STORE_ABSENT,
+          [MQ_PLATFORM_CONFLICT] = MQ_STORE_CONFLICT,
+          [MQ_PLATFORM_UNCHANGED] = MQ_STORE_REFUSED,
+          [MQ_PLATFORM_REFUSED] = MQ_STORE_REFUSED,
+          [MQ_PLATFORM_BUSY] = MQ_STORE_REFUSED,
+          [MQ_PLATFORM_UNAVAILABLE] = MQ_STORE_REFUSED,
+          [MQ_PLATFORM_UNKNOWN] = MQ_STORE_UNKNOWN };
+
+  return (mq_store_reply){ .result = results[reply->result],
+                           .version = reply->version,
+                           .value = reply->value };
+}
+
+const char *
+mq_platform_op_name (mq_platform_op op)
+{
+  static const char *const names[MQ_PLATFORM_OPS]
+      = { "get", "put", "create", "delete", "list", "watch", "vms" };
+
+  return names[op];
+}
+
+const char *
+mq_platform_result_name (mq_platform_result result)
+{
+  static const char *const names[MQ_PLATFORM_RESULTS]
+      = { "ok",      "missing", "conflict",    "unchanged",
+          "refused", "busy",    "unavailable", "unknown" };
+
+  return names[result];
+}
