Rename the stand-in's objects apart from the platform client's store

include/mq/store.h now holds the types of what the platform's store answers; two kinds of mq_store_result in one program would only confuse.

--- a/tests/test_standin.cc
+++ b/tests/test_standin.cc
@@ -3,7 +3,7 @@
 #include <gtest/gtest.h>
 #include <standin/prefix_cache.h>
 #include <standin/reference.h>
-#include <standin/store.h>
+#include <standin/objects.h>
 #include <standin/vm_list.h>
 
 #include <string>
@@ -27,14 +27,14 @@
   return result;
 }
 
-mq_store_condition
+mq_object_condition
 if_version (uint64_t v)
 {
-  return { MQ_STORE_IF_VERSION, v };
+  return { MQ_OBJECT_IF_VERSION, v };
 }
 
-const mq_store_condition always = { MQ_STORE_ALWAYS, 0 };
-const mq_store_condition if_absent = { MQ_STORE_IF_ABSENT, 0 };
+const mq_object_condition always = { MQ_OBJECT_ALWAYS, 0 };
+const mq_object_condition if_absent = { MQ_OBJECT_IF_ABSENT, 0 };
 
 } // namespace
 
@@ -81,84 +81,86 @@
 
 TEST (Store, ConditionalWritesAndOneCounter)
 {
-  mq_store *s = mq_store_new ();
+  mq_objects *s = mq_objects_new ();
   mq_span a = MQ_SPAN ("dir/a");
   mq_span b = MQ_SPAN ("dir/b");
 
-  EXPECT_EQ (mq_store_put (s, a, MQ_SPAN ("1"), if_version (1)),
-             MQ_STORE_CONFLICT);
-  EXPECT_EQ (mq_store_put (s, a, MQ_SPAN ("1"), if_absent), MQ_STORE_OK);
-  EXPECT_EQ (mq_store_put (s, a, MQ_SPAN ("2"), if_absent), MQ_STORE_CONFLICT);
-  EXPECT_EQ (mq_store_put (s, b, MQ_SPAN ("1"), always), MQ_STORE_OK);
-  EXPECT_EQ (mq_store_get (s, b)->version, 2u);
-  EXPECT_EQ (mq_store_put (s, a, MQ_SPAN ("2"), if_version (1)), MQ_STORE_OK);
-  EXPECT_EQ (mq_store_get (s, a)->version, 3u);
-  EXPECT_EQ (mq_store_put (s, a, MQ_SPAN ("3"), if_version (1)),
-             MQ_STORE_CONFLICT);
-  EXPECT_TRUE (
-      mq_span_equal (mq_str_span (mq_store_get (s, a)->value), MQ_SPAN ("2")));
-  mq_store_free (s);
+  EXPECT_EQ (mq_objects_put (s, a, MQ_SPAN ("1"), if_version (1)),
+             MQ_OBJECT_CONFLICT);
+  EXPECT_EQ (mq_objects_put (s, a, MQ_SPAN ("1"), if_absent), MQ_OBJECT_OK);
+  EXPECT_EQ (mq_objects_put (s, a, MQ_SPAN ("2"), if_absent),
+             MQ_OBJECT_CONFLICT);
+  EXPECT_EQ (mq_objects_put (s, b, MQ_SPAN ("1"), always), MQ_OBJECT_OK);
+  EXPECT_EQ (mq_objects_get (s, b)->version, 2u);
+  EXPECT_EQ (mq_objects_put (s, a, MQ_SPAN ("2"), if_version (1)),
+             MQ_OBJECT_OK);
+  EXPECT_EQ (mq_objects_get (s, a)->version, 3u);
+  EXPECT_EQ (mq_objects_put (s, a, MQ_SPAN ("3"), if_version (1)),
+             MQ_OBJECT_CONFLICT);
+  EXPECT_TRUE (mq_span_equal (mq_str_span (mq_objects_get (s, a)->value),
+                              MQ_SPAN ("2")));
+  mq_objects_free (s);
 }
 
 TEST (Store, ARecreatedObjectNeverRepeatsAVersion)
 {
-  mq_store *s = mq_store_new ();
+  mq_objects *s = mq_objects_new ();
   mq_span a = MQ_SPAN ("a");
 
-  mq_store_put (s, a, MQ_SPAN ("1"), if_absent);
-  EXPECT_EQ (mq_store_delete (s, a, if_version (9)), MQ_STORE_CONFLICT);
-  EXPECT_EQ (mq_store_delete (s, a, if_version (1)), MQ_STORE_OK);
-  EXPECT_EQ (mq_store_delete (s, a, always), MQ_STORE_MISSING);
-  EXPECT_EQ (mq_store_get (s, a), nullptr);
-  mq_store_put (s, a, MQ_SPAN ("1"), if_absent);
-  EXPECT_GT (mq_store_get (s, a)->version, 1u);
-  mq_store_free (s);
+  mq_objects_put (s, a, MQ_SPAN ("1"), if_absent);
+  EXPECT_EQ (mq_objects_delete (s, a, if_version (9)), MQ_OBJECT_CONFLICT);
+  EXPECT_EQ (mq_objects_delete (s, a, if_version (1)), MQ_OBJECT_OK);
+  EXPECT_EQ (mq_objects_delete (s, a, always), MQ_OBJECT_MISSING);
+  EXPECT_EQ (mq_objects_get (s, a), nullptr);
+  mq_objects_put (s, a, MQ_SPAN ("1"), if_absent);
+  EXPECT_GT (mq_objects_get (s, a)->version, 1u);
+  mq_objects_free (s);
 }
 
 TEST (Store, ListsByPrefixInOrder)
 {
-  mq_store *s = mq_store_new ();
+  mq_objects *s = mq_objects_new ();
 
-  mq_store_put (s, MQ_SPAN ("x/2"), MQ_SPAN (""), always);
-  mq_store_put (s, MQ_SPAN ("x/1"), MQ_SPAN (""), always);
-  mq_store_put (s, MQ_SPAN ("y/1"), MQ_SPAN (""), always);
-  GPtrArray *list = mq_store_list (s, MQ_SPAN ("x/"));
+  mq_objects_put (s, MQ_SPAN ("x/2"), MQ_SPAN (""), always);
+  mq_objects_put (s, MQ_SPAN ("x/1"), MQ_SPAN (""), always);
+  mq_objects_put (s, MQ_SPAN ("y/1"), MQ_SPAN (""), always);
+  GPtrArray *list = mq_objects_list (s, MQ_SPAN ("x/"));
   ASSERT_EQ (list->len, 2u);
   auto *first = static_cast<mq_object *> (g_ptr_array_index (list, 0));
   EXPECT_STREQ (mq_str_cstr (first->name), "x/1");
   g_ptr_array_free (list, TRUE);
-  mq_store_free (s);
+  mq_objects_free (s);
 }
 
 TEST (Store, RefusesBadNamesAndLargeValues)
 {
-  mq_store *s = mq_store_new ();
-  std::string large (MQ_STORE_VALUE_LIMIT + 1, 'x');
-
-  EXPECT_EQ (mq_store_put (s, MQ_SPAN ("a b"), MQ_SPAN ("1"), always),
-             MQ_STORE_BAD_NAME);
-  EXPECT_EQ (mq_store_put (s, MQ_SPAN (""), MQ_SPAN ("1"), always),
-             MQ_STORE_BAD_NAME);
-  EXPECT_EQ (mq_store_put (s, MQ_SPAN ("a"), { large.data (), large.size () },
-                           always),
-             MQ_STORE_TOO_LARGE);
-  EXPECT_EQ (mq_store_put (s, MQ_SPAN ("a"),
-                           { large.data (), large.size () - 1 }, always),
-             MQ_STORE_OK);
-  mq_store_free (s);
+  mq_objects *s = mq_objects_new ();
+  std::string large (MQ_OBJECT_VALUE_LIMIT + 1, 'x');
+
+  EXPECT_EQ (mq_objects_put (s, MQ_SPAN ("a b"), MQ_SPAN ("1"), always),
+             MQ_OBJECT_BAD_NAME);
+  EXPECT_EQ (mq_objects_put (s, MQ_SPAN (""), MQ_SPAN ("1"), always),
+             MQ_OBJECT_BAD_NAME);
+  EXPECT_EQ (mq_objects_put (s, MQ_SPAN ("a"),
+                             { large.data (), large.size () }, always),
+             MQ_OBJECT_TOO_LARGE);
+  EXPECT_EQ (mq_objects_put (s, MQ_SPAN ("a"),
+                             { large.data (), large.size () - 1 }, always),
+             MQ_OBJECT_OK);
+  mq_objects_free (s);
 }
 
 TEST (Rate, CountsEachCallAndFillsWithTime)
 {
-  mq_rate r;
-
-  mq_rate_init (&r, 2, 0);
-  EXPECT_TRUE (mq_rate_take (&r, 0));
-  EXPECT_TRUE (mq_rate_take (&r, 0));
-  EXPECT_FALSE (mq_rate_take (&r, 0));
-  EXPECT_FALSE (mq_rate_take (&r, 400000));
-  EXPECT_TRUE (mq_rate_take (&r, 600000));
-  EXPECT_FALSE (mq_rate_take (&r, 600000));
+  mq_call_rate r;
+
+  mq_call_rate_init (&r, 2, 0);
+  EXPECT_TRUE (mq_call_rate_take (&r, 0));
+  EXPECT_TRUE (mq_call_rate_take (&r, 0));
+  EXPECT_FALSE (mq_call_rate_take (&r, 0));
+  EXPECT_FALSE (mq_call_rate_take (&r, 400000));
+  EXPECT_TRUE (mq_call_rate_take (&r, 600000));
+  EXPECT_FALSE (mq_call_rate_take (&r, 600000));
 }
 
 TEST (VmList, LagsBehindTheChanges)
--- a/tools/standin/store.c
+++ b/tools/standin/objects.c
@@ -1,10 +1,10 @@
-/* The platform's objects: see store.h.  */
+/* The platform's objects: see objects.h.  */
 
-#include <standin/store.h>
+#include <standin/objects.h>
 
 #include <string.h>
 
-struct mq_store
+struct mq_objects
 {
   GHashTable *objects; /* char * name -> mq_object, both owned  */
   uint64_t version;
@@ -31,15 +31,15 @@
 }
 
 static bool
-condition_holds (mq_store_condition condition, const mq_object *o)
+condition_holds (mq_object_condition condition, const mq_object *o)
 {
   switch (condition.kind)
     {
-    case MQ_STORE_ALWAYS:
+    case MQ_OBJECT_ALWAYS:
       return true;
-    case MQ_STORE_IF_ABSENT:
+    case MQ_OBJECT_IF_ABSENT:
       return o == NULL;
-    case MQ_STORE_IF_VERSION:
+    case MQ_OBJECT_IF_VERSION:
       return o != NULL && o->version == condition.version;
     }
   return false;
@@ -47,7 +47,7 @@
 
 /* The object NAME, or NULL.  */
 static mq_object *
-object_find (const mq_store *store, mq_span name)
+object_find (const mq_objects *store, mq_span name)
 {
   char *key = g_strndup (name.data, name.size);
   mq_object *o = g_hash_table_lookup (store->objects, key);
@@ -65,10 +65,10 @@
   return mq_span_compare (mq_str_span (x->name), mq_str_span (y->name));
 }
 
-mq_store *
-mq_store_new (void)
+mq_objects *
+mq_objects_new (void)
 {
-  mq_store *s = g_new0 (mq_store, 1);
+  mq_objects *s = g_new0 (mq_objects, 1);
 
   s->objects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_free);
@@ -76,7 +76,7 @@
 }
 
 void
-mq_store_free (mq_store *store)
+mq_objects_free (mq_objects *store)
 {
   if (store == NULL)
     return;
@@ -85,24 +85,24 @@
 }
 
 const mq_object *
-mq_store_get (const mq_store *store, mq_span name)
+mq_objects_get (const mq_objects *store, mq_span name)
 {
   return object_find (store, name);
 }
 
-mq_store_result
-mq_store_put (mq_store *store, mq_span name, mq_span value,
-              mq_store_condition condition)
+mq_object_result
+mq_objects_put (mq_objects *store, mq_span name, mq_span value,
+                mq_object_condition condition)
 {
   mq_object *o;
 
   if (!name_valid (name))
-    return MQ_STORE_BAD_NAME;
-  if (value.size > MQ_STORE_VALUE_LIMIT)
-    return MQ_STORE_TOO_LARGE;
+    return MQ_OBJECT_BAD_NAME;
+  if (value.size > MQ_OBJECT_VALUE_LIMIT)
+    return MQ_OBJECT_TOO_LARGE;
   o = object_find (store, name);
   if (!condition_holds (condition, o))
-    return MQ_STORE_CONFLICT;
+    return MQ_OBJECT_CONFLICT;
   if (o == NULL)
     {
       o = g_new0 (mq_object, 1);
@@ -113,25 +113,26 @@
   mq_str_unref (o->value);
   o->value = mq_str_new (value);
   o->version = ++store->version;
-  return MQ_STORE_OK;
+  return MQ_OBJECT_OK;
 }
 
-mq_store_result
-mq_store_delete (mq_store *store, mq_span name, mq_store_condition condition)
+mq_object_result
+mq_objects_delete (mq_objects *store, mq_span name,
+                   mq_object_condition condition)
 {
   mq_object *o = object_find (store, name);
 
   if (o == NULL)
-    return MQ_STORE_MISSING;
+    return MQ_OBJECT_MISSING;
   if (!condition_holds (condition, o))
-    return MQ_STORE_CONFLICT;
+    return MQ_OBJECT_CONFLICT;
   store->version++;
   g_hash_table_remove (store->objects, mq_str_cstr (o->name));
-  return MQ_STORE_OK;
+  return MQ_OBJECT_OK;
 }
 
 GPtrArray *
-mq_store_list (const mq_store *store, mq_span prefix)
+mq_objects_list (const mq_objects *store, mq_span prefix)
 {
   GPtrArray *list = g_ptr_array_new ();
   GHashTableIter iter;
@@ -150,13 +151,13 @@
 }
 
 uint64_t
-mq_store_version (const mq_store *store)
+mq_objects_version (const mq_objects *store)
 {
   return store->version;
 }
 
 void
-mq_rate_init (mq_rate *rate, double per_s, uint64_t now_us)
+mq_call_rate_init (mq_call_rate *rate, double per_s, uint64_t now_us)
 {
   rate->rate = per_s;
   rate->tokens = per_s;
@@ -164,7 +165,7 @@
 }
 
 bool
-mq_rate_take (mq_rate *rate, uint64_t now_us)
+mq_call_rate_take (mq_call_rate *rate, uint64_t now_us)
 {
   if (rate->rate <= 0)
     return true;
--- a/tools/standin/platform.c
+++ b/tools/standin/platform.c
@@ -5,7 +5,7 @@
    list is fed by PUT and DELETE of /vms/NAME.  */
 
 #include <standin/stand.h>
-#include <standin/store.h>
+#include <standin/objects.h>
 #include <standin/vm_list.h>
 
 #include <stdio.h>
@@ -52,10 +52,10 @@
 {
   struct ev_loop *loop;
   mq_http_server *server;
-  mq_store *store;
+  mq_objects *store;
   mq_vm_list *vms;
-  mq_rate reads;
-  mq_rate writes;
+  mq_call_rate reads;
+  mq_call_rate writes;
   GPtrArray *watches; /* of platform_watch, owned  */
   ev_timer sweep;     /* Ends watches whose time is up.  */
   platform_fault fault;
@@ -201,20 +201,20 @@
 
 /* The condition that the headers state; false when they are malformed.  */
 static bool
-read_condition (const mq_http_exchange *exchange, mq_store_condition *c)
+read_condition (const mq_http_exchange *exchange, mq_object_condition *c)
 {
   mq_span match = mq_http_exchange_header (exchange, "If-Match");
   mq_span none = mq_http_exchange_header (exchange, "If-None-Match");
 
-  *c = (mq_store_condition){ MQ_STORE_ALWAYS, 0 };
+  *c = (mq_object_condition){ MQ_OBJECT_ALWAYS, 0 };
   if (none.data != NULL)
     {
-      c->kind = MQ_STORE_IF_ABSENT;
+      c->kind = MQ_OBJECT_IF_ABSENT;
       return match.data == NULL && mq_span_equal (none, MQ_SPAN ("*"));
     }
   if (match.data == NULL)
     return true;
-  c->kind = MQ_STORE_IF_VERSION;
+  c->kind = MQ_OBJECT_IF_VERSION;
   if (match.size < 3 || match.data[0] != '"'
       || match.data[match.size - 1] != '"')
     return false;
@@ -226,29 +226,29 @@
 /* Answer a write that had RESULT; OK_STATUS when it took effect.  */
 static void
 reply_write (platform *p, mq_http_exchange *exchange, mq_span name,
-             mq_store_result result, unsigned ok_status)
+             mq_object_result result, unsigned ok_status)
 {
-  const mq_object *o = mq_store_get (p->store, name);
+  const mq_object *o = mq_objects_get (p->store, name);
   char text[32];
   mq_http_header etag = etag_header (o == NULL ? 0 : o->version, text);
   size_t n = o == NULL ? 0 : 1;
 
   switch (result)
     {
-    case MQ_STORE_OK:
+    case MQ_OBJECT_OK:
       mq_http_exchange_reply (exchange, ok_status, &etag, n,
                               (mq_span){ NULL, 0 });
       return;
-    case MQ_STORE_MISSING:
+    case MQ_OBJECT_MISSING:
       reply_error (exchange, 404, "no such object");
       return;
-    case MQ_STORE_CONFLICT:
+    case MQ_OBJECT_CONFLICT:
       mq_http_exchange_reply (exchange, 412, &etag, n, (mq_span){ NULL, 0 });
       return;
-    case MQ_STORE_TOO_LARGE:
+    case MQ_OBJECT_TOO_LARGE:
       reply_error (exchange, 413, "value above 1 MiB");
       return;
-    case MQ_STORE_BAD_NAME:
+    case MQ_OBJECT_BAD_NAME:
       reply_error (exchange, 400, "bad name");
       return;
     }
@@ -258,7 +258,7 @@
 static void
 platform_wake (platform *p, mq_span name)
 {
-  const mq_object *o = mq_store_get (p->store, name);
+  const mq_object *o = mq_objects_get (p->store, name);
 
   for (guint i = p->watches->len; o != NULL && i-- > 0;)
     {
@@ -276,8 +276,8 @@
 platform_write (platform *p, mq_http_exchange *exchange, call_kind kind,
                 mq_span name)
 {
-  mq_store_condition condition;
-  mq_store_result result;
+  mq_object_condition condition;
+  mq_object_result result;
 
   if (!read_condition (exchange, &condition))
     {
@@ -285,10 +285,10 @@
       return;
     }
   if (kind == CALL_PUT)
-    result = mq_store_put (p->store, name, mq_http_exchange_body (exchange),
-                           condition);
+    result = mq_objects_put (p->store, name, mq_http_exchange_body (exchange),
+                             condition);
   else
-    result = mq_store_delete (p->store, name, condition);
+    result = mq_objects_delete (p->store, name, condition);
   if (p->fault.lose_replies > 0)
     {
       p->fault.lose_replies--;
@@ -297,14 +297,14 @@
     }
   else
     reply_write (p, exchange, name, result, kind == CALL_PUT ? 200 : 204);
-  if (result == MQ_STORE_OK)
+  if (result == MQ_OBJECT_OK)
     platform_wake (p, name);
 }
 
 static void
 platform_get (platform *p, mq_http_exchange *exchange, mq_span name)
 {
-  const mq_object *o = mq_store_get (p->store, name);
+  const mq_object *o = mq_objects_get (p->store, name);
 
   if (o == NULL)
     reply_error (exchange, 404, "no such object");
@@ -315,7 +315,7 @@
 static void
 platform_list (platform *p, mq_http_exchange *exchange, mq_span prefix)
 {
-  GPtrArray *list = mq_store_list (p->store, prefix);
+  GPtrArray *list = mq_objects_list (p->store, prefix);
   json_object *objects = json_object_new_array ();
   json_object *json = json_object_new_object ();
 
@@ -336,7 +336,7 @@
 static void
 platform_watch_start (platform *p, mq_http_exchange *exchange, mq_span name)
 {
-  const mq_object *o = mq_store_get (p->store, name);
+  const mq_object *o = mq_objects_get (p->store, name);
   uint64_t after = mq_stand_query (exchange, "after", 0);
   uint64_t wait_ms = mq_stand_query (exchange, "wait_ms", 0);
   platform_watch *w;
@@ -446,8 +446,8 @@
 platform_rate_take (platform *p, call_kind kind, uint64_t now)
 {
   if (kind == CALL_PUT || kind == CALL_DELETE)
-    return mq_rate_take (&p->writes, now);
-  return mq_rate_take (&p->reads, now);
+    return mq_call_rate_take (&p->writes, now);
+  return mq_call_rate_take (&p->reads, now);
 }
 
 /* Take a call of the platform's own interface: count it, apply the limits
@@ -566,7 +566,7 @@
   mq_stand_add_int (json, "unavailable", (int64_t)p->unavailable);
   mq_stand_add_int (json, "lost_replies", (int64_t)p->lost);
   mq_stand_add_int (json, "watching", p->watches->len);
-  mq_stand_add_int (json, "version", (int64_t)mq_store_version (p->store));
+  mq_stand_add_int (json, "version", (int64_t)mq_objects_version (p->store));
   mq_stand_reply (exchange, 200, json);
 }
 
@@ -684,10 +684,10 @@
     return 2;
   if (weights <= 0)
     weights = 100;
-  p.store = mq_store_new ();
+  p.store = mq_objects_new ();
   p.vms = mq_vm_list_new ((uint64_t)lag_ms * 1000);
-  mq_rate_init (&p.reads, reads, mq_stand_now_us ());
-  mq_rate_init (&p.writes, writes, mq_stand_now_us ());
+  mq_call_rate_init (&p.reads, reads, mq_stand_now_us ());
+  mq_call_rate_init (&p.writes, writes, mq_stand_now_us ());
   p.weights_per_s = weights;
   p.watches = g_ptr_array_new_with_free_func (watch_free);
   p.by_prefix
@@ -707,7 +707,7 @@
   mq_http_server_free (p.server);
   g_hash_table_destroy (p.by_prefix);
   mq_vm_list_free (p.vms);
-  mq_store_free (p.store);
+  mq_objects_free (p.store);
   g_free (listen);
   return 0;
 }
