Prove the entry's invariants: checker, property test, deliberate defects

A checker with its own account of what was asked, sent and said looks on while random moves drive the entry (prop_entry, test_defects). Thirteen deliberate defects behind MQ_DEFECTS, compiled out of release builds, are each caught by a named test. 'make check-long' runs the property tests with a new seed that it prints.

Found by the first run: the checker itself was too strict in counting the version of an attempt that delivered nothing; it now looks at the versions of delivered tokens.

--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,11 @@
 check: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
+# The property tests with many more cases and a new seed, which is printed:
+# `make check-long SEED=N` runs that one again.
+check-long: build
+	tools/check-long.sh $(BUILD) $(SEED)
+
 check-sanitize:
 	cmake -S . -B build-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DMQ_SANITIZE=ON
 	cmake --build build-sanitize
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -2,6 +2,7 @@
 
    See mq/entry.h for the contract and mq/internal/entry.h for the parts.  */
 
+#include <mq/internal/defect.h>
 #include <mq/internal/entry.h>
 #include <mq/internal/request_heap.h>
 
@@ -13,6 +14,8 @@
 /* The limiter, the planner and the platform answer within this time, or the
    request goes on without them.  */
 #define ANSWER_US 500000
+/* A claim gives up by itself; this only guards against one that does not.  */
+#define CLAIM_US 2000000
 /* Told to callers when to come back.  */
 #define SOON_US 200000
 #define LATER_US 1000000
@@ -42,12 +45,15 @@
 {
   uint64_t due = request->deadline_us;
 
+  if (mq_defect_enabled (MQ_DEFECT_DEADLINE_IGNORED))
+    due = UINT64_MAX;
   switch (request->state)
     {
     case MQ_REQUEST_LIMITING:
     case MQ_REQUEST_PLANNING:
-    case MQ_REQUEST_CLAIMING:
       return MIN (due, request->since_us + ANSWER_US);
+    case MQ_REQUEST_CLAIMING:
+      return MIN (due, request->since_us + CLAIM_US);
     case MQ_REQUEST_OPENING:
     case MQ_REQUEST_STREAMING:
       return MIN (due, mq_stream_stall_us (entry, request));
@@ -140,7 +146,7 @@
 {
   mq_entry_action *a;
 
-  if (!request->limit_held)
+  if (!request->limit_held || mq_defect_enabled (MQ_DEFECT_LIMIT_KEPT))
     return;
   request->limit_held = false;
   a = mq_entry_emit (entry, request, MQ_ENTRY_RELEASE_LIMIT);
@@ -186,6 +192,8 @@
   a->u.end.reason = reason;
   a->u.end.retry_after_us = retry_after_us;
   a->u.end.tokens = request->tokens;
+  if (mq_defect_enabled (MQ_DEFECT_ENDS_TWICE))
+    mq_entry_emit (entry, request, MQ_ENTRY_END);
   request->state = MQ_REQUEST_ENDED;
   mq_request_heap_remove (entry->timers, request);
   g_ptr_array_add (entry->ended, request);
@@ -379,7 +387,7 @@
                                     entry->now_us, &first);
   if (verdict != MQ_GUARD_RUN)
     entry_refuse_guarded (entry, event, verdict, first);
-  else if (entry->draining)
+  else if (entry->draining && !mq_defect_enabled (MQ_DEFECT_DRAIN_TAKES_WORK))
     {
       if (guard != MQ_GUARD_NONE)
         mq_idempotency_finish (entry->memory, guard, call->organisation,
@@ -472,6 +480,11 @@
                     0);
       break;
     case MQ_CLAIM_UNAVAILABLE:
+      if (mq_defect_enabled (MQ_DEFECT_CLAIM_NOT_AWAITED))
+        {
+          entry_claim_won (entry, request);
+          break;
+        }
       mq_entry_end (entry, request, MQ_OUTCOME_NOT_RUN,
                     MQ_REASON_PLATFORM_UNAVAILABLE, LATER_US);
       break;
--- a/packages/decide/idempotency.c
+++ b/packages/decide/idempotency.c
@@ -3,6 +3,7 @@
    Values that ended lie in a queue in the order of their ends, which is also
    the order in which they may be forgotten.  */
 
+#include <mq/internal/defect.h>
 #include <mq/internal/idempotency.h>
 
 typedef struct guard_entry
@@ -101,6 +102,8 @@
   if (g != NULL)
     {
       mq_str_unref (name);
+      if (mq_defect_enabled (MQ_DEFECT_TICKET_RUN_TWICE))
+        return MQ_GUARD_RUN;
       if (g->body_hash != body_hash)
         return MQ_GUARD_OTHER_BODY;
       if (g->running)
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -1,5 +1,6 @@
 /* One request: see mq/internal/request.h.  */
 
+#include <mq/internal/defect.h>
 #include <mq/internal/request.h>
 
 /* The share of the estimated work that must be too long before a request is
@@ -108,6 +109,8 @@
 mq_outcome
 mq_request_outcome (const mq_request *request)
 {
+  if (mq_defect_enabled (MQ_DEFECT_NOT_RUN_AFTER_SEND))
+    return MQ_OUTCOME_NOT_RUN;
   if (request->seen_running)
     return MQ_OUTCOME_FAILED;
   if (request->may_have_run || mq_request_is_out (request))
--- a/packages/decide/service_call.c
+++ b/packages/decide/service_call.c
@@ -7,6 +7,7 @@
    - an instance has no more of this router's calls in flight than the
      service allows.  */
 
+#include <mq/internal/defect.h>
 #include <mq/internal/entry.h>
 
 #define DEFAULT_CONCURRENT 64
@@ -175,7 +176,8 @@
 
   if (s == NULL || request->attempt >= SENDS_MAX)
     return false;
-  if (request->may_have_run && !request->repeatable)
+  if (request->may_have_run && !request->repeatable
+      && !mq_defect_enabled (MQ_DEFECT_NON_REPEATABLE_RETRIED))
     return false;
   wait = mq_backoff_us (&entry->random, request->rests++, RETRY_BASE_US,
                         RETRY_CAP_US);
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -9,6 +9,7 @@
      place of lost ones, those with the least slack first, so that the
      survivors of a failure are not stormed.  */
 
+#include <mq/internal/defect.h>
 #include <mq/internal/entry.h>
 
 /* A window of recoveries, and how many it lets go.  */
@@ -31,7 +32,9 @@
   bool out = request->state == MQ_REQUEST_OPENING
              || request->state == MQ_REQUEST_STREAMING;
 
-  if (out && attempt == request->attempt)
+  if (out
+      && (attempt == request->attempt
+          || mq_defect_enabled (MQ_DEFECT_ATTEMPT_NOT_COMPARED)))
     return true;
   entry->counters.dropped_attempt++;
   return false;
@@ -141,7 +144,7 @@
   d.lost = end;
   d.stage = stage;
   mq_decision_log_add (entry->decisions, &d);
-  if (cancel)
+  if (cancel && !mq_defect_enabled (MQ_DEFECT_STREAM_LEFT_OPEN))
     mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
   if (!proven_not_run)
     request->may_have_run = true;
@@ -233,7 +236,8 @@
       && !mq_span_equal (mq_str_span (plan->version),
                          mq_str_span (request->plan.version)))
     return false;
-  return mq_plan_check_cover (plan) == MQ_PLAN_OK;
+  return mq_plan_check_cover (plan) == MQ_PLAN_OK
+         || mq_defect_enabled (MQ_DEFECT_LAYER_GAP_ALLOWED);
 }
 
 void
@@ -341,7 +345,8 @@
 
   if (!stream_is_awaited (entry, request, event->attempt))
     return;
-  if (position < request->tokens || position >= request->max_tokens)
+  if ((position < request->tokens || position >= request->max_tokens)
+      && !mq_defect_enabled (MQ_DEFECT_POSITION_NOT_COMPARED))
     {
       entry->counters.dropped_position++;
       return;
@@ -353,7 +358,8 @@
       stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG, 0, true, false);
       return;
     }
-  if (mq_plan_check_receipts (&request->plan, receipts, n) != MQ_PLAN_OK)
+  if (mq_plan_check_receipts (&request->plan, receipts, n) != MQ_PLAN_OK
+      && !mq_defect_enabled (MQ_DEFECT_RECEIPTS_NOT_CHECKED))
     {
       entry->counters.wrong_receipts++;
       stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG,
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -3,6 +3,7 @@
 #ifndef MQ_TESTS_ENTRY_FIXTURE_H
 #define MQ_TESTS_ENTRY_FIXTURE_H
 
+#include "entry_checker.h"
 #include <gtest/gtest.h>
 #include <mq/entry.h>
 #include <string>
@@ -141,6 +142,10 @@
   Driver (const Driver &) = delete;
   ~Driver ()
   {
+    if (!expect_violations)
+      {
+        EXPECT_FALSE (checker.broken ()) << checker.report ();
+      }
     mq_entry_free (entry);
     g_array_unref (actions);
     mq_config_unref (config);
@@ -169,8 +174,9 @@
   handle (const mq_entry_event &event)
   {
     g_array_set_size (actions, 0);
+    checker.before (event);
     mq_entry_handle (entry, &event, actions);
-    total += actions->len;
+    checker.after (entry, actions);
   }
 
   void
@@ -372,7 +378,8 @@
   GArray *actions;
   mq_config *config;
   uint64_t now = 1000 * SECOND;
-  size_t total = 0;
+  Checker checker;
+  bool expect_violations = false;
 };
 
 } // namespace entry_test
--- /dev/null
+++ b/tests/prop_entry.cc
@@ -0,0 +1,72 @@
+/* Whatever order events come in, with whatever faults, the entry keeps its
+   invariants.  */
+
+#include "entry_world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+
+using namespace entry_test;
+
+namespace entry_test
+{
+
+void
+showValue (const Move &m, std::ostream &os)
+{
+  os << "{" << (int)m.step << "," << (int)m.which << "," << (int)m.how << "}";
+}
+
+} // namespace entry_test
+
+namespace
+{
+
+/* Steps that carry requests forward come more often than faults, so that
+   many get far.  */
+rc::Gen<Step>
+gen_step ()
+{
+  return rc::gen::weightedElement<Step> ({ { 4, Step::ModelCall },
+                                           { 5, Step::PlainCall },
+                                           { 10, Step::Limit },
+                                           { 8, Step::Plan },
+                                           { 5, Step::Claim },
+                                           { 3, Step::Open },
+                                           { 24, Step::Token },
+                                           { 2, Step::WrongToken },
+                                           { 4, Step::StreamEnd },
+                                           { 2, Step::StreamFailed },
+                                           { 4, Step::Reply },
+                                           { 3, Step::SendFailed },
+                                           { 1, Step::CallerGone },
+                                           { 4, Step::Wait },
+                                           { 1, Step::Drain },
+                                           { 2, Step::Garbage },
+                                           { 1, Step::Configure } });
+}
+
+rc::Gen<Move>
+gen_move ()
+{
+  return rc::gen::construct<Move> (gen_step (), rc::gen::arbitrary<uint8_t> (),
+                                   rc::gen::arbitrary<uint8_t> ());
+}
+
+} // namespace
+
+RC_GTEST_PROP (EntryProperty, KeepsItsInvariants, ())
+{
+  const auto moves = *rc::gen::scale (
+      4.0, rc::gen::container<std::vector<Move> > (gen_move ()));
+  World w (true);
+
+  for (const Move &m : moves)
+    w.move (m);
+  w.finish ();
+  RC_TAG (w.d.counters ().ended[MQ_OUTCOME_DONE] > 0 ? "some done"
+                                                     : "none done");
+  if (w.d.checker.broken ())
+    RC_FAIL (w.d.checker.report ());
+}
