Deepen the entry: answer lengths, hopeless work, rests, budgets

Work is reckoned from the answer lengths that a service was seen to have, not from the most a caller asks for: a caller with a high max_tokens and a short answer would have been ended after its ninth token. Nothing is ended early before 20 whole answers were seen.

A whole answer no longer waits for the head's last line beyond 50 ms; refused recoveries rest with back-off and go through the same bounded window as lost ones; an answer keeps the version of its first tokens; budgets survive a change of configuration.

--- a/include/mq/internal/entry.h
+++ b/include/mq/internal/entry.h
@@ -9,6 +9,7 @@
 #define MQ_INTERNAL_ENTRY_H
 
 #include <mq/entry.h>
+#include <mq/internal/answer_length.h>
 #include <mq/internal/idempotency.h>
 #include <mq/internal/request.h>
 #include <mq/internal/retry_budget.h>
@@ -34,7 +35,8 @@
   mq_retry_budget *service_budget;
   mq_retry_budget *organisation_budget;
   GHashTable *instances; /* URL to the state kept by service_call.c.  */
-  uint64_t turn;         /* Breaks ties between instances.  */
+  mq_answer_lengths *lengths;
+  uint64_t turn; /* Breaks ties between instances.  */
   mq_entry_counters counters;
   mq_decision_log *decisions;
   /* Of the event that is being handled.  */
@@ -81,9 +83,11 @@
                       const mq_entry_event *event);
 void mq_stream_failed (mq_entry *entry, mq_request *request,
                        const mq_entry_event *event);
-/* When REQUEST, whose stream is out, counts as stalled.  */
-uint64_t mq_stream_stall_us (const mq_entry *entry, const mq_request *request);
-void mq_stream_stalled (mq_entry *entry, mq_request *request);
+/* When REQUEST, whose stream is out, has to be looked at; and look.  */
+uint64_t mq_stream_due_us (const mq_entry *entry, const mq_request *request);
+void mq_stream_due (mq_entry *entry, mq_request *request);
+/* The rest after a refusal is over.  */
+void mq_stream_resume (mq_entry *entry, mq_request *request);
 /* The planner did not answer.  */
 void mq_stream_unplanned (mq_entry *entry, mq_request *request);
 /* Cancel what is out and release what is held, before REQUEST ends as
--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -76,6 +76,9 @@
   uint64_t last_us;               /* Its last token.  */
   uint32_t gaps[MQ_REQUEST_GAPS]; /* Last gaps between its tokens, us.  */
   uint32_t attempt_tokens;        /* Delivered in it.  */
+  uint32_t expected_tokens;       /* In the whole answer; 0: not known.  */
+  uint64_t planned_gap_us;        /* Between tokens, by the planner.  */
+  uint32_t lost;                  /* Attempts that were out and failed.  */
 
   /* Of kind plain.  */
   mq_str *method;
@@ -94,13 +97,19 @@
 mq_outcome mq_request_outcome (const mq_request *request);
 /* Time left until its deadline; 0 when past.  */
 uint64_t mq_request_left (const mq_request *request, uint64_t now_us);
+/* All tokens that were asked for are with the caller.  */
+bool mq_request_is_whole (const mq_request *request);
 /* What its remaining tokens are thought to take; 0 when not known.  */
 uint64_t mq_request_work (const mq_request *request);
 /* Left less work; below 0 when it is late already.  */
 int64_t mq_request_slack (const mq_request *request, uint64_t now_us);
-/* No hope to finish by its deadline, also when the estimate of the work is
-   too high by a fair margin.  */
+/* From when on it can't finish by its deadline, also if the estimate of its
+   work is too high by a fair margin.  */
+uint64_t mq_request_hopeless_us (const mq_request *request);
 bool mq_request_is_hopeless (const mq_request *request, uint64_t now_us);
+/* Take the planner's FIGURES for the next attempt.  */
+void mq_request_note_plan (mq_request *request,
+                           const mq_plan_figures *figures);
 /* Note that a token came in the present attempt.  */
 void mq_request_note_token (mq_request *request, uint64_t now_us);
 /* Keep ENGINE out of the next plan.  */
--- a/include/mq/internal/retry_budget.h
+++ b/include/mq/internal/retry_budget.h
@@ -26,8 +26,11 @@
 bool mq_retry_budget_has (mq_retry_budget *budget, mq_span name);
 /* Take one retry of NAME; only after mq_retry_budget_has said so.  */
 void mq_retry_budget_spend (mq_retry_budget *budget, mq_span name);
-/* Forget all names, so that the table stays bounded by the configuration.  */
-void mq_retry_budget_clear (mq_retry_budget *budget);
+/* Forget the names that are not KNOWN, so that the table stays bounded by the
+   configuration.  */
+void mq_retry_budget_prune (mq_retry_budget *budget,
+                            bool (*known) (mq_span name, const void *context),
+                            const void *context);
 
 /* The next value of a seeded generator whose state is *STATE.  */
 uint64_t mq_random_next (uint64_t *state);
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -9,7 +9,7 @@
 #define DECISIONS_KEPT 4096
 /* Guarded calls remembered, and for how long after their end.  A ticket must
    not outlive its place here: see MQ_ENTRY_GUARD_MEMORY_US.  */
-#define GUARDS_KEPT 200000
+#define GUARDS_KEPT 65536
 #define RETRY_BURST 10
 /* The limiter, the planner and the platform answer within this time, or the
    request goes on without them.  */
@@ -56,7 +56,7 @@
       return MIN (due, request->since_us + CLAIM_US);
     case MQ_REQUEST_OPENING:
     case MQ_REQUEST_STREAMING:
-      return MIN (due, mq_stream_stall_us (entry, request));
+      return MIN (due, mq_stream_due_us (entry, request));
     case MQ_REQUEST_RESTING:
       return MIN (due, request->resume_us);
     case MQ_REQUEST_CALLING:
@@ -120,7 +120,7 @@
                   mq_outcome outcome, mq_reason reason,
                   uint64_t retry_after_us)
 {
-  bool sent = request->may_have_run || request->attempt > 1;
+  bool sent = request->may_have_run;
   mq_decision d = mq_entry_decision (
       entry, request, sent ? MQ_DECISION_ENDED : MQ_DECISION_REFUSED);
 
@@ -181,9 +181,7 @@
     }
   entry_release_limit (entry, request);
   entry_finish_guard (entry, request, outcome);
-  entry_count_end (entry, outcome, reason,
-                   request->may_have_run || request->attempt > 1
-                       || outcome != MQ_OUTCOME_NOT_RUN);
+  entry_count_end (entry, outcome, reason, request->may_have_run);
   if (reason == MQ_REASON_DEADLINE_MISSED)
     entry_count_late (entry, request);
   entry_record_end (entry, request, outcome, reason, retry_after_us);
@@ -491,6 +489,22 @@
     }
 }
 
+static bool
+entry_has_service (mq_span name, const void *entry)
+{
+  const mq_entry *e = entry;
+
+  return mq_config_service (e->config, name) != NULL;
+}
+
+static bool
+entry_has_organisation (mq_span name, const void *entry)
+{
+  const mq_entry *e = entry;
+
+  return mq_config_organisation (e->config, name) != NULL;
+}
+
 static void
 entry_configure (mq_entry *entry, mq_config *config)
 {
@@ -500,8 +514,9 @@
   mq_config_ref (config);
   mq_config_unref (entry->config);
   entry->config = config;
-  mq_retry_budget_clear (entry->service_budget);
-  mq_retry_budget_clear (entry->organisation_budget);
+  mq_retry_budget_prune (entry->service_budget, entry_has_service, entry);
+  mq_retry_budget_prune (entry->organisation_budget, entry_has_organisation,
+                         entry);
   mq_service_call_configure (entry);
   /* The policy's times may have changed.  */
   g_hash_table_iter_init (&iter, entry->requests);
@@ -515,7 +530,7 @@
   switch (request->kind)
     {
     case MQ_SERVICE_MODEL:
-      mq_stream_ask (entry, request);
+      mq_stream_resume (entry, request);
       break;
     case MQ_SERVICE_PLAIN:
       mq_service_call_send (entry, request);
@@ -527,7 +542,7 @@
 static void
 entry_fire (mq_entry *entry, mq_request *request)
 {
-  if (request->deadline_us <= entry->now_us)
+  if (request->deadline_us <= entry->now_us && !mq_request_is_whole (request))
     {
       mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
       return;
@@ -545,7 +560,7 @@
       break;
     case MQ_REQUEST_OPENING:
     case MQ_REQUEST_STREAMING:
-      mq_stream_stalled (entry, request);
+      mq_stream_due (entry, request);
       break;
     case MQ_REQUEST_RESTING:
       entry_resume (entry, request);
@@ -643,6 +658,7 @@
   e->memory = mq_idempotency_new (GUARDS_KEPT, MQ_ENTRY_GUARD_MEMORY_US);
   e->service_budget = mq_retry_budget_new (RETRY_BURST);
   e->organisation_budget = mq_retry_budget_new (RETRY_BURST);
+  e->lengths = mq_answer_lengths_new ();
   e->instances = mq_service_call_instances_new ();
   e->decisions = mq_decision_log_new (DECISIONS_KEPT);
   return e;
@@ -661,6 +677,7 @@
   mq_retry_budget_free (entry->service_budget);
   mq_retry_budget_free (entry->organisation_budget);
   g_hash_table_unref (entry->instances);
+  mq_answer_lengths_free (entry->lengths);
   mq_decision_log_free (entry->decisions);
   mq_str_unref (entry->failure_domain);
   mq_config_unref (entry->config);
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -3,9 +3,11 @@
 #include <mq/internal/defect.h>
 #include <mq/internal/request.h>
 
-/* The share of the estimated work that must be too long before a request is
-   given up: estimates err, and a request ended in error is a lost one.  */
-#define CERTAIN_PERCENT 75
+/* How much of the estimated work counts before a request is given up, in
+   percent: estimates err, and a request ended in error is a lost one.  The
+   planner's word is trusted less than what was measured on the stream.  */
+#define MEASURED_PERCENT 75
+#define PLANNED_PERCENT 50
 
 static uint64_t
 request_deadline (const mq_call *call, const mq_service *service)
@@ -15,19 +17,6 @@
   return (uint64_t)service->deadline_ms * 1000;
 }
 
-/* The gap between tokens that the planner thought of, or 0.  */
-static uint64_t
-request_planned_gap (const mq_request *request)
-{
-  const mq_plan_figures *f = &request->figures;
-
-  if (f->predicted_finish_us <= f->predicted_first_us
-      || request->max_tokens < 2)
-    return 0;
-  return (f->predicted_finish_us - f->predicted_first_us)
-         / (request->max_tokens - 1);
-}
-
 /* The mean of the last gaps without the longest, so that one pause does not
    pass for slowness; 0 before there are enough of them.  */
 static uint64_t
@@ -126,16 +115,21 @@
   return request->deadline_us - now_us;
 }
 
+bool
+mq_request_is_whole (const mq_request *request)
+{
+  return request->tokens > 0 && request->tokens == request->max_tokens;
+}
+
 uint64_t
 mq_request_work (const mq_request *request)
 {
-  uint32_t rest = request->max_tokens - request->tokens;
+  uint64_t gap = request_measured_gap (request);
+  uint32_t rest = 0;
 
-  if (request->kind != MQ_SERVICE_MODEL)
-    return 0;
-  if (request->attempt_tokens > MQ_REQUEST_GAPS)
-    return rest * request_measured_gap (request);
-  return rest * request_planned_gap (request);
+  if (request->expected_tokens > request->tokens)
+    rest = request->expected_tokens - request->tokens;
+  return rest * (gap > 0 ? gap : request->planned_gap_us);
 }
 
 int64_t
@@ -146,12 +140,33 @@
   return left - (int64_t)mq_request_work (request);
 }
 
+uint64_t
+mq_request_hopeless_us (const mq_request *request)
+{
+  unsigned percent = request_measured_gap (request) > 0 ? MEASURED_PERCENT
+                                                        : PLANNED_PERCENT;
+  uint64_t sure = mq_request_work (request) * percent / 100;
+
+  return sure < request->deadline_us ? request->deadline_us - sure : 0;
+}
+
 bool
 mq_request_is_hopeless (const mq_request *request, uint64_t now_us)
 {
-  uint64_t sure = mq_request_work (request) * CERTAIN_PERCENT / 100;
+  return mq_request_hopeless_us (request) < now_us;
+}
+
+void
+mq_request_note_plan (mq_request *request, const mq_plan_figures *figures)
+{
+  uint32_t rest = request->max_tokens - request->tokens;
 
-  return sure > mq_request_left (request, now_us);
+  request->figures = *figures;
+  request->planned_gap_us = 0;
+  if (rest > 1 && figures->predicted_finish_us > figures->predicted_first_us)
+    request->planned_gap_us
+        = (figures->predicted_finish_us - figures->predicted_first_us)
+          / (rest - 1);
 }
 
 void
--- a/packages/decide/retry_budget.c
+++ b/packages/decide/retry_budget.c
@@ -87,9 +87,17 @@
 }
 
 void
-mq_retry_budget_clear (mq_retry_budget *budget)
+mq_retry_budget_prune (mq_retry_budget *budget,
+                       bool (*known) (mq_span name, const void *context),
+                       const void *context)
 {
-  g_hash_table_remove_all (budget->buckets);
+  GHashTableIter iter;
+  gpointer name;
+
+  g_hash_table_iter_init (&iter, budget->buckets);
+  while (g_hash_table_iter_next (&iter, &name, NULL))
+    if (!known (mq_str_span (name), context))
+      g_hash_table_iter_remove (&iter);
 }
 
 uint64_t
--- a/packages/decide/service_call.c
+++ b/packages/decide/service_call.c
@@ -304,6 +304,7 @@
 {
   if (request->state != MQ_REQUEST_CALLING)
     return;
+  request->may_have_run = true;
   mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_SEND);
   call_take_back (entry, request);
 }
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -15,11 +15,13 @@
 /* A window of recoveries, and how many it lets go.  */
 #define RECOVERY_WINDOW_US 5000
 #define RECOVERY_BURST 16
-/* Attempts of one request at the most.  */
-#define ATTEMPTS_MAX 24
+/* Attempts of one request that may fail.  */
+#define LOST_MAX 8
 /* Back-off after a refused recovery.  */
 #define REST_BASE_US 10000
-#define REST_CAP_US 200000
+#define REST_CAP_US 1000000
+/* How long the head's last line may come after the last token.  */
+#define LAST_LINE_US 50000
 /* A first token may take so many times longer than predicted.  */
 #define FIRST_TOKEN_FACTOR 3
 /* Unanswered asks in a row before a request is given up.  */
@@ -40,12 +42,6 @@
   return false;
 }
 
-static bool
-stream_is_whole (const mq_request *request)
-{
-  return request->tokens > 0 && request->tokens == request->max_tokens;
-}
-
 static uint64_t
 stream_mean_gap (const mq_request *request)
 {
@@ -119,16 +115,31 @@
   g_ptr_array_add (entry->queued, request);
 }
 
+/* The caller has its whole answer.  */
+static void
+stream_finish (mq_entry *entry, mq_request *request)
+{
+  mq_answer_lengths_note (entry->lengths, mq_str_span (request->service),
+                          request->tokens, request->max_tokens);
+  mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
+}
+
+static bool
+stream_has_no_hope (const mq_entry *entry, const mq_request *request)
+{
+  return mq_entry_keeps_deadlines (entry)
+         && mq_request_is_hopeless (request, entry->now_us);
+}
+
 /* Go on after a lost attempt, unless there is no use in it.  */
 static void
 stream_go_on (mq_entry *entry, mq_request *request)
 {
-  if (stream_is_whole (request))
-    mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
-  else if (request->attempt >= ATTEMPTS_MAX)
+  if (mq_request_is_whole (request))
+    stream_finish (entry, request);
+  else if (request->lost >= LOST_MAX)
     mq_entry_give_up (entry, request, MQ_REASON_UPSTREAM_FAILED, 0);
-  else if (mq_entry_keeps_deadlines (entry)
-           && mq_request_is_hopeless (request, entry->now_us))
+  else if (stream_has_no_hope (entry, request))
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
   else
     stream_again (entry, request);
@@ -148,6 +159,7 @@
     mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
   if (!proven_not_run)
     request->may_have_run = true;
+  request->lost++;
   stream_avoid (request, stage);
   stream_release (entry, request, end, stage);
   mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
@@ -169,20 +181,24 @@
   return MQ_STAGE_NONE;
 }
 
-/* Wait a little, then ask again.  */
+/* Wait a little, then ask again; no sooner than half of what the planner
+   named.  */
 static void
-stream_rest (mq_entry *entry, mq_request *request)
+stream_rest (mq_entry *entry, mq_request *request, uint64_t retry_after_us)
 {
-  request->resume_us = entry->now_us
-                       + mq_backoff_us (&entry->random, request->rests++,
-                                        REST_BASE_US, REST_CAP_US);
+  uint64_t wait = mq_backoff_us (&entry->random, request->rests++,
+                                 REST_BASE_US, REST_CAP_US);
+
+  wait = MAX (wait, MIN (retry_after_us, REST_CAP_US) / 2);
+  request->resume_us = entry->now_us + wait;
   stream_forgive (request);
   mq_entry_enter (entry, request, MQ_REQUEST_RESTING);
 }
 
 /* No plan for another attempt: some reasons pass, others don't.  */
 static void
-stream_refused_again (mq_entry *entry, mq_request *request, mq_reason reason)
+stream_refused_again (mq_entry *entry, mq_request *request, mq_reason reason,
+                      uint64_t retry_after_us)
 {
   switch (reason)
     {
@@ -190,11 +206,10 @@
     case MQ_REASON_NO_PIPELINE:
     case MQ_REASON_NO_CONFIGURATION:
     case MQ_REASON_LEAVING:
-      if (mq_entry_keeps_deadlines (entry)
-          && mq_request_is_hopeless (request, entry->now_us))
+      if (stream_has_no_hope (entry, request))
         mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
       else
-        stream_rest (entry, request);
+        stream_rest (entry, request, retry_after_us);
       break;
     case MQ_REASON_DEADLINE_UNREACHABLE:
       mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
@@ -212,34 +227,65 @@
   request->plan_held = false;
   mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
   if (request->attempt > 1)
-    stream_refused_again (entry, request, event->u.planned.reason);
+    stream_refused_again (entry, request, event->u.planned.reason,
+                          event->u.planned.retry_after_us);
   else
     mq_entry_give_up (entry, request, event->u.planned.reason,
                       event->u.planned.retry_after_us);
 }
 
-/* A plan that this request can run: it covers the layers of its model, in
-   the version that the caller's first tokens were made with.  */
+/* The model that REQUEST is for, as configured now, or NULL.  */
+static const mq_model *
+stream_model (const mq_entry *entry, const mq_request *request)
+{
+  const mq_service *s
+      = mq_config_service (entry->config, mq_str_span (request->service));
+
+  if (s == NULL || s->kind != MQ_SERVICE_MODEL)
+    return NULL;
+  return mq_config_model (entry->config, mq_str_span (s->u.model.model));
+}
+
+/* The plan's version is the one that the caller's first tokens were made
+   with.  */
+static bool
+stream_keeps_version (const mq_request *request, mq_str *version)
+{
+  return request->tokens == 0
+         || mq_span_equal (mq_str_span (version),
+                           mq_str_span (request->plan.version));
+}
+
+/* A plan that this request can run.  */
 static bool
 stream_plan_fits (const mq_entry *entry, const mq_request *request,
                   const mq_plan *plan)
 {
-  const mq_service *s
-      = mq_config_service (entry->config, mq_str_span (request->service));
-  const mq_model *m = NULL;
+  const mq_model *m = stream_model (entry, request);
 
-  if (s != NULL && s->kind == MQ_SERVICE_MODEL)
-    m = mq_config_model (entry->config, mq_str_span (s->u.model.model));
   if (m != NULL && m->layers != plan->layers)
     return false;
-  if (request->tokens > 0
-      && !mq_span_equal (mq_str_span (plan->version),
-                         mq_str_span (request->plan.version)))
+  if (!stream_keeps_version (request, plan->version))
     return false;
   return mq_plan_check_cover (plan) == MQ_PLAN_OK
          || mq_defect_enabled (MQ_DEFECT_LAYER_GAP_ALLOWED);
 }
 
+/* The planner of another router may be a generation behind or ahead: wait
+   for it, unless the model has moved on from this answer for good.  */
+static void
+stream_reject_plan (mq_entry *entry, mq_request *request)
+{
+  const mq_model *m = stream_model (entry, request);
+
+  stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  if (m == NULL || !stream_keeps_version (request, m->version))
+    mq_entry_give_up (entry, request, MQ_REASON_NO_PIPELINE, 0);
+  else
+    stream_refused_again (entry, request, MQ_REASON_NO_PIPELINE, 0);
+}
+
 void
 mq_stream_ask (mq_entry *entry, mq_request *request)
 {
@@ -249,6 +295,8 @@
   request->attempt++;
   request->attempt_tokens = 0;
   request->plan_held = true;
+  request->expected_tokens = mq_answer_lengths_expect (
+      entry->lengths, mq_str_span (request->service), request->max_tokens);
   if (request->attempt > 1)
     entry->counters.replans++;
   mq_entry_enter (entry, request, MQ_REQUEST_PLANNING);
@@ -281,7 +329,7 @@
       entry->counters.dropped_attempt++;
       return;
     }
-  request->figures = event->u.planned.figures;
+  mq_request_note_plan (request, &event->u.planned.figures);
   if (!event->u.planned.admitted)
     {
       stream_refused (entry, request, event);
@@ -289,9 +337,7 @@
     }
   if (!stream_plan_fits (entry, request, plan))
     {
-      stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
-      mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
-      stream_refused_again (entry, request, MQ_REASON_NO_PIPELINE);
+      stream_reject_plan (entry, request);
       return;
     }
   mq_plan_finish (&request->plan);
@@ -375,8 +421,7 @@
   a = mq_entry_emit (entry, request, MQ_ENTRY_DELIVER);
   a->u.deliver.position = position;
   a->u.deliver.text = event->u.token.text;
-  if (mq_entry_keeps_deadlines (entry)
-      && mq_request_is_hopeless (request, entry->now_us))
+  if (stream_has_no_hope (entry, request))
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
 }
 
@@ -393,9 +438,10 @@
     case MQ_STREAM_DONE:
       if (request->tokens > 0)
         {
+          request->may_have_run = true;
           stream_release (entry, request, MQ_ATTEMPT_DONE, MQ_STAGE_NONE);
           mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
-          mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
+          stream_finish (entry, request);
         }
       else
         /* Nothing proves that any layer ran.  */
@@ -435,8 +481,9 @@
                0, false, f->said_not_run || !f->maybe_sent);
 }
 
-uint64_t
-mq_stream_stall_us (const mq_entry *entry, const mq_request *request)
+/* When the stream of REQUEST counts as stalled.  */
+static uint64_t
+stream_stall_us (const mq_entry *entry, const mq_request *request)
 {
   uint64_t stall = (uint64_t)entry->config->policy.stall_ms * 1000;
 
@@ -445,9 +492,31 @@
   return request->since_us + stall;
 }
 
+uint64_t
+mq_stream_due_us (const mq_entry *entry, const mq_request *request)
+{
+  uint64_t due = stream_stall_us (entry, request);
+
+  if (mq_request_is_whole (request))
+    return request->since_us + LAST_LINE_US;
+  if (mq_entry_keeps_deadlines (entry))
+    due = MIN (due, mq_request_hopeless_us (request) + 1);
+  return due;
+}
+
 void
-mq_stream_stalled (mq_entry *entry, mq_request *request)
+mq_stream_due (mq_entry *entry, mq_request *request)
 {
+  if (mq_request_is_whole (request))
+    {
+      stream_finish (entry, request);
+      return;
+    }
+  if (stream_has_no_hope (entry, request))
+    {
+      mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+      return;
+    }
   entry->counters.stalls++;
   /* Which stage hangs does not show at the head: avoid them all, for as long
      as there are others.  */
@@ -456,6 +525,13 @@
                false);
 }
 
+void
+mq_stream_resume (mq_entry *entry, mq_request *request)
+{
+  mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
+  stream_again (entry, request);
+}
+
 void
 mq_stream_unplanned (mq_entry *entry, mq_request *request)
 {
@@ -474,7 +550,10 @@
              || request->state == MQ_REQUEST_STREAMING;
 
   if (out)
-    mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
+    {
+      request->may_have_run = true;
+      mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
+    }
   if (request->state == MQ_REQUEST_QUEUED)
     g_ptr_array_remove_fast (entry->queued, request);
   stream_release (entry, request,
--- /dev/null
+++ b/tests/test_entry_stream.cc
@@ -0,0 +1,455 @@
+/* Attempts of a model's request: what is taken, what is dropped, how it goes
+   on after a loss, and when it is given up.  */
+
+#include "entry_fixture.h"
+
+using namespace entry_test;
+
+namespace
+{
+
+std::string
+avoided (const mq_plan_ask &ask)
+{
+  std::string all;
+
+  for (uint32_t i = 0; i < ask.n_avoid; i++)
+    all += std::string (ask.avoid[i].data, ask.avoid[i].size) + " ";
+  return all;
+}
+
+/* Enough whole answers for the entry to know how long they are.  */
+void
+teach_length (Driver &d, uint32_t tokens)
+{
+  for (uint64_t name = 1000; name < 1020; name++)
+    {
+      mq_call c = d.model_call ();
+      c.max_tokens = tokens;
+      d.open (name, c);
+      d.tokens (name, 1, 0, tokens, 1 * MS);
+      d.stream_end (name, 1, MQ_STREAM_DONE);
+    }
+}
+
+} // namespace
+
+TEST (EntryStream, ResumesFromTheTokensSentWhenAStageIsLost)
+{
+  Driver d;
+  Plan other (3);
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 3);
+  d.stream_end (1, 1, MQ_STREAM_STAGE_LOST, 1);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 0u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_STAGE_DIED);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.stage, 1u);
+  ASSERT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_ASK_PLAN).u.ask.attempt, 2u);
+  EXPECT_EQ (d.find (MQ_ENTRY_ASK_PLAN).u.ask.sent_tokens, 3u);
+  EXPECT_EQ (d.find (MQ_ENTRY_ASK_PLAN).u.ask.max_tokens, MAX_TOKENS - 3);
+  EXPECT_EQ (avoided (d.find (MQ_ENTRY_ASK_PLAN).u.ask), "e1 ");
+  d.planned (1, 2, &other.plan);
+  EXPECT_EQ (d.find (MQ_ENTRY_OPEN_STREAM).u.open.sent_tokens, 3u);
+  d.tokens (1, 2, 3, MAX_TOKENS);
+  d.stream_end (1, 2, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+  EXPECT_EQ (d.find (MQ_ENTRY_END).u.end.tokens, MAX_TOKENS);
+}
+
+TEST (EntryStream, DropsTokensOfAnAttemptThatIsOver)
+{
+  Driver d;
+  Plan other (3);
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  d.token (1, 1, 2);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.planned (1, 2, &other.plan);
+  d.token (1, 1, 2);
+  EXPECT_EQ (d.actions->len, 0u);
+  EXPECT_EQ (d.counters ().dropped_attempt, 2u);
+  d.token (1, 2, 2);
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 1u);
+}
+
+TEST (EntryStream, DropsADoubledToken)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.token (1, 1, 1);
+  EXPECT_EQ (d.actions->len, 0u);
+  EXPECT_EQ (d.counters ().dropped_position, 1u);
+}
+
+TEST (EntryStream, MovesWhenATokenIsLeftOut)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.token (1, 1, 3);
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  EXPECT_EQ (d.counters ().wrong_position, 1u);
+}
+
+TEST (EntryStream, WrongLayersCostARetryAndNoToken)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.token (1, 1, 0, "v1", 5);
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_STAGE_WRONG);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.stage, 1u);
+  EXPECT_EQ (avoided (d.find (MQ_ENTRY_ASK_PLAN).u.ask), "e1 ");
+}
+
+TEST (EntryStream, WrongVersionCostsARetryAndNoToken)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.token (1, 1, 0, "v0");
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  EXPECT_EQ (d.counters ().wrong_receipts, 1u);
+}
+
+TEST (EntryStream, RefusesAPlanWithALayerGap)
+{
+  Driver d;
+  Plan gap (0, "v1", 5);
+
+  d.call (1, d.model_call ());
+  d.limited (1);
+  d.planned (1, 1, &gap.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 1u);
+}
+
+TEST (EntryStream, KeepsTheVersionOfAnAnswer)
+{
+  Driver d;
+  Plan newer (3, "v2");
+  Plan same (3);
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  d.planned (1, 2, &newer.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 0u);
+  d.tick ();
+  ASSERT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  d.planned (1, 3, &same.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u);
+}
+
+TEST (EntryStream, EndsAtOnceWhenTheModelMovedOnFromTheAnswersVersion)
+{
+  Driver d;
+  Plan newer (3, "v2");
+  mq_model *m = &g_array_index (d.config->models, mq_model, 0);
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  mq_str_unref (m->version);
+  m->version = str ("v2");
+  d.configure ();
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  d.planned (1, 2, &newer.plan);
+  d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_NO_PIPELINE);
+}
+
+TEST (EntryStream, MovesAwayFromAStall)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.tick_at (d.now + 1000 * MS - 1);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.tick_at (d.now + 1);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.stage, MQ_STAGE_NONE);
+  EXPECT_EQ (avoided (d.find (MQ_ENTRY_ASK_PLAN).u.ask), "e0 e1 e2 ");
+  EXPECT_EQ (d.counters ().stalls, 1u);
+}
+
+TEST (EntryStream, EachTokenPutsOffTheStall)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      d.tick_at (d.now + 900 * MS);
+      EXPECT_EQ (d.actions->len, 0u);
+      d.token (1, 1, i);
+    }
+  EXPECT_EQ (d.counters ().stalls, 0u);
+}
+
+TEST (EntryStream, NoWorkAfterAllRefusedIsNotRun)
+{
+  Driver d;
+  Plan p;
+
+  d.call (1, d.model_call ());
+  d.limited (1);
+  d.planned (1, 1, &p.plan);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true, true);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_STAGE_REFUSED);
+  d.refused (1, 2, MQ_REASON_DEADLINE_UNREACHABLE);
+  d.expect_end (MQ_OUTCOME_NOT_RUN, MQ_REASON_DEADLINE_MISSED);
+}
+
+TEST (EntryStream, AnOpenedStreamIsNeverCalledNotRun)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  d.refused (1, 2, MQ_REASON_DEADLINE_UNREACHABLE);
+  d.expect_end (MQ_OUTCOME_UNKNOWN, MQ_REASON_DEADLINE_MISSED);
+}
+
+TEST (EntryStream, RestsAndForgivesWhileNoPipelineIsThere)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.stream_end (1, 1, MQ_STREAM_STAGE_LOST, 2);
+  for (uint32_t attempt = 2; attempt < 6; attempt++)
+    {
+      d.refused (1, attempt, MQ_REASON_NO_PIPELINE);
+      EXPECT_EQ (d.count (MQ_ENTRY_END), 0u);
+      while (d.count (MQ_ENTRY_ASK_PLAN) == 0)
+        d.tick ();
+      EXPECT_EQ (d.find (MQ_ENTRY_ASK_PLAN).u.ask.n_avoid, 0u);
+    }
+}
+
+TEST (EntryStream, GivesUpAfterTooManyLosses)
+{
+  Driver d;
+  Plan p;
+
+  d.open (1, d.model_call ());
+  for (uint32_t attempt = 1; mq_entry_in_flight (d.entry) > 0; attempt++)
+    {
+      ASSERT_LT (attempt, 20u);
+      if (attempt > 1)
+        d.planned (1, attempt, &p.plan);
+      d.failed (MQ_ENTRY_STREAM_FAILED, 1, attempt, true);
+    }
+  d.expect_end (MQ_OUTCOME_UNKNOWN, MQ_REASON_UPSTREAM_FAILED);
+}
+
+TEST (EntryStream, EndsAtItsDeadlineAndSaysWhatRan)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.open (2, d.model_call ());
+  d.tokens (1, 1, 0, 2, 100);
+  g_array_index (d.config->services, mq_service, 0).deadline_ms = 1;
+  d.config->policy.stall_ms = 100000;
+  d.configure ();
+  d.tick_at (d.now + 4 * SECOND);
+  ASSERT_EQ (d.count (MQ_ENTRY_END), 2u);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 2u);
+  for (guint i = 0; i < d.actions->len; i++)
+    if (d.at (i).kind == MQ_ENTRY_END)
+      {
+        EXPECT_EQ (d.at (i).u.end.reason, MQ_REASON_DEADLINE_MISSED);
+        EXPECT_EQ (d.at (i).u.end.outcome, d.at (i).handle == 1
+                                               ? MQ_OUTCOME_FAILED
+                                               : MQ_OUTCOME_UNKNOWN);
+      }
+  EXPECT_EQ (d.counters ().late, 2u);
+  EXPECT_EQ (d.counters ().ended_early, 0u);
+}
+
+TEST (EntryStream, EndsWorkThatCannotMakeItAtOnce)
+{
+  Driver d;
+  mq_call c = d.model_call ();
+
+  teach_length (d, 100);
+  c.max_tokens = 100;
+  d.open (1, c);
+  /* 100 tokens at 80 ms are 8 s; 4 s are left.  */
+  d.tokens (1, 1, 0, 100, 80 * MS);
+  d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_DEADLINE_MISSED);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_END).u.end.tokens, 9u);
+  EXPECT_EQ (d.counters ().ended_early, 1u);
+}
+
+TEST (EntryStream, OnePauseDoesNotPassForSlowness)
+{
+  Driver d;
+  mq_call c = d.model_call ();
+
+  teach_length (d, 100);
+  c.max_tokens = 100;
+  d.open (1, c);
+  d.tokens (1, 1, 0, 20, 10 * MS);
+  d.now += 900 * MS;
+  d.tokens (1, 1, 20, 100, 10 * MS);
+  d.stream_end (1, 1, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+}
+
+TEST (EntryStream, ShortAnswersAreNotEndedForTheMostThatWasAskedFor)
+{
+  Driver d;
+
+  for (uint64_t name = 1; name <= 30; name++)
+    {
+      mq_call c = d.model_call ();
+      c.max_tokens = SERVICE_TOKENS;
+      d.open (name, c);
+      /* 200 tokens at 50 ms would be 10 s; the answer has 20.  */
+      d.tokens (name, 1, 0, 20, 50 * MS);
+      d.stream_end (name, 1, MQ_STREAM_DONE);
+      d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+    }
+}
+
+TEST (EntryStream, TheBaselineEndsNothingEarly)
+{
+  Driver d;
+  mq_call c = d.model_call ();
+
+  d.config->policy.routing = MQ_ROUTING_ROUND_ROBIN;
+  d.configure ();
+  teach_length (d, 100);
+  c.max_tokens = 100;
+  d.open (1, c);
+  d.tokens (1, 1, 0, 49, 80 * MS);
+  EXPECT_EQ (mq_entry_in_flight (d.entry), 1u);
+  d.tick_at (d.now + 80 * MS);
+  d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_DEADLINE_MISSED);
+  EXPECT_EQ (d.counters ().ended_early, 0u);
+}
+
+TEST (EntryStream, AWholeAnswerDoesNotWaitForItsLastLine)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, MAX_TOKENS);
+  d.tick ();
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+}
+
+TEST (EntryStream, DoneWithoutATokenIsNotDone)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.stream_end (1, 1, MQ_STREAM_DONE);
+  EXPECT_EQ (d.count (MQ_ENTRY_END), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+}
+
+TEST (EntryStream, RecoversLeastSlackFirstWithoutAStorm)
+{
+  Driver d;
+  constexpr uint64_t N = 60;
+  std::vector<uint64_t> asked;
+  std::vector<size_t> bursts;
+
+  for (uint64_t name = 1; name <= N; name++)
+    {
+      mq_call c = d.model_call ();
+      /* The later the call, the less time it has.  */
+      c.deadline_us = (40 - name / 2) * SECOND;
+      d.open (name, c);
+    }
+  auto note = [&] () {
+    for (guint i = 0; i < d.actions->len; i++)
+      if (d.at (i).kind == MQ_ENTRY_ASK_PLAN)
+        asked.push_back (d.at (i).handle);
+    bursts.push_back (d.count (MQ_ENTRY_ASK_PLAN));
+  };
+  for (uint64_t name = 1; name <= N; name++)
+    {
+      d.failed (MQ_ENTRY_STREAM_FAILED, name, 1, true);
+      note ();
+    }
+  size_t at_once = asked.size ();
+  EXPECT_EQ (at_once, 16u);
+  while (asked.size () < N)
+    {
+      d.tick ();
+      note ();
+      EXPECT_LE (bursts.back (), 16u);
+    }
+  for (size_t i = at_once + 1; i < N; i++)
+    EXPECT_GE (asked[i - 1] / 2, asked[i] / 2);
+  EXPECT_EQ (d.counters ().queued_replans, N - 16);
+}
+
+TEST (EntryStream, ACallerThatIsGoneFreesEverything)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.token (1, 1, 0);
+  d.simple (MQ_ENTRY_CALLER_GONE, 1);
+  d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_CALLER_GONE);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_LIMIT), 1u);
+}
+
+TEST (EntryStream, AnUnansweredAskIsAskedAgainThenGivenUp)
+{
+  Driver d;
+
+  d.call (1, d.model_call ());
+  d.limited (1);
+  d.tick ();
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  d.tick ();
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  d.tick ();
+  d.expect_end (MQ_OUTCOME_NOT_RUN, MQ_REASON_OVERLOADED);
+}
+
+TEST (EntryStream, RemembersWhyItMovedAndEnded)
+{
+  Driver d;
+  const mq_decision_log *log = mq_entry_decisions (d.entry);
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.stream_end (1, 1, MQ_STREAM_STAGE_LOST, 2);
+  d.refused (1, 2, MQ_REASON_DEADLINE_UNREACHABLE);
+  ASSERT_EQ (mq_decision_log_count (log), 3u);
+  EXPECT_STREQ (mq_decision_kind_name (mq_decision_log_at (log, 0)->kind),
+                "admitted");
+  EXPECT_EQ (mq_decision_log_at (log, 1)->kind, MQ_DECISION_MOVED);
+  EXPECT_EQ (mq_decision_log_at (log, 1)->stage, 2u);
+  EXPECT_EQ (mq_decision_log_at (log, 1)->tokens, 2u);
+  EXPECT_EQ (mq_decision_log_at (log, 2)->kind, MQ_DECISION_ENDED);
+  EXPECT_EQ (mq_decision_log_at (log, 2)->reason, MQ_REASON_DEADLINE_MISSED);
+  EXPECT_EQ (mq_decision_log_at (log, 2)->left_us, 4 * SECOND - 20 * MS);
+}
