Planner: measure engines, predict, share, put aside and repair

Now an engine's step time is a line through what it reports, the load its reports tell scales the demand counted for it (so no model of how an engine batches is needed), and gaps that differ from the prediction are shared out over engines and links. Requests with slack leave the fast engines to those in a hurry. Overload is met by trunk reservation: priority and being within the fair share (max-min, by weight) raise the load up to which a stream is taken. The margin is a quantile of the misses. Slow engines are put aside under the policy's cap, engines at fault backed off, short layer ranges repaired. The baseline now really takes the next in turn, by layer range.

--- a/include/mq/internal/engine_table.h
+++ b/include/mq/internal/engine_table.h
@@ -5,6 +5,11 @@
    was measured and counted.  A state that no generation names any more stays
    until its last attempt is released.
 
+   Demand is counted in steps for each microsecond: a stream whose token goes
+   round its pipeline in a cycle of C microseconds asks each of its engines
+   for 1/C.  Load is demand over what the engine can do with full batches, so
+   that engines of different speed compare; above 1 streams wait.
+
    Invariants: in_flight and demand count exactly the attempts that hold the
    engine; a state is freed only when it is neither configured nor held.  */
 
@@ -13,10 +18,23 @@
 
 #include <glib.h>
 #include <mq/config.h>
+#include <mq/internal/step_model.h>
 #include <mq/planner.h>
 
 G_BEGIN_DECLS
 
+/* Samples kept of an engine's demand, to set against lagging reports.  */
+#define MQ_ENGINE_HISTORY 16
+/* Hints kept of which prompt prefixes an engine has.  */
+#define MQ_ENGINE_PREFIXES 64
+
+typedef enum mq_engine_standing
+{
+  MQ_ENGINE_GOOD,
+  MQ_ENGINE_ASIDE,    /* Slow against its peers: no new work.  */
+  MQ_ENGINE_PROBATION /* Little new work, to see whether it is well.  */
+} mq_engine_standing;
+
 typedef struct mq_engine_state
 {
   mq_str *name;
@@ -25,18 +43,45 @@
   mq_str *version;
   mq_str *accelerator;
   uint32_t domain; /* Number of its failure domain in the table.  */
-  uint32_t first;  /* Layers [first, end) that it holds.  */
+  uint32_t first;  /* Layers [first, end) that it holds, ...  */
   uint32_t end;
+  uint32_t config_first; /* ... and those that the files say.  */
+  uint32_t config_end;
   uint32_t slots; /* Streams in one step; at least 1.  */
-  double step_us; /* Present estimate of one step.  */
 
+  /* What was measured.  */
+  mq_step_model step;
+  double drag;    /* Time it takes over what STEP says; 1 when they agree. */
+  double foreign; /* Load that is not ours, by its reports.  */
+  double foreign_mean;   /* Behind it: what reports tell beyond ours.  */
+  uint32_t observations; /* Of gaps, since its standing changed.  */
+
+  /* Health.  */
   bool configured; /* Named by the generation in force.  */
-  bool down;
+  bool down;       /* Does not answer its load report.  */
   bool leaving;
-  uint64_t back_off_until_us;
-
+  uint64_t incarnation; /* 0 before the first report.  */
+  uint64_t reported_us; /* When the last figures were taken; 0: never.  */
+  uint64_t back_off_us; /* No work before then.  */
+  uint64_t faulted_us;  /* The last fault.  */
+  uint32_t faults;      /* In a row.  */
+  mq_engine_standing standing;
+  uint64_t standing_us;       /* Since when.  */
+  uint32_t times_aside;       /* In a row.  */
+  uint32_t slow_checks;       /* In a row.  */
+  uint64_t reserved_until_us; /* Ordered to load other layers.  */
+
+  /* What it was given.  */
   uint32_t in_flight; /* Attempts that hold it.  */
-  double demand;      /* Their steps for each microsecond.  */
+  double demand;
+  struct
+  {
+    uint64_t at_us;
+    double demand;
+  } history[MQ_ENGINE_HISTORY]; /* Oldest first, from history_start.  */
+  uint32_t history_start;
+  uint32_t history_used;
+  uint64_t prefixes[MQ_ENGINE_PREFIXES]; /* 0: none.  */
 } mq_engine_state;
 
 typedef struct mq_engine_table
@@ -44,7 +89,9 @@
   GPtrArray *states;  /* of mq_engine_state, owned, in order of arrival  */
   GHashTable *byname; /* mq_span to mq_engine_state, both borrowed  */
   GPtrArray *domains; /* of mq_str: names of failure domains  */
-  double *link_us;    /* [from * domains->len + to], one way  */
+  double *link_us;    /* [from * domains->len + to], one way, by the files */
+  double *link_drag;  /* Time it takes over that.  */
+  uint32_t n_links;   /* Length of both.  */
 } mq_engine_table;
 
 void mq_engine_table_init (mq_engine_table *table);
@@ -58,20 +105,43 @@
 mq_engine_state *mq_engine_table_find (const mq_engine_table *table,
                                        mq_span name);
 
-/* Time for one message from one failure domain to another.  */
+/* Expected time for one message from one failure domain to another.  */
 double mq_engine_table_link_us (const mq_engine_table *table, uint32_t from,
                                 uint32_t to);
+/* Change the estimate for a link, in both directions, by CHANGE_US.  */
+void mq_engine_table_adjust_link (mq_engine_table *table, uint32_t from,
+                                  uint32_t to, double change_us);
 
 /* May STATE be given new work at NOW_US?  */
 bool mq_engine_state_usable (const mq_engine_state *state, uint64_t now_us);
 
-/* The share of its full-batch throughput that its attempts ask for.  */
-double mq_engine_state_load (const mq_engine_state *state, double more_demand);
-
-/* An attempt that makes DEMAND steps for each microsecond takes or gives
-   back its place.  */
-void mq_engine_state_hold (mq_engine_state *state, double demand);
-void mq_engine_state_drop (mq_engine_state *state, double demand);
+/* Take over the engine's own report, whose figures were taken at AT_US.
+   Returns whether it holds other layers or another version than before.  */
+bool mq_engine_state_report (mq_engine_state *state,
+                             const mq_engine_load *load, uint64_t at_us);
+
+/* Steps for each microsecond that it does with full batches.  */
+double mq_engine_state_capacity (const mq_engine_state *state);
+/* Its load with MORE demand on top of what it has.  SCALE turns counted
+   demand into load; see mq_model_state.  */
+double mq_engine_state_load (const mq_engine_state *state, double more,
+                             double scale);
+/* Expected time that one token spends there at that load.  */
+double mq_engine_state_stay_us (const mq_engine_state *state, double load);
+
+/* An attempt that makes DEMAND takes or gives back its place.  */
+void mq_engine_state_hold (mq_engine_state *state, double demand,
+                           uint64_t now_us);
+void mq_engine_state_drop (mq_engine_state *state, double demand,
+                           uint64_t now_us);
+/* The demand that it had at AT_US, as far as is remembered.  */
+double mq_engine_state_demand_at (const mq_engine_state *state,
+                                  uint64_t at_us);
+
+/* Hints about the prompt prefixes in its cache; they may be wrong.  */
+void mq_engine_state_note_prefix (mq_engine_state *state, uint64_t hash,
+                                  bool stored);
+bool mq_engine_state_has_prefix (const mq_engine_state *state, uint64_t hash);
 
 G_END_DECLS
 
--- /dev/null
+++ b/include/mq/internal/model_state.h
@@ -0,0 +1,67 @@
+/* Internal to packages/decide: what the planner knows of each model.
+
+   Three measured figures turn counted demand into predictions, so that the
+   planner needs no model of how an engine batches:
+   - scale: load that the engines report over the demand counted for them;
+   - stretch: gaps between tokens over those predicted;
+   - prompt_steps: steps that one prompt token costs at each stage.
+   A margin from the misses comes on top.  */
+
+#ifndef MQ_INTERNAL_MODEL_STATE_H
+#define MQ_INTERNAL_MODEL_STATE_H
+
+#include <mq/internal/engine_table.h>
+#include <mq/internal/margin.h>
+#include <mq/internal/share.h>
+
+G_BEGIN_DECLS
+
+typedef struct mq_model_state
+{
+  mq_str *name;
+  mq_str *version;
+  uint32_t layers;
+  GPtrArray *engines; /* of mq_engine_state, borrowed, by first layer  */
+  double scale;
+  double stretch;
+  double prompt_steps;
+  double cycle_us; /* Mean of the pipelines that were given out.  */
+  mq_margin margin;
+  mq_share_table shares;
+  uint32_t in_flight;
+  double drain;          /* Releases lately, fading.  */
+  uint64_t drained_us;   /* When DRAIN was brought up to date.  */
+  uint64_t next_free_us; /* When the next refused caller may come back.  */
+  uint32_t *turns;       /* Round robin: next in turn, by first layer.  */
+} mq_model_state;
+
+mq_model_state *mq_model_state_new (const mq_model *model);
+void mq_model_state_free (mq_model_state *model);
+
+/* Take over what the configuration says and sort TABLE's engines anew.  */
+void mq_model_state_configure (mq_model_state *model, const mq_model *entry,
+                               const mq_engine_table *table,
+                               const mq_config *config);
+/* Sort anew after engines changed what they hold.  */
+void mq_model_state_index (mq_model_state *model,
+                           const mq_engine_table *table);
+
+/* Learn from an engine's report of QUEUE and BATCH, taken at AT_US.  */
+void mq_model_state_learn_load (mq_model_state *model, mq_engine_state *engine,
+                                uint32_t queue, uint32_t batch,
+                                uint64_t at_us);
+
+/* The load of the layer that has most for what its engines can do; INFINITY
+   when some layer has no usable engine.  */
+double mq_model_state_load (const mq_model_state *model, uint64_t now_us);
+
+/* One more stream begins, or one ended.  */
+void mq_model_state_begin (mq_model_state *model, double cycle_us);
+void mq_model_state_end (mq_model_state *model, uint64_t now_us);
+/* Streams that end in a second, lately.  */
+double mq_model_state_drain_per_s (const mq_model_state *model,
+                                   uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/decide/model_state.c
@@ -0,0 +1,199 @@
+/* What the planner knows of each model: see mq/internal/model_state.h.  */
+
+#include <mq/internal/model_state.h>
+
+#include <math.h>
+
+/* How much one report, of one engine, moves the scale.  */
+#define SCALE_GAIN 0.005
+/* Below this load a report says little: most steps are not full.  */
+#define SCALE_LEAST_LOAD 0.3
+#define LEAST_SCALE 0.05
+#define MOST_SCALE 50.0
+/* How much one report moves what an engine does for others...  */
+#define FOREIGN_GAIN 0.1
+/* ... and how much of that is taken for chance.  */
+#define FOREIGN_SLACK 0.15
+/* How much one placement moves the mean cycle.  */
+#define CYCLE_GAIN 0.01
+/* How long a release counts.  */
+#define DRAIN_FADE_US 2000000.0
+/* Before any prompt was measured.  */
+#define GUESSED_PROMPT_STEPS 0.002
+
+mq_model_state *
+mq_model_state_new (const mq_model *model)
+{
+  mq_model_state *m = g_new0 (mq_model_state, 1);
+
+  m->name = mq_str_ref (model->name);
+  m->engines = g_ptr_array_new ();
+  m->scale = 1;
+  m->stretch = 1;
+  m->prompt_steps = GUESSED_PROMPT_STEPS;
+  mq_margin_init (&m->margin);
+  mq_share_table_init (&m->shares);
+  return m;
+}
+
+void
+mq_model_state_free (mq_model_state *model)
+{
+  mq_str_unref (model->name);
+  mq_str_unref (model->version);
+  g_ptr_array_unref (model->engines);
+  mq_share_table_finish (&model->shares);
+  g_free (model->turns);
+  g_free (model);
+}
+
+static gint
+engine_compare_first (gconstpointer a, gconstpointer b)
+{
+  const mq_engine_state *x = *(mq_engine_state *const *)a;
+  const mq_engine_state *y = *(mq_engine_state *const *)b;
+
+  if (x->first != y->first)
+    return x->first < y->first ? -1 : 1;
+  return mq_span_compare (mq_str_span (x->name), mq_str_span (y->name));
+}
+
+void
+mq_model_state_index (mq_model_state *model, const mq_engine_table *table)
+{
+  g_ptr_array_set_size (model->engines, 0);
+  for (guint i = 0; i < table->states->len; i++)
+    {
+      mq_engine_state *e = table->states->pdata[i];
+
+      if (e->configured
+          && mq_span_equal (mq_str_span (e->model), mq_str_span (model->name)))
+        g_ptr_array_add (model->engines, e);
+    }
+  g_ptr_array_sort (model->engines, engine_compare_first);
+}
+
+void
+mq_model_state_configure (mq_model_state *model, const mq_model *entry,
+                          const mq_engine_table *table,
+                          const mq_config *config)
+{
+  mq_str_unref (model->version);
+  model->version = mq_str_ref (entry->version);
+  if (model->layers != entry->layers || model->turns == NULL)
+    {
+      g_free (model->turns);
+      model->turns = g_new0 (uint32_t, (gsize)entry->layers + 1);
+      model->layers = entry->layers;
+    }
+  mq_share_table_configure (&model->shares, config);
+  mq_model_state_index (model, table);
+}
+
+/* The load that an engine's own figures tell.  */
+static double
+report_load (const mq_model_state *m, const mq_engine_state *e, uint32_t queue,
+             uint32_t batch)
+{
+  double full = mq_step_model_us (&e->step, e->slots);
+  double step = mq_step_model_us (&e->step, batch);
+  double load;
+
+  if (batch == 0)
+    return 0;
+  load = MIN (batch / step * full / e->slots, 1);
+  /* Streams that wait make the cycle longer by so much.  */
+  if (batch >= e->slots && m->cycle_us > 0)
+    load += m->scale * queue / e->slots * full / m->cycle_us;
+  return load;
+}
+
+void
+mq_model_state_learn_load (mq_model_state *model, mq_engine_state *engine,
+                           uint32_t queue, uint32_t batch, uint64_t at_us)
+{
+  double told = report_load (model, engine, queue, batch);
+  double counted = mq_engine_state_demand_at (engine, at_us)
+                   / mq_engine_state_capacity (engine);
+  double rest = told - counted * model->scale;
+
+  engine->foreign_mean += FOREIGN_GAIN * (rest - engine->foreign_mean);
+  engine->foreign = MAX (engine->foreign_mean - FOREIGN_SLACK, 0);
+  if (MAX (told, counted * model->scale) < SCALE_LEAST_LOAD || counted <= 0)
+    return;
+  rest = (told - engine->foreign) / counted;
+  rest = CLAMP (rest, model->scale / 2, model->scale * 2);
+  model->scale += SCALE_GAIN * (rest - model->scale);
+  model->scale = CLAMP (model->scale, LEAST_SCALE, MOST_SCALE);
+}
+
+double
+mq_model_state_load (const mq_model_state *model, uint64_t now_us)
+{
+  double worst = 0;
+
+  /* Only a layer at which some engine begins can be the worst one, or the
+     first after a gap, which no engine covers.  */
+  for (guint i = 0; i < model->engines->len; i++)
+    {
+      const mq_engine_state *at = model->engines->pdata[i];
+      double demand = 0;
+      double capacity = 0;
+
+      if (i > 0
+          && at->first
+                 == ((mq_engine_state *)model->engines->pdata[i - 1])->first)
+        continue;
+      for (guint j = 0; j < model->engines->len; j++)
+        {
+          const mq_engine_state *e = model->engines->pdata[j];
+
+          if (e->first > at->first || e->end <= at->first
+              || !mq_engine_state_usable (e, now_us))
+            continue;
+          capacity += mq_engine_state_capacity (e);
+          demand += e->demand * model->scale
+                    + e->foreign * mq_engine_state_capacity (e);
+        }
+      if (capacity <= 0)
+        return INFINITY;
+      worst = MAX (worst, demand / capacity);
+    }
+  return worst;
+}
+
+static void
+model_fade_drain (mq_model_state *m, uint64_t now_us)
+{
+  if (now_us > m->drained_us)
+    m->drain *= exp (-((double)(now_us - m->drained_us)) / DRAIN_FADE_US);
+  m->drained_us = MAX (m->drained_us, now_us);
+}
+
+void
+mq_model_state_begin (mq_model_state *model, double cycle_us)
+{
+  model->in_flight++;
+  if (model->cycle_us <= 0)
+    model->cycle_us = cycle_us;
+  model->cycle_us += CYCLE_GAIN * (cycle_us - model->cycle_us);
+}
+
+void
+mq_model_state_end (mq_model_state *model, uint64_t now_us)
+{
+  g_return_if_fail (model->in_flight > 0);
+  model->in_flight--;
+  model_fade_drain (model, now_us);
+  model->drain += 1;
+}
+
+double
+mq_model_state_drain_per_s (const mq_model_state *model, uint64_t now_us)
+{
+  double faded = model->drain;
+
+  if (now_us > model->drained_us)
+    faded *= exp (-((double)(now_us - model->drained_us)) / DRAIN_FADE_US);
+  return faded / DRAIN_FADE_US * 1e6;
+}
--- a/packages/decide/placement.c
+++ b/packages/decide/placement.c
@@ -8,12 +8,16 @@
 #include <mq/internal/placement.h>
 
 #include <math.h>
-#include <string.h>
 
 /* How far equal costs are parted, so that ties do not pile up.  */
 #define SPREAD 1e-3
-/* How sharply the cost of a stage grows with its load.  */
-#define LOAD_COST 0.5
+/* What a full engine costs over its time, and how sharply that sets in.  */
+#define LOAD_COST 4.0
+#define LOAD_POWER 4.0
+/* The part of a prompt's cost that a hinted prefix is taken to spare.  */
+#define PREFIX_SPARES 0.7
+/* The most load of an engine on probation.  */
+#define PROBATION_LIMIT 0.3
 
 typedef struct cell
 {
@@ -24,8 +28,8 @@
 
 typedef struct search
 {
-  const mq_engine_table *table;
   const mq_placement_query *query;
+  uint32_t layers;
   uint32_t n_domains;
   uint32_t *bounds; /* Number of the bound at each layer.  */
   uint32_t n_bounds;
@@ -38,40 +42,45 @@
   return (s->bounds[layer] * s->n_domains + domain) * s->n_domains + head;
 }
 
+static bool
+search_fits (const search *s, const mq_engine_state *e)
+{
+  return e->first < e->end && e->end <= s->layers;
+}
+
 /* Number the layers at which an engine begins or ends, from 1; the others
    share the number 0.  */
 static void
 search_number_bounds (search *s)
 {
-  const mq_placement_query *q = s->query;
+  const GPtrArray *engines = s->query->model->engines;
 
-  s->bounds = g_new0 (uint32_t, q->layers + 1);
+  s->bounds = g_new0 (uint32_t, (gsize)s->layers + 1);
   s->bounds[0] = 1;
-  s->bounds[q->layers] = 1;
-  for (guint i = 0; i < q->engines->len; i++)
+  s->bounds[s->layers] = 1;
+  for (guint i = 0; i < engines->len; i++)
     {
-      const mq_engine_state *e = q->engines->pdata[i];
+      const mq_engine_state *e = engines->pdata[i];
 
-      if (e->end > q->layers || e->first >= e->end)
+      if (!search_fits (s, e))
         continue;
       s->bounds[e->first] = 1;
       s->bounds[e->end] = 1;
     }
   s->n_bounds = 1;
-  for (uint32_t l = 0; l <= q->layers; l++)
+  for (uint32_t l = 0; l <= s->layers; l++)
     if (s->bounds[l] != 0)
       s->bounds[l] = s->n_bounds++;
 }
 
 static void
-search_init (search *s, const mq_engine_table *table,
-             const mq_placement_query *query)
+search_init (search *s, const mq_placement_query *query)
 {
   uint32_t n;
 
-  s->table = table;
   s->query = query;
-  s->n_domains = table->domains->len;
+  s->layers = query->model->layers;
+  s->n_domains = query->table->domains->len;
   search_number_bounds (s);
   n = s->n_bounds * s->n_domains * s->n_domains;
   s->cells = g_new (cell, n);
@@ -95,14 +104,23 @@
   return false;
 }
 
+/* An engine on probation gets a few streams only.  */
+static double
+query_limit (const mq_placement_query *q, const mq_engine_state *e)
+{
+  if (e->standing == MQ_ENGINE_PROBATION)
+    return MIN (q->limit, PROBATION_LIMIT);
+  return q->limit;
+}
+
 static bool
 query_allows (const mq_placement_query *q, const mq_engine_state *e)
 {
-  return e->end <= q->layers && e->first < e->end
-         && mq_span_equal (mq_str_span (e->version), q->version)
-         && mq_engine_state_usable (e, q->now_us)
-         && mq_engine_state_load (e, q->demand) <= q->limit
-         && !query_avoids (q, e);
+  return mq_span_equal (mq_str_span (e->version),
+                        mq_str_span (q->model->version))
+         && mq_engine_state_usable (e, q->now_us) && !query_avoids (q, e)
+         && mq_engine_state_load (e, q->demand, q->model->scale)
+                <= query_limit (q, e);
 }
 
 /* A number in [0, 1) that is the engine's own for this query.  */
@@ -117,11 +135,15 @@
 static double
 stage_cost (const mq_placement_query *q, const mq_engine_state *e)
 {
-  double load = mq_engine_state_load (e, q->demand);
-  double wait = LOAD_COST * load * load;
-
-  return e->step_us * (1.0 + wait) * (q->tokens + 1)
-         * (1.0 + SPREAD * query_spread (q, e));
+  double load = mq_engine_state_load (e, q->demand, q->model->scale);
+  double stay = mq_engine_state_stay_us (e, load) * MAX (load, 1);
+  double prompt = q->model->prompt_steps * q->prompt_tokens;
+
+  if (mq_engine_state_has_prefix (e, q->prefix_hash))
+    prompt *= 1 - PREFIX_SPARES;
+  if (!q->hurry)
+    stay *= 1 + LOAD_COST * pow (MAX (load, 0), LOAD_POWER);
+  return stay * (prompt + q->tokens) * (1 + SPREAD * query_spread (q, e));
 }
 
 /* Extend the ways to E's first layer by E, for one failure domain of the
@@ -134,8 +156,8 @@
   for (uint32_t d = 0; d < s->n_domains; d++)
     {
       uint32_t from = search_index (s, e->first, d, head);
-      double link = mq_engine_table_link_us (s->table, d, e->domain);
-      double sum = s->cells[from].cost + cost + link * (s->query->tokens + 1);
+      double link = mq_engine_table_link_us (s->query->table, d, e->domain);
+      double sum = s->cells[from].cost + cost + link * s->query->tokens;
 
       if (sum < to->cost)
         *to = (cell){ sum, e, from };
@@ -161,8 +183,8 @@
   for (uint32_t d = 0; d < s->n_domains; d++)
     for (uint32_t head = 0; head < s->n_domains; head++)
       {
-        uint32_t i = search_index (s, s->query->layers, d, head);
-        double back = mq_engine_table_link_us (s->table, d, head);
+        uint32_t i = search_index (s, s->layers, d, head);
+        double back = mq_engine_table_link_us (s->query->table, d, head);
         double cost = s->cells[i].cost + back * s->query->tokens;
 
         if (cost < best_cost)
@@ -190,43 +212,24 @@
   return 0;
 }
 
-static void
-placement_measure (mq_placement *p, const mq_engine_table *table,
-                   double demand)
-{
-  p->link_us = 0;
-  p->cycle_us = 0;
-  p->load = 0;
-  for (uint32_t i = 0; i < p->n_stages; i++)
-    {
-      const mq_engine_state *e = p->stages[i];
-      const mq_engine_state *next = p->stages[(i + 1) % p->n_stages];
-
-      p->cycle_us += e->step_us;
-      p->link_us += mq_engine_table_link_us (table, e->domain, next->domain);
-      p->load = MAX (p->load, mq_engine_state_load (e, demand));
-    }
-  p->cycle_us += p->link_us;
-}
-
 int
-mq_placement_find (mq_placement *placement, const mq_engine_table *table,
-                   const mq_placement_query *query)
+mq_placement_find (mq_placement *placement, const mq_placement_query *query)
 {
+  const GPtrArray *engines = query->model->engines;
   search s;
   uint32_t last;
   int result = -1;
 
-  memset (placement, 0, sizeof *placement);
-  if (query->layers == 0 || table->domains->len == 0)
+  placement->n_stages = 0;
+  if (query->model->layers == 0 || engines->len == 0)
     return -1;
-  search_init (&s, table, query);
-  for (guint i = 0; i < query->engines->len; i++)
+  search_init (&s, query);
+  for (guint i = 0; i < engines->len; i++)
     {
-      mq_engine_state *e = query->engines->pdata[i];
+      mq_engine_state *e = engines->pdata[i];
       double cost;
 
-      if (!query_allows (query, e))
+      if (!search_fits (&s, e) || !query_allows (query, e))
         continue;
       cost = stage_cost (query, e);
       if (e->first == 0)
@@ -238,8 +241,75 @@
   last = search_best (&s);
   if (last != UINT32_MAX)
     result = search_trace (&s, last, placement);
-  if (result == 0)
-    placement_measure (placement, table, query->demand);
   search_finish (&s);
   return result;
 }
+
+/* Mark the layers from which the engines that are allowed lead to the end. */
+static bool *
+turn_mark_reach (const mq_placement_query *q)
+{
+  const mq_model_state *m = q->model;
+  bool *reach = g_new0 (bool, (gsize)m->layers + 1);
+
+  reach[m->layers] = true;
+  for (guint i = m->engines->len; i-- > 0;)
+    {
+      const mq_engine_state *e = m->engines->pdata[i];
+
+      if (e->first < e->end && e->end <= m->layers && reach[e->end]
+          && query_allows (q, e))
+        reach[e->first] = true;
+    }
+  return reach;
+}
+
+/* The engine whose turn it is among those that begin at FIRST.  */
+static mq_engine_state *
+turn_take (mq_model_state *m, const mq_placement_query *q, const bool *reach,
+           uint32_t first)
+{
+  GPtrArray *choice = g_ptr_array_new ();
+  mq_engine_state *taken;
+
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      mq_engine_state *e = m->engines->pdata[i];
+
+      if (e->first == first && e->first < e->end && e->end <= m->layers
+          && reach[e->end] && query_allows (q, e))
+        g_ptr_array_add (choice, e);
+    }
+  taken = choice->pdata[m->turns[first]++ % choice->len];
+  g_ptr_array_unref (choice);
+  return taken;
+}
+
+int
+mq_placement_next_in_turn (mq_placement *placement, mq_model_state *model,
+                           const mq_placement_query *query)
+{
+  bool *reach;
+  int result = -1;
+
+  placement->n_stages = 0;
+  if (model->layers == 0)
+    return -1;
+  reach = turn_mark_reach (query);
+  if (!reach[0])
+    goto out;
+  for (uint32_t layer = 0; layer < model->layers;)
+    {
+      mq_engine_state *e = turn_take (model, query, reach, layer);
+
+      if (placement->n_stages == MQ_PLAN_STAGES)
+        goto out;
+      placement->stages[placement->n_stages++] = e;
+      layer = e->end;
+    }
+  result = 0;
+
+out:
+  g_free (reach);
+  return result;
+}
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -1,35 +1,19 @@
-/* The planner: see mq/planner.h.  It holds the attempts in flight, hands
-   events to the parts, and turns what they decide into actions.  */
+/* The planner: see mq/planner.h.  It finds what an event is about, hands it
+   to the part that decides, and turns the decision into actions.  */
 
+#include <mq/internal/admission.h>
+#include <mq/internal/attempt.h>
 #include <mq/internal/engine_table.h>
-#include <mq/internal/placement.h>
+#include <mq/internal/health.h>
+#include <mq/internal/model_state.h>
+#include <mq/internal/repair.h>
+#include <mq/internal/span_table.h>
 #include <mq/planner.h>
 
-#include <math.h>
-#include <string.h>
-
-/* The most load an engine is given; 1 keeps its batches just full.  */
-#define LOAD_LIMIT 1.0
-/* How long engines are left alone after a fault.  */
-#define BACK_OFF_US 1000000
-/* When a refused caller may come back.  */
-#define RETRY_AFTER_US 250000
-
-typedef struct attempt_key
-{
-  mq_request_id id;
-  uint32_t attempt;
-} attempt_key;
-
-/* One attempt in flight.  */
-typedef struct attempt
-{
-  attempt_key key;
-  double demand;            /* Its steps for each microsecond.  */
-  mq_planner_action answer; /* The ADMIT, kept for a repeated ask.  */
-  uint32_t n_stages;
-  mq_engine_state *stages[MQ_PLAN_STAGES]; /* Borrowed from the table.  */
-} attempt;
+/* When a caller may come back who came before the first configuration.  */
+#define NO_CONFIGURATION_RETRY_US 500000
+/* How often shares, health and repairs are looked at.  */
+#define REVIEW_US 100000
 
 struct mq_planner
 {
@@ -37,104 +21,44 @@
   uint64_t router;
   mq_config *config; /* NULL before the first CONFIG event.  */
   mq_engine_table table;
-  GHashTable *attempts; /* attempt_key to attempt, owned by the value */
-  GHashTable *models;   /* mq_span to GPtrArray of mq_engine_state  */
+  GHashTable *models;   /* mq_span to mq_model_state, owned by the value.  A
+                           model that no file names any more stays: attempts
+                           may point to it.  */
+  GHashTable *attempts; /* mq_attempt_key to mq_attempt  */
+  mq_repairs repairs;
+  uint64_t next_review_us;
 };
 
-static guint
-attempt_key_hash (gconstpointer data)
-{
-  const attempt_key *k = data;
-  uint64_t h = mq_hash_mix (k->id.router, k->id.sequence);
-
-  return (guint)mq_hash_mix (h, k->attempt);
-}
-
-static gboolean
-attempt_key_equal (gconstpointer a, gconstpointer b)
-{
-  const attempt_key *x = a;
-  const attempt_key *y = b;
-
-  return x->id.router == y->id.router && x->id.sequence == y->id.sequence
-         && x->attempt == y->attempt;
-}
-
 static void
-action_clear (gpointer data)
+planner_configure_models (mq_planner *p)
 {
-  mq_planner_action *a = data;
+  const mq_config *c = p->config;
 
-  switch (a->kind)
+  for (guint i = 0; i < c->models->len; i++)
     {
-    case MQ_PLANNER_ADMIT:
-      mq_plan_finish (&a->u.plan);
-      break;
-    case MQ_PLANNER_REFUSE:
-      break;
-    case MQ_PLANNER_REPAIR:
-      mq_str_unref (a->u.repair.engine);
-      mq_str_unref (a->u.repair.model);
-      mq_str_unref (a->u.repair.version);
-      break;
-    }
-}
-
-static void
-attempt_free (gpointer data)
-{
-  attempt *a = data;
-
-  for (uint32_t i = 0; i < a->n_stages; i++)
-    mq_engine_state_drop (a->stages[i], a->demand);
-  action_clear (&a->answer);
-  g_free (a);
-}
-
-static guint
-span_key_hash (gconstpointer key)
-{
-  return (guint)mq_span_hash (*(const mq_span *)key);
-}
+      const mq_model *entry = &g_array_index (c->models, mq_model, i);
+      mq_model_state *m
+          = mq_span_table_find (p->models, mq_str_span (entry->name));
 
-static gboolean
-span_key_equal (gconstpointer a, gconstpointer b)
-{
-  return mq_span_equal (*(const mq_span *)a, *(const mq_span *)b);
-}
-
-static gint
-state_compare_first (gconstpointer a, gconstpointer b)
-{
-  const mq_engine_state *x = *(mq_engine_state *const *)a;
-  const mq_engine_state *y = *(mq_engine_state *const *)b;
-
-  if (x->first != y->first)
-    return x->first < y->first ? -1 : 1;
-  return mq_span_compare (mq_str_span (x->name), mq_str_span (y->name));
+      if (m == NULL)
+        {
+          m = mq_model_state_new (entry);
+          mq_span_table_add (p->models, m->name, m);
+        }
+      mq_model_state_configure (m, entry, &p->table, c);
+    }
 }
 
+/* Engines may have come, gone or changed what they hold.  */
 static void
 planner_index_models (mq_planner *p)
 {
-  g_hash_table_remove_all (p->models);
-  for (guint i = 0; i < p->config->models->len; i++)
-    {
-      const mq_model *m = &g_array_index (p->config->models, mq_model, i);
-      GPtrArray *engines = g_ptr_array_new ();
-      mq_span *key = g_new (mq_span, 1);
-
-      *key = mq_str_span (m->name);
-      for (guint j = 0; j < p->table.states->len; j++)
-        {
-          mq_engine_state *e = p->table.states->pdata[j];
+  GHashTableIter iter;
+  gpointer value;
 
-          if (mq_span_equal (mq_str_span (e->model), *key))
-            g_ptr_array_add (engines, e);
-        }
-      g_ptr_array_sort (engines, state_compare_first);
-      g_hash_table_insert (p->models, key, engines);
-    }
+  g_hash_table_iter_init (&iter, p->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    mq_model_state_index (value, &p->table);
 }
 
 static void
@@ -146,163 +70,231 @@
   mq_engine_table_configure (&p->table, config,
                              mq_str_span (p->failure_domain));
   planner_index_models (p);
+  planner_configure_models (p);
   mq_config_unref (old);
 }
 
 static void
 planner_refuse (const mq_plan_ask *ask, mq_reason reason,
-                uint64_t retry_after_us, GArray *actions)
+                uint64_t retry_after_us, const mq_plan_figures *figures,
+                GArray *actions)
 {
   mq_planner_action a
       = { .kind = MQ_PLANNER_REFUSE, .id = ask->id, .attempt = ask->attempt };
 
+  if (figures != NULL)
+    a.figures = *figures;
   a.figures.deadline_us = ask->deadline_us;
   a.u.refuse.reason = reason;
   a.u.refuse.retry_after_us = retry_after_us;
   g_array_append_val (actions, a);
 }
 
-/* Append the same admission once more, as a copy.  */
+/* Append the attempt's admission, as a copy.  */
 static void
-planner_answer (const attempt *at, GArray *actions)
+planner_answer (const mq_attempt *attempt, GArray *actions)
 {
-  mq_planner_action a = at->answer;
+  mq_planner_action a = attempt->answer;
 
-  mq_plan_copy (&a.u.plan, &at->answer.u.plan);
+  mq_plan_copy (&a.u.plan, &attempt->answer.u.plan);
   g_array_append_val (actions, a);
 }
 
+/* The model that ASK is for, or NULL with the reason.  */
+static mq_model_state *
+planner_model (const mq_planner *p, const mq_plan_ask *ask, mq_reason *reason)
+{
+  const mq_service *service;
+  mq_span name;
+
+  *reason = MQ_REASON_NO_CONFIGURATION;
+  if (p->config == NULL)
+    return NULL;
+  *reason = MQ_REASON_UNKNOWN_SERVICE;
+  service = mq_config_service (p->config, ask->service);
+  if (service == NULL || service->kind != MQ_SERVICE_MODEL)
+    return NULL;
+  *reason = MQ_REASON_NO_PIPELINE;
+  name = mq_str_span (service->u.model.model);
+  if (mq_config_model (p->config, name) == NULL)
+    return NULL;
+  return mq_span_table_find (p->models, name);
+}
+
 static void
-planner_admit (mq_planner *p, const mq_plan_ask *ask, const mq_model *model,
-               const mq_placement *placement, GArray *actions)
+planner_decide (mq_planner *p, mq_model_state *model, const mq_plan_ask *ask,
+                uint64_t now_us, GArray *actions)
 {
-  attempt *at = g_new0 (attempt, 1);
-  mq_plan *plan = &at->answer.u.plan;
-
-  at->key = (attempt_key){ ask->id, ask->attempt };
-  at->demand = 1.0 / placement->cycle_us;
-  at->answer.kind = MQ_PLANNER_ADMIT;
-  at->answer.id = ask->id;
-  at->answer.attempt = ask->attempt;
-  at->answer.figures.deadline_us = ask->deadline_us;
-  mq_plan_init (plan);
-  plan->model = mq_str_ref (model->name);
-  plan->version = mq_str_ref (model->version);
-  plan->layers = model->layers;
-  at->n_stages = placement->n_stages;
-  for (uint32_t i = 0; i < placement->n_stages; i++)
-    {
-      mq_engine_state *e = placement->stages[i];
+  mq_share *share
+      = mq_share_table_get (&model->shares, ask->organisation, p->config);
+  mq_admission admission;
 
-      at->stages[i] = e;
-      mq_plan_add (plan, e->name, e->url, e->first, e->end);
-      mq_engine_state_hold (e, at->demand);
+  switch (p->config->policy.routing)
+    {
+    case MQ_ROUTING_DEADLINE:
+      mq_admission_decide (&admission, model, &p->table, share, ask, now_us);
+      break;
+    case MQ_ROUTING_ROUND_ROBIN:
+      mq_admission_take_all (&admission, model, &p->table, ask, now_us);
+      break;
     }
-  g_hash_table_insert (p->attempts, &at->key, at);
-  planner_answer (at, actions);
+  if (admission.admitted)
+    planner_answer (
+        mq_attempt_open (p->attempts, model, &admission, share, ask, now_us),
+        actions);
+  else
+    planner_refuse (ask, admission.reason, admission.retry_after_us,
+                    &admission.figures, actions);
 }
 
 static void
 planner_ask (mq_planner *p, const mq_plan_ask *ask, uint64_t now_us,
              GArray *actions)
 {
-  attempt_key key = { ask->id, ask->attempt };
-  const attempt *known = g_hash_table_lookup (p->attempts, &key);
-  const mq_service *service;
-  const mq_model *model;
-  mq_placement_query query;
-  mq_placement placement;
+  const mq_attempt *known
+      = mq_attempt_find (p->attempts, ask->id, ask->attempt);
+  mq_model_state *model;
+  mq_reason reason;
 
   if (known != NULL)
     {
       planner_answer (known, actions);
       return;
     }
-  if (p->config == NULL)
-    {
-      planner_refuse (ask, MQ_REASON_NO_CONFIGURATION, RETRY_AFTER_US,
-                      actions);
-      return;
-    }
-  service = mq_config_service (p->config, ask->service);
-  if (service == NULL || service->kind != MQ_SERVICE_MODEL)
-    {
-      planner_refuse (ask, MQ_REASON_UNKNOWN_SERVICE, 0, actions);
-      return;
-    }
-  model = mq_config_model (p->config, mq_str_span (service->u.model.model));
-  if (model == NULL)
-    {
-      planner_refuse (ask, MQ_REASON_NO_PIPELINE, RETRY_AFTER_US, actions);
-      return;
-    }
-  query = (mq_placement_query){
-    .layers = model->layers,
-    .version = mq_str_span (model->version),
-    .now_us = now_us,
-    .prompt_tokens = ask->prompt_tokens,
-    .tokens = ask->max_tokens,
-    .limit = INFINITY,
-    .avoid = ask->avoid,
-    .n_avoid = ask->n_avoid,
-    .spread = mq_hash_mix (ask->id.router, ask->id.sequence),
-  };
-  {
-    mq_span name = mq_str_span (model->name);
-
-    query.engines = g_hash_table_lookup (p->models, &name);
-  }
-  if (mq_placement_find (&placement, &p->table, &query) != 0)
-    {
-      planner_refuse (ask, MQ_REASON_NO_PIPELINE, RETRY_AFTER_US, actions);
-      return;
-    }
-  if (p->config->policy.routing != MQ_ROUTING_ROUND_ROBIN)
-    {
-      query.demand = 1.0 / placement.cycle_us;
-      query.limit = LOAD_LIMIT;
-      if (mq_placement_find (&placement, &p->table, &query) != 0)
-        {
-          planner_refuse (ask, MQ_REASON_OVERLOADED, RETRY_AFTER_US, actions);
-          return;
-        }
-    }
-  planner_admit (p, ask, model, &placement, actions);
+  model = planner_model (p, ask, &reason);
+  if (model != NULL)
+    planner_decide (p, model, ask, now_us, actions);
+  else
+    planner_refuse (
+        ask, reason,
+        reason == MQ_REASON_NO_CONFIGURATION ? NO_CONFIGURATION_RETRY_US : 0,
+        NULL, actions);
 }
 
 static void
 planner_release (mq_planner *p, const mq_plan_release *release,
                  uint64_t now_us)
 {
-  attempt_key key = { release->id, release->attempt };
-  attempt *at = g_hash_table_lookup (p->attempts, &key);
+  mq_attempt *a = mq_attempt_find (p->attempts, release->id, release->attempt);
+  const mq_placement *placement;
 
-  if (at == NULL)
+  if (a == NULL)
     return;
+  placement = &a->placement;
   switch (release->end)
     {
     case MQ_ATTEMPT_DONE:
+      mq_attempt_learn_whole (a, &p->table, release);
+      for (uint32_t i = 0; i < placement->n_stages; i++)
+        mq_health_note_success (placement->stages[i], now_us);
+      break;
     case MQ_ATTEMPT_CANCELLED:
+      mq_attempt_learn_progress (a, &p->table, release->tokens,
+                                 release->mean_gap_us);
       break;
     case MQ_ATTEMPT_STAGE_DIED:
     case MQ_ATTEMPT_STAGE_STALLED:
     case MQ_ATTEMPT_STAGE_REFUSED:
     case MQ_ATTEMPT_STAGE_WRONG:
-      if (release->stage < at->n_stages)
-        at->stages[release->stage]->back_off_until_us = now_us + BACK_OFF_US;
+      if (release->stage < placement->n_stages)
+        mq_health_note_fault (placement->stages[release->stage], release->end,
+                              now_us);
       break;
     }
-  g_hash_table_remove (p->attempts, &key);
+  mq_attempt_close (p->attempts, a, p->config, now_us);
+}
+
+static void
+planner_progress (mq_planner *p, const mq_planner_event *event)
+{
+  mq_attempt *a = mq_attempt_find (p->attempts, event->u.progress.id,
+                                   event->u.progress.attempt);
+
+  if (a != NULL)
+    mq_attempt_learn_progress (a, &p->table, event->u.progress.tokens,
+                               event->u.progress.mean_gap_us);
+}
+
+static void
+planner_load (mq_planner *p, const mq_engine_load *load, uint64_t now_us)
+{
+  mq_engine_state *e = mq_engine_table_find (&p->table, load->engine);
+  uint64_t at_us = now_us - MIN (load->age_us, now_us);
+  mq_model_state *m;
+
+  if (e == NULL || (e->reported_us > 0 && at_us < e->reported_us))
+    return;
+  if (mq_engine_state_report (e, load, at_us))
+    planner_index_models (p);
+  m = mq_span_table_find (p->models, mq_str_span (e->model));
+  if (m != NULL)
+    mq_model_state_learn_load (m, e, load->queue, load->batch, at_us);
+}
+
+static void
+planner_router_gone (mq_planner *p, uint64_t router, uint64_t now_us)
+{
+  GPtrArray *over = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, p->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((mq_attempt *)value)->key.id.router == router)
+      g_ptr_array_add (over, value);
+  for (guint i = 0; i < over->len; i++)
+    mq_attempt_close (p->attempts, over->pdata[i], p->config, now_us);
+  g_ptr_array_unref (over);
+}
+
+/* Forget the attempts whose release must have been lost.  */
+static void
+planner_lapse (mq_planner *p, uint64_t now_us)
+{
+  GPtrArray *over = g_ptr_array_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, p->attempts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((mq_attempt *)value)->lapses_us <= now_us)
+      g_ptr_array_add (over, value);
+  for (guint i = 0; i < over->len; i++)
+    mq_attempt_close (p->attempts, over->pdata[i], p->config, now_us);
+  g_ptr_array_unref (over);
+}
+
+static void
+planner_tick (mq_planner *p, uint64_t now_us, GArray *actions)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (p->config == NULL || now_us < p->next_review_us)
+    return;
+  p->next_review_us = now_us + REVIEW_US;
+  planner_lapse (p, now_us);
+  if (p->config->policy.routing == MQ_ROUTING_ROUND_ROBIN)
+    return;
+  mq_health_review (&p->table, p->config->policy.put_aside_percent, now_us);
+  g_hash_table_iter_init (&iter, p->models);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      mq_admission_divide_shares (value, now_us);
+      mq_repairs_review (&p->repairs, value, now_us, actions);
+    }
 }
 
-static gboolean
-attempt_is_of_router (gpointer key, gpointer value, gpointer data)
+static void
+action_clear (gpointer data)
 {
-  const attempt_key *k = key;
-  const uint64_t *router = data;
+  mq_planner_action_clear (data);
+}
 
-  (void)value;
-  return k->id.router == *router;
+static void
+model_free (gpointer data)
+{
+  mq_model_state_free (data);
 }
 
 mq_planner *
@@ -313,10 +305,9 @@
   p->failure_domain = mq_str_new (failure_domain);
   p->router = router;
   mq_engine_table_init (&p->table);
-  p->attempts = g_hash_table_new_full (attempt_key_hash, attempt_key_equal,
-                                       NULL, attempt_free);
-  p->models = g_hash_table_new_full (span_key_hash, span_key_equal, g_free,
-                                     (GDestroyNotify)g_ptr_array_unref);
+  p->models = mq_span_table_new (model_free);
+  p->attempts = mq_attempt_table_new ();
+  mq_repairs_init (&p->repairs);
   return p;
 }
 
@@ -326,6 +317,7 @@
   if (planner == NULL)
     return;
   g_hash_table_unref (planner->attempts);
+  mq_repairs_finish (&planner->repairs);
   g_hash_table_unref (planner->models);
   mq_engine_table_finish (&planner->table);
   mq_config_unref (planner->config);
@@ -337,6 +329,7 @@
 mq_planner_handle (mq_planner *planner, const mq_planner_event *event,
                    GArray *actions)
 {
+  uint64_t now_us = event->now_us;
   mq_engine_state *e;
 
   switch (event->kind)
@@ -345,17 +338,16 @@
       planner_configure (planner, event->u.config);
       break;
     case MQ_PLANNER_ASK:
-      planner_ask (planner, &event->u.ask, event->now_us, actions);
+      planner_ask (planner, &event->u.ask, now_us, actions);
       break;
     case MQ_PLANNER_PROGRESS:
+      planner_progress (planner, event);
       break;
     case MQ_PLANNER_RELEASE:
-      planner_release (planner, &event->u.release, event->now_us);
+      planner_release (planner, &event->u.release, now_us);
       break;
     case MQ_PLANNER_LOAD:
-      e = mq_engine_table_find (&planner->table, event->u.load.engine);
-      if (e != NULL)
-        e->down = false;
+      planner_load (planner, &event->u.load, now_us);
       break;
     case MQ_PLANNER_ENGINE_DOWN:
       e = mq_engine_table_find (&planner->table, event->u.engine);
@@ -368,12 +360,16 @@
         e->leaving = true;
       break;
     case MQ_PLANNER_CACHE:
+      e = mq_engine_table_find (&planner->table, event->u.cache.engine);
+      if (e != NULL)
+        mq_engine_state_note_prefix (e, event->u.cache.prefix_hash,
+                                     event->u.cache.stored);
       break;
     case MQ_PLANNER_ROUTER_GONE:
-      g_hash_table_foreach_remove (planner->attempts, attempt_is_of_router,
-                                   (gpointer)&event->u.router);
+      planner_router_gone (planner, event->u.router, now_us);
       break;
     case MQ_PLANNER_TICK:
+      planner_tick (planner, now_us, actions);
       break;
     }
 }
--- /dev/null
+++ b/packages/decide/repair.c
@@ -0,0 +1,217 @@
+/* Layer ranges with too few engines: see mq/internal/repair.h.  */
+
+#include <mq/internal/repair.h>
+
+/* A range is short when fewer than this part of its engines are left, and
+   always when none is.  */
+#define SHORT_PART 3
+/* How long that must last: most engines come back by themselves.  */
+#define PATIENCE_US 2000000
+/* How long an ordered engine may take to report the range.  */
+#define ORDER_US 60000000
+/* Orders at once, over all ranges.  */
+#define MOST_ORDERS 2
+
+static void
+shortage_clear (gpointer data)
+{
+  mq_shortage *s = data;
+
+  mq_str_unref (s->model);
+  mq_str_unref (s->engine);
+}
+
+void
+mq_repairs_init (mq_repairs *repairs)
+{
+  repairs->shortages = g_array_new (FALSE, TRUE, sizeof (mq_shortage));
+  g_array_set_clear_func (repairs->shortages, shortage_clear);
+}
+
+void
+mq_repairs_finish (mq_repairs *repairs)
+{
+  g_array_unref (repairs->shortages);
+}
+
+/* Usable engines of MODEL that hold exactly [FIRST, END).  */
+static uint32_t
+range_usable (const mq_model_state *m, uint32_t first, uint32_t end,
+              uint64_t now_us)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      const mq_engine_state *e = m->engines->pdata[i];
+
+      n += e->first == first && e->end == end
+           && mq_engine_state_usable (e, now_us);
+    }
+  return n;
+}
+
+/* Engines that the files give that range.  */
+static uint32_t
+range_configured (const mq_model_state *m, uint32_t first, uint32_t end)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      const mq_engine_state *e = m->engines->pdata[i];
+
+      n += e->config_first == first && e->config_end == end;
+    }
+  return n;
+}
+
+static bool
+range_is_short (const mq_model_state *m, uint32_t first, uint32_t end,
+                uint64_t now_us)
+{
+  return range_usable (m, first, end, now_us) * SHORT_PART
+         < range_configured (m, first, end);
+}
+
+/* The engine that is missed least: of the ranges with most usable engines,
+   the one with least in flight.  NULL when none can be spared.  */
+static mq_engine_state *
+range_donor (const mq_model_state *m, uint32_t first, uint32_t end,
+             const mq_str *tried, uint64_t now_us)
+{
+  uint32_t here = range_usable (m, first, end, now_us);
+  mq_engine_state *best = NULL;
+  uint32_t best_spare = 0;
+
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      mq_engine_state *e = m->engines->pdata[i];
+      uint32_t there = range_usable (m, e->first, e->end, now_us);
+
+      /* The move must leave the donor's range better off than this one.  */
+      if (!mq_engine_state_usable (e, now_us) || there < here + 2
+          || (e->first == first && e->end == end)
+          || (tried != NULL
+              && mq_span_equal (mq_str_span (tried), mq_str_span (e->name))))
+        continue;
+      if (best == NULL || there > best_spare
+          || (there == best_spare && e->in_flight < best->in_flight))
+        {
+          best = e;
+          best_spare = there;
+        }
+    }
+  return best;
+}
+
+static mq_shortage *
+repairs_find (mq_repairs *r, const mq_model_state *m, uint32_t first,
+              uint32_t end)
+{
+  for (guint i = 0; i < r->shortages->len; i++)
+    {
+      mq_shortage *s = &g_array_index (r->shortages, mq_shortage, i);
+
+      if (s->first == first && s->end == end
+          && mq_span_equal (mq_str_span (s->model), mq_str_span (m->name)))
+        return s;
+    }
+  return NULL;
+}
+
+static mq_shortage *
+repairs_add (mq_repairs *r, const mq_model_state *m, uint32_t first,
+             uint32_t end, uint64_t now_us)
+{
+  mq_shortage s = { .model = mq_str_ref (m->name),
+                    .first = first,
+                    .end = end,
+                    .since_us = now_us };
+
+  g_array_append_val (r->shortages, s);
+  return &g_array_index (r->shortages, mq_shortage, r->shortages->len - 1);
+}
+
+static uint32_t
+repairs_ordered (const mq_repairs *r, uint64_t now_us)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < r->shortages->len; i++)
+    {
+      const mq_shortage *s = &g_array_index (r->shortages, mq_shortage, i);
+
+      n += s->engine != NULL && now_us < s->until_us;
+    }
+  return n;
+}
+
+static void
+shortage_order (mq_shortage *s, const mq_model_state *m, uint64_t now_us,
+                GArray *actions)
+{
+  mq_engine_state *e = range_donor (m, s->first, s->end, s->engine, now_us);
+  mq_planner_action a = { .kind = MQ_PLANNER_REPAIR };
+
+  if (e == NULL)
+    return;
+  mq_str_unref (s->engine);
+  s->engine = mq_str_ref (e->name);
+  s->until_us = now_us + ORDER_US;
+  e->reserved_until_us = s->until_us;
+  a.u.repair.engine = mq_str_ref (e->name);
+  a.u.repair.model = mq_str_ref (m->name);
+  a.u.repair.version = mq_str_ref (m->version);
+  a.u.repair.first = s->first;
+  a.u.repair.end = s->end;
+  g_array_append_val (actions, a);
+}
+
+/* Forget the shortages of MODEL that are over.  */
+static void
+repairs_sweep (mq_repairs *r, const mq_model_state *m)
+{
+  for (guint i = r->shortages->len; i-- > 0;)
+    {
+      mq_shortage *s = &g_array_index (r->shortages, mq_shortage, i);
+
+      if (!s->seen
+          && mq_span_equal (mq_str_span (s->model), mq_str_span (m->name)))
+        g_array_remove_index (r->shortages, i);
+      else
+        s->seen = false;
+    }
+}
+
+static void
+repairs_review_range (mq_repairs *r, const mq_model_state *m, uint32_t first,
+                      uint32_t end, uint64_t now_us, GArray *actions)
+{
+  mq_shortage *s = repairs_find (r, m, first, end);
+
+  if ((s != NULL && s->seen) || !range_is_short (m, first, end, now_us))
+    return;
+  if (s == NULL)
+    s = repairs_add (r, m, first, end, now_us);
+  s->seen = true;
+  if (now_us < s->since_us + PATIENCE_US
+      || (s->engine != NULL && now_us < s->until_us)
+      || repairs_ordered (r, now_us) >= MOST_ORDERS)
+    return;
+  shortage_order (s, m, now_us, actions);
+}
+
+void
+mq_repairs_review (mq_repairs *repairs, const mq_model_state *model,
+                   uint64_t now_us, GArray *actions)
+{
+  for (guint i = 0; i < model->engines->len; i++)
+    {
+      const mq_engine_state *e = model->engines->pdata[i];
+
+      repairs_review_range (repairs, model, e->config_first, e->config_end,
+                            now_us, actions);
+    }
+  repairs_sweep (repairs, model);
+}
