--- a/include/mq/config.h
+++ b/include/mq/config.h
@@ -133,6 +133,8 @@
   uint32_t heartbeat_ms;      /* 0: worked out from the byte budget.  */
   uint32_t stall_ms;          /* No token for so long: the stage hangs.  */
   uint32_t put_aside_percent; /* Most engines put aside at once.  */
+  uint32_t cut_off_ms;        /* A router that heard neither platform nor peer
+                                 for so long takes no new work; 0: it does. */
 } mq_policy;
 
 typedef struct mq_config
--- a/include/mq/manifest.h
+++ b/include/mq/manifest.h
@@ -30,10 +30,10 @@
 #define MQ_MANIFEST_ARCHIVE_PREFIX "config/archive/"
 
 /* Most files in force at once.  */
-#define MQ_MANIFEST_FILES 4096
+#define MQ_MANIFEST_FILES 2048
 /* Changes that are kept in the manifest; above it the older half is to be
    archived.  */
-#define MQ_MANIFEST_CHANGES 128
+#define MQ_MANIFEST_CHANGES 64
 /* File effects that one change, and all changes in the manifest, may keep. */
 #define MQ_CHANGE_EFFECTS 64
 #define MQ_MANIFEST_EFFECTS 1024
--- a/packages/config/config.c
+++ b/packages/config/config.c
@@ -8,6 +8,7 @@
 #define DEFAULT_ASK_TTL_MS 5000
 #define DEFAULT_STALL_MS 1000
 #define DEFAULT_PUT_ASIDE_PERCENT 20
+#define DEFAULT_CUT_OFF_MS 10000
 
 static void
 config_organisation_clear (gpointer data)
@@ -150,7 +151,8 @@
   c->policy = (mq_policy){ .routing = MQ_ROUTING_DEADLINE,
                            .ask_ttl_ms = DEFAULT_ASK_TTL_MS,
                            .stall_ms = DEFAULT_STALL_MS,
-                           .put_aside_percent = DEFAULT_PUT_ASIDE_PERCENT };
+                           .put_aside_percent = DEFAULT_PUT_ASIDE_PERCENT,
+                           .cut_off_ms = DEFAULT_CUT_OFF_MS };
   return c;
 }
 
--- /dev/null
+++ b/packages/decide/generation.c
@@ -0,0 +1,166 @@
+/* Which generation a router holds: see mq/generation.h.  */
+
+#include <mq/generation.h>
+
+#define FIRST_RETRY_US 250000
+#define RETRY_DOUBLINGS 5
+
+static void
+generation_act (GArray *actions, mq_generation_action_kind kind, uint64_t peer,
+                uint64_t generation)
+{
+  mq_generation_action a = { kind, peer, generation };
+
+  g_array_append_val (actions, a);
+}
+
+/* The highest generation that is worth fetching, or 0; *PEER is who has it. */
+static uint64_t
+generation_wanted (const mq_generation *g, uint64_t *peer)
+{
+  uint64_t floor = MAX (g->in_force, g->refused);
+
+  /* With equal offers the platform's manifest is here already.  */
+  if (g->platform > floor && g->platform >= g->best)
+    {
+      *peer = MQ_GENERATION_PLATFORM;
+      return g->platform;
+    }
+  *peer = g->best_peer;
+  return g->best > floor ? g->best : 0;
+}
+
+static void
+generation_heard (mq_generation *g, const mq_generation_event *event)
+{
+  g->heard_us = event->now_us;
+  if (event->peer == MQ_GENERATION_PLATFORM)
+    {
+      if (event->generation < g->in_force)
+        g->lower_offers++;
+      g->platform = event->generation;
+    }
+  else if (event->generation > g->best || event->peer == g->best_peer)
+    {
+      g->best = event->generation;
+      g->best_peer = event->peer;
+    }
+}
+
+static void
+generation_failed (mq_generation *g, uint64_t now_us)
+{
+  uint32_t doublings = MIN (g->failures, (uint32_t)RETRY_DOUBLINGS);
+
+  g->fetching = false;
+  g->failures++;
+  g->retry_us = now_us + ((uint64_t)FIRST_RETRY_US << doublings);
+  /* The platform may have what that peer could not give, and another peer
+     will offer it again.  */
+  if (g->fetch_peer != MQ_GENERATION_PLATFORM)
+    g->best = 0;
+}
+
+static void
+generation_loaded (mq_generation *g, const mq_generation_event *event,
+                   GArray *actions)
+{
+  g->fetching = false;
+  g->failures = 0;
+  if (event->generation <= g->in_force)
+    return;
+  g->in_force = event->generation;
+  generation_act (actions, MQ_GENERATION_TAKE, g->fetch_peer, g->in_force);
+}
+
+static void
+generation_fetch (mq_generation *g, uint64_t now_us, GArray *actions)
+{
+  uint64_t peer;
+  uint64_t wanted = generation_wanted (g, &peer);
+
+  if (g->fetching || wanted == 0 || now_us < g->retry_us)
+    return;
+  g->fetching = true;
+  g->fetch_peer = peer;
+  generation_act (actions, MQ_GENERATION_FETCH, peer, wanted);
+}
+
+static bool
+generation_silent (const mq_generation *g, uint64_t now_us)
+{
+  return g->cut_off_us > 0 && g->peers > 0
+         && now_us >= g->heard_us + g->cut_off_us;
+}
+
+static void
+generation_judge (mq_generation *g, uint64_t now_us, GArray *actions)
+{
+  uint64_t peer;
+
+  if (!g->cut_off && generation_silent (g, now_us))
+    {
+      g->cut_off = true;
+      generation_act (actions, MQ_GENERATION_CUT_OFF, 0, g->in_force);
+    }
+  else if (g->cut_off && !generation_silent (g, now_us)
+           && generation_wanted (g, &peer) == 0)
+    {
+      g->cut_off = false;
+      generation_act (actions, MQ_GENERATION_REJOIN, 0, g->in_force);
+    }
+}
+
+void
+mq_generation_init (mq_generation *generation, uint64_t now_us,
+                    uint64_t cut_off_us)
+{
+  *generation
+      = (mq_generation){ .heard_us = now_us, .cut_off_us = cut_off_us };
+}
+
+void
+mq_generation_handle (mq_generation *generation,
+                      const mq_generation_event *event, GArray *actions)
+{
+  switch (event->kind)
+    {
+    case MQ_GENERATION_OFFER:
+      generation_heard (generation, event);
+      break;
+    case MQ_GENERATION_PEERS:
+      generation->peers = event->count;
+      break;
+    case MQ_GENERATION_LOADED:
+      generation_loaded (generation, event, actions);
+      break;
+    case MQ_GENERATION_WRONG:
+      generation->fetching = false;
+      generation->refused = MAX (generation->refused, event->generation);
+      break;
+    case MQ_GENERATION_FAILED:
+      generation_failed (generation, event->now_us);
+      break;
+    case MQ_GENERATION_LIMIT:
+      generation->cut_off_us = event->cut_off_us;
+      break;
+    case MQ_GENERATION_TICK:
+      break;
+    }
+  generation_fetch (generation, event->now_us, actions);
+  generation_judge (generation, event->now_us, actions);
+}
+
+uint64_t
+mq_generation_next_tick (const mq_generation *generation)
+{
+  uint64_t next = UINT64_MAX;
+  uint64_t peer;
+
+  if (!generation->fetching && generation_wanted (generation, &peer) > 0)
+    next = generation->retry_us;
+  if (!generation->cut_off && generation->cut_off_us > 0
+      && generation->peers > 0)
+    next = MIN (next, generation->heard_us + generation->cut_off_us);
+  return next;
+}
