--- a/Makefile
+++ b/Makefile
@@ -37,6 +37,11 @@
 lint:
 	printf '%s\n' $(C_SOURCES) | xargs -P 8 -n 4 clang-tidy -p $(BUILD) --quiet
 
+# Runs of both deployments on the loopback interface, about five minutes;
+# `make bench MODE=quick` takes one.  Results and page go to bench-out.
+bench: build
+	BUILD=$(BUILD) tools/bench.sh $(MODE)
+
 install: build
 	cmake --install $(BUILD)
 
--- a/tools/mqload/main.c
+++ b/tools/mqload/main.c
@@ -118,7 +118,7 @@
 write_result (const command_line *line, json_object *result, GError **error)
 {
   const char *text
-      = json_object_to_json_string_ext (result, JSON_C_TO_STRING_PRETTY);
+      = json_object_to_json_string_ext (result, JSON_C_TO_STRING_SPACED);
 
   if (line->out == NULL)
     return 0;
--- a/tools/mqload/run.c
+++ b/tools/mqload/run.c
@@ -87,7 +87,7 @@
            ends[LOAD_END_UNKNOWN], ends[LOAD_END_CUT],
            ends[LOAD_END_UNREACHABLE], ends[LOAD_END_WRONG],
            run->records.tokens);
-  if ((run->next == run->items->len && run->open == 0)
+  if ((run->open == 0 && now >= run->scenario->duration_us)
       || now > run->scenario->duration_us + TAIL_US)
     ev_break (loop, EVBREAK_ONE);
 }
--- a/tools/mqload/schedule.c
+++ b/tools/mqload/schedule.c
@@ -74,7 +74,7 @@
   double work;
 
   if (kind->factor <= 0 || v->kind != MQ_SERVICE_MODEL)
-    return kind->per_s;
+    return kind->per_s * scenario->factor;
   capacity = load_capacity (scenario, v->model, 0);
   work = load_work (scenario, v->model,
                     (kind->prompt_bytes.min + kind->prompt_bytes.max) / 2,
