--- /dev/null
+++ b/packages/net/engine_stream.c
@@ -0,0 +1,355 @@
+/* Answer streams from model engines: see mq/engine_stream.h.
+
+   The adapter cuts what arrives into lines and reports each as an event.
+   Invariants: nothing is reported after the last event or a cancel; a stream
+   that is cancelled from its own sink lives until that sink returns.  */
+
+#include <mq/engine_stream.h>
+
+#include <json-c/json.h>
+#include <mq/engine_line.h>
+#include <string.h>
+
+/* A longer line is no token: the answer makes no sense.  */
+#define LINE_LIMIT ((size_t)64 * 1024)
+#define REFUSAL_LIMIT 4096
+#define CONNECT_MS 500
+/* The head ends a stream at its deadline; this much later we do.  */
+#define DEADLINE_GRACE_MS 50
+
+struct mq_engine_stream
+{
+  mq_http_call *call; /* Borrowed; NULL once it has ended.  */
+  mq_engine_line_reader *reader;
+  mq_str *request;
+  uint32_t attempt;
+  GString *partial; /* The beginning of a line; or the body of a refusal. */
+  unsigned status;  /* 0 before the headers.  */
+  bool ended;       /* The last event was reported or the stream was cut. */
+  bool in_sink;
+  mq_engine_stream_sink sink;
+  void *context;
+  uint64_t *dropped; /* Borrowed, or NULL.  */
+};
+
+static void
+stream_free (mq_engine_stream *stream)
+{
+  mq_engine_line_reader_free (stream->reader);
+  mq_str_unref (stream->request);
+  g_string_free (stream->partial, TRUE);
+  g_free (stream);
+}
+
+static void
+stream_report (mq_engine_stream *stream, const mq_engine_stream_event *event)
+{
+  stream->sink (stream->context, event);
+}
+
+/* Report the last event.  */
+static void
+stream_finish (mq_engine_stream *stream, const mq_engine_stream_event *event)
+{
+  stream->ended = true;
+  if (stream->call != NULL)
+    g_clear_pointer (&stream->call, mq_http_call_cancel);
+  stream_report (stream, event);
+}
+
+static void
+stream_fail (mq_engine_stream *stream, mq_send_failure failure)
+{
+  mq_engine_stream_event event
+      = { .kind = MQ_ENGINE_STREAM_FAILED, .u.failure = failure };
+
+  stream_finish (stream, &event);
+}
+
+static void
+stream_take_token (mq_engine_stream *stream, const mq_engine_line *line)
+{
+  mq_engine_stream_event event = { .kind = MQ_ENGINE_STREAM_TOKEN };
+
+  event.u.token.position = line->position;
+  event.u.token.text = line->text;
+  event.u.token.receipts = line->receipts;
+  event.u.token.n_receipts = line->n_receipts;
+  stream_report (stream, &event);
+}
+
+static void
+stream_take_end (mq_engine_stream *stream, const mq_engine_line *line)
+{
+  mq_engine_stream_event event = { .kind = MQ_ENGINE_STREAM_END };
+
+  event.u.end.end = line->end;
+  event.u.end.stage = line->stage;
+  stream_finish (stream, &event);
+}
+
+static bool
+stream_matches (const mq_engine_stream *stream, const mq_engine_line *line)
+{
+  return line->attempt == stream->attempt
+         && mq_span_equal (line->request, mq_str_span (stream->request));
+}
+
+static void
+stream_take_line (mq_engine_stream *stream, mq_span text)
+{
+  mq_engine_line line;
+
+  if (mq_engine_line_read (stream->reader, text, &line) < 0)
+    {
+      stream_fail (stream, (mq_send_failure){ .maybe_sent = true });
+      return;
+    }
+  if (!stream_matches (stream, &line))
+    {
+      if (stream->dropped != NULL)
+        ++*stream->dropped;
+      return;
+    }
+  switch (line.kind)
+    {
+    case MQ_ENGINE_LINE_TOKEN:
+      stream_take_token (stream, &line);
+      break;
+    case MQ_ENGINE_LINE_END:
+      stream_take_end (stream, &line);
+      break;
+    }
+}
+
+/* Cut DATA into lines; what follows the last newline waits for more.  */
+static void
+stream_take_data (mq_engine_stream *stream, mq_span data)
+{
+  while (data.size > 0 && !stream->ended)
+    {
+      const char *newline = memchr (data.data, '\n', data.size);
+      size_t n = newline == NULL ? data.size : (size_t)(newline - data.data);
+      mq_span line = { data.data, n };
+
+      if (newline == NULL || stream->partial->len > 0)
+        {
+          g_string_append_len (stream->partial, data.data, (gssize)n);
+          line = (mq_span){ stream->partial->str, stream->partial->len };
+        }
+      if (line.size > LINE_LIMIT)
+        {
+          stream_fail (stream, (mq_send_failure){ .maybe_sent = true });
+          return;
+        }
+      if (newline == NULL)
+        return;
+      if (line.size > 0)
+        stream_take_line (stream, line);
+      g_string_truncate (stream->partial, 0);
+      data.data += n + 1;
+      data.size -= n + 1;
+    }
+}
+
+static void
+stream_take_headers (mq_engine_stream *stream, unsigned status)
+{
+  mq_engine_stream_event event = { .kind = MQ_ENGINE_STREAM_OPEN };
+
+  stream->status = status;
+  if (status == 200)
+    stream_report (stream, &event);
+}
+
+static void
+stream_take_refusal (mq_engine_stream *stream, mq_span data)
+{
+  if (stream->partial->len + data.size <= REFUSAL_LIMIT)
+    g_string_append_len (stream->partial, data.data, (gssize)data.size);
+}
+
+/* Did the engine say, in so many words, that it ran nothing?  */
+static bool
+refusal_says_not_run (const GString *body)
+{
+  json_object *root = json_tokener_parse (body->str);
+  json_object *ran = NULL;
+  bool not_run;
+
+  json_object_object_get_ex (root, "ran", &ran);
+  not_run = ran != NULL && json_object_is_type (ran, json_type_boolean)
+            && !json_object_get_boolean (ran);
+  json_object_put (root);
+  return not_run;
+}
+
+static void
+stream_take_close (mq_engine_stream *stream, const mq_http_client_event *event)
+{
+  mq_send_failure failure = { .maybe_sent = event->maybe_sent,
+                              .timed_out = event->result == MQ_HTTP_TIMEOUT };
+
+  stream->call = NULL;
+  if (stream->ended)
+    return;
+  if (stream->status != 0 && stream->status != 200)
+    failure.said_not_run = refusal_says_not_run (stream->partial);
+  stream_fail (stream, failure);
+}
+
+static void
+stream_on_http (void *context, const mq_http_client_event *event)
+{
+  mq_engine_stream *stream = context;
+
+  stream->in_sink = true;
+  switch (event->kind)
+    {
+    case MQ_HTTP_CLIENT_HEADERS:
+      stream_take_headers (stream, event->status);
+      break;
+    case MQ_HTTP_CLIENT_DATA:
+      if (stream->status == 200)
+        stream_take_data (stream, event->data);
+      else
+        stream_take_refusal (stream, event->data);
+      break;
+    case MQ_HTTP_CLIENT_END:
+      stream_take_close (stream, event);
+      break;
+    }
+  stream->in_sink = false;
+  if (stream->ended)
+    stream_free (stream);
+}
+
+static json_object *
+span_object (mq_span span)
+{
+  return json_object_new_string_len (span.data == NULL ? "" : span.data,
+                                     (int)span.size);
+}
+
+static json_object *
+plan_object (const mq_plan *plan)
+{
+  json_object *list = json_object_new_array ();
+
+  for (uint32_t i = 0; i < plan->n_stages; i++)
+    {
+      const mq_stage *s = &plan->stages[i];
+      json_object *stage = json_object_new_object ();
+
+      json_object_object_add (stage, "engine",
+                              span_object (mq_str_span (s->engine)));
+      json_object_object_add (stage, "url",
+                              span_object (mq_str_span (s->url)));
+      json_object_object_add (stage, "first",
+                              json_object_new_int64 (s->first));
+      json_object_object_add (stage, "end", json_object_new_int64 (s->end));
+      json_object_array_add (list, stage);
+    }
+  return list;
+}
+
+static json_object *
+sent_object (const mq_engine_stream_options *options)
+{
+  json_object *list = json_object_new_array ();
+
+  for (size_t i = 0; i < options->n_sent; i++)
+    json_object_array_add (list, span_object (options->sent[i]));
+  return list;
+}
+
+static json_object *
+request_object (const mq_engine_stream_options *options)
+{
+  json_object *root = json_object_new_object ();
+
+  json_object_object_add (root, "request", span_object (options->request));
+  json_object_object_add (root, "attempt",
+                          json_object_new_int64 (options->attempt));
+  json_object_object_add (root, "router", span_object (options->router));
+  json_object_object_add (root, "model",
+                          span_object (mq_str_span (options->plan->model)));
+  json_object_object_add (root, "version",
+                          span_object (mq_str_span (options->plan->version)));
+  json_object_object_add (root, "prompt", span_object (options->prompt));
+  json_object_object_add (root, "sent", sent_object (options));
+  json_object_object_add (root, "max_tokens",
+                          json_object_new_int64 (options->max_tokens));
+  json_object_object_add (root, "priority",
+                          json_object_new_int (options->priority));
+  json_object_object_add (
+      root, "deadline_ms",
+      json_object_new_int64 ((int64_t)(options->deadline_us / 1000)));
+  json_object_object_add (root, "plan", plan_object (options->plan));
+  return root;
+}
+
+static void
+stream_start (mq_engine_stream *stream, mq_http_client *client,
+              const mq_engine_stream_options *options)
+{
+  const mq_http_header type
+      = { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") };
+  json_object *root = request_object (options);
+  char *url = g_strconcat (mq_str_cstr (options->plan->stages[0].url),
+                           "/v1/streams", NULL);
+  size_t size;
+  const char *body = json_object_to_json_string_length (
+      root, JSON_C_TO_STRING_PLAIN, &size);
+  mq_http_call_options call = {
+    .method = MQ_SPAN ("POST"),
+    .url = mq_span_from (url),
+    .headers = &type,
+    .n_headers = 1,
+    .body = { body, size },
+    .connect_ms = CONNECT_MS,
+    .timeout_ms = options->deadline_us / 1000 + DEADLINE_GRACE_MS,
+    .streamed = true,
+    .once = true,
+  };
+
+  stream->call = mq_http_client_start (client, &call, stream_on_http, stream);
+  json_object_put (root);
+  g_free (url);
+}
+
+mq_engine_stream *
+mq_engine_stream_new (mq_http_client *client,
+                      const mq_engine_stream_options *options,
+                      mq_engine_stream_sink sink, void *context,
+                      uint64_t *dropped)
+{
+  mq_engine_stream *s = g_new0 (mq_engine_stream, 1);
+
+  s->reader = mq_engine_line_reader_new ();
+  s->request = mq_str_new (options->request);
+  s->attempt = options->attempt;
+  s->partial = g_string_new (NULL);
+  s->sink = sink;
+  s->context = context;
+  s->dropped = dropped;
+  stream_start (s, client, options);
+  return s;
+}
+
+void
+mq_engine_stream_cancel (mq_engine_stream *stream)
+{
+  stream->ended = true;
+  if (stream->call != NULL)
+    g_clear_pointer (&stream->call, mq_http_call_cancel);
+  if (!stream->in_sink)
+    stream_free (stream);
+}
+
+void
+mq_engine_stream_pause (mq_engine_stream *stream, bool paused)
+{
+  if (stream->call != NULL)
+    mq_http_call_pause (stream->call, paused);
+}
