Route: the whole path, thin

Cause: the decisions, the adapters and the configuration had no program that joins them. marjoramquay takes callers' requests, asks the entry and the planner, carries out what they say, and leaves on SIGTERM.

Proof, over real processes on loopback under a folder of two files put in force by mqctl apply: test_path (a streamed answer that crossed three engines equals the reference), test_callers (bad input), test_recovery (a stage killed in the middle of an answer; SIGTERM under load cuts no stream).

--- /dev/null
+++ b/programs/marjoramquay/admission.c
@@ -0,0 +1,87 @@
+/* Asks to the planner: see admission.h.  */
+
+#include "admission.h"
+
+#include <mq/log.h>
+
+/* Answer the ask that the entry made for HANDLE.  */
+static void
+answer_ask (mq_router *router, uint64_t handle, mq_planner_action *action)
+{
+  mq_entry_event event = { .kind = MQ_ENTRY_PLANNED,
+                           .handle = handle,
+                           .attempt = action->attempt };
+
+  event.u.planned.figures = action->figures;
+  event.u.planned.admitted = action->kind == MQ_PLANNER_ADMIT;
+  if (action->kind == MQ_PLANNER_ADMIT)
+    {
+      mq_router_post_planned (router, &event, &action->u.plan);
+      return;
+    }
+  event.u.planned.reason = action->u.refuse.reason;
+  event.u.planned.retry_after_us = action->u.refuse.retry_after_us;
+  mq_router_post_planned (router, &event, NULL);
+}
+
+static void
+repair_log (const mq_planner_action *action)
+{
+  mq_log (G_LOG_LEVEL_WARNING, "planner.repair",
+          "engine=%s model=%s version=%s first=%u end=%u",
+          mq_log_quote (mq_str_cstr (action->u.repair.engine)),
+          mq_log_quote (mq_str_cstr (action->u.repair.model)),
+          mq_log_quote (mq_str_cstr (action->u.repair.version)),
+          action->u.repair.first, action->u.repair.end);
+}
+
+/* Hand EVENT to the planner.  HANDLE is the entry's name for the request of
+   an ASK, 0 for all other events.  */
+static void
+planner_step (mq_router *router, mq_planner_event *event, uint64_t handle)
+{
+  GArray *actions = router->planner_actions;
+
+  event->now_us = mq_router_now_us ();
+  mq_planner_handle (router->planner, event, actions);
+  for (guint i = 0; i < actions->len; i++)
+    {
+      mq_planner_action *a = &g_array_index (actions, mq_planner_action, i);
+
+      switch (a->kind)
+        {
+        case MQ_PLANNER_ADMIT:
+        case MQ_PLANNER_REFUSE:
+          answer_ask (router, handle, a);
+          break;
+        case MQ_PLANNER_REPAIR:
+          repair_log (a);
+          break;
+        }
+    }
+  g_array_set_size (actions, 0);
+}
+
+void
+mq_admission_ask (mq_router *router, const mq_entry_action *action)
+{
+  mq_planner_event event = { .kind = MQ_PLANNER_ASK };
+
+  event.u.ask = action->u.ask;
+  planner_step (router, &event, action->handle);
+}
+
+void
+mq_admission_release (mq_router *router, const mq_entry_action *action)
+{
+  mq_planner_event event = { .kind = MQ_PLANNER_RELEASE };
+
+  event.u.release = action->u.release;
+  planner_step (router, &event, action->handle);
+}
+
+void
+mq_admission_post (mq_router *router, mq_planner_event *event)
+{
+  planner_step (router, event, 0);
+}
--- /dev/null
+++ b/programs/marjoramquay/call.c
@@ -0,0 +1,131 @@
+/* What all calls have in common: see call.h.  */
+
+#include "call.h"
+
+#include "reply.h"
+
+#define KEY_LIMIT 255
+/* When to come back to a process that holds all the requests it may.  */
+#define FULL_RETRY_US UINT64_C (1000000)
+/* Longer deadlines are cut by the service's own maximum anyway.  */
+#define DEADLINE_LIMIT_MS (UINT64_C (24) * 3600 * 1000)
+
+mq_span
+mq_call_bearer_token (const mq_http_exchange *exchange)
+{
+  const mq_span scheme = MQ_SPAN ("Bearer ");
+  mq_span value = mq_http_exchange_header (exchange, "Authorization");
+
+  if (value.size < scheme.size
+      || g_ascii_strncasecmp (value.data, scheme.data, scheme.size) != 0)
+    return (mq_span){ NULL, 0 };
+  value.data += scheme.size;
+  value.size -= scheme.size;
+  return value;
+}
+
+static int
+organisation_read (mq_router *router, mq_http_exchange *exchange,
+                   mq_call *call)
+{
+  const mq_organisation *organisation;
+
+  if (router->config == NULL || router->cut_off)
+    {
+      mq_reply_bad_request (
+          router, exchange, MQ_REASON_NO_CONFIGURATION,
+          router->cut_off ? "cut off from the platform and all peers" : NULL);
+      return -1;
+    }
+  organisation = mq_config_organisation_by_token (
+      router->config, mq_call_bearer_token (exchange));
+  if (organisation == NULL)
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_UNAUTHENTICATED, NULL);
+      return -1;
+    }
+  call->organisation = mq_str_span (organisation->name);
+  return 0;
+}
+
+static int
+deadline_read (mq_router *router, mq_http_exchange *exchange, mq_call *call)
+{
+  mq_span text
+      = mq_http_exchange_header (exchange, "Marjoramquay-Deadline-Ms");
+  uint64_t ms;
+
+  if (text.data == NULL)
+    return 0;
+  if (text.size > 1 && text.data[0] == '-'
+      && mq_span_to_u64 ((mq_span){ text.data + 1, text.size - 1 }, &ms) == 0)
+    ms = 0;
+  else if (mq_span_to_u64 (text, &ms) < 0)
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_BAD_REQUEST,
+                            "Marjoramquay-Deadline-Ms: expected milliseconds"
+                            " from now as a whole number");
+      return -1;
+    }
+  if (ms == 0)
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_DEADLINE_PAST, NULL);
+      return -1;
+    }
+  call->deadline_us = MIN (ms, DEADLINE_LIMIT_MS) * UINT64_C (1000);
+  return 0;
+}
+
+static bool
+key_is_valid (mq_span key)
+{
+  for (size_t i = 0; i < key.size; i++)
+    if (key.data[i] <= ' ' || key.data[i] > '~')
+      return false;
+  return key.size > 0 && key.size <= KEY_LIMIT;
+}
+
+static int
+guard_read (mq_router *router, mq_http_exchange *exchange, mq_call *call)
+{
+  mq_span key = mq_http_exchange_header (exchange, "Idempotency-Key");
+
+  if (key.data == NULL)
+    return 0;
+  if (!key_is_valid (key))
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_BAD_REQUEST,
+                            "Idempotency-Key: expected 1 to 255 visible ASCII"
+                            " characters");
+      return -1;
+    }
+  call->guard = MQ_GUARD_KEY;
+  call->guard_value = key;
+  return 0;
+}
+
+/* The process holds only so many requests at once.  */
+static int
+room_check (mq_router *router, mq_http_exchange *exchange)
+{
+  mq_reply_error error = { .outcome = MQ_OUTCOME_NOT_RUN,
+                           .reason = MQ_REASON_OVERLOADED,
+                           .retry_after_us = FULL_RETRY_US };
+
+  if (g_hash_table_size (router->requests) < router->settings->requests)
+    return 0;
+  mq_reply_refuse (router, exchange, &error);
+  return -1;
+}
+
+int
+mq_call_read (mq_router *router, mq_http_exchange *exchange, mq_call *call)
+{
+  if (room_check (router, exchange) < 0)
+    return -1;
+  if (organisation_read (router, exchange, call) < 0)
+    return -1;
+  if (deadline_read (router, exchange, call) < 0)
+    return -1;
+  return guard_read (router, exchange, call);
+}
--- /dev/null
+++ b/programs/marjoramquay/caller.c
@@ -0,0 +1,98 @@
+/* Requests as the adapters see them: see caller.h.  */
+
+#include "caller.h"
+
+#include <stdio.h>
+
+static void
+completion_finish (mq_completion *completion)
+{
+  if (completion->stream != NULL)
+    mq_engine_stream_cancel (completion->stream);
+  mq_str_unref (completion->service);
+  mq_str_unref (completion->prompt);
+  g_clear_pointer (&completion->tokens, g_ptr_array_unref);
+  if (completion->frame != NULL)
+    g_string_free (completion->frame, TRUE);
+}
+
+static void
+service_finish (mq_service_route *service)
+{
+  if (service->call != NULL)
+    mq_plain_call_cancel (service->call);
+  mq_str_unref (service->path);
+  if (service->body != NULL)
+    g_string_free (service->body, TRUE);
+  for (size_t i = 0; i < service->n_headers; i++)
+    g_free ((char *)service->headers[i].value.data);
+}
+
+static void
+request_free (gpointer data)
+{
+  mq_caller *r = data;
+
+  switch (r->kind)
+    {
+    case MQ_CALLER_COMPLETION:
+      completion_finish (&r->u.completion);
+      break;
+    case MQ_CALLER_SERVICE:
+      service_finish (&r->u.service);
+      break;
+    }
+  mq_http_exchange_set_user (r->exchange, NULL);
+  mq_http_exchange_unref (r->exchange);
+  g_free (r);
+}
+
+GHashTable *
+mq_callers_new (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
+                                request_free);
+}
+
+mq_caller *
+mq_caller_new (mq_router *router, mq_caller_kind kind,
+               mq_http_exchange *exchange)
+{
+  mq_caller *r = g_new0 (mq_caller, 1);
+
+  r->router = router;
+  r->handle = ++router->last_handle;
+  r->exchange = mq_http_exchange_ref (exchange);
+  r->kind = kind;
+  r->started_us = mq_router_now_us ();
+  mq_http_exchange_set_user (exchange, r);
+  g_hash_table_insert (router->requests, &r->handle, r);
+  return r;
+}
+
+mq_caller *
+mq_caller_find (const mq_router *router, uint64_t handle)
+{
+  return g_hash_table_lookup (router->requests, &handle);
+}
+
+void
+mq_caller_forget (mq_caller *caller)
+{
+  g_hash_table_remove (caller->router->requests, &caller->handle);
+}
+
+void
+mq_caller_format_id (mq_request_id id, char *text)
+{
+  (void)snprintf (text, MQ_REQUEST_ID_SIZE,
+                  "%016" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT, id.router,
+                  id.sequence);
+}
+
+void
+mq_caller_set_id (mq_caller *caller, mq_request_id id)
+{
+  if (caller->id[0] == '\0' && id.router != 0)
+    mq_caller_format_id (id, caller->id);
+}
--- /dev/null
+++ b/programs/marjoramquay/completion_body.h
@@ -0,0 +1,24 @@
+/* The body of POST /v1/completions, decoded.  Internal to this program.  */
+
+#ifndef MQ_COMPLETION_BODY_H
+#define MQ_COMPLETION_BODY_H
+
+#include <mq/str.h>
+
+typedef struct mq_completion_body
+{
+  mq_str *model;
+  mq_str *prompt;
+  uint32_t max_tokens; /* 0: not given.  */
+  int32_t priority;    /* -1: not given.  */
+  bool stream;
+} mq_completion_body;
+
+/* Fill BODY, which is not initialised, from TEXT.  Returns NULL; or what was
+   wrong, in static storage, and BODY holds nothing.  */
+const char *mq_completion_body_read (mq_completion_body *body, mq_span text);
+
+/* Give up what BODY holds.  */
+void mq_completion_body_finish (mq_completion_body *body);
+
+#endif
--- /dev/null
+++ b/programs/marjoramquay/explain.h
@@ -0,0 +1,13 @@
+/* GET /v1/explain/ID: why a request went as it did, from the entry's record
+   of recent decisions.  Internal to this program.  */
+
+#ifndef MQ_EXPLAIN_H
+#define MQ_EXPLAIN_H
+
+#include "router.h"
+
+#define MQ_EXPLAIN_PATH "/v1/explain/"
+
+void mq_explain_show (mq_router *router, mq_http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/programs/marjoramquay/operators.c
@@ -0,0 +1,47 @@
+/* Operators' orders: see operators.h.  */
+
+#include "operators.h"
+
+#include <sodium.h>
+
+#include "call.h"
+#include "drain.h"
+#include "reply.h"
+
+/* Does the caller hold the token whose digest stands in the settings?  */
+static bool
+operator_is_known (const mq_router *router, const mq_http_exchange *exchange)
+{
+  const mq_str *hex = router->settings->operator_token_sha256;
+  mq_span token = mq_call_bearer_token (exchange);
+  unsigned char wanted[crypto_hash_sha256_BYTES];
+  unsigned char given[crypto_hash_sha256_BYTES];
+
+  if (hex == NULL || token.size == 0)
+    return false;
+  if (sodium_hex2bin (wanted, sizeof wanted, hex->data, hex->size, NULL, NULL,
+                      NULL)
+      != 0)
+    return false;
+  crypto_hash_sha256 (given, (const unsigned char *)token.data, token.size);
+  return sodium_memcmp (wanted, given, sizeof wanted) == 0;
+}
+
+void
+mq_operators_drain (mq_router *router, mq_http_exchange *exchange)
+{
+  GString *out;
+
+  if (!operator_is_known (router, exchange))
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_UNAUTHENTICATED,
+                            "expected the operators' token");
+      return;
+    }
+  out = g_string_new (NULL);
+  g_string_printf (out, "{\"draining\":true,\"in_flight\":%u}\n",
+                   mq_entry_in_flight (router->entry));
+  mq_reply_json (exchange, 202, out);
+  g_string_free (out, TRUE);
+  mq_drain_begin (router, "operator's order by HTTP");
+}
--- /dev/null
+++ b/programs/marjoramquay/router.c
@@ -0,0 +1,147 @@
+/* The router process: see router.h.  */
+
+#include "router.h"
+
+#include <mq/log.h>
+#include <sodium.h>
+#include <stdio.h>
+
+#include "admission.h"
+#include "config_feed.h"
+#include "drain.h"
+#include "loads.h"
+#include "caller.h"
+#include "routes.h"
+#include "status.h"
+
+/* An incarnation begins with the start's wall clock, so that a later one of
+   the same VM is nearly always the higher, and ends in random bits, so that
+   two VMs that start at once differ.  */
+#define INCARNATION_RANDOM_BITS 22
+#define PLATFORM_TIMEOUT_MS 2000
+
+uint64_t
+mq_router_now_us (void)
+{
+  return (uint64_t)g_get_monotonic_time ();
+}
+
+static uint64_t
+incarnation_new (void)
+{
+  uint64_t ms = (uint64_t)g_get_real_time () / 1000;
+
+  return (ms << INCARNATION_RANDOM_BITS)
+         | randombytes_uniform (1U << INCARNATION_RANDOM_BITS);
+}
+
+static int
+server_open (mq_router *router, GError **error)
+{
+  const mq_settings *s = router->settings;
+  mq_http_server_options options
+      = { .address = mq_str_span (s->callers.address),
+          .port = s->callers.port,
+          .body_limit = s->body_bytes,
+          .idle_s = s->idle_s,
+          .certificate = mq_str_span (s->tls_certificate),
+          .key = mq_str_span (s->tls_key) };
+
+  router->server = mq_http_server_new (router->loop, &options,
+                                       mq_routes_on_http, router, error);
+  if (router->server == NULL)
+    {
+      g_prefix_error (error, "callers: ");
+      return -1;
+    }
+  return 0;
+}
+
+static void
+decisions_open (mq_router *router)
+{
+  mq_span domain = mq_str_span (router->settings->failure_domain);
+  mq_entry_options options = { .router = router->incarnation,
+                               .seed = router->incarnation,
+                               .failure_domain = domain };
+
+  router->entry = mq_entry_new (&options);
+  router->planner = mq_planner_new (domain, router->incarnation);
+}
+
+mq_router *
+mq_router_new (struct ev_loop *loop, const mq_settings *settings,
+               GError **error)
+{
+  mq_router *r = g_new0 (mq_router, 1);
+
+  r->loop = loop;
+  r->settings = settings;
+  r->incarnation = incarnation_new ();
+  (void)snprintf (r->incarnation_text, sizeof r->incarnation_text,
+                  "%016" G_GINT64_MODIFIER "x", r->incarnation);
+  r->requests = mq_callers_new ();
+  r->metrics = mq_metrics_new ();
+  mq_status_init (r);
+  decisions_open (r);
+  mq_router_loop_init (r);
+  mq_drain_init (r);
+  r->client = mq_http_client_new (loop, mq_str_span (settings->tls_ca));
+  r->platform = mq_platform_new (
+      r->client, mq_str_span (settings->platform_url), PLATFORM_TIMEOUT_MS);
+  r->loads = mq_loads_new (r);
+  if (server_open (r, error) < 0)
+    goto fail;
+  r->feed = mq_config_feed_new (r);
+  mq_log (G_LOG_LEVEL_INFO, "router.start",
+          "vm=%s incarnation=%s address=%s port=%u",
+          mq_str_cstr (settings->name), r->incarnation_text,
+          mq_str_cstr (settings->callers.address),
+          mq_http_server_port (r->server));
+  (void)printf ("listening=%s:%u\n", mq_str_cstr (settings->callers.address),
+                mq_http_server_port (r->server));
+  (void)fflush (stdout);
+  return r;
+fail:
+  mq_router_free (r);
+  return NULL;
+}
+
+void
+mq_router_free (mq_router *router)
+{
+  if (router == NULL)
+    return;
+  mq_config_feed_free (router->feed);
+  mq_loads_free (router->loads);
+  g_hash_table_unref (router->requests);
+  mq_http_server_free (router->server);
+  mq_platform_free (router->platform);
+  mq_http_client_free (router->client);
+  mq_router_loop_finish (router);
+  ev_timer_stop (router->loop, &router->close_timer);
+  mq_entry_free (router->entry);
+  mq_planner_free (router->planner);
+  mq_config_unref (router->config);
+  mq_metrics_free (router->metrics);
+  g_free (router);
+}
+
+void
+mq_router_take_config (mq_router *router, mq_config *config)
+{
+  mq_entry_event entry = { .kind = MQ_ENTRY_CONFIG };
+  mq_planner_event planner = { .kind = MQ_PLANNER_CONFIG };
+
+  mq_config_ref (config);
+  mq_config_unref (router->config);
+  router->config = config;
+  mq_log (G_LOG_LEVEL_INFO, "config.in-force",
+          "generation=%" G_GUINT64_FORMAT " services=%u engines=%u",
+          config->generation, config->services->len, config->engines->len);
+  planner.u.config = config;
+  mq_admission_post (router, &planner);
+  entry.u.config = config;
+  mq_router_post (router, &entry);
+  mq_loads_take_config (router->loads, config);
+}
--- /dev/null
+++ b/programs/marjoramquay/router_loop.c
@@ -0,0 +1,270 @@
+/* The step that joins the entry with the adapters: see router.h.
+
+   Invariant: an action's borrowed parts are used before the entry is called
+   again.  What an action raises at once therefore waits in a queue until
+   all actions of the step are carried out.  */
+
+#include <mq/log.h>
+
+#include "admission.h"
+#include "completion.h"
+#include "drain.h"
+#include "router.h"
+#include "service_route.h"
+
+#define PLANNER_TICK_S 0.1
+
+typedef struct pending_event
+{
+  mq_entry_event event;
+  mq_plan plan; /* Of a PLANNED event that admits.  */
+  bool has_plan;
+} pending_event;
+
+static void
+pending_free (pending_event *pending)
+{
+  if (pending->has_plan)
+    mq_plan_finish (&pending->plan);
+  g_free (pending);
+}
+
+static void
+post_limited (mq_router *router, const mq_entry_action *action)
+{
+  mq_entry_event event
+      = { .kind = MQ_ENTRY_LIMITED, .handle = action->handle };
+
+  event.u.limited.allowed = true;
+  mq_router_post (router, &event);
+}
+
+static void
+post_claimed (mq_router *router, const mq_entry_action *action)
+{
+  mq_entry_event event
+      = { .kind = MQ_ENTRY_CLAIMED, .handle = action->handle };
+
+  event.u.claim = MQ_CLAIM_UNAVAILABLE;
+  mq_router_post (router, &event);
+}
+
+static void
+end_log (const mq_caller *caller, const mq_entry_action *action)
+{
+  mq_log (G_LOG_LEVEL_INFO, "request.end",
+          "request=%s outcome=%s reason=%s tokens=%u ms=%" G_GUINT64_FORMAT,
+          caller->id, mq_outcome_name (action->u.end.outcome),
+          mq_reason_code (action->u.end.reason), action->u.end.tokens,
+          (mq_router_now_us () - caller->started_us) / 1000);
+}
+
+static void
+request_end (mq_caller *caller, const mq_entry_action *action)
+{
+  ++*caller->router->counters.requests_by_outcome[action->u.end.outcome];
+  end_log (caller, action);
+  switch (caller->kind)
+    {
+    case MQ_CALLER_COMPLETION:
+      mq_completion_end (caller, action);
+      break;
+    case MQ_CALLER_SERVICE:
+      mq_service_route_end (caller, action);
+      break;
+    }
+  mq_caller_forget (caller);
+}
+
+/* Actions that need the request itself.  */
+static void
+request_action (mq_router *router, const mq_entry_action *action)
+{
+  mq_caller *caller = mq_caller_find (router, action->handle);
+
+  if (caller == NULL)
+    return;
+  mq_caller_set_id (caller, action->id);
+  switch (action->kind)
+    {
+    case MQ_ENTRY_OPEN_STREAM:
+      mq_completion_open_stream (caller, action);
+      break;
+    case MQ_ENTRY_CANCEL_STREAM:
+      mq_completion_cancel_stream (caller, action);
+      break;
+    case MQ_ENTRY_DELIVER:
+      mq_completion_deliver (caller, action);
+      break;
+    case MQ_ENTRY_SEND:
+      mq_service_route_send (caller, action);
+      break;
+    case MQ_ENTRY_CANCEL_SEND:
+      mq_service_route_cancel_send (caller, action);
+      break;
+    case MQ_ENTRY_PASS_REPLY:
+      mq_service_route_pass_reply (caller);
+      break;
+    case MQ_ENTRY_END:
+      request_end (caller, action);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+action_carry_out (mq_router *router, const mq_entry_action *action)
+{
+  switch (action->kind)
+    {
+    case MQ_ENTRY_ASK_LIMIT:
+      post_limited (router, action);
+      break;
+    case MQ_ENTRY_RELEASE_LIMIT:
+      break;
+    case MQ_ENTRY_ASK_PLAN:
+      mq_admission_ask (router, action);
+      break;
+    case MQ_ENTRY_RELEASE_PLAN:
+      mq_admission_release (router, action);
+      break;
+    case MQ_ENTRY_CLAIM:
+      post_claimed (router, action);
+      break;
+    case MQ_ENTRY_DRAINED:
+      mq_drain_all_ended (router);
+      break;
+    default:
+      request_action (router, action);
+      break;
+    }
+}
+
+static void
+entry_step (mq_router *router, mq_entry_event *event)
+{
+  GArray *actions = router->entry_actions;
+
+  g_array_set_size (actions, 0);
+  event->now_us = mq_router_now_us ();
+  mq_entry_handle (router->entry, event, actions);
+  for (guint i = 0; i < actions->len; i++)
+    action_carry_out (router, &g_array_index (actions, mq_entry_action, i));
+}
+
+static void
+pending_run (mq_router *router)
+{
+  pending_event *p;
+
+  while ((p = g_queue_pop_head (&router->pending)) != NULL)
+    {
+      if (p->has_plan)
+        p->event.u.planned.plan = &p->plan;
+      entry_step (router, &p->event);
+      pending_free (p);
+    }
+}
+
+static void
+entry_tick_arm (mq_router *router)
+{
+  uint64_t due = mq_entry_next_tick (router->entry);
+  uint64_t now = mq_router_now_us ();
+
+  ev_timer_stop (router->loop, &router->entry_tick);
+  if (due == UINT64_MAX)
+    return;
+  ev_now_update (router->loop);
+  ev_timer_set (&router->entry_tick,
+                due <= now ? 0. : (double)(due - now) / 1e6, 0.);
+  ev_timer_start (router->loop, &router->entry_tick);
+}
+
+void
+mq_router_post_planned (mq_router *router, mq_entry_event *event,
+                        mq_plan *plan)
+{
+  pending_event *p = g_new0 (pending_event, 1);
+
+  p->event = *event;
+  if (plan != NULL)
+    {
+      p->plan = *plan;
+      p->has_plan = true;
+      mq_plan_init (plan);
+    }
+  g_queue_push_tail (&router->pending, p);
+  if (!router->in_step)
+    {
+      router->in_step = true;
+      pending_run (router);
+      router->in_step = false;
+      entry_tick_arm (router);
+    }
+}
+
+void
+mq_router_post (mq_router *router, mq_entry_event *event)
+{
+  if (router->in_step)
+    {
+      mq_router_post_planned (router, event, NULL);
+      return;
+    }
+  router->in_step = true;
+  entry_step (router, event);
+  pending_run (router);
+  router->in_step = false;
+  entry_tick_arm (router);
+}
+
+static void
+on_entry_tick (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_router *router = timer->data;
+  mq_entry_event event = { .kind = MQ_ENTRY_TICK };
+
+  (void)loop;
+  (void)revents;
+  mq_router_post (router, &event);
+}
+
+static void
+on_planner_tick (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_router *router = timer->data;
+  mq_planner_event event = { .kind = MQ_PLANNER_TICK };
+
+  (void)loop;
+  (void)revents;
+  mq_admission_post (router, &event);
+}
+
+void
+mq_router_loop_init (mq_router *router)
+{
+  g_queue_init (&router->pending);
+  router->entry_actions = g_array_new (FALSE, TRUE, sizeof (mq_entry_action));
+  router->planner_actions = mq_planner_actions_new ();
+  ev_timer_init (&router->entry_tick, on_entry_tick, 0., 0.);
+  router->entry_tick.data = router;
+  ev_timer_init (&router->planner_tick, on_planner_tick, PLANNER_TICK_S,
+                 PLANNER_TICK_S);
+  router->planner_tick.data = router;
+  ev_timer_start (router->loop, &router->planner_tick);
+}
+
+void
+mq_router_loop_finish (mq_router *router)
+{
+  pending_event *p;
+
+  while ((p = g_queue_pop_head (&router->pending)) != NULL)
+    pending_free (p);
+  ev_timer_stop (router->loop, &router->entry_tick);
+  ev_timer_stop (router->loop, &router->planner_tick);
+  g_clear_pointer (&router->entry_actions, g_array_unref);
+  g_clear_pointer (&router->planner_actions, g_array_unref);
+}
--- /dev/null
+++ b/programs/marjoramquay/routes.c
@@ -0,0 +1,121 @@
+/* Which module answers which path: see routes.h.  */
+
+#include "routes.h"
+
+#include "completion.h"
+#include "explain.h"
+#include "operators.h"
+#include "reply.h"
+#include "service_route.h"
+#include "status.h"
+
+typedef void (*route_handler) (mq_router *router, mq_http_exchange *exchange);
+
+typedef struct route
+{
+  const char *method; /* NULL: any.  */
+  const char *path;   /* Ending in '/': a prefix.  */
+  route_handler handler;
+} route;
+
+static const route routes[] = {
+  { "POST", "/v1/completions", mq_completion_start },
+  { NULL, MQ_SERVICES_PATH, mq_service_route_start },
+  { "GET", "/v1/entries", mq_status_entries },
+  { "GET", "/v1/status", mq_status_show },
+  { "GET", MQ_EXPLAIN_PATH, mq_explain_show },
+  { "POST", "/v1/drain", mq_operators_drain },
+  { "GET", "/healthz", mq_status_health },
+  { "GET", "/readyz", mq_status_ready },
+  { "GET", "/metrics", mq_status_metrics },
+};
+
+static bool
+path_matches (const route *r, mq_span path)
+{
+  mq_span own = mq_span_from (r->path);
+
+  if (own.data[own.size - 1] == '/')
+    return path.size > own.size && mq_span_starts_with (path, own);
+  return mq_span_equal (path, own);
+}
+
+static void
+reply_not_found (mq_http_exchange *exchange)
+{
+  mq_reply_error error = { .outcome = MQ_OUTCOME_NOT_RUN,
+                           .reason = MQ_REASON_UNKNOWN_SERVICE,
+                           .detail = "no such path" };
+
+  mq_reply_with_error (exchange, &error);
+}
+
+static void
+reply_wrong_method (mq_http_exchange *exchange, const char *allowed)
+{
+  const mq_http_header headers[]
+      = { { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") },
+          { MQ_SPAN ("Allow"), mq_span_from (allowed) } };
+  mq_reply_error error = { .outcome = MQ_OUTCOME_NOT_RUN,
+                           .reason = MQ_REASON_BAD_REQUEST,
+                           .detail = "this path does not take this method" };
+  GString *body = g_string_new (NULL);
+
+  mq_reply_error_append (body, &error);
+  mq_http_exchange_reply (exchange, 405, headers, G_N_ELEMENTS (headers),
+                          (mq_span){ body->str, body->len });
+  g_string_free (body, TRUE);
+}
+
+static void
+route_request (mq_router *router, mq_http_exchange *exchange)
+{
+  mq_span path = mq_http_exchange_path (exchange);
+  mq_span method = mq_http_exchange_method (exchange);
+
+  for (size_t i = 0; i < G_N_ELEMENTS (routes); i++)
+    {
+      const route *r = &routes[i];
+
+      if (!path_matches (r, path))
+        continue;
+      if (r->method == NULL
+          || mq_span_equal (method, mq_span_from (r->method)))
+        r->handler (router, exchange);
+      else
+        reply_wrong_method (exchange, r->method);
+      return;
+    }
+  reply_not_found (exchange);
+}
+
+static void
+caller_gone (mq_caller *caller)
+{
+  mq_entry_event event
+      = { .kind = MQ_ENTRY_CALLER_GONE, .handle = caller->handle };
+
+  mq_router_post (caller->router, &event);
+}
+
+void
+mq_routes_on_http (void *context, const mq_http_server_event *event)
+{
+  mq_router *router = context;
+  mq_caller *caller = mq_http_exchange_user (event->exchange);
+
+  switch (event->kind)
+    {
+    case MQ_HTTP_SERVER_REQUEST:
+      route_request (router, event->exchange);
+      break;
+    case MQ_HTTP_SERVER_DRAINED:
+      if (caller != NULL && caller->kind == MQ_CALLER_COMPLETION)
+        mq_completion_drained (caller);
+      break;
+    case MQ_HTTP_SERVER_GONE:
+      if (caller != NULL)
+        caller_gone (caller);
+      break;
+    }
+}
--- /dev/null
+++ b/programs/marjoramquay/service_route.c
@@ -0,0 +1,180 @@
+/* Calls of plain services: see service_route.h.  */
+
+#include "service_route.h"
+
+#include "call.h"
+#include "reply.h"
+
+#include <string.h>
+
+/* The headers of a call that mean something from end to end.  The caller's
+   own credentials stay here.  */
+static const char *const passed_headers[]
+    = { "Content-Type",    "Accept",   "Accept-Language",
+        "Idempotency-Key", "If-Match", "If-None-Match" };
+
+/* The query's own copy is not needed: the exchange keeps it.  */
+void
+mq_service_route_start (mq_router *router, mq_http_exchange *exchange)
+{
+  mq_entry_event event = { .kind = MQ_ENTRY_CALL };
+  mq_span path = mq_http_exchange_path (exchange);
+  mq_span body = mq_http_exchange_body (exchange);
+  const char *slash;
+  mq_span name;
+  mq_caller *r;
+
+  if (mq_call_read (router, exchange, &event.u.call) < 0)
+    return;
+  path.data += strlen (MQ_SERVICES_PATH);
+  path.size -= strlen (MQ_SERVICES_PATH);
+  slash = path.size == 0 ? NULL : memchr (path.data, '/', path.size);
+  name = (mq_span){ path.data,
+                    slash == NULL ? path.size : (size_t)(slash - path.data) };
+  r = mq_caller_new (router, MQ_CALLER_SERVICE, exchange);
+  r->u.service.path
+      = slash == NULL ? mq_str_new (MQ_SPAN ("/"))
+                      : mq_str_new ((mq_span){ slash, path.size - name.size });
+  event.handle = r->handle;
+  event.u.call.handle = r->handle;
+  event.u.call.service = name;
+  event.u.call.priority = -1;
+  event.u.call.body_hash = mq_span_hash (body);
+  event.u.call.method = mq_http_exchange_method (exchange);
+  event.u.call.path = mq_str_span (r->u.service.path);
+  mq_router_post (router, &event);
+}
+
+/* Keep what the service answered until the entry has judged it.  */
+static void
+reply_keep (mq_service_route *service, const mq_plain_call_event *event)
+{
+  service->status = event->u.reply.status;
+  service->body = g_string_new_len (event->u.reply.body.data,
+                                    (gssize)event->u.reply.body.size);
+  service->n_headers = event->u.reply.n_headers;
+  for (size_t i = 0; i < service->n_headers; i++)
+    {
+      mq_span value = event->u.reply.headers[i].value;
+
+      service->headers[i].name = event->u.reply.headers[i].name;
+      service->headers[i].value.data = g_strndup (value.data, value.size);
+      service->headers[i].value.size = value.size;
+    }
+}
+
+/* The request may be gone when a post returns.  */
+static void
+service_on_call (void *context, const mq_plain_call_event *from)
+{
+  mq_caller *caller = context;
+  mq_service_route *service = &caller->u.service;
+  mq_entry_event event
+      = { .handle = caller->handle, .attempt = service->attempt };
+
+  service->call = NULL;
+  switch (from->kind)
+    {
+    case MQ_PLAIN_CALL_REPLY:
+      reply_keep (service, from);
+      event.kind = MQ_ENTRY_REPLY;
+      event.u.status = from->u.reply.status;
+      break;
+    case MQ_PLAIN_CALL_FAILED:
+      ++*caller->router->counters.upstream_failures;
+      event.kind = MQ_ENTRY_SEND_FAILED;
+      event.u.failure = from->u.failure;
+      break;
+    }
+  mq_router_post (caller->router, &event);
+}
+
+static size_t
+headers_collect (const mq_http_exchange *exchange, mq_http_header *headers)
+{
+  size_t n = 0;
+
+  for (size_t i = 0; i < G_N_ELEMENTS (passed_headers); i++)
+    {
+      mq_span value = mq_http_exchange_header (exchange, passed_headers[i]);
+
+      if (value.data == NULL)
+        continue;
+      headers[n].name = mq_span_from (passed_headers[i]);
+      headers[n].value = value;
+      n++;
+    }
+  return n;
+}
+
+void
+mq_service_route_send (mq_caller *caller, const mq_entry_action *action)
+{
+  mq_service_route *service = &caller->u.service;
+  mq_http_header headers[G_N_ELEMENTS (passed_headers)];
+  mq_plain_call_options options
+      = { .method = mq_http_exchange_method (caller->exchange),
+          .instance = action->u.send.url,
+          .path = mq_str_span (service->path),
+          .query = mq_http_exchange_query_string (caller->exchange),
+          .request = mq_span_from (caller->id),
+          .headers = headers,
+          .n_headers = headers_collect (caller->exchange, headers),
+          .body = mq_http_exchange_body (caller->exchange),
+          .deadline_us = action->u.send.deadline_us,
+          .body_limit = caller->router->settings->body_bytes };
+
+  g_assert (service->call == NULL);
+  caller->sent = true;
+  service->attempt = action->attempt;
+  service->call = mq_plain_call_new (caller->router->client, &options,
+                                     service_on_call, caller);
+  ++*caller->router->counters.attempts;
+}
+
+void
+mq_service_route_cancel_send (mq_caller *caller, const mq_entry_action *action)
+{
+  mq_service_route *service = &caller->u.service;
+
+  if (service->call != NULL && service->attempt == action->attempt)
+    g_clear_pointer (&service->call, mq_plain_call_cancel);
+}
+
+void
+mq_service_route_pass_reply (mq_caller *caller)
+{
+  caller->u.service.passed = true;
+}
+
+static void
+reply_pass (mq_caller *caller, mq_outcome outcome)
+{
+  mq_service_route *service = &caller->u.service;
+  mq_http_header headers[MQ_PLAIN_CALL_HEADERS + 2];
+  size_t n = service->n_headers;
+
+  memcpy (headers, service->headers, n * sizeof *headers);
+  headers[n].name = MQ_SPAN ("Marjoramquay-Outcome");
+  headers[n++].value = mq_span_from (mq_outcome_name (outcome));
+  headers[n].name = MQ_SPAN ("Marjoramquay-Request");
+  headers[n++].value = mq_span_from (caller->id);
+  mq_http_exchange_reply (caller->exchange, service->status, headers, n,
+                          (mq_span){ service->body->str, service->body->len });
+}
+
+void
+mq_service_route_end (mq_caller *caller, const mq_entry_action *action)
+{
+  mq_reply_error error = { .outcome = action->u.end.outcome,
+                           .reason = action->u.end.reason,
+                           .request = caller->id,
+                           .retry_after_us = action->u.end.retry_after_us };
+
+  mq_histogram_observe (caller->router->counters.service,
+                        mq_router_now_us () - caller->started_us);
+  if (caller->u.service.passed && caller->u.service.body != NULL)
+    reply_pass (caller, action->u.end.outcome);
+  else
+    mq_reply_with_error (caller->exchange, &error);
+}
--- /dev/null
+++ b/programs/marjoramquay/status.h
@@ -0,0 +1,18 @@
+/* What the router tells of itself: health, readiness, metrics, status.
+   Internal to this program.  */
+
+#ifndef MQ_STATUS_H
+#define MQ_STATUS_H
+
+#include "router.h"
+
+/* Register the router's series.  */
+void mq_status_init (mq_router *router);
+
+void mq_status_health (mq_router *router, mq_http_exchange *exchange);
+void mq_status_ready (mq_router *router, mq_http_exchange *exchange);
+void mq_status_metrics (mq_router *router, mq_http_exchange *exchange);
+void mq_status_show (mq_router *router, mq_http_exchange *exchange);
+void mq_status_entries (mq_router *router, mq_http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/tests/test_callers.cc
@@ -0,0 +1,209 @@
+/* Bad input from callers: a clear JSON error each time, and the router goes
+   on serving.  */
+
+#include "support/deployment.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+using deployment::Deployment;
+using deployment::quoted;
+using deployment::reference;
+using programs::fetch;
+using programs::json_text;
+using programs::Reply;
+using programs::Request;
+
+class Callers : public testing::Test
+{
+protected:
+  static void
+  SetUpTestSuite ()
+  {
+    yard = new Deployment ();
+  }
+
+  static void
+  TearDownTestSuite ()
+  {
+    delete yard;
+    yard = nullptr;
+  }
+
+  void
+  SetUp () override
+  {
+    ASSERT_TRUE (yard->ready ());
+  }
+
+  /* The router still answers.  */
+  void
+  TearDown () override
+  {
+    Reply r = fetch (yard->completion ("still here", 2, true));
+
+    EXPECT_EQ (deployment::read_events (r.body).text,
+               reference ("still here", 2));
+  }
+
+  static Reply
+  post (const std::string &body)
+  {
+    Request r = yard->completion ("", 1, false);
+
+    r.body = body;
+    return fetch (r);
+  }
+
+  static Reply
+  post_with (const std::string &header)
+  {
+    Request r = yard->completion ("a prompt", 2, false);
+
+    r.headers.push_back (header);
+    return fetch (r);
+  }
+
+  static void
+  expect_error (const Reply &r, long status, const std::string &code)
+  {
+    EXPECT_EQ (r.status, status) << r.body;
+    EXPECT_EQ (json_text (r.body, "error.code"), code) << r.body;
+    EXPECT_EQ (json_text (r.body, "error.outcome"), "not-run") << r.body;
+    EXPECT_FALSE (json_text (r.body, "error.reason").empty ()) << r.body;
+  }
+
+  static Deployment *yard;
+};
+
+Deployment *Callers::yard;
+
+TEST_F (Callers, BrokenBodies)
+{
+  const char *const bad[] = { "",
+                              "{",
+                              "[]",
+                              "null",
+                              "{'model':'reports'}",
+                              "{'model':7,'prompt':'a'}",
+                              "{'model':'reports','prompt':''}",
+                              "{'model':'reports','prompt':['a']}",
+                              "{'model':'reports','prompt':'a'} more",
+                              "{'model':'reports','prompt':'a','n':2}",
+                              "{'model':'reports','prompt':'a','stream':1}",
+                              "{'model':'reports','prompt':'a',"
+                              "'max_tokens':0}",
+                              "{'model':'reports','prompt':'a',"
+                              "'max_tokens':1.5}",
+                              "{'model':'reports','prompt':'a',"
+                              "'priority':10}",
+                              "{'model':'reports','prompt':'\xff\xfe'}" };
+
+  for (const char *text : bad)
+    {
+      SCOPED_TRACE (text);
+      expect_error (post (quoted (text)), 400, "bad-request");
+    }
+}
+
+TEST_F (Callers, DeeplyNestedBody)
+{
+  std::string deep = quoted ("{'model':'reports','prompt':'a','x':");
+
+  deep += std::string (5000, '[') + std::string (5000, ']') + "}";
+  expect_error (post (deep), 400, "bad-request");
+}
+
+TEST_F (Callers, TenMegabyteBody)
+{
+  Reply r = post (std::string (10 * 1024 * 1024, 'x'));
+
+  EXPECT_EQ (r.status, 413);
+  EXPECT_EQ (json_text (r.body, "error.outcome"), "not-run") << r.body;
+}
+
+TEST_F (Callers, UnknownModelAndService)
+{
+  Request r = yard->booking ("GET", "/units");
+
+  expect_error (post (quoted ("{'model':'no','prompt':'a'}")), 404,
+                "unknown-service");
+  r.url = yard->router ().url () + "/v1/services/no/units";
+  expect_error (fetch (r), 404, "unknown-service");
+}
+
+TEST_F (Callers, UnknownOrganisation)
+{
+  Request r = yard->completion ("a", 1, false);
+
+  r.headers = { "Authorization: Bearer wrong" };
+  expect_error (fetch (r), 401, "unauthenticated");
+  r.headers = { "Authorization: Basic eWFyZC10b2tlbg==" };
+  expect_error (fetch (r), 401, "unauthenticated");
+  r.headers = {};
+  expect_error (fetch (r), 401, "unauthenticated");
+}
+
+TEST_F (Callers, DeadlinesOfTheWrongForm)
+{
+  expect_error (post_with ("Marjoramquay-Deadline-Ms: 0"), 400,
+                "deadline-past");
+  expect_error (post_with ("Marjoramquay-Deadline-Ms: -5"), 400,
+                "deadline-past");
+  expect_error (post_with ("Marjoramquay-Deadline-Ms: soon"), 400,
+                "bad-request");
+  expect_error (post_with ("Marjoramquay-Deadline-Ms: 1.5"), 400,
+                "bad-request");
+  expect_error (
+      post_with ("Marjoramquay-Deadline-Ms: 99999999999999999999999"), 400,
+      "bad-request");
+}
+
+TEST_F (Callers, IdempotencyKeysOfTheWrongForm)
+{
+  Request r = yard->booking ("POST", "/bookings", "unit 7");
+
+  r.headers.push_back ("Idempotency-Key: " + std::string (300, 'k'));
+  expect_error (fetch (r), 400, "bad-request");
+  r.headers.back () = "Idempotency-Key: with blank";
+  expect_error (fetch (r), 400, "bad-request");
+}
+
+TEST_F (Callers, UnknownPathsAndMethods)
+{
+  Request r;
+
+  r.url = yard->router ().url () + "/v1/nothing";
+  EXPECT_EQ (fetch (r).status, 404);
+  r.url = yard->router ().url () + "/v1/completions";
+  EXPECT_EQ (fetch (r).status, 405);
+  EXPECT_EQ (fetch (r).headers["allow"], "POST");
+  r.method = "POST";
+  r.url = yard->router ().url () + "/v1/drain";
+  expect_error (fetch (r), 401, "unauthenticated");
+}
+
+TEST_F (Callers, HalfSentRequestsAndGarbageDoNoHarm)
+{
+  const std::string pieces[]
+      = { "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Le",
+          "POST /v1/completions HTTP/1.1\r\nHost: a\r\nContent-Length: 100"
+          "\r\n\r\n{\"model\":",
+          "\x16\x03\x01\x02garbage\r\n\r\n", std::string (70000, 'G') };
+  std::string address = yard->router ().address ();
+  struct sockaddr_in a = {};
+
+  a.sin_family = AF_INET;
+  a.sin_port
+      = htons ((uint16_t)atoi (address.c_str () + address.find (':') + 1));
+  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  for (const std::string &piece : pieces)
+    {
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+      ASSERT_EQ (connect (fd, (struct sockaddr *)&a, sizeof a), 0);
+      EXPECT_GE (send (fd, piece.data (), piece.size (), MSG_NOSIGNAL), 0);
+      close (fd);
+    }
+}
