--- a/include/mq/planner.h
+++ b/include/mq/planner.h
@@ -190,6 +190,27 @@
 /* An empty list whose elements are cleared when they are removed.  */
 GArray *mq_planner_actions_new (void);
 
+/* Attempts that hold a place.  */
+uint32_t mq_planner_in_flight (const mq_planner *planner);
+
+/* What the planner thinks of one engine, for status and tests.  */
+typedef struct mq_engine_view
+{
+  uint32_t first; /* Layers [first, end) that it holds.  */
+  uint32_t end;
+  uint32_t in_flight;
+  double load;    /* 1: its batches are just full.  */
+  double step_us; /* Expected for a full batch.  */
+  double drag;    /* Time it takes over what it reports.  */
+  bool usable;    /* May be given new work.  */
+  bool put_aside; /* Slow against its peers.  */
+} mq_engine_view;
+
+/* Fill VIEW for ENGINE as of NOW_US.  Returns 0, or -1 when the planner has
+   no engine of that name in its region.  */
+int mq_planner_engine (const mq_planner *planner, mq_span engine,
+                       uint64_t now_us, mq_engine_view *view);
+
 G_END_DECLS
 
 #endif
--- a/packages/decide/health.c
+++ b/packages/decide/health.c
@@ -11,15 +11,17 @@
 #define MOST_DOUBLINGS 8
 /* Slow is this much over that percentile of the peers, ...  */
 #define SLOW_FACTOR 2.0
-#define SLOW_PERCENTILE 75
+#define SLOW_PERCENTILE 50
 #define LEAST_PEERS 2
 /* ... in so many reviews in a row.  */
 #define SLOW_CHECKS 3
 /* How long an engine stays aside, doubled each time in a row.  */
 #define ASIDE_US 5000000
 #define MOST_ASIDE_US 60000000
-/* What an engine on probation must have shown.  */
-#define PROBATION_OBSERVATIONS 20
+/* How often an engine on probation must have been seen to be well, and how
+   often to be found slow again.  */
+#define PROBATION_WELL 20
+#define PROBATION_SLOW 3
 
 static uint64_t
 back_off_us (mq_attempt_end end)
@@ -174,10 +176,10 @@
       e->drag = 1;
       return false;
     case MQ_ENGINE_PROBATION:
-      if (e->observations < PROBATION_OBSERVATIONS)
-        return false;
-      if (engine_is_slow (table, e))
+      if (e->observations >= PROBATION_SLOW && engine_is_slow (table, e))
         return true;
+      if (e->observations < PROBATION_WELL)
+        return false;
       engine_set_standing (e, MQ_ENGINE_GOOD, now_us);
       e->times_aside = 0;
       return false;
--- a/packages/decide/placement.c
+++ b/packages/decide/placement.c
@@ -16,8 +16,10 @@
 #define LOAD_POWER 4.0
 /* The part of a prompt's cost that a hinted prefix is taken to spare.  */
 #define PREFIX_SPARES 0.7
-/* The most load of an engine on probation.  */
-#define PROBATION_LIMIT 0.3
+/* An engine on probation is given so many streams at once, and costs this
+   part of its time, so that it is tried soon.  */
+#define PROBATION_STREAMS 2
+#define PROBATION_COST 0.5
 
 typedef struct cell
 {
@@ -104,13 +106,14 @@
   return false;
 }
 
-/* An engine on probation gets a few streams only.  */
-static double
-query_limit (const mq_placement_query *q, const mq_engine_state *e)
+/* Who is in a hurry is no trial for an engine on probation.  */
+static bool
+query_has_room (const mq_placement_query *q, const mq_engine_state *e)
 {
-  if (e->standing == MQ_ENGINE_PROBATION)
-    return MIN (q->limit, PROBATION_LIMIT);
-  return q->limit;
+  if (e->standing == MQ_ENGINE_PROBATION
+      && (q->hurry || e->in_flight >= PROBATION_STREAMS))
+    return false;
+  return mq_engine_state_load (e, q->demand, q->model->scale) <= q->limit;
 }
 
 static bool
@@ -119,8 +122,7 @@
   return mq_span_equal (mq_str_span (e->version),
                         mq_str_span (q->model->version))
          && mq_engine_state_usable (e, q->now_us) && !query_avoids (q, e)
-         && mq_engine_state_load (e, q->demand, q->model->scale)
-                <= query_limit (q, e);
+         && query_has_room (q, e);
 }
 
 /* A number in [0, 1) that is the engine's own for this query.  */
@@ -141,6 +143,8 @@
 
   if (mq_engine_state_has_prefix (e, q->prefix_hash))
     prompt *= 1 - PREFIX_SPARES;
+  if (e->standing == MQ_ENGINE_PROBATION)
+    stay *= PROBATION_COST / e->drag;
   if (!q->hurry)
     stay *= 1 + LOAD_COST * pow (MAX (load, 0), LOAD_POWER);
   return stay * (prompt + q->tokens) * (1 + SPREAD * query_spread (q, e));
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -382,3 +382,32 @@
   g_array_set_clear_func (a, action_clear);
   return a;
 }
+
+uint32_t
+mq_planner_in_flight (const mq_planner *planner)
+{
+  return g_hash_table_size (planner->attempts);
+}
+
+int
+mq_planner_engine (const mq_planner *planner, mq_span engine, uint64_t now_us,
+                   mq_engine_view *view)
+{
+  const mq_engine_state *e = mq_engine_table_find (&planner->table, engine);
+  const mq_model_state *m;
+
+  if (e == NULL || !e->configured)
+    return -1;
+  m = mq_span_table_find (planner->models, mq_str_span (e->model));
+  *view = (mq_engine_view){
+    .first = e->first,
+    .end = e->end,
+    .in_flight = e->in_flight,
+    .load = mq_engine_state_load (e, 0, m != NULL ? m->scale : 1),
+    .step_us = mq_step_model_us (&e->step, e->slots),
+    .drag = e->drag,
+    .usable = mq_engine_state_usable (e, now_us),
+    .put_aside = e->standing == MQ_ENGINE_ASIDE,
+  };
+  return 0;
+}
--- /dev/null
+++ b/tests/prop_planner.cc
@@ -0,0 +1,363 @@
+/* The planner under random events: what must hold whatever happens.  */
+
+#include "planner_world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace
+{
+
+/* One random step, in plain numbers so that it can be shown and shrunk.  */
+struct Step
+{
+  uint32_t kind;
+  uint32_t a, b, c;
+};
+
+std::ostream &
+operator<< (std::ostream &out, const Step &s)
+{
+  return out << "{" << s.kind << "," << s.a << "," << s.b << "," << s.c << "}";
+}
+
+struct EngineSpec
+{
+  uint32_t first, length, domain, step_ms, slots;
+};
+
+std::ostream &
+operator<< (std::ostream &out, const EngineSpec &e)
+{
+  return out << "[" << e.first << "+" << e.length << " d" << e.domain << " "
+             << e.step_ms << "ms x" << e.slots << "]";
+}
+
+} // namespace
+
+namespace rc
+{
+
+template <> struct Arbitrary<Step>
+{
+  static Gen<Step>
+  arbitrary ()
+  {
+    return gen::build<Step> (gen::set (&Step::kind, gen::inRange (0u, 12u)),
+                             gen::set (&Step::a, gen::inRange (0u, 1000u)),
+                             gen::set (&Step::b, gen::inRange (0u, 1000u)),
+                             gen::set (&Step::c, gen::inRange (0u, 1000u)));
+  }
+};
+
+template <> struct Arbitrary<EngineSpec>
+{
+  static Gen<EngineSpec>
+  arbitrary ()
+  {
+    return gen::build<EngineSpec> (
+        gen::set (&EngineSpec::first, gen::inRange (0u, 7u)),
+        gen::set (&EngineSpec::length, gen::inRange (1u, 9u)),
+        gen::set (&EngineSpec::domain, gen::inRange (0u, 3u)),
+        gen::set (&EngineSpec::step_ms, gen::inRange (1u, 50u)),
+        gen::set (&EngineSpec::slots, gen::inRange (0u, 8u)));
+  }
+};
+
+} // namespace rc
+
+namespace
+{
+
+/* Drives a planner by steps and checks each answer against a model: which
+   engines may be used, which attempts are out.  */
+class Driver : public PlannerWorld
+{
+public:
+  struct Attempt
+  {
+    uint64_t router;
+    uint64_t lapses;
+    std::vector<std::string> engines;
+  };
+
+  std::map<std::pair<uint64_t, uint32_t>, Attempt> out; /* sequence, attempt */
+  std::set<std::string> down, leaving;
+  std::vector<EngineSpec> specs;
+  std::string transcript;
+  uint32_t cap;
+
+  Driver (const std::vector<EngineSpec> &engines, uint32_t percent)
+      : specs (engines), cap (percent)
+  {
+    config->policy.put_aside_percent = percent;
+    for (size_t i = 0; i < specs.size (); i++)
+      {
+        const EngineSpec &e = specs[i];
+        uint32_t end = std::min (e.first + e.length, layers);
+
+        add_engine (name (i), e.first, end, "d" + std::to_string (e.domain),
+                    e.step_ms * 1000, e.slots);
+      }
+    configure ();
+  }
+
+  static std::string
+  name (size_t i)
+  {
+    return "e" + std::to_string (i);
+  }
+
+  std::string
+  some_engine (uint32_t n) const
+  {
+    return specs.empty () ? "none" : name (n % specs.size ());
+  }
+
+  void
+  check_admission (const mq_planner_action &a, const mq_plan_ask &ask)
+  {
+    RC_ASSERT (mq_plan_check_cover (&a.u.plan) == MQ_PLAN_OK);
+    RC_ASSERT (std::string (mq_str_cstr (a.u.plan.version)) == "v1");
+    for (const std::string &e : engines (a))
+      {
+        RC_ASSERT (!down.count (e));
+        RC_ASSERT (!leaving.count (e));
+        for (uint32_t i = 0; i < ask.n_avoid; i++)
+          RC_ASSERT (!mq_span_equal (ask.avoid[i], span (e)));
+      }
+  }
+
+  void
+  do_ask (const Step &s)
+  {
+    std::string avoid = some_engine (s.c);
+    mq_plan_ask q = make_ask (s.a % 3 ? "small" : "large");
+
+    q.id.router = 1 + s.a % 2;
+    q.attempt = 1 + s.b % 2;
+    q.max_tokens = s.b;
+    q.prompt_tokens = s.c;
+    q.priority = static_cast<int32_t> (s.c % 10);
+    q.deadline_us = 1 + uint64_t{ s.a } * s.b * 100;
+    q.avoid[0] = span (avoid);
+    q.n_avoid = s.c % 2;
+    const mq_planner_action &a = PlannerWorld::ask (q);
+    RC_ASSERT (a.id.sequence == q.id.sequence);
+    RC_ASSERT (a.attempt == q.attempt);
+    RC_ASSERT (a.kind == MQ_PLANNER_ADMIT || a.kind == MQ_PLANNER_REFUSE);
+    note (a);
+    if (a.kind == MQ_PLANNER_REFUSE)
+      {
+        RC_ASSERT (a.u.refuse.reason != MQ_REASON_NONE);
+        return;
+      }
+    check_admission (a, q);
+    out[{ q.id.sequence, q.attempt }]
+        = { q.id.router, now + q.deadline_us, engines (a) };
+  }
+
+  void
+  do_release (const Step &s)
+  {
+    if (out.empty ())
+      return;
+    auto it = std::next (out.begin (), s.a % out.size ());
+
+    release ({ it->second.router, it->first.first },
+             static_cast<mq_attempt_end> (s.b % 6), s.c % 5, s.c, s.a * 1000,
+             s.b * 100, it->first.second);
+    out.erase (it);
+  }
+
+  void
+  do_progress (const Step &s)
+  {
+    if (out.empty ())
+      return;
+    auto it = std::next (out.begin (), s.a % out.size ());
+    mq_planner_event e = event (MQ_PLANNER_PROGRESS);
+
+    e.u.progress.id = { it->second.router, it->first.first };
+    e.u.progress.attempt = it->first.second;
+    e.u.progress.tokens = s.b;
+    e.u.progress.mean_gap_us = s.c * 500;
+    handle (e);
+  }
+
+  void
+  do_load (const Step &s)
+  {
+    std::string e = some_engine (s.a);
+
+    load (e, s.b % 12, s.c * 100, s.b % 5, 1);
+    down.erase (e);
+  }
+
+  void
+  do_router_gone (const Step &s)
+  {
+    mq_planner_event e = event (MQ_PLANNER_ROUTER_GONE);
+
+    e.u.router = 1 + s.a % 2;
+    handle (e);
+    for (auto it = out.begin (); it != out.end ();)
+      it = it->second.router == e.u.router ? out.erase (it) : std::next (it);
+  }
+
+  void
+  step (const Step &s)
+  {
+    now += uint64_t{ s.c } * 300;
+    switch (s.kind)
+      {
+      default:
+        do_ask (s);
+        break;
+      case 5:
+      case 6:
+        do_release (s);
+        break;
+      case 7:
+        do_progress (s);
+        break;
+      case 8:
+        do_load (s);
+        break;
+      case 9:
+        tick ();
+        for (guint i = 0; i < actions->len; i++)
+          note (g_array_index (actions, mq_planner_action, i));
+        break;
+      case 10:
+        if (s.b % 4 == 0)
+          do_router_gone (s);
+        else if (s.b % 4 == 1)
+          configure ();
+        break;
+      case 11:
+        if (s.b % 2)
+          {
+            tell (MQ_PLANNER_ENGINE_DOWN, some_engine (s.a));
+            down.insert (some_engine (s.a));
+          }
+        else if (s.b % 5 == 0)
+          {
+            tell (MQ_PLANNER_LEAVING, some_engine (s.a));
+            leaving.insert (some_engine (s.a));
+          }
+        break;
+      }
+    check ();
+  }
+
+  /* What holds at any time.  */
+  void
+  check ()
+  {
+    size_t aside = 0;
+    std::map<std::string, uint32_t> held;
+
+    for (const auto &a : out)
+      for (const std::string &e : a.second.engines)
+        held[e]++;
+    for (size_t i = 0; i < specs.size (); i++)
+      {
+        mq_engine_view v = view (name (i));
+
+        aside += v.put_aside;
+        RC_ASSERT (v.step_us > 0);
+        RC_ASSERT (v.drag > 0);
+        /* Lapsed attempts are gone from the planner first.  */
+        RC_ASSERT (v.in_flight <= held[name (i)]);
+      }
+    RC_ASSERT (aside * 100 <= specs.size () * cap);
+    RC_ASSERT (mq_planner_in_flight (planner) <= out.size ());
+  }
+
+  void
+  note (const mq_planner_action &a)
+  {
+    transcript += std::to_string (a.kind) + ":"
+                  + std::to_string (a.id.sequence) + ":";
+    if (a.kind == MQ_PLANNER_ADMIT)
+      for (const std::string &e : engines (a))
+        transcript += e + ",";
+    if (a.kind == MQ_PLANNER_REFUSE)
+      transcript += std::to_string (a.u.refuse.retry_after_us);
+    if (a.kind == MQ_PLANNER_REPAIR)
+      transcript += mq_str_cstr (a.u.repair.engine);
+    transcript += ";";
+  }
+
+  void
+  run (const std::vector<Step> &steps)
+  {
+    for (const Step &s : steps)
+      step (s);
+  }
+
+  /* Release all that is out.  */
+  void
+  finish ()
+  {
+    while (!out.empty ())
+      do_release ({ 0, 0, 0, 0 });
+  }
+};
+
+rc::Gen<std::vector<Step> >
+some_steps ()
+{
+  return rc::gen::resize (300, rc::gen::arbitrary<std::vector<Step> > ());
+}
+
+rc::Gen<std::vector<EngineSpec> >
+some_engines ()
+{
+  return rc::gen::resize (20, rc::gen::arbitrary<std::vector<EngineSpec> > ());
+}
+
+} // namespace
+
+RC_GTEST_PROP (PlannerProp, PlansCoverAndCountsReturnToZero, ())
+{
+  auto engines = *some_engines ();
+  Driver d (engines, *rc::gen::inRange (0u, 100u));
+
+  d.run (*some_steps ());
+  d.finish ();
+  RC_ASSERT (mq_planner_in_flight (d.planner) == 0u);
+  for (size_t i = 0; i < engines.size (); i++)
+    {
+      RC_ASSERT (d.view (Driver::name (i)).in_flight == 0u);
+    }
+}
+
+RC_GTEST_PROP (PlannerProp, SameEventsSameAnswers, ())
+{
+  auto engines = *some_engines ();
+  auto steps = *some_steps ();
+  Driver one (engines, 30), other (engines, 30);
+
+  one.run (steps);
+  other.run (steps);
+  RC_ASSERT (one.transcript == other.transcript);
+}
+
+RC_GTEST_PROP (PlannerProp, APipelineIsFoundWhereOneExists, ())
+{
+  auto engines = *some_engines ();
+  Driver d (engines, 30);
+  std::set<uint32_t> reach{ 0 };
+
+  for (size_t round = 0; round < engines.size (); round++)
+    for (const EngineSpec &e : engines)
+      if (reach.count (e.first))
+        reach.insert (std::min (e.first + e.length, PlannerWorld::layers));
+  bool exists = reach.count (PlannerWorld::layers) > 0;
+  RC_ASSERT ((d.ask ().kind == MQ_PLANNER_ADMIT) == exists);
+}
--- a/tests/test_planner.cc
+++ b/tests/test_planner.cc
@@ -1,152 +1,37 @@
-/* The planner: admission, placement, release and refusal in virtual time. */
+/* The planner: admission, placement, health and repair in virtual time.  */
+
+#include "planner_world.h"
 
 #include <gtest/gtest.h>
-#include <mq/planner.h>
 
-#include <string>
-#include <vector>
+#include <map>
 
 namespace
 {
 
-mq_str *
-text (const std::string &s)
-{
-  return mq_str_new (mq_span{ s.data (), s.size () });
-}
+using Names = std::vector<std::string>;
 
-/* A configuration with one service "s" over a model "m" of eight layers.  */
-class Fixture : public ::testing::Test
+class PlannerTest : public ::testing::Test, public PlannerWorld
 {
 protected:
-  mq_config *config = mq_config_new (1);
-  mq_planner *planner = mq_planner_new (MQ_SPAN ("d1"), 1);
-  GArray *actions = mq_planner_actions_new ();
-  uint64_t now = 1000000;
-  uint64_t sequence = 0;
-
+  /* Run streams one after another over all engines, each with the gap that
+     GAP gives for its engines, reviewing now and then.  */
+  template <typename Gap>
   void
-  SetUp () override
+  run_streams (int n, Gap gap)
   {
-    mq_model m = { text ("m"), text ("v1"), 8, 100, 1000 };
-    mq_service s = {};
-
-    g_array_append_val (config->models, m);
-    s.name = text ("s");
-    s.kind = MQ_SERVICE_MODEL;
-    s.u.model.model = text ("m");
-    s.u.model.max_tokens = 1000;
-    g_array_append_val (config->services, s);
-  }
-
-  void
-  TearDown () override
-  {
-    g_array_unref (actions);
-    mq_planner_free (planner);
-    mq_config_unref (config);
-  }
-
-  void
-  add_engine (const std::string &name, uint32_t first, uint32_t end,
-              const std::string &domain = "d1", uint32_t step_us = 10000,
-              uint32_t slots = 4)
-  {
-    mq_engine e = {};
-
-    e.name = text (name);
-    e.url = text ("http://127.0.0.1:1/" + name);
-    e.model = text ("m");
-    e.version = text ("v1");
-    e.first = first;
-    e.end = end;
-    e.accelerator = text ("a");
-    e.failure_domain = text (domain);
-    e.slots = slots;
-    e.step_us = step_us;
-    g_array_append_val (config->engines, e);
-  }
-
-  void
-  handle (const mq_planner_event &event)
-  {
-    g_array_set_size (actions, 0);
-    mq_planner_handle (planner, &event, actions);
-  }
-
-  void
-  configure ()
-  {
-    mq_planner_event e = {};
-
-    e.kind = MQ_PLANNER_CONFIG;
-    e.now_us = now;
-    e.u.config = config;
-    handle (e);
-  }
-
-  mq_plan_ask
-  make_ask ()
-  {
-    mq_plan_ask a = {};
-
-    a.id = { 1, ++sequence };
-    a.attempt = 1;
-    a.service = MQ_SPAN ("s");
-    a.organisation = MQ_SPAN ("o");
-    a.prompt_tokens = 10;
-    a.max_tokens = 20;
-    a.deadline_us = 60000000;
-    return a;
-  }
-
-  const mq_planner_action &
-  ask (const mq_plan_ask &a)
-  {
-    mq_planner_event e = {};
-
-    e.kind = MQ_PLANNER_ASK;
-    e.now_us = now;
-    e.u.ask = a;
-    handle (e);
-    EXPECT_EQ (actions->len, 1u);
-    return g_array_index (actions, mq_planner_action, 0);
-  }
-
-  const mq_planner_action &
-  ask ()
-  {
-    return ask (make_ask ());
-  }
-
-  void
-  release (mq_request_id id, mq_attempt_end end = MQ_ATTEMPT_DONE,
-           uint32_t stage = 0)
-  {
-    mq_planner_event e = {};
-
-    e.kind = MQ_PLANNER_RELEASE;
-    e.now_us = now;
-    e.u.release.id = id;
-    e.u.release.attempt = 1;
-    e.u.release.end = end;
-    e.u.release.stage = stage;
-    handle (e);
-  }
-
-  static std::vector<std::string>
-  engines (const mq_planner_action &a)
-  {
-    std::vector<std::string> names;
-
-    for (uint32_t i = 0; i < a.u.plan.n_stages; i++)
-      names.push_back (mq_str_cstr (a.u.plan.stages[i].engine));
-    return names;
+    for (int i = 0; i < n; i++)
+      {
+        auto [id, names] = admit ();
+        uint64_t us = gap (names);
+
+        now += 20000;
+        release (id, MQ_ATTEMPT_DONE, 0, 20, 2 * us, us);
+        tick ();
+      }
   }
 };
 
-using PlannerTest = Fixture;
-
 } // namespace
 
 TEST_F (PlannerTest, RefusesBeforeConfiguration)
@@ -158,6 +43,14 @@
   EXPECT_GT (a.u.refuse.retry_after_us, 0u);
 }
 
+TEST_F (PlannerTest, RefusesAnUnknownService)
+{
+  configure ();
+  mq_plan_ask a = make_ask ();
+  a.service = MQ_SPAN ("other");
+  EXPECT_EQ (ask (a).u.refuse.reason, MQ_REASON_UNKNOWN_SERVICE);
+}
+
 TEST_F (PlannerTest, PlanCoversAllLayersInOrder)
 {
   add_engine ("a", 0, 4);
@@ -168,7 +61,7 @@
 
   ASSERT_EQ (a.kind, MQ_PLANNER_ADMIT);
   EXPECT_EQ (mq_plan_check_cover (&a.u.plan), MQ_PLAN_OK);
-  EXPECT_EQ (engines (a), (std::vector<std::string>{ "a", "b" }));
+  EXPECT_EQ (engines (a), (Names{ "a", "b" }));
 }
 
 TEST_F (PlannerTest, RefusesWhereALayerHasNoEngine)
@@ -180,6 +73,19 @@
 
   ASSERT_EQ (a.kind, MQ_PLANNER_REFUSE);
   EXPECT_EQ (a.u.refuse.reason, MQ_REASON_NO_PIPELINE);
+  EXPECT_GT (a.u.refuse.retry_after_us, 0u);
+}
+
+TEST_F (PlannerTest, EnginesOfOtherRegionsAreNotUsed)
+{
+  mq_failure_domain near = { text ("d1"), text ("r1") };
+  mq_failure_domain far = { text ("d9"), text ("r2") };
+
+  g_array_append_val (config->failure_domains, near);
+  g_array_append_val (config->failure_domains, far);
+  add_engine ("far", 0, 8, "d9");
+  configure ();
+  EXPECT_EQ (ask ().u.refuse.reason, MQ_REASON_NO_PIPELINE);
 }
 
 TEST_F (PlannerTest, SpreadsOverEqualEngines)
@@ -187,10 +93,19 @@
   add_engine ("a", 0, 8);
   add_engine ("b", 0, 8);
   configure ();
-  std::string first = engines (ask ())[0];
-  std::string second = engines (ask ())[0];
+  Names first = admit ().second;
 
-  EXPECT_NE (first, second);
+  EXPECT_NE (first, admit ().second);
+}
+
+TEST_F (PlannerTest, StaysInOneFailureDomainWhenLinksAreSlow)
+{
+  add_engine ("a1", 0, 4, "d1");
+  add_engine ("a2", 0, 4, "d2");
+  add_engine ("b2", 4, 8, "d2");
+  add_link ("d1", "d2", 50000);
+  configure ();
+  EXPECT_EQ (admit ().second, (Names{ "a2", "b2" }));
 }
 
 TEST_F (PlannerTest, RefusesOverCapacityUntilARelease)
@@ -217,17 +132,141 @@
   EXPECT_EQ (ask ().kind, MQ_PLANNER_ADMIT);
 }
 
+TEST_F (PlannerTest, RefusedCallersAreSentBackOneAfterAnother)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  for (int i = 0; i < 20; i++)
+    {
+      now += 100000;
+      release (admit ().first);
+    }
+  while (ask ().kind == MQ_PLANNER_ADMIT)
+    ;
+  uint64_t first = ask ().u.refuse.retry_after_us;
+  uint64_t second = ask ().u.refuse.retry_after_us;
+  EXPECT_GT (second, first);
+}
+
+TEST_F (PlannerTest, RefusesADeadlineThatNothingCanMeet)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  mq_plan_ask a = make_ask ();
+  a.deadline_us = 1000;
+  const mq_planner_action &r = ask (a);
+
+  ASSERT_EQ (r.kind, MQ_PLANNER_REFUSE);
+  EXPECT_EQ (r.u.refuse.reason, MQ_REASON_DEADLINE_UNREACHABLE);
+  EXPECT_EQ (r.u.refuse.retry_after_us, 0u)
+      << "there is no use in coming back";
+  EXPECT_GT (r.figures.predicted_finish_us, r.figures.deadline_us);
+}
+
+TEST_F (PlannerTest, HurryGetsTheFastEngineAndSlackSparesIt)
+{
+  add_engine ("fast", 0, 8, "d1", 5000, 16);
+  add_engine ("slow", 0, 8, "d1", 15000, 64);
+  configure ();
+  for (int i = 0; i < 60; i++)
+    ask ();
+  EXPECT_GT (view ("slow").in_flight, 0u);
+  uint32_t fast = view ("fast").in_flight;
+  mq_plan_ask a = make_ask ();
+  a.deadline_us = 250000;
+  EXPECT_EQ (engines (ask (a)), Names{ "fast" });
+  EXPECT_EQ (view ("fast").in_flight, fast + 1);
+}
+
+TEST_F (PlannerTest, MarginGrowsFromMisses)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  uint64_t margin_before = ask ().figures.margin_us;
+
+  release ({ 1, sequence });
+  run_streams (200, [i = 0] (const Names &) mutable {
+    return ++i % 10 == 0 ? 60000 : 15000;
+  });
+  EXPECT_GT (ask ().figures.margin_us, margin_before);
+}
+
+TEST_F (PlannerTest, PredictionFollowsMeasuredStepTime)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  uint64_t guessed = ask ().figures.predicted_finish_us;
+
+  for (int i = 0; i < 50; i++)
+    {
+      now += 100000;
+      load ("a", 4, 40000);
+    }
+  EXPECT_GT (ask ().figures.predicted_finish_us, 2 * guessed);
+}
+
+TEST_F (PlannerTest, SmallOrganisationFindsRoomBesideALargeOne)
+{
+  add_organisation ("large", 1);
+  add_organisation ("small", 1);
+  add_engine ("a", 0, 8, "d1", 10000, 64);
+  configure ();
+  for (int i = 0; i < 400; i++)
+    {
+      now += 2000;
+      ask (make_ask ("large"));
+      tick ();
+    }
+  ASSERT_EQ (ask (make_ask ("large")).kind, MQ_PLANNER_REFUSE);
+  EXPECT_EQ (ask (make_ask ("small")).kind, MQ_PLANNER_ADMIT);
+}
+
 TEST_F (PlannerTest, LeavesAFailedEngineAlone)
 {
   add_engine ("a", 0, 8);
   configure ();
-  mq_request_id id = ask ().id;
-  release (id, MQ_ATTEMPT_STAGE_DIED);
+  release (admit ().first, MQ_ATTEMPT_STAGE_DIED);
   EXPECT_EQ (ask ().kind, MQ_PLANNER_REFUSE);
   now += 60000000;
   EXPECT_EQ (ask ().kind, MQ_PLANNER_ADMIT);
 }
 
+TEST_F (PlannerTest, AFailedEngineThatReportsMustReportAgain)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  load ("a", 0, 0);
+  release (admit ().first, MQ_ATTEMPT_STAGE_DIED);
+  now += 60000000;
+  EXPECT_EQ (ask ().kind, MQ_PLANNER_REFUSE);
+  load ("a", 0, 0);
+  EXPECT_EQ (ask ().kind, MQ_PLANNER_ADMIT);
+}
+
+TEST_F (PlannerTest, ARestartedEngineIsUsedAtOnce)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  load ("a", 0, 0, 0, 1);
+  release (admit ().first, MQ_ATTEMPT_STAGE_WRONG);
+  now += 1000;
+  load ("a", 0, 0, 0, 2);
+  EXPECT_EQ (ask ().kind, MQ_PLANNER_ADMIT);
+}
+
+TEST_F (PlannerTest, LeavingAndDownEnginesGetNoNewWork)
+{
+  add_engine ("a", 0, 8);
+  add_engine ("b", 0, 8);
+  configure ();
+  load ("a", 0, 0, 0, 1);
+  tell (MQ_PLANNER_LEAVING, "a");
+  tell (MQ_PLANNER_ENGINE_DOWN, "b");
+  EXPECT_EQ (ask ().u.refuse.reason, MQ_REASON_NO_PIPELINE);
+  load ("b", 0, 0);
+  EXPECT_EQ (admit ().second, Names{ "b" });
+}
+
 TEST_F (PlannerTest, AvoidsWhatTheAskNames)
 {
   add_engine ("a", 0, 8);
@@ -239,7 +278,7 @@
 
       a.avoid[0] = MQ_SPAN ("a");
       a.n_avoid = 1;
-      EXPECT_EQ (engines (ask (a))[0], "b");
+      EXPECT_EQ (engines (ask (a)), Names{ "b" });
     }
 }
 
@@ -249,7 +288,146 @@
   add_engine ("b", 0, 8);
   configure ();
   mq_plan_ask a = make_ask ();
-  std::string first = engines (ask (a))[0];
+  Names first = engines (ask (a));
+
+  EXPECT_EQ (engines (ask (a)), first);
+  EXPECT_EQ (mq_planner_in_flight (planner), 1u);
+}
+
+TEST_F (PlannerTest, ALostReleaseLapses)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  admit ();
+  now += 120000000;
+  tick ();
+  EXPECT_EQ (mq_planner_in_flight (planner), 0u);
+}
+
+TEST_F (PlannerTest, StateSurvivesANewGeneration)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  auto held = admit ();
+  mq_config *next = new_config (2);
 
-  EXPECT_EQ (engines (ask (a))[0], first);
+  std::swap (config, next);
+  mq_config_unref (next);
+  configure (); /* Without the engine.  */
+  EXPECT_EQ (ask ().kind, MQ_PLANNER_REFUSE);
+  next = new_config (3);
+  std::swap (config, next);
+  mq_config_unref (next);
+  add_engine ("a", 0, 8);
+  configure ();
+  EXPECT_EQ (view ("a").in_flight, 1u);
+  release (held.first);
+  EXPECT_EQ (view ("a").in_flight, 0u);
+}
+
+TEST_F (PlannerTest, PrefixHintDrawsTheRequest)
+{
+  add_engine ("a", 0, 8);
+  add_engine ("b", 0, 8);
+  configure ();
+  mq_planner_event e = event (MQ_PLANNER_CACHE);
+  e.u.cache.engine = MQ_SPAN ("b");
+  e.u.cache.prefix_hash = 77;
+  e.u.cache.stored = true;
+  handle (e);
+  for (int i = 0; i < 2; i++)
+    {
+      mq_plan_ask a = make_ask ();
+
+      a.prompt_tokens = 20000;
+      a.prefix_hash = 77;
+      EXPECT_EQ (engines (ask (a)), Names{ "b" });
+    }
+}
+
+TEST_F (PlannerTest, SlowEngineIsPutAsideAndComesBack)
+{
+  auto slow = [] (const Names &n) { return n[0] == "e0" ? 150000 : 15000; };
+  auto well = [] (const Names &) { return 15000; };
+
+  for (int i = 0; i < 6; i++)
+    add_engine ("e" + std::to_string (i), 0, 8);
+  configure ();
+  run_streams (100, slow);
+  EXPECT_TRUE (view ("e0").put_aside);
+  EXPECT_FALSE (view ("e0").usable);
+  /* It is tried again, found slow and put aside for longer.  */
+  run_streams (300, slow);
+  EXPECT_TRUE (view ("e0").put_aside);
+  run_streams (1000, well);
+  EXPECT_FALSE (view ("e0").put_aside);
+  EXPECT_TRUE (view ("e0").usable);
+}
+
+TEST_F (PlannerTest, NoMoreThanTheCapArePutAside)
+{
+  for (int i = 0; i < 10; i++)
+    add_engine ("e" + std::to_string (i), 0, 8);
+  config->policy.put_aside_percent = 20;
+  configure ();
+  int most = 0;
+
+  run_streams (2000, [&] (const Names &n) {
+    int aside = 0;
+
+    for (int i = 0; i < 10; i++)
+      aside += view ("e" + std::to_string (i)).put_aside;
+    most = std::max (most, aside);
+    return n[0] < "e4" ? 400000 : 15000;
+  });
+  EXPECT_EQ (most, 2);
+}
+
+TEST_F (PlannerTest, ShortRangeIsRepairedOnceByASpareEngine)
+{
+  add_engine ("a", 0, 4);
+  for (int i = 0; i < 3; i++)
+    add_engine ("b" + std::to_string (i), 4, 8);
+  configure ();
+  tell (MQ_PLANNER_ENGINE_DOWN, "a");
+  std::map<std::string, int> ordered;
+
+  for (int i = 0; i < 100; i++)
+    {
+      now += 100000;
+      tick ();
+      for (guint k = 0; k < actions->len; k++)
+        {
+          const mq_planner_action &r
+              = g_array_index (actions, mq_planner_action, k);
+
+          ASSERT_EQ (r.kind, MQ_PLANNER_REPAIR);
+          EXPECT_EQ (r.u.repair.first, 0u);
+          EXPECT_EQ (r.u.repair.end, 4u);
+          ordered[mq_str_cstr (r.u.repair.engine)]++;
+        }
+    }
+  ASSERT_EQ (ordered.size (), 1u);
+  std::string spare = ordered.begin ()->first;
+  EXPECT_EQ (ordered[spare], 1);
+  EXPECT_EQ (ask ().u.refuse.reason, MQ_REASON_NO_PIPELINE);
+  load (spare, 0, 0, 0, 1, 0, 4);
+  EXPECT_EQ (admit ().second[0], spare);
+}
+
+TEST_F (PlannerTest, RoundRobinTakesTurnsAndRefusesNothing)
+{
+  add_engine ("a", 0, 8, "d1", 1000);
+  add_engine ("b", 0, 8, "d1", 90000);
+  config->policy.routing = MQ_ROUTING_ROUND_ROBIN;
+  configure ();
+  Names last = admit ().second;
+
+  for (int i = 0; i < 200; i++)
+    {
+      Names next = admit ().second;
+
+      ASSERT_NE (next, last);
+      last = next;
+    }
 }
--- /dev/null
+++ b/tests/test_planner_parts.cc
@@ -0,0 +1,121 @@
+/* The parts of the planner by themselves: step times, margin, shares.  */
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <mq/internal/margin.h>
+#include <mq/internal/share.h>
+#include <mq/internal/step_model.h>
+
+#include <numeric>
+#include <string>
+#include <vector>
+
+TEST (StepModel, HoldsTheGuessUntilItLearns)
+{
+  mq_step_model m;
+
+  mq_step_model_init (&m, 5000);
+  EXPECT_DOUBLE_EQ (mq_step_model_us (&m, 7), 5000);
+  mq_step_model_learn (&m, 3, 800);
+  EXPECT_DOUBLE_EQ (mq_step_model_us (&m, 3), 800);
+}
+
+TEST (StepModel, FindsTheLine)
+{
+  mq_step_model m;
+
+  mq_step_model_init (&m, 1);
+  for (int i = 0; i < 100; i++)
+    mq_step_model_learn (&m, i % 8, 1000 + 50 * (i % 8));
+  EXPECT_NEAR (mq_step_model_us (&m, 16), 1800, 1);
+  /* A changed engine is soon known.  */
+  for (int i = 0; i < 100; i++)
+    mq_step_model_learn (&m, i % 8, 10 * (1000 + 50 * (i % 8)));
+  EXPECT_NEAR (mq_step_model_us (&m, 16), 18000, 500);
+}
+
+TEST (Margin, StaysAboveNearlyAllRatios)
+{
+  mq_margin m;
+
+  mq_margin_init (&m);
+  for (int i = 0; i < 3000; i++)
+    mq_margin_learn (&m, i % 100 == 0 ? 1.8 : 0.9);
+  EXPECT_GE (mq_margin_factor (&m), 1.8);
+  EXPECT_LT (mq_margin_factor (&m), 1.9);
+  /* Misses are forgotten, slowly.  */
+  for (int i = 0; i < 40000; i++)
+    mq_margin_learn (&m, 0.9);
+  EXPECT_LT (mq_margin_factor (&m), 1.1);
+}
+
+namespace
+{
+
+struct Want
+{
+  uint32_t weight, streams;
+};
+
+std::ostream &
+operator<< (std::ostream &out, const Want &w)
+{
+  return out << "[" << w.weight << " wants " << w.streams << "]";
+}
+
+} // namespace
+
+namespace rc
+{
+
+template <> struct Arbitrary<Want>
+{
+  static Gen<Want>
+  arbitrary ()
+  {
+    return gen::build<Want> (
+        gen::set (&Want::weight, gen::inRange (1u, 10u)),
+        gen::set (&Want::streams, gen::inRange (1u, 100u)));
+  }
+};
+
+} // namespace rc
+
+RC_GTEST_PROP (Share, IsMaxMinFairAndWorkConserving, (uint8_t capacity))
+{
+  auto wants = *rc::gen::nonEmpty<std::vector<Want> > ();
+  mq_config *config = mq_config_new (1);
+  mq_share_table table;
+  std::vector<mq_share *> shares;
+  double weights = 0, wanted = 0, granted = 0;
+
+  mq_share_table_init (&table);
+  for (size_t i = 0; i < wants.size (); i++)
+    {
+      std::string name = "o" + std::to_string (i);
+      mq_span span = { name.data (), name.size () };
+      mq_organisation o = {};
+
+      o.name = mq_str_new (span);
+      o.weight = wants[i].weight;
+      g_array_append_val (config->organisations, o);
+      shares.push_back (mq_share_table_get (&table, span, config));
+      shares[i]->held = wants[i].streams;
+      weights += wants[i].weight;
+      wanted += wants[i].streams;
+    }
+  mq_share_table_divide (&table, capacity, 0);
+  for (size_t i = 0; i < wants.size (); i++)
+    {
+      double equal = capacity * wants[i].weight / weights;
+      double grant = std::min<double> (wants[i].streams, shares[i]->part);
+
+      /* Nobody gets less than its weight says, unless it wants less.  */
+      RC_ASSERT (grant >= std::min<double> (wants[i].streams, equal) - 1e-6);
+      granted += grant;
+    }
+  RC_ASSERT (std::abs (granted - std::min<double> (capacity, wanted)) < 1e-6);
+  mq_share_table_finish (&table);
+  mq_config_unref (config);
+}
