--- a/include/mq/internal/defect.h
+++ b/include/mq/internal/defect.h
@@ -29,6 +29,10 @@
   MQ_DEFECT_LIMIT_KEPT,             /* The limiter is not told of an end.  */
   MQ_DEFECT_DRAIN_TAKES_WORK,       /* A leaving VM accepts calls.  */
   MQ_DEFECT_DEADLINE_IGNORED,       /* Late work runs on.  */
+  MQ_DEFECT_CHANGE_ID_IGNORED,      /* A lost reply counts as not landed.  */
+  MQ_DEFECT_DOUBT_DENIED,           /* A write in doubt is told as none.  */
+  MQ_DEFECT_RACE_OVERWRITES,        /* Others' changes are undone unseen.  */
+  MQ_DEFECT_LOWER_GENERATION_TAKEN, /* Whatever is loaded is in force.  */
   MQ_DEFECT_COUNT
 } mq_defect;
 
--- a/packages/base/defect.c
+++ b/packages/base/defect.c
@@ -17,6 +17,10 @@
   [MQ_DEFECT_LIMIT_KEPT] = "limit-kept",
   [MQ_DEFECT_DRAIN_TAKES_WORK] = "drain-takes-work",
   [MQ_DEFECT_DEADLINE_IGNORED] = "deadline-ignored",
+  [MQ_DEFECT_CHANGE_ID_IGNORED] = "change-id-ignored",
+  [MQ_DEFECT_DOUBT_DENIED] = "doubt-denied",
+  [MQ_DEFECT_RACE_OVERWRITES] = "race-overwrites",
+  [MQ_DEFECT_LOWER_GENERATION_TAKEN] = "lower-generation-taken",
 };
 
 #ifdef MQ_DEFECTS
--- a/packages/decide/change.c
+++ b/packages/decide/change.c
@@ -8,6 +8,7 @@
 #include <mq/change.h>
 
 #include <string.h>
+#include <mq/internal/defect.h>
 
 #define FIRST_WAIT_US 20000
 #define LONGEST_WAIT_US 2000000
@@ -63,7 +64,8 @@
 {
   mq_change_action a = change_act (MQ_CHANGE_END);
 
-  if (c->in_doubt && result != MQ_CHANGE_LANDED)
+  if (c->in_doubt && result != MQ_CHANGE_LANDED
+      && !mq_defect_enabled (MQ_DEFECT_DOUBT_DENIED))
     result = MQ_CHANGE_UNKNOWN;
   a.result = result;
   a.generation = c->current.generation;
@@ -113,7 +115,8 @@
   bool after_base
       = c->request->base > 0 && r != NULL && r->generation > c->request->base;
 
-  if (digest_equal (now, want) || (!moved && !after_base))
+  if (digest_equal (now, want) || (!moved && !after_base)
+      || mq_defect_enabled (MQ_DEFECT_RACE_OVERWRITES))
     return false;
   verdict->result = MQ_CHANGE_CONFLICT;
   verdict->who = r ? mq_str_cstr (r->who) : NULL;
@@ -327,7 +330,7 @@
   if (change_take_manifest (c, &event->reply) < 0)
     return change_end (c, MQ_CHANGE_UNAVAILABLE);
   mine = mq_manifest_change (&c->current, mq_str_span (c->request->id));
-  if (mine != NULL)
+  if (mine != NULL && !mq_defect_enabled (MQ_DEFECT_CHANGE_ID_IGNORED))
     {
       a = change_end (c, MQ_CHANGE_LANDED);
       a.generation = mine->generation;
--- a/packages/decide/generation.c
+++ b/packages/decide/generation.c
@@ -2,6 +2,8 @@
 
 #include <mq/generation.h>
 
+#include <mq/internal/defect.h>
+
 #define FIRST_RETRY_US 250000
 #define RETRY_DOUBLINGS 5
 
@@ -67,7 +69,8 @@
 {
   g->fetching = false;
   g->failures = 0;
-  if (event->generation <= g->in_force)
+  if (event->generation <= g->in_force
+      && !mq_defect_enabled (MQ_DEFECT_LOWER_GENERATION_TAKEN))
     return;
   g->in_force = event->generation;
   generation_act (actions, MQ_GENERATION_TAKE, g->fetch_peer, g->in_force);
--- /dev/null
+++ b/tests/prop_manifest.cc
@@ -0,0 +1,318 @@
+/* Operators racing each other: every change lands once or is refused
+   truthfully, and no generation reverts.  */
+
+#include <gtest/gtest.h>
+#include <rapidcheck/state.h>
+#include <rapidcheck.h>
+
+#include "change_world.h"
+#include <mq/generation.h>
+#include <mq/internal/defect.h>
+
+using namespace change_test;
+
+namespace
+{
+
+struct Model
+{
+  size_t operators = 0;
+};
+
+using Command = rc::state::Command<Model, World>;
+
+void
+check (const World &w)
+{
+  if (!w.broken.empty ())
+    RC_FAIL (w.broken);
+}
+
+/* An operator begins to drop a file or to take one out.  Few names and
+   contents, so that they meet often.  */
+struct Start : Command
+{
+  int file = *rc::gen::inRange (0, 4);
+  int content = *rc::gen::inRange (0, 4);
+
+  void
+  apply (Model &m) const override
+  {
+    m.operators++;
+  }
+
+  void
+  run (const Model &m, World &w) const override
+  {
+    w.start ("op-" + std::to_string (m.operators),
+             "file-" + std::to_string (file) + ".json",
+             content > 0 ? std::to_string (content) : "");
+    check (w);
+  }
+
+  void
+  show (std::ostream &os) const override
+  {
+    os << "start " << file << " " << content;
+  }
+};
+
+struct Step : Command
+{
+  size_t which = *rc::gen::arbitrary<uint8_t> ();
+  Fault fault = *rc::gen::weightedElement<Fault> ({ { 6, Fault::None },
+                                                    { 1, Fault::LoseReply },
+                                                    { 1, Fault::Cut },
+                                                    { 1, Fault::Delay },
+                                                    { 1, Fault::Refuse } });
+
+  void
+  checkPreconditions (const Model &m) const override
+  {
+    RC_PRE (m.operators > 0u);
+  }
+
+  void
+  run (const Model &m, World &w) const override
+  {
+    w.step (which % m.operators, fault);
+    check (w);
+  }
+
+  void
+  show (std::ostream &os) const override
+  {
+    os << "step " << which << " fault " << (int)fault;
+  }
+};
+
+struct Deliver : Command
+{
+  size_t which = *rc::gen::inRange<size_t> (0, 3);
+
+  void
+  run (const Model &, World &w) const override
+  {
+    w.deliver (which);
+    check (w);
+  }
+
+  void
+  show (std::ostream &os) const override
+  {
+    os << "deliver " << which;
+  }
+};
+
+/* An outage: an operator may give up in it.  */
+struct Outage : Command
+{
+  uint64_t us = *rc::gen::inRange<uint64_t> (1000, 40000000);
+
+  void
+  run (const Model &, World &w) const override
+  {
+    w.advance (us);
+  }
+
+  void
+  show (std::ostream &os) const override
+  {
+    os << "outage " << us;
+  }
+};
+
+Fault
+any_fault (GRand *rand)
+{
+  return g_rand_int_range (rand, 0, 4) > 0
+             ? Fault::None
+             : (Fault)g_rand_int_range (rand, 0, (int)Fault::Count);
+}
+
+/* Two operators race a hundred drops each through a bad network; some drops
+   are of the same file.  */
+void
+race (World &w, uint32_t seed)
+{
+  GRand *rand = g_rand_new_with_seed (seed);
+  const int drops = 100;
+  int begun[2] = { 0, 0 };
+  size_t current[2] = { 0, 0 };
+
+  while (begun[0] < drops || begun[1] < drops)
+    {
+      int who = g_rand_int_range (rand, 0, 2);
+
+      if (begun[who] == 0 || w.operators[current[who]]->ended)
+        {
+          if (begun[who] == drops)
+            continue;
+          std::string file = "f"
+                             + std::to_string (g_rand_int_range (rand, 0, 40))
+                             + ".json";
+          std::string name = std::string (who ? "ann-" : "bob-")
+                             + std::to_string (begun[who]++);
+
+          current[who] = w.operators.size ();
+          w.start (name, file, name);
+        }
+      w.step (current[who], any_fault (rand));
+      if (g_rand_int_range (rand, 0, 10) == 0)
+        w.deliver (0);
+    }
+  w.finish ();
+  g_rand_free (rand);
+}
+
+/* Does the race find a promise broken within a few tries?  */
+bool
+race_breaks ()
+{
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      World w;
+
+      race (w, seed);
+      if (!w.broken.empty ())
+        return true;
+    }
+  return false;
+}
+
+} // namespace
+
+TEST (ChangeProperties, EveryChangeLandsOnceOrIsRefusedTruthfully)
+{
+  EXPECT_TRUE (rc::check ([] {
+    World w;
+
+    rc::state::check (
+        Model{}, w,
+        rc::state::gen::execOneOfWithArgs<Start, Step, Step, Step, Step, Step,
+                                          Step, Deliver, Outage> ());
+    w.finish ();
+    check (w);
+  }));
+}
+
+TEST (ChangeRace, TwoOperatorsRacingAHundredDrops)
+{
+  size_t landed = 0;
+  size_t conflicts = 0;
+  size_t unknown = 0;
+
+  for (uint32_t seed = 1; seed <= 5; seed++)
+    {
+      World w;
+
+      race (w, seed);
+      EXPECT_EQ (w.broken, "") << "seed " << seed;
+      for (const auto &op : w.operators)
+        {
+          landed += op->action.result == MQ_CHANGE_LANDED;
+          conflicts += op->action.result == MQ_CHANGE_CONFLICT;
+          unknown += op->action.result == MQ_CHANGE_UNKNOWN;
+        }
+    }
+  /* The race must show each of them to be worth anything.  */
+  EXPECT_GT (landed, 700u);
+  EXPECT_GT (conflicts, 0u);
+  RecordProperty ("landed", (int)landed);
+  RecordProperty ("conflicts", (int)conflicts);
+  RecordProperty ("unknown", (int)unknown);
+}
+
+#ifdef MQ_DEFECTS
+TEST (ChangeDefects, AreFoundByTheRace)
+{
+  EXPECT_FALSE (race_breaks ());
+  for (mq_defect d :
+       { MQ_DEFECT_CHANGE_ID_IGNORED, MQ_DEFECT_RACE_OVERWRITES })
+    {
+      mq_defect_enable (d);
+      EXPECT_TRUE (race_breaks ()) << mq_defect_name (d);
+    }
+  mq_defect_enable (MQ_DEFECT_NONE);
+}
+
+/* The reply of the only write is lost, and then the platform stays away.  */
+static std::string
+lost_reply_then_outage (mq_defect defect)
+{
+  World w;
+
+  mq_defect_enable (defect);
+  w.start ("ann", "a.json", "1");
+  while (w.operators[0]->action.kind != MQ_CHANGE_WRITE)
+    w.step (0, Fault::None);
+  w.step (0, Fault::LoseReply);
+  w.advance (120000000);
+  while (!w.operators[0]->ended)
+    w.step (0, Fault::Refuse);
+  w.finish ();
+  mq_defect_enable (MQ_DEFECT_NONE);
+  return w.broken;
+}
+
+TEST (ChangeDefects, DeniedDoubtIsFound)
+{
+  EXPECT_EQ (lost_reply_then_outage (MQ_DEFECT_NONE), "");
+  EXPECT_EQ (lost_reply_then_outage (MQ_DEFECT_DOUBT_DENIED),
+             "told unavailable, and it landed");
+}
+#endif
+
+/* Offers, loads and failures in any order: what is in force only grows.  */
+static bool
+generation_reverts ()
+{
+  GRand *rand = g_rand_new_with_seed (7);
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (mq_generation_action));
+  bool reverts = false;
+
+  for (int run = 0; run < 200; run++)
+    {
+      mq_generation g;
+      uint64_t in_force = 0;
+      uint64_t now = 1;
+      mq_generation_event e = {};
+
+      mq_generation_init (&g, now, 10000000);
+      for (int i = 0; i < 100; i++)
+        {
+          e.kind = (mq_generation_event_kind)g_rand_int_range (
+              rand, MQ_GENERATION_OFFER, MQ_GENERATION_TICK + 1);
+          e.now_us = now += (uint64_t)g_rand_int_range (rand, 1, 3000000);
+          e.peer = (uint64_t)g_rand_int_range (rand, 0, 4);
+          e.generation = (uint64_t)g_rand_int_range (rand, 0, 12);
+          e.count = (uint32_t)g_rand_int_range (rand, 0, 3);
+          e.cut_off_us = 5000000;
+          mq_generation_handle (&g, &e, actions);
+          for (guint k = 0; k < actions->len; k++)
+            {
+              const mq_generation_action &a
+                  = g_array_index (actions, mq_generation_action, k);
+
+              if (a.kind != MQ_GENERATION_TAKE)
+                continue;
+              reverts = reverts || a.generation <= in_force;
+              in_force = a.generation;
+            }
+          g_array_set_size (actions, 0);
+        }
+    }
+  g_array_unref (actions);
+  g_rand_free (rand);
+  return reverts;
+}
+
+TEST (GenerationProperties, WhatIsInForceNeverReverts)
+{
+  EXPECT_FALSE (generation_reverts ());
+#ifdef MQ_DEFECTS
+  mq_defect_enable (MQ_DEFECT_LOWER_GENERATION_TAKEN);
+  EXPECT_TRUE (generation_reverts ());
+  mq_defect_enable (MQ_DEFECT_NONE);
+#endif
+}
