Spread connections over shards of 128

Cause: perf showed 26% of the relay's time at 2,000 streams in one loop of libmicrohttpd, which walks over all suspended connections of a daemon each time one was resumed.

Ruled out: writing chunks to the socket past the library (a transport of our own); running the daemon less often (delays every token).

The server now accepts connections itself and rests when descriptors run out; a write from a prepare watcher or from a run no longer waits for the next wake of the loop.

--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -1,4 +1,4 @@
-/* Internal to packages/net: what http_server.c and http_exchange.c share.
+/* Internal to packages/net: an exchange as the server's modules see it.
 
    An exchange passes through its phases in order, and only forwards:
 
@@ -15,7 +15,7 @@
 #define MQ_INTERNAL_HTTP_EXCHANGE_H
 
 #include <mq/http_server.h>
-#include <mq/internal/http_tls.h>
+#include <mq/internal/http_server.h>
 
 #include <microhttpd.h>
 #include <stdbool.h>
@@ -36,7 +36,7 @@
 /* One connection, which carries one exchange after another.  */
 typedef struct mq_http_connection
 {
-  mq_http_server *server;     /* Borrowed.  */
+  mq_http_shard *shard;       /* Borrowed.  */
   mq_http_exchange *exchange; /* The present one, borrowed, or NULL.  */
   GList link;                 /* In the server's list.  */
   ev_tstamp since;            /* When it began to wait for a request.  */
@@ -95,12 +95,6 @@
                             mq_http_server_event_kind kind,
                             mq_http_exchange *exchange);
 
-/* Of http_server.c: let libmicrohttpd run once in this loop iteration.  */
-void mq_http_server_wake (mq_http_server *server);
-
-/* Of http_server.c: true when connections should close after the answer.  */
-bool mq_http_server_is_quiet (const mq_http_server *server);
-
 G_END_DECLS
 
 #endif
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -89,7 +89,7 @@
       g_free (name);
       g_free (value);
     }
-  if (mq_http_server_is_quiet (exchange->server))
+  if (exchange->server->listen_fd < 0)
     MHD_add_response_header (response, "Connection", "close");
 }
 
@@ -101,7 +101,7 @@
     return;
   exchange->suspended = false;
   MHD_resume_connection (exchange->mhd);
-  mq_http_server_wake (exchange->server);
+  mq_http_shard_wake (exchange->connection->shard);
 }
 
 static size_t
@@ -187,7 +187,7 @@
 
   x->refs = 1;
   x->phase = MQ_HTTP_PHASE_HEAD;
-  x->server = connection->server;
+  x->server = connection->shard->server;
   x->connection = connection;
   x->mhd = mhd;
   x->link.data = x;
--- /dev/null
+++ b/packages/net/http_shard.c
@@ -0,0 +1,372 @@
+/* One daemon of libmicrohttpd in the libev loop: see
+   mq/internal/http_server.h.
+
+   libmicrohttpd keeps its sockets in an epoll set of its own, whose
+   descriptor libev watches.  Whatever makes work for it only marks the shard
+   as due; it runs once the loop has handled all events of an iteration.  */
+
+#include <mq/internal/http_exchange.h>
+
+#include <mq/log.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <netinet/in.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+
+#define CONNECTION_LIMIT 16384
+#define CONNECTION_MEMORY (16 * 1024)
+
+/* libmicrohttpd fills a resumed connection's buffer in one run and sends it
+   in the next.  */
+#define RUNS_IN_A_ROW 2
+
+/* An oversized body is read on, so that its sender sees the 413, but not for
+   ever.  */
+#define DISCARD_LIMIT ((size_t)64 * 1024 * 1024)
+
+#define TOO_LARGE                                                             \
+  "{\"error\":{\"code\":\"body-too-large\",\"reason\":\"the body is larger "  \
+  "than this server takes\",\"outcome\":\"not-run\"}}\n"
+
+/* The IP number of ADDRESS as text.  */
+static void
+shard_print_address (const struct sockaddr *address, char *text, size_t size)
+{
+  const struct sockaddr_in *v4 = (const void *)address;
+  const struct sockaddr_in6 *v6 = (const void *)address;
+
+  text[0] = '\0';
+  if (address->sa_family == AF_INET)
+    inet_ntop (AF_INET, &v4->sin_addr, text, (socklen_t)size);
+  else if (address->sa_family == AF_INET6)
+    inet_ntop (AF_INET6, &v6->sin6_addr, text, (socklen_t)size);
+}
+
+static void
+shard_connection_started (mq_http_shard *shard, struct MHD_Connection *mhd,
+                          void **slot)
+{
+  mq_http_server *server = shard->server;
+  mq_http_connection *c = g_new0 (mq_http_connection, 1);
+  const union MHD_ConnectionInfo *session
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_GNUTLS_SESSION);
+  struct epoll_event e = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = c };
+
+  c->shard = shard;
+  c->link.data = c;
+  c->since = ev_now (server->loop);
+  g_queue_push_tail_link (&server->connections, &c->link);
+  if (server->tls != NULL && session != NULL)
+    {
+      c->tls = mq_http_tls_ref (server->tls);
+      mq_http_tls_use (c->tls, session->tls_session);
+    }
+  c->fd = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
+              ->connect_fd;
+  shard_print_address (
+      MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CLIENT_ADDRESS)
+          ->client_addr,
+      c->peer, sizeof c->peer);
+  if (epoll_ctl (server->hangup_fd, EPOLL_CTL_ADD, c->fd, &e) < 0)
+    mq_log (G_LOG_LEVEL_WARNING, "http.hangup-watch-failed", "errno=%d",
+            errno);
+  shard->n_connections++;
+  *slot = c;
+}
+
+static void
+shard_connection_closed (mq_http_shard *shard, void **slot)
+{
+  mq_http_connection *c = *slot;
+
+  epoll_ctl (shard->server->hangup_fd, EPOLL_CTL_DEL, c->fd, NULL);
+  shard->n_connections--;
+  g_queue_unlink (&shard->server->connections, &c->link);
+  mq_http_tls_unref (c->tls);
+  g_free (c);
+  *slot = NULL;
+}
+
+static void
+shard_notify_connection (void *context, struct MHD_Connection *mhd,
+                         void **slot, enum MHD_ConnectionNotificationCode code)
+{
+  switch (code)
+    {
+    case MHD_CONNECTION_NOTIFY_STARTED:
+      shard_connection_started (context, mhd, slot);
+      break;
+    case MHD_CONNECTION_NOTIFY_CLOSED:
+      shard_connection_closed (context, slot);
+      break;
+    }
+}
+
+/* The request line has arrived.  The result becomes the request's slot.  */
+static void *
+shard_request_line (void *context, const char *uri, struct MHD_Connection *mhd)
+{
+  mq_http_shard *shard = context;
+  mq_http_server *s = shard->server;
+  mq_http_connection *c
+      = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_SOCKET_CONTEXT)
+            ->socket_context;
+  mq_http_exchange *x = mq_http_exchange_new (c, mhd, uri);
+
+  c->exchange = x;
+  g_queue_push_tail_link (&s->exchanges, &x->link);
+  return x;
+}
+
+/* The connection is done with the request in SLOT, for the reason CODE.  */
+static void
+shard_request_completed (void *context, struct MHD_Connection *mhd,
+                         void **slot, enum MHD_RequestTerminationCode code)
+{
+  mq_http_shard *shard = context;
+  mq_http_server *s = shard->server;
+  mq_http_exchange *x = *slot;
+
+  (void)mhd;
+  if (x == NULL)
+    return;
+  *slot = NULL;
+  x->connection->exchange = NULL;
+  x->connection->since = ev_now (s->loop);
+  g_queue_unlink (&s->exchanges, &x->link);
+  mq_http_exchange_detach (x);
+  if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
+    mq_http_exchange_lose (x);
+  mq_http_exchange_unref (x);
+}
+
+static void
+shard_take_body (mq_http_server *server, mq_http_exchange *exchange,
+                 const char *data, size_t size)
+{
+  if (exchange->over_limit || exchange->body->len + size > server->body_limit)
+    {
+      exchange->over_limit = true;
+      exchange->discarded += size;
+      g_string_truncate (exchange->body, 0);
+      return;
+    }
+  g_string_append_len (exchange->body, data, (gssize)size);
+}
+
+/* The whole request has arrived: report it, or answer for the user.  */
+static void
+shard_take_request (mq_http_server *server, mq_http_exchange *exchange)
+{
+  static const mq_http_header type
+      = { { "Content-Type", sizeof "Content-Type" - 1 },
+          { "application/json", sizeof "application/json" - 1 } };
+
+  exchange->phase = MQ_HTTP_PHASE_WAITING;
+  if (exchange->over_limit)
+    mq_http_exchange_reply (exchange, MHD_HTTP_CONTENT_TOO_LARGE, &type, 1,
+                            MQ_SPAN (TOO_LARGE));
+  else
+    mq_http_server_report (server, MQ_HTTP_SERVER_REQUEST, exchange);
+  if (exchange->connection != NULL && exchange->connection->hung_up)
+    mq_http_exchange_lose (exchange);
+}
+
+/* Queue the answer if there is one, else put the connection aside.  */
+static enum MHD_Result
+shard_answer (mq_http_exchange *exchange)
+{
+  enum MHD_Result r;
+
+  if (exchange->phase == MQ_HTTP_PHASE_CUT)
+    return MHD_NO;
+  if (exchange->response == NULL)
+    {
+      exchange->suspended = true;
+      MHD_suspend_connection (exchange->mhd);
+      return MHD_YES;
+    }
+  r = MHD_queue_response (exchange->mhd, exchange->status, exchange->response);
+  g_clear_pointer (&exchange->response, MHD_destroy_response);
+  return r;
+}
+
+/* A caller that waits for "100 Continue" need not send a body that is too
+   large.  */
+static bool
+shard_refuses_head (const mq_http_server *server,
+                    const mq_http_exchange *exchange)
+{
+  mq_span length = mq_http_exchange_header (exchange, "Content-Length");
+  uint64_t n;
+
+  return mq_http_exchange_header (exchange, "Expect").data != NULL
+         && mq_span_to_u64 (length, &n) == 0 && n > server->body_limit;
+}
+
+/* libmicrohttpd's access handler: called for the headers, for each piece of
+   the body, for the end of the body and after each resume.  */
+static enum MHD_Result
+shard_access (void *context, struct MHD_Connection *mhd, const char *url,
+              const char *method, const char *version, const char *data,
+              size_t *size, void **slot)
+{
+  mq_http_shard *shard = context;
+  mq_http_server *s = shard->server;
+  mq_http_exchange *x = *slot;
+
+  (void)mhd;
+  (void)url;
+  (void)version;
+  if (x->phase == MQ_HTTP_PHASE_HEAD)
+    {
+      mq_http_exchange_read_head (x, method);
+      x->phase = MQ_HTTP_PHASE_BODY;
+      if (!shard_refuses_head (s, x))
+        return MHD_YES;
+      x->over_limit = true;
+    }
+  if (*size > 0)
+    {
+      shard_take_body (s, x, data, *size);
+      *size = 0;
+      return x->discarded > DISCARD_LIMIT ? MHD_NO : MHD_YES;
+    }
+  if (x->phase == MQ_HTTP_PHASE_BODY)
+    shard_take_request (s, x);
+  return shard_answer (x);
+}
+
+static void
+shard_log (void *context, const char *format, va_list args)
+{
+  char *text;
+
+  (void)context;
+  if (!mq_log_enabled (G_LOG_LEVEL_DEBUG))
+    return;
+  text = g_strdup_vprintf (format, args);
+  mq_log (G_LOG_LEVEL_DEBUG, "http.library", "text=%s",
+          mq_log_quote (g_strchomp (text)));
+  g_free (text);
+}
+
+static void
+shard_io_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  mq_http_shard_wake (watcher->data);
+}
+
+static void
+shard_timer_ready (struct ev_loop *loop, ev_timer *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  mq_http_shard_wake (watcher->data);
+}
+
+static struct MHD_Daemon *
+shard_start_daemon (mq_http_shard *shard)
+{
+  mq_http_server *s = shard->server;
+  const unsigned flags = MHD_USE_EPOLL | MHD_USE_TURBO
+                         | MHD_USE_NO_LISTEN_SOCKET | MHD_ALLOW_SUSPEND_RESUME
+                         | MHD_USE_ERROR_LOG;
+  /* libmicrohttpd wants a certificate before it does TLS, though each session
+     is given its credentials when its connection starts.  */
+  struct MHD_OptionItem tls[]
+      = { { MHD_OPTION_HTTPS_MEM_CERT, 0, s->pem_certificate },
+          { MHD_OPTION_HTTPS_MEM_KEY, 0, s->pem_key },
+          { MHD_OPTION_END, 0, NULL } };
+  struct MHD_OptionItem plain[] = { { MHD_OPTION_END, 0, NULL } };
+
+  return MHD_start_daemon (
+      s->tls == NULL ? flags : flags | MHD_USE_TLS, 0, NULL, NULL,
+      shard_access, shard,
+      /* The logger goes first, to see all.  */
+      MHD_OPTION_EXTERNAL_LOGGER, shard_log, shard, MHD_OPTION_ARRAY,
+      s->tls == NULL ? plain : tls, MHD_OPTION_CONNECTION_LIMIT,
+      (unsigned)CONNECTION_LIMIT, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT, s->idle_s,
+      MHD_OPTION_URI_LOG_CALLBACK, shard_request_line, shard,
+      MHD_OPTION_NOTIFY_COMPLETED, shard_request_completed, shard,
+      MHD_OPTION_NOTIFY_CONNECTION, shard_notify_connection, shard,
+      MHD_OPTION_END);
+}
+
+mq_http_shard *
+mq_http_shard_new (mq_http_server *server)
+{
+  mq_http_shard *s = g_new0 (mq_http_shard, 1);
+  int fd;
+
+  s->server = server;
+  s->due_link.data = s;
+  s->daemon = shard_start_daemon (s);
+  if (s->daemon == NULL)
+    {
+      g_free (s);
+      return NULL;
+    }
+  fd = MHD_get_daemon_info (s->daemon, MHD_DAEMON_INFO_EPOLL_FD)->epoll_fd;
+  ev_io_init (&s->io, shard_io_ready, fd, EV_READ);
+  ev_timer_init (&s->timer, shard_timer_ready, 0., 0.);
+  s->io.data = s;
+  s->timer.data = s;
+  ev_io_start (server->loop, &s->io);
+  return s;
+}
+
+void
+mq_http_shard_free (mq_http_shard *shard)
+{
+  mq_http_server *s = shard->server;
+
+  ev_io_stop (s->loop, &shard->io);
+  ev_timer_stop (s->loop, &shard->timer);
+  MHD_stop_daemon (shard->daemon);
+  if (shard->due)
+    g_queue_unlink (&s->due, &shard->due_link);
+  g_free (shard);
+}
+
+void
+mq_http_shard_add (mq_http_shard *shard, int fd,
+                   const struct sockaddr *address, socklen_t size)
+{
+  MHD_add_connection (shard->daemon, fd, address, size);
+  mq_http_shard_wake (shard);
+}
+
+void
+mq_http_shard_wake (mq_http_shard *shard)
+{
+  if (shard->due)
+    return;
+  shard->due = true;
+  g_queue_push_tail_link (&shard->server->due, &shard->due_link);
+}
+
+void
+mq_http_shard_run (mq_http_shard *shard)
+{
+  struct ev_loop *loop = shard->server->loop;
+  MHD_UNSIGNED_LONG_LONG ms = 0;
+  bool timed = true;
+
+  for (int i = 0; i < RUNS_IN_A_ROW && timed && ms == 0; i++)
+    {
+      MHD_run (shard->daemon);
+      timed = MHD_get_timeout (shard->daemon, &ms) == MHD_YES;
+    }
+  ev_timer_stop (loop, &shard->timer);
+  if (!timed)
+    return;
+  ev_timer_set (&shard->timer, (ev_tstamp)ms / 1000., 0.);
+  ev_timer_start (loop, &shard->timer);
+}
