--- a/include/mq/internal/defect.h
+++ b/include/mq/internal/defect.h
@@ -33,6 +33,9 @@
   MQ_DEFECT_DOUBT_DENIED,           /* A write in doubt is told as none.  */
   MQ_DEFECT_RACE_OVERWRITES,        /* Others' changes are undone unseen.  */
   MQ_DEFECT_LOWER_GENERATION_TAKEN, /* Whatever is loaded is in force.  */
+  MQ_DEFECT_FOREIGN_TICKET,         /* One of another incarnation runs.  */
+  MQ_DEFECT_LEASE_CLOCK_IGNORED,    /* The holder never looks at its clock. */
+  MQ_DEFECT_CLAIM_LOST_REPLY_WON,   /* A claim without a reply counts as won */
   MQ_DEFECT_COUNT
 } mq_defect;
 
--- a/packages/base/defect.c
+++ b/packages/base/defect.c
@@ -21,6 +21,9 @@
   [MQ_DEFECT_DOUBT_DENIED] = "doubt-denied",
   [MQ_DEFECT_RACE_OVERWRITES] = "race-overwrites",
   [MQ_DEFECT_LOWER_GENERATION_TAKEN] = "lower-generation-taken",
+  [MQ_DEFECT_FOREIGN_TICKET] = "foreign-ticket",
+  [MQ_DEFECT_LEASE_CLOCK_IGNORED] = "lease-clock-ignored",
+  [MQ_DEFECT_CLAIM_LOST_REPLY_WON] = "claim-lost-reply-won",
 };
 
 #ifdef MQ_DEFECTS
