Move from attempts that crawl; never open a plan that has grown old

Cause of the second: in the fault matrix (paused past lease x VM leaves) a router that slept for 4 s between its ask and the planner's answer woke up, took the answer from its queue and opened a stream on an engine that had been leaving for more than 3 s. Ruled out: the planner, which had refused that engine for everybody else. A plan older than 1 s by the entry's clock is now given back and asked for again, also when a claim took that long.

The first: a link that slows tenfold ended the request as hopeless although another pipeline could have made it. An attempt four times slower than planned that will be late moves once, if a plan as before would be in time.

--- a/include/mq/entry.h
+++ b/include/mq/entry.h
@@ -241,6 +241,7 @@
   uint64_t wrong_receipts;   /* Layers or versions not as planned.  */
   uint64_t streams;          /* Opened.  */
   uint64_t stalls;
+  uint64_t crawls;         /* Attempts given up because they were too slow.  */
   uint64_t replans;        /* Plans asked for after the first.  */
   uint64_t queued_replans; /* Of those: had to wait for their turn.  */
   uint64_t sends;          /* To plain services, retries too.  */
--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -59,6 +59,7 @@
   bool may_have_run; /* An attempt that is over may have started work.  */
   bool seen_running; /* An upstream gave proof of work.  */
   bool caller_gone;  /* Nobody waits; it runs on to learn its outcome.  */
+  bool moved_slow;   /* Model: an attempt was given up for its slowness.  */
   bool plan_held;    /* Model: the planner counts the present attempt.  */
   bool repeatable;   /* Plain: declared so, or the service honours its key. */
 
@@ -77,6 +78,7 @@
   uint32_t gaps[MQ_REQUEST_GAPS]; /* Last gaps between its tokens, us.  */
   uint32_t attempt_tokens;        /* Delivered in it.  */
   uint32_t expected_tokens;       /* In the whole answer; 0: not known.  */
+  uint64_t asked_us;              /* When its plan was asked for.  */
   uint64_t planned_gap_us;        /* Between tokens, by the planner.  */
   uint32_t lost;                  /* Attempts that were out and failed.  */
 
@@ -107,6 +109,9 @@
    work is too high by a fair margin.  */
 uint64_t mq_request_hopeless_us (const mq_request *request);
 bool mq_request_is_hopeless (const mq_request *request, uint64_t now_us);
+/* Its present attempt is so much slower than planned that it will be late
+   even for its longest answer, and another as planned would not be.  */
+bool mq_request_is_crawling (const mq_request *request, uint64_t now_us);
 /* Take the planner's FIGURES for the next attempt.  */
 void mq_request_note_plan (mq_request *request,
                            const mq_plan_figures *figures);
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -3,6 +3,12 @@
 #include <mq/internal/defect.h>
 #include <mq/internal/request.h>
 
+/* An attempt crawls when its gap is so many times the planned one.  */
+#define CRAWL_FACTOR 4
+/* How much of the time that a new attempt is planned to take must be left
+   over for it to be worth a move, in percent of that time.  */
+#define MOVE_RESERVE_PERCENT 150
+
 /* How much of the estimated work counts before a request is given up, in
    percent: estimates err, and a request ended in error is a lost one.  The
    planner's word is trusted less than what was measured on the stream.  */
@@ -156,6 +162,21 @@
   return mq_request_hopeless_us (request) < now_us;
 }
 
+bool
+mq_request_is_crawling (const mq_request *request, uint64_t now_us)
+{
+  uint64_t gap = request_measured_gap (request);
+  uint64_t rest = request->max_tokens - request->tokens;
+  uint64_t left = mq_request_left (request, now_us);
+  uint64_t anew
+      = request->figures.predicted_first_us + rest * request->planned_gap_us;
+
+  if (request->planned_gap_us == 0
+      || gap < CRAWL_FACTOR * request->planned_gap_us)
+    return false;
+  return rest * gap > left && anew * MOVE_RESERVE_PERCENT / 100 < left;
+}
+
 void
 mq_request_note_plan (mq_request *request, const mq_plan_figures *figures)
 {
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -20,6 +20,9 @@
 /* Back-off after a refused recovery.  */
 #define REST_BASE_US 10000
 #define REST_CAP_US 1000000
+/* A plan older than this is not opened: a router that was paused would put
+   work on engines that have left since.  */
+#define PLAN_LIFE_US 1000000
 /* How long the head's last line may come after the last token.  */
 #define LAST_LINE_US 50000
 /* A first token may take so many times longer than predicted.  */
@@ -295,6 +298,7 @@
   request->attempt++;
   request->attempt_tokens = 0;
   request->plan_held = true;
+  request->asked_us = entry->now_us;
   request->expected_tokens = mq_answer_lengths_expect (
       entry->lengths, mq_str_span (request->service), request->max_tokens);
   if (request->attempt > 1)
@@ -354,6 +358,12 @@
   mq_entry_action *a;
   mq_decision d;
 
+  if (entry->now_us - request->asked_us > PLAN_LIFE_US)
+    {
+      stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
+      mq_stream_ask (entry, request);
+      return;
+    }
   if (!request->may_have_run)
     {
       d = mq_entry_decision (entry, request, MQ_DECISION_ADMITTED);
@@ -380,6 +390,23 @@
     mq_entry_enter (entry, request, MQ_REQUEST_STREAMING);
 }
 
+/* Move away from an attempt that crawls, once; end what has no hope.  */
+static void
+stream_judge_pace (mq_entry *entry, mq_request *request)
+{
+  if (mq_entry_keeps_deadlines (entry) && !request->moved_slow
+      && mq_request_is_crawling (request, entry->now_us))
+    {
+      request->moved_slow = true;
+      entry->counters.crawls++;
+      stream_avoid_all (request);
+      stream_lose (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE,
+                   true, false);
+    }
+  else if (stream_has_no_hope (entry, request))
+    mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+}
+
 void
 mq_stream_token (mq_entry *entry, mq_request *request,
                  const mq_entry_event *event)
@@ -421,8 +448,7 @@
   a = mq_entry_emit (entry, request, MQ_ENTRY_DELIVER);
   a->u.deliver.position = position;
   a->u.deliver.text = event->u.token.text;
-  if (stream_has_no_hope (entry, request))
-    mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+  stream_judge_pace (entry, request);
 }
 
 void
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -247,6 +247,20 @@
     handle (e);
   }
 
+  /* A plan that is to take FIRST until its first token and GAP for each of
+     TOKENS.  */
+  void
+  planned_with (uint64_t name, uint32_t attempt, const mq_plan *plan,
+                uint64_t first, uint64_t gap, uint32_t tokens)
+  {
+    mq_entry_event e = make (MQ_ENTRY_PLANNED, name, attempt);
+    e.u.planned.admitted = true;
+    e.u.planned.plan = plan;
+    e.u.planned.figures.predicted_first_us = first;
+    e.u.planned.figures.predicted_finish_us = first + gap * (tokens - 1);
+    handle (e);
+  }
+
   void
   refused (uint64_t name, uint32_t attempt, mq_reason reason,
            uint64_t retry_after_us = 0)
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -347,6 +347,69 @@
   EXPECT_EQ (d.counters ().ended_early, 0u);
 }
 
+TEST (EntryStream, MovesOnceFromAnAttemptThatCrawls)
+{
+  Driver d;
+  Plan p;
+  Plan other (3);
+  mq_call c = d.model_call ();
+
+  /* Planned: 100 tokens at 10 ms.  The link slows tenfold.  */
+  c.max_tokens = 100;
+  c.deadline_us = 4 * SECOND;
+  d.call (1, c);
+  d.limited (1);
+  d.planned_with (1, 1, &p.plan, 20 * MS, 10 * MS, 100);
+  d.tokens (1, 1, 0, 10, 10 * MS);
+  while (d.count (MQ_ENTRY_ASK_PLAN) == 0)
+    {
+      ASSERT_EQ (mq_entry_in_flight (d.entry), 1u);
+      d.now += 100 * MS;
+      d.token (1, 1, (uint32_t)d.counters ().tokens);
+    }
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (avoided (d.find (MQ_ENTRY_ASK_PLAN).u.ask), "e0 e1 e2 ");
+  EXPECT_LT (d.counters ().tokens, 22u);
+  uint32_t sent = (uint32_t)d.counters ().tokens;
+  d.planned_with (1, 2, &other.plan, 20 * MS, 10 * MS, 100 - sent);
+  d.tokens (1, 2, sent, 100, 10 * MS);
+  d.stream_end (1, 2, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+  EXPECT_EQ (d.counters ().crawls, 1u);
+}
+
+TEST (EntryStream, DoesNotOpenAPlanThatIsOldWhenItComes)
+{
+  Driver d;
+  Plan p;
+
+  /* The router was paused between its ask and the answer.  */
+  d.call (1, d.model_call ());
+  d.limited (1);
+  d.now += 2 * SECOND;
+  d.planned (1, 1, &p.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 0u);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 1u);
+  ASSERT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  d.planned (1, 2, &p.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u);
+}
+
+TEST (EntryStream, DoesNotOpenAPlanThatGrewOldWhileItsKeyWasClaimed)
+{
+  Driver d;
+  Plan p;
+
+  d.call (1, d.guarded (d.model_call (), MQ_GUARD_KEY, "k"));
+  d.limited (1);
+  d.planned (1, 1, &p.plan);
+  d.now += 1500 * MS;
+  d.claimed (1, MQ_CLAIM_WON);
+  ASSERT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 1u);
+  d.planned (1, 2, &p.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u) << "the claim holds";
+}
+
 TEST (EntryStream, AWholeAnswerDoesNotWaitForItsLastLine)
 {
   Driver d;
