--- a/include/mq/order.h
+++ b/include/mq/order.h
@@ -9,7 +9,13 @@
    after the lease was taken, until no order of an earlier holder can still
    be under way, then reads back; and for as long as the lease is held it
    reads them again now and then and repeats the order when something else
-   stands there.  So the last holder's wanted end is what remains.
+   stands there.  So the last holder's wanted end is what remains.  One that
+   checks the number is ordered once by each holder even when it holds what
+   is wanted already: that raises its number above all that may still come.
+
+   A wanted end that was reached is forgotten when the lease is lost or given
+   back, and one that waits too long for the lease is dropped: the planner
+   asks again for what is still missing, and nothing stale is ever ordered.
 
    Pure: time is passed in, monotonic.  */
 
@@ -125,6 +131,7 @@
   uint64_t bytes_per_s;  /* Weight store's rate; 0: no limit.  */
   uint32_t concurrent;   /* Engines that load at once; 0: no limit.  */
   uint64_t load_time_us; /* A load that takes longer is ordered again.  */
+  uint64_t patience_us;  /* How long a wanted end waits to be reached.  */
 } mq_orders_options;
 
 typedef struct mq_orders mq_orders;
@@ -135,6 +142,9 @@
 /* An empty list whose elements are cleared when they are removed.  */
 GArray *mq_orders_actions_new (void);
 
+/* Give up what ACTION, taken out of such a list, owns.  */
+void mq_orders_action_clear (mq_orders_action *action);
+
 void mq_orders_handle (mq_orders *orders, const mq_orders_event *event,
                        GArray *actions);
 
--- a/include/mq/ticket.h
+++ b/include/mq/ticket.h
@@ -138,8 +138,8 @@
 mq_ticket_answer mq_ticket_answer_elsewhere (mq_ticket_router router,
                                              bool hint_listed);
 
-/* Tickets whose lifetime is not over at NOW_US, and the bytes held for
-   them.  */
+/* Tickets whose lifetime is not over at NOW_US, rounded up to whole batches,
+   and the bytes held for them.  */
 uint32_t mq_tickets_outstanding (mq_tickets *tickets, uint64_t now_us);
 size_t mq_tickets_memory (const mq_tickets *tickets);
 
--- /dev/null
+++ b/packages/decide/lease.c
@@ -0,0 +1,449 @@
+/* Leases: see mq/lease.h.
+
+   At most one step (a read or a write) is under way.  What is known of the
+   object is its version and when this router first saw that version; a lease
+   of another is over when its version has stood unchanged for the lease's
+   whole duration and the margin.  */
+
+#include <mq/lease.h>
+
+#include <inttypes.h>
+#include <json-c/json.h>
+#include <mq/internal/defect.h>
+#include <string.h>
+
+#define HOLDER_SIZE 20
+#define WRITER_SIZE 44
+#define PERCENT 100
+/* A holder renews after this part of the duration.  */
+#define RENEW_PARTS 3
+
+typedef enum lease_step
+{
+  STEP_NONE,
+  STEP_READ,
+  STEP_TAKE,   /* A write that takes or renews.  */
+  STEP_RELEASE /* A write that gives up.  */
+} lease_step;
+
+/* What stands in the object.  */
+typedef struct lease_object
+{
+  char holder[HOLDER_SIZE];
+  char writer[WRITER_SIZE];
+  uint64_t duration_us;
+} lease_object;
+
+struct mq_lease
+{
+  mq_lease_options options;
+  char holder[HOLDER_SIZE]; /* This router.  */
+  char writer[WRITER_SIZE]; /* Of the last write.  */
+  bool wanted;
+  bool held;       /* HELD was told and LOST was not.  */
+  bool gives_back; /* Released while a renewal was under way.  A lease that
+                      was only being taken is left to run out instead: its
+                      last holder's orders may still be under way, which a
+                      lease given up in order denies.  */
+  uint64_t sequence;
+  lease_step step_kind;
+  uint32_t step;
+  uint64_t step_us;     /* When it began.  */
+  uint64_t written_us;  /* Before the last write was sent.  */
+  uint64_t version;     /* Last seen; 0: no object.  */
+  uint64_t seen_us;     /* When that version was first seen.  */
+  uint64_t duration_us; /* Of the lease seen.  */
+  bool handed_over;     /* The last write replaced a released lease.  */
+  uint64_t fencing;
+  uint64_t until_us;
+  uint64_t due_us; /* The next look or renewal.  */
+};
+
+static void
+lease_act (GArray *actions, mq_lease_action action)
+{
+  g_array_append_val (actions, action);
+}
+
+static void
+lease_begin (mq_lease *lease, lease_step kind, uint64_t now_us)
+{
+  lease->step_kind = kind;
+  lease->step++;
+  lease->step_us = now_us;
+}
+
+static void
+lease_read (mq_lease *lease, uint64_t now_us, GArray *actions)
+{
+  lease_begin (lease, STEP_READ, now_us);
+  lease_act (actions,
+             (mq_lease_action){ .kind = MQ_LEASE_READ, .step = lease->step });
+}
+
+static void
+lease_write (mq_lease *lease, lease_step kind, uint64_t now_us,
+             GArray *actions)
+{
+  lease_begin (lease, kind, now_us);
+  lease->sequence++;
+  g_snprintf (lease->writer, sizeof lease->writer, "%s-%" PRIu64,
+              lease->holder, lease->sequence);
+  if (kind == STEP_TAKE)
+    lease->written_us = now_us;
+  lease_act (actions, (mq_lease_action){
+                          .kind = MQ_LEASE_WRITE,
+                          .step = lease->step,
+                          .version = lease->version,
+                          .value = mq_str_printf (
+                              "{\"holder\":\"%s\",\"writer\":\"%s\","
+                              "\"duration_us\":%" PRIu64 "}",
+                              kind == STEP_TAKE ? lease->holder : "",
+                              lease->writer, lease->options.duration_us) });
+}
+
+static void
+lease_lose (mq_lease *lease, GArray *actions)
+{
+  if (!lease->held)
+    return;
+  lease->held = false;
+  lease->until_us = 0;
+  lease_act (actions, (mq_lease_action){ .kind = MQ_LEASE_LOST });
+}
+
+/* The last write that takes is in force as VERSION.  */
+static void
+lease_confirm (mq_lease *lease, uint64_t version, uint64_t now_us,
+               GArray *actions)
+{
+  uint64_t usable = lease->options.duration_us
+                    * (PERCENT - lease->options.margin_percent) / PERCENT;
+
+  lease->version = version;
+  lease->seen_us = now_us;
+  lease->fencing = version;
+  if (now_us >= lease->written_us + usable)
+    {
+      /* Paused for so long that it is over already: renew it.  */
+      lease_lose (lease, actions);
+      lease->handed_over = false;
+      lease_write (lease, STEP_TAKE, now_us, actions);
+      return;
+    }
+  lease->until_us = lease->written_us + usable;
+  lease->due_us = lease->written_us + lease->options.duration_us / RENEW_PARTS;
+  if (lease->held)
+    return;
+  lease->held = true;
+  lease_act (actions, (mq_lease_action){ .kind = MQ_LEASE_HELD,
+                                         .fencing = version,
+                                         .handed_over = lease->handed_over });
+}
+
+static int
+lease_parse (mq_span text, lease_object *object)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  json_object *root
+      = json_tokener_parse_ex (tokener, text.data, (int)text.size);
+  json_object *holder, *writer, *duration;
+  int result = -1;
+
+  if (json_object_object_get_ex (root, "holder", &holder)
+      && json_object_object_get_ex (root, "writer", &writer)
+      && json_object_object_get_ex (root, "duration_us", &duration)
+      && json_object_is_type (holder, json_type_string)
+      && json_object_is_type (writer, json_type_string))
+    {
+      g_strlcpy (object->holder, json_object_get_string (holder),
+                 sizeof object->holder);
+      g_strlcpy (object->writer, json_object_get_string (writer),
+                 sizeof object->writer);
+      object->duration_us = json_object_get_uint64 (duration);
+      result = 0;
+    }
+  json_object_put (root);
+  json_tokener_free (tokener);
+  return result;
+}
+
+/* When another's lease, as seen, is over.  */
+static uint64_t
+lease_over_us (const mq_lease *lease)
+{
+  return lease->seen_us
+         + lease->duration_us * (PERCENT + lease->options.margin_percent)
+               / PERCENT;
+}
+
+/* Another router's lease stands: wait until it is over.  */
+static void
+lease_wait (mq_lease *lease, uint64_t duration_us, uint64_t now_us,
+            GArray *actions)
+{
+  lease_lose (lease, actions);
+  lease->duration_us = duration_us;
+  lease->handed_over = false;
+  if (now_us >= lease_over_us (lease))
+    lease_write (lease, STEP_TAKE, now_us, actions);
+  else
+    lease->due_us
+        = MIN (now_us + lease->options.retry_us, lease_over_us (lease));
+}
+
+static void
+lease_found (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  const mq_store_reply *reply = &event->reply;
+  lease_object object;
+
+  if (reply->version != lease->version)
+    {
+      lease->version = reply->version;
+      lease->seen_us = event->now_us;
+    }
+  if (lease_parse (reply->value, &object) < 0)
+    {
+      /* Not ours to understand: treat it as a lease like our own.  */
+      lease_wait (lease, lease->options.duration_us, event->now_us, actions);
+      return;
+    }
+  if (strcmp (object.writer, lease->writer) == 0
+      && strcmp (object.holder, lease->holder) == 0)
+    {
+      lease_confirm (lease, reply->version, event->now_us, actions);
+      return;
+    }
+  if (*object.holder == '\0')
+    {
+      lease_lose (lease, actions);
+      lease->handed_over = true;
+      lease_write (lease, STEP_TAKE, event->now_us, actions);
+    }
+  else if (strcmp (object.holder, lease->holder) == 0)
+    {
+      /* An earlier write of ours; nobody took it since.  */
+      lease->handed_over = false;
+      lease_write (lease, STEP_TAKE, event->now_us, actions);
+    }
+  else
+    lease_wait (lease, object.duration_us, event->now_us, actions);
+}
+
+static void
+lease_looked (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  switch (event->reply.result)
+    {
+    case MQ_STORE_OK:
+      lease_found (lease, event, actions);
+      break;
+    case MQ_STORE_ABSENT:
+      lease_lose (lease, actions);
+      lease->version = 0;
+      lease->handed_over = true;
+      lease_write (lease, STEP_TAKE, event->now_us, actions);
+      break;
+    case MQ_STORE_CONFLICT:
+    case MQ_STORE_REFUSED:
+    case MQ_STORE_UNKNOWN:
+      lease->due_us = event->now_us + lease->options.retry_us;
+      break;
+    }
+}
+
+static void
+lease_wrote (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  switch (event->reply.result)
+    {
+    case MQ_STORE_OK:
+      lease_confirm (lease, event->reply.version, event->now_us, actions);
+      break;
+    case MQ_STORE_CONFLICT:
+    case MQ_STORE_ABSENT:
+    case MQ_STORE_UNKNOWN:
+      lease_read (lease, event->now_us, actions);
+      break;
+    case MQ_STORE_REFUSED:
+      lease->due_us = event->now_us + lease->options.retry_us;
+      break;
+    }
+}
+
+static void
+lease_reply (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  lease_step kind = lease->step_kind;
+
+  if (event->step != lease->step || kind == STEP_NONE)
+    return;
+  lease->step_kind = STEP_NONE;
+  if (kind == STEP_RELEASE && event->reply.result == MQ_STORE_OK)
+    lease->version = event->reply.version;
+  if (!lease->wanted)
+    {
+      if (lease->gives_back && kind == STEP_TAKE
+          && event->reply.result == MQ_STORE_OK)
+        {
+          lease->version = event->reply.version;
+          lease_write (lease, STEP_RELEASE, event->now_us, actions);
+        }
+      return;
+    }
+  switch (kind)
+    {
+    case STEP_READ:
+      lease_looked (lease, event, actions);
+      break;
+    case STEP_TAKE:
+      lease_wrote (lease, event, actions);
+      break;
+    case STEP_RELEASE:
+      lease_read (lease, event->now_us, actions);
+      break;
+    case STEP_NONE:
+      break;
+    }
+}
+
+static void
+lease_want (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  if (lease->wanted)
+    return;
+  lease->wanted = true;
+  lease->gives_back = false;
+  if (lease->step_kind == STEP_NONE)
+    lease_read (lease, event->now_us, actions);
+}
+
+static void
+lease_release (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  bool held = lease->held;
+
+  lease->wanted = false;
+  lease->held = false;
+  lease->gives_back = held;
+  lease->until_us = 0;
+  lease->due_us = UINT64_MAX;
+  if (held && lease->step_kind == STEP_NONE)
+    lease_write (lease, STEP_RELEASE, event->now_us, actions);
+}
+
+static void
+lease_tick (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  uint64_t now_us = event->now_us;
+
+  if (lease->held && now_us >= lease->until_us
+      && !mq_defect_enabled (MQ_DEFECT_LEASE_CLOCK_IGNORED))
+    lease_lose (lease, actions);
+  if (lease->step_kind != STEP_NONE)
+    {
+      if (now_us >= lease->step_us + lease->options.timeout_us)
+        {
+          mq_lease_event lost = { .kind = MQ_LEASE_REPLY,
+                                  .now_us = now_us,
+                                  .step = lease->step,
+                                  .reply = { .result = MQ_STORE_UNKNOWN } };
+
+          lease_reply (lease, &lost, actions);
+        }
+      return;
+    }
+  if (!lease->wanted || now_us < lease->due_us)
+    return;
+  if (lease->held)
+    lease_write (lease, STEP_TAKE, now_us, actions);
+  else
+    lease_read (lease, now_us, actions);
+}
+
+static void
+action_clear (gpointer data)
+{
+  mq_lease_action *a = data;
+
+  mq_str_unref (a->value);
+}
+
+mq_lease *
+mq_lease_new (const mq_lease_options *options)
+{
+  mq_lease *lease = g_new0 (mq_lease, 1);
+
+  lease->options = *options;
+  g_snprintf (lease->holder, sizeof lease->holder, "%016" PRIx64,
+              options->router);
+  lease->due_us = UINT64_MAX;
+  return lease;
+}
+
+void
+mq_lease_free (mq_lease *lease)
+{
+  g_free (lease);
+}
+
+GArray *
+mq_lease_actions_new (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (mq_lease_action));
+
+  g_array_set_clear_func (actions, action_clear);
+  return actions;
+}
+
+void
+mq_lease_handle (mq_lease *lease, const mq_lease_event *event, GArray *actions)
+{
+  switch (event->kind)
+    {
+    case MQ_LEASE_WANT:
+      lease_want (lease, event, actions);
+      break;
+    case MQ_LEASE_RELEASE:
+      lease_release (lease, event, actions);
+      break;
+    case MQ_LEASE_REPLY:
+      lease_reply (lease, event, actions);
+      break;
+    case MQ_LEASE_TICK:
+      lease_tick (lease, event, actions);
+      break;
+    }
+}
+
+uint64_t
+mq_lease_fencing (const mq_lease *lease, uint64_t now_us)
+{
+  if (!lease->held)
+    return 0;
+  if (now_us >= lease->until_us
+      && !mq_defect_enabled (MQ_DEFECT_LEASE_CLOCK_IGNORED))
+    return 0;
+  return lease->fencing;
+}
+
+uint64_t
+mq_lease_until (const mq_lease *lease)
+{
+  return lease->held ? lease->until_us : 0;
+}
+
+uint64_t
+mq_lease_next_tick (const mq_lease *lease)
+{
+  uint64_t due = UINT64_MAX;
+
+  if (lease->step_kind != STEP_NONE)
+    due = lease->step_us + lease->options.timeout_us;
+  else if (lease->wanted)
+    due = lease->due_us;
+  if (lease->held)
+    due = MIN (due, lease->until_us);
+  return due;
+}
--- /dev/null
+++ b/packages/decide/order.c
@@ -0,0 +1,556 @@
+/* Orders: see mq/order.h.
+
+   Each engine that is to be ordered goes through
+     PAUSED -> READING -> (SENDING -> PAUSED -> READING)* -> REACHED
+   where PAUSED waits for a due time, for the lease or for a turn.  Nothing
+   is ever sent on the strength of an old read: an order follows the read
+   that showed it to be needed.  */
+
+#include <mq/order.h>
+
+#include <mq/internal/defect.h>
+#include <string.h>
+
+#define US_PER_S 1000000
+
+typedef enum order_state
+{
+  ORDER_PAUSED,
+  ORDER_READING,
+  ORDER_SENDING,
+  ORDER_REACHED
+} order_state;
+
+/* One engine and its wanted end.  */
+typedef struct order
+{
+  uint64_t id;
+  mq_str *engine;
+  mq_str *model;
+  mq_str *version;
+  uint32_t first;
+  uint32_t end;
+  bool checks_fencing;
+  uint64_t weight_bytes;
+  order_state state;
+  bool loading;           /* An order was sent and has not been reached. */
+  bool told;              /* REACHED was said since the last order.  */
+  uint64_t load_until_us; /* After that a load is ordered again.  */
+  uint64_t due_us;
+  uint64_t dropped_us; /* If it is not reached by then.  */
+  uint64_t sent;       /* Fencing number of the last order sent.  */
+  uint64_t accepted;   /* Fencing number of the last order taken.  */
+} order;
+
+struct mq_orders
+{
+  mq_orders_options options;
+  uint64_t sequence;
+  GHashTable *by_engine; /* name -> order, owned  */
+  GHashTable *by_id;     /* id -> order  */
+  uint64_t fencing;      /* 0: no lease.  */
+  uint64_t taken;        /* Fencing number with which the lease was taken.  */
+  uint64_t until_us;
+  uint64_t settled_us; /* No order of an earlier holder comes after this. */
+  uint64_t weights_us; /* When the weight store has given out what it was
+                          asked for.  */
+  bool asked;          /* NEED_LEASE was said.  */
+};
+
+static void
+order_free (gpointer data)
+{
+  order *o = data;
+
+  mq_str_unref (o->engine);
+  mq_str_unref (o->model);
+  mq_str_unref (o->version);
+  g_free (o);
+}
+
+static guint
+str_hash (gconstpointer key)
+{
+  return (guint)mq_span_hash (mq_str_span (key));
+}
+
+static gboolean
+str_equal (gconstpointer a, gconstpointer b)
+{
+  return mq_span_equal (mq_str_span (a), mq_str_span (b));
+}
+
+static order *
+orders_find (const mq_orders *orders, mq_span engine)
+{
+  mq_str *name = mq_str_new (engine);
+  order *o = g_hash_table_lookup (orders->by_engine, name);
+
+  mq_str_unref (name);
+  return o;
+}
+
+static void
+orders_act (GArray *actions, mq_orders_action_kind kind, const order *o,
+            const mq_orders *orders)
+{
+  mq_orders_action a = { .kind = kind };
+
+  if (o != NULL)
+    {
+      a.order = o->id;
+      a.engine = mq_str_ref (o->engine);
+      a.model = mq_str_ref (o->model);
+      a.version = mq_str_ref (o->version);
+      a.first = o->first;
+      a.end = o->end;
+    }
+  if (kind == MQ_ORDERS_SEND)
+    {
+      a.fencing = orders->fencing;
+      a.until_us = orders->until_us;
+    }
+  g_array_append_val (actions, a);
+}
+
+static bool
+orders_hold_lease (const mq_orders *orders, uint64_t now_us)
+{
+  if (mq_defect_enabled (MQ_DEFECT_LEASE_CLOCK_IGNORED))
+    return orders->fencing != 0;
+  return orders->fencing != 0 && now_us < orders->until_us;
+}
+
+static bool
+order_matches (const order *o, const mq_order_holds *holds)
+{
+  return mq_span_equal (mq_str_span (o->model), holds->model)
+         && mq_span_equal (mq_str_span (o->version), holds->version)
+         && o->first == holds->first && o->end == holds->end;
+}
+
+/* Is the engine safe from orders of earlier holders?  */
+static bool
+order_is_fenced (const mq_orders *orders, const order *o,
+                 const mq_order_holds *holds)
+{
+  return !o->checks_fencing
+         || MAX (o->accepted, holds->fencing) >= orders->taken;
+}
+
+static void
+order_pause (order *o, uint64_t due_us)
+{
+  o->state = ORDER_PAUSED;
+  o->due_us = due_us;
+}
+
+static uint32_t
+orders_loading (const mq_orders *orders)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const order *o = value;
+
+      if (o->loading)
+        n++;
+    }
+  return n;
+}
+
+/* When an order may next be sent: 0 for now.  */
+static uint64_t
+orders_turn_us (const mq_orders *orders, const order *o, uint64_t now_us)
+{
+  uint32_t limit = orders->options.concurrent;
+
+  if (!o->checks_fencing && orders->settled_us > now_us)
+    return orders->settled_us;
+  if (orders->weights_us > now_us)
+    return orders->weights_us;
+  if (limit > 0 && !o->loading && orders_loading (orders) >= limit)
+    return now_us + orders->options.poll_us;
+  return 0;
+}
+
+static void
+order_send (mq_orders *orders, order *o, uint64_t now_us, GArray *actions)
+{
+  uint64_t turn_us = orders_turn_us (orders, o, now_us);
+  uint64_t rate = orders->options.bytes_per_s;
+
+  if (turn_us > 0)
+    {
+      order_pause (o, turn_us);
+      return;
+    }
+  if (rate > 0)
+    orders->weights_us
+        = now_us
+          + (uint64_t)((double)o->weight_bytes / (double)rate * US_PER_S);
+  o->state = ORDER_SENDING;
+  o->due_us = now_us + orders->options.flight_us;
+  o->sent = orders->fencing;
+  o->loading = true;
+  if (o->told)
+    o->dropped_us = now_us + orders->options.patience_us;
+  o->told = false;
+  o->load_until_us = now_us + orders->options.load_time_us;
+  orders_act (actions, MQ_ORDERS_SEND, o, orders);
+}
+
+static void
+order_read (const mq_orders *orders, order *o, uint64_t now_us,
+            GArray *actions)
+{
+  o->state = ORDER_READING;
+  o->due_us = now_us + orders->options.flight_us;
+  orders_act (actions, MQ_ORDERS_READ, o, orders);
+}
+
+/* The order's due time has come.  */
+static void
+order_step (const mq_orders *orders, order *o, uint64_t now_us,
+            GArray *actions)
+{
+  if (o->state == ORDER_SENDING || o->state == ORDER_READING)
+    {
+      /* No reply in time.  */
+      order_pause (o, now_us + orders->options.poll_us);
+      return;
+    }
+  if (!o->checks_fencing && now_us < orders->settled_us)
+    o->due_us = orders->settled_us;
+  else
+    order_read (orders, o, now_us, actions);
+}
+
+static void
+order_reach (const mq_orders *orders, order *o, uint64_t now_us,
+             GArray *actions)
+{
+  if (!o->told)
+    orders_act (actions, MQ_ORDERS_REACHED, o, orders);
+  o->told = true;
+  o->loading = false;
+  o->state = ORDER_REACHED;
+  o->due_us
+      = o->checks_fencing ? UINT64_MAX : now_us + orders->options.verify_us;
+}
+
+/* Forget what is reached, or at NOW_US past its time to be reached.  */
+static void
+orders_drop (mq_orders *orders, bool reached, uint64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const order *o = value;
+
+      if (o->told ? !reached : now_us < o->dropped_us)
+        continue;
+      g_hash_table_remove (orders->by_id, &o->id);
+      g_hash_table_iter_remove (&iter);
+    }
+}
+
+static void
+orders_lose_lease (mq_orders *orders)
+{
+  orders->fencing = 0;
+  orders->until_us = 0;
+  orders->asked = false;
+}
+
+static void
+order_held (mq_orders *orders, order *o, const mq_orders_event *event,
+            GArray *actions)
+{
+  const mq_order_holds *holds = &event->u.holds.holds;
+  uint64_t now_us = event->now_us;
+  uint64_t poll_us = now_us + orders->options.poll_us;
+
+  if (!event->u.holds.known || !orders_hold_lease (orders, now_us))
+    {
+      order_pause (o, poll_us);
+      return;
+    }
+  if (o->checks_fencing && holds->fencing > orders->fencing)
+    {
+      orders_lose_lease (orders);
+      order_pause (o, poll_us);
+      orders_act (actions, MQ_ORDERS_STOPPED, o, orders);
+      return;
+    }
+  if (!order_matches (o, holds) || !order_is_fenced (orders, o, holds))
+    order_send (orders, o, now_us, actions);
+  else if (!holds->loading)
+    order_reach (orders, o, now_us, actions);
+  else if (o->loading && now_us >= o->load_until_us)
+    order_send (orders, o, now_us, actions);
+  else
+    order_pause (o, poll_us);
+}
+
+static void
+order_sent (mq_orders *orders, order *o, const mq_orders_event *event,
+            GArray *actions)
+{
+  order_pause (o, event->now_us + orders->options.poll_us);
+  if (event->u.sent.reply == MQ_ORDER_ACCEPTED)
+    o->accepted = o->sent;
+  if (event->u.sent.reply != MQ_ORDER_FENCED)
+    return;
+  o->loading = false;
+  orders_lose_lease (orders);
+  orders_act (actions, MQ_ORDERS_STOPPED, o, orders);
+}
+
+static void
+orders_want (mq_orders *orders, const mq_orders_event *event)
+{
+  const mq_order_want *want = &event->u.want;
+  order *o = orders_find (orders, want->engine);
+  mq_order_holds same = { .model = want->model,
+                          .version = want->version,
+                          .first = want->first,
+                          .end = want->end };
+
+  if (o != NULL && o->state != ORDER_REACHED && order_matches (o, &same))
+    return;
+  if (o != NULL)
+    {
+      g_hash_table_remove (orders->by_id, &o->id);
+      g_hash_table_remove (orders->by_engine, o->engine);
+    }
+  o = g_new0 (order, 1);
+  o->id = ++orders->sequence;
+  o->engine = mq_str_new (want->engine);
+  o->model = mq_str_new (want->model);
+  o->version = mq_str_new (want->version);
+  o->first = want->first;
+  o->end = want->end;
+  o->checks_fencing = want->checks_fencing;
+  o->weight_bytes = want->weight_bytes;
+  o->dropped_us = event->now_us + orders->options.patience_us;
+  order_pause (o, event->now_us);
+  g_hash_table_insert (orders->by_engine, o->engine, o);
+  g_hash_table_insert (orders->by_id, &o->id, o);
+}
+
+static void
+orders_forget (mq_orders *orders, mq_span engine)
+{
+  order *o = orders_find (orders, engine);
+
+  if (o == NULL)
+    return;
+  g_hash_table_remove (orders->by_id, &o->id);
+  g_hash_table_remove (orders->by_engine, o->engine);
+}
+
+static void
+orders_lease (mq_orders *orders, const mq_orders_event *event)
+{
+  orders->fencing = event->u.lease.fencing;
+  orders->until_us = event->u.lease.until_us;
+  orders->asked = false;
+  if (!event->u.lease.taken)
+    return;
+  orders->taken = event->u.lease.fencing;
+  orders->settled_us = event->u.lease.handed_over
+                           ? event->now_us
+                           : event->now_us + orders->options.flight_us;
+}
+
+/* Nothing to do, nothing to watch, and no earlier holder's order under way:
+   the lease can be handed over in order.  */
+static bool
+orders_idle (const mq_orders *orders, uint64_t now_us)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (now_us < orders->settled_us)
+    return false;
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const order *o = value;
+
+      if (o->state != ORDER_REACHED || !o->checks_fencing)
+        return false;
+    }
+  return true;
+}
+
+/* Without a lease: ask for one, or no longer.  */
+static void
+orders_wait (mq_orders *orders, GArray *actions)
+{
+  bool needed = g_hash_table_size (orders->by_engine) > 0;
+
+  if (needed == orders->asked)
+    return;
+  orders->asked = needed;
+  orders_act (actions, needed ? MQ_ORDERS_NEED_LEASE : MQ_ORDERS_IDLE, NULL,
+              orders);
+}
+
+static void
+orders_work (mq_orders *orders, uint64_t now_us, GArray *actions)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  orders_drop (orders, false, now_us);
+  if (!orders_hold_lease (orders, now_us))
+    {
+      orders_wait (orders, actions);
+      return;
+    }
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      order *o = value;
+
+      if (now_us >= o->due_us)
+        order_step (orders, o, now_us, actions);
+    }
+  if (orders_idle (orders, now_us))
+    {
+      orders_drop (orders, true, now_us);
+      orders_lose_lease (orders);
+      orders_act (actions, MQ_ORDERS_IDLE, NULL, orders);
+    }
+}
+
+static void
+action_clear (gpointer data)
+{
+  mq_orders_action_clear (data);
+}
+
+void
+mq_orders_action_clear (mq_orders_action *action)
+{
+  mq_str_unref (action->engine);
+  mq_str_unref (action->model);
+  mq_str_unref (action->version);
+}
+
+mq_orders *
+mq_orders_new (const mq_orders_options *options)
+{
+  mq_orders *orders = g_new0 (mq_orders, 1);
+
+  orders->options = *options;
+  orders->by_engine
+      = g_hash_table_new_full (str_hash, str_equal, NULL, order_free);
+  orders->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
+  return orders;
+}
+
+void
+mq_orders_free (mq_orders *orders)
+{
+  if (orders == NULL)
+    return;
+  g_hash_table_destroy (orders->by_id);
+  g_hash_table_destroy (orders->by_engine);
+  g_free (orders);
+}
+
+GArray *
+mq_orders_actions_new (void)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (mq_orders_action));
+
+  g_array_set_clear_func (actions, action_clear);
+  return actions;
+}
+
+void
+mq_orders_handle (mq_orders *orders, const mq_orders_event *event,
+                  GArray *actions)
+{
+  order *o;
+
+  switch (event->kind)
+    {
+    case MQ_ORDERS_WANT:
+      orders_want (orders, event);
+      break;
+    case MQ_ORDERS_FORGET:
+      orders_forget (orders, event->u.engine);
+      break;
+    case MQ_ORDERS_LEASE:
+      orders_lease (orders, event);
+      break;
+    case MQ_ORDERS_LEASE_LOST:
+      orders_drop (orders, true, event->now_us);
+      orders_lose_lease (orders);
+      break;
+    case MQ_ORDERS_SENT:
+      o = g_hash_table_lookup (orders->by_id, &event->u.sent.order);
+      if (o != NULL && o->state == ORDER_SENDING)
+        order_sent (orders, o, event, actions);
+      break;
+    case MQ_ORDERS_HOLDS:
+      o = g_hash_table_lookup (orders->by_id, &event->u.holds.order);
+      if (o != NULL && o->state == ORDER_READING)
+        order_held (orders, o, event, actions);
+      break;
+    case MQ_ORDERS_TICK:
+      break;
+    }
+  orders_work (orders, event->now_us, actions);
+}
+
+uint32_t
+mq_orders_pending (const mq_orders *orders)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint32_t n = 0;
+
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const order *o = value;
+
+      if (o->state != ORDER_REACHED)
+        n++;
+    }
+  return n;
+}
+
+uint64_t
+mq_orders_next_tick (const mq_orders *orders)
+{
+  GHashTableIter iter;
+  gpointer value;
+  uint64_t due = UINT64_MAX;
+
+  g_hash_table_iter_init (&iter, orders->by_engine);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const order *o = value;
+
+      if (!o->told)
+        due = MIN (due, o->dropped_us);
+      if (orders->fencing != 0)
+        due = MIN (due, o->due_us);
+    }
+  if (orders->fencing != 0 && due == UINT64_MAX)
+    due = orders->settled_us;
+  return due;
+}
--- /dev/null
+++ b/tests/prop_state.cc
@@ -0,0 +1,802 @@
+/* Properties of what must be agreed or kept: tickets, claims, leases and
+   orders under pauses, lost replies, outages, late and doubled messages.
+   RC_PARAMS fixes the seed.  */
+
+#include <gtest/gtest.h>
+#include <memory>
+#include <mq/claim.h>
+#include <mq/internal/defect.h>
+#include <mq/ordering.h>
+#include <mq/ticket.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
+#include <rapidcheck/state.h>
+#include <set>
+#include "state_world.h"
+
+using namespace state_world;
+
+namespace
+{
+
+/* --- Steps that all worlds share.  */
+
+enum class Act
+{
+  Advance,
+  Pause,
+  Resume,
+  Down,
+  Up,
+  Fault,
+  Restart,
+  Want, /* An order to an engine, or a claim for a key.  */
+  LateOrder,
+  Settle /* The call of a claim that was won ends.  */
+};
+
+struct Step
+{
+  Act act;
+  unsigned who;
+  unsigned amount;
+};
+
+std::ostream &
+operator<< (std::ostream &os, const Step &s)
+{
+  static const char *names[]
+      = { "advance", "pause",   "resume", "down",       "up",
+          "fault",   "restart", "want",   "late-order", "settle" };
+
+  return os << names[(int)s.act] << "(" << s.who << "," << s.amount << ")";
+}
+
+rc::Gen<std::vector<Step> >
+steps (std::vector<Act> acts)
+{
+  auto act = rc::gen::weightedElement<Act> (
+      { { 6, Act::Advance }, { 1, acts[0] }, { 1, acts[1] } });
+  auto any = rc::gen::oneOf (act, rc::gen::elementOf (acts));
+
+  return rc::gen::container<std::vector<Step> > (
+      rc::gen::construct<Step> (any, rc::gen::inRange<unsigned> (0, 3),
+                                rc::gen::inRange<unsigned> (0, 1000)));
+}
+
+/* Carry out what is the same for every actor.  */
+template <typename A>
+void
+common_step (World &w, Store &store, std::vector<std::unique_ptr<A> > &actors,
+             const Step &s)
+{
+  std::vector<Actor *> list;
+  A &a = *actors[s.who];
+
+  for (auto &p : actors)
+    list.push_back (p.get ());
+  switch (s.act)
+    {
+    case Act::Advance:
+      run_until (w, list, w.now + s.amount * s.amount * 40);
+      break;
+    case Act::Pause:
+      a.paused = true;
+      break;
+    case Act::Resume:
+      a.resume ();
+      break;
+    case Act::Down:
+      (s.amount % 2 == 0 ? store.down : a.cut) = true;
+      break;
+    case Act::Up:
+      (s.amount % 2 == 0 ? store.down : a.cut) = false;
+      break;
+    case Act::Fault:
+      a.fault = static_cast<Fault> (1 + s.amount % 5);
+      a.late = s.amount * 20 * MS;
+      break;
+    default:
+      break;
+    }
+}
+
+template <typename A>
+void
+settle_down (World &w, Store &store, std::vector<std::unique_ptr<A> > &actors,
+             uint64_t for_us)
+{
+  std::vector<Actor *> list;
+
+  store.down = false;
+  for (auto &p : actors)
+    {
+      p->fault = Fault::None;
+      p->cut = false;
+      p->resume ();
+      list.push_back (p.get ());
+    }
+  run_until (w, list, w.now + for_us);
+}
+
+/* --- Claims.  */
+
+constexpr uint64_t CLAIM_LIFETIME = 24 * 3600 * S;
+
+struct ClaimActor : Actor
+{
+  Store &store;
+  uint64_t router;
+  mq_claims *claims = nullptr;
+  uint64_t next_handle = 0;
+  std::map<uint64_t, int> keys; /* handle -> key, undecided  */
+  std::vector<std::pair<uint64_t, int> > running; /* won, not settled  */
+  std::map<int, int> &runs;                       /* key -> calls that ran  */
+
+  ClaimActor (World &w, Store &s, unsigned i, std::map<int, int> &r)
+      : Actor (w, 100, i * 77 * S), store (s), router (100 + i), runs (r)
+  {
+    start ();
+  }
+  ~ClaimActor () override { mq_claims_free (claims); }
+
+  void
+  start ()
+  {
+    mq_claims_options o = {};
+
+    o.router = router;
+    o.give_up_us = 2 * S;
+    o.retry_us = 100 * MS;
+    o.late_us = 60 * S;
+    o.skew_ms = 60 * 1000;
+    o.limit = 1000;
+    mq_claims_free (claims);
+    claims = mq_claims_new (&o);
+    keys.clear ();
+    running.clear ();
+  }
+
+  void
+  restart ()
+  {
+    life++;
+    inbox.clear ();
+    router += 1000;
+    start ();
+  }
+
+  void
+  handle (mq_claims_event e)
+  {
+    GArray *actions = mq_claims_actions_new ();
+
+    e.now_us = clock ();
+    e.wall_ms = world.now / MS;
+    mq_claims_handle (claims, &e, actions);
+    for (guint i = 0; i < actions->len; i++)
+      carry_out (g_array_index (actions, mq_claims_action, i));
+    g_array_unref (actions);
+  }
+
+  void
+  carry_out (const mq_claims_action &a)
+  {
+    static const Request::Kind kinds[]
+        = { Request::Create, Request::Update, Request::Read, Request::Delete };
+    uint64_t id = a.claim;
+    uint32_t step = a.step;
+
+    if (a.kind == MQ_CLAIMS_RESULT)
+      {
+        decided (a);
+        return;
+      }
+    store.call (
+        *this, { kinds[a.kind], text (a.name), text (a.value), a.version },
+        [this, id, step] (Reply r) {
+          mq_claims_event e = {};
+
+          e.kind = MQ_CLAIMS_REPLY;
+          e.u.reply.claim = id;
+          e.u.reply.step = step;
+          e.u.reply.reply
+              = { r.result, r.version, { r.value.data (), r.value.size () } };
+          handle (e);
+        });
+  }
+
+  void
+  decided (const mq_claims_action &a)
+  {
+    auto it = keys.find (a.handle);
+
+    RC_ASSERT (it != keys.end ());
+    if (a.result == MQ_CLAIM_WON)
+      running.push_back ({ a.handle, it->second });
+    keys.erase (it);
+  }
+
+  void
+  claim (int key)
+  {
+    std::string k = "key" + std::to_string (key);
+    mq_claims_event e = {};
+
+    e.kind = MQ_CLAIMS_START;
+    e.u.start.handle = ++next_handle;
+    e.u.start.organisation = MQ_SPAN ("tekle");
+    e.u.start.key = { k.data (), k.size () };
+    e.u.start.body_hash = 7;
+    e.u.start.lifetime_us = CLAIM_LIFETIME;
+    keys[next_handle] = key;
+    handle (e);
+  }
+
+  /* End the oldest call: it ran, or it was refused before it ran.  */
+  void
+  settle (bool ran)
+  {
+    mq_claims_event e = {};
+
+    if (running.empty ())
+      return;
+    if (ran)
+      runs[running.front ().second]++;
+    e.kind = MQ_CLAIMS_SETTLED;
+    e.u.settled.handle = running.front ().first;
+    e.u.settled.outcome = ran ? MQ_OUTCOME_DONE : MQ_OUTCOME_NOT_RUN;
+    running.erase (running.begin ());
+    handle (e);
+  }
+
+  uint64_t
+  next_tick () const override
+  {
+    return mq_claims_next_tick (claims);
+  }
+
+  void
+  tick () override
+  {
+    mq_claims_event e = {};
+
+    e.kind = MQ_CLAIMS_TICK;
+    handle (e);
+  }
+};
+
+/* Throws through RC_ASSERT where a key is held or has run twice.  */
+void
+claims_world (const std::vector<Step> &script)
+{
+  World w;
+  Store store (w);
+  std::map<int, int> runs;
+  std::vector<std::unique_ptr<ClaimActor> > actors;
+  bool restarted = false;
+
+  for (unsigned i = 0; i < 3; i++)
+    actors.push_back (std::make_unique<ClaimActor> (w, store, i, runs));
+  w.check = [&] {
+    std::map<int, int> once = runs;
+
+    for (auto &a : actors)
+      for (auto &r : a->running)
+        once[r.second]++;
+    for (auto &r : once)
+      RC_ASSERT (r.second <= 1);
+  };
+  for (const Step &s : script)
+    {
+      ClaimActor &a = *actors[s.who];
+
+      common_step (w, store, actors, s);
+      if (s.act == Act::Restart)
+        {
+          /* Its calls may have run: count them as run.  */
+          for (auto &r : a.running)
+            runs[r.second]++;
+          restarted = true;
+          a.restart ();
+        }
+      else if (s.act == Act::Want && !a.paused)
+        a.claim ((int)s.amount % 2);
+      else if (s.act == Act::Settle && !a.paused)
+        a.settle (s.amount % 3 != 0);
+    }
+  settle_down (w, store, actors, 600 * S);
+  for (auto &a : actors)
+    {
+      RC_ASSERT (a->keys.empty ()); /* Each claim was decided.  */
+      while (!a->running.empty ())
+        a->settle (false);
+    }
+  settle_down (w, store, actors, 600 * S);
+  w.check ();
+  /* Nothing that did not run blocks its key, but for what a router left
+     behind that was killed.  */
+  if (!restarted)
+    RC_ASSERT (store.objects.size () == runs.size ());
+}
+
+const std::vector<Act> claim_acts
+    = { Act::Want,   Act::Settle, Act::Fault, Act::Pause,
+        Act::Resume, Act::Down,   Act::Up,    Act::Restart };
+
+/* --- Leases and orders.  */
+
+struct Engine
+{
+  bool checks_fencing;
+  std::string version = "none";
+  uint64_t fencing = 0;
+};
+
+constexpr uint64_t FLIGHT = 4 * S;
+constexpr uint64_t VERIFY = 10 * S;
+
+struct OrderActor : Actor
+{
+  Store &store;
+  std::vector<Engine> &engines;
+  unsigned index;
+  uint64_t router;
+  mq_ordering *ordering = nullptr;
+  uint64_t order_late = 0;
+  std::string want;
+  bool reached[2] = {};
+
+  OrderActor (World &w, Store &s, std::vector<Engine> &e, unsigned i)
+      : Actor (w, 96 + 4 * i, i * 91 * S), store (s), engines (e), index (i),
+        router (100 + i)
+  {
+    start ();
+  }
+  ~OrderActor () override { mq_ordering_free (ordering); }
+
+  void
+  start ()
+  {
+    mq_ordering_options o = {};
+
+    want = "v" + std::to_string (router);
+    o.lease.router = router;
+    o.lease.duration_us = 6 * S;
+    o.lease.retry_us = 1 * S;
+    o.lease.timeout_us = 1 * S;
+    o.lease.margin_percent = 10;
+    o.orders.router = router;
+    o.orders.flight_us = FLIGHT;
+    o.orders.poll_us = 500 * MS;
+    o.orders.verify_us = VERIFY;
+    o.orders.load_time_us = 30 * S;
+    o.orders.patience_us = 3600 * S;
+    mq_ordering_free (ordering);
+    ordering = mq_ordering_new (&o);
+  }
+
+  void
+  restart ()
+  {
+    life++;
+    inbox.clear ();
+    router += 1000;
+    start ();
+  }
+
+  uint64_t
+  fencing () const
+  {
+    return mq_ordering_fencing (ordering, clock ());
+  }
+
+  void
+  handle (const std::function<void (GArray *, GArray *)> &call)
+  {
+    GArray *la = mq_lease_actions_new ();
+    GArray *oa = mq_orders_actions_new ();
+
+    call (la, oa);
+    for (guint i = 0; i < la->len; i++)
+      lease_action (g_array_index (la, mq_lease_action, i));
+    for (guint i = 0; i < oa->len; i++)
+      order_action (g_array_index (oa, mq_orders_action, i));
+    g_array_unref (la);
+    g_array_unref (oa);
+  }
+
+  void
+  orders_event (mq_orders_event o)
+  {
+    mq_ordering_event e = {};
+
+    o.now_us = clock ();
+    e.kind = MQ_ORDERING_ORDERS;
+    e.u.orders = o;
+    handle ([&] (GArray *la, GArray *oa) {
+      mq_ordering_handle (ordering, &e, la, oa);
+    });
+  }
+
+  void
+  lease_action (const mq_lease_action &a)
+  {
+    Request r = { Request::Read, "lease", text (a.value), a.version };
+    uint32_t step = a.step;
+
+    if (a.kind == MQ_LEASE_HELD || a.kind == MQ_LEASE_LOST)
+      {
+        reached[0] = reached[1] = false;
+        return;
+      }
+    if (a.kind == MQ_LEASE_WRITE)
+      r.kind = a.version == 0 ? Request::Create : Request::Update;
+    store.call (*this, r, [this, step] (Reply reply) {
+      mq_ordering_event e = {};
+
+      e.kind = MQ_ORDERING_LEASE;
+      e.u.lease.kind = MQ_LEASE_REPLY;
+      e.u.lease.now_us = clock ();
+      e.u.lease.step = step;
+      e.u.lease.reply = { reply.result,
+                          reply.version,
+                          { reply.value.data (), reply.value.size () } };
+      handle ([&] (GArray *la, GArray *oa) {
+        mq_ordering_handle (ordering, &e, la, oa);
+      });
+    });
+  }
+
+  void
+  order_action (const mq_orders_action &a)
+  {
+    unsigned n = text (a.engine) == "e0" ? 0 : 1;
+    uint64_t order = a.order;
+
+    if (a.kind == MQ_ORDERS_SEND)
+      send (n, order, a.fencing, text (a.version));
+    else if (a.kind == MQ_ORDERS_REACHED)
+      reached[n] = true;
+    else if (a.kind == MQ_ORDERS_READ)
+      world.after (2 * MS, [this, n, order, asker = life] {
+        Engine e = engines[n];
+
+        deliver (asker, [this, e, order] { held (e, order); });
+      });
+  }
+
+  void
+  send (unsigned n, uint64_t order, uint64_t number, std::string version)
+  {
+    uint64_t late = order_late;
+
+    RC_ASSERT (fencing () != 0);
+    order_late = 0;
+    world.after (
+        2 * MS + late, [this, n, order, number, version, asker = life] {
+          Engine &e = engines[n];
+          bool taken = !e.checks_fencing || number >= e.fencing;
+
+          if (taken)
+            {
+              e.version = version;
+              e.fencing = e.checks_fencing ? number : 0;
+            }
+          deliver (asker, [this, order, taken] {
+            mq_orders_event o = {};
+
+            o.kind = MQ_ORDERS_SENT;
+            o.u.sent.order = order;
+            o.u.sent.reply = taken ? MQ_ORDER_ACCEPTED : MQ_ORDER_FENCED;
+            orders_event (o);
+          });
+        });
+  }
+
+  void
+  held (const Engine &e, uint64_t order)
+  {
+    mq_orders_event o = {};
+
+    o.kind = MQ_ORDERS_HOLDS;
+    o.u.holds.order = order;
+    o.u.holds.known = true;
+    o.u.holds.holds.model = MQ_SPAN ("m");
+    o.u.holds.holds.version = { e.version.data (), e.version.size () };
+    o.u.holds.holds.end = 8;
+    o.u.holds.holds.fencing = e.fencing;
+    orders_event (o);
+  }
+
+  void
+  order (unsigned n)
+  {
+    mq_orders_event o = {};
+
+    o.kind = MQ_ORDERS_WANT;
+    o.u.want.engine = n == 0 ? MQ_SPAN ("e0") : MQ_SPAN ("e1");
+    o.u.want.model = MQ_SPAN ("m");
+    o.u.want.version = { want.data (), want.size () };
+    o.u.want.end = 8;
+    o.u.want.checks_fencing = engines[n].checks_fencing;
+    orders_event (o);
+  }
+
+  uint64_t
+  next_tick () const override
+  {
+    return mq_ordering_next_tick (ordering);
+  }
+
+  void
+  tick () override
+  {
+    handle ([&] (GArray *la, GArray *oa) {
+      mq_ordering_tick (ordering, clock (), la, oa);
+    });
+  }
+};
+
+/* LATEST is how late an order may arrive.  */
+void
+orders_world (const std::vector<Step> &script, uint64_t latest)
+{
+  World w;
+  Store store (w);
+  std::vector<Engine> engines (2);
+  std::vector<std::unique_ptr<OrderActor> > actors;
+  uint64_t top = 0;
+
+  engines[0].checks_fencing = true;
+  engines[1].checks_fencing = false;
+  for (unsigned i = 0; i < 3; i++)
+    actors.push_back (std::make_unique<OrderActor> (w, store, engines, i));
+  w.check = [&] {
+    unsigned holders = 0;
+
+    for (auto &a : actors)
+      if (a->fencing () != 0)
+        {
+          holders++;
+          /* A successor's number is above all that went before.  */
+          RC_ASSERT (a->fencing () >= top);
+          top = a->fencing ();
+        }
+    RC_ASSERT (holders <= 1U);
+    /* What was reached stays while its holder holds: on an engine that
+       checks fencing always, on one that does not where no order is later
+       than the holders reckon with.  */
+    for (auto &a : actors)
+      for (unsigned n = 0; n < 2; n++)
+        if (a->fencing () != 0 && a->reached[n] && (n == 0 || latest < FLIGHT))
+          RC_ASSERT (engines[n].version == a->want);
+  };
+  for (const Step &s : script)
+    {
+      OrderActor &a = *actors[s.who];
+
+      common_step (w, store, actors, s);
+      if (s.act == Act::Restart)
+        a.restart ();
+      else if (s.act == Act::Want && !a.paused)
+        a.order (s.amount % 2);
+      else if (s.act == Act::LateOrder)
+        a.order_late = s.amount * latest / 1000;
+    }
+  /* The planners ask again for what they still want.  */
+  settle_down (w, store, actors, 0);
+  for (auto &a : actors)
+    for (unsigned n = 0; n < 2; n++)
+      a->order (n);
+  settle_down (w, store, actors, 180 * S);
+  for (auto &a : actors)
+    if (a->fencing () != 0)
+      {
+        RC_ASSERT (engines[0].version == a->want);
+        RC_ASSERT (engines[1].version == a->want);
+        return;
+      }
+  RC_FAIL ("nobody holds the lease in the end");
+}
+
+const std::vector<Act> order_acts
+    = { Act::Want,   Act::LateOrder, Act::Fault, Act::Pause,
+        Act::Resume, Act::Down,      Act::Up,    Act::Restart };
+
+/* --- Tickets, against a model.  */
+
+struct TicketModel
+{
+  std::vector<uint64_t> minted; /* When each was.  */
+  std::set<size_t> running;
+  std::set<size_t> spent;
+  uint64_t now = 0;
+};
+
+struct TicketSut
+{
+  mq_tickets *mine;
+  mq_tickets *other;
+  std::vector<std::string> texts;
+  std::vector<uint64_t> numbers;
+
+  TicketSut ()
+  {
+    mq_tickets_options o = {};
+
+    o.router = 1;
+    o.address = MQ_SPAN ("127.0.0.1:8001");
+    o.lifetime_us = 100;
+    o.limit = 1000000;
+    memset (o.key, 1, sizeof o.key);
+    mine = mq_tickets_new (&o);
+    o.router = 2;
+    memset (o.key, 2, sizeof o.key);
+    other = mq_tickets_new (&o);
+  }
+  ~TicketSut ()
+  {
+    mq_tickets_free (mine);
+    mq_tickets_free (other);
+  }
+};
+
+using TicketCommand = rc::state::Command<TicketModel, TicketSut>;
+
+struct Mint : TicketCommand
+{
+  void
+  apply (TicketModel &m) const override
+  {
+    m.minted.push_back (m.now);
+  }
+  void
+  run (const TicketModel &m, TicketSut &s) const override
+  {
+    GString *t = g_string_new (NULL);
+
+    RC_ASSERT (mq_tickets_mint (s.mine, m.now, MQ_SPAN ("org"), t, NULL) == 0);
+    mq_ticket ticket;
+    RC_ASSERT (mq_tickets_open (s.mine, m.now, MQ_SPAN ("org"),
+                                { t->str, t->len }, &ticket)
+               == MQ_TICKET_OK);
+    s.texts.push_back (t->str);
+    s.numbers.push_back (ticket.number);
+    g_string_free (t, TRUE);
+  }
+};
+
+struct Sleep : TicketCommand
+{
+  uint64_t amount = *rc::gen::inRange<uint64_t> (0, 40);
+
+  void
+  apply (TicketModel &m) const override
+  {
+    m.now += amount;
+  }
+};
+
+struct Take : TicketCommand
+{
+  size_t which = *rc::gen::inRange<size_t> (0, 30);
+
+  void
+  checkPreconditions (const TicketModel &m) const override
+  {
+    RC_PRE (which < m.minted.size ());
+  }
+  bool
+  live (const TicketModel &m) const
+  {
+    return m.now < m.minted[which] + 100;
+  }
+  void
+  apply (TicketModel &m) const override
+  {
+    if (live (m) && m.spent.count (which) == 0)
+      m.running.insert (which);
+  }
+  void
+  run (const TicketModel &m, TicketSut &s) const override
+  {
+    mq_span text = { s.texts[which].data (), s.texts[which].size () };
+    mq_ticket t;
+    mq_ticket_check c
+        = mq_tickets_open (s.mine, m.now, MQ_SPAN ("org"), text, &t);
+
+    RC_ASSERT (mq_tickets_open (s.other, m.now, MQ_SPAN ("org"), text, &t)
+               == MQ_TICKET_ELSEWHERE);
+    RC_ASSERT (c == (live (m) ? MQ_TICKET_OK : MQ_TICKET_EXPIRED));
+    if (c != MQ_TICKET_OK)
+      return;
+    mq_ticket_state state = mq_tickets_take (s.mine, m.now, t.number);
+    bool fresh = m.running.count (which) + m.spent.count (which) == 0;
+    RC_ASSERT ((state == MQ_TICKET_FRESH) == fresh);
+  }
+};
+
+struct End : TicketCommand
+{
+  size_t which = *rc::gen::inRange<size_t> (0, 30);
+  bool ran = *rc::gen::arbitrary<bool> ();
+
+  void
+  apply (TicketModel &m) const override
+  {
+    if (m.running.erase (which) > 0 && ran)
+      m.spent.insert (which);
+  }
+  void
+  run (const TicketModel &, TicketSut &s) const override
+  {
+    if (which < s.numbers.size ())
+      mq_tickets_settle (s.mine, s.numbers[which],
+                         ran ? MQ_OUTCOME_DONE : MQ_OUTCOME_NOT_RUN);
+  }
+};
+
+/* True when PROPERTY finds a fault while DEFECT is in.  */
+template <typename P>
+bool
+finds (mq_defect defect, P property)
+{
+  std::ostringstream log;
+
+  mq_defect_enable (defect);
+  rc::detail::TestResult result = rc::detail::checkTestable (property);
+  mq_defect_enable (MQ_DEFECT_NONE);
+  return !result.is<rc::detail::SuccessResult> ();
+}
+
+} // namespace
+
+RC_GTEST_PROP (PropTicket, RunsAtMostOnce, ())
+{
+  TicketModel model;
+  TicketSut sut;
+
+  rc::state::check (
+      model, sut,
+      rc::state::gen::execOneOfWithArgs<Mint, Sleep, Take, Take, End> ());
+}
+
+RC_GTEST_PROP (PropClaim, AtMostOneWinsAndRuns, ())
+{
+  claims_world (*steps (claim_acts));
+}
+
+RC_GTEST_PROP (PropOrder, LastHoldersEndRemains, ())
+{
+  orders_world (*steps (order_acts), 60 * S);
+}
+
+RC_GTEST_PROP (PropOrder, ReachedEndStaysWhileHeld, ())
+{
+  orders_world (*steps (order_acts), 3 * S);
+}
+
+TEST (PropDefect, ForeignTicketIsCaught)
+{
+  EXPECT_TRUE (finds (MQ_DEFECT_FOREIGN_TICKET, [] {
+    TicketModel model;
+    TicketSut sut;
+
+    rc::state::check (
+        model, sut,
+        rc::state::gen::execOneOfWithArgs<Mint, Sleep, Take, Take, End> ());
+  }));
+}
+
+TEST (PropDefect, ClaimWithoutReplyTakenAsWonIsCaught)
+{
+  EXPECT_TRUE (finds (MQ_DEFECT_CLAIM_LOST_REPLY_WON,
+                      [] { claims_world (*steps (claim_acts)); }));
+}
+
+TEST (PropDefect, LeaseClockIgnoredIsCaught)
+{
+  EXPECT_TRUE (finds (MQ_DEFECT_LEASE_CLOCK_IGNORED,
+                      [] { orders_world (*steps (order_acts), 60 * S); }));
+}
--- /dev/null
+++ b/tests/test_audit.cc
@@ -0,0 +1,195 @@
+/* The audit trail: batched, bounded, written once.  */
+
+#include <gtest/gtest.h>
+#include <mq/audit.h>
+#include <string>
+#include <vector>
+
+namespace
+{
+
+constexpr uint64_t S = 1000000;
+
+struct Read
+{
+  mq_audit_kind kind;
+  uint64_t router;
+  std::string who, what, why, before, after;
+};
+
+std::string
+copy (mq_span s)
+{
+  return std::string (s.data == nullptr ? "" : s.data, s.size);
+}
+
+void
+collect (void *context, const mq_audit_record *r)
+{
+  auto *list = static_cast<std::vector<Read> *> (context);
+
+  list->push_back ({ r->kind, r->router, copy (r->who), copy (r->what),
+                     copy (r->why), copy (r->before), copy (r->after) });
+}
+
+struct Audit : testing::Test
+{
+  mq_audit *audit = nullptr;
+  GArray *actions = mq_audit_actions_new ();
+  uint64_t now = 100 * S;
+
+  Audit ()
+  {
+    mq_audit_options o = {};
+
+    o.router = 0xa;
+    o.linger_us = 5 * S;
+    o.retry_us = 1 * S;
+    o.batch_bytes = 1000;
+    o.limit_bytes = 3000;
+    audit = mq_audit_new (&o);
+  }
+  ~Audit () override
+  {
+    mq_audit_free (audit);
+    g_array_unref (actions);
+  }
+
+  void
+  handle (mq_audit_event e)
+  {
+    e.now_us = now;
+    e.wall_ms = UINT64_C (1796233177000) + now / 1000;
+    g_array_set_size (actions, 0);
+    mq_audit_handle (audit, &e, actions);
+  }
+  void
+  add (const std::string &what)
+  {
+    mq_audit_event e = {};
+
+    e.kind = MQ_AUDIT_ADD;
+    e.record.kind = MQ_AUDIT_ORDER;
+    e.record.who = MQ_SPAN ("kamloops-1");
+    e.record.what = { what.data (), what.size () };
+    e.record.why = MQ_SPAN ("layers 0-8 had \"no\" engine\n");
+    e.record.before = MQ_SPAN ("m v1");
+    e.record.after = MQ_SPAN ("m v2");
+    handle (e);
+  }
+  void
+  event (mq_audit_event_kind kind, mq_store_result result = MQ_STORE_OK)
+  {
+    mq_audit_event e = {};
+
+    e.kind = kind;
+    e.result = result;
+    handle (e);
+  }
+  mq_audit_action &
+  act ()
+  {
+    return g_array_index (actions, mq_audit_action, 0);
+  }
+  std::vector<Read>
+  read ()
+  {
+    std::vector<Read> list;
+
+    EXPECT_EQ (
+        mq_audit_decode (mq_str_span (act ().value), collect, &list, NULL), 0);
+    return list;
+  }
+};
+
+} // namespace
+
+TEST_F (Audit, ABatchLingersThenHoldsAllThatCame)
+{
+  add ("e1");
+  now += 4 * S;
+  add ("e2");
+  EXPECT_EQ (actions->len, 0U);
+  now += 1 * S;
+  event (MQ_AUDIT_TICK);
+  ASSERT_EQ (actions->len, 1U);
+  EXPECT_STREQ (mq_str_cstr (act ().name),
+                "audit/2026-12-02/1796233282000-000000000000000a-1");
+  std::vector<Read> list = read ();
+  ASSERT_EQ (list.size (), 2U);
+  EXPECT_EQ (list[0].kind, MQ_AUDIT_ORDER);
+  EXPECT_EQ (list[0].router, 0xaU);
+  EXPECT_EQ (list[0].who, "kamloops-1");
+  EXPECT_EQ (list[1].what, "e2");
+  EXPECT_EQ (list[1].why, "layers 0-8 had \"no\" engine\n");
+  EXPECT_EQ (list[1].before, "m v1");
+  EXPECT_EQ (list[1].after, "m v2");
+  event (MQ_AUDIT_REPLY);
+  EXPECT_EQ (mq_audit_pending (audit), 0U);
+}
+
+TEST_F (Audit, ALostReplyRepeatsTheSameWrite)
+{
+  add ("e1");
+  event (MQ_AUDIT_FLUSH);
+  std::string name = mq_str_cstr (act ().name);
+  std::string value = mq_str_cstr (act ().value);
+  event (MQ_AUDIT_REPLY, MQ_STORE_UNKNOWN);
+  add ("e2");
+  now += 1 * S;
+  event (MQ_AUDIT_TICK);
+  ASSERT_EQ (actions->len, 1U);
+  EXPECT_EQ (name, mq_str_cstr (act ().name));
+  EXPECT_EQ (value, mq_str_cstr (act ().value));
+  /* It had taken effect: that is as good.  */
+  event (MQ_AUDIT_REPLY, MQ_STORE_CONFLICT);
+  EXPECT_EQ (mq_audit_pending (audit), 1U);
+  event (MQ_AUDIT_FLUSH);
+  EXPECT_EQ (read ()[0].what, "e2");
+}
+
+TEST_F (Audit, MemoryIsBoundedAndTheLossIsOwnedUpTo)
+{
+  add ("first");
+  event (MQ_AUDIT_FLUSH);
+  for (int i = 0; i < 100; i++)
+    add ("e" + std::to_string (i));
+  EXPECT_LT (mq_audit_pending (audit), 30U);
+  EXPECT_GT (mq_audit_dropped (audit), 70U);
+  event (MQ_AUDIT_REPLY);
+  event (MQ_AUDIT_FLUSH);
+  std::vector<Read> list = read ();
+  EXPECT_EQ (list[0].kind, MQ_AUDIT_LOST);
+  EXPECT_EQ (list[0].what,
+             std::to_string (mq_audit_dropped (audit)) + " records");
+  EXPECT_LE (mq_str_span (act ().value).size, 1000U);
+}
+
+TEST_F (Audit, LongAndBrokenTextsAreCutAndMadeValid)
+{
+  add (std::string (400, 'x') + "\xff" + std::string (108, 'x') + "\xc3\xa9"
+       + std::string (300, 'x'));
+  event (MQ_AUDIT_FLUSH);
+  std::vector<Read> list = read ();
+  ASSERT_EQ (list.size (), 1U);
+  EXPECT_LE (list[0].what.size (), (size_t)MQ_AUDIT_TEXT_SIZE);
+  EXPECT_GT (list[0].what.size (), (size_t)MQ_AUDIT_TEXT_SIZE - 4);
+  EXPECT_TRUE (g_utf8_validate (list[0].what.data (), -1, NULL));
+}
+
+TEST (AuditDecode, SaysWhichLineIsNoRecord)
+{
+  std::vector<Read> list;
+  GError *error = NULL;
+  const char *text = "{\"kind\":\"mode\",\"who\":\"a\"}\n{\"kind\":\"?\"}\n";
+
+  EXPECT_EQ (mq_audit_decode (mq_span_from (text), collect, &list, &error),
+             -1);
+  EXPECT_EQ (list.size (), 1U);
+  EXPECT_TRUE (g_error_matches (error, MQ_AUDIT_ERROR, MQ_AUDIT_ERROR_FORM));
+  EXPECT_STREQ (error->message, "line 2 is no audit record");
+  g_clear_error (&error);
+  for (const char *bad : { "x", "[]", "{}", "{\"kind\":5}", "nul" })
+    EXPECT_EQ (mq_audit_decode (mq_span_from (bad), collect, &list, NULL), -1)
+        << bad;
+}
