Run guarded calls once, repair layers by orders, keep an audit trail

The router now mints tickets with the ask, opens them, claims callers' own keys at the platform, orders engines under the region's lease when the planner finds layers missing, and writes changes of mode and orders to the audit trail.

Proof over real processes: test_once (a ticket or key takes effect once, by the plain service's own record; not at another router; a key not while the platform is down) and test_recovery (both engines of a range of layers killed in the middle of an answer: another engine is ordered to load them and the answer equals the reference).

--- a/programs/marjoramquay/admission.c
+++ b/programs/marjoramquay/admission.c
@@ -4,6 +4,8 @@
 
 #include <mq/log.h>
 
+#include "order_io.h"
+
 /* Answer the ask that the entry made for HANDLE.  */
 static void
 answer_ask (mq_router *router, uint64_t handle, mq_planner_action *action)
@@ -56,6 +58,7 @@
           break;
         case MQ_PLANNER_REPAIR:
           repair_log (a);
+          mq_order_io_repair (router->orders, a);
           break;
         }
     }
--- a/programs/marjoramquay/call.c
+++ b/programs/marjoramquay/call.c
@@ -3,6 +3,7 @@
 #include "call.h"
 
 #include "reply.h"
+#include "ticket_io.h"
 
 #define KEY_LIMIT 255
 /* When to come back to a process that holds all the requests it may.  */
@@ -86,12 +87,19 @@
 }
 
 static int
-guard_read (mq_router *router, mq_http_exchange *exchange, mq_call *call)
+ticket_read (mq_router *router, mq_http_exchange *exchange, mq_span text,
+             mq_call *call)
 {
-  mq_span key = mq_http_exchange_header (exchange, "Idempotency-Key");
+  call->guard = MQ_GUARD_TICKET;
+  call->guard_value = mq_ticket_io_open (router->tickets, exchange,
+                                         call->organisation, text);
+  return call->guard_value.data == NULL ? -1 : 0;
+}
 
-  if (key.data == NULL)
-    return 0;
+static int
+key_read (mq_router *router, mq_http_exchange *exchange, mq_span key,
+          mq_call *call)
+{
   if (!key_is_valid (key))
     {
       mq_reply_bad_request (router, exchange, MQ_REASON_BAD_REQUEST,
@@ -104,6 +112,26 @@
   return 0;
 }
 
+static int
+guard_read (mq_router *router, mq_http_exchange *exchange, mq_call *call)
+{
+  mq_span ticket = mq_http_exchange_header (exchange, "Marjoramquay-Ticket");
+  mq_span key = mq_http_exchange_header (exchange, "Idempotency-Key");
+
+  if (ticket.data != NULL && key.data != NULL)
+    {
+      mq_reply_bad_request (router, exchange, MQ_REASON_BAD_REQUEST,
+                            "expected Marjoramquay-Ticket or Idempotency-Key,"
+                            " not both");
+      return -1;
+    }
+  if (ticket.data != NULL)
+    return ticket_read (router, exchange, ticket, call);
+  if (key.data != NULL)
+    return key_read (router, exchange, key, call);
+  return 0;
+}
+
 /* The process holds only so many requests at once.  */
 static int
 room_check (mq_router *router, mq_http_exchange *exchange)
--- a/programs/marjoramquay/caller.h
+++ b/programs/marjoramquay/caller.h
@@ -56,7 +56,8 @@
   mq_http_exchange *exchange;  /* Owned reference.  */
   char id[MQ_REQUEST_ID_SIZE]; /* Empty until the entry gave it one.  */
   uint64_t started_us;
-  bool sent; /* Something that could start work was handed on.  */
+  bool claimed; /* A claim was asked for.  */
+  bool sent;    /* Something that could start work was handed on.  */
   mq_caller_kind kind;
   union
   {
--- a/programs/marjoramquay/drain.c
+++ b/programs/marjoramquay/drain.c
@@ -4,6 +4,7 @@
 
 #include <mq/log.h>
 
+#include "audit_io.h"
 #include "reply.h"
 #include "caller.h"
 
@@ -12,6 +13,8 @@
 /* The longest that a caller may take to read its last answer.  */
 #define CLOSE_LIMIT_S 30.
 #define ABORT_LIMIT_S 1.
+/* The longest that the last records of the audit trail may take.  */
+#define AUDIT_LIMIT_S 2.
 
 static void
 close_check (struct ev_loop *loop, ev_timer *timer, int revents)
@@ -22,6 +25,9 @@
   (void)revents;
   if (open > 0 && ev_now (loop) < router->close_limit)
     return;
+  if (mq_audit_io_pending (router->audit) > 0
+      && ev_now (loop) < router->audit_limit)
+    return;
   if (open > 0)
     mq_log (G_LOG_LEVEL_WARNING, "drain.cut", "open=%u", open);
   ev_timer_stop (loop, timer);
@@ -35,7 +41,9 @@
   router->mode = MQ_ROUTER_CLOSING;
   ev_now_update (router->loop);
   router->close_limit = ev_now (router->loop) + limit_s;
+  router->audit_limit = ev_now (router->loop) + MIN (limit_s, AUDIT_LIMIT_S);
   mq_http_server_quiesce (router->server);
+  mq_audit_io_flush (router->audit);
   ev_timer_stop (router->loop, &router->close_timer);
   ev_timer_set (&router->close_timer, 0., CLOSE_POLL_S);
   ev_timer_start (router->loop, &router->close_timer);
@@ -76,6 +84,9 @@
   router->mode = MQ_ROUTER_DRAINING;
   mq_log (G_LOG_LEVEL_INFO, "drain.begin", "why=%s in_flight=%u",
           mq_log_quote (why), mq_entry_in_flight (router->entry));
+  mq_audit_io_add (router->audit, MQ_AUDIT_MODE,
+                   mq_str_cstr (router->settings->name), why, "serving",
+                   "draining");
   mq_router_post (router, &event);
 }
 
--- /dev/null
+++ b/programs/marjoramquay/entries.h
@@ -0,0 +1,11 @@
+/* GET /v1/entries, the ask: which routers a caller should use, and tickets
+   for calls that may not run twice.  Internal to this program.  */
+
+#ifndef MQ_ENTRIES_H
+#define MQ_ENTRIES_H
+
+#include "router.h"
+
+void mq_entries_show (mq_router *router, mq_http_exchange *exchange);
+
+#endif
--- /dev/null
+++ b/programs/marjoramquay/order_io.c
@@ -0,0 +1,448 @@
+/* Orders to engines: see order_io.h.
+
+   Invariant: an order leaves only while the lease is held by the clock, which
+   is looked at once more just before the order is sent.  */
+
+#include "order_io.h"
+
+#include <json-c/json.h>
+#include <mq/json_text.h>
+#include <mq/log.h>
+#include <mq/ordering.h>
+#include <stdio.h>
+
+#include "audit_io.h"
+#include "store_io.h"
+
+#define LEASE_US UINT64_C (10000000)
+#define LEASE_RETRY_US UINT64_C (2000000)
+#define STORE_TIMEOUT_US UINT64_C (3000000)
+#define CLOCK_MARGIN_PERCENT 10
+#define ORDER_FLIGHT_US UINT64_C (3000000)
+#define ORDER_TIMEOUT_MS 2000
+#define POLL_US UINT64_C (500000)
+#define VERIFY_US UINT64_C (5000000)
+#define LOAD_TIME_US UINT64_C (120000000)
+#define PATIENCE_US UINT64_C (60000000)
+#define CONCURRENT 4
+
+struct mq_order_io
+{
+  mq_router *router; /* Borrowed.  */
+  mq_ordering *ordering;
+  mq_store_io *store;
+  mq_str *lease_name;
+  GQueue calls; /* of order_call, owned  */
+  mq_ticker ticker;
+};
+
+/* A call on an engine that has not been answered.  */
+typedef struct order_call
+{
+  mq_order_io *io; /* Borrowed.  */
+  GList link;
+  mq_http_call *http; /* Borrowed.  */
+  uint64_t order;
+} order_call;
+
+static void actions_carry_out (mq_order_io *io, GArray *lease_actions,
+                               GArray *order_actions);
+
+static void
+ordering_step (mq_order_io *io, mq_ordering_event *event)
+{
+  GArray *lease_actions = mq_lease_actions_new ();
+  GArray *order_actions = mq_orders_actions_new ();
+  uint64_t now = mq_router_now_us ();
+
+  if (event == NULL)
+    mq_ordering_tick (io->ordering, now, lease_actions, order_actions);
+  else
+    {
+      switch (event->kind)
+        {
+        case MQ_ORDERING_LEASE:
+          event->u.lease.now_us = now;
+          break;
+        case MQ_ORDERING_ORDERS:
+          event->u.orders.now_us = now;
+          break;
+        }
+      mq_ordering_handle (io->ordering, event, lease_actions, order_actions);
+    }
+  actions_carry_out (io, lease_actions, order_actions);
+  g_array_unref (lease_actions);
+  g_array_unref (order_actions);
+  mq_ticker_arm (&io->ticker, mq_ordering_next_tick (io->ordering));
+}
+
+static void
+on_store (void *context, mq_store_tag tag, const mq_store_reply *reply)
+{
+  mq_ordering_event event = { .kind = MQ_ORDERING_LEASE };
+
+  event.u.lease.kind = MQ_LEASE_REPLY;
+  event.u.lease.step = tag.step;
+  event.u.lease.reply = *reply;
+  ordering_step (context, &event);
+}
+
+static void
+on_tick (void *context)
+{
+  ordering_step (context, NULL);
+}
+
+/* ---- The lease.  */
+
+static void
+lease_carry_out (mq_order_io *io, const mq_lease_action *action)
+{
+  mq_store_request request = { .name = mq_str_span (io->lease_name),
+                               .version = action->version,
+                               .value = mq_str_span (action->value),
+                               .tag = { 0, action->step } };
+
+  switch (action->kind)
+    {
+    case MQ_LEASE_READ:
+      request.op = MQ_STORE_READ;
+      mq_store_io_start (io->store, &request);
+      break;
+    case MQ_LEASE_WRITE:
+      request.op = action->version == 0 ? MQ_STORE_CREATE : MQ_STORE_UPDATE;
+      mq_store_io_start (io->store, &request);
+      break;
+    case MQ_LEASE_HELD:
+      mq_log (G_LOG_LEVEL_INFO, "lease.held",
+              "name=%s fencing=%" G_GUINT64_FORMAT,
+              mq_str_cstr (io->lease_name), action->fencing);
+      break;
+    case MQ_LEASE_LOST:
+      mq_log (G_LOG_LEVEL_WARNING, "lease.lost", "name=%s",
+              mq_str_cstr (io->lease_name));
+      break;
+    }
+}
+
+/* ---- The orders.  */
+
+static void
+post_sent (mq_order_io *io, uint64_t order, mq_order_reply reply)
+{
+  mq_ordering_event event = { .kind = MQ_ORDERING_ORDERS };
+
+  event.u.orders.kind = MQ_ORDERS_SENT;
+  event.u.orders.u.sent.order = order;
+  event.u.orders.u.sent.reply = reply;
+  ordering_step (io, &event);
+}
+
+static void
+call_free (order_call *call)
+{
+  g_queue_unlink (&call->io->calls, &call->link);
+  g_free (call);
+}
+
+static void
+on_sent (void *context, const mq_http_client_event *event)
+{
+  order_call *call = context;
+  mq_order_io *io = call->io;
+  uint64_t order = call->order;
+  mq_order_reply reply = MQ_ORDER_NO_REPLY;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  if (event->result == MQ_HTTP_OK && event->status == 202)
+    reply = MQ_ORDER_ACCEPTED;
+  else if (event->result == MQ_HTTP_OK && event->status == 409)
+    reply = MQ_ORDER_FENCED;
+  call_free (call);
+  post_sent (io, order, reply);
+}
+
+static uint64_t
+member_u64 (json_object *root, const char *key)
+{
+  json_object *m;
+  int64_t n = 0;
+
+  if (json_object_object_get_ex (root, key, &m)
+      && json_object_is_type (m, json_type_int))
+    n = json_object_get_int64 (m);
+  return n < 0 ? 0 : (uint64_t)n;
+}
+
+static mq_span
+member_span (json_object *root, const char *key)
+{
+  json_object *m;
+
+  if (!json_object_object_get_ex (root, key, &m)
+      || !json_object_is_type (m, json_type_string))
+    return (mq_span){ NULL, 0 };
+  return (mq_span){ json_object_get_string (m),
+                    (size_t)json_object_get_string_len (m) };
+}
+
+static bool
+member_bool (json_object *root, const char *key)
+{
+  json_object *m;
+
+  return json_object_object_get_ex (root, key, &m)
+         && json_object_get_boolean (m);
+}
+
+/* BODY as JSON; a new reference, or NULL.  */
+static json_object *
+body_parse (mq_span body)
+{
+  struct json_tokener *tokener = json_tokener_new ();
+  json_object *root = NULL;
+
+  if (body.size > 0)
+    root = json_tokener_parse_ex (tokener, body.data, (int)body.size);
+  json_tokener_free (tokener);
+  return root;
+}
+
+static void
+on_holds (void *context, const mq_http_client_event *event)
+{
+  order_call *call = context;
+  mq_order_io *io = call->io;
+  mq_ordering_event e = { .kind = MQ_ORDERING_ORDERS };
+  mq_order_holds *holds = &e.u.orders.u.holds.holds;
+  json_object *root = NULL;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  if (event->result == MQ_HTTP_OK && event->status == 200)
+    root = body_parse (event->data);
+  e.u.orders.kind = MQ_ORDERS_HOLDS;
+  e.u.orders.u.holds.order = call->order;
+  e.u.orders.u.holds.known = root != NULL;
+  holds->model = member_span (root, "model");
+  holds->version = member_span (root, "version");
+  holds->first = (uint32_t)member_u64 (root, "first");
+  holds->end = (uint32_t)member_u64 (root, "end");
+  holds->loading = member_bool (root, "loading");
+  holds->fencing = member_u64 (root, "fencing");
+  call_free (call);
+  ordering_step (io, &e);
+  json_object_put (root);
+}
+
+/* Call PATH of ENGINE; false when no such engine is configured.  */
+static bool
+engine_call (mq_order_io *io, const mq_orders_action *action, const char *path,
+             mq_span body, mq_http_client_sink sink)
+{
+  const mq_engine *engine
+      = mq_config_engine (io->router->config, mq_str_span (action->engine));
+  const mq_http_header type
+      = { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") };
+  mq_http_call_options options = { .connect_ms = ORDER_TIMEOUT_MS,
+                                   .timeout_ms = ORDER_TIMEOUT_MS,
+                                   .body = body };
+  order_call *call;
+  char *url;
+
+  if (engine == NULL)
+    return false;
+  call = g_new0 (order_call, 1);
+  call->io = io;
+  call->order = action->order;
+  call->link.data = call;
+  g_queue_push_tail_link (&io->calls, &call->link);
+  url = g_strconcat (mq_str_cstr (engine->url), path, NULL);
+  options.url = mq_span_from (url);
+  if (body.size > 0)
+    {
+      options.method = MQ_SPAN ("POST");
+      options.headers = &type;
+      options.n_headers = 1;
+      options.once = true;
+    }
+  call->http = mq_http_client_start (io->router->client, &options, sink, call);
+  g_free (url);
+  return true;
+}
+
+static void
+order_body (const mq_orders_action *action, GString *out)
+{
+  char id[24];
+
+  (void)snprintf (id, sizeof id, "%016" G_GINT64_MODIFIER "x", action->order);
+  g_string_append_c (out, '{');
+  mq_json_text_member (out, "order", mq_span_from (id));
+  mq_json_text_number (out, "fencing", action->fencing);
+  mq_json_text_key (out, "want");
+  g_string_append_c (out, '{');
+  mq_json_text_member (out, "model", mq_str_span (action->model));
+  mq_json_text_member (out, "version", mq_str_span (action->version));
+  mq_json_text_number (out, "first", action->first);
+  mq_json_text_number (out, "end", action->end);
+  g_string_append (out, "}}");
+}
+
+static void
+order_send (mq_order_io *io, const mq_orders_action *action)
+{
+  GString *body = g_string_new (NULL);
+  bool sent = false;
+
+  order_body (action, body);
+  if (mq_router_now_us () < action->until_us)
+    sent = engine_call (io, action, "/v1/orders",
+                        (mq_span){ body->str, body->len }, on_sent);
+  mq_log (G_LOG_LEVEL_INFO, "order.send",
+          "engine=%s order=%016" G_GINT64_MODIFIER
+          "x fencing=%" G_GUINT64_FORMAT " first=%u end=%u sent=%d",
+          mq_log_quote (mq_str_cstr (action->engine)), action->order,
+          action->fencing, action->first, action->end, sent);
+  g_string_free (body, TRUE);
+  if (!sent)
+    post_sent (io, action->order, MQ_ORDER_NO_REPLY);
+}
+
+static void
+order_read (mq_order_io *io, const mq_orders_action *action)
+{
+  mq_ordering_event event = { .kind = MQ_ORDERING_ORDERS };
+
+  if (engine_call (io, action, "/v1/holds", (mq_span){ NULL, 0 }, on_holds))
+    return;
+  event.u.orders.kind = MQ_ORDERS_HOLDS;
+  event.u.orders.u.holds.order = action->order;
+  ordering_step (io, &event);
+}
+
+static void
+order_note (mq_order_io *io, const mq_orders_action *action, const char *after)
+{
+  char *wanted = g_strdup_printf (
+      "%s %s layers [%u, %u)", mq_str_cstr (action->model),
+      mq_str_cstr (action->version), action->first, action->end);
+
+  mq_log (G_LOG_LEVEL_INFO, "order.end", "engine=%s result=%s",
+          mq_log_quote (mq_str_cstr (action->engine)), mq_log_quote (after));
+  mq_audit_io_add (io->router->audit, MQ_AUDIT_ORDER,
+                   mq_str_cstr (action->engine),
+                   "a range of layers had too "
+                   "few engines",
+                   wanted, after);
+  g_free (wanted);
+}
+
+static void
+order_carry_out (mq_order_io *io, const mq_orders_action *action)
+{
+  switch (action->kind)
+    {
+    case MQ_ORDERS_SEND:
+      order_send (io, action);
+      break;
+    case MQ_ORDERS_READ:
+      order_read (io, action);
+      break;
+    case MQ_ORDERS_REACHED:
+      order_note (io, action, "reached");
+      break;
+    case MQ_ORDERS_STOPPED:
+      order_note (io, action, "stopped by a higher fencing number");
+      break;
+    case MQ_ORDERS_NEED_LEASE:
+    case MQ_ORDERS_IDLE:
+      break;
+    }
+}
+
+static void
+actions_carry_out (mq_order_io *io, GArray *lease_actions,
+                   GArray *order_actions)
+{
+  for (guint i = 0; i < lease_actions->len; i++)
+    lease_carry_out (io, &g_array_index (lease_actions, mq_lease_action, i));
+  for (guint i = 0; i < order_actions->len; i++)
+    order_carry_out (io, &g_array_index (order_actions, mq_orders_action, i));
+}
+
+mq_order_io *
+mq_order_io_new (mq_router *router)
+{
+  mq_order_io *io = g_new0 (mq_order_io, 1);
+  mq_ordering_options options
+      = { .lease = { .router = router->incarnation,
+                     .duration_us = LEASE_US,
+                     .retry_us = LEASE_RETRY_US,
+                     .timeout_us = STORE_TIMEOUT_US,
+                     .margin_percent = CLOCK_MARGIN_PERCENT },
+          .orders = { .router = router->incarnation,
+                      .flight_us = ORDER_FLIGHT_US,
+                      .poll_us = POLL_US,
+                      .verify_us = VERIFY_US,
+                      .concurrent = CONCURRENT,
+                      .load_time_us = LOAD_TIME_US,
+                      .patience_us = PATIENCE_US } };
+
+  io->router = router;
+  io->ordering = mq_ordering_new (&options);
+  io->store = mq_store_io_new (router->platform, on_store, io);
+  io->lease_name = mq_str_printf ("leases/orders/%s",
+                                  mq_str_cstr (router->settings->region));
+  g_queue_init (&io->calls);
+  mq_ticker_init (&io->ticker, router->loop, on_tick, io);
+  return io;
+}
+
+void
+mq_order_io_free (mq_order_io *io)
+{
+  GList *l;
+
+  if (io == NULL)
+    return;
+  while ((l = g_queue_peek_head_link (&io->calls)) != NULL)
+    {
+      order_call *call = l->data;
+
+      mq_http_call_cancel (call->http);
+      call_free (call);
+    }
+  mq_ticker_finish (&io->ticker);
+  mq_store_io_free (io->store);
+  mq_ordering_free (io->ordering);
+  mq_str_unref (io->lease_name);
+  g_free (io);
+}
+
+void
+mq_order_io_repair (mq_order_io *io, const mq_planner_action *action)
+{
+  mq_ordering_event event = { .kind = MQ_ORDERING_ORDERS };
+  mq_order_want *want = &event.u.orders.u.want;
+  mq_span name = mq_str_span (action->u.repair.engine);
+  const mq_engine *engine = mq_config_engine (io->router->config, name);
+
+  if (engine == NULL)
+    return;
+  event.u.orders.kind = MQ_ORDERS_WANT;
+  want->engine = name;
+  want->model = mq_str_span (action->u.repair.model);
+  want->version = mq_str_span (action->u.repair.version);
+  want->first = action->u.repair.first;
+  want->end = action->u.repair.end;
+  want->checks_fencing = engine->checks_fencing;
+  ordering_step (io, &event);
+}
+
+uint32_t
+mq_order_io_pending (const mq_order_io *io)
+{
+  return mq_ordering_pending (io->ordering);
+}
--- a/programs/marjoramquay/reply.c
+++ b/programs/marjoramquay/reply.c
@@ -5,7 +5,7 @@
 #include <mq/json_text.h>
 #include <stdio.h>
 
-#define HEADERS_MAX 5
+#define HEADERS_MAX 6
 
 static const char *const sentences[] = {
   [MQ_REASON_NONE] = "no reason",
@@ -60,6 +60,8 @@
   if (error->retry_after_us > 0)
     mq_json_text_number (out, "retry_after_ms",
                          (error->retry_after_us + 999) / 1000);
+  if (error->go_to != NULL)
+    mq_json_text_member (out, "router", mq_span_from (error->go_to));
   g_string_append (out, "}}");
 }
 
@@ -90,6 +92,9 @@
       headers[n++]
           = (mq_http_header){ MQ_SPAN ("Retry-After"), mq_span_from (retry) };
     }
+  if (error->go_to != NULL)
+    headers[n++] = (mq_http_header){ MQ_SPAN ("Marjoramquay-Router"),
+                                     mq_span_from (error->go_to) };
   if (error->reason == MQ_REASON_UNAUTHENTICATED)
     headers[n++]
         = (mq_http_header){ MQ_SPAN ("WWW-Authenticate"), MQ_SPAN ("Bearer") };
--- a/programs/marjoramquay/reply.h
+++ b/programs/marjoramquay/reply.h
@@ -14,6 +14,7 @@
   const char *detail;      /* What exactly was wrong; NULL: nothing to add. */
   const char *request;     /* Id; NULL or "" for one that got none.  */
   uint64_t retry_after_us; /* 0: no use in coming back.  */
+  const char *go_to;       /* IP:PORT of the router to go to; NULL: none.  */
 } mq_reply_error;
 
 /* Give ERROR as the whole answer.  */
--- a/programs/marjoramquay/router.c
+++ b/programs/marjoramquay/router.c
@@ -5,14 +5,19 @@
 #include <mq/log.h>
 #include <sodium.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "admission.h"
+#include "audit_io.h"
+#include "claim_io.h"
 #include "config_feed.h"
 #include "drain.h"
 #include "loads.h"
+#include "order_io.h"
 #include "caller.h"
 #include "routes.h"
 #include "status.h"
+#include "ticket_io.h"
 
 /* An incarnation begins with the start's wall clock, so that a later one of
    the same VM is nearly always the higher, and ends in random bits, so that
@@ -35,6 +40,16 @@
          | randombytes_uniform (1U << INCARNATION_RANDOM_BITS);
 }
 
+char *
+mq_router_caller_address (const mq_router *router)
+{
+  const char *address = mq_str_cstr (router->settings->advertised);
+  bool v6 = strchr (address, ':') != NULL;
+
+  return g_strdup_printf ("%s%s%s:%u", v6 ? "[" : "", address, v6 ? "]" : "",
+                          mq_http_server_port (router->server));
+}
+
 static int
 server_open (mq_router *router, GError **error)
 {
@@ -90,8 +105,12 @@
   r->platform = mq_platform_new (
       r->client, mq_str_span (settings->platform_url), PLATFORM_TIMEOUT_MS);
   r->loads = mq_loads_new (r);
+  r->audit = mq_audit_io_new (r);
+  r->claims = mq_claim_io_new (r);
+  r->orders = mq_order_io_new (r);
   if (server_open (r, error) < 0)
     goto fail;
+  r->tickets = mq_ticket_io_new (r);
   r->feed = mq_config_feed_new (r);
   mq_log (G_LOG_LEVEL_INFO, "router.start",
           "vm=%s incarnation=%s address=%s port=%u",
@@ -114,6 +133,10 @@
     return;
   mq_config_feed_free (router->feed);
   mq_loads_free (router->loads);
+  mq_order_io_free (router->orders);
+  mq_claim_io_free (router->claims);
+  mq_audit_io_free (router->audit);
+  mq_ticket_io_free (router->tickets);
   g_hash_table_unref (router->requests);
   mq_http_server_free (router->server);
   mq_platform_free (router->platform);
--- a/programs/marjoramquay/router.h
+++ b/programs/marjoramquay/router.h
@@ -21,10 +21,16 @@
 #include <mq/planner.h>
 #include <mq/settings.h>
 
+#include "ticker.h"
+
 /* A request id as text: incarnation and number.  */
 #define MQ_REQUEST_ID_SIZE 64
 
+typedef struct mq_audit_io mq_audit_io;
+typedef struct mq_claim_io mq_claim_io;
 typedef struct mq_loads mq_loads;
+typedef struct mq_order_io mq_order_io;
+typedef struct mq_ticket_io mq_ticket_io;
 typedef struct mq_config_feed mq_config_feed;
 
 typedef enum mq_router_mode
@@ -68,7 +74,7 @@
   GArray *planner_actions; /* Scratch, of mq_planner_action.  */
   GQueue pending;          /* Events raised while actions are carried out. */
   bool in_step;
-  ev_timer entry_tick;
+  mq_ticker entry_tick;
   ev_timer planner_tick;
 
   mq_http_server *server;
@@ -79,10 +85,15 @@
   uint64_t last_refusal; /* Numbers the requests refused before the entry. */
 
   mq_loads *loads;
+  mq_audit_io *audit;
+  mq_claim_io *claims;
+  mq_order_io *orders;
+  mq_ticket_io *tickets;
   mq_metrics *metrics;
   mq_router_counters counters;
   ev_timer close_timer; /* Until the last answers are sent.  */
-  double close_limit;   /* On the loop's clock.  */
+  double close_limit;   /* On the loop's clock, as the next.  */
+  double audit_limit;
 } mq_router;
 
 /* A running router, or NULL with ERROR set.  SETTINGS must live longer.  */
@@ -93,6 +104,9 @@
 /* CONFIG, of which a new reference is taken, is in force.  */
 void mq_router_take_config (mq_router *router, mq_config *config);
 
+/* IP:PORT where callers reach this router; free with g_free.  */
+char *mq_router_caller_address (const mq_router *router);
+
 /* Monotonic time of now.  */
 uint64_t mq_router_now_us (void);
 
--- a/programs/marjoramquay/router_loop.c
+++ b/programs/marjoramquay/router_loop.c
@@ -7,6 +7,7 @@
 #include <mq/log.h>
 
 #include "admission.h"
+#include "claim_io.h"
 #include "completion.h"
 #include "drain.h"
 #include "router.h"
@@ -40,13 +41,13 @@
 }
 
 static void
-post_claimed (mq_router *router, const mq_entry_action *action)
+claim (mq_router *router, const mq_entry_action *action)
 {
-  mq_entry_event event
-      = { .kind = MQ_ENTRY_CLAIMED, .handle = action->handle };
+  mq_caller *caller = mq_caller_find (router, action->handle);
 
-  event.u.claim = MQ_CLAIM_UNAVAILABLE;
-  mq_router_post (router, &event);
+  if (caller != NULL)
+    caller->claimed = true;
+  mq_claim_io_start (router->claims, action);
 }
 
 static void
@@ -73,6 +74,9 @@
       mq_service_route_end (caller, action);
       break;
     }
+  if (caller->claimed)
+    mq_claim_io_settle (caller->router->claims, caller->handle,
+                        action->u.end.outcome);
   mq_caller_forget (caller);
 }
 
@@ -130,7 +134,7 @@
       mq_admission_release (router, action);
       break;
     case MQ_ENTRY_CLAIM:
-      post_claimed (router, action);
+      claim (router, action);
       break;
     case MQ_ENTRY_DRAINED:
       mq_drain_all_ended (router);
@@ -170,16 +174,7 @@
 static void
 entry_tick_arm (mq_router *router)
 {
-  uint64_t due = mq_entry_next_tick (router->entry);
-  uint64_t now = mq_router_now_us ();
-
-  ev_timer_stop (router->loop, &router->entry_tick);
-  if (due == UINT64_MAX)
-    return;
-  ev_now_update (router->loop);
-  ev_timer_set (&router->entry_tick,
-                due <= now ? 0. : (double)(due - now) / 1e6, 0.);
-  ev_timer_start (router->loop, &router->entry_tick);
+  mq_ticker_arm (&router->entry_tick, mq_entry_next_tick (router->entry));
 }
 
 void
@@ -221,14 +216,11 @@
 }
 
 static void
-on_entry_tick (struct ev_loop *loop, ev_timer *timer, int revents)
+on_entry_tick (void *context)
 {
-  mq_router *router = timer->data;
   mq_entry_event event = { .kind = MQ_ENTRY_TICK };
 
-  (void)loop;
-  (void)revents;
-  mq_router_post (router, &event);
+  mq_router_post (context, &event);
 }
 
 static void
@@ -248,8 +240,7 @@
   g_queue_init (&router->pending);
   router->entry_actions = g_array_new (FALSE, TRUE, sizeof (mq_entry_action));
   router->planner_actions = mq_planner_actions_new ();
-  ev_timer_init (&router->entry_tick, on_entry_tick, 0., 0.);
-  router->entry_tick.data = router;
+  mq_ticker_init (&router->entry_tick, router->loop, on_entry_tick, router);
   ev_timer_init (&router->planner_tick, on_planner_tick, PLANNER_TICK_S,
                  PLANNER_TICK_S);
   router->planner_tick.data = router;
@@ -263,7 +254,7 @@
 
   while ((p = g_queue_pop_head (&router->pending)) != NULL)
     pending_free (p);
-  ev_timer_stop (router->loop, &router->entry_tick);
+  mq_ticker_finish (&router->entry_tick);
   ev_timer_stop (router->loop, &router->planner_tick);
   g_clear_pointer (&router->entry_actions, g_array_unref);
   g_clear_pointer (&router->planner_actions, g_array_unref);
--- a/programs/marjoramquay/routes.c
+++ b/programs/marjoramquay/routes.c
@@ -3,6 +3,7 @@
 #include "routes.h"
 
 #include "completion.h"
+#include "entries.h"
 #include "explain.h"
 #include "operators.h"
 #include "reply.h"
@@ -21,7 +22,7 @@
 static const route routes[] = {
   { "POST", "/v1/completions", mq_completion_start },
   { NULL, MQ_SERVICES_PATH, mq_service_route_start },
-  { "GET", "/v1/entries", mq_status_entries },
+  { "GET", "/v1/entries", mq_entries_show },
   { "GET", "/v1/status", mq_status_show },
   { "GET", MQ_EXPLAIN_PATH, mq_explain_show },
   { "POST", "/v1/drain", mq_operators_drain },
--- a/programs/marjoramquay/status.c
+++ b/programs/marjoramquay/status.c
@@ -8,8 +8,6 @@
 
 #include "reply.h"
 
-#define DEFAULT_TTL_MS 5000
-
 static uint64_t *
 outcome_counter (mq_metrics *metrics, mq_outcome outcome)
 {
@@ -182,32 +180,3 @@
   mq_reply_json (exchange, 200, out);
   g_string_free (out, TRUE);
 }
-
-void
-mq_status_entries (mq_router *router, mq_http_exchange *exchange)
-{
-  const mq_settings *s = router->settings;
-  GString *out = g_string_new ("{\"entries\":[");
-
-  if (router->mode == MQ_ROUTER_SERVING)
-    {
-      char *address = g_strdup_printf ("%s:%u", mq_str_cstr (s->advertised),
-                                       mq_http_server_port (router->server));
-
-      g_string_append_c (out, '{');
-      mq_json_text_member (out, "vm", mq_str_span (s->name));
-      mq_json_text_member (out, "address", mq_span_from (address));
-      mq_json_text_member (out, "failure_domain",
-                           mq_str_span (s->failure_domain));
-      g_string_append_c (out, '}');
-      g_free (address);
-    }
-  g_string_append (out, "]");
-  mq_json_text_number (out, "ttl_ms",
-                       router->config == NULL
-                           ? DEFAULT_TTL_MS
-                           : router->config->policy.ask_ttl_ms);
-  g_string_append (out, "}\n");
-  mq_reply_json (exchange, 200, out);
-  g_string_free (out, TRUE);
-}
--- a/programs/marjoramquay/status.h
+++ b/programs/marjoramquay/status.h
@@ -13,6 +13,5 @@
 void mq_status_ready (mq_router *router, mq_http_exchange *exchange);
 void mq_status_metrics (mq_router *router, mq_http_exchange *exchange);
 void mq_status_show (mq_router *router, mq_http_exchange *exchange);
-void mq_status_entries (mq_router *router, mq_http_exchange *exchange);
 
 #endif
--- /dev/null
+++ b/programs/marjoramquay/ticket_io.c
@@ -0,0 +1,133 @@
+/* Tickets of this router: see ticket_io.h.  */
+
+#include "ticket_io.h"
+
+#include <mq/json_text.h>
+#include <mq/log.h>
+#include <mq/ticket.h>
+#include <sodium.h>
+#include <stdio.h>
+
+#include "reply.h"
+
+/* Below MQ_ENTRY_GUARD_MEMORY_US, so that a ticket expires before the entry
+   forgets what its call came to.  */
+#define LIFETIME_US (UINT64_C (10) * 60 * 1000000)
+#define LIMIT (1024 * 1024)
+
+struct mq_ticket_io
+{
+  mq_router *router; /* Borrowed.  */
+  mq_tickets *tickets;
+  GString *text;   /* Scratch.  */
+  char number[24]; /* Of the ticket opened last.  */
+};
+
+static mq_tickets *
+tickets_new (const mq_router *router)
+{
+  char *address = mq_router_caller_address (router);
+  mq_tickets_options options = { .router = router->incarnation,
+                                 .address = mq_span_from (address),
+                                 .lifetime_us = LIFETIME_US,
+                                 .limit = LIMIT };
+  mq_tickets *tickets;
+
+  randombytes_buf (options.key, sizeof options.key);
+  tickets = mq_tickets_new (&options);
+  sodium_memzero (options.key, sizeof options.key);
+  g_free (address);
+  return tickets;
+}
+
+mq_ticket_io *
+mq_ticket_io_new (mq_router *router)
+{
+  mq_ticket_io *io = g_new0 (mq_ticket_io, 1);
+
+  io->router = router;
+  io->text = g_string_new (NULL);
+  io->tickets = tickets_new (router);
+  return io;
+}
+
+void
+mq_ticket_io_free (mq_ticket_io *io)
+{
+  if (io == NULL)
+    return;
+  mq_tickets_free (io->tickets);
+  g_string_free (io->text, TRUE);
+  g_free (io);
+}
+
+void
+mq_ticket_io_mint (mq_ticket_io *io, mq_span organisation, unsigned n,
+                   GString *out)
+{
+  uint64_t now = mq_router_now_us ();
+
+  g_string_append_c (out, '[');
+  for (unsigned i = 0; i < MIN (n, MQ_TICKETS_PER_ASK); i++)
+    {
+      if (mq_tickets_mint (io->tickets, now, organisation, io->text, NULL) < 0)
+        break;
+      if (i > 0)
+        g_string_append_c (out, ',');
+      mq_json_text_string (out, (mq_span){ io->text->str, io->text->len });
+    }
+  g_string_append_c (out, ']');
+}
+
+static void
+reply_spent (mq_ticket_io *io, mq_http_exchange *exchange,
+             mq_ticket_state state)
+{
+  mq_ticket_answer answer = mq_ticket_answer_spent (state);
+  mq_reply_error error
+      = { .outcome = answer.outcome, .reason = answer.reason };
+
+  mq_reply_refuse (io->router, exchange, &error);
+}
+
+/* Another router's: say where to go, if there is use in going.  */
+static void
+reply_elsewhere (mq_ticket_io *io, mq_http_exchange *exchange,
+                 const mq_ticket *ticket)
+{
+  mq_ticket_answer answer
+      = mq_ticket_answer_elsewhere (MQ_TICKET_ROUTER_UNHEARD, false);
+  mq_reply_error error
+      = { .outcome = answer.outcome, .reason = answer.reason };
+
+  if (answer.redirect)
+    error.go_to = ticket->address;
+  mq_reply_refuse (io->router, exchange, &error);
+}
+
+mq_span
+mq_ticket_io_open (mq_ticket_io *io, mq_http_exchange *exchange,
+                   mq_span organisation, mq_span text)
+{
+  mq_ticket ticket;
+
+  switch (mq_tickets_open (io->tickets, mq_router_now_us (), organisation,
+                           text, &ticket))
+    {
+    case MQ_TICKET_OK:
+      (void)snprintf (io->number, sizeof io->number, "%" G_GUINT64_FORMAT,
+                      ticket.number);
+      return mq_span_from (io->number);
+    case MQ_TICKET_EXPIRED:
+      reply_spent (io, exchange, MQ_TICKET_FORGOTTEN);
+      break;
+    case MQ_TICKET_FORGED:
+      mq_reply_bad_request (io->router, exchange, MQ_REASON_TICKET_INVALID,
+                            NULL);
+      break;
+    case MQ_TICKET_ELSEWHERE:
+      reply_elsewhere (io, exchange, &ticket);
+      break;
+    }
+  return (mq_span){ NULL, 0 };
+}
