HTTP client: IP numbers only, one connection for a call that goes once

A host name made libcurl start a resolver thread, and a URL that it did not take never ended; both now end as a connection that wasn't made. A call that goes once closes its connection, which no later call may use to be sent twice, instead of leaving it idle. Idle connections are kept up to 1,024; libcurl's own limit follows the calls under way, too few for a router that polls many engines. Tests for chunked and early-refused bodies, HEAD, HTTP/1.0, pipelining, IPv6 and a lack of descriptors.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -52,14 +52,15 @@
 typedef struct mq_http_call_options
 {
   mq_span method; /* Empty means GET.  */
-  mq_span url;
+  mq_span url;    /* http or https; its host is an IP number.  */
   const mq_http_header *headers;
   size_t n_headers;
   mq_span body;        /* Copied.  */
   uint64_t connect_ms; /* 0 means 1000.  */
   uint64_t timeout_ms; /* For the whole call; 0 means none.  */
   bool streamed;       /* Report DATA events.  */
-  bool once;           /* Never sent twice.  Without it libcurl may send a
+  bool once;           /* Never sent twice, so on a connection of its own.
+                          Without it libcurl may send a
                           request again by itself when a kept connection turns
                           out to be closed before any answer.  */
   size_t body_limit;   /* Bytes for a body that is not streamed; 0: 1 MiB. */
--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -43,9 +43,10 @@
                              later.  */
   MQ_HTTP_SERVER_DRAINED, /* What a stream had queued fell below half of
                              MQ_HTTP_STREAM_HIGH.  */
-  MQ_HTTP_SERVER_GONE     /* The caller went away before the user gave the
-                             whole answer.  Sent at most once, and not after
-                             a reply, an end or an abort.  */
+  MQ_HTTP_SERVER_GONE     /* The caller went away, or closed its sending
+                             side, before the user gave the whole answer.  Sent at
+                             most once, and not after     a reply, an end or an abort.
+                           */
 } mq_http_server_event_kind;
 
 typedef struct mq_http_server_event
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -16,6 +16,7 @@
 
 #include <mq/log.h>
 
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <string.h>
 
@@ -24,6 +25,9 @@
 #define HEADER_LIMIT ((size_t)64 * 1024)
 #define STATUS_FINAL 200
 
+/* Idle connections kept for later calls, over all upstreams.  */
+#define KEPT_CONNECTIONS 1024L
+
 struct mq_http_client
 {
   struct ev_loop *loop; /* Borrowed.  */
@@ -407,6 +411,8 @@
   if (!typed)
     call->headers = curl_slist_append (call->headers, "Content-Type:");
   call->headers = curl_slist_append (call->headers, "Expect:");
+  if (options->once)
+    call->headers = curl_slist_append (call->headers, "Connection: close");
   curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
   g_string_free (line, TRUE);
 }
@@ -435,6 +441,56 @@
   g_free (method);
 }
 
+/* True when the host of URL is an IP number.  For a name libcurl would start
+   a thread to look it up.  */
+static bool
+client_has_ip_number (const char *url)
+{
+  CURLU *u = curl_url ();
+  char *host = NULL;
+  unsigned char number[sizeof (struct in6_addr)];
+  bool r = false;
+
+  if (curl_url_set (u, CURLUPART_URL, url, 0) == CURLUE_OK
+      && curl_url_get (u, CURLUPART_HOST, &host, 0) == CURLUE_OK)
+    {
+      size_t size = strlen (host);
+
+      if (host[0] == '[' && host[size - 1] == ']')
+        {
+          host[size - 1] = '\0';
+          r = inet_pton (AF_INET6, host + 1, number) == 1;
+        }
+      else
+        r = inet_pton (AF_INET, host, number) == 1;
+    }
+  curl_free (host);
+  curl_url_cleanup (u);
+  return r;
+}
+
+/* End CALL, which libcurl doesn't run, with CODE; not from in here.  */
+static void
+client_fail_later (mq_http_call *call, CURLcode code)
+{
+  call->code = code;
+  call->ended = true;
+  client_mark_ready (call);
+  ev_feed_event (call->client->loop, &call->client->timer, EV_TIMER);
+}
+
+static void
+client_add (mq_http_call *call, const mq_http_call_options *options)
+{
+  char *url = g_strndup (options->url.data, options->url.size);
+
+  if (!client_has_ip_number (url))
+    client_fail_later (call, CURLE_COULDNT_RESOLVE_HOST);
+  else if (curl_multi_add_handle (call->client->multi, call->easy) != CURLM_OK)
+    client_fail_later (call, CURLE_FAILED_INIT);
+  g_free (url);
+}
+
 static void
 client_set_up (mq_http_call *call, const mq_http_call_options *options)
 {
@@ -459,7 +515,10 @@
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, client_before_request);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, call);
   if (options->once)
-    curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
+    {
+      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
+    }
   if (call->client->ca_file != NULL)
     {
       curl_easy_setopt (e, CURLOPT_CAINFO,
@@ -485,6 +544,7 @@
   ev_timer_init (&c->timer, client_timer_ready, 0., 0.);
   c->timer.data = c;
   c->multi = curl_multi_init ();
+  curl_multi_setopt (c->multi, CURLMOPT_MAXCONNECTS, KEPT_CONNECTIONS);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETFUNCTION, client_watch_socket);
   curl_multi_setopt (c->multi, CURLMOPT_SOCKETDATA, c);
   curl_multi_setopt (c->multi, CURLMOPT_TIMERFUNCTION, client_watch_timer);
@@ -531,7 +591,7 @@
   call->easy = curl_easy_init ();
   client_set_up (call, options);
   g_queue_push_tail_link (&client->calls, &call->link);
-  curl_multi_add_handle (client->multi, call->easy);
+  client_add (call, options);
   return call;
 }
 
--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -18,6 +18,7 @@
 #include <functional>
 #include <netinet/in.h>
 #include <string>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <vector>
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -538,4 +538,188 @@
   g_clear_error (&error);
 }
 
+TEST_F (Http, FailsACallToAHostName)
+{
+  for (const char *u : { "http://example.invalid/", "http:///", "nonsense", "",
+                         "ftp://127.0.0.1/", "file:///etc/hostname" })
+    {
+      Answer a;
+      mq_http_call_options options = {};
+
+      options.url = mq_span_from (u);
+      mq_http_client_start (client, &options, answer_sink, &a);
+      EXPECT_EQ (a.ends, 0) << "reported from inside";
+      ASSERT_TRUE (until ([&] { return a.ends == 1; }));
+      EXPECT_EQ (a.result, MQ_HTTP_CONNECT) << u;
+      EXPECT_FALSE (a.maybe_sent);
+    }
+}
+
+TEST_F (Http, ListensAndCallsOverIpv6)
+{
+  mq_http_server_options options = {};
+  mq_http_call_options to = {};
+  GError *error = nullptr;
+  Answer a;
+
+  options.address = MQ_SPAN ("::1");
+  options.body_limit = 1024;
+  mq_http_server *s = mq_http_server_new (loop, &options, sink, this, &error);
+  if (s == nullptr)
+    {
+      g_clear_error (&error);
+      GTEST_SKIP () << "this machine has no IPv6";
+    }
+  on_request = [] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, mq_http_exchange_peer (x));
+  };
+  std::string u
+      = "http://[::1]:" + std::to_string (mq_http_server_port (s)) + "/";
+  to.url = span (u);
+  mq_http_client_start (client, &to, answer_sink, &a);
+  EXPECT_TRUE (until ([&] { return a.ends == 1; }));
+  EXPECT_EQ (a.body, "::1");
+  mq_http_server_free (s);
+}
+
+/* What comes back on one connection for BYTES, until it holds LAST.  */
+class HttpRaw : public Http
+{
+protected:
+  std::string
+  exchange_bytes (const std::string &bytes, const std::string &last)
+  {
+    Socket s = Socket::connected (mq_http_server_port (server));
+    bool closed = false;
+    std::string got;
+
+    s.write (bytes);
+    EXPECT_TRUE (until ([&] {
+      got += s.read (&closed);
+      return closed || got.find (last) != std::string::npos;
+    })) << got;
+    return got;
+  }
+};
+
+TEST_F (HttpRaw, RefusesALargeBodyBeforeItIsSent)
+{
+  on_request = [] (mq_http_exchange *) { FAIL (); };
+  std::string got
+      = exchange_bytes ("POST / HTTP/1.1\r\nHost: x\r\nExpect: 100-continue"
+                        "\r\nContent-Length: 1000000\r\n\r\n",
+                        "body-too-large");
+
+  EXPECT_EQ (got.find ("HTTP/1.1 413"), 0u) << got;
+}
+
+TEST_F (HttpRaw, CollectsAChunkedBody)
+{
+  on_request = [] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, mq_http_exchange_body (x));
+  };
+  std::string got = exchange_bytes (
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "3\r\none\r\n4\r\n two\r\n0\r\n\r\n",
+      "one two");
+
+  EXPECT_NE (got.find ("\r\n\r\none two"), std::string::npos) << got;
+}
+
+TEST_F (HttpRaw, AnswersOneRequestAfterAnotherOnAConnection)
+{
+  on_request = [] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, mq_http_exchange_path (x));
+  };
+  std::string got = exchange_bytes ("GET /first HTTP/1.1\r\nHost: x\r\n\r\n"
+                                    "GET /second HTTP/1.1\r\nHost: x\r\n\r\n",
+                                    "/second");
+
+  EXPECT_LT (got.find ("/first"), got.find ("/second"));
+}
+
+TEST_F (HttpRaw, StreamsToACallerThatKnowsNoChunks)
+{
+  on_request = [] (mq_http_exchange *x) {
+    mq_http_exchange_begin (x, 200, nullptr, 0);
+    mq_http_exchange_write (x, MQ_SPAN ("one "));
+    mq_http_exchange_write (x, MQ_SPAN ("two"));
+    mq_http_exchange_end (x);
+  };
+  std::string got
+      = exchange_bytes ("GET / HTTP/1.0\r\nHost: x\r\n\r\n", "one two");
+
+  EXPECT_NE (got.find ("\r\n\r\none two"), std::string::npos) << got;
+}
+
+TEST_F (HttpRaw, AnswersHeadWithoutABody)
+{
+  on_request = [] (mq_http_exchange *x) {
+    mq_http_exchange_begin (x, 200, nullptr, 0);
+    mq_http_exchange_write (x, MQ_SPAN ("body"));
+    mq_http_exchange_end (x);
+  };
+  std::string got
+      = exchange_bytes ("HEAD / HTTP/1.1\r\nHost: x\r\n\r\n", "\r\n\r\n");
+
+  EXPECT_EQ (got.find ("HTTP/1.1 200"), 0u);
+  EXPECT_EQ (got.find ("body"), std::string::npos);
+  ASSERT_TRUE (
+      until ([&] { return mq_http_server_open_count (server) == 0; }));
+  EXPECT_EQ (gone, 0);
+}
+
+TEST_F (HttpRaw, ClosesAfterTheAnswerOnceItIsQuiet)
+{
+  Socket s = Socket::connected (mq_http_server_port (server));
+  bool closed = false;
+  std::string got;
+
+  on_request = [&] (mq_http_exchange *x) {
+    mq_http_server_quiesce (server);
+    mq_http_exchange_reply (x, 200, nullptr, 0, MQ_SPAN ("last"));
+  };
+  s.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE (until ([&] {
+    got += s.read (&closed);
+    return closed;
+  }));
+  EXPECT_NE (got.find ("last"), std::string::npos);
+}
+
+/* A process without descriptors to spare takes callers again once it has
+   some.  */
+TEST_F (Http, OutlivesALackOfDescriptors)
+{
+  const int n = 20;
+  rlimit before;
+  std::vector<Socket> waiting;
+  std::vector<int> ballast;
+  int served = 0;
+
+  on_request = [&] (mq_http_exchange *x) {
+    served++;
+    mq_http_exchange_reply (x, 200, nullptr, 0, MQ_SPAN ("ok"));
+  };
+  getrlimit (RLIMIT_NOFILE, &before);
+  rlimit low = before;
+  low.rlim_cur = 128;
+  ASSERT_EQ (setrlimit (RLIMIT_NOFILE, &low), 0);
+  for (int i = 0; i < n; i++)
+    {
+      waiting.push_back (Socket::connected (mq_http_server_port (server)));
+      waiting.back ().write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+  for (int fd; (fd = dup (0)) >= 0;)
+    ballast.push_back (fd);
+  /* Enough turns to try in vain.  */
+  for (int i = 0; i < 10; i++)
+    ev_run (loop, EVRUN_NOWAIT);
+  EXPECT_EQ (served, 0);
+  for (int fd : ballast)
+    close (fd);
+  ASSERT_TRUE (until ([&] { return served == n; }));
+  setrlimit (RLIMIT_NOFILE, &before);
+}
+
 } // namespace
