--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -39,14 +39,14 @@
 
 typedef enum mq_http_server_event_kind
 {
-  MQ_HTTP_SERVER_REQUEST, /* A whole request has arrived; answer it now or
-                             later.  */
-  MQ_HTTP_SERVER_DRAINED, /* What a stream had queued fell below half of
-                             MQ_HTTP_STREAM_HIGH.  */
-  MQ_HTTP_SERVER_GONE     /* The caller went away, or closed its sending
-                             side, before the user gave the whole answer.  Sent at
-                             most once, and not after     a reply, an end or an abort.
-                           */
+  /* A whole request has arrived; answer it now or later.  */
+  MQ_HTTP_SERVER_REQUEST,
+  /* What a stream had queued fell below half of MQ_HTTP_STREAM_HIGH.  */
+  MQ_HTTP_SERVER_DRAINED,
+  /* The caller went away, or closed its sending side, before the user gave
+     the whole answer.  Sent at most once, and not after a reply, an end or an
+     abort.  */
+  MQ_HTTP_SERVER_GONE
 } mq_http_server_event_kind;
 
 typedef struct mq_http_server_event
