Ask engines for their cache events and name prefixes as they do

Cause: the planner's prefix affinity had no events, and the router hashed 256 bytes of a prompt where the engines hash 1024, so no hint could ever match. The reading of small JSON bodies stood twice; it is one module now.

--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -15,8 +15,9 @@
 
 #define DEFAULT_MAX_TOKENS 256
 #define BYTES_PER_TOKEN 4
-/* How much of a prompt's beginning tells it from others in a cache.  */
-#define PREFIX_BYTES 256
+/* How much of a prompt's beginning names it in the engines' caches
+   (docs/UPSTREAMS.md).  */
+#define PREFIX_BYTES 1024
 
 #define FRAME_END "\",\"finish_reason\":null}]}\n\n"
 
--- a/programs/marjoramquay/loads.c
+++ b/programs/marjoramquay/loads.c
@@ -1,21 +1,21 @@
-/* Load reports of engines: see loads.h.
+/* Asks engines how they are: see loads.h.
 
-   One engine is asked at a time, in turn.  The pause between two asks keeps
-   the bytes within the budget, whatever the number of engines, so that more
-   engines mean older figures and not more traffic.  */
+   One engine is asked at a time, in turn: first for its load, then for its
+   cache events.  The pause between two engines keeps the bytes within the
+   budget, whatever the number of engines, so that more engines mean older
+   figures and not more traffic.  */
 
 #include "loads.h"
 
-#include <json-c/json.h>
+#include "engine_report.h"
 
-#include "admission.h"
-
-/* An ask and its answer, headers included.  */
-#define POLL_BYTES 700
+/* Both asks and their answers, headers included.  */
+#define TURN_BYTES 1200
 #define BUDGET_BYTES_PER_S 4096
 /* No engine is asked more often than this.  */
 #define ENGINE_INTERVAL_S 0.5
-#define POLL_TIMEOUT_MS 1000
+#define TIMEOUT_MS 1000
+#define EVENTS_LIMIT ((size_t)64 * 1024)
 
 struct mq_loads
 {
@@ -25,129 +25,84 @@
   mq_config *config;  /* Owned reference, or NULL.  */
   guint next;         /* Engine to be asked next.  */
   mq_str *engine;     /* The one being asked.  */
+  mq_str *url;        /* Its own.  */
+  GHashTable *after;  /* Engine name to the number of its last cache event. */
 };
 
 static double
 interval_s (const mq_loads *loads)
 {
-  double by_budget = (double)POLL_BYTES / BUDGET_BYTES_PER_S;
+  double by_budget = (double)TURN_BYTES / BUDGET_BYTES_PER_S;
   double by_engines = ENGINE_INTERVAL_S / loads->config->engines->len;
 
   return MAX (by_budget, by_engines);
 }
 
-static uint64_t
-member_u64 (json_object *root, const char *key)
-{
-  json_object *m;
-  int64_t n;
-
-  if (!json_object_object_get_ex (root, key, &m)
-      || !json_object_is_type (m, json_type_int))
-    return 0;
-  n = json_object_get_int64 (m);
-  return n < 0 ? 0 : (uint64_t)n;
-}
-
-static uint32_t
-member_u32 (json_object *root, const char *key)
-{
-  uint64_t n = member_u64 (root, key);
-
-  return n > UINT32_MAX ? UINT32_MAX : (uint32_t)n;
-}
-
-/* An incarnation may be a number or a word.  */
-static uint64_t
-member_id (json_object *root, const char *key)
+static void
+engine_call (mq_loads *loads, const char *path, size_t limit,
+             mq_http_client_sink sink)
 {
-  json_object *m;
+  char *url = g_strconcat (mq_str_cstr (loads->url), path, NULL);
+  mq_http_call_options options = { .url = mq_span_from (url),
+                                   .connect_ms = TIMEOUT_MS,
+                                   .timeout_ms = TIMEOUT_MS,
+                                   .body_limit = limit };
 
-  if (!json_object_object_get_ex (root, key, &m))
-    return 0;
-  if (json_object_is_type (m, json_type_string))
-    return mq_span_hash (mq_span_from (json_object_get_string (m)));
-  return member_u64 (root, key);
+  loads->call
+      = mq_http_client_start (loads->router->client, &options, sink, loads);
+  g_free (url);
 }
 
-/* Hand ROOT, ENGINE's report, to the planner.  Returns -1 if it is none.  */
-static int
-report_post (mq_router *router, mq_span engine, json_object *root)
+static bool
+answered (const mq_http_client_event *event)
 {
-  mq_planner_event event = { .kind = MQ_PLANNER_LOAD };
-  mq_engine_load *load = &event.u.load;
-  json_object *version;
-
-  if (!json_object_object_get_ex (root, "version", &version)
-      || !json_object_is_type (version, json_type_string))
-    return -1;
-  load->engine = engine;
-  load->version.data = json_object_get_string (version);
-  load->version.size = (size_t)json_object_get_string_len (version);
-  load->first = member_u32 (root, "first");
-  load->end = member_u32 (root, "end");
-  load->queue = member_u32 (root, "queue");
-  load->batch = member_u32 (root, "batch");
-  load->step_us = member_u32 (root, "step_us");
-  load->kv_used = member_u64 (root, "kv_used");
-  load->kv_limit = member_u64 (root, "kv_limit");
-  load->age_us = member_u64 (root, "age_ms") * 1000;
-  load->incarnation = member_id (root, "incarnation");
-  mq_admission_post (router, &event);
-  return 0;
+  return event->result == MQ_HTTP_OK && event->status == 200;
 }
 
-static json_object *
-body_parse (mq_span body)
+static void
+on_events (void *context, const mq_http_client_event *event)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  json_object *root
-      = json_tokener_parse_ex (tokener, body.data, (int)body.size);
+  mq_loads *loads = context;
+  const char *name = mq_str_cstr (loads->engine);
+  uint64_t after;
 
-  json_tokener_free (tokener);
-  return root;
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  loads->call = NULL;
+  if (answered (event)
+      && mq_engine_report_cache (loads->router, mq_str_span (loads->engine),
+                                 event->data, &after)
+             == 0)
+    g_hash_table_insert (loads->after, g_strdup (name),
+                         g_memdup2 (&after, sizeof after));
 }
 
 static void
-down_post (mq_router *router, mq_span engine)
+events_ask (mq_loads *loads)
 {
-  mq_planner_event event = { .kind = MQ_PLANNER_ENGINE_DOWN };
+  const uint64_t *after
+      = g_hash_table_lookup (loads->after, mq_str_cstr (loads->engine));
+  char *path = g_strdup_printf ("/v1/cache-events?after=%" G_GUINT64_FORMAT,
+                                after == NULL ? UINT64_C (0) : *after);
 
-  event.u.engine = engine;
-  mq_admission_post (router, &event);
+  engine_call (loads, path, EVENTS_LIMIT, on_events);
+  g_free (path);
 }
 
 static void
-on_report (void *context, const mq_http_client_event *event)
+on_load (void *context, const mq_http_client_event *event)
 {
   mq_loads *loads = context;
   mq_span engine = mq_str_span (loads->engine);
-  json_object *root = NULL;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   loads->call = NULL;
-  if (event->result == MQ_HTTP_OK && event->status == 200
-      && event->data.size > 0)
-    root = body_parse (event->data);
-  if (root == NULL || report_post (loads->router, engine, root) < 0)
-    down_post (loads->router, engine);
-  json_object_put (root);
-}
-
-static void
-engine_ask (mq_loads *loads, const mq_engine *engine)
-{
-  char *url = g_strconcat (mq_str_cstr (engine->url), "/v1/load", NULL);
-  mq_http_call_options options = { .url = mq_span_from (url),
-                                   .connect_ms = POLL_TIMEOUT_MS,
-                                   .timeout_ms = POLL_TIMEOUT_MS };
-
-  mq_str_unref (loads->engine);
-  loads->engine = mq_str_ref (engine->name);
-  loads->call = mq_http_client_start (loads->router->client, &options,
-                                      on_report, loads);
-  g_free (url);
+  if (answered (event)
+      && mq_engine_report_load (loads->router, engine, event->data) == 0)
+    events_ask (loads);
+  else
+    mq_engine_report_down (loads->router, engine);
 }
 
 static void
@@ -155,14 +110,19 @@
 {
   mq_loads *loads = timer->data;
   const GArray *engines = loads->config->engines;
+  const mq_engine *engine;
 
   (void)loop;
   (void)revents;
   if (loads->call != NULL)
     return;
-  loads->next = loads->next % engines->len;
-  engine_ask (loads, &g_array_index (engines, mq_engine, loads->next));
-  loads->next++;
+  engine = &g_array_index (engines, mq_engine, loads->next % engines->len);
+  loads->next = (loads->next + 1) % engines->len;
+  mq_str_unref (loads->engine);
+  mq_str_unref (loads->url);
+  loads->engine = mq_str_ref (engine->name);
+  loads->url = mq_str_ref (engine->url);
+  engine_call (loads, "/v1/load", 0, on_load);
 }
 
 mq_loads *
@@ -171,6 +131,7 @@
   mq_loads *l = g_new0 (mq_loads, 1);
 
   l->router = router;
+  l->after = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   ev_timer_init (&l->timer, on_timer, 0., 0.);
   l->timer.data = l;
   return l;
@@ -186,14 +147,17 @@
     mq_http_call_cancel (loads->call);
   mq_config_unref (loads->config);
   mq_str_unref (loads->engine);
+  mq_str_unref (loads->url);
+  g_hash_table_unref (loads->after);
   g_free (loads);
 }
 
 void
 mq_loads_take_config (mq_loads *loads, mq_config *config)
 {
+  mq_config_ref (config);
   mq_config_unref (loads->config);
-  loads->config = mq_config_ref (config);
+  loads->config = config;
   ev_timer_stop (loads->router->loop, &loads->timer);
   if (config->engines->len == 0)
     return;
--- a/programs/marjoramquay/loads.h
+++ b/programs/marjoramquay/loads.h
@@ -1,5 +1,5 @@
-/* Asks engines for their load reports, one after the other, within a byte
-   budget.  Internal to this program.  */
+/* Asks engines for their load and their cache events, one engine after the
+   other, within a byte budget.  Internal to this program.  */
 
 #ifndef MQ_LOADS_H
 #define MQ_LOADS_H
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -5,13 +5,13 @@
 
 #include "order_io.h"
 
-#include <json-c/json.h>
 #include <mq/json_text.h>
 #include <mq/log.h>
 #include <mq/ordering.h>
 #include <stdio.h>
 
 #include "audit_io.h"
+#include "body.h"
 #include "store_io.h"
 
 #define LEASE_US UINT64_C (10000000)
@@ -163,52 +163,6 @@
   post_sent (io, order, reply);
 }
 
-static uint64_t
-member_u64 (json_object *root, const char *key)
-{
-  json_object *m;
-  int64_t n = 0;
-
-  if (json_object_object_get_ex (root, key, &m)
-      && json_object_is_type (m, json_type_int))
-    n = json_object_get_int64 (m);
-  return n < 0 ? 0 : (uint64_t)n;
-}
-
-static mq_span
-member_span (json_object *root, const char *key)
-{
-  json_object *m;
-
-  if (!json_object_object_get_ex (root, key, &m)
-      || !json_object_is_type (m, json_type_string))
-    return (mq_span){ NULL, 0 };
-  return (mq_span){ json_object_get_string (m),
-                    (size_t)json_object_get_string_len (m) };
-}
-
-static bool
-member_bool (json_object *root, const char *key)
-{
-  json_object *m;
-
-  return json_object_object_get_ex (root, key, &m)
-         && json_object_get_boolean (m);
-}
-
-/* BODY as JSON; a new reference, or NULL.  */
-static json_object *
-body_parse (mq_span body)
-{
-  struct json_tokener *tokener = json_tokener_new ();
-  json_object *root = NULL;
-
-  if (body.size > 0)
-    root = json_tokener_parse_ex (tokener, body.data, (int)body.size);
-  json_tokener_free (tokener);
-  return root;
-}
-
 static void
 on_holds (void *context, const mq_http_client_event *event)
 {
@@ -221,16 +175,16 @@
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   if (event->result == MQ_HTTP_OK && event->status == 200)
-    root = body_parse (event->data);
+    root = mq_body_parse (event->data);
   e.u.orders.kind = MQ_ORDERS_HOLDS;
   e.u.orders.u.holds.order = call->order;
   e.u.orders.u.holds.known = root != NULL;
-  holds->model = member_span (root, "model");
-  holds->version = member_span (root, "version");
-  holds->first = (uint32_t)member_u64 (root, "first");
-  holds->end = (uint32_t)member_u64 (root, "end");
-  holds->loading = member_bool (root, "loading");
-  holds->fencing = member_u64 (root, "fencing");
+  holds->model = mq_body_span (root, "model");
+  holds->version = mq_body_span (root, "version");
+  holds->first = mq_body_u32 (root, "first");
+  holds->end = mq_body_u32 (root, "end");
+  holds->loading = mq_body_bool (root, "loading");
+  holds->fencing = mq_body_u64 (root, "fencing");
   call_free (call);
   ordering_step (io, &e);
   json_object_put (root);
