Show the whole path: make demo

Cause: a newcomer has two commands, and one of them was missing. The stand-in program prints the reference answer, so that the demo can compare. A request that the entry refuses before it numbers it now has an id of its own, which mqctl explain finds; the demo showed it as empty.

--- a/Makefile
+++ b/Makefile
@@ -28,6 +28,9 @@
 	cmake --build build-sanitize
 	ctest --test-dir build-sanitize --output-on-failure -j 4
 
+demo: deps build
+	tools/demo.sh $(BUILD)
+
 format:
 	clang-format -i $(SOURCES)
 
--- a/programs/marjoramquay/explain.c
+++ b/programs/marjoramquay/explain.c
@@ -89,6 +89,16 @@
   g_string_append_c (out, '}');
 }
 
+/* The id under which the caller knows D's request.  */
+static void
+decision_format_id (const mq_router *router, const mq_decision *d, char *text)
+{
+  if (d->id.sequence == 0)
+    mq_router_format_handle (router, d->handle, text);
+  else
+    mq_caller_format_id (d->id, text);
+}
+
 /* Append the decisions on the request that is called ID; returns how many
    there are.  */
 static uint32_t
@@ -103,7 +113,7 @@
       const mq_decision *d = mq_decision_log_at (log, i);
       char text[MQ_REQUEST_ID_SIZE];
 
-      mq_caller_format_id (d->id, text);
+      decision_format_id (router, d, text);
       if (!mq_span_equal (mq_span_from (text), id))
         continue;
       if (found++ == 0)
--- a/programs/marjoramquay/reply.c
+++ b/programs/marjoramquay/reply.c
@@ -120,10 +120,9 @@
                  const mq_reply_error *error)
 {
   mq_reply_error e = *error;
-  char id[2 * MQ_REQUEST_ID_SIZE];
+  char id[MQ_REQUEST_ID_SIZE];
 
-  (void)snprintf (id, sizeof id, "%s-r%" G_GUINT64_FORMAT,
-                  router->incarnation_text, ++router->last_refusal);
+  mq_router_format_handle (router, ++router->last_handle, id);
   e.request = id;
   ++*router->counters.bad_requests;
   mq_reply_with_error (exchange, &e);
--- a/programs/marjoramquay/router.c
+++ b/programs/marjoramquay/router.c
@@ -50,6 +50,14 @@
                           mq_http_server_port (router->server));
 }
 
+void
+mq_router_format_handle (const mq_router *router, uint64_t handle, char *text)
+{
+  (void)snprintf (text, MQ_REQUEST_ID_SIZE,
+                  "%016" G_GINT64_MODIFIER "x-h%" G_GUINT64_FORMAT,
+                  router->incarnation, handle);
+}
+
 static int
 server_open (mq_router *router, GError **error)
 {
--- a/programs/marjoramquay/router.h
+++ b/programs/marjoramquay/router.h
@@ -82,7 +82,6 @@
   mq_platform *platform;
   GHashTable *requests; /* Handle to mq_caller, which the table owns.  */
   uint64_t last_handle;
-  uint64_t last_refusal; /* Numbers the requests refused before the entry. */
 
   mq_loads *loads;
   mq_audit_io *audit;
@@ -107,6 +106,11 @@
 /* IP:PORT where callers reach this router; free with g_free.  */
 char *mq_router_caller_address (const mq_router *router);
 
+/* The id, as text into TEXT of MQ_REQUEST_ID_SIZE bytes, of a request that was
+   refused before the entry gave it a number.  */
+void mq_router_format_handle (const mq_router *router, uint64_t handle,
+                              char *text);
+
 /* Monotonic time of now.  */
 uint64_t mq_router_now_us (void);
 
--- a/programs/marjoramquay/router_loop.c
+++ b/programs/marjoramquay/router_loop.c
@@ -63,6 +63,8 @@
 static void
 request_end (mq_caller *caller, const mq_entry_action *action)
 {
+  if (caller->id[0] == '\0')
+    mq_router_format_handle (caller->router, caller->handle, caller->id);
   ++*caller->router->counters.requests_by_outcome[action->u.end.outcome];
   end_log (caller, action);
   switch (caller->kind)
--- a/tests/test_once.cc
+++ b/tests/test_once.cc
@@ -86,6 +86,17 @@
   EXPECT_EQ (effects ("unit-a"), 1u);
 }
 
+TEST_F (Once, ARefusalCanBeExplained)
+{
+  std::string t = "Marjoramquay-Ticket: " + ticket ();
+  book ("unit-j", t);
+  std::string id = json_text (book ("unit-j", t).body, "error.request");
+  Reply e = programs::get (yard.router ().url () + "/v1/explain/" + id);
+
+  EXPECT_EQ (e.status, 200) << id;
+  EXPECT_NE (e.body.find ("ticket-spent"), std::string::npos) << e.body;
+}
+
 TEST_F (Once, ATicketOfAnotherRouterDoesNotRunHere)
 {
   std::string t = "Marjoramquay-Ticket: " + ticket (1);
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -2,7 +2,7 @@
 # Installs the Debian packages that the build, the tests and CI need.
 # Does nothing where all are there already, so it is cheap to call each time.
 set -eu
-packages="build-essential cmake ninja-build pkg-config git
+packages="build-essential cmake ninja-build pkg-config git curl
   clang-format clang-tidy
   libev-dev libzmq3-dev libmicrohttpd-dev libcurl4-gnutls-dev libglib2.0-dev
   libjson-c-dev libprotobuf-c-dev libsodium-dev libgnutls28-dev
--- a/tools/standin/main.c
+++ b/tools/standin/main.c
@@ -16,7 +16,8 @@
   int (*run) (int argc, char **argv);
 } roles[] = { { "platform", mq_platform_main },
               { "engine", mq_engine_main },
-              { "plain", mq_plain_main } };
+              { "plain", mq_plain_main },
+              { "reference", mq_reference_main } };
 
 int
 main (int argc, char **argv)
@@ -27,6 +28,7 @@
       return roles[i].run (argc - 1, argv + 1);
   fprintf (stderr, "usage: mqstand platform|engine|plain --listen IP:PORT "
                    "[OPTION...]\n"
+                   "       mqstand reference --prompt TEXT [OPTION...]\n"
                    "       mqstand ROLE --help\n");
   return 2;
 }
--- a/tools/standin/stand.h
+++ b/tools/standin/stand.h
@@ -55,6 +55,8 @@
 int mq_platform_main (int argc, char **argv);
 int mq_engine_main (int argc, char **argv);
 int mq_plain_main (int argc, char **argv);
+/* Prints one answer and ends at once.  */
+int mq_reference_main (int argc, char **argv);
 
 /* Parse ARGV by ENTRIES.  Returns 0, or -1 after printing what is wrong.  */
 int mq_stand_options (int *argc, char ***argv, const char *role,
