--- a/programs/mqctl/ctl.h
+++ b/programs/mqctl/ctl.h
@@ -36,6 +36,7 @@
   gint64 base;
   gint64 above;
   double timeout_s;
+  double hours; /* For the log; 0: all.  */
   gboolean json;
   gboolean prune;
   gboolean wait;
--- a/programs/mqctl/main.c
+++ b/programs/mqctl/main.c
@@ -11,6 +11,7 @@
 #include <mq/log.h>
 
 #define DEFAULT_TIMEOUT_S 20
+#define DEFAULT_HOURS 24
 
 typedef struct verb
 {
@@ -80,6 +81,8 @@
       "wait until the change is in force on every router", NULL },
     { "timeout", 't', 0, G_OPTION_ARG_DOUBLE, &o->timeout_s,
       "give up after so long (20)", "SECONDS" },
+    { "hours", 0, 0, G_OPTION_ARG_DOUBLE, &o->hours,
+      "log: how far back (24); 0 shows all", "HOURS" },
     { "version", 0, 0, G_OPTION_ARG_NONE, &o->version, "print the version",
       NULL },
     { NULL }
@@ -98,9 +101,10 @@
       g_error_free (error);
       result = -1;
     }
-  else if (o->base < 0 || o->above < 0 || o->timeout_s <= 0)
+  else if (o->base < 0 || o->above < 0 || o->timeout_s <= 0 || o->hours < 0)
     {
-      ctl_complain ("--base, --above and --timeout take positive numbers");
+      ctl_complain ("--base, --above, --timeout and --hours take positive "
+                    "numbers");
       result = -1;
     }
   g_free (list);
@@ -160,7 +164,8 @@
 int
 main (int argc, char **argv)
 {
-  ctl c = { .options = { .timeout_s = DEFAULT_TIMEOUT_S } };
+  ctl c = { .options
+            = { .timeout_s = DEFAULT_TIMEOUT_S, .hours = DEFAULT_HOURS } };
   const verb *v;
   int status = CTL_USAGE;
 
--- a/tests/test_mqctl.cc
+++ b/tests/test_mqctl.cc
@@ -1,5 +1,7 @@
 /* mqctl over real processes: verbs, exit codes, races, outages.  */
 
+#include <mq/audit.h>
+
 #include "support/programs.h"
 
 using programs::binary;
@@ -206,6 +208,37 @@
     EXPECT_TRUE (says ("\"generation\":" + std::to_string (g) + ",")) << g;
 }
 
+TEST_F (Mqctl, TheLogHoldsWhatRoutersWroteDown)
+{
+  uint64_t now_ms = (uint64_t)g_get_real_time () / 1000;
+  GString *text = g_string_new (nullptr);
+  mq_audit_record r = {};
+  programs::Request put;
+
+  r.kind = MQ_AUDIT_ORDER;
+  r.wall_ms = now_ms;
+  r.who = MQ_SPAN ("yard-vm");
+  r.what = MQ_SPAN ("engine e1");
+  r.why = MQ_SPAN ("layers 4 to 7 are missing");
+  r.after = MQ_SPAN ("m v1 [4, 8)");
+  mq_audit_encode (&r, text);
+  put.method = "PUT";
+  put.url = platform.url () + "/v1/objects/audit/2026-12-02/"
+            + std::to_string (now_ms) + "-0000000000000001-1";
+  put.headers = { "If-None-Match: *" };
+  put.body = text->str;
+  EXPECT_EQ (programs::fetch (put).status, 200);
+  g_string_free (text, TRUE);
+
+  EXPECT_EQ (ctl ({ "apply", folder.path (), "--why=first" }), 0);
+  EXPECT_EQ (ctl ({ "log" }), 0);
+  EXPECT_TRUE (says ("engine e1") && says ("layers 4 to 7 are missing")
+               && says ("first"))
+      << output;
+  EXPECT_EQ (ctl ({ "log", "--json", "--hours=0.0000001" }), 0);
+  EXPECT_FALSE (says ("engine e1")) << output;
+}
+
 TEST_F (Mqctl, WrongUseIsToldApart)
 {
   EXPECT_EQ (programs::run ({ binary ("mqctl") }), 2);
