Planner: learn what an engine's slots limit, and learn from cut requests

Whether a report counts all streams or those in a step now tells the kinds apart; places are kept within their number, with a small reserve for organisations within their share.

--- a/include/mq/internal/attempt.h
+++ b/include/mq/internal/attempt.h
@@ -26,6 +26,7 @@
   mq_placement placement; /* Its states outlive it.  */
   double demand;
   uint32_t prompt_tokens;
+  uint64_t begun_us;
   uint64_t lapses_us;   /* Forgotten then, if never released.  */
   uint64_t progress_us; /* Time from the first to the last token told of... */
   uint32_t progress;    /* ... and how many tokens that were.  */
@@ -50,6 +51,10 @@
 /* Tokens came: learn from those since the last time.  */
 void mq_attempt_learn_progress (mq_attempt *attempt, mq_engine_table *table,
                                 uint32_t tokens, uint64_t mean_gap_us);
+/* It was given up, by the caller or at its deadline: when it had already
+   taken longer than was predicted, that is a miss too.  */
+void mq_attempt_learn_cut (mq_attempt *attempt, mq_engine_table *table,
+                           const mq_plan_release *release, uint64_t now_us);
 /* It is over without a fault: learn from the whole.  */
 void mq_attempt_learn_whole (mq_attempt *attempt, mq_engine_table *table,
                              const mq_plan_release *release);
--- a/include/mq/internal/engine_table.h
+++ b/include/mq/internal/engine_table.h
@@ -10,6 +10,12 @@
    for 1/C.  Load is demand over what the engine can do with full batches, so
    that engines of different speed compare; above 1 streams wait.
 
+   What an engine's slots limit is not known beforehand.  Some fill each step
+   anew from the streams that are ready; others give a stream a place for its
+   whole life and let those without one wait.  The reports tell: the first
+   kind counts the few streams that are in a step, the second all that it was
+   given.  For the second kind load is streams over places.
+
    Invariants: in_flight and demand count exactly the attempts that hold the
    engine; a state is freed only when it is neither configured nor held.  */
 
@@ -52,8 +58,13 @@
   /* What was measured.  */
   mq_step_model step;
   double drag;    /* Time it takes over what STEP says; 1 when they agree. */
+  double wait_us; /* First tokens come so much later than predicted when it is
+                     the head.  */
   double foreign; /* Load that is not ours, by its reports.  */
-  double foreign_mean;   /* Behind it: what reports tell beyond ours.  */
+  double foreign_mean; /* Behind it: what reports tell beyond ours.  */
+  double counted;      /* Streams in its reports over those it was given.  */
+  bool overbooked; /* Reported more streams than slots, and none waiting.  */
+  bool made_wait;  /* Reported full places and streams waiting.  */
   uint32_t observations; /* Of gaps, since its standing changed.  */
 
   /* Health.  */
@@ -78,6 +89,7 @@
   {
     uint64_t at_us;
     double demand;
+    uint32_t in_flight;
   } history[MQ_ENGINE_HISTORY]; /* Oldest first, from history_start.  */
   uint32_t history_start;
   uint32_t history_used;
@@ -120,10 +132,12 @@
 bool mq_engine_state_report (mq_engine_state *state,
                              const mq_engine_load *load, uint64_t at_us);
 
+/* Does it give a stream a place for its whole life?  */
+bool mq_engine_state_has_places (const mq_engine_state *state);
 /* Steps for each microsecond that it does with full batches.  */
 double mq_engine_state_capacity (const mq_engine_state *state);
-/* Its load with MORE demand on top of what it has.  SCALE turns counted
-   demand into load; see mq_model_state.  */
+/* Its load, with one more stream of demand MORE unless that is 0.  SCALE
+   turns counted demand into load; see mq_model_state.  */
 double mq_engine_state_load (const mq_engine_state *state, double more,
                              double scale);
 /* Expected time that one token spends there at that load.  */
@@ -134,9 +148,10 @@
                            uint64_t now_us);
 void mq_engine_state_drop (mq_engine_state *state, double demand,
                            uint64_t now_us);
-/* The demand that it had at AT_US, as far as is remembered.  */
-double mq_engine_state_demand_at (const mq_engine_state *state,
-                                  uint64_t at_us);
+/* The demand and the streams that it had at AT_US, as far as is remembered.
+ */
+double mq_engine_state_demand_at (const mq_engine_state *state, uint64_t at_us,
+                                  uint32_t *in_flight);
 
 /* Hints about the prompt prefixes in its cache; they may be wrong.  */
 void mq_engine_state_note_prefix (mq_engine_state *state, uint64_t hash,
--- a/include/mq/internal/model_state.h
+++ b/include/mq/internal/model_state.h
@@ -51,9 +51,16 @@
                                 uint32_t queue, uint32_t batch,
                                 uint64_t at_us);
 
-/* The load of the layer that has most for what its engines can do; INFINITY
-   when some layer has no usable engine.  */
-double mq_model_state_load (const mq_model_state *model, uint64_t now_us);
+/* The layer that has most for what its engines can do.  */
+typedef struct mq_model_load
+{
+  double load;     /* INFINITY when a layer has no usable engine.  */
+  uint32_t places; /* That its engines have, or 0 when they are not limited
+                      by places.  */
+} mq_model_load;
+
+mq_model_load mq_model_state_load (const mq_model_state *model,
+                                   uint64_t now_us);
 
 /* One more stream begins, or one ended.  */
 void mq_model_state_begin (mq_model_state *model, double cycle_us);
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -5,13 +5,20 @@
 #include <math.h>
 
 /* The load up to which the lowest priority above its share is taken, ...  */
-#define BASE_LIMIT 1.05
+#define BASE_LIMIT 1.10
 /* ... what one step of priority adds, ...  */
 #define PRIORITY_ROOM 0.01
 /* ... and what being within the share adds.  */
 #define SHARE_ROOM 0.06
 /* Single engines may have more than the whole by this.  */
 #define ENGINE_ROOM 0.10
+/* The same where engines have places for streams: so many places are kept for
+   those within their share, ...  */
+#define RESERVED_PLACES 8.0
+#define LEAST_PLACES_ROOM 0.02
+#define MOST_PLACES_ROOM 0.10
+/* ... and this part for each step of priority.  */
+#define PLACES_PRIORITY_ROOM 0.003
 /* A stream that lost a stage was promised its answer: it comes before new
    ones.  */
 #define REPLACE_LIMIT 1.6
@@ -123,15 +130,33 @@
   return CLAMP (wait, LEAST_RETRY_US, MOST_RETRY_US);
 }
 
-/* The load up to which ASK is taken.  */
+/* What is kept free of N places for those within their share: a few suffice,
+   since places come free all the time.  */
 static double
-ask_limit (const mq_plan_ask *ask, const mq_share *share)
+places_room (uint32_t n)
 {
+  return CLAMP (RESERVED_PLACES / n, LEAST_PLACES_ROOM, MOST_PLACES_ROOM);
+}
+
+/* The load up to which ASK is taken.  Where steps are shared, a little over 1
+   keeps batches full; where places are, there are no more than all.  */
+static double
+ask_limit (const mq_plan_ask *ask, const mq_share *share, mq_model_load load)
+{
+  double above = CLAMP (ask->priority, 0, HIGHEST_PRIORITY);
+  double room = SHARE_ROOM;
   double limit = BASE_LIMIT;
 
-  limit += PRIORITY_ROOM * CLAMP (ask->priority, 0, HIGHEST_PRIORITY);
+  if (load.places > 0)
+    {
+      room = places_room (load.places);
+      limit = 1 - room - PLACES_PRIORITY_ROOM * HIGHEST_PRIORITY;
+      limit += PLACES_PRIORITY_ROOM * above;
+    }
+  else
+    limit += PRIORITY_ROOM * above;
   if (share->held + 1 <= share->part)
-    limit += SHARE_ROOM;
+    limit += room;
   return limit;
 }
 
@@ -165,13 +190,14 @@
 
 static void
 admission_take_new (mq_admission *a, mq_placement_query *q, mq_model_state *m,
-                    const mq_share *share, const mq_plan_ask *ask, double load)
+                    const mq_share *share, const mq_plan_ask *ask,
+                    mq_model_load load)
 {
-  double limit = ask_limit (ask, share);
+  double limit = ask_limit (ask, share, load);
 
   a->margin = mq_margin_factor (&m->margin);
   q->limit = limit + ENGINE_ROOM;
-  if (load > limit)
+  if (load.load > limit)
     a->reason = MQ_REASON_OVERLOADED;
   else if (admission_place (a, q, ask) == 0)
     {
@@ -190,7 +216,7 @@
                      const mq_plan_ask *ask, uint64_t now_us)
 {
   mq_placement_query q = ask_query (model, table, ask, now_us);
-  double load = mq_model_state_load (model, now_us);
+  mq_model_load load = mq_model_state_load (model, now_us);
 
   *admission = (mq_admission){ .margin = 1 };
   /* Is there a pipeline at all?  It also tells what the request takes.  */
@@ -204,7 +230,7 @@
     }
   admission_predict (admission, &q, ask);
   q.demand = 1 / admission->prediction.cycle_us;
-  admission_note_figures (admission, model, share, load);
+  admission_note_figures (admission, model, share, load.load);
   if (ask->attempt > 1)
     admission_replace (admission, &q, ask);
   else
@@ -238,11 +264,14 @@
 void
 mq_admission_divide_shares (mq_model_state *model, uint64_t now_us)
 {
-  double load = mq_model_state_load (model, now_us);
+  mq_model_load load = mq_model_state_load (model, now_us);
   double n = INFINITY;
 
-  /* What the engines would hold at their limit.  */
-  if (load > SHARES_FROM_LOAD && load < INFINITY)
-    n = model->in_flight / load * BASE_LIMIT;
+  double limit = load.places > 0 ? 1 : BASE_LIMIT;
+
+  /* What the engines would hold at their limit; above it, what they hold,
+     so that what is let in beyond the limit is divided too.  */
+  if (load.load > SHARES_FROM_LOAD && load.load < INFINITY)
+    n = model->in_flight * MAX (limit / load.load, 1);
   mq_share_table_divide (&model->shares, n, now_us);
 }
--- a/packages/decide/attempt.c
+++ b/packages/decide/attempt.c
@@ -90,6 +90,7 @@
   a->placement = admission->placement;
   a->demand = 1 / p->cycle_us;
   a->prompt_tokens = ask->prompt_tokens + ask->sent_tokens;
+  a->begun_us = now_us;
   a->lapses_us = now_us + ask->deadline_us + LAPSE_US;
   a->predicted_first_us = p->first_us;
   a->predicted_gap_us = p->gap_us;
@@ -151,6 +152,21 @@
   attempt->progress_us = whole;
 }
 
+void
+mq_attempt_learn_cut (mq_attempt *attempt, mq_engine_table *table,
+                      const mq_plan_release *release, uint64_t now_us)
+{
+  double took = (double)(now_us - MIN (attempt->begun_us, now_us));
+  /* The next token was due by then.  */
+  double predicted = attempt->predicted_first_us
+                     + release->tokens * attempt->predicted_gap_us;
+
+  mq_attempt_learn_progress (attempt, table, release->tokens,
+                             release->mean_gap_us);
+  if (predicted > 0 && took > predicted)
+    mq_margin_learn (&attempt->model->margin, took / predicted);
+}
+
 void
 mq_attempt_learn_whole (mq_attempt *attempt, mq_engine_table *table,
                         const mq_plan_release *release)
--- a/packages/decide/engine_table.c
+++ b/packages/decide/engine_table.c
@@ -13,6 +13,9 @@
 #define DEFAULT_STEP_US 20000.0
 /* The least time between two samples of an engine's demand.  */
 #define HISTORY_STEP_US 25000
+/* An engine that reports this part of the streams it was given, or more, has
+   places for them.  In a pipeline of two stages half of them are elsewhere. */
+#define PLACES_FROM 0.75
 /* A token that arrives while a step runs waits for half of it.  */
 #define RESIDUAL_STEP 0.5
 /* Bounds of what the estimates for a link may become.  */
@@ -294,6 +297,10 @@
   e->slow_checks = 0;
   e->reserved_until_us = 0;
   e->drag = 1;
+  e->wait_us = 0;
+  e->counted = 0;
+  e->overbooked = false;
+  e->made_wait = false;
   e->foreign_mean = 0;
   e->foreign = 0;
   memset (e->prefixes, 0, sizeof e->prefixes);
@@ -331,10 +338,21 @@
   return other_layers || other_version;
 }
 
+bool
+mq_engine_state_has_places (const mq_engine_state *state)
+{
+  return state->counted > PLACES_FROM && !state->overbooked;
+}
+
 double
 mq_engine_state_capacity (const mq_engine_state *state)
 {
-  return state->slots / mq_step_model_us (&state->step, state->slots);
+  double step = mq_step_model_us (&state->step, state->slots);
+
+  /* Without reports only its gaps tell how slow it is.  */
+  if (state->reported_us == 0)
+    step *= state->drag;
+  return state->slots / step;
 }
 
 double
@@ -342,6 +360,9 @@
 {
   double own = (state->demand + more) * scale;
 
+  if (mq_engine_state_has_places (state))
+    return (double)(state->in_flight + (more > 0)) / state->slots
+           + state->foreign;
   return own / mq_engine_state_capacity (state) + state->foreign;
 }
 
@@ -372,6 +393,7 @@
   last = (e->history_start + e->history_used - 1) % MQ_ENGINE_HISTORY;
   e->history[last].at_us = now_us;
   e->history[last].demand = e->demand;
+  e->history[last].in_flight = e->in_flight;
 }
 
 void
@@ -392,18 +414,23 @@
   state->demand = state->in_flight == 0 ? 0.0 : state->demand - demand;
 }
 
-/* A sample holds the demand up to its time, so the first one that is not
+/* A sample holds what was there up to its time, so the first one that is not
    older tells.  */
 double
-mq_engine_state_demand_at (const mq_engine_state *state, uint64_t at_us)
+mq_engine_state_demand_at (const mq_engine_state *state, uint64_t at_us,
+                           uint32_t *in_flight)
 {
   for (uint32_t i = 0; i < state->history_used; i++)
     {
       uint32_t k = (state->history_start + i) % MQ_ENGINE_HISTORY;
 
       if (state->history[k].at_us >= at_us)
-        return state->history[k].demand;
+        {
+          *in_flight = state->history[k].in_flight;
+          return state->history[k].demand;
+        }
     }
+  *in_flight = state->in_flight;
   return state->demand;
 }
 
--- a/packages/decide/model_state.c
+++ b/packages/decide/model_state.c
@@ -16,6 +16,10 @@
 #define FOREIGN_SLACK 0.15
 /* How much one placement moves the mean cycle.  */
 #define CYCLE_GAIN 0.01
+/* How much one report tells of what an engine counts, and how many streams
+   it must have for that.  */
+#define PLACES_GAIN 0.1
+#define PLACES_LEAST_STREAMS 3
 /* How long a release counts.  */
 #define DRAIN_FADE_US 2000000.0
 /* Before any prompt was measured.  */
@@ -108,56 +112,123 @@
   return load;
 }
 
+/* Which streams does the engine count?  */
+static void
+engine_learn_places (mq_engine_state *e, uint32_t queue, uint32_t batch,
+                     uint32_t given)
+{
+  if (batch > e->slots && queue == 0)
+    e->overbooked = true;
+  if (batch >= e->slots && queue > 0)
+    {
+      e->overbooked = false;
+      e->made_wait = true;
+    }
+  if (given >= PLACES_LEAST_STREAMS)
+    e->counted += PLACES_GAIN
+                  * (MIN ((double)(batch + queue) / given, 1) - e->counted);
+}
+
+/* What the engine does beside what we gave it.  */
+static void
+engine_learn_foreign (mq_engine_state *e, double rest)
+{
+  e->foreign_mean += FOREIGN_GAIN * (rest - e->foreign_mean);
+  e->foreign = MAX (e->foreign_mean - FOREIGN_SLACK, 0);
+}
+
+static void
+model_learn_scale (mq_model_state *m, double told, double counted)
+{
+  double scale;
+
+  if (MAX (told, counted * m->scale) < SCALE_LEAST_LOAD || counted <= 0)
+    return;
+  scale = CLAMP (told / counted, m->scale / 2, m->scale * 2);
+  m->scale += SCALE_GAIN * (scale - m->scale);
+  m->scale = CLAMP (m->scale, LEAST_SCALE, MOST_SCALE);
+}
+
 void
 mq_model_state_learn_load (mq_model_state *model, mq_engine_state *engine,
                            uint32_t queue, uint32_t batch, uint64_t at_us)
 {
-  double told = report_load (model, engine, queue, batch);
-  double counted = mq_engine_state_demand_at (engine, at_us)
-                   / mq_engine_state_capacity (engine);
-  double rest = told - counted * model->scale;
+  uint32_t given;
+  double demand = mq_engine_state_demand_at (engine, at_us, &given);
+  double counted = demand / mq_engine_state_capacity (engine);
+  double told;
 
-  engine->foreign_mean += FOREIGN_GAIN * (rest - engine->foreign_mean);
-  engine->foreign = MAX (engine->foreign_mean - FOREIGN_SLACK, 0);
-  if (MAX (told, counted * model->scale) < SCALE_LEAST_LOAD || counted <= 0)
+  engine_learn_places (engine, queue, batch, given);
+  if (engine->overbooked)
     return;
-  rest = (told - engine->foreign) / counted;
-  rest = CLAMP (rest, model->scale / 2, model->scale * 2);
-  model->scale += SCALE_GAIN * (rest - model->scale);
-  model->scale = CLAMP (model->scale, LEAST_SCALE, MOST_SCALE);
+  if (mq_engine_state_has_places (engine))
+    {
+      engine_learn_foreign (engine,
+                            ((double)batch + queue - given) / engine->slots);
+      return;
+    }
+  told = report_load (model, engine, queue, batch);
+  engine_learn_foreign (engine, told - counted * model->scale);
+  model_learn_scale (model, told - engine->foreign, counted);
 }
 
-double
+/* Tokens for each microsecond that an engine can carry.  */
+static double
+engine_weight (const mq_model_state *m, const mq_engine_state *e)
+{
+  if (mq_engine_state_has_places (e) && m->cycle_us > 0)
+    return e->slots / m->cycle_us;
+  return mq_engine_state_capacity (e);
+}
+
+static mq_model_load
+model_layer_load (const mq_model_state *m, uint32_t layer, uint64_t now_us)
+{
+  mq_model_load l = { INFINITY, 0 };
+  double demand = 0;
+  double capacity = 0;
+  bool all_places = true;
+
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      const mq_engine_state *e = m->engines->pdata[i];
+      double weight;
+
+      if (e->first > layer || e->end <= layer
+          || !mq_engine_state_usable (e, now_us))
+        continue;
+      weight = engine_weight (m, e);
+      capacity += weight;
+      demand += weight * mq_engine_state_load (e, 0, m->scale);
+      all_places = all_places && mq_engine_state_has_places (e);
+      l.places += e->slots;
+    }
+  if (capacity > 0)
+    l.load = demand / capacity;
+  if (!all_places)
+    l.places = 0;
+  return l;
+}
+
+mq_model_load
 mq_model_state_load (const mq_model_state *model, uint64_t now_us)
 {
-  double worst = 0;
+  mq_model_load worst = { 0, 0 };
+  uint32_t last = UINT32_MAX;
 
   /* Only a layer at which some engine begins can be the worst one, or the
      first after a gap, which no engine covers.  */
   for (guint i = 0; i < model->engines->len; i++)
     {
-      const mq_engine_state *at = model->engines->pdata[i];
-      double demand = 0;
-      double capacity = 0;
+      const mq_engine_state *e = model->engines->pdata[i];
+      mq_model_load l;
 
-      if (i > 0
-          && at->first
-                 == ((mq_engine_state *)model->engines->pdata[i - 1])->first)
+      if (e->first == last)
         continue;
-      for (guint j = 0; j < model->engines->len; j++)
-        {
-          const mq_engine_state *e = model->engines->pdata[j];
-
-          if (e->first > at->first || e->end <= at->first
-              || !mq_engine_state_usable (e, now_us))
-            continue;
-          capacity += mq_engine_state_capacity (e);
-          demand += e->demand * model->scale
-                    + e->foreign * mq_engine_state_capacity (e);
-        }
-      if (capacity <= 0)
-        return INFINITY;
-      worst = MAX (worst, demand / capacity);
+      last = e->first;
+      l = model_layer_load (model, last, now_us);
+      if (l.load > worst.load)
+        worst = l;
     }
   return worst;
 }
--- a/packages/decide/placement.c
+++ b/packages/decide/placement.c
@@ -106,14 +106,28 @@
   return false;
 }
 
+/* The most load that E may have.  An engine that counts all its streams but
+   has not made one wait yet may be given one too many: only that shows
+   whether its slots limit them.  */
+static double
+query_limit (const mq_placement_query *q, const mq_engine_state *e)
+{
+  if (isinf (q->limit) || !mq_engine_state_has_places (e))
+    return q->limit;
+  if (e->made_wait || q->hurry)
+    return MIN (q->limit, 1);
+  return MIN (q->limit, 1 + 1.0 / e->slots);
+}
+
 /* Who is in a hurry is no trial for an engine on probation.  */
 static bool
 query_has_room (const mq_placement_query *q, const mq_engine_state *e)
 {
-  if (e->standing == MQ_ENGINE_PROBATION
+  if (e->standing == MQ_ENGINE_PROBATION && !isinf (q->limit)
       && (q->hurry || e->in_flight >= PROBATION_STREAMS))
     return false;
-  return mq_engine_state_load (e, q->demand, q->model->scale) <= q->limit;
+  return mq_engine_state_load (e, q->demand, q->model->scale)
+         <= query_limit (q, e);
 }
 
 static bool
@@ -237,7 +251,7 @@
         continue;
       cost = stage_cost (query, e);
       if (e->first == 0)
-        search_begin (&s, e, cost);
+        search_begin (&s, e, cost + e->wait_us);
       else
         for (uint32_t head = 0; head < s.n_domains; head++)
           search_extend (&s, e, cost, head);
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -189,8 +189,7 @@
         mq_health_note_success (placement->stages[i], now_us);
       break;
     case MQ_ATTEMPT_CANCELLED:
-      mq_attempt_learn_progress (a, &p->table, release->tokens,
-                                 release->mean_gap_us);
+      mq_attempt_learn_cut (a, &p->table, release, now_us);
       break;
     case MQ_ATTEMPT_STAGE_DIED:
     case MQ_ATTEMPT_STAGE_STALLED:
--- a/packages/decide/prediction.c
+++ b/packages/decide/prediction.c
@@ -18,8 +18,9 @@
 #define GAP_VARIANCE 0.04
 #define LEAST_DRAG 0.2
 #define MOST_DRAG 100.0
-/* How much one first token moves the cost of prompts.  */
-#define PROMPT_GAIN 0.02
+/* How much one first token moves the cost of prompts, and its head's wait. */
+#define PROMPT_GAIN 0.01
+#define WAIT_GAIN 0.1
 #define MOST_PROMPT_STEPS 1.0
 
 static double
@@ -120,6 +121,8 @@
     }
 }
 
+/* A late first token is the head's doing, or the prompt was long: both take
+   their part of the miss, and what neither explains fades.  */
 void
 mq_prediction_learn_first (mq_model_state *model, const mq_engine_table *table,
                            mq_engine_state *const *stages, uint32_t n,
@@ -127,17 +130,17 @@
 {
   mq_prediction p;
   double step = 0;
-  double prompt, steps;
+  double miss, steps;
 
-  if (prompt_tokens == 0)
-    return;
-  mq_prediction_make (&p, model, table, stages, n, 0, 0);
+  mq_prediction_make (&p, model, table, stages, n, 0, prompt_tokens);
+  miss = first_us - p.first_us;
+  stages[0]->wait_us = MAX (stages[0]->wait_us + WAIT_GAIN * miss, 0);
   for (uint32_t i = 0; i < n; i++)
     step += mq_step_model_us (&stages[i]->step, stages[i]->slots)
             * stages[i]->drag;
-  step *= model->stretch * MAX (p.load, 1);
-  prompt = MAX (first_us - p.first_us, 0);
-  steps = prompt / (step * prompt_tokens);
-  steps = CLAMP (steps, 0, MOST_PROMPT_STEPS);
-  model->prompt_steps += PROMPT_GAIN * (steps - model->prompt_steps);
+  step *= model->stretch * MAX (p.load, 1) * prompt_tokens;
+  if (step <= 0)
+    return;
+  steps = model->prompt_steps + PROMPT_GAIN * miss / step;
+  model->prompt_steps = CLAMP (steps, 0, MOST_PROMPT_STEPS);
 }
--- a/tests/test_planner.cc
+++ b/tests/test_planner.cc
@@ -205,6 +205,60 @@
   EXPECT_GT (ask ().figures.predicted_finish_us, 2 * guessed);
 }
 
+TEST_F (PlannerTest, MarginGrowsFromRequestsThatWereCutOff)
+{
+  add_engine ("a", 0, 8);
+  configure ();
+  uint64_t margin_before = ask ().figures.margin_us;
+
+  release ({ 1, sequence });
+  for (int i = 0; i < 30; i++)
+    {
+      mq_request_id id = admit ().first;
+
+      now += 5000000;
+      release (id, MQ_ATTEMPT_CANCELLED);
+    }
+  EXPECT_GT (ask ().figures.margin_us, 2 * margin_before);
+}
+
+TEST_F (PlannerTest, AnEngineWithPlacesIsGivenNoMoreThanItHas)
+{
+  add_engine ("a", 0, 4, "d1", 10000, 4);
+  add_engine ("b", 4, 8, "d1", 10000, 64);
+  configure ();
+  for (int i = 0; i < 200; i++)
+    {
+      now += 20000;
+      ask ();
+      uint32_t given = view ("a").in_flight;
+      load ("a", std::min (given, 4u), 10000, given > 4 ? given - 4 : 0);
+      if (i % 10 == 9)
+        release ({ 1, sequence - 9 });
+    }
+  ASSERT_GT (view ("a").in_flight, 4u) << "it was found out by trying";
+  for (uint64_t s = 1; s <= sequence; s++)
+    release ({ 1, s });
+  for (int i = 0; i < 10; i++)
+    ask ();
+  EXPECT_EQ (view ("a").in_flight, 4u);
+  EXPECT_EQ (ask ().u.refuse.reason, MQ_REASON_OVERLOADED);
+}
+
+TEST_F (PlannerTest, AnEngineThatCountsAllButMakesNoneWaitIsNotHeldBack)
+{
+  add_engine ("a", 0, 4, "d1", 10000, 4);
+  add_engine ("b", 4, 8, "d1", 10000, 64);
+  configure ();
+  for (int i = 0; i < 100; i++)
+    {
+      now += 20000;
+      ask ();
+      load ("a", view ("a").in_flight, 10000);
+    }
+  EXPECT_GT (view ("a").in_flight, 5u);
+}
+
 TEST_F (PlannerTest, SmallOrganisationFindsRoomBesideALargeOne)
 {
   add_organisation ("large", 1);
--- a/tools/bench/fake_fleet.c
+++ b/tools/bench/fake_fleet.c
@@ -50,6 +50,7 @@
   uint32_t n = 0;
 
   fleet->time = time;
+  fleet->places = false;
   memcpy (fleet->link_us, links, sizeof links);
   for (uint32_t range = 0; range < FAKE_RANGES; range++)
     {
@@ -69,6 +70,12 @@
   for (uint32_t p = 0; p < FAKE_PRIORITIES; p++)
     while ((s = g_queue_pop_head (&e->queue[p])) != NULL)
       fake_stream_unref (s);
+  while ((s = g_queue_pop_head (&e->waiting)) != NULL)
+    {
+      s->waiting = false;
+      s->cancelled = true;
+      fake_stream_unref (s);
+    }
   for (guint i = 0; i < e->batch->len; i++)
     fake_stream_unref (e->batch->pdata[i]);
   g_ptr_array_set_size (e->batch, 0);
@@ -158,12 +165,51 @@
   timeline_add (fleet->time, due_us, FAKE_ARRIVE, s, 0);
 }
 
+static void
+stream_place (fake_fleet *fleet, fake_stream *s, uint64_t now_us)
+{
+  s->waiting = false;
+  s->stages[0]->placed++;
+  for (uint32_t i = 0; i < s->n_stages; i++)
+    s->stages[i]->held++;
+  stream_go (fleet, s, now_us + ENTRY_LINK_US);
+}
+
 void
 fake_fleet_open (fake_fleet *fleet, fake_stream *stream, uint64_t now_us)
 {
+  fake_engine *head = stream->stages[0];
+
   stream->refs++;
   stream->stage = 0;
-  stream_go (fleet, stream, now_us + ENTRY_LINK_US);
+  if (!fleet->places || head->placed < head->slots)
+    {
+      stream_place (fleet, stream, now_us);
+      return;
+    }
+  stream->waiting = true;
+  g_queue_push_tail (&head->waiting, stream);
+}
+
+void
+fake_fleet_close (fake_fleet *fleet, fake_stream *stream, uint64_t now_us)
+{
+  fake_engine *head = stream->stages[0];
+  fake_stream *next;
+
+  stream->cancelled = true;
+  if (stream->waiting)
+    {
+      g_queue_remove (&head->waiting, stream);
+      fake_stream_unref (stream);
+      return;
+    }
+  head->placed--;
+  for (uint32_t i = 0; i < stream->n_stages; i++)
+    stream->stages[i]->held--;
+  if (fleet->places && !head->dead && head->placed < head->slots
+      && (next = g_queue_pop_head (&head->waiting)) != NULL)
+    stream_place (fleet, next, now_us);
 }
 
 static void
@@ -263,11 +309,12 @@
   return NULL;
 }
 
-double
-fake_fleet_capacity (const fake_fleet *fleet)
+/* Steps a second, were every batch full.  */
+static double
+fleet_step_capacity (const fake_fleet *fleet)
 {
   double range[FAKE_RANGES] = { 0 };
-  double least;
+  double least = 0;
 
   for (uint32_t i = 0; i < FAKE_ENGINES; i++)
     {
@@ -276,12 +323,57 @@
       if (!e->dead)
         range[e->range] += e->slots * 1e6 / (e->full_step_us * e->slow);
     }
-  least = range[0];
-  for (uint32_t r = 1; r < FAKE_RANGES; r++)
-    least = MIN (least, range[r]);
+  for (uint32_t r = 0; r < FAKE_RANGES; r++)
+    least = r == 0 ? range[r] : MIN (least, range[r]);
+  return least;
+}
+
+/* The shortest step in RANGE.  */
+static double
+fleet_shortest_us (const fake_fleet *fleet, uint32_t range)
+{
+  double least = 0;
+
+  for (uint32_t i = 0; i < FAKE_ENGINES; i++)
+    {
+      const fake_engine *e = &fleet->engines[i];
+      double us = e->full_step_us * e->slow * EMPTY_STEP;
+
+      if (e->range == range && !e->dead && (least == 0 || us < least))
+        least = us;
+    }
   return least;
 }
 
+/* Steps a second, were every place taken by a stream that goes round in the
+   shortest time.  */
+static double
+fleet_place_capacity (const fake_fleet *fleet)
+{
+  double others = 0;
+  double sum = 0;
+
+  for (uint32_t r = 1; r < FAKE_RANGES; r++)
+    others += fleet_shortest_us (fleet, r);
+  for (uint32_t i = 0; i < FAKE_ENGINES; i++)
+    {
+      const fake_engine *e = &fleet->engines[i];
+
+      if (e->range == 0 && !e->dead)
+        sum += e->slots * 1e6
+               / (others + e->full_step_us * e->slow * EMPTY_STEP);
+    }
+  return sum;
+}
+
+double
+fake_fleet_capacity (const fake_fleet *fleet)
+{
+  double steps = fleet_step_capacity (fleet);
+
+  return fleet->places ? MIN (steps, fleet_place_capacity (fleet)) : steps;
+}
+
 void
 fake_fleet_report (fake_fleet *fleet, uint64_t now_us)
 {
@@ -292,5 +384,10 @@
       e->report = e->pending;
       e->pending
           = (fake_report){ now_us, e->queued, e->last_batch, e->last_step_us };
+      if (fleet->places)
+        {
+          e->pending.queue = e->waiting.length;
+          e->pending.batch = e->held;
+        }
     }
 }
--- a/tools/bench/fake_fleet.h
+++ b/tools/bench/fake_fleet.h
@@ -43,6 +43,7 @@
   uint32_t priority;
   uint32_t tokens; /* Made in this attempt.  */
   bool cancelled;
+  bool waiting; /* For a place at its head.  */
 } fake_stream;
 
 /* What an engine would say of itself.  */
@@ -69,6 +70,9 @@
   GQueue queue[FAKE_PRIORITIES]; /* of fake_stream  */
   uint32_t queued;
   GPtrArray *batch; /* of fake_stream  */
+  GQueue waiting;   /* of fake_stream: for a place  */
+  uint32_t placed;  /* Streams that have a place, as their head.  */
+  uint32_t held;    /* Streams that have a place, at any stage.  */
   uint32_t last_step_us;
   uint32_t last_batch;
   fake_report report;  /* What is told: the taking before the last, ...  */
@@ -80,6 +84,9 @@
   timeline *time;
   fake_engine engines[FAKE_ENGINES];
   double link_us[FAKE_DOMAINS][FAKE_DOMAINS];
+  /* An engine takes no more streams than it has slots as their head; the
+     others wait for a place.  Else only steps are limited.  */
+  bool places;
   void (*on_token) (void *context, fake_stream *stream, uint64_t now_us);
   void *context;
 } fake_fleet;
@@ -92,6 +99,9 @@
 
 /* Start STREAM, whose stages are set, from the router.  */
 void fake_fleet_open (fake_fleet *fleet, fake_stream *stream, uint64_t now_us);
+/* STREAM is over, or is to be.  */
+void fake_fleet_close (fake_fleet *fleet, fake_stream *stream,
+                       uint64_t now_us);
 void fake_fleet_handle (fake_fleet *fleet, const timeline_item *item);
 void fake_fleet_kill (fake_fleet *fleet, fake_engine *engine);
 fake_engine *fake_fleet_find (fake_fleet *fleet, const char *name);
--- a/tools/bench/trial.c
+++ b/tools/bench/trial.c
@@ -88,7 +88,6 @@
   GPtrArray *live;     /* of request  */
   GArray *bins;        /* of double: good tokens  */
   double arrivals_per_s;
-  double offered_tokens_per_s;
   double capacity_before;
   uint64_t asks;
   int64_t ask_us;
@@ -207,7 +206,7 @@
   if (s->tokens > 1)
     release->mean_gap_us
         = (r->last_us - r->attempt_us - r->first_us) / (s->tokens - 1);
-  s->cancelled = true;
+  fake_fleet_close (&t->fleet, s, now_us);
   fake_stream_unref (s);
   r->stream = NULL;
   planner_tell (t, &e);
@@ -367,7 +366,7 @@
       uint32_t layers = FAKE_LAYERS / FAKE_RANGES;
       mq_planner_event e = { .kind = MQ_PLANNER_LOAD, .now_us = now_us };
 
-      if (f->dead || f->report.at_us == 0)
+      if (f->dead || f->report.at_us == 0 || t->options->no_reports)
         continue;
       e.u.load = (mq_engine_load){ .engine = mq_span_from (f->name),
                                    .version = MQ_SPAN ("v1"),
@@ -386,7 +385,7 @@
 static void
 trial_progress (trial *t, uint64_t now_us)
 {
-  for (guint i = 0; i < t->live->len; i++)
+  for (guint i = 0; i < t->live->len && !t->options->no_progress; i++)
     {
       const request *r = t->live->pdata[i];
       mq_planner_event e = { .kind = MQ_PLANNER_PROGRESS, .now_us = now_us };
@@ -570,66 +569,119 @@
   g_ptr_array_unref (probe.requests);
 }
 
-/* Work that could be done within the counted time: what arrived, or what the
-   scarcest range carries with full batches.  */
+/* What the scarcest range can carry with full batches in the counted time. */
 static double
-trial_bound (const trial *t, double arrived_work)
+trial_capacity (const trial *t)
 {
   const trial_options *o = t->options;
   double from = o->warm_seconds;
   double to = o->seconds - TAIL_SECONDS;
   double cut = CLAMP (o->fault_at_seconds, from, to);
-  double now = fake_fleet_capacity (&t->fleet);
-  double work = o->fault == TRIAL_NO_FAULT
-                    ? t->capacity_before * (to - from)
-                    : t->capacity_before * (cut - from) + now * (to - cut);
 
-  return MIN (arrived_work, work);
+  if (o->fault == TRIAL_NO_FAULT)
+    return t->capacity_before * (to - from);
+  return t->capacity_before * (cut - from)
+         + fake_fleet_capacity (&t->fleet) * (to - cut);
 }
 
-static void
-trial_count (trial *t)
+/* The part of R's work that was done in the counted time.  */
+static double
+request_work_counted (const trial *t, const request *r)
 {
-  trial_result *res = t->result;
-  double done[TRIAL_ORGANISATIONS] = { 0 };
-  double asked[TRIAL_ORGANISATIONS] = { 0 };
+  const trial_options *o = t->options;
+  uint32_t from = (uint32_t)(o->warm_seconds * SECOND_US / BIN_US);
+  uint32_t to = (uint32_t)((o->seconds - TAIL_SECONDS) * SECOND_US / BIN_US);
   double work = 0;
 
+  for (guint i = 0; i < r->bins->len; i++)
+    {
+      uint32_t bin = g_array_index (r->bins, uint32_t, i);
+
+      if (bin >= from && bin < to)
+        work += i == 0 ? prompt_units (r->prompt) : 1;
+    }
+  return work;
+}
+
+/* Of one organisation, or of all.  */
+typedef struct tally
+{
+  double asked;  /* Work that arrived in the counted time, ...  */
+  double served; /* ... the part of it that was done in time, ...  */
+  double worked; /* ... and good work done in the counted time.  */
+} tally;
+
+/* Below capacity each arrival could be served; above it, the engines could
+   work without a pause.  Both are upper bounds for what is held against
+   them.  */
+static double
+tally_done (const tally *of, bool overloaded)
+{
+  return overloaded ? of->worked : of->served;
+}
+
+static void
+trial_tally (const trial *t, tally *of, trial_result *res)
+{
   for (guint i = 0; i < t->requests->len; i++)
     {
       const request *r = t->requests->pdata[i];
+      tally *mine = &of[r->organisation];
+      double work = request_work (r);
 
+      if (r->state == REQUEST_DONE)
+        mine->worked += request_work_counted (t, r);
       if (!trial_counts (t, r))
         continue;
-      work = request_work (r);
       res->arrived++;
-      res->arrived_work += work;
-      asked[r->organisation] += work;
+      mine->asked += work;
       if (r->state == REQUEST_REFUSED)
         continue;
       res->accepted++;
       res->replaced += r->attempt - 1;
-      if (r->state == REQUEST_DONE)
-        {
-          res->done++;
-          res->done_work += work;
-          done[r->organisation] += work;
-        }
-      else
-        res->late++;
+      res->late += r->state == REQUEST_LATE;
+      if (r->state != REQUEST_DONE)
+        continue;
+      res->done++;
+      mine->served += work;
+    }
+}
+
+static void
+trial_count (trial *t)
+{
+  trial_result *res = t->result;
+  tally of[TRIAL_ORGANISATIONS] = { { 0 } };
+  tally all = { 0 };
+  double capacity = trial_capacity (t);
+  bool overloaded;
+
+  trial_tally (t, of, res);
+  for (uint32_t i = 0; i < TRIAL_ORGANISATIONS; i++)
+    {
+      all.asked += of[i].asked;
+      all.served += of[i].served;
+      all.worked += of[i].worked;
     }
-  res->bound_work = trial_bound (t, res->arrived_work);
+  overloaded = all.asked > capacity;
+  res->arrived_work = all.asked;
+  res->bound_work = MIN (all.asked, capacity);
+  res->done_work = tally_done (&all, overloaded);
   res->goodput = res->done_work / res->bound_work;
   res->goodput_count
       = res->done / (res->arrived * res->bound_work / res->arrived_work);
+  res->accepted_share = (double)res->accepted / res->arrived;
   res->late_share = res->accepted > 0 ? (double)res->late / res->accepted : 0;
   res->small_share = 1.0;
-  for (uint32_t i = 1; i < TRIAL_ORGANISATIONS; i++)
+  for (uint32_t i = 0; i < TRIAL_ORGANISATIONS; i++)
     {
-      double fair = MIN (asked[i], res->bound_work / TRIAL_ORGANISATIONS);
+      double fair = MIN (of[i].asked, res->bound_work / TRIAL_ORGANISATIONS);
+      double part = fair > 0 ? tally_done (&of[i], overloaded) / fair : 1;
 
-      if (fair > 0)
-        res->small_share = MIN (res->small_share, done[i] / fair);
+      if (i == 0)
+        res->large_share = part;
+      else
+        res->small_share = MIN (res->small_share, part);
     }
   res->decide_us = t->asks > 0 ? (double)t->ask_us / t->asks : 0;
 }
@@ -667,10 +719,11 @@
   guint warm = (guint)(o->warm_seconds * SECOND_US / BIN_US);
   guint end = (guint)((o->seconds - TAIL_SECONDS) * SECOND_US / BIN_US);
   guint settled = fault + (end - fault) / 2;
-  double before
-      = MIN (t->offered_tokens_per_s, t->capacity_before * tokens_per_work);
-  double after = MIN (t->offered_tokens_per_s,
-                      fake_fleet_capacity (&t->fleet) * tokens_per_work);
+  double counted = o->seconds - TAIL_SECONDS - o->warm_seconds;
+  double offered = res->arrived_work / counted;
+  double before = MIN (offered, t->capacity_before) * tokens_per_work;
+  double after
+      = MIN (offered, fake_fleet_capacity (&t->fleet)) * tokens_per_work;
 
   res->level_before = trial_rate (t, warm, fault - warm) / before;
   res->level_after = trial_rate (t, settled, end - settled) / after;
@@ -689,6 +742,7 @@
   t->dice.state = options->seed;
   timeline_init (&t->time);
   fake_fleet_init (&t->fleet, &t->time);
+  t->fleet.places = options->places;
   t->fleet.on_token = trial_token;
   t->fleet.context = t;
   t->requests = g_ptr_array_new ();
@@ -751,7 +805,6 @@
   trial_init (&t, options, result);
   trial_means (&t, &work, &tokens);
   t.arrivals_per_s = options->load * t.capacity_before / work;
-  t.offered_tokens_per_s = t.arrivals_per_s * tokens;
   planner_tell (&t, &(mq_planner_event){ .kind = MQ_PLANNER_CONFIG,
                                          .u.config = t.config });
   timeline_add (&t.time, 1, TRIAL_ARRIVAL, NULL, 0);
--- a/tools/bench/trial.h
+++ b/tools/bench/trial.h
@@ -12,6 +12,7 @@
 #define BENCH_TRIAL_H
 
 #include <mq/config.h>
+#include <stdbool.h>
 
 G_BEGIN_DECLS
 
@@ -35,6 +36,9 @@
   double warm_seconds; /* Not counted.  */
   trial_fault fault;
   double fault_at_seconds;
+  bool places;      /* Engines hold a stream's place for its whole life. */
+  bool no_progress; /* The planner hears of a stream at its end only.  */
+  bool no_reports;  /* The engines report nothing.  */
 } trial_options;
 
 typedef struct trial_result
@@ -49,12 +53,14 @@
   double arrived_work;
   double done_work;
   double bound_work;
-  double goodput;       /* done_work / bound_work  */
-  double goodput_count; /* done / (arrived * bound_work / arrived_work) */
-  double late_share;    /* late / accepted  */
-  double small_share;   /* Worst of the small organisations' done work over
-                           the smaller of its demand and its fair share. */
-  double decide_us;     /* Mean processor time of an ask.  */
+  double goodput;        /* done_work / bound_work  */
+  double goodput_count;  /* done / (arrived * bound_work / arrived_work) */
+  double accepted_share; /* accepted / arrived  */
+  double late_share;     /* late / accepted  */
+  double small_share;    /* Worst of the small organisations' done work over
+                            the smaller of its demand and its fair share. */
+  double large_share;    /* The same of the large organisation.  */
+  double decide_us;      /* Mean processor time of an ask.  */
   /* With a fault, in seconds; negative: never within the trial.  */
   double recovery;       /* To 95% of the survivors' bound.  */
   double recovery_level; /* To 95% of the level before the fault.  */
