--- a/tools/bench/relay/relay_bench.c
+++ b/tools/bench/relay/relay_bench.c
@@ -7,7 +7,10 @@
    which the upstream wrote it, from which the callers tell its delay.
 
    For each number of open streams it prints what was relayed, the relay's
-   processor time a token, tokens a core second, and the delay.  */
+   processor time a token, tokens a core second, the delay, and the most
+   memory it held.  "waits" is the share of the time in which the relay stood
+   ready without a processor: with much of it the delays tell more about the
+   machine than about the relay.  */
 
 #include <mq/http_client.h>
 #include <mq/http_server.h>
@@ -31,6 +34,7 @@
 static int rate = 12400;
 static int seconds = 4;
 static int pause_s;
+static gboolean direct;
 
 static const GOptionEntry entries[]
     = { { "rate", 'r', 0, G_OPTION_ARG_INT, &rate,
@@ -39,6 +43,8 @@
           "Length of each measurement", "N" },
         { "pause", 'p', 0, G_OPTION_ARG_INT, &pause_s,
           "Print the relay's process id and wait before measuring", "N" },
+        { "direct", 'd', 0, G_OPTION_ARG_NONE, &direct,
+          "Leave the relay out, to see the delay without it", NULL },
         { NULL, 0, 0, 0, NULL, NULL, NULL } };
 
 static int64_t
@@ -242,6 +248,22 @@
     }
 }
 
+/* How long this process has stood ready without a processor.  */
+static uint64_t
+run_queue_wait_us (void)
+{
+  uint64_t run_ns = 0;
+  uint64_t wait_ns = 0;
+  FILE *f = fopen ("/proc/self/schedstat", "r");
+
+  if (f == NULL)
+    return 0;
+  if (fscanf (f, "%" SCNu64 " %" SCNu64, &run_ns, &wait_ns) != 2)
+    wait_ns = 0;
+  fclose (f);
+  return wait_ns / 1000;
+}
+
 /* Answer with the tokens relayed and the processor time in microseconds.  */
 static void
 relay_answer_cost (const relay *r, mq_http_exchange *exchange)
@@ -251,9 +273,10 @@
   int n;
 
   getrusage (RUSAGE_SELF, &u);
-  n = snprintf (text, sizeof text, "%" PRIu64 " %ld %ld", r->tokens,
-                u.ru_utime.tv_sec * US_PER_S + u.ru_utime.tv_usec,
-                u.ru_stime.tv_sec * US_PER_S + u.ru_stime.tv_usec);
+  n = snprintf (text, sizeof text, "%" PRIu64 " %ld %ld %ld %" PRIu64,
+                r->tokens, u.ru_utime.tv_sec * US_PER_S + u.ru_utime.tv_usec,
+                u.ru_stime.tv_sec * US_PER_S + u.ru_stime.tv_usec, u.ru_maxrss,
+                run_queue_wait_us ());
   mq_http_exchange_reply (exchange, 200, NULL, 0,
                           (mq_span){ text, (size_t)n });
 }
@@ -323,6 +346,8 @@
   uint64_t tokens;
   long user_us;
   long system_us;
+  long memory_kb;   /* The most it has held.  */
+  uint64_t wait_us; /* Ready, but without a processor.  */
 } cost;
 
 typedef struct callers
@@ -384,9 +409,10 @@
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
-  if (sscanf (event->data.data, "%" SCNu64 " %ld %ld", &c->cost.tokens,
-              &c->cost.user_us, &c->cost.system_us)
-      != 3)
+  if (sscanf (event->data.data, "%" SCNu64 " %ld %ld %ld %" SCNu64,
+              &c->cost.tokens, &c->cost.user_us, &c->cost.system_us,
+              &c->cost.memory_kb, &c->cost.wait_us)
+      != 5)
     g_error ("no cost");
   c->cost.at_us = now_us ();
   ev_break (c->loop, EVBREAK_ONE);
@@ -424,6 +450,15 @@
   ev_timer_stop (c->loop, &t);
 }
 
+/* Note the delays for as long as asked.  */
+static void
+callers_count (callers *c)
+{
+  c->counting = true;
+  callers_run_for (c, seconds);
+  c->counting = false;
+}
+
 static int
 callers_delay (const callers *c, double share)
 {
@@ -438,6 +473,15 @@
   return MAX_DELAY_US;
 }
 
+static void
+callers_print_delay (const callers *c, int streams)
+{
+  printf ("%7d %10.0f p50 %d us, p99 %d us without the relay\n", streams,
+          (double)c->n_delays / seconds, callers_delay (c, 0.5),
+          callers_delay (c, 0.99));
+  fflush (stdout);
+}
+
 static void
 callers_print (const callers *c, int streams, cost a, cost b)
 {
@@ -446,11 +490,12 @@
   double user = (double)(b.user_us - a.user_us);
   double sys = (double)(b.system_us - a.system_us);
 
-  printf ("%7d %10.0f %8.2f %8.2f %8.2f %10.0f %7.1f%% %8d %8d\n", streams,
-          tokens / wall_s, (user + sys) / tokens, user / tokens, sys / tokens,
-          tokens / (user + sys) * US_PER_S,
-          (user + sys) / wall_s / US_PER_S * 100, callers_delay (c, 0.5),
-          callers_delay (c, 0.99));
+  printf ("%7d %10.0f %8.2f %8.2f %8.2f %10.0f %7.1f%% %7.1f%% %8d %8d %8ld\n",
+          streams, tokens / wall_s, (user + sys) / tokens, user / tokens,
+          sys / tokens, tokens / (user + sys) * US_PER_S,
+          (user + sys) / wall_s / US_PER_S * 100,
+          (double)(b.wait_us - a.wait_us) / wall_s / US_PER_S * 100,
+          callers_delay (c, 0.5), callers_delay (c, 0.99), b.memory_kb);
   fflush (stdout);
 }
 
@@ -471,11 +516,18 @@
   while (c.open < streams)
     ev_run (c.loop, EVRUN_ONCE);
   callers_run_for (&c, WARM_UP_S + pause_s);
-  a = callers_ask_cost (&c);
-  c.counting = true;
-  callers_run_for (&c, seconds);
-  b = callers_ask_cost (&c);
-  callers_print (&c, streams, a, b);
+  if (direct)
+    {
+      callers_count (&c);
+      callers_print_delay (&c, streams);
+    }
+  else
+    {
+      a = callers_ask_cost (&c);
+      callers_count (&c);
+      b = callers_ask_cost (&c);
+      callers_print (&c, streams, a, b);
+    }
   mq_http_client_free (c.client);
   g_free (c.delays);
 }
@@ -531,7 +583,7 @@
   callers_pid = fork ();
   if (callers_pid == 0)
     {
-      callers_main (relay_port, streams);
+      callers_main (direct ? upstream_port : relay_port, streams);
       _exit (0);
     }
   waitpid (callers_pid, NULL, 0);
@@ -567,9 +619,9 @@
   if (argc == 1)
     streams = usual;
   raise_open_files ();
-  printf ("%7s %10s %8s %8s %8s %10s %8s %8s %8s\n", "streams", "tokens/s",
-          "us/token", "user", "system", "per core", "busy", "p50 us",
-          "p99 us");
+  printf ("%7s %10s %8s %8s %8s %10s %8s %8s %8s %8s %8s\n", "streams",
+          "tokens/s", "us/token", "user", "system", "per core", "busy",
+          "waits", "p50 us", "p99 us", "KiB");
   fflush (stdout);
   for (char **s = streams + 1; *s != NULL; s++)
     run_round (atoi (*s));
