Policy bench: drive the entry and the planner together

The bench's own short imitation of an entry goes; mq_entry and mq_planner now run as the router joins them (fake_router.c), so that recovery, giving up and moving away from slow attempts are measured too.

--- a/tools/bench/fake_fleet.c
+++ b/tools/bench/fake_fleet.c
@@ -44,6 +44,12 @@
     g_queue_init (&e->queue[p]);
 }
 
+uint32_t
+fake_prompt_units (uint32_t tokens)
+{
+  return (tokens + PROMPT_UNIT - 1) / PROMPT_UNIT;
+}
+
 void
 fake_fleet_init (fake_fleet *fleet, timeline *time)
 {
--- a/tools/bench/fake_fleet.h
+++ b/tools/bench/fake_fleet.h
@@ -91,6 +91,9 @@
   void *context;
 } fake_fleet;
 
+/* Units of work that a prompt makes at each stage.  */
+uint32_t fake_prompt_units (uint32_t tokens);
+
 void fake_fleet_init (fake_fleet *fleet, timeline *time);
 void fake_fleet_finish (fake_fleet *fleet);
 
--- a/tools/bench/trial.c
+++ b/tools/bench/trial.c
@@ -2,19 +2,12 @@
 
 #include "trial.h"
 
-#include "fake_fleet.h"
+#include "fake_router.h"
 
 #include <math.h>
-#include <mq/planner.h>
 #include <string.h>
 
 #define SECOND_US 1000000.0
-#define REPORT_US 100000
-#define TICK_US 100000
-#define PROGRESS_US 250000
-/* Until the entry sees that a stage is gone.  */
-#define DETECT_US 5000
-#define BIN_US 100000
 /* Goodput after a fault is averaged over so many bins.  */
 #define RECOVERY_BINS 5
 #define RECOVERED 0.95
@@ -33,79 +26,35 @@
 #define MIN_TOKEN_TIME_US 72000
 #define MAX_TOKEN_TIME_US 240000
 #define EXTRA_TIME_US 500000
+#define MOST_DEADLINE_MS 60000
 
 enum
 {
-  TRIAL_ARRIVAL = FAKE_KINDS,
-  TRIAL_REPORT,
-  TRIAL_TICK,
-  TRIAL_PROGRESS,
-  TRIAL_FAULT,
-  TRIAL_LOST,
-  TRIAL_DEADLINE,
-  TRIAL_REASK
+  TRIAL_ARRIVAL = ROUTER_KINDS,
+  TRIAL_FAULT
 };
 
-typedef enum request_state
-{
-  REQUEST_REFUSED,
-  REQUEST_LIVE,
-  REQUEST_DONE,
-  REQUEST_LATE
-} request_state;
-
-typedef struct request
-{
-  mq_request_id id;
-  uint32_t attempt;
-  request_state state;
-  uint32_t organisation;
-  uint32_t priority;
-  uint32_t prompt;
-  uint32_t max_tokens;
-  uint32_t tokens; /* That the answer will have.  */
-  uint64_t arrived_us;
-  uint64_t deadline_us;
-  uint32_t sent;       /* Tokens with the caller.  */
-  fake_stream *stream; /* NULL between attempts.  */
-  uint64_t attempt_us;
-  uint64_t first_us; /* Of this attempt, after attempt_us.  */
-  uint64_t last_us;
-  GArray *bins; /* of uint32_t: when each token came  */
-} request;
-
 typedef struct trial
 {
   const trial_options *options;
   trial_result *result;
   timeline time;
   fake_fleet fleet;
+  fake_router router;
   dice dice;
   mq_config *config;
-  mq_planner *planner;
-  GArray *actions;
-  GPtrArray *requests; /* of request, owned  */
-  GPtrArray *live;     /* of request  */
-  GArray *bins;        /* of double: good tokens  */
+  GArray *bins; /* of double: good tokens  */
   double arrivals_per_s;
   double capacity_before;
-  uint64_t asks;
-  int64_t ask_us;
 } trial;
 
 static const char *const domain_names[FAKE_DOMAINS] = { "d0", "d1", "d2" };
 static const char *const kind_names[] = { "fast", "middle", "slow" };
 
-static uint32_t
-prompt_units (uint32_t tokens)
-{
-  return (tokens + PROMPT_UNIT - 1) / PROMPT_UNIT;
-}
-
 static double
 request_work (const request *r)
 {
-  return prompt_units (r->prompt) + r->tokens - 1;
+  return fake_prompt_units (r->prompt) + r->tokens - 1;
 }
 
 static mq_str *
@@ -154,7 +103,10 @@
 {
   mq_config *c = mq_config_new (1);
   mq_model m = { str_from ("m"), str_from ("v1"), FAKE_LAYERS, 4096, 16384 };
-  mq_service s = { .name = str_from ("s"), .kind = MQ_SERVICE_MODEL };
+  mq_service s = { .name = str_from ("s"),
+                   .kind = MQ_SERVICE_MODEL,
+                   .deadline_ms = MOST_DEADLINE_MS,
+                   .max_deadline_ms = MOST_DEADLINE_MS };
 
   c->policy.routing = t->options->routing;
   s.u.model.model = str_from ("m");
@@ -172,13 +124,6 @@
   return c;
 }
 
-static void
-planner_tell (trial *t, const mq_planner_event *event)
-{
-  g_array_set_size (t->actions, 0);
-  mq_planner_handle (t->planner, event, t->actions);
-}
-
 static bool
 trial_counts (const trial *t, const request *r)
 {
@@ -188,112 +133,11 @@
          && r->arrived_us < (o->seconds - TAIL_SECONDS) * SECOND_US;
 }
 
-static void
-request_release (trial *t, request *r, mq_attempt_end end, uint32_t stage,
-                 uint64_t now_us)
-{
-  mq_planner_event e = { .kind = MQ_PLANNER_RELEASE, .now_us = now_us };
-  mq_plan_release *release = &e.u.release;
-  fake_stream *s = r->stream;
-
-  release->id = r->id;
-  release->attempt = r->attempt;
-  release->end = end;
-  release->stage = stage;
-  release->tokens = s->tokens;
-  if (s->tokens > 0)
-    release->first_token_us = r->first_us;
-  if (s->tokens > 1)
-    release->mean_gap_us
-        = (r->last_us - r->attempt_us - r->first_us) / (s->tokens - 1);
-  fake_fleet_close (&t->fleet, s, now_us);
-  fake_stream_unref (s);
-  r->stream = NULL;
-  planner_tell (t, &e);
-}
-
-static void
-request_end (trial *t, request *r, request_state state)
-{
-  r->state = state;
-  g_ptr_array_remove_fast (t->live, r);
-  if (state != REQUEST_DONE)
-    return;
-  for (guint i = 0; i < r->bins->len; i++)
-    {
-      uint32_t bin = g_array_index (r->bins, uint32_t, i);
-
-      if (bin >= t->bins->len)
-        g_array_set_size (t->bins, bin + 1);
-      g_array_index (t->bins, double, bin) += 1;
-    }
-}
-
-static void
-request_start (trial *t, request *r, const mq_plan *plan, uint64_t now_us)
-{
-  fake_stream *s = fake_stream_new (r);
-
-  s->n_stages = plan->n_stages;
-  for (uint32_t i = 0; i < plan->n_stages; i++)
-    s->stages[i]
-        = fake_fleet_find (&t->fleet, mq_str_cstr (plan->stages[i].engine));
-  s->prompt_units = prompt_units (r->prompt + r->sent);
-  s->priority = r->priority;
-  r->stream = s;
-  r->attempt_us = now_us;
-  r->first_us = 0;
-  fake_fleet_open (&t->fleet, s, now_us);
-}
-
-/* Ask for a plan; avoid ENGINE when it is not NULL.  */
-static void
-request_ask (trial *t, request *r, const char *engine, uint64_t now_us)
-{
-  mq_planner_event e = { .kind = MQ_PLANNER_ASK, .now_us = now_us };
-  mq_plan_ask *ask = &e.u.ask;
-  const mq_planner_action *answer;
-  char organisation[8];
-  int64_t began;
-
-  g_snprintf (organisation, sizeof organisation, "o%u", r->organisation);
-  ask->id = r->id;
-  ask->attempt = ++r->attempt;
-  ask->service = MQ_SPAN ("s");
-  ask->organisation = mq_span_from (organisation);
-  ask->prompt_tokens = r->prompt;
-  ask->sent_tokens = r->sent;
-  ask->max_tokens = r->max_tokens - r->sent;
-  ask->priority = (int32_t)r->priority;
-  ask->deadline_us = r->deadline_us - now_us;
-  if (engine != NULL)
-    {
-      ask->avoid[0] = mq_span_from (engine);
-      ask->n_avoid = 1;
-    }
-  began = g_get_monotonic_time ();
-  planner_tell (t, &e);
-  t->ask_us += g_get_monotonic_time () - began;
-  t->asks++;
-  answer = &g_array_index (t->actions, mq_planner_action, 0);
-  if (answer->kind == MQ_PLANNER_ADMIT)
-    request_start (t, r, &answer->u.plan, now_us);
-  else if (r->attempt > 1)
-    {
-      uint64_t due = now_us + MAX (answer->u.refuse.retry_after_us, 1000);
-
-      if (due < r->deadline_us)
-        timeline_add (&t->time, due, TRIAL_REASK, r, 0);
-    }
-}
-
 static request *
-trial_draw (trial *t, uint64_t now_us)
+trial_draw (dice *d, uint64_t now_us)
 {
   request *r = g_new0 (request, 1);
-  dice *d = &t->dice;
 
-  r->id = (mq_request_id){ 1, t->requests->len + 1 };
   if (dice_unit (d) >= LARGE_PART)
     r->organisation
         = 1 + (uint32_t)(dice_unit (d) * (TRIAL_ORGANISATIONS - 1));
@@ -304,110 +148,23 @@
   r->tokens = MIN (r->tokens, r->max_tokens);
   r->arrived_us = now_us;
   r->deadline_us
-      = now_us + EXTRA_TIME_US
+      = EXTRA_TIME_US
         + (uint64_t)(r->max_tokens
                      * dice_range (d, MIN_TOKEN_TIME_US, MAX_TOKEN_TIME_US));
   r->bins = g_array_new (FALSE, FALSE, sizeof (uint32_t));
-  g_ptr_array_add (t->requests, r);
   return r;
 }
 
 static void
 trial_arrival (trial *t, uint64_t now_us)
 {
-  request *r = trial_draw (t, now_us);
+  request *r = trial_draw (&t->dice, now_us);
   uint64_t next
       = now_us + (uint64_t)dice_wait (&t->dice, SECOND_US / t->arrivals_per_s);
 
   if (next < t->options->seconds * SECOND_US)
     timeline_add (&t->time, next, TRIAL_ARRIVAL, NULL, 0);
-  request_ask (t, r, NULL, now_us);
-  if (r->stream == NULL)
-    return;
-  r->state = REQUEST_LIVE;
-  g_ptr_array_add (t->live, r);
-  timeline_add (&t->time, r->deadline_us, TRIAL_DEADLINE, r, 0);
-}
-
-static void
-trial_token (void *context, fake_stream *s, uint64_t now_us)
-{
-  trial *t = context;
-  request *r = s->owner;
-  uint32_t bin = (uint32_t)(now_us / BIN_US);
-
-  if (s->tokens == 1)
-    r->first_us = now_us - r->attempt_us;
-  r->last_us = now_us;
-  r->sent++;
-  g_array_append_val (r->bins, bin);
-  if (r->sent < r->tokens)
-    return;
-  request_release (t, r, MQ_ATTEMPT_DONE, 0, now_us);
-  request_end (t, r, REQUEST_DONE);
-}
-
-static void
-trial_deadline (trial *t, request *r, uint64_t now_us)
-{
-  if (r->state != REQUEST_LIVE)
-    return;
-  if (r->stream != NULL)
-    request_release (t, r, MQ_ATTEMPT_CANCELLED, 0, now_us);
-  request_end (t, r, REQUEST_LATE);
-}
-
-static void
-trial_report (trial *t, uint64_t now_us)
-{
-  for (uint32_t i = 0; i < FAKE_ENGINES; i++)
-    {
-      const fake_engine *f = &t->fleet.engines[i];
-      uint32_t layers = FAKE_LAYERS / FAKE_RANGES;
-      mq_planner_event e = { .kind = MQ_PLANNER_LOAD, .now_us = now_us };
-
-      if (f->dead || f->report.at_us == 0 || t->options->no_reports)
-        continue;
-      e.u.load = (mq_engine_load){ .engine = mq_span_from (f->name),
-                                   .version = MQ_SPAN ("v1"),
-                                   .first = f->range * layers,
-                                   .end = (f->range + 1) * layers,
-                                   .queue = f->report.queue,
-                                   .batch = f->report.batch,
-                                   .step_us = f->report.step_us,
-                                   .age_us = now_us - f->report.at_us,
-                                   .incarnation = 1 };
-      planner_tell (t, &e);
-    }
-  fake_fleet_report (&t->fleet, now_us);
-}
-
-static void
-trial_progress (trial *t, uint64_t now_us)
-{
-  for (guint i = 0; i < t->live->len && !t->options->no_progress; i++)
-    {
-      const request *r = t->live->pdata[i];
-      mq_planner_event e = { .kind = MQ_PLANNER_PROGRESS, .now_us = now_us };
-      uint32_t tokens;
-
-      if (r->stream == NULL || r->stream->tokens < 2)
-        continue;
-      tokens = r->stream->tokens;
-      e.u.progress.id = r->id;
-      e.u.progress.attempt = r->attempt;
-      e.u.progress.tokens = tokens;
-      e.u.progress.mean_gap_us
-          = (r->last_us - r->attempt_us - r->first_us) / (tokens - 1);
-      planner_tell (t, &e);
-    }
-}
-
-static void
-trial_kill (trial *t, fake_engine *e, uint64_t now_us)
-{
-  fake_fleet_kill (&t->fleet, e);
-  timeline_add (&t->time, now_us + DETECT_US, TRIAL_LOST, e, 0);
+  fake_router_call (&t->router, r, now_us);
 }
 
 static void
@@ -420,7 +177,7 @@
       fake_engine *e = &t->fleet.engines[i];
 
       if (e->domain == 0 && n++ % 3 == 0)
-        trial_kill (t, e, now_us);
+        fake_router_kill (&t->router, e, now_us);
     }
 }
 
@@ -434,7 +191,7 @@
     case TRIAL_NO_FAULT:
       break;
     case TRIAL_STAGE_DIES:
-      trial_kill (t, e, now_us);
+      fake_router_kill (&t->router, e, now_us);
       break;
     case TRIAL_LINK_SLOWS:
       t->fleet.link_us[0][2] *= 10;
@@ -450,123 +207,40 @@
     }
 }
 
-static gint
-request_compare_slack (gconstpointer a, gconstpointer b)
-{
-  const request *x = *(request *const *)a;
-  const request *y = *(request *const *)b;
-
-  if (x->deadline_us != y->deadline_us)
-    return x->deadline_us < y->deadline_us ? -1 : 1;
-  return x->id.sequence < y->id.sequence ? -1 : 1;
-}
-
-static int
-stream_stage_at (const fake_stream *s, const fake_engine *e)
-{
-  for (uint32_t k = 0; k < s->n_stages; k++)
-    if (s->stages[k] == e)
-      return (int)k;
-  return -1;
-}
-
-/* The entry sees that E is gone: release what ran there, then ask anew,
-   least slack first.  */
-static void
-trial_lost (trial *t, fake_engine *e, uint64_t now_us)
-{
-  GPtrArray *hit = g_ptr_array_new ();
-
-  for (guint i = 0; i < t->live->len; i++)
-    {
-      request *r = t->live->pdata[i];
-
-      if (r->stream != NULL && stream_stage_at (r->stream, e) >= 0)
-        g_ptr_array_add (hit, r);
-    }
-  g_ptr_array_sort (hit, request_compare_slack);
-  for (guint i = 0; i < hit->len; i++)
-    {
-      request *r = hit->pdata[i];
-      int stage = stream_stage_at (r->stream, e);
-
-      request_release (t, r, MQ_ATTEMPT_STAGE_DIED, (uint32_t)stage, now_us);
-    }
-  for (guint i = 0; i < hit->len; i++)
-    request_ask (t, hit->pdata[i], e->name, now_us);
-  g_ptr_array_unref (hit);
-}
-
-static void
-trial_again (trial *t, int kind, uint64_t due_us)
-{
-  if (due_us < t->options->seconds * SECOND_US)
-    timeline_add (&t->time, due_us, kind, NULL, 0);
-}
-
 static void
 trial_handle (trial *t, const timeline_item *item)
 {
-  uint64_t now = item->due_us;
-  request *r = item->what;
-
   switch (item->kind)
     {
     case TRIAL_ARRIVAL:
-      trial_arrival (t, now);
-      break;
-    case TRIAL_REPORT:
-      trial_report (t, now);
-      trial_again (t, TRIAL_REPORT, now + REPORT_US);
-      break;
-    case TRIAL_TICK:
-      planner_tell (
-          t, &(mq_planner_event){ .kind = MQ_PLANNER_TICK, .now_us = now });
-      trial_again (t, TRIAL_TICK, now + TICK_US);
-      break;
-    case TRIAL_PROGRESS:
-      trial_progress (t, now);
-      trial_again (t, TRIAL_PROGRESS, now + PROGRESS_US);
+      trial_arrival (t, item->due_us);
       break;
     case TRIAL_FAULT:
-      trial_fault_now (t, now);
-      break;
-    case TRIAL_LOST:
-      trial_lost (t, item->what, now);
-      break;
-    case TRIAL_DEADLINE:
-      trial_deadline (t, r, now);
-      break;
-    case TRIAL_REASK:
-      if (r->state == REQUEST_LIVE && r->stream == NULL)
-        request_ask (t, r, NULL, now);
+      trial_fault_now (t, item->due_us);
       break;
     default:
-      fake_fleet_handle (&t->fleet, item);
+      fake_router_handle (&t->router, item);
     }
 }
 
 /* Mean work and tokens of a request, from a draw of their own.  */
 static void
-trial_means (const trial *t, double *work, double *tokens)
+trial_means (double *work, double *tokens)
 {
-  trial probe = { .options = t->options };
   const int draws = 20000;
+  dice d = { 1 };
 
-  probe.dice.state = 1;
-  probe.requests = g_ptr_array_new ();
   *work = 0;
   *tokens = 0;
   for (int i = 0; i < draws; i++)
     {
-      request *r = trial_draw (&probe, 0);
+      request *r = trial_draw (&d, 0);
 
       *work += request_work (r) / draws;
       *tokens += (double)r->tokens / draws;
       g_array_unref (r->bins);
       g_free (r);
     }
-  g_ptr_array_unref (probe.requests);
 }
 
 /* What the scarcest range can carry with full batches in the counted time. */
@@ -598,7 +272,7 @@
       uint32_t bin = g_array_index (r->bins, uint32_t, i);
 
       if (bin >= from && bin < to)
-        work += i == 0 ? prompt_units (r->prompt) : 1;
+        work += i == 0 ? fake_prompt_units (r->prompt) : 1;
     }
   return work;
 }
@@ -623,9 +297,11 @@
 static void
 trial_tally (const trial *t, tally *of, trial_result *res)
 {
-  for (guint i = 0; i < t->requests->len; i++)
+  const GPtrArray *requests = t->router.requests;
+
+  for (guint i = 0; i < requests->len; i++)
     {
-      const request *r = t->requests->pdata[i];
+      const request *r = requests->pdata[i];
       tally *mine = &of[r->organisation];
       double work = request_work (r);
 
@@ -638,8 +314,8 @@
       if (r->state == REQUEST_REFUSED)
         continue;
       res->accepted++;
-      res->replaced += r->attempt - 1;
-      res->late += r->state == REQUEST_LATE;
+      res->replaced += r->opened - 1;
+      res->late += r->state != REQUEST_DONE;
       if (r->state != REQUEST_DONE)
         continue;
       res->done++;
@@ -683,7 +359,29 @@
       else
         res->small_share = MIN (res->small_share, part);
     }
-  res->decide_us = t->asks > 0 ? (double)t->ask_us / t->asks : 0;
+  if (t->router.asks > 0)
+    res->decide_us = (double)t->router.ask_us / t->router.asks;
+}
+
+/* Count the tokens of good answers by when they came.  */
+static void
+trial_fill_bins (trial *t)
+{
+  const GPtrArray *requests = t->router.requests;
+
+  for (guint i = 0; i < requests->len; i++)
+    {
+      const request *r = requests->pdata[i];
+
+      for (guint k = 0; r->state == REQUEST_DONE && k < r->bins->len; k++)
+        {
+          uint32_t bin = g_array_index (r->bins, uint32_t, k);
+
+          if (bin >= t->bins->len)
+            g_array_set_size (t->bins, bin + 1);
+          g_array_index (t->bins, double, bin) += 1;
+        }
+    }
 }
 
 /* Good tokens a second over the bins [FROM, FROM + N).  */
@@ -743,34 +441,20 @@
   timeline_init (&t->time);
   fake_fleet_init (&t->fleet, &t->time);
   t->fleet.places = options->places;
-  t->fleet.on_token = trial_token;
-  t->fleet.context = t;
-  t->requests = g_ptr_array_new ();
-  t->live = g_ptr_array_new ();
   t->bins = g_array_new (FALSE, TRUE, sizeof (double));
-  t->actions = mq_planner_actions_new ();
   t->config = trial_config (t);
-  t->planner = mq_planner_new (MQ_SPAN ("d0"), 1);
+  fake_router_init (&t->router, &t->time, &t->fleet, t->config, options->seed,
+                    (uint64_t)(options->seconds * SECOND_US));
+  t->router.no_progress = options->no_progress;
+  t->router.no_reports = options->no_reports;
   t->capacity_before = fake_fleet_capacity (&t->fleet);
 }
 
 static void
 trial_finish (trial *t)
 {
-  for (guint i = 0; i < t->requests->len; i++)
-    {
-      request *r = t->requests->pdata[i];
-
-      if (r->stream != NULL)
-        fake_stream_unref (r->stream);
-      g_array_unref (r->bins);
-      g_free (r);
-    }
-  g_ptr_array_unref (t->requests);
-  g_ptr_array_unref (t->live);
+  fake_router_finish (&t->router);
   g_array_unref (t->bins);
-  g_array_unref (t->actions);
-  mq_planner_free (t->planner);
   mq_config_unref (t->config);
   fake_fleet_finish (&t->fleet);
   timeline_finish (&t->time);
@@ -803,20 +487,16 @@
   double work, tokens;
 
   trial_init (&t, options, result);
-  trial_means (&t, &work, &tokens);
+  trial_means (&work, &tokens);
   t.arrivals_per_s = options->load * t.capacity_before / work;
-  planner_tell (&t, &(mq_planner_event){ .kind = MQ_PLANNER_CONFIG,
-                                         .u.config = t.config });
   timeline_add (&t.time, 1, TRIAL_ARRIVAL, NULL, 0);
-  timeline_add (&t.time, 2, TRIAL_REPORT, NULL, 0);
-  timeline_add (&t.time, 3, TRIAL_TICK, NULL, 0);
-  timeline_add (&t.time, 4, TRIAL_PROGRESS, NULL, 0);
   if (options->fault != TRIAL_NO_FAULT)
     timeline_add (&t.time, (uint64_t)(options->fault_at_seconds * SECOND_US),
                   TRIAL_FAULT, NULL, 0);
   while (timeline_next (&t.time, &item))
     trial_handle (&t, &item);
   trial_count (&t);
+  trial_fill_bins (&t);
   if (options->fault != TRIAL_NO_FAULT)
     trial_measure_recovery (&t, tokens / work);
   trial_finish (&t);
