--- /dev/null
+++ b/packages/decide/ask.c
@@ -0,0 +1,153 @@
+/* The ask: which entries a caller should use, best first.
+
+   Weighted rendezvous hashing: for each caller and entry a number u in (0, 1)
+   is drawn from their hash, and entries are sorted by -ln (u) / weight.  An
+   entry of weight w then comes first with probability w over the sum of all
+   weights, independently for each caller; a caller keeps its order while the
+   weights stay, and what one dead entry carried scatters over the rest by
+   their weights.  No entry is the best for all, so a report of load that lags
+   draws no crowd.
+
+   In a large region an organisation is kept to a few entries (a subset by
+   rendezvous on its name), so that one organisation's burst does not reach
+   all and its limit is shared by few; small organisations get different
+   subsets.  */
+
+#include <mq/fleet.h>
+#include <mq/internal/fleet.h>
+
+#include <math.h>
+#include <string.h>
+
+#define FULL_LOAD 1000
+#define MIN_WEIGHT 50 /* A full entry still comes first now and then.  */
+#define NEAR_FACTOR 4 /* How much the caller's own failure domain weighs.  */
+#define SUBSET 8      /* Entries for a small organisation.  */
+#define TTL_SPREAD_PERCENT 20
+
+/* An entry that could be listed.  */
+typedef struct candidate
+{
+  const mq_member *member;
+  double key; /* Lowest first.  */
+  uint32_t weight;
+} candidate;
+
+static int
+candidate_compare (gconstpointer a, gconstpointer b)
+{
+  const candidate *x = a;
+  const candidate *y = b;
+
+  return (x->key > y->key) - (x->key < y->key);
+}
+
+/* A number in (0, 1) from a hash.  */
+static double
+unit_from_hash (uint64_t hash)
+{
+  return ((double)(hash >> 11) + 0.5) / 9007199254740992.0;
+}
+
+static uint32_t
+member_weight (const mq_member *m)
+{
+  uint32_t load = MIN (m->load, FULL_LOAD);
+
+  return MAX (FULL_LOAD - load, MIN_WEIGHT);
+}
+
+/* Keep the SIZE members that rank highest for the organisation.  */
+static void
+candidates_cut (GArray *candidates, mq_span organisation, guint size)
+{
+  if (candidates->len <= size)
+    return;
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      candidate *c = &g_array_index (candidates, candidate, i);
+
+      c->key = -(double)(mq_owner_rank (MQ_OWNED_ORGANISATION, organisation,
+                                        mq_str_span (c->member->vm))
+                         >> 11);
+    }
+  g_array_sort (candidates, candidate_compare);
+  g_array_set_size (candidates, size);
+}
+
+static void
+candidates_collect (GArray *candidates, const mq_fleet *fleet)
+{
+  for (guint i = 0; i <= fleet->members->len; i++)
+    {
+      const mq_member *m = i == fleet->members->len
+                               ? fleet->self
+                               : g_ptr_array_index (fleet->members, i);
+      candidate c = { .member = m, .weight = member_weight (m) };
+
+      if (mq_fleet_takes_work (fleet, m) && m->entry_address != NULL)
+        g_array_append_val (candidates, c);
+    }
+}
+
+static guint
+subset_size (const mq_ask *ask, guint n)
+{
+  double wanted = ceil (2.0 * ask->organisation_share * n);
+
+  return MAX (SUBSET, (guint)wanted);
+}
+
+static void
+candidates_order (GArray *candidates, const mq_ask *ask)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      candidate *c = &g_array_index (candidates, candidate, i);
+      uint64_t h = mq_hash_mix (ask->caller,
+                                mq_span_hash (mq_str_span (c->member->vm)));
+      double weight = c->weight;
+
+      if (ask->failure_domain.size > 0
+          && mq_span_equal (ask->failure_domain,
+                            mq_str_span (c->member->failure_domain)))
+        weight *= NEAR_FACTOR;
+      c->key = -log (unit_from_hash (h)) / weight;
+    }
+  g_array_sort (candidates, candidate_compare);
+}
+
+/* The policy's time to live, a little shorter for some callers.  */
+static uint32_t
+spread_ttl (const mq_ask *ask)
+{
+  uint64_t h = mq_hash_mix (ask->caller, ask->ttl_ms);
+  uint32_t most = ask->ttl_ms / 100 * TTL_SPREAD_PERCENT;
+
+  return ask->ttl_ms - (uint32_t)(unit_from_hash (h) * most);
+}
+
+void
+mq_ask_answer_fill (mq_ask_answer *answer, const mq_fleet *fleet,
+                    const mq_ask *ask)
+{
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (candidate));
+
+  memset (answer, 0, sizeof *answer);
+  answer->ttl_ms = spread_ttl (ask);
+  candidates_collect (candidates, fleet);
+  candidates_cut (candidates, ask->organisation,
+                  subset_size (ask, candidates->len));
+  candidates_order (candidates, ask);
+  for (guint i = 0; i < candidates->len && i < MQ_ASK_ENTRIES; i++)
+    {
+      const candidate *c = &g_array_index (candidates, candidate, i);
+      mq_ask_entry *e = &answer->entries[answer->n++];
+
+      e->vm = c->member->vm;
+      e->address = c->member->entry_address;
+      e->failure_domain = c->member->failure_domain;
+      e->weight = c->weight;
+    }
+  g_array_unref (candidates);
+}
