Add the limiter: organisation limits by shares that expire

Cause: a limit of an organisation must hold over all routers, while members come and go and without a message for each request.

The owner hands out shares by demand, max-min fair when they do not suffice; a new owner first confirms what holders say they have; a side of a partition hands out only its part; a holder without an owner goes by half an even share.

--- /dev/null
+++ b/packages/decide/limit_owner.c
@@ -0,0 +1,288 @@
+/* The owner's side of a limit: hands out shares so that what is out never
+   sums to more than the pool.
+
+   While the demands fit, each holder gets what it demands and an even part of
+   what is left, one part being kept for a newcomer.  While they do not fit,
+   shares are max-min fair: nobody gets more than it demands, and what small
+   demands leave goes evenly to the large ones.  A share is cut to what the
+   others' unexpired shares leave, so a shift of demand takes effect as they
+   renew, within MQ_LIMITER_SHORT_US.  */
+
+#include <mq/internal/limiter.h>
+
+#include <math.h>
+
+/* A new owner's shares until it knows what its predecessor handed out, in
+   parts of an even share.  */
+#define SETTLE_PART 8
+
+/* How long a permit that can't be shared evenly stays with one holder.  */
+#define TURN_US (UINT64_C (4) * 1000 * 1000)
+
+/* Above this part of the pool in demand, shares are short.  */
+#define BUSY_PART 0.5
+
+/* One holder's share.  */
+typedef struct limit_claim
+{
+  uint64_t holder;
+  mq_share demand;
+  mq_share granted;
+  uint32_t in_flight;
+  uint64_t until_us;
+} limit_claim;
+
+/* One of the three parts of a share, for all claims.  */
+typedef struct limit_column
+{
+  double pool;
+  double demand; /* Of the asker.  */
+  double others; /* Out to others and not expired.  */
+  double sum;    /* Of all demands.  */
+  GArray *demands;
+} limit_column;
+
+static int
+double_compare (gconstpointer a, gconstpointer b)
+{
+  double x = *(const double *)a;
+  double y = *(const double *)b;
+
+  return (x > y) - (x < y);
+}
+
+/* The level up to which max-min fairness serves the demands.  */
+static double
+column_level (limit_column *c)
+{
+  double left = c->pool;
+  guint n = c->demands->len;
+
+  g_array_sort (c->demands, double_compare);
+  for (guint i = 0; i < n; i++)
+    {
+      double even = left / (n - i);
+      double d = g_array_index (c->demands, double, i);
+
+      if (d > even)
+        return even;
+      left -= d;
+    }
+  return c->pool;
+}
+
+/* What the asker gets.  */
+static double
+column_grant (limit_column *c)
+{
+  double n = c->demands->len;
+  double want;
+
+  if (c->sum <= c->pool)
+    want = c->demand + (c->pool - c->sum) / (n + 1);
+  else
+    want = MIN (c->demand, column_level (c));
+  return CLAMP (want, 0, MAX (c->pool - c->others, 0));
+}
+
+/* The same in whole permits.  Where the fair level is not whole, the permits
+   that are left go to some holders in turn; TURN is the asker's place.  */
+static uint32_t
+column_grant_whole (limit_column *c, guint turn)
+{
+  double base;
+  double left = c->pool;
+  double want;
+
+  if (c->sum <= c->pool)
+    return (uint32_t)column_grant (c);
+  base = floor (column_level (c));
+  for (guint i = 0; i < c->demands->len; i++)
+    left -= MIN (g_array_index (c->demands, double, i), base);
+  want = MIN (c->demand, turn < left ? base + 1 : base);
+  return (uint32_t)CLAMP (want, 0, MAX (c->pool - c->others, 0));
+}
+
+/* The asker's place among the claims, which moves with time so that each
+   holder comes first now and then.  */
+static guint
+owner_turn (const limit_owner *owner, const limit_claim *asker, uint64_t now)
+{
+  guint place = (guint)(now / TURN_US);
+
+  for (guint i = 0; i < owner->claims->len; i++)
+    place += g_array_index (owner->claims, limit_claim, i).holder
+             < asker->holder;
+  return place % MAX (owner->claims->len, 1);
+}
+
+static void
+column_init (limit_column *c, double pool)
+{
+  *c = (limit_column){ .pool = pool };
+  c->demands = g_array_new (FALSE, FALSE, sizeof (double));
+}
+
+/* DEMAND counts up to the whole pool only.  */
+static void
+column_add (limit_column *c, bool asker, double demand, double granted)
+{
+  double d = MIN (demand, c->pool);
+
+  c->sum += d;
+  if (asker)
+    c->demand = d;
+  else
+    c->others += granted;
+  g_array_append_val (c->demands, d);
+}
+
+static limit_claim *
+owner_claim (limit_owner *owner, uint64_t holder)
+{
+  limit_claim fresh = { .holder = holder };
+
+  for (guint i = 0; i < owner->claims->len; i++)
+    {
+      limit_claim *c = &g_array_index (owner->claims, limit_claim, i);
+
+      if (c->holder == holder)
+        return c;
+    }
+  g_array_append_val (owner->claims, fresh);
+  return &g_array_index (owner->claims, limit_claim, owner->claims->len - 1);
+}
+
+static void
+owner_expire (limit_owner *owner, uint64_t now)
+{
+  for (guint i = owner->claims->len; i-- > 0;)
+    if (g_array_index (owner->claims, limit_claim, i).until_us <= now)
+      g_array_remove_index_fast (owner->claims, i);
+}
+
+/* Work out ASKER's share from the pool and all claims.  *BUSY is set when
+   much of the pool is in demand, *CONTENDED when it does not suffice.  */
+static mq_share
+owner_divide (const limit_owner *owner, const limit_claim *asker,
+              const mq_share *pool, uint64_t now, bool *busy, bool *contended)
+{
+  limit_column columns[3];
+  mq_share s;
+
+  column_init (&columns[0], pool->requests_per_s);
+  column_init (&columns[1], pool->tokens_per_s);
+  column_init (&columns[2], pool->permits);
+  for (guint i = 0; i < owner->claims->len; i++)
+    {
+      const limit_claim *c = &g_array_index (owner->claims, limit_claim, i);
+      bool own = c == asker;
+
+      column_add (&columns[0], own, c->demand.requests_per_s,
+                  c->granted.requests_per_s);
+      column_add (&columns[1], own, c->demand.tokens_per_s,
+                  c->granted.tokens_per_s);
+      /* What runs is out, also when the permit was taken back.  */
+      column_add (&columns[2], own, c->demand.permits,
+                  MAX (c->granted.permits, c->in_flight));
+    }
+  *busy = false;
+  *contended = false;
+  for (int i = 0; i < 3; i++)
+    {
+      if (columns[i].pool <= 0)
+        continue;
+      *busy |= columns[i].sum > columns[i].pool * BUSY_PART;
+      *contended |= columns[i].sum > columns[i].pool;
+    }
+  s.requests_per_s = column_grant (&columns[0]);
+  s.tokens_per_s = column_grant (&columns[1]);
+  s.permits = column_grant_whole (&columns[2], owner_turn (owner, asker, now));
+  for (int i = 0; i < 3; i++)
+    g_array_unref (columns[i].demands);
+  return s;
+}
+
+/* Of a new owner: what the holder has already, or a little.  */
+static void
+share_settle (mq_share *share, const mq_share *held, const mq_share *pool,
+              uint32_t known)
+{
+  double part = 1.0 / ((double)known * SETTLE_PART);
+  uint32_t permits = MAX ((uint32_t)(pool->permits * part), 1);
+
+  share->requests_per_s
+      = MIN (share->requests_per_s,
+             MAX (held->requests_per_s, pool->requests_per_s * part));
+  share->tokens_per_s
+      = MIN (share->tokens_per_s,
+             MAX (held->tokens_per_s, pool->tokens_per_s * part));
+  share->permits = MIN (share->permits, MAX (held->permits, permits));
+}
+
+mq_share
+limit_part (const mq_limits *limits, double part)
+{
+  return (mq_share){ .requests_per_s = limits->requests_per_s * part,
+                     .tokens_per_s = limits->tokens_per_s * part,
+                     .permits = (uint32_t)(limits->concurrent * part) };
+}
+
+void
+limit_owner_init (limit_owner *owner)
+{
+  owner->claims = NULL;
+}
+
+void
+limit_owner_finish (limit_owner *owner)
+{
+  g_clear_pointer (&owner->claims, g_array_unref);
+}
+
+void
+limit_owner_gone (limit_organisation *o, uint64_t holder)
+{
+  if (o->owner.claims == NULL)
+    return;
+  for (guint i = o->owner.claims->len; i-- > 0;)
+    if (g_array_index (o->owner.claims, limit_claim, i).holder == holder)
+      g_array_remove_index_fast (o->owner.claims, i);
+}
+
+void
+limit_owner_asked (limit_organisation *o, const limit_members *members,
+                   const mq_limiter_event *event, GArray *actions)
+{
+  const mq_limit_ask *ask = &event->u.asked.ask;
+  uint64_t now = event->now_us;
+  uint64_t since = event->u.asked.owner_since_us;
+  mq_share pool
+      = limit_part (&o->limits, (double)members->live / members->known);
+  mq_limiter_action a = { .kind = MQ_LIMITER_SEND_GRANT };
+  mq_limit_grant *g = &a.u.grant.grant;
+  limit_claim *c;
+  bool settling = since != 0 && now - since < MQ_LIMITER_SETTLE_US;
+  bool fresh;
+  bool busy;
+
+  if (o->owner.claims == NULL)
+    o->owner.claims = g_array_new (FALSE, TRUE, sizeof (limit_claim));
+  owner_expire (&o->owner, now);
+  c = owner_claim (&o->owner, event->u.asked.holder);
+  fresh = c->until_us == 0;
+  c->demand = ask->demand;
+  c->in_flight = ask->in_flight;
+  g->organisation = o->key;
+  g->share = owner_divide (&o->owner, c, &pool, now, &busy, &g->contended);
+  g->lifetime_us = busy ? MQ_LIMITER_SHORT_US : MQ_LIMITER_LONG_US;
+  if (settling && fresh)
+    {
+      share_settle (&g->share, &ask->held, &pool, members->known);
+      g->lifetime_us = MQ_LIMITER_SHORT_US;
+    }
+  c->granted = g->share;
+  c->until_us = now + g->lifetime_us;
+  a.u.grant.holder = event->u.asked.holder;
+  g_array_append_val (actions, a);
+}
--- /dev/null
+++ b/packages/decide/limiter.c
@@ -0,0 +1,232 @@
+/* The limiter: the organisations, and who of them has work to do.  The rules
+   lie in limit_holder.c and limit_owner.c; see mq/limiter.h.  */
+
+#include <mq/internal/limiter.h>
+#include <mq/limiter.h>
+
+#include <string.h>
+
+struct mq_limiter
+{
+  GHashTable *organisations; /* mq_span * in the value -> owned
+                                limit_organisation  */
+  GPtrArray *active;         /* of limit_organisation, borrowed  */
+  limit_members members;
+};
+
+static guint
+span_hash (gconstpointer key)
+{
+  return (guint)mq_span_hash (*(const mq_span *)key);
+}
+
+static gboolean
+span_equal (gconstpointer a, gconstpointer b)
+{
+  return mq_span_equal (*(const mq_span *)a, *(const mq_span *)b);
+}
+
+static void
+organisation_free (gpointer data)
+{
+  limit_organisation *o = data;
+
+  limit_holder_finish (&o->holder);
+  limit_owner_finish (&o->owner);
+  mq_str_unref (o->name);
+  g_free (o);
+}
+
+static limit_organisation *
+limiter_find (const mq_limiter *limiter, mq_span name)
+{
+  return g_hash_table_lookup (limiter->organisations, &name);
+}
+
+/* Borrowed; made where there is none.  */
+static limit_organisation *
+limiter_ensure (mq_limiter *limiter, mq_str *name)
+{
+  limit_organisation *o = limiter_find (limiter, mq_str_span (name));
+
+  if (o != NULL)
+    return o;
+  o = g_new0 (limit_organisation, 1);
+  o->name = mq_str_ref (name);
+  o->key = mq_str_span (name);
+  limit_holder_init (&o->holder);
+  limit_owner_init (&o->owner);
+  g_hash_table_insert (limiter->organisations, &o->key, o);
+  return o;
+}
+
+static bool
+limits_any (const mq_limits *limits)
+{
+  return limits->requests_per_s > 0 || limits->tokens_per_s > 0
+         || limits->concurrent > 0;
+}
+
+static void
+limiter_note_active (mq_limiter *limiter, limit_organisation *o)
+{
+  if (o->active || limit_holder_next (o) == UINT64_MAX)
+    return;
+  o->active = true;
+  g_ptr_array_add (limiter->active, o);
+}
+
+/* An organisation that the configuration no longer names has no limits: it
+   can't begin anything, and what it has in flight ends by itself.  */
+static void
+limiter_on_config (mq_limiter *limiter, const mq_config *config)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, limiter->organisations);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    memset (&((limit_organisation *)value)->limits, 0, sizeof (mq_limits));
+  for (guint k = 0; k < config->organisations->len; k++)
+    {
+      const mq_organisation *c
+          = &g_array_index (config->organisations, mq_organisation, k);
+
+      limiter_ensure (limiter, c->name)->limits = c->limits;
+    }
+}
+
+static void
+limiter_on_acquire (mq_limiter *limiter, const mq_limiter_event *event,
+                    GArray *actions)
+{
+  limit_organisation *o
+      = limiter_find (limiter, event->u.acquire.organisation);
+  mq_limiter_action allow = { .kind = MQ_LIMITER_ALLOW };
+
+  if (o != NULL && limits_any (&o->limits))
+    {
+      limit_holder_acquire (o, &limiter->members, event, actions);
+      limiter_note_active (limiter, o);
+      return;
+    }
+  if (o != NULL)
+    o->holder.in_flight++;
+  allow.u.answer.handle = event->u.acquire.handle;
+  g_array_append_val (actions, allow);
+}
+
+static void
+limiter_on_holder_gone (mq_limiter *limiter, uint64_t holder)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, limiter->organisations);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    limit_owner_gone (value, holder);
+}
+
+static void
+limiter_on_tick (mq_limiter *limiter, uint64_t now, GArray *actions)
+{
+  for (guint i = limiter->active->len; i-- > 0;)
+    {
+      limit_organisation *o = g_ptr_array_index (limiter->active, i);
+
+      limit_holder_tick (o, &limiter->members, now, actions);
+      if (limit_holder_next (o) != UINT64_MAX)
+        continue;
+      o->active = false;
+      g_ptr_array_remove_index_fast (limiter->active, i);
+    }
+}
+
+static void
+limiter_on_forget (mq_limiter *limiter, uint64_t handle)
+{
+  for (guint i = 0; i < limiter->active->len; i++)
+    limit_holder_forget (g_ptr_array_index (limiter->active, i), handle);
+}
+
+mq_limiter *
+mq_limiter_new (void)
+{
+  mq_limiter *l = g_new0 (mq_limiter, 1);
+
+  l->organisations
+      = g_hash_table_new_full (span_hash, span_equal, NULL, organisation_free);
+  l->active = g_ptr_array_new ();
+  l->members = (limit_members){ .live = 1, .known = 1 };
+  return l;
+}
+
+void
+mq_limiter_free (mq_limiter *limiter)
+{
+  if (limiter == NULL)
+    return;
+  g_ptr_array_unref (limiter->active);
+  g_hash_table_unref (limiter->organisations);
+  g_free (limiter);
+}
+
+void
+mq_limiter_handle (mq_limiter *limiter, const mq_limiter_event *event,
+                   GArray *actions)
+{
+  limit_organisation *o;
+
+  switch (event->kind)
+    {
+    case MQ_LIMITER_CONFIG:
+      limiter_on_config (limiter, event->u.config);
+      break;
+    case MQ_LIMITER_ACQUIRE:
+      limiter_on_acquire (limiter, event, actions);
+      break;
+    case MQ_LIMITER_RELEASE:
+      o = limiter_find (limiter, event->u.release.organisation);
+      if (o != NULL)
+        limit_holder_release (o, event);
+      break;
+    case MQ_LIMITER_FORGET:
+      limiter_on_forget (limiter, event->u.handle);
+      break;
+    case MQ_LIMITER_ASKED:
+      o = limiter_find (limiter, event->u.asked.ask.organisation);
+      if (o != NULL)
+        limit_owner_asked (o, &limiter->members, event, actions);
+      break;
+    case MQ_LIMITER_GRANTED:
+      o = limiter_find (limiter, event->u.granted.organisation);
+      if (o != NULL)
+        {
+          limit_holder_granted (o, &limiter->members, event, actions);
+          limiter_note_active (limiter, o);
+        }
+      break;
+    case MQ_LIMITER_MEMBERS:
+      limiter->members.live = MAX (event->u.members.live, 1);
+      limiter->members.known
+          = MAX (event->u.members.known, limiter->members.live);
+      break;
+    case MQ_LIMITER_HOLDER_GONE:
+      limiter_on_holder_gone (limiter, event->u.holder);
+      break;
+    case MQ_LIMITER_TICK:
+      limiter_on_tick (limiter, event->now_us, actions);
+      break;
+    }
+}
+
+uint64_t
+mq_limiter_next_tick (const mq_limiter *limiter)
+{
+  uint64_t next = UINT64_MAX;
+
+  for (guint i = 0; i < limiter->active->len; i++)
+    next = MIN (next,
+                limit_holder_next (g_ptr_array_index (limiter->active, i)));
+  return next;
+}
