Let routers speak: messages, connections and the fleet on the loop

The receiving sockets are read until empty, since ZeroMQ's descriptor tells only edges; a burst of 5,000 is a test.

Found on the way: ZeroMQ does not try again after a peer refused a key, so a connection that is not up within 2 s is made anew with the ring's next key; and its limit on a message's size counts what CURVE adds.

--- /dev/null
+++ b/include/mq/fleet_io.h
@@ -0,0 +1,95 @@
+/* One router's part in the fleet on the loop: joins the decisions of
+   mq/fleet.h with the connections of mq/peers.h.
+
+   It keeps the fleet's timer, carries out its actions, and turns messages
+   into events and back.  What is not its own matter (plans, limits,
+   configuration, changes of members) goes to one sink.  */
+
+#ifndef MQ_FLEET_IO_H
+#define MQ_FLEET_IO_H
+
+#include <ev.h>
+#include <glib.h>
+#include <mq/fleet.h>
+#include <mq/peer_message.h>
+#include <mq/peers.h>
+
+G_BEGIN_DECLS
+
+typedef enum mq_fleet_io_event_kind
+{
+  MQ_FLEET_IO_CHANGED,
+  MQ_FLEET_IO_ROUTER_GONE,
+  MQ_FLEET_IO_OWNERS_CHANGED,
+  MQ_FLEET_IO_PAUSED,
+  MQ_FLEET_IO_REJOINED,
+  MQ_FLEET_IO_TOLD_TO_LEAVE,
+  MQ_FLEET_IO_HEARD,  /* A heartbeat of MEMBER, which has its generation.  */
+  MQ_FLEET_IO_MESSAGE /* Of a kind other than heartbeat and news.  */
+} mq_fleet_io_event_kind;
+
+/* All pointers are borrowed until the sink returns.  */
+typedef struct mq_fleet_io_event
+{
+  mq_fleet_io_event_kind kind;
+  const mq_member *member; /* CHANGED, HEARD; the sender of a MESSAGE.  */
+  union
+  {
+    struct
+    {
+      mq_member_state from;
+      mq_member_state to;
+      const char *why;
+    } changed;
+    uint64_t router; /* ROUTER_GONE.  */
+    uint64_t gap_us; /* PAUSED.  */
+    const mq_peer_message *message;
+  } u;
+} mq_fleet_io_event;
+
+typedef void (*mq_fleet_io_sink) (void *context,
+                                  const mq_fleet_io_event *event);
+
+typedef struct mq_fleet_io_options
+{
+  mq_fleet_options fleet; /* Its peer_address is filled in here.  */
+  mq_span bind_address;   /* IP number.  */
+  uint16_t port;          /* 0 lets the system choose.  */
+  mq_span advertised;     /* IP number under which peers reach us.  */
+  const mq_peer_keys *keys;
+} mq_fleet_io_options;
+
+typedef struct mq_fleet_io mq_fleet_io;
+
+/* NULL with ERROR set when the address can't be bound.  */
+mq_fleet_io *mq_fleet_io_new (struct ev_loop *loop,
+                              const mq_fleet_io_options *options,
+                              mq_fleet_io_sink sink, void *context,
+                              GError **error);
+void mq_fleet_io_free (mq_fleet_io *io);
+
+/* Both borrowed.  */
+const mq_fleet *mq_fleet_io_fleet (const mq_fleet_io *io);
+mq_peers *mq_fleet_io_peers (const mq_fleet_io *io);
+
+/* The platform's list came.  */
+void mq_fleet_io_list (mq_fleet_io *io, const mq_listed_vm *vms, size_t n);
+/* Our own load and the generation in force.  */
+void mq_fleet_io_set_self (mq_fleet_io *io, uint32_t load,
+                           uint64_t generation);
+/* Tell all that we are leaving.  */
+void mq_fleet_io_leave (mq_fleet_io *io);
+
+/* Send MESSAGE, whose sender is filled in here, to MEMBER.  Returns 0, or -1
+   when it was dropped: the receiver can't be reached now.  */
+int mq_fleet_io_send (mq_fleet_io *io, const mq_member *member,
+                      mq_peer_message *message);
+
+/* Messages that could not be decoded, or came from a router that has not
+   introduced itself.  */
+uint64_t mq_fleet_io_garbage (const mq_fleet_io *io);
+uint64_t mq_fleet_io_strangers (const mq_fleet_io *io);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/net/peers.c
@@ -0,0 +1,585 @@
+/* Connections between routers: see mq/peers.h.
+
+   ZeroMQ's descriptor is edge-triggered: it becomes readable when something
+   may have changed, and stays silent about what was left unread.  Each of our
+   two receiving sockets is therefore read until it has nothing more, and a
+   socket of which a full batch was read is read again in the loop's next
+   round, by a timer of no delay.  The sending sockets are not watched at all:
+   a message either goes into a connection's queue at once or is dropped.
+
+   A connection is tried with one server key of the ring after another until
+   the peer takes one.  */
+
+#include <mq/peers.h>
+
+#include <errno.h>
+#include <sodium.h>
+#include <stdio.h>
+#include <string.h>
+#include <zmq.h>
+
+#include <mq/peer_message.h>
+
+/* Messages read before others on the loop have their turn.  */
+#define BATCH 256
+/* Messages queued for one peer.  */
+#define QUEUE 1000
+#define LINGER_MS 200
+#define CONNECT_TIMEOUT_MS 1000
+#define RECONNECT_MS 200
+#define RECONNECT_MAX_MS 2000
+#define HANDSHAKE_MS 3000
+/* A connection whose data is not acknowledged for so long is cut, so that a
+   healed partition is found by a new one and not by TCP's slow repeats.  */
+#define UNACKNOWLEDGED_MS 3000
+/* How long one server key is tried: several round trips between regions.  */
+#define KEY_TRY_S 2.0
+#define REBIND_S 0.02
+#define KEY_BYTES 32
+#define ZAP_FRAMES 7
+#define ZAP_DOMAIN "fleet"
+/* What CURVE adds to a message.  */
+#define CURVE_BYTES 33
+
+/* A receiving socket on the loop.  */
+typedef struct peers_reader
+{
+  mq_peers *peers; /* Borrowed.  */
+  void *socket;    /* Owned.  */
+  ev_io io;
+  ev_timer again;
+  int (*read) (mq_peers *peers); /* One message; -1: there is none.  */
+} peers_reader;
+
+/* The way to one peer.  */
+typedef struct peers_link
+{
+  mq_peers *peers; /* Borrowed.  */
+  mq_str *address;
+  void *socket; /* Owned.  */
+  unsigned key; /* In the ring.  */
+  ev_timer try_timer;
+} peers_link;
+
+struct mq_peers
+{
+  struct ev_loop *loop;
+  void *context;
+  mq_peer_keys keys;
+  peers_reader inbox; /* PULL  */
+  peers_reader zap;   /* REP: the handshakes' questions  */
+  GHashTable *links;  /* mq_span * in the value -> owned peers_link  */
+  mq_str *host;
+  uint16_t port;
+  ev_timer rebind;
+  mq_peers_sink sink;
+  void *sink_context;
+  mq_peers_counters counters;
+};
+
+static guint
+span_hash (gconstpointer key)
+{
+  return (guint)mq_span_hash (mq_str_span (key));
+}
+
+static gboolean
+span_equal (gconstpointer a, gconstpointer b)
+{
+  return mq_span_equal (mq_str_span (a), mq_str_span (b));
+}
+
+static void
+set_int (void *socket, int option, int value)
+{
+  zmq_setsockopt (socket, option, &value, sizeof value);
+}
+
+/* ---- Receiving.  */
+
+static void
+reader_drain (peers_reader *reader)
+{
+  int n = 0;
+
+  while (n < BATCH && reader->read (reader->peers) == 0)
+    n++;
+  ev_timer_stop (reader->peers->loop, &reader->again);
+  if (n < BATCH)
+    return;
+  ev_timer_set (&reader->again, 0., 0.);
+  ev_timer_start (reader->peers->loop, &reader->again);
+}
+
+static void
+reader_on_io (struct ev_loop *loop, ev_io *io, int revents)
+{
+  (void)loop;
+  (void)revents;
+  reader_drain (io->data);
+}
+
+static void
+reader_on_again (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  (void)loop;
+  (void)revents;
+  reader_drain (timer->data);
+}
+
+static void
+reader_start (peers_reader *reader)
+{
+  int fd = -1;
+  size_t size = sizeof fd;
+
+  zmq_getsockopt (reader->socket, ZMQ_FD, &fd, &size);
+  ev_io_init (&reader->io, reader_on_io, fd, EV_READ);
+  reader->io.data = reader;
+  ev_timer_init (&reader->again, reader_on_again, 0., 0.);
+  reader->again.data = reader;
+  ev_io_start (reader->peers->loop, &reader->io);
+  /* Whatever came before the descriptor was watched made no new edge.  */
+  ev_timer_start (reader->peers->loop, &reader->again);
+}
+
+static void
+reader_stop (peers_reader *reader)
+{
+  if (reader->socket == NULL)
+    return;
+  ev_io_stop (reader->peers->loop, &reader->io);
+  ev_timer_stop (reader->peers->loop, &reader->again);
+  zmq_close (reader->socket);
+  reader->socket = NULL;
+}
+
+static int
+inbox_read (mq_peers *peers)
+{
+  zmq_msg_t message;
+
+  zmq_msg_init (&message);
+  if (zmq_msg_recv (&message, peers->inbox.socket, ZMQ_DONTWAIT) < 0)
+    {
+      zmq_msg_close (&message);
+      return -1;
+    }
+  /* Our messages have one part; each part of another is one more garbage.  */
+  peers->counters.received++;
+  peers->counters.received_bytes += zmq_msg_size (&message);
+  peers->sink (peers->sink_context,
+               (mq_span){ zmq_msg_data (&message), zmq_msg_size (&message) });
+  zmq_msg_close (&message);
+  return 0;
+}
+
+/* ---- Handshakes: ZeroMQ's authentication protocol (RFC 27).  */
+
+static bool
+ring_has (const mq_peer_keys *keys, const uint8_t *key)
+{
+  bool found = false;
+
+  for (unsigned i = 0; i < keys->n_ring; i++)
+    {
+      uint8_t known[KEY_BYTES];
+
+      if (zmq_z85_decode (known, keys->ring[i]) != NULL)
+        found |= sodium_memcmp (known, key, KEY_BYTES) == 0;
+    }
+  return found;
+}
+
+static void
+zap_send (void *socket, const char *text, size_t size, int flags)
+{
+  zmq_send (socket, text, size, ZMQ_DONTWAIT | flags);
+}
+
+static void
+zap_reply (mq_peers *peers, zmq_msg_t *id, bool known)
+{
+  void *socket = peers->zap.socket;
+  const char *status = known ? "200" : "400";
+
+  if (known)
+    peers->counters.accepted++;
+  else
+    peers->counters.refused++;
+  zap_send (socket, "1.0", 3, ZMQ_SNDMORE);
+  zap_send (socket, zmq_msg_data (id), zmq_msg_size (id), ZMQ_SNDMORE);
+  zap_send (socket, status, 3, ZMQ_SNDMORE);
+  zap_send (socket, "", 0, ZMQ_SNDMORE);
+  zap_send (socket, "", 0, ZMQ_SNDMORE);
+  zap_send (socket, "", 0, 0);
+}
+
+/* One question: version, request id, domain, address, identity, mechanism
+   and the client's public key.  */
+static int
+zap_read (mq_peers *peers)
+{
+  zmq_msg_t frames[ZAP_FRAMES];
+  int n = 0;
+  int more = 1;
+  bool known = false;
+
+  for (int i = 0; i < ZAP_FRAMES; i++)
+    zmq_msg_init (&frames[i]);
+  while (more && n < ZAP_FRAMES)
+    {
+      if (zmq_msg_recv (&frames[n], peers->zap.socket, ZMQ_DONTWAIT) < 0)
+        break;
+      more = zmq_msg_more (&frames[n]);
+      n++;
+    }
+  if (n == ZAP_FRAMES && zmq_msg_size (&frames[5]) == 5
+      && memcmp (zmq_msg_data (&frames[5]), "CURVE", 5) == 0
+      && zmq_msg_size (&frames[6]) == KEY_BYTES)
+    known = ring_has (&peers->keys, zmq_msg_data (&frames[6]));
+  if (n > 1)
+    zap_reply (peers, &frames[1], known);
+  for (int i = 0; i < ZAP_FRAMES; i++)
+    zmq_msg_close (&frames[i]);
+  return n > 0 ? 0 : -1;
+}
+
+/* ---- Sending.  */
+
+static bool
+link_is_connected (peers_link *link)
+{
+  int events = 0;
+  size_t size = sizeof events;
+
+  zmq_getsockopt (link->socket, ZMQ_EVENTS, &events, &size);
+  return (events & ZMQ_POLLOUT) != 0;
+}
+
+static void
+link_open (peers_link *link)
+{
+  mq_peers *p = link->peers;
+  char *endpoint = g_strconcat ("tcp://", mq_str_cstr (link->address), NULL);
+  const char *server = p->keys.ring[link->key];
+
+  link->socket = zmq_socket (p->context, ZMQ_PUSH);
+  set_int (link->socket, ZMQ_IMMEDIATE, 1);
+  set_int (link->socket, ZMQ_SNDHWM, QUEUE);
+  set_int (link->socket, ZMQ_LINGER, LINGER_MS);
+  set_int (link->socket, ZMQ_CONNECT_TIMEOUT, CONNECT_TIMEOUT_MS);
+  set_int (link->socket, ZMQ_RECONNECT_IVL, RECONNECT_MS);
+  set_int (link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
+  set_int (link->socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+  set_int (link->socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS);
+  zmq_setsockopt (link->socket, ZMQ_CURVE_SERVERKEY, server, MQ_PEER_KEY_SIZE);
+  zmq_setsockopt (link->socket, ZMQ_CURVE_PUBLICKEY, p->keys.public_key,
+                  MQ_PEER_KEY_SIZE);
+  zmq_setsockopt (link->socket, ZMQ_CURVE_SECRETKEY, p->keys.secret_key,
+                  MQ_PEER_KEY_SIZE);
+  zmq_connect (link->socket, endpoint);
+  g_free (endpoint);
+}
+
+/* The key to try first: our own, where the fleet shares one pair.  */
+static unsigned
+link_first_key (const mq_peer_keys *keys)
+{
+  for (unsigned i = 0; i < keys->n_ring; i++)
+    if (memcmp (keys->ring[i], keys->public_key, MQ_PEER_KEY_SIZE) == 0)
+      return i;
+  return 0;
+}
+
+static void
+link_close (peers_link *link, int linger_ms)
+{
+  if (link->socket == NULL)
+    return;
+  set_int (link->socket, ZMQ_LINGER, linger_ms);
+  zmq_close (link->socket);
+  link->socket = NULL;
+}
+
+/* Not connected yet: begin anew with the ring's next key.  ZeroMQ does not
+   try again by itself after a peer refused a key.  */
+static void
+link_on_try (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  peers_link *link = timer->data;
+
+  (void)loop;
+  (void)revents;
+  if (link_is_connected (link))
+    return;
+  link->key = (link->key + 1) % link->peers->keys.n_ring;
+  link_close (link, 0);
+  link_open (link);
+}
+
+static void
+link_free (gpointer data)
+{
+  peers_link *link = data;
+
+  ev_timer_stop (link->peers->loop, &link->try_timer);
+  link_close (link, LINGER_MS);
+  mq_str_unref (link->address);
+  g_free (link);
+}
+
+static peers_link *
+peers_find (const mq_peers *peers, mq_span address)
+{
+  mq_str *key = mq_str_new (address);
+  peers_link *link = g_hash_table_lookup (peers->links, key);
+
+  mq_str_unref (key);
+  return link;
+}
+
+/* ---- Binding.  */
+
+static int
+inbox_bind (mq_peers *peers)
+{
+  char endpoint[128];
+  size_t size = sizeof endpoint;
+  const char *colon;
+
+  (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u",
+                  mq_str_cstr (peers->host), peers->port);
+  if (zmq_bind (peers->inbox.socket, endpoint) < 0)
+    return -1;
+  zmq_getsockopt (peers->inbox.socket, ZMQ_LAST_ENDPOINT, endpoint, &size);
+  colon = strrchr (endpoint, ':');
+  peers->port = (uint16_t)g_ascii_strtoull (colon + 1, NULL, 10);
+  return 0;
+}
+
+static void
+inbox_set_keys (mq_peers *peers)
+{
+  zmq_setsockopt (peers->inbox.socket, ZMQ_CURVE_SECRETKEY,
+                  peers->keys.secret_key, MQ_PEER_KEY_SIZE);
+}
+
+static void
+inbox_open (mq_peers *peers)
+{
+  void *s = zmq_socket (peers->context, ZMQ_PULL);
+
+  peers->inbox.socket = s;
+  set_int (s, ZMQ_CURVE_SERVER, 1);
+  zmq_setsockopt (s, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen (ZAP_DOMAIN));
+  set_int (s, ZMQ_RCVHWM, QUEUE);
+  set_int (s, ZMQ_LINGER, 0);
+  set_int (s, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
+  zmq_setsockopt (s, ZMQ_MAXMSGSIZE,
+                  &(int64_t){ MQ_PEER_MESSAGE_LIMIT + CURVE_BYTES },
+                  sizeof (int64_t));
+  inbox_set_keys (peers);
+}
+
+/* The old listener closes on ZeroMQ's thread; until it has, the address can't
+   be bound again.  */
+static void
+on_rebind (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_peers *peers = timer->data;
+
+  (void)revents;
+  if (inbox_bind (peers) == 0)
+    ev_timer_stop (loop, timer);
+}
+
+static void
+rebind_soon (mq_peers *peers)
+{
+  ev_timer_stop (peers->loop, &peers->rebind);
+  ev_timer_set (&peers->rebind, 0., REBIND_S);
+  ev_timer_start (peers->loop, &peers->rebind);
+}
+
+/* Take new connections with the new pair; those that are open go on.  */
+static void
+inbox_rebind (mq_peers *peers)
+{
+  char endpoint[128];
+
+  (void)snprintf (endpoint, sizeof endpoint, "tcp://%s:%u",
+                  mq_str_cstr (peers->host), peers->port);
+  zmq_unbind (peers->inbox.socket, endpoint);
+  inbox_set_keys (peers);
+  rebind_soon (peers);
+}
+
+/* Begin anew, so that nobody stays connected by a key that is no more in the
+   ring.  Peers come back by themselves.  */
+static void
+connections_reopen (mq_peers *peers)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  reader_stop (&peers->inbox);
+  inbox_open (peers);
+  reader_start (&peers->inbox);
+  rebind_soon (peers);
+  g_hash_table_iter_init (&i, peers->links);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      peers_link *link = value;
+
+      link->key = link_first_key (&peers->keys);
+      link_close (link, LINGER_MS);
+      link_open (link);
+    }
+}
+
+static bool
+ring_lost_key (const mq_peer_keys *before, const mq_peer_keys *after)
+{
+  for (unsigned i = 0; i < before->n_ring; i++)
+    {
+      bool kept = false;
+
+      for (unsigned k = 0; k < after->n_ring; k++)
+        kept
+            |= memcmp (before->ring[i], after->ring[k], MQ_PEER_KEY_SIZE) == 0;
+      if (!kept)
+        return true;
+    }
+  return false;
+}
+
+/* ---- Public.  */
+
+mq_peers *
+mq_peers_new (struct ev_loop *loop, mq_span address, uint16_t port,
+              const mq_peer_keys *keys, mq_peers_sink sink, void *context,
+              GError **error)
+{
+  mq_peers *p = g_new0 (mq_peers, 1);
+
+  p->loop = loop;
+  p->context = zmq_ctx_new ();
+  p->keys = *keys;
+  p->sink = sink;
+  p->sink_context = context;
+  p->host = mq_str_new (address);
+  p->port = port;
+  p->links = g_hash_table_new_full (span_hash, span_equal, NULL, link_free);
+  p->inbox.peers = p;
+  p->inbox.read = inbox_read;
+  p->zap.peers = p;
+  p->zap.read = zap_read;
+  ev_timer_init (&p->rebind, on_rebind, 0., REBIND_S);
+  p->rebind.data = p;
+  p->zap.socket = zmq_socket (p->context, ZMQ_REP);
+  set_int (p->zap.socket, ZMQ_LINGER, 0);
+  zmq_bind (p->zap.socket, "inproc://zeromq.zap.01");
+  reader_start (&p->zap);
+  inbox_open (p);
+  reader_start (&p->inbox);
+  if (inbox_bind (p) == 0)
+    return p;
+  g_set_error (error, MQ_PEERS_ERROR, MQ_PEERS_ERROR_BIND, "peers: %s:%u: %s",
+               mq_str_cstr (p->host), port, zmq_strerror (errno));
+  mq_peers_free (p);
+  return NULL;
+}
+
+void
+mq_peers_free (mq_peers *peers)
+{
+  if (peers == NULL)
+    return;
+  ev_timer_stop (peers->loop, &peers->rebind);
+  g_hash_table_unref (peers->links);
+  reader_stop (&peers->inbox);
+  reader_stop (&peers->zap);
+  zmq_ctx_term (peers->context);
+  sodium_memzero (&peers->keys, sizeof peers->keys);
+  mq_str_unref (peers->host);
+  g_free (peers);
+}
+
+uint16_t
+mq_peers_port (const mq_peers *peers)
+{
+  return peers->port;
+}
+
+void
+mq_peers_connect (mq_peers *peers, mq_span address)
+{
+  peers_link *link;
+
+  if (peers_find (peers, address) != NULL)
+    return;
+  link = g_new0 (peers_link, 1);
+  link->peers = peers;
+  link->key = link_first_key (&peers->keys);
+  link->address = mq_str_new (address);
+  ev_timer_init (&link->try_timer, link_on_try, KEY_TRY_S, KEY_TRY_S);
+  link->try_timer.data = link;
+  link_open (link);
+  ev_timer_start (peers->loop, &link->try_timer);
+  g_hash_table_insert (peers->links, link->address, link);
+}
+
+void
+mq_peers_disconnect (mq_peers *peers, mq_span address)
+{
+  mq_str *key = mq_str_new (address);
+
+  g_hash_table_remove (peers->links, key);
+  mq_str_unref (key);
+}
+
+int
+mq_peers_send (mq_peers *peers, mq_span address, mq_span bytes)
+{
+  peers_link *link = peers_find (peers, address);
+
+  if (link == NULL || bytes.size > MQ_PEER_MESSAGE_LIMIT
+      || zmq_send (link->socket, bytes.data, bytes.size, ZMQ_DONTWAIT) < 0)
+    {
+      peers->counters.dropped++;
+      return -1;
+    }
+  peers->counters.sent++;
+  peers->counters.sent_bytes += bytes.size;
+  return 0;
+}
+
+void
+mq_peers_set_keys (mq_peers *peers, const mq_peer_keys *keys)
+{
+  bool pair
+      = memcmp (peers->keys.secret_key, keys->secret_key, MQ_PEER_KEY_SIZE)
+        != 0;
+  bool lost = ring_lost_key (&peers->keys, keys);
+
+  peers->keys = *keys;
+  if (lost)
+    connections_reopen (peers);
+  else if (pair)
+    inbox_rebind (peers);
+}
+
+bool
+mq_peers_is_connected (mq_peers *peers, mq_span address)
+{
+  peers_link *link = peers_find (peers, address);
+
+  return link != NULL && link_is_connected (link);
+}
+
+const mq_peers_counters *
+mq_peers_count (const mq_peers *peers)
+{
+  return &peers->counters;
+}
--- /dev/null
+++ b/tests/test_peers.cc
@@ -0,0 +1,355 @@
+/* Connections between routers over real loopback sockets, several in one
+   loop.  Every wait ends by what happens; the limit on it only turns a hang
+   into a failure.  */
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <mq/peer_message.h>
+#include <mq/peers.h>
+#include <string>
+#include <vector>
+#include <zmq.h>
+
+namespace
+{
+
+constexpr double HANG_S = 60;
+
+struct Router
+{
+  mq_peers *peers = nullptr;
+  std::vector<std::string> received;
+
+  static void
+  sink (void *context, mq_span bytes)
+  {
+    ((Router *)context)
+        ->received.emplace_back (bytes.data ? bytes.data : "", bytes.size);
+  }
+
+  void
+  open (struct ev_loop *loop, const mq_peer_keys &keys, uint16_t port = 0)
+  {
+    GError *error = nullptr;
+
+    peers = mq_peers_new (loop, MQ_SPAN ("127.0.0.1"), port, &keys, sink, this,
+                          &error);
+    ASSERT_NE (peers, nullptr) << error->message;
+  }
+
+  std::string
+  address () const
+  {
+    return "127.0.0.1:" + std::to_string (mq_peers_port (peers));
+  }
+
+  void
+  close ()
+  {
+    mq_peers_free (peers);
+    peers = nullptr;
+  }
+
+  ~Router () { close (); }
+};
+
+mq_span
+span (const std::string &s)
+{
+  return { s.data (), s.size () };
+}
+
+class Peers : public testing::Test
+{
+protected:
+  struct ev_loop *loop = ev_loop_new (0);
+  mq_peer_keys keys;
+
+  Peers () { mq_peer_keys_generate (&keys); }
+  ~Peers () override { ev_loop_destroy (loop); }
+
+  /* Run the loop until DONE.  */
+  bool
+  wait (std::function<bool ()> done)
+  {
+    ev_timer poll;
+    double end = ev_time () + HANG_S;
+    bool met;
+
+    ev_timer_init (
+        &poll,
+        [] (struct ev_loop *l, ev_timer *, int) { ev_break (l, EVBREAK_ONE); },
+        0.005, 0.005);
+    ev_now_update (loop);
+    ev_timer_start (loop, &poll);
+    while (!(met = done ()) && ev_time () < end)
+      ev_run (loop, 0);
+    ev_timer_stop (loop, &poll);
+    return met;
+  }
+
+  /* Send TEXT until it is taken.  */
+  bool
+  send (Router &from, const std::string &to, const std::string &text)
+  {
+    mq_peers_connect (from.peers, span (to));
+    return wait ([&] {
+      return mq_peers_send (from.peers, span (to), span (text)) == 0;
+    });
+  }
+
+  bool
+  exchange (Router &from, Router &to, const std::string &text)
+  {
+    return send (from, to.address (), text) && wait ([&] {
+             return !to.received.empty () && to.received.back () == text;
+           });
+  }
+
+  static mq_peer_keys
+  with_ring (const mq_peer_keys &pair, std::vector<mq_peer_keys> ring)
+  {
+    mq_peer_keys k = pair;
+
+    k.n_ring = 0;
+    for (const mq_peer_keys &r : ring)
+      memcpy (k.ring[k.n_ring++], r.public_key, MQ_PEER_KEY_SIZE);
+    return k;
+  }
+};
+
+} // namespace
+
+TEST_F (Peers, ExchangeMessages)
+{
+  Router a;
+  Router b;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  EXPECT_TRUE (exchange (a, b, "from a"));
+  EXPECT_TRUE (exchange (b, a, "from b"));
+  EXPECT_EQ (mq_peers_count (a.peers)->received, 1u);
+  EXPECT_EQ (mq_peers_count (b.peers)->sent, 1u);
+}
+
+/* More than one batch at once: the descriptor's edge comes only once.  */
+TEST_F (Peers, NothingIsLeftUnreadAfterABurst)
+{
+  Router a;
+  Router b;
+  const int n = 5000;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  for (int i = 0; i < n; i++)
+    ASSERT_TRUE (send (a, b.address (), std::to_string (i)));
+  ASSERT_TRUE (wait ([&] { return (int)b.received.size () >= n; }));
+  for (int i = 0; i < n; i++)
+    ASSERT_EQ (b.received[i], std::to_string (i));
+}
+
+TEST_F (Peers, UnknownPeerGetsNothing)
+{
+  Router a;
+  Router stranger;
+  mq_peer_keys other;
+  mq_peer_keys knows_server;
+
+  mq_peer_keys_generate (&other);
+  knows_server = with_ring (other, { keys });
+  a.open (loop, keys);
+  stranger.open (loop, knows_server);
+  mq_peers_connect (stranger.peers, span (a.address ()));
+  ASSERT_TRUE (wait ([&] { return mq_peers_count (a.peers)->refused >= 2; }));
+  EXPECT_EQ (mq_peers_send (stranger.peers, span (a.address ()),
+                            MQ_SPAN ("let me in")),
+             -1);
+  EXPECT_FALSE (mq_peers_is_connected (stranger.peers, span (a.address ())));
+  EXPECT_EQ (mq_peers_count (a.peers)->received, 0u);
+  EXPECT_EQ (mq_peers_count (a.peers)->accepted, 0u);
+}
+
+/* Without encryption or authentication at all.  */
+TEST_F (Peers, PlainClientGetsNothing)
+{
+  Router a;
+  Router b;
+  void *context = zmq_ctx_new ();
+  void *socket = zmq_socket (context, ZMQ_PUSH);
+  int linger = 0;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  zmq_setsockopt (socket, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_connect (socket, ("tcp://" + a.address ()).c_str ());
+  zmq_send (socket, "plain", 5, ZMQ_DONTWAIT);
+  /* What is proven comes after, so the plain one had its time.  */
+  EXPECT_TRUE (exchange (b, a, "proven"));
+  EXPECT_EQ (mq_peers_count (a.peers)->received, 1u);
+  zmq_close (socket);
+  zmq_ctx_term (context);
+}
+
+TEST_F (Peers, KeysRotateInTwoSteps)
+{
+  Router a;
+  Router b;
+  mq_peer_keys next;
+  mq_peer_keys step[4];
+
+  mq_peer_keys_generate (&next);
+  step[0] = keys;
+  step[1] = with_ring (keys, { keys, next });
+  step[2] = with_ring (next, { keys, next });
+  step[3] = next;
+  a.open (loop, step[0]);
+  b.open (loop, step[0]);
+  EXPECT_TRUE (exchange (a, b, "old"));
+  for (int s = 1; s <= 3; s++)
+    {
+      std::string text = "step " + std::to_string (s);
+
+      mq_peers_set_keys (a.peers, &step[s]);
+      EXPECT_TRUE (exchange (a, b, text + " a is ahead"));
+      EXPECT_TRUE (exchange (b, a, text + " b is behind"));
+      {
+        Router fresh; /* One that starts in the middle of it.  */
+
+        fresh.open (loop, step[s - 1]);
+        EXPECT_TRUE (exchange (fresh, b, text + " fresh to b"));
+        /* At step 3 it has a pair that A's ring still holds.  */
+        EXPECT_TRUE (exchange (fresh, a, text + " fresh to a"));
+      }
+      mq_peers_set_keys (b.peers, &step[s]);
+      EXPECT_TRUE (exchange (b, a, text + " both"));
+    }
+  {
+    Router late; /* Still with the old pair.  */
+    uint64_t refused = mq_peers_count (a.peers)->refused;
+    uint64_t received = mq_peers_count (a.peers)->received;
+
+    late.open (loop, with_ring (keys, { next }));
+    mq_peers_connect (late.peers, span (a.address ()));
+    EXPECT_TRUE (
+        wait ([&] { return mq_peers_count (a.peers)->refused > refused; }));
+    EXPECT_EQ (mq_peers_count (a.peers)->received, received);
+  }
+}
+
+TEST_F (Peers, FindsARestartedPeerAgain)
+{
+  Router a;
+  Router b;
+  uint16_t port;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  port = mq_peers_port (b.peers);
+  EXPECT_TRUE (exchange (a, b, "before"));
+  b.close ();
+  /* Until the connection is known to be gone, messages may be lost.  */
+  EXPECT_TRUE (wait ([&] {
+    return !mq_peers_is_connected (
+        a.peers, span ("127.0.0.1:" + std::to_string (port)));
+  }));
+  EXPECT_EQ (mq_peers_send (a.peers,
+                            span ("127.0.0.1:" + std::to_string (port)),
+                            MQ_SPAN ("lost")),
+             -1);
+  b.received.clear ();
+  b.open (loop, keys, port);
+  EXPECT_TRUE (exchange (a, b, "after"));
+  EXPECT_EQ (b.received.size (), 1u);
+}
+
+TEST_F (Peers, MessageAboveTheLimitIsNotSent)
+{
+  Router a;
+  Router b;
+  std::string huge (MQ_PEER_MESSAGE_LIMIT + 1, 'x');
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  EXPECT_TRUE (exchange (a, b, "first"));
+  EXPECT_EQ (mq_peers_send (a.peers, span (b.address ()), span (huge)), -1);
+  huge.pop_back ();
+  EXPECT_TRUE (exchange (a, b, huge));
+}
+
+/* One who has our keys and sends too much is cut off; others are not.  */
+TEST_F (Peers, MessageAboveTheLimitIsNotTaken)
+{
+  Router a;
+  Router b;
+  std::string huge (MQ_PEER_MESSAGE_LIMIT + 100, 'x');
+  void *context = zmq_ctx_new ();
+  void *socket = zmq_socket (context, ZMQ_PUSH);
+  int linger = 0;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  zmq_setsockopt (socket, ZMQ_LINGER, &linger, sizeof linger);
+  zmq_setsockopt (socket, ZMQ_CURVE_SERVERKEY, keys.public_key,
+                  MQ_PEER_KEY_SIZE);
+  zmq_setsockopt (socket, ZMQ_CURVE_PUBLICKEY, keys.public_key,
+                  MQ_PEER_KEY_SIZE);
+  zmq_setsockopt (socket, ZMQ_CURVE_SECRETKEY, keys.secret_key,
+                  MQ_PEER_KEY_SIZE);
+  zmq_connect (socket, ("tcp://" + a.address ()).c_str ());
+  zmq_send (socket, huge.data (), huge.size (), ZMQ_DONTWAIT);
+  ASSERT_TRUE (wait ([&] { return mq_peers_count (a.peers)->accepted >= 1; }));
+  EXPECT_TRUE (exchange (b, a, "small"));
+  EXPECT_EQ (mq_peers_count (a.peers)->received, 1u);
+  zmq_close (socket);
+  zmq_ctx_term (context);
+}
+
+TEST_F (Peers, TakenPortIsAnError)
+{
+  Router a;
+  GError *error = nullptr;
+
+  a.open (loop, keys);
+  EXPECT_EQ (mq_peers_new (loop, MQ_SPAN ("127.0.0.1"),
+                           mq_peers_port (a.peers), &keys, Router::sink, &a,
+                           &error),
+             nullptr);
+  ASSERT_NE (error, nullptr);
+  EXPECT_EQ (error->code, MQ_PEERS_ERROR_BIND);
+  g_error_free (error);
+}
+
+TEST (PeerKeys, FilesAreReadAndWrongOnesNamed)
+{
+  char *dir = g_dir_make_tmp ("mq-keys-XXXXXX", nullptr);
+  std::string pair = std::string (dir) + "/pair";
+  std::string ring = std::string (dir) + "/ring";
+  mq_peer_keys made;
+  mq_peer_keys read;
+  GError *error = nullptr;
+  std::string text;
+
+  mq_peer_keys_generate (&made);
+  text = "# the fleet's\n" + std::string (made.public_key) + "\n\n"
+         + made.secret_key + "\n";
+  g_file_set_contents (pair.c_str (), text.c_str (), -1, nullptr);
+  ASSERT_EQ (mq_peer_keys_load (&read, pair.c_str (), nullptr, nullptr), 0);
+  EXPECT_STREQ (read.secret_key, made.secret_key);
+  EXPECT_STREQ (read.ring[0], made.public_key);
+  text = std::string (made.public_key) + "\nnot a key\n";
+  g_file_set_contents (ring.c_str (), text.c_str (), -1, nullptr);
+  EXPECT_EQ (mq_peer_keys_load (&read, pair.c_str (), ring.c_str (), &error),
+             -1);
+  ASSERT_NE (error, nullptr);
+  EXPECT_NE (strstr (error->message, "ring:2"), nullptr) << error->message;
+  EXPECT_EQ (strstr (error->message, made.public_key), nullptr);
+  g_clear_error (&error);
+  EXPECT_EQ (mq_peer_keys_load (&read, (pair + "x").c_str (), nullptr, &error),
+             -1);
+  g_clear_error (&error);
+  unlink (pair.c_str ());
+  unlink (ring.c_str ());
+  rmdir (dir);
+  g_free (dir);
+}
