Take the building of requests out of the HTTP client

It also asks that header names and methods are tokens: libcurl writes a method with line ends as it stands, so a method could have carried a second request (test FailsACallWhoseMethodIsNone).

--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -14,13 +14,11 @@
 
 #include <mq/http_client.h>
 
-#include <mq/log.h>
+#include <mq/internal/http_request.h>
 
-#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <string.h>
 
-#define CONNECT_MS 1000
 #define BODY_LIMIT ((size_t)1024 * 1024)
 #define HEADER_LIMIT ((size_t)64 * 1024)
 #define STATUS_FINAL 200
@@ -362,113 +360,6 @@
   return 0;
 }
 
-/* True when the client writes the header NAME itself.  */
-static bool
-client_owns_header (mq_span name)
-{
-  static const char *const own[]
-      = { "Content-Length", "Transfer-Encoding", "Expect", "Connection" };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (own); i++)
-    if (name.size == strlen (own[i])
-        && g_ascii_strncasecmp (name.data, own[i], name.size) == 0)
-      return true;
-  return false;
-}
-
-static bool
-client_is_line (mq_span span)
-{
-  return span.size == 0
-         || (memchr (span.data, '\r', span.size) == NULL
-             && memchr (span.data, '\n', span.size) == NULL
-             && memchr (span.data, '\0', span.size) == NULL);
-}
-
-static void
-client_set_headers (mq_http_call *call, const mq_http_call_options *options)
-{
-  GString *line = g_string_new (NULL);
-  bool typed = false;
-
-  for (size_t i = 0; i < options->n_headers; i++)
-    {
-      mq_span name = options->headers[i].name;
-      mq_span value = options->headers[i].value;
-
-      if (name.size == 0 || client_owns_header (name) || !client_is_line (name)
-          || !client_is_line (value))
-        continue;
-      typed
-          = typed
-            || g_ascii_strncasecmp (name.data, "Content-Type", name.size) == 0;
-      g_string_truncate (line, 0);
-      g_string_append_len (line, name.data, (gssize)name.size);
-      g_string_append (line, value.size == 0 ? ";" : ": ");
-      g_string_append_len (line, value.data, (gssize)value.size);
-      call->headers = curl_slist_append (call->headers, line->str);
-    }
-  if (!typed)
-    call->headers = curl_slist_append (call->headers, "Content-Type:");
-  call->headers = curl_slist_append (call->headers, "Expect:");
-  if (options->once)
-    call->headers = curl_slist_append (call->headers, "Connection: close");
-  curl_easy_setopt (call->easy, CURLOPT_HTTPHEADER, call->headers);
-  g_string_free (line, TRUE);
-}
-
-static void
-client_set_method (mq_http_call *call, const mq_http_call_options *options)
-{
-  char *method = options->method.size == 0
-                     ? g_strdup ("GET")
-                     : g_strndup (options->method.data, options->method.size);
-  bool bare = strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0
-              || strcmp (method, "OPTIONS") == 0;
-
-  if (strcmp (method, "HEAD") == 0)
-    curl_easy_setopt (call->easy, CURLOPT_NOBODY, 1L);
-  else if (!bare || options->body.size > 0)
-    {
-      curl_easy_setopt (call->easy, CURLOPT_POSTFIELDSIZE_LARGE,
-                        (curl_off_t)options->body.size);
-      curl_easy_setopt (call->easy, CURLOPT_COPYPOSTFIELDS,
-                        options->body.size == 0 ? "" : options->body.data);
-      curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, method);
-    }
-  else
-    curl_easy_setopt (call->easy, CURLOPT_CUSTOMREQUEST, method);
-  g_free (method);
-}
-
-/* True when the host of URL is an IP number.  For a name libcurl would start
-   a thread to look it up.  */
-static bool
-client_has_ip_number (const char *url)
-{
-  CURLU *u = curl_url ();
-  char *host = NULL;
-  unsigned char number[sizeof (struct in6_addr)];
-  bool r = false;
-
-  if (curl_url_set (u, CURLUPART_URL, url, 0) == CURLUE_OK
-      && curl_url_get (u, CURLUPART_HOST, &host, 0) == CURLUE_OK)
-    {
-      size_t size = strlen (host);
-
-      if (host[0] == '[' && host[size - 1] == ']')
-        {
-          host[size - 1] = '\0';
-          r = inet_pton (AF_INET6, host + 1, number) == 1;
-        }
-      else
-        r = inet_pton (AF_INET, host, number) == 1;
-    }
-  curl_free (host);
-  curl_url_cleanup (u);
-  return r;
-}
-
 /* End CALL, which libcurl doesn't run, with CODE; not from in here.  */
 static void
 client_fail_later (mq_http_call *call, CURLcode code)
@@ -482,52 +373,29 @@
 static void
 client_add (mq_http_call *call, const mq_http_call_options *options)
 {
-  char *url = g_strndup (options->url.data, options->url.size);
-
-  if (!client_has_ip_number (url))
-    client_fail_later (call, CURLE_COULDNT_RESOLVE_HOST);
+  if (!mq_http_request_is_sound (options))
+    client_fail_later (call, CURLE_URL_MALFORMAT);
   else if (curl_multi_add_handle (call->client->multi, call->easy) != CURLM_OK)
     client_fail_later (call, CURLE_FAILED_INIT);
-  g_free (url);
 }
 
 static void
 client_set_up (mq_http_call *call, const mq_http_call_options *options)
 {
   CURL *e = call->easy;
-  char *url = g_strndup (options->url.data, options->url.size);
-  uint64_t connect_ms
-      = options->connect_ms == 0 ? CONNECT_MS : options->connect_ms;
 
+  call->headers = mq_http_request_apply (e, options);
   curl_easy_setopt (e, CURLOPT_PRIVATE, call);
-  curl_easy_setopt (e, CURLOPT_URL, url);
-  curl_easy_setopt (e, CURLOPT_PROTOCOLS_STR, "http,https");
-  curl_easy_setopt (e, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (e, CURLOPT_PROXY, ""); /* Not from the environment.  */
-  curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt (e, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (e, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
-  curl_easy_setopt (e, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
   curl_easy_setopt (e, CURLOPT_HEADERFUNCTION, client_store_header);
   curl_easy_setopt (e, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, client_store_body);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, call);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, client_before_request);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, call);
-  if (options->once)
-    {
-      curl_easy_setopt (e, CURLOPT_FRESH_CONNECT, 1L);
-      curl_easy_setopt (e, CURLOPT_FORBID_REUSE, 1L);
-    }
-  if (call->client->ca_file != NULL)
-    {
-      curl_easy_setopt (e, CURLOPT_CAINFO,
-                        mq_str_cstr (call->client->ca_file));
-      curl_easy_setopt (e, CURLOPT_CAPATH, NULL); /* No one else.  */
-    }
-  client_set_method (call, options);
-  client_set_headers (call, options);
-  g_free (url);
+  if (call->client->ca_file == NULL)
+    return;
+  curl_easy_setopt (e, CURLOPT_CAINFO, mq_str_cstr (call->client->ca_file));
+  curl_easy_setopt (e, CURLOPT_CAPATH, NULL); /* No one else.  */
 }
 
 mq_http_client *
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -6,6 +6,7 @@
    only append, so that they leave in one chunk.  */
 
 #include <mq/internal/http_exchange.h>
+#include <mq/internal/http_header.h>
 
 #include <string.h>
 #include <sys/socket.h>
@@ -32,14 +33,11 @@
 static mq_span
 exchange_find (const GArray *pairs, const char *name)
 {
-  size_t size = strlen (name);
-
   for (guint i = 0; i < pairs->len; i++)
     {
       const mq_http_header *h = &g_array_index (pairs, mq_http_header, i);
 
-      if (h->name.size == size
-          && g_ascii_strncasecmp (h->name.data, name, size) == 0)
+      if (mq_http_header_is (h, name))
         return h->value;
     }
   return (mq_span){ NULL, 0 };
@@ -60,15 +58,6 @@
   return MHD_YES;
 }
 
-/* True when SPAN may stand in a header line.  */
-static bool
-exchange_is_line (mq_span span)
-{
-  return memchr (span.data, '\r', span.size) == NULL
-         && memchr (span.data, '\n', span.size) == NULL
-         && memchr (span.data, '\0', span.size) == NULL;
-}
-
 static void
 exchange_add_headers (mq_http_exchange *exchange,
                       struct MHD_Response *response,
@@ -80,8 +69,8 @@
       char *name;
       char *value;
 
-      if (h->name.size == 0 || h->value.size == 0
-          || !exchange_is_line (h->name) || !exchange_is_line (h->value))
+      /* libmicrohttpd takes no header without a value.  */
+      if (h->value.size == 0 || !mq_http_header_is_sound (h))
         continue;
       name = g_strndup (h->name.data, h->name.size);
       value = g_strndup (h->value.data, h->value.size);
--- /dev/null
+++ b/packages/net/http_request.c
@@ -0,0 +1,164 @@
+/* From the options of a call to a request of libcurl: see
+   mq/internal/http_request.h.
+
+   How the message is framed and when its connection closes is for libcurl to
+   say, so the headers for that are never the user's.  */
+
+#include <mq/internal/http_request.h>
+
+#include <mq/internal/http_header.h>
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define CONNECT_MS 1000
+
+/* True for a header that libcurl or this file writes.  */
+static bool
+request_owns_header (const mq_http_header *header)
+{
+  return mq_http_header_is (header, "Content-Length")
+         || mq_http_header_is (header, "Transfer-Encoding")
+         || mq_http_header_is (header, "Expect")
+         || mq_http_header_is (header, "Connection");
+}
+
+static struct curl_slist *
+request_add_header (struct curl_slist *list, const mq_http_header *header)
+{
+  GString *line
+      = g_string_new_len (header->name.data, (gssize)header->name.size);
+
+  /* libcurl's way to write a header without a value.  */
+  g_string_append (line, header->value.size == 0 ? ";" : ": ");
+  g_string_append_len (line, header->value.data, (gssize)header->value.size);
+  list = curl_slist_append (list, line->str);
+  g_string_free (line, TRUE);
+  return list;
+}
+
+static struct curl_slist *
+request_headers (const mq_http_call_options *options)
+{
+  struct curl_slist *list = NULL;
+  bool typed = false;
+
+  for (size_t i = 0; i < options->n_headers; i++)
+    {
+      const mq_http_header *h = &options->headers[i];
+
+      if (request_owns_header (h) || !mq_http_header_is_sound (h))
+        continue;
+      typed = typed || mq_http_header_is (h, "Content-Type");
+      list = request_add_header (list, h);
+    }
+  /* A name without a value takes a header of libcurl's own away.  */
+  if (!typed)
+    list = curl_slist_append (list, "Content-Type:");
+  list = curl_slist_append (list, "Expect:");
+  if (options->once)
+    list = curl_slist_append (list, "Connection: close");
+  return list;
+}
+
+static void
+request_set_body (CURL *easy, mq_span body)
+{
+  curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.size);
+  curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS,
+                    body.size == 0 ? "" : body.data);
+}
+
+/* True for a method whose requests mostly have no body.  */
+static bool
+request_method_is_bare (const char *method)
+{
+  return strcmp (method, "GET") == 0 || strcmp (method, "DELETE") == 0
+         || strcmp (method, "OPTIONS") == 0;
+}
+
+static void
+request_set_method (CURL *easy, const mq_http_call_options *options)
+{
+  char *method = options->method.size == 0
+                     ? g_strdup ("GET")
+                     : g_strndup (options->method.data, options->method.size);
+
+  if (strcmp (method, "HEAD") == 0)
+    {
+      curl_easy_setopt (easy, CURLOPT_NOBODY, 1L);
+      g_free (method);
+      return;
+    }
+  if (options->body.size > 0 || !request_method_is_bare (method))
+    request_set_body (easy, options->body);
+  curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
+  g_free (method);
+}
+
+static bool
+request_host_is_number (char *host)
+{
+  unsigned char number[sizeof (struct in6_addr)];
+  size_t size = strlen (host);
+
+  if (host[0] != '[')
+    return inet_pton (AF_INET, host, number) == 1;
+  if (host[size - 1] != ']')
+    return false;
+  host[size - 1] = '\0';
+  return inet_pton (AF_INET6, host + 1, number) == 1;
+}
+
+/* True when the host of URL is an IP number.  For a name libcurl would start
+   a thread to look it up.  */
+static bool
+request_url_has_number (mq_span url)
+{
+  char *text = g_strndup (url.data, url.size);
+  CURLU *u = curl_url ();
+  char *host = NULL;
+  bool r = false;
+
+  if (curl_url_set (u, CURLUPART_URL, text, 0) == CURLUE_OK
+      && curl_url_get (u, CURLUPART_HOST, &host, 0) == CURLUE_OK)
+    r = request_host_is_number (host);
+  curl_free (host);
+  curl_url_cleanup (u);
+  g_free (text);
+  return r;
+}
+
+bool
+mq_http_request_is_sound (const mq_http_call_options *options)
+{
+  return (options->method.size == 0 || mq_http_is_token (options->method))
+         && request_url_has_number (options->url);
+}
+
+struct curl_slist *
+mq_http_request_apply (CURL *easy, const mq_http_call_options *options)
+{
+  struct curl_slist *headers = request_headers (options);
+  char *url = g_strndup (options->url.data, options->url.size);
+  uint64_t connect_ms
+      = options->connect_ms == 0 ? CONNECT_MS : options->connect_ms;
+
+  curl_easy_setopt (easy, CURLOPT_URL, url);
+  g_free (url);
+  curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
+  curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+  curl_easy_setopt (easy, CURLOPT_PROXY, ""); /* Not from the environment.  */
+  curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
+  curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
+  request_set_method (easy, options);
+  if (options->once)
+    {
+      curl_easy_setopt (easy, CURLOPT_FRESH_CONNECT, 1L);
+      curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
+    }
+  return headers;
+}
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -555,6 +555,19 @@
     }
 }
 
+TEST_F (Http, FailsACallWhoseMethodIsNone)
+{
+  Answer a;
+  mq_http_call_options options = {};
+
+  on_request = [] (mq_http_exchange *) { FAIL (); };
+  options.method = MQ_SPAN ("GET / HTTP/1.1\r\nX-Leaked: yes\r\n\r\nGET");
+  call (&a, "/", options);
+  ASSERT_TRUE (until ([&] { return a.ends == 1; }));
+  EXPECT_EQ (a.result, MQ_HTTP_CONNECT);
+  EXPECT_FALSE (a.maybe_sent);
+}
+
 TEST_F (Http, ListensAndCallsOverIpv6)
 {
   mq_http_server_options options = {};
--- a/tests/test_http_garbage.cc
+++ b/tests/test_http_garbage.cc
@@ -155,6 +155,8 @@
   Answer a;
   mq_http_header h[] = { { MQ_SPAN ("X-A"), MQ_SPAN ("b\r\nX-Leaked: yes") },
                          { MQ_SPAN ("X-B"), MQ_SPAN ("fine") },
+                         { MQ_SPAN ("X-C: d\r\nX-Leaked"), MQ_SPAN ("e") },
+                         { MQ_SPAN ("X-Leaked: e;X"), MQ_SPAN ("f") },
                          { MQ_SPAN ("Content-Length"), MQ_SPAN ("999") },
                          { MQ_SPAN ("X-Empty"), MQ_SPAN ("") } };
   mq_http_call_options options = {};
@@ -168,7 +170,7 @@
   };
   options.method = MQ_SPAN ("POST");
   options.headers = h;
-  options.n_headers = 4;
+  options.n_headers = G_N_ELEMENTS (h);
   options.body = MQ_SPAN ("five5");
   call (&a, "/", options);
   ASSERT_TRUE (until ([&] { return a.ends == 1; }));
