Add the fault matrix: every fault at every step, singly and in pairs

Fifteen faults at fifteen steps; one table generates the cells and says why five of them can't happen. Small fakes (engines, plain service, platform store, callers) stand around the real decisions of two routers and of the operators' changes, in virtual time, and each run checks the seven promises, that every call gets its final answer in time and that all works again.

To show that it bites, six deliberate defects are switched on and each must break its promise. At first two of them did not: a late token of an attempt that was given up was the same token the next attempt would draw, and a late fetch never met a newer generation. Tokens now name the attempt that drew them and the answer before them, and two changes follow each other.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 C_SOURCES = $(shell git ls-files '*.c' | grep -v '\.pb-c\.')
 
-.PHONY: all build deps check check-sanitize check-long demo format format-check lint bench slopes install clean
+.PHONY: faults all build deps check check-sanitize check-long demo format format-check lint bench slopes install clean
 
 all: build
 
@@ -23,6 +23,10 @@
 check-long: build
 	tools/check-long.sh $(BUILD) $(SEED)
 
+# All pairs of the fault matrix; writes docs/FAULTS.md from the run.
+faults: build
+	MQ_FAULTS_PAGE=docs/FAULTS.md $(BUILD)/tests/test_fault_matrix
+
 check-sanitize:
 	cmake -S . -B build-sanitize -G Ninja -DCMAKE_BUILD_TYPE=Debug -DMQ_SANITIZE=ON
 	cmake --build build-sanitize
--- /dev/null
+++ b/tests/fault_router.cc
@@ -0,0 +1,485 @@
+/* A router among the fakes, what serves callers: see fault_world.h.  */
+
+#include "fault_world.h"
+
+#include <cstring>
+
+namespace fault_test
+{
+
+Router::Router (World &in, const std::string &called, uint64_t number)
+    : world (in), name (called), incarnation (number)
+{
+  mq_entry_options e = { incarnation, incarnation, MQ_SPAN ("kamloops-yard") };
+  mq_claims_options c = {};
+  mq_tickets_options t = {};
+  mq_ordering_options o = {};
+
+  o.lease.router = o.orders.router = incarnation;
+  o.lease.duration_us = 3 * SECOND;
+  o.lease.retry_us = 500 * MS;
+  o.lease.timeout_us = 600 * MS;
+  o.lease.margin_percent = 10;
+  o.orders.flight_us = 2 * SECOND;
+  o.orders.poll_us = 100 * MS;
+  o.orders.verify_us = 1 * SECOND;
+  o.orders.concurrent = 1;
+  o.orders.load_time_us = 2 * SECOND;
+  o.orders.patience_us = 20 * SECOND;
+  c.router = incarnation;
+  c.give_up_us = 1500 * MS;
+  c.retry_us = 100 * MS;
+  c.late_us = 2 * SECOND;
+  c.skew_ms = 1000;
+  c.limit = 1000;
+  t.router = incarnation;
+  memset (t.key, (int)incarnation, sizeof t.key);
+  t.address = MQ_SPAN ("127.0.0.1:8000");
+  t.lifetime_us = 60 * SECOND;
+  t.limit = 1000;
+  entry = mq_entry_new (&e);
+  planner = mq_planner_new (MQ_SPAN ("kamloops-yard"), incarnation);
+  claims = mq_claims_new (&c);
+  tickets = mq_tickets_new (&t);
+  planner_actions = mq_planner_actions_new ();
+  ordering = mq_ordering_new (&o);
+  mq_generation_init (&generation, world.clock.now_us, 10 * SECOND);
+}
+
+Router::~Router ()
+{
+  mq_entry_free (entry);
+  mq_planner_free (planner);
+  mq_claims_free (claims);
+  mq_tickets_free (tickets);
+  mq_ordering_free (ordering);
+  g_array_unref (planner_actions);
+}
+
+void
+Router::post (uint64_t delay_us, std::function<void ()> what)
+{
+  world.clock.at (delay_us, [this, what] () {
+    if (!alive || exited)
+      return;
+    if (paused)
+      inbox.push_back (what);
+    else
+      what ();
+  });
+}
+
+void
+Router::pause (uint64_t for_us)
+{
+  paused = was_paused = true;
+  world.clock.at (for_us, [this] () {
+    std::vector<std::function<void ()> > late = std::move (inbox);
+    paused = false;
+    inbox.clear ();
+    for (auto &what : late)
+      if (alive && !exited)
+        what ();
+  });
+}
+
+void
+Router::kill ()
+{
+  alive = false;
+  world.router_gone (this);
+}
+
+Client
+Router::client ()
+{
+  return { [this] (uint64_t delay_us, std::function<void ()> what) {
+            post (delay_us, std::move (what));
+          },
+           cut };
+}
+
+std::string
+Router::mint (const std::string &organisation)
+{
+  GString *out = g_string_new (NULL);
+  std::string ticket;
+
+  if (mq_tickets_mint (tickets, world.clock.now_us, span (organisation), out,
+                       NULL)
+      == 0)
+    ticket = out->str;
+  g_string_free (out, TRUE);
+  return ticket;
+}
+
+void
+Router::call (Exchange *x)
+{
+  mq_entry_event e = {};
+  mq_call *c = &e.u.call;
+  mq_ticket ticket;
+  std::string number;
+
+  x->handle = ++world.next_handle;
+  x->at = this;
+  open[x->handle] = x;
+  e.kind = MQ_ENTRY_CALL;
+  e.handle = c->handle = x->handle;
+  c->organisation = MQ_SPAN ("acme");
+  c->service = x->model ? MQ_SPAN ("chat") : MQ_SPAN ("booking");
+  c->priority = -1;
+  c->guard = x->guard;
+  c->guard_value = span (x->guard_value);
+  c->body_hash = mq_span_hash (span (x->work));
+  c->prompt_tokens = 10;
+  c->max_tokens = TOKENS;
+  c->method = x->post ? MQ_SPAN ("POST") : MQ_SPAN ("GET");
+  c->path = MQ_SPAN ("/units");
+  if (x->guard == MQ_GUARD_TICKET)
+    {
+      mq_ticket_check check
+          = mq_tickets_open (tickets, world.clock.now_us, MQ_SPAN ("acme"),
+                             span (x->guard_value), &ticket);
+      if (check != MQ_TICKET_OK)
+        {
+          mq_ticket_answer a
+              = mq_ticket_answer_elsewhere (MQ_TICKET_ROUTER_DEAD, false);
+          open.erase (x->handle);
+          x->outcome = a.outcome;
+          x->reason = a.reason;
+          x->ended = true;
+          world.told (x);
+          return;
+        }
+      number = std::to_string (ticket.number);
+      c->guard_value = span (number);
+    }
+  entry_event (e);
+}
+
+void
+Router::entry_event (mq_entry_event event)
+{
+  GArray *actions = g_array_new (FALSE, TRUE, sizeof (mq_entry_action));
+
+  event.now_us = world.clock.now_us;
+  mq_entry_handle (entry, &event, actions);
+  for (guint i = 0; i < actions->len; i++)
+    act (g_array_index (actions, mq_entry_action, i));
+  g_array_unref (actions);
+  schedule_tick ();
+}
+
+void
+Router::planner_event (mq_planner_event event)
+{
+  event.now_us = world.clock.now_us;
+  mq_planner_handle (planner, &event, planner_actions);
+  if (event.kind != MQ_PLANNER_ASK)
+    g_array_set_size (planner_actions, 0);
+}
+
+void
+Router::schedule_tick ()
+{
+  uint64_t next = mq_entry_next_tick (entry);
+  uint64_t now = world.clock.now_us;
+
+  if (next == UINT64_MAX || next >= tick_us)
+    return;
+  tick_us = next;
+  post (next > now ? next - now : 0, [this, next] () {
+    mq_entry_event e = {};
+    if (tick_us == next)
+      tick_us = UINT64_MAX;
+    e.kind = MQ_ENTRY_TICK;
+    entry_event (e);
+  });
+}
+
+void
+Router::answer_plan (uint64_t handle, uint32_t attempt,
+                     const mq_planner_action &answer, bool own)
+{
+  mq_entry_event e = {};
+  bool &answered = asks[{ handle, attempt }];
+
+  if (answered || open.count (handle) == 0)
+    {
+      /* Too late: give the place back to the planner that gave it.  */
+      Router *giver = own ? this : world.owner (this);
+      mq_planner_event r = {};
+      r.kind = MQ_PLANNER_RELEASE;
+      r.u.release.id = answer.id;
+      r.u.release.attempt = attempt;
+      r.u.release.end = MQ_ATTEMPT_CANCELLED;
+      r.u.release.stage = MQ_STAGE_NONE;
+      if (answer.kind == MQ_PLANNER_ADMIT)
+        giver->post (NEAR_US, [giver, r] () { giver->planner_event (r); });
+      return;
+    }
+  answered = true;
+  e.kind = MQ_ENTRY_PLANNED;
+  e.handle = handle;
+  e.attempt = attempt;
+  e.u.planned.figures = answer.figures;
+  e.u.planned.admitted = answer.kind == MQ_PLANNER_ADMIT;
+  if (e.u.planned.admitted)
+    e.u.planned.plan = &answer.u.plan;
+  else
+    {
+      e.u.planned.reason = answer.u.refuse.reason;
+      e.u.planned.retry_after_us = answer.u.refuse.retry_after_us;
+    }
+  entry_event (e);
+}
+
+/* Have GIVER's planner answer and call BACK with what it says.  */
+static void
+plan_at (Router *giver, GArray *actions, mq_plan_ask ask,
+         const std::function<void (const mq_planner_action &)> &back)
+{
+  mq_planner_event e = {};
+
+  e.kind = MQ_PLANNER_ASK;
+  e.u.ask = ask;
+  giver->planner_event (e);
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const mq_planner_action *a
+          = &g_array_index (actions, mq_planner_action, i);
+      if (a->kind != MQ_PLANNER_REPAIR)
+        back (*a);
+    }
+  g_array_set_size (actions, 0);
+}
+
+/* An answer that outlives the planner's list of actions.  */
+static std::shared_ptr<mq_planner_action>
+keep (const mq_planner_action &answer)
+{
+  auto kept = std::shared_ptr<mq_planner_action> (
+      new mq_planner_action (answer), [] (mq_planner_action *a) {
+        if (a->kind == MQ_PLANNER_ADMIT)
+          mq_plan_finish (&a->u.plan);
+        delete a;
+      });
+  if (answer.kind == MQ_PLANNER_ADMIT)
+    mq_plan_copy (&kept->u.plan, &answer.u.plan);
+  return kept;
+}
+
+void
+Router::ask_plan (const mq_entry_action &action)
+{
+  uint64_t handle = action.handle;
+  uint32_t attempt = action.attempt;
+  mq_plan_ask ask = action.u.ask;
+  Router *owner = world.owner (this);
+  auto avoid = std::make_shared<std::vector<std::string> > ();
+  Fate fate = world.strike (Step::Admit);
+
+  for (uint32_t i = 0; i < ask.n_avoid; i++)
+    avoid->push_back (text (ask.avoid[i]));
+  ask.service = MQ_SPAN ("chat");
+  ask.organisation = MQ_SPAN ("acme");
+  asks[{ handle, attempt }] = false;
+  auto ask_at = [this, ask, avoid, handle, attempt] (
+                    Router *giver, uint64_t back_us, unsigned times) mutable {
+    for (size_t i = 0; i < avoid->size (); i++)
+      ask.avoid[i] = span ((*avoid)[i]);
+    plan_at (giver, giver->planner_actions, ask,
+             [&] (const mq_planner_action &answer) {
+               auto kept = keep (answer);
+               bool own = giver == this;
+               for (unsigned i = 0; i < times; i++)
+                 post (back_us, [this, kept, handle, attempt, own] () {
+                   answer_plan (handle, attempt, *kept, own);
+                 });
+             });
+  };
+  if (owner != this)
+    {
+      uint64_t back = fate == Fate::Late ? LATE_US : NEAR_US;
+      unsigned times = fate == Fate::Lost ? 0 : fate == Fate::Doubled ? 2 : 1;
+      owner->post (NEAR_US, [ask_at, owner, back, times] () mutable {
+        ask_at (owner, back, times);
+      });
+    }
+  post (owner == this ? 0 : OWNER_WAIT_US,
+        [this, ask_at, handle, attempt] () mutable {
+          if (!asks[{ handle, attempt }] && open.count (handle) > 0)
+            ask_at (this, 0, 1);
+        });
+}
+
+/* Both planners may count the attempt; each ignores what it does not
+   know.  */
+void
+Router::release_plan (const mq_entry_action &action)
+{
+  mq_planner_event r = {};
+  Router *owner = world.owner (this);
+
+  r.kind = MQ_PLANNER_RELEASE;
+  r.u.release = action.u.release;
+  asks[{ action.handle, action.attempt }] = true;
+  planner_event (r);
+  if (owner != this)
+    owner->post (NEAR_US, [owner, r] () { owner->planner_event (r); });
+  if (action.u.release.end != MQ_ATTEMPT_DONE
+      && action.u.release.end != MQ_ATTEMPT_CANCELLED)
+    recovered++;
+}
+
+void
+Router::end (const mq_entry_action &action)
+{
+  Exchange *x = open[action.handle];
+  mq_claims_event settle = {};
+
+  open.erase (action.handle);
+  if (x == nullptr)
+    return;
+  x->outcome = action.u.end.outcome;
+  x->reason = action.u.end.reason;
+  settle.kind = MQ_CLAIMS_SETTLED;
+  settle.u.settled.handle = action.handle;
+  settle.u.settled.outcome = action.u.end.outcome;
+  if (x->guard == MQ_GUARD_KEY)
+    claims_event (settle);
+  world.clock.at (CALLER_US, [this, x] () {
+    if (x->broken)
+      return;
+    x->ended = true;
+    world.told (x);
+  });
+}
+
+void
+Router::claims_event (mq_claims_event event)
+{
+  GArray *actions = mq_claims_actions_new ();
+
+  event.now_us = world.clock.now_us;
+  event.wall_ms = world.clock.now_us / 1000;
+  mq_claims_handle (claims, &event, actions);
+  act_claims (actions);
+  g_array_unref (actions);
+  uint64_t next = mq_claims_next_tick (claims);
+  if (next != UINT64_MAX && next < claims_tick_us)
+    {
+      claims_tick_us = next;
+      post (next > event.now_us ? next - event.now_us : 0, [this, next] () {
+        mq_claims_event tick = {};
+        if (claims_tick_us == next)
+          claims_tick_us = UINT64_MAX;
+        tick.kind = MQ_CLAIMS_TICK;
+        claims_event (tick);
+      });
+    }
+}
+
+void
+Router::act_claims (GArray *actions)
+{
+  for (guint i = 0; i < actions->len; i++)
+    {
+      const mq_claims_action *a
+          = &g_array_index (actions, mq_claims_action, i);
+      uint64_t claim = a->claim;
+      uint32_t step = a->step;
+
+      if (a->kind == MQ_CLAIMS_RESULT)
+        {
+          mq_entry_event e = {};
+          e.kind = MQ_ENTRY_CLAIMED;
+          e.handle = a->handle;
+          e.u.claim = a->result;
+          post (0, [this, e] () { entry_event (e); });
+          continue;
+        }
+      StoreOp op = a->kind == MQ_CLAIMS_CREATE   ? StoreOp::Create
+                   : a->kind == MQ_CLAIMS_UPDATE ? StoreOp::Update
+                   : a->kind == MQ_CLAIMS_DELETE ? StoreOp::Delete
+                                                 : StoreOp::Read;
+      world.store (client (), Step::Claim,
+                   { op, text (mq_str_span (a->name)),
+                     text (mq_str_span (a->value)), a->version },
+                   [this, claim, step] (mq_store_reply reply) {
+                     mq_claims_event e = {};
+                     e.kind = MQ_CLAIMS_REPLY;
+                     e.u.reply.claim = claim;
+                     e.u.reply.step = step;
+                     e.u.reply.reply = reply;
+                     claims_event (e);
+                   });
+    }
+}
+
+void
+Router::act (const mq_entry_action &a)
+{
+  Exchange *x = open.count (a.handle) ? open[a.handle] : nullptr;
+  mq_entry_event e = {};
+  mq_claims_event c = {};
+
+  e.handle = a.handle;
+  switch (a.kind)
+    {
+    case MQ_ENTRY_ASK_LIMIT:
+      e.kind = MQ_ENTRY_LIMITED;
+      e.u.limited.allowed = true;
+      post (0, [this, e] () { entry_event (e); });
+      break;
+    case MQ_ENTRY_RELEASE_LIMIT:
+      break;
+    case MQ_ENTRY_ASK_PLAN:
+      ask_plan (a);
+      break;
+    case MQ_ENTRY_RELEASE_PLAN:
+      release_plan (a);
+      break;
+    case MQ_ENTRY_CLAIM:
+      c.kind = MQ_CLAIMS_START;
+      c.u.start.handle = a.handle;
+      c.u.start.organisation = a.u.claim.organisation;
+      c.u.start.key = a.u.claim.key;
+      c.u.start.body_hash = a.u.claim.body_hash;
+      c.u.start.lifetime_us = a.u.claim.lifetime_us;
+      claims_event (c);
+      break;
+    case MQ_ENTRY_OPEN_STREAM:
+      world.open_stream (this, a);
+      break;
+    case MQ_ENTRY_CANCEL_STREAM:
+      world.cancel_stream (this, a.handle, a.attempt);
+      break;
+    case MQ_ENTRY_SEND:
+      world.send (this, a);
+      break;
+    case MQ_ENTRY_CANCEL_SEND:
+      break;
+    case MQ_ENTRY_DELIVER:
+      if (x != nullptr && !x->broken)
+        x->tokens.push_back (text (a.u.deliver.text));
+      break;
+    case MQ_ENTRY_PASS_REPLY:
+      if (x != nullptr && !x->broken)
+        x->reply = true;
+      break;
+    case MQ_ENTRY_END:
+      end (a);
+      break;
+    case MQ_ENTRY_DRAINED:
+      if (!open.empty ())
+        world.find (Promise::ShutdownCutsNothing,
+                    name + " exits with requests open");
+      exited = true;
+      world.router_gone (this);
+      break;
+    }
+}
+
+} // namespace fault_test
--- /dev/null
+++ b/tests/fault_world.h
@@ -0,0 +1,341 @@
+/* A small deployment of fakes around the real decisions, in virtual time.
+
+   Real are the decisions of each router (entry, planner, claims, tickets,
+   generation, lease and orders) and of each operator's change.  Fake are the
+   engines, the plain service, the platform's store, the callers, and the
+   wires between: each message passes strike(), where the faults of the cell
+   come in.  */
+
+#ifndef MQ_TESTS_FAULT_WORLD_H
+#define MQ_TESTS_FAULT_WORLD_H
+
+#include "fault_matrix.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mq/change.h>
+#include <mq/claim.h>
+#include <mq/entry.h>
+#include <mq/generation.h>
+#include <mq/ordering.h>
+#include <mq/planner.h>
+#include <mq/ticket.h>
+#include <set>
+
+namespace fault_test
+{
+
+constexpr uint64_t MS = 1000;
+constexpr uint64_t SECOND = 1000 * MS;
+
+/* Latencies, one way.  */
+constexpr uint64_t NEAR_US = 300;
+constexpr uint64_t CALLER_US = 3 * MS;
+constexpr uint64_t STORE_US = 1 * MS;
+constexpr uint32_t TOKENS = 20;
+/* How late a late message is: a stall is noticed before it comes, and it
+   comes before the first token of the attempt that took its place.  */
+constexpr uint64_t LATE_US = 980 * MS;
+/* A call on the platform that gets no reply.  */
+constexpr uint64_t STORE_TIMEOUT_US = 400 * MS;
+/* An owner that does not answer is replaced by the router's own planner.  */
+constexpr uint64_t OWNER_WAIT_US = 5 * MS;
+
+inline std::string
+text (mq_span s)
+{
+  return std::string (s.data ? s.data : "", s.size);
+}
+
+inline mq_span
+span (const std::string &s)
+{
+  return mq_span{ s.data (), s.size () };
+}
+
+/* Things to do, by time.  */
+class Clock
+{
+public:
+  void at (uint64_t delay_us, std::function<void ()> what);
+  void run_until (uint64_t end_us);
+  uint64_t now_us = 1000 * SECOND;
+
+private:
+  std::multimap<uint64_t, std::function<void ()> > queue;
+};
+
+/* What happens to one message.  */
+enum class Fate
+{
+  Normal,
+  Lost,
+  Doubled,
+  Late
+};
+
+/* Who calls the platform.  */
+struct Client
+{
+  /* Do something after a while, unless the caller is gone by then.  */
+  std::function<void (uint64_t, std::function<void ()>)> post;
+  bool cut; /* From the platform.  */
+};
+
+enum class StoreOp
+{
+  Read,
+  Create,
+  Update,
+  Delete
+};
+
+struct StoreCall
+{
+  StoreOp op;
+  std::string name;
+  std::string value;
+  uint64_t version; /* UPDATE and DELETE.  */
+};
+
+struct Engine
+{
+  std::string name;
+  uint32_t first;
+  uint32_t end;
+  std::string version = "v1";
+  bool joined = true;
+  bool alive = true;
+  bool hung = false;
+  bool loading = false;
+  unsigned slowness = 1;
+  uint64_t leaving_us = 0; /* Since when; 0: stays.  */
+};
+
+class Router;
+class World;
+
+/* One call of one caller at one router.  */
+struct Exchange
+{
+  std::string id;   /* Of this exchange, such as "m1/2".  */
+  std::string work; /* What it is to bring about: "m1".  */
+  unsigned retries = 0;
+  bool model = false;
+  bool post = false;
+  mq_guard_kind guard = MQ_GUARD_NONE;
+  std::string guard_value;
+  std::string router;
+  Router *at = nullptr; /* The router that took it.  */
+  uint64_t handle = 0;
+  uint64_t started_us = 0;
+  uint64_t deadline_us = 0;
+  std::vector<std::string> tokens;
+  bool reply = false;
+  bool ended = false;  /* It was told its outcome.  */
+  bool broken = false; /* The connection broke, or nobody answered.  */
+  bool worked = false; /* In truth: an upstream began work for it.  */
+  mq_outcome outcome = MQ_OUTCOME_UNKNOWN;
+  mq_reason reason = MQ_REASON_NONE;
+};
+
+/* One router: its decisions, and the adapters' part around them.  */
+class Router
+{
+public:
+  Router (World &world, const std::string &name, uint64_t incarnation);
+  Router (const Router &) = delete;
+  ~Router ();
+
+  /* Do WHAT in this incarnation: at once, after a pause, or never.  */
+  void post (uint64_t delay_us, std::function<void ()> what);
+  Client client ();
+  /* Begin to work: watch the configuration, take part in the lease.  */
+  void start ();
+  void call (Exchange *exchange);
+  void want (uint32_t first, uint32_t end);
+  void entry_event (mq_entry_event event);
+  void planner_event (mq_planner_event event);
+  void pause (uint64_t for_us);
+  void kill ();
+  std::string mint (const std::string &organisation);
+
+  World &world;
+  std::string name;
+  uint64_t incarnation;
+  bool alive = true;
+  bool paused = false;
+  bool was_paused = false;
+  bool cut = false; /* From the platform and the other routers.  */
+  bool leaving = false;
+  bool exited = false;
+  std::map<uint64_t, Exchange *> open;
+  mq_entry *entry;
+  mq_planner *planner;
+  mq_claims *claims;
+  mq_tickets *tickets;
+  mq_ordering *ordering;
+  mq_generation generation;
+  std::map<uint64_t, uint64_t> taken_us; /* Generations, and when.  */
+  unsigned recovered = 0;
+
+private:
+  void act (const mq_entry_action &action);
+  void ask_plan (const mq_entry_action &action);
+  void answer_plan (uint64_t handle, uint32_t attempt,
+                    const mq_planner_action &answer, bool own);
+  void release_plan (const mq_entry_action &action);
+  void end (const mq_entry_action &action);
+  void claims_event (mq_claims_event event);
+  void act_claims (GArray *actions);
+  void schedule_tick ();
+  void watch ();
+  void gossip ();
+  void generation_event (mq_generation_event event);
+  void fetch (const mq_generation_action &action);
+  void ordering_event (mq_ordering_event event);
+  void act_ordering (GArray *lease_actions, GArray *order_actions);
+  void send_order (const mq_orders_action &action);
+  void read_engine (const mq_orders_action &action);
+
+  std::vector<std::function<void ()> > inbox; /* While paused.  */
+  uint64_t tick_us = UINT64_MAX;
+  uint64_t claims_tick_us = UINT64_MAX;
+  std::map<std::pair<uint64_t, uint32_t>, bool> asks; /* Answered?  */
+  GArray *planner_actions;
+  unsigned watches = 0;
+  uint64_t seen_version = 0; /* Of the manifest, and its generation.  */
+  uint64_t seen_generation = 0;
+  uint64_t ordering_tick_us = UINT64_MAX;
+  uint64_t generation_tick_us = UINT64_MAX;
+};
+
+/* One operator's command.  */
+class Operator
+{
+public:
+  Operator (World &world, const std::string &id, const std::string &file);
+  Operator (const Operator &) = delete;
+  ~Operator ();
+  void start ();
+
+  std::string id;
+  std::string file_name;
+  std::string file_digest;
+  uint64_t first_read = 0; /* The generation that it saw first.  */
+  mq_change_result result = MQ_CHANGE_NOTHING;
+  bool ended = false;
+  uint64_t generation = 0;
+  uint64_t landed_us = 0;
+
+private:
+  void step (mq_change_event event);
+  void act (const mq_change_action &action);
+  void store (Step step, StoreCall call, mq_change_event_kind kind);
+
+  World &world;
+  mq_change_request request;
+  mq_change *change;
+};
+
+struct Stream
+{
+  Router *router;
+  uint64_t handle;
+  uint32_t attempt;
+  Exchange *exchange;
+  mq_plan plan;
+  uint32_t position;
+  uint32_t max_tokens;
+  uint64_t before = 0; /* Hash of the answer so far.  */
+  uint64_t late_us = 0;
+  bool over = false;
+};
+
+class World
+{
+public:
+  explicit World (const std::vector<Cell> &cells);
+  World (const World &) = delete;
+  ~World ();
+  Result run ();
+
+  /* STEP is reached: strike with the faults that wait for it, and say what
+     happens to its message.  Without MESSAGE those wait on that would happen
+     to one.  */
+  Fate strike (Step step, bool message = true);
+
+  Router *router (const std::string &name);
+  /* The router that owns the model's planner, as ASKER sees it.  */
+  Router *owner (Router *asker);
+
+  void open_stream (Router *router, const mq_entry_action &action);
+  void cancel_stream (Router *router, uint64_t handle, uint32_t attempt);
+  void send (Router *router, const mq_entry_action &action);
+  /* A call on the platform's store.  */
+  void store (Client client, Step step, StoreCall call,
+              std::function<void (mq_store_reply)> reply, bool message = true);
+  void router_gone (Router *router);
+  void told (Exchange *exchange);
+  void find (Promise promise, const std::string &text);
+
+  Clock clock;
+  mq_config *config;
+
+private:
+  friend class Router;
+  friend class Operator;
+  struct Object
+  {
+    uint64_t version;
+    std::string value;
+  };
+  mq_store_reply apply (const StoreCall &call, std::string *value);
+  void hit (Fault fault, Step step);
+  void operate (const std::string &id, const std::string &file);
+  bool disturbs_configuration () const;
+  void check_change (const Operator &o, const mq_manifest &manifest);
+  void check_in_force (const Operator &o);
+  void check_configuration ();
+  void start_callers (int wave);
+  void ask (Exchange *exchange, unsigned tries);
+  void begin (Exchange *exchange, const std::string &router);
+  void finish (Exchange *exchange);
+  void retry (Exchange *exchange);
+  Exchange *add (const std::string &work, bool model, bool post,
+                 mq_guard_kind guard);
+  void make_token (std::shared_ptr<Stream> stream);
+  void break_stream (std::shared_ptr<Stream> stream, bool maybe_sent);
+  void report_loads ();
+  Engine *engine (const std::string &name);
+  Engine *stage_engine (const mq_plan &plan, uint32_t stage);
+  void check_recovery (const std::set<std::string> &done);
+  void check_exchange (const Exchange &exchange);
+  void check ();
+
+  std::vector<Cell> cells;
+  std::vector<bool> struck;
+  std::vector<std::unique_ptr<Router> > routers; /* Dead ones too.  */
+  std::vector<std::unique_ptr<Operator> > operators;
+  std::vector<Engine> engines;
+  std::vector<std::unique_ptr<Exchange> > exchanges;
+  std::vector<std::shared_ptr<Stream> > streams;
+  std::map<std::string, Object> objects;
+  uint64_t version = 0;
+  uint64_t next_handle = 0;
+  uint64_t next_incarnation = 100;
+  uint64_t started_us = 0;
+  uint64_t last_strike_us = 0;
+  bool platform_down = false;
+  bool platform_slow = false;
+  bool lose_write_reply = false;
+  std::string stage_at_risk[3]; /* Engines of the plan last opened.  */
+  std::map<std::string, unsigned> effects; /* Of bookings, by work.  */
+  std::map<std::string, unsigned> runs;
+  Result result;
+};
+
+} // namespace fault_test
+
+#endif
