entry: a stream that its slow caller holds back has not stalled

Cause: the router stops reading an engine's stream while its caller reads slowly; no token comes then, and the entry took that for a stalled stage, gave the attempt up and asked for another, over and over. The adapter now says when it holds a stream back (MQ_ENTRY_HELD); that time counts for no engine, while the deadline stays.

--- a/include/mq/internal/entry.h
+++ b/include/mq/internal/entry.h
@@ -75,6 +75,7 @@
                         const mq_entry_event *event);
 /* Open the stream of the plan that REQUEST holds.  */
 void mq_stream_open (mq_entry *entry, mq_request *request);
+void mq_stream_held (mq_entry *entry, mq_request *request, bool held);
 void mq_stream_opened (mq_entry *entry, mq_request *request,
                        const mq_entry_event *event);
 void mq_stream_token (mq_entry *entry, mq_request *request,
--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -60,6 +60,7 @@
   bool seen_running; /* An upstream gave proof of work.  */
   bool caller_gone;  /* Nobody waits; it runs on to learn its outcome.  */
   bool moved_slow;   /* Model: an attempt was given up for its slowness.  */
+  bool held_back;    /* Model: the caller reads slower than tokens come.  */
   bool plan_held;    /* Model: the planner counts the present attempt.  */
   bool repeatable;   /* Plain: declared so, or the service honours its key. */
 
@@ -73,6 +74,7 @@
   mq_plan_figures figures;
   mq_str *avoid[MQ_PLAN_STAGES];
   uint64_t opened_us;             /* Of the present attempt.  */
+  uint64_t held_us;               /* Since when it is held back.  */
   uint64_t first_us;              /* Its first token.  */
   uint64_t last_us;               /* Its last token.  */
   uint32_t gaps[MQ_REQUEST_GAPS]; /* Last gaps between its tokens, us.  */
@@ -117,6 +119,9 @@
                            const mq_plan_figures *figures);
 /* Note that a token came in the present attempt.  */
 void mq_request_note_token (mq_request *request, uint64_t now_us);
+/* The present attempt is held back, or no longer.  The time between counts
+   for no engine.  */
+void mq_request_hold (mq_request *request, bool held, uint64_t now_us);
 /* Keep ENGINE out of the next plan.  */
 void mq_request_avoid (mq_request *request, mq_str *engine);
 
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -616,6 +616,9 @@
     case MQ_ENTRY_TOKEN:
       mq_stream_token (entry, request, event);
       break;
+    case MQ_ENTRY_HELD:
+      mq_stream_held (entry, request, event->u.held);
+      break;
     case MQ_ENTRY_STREAM_END:
       mq_stream_ended (entry, request, event);
       break;
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -208,6 +208,26 @@
   request->tokens++;
 }
 
+void
+mq_request_hold (mq_request *request, bool held, uint64_t now_us)
+{
+  uint64_t span = now_us - request->held_us;
+
+  if (request->held_back == held)
+    return;
+  request->held_back = held;
+  if (held)
+    {
+      request->held_us = now_us;
+      return;
+    }
+  request->opened_us += span;
+  if (request->attempt_tokens == 0)
+    return;
+  request->first_us += span;
+  request->last_us = now_us;
+}
+
 void
 mq_request_avoid (mq_request *request, mq_str *engine)
 {
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -371,6 +371,7 @@
     }
   entry->counters.streams++;
   request->opened_us = entry->now_us;
+  request->held_back = false;
   mq_entry_enter (entry, request, MQ_REQUEST_OPENING);
   a = mq_entry_emit (entry, request, MQ_ENTRY_OPEN_STREAM);
   a->u.open.plan = &request->plan;
@@ -390,6 +391,15 @@
     mq_entry_enter (entry, request, MQ_REQUEST_STREAMING);
 }
 
+void
+mq_stream_held (mq_entry *entry, mq_request *request, bool held)
+{
+  if (!mq_request_is_out (request))
+    return;
+  mq_request_hold (request, held, entry->now_us);
+  mq_entry_enter (entry, request, request->state);
+}
+
 /* Move away from an attempt that crawls, once; end what has no hope.  */
 static void
 stream_judge_pace (mq_entry *entry, mq_request *request)
@@ -521,7 +531,8 @@
 uint64_t
 mq_stream_due_us (const mq_entry *entry, const mq_request *request)
 {
-  uint64_t due = stream_stall_us (entry, request);
+  uint64_t due = request->held_back ? UINT64_MAX
+                                    : stream_stall_us (entry, request);
 
   if (mq_request_is_whole (request))
     return request->since_us + LAST_LINE_US;
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -238,6 +238,14 @@
     handle (e);
   }
 
+  void
+  held (uint64_t name, bool held)
+  {
+    mq_entry_event e = make (MQ_ENTRY_HELD, name, 0);
+    e.u.held = held;
+    handle (e);
+  }
+
   void
   planned (uint64_t name, uint32_t attempt, const mq_plan *plan)
   {
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -200,6 +200,48 @@
   EXPECT_EQ (d.counters ().stalls, 0u);
 }
 
+TEST (EntryStream, AHeldStreamDoesNotStall)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.held (1, true);
+  d.tick_at (d.now + 1200 * MS);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.held (1, false);
+  d.tick_at (d.now + 1000 * MS - 1);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.tick_at (d.now + 1);
+  EXPECT_EQ (d.counters ().stalls, 1u);
+}
+
+TEST (EntryStream, AHeldStreamStillKeepsItsDeadline)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.held (1, true);
+  d.tick_at (d.now + 3600 * SECOND);
+  d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_DEADLINE_MISSED);
+}
+
+TEST (EntryStream, ANewAttemptIsNotHeld)
+{
+  Driver d;
+
+  d.open (1, d.model_call ());
+  d.tokens (1, 1, 0, 2);
+  d.held (1, true);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true, false);
+  Plan p;
+  d.planned (1, 2, &p.plan);
+  ASSERT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u);
+  d.tick_at (d.now + 1500 * MS);
+  EXPECT_EQ (d.counters ().stalls, 1u);
+}
+
 TEST (EntryStream, NoWorkAfterAllRefusedIsNotRun)
 {
   Driver d;
