Tell the entry when a slow caller holds a stream back

Before: test_back_pressure (60 MB of tokens, a caller that reads nothing for two seconds, stall after one) fails with stalls and new attempts; after: no stall, the answer is whole, and the engine could write less than half of it while the caller stood still.

--- a/include/mq/entry.h
+++ b/include/mq/entry.h
@@ -101,12 +101,12 @@
   MQ_ENTRY_TOKEN,
   MQ_ENTRY_STREAM_END,    /* The head's own last line.  */
   MQ_ENTRY_STREAM_FAILED, /* The connection or the answer broke.  */
-  MQ_ENTRY_HELD, /* The stream is held back, or no longer, since the caller
-                    reads slowly; no engine is at fault.  A new attempt
-                    begins as not held.  */
-  MQ_ENTRY_REPLY,         /* A plain service answered whole.  */
-  MQ_ENTRY_SEND_FAILED,   /* A plain service did not.  */
-  MQ_ENTRY_DRAIN,         /* Take no new work.  */
+  MQ_ENTRY_HELD,  /* The stream is held back, or no longer, since the caller
+                     reads slowly; no engine is at fault.  A new attempt
+                     begins as not held.  */
+  MQ_ENTRY_REPLY, /* A plain service answered whole.  */
+  MQ_ENTRY_SEND_FAILED, /* A plain service did not.  */
+  MQ_ENTRY_DRAIN,       /* Take no new work.  */
   MQ_ENTRY_TICK
 } mq_entry_event_kind;
 
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -531,8 +531,8 @@
 uint64_t
 mq_stream_due_us (const mq_entry *entry, const mq_request *request)
 {
-  uint64_t due = request->held_back ? UINT64_MAX
-                                    : stream_stall_us (entry, request);
+  uint64_t due
+      = request->held_back ? UINT64_MAX : stream_stall_us (entry, request);
 
   if (mq_request_is_whole (request))
     return request->since_us + LAST_LINE_US;
--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -120,6 +120,18 @@
   c->frame_start = c->frame->len;
 }
 
+/* Hold the engines' stream back, or let it go on.  */
+static void
+stream_hold (mq_caller *caller, bool held)
+{
+  mq_entry_event event = { .kind = MQ_ENTRY_HELD, .handle = caller->handle };
+
+  caller->u.completion.paused = held;
+  mq_engine_stream_pause (caller->u.completion.stream, held);
+  event.u.held = held;
+  mq_router_post (caller->router, &event);
+}
+
 static void
 stream_write (mq_caller *caller, const GString *text)
 {
@@ -129,8 +141,7 @@
 
   if (queued < MQ_HTTP_STREAM_HIGH || c->paused || c->stream == NULL)
     return;
-  c->paused = true;
-  mq_engine_stream_pause (c->stream, true);
+  stream_hold (caller, true);
 }
 
 static void
@@ -253,11 +264,8 @@
 {
   mq_completion *c = &caller->u.completion;
 
-  if (!c->paused)
-    return;
-  c->paused = false;
-  if (c->stream != NULL)
-    mq_engine_stream_pause (c->stream, false);
+  if (c->paused && c->stream != NULL)
+    stream_hold (caller, false);
 }
 
 /* ---- The engines' side.  */
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -61,6 +61,8 @@
   std::string settings; /* More members for the routers' settings.  */
   std::string policy = "{}";
   unsigned deadline_ms = 60000;
+  std::string whole_engine; /* URL of one that holds all layers, in place of
+                               the stand-ins.  */
 };
 
 /* One answer of the router to a completion.  */
@@ -124,7 +126,8 @@
     platform_ = start ({ "mqstand", "platform", "--listen", "127.0.0.1:0" });
     plain_ = start ({ "mqstand", "plain", "--listen", "127.0.0.1:0",
                       "--work-us", std::to_string (options.work_us) });
-    for (unsigned copy = 0; copy < options.copies; copy++)
+    for (unsigned copy = 0;
+         copy < options.copies && options.whole_engine.empty (); copy++)
       for (unsigned stage = 0; stage < stages; stage++)
         start_engine (stage);
     files_.write ("10-yard.json", yard_file ());
@@ -253,7 +256,7 @@
         + ",\n"
           "  'services': {\n"
           "    'reports': { 'kind': 'model', 'model': 'm',"
-          " 'deadline_ms': "
+          " 'max_tokens': 100000, 'deadline_ms': "
         + std::to_string (options_.deadline_ms)
         + " },\n"
           "    'booking': { 'kind': 'plain', 'deadline_ms': 30000,\n"
@@ -264,24 +267,33 @@
           " } } }\n");
   }
 
+  std::string
+  engine_entry (const std::string &name, const std::string &url,
+                unsigned first, unsigned end) const
+  {
+    return "\n  '" + name + "': { 'url': '" + url
+           + "', 'model': 'm', 'version': 'v1', 'first': "
+           + std::to_string (first) + ", 'end': " + std::to_string (end)
+           + ", 'accelerator': 'fast', 'slots': 32, 'step_us': "
+           + std::to_string (options_.step_us)
+           + ", 'failure_domain': 'kamloops-yard' }";
+  }
+
   std::string
   engines_file ()
   {
     unsigned width = layers / stages;
     std::string text = "{ 'engines': {";
 
+    if (!options_.whole_engine.empty ())
+      text += engine_entry ("whole", options_.whole_engine, 0, layers);
     for (size_t i = 0; i < engines_.size (); i++)
       {
         unsigned stage = (unsigned)(i % stages);
 
-        text += std::string (i ? "," : "") + "\n  'e" + std::to_string (i)
-                + "': { 'url': '" + engines_[i]->url ()
-                + "', 'model': 'm', 'version': 'v1', 'first': "
-                + std::to_string (stage * width)
-                + ", 'end': " + std::to_string ((stage + 1) * width)
-                + ", 'accelerator': 'fast', 'slots': 32, 'step_us': "
-                + std::to_string (options_.step_us)
-                + ", 'failure_domain': 'kamloops-yard' }";
+        text += (i ? "," : "")
+                + engine_entry ("e" + std::to_string (i), engines_[i]->url (),
+                                stage * width, (stage + 1) * width);
       }
     return quoted (text + " } }\n");
   }
