--- a/tools/standin/engine.h
+++ b/tools/standin/engine.h
@@ -61,6 +61,7 @@
   uint64_t activation;
   GString *receipts; /* JSON text of the receipts.  */
   uint64_t ready_us;
+  uint64_t due_us; /* When its data is there by the model.  */
 
   /* Only at the head.  */
   mq_http_exchange *exchange; /* Owned reference; NULL elsewhere.  */
@@ -171,6 +172,7 @@
   GPtrArray *ready;  /* of stream, owned references  */
   GPtrArray *batch;  /* Running; of stream, owned references.  */
   int step_fd;       /* Timer: libev's own are only good to a millisecond.  */
+  uint64_t step_end_us; /* Of the step that runs or ran last, by the model. */
   ev_io step;
   uint64_t step_us; /* Moving average of the time of a step.  */
   double accelerator;
--- a/tools/standin/engine_stream.c
+++ b/tools/standin/engine_stream.c
@@ -136,6 +136,7 @@
 engine_admit (engine *e, stream *s)
 {
   s->ready_us = mq_stand_now_us ();
+  s->due_us = s->ready_us;
   if (e->admitted < (uint32_t)e->options.slots)
     stream_start (e, s);
   else
@@ -148,7 +149,12 @@
 {
   while (e->admitted < (uint32_t)e->options.slots
          && !g_queue_is_empty (&e->waiting))
-    stream_start (e, g_queue_pop_head (&e->waiting));
+    {
+      stream *s = g_queue_pop_head (&e->waiting);
+
+      s->due_us = mq_stand_now_us ();
+      stream_start (e, s);
+    }
 }
 
 static void
