--- a/include/mq/internal/idempotency.h
+++ b/include/mq/internal/idempotency.h
@@ -33,6 +33,12 @@
 mq_idempotency *mq_idempotency_new (uint32_t limit, uint64_t memory_us);
 void mq_idempotency_free (mq_idempotency *memory);
 
+/* What is known of this value: RUN when nothing is.  FINISHED sets
+ *OUTCOME.  */
+mq_guard_verdict mq_idempotency_look (mq_idempotency *memory,
+                                      mq_guard_kind kind, mq_span organisation,
+                                      mq_span value, uint64_t body_hash,
+                                      uint64_t now_us, mq_outcome *outcome);
 /* May this value run now?  RUN marks it as running; FINISHED sets *OUTCOME
    to what came of it.  */
 mq_guard_verdict mq_idempotency_begin (mq_idempotency *memory,
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -263,14 +263,17 @@
                               : most > 0;
 }
 
-/* Why this call can't be taken, whatever the state of the system; or
-   MQ_REASON_NONE.  */
+/* Why this call can't be taken, or MQ_REASON_NONE.  */
 static mq_reason
-entry_check_call (const mq_entry *entry, const mq_call *call,
-                  const mq_service *service)
+entry_check_call (const mq_entry *entry, const mq_call *call)
 {
+  const mq_service *service;
+
+  if (entry->config == NULL)
+    return MQ_REASON_NO_CONFIGURATION;
   if (mq_config_organisation (entry->config, call->organisation) == NULL)
     return MQ_REASON_UNAUTHENTICATED;
+  service = mq_config_service (entry->config, call->service);
   if (service == NULL)
     return MQ_REASON_UNKNOWN_SERVICE;
   if (!call_deadline_is_valid (call, service)
@@ -278,9 +281,20 @@
     return MQ_REASON_BAD_REQUEST;
   if (call->guard != MQ_GUARD_NONE && call->guard_value.size == 0)
     return MQ_REASON_BAD_REQUEST;
+  if (entry->draining && !mq_defect_enabled (MQ_DEFECT_DRAIN_TAKES_WORK))
+    return MQ_REASON_LEAVING;
   return MQ_REASON_NONE;
 }
 
+/* When to come back after a refusal for REASON; 0: no use in it.  */
+static uint64_t
+reason_retry_us (mq_reason reason)
+{
+  if (reason == MQ_REASON_NO_CONFIGURATION)
+    return LATER_US;
+  return reason == MQ_REASON_LEAVING ? SOON_US : 0;
+}
+
 /* What is said of a call whose guard was used before.  */
 static void
 entry_refuse_guarded (mq_entry *entry, const mq_entry_event *event,
@@ -350,54 +364,61 @@
   entry_ask_limit (entry, r);
 }
 
+/* A repeated ticket or key is told what came of the first call, also when
+   this VM leaves or the service is gone since.  */
+static bool
+entry_tell_known (mq_entry *entry, const mq_entry_event *event)
+{
+  const mq_call *call = &event->u.call;
+  mq_outcome first = MQ_OUTCOME_UNKNOWN;
+  mq_guard_verdict verdict = MQ_GUARD_RUN;
+
+  if (call->guard != MQ_GUARD_NONE)
+    verdict = mq_idempotency_look (entry->memory, call->guard,
+                                   call->organisation, call->guard_value,
+                                   call->body_hash, entry->now_us, &first);
+  if (verdict == MQ_GUARD_RUN)
+    return false;
+  entry_refuse_guarded (entry, event, verdict, first);
+  return true;
+}
+
 static void
-entry_call (mq_entry *entry, const mq_entry_event *event)
+entry_accept (mq_entry *entry, const mq_entry_event *event)
 {
   const mq_call *call = &event->u.call;
-  const mq_service *service;
-  mq_guard_kind guard;
+  const mq_service *service = mq_config_service (entry->config, call->service);
+  bool repeatable = mq_service_call_repeatable (service, call);
+  mq_guard_kind guard = entry_guard_needed (call, repeatable);
   mq_guard_verdict verdict = MQ_GUARD_RUN;
   mq_outcome first = MQ_OUTCOME_UNKNOWN;
-  mq_reason reason;
-  bool repeatable;
 
-  entry->counters.calls++;
-  if (entry->config == NULL)
-    {
-      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
-                    MQ_REASON_NO_CONFIGURATION, LATER_US);
-      return;
-    }
-  service = mq_config_service (entry->config, call->service);
-  reason = entry_check_call (entry, call, service);
-  if (reason != MQ_REASON_NONE)
-    {
-      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN, reason, 0);
-      return;
-    }
-  repeatable = mq_service_call_repeatable (service, call);
-  guard = entry_guard_needed (call, repeatable);
-  /* Before all refusals that pass: a repeated ticket is told what came of
-     the first call, also when this VM leaves.  */
   if (guard != MQ_GUARD_NONE)
     verdict = mq_idempotency_begin (entry->memory, guard, call->organisation,
                                     call->guard_value, call->body_hash,
                                     entry->now_us, &first);
   if (verdict != MQ_GUARD_RUN)
     entry_refuse_guarded (entry, event, verdict, first);
-  else if (entry->draining && !mq_defect_enabled (MQ_DEFECT_DRAIN_TAKES_WORK))
-    {
-      if (guard != MQ_GUARD_NONE)
-        mq_idempotency_finish (entry->memory, guard, call->organisation,
-                               call->guard_value, MQ_OUTCOME_NOT_RUN,
-                               entry->now_us);
-      entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN,
-                    MQ_REASON_LEAVING, SOON_US);
-    }
   else
     entry_take (entry, event, service, guard, repeatable);
 }
 
+static void
+entry_call (mq_entry *entry, const mq_entry_event *event)
+{
+  mq_reason reason;
+
+  entry->counters.calls++;
+  if (entry_tell_known (entry, event))
+    return;
+  reason = entry_check_call (entry, &event->u.call);
+  if (reason == MQ_REASON_NONE)
+    entry_accept (entry, event);
+  else
+    entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN, reason,
+                  reason_retry_us (reason));
+}
+
 static void
 entry_caller_gone (mq_entry *entry, mq_request *request)
 {
--- a/packages/decide/idempotency.c
+++ b/packages/decide/idempotency.c
@@ -89,6 +89,34 @@
   g_free (memory);
 }
 
+static mq_guard_verdict
+guard_judge (const guard_entry *g, uint64_t body_hash, mq_outcome *outcome)
+{
+  if (g == NULL || mq_defect_enabled (MQ_DEFECT_TICKET_RUN_TWICE))
+    return MQ_GUARD_RUN;
+  if (g->body_hash != body_hash)
+    return MQ_GUARD_OTHER_BODY;
+  if (g->running)
+    return MQ_GUARD_IN_FLIGHT;
+  *outcome = g->outcome;
+  return MQ_GUARD_FINISHED;
+}
+
+mq_guard_verdict
+mq_idempotency_look (mq_idempotency *memory, mq_guard_kind kind,
+                     mq_span organisation, mq_span value, uint64_t body_hash,
+                     uint64_t now_us, mq_outcome *outcome)
+{
+  mq_str *name = guard_name (kind, organisation, value);
+  mq_guard_verdict verdict;
+
+  idempotency_expire (memory, now_us);
+  verdict = guard_judge (g_hash_table_lookup (memory->entries, name),
+                         body_hash, outcome);
+  mq_str_unref (name);
+  return verdict;
+}
+
 mq_guard_verdict
 mq_idempotency_begin (mq_idempotency *memory, mq_guard_kind kind,
                       mq_span organisation, mq_span value, uint64_t body_hash,
@@ -96,32 +124,24 @@
 {
   mq_str *name = guard_name (kind, organisation, value);
   guard_entry *g;
+  mq_guard_verdict verdict = MQ_GUARD_RUN;
 
   idempotency_expire (memory, now_us);
   g = g_hash_table_lookup (memory->entries, name);
   if (g != NULL)
+    verdict = guard_judge (g, body_hash, outcome);
+  else if (g_hash_table_size (memory->entries) >= memory->limit)
+    verdict = MQ_GUARD_FULL;
+  else
     {
-      mq_str_unref (name);
-      if (mq_defect_enabled (MQ_DEFECT_TICKET_RUN_TWICE))
-        return MQ_GUARD_RUN;
-      if (g->body_hash != body_hash)
-        return MQ_GUARD_OTHER_BODY;
-      if (g->running)
-        return MQ_GUARD_IN_FLIGHT;
-      *outcome = g->outcome;
-      return MQ_GUARD_FINISHED;
+      g = g_new0 (guard_entry, 1);
+      g->name = mq_str_ref (name);
+      g->body_hash = body_hash;
+      g->running = true;
+      g_hash_table_insert (memory->entries, g->name, g);
     }
-  if (g_hash_table_size (memory->entries) >= memory->limit)
-    {
-      mq_str_unref (name);
-      return MQ_GUARD_FULL;
-    }
-  g = g_new0 (guard_entry, 1);
-  g->name = name;
-  g->body_hash = body_hash;
-  g->running = true;
-  g_hash_table_insert (memory->entries, name, g);
-  return MQ_GUARD_RUN;
+  mq_str_unref (name);
+  return verdict;
 }
 
 void
--- a/tests/test_entry_service.cc
+++ b/tests/test_entry_service.cc
@@ -281,6 +281,22 @@
   d.expect_end (MQ_OUTCOME_NOT_RUN, MQ_REASON_LEAVING);
 }
 
+TEST (EntryService, ATicketIsToldItsOutcomeWhenItsServiceIsGoneSince)
+{
+  Driver d;
+  mq_call c = d.guarded (d.plain_call (), MQ_GUARD_TICKET, "17");
+  mq_config *without = make_config (2);
+
+  d.send (1, c);
+  d.reply (1, 1);
+  g_array_remove_index (without->services, 1);
+  mq_config_unref (d.config);
+  d.config = without;
+  d.configure ();
+  d.call (2, c);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_TICKET_SPENT);
+}
+
 TEST (EntryService, AKeyNeedsItsClaim)
 {
   Driver d;
