Planner: measure what it costs, and cut it

Cause of the cost: each review compared every engine with every other, each ask searched two or three times and walked all links for each engine. Peers are now sorted once and found by halving, ranges counted once, ways over a link shared by the engines that begin at one layer, and an ask searches once unless it is refused or in a hurry.

--- a/include/mq/internal/engine_table.h
+++ b/include/mq/internal/engine_table.h
@@ -44,6 +44,7 @@
 typedef struct mq_engine_state
 {
   mq_str *name;
+  uint64_t name_hash;
   mq_str *url;
   mq_str *model;
   mq_str *version;
--- a/include/mq/internal/step_model.h
+++ b/include/mq/internal/step_model.h
@@ -19,6 +19,10 @@
   double step;
   double batch_batch;
   double batch_step;
+  /* The line through them, kept ready.  */
+  double mean_batch;
+  double mean_step;
+  double slope;
 } mq_step_model;
 
 void mq_step_model_init (mq_step_model *model, double guess_us);
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -210,6 +210,23 @@
   a->retry_after_us = admission_retry_after (m, q->now_us);
 }
 
+/* Predict on the best pipeline, however loaded.  False: there is none.  */
+static bool
+admission_sketch (mq_admission *a, mq_placement_query *q,
+                  const mq_plan_ask *ask)
+{
+  q->limit = INFINITY;
+  q->hurry = false;
+  if (mq_placement_find (&a->placement, q) != 0)
+    {
+      a->reason = MQ_REASON_NO_PIPELINE;
+      a->retry_after_us = BLIND_RETRY_US;
+      return false;
+    }
+  admission_predict (a, q, ask);
+  return true;
+}
+
 void
 mq_admission_decide (mq_admission *admission, mq_model_state *model,
                      const mq_engine_table *table, mq_share *share,
@@ -219,26 +236,24 @@
   mq_model_load load = mq_model_state_load (model, now_us);
 
   *admission = (mq_admission){ .margin = 1 };
-  /* Is there a pipeline at all?  It also tells what the request takes.  */
-  if (mq_placement_find (&admission->placement, &q) != 0)
+  admission->figures.deadline_us = ask->deadline_us;
+  admission_note_figures (admission, model, share, load.load);
+  /* The first request ever tells what the next ones will be like.  */
+  if (q.demand <= 0)
     {
-      admission->reason = MQ_REASON_NO_PIPELINE;
-      admission->retry_after_us = BLIND_RETRY_US;
-      admission->figures.deadline_us = ask->deadline_us;
-      admission_note_figures (admission, model, share, 0);
-      return;
+      if (!admission_sketch (admission, &q, ask))
+        return;
+      q.demand = 1 / admission->prediction.cycle_us;
     }
-  admission_predict (admission, &q, ask);
-  q.demand = 1 / admission->prediction.cycle_us;
-  admission_note_figures (admission, model, share, load.load);
   if (ask->attempt > 1)
     admission_replace (admission, &q, ask);
   else
     {
-      mq_share_offer (share, admission->prediction.cycle_us * q.tokens,
-                      now_us);
+      mq_share_offer (share, q.tokens / q.demand, now_us);
       admission_take_new (admission, &q, model, share, ask, load);
     }
+  if (!admission->admitted && admission->reason == MQ_REASON_OVERLOADED)
+    admission_sketch (admission, &q, ask);
 }
 
 void
--- a/packages/decide/engine_table.c
+++ b/packages/decide/engine_table.c
@@ -93,6 +93,7 @@
   mq_engine_state *e = g_new0 (mq_engine_state, 1);
 
   e->name = mq_str_ref (name);
+  e->name_hash = mq_span_hash (mq_str_span (name));
   g_ptr_array_add (table->states, e);
   mq_span_table_add (table->byname, e->name, e);
   return e;
@@ -118,11 +119,10 @@
   double guess = engine->step_us > 0 ? engine->step_us : DEFAULT_STEP_US;
 
   if (e->url == NULL)
-    {
-      mq_step_model_init (&e->step, guess);
-      e->drag = 1;
-    }
-  e->step.guess_us = guess;
+    e->drag = 1;
+  /* A new guess replaces the old one, not what was measured.  */
+  if (e->step.weight <= 0)
+    mq_step_model_init (&e->step, guess);
   state_configure_layers (e, engine);
   str_replace (&e->url, engine->url);
   str_replace (&e->model, engine->model);
--- a/packages/decide/health.c
+++ b/packages/decide/health.c
@@ -12,7 +12,7 @@
 /* Slow is this much over that percentile of the peers, ...  */
 #define SLOW_FACTOR 2.0
 #define SLOW_PERCENTILE 50
-#define LEAST_PEERS 2
+#define LEAST_PEERS 3
 /* ... in so many reviews in a row.  */
 #define SLOW_CHECKS 3
 /* How long an engine stays aside, doubled each time in a row.  */
@@ -73,52 +73,79 @@
          / MAX (e->end - e->first, 1);
 }
 
-static bool
-engine_is_peer (const mq_engine_state *e, const mq_engine_state *other)
+/* Engines of one model and one accelerator are peers.  */
+static int
+engine_compare_kind (const mq_engine_state *x, const mq_engine_state *y)
 {
-  return other != e && other->configured && !other->down
-         && other->standing == MQ_ENGINE_GOOD
-         && mq_span_equal (mq_str_span (e->model), mq_str_span (other->model))
-         && mq_span_equal (mq_str_span (e->accelerator),
-                           mq_str_span (other->accelerator));
+  int c = mq_span_compare (mq_str_span (x->model), mq_str_span (y->model));
+
+  if (c != 0)
+    return c;
+  return mq_span_compare (mq_str_span (x->accelerator),
+                          mq_str_span (y->accelerator));
 }
 
 static gint
-double_compare (gconstpointer a, gconstpointer b)
+engine_compare_slowness (gconstpointer a, gconstpointer b)
 {
-  double x = *(const double *)a;
-  double y = *(const double *)b;
+  const mq_engine_state *x = *(mq_engine_state *const *)a;
+  const mq_engine_state *y = *(mq_engine_state *const *)b;
+  int c = engine_compare_kind (x, y);
+  double left = engine_slowness (x);
+  double right = engine_slowness (y);
 
-  return (x > y) - (x < y);
+  return c != 0 ? c : (left > right) - (left < right);
 }
 
-static bool
-engine_is_slow (const mq_engine_table *table, const mq_engine_state *e)
+/* The engines that others are held against, peers together, fast first.  */
+static GPtrArray *
+table_peers (const mq_engine_table *table)
 {
-  GArray *peers = g_array_new (FALSE, FALSE, sizeof (double));
-  bool slow = false;
+  GPtrArray *peers = g_ptr_array_new ();
 
   for (guint i = 0; i < table->states->len; i++)
     {
-      const mq_engine_state *other = table->states->pdata[i];
-
-      if (engine_is_peer (e, other))
-        {
-          double s = engine_slowness (other);
+      mq_engine_state *e = table->states->pdata[i];
 
-          g_array_append_val (peers, s);
-        }
+      if (e->configured && !e->down && e->standing == MQ_ENGINE_GOOD)
+        g_ptr_array_add (peers, e);
     }
-  if (peers->len >= LEAST_PEERS)
+  g_ptr_array_sort (peers, engine_compare_slowness);
+  return peers;
+}
+
+/* How many of PEERS are of a kind before E's, or of E's too when WITH.  */
+static guint
+peers_before (const GPtrArray *peers, const mq_engine_state *e, bool with)
+{
+  guint low = 0;
+  guint high = peers->len;
+
+  while (low < high)
     {
-      g_array_sort (peers, double_compare);
-      slow = engine_slowness (e)
-             > SLOW_FACTOR
-                   * g_array_index (peers, double,
-                                    (peers->len - 1) * SLOW_PERCENTILE / 100);
+      guint middle = low + (high - low) / 2;
+      int c = engine_compare_kind (peers->pdata[middle], e);
+
+      if (c < 0 || (with && c == 0))
+        low = middle + 1;
+      else
+        high = middle;
     }
-  g_array_unref (peers);
-  return slow;
+  return low;
+}
+
+static bool
+engine_is_slow (const GPtrArray *peers, const mq_engine_state *e)
+{
+  guint first = peers_before (peers, e, false);
+  guint n = peers_before (peers, e, true) - first;
+  guint middle;
+
+  if (n < LEAST_PEERS)
+    return false;
+  middle = first + (n - 1) * SLOW_PERCENTILE / 100;
+  return engine_slowness (e)
+         > SLOW_FACTOR * engine_slowness (peers->pdata[middle]);
 }
 
 /* Does another engine that may be used hold all that E holds?  */
@@ -160,13 +187,12 @@
 
 /* Returns whether E is to be put aside.  */
 static bool
-engine_review (const mq_engine_table *table, mq_engine_state *e,
-               uint64_t now_us)
+engine_review (const GPtrArray *peers, mq_engine_state *e, uint64_t now_us)
 {
   switch (e->standing)
     {
     case MQ_ENGINE_GOOD:
-      e->slow_checks = engine_is_slow (table, e) ? e->slow_checks + 1 : 0;
+      e->slow_checks = engine_is_slow (peers, e) ? e->slow_checks + 1 : 0;
       return e->slow_checks >= SLOW_CHECKS;
     case MQ_ENGINE_ASIDE:
       if (now_us < e->standing_us + engine_aside_us (e))
@@ -176,7 +202,7 @@
       e->drag = 1;
       return false;
     case MQ_ENGINE_PROBATION:
-      if (e->observations >= PROBATION_SLOW && engine_is_slow (table, e))
+      if (e->observations >= PROBATION_SLOW && engine_is_slow (peers, e))
         return true;
       if (e->observations < PROBATION_WELL)
         return false;
@@ -191,6 +217,7 @@
 mq_health_review (mq_engine_table *table, uint32_t put_aside_percent,
                   uint64_t now_us)
 {
+  GPtrArray *peers = table_peers (table);
   uint64_t configured = 0;
   uint64_t aside = 0;
 
@@ -208,7 +235,7 @@
 
       if (!e->configured)
         continue;
-      if (engine_review (table, e, now_us)
+      if (engine_review (peers, e, now_us)
           && (aside + 1) * 100 <= configured * put_aside_percent
           && engine_is_replaceable (table, e, now_us))
         {
@@ -219,4 +246,5 @@
       if (was_aside && e->standing != MQ_ENGINE_ASIDE)
         aside--;
     }
+  g_ptr_array_unref (peers);
 }
--- a/packages/decide/placement.c
+++ b/packages/decide/placement.c
@@ -11,9 +11,9 @@
 
 /* How far equal costs are parted, so that ties do not pile up.  */
 #define SPREAD 1e-3
-/* What a full engine costs over its time, and how sharply that sets in.  */
+/* What a full engine costs over its time; it grows with the fourth power of
+   the load, so that it sets in late.  */
 #define LOAD_COST 4.0
-#define LOAD_POWER 4.0
 /* The part of a prompt's cost that a hinted prefix is taken to spare.  */
 #define PREFIX_SPARES 0.7
 /* An engine on probation is given so many streams at once, and costs this
@@ -36,6 +36,11 @@
   uint32_t *bounds; /* Number of the bound at each layer.  */
   uint32_t n_bounds;
   cell *cells;
+  /* The cheapest ways up to layer arrival_layer and over a link, by the
+     failure domains that they lead to and that the head is in.  Engines that
+     begin there and stand in one domain share them.  */
+  cell *arrivals;
+  uint32_t arrival_layer;
 } search;
 
 static uint32_t
@@ -88,6 +93,8 @@
   s->cells = g_new (cell, n);
   for (uint32_t i = 0; i < n; i++)
     s->cells[i] = (cell){ INFINITY, NULL, 0 };
+  s->arrivals = g_new (cell, s->n_domains * s->n_domains);
+  s->arrival_layer = 0;
 }
 
 static void
@@ -95,6 +102,7 @@
 {
   g_free (s->bounds);
   g_free (s->cells);
+  g_free (s->arrivals);
 }
 
 static bool
@@ -143,7 +151,7 @@
 static double
 query_spread (const mq_placement_query *q, const mq_engine_state *e)
 {
-  uint64_t h = mq_hash_mix (q->spread, mq_span_hash (mq_str_span (e->name)));
+  uint64_t h = mq_hash_mix (q->spread, e->name_hash);
 
   return (double)(h >> 11) / (double)(UINT64_C (1) << 53);
 }
@@ -160,25 +168,52 @@
   if (e->standing == MQ_ENGINE_PROBATION)
     stay *= PROBATION_COST / e->drag;
   if (!q->hurry)
-    stay *= 1 + LOAD_COST * pow (MAX (load, 0), LOAD_POWER);
+    stay *= 1 + LOAD_COST * load * load * load * load;
   return stay * (prompt + q->tokens) * (1 + SPREAD * query_spread (q, e));
 }
 
-/* Extend the ways to E's first layer by E, for one failure domain of the
-   head.  */
-static void
-search_extend (search *s, mq_engine_state *e, double cost, uint32_t head)
+static cell
+search_arrival (const search *s, uint32_t layer, uint32_t domain,
+                uint32_t head)
 {
-  cell *to = &s->cells[search_index (s, e->end, e->domain, head)];
+  cell best = { INFINITY, NULL, UINT32_MAX };
 
   for (uint32_t d = 0; d < s->n_domains; d++)
     {
-      uint32_t from = search_index (s, e->first, d, head);
-      double link = mq_engine_table_link_us (s->query->table, d, e->domain);
-      double sum = s->cells[from].cost + cost + link * s->query->tokens;
+      uint32_t from = search_index (s, layer, d, head);
+      double link = mq_engine_table_link_us (s->query->table, d, domain);
+      double cost = s->cells[from].cost + link * s->query->tokens;
+
+      if (cost < best.cost)
+        best = (cell){ cost, NULL, from };
+    }
+  return best;
+}
+
+/* All engines that end at LAYER have been looked at.  */
+static void
+search_arrive (search *s, uint32_t layer)
+{
+  s->arrival_layer = layer;
+  for (uint32_t domain = 0; domain < s->n_domains; domain++)
+    for (uint32_t head = 0; head < s->n_domains; head++)
+      s->arrivals[domain * s->n_domains + head]
+          = search_arrival (s, layer, domain, head);
+}
+
+/* Extend the ways to E's first layer by E.  */
+static void
+search_extend (search *s, mq_engine_state *e, double cost)
+{
+  if (e->first != s->arrival_layer)
+    search_arrive (s, e->first);
+  for (uint32_t head = 0; head < s->n_domains; head++)
+    {
+      const cell *way = &s->arrivals[e->domain * s->n_domains + head];
+      cell *to = &s->cells[search_index (s, e->end, e->domain, head)];
 
-      if (sum < to->cost)
-        *to = (cell){ sum, e, from };
+      if (way->cost + cost < to->cost)
+        *to = (cell){ way->cost + cost, e, way->from };
     }
 }
 
@@ -253,8 +288,7 @@
       if (e->first == 0)
         search_begin (&s, e, cost + e->wait_us);
       else
-        for (uint32_t head = 0; head < s.n_domains; head++)
-          search_extend (&s, e, cost, head);
+        search_extend (&s, e, cost);
     }
   last = search_best (&s);
   if (last != UINT32_MAX)
--- a/packages/decide/repair.c
+++ b/packages/decide/repair.c
@@ -34,67 +34,77 @@
   g_array_unref (repairs->shortages);
 }
 
-/* Usable engines of MODEL that hold exactly [FIRST, END).  */
-static uint32_t
-range_usable (const mq_model_state *m, uint32_t first, uint32_t end,
-              uint64_t now_us)
+/* A layer range that some engine holds or should hold.  */
+typedef struct range
 {
-  uint32_t n = 0;
+  uint32_t first;
+  uint32_t end;
+  uint32_t usable;     /* Engines that hold just this and may be used.  */
+  uint32_t configured; /* Engines to which the files give it.  */
+} range;
+
+static range *
+ranges_get (GArray *ranges, uint32_t first, uint32_t end)
+{
+  range r = { first, end, 0, 0 };
 
-  for (guint i = 0; i < m->engines->len; i++)
+  for (guint i = 0; i < ranges->len; i++)
     {
-      const mq_engine_state *e = m->engines->pdata[i];
+      range *known = &g_array_index (ranges, range, i);
 
-      n += e->first == first && e->end == end
-           && mq_engine_state_usable (e, now_us);
+      if (known->first == first && known->end == end)
+        return known;
     }
-  return n;
+  g_array_append_val (ranges, r);
+  return &g_array_index (ranges, range, ranges->len - 1);
 }
 
-/* Engines that the files give that range.  */
-static uint32_t
-range_configured (const mq_model_state *m, uint32_t first, uint32_t end)
+static GArray *
+model_ranges (const mq_model_state *m, uint64_t now_us)
 {
-  uint32_t n = 0;
+  GArray *ranges = g_array_new (FALSE, FALSE, sizeof (range));
 
   for (guint i = 0; i < m->engines->len; i++)
     {
       const mq_engine_state *e = m->engines->pdata[i];
 
-      n += e->config_first == first && e->config_end == end;
+      ranges_get (ranges, e->config_first, e->config_end)->configured++;
+      if (mq_engine_state_usable (e, now_us))
+        ranges_get (ranges, e->first, e->end)->usable++;
     }
-  return n;
+  return ranges;
 }
 
 static bool
-range_is_short (const mq_model_state *m, uint32_t first, uint32_t end,
-                uint64_t now_us)
+range_is_short (const range *r)
 {
-  return range_usable (m, first, end, now_us) * SHORT_PART
-         < range_configured (m, first, end);
+  return r->usable * SHORT_PART < r->configured;
 }
 
 /* The engine that is missed least: of the ranges with most usable engines,
    the one with least in flight.  NULL when none can be spared.  */
 static mq_engine_state *
-range_donor (const mq_model_state *m, uint32_t first, uint32_t end,
+range_donor (const range *needy, GArray *ranges, const mq_model_state *m,
              const mq_str *tried, uint64_t now_us)
 {
-  uint32_t here = range_usable (m, first, end, now_us);
+  uint32_t here = needy->usable;
   mq_engine_state *best = NULL;
   uint32_t best_spare = 0;
 
   for (guint i = 0; i < m->engines->len; i++)
     {
       mq_engine_state *e = m->engines->pdata[i];
-      uint32_t there = range_usable (m, e->first, e->end, now_us);
+      uint32_t there;
 
-      /* The move must leave the donor's range better off than this one.  */
-      if (!mq_engine_state_usable (e, now_us) || there < here + 2
-          || (e->first == first && e->end == end)
+      if (!mq_engine_state_usable (e, now_us)
           || (tried != NULL
               && mq_span_equal (mq_str_span (tried), mq_str_span (e->name))))
         continue;
+      there = ranges_get (ranges, e->first, e->end)->usable;
+      /* The move must leave the donor's range better off than this one, which
+         also rules out its own engines.  */
+      if (there < here + 2)
+        continue;
       if (best == NULL || there > best_spare
           || (there == best_spare && e->in_flight < best->in_flight))
         {
@@ -148,14 +158,11 @@
 }
 
 static void
-shortage_order (mq_shortage *s, const mq_model_state *m, uint64_t now_us,
-                GArray *actions)
+shortage_order (mq_shortage *s, mq_engine_state *e, const mq_model_state *m,
+                uint64_t now_us, GArray *actions)
 {
-  mq_engine_state *e = range_donor (m, s->first, s->end, s->engine, now_us);
   mq_planner_action a = { .kind = MQ_PLANNER_REPAIR };
 
-  if (e == NULL)
-    return;
   mq_str_unref (s->engine);
   s->engine = mq_str_ref (e->name);
   s->until_us = now_us + ORDER_US;
@@ -185,33 +192,38 @@
 }
 
 static void
-repairs_review_range (mq_repairs *r, const mq_model_state *m, uint32_t first,
-                      uint32_t end, uint64_t now_us, GArray *actions)
+repairs_review_range (mq_repairs *r, const mq_model_state *m,
+                      const range *needy, GArray *ranges, uint64_t now_us,
+                      GArray *actions)
 {
-  mq_shortage *s = repairs_find (r, m, first, end);
+  mq_shortage *s = repairs_find (r, m, needy->first, needy->end);
+  mq_engine_state *donor;
 
-  if ((s != NULL && s->seen) || !range_is_short (m, first, end, now_us))
-    return;
   if (s == NULL)
-    s = repairs_add (r, m, first, end, now_us);
+    s = repairs_add (r, m, needy->first, needy->end, now_us);
   s->seen = true;
   if (now_us < s->since_us + PATIENCE_US
       || (s->engine != NULL && now_us < s->until_us)
       || repairs_ordered (r, now_us) >= MOST_ORDERS)
     return;
-  shortage_order (s, m, now_us, actions);
+  donor = range_donor (needy, ranges, m, s->engine, now_us);
+  if (donor != NULL)
+    shortage_order (s, donor, m, now_us, actions);
 }
 
 void
 mq_repairs_review (mq_repairs *repairs, const mq_model_state *model,
                    uint64_t now_us, GArray *actions)
 {
-  for (guint i = 0; i < model->engines->len; i++)
+  GArray *ranges = model_ranges (model, now_us);
+
+  for (guint i = 0; i < ranges->len; i++)
     {
-      const mq_engine_state *e = model->engines->pdata[i];
+      range needy = g_array_index (ranges, range, i);
 
-      repairs_review_range (repairs, model, e->config_first, e->config_end,
-                            now_us, actions);
+      if (range_is_short (&needy))
+        repairs_review_range (repairs, model, &needy, ranges, now_us, actions);
     }
   repairs_sweep (repairs, model);
+  g_array_unref (ranges);
 }
--- a/packages/decide/step_model.c
+++ b/packages/decide/step_model.c
@@ -12,7 +12,24 @@
 void
 mq_step_model_init (mq_step_model *model, double guess_us)
 {
-  *model = (mq_step_model){ .guess_us = guess_us };
+  *model = (mq_step_model){ .guess_us = guess_us, .mean_step = guess_us };
+}
+
+static void
+model_fit (mq_step_model *m)
+{
+  double spread, slope;
+
+  m->mean_batch = m->batch / m->weight;
+  m->mean_step = m->step / m->weight;
+  m->slope = 0;
+  spread = m->batch_batch / m->weight - m->mean_batch * m->mean_batch;
+  if (spread < LEAST_SPREAD || m->mean_batch <= 0)
+    return;
+  slope = m->batch_step / m->weight - m->mean_batch * m->mean_step;
+  slope /= spread;
+  /* A fuller batch is never shorter, nor longer than in proportion.  */
+  m->slope = CLAMP (slope, 0, m->mean_step / m->mean_batch);
 }
 
 void
@@ -23,24 +40,13 @@
   model->step = model->step * FADE + step_us;
   model->batch_batch = model->batch_batch * FADE + batch * batch;
   model->batch_step = model->batch_step * FADE + batch * step_us;
+  model_fit (model);
 }
 
 double
 mq_step_model_us (const mq_step_model *model, double batch)
 {
-  double mean_batch, mean_step, spread, slope, us;
-
-  if (model->weight <= 0)
-    return model->guess_us;
-  mean_batch = model->batch / model->weight;
-  mean_step = model->step / model->weight;
-  spread = model->batch_batch / model->weight - mean_batch * mean_batch;
-  if (spread < LEAST_SPREAD || mean_batch <= 0)
-    return mean_step;
-  slope
-      = (model->batch_step / model->weight - mean_batch * mean_step) / spread;
-  /* A fuller batch is never shorter, nor longer than in proportion.  */
-  slope = CLAMP (slope, 0, mean_step / mean_batch);
-  us = mean_step + slope * (batch - mean_batch);
-  return MAX (us, LEAST_PART * mean_step);
+  double us = model->mean_step + model->slope * (batch - model->mean_batch);
+
+  return MAX (us, LEAST_PART * model->mean_step);
 }
--- a/tools/bench/fake_router.c
+++ b/tools/bench/fake_router.c
@@ -32,11 +32,21 @@
   return p;
 }
 
+/* Tell the planner that the request of HANDLE belongs to.  */
 static void
-planner_tell (fake_router *router, const mq_planner_event *event)
+planner_tell (fake_router *router, uint64_t handle,
+              const mq_planner_event *event)
 {
   g_array_set_size (router->answers, 0);
-  mq_planner_handle (router->planner, event, router->answers);
+  mq_planner_handle (router->planners[handle % router->n_planners], event,
+                     router->answers);
+}
+
+static void
+planner_tell_all (fake_router *router, const mq_planner_event *event)
+{
+  for (uint32_t i = 0; i < router->n_planners; i++)
+    planner_tell (router, i, event);
 }
 
 static void
@@ -49,7 +59,7 @@
   int64_t began = g_get_monotonic_time ();
 
   e.u.ask = action->u.ask;
-  planner_tell (router, &e);
+  planner_tell (router, action->handle, &e);
   router->ask_us += g_get_monotonic_time () - began;
   router->asks++;
   answer = &g_array_index (router->answers, mq_planner_action, 0);
@@ -137,7 +147,7 @@
       break;
     case MQ_ENTRY_RELEASE_PLAN:
       release.u.release = action->u.release;
-      planner_tell (router, &release);
+      planner_tell (router, action->handle, &release);
       break;
     case MQ_ENTRY_OPEN_STREAM:
       router_open (router, action, r, now_us);
@@ -280,7 +290,7 @@
                                    .step_us = f->report.step_us,
                                    .age_us = now_us - f->report.at_us,
                                    .incarnation = 1 };
-      planner_tell (router, &e);
+      planner_tell_all (router, &e);
     }
   fake_fleet_report (router->fleet, now_us);
 }
@@ -300,7 +310,7 @@
       e.u.progress.attempt = r->attempt;
       e.u.progress.tokens = tokens;
       e.u.progress.mean_gap_us = (r->last_us - r->first_us) / (tokens - 1);
-      planner_tell (router, &e);
+      planner_tell (router, r->handle, &e);
     }
 }
 
@@ -313,7 +323,8 @@
 
 void
 fake_router_init (fake_router *router, timeline *time, fake_fleet *fleet,
-                  mq_config *config, uint64_t seed, uint64_t until_us)
+                  mq_config *config, uint32_t n_planners, uint64_t seed,
+                  uint64_t until_us)
 {
   mq_entry_options options = { 1, seed, MQ_SPAN ("d0") };
   pending *p;
@@ -322,15 +333,17 @@
     .time = time, .fleet = fleet, .config = config, .until_us = until_us
   };
   router->entry = mq_entry_new (&options);
-  router->planner = mq_planner_new (MQ_SPAN ("d0"), 1);
+  router->n_planners = CLAMP (n_planners, 1, MOST_PLANNERS);
+  for (uint32_t i = 0; i < router->n_planners; i++)
+    router->planners[i] = mq_planner_new (MQ_SPAN ("d0"), 1);
   router->requests = g_ptr_array_new ();
   router->live = g_ptr_array_new ();
   router->answers = mq_planner_actions_new ();
   g_queue_init (&router->pending);
   fleet->on_token = router_token;
   fleet->context = router;
-  planner_tell (router, &(mq_planner_event){ .kind = MQ_PLANNER_CONFIG,
-                                             .u.config = config });
+  planner_tell_all (router, &(mq_planner_event){ .kind = MQ_PLANNER_CONFIG,
+                                                 .u.config = config });
   p = router_push (router, MQ_ENTRY_CONFIG, 0, 0, 0);
   p->event.u.config = config;
   router_run (router);
@@ -355,7 +368,8 @@
   g_ptr_array_unref (router->live);
   g_array_unref (router->answers);
   mq_entry_free (router->entry);
-  mq_planner_free (router->planner);
+  for (uint32_t i = 0; i < router->n_planners; i++)
+    mq_planner_free (router->planners[i]);
 }
 
 void
@@ -387,6 +401,21 @@
   timeline_add (router->time, now_us + DETECT_US, ROUTER_LOST, engine, 0);
 }
 
+void
+fake_router_lose_owner (fake_router *router, uint64_t now_us)
+{
+  mq_planner_event config = { .kind = MQ_PLANNER_CONFIG,
+                              .now_us = now_us,
+                              .u.config = router->config };
+
+  for (uint32_t i = 0; i < router->n_planners; i++)
+    {
+      mq_planner_free (router->planners[i]);
+      router->planners[i] = mq_planner_new (MQ_SPAN ("d0"), 2);
+    }
+  planner_tell_all (router, &config);
+}
+
 void
 fake_router_handle (fake_router *router, const timeline_item *item)
 {
@@ -403,8 +432,8 @@
       router_run (router);
       break;
     case ROUTER_PLANNER_TICK:
-      planner_tell (router, &(mq_planner_event){ .kind = MQ_PLANNER_TICK,
-                                                 .now_us = now });
+      planner_tell_all (router, &(mq_planner_event){ .kind = MQ_PLANNER_TICK,
+                                                     .now_us = now });
       router_again (router, ROUTER_PLANNER_TICK, now + TICK_US);
       break;
     case ROUTER_REPORT:
--- a/tools/bench/fake_router.h
+++ b/tools/bench/fake_router.h
@@ -25,6 +25,9 @@
 /* Time is counted in bins of this.  */
 #define BIN_US 100000
 
+/* Owners of the model at the same time; see fake_router_init.  */
+#define MOST_PLANNERS 64
+
 typedef enum request_state
 {
   REQUEST_NEW,
@@ -62,7 +65,8 @@
   fake_fleet *fleet;
   mq_config *config;
   mq_entry *entry;
-  mq_planner *planner;
+  mq_planner *planners[MOST_PLANNERS]; /* Requests go to them in turn.  */
+  uint32_t n_planners;
   GPtrArray *requests;    /* of request, owned  */
   GPtrArray *live;        /* of request, borrowed: with an open stream  */
   GArray *answers;        /* of mq_planner_action  */
@@ -75,9 +79,12 @@
   int64_t ask_us; /* Processor time that they took.  */
 } fake_router;
 
-/* CONFIG is borrowed and put in force.  */
+/* CONFIG is borrowed and put in force.  With one planner it stands for the
+   model's owner, which all ask; with N, for N entries that plan by themselves
+   and see what the others do in the load reports only.  */
 void fake_router_init (fake_router *router, timeline *time, fake_fleet *fleet,
-                       mq_config *config, uint64_t seed, uint64_t until_us);
+                       mq_config *config, uint32_t n_planners, uint64_t seed,
+                       uint64_t until_us);
 void fake_router_finish (fake_router *router);
 
 /* Take on a request; the router owns it.  */
@@ -85,6 +92,8 @@
 /* ENGINE goes; the router sees it a little later.  */
 void fake_router_kill (fake_router *router, fake_engine *engine,
                        uint64_t now_us);
+/* The model's owner dies; another takes over that knows nothing.  */
+void fake_router_lose_owner (fake_router *router, uint64_t now_us);
 void fake_router_handle (fake_router *router, const timeline_item *item);
 
 G_END_DECLS
--- a/tools/bench/policy_bench.c
+++ b/tools/bench/policy_bench.c
@@ -27,8 +27,9 @@
 
 static const double loads[] = { 0.5, 0.8, 1.0, 1.5, 3.0 };
 static const double fault_loads[] = { 0.8, 1.5 };
-static const trial_fault faults[] = { TRIAL_STAGE_DIES, TRIAL_LINK_SLOWS,
-                                      TRIAL_DOMAIN_CUT, TRIAL_ENGINE_SLOWS };
+static const trial_fault faults[]
+    = { TRIAL_STAGE_DIES, TRIAL_LINK_SLOWS, TRIAL_DOMAIN_CUT,
+        TRIAL_ENGINE_SLOWS, TRIAL_OWNER_DIES };
 
 static const char *
 routing_name (mq_routing routing)
@@ -164,6 +165,7 @@
       trial_options places = bench_options (routing, fault_loads[i]);
       trial_options no_progress = places;
       trial_options no_reports = places;
+      trial_options own = places;
 
       places.places = true;
       no_progress.no_progress = true;
@@ -171,6 +173,12 @@
       bench_load ("places held for life  ", places);
       bench_load ("no progress told      ", no_progress);
       bench_load ("no load reports       ", no_reports);
+      if (routing != MQ_ROUTING_DEADLINE)
+        continue;
+      own.planners = 7;
+      bench_load ("7 entries that plan   ", own);
+      own.planners = 33;
+      bench_load ("33 entries that plan  ", own);
     }
 }
 
--- a/tools/bench/trial.c
+++ b/tools/bench/trial.c
@@ -204,6 +204,9 @@
       e->slow = 10;
       e->lies = true;
       break;
+    case TRIAL_OWNER_DIES:
+      fake_router_lose_owner (&t->router, now_us);
+      break;
     }
 }
 
@@ -443,7 +446,8 @@
   t->fleet.places = options->places;
   t->bins = g_array_new (FALSE, TRUE, sizeof (double));
   t->config = trial_config (t);
-  fake_router_init (&t->router, &t->time, &t->fleet, t->config, options->seed,
+  fake_router_init (&t->router, &t->time, &t->fleet, t->config,
+                    options->planners, options->seed,
                     (uint64_t)(options->seconds * SECOND_US));
   t->router.no_progress = options->no_progress;
   t->router.no_reports = options->no_reports;
@@ -475,6 +479,8 @@
       return "a third of a failure domain goes";
     case TRIAL_ENGINE_SLOWS:
       return "engine slows tenfold, unreported";
+    case TRIAL_OWNER_DIES:
+      return "the model's owner is replaced";
     }
   return "?";
 }
--- a/tools/bench/trial.h
+++ b/tools/bench/trial.h
@@ -21,10 +21,11 @@
 typedef enum trial_fault
 {
   TRIAL_NO_FAULT,
-  TRIAL_STAGE_DIES,  /* The fastest engine of the second range.  */
-  TRIAL_LINK_SLOWS,  /* Tenfold, between two failure domains.  */
-  TRIAL_DOMAIN_CUT,  /* A third of a failure domain's engines go.  */
-  TRIAL_ENGINE_SLOWS /* Tenfold, and its load report does not say so. */
+  TRIAL_STAGE_DIES,   /* The fastest engine of the second range.  */
+  TRIAL_LINK_SLOWS,   /* Tenfold, between two failure domains.  */
+  TRIAL_DOMAIN_CUT,   /* A third of a failure domain's engines go.  */
+  TRIAL_ENGINE_SLOWS, /* Tenfold, and its load report does not say so. */
+  TRIAL_OWNER_DIES    /* The planner is replaced by a new one.  */
 } trial_fault;
 
 typedef struct trial_options
@@ -36,9 +37,10 @@
   double warm_seconds; /* Not counted.  */
   trial_fault fault;
   double fault_at_seconds;
-  bool places;      /* Engines hold a stream's place for its whole life. */
-  bool no_progress; /* The planner hears of a stream at its end only.  */
-  bool no_reports;  /* The engines report nothing.  */
+  bool places;       /* Engines hold a stream's place for its whole life. */
+  bool no_progress;  /* The planner hears of a stream at its end only.  */
+  bool no_reports;   /* The engines report nothing.  */
+  uint32_t planners; /* That plan by themselves; 0 and 1: the one owner.  */
 } trial_options;
 
 typedef struct trial_result
