--- a/tests/support/programs.h
+++ b/tests/support/programs.h
@@ -216,6 +216,7 @@
   std::string url;
   std::vector<std::string> headers;
   std::string body;
+  std::string ca; /* The only certificate to trust, by path.  */
   /* Called with the body so far after each piece of it.  */
   std::function<void (const std::string &)> progress;
 };
@@ -275,6 +276,8 @@
   curl_easy_setopt (e, CURLOPT_URL, request.url.c_str ());
   curl_easy_setopt (e, CURLOPT_PROXY, "");
   curl_easy_setopt (e, CURLOPT_NOSIGNAL, 1L);
+  if (!request.ca.empty ())
+    curl_easy_setopt (e, CURLOPT_CAINFO, request.ca.c_str ());
   curl_easy_setopt (e, CURLOPT_TIMEOUT, (long)limit_s);
   if (!request.body.empty () || request.method == "POST")
     {
@@ -333,6 +336,14 @@
     return path;
   }
 
+  std::string
+  read (const std::string &name) const
+  {
+    std::ifstream file (path_ + "/" + name);
+
+    return std::string (std::istreambuf_iterator<char> (file), {});
+  }
+
   const std::string &
   path () const
   {
