--- a/packages/net/config_source.c
+++ b/packages/net/config_source.c
@@ -51,6 +51,7 @@
 
   bool watching;
   mq_platform_call *poll;
+  bool poll_waits; /* It is a watch that waits.  */
   ev_timer poll_timer;
   uint64_t version; /* Of the manifest object seen last.  */
   mq_str *offered;  /* Its value.  */
@@ -504,12 +505,14 @@
   uint64_t now = source_now_us ();
 
   ev_timer_stop (s->options.loop, &s->poll_timer);
+  s->poll_waits = false;
   if (s->version == 0 || now >= s->full_us)
     {
       s->full_us = now + s->options.full_ms * US_PER_MS;
       s->poll = mq_platform_get (s->options.platform, name, source_on_poll, s);
       return;
     }
+  s->poll_waits = s->watching;
   s->poll = mq_platform_watch (s->options.platform, name, s->version,
                                s->watching ? s->options.watch_ms : 0,
                                source_on_poll, s);
@@ -582,9 +585,15 @@
   if (source->watching == watching)
     return;
   source->watching = watching;
-  /* A new watcher begins at once; one that stops lets its watch run out.  */
-  if (watching && source->poll == NULL)
+  if (source->poll != NULL && !source->poll_waits)
+    return;
+  /* A new watcher begins at once; one that stops looks again later.  */
+  if (source->poll != NULL)
+    mq_platform_cancel (g_steal_pointer (&source->poll));
+  if (watching)
     source_set_timer (source, &source->poll_timer, 0);
+  else
+    source_poll_later (source, true);
 }
 
 void
--- /dev/null
+++ b/tests/test_config_peers.cc
@@ -0,0 +1,324 @@
+/* A generation among routers: from the platform by a few watchers, and from
+   peer to peer, also while the platform is away.  All routers of the test run
+   on one loop; their connections are real.  */
+
+#include <sodium.h>
+
+#include <mq/config_peers.h>
+
+#include "support/config_bundle.h"
+#include "support/programs.h"
+
+using programs::binary;
+using programs::Program;
+
+namespace
+{
+
+struct Router
+{
+  Router (struct ev_loop *on, const mq_peer_keys *keys,
+          const std::string &vm_name, const std::string &platform_url)
+      : name (vm_name), loop (on)
+  {
+    mq_fleet_io_options f = {};
+    mq_config_source_options o = {};
+    GError *error = nullptr;
+
+    f.bind_address = MQ_SPAN ("127.0.0.1");
+    f.advertised = MQ_SPAN ("127.0.0.1");
+    f.keys = keys;
+    f.fleet.vm = mq_span_from (name.c_str ());
+    f.fleet.entry_address = MQ_SPAN ("http://127.0.0.1:1");
+    f.fleet.failure_domain = MQ_SPAN ("bole-hall");
+    f.fleet.region = MQ_SPAN ("addis");
+    f.fleet.incarnation = mq_fleet_incarnation (
+        (uint64_t)g_get_real_time () / 1000, randombytes_random ());
+    fleet = mq_fleet_io_new (loop, &f, on_fleet, this, &error);
+    EXPECT_NE (fleet, nullptr) << (error ? error->message : "");
+    http = mq_http_client_new (loop, MQ_SPAN (""));
+    platform
+        = mq_platform_new (http, mq_span_from (platform_url.c_str ()), 1000);
+    o.loop = loop;
+    o.platform = platform;
+    o.seed = 1;
+    /* Only watches and peers may bring a change in this test.  */
+    o.check_ms = 3600000;
+    o.full_ms = 3600000;
+    source = mq_config_source_new (&o, on_source, this);
+    peers = mq_config_peers_new (source, fleet);
+  }
+
+  ~Router ()
+  {
+    mq_config_peers_free (peers);
+    mq_config_source_free (source);
+    mq_platform_free (platform);
+    mq_http_client_free (http);
+    mq_fleet_io_free (fleet);
+  }
+
+  Router (const Router &) = delete;
+  Router &operator= (const Router &) = delete;
+
+  static void
+  on_fleet (void *context, const mq_fleet_io_event *event)
+  {
+    Router *r = static_cast<Router *> (context);
+
+    if (event->kind == MQ_FLEET_IO_CHANGED
+        || event->kind == MQ_FLEET_IO_PAUSED)
+      r->disturbances++;
+    if (r->peers != nullptr)
+      mq_config_peers_on_fleet (r->peers, event);
+  }
+
+  static void
+  on_source (void *context, const mq_config_source_event *event)
+  {
+    Router *r = static_cast<Router *> (context);
+
+    if (event->kind == MQ_CONFIG_SOURCE_TAKEN)
+      {
+        EXPECT_GT (event->generation, r->in_force);
+        r->in_force = event->generation;
+        r->from_peer = event->peer != MQ_GENERATION_PLATFORM;
+        mq_fleet_io_set_self (r->fleet, 0, event->generation);
+      }
+    mq_config_peers_on_source (r->peers, event);
+  }
+
+  std::string
+  peer_address () const
+  {
+    return "127.0.0.1:"
+           + std::to_string (mq_peers_port (mq_fleet_io_peers (fleet)));
+  }
+
+  uint64_t
+  calls () const
+  {
+    const mq_platform_counters *c = mq_platform_count (platform);
+    uint64_t n = 0;
+
+    for (uint64_t calls : c->calls)
+      n += calls;
+    return n;
+  }
+
+  std::string name;
+  struct ev_loop *loop;
+  mq_fleet_io *fleet;
+  mq_http_client *http;
+  mq_platform *platform;
+  mq_config_source *source;
+  mq_config_peers *peers = nullptr;
+  uint64_t in_force = 0;
+  bool from_peer = false;
+  unsigned disturbances = 0; /* Members that came or went, pauses.  */
+};
+
+class ConfigPeers : public ::testing::Test
+{
+protected:
+  ConfigPeers () { mq_peer_keys_generate (&keys); }
+
+  ~ConfigPeers () override
+  {
+    routers.clear ();
+    ev_loop_destroy (loop);
+  }
+
+  void
+  add_router ()
+  {
+    routers.push_back (std::make_unique<Router> (
+        loop, &keys, "vm-" + std::to_string (routers.size ()),
+        platform.url ()));
+  }
+
+  /* Tell all of all, as the platform's list does.  */
+  void
+  list_all ()
+  {
+    std::vector<std::string> addresses;
+    std::vector<mq_listed_vm> vms;
+
+    for (const auto &r : routers)
+      addresses.push_back (r->peer_address ());
+    for (size_t i = 0; i < routers.size (); i++)
+      {
+        mq_listed_vm vm = {};
+
+        vm.vm = mq_span_from (routers[i]->name.c_str ());
+        vm.peer_address = mq_span_from (addresses[i].c_str ());
+        vms.push_back (vm);
+      }
+    for (const auto &r : routers)
+      mq_fleet_io_list (r->fleet, vms.data (), vms.size ());
+  }
+
+  bool
+  until (const std::function<bool ()> &test)
+  {
+    return programs::eventually ([&] {
+      ev_run (loop, EVRUN_NOWAIT);
+      return test ();
+    });
+  }
+
+  bool
+  until_all_live ()
+  {
+    return until ([&] {
+      for (const auto &r : routers)
+        if (mq_fleet_live_count (mq_fleet_io_fleet (r->fleet))
+            != routers.size ())
+          return false;
+      return true;
+    });
+  }
+
+  bool
+  until_all_hold (uint64_t generation)
+  {
+    return until ([&] {
+      for (const auto &r : routers)
+        if (r->in_force != generation)
+          return false;
+      return true;
+    });
+  }
+
+  static void
+  on_written (void *context, const mq_platform_reply *reply)
+  {
+    EXPECT_EQ (reply->result, MQ_PLATFORM_OK);
+    *static_cast<uint64_t *> (context) = reply->version;
+  }
+
+  /* Publish GENERATION while the routers run on.  */
+  void
+  change (uint64_t generation)
+  {
+    Bundle bundle (generation, "{\"policy\":{\"stall_ms\":"
+                                   + std::to_string (1000 + generation)
+                                   + "}}");
+    mq_platform *p = routers[0]->platform;
+
+    /* In the order of the names the file comes first.  */
+    for (const auto &[name, value] : bundle.objects)
+      {
+        mq_span n = mq_span_from (name.c_str ());
+        mq_span v = { value.data (), value.size () };
+        uint64_t version = 0;
+
+        if (name == MQ_MANIFEST_OBJECT && manifest_version > 0)
+          mq_platform_put (p, n, manifest_version, v, on_written, &version);
+        else
+          mq_platform_create (p, n, v, on_written, &version);
+        own_calls++;
+        ASSERT_TRUE (until ([&] { return version > 0; }));
+        if (name == MQ_MANIFEST_OBJECT)
+          manifest_version = version;
+      }
+    last = generation;
+  }
+
+  /* All routers' calls on the platform but those that publish.  */
+  uint64_t
+  all_calls () const
+  {
+    uint64_t n = 0;
+
+    for (const auto &r : routers)
+      n += r->calls ();
+    return n - own_calls;
+  }
+
+  unsigned
+  all_disturbances () const
+  {
+    unsigned n = 0;
+
+    for (const auto &r : routers)
+      n += r->disturbances;
+    return n;
+  }
+
+  Program platform{ { binary ("mqstand"), "platform",
+                      "--listen=127.0.0.1:0" } };
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mq_peer_keys keys;
+  std::vector<std::unique_ptr<Router> > routers;
+  uint64_t manifest_version = 0;
+  uint64_t own_calls = 0;
+  uint64_t last = 0;
+};
+
+} // namespace
+
+/* A watcher asks twice for a change: its watch, and the file.  Nobody else
+   asks.  On a machine so busy that routers hold each other for dead the
+   watchers change, which costs calls: such a round is not judged.  */
+TEST_F (ConfigPeers, PlatformCallsDoNotGrowWithTheRouters)
+{
+  constexpr size_t n = 12;
+  constexpr int changes = 5;
+  uint64_t calls = 0;
+  bool judged = false;
+
+  for (size_t i = 0; i < n; i++)
+    add_router ();
+  list_all ();
+  for (int round = 0; round < 10 && !judged; round++)
+    {
+      ASSERT_TRUE (until_all_live ());
+      change (last + 1);
+      ASSERT_TRUE (until_all_hold (last));
+      unsigned disturbances = all_disturbances ();
+      uint64_t before = all_calls ();
+      for (int i = 0; i < changes; i++)
+        {
+          change (last + 1);
+          ASSERT_TRUE (until_all_hold (last));
+        }
+      calls = all_calls () - before;
+      judged = all_disturbances () == disturbances;
+    }
+  if (!judged)
+    GTEST_SKIP () << "the machine was too busy in ten rounds";
+  RecordProperty ("calls", (int)calls);
+  EXPECT_LE (calls, (uint64_t)MQ_CONFIG_WATCHERS * (2 * changes + 1));
+  EXPECT_GE (calls, (uint64_t)changes);
+  size_t watchers = 0;
+  size_t from_peers = 0;
+  for (const auto &r : routers)
+    {
+      watchers += mq_config_peers_watches (mq_fleet_io_fleet (r->fleet));
+      from_peers += r->from_peer;
+    }
+  EXPECT_EQ (watchers, (size_t)MQ_CONFIG_WATCHERS);
+  EXPECT_GE (from_peers, n - MQ_CONFIG_WATCHERS);
+}
+
+TEST_F (ConfigPeers, ARouterThatStartsInAnOutageIsServedByPeers)
+{
+  for (int i = 0; i < 3; i++)
+    add_router ();
+  list_all ();
+  change (1);
+  ASSERT_TRUE (until_all_hold (1));
+  ASSERT_TRUE (until_all_live ());
+  platform.kill (SIGKILL);
+  platform.wait ();
+  add_router ();
+  list_all ();
+  ASSERT_TRUE (until_all_hold (1));
+  EXPECT_TRUE (routers.back ()->from_peer);
+  /* A restart of all but one: the generation lives on.  */
+  routers.erase (routers.begin (), routers.begin () + 3);
+  add_router ();
+  list_all ();
+  ASSERT_TRUE (until_all_hold (1));
+}
