--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -24,6 +24,7 @@
 #include <vector>
 
 constexpr double kPatience = 30.;
+constexpr double kTick = 0.001;
 
 std::string
 text (mq_span span)
@@ -164,7 +165,7 @@
     ev_now_update (loop);
     end = ev_now (loop) + kPatience;
     ev_timer_init (
-        &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.01, 0.01);
+        &tick, [] (struct ev_loop *, ev_timer *, int) {}, kTick, kTick);
     ev_timer_start (loop, &tick);
     while (!done () && ev_now (loop) < end)
       ev_run (loop, EVRUN_ONCE);
