--- a/tools/mqload/bound.c
+++ b/tools/mqload/bound.c
@@ -53,6 +53,13 @@
   return speed;
 }
 
+/* The time of a full step of the fastest engines of GROUP.  */
+static double
+group_full_step_us (const load_engines *group)
+{
+  return group->step_us + (double)group->stream_us * group->slots;
+}
+
 /* The engines of stage K of GROUP that work at AT_US, fastest first.  */
 static GArray *
 stage_engines (const load_scenario *scenario, const load_engines *group,
@@ -69,9 +76,8 @@
       g_free (name);
       if (speed <= 0)
         continue;
-      e.step_us = (group->step_us + group->stream_us)
-                      * load_engine_slowness (group, p) / speed
-                  + group->link_us;
+      e.step_us = group_full_step_us (group) * load_engine_slowness (group, p)
+                  / speed;
       g_array_append_val (list, e);
     }
   g_array_sort (list, engine_compare);
@@ -95,11 +101,17 @@
     }
   for (guint i = 0; i < pipelines; i++)
     {
-      double us = 0;
+      double sum = 0;
+      double slowest = 0;
 
       for (uint32_t k = 0; k < group->stages; k++)
-        us += g_array_index (stages[k], bound_engine, i).step_us;
-      capacity += group->slots * 1e6 / us;
+        {
+          double us = g_array_index (stages[k], bound_engine, i).step_us;
+
+          sum += us + group->link_us;
+          slowest = MAX (slowest, us);
+        }
+      capacity += group->slots * 1e6 / MAX (slowest, sum / group->stages);
     }
   for (uint32_t k = 0; k < group->stages; k++)
     g_array_unref (stages[k]);
@@ -123,21 +135,34 @@
   return capacity;
 }
 
+/* The positions of a prompt that no cached prefix saves.  */
+static uint32_t
+prompt_positions (uint32_t prompt_bytes)
+{
+  uint32_t positions = prompt_bytes / 4 + 1;
+
+  return positions - MIN (positions, PREFIX_POSITIONS);
+}
+
 double
-load_token_us (const load_scenario *scenario, uint32_t model)
+load_least_us (const load_scenario *scenario, uint32_t model,
+               uint32_t prompt_bytes, uint32_t tokens)
 {
+  uint32_t positions = prompt_positions (prompt_bytes);
   double best = G_MAXDOUBLE;
 
   for (guint i = 0; i < scenario->engines->len; i++)
     {
       const load_engines *g
           = &g_array_index (scenario->engines, load_engines, i);
+      double token = (double)g->step_us + g->stream_us;
+      double prefill = (double)g->prefill_us * positions;
 
       for (uint32_t p = 0; g->model == model && p < g->pipelines; p++)
         best = MIN (best, g->stages
-                              * ((g->step_us + g->stream_us)
+                              * ((tokens * token + prefill)
                                      * load_engine_slowness (g, p)
-                                 + g->link_us));
+                                 + (double)tokens * g->link_us));
     }
   return best;
 }
@@ -146,18 +171,17 @@
 load_work (const load_scenario *scenario, uint32_t model,
            uint32_t prompt_bytes, uint32_t tokens)
 {
-  uint32_t positions = prompt_bytes / 4 + 1;
+  uint32_t positions = prompt_positions (prompt_bytes);
   double least = G_MAXDOUBLE;
 
-  positions -= MIN (positions, PREFIX_POSITIONS);
   for (guint i = 0; i < scenario->engines->len; i++)
     {
       const load_engines *g
           = &g_array_index (scenario->engines, load_engines, i);
 
       if (g->model == model)
-        least = MIN (least, (double)g->prefill_us * positions
-                                / (g->step_us + g->stream_us));
+        least = MIN (least, (double)g->prefill_us * positions * g->slots
+                                / group_full_step_us (g));
     }
   return tokens + (least == G_MAXDOUBLE ? 0 : least);
 }
@@ -179,7 +203,6 @@
                 const GArray *items)
 {
   GQueue *q = g_queue_new ();
-  double token_us = load_token_us (scenario, model);
 
   for (guint i = 0; i < items->len; i++)
     {
@@ -191,7 +214,8 @@
       fluid_request *r;
 
       if (v->kind != MQ_SERVICE_MODEL || v->model != model
-          || item->work * token_us > item->deadline_ms * 1e3)
+          || load_least_us (scenario, model, item->prompt_bytes, item->tokens)
+                 > item->deadline_ms * 1e3)
         continue;
       r = g_new0 (fluid_request, 1);
       r->at_us = item->at_us;
--- a/tools/mqload/bound.h
+++ b/tools/mqload/bound.h
@@ -1,10 +1,11 @@
 /* The bound: the most work that the engines could have finished in time for
    the same arrivals.
 
-   Work is counted in tokens; a prompt's positions count by the time they
-   take against a token's.  Engines of one layer range are paired with those
-   of the next by speed, which is the best there is; each pipeline so made
-   gives out slots / time of a token.  The bound lets all pipelines of a model
+   Work is counted in tokens; a prompt's positions count by the engine time
+   that they take against a token's in a full step.  Engines of one layer
+   range are paired with those of the next by speed, which is the best there
+   is; each pipeline so made gives out slots / time of a full step, with a
+   group of streams at each stage.  The bound lets all pipelines of a model
    act as one server that splits its capacity freely and serves the earliest
    deadline first, losing nothing to placement, batching or lag.  Requests
    whose deadline even the fastest pipeline can't meet are left out.  It is
@@ -22,8 +23,10 @@
 double load_capacity (const load_scenario *scenario, uint32_t model,
                       uint64_t at_us);
 
-/* The least time in which a token of MODEL can be made, in microseconds.  */
-double load_token_us (const load_scenario *scenario, uint32_t model);
+/* The least time in which a request for MODEL can be answered, in
+   microseconds.  */
+double load_least_us (const load_scenario *scenario, uint32_t model,
+                      uint32_t prompt_bytes, uint32_t tokens);
 
 /* The work of a request for MODEL with so long a prompt and answer.  */
 double load_work (const load_scenario *scenario, uint32_t model,
--- a/tools/mqload/cluster_files.c
+++ b/tools/mqload/cluster_files.c
@@ -131,9 +131,9 @@
   json_object_object_add (item, "checks_fencing",
                           json_object_new_boolean (g->checks_fencing));
   add_int (item, "slots", g->slots);
-  add_int (
-      item, "step_us",
-      (int64_t)((g->step_us + g->stream_us) * load_engine_slowness (g, p)));
+  add_int (item, "step_us",
+           (int64_t)((g->step_us + (double)g->stream_us * g->slots)
+                     * load_engine_slowness (g, p)));
   g_free (url);
   g_free (name);
 }
