Planner: estimate whether to move a KV cache or to run anew

mq_kv_transfer weighs bytes over the link against steps at all stages, from measured figures alone, and says that a move pays only when clearly cheaper. Nothing calls it yet: the plan would have to name the engine to import from.

--- /dev/null
+++ b/packages/decide/kv_transfer.c
@@ -0,0 +1,38 @@
+/* Move a stream's KV cache, or compute it anew: see mq/kv_transfer.h.  */
+
+#include <mq/kv_transfer.h>
+
+#include <math.h>
+
+/* Moving must take less than this part of running anew.  */
+#define CLEARLY_CHEAPER 0.8
+#define BITS_A_BYTE 8.0
+
+double
+mq_kv_transfer_move_us (const mq_kv_transfer *transfer)
+{
+  double bytes = (double)transfer->positions * transfer->layers
+                 * transfer->kv_bytes_per_token;
+
+  if (!(transfer->mbit_per_s > 0))
+    return INFINITY;
+  /* A megabit a second is a bit a microsecond.  There and back: the request
+     for the cache, then the cache.  */
+  return 2 * transfer->latency_us + transfer->export_us
+         + bytes * BITS_A_BYTE / transfer->mbit_per_s;
+}
+
+double
+mq_kv_transfer_recompute_us (const mq_kv_transfer *transfer)
+{
+  uint32_t cached = MIN (transfer->cached_positions, transfer->positions);
+
+  return transfer->prompt_token_us * (transfer->positions - cached);
+}
+
+bool
+mq_kv_transfer_pays (const mq_kv_transfer *transfer)
+{
+  return mq_kv_transfer_move_us (transfer)
+         < CLEARLY_CHEAPER * mq_kv_transfer_recompute_us (transfer);
+}
--- a/tests/test_planner_parts.cc
+++ b/tests/test_planner_parts.cc
@@ -6,6 +6,7 @@
 #include <mq/internal/margin.h>
 #include <mq/internal/share.h>
 #include <mq/internal/step_model.h>
+#include <mq/kv_transfer.h>
 
 #include <numeric>
 #include <string>
@@ -50,6 +51,42 @@
   EXPECT_LT (mq_margin_factor (&m), 1.1);
 }
 
+TEST (KvTransfer, CountsBytesOverTheLinkAndSteps)
+{
+  /* 1000 positions of 8 layers, 4096 bytes each: 32.8 MB.  */
+  mq_kv_transfer t = { 1000, 8, 4096, 300, 10000, 2000, 50, 0 };
+
+  EXPECT_NEAR (mq_kv_transfer_move_us (&t), 600 + 2000 + 26214.4, 0.1);
+  EXPECT_NEAR (mq_kv_transfer_recompute_us (&t), 50000, 0.1);
+  EXPECT_TRUE (mq_kv_transfer_pays (&t));
+}
+
+TEST (KvTransfer, RunsAnewOverASlowLinkOrFromACachedPrefix)
+{
+  mq_kv_transfer slow = { 1000, 8, 4096, 300, 1000, 2000, 50, 0 };
+  mq_kv_transfer unknown = { 1000, 8, 4096, 300, 0, 2000, 50, 0 };
+  mq_kv_transfer cached = { 1000, 8, 4096, 300, 10000, 2000, 50, 900 };
+  mq_kv_transfer nothing = {};
+
+  EXPECT_FALSE (mq_kv_transfer_pays (&slow));
+  EXPECT_FALSE (mq_kv_transfer_pays (&unknown));
+  EXPECT_FALSE (mq_kv_transfer_pays (&cached));
+  EXPECT_FALSE (mq_kv_transfer_pays (&nothing));
+}
+
+RC_GTEST_PROP (KvTransfer, ABetterLinkNeverMakesItPayLess,
+               (uint16_t positions, uint16_t cached, uint8_t layers))
+{
+  mq_kv_transfer t = { positions, layers, 4096, 300, 100, 2000, 50, cached };
+  bool paid = false;
+
+  for (t.mbit_per_s = 100; t.mbit_per_s < 1e6; t.mbit_per_s *= 3)
+    {
+      RC_ASSERT (!paid || mq_kv_transfer_pays (&t));
+      paid = mq_kv_transfer_pays (&t);
+    }
+}
+
 namespace
 {
 
