--- a/programs/mqctl/ctl.c
+++ b/programs/mqctl/ctl.c
@@ -7,7 +7,7 @@
 #include <string.h>
 
 #define US_PER_S 1000000
-#define ROUTER_TIMEOUT_MS 5000
+#define ROUTER_TIMEOUT_MS 2000
 
 /* A platform call that is waited for.  */
 typedef struct ctl_wait_call
--- a/programs/mqctl/ctl.h
+++ b/programs/mqctl/ctl.h
@@ -9,6 +9,7 @@
 
 #include <ev.h>
 #include <glib.h>
+#include <json-c/json.h>
 #include <mq/http_client.h>
 #include <mq/manifest.h>
 #include <mq/platform.h>
@@ -93,6 +94,11 @@
 /* Read the manifest; the empty one where there is none.  Returns 0, or an
    exit code after complaining.  */
 ctl_exit ctl_read_manifest (ctl *c, mq_manifest *manifest);
+/* Append to CHANGES (of mq_change_record) all changes that are still known,
+   oldest first; add to *MISSING the archives that did not come.  */
+ctl_exit ctl_read_history (ctl *c, GArray *changes, guint *missing);
+/* RECORD as JSON; new.  */
+struct json_object *ctl_change_json (const mq_change_record *record);
 /* Fetch the files that MANIFEST lists, but for those in LOCAL (may be NULL)
    that have the same digest.  A new set, or NULL when one did not come.  */
 GArray *ctl_fetch_files (ctl *c, const mq_manifest *manifest,
--- a/programs/mqctl/log_verb.c
+++ b/programs/mqctl/log_verb.c
@@ -225,8 +225,8 @@
   return o;
 }
 
-static struct json_object *
-log_record_json (const mq_change_record *r)
+struct json_object *
+ctl_change_json (const mq_change_record *r)
 {
   struct json_object *o = json_object_new_object ();
   struct json_object *effects = json_object_new_array ();
@@ -290,7 +290,7 @@
   struct json_object *records = json_object_new_array ();
 
   for (guint i = 0; i < out->changes->len; i++)
-    json_object_array_add (changes, log_record_json (&g_array_index (
+    json_object_array_add (changes, ctl_change_json (&g_array_index (
                                         out->changes, mq_change_record, i)));
   for (guint i = 0; i < out->rows->len; i++)
     json_object_array_add (
@@ -301,33 +301,6 @@
   json_object_put (root);
 }
 
-/* Add what the archives hold.  */
-static void
-log_read_archives (log_output *out)
-{
-  GPtrArray *names = ctl_list (out->c, MQ_MANIFEST_ARCHIVE_PREFIX);
-
-  if (names == NULL)
-    {
-      out->missing++;
-      return;
-    }
-  for (guint i = 0; i < names->len; i++)
-    {
-      mq_str *value = NULL;
-
-      if (ctl_get (out->c, mq_str_span (g_ptr_array_index (names, i)), NULL,
-                   &value)
-              != MQ_PLATFORM_OK
-          || mq_manifest_decode_archive (mq_str_span (value), out->changes,
-                                         NULL)
-                 < 0)
-        out->missing++;
-      mq_str_unref (value);
-    }
-  g_ptr_array_unref (names);
-}
-
 static gint
 log_compare_rows (gconstpointer a, gconstpointer b)
 {
@@ -337,27 +310,6 @@
   return (x->wall_ms > y->wall_ms) - (x->wall_ms < y->wall_ms);
 }
 
-static gint
-log_compare (gconstpointer a, gconstpointer b)
-{
-  const mq_change_record *x = a;
-  const mq_change_record *y = b;
-
-  return (x->generation > y->generation) - (x->generation < y->generation);
-}
-
-/* Drop records that stand twice: a change may be in the manifest and, since
-   an archive is written before the manifest, in an archive too.  */
-static void
-log_drop_doubles (GArray *changes)
-{
-  g_array_sort (changes, log_compare);
-  for (guint i = changes->len; i > 1; i--)
-    if (g_array_index (changes, mq_change_record, i - 1).generation
-        == g_array_index (changes, mq_change_record, i - 2).generation)
-      g_array_remove_index (changes, i - 1);
-}
-
 static void
 log_drop_old (const log_output *out)
 {
@@ -380,7 +332,6 @@
 int
 ctl_log (ctl *c, int argc, char **argv)
 {
-  mq_manifest m;
   log_output out = { .c = c, .since_ms = log_since (c) };
   ctl_exit status;
 
@@ -388,14 +339,12 @@
   (void)argv;
   if (ctl_need_platform (c) < 0)
     return CTL_USAGE;
-  status = ctl_read_manifest (c, &m);
-  if (status != CTL_OK)
-    return (int)status;
-  out.changes = m.changes;
+  out.changes = mq_change_records_new ();
   out.rows = g_array_new (FALSE, FALSE, sizeof (log_row));
   g_array_set_clear_func (out.rows, log_row_clear);
-  log_read_archives (&out);
-  log_drop_doubles (out.changes);
+  status = ctl_read_history (c, out.changes, &out.missing);
+  if (status != CTL_OK)
+    goto done;
   log_drop_old (&out);
   log_read_audit (&out);
   g_array_sort (out.rows, log_compare_rows);
@@ -404,8 +353,12 @@
   else
     log_print (&out);
   if (out.missing > 0)
-    ctl_complain ("%u objects of the trail did not come", out.missing);
+    {
+      ctl_complain ("%u objects of the trail did not come", out.missing);
+      status = CTL_UNAVAILABLE;
+    }
+done:
   g_array_unref (out.rows);
-  mq_manifest_finish (&m);
-  return out.missing > 0 ? CTL_UNAVAILABLE : CTL_OK;
+  g_array_unref (out.changes);
+  return (int)status;
 }
--- a/programs/mqctl/main.c
+++ b/programs/mqctl/main.c
@@ -32,7 +32,9 @@
     ctl_show },
   { "log", NULL, "show who changed what and why", ctl_log },
   { "status", NULL, "show each router's state", ctl_status },
-  { "explain", "ID", "tell why a request went the way it did", ctl_explain },
+  { "explain", "ID",
+    "tell why a request went as it did, or what a generation changed",
+    ctl_explain },
   { "entries", NULL, "ask which addresses callers should use", ctl_entries },
   { "drain", "VM", "have a router take no new work and end", ctl_drain },
 };
--- a/programs/mqctl/router_verbs.c
+++ b/programs/mqctl/router_verbs.c
@@ -294,9 +294,10 @@
     return CTL_USAGE;
   for (;;)
     {
+      /* A round that began in time may hold old answers when it ends. */
+      bool late = ctl_now_us (c) >= limit;
       GArray *states = router_ask_all (c);
       guint lagging = 0;
-      bool late = ctl_now_us (c) >= limit;
       guint n = states->len;
 
       for (guint i = 0; i < n; i++)
@@ -334,62 +335,121 @@
     json_object_put (o);
 }
 
-/* Print what METHOD PATH gives at the first router that knows.  */
+/* Print what GET PATH gives at BASE.  */
 static int
-router_forward (ctl *c, const char *method, const char *path)
+router_show (ctl *c, const char *base, const char *path)
 {
+  ctl_answer answer = ctl_ask (c, "GET", base, path);
   int status = CTL_UNAVAILABLE;
 
-  for (char **r = c->options.routers; *r != NULL; r++)
+  if (answer.result != MQ_HTTP_OK)
+    ctl_complain ("%s does not answer", base);
+  else if (answer.status == HTTP_OK)
     {
-      char *base = router_base (*r);
-      ctl_answer answer = ctl_ask (c, method, base, path);
+      router_print_body (c, answer.body);
+      status = CTL_OK;
+    }
+  else if (answer.status == HTTP_NOT_FOUND)
+    status = CTL_CONFLICT;
+  else
+    ctl_complain ("%s answers %u: %s", base, answer.status,
+                  mq_str_cstr (answer.body));
+  ctl_answer_finish (&answer);
+  return status;
+}
 
-      if (answer.result != MQ_HTTP_OK)
-        ctl_complain ("%s does not answer", base);
-      else if (answer.status == HTTP_OK || answer.status == HTTP_ACCEPTED)
-        {
-          router_print_body (c, answer.body);
-          status = CTL_OK;
-        }
-      else
-        {
-          ctl_complain ("%s answers %u: %s", base, answer.status,
-                        mq_str_cstr (answer.body));
-          if (answer.status == HTTP_NOT_FOUND)
-            status = CTL_CONFLICT;
-        }
-      ctl_answer_finish (&answer);
-      g_free (base);
-      if (status == CTL_OK)
-        break;
+/* The change whose id or generation is ID.  Returns CTL_CONFLICT when there is
+   none.  */
+static int
+explain_change (ctl *c, const char *id)
+{
+  GArray *changes = mq_change_records_new ();
+  guint missing = 0;
+  uint64_t generation = 0;
+  int status = (int)ctl_read_history (c, changes, &missing);
+
+  if (status == CTL_OK)
+    status = missing > 0 ? CTL_UNAVAILABLE : CTL_CONFLICT;
+  (void)mq_span_to_u64 (mq_span_from (id), &generation);
+  for (guint i = 0; i < changes->len; i++)
+    {
+      const mq_change_record *r
+          = &g_array_index (changes, mq_change_record, i);
+      struct json_object *o;
+
+      if (r->generation != generation
+          && !mq_span_equal (mq_str_span (r->id), mq_span_from (id)))
+        continue;
+      o = ctl_change_json (r);
+      puts (json_object_to_json_string_ext (
+          o, JSON_C_TO_STRING_NOSLASHESCAPE
+                 | (c->options.json ? 0 : JSON_C_TO_STRING_PRETTY)));
+      json_object_put (o);
+      status = CTL_OK;
     }
+  g_array_unref (changes);
+  return status;
+}
+
+/* Any router may have had the request, so all are asked until one knows.  */
+static int
+explain_request (ctl *c, const char *id)
+{
+  char *escaped = g_uri_escape_string (id, NULL, FALSE);
+  char *path = g_strconcat ("/v1/explain/", escaped, NULL);
+  GArray *states = router_ask_all (c);
+  int status = CTL_CONFLICT;
+
+  for (guint i = 0; i < states->len && status != CTL_OK; i++)
+    {
+      int one = router_show (c, g_array_index (states, router_state, i).base,
+                             path);
+
+      /* One that does not answer might have known.  */
+      if (one != CTL_CONFLICT)
+        status = one;
+    }
+  g_array_unref (states);
+  g_free (path);
+  g_free (escaped);
   return status;
 }
 
 int
 ctl_explain (ctl *c, int argc, char **argv)
 {
-  char *id = g_uri_escape_string (argv[0], NULL, FALSE);
-  char *path = g_strconcat ("/v1/explain/", id, NULL);
-  int status = CTL_USAGE;
+  bool routers = c->options.routers != NULL;
+  int status = CTL_CONFLICT;
 
   (void)argc;
-  if (router_need (c) == 0)
-    status = router_forward (c, "GET", path);
-  g_free (path);
-  g_free (id);
+  if (!routers && ctl_need_platform (c) < 0)
+    return CTL_USAGE;
+  if (c->options.platform != NULL && ctl_need_platform (c) == 0)
+    status = explain_change (c, argv[0]);
+  if (status != CTL_OK && routers)
+    status = explain_request (c, argv[0]);
+  if (status == CTL_CONFLICT)
+    ctl_complain ("nothing is known of %s any more", argv[0]);
   return status;
 }
 
 int
 ctl_entries (ctl *c, int argc, char **argv)
 {
+  int status = CTL_UNAVAILABLE;
+
   (void)argc;
   (void)argv;
   if (router_need (c) < 0)
     return CTL_USAGE;
-  return router_forward (c, "GET", "/v1/entries");
+  for (char **r = c->options.routers; *r != NULL && status != CTL_OK; r++)
+    {
+      char *base = router_base (*r);
+
+      status = router_show (c, base, "/v1/entries");
+      g_free (base);
+    }
+  return status;
 }
 
 /* The router that calls itself NAME, or NULL; borrowed.  */
