Try a caller that stands still and one that waits long

A caller that doesn't read is cut after the idle time and reported as gone; a caller that waits longer than that for a token is not. One limit of connections in place of two.

--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -17,6 +17,9 @@
 
 G_BEGIN_DECLS
 
+/* The most connections of a server, whatever its shards.  */
+#define MQ_HTTP_CONNECTIONS 16384
+
 typedef struct mq_http_shard
 {
   mq_http_server *server; /* Borrowed.  */
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -22,7 +22,6 @@
 
 #define LISTEN_BACKLOG 1024
 #define ACCEPT_BATCH 64
-#define CONNECTION_LIMIT 16384
 #define SHARD_CONNECTIONS 128
 #define HANGUP_BATCH 64
 
@@ -121,7 +120,7 @@
       if (best == NULL || s->n_connections < best->n_connections)
         best = s;
     }
-  if (server->shards->len < CONNECTION_LIMIT / SHARD_CONNECTIONS)
+  if (server->shards->len < MQ_HTTP_CONNECTIONS / SHARD_CONNECTIONS)
     {
       mq_http_shard *s = mq_http_shard_new (server);
 
@@ -166,7 +165,7 @@
           server_accept_failed (s, errno);
           return;
         }
-      if (s->connections.length >= CONNECTION_LIMIT)
+      if (s->connections.length >= MQ_HTTP_CONNECTIONS)
         close (fd);
       else
         mq_http_shard_add (server_shard (s), fd, &a.any, size);
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -16,7 +16,6 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 
-#define CONNECTION_LIMIT 16384
 #define CONNECTION_MEMORY (16 * 1024)
 
 /* libmicrohttpd fills a resumed connection's buffer in one run and sends it
@@ -291,7 +290,7 @@
       /* The logger goes first, to see all.  */
       MHD_OPTION_EXTERNAL_LOGGER, shard_log, shard, MHD_OPTION_ARRAY,
       s->tls == NULL ? plain : tls, MHD_OPTION_CONNECTION_LIMIT,
-      (unsigned)CONNECTION_LIMIT, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
+      (unsigned)MQ_HTTP_CONNECTIONS, MHD_OPTION_CONNECTION_MEMORY_LIMIT,
       (size_t)CONNECTION_MEMORY, MHD_OPTION_CONNECTION_TIMEOUT, s->idle_s,
       MHD_OPTION_URI_LOG_CALLBACK, shard_request_line, shard,
       MHD_OPTION_NOTIFY_COMPLETED, shard_request_completed, shard,
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -305,6 +305,58 @@
   EXPECT_GT (stops, 1);
 }
 
+TEST_F (Http, CutsAReaderThatStandsStill)
+{
+  const std::string piece (MQ_HTTP_STREAM_HIGH, 'x');
+  start (1);
+  auto produce = [&] (mq_http_exchange *x) {
+    while (mq_http_exchange_write (x, span (piece)) < MQ_HTTP_STREAM_HIGH)
+      ;
+  };
+  on_request = [&] (mq_http_exchange *x) {
+    mq_http_exchange_begin (x, 200, nullptr, 0);
+    produce (x);
+  };
+  on_drained = produce;
+  Socket s = Socket::connected (mq_http_server_port (server));
+  s.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE (until ([&] { return gone == 1; }));
+  ASSERT_TRUE (
+      until ([&] { return mq_http_server_open_count (server) == 0; }));
+}
+
+/* Only a caller that hinders is cut: one that waits long for the next token,
+   or before the first, is not.  */
+TEST_F (Http, KeepsACallerThatWaitsForTokens)
+{
+  const double pause_s = 1.5; /* Above the idle time.  */
+  Answer a;
+  mq_http_exchange *x = nullptr;
+  mq_http_call_options options = {};
+  auto wait = [&] {
+    ev_now_update (loop);
+    ev_tstamp end = ev_now (loop) + pause_s;
+
+    return until ([&] { return ev_now (loop) >= end; });
+  };
+
+  start (1);
+  on_request = [&] (mq_http_exchange *e) { x = mq_http_exchange_ref (e); };
+  options.streamed = true;
+  call (&a, "/", options);
+  ASSERT_TRUE (until ([&] { return x != nullptr; }));
+  ASSERT_TRUE (wait ());
+  mq_http_exchange_begin (x, 200, nullptr, 0);
+  mq_http_exchange_write (x, MQ_SPAN ("one "));
+  ASSERT_TRUE (wait ());
+  mq_http_exchange_write (x, MQ_SPAN ("two"));
+  mq_http_exchange_end (x);
+  ASSERT_TRUE (until ([&] { return a.ends == 1; }));
+  EXPECT_EQ (a.body, "one two");
+  EXPECT_EQ (gone, 0);
+  mq_http_exchange_unref (x);
+}
+
 TEST_F (Http, GivesUpOnAConnectionThatIsNotMade)
 {
   Answer a;
