Entry: ask the platform again for a key whose claim was lost once

Cause: a call whose claim was lost ended as unknown, and this router's own memory kept that for the key. When the winner then gave the key back, having run nothing, this router went on saying unknown until its memory ran out.

--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -490,7 +490,11 @@
       entry_claim_won (entry, request);
       break;
     case MQ_CLAIM_LOST:
-      /* The first call, here or elsewhere, may run or have run.  */
+      /* The first call, here or elsewhere, may run or have run.  It may give
+         the key back, too, so the next one asks the platform again: what is
+         remembered here is only that this one did not run.  */
+      entry_finish_guard (entry, request, MQ_OUTCOME_NOT_RUN);
+      request->guarded = false;
       mq_entry_end (entry, request, MQ_OUTCOME_UNKNOWN,
                     MQ_REASON_KEY_IN_FLIGHT, LATER_US);
       break;
--- a/tests/test_entry_service.cc
+++ b/tests/test_entry_service.cc
@@ -321,6 +321,20 @@
   d.expect_end (MQ_OUTCOME_UNKNOWN, MQ_REASON_KEY_IN_FLIGHT);
 }
 
+/* The winner gave the key back: this router must not go on saying unknown from
+   its own memory.  */
+TEST (EntryService, ALostClaimIsAskedForAgain)
+{
+  Driver d;
+
+  d.send (1, d.guarded (d.plain_call (), MQ_GUARD_KEY, "k"));
+  d.claimed (1, MQ_CLAIM_LOST);
+  d.send (2, d.guarded (d.plain_call (), MQ_GUARD_KEY, "k"));
+  ASSERT_EQ (d.count (MQ_ENTRY_CLAIM), 1u);
+  d.claimed (2, MQ_CLAIM_WON);
+  EXPECT_EQ (d.count (MQ_ENTRY_SEND), 1u);
+}
+
 TEST (EntryService, AKeyWithAnotherBodyIsRefused)
 {
   Driver d;
