Replace a spare that died at once, and call orders off

Cause: the planner waited a minute for an ordered engine to report its range, also when that engine had died; and an order that waited for the lease went out later although the range had been repaired by another router meanwhile.

Now a dead spare is replaced at the next review, and MQ_PLANNER_REPAIRED, a new action of mq/planner.h, calls off what has not been sent. Order ids name the router, and the audit trail tells what the engine held before.

--- a/include/mq/order.h
+++ b/include/mq/order.h
@@ -53,7 +53,8 @@
 typedef enum mq_orders_event_kind
 {
   MQ_ORDERS_WANT,
-  MQ_ORDERS_FORGET, /* The engine is gone or no longer ours to order.  */
+  MQ_ORDERS_FORGET, /* No longer wanted: dropped unless an order has gone
+                       out already.  */
   MQ_ORDERS_LEASE,  /* Held; FENCING and UNTIL_US are new.  */
   MQ_ORDERS_LEASE_LOST,
   MQ_ORDERS_SENT,  /* The reply to an order.  */
@@ -116,7 +117,9 @@
   uint64_t until_us; /* SEND: the lease's end.  The adapter looks at its
                         clock once more and sends nothing after this.  */
   mq_str *engine;    /* Owned by the action.  */
-  mq_str *model;     /* SEND and REACHED; owned.  */
+  mq_str *before;    /* What it held when it was last ordered, as text for
+                        the audit trail; NULL before that.  Owned.  */
+  mq_str *model;     /* What is wanted; owned.  */
   mq_str *version;
   uint32_t first;
   uint32_t end;
@@ -124,7 +127,6 @@
 
 typedef struct mq_orders_options
 {
-  uint64_t router;       /* Incarnation; part of the order ids.  */
   uint64_t flight_us;    /* The longest that an order is under way.  */
   uint64_t poll_us;      /* Between two reads of an engine that loads.  */
   uint64_t verify_us;    /* Between two reads of one that ignores fencing. */
--- a/include/mq/planner.h
+++ b/include/mq/planner.h
@@ -144,9 +144,11 @@
 
 typedef enum mq_planner_action_kind
 {
-  MQ_PLANNER_ADMIT,  /* Answer the ask with a plan.  */
-  MQ_PLANNER_REFUSE, /* Answer the ask with a reason.  */
-  MQ_PLANNER_REPAIR  /* A layer range has too few engines: order one.  */
+  MQ_PLANNER_ADMIT,   /* Answer the ask with a plan.  */
+  MQ_PLANNER_REFUSE,  /* Answer the ask with a reason.  */
+  MQ_PLANNER_REPAIR,  /* A layer range has too few engines: order one.  */
+  MQ_PLANNER_REPAIRED /* An earlier REPAIR is off: the range has enough
+                         engines again, or another engine is ordered.  */
 } mq_planner_action_kind;
 
 typedef struct mq_planner_action
@@ -170,7 +172,7 @@
       mq_str *version;
       uint32_t first;
       uint32_t end;
-    } repair;
+    } repair; /* REPAIR and REPAIRED.  */
   } u;
 } mq_planner_action;
 
--- a/packages/decide/attempt.c
+++ b/packages/decide/attempt.c
@@ -47,6 +47,7 @@
     case MQ_PLANNER_REFUSE:
       break;
     case MQ_PLANNER_REPAIR:
+    case MQ_PLANNER_REPAIRED:
       mq_str_unref (action->u.repair.engine);
       mq_str_unref (action->u.repair.model);
       mq_str_unref (action->u.repair.version);
--- a/packages/decide/order.c
+++ b/packages/decide/order.c
@@ -26,6 +26,7 @@
 {
   uint64_t id;
   mq_str *engine;
+  mq_str *before; /* What it held when it was last ordered; NULL: never.  */
   mq_str *model;
   mq_str *version;
   uint32_t first;
@@ -63,6 +64,7 @@
   order *o = data;
 
   mq_str_unref (o->engine);
+  mq_str_unref (o->before);
   mq_str_unref (o->model);
   mq_str_unref (o->version);
   g_free (o);
@@ -100,6 +102,7 @@
     {
       a.order = o->id;
       a.engine = mq_str_ref (o->engine);
+      a.before = mq_str_ref (o->before);
       a.model = mq_str_ref (o->model);
       a.version = mq_str_ref (o->version);
       a.first = o->first;
@@ -179,7 +182,17 @@
 }
 
 static void
-order_send (mq_orders *orders, order *o, uint64_t now_us, GArray *actions)
+order_note_before (order *o, const mq_order_holds *holds)
+{
+  mq_str_unref (o->before);
+  o->before
+      = mq_str_printf ("%.*s %.*s [%u, %u)", MQ_SPAN_ARG (holds->model),
+                       MQ_SPAN_ARG (holds->version), holds->first, holds->end);
+}
+
+static void
+order_send (mq_orders *orders, order *o, const mq_order_holds *holds,
+            uint64_t now_us, GArray *actions)
 {
   uint64_t turn_us = orders_turn_us (orders, o, now_us);
   uint64_t rate = orders->options.bytes_per_s;
@@ -195,6 +208,7 @@
           + (uint64_t)((double)o->weight_bytes / (double)rate * US_PER_S);
   o->state = ORDER_SENDING;
   o->due_us = now_us + orders->options.flight_us;
+  order_note_before (o, holds);
   o->sent = orders->fencing;
   o->loading = true;
   if (o->told)
@@ -291,11 +305,11 @@
       return;
     }
   if (!order_matches (o, holds) || !order_is_fenced (orders, o, holds))
-    order_send (orders, o, now_us, actions);
+    order_send (orders, o, holds, now_us, actions);
   else if (!holds->loading)
     order_reach (orders, o, now_us, actions);
   else if (o->loading && now_us >= o->load_until_us)
-    order_send (orders, o, now_us, actions);
+    order_send (orders, o, holds, now_us, actions);
   else
     order_pause (o, poll_us);
 }
@@ -351,7 +365,7 @@
 {
   order *o = orders_find (orders, engine);
 
-  if (o == NULL)
+  if (o == NULL || o->sent != 0)
     return;
   g_hash_table_remove (orders->by_id, &o->id);
   g_hash_table_remove (orders->by_engine, o->engine);
@@ -443,6 +457,7 @@
 mq_orders_action_clear (mq_orders_action *action)
 {
   mq_str_unref (action->engine);
+  mq_str_unref (action->before);
   mq_str_unref (action->model);
   mq_str_unref (action->version);
 }
--- a/packages/decide/repair.c
+++ b/packages/decide/repair.c
@@ -158,16 +158,12 @@
 }
 
 static void
-shortage_order (mq_shortage *s, mq_engine_state *e, const mq_model_state *m,
-                uint64_t now_us, GArray *actions)
+shortage_act (const mq_shortage *s, const mq_model_state *m,
+              mq_planner_action_kind kind, GArray *actions)
 {
-  mq_planner_action a = { .kind = MQ_PLANNER_REPAIR };
+  mq_planner_action a = { .kind = kind };
 
-  mq_str_unref (s->engine);
-  s->engine = mq_str_ref (e->name);
-  s->until_us = now_us + ORDER_US;
-  e->reserved_until_us = s->until_us;
-  a.u.repair.engine = mq_str_ref (e->name);
+  a.u.repair.engine = mq_str_ref (s->engine);
   a.u.repair.model = mq_str_ref (m->name);
   a.u.repair.version = mq_str_ref (m->version);
   a.u.repair.first = s->first;
@@ -175,9 +171,39 @@
   g_array_append_val (actions, a);
 }
 
+/* Does the engine that was ordered still have time to report the range?  One
+   that is down has not: the next is ordered at once.  */
+static bool
+shortage_waits (const mq_shortage *s, const mq_model_state *m, uint64_t now_us)
+{
+  if (s->engine == NULL || now_us >= s->until_us)
+    return false;
+  for (guint i = 0; i < m->engines->len; i++)
+    {
+      const mq_engine_state *e = m->engines->pdata[i];
+
+      if (mq_span_equal (mq_str_span (e->name), mq_str_span (s->engine)))
+        return !e->down;
+    }
+  return false;
+}
+
+static void
+shortage_order (mq_shortage *s, mq_engine_state *e, const mq_model_state *m,
+                uint64_t now_us, GArray *actions)
+{
+  if (s->engine != NULL)
+    shortage_act (s, m, MQ_PLANNER_REPAIRED, actions);
+  mq_str_unref (s->engine);
+  s->engine = mq_str_ref (e->name);
+  s->until_us = now_us + ORDER_US;
+  e->reserved_until_us = s->until_us;
+  shortage_act (s, m, MQ_PLANNER_REPAIR, actions);
+}
+
 /* Forget the shortages of MODEL that are over.  */
 static void
-repairs_sweep (mq_repairs *r, const mq_model_state *m)
+repairs_sweep (mq_repairs *r, const mq_model_state *m, GArray *actions)
 {
   for (guint i = r->shortages->len; i-- > 0;)
     {
@@ -185,7 +211,11 @@
 
       if (!s->seen
           && mq_span_equal (mq_str_span (s->model), mq_str_span (m->name)))
-        g_array_remove_index (r->shortages, i);
+        {
+          if (s->engine != NULL)
+            shortage_act (s, m, MQ_PLANNER_REPAIRED, actions);
+          g_array_remove_index (r->shortages, i);
+        }
       else
         s->seen = false;
     }
@@ -202,8 +232,7 @@
   if (s == NULL)
     s = repairs_add (r, m, needy->first, needy->end, now_us);
   s->seen = true;
-  if (now_us < s->since_us + PATIENCE_US
-      || (s->engine != NULL && now_us < s->until_us)
+  if (now_us < s->since_us + PATIENCE_US || shortage_waits (s, m, now_us)
       || repairs_ordered (r, now_us) >= MOST_ORDERS)
     return;
   donor = range_donor (needy, ranges, m, s->engine, now_us);
@@ -224,6 +253,6 @@
       if (range_is_short (&needy))
         repairs_review_range (repairs, model, &needy, ranges, now_us, actions);
     }
-  repairs_sweep (repairs, model);
+  repairs_sweep (repairs, model, actions);
   g_array_unref (ranges);
 }
--- a/programs/marjoramquay/admission.c
+++ b/programs/marjoramquay/admission.c
@@ -60,6 +60,9 @@
           repair_log (a);
           mq_order_io_repair (router->orders, a);
           break;
+        case MQ_PLANNER_REPAIRED:
+          mq_order_io_repaired (router->orders, a);
+          break;
         }
     }
   g_array_set_size (actions, 0);
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -8,7 +8,6 @@
 #include <mq/json_text.h>
 #include <mq/log.h>
 #include <mq/ordering.h>
-#include <stdio.h>
 
 #include "audit_io.h"
 #include "body.h"
@@ -23,7 +22,8 @@
 #define POLL_US UINT64_C (500000)
 #define VERIFY_US UINT64_C (5000000)
 #define LOAD_TIME_US UINT64_C (120000000)
-#define PATIENCE_US UINT64_C (60000000)
+/* Above the time that a load may take.  */
+#define PATIENCE_US UINT64_C (180000000)
 #define CONCURRENT 4
 
 struct mq_order_io
@@ -226,12 +226,20 @@
   return true;
 }
 
+/* Names the order among those of all routers.  */
+static char *
+order_id (const mq_order_io *io, const mq_orders_action *action)
+{
+  return g_strdup_printf ("%s-%" G_GUINT64_FORMAT,
+                          io->router->incarnation_text, action->order);
+}
+
 static void
-order_body (const mq_orders_action *action, GString *out)
+order_body (const mq_order_io *io, const mq_orders_action *action,
+            GString *out)
 {
-  char id[24];
+  char *id = order_id (io, action);
 
-  (void)snprintf (id, sizeof id, "%016" G_GINT64_MODIFIER "x", action->order);
   g_string_append_c (out, '{');
   mq_json_text_member (out, "order", mq_span_from (id));
   mq_json_text_number (out, "fencing", action->fencing);
@@ -242,6 +250,29 @@
   mq_json_text_number (out, "first", action->first);
   mq_json_text_number (out, "end", action->end);
   g_string_append (out, "}}");
+  g_free (id);
+}
+
+/* Log what became of an order, and put it into the audit trail.  */
+static void
+order_note (mq_order_io *io, const mq_orders_action *action,
+            const char *result)
+{
+  char *id = order_id (io, action);
+  char *after = g_strdup_printf (
+      "%s %s [%u, %u), %s", mq_str_cstr (action->model),
+      mq_str_cstr (action->version), action->first, action->end, result);
+
+  mq_log (G_LOG_LEVEL_INFO, "order",
+          "order=%s engine=%s fencing=%" G_GUINT64_FORMAT " after=%s", id,
+          mq_log_quote (mq_str_cstr (action->engine)), action->fencing,
+          mq_log_quote (after));
+  mq_audit_io_add (io->router->audit, MQ_AUDIT_ORDER,
+                   mq_str_cstr (action->engine),
+                   "a range of layers had too few engines",
+                   mq_str_cstr (action->before), after);
+  g_free (after);
+  g_free (id);
 }
 
 static void
@@ -250,17 +281,14 @@
   GString *body = g_string_new (NULL);
   bool sent = false;
 
-  order_body (action, body);
+  order_body (io, action, body);
   if (mq_router_now_us () < action->until_us)
     sent = engine_call (io, action, "/v1/orders",
                         (mq_span){ body->str, body->len }, on_sent);
-  mq_log (G_LOG_LEVEL_INFO, "order.send",
-          "engine=%s order=%016" G_GINT64_MODIFIER
-          "x fencing=%" G_GUINT64_FORMAT " first=%u end=%u sent=%d",
-          mq_log_quote (mq_str_cstr (action->engine)), action->order,
-          action->fencing, action->first, action->end, sent);
   g_string_free (body, TRUE);
-  if (!sent)
+  if (sent)
+    order_note (io, action, "ordered");
+  else
     post_sent (io, action->order, MQ_ORDER_NO_REPLY);
 }
 
@@ -276,23 +304,6 @@
   ordering_step (io, &event);
 }
 
-static void
-order_note (mq_order_io *io, const mq_orders_action *action, const char *after)
-{
-  char *wanted = g_strdup_printf (
-      "%s %s layers [%u, %u)", mq_str_cstr (action->model),
-      mq_str_cstr (action->version), action->first, action->end);
-
-  mq_log (G_LOG_LEVEL_INFO, "order.end", "engine=%s result=%s",
-          mq_log_quote (mq_str_cstr (action->engine)), mq_log_quote (after));
-  mq_audit_io_add (io->router->audit, MQ_AUDIT_ORDER,
-                   mq_str_cstr (action->engine),
-                   "a range of layers had too "
-                   "few engines",
-                   wanted, after);
-  g_free (wanted);
-}
-
 static void
 order_carry_out (mq_order_io *io, const mq_orders_action *action)
 {
@@ -336,8 +347,7 @@
                      .retry_us = LEASE_RETRY_US,
                      .timeout_us = STORE_TIMEOUT_US,
                      .margin_percent = CLOCK_MARGIN_PERCENT },
-          .orders = { .router = router->incarnation,
-                      .flight_us = ORDER_FLIGHT_US,
+          .orders = { .flight_us = ORDER_FLIGHT_US,
                       .poll_us = POLL_US,
                       .verify_us = VERIFY_US,
                       .concurrent = CONCURRENT,
@@ -375,6 +385,16 @@
   g_free (io);
 }
 
+void
+mq_order_io_repaired (mq_order_io *io, const mq_planner_action *action)
+{
+  mq_ordering_event event = { .kind = MQ_ORDERING_ORDERS };
+
+  event.u.orders.kind = MQ_ORDERS_FORGET;
+  event.u.orders.u.engine = mq_str_span (action->u.repair.engine);
+  ordering_step (io, &event);
+}
+
 void
 mq_order_io_repair (mq_order_io *io, const mq_planner_action *action)
 {
--- a/tests/fault_router.cc
+++ b/tests/fault_router.cc
@@ -15,7 +15,7 @@
   mq_tickets_options t = {};
   mq_ordering_options o = {};
 
-  o.lease.router = o.orders.router = incarnation;
+  o.lease.router = incarnation;
   o.lease.duration_us = 3 * SECOND;
   o.lease.retry_us = 500 * MS;
   o.lease.timeout_us = 600 * MS;
--- a/tests/prop_state.cc
+++ b/tests/prop_state.cc
@@ -459,7 +459,6 @@
     o.lease.retry_us = 1 * S;
     o.lease.timeout_us = 1 * S;
     o.lease.margin_percent = 10;
-    o.orders.router = router;
     o.orders.flight_us = FLIGHT;
     o.orders.poll_us = 500 * MS;
     o.orders.verify_us = VERIFY;
--- a/tests/test_order.cc
+++ b/tests/test_order.cc
@@ -21,7 +21,6 @@
   {
     mq_orders_options o = {};
 
-    o.router = 0xa;
     o.flight_us = FLIGHT;
     o.poll_us = POLL;
     o.verify_us = 30 * S;
@@ -263,6 +262,23 @@
   EXPECT_EQ (actions->len, 0U);
 }
 
+TEST_F (Orders, WhatIsNoLongerWantedIsDroppedUnlessItWasSent)
+{
+  mq_orders_event e = {};
+
+  e.kind = MQ_ORDERS_FORGET;
+  e.u.engine = MQ_SPAN ("e1");
+  want ("e1", true);
+  handle (e);
+  expect (MQ_ORDERS_IDLE);
+  want ("e1", true);
+  lease (7);
+  holds (2, "v1");
+  expect (MQ_ORDERS_SEND);
+  handle (e);
+  EXPECT_EQ (mq_orders_pending (orders), 1U);
+}
+
 TEST_F (Orders, WhatWaitsTooLongIsDropped)
 {
   want ("e1", true);
--- a/tests/test_planner.cc
+++ b/tests/test_planner.cc
@@ -485,6 +485,47 @@
   EXPECT_EQ (admit ().second[0], spare);
 }
 
+/* Found over real processes: a spare that died after it was ordered was
+   waited for a whole minute.  */
+TEST_F (PlannerTest, ADeadSpareIsReplacedAtOnceAndTheOrderCalledOff)
+{
+  add_engine ("a", 0, 4);
+  for (int i = 0; i < 4; i++)
+    add_engine ("b" + std::to_string (i), 4, 8);
+  configure ();
+  tell (MQ_PLANNER_ENGINE_DOWN, "a");
+  std::vector<std::pair<mq_planner_action_kind, std::string> > seen;
+  auto watch = [&] (int ticks) {
+    seen.clear ();
+    for (int i = 0; i < ticks; i++)
+      {
+        now += 100000;
+        tick ();
+        for (guint k = 0; k < actions->len; k++)
+          {
+            const mq_planner_action &r
+                = g_array_index (actions, mq_planner_action, k);
+            seen.push_back ({ r.kind, mq_str_cstr (r.u.repair.engine) });
+          }
+      }
+  };
+
+  watch (50);
+  ASSERT_EQ (seen.size (), 1u);
+  std::string spare = seen[0].second;
+  tell (MQ_PLANNER_ENGINE_DOWN, spare.c_str ());
+  watch (10);
+  ASSERT_EQ (seen.size (), 2u);
+  EXPECT_EQ (seen[0], std::make_pair (MQ_PLANNER_REPAIRED, spare));
+  EXPECT_EQ (seen[1].first, MQ_PLANNER_REPAIR);
+  EXPECT_NE (seen[1].second, spare);
+  spare = seen[1].second;
+  load (spare, 0, 0, 0, 1, 0, 4);
+  watch (10);
+  ASSERT_EQ (seen.size (), 1u);
+  EXPECT_EQ (seen[0], std::make_pair (MQ_PLANNER_REPAIRED, spare));
+}
+
 TEST_F (PlannerTest, RoundRobinTakesTurnsAndRefusesNothing)
 {
   add_engine ("a", 0, 8, "d1", 1000);
