Try guarded calls and orders while routers die, sleep and lose replies

Over real processes on loopback: kill -9 in the middle of a booking and a retry with the ticket or the key at the other router (unknown, one effect); one key through both routers at once; a lost reply to the claim; a router asleep over its claim; the lease taken over from a killed holder.

--- /dev/null
+++ b/tests/test_once_faults.cc
@@ -0,0 +1,249 @@
+/* Calls that may not run twice, while routers are killed or asleep and the
+   platform loses replies: over real processes, with the plain service's
+   record of effects as the judge.  */
+
+#include "support/deployment.h"
+
+#include <thread>
+
+using deployment::Deployment;
+using deployment::Options;
+using programs::fetch;
+using programs::json_text;
+using programs::Reply;
+using programs::Request;
+
+namespace
+{
+
+class OnceFaults : public testing::Test
+{
+protected:
+  static Options
+  options ()
+  {
+    Options o;
+
+    o.routers = 2;
+    o.work_us = 1500000;
+    return o;
+  }
+
+  void
+  SetUp () override
+  {
+    ASSERT_TRUE (yard.ready ());
+  }
+
+  size_t
+  effects (const std::string &unit)
+  {
+    std::string all = programs::get (yard.plain ().url () + "/effects").body;
+    size_t n = 0;
+
+    for (size_t at = 0; (at = all.find (unit, at)) != std::string::npos; at++)
+      n++;
+    return n;
+  }
+
+  Reply
+  book (const std::string &unit, const std::string &header, size_t router)
+  {
+    Request r = yard.booking ("POST", "/book", unit, router);
+
+    r.headers.push_back (header);
+    return fetch (r);
+  }
+
+  std::string
+  ticket (size_t router)
+  {
+    Request r;
+
+    r.url = yard.router (router).url () + "/v1/entries?tickets=1";
+    r.headers = { std::string ("Authorization: Bearer ") + deployment::token };
+    std::string list = json_text (fetch (r).body, "tickets");
+    size_t from = list.find ('"');
+
+    EXPECT_NE (from, std::string::npos) << list;
+    return list.substr (from + 1, list.rfind ('"') - from - 1);
+  }
+
+  /* Kill router 0 while the plain service works on UNIT's booking.  */
+  void
+  kill_while_booking (const std::string &unit, const std::string &header)
+  {
+    std::string status = yard.router (0).url () + "/v1/status";
+    std::thread caller ([&] {
+      Reply r = book (unit, header, 0);
+      EXPECT_FALSE (r.whole);
+    });
+
+    EXPECT_TRUE (programs::eventually ([&] {
+      return json_text (programs::get (status).body, "in_flight") == "1";
+    }));
+    /* Time to reach the plain service, which works much longer.  */
+    std::this_thread::sleep_for (std::chrono::milliseconds (300));
+    yard.router (0).kill (SIGKILL);
+    caller.join ();
+    EXPECT_TRUE (programs::eventually ([&] { return effects (unit) == 1; }));
+  }
+
+  void
+  fault (const std::string &members)
+  {
+    Request r;
+
+    r.method = "POST";
+    r.url = yard.platform ().url () + "/fault";
+    r.body = "{" + members + "}";
+    EXPECT_EQ (fetch (r).status, 204);
+  }
+
+  static std::string
+  outcome (const Reply &r)
+  {
+    return json_text (r.body, "error.outcome");
+  }
+
+  Deployment yard{ options () };
+};
+
+} // namespace
+
+TEST_F (OnceFaults, ATicketOfAKilledRouterIsUnknownAndRunsNoMore)
+{
+  std::string t = "Marjoramquay-Ticket: " + ticket (0);
+
+  kill_while_booking ("unit-a", t);
+  for (int i = 0; i < 3; i++)
+    {
+      Reply r = book ("unit-a", t, 1);
+
+      EXPECT_GE (r.status, 400) << r.body;
+      EXPECT_EQ (outcome (r), "unknown") << r.body;
+    }
+  EXPECT_EQ (effects ("unit-a"), 1u);
+}
+
+TEST_F (OnceFaults, AKeyOfAKilledRouterIsUnknownAndRunsNoMore)
+{
+  const std::string key = "Idempotency-Key: quote-1";
+
+  kill_while_booking ("unit-b", key);
+  for (int i = 0; i < 3; i++)
+    {
+      Reply r = book ("unit-b", key, 1);
+
+      EXPECT_EQ (r.status, 409) << r.body;
+      EXPECT_EQ (outcome (r), "unknown") << r.body;
+    }
+  EXPECT_EQ (effects ("unit-b"), 1u);
+}
+
+TEST_F (OnceFaults, AKeyThroughBothRoutersAtOnceRunsOnce)
+{
+  constexpr int callers = 8;
+  std::vector<std::thread> threads;
+  std::vector<Reply> replies (callers);
+  int done = 0;
+
+  for (int i = 0; i < callers; i++)
+    threads.emplace_back ([&, i] {
+      replies[i] = book ("unit-c", "Idempotency-Key: quote-2", i % 2);
+    });
+  for (auto &t : threads)
+    t.join ();
+  for (const Reply &r : replies)
+    {
+      done += r.status == 200;
+      if (r.status != 200)
+        {
+          EXPECT_EQ (r.status, 409) << r.body;
+          EXPECT_NE (outcome (r), "not-run") << r.body;
+        }
+    }
+  EXPECT_EQ (done, 1);
+  EXPECT_EQ (effects ("unit-c"), 1u);
+}
+
+TEST_F (OnceFaults, ALostReplyToTheClaimIsReadBack)
+{
+  fault ("\"lose_replies\":1");
+  Reply r = book ("unit-d", "Idempotency-Key: quote-3", 0);
+
+  EXPECT_EQ (r.status, 200) << r.body;
+  EXPECT_EQ (effects ("unit-d"), 1u);
+  EXPECT_EQ (book ("unit-d", "Idempotency-Key: quote-3", 1).status, 409);
+  EXPECT_EQ (effects ("unit-d"), 1u);
+}
+
+/* A router that sleeps until its claim is too late must not run the call, and
+   must not block the key for ever either.  Where this machine is so slow that
+   the booking was through before the router slept, that is told truthfully,
+   too.  */
+TEST_F (OnceFaults, ARouterAsleepOverItsClaimRunsNothing)
+{
+  const std::string key = "Idempotency-Key: quote-4";
+  const std::string prefix = "prefixes.claims/";
+  Reply first;
+
+  fault ("\"slow_ms\":500,\"slow_for_ms\":60000");
+  std::thread caller ([&] { first = book ("unit-e", key, 0); });
+  EXPECT_TRUE (programs::eventually ([&] {
+    return !json_text (programs::get (yard.platform ().url () + "/stats").body,
+                       prefix)
+                .empty ();
+  }));
+  yard.router (0).kill (SIGSTOP);
+  std::this_thread::sleep_for (std::chrono::milliseconds (2500));
+  yard.router (0).kill (SIGCONT);
+  caller.join ();
+  fault ("\"clear\":true");
+  if (first.status == 200)
+    {
+      EXPECT_EQ (effects ("unit-e"), 1u);
+      return;
+    }
+  EXPECT_EQ (outcome (first), "not-run") << first.body;
+  EXPECT_EQ (effects ("unit-e"), 0u);
+  EXPECT_TRUE (programs::eventually (
+      [&] { return book ("unit-e", key, 1).status == 200; }));
+  EXPECT_EQ (effects ("unit-e"), 1u);
+}
+
+/* The router that holds the region's lease is killed; another takes over once
+   the lease has run out and loads what is missing.  */
+TEST (OrderFaults, AnotherRouterTakesTheLeaseOverAndRepairs)
+{
+  Options o;
+  o.copies = 2;
+  o.routers = 2;
+  o.step_us = 2000;
+  Deployment yard (o);
+  ASSERT_TRUE (yard.ready ());
+  std::string lease
+      = yard.platform ().url () + "/v1/objects/leases/orders/bc-interior";
+  auto whole = [&] (size_t router) {
+    Reply r = fetch (yard.completion ("again", 5, false, router));
+    return r.status == 200;
+  };
+
+  yard.engine (1, 0).kill (SIGKILL);
+  yard.engine (1, 1).kill (SIGKILL);
+  EXPECT_TRUE (programs::eventually ([&] { return whole (0); }));
+  EXPECT_NE (json_text (programs::get (lease).body, "holder"), "");
+  yard.router (0).kill (SIGKILL);
+  /* The engine that took the middle layers over dies, too.  */
+  for (unsigned stage : { 0u, 2u })
+    {
+      std::string holds
+          = programs::get (yard.engine (stage, 0).url () + "/v1/holds").body;
+      if (json_text (holds, "first") == "4")
+        yard.engine (stage, 0).kill (SIGKILL);
+      holds = programs::get (yard.engine (stage, 1).url () + "/v1/holds").body;
+      if (json_text (holds, "first") == "4")
+        yard.engine (stage, 1).kill (SIGKILL);
+    }
+  EXPECT_TRUE (programs::eventually ([&] { return whole (1); }));
+}
