Let a planner learn what another has placed

Cause: an owner that takes over a model knew nothing of what was in flight and would have admitted as if the engines were idle until it was over.

MQ_PLANNER_REGISTER counts an attempt by its plan, without placing it anew; a plan with an engine that is not known here is not counted. FullByRegistrationRefusesTheNext fails without it.

--- a/include/mq/planner.h
+++ b/include/mq/planner.h
@@ -91,6 +91,7 @@
 {
   MQ_PLANNER_CONFIG, /* A generation is in force.  */
   MQ_PLANNER_ASK,
+  MQ_PLANNER_REGISTER, /* An attempt that another planner placed.  */
   MQ_PLANNER_PROGRESS, /* Some tokens of an attempt came.  */
   MQ_PLANNER_RELEASE,
   MQ_PLANNER_LOAD,
@@ -110,6 +111,11 @@
     mq_config *config; /* Borrowed; the planner takes its own reference.  */
     mq_plan_ask ask;
     struct
+    {
+      mq_plan_ask ask;     /* With the deadline that is left.  */
+      const mq_plan *plan; /* Borrowed.  */
+    } registered;
+    struct
     {
       mq_request_id id;
       uint32_t attempt;
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -276,6 +276,31 @@
   admission->admitted = true;
 }
 
+int
+mq_admission_adopt (mq_admission *admission, mq_model_state *model,
+                    mq_engine_table *table, const mq_plan *plan,
+                    const mq_plan_ask *ask)
+{
+  mq_placement *p = &admission->placement;
+
+  *admission = (mq_admission){ .admitted = true, .margin = 1 };
+  for (uint32_t i = 0; i < plan->n_stages; i++)
+    {
+      mq_engine_state *e
+          = mq_engine_table_find (table, mq_str_span (plan->stages[i].engine));
+
+      if (e == NULL)
+        return -1;
+      p->stages[p->n_stages++] = e;
+    }
+  if (p->n_stages == 0)
+    return -1;
+  mq_prediction_make (&admission->prediction, model, table, p->stages,
+                      p->n_stages, 0, ask->prompt_tokens);
+  admission->figures.deadline_us = ask->deadline_us;
+  return 0;
+}
+
 void
 mq_admission_divide_shares (mq_model_state *model, uint64_t now_us)
 {
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -171,6 +171,26 @@
         NULL, actions);
 }
 
+/* A new owner learns what is in flight.  */
+static void
+planner_register (mq_planner *p, const mq_plan_ask *ask, const mq_plan *plan,
+                  uint64_t now_us)
+{
+  mq_admission admission;
+  mq_model_state *model;
+  mq_reason reason;
+  mq_share *share;
+
+  if (mq_attempt_find (p->attempts, ask->id, ask->attempt) != NULL)
+    return;
+  model = planner_model (p, ask, &reason);
+  if (model == NULL
+      || mq_admission_adopt (&admission, model, &p->table, plan, ask) < 0)
+    return;
+  share = mq_share_table_get (&model->shares, ask->organisation, p->config);
+  mq_attempt_open (p->attempts, model, &admission, share, ask, now_us);
+}
+
 static void
 planner_release (mq_planner *p, const mq_plan_release *release,
                  uint64_t now_us)
@@ -339,6 +359,10 @@
     case MQ_PLANNER_ASK:
       planner_ask (planner, &event->u.ask, now_us, actions);
       break;
+    case MQ_PLANNER_REGISTER:
+      planner_register (planner, &event->u.registered.ask,
+                        event->u.registered.plan, now_us);
+      break;
     case MQ_PLANNER_PROGRESS:
       planner_progress (planner, event);
       break;
