Fleet: no work without a configuration; found again without a list

Cause, seen while wiring the router: one without a configuration was live and would have been listed for callers and have owned models; and a router that starts while the platform is away has no list, while its peers did not introduce themselves to it, since they took it for the process before.

Whoever is suspect or dead is introduced to again (new test RestartedWithoutAListIsFoundByItsPeers, stuck before). The shortest pace is 400 ms in place of 250: three missing heartbeats are 1.2 s, not 0.75 s, which a busy machine could reach. What the list no longer names and nobody hears does not lessen the limits' pool.

--- a/include/mq/fleet.h
+++ b/include/mq/fleet.h
@@ -14,8 +14,9 @@
    second stay within a budget.
 
    Invariants:
-   - a member that is leaving, suspect, dead or not heard from directly is
-     never listed for callers and owns nothing;
+   - a member that is leaving, suspect, dead or not heard from directly, or
+     that has no configuration yet, is never listed for callers and owns
+     nothing;
    - leaving is never taken back within one incarnation;
    - incarnations at one VM only grow; a message of an older one is dropped;
    - a router that did not run for a while (its own loop's gap, by the
@@ -63,7 +64,7 @@
   uint64_t generation;
   uint64_t next_send_us; /* When we owe it a heartbeat.  */
   uint64_t synced_us;    /* When we last sent it all we know.  */
-  bool took_work;        /* Live, not leaving, of our region.  */
+  bool took_work;        /* Live, not leaving, configured, of our region.  */
   uint64_t changed_us;   /* When that last changed.  */
 } mq_member;
 
@@ -257,6 +258,10 @@
 /* May we decide as an owner?  False while rejoining.  */
 bool mq_fleet_may_own (const mq_fleet *fleet);
 
+/* Are we one of the few of our region that speak to other regions and read
+   the platform for all?  */
+bool mq_fleet_is_gateway (const mq_fleet *fleet);
+
 /* Members of our region that take work, ourselves among them, and all that
    may exist: listed or heard from lately.  Their ratio is the part of a limit
    that this side of a partition may hand out.  */
--- a/packages/decide/membership.c
+++ b/packages/decide/membership.c
@@ -16,7 +16,8 @@
 #define OTHER_BUDGET 1500
 #define GATEWAY_BUDGET 800
 
-#define MIN_INTERVAL_US (UINT64_C (250) * 1000)
+#define MIN_INTERVAL_US (UINT64_C (400) * 1000)
+#define FIRST_PROBE_US (UINT64_C (250) * 1000)
 #define MAX_INTERVAL_US (UINT64_C (60) * 1000 * 1000)
 #define PROBE_US (UINT64_C (2) * 1000 * 1000) /* To those not heard from.  */
 #define FIRST_PROBES_US (UINT64_C (2) * 1000 * 1000) /* Oftener at first.  */
@@ -82,10 +83,11 @@
 bool
 mq_fleet_takes_work (const mq_fleet *fleet, const mq_member *m)
 {
+  if (m->leaving || m->generation == 0)
+    return false;
   if (m == fleet->self)
-    return fleet->rejoin_until_us == 0 && !m->leaving;
-  return m->state == MQ_MEMBER_LIVE && !m->leaving
-         && fleet_same_region (fleet, m);
+    return fleet->rejoin_until_us == 0;
+  return m->state == MQ_MEMBER_LIVE && fleet_same_region (fleet, m);
 }
 
 /* ---- Finding and keeping members.  */
@@ -205,6 +207,9 @@
   if (from == to)
     return;
   m->state = to;
+  /* Another process may run there now, which knows nobody.  */
+  if (to != MQ_MEMBER_LIVE)
+    m->knows_us = false;
   fleet->stale = true;
   a = fleet_push (actions, MQ_FLEET_CHANGED, m);
   a->u.changed.from = from;
@@ -325,7 +330,7 @@
                : 0;
   if (m->state == MQ_MEMBER_LISTED
       && fleet->last_us - m->heard_us < FIRST_PROBES_US)
-    return MIN_INTERVAL_US;
+    return FIRST_PROBE_US;
   if (m->state == MQ_MEMBER_LISTED || m->state == MQ_MEMBER_DEAD)
     return MAX (PROBE_US, fleet->pace.watcher_us);
   if (fleet_watch_rank (fleet, mq_str_span (fleet->self->vm), m)
@@ -552,8 +557,10 @@
         m = fleet_add (fleet, v->vm, v->peer_address, event->now_us, actions);
       else if (m->incarnation == 0)
         fleet_move (m, v->peer_address, actions);
-      if (v->leaving)
-        fleet_set_leaving (fleet, m, "listed as leaving", actions);
+      if (!v->leaving || m->leaving)
+        continue;
+      fleet_set_leaving (fleet, m, "listed as leaving", actions);
+      fleet_tell_region (fleet, m, actions);
     }
   fleet_forget (fleet, event, actions);
 }
@@ -608,6 +615,7 @@
   str_replace (&m->failure_domain, h->failure_domain);
   str_replace (&m->region, h->region);
   m->sequence = h->sequence;
+  fleet->stale |= (m->generation == 0) != (h->generation == 0);
   m->generation = h->generation;
   m->load = h->load;
   m->interval_us = MIN (h->interval_us, MAX_INTERVAL_US);
@@ -627,7 +635,7 @@
     fleet_tell_region (fleet, m, actions);
   /* It does not know us, or holds us for dead: answer at once.  */
   if (!m->knows_us || h->receiver_state != MQ_MEMBER_LIVE)
-    m->next_send_us = MIN (m->next_send_us, now + MIN_INTERVAL_US / 2);
+    m->next_send_us = MIN (m->next_send_us, now + FIRST_PROBE_US / 2);
 }
 
 /* Two that differ for some time tell one another all they know.  */
@@ -857,6 +865,7 @@
       fleet_on_news (fleet, event, actions);
       break;
     case MQ_FLEET_SELF:
+      fleet->stale |= fleet->self->generation == 0;
       fleet->self->load = event->u.self.load;
       fleet->self->generation = event->u.self.generation;
       break;
@@ -938,6 +947,12 @@
   return fleet->rejoin_until_us == 0;
 }
 
+bool
+mq_fleet_is_gateway (const mq_fleet *fleet)
+{
+  return fleet_is_gateway (fleet, fleet->self);
+}
+
 uint32_t
 mq_fleet_live_count (const mq_fleet *fleet)
 {
@@ -957,8 +972,9 @@
     {
       const mq_member *m = g_ptr_array_index (fleet->members, i);
 
-      n += fleet_same_region (fleet, m)
-           && (m->listed || m->state != MQ_MEMBER_DEAD) && !m->leaving;
+      n += fleet_same_region (fleet, m) && !m->leaving
+           && (m->listed || m->state == MQ_MEMBER_LIVE
+               || m->state == MQ_MEMBER_SUSPECT);
     }
   return n;
 }
--- a/tests/test_membership.cc
+++ b/tests/test_membership.cc
@@ -309,6 +309,39 @@
   expect_all_live (sim, 6);
 }
 
+TEST (Membership, OneWithoutAConfigurationTakesNoWork)
+{
+  Sim sim;
+
+  settle (sim, 3);
+  sim.generation = 0;
+  sim.add ();
+  sim.give_list ();
+  sim.run (5 * S);
+  EXPECT_EQ (sim.state (0, 3), MQ_MEMBER_LIVE);
+  EXPECT_FALSE (sim.lists (0, 3));
+  sim.set_self (3, 0, 1);
+  sim.run (2 * S);
+  EXPECT_TRUE (sim.lists (0, 3));
+}
+
+/* The platform is away, so the new process has no list; those who still know
+   its address introduce themselves.  */
+TEST (Membership, RestartedWithoutAListIsFoundByItsPeers)
+{
+  Sim sim;
+
+  settle (sim, 3);
+  sim.start (1);
+  sim.run (10 * S);
+  expect_all_live (sim, 3);
+  sim.kill (1);
+  sim.run (10 * S);
+  sim.start (1);
+  sim.run (10 * S);
+  expect_all_live (sim, 3);
+}
+
 TEST (Membership, ForgottenOnceDeadAndUnlisted)
 {
   Sim sim;
--- a/tools/bench/fleet/main.c
+++ b/tools/bench/fleet/main.c
@@ -277,6 +277,7 @@
   r.io = io_open (r.loop, index, keys);
   if (r.io == NULL)
     _exit (EXIT_FAILURE);
+  mq_fleet_io_set_self (r.io, 0, 1);
   port = mq_peers_port (mq_fleet_io_peers (r.io));
   write_all (out, &port, sizeof port);
   read_all (in, ports, sizeof ports[0] * n);
