Require keys with peers; make them by mqctl keys

Cause: settings allowed peers without keys, and then any process could have passed for a router. No key pair could be made with our own tools.

--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -100,10 +100,8 @@
   mq_json_has (&object, "address");
   settings->peers_key_file = mq_json_str (&object, "key_file");
   settings->peers_ring_file = mq_json_str (&object, "ring_file");
-  if ((settings->peers_key_file == NULL)
-      != (settings->peers_ring_file == NULL))
-    mq_json_fault (&object, NULL,
-                   "expected both of key_file and ring_file, or neither");
+  if (settings->peers_key_file == NULL || settings->peers_ring_file == NULL)
+    mq_json_fault (&object, NULL, "expected key_file and ring_file");
   mq_json_done (&object);
 }
 
--- a/programs/mqctl/ctl.h
+++ b/programs/mqctl/ctl.h
@@ -118,6 +118,7 @@
 int ctl_explain (ctl *c, int argc, char **argv);
 int ctl_entries (ctl *c, int argc, char **argv);
 int ctl_drain (ctl *c, int argc, char **argv);
+int ctl_keys (ctl *c, int argc, char **argv);
 
 /* Wait until every router holds GENERATION; names who lags.  */
 int ctl_wait (ctl *c, uint64_t generation);
--- a/programs/mqctl/main.c
+++ b/programs/mqctl/main.c
@@ -37,6 +37,7 @@
     ctl_explain },
   { "entries", NULL, "ask which addresses callers should use", ctl_entries },
   { "drain", "VM", "have a router take no new work and end", ctl_drain },
+  { "keys", "FILE", "make a key pair for the routers' connections", ctl_keys },
 };
 
 static char *
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -25,7 +25,8 @@
               "  'region': 'bc-interior',\n"
               "  'failure_domain': 'kamloops-yard',\n"
               "  'callers': { 'address': '10.0.0.5', 'port': 8080 },\n"
-              "  'peers': { 'address': '10.0.0.5', 'port': 8090 },\n"
+              "  'peers': { 'address': '10.0.0.5', 'port': 8090,"
+              " 'key_file': '/etc/mq/pair', 'ring_file': '/etc/mq/ring' },\n"
               "  'platform': { 'url': 'http://10.0.0.1:9000' },\n"
               "  'limits': { 'body_bytes': 4096, 'idle_s': 5 },\n"
               "  'log': { 'level': 'debug' }\n"
@@ -91,12 +92,21 @@
   EXPECT_STREQ (mq_str_cstr (s.advertised), "10.0.0.5");
   EXPECT_EQ (s.callers.port, 8080);
   EXPECT_EQ (s.peers.port, 8090);
+  EXPECT_STREQ (mq_str_cstr (s.peers_key_file), "/etc/mq/pair");
   EXPECT_EQ (s.body_bytes, 4096u);
   EXPECT_EQ (s.idle_s, 5u);
   EXPECT_STREQ (mq_str_cstr (s.log_level), "debug");
   mq_settings_finish (&s);
 }
 
+/* Without keys anybody could pass for a router.  */
+TEST (Settings, PeersNeedKeys)
+{
+  EXPECT_NE (fault (with ("'ring_file': '/etc/mq/ring'", "'x': 'y'"))
+                 .find ("key_file and ring_file"),
+             std::string::npos);
+}
+
 TEST (Settings, UnknownKeyIsNamedWithFileAndLine)
 {
   expect_fault (with ("\"idle_s\": 5", "\"idle\": 5"),
