Offer a generation also to a router that has none

Cause: a router without a configuration takes no work any more, so the offer at a new generation passed it over, and it learned of it only by the next heartbeat. PlatformCallsDoNotGrowWithTheRouters waited for all to take work before there was a configuration, which can't be now; it puts one in force first and judges the same rounds after it.

--- a/packages/net/config_peers.c
+++ b/packages/net/config_peers.c
@@ -107,7 +107,7 @@
     {
       const mq_member *member = mq_fleet_member (fleet, i);
 
-      if (member->took_work && member->generation < generation)
+      if (member->state == MQ_MEMBER_LIVE && member->generation < generation)
         (void)mq_fleet_io_send (p->fleet, member, &m);
     }
 }
--- a/tests/test_config_peers.cc
+++ b/tests/test_config_peers.cc
@@ -271,6 +271,9 @@
   for (size_t i = 0; i < n; i++)
     add_router ();
   list_all ();
+  /* A router counts as a live member once it holds a configuration.  */
+  change (last + 1);
+  ASSERT_TRUE (until_all_hold (last));
   for (int round = 0; round < 10 && !judged; round++)
     {
       ASSERT_TRUE (until_all_live ());
