Join the routers: plans, limits, configuration, drain and the ask

Cause: each router stood alone: it named itself only to callers, ran its own planner for every model, and limits were never asked.

mqload gives its routers keys and lists their peers' side.

--- a/programs/marjoramquay/admission.c
+++ b/programs/marjoramquay/admission.c
@@ -6,9 +6,9 @@
 
 #include "order_io.h"
 
-/* Answer the ask that the entry made for HANDLE.  */
-static void
-answer_ask (mq_router *router, uint64_t handle, mq_planner_action *action)
+void
+mq_admission_answer (mq_router *router, uint64_t handle,
+                     mq_planner_action *action)
 {
   mq_entry_event event = { .kind = MQ_ENTRY_PLANNED,
                            .handle = handle,
@@ -37,12 +37,12 @@
           action->u.repair.first, action->u.repair.end);
 }
 
-/* Hand EVENT to the planner.  HANDLE is the entry's name for the request of
-   an ASK, 0 for all other events.  */
+/* Hand EVENT to the planner; the answer to an ASK goes to SINK.  */
 static void
-planner_step (mq_router *router, mq_planner_event *event, uint64_t handle)
+planner_step (mq_router *router, mq_planner_event *event,
+              mq_admission_sink sink, void *context)
 {
-  GArray *actions = router->planner_actions;
+  GArray *actions = mq_planner_actions_new ();
 
   event->now_us = mq_router_now_us ();
   mq_planner_handle (router->planner, event, actions);
@@ -54,7 +54,8 @@
         {
         case MQ_PLANNER_ADMIT:
         case MQ_PLANNER_REFUSE:
-          answer_ask (router, handle, a);
+          if (sink != NULL)
+            sink (context, a);
           break;
         case MQ_PLANNER_REPAIR:
           repair_log (a);
@@ -65,29 +66,21 @@
           break;
         }
     }
-  g_array_set_size (actions, 0);
+  g_array_unref (actions);
 }
 
 void
-mq_admission_ask (mq_router *router, const mq_entry_action *action)
+mq_admission_decide_for (mq_router *router, const mq_plan_ask *ask,
+                         mq_admission_sink sink, void *context)
 {
   mq_planner_event event = { .kind = MQ_PLANNER_ASK };
 
-  event.u.ask = action->u.ask;
-  planner_step (router, &event, action->handle);
-}
-
-void
-mq_admission_release (mq_router *router, const mq_entry_action *action)
-{
-  mq_planner_event event = { .kind = MQ_PLANNER_RELEASE };
-
-  event.u.release = action->u.release;
-  planner_step (router, &event, action->handle);
+  event.u.ask = *ask;
+  planner_step (router, &event, sink, context);
 }
 
 void
 mq_admission_post (mq_router *router, mq_planner_event *event)
 {
-  planner_step (router, event, 0);
+  planner_step (router, event, NULL, NULL);
 }
--- a/programs/marjoramquay/admission.h
+++ b/programs/marjoramquay/admission.h
@@ -1,18 +1,24 @@
-/* The planner's side of the entry's actions: asks, progress, releases.
-   Internal to this program.  */
+/* This router's own planner, and its answers to the entry.  Internal to this
+   program.  */
 
 #ifndef MQ_ADMISSION_H
 #define MQ_ADMISSION_H
 
 #include "router.h"
 
-/* The entry asks for a plan.  */
-void mq_admission_ask (mq_router *router, const mq_entry_action *action);
-/* An attempt is over.  */
-void mq_admission_release (mq_router *router, const mq_entry_action *action);
+/* The answer to ASK, once, at once.  What ACTION owns may be moved.  */
+typedef void (*mq_admission_sink) (void *context, mq_planner_action *action);
 
-/* Hand EVENT to this router's own planner; the time is set here.  Answers to
-   asks of ours are posted to the entry.  */
+/* Have this router's own planner decide on ASK.  */
+void mq_admission_decide_for (mq_router *router, const mq_plan_ask *ask,
+                              mq_admission_sink sink, void *context);
+/* Post ACTION, an ADMIT or REFUSE, to the entry as the answer to the request
+   of that HANDLE.  The plan of an ADMIT is moved out.  */
+void mq_admission_answer (mq_router *router, uint64_t handle,
+                          mq_planner_action *action);
+
+/* Hand EVENT, which is no ASK, to this router's own planner; the time is set
+   here.  */
 void mq_admission_post (mq_router *router, mq_planner_event *event);
 
 #endif
--- a/programs/marjoramquay/config_feed.c
+++ b/programs/marjoramquay/config_feed.c
@@ -2,6 +2,7 @@
 
 #include "config_feed.h"
 
+#include <mq/config_peers.h>
 #include <mq/config_source.h>
 #include <mq/log.h>
 
@@ -9,6 +10,7 @@
 {
   mq_router *router; /* Borrowed.  */
   mq_config_source *source;
+  mq_config_peers *peers; /* NULL without peers.  */
 };
 
 static void
@@ -43,6 +45,8 @@
       feed->router->cut_off = false;
       break;
     }
+  if (feed->peers != NULL)
+    mq_config_peers_on_source (feed->peers, event);
 }
 
 mq_config_feed *
@@ -64,6 +68,20 @@
 {
   if (feed == NULL)
     return;
+  mq_config_peers_free (feed->peers);
   mq_config_source_free (feed->source);
   g_free (feed);
 }
+
+void
+mq_config_feed_join (mq_config_feed *feed, mq_fleet_io *fleet)
+{
+  feed->peers = mq_config_peers_new (feed->source, fleet);
+}
+
+void
+mq_config_feed_on_fleet (mq_config_feed *feed, const mq_fleet_io_event *event)
+{
+  if (feed->peers != NULL)
+    mq_config_peers_on_fleet (feed->peers, event);
+}
--- a/programs/marjoramquay/drain.c
+++ b/programs/marjoramquay/drain.c
@@ -5,6 +5,7 @@
 #include <mq/log.h>
 
 #include "audit_io.h"
+#include "fleet_node.h"
 #include "reply.h"
 #include "caller.h"
 
@@ -87,6 +88,7 @@
   mq_audit_io_add (router->audit, MQ_AUDIT_MODE,
                    mq_str_cstr (router->settings->name), why, "serving",
                    "draining");
+  mq_fleet_node_leave (router->fleet);
   mq_router_post (router, &event);
 }
 
--- /dev/null
+++ b/programs/marjoramquay/fleet_limits.c
@@ -0,0 +1,316 @@
+/* Organisation limits between routers: see fleet_limits.h.
+
+   Invariant: the limiter is not called from inside its own actions; what an
+   action raises at once (a share from ourselves to ourselves) waits until
+   all actions of the step are carried out.  */
+
+#include "fleet_limits.h"
+
+#include <mq/limiter.h>
+
+#include "fleet_node.h"
+
+/* A request that was allowed, or waits for it.  */
+typedef struct limit_use
+{
+  uint64_t handle;
+  uint32_t tokens; /* Asked for.  */
+  bool allowed;
+} limit_use;
+
+/* An event that waits, with a copy of a text that its sender owns.  */
+typedef struct limit_waiting
+{
+  mq_limiter_event event;
+  mq_str *organisation;
+} limit_waiting;
+
+struct mq_fleet_limits
+{
+  mq_router *router; /* Borrowed.  */
+  mq_limiter *limiter;
+  GHashTable *uses; /* &handle in the value -> owned limit_use  */
+  GQueue waiting;   /* of limit_waiting, owned  */
+  bool in_step;
+  mq_ticker tick;
+};
+
+static void
+waiting_free (gpointer data)
+{
+  limit_waiting *w = data;
+
+  mq_str_unref (w->organisation);
+  g_free (w);
+}
+
+/* What an ask or a grant names is the limiter's own and lives on; what comes
+   from the entry lives only as long as its request.  */
+static void
+wait_add (mq_fleet_limits *limits, const mq_limiter_event *event)
+{
+  limit_waiting *w = g_new0 (limit_waiting, 1);
+
+  w->event = *event;
+  if (event->kind == MQ_LIMITER_ACQUIRE)
+    {
+      w->organisation = mq_str_new (event->u.acquire.organisation);
+      w->event.u.acquire.organisation = mq_str_span (w->organisation);
+    }
+  if (event->kind == MQ_LIMITER_RELEASE)
+    {
+      w->organisation = mq_str_new (event->u.release.organisation);
+      w->event.u.release.organisation = mq_str_span (w->organisation);
+    }
+  g_queue_push_tail (&limits->waiting, w);
+}
+
+static void
+entry_tell (mq_fleet_limits *limits, const mq_limiter_action *action)
+{
+  mq_entry_event event
+      = { .kind = MQ_ENTRY_LIMITED, .handle = action->u.answer.handle };
+  limit_use *use
+      = g_hash_table_lookup (limits->uses, &action->u.answer.handle);
+
+  event.u.limited.allowed = action->kind == MQ_LIMITER_ALLOW;
+  event.u.limited.retry_after_us = action->u.answer.retry_after_us;
+  if (use != NULL && event.u.limited.allowed)
+    use->allowed = true;
+  else
+    g_hash_table_remove (limits->uses, &action->u.answer.handle);
+  mq_router_post (limits->router, &event);
+}
+
+/* An ask to ourselves.  */
+static void
+own_ask (mq_fleet_limits *limits, const mq_limit_ask *ask)
+{
+  const mq_fleet *fleet = mq_fleet_node_fleet (limits->router->fleet);
+  mq_limiter_event event = { .kind = MQ_LIMITER_ASKED };
+
+  event.u.asked.holder = limits->router->incarnation;
+  event.u.asked.ask = *ask;
+  if (fleet != NULL)
+    event.u.asked.owner_since_us = mq_fleet_owner_since (
+        fleet, MQ_OWNED_ORGANISATION, ask->organisation);
+  wait_add (limits, &event);
+}
+
+static void
+send_ask (mq_fleet_limits *limits, const mq_limit_ask *ask)
+{
+  const mq_member *owner = mq_fleet_node_owner (
+      limits->router->fleet, MQ_OWNED_ORGANISATION, ask->organisation);
+  mq_peer_message m = { .kind = MQ_PEER_LIMIT_ASK };
+
+  if (owner == NULL)
+    {
+      if (mq_fleet_node_may_own (limits->router->fleet))
+        own_ask (limits, ask);
+      return;
+    }
+  m.u.limit_ask = *ask;
+  (void)mq_fleet_node_send (limits->router->fleet, owner->incarnation, &m);
+}
+
+static void
+send_grant (mq_fleet_limits *limits, uint64_t holder,
+            const mq_limit_grant *grant)
+{
+  mq_peer_message m = { .kind = MQ_PEER_LIMIT_GRANT };
+  mq_limiter_event event = { .kind = MQ_LIMITER_GRANTED };
+
+  if (holder == limits->router->incarnation)
+    {
+      event.u.granted = *grant;
+      wait_add (limits, &event);
+      return;
+    }
+  m.u.limit_grant = *grant;
+  (void)mq_fleet_node_send (limits->router->fleet, holder, &m);
+}
+
+static void
+limiter_step (mq_fleet_limits *limits, mq_limiter_event *event)
+{
+  GArray *actions = g_array_new (FALSE, FALSE, sizeof (mq_limiter_action));
+
+  event->now_us = mq_router_now_us ();
+  mq_limiter_handle (limits->limiter, event, actions);
+  for (guint i = 0; i < actions->len; i++)
+    {
+      mq_limiter_action *a = &g_array_index (actions, mq_limiter_action, i);
+
+      switch (a->kind)
+        {
+        case MQ_LIMITER_ALLOW:
+        case MQ_LIMITER_REFUSE:
+          entry_tell (limits, a);
+          break;
+        case MQ_LIMITER_SEND_ASK:
+          send_ask (limits, &a->u.ask);
+          break;
+        case MQ_LIMITER_SEND_GRANT:
+          send_grant (limits, a->u.grant.holder, &a->u.grant.grant);
+          break;
+        }
+    }
+  g_array_unref (actions);
+}
+
+static void
+limiter_run (mq_fleet_limits *limits, mq_limiter_event *event)
+{
+  limit_waiting *w;
+
+  if (limits->in_step)
+    {
+      wait_add (limits, event);
+      return;
+    }
+  limits->in_step = true;
+  limiter_step (limits, event);
+  while ((w = g_queue_pop_head (&limits->waiting)) != NULL)
+    {
+      limiter_step (limits, &w->event);
+      waiting_free (w);
+    }
+  limits->in_step = false;
+  mq_ticker_arm (&limits->tick, mq_limiter_next_tick (limits->limiter));
+}
+
+static void
+on_tick (void *context)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_TICK };
+
+  limiter_run (context, &event);
+}
+
+mq_fleet_limits *
+mq_fleet_limits_new (mq_router *router)
+{
+  mq_fleet_limits *l = g_new0 (mq_fleet_limits, 1);
+
+  l->router = router;
+  l->limiter = mq_limiter_new ();
+  l->uses = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  g_queue_init (&l->waiting);
+  mq_ticker_init (&l->tick, router->loop, on_tick, l);
+  return l;
+}
+
+void
+mq_fleet_limits_free (mq_fleet_limits *limits)
+{
+  if (limits == NULL)
+    return;
+  mq_ticker_finish (&limits->tick);
+  g_queue_clear_full (&limits->waiting, waiting_free);
+  g_hash_table_unref (limits->uses);
+  mq_limiter_free (limits->limiter);
+  g_free (limits);
+}
+
+void
+mq_fleet_limits_take_config (mq_fleet_limits *limits, mq_config *config)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_CONFIG };
+
+  event.u.config = config;
+  limiter_run (limits, &event);
+}
+
+void
+mq_fleet_limits_ask (mq_fleet_limits *limits, const mq_entry_action *action)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_ACQUIRE };
+  limit_use *use = g_new0 (limit_use, 1);
+
+  use->handle = action->handle;
+  use->tokens = action->u.limit.tokens;
+  g_hash_table_replace (limits->uses, &use->handle, use);
+  event.u.acquire.handle = action->handle;
+  event.u.acquire.organisation = action->u.limit.organisation;
+  event.u.acquire.tokens = action->u.limit.tokens;
+  limiter_run (limits, &event);
+}
+
+void
+mq_fleet_limits_release (mq_fleet_limits *limits,
+                         const mq_entry_action *action)
+{
+  const limit_use *use = g_hash_table_lookup (limits->uses, &action->handle);
+  mq_limiter_event event = { .kind = MQ_LIMITER_RELEASE };
+
+  if (use == NULL)
+    return;
+  if (use->allowed)
+    {
+      event.u.release.organisation = action->u.limit.organisation;
+      event.u.release.tokens_asked = use->tokens;
+      event.u.release.tokens_used = action->u.limit.tokens;
+    }
+  else
+    {
+      event.kind = MQ_LIMITER_FORGET;
+      event.u.handle = action->handle;
+    }
+  g_hash_table_remove (limits->uses, &action->handle);
+  limiter_run (limits, &event);
+}
+
+/* The owner in our view may be another: then the asker's view is older or
+   newer than ours, and it must be careful until they agree.  */
+static void
+on_ask (mq_fleet_limits *limits, const mq_peer_message *message)
+{
+  mq_fleet_node *node = limits->router->fleet;
+  mq_span name = message->u.limit_ask.organisation;
+  mq_limiter_event event = { .kind = MQ_LIMITER_ASKED };
+
+  if (!mq_fleet_node_may_own (node)
+      || mq_fleet_node_owner (node, MQ_OWNED_ORGANISATION, name) != NULL)
+    return;
+  event.u.asked.holder = message->sender;
+  event.u.asked.ask = message->u.limit_ask;
+  event.u.asked.owner_since_us = mq_fleet_owner_since (
+      mq_fleet_node_fleet (node), MQ_OWNED_ORGANISATION, name);
+  limiter_run (limits, &event);
+}
+
+void
+mq_fleet_limits_message (mq_fleet_limits *limits,
+                         const mq_peer_message *message)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_GRANTED };
+
+  if (message->kind == MQ_PEER_LIMIT_ASK)
+    {
+      on_ask (limits, message);
+      return;
+    }
+  event.u.granted = message->u.limit_grant;
+  limiter_run (limits, &event);
+}
+
+void
+mq_fleet_limits_members (mq_fleet_limits *limits, uint32_t live,
+                         uint32_t known)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_MEMBERS };
+
+  event.u.members.live = live;
+  event.u.members.known = known;
+  limiter_run (limits, &event);
+}
+
+void
+mq_fleet_limits_holder_gone (mq_fleet_limits *limits, uint64_t router)
+{
+  mq_limiter_event event = { .kind = MQ_LIMITER_HOLDER_GONE };
+
+  event.u.holder = router;
+  limiter_run (limits, &event);
+}
--- /dev/null
+++ b/programs/marjoramquay/fleet_vms.c
@@ -0,0 +1,228 @@
+/* The platform's list of VMs: see fleet_vms.h.
+
+   Each call on the platform counts, so only those read the list often who
+   need it: the few of a region that read the platform for all, owners of
+   planners, and a router that knows nobody yet.  All others read it seldom
+   and hear of changes from their peers.
+
+   The list holds all VMs.  One whose address is that of a configured engine
+   or plain service is none of ours; any other is taken for a router until it
+   has been silent for long.  An address without a port gets the port of our
+   own peers' side, which is the same on all routers then.  */
+
+#include "fleet_vms.h"
+
+#include <string.h>
+
+#include "admission.h"
+#include "fleet_node.h"
+
+#define OFTEN_S 1.
+#define SELDOM_S 30.
+#define SPREAD 0.2 /* Of the interval, so that routers do not ask at once. */
+
+struct mq_fleet_vms
+{
+  mq_router *router; /* Borrowed.  */
+  ev_timer timer;
+  mq_platform_call *call; /* In flight, or NULL.  */
+};
+
+/* "http://IP:PORT/..." without its scheme and path.  */
+static mq_span
+url_host (mq_span url)
+{
+  const char *start = memchr (url.data, '/', url.size);
+  mq_span host = url;
+  const char *end;
+
+  if (start == NULL || url.size < (size_t)(start - url.data) + 2)
+    return host;
+  host.data = start + 2;
+  host.size = url.size - (size_t)(host.data - url.data);
+  end = memchr (host.data, '/', host.size);
+  if (end != NULL)
+    host.size = (size_t)(end - host.data);
+  return host;
+}
+
+/* Is HOST, IP:PORT, at ADDRESS, which is an IP number or the same?  */
+static bool
+host_is_at (mq_span host, mq_span address)
+{
+  if (mq_span_equal (host, address))
+    return true;
+  return address.size < host.size && host.data[address.size] == ':'
+         && mq_span_starts_with (host, address)
+         && memchr (host.data + address.size + 1, ':',
+                    host.size - address.size - 1)
+                == NULL;
+}
+
+/* Tell the planner of each engine at a VM that leaves.  Returns true when
+   some engine is there.  */
+static bool
+engines_note (mq_router *router, const mq_platform_vm *vm)
+{
+  const GArray *engines = router->config->engines;
+  bool found = false;
+
+  for (guint i = 0; i < engines->len; i++)
+    {
+      const mq_engine *e = &g_array_index (engines, mq_engine, i);
+      mq_planner_event event = { .kind = MQ_PLANNER_LEAVING };
+
+      if (!host_is_at (url_host (mq_str_span (e->url)), vm->address))
+        continue;
+      found = true;
+      event.u.engine = mq_str_span (e->name);
+      if (vm->leaving)
+        mq_admission_post (router, &event);
+    }
+  return found;
+}
+
+static bool
+services_are_at (const mq_config *config, mq_span address)
+{
+  for (guint i = 0; i < config->services->len; i++)
+    {
+      const mq_service *s = &g_array_index (config->services, mq_service, i);
+
+      if (s->kind != MQ_SERVICE_PLAIN)
+        continue;
+      for (guint k = 0; k < s->u.plain.instances->len; k++)
+        {
+          const mq_instance *n
+              = &g_array_index (s->u.plain.instances, mq_instance, k);
+
+          if (host_is_at (url_host (mq_str_span (n->url)), address))
+            return true;
+        }
+    }
+  return false;
+}
+
+static bool
+vm_is_upstream (mq_router *router, const mq_platform_vm *vm)
+{
+  if (router->config == NULL)
+    return false;
+  return engines_note (router, vm)
+         || services_are_at (router->config, vm->address);
+}
+
+/* Append to LISTED; the text of its address is kept in TEXTS.  */
+static void
+router_add (mq_router *router, const mq_platform_vm *vm, GArray *listed,
+            GPtrArray *texts)
+{
+  mq_listed_vm v = { .vm = vm->name, .leaving = vm->leaving };
+  mq_fleet_io *io = mq_fleet_node_io (router->fleet);
+  unsigned port = mq_peers_port (mq_fleet_io_peers (io));
+  bool has_port = memchr (vm->address.data, ':', vm->address.size) != NULL;
+  mq_str *address
+      = has_port ? mq_str_new (vm->address)
+                 : mq_str_printf ("%.*s:%u", MQ_SPAN_ARG (vm->address), port);
+
+  g_ptr_array_add (texts, address);
+  v.peer_address = mq_str_span (address);
+  g_array_append_val (listed, v);
+}
+
+static void
+text_free (gpointer text)
+{
+  mq_str_unref (text);
+}
+
+static void
+list_tell (mq_router *router, const mq_platform_reply *reply)
+{
+  GArray *listed = g_array_new (FALSE, FALSE, sizeof (mq_listed_vm));
+  GPtrArray *texts = g_ptr_array_new_with_free_func (text_free);
+  bool has_peers = mq_fleet_node_io (router->fleet) != NULL;
+
+  for (size_t i = 0; i < reply->n_vms; i++)
+    {
+      const mq_platform_vm *vm = &reply->vms[i];
+
+      if (!vm_is_upstream (router, vm) && has_peers && vm->address.size > 0)
+        router_add (router, vm, listed, texts);
+    }
+  mq_fleet_node_list (router->fleet, (const mq_listed_vm *)listed->data,
+                      listed->len);
+  g_array_unref (listed);
+  g_ptr_array_unref (texts);
+}
+
+static void
+on_reply (void *context, const mq_platform_reply *reply)
+{
+  mq_fleet_vms *vms = context;
+
+  vms->call = NULL;
+  if (reply->result == MQ_PLATFORM_OK)
+    list_tell (vms->router, reply);
+}
+
+static bool
+owns_a_model (const mq_router *router)
+{
+  const mq_config *c = router->config;
+
+  for (guint i = 0; c != NULL && i < c->models->len; i++)
+    if (mq_fleet_node_owner (
+            router->fleet, MQ_OWNED_MODEL,
+            mq_str_span (g_array_index (c->models, mq_model, i).name))
+        == NULL)
+      return true;
+  return false;
+}
+
+static double
+interval_s (const mq_router *router)
+{
+  const mq_fleet *fleet = mq_fleet_node_fleet (router->fleet);
+  double s = SELDOM_S;
+
+  if (mq_fleet_node_reads_platform (router->fleet) || owns_a_model (router)
+      || (fleet != NULL && mq_fleet_live_count (fleet) < 2))
+    s = OFTEN_S;
+  return s * (1 + SPREAD * g_random_double ());
+}
+
+static void
+on_timer (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_fleet_vms *vms = timer->data;
+
+  (void)revents;
+  if (vms->call == NULL)
+    vms->call = mq_platform_vms (vms->router->platform, on_reply, vms);
+  ev_timer_set (timer, interval_s (vms->router), 0.);
+  ev_timer_start (loop, timer);
+}
+
+mq_fleet_vms *
+mq_fleet_vms_new (mq_router *router)
+{
+  mq_fleet_vms *v = g_new0 (mq_fleet_vms, 1);
+
+  v->router = router;
+  ev_timer_init (&v->timer, on_timer, 0., 0.);
+  v->timer.data = v;
+  ev_timer_start (router->loop, &v->timer);
+  return v;
+}
+
+void
+mq_fleet_vms_free (mq_fleet_vms *vms)
+{
+  if (vms == NULL)
+    return;
+  ev_timer_stop (vms->router->loop, &vms->timer);
+  if (vms->call != NULL)
+    mq_platform_cancel (vms->call);
+  g_free (vms);
+}
--- a/programs/marjoramquay/main.c
+++ b/programs/marjoramquay/main.c
@@ -16,6 +16,7 @@
 #include <stdlib.h>
 
 #include "drain.h"
+#include "fleet_node.h"
 #include "router.h"
 
 #define EXIT_USAGE 2
@@ -112,6 +113,7 @@
 
   (void)loop;
   (void)revents;
+  mq_fleet_node_reload_keys (router->fleet);
   if (router->settings->tls_certificate == NULL)
     return;
   if (mq_http_server_reload_tls (router->server, &error) < 0)
--- a/programs/marjoramquay/router.c
+++ b/programs/marjoramquay/router.c
@@ -12,6 +12,9 @@
 #include "claim_io.h"
 #include "config_feed.h"
 #include "drain.h"
+#include "fleet_limits.h"
+#include "fleet_node.h"
+#include "fleet_plans.h"
 #include "loads.h"
 #include "order_io.h"
 #include "caller.h"
@@ -113,6 +116,8 @@
   r->platform = mq_platform_new (
       r->client, mq_str_span (settings->platform_url), PLATFORM_TIMEOUT_MS);
   r->loads = mq_loads_new (r);
+  r->limits = mq_fleet_limits_new (r);
+  r->plans = mq_fleet_plans_new (r);
   r->audit = mq_audit_io_new (r);
   r->claims = mq_claim_io_new (r);
   r->orders = mq_order_io_new (r);
@@ -120,6 +125,9 @@
     goto fail;
   r->tickets = mq_ticket_io_new (r);
   r->feed = mq_config_feed_new (r);
+  r->fleet = mq_fleet_node_new (r, error);
+  if (r->fleet == NULL)
+    goto fail;
   mq_log (G_LOG_LEVEL_INFO, "router.start",
           "vm=%s incarnation=%s address=%s port=%u",
           mq_str_cstr (settings->name), r->incarnation_text,
@@ -139,6 +147,7 @@
 {
   if (router == NULL)
     return;
+  mq_fleet_node_free (router->fleet);
   mq_config_feed_free (router->feed);
   mq_loads_free (router->loads);
   mq_order_io_free (router->orders);
@@ -150,6 +159,8 @@
   mq_platform_free (router->platform);
   mq_http_client_free (router->client);
   mq_router_loop_finish (router);
+  mq_fleet_plans_free (router->plans);
+  mq_fleet_limits_free (router->limits);
   ev_timer_stop (router->loop, &router->close_timer);
   mq_entry_free (router->entry);
   mq_planner_free (router->planner);
@@ -170,9 +181,11 @@
   mq_log (G_LOG_LEVEL_INFO, "config.in-force",
           "generation=%" G_GUINT64_FORMAT " services=%u engines=%u",
           config->generation, config->services->len, config->engines->len);
+  mq_fleet_limits_take_config (router->limits, config);
   planner.u.config = config;
   mq_admission_post (router, &planner);
   entry.u.config = config;
   mq_router_post (router, &entry);
   mq_loads_take_config (router->loads, config);
+  mq_fleet_node_take_config (router->fleet);
 }
--- a/programs/marjoramquay/router.h
+++ b/programs/marjoramquay/router.h
@@ -28,6 +28,9 @@
 
 typedef struct mq_audit_io mq_audit_io;
 typedef struct mq_claim_io mq_claim_io;
+typedef struct mq_fleet_limits mq_fleet_limits;
+typedef struct mq_fleet_node mq_fleet_node;
+typedef struct mq_fleet_plans mq_fleet_plans;
 typedef struct mq_loads mq_loads;
 typedef struct mq_order_io mq_order_io;
 typedef struct mq_ticket_io mq_ticket_io;
@@ -70,9 +73,8 @@
 
   mq_entry *entry;
   mq_planner *planner;
-  GArray *entry_actions;   /* Scratch, of mq_entry_action.  */
-  GArray *planner_actions; /* Scratch, of mq_planner_action.  */
-  GQueue pending;          /* Events raised while actions are carried out. */
+  GArray *entry_actions; /* Scratch, of mq_entry_action.  */
+  GQueue pending;        /* Events raised while actions are carried out. */
   bool in_step;
   mq_ticker entry_tick;
   ev_timer planner_tick;
@@ -84,6 +86,9 @@
   uint64_t last_handle;
 
   mq_loads *loads;
+  mq_fleet_node *fleet;
+  mq_fleet_limits *limits;
+  mq_fleet_plans *plans;
   mq_audit_io *audit;
   mq_claim_io *claims;
   mq_order_io *orders;
--- a/programs/marjoramquay/router_loop.c
+++ b/programs/marjoramquay/router_loop.c
@@ -10,6 +10,8 @@
 #include "claim_io.h"
 #include "completion.h"
 #include "drain.h"
+#include "fleet_limits.h"
+#include "fleet_plans.h"
 #include "router.h"
 #include "service_route.h"
 
@@ -30,16 +32,6 @@
   g_free (pending);
 }
 
-static void
-post_limited (mq_router *router, const mq_entry_action *action)
-{
-  mq_entry_event event
-      = { .kind = MQ_ENTRY_LIMITED, .handle = action->handle };
-
-  event.u.limited.allowed = true;
-  mq_router_post (router, &event);
-}
-
 static void
 claim (mq_router *router, const mq_entry_action *action)
 {
@@ -125,15 +117,16 @@
   switch (action->kind)
     {
     case MQ_ENTRY_ASK_LIMIT:
-      post_limited (router, action);
+      mq_fleet_limits_ask (router->limits, action);
       break;
     case MQ_ENTRY_RELEASE_LIMIT:
+      mq_fleet_limits_release (router->limits, action);
       break;
     case MQ_ENTRY_ASK_PLAN:
-      mq_admission_ask (router, action);
+      mq_fleet_plans_ask (router->plans, action);
       break;
     case MQ_ENTRY_RELEASE_PLAN:
-      mq_admission_release (router, action);
+      mq_fleet_plans_release (router->plans, action);
       break;
     case MQ_ENTRY_CLAIM:
       claim (router, action);
@@ -241,7 +234,6 @@
 {
   g_queue_init (&router->pending);
   router->entry_actions = g_array_new (FALSE, TRUE, sizeof (mq_entry_action));
-  router->planner_actions = mq_planner_actions_new ();
   mq_ticker_init (&router->entry_tick, router->loop, on_entry_tick, router);
   ev_timer_init (&router->planner_tick, on_planner_tick, PLANNER_TICK_S,
                  PLANNER_TICK_S);
@@ -259,5 +251,4 @@
   mq_ticker_finish (&router->entry_tick);
   ev_timer_stop (router->loop, &router->planner_tick);
   g_clear_pointer (&router->entry_actions, g_array_unref);
-  g_clear_pointer (&router->planner_actions, g_array_unref);
 }
--- a/programs/marjoramquay/status.c
+++ b/programs/marjoramquay/status.c
@@ -6,6 +6,8 @@
 #include <stdio.h>
 #include <sys/resource.h>
 
+#include "fleet_node.h"
+#include "fleet_plans.h"
 #include "reply.h"
 
 static uint64_t *
@@ -155,6 +157,8 @@
   gauge_set (router, "marjoramquay_cpu_milliseconds",
              "Processor time used by this process.", cpu_ms ());
   entry_counters_copy (router);
+  mq_fleet_node_count (router->fleet);
+  mq_fleet_plans_count (router->plans);
   mq_metrics_render (router->metrics, out);
   mq_reply_text (exchange, 200, (mq_span){ out->str, out->len });
   g_string_free (out, TRUE);
@@ -176,6 +180,7 @@
   mq_json_text_bool (out, "draining", router->mode != MQ_ROUTER_SERVING);
   mq_json_text_bool (out, "cut_off", router->cut_off);
   mq_json_text_number (out, "in_flight", mq_entry_in_flight (router->entry));
+  mq_fleet_node_show (router->fleet, out);
   g_string_append (out, "}\n");
   mq_reply_json (exchange, 200, out);
   g_string_free (out, TRUE);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -60,6 +60,7 @@
   unsigned routers = 1;
   std::string settings; /* More members for the routers' settings.  */
   std::string policy = "{}";
+  std::string organisation; /* More members for the organisation.  */
   unsigned deadline_ms = 60000;
   std::string whole_engine; /* URL of one that holds all layers, in place of
                                the stand-ins.  */
@@ -244,8 +245,8 @@
     return quoted (
         "{ // The yard's organisations and services.\n"
         "  'organisations': { 'yard': { 'token_sha256': '"
-        + digest (token)
-        + "' } },\n"
+        + digest (token) + "'" + options_.organisation
+        + " } },\n"
           "  'models': { 'm': { 'version': 'v1', 'layers': "
         + std::to_string (layers)
         + " } },\n"
--- a/tools/mqload/cluster.c
+++ b/tools/mqload/cluster.c
@@ -27,6 +27,7 @@
 
   g_free (p->name);
   g_free (p->address);
+  g_free (p->peers);
   g_free (p);
 }
 
@@ -38,11 +39,13 @@
   dup2 (GPOINTER_TO_INT (data), STDERR_FILENO);
 }
 
-/* Read the line `listening=ADDRESS' from FD; NULL when it doesn't come.  */
+/* Read the line `listening=ADDRESS' from FD; NULL when it doesn't come.  A
+   line `peers=ADDRESS' before it goes to *PEERS.  */
 static char *
-read_address (int fd)
+read_address (int fd, char **peers)
 {
   static const char key[] = "listening=";
+  static const char peers_key[] = "peers=";
   GString *line = g_string_new (NULL);
   struct pollfd p = { .fd = fd, .events = POLLIN };
   char *address = NULL;
@@ -60,6 +63,8 @@
           address = g_strdup (line->str + sizeof key - 1);
           break;
         }
+      if (g_str_has_prefix (line->str, peers_key))
+        *peers = g_strdup (line->str + sizeof peers_key - 1);
       g_string_truncate (line, 0);
     }
   g_string_free (line, TRUE);
@@ -90,7 +95,7 @@
       goto out;
     }
   /* OUT stays open: the child may not write to a closed pipe.  */
-  p->address = read_address (out);
+  p->address = read_address (out, &p->peers);
   if (p->address == NULL)
     {
       g_set_error (error, G_SPAWN_ERROR, G_SPAWN_ERROR_FAILED,
@@ -281,6 +286,13 @@
   return g_ptr_array_index (c->processes, 0);
 }
 
+/* Routers find one another by the list, so it names their peers' side.  */
+static const char *
+listed_address (const load_process *p)
+{
+  return p->peers != NULL ? p->peers : p->address;
+}
+
 /* Tell the platform's VM list about P.  */
 static void
 list_vm (load_cluster *c, const load_process *p, const char *state)
@@ -288,7 +300,7 @@
   char *url = g_strdup_printf ("http://%s/vms/%s",
                                cluster_platform (c)->address, p->name);
   char *body = g_strdup_printf ("{\"address\":\"%s\",\"state\":\"%s\"}",
-                                p->address, state);
+                                listed_address (p), state);
 
   load_fetch (c->loop, c->client, "PUT", url, body, NULL);
   g_free (body);
@@ -446,7 +458,7 @@
       return;
     case LOAD_FAULT_LEAVE:
       body = g_strdup_printf ("{\"address\":\"%s\",\"state\":\"leaving\"}",
-                              p->address);
+                              listed_address (p));
       send_body (c, "PUT",
                  g_strdup_printf ("http://%s/vms/%s",
                                   cluster_platform (c)->address, p->name),
--- a/tools/mqload/cluster.h
+++ b/tools/mqload/cluster.h
@@ -26,6 +26,7 @@
   load_role role;
   GPid pid;      /* 0 once it has ended.  */
   char *address; /* IP:PORT.  */
+  char *peers;   /* The same of a router's peers; NULL: none.  */
   uint32_t service;
   uint32_t failure_domain;
   double cpu_s; /* Used until it was last looked at.  */
--- a/tools/mqload/cluster_files.c
+++ b/tools/mqload/cluster_files.c
@@ -3,6 +3,7 @@
 #include "cluster_files.h"
 
 #include <glib/gstdio.h>
+#include <mq/peers.h>
 #include <string.h>
 
 static json_object *
@@ -255,6 +256,25 @@
   return folder;
 }
 
+/* One key pair for all routers.  */
+static int
+write_peer_keys (const char *pair_path, const char *ring_path, GError **error)
+{
+  mq_peer_keys keys;
+  char *pair;
+  int status = -1;
+
+  if (g_file_test (pair_path, G_FILE_TEST_EXISTS))
+    return 0;
+  mq_peer_keys_generate (&keys);
+  pair = g_strdup_printf ("%s\n%s\n", keys.public_key, keys.secret_key);
+  if (g_file_set_contents (ring_path, keys.public_key, -1, error)
+      && g_file_set_contents (pair_path, pair, -1, error))
+    status = 0;
+  g_free (pair);
+  return status;
+}
+
 char *
 load_write_settings (const load_cluster *cluster, const char *name,
                      uint32_t failure_domain, const char *platform,
@@ -265,6 +285,8 @@
   json_object *peers = object_add (root, "peers");
   char *url = g_strdup_printf ("http://%s", platform);
   char *file = g_strdup_printf ("%s.json", name);
+  char *pair = g_build_filename (cluster->folder, "peers.pair", NULL);
+  char *ring = g_build_filename (cluster->folder, "peers.ring", NULL);
   char *path = NULL;
 
   add_string (root, "name", name);
@@ -275,10 +297,15 @@
   add_int (callers, "port", 0);
   add_string (peers, "address", "127.0.0.1");
   add_int (peers, "port", 0);
+  add_string (peers, "key_file", pair);
+  add_string (peers, "ring_file", ring);
   add_string (object_add (root, "platform"), "url", url);
   add_string (object_add (root, "log"), "level", "info");
-  if (write_json (cluster->folder, file, root, error) == 0)
+  if (write_peer_keys (pair, ring, error) == 0
+      && write_json (cluster->folder, file, root, error) == 0)
     path = g_build_filename (cluster->folder, file, NULL);
+  g_free (pair);
+  g_free (ring);
   g_free (file);
   g_free (url);
   return path;
