Have mqload take tickets, and find a fault's dip

Tickets come with an ask that wants some and run only at the router that minted them; mqload now asks for 16 and sends each to its router.

Recovery counted from the first half second after a fault that looked well, before the dip had come. The dip is now looked for in the 2 s after.

--- a/tools/mqload/callers.c
+++ b/tools/mqload/callers.c
@@ -7,6 +7,27 @@
 #define ASK_MS 1000
 #define FALLBACK_TTL_MS 2000
 #define PRIME_TURNS 200
+/* Tickets that a caller asks for each time.  */
+#define TICKETS "16"
+
+void
+load_ticket_free (load_ticket *ticket)
+{
+  if (ticket == NULL)
+    return;
+  g_free (ticket->text);
+  g_free (ticket->address);
+  g_free (ticket);
+}
+
+static void
+caller_drop_tickets (load_caller *c)
+{
+  load_ticket *t;
+
+  while ((t = g_queue_pop_head (&c->tickets)) != NULL)
+    load_ticket_free (t);
+}
 
 static void
 caller_free (gpointer data)
@@ -14,7 +35,8 @@
   load_caller *c = data;
 
   g_ptr_array_unref (c->entries);
-  g_queue_clear_full (&c->tickets, g_free);
+  caller_drop_tickets (c);
+  g_free (c->asked);
   g_free (c->authorization);
   g_free (c);
 }
@@ -47,12 +69,18 @@
 static void
 caller_take_tickets (load_caller *c, json_object *list)
 {
+  caller_drop_tickets (c);
   for (size_t i = 0; list != NULL && i < json_object_array_length (list); i++)
     {
-      json_object *t = json_object_array_get_idx (list, i);
-
-      if (json_object_is_type (t, json_type_string))
-        g_queue_push_tail (&c->tickets, g_strdup (json_object_get_string (t)));
+      json_object *v = json_object_array_get_idx (list, i);
+      load_ticket *t;
+
+      if (!json_object_is_type (v, json_type_string))
+        continue;
+      t = g_new0 (load_ticket, 1);
+      t->text = g_strdup (json_object_get_string (v));
+      t->address = g_strdup (c->asked);
+      g_queue_push_tail (&c->tickets, t);
     }
 }
 
@@ -120,7 +148,9 @@
   if (c->asking)
     return;
   c->asking = true;
-  url = g_strdup_printf ("http://%s/v1/entries", caller_ask_address (c));
+  g_free (c->asked);
+  c->asked = g_strdup (caller_ask_address (c));
+  url = g_strdup_printf ("http://%s/v1/entries?tickets=" TICKETS, c->asked);
   o.url = mq_span_from (url);
   c->asks++;
   c->callers->asked++;
@@ -219,7 +249,7 @@
   caller->expires_us = 0;
 }
 
-char *
+load_ticket *
 load_caller_ticket (load_caller *caller)
 {
   return g_queue_pop_head (&caller->tickets);
--- a/tools/mqload/callers.h
+++ b/tools/mqload/callers.h
@@ -13,12 +13,20 @@
 
 typedef struct load_callers load_callers;
 
+/* A ticket, which only the router that minted it runs.  */
+typedef struct load_ticket
+{
+  char *text;
+  char *address; /* Of that router.  */
+} load_ticket;
+
 typedef struct load_caller
 {
   load_callers *callers; /* Borrowed.  */
   uint32_t organisation;
   GPtrArray *entries; /* of char *, the best first.  */
-  GQueue tickets;     /* of char *, owned  */
+  GQueue tickets;     /* of load_ticket, owned  */
+  char *asked;        /* The address of the last ask.  */
   uint64_t expires_us;
   uint32_t asks;
   bool asking;
@@ -51,8 +59,9 @@
 /* The entry did not answer: ask again soon.  */
 void load_caller_disappointed (load_caller *caller);
 
-/* A ticket, to be freed by g_free; NULL when there is none.  */
-char *load_caller_ticket (load_caller *caller);
+/* A ticket, to be freed by load_ticket_free; NULL when there is none.  */
+load_ticket *load_caller_ticket (load_caller *caller);
+void load_ticket_free (load_ticket *ticket);
 
 G_END_DECLS
 
--- a/tools/mqload/request.c
+++ b/tools/mqload/request.c
@@ -20,7 +20,7 @@
   GString *answer; /* The text so far; of a plain call the body.  */
   GString *line;   /* What has come of the next line.  */
   GString *error;  /* The body or event that tells an error.  */
-  char *ticket;
+  load_ticket *ticket;
   unsigned status;
   char outcome[16]; /* The header.  */
   bool whole;       /* [DONE] came.  */
@@ -74,7 +74,7 @@
   g_string_free (r->answer, TRUE);
   g_string_free (r->line, TRUE);
   g_string_free (r->error, TRUE);
-  g_free (r->ticket);
+  load_ticket_free (r->ticket);
   g_free (r);
 }
 
@@ -161,8 +161,14 @@
 
   load_caller_disappointed (r->caller);
   if (request_record (r)->tries >= TRIES || load_run_now (r->run) >= deadline
-      || r->ticket != NULL)
+      || (r->ticket != NULL && request_record (r)->maybe_ran))
     return false;
+  /* Nothing ran: another guard may be taken.  */
+  if (r->ticket != NULL)
+    {
+      load_ticket_free (r->ticket);
+      r->ticket = load_caller_ticket (r->caller);
+    }
   request_send (r);
   return true;
 }
@@ -408,7 +414,7 @@
 
   if (r->ticket != NULL)
     h[3] = (mq_http_header){ MQ_SPAN ("Marjoramquay-Ticket"),
-                             mq_span_from (r->ticket) };
+                             mq_span_from (r->ticket->text) };
   if (mq_span_equal (o.method, MQ_SPAN ("GET")))
     o.body = (mq_span){ NULL, 0 };
   mq_http_client_start (r->run->client, &o, request_sink, r);
@@ -427,6 +433,8 @@
   const char *address
       = load_caller_entry (r->caller, request_record (r)->tries);
 
+  if (r->ticket != NULL)
+    address = r->ticket->address;
   request_clear (r);
   if (address == NULL || now >= deadline)
     request_end (r, LOAD_END_UNREACHABLE,
--- a/tools/mqload/result.c
+++ b/tools/mqload/result.c
@@ -10,6 +10,8 @@
    be back after it.  */
 #define BEFORE_TICKS 30
 #define AFTER_TICKS 5
+/* Ticks after a fault in which its dip is looked for.  */
+#define DIP_TICKS 20
 #define RECOVERED 0.95
 #define TICKS_PER_S (1e6 / (double)LOAD_TICK_US)
 
@@ -255,30 +257,48 @@
   return sum;
 }
 
+/* The tick within DIP_TICKS of AT from which on the rate is lowest.  */
+static guint
+lowest_tick (const GArray *ticks, guint at, guint end)
+{
+  guint lowest = at;
+
+  for (guint t = at; t <= at + DIP_TICKS && t + AFTER_TICKS <= end; t++)
+    if (ticks_rate (ticks, t, AFTER_TICKS)
+        < ticks_rate (ticks, lowest, AFTER_TICKS))
+      lowest = t;
+  return lowest;
+}
+
+/* Ticks from AT until the rate is at WANTED again after the dip at LOWEST; 0
+   when it did not fall below, -1 when it did not come back before END.  */
+static int
+recovery_ticks (const GArray *ticks, guint at, guint lowest, guint end,
+                double wanted)
+{
+  if (ticks_rate (ticks, lowest, AFTER_TICKS) >= wanted)
+    return 0;
+  for (guint t = lowest; t + AFTER_TICKS <= end; t++)
+    if (ticks_rate (ticks, t, AFTER_TICKS) >= wanted)
+      return (int)(t - at);
+  return -1;
+}
+
 /* How the throughput of tokens came back after fault F.  */
 static json_object *
 fault_json (const load_records *records, const load_fault *f)
 {
   json_object *json = json_object_new_object ();
+  const GArray *ticks = records->ticks;
   guint at = (guint)(f->at_us / LOAD_TICK_US);
   guint n = MIN (at, BEFORE_TICKS);
   guint end = (guint)(records->scenario->duration_us / LOAD_TICK_US);
-  double before = ticks_rate (records->ticks, at - n, n);
+  guint lowest = lowest_tick (ticks, at, end);
+  double before = ticks_rate (ticks, at - n, n);
   double after = scenario_capacity (records->scenario, f->at_us + 1);
-  double wanted = RECOVERED * MIN (before, after);
-  double lowest = before;
-  double recovery = -1;
-
-  for (guint t = at; t + AFTER_TICKS <= end; t++)
-    {
-      double rate = ticks_rate (records->ticks, t, AFTER_TICKS);
+  int recovery = recovery_ticks (ticks, at, lowest, end,
+                                 RECOVERED * MIN (before, after));
 
-      lowest = MIN (lowest, rate);
-      if (rate < wanted)
-        continue;
-      recovery = (t - at) / TICKS_PER_S;
-      break;
-    }
   add_number (json, "at_s", (double)f->at_us / 1e6);
   add_string (json, "target", mq_str_cstr (f->target));
   add_string (json, "what",
@@ -287,9 +307,10 @@
                                              : "leaving");
   add_number (json, "before", before);
   add_number (json, "survivors", after);
-  add_number (json, "lowest", lowest);
+  add_number (json, "lowest", ticks_rate (ticks, lowest, AFTER_TICKS));
   json_object_object_add (json, "recovery_s",
-                          recovery < 0 ? NULL : number (recovery));
+                          recovery < 0 ? NULL
+                                       : number (recovery / TICKS_PER_S));
   return json;
 }
 
