Print the slopes behind the capacity page by one command

Cause: docs/CAPACITY.md must be recomputable; make slopes runs the benches that count processor time, bytes and memory.

--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,7 @@
 
 clean:
 	rm -rf build build-sanitize build-release
+
+# Prints the slopes behind docs/CAPACITY.md.
+slopes: build
+	tools/slopes.sh $(BUILD)
