--- /dev/null
+++ b/programs/mqctl/routers.c
@@ -0,0 +1,154 @@
+/* The routers as mqctl sees them: see routers.h.
+
+   A router's /v1/status names itself and, under "members", the routers that
+   it sees with their addresses; so one address is enough to reach all.  */
+
+#include "routers.h"
+
+#include <string.h>
+
+#define HTTP_OK 200
+
+static void
+routers_clear_one (gpointer data)
+{
+  ctl_router *s = data;
+
+  g_free (s->base);
+  if (s->status != NULL)
+    json_object_put (s->status);
+}
+
+int
+ctl_routers_need (const ctl *c)
+{
+  if (c->options.routers != NULL && c->options.routers[0] != NULL)
+    return 0;
+  ctl_complain ("no router address: use --router http://IP:PORT or set "
+                "MQ_ROUTER");
+  return -1;
+}
+
+/* A URL from an address that may lack its scheme; free with g_free.  */
+char *
+ctl_router_base (const char *address)
+{
+  char *base = strstr (address, "://")
+                   ? g_strdup (address)
+                   : g_strconcat ("http://", address, NULL);
+  size_t n = strlen (base);
+
+  if (n > 0 && base[n - 1] == '/')
+    base[n - 1] = '\0';
+  return base;
+}
+
+const char *
+ctl_json_string (struct json_object *object, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (object, key, &v);
+  return json_object_is_type (v, json_type_string) ? json_object_get_string (v)
+                                                   : "";
+}
+
+uint64_t
+ctl_json_number (struct json_object *object, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (object, key, &v);
+  return json_object_is_type (v, json_type_int) ? json_object_get_uint64 (v)
+                                                : 0;
+}
+
+bool
+ctl_json_flag (struct json_object *object, const char *key)
+{
+  struct json_object *v = NULL;
+
+  json_object_object_get_ex (object, key, &v);
+  return json_object_get_boolean (v);
+}
+
+/* The members that STATUS names, or NULL.  */
+struct json_object *
+ctl_router_members (struct json_object *status)
+{
+  struct json_object *members = NULL;
+
+  json_object_object_get_ex (status, "members", &members);
+  return json_object_is_type (members, json_type_array) ? members : NULL;
+}
+
+/* Note BASE, which is given up, to be asked, unless it is there already.  */
+static void
+router_note (GArray *states, char *base)
+{
+  ctl_router s = { .base = base };
+
+  for (guint i = 0; i < states->len; i++)
+    if (strcmp (g_array_index (states, ctl_router, i).base, base) == 0)
+      {
+        g_free (base);
+        return;
+      }
+  g_array_append_val (states, s);
+}
+
+static struct json_object *
+router_ask_status (ctl *c, const char *base)
+{
+  ctl_answer answer = ctl_ask (c, "GET", base, "/v1/status");
+  struct json_object *status = NULL;
+
+  if (answer.result == MQ_HTTP_OK && answer.status == HTTP_OK)
+    status = json_tokener_parse (mq_str_cstr (answer.body));
+  if (status != NULL && !json_object_is_type (status, json_type_object))
+    g_clear_pointer (&status, json_object_put);
+  ctl_answer_finish (&answer);
+  return status;
+}
+
+/* Note the members that STATUS names and that are not dead.  */
+static void
+router_note_members (GArray *states, struct json_object *status)
+{
+  struct json_object *members = ctl_router_members (status);
+  size_t n = members ? json_object_array_length (members) : 0;
+
+  for (size_t i = 0; i < n; i++)
+    {
+      struct json_object *m = json_object_array_get_idx (members, i);
+      const char *address = ctl_json_string (m, "address");
+
+      if (*address != '\0'
+          && strcmp (ctl_json_string (m, "state"), "dead") != 0)
+        router_note (states, ctl_router_base (address));
+    }
+}
+
+/* Ask all routers that were named and that those name: a GArray of
+   ctl_router.  */
+GArray *
+ctl_routers_ask (ctl *c)
+{
+  GArray *states = g_array_new (FALSE, FALSE, sizeof (ctl_router));
+
+  g_array_set_clear_func (states, routers_clear_one);
+  for (char **r = c->options.routers; *r != NULL; r++)
+    if (**r != '\0')
+      router_note (states, ctl_router_base (*r));
+  /* The list grows while it is gone through.  */
+  for (guint i = 0; i < states->len; i++)
+    {
+      struct json_object *status
+          = router_ask_status (c, g_array_index (states, ctl_router, i).base);
+
+      g_array_index (states, ctl_router, i).status = status;
+      if (status != NULL)
+        router_note_members (states, status);
+    }
+  return states;
+}
--- a/programs/mqctl/show_verbs.c
+++ b/programs/mqctl/show_verbs.c
@@ -9,6 +9,8 @@
 #include <string.h>
 
 #define SHORT_DIGEST 12
+/* Longer values are cut in the table; --json shows them whole.  */
+#define VALUE_WIDTH 48
 
 /* Called with each leaf of a merged document.  */
 typedef void (*show_leaf) (void *context, const char *path,
@@ -48,11 +50,12 @@
   show_output *out = context;
   unsigned line = 0;
   mq_str *file = mq_json_where (out->doc, path, &line);
+  const char *text
+      = json_object_to_json_string_ext (value, JSON_C_TO_STRING_NOSLASHESCAPE);
 
   ctl_table_cell (&out->table, "%s", path);
-  ctl_table_cell (
-      &out->table, "%s",
-      json_object_to_json_string_ext (value, JSON_C_TO_STRING_NOSLASHESCAPE));
+  ctl_table_cell (&out->table, "%.*s%s", VALUE_WIDTH, text,
+                  strlen (text) > VALUE_WIDTH ? "..." : "");
   ctl_table_cell (&out->table, "%s:%u", mq_str_cstr (file), line);
   mq_str_unref (file);
 }
