--- a/Makefile
+++ b/Makefile
@@ -49,8 +49,11 @@
 bench: build
 	BUILD=$(BUILD) tools/bench.sh $(MODE)
 
-install: build
-	cmake --install $(BUILD)
+# A release build has the deliberate defects compiled out.
+install:
+	cmake -S . -B build-release -G Ninja -DCMAKE_BUILD_TYPE=Release -DMQ_DEFECTS=OFF
+	cmake --build build-release --target marjoramquay mqctl
+	cmake --install build-release
 
 clean:
 	rm -rf build build-sanitize build-release
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -148,23 +148,30 @@
     stream_again (entry, request);
 }
 
-/* The present attempt is over without a whole answer.  */
+/* How an attempt came to be over without a whole answer.  */
+typedef struct stream_loss
+{
+  mq_attempt_end end;
+  uint32_t stage;  /* At fault, or MQ_STAGE_NONE.  */
+  bool still_open; /* The stream did not end by itself.  */
+  bool not_run;    /* Proven not to have run.  */
+} stream_loss;
+
 static void
-stream_lose (mq_entry *entry, mq_request *request, mq_attempt_end end,
-             uint32_t stage, bool cancel, bool proven_not_run)
+stream_lose (mq_entry *entry, mq_request *request, stream_loss loss)
 {
   mq_decision d = mq_entry_decision (entry, request, MQ_DECISION_MOVED);
 
-  d.lost = end;
-  d.stage = stage;
+  d.lost = loss.end;
+  d.stage = loss.stage;
   mq_decision_log_add (entry->decisions, &d);
-  if (cancel && !mq_defect_enabled (MQ_DEFECT_STREAM_LEFT_OPEN))
+  if (loss.still_open && !mq_defect_enabled (MQ_DEFECT_STREAM_LEFT_OPEN))
     mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
-  if (!proven_not_run)
+  if (!loss.not_run)
     request->may_have_run = true;
   request->lost++;
-  stream_avoid (request, stage);
-  stream_release (entry, request, end, stage);
+  stream_avoid (request, loss.stage);
+  stream_release (entry, request, loss.end, loss.stage);
   mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
   stream_go_on (entry, request);
 }
@@ -410,8 +417,10 @@
       request->moved_slow = true;
       entry->counters.crawls++;
       stream_avoid_all (request);
-      stream_lose (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE,
-                   true, false);
+      stream_lose (entry, request,
+                   (stream_loss){ .end = MQ_ATTEMPT_STAGE_STALLED,
+                                  .stage = MQ_STAGE_NONE,
+                                  .still_open = true });
     }
   else if (stream_has_no_hope (entry, request))
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
@@ -424,6 +433,7 @@
   uint32_t position = event->u.token.position;
   const mq_receipt *receipts = event->u.token.receipts;
   size_t n = event->u.token.n_receipts;
+  uint32_t wrong;
   mq_entry_action *a;
 
   if (!stream_is_awaited (entry, request, event->attempt))
@@ -438,16 +448,21 @@
   if (position > request->tokens)
     {
       entry->counters.wrong_position++;
-      stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG, 0, true, false);
+      stream_lose (entry, request,
+                   (stream_loss){ .end = MQ_ATTEMPT_STAGE_WRONG,
+                                  .stage = 0,
+                                  .still_open = true });
       return;
     }
   if (mq_plan_check_receipts (&request->plan, receipts, n) != MQ_PLAN_OK
       && !mq_defect_enabled (MQ_DEFECT_RECEIPTS_NOT_CHECKED))
     {
       entry->counters.wrong_receipts++;
-      stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG,
-                   stream_wrong_stage (&request->plan, receipts, n), true,
-                   false);
+      wrong = stream_wrong_stage (&request->plan, receipts, n);
+      stream_lose (entry, request,
+                   (stream_loss){ .end = MQ_ATTEMPT_STAGE_WRONG,
+                                  .stage = wrong,
+                                  .still_open = true });
       return;
     }
   request->rests = 0;
@@ -481,12 +496,15 @@
         }
       else
         /* Nothing proves that any layer ran.  */
-        stream_lose (entry, request, MQ_ATTEMPT_STAGE_WRONG, 0, false, false);
+        stream_lose (
+            entry, request,
+            (stream_loss){ .end = MQ_ATTEMPT_STAGE_WRONG, .stage = 0 });
       break;
     case MQ_STREAM_CANCELLED:
     case MQ_STREAM_EVICTED:
-      stream_lose (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE, false,
-                   false);
+      stream_lose (entry, request,
+                   (stream_loss){ .end = MQ_ATTEMPT_CANCELLED,
+                                  .stage = MQ_STAGE_NONE });
       break;
     case MQ_STREAM_DEADLINE:
       request->may_have_run = true;
@@ -497,7 +515,9 @@
     case MQ_STREAM_STAGE_LOST:
       if (stage >= request->plan.n_stages)
         stage = MQ_STAGE_NONE;
-      stream_lose (entry, request, MQ_ATTEMPT_STAGE_DIED, stage, false, false);
+      stream_lose (
+          entry, request,
+          (stream_loss){ .end = MQ_ATTEMPT_STAGE_DIED, .stage = stage });
       break;
     }
 }
@@ -507,14 +527,16 @@
                   const mq_entry_event *event)
 {
   const mq_send_failure *f = &event->u.failure;
+  stream_loss loss = { .end = MQ_ATTEMPT_STAGE_DIED, .stage = 0 };
 
   if (!stream_is_awaited (entry, request, event->attempt))
     return;
-  stream_lose (entry, request,
-               f->said_not_run ? MQ_ATTEMPT_STAGE_REFUSED
-               : f->timed_out  ? MQ_ATTEMPT_STAGE_STALLED
-                               : MQ_ATTEMPT_STAGE_DIED,
-               0, false, f->said_not_run || !f->maybe_sent);
+  if (f->said_not_run)
+    loss.end = MQ_ATTEMPT_STAGE_REFUSED;
+  else if (f->timed_out)
+    loss.end = MQ_ATTEMPT_STAGE_STALLED;
+  loss.not_run = f->said_not_run || !f->maybe_sent;
+  stream_lose (entry, request, loss);
 }
 
 /* When the stream of REQUEST counts as stalled.  */
@@ -558,8 +580,10 @@
   /* Which stage hangs does not show at the head: avoid them all, for as long
      as there are others.  */
   stream_avoid_all (request);
-  stream_lose (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE, true,
-               false);
+  stream_lose (entry, request,
+               (stream_loss){ .end = MQ_ATTEMPT_STAGE_STALLED,
+                              .stage = MQ_STAGE_NONE,
+                              .still_open = true });
 }
 
 void
