Ask only the engines of models that are ours, within what heartbeats leave

Cause: every router asked every engine, at 4 KB/s; with heartbeats' 6.8 KB/s that is above 8 KB/s for control, and on seven routers each engine was asked seven times. Now the model's owner asks, for 1.3 KB/s; cache events in every fourth round; an engine that has just loaded other layers is asked at once.

A ticket of another router is answered with where to go when that router is known to live, and as spent for ever when it is known to be gone; before, all were taken for never heard of. The demo's routers now know one another.

--- a/programs/marjoramquay/loads.c
+++ b/programs/marjoramquay/loads.c
@@ -1,17 +1,24 @@
 /* Asks engines how they are: see loads.h.
 
-   One engine is asked at a time, in turn: first for its load, then for its
-   cache events.  The pause between two engines keeps the bytes within the
-   budget, whatever the number of engines, so that more engines mean older
-   figures and not more traffic.  */
+   One engine is asked at a time, in turn: for its load, and now and then for
+   its cache events.  Only engines of models that this router owns are asked.
+   The pause between two engines keeps the bytes within the budget, whatever
+   the number of engines, so that more engines mean older figures and not more
+   traffic.  */
 
 #include "loads.h"
 
 #include "engine_report.h"
-
-/* Both asks and their answers, headers included.  */
-#define TURN_BYTES 1200
-#define BUDGET_BYTES_PER_S 4096
+#include "fleet_node.h"
+
+/* What a turn costs on average, headers included.  */
+#define TURN_BYTES 700
+/* Of 8 KB a second for control, heartbeats may take 6,800 bytes
+   (packages/decide/membership.c).  A router without peers has none.  */
+#define BUDGET_BYTES_PER_S 1300
+#define LONE_BUDGET_BYTES_PER_S 4096
+/* Rounds over all engines between two asks for cache events.  */
+#define EVENTS_ROUNDS 4
 /* No engine is asked more often than this.  */
 #define ENGINE_INTERVAL_S 0.5
 #define TIMEOUT_MS 1000
@@ -24,6 +31,8 @@
   mq_http_call *call; /* In flight, or NULL.  */
   mq_config *config;  /* Owned reference, or NULL.  */
   guint next;         /* Engine to be asked next.  */
+  guint round;        /* Times that all engines were gone through.  */
+  mq_str *soon;       /* Engine to be asked before its turn, or NULL.  */
   mq_str *engine;     /* The one being asked.  */
   mq_str *url;        /* Its own.  */
   GHashTable *after;  /* Engine name to the number of its last cache event. */
@@ -32,7 +41,9 @@
 static double
 interval_s (const mq_loads *loads)
 {
-  double by_budget = (double)TURN_BYTES / BUDGET_BYTES_PER_S;
+  bool alone = mq_fleet_node_fleet (loads->router->fleet) == NULL;
+  double budget = alone ? LONE_BUDGET_BYTES_PER_S : BUDGET_BYTES_PER_S;
+  double by_budget = TURN_BYTES / budget;
   double by_engines = ENGINE_INTERVAL_S / loads->config->engines->len;
 
   return MAX (by_budget, by_engines);
@@ -100,24 +111,66 @@
   loads->call = NULL;
   if (answered (event)
       && mq_engine_report_load (loads->router, engine, event->data) == 0)
-    events_ask (loads);
+    {
+      if (loads->round % EVENTS_ROUNDS == 0)
+        events_ask (loads);
+    }
   else
     mq_engine_report_down (loads->router, engine);
 }
 
+static bool
+is_ours (const mq_loads *loads, const mq_engine *engine)
+{
+  return mq_fleet_node_owner (loads->router->fleet, MQ_OWNED_MODEL,
+                              mq_str_span (engine->model))
+         == NULL;
+}
+
+/* The engine whose turn it is, or NULL when none is ours.  */
+static const mq_engine *
+engine_next (mq_loads *loads)
+{
+  const GArray *engines = loads->config->engines;
+
+  for (guint i = 0; i < engines->len; i++)
+    {
+      const mq_engine *e = &g_array_index (engines, mq_engine, loads->next);
+
+      loads->next = (loads->next + 1) % engines->len;
+      if (loads->next == 0)
+        loads->round++;
+      if (is_ours (loads, e))
+        return e;
+    }
+  return NULL;
+}
+
+/* The engine that is to be asked out of turn, or NULL.  */
+static const mq_engine *
+engine_soon (mq_loads *loads)
+{
+  const mq_engine *e
+      = mq_config_engine (loads->config, mq_str_span (loads->soon));
+
+  mq_str_unref (loads->soon);
+  loads->soon = NULL;
+  return e;
+}
+
 static void
 on_timer (struct ev_loop *loop, ev_timer *timer, int revents)
 {
   mq_loads *loads = timer->data;
-  const GArray *engines = loads->config->engines;
   const mq_engine *engine;
 
   (void)loop;
   (void)revents;
   if (loads->call != NULL)
     return;
-  engine = &g_array_index (engines, mq_engine, loads->next % engines->len);
-  loads->next = (loads->next + 1) % engines->len;
+  engine = loads->soon != NULL ? engine_soon (loads) : engine_next (loads);
+  if (engine == NULL)
+    return;
   mq_str_unref (loads->engine);
   mq_str_unref (loads->url);
   loads->engine = mq_str_ref (engine->name);
@@ -148,6 +201,7 @@
   mq_config_unref (loads->config);
   mq_str_unref (loads->engine);
   mq_str_unref (loads->url);
+  mq_str_unref (loads->soon);
   g_hash_table_unref (loads->after);
   g_free (loads);
 }
@@ -158,9 +212,18 @@
   mq_config_ref (config);
   mq_config_unref (loads->config);
   loads->config = config;
+  loads->next = 0;
   ev_timer_stop (loads->router->loop, &loads->timer);
   if (config->engines->len == 0)
     return;
   ev_timer_set (&loads->timer, 0., interval_s (loads));
   ev_timer_start (loads->router->loop, &loads->timer);
 }
+
+void
+mq_loads_ask_soon (mq_loads *loads, mq_str *engine)
+{
+  mq_str_ref (engine);
+  mq_str_unref (loads->soon);
+  loads->soon = engine;
+}
--- a/programs/marjoramquay/loads.h
+++ b/programs/marjoramquay/loads.h
@@ -12,4 +12,8 @@
 /* A configuration is in force: ask the engines that it names.  */
 void mq_loads_take_config (mq_loads *loads, mq_config *config);
 
+/* Ask ENGINE next, whoever's turn it is: it has just come to hold other
+   layers.  */
+void mq_loads_ask_soon (mq_loads *loads, mq_str *engine);
+
 #endif
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -11,6 +11,7 @@
 
 #include "audit_io.h"
 #include "body.h"
+#include "loads.h"
 #include "store_io.h"
 
 #define LEASE_US UINT64_C (10000000)
@@ -317,6 +318,7 @@
       break;
     case MQ_ORDERS_REACHED:
       order_note (io, action, "reached");
+      mq_loads_ask_soon (io->router->loads, action->engine);
       break;
     case MQ_ORDERS_STOPPED:
       order_note (io, action, "stopped by a higher fencing number");
--- a/programs/marjoramquay/ticket_io.c
+++ b/programs/marjoramquay/ticket_io.c
@@ -8,6 +8,9 @@
 #include <sodium.h>
 #include <stdio.h>
 
+#include <string.h>
+
+#include "fleet_node.h"
 #include "reply.h"
 
 /* Below MQ_ENTRY_GUARD_MEMORY_US, so that a ticket expires before the entry
@@ -90,13 +93,48 @@
   mq_reply_refuse (io->router, exchange, &error);
 }
 
+/* Is VM's router, of whatever incarnation, at the callers' ADDRESS?  */
+static bool
+member_is_at (const mq_member *member, const char *address)
+{
+  const char *url = mq_str_cstr (member->entry_address);
+
+  return g_str_has_suffix (url, address)
+         && (strlen (url) == strlen (address)
+             || url[strlen (url) - strlen (address) - 1] == '/');
+}
+
+/* What is known of the router that TICKET names.  */
+static mq_ticket_router
+router_judge (const mq_ticket_io *io, const mq_ticket *ticket)
+{
+  const mq_fleet *fleet = mq_fleet_node_fleet (io->router->fleet);
+  char *own = mq_router_caller_address (io->router);
+  bool replaced = strcmp (own, ticket->address) == 0;
+  const mq_member *m;
+
+  g_free (own);
+  if (replaced)
+    return MQ_TICKET_ROUTER_DEAD;
+  if (fleet == NULL)
+    return MQ_TICKET_ROUTER_UNHEARD;
+  m = mq_fleet_find_incarnation (fleet, ticket->router);
+  if (m != NULL)
+    return m->state == MQ_MEMBER_DEAD ? MQ_TICKET_ROUTER_DEAD
+                                      : MQ_TICKET_ROUTER_LIVE;
+  for (size_t i = 0; i < mq_fleet_size (fleet); i++)
+    if (member_is_at (mq_fleet_member (fleet, i), ticket->address))
+      return MQ_TICKET_ROUTER_DEAD;
+  return MQ_TICKET_ROUTER_UNHEARD;
+}
+
 /* Another router's: say where to go, if there is use in going.  */
 static void
 reply_elsewhere (mq_ticket_io *io, mq_http_exchange *exchange,
                  const mq_ticket *ticket)
 {
   mq_ticket_answer answer
-      = mq_ticket_answer_elsewhere (MQ_TICKET_ROUTER_UNHEARD, false);
+      = mq_ticket_answer_elsewhere (router_judge (io, ticket), false);
   mq_reply_error error
       = { .outcome = answer.outcome, .reason = answer.reason };
 
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -280,3 +280,34 @@
   EXPECT_EQ (deployment::read_events (fetch (r).body).text,
              deployment::reference ("back", 8));
 }
+
+/* Only the router that minted a ticket runs it.  The others say where to go
+   while it lives, and after its death that nobody can know what came of it. */
+TEST (Fleet, TicketsOfOtherRouters)
+{
+  Yard yard;
+  programs::Request ask;
+
+  ASSERT_TRUE (yard.all_see ({ 0, 1, 2 }, 3));
+  ask.url = yard.router (1).url () + "/v1/entries?tickets=1";
+  ask.headers = { std::string ("Authorization: Bearer ") + deployment::token };
+  std::string list = json_text (fetch (ask).body, "tickets");
+  std::string ticket = list.substr (list.find ('"') + 1,
+                                    list.rfind ('"') - list.find ('"') - 1);
+  programs::Request book
+      = yard.deployment ().booking ("POST", "/book", "unit 7", 0);
+  book.headers.push_back ("Marjoramquay-Ticket: " + ticket);
+
+  /* This router can't know whether the call ran there before.  */
+  Reply there = fetch (book);
+  EXPECT_EQ (there.status, 421);
+  EXPECT_EQ (json_text (there.body, "error.outcome"), "unknown");
+  EXPECT_EQ (there.headers["marjoramquay-router"], yard.router (1).address ());
+  yard.router (1).kill (SIGKILL);
+  EXPECT_TRUE (eventually (
+      [&] { return fetch (book).headers["marjoramquay-router"].empty (); }));
+  EXPECT_EQ (json_text (fetch (book).body, "error.outcome"), "unknown");
+  EXPECT_EQ (programs::get (yard.deployment ().plain ().url () + "/effects")
+                 .body.find ("unit 7"),
+             std::string::npos);
+}
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -82,6 +82,12 @@
   curl -sS --max-time 20 -H "Authorization: Bearer $token" "$@"
 }
 
+# sees ROUTER N: it knows of N live routers.
+sees ()
+{
+  curl -s "http://$1/v1/status" | grep -q "\"members_live\":$2[,}]"
+}
+
 is_ready ()
 {
   [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$1/readyz")" = 200 ]
@@ -132,17 +138,24 @@
 } >"$folder/config/20-engines.json"
 "$bin/mqctl" check "$folder/config"
 
-say "Three routers."
+say "Three routers, which know one another by a key pair and find one another" \
+    "by the platform's list of VMs."
+"$bin/mqctl" keys "$folder/pair" >"$folder/ring"
 routers=()
 for vm in 1 2 3; do
   cat >"$folder/vm$vm.settings" <<EOF
 { "name": "vm$vm", "region": "bc-interior", "failure_domain": "kamloops-yard",
   "callers": { "address": "127.0.0.1", "port": 0 },
+  "peers": { "address": "127.0.0.1", "port": 0,
+             "key_file": "$folder/pair", "ring_file": "$folder/ring" },
   "platform": { "url": "$platform" },
   "operators": { "token_sha256": "$(digest $operator)" } }
 EOF
   start "vm$vm" "$bin/marjoramquay" --settings "$folder/vm$vm.settings"
   routers+=("$(address "vm$vm")")
+  curl -sS -o "$folder/listed" -X PUT "$platform/vms/vm$vm" \
+    -d "{\"address\":\"$(sed -n 's/^peers=//p' "$folder/vm$vm.out")\",
+         \"state\":\"live\"}"
 done
 printf '%s\n' "${routers[@]}"
 export MQ_PLATFORM=$platform MQ_TOKEN=$operator
@@ -153,6 +166,7 @@
 "$bin/mqctl" --who demo --why "first configuration" --wait apply "$folder/config"
 for router in "${routers[@]}"; do
   until_true is_ready "$router"
+  until_true sees "$router" 3
 done
 
 say "The ask: which routers may a caller use?"
@@ -208,7 +222,9 @@
 say "What changed, and who did it:"
 "$bin/mqctl" log
 
-say "What the routers say of themselves:"
-MQ_ROUTER="http://${routers[0]} http://${routers[1]}" "$bin/mqctl" status
+say "What the routers that are left say of themselves:"
+until_true sees "${routers[0]}" 2
+until_true sees "${routers[1]}" 2
+MQ_ROUTER="http://${routers[0]}" "$bin/mqctl" status
 
 say "All done; everything that was started is being stopped."
