Tell the planner of tokens' pace while an attempt runs

Cause: the planner learns step times from progress and releases, but nothing ever sent progress, so a slowed engine showed only when its requests ended.

--- a/programs/marjoramquay/caller.c
+++ b/programs/marjoramquay/caller.c
@@ -94,5 +94,8 @@
 mq_caller_set_id (mq_caller *caller, mq_request_id id)
 {
   if (caller->id[0] == '\0' && id.router != 0)
-    mq_caller_format_id (id, caller->id);
+    {
+      caller->number = id;
+      mq_caller_format_id (id, caller->id);
+    }
 }
--- a/programs/marjoramquay/caller.h
+++ b/programs/marjoramquay/caller.h
@@ -32,7 +32,8 @@
   size_t frame_start; /* How many.  */
   mq_engine_stream *stream; /* Of the attempt awaited, or NULL.  */
   uint32_t attempt;
-  uint64_t opened_us; /* When the attempt was sent.  */
+  uint32_t attempt_tokens;   /* That came in it.  */
+  uint64_t attempt_first_us; /* When the first of them came.  */
   uint64_t last_token_us;
 } mq_completion;
 
@@ -54,6 +55,7 @@
   mq_router *router; /* Borrowed.  */
   uint64_t handle;
   mq_http_exchange *exchange;  /* Owned reference.  */
+  mq_request_id number;        /* Zero until the entry gave it one.  */
   char id[MQ_REQUEST_ID_SIZE]; /* Empty until the entry gave it one.  */
   uint64_t started_us;
   bool claimed; /* A claim was asked for.  */
--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -11,10 +11,15 @@
 #include "admission.h"
 #include "call.h"
 #include "completion_body.h"
+#include "fleet_plans.h"
 #include "reply.h"
 
 #define DEFAULT_MAX_TOKENS 256
 #define BYTES_PER_TOKEN 4
+/* After how many tokens of an attempt the planner hears of its pace.  Two
+   messages a request, so that their bytes stay below those of its ask.  */
+#define PROGRESS_EARLY 16
+#define PROGRESS_LATE 128
 /* How much of a prompt's beginning names it in the engines' caches
    (docs/UPSTREAMS.md).  */
 #define PREFIX_BYTES 1024
@@ -214,6 +219,22 @@
   g_string_free (body, TRUE);
 }
 
+/* Tell the model's owner how fast tokens come: early, and once more.  */
+static void
+progress_tell (mq_caller *caller, uint64_t now_us)
+{
+  mq_completion *c = &caller->u.completion;
+
+  if (c->attempt_tokens++ == 0)
+    c->attempt_first_us = now_us;
+  if (c->attempt_tokens != PROGRESS_EARLY
+      && c->attempt_tokens != PROGRESS_LATE)
+    return;
+  mq_fleet_plans_progress (
+      caller->router->plans, caller->number, c->attempt, c->attempt_tokens,
+      (now_us - c->attempt_first_us) / (c->attempt_tokens - 1));
+}
+
 void
 mq_completion_deliver (mq_caller *caller, const mq_entry_action *action)
 {
@@ -228,6 +249,7 @@
   else
     mq_histogram_observe (counters->token_gap, now - c->last_token_us);
   c->last_token_us = now;
+  progress_tell (caller, now);
   if (c->streamed)
     stream_write_token (caller, action->u.deliver.text);
 }
@@ -376,7 +398,7 @@
   caller->sent = true;
   c->attempt = action->attempt;
   c->paused = false;
-  c->opened_us = mq_router_now_us ();
+  c->attempt_tokens = 0;
   c->stream
       = mq_engine_stream_new (router->client, &options, completion_on_stream,
                               caller, router->counters.dropped_lines);
--- a/programs/marjoramquay/fleet_plans.c
+++ b/programs/marjoramquay/fleet_plans.c
@@ -515,6 +515,34 @@
   g_hash_table_remove (plans->uses, use);
 }
 
+void
+mq_fleet_plans_progress (mq_fleet_plans *plans, mq_request_id id,
+                         uint32_t attempt, uint32_t tokens,
+                         uint64_t mean_gap_us)
+{
+  plan_use *use = use_find (plans, id, attempt);
+  mq_planner_event event = { .kind = MQ_PLANNER_PROGRESS };
+  mq_peer_message m = { .kind = MQ_PEER_PLAN_PROGRESS };
+
+  if (use == NULL)
+    return;
+  if (use->owner != plans->router->incarnation)
+    {
+      m.u.plan_progress.service = use->ask.service;
+      m.u.plan_progress.id = id;
+      m.u.plan_progress.attempt = attempt;
+      m.u.plan_progress.tokens = tokens;
+      m.u.plan_progress.mean_gap_us = mean_gap_us;
+      (void)mq_fleet_node_send (plans->router->fleet, use->owner, &m);
+      return;
+    }
+  event.u.progress.id = id;
+  event.u.progress.attempt = attempt;
+  event.u.progress.tokens = tokens;
+  event.u.progress.mean_gap_us = mean_gap_us;
+  mq_admission_post (plans->router, &event);
+}
+
 void
 mq_fleet_plans_message (mq_fleet_plans *plans, const mq_peer_message *message)
 {
--- a/programs/marjoramquay/fleet_plans.h
+++ b/programs/marjoramquay/fleet_plans.h
@@ -21,6 +21,11 @@
 void mq_fleet_plans_release (mq_fleet_plans *plans,
                              const mq_entry_action *action);
 
+/* TOKENS have come so far in an attempt of ours, MEAN_GAP_US apart.  */
+void mq_fleet_plans_progress (mq_fleet_plans *plans, mq_request_id id,
+                              uint32_t attempt, uint32_t tokens,
+                              uint64_t mean_gap_us);
+
 /* What the fleet tells.  */
 void mq_fleet_plans_message (mq_fleet_plans *plans,
                              const mq_peer_message *message);
