--- a/programs/marjoramquay/completion.h
+++ b/programs/marjoramquay/completion.h
@@ -1,8 +1,8 @@
 /* POST /v1/completions: an answer made by a pipeline of model engines.
 
-   The caller's side: the body read, tokens written as server-sent events or
-   gathered into one answer.  The engines' side: one stream an attempt.
-   Internal to this program.  */
+   This is the caller's side: the body is read, tokens are written as
+   server-sent events or gathered into one answer.  The engines' side is
+   completion_stream.h.  Internal to this program.  */
 
 #ifndef MQ_COMPLETION_H
 #define MQ_COMPLETION_H
@@ -13,10 +13,6 @@
 void mq_completion_start (mq_router *router, mq_http_exchange *exchange);
 
 /* The entry's actions.  */
-void mq_completion_open_stream (mq_caller *caller,
-                                const mq_entry_action *action);
-void mq_completion_cancel_stream (mq_caller *caller,
-                                  const mq_entry_action *action);
 void mq_completion_deliver (mq_caller *caller, const mq_entry_action *action);
 void mq_completion_end (mq_caller *caller, const mq_entry_action *action);
 
--- a/programs/marjoramquay/router_loop.c
+++ b/programs/marjoramquay/router_loop.c
@@ -9,6 +9,7 @@
 #include "admission.h"
 #include "claim_io.h"
 #include "completion.h"
+#include "completion_stream.h"
 #include "drain.h"
 #include "fleet_limits.h"
 #include "fleet_plans.h"
@@ -86,10 +87,10 @@
   switch (action->kind)
     {
     case MQ_ENTRY_OPEN_STREAM:
-      mq_completion_open_stream (caller, action);
+      mq_completion_stream_open (caller, action);
       break;
     case MQ_ENTRY_CANCEL_STREAM:
-      mq_completion_cancel_stream (caller, action);
+      mq_completion_stream_cancel (caller, action);
       break;
     case MQ_ENTRY_DELIVER:
       mq_completion_deliver (caller, action);
