Test callers that hang up and a router that is full

Cause: neither had a test. A caller that hangs up in the middle of an answer frees its engines; a router at its limit of requests refuses the next one as overloaded and not-run, with a retry time. Both passed at their first run.

--- a/tests/support/programs.h
+++ b/tests/support/programs.h
@@ -219,6 +219,8 @@
   std::string ca; /* The only certificate to trust, by path.  */
   /* Called with the body so far after each piece of it.  */
   std::function<void (const std::string &)> progress;
+  /* True to hang up, asked with the body so far.  */
+  std::function<bool (const std::string &)> hang_up;
 };
 
 namespace detail
@@ -238,6 +240,8 @@
   t->reply.body.append (data, unit * count);
   if (t->request->progress)
     t->request->progress (t->reply.body);
+  if (t->request->hang_up && t->request->hang_up (t->reply.body))
+    return 0;
   return unit * count;
 }
 
--- a/tests/test_callers.cc
+++ b/tests/test_callers.cc
@@ -207,3 +207,58 @@
       close (fd);
     }
 }
+
+TEST (CallersOnTheirOwn, OneThatHangsUpFreesTheEngines)
+{
+  deployment::Options o;
+  o.deadline_ms = 600000;
+  Deployment yard (o);
+  ASSERT_TRUE (yard.ready ());
+
+  /* The answer would take ten times as long as the wait below.  */
+  Request r = yard.completion ("hang up", 100000, true);
+  r.hang_up = [] (const std::string &body) {
+    return deployment::read_events_so_far (body).tokens >= 3;
+  };
+  EXPECT_FALSE (fetch (r).whole);
+  EXPECT_TRUE (programs::eventually ([&] {
+    return json_text (
+               programs::get (yard.router ().url () + "/v1/status").body,
+               "in_flight")
+           == "0";
+  }));
+  for (unsigned stage = 0; stage < deployment::stages; stage++)
+    EXPECT_TRUE (programs::eventually ([&] {
+      return json_text (
+                 programs::get (yard.engine (stage).url () + "/v1/load").body,
+                 "batch")
+             == "0";
+    })) << stage;
+}
+
+TEST (CallersOnTheirOwn, AFullRouterRefusesMore)
+{
+  deployment::Options o;
+  o.settings = ", 'limits': { 'requests': 1 }";
+  o.policy = "{ 'stall_ms': 60000 }";
+  Deployment yard (o);
+  ASSERT_TRUE (yard.ready ());
+
+  Request r = yard.completion ("the only one", 20, true);
+  bool asked = false;
+  r.progress = [&] (const std::string &) {
+    if (asked)
+      return;
+    asked = true;
+    yard.engine (0).kill (SIGSTOP);
+    Reply more = fetch (yard.completion ("one more", 1, false));
+    yard.engine (0).kill (SIGCONT);
+    EXPECT_EQ (more.status, 503);
+    EXPECT_EQ (json_text (more.body, "error.code"), "overloaded");
+    EXPECT_EQ (json_text (more.body, "error.outcome"), "not-run");
+    EXPECT_FALSE (more.headers["retry-after"].empty ());
+  };
+  EXPECT_EQ (deployment::read_events (fetch (r).body).text,
+             reference ("the only one", 20));
+  EXPECT_TRUE (asked);
+}
