Keep what mqload up has started until a signal comes

The signals' watchers were not counted by the loop, so that waiting for them ended at once; router 1's log showed a drain 0.1 s after its start. With the watchers counted, three routers stayed up until the signal and told one another of their leaving.

--- a/tools/mqload/main.c
+++ b/tools/mqload/main.c
@@ -185,10 +185,7 @@
   ev_signal_init (&signals[0], signal_stop, SIGTERM);
   ev_signal_init (&signals[1], signal_stop, SIGINT);
   for (size_t i = 0; i < G_N_ELEMENTS (signals); i++)
-    {
-      ev_signal_start (loop, &signals[i]);
-      ev_unref (loop);
-    }
+    ev_signal_start (loop, &signals[i]);
   if (load_cluster_init (&cluster, scenario, loop, client, &options, &error)
       == 0)
     status = up ? keep_up (&cluster) : run_load (line, &cluster, &error);
