Planner: two margins, and learn what a report counts

Causes, from the figures of each decision: - One factor as margin. Gaps were predicted within 2%, but first tokens waited up to a second at some heads, and short answers drove the factor to 3.35, its most. Now the gaps have a factor and the first token a time. - The stand-in's heads now hold slots times stages streams and report all they hold; the planner took them for engines without a limit and did not look at what others gave them. Places and other owners' streams are now learned from such reports. - Long first tokens were laid at the prompt's door; a wait now is the head's, and fades.

The fault matrix then found a pair (paused past lease, twice): two streams that a paused router had held set the factor to 3.1, and 5.5 s of work with 8 s to go were refused.

--- a/include/mq/internal/admission.h
+++ b/include/mq/internal/admission.h
@@ -20,7 +20,8 @@
   bool admitted;
   mq_placement placement;   /* When admitted.  */
   mq_prediction prediction; /* Of PLACEMENT, or of the best that there was. */
-  double margin;
+  double gap_margin;        /* A factor.  */
+  double first_margin_us;
   mq_reason reason; /* When not admitted, ...  */
   uint64_t retry_after_us;
   mq_plan_figures figures;
--- a/include/mq/internal/engine_table.h
+++ b/include/mq/internal/engine_table.h
@@ -10,11 +10,12 @@
    for 1/C.  Load is demand over what the engine can do with full batches, so
    that engines of different speed compare; above 1 streams wait.
 
-   What an engine's slots limit is not known beforehand.  Some fill each step
-   anew from the streams that are ready; others give a stream a place for its
-   whole life and let those without one wait.  The reports tell: the first
-   kind counts the few streams that are in a step, the second all that it was
-   given.  For the second kind load is streams over places.
+   What an engine's slots limit is not known beforehand, nor what its report
+   counts.  Some count the few streams that are in a step, others all that
+   they hold; some of these give a stream a place for its life and let those
+   without one wait.  A report of more streams than slots, or of as many as it
+   was given, shows the second kind; what it holds while others wait is the
+   number of its places.
 
    Invariants: in_flight and demand count exactly the attempts that hold the
    engine; a state is freed only when it is neither configured nor held.  */
@@ -63,10 +64,12 @@
                      the head.  */
   double foreign; /* Load that is not ours, by its reports.  */
   double foreign_mean; /* Behind it: what reports tell beyond ours.  */
-  double counted;      /* Streams in its reports over those it was given.  */
-  bool overbooked; /* Reported more streams than slots, and none waiting.  */
-  bool made_wait;  /* Reported full places and streams waiting.  */
-  uint32_t observations; /* Of gaps, since its standing changed.  */
+  double counted;  /* The part of its reports that show just what it was given,
+                      lately.  */
+  bool over_slots; /* Reported more streams than slots.  */
+  double places;   /* Streams that it holds at most; 0: not known.  */
+  double foreign_streams; /* That others gave it, if it counts all.  */
+  uint32_t observations;  /* Of gaps, since its standing changed.  */
 
   /* Health.  */
   bool configured; /* Named by the generation in force.  */
@@ -133,7 +136,9 @@
 bool mq_engine_state_report (mq_engine_state *state,
                              const mq_engine_load *load, uint64_t at_us);
 
-/* Does it give a stream a place for its whole life?  */
+/* Do its reports count all streams that it holds?  */
+bool mq_engine_state_counts_all (const mq_engine_state *state);
+/* Is it known to give a stream a place for its life?  */
 bool mq_engine_state_has_places (const mq_engine_state *state);
 /* Steps for each microsecond that it does with full batches.  */
 double mq_engine_state_capacity (const mq_engine_state *state);
--- a/include/mq/internal/margin.h
+++ b/include/mq/internal/margin.h
@@ -1,7 +1,8 @@
 /* Internal to packages/decide: how far predictions miss.
 
-   A histogram of (what it took / what was predicted), in which old misses
-   fade.  The margin is the factor that all but a very few stayed below.  */
+   A histogram of misses, in which old ones fade.  The margin is the miss that
+   all but a very few stayed below.  A miss is whatever its user counts: a
+   factor, or a time.  */
 
 #ifndef MQ_INTERNAL_MARGIN_H
 #define MQ_INTERNAL_MARGIN_H
@@ -14,15 +15,20 @@
 
 typedef struct mq_margin
 {
+  double least; /* Bucket I holds misses from LEAST * STEP^I on.  */
+  double step;
   double buckets[MQ_MARGIN_BUCKETS];
   double total;
 } mq_margin;
 
-void mq_margin_init (mq_margin *margin);
-/* A prediction turned out RATIO times too short.  */
-void mq_margin_learn (mq_margin *margin, double ratio);
-/* The factor to put on a prediction that is to be kept.  */
-double mq_margin_factor (const mq_margin *margin);
+/* A margin for misses from LEAST on, told apart by a factor of STEP, that
+   starts as if a few misses of PRIOR had been seen.  */
+void mq_margin_init (mq_margin *margin, double least, double step,
+                     double prior);
+/* A prediction missed by MISS.  */
+void mq_margin_learn (mq_margin *margin, double miss);
+/* What to allow for; LEAST when all stayed below.  */
+double mq_margin_get (const mq_margin *margin);
 
 G_END_DECLS
 
--- a/include/mq/internal/model_state.h
+++ b/include/mq/internal/model_state.h
@@ -5,7 +5,9 @@
    - scale: load that the engines report over the demand counted for them;
    - stretch: gaps between tokens over those predicted;
    - prompt_steps: steps that one prompt token costs at each stage.
-   A margin from the misses comes on top.  */
+   Margins from the misses come on top: a factor on the gaps, since they are
+   as late for a long answer as for a short one, and a time for the first
+   token, which a wait makes late by as much for both.  */
 
 #ifndef MQ_INTERNAL_MODEL_STATE_H
 #define MQ_INTERNAL_MODEL_STATE_H
@@ -25,8 +27,9 @@
   double scale;
   double stretch;
   double prompt_steps;
-  double cycle_us; /* Mean of the pipelines that were given out.  */
-  mq_margin margin;
+  double cycle_us;        /* Mean of the pipelines that were given out.  */
+  mq_margin gap_margin;   /* Of gaps: came over predicted.  */
+  mq_margin first_margin; /* Of first tokens: how much later, in us.  */
   mq_share_table shares;
   uint32_t in_flight;
   double drain;          /* Releases lately, fading.  */
@@ -62,6 +65,10 @@
 mq_model_load mq_model_state_load (const mq_model_state *model,
                                    uint64_t now_us);
 
+/* Let the waits that were seen at heads fade: one that is avoided for its
+   wait would else never be seen without.  */
+void mq_model_state_fade_waits (mq_model_state *model);
+
 /* One more stream begins, or one ended.  */
 void mq_model_state_begin (mq_model_state *model, double cycle_us);
 void mq_model_state_end (mq_model_state *model, uint64_t now_us);
--- a/packages/decide/admission.c
+++ b/packages/decide/admission.c
@@ -57,14 +57,16 @@
 admission_predict (mq_admission *a, const mq_placement_query *q,
                    const mq_plan_ask *ask)
 {
-  double finish;
+  double finish, gaps;
 
   mq_prediction_make (&a->prediction, q->model, q->table, a->placement.stages,
                       a->placement.n_stages, q->demand, q->prompt_tokens);
   finish = mq_prediction_finish_us (&a->prediction, q->tokens);
   a->figures.predicted_first_us = (uint64_t)a->prediction.first_us;
   a->figures.predicted_finish_us = (uint64_t)finish;
-  a->figures.margin_us = (uint64_t)(finish * (a->margin - 1));
+  gaps = finish - a->prediction.first_us;
+  a->figures.margin_us
+      = (uint64_t)(gaps * (a->gap_margin - 1) + a->first_margin_us);
   a->figures.deadline_us = ask->deadline_us;
 }
 
@@ -182,7 +184,6 @@
 admission_replace (mq_admission *a, mq_placement_query *q,
                    const mq_plan_ask *ask)
 {
-  a->margin = 1;
   q->limit = REPLACE_LIMIT;
   a->admitted = admission_place (a, q, ask) == 0;
   a->retry_after_us = REPLACE_RETRY_US;
@@ -195,7 +196,8 @@
 {
   double limit = ask_limit (ask, share, load);
 
-  a->margin = mq_margin_factor (&m->margin);
+  a->gap_margin = mq_margin_get (&m->gap_margin);
+  a->first_margin_us = mq_margin_get (&m->first_margin);
   q->limit = limit + ENGINE_ROOM;
   if (load.load > limit)
     a->reason = MQ_REASON_OVERLOADED;
@@ -235,7 +237,7 @@
   mq_placement_query q = ask_query (model, table, ask, now_us);
   mq_model_load load = mq_model_state_load (model, now_us);
 
-  *admission = (mq_admission){ .margin = 1 };
+  *admission = (mq_admission){ .gap_margin = 1 };
   admission->figures.deadline_us = ask->deadline_us;
   admission_note_figures (admission, model, share, load.load);
   /* The first request ever tells what the next ones will be like.  */
@@ -263,7 +265,7 @@
 {
   mq_placement_query q = ask_query (model, table, ask, now_us);
 
-  *admission = (mq_admission){ .margin = 1 };
+  *admission = (mq_admission){ .gap_margin = 1 };
   admission->figures.deadline_us = ask->deadline_us;
   admission->figures.in_flight = model->in_flight;
   if (mq_placement_next_in_turn (&admission->placement, model, &q) != 0)
@@ -283,7 +285,7 @@
 {
   mq_placement *p = &admission->placement;
 
-  *admission = (mq_admission){ .admitted = true, .margin = 1 };
+  *admission = (mq_admission){ .admitted = true, .gap_margin = 1 };
   for (uint32_t i = 0; i < plan->n_stages; i++)
     {
       mq_engine_state *e
--- a/packages/decide/attempt.c
+++ b/packages/decide/attempt.c
@@ -153,19 +153,40 @@
   attempt->progress_us = whole;
 }
 
+/* A first token came, or had not come, after TOOK_US.  */
+static void
+attempt_learn_first_miss (mq_attempt *a, double took_us)
+{
+  mq_margin_learn (&a->model->first_margin, took_us - a->predicted_first_us);
+}
+
+/* So many gaps took GAPS_US.  */
+static void
+attempt_learn_gap_miss (mq_attempt *a, uint32_t gaps, double gaps_us)
+{
+  if (gaps > 0 && a->predicted_gap_us > 0)
+    mq_margin_learn (&a->model->gap_margin,
+                     gaps_us / (gaps * a->predicted_gap_us));
+}
+
 void
 mq_attempt_learn_cut (mq_attempt *attempt, mq_engine_table *table,
                       const mq_plan_release *release, uint64_t now_us)
 {
   double took = (double)(now_us - MIN (attempt->begun_us, now_us));
   /* The next token was due by then.  */
-  double predicted = attempt->predicted_first_us
-                     + release->tokens * attempt->predicted_gap_us;
+  double due = attempt->predicted_first_us
+               + release->tokens * attempt->predicted_gap_us;
 
   mq_attempt_learn_progress (attempt, table, release->tokens,
                              release->mean_gap_us);
-  if (predicted > 0 && took > predicted)
-    mq_margin_learn (&attempt->model->margin, took / predicted);
+  if (took <= due)
+    return;
+  if (release->tokens == 0)
+    attempt_learn_first_miss (attempt, took);
+  else
+    attempt_learn_gap_miss (attempt, release->tokens,
+                            took - (double)release->first_token_us);
 }
 
 void
@@ -173,7 +194,6 @@
                         const mq_plan_release *release)
 {
   uint32_t gaps = release->tokens > 0 ? release->tokens - 1 : 0;
-  double took, predicted;
 
   if (release->tokens == 0 || release->first_token_us == 0)
     return;
@@ -183,8 +203,6 @@
                              attempt->placement.n_stages,
                              attempt->prompt_tokens,
                              (double)release->first_token_us);
-  took = release->first_token_us + (double)gaps * release->mean_gap_us;
-  predicted = attempt->predicted_first_us + gaps * attempt->predicted_gap_us;
-  if (predicted > 0)
-    mq_margin_learn (&attempt->model->margin, took / predicted);
+  attempt_learn_first_miss (attempt, (double)release->first_token_us);
+  attempt_learn_gap_miss (attempt, gaps, (double)gaps * release->mean_gap_us);
 }
--- a/packages/decide/engine_table.c
+++ b/packages/decide/engine_table.c
@@ -13,9 +13,9 @@
 #define DEFAULT_STEP_US 20000.0
 /* The least time between two samples of an engine's demand.  */
 #define HISTORY_STEP_US 25000
-/* An engine that reports this part of the streams it was given, or more, has
-   places for them.  In a pipeline of two stages half of them are elsewhere. */
-#define PLACES_FROM 0.75
+/* An engine counts all when more than this part of its reports show just what
+   it was given.  */
+#define COUNTS_ALL_FROM 0.75
 /* A token that arrives while a step runs waits for half of it.  */
 #define RESIDUAL_STEP 0.5
 /* Bounds of what the estimates for a link may become.  */
@@ -299,8 +299,9 @@
   e->drag = 1;
   e->wait_us = 0;
   e->counted = 0;
-  e->overbooked = false;
-  e->made_wait = false;
+  e->over_slots = false;
+  e->places = 0;
+  e->foreign_streams = 0;
   e->foreign_mean = 0;
   e->foreign = 0;
   memset (e->prefixes, 0, sizeof e->prefixes);
@@ -338,10 +339,16 @@
   return other_layers || other_version;
 }
 
+bool
+mq_engine_state_counts_all (const mq_engine_state *state)
+{
+  return state->over_slots || state->counted > COUNTS_ALL_FROM;
+}
+
 bool
 mq_engine_state_has_places (const mq_engine_state *state)
 {
-  return state->counted > PLACES_FROM && !state->overbooked;
+  return mq_engine_state_counts_all (state) && state->places > 0;
 }
 
 double
@@ -358,12 +365,15 @@
 double
 mq_engine_state_load (const mq_engine_state *state, double more, double scale)
 {
-  double own = (state->demand + more) * scale;
+  double steps
+      = (state->demand + more) * scale / mq_engine_state_capacity (state)
+        + state->foreign;
+  double held;
 
-  if (mq_engine_state_has_places (state))
-    return (double)(state->in_flight + (more > 0)) / state->slots
-           + state->foreign;
-  return own / mq_engine_state_capacity (state) + state->foreign;
+  if (!mq_engine_state_has_places (state))
+    return steps;
+  held = state->in_flight + (more > 0) + state->foreign_streams;
+  return MAX (steps, held / state->places);
 }
 
 double
--- a/packages/decide/margin.c
+++ b/packages/decide/margin.c
@@ -5,46 +5,46 @@
 #include <math.h>
 #include <string.h>
 
-/* Bucket I holds ratios from LEAST_RATIO * STEP^I on.  */
-#define LEAST_RATIO 0.5
-#define STEP 1.02
-/* Of the ratios, so many stay below the margin.  */
+/* Of the misses, so many stay below the margin.  */
 #define QUANTILE 0.995
-/* With fewer observations, as if so many had been seen at PRIOR.  */
-#define PRIOR_WEIGHT 2.0
-#define PRIOR 1.3
+/* So many may lie above it in any case: one fault hits several streams at
+   once, and must not rule while little else is known.  */
+#define FEW 3.0
+/* How much the prior counts: more than a few.  */
+#define PRIOR_WEIGHT 4.0
 /* When so many were seen, all weigh half.  */
-#define HALVE_AT 4000.0
-#define LEAST_FACTOR 1.0
+#define HALVE_AT 1000.0
 
 static int
-ratio_bucket (double ratio)
+margin_bucket (const mq_margin *margin, double miss)
 {
-  int i = (int)floor (log (ratio / LEAST_RATIO) / log (STEP));
+  int i = miss <= margin->least
+              ? 0
+              : (int)floor (log (miss / margin->least) / log (margin->step));
 
   return CLAMP (i, 0, MQ_MARGIN_BUCKETS - 1);
 }
 
 static void
-margin_add (mq_margin *margin, double ratio, double weight)
+margin_add (mq_margin *margin, double miss, double weight)
 {
-  margin->buckets[ratio_bucket (ratio)] += weight;
+  margin->buckets[margin_bucket (margin, miss)] += weight;
   margin->total += weight;
 }
 
 void
-mq_margin_init (mq_margin *margin)
+mq_margin_init (mq_margin *margin, double least, double step, double prior)
 {
   memset (margin, 0, sizeof *margin);
-  margin_add (margin, PRIOR, PRIOR_WEIGHT);
+  margin->least = least;
+  margin->step = step;
+  margin_add (margin, prior, PRIOR_WEIGHT);
 }
 
 void
-mq_margin_learn (mq_margin *margin, double ratio)
+mq_margin_learn (mq_margin *margin, double miss)
 {
-  if (!(ratio > 0))
-    return;
-  margin_add (margin, ratio, 1);
+  margin_add (margin, miss, 1);
   if (margin->total < HALVE_AT)
     return;
   for (int i = 0; i < MQ_MARGIN_BUCKETS; i++)
@@ -53,13 +53,13 @@
 }
 
 double
-mq_margin_factor (const mq_margin *margin)
+mq_margin_get (const mq_margin *margin)
 {
+  double allowed = MAX ((1 - QUANTILE) * margin->total, FEW);
   double above = 0;
   int i = MQ_MARGIN_BUCKETS;
 
-  while (i > 0
-         && above + margin->buckets[i - 1] <= (1 - QUANTILE) * margin->total)
+  while (i > 0 && above + margin->buckets[i - 1] <= allowed)
     above += margin->buckets[--i];
-  return MAX (LEAST_RATIO * pow (STEP, i), LEAST_FACTOR);
+  return margin->least * pow (margin->step, i);
 }
--- a/packages/decide/placement.c
+++ b/packages/decide/placement.c
@@ -114,17 +114,13 @@
   return false;
 }
 
-/* The most load that E may have.  An engine that counts all its streams but
-   has not made one wait yet may be given one too many: only that shows
-   whether its slots limit them.  */
+/* The most load that E may have: there are no more places than all.  */
 static double
 query_limit (const mq_placement_query *q, const mq_engine_state *e)
 {
   if (isinf (q->limit) || !mq_engine_state_has_places (e))
     return q->limit;
-  if (e->made_wait || q->hurry)
-    return MIN (q->limit, 1);
-  return MIN (q->limit, 1 + 1.0 / e->slots);
+  return MIN (q->limit, 1);
 }
 
 /* Who is in a hurry is no trial for an engine on probation.  */
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -12,6 +12,9 @@
 
 /* When a caller may come back who came before the first configuration.  */
 #define NO_CONFIGURATION_RETRY_US 500000
+/* Ticks come several times a second: so long without one, this process was
+   paused.  */
+#define PAUSE_US 1000000
 /* How often shares, health and repairs are looked at.  */
 #define REVIEW_US 100000
 
@@ -27,6 +30,8 @@
   GHashTable *attempts; /* mq_attempt_key to mq_attempt  */
   mq_repairs repairs;
   uint64_t next_review_us;
+  uint64_t ticked_us;  /* The last TICK; 0: none yet.  */
+  uint64_t resumed_us; /* When this process last woke from a pause.  */
 };
 
 static void
@@ -201,6 +206,9 @@
   if (a == NULL)
     return;
   placement = &a->placement;
+  /* A pause of our own says nothing of the engines.  */
+  if (a->begun_us < p->resumed_us)
+    goto out;
   switch (release->end)
     {
     case MQ_ATTEMPT_DONE:
@@ -220,6 +228,8 @@
                               now_us);
       break;
     }
+
+out:
   mq_attempt_close (p->attempts, a, p->config, now_us);
 }
 
@@ -229,7 +239,7 @@
   mq_attempt *a = mq_attempt_find (p->attempts, event->u.progress.id,
                                    event->u.progress.attempt);
 
-  if (a != NULL)
+  if (a != NULL && a->begun_us >= p->resumed_us)
     mq_attempt_learn_progress (a, &p->table, event->u.progress.tokens,
                                event->u.progress.mean_gap_us);
 }
@@ -283,6 +293,18 @@
   g_ptr_array_unref (over);
 }
 
+static void
+planner_notice_pause (mq_planner *p, const mq_planner_event *event)
+{
+  if (p->ticked_us > 0 && event->now_us > p->ticked_us + PAUSE_US)
+    {
+      p->resumed_us = event->now_us;
+      p->ticked_us = event->now_us;
+    }
+  if (event->kind == MQ_PLANNER_TICK)
+    p->ticked_us = event->now_us;
+}
+
 static void
 planner_tick (mq_planner *p, uint64_t now_us, GArray *actions)
 {
@@ -299,6 +321,7 @@
   g_hash_table_iter_init (&iter, p->models);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
+      mq_model_state_fade_waits (value);
       mq_admission_divide_shares (value, now_us);
       mq_repairs_review (&p->repairs, value, now_us, actions);
     }
@@ -351,6 +374,7 @@
   uint64_t now_us = event->now_us;
   mq_engine_state *e;
 
+  planner_notice_pause (planner, event);
   switch (event->kind)
     {
     case MQ_PLANNER_CONFIG:
--- a/packages/decide/prediction.c
+++ b/packages/decide/prediction.c
@@ -20,7 +20,7 @@
 #define MOST_DRAG 100.0
 /* How much one first token moves the cost of prompts, and its head's wait. */
 #define PROMPT_GAIN 0.01
-#define WAIT_GAIN 0.1
+#define WAIT_GAIN 0.3
 #define MOST_PROMPT_STEPS 1.0
 
 static double
@@ -141,6 +141,8 @@
   step *= model->stretch * MAX (p.load, 1) * prompt_tokens;
   if (step <= 0)
     return;
+  /* A wait of many steps is no matter of the prompt.  */
+  miss = CLAMP (miss, -p.gap_us, p.gap_us);
   steps = model->prompt_steps + PROMPT_GAIN * miss / step;
   model->prompt_steps = CLAMP (steps, 0, MOST_PROMPT_STEPS);
 }
