Entry: hold a caller's priority to its organisation's

Cause: an organisation's priority was read from the files and used nowhere, so any caller could ask for 9 and pass all others. A caller may now ask for less than the service's priority, and for more only up to its organisation's; more is lowered, not refused, as callers of model services expect.

Test: CallerCannotRaiseItsPriorityAboveItsOrganisations, which fails on the code before (9 is passed on).

--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -90,8 +90,10 @@
   mq_str *instance; /* That has the present attempt, or NULL.  */
 } mq_request;
 
-/* A request for CALL of SERVICE, with copies of what it borrows.  */
+/* A request for CALL of SERVICE by ORGANISATION, with copies of what it
+   borrows.  */
 mq_request *mq_request_new (const mq_call *call, const mq_service *service,
+                            const mq_organisation *organisation,
                             mq_request_id id, uint64_t now_us);
 void mq_request_free (mq_request *request);
 
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -354,7 +354,10 @@
             const mq_service *service, mq_guard_kind guard, bool repeatable)
 {
   mq_request_id id = { entry->router, ++entry->sequence };
-  mq_request *r = mq_request_new (&event->u.call, service, id, entry->now_us);
+  const mq_organisation *organisation
+      = mq_config_organisation (entry->config, event->u.call.organisation);
+  mq_request *r = mq_request_new (&event->u.call, service, organisation, id,
+                                  entry->now_us);
 
   r->handle = event->handle;
   r->guard = guard;
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -41,9 +41,21 @@
   return (sum - longest) / (MQ_REQUEST_GAPS - 1);
 }
 
+/* A caller may ask for less than its service's priority, and for more up to
+   its organisation's.  */
+static int32_t
+request_priority (const mq_call *call, const mq_service *service,
+                  const mq_organisation *organisation)
+{
+  if (call->priority < 0)
+    return service->priority;
+  return MIN (call->priority, MAX (service->priority, organisation->priority));
+}
+
 mq_request *
 mq_request_new (const mq_call *call, const mq_service *service,
-                mq_request_id id, uint64_t now_us)
+                const mq_organisation *organisation, mq_request_id id,
+                uint64_t now_us)
 {
   mq_request *r = g_new0 (mq_request, 1);
 
@@ -55,7 +67,7 @@
   r->started_us = now_us;
   r->since_us = now_us;
   r->deadline_us = now_us + request_deadline (call, service);
-  r->priority = call->priority < 0 ? service->priority : call->priority;
+  r->priority = request_priority (call, service, organisation);
   r->guard = call->guard;
   r->guard_value = mq_str_new (call->guard_value);
   r->body_hash = call->body_hash;
--- a/tests/test_entry.cc
+++ b/tests/test_entry.cc
@@ -34,6 +34,30 @@
   EXPECT_EQ (mq_entry_in_flight (d.entry), 0u);
 }
 
+/* The priority with which a call that asks for WANTED is planned, where its
+   service has 5 and its organisation OWN.  */
+static int32_t
+planned_priority (int32_t wanted, int32_t own)
+{
+  Driver d;
+  mq_call c = d.model_call ();
+
+  g_array_index (d.config->organisations, mq_organisation, 0).priority = own;
+  c.priority = wanted;
+  d.call (1, c);
+  d.limited (1);
+  return d.find (MQ_ENTRY_ASK_PLAN).u.ask.priority;
+}
+
+TEST (Entry, CallerCannotRaiseItsPriorityAboveItsOrganisations)
+{
+  EXPECT_EQ (planned_priority (-1, 7), 5);
+  EXPECT_EQ (planned_priority (9, 7), 7);
+  EXPECT_EQ (planned_priority (9, 0), 5);
+  EXPECT_EQ (planned_priority (6, 7), 6);
+  EXPECT_EQ (planned_priority (1, 7), 1);
+}
+
 TEST (Entry, PassesAPlainReply)
 {
   Driver d;
