Take a release that names no stage at fault

Cause: mq_plan_release may name MQ_STAGE_NONE, and usually does; the decoder took stages of a plan only, so the owner dropped every such release as garbage and its places filled up.

Named test ReleaseWithoutAStageAtFaultComesBack; test_fleet now also checks that our own routers send one another no garbage and give all places back.

--- a/packages/net/peer_message.c
+++ b/packages/net/peer_message.c
@@ -428,8 +428,11 @@
 {
   mq_plan_release *r = &to->u.plan_release.release;
 
+  bool stage_valid
+      = from->stage < MQ_PLAN_STAGES || from->stage == MQ_STAGE_NONE;
+
   if (get_id (&r->id, from->id) < 0 || from->end > MQ_ATTEMPT_STAGE_WRONG
-      || from->stage >= MQ_PLAN_STAGES || !text_is_short (from->service))
+      || !stage_valid || !text_is_short (from->service))
     return -1;
   r->attempt = from->attempt;
   r->end = (mq_attempt_end)from->end;
--- a/programs/marjoramquay/fleet_node.c
+++ b/programs/marjoramquay/fleet_node.c
@@ -389,6 +389,8 @@
                        mq_str_span (mq_fleet_self (fleet)->peer_address));
   mq_json_text_number (out, "members_live", mq_fleet_live_count (fleet));
   mq_json_text_number (out, "members_known", mq_fleet_known_count (fleet));
+  mq_json_text_number (out, "planned",
+                       mq_planner_in_flight (node->router->planner));
   mq_json_text_bool (out, "rejoining", !mq_fleet_may_own (fleet));
   mq_json_text_bool (out, "reads_platform", mq_fleet_is_gateway (fleet));
   mq_json_text_key (out, "members");
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -159,9 +159,19 @@
   EXPECT_FALSE (owner.empty ());
   EXPECT_EQ (yard.status (1, "model_owners.m"), owner);
   EXPECT_EQ (yard.status (2, "model_owners.m"), owner);
-  /* Whoever owns it, each router gets plans.  */
+  /* Whoever owns it, each router gets plans, and gives the places back.  */
   for (size_t i = 0; i < ROUTERS; i++)
     expect_whole (yard, i, "prompt " + std::to_string (i));
+  for (size_t i = 0; i < ROUTERS; i++)
+    {
+      std::string metrics
+          = programs::get (yard.router (i).url () + "/metrics").body;
+
+      EXPECT_NE (metrics.find ("peer_drops_total{why=\"garbage\"} 0\n"),
+                 std::string::npos);
+      EXPECT_TRUE (
+          eventually ([&] { return yard.status (i, "planned") == "0"; }));
+    }
 }
 
 TEST (Fleet, KilledRouterIsNoLongerNamed)
--- a/tests/test_peer_message.cc
+++ b/tests/test_peer_message.cc
@@ -284,6 +284,20 @@
   EXPECT_FALSE (decodes (encode (m)));
 }
 
+/* Found by mqload: a release without a stage at fault, which is the usual
+   one, was dropped as garbage, so that its owner's places filled up.  */
+TEST (PeerMessage, ReleaseWithoutAStageAtFaultComesBack)
+{
+  mq_peer_message m = {};
+
+  m.sender = 1;
+  m.kind = MQ_PEER_PLAN_RELEASE;
+  m.u.plan_release.release.stage = MQ_STAGE_NONE;
+  EXPECT_TRUE (decodes (encode (m)));
+  m.u.plan_release.release.stage = MQ_PLAN_STAGES;
+  EXPECT_FALSE (decodes (encode (m)));
+}
+
 /* A plan with a gap would lose a layer: it is no plan.  */
 TEST (PeerMessage, PlanWithAGapIsRefused)
 {
