--- a/programs/marjoramquay/fleet_plans.c
+++ b/programs/marjoramquay/fleet_plans.c
@@ -43,8 +43,7 @@
 {
   mq_router *router; /* Borrowed.  */
   GHashTable *uses;  /* plan_use to itself, owned  */
-  GQueue asked;      /* of mq_request_id and attempt (plan_key), oldest
-                        first  */
+  GQueue asked;      /* of plan_wait, oldest first  */
   mq_ticker tick;
   uint64_t shunned; /* An owner that was silent, ...  */
   uint64_t shun_until_us;
@@ -365,13 +364,17 @@
                action->id, action->attempt);
 }
 
+/* An owner whose configuration is older than the asker's would refuse what it
+   does not know yet; it leaves the answer to the asker's own planner.  */
 static void
 on_ask (mq_fleet_plans *plans, const mq_peer_message *message)
 {
   void *context[2] = { plans, (void *)message };
+  const mq_config *config = plans->router->config;
 
   if (message->u.plan_ask.ask.id.router != message->sender
-      || !mq_fleet_node_may_own (plans->router->fleet))
+      || !mq_fleet_node_may_own (plans->router->fleet) || config == NULL
+      || config->generation < message->u.plan_ask.generation)
     return;
   mq_admission_decide_for (plans->router, &message->u.plan_ask.ask,
                            remote_answer, context);
