Take the callers that wait before the listener closes; say close when leaving

Cause: on the way out the router closed its listening socket with connections still in the kernel's queue. Their callers had connected and sent, so that the reset that they got looks like a call that may have run; and it ended in the same instant, with connections accepted whose request had not been read. While draining its answers kept connections alive, so that callers sent their next request to a router about to go.

Now quiesce accepts what waits first, the router ends only after 0.1 s without an open request, and each answer from the start of the drain says Connection: close. Left: a connection that the kernel takes between the last accept and the close is still reset; no more than that.

Ruled out: the drain itself.

Tests: Http.QuiesceTakesTheConnectionsThatWait (failed without the accept), Http.AsksCallersToClose, Fleet.LeavingRouterSendsItsCallersElsewhere. Fleet.EngineThatLeavesGetsNoNewWork shows that the planner is told of leaving engines again with each read of the list, which main does already.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -83,7 +83,12 @@
    stay readable.  */
 void mq_http_server_free (mq_http_server *server);
 
-/* Stop taking new connections; those that are open go on.  */
+/* Tell each caller to close its connection after its answer; new connections
+   are still taken.  */
+void mq_http_server_ask_to_close (mq_http_server *server);
+
+/* Stop taking new connections, after those that wait to be taken; those that
+   are open go on, each until its next answer.  */
 void mq_http_server_quiesce (mq_http_server *server);
 
 /* Read the certificate and key again; new connections use them.  On error
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -55,7 +55,8 @@
   unsigned idle_s;
   size_t body_limit;
   uint16_t port;
-  bool silent; /* Is being freed and reports nothing.  */
+  bool closing; /* Callers are told to close.  */
+  bool silent;  /* Is being freed and reports nothing.  */
 };
 
 /* A new shard of SERVER, or NULL when libmicrohttpd can't start one.  */
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -78,7 +78,7 @@
       g_free (name);
       g_free (value);
     }
-  if (exchange->server->listen_fd < 0)
+  if (exchange->server->closing)
     MHD_add_response_header (response, "Connection", "close");
 }
 
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -146,14 +146,11 @@
   ev_timer_start (server->loop, &server->rest);
 }
 
+/* Take at most LIMIT of the connections that wait.  */
 static void
-server_listen_ready (struct ev_loop *loop, ev_io *watcher, int events)
+server_accept (mq_http_server *s, int limit)
 {
-  mq_http_server *s = watcher->data;
-
-  (void)loop;
-  (void)events;
-  for (int i = 0; i < ACCEPT_BATCH; i++)
+  for (int i = 0; i < limit; i++)
     {
       server_address a;
       socklen_t size = sizeof a;
@@ -172,6 +169,14 @@
     }
 }
 
+static void
+server_listen_ready (struct ev_loop *loop, ev_io *watcher, int events)
+{
+  (void)loop;
+  (void)events;
+  server_accept (watcher->data, ACCEPT_BATCH);
+}
+
 static void
 server_rest_over (struct ev_loop *loop, ev_timer *watcher, int events)
 {
@@ -389,11 +394,22 @@
   server_clear (server);
 }
 
+void
+mq_http_server_ask_to_close (mq_http_server *server)
+{
+  server->closing = true;
+}
+
 void
 mq_http_server_quiesce (mq_http_server *server)
 {
   if (server->listen_fd < 0)
     return;
+  server->closing = true;
+  /* A caller whose connection the kernel has taken already has sent its
+     request; closing the socket would reset it.  */
+  server_accept (server, LISTEN_BACKLOG);
+  ev_timer_stop (server->loop, &server->rest);
   ev_io_stop (server->loop, &server->listen);
   close (server->listen_fd);
   server->listen_fd = -1;
--- a/programs/marjoramquay/drain.c
+++ b/programs/marjoramquay/drain.c
@@ -11,6 +11,9 @@
 
 /* How often to look whether the last answers have been sent.  */
 #define CLOSE_POLL_S 0.02
+/* How long no request may have been open before the end, so that a caller
+   whose connection was taken last is heard.  */
+#define CLOSE_QUIET_S 0.1
 /* The longest that a caller may take to read its last answer.  */
 #define CLOSE_LIMIT_S 30.
 #define ABORT_LIMIT_S 1.
@@ -24,7 +27,10 @@
   unsigned open = mq_http_server_open_count (router->server);
 
   (void)revents;
-  if (open > 0 && ev_now (loop) < router->close_limit)
+  if (open > 0)
+    router->close_quiet_since = ev_now (loop);
+  if (ev_now (loop) < router->close_quiet_since + CLOSE_QUIET_S
+      && ev_now (loop) < router->close_limit)
     return;
   if (mq_audit_io_pending (router->audit) > 0
       && ev_now (loop) < router->audit_limit)
@@ -41,6 +47,7 @@
 {
   router->mode = MQ_ROUTER_CLOSING;
   ev_now_update (router->loop);
+  router->close_quiet_since = ev_now (router->loop);
   router->close_limit = ev_now (router->loop) + limit_s;
   router->audit_limit = ev_now (router->loop) + MIN (limit_s, AUDIT_LIMIT_S);
   mq_http_server_quiesce (router->server);
@@ -89,6 +96,7 @@
                    mq_str_cstr (router->settings->name), why, "serving",
                    "draining");
   mq_fleet_node_leave (router->fleet);
+  mq_http_server_ask_to_close (router->server);
   mq_router_post (router, &event);
 }
 
--- a/programs/marjoramquay/router.h
+++ b/programs/marjoramquay/router.h
@@ -95,8 +95,9 @@
   mq_ticket_io *tickets;
   mq_metrics *metrics;
   mq_router_counters counters;
-  ev_timer close_timer; /* Until the last answers are sent.  */
-  double close_limit;   /* On the loop's clock, as the next.  */
+  ev_timer close_timer;     /* Until the last answers are sent.  */
+  double close_quiet_since; /* On the loop's clock, as the next two.  */
+  double close_limit;
   double audit_limit;
 } mq_router;
 
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -225,6 +225,81 @@
   EXPECT_EQ (yard.router (2).wait (), 0);
 }
 
+/* Told to leave, a router with a stream under way is not ready, refuses new
+   work as never run, and has each caller close its connection.  */
+TEST (Fleet, LeavingRouterSendsItsCallersElsewhere)
+{
+  Yard yard;
+  Reply last;
+  Reply ready;
+  Reply refused;
+  std::thread caller;
+  bool begun = false;
+
+  ASSERT_TRUE (yard.all_see ({ 0, 1, 2 }, 3));
+  EXPECT_NE (
+      programs::get (yard.router (2).url () + "/readyz").headers["connection"],
+      "close");
+  programs::Request r
+      = yard.deployment ().completion ("leaving", 400, true, 2);
+  r.progress = [&] (const std::string &) {
+    if (begun)
+      return;
+    begun = true;
+    yard.router (2).kill (SIGTERM);
+    EXPECT_TRUE (eventually ([&] {
+      ready = programs::get (yard.router (2).url () + "/readyz");
+      return ready.status == 503;
+    }));
+    refused = fetch (yard.deployment ().booking ("POST", "/book", "{}", 2));
+  };
+  last = fetch (r);
+  EXPECT_EQ (ready.body, "leaving\n");
+  EXPECT_EQ (ready.headers["connection"], "close");
+  EXPECT_EQ (refused.status, 503);
+  EXPECT_EQ (refused.headers["marjoramquay-outcome"], "not-run");
+  EXPECT_EQ (refused.headers["connection"], "close");
+  EXPECT_NE (refused.body.find ("\"leaving\""), std::string::npos);
+  EXPECT_EQ (deployment::read_events (last.body).text,
+             deployment::reference ("leaving", 400));
+  EXPECT_EQ (yard.router (2).wait (), 0);
+}
+
+/* An engine on the platform's leaving list gets no new work, also from a
+   router that read the list before it had a configuration: the planner knows
+   no engines then, so that it must be told with each read of the list.  */
+TEST (Fleet, EngineThatLeavesGetsNoNewWork)
+{
+  Yard yard;
+  programs::Request r;
+  auto refused = [&] (const std::string &url) {
+    programs::Request c = yard.deployment ().completion ("p", 2, true);
+    c.url = url + "/v1/completions";
+    return fetch (c).body.find ("\"no-pipeline\"") != std::string::npos;
+  };
+
+  ASSERT_TRUE (yard.all_see ({ 0, 1, 2 }, 3));
+  for (size_t i = 0; i < ROUTERS; i++)
+    expect_whole (yard, i, "before");
+  r.method = "PUT";
+  r.url = yard.deployment ().platform ().url () + "/vms/e0";
+  r.body = deployment::quoted ("{'address':'"
+                               + yard.deployment ().engine (0).address ()
+                               + "','state':'leaving'}");
+  EXPECT_EQ (fetch (r).status / 100, 2);
+  for (size_t i = 0; i < ROUTERS; i++)
+    EXPECT_TRUE (eventually ([&] { return refused (yard.router (i).url ()); }))
+        << i;
+  std::string port = yard.peer_port (2);
+  yard.router (2).kill (SIGKILL);
+  yard.router (2).wait ();
+  std::unique_ptr<programs::Program> fresh = yard.start_again (2, port);
+  ASSERT_TRUE (eventually ([&] {
+    return programs::get (fresh->url () + "/readyz").status == 200;
+  }));
+  EXPECT_TRUE (eventually ([&] { return refused (fresh->url ()); }));
+}
+
 TEST (Fleet, ThePlatformsListDrainsARouter)
 {
   Yard yard;
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -540,6 +540,47 @@
   mq_http_exchange_unref (x);
 }
 
+/* The kernel takes connections before the server does.  One that it took has
+   its request on the way; closing the listening socket would cut it.  */
+TEST_F (Http, QuiesceTakesTheConnectionsThatWait)
+{
+  Socket s = Socket::connected (mq_http_server_port (server));
+  bool closed = false;
+  std::string got;
+
+  on_request = [&] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, MQ_SPAN ("heard"));
+  };
+  s.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  mq_http_server_quiesce (server);
+  ASSERT_TRUE (until ([&] {
+    got += s.read (&closed);
+    return closed;
+  }));
+  EXPECT_NE (got.find ("heard"), std::string::npos) << got;
+}
+
+/* Told to close, a caller does not send its next request to a server that is
+   about to go; new callers are still heard.  */
+TEST_F (Http, AsksCallersToClose)
+{
+  bool closed = false;
+  std::string got;
+
+  on_request = [&] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, MQ_SPAN ("heard"));
+  };
+  mq_http_server_ask_to_close (server);
+  Socket s = Socket::connected (mq_http_server_port (server));
+  s.write ("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
+  ASSERT_TRUE (until ([&] {
+    got += s.read (&closed);
+    return closed;
+  }));
+  EXPECT_NE (got.find ("heard"), std::string::npos) << got;
+  EXPECT_NE (got.find ("Connection: close"), std::string::npos) << got;
+}
+
 TEST_F (Http, IsFreedWithExchangesOpen)
 {
   Answer a;
