Restart routers one after the other under load, and cut nothing

mqload learns the fault "restart": SIGTERM, the end awaited by ev_child, the exit status and the drain's time noted, the program started again with the same settings at the same ports. A scenario with "cuts_nothing" counts each request cut, unknown, failed, unreachable or open as a broken promise.

Causes, all in the caller that mqload plays: it took one ticket of the leaving router after the other until its tries were used up; it held tickets of a router that had been started again, which can't know what became of them; and with one entry only it had nowhere to go. It now throws away the tickets of an entry that disappoints it, asks at once, takes another guard where its ticket was never sent, and waits for its ask when all entries have failed.

--- a/tests/test_load.cc
+++ b/tests/test_load.cc
@@ -2,8 +2,10 @@
 
 #include <gtest/gtest.h>
 #include <mqload/bound.h>
+#include <mqload/callers.h>
 
 #include <cstdlib>
+#include <set>
 #include <string>
 
 namespace
@@ -136,6 +138,52 @@
   load_bound_finish (&without);
 }
 
+/* A ticket of a router that has gone is worth nothing, and a request that
+   takes one after the other uses up its tries.  */
+TEST (Callers, ThrowAwayTheTicketsOfARouterThatIsGone)
+{
+  load_caller c = {};
+  load_ticket *left;
+
+  g_queue_init (&c.tickets);
+  for (const char *address : { "gone:1", "other:1", "gone:1" })
+    {
+      load_ticket *t = g_new0 (load_ticket, 1);
+
+      t->address = g_strdup (address);
+      g_queue_push_tail (&c.tickets, t);
+    }
+  c.asking = true; /* No second ask beside the first.  */
+  c.expires_us = 1;
+  load_caller_disappointed (&c, "gone:1");
+  EXPECT_EQ (c.expires_us, 0u);
+  ASSERT_EQ (g_queue_get_length (&c.tickets), 1u);
+  left = load_caller_ticket (&c);
+  EXPECT_STREQ (left->address, "other:1");
+  load_ticket_free (left);
+}
+
+TEST (ScenarioFiles, RollingRestartsEachRouterOnce)
+{
+  GError *error = nullptr;
+  load_scenario *s = read_scenario ("rolling", &error);
+  std::set<std::string> restarted;
+
+  ASSERT_NE (s, nullptr) << error->message;
+  EXPECT_TRUE (s->cuts_nothing);
+  for (guint i = 0; i < s->faults->len; i++)
+    {
+      auto *f = &g_array_index (s->faults, load_fault, i);
+
+      if (f->kind != LOAD_FAULT_RESTART)
+        continue;
+      EXPECT_TRUE (restarted.insert (mq_str_cstr (f->target)).second);
+    }
+  EXPECT_EQ (s->routers, 7u);
+  EXPECT_EQ (restarted.size (), 7u);
+  load_scenario_free (s);
+}
+
 TEST (ScenarioFiles, ThoseThatComeWithTheProjectAreRead)
 {
   for (const char *name : { "halvorsen", "tekle" })
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -33,6 +33,7 @@
   quick)
     run tekle-1.0-deadline tekle --load 1.0 --duration 10
     run halvorsen-faults-deadline halvorsen --load 0.7
+    run rolling-restart rolling
     ;;
   all)
     for load in 0.8 1.0 1.5 3.0; do
@@ -44,6 +45,7 @@
     for routing in deadline round-robin; do
       run "halvorsen-faults-$routing" halvorsen --load 0.7 --routing $routing
     done
+    run rolling-restart rolling
     for routers in 3 7 20; do
       run "idle-$routers" tekle --load 0 --routers $routers --duration 10
     done
--- a/tools/mqload/callers.c
+++ b/tools/mqload/callers.c
@@ -236,17 +236,27 @@
 }
 
 const char *
-load_caller_entry (const load_caller *caller, uint32_t try)
+load_caller_entry (const load_caller *caller, uint32_t turn)
 {
   if (caller->entries->len == 0)
     return NULL;
-  return g_ptr_array_index (caller->entries, try % caller->entries->len);
+  return g_ptr_array_index (caller->entries, turn % caller->entries->len);
 }
 
 void
-load_caller_disappointed (load_caller *caller)
+load_caller_disappointed (load_caller *caller, const char *address)
 {
+  GQueue kept = G_QUEUE_INIT;
+  load_ticket *t;
+
+  while ((t = g_queue_pop_head (&caller->tickets)) != NULL)
+    if (strcmp (t->address, address) == 0)
+      load_ticket_free (t);
+    else
+      g_queue_push_tail (&kept, t);
+  caller->tickets = kept;
   caller->expires_us = 0;
+  caller_ask (caller);
 }
 
 load_ticket *
--- a/tools/mqload/callers.h
+++ b/tools/mqload/callers.h
@@ -52,12 +52,13 @@
 load_caller *load_callers_get (load_callers *callers, uint32_t organisation,
                                uint32_t number);
 
-/* The entry for the TRY-th attempt of a request, or NULL when the caller has
+/* The entry for the TURN-th attempt of a request, or NULL when the caller has
    none.  Borrowed until the next ask.  */
-const char *load_caller_entry (const load_caller *caller, uint32_t try);
+const char *load_caller_entry (const load_caller *caller, uint32_t turn);
 
-/* The entry did not answer: ask again soon.  */
-void load_caller_disappointed (load_caller *caller);
+/* The entry at ADDRESS did not answer, or is leaving, or is another one than
+   it was: its tickets are worthless.  Ask again now.  */
+void load_caller_disappointed (load_caller *caller, const char *address);
 
 /* A ticket, to be freed by load_ticket_free; NULL when there is none.  */
 load_ticket *load_caller_ticket (load_caller *caller);
--- a/tools/mqload/cluster.c
+++ b/tools/mqload/cluster.c
@@ -4,6 +4,7 @@
 
 #include "cluster_files.h"
 #include "fetch.h"
+#include "restart.h"
 
 #include <fcntl.h>
 #include <poll.h>
@@ -28,6 +29,7 @@
   g_free (p->name);
   g_free (p->address);
   g_free (p->peers);
+  g_strfreev (p->argv);
   g_free (p);
 }
 
@@ -71,42 +73,62 @@
   return address;
 }
 
+/* Run P's program with its standard output on *OUT and its log opened with
+   FLAGS.  Returns 0, or -1 with ERROR set.  */
+static int
+process_spawn (const load_cluster *c, load_process *p, int flags, int *out,
+               GError **error)
+{
+  char *log_name = g_strdup_printf ("%s/%s.log", c->folder, p->name);
+  int log = open (log_name, O_WRONLY | O_CREAT | O_CLOEXEC | flags, 0644);
+  int status = 0;
+
+  if (!g_spawn_async_with_pipes (
+          NULL, p->argv, NULL, G_SPAWN_DO_NOT_REAP_CHILD, child_setup,
+          GINT_TO_POINTER (log), &p->pid, NULL, out, NULL, error))
+    {
+      p->pid = 0;
+      status = -1;
+    }
+  if (log >= 0)
+    close (log);
+  g_free (log_name);
+  return status;
+}
+
 /* Start the program in ARGV as process NAME and wait until it listens.  */
 static load_process *
 cluster_start (load_cluster *c, load_role role, const char *name,
                GPtrArray *argv, GError **error)
 {
-  char *log_name = g_strdup_printf ("%s/%s.log", c->folder, name);
-  int log = open (log_name, O_WRONLY | O_CREAT | O_TRUNC | O_CLOEXEC, 0644);
   load_process *p = g_new0 (load_process, 1);
-  int out = -1;
+  int out;
 
   p->name = g_strdup (name);
   p->role = role;
   g_ptr_array_add (c->processes, p);
   g_ptr_array_add (argv, NULL);
-  if (!g_spawn_async_with_pipes (NULL, (char **)argv->pdata, NULL,
-                                 G_SPAWN_DO_NOT_REAP_CHILD, child_setup,
-                                 GINT_TO_POINTER (log), &p->pid, NULL, &out,
-                                 NULL, error))
-    {
-      p->pid = 0;
-      p = NULL;
-      goto out;
-    }
+  p->argv = g_strdupv ((char **)argv->pdata);
+  if (process_spawn (c, p, O_TRUNC, &out, error) != 0)
+    return NULL;
   /* OUT stays open: the child may not write to a closed pipe.  */
   p->address = read_address (out, &p->peers);
-  if (p->address == NULL)
-    {
-      g_set_error (error, G_SPAWN_ERROR, G_SPAWN_ERROR_FAILED,
-                   "%s did not start; see %s", name, log_name);
-      p = NULL;
-    }
-out:
-  if (log >= 0)
-    close (log);
-  g_free (log_name);
-  return p;
+  if (p->address != NULL)
+    return p;
+  g_set_error (error, G_SPAWN_ERROR, G_SPAWN_ERROR_FAILED,
+               "%s did not start; see %s/%s.log", name, c->folder, name);
+  return NULL;
+}
+
+int
+load_cluster_start_again (load_cluster *cluster, load_process *p,
+                          GError **error)
+{
+  int out;
+
+  p->earlier_cpu_s += p->cpu_s;
+  p->cpu_s = 0;
+  return process_spawn (cluster, p, O_APPEND, &out, error);
 }
 
 static void argv_add (GPtrArray *argv, const char *format, ...)
@@ -231,7 +253,8 @@
 {
   uint32_t domain = number % c->scenario->failure_domains->len;
   char *name = g_strdup_printf ("router-%u", number + 1);
-  char *settings = load_write_settings (c, name, domain, platform, error);
+  char *settings
+      = load_write_settings (c, name, domain, NULL, platform, error);
   GPtrArray *argv = g_ptr_array_new_with_free_func (g_free);
   load_process *p = NULL;
 
@@ -353,6 +376,7 @@
   c->folder = g_strdup (options->folder);
   c->binaries = g_strdup (options->binaries);
   c->processes = g_ptr_array_new_with_free_func (process_free);
+  c->restarts = g_ptr_array_new_with_free_func (load_restart_free);
   if (start_platform (c, error) != 0)
     return -1;
   platform = cluster_platform (c)->address;
@@ -415,6 +439,7 @@
   cluster_signal (cluster, SIGKILL);
   for (int i = 0; i < STOP_TRIES && !cluster_reap (cluster); i++)
     g_usleep (STOP_PAUSE_US);
+  g_ptr_array_unref (cluster->restarts);
   g_ptr_array_unref (cluster->processes);
   g_free (cluster->folder);
   g_free (cluster->binaries);
@@ -441,8 +466,7 @@
 }
 
 static void
-strike_process (load_cluster *c, const load_process *p,
-                const load_fault *fault)
+strike_process (load_cluster *c, load_process *p, const load_fault *fault)
 {
   char *body;
 
@@ -465,6 +489,9 @@
                  body);
       g_free (body);
       return;
+    case LOAD_FAULT_RESTART:
+      load_restart_begin (c, p);
+      return;
     }
 }
 
@@ -475,7 +502,7 @@
 
   for (guint i = 0; i < cluster->processes->len; i++)
     {
-      const load_process *p = g_ptr_array_index (cluster->processes, i);
+      load_process *p = g_ptr_array_index (cluster->processes, i);
 
       if (!g_pattern_match_simple (mq_str_cstr (fault->target), p->name))
         continue;
--- a/tools/mqload/cluster.h
+++ b/tools/mqload/cluster.h
@@ -29,7 +29,9 @@
   char *peers;   /* The same of a router's peers; NULL: none.  */
   uint32_t service;
   uint32_t failure_domain;
-  double cpu_s; /* Used until it was last looked at.  */
+  char **argv;          /* By which it was started.  */
+  double earlier_cpu_s; /* Of those whose place it took.  */
+  double cpu_s;         /* Used until it was last looked at.  */
   uint64_t rss_bytes;
 } load_process;
 
@@ -39,6 +41,7 @@
   struct ev_loop *loop;
   mq_http_client *client; /* Borrowed.  */
   GPtrArray *processes;   /* of load_process, owned  */
+  GPtrArray *restarts;    /* of load_restart, owned  */
   char *folder;           /* Settings, configuration and logs.  */
   char *binaries;
 } load_cluster;
@@ -55,6 +58,12 @@
                        struct ev_loop *loop, mq_http_client *client,
                        const load_cluster_options *options, GError **error);
 
+/* Start P's program again, which has ended; its log goes on.  Where it
+   listens must be settled by its settings.  Returns 0, or -1 with ERROR
+   set.  */
+int load_cluster_start_again (load_cluster *cluster, load_process *p,
+                              GError **error);
+
 /* End all processes.  */
 void load_cluster_finish (load_cluster *cluster);
 
--- a/tools/mqload/cluster_files.c
+++ b/tools/mqload/cluster_files.c
@@ -275,10 +275,16 @@
   return status;
 }
 
+static int64_t
+port_of (const char *address)
+{
+  return g_ascii_strtoll (strrchr (address, ':') + 1, NULL, 10);
+}
+
 char *
 load_write_settings (const load_cluster *cluster, const char *name,
-                     uint32_t failure_domain, const char *platform,
-                     GError **error)
+                     uint32_t failure_domain, const load_process *before,
+                     const char *platform, GError **error)
 {
   json_object *root = json_object_new_object ();
   json_object *callers = object_add (root, "callers");
@@ -294,9 +300,9 @@
   add_string (root, "failure_domain",
               domain_name (cluster->scenario, failure_domain));
   add_string (callers, "address", "127.0.0.1");
-  add_int (callers, "port", 0);
+  add_int (callers, "port", before == NULL ? 0 : port_of (before->address));
   add_string (peers, "address", "127.0.0.1");
-  add_int (peers, "port", 0);
+  add_int (peers, "port", before == NULL ? 0 : port_of (before->peers));
   add_string (peers, "key_file", pair);
   add_string (peers, "ring_file", ring);
   add_string (object_add (root, "platform"), "url", url);
--- a/tools/mqload/cluster_files.h
+++ b/tools/mqload/cluster_files.h
@@ -11,10 +11,11 @@
    the path with g_free.  NULL with ERROR set.  */
 char *load_write_configuration (const load_cluster *cluster, GError **error);
 
-/* Write the settings of router NAME; free the path with g_free.  */
+/* Write the settings of router NAME, with the ports of BEFORE, or new ones
+   when it is NULL; free the path with g_free.  */
 char *load_write_settings (const load_cluster *cluster, const char *name,
-                           uint32_t failure_domain, const char *platform,
-                           GError **error);
+                           uint32_t failure_domain, const load_process *before,
+                           const char *platform, GError **error);
 
 G_END_DECLS
 
--- a/tools/mqload/main.c
+++ b/tools/mqload/main.c
@@ -10,6 +10,7 @@
 
 #include "compare.h"
 #include "report.h"
+#include "restart.h"
 #include "result.h"
 
 #include <glib/gstdio.h>
@@ -146,7 +147,8 @@
   result = load_result_new (&run);
   load_summary (result);
   status = write_result (line, result, error);
-  if (status == 0 && run.records.breaches->len > 0)
+  if (status == 0
+      && (run.records.breaches->len > 0 || load_restarts_failed (cluster)))
     status = 1;
   json_object_put (result);
   load_run_finish (&run);
--- a/tools/mqload/request.c
+++ b/tools/mqload/request.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 #define TRIES 4
+/* For the caller's ask, when it has no other entry to go to.  */
+#define PAUSE_S 0.1
 #define GRACE_MS 1500 /* Longer than the deadline, to see late answers.  */
 #define ERROR_LIMIT 4096
 
@@ -25,6 +27,8 @@
   char outcome[16]; /* The header.  */
   bool whole;       /* [DONE] came.  */
   uint64_t last_us; /* Last token.  */
+  char *address;    /* Of the last try.  */
+  ev_timer pause;   /* Before the next one.  */
 } request;
 
 static const load_item *
@@ -75,6 +79,7 @@
   g_string_free (r->line, TRUE);
   g_string_free (r->error, TRUE);
   load_ticket_free (r->ticket);
+  g_free (r->address);
   g_free (r);
 }
 
@@ -152,6 +157,30 @@
   return LOAD_END_UNKNOWN;
 }
 
+static void
+request_pause_over (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  (void)loop;
+  (void)events;
+  request_send (timer->data);
+}
+
+/* Send to the next entry; when all have been tried, give the caller time to
+   ask for others.  */
+static void
+request_send_next (request *r)
+{
+  if (request_record (r)->tries % MAX (r->caller->entries->len, 1) != 0)
+    {
+      request_send (r);
+      return;
+    }
+  ev_now_update (r->run->loop);
+  ev_timer_init (&r->pause, request_pause_over, PAUSE_S, 0.);
+  r->pause.data = r;
+  ev_timer_start (r->run->loop, &r->pause);
+}
+
 /* Try the next entry, if another try is left and still makes sense.  */
 static bool
 request_again (request *r)
@@ -159,20 +188,38 @@
   const load_item *item = request_item (r);
   uint64_t deadline = item->at_us + (uint64_t)item->deadline_ms * 1000;
 
-  load_caller_disappointed (r->caller);
+  load_caller_disappointed (r->caller, r->address);
   if (request_record (r)->tries >= TRIES || load_run_now (r->run) >= deadline
       || (r->ticket != NULL && request_record (r)->maybe_ran))
     return false;
-  /* Nothing ran: another guard may be taken.  */
+  /* Nothing ran: another guard may be taken, a key where no ticket is left. */
   if (r->ticket != NULL)
     {
       load_ticket_free (r->ticket);
       r->ticket = load_caller_ticket (r->caller);
     }
-  request_send (r);
+  request_send_next (r);
   return true;
 }
 
+/* Does CODE tell of this entry alone, so that another may take the call?  */
+static bool
+request_code_is_elsewhere (const char *code)
+{
+  return strcmp (code, "leaving") == 0
+         || strcmp (code, "no-configuration") == 0;
+}
+
+/* The router was started again since it gave the ticket.  It can't know what
+   came of the ticket, but its caller does: each ticket goes with one request,
+   and this request was sent to no one who could run it.  */
+static bool
+request_ticket_is_void (const request *r, const char *code)
+{
+  return r->ticket != NULL && strcmp (code, "wrong-router") == 0
+         && !request_record (r)->maybe_ran;
+}
+
 /* Judge an answer that tells an error.  */
 static void
 request_judge_error (request *r)
@@ -185,9 +232,11 @@
   if (!error_member (r->error, "outcome", name, sizeof name))
     g_strlcpy (name, r->outcome, sizeof name);
   end = end_by_name (name);
-  if (end == LOAD_END_NOT_RUN && strcmp (code, "leaving") == 0
+  if (end == LOAD_END_NOT_RUN && request_code_is_elsewhere (code)
       && request_again (r))
     return;
+  if (request_ticket_is_void (r, code) && request_again (r))
+    return;
   if (end == LOAD_END_UNKNOWN)
     request_record (r)->maybe_ran = true;
   if (r->answer->len > 0 && request_is_completion (r)
@@ -440,7 +489,11 @@
     request_end (r, LOAD_END_UNREACHABLE,
                  address == NULL ? "no-entry" : "too-late");
   else
-    request_call (r, address, MAX ((deadline - now) / 1000, 1));
+    {
+      g_free (r->address);
+      r->address = g_strdup (address);
+      request_call (r, r->address, MAX ((deadline - now) / 1000, 1));
+    }
 }
 
 void
--- a/tools/mqload/request.h
+++ b/tools/mqload/request.h
@@ -1,9 +1,10 @@
 /* One intended request: sent, tried again where a caller would, and judged.
 
    A caller goes to the next entry when no connection comes about, when the
-   entry says that it is leaving, and when an answer breaks off that may be
-   asked for again: a completion, a repeatable call, or a call under a key of
-   its own.  Whatever it then gets counts from the intended start.  */
+   entry says that it is leaving or has no configuration yet, and when an
+   answer breaks off that may be asked for again: a completion, a repeatable
+   call, or a call under a key of its own.  Whatever it then gets counts from
+   the intended start.  */
 
 #ifndef MQ_LOAD_REQUEST_H
 #define MQ_LOAD_REQUEST_H
--- a/tools/mqload/result.c
+++ b/tools/mqload/result.c
@@ -3,6 +3,7 @@
 #include "result.h"
 
 #include "fetch.h"
+#include "restart.h"
 
 #include <string.h>
 
@@ -304,7 +305,8 @@
   add_string (json, "what",
               f->kind == LOAD_FAULT_POST     ? mq_str_cstr (f->body)
               : f->kind == LOAD_FAULT_SIGNAL ? g_strsignal (f->signal)
-                                             : "leaving");
+              : f->kind == LOAD_FAULT_LEAVE  ? "leaving"
+                                             : "restart");
   add_number (json, "before", before);
   add_number (json, "survivors", after);
   add_number (json, "lowest", ticks_rate (ticks, lowest, AFTER_TICKS));
@@ -389,7 +391,7 @@
           if (p->role != role)
             continue;
           n++;
-          cpu += p->cpu_s;
+          cpu += p->earlier_cpu_s + p->cpu_s;
           rss = MAX (rss, (double)p->rss_bytes);
         }
       add_int (item, "count", n);
@@ -398,6 +400,24 @@
     }
 }
 
+static void
+add_restarts (json_object *json, const load_cluster *cluster)
+{
+  json_object *list = json_object_new_array ();
+
+  for (guint i = 0; i < cluster->restarts->len; i++)
+    {
+      const load_restart *r = g_ptr_array_index (cluster->restarts, i);
+      json_object *item = json_object_new_object ();
+
+      add_string (item, "process", r->process->name);
+      add_int (item, "exit_status", r->exit_status);
+      add_number (item, "drain_s", r->drain_s);
+      json_object_array_add (list, item);
+    }
+  json_object_object_add (json, "restarts", list);
+}
+
 /* What the platform counted, from its /stats.  */
 static void
 add_platform (json_object *json, const load_run *run)
@@ -484,6 +504,7 @@
   add_int (json, "tokens", (int64_t)run->records.tokens);
   add_int (json, "asks", (int64_t)run->callers.asked);
   add_int (json, "asks_failed", (int64_t)run->callers.failed);
+  add_restarts (json, run->cluster);
   add_processes (json, run->cluster);
   add_platform (json, run);
   add_timeline (json, run, &bound);
--- a/tools/mqload/run.c
+++ b/tools/mqload/run.c
@@ -4,6 +4,7 @@
 
 #include "fetch.h"
 
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -178,6 +179,50 @@
     }
 }
 
+/* Could ITEM meet a process of the scenario that slept or was killed?  */
+static bool
+run_item_excused (const load_scenario *scenario, const load_item *item)
+{
+  uint64_t end = item->at_us + (uint64_t)item->deadline_ms * 1000;
+
+  for (guint i = 0; i < scenario->faults->len; i++)
+    {
+      const load_fault *f = &g_array_index (scenario->faults, load_fault, i);
+
+      if (f->kind == LOAD_FAULT_SIGNAL && f->signal != SIGCONT
+          && f->at_us <= end
+          && (f->lasts_us == UINT64_MAX
+              || item->at_us <= f->at_us + f->lasts_us))
+        return true;
+    }
+  return false;
+}
+
+/* Where the scenario's restarts may cut nothing, whatever is not answered as
+   it should breaks a promise.  Refusals and lateness depend on the load.  */
+static void
+run_judge_cuts (load_run *run)
+{
+  for (guint i = 0; i < run->items->len; i++)
+    {
+      if (run_item_excused (run->scenario,
+                            &g_array_index (run->items, load_item, i)))
+        continue;
+      switch (g_array_index (run->records.list, load_record, i).end)
+        {
+        case LOAD_END_NONE:
+        case LOAD_END_FAILED:
+        case LOAD_END_UNKNOWN:
+        case LOAD_END_CUT:
+        case LOAD_END_UNREACHABLE:
+          load_records_breach (&run->records, "no request is cut", i);
+          break;
+        default:
+          break;
+        }
+    }
+}
+
 void
 load_run_init (load_run *run, load_cluster *cluster, const GArray *items)
 {
@@ -217,6 +262,8 @@
         run_fetch_effects (run, p);
     }
   run_judge_effects (run);
+  if (run->scenario->cuts_nothing)
+    run_judge_cuts (run);
 }
 
 void
--- a/tools/mqload/scenario.c
+++ b/tools/mqload/scenario.c
@@ -316,8 +316,10 @@
     }
   else if (mq_json_bool (json, "leave", false))
     f.kind = LOAD_FAULT_LEAVE;
+  else if (mq_json_bool (json, "restart", false))
+    f.kind = LOAD_FAULT_RESTART;
   else
-    mq_json_fault (json, NULL, "expected fault, signal or leave");
+    mq_json_fault (json, NULL, "expected fault, signal, leave or restart");
   g_array_append_val (s->faults, f);
 }
 
@@ -407,6 +409,7 @@
   s->routing
       = mq_str_new (mq_json_span (root, "routing", MQ_SPAN ("deadline")));
   s->factor = 1;
+  s->cuts_nothing = mq_json_bool (root, "cuts_nothing", false);
   read_section (root, "models", read_model, s);
   read_section (root, "engines", read_engines, s);
   read_section (root, "services", read_service, s);
--- a/tools/mqload/scenario.h
+++ b/tools/mqload/scenario.h
@@ -96,7 +96,8 @@
 {
   LOAD_FAULT_POST,   /* Switched on at the stand-in.  */
   LOAD_FAULT_SIGNAL, /* Sent to the process.  */
-  LOAD_FAULT_LEAVE   /* Put on the platform's leaving list.  */
+  LOAD_FAULT_LEAVE,  /* Put on the platform's leaving list.  */
+  LOAD_FAULT_RESTART /* Told to end, then started again.  */
 } load_fault_kind;
 
 typedef struct load_fault
@@ -126,7 +127,8 @@
   uint32_t routers;
   uint64_t duration_us;
   uint64_t seed;
-  double factor; /* Replaces 1 in front of all rates.  */
+  double factor;     /* Replaces 1 in front of all rates.  */
+  bool cuts_nothing; /* A request that is cut breaks a promise.  */
   mq_str *routing;
 } load_scenario;
 
