Measure how routers act as one; space their looks, ask before a cut-off

A watch says nothing for 25 s while nothing changes, and cut_off_ms is 10 s; so a router whose peers were dead but still listed took the silence of a healthy platform for being cut off. Found by a trial with two routers of which one was killed: the survivor went cut off, rejoined and cut off, 10 s each, with the platform up.

Ruled out: the watch itself failing (the platform counted it as waiting) and the stale list alone (without a watch to wait for, each look is heard).

Now: above 15 live members of a region both intervals grow with the members. Where no peer is heard, the platform is asked half-way to being cut off.

Conclusion: a cut-off needs both the peers and the platform to be silent.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 C_SOURCES = $(shell git ls-files '*.c' | grep -v '\.pb-c\.')
 
-.PHONY: faults all build deps check check-sanitize check-long demo format format-check lint bench slopes install clean
+.PHONY: faults all build deps check check-sanitize check-long demo format format-check lint bench slopes spread install clean
 
 all: build
 
@@ -61,3 +61,7 @@
 # Prints the slopes behind docs/CAPACITY.md.
 slopes: build
 	tools/slopes.sh $(BUILD)
+
+# How soon 7, 20 and 60 routers act as one, and what that costs.
+spread: build
+	tools/bench/spread.sh $(BUILD)
--- a/include/mq/config_source.h
+++ b/include/mq/config_source.h
@@ -56,8 +56,8 @@
   mq_platform *platform; /* Borrowed; must live longer.  */
   uint32_t seed;         /* For jitter.  */
   uint64_t watch_ms;     /* How long one watch waits; 0: 25000.  */
-  uint64_t check_ms;     /* Between two looks of one that does not watch;
-                            0: 15000.  */
+  uint64_t check_ms;     /* Between two looks of one that does not watch, in
+                            a small fleet; 0: 15000.  */
   uint64_t full_ms;      /* Between two reads whatever the version, to notice
                             a platform that was set back; 0: 300000.  */
 } mq_config_source_options;
@@ -73,7 +73,12 @@
 
 /* Watch the manifest, or look at it now and then.  */
 void mq_config_source_set_watching (mq_config_source *source, bool watching);
-/* How many other routers there should be.  */
+/* How many routers of our region are live, ourselves among them.  Above 15,
+   one that does not watch looks the more seldom the more there are, so that
+   the looks of all together stay the same.  */
+void mq_config_source_set_live (mq_config_source *source, uint32_t live);
+/* How many other routers there should be.  Where there are any and none is
+   heard, the platform is asked half-way to being cut off.  */
 void mq_config_source_set_peers (mq_config_source *source, uint32_t peers);
 /* PEER (not 0) was heard and holds GENERATION.  */
 void mq_config_source_peer_said (mq_config_source *source, uint64_t peer,
--- a/packages/net/config_peers.c
+++ b/packages/net/config_peers.c
@@ -25,6 +25,7 @@
   const mq_fleet *fleet = mq_fleet_io_fleet (p->fleet);
 
   mq_config_source_set_peers (p->source, mq_fleet_known_count (fleet) - 1);
+  mq_config_source_set_live (p->source, mq_fleet_live_count (fleet));
   mq_config_source_set_watching (p->source, mq_config_peers_watches (fleet));
 }
 
--- a/packages/net/config_source.c
+++ b/packages/net/config_source.c
@@ -2,8 +2,10 @@
 
    Two activities run side by side: the poll, which looks at the platform's
    manifest, and the fetch, which gets the files of one generation.  At most
-   one of each is under way.  Invariant: `texts` holds exactly the files of
-   `manifest`, which is the one in force.  */
+   one of each is under way.  A watch that waits says nothing while nothing
+   changes; so when no peer is heard either, the platform is asked at once,
+   before the silence is taken for being cut off.  Invariant: `texts` holds
+   exactly the files of `manifest`, which is the one in force.  */
 
 #include <mq/config_source.h>
 
@@ -23,6 +25,9 @@
 #define US_PER_MS 1000
 #define US_PER_S 1e6
 #define JITTER 0.2
+/* With more members than this the looks of each are spaced out, so that those
+   of all are no more.  */
+#define SPACED_ABOVE 15
 
 /* The files of one generation on their way.  */
 typedef struct source_fetch
@@ -50,6 +55,7 @@
   GHashTable *texts; /* Digest to mq_str.  */
 
   bool watching;
+  uint32_t live; /* Members of our region, ourselves among them.  */
   mq_platform_call *poll;
   bool poll_waits; /* It is a watch that waits.  */
   ev_timer poll_timer;
@@ -62,6 +68,8 @@
   source_fetch fetch;
   ev_timer peer_timer;
   ev_timer tick;
+  ev_timer silence;    /* When to ask because nobody is heard.  */
+  uint64_t silence_us; /* When that was last done.  */
 };
 
 static void source_step (mq_config_source *s, mq_generation_event *event);
@@ -380,6 +388,20 @@
                       next > now ? (double)(next - now) / US_PER_S : 0);
 }
 
+/* Ask the platform half-way to being cut off.  */
+static void
+source_set_silence (mq_config_source *s)
+{
+  const mq_generation *g = &s->generation;
+  uint64_t at = MAX (g->heard_us, s->silence_us) + g->cut_off_us / 2;
+  uint64_t now = source_now_us ();
+
+  ev_timer_stop (s->options.loop, &s->silence);
+  if (g->peers > 0 && g->cut_off_us > 0)
+    source_set_timer (s, &s->silence,
+                      at > now ? (double)(at - now) / US_PER_S : 0);
+}
+
 /* Hand EVENT to the decisions and do what they say.  Doing may step again,
    so each step has its own list of actions.  */
 static void
@@ -393,6 +415,7 @@
     source_do (s, &g_array_index (actions, mq_generation_action, i));
   g_array_unref (actions);
   source_set_tick (s);
+  source_set_silence (s);
 }
 
 static void
@@ -415,6 +438,13 @@
          * g_rand_double_range (s->rand, 1 - JITTER, 1 + JITTER);
 }
 
+/* MS between two calls of one router, spaced out in a large fleet.  */
+static uint64_t
+source_spaced_ms (const mq_config_source *s, uint64_t ms)
+{
+  return ms * MAX (s->live, (uint32_t)SPACED_ABOVE) / SPACED_ABOVE;
+}
+
 static void
 source_poll_later (mq_config_source *s, bool answered)
 {
@@ -429,7 +459,7 @@
     {
       s->backoff_ms = FIRST_BACKOFF_MS;
       if (!s->watching)
-        after = source_jitter (s, s->options.check_ms);
+        after = source_jitter (s, source_spaced_ms (s, s->options.check_ms));
     }
   source_set_timer (s, &s->poll_timer, after);
 }
@@ -498,32 +528,53 @@
   source_step (s, &event);
 }
 
+/* Ask for the manifest; when it has not changed, WAIT until it has.  */
 static void
-source_poll (mq_config_source *s)
+source_poll (mq_config_source *s, bool wait)
 {
   mq_span name = MQ_SPAN (MQ_MANIFEST_OBJECT);
+  uint64_t full_ms = s->options.full_ms;
   uint64_t now = source_now_us ();
 
   ev_timer_stop (s->options.loop, &s->poll_timer);
   s->poll_waits = false;
   if (s->version == 0 || now >= s->full_us)
     {
-      s->full_us = now + s->options.full_ms * US_PER_MS;
+      if (!s->watching)
+        full_ms = source_spaced_ms (s, full_ms);
+      s->full_us = now + full_ms * US_PER_MS;
       s->poll = mq_platform_get (s->options.platform, name, source_on_poll, s);
       return;
     }
-  s->poll_waits = s->watching;
-  s->poll = mq_platform_watch (s->options.platform, name, s->version,
-                               s->watching ? s->options.watch_ms : 0,
-                               source_on_poll, s);
+  s->poll_waits = wait;
+  s->poll
+      = mq_platform_watch (s->options.platform, name, s->version,
+                           wait ? s->options.watch_ms : 0, source_on_poll, s);
 }
 
 static void
 source_on_poll_timer (struct ev_loop *loop, ev_timer *timer, int events)
 {
+  mq_config_source *s = timer->data;
+
   (void)loop;
   (void)events;
-  source_poll (timer->data);
+  source_poll (s, s->watching);
+}
+
+static void
+source_on_silence (struct ev_loop *loop, ev_timer *timer, int events)
+{
+  mq_config_source *s = timer->data;
+
+  (void)loop;
+  (void)events;
+  s->silence_us = source_now_us ();
+  if (s->poll != NULL && s->poll_waits)
+    mq_platform_cancel (g_steal_pointer (&s->poll));
+  if (s->poll == NULL)
+    source_poll (s, false);
+  source_set_silence (s);
 }
 
 mq_config_source *
@@ -554,9 +605,11 @@
   ev_init (&s->poll_timer, source_on_poll_timer);
   ev_init (&s->peer_timer, source_on_peer_timeout);
   ev_init (&s->tick, source_on_tick);
+  ev_init (&s->silence, source_on_silence);
   s->poll_timer.data = s;
   s->peer_timer.data = s;
   s->tick.data = s;
+  s->silence.data = s;
   source_set_timer (s, &s->poll_timer, 0);
   return s;
 }
@@ -571,6 +624,7 @@
   source_fetch_clear (source);
   ev_timer_stop (source->options.loop, &source->poll_timer);
   ev_timer_stop (source->options.loop, &source->tick);
+  ev_timer_stop (source->options.loop, &source->silence);
   mq_manifest_finish (&source->manifest);
   mq_str_unref (source->manifest_text);
   mq_str_unref (source->offered);
@@ -596,6 +650,22 @@
     source_poll_later (source, true);
 }
 
+void
+mq_config_source_set_live (mq_config_source *source, uint32_t live)
+{
+  ev_timer *timer = &source->poll_timer;
+  double after;
+
+  source->live = live;
+  if (source->watching || !ev_is_active (timer))
+    return;
+  /* In a smaller fleet the next look may be due sooner.  */
+  after = source_jitter (source,
+                         source_spaced_ms (source, source->options.check_ms));
+  if (after < ev_timer_remaining (source->options.loop, timer))
+    source_set_timer (source, timer, after);
+}
+
 void
 mq_config_source_set_peers (mq_config_source *source, uint32_t peers)
 {
--- a/programs/marjoramquay/fleet_vms.c
+++ b/programs/marjoramquay/fleet_vms.c
@@ -3,7 +3,8 @@
    Each call on the platform counts, so only those read the list often who
    need it: the few of a region that read the platform for all, owners of
    planners, and a router that knows nobody yet.  All others read it seldom
-   and hear of changes from their peers.
+   and hear of changes from their peers; the more there are the more seldom,
+   so that the reads of all together stay the same.
 
    The list holds all VMs.  One whose address is that of a configured engine
    or plain service is none of ours; any other is taken for a router until it
@@ -19,6 +20,7 @@
 
 #define OFTEN_S 1.
 #define SELDOM_S 30.
+#define SPACED_ABOVE 15 /* Members with which SELDOM_S begins to grow.  */
 #define SPREAD 0.2 /* Of the interval, so that routers do not ask at once. */
 
 struct mq_fleet_vms
@@ -184,10 +186,11 @@
 interval_s (const mq_router *router)
 {
   const mq_fleet *fleet = mq_fleet_node_fleet (router->fleet);
-  double s = SELDOM_S;
+  uint32_t live = fleet == NULL ? 1 : mq_fleet_live_count (fleet);
+  double s = SELDOM_S * MAX (live, (uint32_t)SPACED_ABOVE) / SPACED_ABOVE;
 
   if (mq_fleet_node_reads_platform (router->fleet) || owns_a_model (router)
-      || (fleet != NULL && mq_fleet_live_count (fleet) < 2))
+      || (fleet != NULL && live < 2))
     s = OFTEN_S;
   return s * (1 + SPREAD * g_random_double ());
 }
--- a/tests/test_config_source.cc
+++ b/tests/test_config_source.cc
@@ -80,6 +80,20 @@
     programs::fetch (r);
   }
 
+  /* How many watches the platform was asked for.  */
+  uint64_t
+  watches ()
+  {
+    std::string stats = programs::get (platform.url () + "/stats").body;
+    std::string key = "\"watch\":";
+    size_t at = stats.find (key);
+
+    /* Kinds that were never asked for are not told.  */
+    return at == std::string::npos
+               ? 0
+               : std::stoull (stats.substr (at + key.size ()));
+  }
+
   /* Run the loop until TEST holds.  */
   bool
   until (const std::function<bool ()> &test)
@@ -268,3 +282,30 @@
   outage ("0");
   ASSERT_TRUE (until ([&] { return !cut_off; }));
 }
+
+TEST_F (ConfigSource, BesideALivePlatformItAsksBeforeItIsCutOff)
+{
+  publish (Bundle (1, "{\"policy\":{\"cut_off_ms\":1000}}"));
+  mq_config_source_set_watching (source, true);
+  ASSERT_TRUE (until_taken (1));
+  mq_config_source_set_peers (source, 6);
+  /* No peer is heard, and a watch says nothing for 25 s.  */
+  uint64_t before = watches ();
+  ASSERT_TRUE (until ([&] { return watches () >= before + 6; }));
+  ASSERT_TRUE (until ([&] { return !cut_off; }));
+}
+
+TEST_F (ConfigSource, InALargeFleetItLooksMoreSeldom)
+{
+  mq_config_source_set_live (source, 15 * 3600 * 1000);
+  publish (Bundle (1, policy (101)));
+  ASSERT_TRUE (until_taken (1));
+  publish (Bundle (2, policy (102)));
+  uint64_t before = watches ();
+  gint64 end = g_get_monotonic_time () + 300000;
+  until ([&] { return g_get_monotonic_time () >= end; });
+  EXPECT_EQ (watches (), before);
+  EXPECT_EQ (in_force, 1u);
+  mq_config_source_set_live (source, 7);
+  ASSERT_TRUE (until_taken (2));
+}
