--- a/include/mq/audit.h
+++ b/include/mq/audit.h
@@ -59,6 +59,11 @@
 /* "configuration", "order", "membership", "mode" or "lost".  */
 const char *mq_audit_kind_name (mq_audit_kind kind);
 
+/* The start of the names of all batches of the day that is DAYS_AGO days
+   before WALL_MS, in place of what PREFIX held.  */
+void mq_audit_day_prefix (uint64_t wall_ms, unsigned days_ago,
+                          GString *prefix);
+
 /* Append RECORD as one line of JSON, newline included, to TEXT.  */
 void mq_audit_encode (const mq_audit_record *record, GString *text);
 
--- a/packages/decide/audit.c
+++ b/packages/decide/audit.c
@@ -11,6 +11,8 @@
 #include <json-c/json.h>
 #include <string.h>
 
+#define DAY_S 86400
+
 typedef struct line
 {
   char *text; /* Owned; ends in a newline.  */
@@ -191,16 +193,14 @@
 static mq_str *
 audit_name (mq_audit *audit, uint64_t wall_ms)
 {
-  GDateTime *t = g_date_time_new_from_unix_utc ((gint64)(wall_ms / 1000));
-  char *day = t == NULL ? g_strdup ("0000-00-00")
-                        : g_date_time_format (t, "%Y-%m-%d");
-  mq_str *name
-      = mq_str_printf ("audit/%s/%013" PRIu64 "-%016" PRIx64 "-%" PRIu64, day,
-                       wall_ms, audit->options.router, ++audit->sequence);
+  GString *prefix = g_string_new (NULL);
+  mq_str *name;
 
-  g_free (day);
-  if (t != NULL)
-    g_date_time_unref (t);
+  mq_audit_day_prefix (wall_ms, 0, prefix);
+  name
+      = mq_str_printf ("%s%013" PRIu64 "-%016" PRIx64 "-%" PRIu64, prefix->str,
+                       wall_ms, audit->options.router, ++audit->sequence);
+  g_string_free (prefix, TRUE);
   return name;
 }
 
@@ -282,6 +282,20 @@
   return kind_names[kind];
 }
 
+void
+mq_audit_day_prefix (uint64_t wall_ms, unsigned days_ago, GString *prefix)
+{
+  gint64 seconds = (gint64)(wall_ms / 1000) - (gint64)days_ago * DAY_S;
+  GDateTime *t = g_date_time_new_from_unix_utc (seconds);
+  char *day = t == NULL ? g_strdup ("0000-00-00")
+                        : g_date_time_format (t, "%Y-%m-%d");
+
+  g_string_printf (prefix, "audit/%s/", day);
+  g_free (day);
+  if (t != NULL)
+    g_date_time_unref (t);
+}
+
 void
 mq_audit_encode (const mq_audit_record *record, GString *text)
 {
--- a/programs/marjoramquay/audit_io.c
+++ b/programs/marjoramquay/audit_io.c
@@ -2,6 +2,7 @@
 
 #include "audit_io.h"
 
+#include "audit_sweep.h"
 #include "store_io.h"
 
 #define LINGER_US UINT64_C (2000000)
@@ -16,6 +17,7 @@
   mq_store_io *store;
   GArray *actions; /* Scratch, of mq_audit_action.  */
   mq_ticker ticker;
+  mq_audit_sweep *sweep;
 };
 
 static void
@@ -72,6 +74,7 @@
   io->store = mq_store_io_new (router->platform, on_store, io);
   io->actions = mq_audit_actions_new ();
   mq_ticker_init (&io->ticker, router->loop, on_tick, io);
+  io->sweep = mq_audit_sweep_new (router);
   return io;
 }
 
@@ -80,6 +83,7 @@
 {
   if (io == NULL)
     return;
+  mq_audit_sweep_free (io->sweep);
   mq_ticker_finish (&io->ticker);
   mq_store_io_free (io->store);
   mq_audit_free (io->audit);
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -172,6 +172,14 @@
     return *plain_;
   }
 
+  /* Start one more router; true once it holds a configuration.  */
+  bool
+  add_router ()
+  {
+    start_router ();
+    return wait_ready (*routers_.back ());
+  }
+
   programs::Request
   completion (const std::string &prompt, unsigned tokens, bool stream,
               size_t router = 0)
--- a/tests/test_audit.cc
+++ b/tests/test_audit.cc
@@ -177,6 +177,17 @@
   EXPECT_TRUE (g_utf8_validate (list[0].what.data (), -1, NULL));
 }
 
+TEST (AuditDay, CountsBackOverTheYear)
+{
+  GString *p = g_string_new (NULL);
+
+  mq_audit_day_prefix (UINT64_C (1796233177000), 0, p);
+  EXPECT_STREQ (p->str, "audit/2026-12-02/");
+  mq_audit_day_prefix (UINT64_C (1796233177000), 336, p);
+  EXPECT_STREQ (p->str, "audit/2025-12-31/");
+  g_string_free (p, TRUE);
+}
+
 TEST (AuditDecode, SaysWhichLineIsNoRecord)
 {
   std::vector<Read> list;
