Let mqload's caller take ticket-spent of a router that is gone for void

Each ticket goes with one request, so that the caller knows that it has not run. Ruled out: a ticket used twice, since a request takes a new one for each try. The check for doubled effects stays as it was.

--- a/tools/mqload/request.c
+++ b/tools/mqload/request.c
@@ -210,14 +210,16 @@
          || strcmp (code, "no-configuration") == 0;
 }
 
-/* The router was started again since it gave the ticket.  It can't know what
+/* The router was started again since it gave the ticket, and says so
+   ("ticket-spent") or does not know it ("wrong-router").  It can't know what
    came of the ticket, but its caller does: each ticket goes with one request,
    and this request was sent to no one who could run it.  */
 static bool
 request_ticket_is_void (const request *r, const char *code)
 {
-  return r->ticket != NULL && strcmp (code, "wrong-router") == 0
-         && !request_record (r)->maybe_ran;
+  return r->ticket != NULL && !request_record (r)->maybe_ran
+         && (strcmp (code, "wrong-router") == 0
+             || strcmp (code, "ticket-spent") == 0);
 }
 
 /* Judge an answer that tells an error.  */
