Split the membership into its table, its pace and its news

packages/decide/membership.c had grown to a thousand lines with four jobs in it. The table of members is now member_table.c, the pace of heartbeats with watchers and gateways heartbeat_pace.c, and the news of others member_news.c; membership.c keeps the events, the judging of silence and our own pauses. What they share is in mq/internal/membership.h.

No test is touched.

--- a/include/mq/internal/fleet.h
+++ b/include/mq/internal/fleet.h
@@ -1,5 +1,5 @@
-/* Internal to the fleet: shared by membership.c, ownership.c and ask.c, and
-   by nobody else.  */
+/* Internal to the fleet: shared by the membership (mq/internal/membership.h),
+   ownership.c and ask.c, and by nobody else.  */
 
 #ifndef MQ_INTERNAL_FLEET_H
 #define MQ_INTERNAL_FLEET_H
--- /dev/null
+++ b/packages/decide/heartbeat_pace.c
@@ -0,0 +1,252 @@
+/* The pace of heartbeats: how often each member gets one, and what it says.
+
+   A router may spend only so many bytes a second on control, however large
+   the fleet.  So a few members of the region, its watchers, hear it often and
+   the rest seldom; other regions hear only gateways from gateways.
+
+   Invariants:
+   - the budgets below hold at any size, but for the probes of those not heard
+     from and where the interval is fixed by the options;
+   - who watches whom and who is a gateway is a rank by hash, so that two
+     routers with the same view agree without a message;
+   - a heartbeat promises the interval at which the next one is sent; 0
+   promises none;
+   - the pace, the hash and the owners are worked out again only when the fleet
+     is stale, and then all of them.  */
+
+#include <mq/internal/membership.h>
+
+/* Bytes a second, sent and received, for each kind of traffic: together below
+   the 8 KB/s that a router may spend on control.  */
+#define WATCHER_BUDGET 4500
+#define OTHER_BUDGET 1500
+#define GATEWAY_BUDGET 800
+
+#define MIN_INTERVAL_US (UINT64_C (400) * 1000)
+#define PROBE_US (UINT64_C (2) * 1000 * 1000) /* To those not heard from.  */
+#define FIRST_PROBES_US (UINT64_C (2) * 1000 * 1000) /* Oftener at first.  */
+#define GATEWAYS 2
+
+/* ---- Who gets heartbeats, and when.  */
+
+static uint32_t
+fleet_count_regions (const mq_fleet *fleet)
+{
+  uint32_t n = 1;
+
+  for (guint i = 0; i < fleet->members->len; i++)
+    {
+      const mq_member *m = g_ptr_array_index (fleet->members, i);
+      bool seen = mq_fleet_same_region (fleet, m);
+
+      for (guint k = 0; k < i && !seen; k++)
+        {
+          const mq_member *o = g_ptr_array_index (fleet->members, k);
+
+          seen = mq_span_equal (mq_str_span (o->region),
+                                mq_str_span (m->region));
+        }
+      n += !seen;
+    }
+  return n;
+}
+
+/* How many of our region outrank VM as a receiver of SENDER's heartbeats.  */
+static uint32_t
+fleet_watch_rank (const mq_fleet *fleet, mq_span sender, const mq_member *m)
+{
+  uint64_t s = mq_span_hash (sender);
+  uint64_t mine = mq_hash_mix (s, mq_span_hash (mq_str_span (m->vm)));
+  uint32_t rank = 0;
+
+  for (guint i = 0; i < fleet->members->len; i++)
+    {
+      const mq_member *o = g_ptr_array_index (fleet->members, i);
+
+      if (o == m || o->state != MQ_MEMBER_LIVE
+          || !mq_fleet_same_region (fleet, o))
+        continue;
+      rank += mq_hash_mix (s, mq_span_hash (mq_str_span (o->vm))) > mine;
+    }
+  return rank;
+}
+
+/* Is M one of the routers that speak for its region?  */
+static bool
+fleet_is_gateway (const mq_fleet *fleet, const mq_member *m)
+{
+  uint64_t mine = mq_span_hash (mq_str_span (m->vm));
+  uint32_t rank = 0;
+
+  for (guint i = 0; i <= fleet->members->len; i++)
+    {
+      const mq_member *o = i == fleet->members->len
+                               ? fleet->self
+                               : g_ptr_array_index (fleet->members, i);
+
+      if (o == m || o->state != MQ_MEMBER_LIVE
+          || !mq_span_equal (mq_str_span (o->region), mq_str_span (m->region)))
+        continue;
+      rank += mq_span_hash (mq_str_span (o->vm)) > mine;
+    }
+  return rank < GATEWAYS;
+}
+
+bool
+mq_fleet_is_gateway (const mq_fleet *fleet)
+{
+  return fleet_is_gateway (fleet, fleet->self);
+}
+
+mq_fleet_pace
+mq_fleet_pace_for (uint32_t members, uint32_t regions,
+                   uint32_t heartbeat_bytes)
+{
+  uint64_t second = UINT64_C (1000) * 1000;
+  uint64_t cost = 2 * (uint64_t)heartbeat_bytes; /* Sent and received.  */
+  uint64_t others = members > 0 ? members - 1 : 0;
+  uint64_t watchers = MIN (others, MQ_FLEET_WATCHERS);
+  uint64_t rest = others - watchers;
+  uint64_t gateways = regions > 1 ? (regions - 1) * GATEWAYS : 0;
+  mq_fleet_pace p;
+
+  p.watcher_us = watchers * cost * second / WATCHER_BUDGET;
+  p.watcher_us = MAX (p.watcher_us, MIN_INTERVAL_US);
+  p.other_us = MAX (rest * cost * second / OTHER_BUDGET, p.watcher_us);
+  p.gateway_us = MAX (gateways * cost * second / GATEWAY_BUDGET, second);
+  return p;
+}
+
+/* How long until the next heartbeat to M; 0 when none is sent.  */
+static uint64_t
+fleet_interval_to (const mq_fleet *fleet, const mq_member *m)
+{
+  if (!mq_fleet_same_region (fleet, m))
+    return fleet_is_gateway (fleet, fleet->self) && fleet_is_gateway (fleet, m)
+               ? fleet->pace.gateway_us
+               : 0;
+  if (m->state == MQ_MEMBER_LISTED
+      && fleet->last_us - m->heard_us < FIRST_PROBES_US)
+    return MQ_FLEET_FIRST_PROBE_US;
+  if (m->state == MQ_MEMBER_LISTED || m->state == MQ_MEMBER_DEAD)
+    return MAX (PROBE_US, fleet->pace.watcher_us);
+  if (fleet_watch_rank (fleet, mq_str_span (fleet->self->vm), m)
+      < MQ_FLEET_WATCHERS)
+    return fleet->pace.watcher_us;
+  return fleet->pace.other_us;
+}
+
+/* ---- What follows from the members.  */
+
+/* A hash of the live members as this router sees them.  A sum, so that it
+   does not depend on an order.  */
+uint64_t
+mq_fleet_hash_live (const mq_fleet *fleet)
+{
+  uint64_t sum = 0;
+
+  for (guint i = 0; i <= fleet->members->len; i++)
+    {
+      const mq_member *m = i == fleet->members->len
+                               ? fleet->self
+                               : g_ptr_array_index (fleet->members, i);
+
+      if (m->state != MQ_MEMBER_LIVE || !mq_fleet_same_region (fleet, m))
+        continue;
+      sum += mq_hash_mix (mq_span_hash (mq_str_span (m->vm)),
+                          m->incarnation * 2 + m->leaving);
+    }
+  return sum;
+}
+
+/* Note when M begins or ends to take work; true when it just did.  */
+static bool
+fleet_note_work (const mq_fleet *fleet, mq_member *m, uint64_t now)
+{
+  bool takes = mq_fleet_takes_work (fleet, m);
+
+  if (takes == m->took_work)
+    return false;
+  m->took_work = takes;
+  m->changed_us = now;
+  return true;
+}
+
+/* Work out again what follows from the members.  */
+void
+mq_fleet_refresh (mq_fleet *fleet, uint64_t now, GArray *actions)
+{
+  uint32_t n = 1;
+  bool changed = fleet_note_work (fleet, fleet->self, now);
+
+  if (!fleet->stale)
+    return;
+  fleet->stale = false;
+  for (guint i = 0; i < fleet->members->len; i++)
+    {
+      mq_member *m = g_ptr_array_index (fleet->members, i);
+
+      n += mq_fleet_same_region (fleet, m) && m->state != MQ_MEMBER_DEAD;
+      changed |= fleet_note_work (fleet, m, now);
+    }
+  fleet->pace = mq_fleet_pace_for (n, fleet_count_regions (fleet),
+                                   fleet->heartbeat_bytes);
+  if (fleet->fixed_interval_us != 0)
+    fleet->pace.watcher_us = fleet->fixed_interval_us;
+  fleet->pace.other_us = MAX (fleet->pace.other_us, fleet->pace.watcher_us);
+  fleet->hash = mq_fleet_hash_live (fleet);
+  if (changed)
+    mq_fleet_push (actions, MQ_FLEET_OWNERS_CHANGED, NULL);
+}
+
+/* ---- Sending.  */
+
+static void
+fleet_send (mq_fleet *fleet, mq_member *m, uint64_t now, GArray *actions)
+{
+  uint64_t interval = fleet_interval_to (fleet, m);
+  mq_heartbeat *h
+      = &mq_fleet_push (actions, MQ_FLEET_SEND_HEARTBEAT, m)->u.heartbeat;
+
+  if (!m->knows_us)
+    {
+      h->vm = mq_str_span (fleet->self->vm);
+      h->peer_address = mq_str_span (fleet->self->peer_address);
+      h->entry_address = mq_str_span (fleet->self->entry_address);
+      h->failure_domain = mq_str_span (fleet->self->failure_domain);
+      h->region = mq_str_span (fleet->self->region);
+    }
+  h->incarnation = fleet->self->incarnation;
+  h->sequence = fleet->self->sequence;
+  h->generation = fleet->self->generation;
+  h->interval_us = interval;
+  h->members_hash = fleet->hash;
+  /* 0 asks for an introduction, also where news named the incarnation.  */
+  h->receiver_incarnation = m->entry_address != NULL ? m->incarnation : 0;
+  h->receiver_sequence = m->sequence;
+  h->receiver_state = m->state;
+  h->load = fleet->self->load;
+  h->leaving = fleet->self->leaving;
+  if (interval == 0)
+    m->next_send_us = m->knows_us ? UINT64_MAX : now + PROBE_US;
+  else
+    m->next_send_us = now + interval;
+}
+
+void
+mq_fleet_send_due (mq_fleet *fleet, uint64_t now, bool all, GArray *actions)
+{
+  bool counted = false;
+
+  for (guint i = 0; i < fleet->members->len; i++)
+    {
+      mq_member *m = g_ptr_array_index (fleet->members, i);
+
+      if (!all && m->next_send_us > now)
+        continue;
+      if (!counted)
+        fleet->self->sequence++;
+      counted = true;
+      fleet_send (fleet, m, now, actions);
+    }
+}
