Keep the limiter's organisations in the common table by name

The limiter had its own hash and comparison of spans, line for line those of mq/internal/span_table.h. It now uses that table; the span that it kept beside each name for it goes. Hash and order of the walk are the same.

--- a/include/mq/internal/limiter.h
+++ b/include/mq/internal/limiter.h
@@ -44,7 +44,6 @@
 
 typedef struct limit_organisation
 {
-  mq_span key; /* Of NAME.  */
   mq_str *name;
   mq_limits limits;
   limit_holder holder;
--- a/packages/decide/limit_holder.c
+++ b/packages/decide/limit_holder.c
@@ -180,7 +180,7 @@
   if (h->asked_us != 0 && now < holder_next_ask (h))
     return;
   h->asked_us = now;
-  a.u.ask.organisation = o->key;
+  a.u.ask.organisation = mq_str_span (o->name);
   a.u.ask.demand = holder_demand (h);
   if (holder_has_share (h, now))
     a.u.ask.held = h->share;
--- a/packages/decide/limit_owner.c
+++ b/packages/decide/limit_owner.c
@@ -273,7 +273,7 @@
   fresh = c->until_us == 0;
   c->demand = ask->demand;
   c->in_flight = ask->in_flight;
-  g->organisation = o->key;
+  g->organisation = mq_str_span (o->name);
   g->share = owner_divide (&o->owner, c, &pool, now, &busy, &g->contended);
   g->lifetime_us = busy ? MQ_LIMITER_SHORT_US : MQ_LIMITER_LONG_US;
   if (settling && fresh)
--- a/packages/decide/limiter.c
+++ b/packages/decide/limiter.c
@@ -2,30 +2,18 @@
    lie in limit_holder.c and limit_owner.c; see mq/limiter.h.  */
 
 #include <mq/internal/limiter.h>
+#include <mq/internal/span_table.h>
 #include <mq/limiter.h>
 
 #include <string.h>
 
 struct mq_limiter
 {
-  GHashTable *organisations; /* mq_span * in the value -> owned
-                                limit_organisation  */
+  GHashTable *organisations; /* name -> limit_organisation, owned  */
   GPtrArray *active;         /* of limit_organisation, borrowed  */
   limit_members members;
 };
 
-static guint
-span_hash (gconstpointer key)
-{
-  return (guint)mq_span_hash (*(const mq_span *)key);
-}
-
-static gboolean
-span_equal (gconstpointer a, gconstpointer b)
-{
-  return mq_span_equal (*(const mq_span *)a, *(const mq_span *)b);
-}
-
 static void
 organisation_free (gpointer data)
 {
@@ -40,7 +28,7 @@
 static limit_organisation *
 limiter_find (const mq_limiter *limiter, mq_span name)
 {
-  return g_hash_table_lookup (limiter->organisations, &name);
+  return mq_span_table_find (limiter->organisations, name);
 }
 
 /* Borrowed; made where there is none.  */
@@ -53,10 +41,9 @@
     return o;
   o = g_new0 (limit_organisation, 1);
   o->name = mq_str_ref (name);
-  o->key = mq_str_span (name);
   limit_holder_init (&o->holder);
   limit_owner_init (&o->owner);
-  g_hash_table_insert (limiter->organisations, &o->key, o);
+  mq_span_table_add (limiter->organisations, o->name, o);
   return o;
 }
 
@@ -154,8 +141,7 @@
 {
   mq_limiter *l = g_new0 (mq_limiter, 1);
 
-  l->organisations
-      = g_hash_table_new_full (span_hash, span_equal, NULL, organisation_free);
+  l->organisations = mq_span_table_new (organisation_free);
   l->active = g_ptr_array_new ();
   l->members = (limit_members){ .live = 1, .known = 1 };
   return l;
