Keep the orders in the common table by name

The orders had their own hash and comparison of names, and copied a name for each look-up. They now use mq/internal/span_table.h, which gains a removal. Hash and order of the walk are the same.

--- a/include/mq/internal/span_table.h
+++ b/include/mq/internal/span_table.h
@@ -17,6 +17,9 @@
 void mq_span_table_add (GHashTable *table, const mq_str *name, gpointer value);
 /* The value under NAME, borrowed, or NULL.  */
 gpointer mq_span_table_find (GHashTable *table, mq_span name);
+/* Remove what is under NAME, if anything, and free its value.  The bytes of
+   NAME may be that value's own.  */
+void mq_span_table_remove (GHashTable *table, mq_span name);
 
 G_END_DECLS
 
--- a/packages/decide/order.c
+++ b/packages/decide/order.c
@@ -9,6 +9,7 @@
 #include <mq/order.h>
 
 #include <mq/internal/defect.h>
+#include <mq/internal/span_table.h>
 #include <string.h>
 
 #define US_PER_S 1000000
@@ -70,26 +71,10 @@
   g_free (o);
 }
 
-static guint
-str_hash (gconstpointer key)
-{
-  return (guint)mq_span_hash (mq_str_span (key));
-}
-
-static gboolean
-str_equal (gconstpointer a, gconstpointer b)
-{
-  return mq_span_equal (mq_str_span (a), mq_str_span (b));
-}
-
 static order *
 orders_find (const mq_orders *orders, mq_span engine)
 {
-  mq_str *name = mq_str_new (engine);
-  order *o = g_hash_table_lookup (orders->by_engine, name);
-
-  mq_str_unref (name);
-  return o;
+  return mq_span_table_find (orders->by_engine, engine);
 }
 
 static void
@@ -343,7 +328,7 @@
   if (o != NULL)
     {
       g_hash_table_remove (orders->by_id, &o->id);
-      g_hash_table_remove (orders->by_engine, o->engine);
+      mq_span_table_remove (orders->by_engine, mq_str_span (o->engine));
     }
   o = g_new0 (order, 1);
   o->id = ++orders->sequence;
@@ -356,7 +341,7 @@
   o->weight_bytes = want->weight_bytes;
   o->dropped_us = event->now_us + orders->options.patience_us;
   order_pause (o, event->now_us);
-  g_hash_table_insert (orders->by_engine, o->engine, o);
+  mq_span_table_add (orders->by_engine, o->engine, o);
   g_hash_table_insert (orders->by_id, &o->id, o);
 }
 
@@ -368,7 +353,7 @@
   if (o == NULL || o->sent != 0)
     return;
   g_hash_table_remove (orders->by_id, &o->id);
-  g_hash_table_remove (orders->by_engine, o->engine);
+  mq_span_table_remove (orders->by_engine, mq_str_span (o->engine));
 }
 
 static void
@@ -468,8 +453,7 @@
   mq_orders *orders = g_new0 (mq_orders, 1);
 
   orders->options = *options;
-  orders->by_engine
-      = g_hash_table_new_full (str_hash, str_equal, NULL, order_free);
+  orders->by_engine = mq_span_table_new (order_free);
   orders->by_id = g_hash_table_new (g_int64_hash, g_int64_equal);
   return orders;
 }
--- a/packages/decide/span_table.c
+++ b/packages/decide/span_table.c
@@ -35,3 +35,9 @@
 {
   return g_hash_table_lookup (table, &name);
 }
+
+void
+mq_span_table_remove (GHashTable *table, mq_span name)
+{
+  g_hash_table_remove (table, &name);
+}
