Keep the connections of routers in the common table by name

peers.c had its own hash and comparison of addresses, and copied an address for each look-up, that is for each message sent. Hash and order of the walk are the same.

--- a/include/mq/internal/span_table.h
+++ b/include/mq/internal/span_table.h
@@ -1,4 +1,4 @@
-/* Internal to packages/decide: hash tables keyed by name.
+/* Internal to packages/: hash tables keyed by name.
 
    A key is a span that its value owns the bytes of; the table owns a copy of
    the span itself.  */
--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -18,6 +18,7 @@
 #include <string.h>
 #include <zmq.h>
 
+#include <mq/internal/span_table.h>
 #include <mq/peer_message.h>
 
 /* Messages read before others on the loop have their turn.  */
@@ -68,7 +69,7 @@
   mq_peer_keys keys;
   peers_reader inbox; /* PULL  */
   peers_reader zap;   /* REP: the handshakes' questions  */
-  GHashTable *links;  /* mq_span * in the value -> owned peers_link  */
+  GHashTable *links;  /* address -> peers_link, owned  */
   mq_str *host;
   uint16_t port;
   ev_timer rebind;
@@ -77,18 +78,6 @@
   mq_peers_counters counters;
 };
 
-static guint
-span_hash (gconstpointer key)
-{
-  return (guint)mq_span_hash (mq_str_span (key));
-}
-
-static gboolean
-span_equal (gconstpointer a, gconstpointer b)
-{
-  return mq_span_equal (mq_str_span (a), mq_str_span (b));
-}
-
 static void
 set_int (void *socket, int option, int value)
 {
@@ -332,11 +321,7 @@
 static peers_link *
 peers_find (const mq_peers *peers, mq_span address)
 {
-  mq_str *key = mq_str_new (address);
-  peers_link *link = g_hash_table_lookup (peers->links, key);
-
-  mq_str_unref (key);
-  return link;
+  return mq_span_table_find (peers->links, address);
 }
 
 /* ---- Binding.  */
@@ -470,7 +455,7 @@
   p->sink_context = context;
   p->host = mq_str_new (address);
   p->port = port;
-  p->links = g_hash_table_new_full (span_hash, span_equal, NULL, link_free);
+  p->links = mq_span_table_new (link_free);
   p->inbox.peers = p;
   p->inbox.read = inbox_read;
   p->zap.peers = p;
@@ -527,16 +512,13 @@
   link->try_timer.data = link;
   link_open (link);
   ev_timer_start (peers->loop, &link->try_timer);
-  g_hash_table_insert (peers->links, link->address, link);
+  mq_span_table_add (peers->links, link->address, link);
 }
 
 void
 mq_peers_disconnect (mq_peers *peers, mq_span address)
 {
-  mq_str *key = mq_str_new (address);
-
-  g_hash_table_remove (peers->links, key);
-  mq_str_unref (key);
+  mq_span_table_remove (peers->links, address);
 }
 
 int
