Find files and entries of the manifest by one search

files.c and manifest.c held the same binary search in an array sorted by name. Both now use mq/internal/named_array.h.

--- a/packages/config/files.c
+++ b/packages/config/files.c
@@ -8,6 +8,9 @@
 #include <sodium.h>
 #include <string.h>
 #include <mq/internal/config_read.h>
+#include <mq/internal/named_array.h>
+
+G_STATIC_ASSERT (offsetof (mq_file, name) == 0);
 
 G_DEFINE_QUARK (mq - config - error - quark, mq_config_error)
 
@@ -20,33 +23,6 @@
   mq_str_unref (f->text);
 }
 
-/* The index of NAME in FILES, or where it would stand.  */
-static guint
-files_position (const GArray *files, mq_span name, bool *found)
-{
-  guint low = 0;
-  guint high = files->len;
-
-  *found = false;
-  while (low < high)
-    {
-      guint mid = (low + high) / 2;
-      const mq_file *f = &g_array_index (files, mq_file, mid);
-      int order = mq_span_compare (mq_str_span (f->name), name);
-
-      if (order == 0)
-        {
-          *found = true;
-          return mid;
-        }
-      if (order < 0)
-        low = mid + 1;
-      else
-        high = mid;
-    }
-  return low;
-}
-
 /* Turn an error of the JSON reader into one of this layer.  */
 static void
 files_turn_error (GError **error, mq_config_error code, GError *from)
@@ -136,7 +112,8 @@
 {
   mq_file f = { mq_str_ref (name), mq_str_ref (text) };
   bool found;
-  guint at = files_position (files, mq_str_span (name), &found);
+  guint at = mq_named_array_position (files, sizeof (mq_file),
+                                      mq_str_span (name), &found);
 
   if (found)
     g_array_remove_index (files, at);
@@ -147,7 +124,7 @@
 mq_files_remove (GArray *files, mq_span name)
 {
   bool found;
-  guint at = files_position (files, name, &found);
+  guint at = mq_named_array_position (files, sizeof (mq_file), name, &found);
 
   if (found)
     g_array_remove_index (files, at);
@@ -158,7 +135,7 @@
 mq_files_find (const GArray *files, mq_span name)
 {
   bool found;
-  guint at = files_position (files, name, &found);
+  guint at = mq_named_array_position (files, sizeof (mq_file), name, &found);
 
   return found ? &g_array_index (files, mq_file, at) : NULL;
 }
--- a/packages/decide/manifest.c
+++ b/packages/decide/manifest.c
@@ -5,8 +5,11 @@
 #include <inttypes.h>
 #include <string.h>
 #include <json-c/json.h>
+#include <mq/internal/named_array.h>
 #include <mq/json.h>
 
+G_STATIC_ASSERT (offsetof (mq_manifest_file, name) == 0);
+
 #define FORMAT 1
 #define SIZE_LIMIT MQ_JSON_FILE_LIMIT
 
@@ -51,34 +54,6 @@
   return a;
 }
 
-/* The index of NAME among the files, or where it would stand.  */
-static guint
-manifest_position (const mq_manifest *m, mq_span name, bool *found)
-{
-  guint low = 0;
-  guint high = m->files->len;
-
-  *found = false;
-  while (low < high)
-    {
-      guint mid = (low + high) / 2;
-      const mq_manifest_file *f
-          = &g_array_index (m->files, mq_manifest_file, mid);
-      int order = mq_span_compare (mq_str_span (f->name), name);
-
-      if (order == 0)
-        {
-          *found = true;
-          return mid;
-        }
-      if (order < 0)
-        low = mid + 1;
-      else
-        high = mid;
-    }
-  return low;
-}
-
 /* Add a string member unless it is empty.  */
 static void
 manifest_add_string (struct json_object *object, const char *key,
@@ -391,7 +366,8 @@
 mq_manifest_file_find (const mq_manifest *manifest, mq_span name)
 {
   bool found;
-  guint at = manifest_position (manifest, name, &found);
+  guint at = mq_named_array_position (manifest->files,
+                                      sizeof (mq_manifest_file), name, &found);
 
   return found ? &g_array_index (manifest->files, mq_manifest_file, at) : NULL;
 }
@@ -410,7 +386,8 @@
 {
   mq_manifest_file f = { mq_str_ref (name), digest, size };
   bool found;
-  guint at = manifest_position (manifest, mq_str_span (name), &found);
+  guint at = mq_named_array_position (
+      manifest->files, sizeof (mq_manifest_file), mq_str_span (name), &found);
 
   if (found)
     g_array_remove_index (manifest->files, at);
@@ -421,7 +398,8 @@
 mq_manifest_take (mq_manifest *manifest, mq_span name)
 {
   bool found;
-  guint at = manifest_position (manifest, name, &found);
+  guint at = mq_named_array_position (manifest->files,
+                                      sizeof (mq_manifest_file), name, &found);
 
   if (found)
     g_array_remove_index (manifest->files, at);
