--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -55,6 +55,12 @@
   mq_span url;    /* http or https; its host is an IP number.  */
   const mq_http_header *headers;
   size_t n_headers;
+  mq_span target;    /* Request target to send, byte for byte, in place of what
+                        URL holds; empty: as in URL.  */
+  mq_span echo_name; /* A header that the answer must bear ... */
+  mq_span echo_value;  /* ... with this value; an answer without it belongs to
+                          another request: the call ends as broken and its
+                          connection is closed.  Empty: no such check.  */
   mq_span body;        /* Copied.  */
   uint64_t connect_ms; /* 0 means 1000.  */
   uint64_t timeout_ms; /* For the whole call; 0 means none.  */
@@ -92,6 +98,10 @@
 /* A header of the answer, empty when missing; valid during the sink.  */
 mq_span mq_http_call_header (const mq_http_call *call, const char *name);
 
+/* All headers of the answer as lines, with the status line; valid during the
+   sink.  */
+mq_span mq_http_call_head (const mq_http_call *call);
+
 G_END_DECLS
 
 #endif
--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -112,6 +112,9 @@
                                 const char *name);
 mq_span mq_http_exchange_header (const mq_http_exchange *exchange,
                                  const char *name);
+/* All headers in the order sent; *N says how many.  */
+const mq_http_header *
+mq_http_exchange_headers (const mq_http_exchange *exchange, size_t *n);
 mq_span mq_http_exchange_body (const mq_http_exchange *exchange);
 /* The query part as sent, without its '?'.  */
 mq_span mq_http_exchange_query_string (const mq_http_exchange *exchange);
--- /dev/null
+++ b/include/mq/internal/gateway.h
@@ -0,0 +1,250 @@
+/* Internal to packages/gateway: the routing face's parts.
+
+   One process serves clients' requests, the platform's check of readiness
+   and clients that ask where to connect; it follows the store, hears its
+   peers, and one router of the fleet orders layers onto engines.  Decisions
+   lie in packages/route; the files here turn events of sockets and timers
+   into calls of these and carry out what they say.
+
+   Ownership: the gateway owns all its parts; a forward is owned by the
+   gateway's list and ends by mq_forward_free.  */
+
+#ifndef MQ_INTERNAL_GATEWAY_H
+#define MQ_INTERNAL_GATEWAY_H
+
+#include <ev.h>
+#include <mq/dialect.h>
+#include <mq/domain_load.h>
+#include <mq/event_split.h>
+#include <mq/forward_rule.h>
+#include <mq/gateway.h>
+#include <mq/http_client.h>
+#include <mq/http_server.h>
+#include <mq/metrics.h>
+#include <mq/peers.h>
+#include <mq/send_budget.h>
+
+G_BEGIN_DECLS
+
+typedef enum mq_gateway_mode
+{
+  MQ_GATEWAY_SERVING,
+  MQ_GATEWAY_DRAINING, /* Answers what comes, and tells clients to leave.  */
+  MQ_GATEWAY_ENDED
+} mq_gateway_mode;
+
+/* What the gateway follows in the store.  */
+typedef enum mq_feed_state
+{
+  MQ_FEED_SCANNING,
+  MQ_FEED_FOLLOWING
+} mq_feed_state;
+
+typedef struct mq_feed
+{
+  mq_gateway *gateway; /* Borrowed.  */
+  const char *kind;
+  mq_feed_state state;
+  mq_platform_call *call; /* Borrowed; NULL between calls.  */
+  ev_timer again;
+  uint64_t at;       /* Follow from here.  */
+  mq_str *after;     /* Scan: last name seen, or NULL.  */
+  GHashTable *seen;  /* Scan: names so far.  */
+  unsigned failures; /* In a row.  */
+  uint64_t fresh_us; /* When the store last answered.  */
+} mq_feed;
+
+/* A router that was heard or is known by address only.  */
+typedef struct mq_member
+{
+  mq_str *peer_address; /* Key of the table.  */
+  mq_str *name;
+  mq_str *client_address;
+  mq_str *domain;
+  uint64_t incarnation;
+  uint64_t sequence;
+  uint64_t heard_us; /* 0: never.  */
+  uint64_t routing_version;
+  uint64_t upstreams_at;
+  uint64_t behind_since_us; /* Its configuration is older than ours.  */
+  bool ready;
+  bool store_reached; /* It hears the store.  */
+  GHashTable *tokens; /* "service domain" -> double *.  */
+} mq_member;
+
+/* What the gateway keeps of a service beside its configuration.  */
+typedef struct mq_service_state
+{
+  mq_send_budget budget;
+  uint64_t next; /* Draws.  */
+} mq_service_state;
+
+typedef struct mq_gateway_counters
+{
+  uint64_t *requests;
+  uint64_t *answered;
+  uint64_t *refused;
+  uint64_t *failed;
+  uint64_t *gone;
+  uint64_t *sends;
+  uint64_t *further_sends;
+  uint64_t *resumed;
+  uint64_t *orders;
+  uint64_t *store_calls;
+  uint64_t *reports;
+  mq_histogram *first_event;
+  mq_histogram *whole;
+} mq_gateway_counters;
+
+typedef struct mq_forward mq_forward;
+
+struct mq_gateway
+{
+  struct ev_loop *loop;                /* Borrowed.  */
+  const mq_dialect *dialect;           /* Borrowed.  */
+  const mq_gateway_settings *settings; /* Borrowed.  */
+  mq_gateway_mode mode;
+  mq_http_client *client;
+  mq_http_server *clients;
+  mq_http_server *readiness;
+  mq_http_server *directory;
+  mq_http_server *metrics_server; /* NULL when none is wanted.  */
+  mq_platform *store;
+  mq_routing *routing;  /* NULL until one is known.  */
+  mq_str *routing_text; /* As it came, to be passed on.  */
+  mq_registry registry;
+  bool upstreams_known;
+  uint64_t upstreams_at; /* Revision of the store that the registry is of. */
+  mq_feed routing_feed;
+  mq_feed upstream_feed;
+  mq_peers *peers;
+  GHashTable *members;    /* Peer address -> mq_member, owned.  */
+  mq_str *peer_address;   /* Our own.  */
+  mq_str *client_address; /* Our own.  */
+  uint64_t incarnation;
+  uint64_t sequence;        /* Of our news.  */
+  uint64_t member_retry_us; /* When to write our member object.  */
+  bool member_written;
+  bool member_writing;
+  uint64_t members_scan_us; /* When to read the members again.  */
+  ev_timer tick;
+  unsigned ticks;
+  GQueue forwards;      /* mq_forward, owned.  */
+  GHashTable *services; /* Name -> mq_service_state, owned.  */
+  GHashTable *tokens;   /* "service domain" -> double *, our own.  */
+  GHashTable *reports;  /* Set of mq_upstream asked for a report.  */
+  uint64_t drain_until_us;
+  uint64_t drain_quiet_us;
+  mq_metrics *metrics;
+  mq_gateway_counters counters;
+  uint64_t random; /* State of the draws.  */
+};
+
+struct mq_forward
+{
+  mq_gateway *gateway; /* Borrowed.  */
+  GList link;
+  mq_http_exchange *exchange; /* One reference.  */
+  mq_routing *routing;        /* One reference.  */
+  const mq_route *route;      /* Of the routing.  */
+  const mq_route_service *service;
+  const mq_route_organisation *organisation; /* NULL: none.  */
+  mq_forward_state state;
+  uint64_t started_us;
+  mq_span id;            /* Of the exchange.  */
+  mq_upstream *upstream; /* The one sent to, one reference; NULL: none.  */
+  GPtrArray *tried;      /* mq_upstream, one reference each.  */
+  mq_layer_path path;    /* Empty for plain services.  */
+  mq_str *domain;        /* Where its tokens are counted, or NULL.  */
+  double need;           /* Tokens.  */
+  mq_http_call *call;    /* Borrowed; NULL between sends.  */
+  uint64_t sent_us;      /* Of the last send.  */
+  uint64_t heard_us;     /* Last byte of the answer, or the send.  */
+  GString *failure;      /* Body of an answer that is no stream.  */
+  mq_event_split split;
+};
+
+/* ---- gateway.c  */
+uint64_t mq_gateway_now_us (void);
+uint64_t mq_gateway_draw (mq_gateway *gateway);
+mq_service_state *mq_gateway_service (mq_gateway *gateway,
+                                      const mq_route_service *service);
+/* Routers that live, with this one.  */
+unsigned mq_gateway_routers (const mq_gateway *gateway);
+bool mq_gateway_is_ready (const mq_gateway *gateway);
+
+/* ---- gateway_front.c  */
+void mq_gateway_on_client (void *context, const mq_http_server_event *event);
+void mq_gateway_on_readiness (void *context,
+                              const mq_http_server_event *event);
+void mq_gateway_on_directory (void *context,
+                              const mq_http_server_event *event);
+void mq_gateway_on_metrics (void *context, const mq_http_server_event *event);
+/* Answer with STATUS and, unless 0, when to come back.  */
+void mq_gateway_refuse (mq_http_exchange *exchange, unsigned status,
+                        unsigned retry_ms);
+
+/* ---- gateway_forward.c  */
+/* Begin to serve EXCHANGE; the arguments are as in the structure.  */
+void mq_forward_start (mq_gateway *gateway, mq_http_exchange *exchange,
+                       const mq_route *route,
+                       const mq_route_organisation *organisation);
+/* The client is gone.  */
+void mq_forward_cancel (mq_forward *forward);
+/* The send under way ended as END.  May free FORWARD.  */
+void mq_forward_send_ended (mq_forward *forward, mq_send_end end,
+                            unsigned status, const char *why);
+/* The sink of a send's call.  */
+void mq_forward_on_call (void *context, const mq_http_client_event *event);
+/* No upstream can take FORWARD: answer it.  Frees FORWARD.  */
+void mq_forward_turn_away (mq_forward *forward, unsigned retry_ms,
+                           const char *why);
+/* Look at deadlines and patience.  May free FORWARD.  */
+void mq_forward_tick (mq_forward *forward, uint64_t now_us);
+/* Fail all sends that pass through UPSTREAM.  */
+void mq_forward_fail_through (mq_gateway *gateway, const mq_upstream *upstream,
+                              const char *why);
+void mq_forward_free_all (mq_gateway *gateway);
+
+/* ---- gateway_place.c  */
+/* Choose where FORWARD goes.  0; or -1 with *RETRY_MS set.  */
+int mq_forward_place (mq_forward *forward, uint64_t now_us,
+                      unsigned *retry_ms);
+/* Give up the place.  */
+void mq_forward_unplace (mq_forward *forward);
+
+/* ---- gateway_send.c  */
+void mq_forward_send (mq_forward *forward, uint64_t now_us);
+
+/* ---- gateway_feed.c  */
+void mq_feed_start (mq_feed *feed, mq_gateway *gateway, const char *kind);
+void mq_feed_stop (mq_feed *feed);
+/* Take a configuration or a list of upstreams that a peer passed on.  */
+void mq_gateway_take_routing (mq_gateway *gateway, mq_span text,
+                              const char *source);
+void mq_gateway_take_upstream (mq_gateway *gateway, mq_span id, mq_span value,
+                               bool deleted);
+
+/* ---- gateway_members.c  */
+int mq_members_start (mq_gateway *gateway, GError **error);
+void mq_members_stop (mq_gateway *gateway);
+/* Send news to all, at once; every heartbeat and when something turns.  */
+void mq_members_tell (mq_gateway *gateway);
+void mq_members_tick (mq_gateway *gateway, uint64_t now_us);
+bool mq_member_lives (const mq_member *member, uint64_t now_us);
+/* Does this router give the orders just now?  */
+bool mq_members_we_lead (const mq_gateway *gateway, uint64_t now_us);
+/* Tokens that other routers have in flight under KEY.  */
+double mq_members_tokens (const mq_gateway *gateway, const char *key,
+                          uint64_t now_us);
+
+/* ---- gateway_orders.c  */
+void mq_orders_tick (mq_gateway *gateway, uint64_t now_us);
+
+/* ---- gateway_stall.c  */
+/* FORWARD has heard nothing for long: ask the head of its path.  */
+void mq_stall_ask (mq_gateway *gateway, mq_upstream *head);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/layer_path.h
@@ -0,0 +1,52 @@
+/* A path: the engines that a request passes through, each with its part of
+   the layers.
+
+   Invariant of a path: its parts run every layer of the model once and in
+   order, and no engine stands in it twice.  */
+
+#ifndef MQ_LAYER_PATH_H
+#define MQ_LAYER_PATH_H
+
+#include <mq/routing.h>
+#include <mq/upstream.h>
+
+G_BEGIN_DECLS
+
+/* The most parts that an engine takes.  */
+#define MQ_LAYER_PATH_PARTS 32
+
+typedef struct mq_layer_part
+{
+  mq_upstream *upstream; /* One reference.  */
+  unsigned first;
+  unsigned end;
+} mq_layer_part;
+
+typedef struct mq_layer_path
+{
+  mq_layer_part parts[MQ_LAYER_PATH_PARTS];
+  unsigned n;
+  double step_ms; /* Of one token, without load.  */
+  double tokens;  /* That fit on the stage with the least memory.  */
+} mq_layer_path;
+
+/* Find the fastest path of SERVICE through upstreams of DOMAIN (an empty span:
+   of all) that are usable at NOW_US.  Engines of EXCEPT, which may be NULL,
+   are passed over.  PATH is initialised; false when there is none, and PATH
+   is then empty.  */
+bool mq_layer_path_find (mq_layer_path *path, const mq_registry *registry,
+                         const mq_route_service *service, mq_span domain,
+                         uint64_t now_us, const mq_upstream *except);
+void mq_layer_path_finish (mq_layer_path *path);
+/* INTO, not initialised, becomes a copy with references of its own.  */
+void mq_layer_path_copy (mq_layer_path *into, const mq_layer_path *path);
+
+bool mq_layer_path_has (const mq_layer_path *path,
+                        const mq_upstream *upstream);
+
+/* Does the path still stand: every engine usable and holding its part?  */
+bool mq_layer_path_stands (const mq_layer_path *path, uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/layer_plan.h
@@ -0,0 +1,54 @@
+/* Which engine should hold which layers.
+
+   A pure function of what the engines hold now.  It is sticky: layers that an
+   engine holds stay there, and only what no sound engine of a failure domain
+   holds is given to engines that hold nothing.  So a repair costs as few
+   orders and loads as it can, and two routers that compute it from the same
+   view give the same orders.
+
+   Chains stay inside a failure domain: an activation is 29,500 bytes a token,
+   which a link between domains carries for some tens of prompts a second
+   only.  Memory left beside the layers holds the requests; it is dealt equal
+   in tokens along a chain, since the stage with the fewest tokens bounds the
+   whole chain.  */
+
+#ifndef MQ_LAYER_PLAN_H
+#define MQ_LAYER_PLAN_H
+
+#include <mq/routing.h>
+
+G_BEGIN_DECLS
+
+/* An engine that may take orders: not draining and not thought dead.  */
+typedef struct mq_layer_holder
+{
+  mq_span domain; /* Borrowed, as is the card.  */
+  const mq_card *card;
+  unsigned first; /* Layers held, or ordered and not yet reported.  */
+  unsigned end;
+  void *user; /* The caller's own.  */
+} mq_layer_holder;
+
+typedef struct mq_layer_order
+{
+  mq_layer_holder *holder; /* Borrowed.  */
+  unsigned first;
+  unsigned end;
+} mq_layer_order;
+
+/* Append to ORDERS (mq_layer_order) what brings each failure domain of the N
+   HOLDERS a whole chain of MODEL, as far as memory allows.  */
+void mq_layer_plan_work (const mq_layered_model *model,
+                         mq_layer_holder *holders, size_t n, GArray *orders);
+
+/* Layers that CARD can hold beside memory for TOKENS tokens.  */
+unsigned mq_layer_plan_room (const mq_layered_model *model,
+                             const mq_card *card, double tokens);
+
+/* Tokens that CARD has memory for beside N_LAYERS layers; 0 when none.  */
+double mq_layer_plan_tokens (const mq_layered_model *model,
+                             const mq_card *card, unsigned n_layers);
+
+G_END_DECLS
+
+#endif
--- a/include/mq/peers.h
+++ b/include/mq/peers.h
@@ -15,6 +15,10 @@
      2. give every router the new pair;
      3. give every router the ring { new }.
 
+   Where the deployment has no way to give secrets to its routers, there are
+   no keys: connections are then neither encrypted nor proven, and the network
+   between routers must be the users' own.
+
    Threads: libzmq itself runs one for input and output and one that closes
    sockets.  None of our code runs on them; the handshake's question whether
    a key is known is answered on our loop.  */
@@ -76,6 +80,7 @@
 typedef struct mq_peers mq_peers;
 
 /* Bind ADDRESS (an IP number) and PORT (0 lets the system choose) on LOOP.
+   KEYS may be NULL: no encryption.
    NULL with ERROR set when that can't be done.  */
 mq_peers *mq_peers_new (struct ev_loop *loop, mq_span address, uint16_t port,
                         const mq_peer_keys *keys, mq_peers_sink sink,
--- a/include/mq/platform.h
+++ b/include/mq/platform.h
@@ -29,7 +29,9 @@
   MQ_PLATFORM_LIST,
   MQ_PLATFORM_WATCH,
   MQ_PLATFORM_VMS,
-  MQ_PLATFORM_OPS /* How many there are.  */
+  MQ_PLATFORM_SCAN,   /* All objects of a kind, with their values.  */
+  MQ_PLATFORM_FOLLOW, /* What has changed in a kind.  */
+  MQ_PLATFORM_OPS     /* How many there are.  */
 } mq_platform_op;
 
 typedef enum mq_platform_result
@@ -45,6 +47,7 @@
                               nothing was sent or that the platform said it
                               did not do.  */
   MQ_PLATFORM_UNKNOWN,     /* A write that may have taken effect.  */
+  MQ_PLATFORM_FORGOTTEN,   /* Of a follow: the history is gone; scan.  */
   MQ_PLATFORM_RESULTS
 } mq_platform_result;
 
@@ -61,6 +64,15 @@
   bool leaving;
 } mq_platform_vm;
 
+/* An object of a scan, or one that has changed.  */
+typedef struct mq_platform_entry
+{
+  mq_span name;
+  uint64_t version;
+  mq_span value; /* JSON text.  */
+  bool deleted;
+} mq_platform_entry;
+
 typedef struct mq_platform_reply
 {
   mq_platform_op op;
@@ -73,6 +85,10 @@
   size_t n_objects;
   const mq_platform_vm *vms; /* VMS.  */
   size_t n_vms;
+  const mq_platform_entry *entries; /* SCAN and FOLLOW.  */
+  size_t n_entries;
+  bool has_more; /* SCAN: go on after the last entry's name.  */
+  uint64_t at;   /* SCAN and FOLLOW: follow from here.  */
 } mq_platform_reply;
 
 typedef void (*mq_platform_sink) (void *context,
@@ -81,6 +97,39 @@
 typedef struct mq_platform mq_platform;
 typedef struct mq_platform_call mq_platform_call;
 
+/* A call as a dialect puts it on the wire.  */
+typedef struct mq_platform_wire
+{
+  const char *method; /* Static.  */
+  GString *path;      /* With the query.  */
+  GString *body;
+} mq_platform_wire;
+
+/* A call before that.  */
+typedef struct mq_platform_ask
+{
+  mq_platform_op op;
+  mq_span kind;
+  mq_span name;     /* Empty for SCAN and FOLLOW.  */
+  uint64_t version; /* Condition of a write, or where a FOLLOW begins.  */
+  mq_span value;    /* JSON text.  */
+  mq_span after;    /* SCAN: go on after this name.  */
+  uint64_t wait_ms; /* FOLLOW.  */
+  bool stale;       /* SCAN: an answer that is some seconds old will do.  */
+} mq_platform_ask;
+
+/* How another object service is spoken to.  DECODE gets the answer's status
+   and body, sets the reply's result and what belongs to the call, and returns
+   what the reply borrows from, which FORGET frees; it may be NULL.  A status
+   that it does not know leaves the result as the client judged it.  */
+typedef struct mq_platform_dialect
+{
+  void (*encode) (const mq_platform_ask *ask, mq_platform_wire *wire);
+  void *(*decode) (mq_platform_op op, unsigned status, mq_span body,
+                   mq_platform_reply *reply);
+  void (*forget) (void *decoded);
+} mq_platform_dialect;
+
 typedef struct mq_platform_counters
 {
   uint64_t calls[MQ_PLATFORM_OPS];
@@ -92,6 +141,11 @@
    for its own time on top.  0 means 2000.  */
 mq_platform *mq_platform_new (mq_http_client *client, mq_span url,
                               uint64_t timeout_ms);
+/* The same in another DIALECT, which must live longer: for mq_platform_ask_*
+   only.  */
+mq_platform *mq_platform_new_dialect (mq_http_client *client, mq_span url,
+                                      uint64_t timeout_ms,
+                                      const mq_platform_dialect *dialect);
 /* Cancel all calls and free the client.  */
 void mq_platform_free (mq_platform *platform);
 
@@ -117,6 +171,12 @@
 mq_platform_call *mq_platform_vms (mq_platform *platform,
                                    mq_platform_sink sink, void *context);
 
+/* Make the call that ASK says, in the client's dialect.  All of ASK is
+   copied.  */
+mq_platform_call *mq_platform_ask_start (mq_platform *platform,
+                                         const mq_platform_ask *ask,
+                                         mq_platform_sink sink, void *context);
+
 /* Nothing more is reported of CALL.  A write that was cancelled may take
    effect all the same.  */
 void mq_platform_cancel (mq_platform_call *call);
--- /dev/null
+++ b/include/mq/send_budget.h
@@ -0,0 +1,44 @@
+/* The budget of sends beyond the first of each request, for one service.
+
+   The whole fleet may send RATIO times the requests of a sliding window, plus
+   a fixed SLACK.  Each router keeps to its part: the ratio of its own
+   requests, and the slack divided by the routers that live.  So the sum holds
+   without a word between routers; what a router does not use is not lent.  */
+
+#ifndef MQ_SEND_BUDGET_H
+#define MQ_SEND_BUDGET_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+G_BEGIN_DECLS
+
+#define MQ_SEND_BUDGET_SLICES 20
+
+typedef struct mq_send_budget
+{
+  uint64_t slice_us;
+  double ratio;
+  double slack;
+  uint64_t slice; /* Number of the present slice of time.  */
+  unsigned first[MQ_SEND_BUDGET_SLICES + 1]; /* Requests.  */
+  unsigned more[MQ_SEND_BUDGET_SLICES + 1];  /* Sends beyond the first.  */
+} mq_send_budget;
+
+void mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
+                          uint64_t window_us);
+
+/* A request for the service came.  */
+void mq_send_budget_request (mq_send_budget *budget, uint64_t now_us);
+
+/* Is there room for one more send, among ROUTERS that live?  */
+bool mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
+                              uint64_t now_us);
+
+/* One more send was made.  */
+void mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/upstream.h
@@ -0,0 +1,92 @@
+/* Upstreams as the routing face knows them: one record for each incarnation
+   of a model engine or of a plain service's instance.
+
+   A record holds what the platform tells of the upstream and what this
+   router has seen of it.  It is counted by reference: a request in flight
+   keeps the record of its upstream after that has left the registry.  */
+
+#ifndef MQ_UPSTREAM_H
+#define MQ_UPSTREAM_H
+
+#include <glib.h>
+#include <mq/str.h>
+
+G_BEGIN_DECLS
+
+/* What the platform tells.  Strings are owned by whoever holds the fact.  */
+typedef struct mq_upstream_facts
+{
+  mq_str *id;      /* Of this incarnation.  */
+  mq_str *service; /* Name of the service.  */
+  mq_str *address; /* IP:PORT.  */
+  mq_str *domain;  /* Failure domain.  */
+  mq_str *card;    /* Kind of accelerator, or NULL.  */
+  unsigned slots;
+  unsigned layer_first; /* Layers held: [first, end); equal when none.  */
+  unsigned layer_end;
+  bool draining;
+  bool busy; /* An order is being carried out.  */
+} mq_upstream_facts;
+
+typedef struct mq_upstream
+{
+  unsigned refs;
+  mq_upstream_facts facts;
+  bool listed; /* Still in the registry.  */
+  /* What this router has seen.  */
+  unsigned in_flight;      /* Requests, as the first of a path or alone.  */
+  uint64_t tokens;         /* Held here by requests of this router.  */
+  unsigned failures;       /* In a row.  */
+  uint64_t aside_until_us; /* Not chosen before; 0 when sound.  */
+  uint64_t aside_span_us;  /* How long it was last put aside.  */
+  uint64_t answered_us;    /* Last sign of life.  */
+  uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
+  bool orders_unknown;    /* An order's fate is open: ask before the next.  */
+  bool asked;             /* A report of it is under way.  */
+  uint64_t ordered_us;    /* Last order sent by this router.  */
+  unsigned ordered_first; /* What that order asked for.  */
+  unsigned ordered_end;
+} mq_upstream;
+
+/* All upstreams by id.  */
+typedef struct mq_registry
+{
+  GHashTable *by_id;  /* Id -> mq_upstream, one reference each.  */
+  uint64_t newest_us; /* When an upstream was last seen for the first time. */
+  uint64_t change;    /* Grows whenever the choice of paths may differ.  */
+} mq_registry;
+
+void mq_upstream_facts_finish (mq_upstream_facts *facts);
+
+mq_upstream *mq_upstream_ref (mq_upstream *upstream);
+void mq_upstream_unref (mq_upstream *upstream);
+
+void mq_registry_init (mq_registry *registry);
+void mq_registry_finish (mq_registry *registry);
+
+/* Take FACTS, which become the registry's and are empty afterwards.  */
+void mq_registry_put (mq_registry *registry, mq_upstream_facts *facts,
+                      uint64_t now_us);
+/* The upstream of that id has left.  Unknown ids are passed over.  */
+void mq_registry_remove (mq_registry *registry, mq_span id);
+/* Drop all whose ids are not in KEEP, a set of C strings.  */
+void mq_registry_keep (mq_registry *registry, GHashTable *keep);
+
+/* Borrowed; NULL when unknown.  */
+mq_upstream *mq_registry_find (const mq_registry *registry, mq_span id);
+mq_upstream *mq_registry_at (const mq_registry *registry, mq_span address);
+
+/* May new work go there at NOW_US, as far as its state says?  */
+bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
+
+/* What became of a request: it answered, or it failed in a way that speaks
+   against the upstream (silence, a broken connection, nonsense).  */
+void mq_upstream_succeeded (mq_upstream *upstream, uint64_t now_us);
+void mq_upstream_failed (mq_upstream *upstream, uint64_t now_us);
+/* Known to be down: put aside at once for SPAN_US at least.  */
+void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
+                            uint64_t span_us);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/packages/config/gateway_settings.c
@@ -0,0 +1,193 @@
+/* Settings of the routing face: see mq/gateway_settings.h.  */
+
+#include <mq/gateway_settings.h>
+
+#include <mq/json.h>
+#include <string.h>
+
+#define DEFAULT_GRACE_MS 8000
+#define DEFAULT_DRAIN_MS 2000
+#define DEFAULT_TTL_MS 2000
+#define DEFAULT_SEND_RATIO 0.2
+#define DEFAULT_SEND_WINDOW_MS 10000
+#define MAX_MS ((uint64_t)3600 * 1000)
+#define MAX_SLACK 1e9
+
+/* The key by which such settings are known.  */
+#define GATEWAY_KEY "gateway"
+
+static const char *const log_levels[]
+    = { "error", "warning", "info", "debug", NULL };
+#define LOG_LEVEL_INFO 2
+
+/* "IP:PORT" at KEY.  */
+static void
+read_endpoint (const mq_json *object, const char *key, mq_listen *listen)
+{
+  mq_span text = mq_json_span (object, key, MQ_SPAN (""));
+  const char *colon = text.size ? memrchr (text.data, ':', text.size) : NULL;
+  uint64_t port;
+
+  if (colon == NULL
+      || mq_span_to_u64 ((mq_span){ colon + 1, (size_t)(text.data + text.size
+                                                        - colon - 1) },
+                         &port)
+             < 0
+      || port > UINT16_MAX)
+    {
+      mq_json_fault (object, key, "expected IP:PORT");
+      return;
+    }
+  listen->address
+      = mq_str_new ((mq_span){ text.data, (size_t)(colon - text.data) });
+  listen->port = (uint16_t)port;
+  if (!g_hostname_is_ip_address (listen->address->data))
+    mq_json_fault (object, key, "expected an IP number before the port");
+}
+
+static void
+read_seeds (const mq_json *object, mq_gateway_settings *settings)
+{
+  mq_json list;
+
+  settings->seeds = g_ptr_array_new_with_free_func (g_free);
+  if (!mq_json_array (object, "seeds", &list))
+    return;
+  for (size_t i = 0; i < mq_json_size (&list); i++)
+    {
+      mq_span s = mq_json_element_span (&list, i);
+
+      g_ptr_array_add (settings->seeds, g_strndup (s.data, s.size));
+    }
+}
+
+static void
+read_bounds (const mq_json *object, mq_gateway_settings *settings)
+{
+  settings->grace_ms
+      = mq_json_u64 (object, "grace_ms", 0, MAX_MS, DEFAULT_GRACE_MS);
+  settings->drain_ms
+      = mq_json_u64 (object, "drain_ms", 0, MAX_MS, DEFAULT_DRAIN_MS);
+  settings->directory_ttl_ms
+      = mq_json_u64 (object, "directory_ttl_ms", 0, MAX_MS, DEFAULT_TTL_MS);
+  settings->send_ratio = mq_json_double (object, "further_sends_ratio", 0, 10,
+                                         DEFAULT_SEND_RATIO);
+  settings->send_slack
+      = mq_json_double (object, "further_sends_slack", 0, MAX_SLACK, 0);
+  settings->send_window_ms = mq_json_u64 (object, "further_sends_window_ms", 1,
+                                          MAX_MS, DEFAULT_SEND_WINDOW_MS);
+}
+
+static void
+read_gateway (const mq_json *object, mq_gateway_settings *settings)
+{
+  int level;
+
+  mq_json_require (object, "name", "failure_domain", "region", "clients",
+                   "readiness", "directory", "peers", "platform_url", NULL);
+  settings->name = mq_json_str (object, "name");
+  settings->failure_domain = mq_json_str (object, "failure_domain");
+  settings->region = mq_json_str (object, "region");
+  read_endpoint (object, "clients", &settings->clients);
+  read_endpoint (object, "readiness", &settings->readiness);
+  read_endpoint (object, "directory", &settings->directory);
+  read_endpoint (object, "peers", &settings->peers);
+  settings->metrics_port
+      = (uint16_t)mq_json_u64 (object, "metrics_port", 0, UINT16_MAX, 0);
+  settings->platform_url = mq_json_str (object, "platform_url");
+  read_seeds (object, settings);
+  read_bounds (object, settings);
+  level = mq_json_enum (object, "log_level", log_levels, LOG_LEVEL_INFO);
+  settings->log_level = mq_str_new (mq_span_from (log_levels[level]));
+  mq_json_done (object);
+}
+
+/* Takes DOC.  */
+static int
+settings_from_doc (mq_gateway_settings *settings, mq_json_doc *doc,
+                   GError **error)
+{
+  mq_json root = mq_json_root (doc);
+  mq_json gateway;
+  GError *cause = NULL;
+  int result = 0;
+
+  memset (settings, 0, sizeof *settings);
+  mq_json_require (&root, GATEWAY_KEY, NULL);
+  if (mq_json_object (&root, GATEWAY_KEY, &gateway))
+    read_gateway (&gateway, settings);
+  mq_json_done (&root);
+  if (mq_json_doc_check (doc, &cause) < 0)
+    {
+      g_set_error_literal (error, MQ_SETTINGS_ERROR, MQ_SETTINGS_ERROR_INVALID,
+                           cause->message);
+      g_error_free (cause);
+      mq_gateway_settings_finish (settings);
+      result = -1;
+    }
+  mq_json_doc_free (doc);
+  return result;
+}
+
+bool
+mq_gateway_settings_are_at (const char *path)
+{
+  mq_json_doc *doc = mq_json_read (path, NULL);
+  mq_json root;
+  bool found;
+
+  if (doc == NULL)
+    return false;
+  root = mq_json_root (doc);
+  found = mq_json_has (&root, GATEWAY_KEY);
+  mq_json_doc_free (doc);
+  return found;
+}
+
+int
+mq_gateway_settings_load (mq_gateway_settings *settings, const char *path,
+                          GError **error)
+{
+  GError *cause = NULL;
+  mq_json_doc *doc = mq_json_read (path, &cause);
+
+  if (doc != NULL)
+    return settings_from_doc (settings, doc, error);
+  memset (settings, 0, sizeof *settings);
+  g_set_error_literal (error, MQ_SETTINGS_ERROR, MQ_SETTINGS_ERROR_READ,
+                       cause->message);
+  g_error_free (cause);
+  return -1;
+}
+
+int
+mq_gateway_settings_parse (mq_gateway_settings *settings, mq_span file,
+                           mq_span text, GError **error)
+{
+  GError *cause = NULL;
+  mq_json_doc *doc = mq_json_parse (file, text, &cause);
+
+  if (doc != NULL)
+    return settings_from_doc (settings, doc, error);
+  memset (settings, 0, sizeof *settings);
+  g_set_error_literal (error, MQ_SETTINGS_ERROR, MQ_SETTINGS_ERROR_READ,
+                       cause->message);
+  g_error_free (cause);
+  return -1;
+}
+
+void
+mq_gateway_settings_finish (mq_gateway_settings *settings)
+{
+  mq_str_unref (settings->name);
+  mq_str_unref (settings->failure_domain);
+  mq_str_unref (settings->region);
+  mq_str_unref (settings->log_level);
+  mq_str_unref (settings->clients.address);
+  mq_str_unref (settings->readiness.address);
+  mq_str_unref (settings->directory.address);
+  mq_str_unref (settings->peers.address);
+  mq_str_unref (settings->platform_url);
+  g_clear_pointer (&settings->seeds, g_ptr_array_unref);
+  memset (settings, 0, sizeof *settings);
+}
--- /dev/null
+++ b/packages/gateway/dialect.c
@@ -0,0 +1,5 @@
+/* The error domain of dialects: see mq/dialect.h.  */
+
+#include <mq/dialect.h>
+
+G_DEFINE_QUARK (mq - dialect - error, mq_dialect_error)
--- /dev/null
+++ b/packages/gateway/gateway.c
@@ -0,0 +1,298 @@
+/* The routing face: see mq/gateway.h and mq/internal/gateway.h.
+
+   One timer ticks for all: deadlines, heartbeats, orders.  A tick of 50 ms is
+   a tenth of the shortest bound that depends on it (half a second after a
+   route's time-out).  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/log.h>
+#include <sodium.h>
+
+#define TICK_S 0.05
+#define HEARTBEAT_TICKS 5 /* 250 ms.  */
+#define ORDER_TICKS 2     /* 100 ms.  */
+
+/* Calls to the store, beside the time that a follow waits.  */
+#define STORE_TIMEOUT_MS 1000
+
+/* Seconds until an idle connection is closed; clients reuse connections that
+   were idle for four fifths of the operator's limit, 15 s on the sheets.  */
+#define IDLE_S 40
+
+/* A drain ends this long before the kill, and not before clients had time to
+   forget the address.  */
+#define DRAIN_RESERVE_MS 700
+#define DRAIN_LEAST_MS 2500
+/* Nothing came for so long: the drain is over.  */
+#define DRAIN_QUIET_MS 700
+
+#define BODY_LIMIT ((size_t)8 * 1024 * 1024)
+
+G_DEFINE_QUARK (mq - gateway - error, mq_gateway_error)
+
+uint64_t
+mq_gateway_now_us (void)
+{
+  return (uint64_t)g_get_monotonic_time ();
+}
+
+uint64_t
+mq_gateway_draw (mq_gateway *gateway)
+{
+  gateway->random = mq_hash_mix (gateway->random, 0x9e3779b97f4a7c15ULL);
+  return gateway->random;
+}
+
+mq_service_state *
+mq_gateway_service (mq_gateway *gateway, const mq_route_service *service)
+{
+  mq_service_state *s
+      = g_hash_table_lookup (gateway->services, service->name->data);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (mq_service_state, 1);
+  mq_send_budget_init (&s->budget, gateway->settings->send_ratio,
+                       gateway->settings->send_slack,
+                       gateway->settings->send_window_ms * 1000);
+  g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
+  return s;
+}
+
+unsigned
+mq_gateway_routers (const mq_gateway *gateway)
+{
+  uint64_t now = mq_gateway_now_us ();
+  GHashTableIter i;
+  gpointer value;
+  unsigned n = 1;
+
+  g_hash_table_iter_init (&i, gateway->members);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (mq_member_lives (value, now))
+      n++;
+  return n;
+}
+
+bool
+mq_gateway_is_ready (const mq_gateway *gateway)
+{
+  return gateway->mode == MQ_GATEWAY_SERVING && gateway->routing != NULL
+         && gateway->upstreams_known;
+}
+
+static void
+drain_tick (mq_gateway *gateway, uint64_t now_us)
+{
+  if (gateway->forwards.length > 0)
+    gateway->drain_quiet_us = now_us + DRAIN_QUIET_MS * 1000;
+  if (now_us < gateway->drain_until_us
+      && (now_us < gateway->drain_quiet_us || gateway->forwards.length > 0))
+    return;
+  mq_log (G_LOG_LEVEL_INFO, "router.drained", "open=%u",
+          gateway->forwards.length);
+  gateway->mode = MQ_GATEWAY_ENDED;
+  ev_break (gateway->loop, EVBREAK_ALL);
+}
+
+static void
+on_tick (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_gateway *g = timer->data;
+  uint64_t now = mq_gateway_now_us ();
+  GList *next;
+
+  (void)loop;
+  (void)revents;
+  g->ticks++;
+  for (GList *l = g->forwards.head; l != NULL; l = next)
+    {
+      next = l->next;
+      mq_forward_tick (l->data, now);
+    }
+  if (g->ticks % HEARTBEAT_TICKS == 0)
+    mq_members_tell (g);
+  mq_members_tick (g, now);
+  if (g->ticks % ORDER_TICKS == 0)
+    mq_orders_tick (g, now);
+  if (g->mode == MQ_GATEWAY_DRAINING)
+    drain_tick (g, now);
+}
+
+static mq_http_server *
+gateway_listen (mq_gateway *gateway, const mq_listen *at,
+                mq_http_server_sink sink, GError **error)
+{
+  mq_http_server_options o = { .address = mq_str_span (at->address),
+                               .port = at->port,
+                               .body_limit = BODY_LIMIT,
+                               .idle_s = IDLE_S };
+  GError *cause = NULL;
+  mq_http_server *s
+      = mq_http_server_new (gateway->loop, &o, sink, gateway, &cause);
+
+  if (s == NULL)
+    {
+      g_set_error (error, MQ_GATEWAY_ERROR, MQ_GATEWAY_ERROR_LISTEN, "%s",
+                   cause->message);
+      g_error_free (cause);
+    }
+  return s;
+}
+
+static int
+gateway_listen_all (mq_gateway *g, GError **error)
+{
+  const mq_gateway_settings *s = g->settings;
+  mq_listen metrics = { s->clients.address, s->metrics_port };
+
+  g->clients = gateway_listen (g, &s->clients, mq_gateway_on_client, error);
+  if (g->clients == NULL)
+    return -1;
+  g->readiness
+      = gateway_listen (g, &s->readiness, mq_gateway_on_readiness, error);
+  if (g->readiness == NULL)
+    return -1;
+  g->directory
+      = gateway_listen (g, &s->directory, mq_gateway_on_directory, error);
+  if (g->directory == NULL)
+    return -1;
+  if (s->metrics_port == 0)
+    return 0;
+  g->metrics_server
+      = gateway_listen (g, &metrics, mq_gateway_on_metrics, error);
+  return g->metrics_server == NULL ? -1 : 0;
+}
+
+static void
+gateway_count (mq_gateway *gateway)
+{
+  mq_metrics *m = gateway->metrics;
+  mq_gateway_counters *c = &gateway->counters;
+  const char *name = "marjoramquay_requests_total";
+
+  c->requests = mq_metrics_counter (m, name, "outcome=\"taken\"",
+                                    "Clients' requests by outcome.");
+  c->answered = mq_metrics_counter (m, name, "outcome=\"answered\"", "");
+  c->refused = mq_metrics_counter (m, name, "outcome=\"refused\"", "");
+  c->failed = mq_metrics_counter (m, name, "outcome=\"failed\"", "");
+  c->gone = mq_metrics_counter (m, name, "outcome=\"gone\"", "");
+  c->sends = mq_metrics_counter (m, "marjoramquay_sends_total", "",
+                                 "Sends to upstreams.");
+  c->further_sends
+      = mq_metrics_counter (m, "marjoramquay_further_sends_total", "",
+                            "Sends beyond the first of a request.");
+  c->resumed = mq_metrics_counter (m, "marjoramquay_resumed_streams_total", "",
+                                   "Streams that went on in a new run.");
+  c->orders = mq_metrics_counter (m, "marjoramquay_orders_total", "",
+                                  "Orders to engines.");
+  c->store_calls = mq_metrics_counter (m, "marjoramquay_store_calls_total", "",
+                                       "Calls to the platform's store.");
+  c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
+                                   "Reports asked of engines.");
+  c->first_event
+      = mq_metrics_histogram (m, "marjoramquay_first_event_seconds", "",
+                              "From a request to its first event.");
+  c->whole = mq_metrics_histogram (m, "marjoramquay_request_seconds", "",
+                                   "From a request to its whole answer.");
+}
+
+mq_gateway *
+mq_gateway_new (struct ev_loop *loop, const mq_dialect *dialect,
+                const mq_gateway_settings *settings, GError **error)
+{
+  mq_gateway *g = g_new0 (mq_gateway, 1);
+
+  g->loop = loop;
+  g->dialect = dialect;
+  g->settings = settings;
+  randombytes_buf (&g->random, sizeof g->random);
+  randombytes_buf (&g->incarnation, sizeof g->incarnation);
+  g->incarnation >>= 12; /* Fits a JSON number of any reader.  */
+  mq_registry_init (&g->registry);
+  g_queue_init (&g->forwards);
+  g->metrics = mq_metrics_new ();
+  gateway_count (g);
+  g->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g->tokens = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g->reports = g_hash_table_new (NULL, NULL);
+  g->client_address
+      = mq_str_printf ("%s:%u", mq_str_cstr (settings->clients.address),
+                       settings->clients.port);
+  g->peer_address = mq_str_printf (
+      "%s:%u", mq_str_cstr (settings->peers.address), settings->peers.port);
+  g->client = mq_http_client_new (loop, MQ_SPAN (""));
+  g->store = mq_platform_new_dialect (g->client,
+                                      mq_str_span (settings->platform_url),
+                                      STORE_TIMEOUT_MS, dialect->store);
+  ev_timer_init (&g->tick, on_tick, TICK_S, TICK_S);
+  g->tick.data = g;
+  if (mq_members_start (g, error) < 0 || gateway_listen_all (g, error) < 0)
+    {
+      mq_gateway_free (g);
+      return NULL;
+    }
+  mq_feed_start (&g->routing_feed, g, dialect->kinds.configuration);
+  mq_feed_start (&g->upstream_feed, g, dialect->kinds.upstreams);
+  ev_timer_start (loop, &g->tick);
+  mq_log (G_LOG_LEVEL_INFO, "router.start",
+          "vm=%s domain=%s clients=%s peers=%s", mq_str_cstr (settings->name),
+          mq_str_cstr (settings->failure_domain),
+          mq_str_cstr (g->client_address), mq_str_cstr (g->peer_address));
+  return g;
+}
+
+void
+mq_gateway_free (mq_gateway *gateway)
+{
+  mq_gateway *g = gateway;
+
+  if (g == NULL)
+    return;
+  ev_timer_stop (g->loop, &g->tick);
+  mq_feed_stop (&g->routing_feed);
+  mq_feed_stop (&g->upstream_feed);
+  mq_forward_free_all (g);
+  mq_http_server_free (g->clients);
+  mq_http_server_free (g->readiness);
+  mq_http_server_free (g->directory);
+  mq_http_server_free (g->metrics_server);
+  mq_platform_free (g->store);
+  mq_http_client_free (g->client);
+  mq_members_stop (g);
+  mq_registry_finish (&g->registry);
+  mq_routing_unref (g->routing);
+  mq_str_unref (g->routing_text);
+  mq_str_unref (g->client_address);
+  mq_str_unref (g->peer_address);
+  g_hash_table_unref (g->services);
+  g_hash_table_unref (g->tokens);
+  g_hash_table_unref (g->reports);
+  mq_metrics_free (g->metrics);
+  g_free (g);
+}
+
+void
+mq_gateway_drain (mq_gateway *gateway)
+{
+  uint64_t now = mq_gateway_now_us ();
+  uint64_t grace = gateway->settings->grace_ms;
+
+  if (gateway->mode != MQ_GATEWAY_SERVING)
+    {
+      ev_break (gateway->loop, EVBREAK_ALL);
+      return;
+    }
+  gateway->mode = MQ_GATEWAY_DRAINING;
+  gateway->drain_until_us
+      = now
+        + (grace > DRAIN_RESERVE_MS ? grace - DRAIN_RESERVE_MS : grace) * 1000;
+  gateway->drain_quiet_us = now + DRAIN_LEAST_MS * 1000;
+  mq_log (G_LOG_LEVEL_INFO, "router.drain",
+          "open=%u grace_ms=%" G_GUINT64_FORMAT, gateway->forwards.length,
+          grace);
+  mq_http_server_ask_to_close (gateway->clients);
+  mq_members_tell (gateway);
+}
--- /dev/null
+++ b/packages/gateway/gateway_forward.c
@@ -0,0 +1,648 @@
+/* One request on its way: sends, answers, deadlines.
+
+   A forward lives from the whole request to the whole answer, or until its
+   client is gone.  At most one send is under way.  What becomes of a send
+   that ended is for the rule to say (mq/forward_rule.h).  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/internal/http_header.h>
+#include <mq/log.h>
+#include <string.h>
+
+#define STATUS_OK 200
+#define STATUS_MULTIPLE 300
+
+/* Answers leave so long before the client's patience ends, for the way back
+   to the client (3 ms on the sheets) and a late timer.  */
+#define WAY_BACK_MS 15
+
+/* A stream that is silent for so long is looked into: about ten times the
+   usual gap between events (40 ms), and well before clients leave (2 s).  */
+#define SILENT_ASK_US ((uint64_t)450 * 1000)
+/* The same before the first event, which takes 0.1 to 0.4 s by itself.  */
+#define FIRST_ASK_US ((uint64_t)700 * 1000)
+/* Silent for so long, whatever the head says: clients leave after 2 s, and a
+   new run needs 0.2 to 0.4 s to its first event.  */
+#define SILENT_MOST_US ((uint64_t)1400 * 1000)
+
+/* A repeatable plain call is given up for another upstream after so many
+   times the latency for full credit, but not before the least.  */
+#define PATIENCE_FACTOR 2
+#define PATIENCE_LEAST_US ((uint64_t)200 * 1000)
+
+static void
+forward_drop_send (mq_forward *forward)
+{
+  if (forward->call != NULL)
+    mq_http_call_cancel (forward->call);
+  forward->call = NULL;
+  if (forward->upstream == NULL)
+    return;
+  forward->upstream->in_flight--;
+  g_clear_pointer (&forward->upstream, mq_upstream_unref);
+}
+
+static void
+forward_free (mq_forward *forward)
+{
+  mq_forward *f = forward;
+
+  forward_drop_send (f);
+  mq_forward_unplace (f);
+  g_queue_unlink (&f->gateway->forwards, &f->link);
+  mq_http_exchange_set_user (f->exchange, NULL);
+  mq_http_exchange_unref (f->exchange);
+  mq_routing_unref (f->routing);
+  g_ptr_array_unref (f->tried);
+  mq_event_split_finish (&f->split);
+  g_string_free (f->failure, TRUE);
+  g_free (f);
+}
+
+static uint64_t
+forward_age_ms (const mq_forward *forward)
+{
+  return (mq_gateway_now_us () - forward->started_us) / 1000;
+}
+
+/* Log how FORWARD ended and free it.  */
+static void
+forward_end (mq_forward *forward, const char *outcome, unsigned status,
+             const char *why)
+{
+  mq_forward *f = forward;
+
+  mq_log (G_LOG_LEVEL_INFO, "request.end",
+          "request=%.*s outcome=%s status=%u why=%s route=%s"
+          " version=%" G_GUINT64_FORMAT
+          " sends=%u events=%u ms=%" G_GUINT64_FORMAT,
+          MQ_SPAN_ARG (f->id), outcome, status, why,
+          mq_str_cstr (f->route->name), f->routing->version, f->state.sent,
+          f->split.events, forward_age_ms (f));
+  forward_free (f);
+}
+
+static void
+forward_refuse (mq_forward *forward, unsigned status, unsigned retry_ms,
+                const char *why)
+{
+  bool refused = status == MQ_STATUS_UNAVAILABLE;
+
+  ++*(refused ? forward->gateway->counters.refused
+              : forward->gateway->counters.failed);
+  mq_gateway_refuse (forward->exchange, status, retry_ms);
+  forward_end (forward, refused ? "refused" : "failed", status, why);
+}
+
+static void
+forward_abort (mq_forward *forward, const char *why)
+{
+  ++*forward->gateway->counters.failed;
+  mq_http_exchange_abort (forward->exchange);
+  forward_end (forward, "aborted", 0, why);
+}
+
+/* ---- The answer's head.  */
+
+/* True for a header that concerns one connection only, or that the library
+   writes itself.  */
+static bool
+header_is_hop (const mq_http_header *h)
+{
+  return mq_http_header_is (h, "Connection")
+         || mq_http_header_is (h, "Keep-Alive")
+         || mq_http_header_is (h, "Transfer-Encoding")
+         || mq_http_header_is (h, "Content-Length")
+         || mq_http_header_is (h, "Date") || mq_http_header_is (h, "Trailer")
+         || mq_http_header_is (h, "Upgrade");
+}
+
+/* The headers of the answer's head that are passed on; they borrow from it.
+   Free with g_array_unref.  */
+static GArray *
+answer_headers (mq_span head)
+{
+  GArray *out = g_array_new (FALSE, FALSE, sizeof (mq_http_header));
+  const char *line = memchr (head.data, '\n', head.size);
+  const char *end = head.data + head.size;
+
+  for (line = line ? line + 1 : end; line < end;)
+    {
+      const char *stop = memchr (line, '\n', (size_t)(end - line));
+      const char *colon;
+      mq_http_header h;
+
+      if (stop == NULL)
+        stop = end;
+      colon = memchr (line, ':', (size_t)(stop - line));
+      if (colon != NULL)
+        {
+          const char *v = colon + 1;
+          const char *e = stop;
+
+          while (v < e && g_ascii_isspace (*v))
+            v++;
+          while (e > v && g_ascii_isspace (e[-1]))
+            e--;
+          h = (mq_http_header){ { line, (size_t)(colon - line) },
+                                { v, (size_t)(e - v) } };
+          if (!header_is_hop (&h))
+            g_array_append_val (out, h);
+        }
+      line = stop + 1;
+    }
+  return out;
+}
+
+static bool
+status_is_success (unsigned status)
+{
+  return status >= STATUS_OK && status < STATUS_MULTIPLE;
+}
+
+static bool
+answer_is_signed (const mq_forward *forward)
+{
+  return mq_http_call_header (forward->call,
+                              forward->gateway->dialect->headers.signature)
+             .size
+         > 0;
+}
+
+/* ---- Streams.  */
+
+static void
+stream_begin (mq_forward *forward, unsigned status)
+{
+  GArray *headers = answer_headers (mq_http_call_head (forward->call));
+
+  mq_http_exchange_begin (forward->exchange, status,
+                          (const mq_http_header *)(void *)headers->data,
+                          headers->len);
+  g_array_unref (headers);
+  forward->state.begun = true;
+  mq_histogram_observe (forward->gateway->counters.first_event,
+                        mq_gateway_now_us () - forward->started_us);
+}
+
+/* Pass on what is whole.  Returns 0, or -1 when the send was ended, and
+   FORWARD may be gone.  */
+static int
+stream_pass (mq_forward *forward, unsigned status)
+{
+  mq_event_result r;
+  mq_span event;
+
+  while ((r = mq_event_split_next (&forward->split, &event)) == MQ_EVENT_WHOLE)
+    {
+      if (!forward->state.begun)
+        stream_begin (forward, status);
+      if (mq_http_exchange_write (forward->exchange, event)
+          >= MQ_HTTP_STREAM_HIGH)
+        mq_http_call_pause (forward->call, true);
+    }
+  if (r == MQ_EVENT_NONE)
+    return 0;
+  mq_forward_send_ended (forward, MQ_SEND_BROKEN, status, "wrong-event");
+  return -1;
+}
+
+static void
+stream_data (mq_forward *forward, const mq_http_client_event *event)
+{
+  if (!status_is_success (event->status))
+    {
+      g_string_append_len (forward->failure, event->data.data,
+                           (gssize)event->data.size);
+      return;
+    }
+  mq_event_split_feed (&forward->split, event->data);
+  (void)stream_pass (forward, event->status);
+}
+
+static void
+stream_whole (mq_forward *forward, unsigned status)
+{
+  mq_gateway *g = forward->gateway;
+
+  mq_upstream_succeeded (forward->upstream, mq_gateway_now_us ());
+  if (!forward->state.begun)
+    stream_begin (forward, status);
+  mq_http_exchange_end (forward->exchange);
+  ++*g->counters.answered;
+  mq_histogram_observe (g->counters.whole,
+                        mq_gateway_now_us () - forward->started_us);
+  forward_end (forward, "answered", status, "whole");
+}
+
+/* ---- Ends of sends.  */
+
+/* Pass on the whole answer of EVENT; BODY is its body.  */
+static void
+forward_pass (mq_forward *forward, unsigned status, mq_span body)
+{
+  mq_gateway *g = forward->gateway;
+  GArray *headers = answer_headers (mq_http_call_head (forward->call));
+
+  mq_http_exchange_reply (forward->exchange, status,
+                          (const mq_http_header *)(void *)headers->data,
+                          headers->len, body);
+  g_array_unref (headers);
+  ++*g->counters.answered;
+  mq_histogram_observe (g->counters.whole,
+                        mq_gateway_now_us () - forward->started_us);
+  forward_end (forward, "answered", status, "whole");
+}
+
+/* The upstream says that it did not run the request.  */
+static bool
+answer_is_not_run (const mq_forward *forward)
+{
+  return mq_http_call_header (forward->call,
+                              forward->gateway->dialect->headers.not_run)
+             .size
+         > 0;
+}
+
+/* Put aside the engine that an answer names as the one at fault.  */
+static void
+forward_blame (mq_forward *forward, uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+  mq_span a
+      = mq_http_call_header (forward->call, g->dialect->headers.at_fault);
+  mq_upstream *u = a.size > 0 ? mq_registry_at (&g->registry, a) : NULL;
+
+  if (u == NULL)
+    return;
+  mq_log (G_LOG_LEVEL_INFO, "upstream.blamed", "request=%.*s upstream=%s",
+          MQ_SPAN_ARG (forward->id), mq_str_cstr (u->facts.id));
+  mq_upstream_put_aside (u, now_us, (uint64_t)1000 * 1000);
+}
+
+/* A whole answer came.  */
+static void
+forward_answered (mq_forward *forward, const mq_http_client_event *event)
+{
+  mq_forward *f = forward;
+  bool stream = f->route->kind == MQ_ROUTE_STREAM;
+  mq_span body
+      = stream ? (mq_span){ f->failure->str, f->failure->len } : event->data;
+
+  if (answer_is_not_run (f))
+    {
+      forward_blame (f, mq_gateway_now_us ());
+      mq_forward_send_ended (f, MQ_SEND_NOT_RUN, event->status, "not-run");
+      return;
+    }
+  if (!answer_is_signed (f) && status_is_success (event->status))
+    {
+      mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
+      return;
+    }
+  if (!status_is_success (event->status))
+    {
+      mq_forward_verdict v = mq_forward_judge (
+          &f->state, MQ_SEND_REPLIED, event->status,
+          mq_send_budget_has_room (
+              &mq_gateway_service (f->gateway, f->service)->budget,
+              mq_gateway_routers (f->gateway), mq_gateway_now_us ()));
+
+      if (v.verb != MQ_FORWARD_PASS)
+        mq_forward_send_ended (f, MQ_SEND_REPLIED, event->status, "error");
+      else
+        forward_pass (f, event->status, body);
+      return;
+    }
+  if (!stream)
+    {
+      mq_upstream_succeeded (f->upstream, mq_gateway_now_us ());
+      forward_pass (f, event->status, body);
+    }
+  else if (mq_event_split_has_rest (&f->split))
+    mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "half-event");
+  else
+    stream_whole (f, event->status);
+}
+
+static void
+forward_on_call_end (mq_forward *forward, const mq_http_client_event *event)
+{
+  switch (event->result)
+    {
+    case MQ_HTTP_OK:
+      forward_answered (forward, event);
+      break;
+    case MQ_HTTP_CONNECT:
+      mq_forward_send_ended (forward, MQ_SEND_NOT_SENT, 0, "no-connection");
+      break;
+    case MQ_HTTP_TIMEOUT:
+      mq_forward_send_ended (forward, MQ_SEND_SILENT, event->status,
+                             "timeout");
+      break;
+    case MQ_HTTP_BROKEN:
+      mq_forward_send_ended (forward, MQ_SEND_BROKEN, event->status, "broken");
+      break;
+    }
+}
+
+/* The sink of a send's call.  */
+void
+mq_forward_on_call (void *context, const mq_http_client_event *event)
+{
+  mq_forward *f = context;
+
+  f->heard_us = mq_gateway_now_us ();
+  switch (event->kind)
+    {
+    case MQ_HTTP_CLIENT_HEADERS:
+      if (status_is_success (event->status)
+          && f->route->kind == MQ_ROUTE_STREAM && !answer_is_signed (f))
+        mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
+      break;
+    case MQ_HTTP_CLIENT_DATA:
+      stream_data (f, event);
+      break;
+    case MQ_HTTP_CLIENT_END:
+      forward_on_call_end (f, event);
+      break;
+    }
+}
+
+static void
+forward_note_failure (mq_forward *forward, mq_send_end end, uint64_t now_us)
+{
+  switch (end)
+    {
+    case MQ_SEND_NOT_SENT:
+    case MQ_SEND_BROKEN:
+    case MQ_SEND_SILENT:
+      if (forward->upstream != NULL)
+        mq_upstream_failed (forward->upstream, now_us);
+      break;
+    case MQ_SEND_REPLIED:
+    case MQ_SEND_NOT_RUN:
+      break;
+    }
+}
+
+void
+mq_forward_send_ended (mq_forward *forward, mq_send_end end, unsigned status,
+                       const char *why)
+{
+  mq_forward *f = forward;
+  uint64_t now = mq_gateway_now_us ();
+  mq_service_state *service = mq_gateway_service (f->gateway, f->service);
+  mq_forward_verdict v;
+
+  f->state.now_us = now;
+  switch (end)
+    {
+    case MQ_SEND_NOT_SENT:
+      f->state.sent--; /* It reached nobody.  */
+      break;
+    case MQ_SEND_NOT_RUN:
+      break;
+    case MQ_SEND_REPLIED:
+    case MQ_SEND_BROKEN:
+    case MQ_SEND_SILENT:
+      f->state.may_have_run = true;
+      break;
+    }
+  forward_note_failure (f, end, now);
+  v = mq_forward_judge (
+      &f->state, end, status,
+      mq_send_budget_has_room (&service->budget,
+                               mq_gateway_routers (f->gateway), now));
+  mq_log (G_LOG_LEVEL_INFO, "request.send-ended",
+          "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
+          " events=%u ms=%" G_GUINT64_FORMAT,
+          MQ_SPAN_ARG (f->id),
+          f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end,
+          status, why, v.verb, f->split.events, forward_age_ms (f));
+  forward_drop_send (f);
+  mq_forward_unplace (f);
+  mq_event_split_restart (&f->split);
+  g_string_truncate (f->failure, 0);
+  switch (v.verb)
+    {
+    case MQ_FORWARD_AGAIN:
+      mq_forward_send (f, now);
+      break;
+    case MQ_FORWARD_ABORT:
+      forward_abort (f, why);
+      break;
+    case MQ_FORWARD_PASS:
+      /* Only a whole reply is passed, and that is done above.  */
+      forward_refuse (f, MQ_STATUS_BAD_GATEWAY, 0, why);
+      break;
+    case MQ_FORWARD_REFUSE:
+      forward_refuse (f, v.status, 500, why);
+      break;
+    }
+}
+
+/* ---- Time.  */
+
+static void
+forward_give_up (mq_forward *forward, bool silent, const char *why)
+{
+  mq_forward_verdict v;
+
+  if (forward->call != NULL && mq_http_call_maybe_sent (forward->call))
+    forward->state.may_have_run = true;
+  v = mq_forward_give_up (&forward->state, silent);
+  if (v.verb == MQ_FORWARD_ABORT)
+    forward_abort (forward, why);
+  else
+    forward_refuse (forward, v.status, 0, why);
+}
+
+static void
+forward_tick_stream (mq_forward *forward, uint64_t now_us)
+{
+  uint64_t silent = now_us - forward->heard_us;
+  uint64_t ask
+      = forward->split.events > 0 && forward->heard_us > forward->sent_us
+            ? SILENT_ASK_US
+            : FIRST_ASK_US;
+
+  if (silent > SILENT_MOST_US)
+    {
+      mq_forward_send_ended (forward, MQ_SEND_SILENT, 0, "silent");
+      return;
+    }
+  if (silent > ask && forward->upstream != NULL)
+    mq_stall_ask (forward->gateway, forward->upstream);
+}
+
+static void
+forward_tick_call (mq_forward *forward, uint64_t now_us)
+{
+  uint64_t patience
+      = MAX ((uint64_t)forward->route->target_ms * 1000 * PATIENCE_FACTOR,
+             PATIENCE_LEAST_US);
+
+  if (now_us - forward->sent_us < patience
+      || !mq_forward_may_repeat (&forward->state)
+      || forward->state.sent >= forward->state.attempts)
+    return;
+  mq_forward_send_ended (forward, MQ_SEND_SILENT, 0, "slow");
+}
+
+void
+mq_forward_tick (mq_forward *forward, uint64_t now_us)
+{
+  if (now_us >= forward->state.deadline_us)
+    {
+      forward_give_up (forward, true, "deadline");
+      return;
+    }
+  if (forward->call == NULL)
+    return;
+  if (forward->route->kind == MQ_ROUTE_STREAM)
+    forward_tick_stream (forward, now_us);
+  else
+    forward_tick_call (forward, now_us);
+}
+
+void
+mq_forward_fail_through (mq_gateway *gateway, const mq_upstream *upstream,
+                         const char *why)
+{
+  GList *next;
+
+  for (GList *l = gateway->forwards.head; l != NULL; l = next)
+    {
+      mq_forward *f = l->data;
+
+      next = l->next;
+      if (f->call != NULL
+          && (f->upstream == upstream
+              || mq_layer_path_has (&f->path, upstream)))
+        mq_forward_send_ended (f, MQ_SEND_SILENT, 0, why);
+    }
+}
+
+/* ---- Begin and end.  */
+
+static uint64_t
+request_number (mq_http_exchange *exchange, const char *name,
+                uint64_t fallback)
+{
+  uint64_t n;
+
+  return mq_span_to_u64 (mq_http_exchange_header (exchange, name), &n) == 0
+             ? n
+             : fallback;
+}
+
+/* Tokens that the request will hold.  */
+static double
+request_need (const mq_forward *forward)
+{
+  const mq_dialect_headers *h = &forward->gateway->dialect->headers;
+  const mq_layered_model *m = &forward->service->model;
+  mq_span counts
+      = mq_http_exchange_header (forward->exchange, h->token_counts);
+  const char *comma
+      = counts.size > 0 ? memchr (counts.data, ',', counts.size) : NULL;
+  uint64_t prompt = m->usual_prompt;
+  uint64_t most = 0;
+
+  if (comma != NULL)
+    {
+      size_t n = (size_t)(comma - counts.data);
+
+      (void)mq_span_to_u64 ((mq_span){ counts.data, n }, &prompt);
+      (void)mq_span_to_u64 ((mq_span){ comma + 1, counts.size - n - 1 },
+                            &most);
+    }
+  return mq_domain_need (
+      (unsigned)prompt, (unsigned)most,
+      (unsigned)request_number (forward->exchange, h->answer_estimate, 0),
+      m->usual_answer);
+}
+
+static void
+forward_init_state (mq_forward *forward, uint64_t now_us)
+{
+  mq_forward *f = forward;
+  uint64_t left = request_number (
+      f->exchange, f->gateway->dialect->headers.time_left_ms, 0);
+  uint64_t ms = f->route->timeout_ms;
+
+  if (left > 0)
+    ms = MIN (ms, left > WAY_BACK_MS ? left - WAY_BACK_MS : 1);
+  f->state = (mq_forward_state){ .kind = f->route->kind,
+                                 .resumable = f->route->resumable,
+                                 .attempts = f->route->attempts,
+                                 .now_us = now_us,
+                                 .deadline_us = now_us + ms * 1000 };
+}
+
+void
+mq_forward_start (mq_gateway *gateway, mq_http_exchange *exchange,
+                  const mq_route *route,
+                  const mq_route_organisation *organisation)
+{
+  uint64_t now = mq_gateway_now_us ();
+  mq_forward *f = g_new0 (mq_forward, 1);
+  const mq_dialect_headers *h = &gateway->dialect->headers;
+
+  f->gateway = gateway;
+  f->link.data = f;
+  f->exchange = mq_http_exchange_ref (exchange);
+  f->routing = mq_routing_ref (gateway->routing);
+  f->route = route;
+  f->organisation = organisation;
+  f->service = mq_routing_draw (f->routing, route, mq_gateway_draw (gateway));
+  f->started_us = now;
+  f->id = mq_http_exchange_header (exchange, h->request_id);
+  f->tried
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
+  f->failure = g_string_new (NULL);
+  mq_event_split_init (&f->split,
+                       request_number (exchange, h->last_event_id, 0));
+  forward_init_state (f, now);
+  g_queue_push_tail_link (&gateway->forwards, &f->link);
+  mq_http_exchange_set_user (exchange, f);
+  if (f->service == NULL)
+    {
+      forward_refuse (f, MQ_STATUS_UNAVAILABLE, 1000, "no-service");
+      return;
+    }
+  f->need = request_need (f);
+  mq_send_budget_request (&mq_gateway_service (gateway, f->service)->budget,
+                          now);
+  mq_forward_send (f, now);
+}
+
+void
+mq_forward_turn_away (mq_forward *forward, unsigned retry_ms, const char *why)
+{
+  mq_forward_verdict v = mq_forward_give_up (&forward->state, false);
+
+  if (v.verb == MQ_FORWARD_ABORT)
+    forward_abort (forward, why);
+  else
+    forward_refuse (forward, v.status,
+                    v.status == MQ_STATUS_UNAVAILABLE ? retry_ms : 0, why);
+}
+
+void
+mq_forward_cancel (mq_forward *forward)
+{
+  ++*forward->gateway->counters.gone;
+  forward_end (forward, "gone", 0, "client-left");
+}
+
+void
+mq_forward_free_all (mq_gateway *gateway)
+{
+  mq_forward *f;
+
+  while ((f = g_queue_peek_head (&gateway->forwards)) != NULL)
+    forward_free (f);
+}
--- /dev/null
+++ b/packages/gateway/gateway_front.c
@@ -0,0 +1,225 @@
+/* What comes from outside: requests, checks of readiness, questions where to
+   connect, and the metrics.  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/log.h>
+#include <string.h>
+
+#define STATUS_OK 200
+#define STATUS_UNAUTHORISED 401
+#define STATUS_NOT_FOUND 404
+#define STATUS_TOO_LARGE 413
+
+/* A router without configuration learns one within this.  */
+#define UNREADY_RETRY_MS 500
+
+/* Addresses in one answer of the directory.  */
+#define DIRECTORY_MOST 64
+#define MS_PER_S 1000
+
+static void
+answer_text (mq_http_exchange *exchange, unsigned status, const char *type,
+             mq_span body)
+{
+  mq_http_header h = { MQ_SPAN ("Content-Type"), mq_span_from (type) };
+
+  mq_http_exchange_reply (exchange, status, &h, 1, body);
+}
+
+void
+mq_gateway_refuse (mq_http_exchange *exchange, unsigned status,
+                   unsigned retry_ms)
+{
+  char text[32];
+  mq_http_header h = { MQ_SPAN ("Retry-After"), { text, 0 } };
+
+  g_snprintf (text, sizeof text, "%u.%03u", retry_ms / MS_PER_S,
+              retry_ms % MS_PER_S);
+  h.value.size = strlen (text);
+  mq_http_exchange_reply (exchange, status, &h, retry_ms > 0 ? 1 : 0,
+                          MQ_SPAN (""));
+}
+
+/* The one value of the credential; empty when missing or given twice.  */
+static mq_span
+request_credential (const mq_gateway *gateway, mq_http_exchange *exchange)
+{
+  mq_span found = { NULL, 0 };
+  size_t n;
+  const mq_http_header *h = mq_http_exchange_headers (exchange, &n);
+  mq_span name = mq_span_from (gateway->dialect->headers.credential);
+
+  for (size_t i = 0; i < n; i++)
+    {
+      if (h[i].name.size != name.size
+          || g_ascii_strncasecmp (h[i].name.data, name.data, name.size) != 0)
+        continue;
+      if (found.data != NULL)
+        return (mq_span){ NULL, 0 };
+      found = h[i].value;
+    }
+  return found;
+}
+
+static void
+refuse_request (mq_gateway *gateway, mq_http_exchange *exchange,
+                unsigned status, const char *why)
+{
+  mq_span id = mq_http_exchange_header (exchange,
+                                        gateway->dialect->headers.request_id);
+
+  ++*gateway->counters.refused;
+  mq_log (G_LOG_LEVEL_INFO, "request.refused",
+          "request=%.*s status=%u why=%s version=%" G_GUINT64_FORMAT,
+          MQ_SPAN_ARG (id), status, why,
+          gateway->routing ? gateway->routing->version : 0);
+  mq_gateway_refuse (exchange, status,
+                     status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_MS : 0);
+}
+
+static void
+take_request (mq_gateway *gateway, mq_http_exchange *exchange)
+{
+  const mq_route_organisation *organisation = NULL;
+  const mq_routing *r = gateway->routing;
+  const mq_route *route;
+
+  ++*gateway->counters.requests;
+  if (r == NULL || !gateway->upstreams_known)
+    {
+      refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE,
+                      "no-configuration");
+      return;
+    }
+  route = mq_routing_match (r, mq_http_exchange_header (exchange, "Host"),
+                            mq_http_exchange_path (exchange));
+  if (route == NULL)
+    {
+      refuse_request (gateway, exchange, STATUS_NOT_FOUND, "no-route");
+      return;
+    }
+  if (mq_routing_has_keys (r))
+    {
+      organisation
+          = mq_routing_holder (r, request_credential (gateway, exchange));
+      if (organisation == NULL && !route->anonymous)
+        {
+          refuse_request (gateway, exchange, STATUS_UNAUTHORISED,
+                          "unknown-key");
+          return;
+        }
+    }
+  if (r->limits.body_bytes > 0
+      && mq_http_exchange_body (exchange).size > r->limits.body_bytes)
+    {
+      refuse_request (gateway, exchange, STATUS_TOO_LARGE, "body-too-large");
+      return;
+    }
+  mq_forward_start (gateway, exchange, route, organisation);
+}
+
+void
+mq_gateway_on_client (void *context, const mq_http_server_event *event)
+{
+  mq_forward *f = mq_http_exchange_user (event->exchange);
+
+  switch (event->kind)
+    {
+    case MQ_HTTP_SERVER_REQUEST:
+      take_request (context, event->exchange);
+      break;
+    case MQ_HTTP_SERVER_DRAINED:
+      if (f != NULL && f->call != NULL)
+        mq_http_call_pause (f->call, false);
+      break;
+    case MQ_HTTP_SERVER_GONE:
+      if (f != NULL)
+        mq_forward_cancel (f);
+      break;
+    }
+}
+
+void
+mq_gateway_on_readiness (void *context, const mq_http_server_event *event)
+{
+  mq_gateway *g = context;
+  mq_span path;
+
+  if (event->kind != MQ_HTTP_SERVER_REQUEST)
+    return;
+  path = mq_http_exchange_path (event->exchange);
+  if (!mq_span_equal (path, mq_span_from (g->dialect->ready_path)))
+    mq_gateway_refuse (event->exchange, STATUS_NOT_FOUND, 0);
+  else
+    mq_gateway_refuse (
+        event->exchange,
+        mq_gateway_is_ready (g) ? STATUS_OK : MQ_STATUS_UNAVAILABLE, 0);
+}
+
+static size_t
+directory_addresses (const mq_gateway *gateway, mq_span *addresses)
+{
+  uint64_t now = mq_gateway_now_us ();
+  GHashTableIter i;
+  gpointer value;
+  size_t n = 0;
+
+  if (mq_gateway_is_ready (gateway))
+    addresses[n++] = mq_str_span (gateway->client_address);
+  g_hash_table_iter_init (&i, gateway->members);
+  while (n < DIRECTORY_MOST && g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_member *m = value;
+
+      if (mq_member_lives (m, now) && m->ready)
+        addresses[n++] = mq_str_span (m->client_address);
+    }
+  return n;
+}
+
+void
+mq_gateway_on_directory (void *context, const mq_http_server_event *event)
+{
+  mq_gateway *g = context;
+  mq_span addresses[DIRECTORY_MOST];
+  GString *out;
+  size_t n;
+  unsigned ttl_s = (unsigned)(g->settings->directory_ttl_ms / MS_PER_S);
+
+  if (event->kind != MQ_HTTP_SERVER_REQUEST)
+    return;
+  if (!mq_span_equal (mq_http_exchange_path (event->exchange),
+                      mq_span_from (g->dialect->resolve_path)))
+    {
+      mq_gateway_refuse (event->exchange, STATUS_NOT_FOUND, 0);
+      return;
+    }
+  n = directory_addresses (g, addresses);
+  if (n == 0)
+    {
+      mq_gateway_refuse (event->exchange, MQ_STATUS_UNAVAILABLE,
+                         UNREADY_RETRY_MS);
+      return;
+    }
+  out = g_string_new (NULL);
+  g->dialect->resolve_encode (addresses, n, MAX (ttl_s, 1), out);
+  answer_text (event->exchange, STATUS_OK, "application/json",
+               (mq_span){ out->str, out->len });
+  g_string_free (out, TRUE);
+}
+
+void
+mq_gateway_on_metrics (void *context, const mq_http_server_event *event)
+{
+  mq_gateway *g = context;
+  GString *out;
+
+  if (event->kind != MQ_HTTP_SERVER_REQUEST)
+    return;
+  out = g_string_new (NULL);
+  mq_metrics_render (g->metrics, out);
+  answer_text (event->exchange, STATUS_OK, "text/plain; version=0.0.4",
+               (mq_span){ out->str, out->len });
+  g_string_free (out, TRUE);
+}
--- /dev/null
+++ b/packages/gateway/gateway_orders.c
@@ -0,0 +1,237 @@
+/* Orders of layers to engines, by the one router that leads.
+
+   What engines hold is taken from what they report; what was ordered and is
+   not reported yet counts as held for the time that a load may take.  Every
+   order names the number of orders that the engine had accepted by its last
+   report, so that an order that arrives late, or a second router's, does
+   nothing.  That number is not in the store: a new incarnation begins at 0,
+   each order that is accepted adds one, and after an order whose fate is open
+   the engine is asked.  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/layer_plan.h>
+#include <mq/log.h>
+
+/* Beside the load itself: the order's way, a report's lag (0.2 s) and the
+   store's news of it.  */
+#define ORDER_SLACK_US ((uint64_t)1500 * 1000)
+#define ORDER_TIMEOUT_MS 1000
+#define ORDER_CONNECT_MS 250
+#define STATUS_OK 200
+#define STATUS_ACCEPTED 202
+#define US_PER_S 1e6
+
+/* Engines that start together register within a heartbeat (1.2 s).  As long
+   as new ones come, none is given layers, unless some hold any: a chain over
+   the first few would have little memory for requests.  */
+#define SETTLE_US ((uint64_t)1500 * 1000)
+
+typedef struct order_call
+{
+  mq_gateway *gateway;   /* Borrowed.  */
+  mq_upstream *upstream; /* One reference.  */
+} order_call;
+
+/* The engine was asked for its count.  */
+static void
+order_on_report (void *context, const mq_http_client_event *event)
+{
+  order_call *o = context;
+  mq_engine_report r;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  if (event->result == MQ_HTTP_OK && event->status == STATUS_OK
+      && o->gateway->dialect->report_decode (event->data, &r, NULL) == 0)
+    {
+      o->upstream->orders = r.orders;
+      o->upstream->orders_unknown = false;
+      o->gateway->dialect->report_finish (&r);
+    }
+  o->upstream->asked = false;
+  mq_upstream_unref (o->upstream);
+  g_free (o);
+}
+
+static void
+order_ask_count (mq_gateway *gateway, mq_upstream *upstream)
+{
+  order_call *o;
+  char *url;
+  mq_http_call_options options
+      = { .connect_ms = ORDER_CONNECT_MS, .timeout_ms = ORDER_TIMEOUT_MS };
+
+  if (upstream->asked)
+    return;
+  upstream->asked = true;
+  o = g_new0 (order_call, 1);
+  o->gateway = gateway;
+  o->upstream = mq_upstream_ref (upstream);
+  url = g_strdup_printf ("http://%s%s", mq_str_cstr (upstream->facts.address),
+                         gateway->dialect->report_path);
+  options.url = mq_span_from (url);
+  ++*gateway->counters.reports;
+  (void)mq_http_client_start (gateway->client, &options, order_on_report, o);
+  g_free (url);
+}
+
+static void
+order_on_call (void *context, const mq_http_client_event *event)
+{
+  order_call *o = context;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  mq_log (G_LOG_LEVEL_INFO, "order.answered",
+          "upstream=%s status=%u result=%d",
+          mq_str_cstr (o->upstream->facts.id), event->status, event->result);
+  if (event->result == MQ_HTTP_OK && event->status == STATUS_ACCEPTED)
+    o->upstream->orders++;
+  else if (event->result != MQ_HTTP_OK || event->status != STATUS_OK)
+    o->upstream->orders_unknown = true;
+  if (event->result == MQ_HTTP_OK && event->status != STATUS_OK
+      && event->status != STATUS_ACCEPTED)
+    o->upstream->ordered_us = 0; /* Refused: plan anew.  */
+  mq_upstream_unref (o->upstream);
+  g_free (o);
+}
+
+static void
+order_send (mq_gateway *gateway, mq_upstream *upstream, unsigned first,
+            unsigned end, uint64_t now_us)
+{
+  order_call *o = g_new0 (order_call, 1);
+  GString *body = g_string_new (NULL);
+  char *url
+      = g_strdup_printf ("http://%s%s", mq_str_cstr (upstream->facts.address),
+                         gateway->dialect->order_path);
+  mq_http_header headers[]
+      = { { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") },
+          { mq_span_from (gateway->dialect->headers.expect_incarnation),
+            mq_str_span (upstream->facts.id) } };
+  mq_http_call_options options = { .method = MQ_SPAN ("POST"),
+                                   .url = mq_span_from (url),
+                                   .headers = headers,
+                                   .n_headers = G_N_ELEMENTS (headers),
+                                   .connect_ms = ORDER_CONNECT_MS,
+                                   .timeout_ms = ORDER_TIMEOUT_MS,
+                                   .once = true };
+
+  gateway->dialect->order_encode (first, end, upstream->orders, body);
+  options.body = (mq_span){ body->str, body->len };
+  mq_log (G_LOG_LEVEL_INFO, "order.sent",
+          "upstream=%s layers=%u-%u held=%u-%u orders=%" G_GUINT64_FORMAT,
+          mq_str_cstr (upstream->facts.id), first, end,
+          upstream->facts.layer_first, upstream->facts.layer_end,
+          upstream->orders);
+  upstream->ordered_us = now_us;
+  upstream->ordered_first = first;
+  upstream->ordered_end = end;
+  o->gateway = gateway;
+  o->upstream = mq_upstream_ref (upstream);
+  ++*gateway->counters.orders;
+  (void)mq_http_client_start (gateway->client, &options, order_on_call, o);
+  g_string_free (body, TRUE);
+  g_free (url);
+}
+
+/* Is an order to UPSTREAM under way and not reported yet?  */
+static bool
+order_is_pending (const mq_upstream *upstream, const mq_layered_model *model,
+                  uint64_t now_us)
+{
+  const mq_upstream_facts *f = &upstream->facts;
+  double share = (double)(upstream->ordered_end - upstream->ordered_first)
+                 / model->layers;
+  uint64_t load
+      = (uint64_t)(model->load_s * share * US_PER_S) * 2 + ORDER_SLACK_US;
+
+  if (upstream->ordered_us == 0
+      || (f->layer_first == upstream->ordered_first
+          && f->layer_end == upstream->ordered_end))
+    return false;
+  return now_us < upstream->ordered_us + load;
+}
+
+/* What the plan sees of UPSTREAM.  */
+static mq_layer_holder
+order_holder (mq_upstream *upstream, const mq_layered_model *model,
+              uint64_t now_us)
+{
+  const mq_upstream_facts *f = &upstream->facts;
+  mq_layer_holder h
+      = { .domain = mq_str_span (f->domain),
+          .card = mq_layered_model_card (model, mq_str_span (f->card)),
+          .first = f->layer_first,
+          .end = f->layer_end,
+          .user = upstream };
+
+  if (order_is_pending (upstream, model, now_us))
+    {
+      h.first = upstream->ordered_first;
+      h.end = upstream->ordered_end;
+    }
+  return h;
+}
+
+static void
+order_service (mq_gateway *gateway, const mq_route_service *service,
+               uint64_t now_us)
+{
+  GArray *holders = g_array_new (FALSE, FALSE, sizeof (mq_layer_holder));
+  GArray *orders = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+  GHashTableIter i;
+  gpointer value;
+  bool any_held = false;
+
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+      mq_layer_holder h;
+
+      if (!mq_span_equal (mq_str_span (u->facts.service),
+                          mq_str_span (service->name))
+          || !mq_upstream_is_usable (u, now_us))
+        continue;
+      h = order_holder (u, &service->model, now_us);
+      any_held = any_held || h.first < h.end;
+      g_array_append_val (holders, h);
+    }
+  if (!any_held && now_us - gateway->registry.newest_us < SETTLE_US)
+    goto out;
+  mq_layer_plan_work (&service->model,
+                      (mq_layer_holder *)(void *)holders->data, holders->len,
+                      orders);
+  for (guint n = 0; n < orders->len; n++)
+    {
+      const mq_layer_order *o = &g_array_index (orders, mq_layer_order, n);
+
+      mq_upstream *u = o->holder->user;
+
+      if (u->orders_unknown)
+        order_ask_count (gateway, u);
+      else
+        order_send (gateway, u, o->first, o->end, now_us);
+    }
+out:
+  g_array_unref (holders);
+  g_array_unref (orders);
+}
+
+void
+mq_orders_tick (mq_gateway *gateway, uint64_t now_us)
+{
+  if (gateway->routing == NULL || !gateway->upstreams_known
+      || !mq_members_we_lead (gateway, now_us))
+    return;
+  for (guint i = 0; i < gateway->routing->services->len; i++)
+    {
+      const mq_route_service *s
+          = &g_array_index (gateway->routing->services, mq_route_service, i);
+
+      if (s->model.layers > 0)
+        order_service (gateway, s, now_us);
+    }
+}
--- /dev/null
+++ b/packages/gateway/gateway_place.c
@@ -0,0 +1,216 @@
+/* Where a request goes: an instance of a plain service, or a path of engines
+   in one failure domain.  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/log.h>
+#include <string.h>
+
+#define DOMAINS_MOST 64
+
+/* When an upstream should be back: a restart takes some seconds, a repair of
+   a chain two.  */
+#define NONE_RETRY_MS 1000
+
+/* ---- Plain services.  */
+
+static bool
+forward_has_tried (const mq_forward *forward, const mq_upstream *upstream)
+{
+  return g_ptr_array_find (forward->tried, upstream, NULL);
+}
+
+/* How little A is wanted: lower is better.  */
+static uint64_t
+instance_cost (mq_forward *forward, const mq_upstream *upstream,
+               uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+  bool far = !mq_span_equal (mq_str_span (upstream->facts.domain),
+                             mq_str_span (g->settings->failure_domain));
+
+  return ((uint64_t)forward_has_tried (forward, upstream) << 48)
+         + ((uint64_t)!mq_upstream_is_usable (upstream, now_us) << 40)
+         + ((uint64_t)upstream->in_flight << 20) + ((uint64_t)far << 16)
+         + (mq_gateway_draw (g) & 0xffff);
+}
+
+/* The instance that FORWARD should go to, or NULL.  One that is put aside is
+   better than none; one that is draining is not.  */
+static mq_upstream *
+place_instance (mq_forward *forward, uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+  GHashTableIter i;
+  gpointer value;
+  mq_upstream *best = NULL;
+  uint64_t least = UINT64_MAX;
+
+  g_hash_table_iter_init (&i, g->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+      uint64_t cost;
+
+      if (u->facts.draining
+          || !mq_span_equal (mq_str_span (u->facts.service),
+                             mq_str_span (forward->service->name)))
+        continue;
+      cost = instance_cost (forward, u, now_us);
+      if (cost < least)
+        {
+          least = cost;
+          best = u;
+        }
+    }
+  return best;
+}
+
+/* ---- Layered models.  */
+
+static double *
+domain_tokens (mq_gateway *gateway, const char *key)
+{
+  double *n = g_hash_table_lookup (gateway->tokens, key);
+
+  if (n == NULL)
+    {
+      n = g_new0 (double, 1);
+      g_hash_table_insert (gateway->tokens, g_strdup (key), n);
+    }
+  return n;
+}
+
+/* "service domain"; free with g_free.  */
+static char *
+domain_key (const mq_route_service *service, mq_span domain)
+{
+  return g_strdup_printf ("%s %.*s", mq_str_cstr (service->name),
+                          MQ_SPAN_ARG (domain));
+}
+
+/* The failure domains in which the service has engines.  */
+static size_t
+list_domains (const mq_forward *forward, mq_span *domains)
+{
+  GHashTableIter i;
+  gpointer value;
+  size_t n = 0;
+
+  g_hash_table_iter_init (&i, forward->gateway->registry.by_id);
+  while (n < DOMAINS_MOST && g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_upstream *u = value;
+      mq_span d = mq_str_span (u->facts.domain);
+      bool known = !mq_span_equal (mq_str_span (u->facts.service),
+                                   mq_str_span (forward->service->name));
+
+      for (size_t k = 0; k < n && !known; k++)
+        known = mq_span_equal (domains[k], d);
+      if (!known)
+        domains[n++] = d;
+    }
+  return n;
+}
+
+static mq_domain_choice
+choice_of (mq_forward *forward, const mq_layer_path *path, mq_span domain,
+           uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+  char *key = domain_key (forward->service, domain);
+  mq_domain_choice c
+      = { .domain = domain,
+          .room = path->tokens,
+          .used = *domain_tokens (g, key) + mq_members_tokens (g, key, now_us),
+          .step_ms = path->step_ms,
+          .local = mq_span_equal (domain,
+                                  mq_str_span (g->settings->failure_domain)) };
+
+  g_free (key);
+  return c;
+}
+
+/* Choose among the N ways in PATHS and take the chosen one.  */
+static int
+place_among (mq_forward *forward, mq_layer_path *paths,
+             const mq_domain_choice *choices, size_t n, unsigned *retry_ms)
+{
+  mq_gateway *g = forward->gateway;
+  mq_domain_verdict v
+      = mq_domain_choose (choices, n, forward->need, mq_gateway_draw (g));
+  char *key;
+
+  if (v.chosen < 0)
+    {
+      *retry_ms = n == 0 ? NONE_RETRY_MS : v.retry_ms;
+      return -1;
+    }
+  mq_layer_path_copy (&forward->path, &paths[v.chosen]);
+  key = domain_key (forward->service, choices[v.chosen].domain);
+  *domain_tokens (g, key) += forward->need;
+  forward->domain = mq_str_new (mq_span_from (key));
+  g_free (key);
+  return 0;
+}
+
+static int
+place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
+{
+  mq_span domains[DOMAINS_MOST];
+  mq_domain_choice choices[DOMAINS_MOST];
+  mq_layer_path *paths = g_new0 (mq_layer_path, DOMAINS_MOST);
+  size_t n_domains = list_domains (forward, domains);
+  size_t n = 0;
+  int result;
+
+  for (size_t i = 0; i < n_domains; i++)
+    {
+      if (!mq_layer_path_find (&paths[n], &forward->gateway->registry,
+                               forward->service, domains[i], now_us, NULL))
+        continue;
+      choices[n] = choice_of (forward, &paths[n], domains[i], now_us);
+      n++;
+    }
+  result = place_among (forward, paths, choices, n, retry_ms);
+  for (size_t i = 0; i < n; i++)
+    mq_layer_path_finish (&paths[i]);
+  g_free (paths);
+  return result;
+}
+
+int
+mq_forward_place (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
+{
+  mq_upstream *u;
+
+  if (forward->service->model.layers > 0)
+    {
+      if (place_path (forward, now_us, retry_ms) < 0)
+        return -1;
+      u = forward->path.parts[0].upstream;
+    }
+  else
+    u = place_instance (forward, now_us);
+  if (u == NULL)
+    {
+      *retry_ms = NONE_RETRY_MS;
+      return -1;
+    }
+  forward->upstream = mq_upstream_ref (u);
+  u->in_flight++;
+  if (!forward_has_tried (forward, u))
+    g_ptr_array_add (forward->tried, mq_upstream_ref (u));
+  return 0;
+}
+
+void
+mq_forward_unplace (mq_forward *forward)
+{
+  mq_layer_path_finish (&forward->path);
+  if (forward->domain == NULL)
+    return;
+  *domain_tokens (forward->gateway, mq_str_cstr (forward->domain))
+      -= forward->need;
+  g_clear_pointer (&forward->domain, mq_str_unref);
+}
--- /dev/null
+++ b/packages/gateway/gateway_send.c
@@ -0,0 +1,177 @@
+/* One send of a request to an upstream: its headers and its call.  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/internal/http_header.h>
+#include <mq/log.h>
+#include <string.h>
+
+/* Connections inside a region stand within a millisecond or two; a machine
+   that is dark never answers.  */
+#define CONNECT_MS 250
+
+/* The engine is told to stop so long before the client's time is up, for the
+   answer's way back.  */
+#define ENGINE_RESERVE_MS 10
+
+#define ANSWER_LIMIT ((size_t)16 * 1024 * 1024)
+
+typedef struct send_headers
+{
+  GArray *list;        /* mq_http_header.  */
+  GStringChunk *texts; /* What they borrow, beside the request.  */
+} send_headers;
+
+static bool
+header_is_named (const mq_http_header *h, const char *name)
+{
+  return name != NULL && mq_http_header_is (h, name);
+}
+
+/* True for a header of the client's that is not passed on: it concerns one
+   connection, or is set here.  */
+static bool
+header_is_ours (const mq_dialect_headers *names, const mq_http_header *h)
+{
+  static const char *const hop[]
+      = { "Connection", "Keep-Alive",       "Transfer-Encoding",
+          "Upgrade",    "Proxy-Connection", "Trailer",
+          "TE",         "Content-Length",   "Expect" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
+    if (mq_http_header_is (h, hop[i]))
+      return true;
+  return header_is_named (h, names->credential)
+         || header_is_named (h, names->organisation)
+         || header_is_named (h, names->time_left_ms)
+         || header_is_named (h, names->expect_incarnation)
+         || header_is_named (h, names->path)
+         || header_is_named (h, names->last_event_id);
+}
+
+static void
+headers_add (send_headers *headers, const char *name, mq_span value)
+{
+  mq_http_header h = { mq_span_from (name),
+                       { g_string_chunk_insert_len (headers->texts, value.data,
+                                                    (gssize)value.size),
+                         value.size } };
+
+  g_array_append_val (headers->list, h);
+}
+
+static void
+headers_add_number (send_headers *headers, const char *name, uint64_t value)
+{
+  char text[32];
+
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, value);
+  headers_add (headers, name, mq_span_from (text));
+}
+
+static void
+headers_add_path (send_headers *headers, const mq_forward *forward)
+{
+  const mq_dialect *d = forward->gateway->dialect;
+  GString *text = g_string_new (NULL);
+
+  d->path_encode (&forward->path, text);
+  headers_add (headers, d->headers.path, (mq_span){ text->str, text->len });
+  g_string_free (text, TRUE);
+}
+
+static void
+headers_fill (send_headers *headers, const mq_forward *forward,
+              uint64_t now_us)
+{
+  const mq_dialect_headers *names = &forward->gateway->dialect->headers;
+  uint64_t left_ms = (forward->state.deadline_us - now_us) / 1000;
+  size_t n;
+  const mq_http_header *h = mq_http_exchange_headers (forward->exchange, &n);
+
+  for (size_t i = 0; i < n; i++)
+    if (!header_is_ours (names, &h[i]))
+      g_array_append_val (headers->list, h[i]);
+  headers_add_number (headers, names->time_left_ms,
+                      left_ms > ENGINE_RESERVE_MS ? left_ms - ENGINE_RESERVE_MS
+                                                  : 1);
+  headers_add (headers, names->expect_incarnation,
+               mq_str_span (forward->upstream->facts.id));
+  if (forward->organisation != NULL)
+    headers_add (headers, names->organisation,
+                 mq_str_span (forward->organisation->name));
+  if (forward->path.n > 0)
+    headers_add_path (headers, forward);
+  if (forward->split.last_id > 0)
+    headers_add_number (headers, names->last_event_id, forward->split.last_id);
+}
+
+static void
+send_start (mq_forward *forward, uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+  mq_forward *f = forward;
+  send_headers headers = { g_array_new (FALSE, FALSE, sizeof (mq_http_header)),
+                           g_string_chunk_new (512) };
+  mq_span path = mq_http_exchange_path (f->exchange);
+  mq_span query = mq_http_exchange_query_string (f->exchange);
+  char *url = g_strdup_printf ("http://%s/",
+                               mq_str_cstr (f->upstream->facts.address));
+  char *target
+      = g_strdup_printf ("%.*s%s%.*s", MQ_SPAN_ARG (path),
+                         query.data != NULL ? "?" : "", MQ_SPAN_ARG (query));
+  mq_http_call_options o = { .method = mq_http_exchange_method (f->exchange),
+                             .url = mq_span_from (url),
+                             .target = mq_span_from (target),
+                             .body = mq_http_exchange_body (f->exchange),
+                             .connect_ms = CONNECT_MS,
+                             .streamed = f->route->kind == MQ_ROUTE_STREAM,
+                             .once = !mq_forward_may_repeat (&f->state),
+                             .body_limit = ANSWER_LIMIT };
+
+  if (f->id.size > 0)
+    {
+      o.echo_name = mq_span_from (g->dialect->headers.request_id);
+      o.echo_value = f->id;
+    }
+  headers_fill (&headers, f, now_us);
+  o.headers = (const mq_http_header *)(void *)headers.list->data;
+  o.n_headers = headers.list->len;
+  f->sent_us = now_us;
+  f->heard_us = now_us;
+  f->call = mq_http_client_start (g->client, &o, mq_forward_on_call, f);
+  g_array_unref (headers.list);
+  g_string_chunk_free (headers.texts);
+  g_free (url);
+  g_free (target);
+}
+
+void
+mq_forward_send (mq_forward *forward, uint64_t now_us)
+{
+  mq_forward *f = forward;
+  mq_gateway *g = f->gateway;
+  unsigned retry_ms = 0;
+
+  if (mq_forward_place (f, now_us, &retry_ms) < 0)
+    {
+      mq_forward_turn_away (f, retry_ms, "no-room");
+      return;
+    }
+  if (f->state.sent > 0)
+    {
+      mq_send_budget_spend (&mq_gateway_service (g, f->service)->budget,
+                            now_us);
+      ++*g->counters.further_sends;
+      if (f->state.begun)
+        ++*g->counters.resumed;
+    }
+  f->state.sent++;
+  f->state.tries++;
+  ++*g->counters.sends;
+  mq_log (G_LOG_LEVEL_DEBUG, "request.send",
+          "request=%.*s upstream=%s parts=%u after-event=%" G_GUINT64_FORMAT,
+          MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id), f->path.n,
+          f->split.last_id);
+  send_start (f, now_us);
+}
--- a/packages/net/config_source.c
+++ b/packages/net/config_source.c
@@ -513,6 +513,7 @@
     case MQ_PLATFORM_BUSY:
     case MQ_PLATFORM_UNAVAILABLE:
     case MQ_PLATFORM_UNKNOWN:
+    case MQ_PLATFORM_FORGOTTEN:
     case MQ_PLATFORM_RESULTS:
       answered = false;
       break;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -55,6 +55,8 @@
   GList ready_link; /* In the client's ready queue.  */
   uint64_t timeout_ms;
   size_t body_limit;
+  mq_str *echo_name; /* NULL: no check.  */
+  mq_str *echo_value;
   GString *head; /* Status line and headers of the answer.  */
   GString *body; /* What has not been reported yet.  */
   CURLcode code; /* How it ended.  */
@@ -91,11 +93,23 @@
   curl_multi_remove_handle (c->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
+  mq_str_unref (call->echo_name);
+  mq_str_unref (call->echo_value);
   g_string_free (call->head, TRUE);
   g_string_free (call->body, TRUE);
   g_free (call);
 }
 
+/* False when the answer that has begun belongs to another request.  */
+static bool
+client_is_own (const mq_http_call *call)
+{
+  return call->echo_name == NULL
+         || mq_span_equal (
+             mq_http_call_header (call, mq_str_cstr (call->echo_name)),
+             mq_str_span (call->echo_value));
+}
+
 static size_t
 client_store_header (char *data, size_t unit, size_t count, void *context)
 {
@@ -117,6 +131,8 @@
     return n;
   if (call->status >= STATUS_FINAL)
     {
+      if (!client_is_own (call))
+        return 0; /* libcurl closes the connection.  */
       call->head_whole = true;
       client_mark_ready (call);
     }
@@ -453,6 +469,11 @@
   call->body_limit
       = options->body_limit == 0 ? BODY_LIMIT : options->body_limit;
   call->streamed = options->streamed;
+  if (options->echo_name.size > 0)
+    {
+      call->echo_name = mq_str_new (options->echo_name);
+      call->echo_value = mq_str_new (options->echo_value);
+    }
   call->once = options->once;
   call->head = g_string_new (NULL);
   call->body = g_string_new (NULL);
@@ -513,3 +534,9 @@
     }
   return (mq_span){ NULL, 0 };
 }
+
+mq_span
+mq_http_call_head (const mq_http_call *call)
+{
+  return (mq_span){ call->head->str, call->head->len };
+}
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -281,6 +281,13 @@
   return exchange_find (exchange->headers, name);
 }
 
+const mq_http_header *
+mq_http_exchange_headers (const mq_http_exchange *exchange, size_t *n)
+{
+  *n = exchange->headers->len;
+  return (const mq_http_header *)(void *)exchange->headers->data;
+}
+
 mq_span
 mq_http_exchange_body (const mq_http_exchange *exchange)
 {
--- a/packages/net/http_request.c
+++ b/packages/net/http_request.c
@@ -146,6 +146,13 @@
 
   curl_easy_setopt (easy, CURLOPT_URL, url);
   g_free (url);
+  if (options->target.size > 0)
+    {
+      char *target = g_strndup (options->target.data, options->target.size);
+
+      curl_easy_setopt (easy, CURLOPT_REQUEST_TARGET, target);
+      g_free (target);
+    }
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
   curl_easy_setopt (easy, CURLOPT_PROXY, ""); /* Not from the environment.  */
--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -67,6 +67,7 @@
   struct ev_loop *loop;
   void *context;
   mq_peer_keys keys;
+  bool plain;         /* No keys: connections are not encrypted.  */
   peers_reader inbox; /* PULL  */
   peers_reader zap;   /* REP: the handshakes' questions  */
   GHashTable *links;  /* address -> peers_link, owned  */
@@ -262,11 +263,15 @@
   set_int (link->socket, ZMQ_RECONNECT_IVL_MAX, RECONNECT_MAX_MS);
   set_int (link->socket, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
   set_int (link->socket, ZMQ_TCP_MAXRT, UNACKNOWLEDGED_MS);
-  zmq_setsockopt (link->socket, ZMQ_CURVE_SERVERKEY, server, MQ_PEER_KEY_SIZE);
-  zmq_setsockopt (link->socket, ZMQ_CURVE_PUBLICKEY, p->keys.public_key,
-                  MQ_PEER_KEY_SIZE);
-  zmq_setsockopt (link->socket, ZMQ_CURVE_SECRETKEY, p->keys.secret_key,
-                  MQ_PEER_KEY_SIZE);
+  if (!p->plain)
+    {
+      zmq_setsockopt (link->socket, ZMQ_CURVE_SERVERKEY, server,
+                      MQ_PEER_KEY_SIZE);
+      zmq_setsockopt (link->socket, ZMQ_CURVE_PUBLICKEY, p->keys.public_key,
+                      MQ_PEER_KEY_SIZE);
+      zmq_setsockopt (link->socket, ZMQ_CURVE_SECRETKEY, p->keys.secret_key,
+                      MQ_PEER_KEY_SIZE);
+    }
   zmq_connect (link->socket, endpoint);
   g_free (endpoint);
 }
@@ -300,7 +305,7 @@
 
   (void)loop;
   (void)revents;
-  if (link_is_connected (link))
+  if (link->peers->plain || link_is_connected (link))
     return;
   link->key = (link->key + 1) % link->peers->keys.n_ring;
   link_close (link, 0);
@@ -356,15 +361,19 @@
   void *s = zmq_socket (peers->context, ZMQ_PULL);
 
   peers->inbox.socket = s;
-  set_int (s, ZMQ_CURVE_SERVER, 1);
-  zmq_setsockopt (s, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen (ZAP_DOMAIN));
+  if (!peers->plain)
+    {
+      set_int (s, ZMQ_CURVE_SERVER, 1);
+      zmq_setsockopt (s, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen (ZAP_DOMAIN));
+    }
   set_int (s, ZMQ_RCVHWM, QUEUE);
   set_int (s, ZMQ_LINGER, 0);
   set_int (s, ZMQ_HANDSHAKE_IVL, HANDSHAKE_MS);
   zmq_setsockopt (s, ZMQ_MAXMSGSIZE,
                   &(int64_t){ MQ_PEER_MESSAGE_LIMIT + CURVE_BYTES },
                   sizeof (int64_t));
-  inbox_set_keys (peers);
+  if (!peers->plain)
+    inbox_set_keys (peers);
 }
 
 /* The old listener closes on ZeroMQ's thread; until it has, the address can't
@@ -450,7 +459,9 @@
 
   p->loop = loop;
   p->context = zmq_ctx_new ();
-  p->keys = *keys;
+  p->plain = keys == NULL;
+  if (keys != NULL)
+    p->keys = *keys;
   p->sink = sink;
   p->sink_context = context;
   p->host = mq_str_new (address);
--- a/packages/net/platform.c
+++ b/packages/net/platform.c
@@ -12,6 +12,9 @@
 
 #define DEFAULT_TIMEOUT_MS 2000
 #define VERSION_SIZE 32
+/* One page of a scan holds about a megabyte, and one object may be as
+   large.  */
+#define SCAN_LIMIT ((size_t)4 * 1024 * 1024)
 #define US_PER_S 1000000
 
 #define HTTP_OK 200
@@ -28,7 +31,8 @@
   mq_http_client *client; /* Borrowed.  */
   mq_str *url;
   uint64_t timeout_ms;
-  GHashTable *calls; /* Set of mq_platform_call, owned.  */
+  const mq_platform_dialect *dialect; /* Borrowed; NULL: our own.  */
+  GHashTable *calls;                  /* Set of mq_platform_call, owned.  */
   mq_platform_counters counters;
 };
 
@@ -242,6 +246,25 @@
   platform_report (call, &reply);
 }
 
+/* The end of a call in another dialect.  */
+static void
+platform_on_dialect (void *context, const mq_http_client_event *event)
+{
+  mq_platform_call *call = context;
+  const mq_platform_dialect *dialect = call->platform->dialect;
+  mq_platform_reply reply = { .op = call->op };
+  void *decoded = NULL;
+
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return;
+  reply.result = platform_judge (call->op, event);
+  if (event->result == MQ_HTTP_OK)
+    decoded = dialect->decode (call->op, event->status, event->data, &reply);
+  platform_report (call, &reply);
+  if (decoded != NULL)
+    dialect->forget (decoded);
+}
+
 static const char *
 platform_method (mq_platform_op op)
 {
@@ -256,6 +279,8 @@
     case MQ_PLATFORM_LIST:
     case MQ_PLATFORM_WATCH:
     case MQ_PLATFORM_VMS:
+    case MQ_PLATFORM_SCAN:
+    case MQ_PLATFORM_FOLLOW:
     case MQ_PLATFORM_OPS:
       break;
     }
@@ -341,6 +366,17 @@
   g_free (platform);
 }
 
+mq_platform *
+mq_platform_new_dialect (mq_http_client *client, mq_span url,
+                         uint64_t timeout_ms,
+                         const mq_platform_dialect *dialect)
+{
+  mq_platform *p = mq_platform_new (client, url, timeout_ms);
+
+  p->dialect = dialect;
+  return p;
+}
+
 mq_platform_call *
 mq_platform_get (mq_platform *platform, mq_span name, mq_platform_sink sink,
                  void *context)
@@ -422,6 +458,39 @@
   return platform_start (platform, &r, sink, context);
 }
 
+mq_platform_call *
+mq_platform_ask_start (mq_platform *platform, const mq_platform_ask *ask,
+                       mq_platform_sink sink, void *context)
+{
+  const mq_http_header type
+      = { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") };
+  mq_platform_call *call = g_new0 (mq_platform_call, 1);
+  mq_platform_wire wire = { "GET", g_string_new (NULL), g_string_new (NULL) };
+  mq_http_call_options options
+      = { .headers = &type,
+          .timeout_ms = platform->timeout_ms + ask->wait_ms,
+          .body_limit = SCAN_LIMIT };
+
+  platform->dialect->encode (ask, &wire);
+  g_string_prepend_len (wire.path, platform->url->data,
+                        (gssize)platform->url->size);
+  options.method = mq_span_from (wire.method);
+  options.url = (mq_span){ wire.path->str, wire.path->len };
+  options.body = (mq_span){ wire.body->str, wire.body->len };
+  options.n_headers = wire.body->len > 0 ? 1 : 0;
+  call->platform = platform;
+  call->op = ask->op;
+  call->sink = sink;
+  call->context = context;
+  platform->counters.calls[ask->op]++;
+  g_hash_table_add (platform->calls, call);
+  call->http = mq_http_client_start (platform->client, &options,
+                                     platform_on_dialect, call);
+  g_string_free (wire.path, TRUE);
+  g_string_free (wire.body, TRUE);
+  return call;
+}
+
 void
 mq_platform_cancel (mq_platform_call *call)
 {
@@ -446,7 +515,8 @@
           [MQ_PLATFORM_REFUSED] = MQ_STORE_REFUSED,
           [MQ_PLATFORM_BUSY] = MQ_STORE_REFUSED,
           [MQ_PLATFORM_UNAVAILABLE] = MQ_STORE_REFUSED,
-          [MQ_PLATFORM_UNKNOWN] = MQ_STORE_UNKNOWN };
+          [MQ_PLATFORM_UNKNOWN] = MQ_STORE_UNKNOWN,
+          [MQ_PLATFORM_FORGOTTEN] = MQ_STORE_REFUSED };
 
   return (mq_store_reply){ .result = results[reply->result],
                            .version = reply->version,
@@ -457,7 +527,8 @@
 mq_platform_op_name (mq_platform_op op)
 {
   static const char *const names[MQ_PLATFORM_OPS]
-      = { "get", "put", "create", "delete", "list", "watch", "vms" };
+      = { "get",   "put", "create", "delete", "list",
+          "watch", "vms", "scan",   "follow" };
 
   return names[op];
 }
@@ -466,8 +537,8 @@
 mq_platform_result_name (mq_platform_result result)
 {
   static const char *const names[MQ_PLATFORM_RESULTS]
-      = { "ok",      "missing", "conflict",    "unchanged",
-          "refused", "busy",    "unavailable", "unknown" };
+      = { "ok",   "missing",     "conflict", "unchanged", "refused",
+          "busy", "unavailable", "unknown",  "forgotten" };
 
   return names[result];
 }
--- /dev/null
+++ b/packages/route/forward_rule.c
@@ -0,0 +1,72 @@
+/* What to do after a send has ended: see mq/forward_rule.h.  */
+
+#include <mq/forward_rule.h>
+
+/* A send that leaves less time than this is not worth it: one answer of a
+   plain service takes 15 to 60 ms, and the way there and back some ms.  */
+#define LEAST_LEFT_US ((uint64_t)40 * 1000)
+
+/* Sends that left nothing are free for the upstream, yet each costs the
+   client a wait for a connection.  */
+#define TRIES_MORE 2
+
+#define SERVER_ERROR 500
+
+bool
+mq_forward_may_repeat (const mq_forward_state *state)
+{
+  return state->kind == MQ_ROUTE_SAFE
+         || (state->kind == MQ_ROUTE_STREAM && state->resumable);
+}
+
+mq_forward_verdict
+mq_forward_give_up (const mq_forward_state *state, bool silent)
+{
+  if (state->begun)
+    return (mq_forward_verdict){ MQ_FORWARD_ABORT, 0 };
+  if (!state->may_have_run)
+    return (mq_forward_verdict){ MQ_FORWARD_REFUSE, MQ_STATUS_UNAVAILABLE };
+  return (mq_forward_verdict){ MQ_FORWARD_REFUSE,
+                               silent ? MQ_STATUS_GATEWAY_TIMEOUT
+                                      : MQ_STATUS_BAD_GATEWAY };
+}
+
+static bool
+forward_has_room (const mq_forward_state *state, bool budget)
+{
+  return state->sent < state->attempts
+         && state->tries < state->attempts + TRIES_MORE
+         && (budget || state->sent == 0)
+         && state->now_us + LEAST_LEFT_US < state->deadline_us;
+}
+
+mq_forward_verdict
+mq_forward_judge (const mq_forward_state *state, mq_send_end end,
+                  unsigned status, bool budget)
+{
+  const mq_forward_verdict again = { MQ_FORWARD_AGAIN, 0 };
+  bool room = forward_has_room (state, budget);
+
+  switch (end)
+    {
+    case MQ_SEND_REPLIED:
+      /* An error of the upstream's own may be luck: ask another.  */
+      if (status >= SERVER_ERROR && mq_forward_may_repeat (state) && room
+          && !state->begun)
+        return again;
+      if (state->begun)
+        return (mq_forward_verdict){ MQ_FORWARD_ABORT, 0 };
+      return (mq_forward_verdict){ MQ_FORWARD_PASS, 0 };
+    case MQ_SEND_NOT_SENT:
+    case MQ_SEND_NOT_RUN:
+      if (room)
+        return again;
+      return mq_forward_give_up (state, false);
+    case MQ_SEND_BROKEN:
+    case MQ_SEND_SILENT:
+      if (room && mq_forward_may_repeat (state))
+        return again;
+      return mq_forward_give_up (state, end == MQ_SEND_SILENT);
+    }
+  return mq_forward_give_up (state, false);
+}
--- /dev/null
+++ b/packages/route/send_budget.c
@@ -0,0 +1,77 @@
+/* The budget of further sends: see mq/send_budget.h.
+
+   Time is cut into slices.  Sends are counted over one slice more than the
+   window, so that any window of that length holds no more than was counted;
+   requests over one slice less would be the strict match, which the margin on
+   the ratio covers.  */
+
+#include <mq/send_budget.h>
+
+#include <string.h>
+
+/* Part of the fleet's budget that is used, so that the counts of different
+   routers, whose slices begin at different moments, stay below it.  */
+#define SHARE_USED 0.8
+
+static void
+budget_advance (mq_send_budget *budget, uint64_t now_us)
+{
+  uint64_t slice = now_us / budget->slice_us;
+  unsigned n = MQ_SEND_BUDGET_SLICES + 1;
+
+  if (slice - budget->slice >= n)
+    {
+      memset (budget->first, 0, sizeof budget->first);
+      memset (budget->more, 0, sizeof budget->more);
+      budget->slice = slice;
+      return;
+    }
+  while (budget->slice < slice)
+    {
+      budget->slice++;
+      budget->first[budget->slice % n] = 0;
+      budget->more[budget->slice % n] = 0;
+    }
+}
+
+void
+mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
+                     uint64_t window_us)
+{
+  memset (budget, 0, sizeof *budget);
+  budget->ratio = ratio;
+  budget->slack = slack;
+  budget->slice_us = MAX (window_us / MQ_SEND_BUDGET_SLICES, 1);
+}
+
+void
+mq_send_budget_request (mq_send_budget *budget, uint64_t now_us)
+{
+  budget_advance (budget, now_us);
+  budget->first[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
+}
+
+bool
+mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
+                         uint64_t now_us)
+{
+  unsigned first = 0;
+  unsigned more = 0;
+
+  budget_advance (budget, now_us);
+  for (unsigned i = 0; i <= MQ_SEND_BUDGET_SLICES; i++)
+    {
+      first += budget->first[i];
+      more += budget->more[i];
+    }
+  return more + 1
+         <= SHARE_USED
+                * (budget->ratio * first + budget->slack / MAX (routers, 1));
+}
+
+void
+mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us)
+{
+  budget_advance (budget, now_us);
+  budget->more[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
+}
--- /dev/null
+++ b/packages/route/upstream.c
@@ -0,0 +1,184 @@
+/* Upstreams of the routing face: see mq/upstream.h.  */
+
+#include <mq/upstream.h>
+
+#include <string.h>
+
+/* Failures in a row after which an upstream is put aside.  Two, since one
+   lost answer in fifty is what a sound upstream may show under a fault of
+   the network, and two in a row then happen once in 2,500.  */
+#define FAILURES_ASIDE 2
+/* First and longest time aside; doubled each time.  An incarnation that died
+   leaves the platform's list after three heartbeats (3.6 s), so longer waits
+   only delay the return of a sound one.  */
+#define ASIDE_FIRST_US ((uint64_t)1000 * 1000)
+#define ASIDE_MOST_US ((uint64_t)4000 * 1000)
+
+void
+mq_upstream_facts_finish (mq_upstream_facts *facts)
+{
+  mq_str_unref (facts->id);
+  mq_str_unref (facts->service);
+  mq_str_unref (facts->address);
+  mq_str_unref (facts->domain);
+  mq_str_unref (facts->card);
+  memset (facts, 0, sizeof *facts);
+}
+
+mq_upstream *
+mq_upstream_ref (mq_upstream *upstream)
+{
+  upstream->refs++;
+  return upstream;
+}
+
+void
+mq_upstream_unref (mq_upstream *upstream)
+{
+  if (upstream == NULL || --upstream->refs > 0)
+    return;
+  mq_upstream_facts_finish (&upstream->facts);
+  g_free (upstream);
+}
+
+static void
+registry_drop (gpointer data)
+{
+  mq_upstream *u = data;
+
+  u->listed = false;
+  mq_upstream_unref (u);
+}
+
+void
+mq_registry_init (mq_registry *registry)
+{
+  registry->by_id
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, registry_drop);
+  registry->change = 1;
+}
+
+void
+mq_registry_finish (mq_registry *registry)
+{
+  g_hash_table_unref (registry->by_id);
+}
+
+void
+mq_registry_put (mq_registry *registry, mq_upstream_facts *facts,
+                 uint64_t now_us)
+{
+  mq_upstream *u = g_hash_table_lookup (registry->by_id, facts->id->data);
+
+  registry->change++;
+  if (u == NULL)
+    {
+      u = g_new0 (mq_upstream, 1);
+      u->refs = 1;
+      u->listed = true;
+      registry->newest_us = now_us;
+      u->facts = *facts;
+      g_hash_table_insert (registry->by_id, u->facts.id->data, u);
+    }
+  else
+    {
+      /* The key of the table lies in the old id.  */
+      mq_str *id = facts->id;
+
+      facts->id = u->facts.id;
+      u->facts.id = NULL;
+      mq_upstream_facts_finish (&u->facts);
+      u->facts = *facts;
+      mq_str_unref (id);
+    }
+  memset (facts, 0, sizeof *facts);
+}
+
+void
+mq_registry_remove (mq_registry *registry, mq_span id)
+{
+  char *text = g_strndup (id.data, id.size);
+
+  if (g_hash_table_remove (registry->by_id, text))
+    registry->change++;
+  g_free (text);
+}
+
+void
+mq_registry_keep (mq_registry *registry, GHashTable *keep)
+{
+  GHashTableIter i;
+  gpointer key;
+
+  g_hash_table_iter_init (&i, registry->by_id);
+  while (g_hash_table_iter_next (&i, &key, NULL))
+    if (!g_hash_table_contains (keep, key))
+      {
+        g_hash_table_iter_remove (&i);
+        registry->change++;
+      }
+}
+
+mq_upstream *
+mq_registry_find (const mq_registry *registry, mq_span id)
+{
+  char *text = g_strndup (id.size ? id.data : "", id.size);
+  mq_upstream *u = g_hash_table_lookup (registry->by_id, text);
+
+  g_free (text);
+  return u;
+}
+
+mq_upstream *
+mq_registry_at (const mq_registry *registry, mq_span address)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, registry->by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+
+      if (mq_span_equal (mq_str_span (u->facts.address), address))
+        return u;
+    }
+  return NULL;
+}
+
+bool
+mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us)
+{
+  return upstream->listed && !upstream->facts.draining
+         && now_us >= upstream->aside_until_us;
+}
+
+void
+mq_upstream_succeeded (mq_upstream *upstream, uint64_t now_us)
+{
+  upstream->failures = 0;
+  upstream->aside_until_us = 0;
+  upstream->aside_span_us = 0;
+  upstream->answered_us = now_us;
+}
+
+void
+mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
+                       uint64_t span_us)
+{
+  uint64_t until = now_us + MAX (span_us, upstream->aside_span_us);
+
+  upstream->aside_until_us = MAX (upstream->aside_until_us, until);
+}
+
+void
+mq_upstream_failed (mq_upstream *upstream, uint64_t now_us)
+{
+  if (++upstream->failures < FAILURES_ASIDE)
+    return;
+  upstream->aside_span_us
+      = upstream->aside_span_us == 0
+            ? ASIDE_FIRST_US
+            : MIN (upstream->aside_span_us * 2, ASIDE_MOST_US);
+  mq_upstream_put_aside (upstream, now_us, upstream->aside_span_us);
+}
--- a/programs/marjoramquay/main.c
+++ b/programs/marjoramquay/main.c
@@ -8,6 +8,7 @@
 #include <ev.h>
 #include <glib.h>
 #include <locale.h>
+#include <mq/gateway_settings.h>
 #include <mq/log.h>
 #include <mq/settings.h>
 #include <signal.h>
@@ -18,6 +19,7 @@
 #include "drain.h"
 #include "fleet_node.h"
 #include "router.h"
+#include "routing_face.h"
 
 #define EXIT_USAGE 2
 #define SETTINGS_VARIABLE "MQ_SETTINGS"
@@ -79,6 +81,8 @@
   line->overrides.platform_url = line->platform;
   if (line->settings == NULL)
     line->settings = g_strdup (g_getenv (SETTINGS_VARIABLE));
+  if (line->settings == NULL)
+    line->settings = g_strdup (mq_routing_face_settings_path ());
   g_option_context_free (context);
   return result;
 }
@@ -180,6 +184,8 @@
                              "environment's " SETTINGS_VARIABLE "\n");
       return EXIT_USAGE;
     }
+  if (mq_gateway_settings_are_at (line->settings))
+    return mq_routing_face_run (line->settings, line->check);
   if (mq_settings_load (&settings, line->settings, &line->overrides, &error)
       < 0)
     {
