Repair chains at one level, copy what would be missed most, blame only the engine at fault

After the first losses the plan filled gaps one by one, and made neighbours hold so much that a chain kept memory for some ten requests and never got it back; the head of a path was put aside for another engine's silence; libcurl repeated requests by itself on a kept connection; a send that said not-run used up an attempt; streams that had begun were ended when there was no room for a moment.

--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -21,6 +21,7 @@
   double room;    /* Tokens that its tightest stage holds.  */
   double used;    /* Tokens in flight, of all routers.  */
   double step_ms; /* Of a token on its path, without load.  */
+  bool tried;     /* A send of the same request failed there.  */
   bool local;     /* The router's own domain.  */
 } mq_domain_choice;
 
@@ -30,10 +31,11 @@
   unsigned retry_ms; /* Refused: when to come back.  */
 } mq_domain_verdict;
 
-/* Choose among N ways for a request that will hold NEED tokens.  DRAW, even
-   over 64 bits, spreads the returns of those who are refused.  */
+/* Choose among N ways for a request that will hold NEED tokens.  One that has
+   BEGUN, and would be lost, may take what is kept back from new ones.  DRAW,
+   even over 64 bits, spreads the returns of those who are refused.  */
 mq_domain_verdict mq_domain_choose (const mq_domain_choice *choices, size_t n,
-                                    double need, uint64_t draw);
+                                    double need, bool begun, uint64_t draw);
 
 /* Tokens that a request will hold at its end: PROMPT and what is expected of
    an answer of at most MOST tokens, given the client's ESTIMATE (0: none)
--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -65,6 +65,9 @@
   uint64_t connect_ms; /* 0 means 1000.  */
   uint64_t timeout_ms; /* For the whole call; 0 means none.  */
   bool streamed;       /* Report DATA events.  */
+  bool no_resend;      /* libcurl sends it at most once, though maybe on a
+                          kept connection: one that was closed meanwhile ends
+                          the call as broken.  */
   bool once;           /* Never sent twice, so on a connection of its own.
                           Without it libcurl may send a
                           request again by itself when a kept connection turns
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -133,6 +133,8 @@
   GHashTable *services; /* Name -> mq_service_state, owned.  */
   GHashTable *tokens;   /* "service domain" -> double *, our own.  */
   GHashTable *reports;  /* Set of mq_upstream asked for a report.  */
+  bool drain_closed;    /* No new connection and no new stream.  */
+  uint64_t drain_close_us;
   uint64_t drain_until_us;
   uint64_t drain_quiet_us;
   mq_metrics *metrics;
@@ -157,6 +159,7 @@
   mq_layer_path path;    /* Empty for plain services.  */
   mq_str *domain;        /* Where its tokens are counted, or NULL.  */
   double need;           /* Tokens.  */
+  double used;           /* In flight there when it was placed.  */
   mq_http_call *call;    /* Borrowed; NULL between sends.  */
   uint64_t sent_us;      /* Of the last send.  */
   uint64_t heard_us;     /* Last byte of the answer, or the send.  */
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -1,10 +1,10 @@
 /* Which engine should hold which layers.
 
-   A pure function of what the engines hold now.  It is sticky: layers that an
-   engine holds stay there, and only what no sound engine of a failure domain
-   holds is given to engines that hold nothing.  So a repair costs as few
-   orders and loads as it can, and two routers that compute it from the same
-   view give the same orders.
+   A pure function of what the engines hold now.  It is sticky: layers that
+   only one engine holds stay there, and what no sound engine of a failure
+   domain holds is given to spares.  So a repair costs as few orders and loads
+   as it can, and two routers that compute it from the same view give the same
+   orders.
 
    Chains stay inside a failure domain: an activation is 29,500 bytes a token,
    which a link between domains carries for some tens of prompts a second
@@ -26,6 +26,7 @@
   const mq_card *card;
   unsigned first; /* Layers held, or ordered and not yet reported.  */
   unsigned end;
+  bool fixed; /* An order is under way, or was refused just now.  */
   void *user; /* The caller's own.  */
 } mq_layer_holder;
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -34,16 +34,21 @@
   mq_upstream_facts facts;
   bool listed; /* Still in the registry.  */
   /* What this router has seen.  */
-  unsigned in_flight;      /* Requests, as the first of a path or alone.  */
-  uint64_t tokens;         /* Held here by requests of this router.  */
-  unsigned failures;       /* In a row.  */
-  uint64_t aside_until_us; /* Not chosen before; 0 when sound.  */
-  uint64_t aside_span_us;  /* How long it was last put aside.  */
-  uint64_t answered_us;    /* Last sign of life.  */
+  unsigned in_flight;        /* Requests, as the first of a path or alone.  */
+  uint64_t tokens;           /* Held here by requests of this router.  */
+  unsigned failures;         /* In a row.  */
+  uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
+  uint64_t aside_span_us;    /* How long it was last put aside.  */
+  uint64_t answered_us;      /* Last sign of life.  */
+  uint64_t reported_us;      /* When it was last asked how it does.  */
+  uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
+  unsigned wide_layers;      /* It held so many until lately ...  */
+  uint64_t wide_until_us;    /* ... and their memory is free by then.  */
   uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
   bool orders_unknown;    /* An order's fate is open: ask before the next.  */
   bool asked;             /* A report of it is under way.  */
   uint64_t ordered_us;    /* Last order sent by this router.  */
+  uint64_t order_hold_us; /* No order before: it refused one.  */
   unsigned ordered_first; /* What that order asked for.  */
   unsigned ordered_end;
 } mq_upstream;
@@ -79,6 +84,10 @@
 /* May new work go there at NOW_US, as far as its state says?  */
 bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
 
+/* Layers whose memory is taken at NOW_US.  An engine that lets layers go
+   keeps them until all that passes through them has ended.  */
+unsigned mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us);
+
 /* What became of a request: it answered, or it failed in a way that speaks
    against the upstream (silence, a broken connection, nonsense).  */
 void mq_upstream_succeeded (mq_upstream *upstream, uint64_t now_us);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -24,6 +24,10 @@
    forget the address.  */
 #define DRAIN_RESERVE_MS 700
 #define DRAIN_LEAST_MS 2500
+/* New connections are taken for so long, by clients that asked the directory
+   just before.  What comes later on connections that are open is refused when
+   it is a stream, since most would not end before the kill.  */
+#define DRAIN_OPEN_MS 2300
 /* Nothing came for so long: the drain is over.  */
 #define DRAIN_QUIET_MS 700
 
@@ -85,6 +89,11 @@
 static void
 drain_tick (mq_gateway *gateway, uint64_t now_us)
 {
+  if (now_us >= gateway->drain_close_us && !gateway->drain_closed)
+    {
+      gateway->drain_closed = true;
+      mq_http_server_quiesce (gateway->clients);
+    }
   if (gateway->forwards.length > 0)
     gateway->drain_quiet_us = now_us + DRAIN_QUIET_MS * 1000;
   if (now_us < gateway->drain_until_us
@@ -289,6 +298,7 @@
   gateway->drain_until_us
       = now
         + (grace > DRAIN_RESERVE_MS ? grace - DRAIN_RESERVE_MS : grace) * 1000;
+  gateway->drain_close_us = now + DRAIN_OPEN_MS * 1000;
   gateway->drain_quiet_us = now + DRAIN_LEAST_MS * 1000;
   mq_log (G_LOG_LEVEL_INFO, "router.drain",
           "open=%u grace_ms=%" G_GUINT64_FORMAT, gateway->forwards.length,
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -353,7 +353,8 @@
 {
   mq_forward *f = context;
 
-  f->heard_us = mq_gateway_now_us ();
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    f->heard_us = mq_gateway_now_us ();
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
@@ -373,12 +374,18 @@
 static void
 forward_note_failure (mq_forward *forward, mq_send_end end, uint64_t now_us)
 {
+  if (forward->upstream == NULL)
+    return;
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
+      mq_upstream_failed (forward->upstream, now_us);
+      break;
     case MQ_SEND_BROKEN:
     case MQ_SEND_SILENT:
-      if (forward->upstream != NULL)
+      /* On a path the fault may lie with any of its engines; the head's
+         report tells (gateway_stall.c).  */
+      if (forward->path.n <= 1)
         mq_upstream_failed (forward->upstream, now_us);
       break;
     case MQ_SEND_REPLIED:
@@ -400,9 +407,8 @@
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
-      f->state.sent--; /* It reached nobody.  */
-      break;
     case MQ_SEND_NOT_RUN:
+      f->state.sent--; /* It ran nowhere.  */
       break;
     case MQ_SEND_REPLIED:
     case MQ_SEND_BROKEN:
@@ -462,11 +468,9 @@
 static void
 forward_tick_stream (mq_forward *forward, uint64_t now_us)
 {
-  uint64_t silent = now_us - forward->heard_us;
-  uint64_t ask
-      = forward->split.events > 0 && forward->heard_us > forward->sent_us
-            ? SILENT_ASK_US
-            : FIRST_ASK_US;
+  bool heard = forward->heard_us > forward->sent_us;
+  uint64_t silent = now_us - (heard ? forward->heard_us : forward->sent_us);
+  uint64_t ask = heard ? SILENT_ASK_US : FIRST_ASK_US;
 
   if (silent > SILENT_MOST_US)
     {
@@ -500,7 +504,10 @@
       return;
     }
   if (forward->call == NULL)
-    return;
+    {
+      mq_forward_send (forward, now_us);
+      return;
+    }
   if (forward->route->kind == MQ_ROUTE_STREAM)
     forward_tick_stream (forward, now_us);
   else
@@ -599,6 +606,7 @@
   f->organisation = organisation;
   f->service = mq_routing_draw (f->routing, route, mq_gateway_draw (gateway));
   f->started_us = now;
+  f->heard_us = now;
   f->id = mq_http_exchange_header (exchange, h->request_id);
   f->tried
       = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
--- a/packages/gateway/gateway_front.c
+++ b/packages/gateway/gateway_front.c
@@ -116,6 +116,11 @@
       refuse_request (gateway, exchange, STATUS_TOO_LARGE, "body-too-large");
       return;
     }
+  if (gateway->drain_closed && route->kind == MQ_ROUTE_STREAM)
+    {
+      refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE, "draining");
+      return;
+    }
   mq_forward_start (gateway, exchange, route, organisation);
 }
 
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -22,6 +22,10 @@
 #define STATUS_ACCEPTED 202
 #define US_PER_S 1e6
 
+/* An engine that refused an order gets none for so long: what it does just
+   now, a load or the wait for requests that pass, takes a second or some.  */
+#define REFUSED_HOLD_US ((uint64_t)1000 * 1000)
+
 /* Engines that start together register within a heartbeat (1.2 s).  As long
    as new ones come, none is given layers, unless some hold any: a chain over
    the first few would have little memory for requests.  */
@@ -92,7 +96,11 @@
     o->upstream->orders_unknown = true;
   if (event->result == MQ_HTTP_OK && event->status != STATUS_OK
       && event->status != STATUS_ACCEPTED)
-    o->upstream->ordered_us = 0; /* Refused: plan anew.  */
+    {
+      /* Refused: another order is under way there, or the count is old.  */
+      o->upstream->ordered_us = 0;
+      o->upstream->order_hold_us = mq_gateway_now_us () + REFUSED_HOLD_US;
+    }
   mq_upstream_unref (o->upstream);
   g_free (o);
 }
@@ -165,12 +173,14 @@
           .card = mq_layered_model_card (model, mq_str_span (f->card)),
           .first = f->layer_first,
           .end = f->layer_end,
+          .fixed = now_us < upstream->order_hold_us,
           .user = upstream };
 
   if (order_is_pending (upstream, model, now_us))
     {
       h.first = upstream->ordered_first;
       h.end = upstream->ordered_end;
+      h.fixed = true;
     }
   return h;
 }
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -124,6 +124,7 @@
           .room = path->tokens,
           .used = *domain_tokens (g, key) + mq_members_tokens (g, key, now_us),
           .step_ms = path->step_ms,
+          .tried = forward_has_tried (forward, path->parts[0].upstream),
           .local = mq_span_equal (domain,
                                   mq_str_span (g->settings->failure_domain)) };
 
@@ -137,8 +138,8 @@
              const mq_domain_choice *choices, size_t n, unsigned *retry_ms)
 {
   mq_gateway *g = forward->gateway;
-  mq_domain_verdict v
-      = mq_domain_choose (choices, n, forward->need, mq_gateway_draw (g));
+  mq_domain_verdict v = mq_domain_choose (
+      choices, n, forward->need, forward->state.begun, mq_gateway_draw (g));
   char *key;
 
   if (v.chosen < 0)
@@ -147,6 +148,7 @@
       return -1;
     }
   mq_layer_path_copy (&forward->path, &paths[v.chosen]);
+  forward->used = choices[v.chosen].used;
   key = domain_key (forward->service, choices[v.chosen].domain);
   *domain_tokens (g, key) += forward->need;
   forward->domain = mq_str_new (mq_span_from (key));
@@ -169,6 +171,12 @@
       if (!mq_layer_path_find (&paths[n], &forward->gateway->registry,
                                forward->service, domains[i], now_us, NULL))
         continue;
+      if (!forward->state.begun
+          && now_us < paths[n].parts[0].upstream->crowded_until_us)
+        {
+          mq_layer_path_finish (&paths[n]);
+          continue;
+        }
       choices[n] = choice_of (forward, &paths[n], domains[i], now_us);
       n++;
     }
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -14,6 +14,10 @@
    answer's way back.  */
 #define ENGINE_RESERVE_MS 10
 
+/* A stream without a run is ended after so long without an event: clients
+   leave after 2 s, and a new run takes some 0.2 s to its first event.  */
+#define PARK_MOST_US ((uint64_t)1600 * 1000)
+
 #define ANSWER_LIMIT ((size_t)16 * 1024 * 1024)
 
 typedef struct send_headers
@@ -126,6 +130,7 @@
                              .body = mq_http_exchange_body (f->exchange),
                              .connect_ms = CONNECT_MS,
                              .streamed = f->route->kind == MQ_ROUTE_STREAM,
+                             .no_resend = true,
                              .once = !mq_forward_may_repeat (&f->state),
                              .body_limit = ANSWER_LIMIT };
 
@@ -138,7 +143,6 @@
   o.headers = (const mq_http_header *)(void *)headers.list->data;
   o.n_headers = headers.list->len;
   f->sent_us = now_us;
-  f->heard_us = now_us;
   f->call = mq_http_client_start (g->client, &o, mq_forward_on_call, f);
   g_array_unref (headers.list);
   g_string_chunk_free (headers.texts);
@@ -155,10 +159,13 @@
 
   if (mq_forward_place (f, now_us, &retry_ms) < 0)
     {
-      mq_forward_turn_away (f, retry_ms, "no-room");
+      /* A stream that has begun waits for room as long as its client does;
+         the tick sends it again.  */
+      if (!f->state.begun || now_us - f->heard_us > PARK_MOST_US)
+        mq_forward_turn_away (f, retry_ms, "no-room");
       return;
     }
-  if (f->state.sent > 0)
+  if (f->state.tries > 0)
     {
       mq_send_budget_spend (&mq_gateway_service (g, f->service)->budget,
                             now_us);
@@ -169,9 +176,11 @@
   f->state.sent++;
   f->state.tries++;
   ++*g->counters.sends;
-  mq_log (G_LOG_LEVEL_DEBUG, "request.send",
-          "request=%.*s upstream=%s parts=%u after-event=%" G_GUINT64_FORMAT,
-          MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id), f->path.n,
-          f->split.last_id);
+  mq_log (G_LOG_LEVEL_INFO, "request.send",
+          "request=%.*s upstream=%s domain=%s parts=%u room=%.0f used=%.0f"
+          " after-event=%" G_GUINT64_FORMAT,
+          MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id),
+          mq_str_cstr (f->upstream->facts.domain), f->path.n, f->path.tokens,
+          f->used, f->split.last_id);
   send_start (f, now_us);
 }
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -13,6 +13,11 @@
 /* An engine found stalled stays aside so long at least; one that died leaves
    the platform's list after three heartbeats (3.6 s).  */
 #define STALLED_ASIDE_US ((uint64_t)4000 * 1000)
+/* The same head is asked no sooner again; its report is 0.2 s old anyhow.  */
+#define REPORT_PAUSE_US ((uint64_t)300 * 1000)
+/* Work that waits at a head means that some stage has no memory left: nothing
+   new goes there until the next report would tell.  */
+#define CROWDED_US ((uint64_t)400 * 1000)
 #define STATUS_OK 200
 
 typedef struct stall_call
@@ -54,6 +59,8 @@
           "/%" G_GUINT64_FORMAT " pace=%.2f stalled=%u",
           mq_str_cstr (call->head->facts.id), r.running, r.waiting, r.kv_used,
           r.kv_total, r.pace, r.stalled_at->len);
+  if (r.waiting > 0 && r.stalled_at->len == 0)
+    call->head->crowded_until_us = mq_gateway_now_us () + CROWDED_US;
   for (guint i = 0; i < r.stalled_at->len; i++)
     {
       const char *a = g_ptr_array_index (r.stalled_at, i);
@@ -87,11 +94,14 @@
 {
   stall_call *c;
   char *url;
+  uint64_t now = mq_gateway_now_us ();
   mq_http_call_options options
       = { .connect_ms = REPORT_CONNECT_MS, .timeout_ms = REPORT_TIMEOUT_MS };
 
-  if (g_hash_table_contains (gateway->reports, head))
+  if (g_hash_table_contains (gateway->reports, head)
+      || now - head->reported_us < REPORT_PAUSE_US)
     return;
+  head->reported_us = now;
   g_hash_table_add (gateway->reports, head);
   c = g_new0 (stall_call, 1);
   c->gateway = gateway;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -62,7 +62,7 @@
   CURLcode code; /* How it ended.  */
   unsigned status;
   bool streamed;
-  bool once;
+  bool no_resend;
   bool maybe_sent;
   bool is_ready;   /* In the ready queue.  */
   bool head_whole; /* All headers have come.  */
@@ -165,7 +165,7 @@
   (void)local_address;
   (void)remote_port;
   (void)local_port;
-  if (call->once && call->maybe_sent)
+  if (call->no_resend && call->maybe_sent)
     return CURL_PREREQFUNC_ABORT;
   call->maybe_sent = true;
   return CURL_PREREQFUNC_OK;
@@ -474,7 +474,7 @@
       call->echo_name = mq_str_new (options->echo_name);
       call->echo_value = mq_str_new (options->echo_value);
     }
-  call->once = options->once;
+  call->no_resend = options->once || options->no_resend;
   call->head = g_string_new (NULL);
   call->body = g_string_new (NULL);
   call->easy = curl_easy_init ();
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -7,6 +7,11 @@
    second some 17,000 tokens over three domains) and answers that become
    longer than estimated.  */
 #define SHARE_GIVEN 0.92
+#define SHARE_BEGUN 1.0
+
+/* A domain where a send of the same request failed comes after others that
+   are fuller by this: an engine there may be failing unnoticed.  */
+#define TRIED_LAG 0.4
 
 /* How much fuller its own domain may be before a router sends elsewhere: an
    answer to another domain costs about a hundredth of its credit.  */
@@ -42,20 +47,21 @@
 
 mq_domain_verdict
 mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
-                  uint64_t draw)
+                  bool begun, uint64_t draw)
 {
   mq_domain_verdict v = { -1, 0 };
   double best = 0;
 
   for (size_t i = 0; i < n; i++)
     {
-      double given = choices[i].room * SHARE_GIVEN;
+      double given = choices[i].room * (begun ? SHARE_BEGUN : SHARE_GIVEN);
       double score;
 
       if (choices[i].used + need > given)
         continue;
       score = (choices[i].used + need) / given
-              - (choices[i].local ? LOCAL_LEAD : 0);
+              - (choices[i].local ? LOCAL_LEAD : 0)
+              + (choices[i].tried ? TRIED_LAG : 0);
       if (v.chosen < 0 || score < best)
         {
           v.chosen = (int)i;
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -36,7 +36,7 @@
 {
   return state->sent < state->attempts
          && state->tries < state->attempts + TRIES_MORE
-         && (budget || state->sent == 0)
+         && (budget || state->tries <= 1)
          && state->now_us + LEAST_LEFT_US < state->deadline_us;
 }
 
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -118,7 +118,8 @@
 /* The tokens that fit on the tightest stage.  All layers that an engine holds
    take memory, but only those of the path's part take tokens.  */
 static double
-path_tokens (const mq_layer_path *path, const mq_layered_model *model)
+path_tokens (const mq_layer_path *path, const mq_layered_model *model,
+             uint64_t now_us)
 {
   double least = NO_COST;
 
@@ -126,8 +127,9 @@
     {
       const mq_upstream_facts *f = &path->parts[i].upstream->facts;
       const mq_card *c = mq_layered_model_card (model, mq_str_span (f->card));
-      double left
-          = c->memory_mb - (f->layer_end - f->layer_first) * model->layer_mb;
+      double left = c->memory_mb
+                    - mq_upstream_layers (path->parts[i].upstream, now_us)
+                          * model->layer_mb;
       double each = model->kv_mb_per_token / model->layers
                     * (path->parts[i].end - path->parts[i].first);
 
@@ -160,7 +162,7 @@
   g_array_unref (edges);
   if (path->n == 0)
     return false;
-  path->tokens = path_tokens (path, m);
+  path->tokens = path_tokens (path, m, now_us);
   for (unsigned i = 0; i < path->n; i++)
     mq_upstream_ref (path->parts[i].upstream);
   return true;
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -1,10 +1,18 @@
 /* Which engine should hold which layers: see mq/layer_plan.h.
 
-   A gap is a run of layers that no holder of the domain has.  It is filled
-   from the empty engines, the fastest first, each with as many layers as
-   leave memory for the wanted number of tokens.  When the engines that are
-   left do not reach, the number of tokens is lowered in steps; when no
-   number reaches, the neighbours of the gap are made to hold more.  */
+   For each failure domain:
+   1. Layers that nobody holds are gaps.  They are filled by spares: engines
+      that hold nothing, and then those whose layers others hold as well.  All
+      gaps are filled at one level, the most tokens that every stage keeps
+      memory for; only where no level reaches do neighbours of a gap hold more
+      than they should, or are all layers laid out anew.
+   2. An engine that holds too many layers for its memory, from an earlier
+      repair, gives the excess to spares, and lets go of it once they hold it.
+   3. Spares that are left hold a second copy of the range whose loss would
+      cost most, so that the loss of any one engine finds a whole path.
+
+   Each try works on a copy of who holds what; a try that does not reach
+   leaves nothing behind.  */
 
 #include <mq/layer_plan.h>
 
@@ -16,9 +24,18 @@
    to 4.5 s need 200,000 to 270,000, so that two chains carry the usual load
    when the third is being repaired.  */
 #define TOKENS_WANTED 120000.0
+/* A repair goes down to this before it makes neighbours of a gap hold more;
+   a third of what is wanted still serves a third of the domain's load.  */
+#define TOKENS_FLOOR 40000.0
 /* Below this a stage is worth nothing: some ten requests.  */
-#define TOKENS_LEAST 10000.0
-#define TOKENS_STEP 0.9
+#define TOKENS_LEAST 8000.0
+/* A second copy needs to carry the load only until the repair.  */
+#define TOKENS_COPY 60000.0
+#define TOKENS_STEP 0.93
+/* A new layout moves most engines, which takes some seconds.  */
+#define LAY_OUT_GAIN 2.0
+/* A holder with less than this part of the wanted tokens is relieved.  */
+#define RELIEF_BELOW 0.6
 
 /* Cards whose paces differ by less than this are taken by memory, since a
    larger card makes the chain shorter.  */
@@ -26,20 +43,30 @@
 
 #define BISECTIONS 24
 
-typedef struct plan_gap
+typedef struct plan_range
 {
   unsigned first;
   unsigned end;
-} plan_gap;
+} plan_range;
+
+/* An engine within a try.  */
+typedef struct plan_engine
+{
+  mq_layer_holder *holder; /* Borrowed.  */
+  plan_range range;
+  bool moved;   /* To be ordered.  */
+  bool spare;   /* Holds nothing that others do not hold.  */
+  double place; /* For a new layout: its order among the others.  */
+} plan_engine;
 
 typedef struct plan_domain
 {
   const mq_layered_model *model;
-  GPtrArray *empty; /* mq_layer_holder, fastest first, borrowed.  */
-  GPtrArray *full;  /* Those that hold layers.  */
-  GArray *orders;   /* Borrowed.  */
+  GArray *engines; /* plan_engine, fastest first.  */
 } plan_domain;
 
+/* ---- Memory.  */
+
 unsigned
 mq_layer_plan_room (const mq_layered_model *model, const mq_card *card,
                     double tokens)
@@ -62,217 +89,553 @@
   return left / (model->kv_mb_per_token / model->layers * n_layers);
 }
 
+static unsigned
+engine_room (const plan_domain *domain, const plan_engine *engine,
+             double tokens)
+{
+  return mq_layer_plan_room (domain->model, engine->holder->card, tokens);
+}
+
+static unsigned
+range_size (plan_range range)
+{
+  return range.end > range.first ? range.end - range.first : 0;
+}
+
+static double
+engine_tokens (const plan_domain *domain, const plan_engine *engine)
+{
+  return mq_layer_plan_tokens (domain->model, engine->holder->card,
+                               range_size (engine->range));
+}
+
+static plan_engine *
+domain_engine (const plan_domain *domain, guint i)
+{
+  return &g_array_index (domain->engines, plan_engine, i);
+}
+
+/* ---- Who holds what.  */
+
 static int
-holder_compare (gconstpointer a, gconstpointer b)
+engine_compare (gconstpointer a, gconstpointer b)
 {
-  const mq_layer_holder *x = *(const mq_layer_holder *const *)a;
-  const mq_layer_holder *y = *(const mq_layer_holder *const *)b;
-  double px = x->card->pace;
-  double py = y->card->pace;
+  const mq_card *x = ((const plan_engine *)a)->holder->card;
+  const mq_card *y = ((const plan_engine *)b)->holder->card;
 
-  if (px * PACE_ALIKE < py)
+  if (x->pace * PACE_ALIKE < y->pace)
     return -1;
-  if (py * PACE_ALIKE < px)
+  if (y->pace * PACE_ALIKE < x->pace)
     return 1;
-  return x->card->memory_mb > y->card->memory_mb   ? -1
-         : x->card->memory_mb < y->card->memory_mb ? 1
-                                                   : 0;
+  return x->memory_mb > y->memory_mb ? -1 : x->memory_mb < y->memory_mb;
 }
 
-/* How many of the first engines of EMPTY hold N layers with TOKENS tokens
-   each; 0 when all together do not.  */
-static unsigned
-domain_reach (const plan_domain *domain, unsigned n, double tokens)
+/* How many engines hold each layer; free with g_free.  */
+static unsigned *
+domain_cover (const plan_domain *domain)
 {
-  unsigned sum = 0;
+  unsigned *cover = g_new0 (unsigned, domain->model->layers + 1);
 
-  for (guint i = 0; i < domain->empty->len; i++)
+  for (guint i = 0; i < domain->engines->len; i++)
     {
-      const mq_layer_holder *h = g_ptr_array_index (domain->empty, i);
+      plan_range r = domain_engine (domain, i)->range;
 
-      sum += mq_layer_plan_room (domain->model, h->card, tokens);
-      if (sum >= n)
-        return i + 1;
+      for (unsigned l = r.first; l < MIN (r.end, domain->model->layers); l++)
+        cover[l]++;
     }
-  return 0;
+  return cover;
 }
 
-static unsigned
-domain_sum (const plan_domain *domain, unsigned count, double tokens)
+/* Does everything in RANGE stand N times in COVER?  */
+static bool
+cover_reaches (const unsigned *cover, plan_range range, unsigned n)
 {
-  unsigned sum = 0;
+  for (unsigned l = range.first; l < range.end; l++)
+    if (cover[l] < n)
+      return false;
+  return true;
+}
 
-  for (unsigned i = 0; i < count; i++)
+/* Mark the spares: those that hold nothing, and then one after the other
+   those whose layers stand twice without the spares so far, the smallest
+   first.  */
+static void
+domain_mark_spares (plan_domain *domain)
+{
+  unsigned *cover = domain_cover (domain);
+  plan_engine *next;
+
+  for (guint i = 0; i < domain->engines->len; i++)
     {
-      const mq_layer_holder *h = g_ptr_array_index (domain->empty, i);
+      plan_engine *e = domain_engine (domain, i);
 
-      sum += mq_layer_plan_room (domain->model, h->card, tokens);
+      e->spare = range_size (e->range) == 0 && !e->holder->fixed;
     }
-  return sum;
+  do
+    {
+      next = NULL;
+      for (guint i = 0; i < domain->engines->len; i++)
+        {
+          plan_engine *e = domain_engine (domain, i);
+
+          if (!e->spare && !e->holder->fixed && range_size (e->range) > 0
+              && cover_reaches (cover, e->range, 2)
+              && (next == NULL
+                  || range_size (e->range) < range_size (next->range)))
+            next = e;
+        }
+      if (next != NULL)
+        {
+          next->spare = true;
+          for (unsigned l = next->range.first; l < next->range.end; l++)
+            cover[l]--;
+        }
+    }
+  while (next != NULL);
+  g_free (cover);
 }
 
-/* The most tokens with which the first COUNT engines still hold N layers,
-   given that TOKENS do.  */
-static double
-domain_level (const plan_domain *domain, unsigned count, unsigned n,
-              double tokens)
+/* Append the runs of layers that nobody holds.  */
+static GArray *
+domain_gaps (const plan_domain *domain)
 {
-  double low = tokens;
-  double high = tokens * 8;
+  GArray *gaps = g_array_new (FALSE, FALSE, sizeof (plan_range));
+  unsigned *cover = domain_cover (domain);
+  unsigned n = domain->model->layers;
 
-  for (int i = 0; i < BISECTIONS; i++)
+  for (unsigned l = 0; l < n; l++)
     {
-      double middle = (low + high) / 2;
+      plan_range g = { l, l };
 
-      if (domain_sum (domain, count, middle) >= n)
-        low = middle;
-      else
-        high = middle;
+      while (l < n && cover[l] == 0)
+        g.end = ++l;
+      if (range_size (g) > 0)
+        g_array_append_val (gaps, g);
     }
-  return low;
+  g_free (cover);
+  return gaps;
 }
 
-static void
-domain_order (plan_domain *domain, mq_layer_holder *holder, unsigned first,
-              unsigned end)
+/* ---- Tries.  */
+
+static GArray *
+engines_copy (const GArray *engines)
 {
-  mq_layer_order o = { holder, first, end };
+  GArray *copy
+      = g_array_sized_new (FALSE, FALSE, sizeof (plan_engine), engines->len);
 
-  holder->first = first;
-  holder->end = end;
-  g_array_append_val (domain->orders, o);
+  return g_array_append_vals (copy, engines->data, engines->len);
 }
 
-/* Deal GAP to the first COUNT empty engines.  */
 static void
-domain_deal (plan_domain *domain, plan_gap gap, unsigned count, double tokens)
+engine_move (plan_engine *engine, plan_range range)
 {
-  unsigned at = gap.first;
+  engine->range = range;
+  engine->moved = true;
+  engine->spare = false;
+}
 
-  for (unsigned i = 0; i < count && at < gap.end; i++)
+/* The slowest spare that holds N layers with TOKENS tokens, so that a small
+   gap does not take the best card; empty ones first.  */
+static plan_engine *
+domain_one_spare (const plan_domain *domain, unsigned n, double tokens)
+{
+  plan_engine *best = NULL;
+
+  for (guint i = domain->engines->len; i-- > 0;)
     {
-      mq_layer_holder *h = g_ptr_array_index (domain->empty, 0);
-      unsigned n = mq_layer_plan_room (domain->model, h->card, tokens);
+      plan_engine *e = domain_engine (domain, i);
+      bool empty = range_size (e->range) == 0;
 
-      n = MIN (n, gap.end - at);
-      g_ptr_array_remove_index (domain->empty, 0);
-      if (n == 0)
+      if (!e->spare || engine_room (domain, e, tokens) < n)
         continue;
-      domain_order (domain, h, at, at + n);
-      g_ptr_array_add (domain->full, h);
-      at += n;
+      if (empty)
+        return e;
+      if (best == NULL)
+        best = e;
     }
+  return best;
 }
 
-/* One engine that holds N layers, the slowest that does, so that a small gap
-   does not take the best card.  Moves it to the front; false when none.  */
+/* The fastest spare, empty ones first, that holds anything.  */
+static plan_engine *
+domain_next_spare (const plan_domain *domain, double tokens)
+{
+  plan_engine *best = NULL;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      plan_engine *e = domain_engine (domain, i);
+
+      if (!e->spare || engine_room (domain, e, tokens) == 0)
+        continue;
+      if (range_size (e->range) == 0)
+        return e;
+      if (best == NULL)
+        best = e;
+    }
+  return best;
+}
+
+/* Give GAP to spares with TOKENS tokens each.  False when they don't reach. */
 static bool
-domain_pick_one (plan_domain *domain, unsigned n)
+domain_fill (plan_domain *domain, plan_range gap, double tokens)
 {
-  for (guint i = domain->empty->len; i-- > 0;)
+  while (range_size (gap) > 0)
     {
-      mq_layer_holder *h = g_ptr_array_index (domain->empty, i);
+      plan_engine *e = domain_one_spare (domain, range_size (gap), tokens);
+      unsigned n;
+
+      if (e == NULL)
+        e = domain_next_spare (domain, tokens);
+      if (e == NULL)
+        return false;
+      n = MIN (engine_room (domain, e, tokens), range_size (gap));
+      engine_move (e, (plan_range){ gap.first, gap.first + n });
+      gap.first += n;
+    }
+  return true;
+}
 
-      if (mq_layer_plan_room (domain->model, h->card, TOKENS_WANTED) < n)
+/* Have the neighbours of GAP hold as much of it as leaves memory for TOKENS.
+   Returns what is left.  */
+static plan_range
+domain_stretch (plan_domain *domain, plan_range gap, double tokens)
+{
+  for (guint i = 0; i < domain->engines->len && range_size (gap) > 0; i++)
+    {
+      plan_engine *e = domain_engine (domain, i);
+      unsigned held = range_size (e->range);
+      unsigned room = engine_room (domain, e, tokens);
+      unsigned more = room > held ? MIN (room - held, range_size (gap)) : 0;
+
+      if (held == 0 || more == 0 || e->spare || e->holder->fixed)
         continue;
-      g_ptr_array_remove_index (domain->empty, i);
-      g_ptr_array_insert (domain->empty, 0, h);
+      if (e->range.end == gap.first)
+        {
+          engine_move (e, (plan_range){ e->range.first, e->range.end + more });
+          gap.first += more;
+        }
+      else if (e->range.first == gap.end)
+        {
+          engine_move (e, (plan_range){ e->range.first - more, e->range.end });
+          gap.end -= more;
+        }
+    }
+  return gap;
+}
+
+/* Fill all GAPS at TOKENS; false, and nothing changed, when that fails.  */
+static bool
+domain_try (plan_domain *domain, const GArray *gaps, double tokens,
+            bool stretch)
+{
+  GArray *before = engines_copy (domain->engines);
+  bool reached = true;
+
+  for (guint i = 0; i < gaps->len && reached; i++)
+    {
+      plan_range g = g_array_index (gaps, plan_range, i);
+
+      if (stretch)
+        g = domain_stretch (domain, g, tokens);
+      reached = domain_fill (domain, g, tokens);
+    }
+  if (reached)
+    {
+      g_array_unref (before);
       return true;
     }
+  g_array_unref (domain->engines);
+  domain->engines = before;
   return false;
 }
 
-/* Give GAP to empty engines.  False when they do not reach.  */
+/* ---- The steps.  */
+
 static bool
-domain_fill (plan_domain *domain, plan_gap gap)
+domain_holds_nothing (const plan_domain *domain)
+{
+  for (guint i = 0; i < domain->engines->len; i++)
+    if (range_size (domain_engine (domain, i)->range) > 0)
+      return false;
+  return true;
+}
+
+/* How many of the fastest engines reach N layers at TOKENS; 0: not all.  */
+static guint
+domain_reach (const plan_domain *domain, unsigned n, double tokens)
 {
-  unsigned n = gap.end - gap.first;
+  unsigned sum = 0;
 
-  if (domain_pick_one (domain, n))
+  for (guint i = 0; i < domain->engines->len; i++)
     {
-      domain_deal (domain, gap, 1, TOKENS_WANTED);
-      return true;
+      sum += engine_room (domain, domain_engine (domain, i), tokens);
+      if (sum >= n)
+        return i + 1;
+    }
+  return 0;
+}
+
+/* Deal all layers to the fastest engines that reach, the memory beside the
+   layers even in tokens.  */
+static void
+domain_deal (plan_domain *domain)
+{
+  unsigned n = domain->model->layers;
+  double low = TOKENS_WANTED;
+  double high;
+  guint count = 0;
+  unsigned at = 0;
+
+  while (low >= TOKENS_LEAST && (count = domain_reach (domain, n, low)) == 0)
+    low *= TOKENS_STEP;
+  if (count == 0)
+    return;
+  high = low * 4;
+  for (int i = 0; i < BISECTIONS; i++)
+    {
+      double middle = (low + high) / 2;
+      guint reach = domain_reach (domain, n, middle);
+
+      if (reach > 0 && reach <= count)
+        low = middle;
+      else
+        high = middle;
     }
-  for (double t = TOKENS_WANTED; t >= TOKENS_LEAST; t *= TOKENS_STEP)
+  for (guint i = 0; i < count && at < n; i++)
     {
-      unsigned count = domain_reach (domain, n, t);
+      plan_engine *e = domain_engine (domain, i);
+      unsigned more = MIN (engine_room (domain, e, low), n - at);
 
-      if (count == 0)
-        continue;
-      domain_deal (domain, gap, count, domain_level (domain, count, n, t));
-      return true;
+      if (more > 0)
+        engine_move (e, (plan_range){ at, at + more });
+      at += more;
     }
-  return false;
 }
 
-/* Have the holder that ends where GAP begins, or begins where it ends, hold
-   as much of it as leaves room for the fewest tokens.  */
+/* The highest level at which spares fill all GAPS, which is then done; 0 when
+   none down to LEAST does.  */
+static double
+domain_fill_all (plan_domain *domain, const GArray *gaps, double least,
+                 bool stretch)
+{
+  for (double t = TOKENS_WANTED; t >= least; t *= TOKENS_STEP)
+    if (domain_try (domain, gaps, t, stretch))
+      return t;
+  return 0;
+}
+
+/* ---- A new layout, where spares do not reach.  */
+
+/* Where an engine should stand among the others: at the middle of what it
+   holds, so that it keeps most of it; a spare at the first gap.  */
+static double
+engine_place (const plan_engine *engine, plan_range gap)
+{
+  plan_range r
+      = range_size (engine->range) > 0 && !engine->spare ? engine->range : gap;
+
+  return (r.first + r.end) / 2.0;
+}
+
+static int
+engine_compare_place (gconstpointer a, gconstpointer b)
+{
+  double x = ((const plan_engine *)a)->place;
+  double y = ((const plan_engine *)b)->place;
+
+  return x < y ? -1 : x > y;
+}
+
+/* Lay all layers out anew over all engines, each near to where it was.
+   Returns the level, or 0 when memory does not reach or an order is under
+   way.  */
+static double
+domain_lay_out (plan_domain *domain, const GArray *gaps)
+{
+  double level = TOKENS_WANTED;
+  unsigned at = 0;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      plan_engine *e = domain_engine (domain, i);
+
+      if (e->holder->fixed)
+        return 0;
+      e->place
+          = engine_place (e, g_array_index (gaps, plan_range, i % gaps->len));
+    }
+  while (level >= TOKENS_LEAST
+         && domain_reach (domain, domain->model->layers, level) == 0)
+    level *= TOKENS_STEP;
+  if (level < TOKENS_LEAST)
+    return 0;
+  g_array_sort (domain->engines, engine_compare_place);
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      plan_engine *e = domain_engine (domain, i);
+      unsigned n
+          = MIN (engine_room (domain, e, level), domain->model->layers - at);
+      plan_range r = { at, at + n };
+
+      if (n > 0 && (r.first != e->range.first || r.end != e->range.end))
+        engine_move (e, r);
+      at += n;
+    }
+  return level;
+}
+
+/* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
+   less than half of what a new layout would, by a new layout.  */
 static void
-domain_stretch (plan_domain *domain, plan_gap gap)
+domain_repair (plan_domain *domain, const GArray *gaps)
 {
-  for (guint i = 0; i < domain->full->len && gap.first < gap.end; i++)
+  GArray *before;
+  double stretched;
+  double laid_out;
+
+  if (domain_fill_all (domain, gaps, TOKENS_FLOOR, false) > 0)
+    return;
+  before = engines_copy (domain->engines);
+  stretched = domain_fill_all (domain, gaps, TOKENS_LEAST, true);
+  if (stretched < TOKENS_FLOOR)
     {
-      mq_layer_holder *h = g_ptr_array_index (domain->full, i);
-      unsigned held = h->end - h->first;
-      unsigned room
-          = mq_layer_plan_room (domain->model, h->card, TOKENS_LEAST);
-      unsigned more = room > held ? MIN (room - held, gap.end - gap.first) : 0;
+      GArray *other = domain->engines;
 
-      if (more == 0)
-        continue;
-      if (h->end == gap.first)
+      domain->engines = engines_copy (before);
+      laid_out = domain_lay_out (domain, gaps);
+      if (laid_out > stretched * LAY_OUT_GAIN)
+        g_array_unref (other);
+      else
         {
-          domain_order (domain, h, h->first, h->end + more);
-          gap.first += more;
+          g_array_unref (domain->engines);
+          domain->engines = other;
         }
-      else if (h->first == gap.end)
+    }
+  g_array_unref (before);
+}
+
+/* Give what overloaded engines hold too much of to spares, one engine a
+   time.  */
+static void
+domain_relieve (plan_domain *domain)
+{
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      plan_engine *e = domain_engine (domain, i);
+      unsigned room = engine_room (domain, e, TOKENS_WANTED);
+      unsigned *cover;
+      plan_range over;
+
+      if (e->moved || e->spare || e->holder->fixed
+          || range_size (e->range) <= room
+          || engine_tokens (domain, e) >= TOKENS_WANTED * RELIEF_BELOW)
+        continue;
+      cover = domain_cover (domain);
+      over = (plan_range){ e->range.first + room, e->range.end };
+      if (cover_reaches (cover, over, 2))
+        engine_move (e, (plan_range){ e->range.first, over.first });
+      else
         {
-          domain_order (domain, h, h->first - more, h->end);
-          gap.end -= more;
+          GArray *gaps = g_array_new (FALSE, FALSE, sizeof (plan_range));
+
+          g_array_append_val (gaps, over);
+          (void)domain_try (domain, gaps, TOKENS_COPY, false);
+          g_array_unref (gaps);
         }
+      g_free (cover);
+      return;
     }
 }
 
-/* Append the runs of layers that nobody holds.  */
+/* Let empty engines hold a second copy of the largest range that stands only
+   once, as long as they reach.  */
 static void
-domain_gaps (const plan_domain *domain, GArray *gaps)
+domain_copy (plan_domain *domain)
 {
-  bool *held = g_new0 (bool, domain->model->layers);
+  bool found = true;
 
-  for (guint i = 0; i < domain->full->len; i++)
+  while (found)
     {
-      const mq_layer_holder *h = g_ptr_array_index (domain->full, i);
+      unsigned *cover = domain_cover (domain);
+      plan_range best = { 0, 0 };
 
-      for (unsigned l = h->first; l < MIN (h->end, domain->model->layers); l++)
-        held[l] = true;
+      found = false;
+      for (guint i = 0; i < domain->engines->len; i++)
+        {
+          plan_range r = domain_engine (domain, i)->range;
+
+          if (range_size (r) > range_size (best)
+              && !cover_reaches (cover, r, 2))
+            {
+              GArray *gaps = g_array_new (FALSE, FALSE, sizeof (plan_range));
+              GArray *before = engines_copy (domain->engines);
+
+              g_array_append_val (gaps, r);
+              if (domain_try (domain, gaps, TOKENS_COPY, false))
+                best = r;
+              g_array_unref (domain->engines);
+              domain->engines = before;
+              g_array_unref (gaps);
+            }
+        }
+      if (range_size (best) > 0)
+        {
+          GArray *gaps = g_array_new (FALSE, FALSE, sizeof (plan_range));
+
+          g_array_append_val (gaps, best);
+          found = domain_try (domain, gaps, TOKENS_COPY, false);
+          g_array_unref (gaps);
+        }
+      g_free (cover);
     }
-  for (unsigned l = 0; l < domain->model->layers; l++)
+}
+
+/* Only what holds nothing may take a copy: a copy is not moved for a copy. */
+static void
+domain_keep_empty_spares (plan_domain *domain)
+{
+  for (guint i = 0; i < domain->engines->len; i++)
     {
-      plan_gap g = { l, l };
+      plan_engine *e = domain_engine (domain, i);
 
-      while (l < domain->model->layers && !held[l])
-        g.end = ++l;
-      if (g.end > g.first)
-        g_array_append_val (gaps, g);
+      e->spare = e->spare && range_size (e->range) == 0;
     }
-  g_free (held);
 }
 
 static void
 domain_work (plan_domain *domain)
 {
-  GArray *gaps = g_array_new (FALSE, FALSE, sizeof (plan_gap));
+  GArray *gaps;
+
+  g_array_sort (domain->engines, engine_compare);
+  if (domain_holds_nothing (domain))
+    domain_deal (domain);
+  domain_mark_spares (domain);
+  gaps = domain_gaps (domain);
+  if (gaps->len > 0)
+    domain_repair (domain, gaps);
+  else
+    {
+      domain_keep_empty_spares (domain);
+      domain_relieve (domain);
+      domain_copy (domain);
+    }
+  g_array_unref (gaps);
+}
 
-  domain_gaps (domain, gaps);
-  g_ptr_array_sort (domain->empty, holder_compare);
-  for (guint i = 0; i < gaps->len; i++)
+static void
+domain_write_orders (const plan_domain *domain, GArray *orders)
+{
+  for (guint i = 0; i < domain->engines->len; i++)
     {
-      plan_gap g = g_array_index (gaps, plan_gap, i);
+      const plan_engine *e = domain_engine (domain, i);
+      mq_layer_order o = { e->holder, e->range.first, e->range.end };
 
-      if (!domain_fill (domain, g))
-        domain_stretch (domain, g);
+      if (e->moved)
+        g_array_append_val (orders, o);
     }
-  g_array_unref (gaps);
 }
 
 /* Was the domain of holder I seen before it?  */
@@ -291,20 +654,22 @@
 {
   for (size_t i = 0; i < n; i++)
     {
-      plan_domain d = { model, NULL, NULL, orders };
+      plan_domain d = { model, NULL };
 
       if (plan_domain_is_known (holders, i))
         continue;
-      d.empty = g_ptr_array_new ();
-      d.full = g_ptr_array_new ();
+      d.engines = g_array_new (FALSE, FALSE, sizeof (plan_engine));
       for (size_t k = i; k < n; k++)
-        if (mq_span_equal (holders[k].domain, holders[i].domain)
-            && holders[k].card != NULL)
-          g_ptr_array_add (holders[k].first < holders[k].end ? d.full
-                                                             : d.empty,
-                           &holders[k]);
+        {
+          plan_engine e = { .holder = &holders[k],
+                            .range = { holders[k].first, holders[k].end } };
+
+          if (mq_span_equal (holders[k].domain, holders[i].domain)
+              && holders[k].card != NULL)
+            g_array_append_val (d.engines, e);
+        }
       domain_work (&d);
-      g_ptr_array_unref (d.empty);
-      g_ptr_array_unref (d.full);
+      domain_write_orders (&d, orders);
+      g_array_unref (d.engines);
     }
 }
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -12,6 +12,10 @@
    leaves the platform's list after three heartbeats (3.6 s), so longer waits
    only delay the return of a sound one.  */
 #define ASIDE_FIRST_US ((uint64_t)1000 * 1000)
+
+/* Layers that an engine lets go stay in its memory until the requests that
+   pass through them have ended; most last less than this.  */
+#define LET_GO_US ((uint64_t)5000 * 1000)
 #define ASIDE_MOST_US ((uint64_t)4000 * 1000)
 
 void
@@ -64,6 +68,35 @@
   g_hash_table_unref (registry->by_id);
 }
 
+static unsigned
+facts_layers (const mq_upstream_facts *facts)
+{
+  return facts->layer_end > facts->layer_first
+             ? facts->layer_end - facts->layer_first
+             : 0;
+}
+
+/* Remember what UPSTREAM held if it lets some of it go by FACTS.  */
+static void
+upstream_note_layers (mq_upstream *upstream, const mq_upstream_facts *facts,
+                      uint64_t now_us)
+{
+  unsigned before = facts_layers (&upstream->facts);
+
+  if (facts_layers (facts) >= before)
+    return;
+  upstream->wide_layers = before;
+  upstream->wide_until_us = now_us + LET_GO_US;
+}
+
+unsigned
+mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us)
+{
+  unsigned n = facts_layers (&upstream->facts);
+
+  return now_us < upstream->wide_until_us ? MAX (n, upstream->wide_layers) : n;
+}
+
 void
 mq_registry_put (mq_registry *registry, mq_upstream_facts *facts,
                  uint64_t now_us)
@@ -85,6 +118,7 @@
       /* The key of the table lies in the old id.  */
       mq_str *id = facts->id;
 
+      upstream_note_layers (u, facts, now_us);
       facts->id = u->facts.id;
       u->facts.id = NULL;
       mq_upstream_facts_finish (&u->facts);
