Order layers while the store is away, and ask engines for the fate of orders

Nobody gave orders without the store, what engines held was seen only through it, and an unanswered order blocked its engine for some seconds; all three domains were without a chain.

Conclusion: an engine's own count of orders makes a second orderer harmless, so orders need no lease and no store.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -103,6 +103,7 @@
   struct ev_loop *loop;                /* Borrowed.  */
   const mq_dialect *dialect;           /* Borrowed.  */
   const mq_gateway_settings *settings; /* Borrowed.  */
+  uint64_t started_us;
   mq_gateway_mode mode;
   mq_http_client *client;
   mq_http_server *clients;
@@ -172,7 +173,8 @@
 uint64_t mq_gateway_draw (mq_gateway *gateway);
 mq_service_state *mq_gateway_service (mq_gateway *gateway,
                                       const mq_route_service *service);
-/* Routers that live, with this one.  */
+/* Routers that were heard within the window of the budget of further sends,
+   with this one: one that ended has used its part.  */
 unsigned mq_gateway_routers (const mq_gateway *gateway);
 bool mq_gateway_is_ready (const mq_gateway *gateway);
 
@@ -235,6 +237,10 @@
 void mq_members_tell (mq_gateway *gateway);
 void mq_members_tick (mq_gateway *gateway, uint64_t now_us);
 bool mq_member_lives (const mq_member *member, uint64_t now_us);
+/* Tell all peers what UPSTREAM says that it holds.  */
+void mq_members_tell_layers (mq_gateway *gateway, const mq_upstream *upstream);
+/* Did the store answer lately?  */
+bool mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us);
 /* Does this router give the orders just now?  */
 bool mq_members_we_lead (const mq_gateway *gateway, uint64_t now_us);
 /* Tokens that other routers have in flight under KEY.  */
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -21,13 +21,16 @@
   uint64_t slice_us;
   double ratio;
   double slack;
+  uint64_t born_us;
   uint64_t slice; /* Number of the present slice of time.  */
   unsigned first[MQ_SEND_BUDGET_SLICES + 1]; /* Requests.  */
   unsigned more[MQ_SEND_BUDGET_SLICES + 1];  /* Sends beyond the first.  */
 } mq_send_budget;
 
+/* NOW_US: when this process began.  What an earlier process of the same VM
+   sent in the window is not known, so the slack grows over the first one.  */
 void mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
-                          uint64_t window_us);
+                          uint64_t window_us, uint64_t now_us);
 
 /* A request for the service came.  */
 void mq_send_budget_request (mq_send_budget *budget, uint64_t now_us);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -72,6 +72,10 @@
 /* Take FACTS, which become the registry's and are empty afterwards.  */
 void mq_registry_put (mq_registry *registry, mq_upstream_facts *facts,
                       uint64_t now_us);
+/* UPSTREAM holds layers [FIRST, END) now, as it says itself.  Returns true
+   when that is news.  */
+bool mq_registry_set_layers (mq_registry *registry, mq_upstream *upstream,
+                             unsigned first, unsigned end, uint64_t now_us);
 /* The upstream of that id has left.  Unknown ids are passed over.  */
 void mq_registry_remove (mq_registry *registry, mq_span id);
 /* Drop all whose ids are not in KEEP, a set of C strings.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -57,9 +57,9 @@
   if (s != NULL)
     return s;
   s = g_new0 (mq_service_state, 1);
-  mq_send_budget_init (&s->budget, gateway->settings->send_ratio,
-                       gateway->settings->send_slack,
-                       gateway->settings->send_window_ms * 1000);
+  mq_send_budget_init (
+      &s->budget, gateway->settings->send_ratio, gateway->settings->send_slack,
+      gateway->settings->send_window_ms * 1000, gateway->started_us);
   g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
   return s;
 }
@@ -68,14 +68,19 @@
 mq_gateway_routers (const mq_gateway *gateway)
 {
   uint64_t now = mq_gateway_now_us ();
+  uint64_t window = gateway->settings->send_window_ms * 1000;
   GHashTableIter i;
   gpointer value;
   unsigned n = 1;
 
   g_hash_table_iter_init (&i, gateway->members);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    if (mq_member_lives (value, now))
-      n++;
+    {
+      const mq_member *m = value;
+
+      if (m->heard_us > 0 && now - m->heard_us < window)
+        n++;
+    }
   return n;
 }
 
@@ -219,6 +224,7 @@
   randombytes_buf (&g->random, sizeof g->random);
   randombytes_buf (&g->incarnation, sizeof g->incarnation);
   g->incarnation >>= 12; /* Fits a JSON number of any reader.  */
+  g->started_us = mq_gateway_now_us ();
   mq_registry_init (&g->registry);
   g_queue_init (&g->forwards);
   g->metrics = mq_metrics_new ();
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -8,8 +8,9 @@
    store turns away.
 
    The router that gives the orders is the live one with the lowest name among
-   those that reach the store.  Two may think so for a moment; the engines'
-   own count of orders, which every order names, lets only one through.  */
+   those that reach the store, or, when none does, of all, if most of those
+   known are heard.  Two may think so for a moment; the engines' own count of
+   orders, which every order names, lets only one through.  */
 
 #include <mq/internal/gateway.h>
 
@@ -24,8 +25,12 @@
 #define BEHIND_US ((uint64_t)300 * 1000)
 /* The store was reached lately: one follow and a little.  */
 #define STORE_FRESH_US ((uint64_t)4500 * 1000)
+/* Failures in a row that count as an outage.  */
+#define STORE_LOST_FAILURES 2
 /* Again after a write or a scan that failed, and between scans.  */
 #define MEMBER_RETRY_US ((uint64_t)1000 * 1000)
+/* Routers heard within this count as known, for who is most.  */
+#define KNOWN_US ((uint64_t)30 * 1000 * 1000)
 #define MEMBER_SCAN_US ((uint64_t)15 * 1000 * 1000)
 
 static void
@@ -70,12 +75,13 @@
 
 /* ---- News.  */
 
-static bool
-store_is_reached (const mq_gateway *gateway, uint64_t now_us)
+bool
+mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us)
 {
-  uint64_t fresh = gateway->upstream_feed.fresh_us;
+  const mq_feed *f = &gateway->upstream_feed;
 
-  return fresh > 0 && now_us - fresh < STORE_FRESH_US;
+  return f->fresh_us > 0 && f->failures < STORE_LOST_FAILURES
+         && now_us - f->fresh_us < STORE_FRESH_US;
 }
 
 static void
@@ -137,7 +143,8 @@
   mq_json_text_member (out, "domain",
                        mq_str_span (gateway->settings->failure_domain));
   mq_json_text_bool (out, "ready", mq_gateway_is_ready (gateway));
-  mq_json_text_bool (out, "store", store_is_reached (gateway, now_us));
+  mq_json_text_bool (out, "store",
+                     mq_members_store_is_reached (gateway, now_us));
   mq_json_text_number (out, "routing",
                        gateway->routing ? gateway->routing->version : 0);
   mq_json_text_number (out, "upstreams", gateway->upstreams_at);
@@ -146,14 +153,13 @@
   g_string_append_c (out, '}');
 }
 
-void
-mq_members_tell (mq_gateway *gateway)
+/* Send OUT, which is freed, to all peers.  */
+static void
+tell_all (mq_gateway *gateway, GString *out)
 {
-  GString *out = g_string_new (NULL);
   GHashTableIter i;
   gpointer value;
 
-  news_write (gateway, out, mq_gateway_now_us ());
   g_hash_table_iter_init (&i, gateway->members);
   while (g_hash_table_iter_next (&i, NULL, &value))
     (void)mq_peers_send (gateway->peers,
@@ -162,6 +168,28 @@
   g_string_free (out, TRUE);
 }
 
+void
+mq_members_tell (mq_gateway *gateway)
+{
+  GString *out = g_string_new (NULL);
+
+  news_write (gateway, out, mq_gateway_now_us ());
+  tell_all (gateway, out);
+}
+
+void
+mq_members_tell_layers (mq_gateway *gateway, const mq_upstream *upstream)
+{
+  GString *out = g_string_new ("{");
+
+  mq_json_text_member (out, "kind", MQ_SPAN ("layers"));
+  mq_json_text_member (out, "upstream", mq_str_span (upstream->facts.id));
+  mq_json_text_number (out, "first", upstream->facts.layer_first);
+  mq_json_text_number (out, "end", upstream->facts.layer_end);
+  g_string_append_c (out, '}');
+  tell_all (gateway, out);
+}
+
 /* ---- Passing on.  */
 
 static void
@@ -277,6 +305,20 @@
   take_peers (gateway, root);
 }
 
+/* An engine told a peer what it holds.  */
+static void
+take_layers (mq_gateway *gateway, const mq_json *root)
+{
+  mq_upstream *u = mq_registry_find (
+      &gateway->registry, mq_json_span (root, "upstream", MQ_SPAN ("")));
+  unsigned first = (unsigned)mq_json_u64 (root, "first", 0, UINT32_MAX, 0);
+  unsigned end = (unsigned)mq_json_u64 (root, "end", 0, UINT32_MAX, 0);
+
+  if (u != NULL)
+    (void)mq_registry_set_layers (&gateway->registry, u, first, end,
+                                  mq_gateway_now_us ());
+}
+
 static void
 on_message (void *context, mq_span bytes)
 {
@@ -294,6 +336,8 @@
   kind = mq_json_span (&root, "kind", MQ_SPAN (""));
   if (mq_span_equal (kind, MQ_SPAN ("news")))
     take_news (g, &root);
+  else if (mq_span_equal (kind, MQ_SPAN ("layers")))
+    take_layers (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("routing")))
     mq_gateway_take_routing (g, mq_json_span (&root, "text", MQ_SPAN ("")),
                              "peer");
@@ -426,24 +470,61 @@
     members_scan (gateway, now_us);
 }
 
+/* May this router give orders though nobody it hears reaches the store?  Only
+   with more than half of the routers that it knows to have lived lately: one
+   that is cut off must not undo what the others do.  */
+static bool
+members_are_most (const mq_gateway *gateway, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+  unsigned known = 1;
+  unsigned alive = 1;
+
+  g_hash_table_iter_init (&i, gateway->members);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_member *m = value;
+
+      if (m->heard_us == 0 || now_us - m->heard_us > KNOWN_US)
+        continue;
+      known++;
+      if (mq_member_lives (m, now_us))
+        alive++;
+    }
+  return alive * 2 > known;
+}
+
+/* Should MEMBER give the orders rather than this router, given that those
+   who reach the store come first?  */
+static bool
+member_goes_before (const mq_gateway *gateway, const mq_member *member,
+                    bool reached)
+{
+  if (member->store_reached != reached)
+    return member->store_reached;
+  return mq_span_compare (mq_str_span (member->name),
+                          mq_str_span (gateway->settings->name))
+         < 0;
+}
+
 bool
 mq_members_we_lead (const mq_gateway *gateway, uint64_t now_us)
 {
+  bool reached = mq_members_store_is_reached (gateway, now_us);
   GHashTableIter i;
   gpointer value;
 
   if (gateway->mode != MQ_GATEWAY_SERVING
-      || !store_is_reached (gateway, now_us))
+      || (!reached && !members_are_most (gateway, now_us)))
     return false;
   g_hash_table_iter_init (&i, gateway->members);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const mq_member *m = value;
 
-      if (mq_member_lives (m, now_us) && m->ready && m->store_reached
-          && mq_span_compare (mq_str_span (m->name),
-                              mq_str_span (gateway->settings->name))
-                 < 0)
+      if (mq_member_lives (m, now_us) && m->ready
+          && member_goes_before (gateway, m, reached))
         return false;
     }
   return true;
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -16,7 +16,11 @@
 /* Beside the load itself: the order's way, a report's lag (0.2 s) and the
    store's news of it.  */
 #define ORDER_SLACK_US ((uint64_t)1500 * 1000)
-#define ORDER_TIMEOUT_MS 1000
+/* Engines answer an order within a few ms, or not at all.  */
+#define ORDER_TIMEOUT_MS 300
+/* How often an engine with an order under way is asked while the store does
+   not tell.  */
+#define ORDER_POLL_US ((uint64_t)300 * 1000)
 #define ORDER_CONNECT_MS 250
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
@@ -37,6 +41,24 @@
   mq_upstream *upstream; /* One reference.  */
 } order_call;
 
+/* Learn from REPORT what became of the orders to UPSTREAM.  */
+static void
+order_take_report (mq_gateway *gateway, mq_upstream *upstream,
+                   const mq_engine_report *report)
+{
+  /* The last order did not begin.  Should it still be carried out later, the
+     count that it names is wrong by then or the engine does what was meant. */
+  if (upstream->orders_unknown && report->orders == upstream->orders
+      && !report->busy)
+    upstream->ordered_us = 0;
+  upstream->orders = report->orders;
+  upstream->orders_unknown = false;
+  if (mq_registry_set_layers (&gateway->registry, upstream,
+                              report->layer_first, report->layer_end,
+                              mq_gateway_now_us ()))
+    mq_members_tell_layers (gateway, upstream);
+}
+
 /* The engine was asked for its count.  */
 static void
 order_on_report (void *context, const mq_http_client_event *event)
@@ -49,8 +71,7 @@
   if (event->result == MQ_HTTP_OK && event->status == STATUS_OK
       && o->gateway->dialect->report_decode (event->data, &r, NULL) == 0)
     {
-      o->upstream->orders = r.orders;
-      o->upstream->orders_unknown = false;
+      order_take_report (o->gateway, o->upstream, &r);
       o->gateway->dialect->report_finish (&r);
     }
   o->upstream->asked = false;
@@ -69,6 +90,7 @@
   if (upstream->asked)
     return;
   upstream->asked = true;
+  upstream->reported_us = mq_gateway_now_us ();
   o = g_new0 (order_call, 1);
   o->gateway = gateway;
   o->upstream = mq_upstream_ref (upstream);
@@ -93,7 +115,10 @@
   if (event->result == MQ_HTTP_OK && event->status == STATUS_ACCEPTED)
     o->upstream->orders++;
   else if (event->result != MQ_HTTP_OK || event->status != STATUS_OK)
-    o->upstream->orders_unknown = true;
+    {
+      o->upstream->orders_unknown = true;
+      order_ask_count (o->gateway, o->upstream);
+    }
   if (event->result == MQ_HTTP_OK && event->status != STATUS_OK
       && event->status != STATUS_ACCEPTED)
     {
@@ -194,6 +219,7 @@
   GHashTableIter i;
   gpointer value;
   bool any_held = false;
+  bool blind = !mq_members_store_is_reached (gateway, now_us);
 
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
@@ -206,6 +232,8 @@
           || !mq_upstream_is_usable (u, now_us))
         continue;
       h = order_holder (u, &service->model, now_us);
+      if (blind && h.fixed && now_us - u->reported_us > ORDER_POLL_US)
+        order_ask_count (gateway, u);
       any_held = any_held || h.first < h.end;
       g_array_append_val (holders, h);
     }
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -8,7 +8,7 @@
 
 /* Sends that left nothing are free for the upstream, yet each costs the
    client a wait for a connection.  */
-#define TRIES_MORE 2
+#define TRIES_MORE 4
 
 #define SERVER_ERROR 500
 
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -36,9 +36,10 @@
 
 void
 mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
-                     uint64_t window_us)
+                     uint64_t window_us, uint64_t now_us)
 {
   memset (budget, 0, sizeof *budget);
+  budget->born_us = now_us;
   budget->ratio = ratio;
   budget->slack = slack;
   budget->slice_us = MAX (window_us / MQ_SEND_BUDGET_SLICES, 1);
@@ -57,6 +58,8 @@
 {
   unsigned first = 0;
   unsigned more = 0;
+  double grown = (double)(now_us - budget->born_us)
+                 / (double)(budget->slice_us * MQ_SEND_BUDGET_SLICES);
 
   budget_advance (budget, now_us);
   for (unsigned i = 0; i <= MQ_SEND_BUDGET_SLICES; i++)
@@ -66,7 +69,8 @@
     }
   return more + 1
          <= SHARE_USED
-                * (budget->ratio * first + budget->slack / MAX (routers, 1));
+                * (budget->ratio * first
+                   + budget->slack * MIN (grown, 1) / MAX (routers, 1));
 }
 
 void
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -128,6 +128,22 @@
   memset (facts, 0, sizeof *facts);
 }
 
+bool
+mq_registry_set_layers (mq_registry *registry, mq_upstream *upstream,
+                        unsigned first, unsigned end, uint64_t now_us)
+{
+  mq_upstream_facts f = upstream->facts;
+
+  if (f.layer_first == first && f.layer_end == end)
+    return false;
+  f.layer_first = first;
+  f.layer_end = end;
+  upstream_note_layers (upstream, &f, now_us);
+  upstream->facts = f; /* The strings are the same.  */
+  registry->change++;
+  return true;
+}
+
 void
 mq_registry_remove (mq_registry *registry, mq_span id)
 {
