--- a/include/mq/forward_rule.h
+++ b/include/mq/forward_rule.h
@@ -35,8 +35,9 @@
   mq_route_kind kind;
   bool resumable;
   unsigned attempts; /* Upstreams allowed.  */
-  unsigned sent;     /* Sends that reached an upstream.  */
+  unsigned sent;     /* Sends that ran, or may have.  */
   unsigned tries;    /* Sends in all, also those that left nothing.  */
+  unsigned arrived;  /* Sends that reached an upstream, run or not.  */
   bool may_have_run; /* Some send may have run.  */
   bool begun;        /* Part of the answer has gone to the client.  */
   uint64_t now_us;
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -20,6 +20,7 @@
 #include <mq/gateway.h>
 #include <mq/http_client.h>
 #include <mq/http_server.h>
+#include <mq/log.h>
 #include <mq/metrics.h>
 #include <mq/peers.h>
 #include <mq/send_budget.h>
@@ -166,6 +167,8 @@
   uint64_t heard_us;     /* Last byte of the answer, or the send.  */
   GString *failure;      /* Body of an answer that is no stream.  */
   mq_event_split split;
+  unsigned first_event_ms; /* From the request to its first event.  */
+  mq_log_story story;
 };
 
 /* ---- gateway.c  */
--- a/include/mq/log.h
+++ b/include/mq/log.h
@@ -3,12 +3,20 @@
    A line looks like
      time=2026-12-02T17:39:46.123Z level=info event=request.done request=...
    Values that hold spaces, quotes or control bytes are quoted and escaped.
-   Secrets (tokens, tickets, keys) are never handed to these functions.  */
+   Secrets (tokens, tickets, keys) are never handed to these functions.
+
+   Lines go to standard error, or to standard output after mq_log_use_stdout.
+   There they are bounded: a budget of bytes a second, and a buffer for what a
+   slow reader has not taken.  What finds no room is left out and counted, and
+   a line says so each second; writing never waits.  Lines of one request may
+   be gathered in a mq_log_story and are then written, or left out, together.
+ */
 
 #ifndef MQ_LOG_H
 #define MQ_LOG_H
 
 #include <glib.h>
+#include <stdint.h>
 
 G_BEGIN_DECLS
 
@@ -17,6 +25,19 @@
    -1 when LEVEL is none of these.  */
 int mq_log_init (const char *level);
 
+/* Write to standard output from now on, within the bounds above.  */
+void mq_log_use_stdout (void);
+
+typedef struct mq_log_counters
+{
+  uint64_t lines;
+  uint64_t bytes;
+  uint64_t left_out; /* Lines.  */
+} mq_log_counters;
+
+/* Borrowed.  */
+const mq_log_counters *mq_log_count (void);
+
 /* True when lines of LEVEL are written, so that costly values need not be
    worked out in vain.  */
 gboolean mq_log_enabled (GLogLevelFlags level);
@@ -29,6 +50,26 @@
 void mq_log (GLogLevelFlags level, const char *event, const char *format, ...)
     G_GNUC_PRINTF (3, 4);
 
+/* The lines of one request.  */
+typedef struct mq_log_story
+{
+  GString *lines;
+  unsigned n;
+} mq_log_story;
+
+void mq_log_story_init (mq_log_story *story);
+void mq_log_story_finish (mq_log_story *story);
+
+/* Add a line, stamped now.  */
+void mq_log_story_add (mq_log_story *story, GLogLevelFlags level,
+                       const char *event, const char *format, ...)
+    G_GNUC_PRINTF (4, 5);
+
+/* Write STORY's lines and empty it.  One that is not NEEDED, since its
+   request went well, is left out when the budget runs low, by HASH of the
+   request's id: so all routers keep the same requests.  */
+void mq_log_story_tell (mq_log_story *story, gboolean needed, uint64_t hash);
+
 /* TEXT as a value of a log line, quoted where it must be.  Returns a pointer
    into one of a few buffers that are used in turn; valid until four more
    calls.  */
--- a/packages/base/log.c
+++ b/packages/base/log.c
@@ -2,14 +2,40 @@
 
 #include <mq/log.h>
 
+#include <errno.h>
+#include <fcntl.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/stat.h>
+#include <unistd.h>
 
 #define QUOTE_BUFFERS 4
 #define QUOTE_SIZE 512
 
+/* Bytes a second on standard output, and how many may come at once.  A router
+   at the sheets' calm load writes some 15 kB a second.  */
+#define BUDGET_PER_S 65536.0
+#define BUDGET_BURST 262144.0
+/* Below this part of the burst only some of the good requests are told.  */
+#define BUDGET_LOW 0.5
+#define GOOD_KEPT 8 /* One in so many, by its hash.  */
+/* What a reader has not taken yet.  */
+#define BACKLOG_BYTES ((size_t)256 * 1024)
+
+typedef struct log_output
+{
+  gboolean active;
+  GString *backlog;
+  double room; /* Bytes left of the budget.  */
+  gint64 filled_us;
+  gint64 told_us; /* When lines left out were last told.  */
+  uint64_t told;  /* How many had been told then.  */
+  mq_log_counters counters;
+} log_output;
+
 static GLogLevelFlags threshold = G_LOG_LEVEL_INFO;
+static log_output output;
 
 static const char *
 log_level_name (GLogLevelFlags level)
@@ -23,24 +49,116 @@
   return "info";
 }
 
+/* Append a whole line to OUT.  */
+static void
+log_append (GString *out, GLogLevelFlags level, const char *message)
+{
+  gint64 now = g_get_real_time ();
+  GDateTime *t = g_date_time_new_from_unix_utc (now / G_USEC_PER_SEC);
+  char *stamp = g_date_time_format (t, "%Y-%m-%dT%H:%M:%S");
+
+  g_string_append_printf (out, "time=%s.%03dZ level=%s %s\n", stamp,
+                          (int)(now / 1000 % 1000), log_level_name (level),
+                          message);
+  g_free (stamp);
+  g_date_time_unref (t);
+}
+
+/* ---- Standard output.  */
+
+static void
+output_refill (void)
+{
+  gint64 now = g_get_monotonic_time ();
+
+  output.room
+      += (double)(now - output.filled_us) / G_USEC_PER_SEC * BUDGET_PER_S;
+  output.room = MIN (output.room, BUDGET_BURST);
+  output.filled_us = now;
+}
+
+/* Hand over what the reader takes.  */
+static void
+output_drain (void)
+{
+  while (output.backlog->len > 0)
+    {
+      ssize_t n
+          = write (STDOUT_FILENO, output.backlog->str, output.backlog->len);
+
+      if (n < 0 && errno == EINTR)
+        continue;
+      if (n <= 0)
+        return;
+      g_string_erase (output.backlog, 0, n);
+    }
+}
+
+static void
+output_put (const char *text, size_t size, unsigned lines)
+{
+  if (output.room < (double)size || output.backlog->len + size > BACKLOG_BYTES)
+    {
+      output.counters.left_out += lines;
+      return;
+    }
+  output.room -= (double)size;
+  output.counters.lines += lines;
+  output.counters.bytes += size;
+  g_string_append_len (output.backlog, text, (gssize)size);
+}
+
+/* Say once a second how many lines were left out.  */
+static void
+output_tell_left_out (void)
+{
+  uint64_t n = output.counters.left_out - output.told;
+  GString *line;
+  char *message;
+
+  if (n == 0 || output.filled_us - output.told_us < G_USEC_PER_SEC)
+    return;
+  output.told_us = output.filled_us;
+  output.told = output.counters.left_out;
+  line = g_string_new (NULL);
+  message = g_strdup_printf ("event=log.left-out lines=%" G_GUINT64_FORMAT, n);
+  log_append (line, G_LOG_LEVEL_WARNING, message);
+  output_put (line->str, line->len, 1);
+  g_free (message);
+  g_string_free (line, TRUE);
+}
+
+static void
+output_write (const char *text, size_t size, unsigned lines)
+{
+  if (!output.active)
+    {
+      (void)fwrite (text, 1, size, stderr);
+      return;
+    }
+  output_refill ();
+  output_tell_left_out ();
+  output_put (text, size, lines);
+  output_drain ();
+}
+
 static GLogWriterOutput
 log_write (GLogLevelFlags level, const GLogField *fields, gsize n_fields,
            gpointer data)
 {
   const char *message = "";
-  gint64 now = g_get_real_time ();
-  GDateTime *t = g_date_time_new_from_unix_utc (now / G_USEC_PER_SEC);
-  char *stamp = g_date_time_format (t, "%Y-%m-%dT%H:%M:%S");
+  GString *line;
 
   (void)data;
   for (gsize i = 0; i < n_fields; i++)
     if (strcmp (fields[i].key, "MESSAGE") == 0)
       message = fields[i].value;
-  if (mq_log_enabled (level & G_LOG_LEVEL_MASK))
-    fprintf (stderr, "time=%s.%03dZ level=%s %s\n", stamp,
-             (int)(now / 1000 % 1000), log_level_name (level), message);
-  g_free (stamp);
-  g_date_time_unref (t);
+  if (!mq_log_enabled (level & G_LOG_LEVEL_MASK))
+    return G_LOG_WRITER_HANDLED;
+  line = g_string_new (NULL);
+  log_append (line, level, message);
+  output_write (line->str, line->len, 1);
+  g_string_free (line, TRUE);
   return G_LOG_WRITER_HANDLED;
 }
 
@@ -59,6 +177,8 @@
 int
 mq_log_init (const char *level)
 {
+  static gboolean is_set;
+
   if (strcmp (level, "error") == 0)
     threshold = G_LOG_LEVEL_CRITICAL;
   else if (strcmp (level, "warning") == 0)
@@ -69,10 +189,36 @@
     threshold = G_LOG_LEVEL_DEBUG;
   else
     return -1;
-  g_log_set_writer_func (log_write, NULL, NULL);
+  if (!is_set)
+    g_log_set_writer_func (log_write, NULL, NULL);
+  is_set = TRUE; /* GLib allows it once.  */
   return 0;
 }
 
+void
+mq_log_use_stdout (void)
+{
+  struct stat status;
+
+  if (output.active)
+    return;
+  /* A pipe or socket whose reader is slow would make write wait.  */
+  if (fstat (STDOUT_FILENO, &status) == 0
+      && (S_ISFIFO (status.st_mode) || S_ISSOCK (status.st_mode)))
+    (void)fcntl (STDOUT_FILENO, F_SETFL,
+                 fcntl (STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+  output.active = TRUE;
+  output.backlog = g_string_new (NULL);
+  output.room = BUDGET_BURST;
+  output.filled_us = g_get_monotonic_time ();
+}
+
+const mq_log_counters *
+mq_log_count (void)
+{
+  return &output.counters;
+}
+
 gboolean
 mq_log_enabled (GLogLevelFlags level)
 {
@@ -96,6 +242,56 @@
   g_free (pairs);
 }
 
+void
+mq_log_story_init (mq_log_story *story)
+{
+  story->lines = g_string_new (NULL);
+  story->n = 0;
+}
+
+void
+mq_log_story_finish (mq_log_story *story)
+{
+  g_string_free (story->lines, TRUE);
+  story->lines = NULL;
+}
+
+void
+mq_log_story_add (mq_log_story *story, GLogLevelFlags level, const char *event,
+                  const char *format, ...)
+{
+  GString *message;
+  va_list args;
+
+  if (!mq_log_enabled (level))
+    return;
+  message = g_string_new ("event=");
+  g_string_append (message, event);
+  g_string_append_c (message, ' ');
+  va_start (args, format);
+  g_string_append_vprintf (message, format, args);
+  va_end (args);
+  log_append (story->lines, level, message->str);
+  story->n++;
+  g_string_free (message, TRUE);
+}
+
+void
+mq_log_story_tell (mq_log_story *story, gboolean needed, uint64_t hash)
+{
+  gboolean low;
+
+  if (output.active)
+    output_refill ();
+  low = output.active && output.room < BUDGET_BURST * BUDGET_LOW;
+  if (needed || !low || hash % GOOD_KEPT == 0)
+    output_write (story->lines->str, story->lines->len, story->n);
+  else
+    output.counters.left_out += story->n;
+  g_string_truncate (story->lines, 0);
+  story->n = 0;
+}
+
 const char *
 mq_log_quote (const char *text)
 {
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -22,14 +22,14 @@
 
 /* A drain ends this long before the kill, and not before clients had time to
    forget the address.  */
-#define DRAIN_RESERVE_MS 700
-#define DRAIN_LEAST_MS 2500
+#define DRAIN_RESERVE_MS ((uint64_t)700)
+#define DRAIN_LEAST_MS ((uint64_t)2500)
 /* New connections are taken for so long, by clients that asked the directory
    just before.  What comes later on connections that are open is refused when
    it is a stream, since most would not end before the kill.  */
-#define DRAIN_OPEN_MS 2300
+#define DRAIN_OPEN_MS ((uint64_t)2300)
 /* Nothing came for so long: the drain is over.  */
-#define DRAIN_QUIET_MS 700
+#define DRAIN_QUIET_MS ((uint64_t)700)
 
 #define BODY_LIMIT ((size_t)8 * 1024 * 1024)
 
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -57,6 +57,7 @@
   g_ptr_array_unref (f->tried);
   mq_event_split_finish (&f->split);
   g_string_free (f->failure, TRUE);
+  mq_log_story_finish (&f->story);
   g_free (f);
 }
 
@@ -66,6 +67,19 @@
   return (mq_gateway_now_us () - forward->started_us) / 1000;
 }
 
+/* Must FORWARD's story be kept whole?  Only that of a request that went well
+   at the first send may be left out.  */
+static bool
+forward_is_told (const mq_forward *forward, const char *outcome)
+{
+  uint64_t ms = forward->route->kind == MQ_ROUTE_STREAM
+                    ? forward->first_event_ms
+                    : forward_age_ms (forward);
+
+  return strcmp (outcome, "answered") != 0 || forward->state.tries > 1
+         || ms > forward->route->target_ms;
+}
+
 /* Log how FORWARD ended and free it.  */
 static void
 forward_end (mq_forward *forward, const char *outcome, unsigned status,
@@ -73,13 +87,15 @@
 {
   mq_forward *f = forward;
 
-  mq_log (G_LOG_LEVEL_INFO, "request.end",
-          "request=%.*s outcome=%s status=%u why=%s route=%s"
-          " version=%" G_GUINT64_FORMAT
-          " sends=%u events=%u ms=%" G_GUINT64_FORMAT,
-          MQ_SPAN_ARG (f->id), outcome, status, why,
-          mq_str_cstr (f->route->name), f->routing->version, f->state.sent,
-          f->split.events, forward_age_ms (f));
+  mq_log_story_add (&f->story, G_LOG_LEVEL_INFO, "request.end",
+                    "request=%.*s outcome=%s status=%u why=%s route=%s"
+                    " version=%" G_GUINT64_FORMAT
+                    " sends=%u events=%u ms=%" G_GUINT64_FORMAT,
+                    MQ_SPAN_ARG (f->id), outcome, status, why,
+                    mq_str_cstr (f->route->name), f->routing->version,
+                    f->state.sent, f->split.events, forward_age_ms (f));
+  mq_log_story_tell (&f->story, forward_is_told (f, outcome),
+                     mq_span_hash (f->id));
   forward_free (f);
 }
 
@@ -182,6 +198,7 @@
                           headers->len);
   g_array_unref (headers);
   forward->state.begun = true;
+  forward->first_event_ms = (unsigned)forward_age_ms (forward);
   mq_histogram_observe (forward->gateway->counters.first_event,
                         mq_gateway_now_us () - forward->started_us);
 }
@@ -276,8 +293,9 @@
 
   if (u == NULL)
     return;
-  mq_log (G_LOG_LEVEL_INFO, "upstream.blamed", "request=%.*s upstream=%s",
-          MQ_SPAN_ARG (forward->id), mq_str_cstr (u->facts.id));
+  mq_log_story_add (&forward->story, G_LOG_LEVEL_INFO, "upstream.blamed",
+                    "request=%.*s upstream=%s", MQ_SPAN_ARG (forward->id),
+                    mq_str_cstr (u->facts.id));
   mq_upstream_put_aside (u, now_us, (uint64_t)1000 * 1000);
 }
 
@@ -407,8 +425,11 @@
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
+      f->state.sent--;
+      f->state.arrived--;
+      break;
     case MQ_SEND_NOT_RUN:
-      f->state.sent--; /* It ran nowhere.  */
+      f->state.sent--;
       break;
     case MQ_SEND_REPLIED:
     case MQ_SEND_BROKEN:
@@ -421,12 +442,13 @@
       &f->state, end, status,
       mq_send_budget_has_room (&service->budget,
                                mq_gateway_routers (f->gateway), now));
-  mq_log (G_LOG_LEVEL_INFO, "request.send-ended",
-          "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
-          " events=%u ms=%" G_GUINT64_FORMAT,
-          MQ_SPAN_ARG (f->id),
-          f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end,
-          status, why, v.verb, f->split.events, forward_age_ms (f));
+  mq_log_story_add (
+      &f->story, G_LOG_LEVEL_INFO, "request.send-ended",
+      "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
+      " events=%u ms=%" G_GUINT64_FORMAT,
+      MQ_SPAN_ARG (f->id),
+      f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end, status,
+      why, v.verb, f->split.events, forward_age_ms (f));
   forward_drop_send (f);
   mq_forward_unplace (f);
   mq_event_split_restart (&f->split);
@@ -611,6 +633,7 @@
   f->tried
       = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
   f->failure = g_string_new (NULL);
+  mq_log_story_init (&f->story);
   mq_event_split_init (&f->split,
                        request_number (exchange, h->last_event_id, 0));
   forward_init_state (f, now);
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -165,7 +165,7 @@
         mq_forward_turn_away (f, retry_ms, "no-room");
       return;
     }
-  if (f->state.tries > 0)
+  if (f->state.arrived > 0)
     {
       mq_send_budget_spend (&mq_gateway_service (g, f->service)->budget,
                             now_us);
@@ -174,13 +174,15 @@
         ++*g->counters.resumed;
     }
   f->state.sent++;
+  f->state.arrived++;
   f->state.tries++;
   ++*g->counters.sends;
-  mq_log (G_LOG_LEVEL_INFO, "request.send",
-          "request=%.*s upstream=%s domain=%s parts=%u room=%.0f used=%.0f"
-          " after-event=%" G_GUINT64_FORMAT,
-          MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id),
-          mq_str_cstr (f->upstream->facts.domain), f->path.n, f->path.tokens,
-          f->used, f->split.last_id);
+  mq_log_story_add (
+      &f->story, G_LOG_LEVEL_INFO, "request.send",
+      "request=%.*s upstream=%s domain=%s parts=%u room=%.0f used=%.0f"
+      " after-event=%" G_GUINT64_FORMAT,
+      MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id),
+      mq_str_cstr (f->upstream->facts.domain), f->path.n, f->path.tokens,
+      f->used, f->split.last_id);
   send_start (f, now_us);
 }
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -35,8 +35,7 @@
 forward_has_room (const mq_forward_state *state, bool budget)
 {
   return state->sent < state->attempts
-         && state->tries < state->attempts + TRIES_MORE
-         && (budget || state->tries <= 1)
+         && state->tries < state->attempts + TRIES_MORE && budget
          && state->now_us + LEAST_LEFT_US < state->deadline_us;
 }
 
@@ -58,6 +57,10 @@
         return (mq_forward_verdict){ MQ_FORWARD_ABORT, 0 };
       return (mq_forward_verdict){ MQ_FORWARD_PASS, 0 };
     case MQ_SEND_NOT_SENT:
+      /* The next one is the first to arrive, and needs no budget.  */
+      if (forward_has_room (state, budget || state->arrived == 0))
+        return again;
+      return mq_forward_give_up (state, false);
     case MQ_SEND_NOT_RUN:
       if (room)
         return again;
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -420,9 +420,14 @@
 domain_fill_all (plan_domain *domain, const GArray *gaps, double least,
                  bool stretch)
 {
-  for (double t = TOKENS_WANTED; t >= least; t *= TOKENS_STEP)
-    if (domain_try (domain, gaps, t, stretch))
-      return t;
+  double level = TOKENS_WANTED;
+
+  while (level >= least)
+    {
+      if (domain_try (domain, gaps, level, stretch))
+        return level;
+      level *= TOKENS_STEP;
+    }
   return 0;
 }
 
--- a/programs/marjoramquay/routing_face.c
+++ b/programs/marjoramquay/routing_face.c
@@ -61,6 +61,7 @@
   mq_gateway *g;
 
   (void)mq_log_init (mq_str_cstr (settings->log_level));
+  mq_log_use_stdout ();
   g = mq_gateway_new (loop, &mq_users_platform, settings, &error);
   if (g == NULL)
     {
--- /dev/null
+++ b/tests/prop_layer_plan.cc
@@ -0,0 +1,80 @@
+/* Whatever engines are lost and come back, and whatever they hold: no engine
+   is ordered more than its memory, a domain whose memory reaches gets a whole
+   chain, and the plan comes to rest.  */
+
+#include "support/chain_world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using chain::Engine;
+using chain::Fleet;
+using chain::Service;
+
+namespace
+{
+
+/* Layers that DOMAIN's engines hold together with memory for TOKENS.  */
+unsigned
+room (const Service &service, const Fleet &fleet, const std::string &domain,
+      double tokens)
+{
+  unsigned n = 0;
+
+  for (const Engine &e : fleet.engines)
+    if (e.domain == domain)
+      n += mq_layer_plan_room (service.model (), service.card_named (e.card),
+                               tokens);
+  return n;
+}
+
+} // namespace
+
+RC_GTEST_PROP (LayerPlanProperty, LossesAndReturnsLeaveChainsWhereMemoryReaches,
+               ())
+{
+  Service service;
+  Fleet fleet (service);
+  const std::vector<std::string> cards = { "h100", "a100s", "l4", "t4" };
+
+  fleet.add_all ();
+  fleet.settle ();
+  for (unsigned step = *rc::gen::inRange (1, 10); step > 0; step--)
+    {
+      if (*rc::gen::inRange (0, 4) == 0)
+        fleet.add (*rc::gen::element<std::string> ("one", "two", "three"),
+                   *rc::gen::elementOf (cards), 1);
+      else if (!fleet.engines.empty ())
+        fleet.lose (&fleet.engines[*rc::gen::inRange<size_t> (
+            0, fleet.engines.size ())]);
+      if (*rc::gen::inRange (0, 2) == 0)
+        fleet.plan ();
+      RC_ASSERT (fleet.fits ());
+    }
+  RC_ASSERT (fleet.settle () < 50);
+  RC_ASSERT (fleet.fits ());
+  for (const char *d : { "one", "two", "three" })
+    if (room (service, fleet, d, 20000) >= chain::layers)
+      RC_ASSERT (fleet.tokens (d) > 0);
+}
+
+RC_GTEST_PROP (LayerPlanProperty, AnyStartComesToRest, ())
+{
+  Service service;
+  Fleet fleet (service);
+
+  fleet.add_all ();
+  for (Engine &e : fleet.engines)
+    {
+      unsigned most = mq_layer_plan_room (
+          service.model (), service.card_named (e.card), 8000);
+      unsigned n = *rc::gen::inRange (0u, most + 1);
+
+      e.first = *rc::gen::inRange (0u, chain::layers - n + 1);
+      e.end = e.first + n;
+    }
+  RC_ASSERT (fleet.settle () < 50);
+  RC_ASSERT (fleet.fits ());
+  for (const char *d : { "one", "two", "three" })
+    RC_ASSERT (fleet.tokens (d) > 0);
+}
--- /dev/null
+++ b/tests/support/chain_world.h
@@ -0,0 +1,242 @@
+/* Engines of mixed accelerators that hold layers, for tests of plans and
+   paths: the cards and failure domains of the users' first deployments.  */
+
+#ifndef MQ_TESTS_CHAIN_WORLD_H
+#define MQ_TESTS_CHAIN_WORLD_H
+
+#include <mq/layer_path.h>
+#include <mq/layer_plan.h>
+#include <mq/routing.h>
+#include <mq/upstream.h>
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace chain
+{
+
+constexpr unsigned layers = 80;
+
+/* A routing with one layered service called "model" and one plain service
+   called "plain".  */
+class Service
+{
+public:
+  Service () : routing (mq_routing_new (1))
+  {
+    mq_route_service model = {};
+    mq_route_service plain = {};
+
+    model.name = mq_str_new (MQ_SPAN ("model"));
+    model.model.layers = layers;
+    model.model.layer_mb = 1750;
+    model.model.kv_mb_per_token = 0.59;
+    model.model.step_ms = 0.85;
+    model.model.load_s = 14;
+    model.model.loads_at_once = 6;
+    mq_layered_model_init (&model.model);
+    card (model.model, "h100", 72000, 1.4, 1);
+    card (model.model, "a100s", 36000, 3.1, 3.2);
+    card (model.model, "l4", 21600, 16, 8.2);
+    card (model.model, "t4", 14400, 15, 15);
+    plain.name = mq_str_new (MQ_SPAN ("plain"));
+    g_array_append_val (routing->services, model);
+    g_array_append_val (routing->services, plain);
+    mq_routing_seal (routing);
+  }
+
+  Service (const Service &) = delete;
+  Service &operator= (const Service &) = delete;
+  ~Service () { mq_routing_unref (routing); }
+
+  const mq_route_service *
+  service () const
+  {
+    return mq_routing_service (routing, MQ_SPAN ("model"));
+  }
+
+  const mq_layered_model *
+  model () const
+  {
+    return &service ()->model;
+  }
+
+  const mq_card *
+  card_named (const std::string &name) const
+  {
+    return mq_layered_model_card (model (), mq_span_from (name.c_str ()));
+  }
+
+  mq_routing *routing;
+
+private:
+  static void
+  card (mq_layered_model &model, const char *name, double mb, double pace,
+        double read)
+  {
+    mq_card c = { mq_str_new (mq_span_from (name)), mb, pace, read };
+
+    g_array_append_val (model.cards, c);
+  }
+};
+
+struct Engine
+{
+  std::string id;
+  std::string domain;
+  std::string card;
+  unsigned first = 0;
+  unsigned end = 0;
+  bool fixed = false;
+};
+
+/* Engines to which the plan's orders are applied at once.  */
+class Fleet
+{
+public:
+  explicit Fleet (const Service &service) : service_ (service) {}
+
+  void
+  add (const std::string &domain, const std::string &card, unsigned count)
+  {
+    for (unsigned i = 0; i < count; i++)
+      engines.push_back (
+          { "e" + std::to_string (++serial_), domain, card, 0, 0, false });
+  }
+
+  /* The three failure domains of the users' first deployments.  */
+  void
+  add_all ()
+  {
+    add ("one", "a100s", 2);
+    add ("one", "l4", 4);
+    add ("one", "t4", 7);
+    add ("two", "h100", 1);
+    add ("two", "a100s", 1);
+    add ("two", "l4", 5);
+    add ("two", "t4", 7);
+    add ("three", "a100s", 1);
+    add ("three", "l4", 8);
+    add ("three", "t4", 3);
+  }
+
+  /* Plan once and apply.  Returns the orders given.  */
+  unsigned
+  plan ()
+  {
+    std::vector<mq_layer_holder> holders;
+    GArray *orders = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+    unsigned n;
+
+    for (Engine &e : engines)
+      holders.push_back ({ mq_span_from (e.domain.c_str ()),
+                           service_.card_named (e.card), e.first, e.end,
+                           e.fixed, &e });
+    mq_layer_plan_work (service_.model (), holders.data (), holders.size (),
+                        orders);
+    n = orders->len;
+    for (guint i = 0; i < orders->len; i++)
+      {
+        const mq_layer_order &o = g_array_index (orders, mq_layer_order, i);
+        Engine *e = static_cast<Engine *> (o.holder->user);
+
+        e->first = o.first;
+        e->end = o.end;
+      }
+    g_array_unref (orders);
+    return n;
+  }
+
+  /* Plan until nothing is ordered; the number of rounds that did.  */
+  unsigned
+  settle ()
+  {
+    unsigned rounds = 0;
+
+    while (rounds < 50 && plan () > 0)
+      rounds++;
+    return rounds;
+  }
+
+  /* Tokens that the best path of DOMAIN holds; 0 without one.  */
+  double
+  tokens (const std::string &domain, const Engine *except = nullptr) const
+  {
+    mq_registry r;
+    mq_layer_path p;
+    double n = 0;
+
+    mq_registry_init (&r);
+    for (const Engine &e : engines)
+      if (&e != except)
+        put (r, e);
+    if (mq_layer_path_find (&p, &r, service_.service (),
+                            mq_span_from (domain.c_str ()), 1, nullptr))
+      n = p.tokens;
+    mq_layer_path_finish (&p);
+    mq_registry_finish (&r);
+    return n;
+  }
+
+  static void
+  put (mq_registry &registry, const Engine &engine)
+  {
+    mq_upstream_facts f = {};
+
+    f.id = mq_str_new (mq_span_from (engine.id.c_str ()));
+    f.service = mq_str_new (MQ_SPAN ("model"));
+    f.address = mq_str_printf ("%s:1", engine.id.c_str ());
+    f.domain = mq_str_new (mq_span_from (engine.domain.c_str ()));
+    f.card = mq_str_new (mq_span_from (engine.card.c_str ()));
+    f.layer_first = engine.first;
+    f.layer_end = engine.end;
+    mq_registry_put (&registry, &f, 0);
+  }
+
+  /* The engine of DOMAIN and CARD that holds most.  */
+  Engine *
+  find (const std::string &domain, const std::string &card)
+  {
+    Engine *best = nullptr;
+
+    for (Engine &e : engines)
+      if (e.domain == domain && e.card == card
+          && (best == nullptr || e.end - e.first > best->end - best->first))
+        best = &e;
+    return best;
+  }
+
+  void
+  lose (Engine *engine)
+  {
+    for (auto i = engines.begin (); i != engines.end (); ++i)
+      if (&*i == engine)
+        {
+          engines.erase (i);
+          return;
+        }
+  }
+
+  /* Does every engine keep to its memory?  */
+  bool
+  fits () const
+  {
+    for (const Engine &e : engines)
+      if ((e.end - e.first) * service_.model ()->layer_mb
+          > service_.card_named (e.card)->memory_mb)
+        return false;
+    return true;
+  }
+
+  std::deque<Engine> engines;
+
+private:
+  const Service &service_;
+  unsigned serial_ = 0;
+};
+
+} // namespace chain
+
+#endif
--- /dev/null
+++ b/tests/test_forward_rule.cc
@@ -0,0 +1,131 @@
+/* What follows the end of a send.  The property goes through all states.  */
+
+#include <mq/forward_rule.h>
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace
+{
+
+mq_forward_state
+state (mq_route_kind kind, bool resumable = true)
+{
+  mq_forward_state s = {};
+
+  s.kind = kind;
+  s.resumable = resumable;
+  s.attempts = 2;
+  s.sent = 1;
+  s.tries = 1;
+  s.deadline_us = 1000 * 1000;
+  return s;
+}
+
+} // namespace
+
+TEST (ForwardRule, AnUnsafeRequestThatMayHaveRunIsNotSentAgain)
+{
+  mq_forward_state s = state (MQ_ROUTE_UNSAFE);
+
+  s.may_have_run = true;
+  mq_forward_verdict v = mq_forward_judge (&s, MQ_SEND_BROKEN, 0, true);
+  EXPECT_EQ (v.verb, MQ_FORWARD_REFUSE);
+  EXPECT_EQ (v.status, 502u);
+}
+
+TEST (ForwardRule, AnUnsafeRequestThatDidNotRunIsRefusedTruthfully)
+{
+  mq_forward_state s = state (MQ_ROUTE_UNSAFE);
+
+  s.attempts = 1;
+  mq_forward_verdict v = mq_forward_judge (&s, MQ_SEND_NOT_RUN, 503, true);
+  EXPECT_EQ (v.verb, MQ_FORWARD_REFUSE);
+  EXPECT_EQ (v.status, 503u);
+}
+
+TEST (ForwardRule, ASilentSafeRequestGoesToAnotherUpstream)
+{
+  mq_forward_state s = state (MQ_ROUTE_SAFE);
+
+  s.may_have_run = true;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_SILENT, 0, true).verb,
+             MQ_FORWARD_AGAIN);
+  s.sent = 2;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_SILENT, 0, true).status, 504u);
+}
+
+TEST (ForwardRule, WithoutBudgetNothingIsSentAgain)
+{
+  mq_forward_state s = state (MQ_ROUTE_SAFE);
+
+  s.arrived = 1;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_NOT_RUN, 503, false).verb,
+             MQ_FORWARD_REFUSE);
+  s.sent = s.arrived = 0;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_NOT_SENT, 0, false).verb,
+             MQ_FORWARD_AGAIN);
+}
+
+TEST (ForwardRule, AStreamThatCannotBeResumedIsBrokenOff)
+{
+  mq_forward_state s = state (MQ_ROUTE_STREAM, false);
+
+  s.begun = s.may_have_run = true;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_BROKEN, 200, true).verb,
+             MQ_FORWARD_ABORT);
+  s.resumable = true;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_BROKEN, 200, true).verb,
+             MQ_FORWARD_AGAIN);
+}
+
+TEST (ForwardRule, AWholeAnswerIsPassedOn)
+{
+  mq_forward_state s = state (MQ_ROUTE_UNSAFE);
+
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_REPLIED, 500, true).verb,
+             MQ_FORWARD_PASS);
+  s = state (MQ_ROUTE_SAFE);
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_REPLIED, 500, true).verb,
+             MQ_FORWARD_AGAIN);
+  s.sent = 2;
+  EXPECT_EQ (mq_forward_judge (&s, MQ_SEND_REPLIED, 500, true).verb,
+             MQ_FORWARD_PASS);
+}
+
+RC_GTEST_PROP (ForwardRuleProperty, PromisesHoldInEveryState, ())
+{
+  mq_forward_state s = {};
+  auto end = *rc::gen::element (MQ_SEND_REPLIED, MQ_SEND_NOT_SENT,
+                                MQ_SEND_NOT_RUN, MQ_SEND_BROKEN,
+                                MQ_SEND_SILENT);
+  unsigned status = *rc::gen::element (0u, 200u, 404u, 500u, 503u);
+  bool budget = *rc::gen::arbitrary<bool> ();
+
+  s.kind = *rc::gen::element (MQ_ROUTE_SAFE, MQ_ROUTE_UNSAFE, MQ_ROUTE_STREAM);
+  s.resumable = *rc::gen::arbitrary<bool> ();
+  s.attempts = *rc::gen::inRange (1u, 4u);
+  s.sent = *rc::gen::inRange (0u, 5u);
+  s.tries = s.sent + *rc::gen::inRange (0u, 3u);
+  s.begun = *rc::gen::arbitrary<bool> ();
+  s.may_have_run = s.begun || *rc::gen::arbitrary<bool> ()
+                   || end == MQ_SEND_BROKEN || end == MQ_SEND_SILENT;
+  s.now_us = *rc::gen::inRange (0, 1000) * 1000;
+  s.deadline_us = 500 * 1000;
+  mq_forward_verdict v = mq_forward_judge (&s, end, status, budget);
+
+  if (v.verb == MQ_FORWARD_AGAIN)
+    {
+      RC_ASSERT (s.sent < s.attempts);
+      RC_ASSERT (s.now_us < s.deadline_us);
+      RC_ASSERT (mq_forward_may_repeat (&s) || end == MQ_SEND_NOT_SENT
+                 || end == MQ_SEND_NOT_RUN);
+    }
+  if (v.verb == MQ_FORWARD_REFUSE)
+    {
+      RC_ASSERT (!s.begun);
+      RC_ASSERT (v.status != 503 || !s.may_have_run);
+    }
+  if (v.verb == MQ_FORWARD_PASS)
+    RC_ASSERT (end == MQ_SEND_REPLIED && !s.begun);
+}
--- /dev/null
+++ b/tests/test_layer_path.cc
@@ -0,0 +1,206 @@
+/* Paths over engines that hold layers: every layer once and in order.  */
+
+#include "support/chain_world.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using chain::Engine;
+using chain::Fleet;
+using chain::Service;
+
+namespace
+{
+
+class LayerPath : public ::testing::Test
+{
+protected:
+  LayerPath () { mq_registry_init (&registry); }
+  ~LayerPath () override
+  {
+    mq_layer_path_finish (&path);
+    mq_registry_finish (&registry);
+  }
+
+  void
+  put (const char *id, const char *card, unsigned first, unsigned end,
+       const char *domain = "one")
+  {
+    Fleet::put (registry, { id, domain, card, first, end, false });
+  }
+
+  mq_upstream *
+  at (const char *id)
+  {
+    return mq_registry_find (&registry, mq_span_from (id));
+  }
+
+  bool
+  find (const char *domain = "one", uint64_t now_us = 1)
+  {
+    mq_layer_path_finish (&path);
+    return mq_layer_path_find (&path, &registry, service.service (),
+                               mq_span_from (domain), now_us, nullptr);
+  }
+
+  Service service;
+  mq_registry registry;
+  mq_layer_path path = {};
+};
+
+/* True when PATH runs each layer once and in order, on holders only.  */
+bool
+is_whole (const mq_layer_path &path)
+{
+  unsigned at = 0;
+
+  for (unsigned i = 0; i < path.n; i++)
+    {
+      const mq_layer_part &p = path.parts[i];
+
+      if (p.first != at || p.end <= p.first
+          || p.first < p.upstream->facts.layer_first
+          || p.end > p.upstream->facts.layer_end)
+        return false;
+      for (unsigned k = 0; k < i; k++)
+        if (path.parts[k].upstream == p.upstream)
+          return false;
+      at = p.end;
+    }
+  return at == chain::layers;
+}
+
+} // namespace
+
+TEST_F (LayerPath, APathRunsEachLayerOnceAndInOrder)
+{
+  put ("b", "h100", 30, 55);
+  put ("a", "h100", 0, 30);
+  put ("c", "h100", 55, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_TRUE (is_whole (path));
+  EXPECT_EQ (path.n, 3u);
+}
+
+TEST_F (LayerPath, OverlapsAreCutSoThatNoLayerRunsTwice)
+{
+  put ("a", "h100", 0, 30);
+  put ("b", "h100", 20, 50);
+  put ("c", "h100", 45, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_TRUE (is_whole (path));
+}
+
+TEST_F (LayerPath, AGapMeansNoPath)
+{
+  put ("a", "h100", 0, 30);
+  put ("c", "h100", 31, 80);
+  EXPECT_FALSE (find ());
+}
+
+TEST_F (LayerPath, PathsStayInOneDomain)
+{
+  put ("a", "h100", 0, 30);
+  put ("b", "h100", 30, 80, "two");
+  EXPECT_FALSE (find ());
+  EXPECT_FALSE (find ("two"));
+  EXPECT_TRUE (find (""));
+}
+
+TEST_F (LayerPath, AnEngineThatDrainsOrIsAsideTakesNoNewWork)
+{
+  put ("a", "h100", 0, 80);
+  mq_upstream_put_aside (at ("a"), 1, 100);
+  EXPECT_FALSE (find ());
+  EXPECT_TRUE (find ("one", 200));
+  at ("a")->facts.draining = true;
+  EXPECT_FALSE (find ("one", 200));
+}
+
+TEST_F (LayerPath, TheTightestStageBoundsThePath)
+{
+  put ("a", "h100", 0, 40);
+  put ("b", "a100s", 40, 60);
+  put ("c", "h100", 60, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_NEAR (path.tokens, (36000 - 20 * 1750) / (0.59 / 80 * 20), 1);
+}
+
+/* An engine that lets layers go keeps their memory until what passes through
+   them has ended: counting it as free let work wait for memory that was not
+   there (tekle-entries trouble-1, 31 s).  */
+TEST_F (LayerPath, LayersLetGoStillTakeMemoryForAWhile)
+{
+  put ("a", "h100", 0, 40);
+  put ("b", "h100", 40, 80);
+  ASSERT_TRUE (find ());
+  double crowded = path.tokens;
+  put ("b", "h100", 50, 80);
+  put ("c", "h100", 40, 50);
+  ASSERT_TRUE (find ());
+  EXPECT_LT (path.tokens, crowded * 1.5);
+  ASSERT_TRUE (find ("one", 10 * 1000 * 1000));
+  EXPECT_GE (path.tokens, crowded);
+}
+
+TEST_F (LayerPath, AFasterCardIsPreferred)
+{
+  put ("slow", "l4", 0, 10);
+  put ("fast", "h100", 0, 10);
+  put ("rest", "h100", 10, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_EQ (path.parts[0].upstream, at ("fast"));
+}
+
+TEST_F (LayerPath, APathStandsUntilAnEngineLetsItsPartGo)
+{
+  put ("a", "h100", 0, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_TRUE (mq_layer_path_stands (&path, 1));
+  put ("a", "h100", 0, 70);
+  EXPECT_FALSE (mq_layer_path_stands (&path, 1));
+}
+
+RC_GTEST_PROP (LayerPathProperty, AnyPathFoundIsWhole, ())
+{
+  Service service;
+  mq_registry registry;
+  mq_layer_path path;
+  const std::vector<std::string> cards = { "h100", "a100s", "l4", "t4" };
+
+  mq_registry_init (&registry);
+  for (unsigned i = *rc::gen::inRange (1, 25); i > 0; i--)
+    {
+      unsigned first = *rc::gen::inRange (0u, chain::layers);
+      unsigned end = *rc::gen::inRange (first, chain::layers + 1);
+
+      Fleet::put (registry, { "e" + std::to_string (i), "one",
+                              *rc::gen::elementOf (cards), first, end,
+                              false });
+    }
+  if (mq_layer_path_find (&path, &registry, service.service (),
+                          MQ_SPAN ("one"), 1, nullptr))
+    RC_ASSERT (is_whole (path));
+  else
+    {
+      /* Then some layer, or the step between two, is held by nobody.  */
+      bool held[chain::layers] = {};
+      GHashTableIter i;
+      gpointer value;
+      bool all = true;
+
+      g_hash_table_iter_init (&i, registry.by_id);
+      while (g_hash_table_iter_next (&i, nullptr, &value))
+        {
+          const mq_upstream *u = static_cast<mq_upstream *> (value);
+
+          for (unsigned l = u->facts.layer_first; l < u->facts.layer_end; l++)
+            held[l] = true;
+        }
+      for (bool h : held)
+        all = all && h;
+      RC_ASSERT (!all);
+    }
+  mq_layer_path_finish (&path);
+  mq_registry_finish (&registry);
+}
--- /dev/null
+++ b/tests/test_layer_plan.cc
@@ -0,0 +1,144 @@
+/* Which engine holds which layers: first assignment, repair, copies, new
+   layouts.  The cases named after a day replay what engines were lost on it.
+   Figures of tokens are bounds, not the exact results.  */
+
+#include "support/chain_world.h"
+
+#include <gtest/gtest.h>
+
+using chain::Engine;
+using chain::Fleet;
+using chain::Service;
+
+namespace
+{
+
+class LayerPlan : public ::testing::Test
+{
+protected:
+  Service service;
+  Fleet fleet{ service };
+};
+
+} // namespace
+
+TEST_F (LayerPlan, EmptyEnginesGetAWholeChainInEachDomain)
+{
+  fleet.add_all ();
+  EXPECT_LE (fleet.settle (), 1u);
+  for (const char *d : { "one", "two", "three" })
+    EXPECT_GT (fleet.tokens (d), 100000) << d;
+  EXPECT_TRUE (fleet.fits ());
+}
+
+TEST_F (LayerPlan, NothingIsOrderedOnceAllIsWell)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  EXPECT_EQ (fleet.plan (), 0u);
+}
+
+TEST_F (LayerPlan, TheLargestHolderHasASecondCopy)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  Engine *h100 = fleet.find ("two", "h100");
+  EXPECT_GE (h100->end - h100->first, 20u);
+  EXPECT_GT (fleet.tokens ("two", h100), 50000);
+}
+
+TEST_F (LayerPlan, ALostHolderIsReplacedBySparesOnly)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  auto before = fleet.engines;
+  Engine *sole = nullptr;
+  for (Engine &e : fleet.engines)
+    {
+      if (e.domain == "one" && e.card == "l4" && fleet.tokens ("one", &e) == 0)
+        sole = &e;
+    }
+  ASSERT_NE (sole, nullptr);
+  fleet.lose (sole);
+  EXPECT_GT (fleet.plan (), 0u);
+  EXPECT_GT (fleet.tokens ("one"), 40000);
+  /* The sole holders of the chain stay where they are.  */
+  Engine *a100 = fleet.find ("one", "a100s");
+  for (const Engine &e : before)
+    {
+      if (e.id == a100->id)
+        EXPECT_EQ (e.first, a100->first);
+    }
+  EXPECT_TRUE (fleet.fits ());
+}
+
+/* tekle-entries trouble-1, 15 s: the largest card crashes for good while
+   another engine of its domain drains.  Filling the gaps one by one left the
+   chain memory for some ten requests.  */
+TEST_F (LayerPlan, TwoGapsAreFilledAtOneLevel)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  fleet.lose (fleet.find ("two", "h100"));
+  fleet.lose (fleet.find ("two", "l4"));
+  fleet.settle ();
+  EXPECT_GT (fleet.tokens ("two"), 40000);
+  EXPECT_TRUE (fleet.fits ());
+}
+
+/* tekle-entries trouble-1, 26 s: two holders drain where two small spares are
+   left.  Spares and neighbours did not reach, and the domain stayed without a
+   chain to the day's end.  */
+TEST_F (LayerPlan, WhereSparesDoNotReachLayersAreLaidOutAnew)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  fleet.lose (fleet.find ("three", "a100s"));
+  fleet.lose (fleet.find ("three", "l4"));
+  fleet.settle ();
+  EXPECT_GT (fleet.tokens ("three"), 40000);
+  EXPECT_TRUE (fleet.fits ());
+}
+
+TEST_F (LayerPlan, AnEngineThatHoldsTooMuchIsRelieved)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  Engine *l4 = fleet.find ("three", "l4");
+  unsigned end = l4->end;
+  l4->end += 3; /* From an earlier repair.  */
+  double crowded = fleet.tokens ("three");
+  fleet.add ("three", "t4", 1);
+  fleet.settle ();
+  EXPECT_GT (fleet.tokens ("three"), crowded);
+  EXPECT_LE (fleet.find ("three", "l4")->end, end + 3);
+}
+
+TEST_F (LayerPlan, AnEngineWithAnOrderUnderWayIsLeftAlone)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  Engine *spare = nullptr;
+  for (Engine &e : fleet.engines)
+    if (e.domain == "one" && e.card == "t4")
+      {
+        spare = &e;
+        e.fixed = true;
+      }
+  auto before = *spare;
+  fleet.lose (fleet.find ("one", "l4"));
+  fleet.plan ();
+  EXPECT_EQ (spare->first, before.first);
+  EXPECT_EQ (spare->end, before.end);
+}
+
+TEST_F (LayerPlan, RoomAndTokensAgree)
+{
+  const mq_card *c = service.card_named ("l4");
+  unsigned n = mq_layer_plan_room (service.model (), c, 100000);
+
+  EXPECT_GE (mq_layer_plan_tokens (service.model (), c, n), 100000);
+  EXPECT_LT (mq_layer_plan_tokens (service.model (), c, n + 1), 100000);
+  EXPECT_EQ (mq_layer_plan_tokens (service.model (), c, 0), 0);
+  EXPECT_EQ (mq_layer_plan_tokens (service.model (), c, 80), 0);
+}
--- /dev/null
+++ b/tests/test_log.cc
@@ -0,0 +1,78 @@
+/* Logs on standard output: bounded, and never waiting for their reader.  */
+
+#include <mq/log.h>
+
+#include <gtest/gtest.h>
+
+#include <fcntl.h>
+#include <string>
+#include <unistd.h>
+
+namespace
+{
+
+/* Standard output is a pipe that nobody reads while the object lives.  */
+class Pipe
+{
+public:
+  Pipe ()
+  {
+    EXPECT_EQ (pipe (ends_), 0);
+    kept_ = dup (STDOUT_FILENO);
+    dup2 (ends_[1], STDOUT_FILENO);
+  }
+
+  ~Pipe ()
+  {
+    dup2 (kept_, STDOUT_FILENO);
+    close (kept_);
+    close (ends_[0]);
+    close (ends_[1]);
+  }
+
+  std::string
+  read_all ()
+  {
+    std::string s (1 << 20, '\0');
+    fcntl (ends_[0], F_SETFL, O_NONBLOCK);
+    ssize_t n = ::read (ends_[0], s.data (), s.size ());
+
+    s.resize (n > 0 ? (size_t)n : 0);
+    return s;
+  }
+
+private:
+  int ends_[2];
+  int kept_;
+};
+
+} // namespace
+
+TEST (Log, AReaderThatDoesNotReadCostsNoTimeAndWhatIsLeftOutIsCounted)
+{
+  Pipe p;
+
+  ASSERT_EQ (mq_log_init ("info"), 0);
+  mq_log_use_stdout ();
+  gint64 before = g_get_monotonic_time ();
+  for (int i = 0; i < 20000; i++)
+    mq_log (G_LOG_LEVEL_INFO, "test.line", "i=%d", i);
+  EXPECT_LT (g_get_monotonic_time () - before, 5 * G_USEC_PER_SEC);
+  const mq_log_counters *c = mq_log_count ();
+  EXPECT_GT (c->left_out, 0u);
+  EXPECT_GT (c->lines, 100u);
+  std::string s = p.read_all ();
+  EXPECT_NE (s.find ("event=test.line i=0\n"), std::string::npos);
+
+  /* The budget is spent now: a request that went well is left out by its
+     hash, one that did not is tried.  */
+  uint64_t left_out = c->left_out;
+  mq_log_story story;
+  mq_log_story_init (&story);
+  mq_log_story_add (&story, G_LOG_LEVEL_INFO, "test.good", "a=1");
+  mq_log_story_add (&story, G_LOG_LEVEL_INFO, "test.good", "a=2");
+  mq_log_story_tell (&story, FALSE, 1);
+  EXPECT_EQ (c->left_out, left_out + 2);
+  EXPECT_EQ (story.n, 0u);
+  mq_log_story_finish (&story);
+}
--- /dev/null
+++ b/tests/test_upstream.cc
@@ -0,0 +1,106 @@
+/* The registry of upstreams, and when one is put aside.  */
+
+#include <mq/upstream.h>
+
+#include <gtest/gtest.h>
+
+namespace
+{
+
+constexpr uint64_t s = 1000 * 1000;
+
+class Registry : public ::testing::Test
+{
+protected:
+  Registry () { mq_registry_init (&r); }
+  ~Registry () override { mq_registry_finish (&r); }
+
+  mq_upstream *
+  put (const char *id, const char *address, unsigned first = 0,
+       unsigned end = 0, uint64_t now_us = 0)
+  {
+    mq_upstream_facts f = {};
+
+    f.id = mq_str_new (mq_span_from (id));
+    f.service = mq_str_new (MQ_SPAN ("s"));
+    f.address = mq_str_new (mq_span_from (address));
+    f.layer_first = first;
+    f.layer_end = end;
+    mq_registry_put (&r, &f, now_us);
+    return mq_registry_find (&r, mq_span_from (id));
+  }
+
+  mq_registry r;
+};
+
+} // namespace
+
+TEST_F (Registry, ARecordKeepsWhatWasSeenWhenItsFactsChange)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  u->in_flight = 3;
+  EXPECT_EQ (put ("a", "1:1", 0, 8), u);
+  EXPECT_EQ (u->in_flight, 3u);
+  EXPECT_EQ (u->facts.layer_end, 8u);
+  EXPECT_EQ (mq_registry_at (&r, MQ_SPAN ("1:1")), u);
+}
+
+TEST_F (Registry, ARecordOutlivesItsPlaceForWhoHoldsIt)
+{
+  mq_upstream *u = mq_upstream_ref (put ("a", "1:1"));
+
+  mq_registry_remove (&r, MQ_SPAN ("a"));
+  EXPECT_EQ (mq_registry_find (&r, MQ_SPAN ("a")), nullptr);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 1));
+  mq_upstream_unref (u);
+}
+
+TEST_F (Registry, WhatAScanDidNotShowIsDropped)
+{
+  GHashTable *keep = g_hash_table_new (g_str_hash, g_str_equal);
+
+  put ("a", "1:1");
+  put ("b", "1:2");
+  g_hash_table_add (keep, const_cast<char *> ("b"));
+  mq_registry_keep (&r, keep);
+  EXPECT_EQ (mq_registry_find (&r, MQ_SPAN ("a")), nullptr);
+  EXPECT_NE (mq_registry_find (&r, MQ_SPAN ("b")), nullptr);
+  g_hash_table_unref (keep);
+}
+
+TEST_F (Registry, OneFailureIsLuckTwoPutAside)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_failed (u, 10 * s);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 10 * s));
+  mq_upstream_failed (u, 10 * s);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 10 * s));
+  EXPECT_TRUE (mq_upstream_is_usable (u, 12 * s));
+}
+
+TEST_F (Registry, EachTimeAsideIsLongerUntilAnAnswerComes)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  for (int i = 0; i < 5; i++)
+    mq_upstream_failed (u, 10 * s);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 13 * s));
+  EXPECT_TRUE (mq_upstream_is_usable (u, 14 * s + 1));
+  mq_upstream_succeeded (u, 15 * s);
+  mq_upstream_failed (u, 15 * s);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 15 * s));
+}
+
+TEST_F (Registry, AnEngineThatLetsLayersGoCountsThemForAWhile)
+{
+  mq_upstream *u = put ("a", "1:1", 0, 19, s);
+
+  put ("a", "1:1", 0, 13, 2 * s);
+  EXPECT_EQ (mq_upstream_layers (u, 3 * s), 19u);
+  EXPECT_EQ (mq_upstream_layers (u, 9 * s), 13u);
+  EXPECT_TRUE (mq_registry_set_layers (&r, u, 0, 15, 9 * s));
+  EXPECT_FALSE (mq_registry_set_layers (&r, u, 0, 15, 9 * s));
+  EXPECT_EQ (mq_upstream_layers (u, 9 * s), 15u);
+}
--- /dev/null
+++ b/tests/test_users_platform.cc
@@ -0,0 +1,276 @@
+/* The users' platform: what its words become in the product's types.  */
+
+#include "../platform/platform.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+mq_span
+span (const std::string &s)
+{
+  return { s.data (), s.size () };
+}
+
+std::string
+text (mq_span s)
+{
+  return std::string (s.size ? s.data : "", s.size);
+}
+
+const char *const configuration = R"({
+  "version": 7,
+  "routes": [
+    {"name": "r1", "host": "x.example", "pathPrefix": "/a/",
+     "kind": "streaming", "timeoutMs": 20000, "targetLatencyMs": 500,
+     "priority": 1, "weightedServices": [{"service": "one", "weight": 90},
+     {"service": "two", "weight": 10}], "maxAttempts": 2,
+     "allowAnonymous": false, "resumable": true, "gapTargetMs": 200},
+    {"name": "r2", "host": "x.example", "pathPrefix": "/b/",
+     "kind": "something new", "service": "two"}],
+  "services": [
+    {"name": "one", "maxConnections": 968, "engine": {"slots": 192,
+     "kvTokenBytes": 590000, "models": [{"name": "m", "loadS": 14.0}],
+     "step_ms": 0.85, "read_per_s": 196000.0, "loads_at_once": 6,
+     "usual": {"prompt": 772, "answer": 172}, "layers": 80,
+     "layerMb": 1750.0, "kinds": [
+       {"name": "h100", "mb": 72000.0, "pace": 1.4, "readX": 1.0}]}},
+    {"name": "two", "maxConnections": 96}],
+  "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
+             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+  "tenants": [{"name": "org", "apiKeys": ["k1", "k2"], "priority": 1}]})";
+
+} // namespace
+
+TEST (UsersPlatform, AConfigurationBecomesARouting)
+{
+  mq_routing *r
+      = mq_users_platform.routing_decode (mq_span_from (configuration),
+                                          nullptr);
+
+  ASSERT_NE (r, nullptr);
+  EXPECT_EQ (r->version, 7u);
+  const mq_route *route
+      = mq_routing_match (r, MQ_SPAN ("x.example"), MQ_SPAN ("/a/1"));
+  ASSERT_NE (route, nullptr);
+  EXPECT_EQ (route->kind, MQ_ROUTE_STREAM);
+  EXPECT_TRUE (route->resumable);
+  EXPECT_EQ (route->timeout_ms, 20000u);
+  EXPECT_EQ (route->target_ms, 500u);
+  EXPECT_EQ (route->gap_ms, 200u);
+  EXPECT_EQ (route->attempts, 2u);
+  EXPECT_EQ (route->shares->len, 2u);
+  const mq_route_service *s = mq_routing_service (r, MQ_SPAN ("one"));
+  EXPECT_EQ (s->model.layers, 80u);
+  EXPECT_DOUBLE_EQ (s->model.kv_mb_per_token, 0.59);
+  EXPECT_DOUBLE_EQ (s->model.read_per_ms, 196);
+  EXPECT_DOUBLE_EQ (s->model.load_s, 14);
+  EXPECT_DOUBLE_EQ (
+      mq_layered_model_card (&s->model, MQ_SPAN ("h100"))->memory_mb, 72000);
+  EXPECT_EQ (mq_routing_service (r, MQ_SPAN ("two"))->model.layers, 0u);
+  EXPECT_STREQ (mq_routing_holder (r, MQ_SPAN ("k2"))->name->data, "org");
+  EXPECT_EQ (r->limits.body_bytes, 4194304u);
+  mq_routing_unref (r);
+}
+
+TEST (UsersPlatform, AKindThatIsNotKnownIsHeldToTheStrictest)
+{
+  mq_routing *r
+      = mq_users_platform.routing_decode (mq_span_from (configuration),
+                                          nullptr);
+  const mq_route *route
+      = mq_routing_match (r, MQ_SPAN ("x.example"), MQ_SPAN ("/b/1"));
+
+  EXPECT_EQ (route->kind, MQ_ROUTE_UNSAFE);
+  EXPECT_EQ (route->attempts, 1u);
+  mq_routing_unref (r);
+}
+
+TEST (UsersPlatform, AnImpossibleConfigurationIsRefusedWithAReason)
+{
+  for (const char *bad :
+       { "", "{", "[]", "{}", "{\"version\":1,\"routes\":[{}]}",
+         "{\"version\":1,\"routes\":[{\"host\":\"x\",\"pathPrefix\":\"/\","
+         "\"service\":\"unknown\"}]}" })
+    {
+      GError *error = nullptr;
+
+      EXPECT_EQ (mq_users_platform.routing_decode (mq_span_from (bad), &error),
+                 nullptr)
+          << bad;
+      ASSERT_NE (error, nullptr) << bad;
+      EXPECT_EQ (error->domain, MQ_DIALECT_ERROR);
+      g_error_free (error);
+    }
+}
+
+TEST (UsersPlatform, AnEntryBecomesAnUpstreamsFacts)
+{
+  mq_upstream_facts f;
+
+  ASSERT_EQ (mq_users_platform.upstream_decode (
+                 MQ_SPAN ("i-1"),
+                 MQ_SPAN ("{\"service\":\"one\",\"address\":\"10.0.0.1:80\","
+                          "\"zone\":\"z\",\"slots\":192,\"state\":"
+                          "\"draining\",\"sequence\":44,\"kind\":\"h100\","
+                          "\"layers\":{\"from\":20,\"target\":31}}"),
+                 &f, nullptr),
+             0);
+  EXPECT_STREQ (f.id->data, "i-1");
+  EXPECT_STREQ (f.domain->data, "z");
+  EXPECT_TRUE (f.draining);
+  EXPECT_EQ (f.layer_first, 20u);
+  EXPECT_EQ (f.layer_end, 31u);
+  mq_upstream_facts_finish (&f);
+  EXPECT_EQ (mq_users_platform.upstream_decode (MQ_SPAN ("i-1"),
+                                                MQ_SPAN ("{}"), &f, nullptr),
+             -1);
+}
+
+/* The number of the same name in an entry counts heartbeats: taken for that
+   of orders, it had every order refused (journal 16bac771).  */
+TEST (UsersPlatform, AReportsNumberCountsOrders)
+{
+  mq_engine_report r;
+
+  ASSERT_EQ (mq_users_platform.report_decode (
+                 MQ_SPAN ("{\"busy\":true,\"sequence\":2,\"waiting\":1,"
+                          "\"running\":12,\"kvUsed\":41000,\"kvTotal\":90000,"
+                          "\"pace\":2.5,\"layers\":[{\"from\":0,\"target\":9}"
+                          "],\"stalled\":[{\"id\":\"a\",\"address\":\"x:1\"}]"
+                          "}"),
+                 &r, nullptr),
+             0);
+  EXPECT_EQ (r.orders, 2u);
+  EXPECT_TRUE (r.busy);
+  EXPECT_EQ (r.layer_end, 9u);
+  EXPECT_DOUBLE_EQ (r.pace, 2.5);
+  ASSERT_EQ (r.stalled_at->len, 1u);
+  EXPECT_STREQ ((const char *)g_ptr_array_index (r.stalled_at, 0), "x:1");
+  mq_users_platform.report_finish (&r);
+  EXPECT_EQ (mq_users_platform.report_decode (MQ_SPAN ("{}"), &r, nullptr),
+             -1);
+}
+
+TEST (UsersPlatform, AnOrderNamesTheCountThatItHoldsFor)
+{
+  GString *out = g_string_new (nullptr);
+
+  mq_users_platform.order_encode (20, 31, 4, out);
+  EXPECT_STREQ (out->str, "{\"op\":\"place\",\"from\":20,\"target\":31,"
+                          "\"mode\":\"wait\",\"precondition\":4}");
+  g_string_free (out, TRUE);
+}
+
+TEST (UsersPlatform, StoreCallsAreWrittenAsThePlatformReadsThem)
+{
+  auto encode = [] (mq_platform_ask ask) {
+    mq_platform_wire w = { "GET", g_string_new (nullptr),
+                           g_string_new (nullptr) };
+    std::string s;
+
+    ask.kind = MQ_SPAN ("servers");
+    mq_users_platform.store->encode (&ask, &w);
+    s = std::string (w.method) + " " + w.path->str + " " + w.body->str;
+    g_string_free (w.path, TRUE);
+    g_string_free (w.body, TRUE);
+    return s;
+  };
+  mq_platform_ask ask = {};
+
+  ask.op = MQ_PLATFORM_SCAN;
+  ask.after = MQ_SPAN ("i 1");
+  ask.stale = true;
+  EXPECT_EQ (encode (ask), "GET /objects/servers?after=i%201&allowStale=1 ");
+  ask = {};
+  ask.op = MQ_PLATFORM_FOLLOW;
+  ask.version = 530;
+  ask.wait_ms = 2500;
+  EXPECT_EQ (encode (ask), "GET /objects/servers?watch=530&waitMs=2500 ");
+  ask = {};
+  ask.op = MQ_PLATFORM_CREATE;
+  ask.name = MQ_SPAN ("n");
+  ask.value = MQ_SPAN ("{\"a\":1}");
+  EXPECT_EQ (encode (ask), "POST /objects/servers "
+                           "{\"metadata\":{\"name\":\"n\"},\"spec\":{\"a\":1}"
+                           "}");
+}
+
+TEST (UsersPlatform, StoreAnswersAreToldApart)
+{
+  mq_platform_reply r = {};
+  const mq_platform_dialect *d = mq_users_platform.store;
+  void *decoded
+      = d->decode (MQ_PLATFORM_FOLLOW, 200,
+                   MQ_SPAN ("{\"events\":[{\"deleted\":true,\"object\":"
+                            "{\"metadata\":{\"name\":\"i-1\",\"revision\":5},"
+                            "\"spec\":null}}],\"at\":9}"),
+                   &r);
+
+  EXPECT_EQ (r.result, MQ_PLATFORM_OK);
+  ASSERT_EQ (r.n_entries, 1u);
+  EXPECT_EQ (text (r.entries[0].name), "i-1");
+  EXPECT_TRUE (r.entries[0].deleted);
+  EXPECT_EQ (r.at, 9u);
+  d->forget (decoded);
+  r = {};
+  EXPECT_EQ (d->decode (MQ_PLATFORM_FOLLOW, 410, MQ_SPAN (""), &r), nullptr);
+  EXPECT_EQ (r.result, MQ_PLATFORM_FORGOTTEN);
+  r = {};
+  decoded = d->decode (MQ_PLATFORM_SCAN, 200, MQ_SPAN ("{\"items\":"), &r);
+  EXPECT_EQ (r.result, MQ_PLATFORM_UNAVAILABLE);
+  d->forget (decoded);
+  r = {};
+  decoded = d->decode (MQ_PLATFORM_PUT, 409, MQ_SPAN ("{}"), &r);
+  EXPECT_EQ (r.result, MQ_PLATFORM_CONFLICT);
+  d->forget (decoded);
+}
+
+/* Any text that is near to a message: taken or refused, without harm.  */
+RC_GTEST_PROP (UsersPlatformProperty, DecodersTakeAnyBytes, ())
+{
+  std::string s = configuration;
+
+  for (unsigned i = *rc::gen::inRange (0u, 6u); i > 0; i--)
+    {
+      size_t at = *rc::gen::inRange<size_t> (0, s.size ());
+
+      switch (*rc::gen::inRange (0, 4))
+        {
+        case 0:
+          s.resize (at + 1);
+          break;
+        case 1:
+          s[at] = *rc::gen::arbitrary<char> ();
+          break;
+        case 2:
+          s.erase (at, *rc::gen::inRange<size_t> (0, 40));
+          break;
+        default:
+          s.insert (at, *rc::gen::element<std::string> (
+                            "-1", "null", "[]", "{}", "1e400", "\"", "true"));
+          break;
+        }
+      if (s.empty ())
+        s = "{";
+    }
+  mq_upstream_facts f;
+  mq_engine_report report;
+  mq_platform_reply reply = {};
+  mq_routing *r = mq_users_platform.routing_decode (span (s), nullptr);
+
+  mq_routing_unref (r);
+  if (mq_users_platform.upstream_decode (MQ_SPAN ("i"), span (s), &f, nullptr)
+      == 0)
+    mq_upstream_facts_finish (&f);
+  if (mq_users_platform.report_decode (span (s), &report, nullptr) == 0)
+    mq_users_platform.report_finish (&report);
+  void *decoded = mq_users_platform.store->decode (MQ_PLATFORM_SCAN, 200,
+                                                   span (s), &reply);
+  if (decoded != nullptr)
+    mq_users_platform.store->forget (decoded);
+}
