Ask engines for their counts at take-over; share which engines are at fault

The router that gave orders was restarted; the next one took every engine's count for 0, so its orders were refused, the engines were held for a second each, and spares that were sound were passed over. Each router found out by itself, once a second, that a dead engine was still dead.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -128,6 +128,8 @@
   uint64_t member_retry_us; /* When to write our member object.  */
   bool member_written;
   bool member_writing;
+  bool leads;               /* This router gives the orders.  */
+  bool orders_due;          /* A report came that orders waited for.  */
   uint64_t members_scan_us; /* When to read the members again.  */
   ev_timer tick;
   unsigned ticks;
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -38,6 +38,7 @@
   uint64_t tokens;           /* Held here by requests of this router.  */
   unsigned failures;         /* In a row.  */
   uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
+  uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
   uint64_t aside_span_us;    /* How long it was last put aside.  */
   uint64_t answered_us;      /* Last sign of life.  */
   uint64_t reported_us;      /* When it was last asked how it does.  */
@@ -99,6 +100,11 @@
 /* Known to be down: put aside at once for SPAN_US at least.  */
 void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
                             uint64_t span_us);
+/* Another engine named it as the one at fault: put aside, longer each time
+   until a request through it ends well.  Such a finding is no matter of this
+   router's own links, so others are told.  */
+void mq_upstream_blamed (mq_upstream *upstream, uint64_t now_us,
+                         uint64_t least_us);
 
 G_END_DECLS
 
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -128,7 +128,7 @@
   if (g->ticks % HEARTBEAT_TICKS == 0)
     mq_members_tell (g);
   mq_members_tick (g, now);
-  if (g->ticks % ORDER_TICKS == 0)
+  if (g->ticks % ORDER_TICKS == 0 || g->orders_due)
     mq_orders_tick (g, now);
   if (g->mode == MQ_GATEWAY_DRAINING)
     drain_tick (g, now);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -243,6 +243,9 @@
 {
   mq_gateway *g = forward->gateway;
 
+  for (unsigned i = 0; i < forward->path.n; i++)
+    mq_upstream_succeeded (forward->path.parts[i].upstream,
+                           mq_gateway_now_us ());
   mq_upstream_succeeded (forward->upstream, mq_gateway_now_us ());
   if (!forward->state.begun)
     stream_begin (forward, status);
@@ -296,7 +299,7 @@
   mq_log_story_add (&forward->story, G_LOG_LEVEL_INFO, "upstream.blamed",
                     "request=%.*s upstream=%s", MQ_SPAN_ARG (forward->id),
                     mq_str_cstr (u->facts.id));
-  mq_upstream_put_aside (u, now_us, (uint64_t)1000 * 1000);
+  mq_upstream_blamed (u, now_us, 0);
 }
 
 /* A whole answer came.  */
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -27,6 +27,8 @@
 #define STORE_FRESH_US ((uint64_t)4500 * 1000)
 /* Failures in a row that count as an outage.  */
 #define STORE_LOST_FAILURES 2
+/* A peer's finding about an engine counts no longer than this.  */
+#define BLAMED_MOST_US ((uint64_t)5000 * 1000)
 /* Again after a write or a scan that failed, and between scans.  */
 #define MEMBER_RETRY_US ((uint64_t)1000 * 1000)
 /* Routers heard within this count as known, for who is most.  */
@@ -130,6 +132,33 @@
   g_string_append_c (out, ']');
 }
 
+/* Engines that others of their paths name as being at fault, and for how long
+   they are to be passed over.  */
+static void
+news_add_blamed (const mq_gateway *gateway, GString *out, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  mq_json_text_key (out, "blamed");
+  g_string_append_c (out, '[');
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_upstream *u = value;
+
+      if (u->blamed_until_us <= now_us)
+        continue;
+      if (out->str[out->len - 1] != '[')
+        g_string_append_c (out, ',');
+      g_string_append_c (out, '{');
+      mq_json_text_member (out, "upstream", mq_str_span (u->facts.id));
+      mq_json_text_number (out, "us", u->blamed_until_us - now_us);
+      g_string_append_c (out, '}');
+    }
+  g_string_append_c (out, ']');
+}
+
 static void
 news_write (mq_gateway *gateway, GString *out, uint64_t now_us)
 {
@@ -150,6 +179,7 @@
   mq_json_text_number (out, "upstreams", gateway->upstreams_at);
   news_add_peers (gateway, out, now_us);
   news_add_tokens (gateway, out);
+  news_add_blamed (gateway, out, now_us);
   g_string_append_c (out, '}');
 }
 
@@ -249,6 +279,29 @@
     }
 }
 
+static void
+take_blamed (mq_gateway *gateway, const mq_json *root, uint64_t now_us)
+{
+  mq_json list;
+
+  if (!mq_json_array (root, "blamed", &list))
+    return;
+  for (size_t i = 0; i < mq_json_size (&list); i++)
+    {
+      mq_json o;
+      mq_upstream *u;
+
+      if (!mq_json_element (&list, i, &o))
+        return;
+      u = mq_registry_find (&gateway->registry,
+                            mq_json_span (&o, "upstream", MQ_SPAN ("")));
+      /* Not passed on again: a finding lives as long as who made it says.  */
+      if (u != NULL)
+        mq_upstream_put_aside (u, now_us,
+                               mq_json_u64 (&o, "us", 0, BLAMED_MOST_US, 0));
+    }
+}
+
 static void
 take_peers (mq_gateway *gateway, const mq_json *root)
 {
@@ -302,6 +355,7 @@
   m->routing_version = mq_json_u64 (root, "routing", 0, UINT64_MAX, 0);
   m->upstreams_at = mq_json_u64 (root, "upstreams", 0, UINT64_MAX, 0);
   take_tokens (m, root);
+  take_blamed (gateway, root, now);
   take_peers (gateway, root);
 }
 
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -30,6 +30,9 @@
    now, a load or the wait for requests that pass, takes a second or some.  */
 #define REFUSED_HOLD_US ((uint64_t)1000 * 1000)
 
+/* One that says that it is busy is asked again after this.  */
+#define BUSY_HOLD_US ((uint64_t)300 * 1000)
+
 /* Engines that start together register within a heartbeat (1.2 s).  As long
    as new ones come, none is given layers, unless some hold any: a chain over
    the first few would have little memory for requests.  */
@@ -46,17 +49,20 @@
 order_take_report (mq_gateway *gateway, mq_upstream *upstream,
                    const mq_engine_report *report)
 {
+  uint64_t now = mq_gateway_now_us ();
+
   /* The last order did not begin.  Should it still be carried out later, the
      count that it names is wrong by then or the engine does what was meant. */
   if (upstream->orders_unknown && report->orders == upstream->orders
       && !report->busy)
     upstream->ordered_us = 0;
-  upstream->orders = report->orders;
-  upstream->orders_unknown = false;
   if (mq_registry_set_layers (&gateway->registry, upstream,
-                              report->layer_first, report->layer_end,
-                              mq_gateway_now_us ()))
+                              report->layer_first, report->layer_end, now))
     mq_members_tell_layers (gateway, upstream);
+  upstream->orders = report->orders;
+  upstream->orders_unknown = false;
+  upstream->order_hold_us = report->busy ? now + BUSY_HOLD_US : 0;
+  gateway->orders_due = true;
 }
 
 /* The engine was asked for its count.  */
@@ -258,11 +264,31 @@
   g_array_unref (orders);
 }
 
+/* Another router may have given orders until now.  */
+static void
+orders_take_over (mq_gateway *gateway)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  mq_log (G_LOG_LEVEL_INFO, "order.lead", "vm=%s",
+          mq_str_cstr (gateway->settings->name));
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    ((mq_upstream *)value)->orders_unknown = true;
+}
+
 void
 mq_orders_tick (mq_gateway *gateway, uint64_t now_us)
 {
-  if (gateway->routing == NULL || !gateway->upstreams_known
-      || !mq_members_we_lead (gateway, now_us))
+  bool leads = gateway->routing != NULL && gateway->upstreams_known
+               && mq_members_we_lead (gateway, now_us);
+
+  if (leads && !gateway->leads)
+    orders_take_over (gateway);
+  gateway->leads = leads;
+  gateway->orders_due = false;
+  if (!leads)
     return;
   for (guint i = 0; i < gateway->routing->services->len; i++)
     {
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -27,13 +27,17 @@
 } stall_call;
 
 static void
-stall_found (mq_gateway *gateway, mq_upstream *upstream, const char *why)
+stall_found (mq_gateway *gateway, mq_upstream *upstream, bool blamed,
+             const char *why)
 {
   uint64_t now = mq_gateway_now_us ();
 
   mq_log (G_LOG_LEVEL_WARNING, "upstream.stalled", "upstream=%s why=%s",
           mq_str_cstr (upstream->facts.id), why);
-  mq_upstream_put_aside (upstream, now, STALLED_ASIDE_US);
+  if (blamed)
+    mq_upstream_blamed (upstream, now, STALLED_ASIDE_US);
+  else
+    mq_upstream_put_aside (upstream, now, STALLED_ASIDE_US);
   mq_upstream_ref (upstream);
   mq_forward_fail_through (gateway, upstream, why);
   mq_upstream_unref (upstream);
@@ -68,7 +72,7 @@
 
       if (u != NULL && u != call->head
           && mq_upstream_is_usable (u, mq_gateway_now_us ()))
-        stall_found (g, u, "stalled");
+        stall_found (g, u, true, "stalled");
     }
   g->dialect->report_finish (&r);
 }
@@ -84,7 +88,7 @@
   if (event->result == MQ_HTTP_OK && event->status == STATUS_OK)
     stall_take_report (c, event->data);
   else if (event->result != MQ_HTTP_OK)
-    stall_found (c->gateway, c->head, "no-report");
+    stall_found (c->gateway, c->head, false, "no-report");
   mq_upstream_unref (c->head);
   g_free (c);
 }
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -89,6 +89,19 @@
   upstream->wide_until_us = now_us + LET_GO_US;
 }
 
+/* What UPSTREAM holds is not what this router ordered last: somebody else
+   gave it orders, and their count is not known.  */
+static void
+upstream_check_orders (mq_upstream *upstream)
+{
+  const mq_upstream_facts *f = &upstream->facts;
+
+  if (f->layer_first != f->layer_end
+      && (f->layer_first != upstream->ordered_first
+          || f->layer_end != upstream->ordered_end))
+    upstream->orders_unknown = true;
+}
+
 unsigned
 mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us)
 {
@@ -125,6 +138,7 @@
       u->facts = *facts;
       mq_str_unref (id);
     }
+  upstream_check_orders (u);
   memset (facts, 0, sizeof *facts);
 }
 
@@ -140,6 +154,7 @@
   f.layer_end = end;
   upstream_note_layers (upstream, &f, now_us);
   upstream->facts = f; /* The strings are the same.  */
+  upstream_check_orders (upstream);
   registry->change++;
   return true;
 }
@@ -208,6 +223,7 @@
 {
   upstream->failures = 0;
   upstream->aside_until_us = 0;
+  upstream->blamed_until_us = 0;
   upstream->aside_span_us = 0;
   upstream->answered_us = now_us;
 }
@@ -221,14 +237,30 @@
   upstream->aside_until_us = MAX (upstream->aside_until_us, until);
 }
 
-void
-mq_upstream_failed (mq_upstream *upstream, uint64_t now_us)
+static void
+upstream_lengthen_aside (mq_upstream *upstream)
 {
-  if (++upstream->failures < FAILURES_ASIDE)
-    return;
   upstream->aside_span_us
       = upstream->aside_span_us == 0
             ? ASIDE_FIRST_US
             : MIN (upstream->aside_span_us * 2, ASIDE_MOST_US);
+}
+
+void
+mq_upstream_blamed (mq_upstream *upstream, uint64_t now_us, uint64_t least_us)
+{
+  /* Many requests meet the same fault at once: that counts as one.  */
+  if (now_us >= upstream->aside_until_us)
+    upstream_lengthen_aside (upstream);
+  mq_upstream_put_aside (upstream, now_us, least_us);
+  upstream->blamed_until_us = upstream->aside_until_us;
+}
+
+void
+mq_upstream_failed (mq_upstream *upstream, uint64_t now_us)
+{
+  if (++upstream->failures < FAILURES_ASIDE)
+    return;
+  upstream_lengthen_aside (upstream);
   mq_upstream_put_aside (upstream, now_us, upstream->aside_span_us);
 }
