Tell refused clients to come back late, and place them a little behind new ones

Refused clients were told to come back within a second, into the same burst; there they took the places of new requests.

Kept: late, spread returns, ranked 3 in 100 of memory below new ones; memory counted by what a request holds on the average.

--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -25,17 +25,22 @@
   bool local;     /* The router's own domain.  */
 } mq_domain_choice;
 
-typedef struct mq_domain_verdict
+/* What a request is to the router.  */
+typedef enum mq_domain_rank
 {
-  int chosen;        /* Index, or -1: refuse.  */
-  unsigned retry_ms; /* Refused: when to come back.  */
-} mq_domain_verdict;
-
-/* Choose among N ways for a request that will hold NEED tokens.  One that has
-   BEGUN, and would be lost, may take what is kept back from new ones.  DRAW,
-   even over 64 bits, spreads the returns of those who are refused.  */
-mq_domain_verdict mq_domain_choose (const mq_domain_choice *choices, size_t n,
-                                    double need, bool begun, uint64_t draw);
+  MQ_DOMAIN_RETURNED, /* It was refused before, and will be late anyhow.  */
+  MQ_DOMAIN_NEW,
+  MQ_DOMAIN_BEGUN /* Part of its answer was given.  */
+} mq_domain_rank;
+
+/* Choose among N ways for a request of RANK that will hold NEED tokens: the
+   index of one, or -1 when it fits nowhere.  */
+int mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
+                      mq_domain_rank rank);
+
+/* When a refused client that has LEFT_MS should come back, in ms.  DRAW, even
+   over 64 bits, spreads those who are refused together.  */
+unsigned mq_domain_return_ms (uint64_t left_ms, uint64_t draw);
 
 /* Tokens that a request will hold at its end: PROMPT and what is expected of
    an answer of at most MOST tokens, given the client's ESTIMATE (0: none)
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -77,7 +77,6 @@
 typedef struct mq_service_state
 {
   mq_send_budget budget;
-  uint64_t next; /* Draws.  */
 } mq_service_state;
 
 typedef struct mq_gateway_counters
@@ -170,6 +169,8 @@
   GString *failure;      /* Body of an answer that is no stream.  */
   mq_event_split split;
   unsigned first_event_ms; /* From the request to its first event.  */
+  unsigned longest_gap_ms; /* Between two events.  */
+  uint64_t passed_us;      /* When the last event was passed on.  */
   mq_log_story story;
 };
 
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -72,12 +72,13 @@
 static bool
 forward_is_told (const mq_forward *forward, const char *outcome)
 {
-  uint64_t ms = forward->route->kind == MQ_ROUTE_STREAM
-                    ? forward->first_event_ms
-                    : forward_age_ms (forward);
+  const mq_route *r = forward->route;
+  uint64_t ms = r->kind == MQ_ROUTE_STREAM ? forward->first_event_ms
+                                           : forward_age_ms (forward);
 
   return strcmp (outcome, "answered") != 0 || forward->state.tries > 1
-         || ms > forward->route->target_ms;
+         || ms > r->target_ms
+         || (r->gap_ms > 0 && forward->longest_gap_ms > r->gap_ms);
 }
 
 /* Log how FORWARD ended and free it.  */
@@ -87,13 +88,14 @@
 {
   mq_forward *f = forward;
 
-  mq_log_story_add (&f->story, G_LOG_LEVEL_INFO, "request.end",
-                    "request=%.*s outcome=%s status=%u why=%s route=%s"
-                    " version=%" G_GUINT64_FORMAT
-                    " sends=%u events=%u ms=%" G_GUINT64_FORMAT,
-                    MQ_SPAN_ARG (f->id), outcome, status, why,
-                    mq_str_cstr (f->route->name), f->routing->version,
-                    f->state.sent, f->split.events, forward_age_ms (f));
+  mq_log_story_add (
+      &f->story, G_LOG_LEVEL_INFO, "request.end",
+      "request=%.*s outcome=%s status=%u why=%s route=%s"
+      " version=%" G_GUINT64_FORMAT
+      " sends=%u events=%u first_ms=%u gap_ms=%u ms=%" G_GUINT64_FORMAT,
+      MQ_SPAN_ARG (f->id), outcome, status, why, mq_str_cstr (f->route->name),
+      f->routing->version, f->state.sent, f->split.events, f->first_event_ms,
+      f->longest_gap_ms, forward_age_ms (f));
   mq_log_story_tell (&f->story, forward_is_told (f, outcome),
                      mq_span_hash (f->id));
   forward_free (f);
@@ -203,6 +205,19 @@
                         mq_gateway_now_us () - forward->started_us);
 }
 
+/* An event is about to be passed on.  */
+static void
+stream_note_gap (mq_forward *forward)
+{
+  uint64_t now = mq_gateway_now_us ();
+
+  if (forward->passed_us > 0)
+    forward->longest_gap_ms
+        = MAX (forward->longest_gap_ms,
+               (unsigned)((now - forward->passed_us) / 1000));
+  forward->passed_us = now;
+}
+
 /* Pass on what is whole.  Returns 0, or -1 when the send was ended, and
    FORWARD may be gone.  */
 static int
@@ -215,6 +230,7 @@
     {
       if (!forward->state.begun)
         stream_begin (forward, status);
+      stream_note_gap (forward);
       if (mq_http_exchange_write (forward->exchange, event)
           >= MQ_HTTP_STREAM_HIGH)
         mq_http_call_pause (forward->call, true);
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -12,6 +12,10 @@
    a chain two.  */
 #define NONE_RETRY_MS 1000
 
+/* A client that has this much less time than its route gives has been here
+   before; the way from a client takes some ms.  */
+#define RETURNED_MS 400
+
 /* ---- Plain services.  */
 
 static bool
@@ -132,24 +136,39 @@
   return c;
 }
 
+static mq_domain_rank
+forward_rank (const mq_forward *forward)
+{
+  uint64_t left_ms = (forward->state.deadline_us - forward->started_us) / 1000;
+
+  if (forward->state.begun)
+    return MQ_DOMAIN_BEGUN;
+  /* A client that comes back has less time than its route gives.  */
+  return left_ms + RETURNED_MS < forward->route->timeout_ms
+             ? MQ_DOMAIN_RETURNED
+             : MQ_DOMAIN_NEW;
+}
+
 /* Choose among the N ways in PATHS and take the chosen one.  */
 static int
 place_among (mq_forward *forward, mq_layer_path *paths,
-             const mq_domain_choice *choices, size_t n, unsigned *retry_ms)
+             const mq_domain_choice *choices, size_t n, uint64_t now_us,
+             unsigned *retry_ms)
 {
   mq_gateway *g = forward->gateway;
-  mq_domain_verdict v = mq_domain_choose (
-      choices, n, forward->need, forward->state.begun, mq_gateway_draw (g));
+  int chosen
+      = mq_domain_choose (choices, n, forward->need, forward_rank (forward));
   char *key;
 
-  if (v.chosen < 0)
+  if (chosen < 0)
     {
-      *retry_ms = n == 0 ? NONE_RETRY_MS : v.retry_ms;
+      *retry_ms = mq_domain_return_ms (
+          (forward->state.deadline_us - now_us) / 1000, mq_gateway_draw (g));
       return -1;
     }
-  mq_layer_path_copy (&forward->path, &paths[v.chosen]);
-  forward->used = choices[v.chosen].used;
-  key = domain_key (forward->service, choices[v.chosen].domain);
+  mq_layer_path_copy (&forward->path, &paths[chosen]);
+  forward->used = choices[chosen].used;
+  key = domain_key (forward->service, choices[chosen].domain);
   *domain_tokens (g, key) += forward->need;
   forward->domain = mq_str_new (mq_span_from (key));
   g_free (key);
@@ -180,7 +199,7 @@
       choices[n] = choice_of (forward, &paths[n], domains[i], now_us);
       n++;
     }
-  result = place_among (forward, paths, choices, n, retry_ms);
+  result = place_among (forward, paths, choices, n, now_us, retry_ms);
   for (size_t i = 0; i < n; i++)
     mq_layer_path_finish (&paths[i]);
   g_free (paths);
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -1,13 +1,23 @@
-/* Load by failure domain: see mq/domain_load.h.  */
+/* Load by failure domain: see mq/domain_load.h.
+
+   The load that the limits answer is more requests than all memory holds, as
+   a burst or for long (tests/test_overload.cc replays both).  Refused clients
+   come back once.  When they take the places of new requests, these are
+   refused and come back in turn: each place then serves a late request, and
+   the overload outlives its cause.  So those who return get a little less of
+   the memory than new ones, and are told to come back late, when the cause is
+   likely to be over.  */
 
 #include <mq/domain_load.h>
 
-/* Part of a domain's memory that is given out.  The rest covers what other
-   routers admitted since their last heartbeat (0.25 s, at 72 requests a
-   second some 17,000 tokens over three domains) and answers that become
-   longer than estimated.  */
-#define SHARE_GIVEN 0.92
-#define SHARE_BEGUN 1.0
+/* Part of a domain's memory that is given out, by rank.  The rest covers what
+   other routers admitted since their last heartbeat (0.25 s, at 72 requests a
+   second some 17,000 tokens over three domains).  Returns stay 3 in 100 below
+   new requests, which costs them nothing once there is room; streams that
+   have begun may take all, since they would be lost.  */
+static const double share_given[] = {
+  [MQ_DOMAIN_RETURNED] = 0.89, [MQ_DOMAIN_NEW] = 0.92, [MQ_DOMAIN_BEGUN] = 1.02
+};
 
 /* A domain where a send of the same request failed comes after others that
    are fuller by this: an engine there may be failing unnoticed.  */
@@ -17,44 +27,28 @@
    answer to another domain costs about a hundredth of its credit.  */
 #define LOCAL_LEAD 0.15
 
-/* Mean time that a request holds its memory, for when to come back.  */
-#define HOLD_MS 4000.0
-#define RETRY_LEAST_MS 200.0
-#define RETRY_MOST_MS 3000.0
-/* The return is spread over so much of itself, so that those who were
-   refused together do not come back together.  */
-#define RETRY_SPREAD 0.5
-
-static unsigned
-refuse_ms (const mq_domain_choice *choices, size_t n, double need,
-           uint64_t draw)
-{
-  double best = RETRY_MOST_MS;
-
-  for (size_t i = 0; i < n; i++)
-    {
-      double given = choices[i].room * SHARE_GIVEN;
-      double over = choices[i].used + need - given;
+/* Clients follow what they are told up to a third of the time that they have;
+   a little less, for the way there and back.  */
+#define RETURN_OF_LEFT 0.32
+/* Over how much of that the returns are spread.  */
+#define RETURN_SPREAD 0.3
+#define RETURN_LEAST_MS 100
 
-      if (given > need)
-        best = MIN (best, over / given * HOLD_MS);
-    }
-  best = CLAMP (best, RETRY_LEAST_MS, RETRY_MOST_MS);
-  return (unsigned)(best
-                    + best * RETRY_SPREAD * (double)(draw >> 11)
-                          / (double)(UINT64_MAX >> 11));
-}
+/* A request grows into its memory: on the average over its life it holds its
+   prompt and half its answer.  A little more is counted, as answers are often
+   longer than estimated.  */
+#define ANSWER_HELD 0.6
 
-mq_domain_verdict
+int
 mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
-                  bool begun, uint64_t draw)
+                  mq_domain_rank rank)
 {
-  mq_domain_verdict v = { -1, 0 };
+  int chosen = -1;
   double best = 0;
 
   for (size_t i = 0; i < n; i++)
     {
-      double given = choices[i].room * (begun ? SHARE_BEGUN : SHARE_GIVEN);
+      double given = choices[i].room * share_given[rank];
       double score;
 
       if (choices[i].used + need > given)
@@ -62,15 +56,22 @@
       score = (choices[i].used + need) / given
               - (choices[i].local ? LOCAL_LEAD : 0)
               + (choices[i].tried ? TRIED_LAG : 0);
-      if (v.chosen < 0 || score < best)
+      if (chosen < 0 || score < best)
         {
-          v.chosen = (int)i;
+          chosen = (int)i;
           best = score;
         }
     }
-  if (v.chosen < 0)
-    v.retry_ms = refuse_ms (choices, n, need, draw);
-  return v;
+  return chosen;
+}
+
+unsigned
+mq_domain_return_ms (uint64_t left_ms, uint64_t draw)
+{
+  double even = (double)(draw >> 11) / (double)(UINT64_MAX >> 11);
+  double ms = (double)left_ms * RETURN_OF_LEFT * (1 - RETURN_SPREAD * even);
+
+  return (unsigned)MAX (ms, RETURN_LEAST_MS);
 }
 
 double
@@ -81,5 +82,5 @@
 
   if (most > 0)
     answer = answer == 0 ? most : MIN (answer, most);
-  return (double)prompt + answer;
+  return (double)prompt + answer * ANSWER_HELD;
 }
