Ask engines that may be slow for their pace, and prefer paths around them

A stream whose usual gap takes over 0.6 of the route's longest has its path's engines asked; who was asked is told to the others, who then need not ask. An engine that says that it is busy is taken to hold what it was ordered.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -92,7 +92,9 @@
                         GError **error);
   void (*report_finish) (mq_engine_report *report);
   /* The body of an order to hold layers [FIRST, END), which holds only while
-     the engine has accepted ORDERS orders.  */
+     the engine has accepted ORDERS orders.  Requests that pass through
+     layers that are let go are waited for: cutting them was tried and cost
+     more than the wait (docs/design/platform.md).  */
   void (*order_encode) (unsigned first, unsigned end, uint64_t orders,
                         GString *out);
   /* The value of the path header.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -169,6 +169,7 @@
   GString *failure;      /* Body of an answer that is no stream.  */
   mq_event_split split;
   unsigned first_event_ms; /* From the request to its first event.  */
+  double usual_gap_ms; /* Between events of this run, the late ones most.  */
   unsigned longest_gap_ms; /* Between two events.  */
   uint64_t passed_us;      /* When the last event was passed on.  */
   mq_log_story story;
@@ -259,6 +260,10 @@
 /* ---- gateway_stall.c  */
 /* FORWARD has heard nothing for long: ask the head of its path.  */
 void mq_stall_ask (mq_gateway *gateway, mq_upstream *head);
+/* A stream on PATH goes on slowly: ask its engines for their paces.  */
+void mq_stall_ask_paces (mq_gateway *gateway, const mq_layer_path *path);
+/* Ask again those that were slow.  */
+void mq_stall_tick (mq_gateway *gateway, uint64_t now_us);
 
 G_END_DECLS
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -41,6 +41,9 @@
   uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
   uint64_t aside_span_us;    /* How long it was last put aside.  */
   uint64_t answered_us;      /* Last sign of life.  */
+  double pace;               /* 1: as fast as its card; 0: not told.  */
+  uint64_t pace_until_us;    /* That long the pace counts.  */
+  bool pace_heard;           /* From a peer, not from the engine itself.  */
   uint64_t reported_us;      /* When it was last asked how it does.  */
   uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
   unsigned wide_layers;      /* It held so many until lately ...  */
@@ -89,6 +92,16 @@
 /* May new work go there at NOW_US, as far as its state says?  */
 bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
 
+/* From here on an engine counts as slow.  */
+#define MQ_UPSTREAM_SLOW 1.5
+
+/* How many times slower than its card it works, as far as is known at NOW_US;
+   1 at least.  */
+double mq_upstream_slowness (const mq_upstream *upstream, uint64_t now_us);
+/* It said that it works PACE times slower than its card.  */
+void mq_upstream_set_pace (mq_upstream *upstream, double pace,
+                           uint64_t now_us);
+
 /* Layers whose memory is taken at NOW_US.  An engine that lets layers go
    keeps them until all that passes through them has ended.  */
 unsigned mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -126,7 +126,11 @@
       mq_forward_tick (l->data, now);
     }
   if (g->ticks % HEARTBEAT_TICKS == 0)
-    mq_members_tell (g);
+    {
+      mq_members_tell (g);
+      if (g->leads)
+        mq_stall_tick (g, now);
+    }
   mq_members_tick (g, now);
   if (g->ticks % ORDER_TICKS == 0 || g->orders_due)
     mq_orders_tick (g, now);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -26,6 +26,13 @@
    new run needs 0.2 to 0.4 s to its first event.  */
 #define SILENT_MOST_US ((uint64_t)1400 * 1000)
 
+/* Weight of the last gap in the usual one: some five events.  */
+#define GAP_WEIGHT 0.2
+/* A stream whose usual gap takes more than this part of the longest that the
+   route wants: one of its engines may be slow.  At full load a gap takes a
+   quarter to a half.  */
+#define SLOW_OF_GAP 0.6
+
 /* A repeatable plain call is given up for another upstream after so many
    times the latency for full credit, but not before the least.  */
 #define PATIENCE_FACTOR 2
@@ -211,11 +218,18 @@
 {
   uint64_t now = mq_gateway_now_us ();
 
+  double gap_ms = (double)(now - forward->passed_us) / 1000;
+
   if (forward->passed_us > 0)
-    forward->longest_gap_ms
-        = MAX (forward->longest_gap_ms,
-               (unsigned)((now - forward->passed_us) / 1000));
+    {
+      forward->longest_gap_ms
+          = MAX (forward->longest_gap_ms, (unsigned)gap_ms);
+      forward->usual_gap_ms += (gap_ms - forward->usual_gap_ms) * GAP_WEIGHT;
+    }
   forward->passed_us = now;
+  if (forward->route->gap_ms > 0
+      && forward->usual_gap_ms > forward->route->gap_ms * SLOW_OF_GAP)
+    mq_stall_ask_paces (forward->gateway, &forward->path);
 }
 
 /* Pass on what is whole.  Returns 0, or -1 when the send was ended, and
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -29,6 +29,8 @@
 #define STORE_LOST_FAILURES 2
 /* A peer's finding about an engine counts no longer than this.  */
 #define BLAMED_MOST_US ((uint64_t)5000 * 1000)
+/* More is taken for a mistake.  */
+#define PACE_MOST 1000.0
 /* Again after a write or a scan that failed, and between scans.  */
 #define MEMBER_RETRY_US ((uint64_t)1000 * 1000)
 /* Routers heard within this count as known, for who is most.  */
@@ -132,28 +134,34 @@
   g_string_append_c (out, ']');
 }
 
-/* Engines that others of their paths name as being at fault, and for how long
-   they are to be passed over.  */
+/* What was found out about engines: who is named as being at fault, and for
+   how long it is to be passed over; and how slow each is that was asked, so
+   that the others need not ask.  */
 static void
-news_add_blamed (const mq_gateway *gateway, GString *out, uint64_t now_us)
+news_add_findings (const mq_gateway *gateway, GString *out, uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
 
-  mq_json_text_key (out, "blamed");
+  mq_json_text_key (out, "findings");
   g_string_append_c (out, '[');
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const mq_upstream *u = value;
+      bool blamed = u->blamed_until_us > now_us;
+      bool paced = now_us < u->pace_until_us && !u->pace_heard;
 
-      if (u->blamed_until_us <= now_us)
+      if (!blamed && !paced)
         continue;
       if (out->str[out->len - 1] != '[')
         g_string_append_c (out, ',');
       g_string_append_c (out, '{');
       mq_json_text_member (out, "upstream", mq_str_span (u->facts.id));
-      mq_json_text_number (out, "us", u->blamed_until_us - now_us);
+      if (blamed)
+        mq_json_text_number (out, "aside_us", u->blamed_until_us - now_us);
+      if (paced)
+        mq_json_text_number (out, "pace_percent", (uint64_t)(u->pace * 100));
       g_string_append_c (out, '}');
     }
   g_string_append_c (out, ']');
@@ -179,7 +187,7 @@
   mq_json_text_number (out, "upstreams", gateway->upstreams_at);
   news_add_peers (gateway, out, now_us);
   news_add_tokens (gateway, out);
-  news_add_blamed (gateway, out, now_us);
+  news_add_findings (gateway, out, now_us);
   g_string_append_c (out, '}');
 }
 
@@ -279,26 +287,42 @@
     }
 }
 
+/* One finding of a peer's.  It is not passed on again by who heard it: it
+   lives as long as the router that made it says.  */
 static void
-take_blamed (mq_gateway *gateway, const mq_json *root, uint64_t now_us)
+take_finding (mq_gateway *gateway, const mq_json *finding, uint64_t now_us)
+{
+  mq_upstream *u = mq_registry_find (
+      &gateway->registry, mq_json_span (finding, "upstream", MQ_SPAN ("")));
+  uint64_t aside_us = mq_json_u64 (finding, "aside_us", 0, BLAMED_MOST_US, 0);
+  double pace
+      = mq_json_double (finding, "pace_percent", 0, PACE_MOST * 100, 0) / 100;
+
+  if (u == NULL)
+    return;
+  if (aside_us > 0)
+    mq_upstream_put_aside (u, now_us, aside_us);
+  if (pace > 0 && now_us >= u->pace_until_us)
+    {
+      mq_upstream_set_pace (u, pace, now_us);
+      u->pace_heard = true;
+    }
+}
+
+static void
+take_findings (mq_gateway *gateway, const mq_json *root, uint64_t now_us)
 {
   mq_json list;
 
-  if (!mq_json_array (root, "blamed", &list))
+  if (!mq_json_array (root, "findings", &list))
     return;
   for (size_t i = 0; i < mq_json_size (&list); i++)
     {
       mq_json o;
-      mq_upstream *u;
 
       if (!mq_json_element (&list, i, &o))
         return;
-      u = mq_registry_find (&gateway->registry,
-                            mq_json_span (&o, "upstream", MQ_SPAN ("")));
-      /* Not passed on again: a finding lives as long as who made it says.  */
-      if (u != NULL)
-        mq_upstream_put_aside (u, now_us,
-                               mq_json_u64 (&o, "us", 0, BLAMED_MOST_US, 0));
+      take_finding (gateway, &o, now_us);
     }
 }
 
@@ -355,7 +379,7 @@
   m->routing_version = mq_json_u64 (root, "routing", 0, UINT64_MAX, 0);
   m->upstreams_at = mq_json_u64 (root, "upstreams", 0, UINT64_MAX, 0);
   take_tokens (m, root);
-  take_blamed (gateway, root, now);
+  take_findings (gateway, root, now);
   take_peers (gateway, root);
 }
 
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -62,6 +62,10 @@
   upstream->orders = report->orders;
   upstream->orders_unknown = false;
   upstream->order_hold_us = report->busy ? now + BUSY_HOLD_US : 0;
+  /* It still waits for requests to pass, or loads: what was ordered counts as
+     held for longer.  */
+  if (report->busy && upstream->ordered_us > 0)
+    upstream->ordered_us = now;
   gateway->orders_due = true;
 }
 
@@ -137,8 +141,8 @@
 }
 
 static void
-order_send (mq_gateway *gateway, mq_upstream *upstream, unsigned first,
-            unsigned end, uint64_t now_us)
+order_send (mq_gateway *gateway, mq_upstream *upstream,
+            const mq_layer_order *order, uint64_t now_us)
 {
   order_call *o = g_new0 (order_call, 1);
   GString *body = g_string_new (NULL);
@@ -157,16 +161,17 @@
                                    .timeout_ms = ORDER_TIMEOUT_MS,
                                    .once = true };
 
-  gateway->dialect->order_encode (first, end, upstream->orders, body);
+  gateway->dialect->order_encode (order->first, order->end, upstream->orders,
+                                  body);
   options.body = (mq_span){ body->str, body->len };
   mq_log (G_LOG_LEVEL_INFO, "order.sent",
           "upstream=%s layers=%u-%u held=%u-%u orders=%" G_GUINT64_FORMAT,
-          mq_str_cstr (upstream->facts.id), first, end,
+          mq_str_cstr (upstream->facts.id), order->first, order->end,
           upstream->facts.layer_first, upstream->facts.layer_end,
           upstream->orders);
   upstream->ordered_us = now_us;
-  upstream->ordered_first = first;
-  upstream->ordered_end = end;
+  upstream->ordered_first = order->first;
+  upstream->ordered_end = order->end;
   o->gateway = gateway;
   o->upstream = mq_upstream_ref (upstream);
   ++*gateway->counters.orders;
@@ -257,7 +262,7 @@
       if (u->orders_unknown)
         order_ask_count (gateway, u);
       else
-        order_send (gateway, u, o->first, o->end, now_us);
+        order_send (gateway, u, o, now_us);
     }
 out:
   g_array_unref (holders);
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -18,6 +18,9 @@
 /* Work that waits at a head means that some stage has no memory left: nothing
    new goes there until the next report would tell.  */
 #define CROWDED_US ((uint64_t)400 * 1000)
+/* An engine that is slow is asked again this long before what is known of it
+   runs out, since nothing may pass through it until then.  */
+#define PACE_AGAIN_US ((uint64_t)500 * 1000)
 #define STATUS_OK 200
 
 typedef struct stall_call
@@ -63,6 +66,7 @@
           "/%" G_GUINT64_FORMAT " pace=%.2f stalled=%u",
           mq_str_cstr (call->head->facts.id), r.running, r.waiting, r.kv_used,
           r.kv_total, r.pace, r.stalled_at->len);
+  mq_upstream_set_pace (call->head, r.pace, mq_gateway_now_us ());
   if (r.waiting > 0 && r.stalled_at->len == 0)
     call->head->crowded_until_us = mq_gateway_now_us () + CROWDED_US;
   for (guint i = 0; i < r.stalled_at->len; i++)
@@ -117,3 +121,30 @@
   (void)mq_http_client_start (gateway->client, &options, stall_on_call, c);
   g_free (url);
 }
+
+void
+mq_stall_ask_paces (mq_gateway *gateway, const mq_layer_path *path)
+{
+  uint64_t now = mq_gateway_now_us ();
+
+  for (unsigned i = 0; i < path->n; i++)
+    if (now >= path->parts[i].upstream->pace_until_us)
+      mq_stall_ask (gateway, path->parts[i].upstream);
+}
+
+void
+mq_stall_tick (mq_gateway *gateway, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+
+      if (u->pace >= MQ_UPSTREAM_SLOW
+          && now_us + PACE_AGAIN_US > u->pace_until_us)
+        mq_stall_ask (gateway, u);
+    }
+}
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -27,6 +27,12 @@
    answer to another domain costs about a hundredth of its credit.  */
 #define LOCAL_LEAD 0.15
 
+/* A path that is so many times slower than the fastest, since an engine of it
+   is slow, comes later by so much for each time; still before a refusal.  */
+#define SLOW_FROM 1.8
+#define SLOW_LAG 0.25
+#define SLOW_LAG_MOST 1.0
+
 /* Clients follow what they are told up to a third of the time that they have;
    a little less, for the way there and back.  */
 #define RETURN_OF_LEFT 0.32
@@ -39,12 +45,26 @@
    longer than estimated.  */
 #define ANSWER_HELD 0.6
 
+/* How much later CHOICE comes since its path is slower than the BEST.  */
+static double
+domain_slow_lag (const mq_domain_choice *choice, double best)
+{
+  double times = best > 0 ? choice->step_ms / best : 1;
+
+  return times < SLOW_FROM ? 0 : MIN ((times - 1) * SLOW_LAG, SLOW_LAG_MOST);
+}
+
 int
 mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
                   mq_domain_rank rank)
 {
   int chosen = -1;
   double best = 0;
+  double fastest = 0;
+
+  for (size_t i = 0; i < n; i++)
+    if (fastest == 0 || choices[i].step_ms < fastest)
+      fastest = choices[i].step_ms;
 
   for (size_t i = 0; i < n; i++)
     {
@@ -55,7 +75,8 @@
         continue;
       score = (choices[i].used + need) / given
               - (choices[i].local ? LOCAL_LEAD : 0)
-              + (choices[i].tried ? TRIED_LAG : 0);
+              + (choices[i].tried ? TRIED_LAG : 0)
+              + domain_slow_lag (&choices[i], fastest);
       if (chosen < 0 || score < best)
         {
           chosen = (int)i;
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -76,11 +76,12 @@
 /* Let EDGE take over at each layer it holds that can be reached.  */
 static void
 path_relax (path_step *steps, const path_edge *edge,
-            const mq_layered_model *model)
+            const mq_layered_model *model, uint64_t now_us)
 {
   unsigned first = edge->upstream->facts.layer_first;
   unsigned end = edge->upstream->facts.layer_end;
-  double each = edge->card->pace * model->step_ms / model->layers;
+  double each = edge->card->pace * model->step_ms / model->layers
+                * mq_upstream_slowness (edge->upstream, now_us);
 
   for (unsigned l = first; l < end; l++)
     {
@@ -155,7 +156,7 @@
      order, so that one pass reaches all but ways that begin inside a range
      which was relaxed before; those are found by its neighbours' ends.  */
   for (guint i = 0; i < edges->len; i++)
-    path_relax (steps, &g_array_index (edges, path_edge, i), m);
+    path_relax (steps, &g_array_index (edges, path_edge, i), m, now_us);
   if (steps[m->layers].cost < NO_COST)
     path_trace (path, steps, m);
   g_free (steps);
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -16,6 +16,9 @@
 /* Layers that an engine lets go stay in its memory until the requests that
    pass through them have ended; most last less than this.  */
 #define LET_GO_US ((uint64_t)5000 * 1000)
+/* How long a report of an engine's pace counts: as long as an engine is slow
+   at least, so that it is not chosen again just to find that out.  */
+#define PACE_KNOWN_US ((uint64_t)3000 * 1000)
 #define ASIDE_MOST_US ((uint64_t)4000 * 1000)
 
 void
@@ -211,6 +214,20 @@
   return NULL;
 }
 
+double
+mq_upstream_slowness (const mq_upstream *upstream, uint64_t now_us)
+{
+  return now_us < upstream->pace_until_us ? MAX (upstream->pace, 1) : 1;
+}
+
+void
+mq_upstream_set_pace (mq_upstream *upstream, double pace, uint64_t now_us)
+{
+  upstream->pace = pace;
+  upstream->pace_heard = false;
+  upstream->pace_until_us = now_us + PACE_KNOWN_US;
+}
+
 bool
 mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us)
 {
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -42,15 +42,15 @@
     {"name": "two", "maxConnections": 96}],
   "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304,
              "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-  "tenants": [{"name": "org", "apiKeys": ["k1", "k2"], "priority": 1}]})";
+  "tenants": [{"name": "org", "apiKeys": ["k1", "k2"], "priority": 1}]
+})";
 
 } // namespace
 
 TEST (UsersPlatform, AConfigurationBecomesARouting)
 {
-  mq_routing *r
-      = mq_users_platform.routing_decode (mq_span_from (configuration),
-                                          nullptr);
+  mq_routing *r = mq_users_platform.routing_decode (
+      mq_span_from (configuration), nullptr);
 
   ASSERT_NE (r, nullptr);
   EXPECT_EQ (r->version, 7u);
@@ -79,9 +79,8 @@
 
 TEST (UsersPlatform, AKindThatIsNotKnownIsHeldToTheStrictest)
 {
-  mq_routing *r
-      = mq_users_platform.routing_decode (mq_span_from (configuration),
-                                          nullptr);
+  mq_routing *r = mq_users_platform.routing_decode (
+      mq_span_from (configuration), nullptr);
   const mq_route *route
       = mq_routing_match (r, MQ_SPAN ("x.example"), MQ_SPAN ("/b/1"));
 
@@ -169,8 +168,8 @@
 TEST (UsersPlatform, StoreCallsAreWrittenAsThePlatformReadsThem)
 {
   auto encode = [] (mq_platform_ask ask) {
-    mq_platform_wire w = { "GET", g_string_new (nullptr),
-                           g_string_new (nullptr) };
+    mq_platform_wire w
+        = { "GET", g_string_new (nullptr), g_string_new (nullptr) };
     std::string s;
 
     ask.kind = MQ_SPAN ("servers");
