Pass upstreams on to routers that the store turns away; part news from members

Cause: a router that began while the store turned it away learnt the configuration from its peers but no upstream, and stayed unready until the store was back. News carry addresses of peers only for 2 s after a router was first heard and each 32nd time, and are spaced where routers are many.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -65,9 +65,12 @@
   uint64_t incarnation;
   uint64_t sequence;
   uint64_t heard_us; /* 0: never.  */
+  unsigned spacing;  /* Heartbeats between its news.  */
   uint64_t routing_version;
   uint64_t upstreams_at;
-  uint64_t behind_since_us; /* Its configuration is older than ours.  */
+  uint64_t behind_since_us;  /* Its configuration is older than ours.  */
+  uint64_t without_since_us; /* It does not reach the store, and lacks
+                                upstreams that we know.  */
   bool ready;
   bool store_reached; /* It hears the store.  */
   bool told_alive;    /* The log says that it lives.  */
@@ -115,6 +118,7 @@
   mq_routing *routing;  /* NULL until one is known.  */
   mq_str *routing_text; /* As it came, to be passed on.  */
   mq_registry registry;
+  GHashTable *upstream_texts; /* Id -> mq_str: entries as they came.  */
   bool upstreams_known;
   uint64_t upstreams_at; /* Revision of the store that the registry is of. */
   mq_feed routing_feed;
@@ -124,8 +128,10 @@
   mq_str *peer_address;   /* Our own.  */
   mq_str *client_address; /* Our own.  */
   uint64_t incarnation;
-  uint64_t sequence;        /* Of our news.  */
-  uint64_t member_retry_us; /* When to write our member object.  */
+  uint64_t sequence; /* Of our news.  */
+  unsigned heartbeats;
+  uint64_t peers_news_until_us; /* News carry addresses of peers.  */
+  uint64_t member_retry_us;     /* When to write our member object.  */
   bool member_written;
   bool member_writing;
   bool leads;               /* This router gives the orders.  */
@@ -238,18 +244,18 @@
 /* Take a configuration or a list of upstreams that a peer passed on.  */
 void mq_gateway_take_routing (mq_gateway *gateway, mq_span text,
                               const char *source);
+/* Drop all upstreams that are not in SEEN, a set of ids: the list is whole. */
+void mq_gateway_keep_upstreams (mq_gateway *gateway, GHashTable *seen);
 void mq_gateway_take_upstream (mq_gateway *gateway, mq_span id, mq_span value,
                                bool deleted);
 
 /* ---- gateway_members.c  */
 int mq_members_start (mq_gateway *gateway, GError **error);
 void mq_members_stop (mq_gateway *gateway);
-/* Send news to all, at once; every heartbeat and when something turns.  */
-void mq_members_tell (mq_gateway *gateway);
 void mq_members_tick (mq_gateway *gateway, uint64_t now_us);
+/* Know the router at ADDRESS from now on.  NULL: it is this one.  */
+mq_member *mq_member_at (mq_gateway *gateway, mq_span address);
 bool mq_member_lives (const mq_member *member, uint64_t now_us);
-/* Tell all peers what UPSTREAM says that it holds.  */
-void mq_members_tell_layers (mq_gateway *gateway, const mq_upstream *upstream);
 /* Did the store answer lately?  */
 bool mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us);
 /* Does this router give the orders just now?  */
@@ -258,6 +264,18 @@
 double mq_members_tokens (const mq_gateway *gateway, const char *key,
                           uint64_t now_us);
 
+/* ---- gateway_news.c  */
+/* Send news to all, at once: when something turns.  */
+void mq_news_tell (mq_gateway *gateway);
+/* A heartbeat: send news when it is time.  */
+void mq_news_heartbeat (mq_gateway *gateway);
+/* Tell all peers what UPSTREAM says that it holds.  */
+void mq_news_tell_layers (mq_gateway *gateway, const mq_upstream *upstream);
+/* Pass on what MEMBER has not learnt from the store in time.  */
+void mq_news_pass_on (mq_gateway *gateway, mq_member *member, uint64_t now_us);
+/* A message of a peer came.  */
+void mq_news_on_message (void *context, mq_span bytes);
+
 /* ---- gateway_orders.c  */
 void mq_orders_tick (mq_gateway *gateway, uint64_t now_us);
 
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -131,7 +131,7 @@
     }
   if (g->ticks % HEARTBEAT_TICKS == 0)
     {
-      mq_members_tell (g);
+      mq_news_heartbeat (g);
       if (g->leads)
         mq_stall_tick (g, now);
     }
@@ -234,6 +234,8 @@
   g->incarnation >>= 12; /* Fits a JSON number of any reader.  */
   g->started_us = mq_gateway_now_us ();
   mq_registry_init (&g->registry);
+  g->upstream_texts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                             (GDestroyNotify)mq_str_unref);
   g_queue_init (&g->forwards);
   g->metrics = mq_metrics_new ();
   gateway_count (g);
@@ -286,6 +288,7 @@
   mq_http_client_free (g->client);
   mq_members_stop (g);
   mq_registry_finish (&g->registry);
+  g_hash_table_unref (g->upstream_texts);
   mq_routing_unref (g->routing);
   mq_str_unref (g->routing_text);
   mq_str_unref (g->client_address);
@@ -319,5 +322,5 @@
           "open=%u grace_ms=%" G_GUINT64_FORMAT, gateway->forwards.length,
           grace);
   mq_http_server_ask_to_close (gateway->clients);
-  mq_members_tell (gateway);
+  mq_news_tell (gateway);
 }
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -99,8 +99,7 @@
 
   if (!feed_is_routing (feed))
     {
-      mq_registry_keep (&g->registry, feed->seen);
-      g->upstreams_known = true;
+      mq_gateway_keep_upstreams (g, feed->seen);
     }
   g_clear_pointer (&feed->seen, g_hash_table_unref);
   g_clear_pointer (&feed->after, mq_str_unref);
@@ -244,15 +243,33 @@
           r->version, before, source, r->routes->len);
 }
 
+static gboolean
+text_is_unseen (gpointer id, gpointer text, gpointer seen)
+{
+  (void)text;
+  return !g_hash_table_contains (seen, id);
+}
+
+void
+mq_gateway_keep_upstreams (mq_gateway *gateway, GHashTable *seen)
+{
+  mq_registry_keep (&gateway->registry, seen);
+  g_hash_table_foreach_remove (gateway->upstream_texts, text_is_unseen, seen);
+  gateway->upstreams_known = true;
+}
+
 void
 mq_gateway_take_upstream (mq_gateway *gateway, mq_span id, mq_span value,
                           bool deleted)
 {
   mq_upstream_facts facts;
   GError *error = NULL;
+  char *key = g_strndup (id.data, id.size);
 
   if (deleted)
     {
+      g_hash_table_remove (gateway->upstream_texts, key);
+      g_free (key);
       mq_log (G_LOG_LEVEL_INFO, "upstream.left", "upstream=%.*s",
               MQ_SPAN_ARG (id));
       mq_registry_remove (&gateway->registry, id);
@@ -264,8 +281,10 @@
               "upstream=%.*s error=%s", MQ_SPAN_ARG (id),
               mq_log_quote (error->message));
       g_error_free (error);
+      g_free (key);
       return;
     }
+  g_hash_table_replace (gateway->upstream_texts, key, mq_str_new (value));
   mq_log (G_LOG_LEVEL_INFO, "upstream.state",
           "upstream=%.*s address=%s domain=%s layers=%u-%u draining=%d",
           MQ_SPAN_ARG (id), mq_str_cstr (facts.address),
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -21,16 +21,10 @@
 
 /* Four heartbeats.  */
 #define SILENT_US ((uint64_t)1000 * 1000)
-/* A peer behind for so long does not get it from the store.  */
-#define BEHIND_US ((uint64_t)300 * 1000)
 /* The store was reached lately: one follow and a little.  */
 #define STORE_FRESH_US ((uint64_t)4500 * 1000)
 /* Failures in a row that count as an outage.  */
 #define STORE_LOST_FAILURES 2
-/* A peer's finding about an engine counts no longer than this.  */
-#define BLAMED_MOST_US ((uint64_t)5000 * 1000)
-/* More is taken for a mistake.  */
-#define PACE_MOST 1000.0
 /* Again after a write or a scan that failed, and between scans.  */
 #define MEMBER_RETRY_US ((uint64_t)1000 * 1000)
 /* Routers heard within this count as known, for who is most.  */
@@ -51,8 +45,8 @@
 }
 
 /* Know the router at ADDRESS from now on.  */
-static mq_member *
-member_at (mq_gateway *gateway, mq_span address)
+mq_member *
+mq_member_at (mq_gateway *gateway, mq_span address)
 {
   char *key = g_strndup (address.data, address.size);
   mq_member *m = g_hash_table_lookup (gateway->members, key);
@@ -74,11 +68,11 @@
 bool
 mq_member_lives (const mq_member *member, uint64_t now_us)
 {
-  return member->heard_us > 0 && now_us - member->heard_us < SILENT_US;
+  return member->heard_us > 0
+         && now_us - member->heard_us
+                < MAX (SILENT_US, member->spacing * SILENT_US);
 }
 
-/* ---- News.  */
-
 bool
 mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us)
 {
@@ -88,182 +82,6 @@
          && now_us - f->fresh_us < STORE_FRESH_US;
 }
 
-static void
-news_add_peers (const mq_gateway *gateway, GString *out, uint64_t now_us)
-{
-  GHashTableIter i;
-  gpointer value;
-
-  mq_json_text_key (out, "peers");
-  g_string_append_c (out, '[');
-  g_hash_table_iter_init (&i, gateway->members);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_member *m = value;
-
-      if (!mq_member_lives (m, now_us))
-        continue;
-      if (out->str[out->len - 1] != '[')
-        g_string_append_c (out, ',');
-      mq_json_text_string (out, mq_str_span (m->peer_address));
-    }
-  g_string_append_c (out, ']');
-}
-
-static void
-news_add_tokens (const mq_gateway *gateway, GString *out)
-{
-  GHashTableIter i;
-  gpointer key;
-  gpointer value;
-
-  mq_json_text_key (out, "tokens");
-  g_string_append_c (out, '[');
-  g_hash_table_iter_init (&i, gateway->tokens);
-  while (g_hash_table_iter_next (&i, &key, &value))
-    {
-      if (*(double *)value <= 0)
-        continue;
-      if (out->str[out->len - 1] != '[')
-        g_string_append_c (out, ',');
-      g_string_append_c (out, '{');
-      mq_json_text_member (out, "at", mq_span_from (key));
-      mq_json_text_number (out, "n", (uint64_t) * (double *)value);
-      g_string_append_c (out, '}');
-    }
-  g_string_append_c (out, ']');
-}
-
-/* What was found out about engines: who is named as being at fault, and for
-   how long it is to be passed over; and how slow each is that was asked, so
-   that the others need not ask.  */
-static void
-news_add_findings (const mq_gateway *gateway, GString *out, uint64_t now_us)
-{
-  GHashTableIter i;
-  gpointer value;
-
-  mq_json_text_key (out, "findings");
-  g_string_append_c (out, '[');
-  g_hash_table_iter_init (&i, gateway->registry.by_id);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_upstream *u = value;
-      bool blamed = u->blamed_until_us > now_us;
-      bool paced = now_us < u->pace_until_us && !u->pace_heard;
-
-      if (!blamed && !paced)
-        continue;
-      if (out->str[out->len - 1] != '[')
-        g_string_append_c (out, ',');
-      g_string_append_c (out, '{');
-      mq_json_text_member (out, "upstream", mq_str_span (u->facts.id));
-      if (blamed)
-        mq_json_text_number (out, "aside_us", u->blamed_until_us - now_us);
-      if (paced)
-        mq_json_text_number (out, "pace_percent", (uint64_t)(u->pace * 100));
-      g_string_append_c (out, '}');
-    }
-  g_string_append_c (out, ']');
-}
-
-static void
-news_write (mq_gateway *gateway, GString *out, uint64_t now_us)
-{
-  g_string_append_c (out, '{');
-  mq_json_text_member (out, "kind", MQ_SPAN ("news"));
-  mq_json_text_member (out, "name", mq_str_span (gateway->settings->name));
-  mq_json_text_number (out, "incarnation", gateway->incarnation);
-  mq_json_text_number (out, "sequence", ++gateway->sequence);
-  mq_json_text_member (out, "peer", mq_str_span (gateway->peer_address));
-  mq_json_text_member (out, "client", mq_str_span (gateway->client_address));
-  mq_json_text_member (out, "domain",
-                       mq_str_span (gateway->settings->failure_domain));
-  mq_json_text_bool (out, "ready", mq_gateway_is_ready (gateway));
-  mq_json_text_bool (out, "store",
-                     mq_members_store_is_reached (gateway, now_us));
-  mq_json_text_number (out, "routing",
-                       gateway->routing ? gateway->routing->version : 0);
-  mq_json_text_number (out, "upstreams", gateway->upstreams_at);
-  news_add_peers (gateway, out, now_us);
-  news_add_tokens (gateway, out);
-  news_add_findings (gateway, out, now_us);
-  g_string_append_c (out, '}');
-}
-
-/* Send OUT, which is freed, to all peers.  */
-static void
-tell_all (mq_gateway *gateway, GString *out)
-{
-  GHashTableIter i;
-  gpointer value;
-
-  g_hash_table_iter_init (&i, gateway->members);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    (void)mq_peers_send (gateway->peers,
-                         mq_str_span (((mq_member *)value)->peer_address),
-                         (mq_span){ out->str, out->len });
-  g_string_free (out, TRUE);
-}
-
-void
-mq_members_tell (mq_gateway *gateway)
-{
-  GString *out = g_string_new (NULL);
-
-  news_write (gateway, out, mq_gateway_now_us ());
-  tell_all (gateway, out);
-}
-
-void
-mq_members_tell_layers (mq_gateway *gateway, const mq_upstream *upstream)
-{
-  GString *out = g_string_new ("{");
-
-  mq_json_text_member (out, "kind", MQ_SPAN ("layers"));
-  mq_json_text_member (out, "upstream", mq_str_span (upstream->facts.id));
-  mq_json_text_number (out, "first", upstream->facts.layer_first);
-  mq_json_text_number (out, "end", upstream->facts.layer_end);
-  g_string_append_c (out, '}');
-  tell_all (gateway, out);
-}
-
-/* ---- Passing on.  */
-
-static void
-pass_routing (mq_gateway *gateway, const mq_member *member)
-{
-  GString *out = g_string_new ("{");
-
-  mq_json_text_member (out, "kind", MQ_SPAN ("routing"));
-  mq_json_text_member (out, "text", mq_str_span (gateway->routing_text));
-  g_string_append_c (out, '}');
-  (void)mq_peers_send (gateway->peers, mq_str_span (member->peer_address),
-                       (mq_span){ out->str, out->len });
-  g_string_free (out, TRUE);
-}
-
-/* Pass on what MEMBER has not learnt from the store in time.  */
-static void
-pass_on (mq_gateway *gateway, mq_member *member, uint64_t now_us)
-{
-  uint64_t ours = gateway->routing ? gateway->routing->version : 0;
-
-  if (!mq_member_lives (member, now_us) || member->routing_version >= ours)
-    {
-      member->behind_since_us = 0;
-      return;
-    }
-  if (member->behind_since_us == 0)
-    member->behind_since_us = now_us;
-  if (now_us - member->behind_since_us < BEHIND_US)
-    return;
-  member->behind_since_us = now_us;
-  pass_routing (gateway, member);
-}
-
-/* ---- Hearing.  */
-
 /* Log once when MEMBER has fallen silent.  */
 static void
 member_note_silence (mq_member *member, uint64_t now_us)
@@ -277,165 +95,6 @@
           (now_us - member->heard_us) / 1000);
 }
 
-static void
-take_tokens (mq_member *member, const mq_json *root)
-{
-  mq_json list;
-
-  g_hash_table_remove_all (member->tokens);
-  if (!mq_json_array (root, "tokens", &list))
-    return;
-  for (size_t i = 0; i < mq_json_size (&list); i++)
-    {
-      mq_json o;
-      mq_span at;
-      double *n;
-
-      if (!mq_json_element (&list, i, &o))
-        return;
-      at = mq_json_span (&o, "at", MQ_SPAN (""));
-      n = g_new (double, 1);
-      *n = mq_json_double (&o, "n", 0, 1e12, 0);
-      g_hash_table_insert (member->tokens, g_strndup (at.data, at.size), n);
-    }
-}
-
-/* One finding of a peer's.  It is not passed on again by who heard it: it
-   lives as long as the router that made it says.  */
-static void
-take_finding (mq_gateway *gateway, const mq_json *finding, uint64_t now_us)
-{
-  mq_upstream *u = mq_registry_find (
-      &gateway->registry, mq_json_span (finding, "upstream", MQ_SPAN ("")));
-  uint64_t aside_us = mq_json_u64 (finding, "aside_us", 0, BLAMED_MOST_US, 0);
-  double pace
-      = mq_json_double (finding, "pace_percent", 0, PACE_MOST * 100, 0) / 100;
-
-  if (u == NULL)
-    return;
-  if (aside_us > 0)
-    mq_upstream_put_aside (u, now_us, aside_us);
-  if (pace > 0 && now_us >= u->pace_until_us)
-    {
-      mq_upstream_set_pace (u, pace, now_us);
-      u->pace_heard = true;
-    }
-}
-
-static void
-take_findings (mq_gateway *gateway, const mq_json *root, uint64_t now_us)
-{
-  mq_json list;
-
-  if (!mq_json_array (root, "findings", &list))
-    return;
-  for (size_t i = 0; i < mq_json_size (&list); i++)
-    {
-      mq_json o;
-
-      if (!mq_json_element (&list, i, &o))
-        return;
-      take_finding (gateway, &o, now_us);
-    }
-}
-
-static void
-take_peers (mq_gateway *gateway, const mq_json *root)
-{
-  mq_json list;
-
-  if (!mq_json_array (root, "peers", &list))
-    return;
-  for (size_t i = 0; i < mq_json_size (&list); i++)
-    (void)member_at (gateway, mq_json_element_span (&list, i));
-}
-
-static void
-member_set (mq_str **field, mq_span value)
-{
-  if (mq_span_equal (mq_str_span (*field), value))
-    return;
-  mq_str_unref (*field);
-  *field = mq_str_new (value);
-}
-
-/* True when the news is older than what was heard: it was held up on its
-   way, or is of an incarnation that ended.  */
-static bool
-news_is_old (const mq_member *member, uint64_t incarnation, uint64_t sequence)
-{
-  return member->incarnation == incarnation && sequence <= member->sequence;
-}
-
-static void
-take_news (mq_gateway *gateway, const mq_json *root)
-{
-  mq_span empty = MQ_SPAN ("");
-  mq_member *m = member_at (gateway, mq_json_span (root, "peer", empty));
-  uint64_t incarnation = mq_json_u64 (root, "incarnation", 0, UINT64_MAX, 0);
-  uint64_t sequence = mq_json_u64 (root, "sequence", 0, UINT64_MAX, 0);
-  uint64_t now = mq_gateway_now_us ();
-
-  if (m == NULL || news_is_old (m, incarnation, sequence))
-    return;
-  if (!m->told_alive)
-    mq_log (G_LOG_LEVEL_INFO, "member.heard", "peer=%s",
-            mq_str_cstr (m->peer_address));
-  m->told_alive = true;
-  m->incarnation = incarnation;
-  m->sequence = sequence;
-  m->heard_us = now;
-  member_set (&m->name, mq_json_span (root, "name", empty));
-  member_set (&m->client_address, mq_json_span (root, "client", empty));
-  member_set (&m->domain, mq_json_span (root, "domain", empty));
-  m->ready = mq_json_bool (root, "ready", false);
-  m->store_reached = mq_json_bool (root, "store", false);
-  m->routing_version = mq_json_u64 (root, "routing", 0, UINT64_MAX, 0);
-  m->upstreams_at = mq_json_u64 (root, "upstreams", 0, UINT64_MAX, 0);
-  take_tokens (m, root);
-  take_findings (gateway, root, now);
-  take_peers (gateway, root);
-}
-
-/* An engine told a peer what it holds.  */
-static void
-take_layers (mq_gateway *gateway, const mq_json *root)
-{
-  mq_upstream *u = mq_registry_find (
-      &gateway->registry, mq_json_span (root, "upstream", MQ_SPAN ("")));
-  unsigned first = (unsigned)mq_json_u64 (root, "first", 0, UINT32_MAX, 0);
-  unsigned end = (unsigned)mq_json_u64 (root, "end", 0, UINT32_MAX, 0);
-
-  if (u != NULL)
-    (void)mq_registry_set_layers (&gateway->registry, u, first, end,
-                                  mq_gateway_now_us ());
-}
-
-static void
-on_message (void *context, mq_span bytes)
-{
-  mq_gateway *g = context;
-  mq_json_doc *doc = mq_json_parse (MQ_SPAN ("peer"), bytes, NULL);
-  mq_json root;
-  mq_span kind;
-
-  if (doc == NULL)
-    {
-      mq_log (G_LOG_LEVEL_WARNING, "peer.unreadable", "bytes=%zu", bytes.size);
-      return;
-    }
-  root = mq_json_root (doc);
-  kind = mq_json_span (&root, "kind", MQ_SPAN (""));
-  if (mq_span_equal (kind, MQ_SPAN ("news")))
-    take_news (g, &root);
-  else if (mq_span_equal (kind, MQ_SPAN ("layers")))
-    take_layers (g, &root);
-  else if (mq_span_equal (kind, MQ_SPAN ("routing")))
-    mq_gateway_take_routing (g, mq_json_span (&root, "text", MQ_SPAN ("")),
-                             "peer");
-  mq_json_doc_free (doc);
-}
-
 /* ---- The store.  */
 
 static void
@@ -493,7 +152,7 @@
       if (doc == NULL)
         continue;
       root = mq_json_root (doc);
-      (void)member_at (g, mq_json_span (&root, "address", MQ_SPAN ("")));
+      (void)mq_member_at (g, mq_json_span (&root, "address", MQ_SPAN ("")));
       mq_json_doc_free (doc);
     }
 }
@@ -521,9 +180,9 @@
 
   gateway->members
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
-  gateway->peers
-      = mq_peers_new (gateway->loop, mq_str_span (s->peers.address),
-                      s->peers.port, NULL, on_message, gateway, &cause);
+  gateway->peers = mq_peers_new (gateway->loop, mq_str_span (s->peers.address),
+                                 s->peers.port, NULL, mq_news_on_message,
+                                 gateway, &cause);
   if (gateway->peers == NULL)
     {
       g_set_error (error, MQ_GATEWAY_ERROR, MQ_GATEWAY_ERROR_PEERS, "%s",
@@ -532,7 +191,8 @@
       return -1;
     }
   for (guint i = 0; i < s->seeds->len; i++)
-    (void)member_at (gateway, mq_span_from (g_ptr_array_index (s->seeds, i)));
+    (void)mq_member_at (gateway,
+                        mq_span_from (g_ptr_array_index (s->seeds, i)));
   return 0;
 }
 
@@ -554,7 +214,7 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       member_note_silence (value, now_us);
-      pass_on (gateway, value, now_us);
+      mq_news_pass_on (gateway, value, now_us);
     }
   if (gateway->mode != MQ_GATEWAY_SERVING)
     return;
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -58,7 +58,7 @@
     upstream->ordered_us = 0;
   if (mq_registry_set_layers (&gateway->registry, upstream,
                               report->layer_first, report->layer_end, now))
-    mq_members_tell_layers (gateway, upstream);
+    mq_news_tell_layers (gateway, upstream);
   upstream->orders = report->orders;
   upstream->orders_unknown = false;
   upstream->order_hold_us = report->busy ? now + BUSY_HOLD_US : 0;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -37,7 +37,7 @@
   return { s.data (), s.size () };
 }
 
-using Headers = std::vector<std::pair<std::string, std::string>>;
+using Headers = std::vector<std::pair<std::string, std::string> >;
 
 /* A server whose requests go to a function.  */
 class Server
@@ -118,8 +118,8 @@
   std::string query = text (mq_http_exchange_query_string (x));
 
   s.method = text (mq_http_exchange_method (x));
-  s.target = text (mq_http_exchange_path (x))
-             + (query.empty () ? "" : "?" + query);
+  s.target
+      = text (mq_http_exchange_path (x)) + (query.empty () ? "" : "?" + query);
   s.body = text (mq_http_exchange_body (x));
   for (size_t i = 0; i < n; i++)
     s.headers[text (h[i].name)] = text (h[i].value);
@@ -203,9 +203,9 @@
                     + (draining ? "draining" : "ready") + "\"";
 
     if (!card.empty ())
-      s += ",\"kind\":\"" + card + "\",\"layers\":{\"from\":"
-           + std::to_string (first) + ",\"target\":" + std::to_string (end)
-           + ",\"version\":1}";
+      s += ",\"kind\":\"" + card
+           + "\",\"layers\":{\"from\":" + std::to_string (first)
+           + ",\"target\":" + std::to_string (end) + ",\"version\":1}";
     return s + "}";
   }
 
@@ -213,7 +213,7 @@
   unsigned first = 0, end = 0;
   unsigned orders = 0; /* Accepted.  */
   unsigned order_status = 202;
-  std::function<void ()> on_order; /* After one was accepted.  */
+  std::function<void ()> on_order;  /* After one was accepted.  */
   std::vector<std::string> stalled; /* Addresses it reports.  */
   std::vector<Seen> seen;
   Server server;
@@ -242,9 +242,8 @@
     std::string s = "{\"busy\":false,\"sequence\":" + std::to_string (orders)
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,"
                       "\"kvTotal\":1,\"layers\":{\"from\":"
-                    + std::to_string (first)
-                    + ",\"target\":" + std::to_string (end)
-                    + "},\"stalled\":[";
+                    + std::to_string (first) + ",\"target\":"
+                    + std::to_string (end) + "},\"stalled\":[";
 
     for (size_t i = 0; i < stalled.size (); i++)
       s += std::string (i ? "," : "") + "{\"id\":\"x\",\"address\":\""
@@ -324,7 +323,7 @@
 
   bool down = false; /* Every call is answered 503.  */
   unsigned scans = 0;
-  std::map<std::string, std::map<std::string, std::string>> objects;
+  std::map<std::string, std::map<std::string, std::string> > objects;
   Server server;
 
 private:
@@ -359,11 +358,10 @@
       objects[kind].erase (name);
     else
       objects[kind][name] = spec;
-    events_.push_back ({ revision_, kind,
-                         "{\"deleted\":"
-                             + std::string (deleted ? "true" : "false")
-                             + ",\"object\":" + object (name, spec, revision_)
-                             + "}" });
+    events_.push_back (
+        { revision_, kind,
+          "{\"deleted\":" + std::string (deleted ? "true" : "false")
+              + ",\"object\":" + object (name, spec, revision_) + "}" });
     auto waiting = std::move (waiting_);
     waiting_.clear ();
     for (auto &w : waiting)
@@ -384,8 +382,8 @@
     if (s.empty ())
       return false;
     Server::reply (w.exchange, 200,
-                   "{\"events\":[" + s + "],\"at\":"
-                       + std::to_string (revision_) + "}");
+                   "{\"events\":[" + s
+                       + "],\"at\":" + std::to_string (revision_) + "}");
     mq_http_exchange_unref (w.exchange);
     return true;
   }
@@ -471,38 +469,59 @@
     settings = {};
   }
 
-  /* Ports that are free just now.  */
+  /* The first of four ports that are free just now.  */
   static unsigned
-  free_port ()
+  free_ports ()
   {
     static unsigned next = 20000 + (unsigned)getpid () % 20000;
 
-    return next++;
+    next += 4;
+    return next - 4;
+  }
+
+  /* Settings of a router whose ports begin at BASE and whose store is at
+     URL.  */
+  static std::string
+  settings_text (unsigned base, const std::string &name,
+                 const std::string &url, const std::string &seeds = "")
+  {
+    return "{\"gateway\":{\"name\":\"" + name
+           + "\",\"region\":\"r\",\"failure_domain\":\"one\",\"clients\":\""
+           + at (base) + "\",\"readiness\":\"" + at (base + 1)
+           + "\",\"directory\":\"" + at (base + 2) + "\",\"peers\":\""
+           + at (base + 3) + "\",\"platform_url\":\"" + url + "\",\"seeds\":["
+           + seeds
+           + "],\"grace_ms\":3000,\"further_sends_slack\":1000,"
+             "\"further_sends_window_ms\":20}}";
+  }
+
+  mq_gateway *
+  run_router (mq_gateway_settings *with, const std::string &json)
+  {
+    GError *error = nullptr;
+    mq_gateway *g = nullptr;
+
+    if (mq_gateway_settings_parse (with, MQ_SPAN ("settings"), span (json),
+                                   &error)
+        == 0)
+      g = mq_gateway_new (loop, &mq_users_platform, with, &error);
+    EXPECT_NE (g, nullptr) << error->message;
+    return g;
   }
 
   void
   start ()
   {
-    clients_port = free_port ();
-    readiness_port = free_port ();
-    directory_port = free_port ();
-    std::string json
-        = "{\"gateway\":{\"name\":\"vm-1\",\"region\":\"r\","
-          "\"failure_domain\":\"one\",\"clients\":\""
-          + at (clients_port) + "\",\"readiness\":\"" + at (readiness_port)
-          + "\",\"directory\":\"" + at (directory_port) + "\",\"peers\":\""
-          + at (free_port ()) + "\",\"platform_url\":\"http://"
-          + store.server.address ()
-          + "\",\"seeds\":[],\"grace_ms\":3000,"
-            "\"further_sends_slack\":1000,\"further_sends_window_ms\":20}}";
-    GError *error = nullptr;
+    unsigned base = free_ports ();
 
-    ASSERT_EQ (mq_gateway_settings_parse (&settings, MQ_SPAN ("settings"),
-                                          span (json), &error),
-               0)
-        << error->message;
-    router = mq_gateway_new (loop, &mq_users_platform, &settings, &error);
-    ASSERT_NE (router, nullptr) << error->message;
+    clients_port = base;
+    readiness_port = base + 1;
+    directory_port = base + 2;
+    peers_port = base + 3;
+    router = run_router (
+        &settings,
+        settings_text (base, "vm-1", "http://" + store.server.address ()));
+    ASSERT_NE (router, nullptr);
   }
 
   static std::string
@@ -533,10 +552,9 @@
   void
   configure (unsigned version, const std::string &extra_routes = "")
   {
-    std::string routes
-        = route ("/safe/", "safe", "app", 2)
-          + "," + route ("/unsafe/", "unsafe", "app", 1) + ","
-          + route ("/stream/", "streaming", "model", 2);
+    std::string routes = route ("/safe/", "safe", "app", 2) + ","
+                         + route ("/unsafe/", "unsafe", "app", 1) + ","
+                         + route ("/stream/", "streaming", "model", 2);
 
     store.put (
         "config", "main",
@@ -571,8 +589,8 @@
     ev_tstamp limit = ev_time () + 10;
     ev_timer tick;
 
-    ev_timer_init (&tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.005,
-                   0.005);
+    ev_timer_init (
+        &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.005, 0.005);
     ev_timer_start (loop, &tick);
     while (!test () && ev_time () < limit)
       ev_run (loop, EVRUN_ONCE);
@@ -594,11 +612,11 @@
        unsigned port = 0)
   {
     std::string url = "http://" + at (port ? port : clients_port) + "/";
-    Headers all = { { "Host", "x.example" },
-                    { "Marjoramquay-Attempt-Id",
-                      "a" + std::to_string (++serial) },
-                    { "Marjoramquay-Time-Budget-Ms", "1500" },
-                    { "Marjoramquay-Token-Counts", "100,20" } };
+    Headers all
+        = { { "Host", "x.example" },
+            { "Marjoramquay-Attempt-Id", "a" + std::to_string (++serial) },
+            { "Marjoramquay-Time-Budget-Ms", "1500" },
+            { "Marjoramquay-Token-Counts", "100,20" } };
     std::vector<mq_http_header> h;
     mq_http_call_options o = {};
 
@@ -639,11 +657,12 @@
 
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
   Store store;
-  std::vector<std::unique_ptr<Upstream>> upstreams;
+  std::vector<std::unique_ptr<Upstream> > upstreams;
   mq_http_client *client;
   mq_gateway_settings settings = {};
   mq_gateway *router = nullptr;
   unsigned clients_port = 0, readiness_port = 0, directory_port = 0;
+  unsigned peers_port = 0;
   unsigned serial = 0;
 
 private:
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -265,6 +265,30 @@
   EXPECT_TRUE (ready ());
 }
 
+TEST_F (Gateway, ARouterThatTheStoreTurnsAwayLearnsFromItsPeers)
+{
+  mq_gateway_settings other = {};
+  unsigned base = free_ports ();
+
+  plain ();
+  mq_gateway *second
+      = run_router (&other, settings_text (base, "vm-2", "http://127.0.0.1:1",
+                                           "\"" + at (peers_port) + "\""));
+  EXPECT_TRUE (until ([&] {
+    return fetch ("GET", "/ready", {}, "", base + 1).status == 200;
+  }));
+  EXPECT_EQ (fetch ("GET", "/safe/1", key, "", base).status, 200u);
+  configure (9, "," + route ("/new/", "safe", "app", 1));
+  EXPECT_TRUE (until (
+      [&] { return fetch ("GET", "/new/1", key, "", base).status == 200; }));
+  /* Each names the other to clients that ask.  */
+  EXPECT_NE (fetch ("GET", "/resolve?name=x", {}, "", directory_port)
+                 .body.find (at (base)),
+             std::string::npos);
+  mq_gateway_free (second);
+  mq_gateway_settings_finish (&other);
+}
+
 TEST_F (Gateway, TheDirectoryNamesReadyRouters)
 {
   plain ();
