--- a/packages/decide/limit_owner.c
+++ b/packages/decide/limit_owner.c
@@ -229,9 +229,8 @@
   share->requests_per_s
       = MIN (share->requests_per_s,
              MAX (held->requests_per_s, known->requests_per_s));
-  share->tokens_per_s
-      = MIN (share->tokens_per_s,
-             MAX (held->tokens_per_s, known->tokens_per_s));
+  share->tokens_per_s = MIN (share->tokens_per_s,
+                             MAX (held->tokens_per_s, known->tokens_per_s));
   share->permits = MIN (share->permits, MAX (held->permits, known->permits));
 }
 
