--- a/include/mq/layer_path.h
+++ b/include/mq/layer_path.h
@@ -34,7 +34,7 @@
    of all) that are usable at NOW_US.  Engines of EXCEPT, which may be NULL,
    are passed over.  PATH is initialised; false when there is none, and PATH
    is then empty.  */
-bool mq_layer_path_find (mq_layer_path *path, const mq_registry *registry,
+bool mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
                          const mq_route_service *service, mq_span domain,
                          uint64_t now_us, const mq_upstream *except);
 void mq_layer_path_finish (mq_layer_path *path);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -58,11 +58,20 @@
   unsigned ordered_end;
 } mq_upstream;
 
+/* The upstreams of one service in one failure domain.  */
+typedef struct mq_upstream_group
+{
+  mq_str *domain;       /* One reference, as for each upstream.  */
+  GPtrArray *upstreams; /* mq_upstream, sorted by id.  */
+} mq_upstream_group;
+
 /* All upstreams by id.  */
 typedef struct mq_registry
 {
   GHashTable *by_id;  /* Id -> mq_upstream, one reference each.  */
   uint64_t newest_us; /* When an upstream was last seen for the first time. */
+  GHashTable *groups; /* Service -> GPtrArray of mq_upstream_group.  */
+  uint64_t indexed;   /* The change that the groups are of.  */
   uint64_t change;    /* Grows whenever the choice of paths may differ.  */
 } mq_registry;
 
@@ -90,6 +99,14 @@
 mq_upstream *mq_registry_find (const mq_registry *registry, mq_span id);
 mq_upstream *mq_registry_at (const mq_registry *registry, mq_span address);
 
+/* The groups of SERVICE, sorted by domain: mq_upstream_group.  Borrowed until
+   the registry changes; NULL when it has none.  Costs a look at all upstreams
+   after a change, and nothing else.  */
+const GPtrArray *mq_registry_groups (mq_registry *registry, mq_span service);
+/* The one of DOMAIN, or NULL.  */
+const mq_upstream_group *mq_registry_group (mq_registry *registry,
+                                            mq_span service, mq_span domain);
+
 /* May new work go there at NOW_US, as far as its state says?  */
 bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
 
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -39,33 +39,46 @@
          + (mq_gateway_draw (g) & 0xffff);
 }
 
+/* The best of GROUP where it costs less than *LEAST, which then changes.  */
+static mq_upstream *
+place_in_group (mq_forward *forward, const mq_upstream_group *group,
+                uint64_t now_us, uint64_t *least)
+{
+  mq_upstream *best = NULL;
+
+  for (guint i = 0; i < group->upstreams->len; i++)
+    {
+      mq_upstream *u = g_ptr_array_index (group->upstreams, i);
+      uint64_t cost;
+
+      if (u->facts.draining)
+        continue;
+      cost = instance_cost (forward, u, now_us);
+      if (cost >= *least)
+        continue;
+      *least = cost;
+      best = u;
+    }
+  return best;
+}
+
 /* The instance that FORWARD should go to, or NULL.  One that is put aside is
    better than none; one that is draining is not.  */
 static mq_upstream *
 place_instance (mq_forward *forward, uint64_t now_us)
 {
-  mq_gateway *g = forward->gateway;
-  GHashTableIter i;
-  gpointer value;
+  const GPtrArray *groups = mq_registry_groups (
+      &forward->gateway->registry, mq_str_span (forward->service->name));
   mq_upstream *best = NULL;
   uint64_t least = UINT64_MAX;
 
-  g_hash_table_iter_init (&i, g->registry.by_id);
-  while (g_hash_table_iter_next (&i, NULL, &value))
+  for (guint i = 0; groups != NULL && i < groups->len; i++)
     {
-      mq_upstream *u = value;
-      uint64_t cost;
+      mq_upstream *u = place_in_group (forward, g_ptr_array_index (groups, i),
+                                       now_us, &least);
 
-      if (u->facts.draining
-          || !mq_span_equal (mq_str_span (u->facts.service),
-                             mq_str_span (forward->service->name)))
-        continue;
-      cost = instance_cost (forward, u, now_us);
-      if (cost < least)
-        {
-          least = cost;
-          best = u;
-        }
+      if (u != NULL)
+        best = u;
     }
   return best;
 }
@@ -93,30 +106,6 @@
                           MQ_SPAN_ARG (domain));
 }
 
-/* The failure domains in which the service has engines.  */
-static size_t
-list_domains (const mq_forward *forward, mq_span *domains)
-{
-  GHashTableIter i;
-  gpointer value;
-  size_t n = 0;
-
-  g_hash_table_iter_init (&i, forward->gateway->registry.by_id);
-  while (n < DOMAINS_MOST && g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_upstream *u = value;
-      mq_span d = mq_str_span (u->facts.domain);
-      bool known = !mq_span_equal (mq_str_span (u->facts.service),
-                                   mq_str_span (forward->service->name));
-
-      for (size_t k = 0; k < n && !known; k++)
-        known = mq_span_equal (domains[k], d);
-      if (!known)
-        domains[n++] = d;
-    }
-  return n;
-}
-
 static mq_domain_choice
 choice_of (mq_forward *forward, const mq_layer_path *path, mq_span domain,
            uint64_t now_us)
@@ -155,16 +144,18 @@
 place_list (mq_forward *forward, uint64_t now_us, mq_layer_path *paths,
             mq_domain_choice *choices)
 {
-  mq_span domains[DOMAINS_MOST];
-  size_t n_domains = list_domains (forward, domains);
+  const GPtrArray *groups = mq_registry_groups (
+      &forward->gateway->registry, mq_str_span (forward->service->name));
   size_t n = 0;
 
-  for (size_t i = 0; i < n_domains; i++)
+  for (guint i = 0; groups != NULL && i < groups->len && n < DOMAINS_MOST; i++)
     {
       mq_layer_path *p = &paths[n];
+      mq_span domain = mq_str_span (
+          ((mq_upstream_group *)g_ptr_array_index (groups, i))->domain);
 
       if (!mq_layer_path_find (p, &forward->gateway->registry,
-                               forward->service, domains[i], now_us, NULL))
+                               forward->service, domain, now_us, NULL))
         continue;
       if (!forward->state.begun
           && now_us < p->parts[0].upstream->crowded_until_us)
@@ -172,7 +163,7 @@
           mq_layer_path_finish (p);
           continue;
         }
-      choices[n] = choice_of (forward, p, domains[i], now_us);
+      choices[n] = choice_of (forward, p, domain, now_us);
       n++;
     }
   return n;
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -41,34 +41,43 @@
   return strcmp (x->upstream->facts.id->data, y->upstream->facts.id->data);
 }
 
-/* Engines that may serve, in the order of their first layers.  */
-static GArray *
-path_edges (const mq_registry *registry, const mq_route_service *service,
-            mq_span domain, uint64_t now_us, const mq_upstream *except)
+/* Append those of GROUP that may serve.  */
+static void
+edges_add_group (GArray *edges, const mq_upstream_group *group,
+                 const mq_layered_model *model, uint64_t now_us,
+                 const mq_upstream *except)
 {
-  GArray *edges = g_array_new (FALSE, FALSE, sizeof (path_edge));
-  GHashTableIter i;
-  gpointer value;
-
-  g_hash_table_iter_init (&i, registry->by_id);
-  while (g_hash_table_iter_next (&i, NULL, &value))
+  for (guint i = 0; i < group->upstreams->len; i++)
     {
-      mq_upstream *u = value;
+      mq_upstream *u = g_ptr_array_index (group->upstreams, i);
       path_edge e = { u, NULL };
 
       if (u == except || u->facts.layer_first >= u->facts.layer_end
-          || u->facts.layer_end > service->model.layers
-          || !mq_upstream_is_usable (u, now_us) || u->facts.card == NULL
-          || (domain.size > 0
-              && !mq_span_equal (mq_str_span (u->facts.domain), domain))
-          || !mq_span_equal (mq_str_span (u->facts.service),
-                             mq_str_span (service->name)))
+          || u->facts.layer_end > model->layers
+          || !mq_upstream_is_usable (u, now_us) || u->facts.card == NULL)
         continue;
-      e.card = mq_layered_model_card (&service->model,
-                                      mq_str_span (u->facts.card));
+      e.card = mq_layered_model_card (model, mq_str_span (u->facts.card));
       if (e.card != NULL)
         g_array_append_val (edges, e);
     }
+}
+
+/* Engines that may serve, in the order of their first layers.  */
+static GArray *
+path_edges (mq_registry *registry, const mq_route_service *service,
+            mq_span domain, uint64_t now_us, const mq_upstream *except)
+{
+  GArray *edges = g_array_new (FALSE, FALSE, sizeof (path_edge));
+  const GPtrArray *groups
+      = mq_registry_groups (registry, mq_str_span (service->name));
+
+  for (guint i = 0; groups != NULL && i < groups->len; i++)
+    {
+      const mq_upstream_group *g = g_ptr_array_index (groups, i);
+
+      if (domain.size == 0 || mq_span_equal (mq_str_span (g->domain), domain))
+        edges_add_group (edges, g, &service->model, now_us, except);
+    }
   g_array_sort (edges, edge_compare);
   return edges;
 }
@@ -140,7 +149,7 @@
 }
 
 bool
-mq_layer_path_find (mq_layer_path *path, const mq_registry *registry,
+mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
                     const mq_route_service *service, mq_span domain,
                     uint64_t now_us, const mq_upstream *except)
 {
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -341,38 +341,61 @@
     }
 }
 
-/* Was the domain of holder I seen before it?  */
-static bool
-plan_domain_is_known (const mq_layer_holder *holders, size_t i)
+/* Orders holders by domain; within one in the order of the caller's.  */
+static int
+holder_compare (gconstpointer a, gconstpointer b)
 {
-  for (size_t k = 0; k < i; k++)
-    if (mq_span_equal (holders[k].domain, holders[i].domain))
-      return true;
-  return false;
+  const mq_layer_holder *x = *(const mq_layer_holder *const *)a;
+  const mq_layer_holder *y = *(const mq_layer_holder *const *)b;
+  int c = mq_span_compare (x->domain, y->domain);
+
+  if (c != 0)
+    return c;
+  return x < y ? -1 : x > y;
+}
+
+/* Plan for the domain whose holders are the N from HOLDERS on.  */
+static void
+plan_domain (const mq_layered_model *model, mq_layer_holder **holders, guint n,
+             GArray *orders)
+{
+  mq_plan_domain d
+      = { model, g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)) };
+
+  for (guint i = 0; i < n; i++)
+    {
+      mq_plan_engine e = { .holder = holders[i],
+                           .range = { holders[i]->first, holders[i]->end } };
+
+      if (holders[i]->card != NULL)
+        g_array_append_val (d.engines, e);
+    }
+  domain_work (&d);
+  domain_write_orders (&d, orders);
+  g_array_unref (d.engines);
 }
 
 void
 mq_layer_plan_work (const mq_layered_model *model, mq_layer_holder *holders,
                     size_t n, GArray *orders)
 {
+  GPtrArray *sorted = g_ptr_array_new ();
+  guint first = 0;
+
   for (size_t i = 0; i < n; i++)
+    g_ptr_array_add (sorted, &holders[i]);
+  g_ptr_array_sort (sorted, holder_compare);
+  while (first < sorted->len)
     {
-      mq_plan_domain d = { model, NULL };
-
-      if (plan_domain_is_known (holders, i))
-        continue;
-      d.engines = g_array_new (FALSE, FALSE, sizeof (mq_plan_engine));
-      for (size_t k = i; k < n; k++)
-        {
-          mq_plan_engine e = { .holder = &holders[k],
-                               .range = { holders[k].first, holders[k].end } };
-
-          if (mq_span_equal (holders[k].domain, holders[i].domain)
-              && holders[k].card != NULL)
-            g_array_append_val (d.engines, e);
-        }
-      domain_work (&d);
-      domain_write_orders (&d, orders);
-      g_array_unref (d.engines);
+      mq_layer_holder **group
+          = (mq_layer_holder **)(void *)&sorted->pdata[first];
+      guint count = 1;
+
+      while (first + count < sorted->len
+             && mq_span_equal (group[0]->domain, group[count]->domain))
+        count++;
+      plan_domain (model, group, count, orders);
+      first += count;
     }
+  g_ptr_array_unref (sorted);
 }
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -57,17 +57,137 @@
   mq_upstream_unref (u);
 }
 
+static void
+group_free (gpointer data)
+{
+  mq_upstream_group *g = data;
+
+  mq_str_unref (g->domain);
+  g_ptr_array_unref (g->upstreams);
+  g_free (g);
+}
+
+static int
+group_compare (gconstpointer a, gconstpointer b)
+{
+  const mq_upstream_group *x = *(const mq_upstream_group *const *)a;
+  const mq_upstream_group *y = *(const mq_upstream_group *const *)b;
+
+  return mq_span_compare (mq_str_span (x->domain), mq_str_span (y->domain));
+}
+
+static int
+upstream_compare (gconstpointer a, gconstpointer b)
+{
+  const mq_upstream *x = *(const mq_upstream *const *)a;
+  const mq_upstream *y = *(const mq_upstream *const *)b;
+
+  return strcmp (x->facts.id->data, y->facts.id->data);
+}
+
+/* The group for UPSTREAM among GROUPS, made when it is missing.  Domains are
+   few, so a walk is cheap.  */
+static mq_upstream_group *
+group_for (GPtrArray *groups, const mq_upstream *upstream)
+{
+  mq_upstream_group *g;
+
+  for (guint i = 0; i < groups->len; i++)
+    {
+      g = g_ptr_array_index (groups, i);
+      if (mq_span_equal (mq_str_span (g->domain),
+                         mq_str_span (upstream->facts.domain)))
+        return g;
+    }
+  g = g_new0 (mq_upstream_group, 1);
+  g->domain
+      = upstream->facts.domain ? mq_str_ref (upstream->facts.domain) : NULL;
+  g->upstreams
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
+  g_ptr_array_add (groups, g);
+  return g;
+}
+
+static void
+registry_index (mq_registry *registry)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  if (registry->indexed == registry->change)
+    return;
+  registry->indexed = registry->change;
+  g_hash_table_remove_all (registry->groups);
+  g_hash_table_iter_init (&i, registry->by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+      GPtrArray *list
+          = g_hash_table_lookup (registry->groups, u->facts.service->data);
+
+      if (list == NULL)
+        {
+          list = g_ptr_array_new_with_free_func (group_free);
+          g_hash_table_insert (registry->groups,
+                               g_strdup (u->facts.service->data), list);
+        }
+      g_ptr_array_add (group_for (list, u)->upstreams, mq_upstream_ref (u));
+    }
+  g_hash_table_iter_init (&i, registry->groups);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      GPtrArray *list = value;
+
+      g_ptr_array_sort (list, group_compare);
+      for (guint k = 0; k < list->len; k++)
+        g_ptr_array_sort (
+            ((mq_upstream_group *)g_ptr_array_index (list, k))->upstreams,
+            upstream_compare);
+    }
+}
+
+const GPtrArray *
+mq_registry_groups (mq_registry *registry, mq_span service)
+{
+  char *name = g_strndup (service.size ? service.data : "", service.size);
+  const GPtrArray *list;
+
+  registry_index (registry);
+  list = g_hash_table_lookup (registry->groups, name);
+  g_free (name);
+  return list;
+}
+
+const mq_upstream_group *
+mq_registry_group (mq_registry *registry, mq_span service, mq_span domain)
+{
+  const GPtrArray *list = mq_registry_groups (registry, service);
+
+  for (guint i = 0; list != NULL && i < list->len; i++)
+    {
+      const mq_upstream_group *g = g_ptr_array_index (list, i);
+
+      if (mq_span_equal (mq_str_span (g->domain), domain))
+        return g;
+    }
+  return NULL;
+}
+
 void
 mq_registry_init (mq_registry *registry)
 {
   registry->by_id
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, registry_drop);
+  registry->groups = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_ptr_array_unref);
+  registry->indexed = 0;
   registry->change = 1;
 }
 
 void
 mq_registry_finish (mq_registry *registry)
 {
+  g_hash_table_unref (registry->groups);
   g_hash_table_unref (registry->by_id);
 }
 
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -104,3 +104,34 @@
   EXPECT_FALSE (mq_registry_set_layers (&r, u, 0, 15, 9 * s));
   EXPECT_EQ (mq_upstream_layers (u, 9 * s), 15u);
 }
+
+TEST_F (Registry, GroupsFollowEachChange)
+{
+  auto put_in = [&] (const char *id, const char *domain) {
+    mq_upstream_facts f = {};
+
+    f.id = mq_str_new (mq_span_from (id));
+    f.service = mq_str_new (MQ_SPAN ("s"));
+    f.address = mq_str_new (MQ_SPAN ("1:1"));
+    f.domain = mq_str_new (mq_span_from (domain));
+    mq_registry_put (&r, &f, 0);
+  };
+
+  EXPECT_EQ (mq_registry_groups (&r, MQ_SPAN ("s")), nullptr);
+  put_in ("b", "y");
+  put_in ("a", "y");
+  put_in ("c", "x");
+  const GPtrArray *groups = mq_registry_groups (&r, MQ_SPAN ("s"));
+  ASSERT_EQ (groups->len, 2u);
+  const mq_upstream_group *y
+      = mq_registry_group (&r, MQ_SPAN ("s"), MQ_SPAN ("y"));
+  ASSERT_EQ (y->upstreams->len, 2u);
+  EXPECT_STREQ (
+      ((mq_upstream *)g_ptr_array_index (y->upstreams, 0))->facts.id->data,
+      "a");
+  mq_registry_remove (&r, MQ_SPAN ("a"));
+  EXPECT_EQ (
+      mq_registry_group (&r, MQ_SPAN ("s"), MQ_SPAN ("y"))->upstreams->len,
+      1u);
+  EXPECT_EQ (mq_registry_group (&r, MQ_SPAN ("s"), MQ_SPAN ("z")), nullptr);
+}
