Lend what routers leave of the budget of further sends; ask heads sooner; log choices

News carry each router's counts; beyond its part a router may send while the fleet is below half of its bound. The test of the fleet's bound holds with counts that are 0.3 s old.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -75,6 +75,7 @@
   bool store_reached; /* It hears the store.  */
   bool told_alive;    /* The log says that it lives.  */
   GHashTable *tokens; /* "service domain" -> double *.  */
+  GHashTable *sends;  /* Service -> mq_send_counts *.  */
 } mq_member;
 
 /* What the gateway keeps of a service beside its configuration.  */
@@ -188,6 +189,9 @@
 uint64_t mq_gateway_draw (mq_gateway *gateway);
 mq_service_state *mq_gateway_service (mq_gateway *gateway,
                                       const mq_route_service *service);
+/* Has SERVICE budget for one more send beyond the first of a request?  */
+bool mq_gateway_has_budget (mq_gateway *gateway,
+                            const mq_route_service *service, uint64_t now_us);
 /* Routers that were heard within the window of the budget of further sends,
    with this one: one that ended has used its part.  */
 unsigned mq_gateway_routers (const mq_gateway *gateway);
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -3,7 +3,13 @@
    The whole fleet may send RATIO times the requests of a sliding window, plus
    a fixed SLACK.  Each router keeps to its part: the ratio of its own
    requests, and the slack divided by the routers that live.  So the sum holds
-   without a word between routers; what a router does not use is not lent.  */
+   without a word between routers.
+
+   A stage that dies hits the streams of some routers more than of others, so
+   what is left unused is lent: beyond its part a router may send while the
+   fleet's sum, as its peers last told, is below half of the bound.  The other
+   half covers what all send before they hear of one another, and the counts
+   of routers that started anew.  */
 
 #ifndef MQ_SEND_BUDGET_H
 #define MQ_SEND_BUDGET_H
@@ -35,9 +41,20 @@
 /* A request for the service came.  */
 void mq_send_budget_request (mq_send_budget *budget, uint64_t now_us);
 
-/* Is there room for one more send, among ROUTERS that live?  */
+/* Counts over the last window.  */
+typedef struct mq_send_counts
+{
+  unsigned first; /* Requests.  */
+  unsigned more;  /* Sends beyond the first.  */
+} mq_send_counts;
+
+/* This router's, to be told to peers.  */
+mq_send_counts mq_send_budget_count (mq_send_budget *budget, uint64_t now_us);
+
+/* Is there room for one more send, among ROUTERS that live?  OTHERS: the sum
+   of what the others told last.  */
 bool mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
-                              uint64_t now_us);
+                              mq_send_counts others, uint64_t now_us);
 
 /* One more send was made.  */
 void mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -88,6 +88,32 @@
   return n;
 }
 
+bool
+mq_gateway_has_budget (mq_gateway *gateway, const mq_route_service *service,
+                       uint64_t now_us)
+{
+  uint64_t window = gateway->settings->send_window_ms * 1000;
+  mq_send_counts others = { 0, 0 };
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->members);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_member *m = value;
+      const mq_send_counts *c
+          = g_hash_table_lookup (m->sends, service->name->data);
+
+      if (c == NULL || m->heard_us == 0 || now_us - m->heard_us > window)
+        continue;
+      others.first += c->first;
+      others.more += c->more;
+    }
+  return mq_send_budget_has_room (
+      &mq_gateway_service (gateway, service)->budget,
+      mq_gateway_routers (gateway), others, now_us);
+}
+
 bool
 mq_gateway_is_ready (const mq_gateway *gateway)
 {
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -246,11 +246,10 @@
     }
   if (!status_is_success (event->status))
     {
-      mq_forward_verdict v = mq_forward_judge (
-          &f->state, MQ_SEND_REPLIED, event->status,
-          mq_send_budget_has_room (
-              &mq_gateway_service (f->gateway, f->service)->budget,
-              mq_gateway_routers (f->gateway), mq_gateway_now_us ()));
+      mq_forward_verdict v
+          = mq_forward_judge (&f->state, MQ_SEND_REPLIED, event->status,
+                              mq_gateway_has_budget (f->gateway, f->service,
+                                                     mq_gateway_now_us ()));
 
       if (v.verb != MQ_FORWARD_PASS)
         mq_forward_send_ended (f, MQ_SEND_REPLIED, event->status, "error");
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -13,9 +13,10 @@
    to the client (3 ms on the sheets) and a late timer.  */
 #define WAY_BACK_MS 15
 
-/* A stream that is silent for so long is looked into: about ten times the
-   usual gap between events (40 ms), and well before clients leave (2 s).  */
-#define SILENT_ASK_US ((uint64_t)450 * 1000)
+/* A stream that is silent for so long is looked into: some seven times the
+   usual gap between events (40 ms, 100 at full load) and well before clients
+   leave (2 s).  */
+#define SILENT_ASK_US ((uint64_t)300 * 1000)
 /* The same before the first event, which takes 0.1 to 0.4 s by itself.  */
 #define FIRST_ASK_US ((uint64_t)700 * 1000)
 /* Silent for so long, whatever the head says, and there is room elsewhere:
@@ -148,7 +149,6 @@
 {
   mq_forward *f = forward;
   uint64_t now = mq_gateway_now_us ();
-  mq_service_state *service = mq_gateway_service (f->gateway, f->service);
   mq_forward_verdict v;
 
   f->state.now_us = now;
@@ -168,10 +168,8 @@
       break;
     }
   forward_note_failure (f, end, now);
-  v = mq_forward_judge (
-      &f->state, end, status,
-      mq_send_budget_has_room (&service->budget,
-                               mq_gateway_routers (f->gateway), now));
+  v = mq_forward_judge (&f->state, end, status,
+                        mq_gateway_has_budget (f->gateway, f->service, now));
   mq_log_story_add (
       &f->story, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -41,6 +41,7 @@
   mq_str_unref (m->client_address);
   mq_str_unref (m->domain);
   g_hash_table_unref (m->tokens);
+  g_hash_table_unref (m->sends);
   g_free (m);
 }
 
@@ -58,6 +59,8 @@
       m->peer_address = mq_str_new (address);
       m->tokens
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      m->sends
+          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
       g_hash_table_insert (gateway->members, m->peer_address->data, m);
       mq_peers_connect (gateway->peers, address);
     }
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -80,6 +80,33 @@
   g_string_append_c (out, ']');
 }
 
+/* Requests and further sends of the window, by service.  */
+static void
+news_add_sends (const mq_gateway *gateway, GString *out, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer name;
+  gpointer value;
+
+  mq_json_text_key (out, "sends");
+  g_string_append_c (out, '[');
+  g_hash_table_iter_init (&i, gateway->services);
+  while (g_hash_table_iter_next (&i, &name, &value))
+    {
+      mq_service_state *s = value;
+      mq_send_counts c = mq_send_budget_count (&s->budget, now_us);
+
+      if (out->str[out->len - 1] != '[')
+        g_string_append_c (out, ',');
+      g_string_append_c (out, '{');
+      mq_json_text_member (out, "service", mq_span_from (name));
+      mq_json_text_number (out, "first", c.first);
+      mq_json_text_number (out, "more", c.more);
+      g_string_append_c (out, '}');
+    }
+  g_string_append_c (out, ']');
+}
+
 /* What was found out about engines: who is named as being at fault, and for
    how long it is to be passed over; and how slow each is that was asked, so
    that the others need not ask.  */
@@ -145,6 +172,7 @@
       || gateway->sequence % PEERS_EACH == 0)
     news_add_peers (gateway, out, now_us);
   news_add_tokens (gateway, out);
+  news_add_sends (gateway, out, now_us);
   news_add_findings (gateway, out, now_us);
   g_string_append_c (out, '}');
 }
@@ -297,6 +325,31 @@
     }
 }
 
+static void
+take_sends (mq_member *member, const mq_json *root)
+{
+  mq_json list;
+
+  g_hash_table_remove_all (member->sends);
+  if (!mq_json_array (root, "sends", &list))
+    return;
+  for (size_t i = 0; i < mq_json_size (&list); i++)
+    {
+      mq_json o;
+      mq_span service;
+      mq_send_counts *c;
+
+      if (!mq_json_element (&list, i, &o))
+        return;
+      service = mq_json_span (&o, "service", MQ_SPAN (""));
+      c = g_new0 (mq_send_counts, 1);
+      c->first = (unsigned)mq_json_u64 (&o, "first", 0, UINT32_MAX, 0);
+      c->more = (unsigned)mq_json_u64 (&o, "more", 0, UINT32_MAX, 0);
+      g_hash_table_insert (member->sends,
+                           g_strndup (service.data, service.size), c);
+    }
+}
+
 /* One finding of a peer's.  It is not passed on again by who heard it: it
    lives as long as the router that made it says.  */
 static void
@@ -393,6 +446,7 @@
   m->routing_version = mq_json_u64 (root, "routing", 0, UINT64_MAX, 0);
   m->upstreams_at = mq_json_u64 (root, "upstreams", 0, UINT64_MAX, 0);
   take_tokens (m, root);
+  take_sends (m, root);
   take_findings (gateway, root, now);
   take_peers (gateway, root);
 }
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -183,6 +183,24 @@
   g_free (key);
 }
 
+/* Note what FORWARD could not be placed in.  */
+static void
+place_tell_choices (mq_forward *forward, const mq_domain_choice *choices,
+                    size_t n)
+{
+  GString *text = g_string_new (NULL);
+
+  for (size_t i = 0; i < n; i++)
+    g_string_append_printf (text, "%s%.*s:%.0f/%.0f", i > 0 ? "," : "",
+                            MQ_SPAN_ARG (choices[i].domain), choices[i].used,
+                            choices[i].room);
+  mq_log_story_add (&forward->story, G_LOG_LEVEL_INFO, "request.no-room",
+                    "request=%.*s need=%.0f domains=%s",
+                    MQ_SPAN_ARG (forward->id), forward->need,
+                    n > 0 ? text->str : "none");
+  g_string_free (text, TRUE);
+}
+
 static int
 place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
@@ -195,9 +213,13 @@
   if (chosen >= 0)
     place_take (forward, &paths[chosen], &choices[chosen]);
   else
-    *retry_ms
-        = mq_domain_return_ms ((forward->state.deadline_us - now_us) / 1000,
-                               mq_gateway_draw (forward->gateway));
+    {
+      *retry_ms
+          = mq_domain_return_ms ((forward->state.deadline_us - now_us) / 1000,
+                                 mq_gateway_draw (forward->gateway));
+      if (!forward->state.begun)
+        place_tell_choices (forward, choices, n);
+    }
   for (size_t i = 0; i < n; i++)
     mq_layer_path_finish (&paths[i]);
   g_free (paths);
@@ -211,7 +233,6 @@
   mq_layer_path *paths = g_new0 (mq_layer_path, DOMAINS_MOST);
   size_t n = place_list (forward, now_us, paths, choices);
   size_t others = 0;
-  bool can;
 
   for (size_t i = 0; i < n; i++)
     {
@@ -220,10 +241,9 @@
         choices[others++] = choices[i];
     }
   g_free (paths);
-  can = mq_domain_choose (choices, others, forward->need,
-                          forward_rank (forward))
-        >= 0;
-  return can;
+  return mq_domain_choose (choices, others, forward->need,
+                           forward_rank (forward))
+         >= 0;
 }
 
 int
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -11,8 +11,9 @@
 /* An engine found stalled stays aside so long at least; one that died leaves
    the platform's list after three heartbeats (3.6 s).  */
 #define STALLED_ASIDE_US ((uint64_t)4000 * 1000)
-/* The same head is asked no sooner again; its report is 0.2 s old anyhow.  */
-#define REPORT_PAUSE_US ((uint64_t)300 * 1000)
+/* The same head is asked no sooner again; its report is some hundred ms old.
+ */
+#define REPORT_PAUSE_US ((uint64_t)150 * 1000)
 /* Work that waits at a head means that some stage has no memory left: nothing
    new goes there until the next report would tell.  */
 #define CROWDED_US ((uint64_t)400 * 1000)
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -12,6 +12,8 @@
 /* Part of the fleet's budget that is used, so that the counts of different
    routers, whose slices begin at different moments, stay below it.  */
 #define SHARE_USED 0.8
+/* Part of it up to which what others leave is used as well.  */
+#define SHARE_LENT 0.5
 
 static void
 budget_advance (mq_send_budget *budget, uint64_t now_us)
@@ -52,25 +54,33 @@
   budget->first[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
 }
 
-bool
-mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
-                         uint64_t now_us)
+mq_send_counts
+mq_send_budget_count (mq_send_budget *budget, uint64_t now_us)
 {
-  unsigned first = 0;
-  unsigned more = 0;
-  double grown = (double)(now_us - budget->born_us)
-                 / (double)(budget->slice_us * MQ_SEND_BUDGET_SLICES);
+  mq_send_counts c = { 0, 0 };
 
   budget_advance (budget, now_us);
   for (unsigned i = 0; i <= MQ_SEND_BUDGET_SLICES; i++)
     {
-      first += budget->first[i];
-      more += budget->more[i];
+      c.first += budget->first[i];
+      c.more += budget->more[i];
     }
-  return more + 1
-         <= SHARE_USED
-                * (budget->ratio * first
-                   + budget->slack * MIN (grown, 1) / MAX (routers, 1));
+  return c;
+}
+
+bool
+mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
+                         mq_send_counts others, uint64_t now_us)
+{
+  mq_send_counts own = mq_send_budget_count (budget, now_us);
+  double grown = (double)(now_us - budget->born_us)
+                 / (double)(budget->slice_us * MQ_SEND_BUDGET_SLICES);
+  double part = budget->ratio * own.first
+                + budget->slack * MIN (grown, 1) / MAX (routers, 1);
+  double fleet = budget->ratio * (own.first + others.first) + budget->slack;
+
+  return own.more + 1 <= SHARE_USED * part
+         || own.more + others.more + 1 <= SHARE_LENT * fleet;
 }
 
 void
