--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 	cmake -S . -B $(BUILD) -G Ninja
 	cmake --build $(BUILD)
 
-check: build
+check: deps build
 	ctest --test-dir $(BUILD) --output-on-failure -j 4
 
 # The property tests with many more cases and a new seed, which is printed:
