--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -231,6 +231,9 @@
 void
 mq_http_exchange_detach (mq_http_exchange *exchange)
 {
+  /* An answer that was begun and not taken yet holds a reference to the
+     exchange, which would keep both for ever.  */
+  g_clear_pointer (&exchange->response, MHD_destroy_response);
   exchange->suspended = false;
   exchange->connection = NULL;
   exchange->mhd = NULL;
