Limit clients' connections to half of the process's descriptors

Cause: when clients took all descriptors, no upstream could be reached any more. More than the limit are closed unread, which clients may take for not run.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -63,12 +63,15 @@
 
 typedef struct mq_http_server_options
 {
-  mq_span address;     /* IP number to listen on.  */
-  uint16_t port;       /* 0 lets the system choose.  */
-  size_t body_limit;   /* Bytes; a larger body gets 413.  */
-  unsigned idle_s;     /* Seconds until a half-sent request is cut.  */
-  mq_span certificate; /* PEM file path; empty means no TLS.  */
-  mq_span key;         /* PEM file path.  */
+  mq_span address;      /* IP number to listen on.  */
+  uint16_t port;        /* 0 lets the system choose.  */
+  size_t body_limit;    /* Bytes; a larger body gets 413.  */
+  unsigned idle_s;      /* Seconds until a half-sent request is cut.  */
+  unsigned connections; /* At once; more are closed unread, which a caller
+                           may take for "not run".  0: as many as the library
+                           is set up for.  */
+  mq_span certificate;  /* PEM file path; empty means no TLS.  */
+  mq_span key;          /* PEM file path.  */
 } mq_http_server_options;
 
 /* A new server on LOOP that reports to SINK with CONTEXT.  NULL with ERROR
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -53,6 +53,7 @@
   char *pem_key;
   mq_http_tls *tls; /* For new connections; one reference, or NULL.  */
   unsigned idle_s;
+  unsigned most_connections;
   size_t body_limit;
   uint16_t port;
   bool closing; /* Callers are told to close.  */
--- a/packages/config/gateway_settings.c
+++ b/packages/config/gateway_settings.c
@@ -12,6 +12,12 @@
 #define MAX_MS ((uint64_t)3600 * 1000)
 #define MAX_SLACK 1e9
 
+#define MAX_FILES ((uint64_t)1 << 24)
+/* Clients' part of the descriptors.  The rest is for upstreams, of which a
+   stream needs one each, for files, peers and the store: when clients took
+   all, no request could be served any more.  */
+#define CLIENTS_PART 0.5
+
 /* The key by which such settings are known.  */
 #define GATEWAY_KEY "gateway"
 
@@ -60,6 +66,15 @@
     }
 }
 
+/* Descriptors that the process may have open: clients get a part of them.  */
+static void
+read_files (const mq_json *object, mq_gateway_settings *settings)
+{
+  uint64_t files = mq_json_u64 (object, "max_files", 0, MAX_FILES, 0);
+
+  settings->max_connections = (unsigned)(files * CLIENTS_PART);
+}
+
 static void
 read_bounds (const mq_json *object, mq_gateway_settings *settings)
 {
@@ -91,6 +106,7 @@
   read_endpoint (object, "peers", &settings->peers);
   settings->metrics_port
       = (uint16_t)mq_json_u64 (object, "metrics_port", 0, UINT16_MAX, 0);
+  read_files (object, settings);
   settings->platform_url = mq_json_str (object, "platform_url");
   read_seeds (object, settings);
   read_bounds (object, settings);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -172,10 +172,12 @@
 gateway_listen (mq_gateway *gateway, const mq_listen *at,
                 mq_http_server_sink sink, GError **error)
 {
-  mq_http_server_options o = { .address = mq_str_span (at->address),
-                               .port = at->port,
-                               .body_limit = BODY_LIMIT,
-                               .idle_s = IDLE_S };
+  mq_http_server_options o
+      = { .address = mq_str_span (at->address),
+          .port = at->port,
+          .body_limit = BODY_LIMIT,
+          .idle_s = IDLE_S,
+          .connections = gateway->settings->max_connections };
   GError *cause = NULL;
   mq_http_server *s
       = mq_http_server_new (gateway->loop, &o, sink, gateway, &cause);
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -162,7 +162,7 @@
           server_accept_failed (s, errno);
           return;
         }
-      if (s->connections.length >= MQ_HTTP_CONNECTIONS)
+      if (s->connections.length >= s->most_connections)
         close (fd);
       else
         mq_http_shard_add (server_shard (s), fd, &a.any, size);
@@ -340,6 +340,9 @@
   s->context = context;
   s->body_limit = options->body_limit;
   s->idle_s = options->idle_s;
+  s->most_connections = MQ_HTTP_CONNECTIONS;
+  if (options->connections > 0)
+    s->most_connections = MIN (options->connections, MQ_HTTP_CONNECTIONS);
   s->shards = g_ptr_array_new ();
   s->listen_fd = -1;
   g_queue_init (&s->due);
--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -117,7 +117,7 @@
   }
 
   void
-  start (unsigned idle_s)
+  start (unsigned idle_s, unsigned connections = 0)
   {
     mq_http_server_options options = {};
     GError *error = nullptr;
@@ -126,6 +126,7 @@
     options.address = MQ_SPAN ("127.0.0.1");
     options.body_limit = 64 * 1024;
     options.idle_s = idle_s;
+    options.connections = connections;
     server = mq_http_server_new (loop, &options, sink, this, &error);
     ASSERT_NE (server, nullptr) << error->message;
   }
--- a/tests/test_gateway_settings.cc
+++ b/tests/test_gateway_settings.cc
@@ -44,7 +44,8 @@
 {
   std::string text
       = settings (",\"seeds\":[\"10.0.0.2:83\"],\"grace_ms\":8000,"
-                  "\"further_sends_ratio\":0.2,\"further_sends_slack\":196");
+                  "\"further_sends_ratio\":0.2,\"further_sends_slack\":196,"
+                  "\"max_files\":4200");
   mq_gateway_settings s;
 
   ASSERT_EQ (mq_gateway_settings_parse (&s, MQ_SPAN ("file"),
@@ -56,6 +57,7 @@
   EXPECT_EQ (s.peers.port, 83u);
   ASSERT_EQ (s.seeds->len, 1u);
   EXPECT_EQ (s.grace_ms, 8000u);
+  EXPECT_EQ (s.max_connections, 2100u);
   EXPECT_DOUBLE_EQ (s.send_slack, 196);
   mq_gateway_settings_finish (&s);
 }
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -829,3 +829,28 @@
 }
 
 } // namespace
+
+TEST_F (Http, ClosesConnectionsBeyondItsLimitUnread)
+{
+  std::vector<mq_http_exchange *> held;
+  Answer a[3];
+
+  start (5, 2);
+  on_request = [&] (mq_http_exchange *e) {
+    held.push_back (mq_http_exchange_ref (e));
+  };
+  call (&a[0], "/1");
+  call (&a[1], "/2");
+  ASSERT_TRUE (until ([&] { return held.size () == 2; }));
+  call (&a[2], "/3");
+  ASSERT_TRUE (until ([&] { return a[2].ends == 1; }));
+  EXPECT_NE (a[2].result, MQ_HTTP_OK);
+  EXPECT_EQ (held.size (), 2u);
+  for (mq_http_exchange *x : held)
+    {
+      mq_http_exchange_reply (x, 200, nullptr, 0, MQ_SPAN ("ok"));
+      mq_http_exchange_unref (x);
+    }
+  ASSERT_TRUE (until ([&] { return a[0].ends + a[1].ends == 2; }));
+  EXPECT_EQ (a[0].result, MQ_HTTP_OK);
+}
