Tell ages and states in the metrics; come-back times on promises only

A 502 or 504 bore a time to come back though it promises nothing. Metrics gain the configuration's version, how old what is believed is, upstreams by state, routers heard, log lines written and left out.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -97,6 +97,14 @@
   uint64_t *orders;
   uint64_t *store_calls;
   uint64_t *reports;
+  uint64_t *routing_version;
+  uint64_t *routing_age_ms;
+  uint64_t *upstreams_age_ms;
+  uint64_t *upstreams;
+  uint64_t *upstreams_aside;
+  uint64_t *routers;
+  uint64_t *log_lines;
+  uint64_t *log_left_out;
   mq_histogram *first_event;
   mq_histogram *whole;
 } mq_gateway_counters;
@@ -143,8 +151,7 @@
   GQueue forwards;      /* mq_forward, owned.  */
   GHashTable *services; /* Name -> mq_service_state, owned.  */
   GHashTable *tokens;   /* "service domain" -> double *, our own.  */
-
-  bool drain_closed; /* No new connection and no new stream.  */
+  bool drain_closed;    /* No new connection and no new stream.  */
   uint64_t drain_close_us;
   uint64_t drain_last_us; /* No new request at all.  */
   uint64_t drain_until_us;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -241,6 +241,24 @@
                                        "Calls to the platform's store.");
   c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
                                    "Reports asked of engines.");
+  c->routing_version = mq_metrics_gauge (
+      m, "marjoramquay_configuration_version", "", "In force here.");
+  c->routing_age_ms = mq_metrics_gauge (
+      m, "marjoramquay_belief_age_ms", "of=\"configuration\"",
+      "Since the store last answered about it.");
+  c->upstreams_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
+                                          "of=\"upstreams\"", "");
+  c->upstreams
+      = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"listed\"",
+                          "Upstreams by what is believed of them.");
+  c->upstreams_aside = mq_metrics_gauge (m, "marjoramquay_upstreams",
+                                         "state=\"unusable\"", "");
+  c->routers = mq_metrics_gauge (m, "marjoramquay_routers", "",
+                                 "Heard lately, with this one.");
+  c->log_lines = mq_metrics_counter (m, "marjoramquay_log_lines_total", "",
+                                     "Lines written.");
+  c->log_left_out = mq_metrics_counter (m, "marjoramquay_log_left_out_total",
+                                        "", "Lines that had no room.");
   c->first_event
       = mq_metrics_histogram (m, "marjoramquay_first_event_seconds", "",
                               "From a request to its first event.");
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -24,6 +24,10 @@
    event.  */
 #define SILENT_MOST_US ((uint64_t)1400 * 1000)
 
+/* When to come back after upstreams said that they did not run it: a full
+   queue of a plain service empties within some calls of 60 ms.  */
+#define NOT_RUN_RETRY_MS 500
+
 /* A repeatable plain call is given up for another upstream after so many
    times the latency for full credit, but not before the least.  */
 #define PATIENCE_FACTOR 2
@@ -106,7 +110,8 @@
 
   ++*(refused ? forward->gateway->counters.refused
               : forward->gateway->counters.failed);
-  mq_gateway_refuse (forward->exchange, status, retry_ms);
+  /* Only a promise that it did not run says when to come back.  */
+  mq_gateway_refuse (forward->exchange, status, refused ? retry_ms : 0);
   mq_forward_end (forward, refused ? "refused" : "failed", status, why);
 }
 
@@ -194,7 +199,7 @@
       forward_refuse (f, MQ_STATUS_BAD_GATEWAY, 0, why);
       break;
     case MQ_FORWARD_REFUSE:
-      forward_refuse (f, v.status, 500, why);
+      forward_refuse (f, v.status, NOT_RUN_RETRY_MS, why);
       break;
     }
 }
@@ -381,7 +386,8 @@
   mq_http_exchange_set_user (exchange, f);
   if (f->service == NULL)
     {
-      forward_refuse (f, MQ_STATUS_UNAVAILABLE, 1000, "no-service");
+      forward_refuse (f, MQ_STATUS_UNAVAILABLE, NOT_RUN_RETRY_MS,
+                      "no-service");
       return;
     }
   f->need = request_need (f);
@@ -398,8 +404,7 @@
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
   else
-    forward_refuse (forward, v.status,
-                    v.status == MQ_STATUS_UNAVAILABLE ? retry_ms : 0, why);
+    forward_refuse (forward, v.status, retry_ms, why);
 }
 
 void
--- a/packages/gateway/gateway_front.c
+++ b/packages/gateway/gateway_front.c
@@ -228,6 +228,29 @@
   g_string_free (out, TRUE);
 }
 
+/* Bring the gauges up to date: they are read seldom.  */
+static void
+metrics_refresh (mq_gateway *gateway)
+{
+  mq_gateway_counters *c = &gateway->counters;
+  uint64_t now = mq_gateway_now_us ();
+  GHashTableIter i;
+  gpointer value;
+
+  *c->routing_version = gateway->routing ? gateway->routing->version : 0;
+  *c->routing_age_ms = (now - gateway->routing_feed.fresh_us) / 1000;
+  *c->upstreams_age_ms = (now - gateway->upstream_feed.fresh_us) / 1000;
+  *c->upstreams = g_hash_table_size (gateway->registry.by_id);
+  *c->upstreams_aside = 0;
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (!mq_upstream_is_usable (value, now))
+      ++*c->upstreams_aside;
+  *c->routers = mq_gateway_routers (gateway);
+  *c->log_lines = mq_log_count ()->lines;
+  *c->log_left_out = mq_log_count ()->left_out;
+}
+
 void
 mq_gateway_on_metrics (void *context, const mq_http_server_event *event)
 {
@@ -237,6 +260,7 @@
   if (event->kind != MQ_HTTP_SERVER_REQUEST)
     return;
   out = g_string_new (NULL);
+  metrics_refresh (g);
   mq_metrics_render (g->metrics, out);
   answer_text (event->exchange, STATUS_OK, "text/plain; version=0.0.4",
                (mq_span){ out->str, out->len });
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -469,14 +469,14 @@
     settings = {};
   }
 
-  /* The first of four ports that are free just now.  */
+  /* The first of five ports that are free just now.  */
   static unsigned
   free_ports ()
   {
     static unsigned next = 20000 + (unsigned)getpid () % 20000;
 
-    next += 4;
-    return next - 4;
+    next += 5;
+    return next - 5;
   }
 
   /* Settings of a router whose ports begin at BASE and whose store is at
@@ -490,8 +490,8 @@
            + at (base) + "\",\"readiness\":\"" + at (base + 1)
            + "\",\"directory\":\"" + at (base + 2) + "\",\"peers\":\""
            + at (base + 3) + "\",\"platform_url\":\"" + url + "\",\"seeds\":["
-           + seeds
-           + "],\"grace_ms\":3000,\"further_sends_slack\":1000,"
+           + seeds + "],\"metrics_port\":" + std::to_string (base + 4)
+           + ",\"grace_ms\":3000,\"further_sends_slack\":1000,"
              "\"further_sends_window_ms\":20}}";
   }
 
@@ -518,6 +518,7 @@
     readiness_port = base + 1;
     directory_port = base + 2;
     peers_port = base + 3;
+    metrics_port = base + 4;
     router = run_router (
         &settings,
         settings_text (base, "vm-1", "http://" + store.server.address ()));
@@ -662,7 +663,7 @@
   mq_gateway_settings settings = {};
   mq_gateway *router = nullptr;
   unsigned clients_port = 0, readiness_port = 0, directory_port = 0;
-  unsigned peers_port = 0;
+  unsigned peers_port = 0, metrics_port = 0;
   unsigned serial = 0;
 
 private:
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -298,6 +298,18 @@
   EXPECT_NE (x.body.find (at (clients_port)), std::string::npos);
 }
 
+TEST_F (Gateway, MetricsTellWhatIsCountedAndBelieved)
+{
+  plain ();
+  fetch ("GET", "/safe/1");
+  std::string m = fetch ("GET", "/metrics", {}, "", metrics_port).body;
+  for (const char *line : { "marjoramquay_requests_total{outcome=\"taken\"} 1",
+                            "marjoramquay_configuration_version 1",
+                            "marjoramquay_upstreams{state=\"listed\"} 2",
+                            "marjoramquay_routers 1" })
+    EXPECT_NE (m.find (line), std::string::npos) << line << "\n" << m;
+}
+
 TEST_F (Gateway, ADrainTakesItOutAtOnceAndCutsNothing)
 {
   Answer x;
