Keep one list of headers that concern one connection; take out what nobody reads

The list stood twice, for requests and for answers. A time of the last answer was kept and never read. Comments name the deployments in plain words. Behaviour as before.

--- a/include/mq/internal/http_header.h
+++ b/include/mq/internal/http_header.h
@@ -19,6 +19,10 @@
 /* True when HEADER is called NAME, in whatever case.  */
 bool mq_http_header_is (const mq_http_header *header, const char *name);
 
+/* True for a header that concerns one connection only, and is never passed on
+   to the next.  */
+bool mq_http_header_is_hop (const mq_http_header *header);
+
 G_END_DECLS
 
 #endif
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -40,7 +40,6 @@
   uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
   uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
   uint64_t aside_span_us;    /* How long it was last put aside.  */
-  uint64_t answered_us;      /* Last sign of life.  */
   double pace;               /* 1: as fast as its card; 0: not told.  */
   uint64_t pace_until_us;    /* That long the pace counts.  */
   bool pace_heard;           /* From a peer, not from the engine itself.  */
@@ -126,7 +125,7 @@
 
 /* What became of a request: it answered, or it failed in a way that speaks
    against the upstream (silence, a broken connection, nonsense).  */
-void mq_upstream_succeeded (mq_upstream *upstream, uint64_t now_us);
+void mq_upstream_succeeded (mq_upstream *upstream);
 void mq_upstream_failed (mq_upstream *upstream, uint64_t now_us);
 /* Known to be down: put aside at once for SPAN_US at least.  */
 void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -17,7 +17,8 @@
 #define STORE_TIMEOUT_MS 1000
 
 /* Seconds until an idle connection is closed; clients reuse connections that
-   were idle for four fifths of the operator's limit, 15 s on the sheets.  */
+   were idle for four fifths of the operator's limit, 15 s in the users'
+   deployments.  */
 #define IDLE_S 40
 
 /* A drain ends this long before the kill, and not before clients had time to
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -25,14 +25,9 @@
 /* True for a header that concerns one connection only, or that the library
    writes itself.  */
 static bool
-header_is_hop (const mq_http_header *h)
+answer_header_stays (const mq_http_header *h)
 {
-  return mq_http_header_is (h, "Connection")
-         || mq_http_header_is (h, "Keep-Alive")
-         || mq_http_header_is (h, "Transfer-Encoding")
-         || mq_http_header_is (h, "Content-Length")
-         || mq_http_header_is (h, "Date") || mq_http_header_is (h, "Trailer")
-         || mq_http_header_is (h, "Upgrade");
+  return mq_http_header_is_hop (h) || mq_http_header_is (h, "Date");
 }
 
 /* The headers of the answer's head that are passed on; they borrow from it.
@@ -64,7 +59,7 @@
             e--;
           h = (mq_http_header){ { line, (size_t)(colon - line) },
                                 { v, (size_t)(e - v) } };
-          if (!header_is_hop (&h))
+          if (!answer_header_stays (&h))
             g_array_append_val (out, h);
         }
       line = stop + 1;
@@ -109,7 +104,6 @@
 stream_note_gap (mq_forward *forward)
 {
   uint64_t now = mq_gateway_now_us ();
-
   double gap_ms = (double)(now - forward->passed_us) / 1000;
 
   if (forward->passed_us > 0)
@@ -166,9 +160,8 @@
   mq_gateway *g = forward->gateway;
 
   for (unsigned i = 0; i < forward->path.n; i++)
-    mq_upstream_succeeded (forward->path.parts[i].upstream,
-                           mq_gateway_now_us ());
-  mq_upstream_succeeded (forward->upstream, mq_gateway_now_us ());
+    mq_upstream_succeeded (forward->path.parts[i].upstream);
+  mq_upstream_succeeded (forward->upstream);
   if (!forward->state.begun)
     stream_begin (forward, status);
   mq_http_exchange_end (forward->exchange);
@@ -259,7 +252,7 @@
     }
   if (!stream)
     {
-      mq_upstream_succeeded (f->upstream, mq_gateway_now_us ());
+      mq_upstream_succeeded (f->upstream);
       forward_pass (f, event->status, body);
     }
   else if (mq_event_split_has_rest (&f->split))
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -10,7 +10,7 @@
 #include <string.h>
 
 /* Answers leave so long before the client's patience ends, for the way back
-   to the client (3 ms on the sheets) and a late timer.  */
+   to the client (3 ms in the users' deployments) and a late timer.  */
 #define WAY_BACK_MS 15
 
 /* A stream that is silent for so long is looked into: some seven times the
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -15,9 +15,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/json.h>
-#include <mq/json_text.h>
 #include <mq/log.h>
-#include <string.h>
 
 /* Four heartbeats.  */
 #define SILENT_US ((uint64_t)1000 * 1000)
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -37,15 +37,9 @@
 static bool
 header_is_ours (const mq_dialect_headers *names, const mq_http_header *h)
 {
-  static const char *const hop[]
-      = { "Connection", "Keep-Alive",       "Transfer-Encoding",
-          "Upgrade",    "Proxy-Connection", "Trailer",
-          "TE",         "Content-Length",   "Expect" };
-
-  for (size_t i = 0; i < G_N_ELEMENTS (hop); i++)
-    if (mq_http_header_is (h, hop[i]))
-      return true;
-  return header_is_named (h, names->credential)
+  return mq_http_header_is_hop (h) || mq_http_header_is (h, "Proxy-Connection")
+         || mq_http_header_is (h, "TE") || mq_http_header_is (h, "Expect")
+         || header_is_named (h, names->credential)
          || header_is_named (h, names->organisation)
          || header_is_named (h, names->time_left_ms)
          || header_is_named (h, names->expect_incarnation)
--- a/packages/net/http_header.c
+++ b/packages/net/http_header.c
@@ -37,3 +37,16 @@
          && g_ascii_strncasecmp (header->name.data, name, header->name.size)
                 == 0;
 }
+
+bool
+mq_http_header_is_hop (const mq_http_header *header)
+{
+  static const char *const names[]
+      = { "Connection",     "Keep-Alive", "Transfer-Encoding",
+          "Content-Length", "Trailer",    "Upgrade" };
+
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    if (mq_http_header_is (header, names[i]))
+      return true;
+  return false;
+}
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -356,13 +356,12 @@
 }
 
 void
-mq_upstream_succeeded (mq_upstream *upstream, uint64_t now_us)
+mq_upstream_succeeded (mq_upstream *upstream)
 {
   upstream->failures = 0;
   upstream->aside_until_us = 0;
   upstream->blamed_until_us = 0;
   upstream->aside_span_us = 0;
-  upstream->answered_us = now_us;
 }
 
 void
--- a/tests/test_overload.cc
+++ b/tests/test_overload.cc
@@ -1,7 +1,7 @@
 /* Load at its worst, in virtual time: requests of 1,000 tokens that hold
    their memory for 4 s on the average, of which 300 fit, that is 75 a second.
    Refused clients come back once.  A request in time counts 1, a late one a
-   quarter, and one that is refused twice costs 0.3, as on the users' sheets.
+   quarter, and one that is refused twice costs 0.3, as for the users.
 
    The loads: a burst of three times 56 a second for 5 s (own day x-burst on
    halvorsen-fleet), and 100 a second for a minute (tekle-entries trouble-2,
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -88,7 +88,7 @@
     mq_upstream_failed (u, 10 * s);
   EXPECT_FALSE (mq_upstream_is_usable (u, 13 * s));
   EXPECT_TRUE (mq_upstream_is_usable (u, 14 * s + 1));
-  mq_upstream_succeeded (u, 15 * s);
+  mq_upstream_succeeded (u);
   mq_upstream_failed (u, 15 * s);
   EXPECT_TRUE (mq_upstream_is_usable (u, 15 * s));
 }
