Take ports of tests below those that the kernel draws

Ruled out: a router of an earlier test that still listens (each test had fresh ports, and the first failing one followed tests that had stopped theirs). Conclusion: blocks of ports below the drawn range, held by a guard socket.

--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -7,6 +7,7 @@
 #define MQ_TESTS_GATEWAY_WORLD_H
 
 #include "../../platform/platform.h"
+#include "port_block.h"
 
 #include <mq/gateway.h>
 #include <mq/http_client.h>
@@ -469,14 +470,12 @@
     settings = {};
   }
 
-  /* The first of five ports that are free just now.  */
-  static unsigned
+  /* The first of five ports for one router.  */
+  unsigned
   free_ports ()
   {
-    static unsigned next = 20000 + (unsigned)getpid () % 20000;
-
-    next += 5;
-    return next - 5;
+    blocks_.push_back (std::make_unique<ports::Block> ());
+    return blocks_.back ()->base ();
   }
 
   /* Settings of a router whose ports begin at BASE and whose store is at
@@ -667,6 +666,8 @@
   unsigned serial = 0;
 
 private:
+  std::vector<std::unique_ptr<ports::Block> > blocks_;
+
   static void
   on_answer (void *context, const mq_http_client_event *event)
   {
