Pass over a stage that refuses at once, instead of taking it for dead

Cause: a 503 that names the engine at fault put that engine aside for 1 to 4 s, at all routers by news, and out of the plan of layers. But a stage that is short of memory, or gives layers up, refuses at once and lives; only one that is dead lets its head wait (2 s) first. Also, runs that had begun before cleared the mark when they ended, so the same stage was asked again every few ms.

--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -45,6 +45,8 @@
   bool pace_heard;           /* From a peer, not from the engine itself.  */
   uint64_t reported_us;      /* When it was last asked how it does.  */
   uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
+  uint64_t turned_us;        /* When it last turned a request away, alive.  */
+  uint64_t turned_span_us;   /* For so long after it gets none.  */
   unsigned wide_layers;      /* It held so many until lately ...  */
   uint64_t wide_until_us;    /* ... and their memory is free by then.  */
   uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
@@ -106,8 +108,12 @@
 const mq_upstream_group *mq_registry_group (mq_registry *registry,
                                             mq_span service, mq_span domain);
 
-/* May new work go there at NOW_US, as far as its state says?  */
+/* Is it there at NOW_US, as far as is known: neither leaving nor thought
+   dead?  */
 bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
+/* May new work go there: is it usable, and did it not turn any away just
+   before?  */
+bool mq_upstream_takes_work (const mq_upstream *upstream, uint64_t now_us);
 
 /* From here on an engine counts as slow.  */
 #define MQ_UPSTREAM_SLOW 1.5
@@ -123,10 +129,16 @@
    keeps them until all that passes through them has ended.  */
 unsigned mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us);
 
-/* What became of a request: it answered, or it failed in a way that speaks
-   against the upstream (silence, a broken connection, nonsense).  */
-void mq_upstream_succeeded (mq_upstream *upstream);
+/* What became of a request: it was answered, having been sent at SENT_US; or
+   it failed in a way that speaks against the upstream (silence, a broken
+   connection, nonsense).  */
+void mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us);
 void mq_upstream_failed (mq_upstream *upstream, uint64_t now_us);
+/* It refused a request at once: short of memory, giving up layers, or about
+   to leave.  It lives and may go on with what it has, so no other router and
+   no plan of layers need know; new work goes elsewhere for a moment, for
+   longer each time that it refuses again.  */
+void mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us);
 /* Known to be down: put aside at once for SPAN_US at least.  */
 void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
                             uint64_t span_us);
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -20,6 +20,11 @@
    quarter to a half.  */
 #define SLOW_OF_GAP 0.6
 
+/* A refusal after so long means that the head waited for an engine that does
+   not work: heads wait 2 s for one that is dead, while requests that have to
+   queue at a head wait some tenths of a second.  */
+#define WAITED_FOR_US ((uint64_t)1500 * 1000)
+
 /* ---- The answer's head.  */
 
 /* True for a header that concerns one connection only, or that the library
@@ -160,8 +165,8 @@
   mq_gateway *g = forward->gateway;
 
   for (unsigned i = 0; i < forward->path.n; i++)
-    mq_upstream_succeeded (forward->path.parts[i].upstream);
-  mq_upstream_succeeded (forward->upstream);
+    mq_upstream_succeeded (forward->path.parts[i].upstream, forward->sent_us);
+  mq_upstream_succeeded (forward->upstream, forward->sent_us);
   if (!forward->state.begun)
     stream_begin (forward, status);
   mq_http_exchange_end (forward->exchange);
@@ -200,7 +205,9 @@
          > 0;
 }
 
-/* Put aside the engine that an answer names as the one at fault.  */
+/* An answer says that the request was not run, and may name the engine at
+   fault.  One that is dead or cut off shows after its head waited for it; one
+   that refuses at once lives.  */
 static void
 forward_blame (mq_forward *forward, uint64_t now_us)
 {
@@ -208,13 +215,18 @@
   mq_span a
       = mq_http_call_header (forward->call, g->dialect->headers.at_fault);
   mq_upstream *u = a.size > 0 ? mq_registry_at (&g->registry, a) : NULL;
+  uint64_t waited_us = now_us - forward->sent_us;
 
   if (u == NULL)
     return;
   mq_log_story_add (&forward->story, G_LOG_LEVEL_INFO, "upstream.blamed",
-                    "request=%.*s upstream=%s", MQ_SPAN_ARG (forward->id),
-                    mq_str_cstr (u->facts.id));
-  mq_upstream_blamed (u, now_us, 0);
+                    "request=%.*s upstream=%s waited_ms=%" G_GUINT64_FORMAT,
+                    MQ_SPAN_ARG (forward->id), mq_str_cstr (u->facts.id),
+                    waited_us / 1000);
+  if (waited_us < WAITED_FOR_US)
+    mq_upstream_turned_away (u, now_us);
+  else
+    mq_upstream_blamed (u, now_us, 0);
 }
 
 /* A whole answer came.  */
@@ -252,7 +264,7 @@
     }
   if (!stream)
     {
-      mq_upstream_succeeded (f->upstream);
+      mq_upstream_succeeded (f->upstream, f->sent_us);
       forward_pass (f, event->status, body);
     }
   else if (mq_event_split_has_rest (&f->split))
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -54,7 +54,7 @@
 
       if (u == except || u->facts.layer_first >= u->facts.layer_end
           || u->facts.layer_end > model->layers
-          || !mq_upstream_is_usable (u, now_us) || u->facts.card == NULL)
+          || !mq_upstream_takes_work (u, now_us) || u->facts.card == NULL)
         continue;
       e.card = mq_layered_model_card (model, mq_str_span (u->facts.card));
       if (e.card != NULL)
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -13,6 +13,12 @@
    only delay the return of a sound one.  */
 #define ASIDE_FIRST_US ((uint64_t)1000 * 1000)
 
+/* How long an engine that turned a request away gets none: some streams of
+   4 s on the average end in the first time, since a full stage holds 100; the
+   longest is what a load of some layers takes.  */
+#define TURNED_FIRST_US ((uint64_t)200 * 1000)
+#define TURNED_MOST_US ((uint64_t)1600 * 1000)
+
 /* Layers that an engine lets go stay in its memory until the requests that
    pass through them have ended; most last less than this.  */
 #define LET_GO_US ((uint64_t)5000 * 1000)
@@ -355,9 +361,34 @@
          && now_us >= upstream->aside_until_us;
 }
 
+bool
+mq_upstream_takes_work (const mq_upstream *upstream, uint64_t now_us)
+{
+  return mq_upstream_is_usable (upstream, now_us)
+         && now_us >= upstream->turned_us + upstream->turned_span_us;
+}
+
+void
+mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us)
+{
+  uint64_t until = upstream->turned_us + upstream->turned_span_us;
+
+  /* Many requests meet the same lack at once: that counts as one.  */
+  if (now_us < until)
+    return;
+  upstream->turned_span_us
+      = upstream->turned_span_us == 0 || now_us > until + TURNED_MOST_US
+            ? TURNED_FIRST_US
+            : MIN (upstream->turned_span_us * 2, TURNED_MOST_US);
+  upstream->turned_us = now_us;
+}
+
 void
-mq_upstream_succeeded (mq_upstream *upstream)
+mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us)
 {
+  /* What was sent before says nothing about room for more.  */
+  if (sent_us > upstream->turned_us)
+    upstream->turned_span_us = 0;
   upstream->failures = 0;
   upstream->aside_until_us = 0;
   upstream->blamed_until_us = 0;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -157,13 +157,17 @@
     Server::reply (x, status, "answer of " + id, marks (x));
   }
 
+  /* Say that it was not run; AT names the engine at fault.  */
   void
-  refuse (mq_http_exchange *x, unsigned status = 503)
+  refuse (mq_http_exchange *x, unsigned status = 503,
+          const std::string &at = "")
   {
     Headers h = marks (x);
 
     h.pop_back ();
     h.push_back ({ "Marjoramquay-Not-Executed", "1" });
+    if (!at.empty ())
+      h.push_back ({ "At-Server", at });
     Server::reply (x, status, "", h);
   }
 
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -532,6 +532,48 @@
   EXPECT_LT (ev_time () - before, 1.2);
 }
 
+/* A stage without memory for one more request refuses at once.  It was taken
+   for lost: its layers were ordered elsewhere, and its failure domain laid out
+   anew under full load (halvorsen scale-2 --seed 184536034715, 24.9 s).  */
+TEST_F (Gateway, AStageThatIsShortOfMemoryIsNotReplaced)
+{
+  std::string at;
+  unsigned orders = 0;
+
+  chains ();
+  Upstream &spare = add ("eng-9", "model", "one", "half");
+  for (auto &p : upstreams)
+    p->on_order = [this, u = p.get ()] { tell (*u); };
+  ASSERT_TRUE (until ([&] { return spare.end > spare.first; }));
+  wait (0.3);
+  /* The stage of which there is no second copy.  */
+  at = upstreams[spare.first == 0 ? 1 : 0]->server.address ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      orders += u->orders;
+      u->serve = [u, at] (mq_http_exchange *x) {
+        if (u->domain == "one")
+          {
+            u->refuse (x, 503, at);
+            return;
+          }
+        u->begin (x);
+        Upstream::events (x, 1, 3);
+        mq_http_exchange_end (x);
+      };
+    }
+  for (unsigned i = 0; i < 4; i++)
+    {
+      EXPECT_EQ (fetch ("POST", "/stream/1").body, events (1, 3));
+      wait (0.2);
+    }
+  for (auto &p : upstreams)
+    orders -= p->orders;
+  EXPECT_EQ (orders, 0u);
+}
+
 TEST_F (Gateway, WithoutAWholeChainRequestsAreRefusedAtOnce)
 {
   Upstream &u = add ("eng-1", "model", "one", "half");
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -88,11 +88,53 @@
     mq_upstream_failed (u, 10 * s);
   EXPECT_FALSE (mq_upstream_is_usable (u, 13 * s));
   EXPECT_TRUE (mq_upstream_is_usable (u, 14 * s + 1));
-  mq_upstream_succeeded (u);
+  mq_upstream_succeeded (u, 10 * s);
   mq_upstream_failed (u, 15 * s);
   EXPECT_TRUE (mq_upstream_is_usable (u, 15 * s));
 }
 
+/* halvorsen scale-2 --seed 184536034715, 24.6 s: a stage that was short of
+   memory refused at once and was taken for dead.  */
+TEST_F (Registry, AnEngineThatRefusesAtOnceIsPassedOverButNotTakenForDead)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_turned_away (u, 10 * s);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 10 * s));
+  EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s));
+  EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + s / 4));
+}
+
+TEST_F (Registry, RefusalsThatFollowOneAnotherMakeThePauseLonger)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_turned_away (u, 10 * s);
+  mq_upstream_turned_away (u, 10 * s); /* The same lack.  */
+  EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + s / 4));
+  mq_upstream_turned_away (u, 10 * s + s / 4);
+  EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s + s / 2));
+  EXPECT_TRUE (mq_upstream_takes_work (u, 11 * s));
+  for (int i = 11; i < 16; i++)
+    mq_upstream_turned_away (u, i * s);
+  EXPECT_TRUE (mq_upstream_takes_work (u, 17 * s));
+  mq_upstream_turned_away (u, 30 * s); /* Another matter.  */
+  EXPECT_TRUE (mq_upstream_takes_work (u, 30 * s + s / 4));
+}
+
+/* A stream that was sent before the refusal ends well, and says nothing about
+   room for more.  */
+TEST_F (Registry, OnlyWhatWasSentAfterARefusalEndsThePause)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_turned_away (u, 10 * s);
+  mq_upstream_succeeded (u, 9 * s);
+  EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s + 1));
+  mq_upstream_succeeded (u, 10 * s + 1);
+  EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + 1));
+}
+
 TEST_F (Registry, AnEngineThatLetsLayersGoCountsThemForAWhile)
 {
   mq_upstream *u = put ("a", "1:1", 0, 19, s);
