Give an engine that is busy for too long no other order, and don't forget its last

Cause: an engine that gives up layers waits for what passes through them, 7 s under full load, while an order counted as lost after twice its load and 1.5 s.

--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -18,8 +18,8 @@
 #define ORDER_SLACK_US ((uint64_t)1500 * 1000)
 /* Engines answer an order within a few ms, or not at all.  */
 #define ORDER_TIMEOUT_MS 300
-/* How often an engine with an order under way is asked while the store does
-   not tell.  */
+/* How often an engine with an order under way is asked, while the store does
+   not tell or when the order takes longer than it should.  */
 #define ORDER_POLL_US ((uint64_t)300 * 1000)
 #define ORDER_CONNECT_MS 250
 #define STATUS_OK 200
@@ -30,8 +30,9 @@
    now, a load or the wait for requests that pass, takes a second or some.  */
 #define REFUSED_HOLD_US ((uint64_t)1000 * 1000)
 
-/* One that says that it is busy is asked again after this.  */
-#define BUSY_HOLD_US ((uint64_t)300 * 1000)
+/* One that says that it is busy gets none for so long, and is asked again
+   meanwhile; so one that can't be asked any more is not waited for.  */
+#define BUSY_HOLD_US ((uint64_t)1000 * 1000)
 
 /* Engines that start together register within a heartbeat (1.2 s).  As long
    as new ones come, none is given layers, unless some hold any: a chain over
@@ -62,10 +63,6 @@
   upstream->orders = report->orders;
   upstream->orders_unknown = false;
   upstream->order_hold_us = report->busy ? now + BUSY_HOLD_US : 0;
-  /* It still waits for requests to pass, or loads: what was ordered counts as
-     held for longer.  */
-  if (report->busy && upstream->ordered_us > 0)
-    upstream->ordered_us = now;
   gateway->orders_due = true;
 }
 
@@ -89,6 +86,14 @@
   mq_report_ask (gateway, upstream, order_on_report);
 }
 
+/* The same, but not in a hurry.  */
+static void
+order_poll (mq_gateway *gateway, mq_upstream *upstream, uint64_t now_us)
+{
+  if (now_us - upstream->reported_us > ORDER_POLL_US)
+    order_ask_count (gateway, upstream);
+}
+
 static void
 order_on_call (void *context, const mq_http_client_event *event)
 {
@@ -157,28 +162,37 @@
   g_free (url);
 }
 
-/* Is an order to UPSTREAM under way and not reported yet?  */
+/* Has an order to UPSTREAM not been reported as done yet?  */
 static bool
-order_is_pending (const mq_upstream *upstream, const mq_layered_model *model,
-                  uint64_t now_us)
+order_is_open (const mq_upstream *upstream)
 {
   const mq_upstream_facts *f = &upstream->facts;
+
+  return upstream->ordered_us > 0
+         && (f->layer_first != upstream->ordered_first
+             || f->layer_end != upstream->ordered_end);
+}
+
+/* Is the order to UPSTREAM open for longer than its load should take?  An
+   engine that gives up layers first waits for what passes through them, which
+   took 7 s under full load.  So it is asked, and gets no other order until it
+   says that nothing is under way; meanwhile others may get those layers.  */
+static bool
+order_is_overdue (const mq_upstream *upstream, const mq_layered_model *model,
+                  uint64_t now_us)
+{
   double share = (double)(upstream->ordered_end - upstream->ordered_first)
                  / model->layers;
   uint64_t load
       = (uint64_t)(model->load_s * share * US_PER_S) * 2 + ORDER_SLACK_US;
 
-  if (upstream->ordered_us == 0
-      || (f->layer_first == upstream->ordered_first
-          && f->layer_end == upstream->ordered_end))
-    return false;
-  return now_us < upstream->ordered_us + load;
+  return now_us >= upstream->ordered_us + load;
 }
 
-/* What the plan sees of UPSTREAM.  */
+/* What the plan sees of UPSTREAM.  Asks it where that is open for too long. */
 static mq_layer_holder
-order_holder (mq_upstream *upstream, const mq_layered_model *model,
-              uint64_t now_us)
+order_holder (mq_gateway *gateway, mq_upstream *upstream,
+              const mq_layered_model *model, uint64_t now_us)
 {
   const mq_upstream_facts *f = &upstream->facts;
   mq_layer_holder h
@@ -189,11 +203,20 @@
           .fixed = now_us < upstream->order_hold_us,
           .user = upstream };
 
-  if (order_is_pending (upstream, model, now_us))
+  if (h.fixed)
+    order_poll (gateway, upstream, now_us);
+  if (!order_is_open (upstream))
+    return h;
+  h.fixed = true;
+  if (order_is_overdue (upstream, model, now_us))
+    {
+      upstream->orders_unknown = true;
+      order_poll (gateway, upstream, now_us);
+    }
+  else
     {
       h.first = upstream->ordered_first;
       h.end = upstream->ordered_end;
-      h.fixed = true;
     }
   return h;
 }
@@ -219,9 +242,9 @@
                           mq_str_span (service->name))
           || !mq_upstream_is_usable (u, now_us))
         continue;
-      h = order_holder (u, &service->model, now_us);
-      if (blind && h.fixed && now_us - u->reported_us > ORDER_POLL_US)
-        order_ask_count (gateway, u);
+      h = order_holder (gateway, u, &service->model, now_us);
+      if (blind && h.fixed)
+        order_poll (gateway, u, now_us);
       any_held = any_held || h.first < h.end;
       g_array_append_val (holders, h);
     }
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -218,6 +218,7 @@
   unsigned first = 0, end = 0;
   unsigned orders = 0; /* Accepted.  */
   unsigned order_status = 202;
+  bool busy = false;                /* As it reports.  */
   std::function<void ()> on_order;  /* After one was accepted.  */
   std::vector<std::string> stalled; /* Addresses it reports.  */
   std::vector<Seen> seen;
@@ -244,7 +245,8 @@
   void
   report (mq_http_exchange *x)
   {
-    std::string s = "{\"busy\":false,\"sequence\":" + std::to_string (orders)
+    std::string s = std::string ("{\"busy\":") + (busy ? "true" : "false")
+                    + ",\"sequence\":" + std::to_string (orders)
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,"
                       "\"kvTotal\":1,\"layers\":{\"from\":"
                     + std::to_string (first) + ",\"target\":"
@@ -569,7 +571,9 @@
               "\"engine\":{\"slots\":8,\"kvTokenBytes\":590000,"
               "\"step_ms\":0.85,\"read_per_s\":196000,\"layers\":80,"
               "\"layerMb\":1750,\"loads_at_once\":6,\"models\":[{\"name\":"
-              "\"m\",\"loadS\":14}],\"usual\":{\"prompt\":700,\"answer\":170},"
+              "\"m\",\"loadS\":"
+            + std::to_string (load_s)
+            + "}],\"usual\":{\"prompt\":700,\"answer\":170},"
               "\"kinds\":[{\"name\":\"big\",\"mb\":300000,\"pace\":1,"
               "\"readX\":1},{\"name\":\"half\",\"mb\":100000,\"pace\":1,"
               "\"readX\":1}]}}],\"limits\":{\"maxBodyBytes\":4096},"
@@ -669,6 +673,7 @@
   unsigned clients_port = 0, readiness_port = 0, directory_port = 0;
   unsigned peers_port = 0, metrics_port = 0;
   unsigned serial = 0;
+  double load_s = 14; /* Of all layers.  */
   /* The budget of further sends: ample, unless a test is about it.  */
   unsigned sends_slack = 1000, sends_window_ms = 20;
 
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -393,6 +393,27 @@
   EXPECT_EQ (one.orders, 1u);
 }
 
+/* An engine that gives up layers waits for what passes through them, for much
+   longer than its load takes.  Others were ordered in its place, it was
+   ordered anew, refused, and what it had been ordered was forgotten
+   (halvorsen scale-2 --seed 184536034715, 25 to 32 s).  */
+TEST_F (Gateway, AnEngineThatIsStillBusyIsWaitedFor)
+{
+  Upstream &one = add ("eng-1", "model", "one", "big");
+
+  load_s = 0.1; /* Overdue 1.7 s after the order.  */
+  one.on_order = [&] { one.busy = true; };
+  configure (1);
+  start ();
+  ASSERT_TRUE (until ([&] { return one.orders == 1; }));
+  wait (4);
+  EXPECT_EQ (one.orders, 1u);
+  /* It comes to nothing: now it is ordered again.  */
+  one.busy = false;
+  one.first = one.end = 0;
+  EXPECT_TRUE (until ([&] { return one.orders == 2; }));
+}
+
 TEST_F (Gateway, AStreamThatBreaksGoesOnInTheSameAnswer)
 {
   unsigned runs = 0;
