In a repair leave engines in use alone for a moment

A gap was filled at once, by engines in use where no empty one was there; these give up layers, wait 6 s for what passes through them, and are useless until then. The successor registers 0.1 s after the drain begins. And layers that were only ordered counted as held, so that the last holders let go of theirs. Change: what was ordered is no reason to let go; an engine through which nothing passes is the better spare; engines in use are moved only half a second after the last one came or left.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -20,6 +20,7 @@
 #include <mq/gateway.h>
 #include <mq/http_client.h>
 #include <mq/http_server.h>
+#include <mq/layer_plan.h>
 #include <mq/log.h>
 #include <mq/metrics.h>
 #include <mq/peers.h>
@@ -82,6 +83,7 @@
 typedef struct mq_service_state
 {
   mq_send_budget budget;
+  mq_layer_plan plan; /* Of a layered model.  */
 } mq_service_state;
 
 typedef struct mq_gateway_counters
--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -41,6 +41,7 @@
 {
   const mq_layered_model *model;
   GArray *engines; /* mq_plan_engine, fastest first.  */
+  bool patient;    /* Engines in use are left alone.  */
 } mq_plan_domain;
 
 /* ---- layer_domain.c  */
@@ -58,6 +59,9 @@
 void mq_plan_engine_move (mq_plan_engine *engine, mq_plan_range range);
 /* How many engines hold each layer; free with g_free.  */
 unsigned *mq_plan_domain_cover (const mq_plan_domain *domain);
+/* The same without what was ordered and is not reported yet: that may come
+   late, or not at all, so nobody may let go of layers for it.  */
+unsigned *mq_plan_domain_sure_cover (const mq_plan_domain *domain);
 /* Does everything in RANGE stand N times in COVER?  */
 bool mq_plan_cover_reaches (const unsigned *cover, mq_plan_range range,
                             unsigned n);
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -26,8 +26,10 @@
   const mq_card *card;
   unsigned first; /* Layers held, or ordered and not yet reported.  */
   unsigned end;
-  bool fixed; /* An order is under way, or was refused just now.  */
-  void *user; /* The caller's own.  */
+  bool fixed;   /* An order is under way, or was refused just now.  */
+  bool awaited; /* The layers were ordered and are not held yet.  */
+  bool used;    /* Requests pass through it, or did until just now.  */
+  void *user;   /* The caller's own.  */
 } mq_layer_holder;
 
 typedef struct mq_layer_order
@@ -37,10 +39,26 @@
   unsigned end;
 } mq_layer_order;
 
+/* What the plan remembers between its rounds: per failure domain, since when
+   layers are missing and since when the same engines are there.  */
+typedef struct mq_layer_plan
+{
+  GHashTable *domains; /* Name -> internal.  */
+} mq_layer_plan;
+
+void mq_layer_plan_init (mq_layer_plan *plan);
+void mq_layer_plan_finish (mq_layer_plan *plan);
+
 /* Append to ORDERS (mq_layer_order) what brings each failure domain of the N
-   HOLDERS a whole chain of MODEL, as far as memory allows.  */
-void mq_layer_plan_work (const mq_layered_model *model,
-                         mq_layer_holder *holders, size_t n, GArray *orders);
+   HOLDERS a whole chain of MODEL, as far as memory allows.
+
+   Where layers are missing, engines that hold nothing or are not passed
+   through get them at once.  Whatever costs more, since it takes layers from
+   engines that are in use, comes only after a moment in which no engine came
+   or left: one that is replaced is followed by its successor.  */
+void mq_layer_plan_work (mq_layer_plan *plan, const mq_layered_model *model,
+                         mq_layer_holder *holders, size_t n, uint64_t now_us,
+                         GArray *orders);
 
 /* Layers that CARD can hold beside memory for TOKENS tokens.  */
 unsigned mq_layer_plan_room (const mq_layered_model *model,
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -25,7 +25,6 @@
   unsigned layer_first; /* Layers held: [first, end); equal when none.  */
   unsigned layer_end;
   bool draining;
-  bool busy; /* An order is being carried out.  */
 } mq_upstream_facts;
 
 typedef struct mq_upstream
@@ -35,7 +34,7 @@
   bool listed; /* Still in the registry.  */
   /* What this router has seen.  */
   unsigned in_flight;        /* Requests, as the first of a path or alone.  */
-  uint64_t tokens;           /* Held here by requests of this router.  */
+  uint64_t passed_us;        /* Last send on a path through it; 0: none.  */
   unsigned failures;         /* In a row.  */
   uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
   uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -53,6 +53,15 @@
   return gateway->random;
 }
 
+static void
+service_state_free (gpointer data)
+{
+  mq_service_state *s = data;
+
+  mq_layer_plan_finish (&s->plan);
+  g_free (s);
+}
+
 mq_service_state *
 mq_gateway_service (mq_gateway *gateway, const mq_route_service *service)
 {
@@ -65,6 +74,7 @@
   mq_send_budget_init (
       &s->budget, gateway->settings->send_ratio, gateway->settings->send_slack,
       gateway->settings->send_window_ms * 1000, gateway->started_us);
+  mq_layer_plan_init (&s->plan);
   g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
   return s;
 }
@@ -286,8 +296,8 @@
   g_queue_init (&g->forwards);
   g->metrics = mq_metrics_new ();
   gateway_count (g);
-  g->services
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       service_state_free);
   g->tokens = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->client_address
       = mq_str_printf ("%s:%u", mq_str_cstr (settings->clients.address),
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -10,12 +10,9 @@
 
 #include <mq/internal/gateway.h>
 
-#include <mq/layer_plan.h>
+#include <mq/layer_order.h>
 #include <mq/log.h>
 
-/* Beside the load itself: the order's way, a report's lag (0.2 s) and the
-   store's news of it.  */
-#define ORDER_SLACK_US ((uint64_t)1500 * 1000)
 /* Engines answer an order within a few ms, or not at all.  */
 #define ORDER_TIMEOUT_MS 300
 /* How often an engine with an order under way is asked, while the store does
@@ -24,15 +21,6 @@
 #define ORDER_CONNECT_MS 250
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
-#define US_PER_S 1e6
-
-/* An engine that refused an order gets none for so long: what it does just
-   now, a load or the wait for requests that pass, takes a second or some.  */
-#define REFUSED_HOLD_US ((uint64_t)1000 * 1000)
-
-/* One that says that it is busy gets none for so long, and is asked again
-   meanwhile; so one that can't be asked any more is not waited for.  */
-#define BUSY_HOLD_US ((uint64_t)1000 * 1000)
 
 /* Engines that start together register within a heartbeat (1.2 s).  As long
    as new ones come, none is given layers, unless some hold any: a chain over
@@ -52,17 +40,10 @@
 {
   uint64_t now = mq_gateway_now_us ();
 
-  /* The last order did not begin.  Should it still be carried out later, the
-     count that it names is wrong by then or the engine does what was meant. */
-  if (upstream->orders_unknown && report->orders == upstream->orders
-      && !report->busy)
-    upstream->ordered_us = 0;
   if (mq_registry_set_layers (&gateway->registry, upstream,
                               report->layer_first, report->layer_end, now))
     mq_news_tell_layers (gateway, upstream);
-  upstream->orders = report->orders;
-  upstream->orders_unknown = false;
-  upstream->order_hold_us = report->busy ? now + BUSY_HOLD_US : 0;
+  mq_layer_order_reported (upstream, report->orders, report->busy, now);
   gateway->orders_due = true;
 }
 
@@ -94,6 +75,22 @@
     order_ask_count (gateway, upstream);
 }
 
+static mq_order_answer
+order_answer (const mq_http_client_event *event)
+{
+  if (event->result != MQ_HTTP_OK)
+    return MQ_ORDER_UNHEARD;
+  switch (event->status)
+    {
+    case STATUS_ACCEPTED:
+      return MQ_ORDER_BEGUN;
+    case STATUS_OK:
+      return MQ_ORDER_HELD;
+    default:
+      return MQ_ORDER_REFUSED;
+    }
+}
+
 static void
 order_on_call (void *context, const mq_http_client_event *event)
 {
@@ -104,20 +101,10 @@
   mq_log (G_LOG_LEVEL_INFO, "order.answered",
           "upstream=%s status=%u result=%d",
           mq_str_cstr (o->upstream->facts.id), event->status, event->result);
-  if (event->result == MQ_HTTP_OK && event->status == STATUS_ACCEPTED)
-    o->upstream->orders++;
-  else if (event->result != MQ_HTTP_OK || event->status != STATUS_OK)
-    {
-      o->upstream->orders_unknown = true;
-      order_ask_count (o->gateway, o->upstream);
-    }
-  if (event->result == MQ_HTTP_OK && event->status != STATUS_OK
-      && event->status != STATUS_ACCEPTED)
-    {
-      /* Refused: another order is under way there, or the count is old.  */
-      o->upstream->ordered_us = 0;
-      o->upstream->order_hold_us = mq_gateway_now_us () + REFUSED_HOLD_US;
-    }
+  mq_layer_order_answered (o->upstream, order_answer (event),
+                           mq_gateway_now_us ());
+  if (o->upstream->orders_unknown)
+    order_ask_count (o->gateway, o->upstream);
   mq_upstream_unref (o->upstream);
   g_free (o);
 }
@@ -151,9 +138,7 @@
           mq_str_cstr (upstream->facts.id), order->first, order->end,
           upstream->facts.layer_first, upstream->facts.layer_end,
           upstream->orders);
-  upstream->ordered_us = now_us;
-  upstream->ordered_first = order->first;
-  upstream->ordered_end = order->end;
+  mq_layer_order_sent (upstream, order->first, order->end, now_us);
   o->gateway = gateway;
   o->upstream = mq_upstream_ref (upstream);
   ++*gateway->counters.orders;
@@ -162,65 +147,6 @@
   g_free (url);
 }
 
-/* Has an order to UPSTREAM not been reported as done yet?  */
-static bool
-order_is_open (const mq_upstream *upstream)
-{
-  const mq_upstream_facts *f = &upstream->facts;
-
-  return upstream->ordered_us > 0
-         && (f->layer_first != upstream->ordered_first
-             || f->layer_end != upstream->ordered_end);
-}
-
-/* Is the order to UPSTREAM open for longer than its load should take?  An
-   engine that gives up layers first waits for what passes through them, which
-   took 7 s under full load.  So it is asked, and gets no other order until it
-   says that nothing is under way; meanwhile others may get those layers.  */
-static bool
-order_is_overdue (const mq_upstream *upstream, const mq_layered_model *model,
-                  uint64_t now_us)
-{
-  double share = (double)(upstream->ordered_end - upstream->ordered_first)
-                 / model->layers;
-  uint64_t load
-      = (uint64_t)(model->load_s * share * US_PER_S) * 2 + ORDER_SLACK_US;
-
-  return now_us >= upstream->ordered_us + load;
-}
-
-/* What the plan sees of UPSTREAM.  Asks it where that is open for too long. */
-static mq_layer_holder
-order_holder (mq_gateway *gateway, mq_upstream *upstream,
-              const mq_layered_model *model, uint64_t now_us)
-{
-  const mq_upstream_facts *f = &upstream->facts;
-  mq_layer_holder h
-      = { .domain = mq_str_span (f->domain),
-          .card = mq_layered_model_card (model, mq_str_span (f->card)),
-          .first = f->layer_first,
-          .end = f->layer_end,
-          .fixed = now_us < upstream->order_hold_us,
-          .user = upstream };
-
-  if (h.fixed)
-    order_poll (gateway, upstream, now_us);
-  if (!order_is_open (upstream))
-    return h;
-  h.fixed = true;
-  if (order_is_overdue (upstream, model, now_us))
-    {
-      upstream->orders_unknown = true;
-      order_poll (gateway, upstream, now_us);
-    }
-  else
-    {
-      h.first = upstream->ordered_first;
-      h.end = upstream->ordered_end;
-    }
-  return h;
-}
-
 static void
 order_service (mq_gateway *gateway, const mq_route_service *service,
                uint64_t now_us)
@@ -237,22 +163,23 @@
     {
       mq_upstream *u = value;
       mq_layer_holder h;
+      bool ask = false;
 
       if (!mq_span_equal (mq_str_span (u->facts.service),
                           mq_str_span (service->name))
           || !mq_upstream_is_usable (u, now_us))
         continue;
-      h = order_holder (gateway, u, &service->model, now_us);
-      if (blind && h.fixed)
+      h = mq_layer_order_view (u, &service->model, now_us, &ask);
+      if (ask || (blind && h.fixed))
         order_poll (gateway, u, now_us);
       any_held = any_held || h.first < h.end;
       g_array_append_val (holders, h);
     }
   if (!any_held && now_us - gateway->registry.newest_us < SETTLE_US)
     goto out;
-  mq_layer_plan_work (&service->model,
-                      (mq_layer_holder *)(void *)holders->data, holders->len,
-                      orders);
+  mq_layer_plan_work (
+      &mq_gateway_service (gateway, service)->plan, &service->model,
+      (mq_layer_holder *)(void *)holders->data, holders->len, now_us, orders);
   for (guint n = 0; n < orders->len; n++)
     {
       const mq_layer_order *o = &g_array_index (orders, mq_layer_order, n);
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -172,11 +172,13 @@
 /* Take PATH in the domain of CHOICE for FORWARD.  */
 static void
 place_take (mq_forward *forward, const mq_layer_path *path,
-            const mq_domain_choice *choice)
+            const mq_domain_choice *choice, uint64_t now_us)
 {
   char *key = domain_key (forward->service, choice->domain);
 
   mq_layer_path_copy (&forward->path, path);
+  for (unsigned i = 0; i < path->n; i++)
+    path->parts[i].upstream->passed_us = now_us;
   forward->used = choice->used;
   *domain_tokens (forward->gateway, key) += forward->need;
   forward->domain = mq_str_new (mq_span_from (key));
@@ -211,7 +213,7 @@
       = mq_domain_choose (choices, n, forward->need, forward_rank (forward));
 
   if (chosen >= 0)
-    place_take (forward, &paths[chosen], &choices[chosen]);
+    place_take (forward, &paths[chosen], &choices[chosen], now_us);
   else
     {
       *retry_ms
--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -71,6 +71,13 @@
   return x->memory_mb > y->memory_mb ? -1 : x->memory_mb < y->memory_mb;
 }
 
+static void
+cover_add (unsigned *cover, const mq_layered_model *model, mq_plan_range range)
+{
+  for (unsigned l = range.first; l < MIN (range.end, model->layers); l++)
+    cover[l]++;
+}
+
 /* How many engines hold each layer; free with g_free.  */
 unsigned *
 mq_plan_domain_cover (const mq_plan_domain *domain)
@@ -78,12 +85,7 @@
   unsigned *cover = g_new0 (unsigned, domain->model->layers + 1);
 
   for (guint i = 0; i < domain->engines->len; i++)
-    {
-      mq_plan_range r = mq_plan_domain_engine (domain, i)->range;
-
-      for (unsigned l = r.first; l < MIN (r.end, domain->model->layers); l++)
-        cover[l]++;
-    }
+    cover_add (cover, domain->model, mq_plan_domain_engine (domain, i)->range);
   return cover;
 }
 
@@ -97,13 +99,41 @@
   return true;
 }
 
+unsigned *
+mq_plan_domain_sure_cover (const mq_plan_domain *domain)
+{
+  unsigned *cover = g_new0 (unsigned, domain->model->layers + 1);
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (!e->holder->awaited)
+        cover_add (cover, domain->model, e->range);
+    }
+  return cover;
+}
+
+/* Is ENGINE a better spare than OTHER (NULL: none)?  One through which nothing
+   passes can take other layers at once; among equals the smallest goes.  */
+static bool
+engine_is_better_spare (const mq_plan_engine *engine,
+                        const mq_plan_engine *other)
+{
+  if (other == NULL)
+    return true;
+  if (engine->holder->used != other->holder->used)
+    return !engine->holder->used;
+  return mq_plan_range_size (engine->range)
+         < mq_plan_range_size (other->range);
+}
+
 /* Mark the spares: those that hold nothing, and then one after the other
-   those whose layers stand twice without the spares so far, the smallest
-   first.  */
+   those whose layers stand twice without the spares so far.  */
 void
 mq_plan_domain_mark_spares (mq_plan_domain *domain)
 {
-  unsigned *cover = mq_plan_domain_cover (domain);
+  unsigned *cover = mq_plan_domain_sure_cover (domain);
   mq_plan_engine *next;
 
   for (guint i = 0; i < domain->engines->len; i++)
@@ -120,11 +150,10 @@
           mq_plan_engine *e = mq_plan_domain_engine (domain, i);
 
           if (!e->spare && !e->holder->fixed
+              && !(domain->patient && e->holder->used)
               && mq_plan_range_size (e->range) > 0
               && mq_plan_cover_reaches (cover, e->range, 2)
-              && (next == NULL
-                  || mq_plan_range_size (e->range)
-                         < mq_plan_range_size (next->range)))
+              && engine_is_better_spare (e, next))
             next = e;
         }
       if (next != NULL)
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -23,9 +23,22 @@
 #define TOKENS_COPY 60000.0
 /* A new layout moves most engines, which takes some seconds.  */
 #define LAY_OUT_GAIN 2.0
+/* A successor registers 0.1 s after the engine that it replaces began to
+   drain, in the users' deployments; and the store's news take as long.  */
+#define SETTLE_US ((uint64_t)500 * 1000)
+/* Engines may come and go for long.  */
+#define PATIENT_MOST_US ((uint64_t)3000 * 1000)
 /* A holder with less than this part of the wanted tokens is relieved.  */
 #define RELIEF_BELOW 0.6
 
+/* What is remembered of a failure domain.  */
+typedef struct plan_memory
+{
+  uint64_t members;    /* Hash of the engines that were there.  */
+  uint64_t changed_us; /* Since when just these.  */
+  uint64_t missing_us; /* Since when layers are missing; 0: none are.  */
+} plan_memory;
+
 /* ---- Tries.  */
 
 static GArray *
@@ -187,6 +200,20 @@
   return 0;
 }
 
+/* Fill what can be filled of GAPS by spares, one by one.  */
+static void
+domain_fill_some (mq_plan_domain *domain, const GArray *gaps)
+{
+  for (guint i = 0; i < gaps->len; i++)
+    {
+      GArray *one = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
+
+      g_array_append_val (one, g_array_index (gaps, mq_plan_range, i));
+      (void)domain_fill_all (domain, one, TOKENS_FLOOR, false);
+      g_array_unref (one);
+    }
+}
+
 /* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
    less than half of what a new layout would, by a new layout.  */
 static void
@@ -198,6 +225,11 @@
 
   if (domain_fill_all (domain, gaps, TOKENS_FLOOR, false) > 0)
     return;
+  if (domain->patient)
+    {
+      domain_fill_some (domain, gaps);
+      return;
+    }
   before = engines_copy (domain->engines);
   stretched = domain_fill_all (domain, gaps, MQ_PLAN_TOKENS_LEAST, true);
   if (stretched < TOKENS_FLOOR)
@@ -234,7 +266,7 @@
           || mq_plan_engine_tokens (domain, e)
                  >= MQ_PLAN_TOKENS_WANTED * RELIEF_BELOW)
         continue;
-      cover = mq_plan_domain_cover (domain);
+      cover = mq_plan_domain_sure_cover (domain);
       over = (mq_plan_range){ e->range.first + room, e->range.end };
       if (mq_plan_cover_reaches (cover, over, 2))
         mq_plan_engine_move (e, (mq_plan_range){ e->range.first, over.first });
@@ -307,16 +339,41 @@
     }
 }
 
+/* Note in MEMORY what there is of DOMAIN at NOW_US; MISSING: layers are.  Is
+   it time to wait and see?  */
+static bool
+memory_is_patient (plan_memory *memory, const mq_plan_domain *domain,
+                   bool missing, uint64_t now_us)
+{
+  uint64_t members = domain->engines->len;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    members += mq_hash_mix (
+        0, (uintptr_t)mq_plan_domain_engine (domain, i)->holder->user);
+  if (members != memory->members)
+    {
+      memory->members = members;
+      memory->changed_us = now_us;
+    }
+  if (!missing)
+    memory->missing_us = 0;
+  else if (memory->missing_us == 0)
+    memory->missing_us = now_us;
+  return now_us < memory->changed_us + SETTLE_US
+         && (!missing || now_us < memory->missing_us + PATIENT_MOST_US);
+}
+
 static void
-domain_work (mq_plan_domain *domain)
+domain_work (mq_plan_domain *domain, plan_memory *memory, uint64_t now_us)
 {
   GArray *gaps;
 
   g_array_sort (domain->engines, mq_plan_engine_compare);
   if (domain_holds_nothing (domain))
     mq_plan_domain_deal (domain);
-  mq_plan_domain_mark_spares (domain);
   gaps = mq_plan_domain_gaps (domain);
+  domain->patient = memory_is_patient (memory, domain, gaps->len > 0, now_us);
+  mq_plan_domain_mark_spares (domain);
   if (gaps->len > 0)
     domain_repair (domain, gaps);
   else
@@ -354,13 +411,30 @@
   return x < y ? -1 : x > y;
 }
 
+static plan_memory *
+plan_memory_of (mq_layer_plan *plan, mq_span domain)
+{
+  char *name = g_strndup (domain.size > 0 ? domain.data : "", domain.size);
+  plan_memory *m = g_hash_table_lookup (plan->domains, name);
+
+  if (m != NULL)
+    {
+      g_free (name);
+      return m;
+    }
+  m = g_new0 (plan_memory, 1);
+  g_hash_table_insert (plan->domains, name, m);
+  return m;
+}
+
 /* Plan for the domain whose holders are the N from HOLDERS on.  */
 static void
-plan_domain (const mq_layered_model *model, mq_layer_holder **holders, guint n,
+plan_domain (mq_layer_plan *plan, const mq_layered_model *model,
+             mq_layer_holder **holders, guint n, uint64_t now_us,
              GArray *orders)
 {
   mq_plan_domain d
-      = { model, g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)) };
+      = { model, g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)), false };
 
   for (guint i = 0; i < n; i++)
     {
@@ -370,14 +444,28 @@
       if (holders[i]->card != NULL)
         g_array_append_val (d.engines, e);
     }
-  domain_work (&d);
+  domain_work (&d, plan_memory_of (plan, holders[0]->domain), now_us);
   domain_write_orders (&d, orders);
   g_array_unref (d.engines);
 }
 
 void
-mq_layer_plan_work (const mq_layered_model *model, mq_layer_holder *holders,
-                    size_t n, GArray *orders)
+mq_layer_plan_init (mq_layer_plan *plan)
+{
+  plan->domains
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+mq_layer_plan_finish (mq_layer_plan *plan)
+{
+  g_clear_pointer (&plan->domains, g_hash_table_unref);
+}
+
+void
+mq_layer_plan_work (mq_layer_plan *plan, const mq_layered_model *model,
+                    mq_layer_holder *holders, size_t n, uint64_t now_us,
+                    GArray *orders)
 {
   GPtrArray *sorted = g_ptr_array_new ();
   guint first = 0;
@@ -394,7 +482,7 @@
       while (first + count < sorted->len
              && mq_span_equal (group[0]->domain, group[count]->domain))
         count++;
-      plan_domain (model, group, count, orders);
+      plan_domain (plan, model, group, count, now_us, orders);
       first += count;
     }
   g_ptr_array_unref (sorted);
--- a/tests/support/chain_world.h
+++ b/tests/support/chain_world.h
@@ -90,20 +90,28 @@
   unsigned first = 0;
   unsigned end = 0;
   bool fixed = false;
+  bool awaited = false;
+  bool used = false;
 };
 
 /* Engines to which the plan's orders are applied at once.  */
 class Fleet
 {
 public:
-  explicit Fleet (const Service &service) : service_ (service) {}
+  explicit Fleet (const Service &service) : service_ (service)
+  {
+    mq_layer_plan_init (&plan_);
+  }
+
+  Fleet (const Fleet &) = delete;
+  Fleet &operator= (const Fleet &) = delete;
+  ~Fleet () { mq_layer_plan_finish (&plan_); }
 
   void
   add (const std::string &domain, const std::string &card, unsigned count)
   {
     for (unsigned i = 0; i < count; i++)
-      engines.push_back (
-          { "e" + std::to_string (++serial_), domain, card, 0, 0, false });
+      engines.push_back ({ "e" + std::to_string (++serial_), domain, card });
   }
 
   /* The three failure domains of the users' first deployments.  */
@@ -122,7 +130,8 @@
     add ("three", "t4", 3);
   }
 
-  /* Plan once and apply.  Returns the orders given.  */
+  /* Plan once, a second after the last time, and apply.  Returns the orders
+     given.  */
   unsigned
   plan ()
   {
@@ -133,9 +142,10 @@
     for (Engine &e : engines)
       holders.push_back ({ mq_span_from (e.domain.c_str ()),
                            service_.card_named (e.card), e.first, e.end,
-                           e.fixed, &e });
-    mq_layer_plan_work (service_.model (), holders.data (), holders.size (),
-                        orders);
+                           e.fixed, e.awaited, e.used, &e });
+    now_us_ += 1000 * 1000;
+    mq_layer_plan_work (&plan_, service_.model (), holders.data (),
+                        holders.size (), now_us_, orders);
     n = orders->len;
     for (guint i = 0; i < orders->len; i++)
       {
@@ -149,14 +159,21 @@
     return n;
   }
 
-  /* Plan until nothing is ordered; the number of rounds that did.  */
+  /* Plan until nothing is ordered, twice over, since a plan waits after
+     engines have come or gone; the number of rounds that did.  */
   unsigned
   settle ()
   {
     unsigned rounds = 0;
 
-    while (rounds < 50 && plan () > 0)
-      rounds++;
+    for (unsigned still = 0; rounds < 50 && still < 2;)
+      if (plan () > 0)
+        {
+          rounds++;
+          still = 0;
+        }
+      else
+        still++;
     return rounds;
   }
 
@@ -234,6 +251,8 @@
 
 private:
   const Service &service_;
+  mq_layer_plan plan_;
+  uint64_t now_us_ = 0;
   unsigned serial_ = 0;
 };
 
--- /dev/null
+++ b/tests/support/repair_world.h
@@ -0,0 +1,327 @@
+/* Engines of one failure domain that carry orders out as the users' engines
+   do, in virtual time, for replays of what happened to a domain on a day.
+
+   An engine accepts one order at a time.  Layers that it gives up take nothing
+   new at once; before it loads others it waits for what passes through them.
+   A load takes its share of the model's time, longer when over six load.
+   Traffic passes through the best path at any time, and what was sent lasts
+   `passing`.  */
+
+#ifndef MQ_TESTS_REPAIR_WORLD_H
+#define MQ_TESTS_REPAIR_WORLD_H
+
+#include "chain_world.h"
+
+#include <mq/layer_order.h>
+
+#include <algorithm>
+#include <functional>
+
+namespace repair
+{
+
+constexpr uint64_t s = 1000 * 1000;
+constexpr uint64_t tick = s / 10;
+constexpr uint64_t passing = 6 * s;
+
+struct Engine
+{
+  std::string id, card;
+  unsigned first = 0, end = 0;
+  unsigned target_first = 0, target_end = 0;
+  unsigned layers_to_load = 0;
+  uint64_t orders = 0;
+  uint64_t passed_us = 0;   /* Last request sent through it.  */
+  uint64_t waits_until = 0; /* For what passes.  */
+  double load_left = 0;     /* Seconds, when it loads alone.  */
+  bool busy = false;
+  bool draining = false;
+};
+
+class Domain
+{
+public:
+  Domain ()
+  {
+    mq_registry_init (&registry_);
+    mq_layer_plan_init (&plan_);
+  }
+  Domain (const Domain &) = delete;
+  Domain &operator= (const Domain &) = delete;
+  ~Domain ()
+  {
+    mq_layer_plan_finish (&plan_);
+    mq_registry_finish (&registry_);
+  }
+
+  Engine &
+  add (const std::string &card)
+  {
+    engines.push_back ({ "e" + std::to_string (++serial_), card });
+    tell (engines.back ());
+    return engines.back ();
+  }
+
+  void
+  add (const std::string &card, unsigned count)
+  {
+    while (count-- > 0)
+      add (card);
+  }
+
+  /* ENGINE takes no new work from now on, and leaves after 4 s.  */
+  void
+  drain (Engine &engine)
+  {
+    std::string id = engine.id;
+
+    engine.draining = true;
+    tell (engine);
+    at (now + 4 * s, [this, id] { leave (id); });
+  }
+
+  /* ENGINE is lost at once.  */
+  void
+  lose (Engine &engine)
+  {
+    leave (engine.id);
+  }
+
+  /* The way of a planned release: ENGINE drains, and one of its kind comes
+     empty 0.1 s later.  */
+  void
+  replace (Engine &engine)
+  {
+    std::string card = engine.card;
+
+    drain (engine);
+    at (now + tick, [this, card] { add (card); });
+  }
+
+  /* An engine that holds layer LAYER and does not drain, or, where none does,
+     the first that does not drain.  */
+  Engine &
+  holder (unsigned layer)
+  {
+    Engine *any = nullptr;
+
+    for (Engine &e : engines)
+      {
+        if (e.draining)
+          continue;
+        if (e.first <= layer && layer < e.end)
+          return e;
+        any = any ? any : &e;
+      }
+    return *any;
+  }
+
+  /* Call FUNCTION when it is TIME.  */
+  void
+  at (uint64_t time, std::function<void ()> function)
+  {
+    script_.emplace_back (time, std::move (function));
+  }
+
+  void
+  run (uint64_t span)
+  {
+    for (uint64_t end = now + span; now < end; now += tick)
+      step ();
+  }
+
+  /* Give all engines their first layers, without counting.  */
+  void
+  settle ()
+  {
+    run (12 * s);
+    without_us = 0;
+    tokens_sum = 0;
+    ticks = 0;
+    orders = 0;
+  }
+
+  double
+  mean_tokens () const
+  {
+    return tokens_sum / ticks;
+  }
+
+  std::deque<Engine> engines;
+  uint64_t now = s;
+  uint64_t without_us = 0; /* Time without a whole chain.  */
+  double tokens_sum = 0;   /* Over all ticks.  */
+  unsigned ticks = 0;
+  unsigned orders = 0;
+
+private:
+  void
+  tell (const Engine &e)
+  {
+    mq_upstream_facts f = {};
+
+    f.id = mq_str_new (mq_span_from (e.id.c_str ()));
+    f.service = mq_str_new (MQ_SPAN ("model"));
+    f.address = mq_str_printf ("%s:1", e.id.c_str ());
+    f.domain = mq_str_new (MQ_SPAN ("one"));
+    f.card = mq_str_new (mq_span_from (e.card.c_str ()));
+    f.layer_first = e.first;
+    f.layer_end = e.end;
+    f.draining = e.draining;
+    mq_registry_put (&registry_, &f, now);
+  }
+
+  void
+  leave (const std::string &id)
+  {
+    mq_registry_remove (&registry_, mq_span_from (id.c_str ()));
+    engines.erase (
+        std::remove_if (engines.begin (), engines.end (),
+                        [&] (const Engine &e) { return e.id == id; }),
+        engines.end ());
+  }
+
+  Engine *
+  find (const mq_upstream *u)
+  {
+    for (Engine &e : engines)
+      if (e.id == u->facts.id->data)
+        return &e;
+    return nullptr;
+  }
+
+  void
+  step ()
+  {
+    auto due = std::stable_partition (
+        script_.begin (), script_.end (),
+        [this] (const auto &e) { return e.first > now; });
+    std::vector<std::pair<uint64_t, std::function<void ()> > > now_due (
+        due, script_.end ());
+
+    script_.erase (due, script_.end ());
+    for (auto &e : now_due)
+      e.second ();
+    work ();
+    plan ();
+    serve ();
+  }
+
+  /* What the engines do in a tick.  */
+  void
+  work ()
+  {
+    double loading = 0;
+
+    for (Engine &e : engines)
+      loading += e.busy && now >= e.waits_until;
+    for (Engine &e : engines)
+      {
+        if (!e.busy || now < e.waits_until)
+          continue;
+        e.load_left
+            -= (double)tick / s / std::max (1.0, loading / loads_at_once);
+        if (e.load_left > 0)
+          continue;
+        e.busy = false;
+        e.first = e.target_first;
+        e.end = e.target_end;
+        tell (e);
+      }
+  }
+
+  bool
+  order (Engine &e, unsigned first, unsigned end)
+  {
+    unsigned kept_first = std::max (e.first, first);
+    unsigned kept_end = std::min (e.end, end);
+    bool gives_up;
+
+    if (kept_end < kept_first)
+      kept_first = kept_end = 0;
+    gives_up = kept_end - kept_first < e.end - e.first;
+    if (e.busy)
+      return false;
+    e.busy = true;
+    e.orders++;
+    e.target_first = first;
+    e.target_end = end;
+    e.load_left = service_.model ()->load_s
+                  * ((end - first) - (kept_end - kept_first)) / chain::layers;
+    e.waits_until = gives_up && e.passed_us > 0 ? e.passed_us + passing : now;
+    e.first = kept_first;
+    e.end = kept_end;
+    tell (e);
+    return true;
+  }
+
+  void
+  plan ()
+  {
+    std::vector<mq_layer_holder> holders;
+    GArray *list = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+
+    for (Engine &e : engines)
+      {
+        mq_upstream *u
+            = mq_registry_find (&registry_, mq_span_from (e.id.c_str ()));
+        bool ask = false;
+
+        if (!mq_upstream_is_usable (u, now))
+          continue;
+        holders.push_back (
+            mq_layer_order_view (u, service_.model (), now, &ask));
+        if (ask || u->orders_unknown)
+          mq_layer_order_reported (u, e.orders, e.busy, now);
+      }
+    mq_layer_plan_work (&plan_, service_.model (), holders.data (),
+                        holders.size (), now, list);
+    for (guint i = 0; i < list->len; i++)
+      {
+        const mq_layer_order &o = g_array_index (list, mq_layer_order, i);
+        mq_upstream *u = static_cast<mq_upstream *> (o.holder->user);
+
+        orders++;
+        mq_layer_order_sent (u, o.first, o.end, now);
+        mq_layer_order_answered (u,
+                                 order (*find (u), o.first, o.end)
+                                     ? MQ_ORDER_BEGUN
+                                     : MQ_ORDER_REFUSED,
+                                 now);
+      }
+    g_array_unref (list);
+  }
+
+  /* Send requests along the best path.  */
+  void
+  serve ()
+  {
+    mq_layer_path p;
+
+    ticks++;
+    if (!mq_layer_path_find (&p, &registry_, service_.service (),
+                             MQ_SPAN ("one"), now, nullptr))
+      {
+        without_us += tick;
+        return;
+      }
+    tokens_sum += p.tokens;
+    for (unsigned i = 0; i < p.n; i++)
+      {
+        p.parts[i].upstream->passed_us = now;
+        find (p.parts[i].upstream)->passed_us = now;
+      }
+    mq_layer_path_finish (&p);
+  }
+
+  static constexpr double loads_at_once = 6;
+  chain::Service service_;
+  mq_registry registry_;
+  mq_layer_plan plan_;
+  std::vector<std::pair<uint64_t, std::function<void ()> > > script_;
+  unsigned serial_ = 0;
+};
+
+} // namespace repair
+
+#endif
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -133,6 +133,24 @@
   EXPECT_EQ (spare->end, before.end);
 }
 
+/* halvorsen mix --seed 148490134079, 14.1 s.  */
+TEST_F (LayerPlan, NobodyLetsGoOfLayersForWhatIsOnlyOrdered)
+{
+  fleet.add_all ();
+  fleet.settle ();
+  Engine *holder = fleet.find ("one", "a100s");
+  fleet.add ("one", "a100s", 1);
+  Engine &copy = fleet.engines.back ();
+  copy.first = holder->first;
+  copy.end = holder->end;
+  copy.awaited = copy.fixed = true;
+  fleet.lose (fleet.find ("one", "l4"));
+  unsigned first = holder->first, end = holder->end;
+  fleet.settle ();
+  EXPECT_EQ (holder->first, first);
+  EXPECT_EQ (holder->end, end);
+}
+
 TEST_F (LayerPlan, RoomAndTokensAgree)
 {
   const mq_card *c = service.card_named ("l4");
--- a/tools/bench/route/route_bench.c
+++ b/tools/bench/route/route_bench.c
@@ -96,8 +96,11 @@
 plan_apply (const mq_layered_model *model, mq_layer_holder *holders, size_t n)
 {
   GArray *orders = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+  mq_layer_plan plan;
 
-  mq_layer_plan_work (model, holders, n, orders);
+  mq_layer_plan_init (&plan);
+  mq_layer_plan_work (&plan, model, holders, n, 0, orders);
+  mq_layer_plan_finish (&plan);
   for (guint i = 0; i < orders->len; i++)
     {
       mq_layer_order *o = &g_array_index (orders, mq_layer_order, i);
