Choose paths by memory first, then by speed

Change: the search goes first for the most memory that a path's tightest stage can have, then for the fastest path with 0.85 of that. A slow engine's memory counts less, as it holds each token for longer.

--- a/include/mq/layer_path.h
+++ b/include/mq/layer_path.h
@@ -30,7 +30,7 @@
   double tokens;  /* That fit on the stage with the least memory.  */
 } mq_layer_path;
 
-/* Find the fastest path of SERVICE through upstreams of DOMAIN (an empty span:
+/* Find the fastest path among those of SERVICE with the most memory through upstreams of DOMAIN (an empty span:
    of all) that are usable at NOW_US.  Engines of EXCEPT, which may be NULL,
    are passed over.  PATH is initialised; false when there is none, and PATH
    is then empty.  */
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -1,9 +1,15 @@
 /* Paths over engines that hold layers: see mq/layer_path.h.
 
    The search goes over the layers from the first to the last: for each layer
-   the cheapest way to have run all before it.  Ways begin and end only where
-   some engine's range does, so its cost is the number of engines times the
-   number of such places in one domain.  */
+   the best way to have run all before it.  Ways begin and end only where some
+   engine's range does, so its cost is the number of engines times the number
+   of such places in one domain.
+
+   It goes twice: first for the most memory that the tightest stage of a path
+   can have, then for the fastest path that has nearly as much.  Memory bounds
+   what a domain can serve at a time; copies that an engine holds beside other
+   layers have little, and were faster by a hop (halvorsen mix --seed
+   148490134079: 65,000 tokens where 107,000 could be had).  */
 
 #include <mq/layer_path.h>
 
@@ -14,11 +20,16 @@
    a pass; estimated, to prefer short paths among equals.  */
 #define HOP_MS 0.4
 
+/* A path may have so much less memory than the roomiest if it is faster: the
+   fastest cards shorten a request by about as much as they may cost room.  */
+#define ROOM_LEAST 0.85
+
 #define NO_COST 1e18
 
 typedef struct path_step
 {
   double cost;
+  double room;           /* Tokens at the tightest stage so far.  */
   unsigned from;         /* Layer where the last part begins.  */
   mq_upstream *upstream; /* Of the last part, borrowed.  */
 } path_step;
@@ -82,28 +93,97 @@
   return edges;
 }
 
+/* Tokens that fit on the part of UPSTREAM, whose card is CARD, from FIRST to
+   END.  All layers that it holds take memory, but only those of the part take
+   tokens.  One that works slowly holds each of them for longer.  */
+static double
+part_tokens (const mq_upstream *upstream, const mq_card *card,
+             const mq_layered_model *model, unsigned first, unsigned end,
+             uint64_t now_us)
+{
+  double left = card->memory_mb
+                - mq_upstream_layers (upstream, now_us) * model->layer_mb;
+  double each = model->kv_mb_per_token / model->layers * (end - first);
+
+  return each > 0 ? MAX (left, 0) / each : 0;
+}
+
+/* Which of two ways to the same layer is better.  */
+typedef enum path_aim
+{
+  PATH_ROOMIEST,
+  PATH_FASTEST
+} path_aim;
+
+typedef struct path_search
+{
+  const mq_layered_model *model; /* Borrowed.  */
+  path_aim aim;
+  double room_least; /* Ways with less are none.  */
+  uint64_t now_us;
+  path_step *steps; /* By layer, with one more for the end.  */
+} path_search;
+
+static bool
+step_is_better (const path_step *step, const path_step *other, path_aim aim)
+{
+  switch (aim)
+    {
+    case PATH_ROOMIEST:
+      return step->room > other->room;
+    case PATH_FASTEST:
+      return step->cost < other->cost;
+    }
+  return false;
+}
+
 /* Let EDGE take over at each layer it holds that can be reached.  */
 static void
-path_relax (path_step *steps, const path_edge *edge,
-            const mq_layered_model *model, uint64_t now_us)
+search_relax (path_search *search, const path_edge *edge)
 {
-  unsigned first = edge->upstream->facts.layer_first;
-  unsigned end = edge->upstream->facts.layer_end;
-  double each = edge->card->pace * model->step_ms / model->layers
-                * mq_upstream_slowness (edge->upstream, now_us);
+  const mq_upstream *u = edge->upstream;
+  const mq_layered_model *m = search->model;
+  unsigned end = u->facts.layer_end;
+  double slowness = mq_upstream_slowness (u, search->now_us);
+  double each = edge->card->pace * m->step_ms / m->layers * slowness;
 
-  for (unsigned l = first; l < end; l++)
+  for (unsigned l = u->facts.layer_first; l < end; l++)
     {
-      double cost;
+      const path_step *before = &search->steps[l];
+      double tokens;
+      path_step s;
 
-      if (steps[l].cost >= NO_COST || steps[l].upstream == edge->upstream)
+      if (before->cost >= NO_COST || before->upstream == u)
         continue;
-      cost = steps[l].cost + HOP_MS + (end - l) * each;
-      if (cost < steps[end].cost)
-        steps[end] = (path_step){ cost, l, edge->upstream };
+      tokens
+          = part_tokens (u, edge->card, m, l, end, search->now_us) / slowness;
+      s = (path_step){ before->cost + HOP_MS + (end - l) * each,
+                       MIN (before->room, tokens), l, edge->upstream };
+      if (s.room >= search->room_least
+          && step_is_better (&s, &search->steps[end], search->aim))
+        search->steps[end] = s;
     }
 }
 
+/* Search over EDGES.  Returns the last step; its cost is NO_COST when there is
+   no way.  */
+static const path_step *
+search_run (path_search *search, const GArray *edges)
+{
+  unsigned layers = search->model->layers;
+
+  for (unsigned l = 0; l <= layers; l++)
+    search->steps[l] = (path_step){ NO_COST, -1, 0, NULL };
+  search->steps[0].cost = 0;
+  search->steps[0].room = NO_COST;
+  /* An edge only improves layers above its first, and edges come in that
+     order, so that one pass reaches all but ways that begin inside a range
+     which was relaxed before; those are found by its neighbours' ends.  */
+  for (guint i = 0; i < edges->len; i++)
+    search_relax (search, &g_array_index (edges, path_edge, i));
+  return &search->steps[layers];
+}
+
 /* Read the parts back from the last layer.  */
 static void
 path_trace (mq_layer_path *path, const path_step *steps,
@@ -125,8 +205,7 @@
     path->n = 0;
 }
 
-/* The tokens that fit on the tightest stage.  All layers that an engine holds
-   take memory, but only those of the path's part take tokens.  */
+/* The tokens that fit on the tightest stage.  */
 static double
 path_tokens (const mq_layer_path *path, const mq_layered_model *model,
              uint64_t now_us)
@@ -135,15 +214,12 @@
 
   for (unsigned i = 0; i < path->n; i++)
     {
-      const mq_upstream_facts *f = &path->parts[i].upstream->facts;
-      const mq_card *c = mq_layered_model_card (model, mq_str_span (f->card));
-      double left = c->memory_mb
-                    - mq_upstream_layers (path->parts[i].upstream, now_us)
-                          * model->layer_mb;
-      double each = model->kv_mb_per_token / model->layers
-                    * (path->parts[i].end - path->parts[i].first);
-
-      least = MIN (least, each > 0 ? MAX (left, 0) / each : 0);
+      const mq_layer_part *p = &path->parts[i];
+      const mq_card *c = mq_layered_model_card (
+          model, mq_str_span (p->upstream->facts.card));
+
+      least = MIN (least, part_tokens (p->upstream, c, model, p->first, p->end,
+                                       now_us));
     }
   return least;
 }
@@ -156,17 +232,18 @@
   const mq_layered_model *m = &service->model;
   GArray *edges = path_edges (registry, service, domain, now_us, except);
   path_step *steps = g_new (path_step, m->layers + 1);
+  path_search search = { m, PATH_ROOMIEST, 0, now_us, steps };
+  const path_step *last;
 
   memset (path, 0, sizeof *path);
-  for (unsigned l = 0; l <= m->layers; l++)
-    steps[l] = (path_step){ NO_COST, 0, NULL };
-  steps[0].cost = 0;
-  /* An edge only improves layers above its first, and edges come in that
-     order, so that one pass reaches all but ways that begin inside a range
-     which was relaxed before; those are found by its neighbours' ends.  */
-  for (guint i = 0; i < edges->len; i++)
-    path_relax (steps, &g_array_index (edges, path_edge, i), m, now_us);
-  if (steps[m->layers].cost < NO_COST)
+  last = search_run (&search, edges);
+  if (last->cost < NO_COST)
+    {
+      search.aim = PATH_FASTEST;
+      search.room_least = last->room * ROOM_LEAST;
+      last = search_run (&search, edges);
+    }
+  if (last->cost < NO_COST)
     path_trace (path, steps, m);
   g_free (steps);
   g_array_unref (edges);
--- a/tests/test_layer_path.cc
+++ b/tests/test_layer_path.cc
@@ -152,6 +152,33 @@
   EXPECT_EQ (path.parts[0].upstream, at ("fast"));
 }
 
+/* halvorsen mix --seed 148490134079, 24 s.  */
+TEST_F (LayerPath, MemoryCountsMoreThanAHop)
+{
+  put ("tight", "l4", 0, 11);
+  put ("roomy-1", "l4", 0, 6);
+  put ("roomy-2", "l4", 6, 11);
+  put ("rest-1", "h100", 11, 34);
+  put ("rest-2", "h100", 34, 57);
+  put ("rest-3", "h100", 57, 80);
+  ASSERT_TRUE (find ());
+  EXPECT_TRUE (is_whole (path));
+  EXPECT_EQ (path.parts[0].upstream, at ("roomy-1"));
+  EXPECT_GT (path.tokens, 100000);
+}
+
+/* A slow engine holds each token for longer, so its memory serves less.  */
+TEST_F (LayerPath, ASlowEngineWithMoreMemoryIsNoGain)
+{
+  put ("slow", "h100", 0, 10);
+  put ("sound", "a100s", 0, 10);
+  put ("rest", "h100", 10, 45);
+  put ("last", "h100", 45, 80);
+  mq_upstream_set_pace (at ("slow"), 12, 1);
+  ASSERT_TRUE (find ());
+  EXPECT_EQ (path.parts[0].upstream, at ("sound"));
+}
+
 TEST_F (LayerPath, APathStandsUntilAnEngineLetsItsPartGo)
 {
   put ("a", "h100", 0, 80);
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -136,19 +136,29 @@
 /* halvorsen mix --seed 148490134079, 14.1 s.  */
 TEST_F (LayerPlan, NobodyLetsGoOfLayersForWhatIsOnlyOrdered)
 {
-  fleet.add_all ();
-  fleet.settle ();
-  Engine *holder = fleet.find ("one", "a100s");
-  fleet.add ("one", "a100s", 1);
-  Engine &copy = fleet.engines.back ();
-  copy.first = holder->first;
-  copy.end = holder->end;
+  unsigned at = 13;
+
+  fleet.add ("one", "a100s", 2);
+  fleet.add ("one", "l4", 8);
+  for (Engine &e : fleet.engines)
+    {
+      if (e.card == "a100s")
+        {
+          e.end = 13;
+          continue;
+        }
+      e.first = at;
+      e.end = std::min (at += 8, 74u); /* The last six layers are missing.  */
+    }
+  Engine &holder = fleet.engines[0], &copy = fleet.engines[1];
   copy.awaited = copy.fixed = true;
-  fleet.lose (fleet.find ("one", "l4"));
-  unsigned first = holder->first, end = holder->end;
+  EXPECT_GT (fleet.settle (), 0u);
+  EXPECT_EQ (holder.first, 0u);
+  EXPECT_EQ (holder.end, 13u);
+  copy.awaited = copy.fixed = false;
+  fleet.engines.back ().end = 74;
   fleet.settle ();
-  EXPECT_EQ (holder->first, first);
-  EXPECT_EQ (holder->end, end);
+  EXPECT_TRUE (holder.first != 0 || copy.first != 0);
 }
 
 TEST_F (LayerPlan, RoomAndTokensAgree)
