--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -70,6 +70,21 @@
    g_array_unref.  */
 GArray *mq_plan_domain_gaps (const mq_plan_domain *domain);
 
+/* ---- layer_repair.c  */
+/* A copy of ENGINES; free with g_array_unref.  */
+GArray *mq_plan_engines_copy (const GArray *engines);
+/* Fill all GAPS by spares with memory for TOKENS tokens, and, with STRETCH, by
+   their neighbours first; false, and nothing changed, when that fails.  */
+bool mq_plan_domain_try (mq_plan_domain *domain, const GArray *gaps,
+                         double tokens, bool stretch);
+/* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
+   less than half of what a new layout would, by a new layout.  */
+void mq_plan_domain_repair (mq_plan_domain *domain, const GArray *gaps);
+
+/* ---- layer_spares.c  */
+/* Let the spares that hold nothing do what serves the domain most.  */
+void mq_plan_domain_use_spares (mq_plan_domain *domain);
+
 /* ---- layer_layout.c  */
 /* Deal all layers to the fastest engines that reach.  */
 void mq_plan_domain_deal (mq_plan_domain *domain);
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -11,25 +11,15 @@
    3. Spares that are left hold a second copy of the range whose loss would
       cost most, so that the loss of any one engine finds a whole path.
 
-   Each try works on a copy of who holds what; a try that does not reach
-   leaves nothing behind.  */
+   1 is layer_repair.c, 2 and 3 are layer_spares.c.  */
 
 #include <mq/internal/layer_plan.h>
 
-/* A repair goes down to this before it makes neighbours of a gap hold more;
-   a third of what is wanted still serves a third of the domain's load.  */
-#define TOKENS_FLOOR 40000.0
-/* A second copy needs to carry the load only until the repair.  */
-#define TOKENS_COPY 60000.0
-/* A new layout moves most engines, which takes some seconds.  */
-#define LAY_OUT_GAIN 2.0
 /* A successor registers 0.1 s after the engine that it replaces began to
    drain, in the users' deployments; and the store's news take as long.  */
 #define SETTLE_US ((uint64_t)500 * 1000)
 /* Engines may come and go for long.  */
 #define PATIENT_MOST_US ((uint64_t)3000 * 1000)
-/* A holder with less than this part of the wanted tokens is relieved.  */
-#define RELIEF_BELOW 0.6
 
 /* What is remembered of a failure domain.  */
 typedef struct plan_memory
@@ -39,141 +29,6 @@
   uint64_t missing_us; /* Since when layers are missing; 0: none are.  */
 } plan_memory;
 
-/* ---- Tries.  */
-
-static GArray *
-engines_copy (const GArray *engines)
-{
-  GArray *copy = g_array_sized_new (FALSE, FALSE, sizeof (mq_plan_engine),
-                                    engines->len);
-
-  return g_array_append_vals (copy, engines->data, engines->len);
-}
-
-/* The slowest spare that holds N layers with TOKENS tokens, so that a small
-   gap does not take the best card; empty ones first.  */
-static mq_plan_engine *
-domain_one_spare (const mq_plan_domain *domain, unsigned n, double tokens)
-{
-  mq_plan_engine *best = NULL;
-
-  for (guint i = domain->engines->len; i-- > 0;)
-    {
-      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-      bool empty = mq_plan_range_size (e->range) == 0;
-
-      if (!e->spare || mq_plan_engine_room (domain, e, tokens) < n)
-        continue;
-      if (empty)
-        return e;
-      if (best == NULL)
-        best = e;
-    }
-  return best;
-}
-
-/* The fastest spare, empty ones first, that holds anything.  */
-static mq_plan_engine *
-domain_next_spare (const mq_plan_domain *domain, double tokens)
-{
-  mq_plan_engine *best = NULL;
-
-  for (guint i = 0; i < domain->engines->len; i++)
-    {
-      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-
-      if (!e->spare || mq_plan_engine_room (domain, e, tokens) == 0)
-        continue;
-      if (mq_plan_range_size (e->range) == 0)
-        return e;
-      if (best == NULL)
-        best = e;
-    }
-  return best;
-}
-
-/* Give GAP to spares with TOKENS tokens each.  False when they don't reach. */
-static bool
-domain_fill (mq_plan_domain *domain, mq_plan_range gap, double tokens)
-{
-  while (mq_plan_range_size (gap) > 0)
-    {
-      mq_plan_engine *e
-          = domain_one_spare (domain, mq_plan_range_size (gap), tokens);
-      unsigned n;
-
-      if (e == NULL)
-        e = domain_next_spare (domain, tokens);
-      if (e == NULL)
-        return false;
-      n = MIN (mq_plan_engine_room (domain, e, tokens),
-               mq_plan_range_size (gap));
-      mq_plan_engine_move (e, (mq_plan_range){ gap.first, gap.first + n });
-      gap.first += n;
-    }
-  return true;
-}
-
-/* Have the neighbours of GAP hold as much of it as leaves memory for TOKENS.
-   Returns what is left.  */
-static mq_plan_range
-domain_stretch (mq_plan_domain *domain, mq_plan_range gap, double tokens)
-{
-  for (guint i = 0; i < domain->engines->len && mq_plan_range_size (gap) > 0;
-       i++)
-    {
-      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-      unsigned held = mq_plan_range_size (e->range);
-      unsigned room = mq_plan_engine_room (domain, e, tokens);
-      unsigned more
-          = room > held ? MIN (room - held, mq_plan_range_size (gap)) : 0;
-
-      if (held == 0 || more == 0 || e->spare || e->holder->fixed)
-        continue;
-      if (e->range.end == gap.first)
-        {
-          mq_plan_engine_move (
-              e, (mq_plan_range){ e->range.first, e->range.end + more });
-          gap.first += more;
-        }
-      else if (e->range.first == gap.end)
-        {
-          mq_plan_engine_move (
-              e, (mq_plan_range){ e->range.first - more, e->range.end });
-          gap.end -= more;
-        }
-    }
-  return gap;
-}
-
-/* Fill all GAPS at TOKENS; false, and nothing changed, when that fails.  */
-static bool
-domain_try (mq_plan_domain *domain, const GArray *gaps, double tokens,
-            bool stretch)
-{
-  GArray *before = engines_copy (domain->engines);
-  bool reached = true;
-
-  for (guint i = 0; i < gaps->len && reached; i++)
-    {
-      mq_plan_range g = g_array_index (gaps, mq_plan_range, i);
-
-      if (stretch)
-        g = domain_stretch (domain, g, tokens);
-      reached = domain_fill (domain, g, tokens);
-    }
-  if (reached)
-    {
-      g_array_unref (before);
-      return true;
-    }
-  g_array_unref (domain->engines);
-  domain->engines = before;
-  return false;
-}
-
-/* ---- The steps.  */
-
 static bool
 domain_holds_nothing (const mq_plan_domain *domain)
 {
@@ -183,162 +38,6 @@
   return true;
 }
 
-/* The highest level at which spares fill all GAPS, which is then done; 0 when
-   none down to LEAST does.  */
-static double
-domain_fill_all (mq_plan_domain *domain, const GArray *gaps, double least,
-                 bool stretch)
-{
-  double level = MQ_PLAN_TOKENS_WANTED;
-
-  while (level >= least)
-    {
-      if (domain_try (domain, gaps, level, stretch))
-        return level;
-      level *= MQ_PLAN_TOKENS_STEP;
-    }
-  return 0;
-}
-
-/* Fill what can be filled of GAPS by spares, one by one.  */
-static void
-domain_fill_some (mq_plan_domain *domain, const GArray *gaps)
-{
-  for (guint i = 0; i < gaps->len; i++)
-    {
-      GArray *one = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-
-      g_array_append_val (one, g_array_index (gaps, mq_plan_range, i));
-      (void)domain_fill_all (domain, one, TOKENS_FLOOR, false);
-      g_array_unref (one);
-    }
-}
-
-/* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
-   less than half of what a new layout would, by a new layout.  */
-static void
-domain_repair (mq_plan_domain *domain, const GArray *gaps)
-{
-  GArray *before;
-  double stretched;
-  double laid_out;
-
-  if (domain_fill_all (domain, gaps, TOKENS_FLOOR, false) > 0)
-    return;
-  if (domain->patient)
-    {
-      domain_fill_some (domain, gaps);
-      return;
-    }
-  before = engines_copy (domain->engines);
-  stretched = domain_fill_all (domain, gaps, MQ_PLAN_TOKENS_LEAST, true);
-  if (stretched < TOKENS_FLOOR)
-    {
-      GArray *other = domain->engines;
-
-      domain->engines = engines_copy (before);
-      laid_out = mq_plan_domain_lay_out (domain, gaps);
-      if (laid_out > stretched * LAY_OUT_GAIN)
-        g_array_unref (other);
-      else
-        {
-          g_array_unref (domain->engines);
-          domain->engines = other;
-        }
-    }
-  g_array_unref (before);
-}
-
-/* Give what overloaded engines hold too much of to spares, one engine a
-   time.  */
-static void
-domain_relieve (mq_plan_domain *domain)
-{
-  for (guint i = 0; i < domain->engines->len; i++)
-    {
-      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-      unsigned room = mq_plan_engine_room (domain, e, MQ_PLAN_TOKENS_WANTED);
-      unsigned *cover;
-      mq_plan_range over;
-
-      if (e->moved || e->spare || e->holder->fixed
-          || mq_plan_range_size (e->range) <= room
-          || mq_plan_engine_tokens (domain, e)
-                 >= MQ_PLAN_TOKENS_WANTED * RELIEF_BELOW)
-        continue;
-      cover = mq_plan_domain_sure_cover (domain);
-      over = (mq_plan_range){ e->range.first + room, e->range.end };
-      if (mq_plan_cover_reaches (cover, over, 2))
-        mq_plan_engine_move (e, (mq_plan_range){ e->range.first, over.first });
-      else
-        {
-          GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-
-          g_array_append_val (gaps, over);
-          (void)domain_try (domain, gaps, TOKENS_COPY, false);
-          g_array_unref (gaps);
-        }
-      g_free (cover);
-      return;
-    }
-}
-
-/* Let empty engines hold a second copy of the largest range that stands only
-   once, as long as they reach.  */
-static void
-domain_copy (mq_plan_domain *domain)
-{
-  bool found = true;
-
-  while (found)
-    {
-      unsigned *cover = mq_plan_domain_cover (domain);
-      mq_plan_range best = { 0, 0 };
-
-      found = false;
-      for (guint i = 0; i < domain->engines->len; i++)
-        {
-          mq_plan_range r = mq_plan_domain_engine (domain, i)->range;
-
-          if (mq_plan_range_size (r) > mq_plan_range_size (best)
-              && !mq_plan_cover_reaches (cover, r, 2))
-            {
-              GArray *gaps
-                  = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-              GArray *before = engines_copy (domain->engines);
-
-              g_array_append_val (gaps, r);
-              if (domain_try (domain, gaps, TOKENS_COPY, false))
-                best = r;
-              g_array_unref (domain->engines);
-              domain->engines = before;
-              g_array_unref (gaps);
-            }
-        }
-      if (mq_plan_range_size (best) > 0)
-        {
-          GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-
-          g_array_append_val (gaps, best);
-          found = domain_try (domain, gaps, TOKENS_COPY, false);
-          g_array_unref (gaps);
-        }
-      g_free (cover);
-    }
-}
-
-/* Only what holds nothing may take a copy: a copy is not moved for a copy. */
-static void
-domain_keep_empty_spares (mq_plan_domain *domain)
-{
-  for (guint i = 0; i < domain->engines->len; i++)
-    {
-      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-
-      e->spare = e->spare && mq_plan_range_size (e->range) == 0;
-    }
-}
-
 /* Note in MEMORY what there is of DOMAIN at NOW_US; MISSING: layers are.  Is
    it time to wait and see?  */
 static bool
@@ -375,13 +74,9 @@
   domain->patient = memory_is_patient (memory, domain, gaps->len > 0, now_us);
   mq_plan_domain_mark_spares (domain);
   if (gaps->len > 0)
-    domain_repair (domain, gaps);
+    mq_plan_domain_repair (domain, gaps);
   else
-    {
-      domain_keep_empty_spares (domain);
-      domain_relieve (domain);
-      domain_copy (domain);
-    }
+    mq_plan_domain_use_spares (domain);
   g_array_unref (gaps);
 }
 
--- /dev/null
+++ b/packages/route/layer_repair.c
@@ -0,0 +1,210 @@
+/* Layers that nobody holds are given to engines: the spares, their neighbours,
+   or all anew: see mq/internal/layer_plan.h.
+
+   Each try works on a copy of who holds what; a try that does not reach leaves
+   nothing behind.  */
+
+#include <mq/internal/layer_plan.h>
+
+/* A repair goes down to this before it makes neighbours of a gap hold more;
+   a third of what is wanted still serves a third of the domain's load.  */
+#define TOKENS_FLOOR 40000.0
+/* A new layout moves most engines, which takes some seconds.  */
+#define LAY_OUT_GAIN 2.0
+
+GArray *
+mq_plan_engines_copy (const GArray *engines)
+{
+  GArray *copy = g_array_sized_new (FALSE, FALSE, sizeof (mq_plan_engine),
+                                    engines->len);
+
+  return g_array_append_vals (copy, engines->data, engines->len);
+}
+
+/* The slowest spare that holds N layers with TOKENS tokens, so that a small
+   gap does not take the best card; empty ones first.  */
+static mq_plan_engine *
+domain_one_spare (const mq_plan_domain *domain, unsigned n, double tokens)
+{
+  mq_plan_engine *best = NULL;
+
+  for (guint i = domain->engines->len; i-- > 0;)
+    {
+      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+      bool empty = mq_plan_range_size (e->range) == 0;
+
+      if (!e->spare || mq_plan_engine_room (domain, e, tokens) < n)
+        continue;
+      if (empty)
+        return e;
+      if (best == NULL)
+        best = e;
+    }
+  return best;
+}
+
+/* The fastest spare, empty ones first, that holds anything.  */
+static mq_plan_engine *
+domain_next_spare (const mq_plan_domain *domain, double tokens)
+{
+  mq_plan_engine *best = NULL;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (!e->spare || mq_plan_engine_room (domain, e, tokens) == 0)
+        continue;
+      if (mq_plan_range_size (e->range) == 0)
+        return e;
+      if (best == NULL)
+        best = e;
+    }
+  return best;
+}
+
+/* Give GAP to spares with TOKENS tokens each.  False when they don't reach. */
+static bool
+domain_fill (mq_plan_domain *domain, mq_plan_range gap, double tokens)
+{
+  while (mq_plan_range_size (gap) > 0)
+    {
+      mq_plan_engine *e
+          = domain_one_spare (domain, mq_plan_range_size (gap), tokens);
+      unsigned n;
+
+      if (e == NULL)
+        e = domain_next_spare (domain, tokens);
+      if (e == NULL)
+        return false;
+      n = MIN (mq_plan_engine_room (domain, e, tokens),
+               mq_plan_range_size (gap));
+      mq_plan_engine_move (e, (mq_plan_range){ gap.first, gap.first + n });
+      gap.first += n;
+    }
+  return true;
+}
+
+/* Have the neighbours of GAP hold as much of it as leaves memory for TOKENS.
+   Returns what is left.  */
+static mq_plan_range
+domain_stretch (mq_plan_domain *domain, mq_plan_range gap, double tokens)
+{
+  for (guint i = 0; i < domain->engines->len && mq_plan_range_size (gap) > 0;
+       i++)
+    {
+      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+      unsigned held = mq_plan_range_size (e->range);
+      unsigned room = mq_plan_engine_room (domain, e, tokens);
+      unsigned more
+          = room > held ? MIN (room - held, mq_plan_range_size (gap)) : 0;
+
+      if (held == 0 || more == 0 || e->spare || e->holder->fixed)
+        continue;
+      if (e->range.end == gap.first)
+        {
+          mq_plan_engine_move (
+              e, (mq_plan_range){ e->range.first, e->range.end + more });
+          gap.first += more;
+        }
+      else if (e->range.first == gap.end)
+        {
+          mq_plan_engine_move (
+              e, (mq_plan_range){ e->range.first - more, e->range.end });
+          gap.end -= more;
+        }
+    }
+  return gap;
+}
+
+/* Fill all GAPS at TOKENS; false, and nothing changed, when that fails.  */
+bool
+mq_plan_domain_try (mq_plan_domain *domain, const GArray *gaps, double tokens,
+                    bool stretch)
+{
+  GArray *before = mq_plan_engines_copy (domain->engines);
+  bool reached = true;
+
+  for (guint i = 0; i < gaps->len && reached; i++)
+    {
+      mq_plan_range g = g_array_index (gaps, mq_plan_range, i);
+
+      if (stretch)
+        g = domain_stretch (domain, g, tokens);
+      reached = domain_fill (domain, g, tokens);
+    }
+  if (reached)
+    {
+      g_array_unref (before);
+      return true;
+    }
+  g_array_unref (domain->engines);
+  domain->engines = before;
+  return false;
+}
+
+/* The highest level at which spares fill all GAPS, which is then done; 0 when
+   none down to LEAST does.  */
+static double
+domain_fill_all (mq_plan_domain *domain, const GArray *gaps, double least,
+                 bool stretch)
+{
+  double level = MQ_PLAN_TOKENS_WANTED;
+
+  while (level >= least)
+    {
+      if (mq_plan_domain_try (domain, gaps, level, stretch))
+        return level;
+      level *= MQ_PLAN_TOKENS_STEP;
+    }
+  return 0;
+}
+
+/* Fill what can be filled of GAPS by spares, one by one.  */
+static void
+domain_fill_some (mq_plan_domain *domain, const GArray *gaps)
+{
+  for (guint i = 0; i < gaps->len; i++)
+    {
+      GArray *one = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
+
+      g_array_append_val (one, g_array_index (gaps, mq_plan_range, i));
+      (void)domain_fill_all (domain, one, TOKENS_FLOOR, false);
+      g_array_unref (one);
+    }
+}
+
+/* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
+   less than half of what a new layout would, by a new layout.  */
+void
+mq_plan_domain_repair (mq_plan_domain *domain, const GArray *gaps)
+{
+  GArray *before;
+  double stretched;
+  double laid_out;
+
+  if (domain_fill_all (domain, gaps, TOKENS_FLOOR, false) > 0)
+    return;
+  if (domain->patient)
+    {
+      domain_fill_some (domain, gaps);
+      return;
+    }
+  before = mq_plan_engines_copy (domain->engines);
+  stretched = domain_fill_all (domain, gaps, MQ_PLAN_TOKENS_LEAST, true);
+  if (stretched < TOKENS_FLOOR)
+    {
+      GArray *other = domain->engines;
+
+      domain->engines = mq_plan_engines_copy (before);
+      laid_out = mq_plan_domain_lay_out (domain, gaps);
+      if (laid_out > stretched * LAY_OUT_GAIN)
+        g_array_unref (other);
+      else
+        {
+          g_array_unref (domain->engines);
+          domain->engines = other;
+        }
+    }
+  g_array_unref (before);
+}
