Let empty engines take over from those that bound a chain

Change: an empty engine holds all layers of those that are tight (below 0.8 of what is wanted), with whole neighbours where it has the memory; these give nothing up, so nothing is waited for.

--- a/packages/route/layer_spares.c
+++ b/packages/route/layer_spares.c
@@ -1,14 +1,19 @@
 /* What spares do while no layer is missing: see mq/internal/layer_plan.h.
 
-   They relieve stages that bound the whole chain, take over the work of
-   several engines where one can, and hold second copies, so that the loss of
-   any one engine finds a whole path.  */
+   They take over from stages that bound the whole chain, or relieve them, and
+   hold second copies, so that the loss of any one engine finds a whole path.
+ */
 
 #include <mq/internal/layer_plan.h>
 
+#include <string.h>
+
 /* A second copy needs to carry the load only until the repair.  */
 #define TOKENS_COPY 60000.0
-/* A holder with less than this part of the wanted tokens is relieved.  */
+/* A holder with less than this part of the wanted tokens bounds its chain
+   enough for a spare to take its place.  */
+#define TIGHT_BELOW 0.8
+/* A holder with less than this gives up layers.  */
 #define RELIEF_BELOW 0.6
 
 /* Give what overloaded engines hold too much of to spares, one engine a
@@ -89,6 +94,97 @@
     }
 }
 
+/* Is ENGINE alone in what it holds, and so tight that it bounds the chain?  */
+static bool
+engine_is_tight (const mq_plan_domain *domain, const mq_plan_engine *engine)
+{
+  return !engine->spare && mq_plan_range_size (engine->range) > 0
+         && mq_plan_engine_tokens (domain, engine)
+                < MQ_PLAN_TOKENS_WANTED * TIGHT_BELOW;
+}
+
+/* What is gained when the layers of ENGINE stand once more; 0 when they do
+   already.  One that loads them just now has only been chosen for them.  */
+static unsigned
+engine_value (const mq_plan_domain *domain, const unsigned *cover,
+              const mq_plan_engine *engine)
+{
+  unsigned size = mq_plan_range_size (engine->range);
+
+  if (size == 0 || engine->moved || engine->holder->awaited
+      || mq_plan_cover_reaches (cover, engine->range, 2))
+    return 0;
+  return size + (engine_is_tight (domain, engine) ? domain->model->layers : 0);
+}
+
+/* VALUES, by the layer at which an engine's range ends: the sums over those
+   that begin at FIRST or after.  */
+static void
+domain_sum_values (const mq_plan_domain *domain, const unsigned *cover,
+                   unsigned first, unsigned *values)
+{
+  memset (values, 0, (domain->model->layers + 1) * sizeof *values);
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (e->range.first >= first && e->range.end <= domain->model->layers)
+        values[e->range.end] += engine_value (domain, cover, e);
+    }
+}
+
+/* The run of whole ranges that ENGINE, which is empty, would best hold; empty
+   when there is none that relieves a tight engine.  Looks at all engines once
+   for each layer.  */
+static mq_plan_range
+domain_best_run (const mq_plan_domain *domain, const mq_plan_engine *engine)
+{
+  unsigned room = mq_plan_engine_room (domain, engine, MQ_PLAN_TOKENS_WANTED);
+  unsigned layers = domain->model->layers;
+  unsigned *cover = mq_plan_domain_cover (domain);
+  unsigned *values = g_new (unsigned, layers + 1);
+  mq_plan_range best = { 0, 0 };
+  unsigned most = layers;
+
+  for (unsigned first = 0; first < layers; first++)
+    {
+      unsigned value = 0;
+
+      domain_sum_values (domain, cover, first, values);
+      for (unsigned end = first + 1; end <= MIN (layers, first + room); end++)
+        {
+          value += values[end];
+          if (value < most
+              || (value == most && end - first >= mq_plan_range_size (best)))
+            continue;
+          most = value;
+          best = (mq_plan_range){ first, end };
+        }
+    }
+  g_free (values);
+  g_free (cover);
+  return best;
+}
+
+/* Let empty engines, the fastest first, hold all layers of those that bound
+   the chain, and of others beside them where they have the memory.  These need
+   give nothing up, which would take as long as what passes through them.  */
+static void
+domain_take_over (mq_plan_domain *domain)
+{
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+      mq_plan_range run;
+
+      if (!e->spare)
+        continue;
+      run = domain_best_run (domain, e);
+      if (mq_plan_range_size (run) > 0)
+        mq_plan_engine_move (e, run);
+    }
+}
+
 /* Only what holds nothing may take a copy: a copy is not moved for a copy. */
 static void
 domain_keep_empty_spares (mq_plan_domain *domain)
@@ -105,6 +201,7 @@
 mq_plan_domain_use_spares (mq_plan_domain *domain)
 {
   domain_keep_empty_spares (domain);
+  domain_take_over (domain);
   domain_relieve (domain);
   domain_copy (domain);
 }
--- a/tests/support/repair_world.h
+++ b/tests/support/repair_world.h
@@ -16,6 +16,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <stdexcept>
 
 namespace repair
 {
@@ -116,6 +117,16 @@
     return *any;
   }
 
+  /* The engine that was added as the Nth, from 1 on; it is still there.  */
+  Engine &
+  number (unsigned n)
+  {
+    for (Engine &e : engines)
+      if (e.id == "e" + std::to_string (n))
+        return e;
+    throw std::out_of_range ("no such engine");
+  }
+
   /* Call FUNCTION when it is TIME.  */
   void
   at (uint64_t time, std::function<void ()> function)
--- a/tests/test_layer_repair.cc
+++ b/tests/test_layer_repair.cc
@@ -42,13 +42,17 @@
   d.settle ();
 }
 
-/* Replace COUNT engines of D, one a second, from all over its chain.  */
+/* Replace the engines of D that are numbered so, one a second.  */
 void
-release (Domain &d, unsigned count)
+release (Domain &d, const std::vector<unsigned> &numbers)
 {
-  for (unsigned i = 0; i < count; i++)
-    d.at (d.now + i * s,
-          [&d, i] { d.replace (d.holder ((i * 23 + 60) % chain::layers)); });
+  uint64_t at = d.now;
+
+  for (unsigned n : numbers)
+    {
+      d.at (at, [&d, n] { d.replace (d.number (n)); });
+      at += s;
+    }
 }
 
 } // namespace
@@ -63,7 +67,7 @@
   Domain d;
 
   fill_one (d);
-  release (d, 7);
+  release (d, { 7, 1, 3, 5, 9, 2, 4 });
   d.run (30 * s);
   print ("release", d);
   EXPECT_LE (d.without_us, 7.5 * s);
@@ -75,13 +79,36 @@
   Domain d;
 
   fill_three (d);
-  release (d, 7);
+  release (d, { 7, 1, 3, 6, 9, 2, 5 });
   d.run (30 * s);
   print ("release", d);
   EXPECT_LE (d.without_us, 7 * s);
   EXPECT_GE (d.mean_tokens (), 95000);
 }
 
+/* The same day, 4 to 33 s: the fastest card leaves for good, small ones take
+   its place, and larger ones come later.  They became second copies while the
+   small ones bounded the chain at 88,000 tokens.  */
+TEST (LayerRepair, LargeCardsThatComeTakeOverFromSmallOnes)
+{
+  Domain d;
+
+  d.add ("h100", 1);
+  d.add ("a100s", 1);
+  d.add ("l4", 5);
+  d.add ("t4", 7);
+  d.settle ();
+  d.drain (d.number (1));
+  d.run (6 * s);
+  d.add ("a100s", 3);
+  d.run (6 * s);
+  d.tokens_sum = 0;
+  d.ticks = 0;
+  d.run (s);
+  print ("large cards", d);
+  EXPECT_GE (d.mean_tokens (), 120000);
+}
+
 /* The same day, 2 to 30 s: one engine of the domain leaves for good, then one
    is replaced.  All layers were laid out anew 0.1 s before the successor came:
    without a chain for 8.1 s.  */
