--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -104,11 +104,11 @@
   uint64_t *upstreams_age_ms;
   uint64_t *upstreams;
   uint64_t *upstreams_aside;
+  uint64_t *upstreams_turning_away;
+  uint64_t *upstreams_slow;
   uint64_t *routers;
   uint64_t *log_lines;
   uint64_t *log_left_out;
-  mq_histogram *first_event;
-  mq_histogram *whole;
 } mq_gateway_counters;
 
 typedef struct mq_forward mq_forward;
@@ -212,11 +212,24 @@
                               const mq_http_server_event *event);
 void mq_gateway_on_directory (void *context,
                               const mq_http_server_event *event);
-void mq_gateway_on_metrics (void *context, const mq_http_server_event *event);
+/* Answer with BODY of that content TYPE.  */
+void mq_gateway_answer_text (mq_http_exchange *exchange, unsigned status,
+                             const char *type, mq_span body);
 /* Answer with STATUS and, unless 0, when to come back.  */
 void mq_gateway_refuse (mq_http_exchange *exchange, unsigned status,
                         unsigned retry_ms);
 
+/* ---- gateway_metrics.c  */
+void mq_gateway_metrics_init (mq_gateway *gateway);
+/* A request of ROUTE (NULL: of none) ended after US microseconds.  OUTCOME and
+   REASON are those of the log.  */
+void mq_gateway_count_end (mq_gateway *gateway, const mq_route *route,
+                           const char *outcome, const char *reason,
+                           uint64_t us);
+/* A stream's first event came after US microseconds.  */
+void mq_gateway_count_first_event (mq_gateway *gateway, uint64_t us);
+void mq_gateway_on_metrics (void *context, const mq_http_server_event *event);
+
 /* ---- gateway_forward.c  */
 /* Begin to serve EXCHANGE; the arguments are as in the structure.  */
 void mq_forward_start (mq_gateway *gateway, mq_http_exchange *exchange,
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -226,57 +226,6 @@
   return g->metrics_server == NULL ? -1 : 0;
 }
 
-static void
-gateway_count (mq_gateway *gateway)
-{
-  mq_metrics *m = gateway->metrics;
-  mq_gateway_counters *c = &gateway->counters;
-  const char *name = "marjoramquay_requests_total";
-
-  c->requests = mq_metrics_counter (m, name, "outcome=\"taken\"",
-                                    "Clients' requests by outcome.");
-  c->answered = mq_metrics_counter (m, name, "outcome=\"answered\"", "");
-  c->refused = mq_metrics_counter (m, name, "outcome=\"refused\"", "");
-  c->failed = mq_metrics_counter (m, name, "outcome=\"failed\"", "");
-  c->gone = mq_metrics_counter (m, name, "outcome=\"gone\"", "");
-  c->sends = mq_metrics_counter (m, "marjoramquay_sends_total", "",
-                                 "Sends to upstreams.");
-  c->further_sends
-      = mq_metrics_counter (m, "marjoramquay_further_sends_total", "",
-                            "Sends beyond the first of a request.");
-  c->resumed = mq_metrics_counter (m, "marjoramquay_resumed_streams_total", "",
-                                   "Streams that went on in a new run.");
-  c->orders = mq_metrics_counter (m, "marjoramquay_orders_total", "",
-                                  "Orders to engines.");
-  c->store_calls = mq_metrics_counter (m, "marjoramquay_store_calls_total", "",
-                                       "Calls to the platform's store.");
-  c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
-                                   "Reports asked of engines.");
-  c->routing_version = mq_metrics_gauge (
-      m, "marjoramquay_configuration_version", "", "In force here.");
-  c->routing_age_ms = mq_metrics_gauge (
-      m, "marjoramquay_belief_age_ms", "of=\"configuration\"",
-      "Since the store last answered about it.");
-  c->upstreams_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
-                                          "of=\"upstreams\"", "");
-  c->upstreams
-      = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"listed\"",
-                          "Upstreams by what is believed of them.");
-  c->upstreams_aside = mq_metrics_gauge (m, "marjoramquay_upstreams",
-                                         "state=\"unusable\"", "");
-  c->routers = mq_metrics_gauge (m, "marjoramquay_routers", "",
-                                 "Heard lately, with this one.");
-  c->log_lines = mq_metrics_counter (m, "marjoramquay_log_lines_total", "",
-                                     "Lines written.");
-  c->log_left_out = mq_metrics_counter (m, "marjoramquay_log_left_out_total",
-                                        "", "Lines that had no room.");
-  c->first_event
-      = mq_metrics_histogram (m, "marjoramquay_first_event_seconds", "",
-                              "From a request to its first event.");
-  c->whole = mq_metrics_histogram (m, "marjoramquay_request_seconds", "",
-                                   "From a request to its whole answer.");
-}
-
 mq_gateway *
 mq_gateway_new (struct ev_loop *loop, const mq_dialect *dialect,
                 const mq_gateway_settings *settings, GError **error)
@@ -295,7 +244,7 @@
                                              (GDestroyNotify)mq_str_unref);
   g_queue_init (&g->forwards);
   g->metrics = mq_metrics_new ();
-  gateway_count (g);
+  mq_gateway_metrics_init (g);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
   g->tokens = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -100,8 +100,8 @@
   g_array_unref (headers);
   forward->state.begun = true;
   forward->first_event_ms = (unsigned)mq_forward_age_ms (forward);
-  mq_histogram_observe (forward->gateway->counters.first_event,
-                        mq_gateway_now_us () - forward->started_us);
+  mq_gateway_count_first_event (forward->gateway,
+                                mq_gateway_now_us () - forward->started_us);
 }
 
 /* An event is about to be passed on.  */
@@ -171,8 +171,6 @@
     stream_begin (forward, status);
   mq_http_exchange_end (forward->exchange);
   ++*g->counters.answered;
-  mq_histogram_observe (g->counters.whole,
-                        mq_gateway_now_us () - forward->started_us);
   mq_forward_end (forward, "answered", status, "whole");
 }
 
@@ -190,8 +188,6 @@
                           headers->len, body);
   g_array_unref (headers);
   ++*g->counters.answered;
-  mq_histogram_observe (g->counters.whole,
-                        mq_gateway_now_us () - forward->started_us);
   mq_forward_end (forward, "answered", status, "whole");
 }
 
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -97,6 +97,8 @@
       MQ_SPAN_ARG (f->id), outcome, status, why, mq_str_cstr (f->route->name),
       f->routing->version, f->state.sent, f->split.events, f->first_event_ms,
       f->longest_gap_ms, mq_forward_age_ms (f));
+  mq_gateway_count_end (f->gateway, f->route, outcome, why,
+                        mq_gateway_now_us () - f->started_us);
   mq_log_story_tell (&f->story, forward_is_told (f, outcome),
                      mq_span_hash (f->id));
   forward_free (f);
--- a/packages/gateway/gateway_front.c
+++ b/packages/gateway/gateway_front.c
@@ -18,9 +18,9 @@
 #define DIRECTORY_MOST 64
 #define MS_PER_S 1000
 
-static void
-answer_text (mq_http_exchange *exchange, unsigned status, const char *type,
-             mq_span body)
+void
+mq_gateway_answer_text (mq_http_exchange *exchange, unsigned status,
+                        const char *type, mq_span body)
 {
   mq_http_header h = { MQ_SPAN ("Content-Type"), mq_span_from (type) };
 
@@ -71,6 +71,7 @@
   mq_str *path = mq_str_new (mq_http_exchange_path (exchange));
 
   ++*gateway->counters.refused;
+  mq_gateway_count_end (gateway, NULL, "refused", why, 0);
   mq_log (G_LOG_LEVEL_INFO, "request.refused",
           "request=%.*s status=%u why=%s path=%s version=%" G_GUINT64_FORMAT
           " store_age_ms=%" G_GUINT64_FORMAT,
@@ -223,46 +224,7 @@
     }
   out = g_string_new (NULL);
   g->dialect->resolve_encode (addresses, n, MAX (ttl_s, 1), out);
-  answer_text (event->exchange, STATUS_OK, "application/json",
-               (mq_span){ out->str, out->len });
-  g_string_free (out, TRUE);
-}
-
-/* Bring the gauges up to date: they are read seldom.  */
-static void
-metrics_refresh (mq_gateway *gateway)
-{
-  mq_gateway_counters *c = &gateway->counters;
-  uint64_t now = mq_gateway_now_us ();
-  GHashTableIter i;
-  gpointer value;
-
-  *c->routing_version = gateway->routing ? gateway->routing->version : 0;
-  *c->routing_age_ms = (now - gateway->routing_feed.fresh_us) / 1000;
-  *c->upstreams_age_ms = (now - gateway->upstream_feed.fresh_us) / 1000;
-  *c->upstreams = g_hash_table_size (gateway->registry.by_id);
-  *c->upstreams_aside = 0;
-  g_hash_table_iter_init (&i, gateway->registry.by_id);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    if (!mq_upstream_is_usable (value, now))
-      ++*c->upstreams_aside;
-  *c->routers = mq_gateway_routers (gateway);
-  *c->log_lines = mq_log_count ()->lines;
-  *c->log_left_out = mq_log_count ()->left_out;
-}
-
-void
-mq_gateway_on_metrics (void *context, const mq_http_server_event *event)
-{
-  mq_gateway *g = context;
-  GString *out;
-
-  if (event->kind != MQ_HTTP_SERVER_REQUEST)
-    return;
-  out = g_string_new (NULL);
-  metrics_refresh (g);
-  mq_metrics_render (g->metrics, out);
-  answer_text (event->exchange, STATUS_OK, "text/plain; version=0.0.4",
-               (mq_span){ out->str, out->len });
+  mq_gateway_answer_text (event->exchange, STATUS_OK, "application/json",
+                          (mq_span){ out->str, out->len });
   g_string_free (out, TRUE);
 }
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -306,6 +306,11 @@
   fetch ("GET", "/safe/1");
   std::string m = fetch ("GET", "/metrics", {}, "", metrics_port).body;
   for (const char *line : { "marjoramquay_requests_total{outcome=\"taken\"} 1",
+                            "marjoramquay_requests_ended_total{kind=\"safe\","
+                            "outcome=\"answered\",reason=\"whole\"} 1",
+                            "marjoramquay_request_seconds_count{kind=\"safe\","
+                            "outcome=\"answered\"} 1",
+                            "marjoramquay_upstreams{state=\"slow\"} 0",
                             "marjoramquay_configuration_version 1",
                             "marjoramquay_upstreams{state=\"listed\"} 2",
                             "marjoramquay_routers 1" })
