Take an engine that refuses all for a second for leaving

Ruled out: routers without a leader (order.lead at 20.5 s), a plan that could not reach (spares were there). Change: who refuses all for a second is out of the plan; a request that was accepted counts from its first event on, not from its end.

--- a/include/mq/layer_path.h
+++ b/include/mq/layer_path.h
@@ -30,10 +30,10 @@
   double tokens;  /* That fit on the stage with the least memory.  */
 } mq_layer_path;
 
-/* Find the fastest path among those of SERVICE with the most memory through upstreams of DOMAIN (an empty span:
-   of all) that are usable at NOW_US.  Engines of EXCEPT, which may be NULL,
-   are passed over.  PATH is initialised; false when there is none, and PATH
-   is then empty.  */
+/* Find the fastest path among those of SERVICE with the most memory through
+   upstreams of DOMAIN (an empty span: of all) that are usable at NOW_US.
+   Engines of EXCEPT, which may be NULL, are passed over.  PATH is initialised;
+   false when there is none, and PATH is then empty.  */
 bool mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
                          const mq_route_service *service, mq_span domain,
                          uint64_t now_us, const mq_upstream *except);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -46,6 +46,7 @@
   uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
   uint64_t turned_us;        /* When it last turned a request away, alive.  */
   uint64_t turned_span_us;   /* For so long after it gets none.  */
+  uint64_t refuses_since_us; /* All that was sent since was turned away.  */
   unsigned wide_layers;      /* It held so many until lately ...  */
   uint64_t wide_until_us;    /* ... and their memory is free by then.  */
   uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
@@ -113,6 +114,9 @@
 /* May new work go there: is it usable, and did it not turn any away just
    before?  */
 bool mq_upstream_takes_work (const mq_upstream *upstream, uint64_t now_us);
+/* Has it refused all that came for so long that it must be leaving, though
+   nobody said so?  */
+bool mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us);
 
 /* From here on an engine counts as slow.  */
 #define MQ_UPSTREAM_SLOW 1.5
@@ -128,6 +132,8 @@
    keeps them until all that passes through them has ended.  */
 unsigned mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us);
 
+/* It runs what was sent to it at SENT_US.  */
+void mq_upstream_accepted (mq_upstream *upstream, uint64_t sent_us);
 /* What became of a request: it was answered, having been sent at SENT_US; or
    it failed in a way that speaks against the upstream (silence, a broken
    connection, nonsense).  */
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -106,11 +106,14 @@
 
 /* An event is about to be passed on.  */
 static void
-stream_note_gap (mq_forward *forward)
+stream_note_event (mq_forward *forward)
 {
   uint64_t now = mq_gateway_now_us ();
   double gap_ms = (double)(now - forward->passed_us) / 1000;
 
+  if (forward->passed_us < forward->sent_us)
+    for (unsigned i = 0; i < forward->path.n; i++)
+      mq_upstream_accepted (forward->path.parts[i].upstream, forward->sent_us);
   if (forward->passed_us > 0)
     {
       forward->longest_gap_ms
@@ -135,7 +138,7 @@
     {
       if (!forward->state.begun)
         stream_begin (forward, status);
-      stream_note_gap (forward);
+      stream_note_event (forward);
       if (mq_http_exchange_write (forward->exchange, event)
           >= MQ_HTTP_STREAM_HIGH)
         mq_http_call_pause (forward->call, true);
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -167,7 +167,8 @@
 
       if (!mq_span_equal (mq_str_span (u->facts.service),
                           mq_str_span (service->name))
-          || !mq_upstream_is_usable (u, now_us))
+          || !mq_upstream_is_usable (u, now_us)
+          || mq_upstream_is_leaving (u, now_us))
         continue;
       h = mq_layer_order_view (u, &service->model, now_us, &ask);
       if (ask || (blind && h.fixed))
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -19,6 +19,11 @@
 #define TURNED_FIRST_US ((uint64_t)200 * 1000)
 #define TURNED_MOST_US ((uint64_t)1600 * 1000)
 
+/* One that is short of memory takes some request within this, as others end
+   all the time; what refuses for longer drains, and the store could not tell
+   (tekle inc-b52e: for 7 s no chain was repaired).  */
+#define LEAVING_US ((uint64_t)1000 * 1000)
+
 /* Layers that an engine lets go stay in its memory until the requests that
    pass through them have ended; most last less than this.  */
 #define LET_GO_US ((uint64_t)5000 * 1000)
@@ -368,6 +373,15 @@
          && now_us >= upstream->turned_us + upstream->turned_span_us;
 }
 
+bool
+mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us)
+{
+  return upstream->refuses_since_us > 0
+         && upstream->turned_us > upstream->refuses_since_us + LEAVING_US
+         && now_us < upstream->turned_us + upstream->turned_span_us
+                         + TURNED_MOST_US;
+}
+
 void
 mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us)
 {
@@ -376,6 +390,8 @@
   /* Many requests meet the same lack at once: that counts as one.  */
   if (now_us < until)
     return;
+  if (upstream->turned_span_us == 0 || now_us > until + TURNED_MOST_US)
+    upstream->refuses_since_us = now_us;
   upstream->turned_span_us
       = upstream->turned_span_us == 0 || now_us > until + TURNED_MOST_US
             ? TURNED_FIRST_US
@@ -384,11 +400,19 @@
 }
 
 void
-mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us)
+mq_upstream_accepted (mq_upstream *upstream, uint64_t sent_us)
 {
   /* What was sent before says nothing about room for more.  */
-  if (sent_us > upstream->turned_us)
-    upstream->turned_span_us = 0;
+  if (sent_us <= upstream->turned_us)
+    return;
+  upstream->turned_span_us = 0;
+  upstream->refuses_since_us = 0;
+}
+
+void
+mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us)
+{
+  mq_upstream_accepted (upstream, sent_us);
   upstream->failures = 0;
   upstream->aside_until_us = 0;
   upstream->blamed_until_us = 0;
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -600,6 +600,38 @@
   EXPECT_EQ (orders, 0u);
 }
 
+/* Engines drained while the store was away, and refused all that came; for 7 s
+   no chain was repaired (tekle inc-b52e, 19 to 26 s).  */
+TEST_F (Gateway, AStageThatRefusesAllIsReplacedWithoutTheStore)
+{
+  std::string at;
+  Upstream *stage;
+
+  chains ();
+  Upstream &spare = add ("eng-9", "model", "one", "half");
+  ASSERT_TRUE (until ([&] { return spare.end > spare.first; }));
+  tell (spare);
+  wait (0.3);
+  /* The stage of which there is no second copy.  */
+  stage = upstreams[spare.first == 0 ? 1 : 0].get ();
+  store.down = true;
+  store.forget ();
+  at = stage->server.address ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, at] (mq_http_exchange *x) { u->refuse (x, 503, at); };
+    }
+  EXPECT_TRUE (until ([&] {
+    (void)fetch ("POST", "/stream/1");
+    wait (0.05);
+    return spare.orders == 2;
+  }));
+  EXPECT_EQ (spare.first, stage->first);
+  EXPECT_EQ (spare.end, stage->end);
+}
+
 TEST_F (Gateway, WithoutAWholeChainRequestsAreRefusedAtOnce)
 {
   Upstream &u = add ("eng-1", "model", "one", "half");
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -135,6 +135,27 @@
   EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + 1));
 }
 
+/* tekle inc-b52e, 19 to 26 s: engines drained while the store was away.  */
+TEST_F (Registry, AnEngineThatRefusesAllForASecondIsLeaving)
+{
+  mq_upstream *u = put ("a", "1:1");
+  uint64_t t = 10 * s;
+
+  for (; t < 11 * s; t += s / 10)
+    {
+      mq_upstream_turned_away (u, t);
+      EXPECT_FALSE (mq_upstream_is_leaving (u, t));
+    }
+  for (; t < 12 * s; t += s / 10)
+    mq_upstream_turned_away (u, t);
+  EXPECT_TRUE (mq_upstream_is_leaving (u, t));
+  EXPECT_FALSE (mq_upstream_is_leaving (u, t + 10 * s)); /* Nobody tried.  */
+  mq_upstream_accepted (u, 9 * s);                       /* Sent before.  */
+  EXPECT_TRUE (mq_upstream_is_leaving (u, t));
+  mq_upstream_accepted (u, t);
+  EXPECT_FALSE (mq_upstream_is_leaving (u, t));
+}
+
 TEST_F (Registry, AnEngineThatLetsLayersGoCountsThemForAWhile)
 {
   mq_upstream *u = put ("a", "1:1", 0, 19, s);
