--- a/include/mq/config.h
+++ b/include/mq/config.h
@@ -51,7 +51,7 @@
   uint32_t end;
   mq_str *accelerator; /* Kind.  */
   mq_str *failure_domain;
-  bool checks_fencing; /* Refuses orders with an old fencing number.  */
+  bool checks_fencing; /* Refuses orders with an old fencing token.  */
   uint32_t slots;      /* Streams batched together.  */
   uint32_t step_us;    /* Expected step time; a first guess that
                           measurement replaces.  */
--- a/include/mq/lease.h
+++ b/include/mq/lease.h
@@ -1,7 +1,7 @@
 /* Leases: one holder at a time may order engines about.
 
    A lease is one object of the platform, taken and renewed by conditional
-   update.  The object's version is the fencing number: it grows with every
+   update.  The object's version is the fencing token: it grows with every
    write, so a successor's is always above its predecessor's.
 
    Nobody compares wall clocks.  The holder counts the lease from the moment
@@ -18,7 +18,7 @@
 
    A holder that was paused finds out by its clock before each order.  One
    that is paused between that check and the order itself is stopped by the
-   fencing number, where the engine checks it, and by mq/order.h's settling
+   fencing token, where the engine checks it, and by mq/order.h's settling
    and verifying, where it does not.
 
    The object is JSON: {"holder":"ROUTER","writer":"ROUTER-SEQUENCE",
@@ -88,7 +88,7 @@
 void mq_lease_handle (mq_lease *lease, const mq_lease_event *event,
                       GArray *actions);
 
-/* The fencing number for an order that is sent at NOW_US, or 0 when none may
+/* The fencing token for an order that is sent at NOW_US, or 0 when none may
    be sent.  To be asked before each order, with a fresh clock.  */
 uint64_t mq_lease_fencing (const mq_lease *lease, uint64_t now_us);
 
--- a/include/mq/order.h
+++ b/include/mq/order.h
@@ -5,7 +5,7 @@
    one at a time for each engine, and no faster than the weight store gives
    weights out.  It reads the engine back before and after.
 
-   Some engines ignore the fencing number.  For those the executor waits,
+   Some engines ignore the fencing token.  For those the executor waits,
    after the lease was taken, until no order of an earlier holder can still
    be under way, then reads back; and for as long as the lease is held it
    reads them again now and then and repeats the order when something else
@@ -65,7 +65,7 @@
 typedef enum mq_order_reply
 {
   MQ_ORDER_ACCEPTED, /* 202 */
-  MQ_ORDER_FENCED,   /* 409: a higher fencing number was there.  */
+  MQ_ORDER_FENCED,   /* 409: a higher fencing token was there.  */
   MQ_ORDER_NO_REPLY  /* Anything else: it may have been taken.  */
 } mq_order_reply;
 
@@ -105,7 +105,7 @@
   MQ_ORDERS_SEND,
   MQ_ORDERS_READ,    /* What does the engine hold?  */
   MQ_ORDERS_REACHED, /* The engine holds what is wanted.  */
-  MQ_ORDERS_STOPPED, /* A higher fencing number is there: another holder. */
+  MQ_ORDERS_STOPPED, /* A higher fencing token is there: another holder. */
   MQ_ORDERS_IDLE     /* Nothing left to do: the lease may be given up.  */
 } mq_orders_action_kind;
 
--- a/include/mq/ordering.h
+++ b/include/mq/ordering.h
@@ -4,7 +4,7 @@
    A scope is what one holder orders about, such as the engines of a region.
    The lease is taken when there is something to order and given back when
    there is nothing left to do or to watch.  Every order goes out with the
-   fencing number in force at that moment, or not at all.
+   fencing token in force at that moment, or not at all.
 
    Pure: time is passed in, monotonic.  */
 
@@ -58,7 +58,7 @@
 
 uint64_t mq_ordering_next_tick (const mq_ordering *ordering);
 
-/* The fencing number in force at NOW_US, or 0.  */
+/* The fencing token in force at NOW_US, or 0.  */
 uint64_t mq_ordering_fencing (const mq_ordering *ordering, uint64_t now_us);
 
 /* Wanted ends that have not been reached.  */
--- a/include/mq/peer_message.h
+++ b/include/mq/peer_message.h
@@ -2,9 +2,9 @@
 
    A message is a tagged union of the decisions' own types.  On the wire it is
    one protobuf envelope with a version (schema/peer.proto); the library's
-   types stay inside packages/net/peer_message.c.  Whatever can't be decoded,
-   is of another version, or holds a value that its type can't have, is an
-   error that the receiver counts and drops.  */
+   types stay inside packages/net/peer_encode.c and peer_decode.c.  Whatever
+   can't be decoded, is of another version, or holds a value that its type
+   can't have, is an error that the receiver counts and drops.  */
 
 #ifndef MQ_PEER_MESSAGE_H
 #define MQ_PEER_MESSAGE_H
--- a/packages/decide/order.c
+++ b/packages/decide/order.c
@@ -40,8 +40,8 @@
   uint64_t load_until_us; /* After that a load is ordered again.  */
   uint64_t due_us;
   uint64_t dropped_us; /* If it is not reached by then.  */
-  uint64_t sent;       /* Fencing number of the last order sent.  */
-  uint64_t accepted;   /* Fencing number of the last order taken.  */
+  uint64_t sent;       /* Fencing token of the last order sent.  */
+  uint64_t accepted;   /* Fencing token of the last order taken.  */
 } order;
 
 struct mq_orders
@@ -51,7 +51,7 @@
   GHashTable *by_engine; /* name -> order, owned  */
   GHashTable *by_id;     /* id -> order  */
   uint64_t fencing;      /* 0: no lease.  */
-  uint64_t taken;        /* Fencing number with which the lease was taken.  */
+  uint64_t taken;        /* Fencing token with which the lease was taken.  */
   uint64_t until_us;
   uint64_t settled_us; /* No order of an earlier holder comes after this. */
   uint64_t weights_us; /* When the weight store has given out what it was
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -321,7 +321,7 @@
       mq_loads_ask_soon (io->router->loads, action->engine);
       break;
     case MQ_ORDERS_STOPPED:
-      order_note (io, action, "stopped by a higher fencing number");
+      order_note (io, action, "stopped by a higher fencing token");
       break;
     case MQ_ORDERS_NEED_LEASE:
     case MQ_ORDERS_IDLE:
--- a/tests/fault_control.cc
+++ b/tests/fault_control.cc
@@ -261,7 +261,7 @@
   });
 }
 
-/* The engine ignores the fencing number and does what it is told.  */
+/* The engine ignores the fencing token and does what it is told.  */
 void
 Router::send_order (const mq_orders_action &action)
 {
--- a/tests/test_fault_matrix.cc
+++ b/tests/test_fault_matrix.cc
@@ -208,7 +208,7 @@
           "these.\n"
           "- While no router can read the platform's list, a leaving engine "
           "is not known to leave: the grace counts from when it can.\n"
-          "- Engines that check fencing numbers: the one that is ordered here "
+          "- Engines that check fencing tokens: the one that is ordered here "
           "ignores them, which is the harder case.\n";
 }
 
--- a/tools/standin/engine.c
+++ b/tools/standin/engine.c
@@ -719,7 +719,7 @@
     { "seed", 0, 0, G_OPTION_ARG_INT, &o->seed, "For gaps in cache events",
       "N" },
     { "fencing", 0, 0, G_OPTION_ARG_NONE, &o->fencing,
-      "Refuse orders with an old fencing number", NULL },
+      "Refuse orders with an old fencing token", NULL },
     { NULL, 0, 0, 0, NULL, NULL, NULL },
   };
 
--- a/tools/standin/objects.h
+++ b/tools/standin/objects.h
@@ -2,7 +2,7 @@
    kept in memory.
 
    Versions come from one counter for the whole store, so that an object's
-   version serves as a fencing number.  No I/O and no clock inside.  */
+   version serves as a fencing token.  No I/O and no clock inside.  */
 
 #ifndef MQ_STANDIN_OBJECTS_H
 #define MQ_STANDIN_OBJECTS_H
