--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -213,10 +213,12 @@
   mq_gateway *g = forward->gateway;
   mq_span a
       = mq_http_call_header (forward->call, g->dialect->headers.at_fault);
-  mq_upstream *u = a.size > 0 ? mq_registry_at (&g->registry, a) : NULL;
+  /* Without a name it is the head itself, whose places are taken.  */
+  mq_upstream *u
+      = a.size > 0 ? mq_registry_at (&g->registry, a) : forward->upstream;
   uint64_t waited_us = now_us - forward->sent_us;
 
-  if (u == NULL)
+  if (u == NULL || forward->path.n == 0)
     return;
   mq_log_story_add (&forward->story, G_LOG_LEVEL_INFO, "upstream.blamed",
                     "request=%.*s upstream=%s waited_ms=%" G_GUINT64_FORMAT,
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -600,6 +600,32 @@
   EXPECT_EQ (orders, 0u);
 }
 
+/* A head whose places are taken refuses without a name.  It was asked again at
+   once, six times a request (halvorsen-fleet-grown trouble-1: 1,578 further
+   arrivals, 989 allowed).  */
+TEST_F (Gateway, AHeadWithoutPlacesIsNotAskedAgainAtOnce)
+{
+  chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u] (mq_http_exchange *x) {
+        if (u->domain == "one")
+          {
+            u->refuse (x);
+            return;
+          }
+        u->begin (x);
+        Upstream::events (x, 1, 3);
+        mq_http_exchange_end (x);
+      };
+    }
+  for (unsigned i = 0; i < 3; i++)
+    EXPECT_EQ (fetch ("POST", "/stream/1").body, events (1, 3));
+  EXPECT_EQ (upstreams[0]->seen.size (), 1u);
+}
+
 /* Engines drained while the store was away, and refused all that came; for 7 s
    no chain was repaired (tekle inc-b52e, 19 to 26 s).  */
 TEST_F (Gateway, AStageThatRefusesAllIsReplacedWithoutTheStore)
