Hold several chains in a failure domain with much memory

Change: a domain holds one chain for each 1.9 times that its memory holds the weights; a chain's stages want two thirds of its share of the memory.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -76,7 +76,7 @@
   bool ready;
   bool store_reached; /* It hears the store.  */
   bool told_alive;    /* The log says that it lives.  */
-  GHashTable *tokens; /* "service domain" -> double *.  */
+  GHashTable *tokens; /* Key of a way to serve -> double *.  */
   GHashTable *sends;  /* Service -> mq_send_counts *.  */
 } mq_member;
 
@@ -153,7 +153,7 @@
   unsigned ticks;
   GQueue forwards;      /* mq_forward, owned.  */
   GHashTable *services; /* Name -> mq_service_state, owned.  */
-  GHashTable *tokens;   /* "service domain" -> double *, our own.  */
+  GHashTable *tokens;   /* Key of a way to serve -> double *, our own.  */
   bool drain_closed;    /* No new connection and no new stream.  */
   uint64_t drain_close_us;
   uint64_t drain_last_us; /* No new request at all.  */
@@ -179,7 +179,7 @@
   mq_upstream *upstream; /* The one sent to, one reference; NULL: none.  */
   GPtrArray *tried;      /* mq_upstream, one reference each.  */
   mq_layer_path path;    /* Empty for plain services.  */
-  mq_str *domain;        /* Where its tokens are counted, or NULL.  */
+  mq_str *way;           /* Where its tokens are counted, or NULL.  */
   double need;           /* Tokens.  */
   double used;           /* In flight there when it was placed.  */
   mq_http_call *call;    /* Borrowed; NULL between sends.  */
--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -11,10 +11,10 @@
 
 G_BEGIN_DECLS
 
-/* Tokens that each stage should have memory for.  Three chains of this size
-   hold about 360,000 tokens; 72 requests a second of 930 tokens that last 3.5
-   to 4.5 s need 200,000 to 270,000, so that two chains carry the usual load
-   when the third is being repaired.  */
+/* Tokens that each stage should have memory for, at least.  Three chains of
+   this size hold about 360,000 tokens; 72 requests a second of 930 tokens that
+   last 3.5 to 4.5 s need 200,000 to 270,000, so that two chains carry the
+   usual load when the third is being repaired.  */
 #define MQ_PLAN_TOKENS_WANTED 120000.0
 /* Below this a stage is worth nothing: some ten requests.  */
 #define MQ_PLAN_TOKENS_LEAST 8000.0
@@ -42,6 +42,8 @@
   const mq_layered_model *model;
   GArray *engines; /* mq_plan_engine, fastest first.  */
   bool patient;    /* Engines in use are left alone.  */
+  unsigned chains; /* Whole chains that it should hold.  */
+  double wanted;   /* Tokens that each stage should have memory for.  */
 } mq_plan_domain;
 
 /* ---- layer_domain.c  */
@@ -59,16 +61,18 @@
 void mq_plan_engine_move (mq_plan_engine *engine, mq_plan_range range);
 /* How many engines hold each layer; free with g_free.  */
 unsigned *mq_plan_domain_cover (const mq_plan_domain *domain);
-/* The same without what was ordered and is not reported yet: that may come
-   late, or not at all, so nobody may let go of layers for it.  */
+/* The same without what is ordered now, or was and is not reported yet: it may
+   come late, or not at all, so nobody may let go of layers for it.  */
 unsigned *mq_plan_domain_sure_cover (const mq_plan_domain *domain);
 /* Does everything in RANGE stand N times in COVER?  */
 bool mq_plan_cover_reaches (const unsigned *cover, mq_plan_range range,
                             unsigned n);
 void mq_plan_domain_mark_spares (mq_plan_domain *domain);
-/* The runs of layers that nobody holds: mq_plan_range.  Free with
-   g_array_unref.  */
-GArray *mq_plan_domain_gaps (const mq_plan_domain *domain);
+/* The runs of layers that are missing for CHAINS chains, those of the first
+   chain first: mq_plan_range.  Free with g_array_unref.  */
+GArray *mq_plan_domain_gaps (const mq_plan_domain *domain, unsigned chains);
+/* How many chains DOMAIN should hold, and with memory for how many tokens.  */
+void mq_plan_domain_size (mq_plan_domain *domain);
 
 /* ---- layer_repair.c  */
 /* A copy of ENGINES; free with g_array_unref.  */
@@ -86,7 +90,7 @@
 void mq_plan_domain_use_spares (mq_plan_domain *domain);
 
 /* ---- layer_layout.c  */
-/* Deal all layers to the fastest engines that reach.  */
+/* Deal all layers to the fastest engines that reach, for each chain.  */
 void mq_plan_domain_deal (mq_plan_domain *domain);
 /* Lay all layers out anew over all engines, each near to where it was.
    Returns the level, or 0 when memory does not reach or an order is under
--- a/include/mq/layer_path.h
+++ b/include/mq/layer_path.h
@@ -37,6 +37,19 @@
 bool mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
                          const mq_route_service *service, mq_span domain,
                          uint64_t now_us, const mq_upstream *except);
+/* How many paths DOMAIN should have by the memory of its engines
+   (mq_layer_plan_chains).  */
+unsigned mq_layer_path_wanted (mq_registry *registry,
+                               const mq_route_service *service,
+                               mq_span domain);
+
+/* Find up to MOST paths through DOMAIN into PATHS, as far as each layer stands
+   so often; no engine stands in two.  They come in the order of their heads'
+   ids, so that all routers number them alike.  Returns how many.  */
+size_t mq_layer_path_find_all (mq_layer_path *paths, size_t most,
+                               mq_registry *registry,
+                               const mq_route_service *service, mq_span domain,
+                               uint64_t now_us);
 void mq_layer_path_finish (mq_layer_path *path);
 /* INTO, not initialised, becomes a copy with references of its own.  */
 void mq_layer_path_copy (mq_layer_path *into, const mq_layer_path *path);
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -60,6 +60,11 @@
                          mq_layer_holder *holders, size_t n, uint64_t now_us,
                          GArray *orders);
 
+/* How many whole chains a failure domain should hold whose engines have
+   MEMORY_MB; 1 at least.  */
+unsigned mq_layer_plan_chains (const mq_layered_model *model,
+                               double memory_mb);
+
 /* Layers that CARD can hold beside memory for TOKENS tokens.  */
 unsigned mq_layer_plan_room (const mq_layered_model *model,
                              const mq_card *card, double tokens);
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -6,7 +6,9 @@
 #include <mq/log.h>
 #include <string.h>
 
-#define DOMAINS_MOST 64
+/* Ways to serve a request that are weighed, and of these in one domain.  */
+#define WAYS_MOST 64
+#define CHAINS_MOST 8
 
 /* When an upstream should be back: a restart takes some seconds, a repair of
    a chain two.  */
@@ -98,31 +100,49 @@
   return n;
 }
 
-/* "service domain"; free with g_free.  */
+/* What is in flight is counted under "service domain", or, where a domain is
+   to have several paths, "service domain head"; free with g_free.  */
 static char *
-domain_key (const mq_route_service *service, mq_span domain)
+way_key (const mq_route_service *service, mq_span domain,
+         const mq_layer_path *path, bool alone)
 {
-  return g_strdup_printf ("%s %.*s", mq_str_cstr (service->name),
-                          MQ_SPAN_ARG (domain));
+  if (alone)
+    return g_strdup_printf ("%s %.*s", mq_str_cstr (service->name),
+                            MQ_SPAN_ARG (domain));
+  return g_strdup_printf ("%s %.*s %s", mq_str_cstr (service->name),
+                          MQ_SPAN_ARG (domain),
+                          mq_str_cstr (path->parts[0].upstream->facts.id));
+}
+
+/* A way to serve a request.  */
+typedef struct place_way
+{
+  mq_layer_path path;
+  char *key; /* Of what is in flight on it, owned.  */
+} place_way;
+
+static void
+way_finish (place_way *way)
+{
+  mq_layer_path_finish (&way->path);
+  g_free (way->key);
 }
 
 static mq_domain_choice
-choice_of (mq_forward *forward, const mq_layer_path *path, mq_span domain,
+choice_of (mq_forward *forward, const place_way *way, mq_span domain,
            uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
-  char *key = domain_key (forward->service, domain);
-  mq_domain_choice c
-      = { .domain = domain,
-          .room = path->tokens,
-          .used = *domain_tokens (g, key) + mq_members_tokens (g, key, now_us),
-          .step_ms = path->step_ms,
-          .tried = forward_has_tried (forward, path->parts[0].upstream),
-          .local = mq_span_equal (domain,
-                                  mq_str_span (g->settings->failure_domain)) };
-
-  g_free (key);
-  return c;
+
+  return (mq_domain_choice){
+    .domain = domain,
+    .room = way->path.tokens,
+    .used
+    = *domain_tokens (g, way->key) + mq_members_tokens (g, way->key, now_us),
+    .step_ms = way->path.step_ms,
+    .tried = forward_has_tried (forward, way->path.parts[0].upstream),
+    .local = mq_span_equal (domain, mq_str_span (g->settings->failure_domain))
+  };
 }
 
 static mq_domain_rank
@@ -138,51 +158,68 @@
              : MQ_DOMAIN_NEW;
 }
 
-/* The ways to serve FORWARD now, into PATHS and CHOICES, which have room for
-   DOMAINS_MOST.  Returns how many; the paths are then the caller's.  */
+/* The ways to serve FORWARD in DOMAIN, into WAYS and CHOICES, which have room
+   for CHAINS_MOST.  Returns how many.  */
 static size_t
-place_list (mq_forward *forward, uint64_t now_us, mq_layer_path *paths,
-            mq_domain_choice *choices)
+place_list_domain (mq_forward *forward, mq_span domain, uint64_t now_us,
+                   place_way *ways, mq_domain_choice *choices)
 {
-  const GPtrArray *groups = mq_registry_groups (
-      &forward->gateway->registry, mq_str_span (forward->service->name));
+  mq_registry *registry = &forward->gateway->registry;
+  mq_layer_path paths[CHAINS_MOST];
+  unsigned wanted = MIN (
+      mq_layer_path_wanted (registry, forward->service, domain), CHAINS_MOST);
+  size_t found = mq_layer_path_find_all (paths, wanted, registry,
+                                         forward->service, domain, now_us);
   size_t n = 0;
 
-  for (guint i = 0; groups != NULL && i < groups->len && n < DOMAINS_MOST; i++)
+  for (size_t i = 0; i < found; i++)
     {
-      mq_layer_path *p = &paths[n];
-      mq_span domain = mq_str_span (
-          ((mq_upstream_group *)g_ptr_array_index (groups, i))->domain);
-
-      if (!mq_layer_path_find (p, &forward->gateway->registry,
-                               forward->service, domain, now_us, NULL))
-        continue;
       if (!forward->state.begun
-          && now_us < p->parts[0].upstream->crowded_until_us)
+          && now_us < paths[i].parts[0].upstream->crowded_until_us)
         {
-          mq_layer_path_finish (p);
+          mq_layer_path_finish (&paths[i]);
           continue;
         }
-      choices[n] = choice_of (forward, p, domain, now_us);
+      ways[n].path = paths[i];
+      ways[n].key = way_key (forward->service, domain, &paths[i], wanted == 1);
+      choices[n] = choice_of (forward, &ways[n], domain, now_us);
       n++;
     }
   return n;
 }
 
-/* Take PATH in the domain of CHOICE for FORWARD.  */
+/* The ways to serve FORWARD now, into WAYS and CHOICES, which have room for
+   WAYS_MOST.  Returns how many; the ways are then the caller's.  */
+static size_t
+place_list (mq_forward *forward, uint64_t now_us, place_way *ways,
+            mq_domain_choice *choices)
+{
+  const GPtrArray *groups = mq_registry_groups (
+      &forward->gateway->registry, mq_str_span (forward->service->name));
+  size_t n = 0;
+
+  for (guint i = 0;
+       groups != NULL && i < groups->len && n + CHAINS_MOST <= WAYS_MOST; i++)
+    {
+      const mq_upstream_group *g = g_ptr_array_index (groups, i);
+
+      n += place_list_domain (forward, mq_str_span (g->domain), now_us,
+                              &ways[n], &choices[n]);
+    }
+  return n;
+}
+
+/* Take WAY, which CHOICE tells of, for FORWARD.  */
 static void
-place_take (mq_forward *forward, const mq_layer_path *path,
+place_take (mq_forward *forward, const place_way *way,
             const mq_domain_choice *choice, uint64_t now_us)
 {
-  char *key = domain_key (forward->service, choice->domain);
-
-  mq_layer_path_copy (&forward->path, path);
-  for (unsigned i = 0; i < path->n; i++)
-    path->parts[i].upstream->passed_us = now_us;
+  mq_layer_path_copy (&forward->path, &way->path);
+  for (unsigned i = 0; i < way->path.n; i++)
+    way->path.parts[i].upstream->passed_us = now_us;
   forward->used = choice->used;
-  *domain_tokens (forward->gateway, key) += forward->need;
-  forward->domain = mq_str_new (mq_span_from (key));
-  g_free (key);
+  *domain_tokens (forward->gateway, way->key) += forward->need;
+  forward->way = mq_str_new (mq_span_from (way->key));
 }
 
 /* Note what FORWARD could not be placed in.  */
@@ -206,14 +243,14 @@
 static int
 place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
-  mq_domain_choice choices[DOMAINS_MOST];
-  mq_layer_path *paths = g_new0 (mq_layer_path, DOMAINS_MOST);
-  size_t n = place_list (forward, now_us, paths, choices);
+  mq_domain_choice choices[WAYS_MOST];
+  place_way *ways = g_new0 (place_way, WAYS_MOST);
+  size_t n = place_list (forward, now_us, ways, choices);
   int chosen
       = mq_domain_choose (choices, n, forward->need, forward_rank (forward));
 
   if (chosen >= 0)
-    place_take (forward, &paths[chosen], &choices[chosen], now_us);
+    place_take (forward, &ways[chosen], &choices[chosen], now_us);
   else
     {
       *retry_ms
@@ -223,26 +260,26 @@
         place_tell_choices (forward, choices, n);
     }
   for (size_t i = 0; i < n; i++)
-    mq_layer_path_finish (&paths[i]);
-  g_free (paths);
+    way_finish (&ways[i]);
+  g_free (ways);
   return chosen >= 0 ? 0 : -1;
 }
 
 bool
 mq_forward_can_place (mq_forward *forward, uint64_t now_us)
 {
-  mq_domain_choice choices[DOMAINS_MOST];
-  mq_layer_path *paths = g_new0 (mq_layer_path, DOMAINS_MOST);
-  size_t n = place_list (forward, now_us, paths, choices);
+  mq_domain_choice choices[WAYS_MOST];
+  place_way *ways = g_new0 (place_way, WAYS_MOST);
+  size_t n = place_list (forward, now_us, ways, choices);
   size_t others = 0;
 
   for (size_t i = 0; i < n; i++)
     {
-      mq_layer_path_finish (&paths[i]);
+      way_finish (&ways[i]);
       if (!choices[i].tried)
         choices[others++] = choices[i];
     }
-  g_free (paths);
+  g_free (ways);
   return mq_domain_choose (choices, others, forward->need,
                            forward_rank (forward))
          >= 0;
@@ -277,9 +314,9 @@
 mq_forward_unplace (mq_forward *forward)
 {
   mq_layer_path_finish (&forward->path);
-  if (forward->domain == NULL)
+  if (forward->way == NULL)
     return;
-  *domain_tokens (forward->gateway, mq_str_cstr (forward->domain))
+  *domain_tokens (forward->gateway, mq_str_cstr (forward->way))
       -= forward->need;
-  g_clear_pointer (&forward->domain, mq_str_unref);
+  g_clear_pointer (&forward->way, mq_str_unref);
 }
--- /dev/null
+++ b/packages/route/layer_chains.c
@@ -0,0 +1,199 @@
+/* Several paths through one failure domain, no engine in two of them: see
+   mq/layer_path.h.
+
+   Where each layer stands N times, N whole paths exist: go on with the path
+   that has come least far, by any engine that is free and holds its next
+   layer.  There always is one, since each of the other paths, all further on,
+   takes one of the N that hold that layer.  So the choice among the free ones
+   is open, and goes by memory, then by how far they reach.  */
+
+#include <mq/internal/layer_path.h>
+
+#include <mq/layer_plan.h>
+#include <string.h>
+
+/* An engine may have so much less memory than the roomiest if it reaches
+   further.  */
+#define ROOM_LEAST 0.85
+
+typedef struct chain_sweep
+{
+  const mq_layered_model *model; /* Borrowed.  */
+  const GArray *edges;           /* mq_path_edge, borrowed.  */
+  bool *taken;                   /* By edge.  */
+  unsigned *ends;                /* By path: the layers that it runs.  */
+  uint64_t now_us;
+} chain_sweep;
+
+/* How often each layer stands among EDGES, at least.  */
+static unsigned
+edges_least_cover (const GArray *edges, const mq_layered_model *model)
+{
+  unsigned *cover = g_new0 (unsigned, model->layers + 1);
+  unsigned least = G_MAXUINT;
+
+  for (guint i = 0; i < edges->len; i++)
+    {
+      const mq_upstream_facts *f
+          = &g_array_index (edges, mq_path_edge, i).upstream->facts;
+
+      for (unsigned l = f->layer_first; l < f->layer_end; l++)
+        cover[l]++;
+    }
+  for (unsigned l = 0; l < model->layers; l++)
+    least = MIN (least, cover[l]);
+  g_free (cover);
+  return least;
+}
+
+/* Tokens that the edge has memory for from layer FIRST on; 0 when it is taken
+   or does not hold that layer.  */
+static double
+sweep_room (const chain_sweep *sweep, guint edge, unsigned first)
+{
+  const mq_path_edge *e = &g_array_index (sweep->edges, mq_path_edge, edge);
+  const mq_upstream_facts *f = &e->upstream->facts;
+
+  if (sweep->taken[edge] || first < f->layer_first || first >= f->layer_end)
+    return 0;
+  return mq_path_part_tokens (e->upstream, e->card, sweep->model, first,
+                              f->layer_end, sweep->now_us)
+         / mq_upstream_slowness (e->upstream, sweep->now_us);
+}
+
+/* The engine with which a path that has run the layers below FIRST goes on, or
+   -1.  */
+static int
+sweep_choose (const chain_sweep *sweep, unsigned first)
+{
+  double roomiest = 0;
+  unsigned furthest = 0;
+  int chosen = -1;
+
+  for (guint i = 0; i < sweep->edges->len; i++)
+    roomiest = MAX (roomiest, sweep_room (sweep, i, first));
+  for (guint i = 0; i < sweep->edges->len; i++)
+    {
+      double room = sweep_room (sweep, i, first);
+      unsigned end = g_array_index (sweep->edges, mq_path_edge, i)
+                         .upstream->facts.layer_end;
+
+      if (room <= 0 || room < roomiest * ROOM_LEAST || end <= furthest)
+        continue;
+      furthest = end;
+      chosen = (int)i;
+    }
+  return chosen;
+}
+
+/* Lead PATH one engine further; false when it can't be.  */
+static bool
+sweep_step (chain_sweep *sweep, mq_layer_path *path, unsigned *end)
+{
+  int chosen = sweep_choose (sweep, *end);
+  const mq_path_edge *e;
+
+  if (chosen < 0 || path->n == MQ_LAYER_PATH_PARTS)
+    return false;
+  e = &g_array_index (sweep->edges, mq_path_edge, chosen);
+  sweep->taken[chosen] = true;
+  path->parts[path->n++]
+      = (mq_layer_part){ mq_upstream_ref (e->upstream), *end,
+                         e->upstream->facts.layer_end };
+  path->step_ms += MQ_PATH_HOP_MS
+                   + (e->upstream->facts.layer_end - *end) * e->card->pace
+                         * sweep->model->step_ms / sweep->model->layers
+                         * mq_upstream_slowness (e->upstream, sweep->now_us);
+  *end = e->upstream->facts.layer_end;
+  return true;
+}
+
+/* Lead the N PATHS to the last layer.  Returns false when one did not get
+   there.  */
+static bool
+sweep_run (chain_sweep *sweep, mq_layer_path *paths, unsigned n)
+{
+  while (true)
+    {
+      unsigned least = 0;
+
+      for (unsigned i = 1; i < n; i++)
+        if (sweep->ends[i] < sweep->ends[least])
+          least = i;
+      if (sweep->ends[least] >= sweep->model->layers)
+        return true;
+      if (!sweep_step (sweep, &paths[least], &sweep->ends[least]))
+        return false;
+    }
+}
+
+static int
+path_compare (const void *a, const void *b)
+{
+  const mq_layer_path *x = a;
+  const mq_layer_path *y = b;
+
+  return strcmp (x->parts[0].upstream->facts.id->data,
+                 y->parts[0].upstream->facts.id->data);
+}
+
+/* N paths over EDGES into PATHS; false, and nothing to finish, when they
+   can't be had.  */
+static bool
+chains_find (mq_layer_path *paths, unsigned n, const GArray *edges,
+             const mq_layered_model *model, uint64_t now_us)
+{
+  chain_sweep s = { model, edges, g_new0 (bool, edges->len),
+                    g_new0 (unsigned, n), now_us };
+  bool found;
+
+  memset (paths, 0, n * sizeof *paths);
+  found = sweep_run (&s, paths, n);
+  for (unsigned i = 0; i < n; i++)
+    if (found)
+      paths[i].tokens = mq_path_tokens (&paths[i], model, now_us);
+    else
+      mq_layer_path_finish (&paths[i]);
+  if (found)
+    qsort (paths, n, sizeof *paths, path_compare);
+  g_free (s.taken);
+  g_free (s.ends);
+  return found;
+}
+
+unsigned
+mq_layer_path_wanted (mq_registry *registry, const mq_route_service *service,
+                      mq_span domain)
+{
+  const mq_upstream_group *g
+      = mq_registry_group (registry, mq_str_span (service->name), domain);
+  double memory_mb = 0;
+
+  for (guint i = 0; g != NULL && i < g->upstreams->len; i++)
+    {
+      const mq_upstream *u = g_ptr_array_index (g->upstreams, i);
+      const mq_card *c = u->facts.card == NULL
+                             ? NULL
+                             : mq_layered_model_card (
+                                 &service->model, mq_str_span (u->facts.card));
+
+      if (c != NULL && !u->facts.draining)
+        memory_mb += c->memory_mb;
+    }
+  return mq_layer_plan_chains (&service->model, memory_mb);
+}
+
+size_t
+mq_layer_path_find_all (mq_layer_path *paths, size_t most,
+                        mq_registry *registry, const mq_route_service *service,
+                        mq_span domain, uint64_t now_us)
+{
+  GArray *edges = mq_path_edges (registry, service, domain, now_us, NULL);
+  const mq_layered_model *m = &service->model;
+  unsigned n = (unsigned)MIN (edges_least_cover (edges, m), most);
+
+  if (n < 2 || !chains_find (paths, n, edges, m, now_us))
+    n = most > 0 && mq_path_find_best (&paths[0], edges, m, now_us);
+  g_array_unref (edges);
+  return n;
+}
--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -5,10 +5,29 @@
 
 #include <math.h>
 
+/* A failure domain holds one chain for each time that its memory holds the
+   weights so often: a second chain costs the weights once more, and gains
+   another head, whose places bound what enters, and a chain that stands when
+   the other breaks.  At 1.9 the users' first deployments have one (250 to 317
+   GB for 140 GB of weights) and the grown ones two (640 to 705 GB).  */
+#define CHAIN_WEIGHTS 1.9
+/* Part of the memory for a chain that its layers and requests take; the rest
+   holds second copies.  */
+#define CHAIN_SHARE 0.66
+
 /* Cards whose paces differ by less than this are taken by memory, since a
    larger card makes the chain shorter.  */
 #define PACE_ALIKE 1.25
 
+unsigned
+mq_layer_plan_chains (const mq_layered_model *model, double memory_mb)
+{
+  double weights = model->layers * model->layer_mb;
+
+  return weights > 0 ? (unsigned)MAX (memory_mb / (weights * CHAIN_WEIGHTS), 1)
+                     : 1;
+}
+
 unsigned
 mq_layer_plan_room (const mq_layered_model *model, const mq_card *card,
                     double tokens)
@@ -108,7 +127,7 @@
     {
       const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
 
-      if (!e->holder->awaited)
+      if (!e->holder->awaited && !e->moved)
         cover_add (cover, domain->model, e->range);
     }
   return cover;
@@ -129,7 +148,8 @@
 }
 
 /* Mark the spares: those that hold nothing, and then one after the other
-   those whose layers stand twice without the spares so far.  */
+   those whose layers stand once more than there are chains, without the spares
+   so far.  */
 void
 mq_plan_domain_mark_spares (mq_plan_domain *domain)
 {
@@ -152,7 +172,7 @@
           if (!e->spare && !e->holder->fixed
               && !(domain->patient && e->holder->used)
               && mq_plan_range_size (e->range) > 0
-              && mq_plan_cover_reaches (cover, e->range, 2)
+              && mq_plan_cover_reaches (cover, e->range, domain->chains + 1)
               && engine_is_better_spare (e, next))
             next = e;
         }
@@ -167,27 +187,51 @@
   g_free (cover);
 }
 
-/* Append the runs of layers that nobody holds.  */
-GArray *
-mq_plan_domain_gaps (const mq_plan_domain *domain)
+/* Append the runs of layers that stand less than N times in COVER.  */
+static void
+cover_add_gaps (const unsigned *cover, unsigned layers, unsigned n,
+                GArray *gaps)
 {
-  GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-  unsigned *cover = mq_plan_domain_cover (domain);
-  unsigned n = domain->model->layers;
-
-  for (unsigned l = 0; l < n; l++)
+  for (unsigned l = 0; l < layers; l++)
     {
       mq_plan_range g = { l, l };
 
-      while (l < n && cover[l] == 0)
+      while (l < layers && cover[l] < n)
         g.end = ++l;
       if (mq_plan_range_size (g) > 0)
         g_array_append_val (gaps, g);
     }
+}
+
+GArray *
+mq_plan_domain_gaps (const mq_plan_domain *domain, unsigned chains)
+{
+  GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
+  unsigned *cover = mq_plan_domain_cover (domain);
+
+  for (unsigned n = 1; n <= chains; n++)
+    cover_add_gaps (cover, domain->model->layers, n, gaps);
   g_free (cover);
   return gaps;
 }
 
+void
+mq_plan_domain_size (mq_plan_domain *domain)
+{
+  double weights = domain->model->layers * domain->model->layer_mb;
+  double memory = 0;
+  double kv;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    memory += mq_plan_domain_engine (domain, i)->holder->card->memory_mb;
+  domain->chains = mq_layer_plan_chains (domain->model, memory);
+  domain->wanted = MQ_PLAN_TOKENS_WANTED;
+  if (domain->model->kv_mb_per_token <= 0)
+    return;
+  kv = memory / domain->chains * CHAIN_SHARE - weights;
+  domain->wanted = MAX (domain->wanted, kv / domain->model->kv_mb_per_token);
+}
+
 void
 mq_plan_engine_move (mq_plan_engine *engine, mq_plan_range range)
 {
--- a/packages/route/layer_layout.c
+++ b/packages/route/layer_layout.c
@@ -21,13 +21,13 @@
   return 0;
 }
 
-/* Deal all layers to the fastest engines that reach, the memory beside the
+/* Deal one chain to the fastest engines that reach, the memory beside the
    layers even in tokens.  */
-void
-mq_plan_domain_deal (mq_plan_domain *domain)
+static void
+domain_deal_chain (mq_plan_domain *domain)
 {
   unsigned n = domain->model->layers;
-  double low = MQ_PLAN_TOKENS_WANTED;
+  double low = domain->wanted;
   double high;
   guint count = 0;
   unsigned at = 0;
@@ -59,6 +59,28 @@
     }
 }
 
+/* Deal the Nth of DOMAIN's chains to each so manieth engine.  */
+static void
+domain_deal_nth (mq_plan_domain *domain, unsigned n)
+{
+  mq_plan_domain part = *domain;
+
+  part.engines = g_array_new (FALSE, FALSE, sizeof (mq_plan_engine));
+  for (guint i = n; i < domain->engines->len; i += domain->chains)
+    g_array_append_val (part.engines, *mq_plan_domain_engine (domain, i));
+  domain_deal_chain (&part);
+  for (guint i = n, k = 0; i < domain->engines->len; i += domain->chains, k++)
+    *mq_plan_domain_engine (domain, i) = *mq_plan_domain_engine (&part, k);
+  g_array_unref (part.engines);
+}
+
+void
+mq_plan_domain_deal (mq_plan_domain *domain)
+{
+  for (unsigned n = 0; n < domain->chains; n++)
+    domain_deal_nth (domain, n);
+}
+
 /* Where an engine should stand among the others: at the middle of what it
    holds, so that it keeps most of it; a spare at the first gap.  */
 static double
@@ -86,7 +108,7 @@
 double
 mq_plan_domain_lay_out (mq_plan_domain *domain, const GArray *gaps)
 {
-  double level = MQ_PLAN_TOKENS_WANTED;
+  double level = domain->wanted;
   unsigned at = 0;
 
   for (guint i = 0; i < domain->engines->len; i++)
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -11,15 +11,10 @@
    layers have little, and were faster by a hop (halvorsen mix --seed
    148490134079: 65,000 tokens where 107,000 could be had).  */
 
-#include <mq/layer_path.h>
+#include <mq/internal/layer_path.h>
 
 #include <string.h>
 
-/* What a further engine on the path costs a token: one transfer inside a
-   failure domain (0.1 ms) and its wait for the pass under way, which is half
-   a pass; estimated, to prefer short paths among equals.  */
-#define HOP_MS 0.4
-
 /* A path may have so much less memory than the roomiest if it is faster: the
    fastest cards shorten a request by about as much as they may cost room.  */
 #define ROOM_LEAST 0.85
@@ -34,17 +29,11 @@
   mq_upstream *upstream; /* Of the last part, borrowed.  */
 } path_step;
 
-typedef struct path_edge
-{
-  mq_upstream *upstream; /* Borrowed.  */
-  const mq_card *card;
-} path_edge;
-
 static int
 edge_compare (gconstpointer a, gconstpointer b)
 {
-  const path_edge *x = a;
-  const path_edge *y = b;
+  const mq_path_edge *x = a;
+  const mq_path_edge *y = b;
 
   if (x->upstream->facts.layer_first != y->upstream->facts.layer_first)
     return x->upstream->facts.layer_first < y->upstream->facts.layer_first ? -1
@@ -61,7 +50,7 @@
   for (guint i = 0; i < group->upstreams->len; i++)
     {
       mq_upstream *u = g_ptr_array_index (group->upstreams, i);
-      path_edge e = { u, NULL };
+      mq_path_edge e = { u, NULL };
 
       if (u == except || u->facts.layer_first >= u->facts.layer_end
           || u->facts.layer_end > model->layers
@@ -73,12 +62,11 @@
     }
 }
 
-/* Engines that may serve, in the order of their first layers.  */
-static GArray *
-path_edges (mq_registry *registry, const mq_route_service *service,
-            mq_span domain, uint64_t now_us, const mq_upstream *except)
+GArray *
+mq_path_edges (mq_registry *registry, const mq_route_service *service,
+               mq_span domain, uint64_t now_us, const mq_upstream *except)
 {
-  GArray *edges = g_array_new (FALSE, FALSE, sizeof (path_edge));
+  GArray *edges = g_array_new (FALSE, FALSE, sizeof (mq_path_edge));
   const GPtrArray *groups
       = mq_registry_groups (registry, mq_str_span (service->name));
 
@@ -93,13 +81,10 @@
   return edges;
 }
 
-/* Tokens that fit on the part of UPSTREAM, whose card is CARD, from FIRST to
-   END.  All layers that it holds take memory, but only those of the part take
-   tokens.  One that works slowly holds each of them for longer.  */
-static double
-part_tokens (const mq_upstream *upstream, const mq_card *card,
-             const mq_layered_model *model, unsigned first, unsigned end,
-             uint64_t now_us)
+double
+mq_path_part_tokens (const mq_upstream *upstream, const mq_card *card,
+                     const mq_layered_model *model, unsigned first,
+                     unsigned end, uint64_t now_us)
 {
   double left = card->memory_mb
                 - mq_upstream_layers (upstream, now_us) * model->layer_mb;
@@ -139,7 +124,7 @@
 
 /* Let EDGE take over at each layer it holds that can be reached.  */
 static void
-search_relax (path_search *search, const path_edge *edge)
+search_relax (path_search *search, const mq_path_edge *edge)
 {
   const mq_upstream *u = edge->upstream;
   const mq_layered_model *m = search->model;
@@ -155,9 +140,9 @@
 
       if (before->cost >= NO_COST || before->upstream == u)
         continue;
-      tokens
-          = part_tokens (u, edge->card, m, l, end, search->now_us) / slowness;
-      s = (path_step){ before->cost + HOP_MS + (end - l) * each,
+      tokens = mq_path_part_tokens (u, edge->card, m, l, end, search->now_us)
+               / slowness;
+      s = (path_step){ before->cost + MQ_PATH_HOP_MS + (end - l) * each,
                        MIN (before->room, tokens), l, edge->upstream };
       if (s.room >= search->room_least
           && step_is_better (&s, &search->steps[end], search->aim))
@@ -180,7 +165,7 @@
      order, so that one pass reaches all but ways that begin inside a range
      which was relaxed before; those are found by its neighbours' ends.  */
   for (guint i = 0; i < edges->len; i++)
-    search_relax (search, &g_array_index (edges, path_edge, i));
+    search_relax (search, &g_array_index (edges, mq_path_edge, i));
   return &search->steps[layers];
 }
 
@@ -205,10 +190,9 @@
     path->n = 0;
 }
 
-/* The tokens that fit on the tightest stage.  */
-static double
-path_tokens (const mq_layer_path *path, const mq_layered_model *model,
-             uint64_t now_us)
+double
+mq_path_tokens (const mq_layer_path *path, const mq_layered_model *model,
+                uint64_t now_us)
 {
   double least = NO_COST;
 
@@ -218,21 +202,18 @@
       const mq_card *c = mq_layered_model_card (
           model, mq_str_span (p->upstream->facts.card));
 
-      least = MIN (least, part_tokens (p->upstream, c, model, p->first, p->end,
-                                       now_us));
+      least = MIN (least, mq_path_part_tokens (p->upstream, c, model, p->first,
+                                               p->end, now_us));
     }
   return least;
 }
 
 bool
-mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
-                    const mq_route_service *service, mq_span domain,
-                    uint64_t now_us, const mq_upstream *except)
+mq_path_find_best (mq_layer_path *path, const GArray *edges,
+                   const mq_layered_model *model, uint64_t now_us)
 {
-  const mq_layered_model *m = &service->model;
-  GArray *edges = path_edges (registry, service, domain, now_us, except);
-  path_step *steps = g_new (path_step, m->layers + 1);
-  path_search search = { m, PATH_ROOMIEST, 0, now_us, steps };
+  path_step *steps = g_new (path_step, model->layers + 1);
+  path_search search = { model, PATH_ROOMIEST, 0, now_us, steps };
   const path_step *last;
 
   memset (path, 0, sizeof *path);
@@ -244,17 +225,28 @@
       last = search_run (&search, edges);
     }
   if (last->cost < NO_COST)
-    path_trace (path, steps, m);
+    path_trace (path, steps, model);
   g_free (steps);
-  g_array_unref (edges);
   if (path->n == 0)
     return false;
-  path->tokens = path_tokens (path, m, now_us);
+  path->tokens = mq_path_tokens (path, model, now_us);
   for (unsigned i = 0; i < path->n; i++)
     mq_upstream_ref (path->parts[i].upstream);
   return true;
 }
 
+bool
+mq_layer_path_find (mq_layer_path *path, mq_registry *registry,
+                    const mq_route_service *service, mq_span domain,
+                    uint64_t now_us, const mq_upstream *except)
+{
+  GArray *edges = mq_path_edges (registry, service, domain, now_us, except);
+  bool found = mq_path_find_best (path, edges, &service->model, now_us);
+
+  g_array_unref (edges);
+  return found;
+}
+
 void
 mq_layer_path_finish (mq_layer_path *path)
 {
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -1,7 +1,7 @@
 /* Which engine should hold which layers: see mq/layer_plan.h.
 
-   For each failure domain:
-   1. Layers that nobody holds are gaps.  They are filled by spares: engines
+   For each failure domain, which has one chain or, with much memory, several:
+   1. Layers that a chain lacks are gaps.  They are filled by spares: engines
       that hold nothing, and then those whose layers others hold as well.  All
       gaps are filled at one level, the most tokens that every stage keeps
       memory for; only where no level reaches do neighbours of a gap hold more
@@ -68,9 +68,10 @@
   GArray *gaps;
 
   g_array_sort (domain->engines, mq_plan_engine_compare);
+  mq_plan_domain_size (domain);
   if (domain_holds_nothing (domain))
     mq_plan_domain_deal (domain);
-  gaps = mq_plan_domain_gaps (domain);
+  gaps = mq_plan_domain_gaps (domain, domain->chains);
   domain->patient = memory_is_patient (memory, domain, gaps->len > 0, now_us);
   mq_plan_domain_mark_spares (domain);
   if (gaps->len > 0)
@@ -129,7 +130,8 @@
              GArray *orders)
 {
   mq_plan_domain d
-      = { model, g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)), false };
+      = { .model = model,
+          .engines = g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)) };
 
   for (guint i = 0; i < n; i++)
     {
--- a/packages/route/layer_repair.c
+++ b/packages/route/layer_repair.c
@@ -6,9 +6,9 @@
 
 #include <mq/internal/layer_plan.h>
 
-/* A repair goes down to this before it makes neighbours of a gap hold more;
-   a third of what is wanted still serves a third of the domain's load.  */
-#define TOKENS_FLOOR 40000.0
+/* A repair goes down to this part of what is wanted before it makes neighbours
+   of a gap hold more: a third still serves a third of the load.  */
+#define FLOOR_SHARE (1 / 3.0)
 /* A new layout moves most engines, which takes some seconds.  */
 #define LAY_OUT_GAIN 2.0
 
@@ -149,7 +149,7 @@
 domain_fill_all (mq_plan_domain *domain, const GArray *gaps, double least,
                  bool stretch)
 {
-  double level = MQ_PLAN_TOKENS_WANTED;
+  double level = domain->wanted;
 
   while (level >= least)
     {
@@ -160,6 +160,12 @@
   return 0;
 }
 
+static double
+domain_floor (const mq_plan_domain *domain)
+{
+  return domain->wanted * FLOOR_SHARE;
+}
+
 /* Fill what can be filled of GAPS by spares, one by one.  */
 static void
 domain_fill_some (mq_plan_domain *domain, const GArray *gaps)
@@ -169,32 +175,27 @@
       GArray *one = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
 
       g_array_append_val (one, g_array_index (gaps, mq_plan_range, i));
-      (void)domain_fill_all (domain, one, TOKENS_FLOOR, false);
+      (void)domain_fill_all (domain, one, domain_floor (domain), false);
       g_array_unref (one);
     }
 }
 
-/* Fill GAPS: by spares; or by spares and neighbours; or, where that leaves
-   less than half of what a new layout would, by a new layout.  */
-void
-mq_plan_domain_repair (mq_plan_domain *domain, const GArray *gaps)
+/* Fill GAPS, without which there is no chain at all: by spares and neighbours;
+   or, where that leaves less than half of what a new layout would, by a new
+   layout.  That moves all engines, so not where other chains serve.  */
+static void
+domain_rebuild (mq_plan_domain *domain, const GArray *gaps)
 {
-  GArray *before;
-  double stretched;
-  double laid_out;
+  GArray *before = mq_plan_engines_copy (domain->engines);
+  double floor_tokens = domain_floor (domain);
+  double stretched = domain_fill_all (
+      domain, gaps, domain->chains > 1 ? floor_tokens : MQ_PLAN_TOKENS_LEAST,
+      true);
 
-  if (domain_fill_all (domain, gaps, TOKENS_FLOOR, false) > 0)
-    return;
-  if (domain->patient)
-    {
-      domain_fill_some (domain, gaps);
-      return;
-    }
-  before = mq_plan_engines_copy (domain->engines);
-  stretched = domain_fill_all (domain, gaps, MQ_PLAN_TOKENS_LEAST, true);
-  if (stretched < TOKENS_FLOOR)
+  if (stretched < floor_tokens && domain->chains == 1)
     {
       GArray *other = domain->engines;
+      double laid_out;
 
       domain->engines = mq_plan_engines_copy (before);
       laid_out = mq_plan_domain_lay_out (domain, gaps);
@@ -208,3 +209,20 @@
     }
   g_array_unref (before);
 }
+
+void
+mq_plan_domain_repair (mq_plan_domain *domain, const GArray *gaps)
+{
+  GArray *rest;
+
+  if (domain_fill_all (domain, gaps, domain_floor (domain), false) > 0)
+    return;
+  if (domain->patient || domain->chains > 1)
+    domain_fill_some (domain, gaps);
+  if (domain->patient)
+    return;
+  rest = mq_plan_domain_gaps (domain, 1);
+  if (rest->len > 0)
+    domain_rebuild (domain, rest);
+  g_array_unref (rest);
+}
--- a/packages/route/layer_spares.c
+++ b/packages/route/layer_spares.c
@@ -8,8 +8,9 @@
 
 #include <string.h>
 
-/* A second copy needs to carry the load only until the repair.  */
-#define TOKENS_COPY 60000.0
+/* A second copy needs to carry the load only until the repair: it has memory
+   for this part of what is wanted.  */
+#define COPY_SHARE 0.5
 /* A holder with less than this part of the wanted tokens bounds its chain
    enough for a spare to take its place.  */
 #define TIGHT_BELOW 0.8
@@ -24,25 +25,26 @@
   for (guint i = 0; i < domain->engines->len; i++)
     {
       mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-      unsigned room = mq_plan_engine_room (domain, e, MQ_PLAN_TOKENS_WANTED);
+      unsigned room = mq_plan_engine_room (domain, e, domain->wanted);
       unsigned *cover;
       mq_plan_range over;
 
       if (e->moved || e->spare || e->holder->fixed
           || mq_plan_range_size (e->range) <= room
           || mq_plan_engine_tokens (domain, e)
-                 >= MQ_PLAN_TOKENS_WANTED * RELIEF_BELOW)
+                 >= domain->wanted * RELIEF_BELOW)
         continue;
       cover = mq_plan_domain_sure_cover (domain);
       over = (mq_plan_range){ e->range.first + room, e->range.end };
-      if (mq_plan_cover_reaches (cover, over, 2))
+      if (mq_plan_cover_reaches (cover, over, domain->chains + 1))
         mq_plan_engine_move (e, (mq_plan_range){ e->range.first, over.first });
       else
         {
           GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
 
           g_array_append_val (gaps, over);
-          (void)mq_plan_domain_try (domain, gaps, TOKENS_COPY, false);
+          (void)mq_plan_domain_try (domain, gaps, domain->wanted * COPY_SHARE,
+                                    false);
           g_array_unref (gaps);
         }
       g_free (cover);
@@ -68,14 +70,15 @@
           mq_plan_range r = mq_plan_domain_engine (domain, i)->range;
 
           if (mq_plan_range_size (r) > mq_plan_range_size (best)
-              && !mq_plan_cover_reaches (cover, r, 2))
+              && !mq_plan_cover_reaches (cover, r, domain->chains + 1))
             {
               GArray *gaps
                   = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
               GArray *before = mq_plan_engines_copy (domain->engines);
 
               g_array_append_val (gaps, r);
-              if (mq_plan_domain_try (domain, gaps, TOKENS_COPY, false))
+              if (mq_plan_domain_try (domain, gaps,
+                                      domain->wanted * COPY_SHARE, false))
                 best = r;
               g_array_unref (domain->engines);
               domain->engines = before;
@@ -87,7 +90,8 @@
           GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
 
           g_array_append_val (gaps, best);
-          found = mq_plan_domain_try (domain, gaps, TOKENS_COPY, false);
+          found = mq_plan_domain_try (domain, gaps,
+                                      domain->wanted * COPY_SHARE, false);
           g_array_unref (gaps);
         }
       g_free (cover);
@@ -100,7 +104,7 @@
 {
   return !engine->spare && mq_plan_range_size (engine->range) > 0
          && mq_plan_engine_tokens (domain, engine)
-                < MQ_PLAN_TOKENS_WANTED * TIGHT_BELOW;
+                < domain->wanted * TIGHT_BELOW;
 }
 
 /* What is gained when the layers of ENGINE stand once more; 0 when they do
@@ -112,7 +116,7 @@
   unsigned size = mq_plan_range_size (engine->range);
 
   if (size == 0 || engine->moved || engine->holder->awaited
-      || mq_plan_cover_reaches (cover, engine->range, 2))
+      || mq_plan_cover_reaches (cover, engine->range, domain->chains + 1))
     return 0;
   return size + (engine_is_tight (domain, engine) ? domain->model->layers : 0);
 }
@@ -139,7 +143,7 @@
 static mq_plan_range
 domain_best_run (const mq_plan_domain *domain, const mq_plan_engine *engine)
 {
-  unsigned room = mq_plan_engine_room (domain, engine, MQ_PLAN_TOKENS_WANTED);
+  unsigned room = mq_plan_engine_room (domain, engine, domain->wanted);
   unsigned layers = domain->model->layers;
   unsigned *cover = mq_plan_domain_cover (domain);
   unsigned *values = g_new (unsigned, layers + 1);
--- a/tests/support/chain_world.h
+++ b/tests/support/chain_world.h
@@ -197,6 +197,32 @@
     return n;
   }
 
+  /* The same of all its paths.  */
+  std::vector<double>
+  all_tokens (const std::string &domain) const
+  {
+    mq_registry r;
+    mq_layer_path paths[8];
+    std::vector<double> tokens;
+    size_t n;
+
+    mq_registry_init (&r);
+    for (const Engine &e : engines)
+      put (r, e);
+    n = mq_layer_path_find_all (
+        paths,
+        mq_layer_path_wanted (&r, service_.service (),
+                              mq_span_from (domain.c_str ())),
+        &r, service_.service (), mq_span_from (domain.c_str ()), 1);
+    for (size_t i = 0; i < n; i++)
+      {
+        tokens.push_back (paths[i].tokens);
+        mq_layer_path_finish (&paths[i]);
+      }
+    mq_registry_finish (&r);
+    return tokens;
+  }
+
   static void
   put (mq_registry &registry, const Engine &engine)
   {
--- a/tests/test_layer_path.cc
+++ b/tests/test_layer_path.cc
@@ -5,6 +5,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <algorithm>
+#include <set>
+
 using chain::Engine;
 using chain::Fleet;
 using chain::Service;
@@ -179,6 +182,41 @@
   EXPECT_EQ (path.parts[0].upstream, at ("sound"));
 }
 
+/* halvorsen-fleet-grown quiet-1: one path a domain, and 192 places at its
+   head, where 600 requests run at a time.  */
+TEST_F (LayerPath, TwoChainsGiveTwoPathsWithoutACommonEngine)
+{
+  mq_layer_path paths[4];
+
+  for (const char *chain : { "a", "b" })
+    for (unsigned i = 0; i < 4; i++)
+      put ((chain + std::to_string (i)).c_str (), "h100", i * 20, i * 20 + 20);
+  ASSERT_EQ (mq_layer_path_find_all (paths, 4, &registry, service.service (),
+                                     MQ_SPAN ("one"), 1),
+             2u);
+  EXPECT_TRUE (is_whole (paths[0]));
+  EXPECT_TRUE (is_whole (paths[1]));
+  EXPECT_STREQ (paths[0].parts[0].upstream->facts.id->data, "a0");
+  EXPECT_STREQ (paths[1].parts[0].upstream->facts.id->data, "b0");
+  for (unsigned i = 0; i < paths[0].n; i++)
+    EXPECT_FALSE (mq_layer_path_has (&paths[1], paths[0].parts[i].upstream));
+  for (mq_layer_path *p : { &paths[0], &paths[1] })
+    mq_layer_path_finish (p);
+}
+
+TEST_F (LayerPath, MoreMemoryMeansMorePaths)
+{
+  put ("a", "h100", 0, 20);
+  EXPECT_EQ (
+      mq_layer_path_wanted (&registry, service.service (), MQ_SPAN ("one")),
+      1u);
+  for (unsigned i = 0; i < 8; i++)
+    put (("b" + std::to_string (i)).c_str (), "h100", 0, 20);
+  EXPECT_EQ (
+      mq_layer_path_wanted (&registry, service.service (), MQ_SPAN ("one")),
+      2u);
+}
+
 TEST_F (LayerPath, APathStandsUntilAnEngineLetsItsPartGo)
 {
   put ("a", "h100", 0, 80);
@@ -231,3 +269,46 @@
   mq_layer_path_finish (&path);
   mq_registry_finish (&registry);
 }
+
+/* Wherever each layer stands N times, there are N paths, no engine in two. */
+RC_GTEST_PROP (LayerPathProperty, AnyCoverGivesAsManyPaths, ())
+{
+  Service service;
+  mq_registry registry;
+  std::vector<mq_layer_path> paths (6);
+  std::vector<unsigned> cover (chain::layers);
+  std::set<const mq_upstream *> seen;
+  unsigned chains = *rc::gen::inRange (1, 5);
+  unsigned serial = 0;
+  size_t n;
+
+  mq_registry_init (&registry);
+  for (unsigned c = 0; c < chains; c++)
+    for (unsigned at = 0; at < chain::layers;)
+      {
+        unsigned size = *rc::gen::inRange (3u, 30u);
+        /* Ranges overlap in any way.  */
+        unsigned first = at - *rc::gen::inRange (0u, std::min (at, 3u) + 1);
+        unsigned end = std::min (at + size, chain::layers);
+
+        Fleet::put (registry, { "e" + std::to_string (++serial), "one", "h100",
+                                first, end });
+        for (unsigned l = first; l < end; l++)
+          cover[l]++;
+        at = end;
+      }
+  n = mq_layer_path_find_all (paths.data (), paths.size (), &registry,
+                              service.service (), MQ_SPAN ("one"), 1);
+  RC_ASSERT (
+      n
+      == std::min<size_t> (*std::min_element (cover.begin (), cover.end ()),
+                           paths.size ()));
+  for (size_t i = 0; i < n; i++)
+    {
+      RC_ASSERT (is_whole (paths[i]));
+      for (unsigned k = 0; k < paths[i].n; k++)
+        RC_ASSERT (seen.insert (paths[i].parts[k].upstream).second);
+      mq_layer_path_finish (&paths[i]);
+    }
+  mq_registry_finish (&registry);
+}
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -161,6 +161,44 @@
   EXPECT_TRUE (holder.first != 0 || copy.first != 0);
 }
 
+/* halvorsen-fleet-grown: the domains of the users' second deployments.  */
+TEST_F (LayerPlan, MuchMemoryHoldsTwoChains)
+{
+  fleet.add ("one", "a100s", 4);
+  fleet.add ("one", "l4", 11);
+  fleet.add ("one", "t4", 18);
+  fleet.add ("two", "h100", 1);
+  fleet.add ("two", "a100s", 2);
+  fleet.add ("two", "l4", 13);
+  fleet.add ("two", "t4", 17);
+  EXPECT_LE (fleet.settle (), 2u);
+  EXPECT_TRUE (fleet.fits ());
+  for (const char *domain : { "one", "two" })
+    {
+      std::vector<double> tokens = fleet.all_tokens (domain);
+
+      ASSERT_EQ (tokens.size (), 2u) << domain;
+      for (double t : tokens)
+        EXPECT_GT (t, 110000) << domain;
+    }
+  EXPECT_EQ (fleet.plan (), 0u);
+}
+
+TEST_F (LayerPlan, AChainThatBreaksIsMendedWhileTheOtherStands)
+{
+  fleet.add ("one", "a100s", 4);
+  fleet.add ("one", "l4", 11);
+  fleet.add ("one", "t4", 18);
+  fleet.settle ();
+  fleet.lose (fleet.find ("one", "a100s"));
+  EXPECT_GE (fleet.all_tokens ("one").size (), 1u);
+  fleet.settle ();
+  EXPECT_EQ (fleet.all_tokens ("one").size (), 2u);
+  for (double t : fleet.all_tokens ("one"))
+    EXPECT_GT (t, 40000);
+  EXPECT_TRUE (fleet.fits ());
+}
+
 TEST_F (LayerPlan, RoomAndTokensAgree)
 {
   const mq_card *c = service.card_named ("l4");
--- a/tests/test_layer_repair.cc
+++ b/tests/test_layer_repair.cc
@@ -107,6 +107,7 @@
   d.run (s);
   print ("large cards", d);
   EXPECT_GE (d.mean_tokens (), 120000);
+  EXPECT_EQ (d.without_us, 0u);
 }
 
 /* The same day, 2 to 30 s: one engine of the domain leaves for good, then one
