--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -20,6 +20,7 @@
 #include <mq/gateway.h>
 #include <mq/http_client.h>
 #include <mq/http_server.h>
+#include <mq/json.h>
 #include <mq/layer_plan.h>
 #include <mq/log.h>
 #include <mq/metrics.h>
@@ -303,13 +304,21 @@
 void mq_news_tell (mq_gateway *gateway);
 /* A heartbeat: send news when it is time.  */
 void mq_news_heartbeat (mq_gateway *gateway);
-/* Tell all peers what UPSTREAM says that it holds.  */
-void mq_news_tell_layers (mq_gateway *gateway, const mq_upstream *upstream);
-/* Pass on what MEMBER has not learnt from the store in time.  */
-void mq_news_pass_on (mq_gateway *gateway, mq_member *member, uint64_t now_us);
+/* Send OUT, which is freed, to all peers.  */
+void mq_news_tell_all (mq_gateway *gateway, GString *out);
 /* A message of a peer came.  */
 void mq_news_on_message (void *context, mq_span bytes);
 
+/* ---- gateway_pass_on.c  */
+/* Tell all peers what UPSTREAM says that it holds.  */
+void mq_pass_on_layers (mq_gateway *gateway, const mq_upstream *upstream);
+/* Pass on what MEMBER has not learnt from the store in time.  */
+void mq_pass_on_tick (mq_gateway *gateway, mq_member *member, uint64_t now_us);
+/* An engine told a peer what it holds.  */
+void mq_pass_on_hear_layers (mq_gateway *gateway, const mq_json *message);
+/* A peer passed on all upstreams.  */
+void mq_pass_on_hear_upstreams (mq_gateway *gateway, const mq_json *message);
+
 /* ---- gateway_orders.c  */
 void mq_orders_tick (mq_gateway *gateway, uint64_t now_us);
 
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -215,7 +215,7 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       member_note_silence (value, now_us);
-      mq_news_pass_on (gateway, value, now_us);
+      mq_pass_on_tick (gateway, value, now_us);
     }
   if (gateway->mode != MQ_GATEWAY_SERVING)
     return;
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -15,9 +15,6 @@
 #include <mq/json_text.h>
 #include <mq/log.h>
 
-/* A peer behind for so long, times the heartbeats between its news, does not
-   get it from the store.  */
-#define BEHIND_US ((uint64_t)300 * 1000)
 /* Addresses of peers are the larger part of news; they go along for a while
    after a router was heard for the first time, and else with one in so many.
  */
@@ -178,9 +175,8 @@
   g_string_append_c (out, '}');
 }
 
-/* Send OUT, which is freed, to all peers.  */
-static void
-tell_all (mq_gateway *gateway, GString *out)
+void
+mq_news_tell_all (mq_gateway *gateway, GString *out)
 {
   GHashTableIter i;
   gpointer value;
@@ -206,123 +202,7 @@
   GString *out = g_string_new (NULL);
 
   news_write (gateway, out, mq_gateway_now_us ());
-  tell_all (gateway, out);
-}
-
-void
-mq_news_tell_layers (mq_gateway *gateway, const mq_upstream *upstream)
-{
-  GString *out = g_string_new ("{");
-
-  mq_json_text_member (out, "kind", MQ_SPAN ("layers"));
-  mq_json_text_member (out, "upstream", mq_str_span (upstream->facts.id));
-  mq_json_text_number (out, "first", upstream->facts.layer_first);
-  mq_json_text_number (out, "end", upstream->facts.layer_end);
-  g_string_append_c (out, '}');
-  tell_all (gateway, out);
-}
-
-/* ---- Passing on.  */
-
-static void
-pass_routing (mq_gateway *gateway, const mq_member *member)
-{
-  GString *out = g_string_new ("{");
-
-  mq_json_text_member (out, "kind", MQ_SPAN ("routing"));
-  mq_json_text_member (out, "text", mq_str_span (gateway->routing_text));
-  g_string_append_c (out, '}');
-  (void)mq_peers_send (gateway->peers, mq_str_span (member->peer_address),
-                       (mq_span){ out->str, out->len });
-  g_string_free (out, TRUE);
-}
-
-/* All upstreams as the store told of them.  */
-static void
-pass_upstreams (mq_gateway *gateway, const mq_member *member)
-{
-  GString *out = g_string_new ("{");
-  GHashTableIter i;
-  gpointer id;
-  gpointer value;
-
-  mq_json_text_member (out, "kind", MQ_SPAN ("upstreams"));
-  mq_json_text_number (out, "at", gateway->upstreams_at);
-  mq_json_text_key (out, "entries");
-  g_string_append_c (out, '[');
-  g_hash_table_iter_init (&i, gateway->upstream_texts);
-  while (g_hash_table_iter_next (&i, &id, &value))
-    {
-      if (out->str[out->len - 1] != '[')
-        g_string_append_c (out, ',');
-      g_string_append_c (out, '{');
-      mq_json_text_member (out, "id", mq_span_from (id));
-      mq_json_text_member (out, "value", mq_str_span (value));
-      g_string_append_c (out, '}');
-    }
-  g_string_append (out, "]}");
-  (void)mq_peers_send (gateway->peers, mq_str_span (member->peer_address),
-                       (mq_span){ out->str, out->len });
-  g_string_free (out, TRUE);
-}
-
-/* Where this router stands among all that may tell MEMBER: those that live and
-   reach the store.  */
-static unsigned
-pass_on_rank (const mq_gateway *gateway, const mq_member *member,
-              uint64_t now_us)
-{
-  guint size = g_hash_table_size (gateway->members);
-  mq_span *others = g_new (mq_span, size);
-  GHashTableIter i;
-  gpointer value;
-  size_t n = 0;
-  unsigned rank;
-
-  g_hash_table_iter_init (&i, gateway->members);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_member *m = value;
-
-      if (m != member && m->store_reached && m->ready
-          && mq_member_lives (m, now_us))
-        others[n++] = mq_str_span (m->name);
-    }
-  rank = mq_pass_on_rank (mq_str_span (gateway->settings->name),
-                          mq_str_span (member->name), others, n);
-  g_free (others);
-  return rank;
-}
-
-static bool
-pass_on_is_due (const mq_gateway *gateway, const mq_member *member,
-                mq_lag *lag, bool behind, uint64_t now_us)
-{
-  uint64_t next = BEHIND_US * MAX (member->spacing, 1);
-  mq_pass_on_waits waits = { member->store_reached ? next : 0, next };
-
-  return mq_pass_on_is_due (
-      lag, behind, behind ? pass_on_rank (gateway, member, now_us) : 0, waits,
-      now_us);
-}
-
-void
-mq_news_pass_on (mq_gateway *gateway, mq_member *member, uint64_t now_us)
-{
-  bool lives = mq_member_lives (member, now_us);
-  uint64_t version = gateway->routing ? gateway->routing->version : 0;
-  bool older = lives && member->routing_version < version;
-  /* The revision moves with each object of the store, also with those that
-     are no upstreams; so it tells only about a router without the store.  */
-  bool without = lives && !member->store_reached && gateway->upstreams_known
-                 && mq_members_store_is_reached (gateway, now_us)
-                 && member->upstreams_at < gateway->upstreams_at;
-
-  if (pass_on_is_due (gateway, member, &member->routing_lag, older, now_us))
-    pass_routing (gateway, member);
-  if (pass_on_is_due (gateway, member, &member->upstreams_lag, without,
-                      now_us))
-    pass_upstreams (gateway, member);
+  mq_news_tell_all (gateway, out);
 }
 
 /* ---- Hearing.  */
@@ -476,52 +356,6 @@
   take_peers (gateway, root);
 }
 
-/* An engine told a peer what it holds.  */
-static void
-take_layers (mq_gateway *gateway, const mq_json *root)
-{
-  mq_upstream *u = mq_registry_find (
-      &gateway->registry, mq_json_span (root, "upstream", MQ_SPAN ("")));
-  unsigned first = (unsigned)mq_json_u64 (root, "first", 0, UINT32_MAX, 0);
-  unsigned end = (unsigned)mq_json_u64 (root, "end", 0, UINT32_MAX, 0);
-
-  if (u != NULL)
-    (void)mq_registry_set_layers (&gateway->registry, u, first, end,
-                                  mq_gateway_now_us ());
-}
-
-/* A peer's whole list of upstreams, for a router that the store turns away. */
-static void
-take_upstreams (mq_gateway *gateway, const mq_json *root)
-{
-  uint64_t at = mq_json_u64 (root, "at", 0, UINT64_MAX, 0);
-  GHashTable *seen;
-  mq_json list;
-
-  if (mq_members_store_is_reached (gateway, mq_gateway_now_us ())
-      || at <= gateway->upstreams_at
-      || !mq_json_array (root, "entries", &list))
-    return;
-  seen = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  for (size_t i = 0; i < mq_json_size (&list); i++)
-    {
-      mq_json o;
-      mq_span id;
-
-      if (!mq_json_element (&list, i, &o))
-        break;
-      id = mq_json_span (&o, "id", MQ_SPAN (""));
-      mq_gateway_take_upstream (
-          gateway, id, mq_json_span (&o, "value", MQ_SPAN ("")), false);
-      g_hash_table_add (seen, g_strndup (id.data, id.size));
-    }
-  mq_gateway_keep_upstreams (gateway, seen);
-  gateway->upstreams_at = at;
-  mq_log (G_LOG_LEVEL_INFO, "upstream.list-heard",
-          "upstreams=%u at=%" G_GUINT64_FORMAT, g_hash_table_size (seen), at);
-  g_hash_table_unref (seen);
-}
-
 void
 mq_news_on_message (void *context, mq_span bytes)
 {
@@ -540,9 +374,9 @@
   if (mq_span_equal (kind, MQ_SPAN ("news")))
     take_news (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("layers")))
-    take_layers (g, &root);
+    mq_pass_on_hear_layers (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("upstreams")))
-    take_upstreams (g, &root);
+    mq_pass_on_hear_upstreams (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("routing")))
     mq_gateway_take_routing (g, mq_json_span (&root, "text", MQ_SPAN ("")),
                              "peer");
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -42,7 +42,7 @@
 
   if (mq_registry_set_layers (&gateway->registry, upstream,
                               report->layer_first, report->layer_end, now))
-    mq_news_tell_layers (gateway, upstream);
+    mq_pass_on_layers (gateway, upstream);
   mq_layer_order_reported (upstream, report->orders, report->busy, now);
   gateway->orders_due = true;
 }
