--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -16,11 +16,11 @@
 /* What the platform tells.  Strings are owned by whoever holds the fact.  */
 typedef struct mq_upstream_facts
 {
-  mq_str *id;      /* Of this incarnation.  */
-  mq_str *service; /* Name of the service.  */
-  mq_str *address; /* IP:PORT.  */
-  mq_str *domain;  /* Failure domain.  */
-  mq_str *card;    /* Kind of accelerator, or NULL.  */
+  mq_str *id;           /* Of this incarnation.  */
+  mq_str *service;      /* Name of the service.  */
+  mq_str *address;      /* IP:PORT.  */
+  mq_str *domain;       /* Failure domain.  */
+  mq_str *card;         /* Kind of accelerator, or NULL.  */
   unsigned layer_first; /* Layers held: [first, end); equal when none.  */
   unsigned layer_end;
   bool draining;
