Keep large fleets from telling one another what all are about to learn

Ruled out: pushing each configuration to the domain (seven times a small link). Tests: PassOn.WhenTheStoreComesBackNobodyTellsBeforeOthersNewsCome, Gateway.ARouterWhoseWatchHangsAsksTheStoreWhenPeersKnowMore, both failing before.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -141,6 +141,10 @@
   uint64_t upstreams_at; /* Revision of the store that the registry is of. */
   mq_feed routing_feed;
   mq_feed upstream_feed;
+  uint64_t routing_since_us; /* When it came into force here.  */
+  uint64_t routing_heard;    /* Newest version that a peer's news told of.  */
+  mq_lag own_lag;            /* This router's configuration is older.  */
+  uint64_t store_back_us; /* When the store last answered after failures.  */
   mq_peers *peers;
   GHashTable *members;    /* Peer address -> mq_member, owned.  */
   mq_str *peer_address;   /* Our own.  */
@@ -148,8 +152,7 @@
   uint64_t incarnation;
   uint64_t sequence; /* Of our news.  */
   unsigned heartbeats;
-  uint64_t peers_news_until_us; /* News carry addresses of peers.  */
-  uint64_t member_retry_us;     /* When to write our member object.  */
+  uint64_t member_retry_us; /* When to write our member object.  */
   bool member_written;
   bool member_writing;
   bool leads;               /* This router gives the orders.  */
@@ -291,6 +294,8 @@
 /* ---- gateway_feed.c  */
 void mq_feed_start (mq_feed *feed, mq_gateway *gateway, const char *kind);
 void mq_feed_stop (mq_feed *feed);
+/* Read all of it anew, whatever it waits for.  */
+void mq_feed_refresh (mq_feed *feed);
 /* Take a configuration or a list of upstreams that a peer passed on.  */
 void mq_gateway_take_routing (mq_gateway *gateway, mq_span text,
                               const char *source);
@@ -324,6 +329,8 @@
 void mq_news_tell (mq_gateway *gateway);
 /* A heartbeat: send news when it is time.  */
 void mq_news_heartbeat (mq_gateway *gateway);
+/* How many heartbeats lie between two news of one router.  */
+unsigned mq_news_spacing (const mq_gateway *gateway);
 /* Send OUT, which is freed, to all peers.  */
 void mq_news_tell_all (mq_gateway *gateway, GString *out);
 /* A message of a peer came.  */
@@ -338,6 +345,8 @@
                          size_t n);
 /* A peer told of such changes.  */
 void mq_pass_on_hear_changes (mq_gateway *gateway, const mq_json *message);
+/* Ask the store for a configuration that peers have and this router lacks.  */
+void mq_pass_on_ask_store (mq_gateway *gateway, uint64_t now_us);
 /* Pass on what MEMBER has not learnt from the store in time.  */
 void mq_pass_on_tick (mq_gateway *gateway, mq_member *member, uint64_t now_us);
 /* An engine told a peer what it holds.  */
--- a/include/mq/pass_on.h
+++ b/include/mq/pass_on.h
@@ -31,6 +31,8 @@
 {
   uint64_t first_us; /* For it to learn by itself.  */
   uint64_t next_us;  /* For its news to show that it was told.  */
+  uint64_t able_us;  /* Since when this router knows what it would tell and
+                        hears the store.  What others' news say is older.  */
 } mq_pass_on_waits;
 
 /* Should this router, of that RANK, tell the receiver now?  BEHIND: it lacks
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -23,6 +23,15 @@
    after another), so the next follow waits a little and takes them at once.
    A tenth of the bound on a change of configuration.  */
 #define GATHER_S 0.1
+/* The same while many others come up too, all reporting at once, and at a
+   router that need not hear sooner, since others that follow come first.  A
+   drain leaves two seconds.  At 73 routers three quarters of a calm day's
+   calls were of the first five seconds (halvorsen-fleet-grown quiet-1, 2,970
+   of 3,990).
+ */
+#define GATHER_CALM_S 0.5
+#define STARTING_US ((uint64_t)3000 * 1000)
+#define STARTING_ROUTERS 16
 #define AT_ONCE_S 0.
 /* After a failure; doubled up to the most.  */
 #define AGAIN_FIRST_S 0.1
@@ -134,6 +143,23 @@
   feed_again (feed, AT_ONCE_S);
 }
 
+/* How long FEED waits for more events after some.  */
+static double
+feed_gather (const mq_feed *feed)
+{
+  const mq_gateway *g = feed->gateway;
+  uint64_t now = mq_gateway_now_us ();
+
+  if (feed_is_routing (feed))
+    return GATHER_S;
+  return (now < g->started_us + STARTING_US
+          && g_hash_table_size (g->members) > STARTING_ROUTERS)
+                 || !mq_follow_tells (&g->follow,
+                                      mq_members_followers_before (g, now))
+             ? GATHER_CALM_S
+             : GATHER_S;
+}
+
 static void
 feed_take_events (mq_feed *feed, const mq_platform_reply *reply)
 {
@@ -142,7 +168,7 @@
   if (!feed_is_routing (feed))
     mq_pass_on_changes (feed->gateway, reply->entries, reply->n_entries);
   feed->at = MAX (feed->at, reply->at);
-  feed_again (feed, reply->n_entries > 0 ? GATHER_S : AT_ONCE_S);
+  feed_again (feed, reply->n_entries > 0 ? feed_gather (feed) : AT_ONCE_S);
 }
 
 static void
@@ -186,8 +212,11 @@
       return;
     }
   if (feed->failures > 0)
-    mq_log (G_LOG_LEVEL_INFO, "store.back", "kind=%s failures=%u", feed->kind,
-            feed->failures);
+    {
+      mq_log (G_LOG_LEVEL_INFO, "store.back", "kind=%s failures=%u",
+              feed->kind, feed->failures);
+      feed->gateway->store_back_us = mq_gateway_now_us ();
+    }
   feed->failures = 0;
   feed->fresh_us = mq_gateway_now_us ();
   if (reply->op == MQ_PLATFORM_SCAN)
@@ -209,6 +238,14 @@
   feed_call (feed);
 }
 
+void
+mq_feed_refresh (mq_feed *feed)
+{
+  mq_feed_stop (feed);
+  feed->state = MQ_FEED_SCANNING;
+  feed_call (feed);
+}
+
 void
 mq_feed_stop (mq_feed *feed)
 {
@@ -243,6 +280,8 @@
     }
   mq_routing_unref (gateway->routing);
   gateway->routing = r;
+  gateway->own_lag = (mq_lag){ 0, 0 };
+  gateway->routing_since_us = mq_gateway_now_us ();
   mq_str_unref (gateway->routing_text);
   gateway->routing_text = mq_str_new (text);
   mq_log (G_LOG_LEVEL_INFO, "configuration.in-force",
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -32,6 +32,14 @@
    new ones.  */
 #define MEMBER_SCANNERS 16
 
+/* A router that hears the store again gives orders for that reason after so
+   long for each heartbeat that news skip: it takes two to hear that others
+   hear it too.  Beside the starts of all, 32 routers began to lead on a day
+   without it, and 16 with it (halvorsen-fleet-grown trouble-3).  Where news
+   come with each heartbeat the wait gains nothing (14 days of trouble-3 on six
+   and seven routers: 0.6552 without, 0.6481 with).  */
+#define LEAD_SETTLE_US ((uint64_t)500 * 1000)
+
 static void
 member_free (gpointer data)
 {
@@ -247,6 +255,7 @@
       mq_pass_on_tick (gateway, value, now_us);
     }
   members_share_follows (gateway, now_us);
+  mq_pass_on_ask_store (gateway, now_us);
   if (gateway->mode != MQ_GATEWAY_SERVING)
     return;
   if (!gateway->member_written && !gateway->member_writing
@@ -294,10 +303,22 @@
          < 0;
 }
 
+/* Does this router hear the store, and did for long enough that others who do
+   have said so?  */
+static bool
+members_store_is_settled (const mq_gateway *gateway, uint64_t now_us)
+{
+  uint64_t settle = LEAD_SETTLE_US * (mq_news_spacing (gateway) - 1);
+
+  return mq_members_store_is_reached (gateway, now_us)
+         && (gateway->store_back_us == 0
+             || now_us >= gateway->store_back_us + settle);
+}
+
 bool
 mq_members_we_lead (const mq_gateway *gateway, uint64_t now_us)
 {
-  bool reached = mq_members_store_is_reached (gateway, now_us);
+  bool reached = members_store_is_settled (gateway, now_us);
   GHashTableIter i;
   gpointer value;
 
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -3,6 +3,7 @@
 
    A message is one JSON object with a `kind':
      news      the sender lives; what it knows, has in flight and found out
+     peers     addresses of routers, for one that was heard anew
      routing   a configuration that the receiver has not learnt in time
      upstreams all upstreams, for a receiver that does not ask the store
      changes   upstreams that changed, for the same
@@ -16,10 +17,10 @@
 #include <mq/json_text.h>
 #include <mq/log.h>
 
-/* Addresses of peers are the larger part of news; they go along for a while
-   after a router was heard for the first time, and else with one in so many.
- */
-#define PEERS_NEWS_US ((uint64_t)2000 * 1000)
+/* Addresses of peers are the larger part of news: they go to who is heard for
+   the first time, and else along with one in so many.  Sent to all for two
+   seconds, as first built, they were a third of the bytes of a day with cuts
+   and restarts at 73 routers.  */
 #define PEERS_EACH 32
 /* With more routers than this, each sends its news less often, so that what
    all send grows with their number and not with its square.  At 330 each
@@ -55,6 +56,20 @@
   g_string_append_c (out, ']');
 }
 
+/* Tell MEMBER of all others that live.  */
+static void
+news_introduce (mq_gateway *gateway, const mq_member *member, uint64_t now_us)
+{
+  GString *out = g_string_new ("{");
+
+  mq_json_text_member (out, "kind", MQ_SPAN ("peers"));
+  news_add_peers (gateway, out, now_us);
+  g_string_append_c (out, '}');
+  (void)mq_peers_send (gateway->peers, mq_str_span (member->peer_address),
+                       (mq_span){ out->str, out->len });
+  g_string_free (out, TRUE);
+}
+
 static void
 news_add_tokens (const mq_gateway *gateway, GString *out)
 {
@@ -139,9 +154,8 @@
   g_string_append_c (out, ']');
 }
 
-/* How many heartbeats lie between two news of one router.  */
-static unsigned
-news_spacing (const mq_gateway *gateway)
+unsigned
+mq_news_spacing (const mq_gateway *gateway)
 {
   unsigned n = g_hash_table_size (gateway->members) + 1;
 
@@ -156,7 +170,7 @@
   mq_json_text_member (out, "name", mq_str_span (gateway->settings->name));
   mq_json_text_number (out, "incarnation", gateway->incarnation);
   mq_json_text_number (out, "sequence", ++gateway->sequence);
-  mq_json_text_number (out, "spacing", news_spacing (gateway));
+  mq_json_text_number (out, "spacing", mq_news_spacing (gateway));
   mq_json_text_member (out, "peer", mq_str_span (gateway->peer_address));
   mq_json_text_member (out, "client", mq_str_span (gateway->client_address));
   mq_json_text_member (out, "domain",
@@ -168,8 +182,7 @@
                        gateway->routing ? gateway->routing->version : 0);
   mq_json_text_bool (out, "follows", !gateway->follow.told);
   mq_json_text_number (out, "upstreams", gateway->upstream_list.digest);
-  if (now_us < gateway->peers_news_until_us
-      || gateway->sequence % PEERS_EACH == 0)
+  if (gateway->sequence % PEERS_EACH == 0)
     news_add_peers (gateway, out, now_us);
   news_add_tokens (gateway, out);
   news_add_sends (gateway, out, now_us);
@@ -194,7 +207,7 @@
 void
 mq_news_heartbeat (mq_gateway *gateway)
 {
-  if (++gateway->heartbeats % news_spacing (gateway) == 0)
+  if (++gateway->heartbeats % mq_news_spacing (gateway) == 0)
     mq_news_tell (gateway);
 }
 
@@ -336,10 +349,11 @@
   if (m == NULL || news_is_old (m, incarnation, sequence))
     return;
   if (!m->told_alive)
-    gateway->peers_news_until_us = now + PEERS_NEWS_US;
-  if (!m->told_alive)
-    mq_log (G_LOG_LEVEL_INFO, "member.heard", "peer=%s",
-            mq_str_cstr (m->peer_address));
+    {
+      mq_log (G_LOG_LEVEL_INFO, "member.heard", "peer=%s",
+              mq_str_cstr (m->peer_address));
+      news_introduce (gateway, m, now);
+    }
   m->told_alive = true;
   m->incarnation = incarnation;
   m->sequence = sequence;
@@ -351,6 +365,7 @@
   m->ready = mq_json_bool (root, "ready", false);
   m->store_reached = mq_json_bool (root, "store", false);
   m->routing_version = mq_json_u64 (root, "routing", 0, UINT64_MAX, 0);
+  gateway->routing_heard = MAX (gateway->routing_heard, m->routing_version);
   m->follows = mq_json_bool (root, "follows", true);
   m->upstreams_digest = mq_json_u64 (root, "upstreams", 0, UINT64_MAX, 0);
   if (gateway->follow.told && m->follows && m->store_reached
@@ -379,6 +394,8 @@
   kind = mq_json_span (&root, "kind", MQ_SPAN (""));
   if (mq_span_equal (kind, MQ_SPAN ("news")))
     take_news (g, &root);
+  else if (mq_span_equal (kind, MQ_SPAN ("peers")))
+    take_peers (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("layers")))
     mq_pass_on_hear_layers (g, &root);
   else if (mq_span_equal (kind, MQ_SPAN ("changes")))
--- a/packages/gateway/gateway_pass_on.c
+++ b/packages/gateway/gateway_pass_on.c
@@ -16,6 +16,20 @@
    get it from the store.  */
 #define BEHIND_US ((uint64_t)300 * 1000)
 
+/* What a peer may lack.  */
+typedef enum pass_on_what
+{
+  PASS_ON_ROUTING,
+  PASS_ON_UPSTREAMS
+} pass_on_what;
+
+/* A follow brings a change within some ms; the watch that it is may hang,
+   though, when the store forgets its history meanwhile (tekle-entries-grown
+   scale-2: 8 routers had an old configuration for 5 s).  After so long behind
+   a peer, and again after the longer while, the store is asked anew.  */
+#define OWN_LAG_US ((uint64_t)300 * 1000)
+#define OWN_LAG_AGAIN_US ((uint64_t)2000 * 1000)
+
 /* ---- Telling.  */
 
 void
@@ -137,11 +151,29 @@
   g_string_free (out, TRUE);
 }
 
-/* Where this router stands among all that may tell MEMBER: those that live and
-   follow the store.  */
+/* May OTHER tell peers of what is lacked?  Of configurations whoever knows
+   this router's or hears the store; of upstreams whoever follows them there.
+ */
+static bool
+member_may_tell (const mq_gateway *gateway, const mq_member *other,
+                 pass_on_what what)
+{
+  switch (what)
+    {
+    case PASS_ON_ROUTING:
+      return other->store_reached
+             || (gateway->routing != NULL
+                 && other->routing_version >= gateway->routing->version);
+    case PASS_ON_UPSTREAMS:
+      return other->store_reached && other->follows;
+    }
+  return false;
+}
+
+/* Where this router stands among all that may tell MEMBER of WHAT.  */
 static unsigned
 pass_on_rank (const mq_gateway *gateway, const mq_member *member,
-              uint64_t now_us)
+              pass_on_what what, uint64_t now_us)
 {
   guint size = g_hash_table_size (gateway->members);
   mq_span *others = g_new (mq_span, size);
@@ -155,8 +187,8 @@
     {
       const mq_member *m = value;
 
-      if (m != member && m->store_reached && m->follows && m->ready
-          && mq_member_lives (m, now_us))
+      if (m != member && m->ready && mq_member_lives (m, now_us)
+          && member_may_tell (gateway, m, what))
         others[n++] = mq_str_span (m->name);
     }
   rank = mq_pass_on_rank (mq_str_span (gateway->settings->name),
@@ -167,14 +199,34 @@
 
 static bool
 pass_on_is_due (const mq_gateway *gateway, const mq_member *member,
-                mq_lag *lag, bool behind, uint64_t now_us)
+                pass_on_what what, mq_lag *lag, bool behind, uint64_t now_us)
 {
   uint64_t next = BEHIND_US * MAX (member->spacing, 1);
-  mq_pass_on_waits waits = { member->store_reached ? next : 0, next };
+  uint64_t able = what == PASS_ON_ROUTING
+                      ? MAX (gateway->store_back_us, gateway->routing_since_us)
+                      : gateway->store_back_us;
+  mq_pass_on_waits waits = { member->store_reached ? next : 0, next, able };
 
   return mq_pass_on_is_due (
-      lag, behind, behind ? pass_on_rank (gateway, member, now_us) : 0, waits,
-      now_us);
+      lag, behind, behind ? pass_on_rank (gateway, member, what, now_us) : 0,
+      waits, now_us);
+}
+
+void
+mq_pass_on_ask_store (mq_gateway *gateway, uint64_t now_us)
+{
+  mq_pass_on_waits waits = { OWN_LAG_US, OWN_LAG_AGAIN_US, 0 };
+  uint64_t version = gateway->routing ? gateway->routing->version : 0;
+  bool behind = gateway->routing_heard > version;
+
+  /* A feed that fails is tried again by itself.  */
+  if (!mq_pass_on_is_due (&gateway->own_lag, behind, 0, waits, now_us)
+      || gateway->routing_feed.failures > 0)
+    return;
+  mq_log (G_LOG_LEVEL_WARNING, "configuration.behind",
+          "version=%" G_GUINT64_FORMAT " heard=%" G_GUINT64_FORMAT, version,
+          gateway->routing_heard);
+  mq_feed_refresh (&gateway->routing_feed);
 }
 
 void
@@ -188,10 +240,11 @@
                  && mq_members_store_is_reached (gateway, now_us)
                  && member->upstreams_digest != gateway->upstream_list.digest;
 
-  if (pass_on_is_due (gateway, member, &member->routing_lag, older, now_us))
+  if (pass_on_is_due (gateway, member, PASS_ON_ROUTING, &member->routing_lag,
+                      older, now_us))
     pass_routing (gateway, member);
-  if (pass_on_is_due (gateway, member, &member->upstreams_lag, without,
-                      now_us))
+  if (pass_on_is_due (gateway, member, PASS_ON_UPSTREAMS,
+                      &member->upstreams_lag, without, now_us))
     pass_upstreams (gateway, member);
 }
 
--- a/packages/route/pass_on.c
+++ b/packages/route/pass_on.c
@@ -3,7 +3,10 @@
    The load it answers: a configuration with many routes at 73 routers, of
    which a third are cut off from the store.  Each was told by all others,
    three times a second; the queues took the memory of whole processes
-   (halvorsen-fleet-grown trouble-1).  */
+   (halvorsen-fleet-grown trouble-1).  And when the store comes back for all
+   within a second: each router then seems the only one that hears it and has
+   the newest configuration, and told all others, 10,600 messages of 61 KB
+   (halvorsen-fleet-grown trouble-3).  */
 
 #include <mq/pass_on.h>
 
@@ -38,7 +41,8 @@
     }
   if (lag->since_us == 0)
     lag->since_us = now_us;
-  if (now_us < lag->since_us + waits.first_us + rank * waits.next_us)
+  if (now_us < lag->since_us + waits.first_us + rank * waits.next_us
+      || now_us < waits.able_us + waits.next_us)
     return false;
   if (lag->passed_us > 0 && now_us < lag->passed_us + waits.next_us)
     return false;
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -334,6 +334,7 @@
   }
 
   bool down = false; /* Every call is answered 503.  */
+  bool mute = false; /* Those who wait hear of no change.  */
   unsigned scans = 0;
   std::map<std::string, std::map<std::string, std::string> > objects;
   Server server;
@@ -374,6 +375,8 @@
         { revision_, kind,
           "{\"deleted\":" + std::string (deleted ? "true" : "false")
               + ",\"object\":" + object (name, spec, revision_) + "}" });
+    if (mute)
+      return;
     auto waiting = std::move (waiting_);
     waiting_.clear ();
     for (auto &w : waiting)
--- a/tests/test_gateway_fleet.cc
+++ b/tests/test_gateway_fleet.cc
@@ -3,11 +3,14 @@
 
 #include "support/gateway_world.h"
 
+#include <mq/peers.h>
+
 using gateway::Answer;
 using gateway::events;
 using gateway::Headers;
 using gateway::key;
 using gateway::Seen;
+using gateway::span;
 using gateway::Upstream;
 
 using Gateway = gateway::World;
@@ -81,6 +84,34 @@
   mq_gateway_settings_finish (&other);
 }
 
+/* The store forgot its history just when a configuration came: the watches of
+   eight routers hung, and they kept the old one for 5 s (tekle-entries-grown
+   scale-2, CONFIG).  Their peers' news told of the newer one all the while. */
+TEST_F (Gateway, ARouterWhoseWatchHangsAsksTheStoreWhenPeersKnowMore)
+{
+  unsigned port = free_ports ();
+  auto nothing = [] (void *, mq_span) {};
+
+  plain ();
+  mq_peers *peer = mq_peers_new (loop, MQ_SPAN ("127.0.0.1"), (uint16_t)port,
+                                 nullptr, nothing, nullptr, nullptr);
+  ASSERT_NE (peer, nullptr);
+  std::string to = at (peers_port);
+  mq_peers_connect (peer, span (to));
+  store.mute = true;
+  configure (9, "," + route ("/new/", "safe", "app", 1));
+  wait (0.5);
+  EXPECT_EQ (fetch ("GET", "/new/1").status, 404u);
+  std::string news = "{\"kind\":\"news\",\"peer\":\"" + at (port)
+                     + "\",\"incarnation\":1,\"sequence\":1,\"routing\":9}";
+  ASSERT_EQ (mq_peers_send (peer, span (to), span (news)), 0);
+  /* The watch itself is given up 3.5 s after it began.  */
+  ev_tstamp before = ev_time ();
+  EXPECT_TRUE (until ([&] { return fetch ("GET", "/new/1").status == 200; }));
+  EXPECT_LT (ev_time () - before, 1.5);
+  mq_peers_free (peer);
+}
+
 /* Each of 73 routers followed the store by itself: 6,614 calls on a calm day
    (halvorsen-fleet-grown quiet-1).  */
 TEST_F (Gateway, OneRouterFollowsTheUpstreamsForItsDomain)
--- a/tests/test_pass_on.cc
+++ b/tests/test_pass_on.cc
@@ -13,7 +13,7 @@
 {
 
 constexpr uint64_t ms = 1000;
-constexpr mq_pass_on_waits waits = { 300 * ms, 300 * ms };
+constexpr mq_pass_on_waits waits = { 300 * ms, 300 * ms, 0 };
 
 std::vector<std::string>
 names (unsigned n)
@@ -114,3 +114,21 @@
   EXPECT_FALSE (mq_pass_on_is_due (&lag, true, 0, waits, 500 * ms));
   EXPECT_TRUE (mq_pass_on_is_due (&lag, true, 0, waits, 801 * ms));
 }
+
+/* halvorsen-fleet-grown trouble-3, 26 to 31 s: the store came back, each of 73
+   routers heard a new configuration within a second and seemed the only one
+   that did, so that each told all others at once.  */
+TEST (PassOn, WhenTheStoreComesBackNobodyTellsBeforeOthersNewsCome)
+{
+  mq_pass_on_waits back = waits;
+  mq_lag lag = { 0, 0 };
+
+  back.first_us = 0; /* The receiver seems not to reach the store.  */
+  back.able_us = 1000 * ms;
+  EXPECT_FALSE (mq_pass_on_is_due (&lag, true, 0, back, 1010 * ms));
+  EXPECT_FALSE (mq_pass_on_is_due (&lag, true, 0, back, 1250 * ms));
+  /* By now its news say that it knows.  */
+  EXPECT_FALSE (mq_pass_on_is_due (&lag, false, 0, back, 1290 * ms));
+  /* Had they not, it would be told.  */
+  EXPECT_TRUE (mq_pass_on_is_due (&lag, true, 0, back, 1301 * ms));
+}
