Move streams off a silent path only within a router's own part of the budget

All routers see a path fall silent within the same few ms, and each moved its streams with what it thought that the others left; their counts are 0.25 s old. Test: SendBudget.WhatAllSendAtTheSameMomentKeepsTheBound, which shows that what is lent breaks the bound there.

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -125,6 +125,15 @@
       mq_gateway_routers (gateway), others, now_us);
 }
 
+bool
+mq_gateway_has_part (mq_gateway *gateway, const mq_route_service *service,
+                     uint64_t now_us)
+{
+  return mq_send_budget_has_part (
+      &mq_gateway_service (gateway, service)->budget,
+      mq_gateway_routers (gateway), now_us);
+}
+
 bool
 mq_gateway_is_ready (const mq_gateway *gateway)
 {
--- a/packages/gateway/gateway_silence.c
+++ b/packages/gateway/gateway_silence.c
@@ -3,8 +3,9 @@
 
    One stream stays behind, so that the head still has a request that waits and
    can name the engine (gateway_stall.c); and so do those that have no room
-   elsewhere.  Nothing new goes to that head until the engine is known, or one
-   of its streams is heard again.  */
+   elsewhere, or no budget of this router's own: all routers see the silence
+   within the same few ms.  Nothing new goes to that head until the engine is
+   known, or one of its streams is heard again.  */
 
 #include <mq/internal/gateway.h>
 
@@ -128,7 +129,8 @@
     {
       mq_forward *f = g_ptr_array_index (list, i);
 
-      if (f == stays || !mq_forward_can_move (f, now_us))
+      if (f == stays || !mq_gateway_has_part (gateway, f->service, now_us)
+          || !mq_forward_can_move (f, now_us))
         continue;
       moved++;
       mq_forward_send_ended (f, MQ_SEND_SILENT, 0, "path-silent");
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -73,22 +73,42 @@
   return c;
 }
 
+/* This router's part of the fleet's budget, one of ROUTERS, whose own requests
+   are OWN.  */
+static double
+budget_part (const mq_send_budget *budget, mq_send_counts own,
+             unsigned routers, uint64_t now_us)
+{
+  double grown = (double)(now_us - budget->born_us)
+                 / (double)(budget->slice_us * MQ_SEND_BUDGET_SLICES);
+
+  return SHARE_USED
+         * (budget->ratio * own.first
+            + budget->slack * MIN (grown, 1) / MAX (routers, 1));
+}
+
+bool
+mq_send_budget_has_part (mq_send_budget *budget, unsigned routers,
+                         uint64_t now_us)
+{
+  mq_send_counts own = mq_send_budget_count (budget, now_us);
+
+  return own.more + 1 <= budget_part (budget, own, routers, now_us);
+}
+
 bool
 mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
                          mq_send_counts others, uint64_t now_us)
 {
   mq_send_counts own = mq_send_budget_count (budget, now_us);
-  double grown = (double)(now_us - budget->born_us)
-                 / (double)(budget->slice_us * MQ_SEND_BUDGET_SLICES);
-  double part = budget->ratio * own.first
-                + budget->slack * MIN (grown, 1) / MAX (routers, 1);
+  double part = budget_part (budget, own, routers, now_us);
   double fleet = budget->ratio * (own.first + others.first) + budget->slack;
   double left = SHARE_LENT * fleet - others.more;
   double lend = MIN (LENDERS / MAX (routers, 1), 1);
 
-  return own.more + 1 <= SHARE_USED * part
+  return own.more + 1 <= part
          || (own.more + 1 <= left
-             && own.more + 1 <= SHARE_USED * part + left * lend * lend);
+             && own.more + 1 <= part + left * lend * lend);
 }
 
 void
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -57,6 +57,36 @@
   EXPECT_TRUE (mq_send_budget_has_room (&b, 6, alone, 25 * s));
 }
 
+/* A hunt found 340 further arrivals for 339 allowed: an engine died, and all
+   routers moved their streams within the same few ms, each with what it
+   thought that the others left (halvorsen trouble-2 --seed 826832804533).  */
+TEST (SendBudget, WhatAllSendAtTheSameMomentKeepsTheBound)
+{
+  constexpr unsigned count = 6;
+  unsigned sent = 0;
+  unsigned lent = 0;
+
+  for (unsigned i = 0; i < count; i++)
+    {
+      mq_send_budget own, all;
+
+      for (mq_send_budget *b : { &own, &all })
+        {
+          mq_send_budget_init (b, 0.2, 196, window, 0);
+          for (int k = 0; k < 120; k++)
+            mq_send_budget_request (b, 20 * s);
+        }
+      for (; mq_send_budget_has_part (&own, count, 20 * s); sent++)
+        mq_send_budget_spend (&own, 20 * s);
+      /* Nobody has told anything yet.  */
+      for (; mq_send_budget_has_room (&all, count, { 600, 0 }, 20 * s); lent++)
+        mq_send_budget_spend (&all, 20 * s);
+    }
+  EXPECT_LE (sent, 0.2 * count * 120 + 196);
+  EXPECT_GE (sent, 0.7 * (0.2 * count * 120 + 196));
+  EXPECT_GT (lent, 0.2 * count * 120 + 196);
+}
+
 /* COUNT routers under a fault that fails everything for 30 s, restarted in
    turn, whose counts the others hear AGE ticks of 0.1 s later: no window holds
    more than the bound.  */
