--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -161,7 +161,7 @@
   ev_timer tick;
   unsigned ticks;
   ev_timer silence_timer;
-  mq_path_listener listener;
+  mq_path_monitor monitor;
   GQueue forwards;      /* mq_forward, owned.  */
   GHashTable *services; /* Name -> mq_service_state, owned.  */
   GHashTable *tokens;   /* Key of a way to serve -> double *, our own.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -10,8 +10,8 @@
 #include <sodium.h>
 
 #define TICK_S 0.05
-#define HEARTBEAT_TICKS 5 /* 250 ms.  */
-#define ORDER_TICKS 2     /* 100 ms.  */
+#define HACTIVITYTBEAT_TICKS 5 /* 250 ms.  */
+#define ORDER_TICKS 2          /* 100 ms.  */
 
 /* Calls to the store, beside the time that a follow waits.  */
 #define STORE_TIMEOUT_MS 1000
@@ -175,7 +175,7 @@
       next = l->next;
       mq_forward_tick (l->data, now);
     }
-  if (g->ticks % HEARTBEAT_TICKS == 0)
+  if (g->ticks % HACTIVITYTBEAT_TICKS == 0)
     {
       mq_news_heartbeat (g);
       if (g->leads)
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -165,10 +165,10 @@
   mq_forward *f = forward;
 
   f->ran_anew = !g_ptr_array_find (f->ran, f->upstream, NULL);
-  if (f->ran_anew)
-    g_ptr_array_add (f->ran, mq_upstream_ref (f->upstream));
-  if (f->ran_anew)
-    f->state.sent++;
+  if (!f->ran_anew)
+    return;
+  g_ptr_array_add (f->ran, mq_upstream_ref (f->upstream));
+  f->state.sent++;
 }
 
 void
--- a/packages/gateway/gateway_silence.c
+++ b/packages/gateway/gateway_silence.c
@@ -11,10 +11,11 @@
 
 #include <mq/log.h>
 
-/* Half of what is left of a client's 200 ms after the silence and a new run's
-   first event (60 ms).  */
-#define LOOK_S 0.01
-#define LOOK_US ((uint64_t)(LOOK_S * 1e6))
+/* How often paths are checked.  A pause of 200 ms makes a stream late; the
+   silence takes 70 and a new run's first event 60, so a check should add
+   little to these.  */
+#define CHECK_S 0.01
+#define CHECK_US ((uint64_t)(CHECK_S * 1e6))
 /* A head names an engine that died after 0.5 s; then it is put aside.  */
 #define SUSPECT_US ((uint64_t)700 * 1000)
 
@@ -79,7 +80,7 @@
       const mq_upstream *u = g_array_index (heads, silence_head, i).upstream;
 
       if (u != upstream)
-        heard = MAX (heard, u->ear.heard_us);
+        heard = MAX (heard, u->activity.heard_us);
     }
   return heard;
 }
@@ -141,34 +142,34 @@
 }
 
 static void
-head_look (mq_gateway *gateway, const GArray *heads, silence_head *head,
-           uint64_t now_us)
+head_check (mq_gateway *gateway, const GArray *heads, silence_head *head,
+            uint64_t now_us)
 {
   mq_upstream *u = head->upstream;
   uint64_t elsewhere = heads_heard_beside (heads, u);
 
   if (now_us < u->suspect_until_us)
     {
-      if (u->ear.heard_us > u->suspect_since_us)
+      if (u->activity.heard_us > u->suspect_since_us)
         u->suspect_until_us = 0;
       return;
     }
-  if (!mq_path_is_silent (&u->ear, head->running, elsewhere,
-                          &gateway->listener, now_us))
+  if (!mq_path_is_silent (&u->activity, head->running, elsewhere,
+                          &gateway->monitor, now_us))
     return;
   mq_log (G_LOG_LEVEL_WARNING, "path.silent",
-          "head=%s silent_ms=%" G_GUINT64_FORMAT " lull_ms=%" G_GUINT64_FORMAT
+          "head=%s silent_ms=%" G_GUINT64_FORMAT " gap_ms=%" G_GUINT64_FORMAT
           " streams=%u",
-          mq_str_cstr (u->facts.id), (now_us - u->ear.heard_us) / 1000,
-          u->ear.lull_us / 1000, head->running);
-  gateway->listener.moved_us = now_us;
+          mq_str_cstr (u->facts.id), (now_us - u->activity.heard_us) / 1000,
+          u->activity.longest_gap_us / 1000, head->running);
+  gateway->monitor.moved_us = now_us;
   u->suspect_since_us = now_us;
   u->suspect_until_us = now_us + SUSPECT_US;
   head_move_streams (gateway, u, now_us);
 }
 
 static void
-on_look (struct ev_loop *loop, ev_timer *timer, int revents)
+on_check (struct ev_loop *loop, ev_timer *timer, int revents)
 {
   mq_gateway *g = timer->data;
   uint64_t now = mq_gateway_now_us ();
@@ -176,16 +177,16 @@
 
   (void)loop;
   (void)revents;
-  mq_path_listener_look (&g->listener, LOOK_US, now);
+  mq_path_monitor_check (&g->monitor, CHECK_US, now);
   for (guint i = 0; i < heads->len; i++)
-    head_look (g, heads, &g_array_index (heads, silence_head, i), now);
+    head_check (g, heads, &g_array_index (heads, silence_head, i), now);
   g_array_unref (heads);
 }
 
 void
 mq_silence_start (mq_gateway *gateway)
 {
-  ev_timer_init (&gateway->silence_timer, on_look, LOOK_S, LOOK_S);
+  ev_timer_init (&gateway->silence_timer, on_check, CHECK_S, CHECK_S);
   gateway->silence_timer.data = gateway;
   ev_timer_start (gateway->loop, &gateway->silence_timer);
 }
