Take what processes sent that have ended off all routers' parts of the budget

A router is killed 1.7 s after it moved its 50 streams off a silent path; the news of its next incarnation say that it sent none, so the others use their whole parts on top. Change: a member's counts are kept for the window when it starts again, and are taken off all parts, as well as counted in what is lent. Test: SendBudget.WhatAProcessSentThatHasEndedIsTakenOffAllParts.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -78,11 +78,13 @@
   mq_lag upstreams_lag; /* It does not reach the store, and lacks upstreams
                            that we know.  */
   bool ready;
-  bool store_reached; /* It hears the store.  */
-  bool follows;       /* It follows the store's upstreams itself.  */
-  bool told_alive;    /* The log says that it lives.  */
-  GHashTable *tokens; /* Key of a way to serve -> double *.  */
-  GHashTable *sends;  /* Service -> mq_send_counts *.  */
+  bool store_reached;     /* It hears the store.  */
+  bool follows;           /* It follows the store's upstreams itself.  */
+  bool told_alive;        /* The log says that it lives.  */
+  GHashTable *tokens;     /* Key of a way to serve -> double *.  */
+  GHashTable *sends;      /* Service -> mq_send_counts *.  */
+  GHashTable *past_sends; /* The same of its incarnation before, or NULL.  */
+  uint64_t past_us;       /* When that was replaced.  */
 } mq_member;
 
 /* What the gateway keeps of a service beside its configuration.  */
@@ -314,6 +316,8 @@
 void mq_members_tick (mq_gateway *gateway, uint64_t now_us);
 /* Know the router at ADDRESS from now on.  NULL: it is this one.  */
 mq_member *mq_member_at (mq_gateway *gateway, mq_span address);
+/* An empty table of counts by service; free with g_hash_table_unref.  */
+GHashTable *mq_member_sends_new (void);
 bool mq_member_lives (const mq_member *member, uint64_t now_us);
 /* Did the store answer lately?  */
 bool mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us);
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -46,6 +46,7 @@
 {
   unsigned first; /* Requests.  */
   unsigned more;  /* Sends beyond the first.  */
+  unsigned gone;  /* Of these, by processes that have ended.  */
 } mq_send_counts;
 
 /* This router's, to be told to peers.  */
@@ -59,7 +60,7 @@
 /* The same without what others leave: for sends that many routers make at the
    same moment, before any can tell the others.  */
 bool mq_send_budget_has_part (mq_send_budget *budget, unsigned routers,
-                              uint64_t now_us);
+                              mq_send_counts others, uint64_t now_us);
 
 /* One more send was made.  */
 void mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -101,12 +101,26 @@
   return n;
 }
 
-bool
-mq_gateway_has_budget (mq_gateway *gateway, const mq_route_service *service,
-                       uint64_t now_us)
+/* Add to SUM what SENDS tells of SERVICE.  */
+static void
+counts_add (mq_send_counts *sum, GHashTable *sends,
+            const mq_route_service *service)
+{
+  const mq_send_counts *c = g_hash_table_lookup (sends, service->name->data);
+
+  if (c == NULL)
+    return;
+  sum->first += c->first;
+  sum->more += c->more;
+}
+
+/* What all other routers sent of SERVICE in the window.  */
+static mq_send_counts
+gateway_count_others (const mq_gateway *gateway,
+                      const mq_route_service *service, uint64_t now_us)
 {
   uint64_t window = gateway->settings->send_window_ms * 1000;
-  mq_send_counts others = { 0, 0 };
+  mq_send_counts others = { 0, 0, 0 };
   GHashTableIter i;
   gpointer value;
 
@@ -114,17 +128,28 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const mq_member *m = value;
-      const mq_send_counts *c
-          = g_hash_table_lookup (m->sends, service->name->data);
 
-      if (c == NULL || m->heard_us == 0 || now_us - m->heard_us > window)
-        continue;
-      others.first += c->first;
-      others.more += c->more;
+      if (m->heard_us > 0 && now_us - m->heard_us <= window)
+        counts_add (&others, m->sends, service);
+      if (m->past_sends != NULL && now_us - m->past_us <= window)
+        {
+          unsigned before = others.more;
+
+          counts_add (&others, m->past_sends, service);
+          others.gone += others.more - before;
+        }
     }
+  return others;
+}
+
+bool
+mq_gateway_has_budget (mq_gateway *gateway, const mq_route_service *service,
+                       uint64_t now_us)
+{
   return mq_send_budget_has_room (
       &mq_gateway_service (gateway, service)->budget,
-      mq_gateway_routers (gateway), others, now_us);
+      mq_gateway_routers (gateway),
+      gateway_count_others (gateway, service, now_us), now_us);
 }
 
 bool
@@ -133,7 +158,8 @@
 {
   return mq_send_budget_has_part (
       &mq_gateway_service (gateway, service)->budget,
-      mq_gateway_routers (gateway), now_us);
+      mq_gateway_routers (gateway),
+      gateway_count_others (gateway, service, now_us), now_us);
 }
 
 bool
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -51,9 +51,16 @@
   mq_str_unref (m->domain);
   g_hash_table_unref (m->tokens);
   g_hash_table_unref (m->sends);
+  g_clear_pointer (&m->past_sends, g_hash_table_unref);
   g_free (m);
 }
 
+GHashTable *
+mq_member_sends_new (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
 /* Know the router at ADDRESS from now on.  */
 mq_member *
 mq_member_at (mq_gateway *gateway, mq_span address)
@@ -68,8 +75,7 @@
       m->peer_address = mq_str_new (address);
       m->tokens
           = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-      m->sends
-          = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      m->sends = mq_member_sends_new ();
       g_hash_table_insert (gateway->members, m->peer_address->data, m);
       mq_peers_connect (gateway->peers, address);
     }
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -270,6 +270,17 @@
     }
 }
 
+/* MEMBER has started again.  What it sent before still counts in the window.
+ */
+static void
+keep_past_sends (mq_member *member, uint64_t now_us)
+{
+  g_clear_pointer (&member->past_sends, g_hash_table_unref);
+  member->past_sends = member->sends;
+  member->past_us = now_us;
+  member->sends = mq_member_sends_new ();
+}
+
 /* One finding of a peer's.  It is not passed on again by who heard it: it
    lives as long as the router that made it says.  */
 static void
@@ -355,6 +366,8 @@
       news_introduce (gateway, m, now);
     }
   m->told_alive = true;
+  if (m->incarnation != 0 && m->incarnation != incarnation)
+    keep_past_sends (m, now);
   m->incarnation = incarnation;
   m->sequence = sequence;
   m->heard_us = now;
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -68,7 +68,7 @@
 mq_send_counts
 mq_send_budget_count (mq_send_budget *budget, uint64_t now_us)
 {
-  mq_send_counts c = { 0, 0 };
+  mq_send_counts c = { 0, 0, 0 };
 
   budget_advance (budget, now_us);
   for (unsigned i = 0; i <= MQ_SEND_BUDGET_SLICES; i++)
@@ -90,24 +90,25 @@
 }
 
 /* This router's part of the fleet's budget, one of ROUTERS, whose own requests
-   are OWN.  */
+   are OWN.  What processes sent that have ended is taken off all parts.  */
 static double
 budget_part (const mq_send_budget *budget, mq_send_counts own,
-             unsigned routers, uint64_t now_us)
+             mq_send_counts others, unsigned routers, uint64_t now_us)
 {
   return SHARE_USED
-         * (budget->ratio * own.first
-            + budget->slack * budget_grown (budget, now_us)
-                  / MAX (routers, 1));
+             * (budget->ratio * own.first
+                + budget->slack * budget_grown (budget, now_us)
+                      / MAX (routers, 1))
+         - (double)others.gone / MAX (routers, 1);
 }
 
 bool
 mq_send_budget_has_part (mq_send_budget *budget, unsigned routers,
-                         uint64_t now_us)
+                         mq_send_counts others, uint64_t now_us)
 {
   mq_send_counts own = mq_send_budget_count (budget, now_us);
 
-  return own.more + 1 <= budget_part (budget, own, routers, now_us);
+  return own.more + 1 <= budget_part (budget, own, others, routers, now_us);
 }
 
 bool
@@ -115,7 +116,7 @@
                          mq_send_counts others, uint64_t now_us)
 {
   mq_send_counts own = mq_send_budget_count (budget, now_us);
-  double part = budget_part (budget, own, routers, now_us);
+  double part = budget_part (budget, own, others, routers, now_us);
   double fleet = budget->ratio * (own.first + others.first)
                  + budget->slack * budget_grown (budget, now_us);
   double left = SHARE_LENT * fleet - others.more;
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -13,7 +13,7 @@
 constexpr uint64_t s = 1000 * 1000;
 constexpr uint64_t window = 10 * s;
 /* Others that have used all there is: nothing is lent.  */
-constexpr mq_send_counts alone = { 0, 1000000 };
+constexpr mq_send_counts alone = { 0, 1000000, 0 };
 
 } // namespace
 
@@ -76,10 +76,11 @@
           for (int k = 0; k < 120; k++)
             mq_send_budget_request (b, 20 * s);
         }
-      for (; mq_send_budget_has_part (&own, count, 20 * s); sent++)
+      for (; mq_send_budget_has_part (&own, count, {}, 20 * s); sent++)
         mq_send_budget_spend (&own, 20 * s);
       /* Nobody has told anything yet.  */
-      for (; mq_send_budget_has_room (&all, count, { 600, 0 }, 20 * s); lent++)
+      for (; mq_send_budget_has_room (&all, count, { 600, 0, 0 }, 20 * s);
+           lent++)
         mq_send_budget_spend (&all, 20 * s);
     }
   EXPECT_LE (sent, 0.2 * count * 120 + 196);
@@ -87,6 +88,28 @@
   EXPECT_GT (lent, 0.2 * count * 120 + 196);
 }
 
+/* A hunt found 370 further arrivals for 367 allowed: a router was killed after
+   it had moved 50 streams, and what it had sent was forgotten (halvorsen
+   trouble-2 --seed 906021703507).  */
+TEST (SendBudget, WhatAProcessSentThatHasEndedIsTakenOffAllParts)
+{
+  mq_send_budget b;
+  unsigned parts[2] = {};
+
+  for (unsigned gone : { 0u, 54u })
+    {
+      mq_send_budget_init (&b, 0.2, 196, window, 0);
+      for (int k = 0; k < 120; k++)
+        mq_send_budget_request (&b, 20 * s);
+      while (mq_send_budget_has_part (&b, 6, { 600, gone, gone }, 20 * s))
+        {
+          mq_send_budget_spend (&b, 20 * s);
+          parts[gone > 0]++;
+        }
+    }
+  EXPECT_EQ (parts[0] - parts[1], 54u / 6);
+}
+
 /* A hunt found 2,071 further arrivals for 1,115 allowed: 90 routers started at
    once, and each took the others' parts for its own (tekle-entries-grown,
    hunt-656f-3).  */
@@ -110,7 +133,7 @@
             mq_send_budget_request (&r, now);
             first++;
           }
-        if (mq_send_budget_has_room (&r, known, { 0, 0 }, now))
+        if (mq_send_budget_has_room (&r, known, { 0, 0, 0 }, now))
           {
             mq_send_budget_spend (&r, now);
             more++;
@@ -210,7 +233,7 @@
   unsigned n = 0;
 
   mq_send_budget_init (&b, 0.2, 196, window, 20 * s);
-  while (mq_send_budget_has_room (&b, 6, { 500, 10 }, 21 * s))
+  while (mq_send_budget_has_room (&b, 6, { 500, 10, 0 }, 21 * s))
     {
       mq_send_budget_spend (&b, 21 * s);
       n++;
