Stay on a path whose streams all pause: nothing is gained by leaving it

Streams left a head whose streams had all been silent for 70 ms or more. All streams of a chain step together: with three tokens an event the usual gap is 55 to 75 ms under load, the longest 105 to 150.

Conclusion: removed (path_silence.c, gateway_silence.c, their state and tests). What remains is tested: a path that pauses as a whole is not left (fails on the code before), and a stage that its head names is left (Gateway.ASilentStageIsFoundByTheHeadsReport, as before).

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -162,8 +162,6 @@
   uint64_t members_scan_us; /* When to read the members again.  */
   ev_timer tick;
   unsigned ticks;
-  ev_timer silence_timer;
-  mq_path_monitor monitor;
   GQueue forwards;      /* mq_forward, owned.  */
   GHashTable *services; /* Name -> mq_service_state, owned.  */
   GHashTable *tokens;   /* Key of a way to serve -> double *, our own.  */
@@ -288,11 +286,6 @@
 /* Give up the place.  */
 void mq_forward_unplace (mq_forward *forward);
 
-/* ---- gateway_silence.c  */
-/* Look out for paths that fall silent.  */
-void mq_silence_start (mq_gateway *gateway);
-void mq_silence_stop (mq_gateway *gateway);
-
 /* ---- gateway_send.c  */
 void mq_forward_send (mq_forward *forward, uint64_t now_us);
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -9,7 +9,6 @@
 #define MQ_UPSTREAM_H
 
 #include <glib.h>
-#include <mq/path_silence.h>
 #include <mq/str.h>
 
 G_BEGIN_DECLS
@@ -44,9 +43,6 @@
   bool pace_heard;           /* From a peer, not from the engine itself.  */
   uint64_t reported_us;      /* When it was last asked how it does.  */
   uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
-  mq_path_activity activity; /* Of the streams that begin here.  */
-  uint64_t suspect_since_us; /* Its paths fell silent.  */
-  uint64_t suspect_until_us; /* Nothing goes there before.  */
   uint64_t turned_us;        /* When it last turned a request away, alive.  */
   uint64_t turned_span_us;   /* For so long after it gets none.  */
   uint64_t refuses_since_us; /* All that was sent since was turned away.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -303,7 +303,6 @@
   mq_feed_start (&g->routing_feed, g, dialect->kinds.configuration);
   mq_feed_start (&g->upstream_feed, g, dialect->kinds.upstreams);
   ev_timer_start (loop, &g->tick);
-  mq_silence_start (g);
   mq_log (G_LOG_LEVEL_INFO, "router.start",
           "vm=%s domain=%s clients=%s peers=%s", mq_str_cstr (settings->name),
           mq_str_cstr (settings->failure_domain),
@@ -319,7 +318,6 @@
   if (g == NULL)
     return;
   ev_timer_stop (g->loop, &g->tick);
-  mq_silence_stop (g);
   mq_feed_stop (&g->routing_feed);
   mq_feed_stop (&g->upstream_feed);
   mq_forward_free_all (g);
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -158,8 +158,6 @@
                            (gssize)event->data.size);
       return;
     }
-  if (forward->path.n > 0)
-    mq_path_activity_note (&forward->upstream->activity, mq_gateway_now_us ());
   mq_event_split_feed (&forward->split, event->data);
   (void)stream_pass (forward, event->status);
 }
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -162,8 +162,6 @@
 static bool
 forward_may_go (const mq_forward *forward, mq_upstream *head, uint64_t now_us)
 {
-  if (now_us < head->suspect_until_us)
-    return false;
   if (!forward->state.begun && now_us < head->crowded_until_us)
     return false;
   return !mq_forward_must_return (&forward->state)
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -62,9 +62,6 @@
           report->stalled_at->len);
   if (report->waiting > 0 && report->stalled_at->len == 0)
     head->crowded_until_us = mq_gateway_now_us () + CROWDED_US;
-  /* The engine at fault is known, and paths lead round it.  */
-  if (report->stalled_at->len > 0)
-    head->suspect_until_us = 0;
   for (guint i = 0; i < report->stalled_at->len; i++)
     stall_named (gateway, head,
                  mq_span_from (g_ptr_array_index (report->stalled_at, i)));
