Let second copies keep their layers

A copy has memory for half of what its chain wants. The step that relieves engines which hold too much took copies for such, since they are below 0.6 of what is wanted: each gave up layers that no other spare took, and the loss of an engine in use found no whole path in its domain.

--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -34,6 +34,7 @@
   mq_plan_range range;
   bool moved;   /* To be ordered.  */
   bool spare;   /* Holds nothing that others do not hold.  */
+  bool copy;    /* The same, and it is to stay so.  */
   double place; /* For a new layout: its order among the others.  */
 } mq_plan_engine;
 
--- a/packages/route/layer_spares.c
+++ b/packages/route/layer_spares.c
@@ -18,7 +18,8 @@
 #define RELIEF_BELOW 0.6
 
 /* Give what overloaded engines hold too much of to spares, one engine a
-   time.  */
+   time.  A copy is meant to be tighter: one that gave layers up left the loss
+   of the engine that it stands for without a whole path.  */
 static void
 domain_relieve (mq_plan_domain *domain)
 {
@@ -29,7 +30,7 @@
       unsigned *cover;
       mq_plan_range over;
 
-      if (e->moved || e->spare || e->holder->fixed
+      if (e->moved || e->spare || e->copy || e->holder->fixed
           || mq_plan_range_size (e->range) <= room
           || mq_plan_engine_tokens (domain, e)
                  >= domain->wanted * RELIEF_BELOW)
@@ -189,7 +190,8 @@
     }
 }
 
-/* Only what holds nothing may take a copy: a copy is not moved for a copy. */
+/* Only what holds nothing may take a copy: a copy is not moved for a copy.
+   The others are the copies.  */
 static void
 domain_keep_empty_spares (mq_plan_domain *domain)
 {
@@ -197,7 +199,8 @@
     {
       mq_plan_engine *e = mq_plan_domain_engine (domain, i);
 
-      e->spare = e->spare && mq_plan_range_size (e->range) == 0;
+      e->copy = e->spare && mq_plan_range_size (e->range) > 0;
+      e->spare = e->spare && !e->copy;
     }
 }
 
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -276,3 +276,24 @@
   EXPECT_GE (fleet.tokens ("two"), before);
   EXPECT_EQ (fleet.plan (), 0u);
 }
+
+/* Copies are tighter than what they stand for, and were taken for engines that
+   hold too much: each gave layers up, and the loss of an engine in use found
+   no whole path.  */
+TEST (LayerPlanMixed, CopiesKeepTheirLayers)
+{
+  Service service{ chain::Cards::mixed };
+  Fleet fleet{ service };
+
+  fleet.add ("one", "a100", 1);
+  fleet.add ("one", "l40s", 3);
+  fleet.add ("one", "l4", 8);
+  fleet.settle ();
+  for (const Engine &e : fleet.engines)
+    {
+      /* Memory of the l4 reaches for copies of all but some layers.  */
+      if (e.card == "a100" || (e.card == "l40s" && e.first < 60))
+        EXPECT_GT (fleet.tokens ("one", &e), 20000) << e.first;
+    }
+  EXPECT_EQ (fleet.plan (), 0u);
+}
