Wait while prompts are read that came before, and let those in time go first

Placement knew memory only. When hundreds of requests come at once (all routers were killed, a chain was lost), a head reads their prompts one after another for a second or more: those that had just come, and could be in time, waited behind those that were late already.

A router counts the prompts that it sent and whose first event has not come, by way; times its routers and the reading time of the path's slowest stage, that is how long a new prompt would wait. Above 0.6 of the aim a new request, above 0.5 one that came back, above 1.0 a stream that lost its run goes to another way, or waits for at most a second, and then goes all the same.

--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -4,7 +4,8 @@
    Each router counts its own and hears the others' counts every heartbeat.
    Pure; times come in with the calls.  The load it answers: many clients at
    once through several routers, each of which sees a part; without the
-   others' counts all send to the same emptiest domain at once.  */
+   others' counts all send to the same emptiest domain at once, and with counts
+   that are old all send to the one that was emptiest then.  */
 
 #ifndef MQ_DOMAIN_LOAD_H
 #define MQ_DOMAIN_LOAD_H
@@ -17,12 +18,13 @@
 /* One way to serve a request.  */
 typedef struct mq_domain_choice
 {
-  mq_span domain; /* Borrowed.  */
-  double room;    /* Tokens that its tightest stage holds.  */
-  double used;    /* Tokens in flight, of all routers.  */
-  double step_ms; /* Of a token on its path, without load.  */
-  bool tried;     /* A send of the same request failed there.  */
-  bool local;     /* The router's own domain.  */
+  mq_span domain;    /* Borrowed.  */
+  double room;       /* Tokens that its tightest stage holds.  */
+  double used;       /* Tokens in flight, of all routers.  */
+  double step_ms;    /* Of a token on its path, without load.  */
+  bool tried;        /* A send of the same request failed there.  */
+  bool local;        /* The router's own domain.  */
+  double reading_ms; /* Until the prompts that it has are read.  */
 } mq_domain_choice;
 
 /* What a request is to the router.  */
@@ -33,10 +35,21 @@
   MQ_DOMAIN_BEGUN /* Part of its answer was given.  */
 } mq_domain_rank;
 
-/* Choose among N ways for a request of RANK that will hold NEED tokens: the
-   index of one, or -1 when it fits nowhere.  */
-int mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
-                      mq_domain_rank rank);
+typedef struct mq_domain_request
+{
+  double need; /* Tokens that it will hold.  */
+  mq_domain_rank rank;
+  double target_ms; /* Aim for its first event; 0: none, and it does not wait
+                       for what is read before it.  */
+} mq_domain_request;
+
+/* No way has memory for it, or those that have must read too much before.  */
+#define MQ_DOMAIN_NO_ROOM (-1)
+#define MQ_DOMAIN_READING (-2)
+
+/* Choose among N ways for REQUEST: the index of one, or one of the above.  */
+int mq_domain_choose (const mq_domain_choice *choices, size_t n,
+                      const mq_domain_request *request);
 
 /* When a refused client that has LEFT_MS should come back, in ms.  DRAW, even
    over 64 bits, spreads those who are refused together.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -94,6 +94,21 @@
   mq_layer_plan plan; /* Of a layered model.  */
 } mq_service_state;
 
+/* What this router has in flight on one way to serve.  */
+typedef struct mq_way_load
+{
+  double tokens;  /* Held, or going to be.  */
+  double reading; /* Of prompts whose first event has not come.  */
+} mq_way_load;
+
+/* Why a request was not placed, or that it was.  */
+typedef enum mq_placing
+{
+  MQ_PLACED,
+  MQ_PLACING_NO_ROOM,
+  MQ_PLACING_READING /* There is room, but too much is read before.  */
+} mq_placing;
+
 typedef struct mq_gateway_counters
 {
   uint64_t *requests;
@@ -162,10 +177,12 @@
   uint64_t members_scan_us; /* When to read the members again.  */
   ev_timer tick;
   unsigned ticks;
-  GQueue forwards;      /* mq_forward, owned.  */
-  GHashTable *services; /* Name -> mq_service_state, owned.  */
-  GHashTable *tokens;   /* Key of a way to serve -> double *, our own.  */
-  bool drain_closed;    /* No new connection and no new stream.  */
+  GQueue forwards;        /* mq_forward, owned.  */
+  GHashTable *services;   /* Name -> mq_service_state, owned.  */
+  GHashTable *ways;       /* Key of a way to serve -> mq_way_load, owned.  */
+  unsigned reading_ranks; /* A bit each mq_domain_rank that found all ways
+                             reading in this tick.  */
+  bool drain_closed;      /* No new connection and no new stream.  */
   uint64_t drain_close_us;
   uint64_t drain_last_us; /* No new request at all.  */
   uint64_t drain_until_us;
@@ -194,7 +211,10 @@
   mq_layer_path path;    /* Empty for plain services.  */
   mq_str *way;           /* Where its tokens are counted, or NULL.  */
   double need;           /* Tokens.  */
+  double prompt;         /* Of these, the prompt's.  */
+  double reading;        /* The prompt, until its send's first event.  */
   double used;           /* In flight there when it was placed.  */
+  bool waits;            /* For a way; it was not placed yet.  */
   mq_http_call *call;    /* Borrowed; NULL between sends.  */
   uint64_t sent_us;      /* Of the last send.  */
   uint64_t heard_us;     /* Last byte of the answer, or the send.  */
@@ -277,9 +297,15 @@
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
 
 /* ---- gateway_place.c  */
-/* Choose where FORWARD goes.  0; or -1 with *RETRY_MS set.  */
-int mq_forward_place (mq_forward *forward, uint64_t now_us,
-                      unsigned *retry_ms);
+/* Choose where FORWARD goes.  Unless it is placed, *RETRY_MS is set.  */
+mq_placing mq_forward_place (mq_forward *forward, uint64_t now_us,
+                             unsigned *retry_ms);
+/* The first event of FORWARD's send came: its prompt has been read.  */
+void mq_forward_note_read (mq_forward *forward);
+/* What FORWARD is to the choice of a way.  */
+mq_domain_rank mq_forward_rank (const mq_forward *forward);
+/* Does FORWARD still wait while prompts are read that came before it?  */
+bool mq_forward_is_patient (const mq_forward *forward, uint64_t now_us);
 /* May FORWARD leave its run, and is there another head that would take it
    now?  */
 bool mq_forward_can_move (mq_forward *forward, uint64_t now_us);
--- a/include/mq/internal/layer_path.h
+++ b/include/mq/internal/layer_path.h
@@ -34,6 +34,9 @@
 /* The tokens that fit on the tightest stage of PATH.  */
 double mq_path_tokens (const mq_layer_path *path,
                        const mq_layered_model *model, uint64_t now_us);
+/* See read_ms of mq_layer_path.  */
+double mq_path_read_ms (const mq_layer_path *path,
+                        const mq_layered_model *model, uint64_t now_us);
 /* The best path over EDGES: see mq_layer_path_find.  */
 bool mq_path_find_best (mq_layer_path *path, const GArray *edges,
                         const mq_layered_model *model, uint64_t now_us);
--- a/include/mq/layer_path.h
+++ b/include/mq/layer_path.h
@@ -27,7 +27,9 @@
   mq_layer_part parts[MQ_LAYER_PATH_PARTS];
   unsigned n;
   double step_ms; /* Of one token, without load.  */
-  double tokens;  /* That fit on the stage with the least memory.  */
+  double
+      read_ms; /* Of one token of a prompt at the stage that reads slowest. */
+  double tokens; /* That fit on the stage with the least memory.  */
 } mq_layer_path;
 
 /* Find the fastest path among those of SERVICE with the most memory through
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -10,8 +10,8 @@
 #include <sodium.h>
 
 #define TICK_S 0.05
-#define HACTIVITYTBEAT_TICKS 5 /* 250 ms.  */
-#define ORDER_TICKS 2          /* 100 ms.  */
+#define HEARTBEAT_TICKS 5 /* 250 ms.  */
+#define ORDER_TICKS 2     /* 100 ms.  */
 
 /* Calls to the store, beside the time that a follow waits.  */
 #define STORE_TIMEOUT_MS 1000
@@ -198,12 +198,13 @@
   (void)loop;
   (void)revents;
   g->ticks++;
+  g->reading_ranks = 0;
   for (GList *l = g->forwards.head; l != NULL; l = next)
     {
       next = l->next;
       mq_forward_tick (l->data, now);
     }
-  if (g->ticks % HACTIVITYTBEAT_TICKS == 0)
+  if (g->ticks % HEARTBEAT_TICKS == 0)
     {
       mq_news_heartbeat (g);
       if (g->leads)
@@ -283,7 +284,7 @@
   mq_gateway_metrics_init (g);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
-  g->tokens = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g->ways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->client_address
       = mq_str_printf ("%s:%u", mq_str_cstr (settings->clients.address),
                        settings->clients.port);
@@ -335,7 +336,7 @@
   mq_str_unref (g->client_address);
   mq_str_unref (g->peer_address);
   g_hash_table_unref (g->services);
-  g_hash_table_unref (g->tokens);
+  g_hash_table_unref (g->ways);
   mq_metrics_free (g->metrics);
   g_free (g);
 }
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -111,6 +111,7 @@
   uint64_t now = mq_gateway_now_us ();
   double gap_ms = (double)(now - forward->passed_us) / 1000;
 
+  mq_forward_note_read (forward);
   if (forward->passed_us < forward->sent_us)
     for (unsigned i = 0; i < forward->path.n; i++)
       mq_upstream_accepted (forward->path.parts[i].upstream, forward->sent_us);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -336,9 +336,9 @@
              : fallback;
 }
 
-/* Tokens that the request will hold.  */
-static double
-request_need (const mq_forward *forward)
+/* Note the tokens of FORWARD's prompt, and those that it will hold.  */
+static void
+forward_set_need (mq_forward *forward)
 {
   const mq_dialect_headers *h = &forward->gateway->dialect->headers;
   const mq_layered_model *m = &forward->service->model;
@@ -357,7 +357,8 @@
       (void)mq_span_to_u64 ((mq_span){ comma + 1, counts.size - n - 1 },
                             &most);
     }
-  return mq_domain_need (
+  forward->prompt = (double)prompt;
+  forward->need = mq_domain_need (
       (unsigned)prompt, (unsigned)most,
       (unsigned)request_number (forward->exchange, h->answer_estimate, 0),
       m->usual_answer);
@@ -415,7 +416,7 @@
                       "no-service");
       return;
     }
-  f->need = request_need (f);
+  forward_set_need (f);
   mq_send_budget_request (&mq_gateway_service (gateway, f->service)->budget,
                           now);
   mq_forward_send (f, now);
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -79,16 +79,18 @@
 
   mq_json_text_key (out, "tokens");
   g_string_append_c (out, '[');
-  g_hash_table_iter_init (&i, gateway->tokens);
+  g_hash_table_iter_init (&i, gateway->ways);
   while (g_hash_table_iter_next (&i, &key, &value))
     {
-      if (*(double *)value <= 0)
+      const mq_way_load *load = value;
+
+      if (load->tokens <= 0)
         continue;
       if (out->str[out->len - 1] != '[')
         g_string_append_c (out, ',');
       g_string_append_c (out, '{');
       mq_json_text_member (out, "at", mq_span_from (key));
-      mq_json_text_number (out, "n", (uint64_t) * (double *)value);
+      mq_json_text_number (out, "n", (uint64_t)load->tokens);
       g_string_append_c (out, '}');
     }
   g_string_append_c (out, ']');
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -18,6 +18,11 @@
    before; the way from a client takes some ms.  */
 #define RETURNED_MS 400
 
+/* How long a request waits while prompts are read that came before.  Hundreds
+   that come at once are read within a second; after that it is better to go
+   than to be refused.  */
+#define READING_WAIT_US ((uint64_t)1000 * 1000)
+
 /* ---- Plain services.  */
 
 static bool
@@ -87,17 +92,17 @@
 
 /* ---- Layered models.  */
 
-static double *
-domain_tokens (mq_gateway *gateway, const char *key)
+static mq_way_load *
+way_load (mq_gateway *gateway, const char *key)
 {
-  double *n = g_hash_table_lookup (gateway->tokens, key);
+  mq_way_load *load = g_hash_table_lookup (gateway->ways, key);
 
-  if (n == NULL)
+  if (load == NULL)
     {
-      n = g_new0 (double, 1);
-      g_hash_table_insert (gateway->tokens, g_strdup (key), n);
+      load = g_new0 (mq_way_load, 1);
+      g_hash_table_insert (gateway->ways, g_strdup (key), load);
     }
-  return n;
+  return load;
 }
 
 /* What is in flight is counted under "service domain", or, where a domain is
@@ -133,20 +138,23 @@
            uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
+  const mq_way_load *load = way_load (g, way->key);
 
   return (mq_domain_choice){
     .domain = domain,
     .room = way->path.tokens,
-    .used
-    = *domain_tokens (g, way->key) + mq_members_tokens (g, way->key, now_us),
+    .used = load->tokens + mq_members_tokens (g, way->key, now_us),
+    /* Prompts are read within less than the age of others' news; but what
+       brings many at once to this router brings them to all.  */
+    .reading_ms = load->reading * mq_gateway_routers (g) * way->path.read_ms,
     .step_ms = way->path.step_ms,
     .tried = forward_has_tried (forward, way->path.parts[0].upstream),
     .local = mq_span_equal (domain, mq_str_span (g->settings->failure_domain))
   };
 }
 
-static mq_domain_rank
-forward_rank (const mq_forward *forward)
+mq_domain_rank
+mq_forward_rank (const mq_forward *forward)
 {
   uint64_t left_ms = (forward->state.deadline_us - forward->started_us) / 1000;
 
@@ -158,6 +166,26 @@
              : MQ_DOMAIN_NEW;
 }
 
+bool
+mq_forward_is_patient (const mq_forward *forward, uint64_t now_us)
+{
+  uint64_t since
+      = forward->state.begun ? forward->heard_us : forward->started_us;
+
+  return now_us - since < READING_WAIT_US;
+}
+
+static mq_domain_request
+forward_request (const mq_forward *forward, uint64_t now_us)
+{
+  return (mq_domain_request){
+    .need = forward->need,
+    .rank = mq_forward_rank (forward),
+    .target_ms
+    = mq_forward_is_patient (forward, now_us) ? forward->route->target_ms : 0,
+  };
+}
+
 /* May FORWARD go to HEAD, as far as that is known by itself?  */
 static bool
 forward_may_go (const mq_forward *forward, mq_upstream *head, uint64_t now_us)
@@ -227,7 +255,9 @@
   for (unsigned i = 0; i < way->path.n; i++)
     way->path.parts[i].upstream->passed_us = now_us;
   forward->used = choice->used;
-  *domain_tokens (forward->gateway, way->key) += forward->need;
+  forward->reading = forward->prompt;
+  way_load (forward->gateway, way->key)->tokens += forward->need;
+  way_load (forward->gateway, way->key)->reading += forward->reading;
   forward->way = mq_str_new (mq_span_from (way->key));
 }
 
@@ -249,14 +279,14 @@
   g_string_free (text, TRUE);
 }
 
-static int
+static mq_placing
 place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
   mq_domain_choice choices[WAYS_MOST];
   place_way *ways = g_new0 (place_way, WAYS_MOST);
   size_t n = place_list (forward, now_us, ways, choices);
-  int chosen
-      = mq_domain_choose (choices, n, forward->need, forward_rank (forward));
+  mq_domain_request request = forward_request (forward, now_us);
+  int chosen = mq_domain_choose (choices, n, &request);
 
   if (chosen >= 0)
     place_take (forward, &ways[chosen], &choices[chosen], now_us);
@@ -265,13 +295,15 @@
       *retry_ms
           = mq_domain_return_ms ((forward->state.deadline_us - now_us) / 1000,
                                  mq_gateway_draw (forward->gateway));
-      if (!forward->state.begun)
+      if (!forward->state.begun && !forward->waits)
         place_tell_choices (forward, choices, n);
     }
   for (size_t i = 0; i < n; i++)
     way_finish (&ways[i]);
   g_free (ways);
-  return chosen >= 0 ? 0 : -1;
+  if (chosen >= 0)
+    return MQ_PLACED;
+  return chosen == MQ_DOMAIN_READING ? MQ_PLACING_READING : MQ_PLACING_NO_ROOM;
 }
 
 static bool
@@ -280,6 +312,7 @@
   mq_domain_choice choices[WAYS_MOST];
   place_way *ways = g_new0 (place_way, WAYS_MOST);
   size_t n = place_list (forward, now_us, ways, choices);
+  mq_domain_request request = forward_request (forward, now_us);
   size_t others = 0;
 
   for (size_t i = 0; i < n; i++)
@@ -289,9 +322,7 @@
       way_finish (&ways[i]);
     }
   g_free (ways);
-  return mq_domain_choose (choices, others, forward->need,
-                           forward_rank (forward))
-         >= 0;
+  return mq_domain_choose (choices, others, &request) >= 0;
 }
 
 bool
@@ -306,15 +337,17 @@
          && forward_can_place (forward, now_us);
 }
 
-int
+mq_placing
 mq_forward_place (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
   mq_upstream *u;
 
   if (forward->service->model.layers > 0)
     {
-      if (place_path (forward, now_us, retry_ms) < 0)
-        return -1;
+      mq_placing placing = place_path (forward, now_us, retry_ms);
+
+      if (placing != MQ_PLACED)
+        return placing;
       u = forward->path.parts[0].upstream;
     }
   else
@@ -322,13 +355,22 @@
   if (u == NULL)
     {
       *retry_ms = NONE_RETRY_MS;
-      return -1;
+      return MQ_PLACING_NO_ROOM;
     }
   forward->upstream = mq_upstream_ref (u);
   u->in_flight++;
   if (!forward_has_tried (forward, u))
     g_ptr_array_add (forward->tried, mq_upstream_ref (u));
-  return 0;
+  return MQ_PLACED;
+}
+
+void
+mq_forward_note_read (mq_forward *forward)
+{
+  if (forward->way != NULL)
+    way_load (forward->gateway, mq_str_cstr (forward->way))->reading
+        -= forward->reading;
+  forward->reading = 0;
 }
 
 void
@@ -337,7 +379,8 @@
   mq_layer_path_finish (&forward->path);
   if (forward->way == NULL)
     return;
-  *domain_tokens (forward->gateway, mq_str_cstr (forward->way))
+  mq_forward_note_read (forward);
+  way_load (forward->gateway, mq_str_cstr (forward->way))->tokens
       -= forward->need;
   g_clear_pointer (&forward->way, mq_str_unref);
 }
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -14,8 +14,9 @@
    answer's way back.  */
 #define ENGINE_RESERVE_MS 10
 
-/* A stream without a run is ended after so long without an event: clients
-   leave after 2 s, and a new run takes some 0.2 s to its first event.  */
+/* A stream without a run is ended after so long without an event, and a
+   request that waits while prompts are read is refused: clients leave after 2
+   s, and a run takes some 0.2 s to its first event.  */
 #define PARK_MOST_US ((uint64_t)1600 * 1000)
 
 /* When to come back for want of budget: what a client sends anew is no further
@@ -171,23 +172,54 @@
   f->state.sent++;
 }
 
+/* Place FORWARD, unless another of its rank that waits found all ways reading
+   in this tick: hundreds may wait, and each search for paths takes time.  */
+static mq_placing
+send_place (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
+{
+  mq_gateway *g = forward->gateway;
+  unsigned rank = 1u << mq_forward_rank (forward);
+  bool waits = forward->waits && mq_forward_is_patient (forward, now_us);
+  mq_placing placing;
+
+  if (waits && (g->reading_ranks & rank) != 0)
+    return MQ_PLACING_READING;
+  placing = mq_forward_place (forward, now_us, retry_ms);
+  if (placing == MQ_PLACING_READING)
+    g->reading_ranks |= rank;
+  return placing;
+}
+
+/* May FORWARD wait, which is sent by the tick then?  A stream that has begun
+   waits for room as long as its client does; and all wait while prompts are
+   read, which takes no longer than that.  */
+static bool
+send_may_wait (const mq_forward *forward, mq_placing placing, uint64_t now_us)
+{
+  if (forward->state.begun)
+    return now_us - forward->heard_us <= PARK_MOST_US;
+  return placing == MQ_PLACING_READING
+         && now_us - forward->started_us <= PARK_MOST_US;
+}
+
 void
 mq_forward_send (mq_forward *forward, uint64_t now_us)
 {
   mq_forward *f = forward;
   mq_gateway *g = f->gateway;
   unsigned retry_ms = 0;
+  mq_placing placing;
 
   if (!send_is_in_budget (f, now_us))
     {
       mq_forward_turn_away (f, NO_BUDGET_RETRY_MS, "no-budget");
       return;
     }
-  if (mq_forward_place (f, now_us, &retry_ms) < 0)
+  placing = send_place (f, now_us, &retry_ms);
+  if (placing != MQ_PLACED)
     {
-      /* A stream that has begun waits for room as long as its client does;
-         the tick sends it again.  */
-      if (!f->state.begun || now_us - f->heard_us > PARK_MOST_US)
+      f->waits = send_may_wait (f, placing, now_us);
+      if (!f->waits)
         mq_forward_turn_away (f, retry_ms, "no-room");
       return;
     }
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -1,4 +1,4 @@
-/* Load by failure domain: see mq/domain_load.h.
+/* Load by way to serve, and the choice of one: see mq/domain_load.h.
 
    The load that the limits answer is more requests than all memory holds, as
    a burst or for long (tests/test_overload.cc replays both).  Refused clients
@@ -19,6 +19,14 @@
   [MQ_DOMAIN_RETURNED] = 0.89, [MQ_DOMAIN_NEW] = 0.92, [MQ_DOMAIN_BEGUN] = 1.02
 };
 
+/* Part of the aim for the first event that may go to prompts which are read
+   before its own, by rank.  After all routers were killed, or when a chain is
+   lost, hundreds come at once; most are late already, and those that are not
+   would be if they had to wait for all of these.  */
+static const double reading_most[] = {
+  [MQ_DOMAIN_RETURNED] = 0.5, [MQ_DOMAIN_NEW] = 0.6, [MQ_DOMAIN_BEGUN] = 1.0
+};
+
 /* A domain where a send of the same request failed comes after others that
    are fuller by this: an engine there may be failing unnoticed.  */
 #define TRIED_LAG 0.4
@@ -54,26 +62,49 @@
   return times < SLOW_FROM ? 0 : MIN ((times - 1) * SLOW_LAG, SLOW_LAG_MOST);
 }
 
-int
-mq_domain_choose (const mq_domain_choice *choices, size_t n, double need,
-                  mq_domain_rank rank)
+/* The time of a token on the fastest of N CHOICES.  */
+static double
+choices_fastest (const mq_domain_choice *choices, size_t n)
 {
-  int chosen = -1;
-  double best = 0;
   double fastest = 0;
 
   for (size_t i = 0; i < n; i++)
     if (fastest == 0 || choices[i].step_ms < fastest)
       fastest = choices[i].step_ms;
+  return fastest;
+}
+
+static bool
+choice_reads_too_much (const mq_domain_choice *choice,
+                       const mq_domain_request *request)
+{
+  return request->target_ms > 0
+         && choice->reading_ms
+                > request->target_ms * reading_most[request->rank];
+}
+
+int
+mq_domain_choose (const mq_domain_choice *choices, size_t n,
+                  const mq_domain_request *request)
+{
+  int chosen = MQ_DOMAIN_NO_ROOM;
+  double best = 0;
+  double fastest = choices_fastest (choices, n);
 
   for (size_t i = 0; i < n; i++)
     {
-      double given = choices[i].room * share_given[rank];
+      double given = choices[i].room * share_given[request->rank];
       double score;
 
-      if (choices[i].used + need > given)
+      if (choices[i].used + request->need > given)
         continue;
-      score = (choices[i].used + need) / given
+      if (choice_reads_too_much (&choices[i], request))
+        {
+          if (chosen < 0)
+            chosen = MQ_DOMAIN_READING;
+          continue;
+        }
+      score = (choices[i].used + request->need) / given
               - (choices[i].local ? LOCAL_LEAD : 0)
               + (choices[i].tried ? TRIED_LAG : 0)
               + domain_slow_lag (&choices[i], fastest);
--- a/packages/route/layer_chains.c
+++ b/packages/route/layer_chains.c
@@ -151,7 +151,10 @@
   found = sweep_run (&s, paths, n);
   for (unsigned i = 0; i < n; i++)
     if (found)
-      paths[i].tokens = mq_path_tokens (&paths[i], model, now_us);
+      {
+        paths[i].tokens = mq_path_tokens (&paths[i], model, now_us);
+        paths[i].read_ms = mq_path_read_ms (&paths[i], model, now_us);
+      }
     else
       mq_layer_path_finish (&paths[i]);
   if (found)
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -208,6 +208,24 @@
   return least;
 }
 
+double
+mq_path_read_ms (const mq_layer_path *path, const mq_layered_model *model,
+                 uint64_t now_us)
+{
+  double most = 0;
+
+  for (unsigned i = 0; i < path->n && model->read_per_ms > 0; i++)
+    {
+      const mq_layer_part *p = &path->parts[i];
+      const mq_card *c = mq_layered_model_card (
+          model, mq_str_span (p->upstream->facts.card));
+
+      most = MAX (most, (p->end - p->first) * c->read_pace
+                            * mq_upstream_slowness (p->upstream, now_us));
+    }
+  return most / model->layers / MAX (model->read_per_ms, 1e-9);
+}
+
 bool
 mq_path_find_best (mq_layer_path *path, const GArray *edges,
                    const mq_layered_model *model, uint64_t now_us)
@@ -230,6 +248,7 @@
   if (path->n == 0)
     return false;
   path->tokens = mq_path_tokens (path, model, now_us);
+  path->read_ms = mq_path_read_ms (path, model, now_us);
   for (unsigned i = 0; i < path->n; i++)
     mq_upstream_ref (path->parts[i].upstream);
   return true;
--- a/tests/test_domain_load.cc
+++ b/tests/test_domain_load.cc
@@ -12,14 +12,30 @@
 mq_domain_choice
 way (double used, double room = 100000, bool local = false, bool tried = false)
 {
-  return { MQ_SPAN ("d"), room, used, 10, tried, local };
+  return { MQ_SPAN ("d"), room, used, 10, tried, local, 0 };
+}
+
+int
+choose (const std::vector<mq_domain_choice> &ways,
+        const mq_domain_request &request)
+{
+  return mq_domain_choose (ways.data (), ways.size (), &request);
 }
 
 int
 choose (const std::vector<mq_domain_choice> &ways, double need = 1000,
         mq_domain_rank rank = MQ_DOMAIN_NEW)
 {
-  return mq_domain_choose (ways.data (), ways.size (), need, rank);
+  return choose (ways, { need, rank, 500 });
+}
+
+mq_domain_choice
+reading (double ms, double used = 10000)
+{
+  mq_domain_choice w = way (used);
+
+  w.reading_ms = ms;
+  return w;
 }
 
 } // namespace
@@ -77,3 +93,29 @@
   EXPECT_EQ (mq_domain_need (700, 80, 0, 172), 748);
   EXPECT_NEAR (mq_domain_need (700, 0, 0, 172), 803.2, 0.01);
 }
+
+TEST (DomainLoad, APromptGoesWhereLessIsReadBeforeIt)
+{
+  EXPECT_EQ (choose ({ reading (400, 10000), reading (100, 80000) }), 1);
+}
+
+TEST (DomainLoad, WhereAllReadTooMuchItWaits)
+{
+  EXPECT_EQ (choose ({ reading (400), reading (350) }), MQ_DOMAIN_READING);
+  /* It is not for want of reading that it does not fit.  */
+  EXPECT_EQ (choose ({ reading (400, 99000) }), MQ_DOMAIN_NO_ROOM);
+}
+
+TEST (DomainLoad, WhatWouldBeInTimeGoesBeforeWhatIsLateAnyhow)
+{
+  EXPECT_EQ (choose ({ reading (270) }, 1000, MQ_DOMAIN_RETURNED),
+             MQ_DOMAIN_READING);
+  EXPECT_EQ (choose ({ reading (270) }, 1000, MQ_DOMAIN_NEW), 0);
+  /* Its client waits for the next event.  */
+  EXPECT_EQ (choose ({ reading (450) }, 1000, MQ_DOMAIN_BEGUN), 0);
+}
+
+TEST (DomainLoad, WhatHasWaitedLongEnoughGoesAllTheSame)
+{
+  EXPECT_EQ (choose ({ reading (5000) }, { 1000, MQ_DOMAIN_NEW, 0 }), 0);
+}
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -293,7 +293,9 @@
     {
       /* Memory of the l4 reaches for copies of all but some layers.  */
       if (e.card == "a100" || (e.card == "l40s" && e.first < 60))
-        EXPECT_GT (fleet.tokens ("one", &e), 20000) << e.first;
+        {
+          EXPECT_GT (fleet.tokens ("one", &e), 20000) << e.first;
+        }
     }
   EXPECT_EQ (fleet.plan (), 0u);
 }
--- a/tests/test_overload.cc
+++ b/tests/test_overload.cc
@@ -60,15 +60,15 @@
   while (!arrivals.empty ())
     {
       auto [now, returned] = arrivals.top ();
-      mq_domain_choice way = { MQ_SPAN ("d"), room, 0, 10, false, true };
+      mq_domain_choice way = { MQ_SPAN ("d"), room, 0, 10, false, true, 0 };
+      mq_domain_request request
+          = { 1000, returned ? policy.returned : MQ_DOMAIN_NEW, 500 };
 
       arrivals.pop ();
       while (!ends.empty () && ends.top () <= now)
         ends.pop ();
       way.used = (double)ends.size () * 1000;
-      if (mq_domain_choose (&way, 1, 1000,
-                            returned ? policy.returned : MQ_DOMAIN_NEW)
-          >= 0)
+      if (mq_domain_choose (&way, 1, &request) >= 0)
         {
           ends.push (now + hold (random));
           value += returned ? 0.25 : 1;
