--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -197,8 +197,10 @@
     }
   forward_count_upstreams (f);
   forward_note_failure (f, end, now);
-  v = mq_forward_judge (&f->state, end, status,
-                        mq_gateway_has_budget (f->gateway, f->service, now));
+  /* A stream that has begun waits for budget as it does for room.  */
+  v = mq_forward_judge (
+      &f->state, end, status,
+      f->state.begun || mq_gateway_has_budget (f->gateway, f->service, now));
   mq_log_story_add (
       &f->story, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -212,6 +212,8 @@
 
   if (!send_is_in_budget (f, now_us))
     {
+      if (f->state.begun && now_us - f->heard_us <= PARK_MOST_US)
+        return;
       mq_forward_turn_away (f, NO_BUDGET_RETRY_MS, "no-budget");
       return;
     }
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -293,6 +293,35 @@
     }
 }
 
+/* A lost chain breaks many streams at once, and a router's part of the budget
+   of further sends is soon used: all that were over it were broken off at
+   once (346 of 370 when four chains of ten were lost).  The budget comes back
+   while their clients still wait.  */
+TEST_F (Gateway, AStreamThatHasBegunWaitsForBudget)
+{
+  sends_window_ms = 6000; /* There is none for the first fifth of it.  */
+  chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u] (mq_http_exchange *x) {
+        u->begin (x);
+        if (u->seen.back ().headers.count ("Last-Event-Id") != 0)
+          Upstream::events (x, 3, 4);
+        else
+          {
+            Upstream::events (x, 1, 2);
+            mq_http_exchange_write (x, MQ_SPAN ("id: 3\ndata: ha"));
+          }
+        mq_http_exchange_end (x);
+      };
+    }
+  Answer x = fetch ("POST", "/stream/1");
+  EXPECT_EQ (x.result, MQ_HTTP_OK);
+  EXPECT_EQ (x.body, events (1, 4));
+}
+
 /* A stage without memory for one more request refuses at once.  It was taken
    for lost: its layers were ordered elsewhere, and its failure domain laid out
    anew under full load (halvorsen scale-2 --seed 184536034715, 24.9 s).  */
