Take a start under the same id for a new run, and no entry of another writer

A record kept its count of orders, its blame and the memory of layers let go over such a start; an entry without a state, with one that is not named, without a zone or with an address that is none was an upstream to use, and one that could not be read left what the id had stood for in use.

Another `born' under an id resets all that was seen but the requests under way. An entry needs service, zone, IPv4 address with port and a state that is named; else its id names nothing from then on.

Tests: Registry.AnotherStartUnderTheSameIdKnowsNothingOfBefore, UsersPlatform.AnEntryOfAnotherWriterNamesNoUpstream, .LayersOfAnotherTypeAreNone.

--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -1,5 +1,6 @@
-/* Upstreams as the routing face knows them: one record for each incarnation
-   of a model engine or of a plain service's instance.
+/* Upstreams as the routing face knows them: one record for each id of a model
+   engine or of a plain service's instance.  One that starts again under its id
+   holds nothing, and nothing that was seen of it before counts.
 
    A record holds what the platform tells of the upstream and what this
    router has seen of it.  It is counted by reference: a request in flight
@@ -23,6 +24,8 @@
   mq_str *card;         /* Kind of accelerator, or NULL.  */
   unsigned layer_first; /* Layers held: [first, end); equal when none.  */
   unsigned layer_end;
+  uint64_t born_ms; /* When it started, by its own clock; 0: not told.  Another
+                       time under the same id is another start.  */
   bool draining;
 } mq_upstream_facts;
 
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -318,6 +318,9 @@
               "upstream=%.*s error=%s", MQ_SPAN_ARG (id),
               mq_log_quote (error->message));
       g_error_free (error);
+      /* Whoever wrote it, it names nothing to use from now on.  */
+      mq_entry_list_remove (&gateway->upstream_list, id, version);
+      mq_registry_remove (&gateway->registry, id);
       return;
     }
   mq_entry_list_put (&gateway->upstream_list, id, version, value);
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -223,6 +223,28 @@
   upstream->wide_until_us = now_us + LET_GO_US;
 }
 
+/* UPSTREAM has started again.  Requests that were sent to it before end by
+   themselves; all else that was seen of it is of another run.  */
+static void
+upstream_forget (mq_upstream *upstream)
+{
+  mq_upstream kept = *upstream;
+
+  memset (upstream, 0, sizeof *upstream);
+  upstream->refs = kept.refs;
+  upstream->facts = kept.facts;
+  upstream->listed = kept.listed;
+  upstream->in_flight = kept.in_flight;
+}
+
+static bool
+facts_are_of_another_start (const mq_upstream_facts *facts,
+                            const mq_upstream_facts *before)
+{
+  return facts->born_ms != 0 && before->born_ms != 0
+         && facts->born_ms != before->born_ms;
+}
+
 /* What UPSTREAM holds is not what this router ordered last: somebody else
    gave it orders, and their count is not known.  */
 static void
@@ -265,7 +287,13 @@
       /* The key of the table lies in the old id.  */
       mq_str *id = facts->id;
 
-      upstream_note_layers (u, facts, now_us);
+      if (facts_are_of_another_start (facts, &u->facts))
+        {
+          upstream_forget (u);
+          registry->newest_us = now_us;
+        }
+      else
+        upstream_note_layers (u, facts, now_us);
       if (facts->layer_first != u->facts.layer_first
           || facts->layer_end != u->facts.layer_end)
         u->told_us = now_us;
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -17,7 +17,7 @@
 
   mq_upstream *
   put (const char *id, const char *address, unsigned first = 0,
-       unsigned end = 0, uint64_t now_us = 0)
+       unsigned end = 0, uint64_t now_us = 0, uint64_t born_ms = 0)
   {
     mq_upstream_facts f = {};
 
@@ -26,6 +26,7 @@
     f.address = mq_str_new (mq_span_from (address));
     f.layer_first = first;
     f.layer_end = end;
+    f.born_ms = born_ms;
     mq_registry_put (&r, &f, now_us);
     return mq_registry_find (&r, mq_span_from (id));
   }
@@ -46,6 +47,34 @@
   EXPECT_EQ (mq_registry_at (&r, MQ_SPAN ("1:1")), u);
 }
 
+/* An engine may start again under its id.  Its count of orders starts anew,
+   and what it held and was blamed for is of another run; requests under way
+   still know their record.  */
+TEST_F (Registry, AnotherStartUnderTheSameIdKnowsNothingOfBefore)
+{
+  mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
+
+  u->in_flight = 2;
+  u->orders = 7;
+  mq_upstream_blamed (u, 2 * s, 60 * s);
+  EXPECT_EQ (put ("a", "1:1", 0, 0, 3 * s, 2000), u);
+  EXPECT_EQ (u->in_flight, 2u);
+  EXPECT_EQ (u->orders, 0u);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 3 * s));
+  EXPECT_EQ (mq_upstream_layers (u, 3 * s), 0u);
+}
+
+/* An entry that does not tell is of the same start.  */
+TEST_F (Registry, TheSameStartKeepsWhatWasSeen)
+{
+  mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
+
+  u->orders = 7;
+  put ("a", "1:1", 0, 20, 2 * s, 1000);
+  put ("a", "1:1", 0, 20, 3 * s);
+  EXPECT_EQ (u->orders, 7u);
+}
+
 TEST_F (Registry, ARecordOutlivesItsPlaceForWhoHoldsIt)
 {
   mq_upstream *u = mq_upstream_ref (put ("a", "1:1"));
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -130,6 +130,66 @@
              -1);
 }
 
+/* Entries that another writer left: none names an engine to use.  */
+TEST (UsersPlatform, AnEntryOfAnotherWriterNamesNoUpstream)
+{
+  for (const char *text :
+       { "", "null", "[]", "7", "\"text\"", "{\"service\"", "\xff\xfe",
+         "{\"address\":\"10.0.0.1:80\",\"zone\":\"z\",\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"zone\":\"z\",\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+         "\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+         "\"state\":\"resting\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+         "\"state\":1}",
+         "{\"service\":[],\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+         "\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":{},\"zone\":\"z\","
+         "\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"nowhere\",\"zone\":\"z\","
+         "\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:0\",\"zone\":\"z\","
+         "\"state\":\"ready\"}",
+         "{\"service\":\"s\",\"address\":\"10.0.0.1:99999\",\"zone\":\"z\","
+         "\"state\":\"ready\"}" })
+    {
+      mq_upstream_facts f;
+      GError *error = nullptr;
+
+      EXPECT_EQ (mq_users_platform.upstream_decode (
+                     MQ_SPAN ("i-1"), mq_span_from (text), &f, &error),
+                 -1)
+          << text;
+      ASSERT_NE (error, nullptr) << text;
+      g_error_free (error);
+    }
+}
+
+/* Layers that make no sense leave an engine that holds nothing.  */
+TEST (UsersPlatform, LayersOfAnotherTypeAreNone)
+{
+  for (const char *layers :
+       { "null", "7", "[]", "[3]", "\"x\"", "{\"from\":\"a\",\"target\":[]}" })
+    {
+      mq_upstream_facts f;
+      std::string text
+          = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
+            "\"zone\":\"z\",\"state\":\"ready\",\"born\":\"?\",\"layers\":"
+            + std::string (layers) + "}";
+
+      ASSERT_EQ (
+          mq_users_platform.upstream_decode (
+              MQ_SPAN ("i-1"), mq_span_from (text.c_str ()), &f, nullptr),
+          0)
+          << layers;
+      EXPECT_EQ (f.layer_first, f.layer_end) << layers;
+      EXPECT_EQ (f.born_ms, 0u);
+      mq_upstream_facts_finish (&f);
+    }
+}
+
 /* The number of the same name in an entry counts heartbeats: taken for that
    of orders, it had every order refused (journal 16bac771).  */
 TEST (UsersPlatform, AReportsNumberCountsOrders)
