--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -238,9 +238,6 @@
 /* Has SERVICE budget for one more send beyond the first of a request?  */
 bool mq_gateway_has_budget (mq_gateway *gateway,
                             const mq_route_service *service, uint64_t now_us);
-/* Has it in this router's own part, so that all routers may send now?  */
-bool mq_gateway_has_part (mq_gateway *gateway, const mq_route_service *service,
-                          uint64_t now_us);
 /* Routers that were heard within the window of the budget of further sends,
    with this one: one that ended has used its part.  */
 unsigned mq_gateway_routers (const mq_gateway *gateway);
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -57,11 +57,6 @@
 bool mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
                               mq_send_counts others, uint64_t now_us);
 
-/* The same without what others leave: for sends that many routers make at the
-   same moment, before any can tell the others.  */
-bool mq_send_budget_has_part (mq_send_budget *budget, unsigned routers,
-                              mq_send_counts others, uint64_t now_us);
-
 /* One more send was made.  */
 void mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us);
 
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -9,9 +9,9 @@
 #include <mq/log.h>
 #include <sodium.h>
 
-#define TICK_S 0.05
-#define HEARTBEAT_TICKS 5 /* 250 ms.  */
-#define ORDER_TICKS 2     /* 100 ms.  */
+#define TICK_MS 50
+#define HEARTBEAT_TICKS (MQ_GATEWAY_HEARTBEAT_MS / TICK_MS)
+#define ORDER_TICKS 2 /* 100 ms.  */
 
 /* Calls to the store, beside the time that a follow waits.  */
 #define STORE_TIMEOUT_MS 1000
@@ -26,8 +26,7 @@
 #define DRAIN_RESERVE_MS ((uint64_t)700)
 #define DRAIN_LEAST_MS ((uint64_t)2500)
 /* The last part of a drain is for what has come before: a plain call takes
-   0.1 s, seldom 0.5 s, and one that came in the last moment was cut (halvorsen
-   mix --seed 119009043896).  */
+   0.1 s, seldom 0.5 s, and one that came in the last moment was cut.  */
 #define DRAIN_ALONE_MS ((uint64_t)1500)
 /* New connections are taken for so long, by clients that asked the directory
    just before.  What comes later on connections that are open is refused when
@@ -152,16 +151,6 @@
       gateway_count_others (gateway, service, now_us), now_us);
 }
 
-bool
-mq_gateway_has_part (mq_gateway *gateway, const mq_route_service *service,
-                     uint64_t now_us)
-{
-  return mq_send_budget_has_part (
-      &mq_gateway_service (gateway, service)->budget,
-      mq_gateway_routers (gateway),
-      gateway_count_others (gateway, service, now_us), now_us);
-}
-
 bool
 mq_gateway_is_ready (const mq_gateway *gateway)
 {
@@ -294,7 +283,7 @@
   g->store = mq_platform_new_dialect (g->client,
                                       mq_str_span (settings->platform_url),
                                       STORE_TIMEOUT_MS, dialect->store);
-  ev_timer_init (&g->tick, on_tick, TICK_S, TICK_S);
+  ev_timer_init (&g->tick, on_tick, TICK_MS / 1000.0, TICK_MS / 1000.0);
   g->tick.data = g;
   if (mq_members_start (g, error) < 0 || gateway_listen_all (g, error) < 0)
     {
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -26,8 +26,7 @@
 /* The same while many others come up too, all reporting at once, and at a
    router that need not hear sooner, since others that follow come first.  A
    drain leaves two seconds.  At 73 routers three quarters of a calm day's
-   calls came before the traffic did (halvorsen-fleet-grown quiet-1, 2,970 of
-   3,990).  */
+   calls came before the traffic did (2,970 of 3,990).  */
 #define GATHER_CALM_S 0.5
 #define STARTING_US ((uint64_t)3000 * 1000)
 #define STARTING_ROUTERS 16
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -35,8 +35,8 @@
 /* A router that hears the store again gives orders for that reason after so
    long for each heartbeat that news skip: it takes two to hear that others
    hear it too.  Beside the starts of all, 32 routers began to lead on a day
-   without it, and 16 with it (halvorsen-fleet-grown trouble-3).  Where news
-   come with each heartbeat the wait gains nothing (14 days of trouble-3 on six
+   without it, and 16 with it, of 73.  Where news
+   come with each heartbeat the wait gains nothing (mean of 14 days with six
    and seven routers: 0.6552 without, 0.6481 with).  */
 #define LEAD_SETTLE_US ((uint64_t)500 * 1000)
 
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -20,7 +20,7 @@
 /* Addresses of peers are the larger part of news: they go to who is heard for
    the first time, and else along with one in so many.  Sent to all for two
    seconds after each that was heard anew, they made 25 of the first 65 MB of
-   news at 73 routers (halvorsen-fleet-grown trouble-3).  */
+   news at 73 routers.  */
 #define PEERS_EACH 32
 /* With more routers than this, each sends its news less often, so that what
    all send grows with their number and not with its square.  At 330 each
--- a/packages/gateway/gateway_pass_on.c
+++ b/packages/gateway/gateway_pass_on.c
@@ -24,8 +24,8 @@
 } pass_on_what;
 
 /* A follow brings a change within some ms; the watch that it is may hang,
-   though, when the store forgets its history meanwhile (tekle-entries-grown
-   scale-2: 8 routers had an old configuration for 5 s).  After so long behind
+   though, when the store forgets its history meanwhile (8 of
+   90 routers had an old configuration for 5 s).  After so long behind
    a peer, and again after the longer while, the store is asked anew.  */
 #define OWN_LAG_US ((uint64_t)300 * 1000)
 #define OWN_LAG_AGAIN_US ((uint64_t)2000 * 1000)
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -38,9 +38,9 @@
 }
 
 /* A stream whose chain broke or fell silent may go on at the same head by
-   another path, or at one that it left when that was only slow (halvorsen
-   trouble-2 --seed 492791450403: 26 streams were broken off because two heads
-   had been tried).  */
+   another path, or at one that it left when that was only slow (26
+   streams were broken off because two heads had been tried, all that their
+   route allows).  */
 static bool
 forward_may_return (const mq_forward_state *state)
 {
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -8,8 +8,8 @@
    It goes twice: first for the most memory that the tightest stage of a path
    can have, then for the fastest path that has nearly as much.  Memory bounds
    what a domain can serve at a time; copies that an engine holds beside other
-   layers have little, and were faster by a hop (halvorsen mix --seed
-   148490134079: 65,000 tokens where 107,000 could be had).  */
+   layers have little, and were faster by a hop (65,000 tokens where
+   107,000 could be had).  */
 
 #include <mq/internal/layer_path.h>
 
--- a/packages/route/pass_on.c
+++ b/packages/route/pass_on.c
@@ -2,11 +2,10 @@
 
    The load it answers: a configuration with many routes at 73 routers, of
    which a third are cut off from the store.  Each was told by all others,
-   three times a second; the queues took the memory of whole processes
-   (halvorsen-fleet-grown trouble-1).  And when the store comes back for all
-   within a second: each router then seems the only one that hears it and has
-   the newest configuration, and told all others, 10,600 messages of 61 KB
-   (halvorsen-fleet-grown trouble-3).  */
+   three times a second; the queues took the memory of whole processes.  And
+   when the store comes back for all within a second: each router then seems
+   the only one that hears it and has the newest configuration, and told all
+   others, 10,600 messages of 61 KB.  */
 
 #include <mq/pass_on.h>
 
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -16,14 +16,13 @@
 #define SHARE_LENT 0.5
 /* So many routers may lend all that is left at a time: their counts are 0.25 s
    old, and a stage that dies takes streams from each once.  With more, counts
-   are older and all lend at once (tekle-entries-grown trouble-1, 90 routers):
+   are older and all of 90 routers lend at once:
    each may lend so much less that together they stay within the bound.  */
 #define LENDERS 6.0
 /* A process knows few of the others at first, and takes their parts for its
-   own: 90 that started together made 2,071 further sends of 1,115 allowed
-   (hunt on tekle-entries-grown, hunt-656f-3).  So it counts on no slack for
-   this part of the window, 2 s of the users' 10, in which news of all others
-   come.  */
+   own: 90 that started together made 2,071 further sends of 1,115 allowed.  So
+   it counts on no slack for this part of the window, 2 s of the users' 10, in
+   which news of all others come.  */
 #define LEARN_PART 0.2
 
 static void
@@ -102,15 +101,6 @@
          - (double)others.gone / MAX (routers, 1);
 }
 
-bool
-mq_send_budget_has_part (mq_send_budget *budget, unsigned routers,
-                         mq_send_counts others, uint64_t now_us)
-{
-  mq_send_counts own = mq_send_budget_count (budget, now_us);
-
-  return own.more + 1 <= budget_part (budget, own, others, routers, now_us);
-}
-
 bool
 mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
                          mq_send_counts others, uint64_t now_us)
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -21,7 +21,7 @@
 
 /* One that is short of memory takes some request within this, as others end
    all the time; what refuses for longer drains, and the store could not tell
-   (tekle inc-b52e: for 7 s no chain was repaired).  */
+   (for 7 s no chain was repaired).  */
 #define LEAVING_US ((uint64_t)1000 * 1000)
 
 /* Layers that an engine lets go stay in its memory until the requests that
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -76,7 +76,9 @@
           for (int k = 0; k < 120; k++)
             mq_send_budget_request (b, 20 * s);
         }
-      for (; mq_send_budget_has_part (&own, count, {}, 20 * s); sent++)
+      /* Others have used what they could lend.  */
+      for (; mq_send_budget_has_room (&own, count, { 600, 400, 0 }, 20 * s);
+           sent++)
         mq_send_budget_spend (&own, 20 * s);
       /* Nobody has told anything yet.  */
       for (; mq_send_budget_has_room (&all, count, { 600, 0, 0 }, 20 * s);
@@ -101,7 +103,7 @@
       mq_send_budget_init (&b, 0.2, 196, window, 0);
       for (int k = 0; k < 120; k++)
         mq_send_budget_request (&b, 20 * s);
-      while (mq_send_budget_has_part (&b, 6, { 600, gone, gone }, 20 * s))
+      while (mq_send_budget_has_room (&b, 6, { 600, 400, gone }, 20 * s))
         {
           mq_send_budget_spend (&b, 20 * s);
           parts[gone > 0]++;
