--- a/include/mq/entry_list.h
+++ b/include/mq/entry_list.h
@@ -24,6 +24,7 @@
   GHashTable *entries; /* Id -> mq_entry.  */
   GHashTable *gone;    /* Id -> version at which it left: guint64.  */
   uint64_t digest;     /* Alike where ids and versions are alike.  */
+  uint64_t newest;     /* Version of the last change, a leaving too.  */
 } mq_entry_list;
 
 void mq_entry_list_init (mq_entry_list *list);
--- a/include/mq/follow.h
+++ b/include/mq/follow.h
@@ -1,14 +1,16 @@
-/* Which routers follow the store's list of upstreams themselves.
+/* Which routers follow the platform's store themselves.
 
-   In each failure domain the first few by name do, and tell the others of each
-   change, so that calls to the store grow with domains and changes, not with
-   routers.  A router that is not among them goes on following for a while
-   after it has seen so, and begins at once when it may be needed.  Pure.  */
+   A few relays do, the first by rank of those that hear it, and tell the
+   others of each change, so that calls to the store grow with changes, not
+   with routers.  Others step in when no router is known that hears the store,
+   each a little later than the last, so that few ask in vain when it is away
+   for all; and so does one that hears no relay.  Pure.  */
 
 #ifndef MQ_FOLLOW_H
 #define MQ_FOLLOW_H
 
 #include <glib.h>
+#include <mq/str.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -16,19 +18,29 @@
 
 typedef struct mq_follow
 {
-  bool told;          /* By peers; otherwise it follows itself.  */
-  uint64_t enough_us; /* Since when enough others follow; 0: they don't. */
+  bool follows;      /* Itself; otherwise peers tell it.  */
+  uint64_t since_us; /* Since when it should do the other; 0: it should not. */
+  uint64_t pause_us; /* It tried in vain, and does not step in before.  */
 } mq_follow;
 
-/* How many of the others that follow come BEFORE this router, of WANTED in its
-   domain.  Returns true when FOLLOW has turned.  */
-bool mq_follow_tick (mq_follow *follow, unsigned before, unsigned wanted,
+/* How a router stands among the others.  */
+typedef struct mq_follow_view
+{
+  bool relays;      /* It is a relay.  */
+  bool hears_relay; /* It hears one of its domain.  */
+  bool store_heard; /* Some other router is known to hear the store.  */
+  bool fails;       /* It follows, and the store does not answer.  */
+  bool behind;      /* Others know more, and whoever follows does not tell: its
+                       watch hangs, or it is cut off unnoticed.  */
+  unsigned before;  /* Relays that rank before and do not ask in vain.  */
+  unsigned wanted;  /* So many should.  */
+  mq_span name;     /* Its own, by which routers step in in turn.  */
+} mq_follow_view;
+
+/* Returns true when FOLLOW has turned.  */
+bool mq_follow_tick (mq_follow *follow, const mq_follow_view *view,
                      uint64_t now_us);
 
-/* Does a router that follows, with so many BEFORE it, tell the others?  Two
-   do, so that what one does not tell, the other does.  */
-bool mq_follow_tells (const mq_follow *follow, unsigned before);
-
 G_END_DECLS
 
 #endif
--- /dev/null
+++ b/include/mq/news.h
@@ -0,0 +1,123 @@
+/* What routers of the routing face tell one another of themselves.
+
+   Four kinds, of one shape:
+   - a *report*, from a router to the relays of its failure domain: that it
+     lives, what it knows, and what it has in flight;
+   - a *digest*, from a relay to a router of its domain: who the relays are,
+     which routers serve, and what all others have in flight;
+   - a *summary*, from a relay to the relays of other domains: the same of its
+     whole domain in one sum;
+   - an *introduction*, from any router to one of another domain that reports
+     to it for want of a better one: the routers known of that domain.
+
+   So what a router sends and hears grows with its domain's relays and, at a
+   relay, with the number of domains, but not with the fleet.
+
+   A news message borrows all its texts: from what was decoded, or from the
+   roster that made it.  Its lists are its own.  */
+
+#ifndef MQ_NEWS_H
+#define MQ_NEWS_H
+
+#include <glib.h>
+#include <mq/send_budget.h>
+#include <mq/str.h>
+
+G_BEGIN_DECLS
+
+typedef enum mq_news_kind
+{
+  MQ_NEWS_REPORT,
+  MQ_NEWS_DIGEST,
+  MQ_NEWS_SUMMARY,
+  MQ_NEWS_INTRODUCTION
+} mq_news_kind;
+
+/* A router as others are told of it.  */
+typedef struct mq_news_router
+{
+  mq_span name;
+  mq_span peer;   /* IP:PORT for other routers.  */
+  mq_span client; /* IP:PORT for clients.  */
+  mq_span domain; /* Failure domain.  */
+  uint64_t incarnation;
+  unsigned capacity; /* Thousandths of a processor.  */
+} mq_news_router;
+
+/* Tokens in flight on one way to serve.  */
+typedef struct mq_way_tokens
+{
+  uint64_t way; /* Hash of its key, the same in each router.  */
+  double tokens;
+} mq_way_tokens;
+
+/* Requests and further sends of one service.  */
+typedef struct mq_service_sends
+{
+  uint64_t service; /* Hash of its name.  */
+  mq_send_counts counts;
+} mq_service_sends;
+
+/* What was found out about an engine.  */
+typedef struct mq_news_finding
+{
+  mq_span upstream;  /* Its id.  */
+  uint64_t aside_us; /* It is to be passed over for so long; 0: it is not.  */
+  double pace;       /* So many times slower than its card; 0: not known.  */
+} mq_news_finding;
+
+typedef struct mq_news
+{
+  mq_news_kind kind;
+  mq_news_router from;
+  uint64_t sequence;    /* Grows within an incarnation.  */
+  unsigned interval_ms; /* Until the next of this kind, at most.  */
+  unsigned used;        /* Of the processor, in thousandths of one.  */
+  bool ready;
+  bool draining;
+  bool store_reached; /* The sender hears the platform's store.  */
+  bool follows;       /* It follows the store's upstreams itself ...  */
+  bool watches;       /* ... and the store's configuration.  */
+  bool reached;       /* Some router hears the store: of its domain in a
+                         summary, of the fleet in a digest.  */
+  bool relays;        /* It is a relay of its domain.  */
+  uint64_t routing_version;
+  uint64_t upstreams_digest; /* Of its list: mq_entry_list.  */
+  uint64_t upstreams_newest; /* Version of its last change.  */
+  /* In flight: the sender's own in a report, its domain's in a summary, and
+     all but the receiver's in a digest.  */
+  unsigned age_ms;  /* How old the oldest of these may be.  */
+  unsigned busy;    /* Routers that had requests in the window.  */
+  GArray *ways;     /* mq_way_tokens.  */
+  GArray *sends;    /* mq_service_sends.  */
+  GArray *findings; /* mq_news_finding.  */
+  bool listed;      /* The next three are told, and the sender's name, domain
+                       and clients' address; else they are as before.  */
+  /* Routers of the receiver's domain in a digest or an introduction, relays
+     of the sender's in a summary.  */
+  GArray *routers;   /* mq_news_router.  */
+  GArray *serving;   /* mq_news_router: of the sender's domain.  */
+  GArray *elsewhere; /* mq_news_router: serving in other domains; in an
+                        introduction relays of these.  */
+} mq_news;
+
+/* Give NEWS its empty lists; all else is 0.  */
+void mq_news_init (mq_news *news, mq_news_kind kind);
+void mq_news_finish (mq_news *news);
+
+/* The count of WAY in WAYS (mq_way_tokens), or 0.  */
+double mq_way_tokens_of (const GArray *ways, uint64_t way);
+/* Add TOKENS to the count of WAY.  */
+void mq_way_tokens_add (GArray *ways, uint64_t way, double tokens);
+
+/* The counts of SERVICE in SENDS (mq_service_sends), or zeros.  */
+mq_send_counts mq_service_sends_of (const GArray *sends, uint64_t service);
+void mq_service_sends_add (GArray *sends, uint64_t service,
+                           mq_send_counts counts);
+/* Take COUNTS out of those of SERVICE, down to zeros.  */
+void mq_service_sends_subtract (GArray *sends, uint64_t service,
+                                mq_send_counts counts);
+
+G_END_DECLS
+
+#endif
--- /dev/null
+++ b/include/mq/news_codec.h
@@ -0,0 +1,103 @@
+/* What routers of the routing face send one another, and its form on the wire.
+
+   A parcel is a tagged union.  On the wire it is one protobuf message with a
+   version (schema/news.proto); the library's types stay inside
+   packages/net/news_codec.c.  Whatever can't be decoded, is of another
+   version, or holds a value that its type can't have, is an error that the
+   receiver counts and drops, and changes no belief.  */
+
+#ifndef MQ_NEWS_CODEC_H
+#define MQ_NEWS_CODEC_H
+
+#include <glib.h>
+#include <mq/news.h>
+#include <mq/platform.h>
+
+G_BEGIN_DECLS
+
+/* Routers of different versions do not hear one another.  */
+#define MQ_PARCEL_VERSION 2
+/* The longest name or address.  */
+#define MQ_PARCEL_TEXT_LIMIT 1024
+/* Elements of any list in news.  */
+#define MQ_PARCEL_LIST_LIMIT 4096
+
+#define MQ_PARCEL_ERROR (mq_parcel_error_quark ())
+GQuark mq_parcel_error_quark (void);
+
+typedef enum mq_parcel_error
+{
+  MQ_PARCEL_ERROR_GARBAGE, /* Not a parcel, or not a valid body.  */
+  MQ_PARCEL_ERROR_VERSION  /* Of a version that we do not speak.  */
+} mq_parcel_error;
+
+typedef enum mq_parcel_kind
+{
+  MQ_PARCEL_NEWS,
+  MQ_PARCEL_ROUTING, /* A configuration that the receiver may lack.  */
+  MQ_PARCEL_ENTRIES, /* Upstreams, all or those that changed.  */
+  MQ_PARCEL_LAYERS,  /* What an engine said that it holds.  */
+  MQ_PARCEL_KINDS
+} mq_parcel_kind;
+
+/* Lower-case word for metrics and logs.  */
+const char *mq_parcel_kind_name (mq_parcel_kind kind);
+
+/* How far what is passed on goes from the receiver.  */
+typedef enum mq_parcel_scope
+{
+  MQ_SCOPE_FLEET,   /* To its domain, and to a relay of each other one.  */
+  MQ_SCOPE_DOMAIN,  /* To its domain.  */
+  MQ_SCOPE_RECEIVER /* No further.  */
+} mq_parcel_scope;
+
+typedef struct mq_parcel_entries
+{
+  bool whole;  /* All there are, as of AT; otherwise changes.  */
+  uint64_t at; /* The store's revision; 0 for changes.  */
+  const mq_platform_entry *entries;
+  size_t n;
+} mq_parcel_entries;
+
+typedef struct mq_parcel_layers
+{
+  mq_span upstream; /* Its id.  */
+  unsigned first;   /* Layers [first, end).  */
+  unsigned end;
+} mq_parcel_layers;
+
+typedef struct mq_parcel
+{
+  mq_parcel_kind kind;
+  mq_parcel_scope scope; /* Not of news.  */
+  /* Borrowed: from the sender's own memory before it is encoded, from the
+     decoded message after.  */
+  union
+  {
+    const mq_news *news;
+    mq_span routing; /* The configuration's text.  */
+    mq_parcel_entries entries;
+    mq_parcel_layers layers;
+  } u;
+} mq_parcel;
+
+/* Append the form of PARCEL on the wire to OUT.  */
+void mq_parcel_encode (const mq_parcel *parcel, GString *out);
+
+/* A decoded parcel and what it borrows from.  */
+typedef struct mq_parcel_decoded
+{
+  mq_parcel parcel;
+  mq_news news;    /* Initialised when the parcel is news.  */
+  GArray *entries; /* mq_platform_entry, or NULL.  */
+  void *message;   /* The library's.  */
+} mq_parcel_decoded;
+
+/* Returns 0; or -1 with ERROR set, and nothing to finish.  */
+int mq_parcel_decode (mq_parcel_decoded *decoded, mq_span bytes,
+                      GError **error);
+void mq_parcel_decoded_finish (mq_parcel_decoded *decoded);
+
+G_END_DECLS
+
+#endif
--- a/include/mq/pass_on.h
+++ b/include/mq/pass_on.h
@@ -31,8 +31,9 @@
 {
   uint64_t first_us; /* For it to learn by itself.  */
   uint64_t next_us;  /* For its news to show that it was told.  */
-  uint64_t able_us;  /* Since when this router knows what it would tell and
-                        hears the store.  What others' news say is older.  */
+  uint64_t able_us;  /* Not before: what others' news say is as old as they
+                        are, and this router may have learnt only just now, or
+                        have only just heard the store again.  */
 } mq_pass_on_waits;
 
 /* Should this router, of that RANK, tell the receiver now?  BEHIND: it lacks
@@ -40,6 +41,23 @@
 bool mq_pass_on_is_due (mq_lag *lag, bool behind, unsigned rank,
                         mq_pass_on_waits waits, uint64_t now_us);
 
+/* Digests that a list had lately, to tell a receiver that is a moment behind
+   from one that lacks something.  */
+#define MQ_DIGEST_LOG_SIZE 64
+
+typedef struct mq_digest_log
+{
+  uint64_t digest[MQ_DIGEST_LOG_SIZE];
+  uint64_t until_us[MQ_DIGEST_LOG_SIZE]; /* When it was replaced.  */
+  unsigned n;                            /* Ever; the newest is at n - 1.  */
+} mq_digest_log;
+
+/* The list's digest is DIGEST at NOW_US.  */
+void mq_digest_log_note (mq_digest_log *log, uint64_t digest, uint64_t now_us);
+/* Was DIGEST that of the list at any moment since SINCE_US?  */
+bool mq_digest_log_had (const mq_digest_log *log, uint64_t digest,
+                        uint64_t since_us);
+
 G_END_DECLS
 
 #endif
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -29,6 +29,13 @@
   bool draining;
 } mq_upstream_facts;
 
+/* Who found something out about an upstream.  */
+typedef struct mq_finding_source
+{
+  uint64_t router; /* Hash of its name; 0: this router itself.  */
+  bool elsewhere;  /* It came from another failure domain.  */
+} mq_finding_source;
+
 typedef struct mq_upstream
 {
   unsigned refs;
@@ -41,9 +48,12 @@
   uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
   uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
   uint64_t aside_span_us;    /* How long it was last put aside.  */
+  uint64_t told_aside_us;    /* Others say that it is to be passed over up to
+                                then ... */
+  mq_finding_source told_by; /* ... and this one does.  */
   double pace;               /* 1: as fast as its card; 0: not told.  */
   uint64_t pace_until_us;    /* That long the pace counts.  */
-  bool pace_heard;           /* From a peer, not from the engine itself.  */
+  mq_finding_source pace_by; /* Who asked the engine for it.  */
   uint64_t reported_us;      /* When it was last asked how it does.  */
   uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
   uint64_t turned_us;        /* When it last turned a request away, alive.  */
@@ -137,6 +147,10 @@
 void mq_upstream_set_pace (mq_upstream *upstream, double pace,
                            uint64_t now_us);
 
+/* The same, as BY found it out; passed over while this router knows more.  */
+void mq_upstream_hear_pace (mq_upstream *upstream, double pace,
+                            mq_finding_source by, uint64_t now_us);
+
 /* Layers whose memory is taken at NOW_US.  An engine that lets layers go
    keeps them until all that passes through them has ended.  */
 unsigned mq_upstream_layers (const mq_upstream *upstream, uint64_t now_us);
@@ -156,6 +170,9 @@
 /* Known to be down: put aside at once for SPAN_US at least.  */
 void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
                             uint64_t span_us);
+/* The same, as BY found it out.  */
+void mq_upstream_hear_aside (mq_upstream *upstream, uint64_t span_us,
+                             mq_finding_source by, uint64_t now_us);
 /* Another engine named it as the one at fault: put aside, longer each time
    until a request through it ends well.  Such a finding is no matter of this
    router's own links, so others are told.  */
--- /dev/null
+++ b/packages/base/processor_meter.c
@@ -0,0 +1,32 @@
+/* The processor time of this process: see mq/processor_meter.h.  */
+
+#include <mq/processor_meter.h>
+
+#include <math.h>
+#include <time.h>
+
+/* Weight of what lies this far back falls to a third.  */
+#define MEAN_US 1e6
+
+void
+mq_processor_meter_read (mq_processor_meter *meter, uint64_t used_us,
+                         uint64_t now_us)
+{
+  double span = (double)(now_us - meter->at_us);
+
+  if (meter->at_us > 0 && now_us > meter->at_us && used_us >= meter->used_us)
+    meter->part += ((double)(used_us - meter->used_us) / span - meter->part)
+                   * (1 - exp (-span / MEAN_US));
+  meter->at_us = now_us;
+  meter->used_us = used_us;
+}
+
+uint64_t
+mq_processor_used_us (void)
+{
+  struct timespec t = { 0, 0 };
+
+  if (clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &t) != 0)
+    return 0;
+  return (uint64_t)t.tv_sec * 1000000 + (uint64_t)t.tv_nsec / 1000;
+}
--- /dev/null
+++ b/packages/net/news_codec.c
@@ -0,0 +1,522 @@
+/* Parcels between routers as bytes, both ways: see mq/news_codec.h.
+
+   Encoding fills the library's messages on the stack and in one arena that is
+   freed at the end; decoding checks every value before it is handed on.  */
+
+#include <mq/news_codec.h>
+
+#include <math.h>
+#include <news.pb-c.h>
+#include <string.h>
+
+/* More is taken for a mistake.  */
+#define TOKENS_MOST 4e9
+#define PACE_MOST 1000.0
+#define PERCENT 100.0
+
+G_DEFINE_QUARK (mq - parcel - error - quark, mq_parcel_error)
+
+const char *
+mq_parcel_kind_name (mq_parcel_kind kind)
+{
+  switch (kind)
+    {
+    case MQ_PARCEL_NEWS:
+      return "news";
+    case MQ_PARCEL_ROUTING:
+      return "routing";
+    case MQ_PARCEL_ENTRIES:
+      return "entries";
+    case MQ_PARCEL_LAYERS:
+      return "layers";
+    case MQ_PARCEL_KINDS:
+      break;
+    }
+  return "none";
+}
+
+/* ---- Encoding.  */
+
+static ProtobufCBinaryData
+to_bytes (mq_span span)
+{
+  return (ProtobufCBinaryData){ span.size, (uint8_t *)(uintptr_t)span.data };
+}
+
+static void
+put_router (Mq__News__Router *to, const mq_news_router *from)
+{
+  mq__news__router__init (to);
+  to->name = to_bytes (from->name);
+  to->peer = to_bytes (from->peer);
+  to->client = to_bytes (from->client);
+  to->domain = to_bytes (from->domain);
+  to->incarnation = from->incarnation;
+  to->capacity = from->capacity;
+}
+
+static void
+put_way (Mq__News__WayCount *to, const mq_way_tokens *from)
+{
+  mq__news__way_count__init (to);
+  to->way = from->way;
+  to->tokens = (uint32_t)CLAMP (from->tokens, 0, TOKENS_MOST);
+}
+
+static void
+put_sends (Mq__News__ServiceSends *to, const mq_service_sends *from)
+{
+  mq__news__service_sends__init (to);
+  to->service = from->service;
+  to->first = from->counts.first;
+  to->more = from->counts.more;
+  to->gone = from->counts.gone;
+}
+
+static void
+put_finding (Mq__News__Finding *to, const mq_news_finding *from)
+{
+  mq__news__finding__init (to);
+  to->upstream = to_bytes (from->upstream);
+  to->aside_us = from->aside_us;
+  to->pace_percent = (uint32_t)(CLAMP (from->pace, 0, PACE_MOST) * PERCENT);
+}
+
+/* A list of messages made from the elements of ARRAY by PUT; the caller frees
+   the list, which the messages follow in the same block.  */
+#define PUT_LIST(to, count, message, array, element, put)                     \
+  do                                                                          \
+    {                                                                         \
+      guint n_ = (array)->len;                                                \
+      (to) = g_malloc0 (n_ * (sizeof (message *) + sizeof (message)) + 1);    \
+      (count) = n_;                                                           \
+      for (guint i_ = 0; i_ < n_; i_++)                                       \
+        {                                                                     \
+          (to)[i_] = (message *)(void *)((to) + n_) + i_;                     \
+          put ((to)[i_], &g_array_index ((array), element, i_));              \
+        }                                                                     \
+    }                                                                         \
+  while (0)
+
+/* Fill TO, whose lists the caller frees by news_clear.  SENDER is filled too.
+ */
+static void
+put_news (Mq__News__News *to, Mq__News__Router *sender, const mq_news *from)
+{
+  mq__news__news__init (to);
+  put_router (sender, &from->from);
+  to->kind = (Mq__News__Kind)from->kind;
+  to->sender = sender;
+  to->sequence = from->sequence;
+  to->interval_ms = from->interval_ms;
+  to->used = from->used;
+  to->ready = from->ready;
+  to->draining = from->draining;
+  to->store_reached = from->store_reached;
+  to->follows = from->follows;
+  to->relays = from->relays;
+  to->routing = from->routing_version;
+  to->upstreams = from->upstreams_digest;
+  to->newest = from->upstreams_newest;
+  to->watches = from->watches;
+  to->reached = from->reached;
+  to->listed = from->listed;
+  to->busy = from->busy;
+  to->age_ms = from->age_ms;
+  PUT_LIST (to->ways, to->n_ways, Mq__News__WayCount, from->ways,
+            mq_way_tokens, put_way);
+  PUT_LIST (to->sends, to->n_sends, Mq__News__ServiceSends, from->sends,
+            mq_service_sends, put_sends);
+  PUT_LIST (to->findings, to->n_findings, Mq__News__Finding, from->findings,
+            mq_news_finding, put_finding);
+  PUT_LIST (to->routers, to->n_routers, Mq__News__Router, from->routers,
+            mq_news_router, put_router);
+  PUT_LIST (to->serving, to->n_serving, Mq__News__Router, from->serving,
+            mq_news_router, put_router);
+  PUT_LIST (to->elsewhere, to->n_elsewhere, Mq__News__Router, from->elsewhere,
+            mq_news_router, put_router);
+}
+
+static void
+news_clear (Mq__News__News *news)
+{
+  g_free (news->ways);
+  g_free (news->sends);
+  g_free (news->findings);
+  g_free (news->routers);
+  g_free (news->serving);
+  g_free (news->elsewhere);
+}
+
+static void
+parcel_pack (Mq__News__Parcel *parcel, GString *out)
+{
+  size_t size;
+  gsize at = out->len;
+
+  parcel->version = MQ_PARCEL_VERSION;
+  size = mq__news__parcel__get_packed_size (parcel);
+  g_string_set_size (out, at + size);
+  mq__news__parcel__pack (parcel, (uint8_t *)out->str + at);
+}
+
+static void
+encode_news (const mq_news *news, GString *out)
+{
+  Mq__News__Parcel p = MQ__NEWS__PARCEL__INIT;
+  Mq__News__News body;
+  Mq__News__Router sender;
+
+  put_news (&body, &sender, news);
+  p.body_case = MQ__NEWS__PARCEL__BODY_NEWS;
+  p.news = &body;
+  parcel_pack (&p, out);
+  news_clear (&body);
+}
+
+static void
+encode_routing (mq_span text, mq_parcel_scope scope, GString *out)
+{
+  Mq__News__Parcel p = MQ__NEWS__PARCEL__INIT;
+  Mq__News__Routing body = MQ__NEWS__ROUTING__INIT;
+
+  body.text = to_bytes (text);
+  body.scope = (Mq__News__Scope)scope;
+  p.body_case = MQ__NEWS__PARCEL__BODY_ROUTING;
+  p.routing = &body;
+  parcel_pack (&p, out);
+}
+
+static void
+encode_entries (const mq_parcel_entries *entries, mq_parcel_scope scope,
+                GString *out)
+{
+  Mq__News__Parcel p = MQ__NEWS__PARCEL__INIT;
+  Mq__News__Entries body = MQ__NEWS__ENTRIES__INIT;
+  Mq__News__Entry *list = g_new (Mq__News__Entry, entries->n + 1);
+  Mq__News__Entry **refs = g_new (Mq__News__Entry *, entries->n + 1);
+
+  for (size_t i = 0; i < entries->n; i++)
+    {
+      const mq_platform_entry *e = &entries->entries[i];
+
+      mq__news__entry__init (&list[i]);
+      list[i].id = to_bytes (e->name);
+      list[i].version = e->version;
+      list[i].gone = e->deleted;
+      if (!e->deleted)
+        list[i].value = to_bytes (e->value);
+      refs[i] = &list[i];
+    }
+  body.scope = (Mq__News__Scope)scope;
+  body.whole = entries->whole;
+  body.at = entries->at;
+  body.entries = refs;
+  body.n_entries = entries->n;
+  p.body_case = MQ__NEWS__PARCEL__BODY_ENTRIES;
+  p.entries = &body;
+  parcel_pack (&p, out);
+  g_free (refs);
+  g_free (list);
+}
+
+static void
+encode_layers (const mq_parcel_layers *layers, mq_parcel_scope scope,
+               GString *out)
+{
+  Mq__News__Parcel p = MQ__NEWS__PARCEL__INIT;
+  Mq__News__Layers body = MQ__NEWS__LAYERS__INIT;
+
+  body.scope = (Mq__News__Scope)scope;
+  body.upstream = to_bytes (layers->upstream);
+  body.first = layers->first;
+  body.end = layers->end;
+  p.body_case = MQ__NEWS__PARCEL__BODY_LAYERS;
+  p.layers = &body;
+  parcel_pack (&p, out);
+}
+
+void
+mq_parcel_encode (const mq_parcel *parcel, GString *out)
+{
+  switch (parcel->kind)
+    {
+    case MQ_PARCEL_NEWS:
+      encode_news (parcel->u.news, out);
+      break;
+    case MQ_PARCEL_ROUTING:
+      encode_routing (parcel->u.routing, parcel->scope, out);
+      break;
+    case MQ_PARCEL_ENTRIES:
+      encode_entries (&parcel->u.entries, parcel->scope, out);
+      break;
+    case MQ_PARCEL_LAYERS:
+      encode_layers (&parcel->u.layers, parcel->scope, out);
+      break;
+    case MQ_PARCEL_KINDS:
+      break;
+    }
+}
+
+/* ---- Decoding.  */
+
+static mq_span
+to_span (ProtobufCBinaryData bytes)
+{
+  return (mq_span){ (const char *)bytes.data, bytes.len };
+}
+
+static int
+get_text (mq_span *to, ProtobufCBinaryData from)
+{
+  *to = to_span (from);
+  return from.len <= MQ_PARCEL_TEXT_LIMIT
+                 && (from.len == 0 || memchr (from.data, 0, from.len) == NULL)
+             ? 0
+             : -1;
+}
+
+static int
+get_router (mq_news_router *to, const Mq__News__Router *from)
+{
+  to->incarnation = from->incarnation;
+  to->capacity = from->capacity;
+  if (get_text (&to->name, from->name) < 0
+      || get_text (&to->peer, from->peer) < 0
+      || get_text (&to->client, from->client) < 0
+      || get_text (&to->domain, from->domain) < 0)
+    return -1;
+  return 0;
+}
+
+static int
+get_routers (GArray *to, Mq__News__Router *const *from, size_t n)
+{
+  if (n > MQ_PARCEL_LIST_LIMIT)
+    return -1;
+  for (size_t i = 0; i < n; i++)
+    {
+      mq_news_router r;
+
+      if (get_router (&r, from[i]) < 0)
+        return -1;
+      g_array_append_val (to, r);
+    }
+  return 0;
+}
+
+static int
+get_counts (mq_news *to, const Mq__News__News *from)
+{
+  if (from->n_ways > MQ_PARCEL_LIST_LIMIT
+      || from->n_sends > MQ_PARCEL_LIST_LIMIT)
+    return -1;
+  for (size_t i = 0; i < from->n_ways; i++)
+    {
+      mq_way_tokens w = { from->ways[i]->way, from->ways[i]->tokens };
+
+      g_array_append_val (to->ways, w);
+    }
+  for (size_t i = 0; i < from->n_sends; i++)
+    {
+      const Mq__News__ServiceSends *f = from->sends[i];
+      mq_service_sends s = { f->service, { f->first, f->more, f->gone } };
+
+      g_array_append_val (to->sends, s);
+    }
+  return 0;
+}
+
+static int
+get_findings (GArray *to, Mq__News__Finding *const *from, size_t n)
+{
+  if (n > MQ_PARCEL_LIST_LIMIT)
+    return -1;
+  for (size_t i = 0; i < n; i++)
+    {
+      mq_news_finding f = { .aside_us = from[i]->aside_us,
+                            .pace = from[i]->pace_percent / PERCENT };
+
+      if (get_text (&f.upstream, from[i]->upstream) < 0 || f.pace > PACE_MOST)
+        return -1;
+      g_array_append_val (to, f);
+    }
+  return 0;
+}
+
+static int
+get_kind (mq_news_kind *to, Mq__News__Kind from)
+{
+  switch (from)
+    {
+    case MQ__NEWS__KIND__REPORT:
+      *to = MQ_NEWS_REPORT;
+      return 0;
+    case MQ__NEWS__KIND__DIGEST:
+      *to = MQ_NEWS_DIGEST;
+      return 0;
+    case MQ__NEWS__KIND__SUMMARY:
+      *to = MQ_NEWS_SUMMARY;
+      return 0;
+    case MQ__NEWS__KIND__INTRODUCTION:
+      *to = MQ_NEWS_INTRODUCTION;
+      return 0;
+    case _MQ__NEWS__KIND_IS_INT_SIZE:
+      break;
+    }
+  return -1;
+}
+
+static int
+get_news (mq_news *to, const Mq__News__News *from)
+{
+  if (from->sender == NULL || get_kind (&to->kind, from->kind) < 0
+      || get_router (&to->from, from->sender) < 0 || to->from.peer.size == 0
+      || to->from.incarnation == 0)
+    return -1;
+  to->sequence = from->sequence;
+  to->interval_ms = from->interval_ms;
+  to->used = from->used;
+  to->ready = from->ready;
+  to->draining = from->draining;
+  to->store_reached = from->store_reached;
+  to->follows = from->follows;
+  to->relays = from->relays;
+  to->routing_version = from->routing;
+  to->upstreams_digest = from->upstreams;
+  to->upstreams_newest = from->newest;
+  to->watches = from->watches;
+  to->reached = from->reached;
+  to->listed = from->listed;
+  to->busy = from->busy;
+  to->age_ms = from->age_ms;
+  if (get_counts (to, from) < 0
+      || get_findings (to->findings, from->findings, from->n_findings) < 0
+      || get_routers (to->routers, from->routers, from->n_routers) < 0
+      || get_routers (to->serving, from->serving, from->n_serving) < 0
+      || get_routers (to->elsewhere, from->elsewhere, from->n_elsewhere) < 0)
+    return -1;
+  return 0;
+}
+
+static int
+get_entries (mq_parcel_decoded *to, const Mq__News__Entries *from)
+{
+  to->entries = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
+  for (size_t i = 0; i < from->n_entries; i++)
+    {
+      const Mq__News__Entry *f = from->entries[i];
+      mq_platform_entry e = { .version = f->version,
+                              .value = to_span (f->value),
+                              .deleted = f->gone };
+
+      if (get_text (&e.name, f->id) < 0 || e.name.size == 0)
+        return -1;
+      g_array_append_val (to->entries, e);
+    }
+  to->parcel.u.entries = (mq_parcel_entries){
+    from->whole, from->at,
+    (const mq_platform_entry *)(void *)to->entries->data, to->entries->len
+  };
+  return 0;
+}
+
+static int
+get_layers (mq_parcel_layers *to, const Mq__News__Layers *from)
+{
+  to->first = from->first;
+  to->end = from->end;
+  return get_text (&to->upstream, from->upstream) == 0 && to->first <= to->end
+             ? 0
+             : -1;
+}
+
+static int
+get_scope (mq_parcel_scope *to, Mq__News__Scope from)
+{
+  switch (from)
+    {
+    case MQ__NEWS__SCOPE__FLEET:
+      *to = MQ_SCOPE_FLEET;
+      return 0;
+    case MQ__NEWS__SCOPE__DOMAIN:
+      *to = MQ_SCOPE_DOMAIN;
+      return 0;
+    case MQ__NEWS__SCOPE__RECEIVER:
+      *to = MQ_SCOPE_RECEIVER;
+      return 0;
+    case _MQ__NEWS__SCOPE_IS_INT_SIZE:
+      break;
+    }
+  return -1;
+}
+
+static int
+decode_body (mq_parcel_decoded *decoded, const Mq__News__Parcel *from)
+{
+  mq_parcel *p = &decoded->parcel;
+
+  switch (from->body_case)
+    {
+    case MQ__NEWS__PARCEL__BODY_NEWS:
+      p->kind = MQ_PARCEL_NEWS;
+      p->u.news = &decoded->news;
+      mq_news_init (&decoded->news, MQ_NEWS_REPORT);
+      return get_news (&decoded->news, from->news);
+    case MQ__NEWS__PARCEL__BODY_ROUTING:
+      p->kind = MQ_PARCEL_ROUTING;
+      p->u.routing = to_span (from->routing->text);
+      return get_scope (&p->scope, from->routing->scope);
+    case MQ__NEWS__PARCEL__BODY_ENTRIES:
+      p->kind = MQ_PARCEL_ENTRIES;
+      return get_scope (&p->scope, from->entries->scope) < 0
+                 ? -1
+                 : get_entries (decoded, from->entries);
+    case MQ__NEWS__PARCEL__BODY_LAYERS:
+      p->kind = MQ_PARCEL_LAYERS;
+      return get_scope (&p->scope, from->layers->scope) < 0
+                 ? -1
+                 : get_layers (&p->u.layers, from->layers);
+    case MQ__NEWS__PARCEL__BODY__NOT_SET:
+    case _MQ__NEWS__PARCEL__BODY__CASE_IS_INT_SIZE:
+      break;
+    }
+  return -1;
+}
+
+int
+mq_parcel_decode (mq_parcel_decoded *decoded, mq_span bytes, GError **error)
+{
+  Mq__News__Parcel *p = mq__news__parcel__unpack (NULL, bytes.size,
+                                                  (const uint8_t *)bytes.data);
+
+  memset (decoded, 0, sizeof *decoded);
+  if (p == NULL)
+    {
+      g_set_error (error, MQ_PARCEL_ERROR, MQ_PARCEL_ERROR_GARBAGE,
+                   "not a parcel");
+      return -1;
+    }
+  decoded->message = p;
+  if (p->version != MQ_PARCEL_VERSION)
+    g_set_error (error, MQ_PARCEL_ERROR, MQ_PARCEL_ERROR_VERSION, "version %u",
+                 p->version);
+  else if (decode_body (decoded, p) < 0)
+    g_set_error (error, MQ_PARCEL_ERROR, MQ_PARCEL_ERROR_GARBAGE,
+                 "a value is missing or impossible");
+  else
+    return 0;
+  mq_parcel_decoded_finish (decoded);
+  return -1;
+}
+
+void
+mq_parcel_decoded_finish (mq_parcel_decoded *decoded)
+{
+  if (decoded->news.ways != NULL)
+    mq_news_finish (&decoded->news);
+  g_clear_pointer (&decoded->entries, g_array_unref);
+  if (decoded->message != NULL)
+    mq__news__parcel__free_unpacked (decoded->message, NULL);
+  decoded->message = NULL;
+}
--- a/packages/route/entry_list.c
+++ b/packages/route/entry_list.c
@@ -38,6 +38,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
   list->gone = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   list->digest = 0;
+  list->newest = 0;
 }
 
 void
@@ -59,6 +60,7 @@
   e->text = mq_str_new (text);
   e->version = version;
   list->digest ^= entry_digest (key, version);
+  list->newest = MAX (list->newest, version);
   g_hash_table_replace (list->entries, key, e);
 }
 
@@ -73,6 +75,7 @@
   if (g_hash_table_size (list->gone) >= GONE_MOST)
     g_hash_table_remove_all (list->gone);
   *at = version;
+  list->newest = MAX (list->newest, version);
   g_hash_table_replace (list->gone, key, at);
 }
 
--- a/packages/route/pass_on.c
+++ b/packages/route/pass_on.c
@@ -41,10 +41,36 @@
   if (lag->since_us == 0)
     lag->since_us = now_us;
   if (now_us < lag->since_us + waits.first_us + rank * waits.next_us
-      || now_us < waits.able_us + waits.next_us)
+      || now_us < waits.able_us)
     return false;
   if (lag->passed_us > 0 && now_us < lag->passed_us + waits.next_us)
     return false;
   lag->passed_us = now_us;
   return true;
 }
+
+void
+mq_digest_log_note (mq_digest_log *log, uint64_t digest, uint64_t now_us)
+{
+  unsigned last = (log->n - 1) % MQ_DIGEST_LOG_SIZE;
+
+  if (log->n > 0 && log->digest[last] == digest)
+    return;
+  if (log->n > 0)
+    log->until_us[last] = now_us;
+  log->digest[log->n % MQ_DIGEST_LOG_SIZE] = digest;
+  log->until_us[log->n % MQ_DIGEST_LOG_SIZE] = UINT64_MAX;
+  log->n++;
+}
+
+bool
+mq_digest_log_had (const mq_digest_log *log, uint64_t digest,
+                   uint64_t since_us)
+{
+  unsigned n = MIN (log->n, MQ_DIGEST_LOG_SIZE);
+
+  for (unsigned i = 0; i < n; i++)
+    if (log->digest[i] == digest && log->until_us[i] >= since_us)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/packages/route/roster_load.c
@@ -0,0 +1,453 @@
+/* What all others have in flight, as a router knows it: see mq/roster.h.
+
+   A relay adds up the reports of its domain's routers and, for each other
+   domain, the last summary that came from any of its relays.  Any other
+   router takes the last digest of a relay.  Tokens count while their router
+   lives; sends count for the window in which they were made, also when it has
+   ended.  */
+
+#include <mq/roster.h>
+
+/* Sums are worked out again after so long at the latest, since routers fall
+   silent without a word: a tick of the gateway.  */
+#define SUM_US ((uint64_t)50 * 1000)
+/* Domains whose summaries are added up.  */
+#define DOMAINS_MOST 64
+/* Routers of each other domain that clients hear of when their own has too
+   few.  */
+#define ELSEWHERE_EACH 2
+#define ELSEWHERE_MOST 8
+
+/* ---- Whose news count.  */
+
+static bool
+router_is_in_window (const mq_roster *roster, const mq_roster_router *router,
+                     uint64_t now_us)
+{
+  return router->heard_us > 0
+         && now_us - router->heard_us <= roster->window_us;
+}
+
+/* The last digest of a relay of this domain; NULL: none is fresh.  */
+static const mq_roster_router *
+roster_digest (const mq_roster *roster, uint64_t now_us)
+{
+  const mq_roster_router *best = NULL;
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, roster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_roster_router *r = value;
+
+      if (r->local && r->kind == MQ_NEWS_DIGEST && mq_roster_lives (r, now_us)
+          && (best == NULL || r->heard_us > best->heard_us))
+        best = r;
+    }
+  return best;
+}
+
+typedef struct domain_relays
+{
+  const mq_roster_router *best[DOMAINS_MOST]; /* One of each domain.  */
+  size_t n;
+} domain_relays;
+
+/* Are A's summaries to be taken rather than B's: fresher as a rule?  */
+static bool
+relay_is_better (const mq_roster_router *a, const mq_roster_router *b,
+                 uint64_t now_us)
+{
+  bool a_lives = mq_roster_lives (a, now_us);
+
+  if (a_lives != mq_roster_lives (b, now_us))
+    return a_lives;
+  if (a_lives && a->counts_ms != b->counts_ms)
+    return a->counts_ms < b->counts_ms;
+  return a->heard_us > b->heard_us;
+}
+
+static void
+domains_note (domain_relays *domains, const mq_roster_router *router,
+              uint64_t now_us)
+{
+  for (size_t i = 0; i < domains->n; i++)
+    if (mq_span_equal (mq_str_span (domains->best[i]->domain),
+                       mq_str_span (router->domain)))
+      {
+        if (relay_is_better (router, domains->best[i], now_us))
+          domains->best[i] = router;
+        return;
+      }
+  if (domains->n < DOMAINS_MOST)
+    domains->best[domains->n++] = router;
+}
+
+/* The relay of each other domain that was heard last.  */
+static void
+roster_domains (const mq_roster *roster, domain_relays *domains,
+                uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  domains->n = 0;
+  g_hash_table_iter_init (&i, roster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_roster_router *r = value;
+
+      if (!r->local && r->kind == MQ_NEWS_SUMMARY
+          && router_is_in_window (roster, r, now_us))
+        domains_note (domains, r, now_us);
+    }
+}
+
+/* ---- Sums.  */
+
+static void
+add_ways (GArray *sum, const GArray *ways)
+{
+  for (guint i = 0; i < ways->len; i++)
+    {
+      const mq_way_tokens *w = &g_array_index (ways, mq_way_tokens, i);
+
+      mq_way_tokens_add (sum, w->way, w->tokens);
+    }
+}
+
+static void
+add_sends (GArray *sum, const GArray *sends)
+{
+  for (guint i = 0; i < sends->len; i++)
+    {
+      const mq_service_sends *s = &g_array_index (sends, mq_service_sends, i);
+
+      mq_service_sends_add (sum, s->service, s->counts);
+    }
+}
+
+/* The same of a process that has ended.  */
+static void
+add_past_sends (GArray *sum, const GArray *sends)
+{
+  for (guint i = 0; i < sends->len; i++)
+    {
+      const mq_service_sends *s = &g_array_index (sends, mq_service_sends, i);
+      mq_send_counts c = s->counts;
+
+      c.gone = c.more;
+      mq_service_sends_add (sum, s->service, c);
+    }
+}
+
+static bool
+sends_are_any (const GArray *sends)
+{
+  for (guint i = 0; i < sends->len; i++)
+    {
+      const mq_send_counts *c
+          = &g_array_index (sends, mq_service_sends, i).counts;
+
+      if (c->first > 0 || c->more > 0)
+        return true;
+    }
+  return false;
+}
+
+/* Sums as they are being made.  */
+typedef struct load_sum
+{
+  GArray *ways;  /* mq_way_tokens, borrowed.  */
+  GArray *sends; /* mq_service_sends, borrowed.  */
+  unsigned busy;
+} load_sum;
+
+static void
+sum_add_router (load_sum *sum, const mq_roster *roster,
+                const mq_roster_router *router, uint64_t now_us)
+{
+  if (router->past_sends != NULL
+      && now_us - router->past_us <= roster->window_us)
+    add_past_sends (sum->sends, router->past_sends);
+  if (router->kind != MQ_NEWS_REPORT
+      || !router_is_in_window (roster, router, now_us))
+    return;
+  add_sends (sum->sends, router->sends);
+  sum->busy += sends_are_any (router->sends);
+  if (mq_roster_lives (router, now_us))
+    add_ways (sum->ways, router->ways);
+}
+
+/* Add the reports of this domain's other routers.  */
+static void
+sum_add_domain (load_sum *sum, const mq_roster *roster, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, roster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (((const mq_roster_router *)value)->local)
+      sum_add_router (sum, roster, value, now_us);
+}
+
+/* Add the sums that ROUTER told.  */
+static void
+sum_add_told (load_sum *sum, const mq_roster_router *router, uint64_t now_us)
+{
+  add_sends (sum->sends, router->sends);
+  sum->busy += router->busy;
+  if (mq_roster_lives (router, now_us))
+    add_ways (sum->ways, router->ways);
+}
+
+/* Add the summaries of other domains.  */
+static void
+sum_add_elsewhere (load_sum *sum, const mq_roster *roster, uint64_t now_us)
+{
+  domain_relays domains;
+
+  roster_domains (roster, &domains, now_us);
+  for (size_t i = 0; i < domains.n; i++)
+    sum_add_told (sum, domains.best[i], now_us);
+}
+
+void
+mq_roster_sum (mq_roster *roster, uint64_t now_us)
+{
+  load_sum sum = { roster->other_ways, roster->other_sends, 0 };
+  const mq_roster_router *digest
+      = roster->relays ? NULL : roster_digest (roster, now_us);
+
+  if (roster->summed_us > 0 && now_us - roster->summed_us < SUM_US)
+    return;
+  g_array_set_size (sum.ways, 0);
+  g_array_set_size (sum.sends, 0);
+  if (digest != NULL)
+    sum_add_told (&sum, digest, now_us);
+  else
+    {
+      sum_add_domain (&sum, roster, now_us);
+      sum_add_elsewhere (&sum, roster, now_us);
+    }
+  roster->other_busy = sum.busy;
+  roster->summed_us = now_us;
+}
+
+double
+mq_roster_tokens (mq_roster *roster, uint64_t way, uint64_t now_us)
+{
+  mq_roster_sum (roster, now_us);
+  return mq_way_tokens_of (roster->other_ways, way);
+}
+
+mq_send_counts
+mq_roster_sends (mq_roster *roster, uint64_t service, uint64_t now_us)
+{
+  mq_roster_sum (roster, now_us);
+  return mq_service_sends_of (roster->other_sends, service);
+}
+
+unsigned
+mq_roster_busy (mq_roster *roster, uint64_t now_us)
+{
+  mq_roster_sum (roster, now_us);
+  return roster->other_busy + 1;
+}
+
+unsigned
+mq_roster_counts_age_ms (const mq_roster *roster, uint64_t now_us)
+{
+  const mq_roster_router *digest
+      = roster->relays ? NULL : roster_digest (roster, now_us);
+  unsigned age = MQ_ROSTER_HEARTBEAT_MS; /* Of reports.  */
+  domain_relays domains;
+
+  if (digest != NULL)
+    return digest->counts_ms;
+  roster_domains (roster, &domains, now_us);
+  for (size_t i = 0; i < domains.n; i++)
+    if (mq_roster_lives (domains.best[i], now_us))
+      age = MAX (age, domains.best[i]->counts_ms);
+  return age;
+}
+
+/* ---- What this router tells.  */
+
+/* Add what this router has in flight.  */
+static void
+sum_add_self (load_sum *sum, const mq_roster *roster)
+{
+  add_ways (sum->ways, roster->ways);
+  add_sends (sum->sends, roster->sends);
+  sum->busy += sends_are_any (roster->sends);
+}
+
+void
+mq_roster_sum_domain (mq_roster *roster, mq_news *news, uint64_t now_us)
+{
+  load_sum sum = { news->ways, news->sends, 0 };
+
+  sum_add_self (&sum, roster);
+  sum_add_domain (&sum, roster, now_us);
+  news->busy = sum.busy;
+}
+
+/* Take what TO reported out of the sums in NEWS.  */
+static void
+news_subtract (mq_news *news, const mq_roster_router *to)
+{
+  for (guint i = 0; i < to->ways->len; i++)
+    {
+      const mq_way_tokens *w = &g_array_index (to->ways, mq_way_tokens, i);
+
+      mq_way_tokens_add (news->ways, w->way, -w->tokens);
+    }
+  for (guint i = 0; i < to->sends->len; i++)
+    {
+      const mq_service_sends *s
+          = &g_array_index (to->sends, mq_service_sends, i);
+
+      mq_service_sends_subtract (news->sends, s->service, s->counts);
+    }
+  if (sends_are_any (to->sends) && news->busy > 0)
+    news->busy--;
+}
+
+void
+mq_roster_sum_all_but (mq_roster *roster, const mq_roster_router *to,
+                       mq_news *news, uint64_t now_us)
+{
+  load_sum sum = { news->ways, news->sends, 0 };
+
+  mq_roster_sum (roster, now_us);
+  sum_add_self (&sum, roster);
+  add_ways (sum.ways, roster->other_ways);
+  add_sends (sum.sends, roster->other_sends);
+  news->busy = sum.busy + roster->other_busy;
+  if (to->kind == MQ_NEWS_REPORT)
+    news_subtract (news, to);
+}
+
+bool
+mq_roster_router_is_loaded (const mq_roster_router *router)
+{
+  return router->ways->len > 0 || router->used > 0;
+}
+
+/* ---- Who serves.  */
+
+static void
+serving_add (GArray *serving, mq_span name, mq_span client, unsigned capacity)
+{
+  mq_news_router r = { .name = name, .client = client, .capacity = capacity };
+
+  g_array_append_val (serving, r);
+}
+
+static int
+serving_compare (gconstpointer a, gconstpointer b)
+{
+  const mq_news_router *x = a;
+  const mq_news_router *y = b;
+
+  return mq_roster_rank (x->capacity, x->name, y->capacity, y->name);
+}
+
+/* Leave as many of SERVING as carry what the domain's routers use.  */
+static void
+serving_cut (mq_roster *roster, GArray *serving, double used, uint64_t now_us)
+{
+  unsigned *capacities = g_new (unsigned, serving->len + 1);
+  size_t n;
+
+  for (guint i = 0; i < serving->len; i++)
+    capacities[i] = g_array_index (serving, mq_news_router, i).capacity;
+  mq_serving_note_used (&roster->need, used, now_us);
+  n = mq_serving_count (capacities, serving->len, roster->need.used);
+  g_array_set_size (serving, (guint)n);
+  g_free (capacities);
+}
+
+/* The domain's routers that serve, as this router works it out.  */
+static void
+serving_choose (mq_roster *roster, GArray *serving, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+  double used = roster->self.used;
+
+  if (roster->self.ready && !roster->self.draining)
+    serving_add (serving, mq_str_span (roster->name),
+                 mq_str_span (roster->client), roster->capacity);
+  g_hash_table_iter_init (&i, roster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_roster_router *r = value;
+
+      if (!r->local || !mq_roster_lives (r, now_us))
+        continue;
+      used += r->used;
+      if (r->ready && !r->draining)
+        serving_add (serving, mq_str_span (r->name), mq_str_span (r->client),
+                     r->capacity);
+    }
+  g_array_sort (serving, serving_compare);
+  serving_cut (roster, serving, used, now_us);
+}
+
+/* The first of those that serve in each other domain.  */
+static void
+serving_elsewhere (const mq_roster *roster, GArray *elsewhere, uint64_t now_us)
+{
+  domain_relays domains;
+
+  roster_domains (roster, &domains, now_us);
+  for (size_t i = 0; i < domains.n && elsewhere->len < ELSEWHERE_MOST; i++)
+    if (mq_roster_lives (domains.best[i], now_us))
+      g_array_append_vals (
+          elsewhere, domains.best[i]->serving->data,
+          MIN (domains.best[i]->serving->len, ELSEWHERE_EACH));
+}
+
+void
+mq_roster_serving (mq_roster *roster, GArray *serving, GArray *elsewhere,
+                   uint64_t now_us)
+{
+  const mq_roster_router *digest
+      = roster->relays ? NULL : roster_digest (roster, now_us);
+
+  if (digest != NULL && digest->serving->len > 0)
+    {
+      g_array_append_vals (serving, digest->serving->data,
+                           digest->serving->len);
+      g_array_append_vals (elsewhere, digest->elsewhere->data,
+                           digest->elsewhere->len);
+      return;
+    }
+  serving_choose (roster, serving, now_us);
+  serving_elsewhere (roster, elsewhere, now_us);
+}
+
+/* Is this router one of those that serve?  */
+static bool
+roster_serves (mq_roster *roster, uint64_t now_us)
+{
+  const mq_roster_router *digest = roster_digest (roster, now_us);
+
+  for (guint i = 0; digest != NULL && i < digest->serving->len; i++)
+    if (mq_span_equal (
+            g_array_index (digest->serving, mq_news_router, i).client,
+            mq_str_span (roster->client)))
+      return true;
+  return false;
+}
+
+bool
+mq_roster_is_active (mq_roster *roster, uint64_t now_us)
+{
+  return roster->relays || roster->self.loaded
+         || roster_serves (roster, now_us);
+}
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -389,10 +389,20 @@
 mq_upstream_set_pace (mq_upstream *upstream, double pace, uint64_t now_us)
 {
   upstream->pace = pace;
-  upstream->pace_heard = false;
+  upstream->pace_by = (mq_finding_source){ 0, false };
   upstream->pace_until_us = now_us + PACE_KNOWN_US;
 }
 
+void
+mq_upstream_hear_pace (mq_upstream *upstream, double pace,
+                       mq_finding_source by, uint64_t now_us)
+{
+  if (now_us < upstream->pace_until_us)
+    return;
+  mq_upstream_set_pace (upstream, pace, now_us);
+  upstream->pace_by = by;
+}
+
 bool
 mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us)
 {
@@ -462,6 +472,17 @@
   upstream->aside_until_us = MAX (upstream->aside_until_us, until);
 }
 
+void
+mq_upstream_hear_aside (mq_upstream *upstream, uint64_t span_us,
+                        mq_finding_source by, uint64_t now_us)
+{
+  mq_upstream_put_aside (upstream, now_us, span_us);
+  if (now_us + span_us <= upstream->told_aside_us)
+    return;
+  upstream->told_aside_us = now_us + span_us;
+  upstream->told_by = by;
+}
+
 static void
 upstream_lengthen_aside (mq_upstream *upstream)
 {
--- /dev/null
+++ b/tests/test_news_codec.cc
@@ -0,0 +1,228 @@
+/* Parcels between routers, both ways, and what is no parcel.  */
+
+#include <mq/news_codec.h>
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace
+{
+
+std::string
+text (mq_span s)
+{
+  return std::string (s.size > 0 ? s.data : "", s.size);
+}
+
+/* News with something in every field.  */
+class Parcel : public ::testing::Test
+{
+protected:
+  Parcel ()
+  {
+    mq_news_router r
+        = { MQ_SPAN ("vm-2"), MQ_SPAN ("10.0.0.2:1"), MQ_SPAN ("10.0.0.2:2"),
+            MQ_SPAN ("one"),  12,                     250 };
+    mq_way_tokens w = { 0xfedcba9876543210, 1234 };
+    mq_service_sends s = { 77, { 10, 3, 1 } };
+    mq_news_finding f = { MQ_SPAN ("eng-1"), 4000000, 2.5 };
+
+    mq_news_init (&news, MQ_NEWS_SUMMARY);
+    news.from = { MQ_SPAN ("vm-1"), MQ_SPAN ("10.0.0.1:1"),
+                  MQ_SPAN ("10.0.0.1:2"), MQ_SPAN ("one"), 11, 500 };
+    news.sequence = 9;
+    news.interval_ms = 125;
+    news.used = 33;
+    news.ready = news.follows = news.relays = true;
+    news.store_reached = news.watches = news.reached = news.listed = true;
+    news.routing_version = 41;
+    news.upstreams_digest = 0x8000000000000001;
+    news.upstreams_newest = 17;
+    news.busy = 5;
+    g_array_append_val (news.ways, w);
+    g_array_append_val (news.sends, s);
+    g_array_append_val (news.findings, f);
+    g_array_append_val (news.routers, r);
+    g_array_append_val (news.serving, r);
+    g_array_append_val (news.elsewhere, r);
+  }
+
+  ~Parcel () override { mq_news_finish (&news); }
+
+  static std::string
+  encode (const mq_parcel &p)
+  {
+    GString *out = g_string_new (nullptr);
+    mq_parcel_encode (&p, out);
+    std::string s (out->str, out->len);
+
+    g_string_free (out, TRUE);
+    return s;
+  }
+
+  std::string
+  encode_news ()
+  {
+    mq_parcel p = {};
+
+    p.kind = MQ_PARCEL_NEWS;
+    p.u.news = &news;
+    return encode (p);
+  }
+
+  static int
+  decode (mq_parcel_decoded *d, const std::string &s, GError **error = nullptr)
+  {
+    return mq_parcel_decode (d, { s.data (), s.size () }, error);
+  }
+
+  mq_news news;
+};
+
+} // namespace
+
+TEST_F (Parcel, NewsComeBackAsTheyWere)
+{
+  mq_parcel_decoded d;
+
+  ASSERT_EQ (decode (&d, encode_news ()), 0);
+  ASSERT_EQ (d.parcel.kind, MQ_PARCEL_NEWS);
+  const mq_news *n = d.parcel.u.news;
+  EXPECT_EQ (n->kind, MQ_NEWS_SUMMARY);
+  EXPECT_EQ (text (n->from.name), "vm-1");
+  EXPECT_EQ (text (n->from.client), "10.0.0.1:2");
+  EXPECT_EQ (n->from.incarnation, 11u);
+  EXPECT_EQ (n->from.capacity, 500u);
+  EXPECT_EQ (n->sequence, 9u);
+  EXPECT_EQ (n->interval_ms, 125u);
+  EXPECT_EQ (n->used, 33u);
+  EXPECT_TRUE (n->ready && n->follows && n->relays && n->store_reached);
+  EXPECT_TRUE (n->watches && n->reached && n->listed);
+  EXPECT_FALSE (n->draining);
+  EXPECT_EQ (n->routing_version, 41u);
+  EXPECT_EQ (n->upstreams_digest, 0x8000000000000001u);
+  EXPECT_EQ (n->upstreams_newest, 17u);
+  EXPECT_EQ (n->busy, 5u);
+  EXPECT_EQ (mq_way_tokens_of (n->ways, 0xfedcba9876543210), 1234);
+  EXPECT_EQ (mq_service_sends_of (n->sends, 77).more, 3u);
+  ASSERT_EQ (n->findings->len, 1u);
+  EXPECT_EQ (g_array_index (n->findings, mq_news_finding, 0).pace, 2.5);
+  ASSERT_EQ (n->routers->len, 1u);
+  EXPECT_EQ (text (g_array_index (n->routers, mq_news_router, 0).peer),
+             "10.0.0.2:1");
+  EXPECT_EQ (n->serving->len, 1u);
+  EXPECT_EQ (n->elsewhere->len, 1u);
+  mq_parcel_decoded_finish (&d);
+}
+
+TEST_F (Parcel, EntriesComeBackAsTheyWere)
+{
+  const mq_platform_entry list[] = {
+    { MQ_SPAN ("a"), 5, MQ_SPAN ("{\"x\":1}"), false },
+    { MQ_SPAN ("b"), 6, MQ_SPAN (""), true },
+  };
+  mq_parcel_decoded d;
+  mq_parcel p = {};
+
+  p.kind = MQ_PARCEL_ENTRIES;
+  p.scope = MQ_SCOPE_DOMAIN;
+  p.u.entries = { true, 6, list, 2 };
+  ASSERT_EQ (decode (&d, encode (p)), 0);
+  EXPECT_EQ (d.parcel.scope, MQ_SCOPE_DOMAIN);
+  EXPECT_TRUE (d.parcel.u.entries.whole);
+  EXPECT_EQ (d.parcel.u.entries.at, 6u);
+  ASSERT_EQ (d.parcel.u.entries.n, 2u);
+  EXPECT_EQ (text (d.parcel.u.entries.entries[0].value), "{\"x\":1}");
+  EXPECT_TRUE (d.parcel.u.entries.entries[1].deleted);
+  mq_parcel_decoded_finish (&d);
+}
+
+TEST_F (Parcel, RoutingAndLayersComeBackAsTheyWere)
+{
+  mq_parcel_decoded d;
+  mq_parcel p = {};
+
+  p.kind = MQ_PARCEL_ROUTING;
+  p.scope = MQ_SCOPE_RECEIVER;
+  p.u.routing = MQ_SPAN ("{\"version\":3}");
+  ASSERT_EQ (decode (&d, encode (p)), 0);
+  EXPECT_EQ (text (d.parcel.u.routing), "{\"version\":3}");
+  EXPECT_EQ (d.parcel.scope, MQ_SCOPE_RECEIVER);
+  mq_parcel_decoded_finish (&d);
+  p.kind = MQ_PARCEL_LAYERS;
+  p.scope = MQ_SCOPE_FLEET;
+  p.u.layers = { MQ_SPAN ("eng"), 20, 31 };
+  ASSERT_EQ (decode (&d, encode (p)), 0);
+  EXPECT_EQ (d.parcel.u.layers.first, 20u);
+  EXPECT_EQ (d.parcel.u.layers.end, 31u);
+  mq_parcel_decoded_finish (&d);
+}
+
+/* A message cut anywhere is refused, or decodes to something that is valid by
+   itself; it never reads beyond its end (the sanitizers' run tells).  */
+TEST_F (Parcel, AMessageCutAnywhereDoesNoHarm)
+{
+  std::string whole = encode_news ();
+
+  for (size_t n = 0; n < whole.size (); n++)
+    {
+      std::string cut = whole.substr (0, n);
+      mq_parcel_decoded d;
+
+      if (decode (&d, cut) == 0)
+        mq_parcel_decoded_finish (&d);
+    }
+}
+
+TEST_F (Parcel, AnotherVersionIsToldApart)
+{
+  std::string s = encode_news ();
+  GError *error = nullptr;
+  mq_parcel_decoded d;
+
+  ASSERT_EQ (s[0], 8); /* Field 1, a number.  */
+  s[1] = MQ_PARCEL_VERSION + 1;
+  EXPECT_EQ (decode (&d, s, &error), -1);
+  ASSERT_NE (error, nullptr);
+  EXPECT_EQ (error->code, MQ_PARCEL_ERROR_VERSION);
+  g_error_free (error);
+}
+
+/* News of the version before were JSON.  */
+TEST_F (Parcel, WhatIsNoParcelIsRefused)
+{
+  for (const char *s : { "", "{\"kind\":\"news\"}", "\xff\xff\xff\xff" })
+    {
+      GError *error = nullptr;
+      mq_parcel_decoded d;
+
+      EXPECT_EQ (decode (&d, s, &error), -1) << s;
+      ASSERT_NE (error, nullptr);
+      g_error_free (error);
+    }
+}
+
+TEST_F (Parcel, NewsWithoutASenderAreRefused)
+{
+  mq_parcel_decoded d;
+
+  news.from.peer = MQ_SPAN ("");
+  EXPECT_EQ (decode (&d, encode_news ()), -1);
+  news.from.peer = MQ_SPAN ("10.0.0.1:1");
+  news.from.incarnation = 0;
+  EXPECT_EQ (decode (&d, encode_news ()), -1);
+}
+
+TEST_F (Parcel, ImpossibleValuesAreRefused)
+{
+  std::string longest (MQ_PARCEL_TEXT_LIMIT + 1, 'x');
+  mq_parcel_decoded d;
+  mq_parcel p = {};
+
+  news.from.domain = { longest.data (), longest.size () };
+  EXPECT_EQ (decode (&d, encode_news ()), -1);
+  p.kind = MQ_PARCEL_LAYERS;
+  p.u.layers = { MQ_SPAN ("eng"), 31, 20 };
+  EXPECT_EQ (decode (&d, encode (p)), -1);
+}
--- /dev/null
+++ b/tests/test_processor_meter.cc
@@ -0,0 +1,36 @@
+/* What a process uses of a processor.  */
+
+#include <mq/processor_meter.h>
+
+#include <gtest/gtest.h>
+
+TEST (ProcessorMeter, TendsToWhatIsUsed)
+{
+  mq_processor_meter m = {};
+
+  for (uint64_t i = 0; i <= 40; i++)
+    mq_processor_meter_read (&m, i * 25000, 1 + i * 125000);
+  EXPECT_NEAR (m.part, 0.2, 0.01);
+  for (uint64_t i = 41; i <= 49; i++)
+    mq_processor_meter_read (&m, 40 * 25000, 1 + i * 125000);
+  EXPECT_LT (m.part, 0.08);
+}
+
+TEST (ProcessorMeter, AClockThatGoesBackIsPassedOver)
+{
+  mq_processor_meter m = {};
+
+  mq_processor_meter_read (&m, 500, 1000);
+  mq_processor_meter_read (&m, 400, 2000);
+  EXPECT_EQ (m.part, 0);
+}
+
+TEST (ProcessorMeter, TheProcessUsesSome)
+{
+  uint64_t before = mq_processor_used_us ();
+  volatile double x = 1;
+
+  for (int i = 0; i < 3000000; i++)
+    x = x * 1.0000001;
+  EXPECT_GT (mq_processor_used_us (), before);
+}
