Say who asks the store in vain, and count nobody as hearing it without an answer

Cause: a router that had only just begun to follow said that it heard the store.

Change: hearing the store needs an answer since the follow began; asking it in vain is told by itself, so that others step in.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -342,6 +342,8 @@
 /* Did the store answer lately?  False at a router that follows nothing there.
  */
 bool mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us);
+/* Does it ask the store in vain?  */
+bool mq_members_store_fails (const mq_gateway *gateway);
 /* Does this router give the orders just now?  */
 bool mq_members_we_lead (const mq_gateway *gateway, uint64_t now_us);
 
--- a/include/mq/news.h
+++ b/include/mq/news.h
@@ -75,7 +75,8 @@
   unsigned used;        /* Of the processor, in thousandths of one.  */
   bool ready;
   bool draining;
-  bool store_reached; /* The sender hears the platform's store.  */
+  bool store_reached; /* The sender hears the platform's store ...  */
+  bool store_fails;   /* ... or asks it in vain.  */
   bool follows;       /* It follows the store's upstreams itself ...  */
   bool watches;       /* ... and the store's configuration.  */
   bool reached;       /* Some router hears the store: of its domain in a
--- a/include/mq/roster.h
+++ b/include/mq/roster.h
@@ -60,6 +60,7 @@
   bool ready;
   bool draining;
   bool store_reached;
+  bool store_fails;
   bool follows;
   bool watches;
   bool reached;
@@ -94,6 +95,7 @@
   bool ready;
   bool draining;
   bool store_reached;
+  bool store_fails;
   bool follows;
   bool watches;
   uint64_t routing_version;
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -37,14 +37,20 @@
 #define LEAD_SETTLE_US ((uint64_t)500 * 1000)
 #define COUNTS_FRESH_MS (2 * MQ_ROSTER_HEARTBEAT_MS)
 
-/* Does FEED hear the store?  One that began just now is thought to.  */
+/* Does FEED hear the store, as an answer since it began to follow shows?  */
 static bool
 feed_is_fresh (const mq_feed *feed, uint64_t now_us)
 {
-  uint64_t since = MAX (feed->fresh_us, feed->resumed_us);
-
   return feed->follow.follows && feed->failures < STORE_LOST_FAILURES
-         && now_us - since < STORE_FRESH_US + (uint64_t)feed->wait_ms * 1000;
+         && feed->fresh_us > 0 && feed->fresh_us >= feed->resumed_us
+         && now_us - feed->fresh_us
+                < STORE_FRESH_US + (uint64_t)feed->wait_ms * 1000;
+}
+
+static bool
+feed_fails (const mq_feed *feed)
+{
+  return feed->follow.follows && feed->failures >= STORE_LOST_FAILURES;
 }
 
 bool
@@ -54,6 +60,13 @@
          || feed_is_fresh (&gateway->upstream_feed, now_us);
 }
 
+bool
+mq_members_store_fails (const mq_gateway *gateway)
+{
+  return feed_fails (&gateway->routing_feed)
+         || feed_fails (&gateway->upstream_feed);
+}
+
 /* ---- The store.  */
 
 static void
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -259,6 +259,7 @@
     .ready = mq_gateway_is_ready (g),
     .draining = g->mode != MQ_GATEWAY_SERVING,
     .store_reached = mq_members_store_is_reached (g, now_us),
+    .store_fails = mq_members_store_fails (g),
     .follows = g->upstream_feed.follow.follows,
     .watches = g->routing_feed.follow.follows,
     .routing_version = g->routing ? g->routing->version : 0,
--- a/packages/net/news_codec.c
+++ b/packages/net/news_codec.c
@@ -113,6 +113,7 @@
   to->ready = from->ready;
   to->draining = from->draining;
   to->store_reached = from->store_reached;
+  to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
   to->routing = from->routing_version;
@@ -380,6 +381,7 @@
   to->ready = from->ready;
   to->draining = from->draining;
   to->store_reached = from->store_reached;
+  to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
   to->routing_version = from->routing;
--- a/packages/route/roster.c
+++ b/packages/route/roster.c
@@ -246,13 +246,12 @@
 }
 
 /* Is ROUTER a relay that ranks before this one, and does not ask the store in
-   vain?  ASKS: it asks at all.  */
+   vain?  */
 static bool
 router_hears_before (const mq_roster *roster, const mq_roster_router *router,
-                     bool asks, uint64_t now_us)
+                     uint64_t now_us)
 {
-  return router->relays && !router->draining
-         && (router->store_reached || !asks)
+  return router->relays && !router->draining && !router->store_fails
          && mq_roster_lives (router, now_us)
          && router_goes_before (roster, router);
 }
@@ -269,7 +268,7 @@
     {
       const mq_roster_router *r = value;
 
-      n += router_hears_before (roster, r, r->follows, now_us);
+      n += router_hears_before (roster, r, now_us);
     }
   return n;
 }
@@ -286,7 +285,7 @@
     {
       const mq_roster_router *r = value;
 
-      n += r->local && router_hears_before (roster, r, r->watches, now_us);
+      n += r->local && router_hears_before (roster, r, now_us);
     }
   return n;
 }
--- a/packages/route/roster_news.c
+++ b/packages/route/roster_news.c
@@ -205,6 +205,7 @@
   news->ready = s->ready;
   news->draining = s->draining;
   news->store_reached = s->store_reached;
+  news->store_fails = s->store_fails;
   news->follows = s->follows;
   news->watches = s->watches;
   news->relays = roster->relays;
@@ -468,6 +469,7 @@
   router->ready = news->ready;
   router->draining = news->draining;
   router->store_reached = news->store_reached;
+  router->store_fails = news->store_fails;
   router->follows = news->follows;
   router->watches = news->watches;
   router->reached = news->reached;
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -842,7 +842,7 @@
   (ProtobufCMessageInit) mq__news__finding__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[24] =
+static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[25] =
 {
   {
     "kind",
@@ -1132,6 +1132,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "store_fails",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__News, store_fails),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__news__field_indices_by_name[] = {
   23,   /* field[23] = age_ms */
@@ -1153,6 +1165,7 @@
   14,   /* field[14] = sends */
   2,   /* field[2] = sequence */
   17,   /* field[17] = serving */
+  24,   /* field[24] = store_fails */
   7,   /* field[7] = store_reached */
   11,   /* field[11] = upstreams */
   4,   /* field[4] = used */
@@ -1162,7 +1175,7 @@
 static const ProtobufCIntRange mq__news__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor mq__news__news__descriptor =
 {
@@ -1172,7 +1185,7 @@
   "Mq__News__News",
   "mq.news",
   sizeof(Mq__News__News),
-  24,
+  25,
   mq__news__news__field_descriptors,
   mq__news__news__field_indices_by_name,
   1,  mq__news__news__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -158,10 +158,11 @@
   protobuf_c_boolean reached;
   protobuf_c_boolean listed;
   uint32_t age_ms;
+  protobuf_c_boolean store_fails;
 };
 #define MQ__NEWS__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__news__descriptor) \
-    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0 }
+    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Mq__News__Routing
