--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -236,15 +236,15 @@
   mq_upstream u = {};
 
   u.listed = true;
-  mq_upstream_hear_aside (&u, 4000 * ms, by, 1000 * ms);
-  EXPECT_FALSE (mq_upstream_is_usable (&u, 1100 * ms));
-  mq_upstream_succeeded (&u, 1100 * ms);
-  EXPECT_TRUE (mq_upstream_is_usable (&u, 1200 * ms));
-  mq_upstream_hear_aside (&u, 3800 * ms, by, 1201 * ms);
-  EXPECT_TRUE (mq_upstream_is_usable (&u, 1201 * ms));
+  mq_upstream_hear_aside (&u, 4000000, by, 1000000);
+  EXPECT_FALSE (mq_upstream_is_usable (&u, 1100000));
+  mq_upstream_succeeded (&u, 1100000);
+  EXPECT_TRUE (mq_upstream_is_usable (&u, 1200000));
+  mq_upstream_hear_aside (&u, 3800000, by, 1201000);
+  EXPECT_TRUE (mq_upstream_is_usable (&u, 1201000));
   /* A new finding counts.  */
-  mq_upstream_hear_aside (&u, 4000 * ms, by, 1500 * ms);
-  EXPECT_FALSE (mq_upstream_is_usable (&u, 1500 * ms));
+  mq_upstream_hear_aside (&u, 4000000, by, 1500000);
+  EXPECT_FALSE (mq_upstream_is_usable (&u, 1500000));
 }
 
 /* A pace that is told on counts no longer than for who found it out.  */
@@ -253,7 +253,7 @@
   const mq_finding_source by = { 7, false };
   mq_upstream u = {};
 
-  mq_upstream_hear_pace (&u, 4, 500 * ms, by, 1000 * ms);
-  EXPECT_EQ (mq_upstream_slowness (&u, 1400 * ms), 4);
-  EXPECT_EQ (mq_upstream_slowness (&u, 1600 * ms), 1);
+  mq_upstream_hear_pace (&u, 4, 500000, by, 1000000);
+  EXPECT_EQ (mq_upstream_slowness (&u, 1400000), 4);
+  EXPECT_EQ (mq_upstream_slowness (&u, 1600000), 1);
 }
