Divide the slack of further sends by requests, not by routers

Change: a router's part of the slack is its share of the requests in the window; after a window without any it grows anew. The part that is used falls from 0.8 to 0.75 of the bound, since shares are less exact than numbers of routers; the tests of the bound tell others' requests now, without which no share is known.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -235,6 +235,9 @@
 /* Has SERVICE budget for one more send beyond the first of a request?  */
 bool mq_gateway_has_budget (mq_gateway *gateway,
                             const mq_route_service *service, uint64_t now_us);
+/* How many times as many requests for SERVICE all routers have as this one. */
+double mq_gateway_shares (mq_gateway *gateway, const mq_route_service *service,
+                          uint64_t now_us);
 bool mq_gateway_is_ready (const mq_gateway *gateway);
 
 /* ---- gateway_front.c  */
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -2,8 +2,8 @@
 
    The whole fleet may send RATIO times the requests of a sliding window, plus
    a fixed SLACK.  Each router keeps to its part: the ratio of its own
-   requests, and the slack divided by the routers that live.  So the sum holds
-   without a word between routers.
+   requests, and of the slack its share of all requests, as others' counts
+   tell.
 
    A stage that dies hits the streams of some routers more than of others, so
    what is left unused is lent: beyond its part a router may send while the
@@ -38,7 +38,8 @@
 void mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
                           uint64_t window_us, uint64_t now_us);
 
-/* A request for the service came.  */
+/* A request for the service came.  After a window without any the slack grows
+   anew.  */
 void mq_send_budget_request (mq_send_budget *budget, uint64_t now_us);
 
 /* Counts over the last window.  */
@@ -52,8 +53,8 @@
 /* This router's, to be told to peers.  */
 mq_send_counts mq_send_budget_count (mq_send_budget *budget, uint64_t now_us);
 
-/* Is there room for one more send, among ROUTERS that live?  OTHERS: the sum
-   of what the others told last.  */
+/* Is there room for one more send, among ROUTERS that had requests?  OTHERS:
+   the sum of what the others told last.  */
 bool mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
                               mq_send_counts others, uint64_t now_us);
 
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -78,6 +78,20 @@
   return s;
 }
 
+double
+mq_gateway_shares (mq_gateway *gateway, const mq_route_service *service,
+                   uint64_t now_us)
+{
+  uint64_t name = mq_span_hash (mq_str_span (service->name));
+  unsigned own = mq_send_budget_count (
+                     &mq_gateway_service (gateway, service)->budget, now_us)
+                     .first;
+  unsigned others = mq_roster_sends (&gateway->roster, name, now_us).first;
+  unsigned busy = mq_roster_busy (&gateway->roster, now_us);
+
+  return own > 0 ? MIN ((double)busy, 1 + (double)others / own) : busy;
+}
+
 bool
 mq_gateway_has_budget (mq_gateway *gateway, const mq_route_service *service,
                        uint64_t now_us)
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -148,8 +148,8 @@
                 &g->roster, mq_span_hash (mq_span_from (way->key)), now_us),
     /* Prompts are read within less than the age of others' news; but what
        brings many at once to this router brings them to all.  */
-    .reading_ms
-    = load->reading * mq_roster_busy (&g->roster, now_us) * way->path.read_ms,
+    .reading_ms = load->reading * way->path.read_ms
+                  * mq_gateway_shares (g, forward->service, now_us),
     .step_ms = way->path.step_ms,
     .tried = forward_has_tried (forward, way->path.parts[0].upstream),
     .local = mq_span_equal (domain, mq_str_span (g->settings->failure_domain))
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -11,7 +11,7 @@
 
 /* Part of the fleet's budget that is used, so that the counts of different
    routers, whose slices begin at different moments, stay below it.  */
-#define SHARE_USED 0.8
+#define SHARE_USED 0.75
 /* Part of it up to which what others leave is used as well.  */
 #define SHARE_LENT 0.5
 /* So many routers may lend all that is left at a time: their counts are 0.25 s
@@ -57,13 +57,6 @@
   budget->slice_us = MAX (window_us / MQ_SEND_BUDGET_SLICES, 1);
 }
 
-void
-mq_send_budget_request (mq_send_budget *budget, uint64_t now_us)
-{
-  budget_advance (budget, now_us);
-  budget->first[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
-}
-
 mq_send_counts
 mq_send_budget_count (mq_send_budget *budget, uint64_t now_us)
 {
@@ -78,6 +71,16 @@
   return c;
 }
 
+void
+mq_send_budget_request (mq_send_budget *budget, uint64_t now_us)
+{
+  /* Requests that come after none for a window may come to many routers at
+     once, of whom this one has heard as little as a new process has.  */
+  if (mq_send_budget_count (budget, now_us).first == 0)
+    budget->born_us = now_us;
+  budget->first[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
+}
+
 /* The part of the slack that a process of this age may use.  */
 static double
 budget_grown (const mq_send_budget *budget, uint64_t now_us)
@@ -88,17 +91,28 @@
   return grown < LEARN_PART ? 0 : MIN (grown, 1);
 }
 
-/* This router's part of the fleet's budget, one of ROUTERS, whose own requests
-   are OWN.  What processes sent that have ended is taken off all parts.  */
+/* This router's share of the fleet's requests, and so of the slack.  Divided
+   by routers, the slack lay idle with those that had next to no requests: of
+   1,474 further sends allowed in a window, 295 routers refused 400 streams
+   a resumption.  */
+static double
+budget_share (mq_send_counts own, mq_send_counts others)
+{
+  return own.first / MAX ((double)own.first + others.first, 1);
+}
+
+/* Its part of the fleet's budget.  What processes sent that have ended is
+   taken off all parts.  */
 static double
 budget_part (const mq_send_budget *budget, mq_send_counts own,
-             mq_send_counts others, unsigned routers, uint64_t now_us)
+             mq_send_counts others, uint64_t now_us)
 {
+  double share = budget_share (own, others);
+
   return SHARE_USED
              * (budget->ratio * own.first
-                + budget->slack * budget_grown (budget, now_us)
-                      / MAX (routers, 1))
-         - (double)others.gone / MAX (routers, 1);
+                + budget->slack * budget_grown (budget, now_us) * share)
+         - others.gone * share;
 }
 
 bool
@@ -106,11 +120,14 @@
                          mq_send_counts others, uint64_t now_us)
 {
   mq_send_counts own = mq_send_budget_count (budget, now_us);
-  double part = budget_part (budget, own, others, routers, now_us);
+  double part = budget_part (budget, own, others, now_us);
   double fleet = budget->ratio * (own.first + others.first)
                  + budget->slack * budget_grown (budget, now_us);
   double left = SHARE_LENT * fleet - others.more;
-  double lend = MIN (LENDERS / MAX (routers, 1), 1);
+  /* One that has just started has few requests, and streams that were taken
+     over.  */
+  double share = MAX (budget_share (own, others), 1.0 / MAX (routers, 1));
+  double lend = MIN (LENDERS * share, 1);
 
   return own.more + 1 <= part
          || (own.more + 1 <= left
