Tell on who refuses connections or all work; report often only with requests

Change: two refused connections in a row put a head aside for all routers, and an engine that refuses again gets nothing from the others for as long as from who found out, unless it took something of theirs within 0.3 s. A router is active with three requests in flight, not with one.

--- a/include/mq/news.h
+++ b/include/mq/news.h
@@ -65,6 +65,8 @@
   uint64_t aside_us; /* It is to be passed over for so long; 0: it is not.  */
   double pace;       /* So many times slower than its card; 0: not known.  */
   uint64_t pace_us;  /* That counts for so long.  */
+  uint64_t refuses_us; /* It refuses all, and gets none for so long; 0: it does
+                          not.  */
 } mq_news_finding;
 
 typedef struct mq_news
--- a/include/mq/roster.h
+++ b/include/mq/roster.h
@@ -101,7 +101,7 @@
   uint64_t routing_version;
   uint64_t upstreams_digest;
   uint64_t upstreams_newest;
-  bool loaded; /* Requests are in flight, or were a moment ago.  */
+  bool loaded; /* Several requests are in flight, or were a moment ago.  */
 } mq_roster_self;
 
 typedef struct mq_roster
@@ -252,8 +252,8 @@
 /* Is this router to send news at each heartbeat: a relay, one that has
    requests or that clients are sent to?  */
 bool mq_roster_is_active (mq_roster *roster, uint64_t now_us);
-/* Has ROUTER requests in flight, as it last said?  */
-bool mq_roster_router_is_loaded (const mq_roster_router *router);
+/* Does ROUTER report at each heartbeat?  */
+bool mq_roster_router_is_active (const mq_roster_router *router);
 
 /* Work out the sums over all others anew, where they are old.  */
 void mq_roster_sum (mq_roster *roster, uint64_t now_us);
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -38,9 +38,10 @@
 void mq_send_budget_init (mq_send_budget *budget, double ratio, double slack,
                           uint64_t window_us, uint64_t now_us);
 
-/* A request for the service came.  After a window without any the slack grows
-   anew.  */
-void mq_send_budget_request (mq_send_budget *budget, uint64_t now_us);
+/* A request for the service came to one of ROUTERS.  After a window without
+   any the slack grows anew, unless there is no other.  */
+void mq_send_budget_request (mq_send_budget *budget, unsigned routers,
+                             uint64_t now_us);
 
 /* Counts over the last window.  */
 typedef struct mq_send_counts
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -61,8 +61,11 @@
   uint64_t turned_us;        /* When it last turned a request away, alive.  */
   uint64_t turned_span_us;   /* For so long after it gets none.  */
   uint64_t refuses_since_us; /* All that was sent since was turned away.  */
-  unsigned wide_layers;      /* It held so many until lately ...  */
-  uint64_t wide_until_us;    /* ... and their memory is free by then.  */
+  uint64_t accepted_us; /* When the last was sent that it took; 0: none.  */
+  uint64_t told_refuses_us; /* Others say that it gets none up to then ...  */
+  mq_finding_source refuses_by; /* ... and this one does.  */
+  unsigned wide_layers;         /* It held so many until lately ...  */
+  uint64_t wide_until_us;       /* ... and their memory is free by then.  */
   uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
   uint64_t told_us;       /* When the platform told of other layers.  */
   uint64_t doubt_us;      /* Since when the count of orders is in doubt.  */
@@ -171,6 +174,17 @@
    no plan of layers need know; new work goes elsewhere for a moment, for
    longer each time that it refuses again.  */
 void mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us);
+/* For how long it gets nothing new, as it refused all that this router sent
+   for a while; 0 when it took something since, or may only be full just now.
+ */
+uint64_t mq_upstream_refuses_us (const mq_upstream *upstream, uint64_t now_us);
+/* The same, for SPAN_US, as BY found out.  Passed over when this router found
+   since that it takes work.  */
+void mq_upstream_hear_refuses (mq_upstream *upstream, uint64_t span_us,
+                               mq_finding_source by, uint64_t now_us);
+/* It refused a connection: nothing listens there.  Twice in a row, it is put
+   aside, and others are told.  */
+void mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us);
 /* Known to be down: put aside at once for SPAN_US at least.  */
 void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
                             uint64_t span_us);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -24,6 +24,10 @@
    event.  */
 #define SILENT_MOST_US ((uint64_t)1400 * 1000)
 
+/* A connection that fails within this was refused, by a machine that is there:
+   nothing listens.  Lost packets show later.  */
+#define REFUSED_WITHIN_US ((uint64_t)100 * 1000)
+
 /* When to come back after upstreams said that they did not run it: a full
    queue of a plain service empties within some calls of 60 ms.  */
 #define NOT_RUN_RETRY_MS 500
@@ -136,7 +140,10 @@
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
-      mq_upstream_failed (forward->upstream, now_us);
+      if (now_us - forward->sent_us < REFUSED_WITHIN_US)
+        mq_upstream_unreachable (forward->upstream, now_us);
+      else
+        mq_upstream_failed (forward->upstream, now_us);
       break;
     case MQ_SEND_BROKEN:
     case MQ_SEND_SILENT:
@@ -420,7 +427,7 @@
     }
   forward_set_need (f);
   mq_send_budget_request (&mq_gateway_service (gateway, f->service)->budget,
-                          now);
+                          mq_roster_alive (&gateway->roster, now) + 1, now);
   mq_forward_send (f, now);
 }
 
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -12,7 +12,10 @@
 
 /* Between two reports of a router that is not active.  */
 #define IDLE_REPORT_US ((uint64_t)1000 * 1000)
-/* A router counts as loaded for so long after its last request.  */
+/* A router is loaded with so many requests in flight, and for a while after.
+   Fewer make no difference to where others send, and each router has one now
+   and then: with one, all of 295 reported at each heartbeat.  */
+#define LOADED_REQUESTS 3
 #define LOADED_US ((uint64_t)2000 * 1000)
 /* A peer's finding about an engine counts no longer than this.  */
 #define BLAMED_MOST_US ((uint64_t)5000 * 1000)
@@ -97,8 +100,41 @@
   return until > now_us ? until - now_us : 0;
 }
 
+/* For how long it gets nothing, the same.  */
+static uint64_t
+upstream_refuses_us (const mq_upstream *upstream, const finding_filter *filter,
+                     uint64_t now_us)
+{
+  uint64_t own = mq_upstream_refuses_us (upstream, now_us);
+  uint64_t told = 0;
+
+  if (filter_takes (filter, upstream->refuses_by)
+      && upstream->told_refuses_us > now_us)
+    told = upstream->told_refuses_us - now_us;
+  return MAX (own, told);
+}
+
+static mq_news_finding
+finding_of (const mq_upstream *upstream, const finding_filter *filter,
+            uint64_t now_us)
+{
+  mq_news_finding f
+      = { .upstream = mq_str_span (upstream->facts.id),
+          .aside_us = upstream_aside_us (upstream, filter, now_us),
+          .refuses_us = upstream_refuses_us (upstream, filter, now_us) };
+
+  if (now_us < upstream->pace_until_us
+      && filter_takes (filter, upstream->pace_by))
+    {
+      f.pace = upstream->pace;
+      f.pace_us = upstream->pace_until_us - now_us;
+    }
+  return f;
+}
+
 /* Who is named as being at fault, and for how long it is to be passed over;
-   and how slow each is that was asked, so that the others need not ask.  */
+   who refuses all; and how slow each is that was asked, so that the others
+   need not find out by themselves.  */
 static void
 news_add_findings (const mq_gateway *gateway, mq_news *news,
                    const finding_filter *filter, uint64_t now_us)
@@ -109,15 +145,9 @@
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
-      const mq_upstream *u = value;
-      bool paced
-          = now_us < u->pace_until_us && filter_takes (filter, u->pace_by);
-      mq_news_finding f = { .upstream = mq_str_span (u->facts.id),
-                            .aside_us = upstream_aside_us (u, filter, now_us),
-                            .pace = paced ? u->pace : 0,
-                            .pace_us = paced ? u->pace_until_us - now_us : 0 };
-
-      if (f.aside_us > 0 || f.pace > 0)
+      mq_news_finding f = finding_of (value, filter, now_us);
+
+      if (f.aside_us > 0 || f.pace > 0 || f.refuses_us > 0)
         g_array_append_val (news->findings, f);
     }
 }
@@ -252,7 +282,7 @@
   bool loaded;
 
   mq_processor_meter_read (&g->meter, mq_processor_used_us (), now_us);
-  if (g->forwards.length > 0)
+  if (g->forwards.length >= LOADED_REQUESTS)
     g->loaded_us = now_us;
   loaded = g->loaded_us > 0 && now_us - g->loaded_us < LOADED_US;
   g->roster.self = (mq_roster_self){
@@ -347,6 +377,8 @@
       if (f->aside_us > 0)
         mq_upstream_hear_aside (u, MIN (f->aside_us, BLAMED_MOST_US), by,
                                 now_us);
+      if (f->refuses_us > 0)
+        mq_upstream_hear_refuses (u, f->refuses_us, by, now_us);
       if (f->pace > 0)
         mq_upstream_hear_pace (u, f->pace, f->pace_us, by, now_us);
     }
--- a/packages/net/news_codec.c
+++ b/packages/net/news_codec.c
@@ -81,6 +81,7 @@
   to->aside_us = from->aside_us;
   to->pace_percent = (uint32_t)(CLAMP (from->pace, 0, PACE_MOST) * PERCENT);
   to->pace_us = from->pace_us;
+  to->refuses_us = from->refuses_us;
 }
 
 /* A list of messages made from the elements of ARRAY by PUT; the caller frees
@@ -338,7 +339,8 @@
     {
       mq_news_finding f = { .aside_us = from[i]->aside_us,
                             .pace = from[i]->pace_percent / PERCENT,
-                            .pace_us = from[i]->pace_us };
+                            .pace_us = from[i]->pace_us,
+                            .refuses_us = from[i]->refuses_us };
 
       if (get_text (&f.upstream, from[i]->upstream) < 0 || f.pace > PACE_MOST)
         return -1;
--- a/packages/route/roster_load.c
+++ b/packages/route/roster_load.c
@@ -332,9 +332,10 @@
 }
 
 bool
-mq_roster_router_is_loaded (const mq_roster_router *router)
+mq_roster_router_is_active (const mq_roster_router *router)
 {
-  return router->ways->len > 0 || router->used > 0;
+  return router->kind == MQ_NEWS_REPORT
+         && router->interval_ms <= MQ_ROSTER_HEARTBEAT_MS;
 }
 
 /* ---- Who serves.  */
--- a/packages/route/roster_news.c
+++ b/packages/route/roster_news.c
@@ -100,7 +100,7 @@
       mq_roster_router *r = value;
 
       if (r->local && !r->relays && mq_roster_lives (r, now_us)
-          && (all || mq_roster_router_is_loaded (r)
+          && (all || mq_roster_router_is_active (r)
               || now_us - r->digest_us
                      >= (IDLE_DIGEST_MS - EARLY_MS) * US_PER_MS))
         g_ptr_array_add (routers, r);
@@ -307,10 +307,10 @@
 mq_roster_make_digest (mq_roster *roster, mq_roster_router *to, mq_news *news,
                        uint64_t now_us)
 {
-  bool loaded = mq_roster_router_is_loaded (to);
+  bool active = mq_roster_router_is_active (to);
 
   to->digest_us = now_us;
-  news_begin (roster, news, loaded ? MQ_ROSTER_HEARTBEAT_MS : IDLE_DIGEST_MS);
+  news_begin (roster, news, active ? MQ_ROSTER_HEARTBEAT_MS : IDLE_DIGEST_MS);
   news->age_ms = mq_roster_counts_age_ms (roster, now_us);
   news->reached = roster->self.store_reached
                   || mq_roster_store_is_heard (roster, to, now_us);
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -72,11 +72,12 @@
 }
 
 void
-mq_send_budget_request (mq_send_budget *budget, uint64_t now_us)
+mq_send_budget_request (mq_send_budget *budget, unsigned routers,
+                        uint64_t now_us)
 {
   /* Requests that come after none for a window may come to many routers at
      once, of whom this one has heard as little as a new process has.  */
-  if (mq_send_budget_count (budget, now_us).first == 0)
+  if (routers > 1 && mq_send_budget_count (budget, now_us).first == 0)
     budget->born_us = now_us;
   budget->first[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
 }
@@ -96,18 +97,20 @@
    1,474 further sends allowed in a window, 295 routers refused 400 streams
    a resumption.  */
 static double
-budget_share (mq_send_counts own, mq_send_counts others)
+budget_share (mq_send_counts own, mq_send_counts others, unsigned routers)
 {
-  return own.first / MAX ((double)own.first + others.first, 1);
+  double all = (double)own.first + others.first;
+
+  return all > 0 ? own.first / all : 1.0 / MAX (routers, 1);
 }
 
 /* Its part of the fleet's budget.  What processes sent that have ended is
    taken off all parts.  */
 static double
 budget_part (const mq_send_budget *budget, mq_send_counts own,
-             mq_send_counts others, uint64_t now_us)
+             mq_send_counts others, unsigned routers, uint64_t now_us)
 {
-  double share = budget_share (own, others);
+  double share = budget_share (own, others, routers);
 
   return SHARE_USED
              * (budget->ratio * own.first
@@ -120,13 +123,14 @@
                          mq_send_counts others, uint64_t now_us)
 {
   mq_send_counts own = mq_send_budget_count (budget, now_us);
-  double part = budget_part (budget, own, others, now_us);
+  double part = budget_part (budget, own, others, routers, now_us);
   double fleet = budget->ratio * (own.first + others.first)
                  + budget->slack * budget_grown (budget, now_us);
   double left = SHARE_LENT * fleet - others.more;
   /* One that has just started has few requests, and streams that were taken
      over.  */
-  double share = MAX (budget_share (own, others), 1.0 / MAX (routers, 1));
+  double share
+      = MAX (budget_share (own, others, routers), 1.0 / MAX (routers, 1));
   double lend = MIN (LENDERS * share, 1);
 
   return own.more + 1 <= part
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -31,6 +31,9 @@
    at least, so that it is not chosen again just to find that out.  */
 #define PACE_KNOWN_US ((uint64_t)3000 * 1000)
 #define ASIDE_MOST_US ((uint64_t)4000 * 1000)
+/* An engine that took a request of this router's within this is not passed
+   over for what others say: it had no room for them.  */
+#define ACCEPTED_US ((uint64_t)300 * 1000)
 /* The end of what others found shifts by the time that a message takes.  */
 #define TOLD_LAG_US ((uint64_t)50 * 1000)
 
@@ -418,7 +421,8 @@
 mq_upstream_takes_work (const mq_upstream *upstream, uint64_t now_us)
 {
   return mq_upstream_is_usable (upstream, now_us)
-         && now_us >= upstream->turned_us + upstream->turned_span_us;
+         && now_us >= upstream->turned_us + upstream->turned_span_us
+         && now_us >= upstream->told_refuses_us;
 }
 
 bool
@@ -450,9 +454,11 @@
 void
 mq_upstream_accepted (mq_upstream *upstream, uint64_t sent_us)
 {
+  upstream->accepted_us = MAX (upstream->accepted_us, sent_us);
   /* What was sent before says nothing about room for more.  */
   if (sent_us <= upstream->turned_us)
     return;
+  upstream->told_refuses_us = 0;
   upstream->turned_span_us = 0;
   upstream->refuses_since_us = 0;
 }
@@ -469,6 +475,29 @@
   upstream->aside_span_us = 0;
 }
 
+uint64_t
+mq_upstream_refuses_us (const mq_upstream *upstream, uint64_t now_us)
+{
+  uint64_t until = upstream->turned_us + upstream->turned_span_us;
+
+  return upstream->turned_span_us > TURNED_FIRST_US && until > now_us
+             ? until - now_us
+             : 0;
+}
+
+void
+mq_upstream_hear_refuses (mq_upstream *upstream, uint64_t span_us,
+                          mq_finding_source by, uint64_t now_us)
+{
+  uint64_t until = now_us + MIN (span_us, TURNED_MOST_US);
+
+  if (upstream->accepted_us + ACCEPTED_US > now_us
+      || until <= upstream->told_refuses_us)
+    return;
+  upstream->told_refuses_us = until;
+  upstream->refuses_by = by;
+}
+
 void
 mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
                        uint64_t span_us)
@@ -519,3 +548,11 @@
   upstream_lengthen_aside (upstream);
   mq_upstream_put_aside (upstream, now_us, upstream->aside_span_us);
 }
+
+void
+mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us)
+{
+  mq_upstream_failed (upstream, now_us);
+  if (upstream->failures >= FAILURES_ASIDE)
+    upstream->blamed_until_us = upstream->aside_until_us;
+}
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -778,7 +778,7 @@
   (ProtobufCMessageInit) mq__news__service_sends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[4] =
+static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[5] =
 {
   {
     "upstream",
@@ -828,17 +828,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "refuses_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, refuses_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__finding__field_indices_by_name[] = {
   1,   /* field[1] = aside_us */
   2,   /* field[2] = pace_percent */
   3,   /* field[3] = pace_us */
+  4,   /* field[4] = refuses_us */
   0,   /* field[0] = upstream */
 };
 static const ProtobufCIntRange mq__news__finding__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor mq__news__finding__descriptor =
 {
@@ -848,7 +861,7 @@
   "Mq__News__Finding",
   "mq.news",
   sizeof(Mq__News__Finding),
-  4,
+  5,
   mq__news__finding__field_descriptors,
   mq__news__finding__field_indices_by_name,
   1,  mq__news__finding__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -120,10 +120,11 @@
   uint64_t aside_us;
   uint32_t pace_percent;
   uint64_t pace_us;
+  uint64_t refuses_us;
 };
 #define MQ__NEWS__FINDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__finding__descriptor) \
-    , {0,NULL}, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0 }
 
 
 struct  Mq__News__News
--- a/tests/test_news_codec.cc
+++ b/tests/test_news_codec.cc
@@ -29,7 +29,7 @@
                          250 };
     mq_way_tokens w = { 0xfedcba9876543210, 1234 };
     mq_service_sends s = { 77, { 10, 3, 1 } };
-    mq_news_finding f = { MQ_SPAN ("eng-1"), 4000000, 2.5, 2000000 };
+    mq_news_finding f = { MQ_SPAN ("eng-1"), 4000000, 2.5, 2000000, 300 };
 
     mq_news_init (&news, MQ_NEWS_SUMMARY);
     news.from = { MQ_SPAN ("vm-1"),
@@ -115,6 +115,7 @@
   EXPECT_EQ (mq_service_sends_of (n->sends, 77).more, 3u);
   ASSERT_EQ (n->findings->len, 1u);
   EXPECT_EQ (g_array_index (n->findings, mq_news_finding, 0).pace, 2.5);
+  EXPECT_EQ (g_array_index (n->findings, mq_news_finding, 0).refuses_us, 300u);
   ASSERT_EQ (n->routers->len, 1u);
   EXPECT_EQ (text (g_array_index (n->routers, mq_news_router, 0).peer),
              "10.0.0.2:1");
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -20,9 +20,9 @@
 void
 requests (mq_send_budget *b, int n, uint64_t now)
 {
-  mq_send_budget_request (b, now - 10 * s);
+  mq_send_budget_request (b, 6, now - 10 * s);
   for (int i = 0; i < n; i++)
-    mq_send_budget_request (b, now);
+    mq_send_budget_request (b, 6, now);
 }
 
 } // namespace
@@ -52,9 +52,8 @@
   while (mq_send_budget_has_room (&b, 6, alone, 20 * s))
     mq_send_budget_spend (&b, 20 * s);
   for (int i = 0; i < 100; i++)
-    mq_send_budget_request (&b, 25 * s);
-  EXPECT_FALSE (
-      mq_send_budget_has_room (&b, 6, { 1000, 1000000, 0 }, 29 * s));
+    mq_send_budget_request (&b, 6, 25 * s);
+  EXPECT_FALSE (mq_send_budget_has_room (&b, 6, { 1000, 1000000, 0 }, 29 * s));
   EXPECT_TRUE (mq_send_budget_has_room (&b, 6, alone, 31 * s));
 }
 
@@ -71,7 +70,7 @@
     {
       if (i == 4)
         EXPECT_FALSE (mq_send_budget_has_room (&b, 6, alone, 20 * s + s / 5));
-      mq_send_budget_request (&b, 20 * s + i * s / 20);
+      mq_send_budget_request (&b, 6, 20 * s + i * s / 20);
     }
   EXPECT_TRUE (mq_send_budget_has_room (&b, 6, alone, 25 * s));
 }
@@ -156,7 +155,7 @@
 
           if (now / (s / 10) % 3 == 0)
             {
-              mq_send_budget_request (&r, now);
+              mq_send_budget_request (&r, 6, now);
               first++;
             }
           if (mq_send_budget_has_room (&r, known, others, now))
@@ -200,7 +199,7 @@
 
           others.first -= told[0][i].first;
           others.more -= told[0][i].more;
-          mq_send_budget_request (&routers[i], now);
+          mq_send_budget_request (&routers[i], 6, now);
           first[t]++;
           for (int k = 0;
                k < 3
