--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -204,6 +204,7 @@
   mq_forward_state state;
   uint64_t started_us;
   mq_span id;            /* Of the exchange.  */
+  uint64_t content;      /* What it asks; 0: not worked out yet.  */
   mq_upstream *upstream; /* The one sent to, one reference; NULL: none.  */
   GPtrArray *tried;      /* mq_upstream, one reference each.  */
   GPtrArray *ran;        /* Those that ran it, or may have; the same.  */
@@ -292,6 +293,14 @@
                               const char *why);
 void mq_forward_free_all (mq_gateway *gateway);
 
+/* ---- gateway_content.c  */
+/* What EXCHANGE asks for ORGANISATION (NULL: none), the same for each time
+   that a client sends it, at any router; never 0.  */
+uint64_t mq_content_hash (mq_http_exchange *exchange,
+                          const mq_route_organisation *organisation);
+/* The same of FORWARD, worked out once.  */
+uint64_t mq_forward_content (mq_forward *forward);
+
 /* ---- gateway_answer.c  */
 /* The sink of a send's call.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -158,6 +158,16 @@
     }
 }
 
+/* The content of FORWARD for the log, when its run broke off as END; 0 when
+   that tells nothing.  */
+static uint64_t
+forward_logged_content (mq_forward *forward, mq_send_end end)
+{
+  return end == MQ_SEND_BROKEN || end == MQ_SEND_SILENT
+             ? mq_forward_content (forward)
+             : 0;
+}
+
 /* The last send is known not to have run.  */
 static void
 forward_uncount_upstream (mq_forward *forward)
@@ -211,10 +221,11 @@
   mq_log_story_add (
       &f->story, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
-      " events=%u ms=%" G_GUINT64_FORMAT,
+      " events=%u content=%016" G_GINT64_MODIFIER "x ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
       f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end, status,
-      why, v.verb, f->split.events, mq_forward_age_ms (f));
+      why, v.verb, f->split.events, forward_logged_content (f, end),
+      mq_forward_age_ms (f));
   forward_drop_send (f);
   mq_forward_unplace (f);
   mq_event_split_restart (&f->split);
