Judge which requests upstreams end under, from records that routers tell

Cause: no router remembers what upstreams ended under, nor tells others.

Change: a record says that a request had just begun at an upstream that ended. Records are a set, told with the news; judging is a function of the set, so all routers come to the same. Three ends make a cause; who only stood near is told apart by standing at fewer, or by a fourth end. Bounded in number and time. Nothing uses it yet but the news of the tests' fleets.

--- a/include/mq/news.h
+++ b/include/mq/news.h
@@ -20,6 +20,7 @@
 #define MQ_NEWS_H
 
 #include <glib.h>
+#include <mq/quarantine.h>
 #include <mq/send_budget.h>
 #include <mq/str.h>
 
@@ -95,6 +96,7 @@
   GArray *ways;     /* mq_way_tokens.  */
   GArray *sends;    /* mq_service_sends.  */
   GArray *findings; /* mq_news_finding.  */
+  GArray *ends;     /* mq_quarantine_record: of upstreams under requests.  */
   bool listed;      /* The next three are told, and the sender's name, domain
                        and clients' address; else they are as before.  */
   /* Routers of the receiver's domain in a digest or an introduction, relays
--- a/packages/net/news_codec.c
+++ b/packages/net/news_codec.c
@@ -84,6 +84,15 @@
   to->refuses_us = from->refuses_us;
 }
 
+static void
+put_end (Mq__News__End *to, const mq_quarantine_record *from)
+{
+  mq__news__end__init (to);
+  to->request = from->request;
+  to->upstream = from->upstream;
+  to->age_ms = from->age_ms;
+}
+
 /* A list of messages made from the elements of ARRAY by PUT; the caller frees
    the list, which the messages follow in the same block.  */
 #define PUT_LIST(to, count, message, array, element, put)                     \
@@ -132,6 +141,8 @@
             mq_service_sends, put_sends);
   PUT_LIST (to->findings, to->n_findings, Mq__News__Finding, from->findings,
             mq_news_finding, put_finding);
+  PUT_LIST (to->ends, to->n_ends, Mq__News__End, from->ends,
+            mq_quarantine_record, put_end);
   PUT_LIST (to->routers, to->n_routers, Mq__News__Router, from->routers,
             mq_news_router, put_router);
   PUT_LIST (to->serving, to->n_serving, Mq__News__Router, from->serving,
@@ -146,6 +157,7 @@
   g_free (news->ways);
   g_free (news->sends);
   g_free (news->findings);
+  g_free (news->ends);
   g_free (news->routers);
   g_free (news->serving);
   g_free (news->elsewhere);
@@ -349,6 +361,23 @@
   return 0;
 }
 
+static int
+get_ends (GArray *to, Mq__News__End *const *from, size_t n)
+{
+  if (n > MQ_QUARANTINE_TOLD)
+    return -1;
+  for (size_t i = 0; i < n; i++)
+    {
+      mq_quarantine_record r
+          = { from[i]->request, from[i]->upstream, from[i]->age_ms };
+
+      if (r.request == 0)
+        return -1;
+      g_array_append_val (to, r);
+    }
+  return 0;
+}
+
 static int
 get_kind (mq_news_kind *to, Mq__News__Kind from)
 {
@@ -398,6 +427,7 @@
   to->age_ms = from->age_ms;
   if (get_counts (to, from) < 0
       || get_findings (to->findings, from->findings, from->n_findings) < 0
+      || get_ends (to->ends, from->ends, from->n_ends) < 0
       || get_routers (to->routers, from->routers, from->n_routers) < 0
       || get_routers (to->serving, from->serving, from->n_serving) < 0
       || get_routers (to->elsewhere, from->elsewhere, from->n_elsewhere) < 0)
--- a/packages/route/news.c
+++ b/packages/route/news.c
@@ -15,6 +15,7 @@
   news->ways = g_array_new (FALSE, FALSE, sizeof (mq_way_tokens));
   news->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
   news->findings = g_array_new (FALSE, FALSE, sizeof (mq_news_finding));
+  news->ends = g_array_new (FALSE, FALSE, sizeof (mq_quarantine_record));
   news->routers = g_array_new (FALSE, FALSE, sizeof (mq_news_router));
   news->serving = g_array_new (FALSE, FALSE, sizeof (mq_news_router));
   news->elsewhere = g_array_new (FALSE, FALSE, sizeof (mq_news_router));
@@ -26,6 +27,7 @@
   g_array_unref (news->ways);
   g_array_unref (news->sends);
   g_array_unref (news->findings);
+  g_array_unref (news->ends);
   g_array_unref (news->routers);
   g_array_unref (news->serving);
   g_array_unref (news->elsewhere);
--- /dev/null
+++ b/packages/route/quarantine.c
@@ -0,0 +1,413 @@
+/* Requests under which upstreams end: see mq/quarantine.h.
+
+   The load that this answers: one request that comes some times a second, at
+   any router, and ends an upstream each time, with dozens of others running
+   there.  Looking a request up costs a search by its hash; judging one that
+   stands at three ends or more costs a walk over all suspects for each end,
+   which is some microseconds, and next to no request is such a one.  */
+
+#include <mq/quarantine.h>
+
+#include <string.h>
+
+/* Ends that make a request a cause ...  */
+#define ENDS_LEAST 3
+/* ... and where others always stood beside it.  */
+#define ENDS_TOGETHER 4
+/* Routers that lost requests by one end tell of it within this, so that no
+   request is judged before the others that stood there are known.  */
+#define SETTLE_US ((uint64_t)300 * 1000)
+/* What is new goes into all messages for so long: some heartbeats.  */
+#define FRESH_US ((uint64_t)1000 * 1000)
+/* Records of a request that stands at fewer ends are told while they are new
+   only.  */
+#define ENDS_TOLD 2
+#define US_PER_MS ((uint64_t)1000)
+
+void
+mq_quarantine_init (mq_quarantine *quarantine, uint64_t period_us)
+{
+  memset (quarantine, 0, sizeof *quarantine);
+  quarantine->period_us = period_us;
+  quarantine->suspects = g_ptr_array_new_with_free_func (g_free);
+  quarantine->by_request = g_hash_table_new (g_int64_hash, g_int64_equal);
+}
+
+void
+mq_quarantine_finish (mq_quarantine *quarantine)
+{
+  g_hash_table_unref (quarantine->by_request);
+  g_ptr_array_unref (quarantine->suspects);
+}
+
+bool
+mq_quarantine_is_empty (const mq_quarantine *quarantine)
+{
+  return quarantine->suspects->len == 0;
+}
+
+/* Times are kept shifted by as long as a record may be old, since others'
+   records may be older than this machine's clock.  */
+static uint64_t
+shifted (const mq_quarantine *quarantine, uint64_t us)
+{
+  return us + 2 * quarantine->period_us;
+}
+
+static mq_suspect *
+quarantine_at (const mq_quarantine *quarantine, guint i)
+{
+  return g_ptr_array_index (quarantine->suspects, i);
+}
+
+static mq_suspect *
+quarantine_get (const mq_quarantine *quarantine, uint64_t request)
+{
+  return g_hash_table_lookup (quarantine->by_request, &request);
+}
+
+const mq_suspect *
+mq_quarantine_find (const mq_quarantine *quarantine, uint64_t request)
+{
+  return quarantine_get (quarantine, request);
+}
+
+/* When S was last seen to stand at an end, or to run well.  */
+static uint64_t
+suspect_last_us (const mq_suspect *s)
+{
+  return MAX (s->n > 0 ? s->ends[s->n - 1].at_us : 0, s->well_us);
+}
+
+static void
+quarantine_drop (mq_quarantine *quarantine, guint i)
+{
+  g_hash_table_remove (quarantine->by_request,
+                       &quarantine_at (quarantine, i)->request);
+  g_ptr_array_remove_index_fast (quarantine->suspects, i);
+}
+
+/* Is A to be dropped before B when there is no room for both?  */
+static bool
+suspect_matters_less (const mq_suspect *a, const mq_suspect *b)
+{
+  if (a->n != b->n)
+    return a->n < b->n;
+  return suspect_last_us (a) < suspect_last_us (b);
+}
+
+static void
+quarantine_make_room (mq_quarantine *quarantine)
+{
+  guint least = 0;
+
+  if (quarantine->suspects->len < MQ_QUARANTINE_SUSPECTS)
+    return;
+  for (guint i = 1; i < quarantine->suspects->len; i++)
+    if (suspect_matters_less (quarantine_at (quarantine, i),
+                              quarantine_at (quarantine, least)))
+      least = i;
+  quarantine_drop (quarantine, least);
+}
+
+/* The suspect of REQUEST, made when it is missing.  */
+static mq_suspect *
+quarantine_need (mq_quarantine *quarantine, uint64_t request)
+{
+  mq_suspect *s = quarantine_get (quarantine, request);
+
+  if (s != NULL)
+    return s;
+  quarantine_make_room (quarantine);
+  s = g_new0 (mq_suspect, 1);
+  s->request = request;
+  g_ptr_array_add (quarantine->suspects, s);
+  g_hash_table_insert (quarantine->by_request, &s->request, s);
+  return s;
+}
+
+static bool
+suspect_stood_at (const mq_suspect *s, uint64_t upstream)
+{
+  for (unsigned i = 0; i < s->n; i++)
+    if (s->ends[i].upstream == upstream)
+      return true;
+  return false;
+}
+
+/* Put END among those of S by its time; the oldest goes when there are too
+   many.  Returns false when that is END itself.  */
+static bool
+suspect_insert (mq_suspect *s, const mq_quarantine_end *end)
+{
+  unsigned at = s->n;
+
+  while (at > 0 && s->ends[at - 1].at_us > end->at_us)
+    at--;
+  if (s->n < MQ_QUARANTINE_ENDS)
+    {
+      memmove (&s->ends[at + 1], &s->ends[at],
+               (s->n - at) * sizeof s->ends[0]);
+      s->n++;
+    }
+  else if (at == 0)
+    return false;
+  else
+    memmove (&s->ends[0], &s->ends[1], --at * sizeof s->ends[0]);
+  s->ends[at] = *end;
+  return true;
+}
+
+/* REQUEST stood at END.  Returns the suspect, or NULL when that is no news. */
+static mq_suspect *
+quarantine_take_end (mq_quarantine *quarantine, uint64_t request,
+                     const mq_quarantine_end *end, uint64_t now_us)
+{
+  mq_suspect *s = quarantine_get (quarantine, request);
+
+  if (end->at_us + 2 * quarantine->period_us <= now_us)
+    return NULL;
+  if (s != NULL
+      && (end->at_us <= s->well_us || suspect_stood_at (s, end->upstream)))
+    return NULL;
+  s = quarantine_need (quarantine, request);
+  return suspect_insert (s, end) ? s : NULL;
+}
+
+bool
+mq_quarantine_add (mq_quarantine *quarantine, uint64_t request,
+                   uint64_t upstream, uint64_t at_us, uint64_t now_us)
+{
+  uint64_t now = shifted (quarantine, now_us);
+  mq_quarantine_end end = { upstream, shifted (quarantine, at_us), now };
+  mq_suspect *s = quarantine_take_end (quarantine, request, &end, now);
+
+  if (s == NULL)
+    return false;
+  s->own_us = MAX (s->own_us, end.at_us);
+  return true;
+}
+
+/* What S stood at up to AT_US is void.  Returns true when there was any.  */
+static bool
+suspect_void (mq_suspect *s, uint64_t at_us, uint64_t now_us)
+{
+  unsigned kept = 0;
+  unsigned before = s->n;
+
+  for (unsigned i = 0; i < s->n; i++)
+    if (s->ends[i].at_us > at_us)
+      s->ends[kept++] = s->ends[i];
+  s->n = kept;
+  if (at_us > s->well_us && before > kept)
+    s->well_learned_us = now_us;
+  s->well_us = MAX (s->well_us, at_us);
+  return before > kept;
+}
+
+bool
+mq_quarantine_note_well (mq_quarantine *quarantine, uint64_t request,
+                         uint64_t now_us)
+{
+  mq_suspect *s = quarantine_get (quarantine, request);
+  uint64_t now = shifted (quarantine, now_us);
+
+  return s != NULL && suspect_void (s, now, now);
+}
+
+/* ---- Judging.  */
+
+/* At how many ends the one stood that, of all others at the end of UPSTREAM,
+   stood at most; 0: S stood there alone.  */
+static unsigned
+most_of_others (const mq_quarantine *quarantine, const mq_suspect *s,
+                uint64_t upstream)
+{
+  unsigned most = 0;
+
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    {
+      const mq_suspect *other = quarantine_at (quarantine, i);
+
+      if (other != s && other->n > most && suspect_stood_at (other, upstream))
+        most = other->n;
+    }
+  return most;
+}
+
+/* How many ends of S make it a cause, or 0 when they do not.  */
+static unsigned
+suspect_judge (const mq_quarantine *quarantine, const mq_suspect *s)
+{
+  unsigned unexplained = 0;
+  bool foremost = false;
+
+  for (unsigned i = 0; i < s->n; i++)
+    {
+      unsigned most = most_of_others (quarantine, s, s->ends[i].upstream);
+
+      if (most > s->n)
+        continue;
+      unexplained++;
+      if (most < s->n)
+        foremost = true;
+    }
+  if (unexplained >= ENDS_LEAST && foremost)
+    return ENDS_LEAST;
+  return unexplained >= ENDS_TOGETHER ? ENDS_TOGETHER : 0;
+}
+
+static uint64_t
+suspect_left_us (const mq_quarantine *quarantine, const mq_suspect *s,
+                 uint64_t now_us)
+{
+  uint64_t until;
+  unsigned needed;
+
+  if (s->n < ENDS_LEAST)
+    return 0;
+  until = s->ends[s->n - 1].at_us + quarantine->period_us;
+  if (now_us >= until)
+    return 0;
+  needed = suspect_judge (quarantine, s);
+  if (needed == 0 || now_us < s->ends[needed - 1].at_us + SETTLE_US)
+    return 0;
+  return until - now_us;
+}
+
+uint64_t
+mq_quarantine_left_us (const mq_quarantine *quarantine, uint64_t request,
+                       uint64_t now_us)
+{
+  const mq_suspect *s = quarantine_get (quarantine, request);
+
+  return s != NULL
+             ? suspect_left_us (quarantine, s, shifted (quarantine, now_us))
+             : 0;
+}
+
+bool
+mq_quarantine_hear (mq_quarantine *quarantine,
+                    const mq_quarantine_record *record, uint64_t now_us)
+{
+  uint64_t now = shifted (quarantine, now_us);
+  uint64_t most_ms = 2 * quarantine->period_us / US_PER_MS;
+  mq_quarantine_end end
+      = { record->upstream, now - record->age_ms * US_PER_MS, now };
+  mq_suspect *s;
+
+  if (record->request == 0 || record->age_ms >= most_ms)
+    return false;
+  if (record->upstream != 0)
+    return quarantine_take_end (quarantine, record->request, &end, now)
+           != NULL;
+  s = quarantine_get (quarantine, record->request);
+  return s != NULL && suspect_left_us (quarantine, s, now) == 0
+         && suspect_void (s, end.at_us, now);
+}
+
+/* ---- Telling.  */
+
+static bool
+is_fresh (uint64_t learned_us, uint64_t now_us)
+{
+  return learned_us > 0 && now_us < learned_us + FRESH_US;
+}
+
+static void
+tell_record (GArray *records, uint64_t request, uint64_t upstream,
+             uint64_t at_us, uint64_t now_us)
+{
+  mq_quarantine_record r = { request, upstream, (now_us - at_us) / US_PER_MS };
+
+  if (records->len < MQ_QUARANTINE_TOLD)
+    g_array_append_val (records, r);
+}
+
+static void
+tell_suspect (const mq_suspect *s, bool all, GArray *records, uint64_t now_us)
+{
+  bool whole = all && s->n >= ENDS_TOLD;
+
+  for (unsigned i = 0; i < s->n; i++)
+    if (whole || is_fresh (s->ends[i].learned_us, now_us))
+      tell_record (records, s->request, s->ends[i].upstream, s->ends[i].at_us,
+                   now_us);
+  if (is_fresh (s->well_learned_us, now_us))
+    tell_record (records, s->request, 0, s->well_us, now_us);
+}
+
+void
+mq_quarantine_tell (mq_quarantine *quarantine, bool all, GArray *records,
+                    uint64_t now_us)
+{
+  guint n = quarantine->suspects->len;
+  uint64_t now = shifted (quarantine, now_us);
+
+  /* Each message goes on where the last was full, so that all are told.  */
+  for (guint i = 0; i < n; i++)
+    {
+      guint at = (quarantine->next_told + i) % n;
+
+      tell_suspect (quarantine_at (quarantine, at), all, records, now);
+      if (records->len < MQ_QUARANTINE_TOLD)
+        continue;
+      quarantine->next_told = at;
+      return;
+    }
+}
+
+bool
+mq_quarantine_is_fresh (const mq_quarantine *quarantine, uint64_t now_us)
+{
+  uint64_t now = shifted (quarantine, now_us);
+
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    {
+      const mq_suspect *s = quarantine_at (quarantine, i);
+
+      if (is_fresh (s->well_learned_us, now))
+        return true;
+      for (unsigned k = 0; k < s->n; k++)
+        if (is_fresh (s->ends[k].learned_us, now))
+          return true;
+    }
+  return false;
+}
+
+/* ---- Time.  */
+
+static void
+tick_suspect (mq_quarantine *quarantine, mq_suspect *s, GArray *changes,
+              uint64_t now_us)
+{
+  bool refused = suspect_left_us (quarantine, s, now_us) > 0;
+  mq_quarantine_change c = { s->request, refused, false, s->n };
+
+  if (refused == s->refused)
+    return;
+  c.own = s->own_us > 0 && s->n > 0 && s->own_us >= s->ends[s->n - 1].at_us;
+  s->refused = refused;
+  g_array_append_val (changes, c);
+}
+
+void
+mq_quarantine_tick (mq_quarantine *quarantine, GArray *changes,
+                    uint64_t now_us)
+{
+  uint64_t now = shifted (quarantine, now_us);
+
+  quarantine->refused = 0;
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    {
+      mq_suspect *s = quarantine_at (quarantine, i);
+
+      tick_suspect (quarantine, s, changes, now);
+      quarantine->refused += s->refused;
+    }
+  for (guint i = quarantine->suspects->len; i > 0; i--)
+    if (suspect_last_us (quarantine_at (quarantine, i - 1))
+            + 2 * quarantine->period_us
+        <= now)
+      quarantine_drop (quarantine, i - 1);
+}
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -232,6 +232,51 @@
   assert(message->base.descriptor == &mq__news__finding__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mq__news__end__init
+                     (Mq__News__End         *message)
+{
+  static const Mq__News__End init_value = MQ__NEWS__END__INIT;
+  *message = init_value;
+}
+size_t mq__news__end__get_packed_size
+                     (const Mq__News__End *message)
+{
+  assert(message->base.descriptor == &mq__news__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mq__news__end__pack
+                     (const Mq__News__End *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mq__news__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mq__news__end__pack_to_buffer
+                     (const Mq__News__End *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mq__news__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mq__News__End *
+       mq__news__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mq__News__End *)
+     protobuf_c_message_unpack (&mq__news__end__descriptor,
+                                allocator, len, data);
+}
+void   mq__news__end__free_unpacked
+                     (Mq__News__End *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mq__news__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mq__news__news__init
                      (Mq__News__News         *message)
 {
@@ -868,7 +913,71 @@
   (ProtobufCMessageInit) mq__news__finding__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[25] =
+static const ProtobufCFieldDescriptor mq__news__end__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__End, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__End, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__End, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mq__news__end__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = request */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange mq__news__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mq__news__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mq.news.End",
+  "End",
+  "Mq__News__End",
+  "mq.news",
+  sizeof(Mq__News__End),
+  3,
+  mq__news__end__field_descriptors,
+  mq__news__end__field_indices_by_name,
+  1,  mq__news__end__number_ranges,
+  (ProtobufCMessageInit) mq__news__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[26] =
 {
   {
     "kind",
@@ -1170,12 +1279,25 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ends",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mq__News__News, n_ends),
+    offsetof(Mq__News__News, ends),
+    &mq__news__end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__news__field_indices_by_name[] = {
   23,   /* field[23] = age_ms */
   12,   /* field[12] = busy */
   6,   /* field[6] = draining */
   18,   /* field[18] = elsewhere */
+  25,   /* field[25] = ends */
   15,   /* field[15] = findings */
   8,   /* field[8] = follows */
   3,   /* field[3] = interval_ms */
@@ -1201,7 +1323,7 @@
 static const ProtobufCIntRange mq__news__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor mq__news__news__descriptor =
 {
@@ -1211,7 +1333,7 @@
   "Mq__News__News",
   "mq.news",
   sizeof(Mq__News__News),
-  25,
+  26,
   mq__news__news__field_descriptors,
   mq__news__news__field_indices_by_name,
   1,  mq__news__news__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -20,6 +20,7 @@
 typedef struct Mq__News__WayCount Mq__News__WayCount;
 typedef struct Mq__News__ServiceSends Mq__News__ServiceSends;
 typedef struct Mq__News__Finding Mq__News__Finding;
+typedef struct Mq__News__End Mq__News__End;
 typedef struct Mq__News__News Mq__News__News;
 typedef struct Mq__News__Routing Mq__News__Routing;
 typedef struct Mq__News__Entry Mq__News__Entry;
@@ -127,6 +128,21 @@
     , {0,NULL}, 0, 0, 0, 0 }
 
 
+/*
+ * A request stood at the end of an upstream; upstream 0: it ran well.
+ */
+struct  Mq__News__End
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint64_t upstream;
+  uint64_t age_ms;
+};
+#define MQ__NEWS__END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mq__news__end__descriptor) \
+    , 0, 0, 0 }
+
+
 struct  Mq__News__News
 {
   ProtobufCMessage base;
@@ -161,10 +177,12 @@
   protobuf_c_boolean listed;
   uint32_t age_ms;
   protobuf_c_boolean store_fails;
+  size_t n_ends;
+  Mq__News__End **ends;
 };
 #define MQ__NEWS__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__news__descriptor) \
-    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0 }
+    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
 
 
 struct  Mq__News__Routing
@@ -313,6 +331,25 @@
 void   mq__news__finding__free_unpacked
                      (Mq__News__Finding *message,
                       ProtobufCAllocator *allocator);
+/* Mq__News__End methods */
+void   mq__news__end__init
+                     (Mq__News__End         *message);
+size_t mq__news__end__get_packed_size
+                     (const Mq__News__End   *message);
+size_t mq__news__end__pack
+                     (const Mq__News__End   *message,
+                      uint8_t             *out);
+size_t mq__news__end__pack_to_buffer
+                     (const Mq__News__End   *message,
+                      ProtobufCBuffer     *buffer);
+Mq__News__End *
+       mq__news__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mq__news__end__free_unpacked
+                     (Mq__News__End *message,
+                      ProtobufCAllocator *allocator);
 /* Mq__News__News methods */
 void   mq__news__news__init
                      (Mq__News__News         *message);
@@ -425,6 +462,9 @@
 typedef void (*Mq__News__Finding_Closure)
                  (const Mq__News__Finding *message,
                   void *closure_data);
+typedef void (*Mq__News__End_Closure)
+                 (const Mq__News__End *message,
+                  void *closure_data);
 typedef void (*Mq__News__News_Closure)
                  (const Mq__News__News *message,
                   void *closure_data);
@@ -453,6 +493,7 @@
 extern const ProtobufCMessageDescriptor mq__news__way_count__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__service_sends__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__finding__descriptor;
+extern const ProtobufCMessageDescriptor mq__news__end__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__news__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__routing__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__entry__descriptor;
--- a/tests/support/roster_world.h
+++ b/tests/support/roster_world.h
@@ -47,11 +47,15 @@
   uint64_t next_us = 0, reported_us = 0;
   unsigned tokens = 0, used = 0; /* In flight; of the processor.  */
   uint64_t way = 1;
+  uint64_t started_us = 0, told_us = 0;
+  mq_quarantine quarantine = {};
 
   ~Router ()
   {
-    if (up)
-      mq_roster_finish (&roster);
+    if (!up)
+      return;
+    mq_roster_finish (&roster);
+    mq_quarantine_finish (&quarantine);
   }
 };
 
@@ -91,7 +95,9 @@
                             span (r.domain), ++incarnations_, r.capacity };
 
     mq_roster_init (&r.roster, &self, 10 * second, now);
+    mq_quarantine_init (&r.quarantine, quarantine_us);
     r.up = true;
+    r.started_us = now;
     r.incarnation = incarnations_;
     for (const std::string &s : seeds)
       mq_roster_add_address (&r.roster, span (s));
@@ -123,6 +129,7 @@
   stop (Router &r)
   {
     mq_roster_finish (&r.roster);
+    mq_quarantine_finish (&r.quarantine);
     r.up = false;
   }
 
@@ -186,6 +193,7 @@
   uint64_t now = second;
   uint64_t delay_us = 1 * ms;
   Traffic traffic;
+  uint64_t quarantine_us = 600 * second;
   /* Does a message from the first get to the second?  */
   std::function<bool (const Router &, const Router &)> link
       = [] (const Router &, const Router &) { return true; };
@@ -275,12 +283,13 @@
   beat (Router &r)
   {
     GPtrArray *to = g_ptr_array_new ();
+    bool fresh = mq_quarantine_is_fresh (&r.quarantine, now);
     bool often;
 
     r.next_us = now + heartbeat;
     set_self (r);
     (void)mq_roster_tick (&r.roster, now);
-    often = mq_roster_is_active (&r.roster, now)
+    often = fresh || mq_roster_is_active (&r.roster, now)
             || !mq_roster_hears_relay (&r.roster, now);
     if (often || now - r.reported_us + heartbeat / 2 >= second)
       {
@@ -288,20 +297,29 @@
         mq_roster_report_to (&r.roster, to, now);
         send_each (r, to, MQ_NEWS_REPORT, true,
                    [&] (mq_news *n, mq_roster_router *) {
+                     bool all = now - r.told_us >= second;
+
                      mq_roster_make_report (&r.roster, n, now);
+                     if (all)
+                       r.told_us = now;
+                     mq_quarantine_tell (&r.quarantine, all, n->ends, now);
                    });
       }
     if (r.roster.relays)
       {
-        mq_roster_digest_to (&r.roster, false, to, now);
+        mq_roster_digest_to (&r.roster, fresh, to, now);
         send_each (r, to, MQ_NEWS_DIGEST, false,
                    [&] (mq_news *n, mq_roster_router *o) {
                      mq_roster_make_digest (&r.roster, o, n, now);
+                     mq_quarantine_tell (&r.quarantine, n->listed, n->ends,
+                                         now);
                    });
-        mq_roster_summary_to (&r.roster, false, to, now);
+        mq_roster_summary_to (&r.roster, fresh, to, now);
         send_each (r, to, MQ_NEWS_SUMMARY, true,
                    [&] (mq_news *n, mq_roster_router *) {
                      mq_roster_make_summary (&r.roster, n, now);
+                     mq_quarantine_tell (&r.quarantine, n->listed, n->ends,
+                                         now);
                    });
       }
     g_ptr_array_unref (to);
@@ -321,10 +339,15 @@
         if (!m.to->up)
           continue;
         ASSERT_EQ (mq_parcel_decode (&d, span (m.bytes), nullptr), 0);
-        if (mq_roster_hear (&m.to->roster, d.parcel.u.news, &from, &stranger,
-                            now)
-                != MQ_HEARD_OLD
-            && stranger && now - from->sent_us >= 200 * ms)
+        bool heard = mq_roster_hear (&m.to->roster, d.parcel.u.news, &from,
+                                     &stranger, now)
+                     != MQ_HEARD_OLD;
+        for (guint i = 0; heard && i < d.parcel.u.news->ends->len; i++)
+          (void)mq_quarantine_hear (
+              &m.to->quarantine,
+              &g_array_index (d.parcel.u.news->ends, mq_quarantine_record, i),
+              now);
+        if (heard && stranger && now - from->sent_us >= 200 * ms)
           {
             mq_news news;
 
