Refuse a request under which three upstreams ended, at all routers

What callers saw: streams broken off and refused for tens of seconds, since one client's request ended engine after engine, 17 in 9 s; with two of three chains down at a time, other requests found no room.

Cause: each attempt was judged by itself. The client's next attempt was a new request to any router, the router's own further sends did not count engines that had ended, and neither left a trace.

Change: when a run breaks off as it begins, one connection or the platform's list tells whether the upstream ended; if so, what had just begun there goes into the quarantine and out with the news. What is judged a cause is refused as not run, on arrival and before each further send; the router that saw the last end writes it to the store, and relays read that when they start. A request that runs well is cleared.

Why it holds: it depends on no route, kind or router: content is the same at each, records reach all within some heartbeats and whoever starts later, and the store keeps refusals when all are killed at once. No upstream that lives or leaves is counted.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -48,7 +48,8 @@
   const char *configuration;
   const char *configuration_name; /* Of the one object that counts.  */
   const char *upstreams;
-  const char *members; /* Our own: routers.  */
+  const char *members;  /* Our own: routers.  */
+  const char *refusals; /* Our own: requests that are refused.  */
 } mq_dialect_kinds;
 
 /* What an engine says of itself.  */
--- a/include/mq/gateway_settings.h
+++ b/include/mq/gateway_settings.h
@@ -31,6 +31,8 @@
   double send_ratio;         /* Further sends a request, over the fleet.  */
   double send_slack;         /* Further sends a window beside these.  */
   uint64_t send_window_ms;
+  uint64_t quarantine_ms; /* For so long a request is refused under which
+                             upstreams ended.  */
 } mq_gateway_settings;
 
 /* True when the file at PATH asks for the routing face.  False as well when
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -29,6 +29,8 @@
 #include <mq/pass_on.h>
 #include <mq/peers.h>
 #include <mq/processor_meter.h>
+#include <mq/quarantine.h>
+#include <mq/reach.h>
 #include <mq/roster.h>
 #include <mq/send_budget.h>
 
@@ -50,6 +52,8 @@
   MQ_STORE_ROUTING_FOLLOW,
   MQ_STORE_UPSTREAM_SCAN,
   MQ_STORE_UPSTREAM_FOLLOW,
+  MQ_STORE_REFUSAL_WRITE,
+  MQ_STORE_REFUSAL_SCAN,
   MQ_STORE_PURPOSES
 } mq_store_purpose;
 
@@ -128,11 +132,15 @@
   uint64_t *peer_messages[MQ_PARCEL_KINDS][2]; /* To own, to other domains. */
   uint64_t *peer_bytes[MQ_PARCEL_KINDS][2];
   uint64_t *peer_unreadable;
+  uint64_t *crashes;
+  uint64_t *suspects;
+  uint64_t *quarantined;
   uint64_t *log_lines;
   uint64_t *log_left_out;
 } mq_gateway_counters;
 
 typedef struct mq_forward mq_forward;
+typedef struct mq_crash_case mq_crash_case;
 
 struct mq_gateway
 {
@@ -190,6 +198,13 @@
   mq_metrics *metrics;
   mq_gateway_counters counters;
   uint64_t random; /* State of the draws.  */
+  mq_quarantine quarantine;
+  uint64_t ends_told_us;       /* Reports last told all of it.  */
+  GPtrArray *crash_cases;      /* mq_crash_case, owned.  */
+  GHashTable *stored_refusals; /* In the store, by request; owned.  */
+  bool refusals_scanning;
+  bool refusals_scanned;
+  uint64_t refusals_scan_us; /* When to read them again.  */
 };
 
 struct mq_forward
@@ -225,6 +240,9 @@
   double usual_gap_ms; /* Between events of this run, the late ones most.  */
   unsigned longest_gap_ms; /* Between two events.  */
   uint64_t passed_us;      /* When the last event was passed on.  */
+  uint64_t run_began_us;   /* First event of the last run that had any.  */
+  bool innocent;           /* A run went on for a while: what ends upstreams
+                              does so as it begins.  */
   mq_log_story story;
 };
 
@@ -301,6 +319,35 @@
 /* The same of FORWARD, worked out once.  */
 uint64_t mq_forward_content (mq_forward *forward);
 
+/* ---- gateway_crash.c  */
+/* An event of FORWARD is about to be passed on.  */
+void mq_crash_note_event (mq_forward *forward, uint64_t now_us);
+/* The run of FORWARD broke off, and UPSTREAM (NULL: none) may have ended under
+   it.  */
+void mq_crash_suspect (mq_forward *forward, mq_upstream *upstream,
+                       uint64_t now_us);
+/* Look for signs of what has ended.  */
+void mq_crash_tick (mq_gateway *gateway, uint64_t now_us);
+/* Of type GDestroyNotify.  */
+void mq_crash_case_free (gpointer data);
+
+/* ---- gateway_quarantine.c  */
+void mq_gateway_quarantine_init (mq_gateway *gateway);
+void mq_gateway_quarantine_finish (mq_gateway *gateway);
+void mq_gateway_quarantine_tick (mq_gateway *gateway, uint64_t now_us);
+/* REQUEST, a content, stood at the end of UPSTREAM, whose START is a hash. */
+void mq_gateway_note_end (mq_gateway *gateway, uint64_t request,
+                          const mq_upstream *upstream, uint64_t start,
+                          uint64_t at_us);
+/* FORWARD ran well.  */
+void mq_gateway_note_well (mq_forward *forward);
+/* FROM tells of ENDS (mq_quarantine_record).  */
+void mq_gateway_hear_ends (mq_gateway *gateway, const GArray *ends,
+                           const mq_roster_router *from, uint64_t now_us);
+/* For how long a request of CONTENT is refused; 0: it is not.  */
+uint64_t mq_gateway_refuses_us (const mq_gateway *gateway, uint64_t content,
+                                uint64_t now_us);
+
 /* ---- gateway_answer.c  */
 /* The sink of a send's call.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
--- a/packages/config/gateway_settings.c
+++ b/packages/config/gateway_settings.c
@@ -9,6 +9,8 @@
 #define DEFAULT_TTL_MS 2000
 #define DEFAULT_SEND_RATIO 0.2
 #define DEFAULT_SEND_WINDOW_MS 10000
+#define DEFAULT_QUARANTINE_MS 600000
+#define LEAST_QUARANTINE_MS 1000
 #define MAX_MS ((uint64_t)3600 * 1000)
 #define MAX_SLACK 1e9
 
@@ -108,6 +110,9 @@
       = mq_json_double (object, "further_sends_slack", 0, MAX_SLACK, 0);
   settings->send_window_ms = mq_json_u64 (object, "further_sends_window_ms", 1,
                                           MAX_MS, DEFAULT_SEND_WINDOW_MS);
+  settings->quarantine_ms
+      = mq_json_u64 (object, "quarantine_ms", LEAST_QUARANTINE_MS, MAX_MS,
+                     DEFAULT_QUARANTINE_MS);
 }
 
 static void
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -148,6 +148,8 @@
     }
   if (g->ticks % PACE_TICKS == 0 && g->leads)
     mq_stall_tick (g, now);
+  mq_crash_tick (g, now);
+  mq_gateway_quarantine_tick (g, now);
   mq_members_tick (g, now);
   if (g->ticks % ORDER_TICKS == 0 || g->orders_due)
     mq_orders_tick (g, now);
@@ -218,6 +220,7 @@
   g_queue_init (&g->forwards);
   g->metrics = mq_metrics_new ();
   mq_gateway_metrics_init (g);
+  mq_gateway_quarantine_init (g);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
   g->ways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -256,6 +259,7 @@
   mq_feed_stop (&g->routing_feed);
   mq_feed_stop (&g->upstream_feed);
   mq_forward_free_all (g);
+  mq_gateway_quarantine_finish (g);
   mq_http_server_free (g->clients);
   mq_http_server_free (g->readiness);
   mq_http_server_free (g->directory);
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -121,6 +121,7 @@
           = MAX (forward->longest_gap_ms, (unsigned)gap_ms);
       forward->usual_gap_ms += (gap_ms - forward->usual_gap_ms) * GAP_WEIGHT;
     }
+  mq_crash_note_event (forward, now);
   forward->passed_us = now;
   if (forward->route->gap_ms > 0
       && forward->usual_gap_ms > forward->route->gap_ms * SLOW_OF_GAP)
@@ -171,6 +172,7 @@
   for (unsigned i = 0; i < forward->path.n; i++)
     mq_upstream_succeeded (forward->path.parts[i].upstream, forward->sent_us);
   mq_upstream_succeeded (forward->upstream, forward->sent_us);
+  mq_gateway_note_well (forward);
   if (!forward->state.begun)
     stream_begin (forward, status);
   mq_http_exchange_end (forward->exchange);
@@ -226,9 +228,12 @@
                     MQ_SPAN_ARG (forward->id), mq_str_cstr (u->facts.id),
                     waited_us / 1000);
   if (waited_us < WAITED_FOR_US)
-    mq_upstream_turned_away (u, now_us);
-  else
-    mq_upstream_blamed (u, now_us, 0);
+    {
+      mq_upstream_turned_away (u, now_us);
+      return;
+    }
+  mq_crash_suspect (forward, u, now_us);
+  mq_upstream_blamed (u, now_us, 0);
 }
 
 /* A whole answer came.  */
@@ -267,6 +272,7 @@
   if (!stream)
     {
       mq_upstream_succeeded (f->upstream, f->sent_us);
+      mq_gateway_note_well (f);
       forward_pass (f, event->status, body);
     }
   else if (mq_event_split_has_rest (&f->split))
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -146,6 +146,8 @@
         mq_upstream_failed (forward->upstream, now_us);
       break;
     case MQ_SEND_BROKEN:
+      mq_crash_suspect (forward, forward->upstream, now_us);
+      /* Fall through.  */
     case MQ_SEND_SILENT:
       /* On a path the fault may lie with any of its engines; the head's
          report tells (gateway_stall.c).  */
@@ -338,8 +340,11 @@
       mq_forward *f = l->data;
 
       next = l->next;
-      if (forward_passes (f, address))
-        mq_forward_send_ended (f, MQ_SEND_SILENT, 0, why);
+      if (!forward_passes (f, address))
+        continue;
+      mq_crash_suspect (f, mq_registry_at (&gateway->registry, address),
+                        mq_gateway_now_us ());
+      mq_forward_send_ended (f, MQ_SEND_SILENT, 0, why);
     }
 }
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -28,6 +28,10 @@
       return "upstreams-scan";
     case MQ_STORE_UPSTREAM_FOLLOW:
       return "upstreams-follow";
+    case MQ_STORE_REFUSAL_WRITE:
+      return "refusal-write";
+    case MQ_STORE_REFUSAL_SCAN:
+      return "refusal-scan";
     case MQ_STORE_PURPOSES:
       break;
     }
@@ -130,6 +134,14 @@
   c->counts_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
                                        "of=\"counts\"", "");
   metrics_init_peers (gateway);
+  c->crashes = mq_metrics_counter (
+      m, "marjoramquay_upstream_ends_total", "",
+      "Upstreams that ended under requests of this router.");
+  c->suspects = mq_metrics_gauge (
+      m, "marjoramquay_quarantine_requests", "state=\"suspected\"",
+      "Requests remembered, as they stood near when upstreams ended.");
+  c->quarantined = mq_metrics_gauge (m, "marjoramquay_quarantine_requests",
+                                     "state=\"refused\"", "");
   c->log_lines = mq_metrics_counter (m, "marjoramquay_log_lines_total", "",
                                      "Lines written.");
   c->log_left_out = mq_metrics_counter (m, "marjoramquay_log_left_out_total",
@@ -214,6 +226,8 @@
   *c->upstreams_aside = 0;
   *c->upstreams_turning_away = 0;
   *c->upstreams_slow = 0;
+  *c->suspects = gateway->quarantine.suspects->len;
+  *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -25,6 +25,9 @@
    time.  */
 #define EARLY_US ((uint64_t)MQ_ROSTER_HEARTBEAT_MS * 1000 / 2)
 #define MILLI 1000
+/* From one report that tells all ends to the next: a relay that missed some
+   has them within this.  */
+#define ENDS_AGAIN_US ((uint64_t)1000 * 1000)
 
 /* ---- Sending.  */
 
@@ -152,6 +155,14 @@
     }
 }
 
+/* Add what was found out about ends of upstreams; ALL: what may still matter,
+   also when it is old.  */
+static void
+news_add_ends (mq_gateway *gateway, mq_news *news, bool all, uint64_t now_us)
+{
+  mq_quarantine_tell (&gateway->quarantine, all, news->ends, now_us);
+}
+
 /* ---- The three kinds that are sent at heartbeats.  */
 
 static void
@@ -160,10 +171,15 @@
   static const finding_filter own = { false, false, 0 };
   GPtrArray *routers = g_ptr_array_new ();
   mq_news news;
+  bool all;
 
   mq_news_init (&news, MQ_NEWS_REPORT);
   mq_roster_make_report (&gateway->roster, &news, now_us);
   news_add_findings (gateway, &news, &own, now_us);
+  all = now_us - gateway->ends_told_us >= ENDS_AGAIN_US;
+  if (all)
+    gateway->ends_told_us = now_us;
+  news_add_ends (gateway, &news, all, now_us);
   mq_roster_report_to (&gateway->roster, routers, now_us);
   news_send_to_all (gateway, routers, &news);
   mq_news_finish (&news);
@@ -181,6 +197,7 @@
   mq_news_init (&news, MQ_NEWS_DIGEST);
   mq_roster_make_digest (&gateway->roster, to, &news, now_us);
   news_add_findings (gateway, &news, &all, now_us);
+  news_add_ends (gateway, &news, news.listed, now_us);
   out = news_encode (&news);
   mq_news_send (gateway, to, MQ_PARCEL_NEWS, out);
   g_string_free (out, TRUE);
@@ -211,6 +228,7 @@
       mq_news_init (&news, MQ_NEWS_SUMMARY);
       mq_roster_make_summary (&gateway->roster, &news, now_us);
       news_add_findings (gateway, &news, &domain, now_us);
+      news_add_ends (gateway, &news, news.listed, now_us);
       news_send_to_all (gateway, routers, &news);
       mq_news_finish (&news);
     }
@@ -312,6 +330,8 @@
   bool often;
 
   self_set (g, now_us);
+  /* What may end the next upstream is told to everybody at once.  */
+  all = all || mq_quarantine_is_fresh (&g->quarantine, now_us);
   /* One that looks for its relays asks often, too.  */
   often = mq_roster_is_active (&g->roster, now_us)
           || !mq_roster_hears_relay (&g->roster, now_us);
@@ -416,6 +436,7 @@
   gateway->routing_heard = MAX (gateway->routing_heard, from->routing_version);
   note_told (gateway, from, now);
   take_findings (gateway, from, news->findings, now);
+  mq_gateway_hear_ends (gateway, news->ends, from, now);
   if (stranger)
     news_introduce (gateway, from, now);
 }
--- /dev/null
+++ b/packages/gateway/gateway_quarantine.c
@@ -0,0 +1,406 @@
+/* The quarantine of this router: what it sees, hears and keeps.
+
+   What a router finds out goes out with its news, as fast as these do, and
+   to routers that start later as well.  Since all routers may be killed at
+   once, a refusal is also written to the platform's store, by the router that
+   saw the last end; relays read it when they become such.  An object is
+   deleted by who wrote it when the refusal is over, or by a relay that finds
+   it too old.  */
+
+#include <mq/internal/gateway.h>
+
+#include <mq/json.h>
+#include <mq/json_text.h>
+#include <mq/log.h>
+#include <string.h>
+
+/* Again after a call to the store that failed.  */
+#define STORE_RETRY_US ((uint64_t)1000 * 1000)
+/* Refusals that this router keeps in the store at a time.  */
+#define STORED_MOST 64
+#define HEX_DIGITS 16
+#define US_PER_MS ((uint64_t)1000)
+
+typedef enum stored_state
+{
+  STORED_DUE,     /* To be written at RETRY_US.  */
+  STORED_WRITING, /* A call is under way.  */
+  STORED_DONE
+} stored_state;
+
+/* A refusal that this router keeps in the store.  */
+typedef struct stored_refusal
+{
+  mq_gateway *gateway; /* Borrowed.  */
+  uint64_t request;    /* Its key in the table.  */
+  stored_state state;
+  uint64_t retry_us;
+  bool over; /* To be deleted.  */
+} stored_refusal;
+
+static uint64_t
+now_wall_ms (void)
+{
+  return (uint64_t)(g_get_real_time () / (gint64)US_PER_MS);
+}
+
+/* ---- The store: writing.  */
+
+static void
+on_stored (void *context, const mq_platform_reply *reply)
+{
+  stored_refusal *s = context;
+  mq_gateway *g = s->gateway;
+  bool deleted = reply->op == MQ_PLATFORM_DELETE;
+
+  switch (reply->result)
+    {
+    case MQ_PLATFORM_OK:
+    case MQ_PLATFORM_CONFLICT: /* Another router wrote it.  */
+    case MQ_PLATFORM_MISSING:
+      if (deleted && s->over)
+        g_hash_table_remove (g->stored_refusals, &s->request);
+      else
+        s->state = deleted == s->over ? STORED_DONE : STORED_DUE;
+      break;
+    default:
+      mq_log (G_LOG_LEVEL_WARNING, "quarantine.not-stored",
+              "content=%016" G_GINT64_MODIFIER "x result=%s", s->request,
+              mq_platform_result_name (reply->result));
+      s->state = STORED_DUE;
+      s->retry_us = mq_gateway_now_us () + STORE_RETRY_US;
+      break;
+    }
+}
+
+/* The ends of SUSPECT as an object's value.  */
+static void
+refusal_encode (const mq_suspect *suspect, GString *out)
+{
+  GString *ends = g_string_new (NULL);
+
+  for (unsigned i = 0; i < suspect->n; i++)
+    g_string_append_printf (ends, "%016" G_GINT64_MODIFIER "x",
+                            suspect->ends[i].upstream);
+  g_string_append_c (out, '{');
+  mq_json_text_member (out, "ends", (mq_span){ ends->str, ends->len });
+  mq_json_text_number (out, "at_ms", now_wall_ms ());
+  g_string_append_c (out, '}');
+  g_string_free (ends, TRUE);
+}
+
+static void
+stored_call (stored_refusal *stored)
+{
+  mq_gateway *g = stored->gateway;
+  const mq_suspect *suspect
+      = mq_quarantine_find (&g->quarantine, stored->request);
+  GString *value = g_string_new (NULL);
+  char name[HEX_DIGITS + 1];
+  mq_platform_ask ask
+      = { .op = stored->over ? MQ_PLATFORM_DELETE : MQ_PLATFORM_CREATE,
+          .kind = mq_span_from (g->dialect->kinds.refusals) };
+
+  g_snprintf (name, sizeof name, "%016" G_GINT64_MODIFIER "x",
+              stored->request);
+  ask.name = mq_span_from (name);
+  if (!stored->over && suspect != NULL)
+    refusal_encode (suspect, value);
+  ask.value = (mq_span){ value->str, value->len };
+  stored->state = STORED_WRITING;
+  mq_gateway_count_store_call (g, MQ_STORE_REFUSAL_WRITE);
+  (void)mq_platform_ask_start (g->store, &ask, on_stored, stored);
+  g_string_free (value, TRUE);
+}
+
+/* Keep the refusal of REQUEST in the store, or, when it is OVER, no more.  */
+static void
+store_refusal (mq_gateway *gateway, uint64_t request, bool over)
+{
+  stored_refusal *s = g_hash_table_lookup (gateway->stored_refusals, &request);
+
+  if (s == NULL
+      && (over || g_hash_table_size (gateway->stored_refusals) >= STORED_MOST))
+    return;
+  if (s == NULL)
+    {
+      s = g_new0 (stored_refusal, 1);
+      s->gateway = gateway;
+      s->request = request;
+      g_hash_table_insert (gateway->stored_refusals, &s->request, s);
+    }
+  if (s->over == over && s->state != STORED_DUE)
+    return;
+  s->over = over;
+  s->retry_us = 0;
+  if (s->state == STORED_DONE)
+    s->state = STORED_DUE;
+}
+
+static void
+tick_stored (mq_gateway *gateway, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->stored_refusals);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      stored_refusal *s = value;
+
+      if (!s->over
+          && mq_quarantine_find (&gateway->quarantine, s->request) == NULL)
+        store_refusal (gateway, s->request, true);
+      if (s->state == STORED_DUE && now_us >= s->retry_us)
+        stored_call (s);
+    }
+}
+
+/* ---- The store: reading.  */
+
+static int
+hex_read (mq_span text, uint64_t *n)
+{
+  char buffer[HEX_DIGITS + 1];
+  char *end = NULL;
+
+  if (text.size != HEX_DIGITS)
+    return -1;
+  memcpy (buffer, text.data, HEX_DIGITS);
+  buffer[HEX_DIGITS] = '\0';
+  *n = g_ascii_strtoull (buffer, &end, 16);
+  return end == buffer + HEX_DIGITS && *n != 0 ? 0 : -1;
+}
+
+/* Take the ends in TEXT, which REQUEST stood at AGE_MS ago.  */
+static int
+take_ends (mq_gateway *gateway, uint64_t request, mq_span text,
+           uint64_t age_ms)
+{
+  size_t n = text.size / HEX_DIGITS;
+
+  if (n == 0 || n > MQ_QUARANTINE_ENDS || text.size % HEX_DIGITS != 0)
+    return -1;
+  for (size_t i = 0; i < n; i++)
+    {
+      mq_quarantine_record r = { request, 0, age_ms };
+      mq_span hex = { text.data + i * HEX_DIGITS, HEX_DIGITS };
+
+      if (hex_read (hex, &r.upstream) < 0)
+        return -1;
+      (void)mq_quarantine_hear (&gateway->quarantine, &r,
+                                mq_gateway_now_us ());
+    }
+  return 0;
+}
+
+static void
+on_deleted (void *context, const mq_platform_reply *reply)
+{
+  (void)context;
+  if (reply->result != MQ_PLATFORM_OK && reply->result != MQ_PLATFORM_MISSING)
+    mq_log (G_LOG_LEVEL_INFO, "quarantine.not-deleted", "result=%s",
+            mq_platform_result_name (reply->result));
+}
+
+/* Delete the object NAME, which nobody needs any more.  */
+static void
+delete_refusal (mq_gateway *gateway, mq_span name)
+{
+  mq_platform_ask ask
+      = { .op = MQ_PLATFORM_DELETE,
+          .kind = mq_span_from (gateway->dialect->kinds.refusals),
+          .name = name };
+
+  mq_gateway_count_store_call (gateway, MQ_STORE_REFUSAL_WRITE);
+  (void)mq_platform_ask_start (gateway->store, &ask, on_deleted, NULL);
+}
+
+static int
+take_refusal_value (mq_gateway *gateway, const mq_platform_entry *entry,
+                    const mq_json *root)
+{
+  uint64_t period_ms = gateway->settings->quarantine_ms;
+  uint64_t at_ms = mq_json_u64 (root, "at_ms", 0, UINT64_MAX, 0);
+  uint64_t now_ms = now_wall_ms ();
+  /* Clocks of two VMs differ.  */
+  uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
+  uint64_t request;
+
+  if (at_ms == 0 || hex_read (entry->name, &request) < 0)
+    return -1;
+  if (age_ms >= 2 * period_ms)
+    {
+      delete_refusal (gateway, entry->name);
+      return 0;
+    }
+  return take_ends (gateway, request,
+                    mq_json_span (root, "ends", MQ_SPAN ("")), age_ms);
+}
+
+static void
+take_refusal (mq_gateway *gateway, const mq_platform_entry *entry)
+{
+  mq_json_doc *doc = mq_json_parse (MQ_SPAN ("refusal"), entry->value, NULL);
+  mq_json root;
+
+  if (doc != NULL)
+    root = mq_json_root (doc);
+  if (doc == NULL || take_refusal_value (gateway, entry, &root) < 0)
+    mq_log (G_LOG_LEVEL_WARNING, "quarantine.unusable", "name=%.*s",
+            MQ_SPAN_ARG (entry->name));
+  if (doc != NULL)
+    mq_json_doc_free (doc);
+}
+
+static void
+on_refusals (void *context, const mq_platform_reply *reply)
+{
+  mq_gateway *g = context;
+
+  g->refusals_scanning = false;
+  if (reply->result != MQ_PLATFORM_OK)
+    {
+      g->refusals_scan_us = mq_gateway_now_us () + STORE_RETRY_US;
+      return;
+    }
+  g->refusals_scanned = true;
+  for (size_t i = 0; i < reply->n_entries; i++)
+    take_refusal (g, &reply->entries[i]);
+  mq_log (G_LOG_LEVEL_INFO, "quarantine.read", "objects=%zu",
+          reply->n_entries);
+}
+
+/* Read once what the store keeps.  An answer that is some seconds old would
+   miss what was written just before all routers were killed.  */
+static void
+tick_scan (mq_gateway *gateway, uint64_t now_us)
+{
+  mq_platform_ask ask
+      = { .op = MQ_PLATFORM_SCAN,
+          .kind = mq_span_from (gateway->dialect->kinds.refusals) };
+
+  if (!gateway->roster.relays || gateway->refusals_scanned
+      || gateway->refusals_scanning || now_us < gateway->refusals_scan_us)
+    return;
+  gateway->refusals_scanning = true;
+  mq_gateway_count_store_call (gateway, MQ_STORE_REFUSAL_SCAN);
+  (void)mq_platform_ask_start (gateway->store, &ask, on_refusals, gateway);
+}
+
+/* ---- What was seen and heard.  */
+
+void
+mq_gateway_note_end (mq_gateway *gateway, uint64_t request,
+                     const mq_upstream *upstream, uint64_t start,
+                     uint64_t at_us)
+{
+  const mq_suspect *s;
+
+  if (!mq_quarantine_add (&gateway->quarantine, request, start, at_us,
+                          mq_gateway_now_us ()))
+    return;
+  s = mq_quarantine_find (&gateway->quarantine, request);
+  mq_log (G_LOG_LEVEL_INFO, "request.suspected",
+          "content=%016" G_GINT64_MODIFIER "x upstream=%s ends=%u", request,
+          mq_str_cstr (upstream->facts.id), s != NULL ? s->n : 0);
+}
+
+void
+mq_gateway_note_well (mq_forward *forward)
+{
+  mq_gateway *g = forward->gateway;
+
+  if (mq_quarantine_is_empty (&g->quarantine))
+    return;
+  if (mq_quarantine_note_well (&g->quarantine, mq_forward_content (forward),
+                               mq_gateway_now_us ()))
+    mq_log (G_LOG_LEVEL_INFO, "request.ran-well",
+            "request=%.*s content=%016" G_GINT64_MODIFIER "x",
+            MQ_SPAN_ARG (forward->id), mq_forward_content (forward));
+}
+
+void
+mq_gateway_hear_ends (mq_gateway *gateway, const GArray *ends,
+                      const mq_roster_router *from, uint64_t now_us)
+{
+  for (guint i = 0; i < ends->len; i++)
+    {
+      const mq_quarantine_record *r
+          = &g_array_index (ends, mq_quarantine_record, i);
+
+      if (mq_quarantine_hear (&gateway->quarantine, r, now_us))
+        mq_log (G_LOG_LEVEL_INFO, "request.suspect-heard",
+                "content=%016" G_GINT64_MODIFIER "x end=%016" G_GINT64_MODIFIER
+                "x age_ms=%" G_GUINT64_FORMAT " peer=%s",
+                r->request, r->upstream, r->age_ms, mq_str_cstr (from->peer));
+    }
+}
+
+uint64_t
+mq_gateway_refuses_us (const mq_gateway *gateway, uint64_t content,
+                       uint64_t now_us)
+{
+  return mq_quarantine_left_us (&gateway->quarantine, content, now_us);
+}
+
+/* ---- Time.  */
+
+static void
+take_change (mq_gateway *gateway, const mq_quarantine_change *change,
+             uint64_t now_us)
+{
+  uint64_t left
+      = mq_quarantine_left_us (&gateway->quarantine, change->request, now_us);
+
+  if (change->refused)
+    mq_log (G_LOG_LEVEL_WARNING, "request.quarantined",
+            "content=%016" G_GINT64_MODIFIER
+            "x ends=%u own=%d left_ms=%" G_GUINT64_FORMAT,
+            change->request, change->ends, change->own, left / US_PER_MS);
+  else
+    mq_log (G_LOG_LEVEL_WARNING, "request.released",
+            "content=%016" G_GINT64_MODIFIER "x ends=%u", change->request,
+            change->ends);
+  if (!change->refused)
+    store_refusal (gateway, change->request, true);
+  else if (change->own)
+    store_refusal (gateway, change->request, false);
+}
+
+void
+mq_gateway_quarantine_tick (mq_gateway *gateway, uint64_t now_us)
+{
+  GArray *changes;
+
+  tick_scan (gateway, now_us);
+  tick_stored (gateway, now_us);
+  if (mq_quarantine_is_empty (&gateway->quarantine))
+    return;
+  changes = g_array_new (FALSE, FALSE, sizeof (mq_quarantine_change));
+  mq_quarantine_tick (&gateway->quarantine, changes, now_us);
+  for (guint i = 0; i < changes->len; i++)
+    take_change (gateway, &g_array_index (changes, mq_quarantine_change, i),
+                 now_us);
+  g_array_unref (changes);
+}
+
+/* ---- Begin and end.  */
+
+void
+mq_gateway_quarantine_init (mq_gateway *gateway)
+{
+  mq_quarantine_init (&gateway->quarantine,
+                      gateway->settings->quarantine_ms * US_PER_MS);
+  gateway->crash_cases = g_ptr_array_new_with_free_func (mq_crash_case_free);
+  gateway->stored_refusals
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
+void
+mq_gateway_quarantine_finish (mq_gateway *gateway)
+{
+  g_ptr_array_unref (gateway->crash_cases);
+  g_hash_table_unref (gateway->stored_refusals);
+  mq_quarantine_finish (&gateway->quarantine);
+}
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -23,6 +23,7 @@
    send, so it only has to let the upstreams recover for a moment.  */
 #define NO_BUDGET_RETRY_MS 500
 
+#define US_PER_MS ((uint64_t)1000)
 #define ANSWER_LIMIT ((size_t)16 * 1024 * 1024)
 
 typedef struct send_headers
@@ -159,6 +160,19 @@
          || mq_gateway_has_budget (forward->gateway, forward->service, now_us);
 }
 
+/* For how long FORWARD is refused, since upstreams ended under what it asks;
+   0: it is not.  Asked at each send: others may have found it out meanwhile.
+ */
+static uint64_t
+send_refused_us (mq_forward *forward, uint64_t now_us)
+{
+  const mq_gateway *g = forward->gateway;
+
+  if (mq_quarantine_is_empty (&g->quarantine))
+    return 0;
+  return mq_gateway_refuses_us (g, mq_forward_content (forward), now_us);
+}
+
 /* The upstream of FORWARD may run it from now on.  */
 static void
 send_count_upstream (mq_forward *forward)
@@ -217,6 +231,13 @@
   unsigned retry_ms = 0;
   mq_placing placing;
 
+  if (send_refused_us (f, now_us) > 0)
+    {
+      mq_forward_turn_away (
+          f, (unsigned)(send_refused_us (f, now_us) / US_PER_MS),
+          "quarantined");
+      return;
+    }
   if (!send_is_in_budget (f, now_us))
     {
       if (send_is_parked (f, now_us))
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -61,6 +61,9 @@
     "compare sends with requests in the metrics; find what made them fail" },
   { "no-configuration", "the router had not learnt any configuration yet",
     "look at store.lost and at member.heard: does it reach store or peers?" },
+  { "quarantined", "upstreams had ended under what it asks, three at least",
+    "request.suspected names the upstreams, by its content=; mend what ends"
+    " them; the refusal ends by itself (quarantine_ms)" },
   { "no-route", "no route of the configuration in force matches it",
     "compare version with the operator's latest, and store_age_ms" },
   { "unknown-key", "no organisation of that version holds its key",
