--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -62,6 +62,7 @@
   std::string policy = "{}";
   std::string organisation; /* More members for the organisation.  */
   unsigned deadline_ms = 60000;
+  std::string plain; /* URL of the plain service, in place of the stand-in.  */
   std::string whole_engine; /* URL of one that holds all layers, in place of
                                the stand-ins.  */
 };
@@ -270,7 +271,7 @@
         + " },\n"
           "    'booking': { 'kind': 'plain', 'deadline_ms': 30000,\n"
           "      'instances': [ { 'url': '"
-        + plain_->url ()
+        + (options_.plain.empty () ? plain_->url () : options_.plain)
         + "', 'failure_domain': 'kamloops-yard' } ],\n"
           "      'repeatable': [ { 'method': 'GET', 'path_prefix': '/' } ]"
           " } } }\n");
