Refuse a call under which upstreams end at the native face, too

A service of one process ended under ten calls of ten, and other calls with it.

Cause: the entry judges each call by itself, as the routing face did.

Change: calls bear the hash of what they ask; the entry refuses by the same table and names as suspects what broke off as it began; an adapter tries their upstreams and tells the other routers in a new message. What the two faces share stands once: the table, the hash and the probe.

Why it holds: as on the routing face, but that refusals are not kept in the platform's store, and an end is known by address and second, since upstreams have no name for one start of theirs (docs/design/quarantine.md).

--- a/include/mq/entry.h
+++ b/include/mq/entry.h
@@ -36,6 +36,7 @@
 #include <mq/outcome.h>
 #include <mq/plan.h>
 #include <mq/planner.h>
+#include <mq/quarantine.h>
 
 G_BEGIN_DECLS
 
@@ -64,6 +65,8 @@
   mq_span guard_value; /* The key; or the ticket, already opened: its
                           number as text.  */
   uint64_t body_hash;  /* Tells one body from another under one key.  */
+  uint64_t content;    /* Hash of all that it asks, the same each time that its
+                          caller sends it; 0: not known.  */
   /* For a service of kind model.  */
   uint32_t prompt_tokens;
   uint32_t max_tokens;
@@ -173,6 +176,7 @@
   MQ_ENTRY_SEND, /* To an instance of a plain service.  */
   MQ_ENTRY_CANCEL_SEND,
   MQ_ENTRY_DELIVER,    /* One token to the caller.  */
+  MQ_ENTRY_SUSPECT,    /* The upstream may have ended under the request.  */
   MQ_ENTRY_PASS_REPLY, /* The plain service's reply to the caller.  */
   MQ_ENTRY_END,        /* The last word on a request.  */
   MQ_ENTRY_DRAINED     /* Nothing is in flight any more; said once.  */
@@ -215,6 +219,11 @@
       uint64_t deadline_us; /* Left.  */
     } send;
     struct
+    {
+      uint64_t content; /* Of the call.  */
+      mq_span url;      /* Of the upstream.  */
+    } suspect;
+    struct
     {
       uint32_t position;
       mq_span text; /* Borrowed from the event.  */
@@ -261,6 +270,8 @@
   uint64_t router; /* Incarnation of this process.  */
   uint64_t seed;   /* For jitter.  */
   mq_span failure_domain;
+  mq_quarantine *quarantine; /* Borrowed; NULL: nothing is refused for what
+                                ended under it.  */
 } mq_entry_options;
 
 mq_entry *mq_entry_new (const mq_entry_options *options);
--- a/include/mq/internal/entry.h
+++ b/include/mq/internal/entry.h
@@ -36,7 +36,8 @@
   mq_retry_budget *organisation_budget;
   GHashTable *instances; /* URL to the state kept by service_call.c.  */
   mq_answer_lengths *lengths;
-  uint64_t turn; /* Breaks ties between instances.  */
+  mq_quarantine *quarantine; /* Borrowed; may be NULL.  */
+  uint64_t turn;             /* Breaks ties between instances.  */
   mq_entry_counters counters;
   mq_decision_log *decisions;
   /* Of the event that is being handled.  */
@@ -62,6 +63,12 @@
 mq_decision mq_entry_decision (const mq_entry *entry,
                                const mq_request *request,
                                mq_decision_kind kind);
+/* The upstream at URL may have ended as it began to run REQUEST.  */
+void mq_entry_suspect (mq_entry *entry, mq_request *request, mq_str *url);
+/* REQUEST ran well, or for so long that it ended nothing.  */
+void mq_entry_note_well (mq_entry *entry, const mq_request *request);
+/* For how long what CONTENT asks is refused; 0: it is not.  */
+uint64_t mq_entry_quarantine_us (const mq_entry *entry, uint64_t content);
 /* Ask for REQUEST's claim.  */
 void mq_entry_claim (mq_entry *entry, mq_request *request);
 /* True when requests are given up early and admission is at work.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -312,11 +312,8 @@
 void mq_forward_free_all (mq_gateway *gateway);
 
 /* ---- gateway_content.c  */
-/* What EXCHANGE asks for ORGANISATION (NULL: none), the same for each time
-   that a client sends it, at any router; never 0.  */
-uint64_t mq_content_hash (mq_http_exchange *exchange,
-                          const mq_route_organisation *organisation);
-/* The same of FORWARD, worked out once.  */
+/* What FORWARD asks, the same for each time that a client sends it, at any
+   router; never 0.  */
 uint64_t mq_forward_content (mq_forward *forward);
 
 /* ---- gateway_crash.c  */
--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -41,6 +41,7 @@
   mq_str *service;
   mq_str *guard_value;
   uint64_t body_hash;
+  uint64_t content; /* As in the call.  */
   uint64_t started_us;
   uint64_t deadline_us; /* In the time of the events.  */
   uint64_t since_us;    /* When the state or the stream last moved.  */
@@ -62,8 +63,11 @@
   bool moved_slow;   /* Model: an attempt was given up for its slowness.  */
   bool held_back;    /* Model: the caller reads slower than tokens come.  */
   bool plan_held;    /* Model: the planner counts the present attempt.  */
+  bool innocent;     /* Model: it ran on for a while, so it ended nothing.  */
   bool repeatable;   /* Plain: declared so, or the service honours its key. */
 
+  mq_str *suspect_url; /* Of the last upstream that it may have ended.  */
+
   /* Of kind model.  */
   uint32_t prompt_tokens;
   uint32_t max_tokens;
--- a/include/mq/outcome.h
+++ b/include/mq/outcome.h
@@ -40,6 +40,7 @@
   MQ_REASON_PLATFORM_UNAVAILABLE, /* 503: a claim can't be made */
   MQ_REASON_UPSTREAM_FAILED,      /* 502 */
   MQ_REASON_UPSTREAM_REFUSED,     /* 502 */
+  MQ_REASON_QUARANTINED,          /* 503: upstreams ended under it */
   MQ_REASON_CALLER_GONE,          /* told to nobody; for logs and explain */
   MQ_REASON_COUNT
 } mq_reason;
--- a/include/mq/peer_message.h
+++ b/include/mq/peer_message.h
@@ -13,6 +13,7 @@
 #include <mq/fleet.h>
 #include <mq/limiter.h>
 #include <mq/planner.h>
+#include <mq/quarantine.h>
 
 G_BEGIN_DECLS
 
@@ -44,7 +45,8 @@
   MQ_PEER_LIMIT_GRANT,
   MQ_PEER_CONFIG_OFFER, /* The sender has GENERATION in force.  */
   MQ_PEER_CONFIG_FETCH, /* Send me the object.  */
-  MQ_PEER_CONFIG_OBJECT
+  MQ_PEER_CONFIG_OBJECT,
+  MQ_PEER_ENDS /* Of upstreams under requests.  */
 } mq_peer_message_kind;
 
 typedef struct mq_peer_message
@@ -106,6 +108,11 @@
       mq_span value;
       bool missing;
     } config_object;
+    struct
+    {
+      mq_quarantine_record items[MQ_QUARANTINE_TOLD];
+      size_t n;
+    } ends;
   } u;
 } mq_peer_message;
 
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -36,6 +36,16 @@
 /* Ends remembered of each, the last ones: they explain the same ends of others
    that stood near.  */
 #define MQ_QUARANTINE_ENDS 16
+/* What runs on for so long from its first event did not end its upstream by
+   beginning, and is no suspect of what comes later.  Ends were seen within a
+   third of a second of that.  */
+#define MQ_QUARANTINE_BEGIN_US ((uint64_t)500 * 1000)
+/* Connections that break because one upstream ended are noticed within this,
+   also by a VM with a tenth of a processor.  */
+#define MQ_QUARANTINE_SAME_BREAK_US ((uint64_t)200 * 1000)
+/* Suspects of one end that a router tells of.  More had just begun there only
+   when all of them waited to be read.  */
+#define MQ_QUARANTINE_STOOD_MOST 16
 /* Records in one message to another router.  */
 #define MQ_QUARANTINE_TOLD 64
 
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -207,6 +207,37 @@
                 retry_after_us);
 }
 
+void
+mq_entry_suspect (mq_entry *entry, mq_request *request, mq_str *url)
+{
+  mq_entry_action *a;
+
+  if (entry->quarantine == NULL || request->content == 0 || request->innocent)
+    return;
+  mq_str_ref (url);
+  mq_str_unref (request->suspect_url);
+  request->suspect_url = url;
+  a = mq_entry_emit (entry, request, MQ_ENTRY_SUSPECT);
+  a->u.suspect.content = request->content;
+  a->u.suspect.url = mq_str_span (url);
+}
+
+void
+mq_entry_note_well (mq_entry *entry, const mq_request *request)
+{
+  if (entry->quarantine != NULL && request->content != 0)
+    (void)mq_quarantine_note_well (entry->quarantine, request->content,
+                                   entry->now_us);
+}
+
+uint64_t
+mq_entry_quarantine_us (const mq_entry *entry, uint64_t content)
+{
+  if (entry->quarantine == NULL || content == 0)
+    return 0;
+  return mq_quarantine_left_us (entry->quarantine, content, entry->now_us);
+}
+
 void
 mq_entry_claim (mq_entry *entry, mq_request *request)
 {
@@ -283,13 +314,17 @@
     return MQ_REASON_BAD_REQUEST;
   if (entry->draining && !mq_defect_enabled (MQ_DEFECT_DRAIN_TAKES_WORK))
     return MQ_REASON_LEAVING;
+  if (mq_entry_quarantine_us (entry, call->content) > 0)
+    return MQ_REASON_QUARANTINED;
   return MQ_REASON_NONE;
 }
 
-/* When to come back after a refusal for REASON; 0: no use in it.  */
+/* When to come back after CALL was refused for REASON; 0: no use in it.  */
 static uint64_t
-reason_retry_us (mq_reason reason)
+reason_retry_us (const mq_entry *entry, const mq_call *call, mq_reason reason)
 {
+  if (reason == MQ_REASON_QUARANTINED)
+    return mq_entry_quarantine_us (entry, call->content);
   if (reason == MQ_REASON_NO_CONFIGURATION)
     return LATER_US;
   return reason == MQ_REASON_LEAVING ? SOON_US : 0;
@@ -419,7 +454,7 @@
     entry_accept (entry, event);
   else
     entry_refuse (entry, event->handle, MQ_OUTCOME_NOT_RUN, reason,
-                  reason_retry_us (reason));
+                  reason_retry_us (entry, &event->u.call, reason));
 }
 
 static void
@@ -681,6 +716,7 @@
   e->router = options->router;
   e->failure_domain = mq_str_new (options->failure_domain);
   e->random = options->seed;
+  e->quarantine = options->quarantine;
   e->requests = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                        entry_request_free);
   e->timers = g_ptr_array_new ();
--- a/packages/decide/outcome.c
+++ b/packages/decide/outcome.c
@@ -30,6 +30,7 @@
   [MQ_REASON_PLATFORM_UNAVAILABLE] = { "platform-unavailable", 503 },
   [MQ_REASON_UPSTREAM_FAILED] = { "upstream-failed", 502 },
   [MQ_REASON_UPSTREAM_REFUSED] = { "upstream-refused", 502 },
+  [MQ_REASON_QUARANTINED] = { "quarantined", 503 },
   [MQ_REASON_CALLER_GONE] = { "caller-gone", 499 },
 };
 
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -71,6 +71,7 @@
   r->guard = call->guard;
   r->guard_value = mq_str_new (call->guard_value);
   r->body_hash = call->body_hash;
+  r->content = call->content;
   r->heap_index = SIZE_MAX;
   switch (service->kind)
     {
@@ -99,6 +100,7 @@
   mq_str_unref (request->method);
   mq_str_unref (request->path);
   mq_str_unref (request->instance);
+  mq_str_unref (request->suspect_url);
   for (uint32_t i = 0; i < request->n_avoid; i++)
     mq_str_unref (request->avoid[i]);
   mq_plan_finish (&request->plan);
--- a/packages/decide/service_call.c
+++ b/packages/decide/service_call.c
@@ -174,7 +174,8 @@
   const mq_service *s = call_service (entry, request);
   uint64_t wait;
 
-  if (s == NULL || request->attempt >= SENDS_MAX)
+  if (s == NULL || request->attempt >= SENDS_MAX
+      || mq_entry_quarantine_us (entry, request->content) > 0)
     return false;
   if (request->may_have_run && !request->repeatable
       && !mq_defect_enabled (MQ_DEFECT_NON_REPEATABLE_RETRIED))
@@ -269,6 +270,7 @@
   request->may_have_run = true;
   if (call_status_passes (status) && call_retry (entry, request))
     return;
+  mq_entry_note_well (entry, request);
   if (!request->caller_gone)
     mq_entry_emit (entry, request, MQ_ENTRY_PASS_REPLY);
   if (status < 500)
@@ -287,6 +289,8 @@
   if (!call_is_awaited (entry, request, event->attempt))
     return;
   call_note_failure (entry, request->instance);
+  if (f->maybe_sent && !f->said_not_run && !f->timed_out)
+    mq_entry_suspect (entry, request, request->instance);
   call_take_back (entry, request);
   mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
   if (f->maybe_sent && !f->said_not_run)
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -122,6 +122,7 @@
 static void
 stream_finish (mq_entry *entry, mq_request *request)
 {
+  mq_entry_note_well (entry, request);
   mq_answer_lengths_note (entry->lengths, mq_str_span (request->service),
                           request->tokens, request->max_tokens);
   mq_entry_end (entry, request, MQ_OUTCOME_DONE, MQ_REASON_NONE, 0);
@@ -142,6 +143,9 @@
     stream_finish (entry, request);
   else if (request->lost >= LOST_MAX)
     mq_entry_give_up (entry, request, MQ_REASON_UPSTREAM_FAILED, 0);
+  else if (mq_entry_quarantine_us (entry, request->content) > 0)
+    mq_entry_give_up (entry, request, MQ_REASON_QUARANTINED,
+                      mq_entry_quarantine_us (entry, request->content));
   else if (stream_has_no_hope (entry, request))
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
   else
@@ -157,6 +161,18 @@
   bool not_run;    /* Proven not to have run.  */
 } stream_loss;
 
+/* The stage of LOSS may have ended as it began to run REQUEST.  */
+static void
+stream_suspect (mq_entry *entry, mq_request *request, stream_loss loss)
+{
+  bool began = request->attempt_tokens > 0
+               && entry->now_us >= request->first_us + MQ_QUARANTINE_BEGIN_US;
+
+  if (loss.end == MQ_ATTEMPT_STAGE_DIED && !loss.not_run && !began
+      && loss.stage < request->plan.n_stages)
+    mq_entry_suspect (entry, request, request->plan.stages[loss.stage].url);
+}
+
 static void
 stream_lose (mq_entry *entry, mq_request *request, stream_loss loss)
 {
@@ -170,6 +186,7 @@
   if (!loss.not_run)
     request->may_have_run = true;
   request->lost++;
+  stream_suspect (entry, request, loss);
   stream_avoid (request, loss.stage);
   stream_release (entry, request, loss.end, loss.stage);
   mq_entry_enter (entry, request, MQ_REQUEST_IDLE);
@@ -469,6 +486,12 @@
   mq_request_note_token (request, entry->now_us);
   if (request->attempt_tokens == 1)
     mq_entry_enter (entry, request, MQ_REQUEST_STREAMING);
+  if (!request->innocent
+      && entry->now_us >= request->first_us + MQ_QUARANTINE_BEGIN_US)
+    {
+      request->innocent = true;
+      mq_entry_note_well (entry, request);
+    }
   entry->counters.tokens++;
   a = mq_entry_emit (entry, request, MQ_ENTRY_DELIVER);
   a->u.deliver.position = position;
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -20,16 +20,6 @@
 #define CASE_US ((uint64_t)8000 * 1000)
 /* A connection is refused within this by a machine that is there.  */
 #define REACH_MS 250
-/* What runs on for so long from its first event did not end its upstream by
-   beginning, and is no suspect of what comes later.  Ends were seen within a
-   third of a second of that.  */
-#define BEGIN_US ((uint64_t)500 * 1000)
-/* Connections that break because one upstream ended are noticed within this,
-   also by a VM with a tenth of a processor.  */
-#define SAME_BREAK_US ((uint64_t)200 * 1000)
-/* Suspects of one case at one router.  More had just begun there only when
-   all of them waited to be read.  */
-#define SUSPECTS_MOST 16
 /* Cases at a time: one for each upstream that may have ended lately.  */
 #define CASES_MOST 64
 
@@ -94,7 +84,7 @@
   for (guint i = 0; i < c->requests->len; i++)
     if (g_array_index (c->requests, uint64_t, i) == request)
       return;
-  if (c->requests->len < SUSPECTS_MOST)
+  if (c->requests->len < MQ_QUARANTINE_STOOD_MOST)
     g_array_append_val (c->requests, request);
 }
 
@@ -139,7 +129,7 @@
       const mq_forward *f = l->data;
 
       if (f->call != NULL && f->upstream == c->upstream
-          && f->heard_us > c->broke_us + SAME_BREAK_US)
+          && f->heard_us > c->broke_us + MQ_QUARANTINE_SAME_BREAK_US)
         return true;
     }
   return false;
@@ -196,7 +186,7 @@
 
   if (f->passed_us < f->sent_us)
     f->run_began_us = now_us;
-  if (f->innocent || now_us < f->run_began_us + BEGIN_US)
+  if (f->innocent || now_us < f->run_began_us + MQ_QUARANTINE_BEGIN_US)
     return;
   f->innocent = true;
   mq_gateway_note_well (f);
@@ -208,7 +198,7 @@
 {
   return !forward->innocent
          && (forward->passed_us < forward->sent_us
-             || now_us < forward->run_began_us + BEGIN_US);
+             || now_us < forward->run_began_us + MQ_QUARANTINE_BEGIN_US);
 }
 
 void
@@ -222,7 +212,7 @@
       || !forward_just_began (forward, now_us))
     return;
   c = case_of (g, upstream);
-  if (c != NULL && now_us > c->broke_us + SAME_BREAK_US)
+  if (c != NULL && now_us > c->broke_us + MQ_QUARANTINE_SAME_BREAK_US)
     {
       /* That was something else: its upstream was still there.  */
       g_ptr_array_remove_fast (g->crash_cases, c);
--- a/packages/net/config_peers.c
+++ b/packages/net/config_peers.c
@@ -78,6 +78,7 @@
     case MQ_PEER_PLAN_REGISTER:
     case MQ_PEER_LIMIT_ASK:
     case MQ_PEER_LIMIT_GRANT:
+    case MQ_PEER_ENDS:
       break;
     }
 }
--- a/packages/net/peer_decode.c
+++ b/packages/net/peer_decode.c
@@ -300,6 +300,26 @@
   return 0;
 }
 
+/* ---- Ends of upstreams.  */
+
+static int
+get_ends (mq_peer_message *to, const Mq__Peer__Ends *from)
+{
+  if (from->n_items > MQ_QUARANTINE_TOLD)
+    return -1;
+  for (size_t i = 0; i < from->n_items; i++)
+    {
+      const Mq__Peer__End *e = from->items[i];
+
+      if (e->request == 0)
+        return -1;
+      to->u.ends.items[i]
+          = (mq_quarantine_record){ e->request, e->upstream, e->age_ms };
+    }
+  to->u.ends.n = from->n_items;
+  return 0;
+}
+
 /* ---- All kinds.  */
 
 /* Fill DECODED's message from the envelope's body.  */
@@ -349,6 +369,9 @@
     case MQ__PEER__ENVELOPE__BODY_CONFIG_OBJECT:
       m->kind = MQ_PEER_CONFIG_OBJECT;
       return get_config_object (m, e->config_object);
+    case MQ__PEER__ENVELOPE__BODY_ENDS:
+      m->kind = MQ_PEER_ENDS;
+      return get_ends (m, e->ends);
     default:
       return -1;
     }
--- a/packages/net/peer_encode.c
+++ b/packages/net/peer_encode.c
@@ -21,6 +21,8 @@
   Mq__Peer__Stage stages[MQ_PLAN_STAGES];
   Mq__Peer__Stage *stage_list[MQ_PLAN_STAGES];
   ProtobufCBinaryData avoid[MQ_PLAN_STAGES];
+  Mq__Peer__End ends[MQ_QUARANTINE_TOLD];
+  Mq__Peer__End *end_list[MQ_QUARANTINE_TOLD];
   Mq__Peer__MemberNews *news; /* Owned.  */
   Mq__Peer__MemberNews **news_list;
   union
@@ -36,6 +38,7 @@
     Mq__Peer__ConfigOffer config_offer;
     Mq__Peer__ConfigFetch config_fetch;
     Mq__Peer__ConfigObject config_object;
+    Mq__Peer__Ends ends;
   } body;
 } wire_parts;
 
@@ -295,6 +298,27 @@
   return to;
 }
 
+static Mq__Peer__Ends *
+put_ends (wire_parts *parts, const mq_peer_message *from)
+{
+  Mq__Peer__Ends *to = &parts->body.ends;
+
+  mq__peer__ends__init (to);
+  for (size_t i = 0; i < from->u.ends.n; i++)
+    {
+      const mq_quarantine_record *r = &from->u.ends.items[i];
+
+      mq__peer__end__init (&parts->ends[i]);
+      parts->ends[i].request = r->request;
+      parts->ends[i].upstream = r->upstream;
+      parts->ends[i].age_ms = r->age_ms;
+      parts->end_list[i] = &parts->ends[i];
+    }
+  to->items = parts->end_list;
+  to->n_items = from->u.ends.n;
+  return to;
+}
+
 /* ---- All kinds.  */
 
 /* Point the envelope's body to what M holds.  */
@@ -358,6 +382,10 @@
       e->body_case = MQ__PEER__ENVELOPE__BODY_CONFIG_OBJECT;
       e->config_object = put_config_object (p, m);
       break;
+    case MQ_PEER_ENDS:
+      e->body_case = MQ__PEER__ENVELOPE__BODY_ENDS;
+      e->ends = put_ends (p, m);
+      break;
     }
 }
 
--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -5,6 +5,7 @@
 
 #include "completion.h"
 
+#include <mq/content_hash.h>
 #include <mq/json_text.h>
 
 #include "call.h"
@@ -58,6 +59,14 @@
   return mq_span_hash (prompt);
 }
 
+static uint64_t
+completion_content (const mq_call *call, mq_span body)
+{
+  const mq_span texts[] = { call->organisation, MQ_SPAN ("completion"), body };
+
+  return mq_content_hash (texts, G_N_ELEMENTS (texts));
+}
+
 void
 mq_completion_start (mq_router *router, mq_http_exchange *exchange)
 {
@@ -81,6 +90,7 @@
   event.u.call.service = mq_str_span (r->u.completion.service);
   event.u.call.priority = body.priority;
   event.u.call.body_hash = mq_span_hash (text);
+  event.u.call.content = completion_content (&event.u.call, text);
   event.u.call.prompt_tokens = r->u.completion.prompt_tokens;
   event.u.call.max_tokens = r->u.completion.max_tokens;
   event.u.call.prefix_hash = prefix_hash (mq_str_span (body.prompt));
--- /dev/null
+++ b/programs/marjoramquay/ends.h
@@ -0,0 +1,31 @@
+/* Upstreams that end under requests, as this router sees and hears, and the
+   quarantine that follows from them (mq/quarantine.h).
+
+   The upstream of a call that broke off is tried once: when nothing listens
+   there any more, the call stood at its end.  Other routers are told at once,
+   and a few of them again and again, so that those that start later learn it
+   too.
+
+   Internal to this program.  */
+
+#ifndef MQ_ENDS_H
+#define MQ_ENDS_H
+
+#include <mq/entry.h>
+#include <mq/peer_message.h>
+
+#include "router.h"
+
+mq_ends *mq_ends_new (mq_router *router);
+void mq_ends_free (mq_ends *ends);
+
+/* Borrowed: for the entry.  */
+mq_quarantine *mq_ends_quarantine (mq_ends *ends);
+/* Carry out a MQ_ENTRY_SUSPECT.  */
+void mq_ends_suspect (mq_ends *ends, const mq_entry_action *action);
+/* Another router tells of ends.  */
+void mq_ends_hear (mq_ends *ends, const mq_peer_message *message);
+/* Bring the metrics up to date.  */
+void mq_ends_count (const mq_ends *ends);
+
+#endif
--- a/programs/marjoramquay/fleet_node.c
+++ b/programs/marjoramquay/fleet_node.c
@@ -1,5 +1,6 @@
 /* This router's part in the fleet: see fleet_node.h.  */
 
+#include "ends.h"
 #include "fleet_node.h"
 
 #include <mq/json_text.h>
@@ -25,6 +26,7 @@
   mq_fleet_io *io;   /* NULL without peers.  */
   mq_fleet_vms *vms;
   ev_timer self_timer;
+  size_t next_told; /* Member whose turn it is.  */
 };
 
 /* ---- What the fleet tells.  */
@@ -111,6 +113,9 @@
     case MQ_PEER_LIMIT_GRANT:
       mq_fleet_limits_message (r->limits, m);
       break;
+    case MQ_PEER_ENDS:
+      mq_ends_hear (r->ends, m);
+      break;
     case MQ_PEER_CONFIG_OFFER:
     case MQ_PEER_CONFIG_FETCH:
     case MQ_PEER_CONFIG_OBJECT:
@@ -290,6 +295,28 @@
   return m == NULL ? -1 : mq_fleet_io_send (node->io, m, message);
 }
 
+void
+mq_fleet_node_tell (mq_fleet_node *node, mq_peer_message *message,
+                    unsigned most)
+{
+  const mq_fleet *fleet = mq_fleet_node_fleet (node);
+  size_t n = fleet == NULL ? 0 : mq_fleet_size (fleet);
+
+  if (n == 0)
+    return;
+  node->next_told %= n;
+  for (size_t i = 0; i < n && most > 0; i++)
+    {
+      const mq_member *m = mq_fleet_member (fleet, node->next_told);
+
+      node->next_told = (node->next_told + 1) % n;
+      if (m == mq_fleet_self (fleet) || m->state != MQ_MEMBER_LIVE)
+        continue;
+      (void)mq_fleet_io_send (node->io, m, message);
+      most--;
+    }
+}
+
 void
 mq_fleet_node_take_config (mq_fleet_node *node)
 {
--- a/programs/marjoramquay/fleet_node.h
+++ b/programs/marjoramquay/fleet_node.h
@@ -34,6 +34,9 @@
 
 /* Send to the router of that incarnation.  Returns 0, or -1 when it is not
    known or can't be reached.  */
+/* Send MESSAGE to MOST live members, each time to the next ones.  */
+void mq_fleet_node_tell (mq_fleet_node *node, mq_peer_message *message,
+                         unsigned most);
 int mq_fleet_node_send (mq_fleet_node *node, uint64_t router,
                         mq_peer_message *message);
 
--- a/programs/marjoramquay/reply.c
+++ b/programs/marjoramquay/reply.c
@@ -31,6 +31,7 @@
   [MQ_REASON_LEAVING] = "this router is leaving and takes no new work",
   [MQ_REASON_PLATFORM_UNAVAILABLE]
   = "the platform did not confirm the Idempotency-Key",
+  [MQ_REASON_QUARANTINED] = "upstreams ended under this request",
   [MQ_REASON_UPSTREAM_FAILED] = "the upstream failed",
   [MQ_REASON_UPSTREAM_REFUSED] = "the upstream refused",
   [MQ_REASON_CALLER_GONE] = "the caller went away",
--- a/programs/marjoramquay/router.c
+++ b/programs/marjoramquay/router.c
@@ -12,6 +12,7 @@
 #include "claim_io.h"
 #include "config_feed.h"
 #include "drain.h"
+#include "ends.h"
 #include "fleet_limits.h"
 #include "fleet_node.h"
 #include "fleet_plans.h"
@@ -87,9 +88,11 @@
 decisions_open (mq_router *router)
 {
   mq_span domain = mq_str_span (router->settings->failure_domain);
-  mq_entry_options options = { .router = router->incarnation,
-                               .seed = router->incarnation,
-                               .failure_domain = domain };
+  mq_entry_options options
+      = { .router = router->incarnation,
+          .seed = router->incarnation,
+          .failure_domain = domain,
+          .quarantine = mq_ends_quarantine (router->ends) };
 
   router->entry = mq_entry_new (&options);
   router->planner = mq_planner_new (domain, router->incarnation);
@@ -109,6 +112,7 @@
   r->requests = mq_callers_new ();
   r->metrics = mq_metrics_new ();
   mq_status_init (r);
+  r->ends = mq_ends_new (r);
   decisions_open (r);
   mq_router_loop_init (r);
   mq_drain_init (r);
@@ -163,6 +167,7 @@
   mq_fleet_limits_free (router->limits);
   ev_timer_stop (router->loop, &router->close_timer);
   mq_entry_free (router->entry);
+  mq_ends_free (router->ends);
   mq_planner_free (router->planner);
   mq_config_unref (router->config);
   mq_metrics_free (router->metrics);
--- a/programs/marjoramquay/router_loop.c
+++ b/programs/marjoramquay/router_loop.c
@@ -11,6 +11,7 @@
 #include "completion.h"
 #include "completion_stream.h"
 #include "drain.h"
+#include "ends.h"
 #include "fleet_limits.h"
 #include "fleet_plans.h"
 #include "router.h"
@@ -132,6 +133,9 @@
     case MQ_ENTRY_CLAIM:
       claim (router, action);
       break;
+    case MQ_ENTRY_SUSPECT:
+      mq_ends_suspect (router->ends, action);
+      break;
     case MQ_ENTRY_DRAINED:
       mq_drain_all_ended (router);
       break;
--- a/programs/marjoramquay/service_route.c
+++ b/programs/marjoramquay/service_route.c
@@ -5,6 +5,7 @@
 #include "call.h"
 #include "reply.h"
 
+#include <mq/content_hash.h>
 #include <string.h>
 
 /* The headers of a call that mean something from end to end.  The caller's
@@ -13,6 +14,19 @@
     = { "Content-Type",    "Accept",   "Accept-Language",
         "Idempotency-Key", "If-Match", "If-None-Match" };
 
+static uint64_t
+service_content (const mq_call *call, mq_http_exchange *exchange)
+{
+  const mq_span texts[] = { call->organisation,
+                            call->service,
+                            call->method,
+                            call->path,
+                            mq_http_exchange_query_string (exchange),
+                            mq_http_exchange_body (exchange) };
+
+  return mq_content_hash (texts, G_N_ELEMENTS (texts));
+}
+
 /* The query's own copy is not needed: the exchange keeps it.  */
 void
 mq_service_route_start (mq_router *router, mq_http_exchange *exchange)
@@ -42,6 +56,7 @@
   event.u.call.body_hash = mq_span_hash (body);
   event.u.call.method = mq_http_exchange_method (exchange);
   event.u.call.path = mq_str_span (r->u.service.path);
+  event.u.call.content = service_content (&event.u.call, exchange);
   mq_router_post (router, &event);
 }
 
--- a/schema/peer.pb-c.c
+++ b/schema/peer.pb-c.c
@@ -97,6 +97,96 @@
   assert(message->base.descriptor == &mq__peer__introduction__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   mq__peer__end__init
+                     (Mq__Peer__End         *message)
+{
+  static const Mq__Peer__End init_value = MQ__PEER__END__INIT;
+  *message = init_value;
+}
+size_t mq__peer__end__get_packed_size
+                     (const Mq__Peer__End *message)
+{
+  assert(message->base.descriptor == &mq__peer__end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mq__peer__end__pack
+                     (const Mq__Peer__End *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mq__peer__end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mq__peer__end__pack_to_buffer
+                     (const Mq__Peer__End *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mq__peer__end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mq__Peer__End *
+       mq__peer__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mq__Peer__End *)
+     protobuf_c_message_unpack (&mq__peer__end__descriptor,
+                                allocator, len, data);
+}
+void   mq__peer__end__free_unpacked
+                     (Mq__Peer__End *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mq__peer__end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   mq__peer__ends__init
+                     (Mq__Peer__Ends         *message)
+{
+  static const Mq__Peer__Ends init_value = MQ__PEER__ENDS__INIT;
+  *message = init_value;
+}
+size_t mq__peer__ends__get_packed_size
+                     (const Mq__Peer__Ends *message)
+{
+  assert(message->base.descriptor == &mq__peer__ends__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t mq__peer__ends__pack
+                     (const Mq__Peer__Ends *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &mq__peer__ends__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t mq__peer__ends__pack_to_buffer
+                     (const Mq__Peer__Ends *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &mq__peer__ends__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Mq__Peer__Ends *
+       mq__peer__ends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Mq__Peer__Ends *)
+     protobuf_c_message_unpack (&mq__peer__ends__descriptor,
+                                allocator, len, data);
+}
+void   mq__peer__ends__free_unpacked
+                     (Mq__Peer__Ends *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &mq__peer__ends__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   mq__peer__heartbeat__init
                      (Mq__Peer__Heartbeat         *message)
 {
@@ -907,7 +997,7 @@
   assert(message->base.descriptor == &mq__peer__config_object__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor mq__peer__envelope__field_descriptors[14] =
+static const ProtobufCFieldDescriptor mq__peer__envelope__field_descriptors[15] =
 {
   {
     "version",
@@ -1077,11 +1167,24 @@
     0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ends",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mq__Peer__Envelope, body_case),
+    offsetof(Mq__Peer__Envelope, ends),
+    &mq__peer__ends__descriptor,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_ONEOF,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__peer__envelope__field_indices_by_name[] = {
   12,   /* field[12] = config_fetch */
   13,   /* field[13] = config_object */
   11,   /* field[11] = config_offer */
+  14,   /* field[14] = ends */
   2,   /* field[2] = heartbeat */
   9,   /* field[9] = limit_ask */
   10,   /* field[10] = limit_grant */
@@ -1097,7 +1200,7 @@
 static const ProtobufCIntRange mq__peer__envelope__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 14 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor mq__peer__envelope__descriptor =
 {
@@ -1107,7 +1210,7 @@
   "Mq__Peer__Envelope",
   "mq.peer",
   sizeof(Mq__Peer__Envelope),
-  14,
+  15,
   mq__peer__envelope__field_descriptors,
   mq__peer__envelope__field_indices_by_name,
   1,  mq__peer__envelope__number_ranges,
@@ -1204,6 +1307,108 @@
   (ProtobufCMessageInit) mq__peer__introduction__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor mq__peer__end__field_descriptors[3] =
+{
+  {
+    "request",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__Peer__End, request),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "upstream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__Peer__End, upstream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_ms",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__Peer__End, age_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mq__peer__end__field_indices_by_name[] = {
+  2,   /* field[2] = age_ms */
+  0,   /* field[0] = request */
+  1,   /* field[1] = upstream */
+};
+static const ProtobufCIntRange mq__peer__end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor mq__peer__end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mq.peer.End",
+  "End",
+  "Mq__Peer__End",
+  "mq.peer",
+  sizeof(Mq__Peer__End),
+  3,
+  mq__peer__end__field_descriptors,
+  mq__peer__end__field_indices_by_name,
+  1,  mq__peer__end__number_ranges,
+  (ProtobufCMessageInit) mq__peer__end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor mq__peer__ends__field_descriptors[1] =
+{
+  {
+    "items",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Mq__Peer__Ends, n_items),
+    offsetof(Mq__Peer__Ends, items),
+    &mq__peer__end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned mq__peer__ends__field_indices_by_name[] = {
+  0,   /* field[0] = items */
+};
+static const ProtobufCIntRange mq__peer__ends__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor mq__peer__ends__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "mq.peer.Ends",
+  "Ends",
+  "Mq__Peer__Ends",
+  "mq.peer",
+  sizeof(Mq__Peer__Ends),
+  1,
+  mq__peer__ends__field_descriptors,
+  mq__peer__ends__field_indices_by_name,
+  1,  mq__peer__ends__number_ranges,
+  (ProtobufCMessageInit) mq__peer__ends__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor mq__peer__heartbeat__field_descriptors[10] =
 {
   {
--- a/schema/peer.pb-c.h
+++ b/schema/peer.pb-c.h
@@ -17,6 +17,8 @@
 
 typedef struct Mq__Peer__Envelope Mq__Peer__Envelope;
 typedef struct Mq__Peer__Introduction Mq__Peer__Introduction;
+typedef struct Mq__Peer__End Mq__Peer__End;
+typedef struct Mq__Peer__Ends Mq__Peer__Ends;
 typedef struct Mq__Peer__Heartbeat Mq__Peer__Heartbeat;
 typedef struct Mq__Peer__News Mq__Peer__News;
 typedef struct Mq__Peer__MemberNews Mq__Peer__MemberNews;
@@ -62,7 +64,8 @@
   MQ__PEER__ENVELOPE__BODY_LIMIT_GRANT = 11,
   MQ__PEER__ENVELOPE__BODY_CONFIG_OFFER = 12,
   MQ__PEER__ENVELOPE__BODY_CONFIG_FETCH = 13,
-  MQ__PEER__ENVELOPE__BODY_CONFIG_OBJECT = 14
+  MQ__PEER__ENVELOPE__BODY_CONFIG_OBJECT = 14,
+  MQ__PEER__ENVELOPE__BODY_ENDS = 15
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQ__PEER__ENVELOPE__BODY__CASE)
 } Mq__Peer__Envelope__BodyCase;
 
@@ -88,6 +91,7 @@
     Mq__Peer__ConfigOffer *config_offer;
     Mq__Peer__ConfigFetch *config_fetch;
     Mq__Peer__ConfigObject *config_object;
+    Mq__Peer__Ends *ends;
   };
 };
 #define MQ__PEER__ENVELOPE__INIT \
@@ -109,6 +113,32 @@
     , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL} }
 
 
+/*
+ * A request stood at the end of an upstream; upstream 0: it ran well.
+ */
+struct  Mq__Peer__End
+{
+  ProtobufCMessage base;
+  uint64_t request;
+  uint64_t upstream;
+  uint64_t age_ms;
+};
+#define MQ__PEER__END__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mq__peer__end__descriptor) \
+    , 0, 0, 0 }
+
+
+struct  Mq__Peer__Ends
+{
+  ProtobufCMessage base;
+  size_t n_items;
+  Mq__Peer__End **items;
+};
+#define MQ__PEER__ENDS__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mq__peer__ends__descriptor) \
+    , 0,NULL }
+
+
 struct  Mq__Peer__Heartbeat
 {
   ProtobufCMessage base;
@@ -419,6 +449,44 @@
 void   mq__peer__introduction__free_unpacked
                      (Mq__Peer__Introduction *message,
                       ProtobufCAllocator *allocator);
+/* Mq__Peer__End methods */
+void   mq__peer__end__init
+                     (Mq__Peer__End         *message);
+size_t mq__peer__end__get_packed_size
+                     (const Mq__Peer__End   *message);
+size_t mq__peer__end__pack
+                     (const Mq__Peer__End   *message,
+                      uint8_t             *out);
+size_t mq__peer__end__pack_to_buffer
+                     (const Mq__Peer__End   *message,
+                      ProtobufCBuffer     *buffer);
+Mq__Peer__End *
+       mq__peer__end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mq__peer__end__free_unpacked
+                     (Mq__Peer__End *message,
+                      ProtobufCAllocator *allocator);
+/* Mq__Peer__Ends methods */
+void   mq__peer__ends__init
+                     (Mq__Peer__Ends         *message);
+size_t mq__peer__ends__get_packed_size
+                     (const Mq__Peer__Ends   *message);
+size_t mq__peer__ends__pack
+                     (const Mq__Peer__Ends   *message,
+                      uint8_t             *out);
+size_t mq__peer__ends__pack_to_buffer
+                     (const Mq__Peer__Ends   *message,
+                      ProtobufCBuffer     *buffer);
+Mq__Peer__Ends *
+       mq__peer__ends__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   mq__peer__ends__free_unpacked
+                     (Mq__Peer__Ends *message,
+                      ProtobufCAllocator *allocator);
 /* Mq__Peer__Heartbeat methods */
 void   mq__peer__heartbeat__init
                      (Mq__Peer__Heartbeat         *message);
@@ -769,6 +837,12 @@
 typedef void (*Mq__Peer__Introduction_Closure)
                  (const Mq__Peer__Introduction *message,
                   void *closure_data);
+typedef void (*Mq__Peer__End_Closure)
+                 (const Mq__Peer__End *message,
+                  void *closure_data);
+typedef void (*Mq__Peer__Ends_Closure)
+                 (const Mq__Peer__Ends *message,
+                  void *closure_data);
 typedef void (*Mq__Peer__Heartbeat_Closure)
                  (const Mq__Peer__Heartbeat *message,
                   void *closure_data);
@@ -832,6 +906,8 @@
 extern const ProtobufCEnumDescriptor    mq__peer__member_state__descriptor;
 extern const ProtobufCMessageDescriptor mq__peer__envelope__descriptor;
 extern const ProtobufCMessageDescriptor mq__peer__introduction__descriptor;
+extern const ProtobufCMessageDescriptor mq__peer__end__descriptor;
+extern const ProtobufCMessageDescriptor mq__peer__ends__descriptor;
 extern const ProtobufCMessageDescriptor mq__peer__heartbeat__descriptor;
 extern const ProtobufCMessageDescriptor mq__peer__news__descriptor;
 extern const ProtobufCMessageDescriptor mq__peer__member_news__descriptor;
--- a/tests/entry_checker.cc
+++ b/tests/entry_checker.cc
@@ -366,6 +366,10 @@
     case MQ_ENTRY_DELIVER:
       check_deliver (handle, r, action);
       break;
+    case MQ_ENTRY_SUSPECT:
+      if (action.u.suspect.content == 0 || action.u.suspect.url.size == 0)
+        violate (handle, "suspected of nothing");
+      break;
     case MQ_ENTRY_PASS_REPLY:
       if (event.kind != MQ_ENTRY_REPLY || event.handle != handle
           || event.attempt != r.last || r.passed)
--- a/tests/entry_fixture.h
+++ b/tests/entry_fixture.h
@@ -133,7 +133,9 @@
 public:
   explicit Driver (bool with_config = true)
   {
-    mq_entry_options o = { 7, 42, MQ_SPAN ("kamloops-yard") };
+    mq_entry_options o = { 7, 42, MQ_SPAN ("kamloops-yard"), &quarantine };
+
+    mq_quarantine_init (&quarantine, 600 * (uint64_t)1000000);
     entry = mq_entry_new (&o);
     actions = g_array_new (FALSE, TRUE, sizeof (mq_entry_action));
     config = make_config ();
@@ -148,6 +150,7 @@
         EXPECT_FALSE (checker.broken ()) << checker.report ();
       }
     mq_entry_free (entry);
+    mq_quarantine_finish (&quarantine);
     g_array_unref (actions);
     mq_config_unref (config);
   }
@@ -418,6 +421,7 @@
     return *mq_entry_read_counters (entry);
   }
 
+  mq_quarantine quarantine = {};
   mq_entry *entry;
   GArray *actions;
   mq_config *config;
--- a/tests/fault_router.cc
+++ b/tests/fault_router.cc
@@ -10,7 +10,8 @@
 Router::Router (World &in, const std::string &called, uint64_t number)
     : world (in), name (called), incarnation (number)
 {
-  mq_entry_options e = { incarnation, incarnation, MQ_SPAN ("kamloops-yard") };
+  mq_entry_options e
+      = { incarnation, incarnation, MQ_SPAN ("kamloops-yard"), nullptr };
   mq_claims_options c = {};
   mq_tickets_options t = {};
   mq_ordering_options o = {};
@@ -469,6 +470,8 @@
       if (x != nullptr && !x->broken)
         x->tokens.push_back (text (a.u.deliver.text));
       break;
+    case MQ_ENTRY_SUSPECT:
+      break;
     case MQ_ENTRY_PASS_REPLY:
       if (x != nullptr && !x->broken)
         x->reply = true;
--- a/tests/test_entry_service.cc
+++ b/tests/test_entry_service.cc
@@ -409,3 +409,53 @@
     d.tick ();
   d.expect_end (MQ_OUTCOME_NOT_RUN, MQ_REASON_UNKNOWN_SERVICE);
 }
+
+/* Three instances ended under what a call asks.  */
+TEST (EntryService, ACallThatEndsItsServicesIsRefusedAsNotRun)
+{
+  Driver d;
+  mq_call call = d.plain_call ();
+
+  call.content = 99;
+  for (uint64_t upstream : { 1, 2, 3 })
+    mq_quarantine_add (&d.quarantine, 99, upstream, d.now, d.now);
+  d.now += 300 * MS;
+  d.call (1, call);
+  d.expect_end (MQ_OUTCOME_NOT_RUN, MQ_REASON_QUARANTINED);
+  EXPECT_GT (d.find (MQ_ENTRY_END).u.end.retry_after_us, 0u);
+  call.content = 98;
+  d.call (2, call);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_LIMIT), 1u);
+}
+
+TEST (EntryService, ABrokenCallMakesItsInstanceSuspect)
+{
+  Driver d;
+  mq_call call = d.plain_call ();
+
+  call.content = 99;
+  d.send (1, call);
+  std::string at = url (d);
+  d.failed (MQ_ENTRY_SEND_FAILED, 1, 1, true);
+  ASSERT_EQ (d.count (MQ_ENTRY_SUSPECT), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_SUSPECT).u.suspect.content, 99u);
+  mq_span u = d.find (MQ_ENTRY_SUSPECT).u.suspect.url;
+  EXPECT_EQ (std::string (u.data, u.size), at);
+  /* What did not run ended nothing.  */
+  d.send (2, call);
+  d.failed (MQ_ENTRY_SEND_FAILED, 2, 1, false);
+  EXPECT_EQ (d.count (MQ_ENTRY_SUSPECT), 0u);
+}
+
+TEST (EntryService, AnAnswerClearsASuspect)
+{
+  Driver d;
+  mq_call call = d.plain_call ();
+
+  call.content = 99;
+  mq_quarantine_add (&d.quarantine, 99, 1, d.now, d.now);
+  d.now += MS;
+  d.send (1, call);
+  d.reply (1, 1);
+  EXPECT_EQ (mq_quarantine_find (&d.quarantine, 99)->n, 0u);
+}
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -558,3 +558,38 @@
   EXPECT_EQ (mq_decision_log_at (log, 2)->reason, MQ_REASON_DEADLINE_MISSED);
   EXPECT_EQ (mq_decision_log_at (log, 2)->left_us, 4 * SECOND - 20 * MS);
 }
+
+/* A head that breaks off before its first token, or a stage that the head says
+   is lost, may have ended under the request; after a while of tokens not.  */
+TEST (EntryStream, AStageThatDiesAtTheBeginningIsSuspect)
+{
+  Driver d;
+  mq_call call = d.model_call ();
+
+  call.content = 99;
+  d.open (1, call);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  EXPECT_EQ (d.count (MQ_ENTRY_SUSPECT), 1u);
+  d.open (2, call);
+  d.tokens (2, 1, 0, 1);
+  d.now += 600 * MS;
+  d.token (2, 1, 1);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 2, 1, true);
+  EXPECT_EQ (d.count (MQ_ENTRY_SUSPECT), 0u);
+}
+
+TEST (EntryStream, ARequestThatEndedThreeStagesGoesOnToNoOther)
+{
+  Driver d;
+  mq_call call = d.model_call ();
+
+  call.content = 99;
+  d.open (1, call);
+  for (uint64_t upstream : { 1, 2, 3 })
+    mq_quarantine_add (&d.quarantine, 99, upstream, d.now, d.now);
+  d.now += 300 * MS;
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  EXPECT_EQ (d.count (MQ_ENTRY_ASK_PLAN), 0u);
+  EXPECT_EQ (d.find (MQ_ENTRY_END).u.end.reason, MQ_REASON_QUARANTINED);
+  EXPECT_NE (d.find (MQ_ENTRY_END).u.end.outcome, MQ_OUTCOME_NOT_RUN);
+}
--- a/tests/test_peer_message.cc
+++ b/tests/test_peer_message.cc
@@ -117,7 +117,7 @@
 
   all.push_back (heartbeat (true));
   all.push_back (heartbeat (false));
-  for (int kind = MQ_PEER_NEWS; kind <= MQ_PEER_CONFIG_OBJECT; kind++)
+  for (int kind = MQ_PEER_NEWS; kind <= MQ_PEER_ENDS; kind++)
     {
       m = {};
       m.kind = (mq_peer_message_kind)kind;
@@ -175,6 +175,11 @@
           m.u.config_object.version = 4;
           m.u.config_object.value = MQ_SPAN ("{ \"a\": 1 }");
           break;
+        case MQ_PEER_ENDS:
+          m.u.ends.items[0] = { 5, 6, 700 };
+          m.u.ends.items[1] = { 5, 0, 0 };
+          m.u.ends.n = 2;
+          break;
         case MQ_PEER_HEARTBEAT:
           break;
         }
--- a/tools/bench/fake_router.c
+++ b/tools/bench/fake_router.c
@@ -326,7 +326,8 @@
                   mq_config *config, uint32_t n_planners, uint64_t seed,
                   uint64_t until_us)
 {
-  mq_entry_options options = { 1, seed, MQ_SPAN ("d0") };
+  mq_entry_options options
+      = { .router = 1, .seed = seed, .failure_domain = MQ_SPAN ("d0") };
   pending *p;
 
   *router = (fake_router){
