Show that routers of the native face tell one another what ends services

Three real routers: what ended a service three times by one is refused by all, and by one that is killed and started again; 3 arrivals in all. The service that ends moves into a file that both tests use.

--- a/tests/test_crashing_call.cc
+++ b/tests/test_crashing_call.cc
@@ -3,152 +3,15 @@
    was judged by itself: the service ended as often as it came.  */
 
 #include "support/deployment.h"
-
-#include <arpa/inet.h>
-#include <atomic>
-#include <poll.h>
-#include <sys/socket.h>
-#include <thread>
+#include "support/mortal_service.h"
 
 using deployment::Deployment;
 using deployment::Options;
-
-namespace
-{
-
-const std::string deadly = "the call that ends services";
-
-/* A service of one process that ends under the deadly call, and is back at the
-   same address after a while; other calls are answered.  */
-class MortalService
-{
-public:
-  MortalService ()
-  {
-    listen_on (0);
-    thread_ = std::thread ([this] { run (); });
-  }
-
-  ~MortalService ()
-  {
-    stop_ = true;
-    thread_.join ();
-    close_all ();
-  }
-
-  std::string
-  url () const
-  {
-    return "http://127.0.0.1:" + std::to_string (port_);
-  }
-
-  std::atomic<unsigned> arrivals{ 0 }; /* Of the deadly call.  */
-
-private:
-  void
-  listen_on (unsigned port)
-  {
-    sockaddr_in a = {};
-    socklen_t size = sizeof a;
-    int on = 1;
-
-    listener_ = socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    a.sin_family = AF_INET;
-    a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    a.sin_port = htons ((uint16_t)port);
-    if (bind (listener_, reinterpret_cast<sockaddr *> (&a), size) != 0
-        || listen (listener_, 16) != 0)
-      throw std::runtime_error ("listen");
-    getsockname (listener_, reinterpret_cast<sockaddr *> (&a), &size);
-    port_ = ntohs (a.sin_port);
-  }
-
-  void
-  close_all ()
-  {
-    for (auto &c : callers_)
-      close (c.first);
-    callers_.clear ();
-    close (listener_);
-  }
-
-  /* End as a process does, with all its connections.  */
-  void
-  end ()
-  {
-    linger hard = { 1, 0 };
-
-    for (auto &c : callers_)
-      setsockopt (c.first, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
-    close_all ();
-    std::this_thread::sleep_for (std::chrono::milliseconds (1200));
-    listen_on (port_);
-  }
-
-  /* True when the call on FD was deadly.  */
-  bool
-  serve (int fd)
-  {
-    std::string &text = callers_[fd];
-    char buffer[4096];
-    ssize_t n = read (fd, buffer, sizeof buffer);
-
-    if (n <= 0)
-      {
-        close (fd);
-        callers_.erase (fd);
-        return false;
-      }
-    text.append (buffer, (size_t)n);
-    if (text.find (deadly) != std::string::npos)
-      return true;
-    if (text.find ("another") != std::string::npos)
-      {
-        static const char reply[]
-            = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-
-        EXPECT_GT (write (fd, reply, sizeof reply - 1), 0);
-        text.clear ();
-      }
-    return false;
-  }
-
-  void
-  run ()
-  {
-    while (!stop_)
-      {
-        std::vector<pollfd> fds = { { listener_, POLLIN, 0 } };
-
-        for (auto &c : callers_)
-          fds.push_back ({ c.first, POLLIN, 0 });
-        if (poll (fds.data (), fds.size (), 50) <= 0)
-          continue;
-        if (fds[0].revents != 0)
-          callers_[accept (listener_, nullptr, nullptr)] = "";
-        for (size_t i = 1; i < fds.size (); i++)
-          if (fds[i].revents != 0 && serve (fds[i].fd))
-            {
-              arrivals++;
-              end ();
-              break;
-            }
-      }
-  }
-
-  std::thread thread_;
-  std::atomic<bool> stop_{ false };
-  std::map<int, std::string> callers_;
-  int listener_ = -1;
-  unsigned port_ = 0;
-};
-
-} // namespace
+using mortal::deadly;
 
 TEST (CrashingCall, ReachesItsServiceFewTimes)
 {
-  MortalService service;
+  mortal::Service service;
   Options o;
 
   o.plain = service.url ();
--- a/tests/test_fleet.cc
+++ b/tests/test_fleet.cc
@@ -3,6 +3,7 @@
    wait ends by what happens.  */
 
 #include "support/deployment.h"
+#include "support/mortal_service.h"
 
 #include <mq/peers.h>
 
@@ -396,3 +397,42 @@
                  .body.find ("unit 7"),
              std::string::npos);
 }
+
+/* A call that ended a service three times by one router is refused by the
+   others, and by one that starts later.  */
+TEST (Fleet, WhatEndsAServiceIsKnownToAllRouters)
+{
+  mortal::Service service;
+  deployment::Options o;
+
+  o.plain = service.url ();
+  Yard yard (o);
+  auto send = [&] (size_t router) {
+    return fetch (
+        yard.deployment ().booking ("POST", "/units", mortal::deadly, router));
+  };
+  for (size_t i = 0; i < ROUTERS; i++)
+    ASSERT_TRUE (
+        eventually ([&] { return yard.status (i, "reads_platform") != ""; }));
+  ASSERT_TRUE (eventually ([&] { return yard.asks_name (0, 1); }));
+  for (int i = 0; i < 3; i++)
+    {
+      send (0);
+      std::this_thread::sleep_for (std::chrono::milliseconds (1500));
+    }
+  unsigned before = service.arrivals;
+  EXPECT_EQ (before, 3u);
+  for (size_t i = 0; i < ROUTERS; i++)
+    EXPECT_NE (send (i).body.find ("quarantined"), std::string::npos) << i;
+  yard.router (0).kill (SIGKILL);
+  auto again = yard.start_again (0, yard.peer_port (0));
+  programs::Request r
+      = yard.deployment ().booking ("POST", "/units", mortal::deadly, 1);
+  r.url = again->url () + "/v1/services/booking/units";
+  ASSERT_TRUE (eventually ([&] {
+    return programs::get (again->url () + "/readyz").status == 200;
+  }));
+  std::this_thread::sleep_for (std::chrono::milliseconds (2500));
+  EXPECT_NE (fetch (r).body.find ("quarantined"), std::string::npos);
+  EXPECT_EQ (service.arrivals, before);
+}
