Bring about two gaps in what routers hear of the store, failing

A watch of the configuration that falls silent waits 20 s when two others asked in short steps that are cut off since; and who leaves off following the upstreams misses what changes before the others know.

The tests' store answers a wait when its time is over, knows who has left, and keeps members; a test that counted two routers at first counts one all along, as a store that answers lets them agree.

--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -69,6 +69,7 @@
   }
 
   unsigned gone = 0; /* Callers that left before their answer.  */
+  std::function<void (mq_http_exchange *)> on_gone;
 
   static void
   reply (mq_http_exchange *x, unsigned status, const std::string &body = "",
@@ -90,7 +91,11 @@
     if (event->kind == MQ_HTTP_SERVER_REQUEST)
       s->handler_ (event->exchange);
     else if (event->kind == MQ_HTTP_SERVER_GONE)
-      s->gone++;
+      {
+        s->gone++;
+        if (s->on_gone)
+          s->on_gone (event->exchange);
+      }
   }
 
   Handler handler_;
@@ -287,6 +292,19 @@
   explicit Store (struct ev_loop *loop)
       : server (loop, [this] (mq_http_exchange *x) { take (x); })
   {
+    server.on_gone = [this] (mq_http_exchange *x) { leave (x); };
+    loop_ = loop;
+    ev_timer_init (&timer_, on_timer, 0.02, 0.02);
+    timer_.data = this;
+    ev_timer_start (loop, &timer_);
+  }
+
+  /* Before the loop ends.  */
+  void
+  close ()
+  {
+    ev_timer_stop (loop_, &timer_);
+    server.close ();
   }
 
   ~Store ()
@@ -336,6 +354,7 @@
   bool down = false; /* Every call is answered 503.  */
   bool mute = false; /* Those who wait hear of no change.  */
   unsigned scans = 0;
+  std::map<std::string, unsigned> left; /* Waits given up, by kind.  */
   std::map<std::string, std::map<std::string, std::string> > objects;
   Server server;
 
@@ -351,8 +370,36 @@
     mq_http_exchange *exchange;
     std::string kind;
     uint64_t from;
+    ev_tstamp until;
   };
 
+  static void
+  on_timer (struct ev_loop *, ev_timer *timer, int)
+  {
+    static_cast<Store *> (timer->data)->expire ();
+  }
+
+  /* Answer those who have waited for long enough, unless they hang.  */
+  void
+  expire ()
+  {
+    auto waiting = std::move (waiting_);
+
+    waiting_.clear ();
+    for (auto &w : waiting)
+      {
+        if (mute || ev_time () < w.until)
+          {
+            waiting_.push_back (w);
+            continue;
+          }
+        Server::reply (w.exchange, 200,
+                       "{\"events\":[],\"at\":" + std::to_string (w.from)
+                           + "}");
+        mq_http_exchange_unref (w.exchange);
+      }
+  }
+
   static std::string
   object (const std::string &name, const std::string &spec, uint64_t revision)
   {
@@ -386,6 +433,20 @@
       }
   }
 
+  /* A caller does not wait any more.  */
+  void
+  leave (const mq_http_exchange *x)
+  {
+    for (auto w = waiting_.begin (); w != waiting_.end (); ++w)
+      if (w->exchange == x)
+        {
+          left[w->kind]++;
+          mq_http_exchange_unref (w->exchange);
+          waiting_.erase (w);
+          return;
+        }
+  }
+
   bool
   tell (const Waiting &w)
   {
@@ -464,13 +525,17 @@
       Server::reply (x, 410);
     else
       {
-        Waiting w = { mq_http_exchange_ref (x), kind, std::stoull (watch) };
+        std::string ms = text (mq_http_exchange_query (x, "waitMs"));
+        Waiting w = { mq_http_exchange_ref (x), kind, std::stoull (watch),
+                      ev_time () + (ms.empty () ? 0 : std::stod (ms) / 1000) };
 
         if (!tell (w))
           waiting_.push_back (w);
       }
   }
 
+  struct ev_loop *loop_;
+  ev_timer timer_;
   uint64_t revision_ = 10;
   uint64_t forgotten_ = 0;
   std::vector<Event> events_;
--- a/tests/support/gateway_world.h
+++ b/tests/support/gateway_world.h
@@ -53,7 +53,7 @@
     stop ();
     mq_http_client_free (client);
     upstreams.clear ();
-    store.server.close ();
+    store.close ();
     ev_loop_destroy (loop);
   }
 
--- a/tests/test_gateway_fleet.cc
+++ b/tests/test_gateway_fleet.cc
@@ -161,12 +161,15 @@
   mq_gateway *second = run_router (
       &other, settings_text (base, "vm-2", "http://" + store.server.address (),
                              "\"" + at (peers_port) + "\""));
-  ASSERT_TRUE (until ([&] { return store.watchers ("servers") == 2; }));
   ASSERT_TRUE (until ([&] {
-    tell (*a); /* Ends all waits; who follows waits again.  */
-    wait (0.3);
-    return store.watchers ("servers") == 1;
+    return fetch ("GET", "/ready", {}, "", base + 1).status == 200;
   }));
+  for (int i = 0; i < 10; i++)
+    {
+      tell (*a); /* Ends all waits; who follows waits again.  */
+      wait (0.3);
+      EXPECT_EQ (store.watchers ("servers"), 1u) << i;
+    }
   /* What the first learns, the second knows at once.  */
   for (Upstream *u : { a, b })
     tell (*u, true);
@@ -244,3 +247,92 @@
   EXPECT_EQ (x.status, 503u);
   EXPECT_FALSE (x.retry_after.empty ());
 }
+
+/* Two routers that asked the store for changes every 1.5 s were cut off.  The
+   third waited 20 s for the answer to its own question, heard nothing of a
+   change since the store's watches had fallen silent just then, and served by
+   the old configuration for the rest of that time:
+
+     store.ask purpose=configuration-follow       (2.92 s, the last one)
+     configuration.in-force version=10 before=8   (2.83 s, the last one)
+     store.history-lost kind=servers              (8.56 s, of the upstreams)
+
+   Version 14 was there from 7.2 s on.  */
+TEST_F (Gateway, AWatchThatFallsSilentIsAskedAnewThoughOthersAskOften)
+{
+  mq_gateway_settings others[2] = { {}, {} };
+  mq_gateway *routers[2];
+  mq_gateway_settings last = {};
+  std::string url = "http://" + store.server.address ();
+  unsigned base[3] = { free_ports (), free_ports (), free_ports () };
+  std::string seeds = "\"" + at (base[0] + 3) + "\"";
+
+  /* Those two rank first, by what they have of a processor.  */
+  a = &add ("app-a", "app");
+  configure (1);
+  for (int i = 0; i < 2; i++)
+    {
+      std::string text
+          = settings_text (base[i], "vm-" + std::to_string (i), url, seeds);
+
+      text.insert (text.find ("\"region\""), "\"processor_speed\":4,");
+      routers[i] = run_router (&others[i], text);
+    }
+  std::string text = settings_text (base[2], "vm-last", url, seeds);
+  text.replace (text.find ("\"one\""), 5, "\"two\"");
+  mq_gateway *router_last = run_router (&last, text);
+  auto status = [&] (const char *path) {
+    return fetch ("GET", path, key, "", base[2]).status;
+  };
+  ASSERT_TRUE (until ([&] { return status ("/safe/1") == 200; }));
+  /* It knows them both, and asks once more.  */
+  wait (3);
+  configure (2, "," + route ("/second/", "safe", "app", 1));
+  ASSERT_TRUE (until ([&] { return status ("/second/1") == 200; }));
+  wait (0.5);
+  store.mute = true;
+  for (int i = 0; i < 2; i++)
+    {
+      mq_gateway_free (routers[i]);
+      mq_gateway_settings_finish (&others[i]);
+    }
+  configure (3, "," + route ("/third/", "safe", "app", 1));
+  ev_tstamp before = ev_time ();
+  EXPECT_TRUE (until ([&] { return status ("/third/1") == 200; }));
+  EXPECT_LT (ev_time () - before, 4);
+  mq_gateway_free (router_last);
+  mq_gateway_settings_finish (&last);
+}
+
+/* A router left off following the upstreams, since enough others did, while
+   an upstream said that it leaves.  They did not tell it, since its last news
+   said that it follows, and it sent requests there for 2.4 s:
+
+     store.follow kind=servers follows=0 before=2   (28.508 s)
+     upstream.left upstream=... revision=120        (31.299 s)
+
+   The upstream's word was in the store from 28.505 s on.  */
+TEST_F (Gateway, ARouterThatLeavesOffFollowingMissesNothing)
+{
+  mq_gateway_settings other = {};
+  unsigned base = free_ports ();
+
+  store_followers = 1;
+  plain ();
+  /* The second has more of a processor, so it follows in place of the first.
+   */
+  std::string text
+      = settings_text (base, "vm-2", "http://" + store.server.address (),
+                       "\"" + at (peers_port) + "\"");
+  text.insert (text.find ("\"region\""), "\"processor_speed\":4,");
+  mq_gateway *second = run_router (&other, text);
+  ASSERT_TRUE (until ([&] { return store.watchers ("servers") == 2; }));
+  ASSERT_TRUE (until ([&] { return store.left["servers"] > 0; }));
+  tell (*a, true);
+  tell (*b, true);
+  wait (0.5);
+  EXPECT_EQ (fetch ("GET", "/safe/1", key, "", base).status, 503u);
+  EXPECT_EQ (fetch ("GET", "/safe/1").status, 503u);
+  mq_gateway_free (second);
+  mq_gateway_settings_finish (&other);
+}
