Let whoever watches the configuration ask in short steps

What callers saw: for seconds after a change they were served by the configuration before it (CONFIG), at all routers of the fleet.

Cause: the store's watches fell silent just when the configuration changed, and its history was dropped. Only the first two routers asked in steps of 1.5 s; the others waited 20 s for one answer. The first two by rank were cut off, and the two that watched still counted them when they last asked.

Change: each router that watches the configuration, one a failure domain, asks in short steps. Why it holds: it depends on no view of others; a watch that hangs is over after 2.5 s at the most, and what it then finds goes to all.

--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -17,10 +17,11 @@
    store by what others know.  At 2.5 s, which needed neither, 10 followers
    made 440 of 648 calls of a calm day of 58 s.  */
 #define FOLLOW_MS 20000
-/* The same at the first two routers that follow: the store may forget its
-   history while all watches wait, which then all hang.  What they find, the
-   others hear of, within the bound on a change of configuration (2 to 4 s).
-   */
+/* The same at whoever watches the configuration, and at the first two routers
+   that follow the upstreams: the store may forget its history while all
+   watches wait, which then all hang.  What they find, the others hear of,
+   within the bound on a change of configuration (2 to 4 s).  Who asks must not
+   hang on who else is thought to: those may just have been cut off.  */
 #define FOLLOW_POLL_MS 1500
 #define POLLERS 2
 /* A follow goes on where it was left for so long; the store may forget its
@@ -68,9 +69,10 @@
 static bool
 feed_polls (const mq_feed *feed)
 {
-  return mq_roster_followers_before (&feed->gateway->roster,
-                                     mq_gateway_now_us ())
-         < POLLERS;
+  return feed_is_routing (feed)
+         || mq_roster_followers_before (&feed->gateway->roster,
+                                        mq_gateway_now_us ())
+                < POLLERS;
 }
 
 static void
