Go on following the store until others know to tell this router

What callers saw: requests sent to an upstream for 2.4 s after it had said that it leaves (DRAIN), by one router.

Cause: a router that leaves off following, since enough others do, gave up its question at once. Its last news said that it follows, so for a heartbeat nobody told it of changes; the whole list comes only after two seconds behind.

Change: it says at the next heartbeat that it does not follow, and goes on for a second. Why it holds: from the moment it hears nothing of the store any more, all others have had eight heartbeats to begin telling; for both feeds.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -81,6 +81,8 @@
   uint64_t fresh_us;   /* When the store last answered.  */
   uint64_t resumed_us; /* When this router last began to follow.  */
   uint64_t told_us;    /* When a relay last knew nothing newer.  */
+  uint64_t leave_us;   /* It no longer follows, and goes on up to then; 0: it
+                          does follow, or has stopped.  */
 } mq_feed;
 
 /* What the gateway keeps of a service beside its configuration.  */
@@ -374,6 +376,9 @@
 void mq_feed_stop (mq_feed *feed);
 /* Since the store last answered, or a relay showed that it knows no more.  */
 uint64_t mq_feed_age_ms (const mq_feed *feed, uint64_t now_us);
+/* Leave off, once all others know that they have to tell this router.  */
+void mq_feed_leave (mq_feed *feed);
+void mq_feed_tick (mq_feed *feed, uint64_t now_us);
 /* Follow from now on, from where it was left when that was a moment ago.  */
 void mq_feed_resume (mq_feed *feed);
 /* Give up the call that waits, which may hang, and follow anew.  */
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -43,6 +43,11 @@
 #define AGAIN_FIRST_S 0.1
 #define AGAIN_MOST_S 1.6
 
+/* A router that leaves off goes on for so long.  Others tell it of changes
+   once its news say that it does not follow, a heartbeat later; what changed
+   between would come to nobody's mind.  */
+#define LEAVE_US ((uint64_t)1000 * 1000)
+
 static void feed_on_reply (void *context, const mq_platform_reply *reply);
 
 static bool
@@ -151,11 +156,12 @@
   g_array_unref (news);
 }
 
-/* Wait SECONDS and go on, if this router follows the store.  */
+/* Wait SECONDS and go on, if this router follows the store, or did a moment
+   ago.  */
 static void
 feed_go_on (mq_feed *feed, double seconds)
 {
-  if (feed->follow.follows)
+  if (feed->follow.follows || feed->leave_us > 0)
     feed_again (feed, seconds);
 }
 
@@ -285,6 +291,21 @@
   return (now_us - MAX (feed->fresh_us, feed->told_us)) / 1000;
 }
 
+void
+mq_feed_leave (mq_feed *feed)
+{
+  feed->leave_us = mq_gateway_now_us () + LEAVE_US;
+  /* The next heartbeat says so.  */
+  feed->gateway->reported_us = 0;
+}
+
+void
+mq_feed_tick (mq_feed *feed, uint64_t now_us)
+{
+  if (feed->leave_us > 0 && now_us >= feed->leave_us)
+    mq_feed_stop (feed);
+}
+
 void
 mq_feed_resume (mq_feed *feed)
 {
@@ -292,6 +313,7 @@
       = feed->scanned && mq_gateway_now_us () - feed->fresh_us < RESUME_US;
 
   feed->resumed_us = mq_gateway_now_us ();
+  feed->leave_us = 0;
   if (feed->call != NULL)
     return; /* Its first scan; it goes on by itself.  */
   if (!recent)
@@ -323,6 +345,7 @@
   if (feed->call != NULL)
     mq_platform_cancel (feed->call);
   feed->call = NULL;
+  feed->leave_us = 0;
   g_clear_pointer (&feed->seen, g_hash_table_unref);
   g_clear_pointer (&feed->after, mq_str_unref);
 }
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -200,6 +200,7 @@
 static void
 feed_share (mq_feed *feed, const mq_follow_view *view, uint64_t now_us)
 {
+  mq_feed_tick (feed, now_us);
   if (!mq_follow_tick (&feed->follow, view, now_us))
     return;
   mq_log (G_LOG_LEVEL_INFO, "store.follow",
@@ -209,7 +210,7 @@
   if (feed->follow.follows)
     mq_feed_resume (feed);
   else
-    mq_feed_stop (feed);
+    mq_feed_leave (feed);
 }
 
 /* Begin or leave off following the store, as it is this router's part: one
