--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 C_SOURCES = $(shell git ls-files '*.c' | grep -v '\.pb-c\.')
 
-.PHONY: faults all build deps check check-sanitize check-long demo format format-check lint bench slopes spread install clean
+.PHONY: regress faults all build deps check check-sanitize check-long demo format format-check lint bench slopes spread install clean
 
 all: build
 
@@ -66,3 +66,9 @@
 # How soon 7, 20 and 60 routers act as one, and what that costs.
 spread: build
 	tools/bench/spread.sh $(BUILD)
+
+# The standard days of all sites on the users' bench, before each landing:
+# `make regress BENCH=PATH', or with SITES="FILE...".  No part of CI, which has
+# no bench.
+regress:
+	BENCH=$(BENCH) tools/regress.sh $(SITES)
