Read the stored refusals once a router has been a relay for a moment

When 295 routers start at once some 33 think for a moment that they are relays, and each read what the store keeps.

--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -16,6 +16,9 @@
 
 /* Again after a call to the store that failed.  */
 #define STORE_RETRY_US ((uint64_t)1000 * 1000)
+/* A router is a relay for so long before it reads what the store keeps: when
+   hundreds start at once, twice as many think that they are for a moment.  */
+#define RELAY_US ((uint64_t)400 * 1000)
 /* Refusals that this router keeps in the store at a time.  */
 #define STORED_MOST 64
 #define HEX_DIGITS 16
@@ -280,8 +283,11 @@
       = { .op = MQ_PLATFORM_SCAN,
           .kind = mq_span_from (gateway->dialect->kinds.refusals) };
 
-  if (!gateway->roster.relays || gateway->refusals_scanned
-      || gateway->refusals_scanning || now_us < gateway->refusals_scan_us)
+  if (gateway->refusals_scanned || gateway->refusals_scanning)
+    return;
+  if (!gateway->roster.relays)
+    gateway->refusals_scan_us = now_us + RELAY_US;
+  if (now_us < gateway->refusals_scan_us)
     return;
   gateway->refusals_scanning = true;
   mq_gateway_count_store_call (gateway, MQ_STORE_REFUSAL_SCAN);
