Take no upstream for ended that says that it leaves after a broken answer

An answer that broke off opens a case; an upstream that then leaves by plan, and that nothing else was heard of, went off the list and counted as ended, and a request that met four such was refused. What says that it leaves lives. The test's request got 503 before, 200 after.

--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -151,15 +151,16 @@
 {
   const mq_upstream *u = c->upstream;
 
-  if (!u->listed || u->facts.born_ms != c->started_ms)
+  /* What says that it leaves lives, and is off the list later.  */
+  if (now_us >= c->broke_us + CASE_US || u->accepted_us > c->broke_us
+      || u->facts.draining || case_runs_on (c))
     {
-      case_confirm (c, u->listed ? "started-again" : "left-the-list");
+      g_ptr_array_remove_fast (c->gateway->crash_cases, c);
       return;
     }
-  if (now_us >= c->broke_us + CASE_US || u->accepted_us > c->broke_us
-      || case_runs_on (c))
+  if (!u->listed || u->facts.born_ms != c->started_ms)
     {
-      g_ptr_array_remove_fast (c->gateway->crash_cases, c);
+      case_confirm (c, u->listed ? "started-again" : "left-the-list");
       return;
     }
   if (c->asked)
--- a/tests/test_crashing_request.cc
+++ b/tests/test_crashing_request.cc
@@ -457,6 +457,33 @@
   EXPECT_EQ (attempt (*routers[0], "POST", "/unsafe/1", "long").status, 200u);
 }
 
+/* One whose answer breaks off, and that leaves by plan before anything else
+   shows that it lives, did not end under it either.  */
+TEST_F (CrashingRequest, AnUpstreamThatLeavesAfterABrokenAnswerDidNotEnd)
+{
+  set_up ("app");
+  for (unsigned i = 0; i < 4; i++)
+    {
+      Upstream *broke = nullptr;
+
+      for (auto &u : upstreams)
+        u->serve = [&] (mq_http_exchange *x) {
+          broke = u.get ();
+          mq_http_exchange_abort (x);
+        };
+      EXPECT_EQ (attempt (*routers[0], "POST", "/unsafe/1", "cut").status,
+                 502u);
+      tell (*broke, true);
+      wait (0.2);
+      store.remove ("servers", broke->id);
+      add_mortal ("app", "one");
+      wait (0.4);
+    }
+  for (auto &u : upstreams)
+    u->serve = [&u] (mq_http_exchange *x) { u->answer (x); };
+  EXPECT_EQ (attempt (*routers[0], "POST", "/unsafe/1", "cut").status, 200u);
+}
+
 /* The refusal is true, says when to come back, and is counted.  */
 TEST_F (CrashingRequest, IsRefusedAsNotRunAndCounted)
 {
