--- a/tests/test_news_codec.cc
+++ b/tests/test_news_codec.cc
@@ -30,6 +30,7 @@
     mq_way_tokens w = { 0xfedcba9876543210, 1234 };
     mq_service_sends s = { 77, { 10, 3, 1 } };
     mq_news_finding f = { MQ_SPAN ("eng-1"), 4000000, 2.5, 2000000, 300 };
+    mq_quarantine_record e = { 0xf000000000000001, 0xf000000000000003, 70 };
 
     mq_news_init (&news, MQ_NEWS_SUMMARY);
     news.from = { MQ_SPAN ("vm-1"),
@@ -50,6 +51,7 @@
     g_array_append_val (news.ways, w);
     g_array_append_val (news.sends, s);
     g_array_append_val (news.findings, f);
+    g_array_append_val (news.ends, e);
     g_array_append_val (news.routers, r);
     g_array_append_val (news.serving, r);
     g_array_append_val (news.elsewhere, r);
@@ -107,6 +109,11 @@
   EXPECT_TRUE (n->ready && n->follows && n->relays && n->store_reached);
   EXPECT_TRUE (n->watches && n->reached && n->listed);
   EXPECT_FALSE (n->draining);
+  ASSERT_EQ (n->ends->len, 1u);
+  auto e = g_array_index (n->ends, mq_quarantine_record, 0);
+  EXPECT_EQ (e.request, 0xf000000000000001);
+  EXPECT_EQ (e.upstream, 0xf000000000000003);
+  EXPECT_EQ (e.age_ms, 70u);
   EXPECT_EQ (n->routing_version, 41u);
   EXPECT_EQ (n->upstreams_digest, 0x8000000000000001u);
   EXPECT_EQ (n->upstreams_newest, 17u);
@@ -234,3 +241,21 @@
   p.u.layers = { MQ_SPAN ("eng"), 31, 20 };
   EXPECT_EQ (decode (&d, encode (p)), -1);
 }
+
+/* Records of nothing, and more than a message may bear, change no belief.  */
+TEST_F (Parcel, EndsThatCanNotBeAreNoNews)
+{
+  mq_quarantine_record none = { 0, 5, 0 };
+  mq_quarantine_record some = { 4, 5, 0 };
+  mq_parcel_decoded d;
+
+  g_array_append_val (news.ends, none);
+  EXPECT_EQ (decode (&d, encode_news ()), -1);
+  g_array_set_size (news.ends, 0);
+  for (int i = 0; i < MQ_QUARANTINE_TOLD; i++)
+    g_array_append_val (news.ends, some);
+  ASSERT_EQ (decode (&d, encode_news ()), 0);
+  mq_parcel_decoded_finish (&d);
+  g_array_append_val (news.ends, some);
+  EXPECT_EQ (decode (&d, encode_news ()), -1);
+}
