Bring about a stream of two tries on three engines, failing

An engine whose entry is gone counts as ended, and so takes no part in what a route allows; one that leaves without having said so serves on for a while.

--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -440,3 +440,45 @@
   EXPECT_LT (ev_time () - before, 0.2);
   EXPECT_TRUE (u.seen.empty ());
 }
+
+/* A request of two tries was run on three engines (once in some runs of a day
+   on which engines are replaced): an engine whose entry is gone counts as
+   ended, though it may serve on for a while without having said that it
+   leaves.  */
+TEST_F (Gateway, AnEngineThatIsOffTheListAndServesOnCountsAsTried)
+{
+  std::vector<std::string> ran;
+
+  for (const char *domain : { "one", "two", "three" })
+    {
+      Upstream &u
+          = add (std::string ("eng-") + domain, "model", domain, "big");
+
+      u.end = 80;
+      tell (u);
+      u.serve = [&, id = u.id] (mq_http_exchange *x) {
+        ran.push_back (id);
+        u.begin (x);
+        if (ran.size () < 3)
+          {
+            /* Its answer breaks off; it stands, but is listed no more.  */
+            store.remove ("servers", id);
+            ev_once (
+                loop, -1, 0, 0.3,
+                [] (int, void *exchange) {
+                  mq_http_exchange_abort (
+                      static_cast<mq_http_exchange *> (exchange));
+                },
+                x);
+          }
+      };
+    }
+  configure (1);
+  start ();
+  ASSERT_TRUE (ready ());
+  wait (0.05);
+  Answer a;
+  ask (a, "POST", "/stream/1", gateway::key);
+  EXPECT_TRUE (until ([&] { return a.ended; }));
+  EXPECT_LE (ran.size (), 2u);
+}
