Count an engine as ended only when something shows that it has

Cause: an engine off the platform's list counted as ended and took no part in what a route allows. One that leaves without having said so is off the list and serves on.

Change: it counts as ended when nothing listens at its address any more, when it gave no answer there and is off the list, or when a head or its own silence said so. Each break is looked into now, also where no request is suspected, by one connection. Why it holds: an engine that answers connections is never taken out of the count.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -321,10 +321,10 @@
 /* ---- gateway_crash.c  */
 /* An event of FORWARD is about to be passed on.  */
 void mq_crash_note_event (mq_forward *forward, uint64_t now_us);
-/* The run of FORWARD broke off, and UPSTREAM (NULL: none) may have ended under
-   it.  */
-void mq_crash_suspect (mq_forward *forward, mq_upstream *upstream,
-                       uint64_t now_us);
+/* The run of FORWARD broke off, and UPSTREAM (NULL: none) may have ended,
+   maybe under it.  */
+void mq_crash_run_broke (mq_forward *forward, mq_upstream *upstream,
+                         uint64_t now_us);
 /* Look for signs of what has ended.  */
 void mq_crash_tick (mq_gateway *gateway, uint64_t now_us);
 /* Of type GDestroyNotify.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -41,6 +41,7 @@
   unsigned refs;
   mq_upstream_facts facts;
   bool listed; /* Still in the registry.  */
+  bool ended;  /* Nothing listened there any more, or it fell silent.  */
   /* What this router has seen.  */
   unsigned in_flight;        /* Requests, as the first of a path or alone.  */
   uint64_t passed_us;        /* Last send on a path through it; 0: none.  */
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -232,7 +232,7 @@
       mq_upstream_turned_away (u, now_us);
       return;
     }
-  mq_crash_suspect (forward, u, now_us);
+  mq_crash_run_broke (forward, u, now_us);
   mq_upstream_blamed (u, now_us, 0);
 }
 
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -8,8 +8,8 @@
    The suspects of an upstream that ended go into the quarantine
    (mq/quarantine.h).
 
-   An upstream that was to leave is no case: it cuts what still runs when its
-   time is over.  */
+   What ran on an upstream that was to leave is no suspect: it cuts what still
+   runs when its time is over.  */
 
 #include <mq/internal/gateway.h>
 
@@ -30,6 +30,7 @@
   uint64_t started_ms;   /* The start that may have ended.  */
   uint64_t broke_us;
   bool asked;
+  bool answers; /* Something listens at its address.  */
   mq_reach *reach;  /* Borrowed until it reports; NULL: none.  */
   GArray *requests; /* uint64_t: what the suspects ask.  */
 };
@@ -105,6 +106,8 @@
   uint64_t now = mq_gateway_now_us ();
   uint64_t upstream = case_upstream_hash (c);
 
+  if (!c->answers && c->upstream->facts.born_ms == c->started_ms)
+    c->upstream->ended = true;
   ++*g->counters.crashes;
   mq_log (G_LOG_LEVEL_WARNING, "upstream.ended",
           "upstream=%s how=%s suspects=%u ms=%" G_GUINT64_FORMAT,
@@ -141,6 +144,7 @@
   mq_crash_case *c = context;
 
   c->reach = NULL;
+  c->answers = result == MQ_REACH_OPEN;
   if (result == MQ_REACH_REFUSED)
     case_confirm (c, "refused");
 }
@@ -150,24 +154,23 @@
 case_tick (mq_crash_case *c, uint64_t now_us)
 {
   const mq_upstream *u = c->upstream;
+  bool lives = u->accepted_us > c->broke_us || case_runs_on (c);
 
-  /* What says that it leaves lives, and is off the list later.  */
-  if (now_us >= c->broke_us + CASE_US || u->accepted_us > c->broke_us
-      || u->facts.draining || case_runs_on (c))
+  if (!c->asked && !lives)
     {
-      g_ptr_array_remove_fast (c->gateway->crash_cases, c);
+      c->asked = true;
+      c->reach
+          = mq_reach_start (c->gateway->loop, mq_str_span (u->facts.address),
+                            REACH_MS, case_on_reach, c);
       return;
     }
-  if (!u->listed || u->facts.born_ms != c->started_ms)
-    {
-      case_confirm (c, u->listed ? "started-again" : "left-the-list");
-      return;
-    }
-  if (c->asked)
+  if (c->reach != NULL)
     return;
-  c->asked = true;
-  c->reach = mq_reach_start (c->gateway->loop, mq_str_span (u->facts.address),
-                             REACH_MS, case_on_reach, c);
+  /* What says that it leaves lives, and is off the list later.  */
+  if (lives || u->facts.draining || now_us >= c->broke_us + CASE_US)
+    g_ptr_array_remove_fast (c->gateway->crash_cases, c);
+  else if (!u->listed || u->facts.born_ms != c->started_ms)
+    case_confirm (c, u->listed ? "started-again" : "left-the-list");
 }
 
 void
@@ -202,15 +205,22 @@
              || now_us < forward->run_began_us + MQ_QUARANTINE_BEGIN_US);
 }
 
+/* May UPSTREAM have ended under a request, rather than by plan?  */
+static bool
+upstream_may_crash (const mq_upstream *upstream, uint64_t now_us)
+{
+  return upstream->listed && !upstream->facts.draining
+         && !mq_upstream_is_leaving (upstream, now_us);
+}
+
 void
-mq_crash_suspect (mq_forward *forward, mq_upstream *upstream, uint64_t now_us)
+mq_crash_run_broke (mq_forward *forward, mq_upstream *upstream,
+                    uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
   mq_crash_case *c;
 
-  if (upstream == NULL || !upstream->listed || upstream->facts.draining
-      || mq_upstream_is_leaving (upstream, now_us)
-      || !forward_just_began (forward, now_us))
+  if (upstream == NULL)
     return;
   c = case_of (g, upstream);
   if (c != NULL && now_us > c->broke_us + MQ_QUARANTINE_SAME_BREAK_US)
@@ -221,5 +231,7 @@
     }
   if (c == NULL)
     c = case_open (g, upstream, now_us);
-  case_add (c, mq_forward_content (forward));
+  if (upstream_may_crash (upstream, now_us)
+      && forward_just_began (forward, now_us))
+    case_add (c, mq_forward_content (forward));
 }
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -146,7 +146,7 @@
         mq_upstream_failed (forward->upstream, now_us);
       break;
     case MQ_SEND_BROKEN:
-      mq_crash_suspect (forward, forward->upstream, now_us);
+      mq_crash_run_broke (forward, forward->upstream, now_us);
       /* Fall through.  */
     case MQ_SEND_SILENT:
       /* On a path the fault may lie with any of its engines; the head's
@@ -180,14 +180,19 @@
 }
 
 /* Count the upstreams that ran FORWARD; one that has ended meanwhile takes no
-   part in what a route allows.  */
+   part in what a route allows.  That it is off the platform's list is not
+   enough: some serve on for a while that have not said that they leave.  */
 static void
 forward_count_upstreams (mq_forward *forward)
 {
   forward->state.sent = 0;
   for (guint i = 0; i < forward->ran->len; i++)
-    if (((mq_upstream *)g_ptr_array_index (forward->ran, i))->listed)
-      forward->state.sent++;
+    {
+      const mq_upstream *u = g_ptr_array_index (forward->ran, i);
+
+      if (u->listed || !u->ended)
+        forward->state.sent++;
+    }
 }
 
 void
@@ -333,8 +338,11 @@
 void
 mq_forward_fail_through (mq_gateway *gateway, mq_span address, const char *why)
 {
+  mq_upstream *u = mq_registry_at (&gateway->registry, address);
   GList *next;
 
+  if (u != NULL)
+    u->ended = true;
   for (GList *l = gateway->forwards.head; l != NULL; l = next)
     {
       mq_forward *f = l->data;
@@ -342,8 +350,7 @@
       next = l->next;
       if (!forward_passes (f, address))
         continue;
-      mq_crash_suspect (f, mq_registry_at (&gateway->registry, address),
-                        mq_gateway_now_us ());
+      mq_crash_run_broke (f, u, mq_gateway_now_us ());
       mq_forward_send_ended (f, MQ_SEND_SILENT, 0, why);
     }
 }
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -468,6 +468,7 @@
 {
   mq_upstream_accepted (upstream, sent_us);
   upstream->refuted_us = MAX (upstream->refuted_us, upstream->told_aside_us);
+  upstream->ended = false;
   upstream->failures = 0;
   upstream->aside_until_us = 0;
   upstream->blamed_until_us = 0;
