--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -30,7 +30,7 @@
   uint64_t started_ms;   /* The start that may have ended.  */
   uint64_t broke_us;
   bool asked;
-  bool answers; /* Something listens at its address.  */
+  bool answers;     /* Something listens at its address.  */
   mq_reach *reach;  /* Borrowed until it reports; NULL: none.  */
   GArray *requests; /* uint64_t: what the suspects ask.  */
 };
