Let requests wait for a new router's first configuration

Cause: what came before the configuration was refused, though a store that answers brings it within 0.1 s.

Change: for the first second after its start a router lets such requests wait, 1,024 at most, and routes them when the configuration and the list of upstreams are there. Their time counts from when they came. After that second nothing is known to be coming, and requests are refused at once, as before.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -197,6 +197,7 @@
   ev_timer tick;
   ev_timer silence_timer; /* Looks for streams that have fallen silent.  */
   unsigned ticks;
+  GQueue early_requests;  /* Came before the configuration; owned.  */
   GQueue forwards;        /* mq_forward, owned.  */
   GHashTable *services;   /* Name -> mq_service_state, owned.  */
   GHashTable *ways;       /* Key of a way to serve -> mq_way_load, owned.  */
@@ -274,6 +275,9 @@
 
 /* ---- gateway_front.c  */
 void mq_gateway_on_client (void *context, const mq_http_server_event *event);
+/* Route or refuse requests that came before the configuration.  */
+void mq_front_tick (mq_gateway *gateway, uint64_t now_us);
+void mq_front_finish (mq_gateway *gateway);
 void mq_gateway_on_readiness (void *context,
                               const mq_http_server_event *event);
 void mq_gateway_on_directory (void *context,
@@ -300,10 +304,12 @@
 void mq_gateway_on_metrics (void *context, const mq_http_server_event *event);
 
 /* ---- gateway_forward.c  */
-/* Begin to serve EXCHANGE; the arguments are as in the structure.  */
+/* Begin to serve EXCHANGE, which came at ARRIVED_US; the other arguments are
+   as in the structure.  */
 void mq_forward_start (mq_gateway *gateway, mq_http_exchange *exchange,
                        const mq_route *route,
-                       const mq_route_organisation *organisation);
+                       const mq_route_organisation *organisation,
+                       uint64_t arrived_us);
 /* The client is gone.  */
 void mq_forward_cancel (mq_forward *forward);
 /* The send under way ended as END.  May free FORWARD.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -176,6 +176,7 @@
   for (GList *l = g->forwards.head; l != NULL; l = l->next)
     mq_forward_check_silence (l->data, now);
   mq_budget_transfer_tick (g, now);
+  mq_front_tick (g, now);
 }
 
 static mq_http_server *
@@ -239,6 +240,7 @@
   mq_registry_init (&g->registry);
   mq_entry_list_init (&g->upstream_list);
   g_queue_init (&g->forwards);
+  g_queue_init (&g->early_requests);
   g->metrics = mq_metrics_new ();
   mq_gateway_metrics_init (g);
   mq_gateway_quarantine_init (g);
@@ -286,6 +288,7 @@
   mq_feed_stop (&g->routing_feed);
   mq_feed_stop (&g->upstream_feed);
   mq_forward_free_all (g);
+  mq_front_finish (g);
   mq_gateway_quarantine_finish (g);
   g_ptr_array_unref (g->path_probes);
   mq_http_server_free (g->clients);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -427,7 +427,7 @@
 }
 
 static void
-forward_init_state (mq_forward *forward, uint64_t now_us)
+forward_init_state (mq_forward *forward, uint64_t arrived_us)
 {
   mq_forward *f = forward;
   uint64_t left = request_number (
@@ -439,14 +439,15 @@
   f->state = (mq_forward_state){ .kind = f->route->kind,
                                  .resumable = f->route->resumable,
                                  .attempts = f->route->attempts,
-                                 .now_us = now_us,
-                                 .deadline_us = now_us + ms * 1000 };
+                                 .now_us = arrived_us,
+                                 .deadline_us = arrived_us + ms * 1000 };
 }
 
 void
 mq_forward_start (mq_gateway *gateway, mq_http_exchange *exchange,
                   const mq_route *route,
-                  const mq_route_organisation *organisation)
+                  const mq_route_organisation *organisation,
+                  uint64_t arrived_us)
 {
   uint64_t now = mq_gateway_now_us ();
   mq_forward *f = g_new0 (mq_forward, 1);
@@ -459,7 +460,7 @@
   f->route = route;
   f->organisation = organisation;
   f->service = mq_routing_draw (f->routing, route, mq_gateway_draw (gateway));
-  f->started_us = now;
+  f->started_us = arrived_us;
   f->heard_us = now;
   f->id = mq_http_exchange_header (exchange, h->request_id);
   f->tried
@@ -469,7 +470,7 @@
   mq_log_story_init (&f->story);
   mq_event_split_init (&f->split,
                        request_number (exchange, h->last_event_id, 0));
-  forward_init_state (f, now);
+  forward_init_state (f, arrived_us);
   g_queue_push_tail_link (&gateway->forwards, &f->link);
   mq_http_exchange_set_user (exchange, f);
   if (f->service == NULL)
@@ -478,6 +479,11 @@
                       "no-service");
       return;
     }
+  if (now >= f->state.deadline_us)
+    {
+      forward_give_up (f, true, "deadline");
+      return;
+    }
   forward_set_need (f);
   mq_send_budget_request (&mq_gateway_service (gateway, f->service)->budget,
                           mq_roster_alive (&gateway->roster, now) + 1, now);
--- a/packages/gateway/gateway_front.c
+++ b/packages/gateway/gateway_front.c
@@ -14,6 +14,12 @@
 /* A router without configuration learns one within this.  */
 #define UNREADY_RETRY_MS 500
 
+/* After its start a router lets requests wait for its first configuration up
+   to this age; a store that answers gives it one much sooner.  A refusal would
+   use up one of the few tries that a client makes.  */
+#define START_WAIT_US ((uint64_t)1000 * 1000)
+#define MAX_EARLY_REQUESTS 1024
+
 /* Addresses in one answer of the directory.  */
 #define DIRECTORY_MOST 64
 /* A domain with so many routers that serve is enough for its clients.  */
@@ -95,20 +101,15 @@
          || (gateway->drain_closed && route->kind == MQ_ROUTE_STREAM);
 }
 
+/* Route EXCHANGE, which came at ARRIVED_US, by the configuration in force.  */
 static void
-take_request (mq_gateway *gateway, mq_http_exchange *exchange)
+route_request (mq_gateway *gateway, mq_http_exchange *exchange,
+               uint64_t arrived_us)
 {
   const mq_route_organisation *organisation = NULL;
   const mq_routing *r = gateway->routing;
   const mq_route *route;
 
-  ++*gateway->counters.requests;
-  if (r == NULL || !gateway->upstreams_known)
-    {
-      refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE,
-                      "no-configuration");
-      return;
-    }
   route = mq_routing_match (r, mq_http_exchange_header (exchange, "Host"),
                             mq_http_exchange_path (exchange));
   if (route == NULL)
@@ -138,7 +139,107 @@
       refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE, "draining");
       return;
     }
-  mq_forward_start (gateway, exchange, route, organisation);
+  mq_forward_start (gateway, exchange, route, organisation, arrived_us);
+}
+
+/* ---- Requests that come before the configuration.  */
+
+typedef struct early_request
+{
+  mq_http_exchange *exchange; /* One reference.  */
+  uint64_t arrived_us;
+} early_request;
+
+static void
+early_request_free (early_request *early)
+{
+  mq_http_exchange_unref (early->exchange);
+  g_free (early);
+}
+
+static bool
+knows_configuration (const mq_gateway *gateway)
+{
+  return gateway->routing != NULL && gateway->upstreams_known;
+}
+
+/* May a request that comes now wait for the configuration?  */
+static bool
+may_wait_for_configuration (const mq_gateway *gateway, uint64_t now_us)
+{
+  return now_us - gateway->started_us < START_WAIT_US
+         && gateway->early_requests.length < MAX_EARLY_REQUESTS;
+}
+
+static void
+early_request_add (mq_gateway *gateway, mq_http_exchange *exchange,
+                   uint64_t now_us)
+{
+  early_request *e = g_new (early_request, 1);
+
+  e->exchange = mq_http_exchange_ref (exchange);
+  e->arrived_us = now_us;
+  g_queue_push_tail (&gateway->early_requests, e);
+}
+
+/* The client of EXCHANGE is gone.  */
+static void
+early_request_remove (mq_gateway *gateway, const mq_http_exchange *exchange)
+{
+  for (GList *l = gateway->early_requests.head; l != NULL; l = l->next)
+    {
+      early_request *e = l->data;
+
+      if (e->exchange != exchange)
+        continue;
+      g_queue_delete_link (&gateway->early_requests, l);
+      early_request_free (e);
+      return;
+    }
+}
+
+void
+mq_front_tick (mq_gateway *gateway, uint64_t now_us)
+{
+  GQueue *q = &gateway->early_requests;
+  bool known = knows_configuration (gateway);
+
+  while (q->length > 0
+         && (known || now_us - gateway->started_us >= START_WAIT_US))
+    {
+      early_request *e = g_queue_pop_head (q);
+
+      if (known)
+        route_request (gateway, e->exchange, e->arrived_us);
+      else
+        refuse_request (gateway, e->exchange, MQ_STATUS_UNAVAILABLE,
+                        "no-configuration");
+      early_request_free (e);
+    }
+}
+
+void
+mq_front_finish (mq_gateway *gateway)
+{
+  early_request *e;
+
+  while ((e = g_queue_pop_head (&gateway->early_requests)) != NULL)
+    early_request_free (e);
+}
+
+static void
+take_request (mq_gateway *gateway, mq_http_exchange *exchange)
+{
+  uint64_t now = mq_gateway_now_us ();
+
+  ++*gateway->counters.requests;
+  if (knows_configuration (gateway))
+    route_request (gateway, exchange, now);
+  else if (may_wait_for_configuration (gateway, now))
+    early_request_add (gateway, exchange, now);
+  else
+    refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE,
+                    "no-configuration");
 }
 
 void
@@ -158,6 +259,8 @@
     case MQ_HTTP_SERVER_GONE:
       if (f != NULL)
         mq_forward_cancel (f);
+      else
+        early_request_remove (context, event->exchange);
       break;
     }
 }
--- a/tests/test_gateway.cc
+++ b/tests/test_gateway.cc
@@ -23,6 +23,65 @@
       503u);
 }
 
+/* All routers of a fleet were killed and started again at once, and refused
+   what came in the tenth of a second before they knew the configuration; 313
+   requests lost their only further try by that.  */
+TEST_F (Gateway, ARequestThatComesBeforeTheConfigurationWaitsForIt)
+{
+  Answer early, other;
+
+  add ("app-a", "app");
+  start ();
+  ask (early, "GET", "/safe/1", key);
+  ask (other, "GET", "/nowhere/1", key);
+  wait (0.2);
+  EXPECT_FALSE (early.ended);
+  configure (1);
+  ASSERT_TRUE (until ([&] { return early.ended && other.ended; }));
+  EXPECT_EQ (early.status, 200u);
+  EXPECT_EQ (other.status, 404u);
+  /* The engine is not told more time than the client has left.  */
+  EXPECT_LT (std::stoul (upstreams[0]->seen.at (0).headers.at (
+                 "Marjoramquay-Time-Budget-Ms")),
+             1500u - 190u);
+}
+
+/* A router that has learnt nothing in a second refuses what comes then at
+   once.  */
+TEST_F (Gateway, WhatComesLaterWithoutAConfigurationIsRefusedAtOnce)
+{
+  Answer first;
+  ev_tstamp before;
+
+  start ();
+  ask (first, "GET", "/safe/1", key);
+  wait (0.5);
+  EXPECT_FALSE (first.ended);
+  ASSERT_TRUE (until ([&] { return first.ended; }));
+  EXPECT_EQ (first.status, 503u);
+  EXPECT_FALSE (first.retry_after.empty ());
+  before = ev_time ();
+  EXPECT_EQ (fetch ("GET", "/safe/1").status, 503u);
+  EXPECT_LT (ev_time () - before, 0.1);
+}
+
+/* Its client left meanwhile: it is not served.  */
+TEST_F (Gateway, AnEarlyRequestWhoseClientLeftIsNotSent)
+{
+  Answer early;
+
+  add ("app-a", "app");
+  start ();
+  mq_http_call *call = ask (early, "POST", "/unsafe/1", key);
+  wait (0.1);
+  mq_http_call_cancel (call);
+  wait (0.1);
+  configure (1);
+  ASSERT_TRUE (ready ());
+  wait (0.1);
+  EXPECT_TRUE (upstreams[0]->seen.empty ());
+}
+
 TEST_F (Gateway, ARequestReachesAnInstanceAsItWasSent)
 {
   plain ();
