Count borrowed sends at lender and borrower; lend nothing in a drain

Cause: a lender that ends takes its charge with it, while the borrower's sends were counted nowhere else; in a fleet that restarts in turn many do.

Change: the borrower counts what it sends on credit in its own part as well, and a router that drains lends nothing.

What a process sent that ended must be known to all before more of the bound can be used.

--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -7,8 +7,9 @@
 
    A stage that dies hits the streams of some routers more than of others, so
    what is left unused is lent.  A router that runs short asks others, who hand
-   over sends of their parts and count them as made: the sum over all stays as
-   it is, whatever is lost on the way or whoever ends.
+   over sends of their parts and count them as made.  The borrower counts them
+   too: so they are known of whichever of the two ends, and whatever is lost on
+   the way.
 
    Besides, beyond its part a router may send while the fleet's sum, as its
    peers last told, is below half of the bound.  The other half covers what all
@@ -81,8 +82,8 @@
                               uint64_t now_us);
 
 /* Another router handed over SENDS.  They go before this router's own part,
-   and lapse after a moment, since the lender counts them for one window from
-   when it lent them.  */
+   though they are counted in it, and lapse after a moment, since the lender
+   counts them for one window from when it lent them.  */
 void mq_send_budget_borrow (mq_send_budget *budget, unsigned sends,
                             uint64_t now_us);
 
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -168,12 +168,17 @@
 
   if (back == NULL || service_find (g, request->service, &s) == NULL)
     return;
-  grant.sends = s->borrow_open > 0
+  /* What this router counts is soon forgotten when it leaves.  */
+  grant.sends = s->borrow_open > 0 || g->mode != MQ_GATEWAY_SERVING
                     ? 0
                     : mq_send_budget_lend (
                         &s->budget, mq_roster_busy (&g->roster, now),
                         mq_roster_sends (&g->roster, request->service, now),
                         request->sends, now);
+  mq_log (G_LOG_LEVEL_INFO, "budget.lent",
+          "service=%016" G_GINT64_MODIFIER "x sends=%u of=%u borrower=%.*s",
+          request->service, grant.sends, request->sends,
+          MQ_SPAN_ARG (request->borrower));
   if (grant.sends > 0)
     {
       *g->counters.budget_lent += grant.sends;
@@ -300,6 +305,10 @@
       || grant->serial != s->borrow_serial)
     return;
   sends = MIN (grant->sends, s->borrow_open);
+  mq_log (G_LOG_LEVEL_INFO, "budget.borrowed",
+          "service=%016" G_GINT64_MODIFIER "x sends=%u of=%u"
+          " ms=%" G_GUINT64_FORMAT,
+          grant->service, sends, s->borrow_open, (now - s->borrow_us) / 1000);
   if (sends == 0)
     return;
   s->borrow_open -= sends;
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -152,10 +152,7 @@
 mq_send_budget_spend (mq_send_budget *budget, uint64_t now_us)
 {
   if (budget_borrowed (budget, now_us) > 0)
-    {
-      budget->borrowed--;
-      return;
-    }
+    budget->borrowed--;
   budget_advance (budget, now_us);
   budget->more[budget->slice % (MQ_SEND_BUDGET_SLICES + 1)]++;
 }
