--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -15,23 +15,23 @@
 
 G_BEGIN_DECLS
 
-/* One way to serve a request.  */
+/* A path that could serve a request.  */
 typedef struct mq_domain_choice
 {
-  mq_span domain;    /* Borrowed.  */
-  double room;       /* Tokens that its tightest stage holds.  */
-  double used;       /* Tokens in flight, of all routers.  */
-  double step_ms;    /* Of a token on its path, without load.  */
-  bool tried;        /* A send of the same request failed there.  */
-  bool local;        /* The router's own domain.  */
-  double reading_ms; /* Until the prompts that it has are read.  */
-  double prefill_ms; /* To read the request's own prompt; 0: not known.  */
+  mq_span domain;          /* Borrowed.  */
+  double room;             /* Tokens that its tightest stage holds.  */
+  double used;             /* Tokens in flight, of all routers.  */
+  double step_ms;          /* Of a token on its path, without load.  */
+  bool tried;              /* A send of the same request failed there.  */
+  bool local;              /* The router's own domain.  */
+  double prefill_queue_ms; /* Until the prompts queued there are prefilled.  */
+  double prefill_ms;       /* To prefill the request's own; 0: not known.  */
 } mq_domain_choice;
 
 /* What a request is to the router.  */
 typedef enum mq_domain_rank
 {
-  MQ_DOMAIN_RETURNED, /* It was refused before, and will be late anyhow.  */
+  MQ_DOMAIN_RETRY, /* A retry after a rejection; it will be late anyhow.  */
   MQ_DOMAIN_NEW,
   MQ_DOMAIN_BEGUN /* Part of its answer was given.  */
 } mq_domain_rank;
@@ -46,17 +46,18 @@
   uint64_t draw;    /* Even over 64 bits.  */
 } mq_domain_request;
 
-/* No way has memory for it, or those that have must read too much before.  */
+/* No path has memory for it, or those that have must prefill too much before.
+ */
 #define MQ_DOMAIN_NO_ROOM (-1)
-#define MQ_DOMAIN_READING (-2)
+#define MQ_DOMAIN_PREFILLING (-2)
 
-/* Choose among N ways for REQUEST: the index of one, or one of the above.  */
+/* Choose among N paths for REQUEST: the index of one, or one of the above.  */
 int mq_domain_choose (const mq_domain_choice *choices, size_t n,
                       const mq_domain_request *request);
 
 /* When a refused client that has LEFT_MS should come back, in ms.  DRAW, even
    over 64 bits, spreads those who are refused together.  */
-unsigned mq_domain_return_ms (uint64_t left_ms, uint64_t draw);
+unsigned mq_domain_retry_after_ms (uint64_t left_ms, uint64_t draw);
 
 /* Tokens that a request will hold at its end: PROMPT and what is expected of
    an answer of at most MOST tokens, given the client's ESTIMATE (0: none)
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -96,21 +96,21 @@
   mq_layer_plan plan;     /* Of a layered model.  */
 } mq_service_state;
 
-/* What this router has in flight on one way to serve.  */
-typedef struct mq_way_load
+/* What this router has in flight on one path.  */
+typedef struct mq_path_load
 {
   double tokens;  /* Held, or going to be.  */
   double reading; /* Of prompts whose first event has not come.  */
   mq_latency_estimate first_event; /* From a send to its first event ...  */
   mq_latency_estimate event_gap;   /* ... and between two of a run.  */
-} mq_way_load;
+} mq_path_load;
 
 /* Why a request was not placed, or that it was.  */
 typedef enum mq_placing
 {
   MQ_PLACED,
   MQ_PLACING_NO_ROOM,
-  MQ_PLACING_READING /* There is room, but too much is read before.  */
+  MQ_PLACING_PREFILLING /* There is room, but too much is read before.  */
 } mq_placing;
 
 typedef struct mq_gateway_counters
@@ -133,8 +133,8 @@
   uint64_t *routing_age_ms;
   uint64_t *upstreams_age_ms;
   uint64_t *upstreams;
-  uint64_t *upstreams_aside;
-  uint64_t *upstreams_turning_away;
+  uint64_t *upstreams_ejected;
+  uint64_t *upstreams_rejecting;
   uint64_t *upstreams_slow;
   uint64_t *routers;
   uint64_t *relays;
@@ -197,13 +197,13 @@
   ev_timer tick;
   ev_timer silence_timer; /* Looks for streams that have fallen silent.  */
   unsigned ticks;
-  GQueue early_requests;  /* Came before the configuration; owned.  */
-  GQueue forwards;        /* mq_forward, owned.  */
-  GHashTable *services;   /* Name -> mq_service_state, owned.  */
-  GHashTable *ways;       /* Key of a way to serve -> mq_way_load, owned.  */
-  unsigned reading_ranks; /* A bit each mq_domain_rank that found all ways
+  GQueue early_requests;     /* Came before the configuration; owned.  */
+  GQueue forwards;           /* mq_forward, owned.  */
+  GHashTable *services;      /* Name -> mq_service_state, owned.  */
+  GHashTable *paths;         /* Key of a path -> mq_path_load, owned.  */
+  unsigned prefilling_ranks; /* A bit each mq_domain_rank that found all paths
                              reading in this tick.  */
-  bool drain_closed;      /* No new connection and no new stream.  */
+  bool drain_closed;         /* No new connection and no new stream.  */
   uint64_t drain_close_us;
   uint64_t drain_last_us; /* No new request at all.  */
   uint64_t drain_until_us;
@@ -239,12 +239,12 @@
   GPtrArray *ran;        /* Those that ran it, or may have; the same.  */
   bool ran_anew;         /* The last of these is that of this send.  */
   mq_layer_path path;    /* Empty for plain services.  */
-  mq_str *way;           /* Where its tokens are counted, or NULL.  */
+  mq_str *path_key;      /* Where its tokens are counted, or NULL.  */
   double need;           /* Tokens.  */
   double prompt;         /* Of these, the prompt's.  */
   double reading;        /* The prompt, until its send's first event.  */
   double used;           /* In flight there when it was placed.  */
-  bool waits;            /* For a way; it was not placed yet.  */
+  bool waits;            /* For a path; it was not placed yet.  */
   mq_http_call *call;    /* Borrowed; NULL between sends.  */
   uint64_t sent_us;      /* Of the last send.  */
   uint64_t heard_us;     /* Last byte of the answer, or the send.  */
@@ -321,8 +321,8 @@
 /* How long ago it came.  */
 uint64_t mq_forward_age_ms (const mq_forward *forward);
 /* No upstream can take FORWARD: answer it.  Frees FORWARD.  */
-void mq_forward_turn_away (mq_forward *forward, unsigned retry_ms,
-                           const char *why);
+void mq_forward_reject (mq_forward *forward, unsigned retry_ms,
+                        const char *why);
 /* Look at deadlines and patience.  May free FORWARD.  */
 void mq_forward_tick (mq_forward *forward, uint64_t now_us);
 /* Probe the path of FORWARD when its stream has been silent for unusually
@@ -376,17 +376,18 @@
 mq_placing mq_forward_place (mq_forward *forward, uint64_t now_us,
                              unsigned *retry_ms);
 /* The first event of FORWARD's send came: its prompt has been read.  */
-void mq_forward_note_read (mq_forward *forward);
-/* What FORWARD is to the choice of a way.  */
+void mq_forward_note_prefilled (mq_forward *forward);
+/* What FORWARD is to the choice of a path.  */
 mq_domain_rank mq_forward_rank (const mq_forward *forward);
 /* Does FORWARD still wait while prompts are read that came before it?  */
-bool mq_forward_is_patient (const mq_forward *forward, uint64_t now_us);
+bool mq_forward_may_wait_for_prefill (const mq_forward *forward,
+                                      uint64_t now_us);
 /* May FORWARD leave its run, and is there another head that would take it
    now?  */
 bool mq_forward_can_move (mq_forward *forward, uint64_t now_us);
 /* The load and latencies of the path that FORWARD was placed on; NULL: none.
    Borrowed until the gateway ends.  */
-mq_way_load *mq_forward_way_load (const mq_forward *forward);
+mq_path_load *mq_forward_path_load (const mq_forward *forward);
 /* Give up the place.  */
 void mq_forward_unplace (mq_forward *forward);
 
@@ -478,7 +479,7 @@
 
 /* ---- gateway_stall.c  */
 /* FORWARD has heard nothing for long: ask the head of its path.  */
-void mq_stall_ask (mq_gateway *gateway, mq_upstream *head);
+void mq_stall_ask_head (mq_gateway *gateway, mq_upstream *head);
 /* A stream on PATH goes on slowly: ask its engines for their paces.  */
 void mq_stall_ask_paces (mq_gateway *gateway, const mq_layer_path *path);
 /* ENGINE can't be connected to: all requests through it go on elsewhere.  */
--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -17,7 +17,7 @@
    usual load when the third is being repaired.  */
 #define MQ_PLAN_TOKENS_WANTED 120000.0
 /* Below this a stage is worth nothing: some ten requests.  */
-#define MQ_PLAN_TOKENS_LEAST 8000.0
+#define MQ_PLAN_MIN_TOKENS 8000.0
 /* Between two levels that are tried.  */
 #define MQ_PLAN_TOKENS_STEP 0.93
 
--- a/include/mq/news.h
+++ b/include/mq/news.h
@@ -45,12 +45,12 @@
   unsigned capacity; /* Thousandths of a processor.  */
 } mq_news_router;
 
-/* Tokens in flight on one way to serve.  */
-typedef struct mq_way_tokens
+/* Tokens in flight on one path.  */
+typedef struct mq_path_tokens
 {
-  uint64_t way; /* Hash of its key, the same in each router.  */
+  uint64_t path; /* Hash of its key, the same in each router.  */
   double tokens;
-} mq_way_tokens;
+} mq_path_tokens;
 
 /* Requests and further sends of one service.  */
 typedef struct mq_service_sends
@@ -93,7 +93,7 @@
      all but the receiver's in a digest.  */
   unsigned age_ms;  /* How old the oldest of these may be.  */
   unsigned busy;    /* Routers that had requests in the window.  */
-  GArray *ways;     /* mq_way_tokens.  */
+  GArray *paths;    /* mq_path_tokens.  */
   GArray *sends;    /* mq_service_sends.  */
   GArray *findings; /* mq_news_finding.  */
   GArray *ends;     /* mq_quarantine_record: of upstreams under requests.  */
@@ -111,10 +111,10 @@
 void mq_news_init (mq_news *news, mq_news_kind kind);
 void mq_news_finish (mq_news *news);
 
-/* The count of WAY in WAYS (mq_way_tokens), or 0.  */
-double mq_way_tokens_of (const GArray *ways, uint64_t way);
-/* Add TOKENS to the count of WAY.  */
-void mq_way_tokens_add (GArray *ways, uint64_t way, double tokens);
+/* The count of PATH in PATHS (mq_path_tokens), or 0.  */
+double mq_path_tokens_of (const GArray *paths, uint64_t path);
+/* Add TOKENS to the count of PATH.  */
+void mq_path_tokens_add (GArray *paths, uint64_t path, double tokens);
 
 /* The counts of SERVICE in SENDS (mq_service_sends), or zeros.  */
 mq_send_counts mq_service_sends_of (const GArray *sends, uint64_t service);
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -45,7 +45,7 @@
 #define MQ_QUARANTINE_SAME_BREAK_US ((uint64_t)200 * 1000)
 /* Suspects of one end that a router tells of.  More had just begun there only
    when all of them waited to be read.  */
-#define MQ_QUARANTINE_STOOD_MOST 16
+#define MQ_QUARANTINE_MAX_STOOD 16
 /* Records in one message to another router.  */
 #define MQ_QUARANTINE_TOLD 64
 
--- a/include/mq/roster.h
+++ b/include/mq/roster.h
@@ -77,7 +77,7 @@
   bool known_alive;          /* The log says that it lives.  */
   mq_news_kind kind;         /* Of its news that the counts are from.  */
   unsigned busy;             /* As in mq_news, like the next three.  */
-  GArray *ways;
+  GArray *paths;
   GArray *sends;
   GArray *serving;   /* mq_news_router, whose texts are SERVING_TEXTS'.  */
   GArray *elsewhere; /* The same.  */
@@ -122,10 +122,10 @@
   bool relays;               /* This router is a relay.  */
   bool had_candidate; /* Another of the domain might live, last time.  */
   mq_roster_self self;
-  GArray *ways;         /* Own counts: mq_way_tokens ...  */
+  GArray *paths;        /* Own counts: mq_path_tokens ...  */
   GArray *sends;        /* ... and mq_service_sends.  */
   mq_serving_need need; /* Of the domain.  */
-  GArray *other_ways;   /* Sums over all others, as of SUMMED_US.  */
+  GArray *other_paths;  /* Sums over all others, as of SUMMED_US.  */
   GArray *other_sends;
   unsigned other_busy;
   uint64_t summed_us; /* 0: not yet, or something changed.  */
@@ -262,8 +262,8 @@
 void mq_roster_sum_domain (mq_roster *roster, mq_news *news, uint64_t now_us);
 void mq_roster_sum_all_but (mq_roster *roster, const mq_roster_router *to,
                             mq_news *news, uint64_t now_us);
-/* What all other routers have in flight on WAY.  */
-double mq_roster_tokens (mq_roster *roster, uint64_t way, uint64_t now_us);
+/* What all other routers have in flight on PATH.  */
+double mq_roster_tokens (mq_roster *roster, uint64_t path, uint64_t now_us);
 /* What all others sent of SERVICE in the window.  */
 mq_send_counts mq_roster_sends (mq_roster *roster, uint64_t service,
                                 uint64_t now_us);
--- a/include/mq/serving_set.h
+++ b/include/mq/serving_set.h
@@ -21,7 +21,7 @@
 G_BEGIN_DECLS
 
 /* The fewest routers of a set, where a domain has so many.  */
-#define MQ_SERVING_LEAST 6
+#define MQ_SERVING_MIN 6
 
 /* How many of N routers, whose CAPACITIES stand in the order in which they
    are taken, serve what uses USED; all in thousandths of a processor.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -46,34 +46,35 @@
   unsigned in_flight;        /* Requests, as the first of a path or alone.  */
   uint64_t passed_us;        /* Last send on a path through it; 0: none.  */
   unsigned failures;         /* In a row.  */
-  uint64_t aside_until_us;   /* Not chosen before; 0 when sound.  */
-  uint64_t blamed_until_us;  /* The same, where engines themselves say so.  */
-  uint64_t aside_span_us;    /* How long it was last put aside.  */
-  uint64_t told_aside_us;    /* Others say that it is to be passed over up to
-                                then ... */
-  mq_finding_source told_by; /* ... and this one does.  */
-  uint64_t refuted_us;       /* What others said of it up to then is not so: a
-                                request through it ended well.  */
-  double pace;               /* 1: as fast as its card; 0: not told.  */
-  uint64_t pace_until_us;    /* That long the pace counts.  */
-  mq_finding_source pace_by; /* Who asked the engine for it.  */
-  uint64_t reported_us;      /* When it was last asked how it does.  */
-  uint64_t probed_us;        /* Last probe of a path that begins there.  */
-  uint64_t crowded_until_us; /* Work waits there: nothing new before.  */
-  uint64_t turned_us;        /* When it last turned a request away, alive.  */
-  uint64_t turned_span_us;   /* For so long after it gets none.  */
-  uint64_t refuses_since_us; /* All that was sent since was turned away.  */
+  uint64_t ejected_until_us; /* Not chosen before; 0 when sound.  */
+  uint64_t
+      reported_down_until_us; /* The same, where engines themselves say so.  */
+  uint64_t ejection_span_us;  /* How long it was last ejected.  */
+  uint64_t told_ejected_us;   /* Others say that it is to be passed over up to
+                               then ... */
+  mq_finding_source told_by;  /* ... and this one does.  */
+  uint64_t refuted_us;        /* What others said of it up to then is not so: a
+                                 request through it ended well.  */
+  double pace;                /* 1: as fast as its card; 0: not told.  */
+  uint64_t pace_until_us;     /* That long the pace counts.  */
+  mq_finding_source pace_by;  /* Who asked the engine for it.  */
+  uint64_t reported_us;       /* When it was last asked how it does.  */
+  uint64_t probed_us;         /* Last probe of a path that begins there.  */
+  uint64_t crowded_until_us;  /* Work waits there: nothing new before.  */
+  uint64_t rejected_us;       /* When it last turned a request away, alive.  */
+  uint64_t rejecting_span_us; /* For so long after it gets none.  */
+  uint64_t rejecting_since_us; /* All that was sent since was turned away.  */
   uint64_t accepted_us; /* When the last was sent that it took; 0: none.  */
-  uint64_t told_refuses_us; /* Others say that it gets none up to then ...  */
-  mq_finding_source refuses_by; /* ... and this one does.  */
-  unsigned wide_layers;         /* It held so many until lately ...  */
-  uint64_t wide_until_us;       /* ... and their memory is free by then.  */
+  uint64_t told_rejecting_us; /* Others say that it gets none up to then ... */
+  mq_finding_source rejecting_by; /* ... and this one does.  */
+  unsigned wide_layers;           /* It held so many until lately ...  */
+  uint64_t wide_until_us;         /* ... and their memory is free by then.  */
   uint64_t orders;        /* Accepted by this incarnation, as far as known.  */
   uint64_t told_us;       /* When the platform told of other layers.  */
   uint64_t doubt_us;      /* Since when the count of orders is in doubt.  */
   bool orders_unknown;    /* An order's fate is open: ask before the next.  */
   bool asked;             /* A report of that is under way.  */
-  bool looked_into;       /* A report about its requests' silence is.  */
+  bool report_pending;    /* A report about its requests' silence is.  */
   uint64_t ordered_us;    /* Last order sent by this router.  */
   uint64_t order_hold_us; /* No order before: it refused one.  */
   unsigned ordered_first; /* What that order asked for.  */
@@ -156,7 +157,7 @@
 
 /* The same, as BY found it out, for SPAN_US more; passed over while this
    router knows it.  */
-void mq_upstream_hear_pace (mq_upstream *upstream, double pace,
+void mq_upstream_take_pace (mq_upstream *upstream, double pace,
                             uint64_t span_us, mq_finding_source by,
                             uint64_t now_us);
 
@@ -175,30 +176,31 @@
    to leave.  It lives and may go on with what it has, so no other router and
    no plan of layers need know; new work goes elsewhere for a moment, for
    longer each time that it refuses again.  */
-void mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us);
+void mq_upstream_rejected (mq_upstream *upstream, uint64_t now_us);
 /* For how long it gets nothing new, as it refused all that this router sent
    for a while; 0 when it took something since, or may only be full just now.
  */
-uint64_t mq_upstream_refuses_us (const mq_upstream *upstream, uint64_t now_us);
+uint64_t mq_upstream_rejecting_us (const mq_upstream *upstream,
+                                   uint64_t now_us);
 /* The same, for SPAN_US, as BY found out.  Passed over when this router found
    since that it takes work.  */
-void mq_upstream_hear_refuses (mq_upstream *upstream, uint64_t span_us,
-                               mq_finding_source by, uint64_t now_us);
-/* It refused a connection: nothing listens there.  Twice in a row, it is put
-   aside, and others are told.  */
+void mq_upstream_take_rejecting (mq_upstream *upstream, uint64_t span_us,
+                                 mq_finding_source by, uint64_t now_us);
+/* It refused a connection: nothing listens there.  Twice in a row, it is
+   ejected, and others are told.  */
 void mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us);
-/* Known to be down: put aside at once for SPAN_US at least.  */
-void mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
-                            uint64_t span_us);
+/* Known to be down: ejected at once for SPAN_US at least.  */
+void mq_upstream_eject (mq_upstream *upstream, uint64_t now_us,
+                        uint64_t span_us);
 /* The same, as BY found it out; passed over where this router found since that
    it is not so.  */
-void mq_upstream_hear_aside (mq_upstream *upstream, uint64_t span_us,
-                             mq_finding_source by, uint64_t now_us);
-/* Another engine named it as the one at fault: put aside, longer each time
+void mq_upstream_take_ejection (mq_upstream *upstream, uint64_t span_us,
+                                mq_finding_source by, uint64_t now_us);
+/* Another engine named it as the one at fault: ejected, longer each time
    until a request through it ends well.  Such a finding is no matter of this
    router's own links, so others are told.  */
-void mq_upstream_blamed (mq_upstream *upstream, uint64_t now_us,
-                         uint64_t least_us);
+void mq_upstream_reported_down (mq_upstream *upstream, uint64_t now_us,
+                                uint64_t least_us);
 
 G_END_DECLS
 
--- a/packages/config/gateway_settings.c
+++ b/packages/config/gateway_settings.c
@@ -14,7 +14,7 @@
 #define MAX_MS ((uint64_t)3600 * 1000)
 #define MAX_SLACK 1e9
 
-#define SHARE_MOST 1024.0
+#define MAX_SHARE 1024.0
 #define MILLI 1000
 #define MAX_FILES ((uint64_t)1 << 24)
 /* Clients' part of the descriptors.  The rest is for upstreams, of which a
@@ -89,8 +89,8 @@
 static void
 read_processor (const mq_json *object, mq_gateway_settings *settings)
 {
-  double share = mq_json_double (object, "processor_share", 0, SHARE_MOST, 1);
-  double speed = mq_json_double (object, "processor_speed", 0, SHARE_MOST, 1);
+  double share = mq_json_double (object, "processor_share", 0, MAX_SHARE, 1);
+  double speed = mq_json_double (object, "processor_speed", 0, MAX_SHARE, 1);
 
   settings->processor_milli = (unsigned)MAX (share * speed * MILLI, 1);
 }
--- a/packages/decide/model_state.c
+++ b/packages/decide/model_state.c
@@ -7,7 +7,7 @@
 /* How much one report, of one engine, moves the scale.  */
 #define SCALE_GAIN 0.005
 /* Below this load a report says little: most steps are not full.  */
-#define SCALE_LEAST_LOAD 0.3
+#define MIN_SCALE_LOAD 0.3
 #define LEAST_SCALE 0.05
 #define MOST_SCALE 50.0
 /* How much one report moves what an engine does for others...  */
@@ -26,7 +26,7 @@
 /* Margins: up to a factor of 6.6, and from 1 ms to 9 s.  */
 #define GAP_MARGIN_STEP 1.02
 #define GAP_MARGIN_PRIOR 1.3
-#define FIRST_MARGIN_LEAST_US 1000.0
+#define MIN_FIRST_MARGIN_US 1000.0
 #define FIRST_MARGIN_STEP 1.1
 #define FIRST_MARGIN_PRIOR_US 50000.0
 /* Before any prompt was measured.  */
@@ -43,7 +43,7 @@
   m->stretch = 1;
   m->prompt_steps = GUESSED_PROMPT_STEPS;
   mq_margin_init (&m->gap_margin, 1, GAP_MARGIN_STEP, GAP_MARGIN_PRIOR);
-  mq_margin_init (&m->first_margin, FIRST_MARGIN_LEAST_US, FIRST_MARGIN_STEP,
+  mq_margin_init (&m->first_margin, MIN_FIRST_MARGIN_US, FIRST_MARGIN_STEP,
                   FIRST_MARGIN_PRIOR_US);
   mq_share_table_init (&m->shares);
   return m;
@@ -156,7 +156,7 @@
 {
   double scale;
 
-  if (MAX (told, counted * m->scale) < SCALE_LEAST_LOAD || counted <= 0)
+  if (MAX (told, counted * m->scale) < MIN_SCALE_LOAD || counted <= 0)
     return;
   scale = CLAMP (told / counted, m->scale / 2, m->scale * 2);
   m->scale += SCALE_GAIN * (scale - m->scale);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -30,7 +30,7 @@
 /* A drain ends this long before the kill, and not before clients had time to
    forget the address.  */
 #define DRAIN_RESERVE_MS ((uint64_t)700)
-#define DRAIN_LEAST_MS ((uint64_t)2500)
+#define MIN_DRAIN_MS ((uint64_t)2500)
 /* The last part of a drain is for what has come before: a plain call takes
    0.1 s, seldom 0.5 s, and one that came in the last moment was cut.  */
 #define DRAIN_ALONE_MS ((uint64_t)1500)
@@ -146,7 +146,7 @@
   (void)loop;
   (void)revents;
   g->ticks++;
-  g->reading_ranks = 0;
+  g->prefilling_ranks = 0;
   for (GList *l = g->forwards.head; l != NULL; l = next)
     {
       next = l->next;
@@ -246,7 +246,7 @@
   mq_gateway_quarantine_init (g);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
-  g->ways = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g->paths = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   g->path_probes = g_ptr_array_new_with_free_func (mq_path_probe_free);
   g->client_address
       = mq_str_printf ("%s:%u", mq_str_cstr (settings->clients.address),
@@ -304,7 +304,7 @@
   mq_str_unref (g->routing_text);
   mq_str_unref (g->client_address);
   g_hash_table_unref (g->services);
-  g_hash_table_unref (g->ways);
+  g_hash_table_unref (g->paths);
   mq_metrics_free (g->metrics);
   g_free (g);
 }
@@ -326,7 +326,7 @@
         + (grace > DRAIN_RESERVE_MS ? grace - DRAIN_RESERVE_MS : grace) * 1000;
   gateway->drain_last_us = gateway->drain_until_us - DRAIN_ALONE_MS * 1000;
   gateway->drain_close_us = now + DRAIN_OPEN_MS * 1000;
-  gateway->drain_quiet_us = now + DRAIN_LEAST_MS * 1000;
+  gateway->drain_quiet_us = now + MIN_DRAIN_MS * 1000;
   mq_log (G_LOG_LEVEL_INFO, "router.drain",
           "open=%u grace_ms=%" G_GUINT64_FORMAT, gateway->forwards.length,
           grace);
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -108,7 +108,7 @@
 static void
 stream_note_latency (const mq_forward *forward, uint64_t now_us)
 {
-  mq_way_load *load = mq_forward_way_load (forward);
+  mq_path_load *load = mq_forward_path_load (forward);
 
   if (load == NULL)
     return;
@@ -128,7 +128,7 @@
   double gap_ms = (double)(now - forward->passed_us) / 1000;
 
   stream_note_latency (forward, now);
-  mq_forward_note_read (forward);
+  mq_forward_note_prefilled (forward);
   if (forward->passed_us < forward->sent_us)
     for (unsigned i = 0; i < forward->path.n; i++)
       mq_upstream_accepted (forward->path.parts[i].upstream, forward->sent_us);
@@ -228,7 +228,7 @@
    fault.  One that is dead or cut off shows after its head waited for it; one
    that refuses at once lives.  */
 static void
-forward_blame (mq_forward *forward, uint64_t now_us)
+forward_note_fault (mq_forward *forward, uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
   mq_span a
@@ -246,11 +246,11 @@
                     waited_us / 1000);
   if (waited_us < WAITED_FOR_US)
     {
-      mq_upstream_turned_away (u, now_us);
+      mq_upstream_rejected (u, now_us);
       return;
     }
   mq_crash_run_broke (forward, u, now_us);
-  mq_upstream_blamed (u, now_us, 0);
+  mq_upstream_reported_down (u, now_us, 0);
 }
 
 /* A whole answer came.  */
@@ -264,7 +264,7 @@
 
   if (answer_is_not_run (f))
     {
-      forward_blame (f, mq_gateway_now_us ());
+      forward_note_fault (f, mq_gateway_now_us ());
       mq_forward_send_ended (f, MQ_SEND_NOT_RUN, event->status, "not-run");
       return;
     }
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -21,7 +21,7 @@
 /* A connection is refused within this by a machine that is there.  */
 #define REACH_MS 250
 /* Cases at a time: one for each upstream that may have ended lately.  */
-#define CASES_MOST 64
+#define MAX_CASES 64
 
 struct mq_crash_case
 {
@@ -67,7 +67,7 @@
 {
   mq_crash_case *c;
 
-  if (gateway->crash_cases->len >= CASES_MOST)
+  if (gateway->crash_cases->len >= MAX_CASES)
     g_ptr_array_remove_index (gateway->crash_cases, 0);
   c = g_new0 (mq_crash_case, 1);
   c->gateway = gateway;
@@ -85,7 +85,7 @@
   for (guint i = 0; i < c->requests->len; i++)
     if (g_array_index (c->requests, uint64_t, i) == request)
       return;
-  if (c->requests->len < MQ_QUARANTINE_STOOD_MOST)
+  if (c->requests->len < MQ_QUARANTINE_MAX_STOOD)
     g_array_append_val (c->requests, request);
 }
 
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -41,7 +41,7 @@
 #define AT_ONCE_S 0.
 /* After a failure; doubled up to the most.  */
 #define AGAIN_FIRST_S 0.1
-#define AGAIN_MOST_S 1.6
+#define MAX_RETRY_PAUSE_S 1.6
 
 /* A router that leaves off goes on for so long.  Others tell it of changes
    once its news say that it does not follow, a heartbeat later; what changed
@@ -228,9 +228,9 @@
   if (feed->failures++ == 0)
     mq_log (G_LOG_LEVEL_WARNING, "store.lost", "kind=%s result=%s", feed->kind,
             mq_platform_result_name (result));
-  for (unsigned i = 1; i < feed->failures && wait < AGAIN_MOST_S; i++)
+  for (unsigned i = 1; i < feed->failures && wait < MAX_RETRY_PAUSE_S; i++)
     wait *= 2;
-  feed_again (feed, MIN (wait, AGAIN_MOST_S));
+  feed_again (feed, MIN (wait, MAX_RETRY_PAUSE_S));
 }
 
 static void
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -25,7 +25,7 @@
 /* Silent for so long, whatever the head says, and there is room elsewhere:
    clients leave after 2 s, and a new run needs 0.2 to 0.4 s to its first
    event.  */
-#define SILENT_MOST_US ((uint64_t)1400 * 1000)
+#define MAX_SILENT_US ((uint64_t)1400 * 1000)
 
 /* A connection that fails within this was refused, by a machine that is there:
    nothing listens.  Lost packets show later.  */
@@ -37,8 +37,8 @@
 
 /* A repeatable plain call is given up for another upstream after so many
    times the latency for full credit, but not before the least.  */
-#define PATIENCE_FACTOR 2
-#define PATIENCE_LEAST_US ((uint64_t)200 * 1000)
+#define TRY_TIMEOUT_FACTOR 2
+#define MIN_TRY_TIMEOUT_US ((uint64_t)200 * 1000)
 
 static void
 forward_drop_send (mq_forward *forward)
@@ -279,7 +279,7 @@
 static uint64_t
 forward_probe_us (const mq_forward *forward, bool heard, uint64_t max_us)
 {
-  const mq_way_load *load = mq_forward_way_load (forward);
+  const mq_path_load *load = mq_forward_path_load (forward);
   const mq_latency_estimate *e;
 
   if (load == NULL)
@@ -297,13 +297,13 @@
   uint64_t silent = now_us - (heard ? forward->heard_us : forward->sent_us);
   uint64_t ask = heard ? SILENT_ASK_US : FIRST_ASK_US;
 
-  if (silent > SILENT_MOST_US && mq_forward_can_move (forward, now_us))
+  if (silent > MAX_SILENT_US && mq_forward_can_move (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_SILENT, 0, "silent");
       return;
     }
   if (silent > ask && forward->upstream != NULL)
-    mq_stall_ask (forward->gateway, forward->upstream);
+    mq_stall_ask_head (forward->gateway, forward->upstream);
 }
 
 void
@@ -322,8 +322,8 @@
 forward_tick_call (mq_forward *forward, uint64_t now_us)
 {
   uint64_t patience
-      = MAX ((uint64_t)forward->route->target_ms * 1000 * PATIENCE_FACTOR,
-             PATIENCE_LEAST_US);
+      = MAX ((uint64_t)forward->route->target_ms * 1000 * TRY_TIMEOUT_FACTOR,
+             MIN_TRY_TIMEOUT_US);
 
   if (now_us - forward->sent_us < patience
       || !mq_forward_may_repeat (&forward->state)
@@ -492,7 +492,7 @@
 }
 
 void
-mq_forward_turn_away (mq_forward *forward, unsigned retry_ms, const char *why)
+mq_forward_reject (mq_forward *forward, unsigned retry_ms, const char *why)
 {
   mq_forward_verdict v = mq_forward_give_up (&forward->state, false);
 
--- a/packages/gateway/gateway_front.c
+++ b/packages/gateway/gateway_front.c
@@ -21,7 +21,7 @@
 #define MAX_EARLY_REQUESTS 1024
 
 /* Addresses in one answer of the directory.  */
-#define DIRECTORY_MOST 64
+#define MAX_DIRECTORY_ADDRESSES 64
 /* A domain with so many routers that serve is enough for its clients.  */
 #define DOMAIN_ALONE 3
 #define MS_PER_S 1000
@@ -287,7 +287,7 @@
 addresses_add (mq_span *addresses, size_t n, const GArray *routers,
                const bool *chosen)
 {
-  for (guint i = 0; i < routers->len && n < DIRECTORY_MOST; i++)
+  for (guint i = 0; i < routers->len && n < MAX_DIRECTORY_ADDRESSES; i++)
     if (chosen[i])
       addresses[n++] = g_array_index (routers, mq_news_router, i).client;
   return n;
@@ -303,7 +303,7 @@
 
   for (guint i = 0; i < serving->len; i++)
     capacities[i] = g_array_index (serving, mq_news_router, i).capacity;
-  (void)mq_serving_draw (capacities, serving->len, DIRECTORY_MOST,
+  (void)mq_serving_draw (capacities, serving->len, MAX_DIRECTORY_ADDRESSES,
                          mq_gateway_draw (gateway), chosen);
   n = addresses_add (addresses, 0, serving, chosen);
   g_free (chosen);
@@ -324,8 +324,8 @@
   mq_roster_serving (&gateway->roster, serving, elsewhere,
                      mq_gateway_now_us ());
   n = addresses_draw (gateway, addresses, serving);
-  for (guint i = 0;
-       n < DIRECTORY_MOST && serving->len < DOMAIN_ALONE && i < elsewhere->len;
+  for (guint i = 0; n < MAX_DIRECTORY_ADDRESSES && serving->len < DOMAIN_ALONE
+                    && i < elsewhere->len;
        i++)
     addresses[n++] = g_array_index (elsewhere, mq_news_router, i).client;
   g_array_unref (serving);
@@ -337,7 +337,7 @@
 mq_gateway_on_directory (void *context, const mq_http_server_event *event)
 {
   mq_gateway *g = context;
-  mq_span addresses[DIRECTORY_MOST];
+  mq_span addresses[MAX_DIRECTORY_ADDRESSES];
   GString *out;
   size_t n;
   unsigned ttl_s = (unsigned)(g->settings->directory_ttl_ms / MS_PER_S);
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -128,10 +128,10 @@
   c->upstreams
       = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"listed\"",
                           "Upstreams by what is believed of them.");
-  c->upstreams_aside = mq_metrics_gauge (m, "marjoramquay_upstreams",
-                                         "state=\"unusable\"", "");
-  c->upstreams_turning_away = mq_metrics_gauge (m, "marjoramquay_upstreams",
-                                                "state=\"turning-away\"", "");
+  c->upstreams_ejected = mq_metrics_gauge (m, "marjoramquay_upstreams",
+                                           "state=\"unusable\"", "");
+  c->upstreams_rejecting = mq_metrics_gauge (m, "marjoramquay_upstreams",
+                                             "state=\"turning-away\"", "");
   c->upstreams_slow
       = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"slow\"", "");
   c->routers = mq_metrics_gauge (m, "marjoramquay_routers", "",
@@ -232,8 +232,8 @@
   *c->routing_age_ms = mq_feed_age_ms (&gateway->routing_feed, now);
   *c->upstreams_age_ms = mq_feed_age_ms (&gateway->upstream_feed, now);
   *c->upstreams = g_hash_table_size (gateway->registry.by_id);
-  *c->upstreams_aside = 0;
-  *c->upstreams_turning_away = 0;
+  *c->upstreams_ejected = 0;
+  *c->upstreams_rejecting = 0;
   *c->upstreams_slow = 0;
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
@@ -241,9 +241,9 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       if (!mq_upstream_is_usable (value, now))
-        ++*c->upstreams_aside;
+        ++*c->upstreams_ejected;
       else if (!mq_upstream_takes_work (value, now))
-        ++*c->upstreams_turning_away;
+        ++*c->upstreams_rejecting;
       if (mq_upstream_slowness (value, now) >= MQ_UPSTREAM_SLOW)
         ++*c->upstreams_slow;
     }
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -20,7 +20,7 @@
 #define LOADED_REQUESTS 3
 #define LOADED_US ((uint64_t)2000 * 1000)
 /* A peer's finding about an engine counts no longer than this.  */
-#define BLAMED_MOST_US ((uint64_t)5000 * 1000)
+#define MAX_TOLD_EJECTION_US ((uint64_t)5000 * 1000)
 /* A router that turns to the wrong one is told whom to turn to, so often.  */
 #define INTRODUCE_US ((uint64_t)200 * 1000)
 /* Timers are late by some ms; a heartbeat that comes this much early is in
@@ -95,13 +95,13 @@
 
 /* For how long UPSTREAM is to be passed over, as FILTER lets it be told.  */
 static uint64_t
-upstream_aside_us (const mq_upstream *upstream, const finding_filter *filter,
-                   uint64_t now_us)
+upstream_ejected_us (const mq_upstream *upstream, const finding_filter *filter,
+                     uint64_t now_us)
 {
-  uint64_t until = upstream->blamed_until_us;
+  uint64_t until = upstream->reported_down_until_us;
 
   if (filter_takes (filter, upstream->told_by))
-    until = MAX (until, upstream->told_aside_us);
+    until = MAX (until, upstream->told_ejected_us);
   return until > now_us ? until - now_us : 0;
 }
 
@@ -110,12 +110,12 @@
 upstream_refuses_us (const mq_upstream *upstream, const finding_filter *filter,
                      uint64_t now_us)
 {
-  uint64_t own = mq_upstream_refuses_us (upstream, now_us);
+  uint64_t own = mq_upstream_rejecting_us (upstream, now_us);
   uint64_t told = 0;
 
-  if (filter_takes (filter, upstream->refuses_by)
-      && upstream->told_refuses_us > now_us)
-    told = upstream->told_refuses_us - now_us;
+  if (filter_takes (filter, upstream->rejecting_by)
+      && upstream->told_rejecting_us > now_us)
+    told = upstream->told_rejecting_us - now_us;
   return MAX (own, told);
 }
 
@@ -125,7 +125,7 @@
 {
   mq_news_finding f
       = { .upstream = mq_str_span (upstream->facts.id),
-          .aside_us = upstream_aside_us (upstream, filter, now_us),
+          .aside_us = upstream_ejected_us (upstream, filter, now_us),
           .refuses_us = upstream_refuses_us (upstream, filter, now_us) };
 
   if (now_us < upstream->pace_until_us
@@ -256,21 +256,21 @@
 /* ---- What this router says of itself.  */
 
 static void
-self_set_ways (mq_gateway *gateway)
+self_set_paths (mq_gateway *gateway)
 {
   GHashTableIter i;
   gpointer key;
   gpointer value;
 
-  g_array_set_size (gateway->roster.ways, 0);
-  g_hash_table_iter_init (&i, gateway->ways);
+  g_array_set_size (gateway->roster.paths, 0);
+  g_hash_table_iter_init (&i, gateway->paths);
   while (g_hash_table_iter_next (&i, &key, &value))
     {
-      const mq_way_load *load = value;
-      mq_way_tokens w = { mq_span_hash (mq_span_from (key)), load->tokens };
+      const mq_path_load *load = value;
+      mq_path_tokens w = { mq_span_hash (mq_span_from (key)), load->tokens };
 
       if (load->tokens > 0)
-        g_array_append_val (gateway->roster.ways, w);
+        g_array_append_val (gateway->roster.paths, w);
     }
 }
 
@@ -318,7 +318,7 @@
     .upstreams_newest = g->upstream_list.newest,
     .loaded = loaded,
   };
-  self_set_ways (g);
+  self_set_paths (g);
   self_set_sends (g, now_us);
 }
 
@@ -397,12 +397,12 @@
       if (u == NULL)
         continue;
       if (f->aside_us > 0)
-        mq_upstream_hear_aside (u, MIN (f->aside_us, BLAMED_MOST_US), by,
-                                now_us);
+        mq_upstream_take_ejection (u, MIN (f->aside_us, MAX_TOLD_EJECTION_US),
+                                   by, now_us);
       if (f->refuses_us > 0)
-        mq_upstream_hear_refuses (u, f->refuses_us, by, now_us);
+        mq_upstream_take_rejecting (u, f->refuses_us, by, now_us);
       if (f->pace > 0)
-        mq_upstream_hear_pace (u, f->pace, f->pace_us, by, now_us);
+        mq_upstream_take_pace (u, f->pace, f->pace_us, by, now_us);
     }
 }
 
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -7,8 +7,8 @@
 #include <string.h>
 
 /* Ways to serve a request that are weighed, and of these in one domain.  */
-#define WAYS_MOST 64
-#define CHAINS_MOST 8
+#define MAX_PATHS 64
+#define MAX_CHAINS 8
 
 /* When an upstream should be back: a restart takes some seconds, a repair of
    a chain two.  */
@@ -16,12 +16,12 @@
 
 /* A client that has this much less time than its route gives has been here
    before; the way from a client takes some ms.  */
-#define RETURNED_MS 400
+#define RETRY_MARGIN_MS 400
 
 /* How long a request waits while prompts are read that came before.  Hundreds
    that come at once are read within a second; after that it is better to go
    than to be refused.  */
-#define READING_WAIT_US ((uint64_t)1000 * 1000)
+#define PREFILL_WAIT_US ((uint64_t)1000 * 1000)
 
 /* ---- Plain services.  */
 
@@ -69,7 +69,7 @@
   return best;
 }
 
-/* The instance that FORWARD should go to, or NULL.  One that is put aside is
+/* The instance that FORWARD should go to, or NULL.  One that is ejected is
    better than none; one that is draining is not.  */
 static mq_upstream *
 place_instance (mq_forward *forward, uint64_t now_us)
@@ -92,15 +92,15 @@
 
 /* ---- Layered models.  */
 
-static mq_way_load *
-way_load (mq_gateway *gateway, const char *key)
+static mq_path_load *
+path_load (mq_gateway *gateway, const char *key)
 {
-  mq_way_load *load = g_hash_table_lookup (gateway->ways, key);
+  mq_path_load *load = g_hash_table_lookup (gateway->paths, key);
 
   if (load == NULL)
     {
-      load = g_new0 (mq_way_load, 1);
-      g_hash_table_insert (gateway->ways, g_strdup (key), load);
+      load = g_new0 (mq_path_load, 1);
+      g_hash_table_insert (gateway->paths, g_strdup (key), load);
     }
   return load;
 }
@@ -108,8 +108,8 @@
 /* What is in flight is counted under "service domain", or, where a domain is
    to have several paths, "service domain head"; free with g_free.  */
 static char *
-way_key (const mq_route_service *service, mq_span domain,
-         const mq_layer_path *path, bool alone)
+path_key (const mq_route_service *service, mq_span domain,
+          const mq_layer_path *path, bool alone)
 {
   if (alone)
     return g_strdup_printf ("%s %.*s", mq_str_cstr (service->name),
@@ -119,40 +119,41 @@
                           mq_str_cstr (path->parts[0].upstream->facts.id));
 }
 
-/* A way to serve a request.  */
-typedef struct place_way
+/* A path that could serve a request.  */
+typedef struct path_candidate
 {
   mq_layer_path path;
   char *key; /* Of what is in flight on it, owned.  */
-} place_way;
+} path_candidate;
 
 static void
-way_finish (place_way *way)
+candidate_finish (path_candidate *candidate)
 {
-  mq_layer_path_finish (&way->path);
-  g_free (way->key);
+  mq_layer_path_finish (&candidate->path);
+  g_free (candidate->key);
 }
 
 static mq_domain_choice
-choice_of (mq_forward *forward, const place_way *way, mq_span domain,
-           uint64_t now_us)
+choice_of (mq_forward *forward, const path_candidate *candidate,
+           mq_span domain, uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
-  const mq_way_load *load = way_load (g, way->key);
+  const mq_path_load *load = path_load (g, candidate->key);
 
   return (mq_domain_choice){
     .domain = domain,
-    .room = way->path.tokens,
+    .room = candidate->path.tokens,
     .used = load->tokens
-            + mq_roster_tokens (
-                &g->roster, mq_span_hash (mq_span_from (way->key)), now_us),
+            + mq_roster_tokens (&g->roster,
+                                mq_span_hash (mq_span_from (candidate->key)),
+                                now_us),
     /* Prompts are read within less than the age of others' news; but what
        brings many at once to this router brings them to all.  */
-    .reading_ms = load->reading * way->path.read_ms
-                  * mq_gateway_shares (g, forward->service, now_us),
-    .prefill_ms = forward->prompt * way->path.read_ms,
-    .step_ms = way->path.step_ms,
-    .tried = forward_has_tried (forward, way->path.parts[0].upstream),
+    .prefill_queue_ms = load->reading * candidate->path.read_ms
+                        * mq_gateway_shares (g, forward->service, now_us),
+    .prefill_ms = forward->prompt * candidate->path.read_ms,
+    .step_ms = candidate->path.step_ms,
+    .tried = forward_has_tried (forward, candidate->path.parts[0].upstream),
     .local = mq_span_equal (domain, mq_str_span (g->settings->failure_domain))
   };
 }
@@ -165,18 +166,18 @@
   if (forward->state.begun)
     return MQ_DOMAIN_BEGUN;
   /* A client that comes back has less time than its route gives.  */
-  return left_ms + RETURNED_MS < forward->route->timeout_ms
-             ? MQ_DOMAIN_RETURNED
+  return left_ms + RETRY_MARGIN_MS < forward->route->timeout_ms
+             ? MQ_DOMAIN_RETRY
              : MQ_DOMAIN_NEW;
 }
 
 bool
-mq_forward_is_patient (const mq_forward *forward, uint64_t now_us)
+mq_forward_may_wait_for_prefill (const mq_forward *forward, uint64_t now_us)
 {
   uint64_t since
       = forward->state.begun ? forward->heard_us : forward->started_us;
 
-  return now_us - since < READING_WAIT_US;
+  return now_us - since < PREFILL_WAIT_US;
 }
 
 static mq_domain_request
@@ -187,8 +188,9 @@
   return (mq_domain_request){
     .need = forward->need,
     .rank = mq_forward_rank (forward),
-    .target_ms
-    = mq_forward_is_patient (forward, now_us) ? forward->route->target_ms : 0,
+    .target_ms = mq_forward_may_wait_for_prefill (forward, now_us)
+                     ? forward->route->target_ms
+                     : 0,
     .age_ms = mq_roster_counts_age_ms (&g->roster, now_us),
     .draw = mq_gateway_draw (g)
   };
@@ -204,16 +206,16 @@
          || g_ptr_array_find (forward->ran, head, NULL);
 }
 
-/* The ways to serve FORWARD in DOMAIN, into WAYS and CHOICES, which have room
-   for CHAINS_MOST.  Returns how many.  */
+/* The candidates to serve FORWARD in DOMAIN, into CANDIDATES and CHOICES,
+   which have room for MAX_CHAINS.  Returns how many.  */
 static size_t
-place_list_domain (mq_forward *forward, mq_span domain, uint64_t now_us,
-                   place_way *ways, mq_domain_choice *choices)
+candidates_list_domain (mq_forward *forward, mq_span domain, uint64_t now_us,
+                        path_candidate *candidates, mq_domain_choice *choices)
 {
   mq_registry *registry = &forward->gateway->registry;
-  mq_layer_path paths[CHAINS_MOST];
+  mq_layer_path paths[MAX_CHAINS];
   unsigned wanted = MIN (
-      mq_layer_path_wanted (registry, forward->service, domain), CHAINS_MOST);
+      mq_layer_path_wanted (registry, forward->service, domain), MAX_CHAINS);
   size_t found = mq_layer_path_find_all (paths, wanted, registry,
                                          forward->service, domain, now_us);
   size_t n = 0;
@@ -225,48 +227,50 @@
           mq_layer_path_finish (&paths[i]);
           continue;
         }
-      ways[n].path = paths[i];
-      ways[n].key = way_key (forward->service, domain, &paths[i], wanted == 1);
-      choices[n] = choice_of (forward, &ways[n], domain, now_us);
+      candidates[n].path = paths[i];
+      candidates[n].key
+          = path_key (forward->service, domain, &paths[i], wanted == 1);
+      choices[n] = choice_of (forward, &candidates[n], domain, now_us);
       n++;
     }
   return n;
 }
 
-/* The ways to serve FORWARD now, into WAYS and CHOICES, which have room for
-   WAYS_MOST.  Returns how many; the ways are then the caller's.  */
+/* The candidates to serve FORWARD now, into CANDIDATES and CHOICES, which have
+   room for MAX_PATHS.  Returns how many; the candidates are then the caller's.
+ */
 static size_t
-place_list (mq_forward *forward, uint64_t now_us, place_way *ways,
-            mq_domain_choice *choices)
+candidates_list (mq_forward *forward, uint64_t now_us,
+                 path_candidate *candidates, mq_domain_choice *choices)
 {
   const GPtrArray *groups = mq_registry_groups (
       &forward->gateway->registry, mq_str_span (forward->service->name));
   size_t n = 0;
 
   for (guint i = 0;
-       groups != NULL && i < groups->len && n + CHAINS_MOST <= WAYS_MOST; i++)
+       groups != NULL && i < groups->len && n + MAX_CHAINS <= MAX_PATHS; i++)
     {
       const mq_upstream_group *g = g_ptr_array_index (groups, i);
 
-      n += place_list_domain (forward, mq_str_span (g->domain), now_us,
-                              &ways[n], &choices[n]);
+      n += candidates_list_domain (forward, mq_str_span (g->domain), now_us,
+                                   &candidates[n], &choices[n]);
     }
   return n;
 }
 
-/* Take WAY, which CHOICE tells of, for FORWARD.  */
+/* Take CANDIDATE, which CHOICE tells of, for FORWARD.  */
 static void
-place_take (mq_forward *forward, const place_way *way,
+place_take (mq_forward *forward, const path_candidate *candidate,
             const mq_domain_choice *choice, uint64_t now_us)
 {
-  mq_layer_path_copy (&forward->path, &way->path);
-  for (unsigned i = 0; i < way->path.n; i++)
-    way->path.parts[i].upstream->passed_us = now_us;
+  mq_layer_path_copy (&forward->path, &candidate->path);
+  for (unsigned i = 0; i < candidate->path.n; i++)
+    candidate->path.parts[i].upstream->passed_us = now_us;
   forward->used = choice->used;
   forward->reading = forward->prompt;
-  way_load (forward->gateway, way->key)->tokens += forward->need;
-  way_load (forward->gateway, way->key)->reading += forward->reading;
-  forward->way = mq_str_new (mq_span_from (way->key));
+  path_load (forward->gateway, candidate->key)->tokens += forward->need;
+  path_load (forward->gateway, candidate->key)->reading += forward->reading;
+  forward->path_key = mq_str_new (mq_span_from (candidate->key));
 }
 
 /* Note what FORWARD could not be placed in.  */
@@ -290,46 +294,47 @@
 static mq_placing
 place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
-  mq_domain_choice choices[WAYS_MOST];
-  place_way *ways = g_new0 (place_way, WAYS_MOST);
-  size_t n = place_list (forward, now_us, ways, choices);
+  mq_domain_choice choices[MAX_PATHS];
+  path_candidate *candidates = g_new0 (path_candidate, MAX_PATHS);
+  size_t n = candidates_list (forward, now_us, candidates, choices);
   mq_domain_request request = forward_request (forward, now_us);
   int chosen = mq_domain_choose (choices, n, &request);
 
   if (chosen >= 0)
-    place_take (forward, &ways[chosen], &choices[chosen], now_us);
+    place_take (forward, &candidates[chosen], &choices[chosen], now_us);
   else
     {
-      *retry_ms
-          = mq_domain_return_ms ((forward->state.deadline_us - now_us) / 1000,
-                                 mq_gateway_draw (forward->gateway));
+      *retry_ms = mq_domain_retry_after_ms (
+          (forward->state.deadline_us - now_us) / 1000,
+          mq_gateway_draw (forward->gateway));
       if (!forward->state.begun && !forward->waits)
         place_tell_choices (forward, choices, n);
     }
   for (size_t i = 0; i < n; i++)
-    way_finish (&ways[i]);
-  g_free (ways);
+    candidate_finish (&candidates[i]);
+  g_free (candidates);
   if (chosen >= 0)
     return MQ_PLACED;
-  return chosen == MQ_DOMAIN_READING ? MQ_PLACING_READING : MQ_PLACING_NO_ROOM;
+  return chosen == MQ_DOMAIN_PREFILLING ? MQ_PLACING_PREFILLING
+                                        : MQ_PLACING_NO_ROOM;
 }
 
 static bool
 forward_can_place (mq_forward *forward, uint64_t now_us)
 {
-  mq_domain_choice choices[WAYS_MOST];
-  place_way *ways = g_new0 (place_way, WAYS_MOST);
-  size_t n = place_list (forward, now_us, ways, choices);
+  mq_domain_choice choices[MAX_PATHS];
+  path_candidate *candidates = g_new0 (path_candidate, MAX_PATHS);
+  size_t n = candidates_list (forward, now_us, candidates, choices);
   mq_domain_request request = forward_request (forward, now_us);
   size_t others = 0;
 
   for (size_t i = 0; i < n; i++)
     {
-      if (ways[i].path.parts[0].upstream != forward->upstream)
+      if (candidates[i].path.parts[0].upstream != forward->upstream)
         choices[others++] = choices[i];
-      way_finish (&ways[i]);
+      candidate_finish (&candidates[i]);
     }
-  g_free (ways);
+  g_free (candidates);
   return mq_domain_choose (choices, others, &request) >= 0;
 }
 
@@ -372,19 +377,19 @@
   return MQ_PLACED;
 }
 
-mq_way_load *
-mq_forward_way_load (const mq_forward *forward)
+mq_path_load *
+mq_forward_path_load (const mq_forward *forward)
 {
-  if (forward->way == NULL)
+  if (forward->path_key == NULL)
     return NULL;
-  return way_load (forward->gateway, mq_str_cstr (forward->way));
+  return path_load (forward->gateway, mq_str_cstr (forward->path_key));
 }
 
 void
-mq_forward_note_read (mq_forward *forward)
+mq_forward_note_prefilled (mq_forward *forward)
 {
-  if (forward->way != NULL)
-    way_load (forward->gateway, mq_str_cstr (forward->way))->reading
+  if (forward->path_key != NULL)
+    path_load (forward->gateway, mq_str_cstr (forward->path_key))->reading
         -= forward->reading;
   forward->reading = 0;
 }
@@ -393,10 +398,10 @@
 mq_forward_unplace (mq_forward *forward)
 {
   mq_layer_path_finish (&forward->path);
-  if (forward->way == NULL)
+  if (forward->path_key == NULL)
     return;
-  mq_forward_note_read (forward);
-  way_load (forward->gateway, mq_str_cstr (forward->way))->tokens
+  mq_forward_note_prefilled (forward);
+  path_load (forward->gateway, mq_str_cstr (forward->path_key))->tokens
       -= forward->need;
-  g_clear_pointer (&forward->way, mq_str_unref);
+  g_clear_pointer (&forward->path_key, mq_str_unref);
 }
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -20,7 +20,7 @@
    hundreds start at once, twice as many think that they are for a moment.  */
 #define RELAY_US ((uint64_t)400 * 1000)
 /* Refusals that this router keeps in the store at a time.  */
-#define STORED_MOST 64
+#define MAX_STORED_REFUSALS 64
 #define HEX_DIGITS 16
 #define US_PER_MS ((uint64_t)1000)
 
@@ -123,7 +123,9 @@
   stored_refusal *s = g_hash_table_lookup (gateway->stored_refusals, &request);
 
   if (s == NULL
-      && (over || g_hash_table_size (gateway->stored_refusals) >= STORED_MOST))
+      && (over
+          || g_hash_table_size (gateway->stored_refusals)
+                 >= MAX_STORED_REFUSALS))
     return;
   if (s == NULL)
     {
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -17,7 +17,7 @@
 /* A stream without a run is ended after so long without an event, and a
    request that waits while prompts are read is refused: clients leave after 2
    s, and a run takes some 0.2 s to its first event.  */
-#define PARK_MOST_US ((uint64_t)1600 * 1000)
+#define MAX_PARK_US ((uint64_t)1600 * 1000)
 
 /* When to come back for want of budget: what a client sends anew is no further
    send, so it only has to let the upstreams recover for a moment.  */
@@ -186,21 +186,22 @@
   f->state.sent++;
 }
 
-/* Place FORWARD, unless another of its rank that waits found all ways reading
+/* Place FORWARD, unless another of its rank that waits found all paths reading
    in this tick: hundreds may wait, and each search for paths takes time.  */
 static mq_placing
 send_place (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
   mq_gateway *g = forward->gateway;
   unsigned rank = 1u << mq_forward_rank (forward);
-  bool waits = forward->waits && mq_forward_is_patient (forward, now_us);
+  bool waits
+      = forward->waits && mq_forward_may_wait_for_prefill (forward, now_us);
   mq_placing placing;
 
-  if (waits && (g->reading_ranks & rank) != 0)
-    return MQ_PLACING_READING;
+  if (waits && (g->prefilling_ranks & rank) != 0)
+    return MQ_PLACING_PREFILLING;
   placing = mq_forward_place (forward, now_us, retry_ms);
-  if (placing == MQ_PLACING_READING)
-    g->reading_ranks |= rank;
+  if (placing == MQ_PLACING_PREFILLING)
+    g->prefilling_ranks |= rank;
   return placing;
 }
 
@@ -209,7 +210,7 @@
 static bool
 send_is_parked (const mq_forward *forward, uint64_t now_us)
 {
-  return forward->state.begun && now_us - forward->heard_us <= PARK_MOST_US;
+  return forward->state.begun && now_us - forward->heard_us <= MAX_PARK_US;
 }
 
 /* May FORWARD, which was not placed, wait?  All do while prompts are read,
@@ -219,8 +220,8 @@
 {
   if (forward->state.begun)
     return send_is_parked (forward, now_us);
-  return placing == MQ_PLACING_READING
-         && now_us - forward->started_us <= PARK_MOST_US;
+  return placing == MQ_PLACING_PREFILLING
+         && now_us - forward->started_us <= MAX_PARK_US;
 }
 
 void
@@ -233,16 +234,16 @@
 
   if (send_refused_us (f, now_us) > 0)
     {
-      mq_forward_turn_away (
-          f, (unsigned)(send_refused_us (f, now_us) / US_PER_MS),
-          "quarantined");
+      mq_forward_reject (f,
+                         (unsigned)(send_refused_us (f, now_us) / US_PER_MS),
+                         "quarantined");
       return;
     }
   if (!send_is_in_budget (f, now_us))
     {
       if (send_is_parked (f, now_us))
         return;
-      mq_forward_turn_away (f, NO_BUDGET_RETRY_MS, "no-budget");
+      mq_forward_reject (f, NO_BUDGET_RETRY_MS, "no-budget");
       return;
     }
   placing = send_place (f, now_us, &retry_ms);
@@ -250,7 +251,7 @@
     {
       f->waits = send_may_wait (f, placing, now_us);
       if (!f->waits)
-        mq_forward_turn_away (f, retry_ms, "no-room");
+        mq_forward_reject (f, retry_ms, "no-room");
       return;
     }
   f->waits = false;
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -1,16 +1,16 @@
 /* A stream fell silent: which engine of its path is at fault?
 
    The head of a path knows which engine its requests wait for.  It is asked
-   once for all its silent streams; what it names is put aside and every send
+   once for all its silent streams; what it names is ejected and every send
    through it ends at once.  A head that does not answer is itself at fault. */
 
 #include <mq/internal/gateway.h>
 
 #include <mq/log.h>
 
-/* An engine found stalled stays aside so long at least; one that died leaves
+/* An engine found stalled stays ejected so long at least; one that died leaves
    the platform's list after three heartbeats (3.6 s).  */
-#define STALLED_ASIDE_US ((uint64_t)4000 * 1000)
+#define STALLED_EJECTION_US ((uint64_t)4000 * 1000)
 /* The same head is asked no sooner again; its report is some hundred ms old.
  */
 #define REPORT_PAUSE_US ((uint64_t)150 * 1000)
@@ -30,13 +30,13 @@
   mq_log (G_LOG_LEVEL_WARNING, "upstream.stalled", "upstream=%s why=%s",
           mq_str_cstr (upstream->facts.id), why);
   if (blamed)
-    mq_upstream_blamed (upstream, now, STALLED_ASIDE_US);
+    mq_upstream_reported_down (upstream, now, STALLED_EJECTION_US);
   else
-    mq_upstream_put_aside (upstream, now, STALLED_ASIDE_US);
+    mq_upstream_eject (upstream, now, STALLED_EJECTION_US);
 }
 
-/* A head names the engine at ADDRESS.  That may have left the list, or be put
-   aside already; requests that pass through it must go on elsewhere all the
+/* A head names the engine at ADDRESS.  That may have left the list, or be
+   ejected already; requests that pass through it must go on elsewhere all the
    same.  */
 static void
 stall_named (mq_gateway *gateway, const mq_upstream *head, mq_span address)
@@ -71,7 +71,7 @@
 stall_on_report (mq_gateway *gateway, mq_upstream *head, mq_http_result result,
                  const mq_engine_report *report)
 {
-  head->looked_into = false;
+  head->report_pending = false;
   if (report != NULL)
     stall_take_report (gateway, head, report);
   else if (result != MQ_HTTP_OK)
@@ -92,12 +92,12 @@
 }
 
 void
-mq_stall_ask (mq_gateway *gateway, mq_upstream *head)
+mq_stall_ask_head (mq_gateway *gateway, mq_upstream *head)
 {
-  if (head->looked_into
+  if (head->report_pending
       || mq_gateway_now_us () - head->reported_us < REPORT_PAUSE_US)
     return;
-  head->looked_into = true;
+  head->report_pending = true;
   mq_report_ask (gateway, head, stall_on_report);
 }
 
@@ -108,7 +108,7 @@
 
   for (unsigned i = 0; i < path->n; i++)
     if (now >= path->parts[i].upstream->pace_until_us)
-      mq_stall_ask (gateway, path->parts[i].upstream);
+      mq_stall_ask_head (gateway, path->parts[i].upstream);
 }
 
 void
@@ -124,6 +124,6 @@
 
       if (u->pace >= MQ_UPSTREAM_SLOW
           && now_us + PACE_AGAIN_US > u->pace_until_us)
-        mq_stall_ask (gateway, u);
+        mq_stall_ask_head (gateway, u);
     }
 }
--- a/packages/net/news_codec.c
+++ b/packages/net/news_codec.c
@@ -1,4 +1,4 @@
-/* Parcels between routers as bytes, both ways: see mq/news_codec.h.
+/* Parcels between routers as bytes, both paths: see mq/news_codec.h.
 
    Encoding fills the library's messages on the stack and in one arena that is
    freed at the end; decoding checks every value before it is handed on.  */
@@ -10,8 +10,8 @@
 #include <string.h>
 
 /* More is taken for a mistake.  */
-#define TOKENS_MOST 4e9
-#define PACE_MOST 1000.0
+#define MAX_TOKENS 4e9
+#define MAX_PACE 1000.0
 #define PERCENT 100.0
 
 G_DEFINE_QUARK (mq - parcel - error - quark, mq_parcel_error)
@@ -60,11 +60,11 @@
 }
 
 static void
-put_way (Mq__News__WayCount *to, const mq_way_tokens *from)
+put_path_tokens (Mq__News__PathCount *to, const mq_path_tokens *from)
 {
-  mq__news__way_count__init (to);
-  to->way = from->way;
-  to->tokens = (uint32_t)CLAMP (from->tokens, 0, TOKENS_MOST);
+  mq__news__path_count__init (to);
+  to->path = from->path;
+  to->tokens = (uint32_t)CLAMP (from->tokens, 0, MAX_TOKENS);
 }
 
 static void
@@ -83,7 +83,7 @@
   mq__news__finding__init (to);
   to->upstream = to_bytes (from->upstream);
   to->aside_us = from->aside_us;
-  to->pace_percent = (uint32_t)(CLAMP (from->pace, 0, PACE_MOST) * PERCENT);
+  to->pace_percent = (uint32_t)(CLAMP (from->pace, 0, MAX_PACE) * PERCENT);
   to->pace_us = from->pace_us;
   to->refuses_us = from->refuses_us;
 }
@@ -139,8 +139,8 @@
   to->listed = from->listed;
   to->busy = from->busy;
   to->age_ms = from->age_ms;
-  PUT_LIST (to->ways, to->n_ways, Mq__News__WayCount, from->ways,
-            mq_way_tokens, put_way);
+  PUT_LIST (to->paths, to->n_paths, Mq__News__PathCount, from->paths,
+            mq_path_tokens, put_path_tokens);
   PUT_LIST (to->sends, to->n_sends, Mq__News__ServiceSends, from->sends,
             mq_service_sends, put_sends);
   PUT_LIST (to->findings, to->n_findings, Mq__News__Finding, from->findings,
@@ -158,7 +158,7 @@
 static void
 news_clear (Mq__News__News *news)
 {
-  g_free (news->ways);
+  g_free (news->paths);
   g_free (news->sends);
   g_free (news->findings);
   g_free (news->ends);
@@ -360,14 +360,14 @@
 static int
 get_counts (mq_news *to, const Mq__News__News *from)
 {
-  if (from->n_ways > MQ_PARCEL_LIST_LIMIT
+  if (from->n_paths > MQ_PARCEL_LIST_LIMIT
       || from->n_sends > MQ_PARCEL_LIST_LIMIT)
     return -1;
-  for (size_t i = 0; i < from->n_ways; i++)
+  for (size_t i = 0; i < from->n_paths; i++)
     {
-      mq_way_tokens w = { from->ways[i]->way, from->ways[i]->tokens };
+      mq_path_tokens w = { from->paths[i]->path, from->paths[i]->tokens };
 
-      g_array_append_val (to->ways, w);
+      g_array_append_val (to->paths, w);
     }
   for (size_t i = 0; i < from->n_sends; i++)
     {
@@ -391,7 +391,7 @@
                             .pace_us = from[i]->pace_us,
                             .refuses_us = from[i]->refuses_us };
 
-      if (get_text (&f.upstream, from[i]->upstream) < 0 || f.pace > PACE_MOST)
+      if (get_text (&f.upstream, from[i]->upstream) < 0 || f.pace > MAX_PACE)
         return -1;
       g_array_append_val (to, f);
     }
@@ -610,7 +610,7 @@
 void
 mq_parcel_decoded_finish (mq_parcel_decoded *decoded)
 {
-  if (decoded->news.ways != NULL)
+  if (decoded->news.paths != NULL)
     mq_news_finish (&decoded->news);
   g_clear_pointer (&decoded->entries, g_array_unref);
   if (decoded->message != NULL)
--- a/packages/route/entry_list.c
+++ b/packages/route/entry_list.c
@@ -4,7 +4,7 @@
 
 /* What left is remembered up to so many; beyond, all is forgotten.  It matters
    for the moment between two peers' messages only.  */
-#define GONE_MOST 1024
+#define MAX_GONE_ENTRIES 1024
 
 static void
 entry_free (gpointer data)
@@ -72,7 +72,7 @@
 
   list_forget (list, key);
   g_hash_table_remove (list->entries, key);
-  if (g_hash_table_size (list->gone) >= GONE_MOST)
+  if (g_hash_table_size (list->gone) >= MAX_GONE_ENTRIES)
     g_hash_table_remove_all (list->gone);
   *at = version;
   list->newest = MAX (list->newest, version);
--- a/packages/route/layer_chains.c
+++ b/packages/route/layer_chains.c
@@ -14,7 +14,7 @@
 
 /* An engine may have so much less memory than the roomiest if it reaches
    further.  */
-#define ROOM_LEAST 0.85
+#define MIN_ROOM 0.85
 
 typedef struct chain_sweep
 {
@@ -78,7 +78,7 @@
       unsigned end = g_array_index (sweep->edges, mq_path_edge, i)
                          .upstream->facts.layer_end;
 
-      if (room <= 0 || room < roomiest * ROOM_LEAST || end <= furthest)
+      if (room <= 0 || room < roomiest * MIN_ROOM || end <= furthest)
         continue;
       furthest = end;
       chosen = (int)i;
--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -9,7 +9,7 @@
 /* Part of a failure domain's memory that its chains can make use of; the rest
    is lost to layers that do not divide, or holds second copies.  */
 #define USABLE_SHARE 0.85
-#define CHAINS_MOST 8
+#define MAX_CHAINS 8
 /* Chains that stand are kept until memory is down to this part of what their
    number asks for, so that an engine that leaves does not turn the whole plan.
  */
@@ -53,7 +53,7 @@
 
   if (model->kv_mb_per_token <= 0)
     return 1;
-  for (unsigned n = 2; n <= CHAINS_MOST; n++)
+  for (unsigned n = 2; n <= MAX_CHAINS; n++)
     if (chains_tokens (model, memory_mb, n)
         > chains_tokens (model, memory_mb, best))
       best = n;
--- a/packages/route/layer_layout.c
+++ b/packages/route/layer_layout.c
@@ -5,7 +5,7 @@
 
 /* Tokens that no engine has memory for, and how often they are halved: to
    less than the tokens of a request.  */
-#define LEVEL_MOST 4e6
+#define MAX_SLACK_LEVEL 4e6
 #define BISECTIONS 24
 
 guint
@@ -27,7 +27,7 @@
 mq_plan_domain_level (const mq_plan_domain *domain, guint count)
 {
   double low = 0;
-  double high = LEVEL_MOST;
+  double high = MAX_SLACK_LEVEL;
 
   for (int i = 0; i < BISECTIONS; i++)
     {
@@ -52,7 +52,7 @@
   guint count = 0;
   unsigned at = 0;
 
-  while (level >= MQ_PLAN_TOKENS_LEAST
+  while (level >= MQ_PLAN_MIN_TOKENS
          && (count = mq_plan_domain_reach (domain, level)) == 0)
     level *= MQ_PLAN_TOKENS_STEP;
   if (count == 0)
@@ -138,10 +138,10 @@
       e->place = engine_place (
           e, g_array_index (gaps, mq_plan_range, i % gaps->len));
     }
-  while (level >= MQ_PLAN_TOKENS_LEAST
+  while (level >= MQ_PLAN_MIN_TOKENS
          && mq_plan_domain_reach (domain, level) == 0)
     level *= MQ_PLAN_TOKENS_STEP;
-  if (level < MQ_PLAN_TOKENS_LEAST)
+  if (level < MQ_PLAN_MIN_TOKENS)
     return 0;
   g_array_sort (domain->engines, engine_compare_place);
   for (guint i = 0; i < domain->engines->len; i++)
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -17,7 +17,7 @@
 
 /* A path may have so much less memory than the roomiest if it is faster: the
    fastest cards shorten a request by about as much as they may cost room.  */
-#define ROOM_LEAST 0.85
+#define MIN_ROOM 0.85
 
 #define NO_COST 1e18
 
@@ -239,7 +239,7 @@
   if (last->cost < NO_COST)
     {
       search.aim = PATH_FASTEST;
-      search.room_least = last->room * ROOM_LEAST;
+      search.room_least = last->room * MIN_ROOM;
       last = search_run (&search, edges);
     }
   if (last->cost < NO_COST)
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -19,7 +19,7 @@
    drain, in the users' deployments; and the store's news take as long.  */
 #define SETTLE_US ((uint64_t)500 * 1000)
 /* Engines may come and go for long.  */
-#define PATIENT_MOST_US ((uint64_t)3000 * 1000)
+#define MAX_PREFILL_WAIT_US ((uint64_t)3000 * 1000)
 
 /* What is remembered of a failure domain.  */
 typedef struct plan_memory
@@ -74,7 +74,7 @@
   else if (memory->missing_us == 0)
     memory->missing_us = now_us;
   return now_us < memory->changed_us + SETTLE_US
-         && (!missing || now_us < memory->missing_us + PATIENT_MOST_US);
+         && (!missing || now_us < memory->missing_us + MAX_PREFILL_WAIT_US);
 }
 
 static void
--- a/packages/route/layer_repair.c
+++ b/packages/route/layer_repair.c
@@ -189,7 +189,7 @@
   GArray *before = mq_plan_engines_copy (domain->engines);
   double floor_tokens = domain_floor (domain);
   double stretched = domain_fill_all (
-      domain, gaps, domain->chains > 1 ? floor_tokens : MQ_PLAN_TOKENS_LEAST,
+      domain, gaps, domain->chains > 1 ? floor_tokens : MQ_PLAN_MIN_TOKENS,
       true);
 
   if (stretched < floor_tokens && domain->chains == 1)
--- a/packages/route/news.c
+++ b/packages/route/news.c
@@ -1,6 +1,6 @@
 /* News of routers and the counts in them: see mq/news.h.
 
-   Lists of counts are short (ways of a deployment: some dozens; services: a
+   Lists of counts are short (paths of a deployment: some dozens; services: a
    few), so they are searched from the front.  */
 
 #include <mq/news.h>
@@ -12,7 +12,7 @@
 {
   memset (news, 0, sizeof *news);
   news->kind = kind;
-  news->ways = g_array_new (FALSE, FALSE, sizeof (mq_way_tokens));
+  news->paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   news->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
   news->findings = g_array_new (FALSE, FALSE, sizeof (mq_news_finding));
   news->ends = g_array_new (FALSE, FALSE, sizeof (mq_quarantine_record));
@@ -24,7 +24,7 @@
 void
 mq_news_finish (mq_news *news)
 {
-  g_array_unref (news->ways);
+  g_array_unref (news->paths);
   g_array_unref (news->sends);
   g_array_unref (news->findings);
   g_array_unref (news->ends);
@@ -34,37 +34,37 @@
   memset (news, 0, sizeof *news);
 }
 
-static mq_way_tokens *
-ways_find (const GArray *ways, uint64_t way)
+static mq_path_tokens *
+paths_find (const GArray *paths, uint64_t path)
 {
-  for (guint i = 0; i < ways->len; i++)
+  for (guint i = 0; i < paths->len; i++)
     {
-      mq_way_tokens *w = &g_array_index (ways, mq_way_tokens, i);
+      mq_path_tokens *w = &g_array_index (paths, mq_path_tokens, i);
 
-      if (w->way == way)
+      if (w->path == path)
         return w;
     }
   return NULL;
 }
 
 double
-mq_way_tokens_of (const GArray *ways, uint64_t way)
+mq_path_tokens_of (const GArray *paths, uint64_t path)
 {
-  const mq_way_tokens *w = ways_find (ways, way);
+  const mq_path_tokens *w = paths_find (paths, path);
 
   return w == NULL ? 0 : w->tokens;
 }
 
 void
-mq_way_tokens_add (GArray *ways, uint64_t way, double tokens)
+mq_path_tokens_add (GArray *paths, uint64_t path, double tokens)
 {
-  mq_way_tokens *found = ways_find (ways, way);
-  mq_way_tokens w = { way, tokens };
+  mq_path_tokens *found = paths_find (paths, path);
+  mq_path_tokens w = { path, tokens };
 
   if (found != NULL)
     found->tokens += tokens;
   else
-    g_array_append_val (ways, w);
+    g_array_append_val (paths, w);
 }
 
 static mq_service_sends *
--- a/packages/route/quarantine.c
+++ b/packages/route/quarantine.c
@@ -11,7 +11,7 @@
 #include <string.h>
 
 /* Ends that make a request a cause ...  */
-#define ENDS_LEAST 3
+#define MIN_ENDS 3
 /* ... and where others always stood beside it.  */
 #define ENDS_TOGETHER 4
 /* Routers that lost requests by one end tell of it within this, so that no
@@ -252,8 +252,8 @@
       if (most < s->n)
         foremost = true;
     }
-  if (unexplained >= ENDS_LEAST && foremost)
-    return ENDS_LEAST;
+  if (unexplained >= MIN_ENDS && foremost)
+    return MIN_ENDS;
   return unexplained >= ENDS_TOGETHER ? ENDS_TOGETHER : 0;
 }
 
@@ -264,7 +264,7 @@
   uint64_t until;
   unsigned needed;
 
-  if (s->n < ENDS_LEAST)
+  if (s->n < MIN_ENDS)
     return 0;
   until = s->ends[s->n - 1].at_us + quarantine->period_us;
   if (now_us >= until)
--- a/packages/route/roster.c
+++ b/packages/route/roster.c
@@ -1,7 +1,7 @@
 /* The table of other routers, their ranks, and who is a relay: see
    mq/roster.h.
 
-   Whether a router may be alive is judged in two ways.  One that was heard is
+   Whether a router may be alive is judged in two paths.  One that was heard is
    alive until it has been silent for longer than it promised.  One of which
    others tell may be, until it was sent something and did not answer; it is
    tried again when others go on telling of it.  Ranks count those that may be
@@ -37,7 +37,7 @@
   mq_str_unref (r->peer);
   mq_str_unref (r->client);
   mq_str_unref (r->domain);
-  g_array_unref (r->ways);
+  g_array_unref (r->paths);
   g_array_unref (r->sends);
   g_array_unref (r->serving);
   g_array_unref (r->elsewhere);
@@ -61,9 +61,9 @@
   roster->join_us = now_us + JOIN_US;
   roster->routers
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, router_free);
-  roster->ways = g_array_new (FALSE, FALSE, sizeof (mq_way_tokens));
+  roster->paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   roster->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
-  roster->other_ways = g_array_new (FALSE, FALSE, sizeof (mq_way_tokens));
+  roster->other_paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   roster->other_sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
 }
 
@@ -71,9 +71,9 @@
 mq_roster_finish (mq_roster *roster)
 {
   g_clear_pointer (&roster->routers, g_hash_table_unref);
-  g_clear_pointer (&roster->ways, g_array_unref);
+  g_clear_pointer (&roster->paths, g_array_unref);
   g_clear_pointer (&roster->sends, g_array_unref);
-  g_clear_pointer (&roster->other_ways, g_array_unref);
+  g_clear_pointer (&roster->other_paths, g_array_unref);
   g_clear_pointer (&roster->other_sends, g_array_unref);
   mq_str_unref (roster->name);
   mq_str_unref (roster->peer);
@@ -105,7 +105,7 @@
     return r;
   r = g_new0 (mq_roster_router, 1);
   r->peer = mq_str_new (peer);
-  r->ways = g_array_new (FALSE, FALSE, sizeof (mq_way_tokens));
+  r->paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   r->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
   r->serving = g_array_new (FALSE, FALSE, sizeof (mq_news_router));
   r->elsewhere = g_array_new (FALSE, FALSE, sizeof (mq_news_router));
--- a/packages/route/roster_load.c
+++ b/packages/route/roster_load.c
@@ -12,11 +12,11 @@
    silent without a word: a tick of the gateway.  */
 #define SUM_US ((uint64_t)50 * 1000)
 /* Domains whose summaries are added up.  */
-#define DOMAINS_MOST 64
+#define MAX_DOMAINS 64
 /* Routers of each other domain that clients hear of when their own has too
    few.  */
 #define ELSEWHERE_EACH 2
-#define ELSEWHERE_MOST 8
+#define MAX_ELSEWHERE_ADDRESSES 8
 
 /* ---- Whose news count.  */
 
@@ -50,7 +50,7 @@
 
 typedef struct domain_relays
 {
-  const mq_roster_router *best[DOMAINS_MOST]; /* One of each domain.  */
+  const mq_roster_router *best[MAX_DOMAINS]; /* One of each domain.  */
   size_t n;
 } domain_relays;
 
@@ -80,7 +80,7 @@
           domains->best[i] = router;
         return;
       }
-  if (domains->n < DOMAINS_MOST)
+  if (domains->n < MAX_DOMAINS)
     domains->best[domains->n++] = router;
 }
 
@@ -107,13 +107,13 @@
 /* ---- Sums.  */
 
 static void
-add_ways (GArray *sum, const GArray *ways)
+add_paths (GArray *sum, const GArray *paths)
 {
-  for (guint i = 0; i < ways->len; i++)
+  for (guint i = 0; i < paths->len; i++)
     {
-      const mq_way_tokens *w = &g_array_index (ways, mq_way_tokens, i);
+      const mq_path_tokens *w = &g_array_index (paths, mq_path_tokens, i);
 
-      mq_way_tokens_add (sum, w->way, w->tokens);
+      mq_path_tokens_add (sum, w->path, w->tokens);
     }
 }
 
@@ -159,7 +159,7 @@
 /* Sums as they are being made.  */
 typedef struct load_sum
 {
-  GArray *ways;  /* mq_way_tokens, borrowed.  */
+  GArray *paths; /* mq_path_tokens, borrowed.  */
   GArray *sends; /* mq_service_sends, borrowed.  */
   unsigned busy;
 } load_sum;
@@ -177,7 +177,7 @@
   add_sends (sum->sends, router->sends);
   sum->busy += sends_are_any (router->sends);
   if (mq_roster_lives (router, now_us))
-    add_ways (sum->ways, router->ways);
+    add_paths (sum->paths, router->paths);
 }
 
 /* Add the reports of this domain's other routers.  */
@@ -200,7 +200,7 @@
   add_sends (sum->sends, router->sends);
   sum->busy += router->busy;
   if (mq_roster_lives (router, now_us))
-    add_ways (sum->ways, router->ways);
+    add_paths (sum->paths, router->paths);
 }
 
 /* Add the summaries of other domains.  */
@@ -217,13 +217,13 @@
 void
 mq_roster_sum (mq_roster *roster, uint64_t now_us)
 {
-  load_sum sum = { roster->other_ways, roster->other_sends, 0 };
+  load_sum sum = { roster->other_paths, roster->other_sends, 0 };
   const mq_roster_router *digest
       = roster->relays ? NULL : roster_digest (roster, now_us);
 
   if (roster->summed_us > 0 && now_us - roster->summed_us < SUM_US)
     return;
-  g_array_set_size (sum.ways, 0);
+  g_array_set_size (sum.paths, 0);
   g_array_set_size (sum.sends, 0);
   if (digest != NULL)
     sum_add_told (&sum, digest, now_us);
@@ -237,10 +237,10 @@
 }
 
 double
-mq_roster_tokens (mq_roster *roster, uint64_t way, uint64_t now_us)
+mq_roster_tokens (mq_roster *roster, uint64_t path, uint64_t now_us)
 {
   mq_roster_sum (roster, now_us);
-  return mq_way_tokens_of (roster->other_ways, way);
+  return mq_path_tokens_of (roster->other_paths, path);
 }
 
 mq_send_counts
@@ -280,7 +280,7 @@
 static void
 sum_add_self (load_sum *sum, const mq_roster *roster)
 {
-  add_ways (sum->ways, roster->ways);
+  add_paths (sum->paths, roster->paths);
   add_sends (sum->sends, roster->sends);
   sum->busy += sends_are_any (roster->sends);
 }
@@ -288,7 +288,7 @@
 void
 mq_roster_sum_domain (mq_roster *roster, mq_news *news, uint64_t now_us)
 {
-  load_sum sum = { news->ways, news->sends, 0 };
+  load_sum sum = { news->paths, news->sends, 0 };
 
   sum_add_self (&sum, roster);
   sum_add_domain (&sum, roster, now_us);
@@ -299,11 +299,11 @@
 static void
 news_subtract (mq_news *news, const mq_roster_router *to)
 {
-  for (guint i = 0; i < to->ways->len; i++)
+  for (guint i = 0; i < to->paths->len; i++)
     {
-      const mq_way_tokens *w = &g_array_index (to->ways, mq_way_tokens, i);
+      const mq_path_tokens *w = &g_array_index (to->paths, mq_path_tokens, i);
 
-      mq_way_tokens_add (news->ways, w->way, -w->tokens);
+      mq_path_tokens_add (news->paths, w->path, -w->tokens);
     }
   for (guint i = 0; i < to->sends->len; i++)
     {
@@ -320,11 +320,11 @@
 mq_roster_sum_all_but (mq_roster *roster, const mq_roster_router *to,
                        mq_news *news, uint64_t now_us)
 {
-  load_sum sum = { news->ways, news->sends, 0 };
+  load_sum sum = { news->paths, news->sends, 0 };
 
   mq_roster_sum (roster, now_us);
   sum_add_self (&sum, roster);
-  add_ways (sum.ways, roster->other_ways);
+  add_paths (sum.paths, roster->other_paths);
   add_sends (sum.sends, roster->other_sends);
   news->busy = sum.busy + roster->other_busy;
   if (to->kind == MQ_NEWS_REPORT)
@@ -406,7 +406,8 @@
   domain_relays domains;
 
   roster_domains (roster, &domains, now_us);
-  for (size_t i = 0; i < domains.n && elsewhere->len < ELSEWHERE_MOST; i++)
+  for (size_t i = 0; i < domains.n && elsewhere->len < MAX_ELSEWHERE_ADDRESSES;
+       i++)
     if (mq_roster_lives (domains.best[i], now_us))
       g_array_append_vals (
           elsewhere, domains.best[i]->serving->data,
--- a/packages/route/roster_news.c
+++ b/packages/route/roster_news.c
@@ -220,7 +220,7 @@
   news_begin (roster, news,
               mq_roster_is_active (roster, now_us) ? MQ_ROSTER_HEARTBEAT_MS
                                                    : IDLE_REPORT_MS);
-  g_array_append_vals (news->ways, roster->ways->data, roster->ways->len);
+  g_array_append_vals (news->paths, roster->paths->data, roster->paths->len);
   g_array_append_vals (news->sends, roster->sends->data, roster->sends->len);
 }
 
@@ -400,8 +400,8 @@
   router->kind = news->kind;
   router->counts_ms = news->age_ms + news->interval_ms;
   router->busy = news->busy;
-  g_array_set_size (router->ways, 0);
-  g_array_append_vals (router->ways, news->ways->data, news->ways->len);
+  g_array_set_size (router->paths, 0);
+  g_array_append_vals (router->paths, news->paths->data, news->paths->len);
   g_array_set_size (router->sends, 0);
   g_array_append_vals (router->sends, news->sends->data, news->sends->len);
 }
--- a/packages/route/serving_set.c
+++ b/packages/route/serving_set.c
@@ -7,10 +7,10 @@
 /* Part of a set's capacity that is used at most: what is left carries a burst
    of twice the traffic, or that of a domain which was lost, until clients
    ask again (some seconds).  */
-#define USED_MOST 0.3
+#define MAX_USED_SHARE 0.3
 /* Addresses of an answer, where there are so many: a client finds another
    router when two are gone.  */
-#define ANSWER_LEAST 3
+#define MIN_ANSWER 3
 /* What is used counts for less by a half after so long.  */
 #define NEED_HALF_US 10e6
 
@@ -21,7 +21,7 @@
   size_t count = 0;
 
   while (count < n
-         && (count < MQ_SERVING_LEAST || capacity * USED_MOST < used))
+         && (count < MQ_SERVING_MIN || capacity * MAX_USED_SHARE < used))
     capacity += capacities[count++];
   return count;
 }
@@ -46,7 +46,7 @@
       sum += MAX (capacities[i], 1);
       largest = MAX (largest, MAX (capacities[i], 1));
     }
-  places = MIN (MAX (floor (sum / MAX (largest, 1)), ANSWER_LEAST),
+  places = MIN (MAX (floor (sum / MAX (largest, 1)), MIN_ANSWER),
                 (double)MIN (most, n));
   for (size_t i = 0; i < n; i++)
     {
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -4,11 +4,11 @@
 
 #include <string.h>
 
-/* Failures in a row after which an upstream is put aside.  Two, since one
+/* Failures in a row after which an upstream is ejected.  Two, since one
    lost answer in fifty is what a sound upstream may show under a fault of
    the network, and two in a row then happen once in 2,500.  */
 #define FAILURES_ASIDE 2
-/* First and longest time aside; doubled each time.  An incarnation that died
+/* First and longest ejection; doubled each time.  An incarnation that died
    leaves the platform's list after three heartbeats (3.6 s), so longer waits
    only delay the return of a sound one.  */
 #define ASIDE_FIRST_US ((uint64_t)1000 * 1000)
@@ -17,7 +17,7 @@
    4 s on the average end in the first time, since a full stage holds 100; the
    longest is what a load of some layers takes.  */
 #define TURNED_FIRST_US ((uint64_t)200 * 1000)
-#define TURNED_MOST_US ((uint64_t)1600 * 1000)
+#define MAX_REJECTING_US ((uint64_t)1600 * 1000)
 
 /* One that is short of memory takes some request within this, as others end
    all the time; what refuses for longer drains, and the store could not tell
@@ -30,7 +30,7 @@
 /* How long a report of an engine's pace counts: as long as an engine is slow
    at least, so that it is not chosen again just to find that out.  */
 #define PACE_KNOWN_US ((uint64_t)3000 * 1000)
-#define ASIDE_MOST_US ((uint64_t)4000 * 1000)
+#define MAX_EJECTION_US ((uint64_t)4000 * 1000)
 /* An engine that took a request of this router's within this is not passed
    over for what others say: it had no room for them.  */
 #define ACCEPTED_US ((uint64_t)300 * 1000)
@@ -399,7 +399,7 @@
 }
 
 void
-mq_upstream_hear_pace (mq_upstream *upstream, double pace, uint64_t span_us,
+mq_upstream_take_pace (mq_upstream *upstream, double pace, uint64_t span_us,
                        mq_finding_source by, uint64_t now_us)
 {
   if (now_us < upstream->pace_until_us)
@@ -414,41 +414,41 @@
 mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us)
 {
   return upstream->listed && !upstream->facts.draining
-         && now_us >= upstream->aside_until_us;
+         && now_us >= upstream->ejected_until_us;
 }
 
 bool
 mq_upstream_takes_work (const mq_upstream *upstream, uint64_t now_us)
 {
   return mq_upstream_is_usable (upstream, now_us)
-         && now_us >= upstream->turned_us + upstream->turned_span_us
-         && now_us >= upstream->told_refuses_us;
+         && now_us >= upstream->rejected_us + upstream->rejecting_span_us
+         && now_us >= upstream->told_rejecting_us;
 }
 
 bool
 mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us)
 {
-  return upstream->refuses_since_us > 0
-         && upstream->turned_us > upstream->refuses_since_us + LEAVING_US
-         && now_us < upstream->turned_us + upstream->turned_span_us
-                         + TURNED_MOST_US;
+  return upstream->rejecting_since_us > 0
+         && upstream->rejected_us > upstream->rejecting_since_us + LEAVING_US
+         && now_us < upstream->rejected_us + upstream->rejecting_span_us
+                         + MAX_REJECTING_US;
 }
 
 void
-mq_upstream_turned_away (mq_upstream *upstream, uint64_t now_us)
+mq_upstream_rejected (mq_upstream *upstream, uint64_t now_us)
 {
-  uint64_t until = upstream->turned_us + upstream->turned_span_us;
+  uint64_t until = upstream->rejected_us + upstream->rejecting_span_us;
 
   /* Many requests meet the same lack at once: that counts as one.  */
   if (now_us < until)
     return;
-  if (upstream->turned_span_us == 0 || now_us > until + TURNED_MOST_US)
-    upstream->refuses_since_us = now_us;
-  upstream->turned_span_us
-      = upstream->turned_span_us == 0 || now_us > until + TURNED_MOST_US
+  if (upstream->rejecting_span_us == 0 || now_us > until + MAX_REJECTING_US)
+    upstream->rejecting_since_us = now_us;
+  upstream->rejecting_span_us
+      = upstream->rejecting_span_us == 0 || now_us > until + MAX_REJECTING_US
             ? TURNED_FIRST_US
-            : MIN (upstream->turned_span_us * 2, TURNED_MOST_US);
-  upstream->turned_us = now_us;
+            : MIN (upstream->rejecting_span_us * 2, MAX_REJECTING_US);
+  upstream->rejected_us = now_us;
 }
 
 void
@@ -456,89 +456,89 @@
 {
   upstream->accepted_us = MAX (upstream->accepted_us, sent_us);
   /* What was sent before says nothing about room for more.  */
-  if (sent_us <= upstream->turned_us)
+  if (sent_us <= upstream->rejected_us)
     return;
-  upstream->told_refuses_us = 0;
-  upstream->turned_span_us = 0;
-  upstream->refuses_since_us = 0;
+  upstream->told_rejecting_us = 0;
+  upstream->rejecting_span_us = 0;
+  upstream->rejecting_since_us = 0;
 }
 
 void
 mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us)
 {
   mq_upstream_accepted (upstream, sent_us);
-  upstream->refuted_us = MAX (upstream->refuted_us, upstream->told_aside_us);
+  upstream->refuted_us = MAX (upstream->refuted_us, upstream->told_ejected_us);
   upstream->ended = false;
   upstream->failures = 0;
-  upstream->aside_until_us = 0;
-  upstream->blamed_until_us = 0;
-  upstream->told_aside_us = 0;
-  upstream->aside_span_us = 0;
+  upstream->ejected_until_us = 0;
+  upstream->reported_down_until_us = 0;
+  upstream->told_ejected_us = 0;
+  upstream->ejection_span_us = 0;
 }
 
 uint64_t
-mq_upstream_refuses_us (const mq_upstream *upstream, uint64_t now_us)
+mq_upstream_rejecting_us (const mq_upstream *upstream, uint64_t now_us)
 {
-  uint64_t until = upstream->turned_us + upstream->turned_span_us;
+  uint64_t until = upstream->rejected_us + upstream->rejecting_span_us;
 
-  return upstream->turned_span_us > TURNED_FIRST_US && until > now_us
+  return upstream->rejecting_span_us > TURNED_FIRST_US && until > now_us
              ? until - now_us
              : 0;
 }
 
 void
-mq_upstream_hear_refuses (mq_upstream *upstream, uint64_t span_us,
-                          mq_finding_source by, uint64_t now_us)
+mq_upstream_take_rejecting (mq_upstream *upstream, uint64_t span_us,
+                            mq_finding_source by, uint64_t now_us)
 {
-  uint64_t until = now_us + MIN (span_us, TURNED_MOST_US);
+  uint64_t until = now_us + MIN (span_us, MAX_REJECTING_US);
 
   if (upstream->accepted_us + ACCEPTED_US > now_us
-      || until <= upstream->told_refuses_us)
+      || until <= upstream->told_rejecting_us)
     return;
-  upstream->told_refuses_us = until;
-  upstream->refuses_by = by;
+  upstream->told_rejecting_us = until;
+  upstream->rejecting_by = by;
 }
 
 void
-mq_upstream_put_aside (mq_upstream *upstream, uint64_t now_us,
-                       uint64_t span_us)
+mq_upstream_eject (mq_upstream *upstream, uint64_t now_us, uint64_t span_us)
 {
-  uint64_t until = now_us + MAX (span_us, upstream->aside_span_us);
+  uint64_t until = now_us + MAX (span_us, upstream->ejection_span_us);
 
-  upstream->aside_until_us = MAX (upstream->aside_until_us, until);
+  upstream->ejected_until_us = MAX (upstream->ejected_until_us, until);
 }
 
 void
-mq_upstream_hear_aside (mq_upstream *upstream, uint64_t span_us,
-                        mq_finding_source by, uint64_t now_us)
+mq_upstream_take_ejection (mq_upstream *upstream, uint64_t span_us,
+                           mq_finding_source by, uint64_t now_us)
 {
   /* Others tell of it until it runs out, also when it has been refuted.  */
   if (now_us + span_us <= upstream->refuted_us + TOLD_LAG_US)
     return;
-  mq_upstream_put_aside (upstream, now_us, span_us);
-  if (now_us + span_us <= upstream->told_aside_us)
+  mq_upstream_eject (upstream, now_us, span_us);
+  if (now_us + span_us <= upstream->told_ejected_us)
     return;
-  upstream->told_aside_us = now_us + span_us;
+  upstream->told_ejected_us = now_us + span_us;
   upstream->told_by = by;
 }
 
 static void
 upstream_lengthen_aside (mq_upstream *upstream)
 {
-  upstream->aside_span_us
-      = upstream->aside_span_us == 0
+  upstream->ejection_span_us
+      = upstream->ejection_span_us == 0
             ? ASIDE_FIRST_US
-            : MIN (upstream->aside_span_us * 2, ASIDE_MOST_US);
+            : MIN (upstream->ejection_span_us * 2, MAX_EJECTION_US);
 }
 
 void
-mq_upstream_blamed (mq_upstream *upstream, uint64_t now_us, uint64_t least_us)
+mq_upstream_reported_down (mq_upstream *upstream, uint64_t now_us,
+                           uint64_t least_us)
 {
   /* Many requests meet the same fault at once: that counts as one.  */
-  if (now_us >= upstream->aside_until_us)
+  if (now_us >= upstream->ejected_until_us)
     upstream_lengthen_aside (upstream);
-  mq_upstream_put_aside (upstream, now_us, least_us);
-  upstream->blamed_until_us = upstream->aside_until_us;
+  mq_upstream_eject (upstream, now_us, least_us);
+  upstream->reported_down_until_us = upstream->ejected_until_us;
 }
 
 void
@@ -547,7 +547,7 @@
   if (++upstream->failures < FAILURES_ASIDE)
     return;
   upstream_lengthen_aside (upstream);
-  mq_upstream_put_aside (upstream, now_us, upstream->aside_span_us);
+  mq_upstream_eject (upstream, now_us, upstream->ejection_span_us);
 }
 
 void
@@ -555,5 +555,5 @@
 {
   mq_upstream_failed (upstream, now_us);
   if (upstream->failures >= FAILURES_ASIDE)
-    upstream->blamed_until_us = upstream->aside_until_us;
+    upstream->reported_down_until_us = upstream->ejected_until_us;
 }
--- a/programs/marjoramquay/ends.c
+++ b/programs/marjoramquay/ends.c
@@ -12,7 +12,7 @@
 #define QUARANTINE_US ((uint64_t)600 * 1000 * 1000)
 #define REACH_MS 250
 /* Upstreams that are tried at a time.  */
-#define CASES_MOST 64
+#define MAX_CASES 64
 /* From one look at what is to be told to the next.  */
 #define TICK_S 0.25
 /* From one telling of all that may matter to the next, and to how many: a
@@ -186,7 +186,7 @@
   ends_case *c;
   uint64_t start = (uint64_t)(g_get_real_time () / START_US);
 
-  if (ends->cases->len >= CASES_MOST)
+  if (ends->cases->len >= MAX_CASES)
     return NULL;
   c = g_new0 (ends_case, 1);
   c->ends = ends;
@@ -250,7 +250,7 @@
   for (guint i = 0; i < c->requests->len; i++)
     if (g_array_index (c->requests, uint64_t, i) == request)
       return;
-  if (c->requests->len < MQ_QUARANTINE_STOOD_MOST)
+  if (c->requests->len < MQ_QUARANTINE_MAX_STOOD)
     g_array_append_val (c->requests, request);
 }
 
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -97,49 +97,49 @@
   assert(message->base.descriptor == &mq__news__router__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   mq__news__way_count__init
-                     (Mq__News__WayCount         *message)
+void   mq__news__path_count__init
+                     (Mq__News__PathCount         *message)
 {
-  static const Mq__News__WayCount init_value = MQ__NEWS__WAY_COUNT__INIT;
+  static const Mq__News__PathCount init_value = MQ__NEWS__PATH_COUNT__INIT;
   *message = init_value;
 }
-size_t mq__news__way_count__get_packed_size
-                     (const Mq__News__WayCount *message)
+size_t mq__news__path_count__get_packed_size
+                     (const Mq__News__PathCount *message)
 {
-  assert(message->base.descriptor == &mq__news__way_count__descriptor);
+  assert(message->base.descriptor == &mq__news__path_count__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t mq__news__way_count__pack
-                     (const Mq__News__WayCount *message,
+size_t mq__news__path_count__pack
+                     (const Mq__News__PathCount *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &mq__news__way_count__descriptor);
+  assert(message->base.descriptor == &mq__news__path_count__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t mq__news__way_count__pack_to_buffer
-                     (const Mq__News__WayCount *message,
+size_t mq__news__path_count__pack_to_buffer
+                     (const Mq__News__PathCount *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &mq__news__way_count__descriptor);
+  assert(message->base.descriptor == &mq__news__path_count__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Mq__News__WayCount *
-       mq__news__way_count__unpack
+Mq__News__PathCount *
+       mq__news__path_count__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Mq__News__WayCount *)
-     protobuf_c_message_unpack (&mq__news__way_count__descriptor,
+  return (Mq__News__PathCount *)
+     protobuf_c_message_unpack (&mq__news__path_count__descriptor,
                                 allocator, len, data);
 }
-void   mq__news__way_count__free_unpacked
-                     (Mq__News__WayCount *message,
+void   mq__news__path_count__free_unpacked
+                     (Mq__News__PathCount *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &mq__news__way_count__descriptor);
+  assert(message->base.descriptor == &mq__news__path_count__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   mq__news__service_sends__init
@@ -766,15 +766,15 @@
   (ProtobufCMessageInit) mq__news__router__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__way_count__field_descriptors[2] =
+static const ProtobufCFieldDescriptor mq__news__path_count__field_descriptors[2] =
 {
   {
-    "way",
+    "path",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Mq__News__WayCount, way),
+    offsetof(Mq__News__PathCount, path),
     NULL,
     NULL,
     0,             /* flags */
@@ -786,35 +786,35 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Mq__News__WayCount, tokens),
+    offsetof(Mq__News__PathCount, tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned mq__news__way_count__field_indices_by_name[] = {
+static const unsigned mq__news__path_count__field_indices_by_name[] = {
+  0,   /* field[0] = path */
   1,   /* field[1] = tokens */
-  0,   /* field[0] = way */
 };
-static const ProtobufCIntRange mq__news__way_count__number_ranges[1 + 1] =
+static const ProtobufCIntRange mq__news__path_count__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor mq__news__way_count__descriptor =
+const ProtobufCMessageDescriptor mq__news__path_count__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "mq.news.WayCount",
-  "WayCount",
-  "Mq__News__WayCount",
+  "mq.news.PathCount",
+  "PathCount",
+  "Mq__News__PathCount",
   "mq.news",
-  sizeof(Mq__News__WayCount),
+  sizeof(Mq__News__PathCount),
   2,
-  mq__news__way_count__field_descriptors,
-  mq__news__way_count__field_indices_by_name,
-  1,  mq__news__way_count__number_ranges,
-  (ProtobufCMessageInit) mq__news__way_count__init,
+  mq__news__path_count__field_descriptors,
+  mq__news__path_count__field_indices_by_name,
+  1,  mq__news__path_count__number_ranges,
+  (ProtobufCMessageInit) mq__news__path_count__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor mq__news__service_sends__field_descriptors[4] =
@@ -1207,13 +1207,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "ways",
+    "paths",
     14,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Mq__News__News, n_ways),
-    offsetof(Mq__News__News, ways),
-    &mq__news__way_count__descriptor,
+    offsetof(Mq__News__News, n_paths),
+    offsetof(Mq__News__News, paths),
+    &mq__news__path_count__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -1375,6 +1375,7 @@
   0,   /* field[0] = kind */
   22,   /* field[22] = listed */
   19,   /* field[19] = newest */
+  13,   /* field[13] = paths */
   21,   /* field[21] = reached */
   5,   /* field[5] = ready */
   9,   /* field[9] = relays */
@@ -1389,7 +1390,6 @@
   11,   /* field[11] = upstreams */
   4,   /* field[4] = used */
   20,   /* field[20] = watches */
-  13,   /* field[13] = ways */
 };
 static const ProtobufCIntRange mq__news__news__number_ranges[1 + 1] =
 {
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -17,7 +17,7 @@
 
 typedef struct Mq__News__Parcel Mq__News__Parcel;
 typedef struct Mq__News__Router Mq__News__Router;
-typedef struct Mq__News__WayCount Mq__News__WayCount;
+typedef struct Mq__News__PathCount Mq__News__PathCount;
 typedef struct Mq__News__ServiceSends Mq__News__ServiceSends;
 typedef struct Mq__News__Finding Mq__News__Finding;
 typedef struct Mq__News__End Mq__News__End;
@@ -95,14 +95,14 @@
     , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
 
 
-struct  Mq__News__WayCount
+struct  Mq__News__PathCount
 {
   ProtobufCMessage base;
-  uint64_t way;
+  uint64_t path;
   uint32_t tokens;
 };
-#define MQ__NEWS__WAY_COUNT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&mq__news__way_count__descriptor) \
+#define MQ__NEWS__PATH_COUNT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&mq__news__path_count__descriptor) \
     , 0, 0 }
 
 
@@ -164,8 +164,8 @@
   uint64_t routing;
   uint64_t upstreams;
   uint32_t busy;
-  size_t n_ways;
-  Mq__News__WayCount **ways;
+  size_t n_paths;
+  Mq__News__PathCount **paths;
   size_t n_sends;
   Mq__News__ServiceSends **sends;
   size_t n_findings;
@@ -306,24 +306,24 @@
 void   mq__news__router__free_unpacked
                      (Mq__News__Router *message,
                       ProtobufCAllocator *allocator);
-/* Mq__News__WayCount methods */
-void   mq__news__way_count__init
-                     (Mq__News__WayCount         *message);
-size_t mq__news__way_count__get_packed_size
-                     (const Mq__News__WayCount   *message);
-size_t mq__news__way_count__pack
-                     (const Mq__News__WayCount   *message,
+/* Mq__News__PathCount methods */
+void   mq__news__path_count__init
+                     (Mq__News__PathCount         *message);
+size_t mq__news__path_count__get_packed_size
+                     (const Mq__News__PathCount   *message);
+size_t mq__news__path_count__pack
+                     (const Mq__News__PathCount   *message,
                       uint8_t             *out);
-size_t mq__news__way_count__pack_to_buffer
-                     (const Mq__News__WayCount   *message,
+size_t mq__news__path_count__pack_to_buffer
+                     (const Mq__News__PathCount   *message,
                       ProtobufCBuffer     *buffer);
-Mq__News__WayCount *
-       mq__news__way_count__unpack
+Mq__News__PathCount *
+       mq__news__path_count__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   mq__news__way_count__free_unpacked
-                     (Mq__News__WayCount *message,
+void   mq__news__path_count__free_unpacked
+                     (Mq__News__PathCount *message,
                       ProtobufCAllocator *allocator);
 /* Mq__News__ServiceSends methods */
 void   mq__news__service_sends__init
@@ -504,8 +504,8 @@
 typedef void (*Mq__News__Router_Closure)
                  (const Mq__News__Router *message,
                   void *closure_data);
-typedef void (*Mq__News__WayCount_Closure)
-                 (const Mq__News__WayCount *message,
+typedef void (*Mq__News__PathCount_Closure)
+                 (const Mq__News__PathCount *message,
                   void *closure_data);
 typedef void (*Mq__News__ServiceSends_Closure)
                  (const Mq__News__ServiceSends *message,
@@ -544,7 +544,7 @@
 extern const ProtobufCEnumDescriptor    mq__news__scope__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__parcel__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__router__descriptor;
-extern const ProtobufCMessageDescriptor mq__news__way_count__descriptor;
+extern const ProtobufCMessageDescriptor mq__news__path_count__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__service_sends__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__finding__descriptor;
 extern const ProtobufCMessageDescriptor mq__news__end__descriptor;
--- a/tests/support/roster_world.h
+++ b/tests/support/roster_world.h
@@ -262,7 +262,7 @@
   void
   set_self (Router &r)
   {
-    mq_way_tokens w = { r.way, (double)r.tokens };
+    mq_path_tokens w = { r.way, (double)r.tokens };
     mq_service_sends s = { 1, { r.tokens / 100, 0, 0 } };
 
     r.roster.self = {};
@@ -270,11 +270,11 @@
     r.roster.self.store_reached = r.reaches_store && r.roster.relays;
     r.roster.self.used = r.used;
     r.roster.self.loaded = r.tokens > 0;
-    g_array_set_size (r.roster.ways, 0);
+    g_array_set_size (r.roster.paths, 0);
     g_array_set_size (r.roster.sends, 0);
     if (r.tokens == 0)
       return;
-    g_array_append_val (r.roster.ways, w);
+    g_array_append_val (r.roster.paths, w);
     g_array_append_val (r.roster.sends, s);
   }
 
--- a/tests/test_domain_load.cc
+++ b/tests/test_domain_load.cc
@@ -37,7 +37,7 @@
 {
   mq_domain_choice w = way (used);
 
-  w.reading_ms = ms;
+  w.prefill_queue_ms = ms;
   return w;
 }
 
@@ -84,17 +84,17 @@
 {
   for (uint64_t draw : { (uint64_t)0, UINT64_MAX / 2, UINT64_MAX })
     {
-      EXPECT_LE (mq_domain_return_ms (20000, draw), 20000u / 3);
-      EXPECT_GE (mq_domain_return_ms (20000, draw), 4000u);
+      EXPECT_LE (mq_domain_retry_after_ms (20000, draw), 20000u / 3);
+      EXPECT_GE (mq_domain_retry_after_ms (20000, draw), 4000u);
     }
-  EXPECT_NE (mq_domain_return_ms (20000, 0),
-             mq_domain_return_ms (20000, UINT64_MAX));
-  EXPECT_GT (mq_domain_return_ms (0, 0), 0u);
+  EXPECT_NE (mq_domain_retry_after_ms (20000, 0),
+             mq_domain_retry_after_ms (20000, UINT64_MAX));
+  EXPECT_GT (mq_domain_retry_after_ms (0, 0), 0u);
 }
 
 TEST (DomainLoad, TheMoreWouldBeLostTheMoreMayBeTaken)
 {
-  EXPECT_EQ (choose ({ way (90000) }, 1000, MQ_DOMAIN_RETURNED), -1);
+  EXPECT_EQ (choose ({ way (90000) }, 1000, MQ_DOMAIN_RETRY), -1);
   EXPECT_EQ (choose ({ way (90000) }, 1000, MQ_DOMAIN_NEW), 0);
   EXPECT_EQ (choose ({ way (99000) }, 1000, MQ_DOMAIN_NEW), -1);
   EXPECT_EQ (choose ({ way (99000) }, 1000, MQ_DOMAIN_BEGUN), 0);
@@ -116,15 +116,15 @@
 
 TEST (DomainLoad, WhereAllReadTooMuchItWaits)
 {
-  EXPECT_EQ (choose ({ reading (400), reading (350) }), MQ_DOMAIN_READING);
+  EXPECT_EQ (choose ({ reading (400), reading (350) }), MQ_DOMAIN_PREFILLING);
   /* It is not for want of reading that it does not fit.  */
   EXPECT_EQ (choose ({ reading (400, 99000) }), MQ_DOMAIN_NO_ROOM);
 }
 
 TEST (DomainLoad, WhatWouldBeInTimeGoesBeforeWhatIsLateAnyhow)
 {
-  EXPECT_EQ (choose ({ reading (270) }, 1000, MQ_DOMAIN_RETURNED),
-             MQ_DOMAIN_READING);
+  EXPECT_EQ (choose ({ reading (270) }, 1000, MQ_DOMAIN_RETRY),
+             MQ_DOMAIN_PREFILLING);
   EXPECT_EQ (choose ({ reading (270) }, 1000, MQ_DOMAIN_NEW), 0);
   /* Its client waits for the next event.  */
   EXPECT_EQ (choose ({ reading (450) }, 1000, MQ_DOMAIN_BEGUN), 0);
@@ -162,7 +162,7 @@
   slow.prefill_ms = 40;
   fast.prefill_ms = 10;
   busy.prefill_ms = 10;
-  busy.reading_ms = 30;
+  busy.prefill_queue_ms = 30;
   for (uint64_t draw = 0; draw < 1000; draw++)
     n[(size_t)choose (
         { slow, fast, busy },
--- a/tests/test_layer_path.cc
+++ b/tests/test_layer_path.cc
@@ -113,7 +113,7 @@
 TEST_F (LayerPath, AnEngineThatDrainsOrIsAsideTakesNoNewWork)
 {
   put ("a", "h100", 0, 80);
-  mq_upstream_put_aside (at ("a"), 1, 100);
+  mq_upstream_eject (at ("a"), 1, 100);
   EXPECT_FALSE (find ());
   EXPECT_TRUE (find ("one", 200));
   at ("a")->facts.draining = true;
--- a/tests/test_news_codec.cc
+++ b/tests/test_news_codec.cc
@@ -1,4 +1,4 @@
-/* Parcels between routers, both ways, and what is no parcel.  */
+/* Parcels between routers, both paths, and what is no parcel.  */
 
 #include <mq/news_codec.h>
 
@@ -27,7 +27,7 @@
                          MQ_SPAN ("one"),
                          12,
                          250 };
-    mq_way_tokens w = { 0xfedcba9876543210, 1234 };
+    mq_path_tokens w = { 0xfedcba9876543210, 1234 };
     mq_service_sends s = { 77, { 10, 3, 1 } };
     mq_news_finding f = { MQ_SPAN ("eng-1"), 4000000, 2.5, 2000000, 300 };
     mq_quarantine_record e = { 0xf000000000000001, 0xf000000000000003, 70 };
@@ -48,7 +48,7 @@
     news.upstreams_digest = 0x8000000000000001;
     news.upstreams_newest = 17;
     news.busy = 5;
-    g_array_append_val (news.ways, w);
+    g_array_append_val (news.paths, w);
     g_array_append_val (news.sends, s);
     g_array_append_val (news.findings, f);
     g_array_append_val (news.ends, e);
@@ -118,7 +118,7 @@
   EXPECT_EQ (n->upstreams_digest, 0x8000000000000001u);
   EXPECT_EQ (n->upstreams_newest, 17u);
   EXPECT_EQ (n->busy, 5u);
-  EXPECT_EQ (mq_way_tokens_of (n->ways, 0xfedcba9876543210), 1234);
+  EXPECT_EQ (mq_path_tokens_of (n->paths, 0xfedcba9876543210), 1234);
   EXPECT_EQ (mq_service_sends_of (n->sends, 77).more, 3u);
   ASSERT_EQ (n->findings->len, 1u);
   EXPECT_EQ (g_array_index (n->findings, mq_news_finding, 0).pace, 2.5);
--- a/tests/test_overload.cc
+++ b/tests/test_overload.cc
@@ -99,8 +99,8 @@
   return sum;
 }
 
-const Policy ours = { MQ_DOMAIN_RETURNED, [] (uint64_t draw) {
-                       return mq_domain_return_ms (20000, draw);
+const Policy ours = { MQ_DOMAIN_RETRY, [] (uint64_t draw) {
+                       return mq_domain_retry_after_ms (20000, draw);
                      } };
 /* What came before: a short wait, and no difference between the two.  */
 const Policy hurried = { MQ_DOMAIN_NEW, [] (uint64_t draw) {
--- a/tests/test_roster.cc
+++ b/tests/test_roster.cc
@@ -291,7 +291,7 @@
         EXPECT_NE (s, leaves.client);
 }
 
-/* One relay that is cut off from the others of its domain, both ways: it must
+/* One relay that is cut off from the others of its domain, both paths: it must
    not take itself for the leader while the rest hear the store.  */
 TEST (Roster, WhoIsCutOffFromAllLeadsOnlyWhenItHearsTheStore)
 {
--- a/tests/test_serving_set.cc
+++ b/tests/test_serving_set.cc
@@ -48,7 +48,7 @@
   std::vector<unsigned> c (58, 120);
 
   EXPECT_EQ (mq_serving_count (c.data (), c.size (), 100),
-             (size_t)MQ_SERVING_LEAST);
+             (size_t)MQ_SERVING_MIN);
 }
 
 TEST (ServingSet, AsManyServeAsCarryABurst)
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -56,7 +56,7 @@
 
   u->in_flight = 2;
   u->orders = 7;
-  mq_upstream_blamed (u, 2 * s, 60 * s);
+  mq_upstream_reported_down (u, 2 * s, 60 * s);
   EXPECT_EQ (put ("a", "1:1", 0, 0, 3 * s, 2000), u);
   EXPECT_EQ (u->in_flight, 2u);
   EXPECT_EQ (u->orders, 0u);
@@ -128,7 +128,7 @@
 {
   mq_upstream *u = put ("a", "1:1");
 
-  mq_upstream_turned_away (u, 10 * s);
+  mq_upstream_rejected (u, 10 * s);
   EXPECT_TRUE (mq_upstream_is_usable (u, 10 * s));
   EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s));
   EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + s / 4));
@@ -138,16 +138,16 @@
 {
   mq_upstream *u = put ("a", "1:1");
 
-  mq_upstream_turned_away (u, 10 * s);
-  mq_upstream_turned_away (u, 10 * s); /* The same lack.  */
+  mq_upstream_rejected (u, 10 * s);
+  mq_upstream_rejected (u, 10 * s); /* The same lack.  */
   EXPECT_TRUE (mq_upstream_takes_work (u, 10 * s + s / 4));
-  mq_upstream_turned_away (u, 10 * s + s / 4);
+  mq_upstream_rejected (u, 10 * s + s / 4);
   EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s + s / 2));
   EXPECT_TRUE (mq_upstream_takes_work (u, 11 * s));
   for (int i = 11; i < 16; i++)
-    mq_upstream_turned_away (u, i * s);
+    mq_upstream_rejected (u, i * s);
   EXPECT_TRUE (mq_upstream_takes_work (u, 17 * s));
-  mq_upstream_turned_away (u, 30 * s); /* Another matter.  */
+  mq_upstream_rejected (u, 30 * s); /* Another matter.  */
   EXPECT_TRUE (mq_upstream_takes_work (u, 30 * s + s / 4));
 }
 
@@ -157,7 +157,7 @@
 {
   mq_upstream *u = put ("a", "1:1");
 
-  mq_upstream_turned_away (u, 10 * s);
+  mq_upstream_rejected (u, 10 * s);
   mq_upstream_succeeded (u, 9 * s);
   EXPECT_FALSE (mq_upstream_takes_work (u, 10 * s + 1));
   mq_upstream_succeeded (u, 10 * s + 1);
@@ -172,11 +172,11 @@
 
   for (; t < 11 * s; t += s / 10)
     {
-      mq_upstream_turned_away (u, t);
+      mq_upstream_rejected (u, t);
       EXPECT_FALSE (mq_upstream_is_leaving (u, t));
     }
   for (; t < 12 * s; t += s / 10)
-    mq_upstream_turned_away (u, t);
+    mq_upstream_rejected (u, t);
   EXPECT_TRUE (mq_upstream_is_leaving (u, t));
   EXPECT_FALSE (mq_upstream_is_leaving (u, t + 10 * s)); /* Nobody tried.  */
   mq_upstream_accepted (u, 9 * s);                       /* Sent before.  */
@@ -236,14 +236,14 @@
   mq_upstream u = {};
 
   u.listed = true;
-  mq_upstream_hear_aside (&u, 4000000, by, 1000000);
+  mq_upstream_take_ejection (&u, 4000000, by, 1000000);
   EXPECT_FALSE (mq_upstream_is_usable (&u, 1100000));
   mq_upstream_succeeded (&u, 1100000);
   EXPECT_TRUE (mq_upstream_is_usable (&u, 1200000));
-  mq_upstream_hear_aside (&u, 3800000, by, 1201000);
+  mq_upstream_take_ejection (&u, 3800000, by, 1201000);
   EXPECT_TRUE (mq_upstream_is_usable (&u, 1201000));
   /* A new finding counts.  */
-  mq_upstream_hear_aside (&u, 4000000, by, 1500000);
+  mq_upstream_take_ejection (&u, 4000000, by, 1500000);
   EXPECT_FALSE (mq_upstream_is_usable (&u, 1500000));
 }
 
@@ -253,7 +253,7 @@
   const mq_finding_source by = { 7, false };
   mq_upstream u = {};
 
-  mq_upstream_hear_pace (&u, 4, 500000, by, 1000000);
+  mq_upstream_take_pace (&u, 4, 500000, by, 1000000);
   EXPECT_EQ (mq_upstream_slowness (&u, 1400000), 4);
   EXPECT_EQ (mq_upstream_slowness (&u, 1600000), 1);
 }
