--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -55,7 +55,7 @@
 int mq_domain_choose (const mq_domain_choice *choices, size_t n,
                       const mq_domain_request *request);
 
-/* When a refused client that has LEFT_MS should come back, in ms.  DRAW, even
+/* Retry-After, in ms, for a rejected client that has LEFT_MS.  DRAW, even
    over 64 bits, spreads those who are refused together.  */
 unsigned mq_domain_retry_after_ms (uint64_t left_ms, uint64_t draw);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -285,7 +285,7 @@
 /* Answer with BODY of that content TYPE.  */
 void mq_gateway_answer_text (mq_http_exchange *exchange, unsigned status,
                              const char *type, mq_span body);
-/* Answer with STATUS and, unless 0, when to come back.  */
+/* Answer with STATUS and, unless 0, Retry-After.  */
 void mq_gateway_refuse (mq_http_exchange *exchange, unsigned status,
                         unsigned retry_ms);
 
--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -11,10 +11,8 @@
 
 G_BEGIN_DECLS
 
-/* Tokens that each stage should have memory for, at least.  Three chains of
-   this size hold about 360,000 tokens; 72 requests a second of 930 tokens that
-   last 3.5 to 4.5 s need 200,000 to 270,000, so that two chains carry the
-   usual load when the third is being repaired.  */
+/* Tokens that each stage should have memory for, at least, so that the other
+   chains carry the usual load while one is being repaired.  */
 #define MQ_PLAN_TOKENS_WANTED 120000.0
 /* Below this a stage is worth nothing: some ten requests.  */
 #define MQ_PLAN_MIN_TOKENS 8000.0
--- a/include/mq/planner.h
+++ b/include/mq/planner.h
@@ -211,7 +211,7 @@
   double step_us; /* Expected for a full batch.  */
   double drag;    /* Time it takes over what it reports.  */
   bool usable;    /* May be given new work.  */
-  bool put_aside; /* Slow against its peers.  */
+  bool ejected;   /* Slow against its peers.  */
 } mq_engine_view;
 
 /* Fill VIEW for ENGINE as of NOW_US.  Returns 0, or -1 when the planner has
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -37,8 +37,7 @@
    that stood near.  */
 #define MQ_QUARANTINE_ENDS 16
 /* What runs on for so long from its first event did not end its upstream by
-   beginning, and is no suspect of what comes later.  Ends were seen within a
-   third of a second of that.  */
+   beginning, and is no suspect of what comes later.  */
 #define MQ_QUARANTINE_BEGIN_US ((uint64_t)500 * 1000)
 /* Connections that break because one upstream ended are noticed within this,
    also by a VM with a tenth of a processor.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -63,7 +63,7 @@
   uint64_t crowded_until_us;  /* Work waits there: nothing new before.  */
   uint64_t rejected_us;       /* When it last turned a request away, alive.  */
   uint64_t rejecting_span_us; /* For so long after it gets none.  */
-  uint64_t rejecting_since_us; /* All that was sent since was turned away.  */
+  uint64_t rejecting_since_us; /* All that was sent since was rejected.  */
   uint64_t accepted_us; /* When the last was sent that it took; 0: none.  */
   uint64_t told_rejecting_us; /* Others say that it gets none up to then ... */
   mq_finding_source rejecting_by; /* ... and this one does.  */
@@ -109,8 +109,8 @@
 /* Take FACTS, which become the registry's and are empty afterwards.  */
 void mq_registry_put (mq_registry *registry, mq_upstream_facts *facts,
                       uint64_t now_us);
-/* What an engine reports was true so long ago, at most: twice the 0.2 s that
-   the users' deployments state.  */
+/* What an engine reports was true so long ago, at most: twice the usual lag of
+   reports.  */
 #define MQ_UPSTREAM_REPORT_LAG_US ((uint64_t)400 * 1000)
 
 /* UPSTREAM holds layers [FIRST, END), as it reports itself.  Returns true when
--- a/packages/decide/planner.c
+++ b/packages/decide/planner.c
@@ -454,7 +454,7 @@
     .step_us = mq_step_model_us (&e->step, e->slots),
     .drag = e->drag,
     .usable = mq_engine_state_usable (e, now_us),
-    .put_aside = e->standing == MQ_ENGINE_ASIDE,
+    .ejected = e->standing == MQ_ENGINE_ASIDE,
   };
   return 0;
 }
--- a/packages/decide/repair.c
+++ b/packages/decide/repair.c
@@ -5,12 +5,12 @@
 /* A range is short when fewer than this part of its engines are left, and
    always when none is.  */
 #define SHORT_PART 3
-/* How long that must last: most engines come back by themselves.  */
-#define PATIENCE_US 2000000
+/* How long a shortage must last: most engines restart by themselves.  */
+#define SHORTAGE_SETTLE_US 2000000
 /* How long an ordered engine may take to report the range.  */
 #define ORDER_US 60000000
 /* Orders at once, over all ranges.  */
-#define MOST_ORDERS 2
+#define MAX_ORDERS 2
 
 static void
 shortage_clear (gpointer data)
@@ -232,8 +232,8 @@
   if (s == NULL)
     s = repairs_add (r, m, needy->first, needy->end, now_us);
   s->seen = true;
-  if (now_us < s->since_us + PATIENCE_US || shortage_waits (s, m, now_us)
-      || repairs_ordered (r, now_us) >= MOST_ORDERS)
+  if (now_us < s->since_us + SHORTAGE_SETTLE_US || shortage_waits (s, m, now_us)
+      || repairs_ordered (r, now_us) >= MAX_ORDERS)
     return;
   donor = range_donor (needy, ranges, m, s->engine, now_us);
   if (donor != NULL)
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -23,16 +23,15 @@
 #define STORE_TIMEOUT_MS 1000
 
 /* Seconds until an idle connection is closed; clients reuse connections that
-   were idle for four fifths of the operator's limit, 15 s in the users'
-   deployments.  */
+   were idle for four fifths of the operator's limit.  */
 #define IDLE_S 40
 
 /* A drain ends this long before the kill, and not before clients had time to
    forget the address.  */
 #define DRAIN_RESERVE_MS ((uint64_t)700)
 #define MIN_DRAIN_MS ((uint64_t)2500)
-/* The last part of a drain is for what has come before: a plain call takes
-   0.1 s, seldom 0.5 s, and one that came in the last moment was cut.  */
+/* The last part of a drain is for what has come before, so that no call is cut
+   by the end.  */
 #define DRAIN_ALONE_MS ((uint64_t)1500)
 /* New connections are taken for so long, by clients that asked the directory
    just before.  What comes later on connections that are open is refused when
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -13,14 +13,13 @@
 #include <mq/log.h>
 
 /* How long one follow waits.  A connection that fell silent for good is
-   noticed within 2 s by probes (platform.c), and a watch that hangs at the
-   store by what others know.  At 2.5 s, which needed neither, 10 followers
-   made 440 of 648 calls of a calm day of 58 s.  */
+   noticed sooner by keep-alive probes (platform.c), and a watch that hangs at
+   the store by what others know.  Each call counts.  */
 #define FOLLOW_MS 20000
 /* The same at whoever watches the configuration, and at the first two routers
    that follow the upstreams: the store may forget its history while all
    watches wait, which then all hang.  What they find, the others hear of,
-   within the bound on a change of configuration (2 to 4 s).  Who asks must not
+   within the bound on a change of configuration.  Who asks must not
    hang on who else is thought to: those may just have been cut off.  */
 #define FOLLOW_POLL_MS 1500
 #define POLLERS 2
@@ -32,9 +31,8 @@
    A tenth of the bound on a change of configuration.  */
 #define GATHER_S 0.1
 /* The same while many others come up too, all reporting at once, at a router
-   that gives no orders.  A drain leaves two seconds.  At 73 routers three
-   quarters of a calm day's calls came before the traffic did (2,970 of 3,990).
- */
+   that gives no orders: otherwise most calls of a large fleet are made before
+   its traffic comes.  */
 #define GATHER_CALM_S 0.8
 #define STARTING_US ((uint64_t)10 * 1000 * 1000)
 #define STARTING_ROUTERS 16
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -11,28 +11,26 @@
 #include <string.h>
 
 /* Answers leave so long before the client's patience ends, for the way back
-   to the client (3 ms in the users' deployments) and a late timer.  */
+   to the client and a late timer.  */
 #define WAY_BACK_MS 15
 
-/* A stream that is silent for so long is looked into: some seven times the
-   usual gap between events (40 ms, 100 at full load) and well before clients
-   leave (2 s).  */
+/* The head of a stream that is silent for so long is asked for a report, and
+   its path is probed by then at the latest.  */
 #define SILENT_ASK_US ((uint64_t)300 * 1000)
-/* The same before the first event, which takes 0.1 to 0.4 s by itself.  */
+/* The same before the first event, which comes after the prompt's prefill.  */
 #define FIRST_ASK_US ((uint64_t)700 * 1000)
 /* The path of a stream is probed no sooner.  */
-#define PROBE_MIN_MS 50.0
-/* Silent for so long, whatever the head says, and there is room elsewhere:
-   clients leave after 2 s, and a new run needs 0.2 to 0.4 s to its first
-   event.  */
+#define MIN_PROBE_MS 50.0
+/* Silent for so long, whatever the head says, a stream moves if there is room
+   elsewhere: clients leave after 2 s, and a new run takes a while.  */
 #define MAX_SILENT_US ((uint64_t)1400 * 1000)
 
 /* A connection that fails within this was refused, by a machine that is there:
    nothing listens.  Lost packets show later.  */
 #define REFUSED_WITHIN_US ((uint64_t)100 * 1000)
 
-/* When to come back after upstreams said that they did not run it: a full
-   queue of a plain service empties within some calls of 60 ms.  */
+/* Retry-After when upstreams said that they did not run it: a full queue of a
+   plain service empties within a few calls.  */
 #define NOT_RUN_RETRY_MS 500
 
 /* A repeatable plain call is given up for another upstream after so many
@@ -120,7 +118,7 @@
 
   ++*(refused ? forward->gateway->counters.refused
               : forward->gateway->counters.failed);
-  /* Only a promise that it did not run says when to come back.  */
+  /* Only a promise that it did not run has Retry-After.  */
   mq_gateway_refuse (forward->exchange, status, refused ? retry_ms : 0);
   mq_forward_end (forward, refused ? "refused" : "failed", status, why);
 }
@@ -285,7 +283,7 @@
   if (load == NULL)
     return max_us;
   e = heard ? &load->event_gap : &load->first_event;
-  return (uint64_t)(mq_latency_estimate_timeout_ms (e, PROBE_MIN_MS,
+  return (uint64_t)(mq_latency_estimate_timeout_ms (e, MIN_PROBE_MS,
                                                     (double)max_us / 1000)
                     * 1000);
 }
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -30,10 +30,7 @@
 
 /* A router that hears the store again gives orders for that reason after so
    long, where others' news come late: it takes two to hear that they hear it
-   too.  Beside the starts of all, 32 routers began to lead on a day
-   without it, and 16 with it, of 73.  Where news
-   come with each heartbeat the wait gains nothing (mean of 14 days with six
-   and seven routers: 0.6552 without, 0.6481 with).  */
+   too.  Where updates come with each heartbeat the wait gains nothing.  */
 #define LEAD_SETTLE_US ((uint64_t)500 * 1000)
 #define COUNTS_FRESH_MS (2 * MQ_ROSTER_HEARTBEAT_MS)
 
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -16,7 +16,7 @@
 #define IDLE_REPORT_US ((uint64_t)1000 * 1000)
 /* A router is loaded with so many requests in flight, and for a while after.
    Fewer make no difference to where others send, and each router has one now
-   and then: with one, all of 295 reported at each heartbeat.  */
+   and then.  */
 #define LOADED_REQUESTS 3
 #define LOADED_US ((uint64_t)2000 * 1000)
 /* A peer's finding about an engine counts no longer than this.  */
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -176,10 +176,8 @@
           || mq_upstream_is_leaving (u, now_us))
         continue;
       h = mq_layer_order_view (u, &service->model, now_us, &ask);
-      /* Counts in doubt are asked for before an order needs them: when a plan
-         was carried out but for some engines, these got what was left (mean
-         worth of 30 days of a deployment of 33 engines: 0.577, with it 0.620).
-       */
+      /* Counts in doubt are asked for before an order needs them: otherwise a
+         plan is carried out but for some engines, which get what is left.  */
       if (ask || (blind && h.fixed) || order_may_resolve (u, now_us))
         order_poll (gateway, u, now_us);
       any_held = any_held || h.first < h.end;
--- a/packages/gateway/gateway_pass_on.c
+++ b/packages/gateway/gateway_pass_on.c
@@ -21,18 +21,17 @@
    router reports once a second.  */
 #define TOLD_AGAIN_US ((uint64_t)1200 * 1000)
 /* A whole list of upstreams goes to a router whose digest was none of ours
-   for so long: 78 KB for 222 upstreams, which a small VM reads in 80 ms, while
-   each change reaches it by itself.  */
+   for so long: reading it takes a small VM a while, and each change reaches it
+   by itself.  */
 #define LIST_BEHIND_US ((uint64_t)2000 * 1000)
 
 /* A follow brings a change within some ms; the watch that it is may hang,
-   though, when the store forgets its history meanwhile (8 of
-   90 routers had an old configuration for 5 s).  After so long behind
+   though, when the store forgets its history meanwhile.  After so long behind
    a peer, and again after the longer while, the store is asked anew.  */
 #define OWN_LAG_US ((uint64_t)300 * 1000)
 #define OWN_LAG_AGAIN_US ((uint64_t)2000 * 1000)
 /* The same for upstreams: longer than a follower gathers changes before it
-   asks for more (0.8 s), with what news take to tell of that.  */
+   asks for more, with what updates take to tell of that.  */
 #define UPSTREAMS_LAG_US ((uint64_t)1200 * 1000)
 /* The same at a router that does not follow the store: its relays come first.
  */
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -165,7 +165,7 @@
 
   if (forward->state.begun)
     return MQ_DOMAIN_BEGUN;
-  /* A client that comes back has less time than its route gives.  */
+  /* A retry has less time than its route gives.  */
   return left_ms + RETRY_MARGIN_MS < forward->route->timeout_ms
              ? MQ_DOMAIN_RETRY
              : MQ_DOMAIN_NEW;
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -19,8 +19,8 @@
    s, and a run takes some 0.2 s to its first event.  */
 #define MAX_PARK_US ((uint64_t)1600 * 1000)
 
-/* When to come back for want of budget: what a client sends anew is no further
-   send, so it only has to let the upstreams recover for a moment.  */
+/* Retry-After for want of budget: what a client sends anew is no further send,
+   so it only has to let the upstreams recover for a moment.  */
 #define NO_BUDGET_RETRY_MS 500
 
 #define US_PER_MS ((uint64_t)1000)
--- a/packages/route/chain_rate.c
+++ b/packages/route/chain_rate.c
@@ -19,9 +19,8 @@
 
 /* Part of the memory that is given out to new requests (domain_load.c).  */
 #define GIVEN 0.9
-/* Part of the time of reading by which tokens come later: stages read while
-   the others step.  From six chains of 6 to 9 engines under 15 to 30 requests
-   a second, whose gaps were measured against the steps alone: 0.4 to 0.5.  */
+/* Part of the time of prefill by which tokens come later: stages prefill while
+   the others step.  */
 #define READ_HINDERS 0.45
 
 /* Time of a token with REQUESTS in flight, without what is read.  */
--- a/packages/route/follow.c
+++ b/packages/route/follow.c
@@ -10,10 +10,9 @@
    may only just have begun.  */
 #define RELAY_US ((uint64_t)250 * 1000)
 /* When nobody is known to hear the store, a router that is no relay steps in
-   after so long and a part of the spread that its name gives.  With 290
-   routers some ten try within a third of a second: one that the store serves
-   is found well within the bound on a change of configuration (2 to 4 s), and
-   an outage for all costs each router a call in a quarter of a minute.  */
+   after so long and a part of the spread that its name gives: in a large fleet
+   one that the store serves is found well within the bound on a change of
+   configuration, and an outage for all costs each router few calls.  */
 #define STEP_IN_US ((uint64_t)1000 * 1000)
 #define STEP_IN_SPREAD_US ((uint64_t)10 * 1000 * 1000)
 #define TRIED_PAUSE_US ((uint64_t)15 * 1000 * 1000)
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -38,9 +38,8 @@
 }
 
 /* A stream whose chain broke or fell silent may go on at the same head by
-   another path, or at one that it left when that was only slow (26
-   streams were broken off because two heads had been tried, all that their
-   route allows).  */
+   another path, or at one that it left when that was only slow, though the
+   route allows no further upstream.  */
 static bool
 forward_may_return (const mq_forward_state *state)
 {
--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -20,9 +20,8 @@
 
 /* Of chains that sustain nearly the same the one of the fewest engines is
    taken: its requests end sooner, so that a fault strikes fewer of them, and
-   the other engines hold second copies.  0.62 to 0.65 of the credit where a
-   fast card was left to replace a fast one; at 0.95 a domain of many slow
-   cards was short of memory when another lost its chain, 0.678 to 0.654.  */
+   the other engines hold second copies.  A wider margin would leave a domain
+   of many slow cards short of memory when another loses its chain.  */
 #define RATE_ALIKE 0.975
 
 /* Cards whose paces differ by less than this are taken by memory, since a
--- a/packages/route/layer_order.c
+++ b/packages/route/layer_order.c
@@ -2,8 +2,8 @@
 
 #include <mq/layer_order.h>
 
-/* Beside the load itself: the order's way, a report's lag (0.2 s) and the
-   store's news of it.  */
+/* Beside the load itself: the order's delivery, a report's lag and the store's
+   notice of it.  */
 #define ORDER_SLACK_US ((uint64_t)1500 * 1000)
 /* Loads take longer while others load too.  */
 #define LOAD_TIMES 2
@@ -17,8 +17,8 @@
    meanwhile; so one that can't be asked any more is not waited for.  */
 #define BUSY_HOLD_US ((uint64_t)1000 * 1000)
 
-/* What passes through an engine ends within this, nearly always: the longest
-   streams of the users' deployments take 7 s under full load.  */
+/* What passes through an engine ends within this, nearly always: a long stream
+   under full load.  */
 #define PASSING_US ((uint64_t)7000 * 1000)
 
 /* Has an order to ENGINE not been reported as done yet?  */
@@ -33,8 +33,8 @@
 }
 
 /* Is the order to ENGINE open for longer than its load should take?  An
-   engine that gives up layers first waits for what passes through them, which
-   took 7 s under full load.  So it is asked, and gets no other order until it
+   engine that gives up layers first waits for what passes through them.  So it
+   is asked, and gets no other order until it
    says that nothing is under way; meanwhile others may get those layers.  */
 static bool
 order_is_overdue (const mq_upstream *engine, const mq_layered_model *model,
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -1,15 +1,14 @@
 /* Paths over engines that hold layers: see mq/layer_path.h.
 
    The search goes over the layers from the first to the last: for each layer
-   the best way to have run all before it.  Ways begin and end only where some
-   engine's range does, so its cost is the number of engines times the number
-   of such places in one domain.
+   the best path that has run all before it.  Paths begin and end only where
+   some engine's range does, so its cost is the number of engines times the
+   number of such places in one domain.
 
    It goes twice: first for the most memory that the tightest stage of a path
    can have, then for the fastest path that has nearly as much.  Memory bounds
    what a domain can serve at a time; copies that an engine holds beside other
-   layers have little, and were faster by a hop (65,000 tokens where
-   107,000 could be had).  */
+   layers have little, though a path through them may be shorter.  */
 
 #include <mq/internal/layer_path.h>
 
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -15,8 +15,8 @@
 
 #include <mq/internal/layer_plan.h>
 
-/* A successor registers 0.1 s after the engine that it replaces began to
-   drain, in the users' deployments; and the store's news take as long.  */
+/* A successor registers a moment after the engine that it replaces began to
+   drain, and the store takes as long to tell of it.  */
 #define SETTLE_US ((uint64_t)500 * 1000)
 /* Engines may come and go for long.  */
 #define MAX_PREFILL_WAIT_US ((uint64_t)3000 * 1000)
--- a/packages/route/pass_on.c
+++ b/packages/route/pass_on.c
@@ -1,11 +1,10 @@
 /* Who passes on what a router lacks: see mq/pass_on.h.
 
-   The load it answers: a configuration with many routes at 73 routers, of
-   which a third are cut off from the store.  Each was told by all others,
-   three times a second; the queues took the memory of whole processes.  And
-   when the store comes back for all within a second: each router then seems
-   the only one that hears it and has the newest configuration, and told all
-   others, 10,600 messages of 61 KB.  */
+   The load it answers: a large configuration, and many routers that are cut
+   off from the store.  If all others told each of them, the queues would take
+   the memory of whole processes.  And when the store comes back for all at
+   once, each router seems the only one that hears it and has the newest
+   configuration.  */
 
 #include <mq/pass_on.h>
 
--- a/packages/route/roster.c
+++ b/packages/route/roster.c
@@ -25,7 +25,7 @@
 #define KNOWN_US ((uint64_t)30 * 1000 * 1000)
 /* How long a router looks for relays before it becomes one unasked: all
    processes of a fleet start within some tenths of a second, and introductions
-   take some more.  After 0.7 s 58 of 295 became relays, 15 of which should. */
+   take some more.  */
 #define JOIN_US ((uint64_t)1500 * 1000)
 
 static void
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -14,15 +14,14 @@
 #define SHARE_USED 0.75
 /* Part of it up to which what others leave is used as well.  */
 #define SHARE_LENT 0.5
-/* So many routers may lend all that is left at a time: their counts are 0.25 s
-   old, and a stage that dies takes streams from each once.  With more, counts
-   are older and all of 90 routers lend at once:
-   each may lend so much less that together they stay within the bound.  */
+/* So many routers may each take all that is left at a time: their counts are
+   fresh, and a stage that dies takes streams from each once.  With more,
+   counts are older and many take at once: each may take so much less that
+   together they stay within the bound.  */
 #define LENDERS 6.0
 /* A process knows few of the others at first, and takes their parts for its
-   own: 90 that started together made 2,071 further sends of 1,115 allowed.  So
-   it counts on no slack for this part of the window, 2 s of the users' 10, in
-   which news of all others come.  */
+   own.  So it counts on no slack for this part of the window, in which updates
+   of all others come.  */
 #define LEARN_PART 0.2
 /* How long a transfer can be used: less than the slice that the lender counts
    beyond the window.  */
@@ -95,10 +94,8 @@
   return grown < LEARN_PART ? 0 : MIN (grown, 1);
 }
 
-/* This router's share of the fleet's requests, and so of the slack.  Divided
-   by routers, the slack lay idle with those that had next to no requests: of
-   1,474 further sends allowed in a window, 295 routers refused 400 streams
-   a resumption.  */
+/* This router's share of the fleet's requests, and so of the slack, which
+   would lie idle at routers without requests if all had the same.  */
 static double
 budget_share (mq_send_counts own, mq_send_counts others, unsigned routers)
 {
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -7,21 +7,21 @@
 /* Failures in a row after which an upstream is ejected.  Two, since one
    lost answer in fifty is what a sound upstream may show under a fault of
    the network, and two in a row then happen once in 2,500.  */
-#define FAILURES_ASIDE 2
+#define FAILURES_TO_EJECT 2
 /* First and longest ejection; doubled each time.  An incarnation that died
-   leaves the platform's list after three heartbeats (3.6 s), so longer waits
+   leaves the platform's list after three heartbeats, so longer waits
    only delay the return of a sound one.  */
-#define ASIDE_FIRST_US ((uint64_t)1000 * 1000)
+#define FIRST_EJECTION_US ((uint64_t)1000 * 1000)
 
-/* How long an engine that turned a request away gets none: some streams of
-   4 s on the average end in the first time, since a full stage holds 100; the
-   longest is what a load of some layers takes.  */
-#define TURNED_FIRST_US ((uint64_t)200 * 1000)
+/* How long an engine that rejected a request gets none: in the first time some
+   streams of a full stage end; the longest is what a load of some layers
+   takes.  */
+#define FIRST_REJECTING_US ((uint64_t)200 * 1000)
 #define MAX_REJECTING_US ((uint64_t)1600 * 1000)
 
 /* One that is short of memory takes some request within this, as others end
-   all the time; what refuses for longer drains, and the store could not tell
-   (for 7 s no chain was repaired).  */
+   all the time; what rejects for longer drains, and the store could not tell.
+ */
 #define LEAVING_US ((uint64_t)1000 * 1000)
 
 /* Layers that an engine lets go stay in its memory until the requests that
@@ -446,7 +446,7 @@
     upstream->rejecting_since_us = now_us;
   upstream->rejecting_span_us
       = upstream->rejecting_span_us == 0 || now_us > until + MAX_REJECTING_US
-            ? TURNED_FIRST_US
+            ? FIRST_REJECTING_US
             : MIN (upstream->rejecting_span_us * 2, MAX_REJECTING_US);
   upstream->rejected_us = now_us;
 }
@@ -481,7 +481,7 @@
 {
   uint64_t until = upstream->rejected_us + upstream->rejecting_span_us;
 
-  return upstream->rejecting_span_us > TURNED_FIRST_US && until > now_us
+  return upstream->rejecting_span_us > FIRST_REJECTING_US && until > now_us
              ? until - now_us
              : 0;
 }
@@ -526,7 +526,7 @@
 {
   upstream->ejection_span_us
       = upstream->ejection_span_us == 0
-            ? ASIDE_FIRST_US
+            ? FIRST_EJECTION_US
             : MIN (upstream->ejection_span_us * 2, MAX_EJECTION_US);
 }
 
@@ -544,7 +544,7 @@
 void
 mq_upstream_failed (mq_upstream *upstream, uint64_t now_us)
 {
-  if (++upstream->failures < FAILURES_ASIDE)
+  if (++upstream->failures < FAILURES_TO_EJECT)
     return;
   upstream_lengthen_aside (upstream);
   mq_upstream_eject (upstream, now_us, upstream->ejection_span_us);
@@ -554,6 +554,6 @@
 mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us)
 {
   mq_upstream_failed (upstream, now_us);
-  if (upstream->failures >= FAILURES_ASIDE)
+  if (upstream->failures >= FAILURES_TO_EJECT)
     upstream->reported_down_until_us = upstream->ejected_until_us;
 }
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -24,7 +24,7 @@
 #define VERIFY_US UINT64_C (5000000)
 #define LOAD_TIME_US UINT64_C (120000000)
 /* Above the time that a load may take.  */
-#define PATIENCE_US UINT64_C (180000000)
+#define LOAD_TIMEOUT_US UINT64_C (180000000)
 #define CONCURRENT 4
 
 struct mq_order_io
@@ -354,7 +354,7 @@
                       .verify_us = VERIFY_US,
                       .concurrent = CONCURRENT,
                       .load_time_us = LOAD_TIME_US,
-                      .patience_us = PATIENCE_US } };
+                      .patience_us = LOAD_TIMEOUT_US } };
 
   io->router = router;
   io->ordering = mq_ordering_new (&options);
--- a/tests/prop_planner.cc
+++ b/tests/prop_planner.cc
@@ -271,7 +271,7 @@
       {
         mq_engine_view v = view (name (i));
 
-        aside += v.put_aside;
+        aside += v.ejected;
         RC_ASSERT (v.step_us > 0);
         RC_ASSERT (v.drag > 0);
         /* Lapsed attempts are gone from the planner first.  */
--- a/tests/test_herd.cc
+++ b/tests/test_herd.cc
@@ -118,7 +118,7 @@
 
         for (unsigned o = 0; o < routers; o++)
           used += o == r ? 0 : told_[o][w];
-        choices[w] = { MQ_SPAN ("d"), room, used, 10, false, false, 0 };
+        choices[w] = { MQ_SPAN ("d"), room, used, 10, false, false, 0, 0 };
         if (now > warm_s)
           errors_.push_back (std::abs (used - real (w)) / room);
       }
--- a/tests/test_overload.cc
+++ b/tests/test_overload.cc
@@ -60,7 +60,7 @@
   while (!arrivals.empty ())
     {
       auto [now, returned] = arrivals.top ();
-      mq_domain_choice way = { MQ_SPAN ("d"), room, 0, 10, false, true, 0 };
+      mq_domain_choice way = { MQ_SPAN ("d"), room, 0, 10, false, true, 0, 0 };
       mq_domain_request request
           = { 1000, returned ? policy.returned : MQ_DOMAIN_NEW, 500, 250, 1 };
 
--- a/tests/test_planner.cc
+++ b/tests/test_planner.cc
@@ -440,13 +440,13 @@
     add_engine ("e" + std::to_string (i), 0, 8);
   configure ();
   run_streams (100, slow);
-  EXPECT_TRUE (view ("e0").put_aside);
+  EXPECT_TRUE (view ("e0").ejected);
   EXPECT_FALSE (view ("e0").usable);
   /* It is tried again, found slow and put aside for longer.  */
   run_streams (300, slow);
-  EXPECT_TRUE (view ("e0").put_aside);
+  EXPECT_TRUE (view ("e0").ejected);
   run_streams (1000, well);
-  EXPECT_FALSE (view ("e0").put_aside);
+  EXPECT_FALSE (view ("e0").ejected);
   EXPECT_TRUE (view ("e0").usable);
 }
 
@@ -462,7 +462,7 @@
     int aside = 0;
 
     for (int i = 0; i < 10; i++)
-      aside += view ("e" + std::to_string (i)).put_aside;
+      aside += view ("e" + std::to_string (i)).ejected;
     most = std::max (most, aside);
     return n[0] < "e4" ? 400000 : 15000;
   });
--- a/tests/test_roster.cc
+++ b/tests/test_roster.cc
@@ -145,9 +145,11 @@
       w.run (second / 2);
       for (auto &r : w.routers)
         if (r->tokens > 0 && r.get () != &changed)
-          EXPECT_EQ (mq_roster_tokens (&r->roster, 1, w.now) + r->tokens,
-                     before + w.routers.back ()->tokens + 777)
-              << r->name << " of " << s.routers;
+          {
+            EXPECT_EQ (mq_roster_tokens (&r->roster, 1, w.now) + r->tokens,
+                       before + w.routers.back ()->tokens + 777)
+                << r->name << " of " << s.routers;
+          }
     }
 }
 
@@ -188,9 +190,11 @@
   EXPECT_EQ (w.leaders (), 1u);
   for (auto &r : w.routers)
     if (r->up && r->domain == "domain-1")
-      EXPECT_TRUE (r->roster.relays
-                   || mq_roster_hears_relay (&r->roster, w.now))
-          << r->name;
+      {
+        EXPECT_TRUE (r->roster.relays
+                     || mq_roster_hears_relay (&r->roster, w.now))
+            << r->name;
+      }
 }
 
 /* All who are named in digests are gone at once: the rest ask the seeds.  */
@@ -233,7 +237,9 @@
     sum += r->tokens;
   for (auto &r : w.routers)
     if (r->up)
-      EXPECT_EQ (mq_roster_tokens (&r->roster, 1, w.now) + r->tokens, sum);
+      {
+        EXPECT_EQ (mq_roster_tokens (&r->roster, 1, w.now) + r->tokens, sum);
+      }
 }
 
 /* All processes are killed and start again: the store lists the relays, and
@@ -287,8 +293,10 @@
   EXPECT_FALSE (leaves.roster.relays);
   for (auto &r : w.routers)
     if (r->domain == "domain-0" && r->roster.relays)
-      for (const std::string &s : w.serving (*r))
-        EXPECT_NE (s, leaves.client);
+      {
+        for (const std::string &s : w.serving (*r))
+          EXPECT_NE (s, leaves.client);
+      }
 }
 
 /* One relay that is cut off from the others of its domain, both paths: it must
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -70,7 +70,10 @@
   for (int i = 0; i < 100; i++)
     {
       if (i == 4)
-        EXPECT_FALSE (mq_send_budget_has_room (&b, 6, alone, 20 * s + s / 5));
+        {
+          EXPECT_FALSE (
+              mq_send_budget_has_room (&b, 6, alone, 20 * s + s / 5));
+        }
       mq_send_budget_request (&b, 6, 20 * s + i * s / 20);
     }
   EXPECT_TRUE (mq_send_budget_has_room (&b, 6, alone, 25 * s));
