--- a/include/mq/forward_rule.h
+++ b/include/mq/forward_rule.h
@@ -66,6 +66,22 @@
                                      mq_send_end end, unsigned status,
                                      bool budget);
 
+/* Why a request is not sent again.  */
+typedef enum mq_forward_limit
+{
+  MQ_FORWARD_LIMIT_NONE, /* It is, or the answer is passed on.  */
+  MQ_FORWARD_LIMIT_KIND, /* It may have run, and must not run twice.  */
+  MQ_FORWARD_LIMIT_ATTEMPTS,
+  MQ_FORWARD_LIMIT_TIME,
+  MQ_FORWARD_LIMIT_BUDGET
+} mq_forward_limit;
+
+/* What kept mq_forward_judge, given the same, from another send.  */
+mq_forward_limit mq_forward_limit_of (const mq_forward_state *state,
+                                      mq_send_end end, bool budget);
+/* Lower-case word for logs.  */
+const char *mq_forward_limit_name (mq_forward_limit limit);
+
 /* The verdict when nothing more is to be sent.  */
 mq_forward_verdict mq_forward_give_up (const mq_forward_state *state,
                                        bool silent);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -203,6 +203,7 @@
   mq_forward *f = forward;
   uint64_t now = mq_gateway_now_us ();
   mq_forward_verdict v;
+  bool budget;
 
   f->state.now_us = now;
   switch (end)
@@ -223,17 +224,19 @@
   forward_count_upstreams (f);
   forward_note_failure (f, end, now);
   /* A stream that has begun waits for budget as it does for room.  */
-  v = mq_forward_judge (
-      &f->state, end, status,
-      f->state.begun || mq_gateway_has_budget (f->gateway, f->service, now));
+  budget
+      = f->state.begun || mq_gateway_has_budget (f->gateway, f->service, now);
+  v = mq_forward_judge (&f->state, end, status, budget);
   mq_log_story_add (
       &f->story, G_LOG_LEVEL_INFO, "request.send-ended",
-      "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d"
+      "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d limit=%s"
       " events=%u content=%016" G_GINT64_MODIFIER
       "x silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
       f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end, status,
-      why, v.verb, f->split.events, forward_logged_content (f, end),
+      why, v.verb,
+      mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
+      f->split.events, forward_logged_content (f, end),
       (now - MAX (f->heard_us, f->sent_us)) / 1000, mq_forward_age_ms (f));
   forward_drop_send (f);
   mq_forward_unplace (f);
--- a/packages/route/forward_rule.c
+++ b/packages/route/forward_rule.c
@@ -46,12 +46,22 @@
   return state->kind == MQ_ROUTE_STREAM && state->resumable;
 }
 
+/* What keeps STATE from one more send of any kind.  */
+static mq_forward_limit
+forward_limit (const mq_forward_state *state, bool budget)
+{
+  if ((mq_forward_must_return (state) && !forward_may_return (state))
+      || state->tries >= state->attempts + TRIES_MORE)
+    return MQ_FORWARD_LIMIT_ATTEMPTS;
+  if (state->now_us + LEAST_LEFT_US >= state->deadline_us)
+    return MQ_FORWARD_LIMIT_TIME;
+  return budget ? MQ_FORWARD_LIMIT_NONE : MQ_FORWARD_LIMIT_BUDGET;
+}
+
 static bool
 forward_has_room (const mq_forward_state *state, bool budget)
 {
-  return (!mq_forward_must_return (state) || forward_may_return (state))
-         && state->tries < state->attempts + TRIES_MORE && budget
-         && state->now_us + LEAST_LEFT_US < state->deadline_us;
+  return forward_limit (state, budget) == MQ_FORWARD_LIMIT_NONE;
 }
 
 mq_forward_verdict
@@ -88,3 +98,41 @@
     }
   return mq_forward_give_up (state, false);
 }
+
+mq_forward_limit
+mq_forward_limit_of (const mq_forward_state *state, mq_send_end end,
+                     bool budget)
+{
+  switch (end)
+    {
+    case MQ_SEND_NOT_SENT:
+      return forward_limit (state, budget || state->arrived == 0);
+    case MQ_SEND_NOT_RUN:
+      return forward_limit (state, budget);
+    case MQ_SEND_REPLIED:
+    case MQ_SEND_BROKEN:
+    case MQ_SEND_SILENT:
+      break;
+    }
+  return mq_forward_may_repeat (state) ? forward_limit (state, budget)
+                                       : MQ_FORWARD_LIMIT_KIND;
+}
+
+const char *
+mq_forward_limit_name (mq_forward_limit limit)
+{
+  switch (limit)
+    {
+    case MQ_FORWARD_LIMIT_NONE:
+      return "none";
+    case MQ_FORWARD_LIMIT_KIND:
+      return "kind";
+    case MQ_FORWARD_LIMIT_ATTEMPTS:
+      return "attempts";
+    case MQ_FORWARD_LIMIT_TIME:
+      return "time";
+    case MQ_FORWARD_LIMIT_BUDGET:
+      return "budget";
+    }
+  return "none";
+}
--- a/tests/test_forward_rule.cc
+++ b/tests/test_forward_rule.cc
@@ -148,3 +148,47 @@
   if (v.verb == MQ_FORWARD_PASS)
     RC_ASSERT (end == MQ_SEND_REPLIED && !s.begun);
 }
+
+/* What a 502 after one send is for: routers answered hundreds so, and the log
+   named the end of the send alone.  */
+TEST (ForwardRule, TheLimitThatKeepsARequestFromAnotherSendIsNamed)
+{
+  mq_forward_state s = state (MQ_ROUTE_STREAM);
+
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_BROKEN, true),
+             MQ_FORWARD_LIMIT_NONE);
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_BROKEN, false),
+             MQ_FORWARD_LIMIT_BUDGET);
+  /* The first to arrive needs no budget.  */
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_NOT_SENT, false),
+             MQ_FORWARD_LIMIT_NONE);
+  s.now_us = s.deadline_us;
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_BROKEN, true),
+             MQ_FORWARD_LIMIT_TIME);
+  s.sent = 2;
+  s.resumable = false;
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_NOT_RUN, true),
+             MQ_FORWARD_LIMIT_ATTEMPTS);
+  s.kind = MQ_ROUTE_UNSAFE;
+  EXPECT_EQ (mq_forward_limit_of (&s, MQ_SEND_SILENT, true),
+             MQ_FORWARD_LIMIT_KIND);
+}
+
+/* It agrees with the verdict, whatever the state.  */
+RC_GTEST_PROP (ForwardRule, ASendIsRepeatedJustWhereNoLimitIsNamed, ())
+{
+  mq_forward_state s = state (
+      *rc::gen::element (MQ_ROUTE_SAFE, MQ_ROUTE_UNSAFE, MQ_ROUTE_STREAM));
+  auto end = *rc::gen::element (MQ_SEND_NOT_SENT, MQ_SEND_NOT_RUN,
+                                MQ_SEND_BROKEN, MQ_SEND_SILENT);
+  bool budget = *rc::gen::arbitrary<bool> ();
+
+  s.resumable = *rc::gen::arbitrary<bool> ();
+  s.sent = *rc::gen::inRange (0u, 4u);
+  s.tries = s.sent + *rc::gen::inRange (0u, 6u);
+  s.arrived = *rc::gen::inRange (0u, 3u);
+  s.now_us = *rc::gen::inRange<uint64_t> (0, 1100) * 1000;
+  RC_ASSERT (
+      (mq_forward_limit_of (&s, end, budget) == MQ_FORWARD_LIMIT_NONE)
+      == (mq_forward_judge (&s, end, 0, budget).verb == MQ_FORWARD_AGAIN));
+}
