--- a/packages/decide/repair.c
+++ b/packages/decide/repair.c
@@ -232,7 +232,8 @@
   if (s == NULL)
     s = repairs_add (r, m, needy->first, needy->end, now_us);
   s->seen = true;
-  if (now_us < s->since_us + SHORTAGE_SETTLE_US || shortage_waits (s, m, now_us)
+  if (now_us < s->since_us + SHORTAGE_SETTLE_US
+      || shortage_waits (s, m, now_us)
       || repairs_ordered (r, now_us) >= MAX_ORDERS)
     return;
   donor = range_donor (needy, ranges, m, s->engine, now_us);
