Send parcels and judge silence in one place; keep a path's load by pointer

No change of behaviour.

- mq_news_send_parcel replaces pass_parcel and its copy in budget_transfer.c, and serves digests and introductions too.
- How long a send has been silent, and from when its head is asked, stood in three places of gateway_forward.c.
- What a head's report names goes through the same function as what a probe finds.
- budget_transfer.c: the search for a service gives its state alone.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -200,7 +200,8 @@
   GQueue early_requests;     /* Came before the configuration; owned.  */
   GQueue forwards;           /* mq_forward, owned.  */
   GHashTable *services;      /* Name -> mq_service_state, owned.  */
-  GHashTable *paths;         /* Key of a path -> mq_path_load, owned.  */
+  GHashTable *paths;         /* Key of a path -> mq_path_load, owned; none is
+                                removed.  */
   unsigned prefilling_ranks; /* A bit each mq_domain_rank that found all paths
                              reading in this tick.  */
   bool drain_closed;         /* No new connection and no new stream.  */
@@ -232,23 +233,23 @@
   const mq_route_organisation *organisation; /* NULL: none.  */
   mq_forward_state state;
   uint64_t started_us;
-  mq_span id;            /* Of the exchange.  */
-  uint64_t content;      /* What it asks; 0: not worked out yet.  */
-  mq_upstream *upstream; /* The one sent to, one reference; NULL: none.  */
-  GPtrArray *tried;      /* mq_upstream, one reference each.  */
-  GPtrArray *ran;        /* Those that ran it, or may have; the same.  */
-  bool ran_anew;         /* The last of these is that of this send.  */
-  mq_layer_path path;    /* Empty for plain services.  */
-  mq_str *path_key;      /* Where its tokens are counted, or NULL.  */
-  double need;           /* Tokens.  */
-  double prompt;         /* Of these, the prompt's.  */
-  double reading;        /* The prompt, until its send's first event.  */
-  double used;           /* In flight there when it was placed.  */
-  bool waits;            /* For a path; it was not placed yet.  */
-  mq_http_call *call;    /* Borrowed; NULL between sends.  */
-  uint64_t sent_us;      /* Of the last send.  */
-  uint64_t heard_us;     /* Last byte of the answer, or the send.  */
-  GString *failure;      /* Body of an answer that is no stream.  */
+  mq_span id;              /* Of the exchange.  */
+  uint64_t content;        /* What it asks; 0: not worked out yet.  */
+  mq_upstream *upstream;   /* The one sent to, one reference; NULL: none.  */
+  GPtrArray *tried;        /* mq_upstream, one reference each.  */
+  GPtrArray *ran;          /* Those that ran it, or may have; the same.  */
+  bool ran_anew;           /* The last of these is that of this send.  */
+  mq_layer_path path;      /* Empty for plain services.  */
+  mq_path_load *path_load; /* Of PATH where it is placed, borrowed, or NULL. */
+  double need;             /* Tokens.  */
+  double prompt;           /* Of these, the prompt's.  */
+  double reading;          /* The prompt, until its send's first event.  */
+  double used;             /* In flight there when it was placed.  */
+  bool waits;              /* For a path; it was not placed yet.  */
+  mq_http_call *call;      /* Borrowed; NULL between sends.  */
+  uint64_t sent_us;        /* Of the last send.  */
+  uint64_t heard_us;       /* Last byte of the answer, or the send.  */
+  GString *failure;        /* Body of an answer that is no stream.  */
   mq_event_split split;
   unsigned first_event_ms; /* From the request to its first event.  */
   double usual_gap_ms; /* Between events of this run, the late ones most.  */
@@ -385,9 +386,6 @@
 /* May FORWARD leave its run, and is there another head that would take it
    now?  */
 bool mq_forward_can_move (mq_forward *forward, uint64_t now_us);
-/* The load and latencies of the path that FORWARD was placed on; NULL: none.
-   Borrowed until the gateway ends.  */
-mq_path_load *mq_forward_path_load (const mq_forward *forward);
 /* Give up the place.  */
 void mq_forward_unplace (mq_forward *forward);
 
@@ -441,6 +439,9 @@
 /* Send ROUTER the BYTES of a parcel of KIND.  */
 void mq_news_send (mq_gateway *gateway, mq_roster_router *router,
                    mq_parcel_kind kind, const GString *bytes);
+/* The same of a parcel that goes to one router.  */
+void mq_news_send_parcel (mq_gateway *gateway, mq_roster_router *router,
+                          const mq_parcel *parcel);
 /* A message of a peer came.  */
 void mq_news_on_message (void *context, mq_span bytes);
 
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -20,17 +20,13 @@
                const mq_parcel_budget *transfer)
 {
   mq_parcel parcel = { .kind = kind, .u = { .budget = *transfer } };
-  GString *out = g_string_new (NULL);
 
-  mq_parcel_encode (&parcel, out);
-  mq_news_send (gateway, to, kind, out);
-  g_string_free (out, TRUE);
+  mq_news_send_parcel (gateway, to, &parcel);
 }
 
-/* The service that hashes to SERVICE, or NULL; *STATE is set with it.  */
-static const char *
-service_find (const mq_gateway *gateway, uint64_t service,
-              mq_service_state **state)
+/* What is kept of the service that hashes to SERVICE; NULL: nothing.  */
+static mq_service_state *
+service_find (const mq_gateway *gateway, uint64_t service)
 {
   GHashTableIter i;
   gpointer name;
@@ -39,10 +35,7 @@
   g_hash_table_iter_init (&i, gateway->services);
   while (g_hash_table_iter_next (&i, &name, &value))
     if (mq_span_hash (mq_span_from (name)) == service)
-      {
-        *state = value;
-        return name;
-      }
+      return value;
   return NULL;
 }
 
@@ -164,9 +157,9 @@
   mq_roster_router *back = grant_next (g, request);
   const mq_roster_router *borrower
       = mq_roster_find (&g->roster, request->borrower);
-  mq_service_state *s = NULL;
+  mq_service_state *s = service_find (g, request->service);
 
-  if (back == NULL || service_find (g, request->service, &s) == NULL)
+  if (back == NULL || s == NULL)
     return;
   /* What this router counts is soon forgotten when it leaves.  */
   grant.sends = s->borrow_open > 0 || g->mode != MQ_GATEWAY_SERVING
@@ -192,6 +185,13 @@
 
 /* ---- Borrowing.  */
 
+/* Has FORWARD begun, and does it wait to be sent?  */
+static bool
+forward_waits (const mq_forward *forward)
+{
+  return forward->call == NULL && forward->state.begun;
+}
+
 /* Streams of SERVICE, a hash, that wait to be sent.  */
 static unsigned
 service_waiting (const mq_gateway *gateway, uint64_t service)
@@ -202,7 +202,7 @@
     {
       const mq_forward *f = l->data;
 
-      n += f->call == NULL && f->state.begun
+      n += forward_waits (f)
            && mq_span_hash (mq_str_span (f->service->name)) == service;
     }
   return n;
@@ -289,7 +289,7 @@
       mq_forward *f = l->data;
 
       next = l->next;
-      if (f->call == NULL && f->state.begun)
+      if (forward_waits (f))
         mq_forward_tick (f, now_us);
     }
 }
@@ -297,12 +297,11 @@
 static void
 grant_keep (mq_gateway *gateway, const mq_parcel_budget *grant)
 {
-  mq_service_state *s = NULL;
+  mq_service_state *s = service_find (gateway, grant->service);
   uint64_t now = mq_gateway_now_us ();
   unsigned sends;
 
-  if (service_find (gateway, grant->service, &s) == NULL
-      || grant->serial != s->borrow_serial)
+  if (s == NULL || grant->serial != s->borrow_serial)
     return;
   sends = MIN (grant->sends, s->borrow_open);
   mq_log (G_LOG_LEVEL_INFO, "budget.borrowed",
--- a/packages/gateway/gateway_answer.c
+++ b/packages/gateway/gateway_answer.c
@@ -108,7 +108,7 @@
 static void
 stream_note_latency (const mq_forward *forward, uint64_t now_us)
 {
-  mq_path_load *load = mq_forward_path_load (forward);
+  mq_path_load *load = forward->path_load;
 
   if (load == NULL)
     return;
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -110,6 +110,12 @@
   forward_free (f);
 }
 
+static uint64_t
+forward_silent_us (const mq_forward *forward, uint64_t now_us)
+{
+  return now_us - MAX (forward->heard_us, forward->sent_us);
+}
+
 static void
 forward_refuse (mq_forward *forward, unsigned status, unsigned retry_ms,
                 const char *why)
@@ -237,7 +243,7 @@
       why, v.verb,
       mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
       f->split.events, forward_logged_content (f, end),
-      (now - MAX (f->heard_us, f->sent_us)) / 1000, mq_forward_age_ms (f));
+      forward_silent_us (f, now) / 1000, mq_forward_age_ms (f));
   forward_drop_send (f);
   mq_forward_unplace (f);
   mq_event_split_restart (&f->split);
@@ -276,46 +282,54 @@
     forward_refuse (forward, v.status, 0, why);
 }
 
-/* After how long a silence the path of FORWARD is probed; at most MAX_US.  */
+/* Has the send under way been heard?  */
+static bool
+forward_is_heard (const mq_forward *forward)
+{
+  return forward->heard_us > forward->sent_us;
+}
+
+/* After how long a silence the head of FORWARD's path is asked.  */
+static uint64_t
+forward_ask_us (const mq_forward *forward)
+{
+  return forward_is_heard (forward) ? SILENT_ASK_US : FIRST_ASK_US;
+}
+
+/* After how long a silence the path of FORWARD, which is placed on one, is
+   probed.  */
 static uint64_t
-forward_probe_us (const mq_forward *forward, bool heard, uint64_t max_us)
+forward_probe_us (const mq_forward *forward)
 {
-  const mq_path_load *load = mq_forward_path_load (forward);
-  const mq_latency_estimate *e;
-
-  if (load == NULL)
-    return max_us;
-  e = heard ? &load->event_gap : &load->first_event;
-  return (uint64_t)(mq_latency_estimate_timeout_ms (e, MIN_PROBE_MS,
-                                                    (double)max_us / 1000)
-                    * 1000);
+  const mq_latency_estimate *e = forward_is_heard (forward)
+                                     ? &forward->path_load->event_gap
+                                     : &forward->path_load->first_event;
+
+  return (
+      uint64_t)(mq_latency_estimate_timeout_ms (
+                    e, MIN_PROBE_MS, (double)forward_ask_us (forward) / 1000)
+                * 1000);
 }
 
 static void
 forward_tick_stream (mq_forward *forward, uint64_t now_us)
 {
-  bool heard = forward->heard_us > forward->sent_us;
-  uint64_t silent = now_us - (heard ? forward->heard_us : forward->sent_us);
-  uint64_t ask = heard ? SILENT_ASK_US : FIRST_ASK_US;
+  uint64_t silent = forward_silent_us (forward, now_us);
 
   if (silent > MAX_SILENT_US && mq_forward_can_move (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_SILENT, 0, "silent");
       return;
     }
-  if (silent > ask && forward->upstream != NULL)
+  if (silent > forward_ask_us (forward) && forward->upstream != NULL)
     mq_stall_ask_head (forward->gateway, forward->upstream);
 }
 
 void
 mq_forward_check_silence (mq_forward *forward, uint64_t now_us)
 {
-  bool heard = forward->heard_us > forward->sent_us;
-  uint64_t since = heard ? forward->heard_us : forward->sent_us;
-  uint64_t max_us = heard ? SILENT_ASK_US : FIRST_ASK_US;
-
-  if (forward->call != NULL && forward->path.n > 0
-      && now_us - since > forward_probe_us (forward, heard, max_us))
+  if (forward->call != NULL && forward->path_load != NULL
+      && forward_silent_us (forward, now_us) > forward_probe_us (forward))
     mq_path_probe_start (forward->gateway, &forward->path);
 }
 
--- a/packages/gateway/gateway_news.c
+++ b/packages/gateway/gateway_news.c
@@ -50,6 +50,17 @@
   *gateway->counters.peer_bytes[kind][far] += bytes->len;
 }
 
+void
+mq_news_send_parcel (mq_gateway *gateway, mq_roster_router *router,
+                     const mq_parcel *parcel)
+{
+  GString *out = g_string_new (NULL);
+
+  mq_parcel_encode (parcel, out);
+  mq_news_send (gateway, router, parcel->kind, out);
+  g_string_free (out, TRUE);
+}
+
 static GString *
 news_encode (const mq_news *news)
 {
@@ -193,16 +204,14 @@
 news_digest (mq_gateway *gateway, mq_roster_router *to, uint64_t now_us)
 {
   finding_filter all = { true, true, mq_span_hash (mq_str_span (to->name)) };
-  GString *out;
   mq_news news;
+  mq_parcel parcel = { .kind = MQ_PARCEL_NEWS, .u = { .news = &news } };
 
   mq_news_init (&news, MQ_NEWS_DIGEST);
   mq_roster_make_digest (&gateway->roster, to, &news, now_us);
   news_add_findings (gateway, &news, &all, now_us);
   news_add_ends (gateway, &news, news.listed, now_us);
-  out = news_encode (&news);
-  mq_news_send (gateway, to, MQ_PARCEL_NEWS, out);
-  g_string_free (out, TRUE);
+  mq_news_send_parcel (gateway, to, &parcel);
   mq_news_finish (&news);
 }
 
@@ -240,16 +249,14 @@
 static void
 news_introduce (mq_gateway *gateway, mq_roster_router *to, uint64_t now_us)
 {
-  GString *out;
   mq_news news;
+  mq_parcel parcel = { .kind = MQ_PARCEL_NEWS, .u = { .news = &news } };
 
   if (now_us - to->sent_us < INTRODUCE_US)
     return;
   mq_news_init (&news, MQ_NEWS_INTRODUCTION);
   mq_roster_make_introduction (&gateway->roster, to, &news, now_us);
-  out = news_encode (&news);
-  mq_news_send (gateway, to, MQ_PARCEL_NEWS, out);
-  g_string_free (out, TRUE);
+  mq_news_send_parcel (gateway, to, &parcel);
   mq_news_finish (&news);
 }
 
--- a/packages/gateway/gateway_pass_on.c
+++ b/packages/gateway/gateway_pass_on.c
@@ -39,17 +39,6 @@
 
 /* ---- Sending.  */
 
-static void
-pass_parcel (mq_gateway *gateway, mq_roster_router *to,
-             const mq_parcel *parcel)
-{
-  GString *out = g_string_new (NULL);
-
-  mq_parcel_encode (parcel, out);
-  mq_news_send (gateway, to, parcel->kind, out);
-  g_string_free (out, TRUE);
-}
-
 /* Does this router know more than it gets from its relays: is it one, or does
    it follow the store in their place?  */
 static bool
@@ -102,7 +91,7 @@
   mq_roster_first_elsewhere (&gateway->roster, relays, mq_gateway_now_us ());
   for (guint i = 0; i < relays->len; i++)
     if (wants (gateway, g_ptr_array_index (relays, i)))
-      pass_parcel (gateway, g_ptr_array_index (relays, i), parcel);
+      mq_news_send_parcel (gateway, g_ptr_array_index (relays, i), parcel);
   g_ptr_array_unref (relays);
 }
 
@@ -236,7 +225,7 @@
                              entries->len };
   mq_log (G_LOG_LEVEL_INFO, "upstream.list-passed-on", "vm=%s upstreams=%u",
           mq_str_cstr (to->name), entries->len);
-  pass_parcel (gateway, to, &p);
+  mq_news_send_parcel (gateway, to, &p);
   g_array_unref (entries);
 }
 
@@ -335,7 +324,7 @@
     {
       mq_parcel p = routing_parcel (gateway);
 
-      pass_parcel (gateway, to, &p);
+      mq_news_send_parcel (gateway, to, &p);
     }
   if (pass_on_is_due (gateway, to, PASS_ON_UPSTREAMS, &to->upstreams_lag,
                       lacks, to->ready ? LIST_BEHIND_US : BEHIND_US, now_us))
--- a/packages/gateway/gateway_place.c
+++ b/packages/gateway/gateway_place.c
@@ -268,9 +268,9 @@
     candidate->path.parts[i].upstream->passed_us = now_us;
   forward->used = choice->used;
   forward->reading = forward->prompt;
-  path_load (forward->gateway, candidate->key)->tokens += forward->need;
-  path_load (forward->gateway, candidate->key)->reading += forward->reading;
-  forward->path_key = mq_str_new (mq_span_from (candidate->key));
+  forward->path_load = path_load (forward->gateway, candidate->key);
+  forward->path_load->tokens += forward->need;
+  forward->path_load->reading += forward->reading;
 }
 
 /* Note what FORWARD could not be placed in.  */
@@ -377,20 +377,11 @@
   return MQ_PLACED;
 }
 
-mq_path_load *
-mq_forward_path_load (const mq_forward *forward)
-{
-  if (forward->path_key == NULL)
-    return NULL;
-  return path_load (forward->gateway, mq_str_cstr (forward->path_key));
-}
-
 void
 mq_forward_note_prefilled (mq_forward *forward)
 {
-  if (forward->path_key != NULL)
-    path_load (forward->gateway, mq_str_cstr (forward->path_key))->reading
-        -= forward->reading;
+  if (forward->path_load != NULL)
+    forward->path_load->reading -= forward->reading;
   forward->reading = 0;
 }
 
@@ -398,10 +389,9 @@
 mq_forward_unplace (mq_forward *forward)
 {
   mq_layer_path_finish (&forward->path);
-  if (forward->path_key == NULL)
+  if (forward->path_load == NULL)
     return;
   mq_forward_note_prefilled (forward);
-  path_load (forward->gateway, mq_str_cstr (forward->path_key))->tokens
-      -= forward->need;
-  g_clear_pointer (&forward->path_key, mq_str_unref);
+  forward->path_load->tokens -= forward->need;
+  forward->path_load = NULL;
 }
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -35,9 +35,17 @@
     mq_upstream_eject (upstream, now, STALLED_EJECTION_US);
 }
 
-/* A head names the engine at ADDRESS.  That may have left the list, or be
-   ejected already; requests that pass through it must go on elsewhere all the
-   same.  */
+void
+mq_stall_found_down (mq_gateway *gateway, mq_upstream *engine, const char *why)
+{
+  if (mq_upstream_is_usable (engine, mq_gateway_now_us ()))
+    stall_found (engine, true, why);
+  mq_forward_fail_through (gateway, mq_str_span (engine->facts.address),
+                           "stalled");
+}
+
+/* A head names the engine at ADDRESS.  That may have left the list; requests
+   that pass through it must go on elsewhere all the same.  */
 static void
 stall_named (mq_gateway *gateway, const mq_upstream *head, mq_span address)
 {
@@ -45,9 +53,10 @@
 
   if (u == head)
     return;
-  if (u != NULL && mq_upstream_is_usable (u, mq_gateway_now_us ()))
-    stall_found (u, true, "stalled");
-  mq_forward_fail_through (gateway, address, "stalled");
+  if (u != NULL)
+    mq_stall_found_down (gateway, u, "stalled");
+  else
+    mq_forward_fail_through (gateway, address, "stalled");
 }
 
 static void
@@ -82,15 +91,6 @@
     }
 }
 
-void
-mq_stall_found_down (mq_gateway *gateway, mq_upstream *engine, const char *why)
-{
-  if (mq_upstream_is_usable (engine, mq_gateway_now_us ()))
-    stall_found (engine, true, why);
-  mq_forward_fail_through (gateway, mq_str_span (engine->facts.address),
-                           "stalled");
-}
-
 void
 mq_stall_ask_head (mq_gateway *gateway, mq_upstream *head)
 {
