--- a/tests/support/mortal_service.h
+++ b/tests/support/mortal_service.h
@@ -66,13 +66,15 @@
     port_ = ntohs (a.sin_port);
   }
 
+  /* The listener first, as the kernel does when a process ends: it closes
+     descriptors in the order of their numbers.  */
   void
   close_all ()
   {
+    close (listener_);
     for (auto &c : callers_)
       close (c.first);
     callers_.clear ();
-    close (listener_);
   }
 
   /* End as a process does, with all its connections.  */
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -624,3 +624,69 @@
   EXPECT_TRUE (until ([&] { return a.ended; }));
   EXPECT_LE (ran.size (), 2u);
 }
+
+/* One router has all streams that break, and half of the fleet's requests; the
+   other hands over what it has left of the budget.  */
+TEST_F (Gateway, ARouterThatRunsShortOfBudgetBorrowsFromAnother)
+{
+  constexpr unsigned streams = 8;
+  std::vector<mq_http_exchange *> held;
+  std::array<Answer, streams> answers;
+  mq_gateway_settings other = {};
+  unsigned base = free_ports ();
+  unsigned resumed = 0;
+  bool hold = false;
+
+  sends_slack = streams;
+  sends_window_ms = 4000;
+  chains ();
+  mq_gateway *second = run_router (
+      &other, settings_text (base, "vm-2", "http://" + store.server.address (),
+                             "\"" + at (peers_port) + "\""));
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, &held, &hold, &resumed] (mq_http_exchange *x) {
+        bool again = u->seen.back ().headers.count ("Last-Event-Id") > 0;
+
+        u->begin (x);
+        resumed += again;
+        Upstream::events (x, again ? 3 : 1, again ? 4 : 2);
+        if (hold && !again)
+          held.push_back (mq_http_exchange_ref (x));
+        else
+          mq_http_exchange_end (x);
+      };
+    }
+  ASSERT_TRUE (until ([&] {
+    return fetch ("GET", "/ready", {}, "", base + 1).status == 200;
+  }));
+  for (unsigned i = 0; i < streams; i++)
+    fetch ("POST", "/stream/1", key, "", base);
+  hold = true;
+  for (Answer &a : answers)
+    ask (a, "POST", "/stream/1", key);
+  ASSERT_TRUE (until ([&] { return held.size () == streams; }));
+  /* Long enough for the slack, short enough for the clients' time.  */
+  wait (1.1);
+  for (mq_http_exchange *x : held)
+    {
+      mq_http_exchange_write (x, MQ_SPAN ("id: 3\ndata: ha"));
+      mq_http_exchange_end (x);
+      mq_http_exchange_unref (x);
+    }
+  wait (0.35);
+  /* Without the other's help: its own part, and a few that all may lend.  */
+  unsigned borrowed = resumed;
+  EXPECT_GT (borrowed, 2u);
+  /* A fifth of sixteen requests and the slack.  */
+  EXPECT_LE (borrowed, 11u);
+  Answer metrics = fetch ("GET", "/metrics", {}, "", base + 4);
+  EXPECT_EQ (metrics.body.find ("marjoramquay_budget_lent_total 0\n"),
+             std::string::npos);
+  EXPECT_NE (metrics.body.find ("marjoramquay_budget_lent_total "),
+             std::string::npos);
+  mq_gateway_free (second);
+  mq_gateway_settings_finish (&other);
+}
--- a/tools/regress.sh
+++ b/tools/regress.sh
@@ -9,11 +9,16 @@
 set -u
 bench=${BENCH:?"BENCH: the path of the users' bench"}
 [ -x "$bench" ] || { echo "regress: $bench is no program" >&2; exit 2; }
+# Site files lie in the bench's folder, or in one above it.
 kit=${bench%/bin/fleetbench}
+while [ ! -d "$kit/sites" ] && [ "$kit" != "${kit%/*}" ]; do
+  kit=${kit%/*}
+done
+[ -d "$kit/sites" ] || { echo "regress: no site files above $bench" >&2; exit 2; }
 out=target/regress
 small="sites/halvorsen-fleet sites/tekle-entries further/vlmcha-quarry"
 grown="further-grown/vlmcha-quarry-grown grown/halvorsen-fleet-grown
-  grown/tekle-entries-grown"
+  grown/tekle-entries-grown shifted/halvorsen-fleet-now-grown"
 large="large/halvorsen-fleet-large"
 failed=0
 
