--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -69,6 +69,13 @@
                                    at this head wait for.  Owned.  */
 } mq_engine_report;
 
+/* What an upstream states about itself in the headers of a response.  */
+typedef struct mq_upstream_notice
+{
+  bool limited;       /* It names a limit: ...  */
+  double limit_per_s; /* ... requests a second from all routers together.  */
+} mq_upstream_notice;
+
 typedef struct mq_dialect
 {
   mq_dialect_headers headers;
@@ -95,6 +102,11 @@
   int (*report_decode) (mq_span body, mq_engine_report *report,
                         GError **error);
   void (*report_finish) (mq_engine_report *report);
+  /* Decode NOTICE from HEAD, the status line and headers of a response.
+     Returns 0; or -1 with ERROR set when a header has an invalid value.  The
+     other headers are decoded even then.  */
+  int (*notice_decode) (mq_span head, mq_upstream_notice *notice,
+                        GError **error);
   /* Append to OUT the body of an order to load layers [FIRST, END).  The
      engine accepts it only if it has accepted ORDERS orders before.  It keeps
      the layers that it drops until the requests that pass through them have
--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -111,6 +111,10 @@
    sink returns.  */
 mq_span mq_http_call_head (const mq_http_call *call);
 
+/* Returns the value of the header NAME in HEAD, a status line and headers,
+   with NULL data if it is missing.  Borrowed from HEAD.  */
+mq_span mq_http_head_find (mq_span head, const char *name);
+
 G_END_DECLS
 
 #endif
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -143,6 +143,7 @@
   uint64_t *upstreams_ejected;
   uint64_t *upstreams_rejecting;
   uint64_t *upstreams_slow;
+  uint64_t *upstreams_limited;
   uint64_t *routers;
   uint64_t *relays;
   uint64_t *serving;
@@ -398,6 +399,12 @@
                                              uint64_t content,
                                              uint64_t now_us);
 
+/* ---- gateway_notice.c  */
+/* Apply what UPSTREAM states in the headers of its response, which CALL has
+   received with STATUS.  To be called once for each response.  */
+void mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
+                               const mq_http_call *call, unsigned status);
+
 /* ---- gateway_response.c  */
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -76,6 +76,8 @@
   uint64_t peer_rejecting_until_us; /* End of the pause that a peer reported
                                        ... */
   mq_finding_source peer_rejecting_source; /* ... and that peer.  */
+  double limit_per_s; /* Requests a second that it accepts from all routers
+                         together, as its last response said; 0: no limit.  */
   unsigned retained_layers;   /* Layers held before it released some; their
                                  memory is counted as in use ... */
   uint64_t retained_until_us; /* ... until then.  */
@@ -161,6 +163,10 @@
    be draining, though the platform does not say so.  */
 bool mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us);
 
+/* Note whether a response of UPSTREAM named a limit, and which: PER_S requests
+   a second from all routers together.  */
+void mq_upstream_set_limit (mq_upstream *upstream, bool limited, double per_s);
+
 /* An engine with at least this slowdown counts as slow.  */
 #define MQ_UPSTREAM_SLOW_FACTOR 1.5
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -135,6 +135,8 @@
                                              "state=\"turning-away\"", "");
   c->upstreams_slow
       = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"slow\"", "");
+  c->upstreams_limited = mq_metrics_gauge (m, "marjoramquay_upstreams",
+                                           "state=\"limited\"", "");
   c->routers = mq_metrics_gauge (m, "marjoramquay_routers", "",
                                  "Heard lately, with this one.");
   c->relays = mq_metrics_gauge (m, "marjoramquay_relay", "",
@@ -236,6 +238,7 @@
   *c->upstreams_ejected = 0;
   *c->upstreams_rejecting = 0;
   *c->upstreams_slow = 0;
+  *c->upstreams_limited = 0;
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
@@ -247,6 +250,8 @@
         ++*c->upstreams_rejecting;
       if (mq_upstream_slowdown (value, now) >= MQ_UPSTREAM_SLOW_FACTOR)
         ++*c->upstreams_slow;
+      if (((const mq_upstream *)value)->limit_per_s > 0)
+        ++*c->upstreams_limited;
     }
   metrics_refresh_cluster (gateway, now);
   *c->log_lines = mq_log_get_counters ()->lines;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -515,13 +515,15 @@
 }
 
 mq_span
-mq_http_call_header (const mq_http_call *call, const char *name)
+mq_http_head_find (mq_span head, const char *name)
 {
   size_t size = strlen (name);
-  const char *line = call->head->str;
+  const char *line = head.data;
+  const char *stop = head.data + head.size;
   const char *end;
 
-  for (; (end = strchr (line, '\n')) != NULL; line = end + 1)
+  for (; line < stop && (end = memchr (line, '\n', (size_t)(stop - line)));
+       line = end + 1)
     {
       const char *value = line + size + 1;
 
@@ -542,3 +544,9 @@
 {
   return (mq_span){ call->head->str, call->head->len };
 }
+
+mq_span
+mq_http_call_header (const mq_http_call *call, const char *name)
+{
+  return mq_http_head_find (mq_http_call_head (call), name);
+}
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -23,6 +23,10 @@
    draining, though the store could not say so.  */
 #define LEAVING_AFTER_US ((uint64_t)1000 * 1000)
 
+/* A lower limit counts as this: without any request, no response would show
+   that the limit has ended.  */
+#define MIN_LIMIT_PER_S 0.1
+
 /* Layers that an engine releases stay in its memory until the requests that
    pass through them ended; most last less than this.  */
 #define LAYER_RELEASE_US ((uint64_t)5000 * 1000)
@@ -431,6 +435,12 @@
          && now_us >= upstream->peer_rejecting_until_us;
 }
 
+void
+mq_upstream_set_limit (mq_upstream *upstream, bool limited, double per_s)
+{
+  upstream->limit_per_s = limited ? MAX (per_s, MIN_LIMIT_PER_S) : 0;
+}
+
 bool
 mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us)
 {
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -48,6 +48,39 @@
 
 } // namespace
 
+namespace
+{
+
+/* Decodes the notice of a response with the header lines HEADERS.  */
+mq_upstream_notice
+notice (const std::string &headers, bool valid = true)
+{
+  std::string head = "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
+  mq_upstream_notice n;
+  GError *error = nullptr;
+
+  EXPECT_EQ (mq_users_platform.notice_decode (span (head), &n, &error),
+             valid ? 0 : -1)
+      << headers;
+  EXPECT_EQ (error == nullptr, valid) << headers;
+  g_clear_error (&error);
+  return n;
+}
+
+} // namespace
+
+TEST (UsersPlatform, DecodesLimitOfResponse)
+{
+  EXPECT_FALSE (notice ("Content-Type: text/plain\r\n").limited);
+  EXPECT_TRUE (notice ("server-limit:  4.1 \r\n").limited);
+  EXPECT_DOUBLE_EQ (notice ("Server-Limit: 4.1\r\n").limit_per_s, 4.1);
+  EXPECT_TRUE (notice ("Server-Limit: 0\r\n").limited);
+  for (const char *bad : { "", "many", "-3", "nan", "inf", "1e9", "1.2.3",
+                           "4 a second", "123456789012345678901234567890123" })
+    EXPECT_FALSE (
+        notice (std::string ("Server-Limit: ") + bad + "\r\n", false).limited);
+}
+
 TEST (UsersPlatform, DecodesConfiguration)
 {
   mq_routing *r = mq_users_platform.routing_decode (
