--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -145,9 +145,13 @@
   Headers
   response_headers (mq_http_exchange *x) const
   {
-    return { { "Marjoramquay-Attempt-Id",
-               text (mq_http_exchange_header (x, "Marjoramquay-Attempt-Id")) },
-             { "Marjoramquay-Response-Signature", "signed-by-" + id } };
+    Headers h = notices;
+
+    h.push_back (
+        { "Marjoramquay-Attempt-Id",
+          text (mq_http_exchange_header (x, "Marjoramquay-Attempt-Id")) });
+    h.push_back ({ "Marjoramquay-Response-Signature", "signed-by-" + id });
+    return h;
   }
 
   void
@@ -221,6 +225,10 @@
   bool busy = false;                /* Reported.  */
   std::function<void ()> on_order;  /* Runs after an order was accepted.  */
   std::vector<std::string> stalled; /* Reported addresses.  */
+  Headers notices;      /* What it states about itself in each response.  */
+  unsigned reports = 0; /* Requests for its report.  */
+  /* Arrival of each request, report request and order.  */
+  std::vector<ev_tstamp> arrivals;
   std::vector<ReceivedRequest> received_requests;
   Server server;
   std::function<void (mq_http_exchange *)> serve;
@@ -231,6 +239,7 @@
   {
     std::string path = text (mq_http_exchange_path (x));
 
+    arrivals.push_back (ev_time ());
     if (path == "/report")
       report (x);
     else if (path == "/order")
@@ -245,6 +254,7 @@
   void
   report (mq_http_exchange *x)
   {
+    reports++;
     std::string s = std::string ("{\"busy\":") + (busy ? "true" : "false")
                     + ",\"sequence\":" + std::to_string (orders)
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,"
--- a/tests/test_crashing_request.cc
+++ b/tests/test_crashing_request.cc
@@ -5,7 +5,7 @@
    its content, bound the number of upstreams that it crashes, and still serve
    other requests that were running there.  */
 
-#include "support/gateway_fixture.h"
+#include "support/router_fleet.h"
 
 #include <algorithm>
 #include <deque>
@@ -23,7 +23,7 @@
 
 /* Routers, and upstreams that crash on one request body.  Each crashed
    upstream is replaced by a new one at another address.  */
-class CrashingRequest : public gateway::Fixture
+class CrashingRequest : public gateway::RouterFleet
 {
 protected:
   /* Sends of the request that are allowed after its third crash.  */
@@ -33,47 +33,10 @@
 
   ~CrashingRequest () override
   {
-    for (auto &r : routers)
-      stop_router (*r);
     for (Delayed &l : delayed_)
       mq_http_exchange_unref (l.exchange);
   }
 
-  struct Router
-  {
-    mq_gateway_settings settings = {};
-    mq_gateway *gateway = nullptr;
-    unsigned base = 0;
-  };
-
-  Router &
-  start_router ()
-  {
-    auto r = std::make_unique<Router> ();
-
-    r->base = free_ports ();
-    r->gateway = run_router (
-        &r->settings,
-        settings_text (r->base, "vm-" + std::to_string (++names_),
-                       "http://" + store.server.address (),
-                       seed_.empty () ? "" : "\"" + seed_ + "\""));
-    seed_ = at (r->base + 3);
-    unsigned ready = r->base + 1;
-    EXPECT_TRUE (until (
-        [&] { return fetch ("GET", "/ready", {}, "", ready).status == 200; }));
-    routers.push_back (std::move (r));
-    return *routers.back ();
-  }
-
-  void
-  stop_router (Router &r)
-  {
-    mq_gateway_free (r.gateway);
-    if (r.gateway != nullptr)
-      mq_gateway_settings_finish (&r.settings);
-    r.gateway = nullptr;
-  }
-
   /* Add an upstream of SERVICE in DOMAIN that crashes when it begins to run
      crash_body.  */
   void
@@ -252,7 +215,6 @@
       EXPECT_EQ (attempt (*r, "POST", target, "another body").status, 200u);
   }
 
-  std::vector<std::unique_ptr<Router> > routers;
   double delay_s = 0;    /* Delay of answers to other requests.  */
   unsigned arrivals = 0; /* Of crash_body at upstreams.  */
   unsigned crashes = 0;  /* Of upstreams.  */
@@ -269,7 +231,6 @@
   std::set<Upstream *> crashed_;
   std::deque<Delayed> delayed_;
   std::deque<std::pair<ev_tstamp, std::string> > removals_;
-  std::string seed_;
   unsigned names_ = 0;
 };
 
