Keep the limit that an upstream names, over all routers together

What callers saw: engines in need got several times the requests a second that they had named (LIMIT: 53 in 4 s at 3.5 a second, allowed 26), and so less of what was sent to them came in time.

Cause: no router read the header; nothing that an upstream states of itself in a response entered any decision, and no message between routers carried it. The class: a bound of one upstream over all routers, known to none of them.

Evidence: in the incident's logs the rate at the engine is the same before and after it named its limit, one router alone sent more than all may together, and all sends are first ones (docs/incidents/limit.md).

Change: each router keeps to the share of the limit that its requests for the service are of all routers' requests, counts of which gossip carries already, and spaces its sends; one that is not used expires. Every call to an upstream is subject to it: first sends, retries, resumed streams, requests for reports, and orders, which have a tenth apart. Limits travel as findings with their age, so a router that starts again knows them with its first digest. A limited head is bypassed where its failure domain has another path.

Why it works: the shares add up to one whatever the age of the counts while traffic is steady; jumps of load, restarts and the loss of relays are covered by what the shares leave and by counts that can't fall faster than their window.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -258,6 +258,8 @@
   double prompt_tokens;    /* Of these, the prompt's.  */
   double prefill_tokens;   /* Counted in PATH_LOAD as not prefilled.  */
   double used_tokens;      /* In flight on PATH when it was chosen.  */
+  bool limited;            /* An upstream that it could have been sent to did
+                              not accept it yet.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
@@ -280,6 +282,8 @@
 uint64_t mq_gateway_now_us (void);
 /* A pseudo-random number, uniform over 64 bits.  */
 uint64_t mq_gateway_random (mq_gateway *gateway);
+/* A pseudo-random number in [0, 1).  */
+double mq_gateway_random_unit (mq_gateway *gateway);
 /* The state of SERVICE, created by the first call.  Borrowed.  */
 mq_service_state *mq_gateway_service_state (mq_gateway *gateway,
                                             const mq_route_service *service);
@@ -404,6 +408,13 @@
    received with STATUS.  To be called once for each response.  */
 void mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
                                const mq_http_call *call, unsigned status);
+/* Returns true if UPSTREAM accepts one more send for PURPOSE from this router
+   now. Each call to an upstream is subject to this, and counted by
+   mq_gateway_note_send.  */
+bool mq_gateway_may_send (mq_gateway *gateway, mq_upstream *upstream,
+                          mq_send_purpose purpose, uint64_t now_us);
+void mq_gateway_note_send (mq_gateway *gateway, mq_upstream *upstream,
+                           mq_send_purpose purpose, uint64_t now_us);
 
 /* ---- gateway_response.c  */
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -40,7 +40,9 @@
   uint64_t slice;          /* Number of the present slice of time.  */
   unsigned requests[MQ_SEND_BUDGET_SLICES + 1]; /* By slice.  */
   unsigned retries[MQ_SEND_BUDGET_SLICES + 1];  /* By slice.  */
-  unsigned granted;          /* Sends granted by others and not used yet.  */
+  double others_requests; /* Of the others, as far as counts are known ... */
+  uint64_t others_us;     /* ... then.  */
+  unsigned granted;       /* Sends granted by others and not used yet.  */
   uint64_t granted_until_us; /* These expire then.  */
 } mq_send_budget;
 
@@ -65,6 +67,12 @@
                         since been replaced.  */
 } mq_send_counts;
 
+/* Returns this router's share of the requests that all routers had in the
+   window, in [0, 1]; 0 while it may not know the others' yet.  ROUTERS and
+   OTHERS are as in mq_send_budget_has_room.  */
+double mq_send_budget_traffic_share (mq_send_budget *budget, unsigned routers,
+                                     mq_send_counts others, uint64_t now_us);
+
 /* Returns this router's own counts, to be reported to others.  */
 mq_send_counts mq_send_budget_count (mq_send_budget *budget, uint64_t now_us);
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -15,6 +15,7 @@
 
 #include <glib.h>
 #include <mq/str.h>
+#include <mq/upstream_limit.h>
 
 G_BEGIN_DECLS
 
@@ -76,11 +77,12 @@
   uint64_t peer_rejecting_until_us; /* End of the pause that a peer reported
                                        ... */
   mq_finding_source peer_rejecting_source; /* ... and that peer.  */
-  double limit_per_s; /* Requests a second that it accepts from all routers
-                         together, as its last response said; 0: no limit.  */
-  unsigned retained_layers;   /* Layers held before it released some; their
-                                 memory is counted as in use ... */
-  uint64_t retained_until_us; /* ... until then.  */
+  mq_upstream_limit limit; /* As its responses state it, here or to a peer ...
+                            */
+  mq_finding_source limit_source; /* ... which is this one.  */
+  unsigned retained_layers;       /* Layers held before it released some; their
+                                     memory is counted as in use ... */
+  uint64_t retained_until_us;     /* ... until then.  */
   uint64_t orders; /* Orders accepted by this incarnation, as far as known. */
   uint64_t platform_layers_us;      /* Last change of the layers that the
                                        platform publishes.  */
@@ -163,9 +165,12 @@
    be draining, though the platform does not say so.  */
 bool mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us);
 
-/* Note whether a response of UPSTREAM named a limit, and which: PER_S requests
-   a second from all routers together.  */
-void mq_upstream_set_limit (mq_upstream *upstream, bool limited, double per_s);
+/* Note the limit that UPSTREAM stated at AT_US in a response to the router BY:
+   PER_S requests a second from all routers together, 0 for none.  PHASE is a
+   random number in [0, 1).  Ignored when a newer statement is known.  */
+void mq_upstream_apply_limit (mq_upstream *upstream, double per_s,
+                              uint64_t at_us, mq_finding_source by,
+                              double phase);
 
 /* An engine with at least this slowdown counts as slow.  */
 #define MQ_UPSTREAM_SLOW_FACTOR 1.5
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -58,6 +58,12 @@
   return gateway->random;
 }
 
+double
+mq_gateway_random_unit (mq_gateway *gateway)
+{
+  return (double)(mq_gateway_random (gateway) >> 11) * 0x1p-53;
+}
+
 static void
 service_state_free (gpointer data)
 {
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -148,11 +148,18 @@
       f.slowdown = upstream->slowdown;
       f.slowdown_us = upstream->slowdown_until_us - now_us;
     }
+  if (mq_upstream_limit_is_news (&upstream->limit, now_us)
+      && filter_includes (filter, upstream->limit_source))
+    {
+      f.limit_stated = true;
+      f.limit_per_s = upstream->limit.per_s;
+      f.limit_age_us = now_us - upstream->limit.observed_us;
+    }
   return f;
 }
 
-/* Add the ejections, rejections and slowdowns of upstreams, so that receivers
-   need not detect them by themselves.  */
+/* Add the ejections, rejections, slowdowns and limits of upstreams, so that
+   receivers need not detect them by themselves.  */
 static void
 gossip_add_findings (const mq_gateway *gateway, mq_gossip *gossip,
                      const finding_filter *filter, uint64_t now_us)
@@ -165,7 +172,8 @@
     {
       mq_gossip_finding f = finding_make (value, filter, now_us);
 
-      if (f.ejected_us > 0 || f.slowdown > 0 || f.rejecting_us > 0)
+      if (f.ejected_us > 0 || f.slowdown > 0 || f.rejecting_us > 0
+          || f.limit_stated)
         g_array_append_val (gossip->findings, f);
     }
 }
@@ -398,6 +406,27 @@
 
 /* ---- Receiving.  */
 
+/* Apply the limit in FINDING, which BY reported.  */
+static void
+gossip_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
+                    const mq_gossip_finding *finding, mq_finding_source by,
+                    uint64_t now_us)
+{
+  double before = upstream->limit.per_s;
+
+  if (finding->limit_age_us > now_us)
+    return;
+  mq_upstream_apply_limit (upstream, finding->limit_per_s,
+                           now_us - finding->limit_age_us, by,
+                           mq_gateway_random_unit (gateway));
+  if (upstream->limit.per_s != before)
+    mq_log (G_LOG_LEVEL_INFO, "upstream.limit",
+            "upstream=%s per_s=%.3f before=%.3f peer=%016" G_GINT64_MODIFIER
+            "x",
+            mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before,
+            by.router);
+}
+
 /* Apply the FINDINGS of FROM.  Their durations are what was left of them when
    they were sent.  */
 static void
@@ -423,6 +452,8 @@
       if (f->slowdown > 0)
         mq_upstream_apply_peer_slowdown (u, f->slowdown, f->slowdown_us, by,
                                          now_us);
+      if (f->limit_stated)
+        gossip_apply_limit (gateway, u, f, by, now_us);
     }
 }
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -250,7 +250,7 @@
         ++*c->upstreams_rejecting;
       if (mq_upstream_slowdown (value, now) >= MQ_UPSTREAM_SLOW_FACTOR)
         ++*c->upstreams_slow;
-      if (((const mq_upstream *)value)->limit_per_s > 0)
+      if (((const mq_upstream *)value)->limit.per_s > 0)
         ++*c->upstreams_limited;
     }
   metrics_refresh_cluster (gateway, now);
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -1,4 +1,5 @@
-/* What upstreams state about themselves in the headers of their responses.  */
+/* What upstreams state about themselves in the headers of their responses, and
+   whether they accept a send.  */
 
 #include <mq/internal/gateway.h>
 
@@ -11,18 +12,23 @@
    may come from a part of it that does not add the header, so only a success
    without the header ends the limit.  */
 static void
-notice_apply_limit (mq_upstream *upstream, const mq_upstream_notice *notice,
-                    bool success)
+notice_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
+                    const mq_upstream_notice *notice, bool success)
 {
-  double before = upstream->limit_per_s;
+  static const mq_finding_source self = { 0, false };
+  double before = upstream->limit.per_s;
+  double per_s = notice->limited
+                     ? MAX (notice->limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S)
+                     : 0;
 
   if (!notice->limited && !success)
     return;
-  mq_upstream_set_limit (upstream, notice->limited, notice->limit_per_s);
-  if (upstream->limit_per_s != before)
+  mq_upstream_apply_limit (upstream, per_s, mq_gateway_now_us (), self,
+                           mq_gateway_random_unit (gateway));
+  if (upstream->limit.per_s != before)
     mq_log (G_LOG_LEVEL_INFO, "upstream.limit",
-            "upstream=%s per_s=%.3f before=%.3f",
-            mq_str_cstr (upstream->facts.id), upstream->limit_per_s, before);
+            "upstream=%s per_s=%.3f before=%.3f peer=none",
+            mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before);
 }
 
 void
@@ -42,6 +48,44 @@
       g_error_free (error);
       return;
     }
-  notice_apply_limit (upstream, &notice,
+  notice_apply_limit (gateway, upstream, &notice,
                       status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES);
 }
+
+/* ---- Sends.  */
+
+/* This router's share of the requests for the service of UPSTREAM.  */
+static double
+upstream_traffic_share (mq_gateway *gateway, const mq_upstream *upstream,
+                        uint64_t now_us)
+{
+  mq_service_state *s = g_hash_table_lookup (
+      gateway->services, mq_str_cstr (upstream->facts.service));
+  uint64_t name = mq_span_hash (mq_str_span (upstream->facts.service));
+
+  if (s == NULL)
+    return 0;
+  return mq_send_budget_traffic_share (
+      &s->budget, mq_cluster_count_busy (&gateway->cluster, now_us),
+      mq_cluster_other_sends (&gateway->cluster, name, now_us), now_us);
+}
+
+bool
+mq_gateway_may_send (mq_gateway *gateway, mq_upstream *upstream,
+                     mq_send_purpose purpose, uint64_t now_us)
+{
+  return upstream->limit.per_s <= 0
+         || mq_upstream_limit_allows (
+             &upstream->limit, purpose,
+             upstream_traffic_share (gateway, upstream, now_us), now_us);
+}
+
+void
+mq_gateway_note_send (mq_gateway *gateway, mq_upstream *upstream,
+                      mq_send_purpose purpose, uint64_t now_us)
+{
+  if (upstream->limit.per_s > 0)
+    mq_upstream_limit_note_send (
+        &upstream->limit, purpose,
+        upstream_traffic_share (gateway, upstream, now_us), now_us);
+}
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -60,11 +60,14 @@
 }
 
 static void
-order_request_count (mq_gateway *gateway, mq_upstream *upstream)
+order_request_count (mq_gateway *gateway, mq_upstream *upstream,
+                     uint64_t now_us)
 {
-  if (upstream->orders_report_pending)
+  if (upstream->orders_report_pending
+      || !mq_gateway_may_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us))
     return;
   upstream->orders_report_pending = true;
+  mq_gateway_note_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us);
   mq_report_request (gateway, upstream, order_on_report);
 }
 
@@ -73,7 +76,7 @@
 order_poll (mq_gateway *gateway, mq_upstream *upstream, uint64_t now_us)
 {
   if (now_us - upstream->reported_us > ORDER_POLL_INTERVAL_US)
-    order_request_count (gateway, upstream);
+    order_request_count (gateway, upstream, now_us);
 }
 
 /* Returns true when UPSTREAM's order count is unknown and a report would
@@ -147,6 +150,7 @@
           upstream->facts.layer_first, upstream->facts.layer_end,
           upstream->orders);
   mq_layer_order_sent (upstream, order->first, order->end, now_us);
+  mq_gateway_note_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us);
   o->gateway = gateway;
   o->upstream = mq_upstream_ref (upstream);
   ++*gateway->counters.orders;
@@ -199,9 +203,12 @@
       mq_upstream *u = o->holder->user;
 
       if (!u->orders_unknown)
-        order_send (gateway, u, o, now_us);
+        {
+          if (mq_gateway_may_send (gateway, u, MQ_SEND_FOR_CONTROL, now_us))
+            order_send (gateway, u, o, now_us);
+        }
       else if (mq_layer_order_may_query (u, now_us))
-        order_request_count (gateway, u);
+        order_request_count (gateway, u, now_us);
     }
 out:
   g_array_unref (holders);
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -22,6 +22,18 @@
    takes any path with memory.  */
 #define MAX_PREFILL_WAIT_US ((uint64_t)1000 * 1000)
 
+/* Returns true if UPSTREAM accepts a send of FORWARD now, and notes in FORWARD
+   if it does not.  */
+static bool
+forward_may_send (mq_forward *forward, mq_upstream *upstream, uint64_t now_us)
+{
+  if (mq_gateway_may_send (forward->gateway, upstream, MQ_SEND_FOR_REQUEST,
+                           now_us))
+    return true;
+  forward->limited = true;
+  return false;
+}
+
 /* ---- Plain services.  */
 
 static bool
@@ -63,7 +75,7 @@
       if (u->facts.draining)
         continue;
       cost = instance_cost (forward, u, now_us);
-      if (cost >= *min_cost)
+      if (cost >= *min_cost || !forward_may_send (forward, u, now_us))
         continue;
       *min_cost = cost;
       best = u;
@@ -214,11 +226,55 @@
          || g_ptr_array_find (forward->ran, head, NULL);
 }
 
-/* Store the candidates for FORWARD in DOMAIN in CANDIDATES and CHOICES, which
-   have room for MAX_DOMAIN_PATHS.  Returns their number.  */
+/* The candidates for a request in one failure domain, under construction.  */
+typedef struct domain_candidates
+{
+  mq_forward *forward; /* Borrowed.  */
+  mq_span domain;
+  bool single_path; /* The domain has one path at a time.  */
+  uint64_t now_us;
+  path_candidate *list;      /* Borrowed, with room for MAX_DOMAIN_PATHS.  */
+  mq_domain_choice *choices; /* Of the same, likewise.  */
+  size_t n;
+} domain_candidates;
+
+/* Add PATH, which is stolen.  */
+static void
+candidates_add (domain_candidates *candidates, mq_layer_path *path)
+{
+  path_candidate *c = &candidates->list[candidates->n];
+
+  c->path = *path;
+  c->key = path_key (candidates->forward->service, candidates->domain, path,
+                     candidates->single_path);
+  candidates->choices[candidates->n++] = candidate_choice (
+      candidates->forward, c, candidates->domain, candidates->now_us);
+}
+
+/* Add the best path of the domain that does not pass through LIMITED, the head
+   of its only other path.  */
+static void
+candidates_add_bypass (domain_candidates *candidates,
+                       const mq_upstream *limited)
+{
+  mq_forward *f = candidates->forward;
+  mq_layer_path path;
+
+  if (!mq_layer_path_find (&path, &f->gateway->registry, f->service,
+                           candidates->domain, candidates->now_us, limited))
+    return;
+  if (forward_may_use_head (f, path.stages[0].upstream, candidates->now_us)
+      && forward_may_send (f, path.stages[0].upstream, candidates->now_us))
+    candidates_add (candidates, &path);
+  else
+    mq_layer_path_finish (&path);
+}
+
+/* Store the candidates for FORWARD in DOMAIN in LIST and CHOICES, which have
+   room for MAX_DOMAIN_PATHS.  Returns their number.  */
 static size_t
 candidates_list_domain (mq_forward *forward, mq_span domain, uint64_t now_us,
-                        path_candidate *candidates, mq_domain_choice *choices)
+                        path_candidate *list, mq_domain_choice *choices)
 {
   mq_registry *registry = &forward->gateway->registry;
   mq_layer_path paths[MAX_DOMAIN_PATHS];
@@ -227,22 +283,27 @@
              MAX_DOMAIN_PATHS);
   size_t found = mq_layer_path_find_all (paths, wanted, registry,
                                          forward->service, domain, now_us);
-  size_t n = 0;
+  domain_candidates candidates
+      = { forward, domain, wanted == 1, now_us, list, choices, 0 };
+  mq_upstream *limited = NULL;
 
   for (size_t i = 0; i < found; i++)
     {
-      if (!forward_may_use_head (forward, paths[i].stages[0].upstream, now_us))
+      mq_upstream *head = paths[i].stages[0].upstream;
+
+      if (!forward_may_use_head (forward, head, now_us))
+        mq_layer_path_finish (&paths[i]);
+      else if (!forward_may_send (forward, head, now_us))
         {
+          limited = head;
           mq_layer_path_finish (&paths[i]);
-          continue;
         }
-      candidates[n].path = paths[i];
-      candidates[n].key
-          = path_key (forward->service, domain, &paths[i], wanted == 1);
-      choices[n] = candidate_choice (forward, &candidates[n], domain, now_us);
-      n++;
+      else
+        candidates_add (&candidates, &paths[i]);
     }
-  return n;
+  if (candidates.n == 0 && limited != NULL)
+    candidates_add_bypass (&candidates, limited);
+  return candidates.n;
 }
 
 /* Store the candidates for FORWARD in CANDIDATES and CHOICES, which have room
@@ -365,6 +426,7 @@
 {
   mq_upstream *u;
 
+  forward->limited = false;
   if (forward->service->model.layers > 0)
     {
       mq_place_result placing = place_path (forward, now_us, retry_ms);
@@ -382,6 +444,7 @@
     }
   forward->upstream = mq_upstream_ref (u);
   u->in_flight++;
+  mq_gateway_note_send (forward->gateway, u, MQ_SEND_FOR_REQUEST, now_us);
   if (!forward_has_tried (forward, u))
     g_ptr_array_add (forward->tried, mq_upstream_ref (u));
   return MQ_PLACE_OK;
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -260,7 +260,7 @@
     {
       f->waiting = send_may_wait (f, result, now_us);
       if (!f->waiting)
-        mq_forward_reject (f, retry_ms, "no-room");
+        mq_forward_reject (f, retry_ms, f->limited ? "limited" : "no-room");
       return;
     }
   f->waiting = false;
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -99,10 +99,14 @@
 void
 mq_stall_request_report (mq_gateway *gateway, mq_upstream *head)
 {
+  uint64_t now = mq_gateway_now_us ();
+
   if (head->stall_report_pending
-      || mq_gateway_now_us () - head->reported_us < REPORT_INTERVAL_US)
+      || now - head->reported_us < REPORT_INTERVAL_US
+      || !mq_gateway_may_send (gateway, head, MQ_SEND_FOR_REQUEST, now))
     return;
   head->stall_report_pending = true;
+  mq_gateway_note_send (gateway, head, MQ_SEND_FOR_REQUEST, now);
   mq_report_request (gateway, head, stall_on_report);
 }
 
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -13,6 +13,9 @@
 /* Bounds for valid values.  */
 #define MAX_TOKENS 4e9
 #define MAX_SLOWDOWN 1000.0
+/* Limits are encoded as requests in this time.  */
+#define LIMIT_UNIT_S 1000.0
+#define MAX_LIMIT_PER_S 1e6
 #define PERCENT 100.0
 
 G_DEFINE_QUARK (mq - cluster - message - error - quark,
@@ -89,6 +92,11 @@
       = (uint32_t)(CLAMP (from->slowdown, 0, MAX_SLOWDOWN) * PERCENT);
   to->pace_us = from->slowdown_us;
   to->refuses_us = from->rejecting_us;
+  to->limit_stated = from->limit_stated;
+  to->limit_per_1000_s
+      = (uint32_t)(CLAMP (from->limit_per_s, 0, MAX_LIMIT_PER_S)
+                   * LIMIT_UNIT_S);
+  to->limit_age_us = from->limit_age_us;
 }
 
 static void
@@ -391,10 +399,14 @@
     return -1;
   for (size_t i = 0; i < n; i++)
     {
-      mq_gossip_finding f = { .ejected_us = from[i]->aside_us,
-                              .slowdown = from[i]->pace_percent / PERCENT,
-                              .slowdown_us = from[i]->pace_us,
-                              .rejecting_us = from[i]->refuses_us };
+      mq_gossip_finding f
+          = { .ejected_us = from[i]->aside_us,
+              .slowdown = from[i]->pace_percent / PERCENT,
+              .slowdown_us = from[i]->pace_us,
+              .rejecting_us = from[i]->refuses_us,
+              .limit_stated = from[i]->limit_stated,
+              .limit_per_s = from[i]->limit_per_1000_s / LIMIT_UNIT_S,
+              .limit_age_us = from[i]->limit_age_us };
 
       if (get_text (&f.upstream, from[i]->upstream) < 0
           || f.slowdown > MAX_SLOWDOWN)
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -7,6 +7,7 @@
 
 #include <mq/send_budget.h>
 
+#include <math.h>
 #include <string.h>
 
 /* Share of the fleet's budget that routers allot themselves.  The margin
@@ -128,6 +129,35 @@
   return now_us < budget->granted_until_us ? budget->granted : 0;
 }
 
+/* Returns the requests of other routers in the window.  When the relay that
+   reported OTHERS is lost, they seem to have had none for a while.  But counts
+   over a window can't fall faster than the window passes.  */
+static double
+budget_others_requests (mq_send_budget *budget, mq_send_counts others,
+                        uint64_t now_us)
+{
+  double window_us = (double)budget->slice_us * MQ_SEND_BUDGET_SLICES;
+  double passed = MIN ((double)(now_us - budget->others_us) / window_us, 1);
+
+  budget->others_requests
+      = MAX (others.requests, budget->others_requests * (1 - passed));
+  budget->others_us = now_us;
+  return budget->others_requests;
+}
+
+double
+mq_send_budget_traffic_share (mq_send_budget *budget, unsigned routers,
+                              mq_send_counts others, uint64_t now_us)
+{
+  mq_send_counts own = mq_send_budget_count (budget, now_us);
+
+  others.requests
+      = (unsigned)ceil (budget_others_requests (budget, others, now_us));
+  if (budget_slack_share (budget, now_us) <= 0)
+    return 0;
+  return budget_traffic_share (own, others, routers);
+}
+
 bool
 mq_send_budget_has_room (mq_send_budget *budget, unsigned routers,
                          mq_send_counts others, uint64_t now_us)
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -23,10 +23,6 @@
    draining, though the store could not say so.  */
 #define LEAVING_AFTER_US ((uint64_t)1000 * 1000)
 
-/* A lower limit counts as this: without any request, no response would show
-   that the limit has ended.  */
-#define MIN_LIMIT_PER_S 0.1
-
 /* Layers that an engine releases stay in its memory until the requests that
    pass through them ended; most last less than this.  */
 #define LAYER_RELEASE_US ((uint64_t)5000 * 1000)
@@ -302,6 +298,8 @@
       if (facts_are_from_new_start (facts, &u->facts))
         {
           upstream_reset (u);
+          /* What peers report of the earlier run is void.  */
+          u->limit.observed_us = now_us;
           registry->last_added_us = now_us;
         }
       else
@@ -436,9 +434,11 @@
 }
 
 void
-mq_upstream_set_limit (mq_upstream *upstream, bool limited, double per_s)
+mq_upstream_apply_limit (mq_upstream *upstream, double per_s, uint64_t at_us,
+                         mq_finding_source by, double phase)
 {
-  upstream->limit_per_s = limited ? MAX (per_s, MIN_LIMIT_PER_S) : 0;
+  if (mq_upstream_limit_set (&upstream->limit, per_s, at_us, phase))
+    upstream->limit_source = by;
 }
 
 bool
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -60,6 +60,11 @@
     "missing, its path is under repair (order.sent, upstream.stalled)" },
   { "no-budget", "the retry budget of the fleet was used up",
     "compare sends with requests in the metrics; find out why sends fail" },
+  { "limited",
+    "all upstreams that could take it have a limit, and this router's share "
+    "of "
+    "it was used up",
+    "upstream.limit shows the limits; find out what these upstreams lack" },
   { "no-configuration", "the router had not received any configuration yet",
     "check by store.lost and member.heard if it reaches the store or peers" },
   { "quarantined",
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -894,7 +894,7 @@
   (ProtobufCMessageInit) mq__news__service_sends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[5] =
+static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[8] =
 {
   {
     "upstream",
@@ -956,9 +956,48 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "limit_stated",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, limit_stated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_per_1000_s",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, limit_per_1000_s),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "limit_age_us",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, limit_age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__finding__field_indices_by_name[] = {
   1,   /* field[1] = aside_us */
+  7,   /* field[7] = limit_age_us */
+  6,   /* field[6] = limit_per_1000_s */
+  5,   /* field[5] = limit_stated */
   2,   /* field[2] = pace_percent */
   3,   /* field[3] = pace_us */
   4,   /* field[4] = refuses_us */
@@ -967,7 +1006,7 @@
 static const ProtobufCIntRange mq__news__finding__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 8 }
 };
 const ProtobufCMessageDescriptor mq__news__finding__descriptor =
 {
@@ -977,7 +1016,7 @@
   "Mq__News__Finding",
   "mq.news",
   sizeof(Mq__News__Finding),
-  5,
+  8,
   mq__news__finding__field_descriptors,
   mq__news__finding__field_indices_by_name,
   1,  mq__news__finding__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -39,7 +39,7 @@
     PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(MQ__NEWS__KIND)
 } Mq__News__Kind;
 /*
- * How far what is passed on goes from the receiver.
+ * How far the receiver of a message propagates it.
  */
 typedef enum _Mq__News__Scope {
   MQ__NEWS__SCOPE__FLEET = 0,
@@ -127,14 +127,21 @@
   uint32_t pace_percent;
   uint64_t pace_us;
   uint64_t refuses_us;
+  protobuf_c_boolean limit_stated;
+  /*
+   * 0: it has no limit.
+   */
+  uint32_t limit_per_1000_s;
+  uint64_t limit_age_us;
 };
 #define MQ__NEWS__FINDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__finding__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
- * A request stood at the end of an upstream; upstream 0: it ran well.
+ * A request was running when an upstream crashed.  Upstream 0: the request
+ * succeeded.
  */
 struct  Mq__News__End
 {
@@ -242,24 +249,24 @@
 
 
 /*
- * Further sends that one router asks of others, or that these hand over.
+ * Retry budget that a router requests from others, or that they grant.
  */
 struct  Mq__News__BudgetTransfer
 {
   ProtobufCMessage base;
   /*
-   * Peer address.
+   * Peer address of the requesting router.
    */
   ProtobufCBinaryData borrower;
   /*
-   * Peer addresses of relays, the first first.
+   * Peer addresses of the relays, in order.
    */
   size_t n_via;
   ProtobufCBinaryData *via;
   uint64_t service;
   uint32_t sends;
   /*
-   * Of the borrower's request.
+   * Identifies the request.
    */
   uint64_t serial;
 };
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -36,6 +36,18 @@
 
 } // namespace
 
+TEST_F (Registry, RestartUnderTheSameIdEndsLimit)
+{
+  const mq_finding_source peer = { 7, false };
+  mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
+
+  mq_upstream_apply_limit (u, 4, 2 * s, peer, 0.5);
+  put ("a", "1:1", 0, 0, 3 * s, 2000);
+  EXPECT_EQ (u->limit.per_s, 0);
+  mq_upstream_apply_limit (u, 4, 2 * s, peer, 0.5);
+  EXPECT_EQ (u->limit.per_s, 0);
+}
+
 TEST_F (Registry, KeepsObservationsWhenFactsChange)
 {
   mq_upstream *u = put ("a", "1:1");
@@ -248,6 +260,25 @@
   EXPECT_FALSE (mq_upstream_is_usable (&u, 1500000));
 }
 
+/* Routers hear of a limit and of its end in any order.  */
+TEST (Upstream, NewestStatementOfLimitHolds)
+{
+  const mq_finding_source self = { 0, false };
+  const mq_finding_source peer = { 7, false };
+  mq_upstream u = {};
+
+  mq_upstream_apply_limit (&u, 4, 10 * s, self, 0.5);
+  mq_upstream_apply_limit (&u, 0, 9 * s, peer, 0.5);
+  EXPECT_EQ (u.limit.per_s, 4);
+  EXPECT_EQ (u.limit_source.router, 0u);
+  mq_upstream_apply_limit (&u, 0, 11 * s, peer, 0.5);
+  EXPECT_EQ (u.limit.per_s, 0);
+  EXPECT_TRUE (mq_upstream_limit_is_news (&u.limit, 12 * s));
+  mq_upstream_apply_limit (&u, 4, 10 * s, peer, 0.5);
+  EXPECT_EQ (u.limit.per_s, 0);
+  EXPECT_FALSE (mq_upstream_limit_is_news (&u.limit, 60 * s));
+}
+
 /* A slowdown that is propagated must not outlive the original report.  */
 TEST (Upstream, PeerSlowdownDoesNotOutliveItsReport)
 {
--- a/tests/test_upstream_limit.cc
+++ b/tests/test_upstream_limit.cc
@@ -29,14 +29,16 @@
   static constexpr double max_arrivals
       = excess_factor * limit_per_s * window_s + excess_requests;
 
+  UpstreamLimit () { sends_window_ms = 10000; }
+
   void
   start_routers (unsigned n, const std::string &target = "/safe/1")
   {
     configure (1);
     for (unsigned i = 0; i < n; i++)
       start_router ();
-    /* The counts of a window without requests say nothing of shares.  */
-    load (target, 1);
+    /* Routers learn one another's shares of the requests.  */
+    load (target, sends_window_ms / 4000.);
     EXPECT_EQ (count_answers (200), answers.size ());
     answers.clear ();
   }
