--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -74,6 +74,8 @@
 {
   bool limited;       /* It names a limit: ...  */
   double limit_per_s; /* ... requests a second from all routers together.  */
+  uint64_t rest_us;   /* It rejected the request and accepts none from this
+                         router for so long; 0: it did not say so.  */
 } mq_upstream_notice;
 
 typedef struct mq_dialect
@@ -102,11 +104,12 @@
   int (*report_decode) (mq_span body, mq_engine_report *report,
                         GError **error);
   void (*report_finish) (mq_engine_report *report);
-  /* Decode NOTICE from HEAD, the status line and headers of a response.
+  /* Decode NOTICE from HEAD, the status line and headers of a response with
+     STATUS.
      Returns 0; or -1 with ERROR set when a header has an invalid value.  The
      other headers are decoded even then.  */
-  int (*notice_decode) (mq_span head, mq_upstream_notice *notice,
-                        GError **error);
+  int (*notice_decode) (mq_span head, unsigned status,
+                        mq_upstream_notice *notice, GError **error);
   /* Append to OUT the body of an order to load layers [FIRST, END).  The
      engine accepts it only if it has accepted ORDERS orders before.  It keeps
      the layers that it drops until the requests that pass through them have
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -8,6 +8,8 @@
 #define STATUS_OK 200
 #define STATUS_MULTIPLE_CHOICES 300
 
+#define US_PER_MS ((uint64_t)1000)
+
 /* An upstream names its limit in all responses while it has one.  A failure
    may come from a part of it that does not add the header, so only a success
    without the header ends the limit.  */
@@ -31,25 +33,38 @@
             mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before);
 }
 
+/* UPSTREAM rejected a request and accepts none from this router for a while.
+ */
+static void
+notice_apply_rest (mq_upstream *upstream, const mq_upstream_notice *notice)
+{
+  if (notice->rest_us > 0)
+    mq_log (G_LOG_LEVEL_INFO, "upstream.rest",
+            "upstream=%s ms=%" G_GUINT64_FORMAT,
+            mq_str_cstr (upstream->facts.id), notice->rest_us / US_PER_MS);
+}
+
 void
 mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
                           const mq_http_call *call, unsigned status)
 {
   mq_upstream_notice notice;
   GError *error = NULL;
+  bool valid = gateway->dialect->notice_decode (mq_http_call_head (call),
+                                                status, &notice, &error)
+               == 0;
 
-  if (gateway->dialect->notice_decode (mq_http_call_head (call), &notice,
-                                       &error)
-      < 0)
+  if (!valid)
     {
       mq_log (G_LOG_LEVEL_WARNING, "upstream.notice-unusable",
               "upstream=%s error=%s", mq_str_cstr (upstream->facts.id),
               mq_log_quote (error->message));
       g_error_free (error);
-      return;
     }
+  notice_apply_rest (upstream, &notice);
   notice_apply_limit (gateway, upstream, &notice,
-                      status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES);
+                      valid && status >= STATUS_OK
+                          && status < STATUS_MULTIPLE_CHOICES);
 }
 
 /* ---- Sends.  */
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -53,13 +53,13 @@
 
 /* Decodes the notice of a response with the header lines HEADERS.  */
 mq_upstream_notice
-notice (const std::string &headers, bool valid = true)
+notice (const std::string &headers, bool valid = true, unsigned status = 200)
 {
   std::string head = "HTTP/1.1 200 OK\r\n" + headers + "\r\n";
   mq_upstream_notice n;
   GError *error = nullptr;
 
-  EXPECT_EQ (mq_users_platform.notice_decode (span (head), &n, &error),
+  EXPECT_EQ (mq_users_platform.notice_decode (span (head), status, &n, &error),
              valid ? 0 : -1)
       << headers;
   EXPECT_EQ (error == nullptr, valid) << headers;
@@ -81,6 +81,23 @@
         notice (std::string ("Server-Limit: ") + bad + "\r\n", false).limited);
 }
 
+TEST (UsersPlatform, DecodesRestOfRejection)
+{
+  EXPECT_EQ (notice ("", true, 503).rest_us, 0u);
+  EXPECT_EQ (notice ("Retry-After: 3\r\n", true, 503).rest_us, 3000000u);
+  EXPECT_EQ (notice ("retry-after: 0.25\r\n", true, 503).rest_us, 250000u);
+  /* Only a rejection says that.  */
+  EXPECT_EQ (notice ("Retry-After: 3\r\n", true, 200).rest_us, 0u);
+  EXPECT_EQ (notice ("Retry-After: soon\r\n", false, 503).rest_us, 0u);
+  EXPECT_GT (
+      notice ("Retry-After: 99999999999999999999\r\n", true, 503).rest_us,
+      3600 * 1000000ull);
+  /* One invalid header does not hide the other.  */
+  EXPECT_EQ (
+      notice ("Server-Limit: x\r\nRetry-After: 3\r\n", false, 503).rest_us,
+      3000000u);
+}
+
 TEST (UsersPlatform, DecodesConfiguration)
 {
   mq_routing *r = mq_users_platform.routing_decode (
