Keep the rest that an upstream asks for when it rejects a request

Cause: no router read Retry-After in the rejection of an upstream. The class: a statement of an upstream about itself that no decision takes as input, as with limits. The pause after a rejection existed for engines of paths alone, and is a guess of 0.2 to 1.6 s.

Change: the rest is kept with the upstream's record; mq_gateway_may_send, which every call to an upstream passes, allows none until its end: first sends, retries, resumed streams, requests for reports, and orders. A resting head is bypassed where its failure domain has another path. Requests that only resting upstreams could take are refused at once (why=resting).

Why it works: the rest counts from the arrival of the rejection, so it ends after the upstream's own clock; only what was sent before can still arrive. A new incarnation ends it. Each router is asked by itself, so nothing is told to others; a router that starts again learns it from its first rejection.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -144,6 +144,7 @@
   uint64_t *upstreams_rejecting;
   uint64_t *upstreams_slow;
   uint64_t *upstreams_limited;
+  uint64_t *upstreams_resting;
   uint64_t *routers;
   uint64_t *relays;
   uint64_t *serving;
@@ -258,8 +259,9 @@
   double prompt_tokens;    /* Of these, the prompt's.  */
   double prefill_tokens;   /* Counted in PATH_LOAD as not prefilled.  */
   double used_tokens;      /* In flight on PATH when it was chosen.  */
-  bool limited;            /* An upstream that it could have been sent to did
-                              not accept it yet.  */
+  bool limited;            /* An upstream that it could have been sent to has
+                              a limit that did not allow it ...  */
+  bool resting;            /* ... or accepts nothing from this router.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -80,9 +80,10 @@
   mq_upstream_limit limit; /* As its responses state it, here or to a peer ...
                             */
   mq_finding_source limit_source; /* ... which is this one.  */
-  unsigned retained_layers;       /* Layers held before it released some; their
-                                     memory is counted as in use ... */
-  uint64_t retained_until_us;     /* ... until then.  */
+  uint64_t rest_until_us;   /* It asked this router to send nothing before.  */
+  unsigned retained_layers; /* Layers held before it released some; their
+                               memory is counted as in use ... */
+  uint64_t retained_until_us; /* ... until then.  */
   uint64_t orders; /* Orders accepted by this incarnation, as far as known. */
   uint64_t platform_layers_us;      /* Last change of the layers that the
                                        platform publishes.  */
@@ -172,6 +173,13 @@
                               uint64_t at_us, mq_finding_source by,
                               double phase);
 
+/* Note that UPSTREAM rejected a request and accepts nothing from this router
+   for DURATION_US.  */
+void mq_upstream_apply_rest (mq_upstream *upstream, uint64_t duration_us,
+                             uint64_t now_us);
+/* Returns true while it accepts nothing from this router.  */
+bool mq_upstream_is_resting (const mq_upstream *upstream, uint64_t now_us);
+
 /* An engine with at least this slowdown counts as slow.  */
 #define MQ_UPSTREAM_SLOW_FACTOR 1.5
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -137,6 +137,8 @@
       = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"slow\"", "");
   c->upstreams_limited = mq_metrics_gauge (m, "marjoramquay_upstreams",
                                            "state=\"limited\"", "");
+  c->upstreams_resting = mq_metrics_gauge (m, "marjoramquay_upstreams",
+                                           "state=\"resting\"", "");
   c->routers = mq_metrics_gauge (m, "marjoramquay_routers", "",
                                  "Heard lately, with this one.");
   c->relays = mq_metrics_gauge (m, "marjoramquay_relay", "",
@@ -239,6 +241,7 @@
   *c->upstreams_rejecting = 0;
   *c->upstreams_slow = 0;
   *c->upstreams_limited = 0;
+  *c->upstreams_resting = 0;
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
@@ -252,6 +255,8 @@
         ++*c->upstreams_slow;
       if (((const mq_upstream *)value)->limit.per_s > 0)
         ++*c->upstreams_limited;
+      if (mq_upstream_is_resting (value, now))
+        ++*c->upstreams_resting;
     }
   metrics_refresh_cluster (gateway, now);
   *c->log_lines = mq_log_get_counters ()->lines;
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -38,10 +38,12 @@
 static void
 notice_apply_rest (mq_upstream *upstream, const mq_upstream_notice *notice)
 {
-  if (notice->rest_us > 0)
-    mq_log (G_LOG_LEVEL_INFO, "upstream.rest",
-            "upstream=%s ms=%" G_GUINT64_FORMAT,
-            mq_str_cstr (upstream->facts.id), notice->rest_us / US_PER_MS);
+  if (notice->rest_us == 0)
+    return;
+  mq_upstream_apply_rest (upstream, notice->rest_us, mq_gateway_now_us ());
+  mq_log (G_LOG_LEVEL_INFO, "upstream.rest",
+          "upstream=%s ms=%" G_GUINT64_FORMAT,
+          mq_str_cstr (upstream->facts.id), notice->rest_us / US_PER_MS);
 }
 
 void
@@ -89,6 +91,8 @@
 mq_gateway_may_send (mq_gateway *gateway, mq_upstream *upstream,
                      mq_send_purpose purpose, uint64_t now_us)
 {
+  if (mq_upstream_is_resting (upstream, now_us))
+    return false;
   return upstream->limit.per_s <= 0
          || mq_upstream_limit_allows (
              &upstream->limit, purpose,
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -30,7 +30,10 @@
   if (mq_gateway_may_send (forward->gateway, upstream, MQ_SEND_FOR_REQUEST,
                            now_us))
     return true;
-  forward->limited = true;
+  if (mq_upstream_is_resting (upstream, now_us))
+    forward->resting = true;
+  else
+    forward->limited = true;
   return false;
 }
 
@@ -251,17 +254,16 @@
       candidates->forward, c, candidates->domain, candidates->now_us);
 }
 
-/* Add the best path of the domain that does not pass through LIMITED, the head
-   of its only other path.  */
+/* Add the best path of the domain that does not pass through HEAD, which does
+   not accept a send now.  */
 static void
-candidates_add_bypass (domain_candidates *candidates,
-                       const mq_upstream *limited)
+candidates_add_bypass (domain_candidates *candidates, const mq_upstream *head)
 {
   mq_forward *f = candidates->forward;
   mq_layer_path path;
 
   if (!mq_layer_path_find (&path, &f->gateway->registry, f->service,
-                           candidates->domain, candidates->now_us, limited))
+                           candidates->domain, candidates->now_us, head))
     return;
   if (forward_may_use_head (f, path.stages[0].upstream, candidates->now_us)
       && forward_may_send (f, path.stages[0].upstream, candidates->now_us))
@@ -285,7 +287,7 @@
                                          forward->service, domain, now_us);
   domain_candidates candidates
       = { forward, domain, wanted == 1, now_us, list, choices, 0 };
-  mq_upstream *limited = NULL;
+  mq_upstream *withheld = NULL;
 
   for (size_t i = 0; i < found; i++)
     {
@@ -295,14 +297,14 @@
         mq_layer_path_finish (&paths[i]);
       else if (!forward_may_send (forward, head, now_us))
         {
-          limited = head;
+          withheld = head;
           mq_layer_path_finish (&paths[i]);
         }
       else
         candidates_add (&candidates, &paths[i]);
     }
-  if (candidates.n == 0 && limited != NULL)
-    candidates_add_bypass (&candidates, limited);
+  if (candidates.n == 0 && withheld != NULL)
+    candidates_add_bypass (&candidates, withheld);
   return candidates.n;
 }
 
@@ -427,6 +429,7 @@
   mq_upstream *u;
 
   forward->limited = false;
+  forward->resting = false;
   if (forward->service->model.layers > 0)
     {
       mq_place_result placing = place_path (forward, now_us, retry_ms);
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -233,6 +233,15 @@
          && now_us - forward->started_us <= MAX_WAIT_US;
 }
 
+/* Why FORWARD, which was not placed, has to be rejected.  */
+static const char *
+send_place_failure (const mq_forward *forward)
+{
+  if (forward->resting)
+    return "resting";
+  return forward->limited ? "limited" : "no-room";
+}
+
 void
 mq_forward_send (mq_forward *forward, uint64_t now_us)
 {
@@ -260,7 +269,7 @@
     {
       f->waiting = send_may_wait (f, result, now_us);
       if (!f->waiting)
-        mq_forward_reject (f, retry_ms, f->limited ? "limited" : "no-room");
+        mq_forward_reject (f, retry_ms, send_place_failure (f));
       return;
     }
   f->waiting = false;
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -441,6 +441,20 @@
     upstream->limit_source = by;
 }
 
+void
+mq_upstream_apply_rest (mq_upstream *upstream, uint64_t duration_us,
+                        uint64_t now_us)
+{
+  upstream->rest_until_us
+      = MAX (upstream->rest_until_us, now_us + duration_us);
+}
+
+bool
+mq_upstream_is_resting (const mq_upstream *upstream, uint64_t now_us)
+{
+  return now_us < upstream->rest_until_us;
+}
+
 bool
 mq_upstream_is_leaving (const mq_upstream *upstream, uint64_t now_us)
 {
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -65,6 +65,11 @@
     "of "
     "it was used up",
     "upstream.limit shows the limits; find out what these upstreams lack" },
+  { "resting",
+    "all upstreams that could take it had rejected requests of this router "
+    "and "
+    "asked it to send nothing for a while",
+    "upstream.rest shows for how long; find out why they reject requests" },
   { "no-configuration", "the router had not received any configuration yet",
     "check by store.lost and member.heard if it reaches the store or peers" },
   { "quarantined",
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -48,6 +48,19 @@
   EXPECT_EQ (u->limit.per_s, 0);
 }
 
+TEST_F (Registry, RestartUnderTheSameIdEndsRest)
+{
+  mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
+
+  mq_upstream_apply_rest (u, 3 * s, 2 * s);
+  /* A shorter rest does not end a longer one.  */
+  mq_upstream_apply_rest (u, s, 2 * s);
+  EXPECT_TRUE (mq_upstream_is_resting (u, 5 * s - 1));
+  EXPECT_FALSE (mq_upstream_is_resting (u, 5 * s));
+  put ("a", "1:1", 0, 0, 3 * s, 2000);
+  EXPECT_FALSE (mq_upstream_is_resting (u, 3 * s));
+}
+
 TEST_F (Registry, KeepsObservationsWhenFactsChange)
 {
   mq_upstream *u = put ("a", "1:1");
