Send nothing more to an upstream that says that it is leaving

An upstream whose entry in the store still said that it is ready, or could not say otherwise as the store was down, went on to get requests after its responses had said that it leaves.

Cause: as with rests and limits, no decision took what a response says about its upstream.

Change: such an upstream counts as draining until another incarnation of it starts, for requests, paths, the layer plan and orders. Routers report it to one another, with the incarnation that it is true of, so that no router needs a response of its own.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -74,6 +74,7 @@
 {
   bool limited;       /* It names a limit: ...  */
   double limit_per_s; /* ... requests a second from all routers together.  */
+  bool leaving;       /* It drains and does not come back.  */
   uint64_t rest_us;   /* It rejected the request and accepts none from this
                          router for so long; 0: it did not say so.  */
 } mq_upstream_notice;
--- a/include/mq/gossip.h
+++ b/include/mq/gossip.h
@@ -71,6 +71,9 @@
   uint64_t slowdown_us;  /* Remaining validity of the slowdown.  */
   uint64_t rejecting_us; /* It rejects all requests, and is to receive none for
                             this long; 0: it does not.  */
+  bool leaving;          /* It said that it is leaving, in the incarnation that
+                            started at BORN_MS.  */
+  uint64_t born_ms;      /* By its own clock; 0: unknown.  */
   bool limit_stated;     /* The next two are known.  */
   double limit_per_s;    /* Requests a second that it accepts from all routers
                             together; 0: it has no limit.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -80,6 +80,8 @@
   mq_upstream_limit limit; /* As its responses state it, here or to a peer ...
                             */
   mq_finding_source limit_source; /* ... which is this one.  */
+  bool leaving; /* It said so in a response, here or to a peer ...  */
+  mq_finding_source leaving_source; /* ... which is this one.  */
   uint64_t rest_until_us;   /* It asked this router to send nothing before.  */
   unsigned retained_layers; /* Layers held before it released some; their
                                memory is counted as in use ... */
@@ -157,6 +159,13 @@
 const mq_upstream_group *mq_registry_group (mq_registry *registry,
                                             mq_span service, mq_span domain);
 
+/* Note that UPSTREAM said in a response to the router BY that it is leaving.
+   That holds until it starts again.  */
+void mq_registry_note_leaving (mq_registry *registry, mq_upstream *upstream,
+                               mq_finding_source by);
+
+/* Returns true if UPSTREAM is draining, by its entry or by what it said.  */
+bool mq_upstream_is_draining (const mq_upstream *upstream);
 /* Returns true if UPSTREAM is listed, not draining and not ejected.  */
 bool mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us);
 /* Returns true if new work may go to UPSTREAM: it is usable, and neither this
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -168,7 +168,8 @@
   if (c->tcp_probe != NULL)
     return;
   /* A draining upstream has not crashed; it leaves the list later.  */
-  if (alive || u->facts.draining || now_us >= c->broke_us + CASE_TIMEOUT_US)
+  if (alive || mq_upstream_is_draining (u)
+      || now_us >= c->broke_us + CASE_TIMEOUT_US)
     g_ptr_array_remove_fast (c->gateway->crash_cases, c);
   else if (!u->listed || u->facts.born_ms != c->started_ms)
     case_confirm (c, u->listed ? "started-again" : "left-the-list");
@@ -212,7 +213,7 @@
 static bool
 upstream_may_crash (const mq_upstream *upstream, uint64_t now_us)
 {
-  return upstream->listed && !upstream->facts.draining
+  return upstream->listed && !mq_upstream_is_draining (upstream)
          && !mq_upstream_is_leaving (upstream, now_us);
 }
 
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -155,11 +155,16 @@
       f.limit_per_s = upstream->limit.per_s;
       f.limit_age_us = now_us - upstream->limit.observed_us;
     }
+  if (upstream->leaving && filter_includes (filter, upstream->leaving_source))
+    {
+      f.leaving = true;
+      f.born_ms = upstream->facts.born_ms;
+    }
   return f;
 }
 
-/* Add the ejections, rejections, slowdowns and limits of upstreams, so that
-   receivers need not detect them by themselves.  */
+/* Add the ejections, rejections, slowdowns, limits and departures of
+   upstreams, so that receivers need not detect them by themselves.  */
 static void
 gossip_add_findings (const mq_gateway *gateway, mq_gossip *gossip,
                      const finding_filter *filter, uint64_t now_us)
@@ -173,7 +178,7 @@
       mq_gossip_finding f = finding_make (value, filter, now_us);
 
       if (f.ejected_us > 0 || f.slowdown > 0 || f.rejecting_us > 0
-          || f.limit_stated)
+          || f.limit_stated || f.leaving)
         g_array_append_val (gossip->findings, f);
     }
 }
@@ -427,6 +432,20 @@
             by.router);
 }
 
+/* Apply that UPSTREAM is leaving, which BY reported of its incarnation that
+   started at BORN_MS.  */
+static void
+gossip_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
+                      uint64_t born_ms, mq_finding_source by)
+{
+  if (upstream->leaving || upstream->facts.born_ms != born_ms)
+    return;
+  mq_registry_note_leaving (&gateway->registry, upstream, by);
+  mq_log (G_LOG_LEVEL_INFO, "upstream.leaving",
+          "upstream=%s peer=%016" G_GINT64_MODIFIER "x",
+          mq_str_cstr (upstream->facts.id), by.router);
+}
+
 /* Apply the FINDINGS of FROM.  Their durations are what was left of them when
    they were sent.  */
 static void
@@ -454,6 +473,8 @@
                                          now_us);
       if (f->limit_stated)
         gossip_apply_limit (gateway, u, f, by, now_us);
+      if (f->leaving)
+        gossip_apply_leaving (gateway, u, f->born_ms, by);
     }
 }
 
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -46,6 +46,19 @@
           mq_str_cstr (upstream->facts.id), notice->rest_us / US_PER_MS);
 }
 
+static void
+notice_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
+                      const mq_upstream_notice *notice)
+{
+  static const mq_finding_source self = { 0, false };
+
+  if (!notice->leaving || upstream->leaving)
+    return;
+  mq_registry_note_leaving (&gateway->registry, upstream, self);
+  mq_log (G_LOG_LEVEL_INFO, "upstream.leaving", "upstream=%s peer=none",
+          mq_str_cstr (upstream->facts.id));
+}
+
 void
 mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
                           const mq_http_call *call, unsigned status)
@@ -63,6 +76,7 @@
               mq_log_quote (error->message));
       g_error_free (error);
     }
+  notice_apply_leaving (gateway, upstream, &notice);
   notice_apply_rest (upstream, &notice);
   notice_apply_limit (gateway, upstream, &notice,
                       valid && status >= STATUS_OK
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -75,7 +75,7 @@
       mq_upstream *u = g_ptr_array_index (group->upstreams, i);
       uint64_t cost;
 
-      if (u->facts.draining)
+      if (mq_upstream_is_draining (u))
         continue;
       cost = instance_cost (forward, u, now_us);
       if (cost >= *min_cost || !forward_may_send (forward, u, now_us))
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -97,6 +97,8 @@
       = (uint32_t)(CLAMP (from->limit_per_s, 0, MAX_LIMIT_PER_S)
                    * LIMIT_UNIT_S);
   to->limit_age_us = from->limit_age_us;
+  to->leaving = from->leaving;
+  to->born_ms = from->born_ms;
 }
 
 static void
@@ -406,7 +408,9 @@
               .rejecting_us = from[i]->refuses_us,
               .limit_stated = from[i]->limit_stated,
               .limit_per_s = from[i]->limit_per_1000_s / LIMIT_UNIT_S,
-              .limit_age_us = from[i]->limit_age_us };
+              .limit_age_us = from[i]->limit_age_us,
+              .leaving = from[i]->leaving,
+              .born_ms = from[i]->born_ms };
 
       if (get_text (&f.upstream, from[i]->upstream) < 0
           || f.slowdown > MAX_SLOWDOWN)
--- a/packages/route/layer_chains.c
+++ b/packages/route/layer_chains.c
@@ -185,7 +185,7 @@
                              : mq_layered_model_find_card (
                                  &service->model, mq_str_span (u->facts.card));
 
-      if (c != NULL && !u->facts.draining)
+      if (c != NULL && !mq_upstream_is_draining (u))
         memory_mb += c->memory_mb;
     }
   /* The largest number that the plan may still retain.  */
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -418,10 +418,27 @@
   upstream->slowdown_until_us = now_us + MIN (duration_us, SLOWDOWN_VALID_US);
 }
 
+void
+mq_registry_note_leaving (mq_registry *registry, mq_upstream *upstream,
+                          mq_finding_source by)
+{
+  if (upstream->leaving)
+    return;
+  upstream->leaving = true;
+  upstream->leaving_source = by;
+  registry->change++;
+}
+
+bool
+mq_upstream_is_draining (const mq_upstream *upstream)
+{
+  return upstream->facts.draining || upstream->leaving;
+}
+
 bool
 mq_upstream_is_usable (const mq_upstream *upstream, uint64_t now_us)
 {
-  return upstream->listed && !upstream->facts.draining
+  return upstream->listed && !mq_upstream_is_draining (upstream)
          && now_us >= upstream->ejected_until_us;
 }
 
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -894,7 +894,7 @@
   (ProtobufCMessageInit) mq__news__service_sends__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[8] =
+static const ProtobufCFieldDescriptor mq__news__finding__field_descriptors[10] =
 {
   {
     "upstream",
@@ -992,9 +992,35 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "leaving",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Finding, born_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__finding__field_indices_by_name[] = {
   1,   /* field[1] = aside_us */
+  9,   /* field[9] = born_ms */
+  8,   /* field[8] = leaving */
   7,   /* field[7] = limit_age_us */
   6,   /* field[6] = limit_per_1000_s */
   5,   /* field[5] = limit_stated */
@@ -1006,7 +1032,7 @@
 static const ProtobufCIntRange mq__news__finding__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor mq__news__finding__descriptor =
 {
@@ -1016,7 +1042,7 @@
   "Mq__News__Finding",
   "mq.news",
   sizeof(Mq__News__Finding),
-  8,
+  10,
   mq__news__finding__field_descriptors,
   mq__news__finding__field_indices_by_name,
   1,  mq__news__finding__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -133,10 +133,15 @@
    */
   uint32_t limit_per_1000_s;
   uint64_t limit_age_us;
+  protobuf_c_boolean leaving;
+  /*
+   * Start of the incarnation that is leaving.
+   */
+  uint64_t born_ms;
 };
 #define MQ__NEWS__FINDING__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__finding__descriptor) \
-    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0 }
+    , {0,NULL}, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -29,9 +29,9 @@
                            250 };
     mq_path_tokens w = { 0xfedcba9876543210, 1234 };
     mq_service_sends s = { 77, { 10, 3, 1 } };
-    mq_gossip_finding f = {
-      MQ_SPAN ("eng-1"), 4000000, 2.5, 2000000, 300, true, 4.125, 70000
-    };
+    mq_gossip_finding f
+        = { MQ_SPAN ("eng-1"), 4000000, 2.5,   2000000, 300, true,
+            1234567,           true,    4.125, 70000 };
     mq_quarantine_record e = { 0xf000000000000001, 0xf000000000000003, 70 };
 
     mq_gossip_init (&gossip, MQ_GOSSIP_SUMMARY);
@@ -126,6 +126,9 @@
   EXPECT_EQ (mq_service_sends_get (n->sends, 77).retries, 3u);
   ASSERT_EQ (n->findings->len, 1u);
   EXPECT_EQ (g_array_index (n->findings, mq_gossip_finding, 0).slowdown, 2.5);
+  EXPECT_TRUE (g_array_index (n->findings, mq_gossip_finding, 0).leaving);
+  EXPECT_EQ (g_array_index (n->findings, mq_gossip_finding, 0).born_ms,
+             1234567u);
   EXPECT_TRUE (g_array_index (n->findings, mq_gossip_finding, 0).limit_stated);
   EXPECT_EQ (g_array_index (n->findings, mq_gossip_finding, 0).limit_per_s,
              4.125);
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -48,6 +48,20 @@
   EXPECT_EQ (u->limit.per_s, 0);
 }
 
+TEST_F (Registry, RestartUnderTheSameIdEndsLeaving)
+{
+  const mq_finding_source peer = { 7, false };
+  mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
+
+  mq_registry_note_leaving (&r, u, peer);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 2 * s));
+  /* Its entry may go on to say that it is ready.  */
+  put ("a", "1:1", 0, 20, 2 * s, 1000);
+  EXPECT_TRUE (mq_upstream_is_draining (u));
+  put ("a", "1:1", 0, 0, 3 * s, 2000);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 3 * s));
+}
+
 TEST_F (Registry, RestartUnderTheSameIdEndsRest)
 {
   mq_upstream *u = put ("a", "1:1", 0, 20, s, 1000);
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -98,6 +98,15 @@
       3000000u);
 }
 
+TEST (UsersPlatform, DecodesThatUpstreamIsLeaving)
+{
+  EXPECT_FALSE (notice ("").leaving);
+  EXPECT_TRUE (notice ("Server-Leaving: 1\r\n").leaving);
+  EXPECT_TRUE (notice ("Server-Leaving: 1\r\n", true, 503).leaving);
+  EXPECT_FALSE (notice ("Server-Leaving: 0\r\n").leaving);
+  EXPECT_FALSE (notice ("Server-Leaving: soon\r\n", false).leaving);
+}
+
 TEST (UsersPlatform, DecodesConfiguration)
 {
   mq_routing *r = mq_users_platform.routing_decode (
