Read what upstreams state in responses to orders and reports, too

Cause: only responses to clients' requests were read. An engine that rejects an order and asks for rest got a report request 0.3 s later, and so on. A response to a call that was sent to an earlier incarnation counted for the present one.

Change: every response to a call to an upstream is read, for limits, rests and leaving. A limit ends with a response to a request alone, since others may not name it. Responses to what was sent before the present incarnation was noticed are ignored. The texts on the reasons limited and resting say that other upstreams may just have had no room.

Test and change go in together; the test failed on the code before. The ignoring of earlier incarnations has a test of its record alone (Registry.RestartUnderTheSameIdEndsLeaving), none with a late response.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -406,10 +406,12 @@
                                              uint64_t now_us);
 
 /* ---- gateway_notice.c  */
-/* Apply what UPSTREAM states in the headers of its response, which CALL has
-   received with STATUS.  To be called once for each response.  */
+/* Apply what UPSTREAM states in the headers of its response, which EVENT
+   reports, to a call that was sent at SENT_US.  OF_REQUEST: that was a
+   client's request, rather than an order or a request for a report.  */
 void mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
-                               const mq_http_call *call, unsigned status);
+                               const mq_http_client_event *event,
+                               uint64_t sent_us, bool of_request);
 /* Returns true if UPSTREAM accepts one more send for PURPOSE from this router
    now. Each call to an upstream is subject to this, and counted by
    mq_gateway_note_send.  */
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -80,11 +80,13 @@
   mq_upstream_limit limit; /* As its responses state it, here or to a peer ...
                             */
   mq_finding_source limit_source; /* ... which is this one.  */
-  bool leaving; /* It said so in a response, here or to a peer ...  */
-  mq_finding_source leaving_source; /* ... which is this one.  */
-  uint64_t rest_until_us;   /* It asked this router to send nothing before.  */
-  unsigned retained_layers; /* Layers held before it released some; their
-                               memory is counted as in use ... */
+  bool announced_leaving; /* It said so in a response, here or to a peer ... */
+  mq_finding_source announced_leaving_source; /* ... which is this one.  */
+  uint64_t restarted_us;  /* When its present incarnation was noticed; 0: it is
+                             the first one known.  */
+  uint64_t rest_until_us; /* It asked this router to send nothing before.  */
+  unsigned retained_layers;   /* Layers held before it released some; their
+                                 memory is counted as in use ... */
   uint64_t retained_until_us; /* ... until then.  */
   uint64_t orders; /* Orders accepted by this incarnation, as far as known. */
   uint64_t platform_layers_us;      /* Last change of the layers that the
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -155,7 +155,8 @@
       f.limit_per_s = upstream->limit.per_s;
       f.limit_age_us = now_us - upstream->limit.observed_us;
     }
-  if (upstream->leaving && filter_includes (filter, upstream->leaving_source))
+  if (upstream->announced_leaving
+      && filter_includes (filter, upstream->announced_leaving_source))
     {
       f.leaving = true;
       f.born_ms = upstream->facts.born_ms;
@@ -438,7 +439,7 @@
 gossip_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
                       uint64_t born_ms, mq_finding_source by)
 {
-  if (upstream->leaving || upstream->facts.born_ms != born_ms)
+  if (upstream->announced_leaving || upstream->facts.born_ms != born_ms)
     return;
   mq_registry_note_leaving (&gateway->registry, upstream, by);
   mq_log (G_LOG_LEVEL_INFO, "upstream.leaving",
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -10,21 +10,12 @@
 
 #define US_PER_MS ((uint64_t)1000)
 
-/* An upstream names its limit in all responses while it has one.  A failure
-   may come from a part of it that does not add the header, so only a success
-   without the header ends the limit.  */
 static void
-notice_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
-                    const mq_upstream_notice *notice, bool success)
+notice_apply_limit (mq_gateway *gateway, mq_upstream *upstream, double per_s)
 {
   static const mq_finding_source self = { 0, false };
   double before = upstream->limit.per_s;
-  double per_s = notice->limited
-                     ? MAX (notice->limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S)
-                     : 0;
 
-  if (!notice->limited && !success)
-    return;
   mq_upstream_apply_limit (upstream, per_s, mq_gateway_now_us (), self,
                            mq_gateway_random_unit (gateway));
   if (upstream->limit.per_s != before)
@@ -33,8 +24,6 @@
             mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before);
 }
 
-/* UPSTREAM rejected a request and accepts none from this router for a while.
- */
 static void
 notice_apply_rest (mq_upstream *upstream, const mq_upstream_notice *notice)
 {
@@ -52,23 +41,34 @@
 {
   static const mq_finding_source self = { 0, false };
 
-  if (!notice->leaving || upstream->leaving)
+  if (!notice->leaving || upstream->announced_leaving)
     return;
   mq_registry_note_leaving (&gateway->registry, upstream, self);
   mq_log (G_LOG_LEVEL_INFO, "upstream.leaving", "upstream=%s peer=none",
           mq_str_cstr (upstream->facts.id));
 }
 
+static bool
+response_is_success (const mq_http_client_event *event)
+{
+  return event->status >= STATUS_OK && event->status < STATUS_MULTIPLE_CHOICES;
+}
+
 void
 mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
-                          const mq_http_call *call, unsigned status)
+                          const mq_http_client_event *event, uint64_t sent_us,
+                          bool of_request)
 {
   mq_upstream_notice notice;
   GError *error = NULL;
-  bool valid = gateway->dialect->notice_decode (mq_http_call_head (call),
-                                                status, &notice, &error)
-               == 0;
+  bool valid;
 
+  /* What an earlier incarnation said is not true of this one.  */
+  if (sent_us < upstream->restarted_us)
+    return;
+  valid = gateway->dialect->notice_decode (mq_http_call_head (event->call),
+                                           event->status, &notice, &error)
+          == 0;
   if (!valid)
     {
       mq_log (G_LOG_LEVEL_WARNING, "upstream.notice-unusable",
@@ -78,9 +78,13 @@
     }
   notice_apply_leaving (gateway, upstream, &notice);
   notice_apply_rest (upstream, &notice);
-  notice_apply_limit (gateway, upstream, &notice,
-                      valid && status >= STATUS_OK
-                          && status < STATUS_MULTIPLE_CHOICES);
+  if (notice.limited)
+    notice_apply_limit (gateway, upstream,
+                        MAX (notice.limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S));
+  /* An upstream names its limit in all responses to requests while it has one.
+     A failure may come from a part of it that does not add the header.  */
+  else if (valid && of_request && response_is_success (event))
+    notice_apply_limit (gateway, upstream, 0);
 }
 
 /* ---- Sends.  */
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -32,6 +32,7 @@
 {
   mq_gateway *gateway;   /* Borrowed.  */
   mq_upstream *upstream; /* One reference.  */
+  uint64_t sent_us;
 } order_call;
 
 /* Apply REPORT, which shows the outcome of the orders to UPSTREAM.  */
@@ -109,6 +110,9 @@
 {
   order_call *o = context;
 
+  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
+    mq_gateway_note_response (o->gateway, o->upstream, event, o->sent_us,
+                              false);
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   mq_log (G_LOG_LEVEL_INFO, "order.answered",
@@ -152,6 +156,7 @@
   mq_layer_order_sent (upstream, order->first, order->end, now_us);
   mq_gateway_note_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us);
   o->gateway = gateway;
+  o->sent_us = now_us;
   o->upstream = mq_upstream_ref (upstream);
   ++*gateway->counters.orders;
   (void)mq_http_client_start (gateway->client, &options, order_on_call, o);
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -16,6 +16,7 @@
 {
   mq_gateway *gateway;   /* Borrowed.  */
   mq_upstream *upstream; /* One reference.  */
+  uint64_t sent_us;
   mq_report_sink sink;
 } report_call;
 
@@ -40,6 +41,9 @@
   report_call *c = context;
   mq_engine_report r;
 
+  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
+    mq_gateway_note_response (c->gateway, c->upstream, event, c->sent_us,
+                              false);
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   if (event->result == MQ_HTTP_OK && event->status == STATUS_OK
@@ -70,7 +74,8 @@
   c->gateway = gateway;
   c->upstream = mq_upstream_ref (upstream);
   c->sink = sink;
-  upstream->reported_us = mq_gateway_now_us ();
+  c->sent_us = mq_gateway_now_us ();
+  upstream->reported_us = c->sent_us;
   ++*gateway->counters.reports;
   (void)mq_http_client_start (gateway->client, &options, report_on_call, c);
   g_free (url);
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -336,8 +336,8 @@
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
-      mq_gateway_note_response (f->gateway, f->upstream, event->call,
-                                event->status);
+      mq_gateway_note_response (f->gateway, f->upstream, event, f->sent_us,
+                                true);
       if (status_is_success (event->status)
           && f->route->kind == MQ_ROUTE_STREAM && !answer_is_signed (f))
         mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -300,6 +300,7 @@
           upstream_reset (u);
           /* What peers report of the earlier run is void.  */
           u->limit.observed_us = now_us;
+          u->restarted_us = now_us;
           registry->last_added_us = now_us;
         }
       else
@@ -422,17 +423,17 @@
 mq_registry_note_leaving (mq_registry *registry, mq_upstream *upstream,
                           mq_finding_source by)
 {
-  if (upstream->leaving)
+  if (upstream->announced_leaving)
     return;
-  upstream->leaving = true;
-  upstream->leaving_source = by;
+  upstream->announced_leaving = true;
+  upstream->announced_leaving_source = by;
   registry->change++;
 }
 
 bool
 mq_upstream_is_draining (const mq_upstream *upstream)
 {
-  return upstream->facts.draining || upstream->leaving;
+  return upstream->facts.draining || upstream->announced_leaving;
 }
 
 bool
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -61,14 +61,12 @@
   { "no-budget", "the retry budget of the fleet was used up",
     "compare sends with requests in the metrics; find out why sends fail" },
   { "limited",
-    "all upstreams that could take it have a limit, and this router's share "
-    "of "
-    "it was used up",
+    "no upstream could take it; at least one has a limit, of which this "
+    "router's share was used up",
     "upstream.limit shows the limits; find out what these upstreams lack" },
   { "resting",
-    "all upstreams that could take it had rejected requests of this router "
-    "and "
-    "asked it to send nothing for a while",
+    "no upstream could take it; at least one had rejected a request of this "
+    "router and asked it to send nothing for a while",
     "upstream.rest shows for how long; find out why they reject requests" },
   { "no-configuration", "the router had not received any configuration yet",
     "check by store.lost and member.heard if it reaches the store or peers" },
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -265,7 +265,7 @@
     for (size_t i = 0; i < stalled.size (); i++)
       s += std::string (i ? "," : "") + "{\"id\":\"x\",\"address\":\""
            + stalled[i] + "\"}";
-    Server::reply (x, 200, s + "]}");
+    Server::reply (x, 200, s + "]}", notices);
   }
 
   void
@@ -279,7 +279,7 @@
     if (json_object_object_get_ex (o, "precondition", &v))
       count = json_object_get_int64 (v);
     if (order_status != 202 || count != (int64_t)orders)
-      Server::reply (x, order_status != 202 ? order_status : 409);
+      Server::reply (x, order_status != 202 ? order_status : 409, "", notices);
     else
       {
         json_object_object_get_ex (o, "from", &v);
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -60,6 +60,7 @@
   EXPECT_TRUE (mq_upstream_is_draining (u));
   put ("a", "1:1", 0, 0, 3 * s, 2000);
   EXPECT_TRUE (mq_upstream_is_usable (u, 3 * s));
+  EXPECT_EQ (u->restarted_us, 3 * s);
 }
 
 TEST_F (Registry, RestartUnderTheSameIdEndsRest)
--- a/tests/test_upstream_rest.cc
+++ b/tests/test_upstream_rest.cc
@@ -176,6 +176,22 @@
   EXPECT_TRUE (until ([&] { return resting.orders > 0; }));
 }
 
+/* The engine rejects the order itself.  */
+TEST_F (UpstreamRest, RejectionOfOrderAsksForIt)
+{
+  Upstream &resting = add ("eng-1", "model", "one", "big");
+
+  resting.notices = { { "Retry-After", std::to_string (rest_s) } };
+  resting.order_status = 503;
+  start (1);
+  ASSERT_TRUE (until ([&] { return !resting.arrivals.empty (); }));
+  rejected_s = resting.arrivals[0];
+  wait (rest_s);
+  EXPECT_LE (arrivals_during_rest (resting), max_arrivals);
+  resting.order_status = 202;
+  EXPECT_TRUE (until ([&] { return resting.orders > 0; }));
+}
+
 /* What no upstream accepts is refused at once, with a time to come back.  */
 TEST_F (UpstreamRest, RefusesAtOnceWhileAllRest)
 {
