--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -106,9 +106,8 @@
                         GError **error);
   void (*report_finish) (mq_engine_report *report);
   /* Decode NOTICE from HEAD, the status line and headers of a response with
-     STATUS.
-     Returns 0; or -1 with ERROR set when a header has an invalid value.  The
-     other headers are decoded even then.  */
+     STATUS.  Returns 0; or -1 with ERROR set when a header has an invalid
+     value, of which NOTICE then holds nothing.  */
   int (*notice_decode) (mq_span head, unsigned status,
                         mq_upstream_notice *notice, GError **error);
   /* Append to OUT the body of an order to load layers [FIRST, END).  The
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -413,7 +413,7 @@
                                const mq_http_client_event *event,
                                uint64_t sent_us, bool of_request);
 /* Returns true if UPSTREAM accepts one more send for PURPOSE from this router
-   now. Each call to an upstream is subject to this, and counted by
+   now.  Each call to an upstream is subject to this, and counted by
    mq_gateway_note_send.  */
 bool mq_gateway_may_send (mq_gateway *gateway, mq_upstream *upstream,
                           mq_send_purpose purpose, uint64_t now_us);
