--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -225,8 +225,7 @@
   bool busy = false;                /* Reported.  */
   std::function<void ()> on_order;  /* Runs after an order was accepted.  */
   std::vector<std::string> stalled; /* Reported addresses.  */
-  Headers notices;      /* What it states about itself in each response.  */
-  unsigned reports = 0; /* Requests for its report.  */
+  Headers notices; /* What it states about itself in each response.  */
   /* Arrival of each request, report request and order.  */
   std::vector<ev_tstamp> arrivals;
   std::vector<ReceivedRequest> received_requests;
@@ -254,7 +253,6 @@
   void
   report (mq_http_exchange *x)
   {
-    reports++;
     std::string s = std::string ("{\"busy\":") + (busy ? "true" : "false")
                     + ",\"sequence\":" + std::to_string (orders)
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,"
--- a/tests/support/router_fleet.h
+++ b/tests/support/router_fleet.h
@@ -44,6 +44,32 @@
     return *routers.back ();
   }
 
+  /* Write a configuration and start N routers.  */
+  void
+  start_routers (unsigned n)
+  {
+    configure (1);
+    for (unsigned i = 0; i < n; i++)
+      start_router ();
+    wait (0.3);
+  }
+
+  /* Add an engine that holds all layers and completes streams.  */
+  Upstream &
+  add_engine (const std::string &id, const std::string &domain)
+  {
+    Upstream &u = add (id, "model", domain, "big");
+
+    u.end = 80;
+    u.serve = [&u] (mq_http_exchange *x) {
+      u.begin (x);
+      Upstream::events (x, 1, 3);
+      mq_http_exchange_end (x);
+    };
+    write_entry (u);
+    return u;
+  }
+
   /* Stop R as a crash would: it says nothing to the others.  */
   void
   stop_router (Router &r)
--- a/tests/test_upstream_leaving.cc
+++ b/tests/test_upstream_leaving.cc
@@ -20,30 +20,6 @@
   /* Within this time the other routers know, too.  */
   static constexpr double propagation_s = 1;
 
-  void
-  start (unsigned n)
-  {
-    configure (1);
-    for (unsigned i = 0; i < n; i++)
-      start_router ();
-    wait (0.3);
-  }
-
-  Upstream &
-  add_engine (const std::string &id, const std::string &domain)
-  {
-    Upstream &u = add (id, "model", domain, "big");
-
-    u.end = 80;
-    u.serve = [&u] (mq_http_exchange *x) {
-      u.begin (x);
-      Upstream::events (x, 1, 3);
-      mq_http_exchange_end (x);
-    };
-    write_entry (u);
-    return u;
-  }
-
   /* Let U announce that it leaves, and send requests for TARGET by ROUTER
      until one has reached it.  */
   void
@@ -75,7 +51,7 @@
 {
   Upstream &leaving = add ("app-a", "app");
   add ("app-b", "app");
-  start (1);
+  start_routers (1);
   announce (leaving, "/unsafe/1", *routers[0]);
   wait (grace_s);
   EXPECT_EQ (arrivals_of_requests (leaving, "/unsafe/1", *routers[0]), 0u);
@@ -85,7 +61,7 @@
 {
   Upstream &leaving = add_engine ("eng-1", "one");
   add_engine ("eng-2", "two");
-  start (1);
+  start_routers (1);
   announce (leaving, "/stream/1", *routers[0]);
   wait (grace_s);
   EXPECT_EQ (arrivals_of_requests (leaving, "/stream/1", *routers[0]), 0u);
@@ -96,7 +72,7 @@
 {
   Upstream &leaving = add ("app-a", "app");
   add ("app-b", "app");
-  start (1);
+  start_routers (1);
   store.down = true;
   store.drop_events ();
   announce (leaving, "/unsafe/1", *routers[0]);
@@ -108,7 +84,7 @@
 {
   Upstream &leaving = add ("app-a", "app");
   add ("app-b", "app");
-  start (2);
+  start_routers (2);
   announce (leaving, "/unsafe/1", *routers[0]);
   wait (propagation_s);
   EXPECT_EQ (arrivals_of_requests (leaving, "/unsafe/1", *routers[1]), 0u);
--- a/tests/test_upstream_limit.cc
+++ b/tests/test_upstream_limit.cc
@@ -34,9 +34,7 @@
   void
   start_routers (unsigned n, const std::string &target = "/safe/1")
   {
-    configure (1);
-    for (unsigned i = 0; i < n; i++)
-      start_router ();
+    RouterFleet::start_routers (n);
     /* Routers learn one another's shares of the requests.  */
     load (target, sends_window_ms / 4000.);
     EXPECT_EQ (count_answers (200), answers.size ());
--- a/tests/test_upstream_rest.cc
+++ b/tests/test_upstream_rest.cc
@@ -22,31 +22,6 @@
 class UpstreamRest : public gateway::RouterFleet
 {
 protected:
-  void
-  start (unsigned n)
-  {
-    configure (1);
-    for (unsigned i = 0; i < n; i++)
-      start_router ();
-    wait (0.3);
-  }
-
-  /* Add an engine that holds all layers and completes streams.  */
-  Upstream &
-  add_engine (const std::string &id, const std::string &domain)
-  {
-    Upstream &u = add (id, "model", domain, "big");
-
-    u.end = 80;
-    u.serve = [&u] (mq_http_exchange *x) {
-      u.begin (x);
-      Upstream::events (x, 1, 3);
-      mq_http_exchange_end (x);
-    };
-    write_entry (u);
-    return u;
-  }
-
   /* Let U reject requests and ask for rest.  */
   void
   ask_for_rest (Upstream &u)
@@ -110,7 +85,7 @@
 {
   Upstream &resting = add ("app-a", "app");
   add ("app-b", "app", "two");
-  start (1);
+  start_routers (1);
   ask_for_rest (resting);
   load_during_rest ("/unsafe/1");
   EXPECT_LE (arrivals_during_rest (resting), max_arrivals);
@@ -120,7 +95,7 @@
 {
   Upstream &resting = add_engine ("eng-1", "one");
   add_engine ("eng-2", "two");
-  start (1);
+  start_routers (1);
   ask_for_rest (resting);
   load_during_rest ("/stream/1");
   EXPECT_LE (arrivals_during_rest (resting), max_arrivals);
@@ -133,7 +108,7 @@
 {
   Upstream &resting = add ("app-a", "app");
   Upstream &other = add ("app-b", "app", "two");
-  start (1);
+  start_routers (1);
   ask_for_rest (resting);
   other.serve = [&] (mq_http_exchange *x) { other.refuse (x); };
   load_during_rest ("/safe/1");
@@ -146,7 +121,7 @@
   Upstream &resting = add_engine ("eng-1", "one");
   Answer stalled;
 
-  start (1);
+  start_routers (1);
   resting.serve = [&] (mq_http_exchange *x) {
     resting.begin (x);
     Upstream::events (x, 1, 1);
@@ -164,7 +139,7 @@
 {
   Upstream &resting = add_engine ("eng-1", "one");
 
-  start (1);
+  start_routers (1);
   ask_for_rest (resting);
   EXPECT_EQ (fetch ("GET", "/stream/1", key, "", routers[0]->base).status,
              503u);
@@ -183,7 +158,7 @@
 
   resting.notices = { { "Retry-After", std::to_string (rest_s) } };
   resting.order_status = 503;
-  start (1);
+  start_routers (1);
   ASSERT_TRUE (until ([&] { return !resting.arrivals.empty (); }));
   rejected_s = resting.arrivals[0];
   wait (rest_s);
@@ -196,7 +171,7 @@
 TEST_F (UpstreamRest, RefusesAtOnceWhileAllRest)
 {
   Upstream &resting = add ("app-a", "app");
-  start (1);
+  start_routers (1);
   ask_for_rest (resting);
   load_during_rest ("/unsafe/1");
   EXPECT_LE (arrivals_during_rest (resting), max_arrivals);
@@ -210,7 +185,7 @@
 {
   Upstream &resting = add ("app-a", "app");
   add ("app-b", "app", "two");
-  start (2);
+  start_routers (2);
   ask_for_rest (resting);
   load_during_rest ("/unsafe/1");
   resting.notices.clear ();
