Look for findings once a heartbeat, not once for each digest

Cause found on the way: a relay looked at every upstream for each digest, and the records of limits and leaving made that look longer.

Change: the upstreams of which there is any finding are listed once a heartbeat; reports, digests and summaries look at these alone. What each message contains is unchanged.

--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -164,22 +164,48 @@
   return f;
 }
 
-/* Add the ejections, rejections, slowdowns, limits and departures of
-   upstreams, so that receivers need not detect them by themselves.  */
-static void
-gossip_add_findings (const mq_gateway *gateway, mq_gossip *gossip,
-                     const finding_filter *filter, uint64_t now_us)
+static bool
+finding_is_empty (const mq_gossip_finding *finding)
+{
+  return finding->ejected_us == 0 && finding->slowdown <= 0
+         && finding->rejecting_us == 0 && !finding->limit_stated
+         && !finding->leaving;
+}
+
+/* Returns the upstreams of which there is any finding (mq_upstream, borrowed).
+   Free with g_ptr_array_unref.  Few have one, and a relay sends a digest to
+   each router of its domain, so that it looks at all of them only once.  */
+static GPtrArray *
+gossip_list_findings (const mq_gateway *gateway, uint64_t now_us)
 {
+  static const finding_filter all = { true, true, 0 };
+  GPtrArray *list = g_ptr_array_new ();
   GHashTableIter i;
   gpointer value;
 
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
-      mq_gossip_finding f = finding_make (value, filter, now_us);
+      mq_gossip_finding f = finding_make (value, &all, now_us);
+
+      if (!finding_is_empty (&f))
+        g_ptr_array_add (list, value);
+    }
+  return list;
+}
 
-      if (f.ejected_us > 0 || f.slowdown > 0 || f.rejecting_us > 0
-          || f.limit_stated || f.leaving)
+/* Add the ejections, rejections, slowdowns, limits and departures of
+   UPSTREAMS, so that receivers need not detect them by themselves.  */
+static void
+gossip_add_findings (const GPtrArray *upstreams, mq_gossip *gossip,
+                     const finding_filter *filter, uint64_t now_us)
+{
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      mq_gossip_finding f
+          = finding_make (g_ptr_array_index (upstreams, i), filter, now_us);
+
+      if (!finding_is_empty (&f))
         g_array_append_val (gossip->findings, f);
     }
 }
@@ -196,7 +222,8 @@
 /* ---- Reports, digests, summaries and introductions.  */
 
 static void
-gossip_send_report (mq_gateway *gateway, uint64_t now_us)
+gossip_send_report (mq_gateway *gateway, const GPtrArray *findings,
+                    uint64_t now_us)
 {
   static const finding_filter own = { false, false, 0 };
   GPtrArray *routers = g_ptr_array_new ();
@@ -205,7 +232,7 @@
 
   mq_gossip_init (&gossip, MQ_GOSSIP_REPORT);
   mq_cluster_make_report (&gateway->cluster, &gossip, now_us);
-  gossip_add_findings (gateway, &gossip, &own, now_us);
+  gossip_add_findings (findings, &gossip, &own, now_us);
   all = now_us - gateway->crashes_reported_us >= ALL_CRASHES_INTERVAL_US;
   if (all)
     gateway->crashes_reported_us = now_us;
@@ -219,7 +246,7 @@
 
 static void
 gossip_send_digest (mq_gateway *gateway, mq_cluster_member *to,
-                    uint64_t now_us)
+                    const GPtrArray *findings, uint64_t now_us)
 {
   finding_filter all = { true, true, mq_span_hash (mq_str_span (to->name)) };
   mq_gossip gossip;
@@ -228,25 +255,28 @@
 
   mq_gossip_init (&gossip, MQ_GOSSIP_DIGEST);
   mq_cluster_make_digest (&gateway->cluster, to, &gossip, now_us);
-  gossip_add_findings (gateway, &gossip, &all, now_us);
+  gossip_add_findings (findings, &gossip, &all, now_us);
   gossip_add_crashes (gateway, &gossip, gossip.listed, now_us);
   mq_gateway_send_message (gateway, to, &message);
   mq_gossip_finish (&gossip);
 }
 
 static void
-gossip_send_digests (mq_gateway *gateway, bool all, uint64_t now_us)
+gossip_send_digests (mq_gateway *gateway, bool all, const GPtrArray *findings,
+                     uint64_t now_us)
 {
   GPtrArray *routers = g_ptr_array_new ();
 
   mq_cluster_digest_targets (&gateway->cluster, all, routers, now_us);
   for (guint i = 0; i < routers->len; i++)
-    gossip_send_digest (gateway, g_ptr_array_index (routers, i), now_us);
+    gossip_send_digest (gateway, g_ptr_array_index (routers, i), findings,
+                        now_us);
   g_ptr_array_unref (routers);
 }
 
 static void
-gossip_send_summary (mq_gateway *gateway, bool all, uint64_t now_us)
+gossip_send_summary (mq_gateway *gateway, bool all, const GPtrArray *findings,
+                     uint64_t now_us)
 {
   static const finding_filter domain = { true, false, 0 };
   GPtrArray *routers = g_ptr_array_new ();
@@ -257,7 +287,7 @@
     {
       mq_gossip_init (&gossip, MQ_GOSSIP_SUMMARY);
       mq_cluster_make_summary (&gateway->cluster, &gossip, now_us);
-      gossip_add_findings (gateway, &gossip, &domain, now_us);
+      gossip_add_findings (findings, &gossip, &domain, now_us);
       gossip_add_crashes (gateway, &gossip, gossip.listed, now_us);
       gossip_send_to (gateway, routers, &gossip);
       mq_gossip_finish (&gossip);
@@ -358,6 +388,7 @@
 gossip_send_due (mq_gateway *gateway, bool all, uint64_t now_us)
 {
   mq_gateway *g = gateway;
+  GPtrArray *findings = gossip_list_findings (g, now_us);
   bool frequent;
 
   self_update (g, now_us);
@@ -370,11 +401,13 @@
              || !mq_cluster_has_live_relay (&g->cluster, now_us);
   if (all || frequent
       || now_us - g->reported_us + REPORT_EARLY_US >= IDLE_REPORT_INTERVAL_US)
-    gossip_send_report (g, now_us);
-  if (!g->cluster.relays)
-    return;
-  gossip_send_digests (g, all, now_us);
-  gossip_send_summary (g, all, now_us);
+    gossip_send_report (g, findings, now_us);
+  if (g->cluster.relays)
+    {
+      gossip_send_digests (g, all, findings, now_us);
+      gossip_send_summary (g, all, findings, now_us);
+    }
+  g_ptr_array_unref (findings);
 }
 
 static void
