Apply and log statements of upstreams in one place

A limit or a leaving that a peer reports was applied and logged by code of its own beside that for a response to this router; both now call the same two functions, and the log gives 0 for a response to this router. Whether a status is a success was written twice in packages/gateway. That a record is of a new incarnation was kept twice, as the time of its restart and as that of a limit; limits of earlier incarnations are now refused by the former. No other behaviour changes.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -412,6 +412,15 @@
 void mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
                                const mq_http_client_event *event,
                                uint64_t sent_us, bool of_request);
+/* Apply that UPSTREAM stated at AT_US, in a response to the router BY, a limit
+   of PER_S requests a second, 0 for none.  */
+void mq_gateway_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
+                             double per_s, uint64_t at_us,
+                             mq_finding_source by);
+/* Apply that UPSTREAM said in a response to the router BY that it is leaving.
+ */
+void mq_gateway_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
+                               mq_finding_source by);
 /* Returns true if UPSTREAM accepts one more send for PURPOSE from this router
    now.  Each call to an upstream is subject to this, and counted by
    mq_gateway_note_send.  */
@@ -421,6 +430,7 @@
                            mq_send_purpose purpose, uint64_t now_us);
 
 /* ---- gateway_response.c  */
+bool mq_gateway_status_is_success (unsigned status);
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -179,7 +179,8 @@
 
 /* Note the limit that UPSTREAM stated at AT_US in a response to the router BY:
    PER_S requests a second from all routers together, 0 for none.  PHASE is a
-   random number in [0, 1).  Ignored when a newer statement is known.  */
+   random number in [0, 1).  Ignored when a newer statement is known, or an
+   earlier incarnation made it.  */
 void mq_upstream_apply_limit (mq_upstream *upstream, double per_s,
                               uint64_t at_us, mq_finding_source by,
                               double phase);
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -445,41 +445,6 @@
 
 /* ---- Receiving.  */
 
-/* Apply the limit in FINDING, which BY reported.  */
-static void
-gossip_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
-                    const mq_gossip_finding *finding, mq_finding_source by,
-                    uint64_t now_us)
-{
-  double before = upstream->limit.per_s;
-
-  if (finding->limit_age_us > now_us)
-    return;
-  mq_upstream_apply_limit (upstream, finding->limit_per_s,
-                           now_us - finding->limit_age_us, by,
-                           mq_gateway_random_unit (gateway));
-  if (upstream->limit.per_s != before)
-    mq_log (G_LOG_LEVEL_INFO, "upstream.limit",
-            "upstream=%s per_s=%.3f before=%.3f peer=%016" G_GINT64_MODIFIER
-            "x",
-            mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before,
-            by.router);
-}
-
-/* Apply that UPSTREAM is leaving, which BY reported of its incarnation that
-   started at BORN_MS.  */
-static void
-gossip_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
-                      uint64_t born_ms, mq_finding_source by)
-{
-  if (upstream->announced_leaving || upstream->facts.born_ms != born_ms)
-    return;
-  mq_registry_note_leaving (&gateway->registry, upstream, by);
-  mq_log (G_LOG_LEVEL_INFO, "upstream.leaving",
-          "upstream=%s peer=%016" G_GINT64_MODIFIER "x",
-          mq_str_cstr (upstream->facts.id), by.router);
-}
-
 /* Apply the FINDINGS of FROM.  Their durations are what was left of them when
    they were sent.  */
 static void
@@ -505,10 +470,11 @@
       if (f->slowdown > 0)
         mq_upstream_apply_peer_slowdown (u, f->slowdown, f->slowdown_us, by,
                                          now_us);
-      if (f->limit_stated)
-        gossip_apply_limit (gateway, u, f, by, now_us);
-      if (f->leaving)
-        gossip_apply_leaving (gateway, u, f->born_ms, by);
+      if (f->limit_stated && f->limit_age_us <= now_us)
+        mq_gateway_apply_limit (gateway, u, f->limit_per_s,
+                                now_us - f->limit_age_us, by);
+      if (f->leaving && f->born_ms == u->facts.born_ms)
+        mq_gateway_apply_leaving (gateway, u, by);
     }
 }
 
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -5,53 +5,43 @@
 
 #include <mq/log.h>
 
-#define STATUS_OK 200
-#define STATUS_MULTIPLE_CHOICES 300
-
 #define US_PER_MS ((uint64_t)1000)
 
-static void
-notice_apply_limit (mq_gateway *gateway, mq_upstream *upstream, double per_s)
+void
+mq_gateway_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
+                        double per_s, uint64_t at_us, mq_finding_source by)
 {
-  static const mq_finding_source self = { 0, false };
   double before = upstream->limit.per_s;
 
-  mq_upstream_apply_limit (upstream, per_s, mq_gateway_now_us (), self,
+  mq_upstream_apply_limit (upstream, per_s, at_us, by,
                            mq_gateway_random_unit (gateway));
   if (upstream->limit.per_s != before)
     mq_log (G_LOG_LEVEL_INFO, "upstream.limit",
-            "upstream=%s per_s=%.3f before=%.3f peer=none",
-            mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before);
+            "upstream=%s per_s=%.3f before=%.3f peer=%016" G_GINT64_MODIFIER
+            "x",
+            mq_str_cstr (upstream->facts.id), upstream->limit.per_s, before,
+            by.router);
 }
 
-static void
-notice_apply_rest (mq_upstream *upstream, const mq_upstream_notice *notice)
+void
+mq_gateway_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
+                          mq_finding_source by)
 {
-  if (notice->rest_us == 0)
+  if (upstream->announced_leaving)
     return;
-  mq_upstream_apply_rest (upstream, notice->rest_us, mq_gateway_now_us ());
-  mq_log (G_LOG_LEVEL_INFO, "upstream.rest",
-          "upstream=%s ms=%" G_GUINT64_FORMAT,
-          mq_str_cstr (upstream->facts.id), notice->rest_us / US_PER_MS);
+  mq_registry_note_leaving (&gateway->registry, upstream, by);
+  mq_log (G_LOG_LEVEL_INFO, "upstream.leaving",
+          "upstream=%s peer=%016" G_GINT64_MODIFIER "x",
+          mq_str_cstr (upstream->facts.id), by.router);
 }
 
 static void
-notice_apply_leaving (mq_gateway *gateway, mq_upstream *upstream,
-                      const mq_upstream_notice *notice)
+notice_apply_rest (mq_upstream *upstream, uint64_t rest_us, uint64_t now_us)
 {
-  static const mq_finding_source self = { 0, false };
-
-  if (!notice->leaving || upstream->announced_leaving)
-    return;
-  mq_registry_note_leaving (&gateway->registry, upstream, self);
-  mq_log (G_LOG_LEVEL_INFO, "upstream.leaving", "upstream=%s peer=none",
-          mq_str_cstr (upstream->facts.id));
-}
-
-static bool
-response_is_success (const mq_http_client_event *event)
-{
-  return event->status >= STATUS_OK && event->status < STATUS_MULTIPLE_CHOICES;
+  mq_upstream_apply_rest (upstream, rest_us, now_us);
+  mq_log (G_LOG_LEVEL_INFO, "upstream.rest",
+          "upstream=%s ms=%" G_GUINT64_FORMAT,
+          mq_str_cstr (upstream->facts.id), rest_us / US_PER_MS);
 }
 
 void
@@ -59,6 +49,8 @@
                           const mq_http_client_event *event, uint64_t sent_us,
                           bool of_request)
 {
+  static const mq_finding_source self = { 0, false };
+  uint64_t now = mq_gateway_now_us ();
   mq_upstream_notice notice;
   GError *error = NULL;
   bool valid;
@@ -76,15 +68,18 @@
               mq_log_quote (error->message));
       g_error_free (error);
     }
-  notice_apply_leaving (gateway, upstream, &notice);
-  notice_apply_rest (upstream, &notice);
+  if (notice.leaving)
+    mq_gateway_apply_leaving (gateway, upstream, self);
+  if (notice.rest_us > 0)
+    notice_apply_rest (upstream, notice.rest_us, now);
   if (notice.limited)
-    notice_apply_limit (gateway, upstream,
-                        MAX (notice.limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S));
+    mq_gateway_apply_limit (
+        gateway, upstream,
+        MAX (notice.limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S), now, self);
   /* An upstream names its limit in all responses to requests while it has one.
      A failure may come from a part of it that does not add the header.  */
-  else if (valid && of_request && response_is_success (event))
-    notice_apply_limit (gateway, upstream, 0);
+  else if (valid && of_request && mq_gateway_status_is_success (event->status))
+    mq_gateway_apply_limit (gateway, upstream, 0, now, self);
 }
 
 /* ---- Sends.  */
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -74,8 +74,8 @@
   return out;
 }
 
-static bool
-status_is_success (unsigned status)
+bool
+mq_gateway_status_is_success (unsigned status)
 {
   return status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES;
 }
@@ -177,7 +177,7 @@
 static void
 stream_data (mq_forward *forward, const mq_http_client_event *event)
 {
-  if (!status_is_success (event->status))
+  if (!mq_gateway_status_is_success (event->status))
     {
       g_string_append_len (forward->error_body, event->data.data,
                            (gssize)event->data.size);
@@ -275,12 +275,12 @@
       mq_forward_send_ended (f, MQ_SEND_NOT_RUN, event->status, "not-run");
       return;
     }
-  if (!answer_is_signed (f) && status_is_success (event->status))
+  if (!answer_is_signed (f) && mq_gateway_status_is_success (event->status))
     {
       mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
       return;
     }
-  if (!status_is_success (event->status))
+  if (!mq_gateway_status_is_success (event->status))
     {
       mq_forward_verdict v
           = mq_forward_decide (&f->state, MQ_SEND_REPLIED, event->status,
@@ -338,7 +338,7 @@
     case MQ_HTTP_CLIENT_HEADERS:
       mq_gateway_note_response (f->gateway, f->upstream, event, f->sent_us,
                                 true);
-      if (status_is_success (event->status)
+      if (mq_gateway_status_is_success (event->status)
           && f->route->kind == MQ_ROUTE_STREAM && !answer_is_signed (f))
         mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
       break;
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -298,8 +298,6 @@
       if (facts_are_from_new_start (facts, &u->facts))
         {
           upstream_reset (u);
-          /* What peers report of the earlier run is void.  */
-          u->limit.observed_us = now_us;
           u->restarted_us = now_us;
           registry->last_added_us = now_us;
         }
@@ -455,7 +453,8 @@
 mq_upstream_apply_limit (mq_upstream *upstream, double per_s, uint64_t at_us,
                          mq_finding_source by, double phase)
 {
-  if (mq_upstream_limit_set (&upstream->limit, per_s, at_us, phase))
+  if (at_us >= upstream->restarted_us
+      && mq_upstream_limit_set (&upstream->limit, per_s, at_us, phase))
     upstream->limit_source = by;
 }
 
