Share the load of requests between tests of limits and of rests

Both wrote the same loop of requests and the count of answers; they are in the fixture of several routers now. Tests keep their names, bounds and assertions.

--- a/tests/support/router_fleet.h
+++ b/tests/support/router_fleet.h
@@ -5,6 +5,8 @@
 
 #include "gateway_fixture.h"
 
+#include <algorithm>
+
 namespace gateway
 {
 
@@ -80,7 +82,44 @@
     r.gateway = nullptr;
   }
 
+  /* Send PER_S requests a second for TARGET to the routers in turn, but to
+     none that is stopped, until DONE is true, and wait for the answers, which
+     are added to ANSWERS.  */
+  void
+  load (const std::string &target, double per_s,
+        const std::function<bool ()> &done)
+  {
+    ev_tstamp begin = ev_time ();
+    unsigned sent = 0;
+
+    until ([&] {
+      for (; sent < (ev_time () - begin) * per_s; sent++)
+        {
+          Router &r = *routers[sent % routers.size ()];
+
+          if (r.gateway == nullptr)
+            continue;
+          answers.push_back (std::make_unique<Answer> ());
+          start_request (*answers.back (), "GET", target, key, "", r.base);
+        }
+      return done ();
+    });
+    until ([&] {
+      return std::all_of (answers.begin (), answers.end (),
+                          [] (auto &a) { return a->ended; });
+    });
+  }
+
+  size_t
+  count_answers (unsigned status) const
+  {
+    return (size_t)std::count_if (
+        answers.begin (), answers.end (),
+        [=] (auto &a) { return a->status == status; });
+  }
+
   std::vector<std::unique_ptr<Router> > routers;
+  std::vector<std::unique_ptr<Answer> > answers; /* To load.  */
 
 private:
   std::string seed_; /* Address of the router that started last.  */
--- a/tests/test_upstream_limit.cc
+++ b/tests/test_upstream_limit.cc
@@ -47,30 +47,13 @@
     u.notices = { { "Server-Limit", std::to_string (limit_per_s) } };
   }
 
-  /* Send load_per_s requests for TARGET to the routers in turn for SECONDS.
-     The answers are kept in ANSWERS.  */
+  /* Send requests for TARGET for SECONDS.  */
   void
   load (const std::string &target, double seconds)
   {
-    ev_tstamp begin = ev_time ();
-    unsigned sent = 0;
-
-    until ([&] {
-      for (; sent < (ev_time () - begin) * load_per_s; sent++)
-        {
-          Router &r = *routers[sent % routers.size ()];
-
-          if (r.gateway == nullptr)
-            continue;
-          answers.push_back (std::make_unique<Answer> ());
-          start_request (*answers.back (), "GET", target, key, "", r.base);
-        }
-      return ev_time () - begin >= seconds;
-    });
-    until ([&] {
-      return std::all_of (answers.begin (), answers.end (),
-                          [] (auto &a) { return a->ended; });
-    });
+    ev_tstamp end = ev_time () + seconds;
+
+    RouterFleet::load (target, load_per_s, [&] { return ev_time () >= end; });
   }
 
   /* The largest number of arrivals at U in a window that begins after FROM. */
@@ -103,16 +86,6 @@
     load (target, propagation_s + window_s + 0.5);
     return busiest_window (u, named + propagation_s);
   }
-
-  size_t
-  count_answers (unsigned status) const
-  {
-    return (size_t)std::count_if (
-        answers.begin (), answers.end (),
-        [=] (auto &a) { return a->status == status; });
-  }
-
-  std::vector<std::unique_ptr<Answer> > answers;
 };
 
 } // namespace
--- a/tests/test_upstream_rest.cc
+++ b/tests/test_upstream_rest.cc
@@ -39,22 +39,8 @@
   void
   load_during_rest (const std::string &target)
   {
-    ev_tstamp begin = ev_time ();
-    unsigned sent = 0;
-
-    until ([&] {
-      for (; sent < (ev_time () - begin) * load_per_s; sent++)
-        {
-          answers.push_back (std::make_unique<Answer> ());
-          start_request (*answers.back (), "GET", target, key, "",
-                         routers[sent % routers.size ()]->base);
-        }
-      return rejected_s > 0 && ev_time () >= rejected_s + rest_s;
-    });
-    until ([&] {
-      return std::all_of (answers.begin (), answers.end (),
-                          [] (auto &a) { return a->ended; });
-    });
+    load (target, load_per_s,
+          [&] { return rejected_s > 0 && ev_time () >= rejected_s + rest_s; });
   }
 
   /* Arrivals at U during its rest, after the grace period.  */
@@ -67,15 +53,6 @@
         });
   }
 
-  size_t
-  count_answers (unsigned status) const
-  {
-    return (size_t)std::count_if (
-        answers.begin (), answers.end (),
-        [=] (auto &a) { return a->status == status; });
-  }
-
-  std::vector<std::unique_ptr<Answer> > answers;
   ev_tstamp rejected_s = 0; /* When the first request was rejected.  */
 };
 
