Plan layers in time that grows with the engines, not with their square

Cause: a plan is computed ten times a second, and looked at all engines of a domain for each layer for each spare (domain_take_over), for each range without a second copy (domain_add_copies), and for each spare that it marked. A domain of the fleet has some 600 engines, most of them spares.

Now the values of all ranges of layers are computed in one pass, and again only after a spare was moved; a spare with memory for no more layers than one that found nothing is skipped. Whether spares can hold a copy follows from the sum of their room, without trying. Spares are marked in one pass over a sorted list, since the cover only falls.

Test: LayerPlanCost.GrowsInProportionToTheEngines counts the engines that a plan looks at, so that its verdict does not depend on the machine.

--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -47,6 +47,7 @@
   bool settling;        /* Do not move engines in use yet.  */
   unsigned chains;      /* Whole chains that it should hold.  */
   double target_tokens; /* Level that it should have.  */
+  uint64_t *visits;     /* As in mq_layer_plan, borrowed.  */
 } mq_plan_domain;
 
 /* What bounds the rate of requests of a chain.  */
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -46,6 +46,8 @@
 typedef struct mq_layer_plan
 {
   GHashTable *domains; /* Name -> state, private to layer_plan.c.  */
+  uint64_t visits;     /* Engines looked at in all rounds: what planning
+                          costs.  */
 } mq_layer_plan;
 
 void mq_layer_plan_init (mq_layer_plan *plan);
--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -118,6 +118,7 @@
 mq_plan_engine *
 mq_plan_domain_engine (const mq_plan_domain *domain, guint i)
 {
+  ++*domain->visits;
   return &g_array_index (domain->engines, mq_plan_engine, i);
 }
 
@@ -176,29 +177,52 @@
   return cover;
 }
 
-/* Returns true if ENGINE is a better spare than OTHER, which may be NULL.  An
+/* Compares pointers to engines of one array, the better spare first.  An
    engine that no request passes through is better, as it can load other layers
    at once; otherwise the one with fewer layers is.  */
-static bool
-engine_is_better_spare (const mq_plan_engine *engine,
-                        const mq_plan_engine *other)
+static int
+spare_compare (gconstpointer a, gconstpointer b)
+{
+  const mq_plan_engine *x = *(const mq_plan_engine *const *)a;
+  const mq_plan_engine *y = *(const mq_plan_engine *const *)b;
+  unsigned m = mq_plan_range_size (x->range);
+  unsigned n = mq_plan_range_size (y->range);
+
+  if (x->holder->used != y->holder->used)
+    return x->holder->used ? 1 : -1;
+  if (m != n)
+    return m < n ? -1 : 1;
+  return x < y ? -1 : x > y;
+}
+
+/* Returns the engines that hold layers and may become spares, the best first
+   (mq_plan_engine, borrowed).  Free with g_ptr_array_unref.  */
+static GPtrArray *
+domain_list_movable (const mq_plan_domain *domain)
 {
-  if (other == NULL)
-    return true;
-  if (engine->holder->used != other->holder->used)
-    return !engine->holder->used;
-  return mq_plan_range_size (engine->range)
-         < mq_plan_range_size (other->range);
+  GPtrArray *list = g_ptr_array_new ();
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (mq_plan_range_size (e->range) > 0 && !e->holder->fixed
+          && !(domain->settling && e->holder->used))
+        g_ptr_array_add (list, e);
+    }
+  g_ptr_array_sort (list, spare_compare);
+  return list;
 }
 
 /* Mark the spares: first the engines that hold nothing, then one after the
    other the best engine whose layers are all held by more engines than there
-   are chains, not counting the spares so far.  */
+   are chains, not counting the spares so far.  The cover only falls, so one
+   pass in that order suffices.  */
 void
 mq_plan_domain_mark_spares (mq_plan_domain *domain)
 {
   unsigned *cover = mq_plan_domain_confirmed_cover (domain);
-  mq_plan_engine *next;
+  GPtrArray *movable = domain_list_movable (domain);
 
   for (guint i = 0; i < domain->engines->len; i++)
     {
@@ -206,29 +230,17 @@
 
       e->spare = mq_plan_range_size (e->range) == 0 && !e->holder->fixed;
     }
-  do
+  for (guint i = 0; i < movable->len; i++)
     {
-      next = NULL;
-      for (guint i = 0; i < domain->engines->len; i++)
-        {
-          mq_plan_engine *e = mq_plan_domain_engine (domain, i);
-
-          if (!e->spare && !e->holder->fixed
-              && !(domain->settling && e->holder->used)
-              && mq_plan_range_size (e->range) > 0
-              && mq_plan_cover_is_at_least (cover, e->range,
-                                            domain->chains + 1)
-              && engine_is_better_spare (e, next))
-            next = e;
-        }
-      if (next != NULL)
-        {
-          next->spare = true;
-          for (unsigned l = next->range.first; l < next->range.end; l++)
-            cover[l]--;
-        }
+      mq_plan_engine *e = g_ptr_array_index (movable, i);
+
+      if (!mq_plan_cover_is_at_least (cover, e->range, domain->chains + 1))
+        continue;
+      e->spare = true;
+      for (unsigned l = e->range.first; l < e->range.end; l++)
+        cover[l]--;
     }
-  while (next != NULL);
+  g_ptr_array_unref (movable);
   g_free (cover);
 }
 
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -153,7 +153,8 @@
 {
   mq_plan_domain d
       = { .model = model,
-          .engines = g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)) };
+          .engines = g_array_new (FALSE, FALSE, sizeof (mq_plan_engine)),
+          .visits = &plan->visits };
 
   for (guint i = 0; i < n; i++)
     {
@@ -174,6 +175,7 @@
 {
   plan->domains
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  plan->visits = 0;
 }
 
 void
--- a/packages/route/layer_spares.c
+++ b/packages/route/layer_spares.c
@@ -56,6 +56,44 @@
     }
 }
 
+/* The number of layers that all spares together can hold as copies.  */
+static unsigned
+domain_copy_room (const mq_plan_domain *domain)
+{
+  unsigned sum = 0;
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (e->spare)
+        sum += mq_plan_engine_max_layers (domain, e,
+                                          domain->target_tokens * COPY_SHARE);
+    }
+  return sum;
+}
+
+/* The largest range of an engine that has no second copy and at most ROOM
+   layers.  Empty if there is none.  */
+static mq_plan_range
+domain_find_uncopied_range (const mq_plan_domain *domain, unsigned room)
+{
+  unsigned *cover = mq_plan_domain_cover (domain);
+  mq_plan_range best = { 0, 0 };
+
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      mq_plan_range r = mq_plan_domain_engine (domain, i)->range;
+
+      if (mq_plan_range_size (r) > mq_plan_range_size (best)
+          && mq_plan_range_size (r) <= room
+          && !mq_plan_cover_is_at_least (cover, r, domain->chains + 1))
+        best = r;
+    }
+  g_free (cover);
+  return best;
+}
+
 /* Have spares hold second copies, each time of the largest range of an engine
    that has none and that they have memory for.  */
 static void
@@ -65,40 +103,15 @@
 
   while (found)
     {
-      unsigned *cover = mq_plan_domain_cover (domain);
-      mq_plan_range best = { 0, 0 };
-
-      found = false;
-      for (guint i = 0; i < domain->engines->len; i++)
-        {
-          mq_plan_range r = mq_plan_domain_engine (domain, i)->range;
-
-          if (mq_plan_range_size (r) > mq_plan_range_size (best)
-              && !mq_plan_cover_is_at_least (cover, r, domain->chains + 1))
-            {
-              GArray *gaps
-                  = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
-              GArray *before = mq_plan_engines_copy (domain->engines);
-
-              g_array_append_val (gaps, r);
-              if (mq_plan_domain_try_fill (
-                      domain, gaps, domain->target_tokens * COPY_SHARE, false))
-                best = r;
-              g_array_unref (domain->engines);
-              domain->engines = before;
-              g_array_unref (gaps);
-            }
-        }
-      if (mq_plan_range_size (best) > 0)
-        {
-          GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
+      GArray *gaps = g_array_new (FALSE, FALSE, sizeof (mq_plan_range));
+      mq_plan_range best
+          = domain_find_uncopied_range (domain, domain_copy_room (domain));
 
-          g_array_append_val (gaps, best);
-          found = mq_plan_domain_try_fill (
-              domain, gaps, domain->target_tokens * COPY_SHARE, false);
-          g_array_unref (gaps);
-        }
-      g_free (cover);
+      g_array_append_val (gaps, best);
+      found = mq_plan_range_size (best) > 0
+              && mq_plan_domain_try_fill (
+                  domain, gaps, domain->target_tokens * COPY_SHARE, false);
+      g_array_unref (gaps);
     }
 }
 
@@ -127,78 +140,118 @@
   return size + (engine_is_tight (domain, engine) ? domain->model->layers : 0);
 }
 
-/* Set VALUES[END], for each layer END, to the sum of the values of the engines
-   whose ranges begin at FIRST or later and end at END.  */
-static void
-domain_sum_values (const mq_plan_domain *domain, const unsigned *cover,
-                   unsigned first, unsigned *values)
+/* For all ranges of layers at once, the sum of the values of the engines whose
+   ranges lie within.  */
+typedef struct range_values
 {
-  memset (values, 0, (domain->model->layers + 1) * sizeof *values);
-  for (guint i = 0; i < domain->engines->len; i++)
-    {
-      const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+  unsigned layers;
+  unsigned *sums; /* Of [first, end): at first * (layers + 1) + end, owned.  */
+} range_values;
 
-      if (e->range.first >= first && e->range.end <= domain->model->layers)
-        values[e->range.end] += engine_copy_value (domain, cover, e);
-    }
+static unsigned *
+values_at (const range_values *values, unsigned first, unsigned end)
+{
+  return &values->sums[(size_t)first * (values->layers + 1) + end];
 }
 
-/* The best range for ENGINE, which is empty: of those that it has memory for,
-   the one with the highest sum of the values of the engines whose ranges lie
-   within it.  Empty unless that sum exceeds the number of layers, as it does
-   with a tight engine.  Visits all engines once for each layer.  */
-static mq_plan_range
-domain_find_best_range (const mq_plan_domain *domain,
-                        const mq_plan_engine *engine)
+/* Set VALUES for DOMAIN.  Visits each engine once.  */
+static void
+values_init (range_values *values, const mq_plan_domain *domain)
 {
-  unsigned max_layers
-      = mq_plan_engine_max_layers (domain, engine, domain->target_tokens);
   unsigned layers = domain->model->layers;
   unsigned *cover = mq_plan_domain_cover (domain);
-  unsigned *values = g_new (unsigned, layers + 1);
-  mq_plan_range best = { 0, 0 };
-  unsigned best_value = layers;
 
-  for (unsigned first = 0; first < layers; first++)
+  values->layers = layers;
+  values->sums = g_new0 (unsigned, (size_t)(layers + 1) * (layers + 1));
+  for (guint i = 0; i < domain->engines->len; i++)
+    {
+      const mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+
+      if (e->range.first < e->range.end && e->range.end <= layers)
+        *values_at (values, e->range.first, e->range.end)
+            += engine_copy_value (domain, cover, e);
+    }
+  for (unsigned first = layers; first-- > 0;)
     {
-      unsigned value = 0;
+      unsigned sum = 0; /* Of the engines that begin at FIRST.  */
 
-      domain_sum_values (domain, cover, first, values);
-      for (unsigned end = first + 1; end <= MIN (layers, first + max_layers);
-           end++)
+      for (unsigned end = first + 1; end <= layers; end++)
         {
-          value += values[end];
-          if (value < best_value
-              || (value == best_value
-                  && end - first >= mq_plan_range_size (best)))
-            continue;
-          best_value = value;
-          best = (mq_plan_range){ first, end };
+          sum += *values_at (values, first, end);
+          *values_at (values, first, end)
+              = sum + *values_at (values, first + 1, end);
         }
     }
-  g_free (values);
   g_free (cover);
+}
+
+static void
+values_finish (range_values *values)
+{
+  g_clear_pointer (&values->sums, g_free);
+}
+
+/* The best range for an empty engine that has memory for MAX_LAYERS: the one
+   with the highest sum of the values of the engines whose ranges lie within
+   it.  Empty unless that sum exceeds the number of layers, as it does with a
+   tight engine.  */
+static mq_plan_range
+values_find_best_range (const range_values *values, unsigned max_layers)
+{
+  mq_plan_range best = { 0, 0 };
+  unsigned best_value = values->layers;
+
+  for (unsigned first = 0; first < values->layers; first++)
+    for (unsigned end = first + 1;
+         end <= MIN (values->layers, first + max_layers); end++)
+      {
+        unsigned value = *values_at (values, first, end);
+
+        if (value < best_value
+            || (value == best_value
+                && end - first >= mq_plan_range_size (best)))
+          continue;
+        best_value = value;
+        best = (mq_plan_range){ first, end };
+      }
   return best;
 }
 
 /* Have spares, the fastest first, hold all layers of engines that bound the
    chain, and of others next to them where memory allows.  The engines that are
    taken over from release nothing, as that would take until the requests that
-   pass through them ended.  */
+   pass through them ended.
+
+   The values change only when a spare is moved, and a spare with memory for no
+   more layers than one that found no range finds none either.  */
 static void
 domain_take_over (mq_plan_domain *domain)
 {
+  range_values values;
+  unsigned futile = 0; /* Layers for which no range was found.  */
+
+  values_init (&values, domain);
   for (guint i = 0; i < domain->engines->len; i++)
     {
       mq_plan_engine *e = mq_plan_domain_engine (domain, i);
+      unsigned max_layers
+          = mq_plan_engine_max_layers (domain, e, domain->target_tokens);
       mq_plan_range range;
 
-      if (!e->spare)
+      if (!e->spare || max_layers <= futile)
         continue;
-      range = domain_find_best_range (domain, e);
-      if (mq_plan_range_size (range) > 0)
-        mq_plan_engine_move (e, range);
+      range = values_find_best_range (&values, max_layers);
+      if (mq_plan_range_size (range) == 0)
+        {
+          futile = max_layers;
+          continue;
+        }
+      mq_plan_engine_move (e, range);
+      values_finish (&values);
+      values_init (&values, domain);
+      futile = 0;
     }
+  values_finish (&values);
 }
 
 /* Mark the spares that hold layers as copies.  They are no spares any more, as
--- a/tests/support/chain_sim.h
+++ b/tests/support/chain_sim.h
@@ -206,6 +206,13 @@
     return rounds;
   }
 
+  /* The engines that all rounds so far looked at.  */
+  uint64_t
+  visits () const
+  {
+    return plan_.visits;
+  }
+
   /* The token capacity of the best path of DOMAIN without the engine EXCLUDED;
      0 when there is no path.  */
   double
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -3,6 +3,7 @@
 
 #include "support/chain_sim.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
 
 using chain::Engine;
@@ -298,3 +299,36 @@
     }
   EXPECT_EQ (fleet.plan (), 0u);
 }
+
+namespace
+{
+
+/* The engines that a round looks at in a settled domain of ENGINES engines,
+   most of them spares and copies.  */
+uint64_t
+settled_visits (unsigned engines)
+{
+  Service service;
+  Fleet fleet (service);
+  uint64_t before;
+
+  fleet.add ("one", "h100", engines / 40);
+  fleet.add ("one", "a100s", engines / 10);
+  fleet.add ("one", "l4", engines / 2);
+  fleet.add ("one", "t4", engines * 3 / 8);
+  fleet.settle ();
+  before = fleet.visits ();
+  EXPECT_EQ (fleet.plan (), 0u);
+  return fleet.visits () - before;
+}
+
+} // namespace
+
+/* A plan that looked at all engines for each spare would take most of a
+   leader's processor in domains of hundreds of engines.  */
+TEST (LayerPlanCost, GrowsInProportionToTheEngines)
+{
+  double growth = (double)settled_visits (800) / (double)settled_visits (200);
+
+  EXPECT_LT (growth, pow (4, 1.1));
+}
