Rank the candidates of a domain once for all that are told of them

Cause: each introduction and each digest ranked all candidates of a domain anew, and each comparison hashed two names. A seed introduces every router of a fleet that starts, so its work grew with the square of the fleet; a relay does the same for each router of its domain at each heartbeat.

Rankings are kept for 50 ms, a tick of the gateway, and dropped when a member is removed. The hash of a name is kept with it.

Test: Cluster.SeedRanksRoutersOnceForAllThatStart, 986 introductions in 5 domains: 5 rankings, one for each introduction and domain before.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -50,11 +50,12 @@
    mq_gossip, from its last message.  */
 typedef struct mq_cluster_member
 {
-  mq_str *name;   /* NULL: unknown.  */
-  mq_str *peer;   /* Key in the table of members.  */
-  mq_str *client; /* NULL: unknown.  */
-  mq_str *domain; /* NULL: only the peer address is known.  */
-  bool local;     /* It is in this router's failure domain.  */
+  mq_str *name;       /* NULL: unknown.  */
+  uint64_t name_hash; /* Of NAME.  */
+  mq_str *peer;       /* Key in the table of members.  */
+  mq_str *client;     /* NULL: unknown.  */
+  mq_str *domain;     /* NULL: only the peer address is known.  */
+  bool local;         /* It is in this router's failure domain.  */
   uint64_t incarnation;
   uint64_t sequence;
   unsigned capacity;
@@ -116,6 +117,7 @@
 typedef struct mq_cluster
 {
   mq_str *name;
+  uint64_t name_hash; /* Of NAME.  */
   mq_str *peer;
   mq_str *client;
   mq_str *domain;
@@ -127,10 +129,13 @@
   unsigned summary_ms;             /* Interval of this relay's summaries.  */
   uint64_t summary_us;             /* When the last summary was sent.  */
   mq_gossip_sent_lists sent_lists; /* In summaries.  */
-  GHashTable *routers; /* Peer address -> mq_cluster_member, owned.  */
-  bool relays;         /* This router is a relay.  */
-  bool had_candidate;  /* At the last tick another router of the domain could
-                          be alive.  */
+  GHashTable *routers;  /* Peer address -> mq_cluster_member, owned.  */
+  GHashTable *rankings; /* Domain -> its candidates by rank, private to
+                           cluster_gossip.c.  */
+  uint64_t ranked;      /* Rankings that were computed.  */
+  bool relays;          /* This router is a relay.  */
+  bool had_candidate;   /* At the last tick another router of the domain could
+                           be alive.  */
   mq_cluster_self self;
   GArray *paths;            /* mq_path_tokens: this router's own.  */
   GArray *sends;            /* mq_service_sends: this router's own.  */
@@ -175,6 +180,9 @@
    routers of a fleet are spread over domains.  */
 int mq_cluster_compare_rank (unsigned capacity_a, mq_span name_a,
                              unsigned capacity_b, mq_span name_b);
+/* The same for two members.  */
+int mq_cluster_member_compare_rank (const mq_cluster_member *a,
+                                    const mq_cluster_member *b);
 /* Returns true if ROUTER can be a relay of DOMAIN: it belongs to DOMAIN, may
    be alive and is not draining.  */
 bool mq_cluster_member_is_candidate (const mq_cluster_member *router,
@@ -239,6 +247,9 @@
 
 /* ---- Gossip (cluster_gossip.c).  */
 
+/* Drop the rankings of candidates, which borrow members.  */
+void mq_cluster_drop_rankings (mq_cluster *cluster);
+
 /* The following append to ROUTERS the members (mq_cluster_member, borrowed)
    that a message is to be sent to now.  */
 
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -52,6 +52,7 @@
 {
   memset (cluster, 0, sizeof *cluster);
   cluster->name = mq_str_new (self->name);
+  cluster->name_hash = mq_span_hash (self->name);
   cluster->peer = mq_str_new (self->peer);
   cluster->client = mq_str_new (self->client);
   cluster->domain = mq_str_new (self->domain);
@@ -70,6 +71,7 @@
 void
 mq_cluster_finish (mq_cluster *cluster)
 {
+  g_clear_pointer (&cluster->rankings, g_hash_table_unref);
   g_clear_pointer (&cluster->routers, g_hash_table_unref);
   g_clear_pointer (&cluster->paths, g_array_unref);
   g_clear_pointer (&cluster->sends, g_array_unref);
@@ -137,6 +139,7 @@
   if (r == NULL)
     return NULL;
   set_text (&r->name, router->name);
+  r->name_hash = mq_span_hash (mq_str_span (r->name));
   set_text (&r->client, router->client);
   set_text (&r->domain, router->domain);
   r->local
@@ -214,28 +217,60 @@
          && member_may_be_alive (router, now_us);
 }
 
+/* What the rank of a router follows from.  */
+typedef struct rank_key
+{
+  unsigned capacity;
+  uint64_t name_hash;
+  mq_span name;
+} rank_key;
+
+static int
+rank_key_compare (const rank_key *a, const rank_key *b)
+{
+  if (a->capacity != b->capacity)
+    return a->capacity > b->capacity ? -1 : 1;
+  if (a->name_hash != b->name_hash)
+    return a->name_hash < b->name_hash ? -1 : 1;
+  return mq_span_compare (a->name, b->name);
+}
+
+static rank_key
+member_rank_key (const mq_cluster_member *router)
+{
+  return (rank_key){ router->capacity, router->name_hash,
+                     mq_str_span (router->name) };
+}
+
 int
 mq_cluster_compare_rank (unsigned capacity_a, mq_span name_a,
                          unsigned capacity_b, mq_span name_b)
 {
-  uint64_t a = mq_span_hash (name_a);
-  uint64_t b = mq_span_hash (name_b);
+  rank_key a = { capacity_a, mq_span_hash (name_a), name_a };
+  rank_key b = { capacity_b, mq_span_hash (name_b), name_b };
 
-  if (capacity_a != capacity_b)
-    return capacity_a > capacity_b ? -1 : 1;
-  if (a != b)
-    return a < b ? -1 : 1;
-  return mq_span_compare (name_a, name_b);
+  return rank_key_compare (&a, &b);
+}
+
+int
+mq_cluster_member_compare_rank (const mq_cluster_member *a,
+                                const mq_cluster_member *b)
+{
+  rank_key x = member_rank_key (a);
+  rank_key y = member_rank_key (b);
+
+  return rank_key_compare (&x, &y);
 }
 
 static bool
 member_ranks_before_self (const mq_cluster *cluster,
                           const mq_cluster_member *router)
 {
-  return mq_cluster_compare_rank (router->capacity, mq_str_span (router->name),
-                                  cluster->capacity,
-                                  mq_str_span (cluster->name))
-         < 0;
+  rank_key self
+      = { cluster->capacity, cluster->name_hash, mq_str_span (cluster->name) };
+  rank_key other = member_rank_key (router);
+
+  return rank_key_compare (&other, &self) < 0;
 }
 
 unsigned
@@ -449,7 +484,9 @@
 {
   bool was_relay = cluster->relays;
 
-  g_hash_table_foreach_remove (cluster->routers, member_expire, &now_us);
+  if (g_hash_table_foreach_remove (cluster->routers, member_expire, &now_us)
+      > 0)
+    mq_cluster_drop_rankings (cluster);
   cluster_retry_members (cluster, now_us);
   /* When all known candidates have become unresponsive, look for others first,
      so that not all routers of the domain become relays at the same time.  */
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -26,6 +26,8 @@
 /* Serving routers that a summary names.  */
 #define SUMMARY_MAX_SERVING 2
 #define INTRODUCTION_RELAYS_PER_DOMAIN 2
+/* A ranking of candidates is computed again when it is this old.  */
+#define RANKING_MAX_AGE_US ((uint64_t)50 * 1000)
 
 /* ---- Targets.  */
 
@@ -35,25 +37,80 @@
   const mq_cluster_member *x = *(const mq_cluster_member *const *)a;
   const mq_cluster_member *y = *(const mq_cluster_member *const *)b;
 
-  return mq_cluster_compare_rank (x->capacity, mq_str_span (x->name),
-                                  y->capacity, mq_str_span (y->name));
+  return mq_cluster_member_compare_rank (x, y);
+}
+
+/* The candidates of a domain by rank.  */
+typedef struct domain_ranking
+{
+  GPtrArray *routers; /* mq_cluster_member, borrowed.  */
+  uint64_t at_us;     /* When it was computed.  */
+} domain_ranking;
+
+static void
+ranking_free (gpointer data)
+{
+  domain_ranking *r = data;
+
+  g_ptr_array_unref (r->routers);
+  g_free (r);
+}
+
+void
+mq_cluster_drop_rankings (mq_cluster *cluster)
+{
+  if (cluster->rankings != NULL)
+    g_hash_table_remove_all (cluster->rankings);
+}
+
+/* Returns the ranking of DOMAIN, borrowed; it is empty and of time 0 if it is
+   new.  */
+static domain_ranking *
+cluster_ranking (mq_cluster *cluster, mq_span domain)
+{
+  char *name = g_strndup (domain.size > 0 ? domain.data : "", domain.size);
+  domain_ranking *r;
+
+  if (cluster->rankings == NULL)
+    cluster->rankings = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                               ranking_free);
+  r = g_hash_table_lookup (cluster->rankings, name);
+  if (r != NULL)
+    {
+      g_free (name);
+      return r;
+    }
+  r = g_new0 (domain_ranking, 1);
+  r->routers = g_ptr_array_new ();
+  g_hash_table_insert (cluster->rankings, name, r);
+  return r;
 }
 
 /* Returns the routers of DOMAIN that may be alive, by rank
-   (mq_cluster_member, borrowed).  Free with g_ptr_array_unref.  */
+   (mq_cluster_member, borrowed).  Free with g_ptr_array_unref.
+
+   The ranking is kept for a moment: a relay names the first routers of its
+   domain to each of the others, and a seed those of all domains to each router
+   of a fleet that starts.  */
 static GPtrArray *
 cluster_rank_candidates (mq_cluster *cluster, mq_span domain, uint64_t now_us)
 {
-  GPtrArray *ranked = g_ptr_array_new ();
+  domain_ranking *ranking = cluster_ranking (cluster, domain);
+  GPtrArray *ranked = ranking->routers;
   GHashTableIter i;
   gpointer value;
 
+  if (ranking->at_us > 0 && now_us - ranking->at_us < RANKING_MAX_AGE_US)
+    return g_ptr_array_ref (ranked);
+  ranking->at_us = now_us;
+  cluster->ranked++;
+  g_ptr_array_set_size (ranked, 0);
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     if (mq_cluster_member_is_candidate (value, domain, now_us))
       g_ptr_array_add (ranked, value);
   g_ptr_array_sort (ranked, rank_compare);
-  return ranked;
+  return g_ptr_array_ref (ranked);
 }
 
 /* Add the members of which only the address is known, or with ALL all members:
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -104,15 +104,7 @@
     for (const std::string &s : seeds)
       mq_cluster_add_address (&r.cluster, span (s));
     for (const std::string &peer : member_list)
-      {
-        const Router &o = *by_peer_[peer];
-        mq_gossip_router m = {
-          span (o.name), span (o.peer), span (o.client), span (o.domain), 0,
-          o.capacity
-        };
-
-        mq_cluster_add (&r.cluster, &m, true, now);
-      }
+      name (r, *by_peer_[peer]);
     mq_cluster_note_member_list (
         &r.cluster,
         std::find (member_list.begin (), member_list.end (), r.peer)
@@ -121,6 +113,20 @@
     r.next_us = now + last_incarnation_ % 50 * ms;
   }
 
+  /* Have TO know ROUTER from the member list.  */
+  void
+  name (Router &to, const Router &router)
+  {
+    mq_gossip_router m = { span (router.name),
+                           span (router.peer),
+                           span (router.client),
+                           span (router.domain),
+                           0,
+                           router.capacity };
+
+    mq_cluster_add (&to.cluster, &m, true, now);
+  }
+
   void
   start_all ()
   {
--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -110,6 +110,31 @@
   EXPECT_EQ (sim.leaders (), 1u);
 }
 
+/* A seed introduces each router of a fleet that starts to the others.  If it
+   ranked all of them each time, it would be busy for longer than they wait. */
+TEST (Cluster, SeedRanksRoutersOnceForAllThatStart)
+{
+  Simulation sim (986, 5);
+  Router &seed = *sim.routers[0];
+
+  sim.start (seed);
+  for (auto &r : sim.routers)
+    sim.name (seed, *r);
+  for (auto &r : sim.routers)
+    {
+      mq_cluster_member *m
+          = mq_cluster_find (&seed.cluster, cluster::span (r->peer));
+      mq_gossip gossip;
+
+      if (m == nullptr)
+        continue;
+      mq_gossip_init (&gossip, MQ_GOSSIP_INTRODUCTION);
+      mq_cluster_make_introduction (&seed.cluster, m, &gossip, sim.now);
+      mq_gossip_finish (&gossip);
+    }
+  EXPECT_EQ (seed.cluster.ranked, 5u);
+}
+
 TEST (Cluster, CountsReachAllRouters)
 {
   for (const Size &s : sizes)
