Let as many routers wait to be accepted as the system allows

ZeroMQ's default of 100 waiting connections holds while a fleet has fewer routers than that: the system drops the others' opening packets, and their connection is tried again after its timeout of 1 s.

The limit is now the usual one of the system, 4,096, since memory is taken only by connections that wait.

Test: Peers.AcceptsAsManyWaitingConnectionsAsTheSystemAllows; 100 before.

--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -25,6 +25,10 @@
 #define MAX_READS_PER_EVENT 256
 /* Bounds the queue of each connection, at either end.  */
 #define MAX_QUEUED_MESSAGES 1000
+/* Connections that wait to be accepted; the system may set a lower limit.  All
+   routers of a fleet that starts connect to the few in their settings at once,
+   and one that is dropped is tried again only after a second.  */
+#define LISTEN_BACKLOG 4096
 #define LINGER_MS 200
 #define CONNECT_TIMEOUT_MS 1000
 #define MIN_RECONNECT_MS 200
@@ -368,6 +372,7 @@
       set_int (s, ZMQ_CURVE_SERVER, 1);
       zmq_setsockopt (s, ZMQ_ZAP_DOMAIN, ZAP_DOMAIN, strlen (ZAP_DOMAIN));
     }
+  set_int (s, ZMQ_BACKLOG, LISTEN_BACKLOG);
   set_int (s, ZMQ_RCVHWM, MAX_QUEUED_MESSAGES);
   set_int (s, ZMQ_LINGER, 0);
   set_int (s, ZMQ_HANDSHAKE_IVL, HANDSHAKE_TIMEOUT_MS);
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -2,11 +2,16 @@
    loop.  Each wait ends when a condition holds; its limit only turns a hang
    into a failure.  */
 
+#include <algorithm>
+#include <fstream>
 #include <functional>
 #include <gtest/gtest.h>
 #include <mq/peer_message.h>
 #include <mq/peers.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <string>
+#include <sys/socket.h>
 #include <vector>
 #include <zmq.h>
 
@@ -59,6 +64,44 @@
   return { s.data (), s.size () };
 }
 
+/* The number of connections that may wait to be accepted at PORT of this
+   process, or 0 if it does not listen there.  */
+unsigned
+listen_backlog (uint16_t port)
+{
+  constexpr int MAX_FD = 1024;
+
+  for (int fd = 0; fd < MAX_FD; fd++)
+    {
+      struct sockaddr_in at = {};
+      struct tcp_info info = {};
+      socklen_t at_size = sizeof at;
+      socklen_t info_size = sizeof info;
+      int listens = 0;
+      socklen_t listens_size = sizeof listens;
+
+      if (getsockopt (fd, SOL_SOCKET, SO_ACCEPTCONN, &listens, &listens_size)
+              < 0
+          || listens == 0
+          || getsockname (fd, (struct sockaddr *)&at, &at_size) < 0
+          || at.sin_family != AF_INET || ntohs (at.sin_port) != port
+          || getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &info_size) < 0)
+        continue;
+      return info.tcpi_sacked; /* Of a listening socket: its limit.  */
+    }
+  return 0;
+}
+
+/* The largest backlog that the system allows.  */
+unsigned
+system_backlog ()
+{
+  unsigned limit = 0;
+
+  std::ifstream ("/proc/sys/net/core/somaxconn") >> limit;
+  return limit;
+}
+
 class Peers : public testing::Test
 {
 protected:
@@ -149,6 +192,17 @@
     ASSERT_EQ (b.received[i], std::to_string (i));
 }
 
+/* A fleet that starts connects to its seeds at once.  ZeroMQ's default of 100
+   waiting connections would leave the others to try again after a second.  */
+TEST_F (Peers, AcceptsAsManyWaitingConnectionsAsTheSystemAllows)
+{
+  Router router;
+
+  router.open (loop, keys);
+  EXPECT_EQ (listen_backlog (mq_peers_port (router.peers)),
+             std::min (system_backlog (), 4096u));
+}
+
 TEST_F (Peers, RejectsPeerWithUnknownKey)
 {
   Router a;
