Look in the member list before a lone router becomes a relay

Cause: that nobody answers within a fixed time says that nobody is there only while the seeds answer all routers sooner; the more routers start, the more are left. A router which knows no other of its domain now reads the member list once after that time, with all that was written to it, and becomes a relay if it names nobody there. These reads are spread over a second by the routers' names, so that where no seed answers and nothing is registered yet, the first to become relays are found by the others. A router whom the list names becomes a relay at once, as before.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -125,9 +125,11 @@
   unsigned capacity;  /* Thousandths of a processor.  */
   uint64_t sequence;  /* Of the last gossip made.  */
   uint64_t window_us; /* Sliding window over which sends are counted.  */
-  uint64_t relay_not_before_us;    /* This router becomes no relay earlier.  */
-  unsigned summary_ms;             /* Interval of this relay's summaries.  */
-  uint64_t summary_us;             /* When the last summary was sent.  */
+  uint64_t relay_not_before_us; /* This router becomes no relay earlier.  */
+  uint64_t listed_us;  /* When the platform's member list was last read, or
+                          found to be unavailable; 0: never.  */
+  unsigned summary_ms; /* Interval of this relay's summaries.  */
+  uint64_t summary_us; /* When the last summary was sent.  */
   mq_gossip_sent_lists sent_lists; /* In summaries.  */
   GHashTable *routers;  /* Peer address -> mq_cluster_member, owned.  */
   GHashTable *rankings; /* Domain -> its candidates by rank, private to
@@ -228,6 +230,13 @@
    known, this router may become a relay at once.  */
 void mq_cluster_note_member_list (mq_cluster *cluster, bool self,
                                   uint64_t now_us);
+/* The platform's member list can't be read.  */
+void mq_cluster_note_member_list_unavailable (mq_cluster *cluster,
+                                              uint64_t now_us);
+/* Returns true if the member list must be read, with all that was written to
+   it so far, before this router may become a relay: it has found no other
+   router of its domain.  */
+bool mq_cluster_needs_member_list (const mq_cluster *cluster, uint64_t now_us);
 
 /* Remove expired members and decide again whether this router is a relay.
    Returns true if that changed.  */
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -155,6 +155,7 @@
   if (reply->result != MQ_PLATFORM_OK)
     {
       g->members_scan_us = now + MEMBER_RETRY_US;
+      mq_cluster_note_member_list_unavailable (&g->cluster, now);
       return;
     }
   g->members_scan_us = now + MEMBER_SCAN_INTERVAL_US;
@@ -163,13 +164,15 @@
   mq_cluster_note_member_list (&g->cluster, g->member_written, now);
 }
 
+/* Scan the members.  With STALE, entries of the last seconds may be missing,
+   which is cheaper for the store.  */
 static void
-members_scan (mq_gateway *gateway)
+members_scan (mq_gateway *gateway, bool stale)
 {
   mq_platform_request ask
       = { .op = MQ_PLATFORM_SCAN,
           .kind = mq_span_from (gateway->dialect->kinds.members),
-          .stale = true };
+          .stale = stale };
 
   gateway->members_scanning = true;
   mq_gateway_count_store_call (gateway, MQ_STORE_MEMBER_SCAN);
@@ -178,20 +181,24 @@
 }
 
 /* Write our own member object as a relay.  Scan the members as a relay at
-   intervals, and as any router without a live relay.  */
+   intervals, as any router without a live relay, and before a router that
+   knows no other of its domain may become a relay.  */
 static void
 members_tick_store (mq_gateway *gateway, uint64_t now_us)
 {
   bool alone = !mq_cluster_has_live_relay (&gateway->cluster, now_us);
+  bool needed = mq_cluster_needs_member_list (&gateway->cluster, now_us);
 
   if (gateway->mode != MQ_GATEWAY_SERVING)
     return;
   if (gateway->cluster.relays && !gateway->member_written
       && !gateway->member_writing && now_us >= gateway->member_retry_us)
     member_write (gateway);
-  if ((gateway->cluster.relays || alone) && !gateway->members_scanning
-      && now_us >= gateway->members_scan_us)
-    members_scan (gateway);
+  if (!gateway->members_scanning
+      && (needed
+          || ((gateway->cluster.relays || alone)
+              && now_us >= gateway->members_scan_us)))
+    members_scan (gateway, !needed);
 }
 
 /* ---- Roles.  */
@@ -352,7 +359,7 @@
   for (guint i = 0; i < s->seeds->len; i++)
     mq_cluster_add_address (&gateway->cluster,
                             mq_span_from (g_ptr_array_index (s->seeds, i)));
-  members_scan (gateway);
+  members_scan (gateway, true);
   mq_gateway_gossip_start (gateway);
   return 0;
 }
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -27,6 +27,10 @@
    the spread of the starts of a whole fleet and the time that introductions
    take.  */
 #define DISCOVERY_US ((uint64_t)1500 * 1000)
+/* A router that has found none of its domain by then reads the member list
+   after a part of this that its name gives.  When hundreds find none at once,
+   the first that become relays are in the list when the others read it.  */
+#define LOOKUP_SPREAD_US ((uint64_t)1000 * 1000)
 
 static void
 member_free (gpointer data)
@@ -426,10 +430,17 @@
 void
 mq_cluster_note_member_list (mq_cluster *cluster, bool self, uint64_t now_us)
 {
+  cluster->listed_us = now_us;
   if (self || g_hash_table_size (cluster->routers) == 0)
     cluster->relay_not_before_us = MIN (cluster->relay_not_before_us, now_us);
 }
 
+void
+mq_cluster_note_member_list_unavailable (mq_cluster *cluster, uint64_t now_us)
+{
+  cluster->listed_us = now_us;
+}
+
 /* Returns true if ROUTER has expired.  One that is known from settings only
    does not expire.  */
 static bool
@@ -479,6 +490,28 @@
   return false;
 }
 
+bool
+mq_cluster_needs_member_list (const mq_cluster *cluster, uint64_t now_us)
+{
+  uint64_t spread = cluster->name_hash % LOOKUP_SPREAD_US;
+
+  return !cluster->relays && !cluster->self.draining
+         && cluster->listed_us < cluster->relay_not_before_us
+         && now_us >= cluster->relay_not_before_us + spread
+         && !cluster_has_candidate (cluster, now_us);
+}
+
+/* Returns true if this router has looked for relays for long enough to become
+   one itself if its rank is high enough.  */
+static bool
+cluster_may_relay (const mq_cluster *cluster, uint64_t now_us)
+{
+  if (cluster->self.draining || now_us < cluster->relay_not_before_us)
+    return false;
+  return cluster->relays || cluster->had_candidate
+         || cluster->listed_us >= cluster->relay_not_before_us;
+}
+
 bool
 mq_cluster_tick (mq_cluster *cluster, uint64_t now_us)
 {
@@ -494,8 +527,7 @@
       && cluster->had_candidate && !cluster_has_candidate (cluster, now_us))
     cluster->relay_not_before_us = now_us + DISCOVERY_US;
   cluster->had_candidate = cluster_has_candidate (cluster, now_us);
-  cluster->relays = !cluster->self.draining
-                    && now_us >= cluster->relay_not_before_us
+  cluster->relays = cluster_may_relay (cluster, now_us)
                     && mq_cluster_rank_in_domain (cluster, now_us)
                            < MQ_CLUSTER_RELAYS_PER_DOMAIN;
   return cluster->relays != was_relay;
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <queue>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -199,6 +200,7 @@
 
   std::vector<std::unique_ptr<Router> > routers;
   std::vector<std::string> seeds, member_list;
+  std::set<const Router *> registered; /* Relays in the platform's store.  */
   uint64_t now = second;
   uint64_t delay_us = 1 * ms;
   Traffic traffic;
@@ -289,6 +291,25 @@
     g_array_append_val (r.cluster.sends, s);
   }
 
+  /* Register a relay, and look up the registered ones where that is needed, as
+     a gateway does in the platform's store.  */
+  void
+  use_member_list (Router &r)
+  {
+    if (r.cluster.relays && r.reaches_store)
+      registered.insert (&r);
+    if (!mq_cluster_needs_member_list (&r.cluster, now))
+      return;
+    if (!r.reaches_store)
+      {
+        mq_cluster_note_member_list_unavailable (&r.cluster, now);
+        return;
+      }
+    for (const Router *o : registered)
+      name (r, *o);
+    mq_cluster_note_member_list (&r.cluster, registered.count (&r) > 0, now);
+  }
+
   /* Send the gossip that a gateway sends at a heartbeat.  */
   void
   send_heartbeat (Router &r)
@@ -300,6 +321,7 @@
     r.next_us = now + heartbeat;
     update_self (r);
     (void)mq_cluster_tick (&r.cluster, now);
+    use_member_list (r);
     report_now = fresh || mq_cluster_is_active (&r.cluster, now)
                  || !mq_cluster_has_live_relay (&r.cluster, now);
     if (report_now || now - r.reported_us + heartbeat / 2 >= second)
--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -110,6 +110,41 @@
   EXPECT_EQ (sim.leaders (), 1u);
 }
 
+/* Seeds that all routers of a large fleet connect to at once accept some of
+   them late.  Each of these would take itself for the first of its domain,
+   write to the store and follow it.  */
+TEST (Cluster, RoutersThatSeedsAcceptLateBecomeNoRelays)
+{
+  Simulation sim (295, 5);
+  std::set<Router *> late;
+
+  for (size_t i = 3; i < sim.routers.size (); i += 3)
+    late.insert (sim.routers[i].get ());
+  sim.link = [&] (const Router &from, const Router &to) {
+    bool seed = std::count (sim.seeds.begin (), sim.seeds.end (), to.peer) > 0;
+
+    return !seed || sim.now > 3 * second
+           || late.count (const_cast<Router *> (&from)) == 0;
+  };
+  sim.start_all ();
+  sim.run (6 * second);
+  EXPECT_EQ (sim.relays ().size (), 15u);
+  EXPECT_LE (sim.registered.size (), 2u * 15);
+}
+
+/* Without seeds and before any relay is registered, only the first routers to
+   look each other up become relays.  */
+TEST (Cluster, FewRoutersBecomeRelaysWhenNoSeedAnswers)
+{
+  Simulation sim (295, 5);
+
+  sim.seeds = { "10.9.9.9:1" };
+  sim.start_all ();
+  sim.run (8 * second);
+  EXPECT_EQ (sim.relays ().size (), 15u);
+  EXPECT_LT (sim.registered.size (), sim.routers.size () / 3);
+}
+
 /* A seed introduces each router of a fleet that starts to the others.  If it
    ranked all of them each time, it would be busy for longer than they wait. */
 TEST (Cluster, SeedRanksRoutersOnceForAllThatStart)
