Look for findings only when gossip is sent

An idle router looked at all upstreams at each heartbeat, eight times a second, and sent what it found once a second. What messages contain is the same: a relay is always active, so it still looks at each heartbeat.

--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -383,25 +383,33 @@
 
 /* ---- Heartbeats.  */
 
+/* Returns true if this router's report is due.  A router without a live relay
+   reports at each heartbeat, as an active one does, until one replies.  */
+static bool
+gossip_report_is_due (mq_gateway *gateway, uint64_t now_us)
+{
+  return mq_cluster_is_active (&gateway->cluster, now_us)
+         || !mq_cluster_has_live_relay (&gateway->cluster, now_us)
+         || now_us - gateway->reported_us + REPORT_EARLY_US
+                >= IDLE_REPORT_INTERVAL_US;
+}
+
 /* Send what is due or, with ALL, everything to all its receivers.  */
 static void
 gossip_send_due (mq_gateway *gateway, bool all, uint64_t now_us)
 {
   mq_gateway *g = gateway;
-  GPtrArray *findings = gossip_list_findings (g, now_us);
-  bool frequent;
+  GPtrArray *findings;
 
   self_update (g, now_us);
   /* New crash records go to all receivers at once: the suspect may crash the
      next upstream.  */
   all = all || mq_quarantine_is_fresh (&g->quarantine, now_us);
-  /* A router without a live relay also reports at each heartbeat, until one
-     replies.  */
-  frequent = mq_cluster_is_active (&g->cluster, now_us)
-             || !mq_cluster_has_live_relay (&g->cluster, now_us);
-  if (all || frequent
-      || now_us - g->reported_us + REPORT_EARLY_US >= IDLE_REPORT_INTERVAL_US)
-    gossip_send_report (g, findings, now_us);
+  /* A relay is always active.  */
+  if (!all && !gossip_report_is_due (g, now_us))
+    return;
+  findings = gossip_list_findings (g, now_us);
+  gossip_send_report (g, findings, now_us);
   if (g->cluster.relays)
     {
       gossip_send_digests (g, all, findings, now_us);
