Close connections to routers that nothing was sent over for 30 s

Cause: a connection was kept for as long as the process ran.

A later send opens the connection again, as a first one does. A router without keys no longer wakes up every 2 s for each connection to see whether its key was taken.

Test: Peers.ClosesIdleConnectionsAndOpensThemAgain.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -194,6 +194,7 @@
   mq_str *client_address; /* This router's own, IP:PORT for clients.  */
   ev_timer heartbeat;
   uint64_t ticked_us;       /* Last tick; shows pauses of the process.  */
+  uint64_t peers_idle_us;   /* Last look for idle connections to routers.  */
   uint64_t reported_us;     /* Last report; 0 makes the next one due.  */
   uint64_t loaded_us;       /* When this router was last loaded; 0: never.  */
   mq_processor_meter meter; /* Processor use of this process.  */
--- a/include/mq/peers.h
+++ b/include/mq/peers.h
@@ -98,6 +98,9 @@
    to an address that is already connected has no effect.  */
 void mq_peers_connect (mq_peers *peers, mq_span address);
 void mq_peers_disconnect (mq_peers *peers, mq_span address);
+/* Disconnect from the peers that nothing was sent to for IDLE_S seconds.
+   Returns their number.  */
+unsigned mq_peers_disconnect_idle (mq_peers *peers, double idle_s);
 
 /* Queues BYTES, which are copied, for the peer at ADDRESS.  Returns 0, or -1
    if the message was dropped.  */
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -25,6 +25,12 @@
 #define MEMBER_SCAN_INTERVAL_US ((uint64_t)15 * 1000 * 1000)
 /* How many relays of a domain follow the configuration.  */
 #define DOMAIN_WATCHERS 1
+/* A connection to another router is closed when nothing was sent over it for
+   this long: in a fleet that starts, a seed sends to each of the others once.
+ */
+#define PEER_IDLE_S 30.0
+/* Between two looks for such connections.  */
+#define PEER_IDLE_INTERVAL_US ((uint64_t)5000 * 1000)
 /* A process that was not running for this long does not take the silence of
    others as failure.  */
 #define MIN_PAUSE_US ((uint64_t)500 * 1000)
@@ -285,6 +291,19 @@
   gateway->ticked_us = now_us;
 }
 
+static void
+members_disconnect_idle (mq_gateway *gateway, uint64_t now_us)
+{
+  unsigned n;
+
+  if (now_us < gateway->peers_idle_us + PEER_IDLE_INTERVAL_US)
+    return;
+  gateway->peers_idle_us = now_us;
+  n = mq_peers_disconnect_idle (gateway->peers, PEER_IDLE_S);
+  if (n > 0)
+    mq_log (G_LOG_LEVEL_INFO, "peer.idle", "connections=%u", n);
+}
+
 void
 mq_members_tick (mq_gateway *gateway, uint64_t now_us)
 {
@@ -301,6 +320,7 @@
   members_tick_store (gateway, now_us);
   mq_gateway_propagation_tick (gateway, now_us);
   mq_gateway_refresh_stale_feeds (gateway, now_us);
+  members_disconnect_idle (gateway, now_us);
 }
 
 /* Returns true when this router has reached the store for long enough that the
--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -64,6 +64,7 @@
   void *socket; /* Owned.  */
   unsigned key; /* Index in the ring of the key being tried.  */
   ev_timer try_timer;
+  ev_tstamp used_at; /* Last send, on the clock of the loop.  */
 } peers_link;
 
 struct mq_peers
@@ -532,8 +533,10 @@
   ev_timer_init (&link->try_timer, link_on_key_timeout, KEY_TRY_TIMEOUT_S,
                  KEY_TRY_TIMEOUT_S);
   link->try_timer.data = link;
+  link->used_at = ev_now (peers->loop);
   link_open (link);
-  ev_timer_start (peers->loop, &link->try_timer);
+  if (!peers->plain)
+    ev_timer_start (peers->loop, &link->try_timer);
   mq_span_table_add (peers->links, link->address, link);
 }
 
@@ -543,11 +546,28 @@
   mq_span_table_remove (peers->links, address);
 }
 
+static gboolean
+link_is_idle (gpointer key, gpointer value, gpointer data)
+{
+  (void)key;
+  return ((const peers_link *)value)->used_at < *(const ev_tstamp *)data;
+}
+
+unsigned
+mq_peers_disconnect_idle (mq_peers *peers, double idle_s)
+{
+  ev_tstamp since = ev_now (peers->loop) - idle_s;
+
+  return g_hash_table_foreach_remove (peers->links, link_is_idle, &since);
+}
+
 int
 mq_peers_send (mq_peers *peers, mq_span address, mq_span bytes)
 {
   peers_link *link = peers_find (peers, address);
 
+  if (link != NULL)
+    link->used_at = ev_now (peers->loop);
   if (link == NULL || bytes.size > MQ_PEER_MAX_MESSAGE_BYTES
       || zmq_send (link->socket, bytes.data, bytes.size, ZMQ_DONTWAIT) < 0)
     {
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -225,6 +225,22 @@
   EXPECT_EQ (mq_peers_get_counters (a.peers)->accepted, 0u);
 }
 
+/* A seed sends to every router of a fleet that starts, and would keep the
+   memory of all these connections.  */
+TEST_F (Peers, ClosesIdleConnectionsAndOpensThemAgain)
+{
+  Router a;
+  Router b;
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  ASSERT_TRUE (exchange (b, a, "first"));
+  EXPECT_EQ (mq_peers_disconnect_idle (b.peers, 3600), 0u);
+  EXPECT_EQ (mq_peers_disconnect_idle (b.peers, -1), 1u);
+  EXPECT_FALSE (mq_peers_is_connected (b.peers, span (a.address ())));
+  EXPECT_TRUE (exchange (b, a, "second"));
+}
+
 /* A client without encryption and authentication.  */
 TEST_F (Peers, RejectsUnencryptedClient)
 {
