Count no message as received in the future after a pause

Cause: when a process notices a pause it moves the times of receipt forward by it. Messages that were read between waking up and the next tick were moved too, into the future, and the age of such a time is a huge number: the router took their senders for dead, and itself for the only one of its domain, for as long as the pause had been. The times now end at the present.

Test: Cluster.MessageReadBeforePauseIsNoticedKeepsSenderAlive, failing before.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -243,7 +243,8 @@
 bool mq_cluster_tick (mq_cluster *cluster, uint64_t now_us);
 /* The process was suspended for GAP_US, in which it could not receive.  Moves
    the times of receipt forward, so that members do not time out by it.  */
-void mq_cluster_note_pause (mq_cluster *cluster, uint64_t gap_us);
+void mq_cluster_note_pause (mq_cluster *cluster, uint64_t gap_us,
+                            uint64_t now_us);
 
 /* Returns true if this router is to give the orders to engines.  That is the
    first by rank of all live, ready relays that reach the store.  If none does,
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -286,7 +286,7 @@
     {
       mq_log (G_LOG_LEVEL_WARNING, "router.paused", "ms=%" G_GUINT64_FORMAT,
               gap / 1000);
-      mq_cluster_note_pause (&gateway->cluster, gap);
+      mq_cluster_note_pause (&gateway->cluster, gap, now_us);
     }
   gateway->ticked_us = now_us;
 }
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -534,7 +534,7 @@
 }
 
 void
-mq_cluster_note_pause (mq_cluster *cluster, uint64_t gap_us)
+mq_cluster_note_pause (mq_cluster *cluster, uint64_t gap_us, uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
@@ -544,10 +544,11 @@
     {
       mq_cluster_member *r = value;
 
+      /* What came or was sent since the process woke up is not older.  */
       if (r->received_us > 0)
-        r->received_us += gap_us;
+        r->received_us = MIN (r->received_us + gap_us, now_us);
       if (r->unanswered_since_us > 0)
-        r->unanswered_since_us += gap_us;
+        r->unanswered_since_us = MIN (r->unanswered_since_us + gap_us, now_us);
     }
 }
 
--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -5,6 +5,7 @@
 
 #include <set>
 
+using cluster::ms;
 using cluster::Router;
 using cluster::second;
 using cluster::Simulation;
@@ -441,11 +442,33 @@
       idle = r.get ();
   ASSERT_NE (idle, nullptr);
   uint64_t resumed_us = sim.now + 20 * second;
-  mq_cluster_note_pause (&idle->cluster, 20 * second);
+  mq_cluster_note_pause (&idle->cluster, 20 * second, resumed_us);
   EXPECT_FALSE (mq_cluster_tick (&idle->cluster, resumed_us));
   EXPECT_TRUE (mq_cluster_has_live_relay (&idle->cluster, resumed_us));
 }
 
+/* A message that is read after a pause, before the pause is noticed, would
+   count as received in the future, and its sender as silent.  */
+TEST (Cluster, MessageReadBeforePauseIsNoticedKeepsSenderAlive)
+{
+  Simulation sim (30, 3);
+
+  sim.start_all ();
+  sim.run (5 * second);
+  Router *idle = nullptr;
+  for (auto &r : sim.routers)
+    if (!r->cluster.relays)
+      idle = r.get ();
+  ASSERT_NE (idle, nullptr);
+  Router *relay = sim.relays (idle->domain).front ();
+  mq_cluster_member *member
+      = mq_cluster_find (&idle->cluster, cluster::span (relay->peer));
+  sim.now += 3 * second;
+  member->received_us = sim.now;
+  mq_cluster_note_pause (&idle->cluster, 3 * second, sim.now + 10 * ms);
+  EXPECT_TRUE (mq_cluster_member_is_alive (member, sim.now + 10 * ms));
+}
+
 TEST (Cluster, DelayedGossipIsIgnored)
 {
   Simulation sim (7, 3);
