Measure paths and plans in domains that grow, too

docs/CAPACITY.md gave 0.9 to 1.4 us an engine for a plan of layers and 3.4 to 4.0 us for a path, measured in domains of 13 engines. The whole fleet has 600 in each of five domains, where neither holds. mqbench_route now also doubles five domains up to 6,240 engines, times all paths of a domain, as each request looks for, and is part of `make slopes`.

--- a/packages/route/layer_spares.c
+++ b/packages/route/layer_spares.c
@@ -227,10 +227,9 @@
 static void
 domain_take_over (mq_plan_domain *domain)
 {
-  range_values values;
+  range_values values = { 0, NULL };
   unsigned futile = 0; /* Layers for which no range was found.  */
 
-  values_init (&values, domain);
   for (guint i = 0; i < domain->engines->len; i++)
     {
       mq_plan_engine *e = mq_plan_domain_engine (domain, i);
@@ -240,6 +239,8 @@
 
       if (!e->spare || max_layers <= futile)
         continue;
+      if (values.sums == NULL)
+        values_init (&values, domain);
       range = values_find_best_range (&values, max_layers);
       if (mq_plan_range_size (range) == 0)
         {
@@ -248,7 +249,6 @@
         }
       mq_plan_engine_move (e, range);
       values_finish (&values);
-      values_init (&values, domain);
       futile = 0;
     }
   values_finish (&values);
--- a/tools/bench/route/route_bench.c
+++ b/tools/bench/route/route_bench.c
@@ -3,8 +3,8 @@
    engines.
 
    Prints a line for each size: microseconds a decision, the median of several
-   rounds.  Engines are of the users' cards, a fortieth of a deployment's in
-   each failure domain of 13.  */
+   rounds.  Engines are of the users' cards, in failure domains of 13 engines
+   at first, and then in five domains that grow.  */
 
 #include <mq/layer_path.h>
 #include <mq/layer_plan.h>
@@ -14,8 +14,11 @@
 
 #define LAYERS 80
 #define DOMAIN_ENGINES 13
+#define DOMAINS 5
+#define MAX_ENGINES 12000
 #define ROUNDS 41
 #define PATHS_A_ROUND 20
+#define MAX_PATHS 8
 
 static const struct
 {
@@ -134,6 +137,33 @@
   return median (times);
 }
 
+/* The same for all paths of a domain, as for each request.  */
+static double
+time_all_paths (mq_registry *registry, const mq_route_service *service)
+{
+  double times[ROUNDS];
+
+  for (int r = 0; r < ROUNDS; r++)
+    {
+      gint64 before = g_get_monotonic_time ();
+
+      for (int i = 0; i < PATHS_A_ROUND; i++)
+        {
+          mq_layer_path paths[MAX_PATHS];
+          size_t wanted
+              = mq_layer_path_target_count (registry, service, MQ_SPAN ("d0"));
+          size_t n
+              = mq_layer_path_find_all (paths, MIN (wanted, MAX_PATHS),
+                                        registry, service, MQ_SPAN ("d0"), 1);
+
+          for (size_t k = 0; k < n; k++)
+            mq_layer_path_finish (&paths[k]);
+        }
+      times[r] = (double)(g_get_monotonic_time () - before) / PATHS_A_ROUND;
+    }
+  return median (times);
+}
+
 static double
 time_repairs (const mq_layered_model *model, const mq_layer_holder *holders,
               size_t n)
@@ -156,8 +186,10 @@
   return median (times);
 }
 
+/* Time decisions over N engines, of which each domain has DOMAIN_ENGINES.  */
 static void
-bench_size (const mq_route_service *service, unsigned n)
+bench_size (const mq_route_service *service, unsigned n,
+            unsigned domain_engines)
 {
   mq_layer_holder *holders = g_new0 (mq_layer_holder, n);
   GPtrArray *names = g_ptr_array_new_with_free_func (g_free);
@@ -166,7 +198,7 @@
   mq_registry_init (&registry);
   for (unsigned i = 0; i < n; i++)
     {
-      char *name = g_strdup_printf ("d%u", i / DOMAIN_ENGINES);
+      char *name = g_strdup_printf ("d%u", i / domain_engines);
 
       g_ptr_array_add (names, name);
       holders[i].domain = mq_span_from (name);
@@ -176,8 +208,11 @@
   plan_apply (&service->model, holders, n);
   for (unsigned i = 0; i < n; i++)
     bench_put (&registry, &holders[i], i);
-  (void)printf ("engines=%u path_us=%.1f repair_us=%.0f\n", n,
+  (void)printf ("engines=%u domains=%u path_us=%.1f paths_us=%.1f "
+                "repair_us=%.0f\n",
+                n, (n + domain_engines - 1) / domain_engines,
                 time_paths (&registry, service),
+                time_all_paths (&registry, service),
                 time_repairs (&service->model, holders, n));
   mq_registry_finish (&registry);
   g_ptr_array_unref (names);
@@ -190,8 +225,10 @@
   mq_routing *r = bench_routing ();
   const mq_route_service *s = mq_routing_find_service (r, MQ_SPAN ("model"));
 
-  for (unsigned n = DOMAIN_ENGINES * 3; n <= 12000; n *= 3)
-    bench_size (s, n);
+  for (unsigned n = DOMAIN_ENGINES * 3; n <= MAX_ENGINES; n *= 3)
+    bench_size (s, n, DOMAIN_ENGINES);
+  for (unsigned n = DOMAIN_ENGINES * DOMAINS * 3; n <= MAX_ENGINES; n *= 2)
+    bench_size (s, n, n / DOMAINS);
   mq_routing_unref (r);
   return 0;
 }
--- a/tools/slopes.sh
+++ b/tools/slopes.sh
@@ -25,3 +25,5 @@
   "$bin/mqbench_fleet" 20 7 20 60
 part "Tickets, claims, leases, audit" \
   "$bin/mqbench_state"
+part "Gateway mode: a path, and a plan of layers, by engines and their domains" \
+  "$bin/mqbench_route"
