Request the reports that a new leader needs in turn

Cause: a router that begins to lead does not know the engines' order counts, and requested a report of each engine at the same tick: 2,922 connections and calls, with 400 ms for each. That suffices while a fleet has few engines; what times out is requested again.

Now 64 such requests are open at a time, the next ones being sent as they end, of the engine that was asked longest ago first. Deployments of fewer engines see no change.

Test: Gateway.NewLeaderRequestsReportsOfManyEnginesInTurn, 150 engines that do not answer; all of them were asked at once before.

--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -19,6 +19,10 @@
    not reached or when the order takes longer than expected.  */
 #define ORDER_POLL_INTERVAL_US ((uint64_t)300 * 1000)
 #define ORDER_CONNECT_MS 250
+/* Requests for reports that are open at a time.  A new leader has to request
+   one of each engine; thousands at once would take all its processor, and time
+   out for that reason.  */
+#define MAX_OPEN_REPORTS 64
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
 
@@ -56,6 +60,9 @@
 {
   (void)result; /* A missing report is requested again when needed.  */
   upstream->orders_report_pending = false;
+  /* Another report may be waiting to be requested.  */
+  if (gateway->open_order_reports-- == MAX_OPEN_REPORTS)
+    gateway->orders_due = true;
   if (report != NULL)
     order_apply_report (gateway, upstream, report);
 }
@@ -65,19 +72,41 @@
                      uint64_t now_us)
 {
   if (upstream->orders_report_pending
+      || gateway->open_order_reports >= MAX_OPEN_REPORTS
       || !mq_gateway_may_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us))
     return;
   upstream->orders_report_pending = true;
+  gateway->open_order_reports++;
   mq_gateway_note_send (gateway, upstream, MQ_SEND_FOR_CONTROL, now_us);
   mq_report_request (gateway, upstream, order_on_report);
 }
 
-/* The same, but at most once in ORDER_POLL_INTERVAL_US.  */
+/* Compares pointers to upstreams by their last report.  */
+static int
+order_compare_reported (gconstpointer a, gconstpointer b)
+{
+  const mq_upstream *x = *(const mq_upstream *const *)a;
+  const mq_upstream *y = *(const mq_upstream *const *)b;
+
+  if (x->reported_us != y->reported_us)
+    return x->reported_us < y->reported_us ? -1 : 1;
+  return 0;
+}
+
+/* Request reports of UPSTREAMS (mq_upstream), of each at most once in
+   ORDER_POLL_INTERVAL_US.  The one that was asked longest ago comes first, so
+   that engines that do not answer leave room for the others.  */
 static void
-order_poll (mq_gateway *gateway, mq_upstream *upstream, uint64_t now_us)
+order_poll (mq_gateway *gateway, GPtrArray *upstreams, uint64_t now_us)
 {
-  if (now_us - upstream->reported_us > ORDER_POLL_INTERVAL_US)
-    order_request_count (gateway, upstream, now_us);
+  g_ptr_array_sort (upstreams, order_compare_reported);
+  for (guint i = 0; i < upstreams->len; i++)
+    {
+      mq_upstream *u = g_ptr_array_index (upstreams, i);
+
+      if (now_us - u->reported_us > ORDER_POLL_INTERVAL_US)
+        order_request_count (gateway, u, now_us);
+    }
 }
 
 /* Returns true when UPSTREAM's order count is unknown and a report would
@@ -170,6 +199,7 @@
 {
   GArray *holders = g_array_new (FALSE, FALSE, sizeof (mq_layer_holder));
   GArray *orders = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+  GPtrArray *polled = g_ptr_array_new ();
   GHashTableIter i;
   gpointer value;
   bool any_held = false;
@@ -191,10 +221,11 @@
       /* Request unknown counts before an order needs them: otherwise a plan
          proceeds without some engines, which get the remaining layers.  */
       if (ask || (store_unreached && h.fixed) || order_may_resolve (u, now_us))
-        order_poll (gateway, u, now_us);
+        g_ptr_array_add (polled, u);
       any_held = any_held || h.first < h.end;
       g_array_append_val (holders, h);
     }
+  order_poll (gateway, polled, now_us);
   if (!any_held
       && now_us - gateway->registry.last_added_us < REGISTRATION_SETTLE_US)
     goto out;
@@ -216,6 +247,7 @@
         order_request_count (gateway, u, now_us);
     }
 out:
+  g_ptr_array_unref (polled);
   g_array_unref (holders);
   g_array_unref (orders);
 }
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -225,6 +225,7 @@
   bool busy = false;                /* Reported.  */
   std::function<void ()> on_order;  /* Runs after an order was accepted.  */
   std::vector<std::string> stalled; /* Reported addresses.  */
+  bool silent = false;              /* Answers no request for a report.  */
   Headers notices; /* What it states about itself in each response.  */
   /* Arrival of each request, report request and order.  */
   std::vector<ev_tstamp> arrivals;
@@ -240,7 +241,10 @@
 
     arrivals.push_back (ev_time ());
     if (path == "/report")
-      report (x);
+      {
+        if (!silent)
+          report (x);
+      }
     else if (path == "/order")
       order (x);
     else
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -66,6 +66,40 @@
   EXPECT_EQ (one.orders, 1u);
 }
 
+/* A router that becomes the leader does not know the order counts of the
+   engines.  Requests for reports of all of them at once would take all its
+   processor in a large fleet.  */
+TEST_F (Gateway, NewLeaderRequestsReportsOfManyEnginesInTurn)
+{
+  const unsigned engines = 150;
+  ev_tstamp begin = 0;
+  auto requested = [&] {
+    unsigned n = 0;
+
+    for (auto &u : upstreams)
+      n += !u->arrivals.empty ();
+    return n;
+  };
+
+  for (unsigned i = 0; i < engines; i++)
+    {
+      Upstream &u = add ("eng-" + std::to_string (i), "model", "one", "half");
+
+      u.first = i % 2 * 40;
+      u.end = u.first + 40;
+      u.silent = true;
+      write_entry (u);
+    }
+  configure (1);
+  start ();
+  ASSERT_TRUE (until ([&] { return requested () > 0; }));
+  begin = ev_time ();
+  wait (0.2); /* Less than a request for a report waits.  */
+  EXPECT_LT (ev_time () - begin, 0.4);
+  EXPECT_LE (requested (), 64u);
+  EXPECT_TRUE (until ([&] { return requested () == engines; }));
+}
+
 /* An engine that drops layers first waits for the requests that pass through
    them, which may take much longer than loading.  Guards against ordering it
    again, or others in its place, meanwhile.  */
