Do not tell other routers of engines that are not slow

The lead changed eight times from 3.7 s on, and routers were silent most right after each change.

Cause: a report of an engine states its slowdown, 1 for a sound one. That was kept for 3 s as a finding and sent in every digest and summary. A new leader requests a report of each engine, so that each of 2,922 engines became a finding in each of 400 digests that a relay sends a second. The relays' gossip came late, the leader was taken for dead, and the next leader began again. With 39 engines and two routers a domain this costs nothing.

A slowdown is now told only while it is one. What a router's own report says still takes precedence over what others say of the same engine.

Test: Upstream.ReportOfASoundEngineIsNoNews.

--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -198,6 +198,10 @@
 /* The slowdown of UPSTREAM: the factor by which it is slower than its card's
    nominal speed; at least 1, and 1 when unknown.  */
 double mq_upstream_slowdown (const mq_upstream *upstream, uint64_t now_us);
+/* Returns true if other routers need to know the slowdown of UPSTREAM: it is
+   known and slower than its card's nominal speed.  */
+bool mq_upstream_slowdown_is_news (const mq_upstream *upstream,
+                                   uint64_t now_us);
 /* Note that UPSTREAM itself reported SLOWDOWN.  */
 void mq_upstream_set_slowdown (mq_upstream *upstream, double slowdown,
                                uint64_t now_us);
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -142,7 +142,7 @@
           .ejected_us = upstream_ejected_us (upstream, filter, now_us),
           .rejecting_us = upstream_rejecting_us (upstream, filter, now_us) };
 
-  if (now_us < upstream->slowdown_until_us
+  if (mq_upstream_slowdown_is_news (upstream, now_us)
       && filter_includes (filter, upstream->slowdown_source))
     {
       f.slowdown = upstream->slowdown;
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -395,6 +395,12 @@
                                               : 1;
 }
 
+bool
+mq_upstream_slowdown_is_news (const mq_upstream *upstream, uint64_t now_us)
+{
+  return mq_upstream_slowdown (upstream, now_us) > 1;
+}
+
 void
 mq_upstream_set_slowdown (mq_upstream *upstream, double slowdown,
                           uint64_t now_us)
--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -307,6 +307,20 @@
   EXPECT_FALSE (mq_upstream_limit_is_news (&u.limit, 60 * s));
 }
 
+/* A leader that requests the reports of all engines would otherwise have each
+   relay tell all routers of its domain that thousands of engines are sound. */
+TEST (Upstream, ReportOfASoundEngineIsNoNews)
+{
+  mq_upstream u = {};
+
+  EXPECT_FALSE (mq_upstream_slowdown_is_news (&u, 1000000));
+  mq_upstream_set_slowdown (&u, 1, 1000000);
+  EXPECT_FALSE (mq_upstream_slowdown_is_news (&u, 1500000));
+  mq_upstream_set_slowdown (&u, 4, 2000000);
+  EXPECT_TRUE (mq_upstream_slowdown_is_news (&u, 2500000));
+  EXPECT_FALSE (mq_upstream_slowdown_is_news (&u, 9000000));
+}
+
 /* A slowdown that is propagated must not outlive the original report.  */
 TEST (Upstream, PeerSlowdownDoesNotOutliveItsReport)
 {
