Encode a message once and keep its bytes once for all its receivers

Cause: a complete list of upstreams was encoded anew for each router that lacked it, and each queue held a copy. What grows is engines times routers.

The list is now encoded once a tick, and ZeroMQ counts the queues that refer to its bytes, as for configurations and changes that go to a whole domain.

Test: Peers.SharedMessageReachesAllReceiversAfterItIsFreed.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -518,10 +518,13 @@
 /* Start and stop sending gossip at each heartbeat.  */
 void mq_gateway_gossip_start (mq_gateway *gateway);
 void mq_gateway_gossip_stop (mq_gateway *gateway);
+/* Encode MESSAGE for any number of receivers.  Free with
+   mq_peers_shared_free.  */
+mq_peers_shared *mq_gateway_encode_message (const mq_cluster_message *message);
 /* Send ROUTER the encoded message BYTES of KIND.  */
 void mq_gateway_gossip_send (mq_gateway *gateway, mq_cluster_member *router,
                              mq_cluster_message_kind kind,
-                             const GString *bytes);
+                             const mq_peers_shared *bytes);
 /* Encode MESSAGE and send it to ROUTER.  */
 void mq_gateway_send_message (mq_gateway *gateway, mq_cluster_member *router,
                               const mq_cluster_message *message);
--- a/include/mq/peers.h
+++ b/include/mq/peers.h
@@ -106,6 +106,20 @@
    if the message was dropped.  */
 int mq_peers_send (mq_peers *peers, mq_span address, mq_span bytes);
 
+/* A message that is sent to several peers.  Its bytes are kept once for all
+   queues that it waits in.  */
+typedef struct mq_peers_shared mq_peers_shared;
+
+/* Returns a message with BYTES, which are stolen.  The caller frees it; that
+   leaves what is queued alone.  */
+mq_peers_shared *mq_peers_shared_new (GString *bytes);
+void mq_peers_shared_free (mq_peers_shared *shared);
+size_t mq_peers_shared_size (const mq_peers_shared *shared);
+
+/* Queues SHARED, borrowed, as mq_peers_send does.  */
+int mq_peers_send_shared (mq_peers *peers, mq_span address,
+                          const mq_peers_shared *shared);
+
 /* Uses KEYS, which are copied, from now on.  Open connections continue unless
    a key was removed from the ring; all are then closed and reopened.  */
 void mq_peers_set_keys (mq_peers *peers, const mq_peer_keys *keys);
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -35,53 +35,51 @@
 
 void
 mq_gateway_gossip_send (mq_gateway *gateway, mq_cluster_member *router,
-                        mq_cluster_message_kind kind, const GString *bytes)
+                        mq_cluster_message_kind kind,
+                        const mq_peers_shared *bytes)
 {
   mq_span address = mq_str_span (router->peer);
   int far = !router->local;
 
   mq_peers_connect (gateway->peers, address);
   mq_cluster_note_sent (router, mq_gateway_now_us ());
-  if (mq_peers_send (gateway->peers, address,
-                     (mq_span){ bytes->str, bytes->len })
-      < 0)
+  if (mq_peers_send_shared (gateway->peers, address, bytes) < 0)
     return; /* Not connected yet; mq_peers counts the drop.  */
   ++*gateway->counters.peer_messages[kind][far];
-  *gateway->counters.peer_bytes[kind][far] += bytes->len;
+  *gateway->counters.peer_bytes[kind][far] += mq_peers_shared_size (bytes);
 }
 
-void
-mq_gateway_send_message (mq_gateway *gateway, mq_cluster_member *router,
-                         const mq_cluster_message *message)
+mq_peers_shared *
+mq_gateway_encode_message (const mq_cluster_message *message)
 {
   GString *out = g_string_new (NULL);
 
   mq_cluster_message_encode (message, out);
-  mq_gateway_gossip_send (gateway, router, message->kind, out);
-  g_string_free (out, TRUE);
+  return mq_peers_shared_new (out);
 }
 
-static GString *
-gossip_encode (const mq_gossip *gossip)
+void
+mq_gateway_send_message (mq_gateway *gateway, mq_cluster_member *router,
+                         const mq_cluster_message *message)
 {
-  GString *out = g_string_new (NULL);
-  mq_cluster_message message
-      = { .kind = MQ_CLUSTER_MESSAGE_GOSSIP, .u = { .gossip = gossip } };
+  mq_peers_shared *out = mq_gateway_encode_message (message);
 
-  mq_cluster_message_encode (&message, out);
-  return out;
+  mq_gateway_gossip_send (gateway, router, message->kind, out);
+  mq_peers_shared_free (out);
 }
 
 static void
 gossip_send_to (mq_gateway *gateway, const GPtrArray *routers,
                 const mq_gossip *gossip)
 {
-  GString *out = gossip_encode (gossip);
+  mq_cluster_message message
+      = { .kind = MQ_CLUSTER_MESSAGE_GOSSIP, .u = { .gossip = gossip } };
+  mq_peers_shared *out = mq_gateway_encode_message (&message);
 
   for (guint i = 0; i < routers->len; i++)
     mq_gateway_gossip_send (gateway, g_ptr_array_index (routers, i),
                             MQ_CLUSTER_MESSAGE_GOSSIP, out);
-  g_string_free (out, TRUE);
+  mq_peers_shared_free (out);
 }
 
 /* ---- Findings.  */
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -69,18 +69,18 @@
                      router_predicate needs)
 {
   uint64_t now = mq_gateway_now_us ();
-  GString *out = g_string_new (NULL);
+  mq_peers_shared *out;
   GHashTableIter i;
   gpointer value;
 
   message->scope
       = gateway->cluster.relays ? MQ_SCOPE_RECEIVER : MQ_SCOPE_FLEET;
-  mq_cluster_message_encode (message, out);
+  out = mq_gateway_encode_message (message);
   g_hash_table_iter_init (&i, gateway->cluster.routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     if (router_is_receiver (gateway, value, now) && needs (gateway, value))
       mq_gateway_gossip_send (gateway, value, message->kind, out);
-  g_string_free (out, TRUE);
+  mq_peers_shared_free (out);
 }
 
 /* Send MESSAGE to the first relay of each other domain, where NEEDS holds.  */
@@ -206,10 +206,11 @@
     propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_changes);
 }
 
-/* Send TO the complete list of upstreams.  */
-static void
-propagate_list (mq_gateway *gateway, mq_cluster_member *to)
+/* Encode the complete list of upstreams.  Free with mq_peers_shared_free.  */
+static mq_peers_shared *
+list_encode (const mq_gateway *gateway)
 {
+  mq_peers_shared *out;
   GArray *entries = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
   GHashTableIter i;
   gpointer id;
@@ -230,10 +231,24 @@
     true, gateway->upstream_list.newest,
     (const mq_platform_entry *)(void *)entries->data, entries->len
   };
-  mq_log (G_LOG_LEVEL_INFO, "upstream.list-passed-on", "vm=%s upstreams=%u",
-          mq_str_cstr (to->name), entries->len);
-  mq_gateway_send_message (gateway, to, &p);
+  out = mq_gateway_encode_message (&p);
   g_array_unref (entries);
+  return out;
+}
+
+/* Send TO the complete list of upstreams.  *LIST is the encoded list, or NULL
+   before it is first needed: hundreds of routers that start together lack it
+   at the same tick.  */
+static void
+propagate_list (mq_gateway *gateway, mq_cluster_member *to,
+                mq_peers_shared **list)
+{
+  if (*list == NULL)
+    *list = list_encode (gateway);
+  mq_log (G_LOG_LEVEL_INFO, "upstream.list-passed-on", "vm=%s upstreams=%u",
+          mq_str_cstr (to->name),
+          g_hash_table_size (gateway->upstream_list.entries));
+  mq_gateway_gossip_send (gateway, to, MQ_CLUSTER_MESSAGE_ENTRIES, *list);
 }
 
 /* ---- Sending again.  */
@@ -319,8 +334,10 @@
       now_us);
 }
 
+/* Send TO again what it lacks.  LIST is as in propagate_list.  */
 static void
-resend_to (mq_gateway *gateway, mq_cluster_member *to, uint64_t now_us)
+resend_to (mq_gateway *gateway, mq_cluster_member *to, mq_peers_shared **list,
+           uint64_t now_us)
 {
   bool alive = mq_cluster_member_is_alive (to, now_us);
   bool lacks_routing = alive && gateway->routing != NULL
@@ -341,12 +358,13 @@
   if (resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
                      lacks_upstreams, to->ready ? LIST_LAG_US : LAG_US,
                      now_us))
-    propagate_list (gateway, to);
+    propagate_list (gateway, to, list);
 }
 
 void
 mq_gateway_propagation_tick (mq_gateway *gateway, uint64_t now_us)
 {
+  mq_peers_shared *list = NULL;
   GHashTableIter i;
   gpointer value;
 
@@ -359,8 +377,9 @@
 
       if (r->local ? router_is_receiver (gateway, r, now_us)
                    : r->relays && gateway->cluster.relays)
-        resend_to (gateway, value, now_us);
+        resend_to (gateway, value, &list, now_us);
     }
+  mq_peers_shared_free (list);
 }
 
 /* Read the configuration again when a peer has a newer one.  */
--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -67,6 +67,12 @@
   ev_tstamp used_at; /* Last send, on the clock of the loop.  */
 } peers_link;
 
+struct mq_peers_shared
+{
+  zmq_msg_t message; /* Counts the queues that refer to its bytes.  */
+  size_t size;
+};
+
 struct mq_peers
 {
   struct ev_loop *loop;
@@ -579,6 +585,62 @@
   return 0;
 }
 
+static void
+shared_release (void *data, void *hint)
+{
+  (void)hint;
+  g_free (data);
+}
+
+mq_peers_shared *
+mq_peers_shared_new (GString *bytes)
+{
+  mq_peers_shared *s = g_new (mq_peers_shared, 1);
+
+  s->size = bytes->len;
+  zmq_msg_init_data (&s->message, g_string_free (bytes, FALSE), s->size,
+                     shared_release, NULL);
+  return s;
+}
+
+void
+mq_peers_shared_free (mq_peers_shared *shared)
+{
+  if (shared == NULL)
+    return;
+  zmq_msg_close (&shared->message);
+  g_free (shared);
+}
+
+size_t
+mq_peers_shared_size (const mq_peers_shared *shared)
+{
+  return shared->size;
+}
+
+int
+mq_peers_send_shared (mq_peers *peers, mq_span address,
+                      const mq_peers_shared *shared)
+{
+  peers_link *link = peers_find (peers, address);
+  zmq_msg_t copy;
+
+  if (link != NULL)
+    link->used_at = ev_now (peers->loop);
+  zmq_msg_init (&copy);
+  if (link == NULL || shared->size > MQ_PEER_MAX_MESSAGE_BYTES
+      || zmq_msg_copy (&copy, (zmq_msg_t *)&shared->message) < 0
+      || zmq_msg_send (&copy, link->socket, ZMQ_DONTWAIT) < 0)
+    {
+      zmq_msg_close (&copy);
+      peers->counters.dropped++;
+      return -1;
+    }
+  peers->counters.sent++;
+  peers->counters.sent_bytes += shared->size;
+  return 0;
+}
+
 void
 mq_peers_set_keys (mq_peers *peers, const mq_peer_keys *keys)
 {
--- a/tests/test_peers.cc
+++ b/tests/test_peers.cc
@@ -241,6 +241,30 @@
   EXPECT_TRUE (exchange (b, a, "second"));
 }
 
+/* A list of thousands of upstreams goes to hundreds of routers at once.  If
+   each queue held a copy, a relay would need the memory of all of them.  */
+TEST_F (Peers, SharedMessageReachesAllReceiversAfterItIsFreed)
+{
+  Router a;
+  Router b;
+  Router c;
+  mq_peers_shared *shared = mq_peers_shared_new (g_string_new ("shared"));
+
+  a.open (loop, keys);
+  b.open (loop, keys);
+  c.open (loop, keys);
+  ASSERT_TRUE (exchange (a, b, "b is connected"));
+  ASSERT_TRUE (exchange (a, c, "c is connected"));
+  EXPECT_EQ (mq_peers_shared_size (shared), 6u);
+  EXPECT_EQ (mq_peers_send_shared (a.peers, span (b.address ()), shared), 0);
+  EXPECT_EQ (mq_peers_send_shared (a.peers, span (c.address ()), shared), 0);
+  mq_peers_shared_free (shared);
+  EXPECT_TRUE (wait ([&] {
+    return !b.received.empty () && b.received.back () == "shared"
+           && !c.received.empty () && c.received.back () == "shared";
+  }));
+}
+
 /* A client without encryption and authentication.  */
 TEST_F (Peers, RejectsUnencryptedClient)
 {
