Show who leads and who lags in a router's metrics

At 986 routers an operator can't ask all of them. A relay knows which routers of its domain, and which relays of others, lack what it would send them: marjoramquay_routers_behind counts them and marjoramquay_routers_behind_ms says since when; marjoramquay_leader is 1 at the router that gives the orders.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -147,6 +147,10 @@
   uint64_t *upstreams_resting;
   uint64_t *routers;
   uint64_t *relays;
+  uint64_t *leader;
+  uint64_t *behind_routing;
+  uint64_t *behind_upstreams;
+  uint64_t *behind_ms;
   uint64_t *serving;
   uint64_t *counts_age_ms;
   uint64_t *peer_messages[MQ_CLUSTER_MESSAGE_KINDS]
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -143,6 +143,15 @@
                                  "Heard lately, with this one.");
   c->relays = mq_metrics_gauge (m, "marjoramquay_relay", "",
                                 "1 at a relay of its failure domain.");
+  c->leader = mq_metrics_gauge (m, "marjoramquay_leader", "",
+                                "1 at the router that gives the orders.");
+  c->behind_routing = mq_metrics_gauge (
+      m, "marjoramquay_routers_behind", "of=\"configuration\"",
+      "Routers that lack what this one is to send them.");
+  c->behind_upstreams = mq_metrics_gauge (m, "marjoramquay_routers_behind",
+                                          "of=\"upstreams\"", "");
+  c->behind_ms = mq_metrics_gauge (m, "marjoramquay_routers_behind_ms", "",
+                                   "Since when the first of these lacks it.");
   c->serving = mq_metrics_gauge (m, "marjoramquay_serving_routers", "",
                                  "Of this domain, to whom clients are sent.");
   c->counts_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
@@ -208,6 +217,44 @@
       us);
 }
 
+/* Count a router that lags as LAG says in GAUGE.  */
+static void
+metrics_add_lag (mq_gateway *gateway, const mq_lag *lag, uint64_t *gauge,
+                 uint64_t now_us)
+{
+  mq_gateway_counters *c = &gateway->counters;
+
+  if (lag->since_us == 0)
+    return;
+  ++*gauge;
+  *c->behind_ms = MAX (*c->behind_ms, (now_us - lag->since_us) / 1000);
+}
+
+/* Count the routers that lag behind this one.  Only a router that propagates
+   updates keeps track of that.  */
+static void
+metrics_refresh_lags (mq_gateway *gateway, uint64_t now_us)
+{
+  mq_gateway_counters *c = &gateway->counters;
+  GHashTableIter i;
+  gpointer value;
+
+  *c->behind_routing = 0;
+  *c->behind_upstreams = 0;
+  *c->behind_ms = 0;
+  g_hash_table_iter_init (&i, gateway->cluster.routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+
+      if (!mq_cluster_member_is_alive (r, now_us))
+        continue;
+      metrics_add_lag (gateway, &r->routing_lag, c->behind_routing, now_us);
+      metrics_add_lag (gateway, &r->upstreams_lag, c->behind_upstreams,
+                       now_us);
+    }
+}
+
 static void
 metrics_refresh_cluster (mq_gateway *gateway, uint64_t now_us)
 {
@@ -219,6 +266,8 @@
   *c->serving = serving->len;
   *c->routers = mq_cluster_count_alive (&gateway->cluster, now_us) + 1;
   *c->relays = gateway->cluster.relays;
+  *c->leader = gateway->leads;
+  metrics_refresh_lags (gateway, now_us);
   *c->counts_age_ms = mq_cluster_counts_age_ms (&gateway->cluster, now_us);
   g_array_unref (serving);
   g_array_unref (remote);
--- a/tests/test_gateway_fleet.cc
+++ b/tests/test_gateway_fleet.cc
@@ -203,16 +203,21 @@
   start_plain_service ();
   fetch ("GET", "/safe/1");
   std::string m = fetch ("GET", "/metrics", {}, "", metrics_port).body;
-  for (const char *line : { "marjoramquay_requests_total{outcome=\"taken\"} 1",
-                            "marjoramquay_requests_ended_total{kind=\"safe\","
-                            "outcome=\"answered\",reason=\"whole\"} 1",
-                            "marjoramquay_request_seconds_count{kind=\"safe\","
-                            "outcome=\"answered\"} 1",
-                            "marjoramquay_upstreams{state=\"slow\"} 0",
-                            "marjoramquay_configuration_version 1",
-                            "marjoramquay_upstreams{state=\"listed\"} 2",
-                            "marjoramquay_routers 1" })
+  for (const char *line :
+       { "marjoramquay_requests_total{outcome=\"taken\"} 1",
+         "marjoramquay_requests_ended_total{kind=\"safe\","
+         "outcome=\"answered\",reason=\"whole\"} 1",
+         "marjoramquay_request_seconds_count{kind=\"safe\","
+         "outcome=\"answered\"} 1",
+         "marjoramquay_upstreams{state=\"slow\"} 0",
+         "marjoramquay_configuration_version 1",
+         "marjoramquay_upstreams{state=\"listed\"} 2",
+         "marjoramquay_routers_behind_ms 0", "marjoramquay_routers 1" })
     EXPECT_NE (m.find (line), std::string::npos) << line << "\n" << m;
+  EXPECT_TRUE (until ([&] {
+    m = fetch ("GET", "/metrics", {}, "", metrics_port).body;
+    return m.find ("marjoramquay_leader 1") != std::string::npos;
+  })) << m;
 }
 
 TEST_F (Gateway, DrainFailsReadinessAtOnceAndCutsNoRequest)
