Tell idle connections to routers by the monotonic clock

The loop's clock is the time of day, which may jump: a jump of 30 s forward would have closed all connections between routers at once.

--- a/packages/net/peers.c
+++ b/packages/net/peers.c
@@ -64,7 +64,7 @@
   void *socket; /* Owned.  */
   unsigned key; /* Index in the ring of the key being tried.  */
   ev_timer try_timer;
-  ev_tstamp used_at; /* Last send, on the clock of the loop.  */
+  gint64 used_us; /* Last send; monotonic.  */
 } peers_link;
 
 struct mq_peers_shared
@@ -539,7 +539,7 @@
   ev_timer_init (&link->try_timer, link_on_key_timeout, KEY_TRY_TIMEOUT_S,
                  KEY_TRY_TIMEOUT_S);
   link->try_timer.data = link;
-  link->used_at = ev_now (peers->loop);
+  link->used_us = g_get_monotonic_time ();
   link_open (link);
   if (!peers->plain)
     ev_timer_start (peers->loop, &link->try_timer);
@@ -556,13 +556,13 @@
 link_is_idle (gpointer key, gpointer value, gpointer data)
 {
   (void)key;
-  return ((const peers_link *)value)->used_at < *(const ev_tstamp *)data;
+  return ((const peers_link *)value)->used_us < *(const gint64 *)data;
 }
 
 unsigned
 mq_peers_disconnect_idle (mq_peers *peers, double idle_s)
 {
-  ev_tstamp since = ev_now (peers->loop) - idle_s;
+  gint64 since = g_get_monotonic_time () - (gint64)(idle_s * G_USEC_PER_SEC);
 
   return g_hash_table_foreach_remove (peers->links, link_is_idle, &since);
 }
@@ -573,7 +573,7 @@
   peers_link *link = peers_find (peers, address);
 
   if (link != NULL)
-    link->used_at = ev_now (peers->loop);
+    link->used_us = g_get_monotonic_time ();
   if (link == NULL || bytes.size > MQ_PEER_MAX_MESSAGE_BYTES
       || zmq_send (link->socket, bytes.data, bytes.size, ZMQ_DONTWAIT) < 0)
     {
@@ -626,7 +626,7 @@
   zmq_msg_t copy;
 
   if (link != NULL)
-    link->used_at = ev_now (peers->loop);
+    link->used_us = g_get_monotonic_time ();
   zmq_msg_init (&copy);
   if (link == NULL || shared->size > MQ_PEER_MAX_MESSAGE_BYTES
       || zmq_msg_copy (&copy, (zmq_msg_t *)&shared->message) < 0
