Let only a current member list make a lone router a relay

A list that was asked for at the start may miss the entries of the last seconds, and with a slow store it arrives after the time in which a router looks for relays. It counted as the look that a lone router owes. Now only a read of all that was written counts, or one that names this router itself.

Test: Cluster.LoneRouterNeedsTheCurrentListToBecomeRelay, failing before.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -126,8 +126,8 @@
   uint64_t sequence;  /* Of the last gossip made.  */
   uint64_t window_us; /* Sliding window over which sends are counted.  */
   uint64_t relay_not_before_us; /* This router becomes no relay earlier.  */
-  uint64_t listed_us;  /* When the platform's member list was last read, or
-                          found to be unavailable; 0: never.  */
+  uint64_t listed_us;  /* When the current member list was last read, or the
+                          list found to be unavailable; 0: never.  */
   unsigned summary_ms; /* Interval of this relay's summaries.  */
   uint64_t summary_us; /* When the last summary was sent.  */
   mq_gossip_sent_lists sent_lists; /* In summaries.  */
@@ -225,10 +225,11 @@
    that another router does.  */
 bool mq_cluster_domain_reaches_store (const mq_cluster *cluster,
                                       mq_span domain, uint64_t now_us);
-/* The platform's member list was read.  SELF: it names this router, which was
-   thus a relay before it restarted.  In that case, or if no other router is
-   known, this router may become a relay at once.  */
-void mq_cluster_note_member_list (mq_cluster *cluster, bool self,
+/* The platform's member list was read, with all that was written to it so far
+   if CURRENT is set.  SELF: it names this router, which was thus a relay
+   before it restarted.  In that case, or if no other router is known, this
+   router may become a relay at once.  */
+void mq_cluster_note_member_list (mq_cluster *cluster, bool current, bool self,
                                   uint64_t now_us);
 /* The platform's member list can't be read.  */
 void mq_cluster_note_member_list_unavailable (mq_cluster *cluster,
@@ -242,7 +243,8 @@
    Returns true if that changed.  */
 bool mq_cluster_tick (mq_cluster *cluster, uint64_t now_us);
 /* The process was suspended for GAP_US, in which it could not receive.  Moves
-   the times of receipt forward, so that members do not time out by it.  */
+   the times of receipt forward, up to NOW_US, so that members do not time out
+   by it.  */
 void mq_cluster_note_pause (mq_cluster *cluster, uint64_t gap_us,
                             uint64_t now_us);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -206,8 +206,9 @@
   bool member_written;
   bool member_writing;
   bool members_scanning;
-  bool leads;      /* This router is the leader: it orders layers.  */
-  bool orders_due; /* A report arrived: order at the next tick.  */
+  bool members_scan_stale; /* That scan may miss entries of late.  */
+  bool leads;              /* This router is the leader: it orders layers.  */
+  bool orders_due;         /* A report arrived: order at the next tick.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
   ev_timer tick;
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -167,7 +167,8 @@
   g->members_scan_us = now + MEMBER_SCAN_INTERVAL_US;
   for (size_t i = 0; i < reply->n_entries; i++)
     member_add_entry (g, &reply->entries[i]);
-  mq_cluster_note_member_list (&g->cluster, g->member_written, now);
+  mq_cluster_note_member_list (&g->cluster, !g->members_scan_stale,
+                               g->member_written, now);
 }
 
 /* Scan the members.  With STALE, entries of the last seconds may be missing,
@@ -181,6 +182,7 @@
           .stale = stale };
 
   gateway->members_scanning = true;
+  gateway->members_scan_stale = stale;
   mq_gateway_count_store_call (gateway, MQ_STORE_MEMBER_SCAN);
   (void)mq_platform_request_start (gateway->store, &ask, members_on_scan,
                                    gateway);
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -428,10 +428,14 @@
 /* ---- This router's role.  */
 
 void
-mq_cluster_note_member_list (mq_cluster *cluster, bool self, uint64_t now_us)
+mq_cluster_note_member_list (mq_cluster *cluster, bool current, bool self,
+                             uint64_t now_us)
 {
-  cluster->listed_us = now_us;
-  if (self || g_hash_table_size (cluster->routers) == 0)
+  bool certain = self || g_hash_table_size (cluster->routers) == 0;
+
+  if (current || certain)
+    cluster->listed_us = now_us;
+  if (certain)
     cluster->relay_not_before_us = MIN (cluster->relay_not_before_us, now_us);
 }
 
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -107,7 +107,7 @@
     for (const std::string &peer : member_list)
       name (r, *by_peer_[peer]);
     mq_cluster_note_member_list (
-        &r.cluster,
+        &r.cluster, false,
         std::find (member_list.begin (), member_list.end (), r.peer)
             != member_list.end (),
         now);
@@ -307,7 +307,8 @@
       }
     for (const Router *o : registered)
       name (r, *o);
-    mq_cluster_note_member_list (&r.cluster, registered.count (&r) > 0, now);
+    mq_cluster_note_member_list (&r.cluster, true, registered.count (&r) > 0,
+                                 now);
   }
 
   /* Send the gossip that a gateway sends at a heartbeat.  */
--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -146,6 +146,26 @@
   EXPECT_LT (sim.registered.size (), sim.routers.size () / 3);
 }
 
+/* A list that may lack the entries of the last seconds, as a slow store
+   returns one that was asked for at the start, does not show that the domain
+   has no relay.  */
+TEST (Cluster, LoneRouterNeedsTheCurrentListToBecomeRelay)
+{
+  Simulation sim (3, 3);
+  Router &lone = *sim.routers[0];
+
+  sim.start (lone);
+  mq_cluster &c = lone.cluster;
+  uint64_t late = sim.now + 4 * second;
+  mq_cluster_note_member_list (&c, false, false, late);
+  EXPECT_FALSE (mq_cluster_tick (&c, late));
+  EXPECT_TRUE (mq_cluster_needs_member_list (&c, late));
+  mq_cluster_note_member_list (&c, true, false, late);
+  EXPECT_FALSE (mq_cluster_needs_member_list (&c, late));
+  EXPECT_TRUE (mq_cluster_tick (&c, late));
+  EXPECT_TRUE (c.relays);
+}
+
 /* A seed introduces each router of a fleet that starts to the others.  If it
    ranked all of them each time, it would be busy for longer than they wait. */
 TEST (Cluster, SeedRanksRoutersOnceForAllThatStart)
