--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -41,6 +41,16 @@
   return n;
 }
 
+/* Returns a router that is not a relay, or null.  */
+Router *
+find_idle (Simulation &sim)
+{
+  for (auto &r : sim.routers)
+    if (!r->cluster.relays)
+      return r.get ();
+  return nullptr;
+}
+
 /* Returns the traffic per second of a fleet in a steady state under load.  */
 cluster::Traffic
 steady_traffic (unsigned routers, unsigned domains)
@@ -456,10 +466,7 @@
 
   sim.start_all ();
   sim.run (5 * second);
-  Router *idle = nullptr;
-  for (auto &r : sim.routers)
-    if (!r->cluster.relays)
-      idle = r.get ();
+  Router *idle = find_idle (sim);
   ASSERT_NE (idle, nullptr);
   uint64_t resumed_us = sim.now + 20 * second;
   mq_cluster_note_pause (&idle->cluster, 20 * second, resumed_us);
@@ -475,10 +482,7 @@
 
   sim.start_all ();
   sim.run (5 * second);
-  Router *idle = nullptr;
-  for (auto &r : sim.routers)
-    if (!r->cluster.relays)
-      idle = r.get ();
+  Router *idle = find_idle (sim);
   ASSERT_NE (idle, nullptr);
   Router *relay = sim.relays (idle->domain).front ();
   mq_cluster_member *member
