--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -45,6 +45,8 @@
                        prefill queue does not count.  */
   double age_ms;    /* Largest age of the other routers' counts.  */
   uint64_t random;  /* Uniform over 64 bits.  */
+  double memory_limit; /* Share of each path's memory that may be in use with
+                          it, in (0, 1); 0 or 1: no limit beside its rank's. */
 } mq_domain_request;
 
 /* Results of mq_domain_choose without a path: none has memory for the request,
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -92,6 +92,19 @@
   return min_step_ms;
 }
 
+/* The tokens of CHOICE that may be in use with REQUEST.  A stream that has
+   started is not limited further: it would be lost.  */
+static double
+choice_usable (const mq_domain_choice *choice,
+               const mq_domain_request *request)
+{
+  double share = memory_share[request->rank];
+
+  if (request->rank != MQ_DOMAIN_STARTED && request->memory_limit > 0)
+    share = MIN (share, request->memory_limit);
+  return choice->capacity * share;
+}
+
 static bool
 choice_exceeds_prefill_limit (const mq_domain_choice *choice,
                               const mq_domain_request *request)
@@ -162,7 +175,7 @@
       double weight;
 
       if (choices[i].used + request->need
-          > choices[i].capacity * memory_share[request->rank])
+          > choice_usable (&choices[i], request))
         continue;
       if (choice_exceeds_prefill_limit (&choices[i], request))
         {
--- a/tests/test_domain_load.cc
+++ b/tests/test_domain_load.cc
@@ -30,7 +30,7 @@
 choose (const std::vector<mq_domain_choice> &paths, double need = 1000,
         mq_domain_rank rank = MQ_DOMAIN_NEW)
 {
-  return choose (paths, { need, rank, 500, fresh_ms, 1 });
+  return choose (paths, { need, rank, 500, fresh_ms, 1, 0 });
 }
 
 mq_domain_choice
@@ -50,7 +50,7 @@
 
   for (uint64_t random = 0; random < 1000; random++)
     n[(size_t)choose (paths, { 1000, MQ_DOMAIN_NEW, 500, age_ms,
-                               mq_hash_mix (1, random) })]++;
+                               mq_hash_mix (1, random), 0 })]++;
   return n;
 }
 
@@ -134,9 +134,9 @@
 
 TEST (DomainLoad, IgnoresPrefillBacklogWithoutTarget)
 {
-  EXPECT_EQ (
-      choose ({ prefilling (5000) }, { 1000, MQ_DOMAIN_NEW, 0, fresh_ms, 1 }),
-      0);
+  EXPECT_EQ (choose ({ prefilling (5000) },
+                     { 1000, MQ_DOMAIN_NEW, 0, fresh_ms, 1, 0 }),
+             0);
 }
 
 TEST (DomainLoad, FreshCountsChooseLargestFreeShare)
@@ -168,7 +168,7 @@
   for (uint64_t random = 0; random < 1000; random++)
     n[(size_t)choose ({ slow, fast, busy },
                       { 1000, MQ_DOMAIN_STARTED, 500, stale_ms,
-                        mq_hash_mix (1, random) })]++;
+                        mq_hash_mix (1, random), 0 })]++;
   EXPECT_GT (n[1], 5 * n[0]);
   EXPECT_GT (n[1], 5 * n[2]);
   /* Every path is chosen at times, as other routers choose too.  */
@@ -184,7 +184,33 @@
   slow.prefill_ms = 20;
   full.prefill_ms = 10;
   for (uint64_t random = 0; random < 50; random++)
-    EXPECT_EQ (choose ({ slow, full }, { 2000, MQ_DOMAIN_STARTED, 500,
-                                         stale_ms, mq_hash_mix (1, random) }),
-               0);
+    EXPECT_EQ (
+        choose ({ slow, full }, { 2000, MQ_DOMAIN_STARTED, 500, stale_ms,
+                                  mq_hash_mix (1, random), 0 }),
+        0);
+}
+
+/* A limit on the share of memory keeps the rest for other requests, and must
+   not interrupt a stream that has started.  */
+TEST (DomainLoad, MemoryLimitRejectsAllButStartedStreams)
+{
+  mq_domain_request limited = { 1000, MQ_DOMAIN_NEW, 500, fresh_ms, 1, 0.5 };
+
+  EXPECT_EQ (choose ({ path (48000) }, limited), 0);
+  EXPECT_EQ (choose ({ path (52000) }, limited), MQ_DOMAIN_NO_MEMORY);
+  EXPECT_EQ (choose ({ path (52000), path (10000) }, limited), 1);
+  limited.rank = MQ_DOMAIN_STARTED;
+  EXPECT_EQ (choose ({ path (52000) }, limited), 0);
+}
+
+/* Without a limit, or with one of the whole memory, nothing changes.  */
+TEST (DomainLoad, NoMemoryLimitLeavesTheLimitOfTheRank)
+{
+  for (double limit : { 0.0, 1.0 })
+    {
+      mq_domain_request r = { 1000, MQ_DOMAIN_NEW, 500, fresh_ms, 1, limit };
+
+      EXPECT_EQ (choose ({ path (90000) }, r), 0);
+      EXPECT_EQ (choose ({ path (91500) }, r), MQ_DOMAIN_NO_MEMORY);
+    }
 }
--- a/tests/test_herding.cc
+++ b/tests/test_herding.cc
@@ -109,7 +109,7 @@
     unsigned r = (unsigned)(random_ () % routers);
     std::array<mq_domain_choice, paths> choices;
     mq_domain_request request
-        = { request_tokens, MQ_DOMAIN_NEW, 500, age_ms_, random_ () };
+        = { request_tokens, MQ_DOMAIN_NEW, 500, age_ms_, random_ (), 0 };
 
     for (unsigned w = 0; w < paths; w++)
       {
--- a/tests/test_overload.cc
+++ b/tests/test_overload.cc
@@ -62,8 +62,8 @@
       mq_domain_choice path
           = { MQ_SPAN ("d"), capacity_tokens, 0, 10, false, true, 0, 0 };
       mq_domain_request request
-          = { 1000, is_retry ? policy.retry_rank : MQ_DOMAIN_NEW, 500, 250,
-              1 };
+          = { 1000, is_retry ? policy.retry_rank : MQ_DOMAIN_NEW, 500, 250, 1,
+              0 };
 
       arrivals.pop ();
       while (!ends.empty () && ends.top () <= now)
