Number the urgency of requests from the configuration

Cause: priorities of routes and organisations are read but not used, and values that are no integers or negative were read as 0, the most urgent.

Change: sealing a routing computes the urgency levels of each service, which are in force only where the routes of the service have different priorities. Nothing uses the levels yet. A configuration whose priority is not an integer from 0 to 1000 is rejected with the place, for example "routes[1].priority"; the one in force stays. The dialect names the header that will carry the level.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -41,6 +41,7 @@
   const char *token_counts;       /* "PROMPT,MAX_ANSWER" in tokens.  */
   const char *answer_estimate;    /* Tokens that the client expects.  */
   const char *at_fault;           /* Address of the engine at fault.  */
+  const char *urgency;            /* Urgency level, 0 the most urgent.  */
 } mq_dialect_headers;
 
 /* Kinds of objects in the store.  */
--- a/include/mq/routing.h
+++ b/include/mq/routing.h
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 #include <mq/str.h>
+#include <mq/urgency.h>
 
 G_BEGIN_DECLS
 
@@ -79,6 +80,7 @@
   mq_str *name;
   unsigned max_connections;
   mq_layered_model model;
+  mq_urgency urgency; /* Of its requests; set by mq_routing_seal.  */
 } mq_route_service;
 
 typedef struct mq_route_organisation
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -141,6 +141,10 @@
   for (guint n = 0; n < routing->organisations->len; n++)
     routing_index_keys (routing, &g_array_index (routing->organisations,
                                                  mq_route_organisation, n));
+  for (guint n = 0; n < routing->services->len; n++)
+    mq_urgency_init (
+        &g_array_index (routing->services, mq_route_service, n).urgency,
+        routing, n);
 }
 
 const mq_route *
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -169,6 +169,34 @@
     }
 }
 
+/* Guards against priorities that wrap around or are read as 0, the most
+   urgent.  */
+TEST (UsersPlatform, RejectsInvalidPriorityWithItsPlace)
+{
+  for (const char *value : { "-1", "1001", "1.5", "1.0", "\"1\"", "true", "[]",
+                             "4294967296", "1e400" })
+    for (const char *list : { "routes", "tenants" })
+      {
+        std::string good = "{\"host\":\"x\",\"pathPrefix\":\"/\",\"service\":"
+                           "\"s\",\"priority\":1000}";
+        std::string bad = good;
+        std::string text = "{\"version\":1,\"services\":[{\"name\":\"s\"}],\"";
+        GError *error = nullptr;
+
+        bad.replace (bad.find ("1000"), 4, value);
+        text += std::string (list) + "\":[" + good + "," + bad + "]}";
+        EXPECT_EQ (mq_users_platform.routing_decode (span (text), &error),
+                   nullptr)
+            << text;
+        ASSERT_NE (error, nullptr) << text;
+        EXPECT_NE (strstr (error->message,
+                           (std::string (list) + "[1].priority").c_str ()),
+                   nullptr)
+            << error->message;
+        g_error_free (error);
+      }
+}
+
 TEST (UsersPlatform, DecodesUpstreamEntry)
 {
   mq_upstream_facts f;
