Apply urgency levels to memory, retry budget, order and headers

Change: gateway_urgency.c is the caller of urgency, urgency_reserve and send_order. The tick and the arrival of budget try waiting requests of services with levels by mq_send_order_sort; a less urgent retry leaves budget to a more urgent one that waits for it at this router. Engines get the level in Marjoramquay-Request-Urgency, and a client's own header of that name is dropped where levels are in force. Rejected urgent requests get a shorter Retry-After. Log events urgency.levels, urgency.limit and urgency.yield; metrics by level.

Tests: test_gateway, test_gateway_fleet, test_gateway_layers and test_gateway_urgency (new) pass.

--- a/include/mq/domain_load.h
+++ b/include/mq/domain_load.h
@@ -59,6 +59,9 @@
 int mq_domain_choose (const mq_domain_choice *choices, size_t n,
                       const mq_domain_request *request);
 
+/* The share of a path's memory that requests of RANK may use.  */
+double mq_domain_memory_share (mq_domain_rank rank);
+
 /* The Retry-After, in ms, for a rejected client whose deadline is LEFT_MS
    away.  RANDOM, uniform over 64 bits, spreads the retries of clients that are
    rejected together.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -36,6 +36,7 @@
 #include <mq/tcp_probe.h>
 #include <mq/cluster.h>
 #include <mq/send_budget.h>
+#include <mq/urgency_reserve.h>
 
 G_BEGIN_DECLS
 
@@ -98,6 +99,7 @@
   uint64_t budget_request_serial;  /* Its serial.  */
   unsigned budget_request_pending; /* Sends that it has not been granted.  */
   mq_layer_plan plan;              /* Of a layered model.  */
+  mq_urgency_reserve urgency;      /* Where levels are in force.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -283,6 +285,12 @@
   uint64_t run_began_us;   /* First event of the last run that had one.  */
   bool cleared;            /* A run outlasted MQ_QUARANTINE_STARTUP_US, so the
                               request is not suspected of crashes.  */
+  int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
+  uint64_t admitted_us;    /* First send of a request with a level; 0: none. */
+  mq_urgency_limit urgency_limit; /* Of its last placement, ...  */
+  double urgency_ratio;           /* ... and the ratio that it was for.  */
+  bool needs_budget; /* The retry budget did not allow its last try.  */
+  bool yielded;      /* It left budget to a more urgent one at some time.  */
   mq_log_buffer log_buffer;
 };
 
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -7,6 +7,7 @@
 
 #include <mq/internal/budget_transfer.h>
 
+#include <mq/internal/gateway_urgency.h>
 #include <mq/log.h>
 
 /* Delay before sends that were not granted are requested again.  A grant takes
@@ -289,22 +290,6 @@
     }
 }
 
-/* Let the forwards that wait for budget send.  */
-static void
-service_resume (mq_gateway *gateway, uint64_t now_us)
-{
-  GList *next;
-
-  for (GList *l = gateway->forwards.head; l != NULL; l = next)
-    {
-      mq_forward *f = l->data;
-
-      next = l->next;
-      if (forward_waits (f))
-        mq_forward_tick (f, now_us);
-    }
-}
-
 static void
 grant_apply (mq_gateway *gateway, const mq_cluster_message_budget *grant)
 {
@@ -325,7 +310,7 @@
   s->budget_request_pending -= sends;
   *gateway->counters.budget_received += sends;
   mq_send_budget_add_grant (&s->budget, sends, now);
-  service_resume (gateway, now);
+  mq_gateway_urgency_tick_begun (gateway, now);
 }
 
 void
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/internal/budget_transfer.h>
+#include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
 #include <mq/log.h>
 #include <sodium.h>
@@ -151,17 +152,12 @@
 {
   mq_gateway *g = timer->data;
   uint64_t now = mq_gateway_now_us ();
-  GList *next;
 
   (void)loop;
   (void)revents;
   g->ticks++;
   g->prefilling_ranks = 0;
-  for (GList *l = g->forwards.head; l != NULL; l = next)
-    {
-      next = l->next;
-      mq_forward_tick (l->data, now);
-    }
+  mq_gateway_urgency_tick (g, now);
   if (g->ticks % BACKGROUND_TICKS == 0 && g->leads)
     mq_stall_tick (g, now);
   mq_crash_tick (g, now);
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -11,6 +11,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_urgency.h>
 #include <mq/log.h>
 
 /* How long the store may hold one follow call.  Calls are charged, so this is
@@ -385,6 +386,7 @@
           "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
           " source=%s routes=%u",
           r->version, before, source, r->routes->len);
+  mq_gateway_urgency_log_levels (gateway);
   /* Announce it at the next heartbeat, so that peers do not send it again.  */
   gateway->reported_us = 0;
   mq_gateway_propagate_routing (gateway, scope);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -7,6 +7,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
 #include <mq/log.h>
 #include <string.h>
@@ -59,6 +60,7 @@
 
   forward_drop_send (f);
   mq_forward_release_path (f);
+  mq_gateway_urgency_note_end (f);
   g_queue_unlink (&f->gateway->forwards, &f->link);
   mq_http_exchange_set_user (f->exchange, NULL);
   mq_http_exchange_unref (f->exchange);
@@ -127,6 +129,8 @@
 
   ++*(refused ? forward->gateway->counters.refused
               : forward->gateway->counters.failed);
+  if (refused)
+    mq_gateway_urgency_note_rejected (forward);
   /* Retry-After promises that the request did not run.  */
   mq_gateway_reply_status (forward->exchange, status, refused ? retry_ms : 0);
   mq_forward_end (forward, refused ? "refused" : "failed", status, why);
@@ -482,6 +486,7 @@
 
   f->gateway = gateway;
   f->link.data = f;
+  f->level = MQ_URGENCY_NONE;
   f->exchange = mq_http_exchange_ref (exchange);
   f->routing = mq_routing_ref (gateway->routing);
   f->route = route;
@@ -513,6 +518,7 @@
       return;
     }
   forward_set_need (f);
+  mq_gateway_urgency_note_request (f, now);
   mq_send_budget_note_request (
       &mq_gateway_service_state (gateway, f->service)->budget,
       mq_cluster_count_alive (&gateway->cluster, now) + 1, now);
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -3,6 +3,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_urgency.h>
 #include <mq/log.h>
 #include <string.h>
 
@@ -201,8 +202,10 @@
   return now_us - since < MAX_PREFILL_WAIT_US;
 }
 
+/* The request of FORWARD for one of the N CHOICES.  */
 static mq_domain_request
-forward_request (const mq_forward *forward, uint64_t now_us)
+forward_request (mq_forward *forward, const mq_domain_choice *choices,
+                 size_t n, uint64_t now_us)
 {
   mq_gateway *g = forward->gateway;
 
@@ -213,7 +216,8 @@
                      ? forward->route->target_ms
                      : 0,
     .age_ms = mq_cluster_counts_age_ms (&g->cluster, now_us),
-    .random = mq_gateway_random (g)
+    .random = mq_gateway_random (g),
+    .memory_limit = mq_gateway_urgency_limit (forward, choices, n, now_us)
   };
 }
 
@@ -371,18 +375,22 @@
   mq_domain_choice choices[MAX_PATHS];
   path_candidate *candidates = g_new0 (path_candidate, MAX_PATHS);
   size_t n = candidates_list (forward, now_us, candidates, choices);
-  mq_domain_request request = forward_request (forward, now_us);
+  mq_domain_request request = forward_request (forward, choices, n, now_us);
   int chosen = mq_domain_choose (choices, n, &request);
 
   if (chosen >= 0)
     place_take (forward, &candidates[chosen], &choices[chosen], now_us);
   else
     {
-      *retry_ms = mq_domain_retry_after_ms (
-          (forward->state.deadline_us - now_us) / 1000,
-          mq_gateway_random (forward->gateway));
+      *retry_ms = mq_gateway_urgency_retry_ms (
+          forward, mq_domain_retry_after_ms (
+                       (forward->state.deadline_us - now_us) / 1000,
+                       mq_gateway_random (forward->gateway)));
       if (!forward->state.response_started && !forward->waiting)
-        place_log_choices (forward, choices, n);
+        {
+          place_log_choices (forward, choices, n);
+          mq_gateway_urgency_log_limit (forward);
+        }
     }
   for (size_t i = 0; i < n; i++)
     candidate_finish (&candidates[i]);
@@ -399,7 +407,7 @@
   mq_domain_choice choices[MAX_PATHS];
   path_candidate *candidates = g_new0 (path_candidate, MAX_PATHS);
   size_t n = candidates_list (forward, now_us, candidates, choices);
-  mq_domain_request request = forward_request (forward, now_us);
+  mq_domain_request request = forward_request (forward, choices, n, now_us);
   size_t others = 0;
 
   for (size_t i = 0; i < n; i++)
@@ -416,7 +424,8 @@
 mq_forward_can_move (mq_forward *forward, uint64_t now_us)
 {
   bool budget
-      = mq_gateway_has_budget (forward->gateway, forward->service, now_us);
+      = mq_gateway_has_budget (forward->gateway, forward->service, now_us)
+        && !mq_gateway_urgency_yields (forward);
 
   forward->state.now_us = now_us;
   return mq_forward_decide (&forward->state, MQ_SEND_TIMED_OUT, 0, budget).verb
@@ -469,6 +478,7 @@
   if (forward->path_load == NULL)
     return;
   mq_forward_note_prefilled (forward);
+  mq_gateway_urgency_note_released (forward);
   forward->path_load->tokens -= forward->need_tokens;
   forward->path_load = NULL;
 }
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -3,6 +3,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_urgency.h>
 #include <mq/internal/http_header.h>
 #include <mq/log.h>
 #include <string.h>
@@ -98,7 +99,9 @@
   const mq_http_header *h = mq_http_exchange_headers (forward->exchange, &n);
 
   for (size_t i = 0; i < n; i++)
-    if (!header_is_dropped (names, &h[i]))
+    if (!header_is_dropped (names, &h[i])
+        && (forward->level == MQ_URGENCY_NONE
+            || !header_is_named (&h[i], names->urgency)))
       g_array_append_val (headers->list, h[i]);
   headers_add_number (headers, names->time_left_ms,
                       left_ms > ENGINE_RESERVE_MS ? left_ms - ENGINE_RESERVE_MS
@@ -108,6 +111,8 @@
   if (forward->organisation != NULL)
     headers_add (headers, names->organisation,
                  mq_str_span (forward->organisation->name));
+  if (forward->level != MQ_URGENCY_NONE)
+    headers_add_number (headers, names->urgency, (uint64_t)forward->level);
   if (forward->path.n > 0)
     headers_add_path (headers, forward);
   if (forward->split.last_id > 0)
@@ -157,10 +162,12 @@
 /* Returns true if the retry budget allows a send of FORWARD now.  Checked at
    each send, as requests that waited for room are sent together.  */
 static bool
-send_is_in_budget (const mq_forward *forward, uint64_t now_us)
+send_is_in_budget (mq_forward *forward, uint64_t now_us)
 {
   return forward->state.arrived == 0
-         || mq_gateway_has_budget (forward->gateway, forward->service, now_us);
+         || (!mq_gateway_urgency_yields (forward)
+             && mq_gateway_has_budget (forward->gateway, forward->service,
+                                       now_us));
 }
 
 /* Returns the time for which FORWARD is quarantined, since requests of its
@@ -257,7 +264,8 @@
           "quarantined");
       return;
     }
-  if (!send_is_in_budget (f, now_us))
+  f->needs_budget = !send_is_in_budget (f, now_us);
+  if (f->needs_budget)
     {
       if (send_begun_may_wait (f, now_us))
         return;
@@ -273,6 +281,7 @@
       return;
     }
   f->waiting = false;
+  mq_gateway_urgency_note_sent (f, now_us);
   if (f->state.arrived > 0)
     {
       mq_send_budget_note_retry (
--- a/packages/route/domain_load.c
+++ b/packages/route/domain_load.c
@@ -194,6 +194,12 @@
   return chosen;
 }
 
+double
+mq_domain_memory_share (mq_domain_rank rank)
+{
+  return memory_share[rank];
+}
+
 unsigned
 mq_domain_retry_after_ms (uint64_t left_ms, uint64_t random)
 {
--- /dev/null
+++ b/tests/test_gateway_urgency.cc
@@ -0,0 +1,168 @@
+/* A router in gateway mode whose model service has routes of different
+   priorities.  */
+
+#include "support/gateway_fixture.h"
+
+#include <map>
+
+using gateway::Answer;
+using gateway::events;
+using gateway::Headers;
+using gateway::key;
+using gateway::Upstream;
+
+namespace
+{
+
+class GatewayUrgency : public gateway::Fixture
+{
+protected:
+  /* Put VERSION of the configuration in force, in which the route /low/ of the
+     model has PRIORITY; that of the others is 0.  */
+  void
+  configure_low (unsigned version, const std::string &priority)
+  {
+    std::string low = route ("/low/", "streaming", "model", 2);
+
+    low.insert (low.size () - 1, ",\"priority\":" + priority);
+    configure (version, "," + low);
+  }
+
+  /* Let all engines send complete streams.  */
+  void
+  serve_streams ()
+  {
+    for (auto &p : upstreams)
+      {
+        Upstream *u = p.get ();
+
+        u->serve = [u] (mq_http_exchange *x) {
+          u->begin (x);
+          Upstream::events (x, 1, 2);
+          mq_http_exchange_end (x);
+        };
+      }
+  }
+
+  bool
+  in_force (unsigned version)
+  {
+    std::string line
+        = "marjoramquay_configuration_version " + std::to_string (version);
+
+    return until ([&] { return metrics ().find (line) != std::string::npos; });
+  }
+
+  std::string
+  metrics ()
+  {
+    return fetch ("GET", "/metrics", {}, "", metrics_port).body;
+  }
+
+  /* The urgency header that the engine gets for a request of TARGET, whose
+     client sends one too.  */
+  std::string
+  sent_urgency (const std::string &target)
+  {
+    const char *name = "Marjoramquay-Request-Urgency";
+    Headers more = key;
+
+    for (auto &u : upstreams)
+      u->received_requests.clear ();
+    more.push_back ({ name, "7" });
+    EXPECT_EQ (fetch ("POST", target, more).status, 200u);
+    for (auto &u : upstreams)
+      for (auto &r : u->received_requests)
+        return r.headers.count (name) ? r.headers.at (name) : "none";
+    return "not sent";
+  }
+};
+
+} // namespace
+
+/* Guards against clients that choose their own urgency, and against a change
+   for services whose routes have equal priorities.  */
+TEST_F (GatewayUrgency, EnginesGetLevelWhereLevelsAreInForce)
+{
+  start_chains ();
+  serve_streams ();
+  configure_low (2, "0");
+  ASSERT_TRUE (in_force (2));
+  EXPECT_EQ (sent_urgency ("/stream/1"), "7");
+  EXPECT_EQ (sent_urgency ("/low/1"), "7");
+  EXPECT_EQ (metrics ().find ("marjoramquay_urgency"), std::string::npos);
+  configure_low (3, "2");
+  ASSERT_TRUE (in_force (3));
+  EXPECT_EQ (sent_urgency ("/stream/1"), "0");
+  EXPECT_EQ (sent_urgency ("/low/1"), "1");
+  std::string m = metrics ();
+  for (const char *line :
+       { "marjoramquay_urgency_requests_total{level=\"0\",outcome=\"admitted\""
+         "} 1",
+         "marjoramquay_urgency_requests_total{level=\"1\",outcome=\"admitted\""
+         "} 1",
+         "marjoramquay_urgency_headroom_tokens{level=\"1\"}" })
+    EXPECT_NE (m.find (line), std::string::npos) << line << "\n" << m;
+}
+
+TEST_F (GatewayUrgency, InvalidPriorityLeavesPresentConfigurationInForce)
+{
+  start_chains ();
+  serve_streams ();
+  configure_low (2, "-1");
+  wait (0.2);
+  EXPECT_EQ (fetch ("POST", "/low/1").status, 404u);
+  EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
+  configure_low (3, "1000");
+  ASSERT_TRUE (in_force (3));
+  EXPECT_EQ (fetch ("POST", "/low/1").status, 200u);
+}
+
+/* All engines fail two streams when the retry budget allows one retry before
+   the clients disconnect.  Guards against granting it to the stream that came
+   first.  */
+TEST_F (GatewayUrgency, MoreUrgentStreamGetsLastRetryOfBudget)
+{
+  std::map<std::string, mq_http_exchange *> open;
+  Answer low, urgent;
+
+  sends_slack = 5;
+  sends_window_ms = 6000; /* The first fifth of it has no budget.  */
+  start_chains ();
+  configure_low (2, "2");
+  ASSERT_TRUE (in_force (2));
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, &open] (mq_http_exchange *x) {
+        auto &r = u->received_requests.back ();
+
+        u->begin (x);
+        if (r.headers.count ("Last-Event-Id") != 0)
+          {
+            Upstream::events (x, 3, 4);
+            mq_http_exchange_end (x);
+            return;
+          }
+        Upstream::events (x, 1, 2);
+        open[r.target] = mq_http_exchange_ref (x);
+      };
+    }
+  start_request (low, "POST", "/low/1", key);
+  ASSERT_TRUE (until ([&] { return open.size () == 1; }));
+  start_request (urgent, "POST", "/stream/1", key);
+  ASSERT_TRUE (until ([&] { return open.size () == 2; }));
+  for (const char *target : { "/low/1", "/stream/1" })
+    {
+      mq_http_exchange *x = open.at (target);
+
+      mq_http_exchange_write (x, MQ_SPAN ("id: 3\ndata: ha"));
+      mq_http_exchange_end (x);
+      mq_http_exchange_unref (x);
+    }
+  ASSERT_TRUE (until ([&] { return urgent.ended; }));
+  wait (0.2);
+  EXPECT_EQ (urgent.body, events (1, 4));
+  EXPECT_EQ (low.body, events (1, 2));
+}
