--- a/tests/test_urgency_replay.cc
+++ b/tests/test_urgency_replay.cc
@@ -3,7 +3,8 @@
    one of the most urgent (1.7 times for 3.5 s), and too little memory.  The
    table that the tests print shows, for each route and by number, the shares
    that were served in time and that were lost, of the requests that arrived
-   during the bursts.  */
+   during the bursts, and for the whole run the share in time and the credit.
+ */
 
 #include "support/urgency_sim.h"
 
@@ -114,7 +115,14 @@
   printf ("%2u routers, fill %.2f, %-16s", load.routers, load.fill, name);
   for (auto &c : r.burst)
     printf (" %.3f/%.3f", c.in_time_share (), c.lost / c.requests);
-  printf (" credit %.3f cancelled %u\n", credit (r), r.cancelled / seeds);
+  double in_time = 0, requests = 0;
+  for (auto &c : r.all)
+    {
+      in_time += c.in_time;
+      requests += c.requests;
+    }
+  printf (" all in time %.3f credit %.3f cancelled %u\n", in_time / requests,
+          credit (r), r.cancelled / seeds);
 }
 
 } // namespace
