Close the connection of a stream that is aborted while it is idle

What clients saw: a stream that the router had aborted stayed silent, and they waited until they timed out 2 s after its last event, instead of resuming it at once.

Cause: for an error of the content reader, libmicrohttpd 0.9.75 marks the connection as closed and removes it from its list of ready connections. It closes the socket when it next looks at that connection: at an event of the socket, or at its idle timeout of 40 s. A suspended connection that was resumed for the abort has no such event. Ruled out: the resume itself (the content reader is called) and the order of the exchange's references.

Change: the socket is shut down in all cases, which is the event that makes the library close it.

--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -203,18 +203,17 @@
                                exchange_add_pair, exchange);
 }
 
-/* Abort the response.  A suspended connection is resumed to detect this; any
-   other detects it by the shutdown of its socket.  */
+/* Abort the response.  The shutdown of its socket closes the connection: on an
+   error of the content reader alone, libmicrohttpd 0.9.75 keeps a connection
+   that it has just resumed open until its next event or timeout.  */
 static void
 exchange_abort (mq_http_exchange *exchange)
 {
   exchange->phase = MQ_HTTP_PHASE_ABORTED;
   if (exchange->mhd == NULL)
     return;
-  if (exchange->suspended)
-    exchange_wake (exchange);
-  else
-    shutdown (exchange->connection->fd, SHUT_RDWR);
+  shutdown (exchange->connection->fd, SHUT_RDWR);
+  exchange_wake (exchange);
 }
 
 void
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -500,6 +500,50 @@
   EXPECT_EQ (x.body, events (1, 4));
 }
 
+/* Of two streams that break, the budget allows one to resume.  Guards against
+   an abort that the other's client does not notice: it would wait until it
+   times out, and could have resumed elsewhere.  */
+TEST_F (Gateway, ClientOfAbortedStreamIsDisconnectedAtOnce)
+{
+  std::vector<mq_http_exchange *> open;
+  Answer a;
+  Answer b;
+
+  sends_slack = 5;
+  sends_window_ms = 6000; /* The first fifth of it has no budget.  */
+  start_chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, &open] (mq_http_exchange *x) {
+        bool resumed
+            = u->received_requests.back ().headers.count ("Last-Event-Id");
+
+        u->begin (x);
+        Upstream::events (x, resumed ? 3 : 1, resumed ? 4 : 2);
+        if (resumed)
+          mq_http_exchange_end (x);
+        else
+          open.push_back (mq_http_exchange_ref (x));
+      };
+    }
+  start_request (a, "POST", "/stream/1", key);
+  start_request (b, "POST", "/stream/2", key);
+  ASSERT_TRUE (until ([&] { return open.size () == 2; }));
+  for (mq_http_exchange *x : open)
+    {
+      mq_http_exchange_write (x, MQ_SPAN ("id: 3\ndata: ha"));
+      mq_http_exchange_end (x);
+      mq_http_exchange_unref (x);
+    }
+  ASSERT_TRUE (until ([&] { return a.ended || b.ended; }));
+  /* The router gives up 1.6 s after the last event.  */
+  wait (1);
+  EXPECT_TRUE (a.ended && b.ended);
+  EXPECT_NE (a.result, b.result);
+}
+
 /* A stage without memory for one more request refuses at once.  Guards against
    treating it as down and ordering its layers onto other engines.  */
 TEST_F (Gateway, StageWithoutMemoryIsNotReplaced)
