Let requests wait for a starting router's first view, and speed it up

Watching routers knew all engines at 38.45 s, but 22 routers got the list at 40.3 to 40.7 s and one at 41.9 s: changes that a relay propagated before it heard a router were not repeated, the complete list waited for LIST_LAG_US, a digest that had been the relay's own shortly before counted as up to date, a first message is dropped while its connection opens, and a router that does not watch the store read the list only once.

Change: a request for a service that is not known yet waits (MQ_PLACE_UNKNOWN) within the bounds of service_view.c, and so does one that arrives before the configuration, in place of the router's first second; Retry-After follows the cause. A relay that watches the store compares the digest of a router that just appeared with its own since then, sends the list at the next tick, again if it was dropped, and at a bounded rate. A router that does not watch the store reads the list up to three times more; one that does gathers changes for 0.2 s. A router that has settled decides as before.

RefusesAtOnceWithoutCompleteChain now tests a router that has settled, as one that has just started waits.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -75,6 +75,9 @@
   uint64_t upstreams_digest;
   uint64_t upstreams_newest;
   uint64_t received_us; /* When its last message came; 0: never.  */
+  uint64_t appeared_us; /* When the first message of its incarnation came, or
+                           the owner last failed to send it a change soon
+                           after that.  */
   uint64_t named_us;    /* When another router or the platform last named it;
                            0: never.  */
   uint64_t unanswered_since_us;    /* First message to it since it was last
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -24,6 +24,7 @@
 #include <mq/gateway.h>
 #include <mq/http_client.h>
 #include <mq/http_server.h>
+#include <mq/internal/gateway_view.h>
 #include <mq/latency_estimate.h>
 #include <mq/layer_plan.h>
 #include <mq/log.h>
@@ -81,6 +82,7 @@
   mq_str *after;     /* Scan: last name of the previous page, or NULL.  */
   GHashTable *seen;  /* Scan: names so far, owned; or NULL.  */
   bool scanned;      /* A scan has completed in this process.  */
+  bool rereads;      /* The scan in progress is one of mq_feed_reread.  */
   unsigned failures; /* Consecutive failed calls.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
@@ -98,6 +100,7 @@
   uint64_t budget_request_serial;  /* Its serial.  */
   unsigned budget_request_pending; /* Sends that it has not been granted.  */
   mq_layer_plan plan;              /* Of a layered model.  */
+  mq_gateway_service_view view;    /* Whether its upstreams are known.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -115,8 +118,10 @@
 {
   MQ_PLACE_OK,
   MQ_PLACE_NO_ROOM,
-  MQ_PLACE_PREFILLING /* There is memory, but the prompts queued there take too
-                         long to prefill.  */
+  MQ_PLACE_PREFILLING, /* There is memory, but the prompts queued there take
+                          too long to prefill.  */
+  MQ_PLACE_UNKNOWN     /* This router has just started and does not know the
+                          upstreams of the service yet.  */
 } mq_place_result;
 
 /* Values of the metrics, owned by the gateway's mq_metrics.  */
@@ -189,6 +194,7 @@
   mq_feed upstream_feed;
   uint64_t routing_since_us;       /* When ROUTING came into force here.  */
   uint64_t newest_routing_version; /* That any gossip named.  */
+  mq_gateway_view view;            /* Of all services, after the start.  */
   mq_lag own_routing_lag; /* A peer's configuration is newer than ours.  */
   mq_lag upstreams_lag;   /* A relay knows newer upstreams than we do.  */
   uint64_t store_recovered_us; /* First reply after failures; 0: none.  */
@@ -270,6 +276,7 @@
                               a limit that did not allow it ...  */
   bool resting;            /* ... or accepts nothing from this router.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
+  bool view_waits;         /* The same, as its service is not known yet.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
@@ -485,6 +492,10 @@
 void mq_feed_resume (mq_feed *feed);
 /* Cancel the call in progress, which may hang, and call again.  */
 void mq_feed_restart (mq_feed *feed);
+/* Scan once more, without a call in progress; an answer that is some seconds
+   old suffices.  A call that fails is not repeated, unless this router follows
+   the feed by then.  */
+void mq_feed_reread (mq_feed *feed);
 /* Cancel the call in progress and scan again.  */
 void mq_feed_refresh (mq_feed *feed);
 /* Decode the configuration TEXT from SOURCE (a word for the log), put it in
@@ -526,8 +537,9 @@
 /* Encode MESSAGE for any number of receivers.  Free with
    mq_peers_shared_free.  */
 mq_peers_shared *mq_gateway_encode_message (const mq_cluster_message *message);
-/* Send ROUTER the encoded message BYTES of KIND.  */
-void mq_gateway_gossip_send (mq_gateway *gateway, mq_cluster_member *router,
+/* Send ROUTER the encoded message BYTES of KIND.  Returns false if it was
+   dropped, since there is no connection yet.  */
+bool mq_gateway_gossip_send (mq_gateway *gateway, mq_cluster_member *router,
                              mq_cluster_message_kind kind,
                              const mq_peers_shared *bytes);
 /* Encode MESSAGE and send it to ROUTER.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -16,9 +16,11 @@
 /* Less than the gap between two events of a stream.  */
 #define SILENCE_TICK_MS 15
 /* Intervals, in ticks, of the checks for slow engines and of the quarantine,
-   and of orders to engines.  */
+   of orders to engines, and of the check whether all services are known, which
+   searches for paths.  */
 #define BACKGROUND_TICKS 5
 #define ORDER_TICKS 2
+#define VIEW_TICKS 2
 
 /* For a call to the store, in addition to the time for which a watch waits. */
 #define STORE_TIMEOUT_MS 1000
@@ -169,6 +171,8 @@
   if (g->ticks % BACKGROUND_TICKS == 0)
     mq_gateway_quarantine_tick (g, now);
   mq_members_tick (g, now);
+  if (g->ticks % VIEW_TICKS == 0)
+    mq_gateway_view_tick (g, now);
   if (g->ticks % ORDER_TICKS == 0 || g->orders_due)
     mq_orders_tick (g, now);
   if (g->mode == MQ_GATEWAY_DRAINING)
@@ -253,6 +257,7 @@
   g_queue_init (&g->early_requests);
   g->metrics = mq_metrics_new ();
   mq_gateway_metrics_init (g);
+  mq_gateway_view_init (g);
   mq_gateway_quarantine_init (g);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -36,6 +36,9 @@
    large fleet starts: all engines report then, and shorter delays would cost
    most of the fleet's calls before traffic begins.  */
 #define GATHER_STARTING_DELAY_S 0.8
+/* The same while a service is not known yet that was probably served before:
+   its first send should follow the return of its engines within 0.3 s.  */
+#define GATHER_UNKNOWN_DELAY_S 0.2
 #define STARTING_PERIOD_US ((uint64_t)10 * 1000 * 1000)
 #define STARTING_MIN_ROUTERS 16
 #define NO_DELAY_S 0.
@@ -94,7 +97,7 @@
       request.after = mq_str_span (feed->after);
       /* A stale read suffices at the start: it is cheap for the store when
          hundreds of routers start together, and peers send newer versions. */
-      request.stale = !feed->scanned;
+      request.stale = !feed->scanned || feed->rereads;
       break;
     case MQ_FEED_FOLLOWING:
       request.op = MQ_PLATFORM_FOLLOW;
@@ -173,10 +176,14 @@
   mq_gateway *g = feed->gateway;
 
   if (!feed_is_routing (feed))
-    mq_gateway_prune_upstreams (g, feed->seen, feed->revision);
+    {
+      mq_gateway_prune_upstreams (g, feed->seen, feed->revision);
+      mq_gateway_view_note_list (g, MQ_VIEW_SOURCE_STORE);
+    }
   g_clear_pointer (&feed->seen, g_hash_table_unref);
   g_clear_pointer (&feed->after, mq_str_unref);
   feed->scanned = true;
+  feed->rereads = false;
   feed->state = MQ_FEED_FOLLOWING;
   feed_continue (feed, NO_DELAY_S);
 }
@@ -205,14 +212,16 @@
 static double
 feed_gather_delay (const mq_feed *feed)
 {
-  const mq_gateway *g = feed->gateway;
+  mq_gateway *g = feed->gateway;
   bool starting
       = mq_gateway_now_us () < g->started_us + STARTING_PERIOD_US
         && g_hash_table_size (g->cluster.routers) > STARTING_MIN_ROUTERS;
 
-  return starting && !g->leads && !feed_is_routing (feed)
-             ? GATHER_STARTING_DELAY_S
-             : GATHER_DELAY_S;
+  if (!starting || g->leads || feed_is_routing (feed))
+    return GATHER_DELAY_S;
+  return mq_gateway_view_gather_is_short (g, mq_gateway_now_us ())
+             ? GATHER_UNKNOWN_DELAY_S
+             : GATHER_STARTING_DELAY_S;
 }
 
 static void
@@ -248,12 +257,28 @@
   feed_schedule_call (feed, NO_DELAY_S);
 }
 
+/* End a scan of mq_feed_reread that failed.  */
+static void
+feed_abandon_reread (mq_feed *feed)
+{
+  feed->rereads = false;
+  feed->state = MQ_FEED_FOLLOWING;
+  g_clear_pointer (&feed->seen, g_hash_table_unref);
+  g_clear_pointer (&feed->after, mq_str_unref);
+}
+
 static void
 feed_on_reply (void *context, const mq_platform_reply *reply)
 {
   mq_feed *feed = context;
 
   feed->call = NULL;
+  if (reply->result != MQ_PLATFORM_OK && feed->rereads
+      && !feed->follow.follows)
+    {
+      feed_abandon_reread (feed);
+      return;
+    }
   if (reply->result == MQ_PLATFORM_HISTORY_EXPIRED)
     {
       feed_rescan (feed);
@@ -333,6 +358,14 @@
   feed_call (feed);
 }
 
+void
+mq_feed_reread (mq_feed *feed)
+{
+  feed->rereads = true;
+  feed->state = MQ_FEED_SCANNING;
+  feed_call (feed);
+}
+
 void
 mq_feed_refresh (mq_feed *feed)
 {
@@ -350,6 +383,7 @@
   if (feed->call != NULL)
     mq_platform_cancel (feed->call);
   feed->call = NULL;
+  feed->rereads = false;
   feed->linger_until_us = 0;
   g_clear_pointer (&feed->seen, g_hash_table_unref);
   g_clear_pointer (&feed->after, mq_str_unref);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -59,6 +59,7 @@
 
   forward_drop_send (f);
   mq_forward_release_path (f);
+  mq_gateway_view_stop_waiting (f);
   g_queue_unlink (&f->gateway->forwards, &f->link);
   mq_http_exchange_set_user (f->exchange, NULL);
   mq_http_exchange_unref (f->exchange);
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -33,7 +33,7 @@
 
 /* ---- Sending.  */
 
-void
+bool
 mq_gateway_gossip_send (mq_gateway *gateway, mq_cluster_member *router,
                         mq_cluster_message_kind kind,
                         const mq_peers_shared *bytes)
@@ -44,9 +44,10 @@
   mq_peers_connect (gateway->peers, address);
   mq_cluster_note_sent (router, mq_gateway_now_us ());
   if (mq_peers_send_shared (gateway->peers, address, bytes) < 0)
-    return; /* Not connected yet; mq_peers counts the drop.  */
+    return false; /* Not connected yet; mq_peers counts the drop.  */
   ++*gateway->counters.peer_messages[kind][far];
   *gateway->counters.peer_bytes[kind][far] += mq_peers_shared_size (bytes);
+  return true;
 }
 
 mq_peers_shared *
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -14,16 +14,9 @@
 #define STATUS_NOT_FOUND 404
 #define STATUS_TOO_LARGE 413
 
-/* Retry-After of a router that is not ready; by then it should have received
-   its configuration.  */
+/* Retry-After of a router that drains or names no addresses.  */
 #define UNREADY_RETRY_AFTER_MS 500
 
-/* Requests wait for the first configuration until the process is this old.  A
-   store that is reached provides one much sooner, and a refusal would use up
-   one of a client's few attempts.  */
-#define MAX_START_WAIT_US ((uint64_t)1000 * 1000)
-#define MAX_EARLY_REQUESTS 1024
-
 /* Addresses in one response of the directory.  */
 #define MAX_DIRECTORY_ADDRESSES 64
 /* A domain with fewer serving routers gives its clients remote ones too.  */
@@ -75,9 +68,10 @@
   return found;
 }
 
+/* Reject EXCHANGE with STATUS, and with Retry-After unless RETRY_MS is 0.  */
 static void
-refuse_request (mq_gateway *gateway, mq_http_exchange *exchange,
-                unsigned status, const char *why)
+refuse_request_for (mq_gateway *gateway, mq_http_exchange *exchange,
+                    unsigned status, unsigned retry_ms, const char *why)
 {
   mq_span id = mq_http_exchange_header (exchange,
                                         gateway->dialect->headers.request_id);
@@ -92,9 +86,16 @@
           gateway->routing ? gateway->routing->version : 0,
           mq_feed_age_ms (&gateway->routing_feed, mq_gateway_now_us ()));
   mq_str_unref (path);
-  mq_gateway_reply_status (
-      exchange, status,
-      status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_AFTER_MS : 0);
+  mq_gateway_reply_status (exchange, status, retry_ms);
+}
+
+static void
+refuse_request (mq_gateway *gateway, mq_http_exchange *exchange,
+                unsigned status, const char *why)
+{
+  refuse_request_for (
+      gateway, exchange, status,
+      status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_AFTER_MS : 0, why);
 }
 
 /* Returns true if a request of ROUTE that arrives now might not complete
@@ -171,13 +172,32 @@
   return gateway->routing != NULL && gateway->upstreams_known;
 }
 
-/* Returns true if a request that arrives now may wait for the configuration.
- */
+/* Returns true if EXCHANGE, which arrived at ARRIVED_US, may wait for the
+   configuration at NOW_US.  WAITS: it does already.  */
 static bool
-may_wait_for_configuration (const mq_gateway *gateway, uint64_t now_us)
+may_wait_for_configuration (const mq_gateway *gateway,
+                            const mq_http_exchange *exchange, bool waits,
+                            uint64_t arrived_us, uint64_t now_us)
+{
+  uint64_t left_ms;
+
+  if (mq_span_to_u64 (mq_http_exchange_header (
+                          exchange, gateway->dialect->headers.time_left_ms),
+                      &left_ms)
+      != 0)
+    left_ms = 0;
+  return mq_gateway_view_may_wait_early (gateway, waits, arrived_us, left_ms,
+                                         now_us);
+}
+
+/* Reject EXCHANGE, since the configuration is not known.  */
+static void
+refuse_early_request (mq_gateway *gateway, mq_http_exchange *exchange,
+                      uint64_t now_us)
 {
-  return now_us - gateway->started_us < MAX_START_WAIT_US
-         && gateway->early_requests.length < MAX_EARLY_REQUESTS;
+  refuse_request_for (gateway, exchange, MQ_STATUS_UNAVAILABLE,
+                      mq_gateway_view_early_retry_ms (gateway, now_us),
+                      "no-configuration");
 }
 
 static void
@@ -212,17 +232,22 @@
 {
   GQueue *q = &gateway->early_requests;
   bool known = knows_configuration (gateway);
+  GList *next;
 
-  while (q->length > 0
-         && (known || now_us - gateway->started_us >= MAX_START_WAIT_US))
+  for (GList *l = q->head; l != NULL; l = next)
     {
-      early_request *e = g_queue_pop_head (q);
+      early_request *e = l->data;
 
+      next = l->next;
+      if (!known
+          && may_wait_for_configuration (gateway, e->exchange, true,
+                                         e->arrived_us, now_us))
+        continue;
+      g_queue_delete_link (q, l);
       if (known)
         route_request (gateway, e->exchange, e->arrived_us);
       else
-        refuse_request (gateway, e->exchange, MQ_STATUS_UNAVAILABLE,
-                        "no-configuration");
+        refuse_early_request (gateway, e->exchange, now_us);
       early_request_free (e);
     }
 }
@@ -244,11 +269,10 @@
   ++*gateway->counters.requests;
   if (knows_configuration (gateway))
     route_request (gateway, exchange, now);
-  else if (may_wait_for_configuration (gateway, now))
+  else if (may_wait_for_configuration (gateway, exchange, false, now, now))
     early_request_add (gateway, exchange, now);
   else
-    refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE,
-                    "no-configuration");
+    refuse_early_request (gateway, exchange, now);
 }
 
 void
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -365,6 +365,18 @@
   g_string_free (text, TRUE);
 }
 
+/* Returns true if FORWARD found nothing to choose from because this router
+   does not know the upstreams of its service yet, and then sets *RETRY_MS.  */
+static bool
+place_is_unknown (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
+{
+  if (mq_gateway_view_decide (forward->gateway, forward->service, now_us).state
+      != MQ_SERVICE_VIEW_UNKNOWN)
+    return false;
+  *retry_ms = mq_gateway_view_retry_ms (forward);
+  return true;
+}
+
 static mq_place_result
 place_path (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
@@ -373,10 +385,11 @@
   size_t n = candidates_list (forward, now_us, candidates, choices);
   mq_domain_request request = forward_request (forward, now_us);
   int chosen = mq_domain_choose (choices, n, &request);
+  bool unknown = n == 0 && place_is_unknown (forward, now_us, retry_ms);
 
   if (chosen >= 0)
     place_take (forward, &candidates[chosen], &choices[chosen], now_us);
-  else
+  else if (!unknown)
     {
       *retry_ms = mq_domain_retry_after_ms (
           (forward->state.deadline_us - now_us) / 1000,
@@ -389,6 +402,8 @@
   g_free (candidates);
   if (chosen >= 0)
     return MQ_PLACE_OK;
+  if (unknown)
+    return MQ_PLACE_UNKNOWN;
   return chosen == MQ_DOMAIN_PREFILL_BACKLOG ? MQ_PLACE_PREFILLING
                                              : MQ_PLACE_NO_ROOM;
 }
@@ -441,11 +456,14 @@
     }
   else
     u = place_instance (forward, now_us);
+  if (u == NULL && place_is_unknown (forward, now_us, retry_ms))
+    return MQ_PLACE_UNKNOWN;
   if (u == NULL)
     {
       *retry_ms = NO_UPSTREAM_RETRY_AFTER_MS;
       return MQ_PLACE_NO_ROOM;
     }
+  mq_gateway_view_note_served (forward->gateway, forward->service);
   forward->upstream = mq_upstream_ref (u);
   u->in_flight++;
   mq_gateway_note_send (forward->gateway, u, MQ_SEND_FOR_REQUEST, now_us);
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -24,6 +24,12 @@
    ours for this long: a small VM takes a while to apply the list, and receives
    each change separately anyway.  */
 #define LIST_LAG_US ((uint64_t)2000 * 1000)
+/* A router that started just now, whose list is not ours, has missed what was
+   propagated before it was first heard.  For LIST_LAG_US it gets the complete
+   list without a delay from a router that follows the store.  At each tick
+   such lists go out until they hold so many entries, about 100 KB: slow VMs
+   have 20 Mbit/s, and hundreds of routers may start together.  */
+#define MAX_FIRST_ENTRIES_PER_TICK 400
 
 /* A watch delivers a change within some ms, but may hang when the store
    compacts its history meanwhile.  A follower that lags behind a peer for this
@@ -62,6 +68,14 @@
 typedef bool (*router_predicate) (const mq_gateway *gateway,
                                   const mq_cluster_member *router);
 
+/* Returns true if the first message of ROUTER's incarnation came, or a change
+   to it was dropped after that, just now.  */
+static bool
+router_is_new (const mq_cluster_member *router, uint64_t now_us)
+{
+  return now_us - router->appeared_us < LIST_LAG_US;
+}
+
 /* Send MESSAGE to the routers of this domain that this one sends updates to
    and that NEEDS holds for.  */
 static void
@@ -78,8 +92,11 @@
   out = mq_gateway_encode_message (message);
   g_hash_table_iter_init (&i, gateway->cluster.routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    if (router_is_receiver (gateway, value, now) && needs (gateway, value))
-      mq_gateway_gossip_send (gateway, value, message->kind, out);
+    if (router_is_receiver (gateway, value, now) && needs (gateway, value)
+        && !mq_gateway_gossip_send (gateway, value, message->kind, out)
+        && message->kind == MQ_CLUSTER_MESSAGE_ENTRIES
+        && router_is_new (value, now))
+      ((mq_cluster_member *)value)->appeared_us = mq_gateway_now_us ();
   mq_peers_shared_free (out);
 }
 
@@ -238,8 +255,8 @@
 
 /* Send TO the complete list of upstreams.  *LIST is the encoded list, or NULL
    before it is first needed: hundreds of routers that start together lack it
-   at the same tick.  */
-static void
+   at the same tick.  Returns false if it was dropped.  */
+static bool
 propagate_list (mq_gateway *gateway, mq_cluster_member *to,
                 mq_peers_shared **list)
 {
@@ -248,7 +265,8 @@
   mq_log (G_LOG_LEVEL_INFO, "upstream.list-passed-on", "vm=%s upstreams=%u",
           mq_str_cstr (to->name),
           g_hash_table_size (gateway->upstream_list.entries));
-  mq_gateway_gossip_send (gateway, to, MQ_CLUSTER_MESSAGE_ENTRIES, *list);
+  return mq_gateway_gossip_send (gateway, to, MQ_CLUSTER_MESSAGE_ENTRIES,
+                                 *list);
 }
 
 /* ---- Sending again.  */
@@ -334,19 +352,45 @@
       now_us);
 }
 
-/* Send TO again what it lacks.  LIST is as in propagate_list.  */
+/* Returns true if TO started just now and this router is certain that its own
+   list is complete, and that it sends every change to TO from now on.  */
+static bool
+list_is_first (const mq_gateway *gateway, const mq_cluster_member *to,
+               uint64_t now_us)
+{
+  const mq_feed *feed = &gateway->upstream_feed;
+
+  return router_is_new (to, now_us) && feed->follow.follows
+         && feed->state == MQ_FEED_FOLLOWING && feed->failures == 0;
+}
+
+/* Returns true if TO has a list that was never ours, or that was ours only
+   before changes were propagated to it, as FIRST says.  */
+static bool
+lacks_list (const mq_gateway *gateway, const mq_cluster_member *to, bool first,
+            uint64_t now_us)
+{
+  uint64_t since = now_us - MIN (now_us, LIST_LAG_US);
+
+  return !mq_digest_log_contains (&gateway->digests, to->upstreams_digest,
+                                  first ? MAX (since, to->appeared_us)
+                                        : since);
+}
+
+/* Send TO again what it lacks.  LIST is as in propagate_list; *ENTRIES counts
+   the entries of first lists at this tick.  */
 static void
 resend_to (mq_gateway *gateway, mq_cluster_member *to, mq_peers_shared **list,
-           uint64_t now_us)
+           unsigned *entries, uint64_t now_us)
 {
+  bool first = list_is_first (gateway, to, now_us);
+  uint64_t list_delay = to->ready ? LIST_LAG_US : LAG_US;
   bool alive = mq_cluster_member_is_alive (to, now_us);
   bool lacks_routing = alive && gateway->routing != NULL
                        && to->routing_version < gateway->routing->version;
-  bool lacks_upstreams
-      = alive && gateway->upstreams_known
-        && (!to->follows || !to->store_reached)
-        && !mq_digest_log_contains (&gateway->digests, to->upstreams_digest,
-                                    now_us - MIN (now_us, LIST_LAG_US));
+  bool lacks_upstreams = alive && gateway->upstreams_known
+                         && (!to->follows || !to->store_reached)
+                         && lacks_list (gateway, to, first, now_us);
 
   if (resend_is_due (gateway, to, PROPAGATED_ROUTING, &to->routing_lag,
                      lacks_routing, LAG_US, now_us))
@@ -355,16 +399,27 @@
 
       mq_gateway_send_message (gateway, to, &p);
     }
-  if (resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
-                     lacks_upstreams, to->ready ? LIST_LAG_US : LAG_US,
-                     now_us))
-    propagate_list (gateway, to, list);
+  if (lacks_upstreams && first)
+    {
+      if (*entries >= MAX_FIRST_ENTRIES_PER_TICK)
+        return;
+      list_delay = 0;
+    }
+  if (!resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
+                      lacks_upstreams, list_delay, now_us))
+    return;
+  if (first)
+    *entries += g_hash_table_size (gateway->upstream_list.entries);
+  /* The connection to a router that was just heard may not be open yet.  */
+  if (!propagate_list (gateway, to, list) && first)
+    to->upstreams_lag.sent_us = 0;
 }
 
 void
 mq_gateway_propagation_tick (mq_gateway *gateway, uint64_t now_us)
 {
   mq_peers_shared *list = NULL;
+  unsigned entries = 0;
   GHashTableIter i;
   gpointer value;
 
@@ -377,7 +432,7 @@
 
       if (r->local ? router_is_receiver (gateway, r, now_us)
                    : r->relays && gateway->cluster.relays)
-        resend_to (gateway, value, &list, now_us);
+        resend_to (gateway, value, &list, &entries, now_us);
     }
   mq_peers_shared_free (list);
 }
@@ -446,6 +501,7 @@
     g_hash_table_add (seen, g_strndup (whole->entries[k].name.data,
                                        whole->entries[k].name.size));
   mq_gateway_prune_upstreams (gateway, seen, whole->at);
+  mq_gateway_view_note_list (gateway, MQ_VIEW_SOURCE_PEER);
   mq_log (G_LOG_LEVEL_INFO, "upstream.list-heard",
           "upstreams=%zu at=%" G_GUINT64_FORMAT, whole->n, whole->at);
   g_hash_table_unref (seen);
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -202,6 +202,11 @@
       = forward->waiting && mq_forward_may_wait_for_prefill (forward, now_us);
   mq_place_result result;
 
+  if (mq_gateway_view_is_repeated (forward, now_us))
+    {
+      *retry_ms = mq_gateway_view_retry_ms (forward);
+      return MQ_PLACE_UNKNOWN;
+    }
   if (may_wait && (g->prefilling_ranks & rank) != 0)
     return MQ_PLACE_PREFILLING;
   result = mq_forward_place (forward, now_us, retry_ms);
@@ -222,21 +227,24 @@
 
 /* Returns true if FORWARD, whose placement gave RESULT, may wait.  Any request
    may wait for the prefill of earlier prompts, which ends before clients give
-   up.  */
+   up, and for the first view of its service, since nothing was sent.  */
 static bool
-send_may_wait (const mq_forward *forward, mq_place_result result,
-               uint64_t now_us)
+send_may_wait (mq_forward *forward, mq_place_result result, uint64_t now_us)
 {
   if (forward->state.response_started)
     return send_begun_may_wait (forward, now_us);
+  if (result == MQ_PLACE_UNKNOWN)
+    return mq_gateway_view_may_wait (forward, now_us);
   return result == MQ_PLACE_PREFILLING
          && now_us - forward->started_us <= MAX_WAIT_US;
 }
 
 /* Why FORWARD, which was not placed, has to be rejected.  */
 static const char *
-send_place_failure (const mq_forward *forward)
+send_place_failure (const mq_forward *forward, mq_place_result result)
 {
+  if (result == MQ_PLACE_UNKNOWN)
+    return "not-known-yet";
   if (forward->resting)
     return "resting";
   return forward->limited ? "limited" : "no-room";
@@ -265,11 +273,13 @@
       return;
     }
   result = send_place (f, now_us, &retry_ms);
+  if (result != MQ_PLACE_UNKNOWN)
+    mq_gateway_view_stop_waiting (f);
   if (result != MQ_PLACE_OK)
     {
       f->waiting = send_may_wait (f, result, now_us);
       if (!f->waiting)
-        mq_forward_reject (f, retry_ms, send_place_failure (f));
+        mq_forward_reject (f, retry_ms, send_place_failure (f, result));
       return;
     }
   f->waiting = false;
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -543,6 +543,8 @@
   if (router->incarnation != 0
       && router->incarnation != gossip->from.incarnation)
     member_keep_previous_sends (router, now_us);
+  if (router->incarnation != gossip->from.incarnation)
+    router->appeared_us = now_us;
   router->incarnation = gossip->from.incarnation;
   router->sequence = gossip->sequence;
   router->received_us = now_us;
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -68,6 +68,11 @@
     "no upstream could take it; at least one had rejected a request of this "
     "router and asked it to send nothing for a while",
     "upstream.rest shows for how long; find out why they reject requests" },
+  { "not-known-yet",
+    "the router had just started and its list of upstreams held none that "
+    "could serve the service",
+    "view.state shows what it knew and since when; after a power failure "
+    "upstreams register again within two seconds" },
   { "no-configuration", "the router had not received any configuration yet",
     "check by store.lost and member.heard if it reaches the store or peers" },
   { "quarantined",
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -600,6 +600,7 @@
   EXPECT_EQ (spare.end, stage->end);
 }
 
+/* A router that has just started waits first (test_gateway_start.cc).  */
 TEST_F (Gateway, RefusesAtOnceWithoutCompleteChain)
 {
   Upstream &u = add ("eng-1", "model", "one", "half");
@@ -611,6 +612,7 @@
   configure (1);
   start ();
   ASSERT_TRUE (ready ());
+  wait (2.6);
   ev_tstamp before = ev_time ();
   Answer x = fetch ("POST", "/stream/1");
   EXPECT_EQ (x.status, 503u);
