Send the first list at once to a relay that watches the configuration

Cause: a router that watches the configuration counts as one with a source of its own, so that a list of upstreams, which it does not watch, was delayed by RESEND_US (1.2 s) more. The last router of the traced power failure was one.

Change: the delay no longer applies to the first list of a router that has just appeared. Other lists, and configurations, are delayed as before.

--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -343,9 +343,7 @@
       = what == PROPAGATED_ROUTING
             ? MAX (gateway->store_recovered_us, gateway->routing_since_us)
             : gateway->store_recovered_us;
-  mq_propagation_delays delays
-      = { first_us + (router_has_own_source (gateway, to) ? RESEND_US : 0),
-          RESEND_US, since + LAG_US };
+  mq_propagation_delays delays = { first_us, RESEND_US, since + LAG_US };
 
   return mq_propagation_is_due (
       lag, lags, lags ? resend_rank (gateway, to, what, now_us) : 0, delays,
@@ -384,7 +382,8 @@
            unsigned *entries, uint64_t now_us)
 {
   bool first = list_is_first (gateway, to, now_us);
-  uint64_t list_delay = to->ready ? LIST_LAG_US : LAG_US;
+  uint64_t own_delay = router_has_own_source (gateway, to) ? RESEND_US : 0;
+  uint64_t list_delay = (to->ready ? LIST_LAG_US : LAG_US) + own_delay;
   bool alive = mq_cluster_member_is_alive (to, now_us);
   bool lacks_routing = alive && gateway->routing != NULL
                        && to->routing_version < gateway->routing->version;
@@ -393,7 +392,7 @@
                          && lacks_list (gateway, to, first, now_us);
 
   if (resend_is_due (gateway, to, PROPAGATED_ROUTING, &to->routing_lag,
-                     lacks_routing, LAG_US, now_us))
+                     lacks_routing, LAG_US + own_delay, now_us))
     {
       mq_cluster_message p = routing_message (gateway);
 
@@ -403,6 +402,7 @@
     {
       if (*entries >= MAX_FIRST_ENTRIES_PER_TICK)
         return;
+      /* Its own source, if any, has only the configuration.  */
       list_delay = 0;
     }
   if (!resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -83,7 +83,8 @@
   unsigned lists = 0;
   unsigned changes = 0;
   unsigned capacity = 0;
-  bool relays = false; /* It is a relay that reaches the store.  */
+  bool relays = false;  /* It is a relay that watches the upstreams.  */
+  bool watches = false; /* It watches the configuration.  */
 
   FakeRouter (struct ev_loop *loop, unsigned port, std::string to)
       : address ("127.0.0.1:" + std::to_string (port)), to (std::move (to))
@@ -111,8 +112,8 @@
     gossip.sequence = ++sequence_;
     gossip.from.capacity = capacity;
     gossip.ready = true;
-    gossip.relays = gossip.store_reached = gossip.follows = relays;
-    gossip.watches = relays;
+    gossip.relays = gossip.follows = relays;
+    gossip.watches = gossip.store_reached = relays || watches;
     gossip.routing_version = 1;
     gossip.upstreams_digest = with_digest;
     p.kind = MQ_CLUSTER_MESSAGE_GOSSIP;
@@ -436,6 +437,23 @@
   EXPECT_EQ (starting.list_size, 3u);
 }
 
+/* The same for a router that watches the configuration, but not the upstreams:
+   its list was delayed by another RESEND_US.  */
+TEST_F (GatewayRelay, NewRouterThatWatchesConfigurationGetsListAtOnce)
+{
+  start_plain_service ();
+  FakeRouter old (loop, free_ports (), at (peers_port));
+  FakeRouter starting (loop, free_ports (), at (peers_port));
+  uint64_t digest = list_digest (old);
+
+  starting.watches = true;
+  add ("app-c", "app");
+  wait (0.3);
+  starting.report ("vm-new", digest);
+  wait (0.4);
+  EXPECT_EQ (starting.lists, 1u);
+}
+
 /* Guards against sending lists to a router that has all: the digest that it
    reports is the one that ours had since it was first heard.  */
 TEST_F (GatewayRelay, NewRouterWithOurListGetsNone)
