Use more of the retry budget, with a margin that follows the age of counts

Cause: routers allotted themselves a flat 75% of the bound; grants were charged to both sides; a relay asked at most eight routers for half of what they had.

Change: routers allot themselves 97%, less what can have changed while counts were under way, in proportion to what was sent. Slices are a hundredth of the window. Sends beyond a share that fell (overdrafts) are reported in the field of replaced sends and deducted from the shares of the others, so that requests that move between routers do not add up to more than the bound. Only the lender is charged. Shares of routers that disappeared are reserved for a window, in which the minority gives up its slack. A new process uses half of its share for a window. The excess above the own share, which nothing bounded when all used it at once, is gone; transfers ask 64 routers, by domain in proportion to what they have left, and back off while nothing is granted.

Requests whose send was lost before the response began wait for budget, after the streams that have begun, for at most 1.6 s from their arrival; rejected ones for 0.1 s.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -97,6 +97,8 @@
   uint64_t budget_requested_us;    /* Last request for budget.  */
   uint64_t budget_request_serial;  /* Its serial.  */
   unsigned budget_request_pending; /* Sends that it has not been granted.  */
+  unsigned budget_request_sends;   /* Sends that it asked for.  */
+  uint64_t budget_interval_us;     /* Until the next request.  */
   mq_layer_plan plan;              /* Of a layered model.  */
 } mq_service_state;
 
@@ -270,6 +272,9 @@
                               a limit that did not allow it ...  */
   bool resting;            /* ... or accepts nothing from this router.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
+  bool waits_for_budget;   /* The retry budget had no room for it.  */
+  mq_send_end lost_end;    /* How the last send ended, if one did ...  */
+  uint64_t lost_us;        /* ... then.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
@@ -466,6 +471,10 @@
    room, it waits for the next tick or is rejected; a quarantined request is
    rejected.  May free FORWARD.  */
 void mq_forward_send (mq_forward *forward, uint64_t now_us);
+/* Returns true if FORWARD, a send of which ended, may wait for retry budget.
+ */
+bool mq_forward_may_wait_for_budget (const mq_forward *forward,
+                                     uint64_t now_us);
 
 /* ---- gateway_feed.c  */
 /* Scan all objects of KIND once, then follow its changes while FEED->follow
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -8,13 +8,24 @@
 #include <mq/internal/budget_transfer.h>
 
 #include <mq/log.h>
+#include <math.h>
 
 /* Delay before sends that were not granted are requested again.  A grant takes
-   some ms to arrive.  */
+   some ms to arrive.  It doubles while nothing is granted, since requests of
+   all routers at once would take their processors' time when no budget is left
+   (3,721 requests got 77 grants on one day of 82 routers).  */
+#define US_PER_MS ((uint64_t)1000)
 #define REQUEST_INTERVAL_US ((uint64_t)50 * 1000)
+#define MAX_REQUEST_INTERVAL_US ((uint64_t)400 * 1000)
 
-/* Routers of its domain that a relay forwards one request to.  */
-#define MAX_GRANTERS 8
+/* Grants that come later are ignored: together with the time for which a grant
+   can be used, a lender counts it for so much longer than the window.  */
+#define MAX_GRANT_AGE_US ((uint64_t)100 * 1000)
+
+/* Routers of its domain that a relay forwards one request to.  In five rounds,
+   the 300 ms in which unused budget is to be found, five domains so ask 1,600
+   routers.  */
+#define MAX_GRANTERS 64
 
 static void
 transfer_send (mq_gateway *gateway, mq_cluster_member *to,
@@ -49,24 +60,36 @@
 
 /* ---- Granting.  */
 
-/* Estimate, from its last report, how many sends ROUTER can grant.  */
+/* Estimate how many sends routers that reported the counts OWN can grant.  */
 static unsigned
-router_spare (mq_gateway *gateway, const mq_send_budget *budget,
-              const mq_cluster_member *router, uint64_t service,
-              uint64_t now_us)
+counts_spare (mq_gateway *gateway, const mq_send_budget *budget,
+              mq_send_counts own, uint64_t service, uint64_t now_us)
 {
   mq_cluster *r = &gateway->cluster;
-  mq_send_counts own = mq_service_sends_get (router->sends, service);
   mq_send_counts all = mq_cluster_other_sends (r, service, now_us);
   mq_send_counts self = mq_service_sends_get (r->sends, service);
 
-  if (!router->local || router->kind != MQ_GOSSIP_REPORT
-      || !mq_cluster_member_is_alive (router, now_us))
-    return 0;
   all.requests += self.requests;
   all.requests -= MIN (all.requests, own.requests);
+  all.retries += self.retries;
+  all.retries -= MIN (all.retries, own.retries);
+  all.replaced -= MIN (all.replaced, own.replaced);
   return mq_send_budget_unused (budget, own, mq_cluster_count_busy (r, now_us),
-                                all, now_us);
+                                all);
+}
+
+/* Estimate, from its last report, how many sends ROUTER can grant.  */
+static unsigned
+router_spare (mq_gateway *gateway, const mq_send_budget *budget,
+              const mq_cluster_member *router, uint64_t service,
+              uint64_t now_us)
+{
+  if (!router->local || router->kind != MQ_GOSSIP_REPORT
+      || !mq_cluster_member_is_alive (router, now_us))
+    return 0;
+  return counts_spare (gateway, budget,
+                       mq_service_sends_get (router->sends, service), service,
+                       now_us);
 }
 
 /* Forward REQUEST to routers of this domain.  Returns how many of its sends
@@ -90,36 +113,54 @@
 
       if (mq_span_equal (mq_str_span (r->peer), request->borrower))
         continue;
-      part.sends
-          = (router_spare (gateway, budget, r, request->service, now_us) + 1)
-            / 2;
+      part.sends = router_spare (gateway, budget, r, request->service, now_us);
       part.sends = MIN (part.sends, missing);
       if (part.sends == 0)
         continue;
       transfer_send (gateway, r, MQ_CLUSTER_MESSAGE_BUDGET_REQUEST, &part);
+      /* Until its next report, lest others' requests go to it as well.  */
+      mq_service_sends_add (r->sends, request->service,
+                            (mq_send_counts){ 0, part.sends, 0 });
       missing -= part.sends;
       receivers++;
     }
   return missing;
 }
 
-/* Forward REQUEST to a relay of each other domain.  */
+/* Forward REQUEST to a relay of each other domain, in parts by what these
+   domains have left according to their summaries.  */
 static void
-request_forward_remote (mq_gateway *gateway,
+request_forward_remote (mq_gateway *gateway, const mq_send_budget *budget,
                         const mq_cluster_message_budget *request,
                         uint64_t now_us)
 {
   GPtrArray *relays = g_ptr_array_new ();
+  unsigned *spare;
+  double sum = 0;
 
   mq_cluster_first_remote_relays (&gateway->cluster, relays, now_us);
+  spare = g_new (unsigned, relays->len + 1);
+  for (guint i = 0; i < relays->len; i++)
+    {
+      const mq_cluster_member *relay = g_ptr_array_index (relays, i);
+
+      spare[i] = counts_spare (
+          gateway, budget,
+          mq_service_sends_get (relay->sends, request->service),
+          request->service, now_us);
+      sum += spare[i];
+    }
   for (guint i = 0; i < relays->len; i++)
     {
       mq_cluster_message_budget part = *request;
 
-      part.sends = (request->sends + relays->len - 1) / relays->len;
+      if (spare[i] == 0)
+        continue;
+      part.sends = (unsigned)ceil (request->sends * (spare[i] / sum));
       transfer_send (gateway, g_ptr_array_index (relays, i),
                      MQ_CLUSTER_MESSAGE_BUDGET_REQUEST, &part);
     }
+  g_free (spare);
   g_ptr_array_unref (relays);
 }
 
@@ -139,7 +180,7 @@
     }
   r.sends = request_forward_local (gateway, budget, &r, now_us);
   if (r.sends > 0 && local)
-    request_forward_remote (gateway, &r, now_us);
+    request_forward_remote (gateway, budget, &r, now_us);
 }
 
 /* The next router on the way of GRANT back to the requester, or NULL when that
@@ -193,11 +234,12 @@
 
 /* ---- Requesting.  */
 
-/* Returns true when FORWARD has begun and waits for its next send.  */
+/* Returns true when FORWARD waits for its next send, which needs budget.  */
 static bool
 forward_waits (const mq_forward *forward)
 {
-  return forward->call == NULL && forward->state.response_started;
+  return forward->call == NULL
+         && (forward->state.response_started || forward->waits_for_budget);
 }
 
 /* Number of forwards of SERVICE, a hash, that wait for their next send.  */
@@ -247,21 +289,63 @@
           .service = service,
           .sends = MIN (sends, MQ_CLUSTER_MESSAGE_MAX_RETRIES),
           .serial = mq_gateway_random (g) };
+  mq_send_counts own;
+  mq_send_counts others;
   mq_cluster_member *relay
       = g->cluster.relays ? NULL : relay_choose_random (g, now_us);
 
+  if (state->budget_request_sends == 0
+      || state->budget_request_pending < state->budget_request_sends)
+    state->budget_interval_us = REQUEST_INTERVAL_US;
+  else
+    state->budget_interval_us
+        = MIN (state->budget_interval_us * 2, MAX_REQUEST_INTERVAL_US);
   state->budget_requested_us = now_us;
+  state->budget_request_sends = request.sends;
   state->budget_request_pending = request.sends;
   state->budget_request_serial = request.serial;
+  own = mq_send_budget_count (&state->budget, now_us);
+  others = mq_cluster_other_sends (&g->cluster, service, now_us);
   mq_log (G_LOG_LEVEL_INFO, "budget.request",
-          "service=%016" G_GINT64_MODIFIER "x sends=%u relay=%s", service,
-          request.sends, relay != NULL ? mq_str_cstr (relay->name) : "self");
+          "service=%016" G_GINT64_MODIFIER "x sends=%u relay=%s requests=%u"
+          " retries=%u others=%u others_retries=%u others_beyond=%u"
+          " age_ms=%" G_GUINT64_FORMAT,
+          service, request.sends,
+          relay != NULL ? mq_str_cstr (relay->name) : "self", own.requests,
+          own.retries, others.requests, others.retries, others.replaced,
+          state->budget.counts_age_us / US_PER_MS);
   if (g->cluster.relays)
     request_forward (g, &state->budget, &request, true, now_us);
   else if (relay != NULL)
     transfer_send (g, relay, MQ_CLUSTER_MESSAGE_BUDGET_REQUEST, &request);
 }
 
+/* Returns true if gossip of another router was ever received.  */
+static bool
+cluster_was_heard (const mq_cluster *cluster)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (((const mq_cluster_member *)value)->received_us > 0)
+      return true;
+  return false;
+}
+
+/* Age of the others' counts; unknown to a router that has lost all others, as
+   they may run and use their shares.  */
+static uint64_t
+counts_age_us (mq_gateway *gateway, uint64_t now_us)
+{
+  mq_cluster *r = &gateway->cluster;
+
+  if (mq_cluster_count_alive (r, now_us) == 0 && cluster_was_heard (r))
+    return MQ_SEND_BUDGET_AGE_UNKNOWN;
+  return US_PER_MS * (uint64_t)mq_cluster_counts_age_ms (r, now_us);
+}
+
 void
 mq_budget_transfer_tick (mq_gateway *gateway, uint64_t now_us)
 {
@@ -275,23 +359,28 @@
       mq_service_state *s = value;
       uint64_t service = mq_span_hash (mq_span_from (name));
       unsigned waiting;
-
-      if (now_us - s->budget_requested_us < REQUEST_INTERVAL_US)
+      unsigned routers = mq_cluster_count_busy (&gateway->cluster, now_us);
+      mq_send_counts others
+          = mq_cluster_other_sends (&gateway->cluster, service, now_us);
+
+      mq_send_budget_set_counts_age (&s->budget,
+                                     counts_age_us (gateway, now_us));
+      mq_send_budget_update (&s->budget, routers, others, now_us);
+      if (now_us - s->budget_requested_us < s->budget_interval_us)
         continue;
-      s->budget_request_pending = 0;
       waiting = service_waiting (gateway, service);
       if (waiting > 0
-          && !mq_send_budget_has_room (
-              &s->budget, mq_cluster_count_busy (&gateway->cluster, now_us),
-              mq_cluster_other_sends (&gateway->cluster, service, now_us),
-              now_us))
+          && !mq_send_budget_has_room (&s->budget, routers, others, now_us))
         service_send_request (gateway, s, service, waiting, now_us);
+      else
+        s->budget_request_sends = s->budget_request_pending = 0;
     }
 }
 
-/* Let the forwards that wait for budget send.  */
+/* Let the forwards that wait for budget send: those that have begun if BEGUN,
+   else the others.  */
 static void
-service_resume (mq_gateway *gateway, uint64_t now_us)
+service_resume (mq_gateway *gateway, bool begun, uint64_t now_us)
 {
   GList *next;
 
@@ -300,7 +389,7 @@
       mq_forward *f = l->data;
 
       next = l->next;
-      if (forward_waits (f))
+      if (forward_waits (f) && f->state.response_started == begun)
         mq_forward_tick (f, now_us);
     }
 }
@@ -312,7 +401,8 @@
   uint64_t now = mq_gateway_now_us ();
   unsigned sends;
 
-  if (s == NULL || grant->serial != s->budget_request_serial)
+  if (s == NULL || grant->serial != s->budget_request_serial
+      || now - s->budget_requested_us > MAX_GRANT_AGE_US)
     return;
   sends = MIN (grant->sends, s->budget_request_pending);
   mq_log (G_LOG_LEVEL_INFO, "budget.borrowed",
@@ -325,7 +415,8 @@
   s->budget_request_pending -= sends;
   *gateway->counters.budget_received += sends;
   mq_send_budget_add_grant (&s->budget, sends, now);
-  service_resume (gateway, now);
+  service_resume (gateway, true, now);
+  service_resume (gateway, false, now);
 }
 
 void
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -86,6 +86,7 @@
                        gateway->settings->retry_slack,
                        gateway->settings->retry_window_ms * 1000,
                        gateway->started_us);
+  mq_send_budget_set_rounding (&s->budget, mq_gateway_random_unit (gateway));
   mq_layer_plan_init (&s->plan);
   g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
   return s;
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -234,8 +234,10 @@
     }
   forward_count_upstreams (f);
   forward_note_failure (f, end, now);
-  /* A stream whose response has begun waits for budget (mq_forward_send).  */
-  budget = f->state.response_started
+  f->lost_end = end;
+  f->lost_us = now;
+  /* It may wait for budget (mq_forward_send).  */
+  budget = f->state.response_started || mq_forward_may_wait_for_budget (f, now)
            || mq_gateway_has_budget (f->gateway, f->service, now);
   v = mq_forward_decide (&f->state, end, status, budget);
   mq_log_buffer_append (
@@ -522,7 +524,9 @@
 void
 mq_forward_reject (mq_forward *forward, unsigned retry_ms, const char *why)
 {
-  mq_forward_verdict v = mq_forward_give_up (&forward->state, false);
+  mq_forward_verdict v = mq_forward_give_up (
+      &forward->state,
+      forward->waits_for_budget && forward->lost_end == MQ_SEND_TIMED_OUT);
 
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -26,6 +26,11 @@
    recover.  */
 #define NO_BUDGET_RETRY_AFTER_MS 500
 
+/* A request whose send was rejected, or that an upstream did not get, may wait
+   for so long for budget of other routers, which takes a tick and some ms.
+   After that its client, which may repeat it without budget, is told so.  */
+#define MAX_REJECTED_WAIT_US ((uint64_t)100 * 1000)
+
 #define US_PER_MS ((uint64_t)1000)
 #define MAX_RESPONSE_BYTES ((size_t)16 * 1024 * 1024)
 
@@ -154,13 +159,34 @@
   g_free (target);
 }
 
+/* Returns true if a stream that has begun waits for budget of the service of
+   FORWARD.  */
+static bool
+send_begun_waits (const mq_forward *forward)
+{
+  for (GList *l = forward->gateway->forwards.head; l != NULL; l = l->next)
+    {
+      const mq_forward *f = l->data;
+
+      if (f->waits_for_budget && f->state.response_started
+          && mq_span_equal (mq_str_span (f->service->name),
+                            mq_str_span (forward->service->name)))
+        return true;
+    }
+  return false;
+}
+
 /* Returns true if the retry budget allows a send of FORWARD now.  Checked at
-   each send, as requests that waited for room are sent together.  */
+   each send, as requests that waited for room are sent together.  Streams that
+   have begun come first: their clients have part of a response, which is lost
+   with them.  */
 static bool
 send_is_in_budget (const mq_forward *forward, uint64_t now_us)
 {
-  return forward->state.arrived == 0
-         || mq_gateway_has_budget (forward->gateway, forward->service, now_us);
+  if (forward->state.arrived == 0)
+    return true;
+  return mq_gateway_has_budget (forward->gateway, forward->service, now_us)
+         && (forward->state.response_started || !send_begun_waits (forward));
 }
 
 /* Returns the time for which FORWARD is quarantined, since requests of its
@@ -220,6 +246,26 @@
          && now_us - forward->received_us <= MAX_WAIT_US;
 }
 
+bool
+mq_forward_may_wait_for_budget (const mq_forward *forward, uint64_t now_us)
+{
+  if (forward->state.response_started)
+    return send_begun_may_wait (forward, now_us);
+  switch (forward->lost_end)
+    {
+    case MQ_SEND_BROKEN:
+    case MQ_SEND_TIMED_OUT:
+      return mq_forward_may_repeat (&forward->state)
+             && now_us - forward->started_us <= MAX_WAIT_US;
+    case MQ_SEND_NOT_SENT:
+    case MQ_SEND_NOT_RUN:
+      return now_us - forward->lost_us <= MAX_REJECTED_WAIT_US;
+    case MQ_SEND_REPLIED:
+      break;
+    }
+  return false;
+}
+
 /* Returns true if FORWARD, whose placement gave RESULT, may wait.  Any request
    may wait for the prefill of earlier prompts, which ends before clients give
    up.  */
@@ -259,11 +305,15 @@
     }
   if (!send_is_in_budget (f, now_us))
     {
-      if (send_begun_may_wait (f, now_us))
-        return;
+      if (mq_forward_may_wait_for_budget (f, now_us))
+        {
+          f->waits_for_budget = true;
+          return;
+        }
       mq_forward_reject (f, NO_BUDGET_RETRY_AFTER_MS, "no-budget");
       return;
     }
+  f->waits_for_budget = false;
   result = send_place (f, now_us, &retry_ms);
   if (result != MQ_PLACE_OK)
     {
--- a/packages/route/cluster_load.c
+++ b/packages/route/cluster_load.c
@@ -9,6 +9,8 @@
 
 #include <mq/cluster.h>
 
+#include <math.h>
+
 /* Sums are recomputed when they are this old, which is a tick of the gateway.
    They change with time alone, as members time out.  */
 #define SUMS_MAX_AGE_US ((uint64_t)50 * 1000)
@@ -110,6 +112,12 @@
 
 /* ---- Sums.  */
 
+/* At most by this factor are retries beyond the shares of their senders
+   multiplied (sends_scale_replaced).  With a factor F, while all requests move
+   to other routers, the bound can be exceeded by 1 / (4 F) of it: 3%, as much
+   as MAX_BUDGET_SHARE of send_budget.c leaves.  */
+#define MAX_REPLACED_FACTOR 8.0
+
 static void
 add_paths (GArray *sum, const GArray *paths)
 {
@@ -132,6 +140,40 @@
     }
 }
 
+/* Add the requests of a router whose sends exceed its share, by service.  */
+static void
+add_overdrawn (GArray *overdrawn, const GArray *sends)
+{
+  for (guint i = 0; i < sends->len; i++)
+    {
+      const mq_service_sends *s = &g_array_index (sends, mq_service_sends, i);
+
+      if (s->counts.replaced > 0)
+        mq_service_sends_add (overdrawn, s->service, s->counts);
+    }
+}
+
+/* Scale the retries in SUM that no share covers.  All routers deduct them in
+   proportion to their requests, but those with the requests OVERDRAWN have
+   nothing left to deduct them from, so that the others have to deduct more.
+ */
+static void
+sends_scale_replaced (GArray *sum, const GArray *overdrawn)
+{
+  for (guint i = 0; i < sum->len; i++)
+    {
+      mq_service_sends *s = &g_array_index (sum, mq_service_sends, i);
+      double all = s->counts.requests;
+      double able
+          = all - mq_service_sends_get (overdrawn, s->service).requests;
+
+      if (s->counts.replaced > 0 && all > 0)
+        s->counts.replaced = (unsigned)ceil (
+            s->counts.replaced
+            * MIN (all / MAX (able, 1), MAX_REPLACED_FACTOR));
+    }
+}
+
 /* The same for the previous incarnation of a router.  */
 static void
 add_previous_sends (GArray *sum, const GArray *sends)
@@ -184,17 +226,33 @@
     add_paths (sum->paths, router->paths);
 }
 
-/* Add the reports of this domain's other routers.  */
+/* Add the reports of this domain's other routers.  SUM holds nothing but what
+   this router itself has in flight, or nothing.  */
 static void
 sum_add_domain (load_sum *sum, const mq_cluster *cluster, uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
+  GArray *overdrawn = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
 
+  add_overdrawn (overdrawn, sum->sends);
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    if (((const mq_cluster_member *)value)->local)
-      sum_add_router (sum, cluster, value, now_us);
+    {
+      const mq_cluster_member *r = value;
+
+      if (!r->local)
+        continue;
+      sum_add_router (sum, cluster, r, now_us);
+      if (r->kind == MQ_GOSSIP_REPORT
+          && member_is_in_window (cluster, r, now_us))
+        add_overdrawn (overdrawn, r->sends);
+      if (r->previous_sends != NULL
+          && now_us - r->replaced_us <= cluster->window_us)
+        add_sends (overdrawn, r->previous_sends);
+    }
+  sends_scale_replaced (sum->sends, overdrawn);
+  g_array_unref (overdrawn);
 }
 
 /* Add the sums in the last digest or summary of ROUTER.  */
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -697,6 +697,8 @@
   ASSERT_TRUE (until ([&] {
     return fetch ("GET", "/ready", {}, "", base + 1).status == 200;
   }));
+  /* In their first window processes use half of their shares.  */
+  wait (2.9);
   for (unsigned i = 0; i < streams; i++)
     fetch ("POST", "/stream/1", key, "", base);
   hold = true;
