--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -500,6 +500,61 @@
   EXPECT_EQ (x.body, events (1, 4));
 }
 
+/* Guards against answering a resumable stream whose send broke off before the
+   first event with 502 at once, while budget becomes available soon.  */
+TEST_F (Gateway, LostStreamWaitsForRetryBudgetBeforeItsResponse)
+{
+  unsigned sends = 0;
+
+  sends_window_ms = 6000; /* The first fifth of it has no budget.  */
+  start_chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, &sends] (mq_http_exchange *x) {
+        u->begin (x);
+        if (++sends == 1)
+          {
+            mq_http_exchange_abort (x);
+            return;
+          }
+        Upstream::events (x, 1, 4);
+        mq_http_exchange_end (x);
+      };
+    }
+  Answer x = fetch ("POST", "/stream/1");
+  EXPECT_EQ (x.status, 200u);
+  EXPECT_EQ (x.body, events (1, 4));
+  EXPECT_EQ (sends, 2u);
+}
+
+/* Guards against a request that waits for budget beyond its deadline, which is
+   1.5 s here, and against sending it without budget.  */
+TEST_F (Gateway, LostStreamWaitsForRetryBudgetUntilItsDeadline)
+{
+  unsigned sends = 0;
+
+  sends_window_ms = 60000;
+  start_chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [u, &sends] (mq_http_exchange *x) {
+        sends++;
+        u->begin (x);
+        mq_http_exchange_abort (x);
+      };
+    }
+  Answer x = fetch ("POST", "/stream/1");
+  EXPECT_EQ (x.status, 504u);
+  EXPECT_EQ (sends, 1u);
+  EXPECT_NE (fetch ("GET", "/metrics", {}, "", metrics_port)
+                 .body.find ("marjoramquay_further_sends_total 0\n"),
+             std::string::npos);
+}
+
 /* A stage without memory for one more request refuses at once.  Guards against
    treating it as down and ordering its layers onto other engines.  */
 TEST_F (Gateway, StageWithoutMemoryIsNotReplaced)
