Do not replace a router's first scan by a reread

A router that got its list from a peer while its own first scan failed read the list again although the retry of that scan was scheduled. The failed reread set the feed to following, so that the scan was not tried again, and the retry became a watch from a revision that was never scanned. A list is now read again only if the feed was scanned, and no call of it is in progress or scheduled.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -500,8 +500,11 @@
 void mq_feed_resume (mq_feed *feed);
 /* Cancel the call in progress, which may hang, and call again.  */
 void mq_feed_restart (mq_feed *feed);
-/* Scan once more, without a call in progress; an answer that is some seconds
-   old suffices.  A call that fails is not repeated, unless this router follows
+/* Returns true if nothing is in progress or scheduled that mq_feed_reread
+   would take the place of, such as the first scan, which is retried.  */
+bool mq_feed_may_reread (const mq_feed *feed);
+/* Scan once more, if mq_feed_may_reread; an answer that is some seconds old
+   suffices.  A call that fails is not repeated, unless this router follows
    the feed by then.  */
 void mq_feed_reread (mq_feed *feed);
 /* Cancel the call in progress and scan again.  */
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -359,6 +359,14 @@
   feed_call (feed);
 }
 
+bool
+mq_feed_may_reread (const mq_feed *feed)
+{
+  return feed->scanned && feed->state == MQ_FEED_FOLLOWING
+         && !feed->follow.follows && feed->linger_until_us == 0
+         && feed->call == NULL && !ev_is_active (&feed->call_timer);
+}
+
 void
 mq_feed_reread (mq_feed *feed)
 {
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -317,7 +317,7 @@
     return;
   incomplete = view_is_incomplete (g, now_us);
   g->view.settled = !incomplete;
-  if (g->upstream_feed.follow.follows || g->upstream_feed.call != NULL
+  if (!mq_feed_may_reread (&g->upstream_feed)
       || !mq_service_view_read_is_due (&g->view.reads, &facts, incomplete,
                                        view_is_running (g), spread, now_us))
     return;
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -365,9 +365,12 @@
     return n;
   }
 
-  bool down = false;  /* The status of every call is 503.  */
-  bool muted = false; /* Watches that wait receive nothing.  */
+  bool down = false;   /* The status of every call is 503.  */
+  std::string failing; /* The same for reads of this kind.  */
+  size_t page = 0;     /* Objects in a reply to a scan; 0: all.  */
+  bool muted = false;  /* Watches that wait receive nothing.  */
   unsigned scans = 0;
+  std::map<std::string, unsigned> kind_scans; /* Replies to scans, by kind.  */
   /* Watches that their clients cancelled, by kind.  */
   std::map<std::string, unsigned> cancelled_waits;
   std::map<std::string, std::map<std::string, std::string> > objects;
@@ -484,14 +487,18 @@
   void
   scan (mq_http_exchange *x, const std::string &kind)
   {
-    std::string s;
+    std::string s, after = text (mq_http_exchange_query (x, "after"));
+    size_t n = 0;
+    auto o = objects[kind].upper_bound (after);
 
     scans++;
-    for (auto &o : objects[kind])
-      s += (s.empty () ? "" : ",") + object (o.first, o.second, revision_);
+    kind_scans[kind]++;
+    for (; o != objects[kind].end () && (page == 0 || n < page); ++o, n++)
+      s += (s.empty () ? "" : ",") + object (o->first, o->second, revision_);
     Server::reply (x, 200,
-                   "{\"items\":[" + s + "],\"hasMore\":false,\"at\":"
-                       + std::to_string (revision_) + "}");
+                   "{\"items\":[" + s + "],\"hasMore\":"
+                       + (o == objects[kind].end () ? "false" : "true")
+                       + ",\"at\":" + std::to_string (revision_) + "}");
   }
 
   /* Handle a router's write: create an object that does not exist, or delete
@@ -532,7 +539,7 @@
     std::string kind = path.substr (std::string ("/objects/").size ());
     std::string watch = text (mq_http_exchange_query (x, "watch"));
 
-    if (down)
+    if (down || kind == failing)
       Server::reply (x, 503);
     else if (text (mq_http_exchange_method (x)) != "GET")
       write (x, kind);
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -60,7 +60,7 @@
     ASSERT_NE (router, nullptr);
   }
 
-  /* The value of the metric NAME, which has no labels.  */
+  /* The value of the metric NAME, with its labels.  */
   double
   metric (const std::string &name)
   {
@@ -81,6 +81,7 @@
   uint64_t digest = 0;  /* Of the real router's list, as last heard.  */
   size_t list_size = 0; /* Entries of the last complete list.  */
   unsigned lists = 0;
+  ev_tstamp listed = 0; /* When the last one came.  */
   unsigned changes = 0;
   unsigned capacity = 0;
   bool relays = false;  /* It is a relay that watches the upstreams.  */
@@ -124,6 +125,24 @@
     mq_gossip_finish (&gossip);
   }
 
+  /* Send a complete list that holds ENTRY under NAME only.  */
+  void
+  send_list (const std::string &name, const std::string &entry)
+  {
+    GString *out = g_string_new (nullptr);
+    mq_cluster_message p = {};
+    mq_platform_entry e = {};
+
+    e.name = span (name);
+    e.version = 5;
+    e.value = span (entry);
+    p.kind = MQ_CLUSTER_MESSAGE_ENTRIES;
+    p.u.entries = { true, 5, &e, 1 };
+    mq_cluster_message_encode (&p, out);
+    EXPECT_EQ (mq_peers_send (peers, span (to), { out->str, out->len }), 0);
+    g_string_free (out, TRUE);
+  }
+
 private:
   static void
   on_message (void *context, mq_span bytes)
@@ -138,6 +157,7 @@
         && d.message.u.entries.whole)
       {
         f->lists++;
+        f->listed = ev_time ();
         f->list_size = d.message.u.entries.n;
       }
     else if (d.message.kind == MQ_CLUSTER_MESSAGE_ENTRIES)
@@ -162,6 +182,19 @@
     EXPECT_TRUE (until ([&] { return router.digest != 0; }));
     return router.digest;
   }
+
+  /* Start a router whose list holds N instances of the plain service.  */
+  void
+  start_with_entries (unsigned n)
+  {
+    const Upstream &u = add ("app-0", "app");
+
+    for (unsigned i = 1; i < n; i++)
+      store.put ("servers", "app-" + std::to_string (i), u.entry ());
+    configure (1);
+    start ();
+    ASSERT_TRUE (ready ());
+  }
 };
 
 } // namespace
@@ -531,3 +564,28 @@
   EXPECT_LE (metric ("marjoramquay_view_store_calls_total"), 3);
   EXPECT_EQ (metric ("marjoramquay_leader"), 0);
 }
+
+/* Guards against a reread that takes the place of the router's own first scan,
+   which fails while a peer sends a list: the scan was not tried again.  */
+TEST_F (GatewayStart, DoesNotReadAgainWhileItsFirstScanFails)
+{
+  unsigned port = free_ports ();
+  const Upstream &one = engine ("eng-1", 0, 40),
+                 &two = engine ("eng-2", 40, 80);
+
+  configure (1);
+  store.failing = "servers";
+  start_with_seed ("\"" + at (port) + "\"");
+  FakeRouter peer (loop, port, at (peers_port));
+  wait (0.3);
+  peer.report ("vm-peer", 1);
+  peer.send_list ("eng-1", one.entry ());
+  ASSERT_TRUE (ready ());
+  wait (1);
+  EXPECT_EQ (metric ("marjoramquay_view_store_calls_total"), 0);
+  write_entry (one);
+  write_entry (two);
+  store.failing.clear ();
+  EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
+  EXPECT_EQ (store.kind_scans["servers"], 1u);
+}
