Count the pages of a list that is read again

A reread counted as one of the three additional calls, however many pages the list had. Each page now counts, and those beyond the three calls are not read. A scan that ends early, or fails after a page, no longer moves the revision that a later watch begins from, so that no change is missed.

The test failed before: 6 scans where 3 are allowed, and 1 counted.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -79,12 +79,13 @@
   mq_platform_call *call; /* Borrowed; NULL between calls.  */
   ev_timer call_timer;    /* Starts the next call.  */
   uint64_t revision;      /* Next follow: changes after this store revision. */
-  unsigned wait_ms;  /* How long the store may hold the last follow call.  */
-  mq_str *after;     /* Scan: last name of the previous page, or NULL.  */
-  GHashTable *seen;  /* Scan: names so far, owned; or NULL.  */
-  bool scanned;      /* A scan has completed in this process.  */
-  bool rereads;      /* The scan in progress is one of mq_feed_reread.  */
-  unsigned failures; /* Consecutive failed calls.  */
+  unsigned wait_ms; /* How long the store may hold the last follow call.  */
+  mq_str *after;    /* Scan: last name of the previous page, or NULL.  */
+  GHashTable *seen; /* Scan: names so far, owned; or NULL.  */
+  bool scanned;     /* A scan has completed in this process.  */
+  bool rereads;     /* The scan in progress is one of mq_feed_reread.  */
+  uint64_t reread_from;   /* Then: REVISION before it.  */
+  unsigned failures;      /* Consecutive failed calls.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
   uint64_t confirmed_us;  /* When gossip of a relay of this domain last showed
@@ -504,8 +505,9 @@
    would take the place of, such as the first scan, which is retried.  */
 bool mq_feed_may_reread (const mq_feed *feed);
 /* Scan once more, if mq_feed_may_reread; an answer that is some seconds old
-   suffices.  A call that fails is not repeated, unless this router follows
-   the feed by then.  */
+   suffices.  A call that fails is not repeated, and pages that exceed the
+   additional calls are not read, unless this router follows the feed by
+   then.  */
 void mq_feed_reread (mq_feed *feed);
 /* Cancel the call in progress and scan again.  */
 void mq_feed_refresh (mq_feed *feed);
--- a/include/mq/internal/gateway_view.h
+++ b/include/mq/internal/gateway_view.h
@@ -76,6 +76,9 @@
 unsigned mq_gateway_view_early_retry_ms (mq_gateway *gateway, uint64_t now_us);
 /* Read the list of upstreams again if it is due.  */
 void mq_gateway_view_tick (mq_gateway *gateway, uint64_t now_us);
+/* Returns true if the next page of a list that is read again may be read, and
+   then counts it.  */
+bool mq_gateway_view_may_read_page (mq_gateway *gateway);
 /* Returns true if this router, which watches the upstreams, is to gather
    changes for a short time.  */
 bool mq_gateway_view_gather_is_short (mq_gateway *gateway, uint64_t now_us);
--- a/include/mq/service_view.h
+++ b/include/mq/service_view.h
@@ -106,6 +106,8 @@
   unsigned calls;
 } mq_service_view_reads;
 
+/* Returns true if one more call may be made, and then notes it.  */
+bool mq_service_view_take_call (mq_service_view_reads *reads);
 /* Returns true if a router that does not watch the upstreams is to read their
    list again now, since INCOMPLETE services are unknown, and then notes the
    call.  RUNNING: engines that hold layers are listed, or the store had
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -189,6 +189,19 @@
   feed_continue (feed, NO_DELAY_S);
 }
 
+/* End a scan of mq_feed_reread that is incomplete.  A follow call has to begin
+   where the last complete scan did, since this one pruned nothing and may not
+   have named all changes since.  */
+static void
+feed_abandon_reread (mq_feed *feed)
+{
+  feed->rereads = false;
+  feed->state = MQ_FEED_FOLLOWING;
+  feed->revision = feed->reread_from;
+  g_clear_pointer (&feed->seen, g_hash_table_unref);
+  g_clear_pointer (&feed->after, mq_str_unref);
+}
+
 static void
 feed_receive_scan (mq_feed *feed, const mq_platform_reply *reply)
 {
@@ -204,6 +217,12 @@
       feed_finish_scan (feed);
       return;
     }
+  if (feed->rereads && !feed->follow.follows
+      && !mq_gateway_view_may_read_page (feed->gateway))
+    {
+      feed_abandon_reread (feed);
+      return;
+    }
   mq_str_unref (feed->after);
   feed->after = mq_str_new (reply->entries[reply->n_entries - 1].name);
   feed_schedule_call (feed, NO_DELAY_S);
@@ -258,16 +277,6 @@
   feed_schedule_call (feed, NO_DELAY_S);
 }
 
-/* End a scan of mq_feed_reread that failed.  */
-static void
-feed_abandon_reread (mq_feed *feed)
-{
-  feed->rereads = false;
-  feed->state = MQ_FEED_FOLLOWING;
-  g_clear_pointer (&feed->seen, g_hash_table_unref);
-  g_clear_pointer (&feed->after, mq_str_unref);
-}
-
 static void
 feed_on_reply (void *context, const mq_platform_reply *reply)
 {
@@ -371,6 +380,7 @@
 mq_feed_reread (mq_feed *feed)
 {
   feed->rereads = true;
+  feed->reread_from = feed->revision;
   feed->state = MQ_FEED_SCANNING;
   feed_call (feed);
 }
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -325,6 +325,15 @@
   mq_feed_reread (&g->upstream_feed);
 }
 
+bool
+mq_gateway_view_may_read_page (mq_gateway *gateway)
+{
+  if (!mq_service_view_take_call (&gateway->view.reads))
+    return false;
+  view_note_read (gateway, "page");
+  return true;
+}
+
 bool
 mq_gateway_view_gather_is_short (mq_gateway *gateway, uint64_t now_us)
 {
--- a/packages/route/service_view.c
+++ b/packages/route/service_view.c
@@ -141,6 +141,15 @@
   return (unsigned)MAX (ms, MIN_RETRY_AFTER_MS);
 }
 
+bool
+mq_service_view_take_call (mq_service_view_reads *reads)
+{
+  if (reads->calls >= MQ_SERVICE_VIEW_MAX_READS)
+    return false;
+  reads->calls++;
+  return true;
+}
+
 bool
 mq_service_view_read_is_due (mq_service_view_reads *reads,
                              const mq_view_facts *view, bool incomplete,
@@ -156,8 +165,7 @@
   delay += (uint64_t)((double)delay * READ_SPREAD * spread);
   if (now_us < view->list_us + delay)
     return false;
-  reads->calls++;
-  return true;
+  return mq_service_view_take_call (reads);
 }
 
 bool
@@ -166,9 +174,7 @@
                                  bool running, uint64_t now_us)
 {
   if (!incomplete || !running || view->list_us == 0
-      || reads->calls >= MQ_SERVICE_VIEW_MAX_READS
       || now_us >= view_settled_us (view))
     return false;
-  reads->calls++;
-  return true;
+  return mq_service_view_take_call (reads);
 }
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -589,3 +589,24 @@
   EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
   EXPECT_EQ (store.kind_scans["servers"], 1u);
 }
+
+/* Guards against more than three additional calls by a list of several pages,
+   and against missing a change since the last complete one after that.  */
+TEST_F (GatewayStart, CountsPagesOfListThatIsReadAgain)
+{
+  for (unsigned i = 1; i <= 5; i++)
+    write_entry (engine ("eng-" + std::to_string (i), 0, 40));
+  store.page = 1;
+  configure (1);
+  start_with_seed ();
+  ASSERT_TRUE (ready ());
+  unsigned first = store.kind_scans["servers"];
+  wait (0.2);
+  write_entry (engine ("eng-9", 40, 80));
+  wait (1);
+  EXPECT_EQ (store.kind_scans["servers"] - first, 3u);
+  EXPECT_EQ (metric ("marjoramquay_view_store_calls_total"), 3);
+  ASSERT_TRUE (until ([&] { return store.watchers ("servers") == 1; }));
+  wait (0.1);
+  EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
+}
