Limit a client's time before converting it

The time that a client states was multiplied without a limit, so that a huge one overflowed and an early request was rejected at once.

--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -6,6 +6,9 @@
 #include <mq/internal/gateway_view.h>
 #include <mq/log.h>
 
+/* Limits the time that a client states, which may be any number.  It is longer
+   than any request takes.  */
+#define MAX_LEFT_MS ((uint64_t)3600 * 1000)
 /* Steps of the spread of reads, which a router's name gives.  */
 #define SPREAD_STEPS 1000
 
@@ -235,7 +238,8 @@
                                 uint64_t arrived_us, uint64_t left_ms,
                                 uint64_t now_us)
 {
-  uint64_t deadline = left_ms > 0 ? arrived_us + left_ms * 1000 : 0;
+  uint64_t deadline
+      = left_ms > 0 ? arrived_us + MIN (left_ms, MAX_LEFT_MS) * 1000 : 0;
 
   return mq_service_view_may_wait (
       mq_service_view_wait_until_us (arrived_us, deadline),
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -610,3 +610,16 @@
   wait (0.1);
   EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
 }
+
+/* Guards against an overflow: the client's time, in microseconds, was taken
+   modulo 2^64, so that the request was rejected at once.  */
+TEST_F (GatewayStart, EarlyRequestWithHugeTimeWaits)
+{
+  configure (1);
+  store.down = true;
+  start ();
+  ev_tstamp before = ev_time ();
+  Answer x = fetch ("POST", "/unsafe/1", key, "", 0, "18446744073709552");
+  EXPECT_EQ (x.status, 503u);
+  EXPECT_GT (ev_time () - before, 1.4);
+}
