Count all requests that are rejected after they waited for a view

The metric with end="rejected" counted only those whose service was still unknown. A request that waited until the list was believed, and was then rejected for lack of room, was missing. The test failed before: 0 counted.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -280,6 +280,7 @@
   bool resting;            /* ... or accepts nothing from this router.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
   bool view_waits;         /* The same, as its service is not known yet.  */
+  bool view_waited;        /* It did so at some time.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
--- a/include/mq/internal/gateway_view.h
+++ b/include/mq/internal/gateway_view.h
@@ -22,11 +22,11 @@
   uint64_t list_us; /* First complete list of upstreams; 0: none yet.  */
   mq_view_source source;
   mq_service_view_reads reads;
-  unsigned waiting;  /* Forwards that wait for their service's view.  */
-  bool settled;      /* No service can be unknown any more.  */
-  uint64_t *waits;   /* Metrics: requests that began to wait, ...  */
-  uint64_t *expired; /* ... and that were rejected after it.  */
-  uint64_t *read;    /* Additional calls to the store.  */
+  unsigned waiting;   /* Forwards that wait for their service's view.  */
+  bool settled;       /* No service can be unknown any more.  */
+  uint64_t *waits;    /* Metrics: requests that began to wait, ...  */
+  uint64_t *rejected; /* ... and that were rejected after it, unsent.  */
+  uint64_t *read;     /* Additional calls to the store.  */
   uint64_t *now_waiting;
   uint64_t *known_ms; /* From the start to the first service that is known.  */
 } mq_gateway_view;
@@ -64,6 +64,9 @@
 /* Returns true if FORWARD, whose service is unknown, may wait at NOW_US, and
    then counts and logs that it does.  */
 bool mq_gateway_view_may_wait (struct mq_forward *forward, uint64_t now_us);
+/* FORWARD is rejected, for any reason.  Counts it if it waited for a view and
+   was never sent.  */
+void mq_gateway_view_note_rejected (const struct mq_forward *forward);
 /* FORWARD no longer waits for a view.  May be called at any time.  */
 void mq_gateway_view_stop_waiting (struct mq_forward *forward);
 /* Returns true if one more request may wait, which arrived at ARRIVED_US,
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -531,6 +531,7 @@
 {
   mq_forward_verdict v = mq_forward_give_up (&forward->state, false);
 
+  mq_gateway_view_note_rejected (forward);
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
   else
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -189,6 +189,7 @@
       = &mq_gateway_service_state (g, forward->service)->view.last;
 
   forward->view_waits = true;
+  forward->view_waited = true;
   g->view.waiting++;
   ++*g->view.waits;
   *g->view.now_waiting = g->view.waiting;
@@ -214,13 +215,18 @@
   bool may = mq_service_view_may_wait (until, view_count_waiting (g), waits,
                                        now_us);
 
-  if (waits && !may)
-    ++*g->view.expired;
   if (may && !waits)
     view_note_wait (forward, until, now_us);
   return may;
 }
 
+void
+mq_gateway_view_note_rejected (const mq_forward *forward)
+{
+  if (forward->view_waited && forward->state.arrived == 0)
+    ++*forward->gateway->view.rejected;
+}
+
 void
 mq_gateway_view_stop_waiting (mq_forward *forward)
 {
@@ -363,8 +369,8 @@
       = mq_metrics_counter (m, "marjoramquay_view_waits_total", "end=\"any\"",
                             "Requests that waited for a starting router to "
                             "learn of upstreams.");
-  v->expired = mq_metrics_counter (m, "marjoramquay_view_waits_total",
-                                   "end=\"rejected\"", "");
+  v->rejected = mq_metrics_counter (m, "marjoramquay_view_waits_total",
+                                    "end=\"rejected\"", "");
   v->read = mq_metrics_counter (m, "marjoramquay_view_store_calls_total", "",
                                 "Additional calls to the store for the first "
                                 "view of the upstreams.");
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -623,3 +623,24 @@
   EXPECT_EQ (x.status, 503u);
   EXPECT_GT (ev_time () - before, 1.4);
 }
+
+/* A request waits until the list is believed, and is then rejected for lack of
+   room.  Guards against rejecting it uncounted.  */
+TEST_F (GatewayStart, RequestRejectedForLackOfRoomAfterWaitIsCountedAndLogged)
+{
+  std::string log;
+
+  configure (1);
+  write_entry (engine ("eng-1", 0, 40));
+  start ();
+  ASSERT_TRUE (ready ());
+  wait (1.6);
+  mq_log_init ("info");
+  testing::internal::CaptureStderr ();
+  Answer x = fetch ("POST", "/stream/1");
+  log = testing::internal::GetCapturedStderr ();
+  EXPECT_EQ (x.status, 503u);
+  EXPECT_NE (log.find ("event=request.waits-for-view"), std::string::npos);
+  EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"any\"}"), 1);
+  EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"rejected\"}"), 1);
+}
