Log the paths of a request that finds no room after its wait for a view

Such a request was rejected without the line request.no-room, since one that waits for prefill has logged it before. The test failed before.

--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -399,7 +399,10 @@
           forward, mq_domain_retry_after_ms (
                        (forward->state.deadline_us - now_us) / 1000,
                        mq_gateway_random (forward->gateway)));
-      if (!forward->state.response_started && !forward->waiting)
+      /* One that waits was logged already, but not one that waited for a
+         view, which had no paths to log.  */
+      if (!forward->state.response_started
+          && (!forward->waiting || forward->view_waits))
         {
           place_log_choices (forward, choices, n);
           mq_gateway_urgency_log_limit (forward);
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -625,7 +625,7 @@
 }
 
 /* A request waits until the list is believed, and is then rejected for lack of
-   room.  Guards against rejecting it uncounted.  */
+   room.  Guards against rejecting it uncounted and without the reason.  */
 TEST_F (GatewayStart, RequestRejectedForLackOfRoomAfterWaitIsCountedAndLogged)
 {
   std::string log;
@@ -641,6 +641,7 @@
   log = testing::internal::GetCapturedStderr ();
   EXPECT_EQ (x.status, 503u);
   EXPECT_NE (log.find ("event=request.waits-for-view"), std::string::npos);
+  EXPECT_NE (log.find ("event=request.no-room"), std::string::npos);
   EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"any\"}"), 1);
   EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"rejected\"}"), 1);
 }
