Do not let unreachable routers use up the rate of first lists

A first list that was dropped counted against the entries of the tick, was logged as passed on, and was tried again at the next tick, so that a few unreachable routers kept others from theirs. Each dropped change also renewed the time since which its receiver was new, without an end.

A list is now counted and logged once it was sent, and tried again after 200 ms. The time of a dropped change is kept apart from that of the first message, and bounds first lists to 4 s after it.

The test failed before: 30 unreachable routers, and the reachable one got no list within 0.6 s.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -75,11 +75,12 @@
   uint64_t upstreams_digest;
   uint64_t upstreams_newest;
   uint64_t received_us; /* When its last message came; 0: never.  */
-  uint64_t appeared_us; /* When the first message of its incarnation came, or
-                           the owner last failed to send it a change soon
-                           after that.  */
-  uint64_t named_us;    /* When another router or the platform last named it;
-                           0: never.  */
+  uint64_t appeared_us; /* When the first message of its incarnation came.  */
+  uint64_t change_dropped_us; /* Set by the owner: when a change to it was last
+                                 dropped, soon after that; 0: none was.  */
+  uint64_t list_dropped_us;   /* Set by the owner: the same of a list.  */
+  uint64_t named_us; /* When another router or the platform last named it;
+                        0: never.  */
   uint64_t unanswered_since_us;    /* First message to it since it was last
                                       received from; 0: none.  */
   uint64_t sent_us;                /* Last message to it.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -202,9 +202,11 @@
   mq_lag upstreams_lag;   /* A relay knows newer upstreams than we do.  */
   uint64_t store_recovered_us; /* First reply after failures; 0: none.  */
   mq_peers *peers;
-  mq_cluster cluster;     /* The other routers.  */
-  mq_digest_log digests;  /* Recent digests of UPSTREAM_LIST.  */
-  mq_str *client_address; /* This router's own, IP:PORT for clients.  */
+  mq_cluster cluster;         /* The other routers.  */
+  mq_digest_log digests;      /* Recent digests of UPSTREAM_LIST.  */
+  int64_t first_list_entries; /* First lists may go out while it is positive
+                                 (gateway_propagation.c).  */
+  mq_str *client_address;     /* This router's own, IP:PORT for clients.  */
   ev_timer heartbeat;
   uint64_t ticked_us;       /* Last tick; shows pauses of the process.  */
   uint64_t peers_idle_us;   /* Last look for idle connections to routers.  */
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -30,6 +30,10 @@
    such lists go out until they hold so many entries, about 100 KB: slow VMs
    have 20 Mbit/s, and hundreds of routers may start together.  */
 #define MAX_FIRST_ENTRIES_PER_TICK 400
+/* Delay before such a list is sent again after it was dropped: the connection
+   to a router that was just heard opens within some ms, but one to a router
+   that cannot be reached may never open.  */
+#define FIRST_LIST_RETRY_US ((uint64_t)200 * 1000)
 
 /* A watch delivers a change within some ms, but may hang when the store
    compacts its history meanwhile.  A follower that lags behind a peer for this
@@ -68,14 +72,20 @@
 typedef bool (*router_predicate) (const mq_gateway *gateway,
                                   const mq_cluster_member *router);
 
-/* Returns true if the first message of ROUTER's incarnation came, or a change
-   to it was dropped after that, just now.  */
+/* Returns true if the first message of ROUTER's incarnation came just now.  */
 static bool
 router_is_new (const mq_cluster_member *router, uint64_t now_us)
 {
   return now_us - router->appeared_us < LIST_LAG_US;
 }
 
+/* Returns since when every change was sent to ROUTER, if it is new.  */
+static uint64_t
+router_receives_since (const mq_cluster_member *router)
+{
+  return MAX (router->appeared_us, router->change_dropped_us);
+}
+
 /* Send MESSAGE to the routers of this domain that this one sends updates to
    and that NEEDS holds for.  */
 static void
@@ -96,7 +106,7 @@
         && !mq_gateway_gossip_send (gateway, value, message->kind, out)
         && message->kind == MQ_CLUSTER_MESSAGE_ENTRIES
         && router_is_new (value, now))
-      ((mq_cluster_member *)value)->appeared_us = mq_gateway_now_us ();
+      ((mq_cluster_member *)value)->change_dropped_us = mq_gateway_now_us ();
   mq_peers_shared_free (out);
 }
 
@@ -262,11 +272,12 @@
 {
   if (*list == NULL)
     *list = list_encode (gateway);
+  if (!mq_gateway_gossip_send (gateway, to, MQ_CLUSTER_MESSAGE_ENTRIES, *list))
+    return false;
   mq_log (G_LOG_LEVEL_INFO, "upstream.list-passed-on", "vm=%s upstreams=%u",
           mq_str_cstr (to->name),
           g_hash_table_size (gateway->upstream_list.entries));
-  return mq_gateway_gossip_send (gateway, to, MQ_CLUSTER_MESSAGE_ENTRIES,
-                                 *list);
+  return true;
 }
 
 /* ---- Sending again.  */
@@ -350,16 +361,19 @@
       now_us);
 }
 
-/* Returns true if TO started just now and this router is certain that its own
-   list is complete, and that it sends every change to TO from now on.  */
+/* Returns true if TO started just now, or missed a change just after that, and
+   this router is certain that its own list is complete, and that it sends
+   every change to TO from now on.  As changes count only while TO is new, this
+   ends at twice LIST_LAG_US after its first message.  */
 static bool
 list_is_first (const mq_gateway *gateway, const mq_cluster_member *to,
                uint64_t now_us)
 {
   const mq_feed *feed = &gateway->upstream_feed;
 
-  return router_is_new (to, now_us) && feed->follow.follows
-         && feed->state == MQ_FEED_FOLLOWING && feed->failures == 0;
+  return now_us - router_receives_since (to) < LIST_LAG_US
+         && feed->follow.follows && feed->state == MQ_FEED_FOLLOWING
+         && feed->failures == 0;
 }
 
 /* Returns true if TO has a list that was never ours, or that was ours only
@@ -370,16 +384,25 @@
 {
   uint64_t since = now_us - MIN (now_us, LIST_LAG_US);
 
-  return !mq_digest_log_contains (&gateway->digests, to->upstreams_digest,
-                                  first ? MAX (since, to->appeared_us)
-                                        : since);
+  return !mq_digest_log_contains (
+      &gateway->digests, to->upstreams_digest,
+      first ? MAX (since, router_receives_since (to)) : since);
 }
 
-/* Send TO again what it lacks.  LIST is as in propagate_list; *ENTRIES counts
-   the entries of first lists at this tick.  */
+/* Returns true if a first list may be sent to TO now.  */
+static bool
+first_list_may_go (const mq_gateway *gateway, const mq_cluster_member *to,
+                   uint64_t now_us)
+{
+  return gateway->first_list_entries > 0
+         && (to->list_dropped_us == 0
+             || now_us - to->list_dropped_us >= FIRST_LIST_RETRY_US);
+}
+
+/* Send TO again what it lacks.  LIST is as in propagate_list.  */
 static void
 resend_to (mq_gateway *gateway, mq_cluster_member *to, mq_peers_shared **list,
-           unsigned *entries, uint64_t now_us)
+           uint64_t now_us)
 {
   bool first = list_is_first (gateway, to, now_us);
   uint64_t own_delay = router_has_own_source (gateway, to) ? RESEND_US : 0;
@@ -400,7 +423,7 @@
     }
   if (lacks_upstreams && first)
     {
-      if (*entries >= MAX_FIRST_ENTRIES_PER_TICK)
+      if (!first_list_may_go (gateway, to, now_us))
         return;
       /* Its own source, if any, has only the configuration.  */
       list_delay = 0;
@@ -408,23 +431,29 @@
   if (!resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
                       lacks_upstreams, list_delay, now_us))
     return;
-  if (first)
-    *entries += g_hash_table_size (gateway->upstream_list.entries);
-  /* The connection to a router that was just heard may not be open yet.  */
-  if (!propagate_list (gateway, to, list) && first)
-    to->upstreams_lag.sent_us = 0;
+  if (propagate_list (gateway, to, list))
+    {
+      if (first)
+        gateway->first_list_entries
+            -= g_hash_table_size (gateway->upstream_list.entries);
+    }
+  else if (first)
+    {
+      to->upstreams_lag.sent_us = 0;
+      to->list_dropped_us = now_us;
+    }
 }
 
 void
 mq_gateway_propagation_tick (mq_gateway *gateway, uint64_t now_us)
 {
   mq_peers_shared *list = NULL;
-  unsigned entries = 0;
   GHashTableIter i;
   gpointer value;
 
   if (!router_propagates (gateway))
     return;
+  gateway->first_list_entries = MAX_FIRST_ENTRIES_PER_TICK;
   g_hash_table_iter_init (&i, gateway->cluster.routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
@@ -432,7 +461,7 @@
 
       if (r->local ? router_is_receiver (gateway, r, now_us)
                    : r->relays && gateway->cluster.relays)
-        resend_to (gateway, value, &list, &entries, now_us);
+        resend_to (gateway, value, &list, now_us);
     }
   mq_peers_shared_free (list);
 }
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -544,7 +544,11 @@
       && router->incarnation != gossip->from.incarnation)
     member_keep_previous_sends (router, now_us);
   if (router->incarnation != gossip->from.incarnation)
-    router->appeared_us = now_us;
+    {
+      router->appeared_us = now_us;
+      router->change_dropped_us = 0;
+      router->list_dropped_us = 0;
+    }
   router->incarnation = gossip->from.incarnation;
   router->sequence = gossip->sequence;
   router->received_us = now_us;
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -645,3 +645,38 @@
   EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"any\"}"), 1);
   EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"rejected\"}"), 1);
 }
+
+/* Guards against lists to routers that cannot be reached using up the rate of
+   first lists, and against logging what was not sent.  */
+TEST_F (GatewayRelay, UnreachableRoutersDoNotDelayListsOfOthers)
+{
+  std::string log;
+
+  start_with_entries (400);
+  FakeRouter old (loop, free_ports (), at (peers_port));
+  FakeRouter starting (loop, free_ports (), at (peers_port));
+  uint64_t digest = list_digest (old);
+
+  add ("app-c", "app");
+  wait (0.3);
+  mq_log_init ("info");
+  testing::internal::CaptureStderr ();
+  {
+    FakeRouter gone (loop, free_ports (), at (peers_port));
+
+    wait (0.1);
+    for (unsigned i = 1; i <= 30; i++)
+      {
+        gone.address = "127.0.0.1:" + std::to_string (i);
+        gone.report ("vm-gone-" + std::to_string (i), digest);
+      }
+    starting.report ("vm-new", digest);
+    wait (0.6);
+  }
+  log = testing::internal::GetCapturedStderr ();
+  EXPECT_EQ (starting.lists, 1u);
+  EXPECT_EQ (log.find ("event=upstream.list-passed-on vm=vm-gone"),
+             std::string::npos);
+  EXPECT_NE (log.find ("event=upstream.list-passed-on vm=vm-new"),
+             std::string::npos);
+}
