Carry the excess of a long first list over to later ticks

The rate of first lists was checked before a list was sent, so that one of any length went out at each tick: 3,000 entries every 50 ms in place of 400. The entries that a list exceeds the rate by now delay the next ones.

The test failed before: 4 lists of 1,201 entries within 150 ms.

--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -26,8 +26,8 @@
 #define LIST_LAG_US ((uint64_t)2000 * 1000)
 /* A router that started just now, whose list is not ours, has missed what was
    propagated before it was first heard.  For LIST_LAG_US it gets the complete
-   list without a delay from a router that follows the store.  At each tick
-   such lists go out until they hold so many entries, about 100 KB: slow VMs
+   list without a delay from a router that follows the store.  Such
+   lists hold so many entries for each tick on average, about 100 KB: slow VMs
    have 20 Mbit/s, and hundreds of routers may start together.  */
 #define MAX_FIRST_ENTRIES_PER_TICK 400
 /* Delay before such a list is sent again after it was dropped: the connection
@@ -453,7 +453,10 @@
 
   if (!router_propagates (gateway))
     return;
-  gateway->first_list_entries = MAX_FIRST_ENTRIES_PER_TICK;
+  /* A list that exceeds the rate delays those of later ticks.  */
+  gateway->first_list_entries
+      = MIN (gateway->first_list_entries + MAX_FIRST_ENTRIES_PER_TICK,
+             MAX_FIRST_ENTRIES_PER_TICK);
   g_hash_table_iter_init (&i, gateway->cluster.routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -680,3 +680,33 @@
   EXPECT_NE (log.find ("event=upstream.list-passed-on vm=vm-new"),
              std::string::npos);
 }
+
+/* Guards against exceeding the rate of 400 entries a tick of 50 ms with lists
+   that are longer.  */
+TEST_F (GatewayRelay, FirstListsLongerThanTheRateGoOutLater)
+{
+  start_with_entries (1200);
+  FakeRouter old (loop, free_ports (), at (peers_port));
+  std::vector<std::unique_ptr<FakeRouter> > starting;
+  uint64_t digest = list_digest (old);
+  ev_tstamp first = 0, last = 0;
+
+  for (unsigned i = 0; i < 4; i++)
+    starting.push_back (
+        std::make_unique<FakeRouter> (loop, free_ports (), at (peers_port)));
+  add ("app-c", "app");
+  wait (0.3);
+  for (unsigned i = 0; i < 4; i++)
+    starting[i]->report ("vm-new-" + std::to_string (i), digest);
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (starting.begin (), starting.end (),
+                        [] (const auto &s) { return s->lists > 0; });
+  }));
+  for (const auto &s : starting)
+    {
+      first = first > 0 ? std::min (first, s->listed) : s->listed;
+      last = std::max (last, s->listed);
+    }
+  EXPECT_GT (last - first, 0.35);
+  EXPECT_LT (last - first, 1.0);
+}
