Do not treat a request that waits for a view as waiting for prefill

A waiting request skipped its placement when another of its rank had found all paths prefilling in the same tick, also if it waited for the view of its service, or if its service had no layers. It then no longer counted as waiting for a view and was not placed before the streams were. The shortcut is now taken only for requests that wait for prefill of a service with layers.

--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -197,16 +197,18 @@
   f->state.sent++;
 }
 
-/* Place FORWARD, unless it may wait and another request of its rank found all
-   paths prefilling in this tick.  Many requests may wait, and each search for
-   paths takes time.  */
+/* Place FORWARD, unless it waits for prefill, may wait on, and another request
+   of its rank found all paths prefilling in this tick.  Many requests may
+   wait, and each search for paths takes time.  One that waits for a view was
+   never placed, and a service without layers has no prefill.  */
 static mq_place_result
 send_place (mq_forward *forward, uint64_t now_us, unsigned *retry_ms)
 {
   mq_gateway *g = forward->gateway;
   unsigned rank = 1u << mq_forward_rank (forward);
-  bool may_wait
-      = forward->waiting && mq_forward_may_wait_for_prefill (forward, now_us);
+  bool may_wait = forward->waiting && !forward->view_waits
+                  && forward->service->model.layers > 0
+                  && mq_forward_may_wait_for_prefill (forward, now_us);
   mq_place_result result;
 
   if (mq_gateway_view_is_repeated (forward, now_us))
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -710,3 +710,37 @@
   EXPECT_GT (last - first, 0.35);
   EXPECT_LT (last - first, 1.0);
 }
+
+/* Guards against treating a request of a plain service that waits for its view
+   as one that waits for prefill, while streams do: it was no longer placed. */
+TEST_F (GatewayStart, RequestThatWaitsForViewIsPlacedWhileStreamsPrefill)
+{
+  constexpr unsigned streams = 200;
+  Answer answers[streams], x;
+  Upstream &one = engine ("eng-1", 0, 40), &two = engine ("eng-2", 40, 80);
+
+  one.serve = two.serve = [] (mq_http_exchange *) {};
+  write_entry (one);
+  write_entry (two);
+  configure (1);
+  store.down = true;
+  start ();
+  wait (0.3);
+  store.down = false;
+  ASSERT_TRUE (ready ());
+  for (Answer &a : answers)
+    start_request (a, "POST", "/stream/1", key);
+  wait (0.1);
+  start_request (x, "POST", "/unsafe/1", key);
+  wait (0.12);
+  EXPECT_FALSE (x.ended);
+  EXPECT_EQ (metric ("marjoramquay_view_waiting"), 1);
+  /* Some streams wait for prefill.  */
+  EXPECT_LT (one.received_requests.size (), streams);
+  add ("app-a", "app");
+  ev_tstamp before = ev_time ();
+  ASSERT_TRUE (until ([&] { return x.ended; }));
+  EXPECT_EQ (x.status, 200u);
+  /* The list is read again 0.4 to 0.5 s after the first one.  */
+  EXPECT_LT (ev_time () - before, 0.55);
+}
