Name a service that nothing can serve unavailable

The state was called hopeless, which is figurative, and mq_gateway_view_is_repeated did not say what is repeated. They are MQ_SERVICE_VIEW_UNAVAILABLE, state=unavailable in the log, and mq_gateway_view_is_decided now.

--- a/include/mq/internal/gateway_view.h
+++ b/include/mq/internal/gateway_view.h
@@ -55,10 +55,11 @@
 mq_service_view mq_gateway_view_decide (mq_gateway *gateway,
                                         const mq_route_service *service,
                                         uint64_t now_us);
-/* Returns true if the view of the service of FORWARD, which waits for it, was
-   found unknown at NOW_US already, since many may wait.  */
-bool mq_gateway_view_is_repeated (const struct mq_forward *forward,
-                                  uint64_t now_us);
+/* Returns true if this tick, at NOW_US, has already decided that the view of
+   the service of FORWARD, which waits for it, is unknown, since many may wait.
+ */
+bool mq_gateway_view_is_decided (const struct mq_forward *forward,
+                                 uint64_t now_us);
 /* Retry-After of FORWARD, whose service is unknown.  */
 unsigned mq_gateway_view_retry_ms (const struct mq_forward *forward);
 /* Returns true if FORWARD, whose service is unknown, may wait at NOW_US, and
--- a/include/mq/service_view.h
+++ b/include/mq/service_view.h
@@ -40,7 +40,7 @@
 {
   MQ_SERVICE_VIEW_KNOWN,   /* An instance or a complete chain is listed.  */
   MQ_SERVICE_VIEW_UNKNOWN, /* None is listed, but the list may lack some.  */
-  MQ_SERVICE_VIEW_HOPELESS /* None exists.  */
+  MQ_SERVICE_VIEW_UNAVAILABLE /* None exists.  */
 } mq_service_view_state;
 
 /* From whom the first complete list of upstreams came.  */
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -211,7 +211,7 @@
                   && mq_forward_may_wait_for_prefill (forward, now_us);
   mq_place_result result;
 
-  if (mq_gateway_view_is_repeated (forward, now_us))
+  if (mq_gateway_view_is_decided (forward, now_us))
     {
       *retry_ms = mq_gateway_view_retry_ms (forward);
       return MQ_PLACE_UNKNOWN;
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -111,7 +111,7 @@
   mq_service_view v;
 
   if (gateway->view.settled || s->served)
-    return (mq_service_view){ MQ_SERVICE_VIEW_HOPELESS, 0, 0 };
+    return (mq_service_view){ MQ_SERVICE_VIEW_UNAVAILABLE, 0, 0 };
   f = service_facts (gateway, service, now_us);
   v = mq_service_view_decide (&facts, &f, now_us);
   if (v.state == MQ_SERVICE_VIEW_KNOWN)
@@ -161,7 +161,7 @@
 }
 
 bool
-mq_gateway_view_is_repeated (const mq_forward *forward, uint64_t now_us)
+mq_gateway_view_is_decided (const mq_forward *forward, uint64_t now_us)
 {
   const mq_gateway_service_view *s
       = &mq_gateway_service_state (forward->gateway, forward->service)->view;
--- a/packages/route/service_view.c
+++ b/packages/route/service_view.c
@@ -58,7 +58,7 @@
 mq_service_view_decide (const mq_view_facts *view,
                         const mq_service_facts *service, uint64_t now_us)
 {
-  mq_service_view v = { MQ_SERVICE_VIEW_HOPELESS, 0, 0 };
+  mq_service_view v = { MQ_SERVICE_VIEW_UNAVAILABLE, 0, 0 };
 
   if (view->list_us > 0)
     v.age_us = now_us - view->list_us;
@@ -88,10 +88,10 @@
       return "known";
     case MQ_SERVICE_VIEW_UNKNOWN:
       return "unknown";
-    case MQ_SERVICE_VIEW_HOPELESS:
+    case MQ_SERVICE_VIEW_UNAVAILABLE:
       break;
     }
-  return "hopeless";
+  return "unavailable";
 }
 
 const char *
--- a/tests/test_service_view.cc
+++ b/tests/test_service_view.cc
@@ -46,7 +46,7 @@
   EXPECT_EQ (v.expected_us, 2400 * ms);
   EXPECT_EQ (decide (after_outage, part, 4499).state, MQ_SERVICE_VIEW_UNKNOWN);
   v = decide (after_outage, part, 4500);
-  EXPECT_EQ (v.state, MQ_SERVICE_VIEW_HOPELESS);
+  EXPECT_EQ (v.state, MQ_SERVICE_VIEW_UNAVAILABLE);
   EXPECT_EQ (v.expected_us, 0u);
   EXPECT_EQ (decide (after_outage, chain, 2100).state, MQ_SERVICE_VIEW_KNOWN);
 }
@@ -59,10 +59,10 @@
 
   later.store_recovered_us = 60000 * ms;
   EXPECT_EQ (decide (after_outage, lost, 2100).state,
-             MQ_SERVICE_VIEW_HOPELESS);
-  EXPECT_EQ (decide (later, part, 60001).state, MQ_SERVICE_VIEW_HOPELESS);
+             MQ_SERVICE_VIEW_UNAVAILABLE);
+  EXPECT_EQ (decide (later, part, 60001).state, MQ_SERVICE_VIEW_UNAVAILABLE);
   EXPECT_EQ (decide (later, no_instance, 60001).state,
-             MQ_SERVICE_VIEW_HOPELESS);
+             MQ_SERVICE_VIEW_UNAVAILABLE);
   EXPECT_EQ (decide (later, chain, 60001).state, MQ_SERVICE_VIEW_KNOWN);
 }
 
@@ -71,7 +71,7 @@
 TEST (ServiceView, PlainServiceIsKnownWithTheList)
 {
   EXPECT_EQ (decide (after_restart, no_instance, 2001).state,
-             MQ_SERVICE_VIEW_HOPELESS);
+             MQ_SERVICE_VIEW_UNAVAILABLE);
   EXPECT_EQ (decide (after_outage, no_instance, 2001).state,
              MQ_SERVICE_VIEW_UNKNOWN);
 }
@@ -81,7 +81,7 @@
 TEST (ServiceView, ModelThatNoEngineHoldsIsKnownWithTheList)
 {
   EXPECT_EQ (decide (after_restart, empty_engines, 2001).state,
-             MQ_SERVICE_VIEW_HOPELESS);
+             MQ_SERVICE_VIEW_UNAVAILABLE);
   EXPECT_EQ (decide (after_outage, empty_engines, 2001).state,
              MQ_SERVICE_VIEW_UNKNOWN);
 }
@@ -105,7 +105,7 @@
   view.source = MQ_VIEW_SOURCE_PEER;
   view.store_recovered_us = 3500 * ms;
   EXPECT_EQ (decide (view, part, 5900).state, MQ_SERVICE_VIEW_UNKNOWN);
-  EXPECT_EQ (decide (view, part, 6000).state, MQ_SERVICE_VIEW_HOPELESS);
+  EXPECT_EQ (decide (view, part, 6000).state, MQ_SERVICE_VIEW_UNAVAILABLE);
 }
 
 /* Guards against holding a request until its client disconnects or until
@@ -226,7 +226,7 @@
             sent++;
             return;
           }
-        if (v.state == MQ_SERVICE_VIEW_HOPELESS
+        if (v.state == MQ_SERVICE_VIEW_UNAVAILABLE
             || !mq_service_view_may_wait (until, 1, true, now * ms))
           {
             rejected++;
