--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -79,12 +79,13 @@
   mq_platform_call *call; /* Borrowed; NULL between calls.  */
   ev_timer call_timer;    /* Starts the next call.  */
   uint64_t revision;      /* Next follow: changes after this store revision. */
-  unsigned wait_ms;  /* How long the store may hold the last follow call.  */
-  mq_str *after;     /* Scan: last name of the previous page, or NULL.  */
-  GHashTable *seen;  /* Scan: names so far, owned; or NULL.  */
-  bool scanned;      /* A scan has completed in this process.  */
-  bool rereads;      /* The scan in progress is one of mq_feed_reread.  */
-  unsigned failures; /* Consecutive failed calls.  */
+  unsigned wait_ms; /* How long the store may hold the last follow call.  */
+  mq_str *after;    /* Scan: last name of the previous page, or NULL.  */
+  GHashTable *seen; /* Scan: names so far, owned; or NULL.  */
+  bool scanned;     /* A scan has completed in this process.  */
+  bool rereads;     /* The scan in progress is one of mq_feed_reread.  */
+  uint64_t reread_from;   /* Then: REVISION before it.  */
+  unsigned failures;      /* Consecutive failed calls.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
   uint64_t confirmed_us;  /* When gossip of a relay of this domain last showed
@@ -203,9 +204,11 @@
   mq_lag upstreams_lag;   /* A relay knows newer upstreams than we do.  */
   uint64_t store_recovered_us; /* First reply after failures; 0: none.  */
   mq_peers *peers;
-  mq_cluster cluster;     /* The other routers.  */
-  mq_digest_log digests;  /* Recent digests of UPSTREAM_LIST.  */
-  mq_str *client_address; /* This router's own, IP:PORT for clients.  */
+  mq_cluster cluster;         /* The other routers.  */
+  mq_digest_log digests;      /* Recent digests of UPSTREAM_LIST.  */
+  int64_t first_list_entries; /* First lists may go out while it is positive
+                                 (gateway_propagation.c).  */
+  mq_str *client_address;     /* This router's own, IP:PORT for clients.  */
   ev_timer heartbeat;
   uint64_t ticked_us;       /* Last tick; shows pauses of the process.  */
   uint64_t peers_idle_us;   /* Last look for idle connections to routers.  */
@@ -284,6 +287,7 @@
   bool waits_for_budget;   /* The retry budget had no room for it.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
   uint64_t lost_us;        /* ... then.  */
+  bool view_waited;        /* It did so at some time.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
@@ -508,9 +512,13 @@
 void mq_feed_resume (mq_feed *feed);
 /* Cancel the call in progress, which may hang, and call again.  */
 void mq_feed_restart (mq_feed *feed);
-/* Scan once more, without a call in progress; an answer that is some seconds
-   old suffices.  A call that fails is not repeated, unless this router follows
-   the feed by then.  */
+/* Returns true if nothing is in progress or scheduled that mq_feed_reread
+   would take the place of, such as the first scan, which is retried.  */
+bool mq_feed_may_reread (const mq_feed *feed);
+/* Scan once more, if mq_feed_may_reread; an answer that is some seconds old
+   suffices.  A call that fails is not repeated, and pages that exceed the
+   additional calls are not read, unless this router follows the feed by
+   then.  */
 void mq_feed_reread (mq_feed *feed);
 /* Cancel the call in progress and scan again.  */
 void mq_feed_refresh (mq_feed *feed);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -535,6 +535,7 @@
       &forward->state,
       forward->waits_for_budget && forward->lost_end == MQ_SEND_TIMED_OUT);
 
+  mq_gateway_view_note_rejected (forward);
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
   else
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -6,6 +6,9 @@
 #include <mq/internal/gateway_view.h>
 #include <mq/log.h>
 
+/* Limits the time that a client states, which may be any number.  It is longer
+   than any request takes.  */
+#define MAX_LEFT_MS ((uint64_t)3600 * 1000)
 /* Steps of the spread of reads, which a router's name gives.  */
 #define SPREAD_STEPS 1000
 
@@ -108,7 +111,7 @@
   mq_service_view v;
 
   if (gateway->view.settled || s->served)
-    return (mq_service_view){ MQ_SERVICE_VIEW_HOPELESS, 0, 0 };
+    return (mq_service_view){ MQ_SERVICE_VIEW_UNAVAILABLE, 0, 0 };
   f = service_facts (gateway, service, now_us);
   v = mq_service_view_decide (&facts, &f, now_us);
   if (v.state == MQ_SERVICE_VIEW_KNOWN)
@@ -158,7 +161,7 @@
 }
 
 bool
-mq_gateway_view_is_repeated (const mq_forward *forward, uint64_t now_us)
+mq_gateway_view_is_decided (const mq_forward *forward, uint64_t now_us)
 {
   const mq_gateway_service_view *s
       = &mq_gateway_service_state (forward->gateway, forward->service)->view;
@@ -186,6 +189,7 @@
       = &mq_gateway_service_state (g, forward->service)->view.last;
 
   forward->view_waits = true;
+  forward->view_waited = true;
   g->view.waiting++;
   ++*g->view.waits;
   *g->view.now_waiting = g->view.waiting;
@@ -211,13 +215,18 @@
   bool may = mq_service_view_may_wait (until, view_count_waiting (g), waits,
                                        now_us);
 
-  if (waits && !may)
-    ++*g->view.expired;
   if (may && !waits)
     view_note_wait (forward, until, now_us);
   return may;
 }
 
+void
+mq_gateway_view_note_rejected (const mq_forward *forward)
+{
+  if (forward->view_waited && forward->state.arrived == 0)
+    ++*forward->gateway->view.rejected;
+}
+
 void
 mq_gateway_view_stop_waiting (mq_forward *forward)
 {
@@ -235,7 +244,8 @@
                                 uint64_t arrived_us, uint64_t left_ms,
                                 uint64_t now_us)
 {
-  uint64_t deadline = left_ms > 0 ? arrived_us + left_ms * 1000 : 0;
+  uint64_t deadline
+      = left_ms > 0 ? arrived_us + MIN (left_ms, MAX_LEFT_MS) * 1000 : 0;
 
   return mq_service_view_may_wait (
       mq_service_view_wait_until_us (arrived_us, deadline),
@@ -317,7 +327,7 @@
     return;
   incomplete = view_is_incomplete (g, now_us);
   g->view.settled = !incomplete;
-  if (g->upstream_feed.follow.follows || g->upstream_feed.call != NULL
+  if (!mq_feed_may_reread (&g->upstream_feed)
       || !mq_service_view_read_is_due (&g->view.reads, &facts, incomplete,
                                        view_is_running (g), spread, now_us))
     return;
@@ -325,6 +335,15 @@
   mq_feed_reread (&g->upstream_feed);
 }
 
+bool
+mq_gateway_view_may_read_page (mq_gateway *gateway)
+{
+  if (!mq_service_view_take_call (&gateway->view.reads))
+    return false;
+  view_note_read (gateway, "page");
+  return true;
+}
+
 bool
 mq_gateway_view_gather_is_short (mq_gateway *gateway, uint64_t now_us)
 {
@@ -350,8 +369,8 @@
       = mq_metrics_counter (m, "marjoramquay_view_waits_total", "end=\"any\"",
                             "Requests that waited for a starting router to "
                             "learn of upstreams.");
-  v->expired = mq_metrics_counter (m, "marjoramquay_view_waits_total",
-                                   "end=\"rejected\"", "");
+  v->rejected = mq_metrics_counter (m, "marjoramquay_view_waits_total",
+                                    "end=\"rejected\"", "");
   v->read = mq_metrics_counter (m, "marjoramquay_view_store_calls_total", "",
                                 "Additional calls to the store for the first "
                                 "view of the upstreams.");
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -60,7 +60,7 @@
     ASSERT_NE (router, nullptr);
   }
 
-  /* The value of the metric NAME, which has no labels.  */
+  /* The value of the metric NAME, with its labels.  */
   double
   metric (const std::string &name)
   {
@@ -81,6 +81,7 @@
   uint64_t digest = 0;  /* Of the real router's list, as last heard.  */
   size_t list_size = 0; /* Entries of the last complete list.  */
   unsigned lists = 0;
+  ev_tstamp listed = 0; /* When the last one came.  */
   unsigned changes = 0;
   unsigned capacity = 0;
   bool relays = false;  /* It is a relay that watches the upstreams.  */
@@ -124,6 +125,24 @@
     mq_gossip_finish (&gossip);
   }
 
+  /* Send a complete list that holds ENTRY under NAME only.  */
+  void
+  send_list (const std::string &name, const std::string &entry)
+  {
+    GString *out = g_string_new (nullptr);
+    mq_cluster_message p = {};
+    mq_platform_entry e = {};
+
+    e.name = span (name);
+    e.version = 5;
+    e.value = span (entry);
+    p.kind = MQ_CLUSTER_MESSAGE_ENTRIES;
+    p.u.entries = { true, 5, &e, 1 };
+    mq_cluster_message_encode (&p, out);
+    EXPECT_EQ (mq_peers_send (peers, span (to), { out->str, out->len }), 0);
+    g_string_free (out, TRUE);
+  }
+
 private:
   static void
   on_message (void *context, mq_span bytes)
@@ -138,6 +157,7 @@
         && d.message.u.entries.whole)
       {
         f->lists++;
+        f->listed = ev_time ();
         f->list_size = d.message.u.entries.n;
       }
     else if (d.message.kind == MQ_CLUSTER_MESSAGE_ENTRIES)
@@ -162,6 +182,19 @@
     EXPECT_TRUE (until ([&] { return router.digest != 0; }));
     return router.digest;
   }
+
+  /* Start a router whose list holds N instances of the plain service.  */
+  void
+  start_with_entries (unsigned n)
+  {
+    const Upstream &u = add ("app-0", "app");
+
+    for (unsigned i = 1; i < n; i++)
+      store.put ("servers", "app-" + std::to_string (i), u.entry ());
+    configure (1);
+    start ();
+    ASSERT_TRUE (ready ());
+  }
 };
 
 } // namespace
@@ -531,3 +564,183 @@
   EXPECT_LE (metric ("marjoramquay_view_store_calls_total"), 3);
   EXPECT_EQ (metric ("marjoramquay_leader"), 0);
 }
+
+/* Guards against a reread that takes the place of the router's own first scan,
+   which fails while a peer sends a list: the scan was not tried again.  */
+TEST_F (GatewayStart, DoesNotReadAgainWhileItsFirstScanFails)
+{
+  unsigned port = free_ports ();
+  const Upstream &one = engine ("eng-1", 0, 40),
+                 &two = engine ("eng-2", 40, 80);
+
+  configure (1);
+  store.failing = "servers";
+  start_with_seed ("\"" + at (port) + "\"");
+  FakeRouter peer (loop, port, at (peers_port));
+  wait (0.3);
+  peer.report ("vm-peer", 1);
+  peer.send_list ("eng-1", one.entry ());
+  ASSERT_TRUE (ready ());
+  wait (1);
+  EXPECT_EQ (metric ("marjoramquay_view_store_calls_total"), 0);
+  write_entry (one);
+  write_entry (two);
+  store.failing.clear ();
+  EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
+  EXPECT_EQ (store.kind_scans["servers"], 1u);
+}
+
+/* Guards against more than three additional calls by a list of several pages,
+   and against missing a change since the last complete one after that.  */
+TEST_F (GatewayStart, CountsPagesOfListThatIsReadAgain)
+{
+  for (unsigned i = 1; i <= 5; i++)
+    write_entry (engine ("eng-" + std::to_string (i), 0, 40));
+  store.page = 1;
+  configure (1);
+  start_with_seed ();
+  ASSERT_TRUE (ready ());
+  unsigned first = store.kind_scans["servers"];
+  wait (0.2);
+  write_entry (engine ("eng-9", 40, 80));
+  wait (1);
+  EXPECT_EQ (store.kind_scans["servers"] - first, 3u);
+  EXPECT_EQ (metric ("marjoramquay_view_store_calls_total"), 3);
+  ASSERT_TRUE (until ([&] { return store.watchers ("servers") == 1; }));
+  wait (0.1);
+  EXPECT_EQ (fetch ("POST", "/stream/1").status, 200u);
+}
+
+/* Guards against an overflow: the client's time, in microseconds, was taken
+   modulo 2^64, so that the request was rejected at once.  */
+TEST_F (GatewayStart, EarlyRequestWithHugeTimeWaits)
+{
+  configure (1);
+  store.down = true;
+  start ();
+  ev_tstamp before = ev_time ();
+  Answer x = fetch ("POST", "/unsafe/1", key, "", 0, "18446744073709552");
+  EXPECT_EQ (x.status, 503u);
+  EXPECT_GT (ev_time () - before, 1.4);
+}
+
+/* A request waits until the list is believed, and is then rejected for lack of
+   room.  Guards against rejecting it uncounted and without the reason.  */
+TEST_F (GatewayStart, RequestRejectedForLackOfRoomAfterWaitIsCountedAndLogged)
+{
+  std::string log;
+
+  configure (1);
+  write_entry (engine ("eng-1", 0, 40));
+  start ();
+  ASSERT_TRUE (ready ());
+  wait (1.6);
+  mq_log_init ("info");
+  testing::internal::CaptureStderr ();
+  Answer x = fetch ("POST", "/stream/1");
+  log = testing::internal::GetCapturedStderr ();
+  EXPECT_EQ (x.status, 503u);
+  EXPECT_NE (log.find ("event=request.waits-for-view"), std::string::npos);
+  EXPECT_NE (log.find ("event=request.no-room"), std::string::npos);
+  EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"any\"}"), 1);
+  EXPECT_EQ (metric ("marjoramquay_view_waits_total{end=\"rejected\"}"), 1);
+}
+
+/* Guards against lists to routers that cannot be reached using up the rate of
+   first lists, and against logging what was not sent.  */
+TEST_F (GatewayRelay, UnreachableRoutersDoNotDelayListsOfOthers)
+{
+  std::string log;
+
+  start_with_entries (400);
+  FakeRouter old (loop, free_ports (), at (peers_port));
+  FakeRouter starting (loop, free_ports (), at (peers_port));
+  uint64_t digest = list_digest (old);
+
+  add ("app-c", "app");
+  wait (0.3);
+  mq_log_init ("info");
+  testing::internal::CaptureStderr ();
+  {
+    FakeRouter gone (loop, free_ports (), at (peers_port));
+
+    wait (0.1);
+    for (unsigned i = 1; i <= 30; i++)
+      {
+        gone.address = "127.0.0.1:" + std::to_string (i);
+        gone.report ("vm-gone-" + std::to_string (i), digest);
+      }
+    starting.report ("vm-new", digest);
+    wait (0.6);
+  }
+  log = testing::internal::GetCapturedStderr ();
+  EXPECT_EQ (starting.lists, 1u);
+  EXPECT_EQ (log.find ("event=upstream.list-passed-on vm=vm-gone"),
+             std::string::npos);
+  EXPECT_NE (log.find ("event=upstream.list-passed-on vm=vm-new"),
+             std::string::npos);
+}
+
+/* Guards against exceeding the rate of 400 entries a tick of 50 ms with lists
+   that are longer.  */
+TEST_F (GatewayRelay, FirstListsLongerThanTheRateGoOutLater)
+{
+  start_with_entries (1200);
+  FakeRouter old (loop, free_ports (), at (peers_port));
+  std::vector<std::unique_ptr<FakeRouter> > starting;
+  uint64_t digest = list_digest (old);
+  ev_tstamp first = 0, last = 0;
+
+  for (unsigned i = 0; i < 4; i++)
+    starting.push_back (
+        std::make_unique<FakeRouter> (loop, free_ports (), at (peers_port)));
+  add ("app-c", "app");
+  wait (0.3);
+  for (unsigned i = 0; i < 4; i++)
+    starting[i]->report ("vm-new-" + std::to_string (i), digest);
+  EXPECT_TRUE (until ([&] {
+    return std::all_of (starting.begin (), starting.end (),
+                        [] (const auto &s) { return s->lists > 0; });
+  }));
+  for (const auto &s : starting)
+    {
+      first = first > 0 ? std::min (first, s->listed) : s->listed;
+      last = std::max (last, s->listed);
+    }
+  EXPECT_GT (last - first, 0.35);
+  EXPECT_LT (last - first, 1.0);
+}
+
+/* Guards against treating a request of a plain service that waits for its view
+   as one that waits for prefill, while streams do: it was no longer placed. */
+TEST_F (GatewayStart, RequestThatWaitsForViewIsPlacedWhileStreamsPrefill)
+{
+  constexpr unsigned streams = 200;
+  Answer answers[streams], x;
+  Upstream &one = engine ("eng-1", 0, 40), &two = engine ("eng-2", 40, 80);
+
+  one.serve = two.serve = [] (mq_http_exchange *) {};
+  write_entry (one);
+  write_entry (two);
+  configure (1);
+  store.down = true;
+  start ();
+  wait (0.3);
+  store.down = false;
+  ASSERT_TRUE (ready ());
+  for (Answer &a : answers)
+    start_request (a, "POST", "/stream/1", key);
+  wait (0.1);
+  start_request (x, "POST", "/unsafe/1", key);
+  wait (0.12);
+  EXPECT_FALSE (x.ended);
+  EXPECT_EQ (metric ("marjoramquay_view_waiting"), 1);
+  /* Some streams wait for prefill.  */
+  EXPECT_LT (one.received_requests.size (), streams);
+  add ("app-a", "app");
+  ev_tstamp before = ev_time ();
+  ASSERT_TRUE (until ([&] { return x.ended; }));
+  EXPECT_EQ (x.status, 200u);
+  /* The list is read again 0.4 to 0.5 s after the first one.  */
+  EXPECT_LT (ev_time () - before, 0.55);
+}
