Let one router take the lead when all start at once

Cause: a router that the member list names as a relay of before became a relay when it had read the list, and took the lead in the same tick, before it had received any gossip.

Change: mq_cluster_is_leader waits 0.5 s after the router became a relay and, for up to 2 s, for each router that ranks before it to be a live relay, to drain, or to leave a message unanswered. A router that knows no other does not wait.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -126,6 +126,7 @@
   uint64_t sequence;  /* Of the last gossip made.  */
   uint64_t window_us; /* Sliding window over which sends are counted.  */
   uint64_t relay_not_before_us; /* This router becomes no relay earlier.  */
+  uint64_t relay_since_us;      /* When it last became one; 0: never.  */
   uint64_t listed_us;  /* When the current member list was last read, or the
                           list found to be unavailable; 0: never.  */
   unsigned summary_ms; /* Interval of this relay's summaries.  */
@@ -251,7 +252,10 @@
 /* Returns true if this router is to give the orders to engines.  That is the
    first by rank of all live, ready relays that reach the store.  If none does,
    it is the first of all live, ready relays, provided that it receives from
-   most of the relays that it knew lately.  STORE: this router reaches the
+   most of the relays that it knew lately.  A router that has just become a
+   relay waits until it has received from those that rank before it, for a
+   bounded time: at a start each knows the others by the member list only, and
+   would take the lead by itself.  STORE: this router reaches the
    store, and has for long enough that the others' messages say whether they
    do.  */
 bool mq_cluster_is_leader (const mq_cluster *cluster, bool store,
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -31,6 +31,15 @@
    after a part of this that its name gives.  When hundreds find none at once,
    the first that become relays are in the list when the others read it.  */
 #define LOOKUP_SPREAD_US ((uint64_t)1000 * 1000)
+/* A router leads no earlier than this after it became a relay.  The routers of
+   a fleet start within 0.4 s of one another, and the first message over a new
+   connection takes a heartbeat (0.125 s).  */
+#define LEAD_DELAY_US ((uint64_t)500 * 1000)
+/* A router that ranks before it, but is not known to be a live relay, delays a
+   lead until this after it became a relay.  Relays of different domains find
+   one another within a second; with 1.5 s, one start of 96 still had two
+   leaders for 0.5 s.  */
+#define MAX_LEAD_DELAY_US ((uint64_t)2000 * 1000)
 
 static void
 member_free (gpointer data)
@@ -534,6 +543,8 @@
   cluster->relays = cluster_may_relay (cluster, now_us)
                     && mq_cluster_rank_in_domain (cluster, now_us)
                            < MQ_CLUSTER_RELAYS_PER_DOMAIN;
+  if (cluster->relays && !was_relay)
+    cluster->relay_since_us = now_us;
   return cluster->relays != was_relay;
 }
 
@@ -582,13 +593,49 @@
   return alive * 2 > known;
 }
 
+/* Returns true if ROUTER ranks before this router and is not known to be a
+   live relay, nor unresponsive.  The first by rank of all routers becomes a
+   relay, so that it, or another that ranks before this router, is about to
+   lead.  At a start it may have been received from once, by an introduction.
+ */
+static bool
+member_is_awaited (const mq_cluster *cluster, const mq_cluster_member *router,
+                   uint64_t now_us)
+{
+  return !router->draining && !member_is_unresponsive (router, now_us)
+         && !(router->relays && mq_cluster_member_is_alive (router, now_us))
+         && member_ranks_before_self (cluster, router);
+}
+
+/* Returns true if this router has been a relay for long enough that it has
+   received from those that would lead instead of it.  Where it knows no other
+   router, it does not wait.  */
+static bool
+cluster_lead_is_settled (const mq_cluster *cluster, uint64_t now_us)
+{
+  uint64_t us = now_us - cluster->relay_since_us;
+  GHashTableIter i;
+  gpointer value;
+
+  if (us >= MAX_LEAD_DELAY_US || g_hash_table_size (cluster->routers) == 0)
+    return true;
+  if (us < LEAD_DELAY_US)
+    return false;
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (member_is_awaited (cluster, value, now_us))
+      return false;
+  return true;
+}
+
 bool
 mq_cluster_is_leader (const mq_cluster *cluster, bool store, uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
 
-  if (!cluster->relays || (!store && !cluster_has_quorum (cluster, now_us)))
+  if (!cluster->relays || !cluster_lead_is_settled (cluster, now_us)
+      || (!store && !cluster_has_quorum (cluster, now_us)))
     return false;
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -104,6 +104,14 @@
     r.incarnation = last_incarnation_;
     for (const std::string &s : seeds)
       mq_cluster_add_address (&r.cluster, span (s));
+    read_member_list (r);
+    r.next_us = now + last_incarnation_ % 50 * ms;
+  }
+
+  /* Have R read the member list as it was before all routers started.  */
+  void
+  read_member_list (Router &r)
+  {
     for (const std::string &peer : member_list)
       name (r, *by_peer_[peer]);
     mq_cluster_note_member_list (
@@ -111,7 +119,6 @@
         std::find (member_list.begin (), member_list.end (), r.peer)
             != member_list.end (),
         now);
-    r.next_us = now + last_incarnation_ % 50 * ms;
   }
 
   /* Have TO know ROUTER from the member list.  */
--- a/tests/test_cluster.cc
+++ b/tests/test_cluster.cc
@@ -69,8 +69,152 @@
   return sim.traffic;
 }
 
+/* Who led while a fleet started.  */
+struct Leads
+{
+  std::set<const Router *> routers;
+  unsigned peak = 0;          /* Leaders at one time.  */
+  uint64_t shared_us = 0;     /* Time with more than one.  */
+  uint64_t first_us = 0;      /* Until the first one.  */
+  uint64_t leaderless_us = 0; /* Time without one after that.  */
+};
+
+/* Run SIM for US, calling STEP at each step, and note the leaders.  */
+Leads
+watch_leads (Simulation &sim, uint64_t us, const std::function<void ()> &step)
+{
+  const uint64_t began = sim.now;
+  Leads l;
+
+  while (sim.now < began + us)
+    {
+      unsigned n = 0;
+
+      step ();
+      sim.run (5 * ms);
+      for (auto &r : sim.routers)
+        if (r->up
+            && mq_cluster_is_leader (&r->cluster, r->reaches_store, sim.now))
+          {
+            l.routers.insert (r.get ());
+            n++;
+          }
+      l.peak = std::max (l.peak, n);
+      if (n > 1)
+        l.shared_us += 5 * ms;
+      if (n > 0 && l.first_us == 0)
+        l.first_us = sim.now - began;
+      if (n == 0 && l.first_us > 0)
+        l.leaderless_us += 5 * ms;
+    }
+  return l;
+}
+
+/* Start the routers of SIM that are down within SPREAD_US.  */
+void
+start_in_turn (Simulation &sim, uint64_t began, uint64_t spread_us)
+{
+  for (size_t i = 0; i < sim.routers.size (); i++)
+    {
+      /* Not in the order of ranks.  */
+      uint64_t at
+          = (i * 7919 % sim.routers.size ()) * spread_us / sim.routers.size ();
+
+      if (!sim.routers[i]->up && sim.now >= began + at)
+        sim.start (*sim.routers[i]);
+    }
+}
+
+const Size start_sizes[] = { { 7, 3 }, { 32, 3 }, { 90, 4 }, { 300, 5 } };
+
 } // namespace
 
+/* Five routers of deployment B took the lead within 80 ms when all started,
+   and sent the same orders.  */
+TEST (Cluster, OneRouterLeadsWhenAllRoutersStartTogether)
+{
+  for (const Size &s : start_sizes)
+    {
+      Simulation sim (s.routers, s.domains);
+      uint64_t began = sim.now;
+      Leads l = watch_leads (sim, 6 * second,
+                             [&] { start_in_turn (sim, began, 400 * ms); });
+
+      printf ("%u routers start: %zu led, %u at a time, %.3f s shared, first "
+              "after %.2f s\n",
+              s.routers, l.routers.size (), l.peak,
+              (double)l.shared_us / second, (double)l.first_us / second);
+      EXPECT_EQ (l.peak, 1u) << s.routers;
+      EXPECT_LE (l.first_us, 4 * second) << s.routers;
+      EXPECT_EQ (sim.leaders (), 1u);
+    }
+}
+
+/* As on deployment B: all routers restart while the store is down, and read a
+   member list that names the relays of before a second later.  */
+TEST (Cluster, OneRouterLeadsAfterPowerFailure)
+{
+  for (const Size &s : start_sizes)
+    {
+      Simulation sim (s.routers, s.domains);
+      std::vector<std::string> list;
+      std::set<const Router *> listed;
+      uint64_t began;
+      Leads l;
+
+      sim.start_all ();
+      sim.run (5 * second);
+      for (Router *r : sim.relays ())
+        list.push_back (r->peer);
+      for (auto &r : sim.routers)
+        sim.stop (*r);
+      sim.run (2 * second);
+      began = sim.now;
+      l = watch_leads (sim, 6 * second, [&] {
+        start_in_turn (sim, began, 400 * ms);
+        if (sim.now < began + second)
+          return;
+        sim.member_list = list;
+        for (auto &r : sim.routers)
+          if (sim.now >= r->started_us + 1050 * ms
+              && listed.insert (r.get ()).second)
+            sim.read_member_list (*r);
+      });
+      printf (
+          "%u routers restart: %zu led, %u at a time, %.3f s shared, first "
+          "after %.2f s\n",
+          s.routers, l.routers.size (), l.peak, (double)l.shared_us / second,
+          (double)l.first_us / second);
+      EXPECT_EQ (l.peak, 1u) << s.routers;
+      EXPECT_LE (l.first_us, 4 * second) << s.routers;
+      EXPECT_EQ (sim.leaders (), 1u);
+    }
+}
+
+/* The wait at a start must not delay the successor of a leader that fails.  */
+TEST (Cluster, LeadPassesOnWithoutDelayInSettledFleet)
+{
+  for (const Size &s : start_sizes)
+    {
+      Simulation sim (s.routers, s.domains);
+      Leads l;
+
+      sim.start_all ();
+      sim.run (6 * second);
+      for (auto &r : sim.routers)
+        if (mq_cluster_is_leader (&r->cluster, true, sim.now))
+          {
+            sim.stop (*r);
+            break;
+          }
+      l = watch_leads (sim, 4 * second, [] {});
+      printf ("%u routers, leader fails: next after %.2f s, %u at a time\n",
+              s.routers, (double)l.first_us / second, l.peak);
+      EXPECT_LE (l.first_us, 1100 * ms + 2 * cluster::heartbeat) << s.routers;
+      EXPECT_EQ (l.peak, 1u);
+    }
+}
+
 TEST (Cluster, RelaysAreFoundWhenAllRoutersStartTogether)
 {
   for (const Size &s : sizes)
