Order loads by chains and limit how many are open

Cause: at 3,000 engines all layers and copies were ordered in one tick, after requests had begun, as the wait for engines to register lasted for all of them. Hundreds of loads shared the rate of five, counted as overdue, and their layers were ordered again at other engines.

Change: mq_load_queue selects the orders to send: those that complete a chain first, in the domain closest to one; copies once each domain has one; with traffic, no more open loads than max_concurrent_loads, except for the repair of a chain in use. What waits counts as ordered by the next plans. The time in which an open load did not advance does not make it overdue. The wait for registrations is bounded by 4 s. Log event order.loads, metric marjoramquay_loads.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -26,6 +26,7 @@
 #include <mq/http_server.h>
 #include <mq/latency_estimate.h>
 #include <mq/layer_plan.h>
+#include <mq/load_queue.h>
 #include <mq/log.h>
 #include <mq/metrics.h>
 #include <mq/cluster_message.h>
@@ -98,6 +99,7 @@
   uint64_t budget_request_serial;  /* Its serial.  */
   unsigned budget_request_pending; /* Sends that it has not been granted.  */
   mq_layer_plan plan;              /* Of a layered model.  */
+  mq_load_queue loads;             /* Likewise.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -133,6 +135,8 @@
   uint64_t *budget_granted;
   uint64_t *budget_received;
   uint64_t *orders;
+  uint64_t *loads_open;
+  uint64_t *loads_waiting;
   uint64_t *store_calls[MQ_STORE_PURPOSES];
   uint64_t *reports;
   uint64_t *path_probes;
@@ -209,6 +213,7 @@
   bool members_scan_stale; /* That scan may miss entries of late.  */
   bool leads;              /* This router is the leader: it orders layers.  */
   bool orders_due;         /* A report arrived: order at the next tick.  */
+  bool traffic_seen;       /* Clients have sent requests to the fleet.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
   ev_timer tick;
--- a/include/mq/layer_order.h
+++ b/include/mq/layer_order.h
@@ -6,7 +6,9 @@
      record of the open one would be lost;
    - ordered layers count as held for as long as their load should take, and
      no longer: so two orders do not fill the same gap, and a failed order does
-     not leave it open;
+     not leave it open.  Time in which the weight store served other loads does
+     not count, and an engine without layers that reports to be busy may take a
+     few times as long: it has nothing to wait for, so it does load;
    - no order is sent while the count of orders that the engine accepted is
      uncertain: the engine is queried first;
    - a report describes the engine a few tenths of a second ago: it overrides
@@ -32,6 +34,10 @@
 /* Note that ENGINE was sent an order to hold layers [FIRST, END).  */
 void mq_layer_order_sent (mq_upstream *engine, unsigned first, unsigned end,
                           uint64_t now_us);
+/* Note that the open order to ENGINE, if there is one, did not advance for
+   DELAY_US, as more loads were open than the weight store serves.  It may take
+   longer by that much.  */
+void mq_layer_order_delay (mq_upstream *engine, uint64_t delay_us);
 /* Note the ANSWER of ENGINE.  Sets orders_unknown when the answer leaves the
    count of orders uncertain.  */
 void mq_layer_order_answered (mq_upstream *engine, mq_order_answer answer,
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -31,6 +31,7 @@
   bool awaited;   /* The layers were ordered and are not held yet.  */
   bool used;      /* Requests pass through it, or did until recently.  */
   void *user;     /* Data of the caller.  */
+  bool loading;   /* An order is open at it, as sent or as it reports.  */
 } mq_layer_holder;
 
 /* An order that HOLDER load layers [first, end) and release all others.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -70,6 +70,7 @@
   mq_service_state *s = data;
 
   mq_layer_plan_finish (&s->plan);
+  mq_load_queue_finish (&s->loads);
   g_free (s);
 }
 
@@ -87,6 +88,7 @@
                        gateway->settings->retry_window_ms * 1000,
                        gateway->started_us);
   mq_layer_plan_init (&s->plan);
+  mq_load_queue_init (&s->loads);
   g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
   return s;
 }
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -107,6 +107,10 @@
                             "Streams that went on in a new run.");
   c->orders = mq_metrics_counter (m, "marjoramquay_orders_total", "",
                                   "Orders to engines.");
+  c->loads_open = mq_metrics_gauge (m, "marjoramquay_loads", "state=\"open\"",
+                                    "Loads at engines, at the leader.");
+  c->loads_waiting
+      = mq_metrics_gauge (m, "marjoramquay_loads", "state=\"waiting\"", "");
   metrics_init_store (gateway);
   c->budget_granted
       = mq_metrics_counter (m, "marjoramquay_budget_lent_total", "",
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -26,12 +26,6 @@
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
 
-/* Engines that start together register within a heartbeat (1.2 s).  Unless
-   some hold layers already, orders wait until no new engine has registered for
-   this long.  A path over the first few would leave little memory for
-   requests.  */
-#define REGISTRATION_SETTLE_US ((uint64_t)1500 * 1000)
-
 typedef struct order_call
 {
   mq_gateway *gateway;   /* Borrowed.  */
@@ -193,6 +187,39 @@
   g_free (url);
 }
 
+/* Log the loads of SERVICE after a selection when some were sent or the reason
+   why others wait is no longer BEFORE.  */
+static void
+orders_log_loads (const mq_route_service *service,
+                  const mq_load_counts *counts, mq_load_wait before,
+                  bool traffic)
+{
+  if (counts->sent == 0 && counts->why == before)
+    return;
+  mq_log (G_LOG_LEVEL_INFO, "order.loads",
+          "service=%s open=%u sent=%u waiting=%u why=%s limit=%u chainless=%u "
+          "traffic=%d",
+          mq_str_cstr (service->name), counts->open, counts->sent,
+          counts->waiting, mq_load_wait_name (counts->why), counts->limit,
+          counts->chainless, traffic);
+}
+
+/* Reduce ORDERS, which were planned for HOLDERS, to those to send now.  */
+static void
+orders_select_loads (mq_gateway *gateway, const mq_route_service *service,
+                     GArray *holders, uint64_t now_us, GArray *orders)
+{
+  mq_load_queue *q = &mq_gateway_service_state (gateway, service)->loads;
+  mq_load_wait before = q->counts.why;
+
+  mq_load_queue_select (q, &service->model,
+                        (mq_layer_holder *)(void *)holders->data, holders->len,
+                        gateway->traffic_seen, now_us, orders);
+  orders_log_loads (service, &q->counts, before, gateway->traffic_seen);
+  *gateway->counters.loads_open += q->counts.open;
+  *gateway->counters.loads_waiting += q->counts.waiting;
+}
+
 static void
 orders_plan_service (mq_gateway *gateway, const mq_route_service *service,
                      uint64_t now_us)
@@ -204,6 +231,8 @@
   gpointer value;
   bool any_held = false;
   bool store_unreached = !mq_members_store_is_reached (gateway, now_us);
+  mq_service_state *state = mq_gateway_service_state (gateway, service);
+  uint64_t delay = mq_load_queue_delay_us (&state->loads, now_us);
 
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
@@ -217,6 +246,7 @@
           || !mq_upstream_is_usable (u, now_us)
           || mq_upstream_is_leaving (u, now_us))
         continue;
+      mq_layer_order_delay (u, delay);
       h = mq_layer_order_view (u, &service->model, now_us, &ask);
       /* Request unknown counts before an order needs them: otherwise a plan
          proceeds without some engines, which get the remaining layers.  */
@@ -226,12 +256,15 @@
       g_array_append_val (holders, h);
     }
   order_poll (gateway, polled, now_us);
-  if (!any_held
-      && now_us - gateway->registry.last_added_us < REGISTRATION_SETTLE_US)
+  if (!mq_load_queue_may_begin (&state->loads, any_held,
+                                gateway->registry.last_added_us, now_us))
     goto out;
-  mq_layer_plan_compute (
-      &mq_gateway_service_state (gateway, service)->plan, &service->model,
-      (mq_layer_holder *)(void *)holders->data, holders->len, now_us, orders);
+  mq_load_queue_reserve (
+      &state->loads, (mq_layer_holder *)(void *)holders->data, holders->len);
+  mq_layer_plan_compute (&state->plan, &service->model,
+                         (mq_layer_holder *)(void *)holders->data,
+                         holders->len, now_us, orders);
+  orders_select_loads (gateway, service, holders, now_us, orders);
   for (guint n = 0; n < orders->len; n++)
     {
       const mq_layer_order *o = &g_array_index (orders, mq_layer_order, n);
@@ -267,6 +300,18 @@
     mq_layer_order_mark_unknown (value, now_us);
 }
 
+/* Note whether any router has received requests.  Loads take longer from then
+   on, also while there are none.  */
+static void
+orders_note_traffic (mq_gateway *gateway, uint64_t now_us)
+{
+  if (gateway->traffic_seen)
+    return;
+  gateway->traffic_seen
+      = *gateway->counters.requests > 0
+        || mq_cluster_count_busy (&gateway->cluster, now_us) > 1;
+}
+
 void
 mq_orders_tick (mq_gateway *gateway, uint64_t now_us)
 {
@@ -278,6 +323,9 @@
     orders_begin_lead (gateway, now_us);
   gateway->leads = leads;
   gateway->orders_due = false;
+  *gateway->counters.loads_open = 0;
+  *gateway->counters.loads_waiting = 0;
+  orders_note_traffic (gateway, now_us);
   if (!leads)
     return;
   for (guint i = 0; i < gateway->routing->services->len; i++)
--- a/packages/route/layer_order.c
+++ b/packages/route/layer_order.c
@@ -8,6 +8,13 @@
 /* A load takes longer while other engines load too.  */
 #define MAX_LOAD_FACTOR 2
 #define US_PER_S 1e6
+/* An engine is queried this long before its order is overdue, so that its
+   report is there by then: requests for reports are 300 ms apart, and one
+   takes at most as long.  */
+#define ASK_AHEAD_US ((uint64_t)600 * 1000)
+/* An engine that has only to load and reports to be busy may take this many
+   times as long.  Beyond it, it counts as stuck.  */
+#define MAX_BUSY_FACTOR 3
 
 /* How long an engine that refused an order gets no other.  What keeps it busy,
    a load or the wait for requests that pass through it, takes about a second
@@ -34,6 +41,26 @@
              || f->layer_end != engine->ordered_end);
 }
 
+/* How long the order to ENGINE may take.  */
+static uint64_t
+order_limit_us (const mq_upstream *engine, const mq_layered_model *model)
+{
+  double share
+      = (double)(engine->ordered_end - engine->ordered_first) / model->layers;
+
+  return (uint64_t)(model->load_s * share * US_PER_S) * MAX_LOAD_FACTOR
+         + ORDER_SLACK_US;
+}
+
+/* Returns true if ENGINE only has to load what was ordered, and reported a
+   moment ago that it does.  */
+static bool
+order_is_loading (const mq_upstream *engine, uint64_t now_us)
+{
+  return engine->facts.layer_first >= engine->facts.layer_end
+         && now_us < engine->no_order_until_us;
+}
+
 /* Returns true if the order to ENGINE has been open for longer than its load
    should take.  An engine that releases layers first waits for the requests
    that pass through them.  So an overdue engine is queried, and gets no other
@@ -43,12 +70,10 @@
 order_is_overdue (const mq_upstream *engine, const mq_layered_model *model,
                   uint64_t now_us)
 {
-  double share
-      = (double)(engine->ordered_end - engine->ordered_first) / model->layers;
-  uint64_t limit_us
-      = (uint64_t)(model->load_s * share * US_PER_S) * MAX_LOAD_FACTOR
-        + ORDER_SLACK_US;
+  uint64_t limit_us = order_limit_us (engine, model);
 
+  if (order_is_loading (engine, now_us))
+    limit_us *= MAX_BUSY_FACTOR;
   return now_us >= engine->ordered_us + limit_us;
 }
 
@@ -61,6 +86,13 @@
   engine->ordered_end = end;
 }
 
+void
+mq_layer_order_delay (mq_upstream *engine, uint64_t delay_us)
+{
+  if (order_is_open (engine))
+    engine->ordered_us += delay_us;
+}
+
 void
 mq_layer_order_mark_unknown (mq_upstream *engine, uint64_t now_us)
 {
@@ -124,31 +156,37 @@
                      uint64_t now_us, bool *ask)
 {
   const mq_upstream_facts *f = &engine->facts;
-  mq_layer_holder h
-      = { .domain = mq_str_span (f->domain),
-          .card = mq_layered_model_find_card (model, mq_str_span (f->card)),
-          .first = f->layer_first,
-          .end = f->layer_end,
-          .fixed
-          = now_us<engine->no_order_until_us, .used = engine->last_used_us> 0
-            && now_us < engine->last_used_us + REQUEST_DRAIN_US,
-          .user = engine };
+  mq_layer_holder h = {
+    .domain = mq_str_span (f->domain),
+    .card = mq_layered_model_find_card (model, mq_str_span (f->card)),
+    .first = f->layer_first,
+    .end = f->layer_end,
+    .fixed = now_us<engine->no_order_until_us, .used = engine->last_used_us> 0
+             && now_us < engine->last_used_us + REQUEST_DRAIN_US,
+    .user = engine,
+    .loading = now_us < engine->no_order_until_us && !engine->orders_unknown
+  };
 
   if (h.fixed)
     *ask = true;
   if (!order_is_open (engine))
     return h;
   h.fixed = true;
+  if (now_us + ASK_AHEAD_US
+      >= engine->ordered_us + order_limit_us (engine, model))
+    *ask = true;
   if (order_is_overdue (engine, model, now_us))
     {
       engine->orders_unknown = true;
       *ask = true;
+      h.loading = false;
     }
   else
     {
       h.first = engine->ordered_first;
       h.end = engine->ordered_end;
       h.awaited = true;
+      h.loading = true;
     }
   return h;
 }
