Leave engines out that answer no query of a new leader

Cause: a leader that took over cannot learn the order count of an engine that does not answer, so that it planned with it for ever and never sent it an order; with the queue, each such engine also took a slot at each selection.

Change: an engine whose count stays unknown for 3 s counts as fixed, and an order to an engine that is to be queried first is not counted as a load.

--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -32,6 +32,7 @@
   bool used;      /* Requests pass through it, or did until recently.  */
   void *user;     /* Data of the caller.  */
   bool loading;   /* An order is open at it, as sent or as it reports.  */
+  bool unknown;   /* It is queried before it gets an order.  */
 } mq_layer_holder;
 
 /* An order that HOLDER load layers [first, end) and release all others.  */
--- a/include/mq/load_queue.h
+++ b/include/mq/load_queue.h
@@ -14,7 +14,8 @@
      except for the repair of a chain in use;
    - without traffic, the loads that complete a chain are not limited, and if
      all wanted loads fit into a few times that number, all are sent;
-   - an order that loads nothing never waits;
+   - an order that loads nothing never waits, nor does one to an engine that
+     is to be queried first, which does not count as open either;
    - a domain whose loads make no progress does not keep the others waiting.
 
    A router that has just become the leader counts as open what the engines
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -271,7 +271,7 @@
 
       mq_upstream *u = o->holder->user;
 
-      if (!u->orders_unknown)
+      if (!o->holder->unknown)
         {
           if (mq_gateway_may_send (gateway, u, MQ_SEND_FOR_CONTROL, now_us))
             order_send (gateway, u, o, now_us);
--- a/packages/route/layer_order.c
+++ b/packages/route/layer_order.c
@@ -26,6 +26,11 @@
    being waited for.  */
 #define BUSY_HOLD_US ((uint64_t)1000 * 1000)
 
+/* An engine whose count of orders stays unknown for this long does not answer
+   queries: it counts as fixed, so that others get its layers.  A new leader
+   needs about a second to query some thousand engines.  */
+#define UNKNOWN_HOLD_US ((uint64_t)3000 * 1000)
+
 /* Requests that pass through an engine nearly always end within this time,
    that of a long stream under full load.  */
 #define REQUEST_DRAIN_US ((uint64_t)7000 * 1000)
@@ -169,6 +174,10 @@
 
   if (h.fixed)
     *ask = true;
+  h.unknown = engine->orders_unknown;
+  if (h.unknown && engine->ordered_us == 0
+      && now_us >= engine->orders_unknown_since_us + UNKNOWN_HOLD_US)
+    h.fixed = true;
   if (!order_is_open (engine))
     return h;
   h.fixed = true;
--- a/packages/route/load_queue.c
+++ b/packages/route/load_queue.c
@@ -428,7 +428,8 @@
   /* Moves of one new layout are not divided, nor are they a start.  */
   bool rebuilds = class == 1 && item->moves;
 
-  if (class == 0 || rebuilds || counts->limit == 0)
+  if (class == 0 || rebuilds || counts->limit == 0
+      || item->order.holder->unknown)
     return MQ_LOAD_WAIT_NONE;
   if (domain_waits_for_reports (item->domain, now_us))
     return MQ_LOAD_WAIT_REPORTS;
@@ -468,9 +469,11 @@
       if (why == MQ_LOAD_WAIT_NONE)
         {
           g_array_append_val (orders, t->order);
-          counts->open += t->loads;
-          counts->loading += t->loads && !t->order.holder->used;
-          counts->sent += t->loads;
+          if (!t->loads || t->order.holder->unknown)
+            continue;
+          counts->open++;
+          counts->loading += !t->order.holder->used;
+          counts->sent++;
           continue;
         }
       if (counts->waiting++ == 0)
--- a/tests/support/chain_sim.h
+++ b/tests/support/chain_sim.h
@@ -171,7 +171,7 @@
     for (Engine &e : engines)
       holders.push_back ({ mq_span_from (e.domain.c_str ()),
                            service_.card_named (e.card), e.first, e.end,
-                           e.fixed, e.awaited, e.used, &e, e.awaited });
+                           e.fixed, e.awaited, e.used, &e, e.awaited, false });
     now_us_ += 1000 * 1000;
     mq_layer_plan_compute (&plan_, service_.model (), holders.data (),
                            holders.size (), now_us_, orders);
--- a/tests/support/repair_sim.h
+++ b/tests/support/repair_sim.h
@@ -354,7 +354,7 @@
         const mq_layer_order &o = g_array_index (list, mq_layer_order, i);
         mq_upstream *u = static_cast<mq_upstream *> (o.holder->user);
 
-        if (u->orders_unknown)
+        if (o.holder->unknown)
           continue;
         orders++;
         mq_layer_order_sent (u, o.first, o.end, now);
--- a/tests/test_layer_order.cc
+++ b/tests/test_layer_order.cc
@@ -90,6 +90,47 @@
   EXPECT_EQ (view (s + s / 10).end, 8u);
 }
 
+/* A router that has just become the leader and gets no report of an engine
+   must not plan with it for ever: its layers would never be ordered.  */
+TEST_F (LayerOrder, EngineThatAnswersNoQueryIsLeftOut)
+{
+  mq_layer_order_mark_unknown (engine, s);
+  EXPECT_TRUE (view (3 * s).unknown);
+  EXPECT_FALSE (view (3 * s).fixed);
+  EXPECT_TRUE (view (4 * s).fixed);
+  mq_layer_order_reported (engine, 0, false, 5 * s);
+  EXPECT_FALSE (view (5 * s).fixed);
+  EXPECT_FALSE (view (5 * s).unknown);
+}
+
+/* While the weight store serves others, a load does not become overdue.  */
+TEST_F (LayerOrder, TimeOfOtherLoadsDoesNotCount)
+{
+  mq_layer_order_sent (engine, 0, 8, s);
+  mq_layer_order_answered (engine, MQ_ORDER_STARTED, s);
+  mq_layer_order_delay (engine, 4 * s);
+  EXPECT_TRUE (view (6 * s).awaited);
+  EXPECT_TRUE (view (6 * s).loading);
+  EXPECT_FALSE (view (10 * s).awaited);
+  EXPECT_FALSE (view (10 * s).loading);
+}
+
+/* An engine without layers that reports to be busy is loading what was
+   ordered, so that its layers are not ordered elsewhere; but not for ever.  */
+TEST_F (LayerOrder, BusyEngineWithoutLayersMayTakeLonger)
+{
+  mq_layer_order_sent (engine, 0, 8, s);
+  mq_layer_order_answered (engine, MQ_ORDER_STARTED, s);
+  for (uint64_t t = 5 * s; t < 13 * s; t += s / 2)
+    {
+      mq_layer_order_reported (engine, 1, true, t);
+      EXPECT_TRUE (view (t).awaited) << t;
+      EXPECT_TRUE (asks);
+    }
+  mq_layer_order_reported (engine, 1, true, 14 * s);
+  EXPECT_FALSE (view (14 * s).awaited);
+}
+
 /* If an older report replaced the layers that the platform published, a
    neighbour would be ordered to hold them too and be short of memory.  */
 TEST_F (LayerOrder, IgnoresLayerReportOlderThanPlatformUpdate)
--- a/tests/test_load_queue.cc
+++ b/tests/test_load_queue.cc
@@ -258,6 +258,17 @@
   EXPECT_EQ (queue.counts.why, MQ_LOAD_WAIT_CHAINS);
 }
 
+/* An engine that never answers queries must not take a slot each time.  */
+TEST_F (LoadQueue, EngineToBeQueriedTakesNoSlot)
+{
+  for (unsigned l = 0; l < 80; l += 20)
+    want ("a", l, l + 20);
+  holders[0].unknown = true;
+  EXPECT_EQ (select (true), "a0-20 a20-40 a40-60 ");
+  EXPECT_EQ (queue.counts.sent, 2u);
+  EXPECT_EQ (queue.counts.open, 2u);
+}
+
 /* A model that names no number of loads is loaded as planned.  */
 TEST_F (LoadQueue, SendsAllWithoutLimit)
 {
@@ -401,6 +412,25 @@
   EXPECT_LE (r.all_s, 20);
 }
 
+/* A new leader cannot learn the order count of a silent engine, so that it
+   never sends it an order.  Such engines must not keep slots, nor layers.  */
+TEST (LoadQueueReplay, SilentEnginesKeepNoSlotsOfNewLeader)
+{
+  const Start start = { 600, 3, 5, 600, 0.1, true };
+  Domain d (start.max_concurrent_loads);
+
+  begin (d, start, true);
+  d.schedule (d.now + s, [&d] {
+    for (size_t i = 0; i < d.engines.size (); i += 20)
+      d.engines[i].silent = true;
+  });
+  d.schedule (d.now + 5 * s, [&d] { d.change_leader (); });
+  d.run (60 * s);
+  Result r = result_of (d, "silent engines, new leader");
+  EXPECT_GT (r.all_s, 0);
+  EXPECT_LE (r.all_s, 20);
+}
+
 /* The new leader does not know which layers are being loaded, but it counts
    the loads, and lets them end before it fills the gaps.  */
 TEST (LoadQueueReplay, LeaderChangesMidway)
