Keep chains of large domains within the stages of a path

Cause: the target level of a chain grows with the memory of its failure domain. With some hundred engines a chain the plan gave one layer to each small engine; the search for the path with the most memory chose one of more than 32 stages, and found none, though a shorter one existed. Chains were given up while engines registered, and hundreds of orders repeated.

Change: the target level is at most that of a chain of 32 engines, and a search that ends in too many stages is repeated for the fewest. Chains that need at most 32 engines are planned and searched as before.

LayerPlan.ChainsOfLargeDomainFitIntoPaths and LayerPath.FindsPathOfFewerStagesBesideTooLongOne fail without it.

--- a/packages/route/layer_domain.c
+++ b/packages/route/layer_domain.c
@@ -5,6 +5,7 @@
 
 #include <math.h>
 #include <mq/domain_load.h>
+#include <mq/layer_path.h>
 
 /* Share of a failure domain's memory that its chains can use.  The rest is too
    small for a whole layer, or holds second copies.  */
@@ -307,6 +308,22 @@
          && mq_chain_rate (subset->model, input) >= best * MIN_RATE_SHARE;
 }
 
+/* Lowers MAX_TOKENS to the level of a chain of as many engines as a path can
+   have.  In a domain of a thousand engines a chain of 125 would have a layer
+   on each, and no request could be sent through it.  */
+static double
+chain_limit_tokens (const mq_plan_domain *subset, double max_tokens)
+{
+  guint engines = mq_plan_domain_engines_needed (subset, max_tokens);
+  double level;
+
+  if (subset->engines->len <= MQ_LAYER_PATH_MAX_STAGES
+      || (engines > 0 && engines <= MQ_LAYER_PATH_MAX_STAGES))
+    return max_tokens;
+  level = mq_plan_domain_token_level (subset, MQ_LAYER_PATH_MAX_STAGES);
+  return level > 0 ? MIN (max_tokens, level) : max_tokens;
+}
+
 /* The target level of a chain of SUBSET, at most MAX_TOKENS.  More engines add
    memory, yet slow ones make each request last longer: beyond some number they
    lower the rate of the chain.  When all engines together do not reach
@@ -314,11 +331,14 @@
 static double
 chain_target_tokens (const mq_plan_domain *subset, double max_tokens)
 {
-  guint engines = mq_plan_domain_engines_needed (subset, max_tokens);
+  guint engines;
   GArray *inputs = g_array_new (FALSE, FALSE, sizeof (mq_chain_rate_input));
   double best = 0;
-  double target_tokens = max_tokens;
+  double target_tokens;
 
+  max_tokens = chain_limit_tokens (subset, max_tokens);
+  engines = mq_plan_domain_engines_needed (subset, max_tokens);
+  target_tokens = max_tokens;
   for (guint i = 1; i <= engines; i++)
     {
       mq_chain_rate_input input = chain_rate_input_for (subset, i);
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -26,6 +26,7 @@
   double cost;           /* Time of a token so far, in ms.  */
   double tokens;         /* Least capacity of a stage so far.  */
   unsigned from;         /* First layer of the last stage.  */
+  unsigned stages;       /* So far.  */
   mq_upstream *upstream; /* Of the last stage, borrowed.  */
 } path_step;
 
@@ -98,7 +99,8 @@
 typedef enum path_objective
 {
   PATH_MAX_TOKENS,
-  PATH_FASTEST
+  PATH_FASTEST,
+  PATH_FEWEST_STAGES
 } path_objective;
 
 typedef struct path_search
@@ -120,6 +122,8 @@
       return step->tokens > other->tokens;
     case PATH_FASTEST:
       return step->cost < other->cost;
+    case PATH_FEWEST_STAGES:
+      return other->cost >= NO_COST || step->stages < other->stages;
     }
   return false;
 }
@@ -148,7 +152,8 @@
                / slowdown;
       s = (path_step){ before->cost + MQ_PATH_HOP_MS
                            + (end - l) * ms_per_layer,
-                       MIN (before->tokens, tokens), l, edge->upstream };
+                       MIN (before->tokens, tokens), l, before->stages + 1,
+                       edge->upstream };
       if (s.tokens >= search->min_tokens
           && step_is_better (&s, &search->steps[end], search->objective))
         search->steps[end] = s;
@@ -163,7 +168,7 @@
   unsigned layers = search->model->layers;
 
   for (unsigned l = 0; l <= layers; l++)
-    search->steps[l] = (path_step){ NO_COST, -1, 0, NULL };
+    search->steps[l] = (path_step){ NO_COST, -1, 0, 0, NULL };
   search->steps[0].cost = 0;
   search->steps[0].tokens = NO_COST;
   /* An edge only improves the step at its end, and edges are sorted by first
@@ -251,6 +256,15 @@
     }
   if (last->cost < NO_COST)
     path_trace (path, steps, model);
+  if (last->cost < NO_COST && path->n == 0)
+    {
+      /* In a large fleet the path with the most tokens goes through one engine
+         for each layer or two, which is more than a path can have.  */
+      search.objective = PATH_FEWEST_STAGES;
+      search.min_tokens = 0;
+      (void)search_run (&search, edges);
+      path_trace (path, steps, model);
+    }
   g_free (steps);
   if (path->n == 0)
     return false;
--- a/tests/test_layer_path.cc
+++ b/tests/test_layer_path.cc
@@ -76,6 +76,20 @@
 
 } // namespace
 
+/* A path through one engine for each layer has the most memory, but more
+   stages than a path can have.  */
+TEST_F (LayerPath, FindsPathOfFewerStagesBesideTooLongOne)
+{
+  for (unsigned l = 0; l < chain::layers; l++)
+    put (("one-" + std::to_string (l)).c_str (), "h100", l, l + 1);
+  EXPECT_FALSE (find ());
+  for (unsigned l = 0; l < chain::layers; l += 8)
+    put (("eight-" + std::to_string (l)).c_str (), "l4", l, l + 8);
+  ASSERT_TRUE (find ());
+  EXPECT_TRUE (is_whole (path));
+  EXPECT_EQ (path.n, 10u);
+}
+
 TEST_F (LayerPath, RunsEachLayerOnceAndInOrder)
 {
   put ("b", "h100", 30, 55);
--- a/tests/test_layer_plan.cc
+++ b/tests/test_layer_plan.cc
@@ -183,6 +183,22 @@
 
 /* With one chain in a domain of much memory, the head's slots would bound the
    requests in flight.  */
+/* In a domain of a thousand engines the layers of a chain were divided over
+   more engines than a path can have, so that no request could be sent.  */
+TEST_F (LayerPlan, ChainsOfLargeDomainFitIntoPaths)
+{
+  fleet.add ("large", "h100", 100);
+  fleet.add ("large", "a100s", 100);
+  fleet.add ("large", "l4", 200);
+  fleet.add ("large", "t4", 600);
+  for (unsigned round = 0; round < 5; round++)
+    {
+      fleet.plan ();
+      EXPECT_GE (fleet.all_tokens ("large").size (), 2u) << round;
+      EXPECT_GT (fleet.tokens ("large"), 0) << round;
+    }
+}
+
 TEST_F (LayerPlan, ChainCountFollowsMemoryAndSlots)
 {
   auto chains = [&] (double gb) {
--- a/tests/test_load_queue.cc
+++ b/tests/test_load_queue.cc
@@ -379,6 +379,26 @@
   EXPECT_LE (after.all_s, 6);
 }
 
+/* 3,000 engines register during traffic, and each one may change the plan: no
+   chain that serves may be given up for it.  */
+TEST (LoadQueueReplay, ChainsOutlastRegistrations)
+{
+  const Start start = { 3000, 3, 5, 180, 2, true };
+  Domain d (start.max_concurrent_loads);
+
+  begin (d, start, true);
+  d.run (25 * s);
+  Result r = result_of (d, "large, traffic");
+  EXPECT_GT (r.all_s, 0);
+  EXPECT_LE (r.all_s, 18);
+  EXPECT_LE (r.peak, 5u);
+  EXPECT_LE (d.chainless_us, 3 * 18 * s);
+  /* None has lost its chain.  */
+  uint64_t before = d.chainless_us;
+  d.run (3 * s);
+  EXPECT_EQ (d.chainless_us, before);
+}
+
 /* Engines that register while there is traffic already, as after a failure of
    power.  */
 TEST (LoadQueueReplay, StartUnderTrafficKeepsLimit)
