Test that the leader's metrics count open loads

Change: Gateway.CountsOpenLoads reads marjoramquay_loads while an engine carries out an order. It guards against a gauge that is not set by the caller.

--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -120,6 +120,23 @@
   EXPECT_TRUE (until ([&] { return one.orders == 2; }));
 }
 
+/* The leader's metrics show how many loads are open.  */
+TEST_F (Gateway, CountsOpenLoads)
+{
+  Upstream &one = add ("eng-1", "model", "one", "big");
+
+  one.on_order = [&] { one.busy = true; };
+  configure (1);
+  start ();
+  ASSERT_TRUE (until ([&] { return one.orders == 1; }));
+  wait (0.3);
+  Answer metrics = fetch ("GET", "/metrics", {}, "", metrics_port);
+  EXPECT_NE (metrics.body.find ("marjoramquay_loads{state=\"open\"} 1\n"),
+             std::string::npos);
+  EXPECT_NE (metrics.body.find ("marjoramquay_loads{state=\"waiting\"} 0\n"),
+             std::string::npos);
+}
+
 TEST_F (Gateway, BrokenStreamResumesInSameResponse)
 {
   unsigned runs = 0;
