Assign the levels of loads in fewer passes

Cause: each level looked at all wanted orders of a domain, also those that had a level, and the number of levels was that of the orders.

Change: an order is taken out of the list when it has a level, and levels end with the list.

--- a/packages/route/load_queue.c
+++ b/packages/route/load_queue.c
@@ -63,6 +63,7 @@
   unsigned *held;    /* Engines that hold each layer.  */
   unsigned *planned; /* The same with those that have been ordered to.  */
   unsigned missing;  /* Layers that none holds.  */
+  unsigned engines;
   unsigned reported; /* Loads of another leader that are open.  */
   bool used;         /* Requests pass through it.  */
   bool completes;    /* Orders sent and wanted give it a whole chain.  */
@@ -161,7 +162,7 @@
   for (size_t k = 0; k < n; k++)
     queue_domain_state (queue, holders[k].domain)->summing_hash
         += mq_hash_mix (1, (uintptr_t)holders[k].user);
-  for (size_t k = 0; k < n; k++)
+  for (size_t k = 0; k < n && g_hash_table_size (queue->waiting) > 0; k++)
     {
       mq_layer_holder *h = &holders[k];
       load_reservation *r = g_hash_table_lookup (queue->waiting, h->user);
@@ -269,6 +270,7 @@
 domain_add_holder (load_domain *domain, const mq_layered_model *model,
                    const mq_layer_holder *holder)
 {
+  domain->engines++;
   cover_add (domain->planned, model, holder->first, holder->end);
   if (!holder->awaited)
     cover_add (domain->held, model, holder->first, holder->end);
@@ -310,38 +312,44 @@
   return a->first == layer ? a->end < b->end : a->end > b->end;
 }
 
-/* Of ITEMS (load_item) of one domain that have no level yet, the best one that
-   covers LAYER, or NULL.  */
+/* Take the best one that covers LAYER out of ITEMS (load_item), those of one
+   domain that load layers and have no level yet.  Returns NULL if there is
+   none.  */
 static load_item *
-items_find_best (GPtrArray *items, unsigned layer)
+items_take_best (GPtrArray *items, unsigned layer)
 {
   load_item *best = NULL;
+  guint at = 0;
 
   for (guint i = 0; i < items->len; i++)
     {
       load_item *t = g_ptr_array_index (items, i);
 
-      if (t->level == LEVEL_NONE && t->loads && t->order.first <= layer
-          && layer < t->order.end
-          && (best == NULL
-              || order_is_better (&t->order, &best->order, layer)))
-        best = t;
+      if (t->order.first > layer || layer >= t->order.end
+          || (best != NULL
+              && !order_is_better (&t->order, &best->order, layer)))
+        continue;
+      best = t;
+      at = i;
     }
+  if (best != NULL)
+    g_ptr_array_remove_index_fast (items, at);
   return best;
 }
 
-/* Assign LEVEL to those of the ITEMS of DOMAIN that give each layer a holder
-   more than LEVEL, and add them to COVER.  Returns the number of items.  */
+/* Assign LEVEL to those of the ITEMS of a domain that give each layer a holder
+   more than LEVEL, take them out, and add them to COVER.  Returns the number
+   of items.  */
 static guint
-domain_assign_level (GPtrArray *items, const mq_layered_model *model,
-                     unsigned *cover, unsigned level, guint sequence)
+items_assign_level (GPtrArray *items, const mq_layered_model *model,
+                    unsigned *cover, unsigned level, guint sequence)
 {
   unsigned missing = cover_count_missing (cover, model, level);
   guint n = 0;
 
   for (unsigned l = 0; l < model->layers; l++)
     {
-      load_item *t = cover[l] <= level ? items_find_best (items, l) : NULL;
+      load_item *t = cover[l] <= level ? items_take_best (items, l) : NULL;
 
       if (t == NULL)
         continue;
@@ -353,7 +361,8 @@
   return n;
 }
 
-/* Assign levels to the ITEMS of DOMAIN.  */
+/* Assign levels to the ITEMS of DOMAIN, and take them out.  No layer has more
+   holders than there are engines.  */
 static void
 domain_assign_levels (load_domain *domain, GPtrArray *items,
                       const mq_layered_model *model)
@@ -362,10 +371,10 @@
       = g_memdup2 (domain->planned, model->layers * sizeof *domain->planned);
   guint sequence = 0;
 
-  sequence += domain_assign_level (items, model, cover, 0, sequence);
+  sequence += items_assign_level (items, model, cover, 0, sequence);
   domain->completes = cover_count_missing (cover, model, 0) == 0;
-  for (unsigned level = 1; level < items->len; level++)
-    sequence += domain_assign_level (items, model, cover, level, sequence);
+  for (unsigned level = 1; items->len > 0 && level <= domain->engines; level++)
+    sequence += items_assign_level (items, model, cover, level, sequence);
   g_free (cover);
 }
 
@@ -513,7 +522,7 @@
         {
           load_item *t = &g_array_index (items, load_item, k);
 
-          if (t->domain == d)
+          if (t->domain == d && t->loads)
             g_ptr_array_add (own, t);
         }
       domain_assign_levels (d, own, model);
