Drop a waiting order when another engine has come in its place

Cause: a waiting order is kept by the address of the engine's record. A record that is freed may be followed by another at the same address between two ticks, and its card may have less memory.

Change: the card is compared as well. Replays share silence_some.

--- a/packages/route/load_queue.c
+++ b/packages/route/load_queue.c
@@ -53,6 +53,8 @@
 {
   unsigned first, end;           /* Layers of the order.  */
   unsigned held_first, held_end; /* Layers that the engine holds.  */
+  const mq_card *card; /* Of the engine; only compared, since another engine
+                          may have come to the same address.  */
 } load_reservation;
 
 /* One failure domain during a selection.  */
@@ -149,7 +151,8 @@
                       const load_domain_state *domain)
 {
   return domain->summing_hash == domain->engine_set_hash && !holder->fixed
-         && holder->first == r->held_first && holder->end == r->held_end;
+         && holder->first == r->held_first && holder->end == r->held_end
+         && holder->card == r->card;
 }
 
 void
@@ -455,8 +458,8 @@
   const mq_layer_order *o = &item->order;
   load_reservation *r = g_new (load_reservation, 1);
 
-  *r = (load_reservation){ o->first, o->end, o->holder->first,
-                           o->holder->end };
+  *r = (load_reservation){ o->first, o->end, o->holder->first, o->holder->end,
+                           o->holder->card };
   g_hash_table_insert (queue->waiting, o->holder->user, r);
 }
 
--- a/tests/test_load_queue.cc
+++ b/tests/test_load_queue.cc
@@ -81,6 +81,14 @@
   return r;
 }
 
+/* Every twentieth engine neither carries out orders nor reports any more.  */
+void
+silence_some (Domain &d)
+{
+  for (size_t i = 0; i < d.engines.size (); i += 20)
+    d.engines[i].silent = true;
+}
+
 Result
 play (const char *name, const Start &start, bool queued, double run_s)
 {
@@ -299,6 +307,20 @@
   EXPECT_EQ (g_hash_table_size (queue.waiting), 0u);
 }
 
+/* An engine that replaced another, with the same record but another card, must
+   not get the order of the other, for which it may lack memory.  */
+TEST_F (LoadQueue, ReservationEndsWhenAnotherEngineIsThere)
+{
+  for (unsigned l = 0; l < 80; l += 20)
+    want ("a", l, l + 20);
+  mq_load_queue_reserve (&queue, &holders[0], holders.size ());
+  select (true);
+  holders[2].card = service.card_named ("t4");
+  mq_load_queue_reserve (&queue, &holders[0], holders.size ());
+  EXPECT_FALSE (holders[2].awaited);
+  EXPECT_TRUE (holders[3].awaited);
+}
+
 TEST_F (LoadQueue, ReservationsEndWhenAnEngineJoins)
 {
   for (unsigned l = 0; l < 80; l += 20)
@@ -422,10 +444,7 @@
   Domain d (start.max_concurrent_loads);
 
   begin (d, start, true);
-  d.schedule (d.now + s, [&d] {
-    for (size_t i = 0; i < d.engines.size (); i += 20)
-      d.engines[i].silent = true;
-  });
+  d.schedule (d.now + s, [&d] { silence_some (d); });
   d.run (60 * s);
   Result r = result_of (d, "silent engines");
   EXPECT_GT (r.all_s, 0);
@@ -440,10 +459,7 @@
   Domain d (start.max_concurrent_loads);
 
   begin (d, start, true);
-  d.schedule (d.now + s, [&d] {
-    for (size_t i = 0; i < d.engines.size (); i += 20)
-      d.engines[i].silent = true;
-  });
+  d.schedule (d.now + s, [&d] { silence_some (d); });
   d.schedule (d.now + 5 * s, [&d] { d.change_leader (); });
   d.run (60 * s);
   Result r = result_of (d, "silent engines, new leader");
