--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -27,6 +27,7 @@
 #include <mq/internal/gateway_view.h>
 #include <mq/latency_estimate.h>
 #include <mq/layer_plan.h>
+#include <mq/load_queue.h>
 #include <mq/log.h>
 #include <mq/metrics.h>
 #include <mq/cluster_message.h>
@@ -106,6 +107,7 @@
   mq_layer_plan plan;              /* Of a layered model.  */
   mq_urgency_reserve urgency;      /* Where levels are in force.  */
   mq_gateway_service_view view;    /* Whether its upstreams are known.  */
+  mq_load_queue loads;             /* Likewise.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -143,6 +145,8 @@
   uint64_t *budget_granted;
   uint64_t *budget_received;
   uint64_t *orders;
+  uint64_t *loads_open;
+  uint64_t *loads_waiting;
   uint64_t *store_calls[MQ_STORE_PURPOSES];
   uint64_t *reports;
   uint64_t *path_probes;
@@ -222,6 +226,7 @@
   bool members_scan_stale; /* That scan may miss entries of late.  */
   bool leads;              /* This router is the leader: it orders layers.  */
   bool orders_due;         /* A report arrived: order at the next tick.  */
+  bool traffic_seen;       /* Clients have sent requests to the fleet.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
   ev_timer tick;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -73,6 +73,7 @@
   mq_service_state *s = data;
 
   mq_layer_plan_finish (&s->plan);
+  mq_load_queue_finish (&s->loads);
   g_free (s);
 }
 
@@ -95,6 +96,7 @@
       (double)(mq_span_hash (mq_str_span (gateway->settings->name)) >> 11)
           * 0x1p-53);
   mq_layer_plan_init (&s->plan);
+  mq_load_queue_init (&s->loads);
   g_hash_table_insert (gateway->services, g_strdup (service->name->data), s);
   return s;
 }
