Resume the streams of a failed engine in the order of their urgency

Cause: when an engine fails, the sends of all streams through it ended in the order of their arrival, and each was sent again at once. The first ones took what was left of the retry budget, whatever their level; the rule that a less urgent retry leaves budget to more urgent ones sees only those that wait already. Found by review.

Change: the streams that fail together are sorted before their sends end. Services without levels keep the order of arrival.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -289,10 +289,12 @@
   bool resting;            /* ... or accepts nothing from this router.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
   bool view_waits;         /* The same, as its service is not known yet.  */
+  bool view_waited;        /* It did so at some time.  */
   bool waits_for_budget;   /* The retry budget had no room for it.  */
+  bool yielded;            /* It left budget to a more urgent one.  */
+  int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
   uint64_t lost_us;        /* ... then.  */
-  bool view_waited;        /* It did so at some time.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
@@ -306,11 +308,9 @@
   uint64_t run_began_us;   /* First event of the last run that had one.  */
   bool cleared;            /* A run outlasted MQ_QUARANTINE_STARTUP_US, so the
                               request is not suspected of crashes.  */
-  int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   uint64_t admitted_us;    /* First send of a request with a level; 0: none. */
   mq_urgency_limit urgency_limit; /* Of its last placement, ...  */
   double urgency_ratio;           /* ... and the ratio that it was for.  */
-  bool yielded; /* It left budget to a more urgent one at some time.  */
   mq_log_buffer log_buffer;
 };
 
--- a/include/mq/internal/gateway_urgency.h
+++ b/include/mq/internal/gateway_urgency.h
@@ -48,6 +48,11 @@
 /* The same for the streams that have begun and wait.  */
 void mq_gateway_urgency_tick_begun (mq_gateway *gateway, uint64_t now_us);
 
+/* Sort FORWARDS (mq_forward), whose sends have failed together, into the order
+   in which they are to be sent again.  Those of services without levels come
+   first and keep their order.  */
+void mq_gateway_urgency_sort (GPtrArray *forwards);
+
 G_END_DECLS
 
 #endif
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -401,20 +401,24 @@
                              const char *why)
 {
   mq_upstream *u = mq_registry_find_address (&gateway->registry, address);
-  GList *next;
+  GPtrArray *failed = g_ptr_array_new ();
 
   if (u != NULL)
     u->crashed = true;
-  for (GList *l = gateway->forwards.head; l != NULL; l = next)
+  for (GList *l = gateway->forwards.head; l != NULL; l = l->next)
+    if (forward_passes_through (l->data, address))
+      g_ptr_array_add (failed, l->data);
+  /* Each may use up the last of the retry budget.  The end of a send frees no
+     other forward than its own.  */
+  mq_gateway_urgency_sort (failed);
+  for (guint i = 0; i < failed->len; i++)
     {
-      mq_forward *f = l->data;
+      mq_forward *f = g_ptr_array_index (failed, i);
 
-      next = l->next;
-      if (!forward_passes_through (f, address))
-        continue;
       mq_crash_note_broken_run (f, u, mq_gateway_now_us ());
       mq_forward_send_ended (f, MQ_SEND_TIMED_OUT, 0, why);
     }
+  g_ptr_array_unref (failed);
 }
 
 /* ---- Start and end.  */
--- a/packages/gateway/gateway_urgency.c
+++ b/packages/gateway/gateway_urgency.c
@@ -236,6 +236,33 @@
   return true;
 }
 
+/* Append FORWARD to *WAITING (mq_send_waiter), which is created by the first
+ * call.
+ */
+static void
+waiting_add (GArray **waiting, mq_forward *forward)
+{
+  mq_send_waiter w;
+
+  if (*waiting == NULL)
+    *waiting = g_array_new (FALSE, FALSE, sizeof (mq_send_waiter));
+  w = forward_waiter (forward, (*waiting)->len);
+  w.user = forward;
+  g_array_append_val (*waiting, w);
+}
+
+static void
+waiting_sort (GArray *waiting)
+{
+  mq_send_order_sort ((mq_send_waiter *)(void *)waiting->data, waiting->len);
+}
+
+static mq_forward *
+waiting_get (const GArray *waiting, guint i)
+{
+  return g_array_index (waiting, mq_send_waiter, i).user;
+}
+
 /* Tick the forwards, or those that have begun and wait.  A tick frees no other
    forward than its own.  */
 static void
@@ -247,7 +274,6 @@
   for (GList *l = gateway->forwards.head; l != NULL; l = next)
     {
       mq_forward *f = l->data;
-      mq_send_waiter w;
 
       next = l->next;
       if (begun_only && (f->call != NULL || !f->state.response_started))
@@ -257,17 +283,13 @@
           mq_forward_tick (f, now_us);
           continue;
         }
-      if (waiting == NULL)
-        waiting = g_array_new (FALSE, FALSE, sizeof (mq_send_waiter));
-      w = forward_waiter (f, waiting->len);
-      w.user = f;
-      g_array_append_val (waiting, w);
+      waiting_add (&waiting, f);
     }
   if (waiting == NULL)
     return;
-  mq_send_order_sort ((mq_send_waiter *)(void *)waiting->data, waiting->len);
+  waiting_sort (waiting);
   for (guint i = 0; i < waiting->len; i++)
-    mq_forward_tick (g_array_index (waiting, mq_send_waiter, i).user, now_us);
+    mq_forward_tick (waiting_get (waiting, i), now_us);
   g_array_unref (waiting);
 }
 
@@ -282,3 +304,26 @@
 {
   tick_in_order (gateway, true, now_us);
 }
+
+void
+mq_gateway_urgency_sort (GPtrArray *forwards)
+{
+  GArray *waiting = NULL;
+  guint n = 0;
+
+  for (guint i = 0; i < forwards->len; i++)
+    {
+      mq_forward *f = g_ptr_array_index (forwards, i);
+
+      if (f->level == MQ_URGENCY_NONE)
+        forwards->pdata[n++] = f;
+      else
+        waiting_add (&waiting, f);
+    }
+  if (waiting == NULL)
+    return;
+  waiting_sort (waiting);
+  for (guint i = 0; i < waiting->len; i++)
+    forwards->pdata[n++] = waiting_get (waiting, i);
+  g_array_unref (waiting);
+}
--- a/tests/test_gateway_urgency.cc
+++ b/tests/test_gateway_urgency.cc
@@ -216,3 +216,24 @@
   EXPECT_EQ (urgent.body, events (1, 4));
   EXPECT_EQ (low.body, events (1, 2));
 }
+
+/* An engine that both streams pass through fails when the budget allows one
+   retry.  Guards against granting it to the stream that came first.  */
+TEST_F (GatewayUrgency, MoreUrgentStreamOfFailedEngineIsResumedFirst)
+{
+  sends_slack = 1;
+  sends_window_ms = 2000;
+  start_chains ();
+  hold_streams ();
+  configure_low (2, "2");
+  ASSERT_TRUE (in_force (2));
+  wait (2.1); /* The slack grows over the first window.  */
+  start_streams ();
+  upstreams[1]->server.close ();
+  ASSERT_TRUE (until ([&] { return urgent.ended; }));
+  wait (0.2);
+  EXPECT_EQ (urgent.body, events (1, 4));
+  EXPECT_EQ (low.body, events (1, 2));
+  for (auto &stream : open)
+    mq_http_exchange_unref (stream.second);
+}
