--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -291,6 +291,7 @@
   bool view_waits;         /* The same, as its service is not known yet.  */
   bool view_waited;        /* It did so at some time.  */
   bool waits_for_budget;   /* The retry budget had no room for it.  */
+  bool run_timed_out;      /* A run of it timed out.  */
   bool yielded;            /* It left budget to a more urgent one.  */
   int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
@@ -494,6 +495,8 @@
    room, it waits for the next tick or is rejected; a quarantined request is
    rejected.  May free FORWARD.  */
 void mq_forward_send (mq_forward *forward, uint64_t now_us);
+/* Returns true if the retry budget allows one more send of FORWARD now.  */
+bool mq_forward_is_in_budget (mq_forward *forward, uint64_t now_us);
 /* Returns true if FORWARD, a send of which ended, may wait for retry budget.
  */
 bool mq_forward_may_wait_for_budget (const mq_forward *forward,
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -241,9 +241,10 @@
   forward_note_failure (f, end, now);
   f->lost_end = end;
   f->lost_us = now;
+  f->run_timed_out |= end == MQ_SEND_TIMED_OUT;
   /* It may wait for budget (mq_forward_send).  */
   budget = f->state.response_started || mq_forward_may_wait_for_budget (f, now)
-           || mq_gateway_has_budget (f->gateway, f->service, now);
+           || mq_forward_is_in_budget (f, now);
   v = mq_forward_decide (&f->state, end, status, budget);
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send-ended",
@@ -535,9 +536,8 @@
 void
 mq_forward_reject (mq_forward *forward, unsigned retry_ms, const char *why)
 {
-  mq_forward_verdict v = mq_forward_give_up (
-      &forward->state,
-      forward->waits_for_budget && forward->lost_end == MQ_SEND_TIMED_OUT);
+  mq_forward_verdict v
+      = mq_forward_give_up (&forward->state, forward->run_timed_out);
 
   mq_gateway_view_note_rejected (forward);
   if (v.verb == MQ_FORWARD_ABORT)
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -181,12 +181,11 @@
   return false;
 }
 
-/* Returns true if the retry budget allows a send of FORWARD now.  Checked at
-   each send, as requests that waited for room are sent together.  Streams that
-   have begun come first: their clients have part of a response, which is lost
-   with them.  */
-static bool
-send_is_in_budget (mq_forward *forward, uint64_t now_us)
+/* Checked at each send, as requests that waited for room are sent together.
+   Streams that have begun come first: their clients have part of a response,
+   which is lost with them.  */
+bool
+mq_forward_is_in_budget (mq_forward *forward, uint64_t now_us)
 {
   if (forward->state.arrived == 0)
     return true;
@@ -264,19 +263,12 @@
 {
   if (forward->state.response_started)
     return send_begun_may_wait (forward, now_us);
-  switch (forward->lost_end)
-    {
-    case MQ_SEND_BROKEN:
-    case MQ_SEND_TIMED_OUT:
-      return mq_forward_may_repeat (&forward->state)
-             && now_us - forward->started_us <= MAX_WAIT_US;
-    case MQ_SEND_NOT_SENT:
-    case MQ_SEND_NOT_RUN:
-      return now_us - forward->lost_us <= MAX_REJECTED_WAIT_US;
-    case MQ_SEND_REPLIED:
-      break;
-    }
-  return false;
+  if (forward->lost_end == MQ_SEND_REPLIED)
+    return false; /* The upstream's response is delivered.  */
+  if (forward->state.may_have_run)
+    return mq_forward_may_repeat (&forward->state)
+           && now_us - forward->started_us <= MAX_WAIT_US;
+  return now_us - forward->lost_us <= MAX_REJECTED_WAIT_US;
 }
 
 /* Returns true if FORWARD, whose placement gave RESULT, may wait.  Any request
@@ -319,7 +311,7 @@
           "quarantined");
       return;
     }
-  if (!send_is_in_budget (f, now_us))
+  if (!mq_forward_is_in_budget (f, now_us))
     {
       if (mq_forward_may_wait_for_budget (f, now_us))
         {
--- a/packages/route/load_queue.c
+++ b/packages/route/load_queue.c
@@ -388,7 +388,7 @@
 static int
 item_class (const load_item *item)
 {
-  if (!item->loads || item->domain->repairs)
+  if (!item->loads || (item->domain->repairs && item->level == 0))
     return 0;
   if (item->level == 0 && item->domain->completes)
     return 1;
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -53,12 +53,23 @@
    for own streams, which may be lost some ms after those of others.  */
 #define MAX_GRANT_SHARE 0.75
 
+/* Returns the time since SINCE_US.  Callers take the time at different points
+   of one event, so NOW_US may be a little before the time of an earlier call.
+ */
+static uint64_t
+elapsed_us (uint64_t now_us, uint64_t since_us)
+{
+  return now_us > since_us ? now_us - since_us : 0;
+}
+
 static void
 budget_advance (mq_send_budget *budget, uint64_t now_us)
 {
   uint64_t slice = now_us / budget->slice_us;
   unsigned n = MQ_SEND_BUDGET_KEPT_SLICES;
 
+  if (slice <= budget->slice)
+    return;
   if (slice - budget->slice >= n)
     {
       memset (budget->requests, 0, sizeof budget->requests);
@@ -161,7 +172,7 @@
 static double
 budget_slack_share (const mq_send_budget *budget, uint64_t now_us)
 {
-  double grown = (double)(now_us - budget->slack_start_us)
+  double grown = (double)elapsed_us (now_us, budget->slack_start_us)
                  / (double)budget_window_us (budget);
 
   if (grown < LEARN_SHARE
@@ -174,7 +185,7 @@
 static double
 budget_max_share (const mq_send_budget *budget, uint64_t now_us)
 {
-  return now_us - budget->started_us < budget_window_us (budget)
+  return elapsed_us (now_us, budget->started_us) < budget_window_us (budget)
                  || budget->lost_requests > 0
              ? YOUNG_BUDGET_SHARE
              : MAX_BUDGET_SHARE;
@@ -234,7 +245,8 @@
                         uint64_t now_us)
 {
   double window_us = (double)budget_window_us (budget);
-  double passed = MIN ((double)(now_us - budget->others_us) / window_us, 1);
+  double passed
+      = MIN ((double)elapsed_us (now_us, budget->others_us) / window_us, 1);
 
   budget->others_requests
       = MAX (others.requests, budget->others_requests * (1 - passed));
@@ -271,7 +283,7 @@
   reserved_us
       = window_us * (budget_is_in_minority (budget) ? LOST_COUNTS_WINDOWS : 1);
   if (others.requests >= budget->lost_requests * (1 - LOST_COUNTS_SHARE)
-      || now_us - budget->lost_us > reserved_us)
+      || elapsed_us (now_us, budget->lost_us) > reserved_us)
     budget->lost_requests = 0;
 }
 
@@ -286,7 +298,7 @@
       = (unsigned)MIN (budget->counts_age_us / budget->slice_us,
                        MQ_SEND_BUDGET_KEPT_SLICES - MQ_SEND_BUDGET_SLICES - 1)
         + 1;
-  uint64_t passed_us = now_us - budget->others_us;
+  uint64_t passed_us = elapsed_us (now_us, budget->others_us);
   double known = budget_others_requests (budget, others, now_us);
   unsigned own
       = budget_sum (budget, budget->requests, 0, MQ_SEND_BUDGET_SLICES);
@@ -298,7 +310,7 @@
   share = traffic_share (own, MAX (known, budget->lost_requests), routers);
   if (budget_is_in_minority (budget))
     share *= 1
-             - MIN ((double)(now_us - budget->lost_us)
+             - MIN ((double)elapsed_us (now_us, budget->lost_us)
                         / (double)budget_window_us (budget),
                     1);
   return own > before ? share * before / own : share;
--- a/tests/test_send_budget.cc
+++ b/tests/test_send_budget.cc
@@ -44,6 +44,22 @@
   EXPECT_GE (n, 20u);
 }
 
+/* Guards against forgetting what was sent when a caller passes the time at
+   which an event began after one that was taken later.  */
+TEST (SendBudget, EarlierTimeErasesNothing)
+{
+  mq_send_budget b;
+
+  mq_send_budget_init (&b, 0.2, 60, window, 0);
+  requests (&b, 100, 20 * s);
+  while (mq_send_budget_has_room (&b, 6, others_exhausted, 20 * s))
+    mq_send_budget_note_retry (&b, 20 * s);
+  unsigned sent = mq_send_budget_count (&b, 20 * s).retries;
+  EXPECT_GT (sent, 0u);
+  EXPECT_EQ (mq_send_budget_count (&b, 20 * s - s / 2).retries, sent);
+  EXPECT_EQ (mq_send_budget_count (&b, 20 * s).retries, sent);
+}
+
 TEST (SendBudget, BudgetRecoversAfterWindow)
 {
   mq_send_budget b;
