Compute the age of the counts once for all services, and mend comments

Found in reading the change again. Two comments told how a value was found, one named a margin that has changed since, one had an odd layout.

--- a/include/mq/send_budget.h
+++ b/include/mq/send_budget.h
@@ -73,8 +73,8 @@
                           uint64_t window_us, uint64_t now_us);
 
 /* Shares are rounded down to whole sends after ROUNDING, in [0, 1), was added.
-   If routers use independent random values, the sum of their rounded shares
-   remains near the sum of their shares.  0 after init.  */
+   If the values of the routers are spread evenly, the sum of their rounded
+   shares remains near the sum of their shares.  0 after init.  */
 void mq_send_budget_set_rounding (mq_send_budget *budget, double rounding);
 
 /* The counts of others that are passed in may be AGE_US old.  With
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -354,6 +354,9 @@
   GHashTableIter i;
   gpointer name;
   gpointer value;
+  /* The same for all services; both look at all routers.  */
+  unsigned routers = mq_cluster_count_busy (&gateway->cluster, now_us);
+  uint64_t age_us = counts_age_us (gateway, now_us);
 
   g_hash_table_iter_init (&i, gateway->services);
   while (g_hash_table_iter_next (&i, &name, &value))
@@ -361,12 +364,10 @@
       mq_service_state *s = value;
       uint64_t service = mq_span_hash (mq_span_from (name));
       unsigned waiting;
-      unsigned routers = mq_cluster_count_busy (&gateway->cluster, now_us);
       mq_send_counts others
           = mq_cluster_other_sends (&gateway->cluster, service, now_us);
 
-      mq_send_budget_set_counts_age (&s->budget,
-                                     counts_age_us (gateway, now_us));
+      mq_send_budget_set_counts_age (&s->budget, age_us);
       mq_send_budget_update (&s->budget, routers, others, now_us);
       if (now_us - s->budget_requested_us < s->budget_interval_us)
         continue;
--- a/packages/gateway/gateway_urgency.c
+++ b/packages/gateway/gateway_urgency.c
@@ -236,9 +236,7 @@
   return true;
 }
 
-/* Append FORWARD to *WAITING (mq_send_waiter), which is created by the first
- * call.
- */
+/* Append FORWARD to *WAITING (mq_send_waiter), created by the first call.  */
 static void
 waiting_add (GArray **waiting, mq_forward *forward)
 {
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -37,8 +37,8 @@
 #define LEAD_DELAY_US ((uint64_t)500 * 1000)
 /* A router that ranks before it, but is not known to be a live relay, delays a
    lead until this after it became a relay.  Relays of different domains find
-   one another within a second; with 1.5 s, one start of 96 still had two
-   leaders for 0.5 s.  */
+   one another within a second; a router that ranks first and starts late may
+   take longer.  */
 #define MAX_LEAD_DELAY_US ((uint64_t)2000 * 1000)
 
 static void
--- a/packages/route/cluster_load.c
+++ b/packages/route/cluster_load.c
@@ -114,8 +114,8 @@
 
 /* At most by this factor are retries beyond the shares of their senders
    multiplied (sends_scale_replaced).  With a factor F, while all requests move
-   to other routers, the bound can be exceeded by 1 / (4 F) of it: 3%, as much
-   as MAX_BUDGET_SHARE of send_budget.c leaves.  */
+   to other routers, the bound can be exceeded by 1 / (4 F) of it: 3%, less
+   than MAX_BUDGET_SHARE of send_budget.c leaves.  */
 #define MAX_REPLACED_FACTOR 8.0
 
 static void
--- a/packages/route/send_budget.c
+++ b/packages/route/send_budget.c
@@ -44,10 +44,9 @@
    shorter.
  */
 #define LOST_COUNTS_WINDOWS 6
-/* Reported overdrafts are this much larger than they are.  Of what is deducted
-   from the share of a router without room nothing is saved.  With a factor of
-   1 a fleet of 986 routers with ten requests each in the window exceeded its
-   bound by 4%, with 2 by 0.2%, in virtual time.  */
+/* Reported overdrafts are this much larger than they are.  What is deducted
+   from the share of a router without room saves nothing, so that with smaller
+   factors large fleets exceed their bound.  */
 #define OVERDRAFT_FACTOR 3
 /* Share of the unused sends that is granted to one request.  The rest is kept
    for own streams, which may be lost some ms after those of others.  */
