Check whether a router reaches the upstreams, and log and count it

After a failed connection it now connects to a few upstreams of each service and failure domain. reach.isolated and reach.up say when its state changes, with how many connections were open, refused and unanswered; marjoramquay_isolated and marjoramquay_reach_checks_total count it. No decision depends on it yet.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -35,6 +35,7 @@
 #include <mq/peers.h>
 #include <mq/processor_meter.h>
 #include <mq/quarantine.h>
+#include <mq/reach.h>
 #include <mq/tcp_probe.h>
 #include <mq/cluster.h>
 #include <mq/send_budget.h>
@@ -150,6 +151,8 @@
   uint64_t *store_calls[MQ_STORE_PURPOSES];
   uint64_t *reports;
   uint64_t *path_probes;
+  uint64_t *reach_checks;
+  uint64_t *isolated;
   uint64_t *routing_version;
   uint64_t *routing_age_ms;
   uint64_t *upstreams_age_ms;
@@ -180,6 +183,7 @@
 
 typedef struct mq_forward mq_forward;
 typedef struct mq_crash_case mq_crash_case;
+typedef struct mq_reach_check mq_reach_check;
 
 struct mq_gateway
 {
@@ -251,6 +255,8 @@
   uint64_t crashes_reported_us; /* Last report of all crash records.  */
   GPtrArray *crash_cases;       /* mq_crash_case, owned.  */
   GPtrArray *path_probes;       /* In progress, owned.  */
+  mq_reach reach;               /* Whether this router reaches upstreams.  */
+  mq_reach_check *reach_check;  /* In progress, owned; NULL: none.  */
   GHashTable *stored_refusals;  /* Written to the store: content hash ->
                                    stored_refusal, owned.  */
   bool refusals_scanning;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/internal/budget_transfer.h>
+#include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
 #include <mq/log.h>
@@ -170,6 +171,7 @@
   if (g->ticks % BACKGROUND_TICKS == 0 && g->leads)
     mq_stall_tick (g, now);
   mq_crash_tick (g, now);
+  mq_gateway_reach_tick (g, now);
   /* Not at each tick: evaluating a large table takes long.  */
   if (g->ticks % BACKGROUND_TICKS == 0)
     mq_gateway_quarantine_tick (g, now);
@@ -309,6 +311,7 @@
   mq_gateway_free_early_requests (g);
   mq_gateway_quarantine_finish (g);
   g_ptr_array_unref (g->path_probes);
+  mq_reach_check_free (g->reach_check);
   mq_http_server_free (g->clients);
   mq_http_server_free (g->readiness);
   mq_http_server_free (g->directory);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -7,6 +7,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
 #include <mq/log.h>
@@ -23,6 +24,9 @@
 #define FIRST_EVENT_REPORT_US ((uint64_t)700 * 1000)
 /* The path of a stream is not probed after a shorter silence.  */
 #define MIN_PROBE_TIMEOUT_MS 50.0
+/* A plain call that has received nothing for this long, and for its route's
+   target latency, may have lost its connection.  */
+#define MIN_CALL_SILENCE_US ((uint64_t)200 * 1000)
 /* After this silence a stream moves to another path that has room, whatever
    the head reports.  Clients disconnect after 2 s of silence, and a new run
    needs time to its first event.  */
@@ -152,6 +156,8 @@
 {
   if (forward->upstream == NULL)
     return;
+  if (end != MQ_SEND_REPLIED && end != MQ_SEND_NOT_RUN)
+    mq_gateway_reach_suspect (forward->gateway);
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
@@ -342,9 +348,16 @@
 void
 mq_forward_check_silence (mq_forward *forward, uint64_t now_us)
 {
-  if (forward->call != NULL && forward->path_load != NULL
-      && forward_silent_us (forward, now_us)
-             > forward_probe_delay_us (forward))
+  if (forward->call == NULL)
+    return;
+  if (forward->path_load == NULL)
+    {
+      if (forward_silent_us (forward, now_us) > MAX (
+              (uint64_t)forward->route->target_ms * 1000, MIN_CALL_SILENCE_US))
+        mq_gateway_reach_note_silence (forward->gateway);
+    }
+  else if (forward_silent_us (forward, now_us)
+           > forward_probe_delay_us (forward))
     mq_path_probe_start (forward->gateway, &forward->path);
 }
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -121,6 +121,12 @@
   c->path_probes
       = mq_metrics_counter (m, "marjoramquay_path_probes_total", "",
                             "silent paths whose engines were connected to");
+  c->reach_checks = mq_metrics_counter (
+      m, "marjoramquay_reach_checks_total", "",
+      "Checks whether this router reaches the upstreams.");
+  c->isolated
+      = mq_metrics_gauge (m, "marjoramquay_isolated", "",
+                          "1 while this router reaches no upstreams itself.");
   c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
                                    "Reports asked of engines.");
   c->routing_version = mq_metrics_gauge (
@@ -295,6 +301,7 @@
   *c->upstreams_slow = 0;
   *c->upstreams_limited = 0;
   *c->upstreams_resting = 0;
+  *c->isolated = gateway->reach.isolated;
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -5,6 +5,7 @@
 
 #include <mq/internal/path_probe.h>
 
+#include <mq/internal/gateway_reach.h>
 #include <mq/log.h>
 
 /* A connection within a region takes a few ms.  An unanswered one is tried
@@ -83,6 +84,8 @@
   guint at;
 
   probe_log (probe, mq_gateway_now_us ());
+  if (probe_count (probe, MQ_TCP_PROBE_OPEN) < probe->n)
+    mq_gateway_reach_suspect (g);
   /* Removed from the list first: sends that fail may start other probes.  */
   if (g_ptr_array_find (g->path_probes, probe, &at))
     (void)g_ptr_array_steal_index_fast (g->path_probes, at);
