--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -96,6 +96,8 @@
                                then; 0: follower, or stopped.  */
 } mq_feed;
 
+typedef struct mq_reach_check mq_reach_check;
+
 /* State of a service besides its configuration.  */
 typedef struct mq_service_state
 {
@@ -109,6 +111,8 @@
   mq_urgency_reserve urgency;      /* Where levels are in force.  */
   mq_gateway_service_view view;    /* Whether its upstreams are known.  */
   mq_load_queue loads;             /* Likewise.  */
+  mq_reach reach;              /* Whether this router reaches its upstreams. */
+  mq_reach_check *reach_check; /* In progress, owned; NULL: none.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -183,7 +187,6 @@
 
 typedef struct mq_forward mq_forward;
 typedef struct mq_crash_case mq_crash_case;
-typedef struct mq_reach_check mq_reach_check;
 
 struct mq_gateway
 {
@@ -255,8 +258,7 @@
   uint64_t crashes_reported_us; /* Last report of all crash records.  */
   GPtrArray *crash_cases;       /* mq_crash_case, owned.  */
   GPtrArray *path_probes;       /* In progress, owned.  */
-  mq_reach reach;               /* Whether this router reaches upstreams.  */
-  mq_reach_check *reach_check;  /* In progress, owned; NULL: none.  */
+  unsigned isolated_services;   /* Those with reach.isolated.  */
   GHashTable *stored_refusals;  /* Written to the store: content hash ->
                                    stored_refusal, owned.  */
   bool refusals_scanning;
--- a/include/mq/internal/gateway_reach.h
+++ b/include/mq/internal/gateway_reach.h
@@ -1,5 +1,5 @@
-/* Checks whether a router reaches the upstreams over its own links: see
-   mq/reach.h.  */
+/* Checks whether a router reaches the upstreams of a service over its own
+   links: see mq/reach.h.  */
 
 #ifndef MQ_INTERNAL_GATEWAY_REACH_H
 #define MQ_INTERNAL_GATEWAY_REACH_H
@@ -8,17 +8,27 @@
 
 G_BEGIN_DECLS
 
-/* A connection to an upstream failed, or fell silent.  A check begins at once
+/* A connection to UPSTREAM failed.  A check of its service begins at once
    unless one began a moment ago.  */
-void mq_gateway_reach_suspect (mq_gateway *gateway);
-/* A request has received nothing for longer than usual, which under load is
-   common.  Does nothing if a check began lately.  */
-void mq_gateway_reach_note_silence (mq_gateway *gateway);
-/* Begin a check if one is due.  */
+void mq_gateway_reach_suspect (mq_gateway *gateway,
+                               const mq_upstream *upstream);
+/* A request has received nothing from UPSTREAM for longer than usual, which is
+   common under load.  Does nothing if a check began lately.  */
+void mq_gateway_reach_note_silence (mq_gateway *gateway,
+                                    const mq_upstream *upstream);
+/* Begin the checks that are due.  */
 void mq_gateway_reach_tick (mq_gateway *gateway, uint64_t now_us);
 /* Cancel CHECK, which may be NULL, and free it.  */
 void mq_reach_check_free (mq_reach_check *check);
 
+/* Returns true if this router does not reach the service of UPSTREAM itself.
+ */
+bool mq_gateway_is_isolated (const mq_gateway *gateway,
+                             const mq_upstream *upstream);
+/* Returns true if this router reaches all services and nothing casts doubt on
+   that, so that what it finds of upstreams holds for other routers too.  */
+bool mq_gateway_reach_is_sure (const mq_gateway *gateway);
+
 G_END_DECLS
 
 #endif
--- a/include/mq/reach.h
+++ b/include/mq/reach.h
@@ -1,9 +1,10 @@
-/* Whether this router reaches the upstreams over its own links.
+/* Whether this router reaches the upstreams of a service over its own links.
 
    A connection that fails says either that an upstream is down or that this
-   router is cut off from all of them.  The two call for opposite decisions: in
-   the first case the upstream is ejected and the other routers are notified,
-   in the second the upstreams are sound and nothing may be said against them.
+   router is cut off from all of its service.  The two call for opposite
+   decisions: in the first case the upstream is ejected and the other routers
+   are notified, in the second the upstreams are sound and nothing may be said
+   against them.
 
    Any failure raises a *suspicion*.  A *check* then connects to a sample of
    upstreams.  If it reaches fewer than half of the sample, the router is
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -75,6 +75,7 @@
 
   mq_layer_plan_finish (&s->plan);
   mq_load_queue_finish (&s->loads);
+  mq_reach_check_free (s->reach_check);
   g_free (s);
 }
 
@@ -311,7 +312,6 @@
   mq_gateway_free_early_requests (g);
   mq_gateway_quarantine_finish (g);
   g_ptr_array_unref (g->path_probes);
-  mq_reach_check_free (g->reach_check);
   mq_http_server_free (g->clients);
   mq_http_server_free (g->readiness);
   mq_http_server_free (g->directory);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -157,7 +157,7 @@
   if (forward->upstream == NULL)
     return;
   if (end != MQ_SEND_REPLIED && end != MQ_SEND_NOT_RUN)
-    mq_gateway_reach_suspect (forward->gateway);
+    mq_gateway_reach_suspect (forward->gateway, forward->upstream);
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
@@ -354,7 +354,7 @@
     {
       if (forward_silent_us (forward, now_us) > MAX (
               (uint64_t)forward->route->target_ms * 1000, MIN_CALL_SILENCE_US))
-        mq_gateway_reach_note_silence (forward->gateway);
+        mq_gateway_reach_note_silence (forward->gateway, forward->upstream);
     }
   else if (forward_silent_us (forward, now_us)
            > forward_probe_delay_us (forward))
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -125,8 +125,8 @@
       m, "marjoramquay_reach_checks_total", "",
       "Checks whether this router reaches the upstreams.");
   c->isolated
-      = mq_metrics_gauge (m, "marjoramquay_isolated", "",
-                          "1 while this router reaches no upstreams itself.");
+      = mq_metrics_gauge (m, "marjoramquay_isolated_services", "",
+                          "Services that this router does not reach itself.");
   c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
                                    "Reports asked of engines.");
   c->routing_version = mq_metrics_gauge (
@@ -301,7 +301,7 @@
   *c->upstreams_slow = 0;
   *c->upstreams_limited = 0;
   *c->upstreams_resting = 0;
-  *c->isolated = gateway->reach.isolated;
+  *c->isolated = gateway->isolated_services;
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -140,7 +140,7 @@
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   if (event->result != MQ_HTTP_OK)
-    mq_gateway_reach_suspect (o->gateway);
+    mq_gateway_reach_suspect (o->gateway, o->upstream);
   mq_log (G_LOG_LEVEL_INFO, "order.answered",
           "upstream=%s status=%u result=%d",
           mq_str_cstr (o->upstream->facts.id), event->status, event->result);
--- a/packages/gateway/gateway_reach.c
+++ b/packages/gateway/gateway_reach.c
@@ -1,22 +1,21 @@
-/* Checks whether this router reaches the upstreams (mq/reach.h).
+/* Checks whether this router reaches the upstreams of a service (mq/reach.h).
 
-   A check opens one connection to each of a few upstreams, spread over
-   services and failure domains, and closes it again.  It runs only after a
-   connection failed, and repeatedly while the router is isolated.  */
+   A check opens one connection to each of a few upstreams, spread over failure
+   domains, and closes it again.  It runs only after a connection failed, and
+   repeatedly while the service is not reached.  */
 
 #include <mq/internal/gateway_reach.h>
 
 #include <mq/log.h>
 
-/* Upstreams in a check: one of each service and failure domain, and where
-   there are few of these, several.  */
+/* Upstreams in a check: one of each failure domain, and where there are few of
+   these, several.  */
 #define MIN_SAMPLE 4
 #define MAX_SAMPLE 8
 /* A connection within a region takes a few ms.  An unanswered one is tried
    again, since a packet may be lost.  */
 #define CONNECT_TIMEOUT_MS 40
 #define MAX_TRIES 2
-
 /* Between two checks for no other reason than silence.  */
 #define SILENCE_CHECK_INTERVAL_US ((uint64_t)1000 * 1000)
 
@@ -31,6 +30,7 @@
 struct mq_reach_check
 {
   mq_gateway *gateway; /* Borrowed.  */
+  mq_str *service;     /* Its name, one reference.  */
   uint64_t began_us;
   mq_reach_sample sample;
   unsigned pending;
@@ -49,26 +49,52 @@
         mq_tcp_probe_cancel (check->connections[i].tcp_probe);
       mq_upstream_unref (check->connections[i].upstream);
     }
+  mq_str_unref (check->service);
   g_free (check);
 }
 
-/* The check of GATEWAY has ended.  Frees it.  */
+/* Returns the state of the service called NAME, or NULL.  Borrowed.  */
+static mq_service_state *
+reach_find_service (const mq_gateway *gateway, const mq_str *name)
+{
+  return name != NULL ? g_hash_table_lookup (gateway->services, name->data)
+                      : NULL;
+}
+
+/* ---- Checks.  */
+
 static void
-reach_conclude (mq_gateway *gateway)
+reach_log (const mq_reach_check *check, bool changed, bool isolated)
 {
-  mq_reach_check *c = gateway->reach_check;
-  mq_reach_sample s = c->sample;
-  uint64_t now = mq_gateway_now_us ();
-  uint64_t ms = (now - c->began_us) / 1000;
-  bool changed = mq_reach_check_ended (&gateway->reach, &s, now);
-  const char *event = gateway->reach.isolated ? "reach.isolated" : "reach.up";
+  const mq_reach_sample *s = &check->sample;
+  const char *event = isolated ? "reach.isolated" : "reach.up";
 
-  gateway->reach_check = NULL;
-  mq_reach_check_free (c);
   mq_log (changed ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO,
           changed ? event : "reach.check",
-          "isolated=%d open=%u refused=%u silent=%u ms=%" G_GUINT64_FORMAT,
-          gateway->reach.isolated, s.open, s.refused, s.silent, ms);
+          "service=%s isolated=%d open=%u refused=%u silent=%u"
+          " ms=%" G_GUINT64_FORMAT,
+          mq_str_cstr (check->service), isolated, s->open, s->refused,
+          s->silent, (mq_gateway_now_us () - check->began_us) / 1000);
+}
+
+/* CHECK has ended.  Frees it.  */
+static void
+check_conclude (mq_reach_check *check)
+{
+  mq_gateway *g = check->gateway;
+  mq_service_state *s = reach_find_service (g, check->service);
+  bool changed
+      = mq_reach_check_ended (&s->reach, &check->sample, mq_gateway_now_us ());
+
+  reach_log (check, changed, s->reach.isolated);
+  s->reach_check = NULL;
+  mq_reach_check_free (check);
+  if (!changed)
+    return;
+  if (s->reach.isolated)
+    g->isolated_services++;
+  else
+    g->isolated_services--;
 }
 
 static void connection_start (reach_connection *connection);
@@ -99,7 +125,7 @@
       break;
     }
   if (--c->pending == 0)
-    reach_conclude (c->gateway);
+    check_conclude (c);
 }
 
 /* Start a connection attempt.  CONNECTION->tcp_probe stays NULL when out of
@@ -154,54 +180,39 @@
     g_ptr_array_add (sample, found);
 }
 
-/* Append to SAMPLE one upstream of each service and failure domain.  */
-static void
-sample_add_all (mq_gateway *gateway, GPtrArray *sample, uint64_t now_us)
-{
-  const GArray *services = gateway->routing->services;
-
-  for (guint i = 0; i < services->len; i++)
-    {
-      const mq_route_service *s
-          = &g_array_index (services, mq_route_service, i);
-      const GPtrArray *groups
-          = mq_registry_groups (&gateway->registry, mq_str_span (s->name));
-
-      for (guint k = 0; groups != NULL && k < groups->len; k++)
-        sample_add (gateway, g_ptr_array_index (groups, k), sample, now_us);
-    }
-}
-
-/* Returns the upstreams that a check may connect to (mq_upstream, borrowed).
-   Free with g_ptr_array_unref.  */
+/* Returns the upstreams of SERVICE that a check may connect to (mq_upstream,
+   borrowed).  Free with g_ptr_array_unref.  */
 static GPtrArray *
-sample_list (mq_gateway *gateway, uint64_t now_us)
+sample_list (mq_gateway *gateway, const mq_str *service, uint64_t now_us)
 {
   GPtrArray *sample = g_ptr_array_new ();
+  const GPtrArray *groups
+      = mq_registry_groups (&gateway->registry, mq_str_span (service));
   guint before;
 
-  if (gateway->routing == NULL)
-    return sample;
   do
     {
       before = sample->len;
-      sample_add_all (gateway, sample, now_us);
+      for (guint i = 0; groups != NULL && i < groups->len; i++)
+        sample_add (gateway, g_ptr_array_index (groups, i), sample, now_us);
     }
   while (sample->len > before && sample->len < MIN_SAMPLE);
   return sample;
 }
 
 static void
-check_start (mq_gateway *gateway, uint64_t now_us)
+check_start (mq_gateway *gateway, mq_service_state *state, mq_str *service,
+             uint64_t now_us)
 {
-  GPtrArray *sample = sample_list (gateway, now_us);
+  GPtrArray *sample = sample_list (gateway, service, now_us);
   mq_reach_check *c = g_new0 (mq_reach_check, 1);
 
   c->gateway = gateway;
+  c->service = mq_str_ref (service);
   c->began_us = now_us;
-  gateway->reach_check = c;
+  state->reach_check = c;
   ++*gateway->counters.reach_checks;
-  mq_reach_check_began (&gateway->reach, now_us);
+  mq_reach_check_began (&state->reach, now_us);
   while (sample->len > 0 && c->n < MAX_SAMPLE)
     {
       guint i = (guint)(mq_gateway_random (gateway) % sample->len);
@@ -210,27 +221,76 @@
     }
   g_ptr_array_unref (sample);
   if (c->pending == 0)
-    reach_conclude (gateway);
+    check_conclude (c);
 }
 
+/* ---- Suspicions.  */
+
 void
-mq_gateway_reach_suspect (mq_gateway *gateway)
+mq_gateway_reach_suspect (mq_gateway *gateway, const mq_upstream *upstream)
 {
-  mq_reach_suspect (&gateway->reach);
-  mq_gateway_reach_tick (gateway, mq_gateway_now_us ());
+  mq_service_state *s = reach_find_service (gateway, upstream->facts.service);
+  uint64_t now = mq_gateway_now_us ();
+
+  if (s == NULL)
+    return;
+  mq_reach_suspect (&s->reach);
+  if (mq_reach_check_is_due (&s->reach, now))
+    check_start (gateway, s, upstream->facts.service, now);
 }
 
 void
-mq_gateway_reach_note_silence (mq_gateway *gateway)
+mq_gateway_reach_note_silence (mq_gateway *gateway,
+                               const mq_upstream *upstream)
 {
-  if (mq_gateway_now_us () - gateway->reach.check_began_us
-      >= SILENCE_CHECK_INTERVAL_US)
-    mq_gateway_reach_suspect (gateway);
+  const mq_service_state *s
+      = reach_find_service (gateway, upstream->facts.service);
+
+  if (s != NULL
+      && mq_gateway_now_us () - s->reach.check_began_us
+             >= SILENCE_CHECK_INTERVAL_US)
+    mq_gateway_reach_suspect (gateway, upstream);
 }
 
 void
 mq_gateway_reach_tick (mq_gateway *gateway, uint64_t now_us)
 {
-  if (mq_reach_check_is_due (&gateway->reach, now_us))
-    check_start (gateway, now_us);
+  GHashTableIter i;
+  gpointer name;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->services);
+  while (g_hash_table_iter_next (&i, &name, &value))
+    {
+      mq_service_state *s = value;
+      mq_str *service;
+
+      if (!mq_reach_check_is_due (&s->reach, now_us))
+        continue;
+      service = mq_str_new (mq_span_from (name));
+      check_start (gateway, s, service, now_us);
+      mq_str_unref (service);
+    }
+}
+
+bool
+mq_gateway_is_isolated (const mq_gateway *gateway, const mq_upstream *upstream)
+{
+  const mq_service_state *s
+      = reach_find_service (gateway, upstream->facts.service);
+
+  return s != NULL && s->reach.isolated;
+}
+
+bool
+mq_gateway_reach_is_sure (const mq_gateway *gateway)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->services);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    if (!mq_reach_is_sure (&((const mq_service_state *)value)->reach))
+      return false;
+  return true;
 }
--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -85,7 +85,7 @@
 
   probe_log (probe, mq_gateway_now_us ());
   if (probe_count (probe, MQ_TCP_PROBE_OPEN) < probe->n)
-    mq_gateway_reach_suspect (g);
+    mq_gateway_reach_suspect (g, probe->engines[0].engine);
   /* Removed from the list first: sends that fail may start other probes.  */
   if (g_ptr_array_find (g->path_probes, probe, &at))
     (void)g_ptr_array_steal_index_fast (g->path_probes, at);
