--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -50,12 +50,13 @@
    mq_gossip, from its last message.  */
 typedef struct mq_cluster_member
 {
-  mq_str *name;       /* NULL: unknown.  */
-  uint64_t name_hash; /* Of NAME.  */
-  mq_str *peer;       /* Key in the table of members.  */
-  mq_str *client;     /* NULL: unknown.  */
-  mq_str *domain;     /* NULL: only the peer address is known.  */
-  bool local;         /* It is in this router's failure domain.  */
+  mq_str *name;         /* NULL: unknown.  */
+  uint64_t name_hash;   /* Of NAME.  */
+  mq_str *peer;         /* Key in the table of members.  */
+  mq_str *client;       /* NULL: unknown.  */
+  mq_str *domain;       /* NULL: only the peer address is known.  */
+  unsigned tunnel_port; /* 0: it opens no tunnels.  */
+  bool local;           /* It is in this router's failure domain.  */
   uint64_t incarnation;
   uint64_t sequence;
   unsigned capacity;
@@ -70,6 +71,7 @@
   bool follows;
   bool watches;
   bool reached;
+  bool isolated;
   bool relays; /* It is a relay, as it announced itself or others did.  */
   uint64_t routing_version;
   uint64_t upstreams_digest;
@@ -112,6 +114,7 @@
   bool store_fails;
   bool follows;
   bool watches;
+  bool isolated;
   uint64_t routing_version;
   uint64_t upstreams_digest;
   uint64_t upstreams_newest;
@@ -125,6 +128,7 @@
   mq_str *peer;
   mq_str *client;
   mq_str *domain;
+  unsigned tunnel_port;
   uint64_t incarnation;
   unsigned capacity;  /* Thousandths of a processor.  */
   uint64_t sequence;  /* Of the last gossip made.  */
@@ -259,7 +263,8 @@
    most of the relays that it knew lately.  A router that has just become a
    relay waits until it has received from those that rank before it, for a
    bounded time: at a start each knows the others by the member list only, and
-   would take the lead by itself.  STORE: this router reaches the
+   would take the lead by itself.  Isolated routers lead only where all are.
+   STORE: this router reaches the
    store, and has for long enough that the others' messages say whether they
    do.  */
 bool mq_cluster_is_leader (const mq_cluster *cluster, bool store,
@@ -352,6 +357,12 @@
 /* Returns the age that the counts of others may have, in ms.  */
 unsigned mq_cluster_counts_age_ms (const mq_cluster *cluster, uint64_t now_us);
 
+/* Append to ROUTERS (mq_gossip_router) those other routers that reach the
+   upstreams and open tunnels to them.  Name, peer and domain may be empty. All
+   texts are borrowed until CLUSTER changes.  */
+void mq_cluster_list_tunnels (const mq_cluster *cluster, GArray *routers,
+                              uint64_t now_us);
+
 /* Append to SERVING the routers of this domain that clients are sent to, and
    to ELSEWHERE some of other domains (mq_gossip_router).  Texts are borrowed
    until CLUSTER changes.  */
--- a/include/mq/gateway_settings.h
+++ b/include/mq/gateway_settings.h
@@ -20,6 +20,8 @@
   mq_listen readiness;   /* Listens for the platform's health checks.  */
   mq_listen directory;   /* Listens for discovery requests.  */
   mq_listen peers;       /* Listens for other routers.  */
+  mq_listen tunnels;     /* Listens for tunnels of other routers; by default on
+                            any port.  At the IP address of CLIENTS.  */
   uint16_t metrics_port; /* 0: no metrics are served.  */
   mq_str *platform_url;
   GPtrArray *seeds;         /* of char *: IP:PORT of peers, maybe outdated.  */
--- a/include/mq/gossip.h
+++ b/include/mq/gossip.h
@@ -44,7 +44,10 @@
   mq_span client; /* IP:PORT for clients.  */
   mq_span domain; /* Failure domain.  */
   uint64_t incarnation;
-  unsigned capacity; /* Thousandths of a processor.  */
+  unsigned capacity;    /* Thousandths of a processor.  */
+  unsigned tunnel_port; /* Where it opens tunnels to upstreams for other
+                           routers, at the IP address of CLIENT; 0: it opens
+                           none.  */
 } mq_gossip_router;
 
 /* Tokens in flight on one path.  */
@@ -96,6 +99,8 @@
   bool reached;       /* Some router reaches the store: of the sender's domain
                          in a summary, of the fleet in a digest.  */
   bool relays;        /* The sender is a relay of its domain.  */
+  bool isolated;      /* It does not reach the upstreams of some service over
+                         its own links.  */
   uint64_t routing_version;
   uint64_t upstreams_digest; /* Of its mq_entry_list.  */
   uint64_t upstreams_newest; /* Version of the last change in it.  */
@@ -107,9 +112,9 @@
   GArray *sends;    /* mq_service_sends.  */
   GArray *findings; /* mq_gossip_finding.  */
   GArray *crashes;  /* mq_quarantine_record: crash records.  */
-  bool listed;      /* The next three lists and the sender's name, domain and
-                       client address are included; otherwise they have not
-                       changed since the last message.  */
+  bool listed; /* The next three lists and the name, domain, tunnel port and
+                  client address of the sender are included; otherwise
+                  they have not changed since the last message.  */
   /* Routers of the receiver's domain in a digest or an introduction, relays
      of the sender's in a summary.  */
   GArray *routers;   /* mq_gossip_router.  */
--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -41,7 +41,9 @@
   mq_http_client_event_kind kind;
   mq_http_call *call; /* Borrowed.  */
   mq_http_result result;
-  unsigned status; /* HTTP status; 0 before it is received.  */
+  unsigned status;        /* HTTP status; 0 before it is received.  */
+  unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none.
+                           */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
   mq_span data;    /* DATA: the piece.  END of a call that is not streamed:
                       the complete body.  Borrowed.  */
@@ -63,6 +65,8 @@
                           to another request: the call ends as broken and its
                           connection is closed.  Empty name: no check.  */
   mq_span body;        /* Copied.  */
+  mq_span tunnel;      /* IP:PORT of a tunnel server (mq/tunnel_server.h) that
+                          the call goes through; empty: none.  */
   uint64_t connect_ms; /* 0 means 1000.  */
   uint64_t timeout_ms; /* Bounds the whole call; 0 means no limit.  */
   uint64_t unacknowledged_limit_ms; /* A connection opened for this call is
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -15,6 +15,7 @@
 #define MQ_INTERNAL_GATEWAY_H
 
 #include <ev.h>
+#include <mq/detour.h>
 #include <mq/dialect.h>
 #include <mq/domain_load.h>
 #include <mq/entry_list.h>
@@ -37,6 +38,7 @@
 #include <mq/quarantine.h>
 #include <mq/reach.h>
 #include <mq/tcp_probe.h>
+#include <mq/tunnel_server.h>
 #include <mq/cluster.h>
 #include <mq/send_budget.h>
 #include <mq/urgency_reserve.h>
@@ -157,6 +159,9 @@
   uint64_t *path_probes;
   uint64_t *reach_checks;
   uint64_t *isolated;
+  uint64_t *detours;
+  uint64_t *tunnels;
+  uint64_t *tunnels_open;
   uint64_t *routing_version;
   uint64_t *routing_age_ms;
   uint64_t *upstreams_age_ms;
@@ -200,6 +205,7 @@
   mq_http_server *readiness;      /* Serves the readiness check.  */
   mq_http_server *directory;      /* Serves discovery requests.  */
   mq_http_server *metrics_server; /* NULL when metrics are off.  */
+  mq_tunnel_server *tunnels;      /* For other routers.  */
   mq_platform *store;
   mq_routing *routing;  /* Configuration in force; NULL until received.  */
   mq_str *routing_text; /* Its encoded form, for propagation.  */
@@ -259,8 +265,9 @@
   GPtrArray *crash_cases;       /* mq_crash_case, owned.  */
   GPtrArray *path_probes;       /* In progress, owned.  */
   unsigned isolated_services;   /* Those with reach.isolated.  */
-  GHashTable *stored_refusals;  /* Written to the store: content hash ->
-                                   stored_refusal, owned.  */
+  mq_detour_table detours;
+  GHashTable *stored_refusals; /* Written to the store: content hash ->
+                                  stored_refusal, owned.  */
   bool refusals_scanning;
   bool refusals_scanned;
   uint64_t refusals_scan_us; /* No scan of refusals before.  */
@@ -305,6 +312,12 @@
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
   uint64_t lost_us;        /* ... then.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
+  mq_detour *detour;       /* That the current send goes through, borrowed;
+                              NULL: none.  */
+  unsigned tunnel_status;  /* As in the end event of the last call.  */
+  unsigned unsent_tries;   /* Sends in a row that found no connection.  */
+  bool awaits_reach;       /* It waits for a check whether its service is
+                              reached.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
                               first, when forwarding began.  */
@@ -410,6 +423,10 @@
    stalled; WHY is the reason for the log.  */
 void mq_forward_fail_all_through (mq_gateway *gateway, mq_span address,
                                   const char *why);
+/* A check whether this router reaches SERVICE has ended: send the requests
+   that waited for it, and if SERVICE is not reached, send those again that
+   still wait for a connection.  */
+void mq_forward_note_reach (mq_gateway *gateway, const mq_str *service);
 void mq_forward_free_all (mq_gateway *gateway);
 
 /* ---- gateway_content.c  */
@@ -619,7 +636,8 @@
 
 /* ---- gateway_report.c  */
 /* A report request to UPSTREAM ended with RESULT.  REPORT is borrowed, and
-   NULL when no valid report was received.  */
+   NULL when no valid report was received.  RESULT is MQ_HTTP_OK also when the
+   way to UPSTREAM failed, which says nothing about it.  */
 typedef void (*mq_report_sink) (mq_gateway *gateway, mq_upstream *upstream,
                                 mq_http_result result,
                                 const mq_engine_report *report);
--- a/include/mq/internal/gateway_reach.h
+++ b/include/mq/internal/gateway_reach.h
@@ -25,9 +25,14 @@
  */
 bool mq_gateway_is_isolated (const mq_gateway *gateway,
                              const mq_upstream *upstream);
-/* Returns true if this router reaches all services and nothing casts doubt on
-   that, so that what it finds of upstreams holds for other routers too.  */
-bool mq_gateway_reach_is_sure (const mq_gateway *gateway);
+/* Returns true if a failure of a connection to UPSTREAM at AT_US is known not
+   to be due to this router's links, so that it holds for other routers too. */
+bool mq_gateway_reach_confirms (const mq_gateway *gateway,
+                                const mq_upstream *upstream, uint64_t at_us);
+/* Returns true while it is not known whether this router reaches the service
+   of UPSTREAM.  */
+bool mq_gateway_reach_is_in_doubt (const mq_gateway *gateway,
+                                   const mq_upstream *upstream);
 
 G_END_DECLS
 
--- a/include/mq/internal/path_probe.h
+++ b/include/mq/internal/path_probe.h
@@ -2,9 +2,10 @@
 
    The head of a path reports a stalled engine late.  A connection attempt to
    each engine of the path shows sooner which one is down: the attempt is
-   refused, or gets no answer while at least as many others of the same path
-   do.  When most get no answer, the fault may be this router's own link, and
-   no engine is marked down.  */
+   refused or gets no answer, while at least as many others of the same path
+   succeed.  When most fail, the fault may be this router's own links: then the
+   engines that refused are marked down only once a check has found the links
+   up (mq/reach.h), and those that did not answer not at all.  */
 
 #ifndef MQ_INTERNAL_PATH_PROBE_H
 #define MQ_INTERNAL_PATH_PROBE_H
@@ -18,6 +19,11 @@
    is down are failed later, never from inside this function.  */
 void mq_path_probe_start (mq_gateway *gateway, const mq_layer_path *path);
 
+/* A check whether this router reaches SERVICE has ended: conclude the probes
+   that waited for it.  */
+void mq_path_probe_conclude_undecided (mq_gateway *gateway,
+                                       const mq_str *service);
+
 /* Cancel a probe and free it.  Of type GDestroyNotify.  */
 void mq_path_probe_free (gpointer data);
 
--- a/include/mq/reach.h
+++ b/include/mq/reach.h
@@ -31,7 +31,8 @@
   bool checking;           /* A check is in progress.  */
   unsigned restored;       /* Consecutive checks that found the links up.  */
   uint64_t check_began_us; /* Of the last check; 0: there was none.  */
-  uint64_t changed_us;     /* When ISOLATED last changed; 0: never.  */
+  uint64_t sound_us;       /* When the last check that found the links up
+                              began; 0: none did.  */
 } mq_reach;
 
 /* What a check found.  */
@@ -50,12 +51,14 @@
 void mq_reach_check_began (mq_reach *reach, uint64_t now_us);
 /* The check in progress ended with SAMPLE; one without any upstream changes
    nothing.  Returns true if the router became isolated, or no longer is.  */
-bool mq_reach_check_ended (mq_reach *reach, const mq_reach_sample *sample,
-                           uint64_t now_us);
+bool mq_reach_check_ended (mq_reach *reach, const mq_reach_sample *sample);
 
 /* Returns true if the router reaches the upstreams and nothing has happened
    since the last check that casts doubt on it.  */
 bool mq_reach_is_sure (const mq_reach *reach);
+/* Returns true if a failure at AT_US is known not to be due to this router's
+   links: a check that began later found them up.  */
+bool mq_reach_confirms (const mq_reach *reach, uint64_t at_us);
 
 G_END_DECLS
 
--- a/include/mq/serving_set.h
+++ b/include/mq/serving_set.h
@@ -28,8 +28,10 @@
 
 /* Returns how many of N routers are needed to serve a demand of USED.
    CAPACITIES are in the order in which routers are taken.  All are thousandths
-   of a processor.  */
-size_t mq_serving_count (const unsigned *capacities, size_t n, double used);
+   of a processor.  Those after the first PREFERRED are taken only for as much
+   of the demand as these can't serve.  */
+size_t mq_serving_count (const unsigned *capacities, size_t n,
+                         size_t preferred, double used);
 
 /* Choose which of N routers with CAPACITIES a reply of at most MAX addresses
    names.  RANDOM is uniform over 64 bits.  Sets CHOSEN[I] for each router, and
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -57,6 +57,9 @@
   uint64_t ejected_until_us; /* 0: not ejected.  */
   uint64_t reported_down_until_us; /* End of an ejection that is reported to
                                       peers.  */
+  uint64_t unreachable_us;         /* When that ejection began if only failed
+                                      connections of this router speak for it; 0:
+                                      other engines do, or there is none.  */
   uint64_t ejection_duration_us;   /* Of the latest ejection.  */
   uint64_t peer_ejected_until_us;  /* End of the ejection that a peer
                                       reported ... */
@@ -244,6 +247,9 @@
 /* Note that UPSTREAM refused a connection, which means that nothing listens at
    its address.  Consecutive ones eject it and are reported to peers.  */
 void mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us);
+/* Withdraw all that failed connections of this router said against UPSTREAM:
+   the router's own links were at fault.  Peers' findings stay.  */
+void mq_upstream_retract_failures (mq_upstream *upstream);
 /* Eject UPSTREAM, which is known to be down, for at least DURATION_US.  */
 void mq_upstream_eject (mq_upstream *upstream, uint64_t now_us,
                         uint64_t duration_us);
--- a/packages/config/gateway_settings.c
+++ b/packages/config/gateway_settings.c
@@ -61,6 +61,25 @@
                    "expected a numeric IP address before the port");
 }
 
+/* Other routers look for tunnels at the address that clients use.  */
+static void
+read_tunnels (const mq_json *object, mq_gateway_settings *settings)
+{
+  mq_span clients = mq_str_span (settings->clients.address);
+
+  if (!mq_json_has (object, "tunnels"))
+    {
+      if (clients.size > 0)
+        settings->tunnels.address = mq_str_ref (settings->clients.address);
+      return;
+    }
+  read_endpoint (object, "tunnels", &settings->tunnels);
+  if (settings->tunnels.address != NULL && clients.size > 0
+      && !mq_span_equal (mq_str_span (settings->tunnels.address), clients))
+    mq_json_fault (object, "tunnels",
+                   "expected the IP address of \"clients\"");
+}
+
 static void
 read_seeds (const mq_json *object, mq_gateway_settings *settings)
 {
@@ -134,6 +153,7 @@
   read_endpoint (object, "readiness", &settings->readiness);
   read_endpoint (object, "directory", &settings->directory);
   read_endpoint (object, "peers", &settings->peers);
+  read_tunnels (object, settings);
   settings->metrics_port
       = (uint16_t)mq_json_u64 (object, "metrics_port", 0, UINT16_MAX, 0);
   read_max_files (object, settings);
@@ -229,6 +249,7 @@
   mq_str_unref (settings->readiness.address);
   mq_str_unref (settings->directory.address);
   mq_str_unref (settings->peers.address);
+  mq_str_unref (settings->tunnels.address);
   mq_str_unref (settings->platform_url);
   g_clear_pointer (&settings->seeds, g_ptr_array_unref);
   memset (settings, 0, sizeof *settings);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -8,6 +8,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/internal/budget_transfer.h>
+#include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
@@ -142,15 +143,20 @@
 static void
 drain_tick (mq_gateway *gateway, uint64_t now_us)
 {
+  bool busy
+      = gateway->forwards.length > 0
+        || mq_tunnel_server_count_busy (gateway->tunnels, DRAIN_IDLE_MS * 1000)
+               > 0;
+
   if (now_us >= gateway->drain_close_us && !gateway->drain_closed)
     {
       gateway->drain_closed = true;
       mq_http_server_quiesce (gateway->clients);
     }
-  if (gateway->forwards.length > 0)
+  if (busy)
     gateway->drain_idle_us = now_us + DRAIN_IDLE_MS * 1000;
   if (now_us < gateway->drain_until_us
-      && (now_us < gateway->drain_idle_us || gateway->forwards.length > 0))
+      && (now_us < gateway->drain_idle_us || busy))
     return;
   mq_log (G_LOG_LEVEL_INFO, "router.drained", "open=%u",
           gateway->forwards.length);
@@ -265,6 +271,7 @@
   mq_gateway_metrics_init (g);
   mq_gateway_view_init (g);
   mq_gateway_quarantine_init (g);
+  mq_detour_table_init (&g->detours);
   g->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
                                        service_state_free);
   g->paths = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -281,7 +288,8 @@
   ev_timer_init (&g->silence_timer, on_silence_timer, SILENCE_TICK_MS / 1000.0,
                  SILENCE_TICK_MS / 1000.0);
   g->silence_timer.data = g;
-  if (mq_members_start (g, error) < 0 || gateway_listen_all (g, error) < 0)
+  if (mq_gateway_tunnels_start (g, error) < 0
+      || mq_members_start (g, error) < 0 || gateway_listen_all (g, error) < 0)
     {
       mq_gateway_free (g);
       return NULL;
@@ -312,6 +320,7 @@
   mq_gateway_free_early_requests (g);
   mq_gateway_quarantine_finish (g);
   g_ptr_array_unref (g->path_probes);
+  mq_tunnel_server_free (g->tunnels);
   mq_http_server_free (g->clients);
   mq_http_server_free (g->readiness);
   mq_http_server_free (g->directory);
@@ -326,6 +335,7 @@
   mq_str_unref (g->client_address);
   g_hash_table_unref (g->services);
   g_hash_table_unref (g->paths);
+  mq_detour_table_finish (&g->detours);
   mq_metrics_free (g->metrics);
   g_free (g);
 }
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -4,7 +4,9 @@
    connection broke, or that the response was lost.  A *case* holds the
    requests that had just begun to run there, as suspects, until the outcome is
    known.  A refused connection confirms the crash, and so does the platform's
-   list when it no longer names the upstream or names a new instance.  A run
+   list when it no longer names the upstream or names a new instance.  A
+   refusal counts only once this router is known to reach the service
+   (mq/reach.h).  A run
    that continues, or begins later, dismisses the case.  The suspects of a
    confirmed crash go into the quarantine (mq/quarantine.h).
 
@@ -13,6 +15,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_reach.h>
 #include <mq/log.h>
 
 /* The platform's list shows a crash after three heartbeats (3.6 s), and the
@@ -30,6 +33,7 @@
   uint64_t started_ms;   /* Start time of the instance: facts.born_ms.  */
   uint64_t broke_us;     /* When the first run broke off.  */
   bool probed;
+  bool refused;            /* The probe was.  */
   bool listening;          /* Something accepts connections at its address.  */
   mq_tcp_probe *tcp_probe; /* Probe in progress, borrowed; NULL: none.  */
   GArray *requests;        /* uint64_t: content hashes of the suspects.  */
@@ -146,8 +150,9 @@
 
   c->tcp_probe = NULL;
   c->listening = result == MQ_TCP_PROBE_OPEN;
-  if (result == MQ_TCP_PROBE_REFUSED)
-    case_confirm (c, "refused");
+  c->refused = result == MQ_TCP_PROBE_REFUSED;
+  if (c->refused)
+    mq_gateway_reach_suspect (c->gateway, c->upstream);
 }
 
 /* Probe C's upstream, or close C when its outcome is known.  May free C.  */
@@ -157,7 +162,7 @@
   const mq_upstream *u = c->upstream;
   bool alive = u->accepted_us > c->broke_us || case_has_progress (c);
 
-  if (!c->probed && !alive)
+  if (!c->probed && !alive && !mq_gateway_is_isolated (c->gateway, u))
     {
       c->probed = true;
       c->tcp_probe = mq_tcp_probe_start (c->gateway->loop,
@@ -167,6 +172,11 @@
     }
   if (c->tcp_probe != NULL)
     return;
+  if (c->refused && mq_gateway_reach_confirms (c->gateway, u, c->broke_us))
+    {
+      case_confirm (c, "refused");
+      return;
+    }
   /* A draining upstream has not crashed; it leaves the list later.  */
   if (alive || mq_upstream_is_draining (u)
       || now_us >= c->broke_us + CASE_TIMEOUT_US)
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -7,6 +7,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
@@ -27,6 +28,8 @@
 /* A plain call that has received nothing for this long, and for its route's
    target latency, may have lost its connection.  */
 #define MIN_CALL_SILENCE_US ((uint64_t)200 * 1000)
+/* A send whose way is lost moves to another after this silence.  */
+#define MIN_LOST_SILENCE_US ((uint64_t)300 * 1000)
 /* After this silence a stream moves to another path that has room, whatever
    the head reports.  Clients disconnect after 2 s of silence, and a new run
    needs time to its first event.  */
@@ -51,6 +54,9 @@
   if (forward->call != NULL)
     mq_http_call_cancel (forward->call);
   forward->call = NULL;
+  if (forward->detour != NULL)
+    forward->detour->in_flight--;
+  forward->detour = NULL;
   if (forward->upstream == NULL)
     return;
   forward->upstream->in_flight--;
@@ -151,13 +157,39 @@
 
 /* ---- Ends of sends.  */
 
+/* The current send of FORWARD, which went through another router, failed.  */
 static void
-forward_note_failure (mq_forward *forward, mq_send_end end, uint64_t now_us)
+forward_note_detour_failure (mq_forward *forward, mq_send_end end,
+                             uint64_t now_us)
+{
+  switch (end)
+    {
+    case MQ_SEND_NOT_SENT:
+      if (forward->tunnel_status == MQ_TUNNEL_UNREACHABLE)
+        mq_upstream_unreachable (forward->upstream, now_us);
+      else if (forward->tunnel_status == MQ_TUNNEL_NO_REPLY)
+        mq_upstream_failed (forward->upstream, now_us);
+      else
+        mq_detour_failed (forward->detour, now_us);
+      break;
+    case MQ_SEND_BROKEN:
+      mq_detour_failed (forward->detour, now_us);
+      break;
+    case MQ_SEND_TIMED_OUT:
+      if (forward->path.n <= 1)
+        mq_upstream_failed (forward->upstream, now_us);
+      break;
+    case MQ_SEND_REPLIED:
+    case MQ_SEND_NOT_RUN:
+      break;
+    }
+}
+
+/* The current send of FORWARD, which was direct, failed.  */
+static void
+forward_note_direct_failure (mq_forward *forward, mq_send_end end,
+                             uint64_t now_us)
 {
-  if (forward->upstream == NULL)
-    return;
-  if (end != MQ_SEND_REPLIED && end != MQ_SEND_NOT_RUN)
-    mq_gateway_reach_suspect (forward->gateway, forward->upstream);
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
@@ -181,6 +213,25 @@
     }
 }
 
+static void
+forward_note_failure (mq_forward *forward, mq_send_end end, uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+
+  if (forward->upstream == NULL || end == MQ_SEND_REPLIED
+      || end == MQ_SEND_NOT_RUN)
+    return;
+  if (forward->detour != NULL)
+    {
+      forward_note_detour_failure (forward, end, now_us);
+      return;
+    }
+  if (mq_gateway_has_detour (g, forward->upstream, now_us))
+    return;
+  mq_gateway_reach_suspect (g, forward->upstream);
+  forward_note_direct_failure (forward, end, now_us);
+}
+
 /* Returns the content hash of FORWARD for the log when its run may have failed
    because of its content, else 0.  */
 static uint64_t
@@ -247,6 +298,7 @@
   forward_note_failure (f, end, now);
   f->lost_end = end;
   f->lost_us = now;
+  f->unsent_tries = end == MQ_SEND_NOT_SENT ? f->unsent_tries + 1 : 0;
   f->run_timed_out |= end == MQ_SEND_TIMED_OUT;
   /* It may wait for budget (mq_forward_send).  */
   budget = f->state.response_started || mq_forward_may_wait_for_budget (f, now)
@@ -254,12 +306,14 @@
   v = mq_forward_decide (&f->state, end, status, budget);
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send-ended",
-      "request=%.*s upstream=%s end=%d status=%u why=%s verdict=%d limit=%s"
+      "request=%.*s upstream=%s via=%s tunnel_status=%u end=%d status=%u"
+      " why=%s verdict=%d limit=%s"
       " events=%u content=%016" G_GINT64_MODIFIER
       "x silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
-      f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none", end, status,
-      why, v.verb,
+      f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none",
+      f->detour ? mq_str_cstr (f->detour->address) : "none", f->tunnel_status,
+      end, status, why, v.verb,
       mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
       f->split.events, forward_logged_content (f, end),
       forward_silent_us (f, now) / 1000, mq_forward_age_ms (f));
@@ -331,11 +385,34 @@
                     * 1000);
 }
 
+/* Returns true if the way of the current send of FORWARD is lost: this router
+   no longer reaches the service, or another one through which it went does
+   not.  Its upstream may be sound, and its response may still be on its way,
+   so that only a silence of MIN_LOST_SILENCE_US tells.  */
+static bool
+forward_way_is_lost (const mq_forward *forward, uint64_t now_us)
+{
+  const mq_gateway *g = forward->gateway;
+
+  if (forward->upstream == NULL
+      || forward_silent_us (forward, now_us) < MIN_LOST_SILENCE_US)
+    return false;
+  return forward->detour != NULL
+             ? mq_gateway_detour_is_lost (g, forward->detour, now_us)
+             : mq_gateway_has_detour (g, forward->upstream, now_us);
+}
+
 static void
 forward_tick_stream (mq_forward *forward, uint64_t now_us)
 {
   uint64_t silent = forward_silent_us (forward, now_us);
 
+  if (mq_forward_may_repeat (&forward->state)
+      && forward_way_is_lost (forward, now_us))
+    {
+      mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "way-lost");
+      return;
+    }
   if (silent > MAX_SILENCE_US && mq_forward_can_move (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "silent");
@@ -348,7 +425,7 @@
 void
 mq_forward_check_silence (mq_forward *forward, uint64_t now_us)
 {
-  if (forward->call == NULL)
+  if (forward->call == NULL || forward->detour != NULL)
     return;
   if (forward->path_load == NULL)
     {
@@ -368,11 +445,15 @@
       = MAX ((uint64_t)forward->route->target_ms * 1000 * TRY_TIMEOUT_FACTOR,
              MIN_TRY_TIMEOUT_US);
 
-  if (now_us - forward->sent_us < try_timeout_us
-      || !mq_forward_may_repeat (&forward->state)
+  bool lost;
+
+  if (!mq_forward_may_repeat (&forward->state)
       || forward->state.sent >= forward->state.attempts)
     return;
-  mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "slow");
+  lost = forward_way_is_lost (forward, now_us);
+  if (lost || now_us - forward->sent_us >= try_timeout_us)
+    mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0,
+                           lost ? "way-lost" : "slow");
 }
 
 void
@@ -435,6 +516,48 @@
   g_ptr_array_unref (failed);
 }
 
+/* Returns true if the current send of FORWARD is a direct one that has no
+   connection yet.  */
+static bool
+forward_is_connecting (const mq_forward *forward)
+{
+  return forward->call != NULL && forward->detour == NULL
+         && !mq_http_call_maybe_sent (forward->call);
+}
+
+void
+mq_forward_note_reach (mq_gateway *gateway, const mq_str *service)
+{
+  uint64_t now = mq_gateway_now_us ();
+  GPtrArray *list = g_ptr_array_new ();
+
+  for (GList *l = gateway->forwards.head; l != NULL; l = l->next)
+    {
+      const mq_forward *f = l->data;
+
+      if (mq_span_equal (mq_str_span (f->service->name), mq_str_span (service))
+          && (f->awaits_reach
+              || (forward_is_connecting (f)
+                  && mq_gateway_has_detour (gateway, f->upstream, now))))
+        g_ptr_array_add (list, l->data);
+    }
+  /* The end of a send frees no other forward than its own.  */
+  mq_gateway_urgency_sort (list);
+  for (guint i = 0; i < list->len; i++)
+    {
+      mq_forward *f = g_ptr_array_index (list, i);
+
+      if (f->awaits_reach)
+        {
+          mq_forward_send (f, now);
+          continue;
+        }
+      f->state.tries--;
+      mq_forward_send_ended (f, MQ_SEND_NOT_SENT, 0, "isolated");
+    }
+  g_ptr_array_unref (list);
+}
+
 /* ---- Start and end.  */
 
 static uint64_t
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -9,6 +9,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/internal/budget_transfer.h>
+#include <mq/internal/gateway_reach.h>
 
 #include <mq/log.h>
 
@@ -107,10 +108,13 @@
 
 /* How long UPSTREAM stays ejected, by the findings that FILTER includes.  */
 static uint64_t
-upstream_ejected_us (const mq_upstream *upstream, const finding_filter *filter,
-                     uint64_t now_us)
+upstream_ejected_us (const mq_gateway *gateway, const mq_upstream *upstream,
+                     const finding_filter *filter, uint64_t now_us)
 {
-  uint64_t until = upstream->reported_down_until_us;
+  uint64_t until
+      = mq_gateway_reach_confirms (gateway, upstream, upstream->unreachable_us)
+            ? upstream->reported_down_until_us
+            : 0;
 
   if (filter_includes (filter, upstream->peer_ejection_source))
     until = MAX (until, upstream->peer_ejected_until_us);
@@ -133,12 +137,13 @@
 }
 
 static mq_gossip_finding
-finding_make (const mq_upstream *upstream, const finding_filter *filter,
-              uint64_t now_us)
+finding_make (const mq_gateway *gateway, const mq_upstream *upstream,
+              const finding_filter *filter, uint64_t now_us)
 {
   mq_gossip_finding f
       = { .upstream = mq_str_span (upstream->facts.id),
-          .ejected_us = upstream_ejected_us (upstream, filter, now_us),
+          .ejected_us
+          = upstream_ejected_us (gateway, upstream, filter, now_us),
           .rejecting_us = upstream_rejecting_us (upstream, filter, now_us) };
 
   if (mq_upstream_slowdown_is_news (upstream, now_us)
@@ -185,7 +190,7 @@
   g_hash_table_iter_init (&i, gateway->registry.by_id);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
-      mq_gossip_finding f = finding_make (value, &all, now_us);
+      mq_gossip_finding f = finding_make (gateway, value, &all, now_us);
 
       if (!finding_is_empty (&f))
         g_ptr_array_add (list, value);
@@ -196,13 +201,14 @@
 /* Add the ejections, rejections, slowdowns, limits and departures of
    UPSTREAMS, so that receivers need not detect them by themselves.  */
 static void
-gossip_add_findings (const GPtrArray *upstreams, mq_gossip *gossip,
-                     const finding_filter *filter, uint64_t now_us)
+gossip_add_findings (const mq_gateway *gateway, const GPtrArray *upstreams,
+                     mq_gossip *gossip, const finding_filter *filter,
+                     uint64_t now_us)
 {
   for (guint i = 0; i < upstreams->len; i++)
     {
-      mq_gossip_finding f
-          = finding_make (g_ptr_array_index (upstreams, i), filter, now_us);
+      mq_gossip_finding f = finding_make (
+          gateway, g_ptr_array_index (upstreams, i), filter, now_us);
 
       if (!finding_is_empty (&f))
         g_array_append_val (gossip->findings, f);
@@ -231,7 +237,7 @@
 
   mq_gossip_init (&gossip, MQ_GOSSIP_REPORT);
   mq_cluster_make_report (&gateway->cluster, &gossip, now_us);
-  gossip_add_findings (findings, &gossip, &own, now_us);
+  gossip_add_findings (gateway, findings, &gossip, &own, now_us);
   all = now_us - gateway->crashes_reported_us >= ALL_CRASHES_INTERVAL_US;
   if (all)
     gateway->crashes_reported_us = now_us;
@@ -254,7 +260,7 @@
 
   mq_gossip_init (&gossip, MQ_GOSSIP_DIGEST);
   mq_cluster_make_digest (&gateway->cluster, to, &gossip, now_us);
-  gossip_add_findings (findings, &gossip, &all, now_us);
+  gossip_add_findings (gateway, findings, &gossip, &all, now_us);
   gossip_add_crashes (gateway, &gossip, gossip.listed, now_us);
   mq_gateway_send_message (gateway, to, &message);
   mq_gossip_finish (&gossip);
@@ -286,7 +292,7 @@
     {
       mq_gossip_init (&gossip, MQ_GOSSIP_SUMMARY);
       mq_cluster_make_summary (&gateway->cluster, &gossip, now_us);
-      gossip_add_findings (findings, &gossip, &domain, now_us);
+      gossip_add_findings (gateway, findings, &gossip, &domain, now_us);
       gossip_add_crashes (gateway, &gossip, gossip.listed, now_us);
       gossip_send_to (gateway, routers, &gossip);
       mq_gossip_finish (&gossip);
@@ -371,6 +377,7 @@
     .store_fails = mq_members_store_fails (g),
     .follows = g->upstream_feed.follow.follows,
     .watches = g->routing_feed.follow.follows,
+    .isolated = g->isolated_services > 0,
     .routing_version = g->routing ? g->routing->version : 0,
     .upstreams_digest = g->upstream_list.digest,
     .upstreams_newest = g->upstream_list.newest,
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -357,11 +357,13 @@
   GError *cause = NULL;
   mq_str *peer
       = mq_str_printf ("%s:%u", mq_str_cstr (s->peers.address), s->peers.port);
-  mq_gossip_router self = { .name = mq_str_span (s->name),
-                            .peer = mq_str_span (peer),
-                            .client = mq_str_span (gateway->client_address),
-                            .domain = mq_str_span (s->failure_domain),
-                            .capacity = s->processor_milli };
+  mq_gossip_router self
+      = { .name = mq_str_span (s->name),
+          .peer = mq_str_span (peer),
+          .client = mq_str_span (gateway->client_address),
+          .domain = mq_str_span (s->failure_domain),
+          .capacity = s->processor_milli,
+          .tunnel_port = mq_tunnel_server_port (gateway->tunnels) };
 
   randombytes_buf (&self.incarnation, sizeof self.incarnation);
   self.incarnation |= 1; /* 0 is none.  */
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -127,6 +127,13 @@
   c->isolated
       = mq_metrics_gauge (m, "marjoramquay_isolated_services", "",
                           "Services that this router does not reach itself.");
+  c->detours
+      = mq_metrics_counter (m, "marjoramquay_detours_total", "",
+                            "Sends to upstreams through another router.");
+  c->tunnels = mq_metrics_counter (m, "marjoramquay_tunnels_total", "",
+                                   "Tunnels opened for other routers.");
+  c->tunnels_open = mq_metrics_gauge (m, "marjoramquay_tunnels", "",
+                                      "Tunnels of other routers.");
   c->reports = mq_metrics_counter (m, "marjoramquay_reports_total", "",
                                    "Reports asked of engines.");
   c->routing_version = mq_metrics_gauge (
@@ -302,6 +309,8 @@
   *c->upstreams_limited = 0;
   *c->upstreams_resting = 0;
   *c->isolated = gateway->isolated_services;
+  *c->tunnels = mq_tunnel_server_total (gateway->tunnels);
+  *c->tunnels_open = mq_tunnel_server_count (gateway->tunnels);
   *c->suspects = gateway->quarantine.suspects->len;
   *c->quarantined = gateway->quarantine.refused;
   g_hash_table_iter_init (&i, gateway->registry.by_id);
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -10,6 +10,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
 #include <mq/layer_order.h>
 #include <mq/log.h>
@@ -31,6 +32,7 @@
 {
   mq_gateway *gateway;   /* Borrowed.  */
   mq_upstream *upstream; /* One reference.  */
+  mq_detour *detour;     /* Borrowed; NULL: a direct call.  */
   uint64_t sent_us;
 } order_call;
 
@@ -139,7 +141,9 @@
                               false);
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
-  if (event->result != MQ_HTTP_OK)
+  if (event->result != MQ_HTTP_OK && o->detour != NULL)
+    (void)mq_gateway_note_detour_failure (o->detour, event);
+  else if (event->result != MQ_HTTP_OK)
     mq_gateway_reach_suspect (o->gateway, o->upstream);
   mq_log (G_LOG_LEVEL_INFO, "order.answered",
           "upstream=%s status=%u result=%d",
@@ -184,6 +188,9 @@
   o->gateway = gateway;
   o->sent_us = now_us;
   o->upstream = mq_upstream_ref (upstream);
+  o->detour = mq_gateway_choose_detour (gateway, upstream, now_us);
+  if (o->detour != NULL)
+    options.tunnel = mq_str_span (o->detour->address);
   ++*gateway->counters.orders;
   (void)mq_http_client_start (gateway->client, &options, order_on_call, o);
   g_string_free (body, TRUE);
--- a/packages/gateway/gateway_reach.c
+++ b/packages/gateway/gateway_reach.c
@@ -6,6 +6,7 @@
 
 #include <mq/internal/gateway_reach.h>
 
+#include <mq/internal/path_probe.h>
 #include <mq/log.h>
 
 /* Upstreams in a check: one of each failure domain, and where there are few of
@@ -67,34 +68,65 @@
 reach_log (const mq_reach_check *check, bool changed, bool isolated)
 {
   const mq_reach_sample *s = &check->sample;
-  const char *event = isolated ? "reach.isolated" : "reach.up";
 
-  mq_log (changed ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO,
-          changed ? event : "reach.check",
-          "service=%s isolated=%d open=%u refused=%u silent=%u"
+  mq_log (changed ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, "reach.check",
+          "service=%s isolated=%d changed=%d open=%u refused=%u silent=%u"
           " ms=%" G_GUINT64_FORMAT,
-          mq_str_cstr (check->service), isolated, s->open, s->refused,
+          mq_str_cstr (check->service), isolated, changed, s->open, s->refused,
           s->silent, (mq_gateway_now_us () - check->began_us) / 1000);
 }
 
+/* This router no longer reaches SERVICE.  What it said against the upstreams
+   was due to its own links.  */
+static void
+reach_lost (mq_gateway *gateway, const mq_str *service)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, gateway->registry.by_id);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      mq_upstream *u = value;
+
+      if (mq_span_equal (mq_str_span (u->facts.service),
+                         mq_str_span (service)))
+        mq_upstream_retract_failures (u);
+    }
+}
+
+/* The reach of SERVICE, whose state is S, has changed.  */
+static void
+reach_changed (mq_gateway *gateway, const mq_service_state *s,
+               const mq_str *service)
+{
+  if (s->reach.isolated)
+    {
+      gateway->isolated_services++;
+      reach_lost (gateway, service);
+    }
+  else
+    gateway->isolated_services--;
+  mq_gateway_gossip_broadcast (gateway);
+}
+
 /* CHECK has ended.  Frees it.  */
 static void
 check_conclude (mq_reach_check *check)
 {
   mq_gateway *g = check->gateway;
-  mq_service_state *s = reach_find_service (g, check->service);
-  bool changed
-      = mq_reach_check_ended (&s->reach, &check->sample, mq_gateway_now_us ());
+  mq_str *service = mq_str_ref (check->service);
+  mq_service_state *s = reach_find_service (g, service);
+  bool changed = mq_reach_check_ended (&s->reach, &check->sample);
 
   reach_log (check, changed, s->reach.isolated);
   s->reach_check = NULL;
   mq_reach_check_free (check);
-  if (!changed)
-    return;
-  if (s->reach.isolated)
-    g->isolated_services++;
-  else
-    g->isolated_services--;
+  if (changed)
+    reach_changed (g, s, service);
+  mq_path_probe_conclude_undecided (g, service);
+  mq_forward_note_reach (g, service);
+  mq_str_unref (service);
 }
 
 static void connection_start (reach_connection *connection);
@@ -220,8 +252,12 @@
       check_add (c, g_ptr_array_remove_index_fast (sample, i));
     }
   g_ptr_array_unref (sample);
-  if (c->pending == 0)
-    check_conclude (c);
+  if (c->pending > 0)
+    return;
+  /* No upstream, or no descriptors.  */
+  (void)mq_reach_check_ended (&state->reach, &c->sample);
+  state->reach_check = NULL;
+  mq_reach_check_free (c);
 }
 
 /* ---- Suspicions.  */
@@ -283,14 +319,21 @@
 }
 
 bool
-mq_gateway_reach_is_sure (const mq_gateway *gateway)
+mq_gateway_reach_confirms (const mq_gateway *gateway,
+                           const mq_upstream *upstream, uint64_t at_us)
 {
-  GHashTableIter i;
-  gpointer value;
+  const mq_service_state *s
+      = reach_find_service (gateway, upstream->facts.service);
 
-  g_hash_table_iter_init (&i, gateway->services);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    if (!mq_reach_is_sure (&((const mq_service_state *)value)->reach))
-      return false;
-  return true;
+  return s == NULL || mq_reach_confirms (&s->reach, at_us);
+}
+
+bool
+mq_gateway_reach_is_in_doubt (const mq_gateway *gateway,
+                              const mq_upstream *upstream)
+{
+  const mq_service_state *s
+      = reach_find_service (gateway, upstream->facts.service);
+
+  return s != NULL && !s->reach.isolated && !mq_reach_is_sure (&s->reach);
 }
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -6,6 +6,8 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_detour.h>
+#include <mq/internal/gateway_reach.h>
 #include <mq/log.h>
 
 #define REPORT_TIMEOUT_MS 400
@@ -16,6 +18,7 @@
 {
   mq_gateway *gateway;   /* Borrowed.  */
   mq_upstream *upstream; /* One reference.  */
+  mq_detour *detour;     /* Borrowed; NULL: a direct call.  */
   uint64_t sent_us;
   mq_report_sink sink;
 } report_call;
@@ -35,6 +38,23 @@
   return -1;
 }
 
+/* Returns the result of CALL, whose end is EVENT, for its sink.  A failure of
+   the way to the upstream says nothing about that.  */
+static mq_http_result
+report_failure (const report_call *call, const mq_http_client_event *event)
+{
+  if (event->result == MQ_HTTP_OK)
+    return MQ_HTTP_OK;
+  if (call->detour != NULL)
+    return mq_gateway_note_detour_failure (call->detour, event) ? event->result
+                                                                : MQ_HTTP_OK;
+  mq_gateway_reach_suspect (call->gateway, call->upstream);
+  return mq_gateway_has_detour (call->gateway, call->upstream,
+                                mq_gateway_now_us ())
+             ? MQ_HTTP_OK
+             : event->result;
+}
+
 static void
 report_on_call (void *context, const mq_http_client_event *event)
 {
@@ -54,7 +74,7 @@
       c->gateway->dialect->report_finish (&r);
     }
   else
-    c->sink (c->gateway, c->upstream, event->result, NULL);
+    c->sink (c->gateway, c->upstream, report_failure (c, event), NULL);
   mq_upstream_unref (c->upstream);
   g_free (c);
 }
@@ -76,6 +96,9 @@
   c->sink = sink;
   c->sent_us = mq_gateway_now_us ();
   upstream->reported_us = c->sent_us;
+  c->detour = mq_gateway_choose_detour (gateway, upstream, c->sent_us);
+  if (c->detour != NULL)
+    options.tunnel = mq_str_span (c->detour->address);
   ++*gateway->counters.reports;
   (void)mq_http_client_start (gateway->client, &options, report_on_call, c);
   g_free (url);
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -309,6 +309,7 @@
 static void
 forward_on_call_end (mq_forward *forward, const mq_http_client_event *event)
 {
+  forward->tunnel_status = event->tunnel_status;
   switch (event->result)
     {
     case MQ_HTTP_OK:
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -3,6 +3,8 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_detour.h>
+#include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/http_header.h>
 #include <mq/log.h>
@@ -32,6 +34,12 @@
    After that its client, which may repeat it without budget, is told so.  */
 #define MAX_REJECTED_WAIT_US ((uint64_t)100 * 1000)
 
+/* Sends in a row without a connection after which a request waits for a check
+   whether this router reaches the service, and for how long: a check ends
+   within a tenth of a second, and the next may begin only then.  */
+#define UNSENT_TRIES_TO_WAIT 2
+#define MAX_REACH_WAIT_US ((uint64_t)250 * 1000)
+
 #define US_PER_MS ((uint64_t)1000)
 #define MAX_RESPONSE_BYTES ((size_t)16 * 1024 * 1024)
 
@@ -157,6 +165,8 @@
   o.headers = (const mq_http_header *)(void *)headers.list->data;
   o.n_headers = headers.list->len;
   f->sent_us = now_us;
+  if (f->detour != NULL)
+    o.tunnel = mq_str_span (f->detour->address);
   f->call = mq_http_client_start (g->client, &o, mq_forward_on_call, f);
   g_array_unref (headers.list);
   g_string_chunk_free (headers.texts);
@@ -296,6 +306,22 @@
   return forward->limited ? "limited" : "no-room";
 }
 
+/* Returns true if FORWARD waits until it is known whether this router reaches
+   its service: several upstreams in a row could not be connected to, and the
+   next one might be refused as well.  */
+static bool
+send_awaits_reach (const mq_forward *forward, uint64_t now_us)
+{
+  mq_upstream *last
+      = forward->tried->len > 0
+            ? g_ptr_array_index (forward->tried, forward->tried->len - 1)
+            : NULL;
+
+  return forward->unsent_tries >= UNSENT_TRIES_TO_WAIT && last != NULL
+         && now_us - forward->lost_us < MAX_REACH_WAIT_US
+         && mq_gateway_reach_is_in_doubt (forward->gateway, last);
+}
+
 void
 mq_forward_send (mq_forward *forward, uint64_t now_us)
 {
@@ -304,6 +330,9 @@
   unsigned retry_ms = 0;
   mq_place_result result;
 
+  f->awaits_reach = send_awaits_reach (f, now_us);
+  if (f->awaits_reach)
+    return;
   if (send_quarantine_us (f, now_us) > 0)
     {
       mq_forward_reject (
@@ -346,12 +375,18 @@
   f->state.arrived++;
   f->state.tries++;
   ++*g->counters.sends;
+  f->tunnel_status = 0;
+  f->detour = mq_gateway_choose_detour (g, f->upstream, now_us);
+  if (f->detour != NULL)
+    f->detour->in_flight++;
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send",
-      "request=%.*s upstream=%s domain=%s parts=%u room=%.0f used=%.0f"
+      "request=%.*s upstream=%s via=%s domain=%s parts=%u room=%.0f"
+      " used=%.0f"
       " need=%.0f after-event=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT
       " store_age_ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id),
+      f->detour ? mq_str_cstr (f->detour->address) : "none",
       mq_str_cstr (f->upstream->facts.domain), f->path.n, f->path.tokens,
       f->used_tokens, f->need_tokens, f->split.last_id, f->routing->version,
       mq_feed_age_ms (&g->upstream_feed, now_us));
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -7,7 +7,6 @@
 
 #include <mq/internal/gateway.h>
 
-#include <mq/internal/gateway_reach.h>
 #include <mq/log.h>
 
 /* Shortest ejection of a stalled engine.  A crashed one leaves the platform's
@@ -91,7 +90,6 @@
     stall_apply_report (gateway, head, report);
   else if (result != MQ_HTTP_OK)
     {
-      mq_gateway_reach_suspect (gateway, head);
       stall_eject (head, false, "no-report");
       mq_forward_fail_all_through (gateway, mq_str_span (head->facts.address),
                                    "no-report");
--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -35,6 +35,7 @@
   uint64_t started_us;
   unsigned n;
   unsigned pending;
+  bool undecided;         /* Waits for a check whether the links are up.  */
   engine_probe engines[]; /* N of them.  */
 } path_probe;
 
@@ -73,19 +74,14 @@
           (now_us - probe->started_us) / 1000);
 }
 
-/* All connection attempts of PROBE have ended: mark down the engines that are
-   unreachable.  Frees PROBE.  */
+/* Mark down the engines that PROBE found unreachable, the silent ones only
+   with SILENT, and free it.  */
 static void
-probe_conclude (path_probe *probe)
+probe_finish (path_probe *probe, bool silent)
 {
   mq_gateway *g = probe->gateway;
-  bool link_is_up = probe_count (probe, MQ_TCP_PROBE_NO_REPLY)
-                    <= probe_count (probe, MQ_TCP_PROBE_OPEN);
   guint at;
 
-  probe_log (probe, mq_gateway_now_us ());
-  if (probe_count (probe, MQ_TCP_PROBE_OPEN) < probe->n)
-    mq_gateway_reach_suspect (g, probe->engines[0].engine);
   /* Removed from the list first: sends that fail may start other probes.  */
   if (g_ptr_array_find (g->path_probes, probe, &at))
     (void)g_ptr_array_steal_index_fast (g->path_probes, at);
@@ -95,12 +91,50 @@
 
       if (e->result == MQ_TCP_PROBE_REFUSED)
         mq_stall_mark_down (g, e->engine, "refused");
-      else if (e->result == MQ_TCP_PROBE_NO_REPLY && link_is_up)
+      else if (e->result == MQ_TCP_PROBE_NO_REPLY && silent)
         mq_stall_mark_down (g, e->engine, "unanswered");
     }
   mq_path_probe_free (probe);
 }
 
+/* All connection attempts of PROBE have ended.  May free it.  */
+static void
+probe_conclude (path_probe *probe)
+{
+  unsigned open = probe_count (probe, MQ_TCP_PROBE_OPEN);
+
+  probe_log (probe, mq_gateway_now_us ());
+  if (open * 2 >= probe->n)
+    {
+      probe_finish (probe, true);
+      return;
+    }
+  probe->undecided = true;
+  mq_gateway_reach_suspect (probe->gateway, probe->engines[0].engine);
+}
+
+void
+mq_path_probe_conclude_undecided (mq_gateway *gateway, const mq_str *service)
+{
+  /* Concluding one may start others, at the end of the list.  */
+  for (guint i = gateway->path_probes->len; i > 0; i--)
+    {
+      path_probe *p = i <= gateway->path_probes->len
+                          ? g_ptr_array_index (gateway->path_probes, i - 1)
+                          : NULL;
+      const mq_upstream *head = p != NULL ? p->engines[0].engine : NULL;
+
+      if (p == NULL || !p->undecided
+          || !mq_span_equal (mq_str_span (head->facts.service),
+                             mq_str_span (service)))
+        continue;
+      if (mq_gateway_reach_confirms (gateway, head, p->started_us))
+        probe_finish (p, false);
+      else if (mq_gateway_is_isolated (gateway, head))
+        g_ptr_array_remove_fast (gateway->path_probes, p);
+    }
+}
+
 static void engine_connect (engine_probe *engine);
 
 static void
@@ -144,6 +178,8 @@
   if (path->n == 0 || gateway->path_probes->len >= MAX_PROBES)
     return;
   head = path->stages[0].upstream;
+  if (mq_gateway_is_isolated (gateway, head))
+    return;
   if (now - head->probed_us < PROBE_INTERVAL_US)
     return;
   head->probed_us = now;
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -62,6 +62,7 @@
   to->domain = to_bytes (from->domain);
   to->incarnation = from->incarnation;
   to->capacity = from->capacity;
+  to->tunnel_port = from->tunnel_port;
 }
 
 static void
@@ -146,6 +147,7 @@
   to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
+  to->isolated = from->isolated;
   to->routing = from->routing_version;
   to->upstreams = from->upstreams_digest;
   to->newest = from->upstreams_newest;
@@ -348,10 +350,12 @@
 {
   to->incarnation = from->incarnation;
   to->capacity = from->capacity;
+  to->tunnel_port = from->tunnel_port;
   if (get_text (&to->name, from->name) < 0
       || get_text (&to->peer, from->peer) < 0
       || get_text (&to->client, from->client) < 0
-      || get_text (&to->domain, from->domain) < 0)
+      || get_text (&to->domain, from->domain) < 0
+      || from->tunnel_port > UINT16_MAX)
     return -1;
   return 0;
 }
@@ -476,6 +480,7 @@
   to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
+  to->isolated = from->isolated;
   to->routing_version = from->routing;
   to->upstreams_digest = from->upstreams;
   to->upstreams_newest = from->newest;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -189,6 +189,15 @@
   return MQ_HTTP_CONNECT_FAILED;
 }
 
+static unsigned
+client_tunnel_status (const mq_http_call *call)
+{
+  long status = 0;
+
+  curl_easy_getinfo (call->easy, CURLINFO_HTTP_CONNECTCODE, &status);
+  return (unsigned)status;
+}
+
 /* Mark the calls that libcurl has finished as ended.  */
 static void
 client_collect (mq_http_client *client)
@@ -237,6 +246,7 @@
   call->end_reported = true;
   event->kind = MQ_HTTP_CLIENT_END;
   event->result = client_result (call);
+  event->tunnel_status = client_tunnel_status (call);
   event->data = (mq_span){ call->body->str, call->body->len };
   return true;
 }
--- a/packages/net/http_request.c
+++ b/packages/net/http_request.c
@@ -156,6 +156,25 @@
   return CURL_SOCKOPT_OK;
 }
 
+/* Proxies are never taken from the environment.  */
+static void
+request_set_tunnel (CURL *easy, mq_span tunnel)
+{
+  char *proxy = tunnel.size == 0
+                    ? g_strdup ("")
+                    : g_strdup_printf ("http://%.*s", MQ_SPAN_ARG (tunnel));
+
+  curl_easy_setopt (easy, CURLOPT_PROXY, proxy);
+  curl_easy_setopt (easy, CURLOPT_NOPROXY, "");
+  g_free (proxy);
+  if (tunnel.size == 0)
+    return;
+  curl_easy_setopt (easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
+  curl_easy_setopt (easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
+  /* The tunnel server gets none of the request's headers.  */
+  curl_easy_setopt (easy, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
+}
+
 bool
 mq_http_request_is_valid (const mq_http_call_options *options)
 {
@@ -182,7 +201,7 @@
     }
   curl_easy_setopt (easy, CURLOPT_PROTOCOLS_STR, "http,https");
   curl_easy_setopt (easy, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt (easy, CURLOPT_PROXY, ""); /* Not from the environment.  */
+  request_set_tunnel (easy, options->tunnel);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
   curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
--- a/packages/net/tcp_probe.c
+++ b/packages/net/tcp_probe.c
@@ -2,6 +2,8 @@
 
 #include <mq/tcp_probe.h>
 
+#include <mq/internal/socket_address.h>
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <poll.h>
@@ -21,27 +23,6 @@
   void *context;
 };
 
-static int
-probe_address_parse (mq_span text, struct sockaddr_in *address)
-{
-  char host[INET_ADDRSTRLEN];
-  const char *colon
-      = text.size > 0 ? memchr (text.data, ':', text.size) : NULL;
-  size_t n = colon != NULL ? (size_t)(colon - text.data) : 0;
-  uint64_t port;
-
-  if (n == 0 || n >= sizeof host
-      || mq_span_to_u64 ((mq_span){ colon + 1, text.size - n - 1 }, &port) < 0
-      || port == 0 || port > UINT16_MAX)
-    return -1;
-  memcpy (host, text.data, n);
-  host[n] = '\0';
-  memset (address, 0, sizeof *address);
-  address->sin_family = AF_INET;
-  address->sin_port = htons ((uint16_t)port);
-  return inet_pton (AF_INET, host, &address->sin_addr) == 1 ? 0 : -1;
-}
-
 static mq_tcp_probe_result
 probe_result_of (int error)
 {
@@ -129,7 +110,7 @@
   double wait_s = (double)timeout_ms / MS_PER_S;
   int fd;
 
-  if (probe_address_parse (address, &to) < 0)
+  if (mq_socket_address_parse (address, &to) < 0)
     return NULL;
   fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -69,6 +69,7 @@
   cluster->peer = mq_str_new (self->peer);
   cluster->client = mq_str_new (self->client);
   cluster->domain = mq_str_new (self->domain);
+  cluster->tunnel_port = self->tunnel_port;
   cluster->incarnation = self->incarnation;
   cluster->capacity = self->capacity;
   cluster->window_us = window_us;
@@ -159,6 +160,8 @@
       = mq_span_equal (mq_str_span (r->domain), mq_str_span (cluster->domain));
   if (router->capacity > 0)
     r->capacity = router->capacity;
+  if (router->tunnel_port > 0)
+    r->tunnel_port = router->tunnel_port;
   return r;
 }
 
@@ -642,8 +645,11 @@
     {
       const mq_cluster_member *r = value;
 
-      if (!r->relays || !r->ready || !mq_cluster_member_is_alive (r, now_us))
+      if (!r->relays || !r->ready || !mq_cluster_member_is_alive (r, now_us)
+          || (r->isolated && !cluster->self.isolated))
         continue;
+      if (!r->isolated && cluster->self.isolated)
+        return false;
       if (r->store_reached != store ? r->store_reached
                                     : member_ranks_before_self (cluster, r))
         return false;
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -264,7 +264,8 @@
   gossip->from = (mq_gossip_router){
     mq_str_span (cluster->name),   mq_str_span (cluster->peer),
     mq_str_span (cluster->client), mq_str_span (cluster->domain),
-    cluster->incarnation,          cluster->capacity
+    cluster->incarnation,          cluster->capacity,
+    cluster->tunnel_port
   };
   gossip->sequence = ++cluster->sequence;
   gossip->interval_ms = interval_ms;
@@ -276,6 +277,7 @@
   gossip->follows = s->follows;
   gossip->watches = s->watches;
   gossip->relays = cluster->relays;
+  gossip->isolated = s->isolated;
   gossip->routing_version = s->routing_version;
   gossip->upstreams_digest = s->upstreams_digest;
   gossip->upstreams_newest = s->upstreams_newest;
@@ -298,10 +300,13 @@
 static void
 gossip_add_router (GArray *list, const mq_cluster_member *router)
 {
-  mq_gossip_router r
-      = { mq_str_span (router->name),   mq_str_span (router->peer),
-          mq_str_span (router->client), mq_str_span (router->domain),
-          router->incarnation,          router->capacity };
+  mq_gossip_router r = { mq_str_span (router->name),
+                         mq_str_span (router->peer),
+                         mq_str_span (router->client),
+                         mq_str_span (router->domain),
+                         router->incarnation,
+                         router->capacity,
+                         0 };
 
   g_array_append_val (list, r);
 }
@@ -329,7 +334,7 @@
   g_ptr_array_unref (ranked);
 }
 
-/* Reduce SERVING to client addresses and capacities.  */
+/* Reduce SERVING to client addresses, capacities and tunnels.  */
 static void
 gossip_trim_serving (GArray *serving)
 {
@@ -337,7 +342,9 @@
     {
       mq_gossip_router *r = &g_array_index (serving, mq_gossip_router, i);
 
-      *r = (mq_gossip_router){ .client = r->client, .capacity = r->capacity };
+      *r = (mq_gossip_router){ .client = r->client,
+                               .capacity = r->capacity,
+                               .tunnel_port = r->tunnel_port };
     }
 }
 
@@ -350,6 +357,7 @@
 
       hash = mq_hash_mix (hash, mq_span_hash (r->peer));
       hash = mq_hash_mix (hash, mq_span_hash (r->client));
+      hash = mq_hash_mix (hash, r->tunnel_port);
     }
   return mq_hash_mix (hash, list->len);
 }
@@ -376,6 +384,7 @@
   g_array_set_size (gossip->elsewhere, 0);
   gossip->from.name = gossip->from.client = gossip->from.domain
       = (mq_span){ NULL, 0 };
+  gossip->from.tunnel_port = 0;
 }
 
 void
@@ -546,6 +555,7 @@
   if (router->incarnation != gossip->from.incarnation)
     {
       router->appeared_us = now_us;
+      router->tunnel_port = gossip->from.tunnel_port;
       router->change_dropped_us = 0;
       router->list_dropped_us = 0;
     }
@@ -564,6 +574,7 @@
   router->watches = gossip->watches;
   router->reached = gossip->reached;
   router->relays = gossip->relays;
+  router->isolated = gossip->isolated;
   router->routing_version = gossip->routing_version;
   router->upstreams_digest = gossip->upstreams_digest;
   router->upstreams_newest = gossip->upstreams_newest;
--- a/packages/route/cluster_load.c
+++ b/packages/route/cluster_load.c
@@ -404,38 +404,62 @@
 
 /* ---- Which routers serve.  */
 
+/* A router of this domain that clients may be sent to.  */
+typedef struct serving_router
+{
+  mq_gossip_router router;
+  bool isolated;
+} serving_router;
+
 static void
-serving_add (GArray *serving, mq_span name, mq_span client, unsigned capacity)
+serving_add (GArray *serving, const mq_gossip_router *router, bool isolated)
 {
-  mq_gossip_router r
-      = { .name = name, .client = client, .capacity = capacity };
+  serving_router r = { *router, isolated };
 
+  if (isolated)
+    r.router.tunnel_port = 0;
   g_array_append_val (serving, r);
 }
 
 static int
 serving_compare (gconstpointer a, gconstpointer b)
 {
-  const mq_gossip_router *x = a;
-  const mq_gossip_router *y = b;
+  const serving_router *x = a;
+  const serving_router *y = b;
 
-  return mq_cluster_compare_rank (x->capacity, x->name, y->capacity, y->name);
+  if (x->isolated != y->isolated)
+    return x->isolated ? 1 : -1;
+  return mq_cluster_compare_rank (x->router.capacity, x->router.name,
+                                  y->router.capacity, y->router.name);
 }
 
-/* Shorten SERVING, which is in the order of rank, to as many routers as the
-   domain's demand needs.  USED is its present value.  */
+/* Append to SERVING as many of CANDIDATES (serving_router), which are in the
+   order of preference, as the domain's demand needs.  USED is its present
+   value.  Isolated routers serve through others, so that they are needed only
+   where these can't serve all clients themselves.  */
 static void
-serving_trim (mq_cluster *cluster, GArray *serving, double used,
-              uint64_t now_us)
+serving_take (mq_cluster *cluster, const GArray *candidates, GArray *serving,
+              double used, uint64_t now_us)
 {
-  unsigned *capacities = g_new (unsigned, serving->len + 1);
+  unsigned *capacities = g_new (unsigned, candidates->len + 1);
+  size_t preferred = 0;
   size_t n;
 
-  for (guint i = 0; i < serving->len; i++)
-    capacities[i] = g_array_index (serving, mq_gossip_router, i).capacity;
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const serving_router *r = &g_array_index (candidates, serving_router, i);
+
+      capacities[i] = r->router.capacity;
+      preferred += !r->isolated;
+    }
+  if (preferred == 0)
+    preferred = candidates->len;
   mq_serving_demand_update (&cluster->demand, used, now_us);
-  n = mq_serving_count (capacities, serving->len, cluster->demand.used);
-  g_array_set_size (serving, (guint)n);
+  n = mq_serving_count (capacities, candidates->len, preferred,
+                        cluster->demand.used);
+  for (size_t i = 0; i < n; i++)
+    g_array_append_val (serving,
+                        g_array_index (candidates, serving_router, i).router);
   g_free (capacities);
 }
 
@@ -444,27 +468,35 @@
 static void
 serving_compute (mq_cluster *cluster, GArray *serving, uint64_t now_us)
 {
+  GArray *candidates = g_array_new (FALSE, FALSE, sizeof (serving_router));
+  mq_gossip_router self = { .name = mq_str_span (cluster->name),
+                            .client = mq_str_span (cluster->client),
+                            .capacity = cluster->capacity,
+                            .tunnel_port = cluster->tunnel_port };
   GHashTableIter i;
   gpointer value;
   double used = cluster->self.used;
 
   if (cluster->self.ready && !cluster->self.draining)
-    serving_add (serving, mq_str_span (cluster->name),
-                 mq_str_span (cluster->client), cluster->capacity);
+    serving_add (candidates, &self, cluster->self.isolated);
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const mq_cluster_member *r = value;
+      mq_gossip_router x = { .name = mq_str_span (r->name),
+                             .client = mq_str_span (r->client),
+                             .capacity = r->capacity,
+                             .tunnel_port = r->tunnel_port };
 
       if (!r->local || !mq_cluster_member_is_alive (r, now_us))
         continue;
       used += r->used;
       if (r->ready && !r->draining)
-        serving_add (serving, mq_str_span (r->name), mq_str_span (r->client),
-                     r->capacity);
+        serving_add (candidates, &x, r->isolated);
     }
-  g_array_sort (serving, serving_compare);
-  serving_trim (cluster, serving, used, now_us);
+  g_array_sort (candidates, serving_compare);
+  serving_take (cluster, candidates, serving, used, now_us);
+  g_array_unref (candidates);
 }
 
 /* Append the first routers that serve in each other domain.  */
@@ -523,3 +555,83 @@
   return cluster->relays || cluster->self.loaded
          || cluster_self_serves (cluster, now_us);
 }
+
+/* Returns true if a live member has the client address CLIENT.  */
+static bool
+cluster_receives_from (const mq_cluster *cluster, mq_span client,
+                       uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+
+      if (mq_span_equal (mq_str_span (r->client), client)
+          && mq_cluster_member_is_alive (r, now_us))
+        return true;
+    }
+  return false;
+}
+
+static bool
+tunnels_have (const GArray *routers, mq_span client)
+{
+  for (guint i = 0; i < routers->len; i++)
+    if (mq_span_equal (g_array_index (routers, mq_gossip_router, i).client,
+                       client))
+      return true;
+  return false;
+}
+
+/* Append to ROUTERS those of LIST (mq_gossip_router) that open tunnels.  What
+   a router says of itself goes before the list.  */
+static void
+tunnels_add_list (const mq_cluster *cluster, GArray *routers,
+                  const GArray *list, uint64_t now_us)
+{
+  for (guint i = 0; i < list->len; i++)
+    {
+      const mq_gossip_router *x = &g_array_index (list, mq_gossip_router, i);
+
+      if (x->tunnel_port > 0
+          && !mq_span_equal (x->client, mq_str_span (cluster->client))
+          && !tunnels_have (routers, x->client)
+          && !cluster_receives_from (cluster, x->client, now_us))
+        g_array_append_val (routers, *x);
+    }
+}
+
+void
+mq_cluster_list_tunnels (const mq_cluster *cluster, GArray *routers,
+                         uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+      mq_gossip_router x = { .client = mq_str_span (r->client),
+                             .domain = mq_str_span (r->domain),
+                             .capacity = r->capacity,
+                             .tunnel_port = r->tunnel_port };
+
+      if (r->tunnel_port > 0 && mq_cluster_member_is_alive (r, now_us)
+          && !r->isolated && !r->draining && r->ready)
+        g_array_append_val (routers, x);
+    }
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+
+      if (!mq_cluster_member_is_alive (r, now_us))
+        continue;
+      tunnels_add_list (cluster, routers, r->serving, now_us);
+      tunnels_add_list (cluster, routers, r->elsewhere, now_us);
+    }
+}
--- a/packages/route/reach.c
+++ b/packages/route/reach.c
@@ -3,7 +3,9 @@
 #include <mq/reach.h>
 
 /* Between the starts of two checks.  Failures come in bursts.  */
-#define CHECK_INTERVAL_US ((uint64_t)200 * 1000)
+#define CHECK_INTERVAL_US ((uint64_t)50 * 1000)
+/* The same while the router is isolated.  */
+#define ISOLATED_INTERVAL_US ((uint64_t)200 * 1000)
 /* Checks in a row that must find the links up.  A link that is about to fail
    again may let single connections through.  */
 #define CHECKS_TO_RESTORE 2
@@ -17,9 +19,12 @@
 bool
 mq_reach_check_is_due (const mq_reach *reach, uint64_t now_us)
 {
+  uint64_t interval
+      = reach->isolated ? ISOLATED_INTERVAL_US : CHECK_INTERVAL_US;
+
   return (reach->suspected || reach->isolated) && !reach->checking
          && (reach->check_began_us == 0
-             || now_us - reach->check_began_us >= CHECK_INTERVAL_US);
+             || now_us - reach->check_began_us >= interval);
 }
 
 void
@@ -31,8 +36,7 @@
 }
 
 bool
-mq_reach_check_ended (mq_reach *reach, const mq_reach_sample *sample,
-                      uint64_t now_us)
+mq_reach_check_ended (mq_reach *reach, const mq_reach_sample *sample)
 {
   unsigned n = sample->open + sample->refused + sample->silent;
   bool up = sample->open * 2 >= n;
@@ -44,10 +48,9 @@
   reach->restored = up ? reach->restored + 1 : 0;
   reach->isolated
       = !up || (was_isolated && reach->restored < CHECKS_TO_RESTORE);
-  if (reach->isolated == was_isolated)
-    return false;
-  reach->changed_us = now_us;
-  return true;
+  if (!reach->isolated)
+    reach->sound_us = reach->check_began_us;
+  return reach->isolated != was_isolated;
 }
 
 bool
@@ -55,3 +58,9 @@
 {
   return !reach->isolated && !reach->suspected && !reach->checking;
 }
+
+bool
+mq_reach_confirms (const mq_reach *reach, uint64_t at_us)
+{
+  return !reach->isolated && reach->sound_us >= at_us;
+}
--- a/packages/route/serving_set.c
+++ b/packages/route/serving_set.c
@@ -15,14 +15,14 @@
 #define DEMAND_HALF_LIFE_US 10e6
 
 size_t
-mq_serving_count (const unsigned *capacities, size_t n, double used)
+mq_serving_count (const unsigned *capacities, size_t n, size_t preferred,
+                  double used)
 {
+  size_t least = MIN (preferred, MQ_SERVING_MIN_ROUTERS);
   double capacity = 0;
   size_t count = 0;
 
-  while (
-      count < n
-      && (count < MQ_SERVING_MIN_ROUTERS || capacity * MAX_UTILISATION < used))
+  while (count < n && (count < least || capacity * MAX_UTILISATION < used))
     capacity += capacities[count++];
   return count;
 }
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -601,6 +601,7 @@
     upstream_lengthen_ejection (upstream);
   mq_upstream_eject (upstream, now_us, min_us);
   upstream->reported_down_until_us = upstream->ejected_until_us;
+  upstream->unreachable_us = 0;
 }
 
 void
@@ -615,7 +616,23 @@
 void
 mq_upstream_unreachable (mq_upstream *upstream, uint64_t now_us)
 {
+  bool reported = now_us < upstream->reported_down_until_us;
+
   mq_upstream_failed (upstream, now_us);
-  if (upstream->failures >= FAILURES_TO_EJECT)
-    upstream->reported_down_until_us = upstream->ejected_until_us;
+  if (upstream->failures < FAILURES_TO_EJECT)
+    return;
+  upstream->reported_down_until_us = upstream->ejected_until_us;
+  if (!reported)
+    upstream->unreachable_us = now_us;
+}
+
+void
+mq_upstream_retract_failures (mq_upstream *upstream)
+{
+  upstream->crashed = false;
+  upstream->failures = 0;
+  upstream->ejected_until_us = upstream->peer_ejected_until_us;
+  upstream->reported_down_until_us = 0;
+  upstream->unreachable_us = 0;
+  upstream->ejection_duration_us = 0;
 }
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -663,7 +663,7 @@
   (ProtobufCMessageInit) mq__news__parcel__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__router__field_descriptors[6] =
+static const ProtobufCFieldDescriptor mq__news__router__field_descriptors[7] =
 {
   {
     "name",
@@ -737,6 +737,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "tunnel_port",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__Router, tunnel_port),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__router__field_indices_by_name[] = {
   5,   /* field[5] = capacity */
@@ -745,11 +757,12 @@
   4,   /* field[4] = incarnation */
   0,   /* field[0] = name */
   1,   /* field[1] = peer */
+  6,   /* field[6] = tunnel_port */
 };
 static const ProtobufCIntRange mq__news__router__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 6 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor mq__news__router__descriptor =
 {
@@ -759,7 +772,7 @@
   "Mq__News__Router",
   "mq.news",
   sizeof(Mq__News__Router),
-  6,
+  7,
   mq__news__router__field_descriptors,
   mq__news__router__field_indices_by_name,
   1,  mq__news__router__number_ranges,
@@ -1113,7 +1126,7 @@
   (ProtobufCMessageInit) mq__news__end__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[26] =
+static const ProtobufCFieldDescriptor mq__news__news__field_descriptors[27] =
 {
   {
     "kind",
@@ -1427,6 +1440,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "isolated",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Mq__News__News, isolated),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned mq__news__news__field_indices_by_name[] = {
   23,   /* field[23] = age_ms */
@@ -1437,6 +1462,7 @@
   15,   /* field[15] = findings */
   8,   /* field[8] = follows */
   3,   /* field[3] = interval_ms */
+  26,   /* field[26] = isolated */
   0,   /* field[0] = kind */
   22,   /* field[22] = listed */
   19,   /* field[19] = newest */
@@ -1459,7 +1485,7 @@
 static const ProtobufCIntRange mq__news__news__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 26 }
+  { 0, 27 }
 };
 const ProtobufCMessageDescriptor mq__news__news__descriptor =
 {
@@ -1469,7 +1495,7 @@
   "Mq__News__News",
   "mq.news",
   sizeof(Mq__News__News),
-  26,
+  27,
   mq__news__news__field_descriptors,
   mq__news__news__field_indices_by_name,
   1,  mq__news__news__number_ranges,
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -89,10 +89,14 @@
   ProtobufCBinaryData domain;
   uint64_t incarnation;
   uint32_t capacity;
+  /*
+   * At the address in client; 0: it opens no tunnels.
+   */
+  uint32_t tunnel_port;
 };
 #define MQ__NEWS__ROUTER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__router__descriptor) \
-    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0 }
+    , {0,NULL}, {0,NULL}, {0,NULL}, {0,NULL}, 0, 0, 0 }
 
 
 struct  Mq__News__PathCount
@@ -196,10 +200,14 @@
   protobuf_c_boolean store_fails;
   size_t n_ends;
   Mq__News__End **ends;
+  /*
+   * The sender does not reach all services itself.
+   */
+  protobuf_c_boolean isolated;
 };
 #define MQ__NEWS__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__news__descriptor) \
-    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL }
+    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 struct  Mq__News__Routing
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -45,6 +45,7 @@
   unsigned capacity = 120;
   mq_cluster cluster = {};
   bool up = false, reaches_store = true, draining = false;
+  bool isolated = false;
   uint64_t incarnation = 0;
   uint64_t next_us = 0, reported_us = 0;
   unsigned tokens = 0, used = 0; /* In flight; thousandths of a processor.  */
@@ -93,9 +94,13 @@
   void
   start (Router &r)
   {
-    mq_gossip_router self
-        = { span (r.name),   span (r.peer),       span (r.client),
-            span (r.domain), ++last_incarnation_, r.capacity };
+    mq_gossip_router self = { span (r.name),
+                              span (r.peer),
+                              span (r.client),
+                              span (r.domain),
+                              ++last_incarnation_,
+                              r.capacity,
+                              8000 };
 
     mq_cluster_init (&r.cluster, &self, 10 * second, now);
     mq_quarantine_init (&r.quarantine, quarantine_us);
@@ -130,7 +135,8 @@
                            span (router.client),
                            span (router.domain),
                            0,
-                           router.capacity };
+                           router.capacity,
+                           0 };
 
     mq_cluster_add (&to.cluster, &m, true, now);
   }
@@ -290,6 +296,7 @@
     r.cluster.self.store_reached = r.reaches_store && r.cluster.relays;
     r.cluster.self.used = r.used;
     r.cluster.self.loaded = r.tokens > 0;
+    r.cluster.self.isolated = r.isolated;
     g_array_set_size (r.cluster.paths, 0);
     g_array_set_size (r.cluster.sends, 0);
     if (r.tokens == 0)
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -26,7 +26,8 @@
                            MQ_SPAN ("10.0.0.2:2"),
                            MQ_SPAN ("one"),
                            12,
-                           250 };
+                           250,
+                           8002 };
     mq_path_tokens w = { 0xfedcba9876543210, 1234 };
     mq_service_sends s = { 77, { 10, 3, 1 } };
     mq_gossip_finding f
@@ -40,11 +41,12 @@
                     MQ_SPAN ("10.0.0.1:2"),
                     MQ_SPAN ("one"),
                     11,
-                    500 };
+                    500,
+                    8001 };
     gossip.sequence = 9;
     gossip.interval_ms = 125;
     gossip.used = 33;
-    gossip.ready = gossip.follows = gossip.relays = true;
+    gossip.ready = gossip.follows = gossip.relays = gossip.isolated = true;
     gossip.store_reached = gossip.watches = gossip.reached = gossip.listed
         = true;
     gossip.routing_version = 41;
@@ -107,6 +109,8 @@
   EXPECT_EQ (text (n->from.client), "10.0.0.1:2");
   EXPECT_EQ (n->from.incarnation, 11u);
   EXPECT_EQ (n->from.capacity, 500u);
+  EXPECT_EQ (n->from.tunnel_port, 8001u);
+  EXPECT_TRUE (n->isolated);
   EXPECT_EQ (n->sequence, 9u);
   EXPECT_EQ (n->interval_ms, 125u);
   EXPECT_EQ (n->used, 33u);
@@ -137,6 +141,8 @@
   EXPECT_EQ (g_array_index (n->findings, mq_gossip_finding, 0).rejecting_us,
              300u);
   ASSERT_EQ (n->routers->len, 1u);
+  EXPECT_EQ (g_array_index (n->routers, mq_gossip_router, 0).tunnel_port,
+             8002u);
   EXPECT_EQ (text (g_array_index (n->routers, mq_gossip_router, 0).peer),
              "10.0.0.2:1");
   EXPECT_EQ (n->serving->len, 1u);
--- a/tests/test_gateway_settings.cc
+++ b/tests/test_gateway_settings.cc
@@ -55,6 +55,8 @@
   EXPECT_STREQ (s.clients.address->data, "10.0.0.1");
   EXPECT_EQ (s.clients.port, 80u);
   EXPECT_EQ (s.peers.port, 83u);
+  EXPECT_STREQ (s.tunnels.address->data, "10.0.0.1");
+  EXPECT_EQ (s.tunnels.port, 0u);
   ASSERT_EQ (s.seeds->len, 1u);
   EXPECT_EQ (s.grace_ms, 8000u);
   EXPECT_EQ (s.max_connections, 2100u);
@@ -70,6 +72,10 @@
              std::string::npos);
   EXPECT_NE (fault (settings (",\"grace_ms\":-1")).find ("grace_ms"),
              std::string::npos);
+  EXPECT_EQ (fault (settings (",\"tunnels\":\"10.0.0.1:84\"")), "");
+  EXPECT_NE (fault (settings (",\"tunnels\":\"10.0.0.2:84\""))
+                 .find ("expected the IP address of \"clients\""),
+             std::string::npos);
   std::string s = settings ();
   s.replace (s.find ("10.0.0.1:81"), 11, "localhost:81");
   EXPECT_NE (fault (s).find ("readiness"), std::string::npos);
--- a/tests/test_reach.cc
+++ b/tests/test_reach.cc
@@ -13,7 +13,7 @@
 check (mq_reach &r, mq_reach_sample sample, uint64_t now_us)
 {
   mq_reach_check_began (&r, now_us);
-  return mq_reach_check_ended (&r, &sample, now_us + 5 * ms);
+  return mq_reach_check_ended (&r, &sample);
 }
 
 } // namespace
@@ -62,10 +62,13 @@
   mq_reach_suspect (&r);
   mq_reach_check_began (&r, 1000 * ms);
   mq_reach_suspect (&r);
-  EXPECT_FALSE (mq_reach_check_ended (&r, &up, 1005 * ms));
+  EXPECT_FALSE (mq_reach_check_ended (&r, &up));
   EXPECT_FALSE (mq_reach_is_sure (&r));
   EXPECT_FALSE (mq_reach_check_is_due (&r, 1005 * ms));
-  EXPECT_TRUE (mq_reach_check_is_due (&r, 1200 * ms));
+  EXPECT_TRUE (mq_reach_check_is_due (&r, 1050 * ms));
+  EXPECT_FALSE (mq_reach_confirms (&r, 1001 * ms));
+  EXPECT_FALSE (check (r, { 6, 0, 0 }, 1050 * ms));
+  EXPECT_TRUE (mq_reach_confirms (&r, 1001 * ms));
 }
 
 TEST (Reach, IsolatedRouterChecksUntilLinksAreUpTwice)
@@ -74,8 +77,10 @@
 
   mq_reach_suspect (&r);
   EXPECT_TRUE (check (r, { 0, 0, 6 }, 1000 * ms));
+  EXPECT_FALSE (mq_reach_check_is_due (&r, 1199 * ms));
   EXPECT_TRUE (mq_reach_check_is_due (&r, 1200 * ms));
   EXPECT_FALSE (check (r, { 6, 0, 0 }, 1200 * ms));
+  EXPECT_FALSE (mq_reach_confirms (&r, 1100 * ms));
   EXPECT_FALSE (check (r, { 0, 6, 0 }, 1400 * ms));
   EXPECT_FALSE (check (r, { 6, 0, 0 }, 1600 * ms));
   EXPECT_TRUE (r.isolated);
--- a/tests/test_serving_set.cc
+++ b/tests/test_serving_set.cc
@@ -39,15 +39,15 @@
 {
   unsigned c[] = { 250, 250 };
 
-  EXPECT_EQ (mq_serving_count (c, 2, 0), 2u);
-  EXPECT_EQ (mq_serving_count (c, 0, 0), 0u);
+  EXPECT_EQ (mq_serving_count (c, 2, 2, 0), 2u);
+  EXPECT_EQ (mq_serving_count (c, 0, 0, 0), 0u);
 }
 
 TEST (ServingSet, MinimumServesWhenDemandIsLow)
 {
   std::vector<unsigned> c (58, 120);
 
-  EXPECT_EQ (mq_serving_count (c.data (), c.size (), 100),
+  EXPECT_EQ (mq_serving_count (c.data (), c.size (), c.size (), 100),
              (size_t)MQ_SERVING_MIN_ROUTERS);
 }
 
@@ -56,8 +56,8 @@
   std::vector<unsigned> c (58, 120);
 
   /* 0.6 processors are three tenths of 2, which 17 routers of 0.12 have.  */
-  EXPECT_EQ (mq_serving_count (c.data (), c.size (), 600), 17u);
-  EXPECT_EQ (mq_serving_count (c.data (), c.size (), 1e9), 58u);
+  EXPECT_EQ (mq_serving_count (c.data (), c.size (), c.size (), 600), 17u);
+  EXPECT_EQ (mq_serving_count (c.data (), c.size (), c.size (), 1e9), 58u);
 }
 
 TEST (ServingSet, TrafficIsProportionalToCapacity)
@@ -101,3 +101,15 @@
   mq_serving_demand_update (&demand, 900, 33100000);
   EXPECT_EQ (demand.used, 900);
 }
+
+/* The routers after the preferred ones are those that serve through others. */
+TEST (ServingSet, TakesOthersOnlyForDemandBeyondPreferred)
+{
+  std::vector<unsigned> c (8, 100);
+
+  EXPECT_EQ (mq_serving_count (c.data (), 8, 2, 0), 2u);
+  EXPECT_EQ (mq_serving_count (c.data (), 8, 2, 60), 2u);
+  EXPECT_EQ (mq_serving_count (c.data (), 8, 2, 100), 4u);
+  EXPECT_EQ (mq_serving_count (c.data (), 8, 8, 0),
+             (size_t)MQ_SERVING_MIN_ROUTERS);
+}
--- /dev/null
+++ b/tests/test_tunnel_server.cc
@@ -0,0 +1,329 @@
+/* Tunnels to upstreams (mq/tunnel_server.h) and calls through them.  */
+
+#include "support/gateway_standins.h"
+
+#include <mq/tunnel_server.h>
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using gateway::Server;
+using gateway::span;
+
+namespace
+{
+
+struct Result
+{
+  bool ended = false;
+  mq_http_client_event event = {};
+  std::string body;
+};
+
+void
+on_event (void *context, const mq_http_client_event *event)
+{
+  Result *r = static_cast<Result *> (context);
+
+  r->body += gateway::text (event->data);
+  r->event = *event;
+  r->ended = event->kind == MQ_HTTP_CLIENT_END;
+}
+
+/* A listener that the test itself reads and writes.  */
+class RawServer
+{
+public:
+  RawServer ()
+  {
+    sockaddr_in at = {};
+    socklen_t size = sizeof at;
+
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (listener_, reinterpret_cast<sockaddr *> (&at), size);
+    listen (listener_, 8);
+    getsockname (listener_, reinterpret_cast<sockaddr *> (&at), &size);
+    address = "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
+  }
+
+  ~RawServer ()
+  {
+    if (fd >= 0)
+      close (fd);
+    close (listener_);
+  }
+
+  bool
+  accepted ()
+  {
+    if (fd < 0)
+      fd = accept4 (listener_, nullptr, nullptr, SOCK_NONBLOCK);
+    return fd >= 0;
+  }
+
+  /* Returns true when the bytes received so far contain TEXT.  */
+  bool
+  received (const std::string &text)
+  {
+    char buffer[4096];
+    ssize_t n = accepted () ? recv (fd, buffer, sizeof buffer, 0) : -1;
+
+    if (n > 0)
+      bytes.append (buffer, (size_t)n);
+    closed = closed || n == 0;
+    return bytes.find (text) != std::string::npos;
+  }
+
+  void
+  write (const std::string &text)
+  {
+    EXPECT_EQ (send (fd, text.data (), text.size (), MSG_NOSIGNAL),
+               (ssize_t)text.size ());
+  }
+
+  /* Close the connection, with a reset if RESETS.  */
+  void
+  finish (bool resets)
+  {
+    struct linger l = { resets, 0 };
+
+    setsockopt (fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
+    close (fd);
+    fd = -1;
+  }
+
+  std::string address, bytes;
+  bool closed = false;
+  int fd = -1;
+
+private:
+  int listener_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+};
+
+class Tunnel : public ::testing::Test
+{
+protected:
+  Tunnel ()
+  {
+    client = mq_http_client_new (loop, MQ_SPAN (""));
+    start (16);
+  }
+
+  ~Tunnel () override
+  {
+    mq_http_client_free (client);
+    mq_tunnel_server_free (server);
+    ev_loop_destroy (loop);
+  }
+
+  void
+  start (unsigned tunnels)
+  {
+    mq_tunnel_server_options o = {};
+
+    mq_tunnel_server_free (server);
+    o.address = MQ_SPAN ("127.0.0.1");
+    o.tunnels = tunnels;
+    o.connect_ms = 100;
+    o.check = [] (void *context, mq_span) {
+      return static_cast<Tunnel *> (context)->refusal;
+    };
+    o.on_failure = [] (void *context, mq_span) {
+      static_cast<Tunnel *> (context)->failures++;
+    };
+    o.context = this;
+    server = mq_tunnel_server_new (loop, &o, nullptr);
+    tunnel = "127.0.0.1:" + std::to_string (mq_tunnel_server_port (server));
+  }
+
+  bool
+  until (const std::function<bool ()> &test)
+  {
+    ev_tstamp limit = ev_time () + 5;
+    ev_timer tick;
+
+    ev_timer_init (
+        &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.002, 0.002);
+    ev_timer_start (loop, &tick);
+    while (!test () && ev_time () < limit)
+      ev_run (loop, EVRUN_ONCE);
+    ev_timer_stop (loop, &tick);
+    return test ();
+  }
+
+  mq_http_call *
+  start_call (Result &r, const std::string &address,
+              const std::string &body = "")
+  {
+    std::string url = "http://" + address + "/x";
+    mq_http_header secret = { MQ_SPAN ("X-Key"), MQ_SPAN ("secret") };
+    mq_http_call_options o = {};
+
+    o.method = body.empty () ? MQ_SPAN ("GET") : MQ_SPAN ("POST");
+    o.url = span (url);
+    o.headers = &secret;
+    o.n_headers = 1;
+    o.body = span (body);
+    o.tunnel = span (tunnel);
+    o.streamed = true;
+    return mq_http_client_start (client, &o, on_event, &r);
+  }
+
+  Result
+  call (const std::string &address, const std::string &body = "")
+  {
+    Result r;
+
+    start_call (r, address, body);
+    EXPECT_TRUE (until ([&] { return r.ended; }));
+    return r;
+  }
+
+  struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  mq_http_client *client;
+  mq_tunnel_server *server = nullptr;
+  std::string tunnel;
+  unsigned refusal = 0, failures = 0;
+};
+
+} // namespace
+
+TEST_F (Tunnel, CopiesRequestsAndResponses)
+{
+  std::string large (3 << 20, 'a');
+  Server upstream (loop, [&] (mq_http_exchange *x) {
+    Server::reply (x, 200, gateway::text (mq_http_exchange_body (x)));
+  });
+
+  for (int i = 0; i < 3; i++)
+    {
+      Result r = call (upstream.address (), i == 1 ? "small" : large);
+      EXPECT_EQ (r.event.result, MQ_HTTP_OK);
+      EXPECT_EQ (r.event.status, i == 1 ? 200u : 413u);
+    }
+  std::string body (900 << 10, 'b');
+  EXPECT_EQ (call (upstream.address (), body).body, body);
+}
+
+TEST_F (Tunnel, FailureToOpenIsNotSent)
+{
+  RawServer upstream;
+  struct
+  {
+    unsigned refusal;
+    std::string address;
+    unsigned status;
+  } cases[] = { { 403, upstream.address, 403 },
+                { 503, upstream.address, 503 },
+                { 0, "127.0.0.1:1", 502 } };
+
+  for (auto &c : cases)
+    {
+      refusal = c.refusal;
+      Result r = call (c.address);
+      EXPECT_EQ (r.event.result, MQ_HTTP_CONNECT_FAILED);
+      EXPECT_EQ (r.event.tunnel_status, c.status);
+      EXPECT_FALSE (r.event.maybe_sent);
+    }
+  EXPECT_FALSE (upstream.accepted ());
+  EXPECT_EQ (failures, 1u);
+}
+
+TEST_F (Tunnel, TunnelsAreLimited)
+{
+  RawServer a, b;
+  Result first;
+
+  start (1);
+  mq_http_call *held = start_call (first, a.address);
+  ASSERT_TRUE (until ([&] { return a.received ("GET /x"); }));
+  EXPECT_EQ (call (b.address).event.tunnel_status, 503u);
+  mq_http_call_cancel (held);
+}
+
+/* The tunnel server must see nothing of the request but its destination.  */
+TEST_F (Tunnel, RequestHeadersStayInside)
+{
+  RawServer fake;
+  Result r;
+
+  tunnel = fake.address;
+  mq_http_call *c = start_call (r, "127.0.0.1:9");
+  ASSERT_TRUE (until ([&] { return fake.received ("\r\n\r\n"); }));
+  EXPECT_EQ (fake.bytes.find ("CONNECT 127.0.0.1:9 HTTP/1.1\r\n"), 0u);
+  EXPECT_EQ (fake.bytes.find ("X-Key"), std::string::npos);
+  mq_http_call_cancel (c);
+}
+
+/* A response without a length is complete only if the upstream closed the
+   connection in order.  */
+TEST_F (Tunnel, CutResponseDoesNotLookComplete)
+{
+  enum
+  {
+    Closed,
+    Reset,
+    ServerFreed
+  };
+  for (int how : { Closed, Reset, ServerFreed })
+    {
+      RawServer upstream;
+      Result r;
+
+      start_call (r, upstream.address);
+      ASSERT_TRUE (until ([&] { return upstream.received ("GET /x"); }));
+      upstream.write ("HTTP/1.1 200 OK\r\n\r\npart");
+      ASSERT_TRUE (until ([&] { return r.body == "part"; }));
+      if (how == ServerFreed)
+        start (16);
+      else
+        upstream.finish (how == Reset);
+      ASSERT_TRUE (until ([&] { return r.ended; }));
+      EXPECT_EQ (r.event.result, how == Closed ? MQ_HTTP_OK : MQ_HTTP_BROKEN);
+    }
+}
+
+TEST_F (Tunnel, CancelledCallClosesConnectionToUpstream)
+{
+  RawServer upstream;
+  Result r;
+  mq_http_call *c = start_call (r, upstream.address);
+
+  ASSERT_TRUE (until ([&] { return upstream.received ("GET /x"); }));
+  EXPECT_EQ (mq_tunnel_server_count_busy (server, 0), 1u);
+  mq_http_call_cancel (c);
+  EXPECT_TRUE (until ([&] {
+    upstream.received ("-");
+    return upstream.closed;
+  }));
+  EXPECT_TRUE (until ([&] { return mq_tunnel_server_count (server) == 0; }));
+}
+
+TEST_F (Tunnel, MalformedRequestIsRejected)
+{
+  for (const char *text :
+       { "GET / HTTP/1.1\r\n\r\n", "CONNECT nowhere HTTP/1.1\r\n\r\n",
+         "CONNECT 127.0.0.1:0 HTTP/1.1\r\n\r\n", "CONNECT \r\n\r\n" })
+    {
+      sockaddr_in at = {};
+      char reply[64] = "";
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+      at.sin_family = AF_INET;
+      at.sin_port = htons (mq_tunnel_server_port (server));
+      at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+      ASSERT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&at), sizeof at),
+                 0);
+      ASSERT_GT (send (fd, text, strlen (text), 0), 0);
+      EXPECT_TRUE (until ([&] {
+        return reply[0] != 0
+               || recv (fd, reply, sizeof reply - 1, MSG_DONTWAIT) > 0;
+      })) << text;
+      EXPECT_EQ (std::string (reply).find ("HTTP/1.1 400 "), 0u) << reply;
+      close (fd);
+    }
+}
