Let a request leave a silent upstream only when it can be sent again

An engine may be silent for a second and go on. A head that did not answer a request for a report within 0.4 s, or a connection within 30 ms, lost all its streams at once: those for which the retry budget had no room waited for it without a run, and were cut off 1.6 s after their last event, though the engine was sound. Now such a stream keeps its run while it waits for budget, goes on if the run does, and is cut off no sooner than before. The same holds for plain calls that may be repeated. A refused connection ends all runs at once as before.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -307,6 +307,9 @@
   bool view_waited;        /* It did so at some time.  */
   bool waits_for_budget;   /* The retry budget had no room for it.  */
   bool run_timed_out;      /* A run of it timed out.  */
+  const char *stalled_why; /* Its run is silent and it waits for budget to
+                              leave it: the reason for the log.  Static; NULL:
+                              it does not.  */
   bool yielded;            /* It left budget to a more urgent one.  */
   int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
@@ -416,13 +419,17 @@
 /* Check the deadline and the try timeout, and send a request that waits.  May
    free FORWARD.  */
 void mq_forward_tick (mq_forward *forward, uint64_t now_us);
+/* Bytes of a response to FORWARD have arrived.  */
+void mq_forward_note_received (mq_forward *forward);
 /* Probe the path of FORWARD when its stream has been silent for longer than
    the path's latency estimate allows.  */
 void mq_forward_check_silence (mq_forward *forward, uint64_t now_us);
-/* End all sends that pass through the upstream at ADDRESS, which is down or
-   stalled; WHY is the reason for the log.  */
+/* End all sends that pass through the upstream at ADDRESS, which is down or,
+   with SILENT, only silent; WHY is the reason for the log, static.  A silent
+   upstream may be sound and go on, so that requests leave it only when they
+   can be sent again.  */
 void mq_forward_fail_all_through (mq_gateway *gateway, mq_span address,
-                                  const char *why);
+                                  bool silent, const char *why);
 /* A check whether this router reaches SERVICE has ended: send the requests
    that waited for it, and if SERVICE is not reached, send those again that
    still wait for a connection.  */
@@ -509,8 +516,9 @@
 /* Returns true while FORWARD may wait for the prefill of earlier prompts.  */
 bool mq_forward_may_wait_for_prefill (const mq_forward *forward,
                                       uint64_t now_us);
-/* Returns true if FORWARD may be sent again and a path with another head has
-   room for it now.  */
+/* Returns true if FORWARD may be sent again now, after a silence.  */
+bool mq_forward_can_retry (mq_forward *forward, uint64_t now_us);
+/* The same if also a path with another head has room for it.  */
 bool mq_forward_can_move (mq_forward *forward, uint64_t now_us);
 /* Release the path of FORWARD, if it has one, and its share of the load.  */
 void mq_forward_release_path (mq_forward *forward);
@@ -654,9 +662,9 @@
    slowdown is unknown or out of date.  */
 void mq_stall_request_slowdowns (mq_gateway *gateway,
                                  const mq_layer_path *path);
-/* ENGINE is stalled or unreachable: eject it and move all requests through it
-   to other paths.  WHY is a word for the log.  */
-void mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine,
+/* ENGINE is stalled, silent (SILENT) or unreachable: eject it and move the
+   requests through it to other paths.  WHY is a word for the log.  */
+void mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine, bool silent,
                          const char *why);
 /* Request reports from slow engines before their slowdown expires.  */
 void mq_stall_tick (mq_gateway *gateway, uint64_t now_us);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -28,13 +28,15 @@
 /* A plain call that has received nothing for this long, and for its route's
    target latency, may have lost its connection.  */
 #define MIN_CALL_SILENCE_US ((uint64_t)200 * 1000)
-/* A send whose way is lost moves to another after this silence.  */
-#define MIN_LOST_SILENCE_US ((uint64_t)300 * 1000)
 /* After this silence a stream moves to another path that has room, whatever
    the head reports.  Clients disconnect after 2 s of silence, and a new run
    needs time to its first event.  */
 #define MAX_SILENCE_US ((uint64_t)1400 * 1000)
 
+/* After this silence a stream that waits for budget to leave its run is
+   ended.  */
+#define MAX_STALL_US ((uint64_t)1600 * 1000)
+
 /* A connection that fails within this was refused: the machine is up, but
    nothing listens.  Packet loss shows only after a longer time.  */
 #define CONNECT_REFUSED_US ((uint64_t)100 * 1000)
@@ -54,6 +56,7 @@
   if (forward->call != NULL)
     mq_http_call_cancel (forward->call);
   forward->call = NULL;
+  forward->stalled_why = NULL;
   if (forward->detour != NULL)
     forward->detour->in_flight--;
   forward->detour = NULL;
@@ -387,15 +390,15 @@
 
 /* Returns true if the way of the current send of FORWARD is lost: this router
    no longer reaches the service, or another one through which it went does
-   not.  Its upstream may be sound, and its response may still be on its way,
-   so that only a silence of MIN_LOST_SILENCE_US tells.  */
+   not.  Open connections may live on, so that only silence tells.  */
 static bool
 forward_way_is_lost (const mq_forward *forward, uint64_t now_us)
 {
   const mq_gateway *g = forward->gateway;
 
   if (forward->upstream == NULL
-      || forward_silent_us (forward, now_us) < MIN_LOST_SILENCE_US)
+      || forward_silent_us (forward, now_us)
+             < forward_report_delay_us (forward))
     return false;
   return forward->detour != NULL
              ? mq_gateway_detour_is_lost (g, forward->detour, now_us)
@@ -407,8 +410,15 @@
 {
   uint64_t silent = forward_silent_us (forward, now_us);
 
-  if (mq_forward_may_repeat (&forward->state)
-      && forward_way_is_lost (forward, now_us))
+  if (forward->stalled_why != NULL
+      && (silent > MAX_STALL_US || mq_forward_can_retry (forward, now_us)))
+    {
+      mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0,
+                             forward->stalled_why);
+      return;
+    }
+  if (forward_way_is_lost (forward, now_us)
+      && mq_forward_can_retry (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "way-lost");
       return;
@@ -451,7 +461,8 @@
       || forward->state.sent >= forward->state.attempts)
     return;
   lost = forward_way_is_lost (forward, now_us);
-  if (lost || now_us - forward->sent_us >= try_timeout_us)
+  if ((lost || now_us - forward->sent_us >= try_timeout_us)
+      && mq_forward_can_retry (forward, now_us))
     mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0,
                            lost ? "way-lost" : "slow");
 }
@@ -491,8 +502,29 @@
                         address);
 }
 
+/* FORWARD can't leave its silent run now.  It does so when there is budget, or
+   when it has been silent for as long as it may wait.  */
+static void
+forward_note_stall (mq_forward *forward, const char *why)
+{
+  if (!mq_forward_may_repeat (&forward->state))
+    return;
+  forward->stalled_why = why;
+  forward->waits_for_budget = true;
+}
+
 void
-mq_forward_fail_all_through (mq_gateway *gateway, mq_span address,
+mq_forward_note_received (mq_forward *forward)
+{
+  forward->received_us = mq_gateway_now_us ();
+  if (forward->stalled_why == NULL)
+    return;
+  forward->stalled_why = NULL;
+  forward->waits_for_budget = false;
+}
+
+void
+mq_forward_fail_all_through (mq_gateway *gateway, mq_span address, bool silent,
                              const char *why)
 {
   mq_upstream *u = mq_registry_find_address (&gateway->registry, address);
@@ -510,6 +542,11 @@
     {
       mq_forward *f = g_ptr_array_index (failed, i);
 
+      if (silent && !mq_forward_can_retry (f, mq_gateway_now_us ()))
+        {
+          forward_note_stall (f, why);
+          continue;
+        }
       mq_crash_note_broken_run (f, u, mq_gateway_now_us ());
       mq_forward_send_ended (f, MQ_SEND_TIMED_OUT, 0, why);
     }
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -439,7 +439,7 @@
 }
 
 bool
-mq_forward_can_move (mq_forward *forward, uint64_t now_us)
+mq_forward_can_retry (mq_forward *forward, uint64_t now_us)
 {
   bool budget
       = mq_gateway_has_budget (forward->gateway, forward->service, now_us)
@@ -447,7 +447,13 @@
 
   forward->state.now_us = now_us;
   return mq_forward_decide (&forward->state, MQ_SEND_TIMED_OUT, 0, budget).verb
-             == MQ_FORWARD_RETRY
+         == MQ_FORWARD_RETRY;
+}
+
+bool
+mq_forward_can_move (mq_forward *forward, uint64_t now_us)
+{
+  return mq_forward_can_retry (forward, now_us)
          && forward_can_place (forward, now_us);
 }
 
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -334,7 +334,7 @@
   mq_forward *f = context;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
-    f->received_us = mq_gateway_now_us ();
+    mq_forward_note_received (f);
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -39,12 +39,13 @@
 }
 
 void
-mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine, const char *why)
+mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine, bool silent,
+                    const char *why)
 {
   if (mq_upstream_is_usable (engine, mq_gateway_now_us ()))
     stall_eject (engine, true, why);
   mq_forward_fail_all_through (gateway, mq_str_span (engine->facts.address),
-                               "stalled");
+                               silent, "stalled");
 }
 
 /* HEAD reported the engine at ADDRESS as stalled.  That may have left the
@@ -58,9 +59,9 @@
   if (u == head)
     return;
   if (u != NULL)
-    mq_stall_mark_down (gateway, u, "stalled");
+    mq_stall_mark_down (gateway, u, true, "stalled");
   else
-    mq_forward_fail_all_through (gateway, address, "stalled");
+    mq_forward_fail_all_through (gateway, address, false, "stalled");
 }
 
 static void
@@ -92,7 +93,7 @@
     {
       stall_eject (head, false, "no-report");
       mq_forward_fail_all_through (gateway, mq_str_span (head->facts.address),
-                                   "no-report");
+                                   result == MQ_HTTP_TIMEOUT, "no-report");
     }
 }
 
--- a/packages/gateway/gateway_urgency.c
+++ b/packages/gateway/gateway_urgency.c
@@ -205,7 +205,8 @@
       const mq_forward *f = l->data;
       mq_send_waiter other;
 
-      if (f == forward || !f->waits_for_budget || f->call != NULL
+      if (f == forward || !f->waits_for_budget
+          || (f->call != NULL && f->stalled_why == NULL)
           || f->level == MQ_URGENCY_NONE
           || !mq_span_equal (mq_str_span (f->service->name),
                              mq_str_span (forward->service->name)))
--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -90,9 +90,9 @@
       const engine_probe *e = &probe->engines[i];
 
       if (e->result == MQ_TCP_PROBE_REFUSED)
-        mq_stall_mark_down (g, e->engine, "refused");
+        mq_stall_mark_down (g, e->engine, false, "refused");
       else if (e->result == MQ_TCP_PROBE_NO_REPLY && silent)
-        mq_stall_mark_down (g, e->engine, "unanswered");
+        mq_stall_mark_down (g, e->engine, true, "unanswered");
     }
   mq_path_probe_free (probe);
 }
--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -517,6 +517,38 @@
   EXPECT_EQ (x.body, events (1, 4));
 }
 
+/* Guards against ending the stream of an engine that is silent for a second,
+   and answers no request for a report meanwhile, but is sound: there is no
+   budget to send it to another one.  */
+TEST_F (Gateway, StreamStaysAtSilentEngineThatGoesOn)
+{
+  mq_http_exchange *open_stream = nullptr;
+  Answer answer;
+
+  sends_window_ms = 60000; /* The first fifth of it has no budget.  */
+  start_chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->silent = true;
+      u->serve = [u, &open_stream] (mq_http_exchange *x) {
+        u->begin (x);
+        Upstream::events (x, 1, 2);
+        open_stream = mq_http_exchange_ref (x);
+      };
+    }
+  start_request (answer, "POST", "/stream/1", key);
+  ASSERT_TRUE (until ([&] { return !answer.body.empty (); }));
+  wait (1.1);
+  Upstream::events (open_stream, 3, 4);
+  mq_http_exchange_end (open_stream);
+  mq_http_exchange_unref (open_stream);
+  EXPECT_TRUE (until ([&] { return answer.ended; }));
+  EXPECT_EQ (answer.result, MQ_HTTP_OK);
+  EXPECT_EQ (answer.body, events (1, 4));
+}
+
 /* Of two streams that break, the budget allows one to resume.  Guards against
    an abort that the other's client does not notice: it would wait until it
    times out, and could have resumed elsewhere.  */
