Announce from which services a router is isolated, not only that it is

A router that reached one service but not another was no detour to either. Gossip now lists the services by hash; a router in a directory's list is taken for a detour only if it is isolated from none.

Also tests a stream, an unsafe request, a drain and a client that leaves while requests go through another router.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -71,7 +71,6 @@
   bool follows;
   bool watches;
   bool reached;
-  bool isolated;
   bool relays; /* It is a relay, as it announced itself or others did.  */
   uint64_t routing_version;
   uint64_t upstreams_digest;
@@ -93,6 +92,7 @@
   unsigned busy;
   GArray *paths;     /* mq_path_tokens.  */
   GArray *sends;     /* mq_service_sends.  */
+  GArray *isolated;  /* uint64_t.  */
   GArray *serving;   /* mq_gossip_router; texts are in SERVING_TEXTS.  */
   GArray *elsewhere; /* mq_gossip_router; texts are in SERVING_TEXTS.  */
   GStringChunk *serving_texts;
@@ -114,7 +114,6 @@
   bool store_fails;
   bool follows;
   bool watches;
-  bool isolated;
   uint64_t routing_version;
   uint64_t upstreams_digest;
   uint64_t upstreams_newest;
@@ -148,8 +147,10 @@
   bool had_candidate;   /* At the last tick another router of the domain could
                            be alive.  */
   mq_cluster_self self;
-  GArray *paths;            /* mq_path_tokens: this router's own.  */
-  GArray *sends;            /* mq_service_sends: this router's own.  */
+  GArray *paths;    /* mq_path_tokens: this router's own.  */
+  GArray *sends;    /* mq_service_sends: this router's own.  */
+  GArray *isolated; /* uint64_t: hashes of the services that this router
+                       does not reach itself.  */
   mq_serving_demand demand; /* Of this domain.  */
   GArray *other_paths;      /* mq_path_tokens: sums over all others.  */
   GArray *other_sends;      /* mq_service_sends: sums over all others.  */
@@ -186,6 +187,10 @@
 bool mq_cluster_member_is_alive (const mq_cluster_member *router,
                                  uint64_t now_us);
 
+/* Returns true if ROUTER does not reach the upstreams of some service over its
+   own links.  */
+bool mq_cluster_member_is_isolated (const mq_cluster_member *router);
+
 /* Returns below 0 when A ranks before B, above 0 when after.  The larger
    capacity comes first, then the lower hash of the name, so that the first
    routers of a fleet are spread over domains.  */
@@ -358,10 +363,11 @@
 unsigned mq_cluster_counts_age_ms (const mq_cluster *cluster, uint64_t now_us);
 
 /* Append to ROUTERS (mq_gossip_router) those other routers that reach the
-   upstreams and open tunnels to them.  Name, peer and domain may be empty. All
-   texts are borrowed until CLUSTER changes.  */
-void mq_cluster_list_tunnels (const mq_cluster *cluster, GArray *routers,
-                              uint64_t now_us);
+   upstreams of SERVICE, a hash of its name, and open tunnels to them.  Name,
+   peer and domain may be empty. All texts are borrowed until CLUSTER changes.
+ */
+void mq_cluster_list_tunnels (const mq_cluster *cluster, uint64_t service,
+                              GArray *routers, uint64_t now_us);
 
 /* Append to SERVING the routers of this domain that clients are sent to, and
    to ELSEWHERE some of other domains (mq_gossip_router).  Texts are borrowed
--- a/include/mq/gossip.h
+++ b/include/mq/gossip.h
@@ -99,8 +99,6 @@
   bool reached;       /* Some router reaches the store: of the sender's domain
                          in a summary, of the fleet in a digest.  */
   bool relays;        /* The sender is a relay of its domain.  */
-  bool isolated;      /* It does not reach the upstreams of some service over
-                         its own links.  */
   uint64_t routing_version;
   uint64_t upstreams_digest; /* Of its mq_entry_list.  */
   uint64_t upstreams_newest; /* Version of the last change in it.  */
@@ -112,6 +110,9 @@
   GArray *sends;    /* mq_service_sends.  */
   GArray *findings; /* mq_gossip_finding.  */
   GArray *crashes;  /* mq_quarantine_record: crash records.  */
+  GArray *isolated; /* uint64_t: hashes of the names of the services whose
+                       upstreams the sender does not reach over its own
+                       links.  */
   bool listed; /* The next three lists and the name, domain, tunnel port and
                   client address of the sender are included; otherwise
                   they have not changed since the last message.  */
--- a/include/mq/internal/gateway_detour.h
+++ b/include/mq/internal/gateway_detour.h
@@ -26,9 +26,10 @@
    upstream may be at fault, false if the detour is.  */
 bool mq_gateway_note_detour_failure (mq_detour *detour,
                                      const mq_http_client_event *event);
-/* Returns true if the router of DETOUR no longer opens tunnels.  */
+/* Returns true if the router of DETOUR no longer opens tunnels to UPSTREAM. */
 bool mq_gateway_detour_is_lost (const mq_gateway *gateway,
-                                const mq_detour *detour, uint64_t now_us);
+                                const mq_detour *detour,
+                                const mq_upstream *upstream, uint64_t now_us);
 
 G_END_DECLS
 
--- a/packages/gateway/gateway_detour.c
+++ b/packages/gateway/gateway_detour.c
@@ -72,14 +72,17 @@
 
 /* ---- Detours of this router.  */
 
-/* Returns the routers that open tunnels (mq_gossip_router).  Free with
-   g_array_unref.  */
+/* Returns the routers that open tunnels to UPSTREAM (mq_gossip_router).  Free
+   with g_array_unref.  */
 static GArray *
-detour_routers (const mq_gateway *gateway, uint64_t now_us)
+detour_routers (const mq_gateway *gateway, const mq_upstream *upstream,
+                uint64_t now_us)
 {
   GArray *routers = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
 
-  mq_cluster_list_tunnels (&gateway->cluster, routers, now_us);
+  mq_cluster_list_tunnels (
+      &gateway->cluster, mq_span_hash (mq_str_span (upstream->facts.service)),
+      routers, now_us);
   return routers;
 }
 
@@ -104,7 +107,7 @@
 detour_list (const mq_gateway *gateway, const mq_upstream *upstream,
              GArray *candidates, GPtrArray *addresses, uint64_t now_us)
 {
-  GArray *routers = detour_routers (gateway, now_us);
+  GArray *routers = detour_routers (gateway, upstream, now_us);
 
   for (guint i = 0; i < routers->len; i++)
     {
@@ -155,7 +158,7 @@
 
   if (!mq_gateway_is_isolated (gateway, upstream))
     return false;
-  routers = detour_routers (gateway, now_us);
+  routers = detour_routers (gateway, upstream, now_us);
   found = routers->len > 0;
   g_array_unref (routers);
   return found;
@@ -177,9 +180,9 @@
 
 bool
 mq_gateway_detour_is_lost (const mq_gateway *gateway, const mq_detour *detour,
-                           uint64_t now_us)
+                           const mq_upstream *upstream, uint64_t now_us)
 {
-  GArray *routers = detour_routers (gateway, now_us);
+  GArray *routers = detour_routers (gateway, upstream, now_us);
   bool found = false;
 
   for (guint i = 0; i < routers->len && !found; i++)
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -401,7 +401,8 @@
              < forward_report_delay_us (forward))
     return false;
   return forward->detour != NULL
-             ? mq_gateway_detour_is_lost (g, forward->detour, now_us)
+             ? mq_gateway_detour_is_lost (g, forward->detour,
+                                          forward->upstream, now_us)
              : mq_gateway_has_detour (g, forward->upstream, now_us);
 }
 
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -358,6 +358,25 @@
     }
 }
 
+/* The services that this router does not reach.  */
+static void
+self_update_isolated (mq_gateway *gateway)
+{
+  GHashTableIter i;
+  gpointer name;
+  gpointer value;
+
+  g_array_set_size (gateway->cluster.isolated, 0);
+  g_hash_table_iter_init (&i, gateway->services);
+  while (g_hash_table_iter_next (&i, &name, &value))
+    {
+      uint64_t service = mq_span_hash (mq_span_from (name));
+
+      if (((const mq_service_state *)value)->reach.isolated)
+        g_array_append_val (gateway->cluster.isolated, service);
+    }
+}
+
 static void
 self_update (mq_gateway *gateway, uint64_t now_us)
 {
@@ -377,12 +396,12 @@
     .store_fails = mq_members_store_fails (g),
     .follows = g->upstream_feed.follow.follows,
     .watches = g->routing_feed.follow.follows,
-    .isolated = g->isolated_services > 0,
     .routing_version = g->routing ? g->routing->version : 0,
     .upstreams_digest = g->upstream_list.digest,
     .upstreams_newest = g->upstream_list.newest,
     .loaded = loaded,
   };
+  self_update_isolated (g);
   self_update_paths (g);
   self_update_sends (g, now_us);
 }
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -147,7 +147,8 @@
   to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
-  to->isolated = from->isolated;
+  to->isolated = (uint64_t *)(void *)from->isolated->data;
+  to->n_isolated = from->isolated->len;
   to->routing = from->routing_version;
   to->upstreams = from->upstreams_digest;
   to->newest = from->upstreams_newest;
@@ -480,7 +481,9 @@
   to->store_fails = from->store_fails;
   to->follows = from->follows;
   to->relays = from->relays;
-  to->isolated = from->isolated;
+  if (from->n_isolated > MQ_CLUSTER_MESSAGE_MAX_ELEMENTS)
+    return -1;
+  g_array_append_vals (to->isolated, from->isolated, (guint)from->n_isolated);
   to->routing_version = from->routing;
   to->upstreams_digest = from->upstreams;
   to->upstreams_newest = from->newest;
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -52,6 +52,7 @@
   mq_str_unref (r->domain);
   g_array_unref (r->paths);
   g_array_unref (r->sends);
+  g_array_unref (r->isolated);
   g_array_unref (r->serving);
   g_array_unref (r->elsewhere);
   g_string_chunk_free (r->serving_texts);
@@ -78,6 +79,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, member_free);
   cluster->paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   cluster->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
+  cluster->isolated = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   cluster->other_paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   cluster->other_sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
 }
@@ -89,6 +91,7 @@
   g_clear_pointer (&cluster->routers, g_hash_table_unref);
   g_clear_pointer (&cluster->paths, g_array_unref);
   g_clear_pointer (&cluster->sends, g_array_unref);
+  g_clear_pointer (&cluster->isolated, g_array_unref);
   g_clear_pointer (&cluster->other_paths, g_array_unref);
   g_clear_pointer (&cluster->other_sends, g_array_unref);
   mq_str_unref (cluster->name);
@@ -123,6 +126,7 @@
   r->peer = mq_str_new (peer);
   r->paths = g_array_new (FALSE, FALSE, sizeof (mq_path_tokens));
   r->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
+  r->isolated = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   r->serving = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
   r->elsewhere = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
   r->serving_texts = g_string_chunk_new (256);
@@ -198,6 +202,12 @@
          && now_us - router->received_us < member_timeout_us (router);
 }
 
+bool
+mq_cluster_member_is_isolated (const mq_cluster_member *router)
+{
+  return router->isolated->len > 0;
+}
+
 /* Returns true if ROUTER left a message unanswered for its timeout.  */
 static bool
 member_is_unresponsive (const mq_cluster_member *router, uint64_t now_us)
@@ -634,6 +644,7 @@
 bool
 mq_cluster_is_leader (const mq_cluster *cluster, bool store, uint64_t now_us)
 {
+  bool self_isolated = cluster->isolated->len > 0;
   GHashTableIter i;
   gpointer value;
 
@@ -646,9 +657,9 @@
       const mq_cluster_member *r = value;
 
       if (!r->relays || !r->ready || !mq_cluster_member_is_alive (r, now_us)
-          || (r->isolated && !cluster->self.isolated))
+          || (mq_cluster_member_is_isolated (r) && !self_isolated))
         continue;
-      if (!r->isolated && cluster->self.isolated)
+      if (!mq_cluster_member_is_isolated (r) && self_isolated)
         return false;
       if (r->store_reached != store ? r->store_reached
                                     : member_ranks_before_self (cluster, r))
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -277,7 +277,8 @@
   gossip->follows = s->follows;
   gossip->watches = s->watches;
   gossip->relays = cluster->relays;
-  gossip->isolated = s->isolated;
+  g_array_append_vals (gossip->isolated, cluster->isolated->data,
+                       cluster->isolated->len);
   gossip->routing_version = s->routing_version;
   gossip->upstreams_digest = s->upstreams_digest;
   gossip->upstreams_newest = s->upstreams_newest;
@@ -574,7 +575,9 @@
   router->watches = gossip->watches;
   router->reached = gossip->reached;
   router->relays = gossip->relays;
-  router->isolated = gossip->isolated;
+  g_array_set_size (router->isolated, 0);
+  g_array_append_vals (router->isolated, gossip->isolated->data,
+                       gossip->isolated->len);
   router->routing_version = gossip->routing_version;
   router->upstreams_digest = gossip->upstreams_digest;
   router->upstreams_newest = gossip->upstreams_newest;
--- a/packages/route/cluster_load.c
+++ b/packages/route/cluster_load.c
@@ -478,7 +478,7 @@
   double used = cluster->self.used;
 
   if (cluster->self.ready && !cluster->self.draining)
-    serving_add (candidates, &self, cluster->self.isolated);
+    serving_add (candidates, &self, cluster->isolated->len > 0);
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
@@ -492,7 +492,7 @@
         continue;
       used += r->used;
       if (r->ready && !r->draining)
-        serving_add (candidates, &x, r->isolated);
+        serving_add (candidates, &x, mq_cluster_member_is_isolated (r));
     }
   g_array_sort (candidates, serving_compare);
   serving_take (cluster, candidates, serving, used, now_us);
@@ -576,6 +576,16 @@
   return false;
 }
 
+/* Returns true if SERVICE is in ISOLATED (uint64_t).  */
+static bool
+isolated_from (const GArray *isolated, uint64_t service)
+{
+  for (guint i = 0; i < isolated->len; i++)
+    if (g_array_index (isolated, uint64_t, i) == service)
+      return true;
+  return false;
+}
+
 static bool
 tunnels_have (const GArray *routers, mq_span client)
 {
@@ -586,8 +596,9 @@
   return false;
 }
 
-/* Append to ROUTERS those of LIST (mq_gossip_router) that open tunnels.  What
-   a router says of itself goes before the list.  */
+/* Append to ROUTERS those of LIST (mq_gossip_router) that open tunnels, which
+   are isolated from no service.  What a router says of itself goes before the
+   list.  */
 static void
 tunnels_add_list (const mq_cluster *cluster, GArray *routers,
                   const GArray *list, uint64_t now_us)
@@ -605,8 +616,8 @@
 }
 
 void
-mq_cluster_list_tunnels (const mq_cluster *cluster, GArray *routers,
-                         uint64_t now_us)
+mq_cluster_list_tunnels (const mq_cluster *cluster, uint64_t service,
+                         GArray *routers, uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
@@ -621,7 +632,7 @@
                              .tunnel_port = r->tunnel_port };
 
       if (r->tunnel_port > 0 && mq_cluster_member_is_alive (r, now_us)
-          && !r->isolated && !r->draining && r->ready)
+          && !isolated_from (r->isolated, service) && !r->draining && r->ready)
         g_array_append_val (routers, x);
     }
   g_hash_table_iter_init (&i, cluster->routers);
--- a/packages/route/gossip.c
+++ b/packages/route/gossip.c
@@ -16,6 +16,7 @@
   gossip->sends = g_array_new (FALSE, FALSE, sizeof (mq_service_sends));
   gossip->findings = g_array_new (FALSE, FALSE, sizeof (mq_gossip_finding));
   gossip->crashes = g_array_new (FALSE, FALSE, sizeof (mq_quarantine_record));
+  gossip->isolated = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   gossip->routers = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
   gossip->serving = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
   gossip->elsewhere = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
@@ -28,6 +29,7 @@
   g_array_unref (gossip->sends);
   g_array_unref (gossip->findings);
   g_array_unref (gossip->crashes);
+  g_array_unref (gossip->isolated);
   g_array_unref (gossip->routers);
   g_array_unref (gossip->serving);
   g_array_unref (gossip->elsewhere);
--- a/schema/news.pb-c.c
+++ b/schema/news.pb-c.c
@@ -1443,13 +1443,13 @@
   {
     "isolated",
     27,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
-    0,   /* quantifier_offset */
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Mq__News__News, n_isolated),
     offsetof(Mq__News__News, isolated),
     NULL,
     NULL,
-    0,             /* flags */
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
--- a/schema/news.pb-c.h
+++ b/schema/news.pb-c.h
@@ -201,13 +201,14 @@
   size_t n_ends;
   Mq__News__End **ends;
   /*
-   * The sender does not reach all services itself.
+   * Services that the sender does not reach.
    */
-  protobuf_c_boolean isolated;
+  size_t n_isolated;
+  uint64_t *isolated;
 };
 #define MQ__NEWS__NEWS__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&mq__news__news__descriptor) \
-    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0 }
+    , MQ__NEWS__KIND__REPORT, NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
 
 
 struct  Mq__News__Routing
--- a/tests/support/cluster_sim.h
+++ b/tests/support/cluster_sim.h
@@ -222,6 +222,8 @@
   std::function<bool (const Router &, const Router &)> link
       = [] (const Router &, const Router &) { return true; };
 
+  uint64_t service = 1; /* That isolated routers do not reach.  */
+
 private:
   struct Message
   {
@@ -296,7 +298,9 @@
     r.cluster.self.store_reached = r.reaches_store && r.cluster.relays;
     r.cluster.self.used = r.used;
     r.cluster.self.loaded = r.tokens > 0;
-    r.cluster.self.isolated = r.isolated;
+    g_array_set_size (r.cluster.isolated, 0);
+    if (r.isolated)
+      g_array_append_val (r.cluster.isolated, service);
     g_array_set_size (r.cluster.paths, 0);
     g_array_set_size (r.cluster.sends, 0);
     if (r.tokens == 0)
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -46,13 +46,15 @@
     gossip.sequence = 9;
     gossip.interval_ms = 125;
     gossip.used = 33;
-    gossip.ready = gossip.follows = gossip.relays = gossip.isolated = true;
+    gossip.ready = gossip.follows = gossip.relays = true;
     gossip.store_reached = gossip.watches = gossip.reached = gossip.listed
         = true;
     gossip.routing_version = 41;
     gossip.upstreams_digest = 0x8000000000000001;
     gossip.upstreams_newest = 17;
     gossip.busy = 5;
+    uint64_t service = 0xf000000000000004;
+    g_array_append_val (gossip.isolated, service);
     g_array_append_val (gossip.paths, w);
     g_array_append_val (gossip.sends, s);
     g_array_append_val (gossip.findings, f);
@@ -110,7 +112,8 @@
   EXPECT_EQ (n->from.incarnation, 11u);
   EXPECT_EQ (n->from.capacity, 500u);
   EXPECT_EQ (n->from.tunnel_port, 8001u);
-  EXPECT_TRUE (n->isolated);
+  ASSERT_EQ (n->isolated->len, 1u);
+  EXPECT_EQ (g_array_index (n->isolated, uint64_t, 0), 0xf000000000000004);
   EXPECT_EQ (n->sequence, 9u);
   EXPECT_EQ (n->interval_ms, 125u);
   EXPECT_EQ (n->used, 33u);
--- a/tests/test_detour.cc
+++ b/tests/test_detour.cc
@@ -19,12 +19,13 @@
 
 /* The client addresses of the routers whose tunnels ROUTER knows.  */
 std::set<std::string>
-tunnels (const Simulation &sim, const cluster::Router &router)
+tunnels (const Simulation &sim, const cluster::Router &router,
+         uint64_t service = 1)
 {
   GArray *list = g_array_new (FALSE, FALSE, sizeof (mq_gossip_router));
   std::set<std::string> found;
 
-  mq_cluster_list_tunnels (&router.cluster, list, sim.now);
+  mq_cluster_list_tunnels (&router.cluster, service, list, sim.now);
   for (guint i = 0; i < list->len; i++)
     EXPECT_TRUE (
         found.insert (text (g_array_index (list, mq_gossip_router, i).client))
@@ -109,6 +110,20 @@
              std::set<std::string>{ sim.routers[5]->client });
 }
 
+/* Routers that are each cut off from another service help one another.  */
+TEST (Detour, RouterIsDetourToTheServicesThatItReaches)
+{
+  Simulation sim (6, 3);
+
+  sim.start_all ();
+  sim.run (5 * second);
+  for (auto &r : sim.routers)
+    r->isolated = true;
+  sim.run (second);
+  EXPECT_TRUE (tunnels (sim, *sim.routers[0], 1).empty ());
+  EXPECT_EQ (tunnels (sim, *sim.routers[0], 2).size (), 5u);
+}
+
 TEST (Detour, DrainingRouterIsNoDetour)
 {
   Simulation sim (6, 3);
--- a/tests/test_isolated_router.cc
+++ b/tests/test_isolated_router.cc
@@ -48,7 +48,6 @@
                                           "\"" + at (peers_port) + "\""));
     loop = shared;
     port = base;
-    directory = base + 2;
     ASSERT_TRUE (until ([&] {
       return fetch ("GET", "/ready", {}, "", base + 1).status == 200;
     }));
@@ -75,7 +74,41 @@
     return served;
   }
 
-  unsigned port = 0, directory = 0; /* Of the router that is cut off.  */
+  /* A run of a stream at an upstream that the test drives.  */
+  struct Run
+  {
+    mq_http_exchange *exchange;
+    unsigned sent; /* Its last event.  */
+  };
+
+  /* Have each run send its next event, and end after LAST.  */
+  void
+  step_runs (unsigned last)
+  {
+    for (Run &r : runs_)
+      {
+        if (r.sent >= last)
+          continue;
+        Upstream::events (r.exchange, r.sent + 1, r.sent + 1);
+        if (++r.sent == last)
+          mq_http_exchange_end (r.exchange);
+      }
+  }
+
+  void
+  end_runs ()
+  {
+    for (Run &r : runs_)
+      {
+        if (r.sent < UINT32_MAX)
+          mq_http_exchange_abort (r.exchange);
+        mq_http_exchange_unref (r.exchange);
+      }
+    runs_.clear ();
+  }
+
+  unsigned port = 0; /* Of the router that is cut off.  */
+  std::vector<Run> runs_;
 
 private:
   std::unique_ptr<cut::Loop> cut_loop_;
@@ -164,3 +197,165 @@
         }
     }
 }
+
+/* A stream under way when the links fail goes on through the other router,
+   with each event once.  */
+TEST_F (IsolatedRouter, StreamGoesOnThroughPeer)
+{
+  constexpr unsigned last = 60;
+
+  start_chains ();
+  for (auto &p : upstreams)
+    {
+      Upstream *u = p.get ();
+
+      u->serve = [this, u] (mq_http_exchange *x) {
+        std::string from
+            = gateway::text (mq_http_exchange_header (x, "Last-Event-Id"));
+        Run run = { mq_http_exchange_ref (x),
+                    from.empty () ? 0 : (unsigned)std::stoul (from) };
+
+        u->begin (x);
+        runs_.push_back (run);
+      };
+    }
+  start_second ();
+  for (cut::Mode mode : modes)
+    {
+      Answer x;
+
+      cut::set (cut::Mode::Up);
+      wait (1.5); /* Until the router has found its links up.  */
+      start_request (x, "POST", "/stream/1", key, "", port, "9000");
+      for (unsigned tick = 0; !x.ended && tick < 200; tick++)
+        {
+          if (tick == 10)
+            cut::set (mode);
+          step_runs (last);
+          wait (0.01);
+        }
+      EXPECT_TRUE (x.ended);
+      EXPECT_EQ (x.result, MQ_HTTP_OK) << (int)mode;
+      EXPECT_EQ (x.body, events (1, last)) << (int)mode;
+      end_runs ();
+    }
+}
+
+/* An unsafe request under way when the links fail runs once, and its client is
+   not told that it did not run.  */
+TEST_F (IsolatedRouter, UnsafeRequestUnderWayRunsOnce)
+{
+  start_plain_service ();
+  std::vector<mq_http_exchange *> held;
+  for (Upstream *u : { a, b })
+    u->serve = [&] (mq_http_exchange *x) {
+      held.push_back (mq_http_exchange_ref (x));
+    };
+  start_second ();
+  for (cut::Mode mode : { cut::Mode::Hang, cut::Mode::Reset })
+    {
+      Answer x;
+
+      cut::set (cut::Mode::Up);
+      wait (1.5);
+      size_t before = held.size ();
+      start_request (x, "POST", "/unsafe/1", key, "", port);
+      ASSERT_TRUE (until ([&] { return held.size () > before; }));
+      cut::set (mode);
+      EXPECT_TRUE (until ([&] { return x.ended; }));
+      EXPECT_TRUE (x.status == 502 || x.status == 504) << x.status;
+      wait (0.5);
+      EXPECT_EQ (held.size (), before + 1) << (int)mode;
+    }
+  for (mq_http_exchange *x : held)
+    mq_http_exchange_unref (x);
+}
+
+/* What an upstream receives through the other router is what it would receive
+   directly; when the client leaves, its work ends.  */
+TEST_F (IsolatedRouter, RequestThroughPeerIsUnchanged)
+{
+  bool left = false;
+
+  start_plain_service ();
+  start_second ();
+  cut::set (cut::Mode::Hang);
+  ASSERT_TRUE (until ([&] { return serve (1, "GET", "/safe/1") == 1; }));
+  for (Upstream *u : { a, b })
+    {
+      u->received_requests.clear ();
+      u->server.on_gone = [&] (mq_http_exchange *) { left = true; };
+      u->serve = [] (mq_http_exchange *) {};
+    }
+  Answer x;
+  mq_http_call *call
+      = start_request (x, "POST", "/unsafe/2?q=1", key, "body", port, "900");
+  auto received = [&] {
+    return a->received_requests.size () + b->received_requests.size ();
+  };
+  ASSERT_TRUE (until ([&] { return received () == 1; }));
+  gateway::ReceivedRequest r = a->received_requests.empty ()
+                                   ? b->received_requests[0]
+                                   : a->received_requests[0];
+  EXPECT_EQ (r.method, "POST");
+  EXPECT_EQ (r.target, "/unsafe/2?q=1");
+  EXPECT_EQ (r.body, "body");
+  EXPECT_EQ (r.headers["Marjoramquay-Tenant"], "org");
+  EXPECT_EQ (r.headers.count ("Marjoramquay-Credential"), 0u);
+  EXPECT_LE (std::stoul (r.headers["Marjoramquay-Time-Budget-Ms"]), 900u);
+  mq_http_call_cancel (call);
+  EXPECT_TRUE (until ([&] { return left; }));
+}
+
+/* A router that drains does not cut the requests that go through it.  */
+TEST_F (IsolatedRouter, DrainOfPeerCutsNoRequest)
+{
+  std::vector<mq_http_exchange *> held;
+  std::vector<Upstream *> at;
+  Answer x;
+
+  start_plain_service ();
+  start_second ();
+  cut::set (cut::Mode::Hang);
+  ASSERT_TRUE (until ([&] { return serve (1, "GET", "/safe/1") == 1; }));
+  for (Upstream *u : { a, b })
+    u->serve = [&held, &at, u] (mq_http_exchange *x) {
+      held.push_back (mq_http_exchange_ref (x));
+      at.push_back (u);
+    };
+  start_request (x, "POST", "/unsafe/1", key, "", port);
+  ASSERT_TRUE (until ([&] { return held.size () == 1; }));
+  mq_gateway_drain (router);
+  wait (1.2);
+  at[0]->answer (held[0]);
+  EXPECT_TRUE (until ([&] { return x.ended; }));
+  EXPECT_EQ (x.status, 200u);
+  mq_http_exchange_unref (held[0]);
+}
+
+TEST_F (IsolatedRouter, IsDirectAgainWhenLinksAreBack)
+{
+  start_plain_service ();
+  start_second ();
+  auto metric = [&] (unsigned at, const std::string &line) {
+    return fetch ("GET", "/metrics", {}, "", at).body.find (line)
+           != std::string::npos;
+  };
+  for (cut::Mode mode : modes)
+    {
+      cut::set (mode);
+      ASSERT_TRUE (until ([&] {
+        serve (1, "POST", "/unsafe/1");
+        return metric (port + 4, "marjoramquay_isolated_services 1");
+      }));
+      cut::set (cut::Mode::Up);
+      ASSERT_TRUE (until ([&] {
+        return metric (port + 4, "marjoramquay_isolated_services 0");
+      }));
+    }
+  std::string m = fetch ("GET", "/metrics", {}, "", metrics_port).body;
+  std::string tunnels = m.substr (m.find ("\nmarjoramquay_tunnels_total"), 40);
+  EXPECT_EQ (serve (5, "POST", "/unsafe/1"), 5u);
+  EXPECT_TRUE (
+      metric (metrics_port, tunnels.substr (0, tunnels.find ('\n', 1))));
+}
