--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -245,13 +245,14 @@
   ev_timer tick;
   ev_timer silence_timer; /* Checks streams for silence.  */
   unsigned ticks;
-  GQueue early_requests;     /* Arrived before the configuration; owned.  */
-  GQueue forwards;           /* mq_forward, owned.  */
-  GHashTable *services;      /* Name -> mq_service_state, owned.  */
-  GHashTable *paths;         /* Path key -> mq_path_load, owned; none is
-                                removed.  */
-  unsigned prefilling_ranks; /* Bits of mq_domain_rank for which prefill was
-                                found to saturate all paths in this tick.  */
+  unsigned isolated_services; /* Those with reach.isolated.  */
+  GQueue early_requests;      /* Arrived before the configuration; owned.  */
+  GQueue forwards;            /* mq_forward, owned.  */
+  GHashTable *services;       /* Name -> mq_service_state, owned.  */
+  GHashTable *paths;          /* Path key -> mq_path_load, owned; none is
+                                 removed.  */
+  unsigned prefilling_ranks;  /* Bits of mq_domain_rank for which prefill was
+                                 found to saturate all paths in this tick.  */
   bool drain_closed; /* Drain: no new connections or streams accepted.  */
   uint64_t drain_close_us;  /* When that begins.  */
   uint64_t drain_refuse_us; /* Requests are rejected from then on.  */
@@ -264,7 +265,6 @@
   uint64_t crashes_reported_us; /* Last report of all crash records.  */
   GPtrArray *crash_cases;       /* mq_crash_case, owned.  */
   GPtrArray *path_probes;       /* In progress, owned.  */
-  unsigned isolated_services;   /* Those with reach.isolated.  */
   mq_detour_table detours;
   GHashTable *stored_refusals; /* Written to the store: content hash ->
                                   stored_refusal, owned.  */
@@ -307,25 +307,25 @@
   bool view_waited;        /* It did so at some time.  */
   bool waits_for_budget;   /* The retry budget had no room for it.  */
   bool run_timed_out;      /* A run of it timed out.  */
-  const char *stalled_why; /* Its run is silent and it waits for budget to
-                              leave it: the reason for the log.  Static; NULL:
-                              it does not.  */
+  bool awaits_reach;       /* It waits for a check whether its service is
+                              reached.  */
   bool yielded;            /* It left budget to a more urgent one.  */
   int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
   uint64_t lost_us;        /* ... then.  */
+  const char *stalled_why; /* Its run is silent and it waits for budget to
+                              leave it: the reason for the log.  Static; NULL:
+                              it does not.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   mq_detour *detour;       /* That the current send goes through, borrowed;
                               NULL: none.  */
-  unsigned tunnel_status;  /* As in the end event of the last call.  */
-  unsigned unsent_tries;   /* Sends in a row that found no connection.  */
-  bool awaits_reach;       /* It waits for a check whether its service is
-                              reached.  */
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
                               first, when forwarding began.  */
   GString *error_body;     /* Body of a stream's response without success.  */
   mq_event_split split;
+  unsigned tunnel_status;  /* As in the end event of the last call.  */
+  unsigned unsent_tries;   /* Sends in a row that found no connection.  */
   unsigned first_event_ms; /* From the request's arrival to its first event. */
   double smoothed_gap_ms;  /* Moving average of the gaps between events.  */
   unsigned longest_gap_ms; /* Between two events.  */
--- a/packages/net/tunnel_server.c
+++ b/packages/net/tunnel_server.c
@@ -569,10 +569,12 @@
 void
 mq_tunnel_server_free (mq_tunnel_server *server)
 {
+  tunnel *t;
+
   if (server == NULL)
     return;
-  while (server->tunnels.head != NULL)
-    tunnel_free (server->tunnels.head->data);
+  while ((t = g_queue_peek_head (&server->tunnels)) != NULL)
+    tunnel_free (t);
   ev_io_stop (server->loop, &server->accepts);
   close (server->fd);
   g_free (server);
