Judge no crash by a connection that was refused while isolated

A probe refused just before its router was found isolated could confirm a crash once the links were back; it is now made again. A run that broke off in a tunnel opens a case like a direct one, which the platform's list can confirm, so that a request that crashes its upstreams is found at isolated routers too. A send that timed out checks the links at most once a second, as plain services under load would be connected to at each of them.

--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -161,8 +161,13 @@
 {
   const mq_upstream *u = c->upstream;
   bool alive = u->accepted_us > c->broke_us || case_has_progress (c);
+  bool isolated = mq_gateway_is_isolated (c->gateway, u);
 
-  if (!c->probed && !alive && !mq_gateway_is_isolated (c->gateway, u))
+  /* What this router's own links refused says nothing; probe again when they
+     are back.  */
+  if (isolated && c->tcp_probe == NULL)
+    c->probed = c->refused = false;
+  if (!c->probed && !alive && !isolated)
     {
       c->probed = true;
       c->tcp_probe = mq_tcp_probe_start (c->gateway->loop,
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -177,6 +177,7 @@
       break;
     case MQ_SEND_BROKEN:
       mq_detour_failed (forward->detour, now_us);
+      mq_crash_note_broken_run (forward, forward->upstream, now_us);
       break;
     case MQ_SEND_TIMED_OUT:
       if (forward->path.n <= 1)
@@ -231,7 +232,10 @@
     }
   if (mq_gateway_has_detour (g, forward->upstream, now_us))
     return;
-  mq_gateway_reach_suspect (g, forward->upstream);
+  if (end == MQ_SEND_TIMED_OUT)
+    mq_gateway_reach_note_silence (g, forward->upstream);
+  else
+    mq_gateway_reach_suspect (g, forward->upstream);
   forward_note_direct_failure (forward, end, now_us);
 }
 
--- a/tests/test_isolated_router.cc
+++ b/tests/test_isolated_router.cc
@@ -359,3 +359,34 @@
   EXPECT_TRUE (
       metric (metrics_port, tunnels.substr (0, tunnels.find ('\n', 1))));
 }
+
+/* A connection that is refused because the links failed is no sign of a crash,
+   also when they are back soon.  */
+TEST_F (IsolatedRouter, ResetConnectionsAreNoCrash)
+{
+  std::vector<mq_http_exchange *> held;
+  std::vector<std::unique_ptr<Answer> > answers;
+
+  start_plain_service ();
+  start_second ();
+  for (Upstream *u : { a, b })
+    u->serve = [&held] (mq_http_exchange *x) {
+      held.push_back (mq_http_exchange_ref (x));
+    };
+  for (int i = 0; i < 4; i++)
+    {
+      answers.push_back (std::make_unique<Answer> ());
+      start_request (*answers.back (), "POST", "/unsafe/1", key, "", port);
+    }
+  ASSERT_TRUE (until ([&] { return held.size () == 4; }));
+  cut::set (cut::Mode::Reset);
+  wait (0.6);
+  cut::set (cut::Mode::Up);
+  wait (2);
+  for (unsigned at : { port + 4, metrics_port })
+    EXPECT_NE (fetch ("GET", "/metrics", {}, "", at)
+                   .body.find ("marjoramquay_upstream_ends_total 0"),
+               std::string::npos);
+  for (mq_http_exchange *x : held)
+    mq_http_exchange_unref (x);
+}
