Probe silent paths also while isolated, where there is no detour

Where most engines of a check are down, all routers count as isolated and send directly as before; only the probe of a silent path was left out there.

--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -5,6 +5,7 @@
 
 #include <mq/internal/path_probe.h>
 
+#include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
 #include <mq/log.h>
 
@@ -178,7 +179,7 @@
   if (path->n == 0 || gateway->path_probes->len >= MAX_PROBES)
     return;
   head = path->stages[0].upstream;
-  if (mq_gateway_is_isolated (gateway, head))
+  if (mq_gateway_has_detour (gateway, head, now))
     return;
   if (now - head->probed_us < PROBE_INTERVAL_US)
     return;
