--- a/tests/test_upstream.cc
+++ b/tests/test_upstream.cc
@@ -331,3 +331,36 @@
   EXPECT_EQ (mq_upstream_slowdown (&u, 1400000), 4);
   EXPECT_EQ (mq_upstream_slowdown (&u, 1600000), 1);
 }
+
+/* Failed connections of a router that turns out to be isolated say nothing
+   against an upstream; what a peer reported holds on.  */
+TEST_F (Registry, RetractedFailuresEndEjection)
+{
+  const mq_finding_source peer = { 7, false };
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_unreachable (u, 1 * s);
+  mq_upstream_unreachable (u, 2 * s);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 2 * s));
+  EXPECT_EQ (u->unreachable_us, 2 * s);
+  mq_upstream_retract_failures (u);
+  EXPECT_TRUE (mq_upstream_is_usable (u, 2 * s));
+  EXPECT_EQ (u->reported_down_until_us, 0u);
+  mq_upstream_apply_peer_ejection (u, 4 * s, peer, 3 * s);
+  mq_upstream_unreachable (u, 3 * s);
+  mq_upstream_retract_failures (u);
+  EXPECT_FALSE (mq_upstream_is_usable (u, 4 * s));
+  EXPECT_TRUE (mq_upstream_is_usable (u, 7 * s));
+}
+
+/* What another engine reported needs no check of this router's links.  */
+TEST_F (Registry, ReportOfAnotherEngineNeedsNoConfirmation)
+{
+  mq_upstream *u = put ("a", "1:1");
+
+  mq_upstream_unreachable (u, 1 * s);
+  mq_upstream_unreachable (u, 1 * s);
+  EXPECT_EQ (u->unreachable_us, 1 * s);
+  mq_upstream_reported_down (u, 1 * s, 4 * s);
+  EXPECT_EQ (u->unreachable_us, 0u);
+}
