Bound and pause the accepting of tunnel connections

A listener without free descriptors would be reported as readable without end, and connections beyond the limit of tunnels were each read before they were refused. Found in reading; the HTTP server does the same.

--- a/packages/net/tunnel_server.c
+++ b/packages/net/tunnel_server.c
@@ -11,6 +11,7 @@
 #include <mq/tunnel_server.h>
 
 #include <mq/internal/socket_address.h>
+#include <mq/log.h>
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -27,6 +28,9 @@
 #define REQUEST_TIMEOUT_S 1.0
 #define CLOSE_TIMEOUT_S 2.0
 #define STATUS_OK 200
+/* Connections beyond the limit of tunnels that are read, to be refused.  */
+#define MAX_REFUSALS 16
+#define ACCEPT_PAUSE_S 0.1
 
 G_DEFINE_QUARK (mq - tunnel - server - error, mq_tunnel_server_error)
 
@@ -69,6 +73,7 @@
   mq_tunnel_server_options options;
   int fd;
   ev_io accepts;
+  ev_timer accept_pause;
   GQueue tunnels; /* tunnel, owned.  */
   uint64_t total;
 };
@@ -500,16 +505,41 @@
   ev_timer_start (server->loop, &t->timer);
 }
 
+/* A connection waits, but can't be accepted for lack of descriptors or memory:
+   the listener would be reported as readable without end.  */
+static void
+server_pause_accepting (mq_tunnel_server *server)
+{
+  mq_log (G_LOG_LEVEL_WARNING, "tunnel.accept-failed", "errno=%d tunnels=%u",
+          errno, server->tunnels.length);
+  ev_io_stop (server->loop, &server->accepts);
+  ev_timer_set (&server->accept_pause, ACCEPT_PAUSE_S, 0.);
+  ev_timer_start (server->loop, &server->accept_pause);
+}
+
+static void
+on_accept_pause_over (struct ev_loop *loop, ev_timer *timer, int revents)
+{
+  mq_tunnel_server *s = timer->data;
+
+  (void)revents;
+  ev_io_start (loop, &s->accepts);
+}
+
 static void
 on_accept (struct ev_loop *loop, ev_io *io, int revents)
 {
   mq_tunnel_server *s = io->data;
-  int fd;
+  int fd = accept4 (s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC);
 
   (void)loop;
   (void)revents;
-  while ((fd = accept4 (s->fd, NULL, NULL, SOCK_NONBLOCK | SOCK_CLOEXEC)) >= 0)
+  if (fd >= 0 && s->tunnels.length >= s->options.tunnels + MAX_REFUSALS)
+    close (fd);
+  else if (fd >= 0)
     tunnel_start (s, fd);
+  else if (!errno_is_transient () && errno != ECONNABORTED)
+    server_pause_accepting (s);
 }
 
 /* ---- The server.  */
@@ -560,6 +590,8 @@
   g_queue_init (&s->tunnels);
   ev_io_init (&s->accepts, on_accept, fd, EV_READ);
   s->accepts.data = s;
+  ev_timer_init (&s->accept_pause, on_accept_pause_over, 0., 0.);
+  s->accept_pause.data = s;
   ev_io_start (loop, &s->accepts);
 done:
   g_free (host);
@@ -576,6 +608,7 @@
   while ((t = g_queue_peek_head (&server->tunnels)) != NULL)
     tunnel_free (t);
   ev_io_stop (server->loop, &server->accepts);
+  ev_timer_stop (server->loop, &server->accept_pause);
   close (server->fd);
   g_free (server);
 }
