--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -269,9 +269,8 @@
    relay waits until it has received from those that rank before it, for a
    bounded time: at a start each knows the others by the member list only, and
    would take the lead by itself.  Isolated routers lead only where all are.
-   STORE: this router reaches the
-   store, and has for long enough that the others' messages say whether they
-   do.  */
+   STORE: this router reaches the store, and has for long enough that the
+   others' messages say whether they do.  */
 bool mq_cluster_is_leader (const mq_cluster *cluster, bool store,
                            uint64_t now_us);
 
@@ -364,9 +363,8 @@
 
 /* Append to ROUTERS (mq_gossip_router) those other routers that reach the
    upstreams of SERVICE, a hash of its name, and open tunnels to them; those
-   that are draining only if there are no others.  Name,
-   peer and domain may be empty. All texts are borrowed until CLUSTER changes.
- */
+   that are draining only if there are no others.  Name, peer and domain may be
+   empty.  All texts are borrowed until CLUSTER changes.  */
 void mq_cluster_list_tunnels (const mq_cluster *cluster, uint64_t service,
                               GArray *routers, uint64_t now_us);
 
