Judge whose fault a failed send is in one place

The rule for a direct send and that for one through another router stood in two switches that differed in two cases, and which replies of a tunnel server blame the upstream stood twice. One switch serves both now; no decision changes.

--- a/include/mq/internal/gateway_detour.h
+++ b/include/mq/internal/gateway_detour.h
@@ -22,6 +22,9 @@
    as its service is not reached but others reach it.  */
 bool mq_gateway_has_detour (const mq_gateway *gateway,
                             const mq_upstream *upstream, uint64_t now_us);
+/* Returns true if STATUS, a tunnel server's reply, says that the upstream
+   could not be connected to, rather than that there is no tunnel.  */
+bool mq_gateway_tunnel_blames_upstream (unsigned status);
 /* A call through DETOUR failed with EVENT, its last.  Returns true if the
    upstream may be at fault, false if the detour is.  */
 bool mq_gateway_note_detour_failure (mq_detour *detour,
--- a/packages/gateway/gateway_detour.c
+++ b/packages/gateway/gateway_detour.c
@@ -166,12 +166,17 @@
   return found;
 }
 
+bool
+mq_gateway_tunnel_blames_upstream (unsigned status)
+{
+  return status == MQ_TUNNEL_UNREACHABLE || status == MQ_TUNNEL_NO_REPLY;
+}
+
 bool
 mq_gateway_note_detour_failure (mq_detour *detour,
                                 const mq_http_client_event *event)
 {
-  if (event->tunnel_status == MQ_TUNNEL_UNREACHABLE
-      || event->tunnel_status == MQ_TUNNEL_NO_REPLY)
+  if (mq_gateway_tunnel_blames_upstream (event->tunnel_status))
     return true;
   /* A call that timed out had a tunnel, and so had one that broke later.  Of
      these, only the second shows that its router may be gone.  */
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -160,50 +160,41 @@
 
 /* ---- Ends of sends.  */
 
-/* The current send of FORWARD, which went through another router, failed.  */
+/* No upstream took the connection of the current send of FORWARD, or no router
+   opened a tunnel for it.  */
 static void
-forward_note_detour_failure (mq_forward *forward, mq_send_end end,
-                             uint64_t now_us)
+forward_note_unsent (mq_forward *forward, uint64_t now_us)
 {
-  switch (end)
-    {
-    case MQ_SEND_NOT_SENT:
-      if (forward->tunnel_status == MQ_TUNNEL_UNREACHABLE)
-        mq_upstream_unreachable (forward->upstream, now_us);
-      else if (forward->tunnel_status == MQ_TUNNEL_NO_REPLY)
-        mq_upstream_failed (forward->upstream, now_us);
-      else
-        mq_detour_failed (forward->detour, now_us);
-      break;
-    case MQ_SEND_BROKEN:
-      mq_detour_failed (forward->detour, now_us);
-      mq_crash_note_broken_run (forward, forward->upstream, now_us);
-      break;
-    case MQ_SEND_TIMED_OUT:
-      if (forward->path.n <= 1)
-        mq_upstream_failed (forward->upstream, now_us);
-      break;
-    case MQ_SEND_REPLIED:
-    case MQ_SEND_NOT_RUN:
-      break;
-    }
+  bool refused = forward->detour != NULL
+                     ? forward->tunnel_status == MQ_TUNNEL_UNREACHABLE
+                     : now_us - forward->sent_us < CONNECT_REFUSED_US;
+
+  if (forward->detour != NULL
+      && !mq_gateway_tunnel_blames_upstream (forward->tunnel_status))
+    mq_detour_failed (forward->detour, now_us);
+  else if (refused)
+    mq_upstream_unreachable (forward->upstream, now_us);
+  else
+    mq_upstream_failed (forward->upstream, now_us);
 }
 
-/* The current send of FORWARD, which was direct, failed.  */
+/* The current send of FORWARD failed as END: hold that against its upstream or
+   its detour.  */
 static void
-forward_note_direct_failure (mq_forward *forward, mq_send_end end,
-                             uint64_t now_us)
+forward_note_fault_of (mq_forward *forward, mq_send_end end, uint64_t now_us)
 {
   switch (end)
     {
     case MQ_SEND_NOT_SENT:
-      if (now_us - forward->sent_us < CONNECT_REFUSED_US)
-        mq_upstream_unreachable (forward->upstream, now_us);
-      else
-        mq_upstream_failed (forward->upstream, now_us);
+      forward_note_unsent (forward, now_us);
       break;
     case MQ_SEND_BROKEN:
       mq_crash_note_broken_run (forward, forward->upstream, now_us);
+      if (forward->detour != NULL)
+        {
+          mq_detour_failed (forward->detour, now_us);
+          break;
+        }
       /* Fall through.  */
     case MQ_SEND_TIMED_OUT:
       /* Any engine of a path may be at fault; the head's report names it
@@ -225,18 +216,16 @@
   if (forward->upstream == NULL || end == MQ_SEND_REPLIED
       || end == MQ_SEND_NOT_RUN)
     return;
-  if (forward->detour != NULL)
+  if (forward->detour == NULL)
     {
-      forward_note_detour_failure (forward, end, now_us);
-      return;
+      if (mq_gateway_has_detour (g, forward->upstream, now_us))
+        return;
+      if (end == MQ_SEND_TIMED_OUT)
+        mq_gateway_reach_note_silence (g, forward->upstream);
+      else
+        mq_gateway_reach_suspect (g, forward->upstream);
     }
-  if (mq_gateway_has_detour (g, forward->upstream, now_us))
-    return;
-  if (end == MQ_SEND_TIMED_OUT)
-    mq_gateway_reach_note_silence (g, forward->upstream);
-  else
-    mq_gateway_reach_suspect (g, forward->upstream);
-  forward_note_direct_failure (forward, end, now_us);
+  forward_note_fault_of (forward, end, now_us);
 }
 
 /* Returns the content hash of FORWARD for the log when its run may have failed
