Log from where changes of upstreams come, and overdue replies of the store

The incident DRAIN: neither logs nor metrics told the store from peers and complete lists as the source of a change, nor that the store owed a reply before the call failed, nor for how long a router knew less than its relays. No logic is changed.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -90,6 +90,8 @@
   bool rereads;     /* The scan in progress is one of mq_feed_reread.  */
   uint64_t reread_from;   /* Then: REVISION before it.  */
   unsigned failures;      /* Consecutive failed calls.  */
+  uint64_t called_us;     /* When the last call began.  */
+  bool logged_overdue;    /* That its reply is overdue was logged.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
   uint64_t confirmed_us;  /* When gossip of a relay of this domain last showed
@@ -177,6 +179,8 @@
   uint64_t *behind_routing;
   uint64_t *behind_upstreams;
   uint64_t *behind_ms;
+  uint64_t *own_behind_ms;
+  uint64_t *store_overdue;
   uint64_t *serving;
   uint64_t *counts_age_ms;
   uint64_t *peer_messages[MQ_CLUSTER_MESSAGE_KINDS]
@@ -219,7 +223,8 @@
   mq_gateway_view view;            /* Of all services, after the start.  */
   mq_lag own_routing_lag; /* A peer's configuration is newer than ours.  */
   mq_lag upstreams_lag;   /* A relay knows newer upstreams than we do.  */
-  uint64_t store_recovered_us; /* First reply after failures; 0: none.  */
+  uint64_t upstreams_behind_us; /* Since when one does; 0: none does.  */
+  uint64_t store_recovered_us;  /* First reply after failures; 0: none.  */
   mq_peers *peers;
   mq_cluster cluster;         /* The other routers.  */
   mq_digest_log digests;      /* Recent digests of UPSTREAM_LIST.  */
@@ -548,6 +553,9 @@
 void mq_feed_stop_later (mq_feed *feed);
 /* Complete mq_feed_stop_later when its delay has passed.  */
 void mq_feed_tick (mq_feed *feed, uint64_t now_us);
+/* Returns true if the store owes FEED a reply for longer than it usually takes
+   to send one.  */
+bool mq_feed_is_overdue (const mq_feed *feed, uint64_t now_us);
 /* Begin to follow, from the last revision if that is recent, else after a new
    scan.  */
 void mq_feed_resume (mq_feed *feed);
@@ -569,13 +577,14 @@
                                const char *source, mq_propagation_scope scope);
 /* Remove the upstreams that are not in SEEN, the set of all ids at revision AT
    of the store, unless their entry is newer than AT.  Adds the newer ones to
-   SEEN.  */
+   SEEN.  SOURCE is for the log.  */
 void mq_gateway_prune_upstreams (mq_gateway *gateway, GHashTable *seen,
-                                 uint64_t at);
-/* Apply ENTRY, an upstream as the store or a peer sent it.  Returns true when
-   it was newer than what was known.  */
+                                 uint64_t at, const char *source);
+/* Apply ENTRY, an upstream as SOURCE ("store", "peer" or "list") sent it.
+   Returns true when it was newer than what was known.  */
 bool mq_gateway_apply_upstream (mq_gateway *gateway,
-                                const mq_platform_entry *entry);
+                                const mq_platform_entry *entry,
+                                const char *source);
 
 /* ---- gateway_members.c  */
 /* Join the cluster.  Returns 0; or -1 with ERROR set when the peer address
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -53,6 +53,10 @@
    heartbeat later; it would miss changes between.  */
 #define LINGER_US ((uint64_t)1000 * 1000)
 
+/* A reply is overdue when it comes this much later than the store may hold the
+   call.  It exceeds the reply time of a store that is slow.  */
+#define REPLY_MARGIN_US ((uint64_t)250 * 1000)
+
 static void feed_on_reply (void *context, const mq_platform_reply *reply);
 
 static bool
@@ -108,6 +112,8 @@
       break;
     }
   mq_gateway_count_store_call (g, feed_purpose (feed));
+  feed->called_us = mq_gateway_now_us ();
+  feed->logged_overdue = false;
   feed->call
       = mq_platform_request_start (g->store, &request, feed_on_reply, feed);
 }
@@ -146,7 +152,7 @@
         g_hash_table_add (feed->seen, g_strndup (e->name.data, e->name.size));
       if (!feed_is_routing (feed))
         {
-          if (mq_gateway_apply_upstream (g, e))
+          if (mq_gateway_apply_upstream (g, e, "store"))
             g_array_append_val (changed, *e);
         }
       else if (!e->deleted
@@ -178,7 +184,7 @@
 
   if (!feed_is_routing (feed))
     {
-      mq_gateway_prune_upstreams (g, feed->seen, feed->revision);
+      mq_gateway_prune_upstreams (g, feed->seen, feed->revision, "store");
       mq_gateway_view_note_list (g, MQ_VIEW_SOURCE_STORE);
     }
   g_clear_pointer (&feed->seen, g_hash_table_unref);
@@ -338,9 +344,31 @@
   feed->gateway->reported_us = 0;
 }
 
+bool
+mq_feed_is_overdue (const mq_feed *feed, uint64_t now_us)
+{
+  uint64_t held_us
+      = feed->state == MQ_FEED_FOLLOWING ? (uint64_t)feed->wait_ms * 1000 : 0;
+
+  return feed->call != NULL
+         && now_us > feed->called_us + held_us + REPLY_MARGIN_US;
+}
+
+static void
+feed_log_overdue (mq_feed *feed, uint64_t now_us)
+{
+  if (feed->logged_overdue || !mq_feed_is_overdue (feed, now_us))
+    return;
+  feed->logged_overdue = true;
+  mq_log (G_LOG_LEVEL_WARNING, "store.overdue",
+          "kind=%s waited_ms=%" G_GUINT64_FORMAT, feed->kind,
+          (now_us - feed->called_us) / 1000);
+}
+
 void
 mq_feed_tick (mq_feed *feed, uint64_t now_us)
 {
+  feed_log_overdue (feed, now_us);
   if (feed->linger_until_us > 0 && now_us >= feed->linger_until_us)
     mq_feed_stop (feed);
 }
@@ -444,8 +472,26 @@
   mq_gateway_propagate_routing (gateway, scope);
 }
 
+/* Log the upstreams that a list received from SOURCE removes, as SEEN does not
+   name them.  */
+static void
+feed_log_pruned (const mq_gateway *gateway, GHashTable *seen, uint64_t at,
+                 const char *source)
+{
+  GHashTableIter i;
+  gpointer id;
+
+  g_hash_table_iter_init (&i, gateway->upstream_list.entries);
+  while (g_hash_table_iter_next (&i, &id, NULL))
+    if (!g_hash_table_contains (seen, id))
+      mq_log (G_LOG_LEVEL_INFO, "upstream.left",
+              "upstream=%s revision=%" G_GUINT64_FORMAT " source=%s",
+              (const char *)id, at, source);
+}
+
 void
-mq_gateway_prune_upstreams (mq_gateway *gateway, GHashTable *seen, uint64_t at)
+mq_gateway_prune_upstreams (mq_gateway *gateway, GHashTable *seen, uint64_t at,
+                            const char *source)
 {
   GHashTableIter i;
   gpointer id;
@@ -455,6 +501,7 @@
   while (g_hash_table_iter_next (&i, &id, &value))
     if (((const mq_entry *)value)->version > at)
       g_hash_table_add (seen, g_strdup (id));
+  feed_log_pruned (gateway, seen, at, source);
   mq_registry_retain (&gateway->registry, seen);
   mq_entry_list_keep (&gateway->upstream_list, seen);
   gateway->upstreams_known = true;
@@ -469,7 +516,8 @@
 }
 
 bool
-mq_gateway_apply_upstream (mq_gateway *gateway, const mq_platform_entry *entry)
+mq_gateway_apply_upstream (mq_gateway *gateway, const mq_platform_entry *entry,
+                           const char *source)
 {
   mq_upstream_facts facts;
   GError *error = NULL;
@@ -480,8 +528,8 @@
   if (entry->deleted)
     {
       mq_log (G_LOG_LEVEL_INFO, "upstream.left",
-              "upstream=%.*s revision=%" G_GUINT64_FORMAT,
-              MQ_SPAN_ARG (entry->name), entry->version);
+              "upstream=%.*s revision=%" G_GUINT64_FORMAT " source=%s",
+              MQ_SPAN_ARG (entry->name), entry->version, source);
       feed_remove_upstream (gateway, entry);
       return true;
     }
@@ -501,10 +549,10 @@
                      entry->value);
   mq_log (G_LOG_LEVEL_INFO, "upstream.state",
           "upstream=%.*s revision=%" G_GUINT64_FORMAT
-          " address=%s domain=%s layers=%u-%u draining=%d",
+          " address=%s domain=%s layers=%u-%u draining=%d source=%s",
           MQ_SPAN_ARG (entry->name), entry->version,
           mq_str_cstr (facts.address), mq_str_cstr (facts.domain),
-          facts.layer_first, facts.layer_end, facts.draining);
+          facts.layer_first, facts.layer_end, facts.draining, source);
   mq_registry_put (&gateway->registry, &facts, mq_gateway_now_us ());
   return true;
 }
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -169,6 +169,11 @@
                                           "of=\"upstreams\"", "");
   c->behind_ms = mq_metrics_gauge (m, "marjoramquay_routers_behind_ms", "",
                                    "Since when the first of these lacks it.");
+  c->own_behind_ms
+      = mq_metrics_gauge (m, "marjoramquay_upstreams_behind_ms", "",
+                          "Since when a relay has known newer upstreams.");
+  c->store_overdue = mq_metrics_gauge (m, "marjoramquay_store_overdue", "",
+                                       "Calls that the store owes a reply.");
   c->serving = mq_metrics_gauge (m, "marjoramquay_serving_routers", "",
                                  "Of this domain, to whom clients are sent.");
   c->counts_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
@@ -302,6 +307,11 @@
   *c->routing_version = gateway->routing ? gateway->routing->version : 0;
   *c->routing_age_ms = mq_feed_age_ms (&gateway->routing_feed, now);
   *c->upstreams_age_ms = mq_feed_age_ms (&gateway->upstream_feed, now);
+  *c->own_behind_ms = gateway->upstreams_behind_us > 0
+                          ? (now - gateway->upstreams_behind_us) / 1000
+                          : 0;
+  *c->store_overdue = mq_feed_is_overdue (&gateway->routing_feed, now)
+                      + mq_feed_is_overdue (&gateway->upstream_feed, now);
   *c->upstreams = g_hash_table_size (gateway->registry.by_id);
   *c->upstreams_ejected = 0;
   *c->upstreams_rejecting = 0;
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -46,6 +46,9 @@
 /* The same at a router that does not follow the store: its relays may send the
    update first.  */
 #define RECEIVER_LAG_US ((uint64_t)1500 * 1000)
+/* A list of upstreams that was older than that of a relay for this long is
+   logged.  */
+#define LOGGED_LAG_US ((uint64_t)500 * 1000)
 
 /* ---- Sending.  */
 
@@ -512,9 +515,31 @@
     mq_feed_restart (&gateway->upstream_feed);
 }
 
+/* Log when this router knows all the upstreams that relays did, if that took
+   long.  */
+static void
+upstreams_log_lag (mq_gateway *gateway, uint64_t now_us)
+{
+  uint64_t newest = mq_cluster_newest_upstreams (&gateway->cluster, now_us);
+  uint64_t since = gateway->upstreams_behind_us;
+
+  if (newest > gateway->upstream_list.newest)
+    {
+      if (since == 0)
+        gateway->upstreams_behind_us = now_us;
+      return;
+    }
+  gateway->upstreams_behind_us = 0;
+  if (since > 0 && now_us - since >= LOGGED_LAG_US)
+    mq_log (G_LOG_LEVEL_WARNING, "upstream.caught-up",
+            "behind_ms=%" G_GUINT64_FORMAT " newest=%" G_GUINT64_FORMAT,
+            (now_us - since) / 1000, gateway->upstream_list.newest);
+}
+
 void
 mq_gateway_refresh_stale_feeds (mq_gateway *gateway, uint64_t now_us)
 {
+  upstreams_log_lag (gateway, now_us);
   refresh_routing (gateway, now_us);
   refresh_upstreams (gateway, now_us);
 }
@@ -532,7 +557,7 @@
   for (size_t k = 0; k < whole->n; k++)
     g_hash_table_add (seen, g_strndup (whole->entries[k].name.data,
                                        whole->entries[k].name.size));
-  mq_gateway_prune_upstreams (gateway, seen, whole->at);
+  mq_gateway_prune_upstreams (gateway, seen, whole->at, "list");
   mq_gateway_view_note_list (gateway, MQ_VIEW_SOURCE_PEER);
   mq_log (G_LOG_LEVEL_INFO, "upstream.list-heard",
           "upstreams=%zu at=%" G_GUINT64_FORMAT, whole->n, whole->at);
@@ -551,7 +576,8 @@
     return;
   changed = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
   for (size_t i = 0; i < entries->n; i++)
-    if (mq_gateway_apply_upstream (gateway, &entries->entries[i]))
+    if (mq_gateway_apply_upstream (gateway, &entries->entries[i],
+                                   entries->whole ? "list" : "peer"))
       g_array_append_val (changed, entries->entries[i]);
   if (entries->whole)
     upstreams_prune_missing (gateway, entries);
