Add failing tests of upstreams that drain while routers lose the store

DRAIN: a request reached an upstream later than 2 s after the store had acknowledged that it leaves. The stand-in of the store can now fall silent for single routers. Each test drains an upstream under load and looks at what the upstreams received: first sends, retries, resumed streams, heads and stages.

--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -107,6 +107,7 @@
 {
   std::string method, target, body;
   std::map<std::string, std::string> headers;
+  ev_tstamp at; /* When it arrived.  */
 };
 
 inline ReceivedRequest
@@ -117,6 +118,7 @@
   const mq_http_header *h = mq_http_exchange_headers (x, &n);
   std::string query = text (mq_http_exchange_query_string (x));
 
+  s.at = ev_time ();
   s.method = text (mq_http_exchange_method (x));
   s.target
       = text (mq_http_exchange_path (x)) + (query.empty () ? "" : "?" + query);
@@ -303,7 +305,8 @@
 {
 public:
   explicit Store (struct ev_loop *loop)
-      : server (loop, [this] (mq_http_exchange *x) { handle_call (x); })
+      : server (loop,
+                [this] (mq_http_exchange *x) { handle_call (x, nullptr); })
   {
     server.on_gone = [this] (mq_http_exchange *x) { cancel_wait (x); };
     loop_ = loop;
@@ -319,12 +322,50 @@
   {
     ev_timer_stop (loop_, &timer_);
     server.close ();
+    for (auto &d : doors_)
+      d->server.close ();
   }
 
   ~Store ()
   {
     for (auto &w : waiting_)
       mq_http_exchange_unref (w.exchange);
+    for (auto *x : unanswered_)
+      mq_http_exchange_unref (x);
+  }
+
+  /* An address of its own at which one router reaches the store.  */
+  struct Door
+  {
+    Door (struct ev_loop *loop, Store *store)
+        : server (loop, [this, store] (mq_http_exchange *x) {
+            store->handle_call (x, this);
+          })
+    {
+      server.on_gone
+          = [store] (mq_http_exchange *x) { store->cancel_wait (x); };
+    }
+
+    bool silent = false; /* Calls get no reply, watches that wait neither.  */
+    Server server;
+  };
+
+  Door &
+  add_door ()
+  {
+    doors_.push_back (std::make_unique<Door> (loop_, this));
+    return *doors_.back ();
+  }
+
+  /* The number of watches of KIND that wait at DOOR.  */
+  size_t
+  watchers (const std::string &kind, const Door &door) const
+  {
+    size_t n = 0;
+
+    for (auto &w : waiting_)
+      n += w.kind == kind && w.door == &door;
+    return n;
   }
 
   void
@@ -389,6 +430,7 @@
     std::string kind;
     uint64_t from;
     ev_tstamp until;
+    const Door *door; /* Null: that of SERVER.  */
   };
 
   static void
@@ -406,7 +448,7 @@
     waiting_.clear ();
     for (auto &w : waiting)
       {
-        if (muted || ev_time () < w.until)
+        if (is_silent (w) || ev_time () < w.until)
           {
             waiting_.push_back (w);
             continue;
@@ -418,6 +460,12 @@
       }
   }
 
+  bool
+  is_silent (const Waiting &w) const
+  {
+    return muted || (w.door != nullptr && w.door->silent);
+  }
+
   static std::string
   object (const std::string &name, const std::string &spec, uint64_t revision)
   {
@@ -446,7 +494,7 @@
     waiting_.clear ();
     for (auto &w : waiting)
       {
-        if (!send_events (w))
+        if (is_silent (w) || !send_events (w))
           waiting_.push_back (w);
       }
   }
@@ -533,13 +581,15 @@
   }
 
   void
-  handle_call (mq_http_exchange *x)
+  handle_call (mq_http_exchange *x, const Door *door)
   {
     std::string path = text (mq_http_exchange_path (x));
     std::string kind = path.substr (std::string ("/objects/").size ());
     std::string watch = text (mq_http_exchange_query (x, "watch"));
 
-    if (down || kind == failing)
+    if (door != nullptr && door->silent)
+      unanswered_.push_back (mq_http_exchange_ref (x));
+    else if (down || kind == failing)
       Server::reply (x, 503);
     else if (text (mq_http_exchange_method (x)) != "GET")
       write (x, kind);
@@ -550,8 +600,9 @@
     else
       {
         std::string ms = text (mq_http_exchange_query (x, "waitMs"));
-        Waiting w = { mq_http_exchange_ref (x), kind, std::stoull (watch),
-                      ev_time () + (ms.empty () ? 0 : std::stod (ms) / 1000) };
+        Waiting w
+            = { mq_http_exchange_ref (x), kind, std::stoull (watch),
+                ev_time () + (ms.empty () ? 0 : std::stod (ms) / 1000), door };
 
         if (!send_events (w))
           waiting_.push_back (w);
@@ -564,6 +615,8 @@
   uint64_t dropped_until_ = 0;
   std::vector<Event> events_;
   std::vector<Waiting> waiting_;
+  std::vector<std::unique_ptr<Door> > doors_;
+  std::vector<mq_http_exchange *> unanswered_; /* Owned.  */
 };
 
 } // namespace gateway
--- a/tests/support/router_fleet.h
+++ b/tests/support/router_fleet.h
@@ -24,20 +24,26 @@
     mq_gateway_settings settings = {};
     mq_gateway *gateway = nullptr;
     unsigned base = 0; /* First of its ports; that of its clients.  */
+    Store::Door *door = nullptr; /* Its way to the store.  */
   };
 
-  /* Start one more router and wait until it is ready.  */
+  /* Start one more router and wait until it is ready.  In DOMAIN those of the
+     highest SPEED are the relays.  */
   Router &
-  start_router ()
+  start_router (const std::string &domain = "one", unsigned speed = 1)
   {
     auto r = std::make_unique<Router> ();
 
     r->base = free_ports ();
-    r->gateway = run_router (
-        &r->settings,
-        settings_text (r->base, "vm-" + std::to_string (++names_),
-                       "http://" + store.server.address (),
-                       seed_.empty () ? "" : "\"" + seed_ + "\""));
+    r->door = &store.add_door ();
+    std::string text
+        = settings_text (r->base, "vm-" + std::to_string (++names_),
+                         "http://" + r->door->server.address (),
+                         seed_.empty () ? "" : "\"" + seed_ + "\"");
+    text.replace (text.find ("\"one\""), 5, "\"" + domain + "\"");
+    text.insert (text.find ("\"region\""),
+                 "\"processor_speed\":" + std::to_string (speed) + ",");
+    r->gateway = run_router (&r->settings, text);
     seed_ = at (r->base + 3);
     unsigned ready = r->base + 1;
     EXPECT_TRUE (until (
--- /dev/null
+++ b/tests/test_upstream_drain.cc
@@ -0,0 +1,201 @@
+/* Upstreams that the store says are draining, while routers lose their way to
+   the store or to one another.  Judged by what the upstreams see.  */
+
+#include "support/router_fleet.h"
+
+#include <algorithm>
+
+using gateway::Upstream;
+
+namespace
+{
+
+class DrainingUpstream : public gateway::RouterFleet
+{
+protected:
+  /* Nothing reaches an upstream later than this after the store has
+     acknowledged that it drains.  */
+  static constexpr double bound_s = 2;
+  static constexpr double requests_per_s = 150;
+
+  /* Start two routers that follow the upstreams, in the domains "one" and
+     "two", and two others in each of DOMAINS.  */
+  void
+  start_fleet (const std::vector<std::string> &domains)
+  {
+    store_followers = 2;
+    configure (1);
+    start_router ("one", 8);
+    start_router ("two", 8);
+    for (auto &d : domains)
+      for (int i = 0; i < 2; i++)
+        start_router (d);
+    ASSERT_TRUE (until ([&] {
+      return store.watchers ("servers", *routers[0]->door) == 1
+             && store.watchers ("servers", *routers[1]->door) == 1
+             && store.watchers ("servers") == 2;
+    }));
+    wait (0.5);
+  }
+
+  void
+  add_instances ()
+  {
+    leaving = &add ("app-a", "app");
+    Upstream &other = add ("app-b", "app");
+    /* Some of its requests are sent again, elsewhere.  */
+    other.serve = [this, &other] (mq_http_exchange *x) {
+      if (++served_ % 3 == 0)
+        other.refuse (x);
+      else
+        other.answer (x);
+    };
+  }
+
+  /* Two chains, of which the engine that leaves is a part: the head if HEAD.
+     Some streams break off and are resumed.  */
+  void
+  add_chains (bool head)
+  {
+    for (const char *domain : { "one", "two" })
+      for (unsigned first : { 0u, 40u })
+        {
+          Upstream &u = add (std::string (domain) + std::to_string (first),
+                             "model", domain, "half");
+
+          u.first = first;
+          u.end = first + 40;
+          u.serve = [this, &u] (mq_http_exchange *x) {
+            u.begin (x);
+            Upstream::events (x, 1, 2);
+            if (++served_ % 5 == 0)
+              {
+                mq_http_exchange_abort (x);
+                return;
+              }
+            Upstream::events (x, 3, 3);
+            mq_http_exchange_end (x);
+          };
+          write_entry (u);
+          if (leaving == nullptr && (first == 0) == head)
+            leaving = &u;
+        }
+  }
+
+  /* The time of the last request that reached the leaving upstream, or another
+     one with a path that names it.  */
+  ev_tstamp
+  last_use () const
+  {
+    std::string address = leaving->server.address ();
+    ev_tstamp last = 0;
+
+    for (auto &u : upstreams)
+      for (auto &r : u->received_requests)
+        {
+          auto path = r.headers.find ("Marjoramquay-Hop-Count");
+
+          if (u.get () == leaving
+              || (path != r.headers.end ()
+                  && path->second.find (address) != std::string::npos))
+            last = std::max (last, r.at);
+        }
+    return last;
+  }
+
+  /* Under load for TARGET, let the upstream drain AFTER seconds, and expect
+     that nothing reaches it later than the bound.  */
+  void
+  expect_drained (const std::string &target, double after)
+  {
+    ev_tstamp begin = ev_time (), drained = 0;
+
+    load (target, requests_per_s, [&] {
+      if (drained == 0 && ev_time () - begin >= after)
+        {
+          drained = ev_time ();
+          write_entry (*leaving, true);
+        }
+      return drained > 0 && ev_time () > drained + bound_s + 1;
+    });
+    EXPECT_GT (last_use (), begin);
+    EXPECT_LE (last_use () - drained, bound_s);
+  }
+
+  void
+  silence_followers ()
+  {
+    routers[0]->door->silent = routers[1]->door->silent = true;
+  }
+
+  Upstream *leaving = nullptr;
+
+private:
+  unsigned served_ = 0;
+};
+
+} // namespace
+
+TEST_F (DrainingUpstream, InstanceIsLeftAloneAsFollowersLoseStore)
+{
+  add_instances ();
+  start_fleet ({ "one", "three" });
+  silence_followers ();
+  expect_drained ("/safe/1", 0);
+}
+
+TEST_F (DrainingUpstream, InstanceIsLeftAloneAfterFollowersLostStore)
+{
+  add_instances ();
+  start_fleet ({ "one", "three" });
+  silence_followers ();
+  expect_drained ("/unsafe/1", 1);
+}
+
+TEST_F (DrainingUpstream, HeadIsLeftAloneAsFollowersLoseStore)
+{
+  add_chains (true);
+  start_fleet ({ "one", "three" });
+  silence_followers ();
+  expect_drained ("/stream/1", 0.3);
+}
+
+TEST_F (DrainingUpstream, StageIsLeftAloneAsFollowersLoseStore)
+{
+  add_chains (false);
+  start_fleet ({ "one", "three" });
+  silence_followers ();
+  expect_drained ("/stream/1", 0.3);
+}
+
+/* The routers that would follow next lose it too.  */
+TEST_F (DrainingUpstream, InstanceIsLeftAloneAsHalfOfFleetLosesStore)
+{
+  add_instances ();
+  start_fleet ({ "one", "two", "three" });
+  silence_followers ();
+  routers[2]->door->silent = routers[4]->door->silent = true;
+  expect_drained ("/safe/1", 0.3);
+}
+
+/* One that says that it follows the store is not told by it.  */
+TEST_F (DrainingUpstream, FollowerWithoutStoreIsToldByOthers)
+{
+  add_instances ();
+  start_fleet ({ "one" });
+  routers[0]->door->silent = true;
+  expect_drained ("/safe/1", 0);
+}
+
+/* The router that was to propagate the change in its domain is gone.  */
+TEST_F (DrainingUpstream, DomainIsToldWithoutItsFirstRelay)
+{
+  add_instances ();
+  start_fleet ({ "one" });
+  start_router ("three", 4);
+  start_router ("three");
+  start_router ("three");
+  wait (1);
+  stop_router (*routers[4]);
+  expect_drained ("/safe/1", 0);
+}
