Send changes of upstreams also to routers that claim to follow the store

Callers of such a router were sent to upstreams that had left: a router whose watch had fallen silent went on saying that it follows, so that peers that knew of a drain did not tell it. It learned of it 2.5 to 6.9 s later, by a complete list.

Cause: whether a router needs a change was concluded from what it says of its own source, which is wrong just when that source has failed. The class: a receiver's claim stands in for an acknowledgement.

Changes now go to all routers. So that followers still propagate independently of one another, each propagates what it reads from the store also when another router sent it first, and sends it to another relay of each domain than the other followers do: as many messages as before, but for those to followers, and a relay that is gone no longer delays its domain.

--- a/include/mq/entry_list.h
+++ b/include/mq/entry_list.h
@@ -18,12 +18,13 @@
 {
   mq_str *text;
   uint64_t version; /* Of its last change in the store.  */
+  bool confirmed;   /* This router read that from the store itself.  */
 } mq_entry;
 
 typedef struct mq_entry_list
 {
   GHashTable *entries; /* Id -> mq_entry.  */
-  GHashTable *removed; /* Id -> version of its removal: guint64.  */
+  GHashTable *removed; /* Id -> mq_entry without text: its removal.  */
   uint64_t digest;     /* Equal for lists with equal ids and versions.  */
   uint64_t newest;     /* Version of the last change or removal.  */
 } mq_entry_list;
@@ -39,6 +40,11 @@
 /* Remove all entries whose ids are not in KEEP, a set of C strings.  */
 void mq_entry_list_keep (mq_entry_list *list, GHashTable *keep);
 
+/* The store named ID at VERSION, or with REMOVED its removal.  Returns true if
+   LIST has just that, and it was not confirmed before.  */
+bool mq_entry_list_confirm (mq_entry_list *list, mq_span id, uint64_t version,
+                            bool removed);
+
 /* Returns true if an update of ID at VERSION, or with REMOVED its removal,
    is newer than what LIST has.  */
 bool mq_entry_list_is_newer (const mq_entry_list *list, mq_span id,
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -137,6 +137,21 @@
   ev_timer_start (feed->gateway->loop, &feed->call_timer);
 }
 
+/* Apply ENTRY, an upstream as the store sent it.  Returns true if it is to be
+   propagated: it is new here, or a change that another router sent before.
+   That router may have reached few others, so that each follower propagates
+   all changes.  */
+static bool
+feed_apply_upstream (mq_feed *feed, const mq_platform_entry *entry)
+{
+  mq_gateway *g = feed->gateway;
+  bool is_new = mq_gateway_apply_upstream (g, entry, "store");
+  bool confirmed = mq_entry_list_confirm (&g->upstream_list, entry->name,
+                                          entry->version, entry->deleted);
+
+  return is_new || (confirmed && feed->state == MQ_FEED_FOLLOWING);
+}
+
 /* Apply N ENTRIES from the store and propagate the upstreams that changed.  */
 static void
 feed_apply (mq_feed *feed, const mq_platform_entry *entries, size_t n)
@@ -152,7 +167,7 @@
         g_hash_table_add (feed->seen, g_strndup (e->name.data, e->name.size));
       if (!feed_is_routing (feed))
         {
-          if (mq_gateway_apply_upstream (g, e, "store"))
+          if (feed_apply_upstream (feed, e))
             g_array_append_val (changed, *e);
         }
       else if (!e->deleted
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -2,9 +2,12 @@
    routers that know them to those that do not.
 
    A relay sends an update at once to the other routers of its domain and to
-   the first relay of each other domain, which propagates it in its own; the
-   scope of a message says how far it goes from its receiver.  A router that
-   follows the store in place of the relays sends its updates to them.
+   one relay of each other domain, which propagates it in its own; the scope of
+   a message says how far it goes from its receiver.  Changes of upstreams
+   go to another relay from each follower, so that they arrive while one of
+   these relays is gone, and also to routers that follow the store, whose watch
+   may hang.  A router that follows the store in place of the relays sends its
+   updates to them.
    Configurations stay within the domain, since each domain has a relay that
    follows them.  When gossip shows that a router still lacks an update, one of
    the routers that have it sends it again (mq/propagation.h).  A receiver
@@ -113,16 +116,20 @@
   mq_peers_shared_free (out);
 }
 
-/* Send MESSAGE to the first relay of each other domain, where NEEDS holds.  */
+/* Send MESSAGE to one relay of each other domain, where NEEDS holds.  */
 static void
 propagate_to_remote (mq_gateway *gateway, mq_cluster_message *message,
                      router_predicate needs)
 {
   GPtrArray *relays = g_ptr_array_new ();
+  uint64_t now = mq_gateway_now_us ();
+  unsigned position
+      = message->kind == MQ_CLUSTER_MESSAGE_ENTRIES
+            ? mq_cluster_count_followers_before (&gateway->cluster, now)
+            : 0;
 
   message->scope = MQ_SCOPE_DOMAIN;
-  mq_cluster_first_remote_relays (&gateway->cluster, relays,
-                                  mq_gateway_now_us ());
+  mq_cluster_one_relay_per_domain (&gateway->cluster, position, relays, now);
   for (guint i = 0; i < relays->len; i++)
     if (needs (gateway, g_ptr_array_index (relays, i)))
       mq_gateway_send_message (gateway, g_ptr_array_index (relays, i),
@@ -151,16 +158,16 @@
     }
 }
 
-/* ---- Layers.  */
-
 static bool
-needs_layers (const mq_gateway *gateway, const mq_cluster_member *router)
+needs_always (const mq_gateway *gateway, const mq_cluster_member *router)
 {
   (void)gateway;
   (void)router;
   return true;
 }
 
+/* ---- Layers.  */
+
 void
 mq_gateway_propagate_layers (mq_gateway *gateway, const mq_upstream *upstream)
 {
@@ -169,7 +176,7 @@
                                               upstream->facts.layer_first,
                                               upstream->facts.layer_end } } };
 
-  propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_layers);
+  propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_always);
 }
 
 void
@@ -183,7 +190,7 @@
   if (u != NULL
       && mq_registry_set_layers (&gateway->registry, u, l->first, l->end,
                                  mq_gateway_now_us ()))
-    propagate_message (gateway, &p, message->scope, needs_layers);
+    propagate_message (gateway, &p, message->scope, needs_always);
 }
 
 /* ---- Configurations.  */
@@ -216,13 +223,6 @@
 
 /* ---- Upstreams.  */
 
-static bool
-needs_changes (const mq_gateway *gateway, const mq_cluster_member *router)
-{
-  (void)gateway;
-  return !router->follows || !router->store_reached;
-}
-
 void
 mq_gateway_propagate_upstreams (mq_gateway *gateway,
                                 const mq_platform_entry *entries, size_t n)
@@ -233,7 +233,7 @@
   mq_digest_log_note (&gateway->digests, gateway->upstream_list.digest,
                       mq_gateway_now_us ());
   if (router_propagates (gateway))
-    propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_changes);
+    propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_always);
 }
 
 /* Encode the complete list of upstreams.  Free with mq_peers_shared_free.  */
@@ -587,6 +587,6 @@
     false, 0, (const mq_platform_entry *)(void *)changed->data, changed->len
   };
   if (changed->len > 0)
-    propagate_message (gateway, &p, message->scope, needs_changes);
+    propagate_message (gateway, &p, message->scope, needs_always);
   g_array_unref (changed);
 }
--- a/packages/route/entry_list.c
+++ b/packages/route/entry_list.c
@@ -37,7 +37,7 @@
   list->entries
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
   list->removed
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, entry_free);
   list->digest = 0;
   list->newest = 0;
 }
@@ -69,15 +69,30 @@
 mq_entry_list_remove (mq_entry_list *list, mq_span id, uint64_t version)
 {
   char *key = g_strndup (id.data, id.size);
-  guint64 *at = g_new (guint64, 1);
+  mq_entry *removal = g_new0 (mq_entry, 1);
 
   list_remove_digest (list, key);
   g_hash_table_remove (list->entries, key);
   if (g_hash_table_size (list->removed) >= MAX_GONE_ENTRIES)
     g_hash_table_remove_all (list->removed);
-  *at = version;
+  removal->version = version;
   list->newest = MAX (list->newest, version);
-  g_hash_table_replace (list->removed, key, at);
+  g_hash_table_replace (list->removed, key, removal);
+}
+
+bool
+mq_entry_list_confirm (mq_entry_list *list, mq_span id, uint64_t version,
+                       bool removed)
+{
+  char *key = g_strndup (id.data, id.size);
+  mq_entry *e
+      = g_hash_table_lookup (removed ? list->removed : list->entries, key);
+  bool is_new = e != NULL && e->version == version && !e->confirmed;
+
+  g_free (key);
+  if (is_new)
+    e->confirmed = true;
+  return is_new;
 }
 
 void
@@ -102,12 +117,12 @@
 {
   char *key = g_strndup (id.data, id.size);
   const mq_entry *e = g_hash_table_lookup (list->entries, key);
-  const guint64 *removal = g_hash_table_lookup (list->removed, key);
+  const mq_entry *removal = g_hash_table_lookup (list->removed, key);
 
   g_free (key);
   if (removed)
     return e != NULL && version >= e->version;
   if (removal != NULL)
-    return version > *removal;
+    return version > removal->version;
   return e == NULL || version > e->version;
 }
--- a/tests/test_entry_list.cc
+++ b/tests/test_entry_list.cc
@@ -85,3 +85,22 @@
   EXPECT_EQ (list.digest, empty);
   g_hash_table_unref (keep);
 }
+
+/* A follower propagates a change that it reads from the store also when
+   another router has sent it before.  */
+TEST_F (EntryList, ChangeOfAnotherRouterIsConfirmedOnce)
+{
+  auto confirm = [&] (uint64_t version, bool removed) {
+    return mq_entry_list_confirm (&list, MQ_SPAN ("a"), version, removed);
+  };
+
+  put ("a", 5);
+  EXPECT_FALSE (confirm (4, false));
+  EXPECT_FALSE (confirm (5, true));
+  EXPECT_TRUE (confirm (5, false));
+  EXPECT_FALSE (confirm (5, false));
+  mq_entry_list_remove (&list, MQ_SPAN ("a"), 6);
+  EXPECT_FALSE (confirm (5, false));
+  EXPECT_TRUE (confirm (6, true));
+  EXPECT_FALSE (confirm (6, true));
+}
