Take over from followers of the store as soon as a reply is overdue

Callers were sent to upstreams that had left more than 2 s before: when the store fell silent for the two routers that follow the upstreams, nobody read it for 4.8 s. A call that gets no answer fails after 2 to 2.5 s, the others counted a follower as failed only after its second failed call, and took over one by one.

Cause: the loss of the store was inferred from failed calls, whose time limits serve another purpose. The class: time-outs in series that are never summed against the bound.

Now a follower is in doubt once a reply is 0.25 s overdue or two calls fail, until the store answers; it tells all others at once. For each relay in doubt two more follow at once, without the delay that serves starting routers, so that their number doubles until one is answered. A follower that becomes the first, one that begins to follow again and one whose call failed first make a call that the store answers at once.

Sum: 0.75 s + 0.25 s + two ticks of 0.05 s + a scan, 1.1 s, and some 0.35 s for each doubling.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -217,6 +217,13 @@
    only.  */
 unsigned mq_cluster_count_watchers_before (const mq_cluster *cluster,
                                            uint64_t now_us);
+/* Returns how many live relays of all domains follow the store's upstreams and
+   have failing requests to the store.  */
+unsigned mq_cluster_count_failing_followers (const mq_cluster *cluster,
+                                             uint64_t now_us);
+/* The same for the store's configuration and relays of this domain.  */
+unsigned mq_cluster_count_failing_watchers (const mq_cluster *cluster,
+                                            uint64_t now_us);
 /* Returns true if any live router other than EXCEPT (may be NULL) reaches the
    store or has announced that another router does.  */
 bool mq_cluster_store_is_reachable (const mq_cluster *cluster,
--- a/include/mq/follow.h
+++ b/include/mq/follow.h
@@ -2,7 +2,9 @@
 
    A few relays do: the first by rank of those that reach the store.  They
    propagate each change to the other routers, so that the number of requests
-   to the store grows with changes rather than with routers.  Another router
+   to the store grows with changes rather than with routers.  For each one that
+   may have lost the store, two more follow at once: they may have lost it as
+   well, and their number thus doubles until one reaches it.  Another router
    starts to follow when no router is known to reach the store.  Each such
    router waits a delay that its name gives, so that few requests are made when
    the store is unavailable to all.  A router without a live relay in its
@@ -33,16 +35,18 @@
 /* What a router knows of the others.  */
 typedef struct mq_follow_view
 {
-  bool relays;            /* It is a relay.  */
-  bool has_live_relay;    /* A relay of its domain is alive.  */
-  bool store_reachable;   /* Another router is known to reach the store.  */
-  bool fails;             /* It follows, and the store does not answer.  */
-  bool lags;              /* Others have a newer version, and those that
-                             follow did not send it.  The watch of these may be
-                             stalled, or they are partitioned from it.  */
-  unsigned relays_before; /* Relays that rank before it and do not fail.  */
-  unsigned relays_wanted; /* How many relays should follow.  */
-  mq_span name;           /* Its own; determines its delay.  */
+  bool relays;             /* It is a relay.  */
+  bool has_live_relay;     /* A relay of its domain is alive.  */
+  bool store_reachable;    /* Another router is known to reach the store.  */
+  bool fails;              /* It follows, and the store does not answer.  */
+  bool lags;               /* Others have a newer version, and those that
+                              follow did not send it.  The watch of these may be
+                              stalled, or they are partitioned from it.  */
+  unsigned relays_before;  /* Relays that rank before it and do not fail.  */
+  unsigned relays_wanted;  /* How many relays should follow.  */
+  unsigned relays_failing; /* Relays that follow, and may have lost the
+                              store.  */
+  mq_span name;            /* Its own; determines its delay.  */
 } mq_follow_view;
 
 /* Update FOLLOW by VIEW.  Returns true if FOLLOWS has changed.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -92,6 +92,9 @@
   unsigned failures;      /* Consecutive failed calls.  */
   uint64_t called_us;     /* When the last call began.  */
   bool logged_overdue;    /* That its reply is overdue was logged.  */
+  bool in_doubt;          /* The store may be lost: no reply since one was
+                             overdue or calls failed.  */
+  bool verifies;          /* The store is not to hold the next follow call.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
   uint64_t confirmed_us;  /* When gossip of a relay of this domain last showed
@@ -247,6 +250,8 @@
   bool traffic_seen;       /* Clients have sent requests to the fleet.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
+  bool store_doubted;          /* At the last tick, of any feed.  */
+  uint64_t doubt_announced_us; /* When the others were last told so.  */
   ev_timer tick;
   ev_timer silence_timer; /* Checks streams for silence.  */
   unsigned ticks;
@@ -553,6 +558,8 @@
 void mq_feed_stop_later (mq_feed *feed);
 /* Complete mq_feed_stop_later when its delay has passed.  */
 void mq_feed_tick (mq_feed *feed, uint64_t now_us);
+/* Returns true if FEED follows the store, which may no longer answer.  */
+bool mq_feed_is_in_doubt (const mq_feed *feed);
 /* Returns true if the store owes FEED a reply for longer than it usually takes
    to send one.  */
 bool mq_feed_is_overdue (const mq_feed *feed, uint64_t now_us);
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -5,6 +5,11 @@
    has compacted its history.  What the store does not deliver in time arrives
    from peers (gateway_propagation.c).
 
+   A follower whose reply is overdue, or whose calls fail, says so to the
+   others at once, and they follow in its place (mq/follow.h).  One follower of
+   the upstreams polls, so that it notices soon; the others take its place with
+   a call that the store answers at once.
+
    Invariant: within one run of the process, neither the configuration in force
    nor the entry of an upstream is replaced by an older version, whatever its
    source.  */
@@ -18,13 +23,19 @@
    long.  Keep-alive probes (platform.c) detect a dead connection sooner, and
    newer versions in gossip reveal a watch that hangs in the store.  */
 #define FOLLOW_WAIT_MS 20000
-/* The same for configuration feeds and for the first POLLERS followers of the
-   upstreams.  When the store compacts its history, all waiting watches may
-   hang; these routers notice and notify the others within the bound on a
-   change of configuration.  All configuration feeds poll, since other pollers
-   may just have been cut off.  */
-#define FOLLOW_POLL_WAIT_MS 1500
-#define POLLERS 2
+/* The same for configuration feeds.  When the store compacts its history, all
+   waiting watches may hang; these routers notice and notify the others within
+   the bound on a change of configuration.  All poll, since other pollers may
+   just have been cut off.  */
+#define ROUTING_POLL_WAIT_MS 1500
+/* The same for the first follower of the upstreams, on which the others rely
+   to find out that the store no longer answers.  */
+#define UPSTREAM_POLL_WAIT_MS 750
+/* The same to find out at once whether the store answers.  */
+#define VERIFY_WAIT_MS 1
+/* Consecutive failures after which the store counts as lost.  One may only
+   mean that the store ended its watches.  */
+#define FAILURES_TO_DOUBT 2
 /* A feed that stopped less than this ago resumes from its last revision; the
    store keeps its history for somewhat longer.  */
 #define RESUME_WINDOW_US ((uint64_t)5000 * 1000)
@@ -80,13 +91,17 @@
                                 : MQ_STORE_UPSTREAM_FOLLOW;
 }
 
-static bool
-feed_polls (const mq_feed *feed)
+/* Returns how long the store may hold a follow call of FEED, in ms.  */
+static unsigned
+feed_wait_ms (const mq_feed *feed)
 {
-  return feed_is_routing (feed)
-         || mq_cluster_count_followers_before (&feed->gateway->cluster,
-                                               mq_gateway_now_us ())
-                < POLLERS;
+  const mq_cluster *cluster = &feed->gateway->cluster;
+
+  if (feed_is_routing (feed))
+    return ROUTING_POLL_WAIT_MS;
+  return mq_cluster_count_followers_before (cluster, mq_gateway_now_us ()) == 0
+             ? UPSTREAM_POLL_WAIT_MS
+             : FOLLOW_WAIT_MS;
 }
 
 static void
@@ -107,7 +122,7 @@
     case MQ_FEED_FOLLOWING:
       request.op = MQ_PLATFORM_FOLLOW;
       request.version = feed->revision;
-      feed->wait_ms = feed_polls (feed) ? FOLLOW_POLL_WAIT_MS : FOLLOW_WAIT_MS;
+      feed->wait_ms = feed->verifies ? VERIFY_WAIT_MS : feed_wait_ms (feed);
       request.wait_ms = feed->wait_ms;
       break;
     }
@@ -279,9 +294,12 @@
 {
   double delay = MIN_RETRY_DELAY_S;
 
+  feed->verifies = true;
   if (feed->failures++ == 0)
     mq_log (G_LOG_LEVEL_WARNING, "store.lost", "kind=%s result=%s", feed->kind,
             mq_platform_result_name (result));
+  if (feed->failures >= FAILURES_TO_DOUBT)
+    feed->in_doubt = true;
   for (unsigned i = 1; i < feed->failures && delay < MAX_RETRY_DELAY_S; i++)
     delay *= 2;
   feed_schedule_call (feed, MIN (delay, MAX_RETRY_DELAY_S));
@@ -327,6 +345,8 @@
       feed->gateway->store_recovered_us = mq_gateway_now_us ();
     }
   feed->failures = 0;
+  feed->in_doubt = false;
+  feed->verifies = false;
   feed->last_reply_us = mq_gateway_now_us ();
   if (reply->op == MQ_PLATFORM_SCAN)
     feed_receive_scan (feed, reply);
@@ -369,21 +389,43 @@
          && now_us > feed->called_us + held_us + REPLY_MARGIN_US;
 }
 
+bool
+mq_feed_is_in_doubt (const mq_feed *feed)
+{
+  return feed->follow.follows && feed->in_doubt;
+}
+
 static void
-feed_log_overdue (mq_feed *feed, uint64_t now_us)
+feed_note_overdue (mq_feed *feed, uint64_t now_us)
 {
   if (feed->logged_overdue || !mq_feed_is_overdue (feed, now_us))
     return;
   feed->logged_overdue = true;
+  feed->in_doubt = true;
   mq_log (G_LOG_LEVEL_WARNING, "store.overdue",
           "kind=%s waited_ms=%" G_GUINT64_FORMAT, feed->kind,
           (now_us - feed->called_us) / 1000);
 }
 
+/* Returns true if the call of FEED waits for longer than one would that began
+   now, as the router that polled in its place is gone or has lost the store.
+ */
+static bool
+feed_takes_over (const mq_feed *feed)
+{
+  return feed->follow.follows && feed->state == MQ_FEED_FOLLOWING
+         && feed->call != NULL && feed->wait_ms > feed_wait_ms (feed);
+}
+
 void
 mq_feed_tick (mq_feed *feed, uint64_t now_us)
 {
-  feed_log_overdue (feed, now_us);
+  feed_note_overdue (feed, now_us);
+  if (feed_takes_over (feed))
+    {
+      feed->verifies = true;
+      mq_feed_restart (feed);
+    }
   if (feed->linger_until_us > 0 && now_us >= feed->linger_until_us)
     mq_feed_stop (feed);
 }
@@ -397,10 +439,12 @@
 
   feed->resumed_us = mq_gateway_now_us ();
   feed->linger_until_us = 0;
+  feed->in_doubt = false;
   if (feed->call != NULL)
     return; /* A scan or a lingering watch continues by itself.  */
   if (!recent)
     feed->state = MQ_FEED_SCANNING;
+  feed->verifies = true;
   feed_call (feed);
 }
 
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -18,6 +18,9 @@
 #define STORE_FRESH_US ((uint64_t)2000 * 1000)
 /* Consecutive failures that count as an outage.  */
 #define STORE_LOST_FAILURES 2
+/* Between two messages to all others that it may be lost: a slow store may be
+   in doubt at each call.  */
+#define DOUBT_ANNOUNCED_INTERVAL_US ((uint64_t)1000 * 1000)
 /* Delay after a failed write or scan.  */
 #define MEMBER_RETRY_US ((uint64_t)1000 * 1000)
 /* Between two scans of a relay, which find routers that it no longer receives
@@ -52,12 +55,6 @@
                 < STORE_FRESH_US + (uint64_t)feed->wait_ms * 1000;
 }
 
-static bool
-feed_fails (const mq_feed *feed)
-{
-  return feed->follow.follows && feed->failures >= STORE_LOST_FAILURES;
-}
-
 bool
 mq_members_store_is_reached (const mq_gateway *gateway, uint64_t now_us)
 {
@@ -68,8 +65,8 @@
 bool
 mq_members_store_fails (const mq_gateway *gateway)
 {
-  return feed_fails (&gateway->routing_feed)
-         || feed_fails (&gateway->upstream_feed);
+  return mq_feed_is_in_doubt (&gateway->routing_feed)
+         || mq_feed_is_in_doubt (&gateway->upstream_feed);
 }
 
 /* ---- Member objects in the store.  */
@@ -245,15 +242,33 @@
     return;
   view.fails = gateway->routing_feed.failures > 0;
   view.relays_before = mq_cluster_count_watchers_before (r, now_us);
+  view.relays_failing = mq_cluster_count_failing_watchers (r, now_us);
   view.relays_wanted = DOMAIN_WATCHERS;
   feed_update_role (&gateway->routing_feed, &view, now_us);
   view.fails = gateway->upstream_feed.failures > 0;
   view.lags = gateway->upstreams_lag.sent_us > 0;
   view.relays_before = mq_cluster_count_followers_before (r, now_us);
+  view.relays_failing = mq_cluster_count_failing_followers (r, now_us);
   view.relays_wanted = gateway->settings->store_followers;
   feed_update_role (&gateway->upstream_feed, &view, now_us);
 }
 
+/* Tell the others at once when this router may have lost the store, so that
+   they follow it in its place.  */
+static void
+members_announce_doubt (mq_gateway *gateway, uint64_t now_us)
+{
+  bool doubted = mq_members_store_fails (gateway);
+  bool is_news = doubted && !gateway->store_doubted;
+
+  gateway->store_doubted = doubted;
+  if (!is_news
+      || now_us < gateway->doubt_announced_us + DOUBT_ANNOUNCED_INTERVAL_US)
+    return;
+  gateway->doubt_announced_us = now_us;
+  mq_gateway_gossip_broadcast (gateway);
+}
+
 /* Log once when ROUTER is no longer alive.  */
 static void
 member_note_silence (mq_cluster_member *router, uint64_t now_us)
@@ -319,6 +334,7 @@
       gateway->members_scan_us = 0;
     }
   members_update_roles (gateway, now_us);
+  members_announce_doubt (gateway, now_us);
   members_tick_store (gateway, now_us);
   mq_gateway_propagation_tick (gateway, now_us);
   mq_gateway_refresh_stale_feeds (gateway, now_us);
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -343,7 +343,7 @@
                        const mq_cluster_member *router)
 {
   if (router->local)
-    return router->watches && router->store_reached;
+    return router->watches && router->store_reached && !router->store_fails;
   return mq_cluster_domain_reaches_store (
       &gateway->cluster, mq_str_span (router->domain), mq_gateway_now_us ());
 }
@@ -413,9 +413,10 @@
   bool alive = mq_cluster_member_is_alive (to, now_us);
   bool lacks_routing = alive && gateway->routing != NULL
                        && to->routing_version < gateway->routing->version;
-  bool lacks_upstreams = alive && gateway->upstreams_known
-                         && (!to->follows || !to->store_reached)
-                         && lacks_list (gateway, to, first, now_us);
+  bool lacks_upstreams
+      = alive && gateway->upstreams_known
+        && (!to->follows || !to->store_reached || to->store_fails)
+        && lacks_list (gateway, to, first, now_us);
 
   if (resend_is_due (gateway, to, PROPAGATED_ROUTING, &to->routing_lag,
                      lacks_routing, LAG_US + own_delay, now_us))
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -359,6 +359,49 @@
   return n;
 }
 
+/* Returns true if ROUTER is a live relay that is not able to follow the store.
+ */
+static bool
+member_is_failing_relay (const mq_cluster_member *router, uint64_t now_us)
+{
+  return router->relays && !router->draining && router->store_fails
+         && mq_cluster_member_is_alive (router, now_us);
+}
+
+unsigned
+mq_cluster_count_failing_followers (const mq_cluster *cluster, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+
+      n += r->follows && member_is_failing_relay (r, now_us);
+    }
+  return n;
+}
+
+unsigned
+mq_cluster_count_failing_watchers (const mq_cluster *cluster, uint64_t now_us)
+{
+  GHashTableIter i;
+  gpointer value;
+  unsigned n = 0;
+
+  g_hash_table_iter_init (&i, cluster->routers);
+  while (g_hash_table_iter_next (&i, NULL, &value))
+    {
+      const mq_cluster_member *r = value;
+
+      n += r->local && r->watches && member_is_failing_relay (r, now_us);
+    }
+  return n;
+}
+
 bool
 mq_cluster_store_is_reachable (const mq_cluster *cluster,
                                const mq_cluster_member *except,
--- a/packages/route/follow.c
+++ b/packages/route/follow.c
@@ -26,7 +26,8 @@
                     uint64_t now_us)
 {
   if (view->relays)
-    return view->relays_before < view->relays_wanted || view->lags;
+    return view->relays_before < view->relays_wanted + view->relays_failing
+           || view->lags;
   if (!view->has_live_relay)
     return true;
   if (follow->follows && view->fails)
@@ -41,7 +42,9 @@
   if (follow->follows)
     return view->fails && !view->relays ? 0 : STOP_DELAY_US;
   if (view->relays)
-    return view->relays_before > 0 ? RELAY_START_DELAY_US : 0;
+    return view->relays_before > 0 && view->relays_failing == 0
+               ? RELAY_START_DELAY_US
+               : 0;
   if (!view->has_live_relay)
     return NO_RELAY_DELAY_US;
   return MIN_START_DELAY_US + mq_span_hash (view->name) % START_SPREAD_US;
--- a/tests/test_follow.cc
+++ b/tests/test_follow.cc
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <vector>
+
 #include <string>
 
 namespace
@@ -132,3 +135,35 @@
   EXPECT_GT (at, 2 * s);
   EXPECT_LE (at, 4 * s);
 }
+
+/* The relays that follow next may have lost the store as well, and each of
+   them takes a while to notice: their number has to grow faster than one by
+   one.  */
+TEST (Follow, TwoRelaysFollowAtOnceForEachThatFails)
+{
+  std::vector<mq_follow> relays (100);
+  std::vector<bool> failed (relays.size ());
+  unsigned waves = 0;
+
+  for (unsigned i = 0; i < 2; i++)
+    relays[i].follows = failed[i] = true;
+  /* All but the last lose the store.  */
+  for (uint64_t now = s; !relays.back ().follows; now += 300 * 1000, waves++)
+    {
+      unsigned before = 0;
+      auto failing
+          = (unsigned)std::count (failed.begin (), failed.end (), true);
+
+      ASSERT_LT (waves, 8u);
+      for (unsigned i = 0; i < relays.size (); i++)
+        {
+          mq_follow_view v = relay (before, 2);
+
+          v.relays_failing = failing - failed[i];
+          mq_follow_tick (&relays[i], &v, now);
+          before += !failed[i];
+        }
+      for (unsigned i = 0; i + 1 < relays.size (); i++)
+        failed[i] = relays[i].follows;
+    }
+}
--- a/tests/test_upstream_drain.cc
+++ b/tests/test_upstream_drain.cc
@@ -17,6 +17,7 @@
      acknowledged that it drains.  */
   static constexpr double bound_s = 2;
   static constexpr double requests_per_s = 150;
+  static constexpr double load_before_s = 0.5;
 
   /* Start two routers that follow the upstreams, in the domains "one" and
      "two", and two others in each of DOMAINS.  */
@@ -103,15 +104,21 @@
     return last;
   }
 
-  /* Under load for TARGET, let the upstream drain AFTER seconds, and expect
-     that nothing reaches it later than the bound.  */
+  /* Under load for TARGET, let STRIKE happen and the upstream drain AFTER
+     seconds later, and expect that nothing reaches it later than the bound. */
   void
-  expect_drained (const std::string &target, double after)
+  expect_drained (const std::string &target,
+                  const std::function<void ()> &strike, double after)
   {
-    ev_tstamp begin = ev_time (), drained = 0;
+    ev_tstamp begin = ev_time (), struck = 0, drained = 0;
 
     load (target, requests_per_s, [&] {
-      if (drained == 0 && ev_time () - begin >= after)
+      if (struck == 0 && ev_time () - begin >= load_before_s)
+        {
+          struck = ev_time ();
+          strike ();
+        }
+      if (struck > 0 && drained == 0 && ev_time () - struck >= after)
         {
           drained = ev_time ();
           write_entry (*leaving, true);
@@ -140,32 +147,32 @@
 {
   add_instances ();
   start_fleet ({ "one", "three" });
-  silence_followers ();
-  expect_drained ("/safe/1", 0);
+  expect_drained (
+      "/safe/1", [&] { silence_followers (); }, 0);
 }
 
 TEST_F (DrainingUpstream, InstanceIsLeftAloneAfterFollowersLostStore)
 {
   add_instances ();
   start_fleet ({ "one", "three" });
-  silence_followers ();
-  expect_drained ("/unsafe/1", 1);
+  expect_drained (
+      "/unsafe/1", [&] { silence_followers (); }, 1);
 }
 
 TEST_F (DrainingUpstream, HeadIsLeftAloneAsFollowersLoseStore)
 {
   add_chains (true);
   start_fleet ({ "one", "three" });
-  silence_followers ();
-  expect_drained ("/stream/1", 0.3);
+  expect_drained (
+      "/stream/1", [&] { silence_followers (); }, 0.3);
 }
 
 TEST_F (DrainingUpstream, StageIsLeftAloneAsFollowersLoseStore)
 {
   add_chains (false);
   start_fleet ({ "one", "three" });
-  silence_followers ();
-  expect_drained ("/stream/1", 0.3);
+  expect_drained (
+      "/stream/1", [&] { silence_followers (); }, 0.3);
 }
 
 /* The routers that would follow next lose it too.  */
@@ -173,9 +180,11 @@
 {
   add_instances ();
   start_fleet ({ "one", "two", "three" });
-  silence_followers ();
-  routers[2]->door->silent = routers[4]->door->silent = true;
-  expect_drained ("/safe/1", 0.3);
+  auto strike = [&] {
+    silence_followers ();
+    routers[2]->door->silent = routers[4]->door->silent = true;
+  };
+  expect_drained ("/safe/1", strike, 0.3);
 }
 
 /* One that says that it follows the store is not told by it.  */
@@ -183,8 +192,8 @@
 {
   add_instances ();
   start_fleet ({ "one" });
-  routers[0]->door->silent = true;
-  expect_drained ("/safe/1", 0);
+  expect_drained (
+      "/safe/1", [&] { routers[0]->door->silent = true; }, 0);
 }
 
 /* The router that was to propagate the change in its domain is gone.  */
@@ -196,6 +205,6 @@
   start_router ("three");
   start_router ("three");
   wait (1);
-  stop_router (*routers[4]);
-  expect_drained ("/safe/1", 0);
+  expect_drained (
+      "/safe/1", [&] { stop_router (*routers[4]); }, 0);
 }
