Add failing tests of upstreams that are missing when the store is read again

DRAIN, a second cause: an upstream that leaves without having said so is known to have left only to the router that scanned the store.

--- a/tests/test_upstream_drain.cc
+++ b/tests/test_upstream_drain.cc
@@ -104,7 +104,7 @@
     return last;
   }
 
-  /* Under load for TARGET, let STRIKE happen and the upstream drain AFTER
+  /* Under load for TARGET, let STRIKE happen and the upstream leave AFTER
      seconds later, and expect that nothing reaches it later than the bound. */
   void
   expect_drained (const std::string &target,
@@ -121,7 +121,7 @@
       if (struck > 0 && drained == 0 && ev_time () - struck >= after)
         {
           drained = ev_time ();
-          write_entry (*leaving, true);
+          leave ();
         }
       return drained > 0 && ev_time () > drained + bound_s + 1;
     });
@@ -136,6 +136,8 @@
   }
 
   Upstream *leaving = nullptr;
+  /* Has the store say that it leaves.  */
+  std::function<void ()> leave = [this] { write_entry (*leaving, true); };
 
 private:
   unsigned served_ = 0;
@@ -208,3 +210,28 @@
   expect_drained (
       "/safe/1", [&] { stop_router (*routers[4]); }, 0);
 }
+
+/* It leaves without having said so before, and is missing when the store is
+   read again.  */
+TEST_F (DrainingUpstream, RemovalIsToldToOthersAsFollowersLoseStore)
+{
+  add_instances ();
+  start_fleet ({ "one", "three" });
+  leave = [this] { store.remove ("servers", leaving->id); };
+  expect_drained (
+      "/safe/1", [&] { silence_followers (); }, 0.3);
+}
+
+TEST_F (DrainingUpstream, RemovalIsToldToOthersAfterHistoryWasLost)
+{
+  add_instances ();
+  start_fleet ({ "one", "three" });
+  leave = [this] {
+    store.muted = true;
+    store.remove ("servers", leaving->id);
+    store.drop_events ();
+    store.muted = false;
+  };
+  expect_drained (
+      "/safe/1", [] {}, 0);
+}
