Propagate the removal of upstreams that a scan of the store no longer names

Callers were sent to upstreams that had left without saying so: a follower that scans the store, as its history was lost or since it takes over, removed what the scan did not name from its own list alone. The others learned of it by a complete list, 2 to 3.4 s later.

Cause: of the two ways in which a follower learns of a removal, an event and a scan, only the event was propagated.

The scan's removals are now propagated like events. They carry the version of the entry that is gone, so that a newer entry elsewhere stays and no list appears to be older than another.

--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -206,6 +206,38 @@
     feed_schedule_call (feed, seconds);
 }
 
+/* Remove the upstreams that the scan of FEED did not name, and propagate that.
+   The version of a removal is not known; that of the entry suffices to remove
+   it elsewhere, and makes no other list appear older than this one.  */
+static void
+feed_remove_missing (mq_feed *feed)
+{
+  mq_gateway *g = feed->gateway;
+  GStringChunk *names = g_string_chunk_new (256);
+  GArray *removed = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
+  GHashTableIter i;
+  gpointer id;
+  gpointer value;
+
+  g_hash_table_iter_init (&i, g->upstream_list.entries);
+  while (g_hash_table_iter_next (&i, &id, &value))
+    {
+      const mq_entry *known = value;
+      mq_platform_entry e = { .version = known->version, .deleted = true };
+
+      if (known->version > feed->revision
+          || g_hash_table_contains (feed->seen, id))
+        continue;
+      e.name = mq_span_from (g_string_chunk_insert (names, id));
+      g_array_append_val (removed, e);
+    }
+  if (removed->len > 0)
+    feed_apply (feed, (const mq_platform_entry *)(void *)removed->data,
+                removed->len);
+  g_array_unref (removed);
+  g_string_chunk_free (names);
+}
+
 /* Complete a scan: remove what it did not name.  */
 static void
 feed_finish_scan (mq_feed *feed)
@@ -214,6 +246,7 @@
 
   if (!feed_is_routing (feed))
     {
+      feed_remove_missing (feed);
       mq_gateway_prune_upstreams (g, feed->seen, feed->revision, "store");
       mq_gateway_view_note_list (g, MQ_VIEW_SOURCE_STORE);
     }
