--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -30,7 +30,7 @@
 #define ROUTING_POLL_WAIT_MS 1500
 /* The same for the first follower of the upstreams, on which the others rely
    to find out that the store no longer answers.  */
-#define UPSTREAM_POLL_WAIT_MS 750
+#define UPSTREAM_POLL_WAIT_MS 800
 /* The same to find out at once whether the store answers.  */
 #define VERIFY_WAIT_MS 1
 /* Consecutive failures after which the store counts as lost.  One may only
