Give a call one time limit where those of call and connection nearly meet

Cause: libcurl 7.88 removes all timers that expire within the millisecond of the one that fires. Where the time limit of the connection is 1 ms below that of the call, the latter is lost, and the call never ends. The call that the store answers at once, which this incident brought, has 1,001 ms against 1,000; no call before it had such limits. The class: two limits of one thing that race.

Evidence: a debug line showed feeds with a call of 3 to 9 s and longer. The new test, whose limits differ by -1 to 2 ms, failed for just the difference of 1 ms, at each of ten calls, three runs of three, and passes.

--- a/packages/net/http_request.c
+++ b/packages/net/http_request.c
@@ -13,6 +13,10 @@
 #include <sys/socket.h>
 
 #define DEFAULT_CONNECT_TIMEOUT_MS 1000
+/* libcurl drops the time limit of a call that expires less than a millisecond
+   after that of its connection.  Where they are this close, both get the same
+   value.  */
+#define MIN_LIMIT_DIFFERENCE_MS 10
 /* Keepalive probes within the time that a connection may stay without an
    acknowledgement.  The system counts in whole seconds.  */
 #define MAX_KEEPALIVE_PROBES 2
@@ -182,13 +186,24 @@
          && request_url_has_ip (options->url);
 }
 
+/* Returns the time limit of the connection, in ms.  */
+static uint64_t
+request_connect_ms (const mq_http_call_options *options)
+{
+  uint64_t ms = options->connect_ms == 0 ? DEFAULT_CONNECT_TIMEOUT_MS
+                                         : options->connect_ms;
+
+  return options->timeout_ms > 0
+                 && options->timeout_ms < ms + MIN_LIMIT_DIFFERENCE_MS
+             ? options->timeout_ms
+             : ms;
+}
+
 struct curl_slist *
 mq_http_request_apply (CURL *easy, const mq_http_call_options *options)
 {
   struct curl_slist *headers = request_headers (options);
   char *url = g_strndup (options->url.data, options->url.size);
-  uint64_t connect_ms = options->connect_ms == 0 ? DEFAULT_CONNECT_TIMEOUT_MS
-                                                 : options->connect_ms;
 
   curl_easy_setopt (easy, CURLOPT_URL, url);
   g_free (url);
@@ -204,7 +219,8 @@
   request_set_tunnel (easy, options->tunnel);
   curl_easy_setopt (easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt (easy, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS, (long)connect_ms);
+  curl_easy_setopt (easy, CURLOPT_CONNECTTIMEOUT_MS,
+                    (long)request_connect_ms (options));
   curl_easy_setopt (easy, CURLOPT_TIMEOUT_MS, (long)options->timeout_ms);
   curl_easy_setopt (easy, CURLOPT_HTTPHEADER, headers);
   request_set_method (easy, options);
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -359,15 +359,13 @@
   mq_http_exchange_unref (x);
 }
 
-TEST_F (Http, ConnectTimesOut)
+/* Returns connections that fill the backlog of FULL: the kernel drops others
+   meanwhile.  */
+std::vector<Socket>
+fill_backlog (const Socket &full)
 {
-  Answer a;
-  mq_http_call_options options = {};
-  Socket full = Socket::listening (0);
   std::vector<Socket> waiting;
-  std::string u = "http://127.0.0.1:" + std::to_string (full.port ()) + "/";
 
-  /* The kernel drops new connections while the backlog is full.  */
   for (int i = 0; i < 4; i++)
     {
       Socket s (
@@ -380,6 +378,17 @@
       connect (s.fd, reinterpret_cast<sockaddr *> (&to), sizeof to);
       waiting.push_back (std::move (s));
     }
+  return waiting;
+}
+
+TEST_F (Http, ConnectTimesOut)
+{
+  Answer a;
+  mq_http_call_options options = {};
+  Socket full = Socket::listening (0);
+  std::vector<Socket> waiting = fill_backlog (full);
+  std::string u = "http://127.0.0.1:" + std::to_string (full.port ()) + "/";
+
   options.url = span (u);
   options.method = MQ_SPAN ("POST");
   options.connect_ms = 100;
@@ -411,6 +420,26 @@
   ASSERT_TRUE (until ([&] { return disconnects == 1; }));
 }
 
+/* libcurl drops the time limit of a call that expires less than a millisecond
+   after that of its connection.  */
+TEST_F (Http, TimesOutWhenTimeLimitsAreNearlyEqual)
+{
+  std::vector<Answer> answers (40);
+  mq_http_call_options options = {};
+
+  on_request = [] (mq_http_exchange *) {};
+  options.connect_ms = 300;
+  for (size_t i = 0; i < answers.size (); i++)
+    {
+      options.timeout_ms = options.connect_ms - 1 + i % 4;
+      call (&answers[i], "/", options);
+    }
+  ev_tstamp begin = ev_time ();
+  until ([&] { return ev_time () - begin > 1; });
+  for (size_t i = 0; i < answers.size (); i++)
+    EXPECT_EQ (answers[i].ends, 1) << i % 4;
+}
+
 /* A server that replies to its first request and keeps the connection, but
    closes each connection on which a later request arrives.  */
 class ClosingServer
