--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -22,6 +22,7 @@
   unsigned status = 0;
   std::string body;
   std::string signature, retry_after;
+  ev_tstamp sent = 0; /* When the request was sent.  */
 };
 
 const Headers key = { { "Marjoramquay-Credential", "key-1" } };
@@ -225,6 +226,7 @@
     all.insert (all.end (), more.begin (), more.end ());
     for (auto &p : all)
       h.push_back ({ span (p.first), span (p.second) });
+    answer.sent = ev_time ();
     o.method = span (method);
     o.url = span (url);
     o.target = span (target);
