Tell routers that lost the store of configurations, also in a series

Clients got 404 and 401 for routes and keys that had been there for more than 2 s: a router that watches the configuration and gets no answer was told of it by nobody for as long as configurations followed one another, 0.1 to 0.3 s apart.

What is sent again waited until the sender's own configuration was 0.3 s old, which a series never lets happen; it now compares what the receiver's last message says with what the sender had had for 0.3 s by then. And changes go to routers that do not watch, by their own claim: as for upstreams, the claim now counts only while the store answers. A domain counts as reaching the store only by routers whose calls to it do not fail.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -221,7 +221,7 @@
   bool upstreams_known;        /* A complete list has been received.  */
   mq_feed routing_feed;
   mq_feed upstream_feed;
-  uint64_t routing_since_us;       /* When ROUTING came into force here.  */
+  mq_version_log versions;         /* Of ROUTING, lately.  */
   uint64_t newest_routing_version; /* That any gossip named.  */
   mq_gateway_view view;            /* Of all services, after the start.  */
   mq_lag own_routing_lag; /* A peer's configuration is newer than ours.  */
--- a/include/mq/propagation.h
+++ b/include/mq/propagation.h
@@ -45,6 +45,26 @@
 bool mq_propagation_is_due (mq_lag *lag, bool lags, unsigned rank,
                             mq_propagation_delays delays, uint64_t now_us);
 
+/* Number of recent versions that are kept of a configuration.  */
+#define MQ_VERSION_LOG_SIZE 64
+
+/* Which versions this router had lately.  They distinguish a receiver whose
+   gossip is older than its update from one that lacks the update, also when
+   each version is soon followed by another.  */
+typedef struct mq_version_log
+{
+  uint64_t version[MQ_VERSION_LOG_SIZE];
+  uint64_t since_us[MQ_VERSION_LOG_SIZE];
+  unsigned n; /* Noted in total; the newest is at N - 1, modulo the size.  */
+} mq_version_log;
+
+/* Note that this router has VERSION from NOW_US on.  */
+void mq_version_log_note (mq_version_log *log, uint64_t version,
+                          uint64_t now_us);
+/* Returns the newest version that this router already had at US, or 0 if it
+   had none or that is no longer known.  */
+uint64_t mq_version_log_get (const mq_version_log *log, uint64_t us);
+
 /* Number of recent digests that are kept of a list.  They distinguish a
    receiver that reported a recent state from one that lacks an entry.  */
 #define MQ_DIGEST_LOG_SIZE 64
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -551,7 +551,7 @@
   mq_routing_unref (gateway->routing);
   gateway->routing = r;
   gateway->own_routing_lag = (mq_lag){ 0, 0 };
-  gateway->routing_since_us = mq_gateway_now_us ();
+  mq_version_log_note (&gateway->versions, r->version, mq_gateway_now_us ());
   mq_str_unref (gateway->routing_text);
   gateway->routing_text = mq_str_new (text);
   mq_log (G_LOG_LEVEL_INFO, "configuration.in-force",
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -198,7 +198,7 @@
 static bool
 needs_routing (const mq_gateway *gateway, const mq_cluster_member *router)
 {
-  return !router->watches
+  return (!router->watches || router->store_fails)
          && router->routing_version < gateway->routing->version;
 }
 
@@ -353,11 +353,8 @@
                propagated_update what, mq_lag *lag, bool lags,
                uint64_t first_us, uint64_t now_us)
 {
-  uint64_t since
-      = what == PROPAGATED_ROUTING
-            ? MAX (gateway->store_recovered_us, gateway->routing_since_us)
-            : gateway->store_recovered_us;
-  mq_propagation_delays delays = { first_us, RESEND_US, since + LAG_US };
+  mq_propagation_delays delays
+      = { first_us, RESEND_US, gateway->store_recovered_us + LAG_US };
 
   return mq_propagation_is_due (
       lag, lags, lags ? resend_rank (gateway, to, what, now_us) : 0, delays,
@@ -392,6 +389,16 @@
       first ? MAX (since, router_receives_since (to)) : since);
 }
 
+/* Returns true if the last message of TO shows that it did not have the
+   configuration that this router had had for LAG_US by then.  */
+static bool
+lacks_version (const mq_gateway *gateway, const mq_cluster_member *to)
+{
+  uint64_t us = to->received_us - MIN (to->received_us, LAG_US);
+
+  return to->routing_version < mq_version_log_get (&gateway->versions, us);
+}
+
 /* Returns true if a first list may be sent to TO now.  */
 static bool
 first_list_may_go (const mq_gateway *gateway, const mq_cluster_member *to,
@@ -411,15 +418,14 @@
   uint64_t own_delay = router_has_own_source (gateway, to) ? RESEND_US : 0;
   uint64_t list_delay = (to->ready ? LIST_LAG_US : LAG_US) + own_delay;
   bool alive = mq_cluster_member_is_alive (to, now_us);
-  bool lacks_routing = alive && gateway->routing != NULL
-                       && to->routing_version < gateway->routing->version;
+  bool lacks_routing = alive && lacks_version (gateway, to);
   bool lacks_upstreams
       = alive && gateway->upstreams_known
         && (!to->follows || !to->store_reached || to->store_fails)
         && lacks_list (gateway, to, first, now_us);
 
   if (resend_is_due (gateway, to, PROPAGATED_ROUTING, &to->routing_lag,
-                     lacks_routing, LAG_US + own_delay, now_us))
+                     lacks_routing, own_delay, now_us))
     {
       mq_cluster_message p = routing_message (gateway);
 
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -482,7 +482,7 @@
     {
       const mq_cluster_member *r = value;
 
-      if (r->relays && (r->store_reached || r->reached)
+      if (r->relays && ((r->store_reached && !r->store_fails) || r->reached)
           && mq_cluster_member_is_alive (r, now_us)
           && mq_span_equal (mq_str_span (r->domain), domain))
         return true;
--- a/packages/route/cluster_gossip.c
+++ b/packages/route/cluster_gossip.c
@@ -450,14 +450,14 @@
   GHashTableIter i;
   gpointer value;
 
-  if (cluster->self.store_reached)
+  if (cluster->self.store_reached && !cluster->self.store_fails)
     return true;
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       const mq_cluster_member *r = value;
 
-      if (r->local && r->store_reached
+      if (r->local && r->store_reached && !r->store_fails
           && mq_cluster_member_is_alive (r, now_us))
         return true;
     }
--- a/packages/route/propagation.c
+++ b/packages/route/propagation.c
@@ -73,3 +73,24 @@
       return true;
   return false;
 }
+
+void
+mq_version_log_note (mq_version_log *log, uint64_t version, uint64_t now_us)
+{
+  log->version[log->n % MQ_VERSION_LOG_SIZE] = version;
+  log->since_us[log->n % MQ_VERSION_LOG_SIZE] = now_us;
+  log->n++;
+}
+
+uint64_t
+mq_version_log_get (const mq_version_log *log, uint64_t us)
+{
+  for (unsigned i = 1; i <= MIN (log->n, MQ_VERSION_LOG_SIZE); i++)
+    {
+      unsigned at = (log->n - i) % MQ_VERSION_LOG_SIZE;
+
+      if (log->since_us[at] <= us)
+        return log->version[at];
+    }
+  return 0;
+}
--- a/tests/test_propagation.cc
+++ b/tests/test_propagation.cc
@@ -131,3 +131,19 @@
   /* If it still lagged, this router would send.  */
   EXPECT_TRUE (mq_propagation_is_due (&lag, true, 0, recovered, 1301 * ms));
 }
+
+/* A receiver that lacks a configuration must be found out also while each one
+   is soon followed by another.  */
+TEST (Propagation, VersionLogKnowsWhichVersionWasInForce)
+{
+  mq_version_log log = {};
+
+  EXPECT_EQ (mq_version_log_get (&log, 100), 0u);
+  for (unsigned i = 1; i <= 3 * MQ_VERSION_LOG_SIZE; i++)
+    mq_version_log_note (&log, 10 + i, i * 100);
+  uint64_t last = 3 * MQ_VERSION_LOG_SIZE;
+  EXPECT_EQ (mq_version_log_get (&log, last * 100 + 50), 10 + last);
+  EXPECT_EQ (mq_version_log_get (&log, last * 100 - 1), 9 + last);
+  EXPECT_EQ (mq_version_log_get (&log, (last - 3) * 100), 7 + last);
+  EXPECT_EQ (mq_version_log_get (&log, 100), 0u);
+}
