--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -136,6 +136,8 @@
   bool refused;     /* It is refused from now on; false: no longer.  */
   bool own;         /* This router saw the last crash itself.  */
   unsigned crashes; /* Its crash records.  */
+  unsigned tied;    /* Other suspects of one of its crashes that have as
+                       many.  */
 } mq_quarantine_change;
 
 /* Append to CHANGES (mq_quarantine_change) what changed since the last tick,
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -371,8 +371,9 @@
   if (change->refused)
     mq_log (G_LOG_LEVEL_WARNING, "request.quarantined",
             "content=%016" G_GINT64_MODIFIER
-            "x ends=%u own=%d left_ms=%" G_GUINT64_FORMAT,
-            change->request, change->crashes, change->own, left / US_PER_MS);
+            "x ends=%u tied=%u own=%d left_ms=%" G_GUINT64_FORMAT,
+            change->request, change->crashes, change->tied, change->own,
+            left / US_PER_MS);
   else
     mq_log (G_LOG_LEVEL_WARNING, "request.released",
             "content=%016" G_GINT64_MODIFIER "x ends=%u", change->request,
--- a/packages/route/quarantine.c
+++ b/packages/route/quarantine.c
@@ -390,17 +390,41 @@
 
 /* ---- Ticks.  */
 
+/* Returns true if A and B are suspects of the same crash and have equally
+   many.  */
+static bool
+suspects_are_tied (const mq_suspect *a, const mq_suspect *b)
+{
+  if (a == b || a->n != b->n)
+    return false;
+  for (unsigned i = 0; i < a->n; i++)
+    if (suspect_is_of_crash (b, a->crashes[i].upstream))
+      return true;
+  return false;
+}
+
+static unsigned
+suspect_count_tied (const mq_quarantine *quarantine, const mq_suspect *s)
+{
+  unsigned n = 0;
+
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    n += suspects_are_tied (s, quarantine_suspect_at (quarantine, i));
+  return n;
+}
+
 static void
 tick_suspect (mq_quarantine *quarantine, mq_suspect *s, GArray *changes,
               uint64_t now_us)
 {
   bool refused = suspect_remaining_us (quarantine, s, now_us) > 0;
-  mq_quarantine_change c = { s->request, refused, false, s->n };
+  mq_quarantine_change c = { s->request, refused, false, s->n, 0 };
 
   if (refused == s->refused)
     return;
   c.own = s->own_crash_us > 0 && s->n > 0
           && s->own_crash_us >= s->crashes[s->n - 1].at_us;
+  c.tied = suspect_count_tied (quarantine, s);
   s->refused = refused;
   g_array_append_val (changes, c);
 }
