Add a failing test of requests that stood at the same crashes

A sound request that stood at all crashes of another one is refused for ten minutes with it. A second test, of clients that go on sending both together, passes; it guards the number of further crashes.

--- a/tests/test_crashing_request.cc
+++ b/tests/test_crashing_request.cc
@@ -333,6 +333,72 @@
           200u);
 }
 
+/* A request that stood at all crashes of another one, on the only instance, is
+   served.  */
+TEST_F (CrashingRequest, RequestAtTheSameCrashesIsServed)
+{
+  add_crashing ("app", "one");
+  configure (1);
+  start_router ();
+  start_router ();
+  wait (0.2);
+  for (unsigned i = 0; i < 4; i++)
+    {
+      Router &r = *routers[i % routers.size ()];
+      Answer near;
+
+      delay_s = 0.3;
+      start_request (near, "POST", "/unsafe/1", key, "near", r.base);
+      wait_processing_crashes (0.05);
+      attempt (r, "POST", "/unsafe/1", crash_body);
+      EXPECT_TRUE (until ([&] { return near.ended; }));
+      wait_processing_crashes (0.4);
+    }
+  ASSERT_EQ (crashes, 4u);
+  wait_processing_crashes (propagation_s);
+  for (auto &r : routers)
+    EXPECT_EQ (attempt (*r, "POST", "/unsafe/1", "near").status, 200u);
+  EXPECT_LE (further_arrivals ("/unsafe/1", 6), max_further_arrivals);
+  for (auto &r : routers)
+    EXPECT_EQ (attempt (*r, "POST", "/unsafe/1", "near").status, 200u);
+}
+
+/* The same while clients go on sending both together to all routers.  */
+TEST_F (CrashingRequest, RequestsSentTogetherAreToldApart)
+{
+  std::vector<std::unique_ptr<Answer> > near;
+  unsigned before = 0;
+
+  set_up ("app");
+  delay_s = 0.2;
+  for (unsigned i = 0; i < 24; i++)
+    {
+      if (crashes >= 3 && before == 0)
+        before = arrivals;
+      for (auto &r : routers)
+        {
+          near.push_back (std::make_unique<Answer> ());
+          start_request (*near.back (), "POST", "/unsafe/1", key, "near",
+                         r->base);
+        }
+      wait_processing_crashes (0.05);
+      for (auto &r : routers)
+        attempt (*r, "POST", "/unsafe/1", crash_body);
+      wait_processing_crashes (0.15);
+    }
+  ASSERT_GE (crashes, 3u);
+  EXPECT_LE (arrivals - before, 2 * max_further_arrivals);
+  wait_processing_crashes (propagation_s);
+  for (auto &r : routers)
+    EXPECT_EQ (attempt (*r, "POST", "/unsafe/1", "near").status, 200u);
+  /* The last that were sent were served as well.  */
+  EXPECT_TRUE (until ([&] {
+    process_crashes ();
+    return near.back ()->ended;
+  }));
+  EXPECT_EQ (near.back ()->status, 200u);
+}
+
 /* A broken connection is no crash while the upstream keeps running.  */
 TEST_F (CrashingRequest, BrokenResponseIsNoCrash)
 {
