Keep requests with the same crash records apart in place of refusing them

Clients of a sound request got 503 for ten minutes, since it stood at the same four crashes as one that crashes upstreams: suspects with equal records were refused together.

Cause: the rule decided without a difference, and nothing brought one about. The class: an absent distinction is taken for proof. Ruled out: the retry budget, and a success that came too late (docs/incidents/crashing-bystanders.md).

Suspects that are tied after three crashes are now kept apart: each upstream takes one of them at a time, by a hash of request, upstream and half-second since their crash, so that routers agree without a message; a request that finds all upstreams left to others waits for its turn, 1.6 s at most. A tied request is not sent again while it is not known whether its last run crashed an upstream. The next crash is then a record of the cause alone, which is refused as before. Suspects that crash two more upstreams together while they are kept apart are refused, which bounds the harm of requests that can't be told apart.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -312,6 +312,8 @@
   bool limited;            /* An upstream that it could have been sent to has
                               a limit that did not allow it ...  */
   bool resting;            /* ... or accepts nothing from this router.  */
+  bool kept_apart;         /* An upstream that it could have been sent to is
+                              left to other suspects of the same crashes.  */
   bool waiting;            /* No path could take it; the tick tries again.  */
   bool view_waits;         /* The same, as its service is not known yet.  */
   bool view_waited;        /* It did so at some time.  */
@@ -458,6 +460,9 @@
    FORWARD may be the cause.  */
 void mq_crash_note_broken_run (mq_forward *forward, mq_upstream *upstream,
                                uint64_t now_us);
+/* Returns true if a run of a request with the hash CONTENT broke, and whether
+   its upstream crashed is not known yet.  */
+bool mq_crash_is_pending (const mq_gateway *gateway, uint64_t content);
 /* Confirm or dismiss suspected crashes.  */
 void mq_crash_tick (mq_gateway *gateway, uint64_t now_us);
 /* Cancels the case's probe.  Of type GDestroyNotify.  */
@@ -479,6 +484,11 @@
 void mq_gateway_merge_crashes (mq_gateway *gateway, const GArray *crashes,
                                const mq_cluster_member *from, uint64_t now_us);
 /* How long requests with the hash CONTENT stay refused; 0: they are not.  */
+/* Returns true if FORWARD may be sent to UPSTREAM now, as far as other
+   suspects of the same crashes are concerned.  */
+bool mq_gateway_quarantine_allows (mq_forward *forward,
+                                   const mq_upstream *upstream,
+                                   uint64_t now_us);
 uint64_t mq_gateway_quarantine_remaining_us (const mq_gateway *gateway,
                                              uint64_t content,
                                              uint64_t now_us);
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -13,8 +13,12 @@
    - A crash is *explained* for a suspect if another suspect of it has more
      crash records.
    - A request is refused if three of its crashes are not explained and in one
-     of these it has more records than any other suspect.  Suspects that have
-     the same crashes are refused only after a fourth.
+     of these it has more records than any other suspect.
+   - Suspects that have the same crashes are *tied*.  From the third one on
+   they are kept apart: no two of them are sent to the same upstream at the
+   same time, and none while the outcome of its last run is not known, so that
+   the next crash is a record of the cause alone.  Those that still crash
+   upstreams together are refused.
    - A request that succeeded did not cause its earlier crashes: its records up
      to then are void.
 
@@ -117,6 +121,15 @@
 /* Returns for how long REQUEST is still refused, or 0 if it may be sent.  */
 uint64_t mq_quarantine_remaining_us (const mq_quarantine *quarantine,
                                      uint64_t request, uint64_t now_us);
+/* Returns true if REQUEST, which is not refused, may be sent to UPSTREAM (a
+   hash of its id) now.  Returns false if it is tied, and either that is the
+   turn of another request that it is tied with, or PENDING: a run of it broke,
+   and whether its upstream crashed is not known yet.  All routers with the
+   same records agree on the turns, as far as their clocks do on the time since
+   a crash.  */
+bool mq_quarantine_may_run_at (const mq_quarantine *quarantine,
+                               uint64_t request, uint64_t upstream,
+                               bool pending, uint64_t now_us);
 /* Returns the suspect of REQUEST, borrowed until the next change, or NULL.  */
 const mq_suspect *mq_quarantine_find (const mq_quarantine *quarantine,
                                       uint64_t request);
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -124,6 +124,20 @@
   g_ptr_array_remove_fast (g->crash_cases, c);
 }
 
+bool
+mq_crash_is_pending (const mq_gateway *gateway, uint64_t content)
+{
+  for (guint i = 0; i < gateway->crash_cases->len; i++)
+    {
+      const mq_crash_case *c = g_ptr_array_index (gateway->crash_cases, i);
+
+      for (guint k = 0; k < c->requests->len; k++)
+        if (g_array_index (c->requests, uint64_t, k) == content)
+          return true;
+    }
+  return false;
+}
+
 /* ---- Confirming and dismissing cases.  */
 
 /* Returns true when a request in flight has received something from C's
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -29,6 +29,11 @@
 static bool
 forward_may_send (mq_forward *forward, mq_upstream *upstream, uint64_t now_us)
 {
+  if (!mq_gateway_quarantine_allows (forward, upstream, now_us))
+    {
+      forward->kept_apart = true;
+      return false;
+    }
   if (mq_gateway_may_send (forward->gateway, upstream, MQ_SEND_FOR_REQUEST,
                            now_us))
     return true;
@@ -464,6 +469,7 @@
 
   forward->limited = false;
   forward->resting = false;
+  forward->kept_apart = false;
   if (forward->service->model.layers > 0)
     {
       mq_place_result placing = place_path (forward, now_us, retry_ms);
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -359,6 +359,21 @@
   return mq_quarantine_remaining_us (&gateway->quarantine, content, now_us);
 }
 
+bool
+mq_gateway_quarantine_allows (mq_forward *forward, const mq_upstream *upstream,
+                              uint64_t now_us)
+{
+  const mq_quarantine *q = &forward->gateway->quarantine;
+
+  return mq_quarantine_is_empty (q)
+         || mq_quarantine_may_run_at (
+             q, mq_forward_content_hash (forward),
+             mq_span_hash (mq_str_span (upstream->facts.id)),
+             mq_crash_is_pending (forward->gateway,
+                                  mq_forward_content_hash (forward)),
+             now_us);
+}
+
 /* ---- Ticks.  */
 
 static void
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -283,7 +283,8 @@
 
 /* Returns true if FORWARD, whose placement gave RESULT, may wait.  Any request
    may wait for the prefill of earlier prompts, which ends before clients give
-   up, and for the first view of its service, since nothing was sent.  */
+   up, for its turn among suspects of the same crashes, and for the first view
+   of its service, since nothing was sent.  */
 static bool
 send_may_wait (mq_forward *forward, mq_place_result result, uint64_t now_us)
 {
@@ -291,7 +292,7 @@
     return send_begun_may_wait (forward, now_us);
   if (result == MQ_PLACE_UNKNOWN)
     return mq_gateway_view_may_wait (forward, now_us);
-  return result == MQ_PLACE_PREFILLING
+  return (result == MQ_PLACE_PREFILLING || forward->kept_apart)
          && now_us - forward->started_us <= MAX_WAIT_US;
 }
 
@@ -301,6 +302,8 @@
 {
   if (result == MQ_PLACE_UNKNOWN)
     return "not-known-yet";
+  if (forward->kept_apart)
+    return "kept-apart";
   if (forward->resting)
     return "resting";
   return forward->limited ? "limited" : "no-room";
@@ -322,6 +325,18 @@
          && mq_gateway_reach_is_in_doubt (forward->gateway, last);
 }
 
+/* Log that FORWARD, which was not placed, begins to wait for its turn.  */
+static void
+send_log_kept_apart (mq_forward *forward)
+{
+  if (!forward->kept_apart || forward->waiting)
+    return;
+  mq_log_buffer_append (
+      &forward->log_buffer, G_LOG_LEVEL_INFO, "request.kept-apart",
+      "request=%.*s content=%016" G_GINT64_MODIFIER "x",
+      MQ_SPAN_ARG (forward->id), mq_forward_content_hash (forward));
+}
+
 void
 mq_forward_send (mq_forward *forward, uint64_t now_us)
 {
@@ -356,6 +371,7 @@
     mq_gateway_view_stop_waiting (f);
   if (result != MQ_PLACE_OK)
     {
+      send_log_kept_apart (f);
       f->waiting = send_may_wait (f, result, now_us);
       if (!f->waiting)
         mq_forward_reject (f, retry_ms, send_place_failure (f, result));
--- a/packages/route/quarantine.c
+++ b/packages/route/quarantine.c
@@ -10,13 +10,21 @@
 
 #include <mq/quarantine.h>
 
+#include <mq/str.h>
 #include <string.h>
 
-/* Unexplained crashes after which a request is refused.  */
+/* Unexplained crashes after which a request is refused, or kept apart from
+   those that it is tied with.  */
 #define MIN_CRASHES 3
-/* The same for a suspect that in none of these has more crashes than all other
-   suspects.  */
-#define MIN_CRASHES_TOGETHER 4
+/* By then all routers keep a request apart, and those that ran together before
+   have ended.  */
+#define APART_DELAY_US ((uint64_t)1500 * 1000)
+/* Unexplained crashes since then after which a request is refused also if it
+   is tied.  */
+#define MAX_CRASHES_APART 2
+/* Requests that are kept apart change places after this, in which most have
+   begun to run.  */
+#define TURN_US ((uint64_t)500 * 1000)
 /* Routers that lost requests in one crash report it within this.  No request
    is refused earlier, so that all suspects of the crash are known.  */
 #define SETTLE_US ((uint64_t)300 * 1000)
@@ -243,28 +251,40 @@
   return max;
 }
 
-/* Returns how many crashes of S led to its refusal, or 0 if it is not to be
-   refused.  */
-static unsigned
-suspect_needed_crashes (const mq_quarantine *quarantine, const mq_suspect *s)
+/* What the unexplained crashes of a suspect show.  */
+typedef struct suspect_verdict
+{
+  unsigned unexplained;
+  unsigned refused_after; /* How many of its crashes led to its refusal; 0: it
+                             is not to be refused.  */
+} suspect_verdict;
+
+static suspect_verdict
+suspect_judge (const mq_quarantine *quarantine, const mq_suspect *s)
 {
-  unsigned unexplained = 0;
+  suspect_verdict v = { 0, 0 };
   bool is_top_suspect = false;
+  uint64_t apart_us = UINT64_MAX;
+  unsigned apart = 0;
 
   for (unsigned i = 0; i < s->n; i++)
     {
-      unsigned max
-          = max_crashes_of_others (quarantine, s, s->crashes[i].upstream);
+      const mq_quarantine_crash *c = &s->crashes[i];
+      unsigned max = max_crashes_of_others (quarantine, s, c->upstream);
 
       if (max > s->n)
         continue;
-      unexplained++;
+      v.unexplained++;
       if (max < s->n)
         is_top_suspect = true;
+      if (v.unexplained == MIN_CRASHES)
+        apart_us = c->at_us + APART_DELAY_US;
+      if (c->at_us >= apart_us && ++apart == MAX_CRASHES_APART)
+        v.refused_after = i + 1;
     }
-  if (unexplained >= MIN_CRASHES && is_top_suspect)
-    return MIN_CRASHES;
-  return unexplained >= MIN_CRASHES_TOGETHER ? MIN_CRASHES_TOGETHER : 0;
+  if (v.unexplained >= MIN_CRASHES && is_top_suspect)
+    v.refused_after = MIN_CRASHES;
+  return v;
 }
 
 static uint64_t
@@ -279,7 +299,7 @@
   until = s->crashes[s->n - 1].at_us + quarantine->period_us;
   if (now_us >= until)
     return 0;
-  needed = suspect_needed_crashes (quarantine, s);
+  needed = suspect_judge (quarantine, s).refused_after;
   if (needed == 0 || now_us < s->crashes[needed - 1].at_us + SETTLE_US)
     return 0;
   return until - now_us;
@@ -296,6 +316,74 @@
                    : 0;
 }
 
+/* ---- Keeping tied suspects apart.  */
+
+/* Returns the last crash of A that B is a suspect of as well, or NULL.  */
+static const mq_quarantine_crash *
+suspects_shared_crash (const mq_suspect *a, const mq_suspect *b)
+{
+  for (unsigned i = a->n; i > 0; i--)
+    if (suspect_is_of_crash (b, a->crashes[i - 1].upstream))
+      return &a->crashes[i - 1];
+  return NULL;
+}
+
+/* Returns true if A and B are suspects of the same crash and have equally
+   many.  */
+static bool
+suspects_are_tied (const mq_suspect *a, const mq_suspect *b)
+{
+  return a != b && a->n == b->n && suspects_shared_crash (a, b) != NULL;
+}
+
+static unsigned
+suspect_count_tied (const mq_quarantine *quarantine, const mq_suspect *s)
+{
+  unsigned n = 0;
+
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    n += suspects_are_tied (s, quarantine_suspect_at (quarantine, i));
+  return n;
+}
+
+/* Returns true if A goes before B at UPSTREAM in TURN.  */
+static bool
+suspect_goes_before (const mq_suspect *a, const mq_suspect *b,
+                     uint64_t upstream, uint64_t turn)
+{
+  uint64_t place = mq_hash_mix (upstream, turn);
+
+  return mq_hash_mix (a->request, place) > mq_hash_mix (b->request, place);
+}
+
+bool
+mq_quarantine_may_run_at (const mq_quarantine *quarantine, uint64_t request,
+                          uint64_t upstream, bool pending, uint64_t now_us)
+{
+  const mq_suspect *s = quarantine_lookup (quarantine, request);
+  uint64_t now = quarantine_shift_us (quarantine, now_us);
+
+  if (s == NULL || s->n < MIN_CRASHES
+      || suspect_judge (quarantine, s).unexplained < MIN_CRASHES)
+    return true;
+  for (guint i = 0; i < quarantine->suspects->len; i++)
+    {
+      const mq_suspect *other = quarantine_suspect_at (quarantine, i);
+      const mq_quarantine_crash *shared;
+
+      if (!suspects_are_tied (s, other))
+        continue;
+      shared = suspects_shared_crash (s, other);
+      if (pending
+          || !suspect_goes_before (s, other, upstream,
+                                   (now - shared->at_us) / TURN_US))
+        return false;
+    }
+  return true;
+}
+
+/* ---- Records of others.  */
+
 bool
 mq_quarantine_merge (mq_quarantine *quarantine,
                      const mq_quarantine_record *record, uint64_t now_us)
@@ -390,29 +478,6 @@
 
 /* ---- Ticks.  */
 
-/* Returns true if A and B are suspects of the same crash and have equally
-   many.  */
-static bool
-suspects_are_tied (const mq_suspect *a, const mq_suspect *b)
-{
-  if (a == b || a->n != b->n)
-    return false;
-  for (unsigned i = 0; i < a->n; i++)
-    if (suspect_is_of_crash (b, a->crashes[i].upstream))
-      return true;
-  return false;
-}
-
-static unsigned
-suspect_count_tied (const mq_quarantine *quarantine, const mq_suspect *s)
-{
-  unsigned n = 0;
-
-  for (guint i = 0; i < quarantine->suspects->len; i++)
-    n += suspects_are_tied (s, quarantine_suspect_at (quarantine, i));
-  return n;
-}
-
 static void
 tick_suspect (mq_quarantine *quarantine, mq_suspect *s, GArray *changes,
               uint64_t now_us)
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <random>
+#include <set>
 #include <vector>
 
 namespace
@@ -287,3 +288,68 @@
       mq_quarantine_finish (&other);
     }
 }
+
+/* Suspects with equal records are sent to the same upstream one at a time, and
+   each of them gets its turn.  */
+TEST_F (Quarantine, TiedSuspectsAreKeptApart)
+{
+  const std::vector<uint64_t> tied = { crasher, 10, 11, 12 };
+
+  for (uint64_t u : { 1, 2, 3 })
+    crash (u, tied);
+  std::set<uint64_t> served;
+  for (unsigned step = 0; step < 40; step++, now += 100 * ms)
+    for (uint64_t upstream = 100; upstream < 104; upstream++)
+      {
+        unsigned allowed = 0;
+
+        EXPECT_TRUE (mq_quarantine_may_run_at (&q, 13, upstream, false, now));
+        for (uint64_t r : tied)
+          if (mq_quarantine_may_run_at (&q, r, upstream, false, now))
+            {
+              allowed++;
+              served.insert (r);
+            }
+        EXPECT_EQ (allowed, 1u);
+      }
+  EXPECT_EQ (served.size (), tied.size ());
+  /* The next crash tells them apart.  */
+  crash (4, { crasher });
+  EXPECT_TRUE (refused (crasher));
+  for (uint64_t r : { 10, 11, 12 })
+    {
+      EXPECT_FALSE (refused (r));
+      EXPECT_TRUE (mq_quarantine_may_run_at (&q, r, 100, true, now));
+    }
+}
+
+/* Routers learn of crashes one after the other, and some requests run for
+   long: four crashes within a moment tell nothing.  */
+TEST_F (Quarantine, TiedSuspectsOfCrashesInAMomentAreNotRefused)
+{
+  for (uint64_t u : { 1, 2, 3, 4, 5 })
+    {
+      for (uint64_t r : { crasher, uint64_t (10) })
+        mq_quarantine_add (&q, r, u, now, now);
+      now += 100 * ms;
+    }
+  now += 5 * second;
+  EXPECT_FALSE (refused (crasher));
+  EXPECT_FALSE (refused (10));
+  crash (6, { crasher });
+  EXPECT_TRUE (refused (crasher));
+  EXPECT_FALSE (refused (10));
+}
+
+/* A bound for requests that can't be told apart, whatever the reason.  */
+TEST_F (Quarantine, SuspectsThatCrashUpstreamsWhileKeptApartAreRefused)
+{
+  for (uint64_t u : { 1, 2, 3 })
+    crash (u, { crasher, 10 });
+  now += 2 * second;
+  crash (4, { crasher, 10 });
+  EXPECT_FALSE (refused (crasher));
+  crash (5, { crasher, 10 });
+  EXPECT_TRUE (refused (crasher));
+  EXPECT_TRUE (refused (10));
+}
