--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -248,9 +248,9 @@
   bool leads;              /* This router is the leader: it orders layers.  */
   bool orders_due;         /* A report arrived: order at the next tick.  */
   bool traffic_seen;       /* Clients have sent requests to the fleet.  */
+  bool store_doubted;      /* At the last tick a feed was in doubt.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
-  bool store_doubted;          /* At the last tick, of any feed.  */
   uint64_t doubt_announced_us; /* When the others were last told so.  */
   ev_timer tick;
   ev_timer silence_timer; /* Checks streams for silence.  */
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -14,11 +14,11 @@
      crash records.
    - A request is refused if three of its crashes are not explained and in one
      of these it has more records than any other suspect.
-   - Suspects that have the same crashes are *tied*.  From the third one on
-   they are kept apart: no two of them are sent to the same upstream at the
-   same time, and none while the outcome of its last run is not known, so that
-   the next crash is a record of the cause alone.  Those that still crash
-   upstreams together are refused.
+   - Suspects that have the same crashes are tied.  From the third one on they
+     are kept apart: no two of them are sent to the same upstream at the same
+     time, and none while the outcome of its last run is not known, so that
+     the next crash is a record of the cause alone.  Those that still crash
+     upstreams together are refused.
    - A request that succeeded did not cause its earlier crashes: its records up
      to then are void.
 
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -501,14 +501,13 @@
 }
 
 /* As a relay, restart the watch of the upstreams when another relay knows
-   newer ones.  A relay that does not follow the store begins to
-   (gateway_members.c).  */
+   newer ones: its newest change is NEWEST.  A relay that does not follow the
+   store begins to (gateway_members.c).  */
 static void
-refresh_upstreams (mq_gateway *gateway, uint64_t now_us)
+refresh_upstreams (mq_gateway *gateway, uint64_t newest, uint64_t now_us)
 {
   static const mq_propagation_delays delays
       = { UPSTREAMS_LAG_US, OWN_LAG_AGAIN_US, 0 };
-  uint64_t newest = mq_cluster_newest_upstreams (&gateway->cluster, now_us);
   bool lags
       = gateway->cluster.relays && newest > gateway->upstream_list.newest;
 
@@ -523,11 +522,10 @@
 }
 
 /* Log when this router knows all the upstreams that relays did, if that took
-   long.  */
+   long.  NEWEST is the newest change that any relay knows.  */
 static void
-upstreams_log_lag (mq_gateway *gateway, uint64_t now_us)
+upstreams_log_lag (mq_gateway *gateway, uint64_t newest, uint64_t now_us)
 {
-  uint64_t newest = mq_cluster_newest_upstreams (&gateway->cluster, now_us);
   uint64_t since = gateway->upstreams_behind_us;
 
   if (newest > gateway->upstream_list.newest)
@@ -546,9 +544,11 @@
 void
 mq_gateway_refresh_stale_feeds (mq_gateway *gateway, uint64_t now_us)
 {
-  upstreams_log_lag (gateway, now_us);
+  uint64_t newest = mq_cluster_newest_upstreams (&gateway->cluster, now_us);
+
+  upstreams_log_lag (gateway, newest, now_us);
   refresh_routing (gateway, now_us);
-  refresh_upstreams (gateway, now_us);
+  refresh_upstreams (gateway, newest, now_us);
 }
 
 /* ---- Receiving.  */
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -363,15 +363,17 @@
 mq_gateway_quarantine_allows (mq_forward *forward, const mq_upstream *upstream,
                               uint64_t now_us)
 {
-  const mq_quarantine *q = &forward->gateway->quarantine;
-
-  return mq_quarantine_is_empty (q)
-         || mq_quarantine_may_run_at (
-             q, mq_forward_content_hash (forward),
-             mq_span_hash (mq_str_span (upstream->facts.id)),
-             mq_crash_is_pending (forward->gateway,
-                                  mq_forward_content_hash (forward)),
-             now_us);
+  const mq_gateway *g = forward->gateway;
+  uint64_t content;
+
+  if (mq_quarantine_is_empty (&g->quarantine))
+    return true;
+  content = mq_forward_content_hash (forward);
+  if (mq_quarantine_find (&g->quarantine, content) == NULL)
+    return true;
+  return mq_quarantine_may_run_at (
+      &g->quarantine, content, mq_span_hash (mq_str_span (upstream->facts.id)),
+      mq_crash_is_pending (g, content), now_us);
 }
 
 /* ---- Ticks.  */
