--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -79,6 +79,11 @@
     "at least three upstreams crashed while running a request of its content",
     "request.suspected names the upstreams, by its content=; fix the cause of "
     "the crashes; the quarantine expires by itself (quarantine_ms)" },
+  { "kept-apart",
+    "the same upstreams crashed while running it and other requests, and all "
+    "upstreams were left to these for the moment",
+    "request.suspected names the upstreams, by its content=; the next crash "
+    "tells which request is the cause" },
   { "no-route", "no route of the configuration in force matches it",
     "compare version with the latest configuration, and check store_age_ms" },
   { "unknown-key", "no organisation in that version has its key",
