Tell a domain of a change once, also when its follower reads it later

Cause: a follower that got a change from a peer told its domain of it, and once more when the store sent it. What it is certain of by then goes to other domains only.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -648,6 +648,11 @@
 void mq_gateway_propagate_upstreams (mq_gateway *gateway,
                                      const mq_platform_entry *entries,
                                      size_t n);
+/* Propagate N upstreams that another router had sent before this one read them
+   from the store.  This router's domain has them; those of others may not.  */
+void mq_gateway_propagate_confirmed (mq_gateway *gateway,
+                                     const mq_platform_entry *entries,
+                                     size_t n);
 /* Send the configuration in force as far as SCOPE says, but no further than
    this domain.  */
 void mq_gateway_propagate_routing (mq_gateway *gateway,
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -152,19 +152,34 @@
   ev_timer_start (feed->gateway->loop, &feed->call_timer);
 }
 
-/* Apply ENTRY, an upstream as the store sent it.  Returns true if it is to be
-   propagated: it is new here, or a change that another router sent before.
-   That router may have reached few others, so that each follower propagates
-   all changes.  */
-static bool
-feed_apply_upstream (mq_feed *feed, const mq_platform_entry *entry)
+/* Upstreams that the store sent in one reply (mq_platform_entry, borrowed) and
+   that are to be propagated.  */
+typedef struct feed_changes
+{
+  GArray *new_here;
+  GArray *confirmed; /* Another router sent them before, and may have reached
+                        few others.  */
+} feed_changes;
+
+static void
+feed_apply_upstream (mq_feed *feed, const mq_platform_entry *entry,
+                     feed_changes *changes)
 {
   mq_gateway *g = feed->gateway;
   bool is_new = mq_gateway_apply_upstream (g, entry, "store");
   bool confirmed = mq_entry_list_confirm (&g->upstream_list, entry->name,
                                           entry->version, entry->deleted);
 
-  return is_new || (confirmed && feed->state == MQ_FEED_FOLLOWING);
+  if (is_new)
+    g_array_append_val (changes->new_here, *entry);
+  else if (confirmed && feed->state == MQ_FEED_FOLLOWING)
+    g_array_append_val (changes->confirmed, *entry);
+}
+
+static const mq_platform_entry *
+entries_data (const GArray *entries)
+{
+  return (const mq_platform_entry *)(void *)entries->data;
 }
 
 /* Apply N ENTRIES from the store and propagate the upstreams that changed.  */
@@ -172,7 +187,9 @@
 feed_apply (mq_feed *feed, const mq_platform_entry *entries, size_t n)
 {
   mq_gateway *g = feed->gateway;
-  GArray *changed = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
+  feed_changes changes
+      = { g_array_new (FALSE, TRUE, sizeof (mq_platform_entry)),
+          g_array_new (FALSE, TRUE, sizeof (mq_platform_entry)) };
 
   for (size_t i = 0; i < n; i++)
     {
@@ -181,20 +198,21 @@
       if (feed->seen != NULL && !e->deleted)
         g_hash_table_add (feed->seen, g_strndup (e->name.data, e->name.size));
       if (!feed_is_routing (feed))
-        {
-          if (feed_apply_upstream (feed, e))
-            g_array_append_val (changed, *e);
-        }
+        feed_apply_upstream (feed, e, &changes);
       else if (!e->deleted
                && mq_span_equal (
                    e->name,
                    mq_span_from (g->dialect->kinds.configuration_name)))
         mq_gateway_apply_routing (g, e->value, "store", MQ_SCOPE_FLEET);
     }
-  if (changed->len > 0)
-    mq_gateway_propagate_upstreams (
-        g, (const mq_platform_entry *)(void *)changed->data, changed->len);
-  g_array_unref (changed);
+  if (changes.new_here->len > 0)
+    mq_gateway_propagate_upstreams (g, entries_data (changes.new_here),
+                                    changes.new_here->len);
+  if (changes.confirmed->len > 0)
+    mq_gateway_propagate_confirmed (g, entries_data (changes.confirmed),
+                                    changes.confirmed->len);
+  g_array_unref (changes.new_here);
+  g_array_unref (changes.confirmed);
 }
 
 /* Make the next call after SECONDS if this router follows the store or lingers
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -230,6 +230,17 @@
     propagate_message (gateway, &p, MQ_SCOPE_FLEET, needs_always);
 }
 
+void
+mq_gateway_propagate_confirmed (mq_gateway *gateway,
+                                const mq_platform_entry *entries, size_t n)
+{
+  mq_cluster_message p = { .kind = MQ_CLUSTER_MESSAGE_ENTRIES,
+                           .u = { .entries = { false, 0, entries, n } } };
+
+  if (gateway->cluster.relays)
+    propagate_to_remote (gateway, &p, needs_always);
+}
+
 /* Encode the complete list of upstreams.  Free with mq_peers_shared_free.  */
 static mq_peers_shared *
 list_encode (const mq_gateway *gateway)
