Give each object in the store of the tests its own revision

Here it failed in 2 of 40 runs beside eight busy processes, again in 2 of 160 with logs.

Cause: the stand-in for the store put its present revision on every object in a list, in place of that of the object's last change, which the platform states. A router that scanned after the first relay had written its member object took each upstream for changed; the others logged upstream.behind "newest=13 heard=14" every 2 s without end and went on following, as no event had that revision. Which routers scan after that write depends on how fast they start. Ruled out: overdue replies and doubt, which neither log names.

Change: the store keeps the revision with each object, also in the reply to a create that conflicts (it said 1).

No check or wait is changed, nor any product code.

--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -414,10 +414,15 @@
   std::map<std::string, unsigned> kind_scans; /* Replies to scans, by kind.  */
   /* Watches that their clients cancelled, by kind.  */
   std::map<std::string, unsigned> cancelled_waits;
-  std::map<std::string, std::map<std::string, std::string> > objects;
   Server server;
 
 private:
+  struct Object
+  {
+    uint64_t revision; /* That of its last change.  */
+    std::string spec;
+  };
+
   struct Event
   {
     uint64_t revision;
@@ -481,9 +486,9 @@
   {
     revision_++;
     if (deleted)
-      objects[kind].erase (name);
+      objects_[kind].erase (name);
     else
-      objects[kind][name] = spec;
+      objects_[kind][name] = { revision_, spec };
     events_.push_back (
         { revision_, kind,
           "{\"deleted\":" + std::string (deleted ? "true" : "false")
@@ -537,15 +542,16 @@
   {
     std::string s, after = text (mq_http_exchange_query (x, "after"));
     size_t n = 0;
-    auto o = objects[kind].upper_bound (after);
+    auto o = objects_[kind].upper_bound (after);
 
     scans++;
     kind_scans[kind]++;
-    for (; o != objects[kind].end () && (page == 0 || n < page); ++o, n++)
-      s += (s.empty () ? "" : ",") + object (o->first, o->second, revision_);
+    for (; o != objects_[kind].end () && (page == 0 || n < page); ++o, n++)
+      s += (s.empty () ? "" : ",")
+           + object (o->first, o->second.spec, o->second.revision);
     Server::reply (x, 200,
                    "{\"items\":[" + s + "],\"hasMore\":"
-                       + (o == objects[kind].end () ? "false" : "true")
+                       + (o == objects_[kind].end () ? "false" : "true")
                        + ",\"at\":" + std::to_string (revision_) + "}");
   }
 
@@ -568,8 +574,11 @@
              || !json_object_object_get_ex (part, "name", &name)
              || !json_object_object_get_ex (o, "spec", &part))
       Server::reply (x, 400);
-    else if (objects[kind].count (json_object_get_string (name)) > 0)
-      Server::reply (x, 409, object (json_object_get_string (name), "{}", 1));
+    else if (auto known = objects_[kind].find (json_object_get_string (name));
+             known != objects_[kind].end ())
+      Server::reply (
+          x, 409,
+          object (known->first, known->second.spec, known->second.revision));
     else
       {
         change (kind, json_object_get_string (name),
@@ -613,6 +622,7 @@
   ev_timer timer_;
   uint64_t revision_ = 10;
   uint64_t dropped_until_ = 0;
+  std::map<std::string, std::map<std::string, Object> > objects_;
   std::vector<Event> events_;
   std::vector<Waiting> waiting_;
   std::vector<std::unique_ptr<Door> > doors_;
