--- a/tests/test_gateway_layers.cc
+++ b/tests/test_gateway_layers.cc
@@ -593,6 +593,43 @@
   EXPECT_NE (a.result, b.result);
 }
 
+TEST_F (Gateway, WaitingStreamIsNotSentToDrainingEngine)
+{
+  mq_http_exchange *open = nullptr;
+  Answer x;
+
+  start_chains ();
+  for (auto &u : upstreams)
+    u->serve = [&u, &open] (mq_http_exchange *x) {
+      bool resumed
+          = u->received_requests.back ().headers.count ("Last-Event-Id") != 0;
+
+      u->begin (x);
+      Upstream::events (x, resumed ? 3 : 1, resumed ? 4 : 2);
+      if (resumed)
+        mq_http_exchange_end (x);
+      else
+        open = mq_http_exchange_ref (x);
+    };
+  start_request (x, "POST", "/stream/1", key);
+  ASSERT_TRUE (until ([&] { return open != nullptr; }));
+  for (auto &u : upstreams)
+    write_entry (*u, true);
+  wait (0.3); /* The router reads changes ten times a second.  */
+  mq_http_exchange_abort (open);
+  mq_http_exchange_unref (open);
+  wait (0.2);
+  EXPECT_FALSE (x.ended);
+  for (auto &u : upstreams)
+    u->received_requests.clear ();
+  write_entry (*upstreams[2]);
+  write_entry (*upstreams[3]);
+  ASSERT_TRUE (until ([&] { return x.ended; }));
+  EXPECT_EQ (x.body, events (1, 4));
+  EXPECT_TRUE (upstreams[0]->received_requests.empty ());
+  EXPECT_TRUE (upstreams[1]->received_requests.empty ());
+}
+
 /* Guards against answering a resumable stream whose send broke off before the
    first event with 502 at once, while budget becomes available soon.  */
 TEST_F (Gateway, LostStreamWaitsForRetryBudgetBeforeItsResponse)
--- a/tests/test_isolated_router.cc
+++ b/tests/test_isolated_router.cc
@@ -174,6 +174,37 @@
     }
 }
 
+/* Neither requests through a peer nor probes of lost links reach it.  */
+TEST_F (IsolatedRouter, DrainingUpstreamGetsNothingThroughPeer)
+{
+  start_plain_service ();
+  start_second ();
+  for (cut::Mode mode : modes)
+    {
+      cut::set (mode);
+      for (ev_tstamp end = ev_time () + stable_s; ev_time () < end;)
+        {
+          serve (1, "GET", "/safe/1");
+          wait (0.1);
+        }
+      write_entry (*a, true);
+      wait (0.3);
+      a->received_requests.clear ();
+      EXPECT_EQ (serve (10, "GET", "/safe/1"), 10u) << (int)mode;
+      EXPECT_EQ (serve (10, "POST", "/unsafe/1"), 10u) << (int)mode;
+      wait (1);
+      cut::set (cut::Mode::Up);
+      wait (1);
+      EXPECT_EQ (serve (10, "GET", "/safe/1"), 10u) << (int)mode;
+      EXPECT_TRUE (a->received_requests.empty ()) << (int)mode;
+      write_entry (*a);
+      EXPECT_TRUE (until ([&] {
+        return serve (1, "GET", "/safe/1") == 1
+               && !a->received_requests.empty ();
+      }));
+    }
+}
+
 /* Guards against ejections that a router reports because of its own links.  */
 TEST_F (IsolatedRouter, TakesNoUpstreamsFromOthers)
 {
