Test that a router that starts after a removal does not follow, known red

A router that reads the list after an upstream was removed does not know the revision of the removal. Its peers do, and it takes its list for older than theirs, though both are the same: as a relay it follows the store in addition to those that should, logs upstream.behind and renews its watch each 2 s, until any upstream changes.

It costs calls to the store and false warnings; no rule is broken by it.

--- a/tests/test_upstream_change.cc
+++ b/tests/test_upstream_change.cc
@@ -4,6 +4,7 @@
 #include "support/draining_fleet.h"
 
 using DrainingUpstream = gateway::DrainingFleet;
+using UpstreamChange = gateway::RouterFleet;
 
 /* One that says that it follows the store is not told by it.  */
 TEST_F (DrainingUpstream, FollowerWithoutStoreIsToldByOthers)
@@ -51,3 +52,20 @@
   expect_drained (
       "/safe/1", [] {}, 0);
 }
+
+/* Guards against a router that takes its list for older than one that is the
+   same, follows the store in addition to the others, and never stops.  */
+TEST_F (UpstreamChange, RouterThatStartsAfterRemovalDoesNotFollow)
+{
+  store_followers = 1;
+  configure (1);
+  add ("app-a", "app");
+  gateway::Upstream &b = add ("app-b", "app");
+  start_router ("one", 8);
+  store.remove ("servers", b.id);
+  wait (0.3);
+  Router &r = start_router ("two");
+  wait (6);
+  EXPECT_EQ (store.watchers ("servers", *r.door), 0u);
+  EXPECT_EQ (store.watchers ("servers"), 1u);
+}
