--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -483,12 +483,12 @@
  */
 void mq_gateway_merge_crashes (mq_gateway *gateway, const GArray *crashes,
                                const mq_cluster_member *from, uint64_t now_us);
-/* How long requests with the hash CONTENT stay refused; 0: they are not.  */
 /* Returns true if FORWARD may be sent to UPSTREAM now, as far as other
    suspects of the same crashes are concerned.  */
 bool mq_gateway_quarantine_allows (mq_forward *forward,
                                    const mq_upstream *upstream,
                                    uint64_t now_us);
+/* How long requests with the hash CONTENT stay refused; 0: they are not.  */
 uint64_t mq_gateway_quarantine_remaining_us (const mq_gateway *gateway,
                                              uint64_t content,
                                              uint64_t now_us);
