Send a router that is back the list of upstreams before it is bound by it

What callers would see: a router that was suspended, or cut off from all others, sends requests to an upstream that left meanwhile, up to 3.3 s after it is back.

Cause: a complete list goes out when a router's digest was not ours for 2 s, and 1.2 s later still if the router has a source of its own. That source is the configuration's: it says nothing of upstreams.

Change: the additional delay stays for routers that are not ready, as when a fleet starts, and for configurations.

The test failed 4 of 4 before, at 3.28 s, and passes 3 of 3, at 2 s.

--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -421,7 +421,7 @@
 {
   bool first = list_is_first (gateway, to, now_us);
   uint64_t own_delay = router_has_own_source (gateway, to) ? RESEND_US : 0;
-  uint64_t list_delay = (to->ready ? LIST_LAG_US : LAG_US) + own_delay;
+  uint64_t list_delay = to->ready ? LIST_LAG_US : LAG_US + own_delay;
   bool alive = mq_cluster_member_is_alive (to, now_us);
   bool lacks_routing = alive && lacks_version (gateway, to);
   bool lacks_upstreams
@@ -440,7 +440,6 @@
     {
       if (!first_list_may_go (gateway, to, now_us))
         return;
-      /* Its own source, if any, has only the configuration.  */
       list_delay = 0;
     }
   if (!resend_is_due (gateway, to, PROPAGATED_UPSTREAMS, &to->upstreams_lag,
--- a/tests/test_gateway_start.cc
+++ b/tests/test_gateway_start.cc
@@ -496,6 +496,32 @@
   EXPECT_EQ (starting.lists, 1u);
 }
 
+/* The same for one that is back after it was suspended: the rules bind it a
+   while later, when it has to know what it missed.  */
+TEST_F (GatewayRelay, RouterThatIsBackGetsListBeforeItIsBound)
+{
+  const double bound_after_s = 3;
+
+  start_plain_service ();
+  FakeRouter back (loop, free_ports (), at (peers_port));
+  uint64_t digest = list_digest (back);
+  auto report_until = [&] (const std::function<bool ()> &done) {
+    for (; !done (); wait (0.1))
+      back.report ("vm-old", digest);
+  };
+
+  back.watches = true;
+  ev_tstamp begin = ev_time ();
+  report_until ([&] { return ev_time () > begin + 5; });
+  add ("app-c", "app");
+  wait (2);
+  back.lists = 0;
+  ev_tstamp before = ev_time ();
+  report_until (
+      [&] { return back.lists > 0 || ev_time () > before + bound_after_s; });
+  EXPECT_EQ (back.lists, 1u);
+}
+
 /* Guards against sending lists to a router that has all: the digest that it
    reports is the one that ours had since it was first heard.  */
 TEST_F (GatewayRelay, NewRouterWithOurListGetsNone)
