Take a list for outdated only if it differs from that of the peer

Cause: a router compared the version of the last change alone. A list that is read after a removal is complete and does not have that version.

Change: relays whose list has our digest are left out of the comparison.

--- a/include/mq/cluster.h
+++ b/include/mq/cluster.h
@@ -234,9 +234,11 @@
 void mq_cluster_first_remote_relays (mq_cluster *cluster, GPtrArray *routers,
                                      uint64_t now_us);
 /* Returns the version of the newest change of upstreams that any live relay
-   knows, or 0.  */
+   knows whose list does not have DIGEST, or 0.  Equal lists may name different
+   versions: one that was read after a removal does not have that of the
+   removal.  */
 uint64_t mq_cluster_newest_upstreams (const mq_cluster *cluster,
-                                      uint64_t now_us);
+                                      uint64_t digest, uint64_t now_us);
 /* Returns how many other routers are alive.  */
 unsigned mq_cluster_count_alive (const mq_cluster *cluster, uint64_t now_us);
 /* Returns true if another router of this domain is a relay and alive.  */
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -548,7 +548,8 @@
 void
 mq_gateway_refresh_stale_feeds (mq_gateway *gateway, uint64_t now_us)
 {
-  uint64_t newest = mq_cluster_newest_upstreams (&gateway->cluster, now_us);
+  uint64_t newest = mq_cluster_newest_upstreams (
+      &gateway->cluster, gateway->upstream_list.digest, now_us);
 
   upstreams_log_lag (gateway, newest, now_us);
   refresh_routing (gateway, now_us);
--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -423,7 +423,8 @@
 }
 
 uint64_t
-mq_cluster_newest_upstreams (const mq_cluster *cluster, uint64_t now_us)
+mq_cluster_newest_upstreams (const mq_cluster *cluster, uint64_t digest,
+                             uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
@@ -434,7 +435,8 @@
     {
       const mq_cluster_member *r = value;
 
-      if (r->relays && mq_cluster_member_is_alive (r, now_us))
+      if (r->relays && r->upstreams_digest != digest
+          && mq_cluster_member_is_alive (r, now_us))
         newest = MAX (newest, r->upstreams_newest);
     }
   return newest;
