--- a/packages/route/cluster.c
+++ b/packages/route/cluster.c
@@ -325,38 +325,13 @@
          && member_ranks_before_self (cluster, router);
 }
 
-unsigned
-mq_cluster_count_followers_before (const mq_cluster *cluster, uint64_t now_us)
-{
-  GHashTableIter i;
-  gpointer value;
-  unsigned n = 0;
-
-  g_hash_table_iter_init (&i, cluster->routers);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_cluster_member *r = value;
-
-      n += member_is_relay_before_self (cluster, r, now_us);
-    }
-  return n;
-}
-
-unsigned
-mq_cluster_count_watchers_before (const mq_cluster *cluster, uint64_t now_us)
+static bool
+member_is_local_relay_before_self (const mq_cluster *cluster,
+                                   const mq_cluster_member *router,
+                                   uint64_t now_us)
 {
-  GHashTableIter i;
-  gpointer value;
-  unsigned n = 0;
-
-  g_hash_table_iter_init (&i, cluster->routers);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_cluster_member *r = value;
-
-      n += r->local && member_is_relay_before_self (cluster, r, now_us);
-    }
-  return n;
+  return router->local
+         && member_is_relay_before_self (cluster, router, now_us);
 }
 
 /* Returns true if ROUTER is a live relay that is not able to follow the store.
@@ -368,8 +343,31 @@
          && mq_cluster_member_is_alive (router, now_us);
 }
 
-unsigned
-mq_cluster_count_failing_followers (const mq_cluster *cluster, uint64_t now_us)
+static bool
+member_is_failing_follower (const mq_cluster *cluster,
+                            const mq_cluster_member *router, uint64_t now_us)
+{
+  (void)cluster;
+  return router->follows && member_is_failing_relay (router, now_us);
+}
+
+static bool
+member_is_failing_watcher (const mq_cluster *cluster,
+                           const mq_cluster_member *router, uint64_t now_us)
+{
+  (void)cluster;
+  return router->local && router->watches
+         && member_is_failing_relay (router, now_us);
+}
+
+typedef bool (*member_predicate) (const mq_cluster *cluster,
+                                  const mq_cluster_member *router,
+                                  uint64_t now_us);
+
+/* Returns how many routers HOLDS is true for.  */
+static unsigned
+cluster_count (const mq_cluster *cluster, member_predicate holds,
+               uint64_t now_us)
 {
   GHashTableIter i;
   gpointer value;
@@ -377,29 +375,32 @@
 
   g_hash_table_iter_init (&i, cluster->routers);
   while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_cluster_member *r = value;
-
-      n += r->follows && member_is_failing_relay (r, now_us);
-    }
+    n += holds (cluster, value, now_us);
   return n;
 }
 
 unsigned
-mq_cluster_count_failing_watchers (const mq_cluster *cluster, uint64_t now_us)
+mq_cluster_count_followers_before (const mq_cluster *cluster, uint64_t now_us)
 {
-  GHashTableIter i;
-  gpointer value;
-  unsigned n = 0;
+  return cluster_count (cluster, member_is_relay_before_self, now_us);
+}
 
-  g_hash_table_iter_init (&i, cluster->routers);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_cluster_member *r = value;
+unsigned
+mq_cluster_count_watchers_before (const mq_cluster *cluster, uint64_t now_us)
+{
+  return cluster_count (cluster, member_is_local_relay_before_self, now_us);
+}
 
-      n += r->local && r->watches && member_is_failing_relay (r, now_us);
-    }
-  return n;
+unsigned
+mq_cluster_count_failing_followers (const mq_cluster *cluster, uint64_t now_us)
+{
+  return cluster_count (cluster, member_is_failing_follower, now_us);
+}
+
+unsigned
+mq_cluster_count_failing_watchers (const mq_cluster *cluster, uint64_t now_us)
+{
+  return cluster_count (cluster, member_is_failing_watcher, now_us);
 }
 
 bool
