Log the parts of the prompts of requests whose runs were lost

The logs could not show whether the requests that stood at crashes have a part in common: hypothesis 1 of docs/incidents/crashing-part.md. request.run-lost now names the request's content and the parts of its prompt that other requests may have as well, as the platform numbers them. The content moves there from request.send-ended, which costs a line only for runs that broke or timed out.

No decision changes.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -39,6 +39,7 @@
   const char *signature;          /* Of the engine's response.  */
   const char *last_event_id;      /* A stream resumes after this event.  */
   const char *token_counts;       /* "PROMPT,MAX_ANSWER" in tokens.  */
+  const char *prompt_parts;       /* Ids and tokens of a prompt's parts.  */
   const char *answer_estimate;    /* Tokens that the client expects.  */
   const char *at_fault;           /* Address of the engine at fault.  */
   const char *urgency;            /* Urgency level, 0 the most urgent.  */
@@ -119,6 +120,11 @@
                         GString *out);
   /* Append the value of the path header to OUT.  */
   void (*path_encode) (const mq_layer_path *path, GString *out);
+  /* Store in IDS, which has room for MAX, the ids of the parts of a prompt that
+     other requests may have as well, in their order; of more than MAX the last
+     ones.  VALUE is that of the prompt_parts header, from which they borrow;
+     what can't be read of it is left out.  Returns their number.  */
+  size_t (*shared_parts_decode) (mq_span value, mq_span *ids, size_t max);
   /* Append to OUT the response to a discovery request: N ADDRESSES of routers,
      valid for TTL_S seconds.  */
   void (*resolve_encode) (const mq_span *addresses, size_t n, unsigned ttl_s,
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -18,6 +18,7 @@
 #include <mq/detour.h>
 #include <mq/dialect.h>
 #include <mq/domain_load.h>
+#include <mq/element.h>
 #include <mq/entry_list.h>
 #include <mq/event_split.h>
 #include <mq/follow.h>
@@ -293,9 +294,12 @@
   const mq_route_service *service;
   const mq_route_organisation *organisation; /* NULL: an anonymous client.  */
   mq_forward_state state;
-  uint64_t started_us;   /* When the request arrived.  */
-  mq_span id;            /* Request id, borrowed from EXCHANGE.  */
-  uint64_t content;      /* mq_forward_content_hash; 0: not computed yet.  */
+  uint64_t started_us; /* When the request arrived.  */
+  mq_span id;          /* Request id, borrowed from EXCHANGE.  */
+  uint64_t *parts;     /* Elements, owned: the content, 0 until it is
+                          computed, and N_PARTS parts of the prompt.  NULL:
+                          not computed yet.  */
+  size_t n_parts;
   mq_upstream *upstream; /* Target of the current send, one reference; NULL
                             between sends.  */
   GPtrArray *tried;      /* mq_upstream that were sent to, one reference
@@ -449,9 +453,13 @@
 void mq_forward_free_all (mq_gateway *gateway);
 
 /* ---- gateway_content.c  */
-/* Hash of what FORWARD requests, equal for repetitions of the same request at
-   any router; never 0.  Computed on first use.  */
-uint64_t mq_forward_content_hash (mq_forward *forward);
+/* The content of FORWARD as an element, equal for repetitions of the same
+   request at any router.  Computed on first use.  */
+uint64_t mq_forward_content (mq_forward *forward);
+/* The parts of FORWARD's prompt that other requests may have as well.  */
+mq_element_set mq_forward_parts (mq_forward *forward);
+/* All elements of FORWARD.  */
+mq_element_set mq_forward_elements (mq_forward *forward);
 
 /* ---- gateway_crash.c  */
 /* An event of FORWARD is about to be sent to the client.  */
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -266,5 +266,5 @@
     c = case_open (g, upstream, now_us);
   if (upstream_may_crash (upstream, now_us)
       && forward_is_suspect (forward, now_us))
-    case_add (c, mq_forward_content_hash (forward));
+    case_add (c, mq_forward_content (forward));
 }
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -83,6 +83,7 @@
   g_ptr_array_unref (f->ran);
   mq_event_split_finish (&f->split);
   g_string_free (f->error_body, TRUE);
+  g_free (f->parts);
   mq_log_buffer_finish (&f->log_buffer);
   g_free (f);
 }
@@ -228,14 +229,29 @@
   forward_note_fault_of (forward, end, now_us);
 }
 
-/* Returns the content hash of FORWARD for the log when its run may have failed
-   because of its content, else 0.  */
-static uint64_t
-forward_logged_content (mq_forward *forward, mq_send_end end)
+/* Log the elements of FORWARD if its run, which ended as END, may have failed
+   because of one of them.  */
+static void
+forward_log_elements (mq_forward *forward, mq_send_end end)
 {
-  return end == MQ_SEND_BROKEN || end == MQ_SEND_TIMED_OUT
-             ? mq_forward_content_hash (forward)
-             : 0;
+  mq_element_set parts = mq_forward_parts (forward);
+  GString *text;
+  char element[MQ_ELEMENT_TEXT_SIZE];
+
+  if (end != MQ_SEND_BROKEN && end != MQ_SEND_TIMED_OUT)
+    return;
+  text = g_string_new (NULL);
+  for (size_t i = 0; i < parts.n; i++)
+    g_string_append_printf (
+        text, "%s%s", i > 0 ? "," : "",
+        strchr (mq_element_format (parts.ids[i], element), '=') + 1);
+  mq_log_buffer_append (
+      &forward->log_buffer, G_LOG_LEVEL_INFO, "request.run-lost",
+      "request=%.*s upstream=%s %s parts=%s", MQ_SPAN_ARG (forward->id),
+      forward->upstream ? mq_str_cstr (forward->upstream->facts.id) : "none",
+      mq_element_format (mq_forward_content (forward), element),
+      parts.n > 0 ? text->str : "none");
+  g_string_free (text, TRUE);
 }
 
 /* Take the current send's upstream off the list of those that ran FORWARD: the
@@ -304,15 +320,15 @@
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s via=%s tunnel_status=%u end=%d status=%u"
       " why=%s verdict=%d limit=%s"
-      " events=%u content=%016" G_GINT64_MODIFIER
-      "x silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
+      " events=%u silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
       f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none",
       f->detour ? mq_str_cstr (f->detour->address) : "none", f->tunnel_status,
       end, status, why, v.verb,
       mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
-      f->split.events, forward_logged_content (f, end),
-      forward_silent_us (f, now) / 1000, mq_forward_age_ms (f));
+      f->split.events, forward_silent_us (f, now) / 1000,
+      mq_forward_age_ms (f));
+  forward_log_elements (f, end);
   forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -327,12 +327,11 @@
 
   if (mq_quarantine_is_empty (&g->quarantine))
     return;
-  if (mq_quarantine_note_success (&g->quarantine,
-                                  mq_forward_content_hash (forward),
+  if (mq_quarantine_note_success (&g->quarantine, mq_forward_content (forward),
                                   mq_gateway_now_us ()))
     mq_log (G_LOG_LEVEL_INFO, "request.ran-well",
             "request=%.*s content=%016" G_GINT64_MODIFIER "x",
-            MQ_SPAN_ARG (forward->id), mq_forward_content_hash (forward));
+            MQ_SPAN_ARG (forward->id), mq_forward_content (forward));
 }
 
 void
@@ -368,7 +367,7 @@
 
   if (mq_quarantine_is_empty (&g->quarantine))
     return true;
-  content = mq_forward_content_hash (forward);
+  content = mq_forward_content (forward);
   if (mq_quarantine_find (&g->quarantine, content) == NULL)
     return true;
   return mq_quarantine_may_run_at (
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -214,8 +214,8 @@
 
   if (mq_quarantine_is_empty (&g->quarantine))
     return 0;
-  return mq_gateway_quarantine_remaining_us (
-      g, mq_forward_content_hash (forward), now_us);
+  return mq_gateway_quarantine_remaining_us (g, mq_forward_content (forward),
+                                             now_us);
 }
 
 /* Count the upstream of FORWARD among those that may have run it.  */
@@ -334,7 +334,7 @@
   mq_log_buffer_append (
       &forward->log_buffer, G_LOG_LEVEL_INFO, "request.kept-apart",
       "request=%.*s content=%016" G_GINT64_MODIFIER "x",
-      MQ_SPAN_ARG (forward->id), mq_forward_content_hash (forward));
+      MQ_SPAN_ARG (forward->id), mq_forward_content (forward));
 }
 
 void
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -383,6 +383,30 @@
   d->free_decoded (decoded);
 }
 
+/* The last part of a prompt belongs to one request or session.  */
+TEST (UsersPlatform, SharedPartsOfPromptAreDecoded)
+{
+  auto decode = [] (const std::string &value, size_t max) {
+    std::vector<mq_span> ids (max);
+    std::string all;
+    size_t n = mq_users_platform.shared_parts_decode (span (value),
+                                                      ids.data (), max);
+
+    for (size_t i = 0; i < n; i++)
+      all += std::string (ids[i].data, ids[i].size) + ";";
+    return all;
+  };
+
+  EXPECT_EQ (decode ("5c1e07a2:800,91bd3f06:410,e4402b7d:250", 8),
+             "5c1e07a2;91bd3f06;");
+  EXPECT_EQ (decode (" 5c1e07a2 : 800 , 91bd3f06:410,e4402b7d:250", 8),
+             "5c1e07a2;91bd3f06;");
+  EXPECT_EQ (decode ("a:1,b:2,c:3,d:4,e:5", 2), "c;d;");
+  EXPECT_EQ (decode ("a:1,,b,:4,c:3,d:4", 8), "a;c;");
+  EXPECT_EQ (decode ("a:1", 8), "");
+  EXPECT_EQ (decode ("", 8), "");
+}
+
 /* Mutated messages must be decoded or rejected without a crash.  */
 RC_GTEST_PROP (UsersPlatformProperty, DecodersTakeAnyBytes, ())
 {
