Refuse requests for a part of their prompt that crashes upstreams

What callers saw: requests with one part went on crashing engines, one after the other, and nearly no stream that shared these engines was served.

Cause: a suspect of a crash was a whole request, by the hash of its content. No two of these requests are alike, so none came to three crashes. The class: the unit that is blamed is larger than the unit that causes the fault.

Change: a suspect is an element of a request, its content or a part of its prompt that others may have as well, in the same table of records. A run that goes well rules its elements out, a part also for the next 5 s and at all routers. Of elements that have only come together, requests with all of them are refused. A part is tried again by single requests, so that a false finding ends.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -120,10 +120,10 @@
                         GString *out);
   /* Append the value of the path header to OUT.  */
   void (*path_encode) (const mq_layer_path *path, GString *out);
-  /* Store in IDS, which has room for MAX, the ids of the parts of a prompt that
-     other requests may have as well, in their order; of more than MAX the last
-     ones.  VALUE is that of the prompt_parts header, from which they borrow;
-     what can't be read of it is left out.  Returns their number.  */
+  /* Store in IDS, which has room for MAX, the ids of the parts of a prompt
+     that other requests may have as well, in their order; of more than MAX the
+     last ones.  VALUE is that of the prompt_parts header, from which they
+     borrow; what can't be read of it is left out.  Returns their number.  */
   size_t (*shared_parts_decode) (mq_span value, mq_span *ids, size_t max);
   /* Append to OUT the response to a discovery request: N ADDRESSES of routers,
      valid for TTL_S seconds.  */
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -277,7 +277,7 @@
   GPtrArray *crash_cases;       /* mq_crash_case, owned.  */
   GPtrArray *path_probes;       /* In progress, owned.  */
   mq_detour_table detours;
-  GHashTable *stored_refusals; /* Written to the store: content hash ->
+  GHashTable *stored_refusals; /* Written to the store: element ->
                                   stored_refusal, owned.  */
   bool refusals_scanning;
   bool refusals_scanned;
@@ -468,8 +468,8 @@
    FORWARD may be the cause.  */
 void mq_crash_note_broken_run (mq_forward *forward, mq_upstream *upstream,
                                uint64_t now_us);
-/* Returns true if a run of a request with the hash CONTENT broke, and whether
-   its upstream crashed is not known yet.  */
+/* Returns true if a run of a request with CONTENT broke, and whether its
+   upstream crashed is not known yet.  */
 bool mq_crash_is_pending (const mq_gateway *gateway, uint64_t content);
 /* Confirm or dismiss suspected crashes.  */
 void mq_crash_tick (mq_gateway *gateway, uint64_t now_us);
@@ -480,12 +480,12 @@
 void mq_gateway_quarantine_init (mq_gateway *gateway);
 void mq_gateway_quarantine_finish (mq_gateway *gateway);
 void mq_gateway_quarantine_tick (mq_gateway *gateway, uint64_t now_us);
-/* REQUEST, a content hash, is suspected of the crash of UPSTREAM at AT_US.
-   START is a hash of that instance of UPSTREAM.  */
-void mq_gateway_note_suspect (mq_gateway *gateway, uint64_t request,
+/* ELEMENT is suspected of the crash of UPSTREAM at AT_US.  START is a hash of
+   that instance of UPSTREAM.  */
+void mq_gateway_note_suspect (mq_gateway *gateway, uint64_t element,
                               const mq_upstream *upstream, uint64_t start,
                               uint64_t at_us);
-/* FORWARD succeeded, which clears it of earlier suspicions.  */
+/* FORWARD ran well, which clears its elements of earlier suspicions.  */
 void mq_gateway_note_success (mq_forward *forward);
 /* Merge the crash records CRASHES (mq_quarantine_record) that FROM reported.
  */
@@ -496,10 +496,11 @@
 bool mq_gateway_quarantine_allows (mq_forward *forward,
                                    const mq_upstream *upstream,
                                    uint64_t now_us);
-/* How long requests with the hash CONTENT stay refused; 0: they are not.  */
-uint64_t mq_gateway_quarantine_remaining_us (const mq_gateway *gateway,
-                                             uint64_t content,
+/* How long FORWARD stays refused; 0: it is not.  */
+uint64_t mq_gateway_quarantine_remaining_us (mq_forward *forward,
                                              uint64_t now_us);
+/* FORWARD is sent.  */
+void mq_gateway_quarantine_note_sent (mq_forward *forward, uint64_t now_us);
 
 /* ---- gateway_notice.c  */
 /* Apply what UPSTREAM states in the headers of its response, which EVENT
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -1,31 +1,46 @@
-/* Requests that are suspected of crashing upstreams, and which of them are to
-   be refused.
+/* What of requests is suspected of crashing upstreams, and which requests are
+   to be refused for it.
 
    A client may send a request that crashes each upstream that starts to run
-   it, and send it again as a new one to any router.  When an upstream crashes,
-   each request that had just started there is a *suspect*: one may be the
-   cause, the others were there by chance.  A crash record says that a request
-   (a hash of its content) was a suspect of the crash of an upstream (a hash
-   of one start of it).
+   it, and send it again as a new one to any router.  Or clients send requests
+   of which no two are alike, but whose prompts have a part that crashes
+   upstreams.  So the cause is one *element* of a request (mq/element.h): its
+   whole content, or a part of its prompt that other requests may have as well.
+
+   When an upstream crashes, each request that had just started there is a
+   suspect with all its elements: one of them may be the cause, the others were
+   there by chance.  A crash record says that an element was a suspect of the
+   crash of an upstream (a hash of one start of it).
 
    The records of all routers are merged as a set, so their order and
    repetition do not matter, and routers with the same records decide alike:
-   - A crash is *explained* for a suspect if another suspect of it has more
-     crash records.
-   - A request is refused if three of its crashes are not explained and in one
-     of these it has more records than any other suspect.
+   - An element that ran well did not cause its earlier crashes: its records up
+     to then are void.  A part that ran well is no suspect of crashes soon
+   after that either, since many requests have it; so the parts that sound
+   requests use are suspects only while none of these runs.
+   - A crash is *explained* for a suspect if another suspect of it is likelier:
+     it has more records; or equally many, and it is a content and the other a
+     part, or it never ran well and the other, a part too, did.
+   - A request is refused for an element of it if three of its crashes are not
+     explained, and in one of these it is likelier than any suspect that the
+     request does not have itself.  So of parts that have only come together,
+     the requests that have all of them are refused.  More crashes are needed
+     of a part if all happened at once, as upstreams may fail together for
+     another reason.
    - Suspects that have the same crashes are tied.  From the third one on they
      are kept apart: no two of them are sent to the same upstream at the same
      time, and none while the outcome of its last run is not known, so that
      the next crash is a record of the cause alone.  Those that still crash
-     upstreams together are refused.
-   - A request that succeeded did not cause its earlier crashes: its records up
-     to then are void.
+     upstreams together are refused.  A part that ran well before is neither.
 
    A refusal lasts from the last crash for the period of the settings.  Records
    are kept twice as long, so that one more crash in that time renews the
-   refusal.  The number of suspects is bounded; those with the fewest crashes,
-   and of these the oldest, are evicted first.
+   refusal.  A part concerns many requests, so a false finding would cost more:
+   after a while, which grows with each crash, a router that saw the last crash
+   lets a single request through.  If it runs well, the records are void.
+
+   The number of suspects is bounded; those with the fewest crashes, of these
+   contents before parts, and then the oldest, are evicted first.
 
    The module is pure: it does no I/O, and times come in with the calls, in
    monotonic microseconds.  */
@@ -34,6 +49,8 @@
 #define MQ_QUARANTINE_H
 
 #include <glib.h>
+#include <mq/element.h>
+#include <mq/sound_parts.h>
 #include <stdbool.h>
 #include <stdint.h>
 
@@ -50,8 +67,8 @@
 /* Connections that break because of one crash are noticed within this, even on
    a VM with a tenth of a processor.  */
 #define MQ_QUARANTINE_SAME_CRASH_US ((uint64_t)200 * 1000)
-/* Suspects of one crash that a router records.  More of them can have started
-   there only if all waited for their prefill.  */
+/* Requests that a router records as suspects of one crash by their content.
+   More of them can have started there only if all waited for their prefill. */
 #define MQ_QUARANTINE_MAX_SUSPECTS_PER_CRASH 16
 /* Records in one message to another router.  */
 #define MQ_QUARANTINE_MAX_RECORDS_PER_MESSAGE 64
@@ -59,13 +76,13 @@
 /* A crash record as routers exchange it.  */
 typedef struct mq_quarantine_record
 {
-  uint64_t request;  /* Hash of its content; not 0.  */
-  uint64_t upstream; /* Hash of the start that crashed; 0: the request
-                        succeeded.  */
+  uint64_t element;  /* Not 0.  */
+  uint64_t upstream; /* Hash of the start that crashed; 0: a request with the
+                        element ran well.  */
   uint64_t age_ms;   /* Time since then.  */
 } mq_quarantine_record;
 
-/* One crash that a request is a suspect of.  */
+/* One crash that an element is a suspect of.  */
 typedef struct mq_quarantine_crash
 {
   uint64_t upstream;
@@ -73,10 +90,20 @@
   uint64_t learned_us; /* When this router saw it or received the record.  */
 } mq_quarantine_crash;
 
-/* A request with crash records.  Times in it are shifted: see quarantine.c. */
+/* What the crashes of a suspect show, whatever else a request has.  */
+typedef struct mq_suspect_verdict
+{
+  unsigned unexplained;   /* Crashes that no other suspect explains.  */
+  unsigned refused_after; /* How many of its crashes led to its refusal; 0: it
+                             is not to be refused.  */
+  unsigned tied;          /* Suspects that it has to be kept apart from.  */
+} mq_suspect_verdict;
+
+/* An element with crash records.  Times in it are shifted: see
+   mq/internal/quarantine.h.  */
 typedef struct mq_suspect
 {
-  uint64_t request;
+  uint64_t element;
   mq_quarantine_crash
       crashes[MQ_QUARANTINE_MAX_CRASHES]; /* The oldest first.  */
   unsigned n;                             /* Crashes in CRASHES.  */
@@ -84,16 +111,22 @@
   uint64_t success_learned_us; /* When this router learned of it.  */
   uint64_t own_crash_us;       /* Last crash that this router saw itself; 0:
                                   none.  */
+  uint64_t trial_us;           /* When this router last let a request through
+                                  in spite of the refusal; 0: never.  */
   bool refused;                /* As of the last tick.  */
+  mq_suspect_verdict verdict;  /* As of JUDGED_EPOCH.  */
+  uint64_t judged_epoch;
 } mq_suspect;
 
 typedef struct mq_quarantine
 {
   uint64_t period_us;
   GPtrArray *suspects;    /* mq_suspect, owned.  */
-  GHashTable *by_request; /* Request of a suspect -> the suspect, borrowed.  */
-  unsigned refused;       /* Suspects that are refused, as of the last tick. */
-  guint next_export;      /* Suspect that the next message starts at.  */
+  GHashTable *by_element; /* Element of a suspect -> the suspect, borrowed.  */
+  mq_sound_parts sound_parts; /* Parts that ran well on this router.  */
+  uint64_t epoch;             /* Grows whenever a verdict may change.  */
+  unsigned refused;  /* Suspects that are refused, as of the last tick. */
+  guint next_export; /* Suspect that the next message starts at.  */
 } mq_quarantine;
 
 /* PERIOD_US: how long a request is refused.  */
@@ -104,35 +137,46 @@
    up.  */
 bool mq_quarantine_is_empty (const mq_quarantine *quarantine);
 
-/* Record that REQUEST is a suspect of the crash of UPSTREAM at AT_US, which
+/* Record that ELEMENT is a suspect of the crash of UPSTREAM at AT_US, which
    this router saw itself.  Returns false if that is void or known already.  */
-bool mq_quarantine_add (mq_quarantine *quarantine, uint64_t request,
+bool mq_quarantine_add (mq_quarantine *quarantine, uint64_t element,
                         uint64_t upstream, uint64_t at_us, uint64_t now_us);
-/* REQUEST succeeded on this router.  Does nothing unless it is a suspect.
-   Returns true if this voided a crash record.  */
-bool mq_quarantine_note_success (mq_quarantine *quarantine, uint64_t request,
+/* A request with ELEMENT ran well on this router.  Returns true if this voided
+   a crash record.  */
+bool mq_quarantine_note_success (mq_quarantine *quarantine, uint64_t element,
                                  uint64_t now_us);
 /* Merge a record from another router or from the store.  A success is ignored
-   while the request is refused here, so that a forged message cannot cancel a
-   refusal.  Returns true if RECORD changed anything.  */
+   while ELEMENT is refused here and no router may try it, so that a forged
+   message cannot cancel a refusal.  Returns true if RECORD changed anything.
+ */
 bool mq_quarantine_merge (mq_quarantine *quarantine,
                           const mq_quarantine_record *record, uint64_t now_us);
 
-/* Returns for how long REQUEST is still refused, or 0 if it may be sent.  */
+/* Returns for how long a request with the elements SET is still refused, or 0
+   if it may be sent.  */
 uint64_t mq_quarantine_remaining_us (const mq_quarantine *quarantine,
-                                     uint64_t request, uint64_t now_us);
-/* Returns true if REQUEST, which is not refused, may be sent to UPSTREAM (a
-   hash of its id) now.  Returns false if it is tied, and either that is the
-   turn of another request that it is tied with, or PENDING: a run of it broke,
-   and whether its upstream crashed is not known yet.  All routers with the
-   same records agree on the turns, as far as their clocks do on the time since
-   a crash.  */
+                                     mq_element_set set, uint64_t now_us);
+/* A request with the elements SET, which is not refused, was sent.  */
+void mq_quarantine_note_sent (mq_quarantine *quarantine, mq_element_set set,
+                              uint64_t now_us);
+/* Returns true if a request with the elements SET, which is not refused, may
+   be sent to UPSTREAM (a hash of its id) now.  Returns false if one of them is
+   tied with another suspect, and either that is the turn of the other, or
+   PENDING: a run of the request broke, and whether its upstream crashed is not
+   known yet. All routers with the same records agree on the turns, as far as
+   their clocks do on the time since a crash.  */
 bool mq_quarantine_may_run_at (const mq_quarantine *quarantine,
-                               uint64_t request, uint64_t upstream,
+                               mq_element_set set, uint64_t upstream,
                                bool pending, uint64_t now_us);
-/* Returns the suspect of REQUEST, borrowed until the next change, or NULL.  */
+/* Returns the suspect ELEMENT, borrowed until the next change, or NULL.  */
 const mq_suspect *mq_quarantine_find (const mq_quarantine *quarantine,
-                                      uint64_t request);
+                                      uint64_t element);
+/* Returns how long ago CRASH was, in milliseconds.  */
+uint64_t mq_quarantine_crash_age_ms (const mq_quarantine *quarantine,
+                                     const mq_quarantine_crash *crash,
+                                     uint64_t now_us);
+/* Returns true if one of SET is a suspect.  */
+bool mq_quarantine_knows (const mq_quarantine *quarantine, mq_element_set set);
 
 /* Append to RECORDS (mq_quarantine_record) what is to be sent to other routers
    now: what was learned within the last second, and with ALL also the records
@@ -142,11 +186,11 @@
 /* Returns true if anything was learned within the last second.  */
 bool mq_quarantine_is_fresh (const mq_quarantine *quarantine, uint64_t now_us);
 
-/* A request whose refusal began or ended.  */
+/* An element for which refusals began or ended.  */
 typedef struct mq_quarantine_change
 {
-  uint64_t request;
-  bool refused;     /* It is refused from now on; false: no longer.  */
+  uint64_t element;
+  bool refused;     /* Refused from now on; false: no longer.  */
   bool own;         /* This router saw the last crash itself.  */
   unsigned crashes; /* Its crash records.  */
   unsigned tied;    /* Other suspects of one of its crashes that have as
--- a/packages/decide/entry.c
+++ b/packages/decide/entry.c
@@ -235,10 +235,11 @@
 uint64_t
 mq_entry_quarantine_remaining_us (const mq_entry *entry, uint64_t content)
 {
+  mq_element_set set = { &content, 1 };
+
   if (entry->quarantine == NULL || content == 0)
     return 0;
-  return mq_quarantine_remaining_us (entry->quarantine, content,
-                                     entry->now_us);
+  return mq_quarantine_remaining_us (entry->quarantine, set, entry->now_us);
 }
 
 void
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -2,13 +2,13 @@
 
    A run that breaks off may mean that its upstream crashed, that the
    connection broke, or that the response was lost.  A *case* holds the
-   requests that had just begun to run there, as suspects, until the outcome is
-   known.  A refused connection confirms the crash, and so does the platform's
-   list when it no longer names the upstream or names a new instance.  A
-   refusal counts only once this router is known to reach the service
-   (mq/reach.h).  A run
-   that continues, or begins later, dismisses the case.  The suspects of a
-   confirmed crash go into the quarantine (mq/quarantine.h).
+   requests that had just begun to run there, as suspects with their elements
+   (mq/element.h), until the outcome is known.  A refused connection confirms
+   the crash, and so does the platform's list when it no longer names the
+   upstream or names a new instance.  A refusal counts only once this router is
+   known to reach the service (mq/reach.h).  A run that continues, or begins
+   later, dismisses the case.  The suspects of a confirmed crash go into the
+   quarantine (mq/quarantine.h).
 
    A request on an upstream that is draining is no suspect: such an upstream
    cuts the remaining runs at the end of its drain.  */
@@ -25,6 +25,8 @@
 #define CONNECT_TIMEOUT_MS 250
 /* Open cases: one for each upstream that may have crashed recently.  */
 #define MAX_CASES 64
+/* Parts of prompts recorded for one case.  */
+#define MAX_CASE_PARTS 128
 
 struct mq_crash_case
 {
@@ -36,7 +38,9 @@
   bool refused;            /* The probe was.  */
   bool listening;          /* Something accepts connections at its address.  */
   mq_tcp_probe *tcp_probe; /* Probe in progress, borrowed; NULL: none.  */
-  GArray *requests;        /* uint64_t: content hashes of the suspects.  */
+  GArray *contents;        /* uint64_t: contents of the requests that may be
+                              the cause ...  */
+  GArray *parts;           /* ... and the parts of their prompts.  */
 };
 
 void
@@ -47,7 +51,8 @@
   if (c->tcp_probe != NULL)
     mq_tcp_probe_cancel (c->tcp_probe);
   mq_upstream_unref (c->upstream);
-  g_array_unref (c->requests);
+  g_array_unref (c->contents);
+  g_array_unref (c->parts);
   g_free (c);
 }
 
@@ -78,19 +83,31 @@
   c->upstream = mq_upstream_ref (upstream);
   c->started_ms = upstream->facts.born_ms;
   c->broke_us = now_us;
-  c->requests = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  c->contents = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  c->parts = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   g_ptr_array_add (gateway->crash_cases, c);
   return c;
 }
 
+static mq_element_set
+elements_of (const GArray *ids)
+{
+  return (mq_element_set){ (const uint64_t *)(void *)ids->data, ids->len };
+}
+
+/* Add FORWARD to the requests that may be the cause of C.  */
 static void
-case_add (mq_crash_case *c, uint64_t request)
+case_add (mq_crash_case *c, mq_forward *forward)
 {
-  for (guint i = 0; i < c->requests->len; i++)
-    if (g_array_index (c->requests, uint64_t, i) == request)
-      return;
-  if (c->requests->len < MQ_QUARANTINE_MAX_SUSPECTS_PER_CRASH)
-    g_array_append_val (c->requests, request);
+  uint64_t content = mq_forward_content (forward);
+  mq_element_set parts = mq_forward_parts (forward);
+
+  if (c->contents->len < MQ_QUARANTINE_MAX_SUSPECTS_PER_CRASH
+      && !mq_element_set_has (elements_of (c->contents), content))
+    g_array_append_val (c->contents, content);
+  for (size_t i = 0; i < parts.n && c->parts->len < MAX_CASE_PARTS; i++)
+    if (!mq_element_set_has (elements_of (c->parts), parts.ids[i]))
+      g_array_append_val (c->parts, parts.ids[i]);
 }
 
 /* Hash of C's upstream instance, the same at each router.  */
@@ -114,12 +131,16 @@
   if (!c->listening && c->upstream->facts.born_ms == c->started_ms)
     c->upstream->crashed = true;
   ++*g->counters.crashes;
-  mq_log (G_LOG_LEVEL_WARNING, "upstream.ended",
-          "upstream=%s how=%s suspects=%u ms=%" G_GUINT64_FORMAT,
-          mq_str_cstr (c->upstream->facts.id), how, c->requests->len,
-          (now - c->broke_us) / 1000);
-  for (guint i = 0; i < c->requests->len; i++)
-    mq_gateway_note_suspect (g, g_array_index (c->requests, uint64_t, i),
+  mq_log (
+      G_LOG_LEVEL_WARNING, "upstream.ended",
+      "upstream=%s how=%s suspects=%u prompt_parts=%u ms=%" G_GUINT64_FORMAT,
+      mq_str_cstr (c->upstream->facts.id), how, c->contents->len,
+      c->parts->len, (now - c->broke_us) / 1000);
+  for (guint i = 0; i < c->contents->len; i++)
+    mq_gateway_note_suspect (g, g_array_index (c->contents, uint64_t, i),
+                             c->upstream, upstream, c->broke_us);
+  for (guint i = 0; i < c->parts->len; i++)
+    mq_gateway_note_suspect (g, g_array_index (c->parts, uint64_t, i),
                              c->upstream, upstream, c->broke_us);
   g_ptr_array_remove_fast (g->crash_cases, c);
 }
@@ -131,9 +152,8 @@
     {
       const mq_crash_case *c = g_ptr_array_index (gateway->crash_cases, i);
 
-      for (guint k = 0; k < c->requests->len; k++)
-        if (g_array_index (c->requests, uint64_t, k) == content)
-          return true;
+      if (mq_element_set_has (elements_of (c->contents), content))
+        return true;
     }
   return false;
 }
@@ -266,5 +286,5 @@
     c = case_open (g, upstream, now_us);
   if (upstream_may_crash (upstream, now_us)
       && forward_is_suspect (forward, now_us))
-    case_add (c, mq_forward_content (forward));
+    case_add (c, forward);
 }
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -247,7 +247,7 @@
         strchr (mq_element_format (parts.ids[i], element), '=') + 1);
   mq_log_buffer_append (
       &forward->log_buffer, G_LOG_LEVEL_INFO, "request.run-lost",
-      "request=%.*s upstream=%s %s parts=%s", MQ_SPAN_ARG (forward->id),
+      "request=%.*s upstream=%s %s prompt_parts=%s", MQ_SPAN_ARG (forward->id),
       forward->upstream ? mq_str_cstr (forward->upstream->facts.id) : "none",
       mq_element_format (mq_forward_content (forward), element),
       parts.n > 0 ? text->str : "none");
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -36,7 +36,7 @@
 typedef struct stored_refusal
 {
   mq_gateway *gateway; /* Borrowed.  */
-  uint64_t request;    /* Content hash; the key in the table.  */
+  uint64_t element;    /* The key in the table.  */
   stored_state state;
   uint64_t retry_us;
   bool expired; /* Delete the object.  */
@@ -56,6 +56,7 @@
   stored_refusal *s = context;
   mq_gateway *g = s->gateway;
   bool deleted = reply->op == MQ_PLATFORM_DELETE;
+  char element[MQ_ELEMENT_TEXT_SIZE];
 
   switch (reply->result)
     {
@@ -63,13 +64,13 @@
     case MQ_PLATFORM_CONFLICT: /* Another router has written it.  */
     case MQ_PLATFORM_MISSING:
       if (deleted && s->expired)
-        g_hash_table_remove (g->stored_refusals, &s->request);
+        g_hash_table_remove (g->stored_refusals, &s->element);
       else
         s->state = deleted == s->expired ? STORED_DONE : STORED_DUE;
       break;
     default:
-      mq_log (G_LOG_LEVEL_WARNING, "quarantine.not-stored",
-              "content=%016" G_GINT64_MODIFIER "x result=%s", s->request,
+      mq_log (G_LOG_LEVEL_WARNING, "quarantine.not-stored", "%s result=%s",
+              mq_element_format (s->element, element),
               mq_platform_result_name (reply->result));
       s->state = STORED_DUE;
       s->retry_us = mq_gateway_now_us () + STORE_RETRY_US;
@@ -77,20 +78,34 @@
     }
 }
 
+static void
+append_hex (GString *text, uint64_t n)
+{
+  g_string_append_printf (text, "%016" G_GINT64_MODIFIER "x", n);
+}
+
 /* Append to OUT an object value with the crashes of SUSPECT.  */
 static void
-refusal_encode (const mq_suspect *suspect, GString *out)
+refusal_encode (const mq_gateway *gateway, const mq_suspect *suspect,
+                GString *out)
 {
   GString *crashes = g_string_new (NULL);
+  GString *ages = g_string_new (NULL);
 
   for (unsigned i = 0; i < suspect->n; i++)
-    g_string_append_printf (crashes, "%016" G_GINT64_MODIFIER "x",
-                            suspect->crashes[i].upstream);
+    {
+      append_hex (crashes, suspect->crashes[i].upstream);
+      append_hex (ages, mq_quarantine_crash_age_ms (&gateway->quarantine,
+                                                    &suspect->crashes[i],
+                                                    mq_gateway_now_us ()));
+    }
   g_string_append_c (out, '{');
   mq_json_text_member (out, "ends", (mq_span){ crashes->str, crashes->len });
+  mq_json_text_member (out, "ages_ms", (mq_span){ ages->str, ages->len });
   mq_json_text_number (out, "at_ms", now_wall_ms ());
   g_string_append_c (out, '}');
   g_string_free (crashes, TRUE);
+  g_string_free (ages, TRUE);
 }
 
 static void
@@ -98,7 +113,7 @@
 {
   mq_gateway *g = stored->gateway;
   const mq_suspect *suspect
-      = mq_quarantine_find (&g->quarantine, stored->request);
+      = mq_quarantine_find (&g->quarantine, stored->element);
   GString *value = g_string_new (NULL);
   char name[HEX_DIGITS + 1];
   mq_platform_request request
@@ -106,10 +121,10 @@
           .kind = mq_span_from (g->dialect->kinds.refusals) };
 
   g_snprintf (name, sizeof name, "%016" G_GINT64_MODIFIER "x",
-              stored->request);
+              stored->element);
   request.name = mq_span_from (name);
   if (!stored->expired && suspect != NULL)
-    refusal_encode (suspect, value);
+    refusal_encode (g, suspect, value);
   request.value = (mq_span){ value->str, value->len };
   stored->state = STORED_WRITING;
   mq_gateway_count_store_call (g, MQ_STORE_REFUSAL_WRITE);
@@ -118,12 +133,12 @@
   g_string_free (value, TRUE);
 }
 
-/* Schedule writing the refusal of REQUEST or, when it has EXPIRED, deleting
+/* Schedule writing the refusal of ELEMENT or, when it has EXPIRED, deleting
    it.  */
 static void
-store_refusal (mq_gateway *gateway, uint64_t request, bool expired)
+store_refusal (mq_gateway *gateway, uint64_t element, bool expired)
 {
-  stored_refusal *s = g_hash_table_lookup (gateway->stored_refusals, &request);
+  stored_refusal *s = g_hash_table_lookup (gateway->stored_refusals, &element);
 
   if (s == NULL
       && (expired
@@ -134,8 +149,8 @@
     {
       s = g_new0 (stored_refusal, 1);
       s->gateway = gateway;
-      s->request = request;
-      g_hash_table_insert (gateway->stored_refusals, &s->request, s);
+      s->element = element;
+      g_hash_table_insert (gateway->stored_refusals, &s->element, s);
     }
   if (s->expired == expired && s->state != STORED_DUE)
     return;
@@ -157,8 +172,8 @@
       stored_refusal *s = value;
 
       if (!s->expired
-          && mq_quarantine_find (&gateway->quarantine, s->request) == NULL)
-        store_refusal (gateway, s->request, true);
+          && mq_quarantine_find (&gateway->quarantine, s->element) == NULL)
+        store_refusal (gateway, s->element, true);
       if (s->state == STORED_DUE && now_us >= s->retry_us)
         stored_start_call (s);
     }
@@ -177,26 +192,38 @@
   memcpy (buffer, text.data, HEX_DIGITS);
   buffer[HEX_DIGITS] = '\0';
   *n = g_ascii_strtoull (buffer, &end, 16);
-  return end == buffer + HEX_DIGITS && *n != 0 ? 0 : -1;
+  return end == buffer + HEX_DIGITS ? 0 : -1;
+}
+
+/* Returns the number at place I of TEXT, a list of numbers in HEX_DIGITS
+   digits, in *N.  Returns -1 if it is malformed.  */
+static int
+hex_list_decode (mq_span text, size_t i, uint64_t *n)
+{
+  mq_span hex = { text.data + i * HEX_DIGITS, HEX_DIGITS };
+
+  return (i + 1) * HEX_DIGITS <= text.size ? hex_decode (hex, n) : -1;
 }
 
-/* Merge the crashes in TEXT, of which REQUEST was suspected AGE_MS ago.
-   Returns -1 when TEXT is malformed.  */
+/* Merge the crashes in ENDS, of which ELEMENT was suspected at the AGES in
+   milliseconds, written AGE_MS ago.  Objects of earlier versions have no AGES.
+   Returns -1 when a text is malformed.  */
 static int
-apply_crashes (mq_gateway *gateway, uint64_t request, mq_span text,
-               uint64_t age_ms)
+apply_crashes (mq_gateway *gateway, uint64_t element, mq_span ends,
+               mq_span ages, uint64_t age_ms)
 {
-  size_t n = text.size / HEX_DIGITS;
+  size_t n = ends.size / HEX_DIGITS;
 
-  if (n == 0 || n > MQ_QUARANTINE_MAX_CRASHES || text.size % HEX_DIGITS != 0)
+  if (n == 0 || n > MQ_QUARANTINE_MAX_CRASHES || ends.size % HEX_DIGITS != 0)
     return -1;
   for (size_t i = 0; i < n; i++)
     {
-      mq_quarantine_record r = { request, 0, age_ms };
-      mq_span hex = { text.data + i * HEX_DIGITS, HEX_DIGITS };
+      mq_quarantine_record r = { element, 0, 0 };
 
-      if (hex_decode (hex, &r.upstream) < 0)
+      if (hex_list_decode (ends, i, &r.upstream) < 0 || r.upstream == 0
+          || (ages.size > 0 && hex_list_decode (ages, i, &r.age_ms) < 0))
         return -1;
+      r.age_ms = MIN (r.age_ms, UINT64_MAX - age_ms) + age_ms;
       (void)mq_quarantine_merge (&gateway->quarantine, &r,
                                  mq_gateway_now_us ());
     }
@@ -235,17 +262,18 @@
   uint64_t now_ms = now_wall_ms ();
   /* The writer's clock may be ahead of ours.  */
   uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
-  uint64_t request;
+  uint64_t element;
 
-  if (at_ms == 0 || hex_decode (entry->name, &request) < 0)
+  if (at_ms == 0 || hex_decode (entry->name, &element) < 0 || element == 0)
     return -1;
   if (age_ms >= 2 * period_ms)
     {
       delete_refusal (gateway, entry->name);
       return 0;
     }
-  return apply_crashes (gateway, request,
-                        mq_json_span (root, "ends", MQ_SPAN ("")), age_ms);
+  return apply_crashes (gateway, element,
+                        mq_json_span (root, "ends", MQ_SPAN ("")),
+                        mq_json_span (root, "ages_ms", MQ_SPAN ("")), age_ms);
 }
 
 static void
@@ -305,39 +333,50 @@
 /* ---- Local and received records.  */
 
 void
-mq_gateway_note_suspect (mq_gateway *gateway, uint64_t request,
+mq_gateway_note_suspect (mq_gateway *gateway, uint64_t element,
                          const mq_upstream *upstream, uint64_t start,
                          uint64_t at_us)
 {
   const mq_suspect *s;
+  char text[MQ_ELEMENT_TEXT_SIZE];
 
-  if (!mq_quarantine_add (&gateway->quarantine, request, start, at_us,
+  if (!mq_quarantine_add (&gateway->quarantine, element, start, at_us,
                           mq_gateway_now_us ()))
     return;
-  s = mq_quarantine_find (&gateway->quarantine, request);
-  mq_log (G_LOG_LEVEL_INFO, "request.suspected",
-          "content=%016" G_GINT64_MODIFIER "x upstream=%s ends=%u", request,
-          mq_str_cstr (upstream->facts.id), s != NULL ? s->n : 0);
+  s = mq_quarantine_find (&gateway->quarantine, element);
+  mq_log (G_LOG_LEVEL_INFO, "request.suspected", "%s upstream=%s ends=%u",
+          mq_element_format (element, text), mq_str_cstr (upstream->facts.id),
+          s != NULL ? s->n : 0);
+}
+
+static void
+note_element_success (mq_forward *forward, uint64_t element)
+{
+  char text[MQ_ELEMENT_TEXT_SIZE];
+
+  if (mq_quarantine_note_success (&forward->gateway->quarantine, element,
+                                  mq_gateway_now_us ()))
+    mq_log (G_LOG_LEVEL_INFO, "request.ran-well", "request=%.*s %s",
+            MQ_SPAN_ARG (forward->id), mq_element_format (element, text));
 }
 
 void
 mq_gateway_note_success (mq_forward *forward)
 {
-  mq_gateway *g = forward->gateway;
+  mq_element_set parts = mq_forward_parts (forward);
 
-  if (mq_quarantine_is_empty (&g->quarantine))
-    return;
-  if (mq_quarantine_note_success (&g->quarantine, mq_forward_content (forward),
-                                  mq_gateway_now_us ()))
-    mq_log (G_LOG_LEVEL_INFO, "request.ran-well",
-            "request=%.*s content=%016" G_GINT64_MODIFIER "x",
-            MQ_SPAN_ARG (forward->id), mq_forward_content (forward));
+  for (size_t i = 0; i < parts.n; i++)
+    note_element_success (forward, parts.ids[i]);
+  if (!mq_quarantine_is_empty (&forward->gateway->quarantine))
+    note_element_success (forward, mq_forward_content (forward));
 }
 
 void
 mq_gateway_merge_crashes (mq_gateway *gateway, const GArray *crashes,
                           const mq_cluster_member *from, uint64_t now_us)
 {
+  char text[MQ_ELEMENT_TEXT_SIZE];
+
   for (guint i = 0; i < crashes->len; i++)
     {
       const mq_quarantine_record *r
@@ -345,17 +384,32 @@
 
       if (mq_quarantine_merge (&gateway->quarantine, r, now_us))
         mq_log (G_LOG_LEVEL_INFO, "request.suspect-heard",
-                "content=%016" G_GINT64_MODIFIER "x end=%016" G_GINT64_MODIFIER
-                "x age_ms=%" G_GUINT64_FORMAT " peer=%s",
-                r->request, r->upstream, r->age_ms, mq_str_cstr (from->peer));
+                "%s end=%016" G_GINT64_MODIFIER "x age_ms=%" G_GUINT64_FORMAT
+                " peer=%s",
+                mq_element_format (r->element, text), r->upstream, r->age_ms,
+                mq_str_cstr (from->peer));
     }
 }
 
 uint64_t
-mq_gateway_quarantine_remaining_us (const mq_gateway *gateway,
-                                    uint64_t content, uint64_t now_us)
+mq_gateway_quarantine_remaining_us (mq_forward *forward, uint64_t now_us)
 {
-  return mq_quarantine_remaining_us (&gateway->quarantine, content, now_us);
+  const mq_gateway *g = forward->gateway;
+
+  if (mq_quarantine_is_empty (&g->quarantine))
+    return 0;
+  return mq_quarantine_remaining_us (&g->quarantine,
+                                     mq_forward_elements (forward), now_us);
+}
+
+void
+mq_gateway_quarantine_note_sent (mq_forward *forward, uint64_t now_us)
+{
+  mq_gateway *g = forward->gateway;
+
+  if (!mq_quarantine_is_empty (&g->quarantine))
+    mq_quarantine_note_sent (&g->quarantine, mq_forward_elements (forward),
+                             now_us);
 }
 
 bool
@@ -363,16 +417,16 @@
                               uint64_t now_us)
 {
   const mq_gateway *g = forward->gateway;
-  uint64_t content;
+  mq_element_set set;
 
   if (mq_quarantine_is_empty (&g->quarantine))
     return true;
-  content = mq_forward_content (forward);
-  if (mq_quarantine_find (&g->quarantine, content) == NULL)
+  set = mq_forward_elements (forward);
+  if (!mq_quarantine_knows (&g->quarantine, set))
     return true;
   return mq_quarantine_may_run_at (
-      &g->quarantine, content, mq_span_hash (mq_str_span (upstream->facts.id)),
-      mq_crash_is_pending (g, content), now_us);
+      &g->quarantine, set, mq_span_hash (mq_str_span (upstream->facts.id)),
+      mq_crash_is_pending (g, mq_forward_content (forward)), now_us);
 }
 
 /* ---- Ticks.  */
@@ -381,23 +435,23 @@
 apply_change (mq_gateway *gateway, const mq_quarantine_change *change,
               uint64_t now_us)
 {
-  uint64_t left = mq_quarantine_remaining_us (&gateway->quarantine,
-                                              change->request, now_us);
+  mq_element_set set = { &change->element, 1 };
+  uint64_t left
+      = mq_quarantine_remaining_us (&gateway->quarantine, set, now_us);
+  char text[MQ_ELEMENT_TEXT_SIZE];
 
+  mq_element_format (change->element, text);
   if (change->refused)
     mq_log (G_LOG_LEVEL_WARNING, "request.quarantined",
-            "content=%016" G_GINT64_MODIFIER
-            "x ends=%u tied=%u own=%d left_ms=%" G_GUINT64_FORMAT,
-            change->request, change->crashes, change->tied, change->own,
-            left / US_PER_MS);
+            "%s ends=%u tied=%u own=%d left_ms=%" G_GUINT64_FORMAT, text,
+            change->crashes, change->tied, change->own, left / US_PER_MS);
   else
-    mq_log (G_LOG_LEVEL_WARNING, "request.released",
-            "content=%016" G_GINT64_MODIFIER "x ends=%u", change->request,
+    mq_log (G_LOG_LEVEL_WARNING, "request.released", "%s ends=%u", text,
             change->crashes);
   if (!change->refused)
-    store_refusal (gateway, change->request, true);
+    store_refusal (gateway, change->element, true);
   else if (change->own)
-    store_refusal (gateway, change->request, false);
+    store_refusal (gateway, change->element, false);
 }
 
 void
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -204,20 +204,6 @@
          && !mq_gateway_urgency_yields (forward);
 }
 
-/* Returns the time for which FORWARD is quarantined, since requests of its
-   content crashed upstreams, or 0.  Checked at each send, as other routers may
-   have reported crashes since the last one.  */
-static uint64_t
-send_quarantine_us (mq_forward *forward, uint64_t now_us)
-{
-  const mq_gateway *g = forward->gateway;
-
-  if (mq_quarantine_is_empty (&g->quarantine))
-    return 0;
-  return mq_gateway_quarantine_remaining_us (g, mq_forward_content (forward),
-                                             now_us);
-}
-
 /* Count the upstream of FORWARD among those that may have run it.  */
 static void
 send_count_upstream (mq_forward *forward)
@@ -343,16 +329,18 @@
   mq_forward *f = forward;
   mq_gateway *g = f->gateway;
   unsigned retry_ms = 0;
+  uint64_t refused_us;
   mq_place_result result;
 
   f->awaits_reach = send_awaits_reach (f, now_us);
   if (f->awaits_reach)
     return;
-  if (send_quarantine_us (f, now_us) > 0)
+  /* Checked at each send, as other routers may have reported crashes since the
+     last one.  */
+  refused_us = mq_gateway_quarantine_remaining_us (f, now_us);
+  if (refused_us > 0)
     {
-      mq_forward_reject (
-          f, (unsigned)(send_quarantine_us (f, now_us) / US_PER_MS),
-          "quarantined");
+      mq_forward_reject (f, (unsigned)(refused_us / US_PER_MS), "quarantined");
       return;
     }
   if (!mq_forward_is_in_budget (f, now_us))
@@ -378,6 +366,7 @@
       return;
     }
   f->waiting = false;
+  mq_gateway_quarantine_note_sent (f, now_us);
   mq_gateway_urgency_note_sent (f, now_us);
   if (f->state.arrived > 0)
     {
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -106,7 +106,7 @@
 put_crash_record (Mq__News__End *to, const mq_quarantine_record *from)
 {
   mq__news__end__init (to);
-  to->request = from->request;
+  to->request = from->element;
   to->upstream = from->upstream;
   to->age_ms = from->age_ms;
 }
@@ -435,7 +435,7 @@
       mq_quarantine_record r
           = { from[i]->request, from[i]->upstream, from[i]->age_ms };
 
-      if (r.request == 0)
+      if (r.element == 0)
         return -1;
       g_array_append_val (to, r);
     }
--- a/packages/net/peer_encode.c
+++ b/packages/net/peer_encode.c
@@ -310,7 +310,7 @@
       const mq_quarantine_record *r = &from->u.crashes.items[i];
 
       mq__peer__end__init (&parts->crash_records[i]);
-      parts->crash_records[i].request = r->request;
+      parts->crash_records[i].request = r->element;
       parts->crash_records[i].upstream = r->upstream;
       parts->crash_records[i].age_ms = r->age_ms;
       parts->crash_record_list[i] = &parts->crash_records[i];
--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -6,6 +6,7 @@
 #include "completion.h"
 
 #include <mq/content_hash.h>
+#include <mq/element.h>
 #include <mq/json_text.h>
 
 #include "call_headers.h"
@@ -66,7 +67,7 @@
 {
   const mq_span texts[] = { call->organisation, MQ_SPAN ("completion"), body };
 
-  return mq_content_hash (texts, G_N_ELEMENTS (texts));
+  return mq_element_of_content (mq_content_hash (texts, G_N_ELEMENTS (texts)));
 }
 
 void
--- a/programs/marjoramquay/crash_tracker.c
+++ b/programs/marjoramquay/crash_tracker.c
@@ -104,7 +104,7 @@
 
       mq_log (G_LOG_LEVEL_WARNING,
               c->refused ? "request.quarantined" : "request.released",
-              "content=%016" G_GINT64_MODIFIER "x ends=%u own=%d", c->request,
+              "content=%016" G_GINT64_MODIFIER "x ends=%u own=%d", c->element,
               c->crashes, c->own);
     }
   g_array_unref (changes);
--- a/programs/marjoramquay/service_request.c
+++ b/programs/marjoramquay/service_request.c
@@ -6,6 +6,7 @@
 #include "reply.h"
 
 #include <mq/content_hash.h>
+#include <mq/element.h>
 #include <string.h>
 
 /* End-to-end headers that are forwarded to the service.  The client's own
@@ -24,7 +25,7 @@
                             mq_http_exchange_query_string (exchange),
                             mq_http_exchange_body (exchange) };
 
-  return mq_content_hash (texts, G_N_ELEMENTS (texts));
+  return mq_element_of_content (mq_content_hash (texts, G_N_ELEMENTS (texts)));
 }
 
 /* The path is copied, without the service's prefix; the exchange holds the
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -122,7 +122,7 @@
   EXPECT_FALSE (n->draining);
   ASSERT_EQ (n->crashes->len, 1u);
   auto e = g_array_index (n->crashes, mq_quarantine_record, 0);
-  EXPECT_EQ (e.request, 0xf000000000000001);
+  EXPECT_EQ (e.element, 0xf000000000000001);
   EXPECT_EQ (e.upstream, 0xf000000000000003);
   EXPECT_EQ (e.age_ms, 70u);
   EXPECT_EQ (n->routing_version, 41u);
--- a/tests/test_quarantine.cc
+++ b/tests/test_quarantine.cc
@@ -16,12 +16,42 @@
 constexpr uint64_t ms = 1000, second = 1000 * ms, period = 600 * second;
 constexpr uint64_t crasher = 77; /* A request that crashes upstreams.  */
 
+/* Parts of prompts.  */
+const uint64_t first_part = mq_element_of_part (MQ_SPAN ("f1"));
+const uint64_t deadly_part = mq_element_of_part (MQ_SPAN ("bad"));
+const uint64_t other_part = mq_element_of_part (MQ_SPAN ("5e"));
+
 class Quarantine : public ::testing::Test
 {
 protected:
   Quarantine () { mq_quarantine_init (&q, period); }
   ~Quarantine () override { mq_quarantine_finish (&q); }
 
+  /* Crash N upstreams, 400 ms apart, each by another request with PARTS.  */
+  void
+  crash_by_parts (unsigned n, const std::vector<uint64_t> &parts)
+  {
+    for (unsigned i = 0; i < n; i++)
+      {
+        std::vector<uint64_t> elements = parts;
+
+        elements.push_back (++contents_);
+        crash (++upstreams_, elements);
+      }
+  }
+
+  /* Returns true if a new request with PARTS is refused.  */
+  bool
+  refused_with (const std::vector<uint64_t> &parts)
+  {
+    std::vector<uint64_t> elements = parts;
+
+    elements.push_back (++contents_);
+    return mq_quarantine_remaining_us (
+               &q, { elements.data (), elements.size () }, now)
+           > 0;
+  }
+
   /* UPSTREAM crashes now with REQUESTS as its suspects; then some time passes.
    */
   void
@@ -32,10 +62,23 @@
     now += 400 * ms;
   }
 
+  uint64_t
+  remaining (const mq_quarantine &in, uint64_t request) const
+  {
+    return mq_quarantine_remaining_us (&in, { &request, 1 }, now);
+  }
+
+  bool
+  may_run_at (uint64_t request, uint64_t upstream, bool pending = false) const
+  {
+    return mq_quarantine_may_run_at (&q, { &request, 1 }, upstream, pending,
+                                     now);
+  }
+
   bool
   refused (uint64_t request) const
   {
-    return mq_quarantine_remaining_us (&q, request, now) > 0;
+    return remaining (q, request) > 0;
   }
 
   std::vector<mq_quarantine_record>
@@ -50,6 +93,7 @@
     return v;
   }
 
+  uint64_t contents_ = 1000, upstreams_ = 1000;
   mq_quarantine q;
   uint64_t now = 5 * second; /* A machine that has just started.  */
 };
@@ -160,7 +204,7 @@
 {
   for (uint64_t u : { 1, 2, 3 })
     crash (u, { crasher });
-  uint64_t left = mq_quarantine_remaining_us (&q, crasher, now);
+  uint64_t left = remaining (q, crasher);
   EXPECT_LE (left, period);
   now += left;
   EXPECT_FALSE (refused (crasher));
@@ -184,7 +228,7 @@
   ASSERT_EQ (changes->len, 1u);
   auto c = g_array_index (changes, mq_quarantine_change, 0);
   EXPECT_TRUE (c.refused && c.own);
-  EXPECT_EQ (c.request, crasher);
+  EXPECT_EQ (c.element, crasher);
   EXPECT_EQ (q.refused, 1u);
   now += period;
   mq_quarantine_tick (&q, changes, now);
@@ -229,7 +273,7 @@
       mq_quarantine_record r = { crasher, u, 500 * 1000 };
       EXPECT_TRUE (mq_quarantine_merge (&q, &r, now));
     }
-  EXPECT_EQ (mq_quarantine_remaining_us (&q, crasher, now), 100 * second);
+  EXPECT_EQ (remaining (q, crasher), 100 * second);
   EXPECT_EQ (exported (true)[0].age_ms, 500u * 1000);
 }
 
@@ -254,7 +298,7 @@
   std::vector<bool> seen (101);
   for (int i = 0; i < 5; i++)
     for (auto &r : exported (true))
-      seen[r.request] = true;
+      seen[r.element] = true;
   EXPECT_EQ (std::count (seen.begin (), seen.end (), true), 100);
 }
 
@@ -282,8 +326,7 @@
       for (auto &r : records)
         mq_quarantine_merge (&other, &r, now);
       for (uint64_t request = 1; request <= 8; request++)
-        EXPECT_EQ (mq_quarantine_remaining_us (&q, request, now),
-                   mq_quarantine_remaining_us (&other, request, now))
+        EXPECT_EQ (remaining (q, request), remaining (other, request))
             << "seed " << seed;
       mq_quarantine_finish (&other);
     }
@@ -303,9 +346,9 @@
       {
         unsigned allowed = 0;
 
-        EXPECT_TRUE (mq_quarantine_may_run_at (&q, 13, upstream, false, now));
+        EXPECT_TRUE (may_run_at (13, upstream));
         for (uint64_t r : tied)
-          if (mq_quarantine_may_run_at (&q, r, upstream, false, now))
+          if (may_run_at (r, upstream))
             {
               allowed++;
               served.insert (r);
@@ -319,7 +362,7 @@
   for (uint64_t r : { 10, 11, 12 })
     {
       EXPECT_FALSE (refused (r));
-      EXPECT_TRUE (mq_quarantine_may_run_at (&q, r, 100, true, now));
+      EXPECT_TRUE (may_run_at (r, 100, true));
     }
 }
 
@@ -353,3 +396,133 @@
   EXPECT_TRUE (refused (crasher));
   EXPECT_TRUE (refused (10));
 }
+
+/* No two requests are alike, and the first part is that of sound ones too.  */
+TEST_F (Quarantine, PartIsRefusedInAllRequestsThatHaveIt)
+{
+  mq_quarantine_note_success (&q, first_part, now);
+  crash_by_parts (3, { first_part, deadly_part });
+  EXPECT_TRUE (refused_with ({ first_part, deadly_part }));
+  EXPECT_TRUE (refused_with ({ deadly_part }));
+  EXPECT_FALSE (refused_with ({ first_part, other_part }));
+  EXPECT_FALSE (refused_with ({}));
+}
+
+/* Nothing shows yet which of two new parts is the cause.  */
+TEST_F (Quarantine, OnlyRequestsWithAllTiedPartsAreRefused)
+{
+  crash_by_parts (3, { first_part, deadly_part });
+  EXPECT_TRUE (refused_with ({ first_part, deadly_part }));
+  EXPECT_FALSE (refused_with ({ first_part, other_part }));
+  EXPECT_FALSE (refused_with ({ deadly_part, other_part }));
+  mq_quarantine_note_success (&q, first_part, now);
+  EXPECT_TRUE (refused_with ({ deadly_part, other_part }));
+  EXPECT_FALSE (refused_with ({ first_part, other_part }));
+}
+
+TEST_F (Quarantine, PartIsNoSuspectSoonAfterItRanWell)
+{
+  mq_quarantine_note_success (&q, first_part, now);
+  now += 4 * second;
+  crash_by_parts (2, { first_part });
+  EXPECT_EQ (mq_quarantine_find (&q, first_part), nullptr);
+  /* It may crash upstreams from then on, for instance of a new version.  */
+  now += second;
+  crash_by_parts (3, { first_part });
+  EXPECT_TRUE (refused_with ({ first_part }));
+}
+
+/* Another router knows that requests with the part run well.  */
+TEST_F (Quarantine, CrashesReportedOfSoundPartAreAnswered)
+{
+  mq_quarantine_note_success (&q, first_part, now);
+  now += second;
+  mq_quarantine_record r = { first_part, 1, 0 };
+  EXPECT_FALSE (mq_quarantine_merge (&q, &r, now));
+  auto v = exported (false);
+  ASSERT_EQ (v.size (), 1u);
+  EXPECT_EQ (v[0].upstream, 0u);
+  EXPECT_EQ (v[0].age_ms, 1000u);
+
+  mq_quarantine other;
+  mq_quarantine_init (&other, period);
+  EXPECT_TRUE (mq_quarantine_merge (&other, &r, now));
+  EXPECT_TRUE (mq_quarantine_merge (&other, &v[0], now));
+  EXPECT_EQ (mq_quarantine_find (&other, first_part)->n, 0u);
+  mq_quarantine_finish (&other);
+}
+
+/* Upstreams that fail together are no evidence against a part that many
+   requests have; five such crashes are.  */
+TEST_F (Quarantine, ThreeCrashesAtOnceDoNotRefusePart)
+{
+  for (uint64_t u : { 1, 2, 3, 4 })
+    mq_quarantine_add (&q, first_part, u, now, now);
+  now += second;
+  EXPECT_FALSE (refused_with ({ first_part }));
+  crash (5, { first_part });
+  EXPECT_TRUE (refused_with ({ first_part }));
+}
+
+TEST_F (Quarantine, ContentIsBlamedBeforePartsThatItHas)
+{
+  for (uint64_t u : { 1, 2, 3 })
+    crash (u, { crasher, first_part });
+  EXPECT_TRUE (refused (crasher));
+  EXPECT_FALSE (refused_with ({ first_part }));
+}
+
+/* A false finding ends with the first request that runs well.  */
+TEST_F (Quarantine, RefusedPartIsTriedBySingleRequests)
+{
+  const mq_element_set set = { &deadly_part, 1 };
+  auto left = [&] { return mq_quarantine_remaining_us (&q, set, now); };
+  unsigned trials = 0;
+
+  crash_by_parts (3, { deadly_part });
+  for (uint64_t end = now + 100 * second; now < end; now += 100 * ms)
+    {
+      if (left () > 0)
+        continue;
+      trials++;
+      mq_quarantine_note_sent (&q, set, now);
+      EXPECT_GT (left (), 0u);
+      crash_by_parts (1, { deadly_part });
+      EXPECT_GT (left (), 0u);
+    }
+  EXPECT_EQ (trials, 2u);
+  now += 600 * second;
+  EXPECT_EQ (left (), 0u);
+  mq_quarantine_note_sent (&q, set, now);
+  EXPECT_TRUE (mq_quarantine_note_success (&q, deadly_part, now + second));
+  now += second;
+  EXPECT_EQ (left (), 0u);
+  EXPECT_EQ (mq_quarantine_find (&q, deadly_part)->n, 0u);
+}
+
+/* Only routers that saw the last crash try: the others wait for their word. */
+TEST_F (Quarantine, OtherRoutersDoNotTryRefusedPart)
+{
+  for (uint64_t u : { 1, 2, 3 })
+    {
+      mq_quarantine_record r = { deadly_part, u, 0 };
+
+      mq_quarantine_merge (&q, &r, now);
+      now += 400 * ms;
+    }
+  mq_quarantine_record success = { deadly_part, 0, 0 };
+  EXPECT_FALSE (mq_quarantine_merge (&q, &success, now));
+  now += 60 * second;
+  EXPECT_TRUE (refused_with ({ deadly_part }));
+  EXPECT_TRUE (mq_quarantine_merge (&q, &success, now));
+  EXPECT_FALSE (refused_with ({ deadly_part }));
+}
+
+/* Many parts are suspects of a crash by chance.  */
+TEST_F (Quarantine, PartsAreEvictedAfterContents)
+{
+  mq_quarantine_add (&q, deadly_part, 1, now, now);
+  for (uint64_t i = 0; i < 5000; i++)
+    mq_quarantine_add (&q, 1000 + i, 50 + i % 7, now + 1, now + 1);
+  EXPECT_NE (mq_quarantine_find (&q, deadly_part), nullptr);
+}
--- a/tests/test_quarantine_fleet.cc
+++ b/tests/test_quarantine_fleet.cc
@@ -61,7 +61,8 @@
   bool
   is_refused (const Router &r, uint64_t request) const
   {
-    return mq_quarantine_remaining_us (&r.quarantine, request, sim.now) > 0;
+    return mq_quarantine_remaining_us (&r.quarantine, { &request, 1 }, sim.now)
+           > 0;
   }
 
   bool
@@ -97,10 +98,10 @@
   void
   store_records (const Router &r, const mq_quarantine_change &c)
   {
-    const mq_suspect *s = mq_quarantine_find (&r.quarantine, c.request);
+    const mq_suspect *s = mq_quarantine_find (&r.quarantine, c.element);
 
     for (unsigned i = 0; i < s->n; i++)
-      stored[c.request].insert (s->crashes[i].upstream);
+      stored[c.element].insert (s->crashes[i].upstream);
   }
 
   void
