Take a stream without length and chunks for whole only if it has events

What callers saw: an engine that crashed before the first event of a response that ends with its connection gave its client an empty stream that looked complete. And one that crashed at the end of an event was taken for one that answered: the request and its parts were cleared, so that a part went on crashing engines.

Cause: such a response ends without an error when the connection closes, and the end of the connection was taken for the end of the stream.

Change: without any event the run is broken (no-event). With events the response is passed on, as the platform has it that only an end inside an event is a break; but if the run was still starting, that clears nothing, and the engine is probed as after a broken run.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -468,6 +468,9 @@
    FORWARD may be the cause.  */
 void mq_crash_note_broken_run (mq_forward *forward, mq_upstream *upstream,
                                uint64_t now_us);
+/* The response to FORWARD, a stream, ended with its connection and has no other
+   end.  Its engine may have crashed, unless it ran for long before.  */
+void mq_crash_note_unframed_end (mq_forward *forward, uint64_t now_us);
 /* Returns true if a run of a request with CONTENT broke, and whether its
    upstream crashed is not known yet.  */
 bool mq_crash_is_pending (const mq_gateway *gateway, uint64_t content);
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -288,3 +288,10 @@
       && forward_is_suspect (forward, now_us))
     case_add (c, forward);
 }
+
+void
+mq_crash_note_unframed_end (mq_forward *forward, uint64_t now_us)
+{
+  if (forward_is_suspect (forward, now_us))
+    mq_crash_note_broken_run (forward, forward->upstream, now_us);
+}
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -188,6 +188,23 @@
   (void)stream_pass (forward, event->status);
 }
 
+/* Returns true if the end of the response is that of its connection, so that a
+   crash of the engine looks like it.  */
+static bool
+answer_is_unframed (const mq_forward *forward)
+{
+  return mq_http_call_header (forward->call, "Content-Length").data == NULL
+         && mq_http_call_header (forward->call, "Transfer-Encoding").data
+                == NULL;
+}
+
+/* Returns true if the current send has received an event.  */
+static bool
+stream_has_begun (const mq_forward *forward)
+{
+  return forward->last_event_us >= forward->sent_us;
+}
+
 static void
 stream_complete (mq_forward *forward, unsigned status)
 {
@@ -196,7 +213,10 @@
   for (unsigned i = 0; i < forward->path.n; i++)
     mq_upstream_succeeded (forward->path.stages[i].upstream, forward->sent_us);
   mq_upstream_succeeded (forward->upstream, forward->sent_us);
-  mq_gateway_note_success (forward);
+  if (answer_is_unframed (forward))
+    mq_crash_note_unframed_end (forward, mq_gateway_now_us ());
+  else
+    mq_gateway_note_success (forward);
   if (!forward->state.response_started)
     stream_begin (forward, status);
   mq_http_exchange_end (forward->exchange);
@@ -302,6 +322,8 @@
     }
   else if (mq_event_split_has_partial (&f->split))
     mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "half-event");
+  else if (answer_is_unframed (f) && !stream_has_begun (f))
+    mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "no-event");
   else
     stream_complete (f, event->status);
 }
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -76,9 +76,14 @@
   { "no-configuration", "the router had not received any configuration yet",
     "check by store.lost and member.heard if it reaches the store or peers" },
   { "quarantined",
-    "at least three upstreams crashed while running a request of its content",
-    "request.suspected names the upstreams, by its content=; fix the cause of "
-    "the crashes; the quarantine expires by itself (quarantine_ms)" },
+    "at least three upstreams crashed while running requests of its content, "
+    "or "
+    "with a part of its prompt",
+    "request.quarantined names the content= or part=, and request.suspected "
+    "the "
+    "upstreams; fix the cause of the crashes; the quarantine expires by "
+    "itself "
+    "(quarantine_ms)" },
   { "kept-apart",
     "the same upstreams crashed while running it and other requests, and all "
     "upstreams were left to these for the moment",
@@ -119,6 +124,9 @@
     "check the upstream" },
   { "half-event", "the stream ended in the middle of an event",
     "check the upstream" },
+  { "no-event",
+    "the stream had no event, and no length or chunks that tell its end",
+    "check the upstream: it may have crashed" },
   { "wrong-event", "an event was duplicate or missing", "check the upstream" },
 };
 
--- /dev/null
+++ b/tests/support/raw_engine.h
@@ -0,0 +1,149 @@
+/* An engine stand-in that writes the bytes of its responses itself, so that
+   these may have neither a length nor chunks.  */
+
+#ifndef MQ_TESTS_RAW_ENGINE_H
+#define MQ_TESTS_RAW_ENGINE_H
+
+#include "gateway_standins.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace gateway
+{
+
+class RawEngine
+{
+public:
+  RawEngine (std::string id, std::string domain)
+      : id (std::move (id)), domain (std::move (domain))
+  {
+    sockaddr_in at = {};
+    socklen_t size = sizeof at;
+
+    at.sin_family = AF_INET;
+    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    bind (listener_, reinterpret_cast<sockaddr *> (&at), size);
+    listen (listener_, 16);
+    getsockname (listener_, reinterpret_cast<sockaddr *> (&at), &size);
+    address = "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
+  }
+
+  RawEngine (const RawEngine &) = delete;
+  RawEngine &operator= (const RawEngine &) = delete;
+  ~RawEngine () { crash (); }
+
+  std::string
+  entry () const
+  {
+    return "{\"service\":\"model\",\"address\":\"" + address + "\",\"zone\":\""
+           + domain
+           + "\",\"slots\":8,\"state\":\"ready\",\"kind\":\"big\",\"layers\":"
+             "{\"from\":0,\"target\":80,\"version\":1}}";
+  }
+
+  /* Accept connections and handle what has arrived.  A request for a report is
+     answered; others go to `serve', whose result is the whole response.  */
+  void
+  poll ()
+  {
+    int fd;
+
+    while (listener_ >= 0
+           && (fd = accept4 (listener_, nullptr, nullptr, SOCK_NONBLOCK)) >= 0)
+      connections_[fd] = "";
+    for (auto i = connections_.begin (); i != connections_.end ();)
+      {
+        bool open = read (i->first, i->second);
+
+        if (!open)
+          close (i->first);
+        i = open ? std::next (i) : connections_.erase (i);
+      }
+    if (crash_due)
+      crash ();
+  }
+
+  /* Close all sockets, without a reset: what is on the way arrives.  */
+  void
+  crash ()
+  {
+    for (auto &c : connections_)
+      close (c.first);
+    connections_.clear ();
+    if (listener_ >= 0)
+      close (listener_);
+    listener_ = -1;
+  }
+
+  bool
+  has_crashed () const
+  {
+    return listener_ < 0;
+  }
+
+  /* The head of a signed response to REQUEST that ends with its connection. */
+  static std::string
+  unframed_head (const std::string &request)
+  {
+    const std::string name = "Marjoramquay-Attempt-Id: ";
+    size_t at = request.find (name) + name.size ();
+
+    return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+           "Connection: close\r\nMarjoramquay-Response-Signature: s\r\n"
+           + name + request.substr (at, request.find ("\r\n", at) - at)
+           + "\r\n\r\n";
+  }
+
+  std::string id, domain, address;
+  unsigned runs = 0;      /* Requests that went to `serve'.  */
+  bool crash_due = false; /* Crash at the end of `poll'.  */
+  std::function<std::string (const std::string &)> serve;
+
+private:
+  /* Read from FD into BYTES.  Returns false when the connection is to be
+     closed.  */
+  bool
+  read (int fd, std::string &bytes)
+  {
+    char buffer[4096];
+    ssize_t n = recv (fd, buffer, sizeof buffer, 0);
+    std::string response;
+
+    if (n == 0)
+      return false;
+    if (n > 0)
+      bytes.append (buffer, (size_t)n);
+    if (bytes.find ("\r\n\r\n") == std::string::npos)
+      return true;
+    if (bytes.find ("GET /report") == 0)
+      response = report ();
+    else
+      {
+        runs++;
+        response = serve (bytes);
+      }
+    send (fd, response.data (), response.size (), MSG_NOSIGNAL);
+    return false;
+  }
+
+  static std::string
+  report ()
+  {
+    const std::string body
+        = "{\"busy\":false,\"sequence\":0,\"waiting\":0,\"running\":0,"
+          "\"kvUsed\":0,\"kvTotal\":1,\"layers\":{\"from\":0,\"target\":80}}";
+
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: "
+           + std::to_string (body.size ()) + "\r\n\r\n" + body;
+  }
+
+  std::map<int, std::string> connections_; /* Socket -> what arrived.  */
+  int listener_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+};
+
+} // namespace gateway
+
+#endif
