Test many suspects of each crash, and one attempt alone

QuarantineParts: each crash has up to 60 suspects, so that the records exceed what messages hold; the cause is found all the same.

--- a/tests/test_crashing_part.cc
+++ b/tests/test_crashing_part.cc
@@ -192,3 +192,16 @@
   wait_processing_crashes (0.5);
   expect_sound_served ();
 }
+
+/* The attempts of a route bound the upstreams that one request crashes before
+   routers can find the cause.  */
+TEST_F (CrashingPart, OneAttemptReachesFewUpstreams)
+{
+  set_up ("model");
+  for (unsigned i = 0; i < 6; i++)
+    add_crashing ("model", "two");
+  wait (0.3);
+  send_deadly (*routers[0]);
+  wait_processing_crashes (0.1);
+  EXPECT_LE (arrivals, 3u);
+}
--- a/tests/test_quarantine_parts.cc
+++ b/tests/test_quarantine_parts.cc
@@ -38,6 +38,7 @@
 struct Load
 {
   double deadly_per_s, sound_per_s;
+  unsigned most_beside; /* Sound requests that began beside a deadly one.  */
 };
 
 struct Fleet
@@ -121,8 +122,8 @@
            && sim.now >= healed_us[&r] + settle_us;
   }
 
-  /* E runs at an upstream, which crashes; up to three sound requests had just
-     begun there.  */
+  /* E runs at an upstream, which crashes; up to MOST_BESIDE sound requests
+     had just begun there.  */
   void
   send_deadly (Router &r, const std::vector<uint64_t> &e, unsigned left)
   {
@@ -135,7 +136,7 @@
     if (crashes > 5 && is_settled (r) && sim.now > fifth_us + settle_us)
       further++;
     add_crash (r, e, ++upstreams, sim.now);
-    for (unsigned i = below (4); load.sound_per_s > 0 && i > 0; i--)
+    for (unsigned i = below (load.most_beside + 1); i > 0; i--)
       add_crash (any_router (), elements (false), upstreams, sim.now);
     if (left > 1)
       later (detect_us + 20 * ms, r,
@@ -265,38 +266,50 @@
 
 TEST (QuarantineParts, SixRouters)
 {
-  expect_bounds (6, 3, 20, 30, { 2, 30 }, false, 3);
+  expect_bounds (6, 3, 20, 30, { 2, 30, 3 }, false, 3);
 }
 
 TEST (QuarantineParts, SixRoutersUnderFaults)
 {
-  expect_bounds (6, 3, 20, 30, { 2, 30 }, true, 3);
+  expect_bounds (6, 3, 20, 30, { 2, 30, 3 }, true, 3);
 }
 
 /* Single requests are let through to see whether the part still crashes
    upstreams.  */
 TEST (QuarantineParts, SixRoutersForLong)
 {
-  expect_bounds (6, 3, 4, 180, { 2, 30 }, false, 3);
+  expect_bounds (6, 3, 4, 180, { 2, 30, 3 }, false, 3);
 }
 
 /* No request ran well before.  */
 TEST (QuarantineParts, SixRoutersOfNewPrompts)
 {
-  expect_bounds (6, 3, 20, 30, { 2, 1 }, false, 0);
+  expect_bounds (6, 3, 20, 30, { 2, 1, 3 }, false, 0);
 }
 
 TEST (QuarantineParts, NinetyRouters)
 {
-  expect_bounds (90, 4, 2, 20, { 8, 60 }, false, 3);
+  expect_bounds (90, 4, 2, 20, { 8, 60, 3 }, false, 3);
 }
 
 TEST (QuarantineParts, ThreeHundredRouters)
 {
-  expect_bounds (300, 5, 1, 20, { 20, 90 }, false, 3);
+  expect_bounds (300, 5, 1, 20, { 20, 90, 3 }, false, 3);
 }
 
 TEST (QuarantineParts, ThreeHundredRoutersUnderFaults)
 {
-  expect_bounds (300, 5, 1, 20, { 20, 90 }, true, 3);
+  expect_bounds (300, 5, 1, 20, { 20, 90, 3 }, true, 3);
+}
+
+/* Each crash has many suspects, so that the records exceed what messages hold.
+ */
+TEST (QuarantineParts, SixRoutersWithManySuspects)
+{
+  expect_bounds (6, 3, 10, 20, { 4, 60, 30 }, false, 3);
+}
+
+TEST (QuarantineParts, NinetyRoutersWithManySuspects)
+{
+  expect_bounds (90, 4, 1, 12, { 8, 60, 60 }, false, 3);
 }
