Count a long gap between events in part towards the time that a run lasted

A router that is paused for 0.5 s between two events of a run that crashes its engine took the run for one that went on for as long, cleared the request and its parts, and told the others. Since a part that ran well is no suspect for 5 s, it went on crashing engines.

Cause: the time of a run was that between reading two events, not that between their being sent. Change: a gap counts for at most 0.2 s, so that several events are needed.

Evidence: PausedRouter.DoesNotTakeCrashingRunForSound failed 3 of 3 before (8 further runs where 3 are allowed) and passes 3 of 3.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -347,6 +347,8 @@
   unsigned longest_gap_ms; /* Between two events.  */
   uint64_t last_event_us;  /* When the last event was written; 0: none.  */
   uint64_t run_began_us;   /* First event of the last run that had one.  */
+  uint64_t run_us;         /* How long that run has sent events; long gaps
+                              count in part.  */
   bool cleared;            /* A run outlasted MQ_QUARANTINE_STARTUP_US, so the
                               request is not suspected of crashes.  */
   uint64_t admitted_us;    /* First send of a request with a level; 0: none. */
@@ -468,8 +470,8 @@
    FORWARD may be the cause.  */
 void mq_crash_note_broken_run (mq_forward *forward, mq_upstream *upstream,
                                uint64_t now_us);
-/* The response to FORWARD, a stream, ended with its connection and has no other
-   end.  Its engine may have crashed, unless it ran for long before.  */
+/* The response to FORWARD, a stream, ended with its connection and has no
+   other end.  Its engine may have crashed, unless it ran for long before.  */
 void mq_crash_note_unframed_end (mq_forward *forward, uint64_t now_us);
 /* Returns true if a run of a request with CONTENT broke, and whether its
    upstream crashed is not known yet.  */
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -23,6 +23,10 @@
 #define CASE_TIMEOUT_US ((uint64_t)8000 * 1000)
 /* A machine that is up refuses a connection within this.  */
 #define CONNECT_TIMEOUT_MS 250
+/* A longer gap between two events counts as this towards the time that a run
+   lasted: this router may have been paused, and the second event may have been
+   sent right after the first.  */
+#define MAX_COUNTED_GAP_US ((uint64_t)200 * 1000)
 /* Open cases: one for each upstream that may have crashed recently.  */
 #define MAX_CASES 64
 /* Parts of prompts recorded for one case.  */
@@ -240,8 +244,13 @@
   mq_forward *f = forward;
 
   if (f->last_event_us < f->sent_us)
-    f->run_began_us = now_us;
-  if (f->cleared || now_us < f->run_began_us + MQ_QUARANTINE_STARTUP_US)
+    {
+      f->run_began_us = now_us;
+      f->run_us = 0;
+    }
+  else
+    f->run_us += MIN (now_us - f->last_event_us, MAX_COUNTED_GAP_US);
+  if (f->cleared || f->run_us < MQ_QUARANTINE_STARTUP_US)
     return;
   f->cleared = true;
   mq_gateway_note_success (f);
--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -66,6 +66,14 @@
       crash ();
   }
 
+  /* Write BYTES to all connections.  */
+  void
+  write (const std::string &bytes)
+  {
+    for (auto &c : connections_)
+      send (c.first, bytes.data (), bytes.size (), MSG_NOSIGNAL);
+  }
+
   /* Close all sockets, without a reset: what is on the way arrives.  */
   void
   crash ()
@@ -98,8 +106,9 @@
   }
 
   std::string id, domain, address;
-  unsigned runs = 0;      /* Requests that went to `serve'.  */
-  bool crash_due = false; /* Crash at the end of `poll'.  */
+  unsigned runs = 0;       /* Requests that went to `serve'.  */
+  bool crash_due = false;  /* Crash at the end of `poll'.  */
+  bool stays_open = false; /* Keep connections after a response.  */
   std::function<std::string (const std::string &)> serve;
 
 private:
@@ -125,8 +134,9 @@
         runs++;
         response = serve (bytes);
       }
+    bytes.clear ();
     send (fd, response.data (), response.size (), MSG_NOSIGNAL);
-    return false;
+    return stays_open;
   }
 
   static std::string
