Evict suspects with equally many crashes by chance, not by age

What callers would see: a part that goes on crashing engines while each crash has hundreds of other new suspects.

Cause: of suspects with equally many crashes the oldest was evicted. When the suspects of one crash fill the table, that is the cause's record from the crash before, so that it never comes to a second one. By chance it stays often enough to reach a second crash, from which on the flood can't evict it. The choice is a hash, so runs repeat.

--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -40,7 +40,7 @@
    lets a single request through.  If it runs well, the records are void.
 
    The number of suspects is bounded; those with the fewest crashes, of these
-   contents before parts, and then the oldest, are evicted first.
+   contents before parts, and then by chance, are evicted first.
 
    The module is pure: it does no I/O, and times come in with the calls, in
    monotonic microseconds.  */
--- a/packages/route/quarantine.c
+++ b/packages/route/quarantine.c
@@ -88,9 +88,12 @@
   g_ptr_array_remove_index_fast (quarantine->suspects, i);
 }
 
-/* Returns true if A is to be evicted before B.  */
+/* Returns true if A is to be evicted before B.  Among equals a hash with DRAW
+   decides: by age, a crash with many suspects would evict all earlier ones,
+   and the cause's record with them.  */
 static bool
-suspect_is_less_important (const mq_suspect *a, const mq_suspect *b)
+suspect_is_less_important (const mq_suspect *a, const mq_suspect *b,
+                           uint64_t draw)
 {
   bool a_is_part = mq_element_is_part (a->element);
 
@@ -98,7 +101,7 @@
     return a->n < b->n;
   if (a_is_part != mq_element_is_part (b->element))
     return !a_is_part;
-  return suspect_last_us (a) < suspect_last_us (b);
+  return mq_hash_mix (a->element, draw) < mq_hash_mix (b->element, draw);
 }
 
 static void
@@ -111,7 +114,7 @@
   for (guint i = 1; i < quarantine->suspects->len; i++)
     if (suspect_is_less_important (
             mq_quarantine_suspect_at (quarantine, i),
-            mq_quarantine_suspect_at (quarantine, victim)))
+            mq_quarantine_suspect_at (quarantine, victim), quarantine->epoch))
       victim = i;
   quarantine_drop (quarantine, victim);
 }
