Share the listening socket of two stand-ins

The engine that writes its own bytes repeated what the server of the tunnel tests has. No assertion changes; 7 tests of the tunnels, 4 of unframed responses and that of the paused router pass.

--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -5,30 +5,20 @@
 #define MQ_TESTS_RAW_ENGINE_H
 
 #include "gateway_standins.h"
-
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "loopback_listener.h"
 
 namespace gateway
 {
 
 class RawEngine
 {
+  LoopbackListener listener_;
+
 public:
   RawEngine (std::string id, std::string domain)
-      : id (std::move (id)), domain (std::move (domain))
+      : id (std::move (id)), domain (std::move (domain)),
+        address (listener_.address)
   {
-    sockaddr_in at = {};
-    socklen_t size = sizeof at;
-
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    bind (listener_, reinterpret_cast<sockaddr *> (&at), size);
-    listen (listener_, 16);
-    getsockname (listener_, reinterpret_cast<sockaddr *> (&at), &size);
-    address = "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
   }
 
   RawEngine (const RawEngine &) = delete;
@@ -51,8 +41,7 @@
   {
     int fd;
 
-    while (listener_ >= 0
-           && (fd = accept4 (listener_, nullptr, nullptr, SOCK_NONBLOCK)) >= 0)
+    while ((fd = listener_.accept ()) >= 0)
       connections_[fd] = "";
     for (auto i = connections_.begin (); i != connections_.end ();)
       {
@@ -81,15 +70,13 @@
     for (auto &c : connections_)
       close (c.first);
     connections_.clear ();
-    if (listener_ >= 0)
-      close (listener_);
-    listener_ = -1;
+    listener_.close ();
   }
 
   bool
   has_crashed () const
   {
-    return listener_ < 0;
+    return listener_.is_closed ();
   }
 
   /* The head of a signed response to REQUEST that ends with its connection. */
@@ -151,7 +138,6 @@
   }
 
   std::map<int, std::string> connections_; /* Socket -> what arrived.  */
-  int listener_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 };
 
 } // namespace gateway
--- a/tests/test_tunnel_server.cc
+++ b/tests/test_tunnel_server.cc
@@ -1,6 +1,7 @@
 /* Tunnels to upstreams (mq/tunnel_server.h) and calls through them.  */
 
 #include "support/gateway_standins.h"
+#include "support/loopback_listener.h"
 
 #include <mq/tunnel_server.h>
 
@@ -37,31 +38,17 @@
 class RawServer
 {
 public:
-  RawServer ()
-  {
-    sockaddr_in at = {};
-    socklen_t size = sizeof at;
-
-    at.sin_family = AF_INET;
-    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-    bind (listener_, reinterpret_cast<sockaddr *> (&at), size);
-    listen (listener_, 8);
-    getsockname (listener_, reinterpret_cast<sockaddr *> (&at), &size);
-    address = "127.0.0.1:" + std::to_string (ntohs (at.sin_port));
-  }
-
   ~RawServer ()
   {
     if (fd >= 0)
       close (fd);
-    close (listener_);
   }
 
   bool
   accepted ()
   {
     if (fd < 0)
-      fd = accept4 (listener_, nullptr, nullptr, SOCK_NONBLOCK);
+      fd = listener_.accept ();
     return fd >= 0;
   }
 
@@ -96,12 +83,14 @@
     fd = -1;
   }
 
-  std::string address, bytes;
+private:
+  gateway::LoopbackListener listener_;
+
+public:
+  const std::string &address = listener_.address;
+  std::string bytes;
   bool closed = false;
   int fd = -1;
-
-private:
-  int listener_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
 };
 
 class Tunnel : public ::testing::Test
