Use one piece of code where the quarantine of parts wrote one again

- mq_forward_run_has_begun replaces five comparisons of the last event with the send.
- mq_quarantine_keeps_apart replaces mq_quarantine_knows: it is the check that mq_quarantine_may_run_at made next, so that the open cases are no longer searched for each candidate of a request one of whose elements is a mere suspect, which the first part of most prompts may be.
- Suspects of fewer than three crashes are sorted out where they are judged, not by each caller.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -532,6 +532,9 @@
                            mq_send_purpose purpose, uint64_t now_us);
 
 /* ---- gateway_response.c  */
+/* Returns true if the current send of FORWARD, a stream, has received an
+   event.  */
+bool mq_forward_run_has_begun (const mq_forward *forward);
 bool mq_gateway_status_is_success (unsigned status);
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
--- a/include/mq/quarantine.h
+++ b/include/mq/quarantine.h
@@ -159,6 +159,10 @@
 /* A request with the elements SET, which is not refused, was sent.  */
 void mq_quarantine_note_sent (mq_quarantine *quarantine, mq_element_set set,
                               uint64_t now_us);
+/* Returns true if a request with the elements SET has to be kept apart from
+   others, so that mq_quarantine_may_run_at has to be asked.  */
+bool mq_quarantine_keeps_apart (const mq_quarantine *quarantine,
+                                mq_element_set set);
 /* Returns true if a request with the elements SET, which is not refused, may
    be sent to UPSTREAM (a hash of its id) now.  Returns false if one of them is
    tied with another suspect, and either that is the turn of the other, or
@@ -175,9 +179,6 @@
 uint64_t mq_quarantine_crash_age_ms (const mq_quarantine *quarantine,
                                      const mq_quarantine_crash *crash,
                                      uint64_t now_us);
-/* Returns true if one of SET is a suspect.  */
-bool mq_quarantine_knows (const mq_quarantine *quarantine, mq_element_set set);
-
 /* Append to RECORDS (mq_quarantine_record) what is to be sent to other routers
    now: what was learned within the last second, and with ALL also the records
    of suspects that may come to be refused or are.  */
--- a/include/mq/str.h
+++ b/include/mq/str.h
@@ -50,6 +50,9 @@
 /* Returns true if SPAN begins with PREFIX.  */
 bool mq_span_starts_with (mq_span span, mq_span prefix);
 
+/* Returns SPAN without the ASCII white space at its ends.  */
+mq_span mq_span_trim (mq_span span);
+
 /* Parse SPAN as a decimal number into *VALUE.  Returns 0, or -1 if SPAN is
    empty, holds anything but digits, or overflows; *VALUE is then not set.  */
 int mq_span_to_u64 (mq_span span, uint64_t *value);
--- a/packages/base/str.c
+++ b/packages/base/str.c
@@ -43,6 +43,19 @@
   return prefix.size == 0 || memcmp (span.data, prefix.data, prefix.size) == 0;
 }
 
+mq_span
+mq_span_trim (mq_span span)
+{
+  while (span.size > 0 && g_ascii_isspace (span.data[0]))
+    {
+      span.data++;
+      span.size--;
+    }
+  while (span.size > 0 && g_ascii_isspace (span.data[span.size - 1]))
+    span.size--;
+  return span;
+}
+
 int
 mq_span_to_u64 (mq_span span, uint64_t *value)
 {
--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -243,7 +243,7 @@
 {
   mq_forward *f = forward;
 
-  if (f->last_event_us < f->sent_us)
+  if (!mq_forward_run_has_begun (f))
     {
       f->run_began_us = now_us;
       f->run_us = 0;
@@ -262,7 +262,7 @@
 forward_is_suspect (const mq_forward *forward, uint64_t now_us)
 {
   return !forward->cleared
-         && (forward->last_event_us < forward->sent_us
+         && (!mq_forward_run_has_begun (forward)
              || now_us < forward->run_began_us + MQ_QUARANTINE_STARTUP_US);
 }
 
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -422,7 +422,7 @@
   if (mq_quarantine_is_empty (&g->quarantine))
     return true;
   set = mq_forward_elements (forward);
-  if (!mq_quarantine_knows (&g->quarantine, set))
+  if (!mq_quarantine_keeps_apart (&g->quarantine, set))
     return true;
   return mq_quarantine_may_run_at (
       &g->quarantine, set, mq_span_hash (mq_str_span (upstream->facts.id)),
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -58,15 +58,10 @@
       colon = memchr (line, ':', (size_t)(stop - line));
       if (colon != NULL)
         {
-          const char *v = colon + 1;
-          const char *e = stop;
+          mq_span value = { colon + 1, (size_t)(stop - colon - 1) };
 
-          while (v < e && g_ascii_isspace (*v))
-            v++;
-          while (e > v && g_ascii_isspace (e[-1]))
-            e--;
           h = (mq_http_header){ { line, (size_t)(colon - line) },
-                                { v, (size_t)(e - v) } };
+                                mq_span_trim (value) };
           if (!answer_header_is_dropped (&h))
             g_array_append_val (out, h);
         }
@@ -92,6 +87,12 @@
 
 /* ---- Streams.  */
 
+bool
+mq_forward_run_has_begun (const mq_forward *forward)
+{
+  return forward->last_event_us >= forward->sent_us;
+}
+
 static void
 stream_begin (mq_forward *forward, unsigned status)
 {
@@ -116,7 +117,7 @@
 
   if (load == NULL)
     return;
-  if (forward->last_event_us < forward->sent_us)
+  if (!mq_forward_run_has_begun (forward))
     mq_latency_estimate_add (&load->first_event,
                              (double)(now_us - forward->sent_us) / 1000);
   else
@@ -134,7 +135,7 @@
 
   stream_note_latency (forward, now);
   mq_forward_note_prefilled (forward);
-  if (forward->last_event_us < forward->sent_us)
+  if (!mq_forward_run_has_begun (forward))
     for (unsigned i = 0; i < forward->path.n; i++)
       mq_upstream_accepted (forward->path.stages[i].upstream,
                             forward->sent_us);
@@ -198,13 +199,6 @@
                 == NULL;
 }
 
-/* Returns true if the current send has received an event.  */
-static bool
-stream_has_begun (const mq_forward *forward)
-{
-  return forward->last_event_us >= forward->sent_us;
-}
-
 static void
 stream_complete (mq_forward *forward, unsigned status)
 {
@@ -322,7 +316,7 @@
     }
   else if (mq_event_split_has_partial (&f->split))
     mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "half-event");
-  else if (answer_is_unframed (f) && !stream_has_begun (f))
+  else if (answer_is_unframed (f) && !mq_forward_run_has_begun (f))
     mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "no-event");
   else
     stream_complete (f, event->status);
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -540,11 +540,7 @@
       if ((size_t)(end - line) <= size || line[size] != ':'
           || g_ascii_strncasecmp (line, name, size) != 0)
         continue;
-      while (value < end && g_ascii_isspace (*value))
-        value++;
-      while (end > value && g_ascii_isspace (end[-1]))
-        end--;
-      return (mq_span){ value, (size_t)(end - value) };
+      return mq_span_trim ((mq_span){ value, (size_t)(end - value) });
     }
   return (mq_span){ NULL, 0 };
 }
--- a/packages/route/quarantine.c
+++ b/packages/route/quarantine.c
@@ -286,15 +286,6 @@
          / US_PER_MS;
 }
 
-bool
-mq_quarantine_knows (const mq_quarantine *quarantine, mq_element_set set)
-{
-  for (size_t i = 0; i < set.n; i++)
-    if (mq_quarantine_lookup (quarantine, set.ids[i]) != NULL)
-      return true;
-  return false;
-}
-
 /* ---- Records of others.  */
 
 /* Merge CRASH of ELEMENT, which another router reported.  Returns true if it
--- a/packages/route/quarantine_verdict.c
+++ b/packages/route/quarantine_verdict.c
@@ -179,6 +179,8 @@
 {
   mq_element_set alone = { &suspect->element, 1 };
 
+  if (suspect->n < MIN_CRASHES)
+    return (mq_suspect_verdict){ 0, 0, 0 };
   if (suspect->judged_epoch != quarantine->epoch)
     {
       suspect->verdict = suspect_judge_in (quarantine, suspect, alone);
@@ -196,20 +198,18 @@
 suspect_refusal_us (const mq_quarantine *quarantine, const mq_suspect *s,
                     unsigned needed, uint64_t now_us)
 {
-  uint64_t until = s->crashes[s->n - 1].at_us + quarantine->period_us;
+  uint64_t until;
 
-  if (needed == 0 || now_us >= until
-      || now_us < s->crashes[needed - 1].at_us + SETTLE_US)
+  if (needed == 0 || now_us < s->crashes[needed - 1].at_us + SETTLE_US)
     return 0;
-  return until - now_us;
+  until = s->crashes[s->n - 1].at_us + quarantine->period_us;
+  return until > now_us ? until - now_us : 0;
 }
 
 uint64_t
 mq_suspect_remaining_us (const mq_quarantine *quarantine, mq_suspect *suspect,
                          uint64_t now_us)
 {
-  if (suspect->n < MIN_CRASHES)
-    return 0;
   return suspect_refusal_us (
       quarantine, suspect,
       mq_suspect_judge (quarantine, suspect).refused_after, now_us);
@@ -310,8 +310,7 @@
     {
       mq_suspect *s = mq_quarantine_lookup (quarantine, set.ids[i]);
 
-      if (s != NULL && s->n >= MIN_CRASHES
-          && mq_suspect_may_be_tried (quarantine, s, now))
+      if (s != NULL && mq_suspect_may_be_tried (quarantine, s, now))
         s->trial_us = now;
     }
 }
@@ -328,20 +327,22 @@
   return mq_hash_mix (a->element, place) > mq_hash_mix (b->element, place);
 }
 
-/* Returns true if a request with the elements SET, of which S is one, may run
-   at UPSTREAM as far as S is concerned.  */
+/* Returns true if S has to be kept apart from others.  */
+static bool
+suspect_is_kept_apart (const mq_quarantine *quarantine, mq_suspect *s)
+{
+  mq_suspect_verdict v = mq_suspect_judge (quarantine, s);
+
+  return v.unexplained >= MIN_CRASHES && v.tied > 0;
+}
+
+/* Returns true if a request with the elements SET, of which S is one that is
+   kept apart, may run at UPSTREAM as far as S is concerned.  */
 static bool
-suspect_may_run_at (const mq_quarantine *quarantine, mq_suspect *s,
+suspect_may_run_at (const mq_quarantine *quarantine, const mq_suspect *s,
                     mq_element_set set, uint64_t upstream, bool pending,
                     uint64_t now_us)
 {
-  mq_suspect_verdict v;
-
-  if (s->n < MIN_CRASHES)
-    return true;
-  v = mq_suspect_judge (quarantine, s);
-  if (v.unexplained < MIN_CRASHES || v.tied == 0)
-    return true;
   for (guint i = 0; i < quarantine->suspects->len; i++)
     {
       const mq_suspect *other = mq_quarantine_suspect_at (quarantine, i);
@@ -359,6 +360,19 @@
   return true;
 }
 
+bool
+mq_quarantine_keeps_apart (const mq_quarantine *quarantine, mq_element_set set)
+{
+  for (size_t i = 0; i < set.n; i++)
+    {
+      mq_suspect *s = mq_quarantine_lookup (quarantine, set.ids[i]);
+
+      if (s != NULL && suspect_is_kept_apart (quarantine, s))
+        return true;
+    }
+  return false;
+}
+
 bool
 mq_quarantine_may_run_at (const mq_quarantine *quarantine, mq_element_set set,
                           uint64_t upstream, bool pending, uint64_t now_us)
@@ -369,7 +383,7 @@
     {
       mq_suspect *s = mq_quarantine_lookup (quarantine, set.ids[i]);
 
-      if (s != NULL
+      if (s != NULL && suspect_is_kept_apart (quarantine, s)
           && !suspect_may_run_at (quarantine, s, set, upstream, pending, now))
         return false;
     }
--- a/tests/test_str.cc
+++ b/tests/test_str.cc
@@ -1,6 +1,8 @@
 /* Length-counted strings.  */
 
 #include <gtest/gtest.h>
+
+#include <string>
 #include <mq/str.h>
 
 TEST (Span, ComparesByBytesThenSize)
@@ -10,6 +12,19 @@
   EXPECT_GT (mq_span_compare (MQ_SPAN ("b"), MQ_SPAN ("abc")), 0);
 }
 
+TEST (Span, TrimRemovesSpaceAtBothEnds)
+{
+  auto trimmed = [] (mq_span s) {
+    mq_span t = mq_span_trim (s);
+
+    return std::string (t.size > 0 ? t.data : "", t.size);
+  };
+
+  EXPECT_EQ (trimmed (MQ_SPAN (" \ta b\r ")), "a b");
+  EXPECT_EQ (trimmed (MQ_SPAN ("  ")), "");
+  EXPECT_EQ (trimmed ((mq_span){ nullptr, 0 }), "");
+}
+
 TEST (Span, NumberRejectsNonDigitsAndOverflow)
 {
   uint64_t v = 0;
