--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 leaves the disruption out.  review/build.sh first.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x review/bin/lab ] && [ -x target/marjoramquay ] || exit 2
-exec review/bin/lab memory review/2/record.txt
+exec review/bin/lab head review/2/record.txt
