Let an entry that can't be read cost that entry alone

What callers saw: another writer put one entry of kind servers with a field nested 30 deep.

Cause: the store's answer was parsed as one JSON value with a limit of 32 levels. One entry beyond it failed the list, or the events, and the reply counted as a store that does not answer, so that the same call was repeated for ever. The limit stays: json-c follows the nesting on the stack.

What has no readable name is left out, counted and shown in the log, and a follower lists all again. A reply that is too large or no complete list is "unreadable", not "unavailable": what could be read is used, a follower lists all again, waits longer each time and tells the others. An entry that can't be used goes to peers without its value. Invalid records of peers' messages and members of engines' reports are left out alone.

--- a/include/mq/cluster_message.h
+++ b/include/mq/cluster_message.h
@@ -5,7 +5,8 @@
    are used only in packages/net/cluster_message.c.  Decoding fails for a
    message that is malformed, has another version or holds a value out of
    range.  The receiver counts such a message and drops it, without a change
-   to its state.  */
+   to its state.  An invalid record of a list is left out, and the others are
+   used.  */
 
 #ifndef MQ_CLUSTER_MESSAGE_H
 #define MQ_CLUSTER_MESSAGE_H
@@ -19,7 +20,7 @@
 /* A router drops messages of any other version.  */
 #define MQ_CLUSTER_MESSAGE_VERSION 2
 /* Bounds the length of a name or an address.  */
-#define MQ_CLUSTER_MESSAGE_MAX_TEXT_BYTES 1024
+#define MQ_CLUSTER_MESSAGE_MAX_TEXT_BYTES MQ_PLATFORM_MAX_NAME_BYTES
 /* Bounds each list in gossip.  */
 #define MQ_CLUSTER_MESSAGE_MAX_ELEMENTS 4096
 
@@ -114,6 +115,7 @@
   mq_cluster_message message;
   mq_gossip gossip; /* Initialised for gossip only.  */
   GArray *entries;  /* mq_platform_entry, or NULL.  */
+  size_t dropped;   /* Records of lists that are invalid and were left out.  */
   void *unpacked;   /* The protobuf library's message; owned.  */
 } mq_cluster_message_decoded;
 
--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -45,6 +45,7 @@
   unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none.
                            */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
+  bool too_large;  /* BROKEN, since the body exceeds the limit of the call.  */
   mq_span data;    /* DATA: the piece.  END of a call that is not streamed:
                       the complete body.  Borrowed.  */
 } mq_http_client_event;
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -67,6 +67,17 @@
   MQ_STORE_PURPOSES
 } mq_store_purpose;
 
+/* Kinds of entries that can't be read, as metrics count them.  */
+typedef enum mq_entry_kind
+{
+  MQ_ENTRY_ROUTING,
+  MQ_ENTRY_UPSTREAM,
+  MQ_ENTRY_MEMBER,
+  MQ_ENTRY_REFUSAL,
+  MQ_ENTRY_UNNAMED, /* Its name can't be read either.  */
+  MQ_ENTRY_KINDS
+} mq_entry_kind;
+
 /* What the next call of a feed does.  */
 typedef enum mq_feed_state
 {
@@ -89,12 +100,14 @@
   GHashTable *seen; /* Scan: names so far, owned; or NULL.  */
   bool scanned;     /* A scan has completed in this process.  */
   bool rereads;     /* The scan in progress is one of mq_feed_reread.  */
-  uint64_t reread_from;   /* Then: REVISION before it.  */
-  unsigned failures;      /* Consecutive failed calls.  */
-  uint64_t called_us;     /* When the last call began.  */
-  bool logged_overdue;    /* That its reply is overdue was logged.  */
-  bool in_doubt;          /* The store may be lost: no reply since one was
-                             overdue or calls failed.  */
+  uint64_t reread_from;        /* Then: REVISION before it.  */
+  unsigned failures;           /* Consecutive failed calls.  */
+  unsigned unreadable_replies; /* Replies that could not be read since the last
+                                  follow call whose reply was.  */
+  uint64_t called_us;          /* When the last call began.  */
+  bool logged_overdue;         /* That its reply is overdue was logged.  */
+  bool in_doubt;               /* The store may be lost: no reply since one was
+                                  overdue or calls failed.  */
   bool verifies;          /* The store is not to hold the next follow call.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
@@ -161,6 +174,8 @@
   uint64_t *loads_open;
   uint64_t *loads_waiting;
   uint64_t *store_calls[MQ_STORE_PURPOSES];
+  uint64_t *unreadable_entries[MQ_ENTRY_KINDS];
+  uint64_t *unreadable_replies;
   uint64_t *reports;
   uint64_t *path_probes;
   uint64_t *reach_checks;
@@ -191,6 +206,7 @@
                          [2]; /* 0: to the own failure domain, 1: to others. */
   uint64_t *peer_bytes[MQ_CLUSTER_MESSAGE_KINDS][2];
   uint64_t *peer_unreadable;
+  uint64_t *peer_unreadable_records;
   uint64_t *crashes;
   uint64_t *suspects;
   uint64_t *quarantined;
@@ -615,10 +631,16 @@
 void mq_gateway_prune_upstreams (mq_gateway *gateway, GHashTable *seen,
                                  uint64_t at, const char *source);
 /* Apply ENTRY, an upstream as SOURCE ("store", "peer" or "list") sent it.
-   Returns true when it was newer than what was known.  */
-bool mq_gateway_apply_upstream (mq_gateway *gateway,
-                                const mq_platform_entry *entry,
+   Returns true when it was newer than what was known.  If its value can't be
+   used, the upstream is removed and the value set to an empty one, which is
+   what other routers are to receive.  */
+bool mq_gateway_apply_upstream (mq_gateway *gateway, mq_platform_entry *entry,
                                 const char *source);
+/* Count and log REPLY of the store about objects of KIND, which can't be read
+   as a whole, IN_A_ROW as such.  */
+void mq_gateway_note_unreadable (mq_gateway *gateway, const char *kind,
+                                 const mq_platform_reply *reply,
+                                 unsigned in_a_row);
 
 /* ---- gateway_members.c  */
 /* Join the cluster.  Returns 0; or -1 with ERROR set when the peer address
--- a/include/mq/platform.h
+++ b/include/mq/platform.h
@@ -19,6 +19,8 @@
 
 /* Bounds the value of an object.  */
 #define MQ_PLATFORM_MAX_VALUE_BYTES ((size_t)1024 * 1024)
+/* Bounds the name of an object in a SCAN or a FOLLOW.  */
+#define MQ_PLATFORM_MAX_NAME_BYTES ((size_t)1024)
 
 typedef enum mq_platform_op
 {
@@ -47,6 +49,9 @@
                               nothing was sent, or that the platform stated
                               it did not do.  */
   MQ_PLATFORM_UNKNOWN,     /* A write that may have taken effect.  */
+  MQ_PLATFORM_UNREADABLE,  /* Of a SCAN or a FOLLOW: the reply is too large or
+                              no complete list.  ENTRIES has what could be
+                              read.  */
   MQ_PLATFORM_HISTORY_EXPIRED, /* Of a FOLLOW: the history from there
                                 has expired; scan again.  */
   MQ_PLATFORM_RESULTS
@@ -70,7 +75,8 @@
 {
   mq_span name;
   uint64_t version;
-  mq_span value; /* JSON text.  */
+  mq_span value; /* Text, JSON as a rule; empty if the entry can't be read.
+                  */
   bool deleted;
 } mq_platform_entry;
 
@@ -89,8 +95,11 @@
   size_t n_vms;
   const mq_platform_entry *entries; /* SCAN and FOLLOW.  */
   size_t n_entries;
-  bool has_more; /* SCAN: continue after the last entry's name.  */
-  uint64_t at;   /* SCAN and FOLLOW: revision to follow from.  */
+  size_t n_unnamed; /* SCAN and FOLLOW: entries without a valid name, which
+                       are not in ENTRIES.  */
+  mq_span unnamed;  /* The first of these as received.  */
+  bool has_more;    /* SCAN: continue after the last entry's name.  */
+  uint64_t at;      /* SCAN and FOLLOW: revision to follow from.  */
 } mq_platform_reply;
 
 typedef void (*mq_platform_sink) (void *context,
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -54,6 +54,8 @@
 #define STARTING_PERIOD_US ((uint64_t)10 * 1000 * 1000)
 #define STARTING_MIN_ROUTERS 16
 #define NO_DELAY_S 0.
+/* Of an entry, in the log.  */
+#define MAX_EXCERPT_BYTES 64
 /* Delay after a failed call, doubled at each further failure up to
    MAX_RETRY_DELAY_S.  */
 #define MIN_RETRY_DELAY_S 0.1
@@ -166,14 +168,15 @@
                      feed_changes *changes)
 {
   mq_gateway *g = feed->gateway;
-  bool is_new = mq_gateway_apply_upstream (g, entry, "store");
-  bool confirmed = mq_entry_list_confirm (&g->upstream_list, entry->name,
-                                          entry->version, entry->deleted);
+  mq_platform_entry e = *entry;
+  bool is_new = mq_gateway_apply_upstream (g, &e, "store");
+  bool confirmed = mq_entry_list_confirm (&g->upstream_list, e.name, e.version,
+                                          e.deleted);
 
   if (is_new)
-    g_array_append_val (changes->new_here, *entry);
+    g_array_append_val (changes->new_here, e);
   else if (confirmed && feed->state == MQ_FEED_FOLLOWING)
-    g_array_append_val (changes->confirmed, *entry);
+    g_array_append_val (changes->confirmed, e);
 }
 
 static const mq_platform_entry *
@@ -289,6 +292,17 @@
   g_clear_pointer (&feed->after, mq_str_unref);
 }
 
+/* Returns true if the reply to a scan says that more entries follow, but not
+   after which name.  */
+static bool
+feed_is_stuck (const mq_feed *feed, const mq_platform_reply *reply)
+{
+  return reply->has_more
+         && (reply->n_entries == 0
+             || mq_span_equal (reply->entries[reply->n_entries - 1].name,
+                               mq_str_span (feed->after)));
+}
+
 static void
 feed_receive_scan (mq_feed *feed, const mq_platform_reply *reply)
 {
@@ -299,7 +313,7 @@
       feed->revision = reply->at; /* Follow changes made during the scan.  */
     }
   feed_apply (feed, reply->entries, reply->n_entries);
-  if (!reply->has_more || reply->n_entries == 0)
+  if (!reply->has_more)
     {
       feed_finish_scan (feed);
       return;
@@ -346,7 +360,7 @@
   double delay = MIN_RETRY_DELAY_S;
 
   feed->verifies = true;
-  if (feed->failures++ == 0)
+  if (feed->failures++ == 0 && result != MQ_PLATFORM_UNREADABLE)
     mq_log (G_LOG_LEVEL_WARNING, "store.lost", "kind=%s result=%s", feed->kind,
             mq_platform_result_name (result));
   if (feed->failures >= FAILURES_TO_DOUBT)
@@ -356,17 +370,61 @@
   feed_schedule_call (feed, MIN (delay, MAX_RETRY_DELAY_S));
 }
 
+/* Begin a scan with the next call.  */
 static void
-feed_rescan (mq_feed *feed)
+feed_begin_scan (mq_feed *feed)
 {
-  mq_log (G_LOG_LEVEL_WARNING, "store.history-lost",
-          "kind=%s at=%" G_GUINT64_FORMAT, feed->kind, feed->revision);
   feed->state = MQ_FEED_SCANNING;
   g_clear_pointer (&feed->seen, g_hash_table_unref);
   g_clear_pointer (&feed->after, mq_str_unref);
+}
+
+static void
+feed_rescan (mq_feed *feed)
+{
+  mq_log (G_LOG_LEVEL_WARNING, "store.history-lost",
+          "kind=%s at=%" G_GUINT64_FORMAT, feed->kind, feed->revision);
+  feed_begin_scan (feed);
   feed_schedule_call (feed, NO_DELAY_S);
 }
 
+/* The store has answered, but its reply can't be read as a whole.  What could
+   be read is used.  The same call may give the same reply again, so that a
+   follower scans, and goes on from there.  */
+static void
+feed_receive_unreadable (mq_feed *feed, const mq_platform_reply *reply)
+{
+  feed->unreadable_replies++;
+  mq_gateway_note_unreadable (feed->gateway, feed->kind, reply,
+                              feed->unreadable_replies);
+  feed_apply (feed, reply->entries, reply->n_entries);
+  feed_begin_scan (feed);
+  /* The scans between such replies succeed.  */
+  feed->failures = MAX (feed->failures, feed->unreadable_replies - 1);
+  feed_note_failure (feed, reply->result);
+}
+
+/* Count and log the entries of REPLY that have no name.  A follower scans,
+   since such an entry may have been an upstream, which the scan removes.  */
+static void
+feed_note_unnamed (mq_feed *feed, const mq_platform_reply *reply)
+{
+  mq_span text = reply->unnamed;
+  char *excerpt;
+
+  if (reply->n_unnamed == 0)
+    return;
+  *feed->gateway->counters.unreadable_entries[MQ_ENTRY_UNNAMED]
+      += reply->n_unnamed;
+  excerpt = g_strndup (text.data, MIN (text.size, MAX_EXCERPT_BYTES));
+  mq_log (G_LOG_LEVEL_WARNING, "store.entry-unnamed",
+          "kind=%s entries=%zu first=%s", feed->kind, reply->n_unnamed,
+          mq_log_quote (excerpt));
+  g_free (excerpt);
+  if (reply->op == MQ_PLATFORM_FOLLOW)
+    feed_begin_scan (feed);
+}
+
 static void
 feed_on_reply (void *context, const mq_platform_reply *reply)
 {
@@ -384,6 +442,12 @@
       feed_rescan (feed);
       return;
     }
+  if (reply->result == MQ_PLATFORM_UNREADABLE
+      || (reply->op == MQ_PLATFORM_SCAN && feed_is_stuck (feed, reply)))
+    {
+      feed_receive_unreadable (feed, reply);
+      return;
+    }
   if (reply->result != MQ_PLATFORM_OK)
     {
       feed_note_failure (feed, reply->result);
@@ -399,10 +463,14 @@
   feed->in_doubt = false;
   feed->verifies = false;
   feed->last_reply_us = mq_gateway_now_us ();
+  feed_note_unnamed (feed, reply);
   if (reply->op == MQ_PLATFORM_SCAN)
-    feed_receive_scan (feed, reply);
-  else
-    feed_receive_changes (feed, reply);
+    {
+      feed_receive_scan (feed, reply);
+      return;
+    }
+  feed->unreadable_replies = 0;
+  feed_receive_changes (feed, reply);
 }
 
 void
@@ -546,6 +614,16 @@
   g_clear_pointer (&feed->after, mq_str_unref);
 }
 
+void
+mq_gateway_note_unreadable (mq_gateway *gateway, const char *kind,
+                            const mq_platform_reply *reply, unsigned in_a_row)
+{
+  ++*gateway->counters.unreadable_replies;
+  mq_log (G_LOG_LEVEL_WARNING, "store.unreadable",
+          "kind=%s op=%s entries=%zu in_a_row=%u", kind,
+          mq_platform_op_name (reply->op), reply->n_entries, in_a_row);
+}
+
 void
 mq_gateway_apply_routing (mq_gateway *gateway, mq_span text,
                           const char *source, mq_propagation_scope scope)
@@ -556,6 +634,7 @@
 
   if (r == NULL)
     {
+      ++*gateway->counters.unreadable_entries[MQ_ENTRY_ROUTING];
       mq_log (G_LOG_LEVEL_WARNING, "configuration.unusable",
               "source=%s error=%s", source, mq_log_quote (error->message));
       g_error_free (error);
@@ -630,7 +709,7 @@
 }
 
 bool
-mq_gateway_apply_upstream (mq_gateway *gateway, const mq_platform_entry *entry,
+mq_gateway_apply_upstream (mq_gateway *gateway, mq_platform_entry *entry,
                            const char *source)
 {
   mq_upstream_facts facts;
@@ -651,12 +730,16 @@
                                          &error)
       < 0)
     {
+      ++*gateway->counters.unreadable_entries[MQ_ENTRY_UPSTREAM];
       mq_log (G_LOG_LEVEL_WARNING, "upstream.unusable",
-              "upstream=%.*s error=%s", MQ_SPAN_ARG (entry->name),
-              mq_log_quote (error->message));
+              "upstream=%.*s revision=%" G_GUINT64_FORMAT
+              " bytes=%zu source=%s error=%s",
+              MQ_SPAN_ARG (entry->name), entry->version, entry->value.size,
+              source, mq_log_quote (error->message));
       g_error_free (error);
       /* The newer entry replaces the old one even though it is unusable.  */
       feed_remove_upstream (gateway, entry);
+      entry->value.size = 0;
       return true;
     }
   mq_entry_list_put (&gateway->upstream_list, entry->name, entry->version,
--- a/packages/gateway/gateway_gossip.c
+++ b/packages/gateway/gateway_gossip.c
@@ -565,6 +565,13 @@
       g_error_free (error);
       return;
     }
+  if (d.dropped > 0)
+    {
+      *g->counters.peer_unreadable_records += d.dropped;
+      mq_log (G_LOG_LEVEL_WARNING, "peer.records-unreadable",
+              "kind=%s records=%zu",
+              mq_cluster_message_kind_name (d.message.kind), d.dropped);
+    }
   switch (d.message.kind)
     {
     case MQ_CLUSTER_MESSAGE_GOSSIP:
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -142,8 +142,11 @@
   mq_json_doc *doc = mq_json_parse (MQ_SPAN ("member"), entry->value, NULL);
 
   if (doc == NULL || member_add (gateway, entry, doc) < 0)
-    mq_log (G_LOG_LEVEL_WARNING, "member.unusable", "vm=%.*s",
-            MQ_SPAN_ARG (entry->name));
+    {
+      ++*gateway->counters.unreadable_entries[MQ_ENTRY_MEMBER];
+      mq_log (G_LOG_LEVEL_WARNING, "member.unusable", "vm=%.*s",
+              MQ_SPAN_ARG (entry->name));
+    }
   if (doc != NULL)
     mq_json_doc_free (doc);
 }
@@ -155,6 +158,10 @@
   uint64_t now = mq_gateway_now_us ();
 
   g->members_scanning = false;
+  for (size_t i = 0; i < reply->n_entries; i++)
+    member_add_entry (g, &reply->entries[i]);
+  if (reply->result == MQ_PLATFORM_UNREADABLE)
+    mq_gateway_note_unreadable (g, g->dialect->kinds.members, reply, 1);
   if (reply->result != MQ_PLATFORM_OK)
     {
       g->members_scan_us = now + MEMBER_RETRY_US;
@@ -162,8 +169,6 @@
       return;
     }
   g->members_scan_us = now + MEMBER_SCAN_INTERVAL_US;
-  for (size_t i = 0; i < reply->n_entries; i++)
-    member_add_entry (g, &reply->entries[i]);
   mq_cluster_note_member_list (&g->cluster, !g->members_scan_stale,
                                g->member_written, now);
 }
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -38,9 +38,31 @@
   return "none";
 }
 
+static const char *
+entry_kind_name (mq_entry_kind kind)
+{
+  switch (kind)
+    {
+    case MQ_ENTRY_ROUTING:
+      return "configuration";
+    case MQ_ENTRY_UPSTREAM:
+      return "upstream";
+    case MQ_ENTRY_MEMBER:
+      return "member";
+    case MQ_ENTRY_REFUSAL:
+      return "refusal";
+    case MQ_ENTRY_UNNAMED:
+      return "unnamed";
+    case MQ_ENTRY_KINDS:
+      break;
+    }
+  return "none";
+}
+
 static void
 metrics_init_store (mq_gateway *gateway)
 {
+  mq_gateway_counters *c = &gateway->counters;
   char labels[64];
 
   for (int i = 0; i < MQ_STORE_PURPOSES; i++)
@@ -50,6 +72,16 @@
           gateway->metrics, "marjoramquay_store_calls_total", labels,
           "Calls to the platform's store by purpose.");
     }
+  for (int i = 0; i < MQ_ENTRY_KINDS; i++)
+    {
+      g_snprintf (labels, sizeof labels, "kind=\"%s\"", entry_kind_name (i));
+      c->unreadable_entries[i] = mq_metrics_counter (
+          gateway->metrics, "marjoramquay_unreadable_entries_total", labels,
+          "Entries of the store that could not be read.");
+    }
+  c->unreadable_replies = mq_metrics_counter (
+      gateway->metrics, "marjoramquay_unreadable_replies_total", "",
+      "Replies of the store that could not be read as a whole.");
 }
 
 void
@@ -83,6 +115,9 @@
   c->peer_unreadable = mq_metrics_counter (
       gateway->metrics, "marjoramquay_peer_unreadable_total", "",
       "Messages of other routers that were dropped.");
+  c->peer_unreadable_records = mq_metrics_counter (
+      gateway->metrics, "marjoramquay_peer_unreadable_records_total", "",
+      "Records of other routers' messages that were dropped.");
 }
 
 void
--- a/packages/gateway/gateway_propagation.c
+++ b/packages/gateway/gateway_propagation.c
@@ -588,9 +588,13 @@
     return;
   changed = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
   for (size_t i = 0; i < entries->n; i++)
-    if (mq_gateway_apply_upstream (gateway, &entries->entries[i],
-                                   entries->whole ? "list" : "peer"))
-      g_array_append_val (changed, entries->entries[i]);
+    {
+      mq_platform_entry e = entries->entries[i];
+
+      if (mq_gateway_apply_upstream (gateway, &e,
+                                     entries->whole ? "list" : "peer"))
+        g_array_append_val (changed, e);
+    }
   if (entries->whole)
     upstreams_prune_missing (gateway, entries);
   mq_digest_log_note (&gateway->digests, gateway->upstream_list.digest,
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -285,8 +285,11 @@
   if (doc != NULL)
     root = mq_json_root (doc);
   if (doc == NULL || apply_refusal_value (gateway, entry, &root) < 0)
-    mq_log (G_LOG_LEVEL_WARNING, "quarantine.unusable", "name=%.*s",
-            MQ_SPAN_ARG (entry->name));
+    {
+      ++*gateway->counters.unreadable_entries[MQ_ENTRY_REFUSAL];
+      mq_log (G_LOG_LEVEL_WARNING, "quarantine.unusable", "name=%.*s",
+              MQ_SPAN_ARG (entry->name));
+    }
   if (doc != NULL)
     mq_json_doc_free (doc);
 }
@@ -297,14 +300,16 @@
   mq_gateway *g = context;
 
   g->refusals_scanning = false;
+  for (size_t i = 0; i < reply->n_entries; i++)
+    apply_refusal (g, &reply->entries[i]);
+  if (reply->result == MQ_PLATFORM_UNREADABLE)
+    mq_gateway_note_unreadable (g, g->dialect->kinds.refusals, reply, 1);
   if (reply->result != MQ_PLATFORM_OK)
     {
       g->refusals_scan_us = mq_gateway_now_us () + STORE_RETRY_US;
       return;
     }
   g->refusals_scanned = true;
-  for (size_t i = 0; i < reply->n_entries; i++)
-    apply_refusal (g, &reply->entries[i]);
   mq_log (G_LOG_LEVEL_INFO, "quarantine.read", "objects=%zu",
           reply->n_entries);
 }
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -361,8 +361,12 @@
   return 0;
 }
 
+/* Each function below that reads a list leaves out the records that are
+   invalid, and adds their number to *DROPPED.  */
+
 static int
-get_routers (GArray *to, Mq__News__Router *const *from, size_t n)
+get_routers (GArray *to, Mq__News__Router *const *from, size_t n,
+             size_t *dropped)
 {
   if (n > MQ_CLUSTER_MESSAGE_MAX_ELEMENTS)
     return -1;
@@ -371,8 +375,9 @@
       mq_gossip_router r;
 
       if (get_router (&r, from[i]) < 0)
-        return -1;
-      g_array_append_val (to, r);
+        ++*dropped;
+      else
+        g_array_append_val (to, r);
     }
   return 0;
 }
@@ -400,7 +405,8 @@
 }
 
 static int
-get_findings (GArray *to, Mq__News__Finding *const *from, size_t n)
+get_findings (GArray *to, Mq__News__Finding *const *from, size_t n,
+              size_t *dropped)
 {
   if (n > MQ_CLUSTER_MESSAGE_MAX_ELEMENTS)
     return -1;
@@ -419,14 +425,16 @@
 
       if (get_text (&f.upstream, from[i]->upstream) < 0
           || f.slowdown > MAX_SLOWDOWN)
-        return -1;
-      g_array_append_val (to, f);
+        ++*dropped;
+      else
+        g_array_append_val (to, f);
     }
   return 0;
 }
 
 static int
-get_crash_records (GArray *to, Mq__News__End *const *from, size_t n)
+get_crash_records (GArray *to, Mq__News__End *const *from, size_t n,
+                   size_t *dropped)
 {
   if (n > MQ_QUARANTINE_MAX_RECORDS_PER_MESSAGE)
     return -1;
@@ -436,8 +444,9 @@
           = { from[i]->request, from[i]->upstream, from[i]->age_ms };
 
       if (r.element == 0)
-        return -1;
-      g_array_append_val (to, r);
+        ++*dropped;
+      else
+        g_array_append_val (to, r);
     }
   return 0;
 }
@@ -466,7 +475,7 @@
 }
 
 static int
-get_gossip (mq_gossip *to, const Mq__News__News *from)
+get_gossip (mq_gossip *to, const Mq__News__News *from, size_t *dropped)
 {
   if (from->sender == NULL || get_kind (&to->kind, from->kind) < 0
       || get_router (&to->from, from->sender) < 0 || to->from.peer.size == 0
@@ -493,16 +502,19 @@
   to->busy = from->busy;
   to->age_ms = from->age_ms;
   if (get_counts (to, from) < 0
-      || get_findings (to->findings, from->findings, from->n_findings) < 0
-      || get_crash_records (to->crashes, from->ends, from->n_ends) < 0
-      || get_routers (to->routers, from->routers, from->n_routers) < 0
-      || get_routers (to->serving, from->serving, from->n_serving) < 0
-      || get_routers (to->elsewhere, from->elsewhere, from->n_elsewhere) < 0)
+      || get_findings (to->findings, from->findings, from->n_findings, dropped)
+             < 0
+      || get_crash_records (to->crashes, from->ends, from->n_ends, dropped) < 0
+      || get_routers (to->routers, from->routers, from->n_routers, dropped) < 0
+      || get_routers (to->serving, from->serving, from->n_serving, dropped) < 0
+      || get_routers (to->elsewhere, from->elsewhere, from->n_elsewhere,
+                      dropped)
+             < 0)
     return -1;
   return 0;
 }
 
-static int
+static void
 get_entries (mq_cluster_message_decoded *to, const Mq__News__Entries *from)
 {
   to->entries = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
@@ -514,14 +526,14 @@
                               .deleted = f->gone };
 
       if (get_text (&e.name, f->id) < 0 || e.name.size == 0)
-        return -1;
-      g_array_append_val (to->entries, e);
+        to->dropped++;
+      else
+        g_array_append_val (to->entries, e);
     }
   to->message.u.entries = (mq_cluster_message_entries){
     from->whole, from->at,
     (const mq_platform_entry *)(void *)to->entries->data, to->entries->len
   };
-  return 0;
 }
 
 static int
@@ -584,16 +596,17 @@
       p->kind = MQ_CLUSTER_MESSAGE_GOSSIP;
       p->u.gossip = &decoded->gossip;
       mq_gossip_init (&decoded->gossip, MQ_GOSSIP_REPORT);
-      return get_gossip (&decoded->gossip, from->news);
+      return get_gossip (&decoded->gossip, from->news, &decoded->dropped);
     case MQ__NEWS__PARCEL__BODY_ROUTING:
       p->kind = MQ_CLUSTER_MESSAGE_ROUTING;
       p->u.routing = to_span (from->routing->text);
       return get_scope (&p->scope, from->routing->scope);
     case MQ__NEWS__PARCEL__BODY_ENTRIES:
       p->kind = MQ_CLUSTER_MESSAGE_ENTRIES;
-      return get_scope (&p->scope, from->entries->scope) < 0
-                 ? -1
-                 : get_entries (decoded, from->entries);
+      if (get_scope (&p->scope, from->entries->scope) < 0)
+        return -1;
+      get_entries (decoded, from->entries);
+      return 0;
     case MQ__NEWS__PARCEL__BODY_LAYERS:
       p->kind = MQ_CLUSTER_MESSAGE_LAYERS;
       return get_scope (&p->scope, from->layers->scope) < 0
--- a/packages/net/config_source.c
+++ b/packages/net/config_source.c
@@ -517,6 +517,7 @@
     case MQ_PLATFORM_BUSY:
     case MQ_PLATFORM_UNAVAILABLE:
     case MQ_PLATFORM_UNKNOWN:
+    case MQ_PLATFORM_UNREADABLE:
     case MQ_PLATFORM_HISTORY_EXPIRED:
     case MQ_PLATFORM_RESULTS:
       replied = false;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -65,6 +65,7 @@
   bool streamed;
   bool no_resend;
   bool maybe_sent;
+  bool too_large;     /* The body exceeds BODY_LIMIT.  */
   bool is_ready;      /* In the ready queue.  */
   bool head_complete; /* All headers have arrived.  */
   bool head_reported;
@@ -149,7 +150,10 @@
   if (call->paused)
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
   if (!call->streamed && call->body->len + n > call->body_limit)
-    return 0;
+    {
+      call->too_large = true;
+      return 0;
+    }
   g_string_append_len (call->body, data, (gssize)n);
   if (call->streamed)
     client_mark_ready (call);
@@ -227,7 +231,8 @@
   *event = (mq_http_client_event){ .call = call,
                                    .result = MQ_HTTP_OK,
                                    .status = call->status,
-                                   .maybe_sent = call->maybe_sent };
+                                   .maybe_sent = call->maybe_sent,
+                                   .too_large = call->too_large };
   if (call->head_complete && !call->head_reported)
     {
       call->head_reported = true;
--- a/packages/net/platform.c
+++ b/packages/net/platform.c
@@ -88,6 +88,8 @@
 static mq_platform_result
 platform_classify (mq_platform_op op, const mq_http_client_event *event)
 {
+  if (event->too_large && !platform_op_writes (op))
+    return MQ_PLATFORM_UNREADABLE;
   if (event->result != MQ_HTTP_OK)
     return platform_failed_result (op, event->maybe_sent);
   switch (event->status)
@@ -521,6 +523,7 @@
           [MQ_PLATFORM_BUSY] = MQ_STORE_REFUSED,
           [MQ_PLATFORM_UNAVAILABLE] = MQ_STORE_REFUSED,
           [MQ_PLATFORM_UNKNOWN] = MQ_STORE_UNKNOWN,
+          [MQ_PLATFORM_UNREADABLE] = MQ_STORE_REFUSED,
           [MQ_PLATFORM_HISTORY_EXPIRED] = MQ_STORE_REFUSED };
 
   return (mq_store_reply){ .result = results[reply->result],
@@ -542,8 +545,8 @@
 mq_platform_result_name (mq_platform_result result)
 {
   static const char *const names[MQ_PLATFORM_RESULTS]
-      = { "ok",   "missing",     "conflict", "unchanged", "refused",
-          "busy", "unavailable", "unknown",  "forgotten" };
+      = { "ok",   "missing",     "conflict", "unchanged",  "refused",
+          "busy", "unavailable", "unknown",  "unreadable", "forgotten" };
 
   return names[result];
 }
