Show how many connections of clients there are and may be

Cause: since the number of connections follows from the memory, an operator could not see the limit, nor that connections are closed unread at it; they weren't counted before either.

Change: key connections= in router.start; gauges of open connections and of the limit, and a counter of those closed. HttpMemory.BoundsConnections checks all three. No decision changes.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -129,6 +129,12 @@
 /* Returns the number of exchanges whose response is not complete.  */
 unsigned mq_http_server_open_count (const mq_http_server *server);
 
+/* Returns the number of open connections, how many there may be at present,
+   and how many were closed unread because there were as many.  */
+unsigned mq_http_server_connections (const mq_http_server *server);
+unsigned mq_http_server_connection_limit (const mq_http_server *server);
+uint64_t mq_http_server_refused_connections (const mq_http_server *server);
+
 mq_http_exchange *mq_http_exchange_ref (mq_http_exchange *exchange);
 void mq_http_exchange_unref (mq_http_exchange *exchange);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -186,6 +186,9 @@
   uint64_t *routing_version;
   uint64_t *routing_age_ms;
   uint64_t *upstreams_age_ms;
+  uint64_t *connections;
+  uint64_t *connection_limit;
+  uint64_t *refused_connections;
   uint64_t *upstreams;
   uint64_t *upstreams_ejected;
   uint64_t *upstreams_rejecting;
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -57,7 +57,8 @@
   mq_http_tls *tls; /* For new connections; one reference, or NULL.  */
   unsigned idle_s;
   unsigned connection_limit;
-  size_t memory; /* For all connections.  */
+  uint64_t refused_connections; /* Closed unread at the limit.  */
+  size_t memory;                /* For all connections.  */
   size_t head_limit;
   size_t block; /* For each connection of a new shard; it only grows.  */
   size_t body_limit;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -320,9 +320,10 @@
   ev_timer_start (loop, &g->tick);
   ev_timer_start (loop, &g->silence_timer);
   mq_log (G_LOG_LEVEL_INFO, "router.start",
-          "vm=%s domain=%s clients=%s peers=%s", mq_str_cstr (settings->name),
-          mq_str_cstr (settings->failure_domain),
-          mq_str_cstr (g->client_address), mq_str_cstr (g->cluster.peer));
+          "vm=%s domain=%s clients=%s peers=%s connections=%u",
+          mq_str_cstr (settings->name), mq_str_cstr (settings->failure_domain),
+          mq_str_cstr (g->client_address), mq_str_cstr (g->cluster.peer),
+          mq_http_server_connection_limit (g->clients));
   return g;
 }
 
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -178,6 +178,14 @@
       "Since the store last answered about it.");
   c->upstreams_age_ms = mq_metrics_gauge (m, "marjoramquay_belief_age_ms",
                                           "of=\"upstreams\"", "");
+  c->connections = mq_metrics_gauge (m, "marjoramquay_connections", "",
+                                     "Open connections of clients.");
+  c->connection_limit
+      = mq_metrics_gauge (m, "marjoramquay_connection_limit", "",
+                          "How many of these there may be.");
+  c->refused_connections = mq_metrics_counter (
+      m, "marjoramquay_connections_refused_total", "",
+      "Connections of clients that were closed unread at the limit.");
   c->upstreams
       = mq_metrics_gauge (m, "marjoramquay_upstreams", "state=\"listed\"",
                           "Upstreams by what is believed of them.");
@@ -347,6 +355,10 @@
                           : 0;
   *c->store_overdue = mq_feed_is_overdue (&gateway->routing_feed, now)
                       + mq_feed_is_overdue (&gateway->upstream_feed, now);
+  *c->connections = mq_http_server_connections (gateway->clients);
+  *c->connection_limit = mq_http_server_connection_limit (gateway->clients);
+  *c->refused_connections
+      = mq_http_server_refused_connections (gateway->clients);
   *c->upstreams = g_hash_table_size (gateway->registry.by_id);
   *c->upstreams_ejected = 0;
   *c->upstreams_rejecting = 0;
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -155,18 +155,6 @@
   ev_timer_start (server->loop, &server->accept_pause);
 }
 
-/* Returns how many connections SERVER may have.  */
-static unsigned
-server_connection_limit (const mq_http_server *server)
-{
-  unsigned n = server->connection_limit;
-
-  if (server->memory == 0)
-    return n; /* The memory of the machine is not known.  */
-  return MIN (n,
-              mq_http_memory_max_connections (server->memory, server->block));
-}
-
 /* Accept at most LIMIT pending connections.  */
 static void
 server_accept (mq_http_server *s, int limit)
@@ -183,8 +171,11 @@
           server_accept_failed (s, errno);
           return;
         }
-      if (s->connections.length >= server_connection_limit (s))
-        close (fd);
+      if (s->connections.length >= mq_http_server_connection_limit (s))
+        {
+          s->refused_connections++;
+          close (fd);
+        }
       else
         mq_http_shard_add (server_shard (s), fd, &a.any, size);
     }
@@ -528,3 +519,26 @@
 {
   return server->exchanges.length;
 }
+
+unsigned
+mq_http_server_connections (const mq_http_server *server)
+{
+  return server->connections.length;
+}
+
+unsigned
+mq_http_server_connection_limit (const mq_http_server *server)
+{
+  unsigned n = server->connection_limit;
+
+  if (server->memory == 0)
+    return n; /* The memory of the machine is not known.  */
+  return MIN (n,
+              mq_http_memory_max_connections (server->memory, server->block));
+}
+
+uint64_t
+mq_http_server_refused_connections (const mq_http_server *server)
+{
+  return server->refused_connections;
+}
--- a/tests/test_http_memory.cc
+++ b/tests/test_http_memory.cc
@@ -289,6 +289,9 @@
           [] (const std::string &s) { return s.size () > 12; });
       EXPECT_EQ (r.empty (), i >= most) << i;
     }
+  EXPECT_EQ (mq_http_server_connection_limit (server), most);
+  EXPECT_EQ (mq_http_server_connections (server), most);
+  EXPECT_EQ (mq_http_server_refused_connections (server), 2u);
 }
 
 /* A connection that has carried a large request takes no more memory than it
