Bound the scans that entries without a name cause

Cause: found on reading again. Each change of an entry without a readable name made a follower scan, at most ten times a second, and a writer chooses names. A scan that can't go on (hasMore without a name) was repeated by a router that only rereads the list. The room for a response after a head above half of the block (a connection from before a larger limit) did not count what the library may read beyond it.

Change: at most one such scan in 5 s; a reread that can't be read is abandoned, as one that fails; an eighth of the block is kept for what is read beyond such a head.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -104,10 +104,12 @@
   unsigned failures;           /* Consecutive failed calls.  */
   unsigned unreadable_replies; /* Replies that could not be read since the last
                                   follow call whose reply was.  */
-  uint64_t called_us;          /* When the last call began.  */
-  bool logged_overdue;         /* That its reply is overdue was logged.  */
-  bool in_doubt;               /* The store may be lost: no reply since one was
-                                  overdue or calls failed.  */
+  uint64_t unnamed_us;    /* Last scan because of entries without a name; 0:
+                             none.  */
+  uint64_t called_us;     /* When the last call began.  */
+  bool logged_overdue;    /* That its reply is overdue was logged.  */
+  bool in_doubt;          /* The store may be lost: no reply since one was
+                             overdue or calls failed.  */
   bool verifies;          /* The store is not to hold the next follow call.  */
   uint64_t last_reply_us; /* Last successful call; 0: none.  */
   uint64_t resumed_us;    /* When this router last began to follow.  */
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -54,6 +54,8 @@
 #define STARTING_PERIOD_US ((uint64_t)10 * 1000 * 1000)
 #define STARTING_MIN_ROUTERS 16
 #define NO_DELAY_S 0.
+/* Between two scans because of entries without a name.  */
+#define UNNAMED_SCAN_INTERVAL_US ((uint64_t)5000 * 1000)
 /* Of an entry, in the log.  */
 #define MAX_EXCERPT_BYTES 64
 /* Delay after a failed call, doubled at each further failure up to
@@ -404,12 +406,14 @@
   feed_note_failure (feed, reply->result);
 }
 
-/* Count and log the entries of REPLY that have no name.  A follower scans,
-   since such an entry may have been an upstream, which the scan removes.  */
+/* Count and log the entries of REPLY that have no name.  After a change of one
+   a follower scans, but not at each: it may have been an upstream, which the
+   scan removes.  */
 static void
 feed_note_unnamed (mq_feed *feed, const mq_platform_reply *reply)
 {
   mq_span text = reply->unnamed;
+  uint64_t now = mq_gateway_now_us ();
   char *excerpt;
 
   if (reply->n_unnamed == 0)
@@ -421,17 +425,23 @@
           "kind=%s entries=%zu first=%s", feed->kind, reply->n_unnamed,
           mq_log_quote (excerpt));
   g_free (excerpt);
-  if (reply->op == MQ_PLATFORM_FOLLOW)
-    feed_begin_scan (feed);
+  if (reply->op != MQ_PLATFORM_FOLLOW
+      || now < feed->unnamed_us + UNNAMED_SCAN_INTERVAL_US)
+    return;
+  feed->unnamed_us = now;
+  feed_begin_scan (feed);
 }
 
 static void
 feed_on_reply (void *context, const mq_platform_reply *reply)
 {
   mq_feed *feed = context;
+  bool unreadable
+      = reply->result == MQ_PLATFORM_UNREADABLE
+        || (reply->op == MQ_PLATFORM_SCAN && feed_is_stuck (feed, reply));
 
   feed->call = NULL;
-  if (reply->result != MQ_PLATFORM_OK && feed->rereads
+  if ((unreadable || reply->result != MQ_PLATFORM_OK) && feed->rereads
       && !feed->follow.follows)
     {
       feed_abandon_reread (feed);
@@ -442,8 +452,7 @@
       feed_rescan (feed);
       return;
     }
-  if (reply->result == MQ_PLATFORM_UNREADABLE
-      || (reply->op == MQ_PLATFORM_SCAN && feed_is_stuck (feed, reply)))
+  if (unreadable)
     {
       feed_receive_unreadable (feed, reply);
       return;
--- a/packages/net/http_memory.c
+++ b/packages/net/http_memory.c
@@ -16,6 +16,9 @@
 #define RECORD_BYTES 64
 /* Other parts of the block, each rounded up by less than this.  */
 #define ROUNDING_BYTES 64
+/* The part of the block that libmicrohttpd may read beyond a head that exceeds
+   the reading half.  */
+#define GROWTH_SHARE 8
 /* The head of a response that rejects a request.  */
 #define REJECTION_BYTES 1024
 /* What a connection takes besides its block.  */
@@ -36,8 +39,12 @@
 size_t
 mq_http_memory_response_room (size_t block, const mq_http_head_size *head)
 {
-  size_t used = MAX (block / 2, head->bytes) + records_size (head);
+  size_t used = records_size (head);
 
+  if (head->bytes <= block / 2)
+    used += block / 2;
+  else
+    used += head->bytes + block / GROWTH_SHARE;
   return used < block ? block - used : 0;
 }
 
