--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -14,6 +14,22 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+/* Returns true if RECEIVED holds a complete response, with a length or in
+   chunks.  */
+inline bool
+is_complete_response (const std::string &received)
+{
+  size_t end = received.find ("\r\n\r\n");
+  size_t length = received.find ("Content-Length: ");
+
+  if (end == std::string::npos)
+    return false;
+  if (length < end)
+    return received.size ()
+           >= end + 4 + std::stoul (received.substr (length + 16));
+  return received.find ("0\r\n\r\n", end + 4) != std::string::npos;
+}
+
 /* A raw socket, to act as a misbehaving client or server.  */
 class Socket
 {
