Count a reply that is too large as a refused read in native mode

Cause: turned a native read above the limit from refused, as it was before, into unknown, which is for writes (store_io.c). Read, not seen; gateway mode does not use this code. mq_platform_store_reply has it as refused, too.

--- a/include/mq/platform.h
+++ b/include/mq/platform.h
@@ -49,9 +49,9 @@
                               nothing was sent, or that the platform stated
                               it did not do.  */
   MQ_PLATFORM_UNKNOWN,     /* A write that may have taken effect.  */
-  MQ_PLATFORM_UNREADABLE,  /* Of a SCAN or a FOLLOW: the reply is too large or
-                              no complete list.  ENTRIES has what could be
-                              read.  */
+  MQ_PLATFORM_UNREADABLE,  /* Of a read: the reply is too large or, of a SCAN
+                              or a FOLLOW, no complete list.  ENTRIES has what
+                              could be read.  */
   MQ_PLATFORM_HISTORY_EXPIRED, /* Of a FOLLOW: the history from there
                                 has expired; scan again.  */
   MQ_PLATFORM_RESULTS
--- a/programs/marjoramquay/store_io.c
+++ b/programs/marjoramquay/store_io.c
@@ -33,8 +33,8 @@
     case MQ_PLATFORM_REFUSED:
     case MQ_PLATFORM_BUSY:
     case MQ_PLATFORM_UNAVAILABLE:
-      return MQ_STORE_REFUSED;
     case MQ_PLATFORM_UNREADABLE:
+      return MQ_STORE_REFUSED;
     case MQ_PLATFORM_UNKNOWN:
     case MQ_PLATFORM_HISTORY_EXPIRED:
     case MQ_PLATFORM_RESULTS:
