--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -24,9 +24,9 @@
 #define HEADER_SEPARATORS_BYTES 4
 
 #define TOO_LARGE_RESPONSE                                                    \
-  "{\"error\":{\"code\":\"response-head-too-large\",\"reason\":\"the head "   \
-  "of "                                                                       \
-  "the response exceeds this server's limit\",\"outcome\":\"unknown\"}}\n"
+  "{\"error\":{\"code\":\"response-head-too-large\",\"reason\":"              \
+  "\"the head of the response exceeds this server's limit\","                 \
+  "\"outcome\":\"unknown\"}}\n"
 
 /* An empty queue with more allocated memory than this is freed.  */
 #define MAX_KEPT_QUEUE_BYTES 4096
