Take a NUL outside a string for a part of its value, not for the end of the list

Cause: found on reading again. strchr also finds the NUL that ends the set of delimiters, so that a NUL in a word ended the value there, and with it the list (reported as unreadable). Such a byte costs its own value alone now.

JsonSplit.PassesOverWhatIsNoValue has the case; it failed before the change and passes. test_json_split (3), prop_store_entries (5) and test_users_platform (16) pass.

--- a/packages/base/json_split.c
+++ b/packages/base/json_split.c
@@ -2,8 +2,6 @@
 
 #include <mq/json_split.h>
 
-#include <string.h>
-
 static bool
 is_space (char c)
 {
@@ -62,13 +60,19 @@
   return NULL;
 }
 
+static bool
+ends_scalar (char c)
+{
+  return is_space (c) || c == ',' || c == ']' || c == '}';
+}
+
 /* Skip the number or word that begins at AT.  */
 static const char *
 scalar_end (const char *at, const char *end)
 {
   const char *start = at;
 
-  while (at < end && !is_space (*at) && strchr (",]}", *at) == NULL)
+  while (at < end && !ends_scalar (*at))
     at++;
   return at == start || at == end ? NULL : at;
 }
--- a/tests/test_json_split.cc
+++ b/tests/test_json_split.cc
@@ -71,6 +71,9 @@
              (List{ deep + deep_end, "1" }));
   EXPECT_EQ (elements ("[n\xff\x01,\"\xc3\",1]"),
              (List{ "n\xff\x01", "\"\xc3\"", "1" }));
+  /* A NUL, inside a word and in its place.  */
+  EXPECT_EQ (elements (std::string ("[t\0r,\0,1]", 10)),
+             (List{ std::string ("t\0r", 3), std::string ("\0", 1), "1" }));
 }
 
 TEST (JsonSplit, ReportsTextThatEndsEarly)
