Count members and refusals whose name can't be read, too

Cause: found on reading again. Entries without a readable name were counted and logged for configurations and upstreams only, though the project's own kinds are read by the same decoder.

Change: one function counts and logs them for all four kinds; the scan that follows stays with the feeds. UnreadableEntry.OfMemberWithoutNameIsCounted failed before and passes.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -646,6 +646,10 @@
 void mq_gateway_note_unreadable (mq_gateway *gateway, const char *kind,
                                  const mq_platform_reply *reply,
                                  unsigned in_a_row);
+/* Count and log the entries of REPLY, about objects of KIND, without a valid
+   name.  */
+void mq_gateway_note_unnamed (mq_gateway *gateway, const char *kind,
+                              const mq_platform_reply *reply);
 
 /* ---- gateway_members.c  */
 /* Join the cluster.  Returns 0; or -1 with ERROR set when the peer address
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -406,26 +406,16 @@
   feed_note_failure (feed, reply->result);
 }
 
-/* Count and log the entries of REPLY that have no name.  After a change of one
-   a follower scans, but not at each: it may have been an upstream, which the
+/* Handle the entries of REPLY that have no name.  After a change of one a
+   follower scans, but not at each: it may have been an upstream, which the
    scan removes.  */
 static void
-feed_note_unnamed (mq_feed *feed, const mq_platform_reply *reply)
+feed_handle_unnamed (mq_feed *feed, const mq_platform_reply *reply)
 {
-  mq_span text = reply->unnamed;
   uint64_t now = mq_gateway_now_us ();
-  char *excerpt;
 
-  if (reply->n_unnamed == 0)
-    return;
-  *feed->gateway->counters.unreadable_entries[MQ_ENTRY_UNNAMED]
-      += reply->n_unnamed;
-  excerpt = g_strndup (text.data, MIN (text.size, MAX_EXCERPT_BYTES));
-  mq_log (G_LOG_LEVEL_WARNING, "store.entry-unnamed",
-          "kind=%s entries=%zu first=%s", feed->kind, reply->n_unnamed,
-          mq_log_quote (excerpt));
-  g_free (excerpt);
-  if (reply->op != MQ_PLATFORM_FOLLOW
+  mq_gateway_note_unnamed (feed->gateway, feed->kind, reply);
+  if (reply->n_unnamed == 0 || reply->op != MQ_PLATFORM_FOLLOW
       || now < feed->unnamed_us + UNNAMED_SCAN_INTERVAL_US)
     return;
   feed->unnamed_us = now;
@@ -472,7 +462,7 @@
   feed->in_doubt = false;
   feed->verifies = false;
   feed->last_reply_us = mq_gateway_now_us ();
-  feed_note_unnamed (feed, reply);
+  feed_handle_unnamed (feed, reply);
   if (reply->op == MQ_PLATFORM_SCAN)
     {
       feed_receive_scan (feed, reply);
@@ -633,6 +623,23 @@
           mq_platform_op_name (reply->op), reply->n_entries, in_a_row);
 }
 
+void
+mq_gateway_note_unnamed (mq_gateway *gateway, const char *kind,
+                         const mq_platform_reply *reply)
+{
+  mq_span text = reply->unnamed;
+  char *excerpt;
+
+  if (reply->n_unnamed == 0)
+    return;
+  *gateway->counters.unreadable_entries[MQ_ENTRY_UNNAMED] += reply->n_unnamed;
+  excerpt = g_strndup (text.data, MIN (text.size, MAX_EXCERPT_BYTES));
+  mq_log (G_LOG_LEVEL_WARNING, "store.entry-unnamed",
+          "kind=%s entries=%zu first=%s", kind, reply->n_unnamed,
+          mq_log_quote (excerpt));
+  g_free (excerpt);
+}
+
 void
 mq_gateway_apply_routing (mq_gateway *gateway, mq_span text,
                           const char *source, mq_propagation_scope scope)
--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -160,6 +160,7 @@
   g->members_scanning = false;
   for (size_t i = 0; i < reply->n_entries; i++)
     member_add_entry (g, &reply->entries[i]);
+  mq_gateway_note_unnamed (g, g->dialect->kinds.members, reply);
   if (reply->result == MQ_PLATFORM_UNREADABLE)
     mq_gateway_note_unreadable (g, g->dialect->kinds.members, reply, 1);
   if (reply->result != MQ_PLATFORM_OK)
--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -302,6 +302,7 @@
   g->refusals_scanning = false;
   for (size_t i = 0; i < reply->n_entries; i++)
     apply_refusal (g, &reply->entries[i]);
+  mq_gateway_note_unnamed (g, g->dialect->kinds.refusals, reply);
   if (reply->result == MQ_PLATFORM_UNREADABLE)
     mq_gateway_note_unreadable (g, g->dialect->kinds.refusals, reply, 1);
   if (reply->result != MQ_PLATFORM_OK)
--- a/tests/test_unreadable_entries.cc
+++ b/tests/test_unreadable_entries.cc
@@ -87,6 +87,18 @@
   EXPECT_NE (m.find (name + "\"unnamed\"} 1"), std::string::npos);
 }
 
+/* The same for an object of the project's own kinds.  */
+TEST_F (UnreadableEntry, OfMemberWithoutNameIsCounted)
+{
+  add_instances ();
+  store.put ("marjoramquay-members", "vm-\\u0000", "{}");
+  start_fleet ({});
+  EXPECT_EQ (metrics (*routers[0])
+                 .find ("marjoramquay_unreadable_entries_total{kind="
+                        "\"unnamed\"} 0"),
+             std::string::npos);
+}
+
 /* It names no engine to use any more.  */
 TEST_F (UnreadableEntry, OfUpstreamWithdrawsIt)
 {
