Log and count runs that the router ends while their connections are open

The HTTP server logs how many connections without a request in progress it closes and why, and how many of these held bytes that nobody had read (http.connections-closed). No decision changes.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -101,6 +101,12 @@
 /* Returns true if a byte of the request may have reached the upstream.  */
 bool mq_http_call_maybe_sent (const mq_http_call *call);
 
+/* Returns true until CALL has reported its END.  */
+bool mq_http_call_is_open (const mq_http_call *call);
+
+/* Returns the number of bytes of heads and bodies that CALL has received.  */
+uint64_t mq_http_call_received (const mq_http_call *call);
+
 /* Aborts the call; nothing more is reported.  */
 void mq_http_call_cancel (mq_http_call *call);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -426,6 +426,9 @@
 void mq_gateway_count_end (mq_gateway *gateway, const mq_route *route,
                            const char *outcome, const char *reason,
                            uint64_t us);
+/* Count a run that this router ends for REASON, a word of the log, though its
+   connection is open, so that the upstream may be at work.  */
+void mq_gateway_count_left_run (mq_gateway *gateway, const char *reason);
 /* Count and log a call to the store.  */
 void mq_gateway_count_store_call (mq_gateway *gateway,
                                   mq_store_purpose purpose);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -289,6 +289,8 @@
   uint64_t now = mq_gateway_now_us ();
   mq_forward_verdict v;
   bool budget;
+  bool open = f->call != NULL && mq_http_call_is_open (f->call)
+              && mq_http_call_maybe_sent (f->call);
 
   f->state.now_us = now;
   switch (end)
@@ -319,16 +321,19 @@
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s via=%s tunnel_status=%u end=%d status=%u"
-      " why=%s verdict=%d limit=%s"
+      " why=%s open=%d bytes=%" G_GUINT64_FORMAT " verdict=%d limit=%s"
       " events=%u silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
       f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none",
       f->detour ? mq_str_cstr (f->detour->address) : "none", f->tunnel_status,
-      end, status, why, v.verb,
+      end, status, why, open, f->call ? mq_http_call_received (f->call) : 0,
+      v.verb,
       mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
       f->split.events, forward_silent_us (f, now) / 1000,
       mq_forward_age_ms (f));
   forward_log_elements (f, end);
+  if (open)
+    mq_gateway_count_left_run (f->gateway, why);
   forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -272,6 +272,17 @@
       us);
 }
 
+void
+mq_gateway_count_left_run (mq_gateway *gateway, const char *reason)
+{
+  char labels[64];
+
+  g_snprintf (labels, sizeof labels, "reason=\"%s\"", reason);
+  ++*mq_metrics_counter (
+      gateway->metrics, "marjoramquay_runs_left_total", labels,
+      "Runs that this router ended while their connections were open.");
+}
+
 void
 mq_gateway_count_first_event (mq_gateway *gateway, uint64_t us)
 {
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -58,9 +58,10 @@
   size_t body_limit;
   mq_str *echo_name; /* NULL: no check.  */
   mq_str *echo_value;
-  GString *head; /* Status line and headers of the response.  */
-  GString *body; /* Not yet reported.  */
-  CURLcode code; /* Result, once ENDED.  */
+  GString *head;     /* Status line and headers of the response.  */
+  GString *body;     /* Not yet reported.  */
+  CURLcode code;     /* Result, once ENDED.  */
+  uint64_t received; /* Bytes of heads and bodies.  */
   unsigned status;
   bool streamed;
   bool no_resend;
@@ -118,6 +119,7 @@
   mq_http_call *call = context;
   size_t n = unit * count;
 
+  call->received += n;
   if (n >= 5 && memcmp (data, "HTTP/", 5) == 0)
     {
       long status = 0;
@@ -149,6 +151,7 @@
 
   if (call->paused)
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
+  call->received += n;
   if (!call->streamed && call->body->len + n > call->body_limit)
     {
       call->too_large = true;
@@ -507,6 +510,18 @@
   return call->maybe_sent;
 }
 
+bool
+mq_http_call_is_open (const mq_http_call *call)
+{
+  return !call->end_reported;
+}
+
+uint64_t
+mq_http_call_received (const mq_http_call *call)
+{
+  return call->received;
+}
+
 void
 mq_http_call_cancel (mq_http_call *call)
 {
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -17,6 +17,7 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -221,18 +222,45 @@
     ev_feed_event (loop, &s->prepare, EV_PREPARE);
 }
 
+/* Returns the number of bytes that C has received and nobody has read.  */
+static int
+connection_unread (const mq_http_connection *c)
+{
+  int n = 0;
+
+  return ioctl (c->fd, FIONREAD, &n) == 0 ? n : 0;
+}
+
+/* Log that N connections without a request in progress were closed because of
+   WHY, UNREAD of them with bytes that had not been read.  */
+static void
+server_log_closed (const char *why, unsigned n, unsigned unread)
+{
+  if (n > 0)
+    mq_log (unread > 0 ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO,
+            "http.connections-closed", "why=%s connections=%u unread=%u", why,
+            n, unread);
+}
+
 /* Close the idle connections of outdated shards, and free such shards that
    have no connection.  */
 static void
 server_close_outdated (mq_http_server *server)
 {
+  unsigned closed = 0;
+  unsigned unread = 0;
+
   for (GList *l = server->connections.head; l != NULL; l = l->next)
     {
       const mq_http_connection *c = l->data;
 
-      if (c->shard->outdated && c->exchange == NULL)
-        shutdown (c->fd, SHUT_RDWR);
+      if (!c->shard->outdated || c->exchange != NULL)
+        continue;
+      closed++;
+      unread += connection_unread (c) > 0;
+      shutdown (c->fd, SHUT_RDWR);
     }
+  server_log_closed ("outdated", closed, unread);
   for (guint i = server->shards->len; i > 0; i--)
     {
       mq_http_shard *s = g_ptr_array_index (server->shards, i - 1);
@@ -251,6 +279,8 @@
   mq_http_server *s = watcher->data;
   ev_tstamp limit
       = ev_now (loop) - (ev_tstamp)REQUEST_TIMEOUT_FACTOR * s->idle_s;
+  unsigned closed = 0;
+  unsigned unread = 0;
 
   (void)events;
   for (GList *l = s->connections.head; l != NULL; l = l->next)
@@ -259,9 +289,13 @@
       bool waits
           = c->exchange == NULL || c->exchange->phase <= MQ_HTTP_PHASE_BODY;
 
-      if (waits && c->since < limit)
-        shutdown (c->fd, SHUT_RDWR);
+      if (!waits || c->since >= limit)
+        continue;
+      closed++;
+      unread += connection_unread (c) > 0;
+      shutdown (c->fd, SHUT_RDWR);
     }
+  server_log_closed ("overdue", closed, unread);
   server_close_outdated (s);
 }
 
