Serve requests that lie unread when the head limit grows

When a configuration with a larger maxHeaderBytes came into force, the router closed each client connection without a request in progress, also one whose next request lay whole in its socket. The client sent a request and saw its connection closed, with neither a response nor a refusal.

server_close_outdated looked at what libmicrohttpd had read only. By test, libmicrohttpd does not read from a socket that is shut down (the epoll set reports EPOLLHUP with the data), so the request was dropped unread and not sent on; the hypothesis that it was reported and then cancelled does not hold.

Now the server asks the socket for unread bytes first. Connections with some keep their outdated shard, serve the request, and end with "Connection: close" in its response. What arrives after the check is neither read nor reported, as before (OneAfterTheCloseIsNotReported), and neither is a request of which less than the first line had been read.

http.connections-closed has kept=, the connections that are closed after their next response.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -117,7 +117,8 @@
 
 /* Sets the limit of a request's head to BYTES, at most
    MQ_HTTP_MAX_HEAD_BYTES.  Connections that are too small for a larger limit
-   are closed once they are idle, or after their next response.  */
+   are closed: at once if no request has begun to arrive, else after the
+   response.  */
 void mq_http_server_set_head_limit (mq_http_server *server, size_t bytes);
 
 /* Reads the certificate and key again for use by new connections.  Returns 0,
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -232,35 +232,42 @@
 }
 
 /* Log that N connections without a request in progress were closed because of
-   WHY, UNREAD of them with bytes that had not been read.  */
+   WHY, UNREAD of them with bytes that had not been read, and that KEPT others
+   are closed after their next response.  */
 static void
-server_log_closed (const char *why, unsigned n, unsigned unread)
+server_log_closed (const char *why, unsigned n, unsigned unread, unsigned kept)
 {
-  if (n > 0)
+  if (n + kept > 0)
     mq_log (unread > 0 ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO,
-            "http.connections-closed", "why=%s connections=%u unread=%u", why,
-            n, unread);
+            "http.connections-closed",
+            "why=%s connections=%u unread=%u kept=%u", why, n, unread, kept);
 }
 
 /* Close the idle connections of outdated shards, and free such shards that
-   have no connection.  */
+   have no connection.  A connection on which a request has begun to arrive is
+   closed after the response.  libmicrohttpd doesn't read from a socket that is
+   shut down, so a request that arrives later is not reported.  */
 static void
 server_close_outdated (mq_http_server *server)
 {
   unsigned closed = 0;
-  unsigned unread = 0;
+  unsigned kept = 0;
 
   for (GList *l = server->connections.head; l != NULL; l = l->next)
     {
       const mq_http_connection *c = l->data;
 
-      if (!c->shard->outdated || c->exchange != NULL)
+      if (!c->shard->outdated)
         continue;
+      if (c->exchange != NULL || connection_unread (c) > 0)
+        {
+          kept++;
+          continue;
+        }
       closed++;
-      unread += connection_unread (c) > 0;
       shutdown (c->fd, SHUT_RDWR);
     }
-  server_log_closed ("outdated", closed, unread);
+  server_log_closed ("outdated", closed, 0, kept);
   for (guint i = server->shards->len; i > 0; i--)
     {
       mq_http_shard *s = g_ptr_array_index (server->shards, i - 1);
@@ -295,7 +302,7 @@
       unread += connection_unread (c) > 0;
       shutdown (c->fd, SHUT_RDWR);
     }
-  server_log_closed ("overdue", closed, unread);
+  server_log_closed ("overdue", closed, unread, 0);
   server_close_outdated (s);
 }
 
