Take no refused connection for a crash while a run is open there

What callers saw: three sound engines that fall silent for a second and refuse new connections meanwhile, each with just-begun requests of one content, and the content is refused as deadly afterwards. Cause: a refused probe confirmed a crash although the connection of a run at that engine was open; the end of the process would have closed it. Now such a case waits for the end of that run, or for the platform's list.

--- a/packages/gateway/gateway_crash.c
+++ b/packages/gateway/gateway_crash.c
@@ -181,6 +181,22 @@
   return false;
 }
 
+/* Returns true if the connection of a run at C's upstream is open, which the
+   end of its process would have closed.  */
+static bool
+case_has_open_run (const mq_crash_case *c)
+{
+  for (GList *l = c->gateway->forwards.head; l != NULL; l = l->next)
+    {
+      const mq_forward *f = l->data;
+
+      if (f->call != NULL && f->upstream == c->upstream && f->detour == NULL
+          && f->sent_us < c->broke_us && mq_http_call_maybe_sent (f->call))
+        return true;
+    }
+  return false;
+}
+
 static void
 case_on_reach (void *context, mq_tcp_probe_result result)
 {
@@ -215,7 +231,8 @@
     }
   if (c->tcp_probe != NULL)
     return;
-  if (c->refused && mq_gateway_reach_confirms (c->gateway, u, c->broke_us))
+  if (c->refused && !case_has_open_run (c)
+      && mq_gateway_reach_confirms (c->gateway, u, c->broke_us))
     {
       case_confirm (c, "refused");
       return;
