Take no slow client for a silent engine

What callers saw: a stream whose client does not read for 1.9 s is run a second time at another engine, which spends retry budget and can lose the stream. Cause: under back pressure the router itself stops reading, and counted that as silence of the engine. The time of such a pause no longer counts.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -114,6 +114,8 @@
    paused, neither DATA nor END is reported.  */
 void mq_http_call_pause (mq_http_call *call, bool paused);
 
+bool mq_http_call_is_paused (const mq_http_call *call);
+
 /* Returns the value of a header of the response, with NULL data if it is
    missing.  Valid until the sink returns.  */
 mq_span mq_http_call_header (const mq_http_call *call, const char *name);
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -463,6 +463,8 @@
 void mq_forward_tick (mq_forward *forward, uint64_t now_us);
 /* Bytes of a response to FORWARD have arrived.  */
 void mq_forward_note_received (mq_forward *forward);
+/* The client of FORWARD takes more of the response again.  */
+void mq_forward_note_drained (mq_forward *forward);
 /* Probe the path of FORWARD when its stream has been silent for longer than
    the path's latency estimate allows.  */
 void mq_forward_check_silence (mq_forward *forward, uint64_t now_us);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -130,9 +130,13 @@
   forward_free (f);
 }
 
+/* How long the run of FORWARD has been silent.  Time during which this router
+   did not read, as its client is slow, does not count.  */
 static uint64_t
 forward_silent_us (const mq_forward *forward, uint64_t now_us)
 {
+  if (forward->call != NULL && mq_http_call_is_paused (forward->call))
+    return 0;
   return now_us - MAX (forward->received_us, forward->sent_us);
 }
 
@@ -538,6 +542,15 @@
   forward->waits_for_budget = false;
 }
 
+void
+mq_forward_note_drained (mq_forward *forward)
+{
+  if (forward->call == NULL || !mq_http_call_is_paused (forward->call))
+    return;
+  forward->received_us = mq_gateway_now_us ();
+  mq_http_call_pause (forward->call, false);
+}
+
 void
 mq_forward_fail_all_through (mq_gateway *gateway, mq_span address, bool silent,
                              const char *why)
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -307,8 +307,8 @@
       handle_request (context, event->exchange);
       break;
     case MQ_HTTP_SERVER_DRAINED:
-      if (f != NULL && f->call != NULL)
-        mq_http_call_pause (f->call, false);
+      if (f != NULL)
+        mq_forward_note_drained (f);
       break;
     case MQ_HTTP_SERVER_DISCONNECTED:
       if (f != NULL)
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -544,6 +544,12 @@
   ev_feed_event (c->loop, &c->timer, EV_TIMER);
 }
 
+bool
+mq_http_call_is_paused (const mq_http_call *call)
+{
+  return call->paused;
+}
+
 mq_span
 mq_http_head_find (mq_span head, const char *name)
 {
