End no request for the silence of an engine

What callers saw: a stream or a safe call whose engine falls silent for a second or so and goes on was broken off, or answered 502 or 504, while its connection was open and its engine at work; beside it, requests after the silence were refused for up to 4 s.

Cause: evidence about something else was taken for the end of a run. A refused or reset new connection, a report that failed, an engine that a report names and that has left the list, each ended every run through that engine, also those that can't be repeated; 1.6 s of silence ended a stream that waited for retry budget; a run was given up for another send before it was known that this one would be taken, so that a refusal or a broken connection there ended the request; timers of a router that had been paused ran before it had read what had arrived. An ejection rested on the same evidence and outlived it.

Only the connection of a run, its upstream's word, the deadline and the client end a run now. A run is left for silence only when another path has room and there is budget, and its connection stays open as a standby (gateway_standby.c) until the new run has responded: the one that responds first serves the request, and if the new send fails the request returns to the standby. What a run through an engine receives refutes a report or a probe that failed, and a later report or probe ends the ejection that an earlier one caused.

A request after the silence may be rejected once and is repeated after its Retry-After, as clients do.

--- a/include/mq/event_split.h
+++ b/include/mq/event_split.h
@@ -46,7 +46,11 @@
    SPLIT.  */
 mq_event_result mq_event_split_next (mq_event_split *split, mq_span *event);
 
-/* Returns true if bytes are buffered that no event was returned of.  */
+/* The buffered bytes that no event was returned of, borrowed as an event is.
+ */
+mq_span mq_event_split_rest (const mq_event_split *split);
+
+/* Returns true if there are such bytes.  */
 bool mq_event_split_has_partial (const mq_event_split *split);
 
 G_END_DECLS
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -221,6 +221,7 @@
 
 typedef struct mq_forward mq_forward;
 typedef struct mq_crash_case mq_crash_case;
+typedef struct mq_standby mq_standby;
 
 struct mq_gateway
 {
@@ -258,6 +259,8 @@
   mq_str *client_address;     /* This router's own, IP:PORT for clients.  */
   ev_timer heartbeat;
   uint64_t ticked_us;       /* Last tick; shows pauses of the process.  */
+  uint64_t looked_us;       /* Last check for silent streams, likewise ...  */
+  uint64_t awake_us;        /* ... and the end of the last pause; 0: none.  */
   uint64_t peers_idle_us;   /* Last look for idle connections to routers.  */
   uint64_t reported_us;     /* Last report; 0 makes the next one due.  */
   uint64_t loaded_us;       /* When this router was last loaded; 0: never.  */
@@ -342,7 +345,8 @@
   bool waiting;            /* No path could take it; the tick tries again.  */
   bool view_waits;         /* The same, as its service is not known yet.  */
   bool view_waited;        /* It did so at some time.  */
-  bool waits_for_budget;   /* The retry budget had no room for it.  */
+  bool waits_for_budget;   /* The retry budget had no room for its next send.
+                            */
   bool run_timed_out;      /* A run of it timed out.  */
   bool awaits_reach;       /* It waits for a check whether its service is
                               reached.  */
@@ -350,9 +354,12 @@
   int level;               /* Its urgency, or MQ_URGENCY_NONE.  */
   mq_send_end lost_end;    /* How the last send ended, if one did ...  */
   uint64_t lost_us;        /* ... then.  */
-  const char *stalled_why; /* Its run is silent and it waits for budget to
-                              leave it: the reason for the log.  Static; NULL:
-                              it does not.  */
+  const char *stalled_why; /* Something speaks against its run, which it
+                              leaves if that stays silent and it can be sent
+                              elsewhere: the reason for the log.  Static; NULL:
+                              nothing does.  */
+  mq_standby *standby;     /* A silent run that it left (gateway_standby.h),
+                              owned; NULL: none.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
   mq_detour *detour;       /* That the current send goes through, borrowed;
                               NULL: none.  */
@@ -429,6 +436,8 @@
 /* Count a run that this router ends for REASON, a word of the log, though its
    connection is open, so that the upstream may be at work.  */
 void mq_gateway_count_left_run (mq_gateway *gateway, const char *reason);
+/* Count such a run that its request returned to for REASON.  */
+void mq_gateway_count_resumed_run (mq_gateway *gateway, const char *reason);
 /* Count and log a call to the store.  */
 void mq_gateway_count_store_call (mq_gateway *gateway,
                                   mq_store_purpose purpose);
@@ -463,17 +472,21 @@
 void mq_forward_tick (mq_forward *forward, uint64_t now_us);
 /* Bytes of a response to FORWARD have arrived.  */
 void mq_forward_note_received (mq_forward *forward);
-/* The client of FORWARD takes more of the response again.  */
-void mq_forward_note_drained (mq_forward *forward);
 /* Probe the path of FORWARD when its stream has been silent for longer than
    the path's latency estimate allows.  */
 void mq_forward_check_silence (mq_forward *forward, uint64_t now_us);
-/* End all sends that pass through the upstream at ADDRESS, which is down or,
-   with SILENT, only silent; WHY is the reason for the log, static.  A silent
-   upstream may be sound and go on, so that requests leave it only when they
-   can be sent again.  */
-void mq_forward_fail_all_through (mq_gateway *gateway, mq_span address,
-                                  bool silent, const char *why);
+/* The upstream at ADDRESS may be down, for the reason WHY, static: of the
+   requests that pass through it, those that are silent and can be sent
+   elsewhere now leave it, the others as soon as that holds.  None is ended, as
+   only the connection of a run shows that it is lost: an upstream may be
+   silent, or refuse connections, and go on.  */
+void mq_forward_leave_all_through (mq_gateway *gateway, mq_span address,
+                                   const char *why);
+/* The client of FORWARD takes more of the response again.  */
+void mq_forward_note_drained (mq_forward *forward);
+/* Cancel the call of the current send of FORWARD, if there is one, and release
+   its upstream.  */
+void mq_forward_drop_send (mq_forward *forward);
 /* A check whether this router reaches SERVICE has ended: send the requests
    that waited for it, and if SERVICE is not reached, send those again that
    still wait for a connection.  */
@@ -581,6 +594,8 @@
                                       uint64_t now_us);
 /* Returns true if FORWARD may be sent again now, after a silence.  */
 bool mq_forward_can_retry (mq_forward *forward, uint64_t now_us);
+/* The same if also an upstream or a path would take it now.  */
+bool mq_forward_can_leave (mq_forward *forward, uint64_t now_us);
 /* The same if also a path with another head has room for it.  */
 bool mq_forward_can_move (mq_forward *forward, uint64_t now_us);
 /* Release the path of FORWARD, if it has one, and its share of the load.  */
@@ -746,10 +761,15 @@
    slowdown is unknown or out of date.  */
 void mq_stall_request_slowdowns (mq_gateway *gateway,
                                  const mq_layer_path *path);
-/* ENGINE is stalled, silent (SILENT) or unreachable: eject it and move the
-   requests through it to other paths.  WHY is a word for the log.  */
-void mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine, bool silent,
-                         const char *why);
+/* What WHY, a word of mq_stall_mark_down, said against UPSTREAM no longer
+   holds: end an ejection that rests on it.  */
+void mq_stall_refute (mq_upstream *upstream, const char *why);
+/* ENGINE seems to be stalled, silent or unreachable since SINCE_US: eject it,
+   and let the requests through it leave for other paths
+   (mq_forward_leave_all_through).  Does nothing if a run through it has
+   received something since.  WHY is a word for the log, static.  */
+void mq_stall_mark_down (mq_gateway *gateway, mq_upstream *engine,
+                         uint64_t since_us, const char *why);
 /* Request reports from slow engines before their slowdown expires.  */
 void mq_stall_tick (mq_gateway *gateway, uint64_t now_us);
 
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -98,7 +98,10 @@
   bool orders_unknown; /* ORDERS may be wrong; query it before an order.  */
   bool orders_report_pending; /* A query of ORDERS is under way.  */
   bool stall_report_pending;  /* A query about stalled requests is.  */
-  uint64_t ordered_us;        /* Last order sent by this router; 0: none.  */
+  uint64_t progress_us;    /* Last event of a run that passes through it.  */
+  const char *stalled_why; /* What its last ejection by gateway_stall.c rests
+                              on, static; NULL: none, or refuted.  */
+  uint64_t ordered_us;     /* Last order sent by this router; 0: none.  */
   uint64_t no_order_until_us; /* No order before, after a refusal.  */
   unsigned ordered_first;     /* Layers of the last order: [first, end).  */
   unsigned ordered_end;
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -240,10 +240,8 @@
 static bool
 forward_waits (const mq_forward *forward)
 {
-  return forward->stalled_why != NULL
-         || (forward->call == NULL
-             && (forward->state.response_started
-                 || forward->waits_for_budget));
+  return forward->waits_for_budget
+         || (forward->call == NULL && forward->state.response_started);
 }
 
 /* Number of forwards of SERVICE, a hash, that wait for their next send.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -18,6 +18,9 @@
 #define TICK_MS 50
 /* Less than the gap between two events of a stream.  */
 #define SILENCE_TICK_MS 15
+/* A longer interval between two of the timers' runs is a pause of the process:
+   more than a share of the processor that is used up takes.  */
+#define MIN_PAUSE_US ((uint64_t)150 * 1000)
 /* Intervals, in ticks, of the checks for slow engines and of the quarantine,
    of orders to engines, and of the check whether all services are known, which
    searches for paths.  */
@@ -174,6 +177,16 @@
   ev_break (gateway->loop, EVBREAK_ALL);
 }
 
+/* Notice that this process did not run for a while.  Timers may run before
+   what arrived meanwhile has been read.  */
+static void
+note_running (mq_gateway *gateway, uint64_t now_us)
+{
+  if (gateway->looked_us > 0 && now_us - gateway->looked_us > MIN_PAUSE_US)
+    gateway->awake_us = now_us;
+  gateway->looked_us = now_us;
+}
+
 static void
 on_tick (struct ev_loop *loop, ev_timer *timer, int revents)
 {
@@ -182,6 +195,7 @@
 
   (void)loop;
   (void)revents;
+  note_running (g, now);
   g->ticks++;
   g->prefilling_ranks = 0;
   mq_gateway_urgency_tick (g, now);
@@ -209,6 +223,7 @@
 
   (void)loop;
   (void)revents;
+  note_running (g, now);
   for (GList *l = g->forwards.head; l != NULL; l = l->next)
     mq_forward_check_silence (l->data, now);
   mq_budget_transfer_tick (g, now);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -9,6 +9,7 @@
 
 #include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
+#include <mq/internal/gateway_standby.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/internal/path_probe.h>
 #include <mq/log.h>
@@ -33,9 +34,9 @@
    needs time to its first event.  */
 #define MAX_SILENCE_US ((uint64_t)1400 * 1000)
 
-/* After this silence a stream that waits for budget to leave its run is
-   ended.  */
-#define MAX_STALL_US ((uint64_t)1600 * 1000)
+/* Silence after which a run that something speaks against may be left: longer
+   than most gaps between two events.  */
+#define MIN_SILENCE_US ((uint64_t)50 * 1000)
 
 /* A connection that fails within this was refused: the machine is up, but
    nothing listens.  Packet loss shows only after a longer time.  */
@@ -50,8 +51,8 @@
 #define TRY_TIMEOUT_FACTOR 2
 #define MIN_TRY_TIMEOUT_US ((uint64_t)200 * 1000)
 
-static void
-forward_drop_send (mq_forward *forward)
+void
+mq_forward_drop_send (mq_forward *forward)
 {
   if (forward->call != NULL)
     mq_http_call_cancel (forward->call);
@@ -71,7 +72,8 @@
 {
   mq_forward *f = forward;
 
-  forward_drop_send (f);
+  mq_forward_drop_send (f);
+  mq_standby_drop (f);
   mq_forward_release_path (f);
   mq_gateway_urgency_note_end (f);
   mq_gateway_view_stop_waiting (f);
@@ -131,13 +133,16 @@
 }
 
 /* How long the run of FORWARD has been silent.  Time during which this router
-   did not read, as its client is slow, does not count.  */
+   did not run, or did not read as its client is slow, does not count.  */
 static uint64_t
 forward_silent_us (const mq_forward *forward, uint64_t now_us)
 {
+  uint64_t since = MAX (MAX (forward->received_us, forward->sent_us),
+                        forward->gateway->awake_us);
+
   if (forward->call != NULL && mq_http_call_is_paused (forward->call))
     return 0;
-  return now_us - MAX (forward->received_us, forward->sent_us);
+  return now_us - since;
 }
 
 static void
@@ -285,6 +290,17 @@
     }
 }
 
+/* FORWARD can't be sent elsewhere, because of WHY: return to the silent run
+   that it left, if that may still go on.  */
+static bool
+forward_return (mq_forward *forward, const char *why)
+{
+  if (!mq_standby_resume (forward, "retry-failed"))
+    return false;
+  forward->stalled_why = why;
+  return true;
+}
+
 void
 mq_forward_send_ended (mq_forward *forward, mq_send_end end, unsigned status,
                        const char *why)
@@ -338,10 +354,14 @@
   forward_log_elements (f, end);
   if (open)
     mq_gateway_count_left_run (f->gateway, why);
-  forward_drop_send (f);
+  if (open && v.verb == MQ_FORWARD_RETRY)
+    mq_standby_park (f);
+  mq_forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
   g_string_truncate (f->error_body, 0);
+  if (v.verb != MQ_FORWARD_RETRY && forward_return (f, why))
+    return;
   switch (v.verb)
     {
     case MQ_FORWARD_RETRY:
@@ -424,18 +444,31 @@
              : mq_gateway_has_detour (g, forward->upstream, now_us);
 }
 
+/* Returns true if something speaks against the run of FORWARD and it is
+   silent.  */
+static bool
+forward_may_leave (const mq_forward *forward, uint64_t now_us)
+{
+  return forward->stalled_why != NULL && forward->call != NULL
+         && mq_http_call_maybe_sent (forward->call)
+         && forward_silent_us (forward, now_us) >= MIN_SILENCE_US;
+}
+
 static void
 forward_tick_stream (mq_forward *forward, uint64_t now_us)
 {
   uint64_t silent = forward_silent_us (forward, now_us);
 
-  if (forward->stalled_why != NULL
-      && (silent > MAX_STALL_US || mq_forward_can_retry (forward, now_us)))
+  if (forward_may_leave (forward, now_us)
+      && mq_forward_can_leave (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0,
                              forward->stalled_why);
       return;
     }
+  forward->waits_for_budget
+      = forward->stalled_why != NULL && mq_forward_may_repeat (&forward->state)
+        && !mq_gateway_has_budget (forward->gateway, forward->service, now_us);
   if (forward_way_is_lost (forward, now_us)
       && mq_forward_can_retry (forward, now_us))
     {
@@ -479,9 +512,12 @@
   if (!mq_forward_may_repeat (&forward->state)
       || forward->state.sent >= forward->state.attempts)
     return;
-  lost = forward_way_is_lost (forward, now_us);
-  if ((lost || now_us - forward->sent_us >= try_timeout_us)
-      && mq_forward_can_retry (forward, now_us))
+  lost = forward_way_is_lost (forward, now_us)
+         && mq_forward_can_retry (forward, now_us);
+  if (lost
+      || (now_us - MAX (forward->sent_us, forward->gateway->awake_us)
+              >= try_timeout_us
+          && mq_forward_can_leave (forward, now_us)))
     mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0,
                            lost ? "way-lost" : "slow");
 }
@@ -521,17 +557,6 @@
                         address);
 }
 
-/* FORWARD can't leave its silent run now.  It does so when there is budget, or
-   when it has been silent for as long as it may wait.  */
-static void
-forward_note_stall (mq_forward *forward, const char *why)
-{
-  if (!mq_forward_may_repeat (&forward->state))
-    return;
-  forward->stalled_why = why;
-  forward->waits_for_budget = true;
-}
-
 void
 mq_forward_note_received (mq_forward *forward)
 {
@@ -552,33 +577,33 @@
 }
 
 void
-mq_forward_fail_all_through (mq_gateway *gateway, mq_span address, bool silent,
-                             const char *why)
+mq_forward_leave_all_through (mq_gateway *gateway, mq_span address,
+                              const char *why)
 {
   mq_upstream *u = mq_registry_find_address (&gateway->registry, address);
-  GPtrArray *failed = g_ptr_array_new ();
+  uint64_t now = mq_gateway_now_us ();
+  GPtrArray *list = g_ptr_array_new ();
 
-  if (u != NULL)
-    u->crashed = true;
   for (GList *l = gateway->forwards.head; l != NULL; l = l->next)
     if (forward_passes_through (l->data, address))
-      g_ptr_array_add (failed, l->data);
+      g_ptr_array_add (list, l->data);
   /* Each may use up the last of the retry budget.  The end of a send frees no
      other forward than its own.  */
-  mq_gateway_urgency_sort (failed);
-  for (guint i = 0; i < failed->len; i++)
+  mq_gateway_urgency_sort (list);
+  for (guint i = 0; i < list->len; i++)
     {
-      mq_forward *f = g_ptr_array_index (failed, i);
+      mq_forward *f = g_ptr_array_index (list, i);
 
-      if (silent && !mq_forward_can_retry (f, mq_gateway_now_us ()))
-        {
-          forward_note_stall (f, why);
-          continue;
-        }
-      mq_crash_note_broken_run (f, u, mq_gateway_now_us ());
-      mq_forward_send_ended (f, MQ_SEND_TIMED_OUT, 0, why);
+      /* Only once: a later break would refute the earlier one.  */
+      if (f->stalled_why == NULL)
+        mq_crash_note_broken_run (f, u, now);
+      f->stalled_why = why;
+      if (!mq_forward_may_repeat (&f->state))
+        continue;
+      if (forward_may_leave (f, now) && mq_forward_can_leave (f, now))
+        mq_forward_send_ended (f, MQ_SEND_TIMED_OUT, 0, why);
     }
-  g_ptr_array_unref (failed);
+  g_ptr_array_unref (list);
 }
 
 /* Returns true if the current send of FORWARD is a direct one that has no
@@ -740,6 +765,8 @@
   mq_forward_verdict v
       = mq_forward_give_up (&forward->state, forward->run_timed_out);
 
+  if (forward_return (forward, why))
+    return;
   mq_gateway_view_note_rejected (forward);
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -283,6 +283,16 @@
       "Runs that this router ended while their connections were open.");
 }
 
+void
+mq_gateway_count_resumed_run (mq_gateway *gateway, const char *reason)
+{
+  char labels[64];
+
+  g_snprintf (labels, sizeof labels, "reason=\"%s\"", reason);
+  ++*mq_metrics_counter (gateway->metrics, "marjoramquay_runs_resumed_total",
+                         labels, "Silent runs that requests returned to.");
+}
+
 void
 mq_gateway_count_first_event (mq_gateway *gateway, uint64_t us)
 {
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -227,8 +227,8 @@
 }
 
 /* Returns true if FORWARD may use a path that begins at HEAD: a new request
-   not at a saturated head, and one that has used up its attempts only at a
-   head that ran it before.  */
+   not at a saturated head, and
+   one that has used up its attempts only at a head that ran it before.  */
 static bool
 forward_may_use_head (const mq_forward *forward, mq_upstream *head,
                       uint64_t now_us)
@@ -424,8 +424,10 @@
                                              : MQ_PLACE_NO_ROOM;
 }
 
+/* Returns true if a path would take FORWARD now, with OTHER_HEAD one with
+   another head than its current path.  */
 static bool
-forward_can_place (mq_forward *forward, uint64_t now_us)
+forward_can_place (mq_forward *forward, bool other_head, uint64_t now_us)
 {
   mq_domain_choice choices[MAX_PATHS];
   path_candidate *candidates = g_new0 (path_candidate, MAX_PATHS);
@@ -435,7 +437,8 @@
 
   for (size_t i = 0; i < n; i++)
     {
-      if (candidates[i].path.stages[0].upstream != forward->upstream)
+      if (!other_head
+          || candidates[i].path.stages[0].upstream != forward->upstream)
         choices[others++] = choices[i];
       candidate_finish (&candidates[i]);
     }
@@ -455,11 +458,40 @@
          == MQ_FORWARD_RETRY;
 }
 
+/* Returns true if an instance that FORWARD was not sent to would take it.  */
+static bool
+forward_can_place_call (mq_forward *forward, uint64_t now_us)
+{
+  const mq_upstream *u = place_instance (forward, now_us);
+
+  return u != NULL && !forward_has_tried (forward, u)
+         && mq_upstream_is_usable (u, now_us);
+}
+
+bool
+mq_forward_can_leave (mq_forward *forward, uint64_t now_us)
+{
+  mq_path_load *load = forward->path_load;
+  bool can;
+
+  if (!mq_forward_can_retry (forward, now_us))
+    return false;
+  if (forward->service->model.layers == 0)
+    return forward_can_place_call (forward, now_us);
+  /* What it takes on its path would be released.  */
+  if (load != NULL)
+    load->tokens -= forward->need_tokens;
+  can = forward_can_place (forward, false, now_us);
+  if (load != NULL)
+    load->tokens += forward->need_tokens;
+  return can;
+}
+
 bool
 mq_forward_can_move (mq_forward *forward, uint64_t now_us)
 {
   return mq_forward_can_retry (forward, now_us)
-         && forward_can_place (forward, now_us);
+         && forward_can_place (forward, true, now_us);
 }
 
 mq_place_result
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -6,7 +6,7 @@
    first complete event, so that a send that fails before it is invisible to
    the client.  */
 
-#include <mq/internal/gateway.h>
+#include <mq/internal/gateway_standby.h>
 
 #include <mq/internal/http_header.h>
 #include <string.h>
@@ -22,6 +22,9 @@
    takes a quarter to a half of it.  */
 #define SLOW_GAP_RATIO 0.6
 
+/* A gap before an event that is a silence rather than the pace of a path.  */
+#define SILENCE_US ((uint64_t)300 * 1000)
+
 /* A refusal after this means that the head waited for an engine that does not
    respond.  Heads wait 2 s for such an engine; a request that only queued at a
    head is refused after some tenths of a second.  */
@@ -143,6 +146,19 @@
                              (double)(now_us - forward->last_event_us) / 1000);
 }
 
+/* The run of FORWARD goes on after a silence, so each engine of its path does,
+   whatever spoke against it.  */
+static void
+stream_note_alive (const mq_forward *forward)
+{
+  uint64_t now = mq_gateway_now_us ();
+
+  for (unsigned i = 0; i < forward->path.n; i++)
+    if (!mq_upstream_is_usable (forward->path.stages[i].upstream, now))
+      mq_upstream_succeeded (forward->path.stages[i].upstream,
+                             forward->sent_us);
+}
+
 /* Update what is known of FORWARD and its path by an event that is about to be
    forwarded.  */
 static void
@@ -157,6 +173,11 @@
     for (unsigned i = 0; i < forward->path.n; i++)
       mq_upstream_accepted (forward->path.stages[i].upstream,
                             forward->sent_us);
+  mq_standby_drop (forward);
+  if (now - MAX (forward->last_event_us, forward->sent_us) >= SILENCE_US)
+    stream_note_alive (forward);
+  for (unsigned i = 0; i < forward->path.n; i++)
+    forward->path.stages[i].upstream->progress_us = now;
   if (forward->last_event_us > 0)
     {
       forward->longest_gap_ms
@@ -373,6 +394,8 @@
 {
   mq_forward *f = context;
 
+  if (mq_standby_has_call (f, event->call) && !mq_standby_on_call (f, event))
+    return;
   if (event->kind != MQ_HTTP_CLIENT_END)
     mq_forward_note_received (f);
   switch (event->kind)
--- /dev/null
+++ b/packages/gateway/gateway_standby.c
@@ -0,0 +1,150 @@
+/* Runs that a request has left because they were silent: see
+   mq/internal/gateway_standby.h.
+
+   Ownership: a standby owns its call, until that reports its end, and holds
+   the references and the in-flight counts of the send that it was.  */
+
+#include <mq/internal/gateway_standby.h>
+
+#include <mq/internal/gateway_urgency.h>
+#include <mq/log.h>
+
+struct mq_standby
+{
+  mq_http_call *call;      /* Borrowed; NULL once its end was reported.  */
+  mq_upstream *upstream;   /* One reference.  */
+  mq_detour *detour;       /* Borrowed; NULL: a direct send.  */
+  mq_layer_path path;      /* Empty for plain services.  */
+  mq_path_load *path_load; /* Of PATH, borrowed, or NULL.  */
+  uint64_t sent_us;
+  uint64_t received_us;
+  GString *partial;    /* Bytes of an event that is not complete yet.  */
+};
+
+void
+mq_standby_drop (mq_forward *forward)
+{
+  mq_standby *s = g_steal_pointer (&forward->standby);
+
+  if (s == NULL)
+    return;
+  if (s->call != NULL)
+    mq_http_call_cancel (s->call);
+  if (s->detour != NULL)
+    s->detour->in_flight--;
+  s->upstream->in_flight--;
+  mq_upstream_unref (s->upstream);
+  mq_layer_path_finish (&s->path);
+  g_string_free (s->partial, TRUE);
+  g_free (s);
+}
+
+void
+mq_standby_park (mq_forward *forward)
+{
+  mq_forward *f = forward;
+  mq_standby *s = g_new0 (mq_standby, 1);
+  mq_span rest = mq_event_split_rest (&f->split);
+
+  mq_standby_drop (f);
+  s->call = g_steal_pointer (&f->call);
+  s->upstream = g_steal_pointer (&f->upstream);
+  s->detour = g_steal_pointer (&f->detour);
+  s->path = f->path;
+  f->path.n = 0; /* Its references are the standby's now.  */
+  s->path_load = f->path_load;
+  s->sent_us = f->sent_us;
+  s->received_us = f->received_us;
+  s->partial = g_string_new_len (rest.data, (gssize)rest.size);
+  f->standby = s;
+  f->stalled_why = NULL;
+  f->added_to_ran = false;
+  mq_forward_release_path (f);
+  mq_event_split_restart (&f->split);
+}
+
+bool
+mq_standby_resume (mq_forward *forward, const char *why)
+{
+  mq_forward *f = forward;
+  mq_standby *s = f->standby;
+  uint64_t now = mq_gateway_now_us ();
+
+  if (s == NULL)
+    return false;
+  mq_forward_drop_send (f);
+  mq_forward_release_path (f);
+  mq_event_split_restart (&f->split);
+  f->standby = NULL;
+  f->call = s->call;
+  f->upstream = s->upstream;
+  f->detour = s->detour;
+  f->path = s->path;
+  f->path_load = s->path_load;
+  if (f->path_load != NULL)
+    f->path_load->tokens += f->need_tokens;
+  mq_gateway_urgency_note_sent (f, now);
+  f->sent_us = s->sent_us;
+  f->received_us = s->received_us;
+  mq_event_split_feed (&f->split,
+                       (mq_span){ s->partial->str, s->partial->len });
+  f->waiting = false;
+  f->waits_for_budget = false;
+  f->awaits_reach = false;
+  f->unsent_tries = 0;
+  mq_gateway_count_resumed_run (f->gateway, why);
+  mq_log_buffer_append (
+      &f->log_buffer, G_LOG_LEVEL_INFO, "request.run-resumed",
+      "request=%.*s upstream=%s why=%s"
+      " silent_ms=%" G_GUINT64_FORMAT,
+      MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id), why,
+      (now - MAX (s->received_us, s->sent_us)) / 1000);
+  g_string_free (s->partial, TRUE);
+  g_free (s);
+  return true;
+}
+
+bool
+mq_standby_has_call (const mq_forward *forward, const mq_http_call *call)
+{
+  return forward->standby != NULL && forward->standby->call == call;
+}
+
+/* Returns true if EVENT, of the call of a standby of FORWARD, shows that its
+   run serves the request: an event of a stream, or a complete response.  */
+static bool
+event_serves (const mq_forward *forward, const mq_http_client_event *event)
+{
+  mq_span signature = mq_http_call_header (
+      event->call, forward->gateway->dialect->headers.signature);
+
+  if (!mq_gateway_status_is_success (event->status) || signature.size == 0)
+    return false;
+  if (forward->route->kind == MQ_ROUTE_STREAM)
+    return event->kind == MQ_HTTP_CLIENT_DATA;
+  return event->kind == MQ_HTTP_CLIENT_END && event->result == MQ_HTTP_OK;
+}
+
+bool
+mq_standby_on_call (mq_forward *forward, const mq_http_client_event *event)
+{
+  mq_forward *f = forward;
+  mq_standby *s = f->standby;
+
+  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
+    mq_gateway_note_response (f->gateway, s->upstream, event, s->sent_us,
+                              true);
+  if (event_serves (f, event))
+    return mq_standby_resume (f, "response");
+  if (event->kind != MQ_HTTP_CLIENT_END)
+    return false;
+  s->call = NULL;
+  mq_log_buffer_append (
+      &f->log_buffer, G_LOG_LEVEL_INFO, "request.run-dropped",
+      "request=%.*s upstream=%s result=%d status=%u", MQ_SPAN_ARG (f->id),
+      mq_str_cstr (s->upstream->facts.id), event->result, event->status);
+  if (event->result == MQ_HTTP_BROKEN)
+    mq_crash_note_broken_run (f, s->upstream, mq_gateway_now_us ());
+  mq_standby_drop (f);
+  return false;
+}
--- a/packages/gateway/path_probe.c
+++ b/packages/gateway/path_probe.c
@@ -90,10 +90,15 @@
     {
       const engine_probe *e = &probe->engines[i];
 
+      if (e->result == MQ_TCP_PROBE_OPEN && e->tries > 0)
+        {
+          mq_stall_refute (e->engine, "refused");
+          mq_stall_refute (e->engine, "unanswered");
+        }
       if (e->result == MQ_TCP_PROBE_REFUSED)
-        mq_stall_mark_down (g, e->engine, false, "refused");
+        mq_stall_mark_down (g, e->engine, probe->started_us, "refused");
       else if (e->result == MQ_TCP_PROBE_NO_REPLY && silent)
-        mq_stall_mark_down (g, e->engine, true, "unanswered");
+        mq_stall_mark_down (g, e->engine, probe->started_us, "unanswered");
     }
   mq_path_probe_free (probe);
 }
--- a/packages/route/event_split.c
+++ b/packages/route/event_split.c
@@ -91,11 +91,17 @@
   return false;
 }
 
+mq_span
+mq_event_split_rest (const mq_event_split *split)
+{
+  return (mq_span){ split->bytes->str + split->taken,
+                    split->bytes->len - split->taken };
+}
+
 mq_event_result
 mq_event_split_next (mq_event_split *split, mq_span *event)
 {
-  mq_span rest
-      = { split->bytes->str + split->taken, split->bytes->len - split->taken };
+  mq_span rest = mq_event_split_rest (split);
   size_t n = event_size (rest);
   uint64_t id;
 
@@ -116,5 +122,5 @@
 bool
 mq_event_split_has_partial (const mq_event_split *split)
 {
-  return split->bytes->len > split->taken;
+  return mq_event_split_rest (split).size > 0;
 }
--- a/tests/support/cut_links.h
+++ b/tests/support/cut_links.h
@@ -104,13 +104,18 @@
   }
 
   struct ev_loop *loop = ev_loop_new (EVFLAG_AUTO);
+  bool paused = false; /* As if the process of its router did not run.  */
 
 private:
   static void
   on_timer (struct ev_loop *, ev_timer *timer, int)
   {
+    Loop *l = static_cast<Loop *> (timer->data);
+
+    if (l->paused)
+      return;
     inside = true;
-    ev_run (static_cast<Loop *> (timer->data)->loop, EVRUN_NOWAIT);
+    ev_run (l->loop, EVRUN_NOWAIT);
     inside = false;
   }
 
