Send no request to the silent head that it has just left

What callers saw: a stream whose engine stays silent, while that engine's report says that all is well, has a gap of 2.9 s and more, or is broken off. Cause: after 1.4 s of silence it leaves for a path with another head, but the choice of the next path did not leave out the head that it came from, as nothing speaks against it, and chose it again at random. The standby excludes its head now where nothing else says which engine is silent.

--- a/include/mq/internal/gateway_standby.h
+++ b/include/mq/internal/gateway_standby.h
@@ -17,8 +17,13 @@
 G_BEGIN_DECLS
 
 /* Make the current send of FORWARD, whose run is in progress, its standby in
-   place of an earlier one, which is cancelled.  */
-void mq_standby_park (mq_forward *forward);
+   place of an earlier one, which is cancelled.  HEAD_IS_SILENT: nothing says
+   which engine of its path is silent, so that FORWARD must not be sent to the
+   same head.  */
+void mq_standby_park (mq_forward *forward, bool head_is_silent);
+
+/* Returns true if FORWARD must not be sent to HEAD because of its standby.  */
+bool mq_standby_excludes (const mq_forward *forward, const mq_upstream *head);
 
 /* Make the standby of FORWARD its current send again, for the reason WHY, and
    cancel the send in progress, if there is one.  Returns false, and changes
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -38,6 +38,9 @@
    than most gaps between two events.  */
 #define MIN_SILENCE_US ((uint64_t)50 * 1000)
 
+/* Reason of a send that ended only because it was silent for so long.  */
+#define WHY_SILENT "silent"
+
 /* A connection that fails within this was refused: the machine is up, but
    nothing listens.  Packet loss shows only after a longer time.  */
 #define CONNECT_REFUSED_US ((uint64_t)100 * 1000)
@@ -355,7 +358,7 @@
   if (open)
     mq_gateway_count_left_run (f->gateway, why);
   if (open && v.verb == MQ_FORWARD_RETRY)
-    mq_standby_park (f);
+    mq_standby_park (f, strcmp (why, WHY_SILENT) == 0);
   mq_forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
@@ -477,7 +480,7 @@
     }
   if (silent > MAX_SILENCE_US && mq_forward_can_move (forward, now_us))
     {
-      mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "silent");
+      mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, WHY_SILENT);
       return;
     }
   if (silent > forward_report_delay_us (forward) && forward->upstream != NULL)
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -3,6 +3,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_standby.h>
 #include <mq/internal/gateway_urgency.h>
 #include <mq/log.h>
 #include <string.h>
@@ -227,13 +228,15 @@
 }
 
 /* Returns true if FORWARD may use a path that begins at HEAD: a new request
-   not at a saturated head, and
+   not at a saturated head, one that has left a silent run not at its head, and
    one that has used up its attempts only at a head that ran it before.  */
 static bool
 forward_may_use_head (const mq_forward *forward, mq_upstream *head,
                       uint64_t now_us)
 {
-  if (!forward->state.response_started && now_us < head->saturated_until_us)
+  if (mq_standby_excludes (forward, head)
+      || (!forward->state.response_started
+          && now_us < head->saturated_until_us))
     return false;
   return !mq_forward_must_reuse_upstream (&forward->state)
          || g_ptr_array_find (forward->ran, head, NULL);
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -19,6 +19,8 @@
   uint64_t sent_us;
   uint64_t received_us;
   GString *partial;    /* Bytes of an event that is not complete yet.  */
+  bool head_is_silent; /* Nothing says which engine of PATH is, so that its
+                          head is to be avoided.  */
 };
 
 void
@@ -40,7 +42,7 @@
 }
 
 void
-mq_standby_park (mq_forward *forward)
+mq_standby_park (mq_forward *forward, bool head_is_silent)
 {
   mq_forward *f = forward;
   mq_standby *s = g_new0 (mq_standby, 1);
@@ -53,6 +55,7 @@
   s->path = f->path;
   f->path.n = 0; /* Its references are the standby's now.  */
   s->path_load = f->path_load;
+  s->head_is_silent = head_is_silent;
   s->sent_us = f->sent_us;
   s->received_us = f->received_us;
   s->partial = g_string_new_len (rest.data, (gssize)rest.size);
@@ -104,6 +107,13 @@
   return true;
 }
 
+bool
+mq_standby_excludes (const mq_forward *forward, const mq_upstream *head)
+{
+  return forward->standby != NULL && forward->standby->head_is_silent
+         && forward->standby->upstream == head;
+}
+
 bool
 mq_standby_has_call (const mq_forward *forward, const mq_http_call *call)
 {
