Bound what is held of an error that answers a stream's request

What callers saw: an engine that answers a stream's request with status 500 and a body without end was read until the deadline; no other engine was tried, and the router's memory grew by as much as the engine sent.

Cause: the body of a stream's response without success is collected to be forwarded whole, and nothing bounded it (only calls have a limit of the HTTP client).

Why it works: what is held has a bound of 64 KiB. A larger error is a broken run, with a word of its own in the log; its connection is closed and the request goes on as after any broken run: elsewhere where its route allows, else 502. The head of a path is held responsible, as the bytes are its own.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -366,7 +366,9 @@
   uint64_t sent_us;        /* When the last send began.  */
   uint64_t received_us;    /* When the last bytes of a response arrived; at
                               first, when forwarding began.  */
-  GString *error_body;     /* Body of a stream's response without success.  */
+  GString *held;           /* Bytes of a stream's response that are not
+                              forwarded yet: the body of one without success.
+                            */
   mq_event_split split;
   unsigned tunnel_status;  /* As in the end event of the last call.  */
   unsigned unsent_tries;   /* Sends in a row that found no connection.  */
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -87,7 +87,7 @@
   g_ptr_array_unref (f->tried);
   g_ptr_array_unref (f->ran);
   mq_event_split_finish (&f->split);
-  g_string_free (f->error_body, TRUE);
+  g_string_free (f->held, TRUE);
   g_free (f->parts);
   mq_log_buffer_finish (&f->log_buffer);
   g_free (f);
@@ -362,7 +362,7 @@
   mq_forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
-  g_string_truncate (f->error_body, 0);
+  g_string_truncate (f->held, 0);
   if (v.verb != MQ_FORWARD_RETRY && forward_return (f, why))
     return;
   switch (v.verb)
@@ -736,7 +736,7 @@
   f->tried
       = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
   f->ran = g_ptr_array_new_with_free_func ((GDestroyNotify)mq_upstream_unref);
-  f->error_body = g_string_new (NULL);
+  f->held = g_string_new (NULL);
   mq_log_buffer_init (&f->log_buffer);
   mq_event_split_init (&f->split,
                        request_header_number (exchange, h->last_event_id, 0));
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -4,7 +4,10 @@
    A success is forwarded only when it is signed and belongs to the request;
    the HTTP client checks the latter.  The response to a stream begins with its
    first complete event, so that a send that fails before it is invisible to
-   the client.  */
+   the client.
+
+   An upstream may send bytes without end.  What is held of a response has a
+   bound; a run that exceeds it is broken.  */
 
 #include <mq/internal/gateway_standby.h>
 
@@ -25,6 +28,10 @@
 /* A gap before an event that is a silence rather than the pace of a path.  */
 #define SILENCE_US ((uint64_t)300 * 1000)
 
+/* Bytes of a stream's response that are held: the body of one without success.
+ */
+#define MAX_HELD_BYTES ((size_t)64 * 1024)
+
 /* A refusal after this means that the head waited for an engine that does not
    respond.  Heads wait 2 s for such an engine; a request that only queued at a
    head is refused after some tenths of a second.  */
@@ -192,6 +199,25 @@
     mq_stall_request_slowdowns (forward->gateway, &forward->path);
 }
 
+/* Append BYTES to what is held of FORWARD's response.  Returns 0, or -1 when
+   there is no room, which ends the send as broken because of WHY and may free
+   FORWARD.  */
+static int
+stream_hold (mq_forward *forward, mq_span bytes, unsigned status,
+             const char *why)
+{
+  if (bytes.size <= MAX_HELD_BYTES - forward->held->len)
+    {
+      g_string_append_len (forward->held, bytes.data, (gssize)bytes.size);
+      return 0;
+    }
+  /* The head itself sends this, whatever the other engines of its path do.  */
+  if (forward->path.n > 1 && forward->detour == NULL)
+    mq_upstream_failed (forward->upstream, mq_gateway_now_us ());
+  mq_forward_send_ended (forward, MQ_SEND_BROKEN, status, why);
+  return -1;
+}
+
 /* Forward the complete events.  Returns 0, or -1 when the send was ended,
    which may have freed FORWARD.  */
 static int
@@ -221,8 +247,8 @@
 {
   if (!mq_gateway_status_is_success (event->status))
     {
-      g_string_append_len (forward->error_body, event->data.data,
-                           (gssize)event->data.size);
+      (void)stream_hold (forward, event->data, event->status,
+                         "error-too-large");
       return;
     }
   mq_event_split_feed (&forward->split, event->data);
@@ -326,8 +352,8 @@
 {
   mq_forward *f = forward;
   bool stream = f->route->kind == MQ_ROUTE_STREAM;
-  mq_span body = stream ? (mq_span){ f->error_body->str, f->error_body->len }
-                        : event->data;
+  mq_span body
+      = stream ? (mq_span){ f->held->str, f->held->len } : event->data;
 
   if (answer_is_not_run (f))
     {
--- a/tests/support/loopback_listener.h
+++ b/tests/support/loopback_listener.h
@@ -54,6 +54,12 @@
     return fd_ < 0;
   }
 
+  int
+  fd () const
+  {
+    return fd_;
+  }
+
   std::string address;
 
 private:
