Take only events with an id for progress of a stream

What callers saw: the response of a stream began with any block that ends with an empty line, so that an engine that sends comments, empty lines or garbage without end was passed on until the deadline: the client got a success without an event that was then cut. Where such bytes came slowly, each of them ended the silence, so that the stream never left the engine.

Cause: progress was counted in bytes (silence) and in blocks (begin of the response, gaps, end of prefill), whatever they held.

Why it works: blocks without an id are held, 64 KiB at most, until the next event with an id or the end of the whole response, and are then forwarded unchanged. More is a broken run (why=no-events), of which the client has got no byte, so that a resumable stream goes on elsewhere. The time of the last progress is that of the head or of an event with an id, so that a slow sender counts as silent.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -364,11 +364,13 @@
   mq_detour *detour;       /* That the current send goes through, borrowed;
                               NULL: none.  */
   uint64_t sent_us;        /* When the last send began.  */
-  uint64_t received_us;    /* When the last bytes of a response arrived; at
-                              first, when forwarding began.  */
+  uint64_t received_us;    /* When the last progress of a response arrived,
+                              its head or an event with an id; at first, when
+                              forwarding began.  */
   GString *held;           /* Bytes of a stream's response that are not
-                              forwarded yet: the body of one without success.
-                            */
+                              forwarded yet: the body of one without success,
+                              or what came without an id after the last event
+                              with one.  */
   mq_event_split split;
   unsigned tunnel_status;  /* As in the end event of the last call.  */
   unsigned unsent_tries;   /* Sends in a row that found no connection.  */
@@ -472,7 +474,7 @@
 /* Check the deadline and the try timeout, and send a request that waits.  May
    free FORWARD.  */
 void mq_forward_tick (mq_forward *forward, uint64_t now_us);
-/* Bytes of a response to FORWARD have arrived.  */
+/* The head of a response to FORWARD, or an event with an id, has arrived.  */
 void mq_forward_note_received (mq_forward *forward);
 /* Probe the path of FORWARD when its stream has been silent for longer than
    the path's latency estimate allows.  */
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -3,11 +3,13 @@
 
    A success is forwarded only when it is signed and belongs to the request;
    the HTTP client checks the latter.  The response to a stream begins with its
-   first complete event, so that a send that fails before it is invisible to
-   the client.
+   first complete event that has an id, so that a send that fails before it is
+   invisible to the client.
 
-   An upstream may send bytes without end.  What is held of a response has a
-   bound; a run that exceeds it is broken.  */
+   An upstream may send bytes without end.  Only an event with an id is
+   progress of a stream; what comes without one is held until the next, or the
+   whole response, shows that it belongs to a sound response.  What is held
+   has a bound; a run that exceeds it is broken.  */
 
 #include <mq/internal/gateway_standby.h>
 
@@ -28,8 +30,8 @@
 /* A gap before an event that is a silence rather than the pace of a path.  */
 #define SILENCE_US ((uint64_t)300 * 1000)
 
-/* Bytes of a stream's response that are held: the body of one without success.
- */
+/* Bytes of a stream's response that are held: the body of one without success,
+   or what follows the last event with an id.  */
 #define MAX_HELD_BYTES ((size_t)64 * 1024)
 
 /* A refusal after this means that the head waited for an engine that does not
@@ -193,6 +195,7 @@
           += (gap_ms - forward->smoothed_gap_ms) * GAP_WEIGHT;
     }
   mq_crash_note_event (forward, now);
+  mq_forward_note_received (forward);
   forward->last_event_us = now;
   if (forward->route->gap_ms > 0
       && forward->smoothed_gap_ms > forward->route->gap_ms * SLOW_GAP_RATIO)
@@ -218,6 +221,30 @@
   return -1;
 }
 
+/* Write what is held to the client, whose response has begun.  */
+static void
+stream_release (mq_forward *forward)
+{
+  (void)mq_http_exchange_write (
+      forward->exchange, (mq_span){ forward->held->str, forward->held->len });
+  g_string_truncate (forward->held, 0);
+}
+
+/* Forward EVENT, which has an id, and what is held before it.  Returns 0, or
+   -1 when the response could not begin, which has freed FORWARD.  */
+static int
+stream_forward_event (mq_forward *forward, mq_span event, unsigned status)
+{
+  if (!forward->state.response_started && stream_begin (forward, status) < 0)
+    return -1;
+  stream_note_event (forward);
+  stream_release (forward);
+  if (mq_http_exchange_write (forward->exchange, event)
+      >= MQ_HTTP_STREAM_HIGH_WATER_BYTES)
+    mq_http_call_pause (forward->call, true);
+  return 0;
+}
+
 /* Forward the complete events.  Returns 0, or -1 when the send was ended,
    which may have freed FORWARD.  */
 static int
@@ -225,16 +252,17 @@
 {
   mq_event_result r;
   mq_span event;
+  unsigned before = forward->split.events;
 
   while ((r = mq_event_split_next (&forward->split, &event)) == MQ_EVENT_WHOLE)
     {
-      if (!forward->state.response_started
-          && stream_begin (forward, status) < 0)
+      int result = forward->split.events > before
+                       ? stream_forward_event (forward, event, status)
+                       : stream_hold (forward, event, status, "no-events");
+
+      if (result < 0)
         return -1;
-      stream_note_event (forward);
-      if (mq_http_exchange_write (forward->exchange, event)
-          >= MQ_HTTP_STREAM_HIGH_WATER_BYTES)
-        mq_http_call_pause (forward->call, true);
+      before = forward->split.events;
     }
   if (r == MQ_EVENT_NONE)
     return 0;
@@ -279,6 +307,7 @@
     mq_gateway_note_success (forward);
   if (!forward->state.response_started && stream_begin (forward, status) < 0)
     return;
+  stream_release (forward);
   mq_http_exchange_end (forward->exchange);
   ++*g->counters.answered;
   mq_forward_end (forward, "answered", status, "whole");
@@ -422,11 +451,10 @@
 
   if (mq_standby_has_call (f, event->call) && !mq_standby_on_call (f, event))
     return;
-  if (event->kind != MQ_HTTP_CLIENT_END)
-    mq_forward_note_received (f);
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
+      mq_forward_note_received (f);
       mq_gateway_note_response (f->gateway, f->upstream, event, f->sent_us,
                                 true);
       if (mq_gateway_status_is_success (event->status)
