Read no more of a stream than is reported at once

What operators would see: with 30 streams whose engine sends garbage as fast as it is read, a router's resident memory peaked at 159 to 226 MiB of the 260 MB that a VM has. Cause: libcurl reads up to 100 buffers from one socket in one action, and the client kept all of them before the first was reported, in buffers that keep their size. A streamed call now stops reading at 64 KiB until these have been reported.

--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -23,6 +23,8 @@
 #define DEFAULT_MAX_BODY_BYTES ((size_t)1024 * 1024)
 #define MAX_HEADER_BYTES ((size_t)64 * 1024)
 #define MIN_FINAL_STATUS 200
+/* Bytes of a streamed body that are read before they are reported.  */
+#define MAX_UNREPORTED_BYTES ((size_t)64 * 1024)
 
 /* Idle connections kept for reuse, over all upstreams.  */
 #define MAX_IDLE_CONNECTIONS 1024L
@@ -73,6 +75,7 @@
   bool ended;        /* libcurl has finished the call.  */
   bool end_reported; /* END was reported.  */
   bool paused;
+  bool throttled; /* Reads nothing until BODY is reported.  */
 };
 
 static void
@@ -149,7 +152,10 @@
   mq_http_call *call = context;
   size_t n = unit * count;
 
-  if (call->paused)
+  if (call->streamed && call->body->len > 0
+      && call->body->len + n > MAX_UNREPORTED_BYTES)
+    call->throttled = true;
+  if (call->paused || call->throttled)
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
   call->received += n;
   if (!call->streamed && call->body->len + n > call->body_limit)
@@ -270,6 +276,11 @@
   call->body = c->spare_body;
   c->spare_body = body;
   event->data = (mq_span){ body->str, body->len };
+  if (call->throttled)
+    {
+      call->throttled = false;
+      curl_easy_pause (call->easy, CURLPAUSE_CONT);
+    }
   call->sink (call->context, event);
   g_string_truncate (body, 0);
 }
@@ -537,7 +548,8 @@
   if (call->paused == paused)
     return;
   call->paused = paused;
-  curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
+  if (!call->throttled)
+    curl_easy_pause (call->easy, paused ? CURLPAUSE_RECV : CURLPAUSE_CONT);
   if (paused)
     return;
   client_mark_ready (call);
--- a/tests/support/silent_engine.h
+++ b/tests/support/silent_engine.h
@@ -60,7 +60,12 @@
 
   SilentEngine (const SilentEngine &) = delete;
   SilentEngine &operator= (const SilentEngine &) = delete;
-  ~SilentEngine () { crash (); }
+
+  ~SilentEngine ()
+  {
+    crash ();
+    ::close (holder_);
+  }
 
   /* The entry in the platform's list.  END is 0 for a plain service.  */
   std::string
@@ -194,22 +199,31 @@
     return at;
   }
 
-  /* Listen at the port of before, if there was one.  */
-  void
-  listen_again ()
+  /* Returns a socket that is bound to the port, or to a new one.  */
+  int
+  bind_port ()
   {
     sockaddr_in at = loopback (port_);
     socklen_t size = sizeof at;
     int on = 1;
+    int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
-    listener_
-        = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-    setsockopt (listener_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    EXPECT_EQ (bind (listener_, reinterpret_cast<sockaddr *> (&at), size), 0)
-        << id;
-    listen (listener_, queue_size);
-    getsockname (listener_, reinterpret_cast<sockaddr *> (&at), &size);
+    setsockopt (fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof on);
+    EXPECT_EQ (bind (fd, reinterpret_cast<sockaddr *> (&at), size), 0) << id;
+    getsockname (fd, reinterpret_cast<sockaddr *> (&at), &size);
     port_ = ntohs (at.sin_port);
+    return fd;
+  }
+
+  /* Listen at the port of before, if there was one.  */
+  void
+  listen_again ()
+  {
+    listener_ = bind_port ();
+    /* Keeps the port while nothing listens.  */
+    if (holder_ < 0)
+      holder_ = bind_port ();
+    listen (listener_, queue_size);
     address = "127.0.0.1:" + std::to_string (port_);
   }
 
@@ -430,7 +444,7 @@
   Door door_ = Door::Held;
   double now_ = 1; /* The engine's time.  */
   unsigned port_ = 0;
-  int listener_ = -1;
+  int listener_ = -1, holder_ = -1;
   std::vector<int> fillers_; /* Connections that fill the queue.  */
   std::list<Connection> connections_;
 };
