Let only an event bring a standby back

A silent run that a stream has left could take the stream back by bytes that are no event, such as comments without end, and so end the new run. Since only events with an id are progress, the standby keeps what it receives, with a bound, and serves the stream again with its first event.

--- a/include/mq/internal/gateway_standby.h
+++ b/include/mq/internal/gateway_standby.h
@@ -37,9 +37,9 @@
 bool mq_standby_has_call (const mq_forward *forward, const mq_http_call *call);
 
 /* Handle EVENT of the standby's call.  Returns true if the standby has become
-   the current send, which EVENT is to be handled for.  */
-bool mq_standby_on_call (mq_forward *forward,
-                         const mq_http_client_event *event);
+   the current send, which EVENT is to be handled for; of data, what the
+   standby has kept is part of the send already, and EVENT has none left.  */
+bool mq_standby_on_call (mq_forward *forward, mq_http_client_event *event);
 
 G_END_DECLS
 
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -448,9 +448,14 @@
 mq_forward_on_call (void *context, const mq_http_client_event *event)
 {
   mq_forward *f = context;
+  mq_http_client_event rest = *event;
 
-  if (mq_standby_has_call (f, event->call) && !mq_standby_on_call (f, event))
-    return;
+  if (mq_standby_has_call (f, event->call))
+    {
+      if (!mq_standby_on_call (f, &rest))
+        return;
+      event = &rest;
+    }
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -9,6 +9,9 @@
 #include <mq/internal/gateway_urgency.h>
 #include <mq/log.h>
 
+/* Bytes without an event after which a standby is given up.  */
+#define MAX_REST_BYTES (MQ_EVENT_MAX_BYTES + (size_t)64 * 1024)
+
 struct mq_standby
 {
   mq_http_call *call;      /* Borrowed; NULL once its end was reported.  */
@@ -18,7 +21,7 @@
   mq_path_load *path_load; /* Of PATH, borrowed, or NULL.  */
   uint64_t sent_us;
   uint64_t received_us;
-  GString *partial;    /* Bytes of an event that is not complete yet.  */
+  GString *rest; /* Bytes of its response after its last event with an id.  */
   bool head_is_silent; /* Nothing says which engine of PATH is, so that its
                           head is to be avoided.  */
 };
@@ -37,7 +40,7 @@
   s->upstream->in_flight--;
   mq_upstream_unref (s->upstream);
   mq_layer_path_finish (&s->path);
-  g_string_free (s->partial, TRUE);
+  g_string_free (s->rest, TRUE);
   g_free (s);
 }
 
@@ -58,12 +61,14 @@
   s->head_is_silent = head_is_silent;
   s->sent_us = f->sent_us;
   s->received_us = f->received_us;
-  s->partial = g_string_new_len (rest.data, (gssize)rest.size);
+  s->rest = g_string_new_len (f->held->str, (gssize)f->held->len);
+  g_string_append_len (s->rest, rest.data, (gssize)rest.size);
   f->standby = s;
   f->stalled_why = NULL;
   f->added_to_ran = false;
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
+  g_string_truncate (f->held, 0);
 }
 
 bool
@@ -78,6 +83,7 @@
   mq_forward_drop_send (f);
   mq_forward_release_path (f);
   mq_event_split_restart (&f->split);
+  g_string_truncate (f->held, 0);
   f->standby = NULL;
   f->call = s->call;
   f->upstream = s->upstream;
@@ -89,8 +95,7 @@
   mq_gateway_urgency_note_sent (f, now);
   f->sent_us = s->sent_us;
   f->received_us = s->received_us;
-  mq_event_split_feed (&f->split,
-                       (mq_span){ s->partial->str, s->partial->len });
+  mq_event_split_feed (&f->split, (mq_span){ s->rest->str, s->rest->len });
   f->waiting = false;
   f->waits_for_budget = false;
   f->awaits_reach = false;
@@ -102,7 +107,7 @@
       " silent_ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id), mq_str_cstr (f->upstream->facts.id), why,
       (now - MAX (s->received_us, s->sent_us)) / 1000);
-  g_string_free (s->partial, TRUE);
+  g_string_free (s->rest, TRUE);
   g_free (s);
   return true;
 }
@@ -120,41 +125,92 @@
   return forward->standby != NULL && forward->standby->call == call;
 }
 
-/* Returns true if EVENT, of the call of a standby of FORWARD, shows that its
-   run serves the request: an event of a stream, or a complete response.  */
+/* Returns true if BYTES, of a stream after its event LAST_ID, hold an event
+   with an id.  */
+static bool
+bytes_have_event (const GString *bytes, uint64_t last_id)
+{
+  mq_event_split split;
+  mq_span event;
+  bool found;
+
+  mq_event_split_init (&split, last_id);
+  mq_event_split_feed (&split, (mq_span){ bytes->str, bytes->len });
+  while (split.events == 0
+         && mq_event_split_next (&split, &event) == MQ_EVENT_WHOLE)
+    ;
+  found = split.events > 0;
+  mq_event_split_finish (&split);
+  return found;
+}
+
+/* Returns true if EVENT, of the call of a standby of FORWARD, belongs to a
+   response that may serve the request.  */
 static bool
-event_serves (const mq_forward *forward, const mq_http_client_event *event)
+response_may_serve (const mq_forward *forward,
+                    const mq_http_client_event *event)
 {
   mq_span signature = mq_http_call_header (
       event->call, forward->gateway->dialect->headers.signature);
 
-  if (!mq_gateway_status_is_success (event->status) || signature.size == 0)
-    return false;
-  if (forward->route->kind == MQ_ROUTE_STREAM)
-    return event->kind == MQ_HTTP_CLIENT_DATA;
-  return event->kind == MQ_HTTP_CLIENT_END && event->result == MQ_HTTP_OK;
+  return mq_gateway_status_is_success (event->status) && signature.size > 0;
 }
 
-bool
-mq_standby_on_call (mq_forward *forward, const mq_http_client_event *event)
+/* Keep DATA of the standby's response.  Returns true if its run goes on.  */
+static bool
+standby_keep (mq_forward *forward, mq_span data)
+{
+  mq_standby *s = forward->standby;
+
+  g_string_append_len (s->rest, data.data, (gssize)data.size);
+  if (bytes_have_event (s->rest, forward->split.last_id))
+    return true;
+  if (s->rest->len > MAX_REST_BYTES)
+    mq_standby_drop (forward);
+  return false;
+}
+
+/* The call of the standby has ended, as EVENT says, without serving the
+   request.  */
+static void
+standby_end (mq_forward *forward, const mq_http_client_event *event)
 {
   mq_forward *f = forward;
-  mq_standby *s = f->standby;
 
-  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
-    mq_gateway_note_response (f->gateway, s->upstream, event, s->sent_us,
-                              true);
-  if (event_serves (f, event))
-    return mq_standby_resume (f, "response");
-  if (event->kind != MQ_HTTP_CLIENT_END)
-    return false;
-  s->call = NULL;
+  f->standby->call = NULL;
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.run-dropped",
       "request=%.*s upstream=%s result=%d status=%u", MQ_SPAN_ARG (f->id),
-      mq_str_cstr (s->upstream->facts.id), event->result, event->status);
+      mq_str_cstr (f->standby->upstream->facts.id), event->result,
+      event->status);
   if (event->result == MQ_HTTP_BROKEN)
-    mq_crash_note_broken_run (f, s->upstream, mq_gateway_now_us ());
+    mq_crash_note_broken_run (f, f->standby->upstream, mq_gateway_now_us ());
   mq_standby_drop (f);
+}
+
+bool
+mq_standby_on_call (mq_forward *forward, mq_http_client_event *event)
+{
+  mq_forward *f = forward;
+  mq_standby *s = f->standby;
+
+  switch (event->kind)
+    {
+    case MQ_HTTP_CLIENT_HEADERS:
+      mq_gateway_note_response (f->gateway, s->upstream, event, s->sent_us,
+                                true);
+      return false;
+    case MQ_HTTP_CLIENT_DATA:
+      if (!response_may_serve (f, event) || !standby_keep (f, event->data))
+        return false;
+      event->data.size = 0;
+      return mq_standby_resume (f, "response");
+    case MQ_HTTP_CLIENT_END:
+      if (f->route->kind != MQ_ROUTE_STREAM && event->result == MQ_HTTP_OK
+          && response_may_serve (f, event))
+        return mq_standby_resume (f, "response");
+      standby_end (f, event);
+      return false;
+    }
   return false;
 }
