Refuse requests whose callers have left before they are read

A request that arrived together with the end of its connection (the client closed it, or its sending side) was reported to the router, which passed it on, and then cancelled in the same iteration. It could reach an engine and was left at once; a client that had closed its sending side only saw its connection closed without a response, unless the reply was immediate.

Cause: the server looked at the hang-up after it had reported the request, and only at the event of its epoll set, of which it takes 64 a turn.

Now the server asks the socket itself when a request is complete, and refuses it with 503 if the caller has left. That is truthful, as it has not run and does not run later, and a caller that still reads gets a response. A caller that leaves after its request was read is reported as before.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -39,7 +39,9 @@
 
 typedef enum mq_http_server_event_kind
 {
-  /* A complete request has arrived; reply to it now or later.  */
+  /* A complete request has arrived; reply to it now or later.  One whose
+     caller had disconnected, or closed its sending side, before it was read
+     is not reported: it receives a 503.  */
   MQ_HTTP_SERVER_REQUEST,
   /* The queue of a stream has fallen below half of
      MQ_HTTP_STREAM_HIGH_WATER_BYTES.  */
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -41,7 +41,6 @@
   GList link;                 /* In the server's list.  */
   ev_tstamp since;            /* When it began to wait for a request.  */
   int fd;
-  bool hung_up;     /* The caller has closed its sending side.  */
   mq_http_tls *tls; /* Its credentials, one reference; NULL without TLS.  */
   char peer[64];
 } mq_http_connection;
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -317,9 +317,8 @@
   (void)events;
   for (int i = 0; i < n; i++)
     {
-      mq_http_connection *c = batch[i].data.ptr;
+      const mq_http_connection *c = batch[i].data.ptr;
 
-      c->hung_up = true;
       if (c->exchange != NULL)
         mq_http_exchange_on_disconnect (c->exchange);
     }
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -12,6 +12,7 @@
 #include <arpa/inet.h>
 #include <errno.h>
 #include <netinet/in.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -37,6 +38,10 @@
   "{\"error\":{\"code\":\"body-too-large\",\"reason\":\"the body is larger "  \
   "than this server takes\",\"outcome\":\"not-run\"}}\n"
 
+#define CALLER_LEFT                                                           \
+  "{\"error\":{\"code\":\"caller-left\",\"reason\":\"the sender has closed "  \
+  "the connection\",\"outcome\":\"not-run\"}}\n"
+
 /* Write the IP address of ADDRESS to TEXT.  */
 static void
 shard_print_address (const struct sockaddr *address, char *text, size_t size)
@@ -169,8 +174,19 @@
   g_string_append_len (exchange->body, data, (gssize)size);
 }
 
+/* Returns true if the caller of EXCHANGE has closed its connection, or its
+   sending side.  The event that tells so may still be due.  */
+static bool
+shard_caller_has_left (const mq_http_exchange *exchange)
+{
+  struct pollfd p = { .fd = exchange->connection->fd, .events = POLLRDHUP };
+
+  return poll (&p, 1, 0) > 0;
+}
+
 /* The complete request has arrived: report it, or reject it if its head or
-   body is oversized.  */
+   body is oversized, or if its caller has left: then it need not run.  A
+   caller that has closed its sending side only can still read the reply.  */
 static void
 shard_handle_request (mq_http_server *server, mq_http_exchange *exchange)
 {
@@ -182,10 +198,11 @@
   else if (exchange->over_limit)
     mq_http_exchange_reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE,
                              MQ_SPAN (TOO_LARGE_BODY));
+  else if (shard_caller_has_left (exchange))
+    mq_http_exchange_reject (exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+                             MQ_SPAN (CALLER_LEFT));
   else
     mq_http_server_report (server, MQ_HTTP_SERVER_REQUEST, exchange);
-  if (exchange->connection != NULL && exchange->connection->hung_up)
-    mq_http_exchange_on_disconnect (exchange);
 }
 
 /* Queue the response if there is one, else suspend the connection.  */
--- a/tests/test_request_crossing.cc
+++ b/tests/test_request_crossing.cc
@@ -135,6 +135,20 @@
       EXPECT_EQ (c.received, "");
   }
 
+  /* Expect that each request is refused, since its client has left, and not
+     reported.  */
+  void
+  expect_refusals ()
+  {
+    EXPECT_TRUE (until_all ([] (Client &c) {
+      return c.closed || is_complete_response (c.received);
+    }));
+    EXPECT_EQ (reported, 0);
+    EXPECT_EQ (disconnects, 0);
+    for (const Client &c : clients)
+      EXPECT_EQ (c.received.rfind ("HTTP/1.1 503 ", 0), 0u) << c.received;
+  }
+
   /* Expect that each client gets its answer or loses its connection, and that
      all reported requests are answered.  */
   void
@@ -303,3 +317,29 @@
   mq_http_server_quiesce (server);
   expect_last_answers ();
 }
+
+/* Requests of clients that had closed their sending side were reported and
+   cancelled at once, so that they could reach an upstream.  */
+TEST_F (RequestCrossing, OneOfAClientThatHasLeftIsNotReported)
+{
+  connect_clients (kClients);
+  write_all (kRequest);
+  for (const Client &c : clients)
+    shutdown (c.socket.fd, SHUT_WR);
+  expect_refusals ();
+}
+
+/* The same for a request whose first half was read while the client was
+   there.  */
+TEST_F (RequestCrossing, PartlyReadOneOfAClientThatHasLeftIsNotReported)
+{
+  const std::string all = kRequest;
+
+  connect_clients (kClients);
+  write_all (all.substr (0, all.size () / 2));
+  run_briefly ();
+  write_all (all.substr (all.size () / 2));
+  for (const Client &c : clients)
+    shutdown (c.socket.fd, SHUT_WR);
+  expect_refusals ();
+}
