Refuse requests that wait when a drain ends

A router that was told to stop ended with requests unanswered that had only waited: for the first configuration, or to be sent. Their clients saw the connection closed.

Cause: the end of a drain looked at forwarded requests only, not at those that wait for the configuration; these were accepted until the end, too; and one that waits to be sent may do so for 1.6 s, longer than the last 1.5 s before the end, in which no new ones are accepted.

Now a request that waits for the configuration counts as in flight and is refused in the last part of the drain, and those that wait to be sent are refused 0.2 s before its end, so that the responses are sent (a request that may have run gets a failure instead).

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -42,6 +42,10 @@
 /* In the last part of a drain new requests are refused, so that those in
    flight complete before its end.  */
 #define DRAIN_FINISH_MS ((uint64_t)1500)
+/* Requests that still wait this long before the end of a drain are refused, so
+   that the responses are sent.  */
+#define DRAIN_REFUSE_MS ((uint64_t)200)
+#define DRAIN_RETRY_AFTER_MS 500
 /* New connections are accepted for this long, for clients that queried the
    directory just before the drain.  After it new streams on open connections
    are refused, since most would not end before the kill.  */
@@ -153,11 +157,28 @@
          && gateway->upstreams_known;
 }
 
+/* Reject the requests that wait to be sent and whose clients have no part of a
+   response.  */
+static void
+drain_refuse_waiting (mq_gateway *gateway)
+{
+  GList *next;
+
+  for (GList *l = gateway->forwards.head; l != NULL; l = next)
+    {
+      mq_forward *f = l->data;
+
+      next = l->next;
+      if (f->call == NULL && !f->state.response_started)
+        mq_forward_reject (f, DRAIN_RETRY_AFTER_MS, "draining");
+    }
+}
+
 static void
 drain_tick (mq_gateway *gateway, uint64_t now_us)
 {
   bool busy
-      = gateway->forwards.length > 0
+      = gateway->forwards.length > 0 || gateway->early_requests.length > 0
         || mq_tunnel_server_count_busy (gateway->tunnels, DRAIN_IDLE_MS * 1000)
                > 0;
 
@@ -166,6 +187,8 @@
       gateway->drain_closed = true;
       mq_http_server_quiesce (gateway->clients);
     }
+  if (now_us + DRAIN_REFUSE_MS * 1000 >= gateway->drain_until_us)
+    drain_refuse_waiting (gateway);
   if (busy)
     gateway->drain_idle_us = now_us + DRAIN_IDLE_MS * 1000;
   if (now_us < gateway->drain_until_us
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -119,6 +119,15 @@
       status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_AFTER_MS : 0, why);
 }
 
+/* Returns true in the last part of a drain, in which new requests are refused.
+ */
+static bool
+drain_is_ending (const mq_gateway *gateway, uint64_t now_us)
+{
+  return gateway->mode != MQ_GATEWAY_SERVING
+         && now_us >= gateway->drain_refuse_us;
+}
+
 /* Returns true if a request of ROUTE that arrives now might not complete
    before the end of the drain.  */
 static bool
@@ -126,7 +135,7 @@
 {
   if (gateway->mode == MQ_GATEWAY_SERVING)
     return false;
-  return mq_gateway_now_us () >= gateway->drain_refuse_us
+  return drain_is_ending (gateway, mq_gateway_now_us ())
          || (gateway->drain_closed && route->kind == MQ_ROUTE_STREAM);
 }
 
@@ -194,7 +203,8 @@
 }
 
 /* Returns true if EXCHANGE, which arrived at ARRIVED_US, may wait for the
-   configuration at NOW_US.  WAITS: it does already.  */
+   configuration at NOW_US.  WAITS: it does already.  None waits in the last
+   part of a drain.  */
 static bool
 may_wait_for_configuration (const mq_gateway *gateway,
                             const mq_http_exchange *exchange, bool waits,
@@ -202,6 +212,8 @@
 {
   uint64_t left_ms;
 
+  if (drain_is_ending (gateway, now_us))
+    return false;
   if (mq_span_to_u64 (mq_http_exchange_header (
                           exchange, gateway->dialect->headers.time_left_ms),
                       &left_ms)
