Let a drain that begins with open requests last until clients have left

A router that was told to stop while requests were open ended 0.7 s after the last of them, also when that was before the 2.5 s in which clients still have its address. Later requests on kept connections were lost, and connections that had been accepted by the system, but not by the router, were closed.

Cause: each tick with an open request moved the end of the drain to 0.7 s from then, also when that was earlier than the minimum.

--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -190,7 +190,8 @@
   if (now_us + DRAIN_REFUSE_MS * 1000 >= gateway->drain_until_us)
     drain_refuse_waiting (gateway);
   if (busy)
-    gateway->drain_idle_us = now_us + DRAIN_IDLE_MS * 1000;
+    gateway->drain_idle_us
+        = MAX (gateway->drain_idle_us, now_us + DRAIN_IDLE_MS * 1000);
   if (now_us < gateway->drain_until_us
       && (now_us < gateway->drain_idle_us || busy))
     return;
--- a/tests/test_requests_across_drain.cc
+++ b/tests/test_requests_across_drain.cc
@@ -43,6 +43,7 @@
     /* The process ends here.  */
     mq_gateway_free (router);
     router = nullptr;
+    EXPECT_EQ (sent, n);
     int unanswered = 0;
     for (int i = 0; i < sent; i++)
       {
@@ -92,7 +93,9 @@
 
 } // namespace
 
-/* Requests that wait for the first configuration.  */
+/* Requests that wait for the first configuration.  Guards also against a drain
+   that ends when the first ones have been answered, while clients still have
+   the router's address.  */
 TEST_F (RequestsAcrossDrain, ThatWaitForTheConfigurationAreRefused)
 {
   store.down = true;
