Bound what the bodies of all calls take together

What callers saw: engines that answer calls with bodies without end made the router hold up to 16 MiB for each request, so that 30 at once took more memory than a VM has.

Cause: the HTTP client limits the body of each call only; nothing bounds their sum.

Why it works: the bodies of clients' calls, reports and orders share a sixteenth of the memory. One of at most 64 KiB never does, so that ordinary answers don't fail because others have no end. The store's lists have limits of their own and don't share, so that engines can't end them.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -45,7 +45,8 @@
   unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none.
                            */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
-  bool too_large;  /* BROKEN, since the body exceeds the limit of the call.  */
+  bool too_large;  /* BROKEN, since the body exceeds the limit of the call or
+                      the room of all calls.  */
   mq_span data;    /* DATA: the piece.  END of a call that is not streamed:
                       the complete body.  Borrowed.  */
 } mq_http_client_event;
@@ -83,12 +84,20 @@
                         request by itself if a kept connection is closed
                         before any response.  */
   size_t body_limit; /* Bytes of a body that is not streamed; 0: 1 MiB.  */
+  bool shares_room;  /* The body, if not streamed, takes part of the room that
+                        mq_http_client_set_body_room sets.  */
 } mq_http_call_options;
 
 /* Creates a client on LOOP.  CA_FILE, if not empty, is the PEM file of the
    certificate authorities that https upstreams are verified against.  */
 mq_http_client *mq_http_client_new (struct ev_loop *loop, mq_span ca_file);
 
+/* Sets how many bytes the bodies of all calls with SHARES_ROOM may take at a
+   time; 0, as at first: no limit.  Where they would take more, the call with
+   the largest body ends as broken and TOO_LARGE, unless that is at most 64
+   KiB, which each call may always hold.  */
+void mq_http_client_set_body_room (mq_http_client *client, size_t bytes);
+
 /* Cancels all calls and frees the client.  Not to be called from a sink.  */
 void mq_http_client_free (mq_http_client *client);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -170,6 +170,7 @@
   uint64_t *sends;
   uint64_t *retries;
   uint64_t *resumed_streams;
+  uint64_t *answers_too_large;
   uint64_t *budget_granted;
   uint64_t *budget_received;
   uint64_t *orders;
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -60,10 +60,12 @@
 
 /* The parts of the memory that the connections of the listeners may take:
    clients', those of the directory, and those of the readiness check and of
-   the metrics.  */
+   the metrics; and the part that bodies of responses may take, whose buffers
+   may be twice as large.  */
 #define CLIENT_MEMORY_DIVISOR 2
 #define DIRECTORY_MEMORY_DIVISOR 8
 #define CHECK_MEMORY_DIVISOR 32
+#define BODY_MEMORY_DIVISOR 16
 
 G_DEFINE_QUARK (mq - gateway - error, mq_gateway_error)
 
@@ -254,20 +256,25 @@
   mq_gateway_route_early_requests (g, now);
 }
 
+static size_t
+gateway_memory (const mq_gateway *gateway)
+{
+  return gateway->settings->memory > 0 ? gateway->settings->memory
+                                       : mq_http_machine_memory ();
+}
+
 /* Listen at AT.  Connections may take 1/MEMORY_DIVISOR of the memory.  */
 static mq_http_server *
 gateway_listen (mq_gateway *gateway, const mq_listen *at, size_t head_limit,
                 size_t memory_divisor, mq_http_server_sink sink,
                 GError **error)
 {
-  size_t memory = gateway->settings->memory > 0 ? gateway->settings->memory
-                                                : mq_http_machine_memory ();
   mq_http_server_options o
       = { .address = mq_str_span (at->address),
           .port = at->port,
           .body_limit = MAX_BODY_BYTES,
           .head_limit = head_limit,
-          .memory = memory / memory_divisor,
+          .memory = gateway_memory (gateway) / memory_divisor,
           .idle_s = IDLE_TIMEOUT_S,
           .connections = gateway->settings->max_connections };
   GError *cause = NULL;
@@ -340,6 +347,8 @@
       = mq_str_printf ("%s:%u", mq_str_cstr (settings->clients.address),
                        settings->clients.port);
   g->client = mq_http_client_new (loop, MQ_SPAN (""));
+  mq_http_client_set_body_room (g->client,
+                                gateway_memory (g) / BODY_MEMORY_DIVISOR);
   g->store = mq_platform_new_dialect (g->client,
                                       mq_str_span (settings->platform_url),
                                       STORE_TIMEOUT_MS, dialect->store);
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -140,6 +140,9 @@
   c->resumed_streams
       = mq_metrics_counter (m, "marjoramquay_resumed_streams_total", "",
                             "Streams that went on in a new run.");
+  c->answers_too_large = mq_metrics_counter (
+      m, "marjoramquay_answers_too_large_total", "",
+      "Responses to calls that were given up as too large.");
   c->orders = mq_metrics_counter (m, "marjoramquay_orders_total", "",
                                   "Orders to engines.");
   c->loads_open = mq_metrics_gauge (m, "marjoramquay_loads", "state=\"open\"",
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -173,7 +173,8 @@
                                    .n_headers = G_N_ELEMENTS (headers),
                                    .connect_ms = ORDER_CONNECT_MS,
                                    .timeout_ms = ORDER_TIMEOUT_MS,
-                                   .once = true };
+                                   .once = true,
+                                   .shares_room = true };
 
   gateway->dialect->order_encode (order->first, order->end, upstream->orders,
                                   body);
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -89,7 +89,8 @@
                          gateway->dialect->report_path);
   mq_http_call_options options = { .url = mq_span_from (url),
                                    .connect_ms = REPORT_CONNECT_MS,
-                                   .timeout_ms = REPORT_TIMEOUT_MS };
+                                   .timeout_ms = REPORT_TIMEOUT_MS,
+                                   .shares_room = true };
 
   c->gateway = gateway;
   c->upstream = mq_upstream_ref (upstream);
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -439,7 +439,10 @@
                              "timeout");
       break;
     case MQ_HTTP_BROKEN:
-      mq_forward_send_ended (forward, MQ_SEND_BROKEN, event->status, "broken");
+      if (event->too_large)
+        ++*forward->gateway->counters.answers_too_large;
+      mq_forward_send_ended (forward, MQ_SEND_BROKEN, event->status,
+                             event->too_large ? "answer-too-large" : "broken");
       break;
     }
 }
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -154,7 +154,8 @@
                              .streamed = f->route->kind == MQ_ROUTE_STREAM,
                              .no_resend = true,
                              .once = !mq_forward_may_repeat (&f->state),
-                             .body_limit = MAX_RESPONSE_BYTES };
+                             .body_limit = MAX_RESPONSE_BYTES,
+                             .shares_room = true };
 
   if (f->id.size > 0)
     {
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -11,7 +11,11 @@
    resends a request by itself if it was written to a kept connection that
    turns out to be closed.  A call with ONCE therefore gets a connection of its
    own, and with ONCE or NO_RESEND the pre-request callback aborts a second
-   attempt.  */
+   attempt.
+
+   A body that is not streamed is held until it is complete.  Where many have
+   no end, the limit of each is not enough, so that bodies share a room.
+   Invariant: HELD is the sum of the bodies of the calls that share it.  */
 
 #include <mq/http_client.h>
 
@@ -25,6 +29,8 @@
 #define MIN_FINAL_STATUS 200
 /* Bytes of a streamed body that are read before they are reported.  */
 #define MAX_UNREPORTED_BYTES ((size_t)64 * 1024)
+/* Bytes of its body that a call may hold even where there is no room.  */
+#define OWN_ROOM_BYTES ((size_t)64 * 1024)
 
 /* Idle connections kept for reuse, over all upstreams.  */
 #define MAX_IDLE_CONNECTIONS 1024L
@@ -38,6 +44,8 @@
   GQueue ready;        /* Those with an event to report, borrowed.  */
   GString *spare_body; /* Swapped with a call's body while that is reported. */
   mq_str *ca_file;
+  size_t body_room; /* Of the calls that share it; 0: no limit.  */
+  size_t held;      /* Bytes of it that are taken.  */
 };
 
 /* A socket that is watched for libcurl.  */
@@ -68,7 +76,8 @@
   bool streamed;
   bool no_resend;
   bool maybe_sent;
-  bool too_large;     /* The body exceeds BODY_LIMIT.  */
+  bool shares_room;
+  bool too_large;     /* The body exceeds BODY_LIMIT or the room.  */
   bool is_ready;      /* In the ready queue.  */
   bool head_complete; /* All headers have arrived.  */
   bool head_reported;
@@ -96,6 +105,8 @@
   if (call->is_ready)
     g_queue_unlink (&c->ready, &call->ready_link);
   g_queue_unlink (&c->calls, &call->link);
+  if (call->shares_room)
+    c->held -= call->body->len;
   curl_multi_remove_handle (c->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -146,6 +157,63 @@
   return n;
 }
 
+/* Returns the call in progress whose body would be the largest of those that
+   share the room once CALL's had N more bytes.  */
+static mq_http_call *
+client_largest (mq_http_call *call, size_t n)
+{
+  mq_http_call *largest = call;
+  size_t size = call->body->len + n;
+
+  for (GList *l = call->client->calls.head; l != NULL; l = l->next)
+    {
+      mq_http_call *other = l->data;
+
+      if (!other->shares_room || other->ended || other->body->len <= size)
+        continue;
+      largest = other;
+      size = other->body->len;
+    }
+  return largest;
+}
+
+/* End CALL, which libcurl runs and which is not the current one, as its body
+   is too large.  libcurl is told when that is reported.  */
+static void
+client_give_up (mq_http_call *call)
+{
+  call->client->held -= call->body->len;
+  g_string_free (call->body, TRUE);
+  call->body = g_string_new (NULL);
+  call->code = CURLE_WRITE_ERROR;
+  call->too_large = true;
+  call->ended = true;
+  client_mark_ready (call);
+}
+
+/* Make room for N more bytes of CALL's body.  Returns false if it is CALL that
+   has to end for want of it.  */
+static bool
+client_make_room (mq_http_call *call, size_t n)
+{
+  mq_http_client *c = call->client;
+
+  if (!call->shares_room)
+    return true;
+  while (c->body_room > 0 && c->held + n > c->body_room)
+    {
+      mq_http_call *largest = client_largest (call, n);
+
+      if (largest->body->len + (largest == call ? n : 0) <= OWN_ROOM_BYTES)
+        break;
+      if (largest == call)
+        return false;
+      client_give_up (largest);
+    }
+  c->held += n;
+  return true;
+}
+
 static size_t
 client_store_body (char *data, size_t unit, size_t count, void *context)
 {
@@ -158,7 +226,11 @@
   if (call->paused || call->throttled)
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
   call->received += n;
-  if (!call->streamed && call->body->len + n > call->body_limit)
+  if (call->ended)
+    return 0;
+  if (!call->streamed
+      && (call->body->len + n > call->body_limit
+          || !client_make_room (call, n)))
     {
       call->too_large = true;
       return 0;
@@ -227,6 +299,8 @@
         continue;
       curl_easy_getinfo (m->easy_handle, CURLINFO_PRIVATE, &data);
       call = (mq_http_call *)(void *)data;
+      if (call->ended)
+        continue; /* Given up.  */
       call->code = m->data.result;
       call->ended = true;
       client_mark_ready (call);
@@ -467,6 +541,12 @@
   return c;
 }
 
+void
+mq_http_client_set_body_room (mq_http_client *client, size_t bytes)
+{
+  client->body_room = bytes;
+}
+
 void
 mq_http_client_free (mq_http_client *client)
 {
@@ -500,6 +580,7 @@
   call->body_limit = options->body_limit == 0 ? DEFAULT_MAX_BODY_BYTES
                                               : options->body_limit;
   call->streamed = options->streamed;
+  call->shares_room = options->shares_room && !options->streamed;
   if (options->echo_name.size > 0)
     {
       call->echo_name = mq_str_new (options->echo_name);
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -548,6 +548,70 @@
     EXPECT_EQ (answers[i].body, "/" + std::to_string (i));
 }
 
+/* Guards against bodies without end that take all memory, or the room of small
+   ones.  */
+TEST_F (Http, LargestBodyGivesWayToSmallOnes)
+{
+  const int n = 10;
+  const std::string large (200 * 1024, 'l'), small (60 * 1024, 's');
+  std::vector<Answer> answers (n);
+  std::vector<mq_http_exchange *> open;
+  Answer first, alone;
+  bool too_large = false;
+  mq_http_call_options options = {};
+
+  on_request = [&] (mq_http_exchange *x) {
+    open.push_back (mq_http_exchange_ref (x));
+    mq_http_exchange_begin (x, 200, nullptr, 0);
+    mq_http_exchange_write (x, span (open.size () <= 2 ? large : small));
+  };
+  first.on_event = [&] (const mq_http_client_event &e) {
+    too_large = e.kind == MQ_HTTP_CLIENT_END && e.too_large;
+  };
+  mq_http_client_set_body_room (client, 256 * 1024);
+  call (&alone, "/not-shared", options);
+  ASSERT_TRUE (until ([&] { return alone.heads == 1; }));
+  options.shares_room = true;
+  call (&first, "/shared", options);
+  ASSERT_TRUE (until ([&] { return first.heads == 1; }));
+  for (Answer &a : answers)
+    call (&a, "/small", options);
+  ASSERT_TRUE (until ([&] { return open.size () == n + 2; }));
+  ASSERT_TRUE (until ([&] { return first.ends == 1; }));
+  EXPECT_EQ (first.result, MQ_HTTP_BROKEN);
+  EXPECT_TRUE (first.maybe_sent);
+  EXPECT_TRUE (too_large);
+  EXPECT_EQ (first.body, "");
+  /* All bodies are held at the same time.  */
+  ev_sleep (0.1);
+  until ([&, i = 0] () mutable { return ++i > 50; });
+  for (mq_http_exchange *x : open)
+    {
+      mq_http_exchange_end (x);
+      mq_http_exchange_unref (x);
+    }
+  ASSERT_TRUE (until ([&] {
+    return alone.ends == 1
+           && std::all_of (answers.begin (), answers.end (),
+                           [] (const Answer &a) { return a.ends == 1; });
+  }));
+  EXPECT_EQ (alone.result, MQ_HTTP_OK);
+  EXPECT_EQ (alone.body, large);
+  for (const Answer &a : answers)
+    {
+      EXPECT_EQ (a.result, MQ_HTTP_OK);
+      EXPECT_EQ (a.body, small);
+    }
+  /* The room is free again.  */
+  Answer last;
+  on_request = [&] (mq_http_exchange *x) {
+    mq_http_exchange_reply (x, 200, nullptr, 0, span (large));
+  };
+  call (&last, "/shared", options);
+  ASSERT_TRUE (until ([&] { return last.ends == 1; }));
+  EXPECT_EQ (last.result, MQ_HTTP_OK);
+}
+
 TEST_F (Http, QuiesceFinishesOpenExchanges)
 {
   Answer a;
