Keep a silent stream until a plan for its replacement is there

What callers saw (native mode): streams ended with upstream-failed or deadline-missed while their engines were only silent.

Cause: after stall_ms the entry cancelled the attempt first and asked the planner afterwards. Where the planner had nothing else, the run was lost for nothing: the same engine began again from the prompt, and each silence counted among the eight lost attempts that end a request.

Change: the entry asks for a replacement while the silent attempt stays open. It is cancelled when the plan is there; its next token withdraws the replacement; a refusal of any kind, or no reply, leaves it alone until the next question after a back-off. Numbers of attempts are not always consecutive any more, since a withdrawn one had a number. Silent attempts no longer count as lost.

--- a/include/mq/config.h
+++ b/include/mq/config.h
@@ -133,7 +133,8 @@
   mq_routing routing;
   uint32_t discovery_ttl_ms; /* Lifetime of discovery responses.  */
   uint32_t heartbeat_ms;     /* 0: computed from the byte budget.  */
-  uint32_t stall_ms; /* A stage without a token for this long is stalled.  */
+  uint32_t stall_ms;         /* A stream without a token for this long is to be
+                                replaced.  */
   uint32_t put_aside_percent; /* Maximum share of engines that are ejected at
                                  once.  */
   uint32_t cut_off_ms;        /* A router that has received nothing from the
--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -7,8 +7,8 @@
    Invariants:
    - may_have_run never returns to false;
    - tokens increases by one for each delivered token and never decreases;
-   - attempt increases by one for each plan requested or call sent, and never
-     decreases.  */
+   - each plan requested and each call sent has an attempt number of its own,
+     higher than those before; attempt never decreases.  */
 
 #ifndef MQ_INTERNAL_REQUEST_H
 #define MQ_INTERNAL_REQUEST_H
@@ -31,6 +31,16 @@
   MQ_REQUEST_ENDED
 } mq_request_state;
 
+/* The search for a replacement of an attempt that is silent.  The attempt goes
+   on meanwhile.  */
+typedef enum mq_replacement_state
+{
+  MQ_REPLACEMENT_NONE,
+  MQ_REPLACEMENT_QUEUED,     /* Waits for the next replanning window.  */
+  MQ_REPLACEMENT_PLANNING,   /* Waits for the planner.  */
+  MQ_REPLACEMENT_BACKING_OFF /* Waits to ask the planner again.  */
+} mq_replacement_state;
+
 /* Number of gaps between tokens from which the remaining work is
    estimated.  */
 #define MQ_REQUEST_GAP_SAMPLES 8
@@ -51,10 +61,12 @@
   size_t heap_index;       /* Index in the heap of timers, or SIZE_MAX.  */
   uint64_t heap_us;        /* Due time stored in the heap.  */
   mq_request_state state;
+  mq_replacement_state replacement; /* Model.  */
   mq_service_kind kind;
   mq_guard_kind guard;
   int32_t priority;
   uint32_t attempt;
+  uint32_t last_attempt;    /* Model: the highest number given.  */
   uint32_t backoffs;        /* Consecutive back-offs.  */
   bool guarded;             /* The entry's table of guarded calls holds it.  */
   bool limit_held;          /* The limiter was asked and did not refuse.  */
@@ -84,11 +96,14 @@
   uint64_t first_token_at_us;      /* Of the current attempt.  */
   uint64_t last_token_at_us;       /* Of the current attempt.  */
   uint32_t gaps[MQ_REQUEST_GAP_SAMPLES]; /* Last gaps between tokens, us.  */
-  uint32_t attempt_tokens;    /* Delivered in the current attempt.  */
-  uint32_t expected_tokens;   /* In the complete answer; 0: not known.  */
-  uint64_t plan_requested_us; /* When its plan was requested.  */
-  uint64_t planned_gap_us;    /* By the plan; 0: not known.  */
-  uint32_t lost_attempts;     /* Opened attempts that failed.  */
+  uint32_t attempt_tokens;      /* Delivered in the current attempt.  */
+  uint32_t expected_tokens;     /* In the complete answer; 0: not known.  */
+  uint64_t plan_requested_us;   /* When its plan was requested.  */
+  uint64_t planned_gap_us;      /* By the plan; 0: not known.  */
+  uint32_t lost_attempts;       /* Opened attempts that failed.  */
+  uint32_t replacement_attempt; /* PLANNING: its number.  */
+  uint64_t replacement_due_us;  /* PLANNING: when the reply is overdue;
+                                   BACKING_OFF: when to ask again.  */
 
   /* For kind plain.  */
   mq_str *method;
--- a/packages/decide/request.c
+++ b/packages/decide/request.c
@@ -252,6 +252,9 @@
 void
 mq_request_avoid (mq_request *request, mq_str *engine)
 {
+  for (uint32_t i = 0; i < request->n_avoid; i++)
+    if (mq_span_equal (mq_str_span (request->avoid[i]), mq_str_span (engine)))
+      return;
   if (request->n_avoid == MQ_PLAN_MAX_STAGES)
     {
       mq_str_unref (request->avoid[0]);
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -3,8 +3,11 @@
    Invariants:
    - a token is accepted only from the awaited attempt, at the awaited
      position, with receipts that state that each layer ran once;
+   - an attempt ends early only when it is known to be lost, or when another
+     one can take its place: one that is silent goes on until a plan for its
+     replacement is there;
    - an abandoned attempt is cancelled and released before the next one is
-     requested;
+     opened;
    - at most REPLAN_BURST replacements of lost attempts are requested within
      one window, least slack first, so that a failure does not cause a
      stampede on the remaining engines.  */
@@ -28,6 +31,8 @@
 /* Factor on the predicted time of the first token, added to the stall
    timeout.  */
 #define FIRST_TOKEN_TIMEOUT_FACTOR 3
+/* Timeout for the plan of a replacement.  */
+#define REPLACEMENT_PLAN_TIMEOUT_US 500000
 /* Consecutive plan requests without a reply before a request ends.  */
 #define MAX_PLAN_TIMEOUTS 2
 
@@ -99,9 +104,10 @@
     mq_str_unref (request->avoid[--request->n_avoid]);
 }
 
-/* Request the next plan, or queue REQUEST for a later window.  */
-static void
-stream_replan (mq_entry *entry, mq_request *request)
+/* Returns true if REQUEST may be replanned in this window.  Otherwise it is
+   queued for a later one.  */
+static bool
+stream_enter_window (mq_entry *entry, mq_request *request)
 {
   if (entry->now_us >= entry->replan_window_start_us + REPLAN_WINDOW_US)
     {
@@ -111,12 +117,101 @@
   if (entry->replans < REPLAN_BURST && entry->queued->len == 0)
     {
       entry->replans++;
-      mq_stream_request_plan (entry, request);
-      return;
+      return true;
     }
   entry->counters.queued_replans++;
-  mq_entry_set_state (entry, request, MQ_REQUEST_QUEUED);
   g_ptr_array_add (entry->queued, request);
+  return false;
+}
+
+/* Request the next plan, or queue REQUEST for a later window.  */
+static void
+stream_replan (mq_entry *entry, mq_request *request)
+{
+  if (stream_enter_window (entry, request))
+    mq_stream_request_plan (entry, request);
+  else
+    mq_entry_set_state (entry, request, MQ_REQUEST_QUEUED);
+}
+
+/* Ask the planner for ATTEMPT of REQUEST.  */
+static void
+stream_ask_planner (mq_entry *entry, mq_request *request, uint32_t attempt)
+{
+  mq_entry_action *a;
+  mq_plan_request *plan_request;
+
+  request->plan_requested_us = entry->now_us;
+  request->expected_tokens = mq_answer_lengths_expect (
+      entry->lengths, mq_str_span (request->service), request->max_tokens);
+  if (attempt > 1)
+    entry->counters.replans++;
+  a = mq_entry_emit (entry, request, MQ_ENTRY_REQUEST_PLAN);
+  a->attempt = attempt;
+  plan_request = &a->u.request;
+  plan_request->id = request->id;
+  plan_request->attempt = attempt;
+  plan_request->service = mq_str_span (request->service);
+  plan_request->organisation = mq_str_span (request->organisation);
+  plan_request->prompt_tokens = request->prompt_tokens;
+  plan_request->sent_tokens = request->tokens;
+  plan_request->max_tokens = request->max_tokens - request->tokens;
+  plan_request->priority = request->priority;
+  plan_request->deadline_us = mq_request_remaining_us (request, entry->now_us);
+  plan_request->prefix_hash = request->prefix_hash;
+  plan_request->n_avoid = request->n_avoid;
+  for (uint32_t i = 0; i < request->n_avoid; i++)
+    plan_request->avoid[i] = mq_str_span (request->avoid[i]);
+}
+
+static void
+stream_release_replacement (mq_entry *entry, const mq_request *request)
+{
+  mq_entry_action *a = mq_entry_emit (entry, request, MQ_ENTRY_RELEASE_PLAN);
+
+  a->attempt = request->replacement_attempt;
+  a->u.release.id = request->id;
+  a->u.release.attempt = request->replacement_attempt;
+  a->u.release.end = MQ_ATTEMPT_CANCELLED;
+  a->u.release.stage = MQ_STAGE_NONE;
+}
+
+/* Stop looking for a replacement of the current attempt.  */
+static void
+stream_withdraw_replacement (mq_entry *entry, mq_request *request)
+{
+  switch (request->replacement)
+    {
+    case MQ_REPLACEMENT_QUEUED:
+      g_ptr_array_remove_fast (entry->queued, request);
+      break;
+    case MQ_REPLACEMENT_PLANNING:
+      stream_release_replacement (entry, request);
+      break;
+    case MQ_REPLACEMENT_NONE:
+    case MQ_REPLACEMENT_BACKING_OFF:
+      break;
+    }
+  request->replacement = MQ_REPLACEMENT_NONE;
+}
+
+static void
+stream_request_replacement (mq_entry *entry, mq_request *request)
+{
+  request->replacement = MQ_REPLACEMENT_PLANNING;
+  request->replacement_attempt = ++request->last_attempt;
+  request->replacement_due_us = entry->now_us + REPLACEMENT_PLAN_TIMEOUT_US;
+  stream_ask_planner (entry, request, request->replacement_attempt);
+}
+
+/* Look for a replacement of the current attempt, which goes on.  */
+static void
+stream_seek_replacement (mq_entry *entry, mq_request *request)
+{
+  if (stream_enter_window (entry, request))
+    stream_request_replacement (entry, request);
+  else
+    request->replacement = MQ_REPLACEMENT_QUEUED;
 }
 
 /* End REQUEST as done: the caller has the complete answer.  */
@@ -187,6 +282,7 @@
   d.lost = failure.end;
   d.stage = failure.stage;
   mq_decision_log_add (entry->decisions, &d);
+  stream_withdraw_replacement (entry, request);
   if (failure.still_open && !mq_defect_enabled (MQ_DEFECT_STREAM_LEFT_OPEN))
     mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
   if (!failure.not_run)
@@ -215,16 +311,23 @@
   return MQ_STAGE_NONE;
 }
 
-/* Back off before the next plan request, for at least half of the time that
-   the planner named.  */
-static void
-stream_back_off (mq_entry *entry, mq_request *request, uint64_t retry_after_us)
+/* Returns how long to wait before the next plan request: at least half of the
+   time that the planner named.  */
+static uint64_t
+stream_back_off_us (mq_entry *entry, mq_request *request,
+                    uint64_t retry_after_us)
 {
   uint64_t wait_us = mq_backoff_us (&entry->random, request->backoffs++,
                                     BACKOFF_BASE_US, BACKOFF_MAX_US);
 
-  wait_us = MAX (wait_us, MIN (retry_after_us, BACKOFF_MAX_US) / 2);
-  request->resume_us = entry->now_us + wait_us;
+  return MAX (wait_us, MIN (retry_after_us, BACKOFF_MAX_US) / 2);
+}
+
+static void
+stream_back_off (mq_entry *entry, mq_request *request, uint64_t retry_after_us)
+{
+  request->resume_us
+      = entry->now_us + stream_back_off_us (entry, request, retry_after_us);
   stream_clear_avoided (request);
   mq_entry_set_state (entry, request, MQ_REQUEST_BACKING_OFF);
 }
@@ -305,6 +408,12 @@
          || mq_defect_enabled (MQ_DEFECT_LAYER_GAP_ALLOWED);
 }
 
+static bool
+stream_plan_is_old (const mq_entry *entry, const mq_request *request)
+{
+  return entry->now_us - request->plan_requested_us > PLAN_LIFETIME_US;
+}
+
 /* Reject a plan that does not fit.  The planner of another router may use an
    older or newer configuration, so back off and retry, unless the model no
    longer has the version of the tokens already delivered.  */
@@ -324,33 +433,63 @@
 void
 mq_stream_request_plan (mq_entry *entry, mq_request *request)
 {
-  mq_entry_action *a;
-  mq_plan_request *plan_request;
-
-  request->attempt++;
+  request->attempt = ++request->last_attempt;
   request->attempt_tokens = 0;
   request->plan_held = true;
-  request->plan_requested_us = entry->now_us;
-  request->expected_tokens = mq_answer_lengths_expect (
-      entry->lengths, mq_str_span (request->service), request->max_tokens);
-  if (request->attempt > 1)
-    entry->counters.replans++;
   mq_entry_set_state (entry, request, MQ_REQUEST_PLANNING);
-  a = mq_entry_emit (entry, request, MQ_ENTRY_REQUEST_PLAN);
-  plan_request = &a->u.request;
-  plan_request->id = request->id;
-  plan_request->attempt = request->attempt;
-  plan_request->service = mq_str_span (request->service);
-  plan_request->organisation = mq_str_span (request->organisation);
-  plan_request->prompt_tokens = request->prompt_tokens;
-  plan_request->sent_tokens = request->tokens;
-  plan_request->max_tokens = request->max_tokens - request->tokens;
-  plan_request->priority = request->priority;
-  plan_request->deadline_us = mq_request_remaining_us (request, entry->now_us);
-  plan_request->prefix_hash = request->prefix_hash;
-  plan_request->n_avoid = request->n_avoid;
-  for (uint32_t i = 0; i < request->n_avoid; i++)
-    plan_request->avoid[i] = mq_str_span (request->avoid[i]);
+  stream_ask_planner (entry, request, request->attempt);
+}
+
+/* Keep the current attempt, and ask for a replacement again later.  */
+static void
+stream_delay_replacement (mq_entry *entry, mq_request *request,
+                          uint64_t retry_after_us)
+{
+  request->replacement = MQ_REPLACEMENT_BACKING_OFF;
+  request->replacement_due_us
+      = entry->now_us + stream_back_off_us (entry, request, retry_after_us);
+  mq_entry_set_state (entry, request, request->state);
+}
+
+/* End the current attempt, which is silent, and open its replacement by the
+   plan of EVENT.  */
+static void
+stream_replace (mq_entry *entry, mq_request *request,
+                const mq_entry_event *event)
+{
+  mq_decision d = mq_entry_decision (entry, request, MQ_DECISION_MOVED);
+
+  d.lost = MQ_ATTEMPT_STAGE_STALLED;
+  d.stage = MQ_STAGE_NONE;
+  mq_decision_log_add (entry->decisions, &d);
+  if (!mq_defect_enabled (MQ_DEFECT_STREAM_LEFT_OPEN))
+    mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
+  request->may_have_run = true;
+  stream_release (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE);
+  request->replacement = MQ_REPLACEMENT_NONE;
+  request->attempt = request->replacement_attempt;
+  request->attempt_tokens = 0;
+  request->plan_held = true;
+  mq_request_note_plan (request, &event->u.planned.figures);
+  mq_plan_finish (&request->plan);
+  mq_plan_copy (&request->plan, event->u.planned.plan);
+  mq_stream_open (entry, request);
+}
+
+static void
+stream_replacement_planned (mq_entry *entry, mq_request *request,
+                            const mq_entry_event *event)
+{
+  if (!event->u.planned.admitted)
+    stream_delay_replacement (entry, request, event->u.planned.retry_after_us);
+  else if (!stream_plan_fits (entry, request, event->u.planned.plan)
+           || stream_plan_is_old (entry, request))
+    {
+      stream_release_replacement (entry, request);
+      stream_delay_replacement (entry, request, 0);
+    }
+  else
+    stream_replace (entry, request, event);
 }
 
 void
@@ -359,6 +498,12 @@
 {
   const mq_plan *plan = event->u.planned.plan;
 
+  if (request->replacement == MQ_REPLACEMENT_PLANNING
+      && event->attempt == request->replacement_attempt)
+    {
+      stream_replacement_planned (entry, request, event);
+      return;
+    }
   if (request->state != MQ_REQUEST_PLANNING
       || event->attempt != request->attempt)
     {
@@ -390,7 +535,7 @@
   mq_entry_action *a;
   mq_decision d;
 
-  if (entry->now_us - request->plan_requested_us > PLAN_LIFETIME_US)
+  if (stream_plan_is_old (entry, request))
     {
       stream_release (entry, request, MQ_ATTEMPT_CANCELLED, MQ_STAGE_NONE);
       mq_stream_request_plan (entry, request);
@@ -428,6 +573,7 @@
 {
   if (!mq_request_has_open_attempt (request))
     return;
+  stream_withdraw_replacement (entry, request);
   mq_request_set_back_pressure (request, active, entry->now_us);
   mq_entry_set_state (entry, request, request->state);
 }
@@ -493,6 +639,7 @@
       return;
     }
   request->backoffs = 0;
+  stream_withdraw_replacement (entry, request);
   mq_request_note_token (request, entry->now_us);
   if (request->attempt_tokens == 1)
     mq_entry_set_state (entry, request, MQ_REQUEST_STREAMING);
@@ -584,39 +731,72 @@
   return request->state_since_us + stall;
 }
 
+/* Returns when the search for a replacement of REQUEST's attempt continues. */
+static uint64_t
+stream_replacement_due_us (const mq_entry *entry, const mq_request *request)
+{
+  switch (request->replacement)
+    {
+    case MQ_REPLACEMENT_NONE:
+      return request->back_pressure ? UINT64_MAX
+                                    : stream_stall_us (entry, request);
+    case MQ_REPLACEMENT_PLANNING:
+    case MQ_REPLACEMENT_BACKING_OFF:
+      return request->replacement_due_us;
+    case MQ_REPLACEMENT_QUEUED:
+      break;
+    }
+  return UINT64_MAX;
+}
+
 uint64_t
 mq_stream_due_us (const mq_entry *entry, const mq_request *request)
 {
-  uint64_t due
-      = request->back_pressure ? UINT64_MAX : stream_stall_us (entry, request);
+  uint64_t due;
 
   if (mq_request_is_complete (request))
     return request->state_since_us + FINAL_LINE_TIMEOUT_US;
+  due = stream_replacement_due_us (entry, request);
   if (mq_entry_uses_deadline_routing (entry))
     due = MIN (due, mq_request_deadline_unreachable_us (request) + 1);
   return due;
 }
 
+/* The attempt of REQUEST is silent.  It may still go on, so it is kept until a
+   replacement is planned.  */
+static void
+stream_on_silence (mq_entry *entry, mq_request *request)
+{
+  switch (request->replacement)
+    {
+    case MQ_REPLACEMENT_NONE:
+      entry->counters.stalls++;
+      /* The first engine does not show which stage hangs, so avoid them
+         all.  */
+      stream_avoid_all (request);
+      stream_seek_replacement (entry, request);
+      break;
+    case MQ_REPLACEMENT_PLANNING:
+      stream_release_replacement (entry, request);
+      stream_delay_replacement (entry, request, 0);
+      break;
+    case MQ_REPLACEMENT_BACKING_OFF:
+      stream_seek_replacement (entry, request);
+      break;
+    case MQ_REPLACEMENT_QUEUED:
+      break;
+    }
+}
+
 void
 mq_stream_on_timer (mq_entry *entry, mq_request *request)
 {
   if (mq_request_is_complete (request))
-    {
-      stream_finish (entry, request);
-      return;
-    }
-  if (stream_is_deadline_unreachable (entry, request))
-    {
-      mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
-      return;
-    }
-  entry->counters.stalls++;
-  /* The first engine does not show which stage hangs, so avoid them all.  */
-  stream_avoid_all (request);
-  stream_abandon_attempt (entry, request,
-                          (stream_failure){ .end = MQ_ATTEMPT_STAGE_STALLED,
-                                            .stage = MQ_STAGE_NONE,
-                                            .still_open = true });
+    stream_finish (entry, request);
+  else if (stream_is_deadline_unreachable (entry, request))
+    mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
+  else
+    stream_on_silence (entry, request);
 }
 
 void
@@ -650,6 +830,7 @@
     }
   if (request->state == MQ_REQUEST_QUEUED)
     g_ptr_array_remove_fast (entry->queued, request);
+  stream_withdraw_replacement (entry, request);
   stream_release (entry, request,
                   outcome == MQ_OUTCOME_DONE ? MQ_ATTEMPT_DONE
                                              : MQ_ATTEMPT_CANCELLED,
@@ -669,6 +850,18 @@
   return x->id.sequence < y->id.sequence ? -1 : 1;
 }
 
+static void
+stream_replan_now (mq_entry *entry, mq_request *request)
+{
+  if (request->state == MQ_REQUEST_QUEUED)
+    mq_stream_request_plan (entry, request);
+  else
+    {
+      stream_request_replacement (entry, request);
+      mq_entry_set_state (entry, request, request->state);
+    }
+}
+
 void
 mq_stream_replan_queued (mq_entry *entry)
 {
@@ -683,7 +876,7 @@
   n = MIN (queued->len, REPLAN_BURST);
   entry->replans = n;
   for (guint i = 0; i < n; i++)
-    mq_stream_request_plan (entry, g_ptr_array_index (queued, i));
+    stream_replan_now (entry, g_ptr_array_index (queued, i));
   g_ptr_array_remove_range (queued, 0, n);
 }
 
--- a/programs/marjoramquay/status.c
+++ b/programs/marjoramquay/status.c
@@ -121,7 +121,7 @@
                "Requests that were accepted and missed their deadline.",
                c->late);
   counter_set (router, "marjoramquay_stalls_total", "",
-               "Streams given up because no token came in time.", c->stalls);
+               "Streams that sent no token in time.", c->stalls);
   counter_set (router, "marjoramquay_replans_total", "",
                "Plans asked for after a stage was lost.", c->replans);
   counter_set (router, "marjoramquay_retries_total", "",
--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -67,6 +67,8 @@
                                stand-in.  */
   std::string whole_engine; /* URL of an engine with all layers that replaces
                                the stand-ins.  */
+  std::vector<std::string> other_engines; /* URLs of more engines with all
+                                             layers beside it.  */
 };
 
 /* A router's response to a completion request.  */
@@ -299,6 +301,10 @@
 
     if (!options_.whole_engine.empty ())
       text += engine_entry ("whole", options_.whole_engine, 0, layers);
+    for (size_t i = 0; i < options_.other_engines.size (); i++)
+      text += ","
+              + engine_entry ("other" + std::to_string (i),
+                              options_.other_engines[i], 0, layers);
     for (size_t i = 0; i < engines_.size (); i++)
       {
         unsigned stage = (unsigned)(i % stages);
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -18,6 +18,28 @@
   return all;
 }
 
+/* Opens a stream with a deadline far beyond the stall timeout, which has sent
+   two tokens.  */
+void
+open_long (Driver &d)
+{
+  mq_call c = d.model_call ();
+
+  c.deadline_us = 60 * SECOND;
+  d.open (1, c);
+  d.tokens (1, 1, 0, 2);
+}
+
+/* Tick until a plan is requested.  */
+void
+tick_until_plan_request (Driver &d)
+{
+  for (int i = 0; i < 100 && d.count (MQ_ENTRY_REQUEST_PLAN) == 0
+                  && mq_entry_in_flight (d.entry) > 0;
+       i++)
+    d.tick ();
+}
+
 /* Complete enough answers for the entry to learn their length.  */
 void
 learn_answer_length (Driver &d, uint32_t tokens)
@@ -172,19 +194,135 @@
   d.expect_end (MQ_OUTCOME_FAILED, MQ_REASON_NO_PIPELINE);
 }
 
-TEST (EntryStream, ReplansAfterStall)
+/* A silent attempt goes on until a plan for its replacement is there.  */
+TEST (EntryStream, ReplacesSilentAttemptOncePlanned)
 {
   Driver d;
+  Plan other (3);
 
-  d.open (1, d.model_call ());
-  d.tokens (1, 1, 0, 2);
+  open_long (d);
   d.tick_at (d.now + 1000 * MS - 1);
   EXPECT_EQ (d.actions->len, 0u);
   d.tick_at (d.now + 1);
-  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
-  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.stage, MQ_STAGE_NONE);
+  EXPECT_EQ (d.actions->len, 1u);
   EXPECT_EQ (avoided (d.find (MQ_ENTRY_REQUEST_PLAN).u.request), "e0 e1 e2 ");
   EXPECT_EQ (d.counters ().stalls, 1u);
+  d.planned (1, 2, &other.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_CANCEL_STREAM).attempt, 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.stage, MQ_STAGE_NONE);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_STAGE_STALLED);
+  EXPECT_EQ (d.find (MQ_ENTRY_OPEN_STREAM).attempt, 2u);
+  EXPECT_EQ (d.find (MQ_ENTRY_OPEN_STREAM).u.open.sent_tokens, 2u);
+  d.tokens (1, 2, 2, MAX_TOKENS);
+  d.stream_end (1, 2, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+}
+
+/* Guards against ending the run of an engine that is only silent, when there
+   is no replacement for it.  */
+TEST (EntryStream, SilentAttemptOutlivesRefusedReplacement)
+{
+  for (mq_reason reason :
+       { MQ_REASON_OVERLOADED, MQ_REASON_NO_PIPELINE,
+         MQ_REASON_DEADLINE_UNREACHABLE, MQ_REASON_UNKNOWN_SERVICE })
+    {
+      Driver d;
+
+      open_long (d);
+      for (uint32_t attempt = 2; attempt < 30; attempt++)
+        {
+          tick_until_plan_request (d);
+          EXPECT_EQ (avoided (d.find (MQ_ENTRY_REQUEST_PLAN).u.request),
+                     "e0 e1 e2 ");
+          d.refused (1, attempt, reason);
+          EXPECT_EQ (d.actions->len, 0u);
+        }
+      d.tokens (1, 1, 2, MAX_TOKENS);
+      d.stream_end (1, 1, MQ_STREAM_DONE);
+      d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+      EXPECT_EQ (d.counters ().stalls, 1u);
+    }
+}
+
+TEST (EntryStream, TokenWithdrawsReplacementOfSilentAttempt)
+{
+  Driver d;
+  Plan other (3);
+
+  open_long (d);
+  tick_until_plan_request (d);
+  EXPECT_EQ (d.count (MQ_ENTRY_REQUEST_PLAN), 1u);
+  d.token (1, 1, 2);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.attempt, 2u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_CANCELLED);
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 1u);
+  d.planned (1, 2, &other.plan);
+  EXPECT_EQ (d.actions->len, 0u);
+  tick_until_plan_request (d);
+  EXPECT_EQ (d.find (MQ_ENTRY_REQUEST_PLAN).u.request.attempt, 3u);
+}
+
+TEST (EntryStream, UnansweredReplacementIsRequestedAgain)
+{
+  Driver d;
+
+  open_long (d);
+  tick_until_plan_request (d);
+  EXPECT_EQ (d.count (MQ_ENTRY_REQUEST_PLAN), 1u);
+  d.tick ();
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.attempt, 2u);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 0u);
+  tick_until_plan_request (d);
+  EXPECT_EQ (d.find (MQ_ENTRY_REQUEST_PLAN).u.request.attempt, 3u);
+}
+
+TEST (EntryStream, LostSilentAttemptIsReplannedAtOnce)
+{
+  Driver d;
+  Plan other (3);
+
+  open_long (d);
+  tick_until_plan_request (d);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 2u);
+  EXPECT_EQ (d.find (MQ_ENTRY_REQUEST_PLAN).u.request.attempt, 3u);
+  d.planned (1, 2, &other.plan);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.planned (1, 3, &other.plan);
+  EXPECT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u);
+}
+
+TEST (EntryStream, DisconnectedCallerReleasesReplacement)
+{
+  Driver d;
+
+  open_long (d);
+  tick_until_plan_request (d);
+  d.send_event (MQ_ENTRY_CALLER_DISCONNECTED, 1);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_RELEASE_PLAN), 2u);
+}
+
+/* Guards against counting silence as a lost attempt.  */
+TEST (EntryStream, SilentAttemptsDoNotEndRequest)
+{
+  Driver d;
+
+  open_long (d);
+  for (uint32_t attempt = 2; attempt < 20; attempt++)
+    {
+      Plan p (attempt % 2 * 3);
+
+      tick_until_plan_request (d);
+      d.planned (1, attempt, &p.plan);
+      ASSERT_EQ (d.count (MQ_ENTRY_OPEN_STREAM), 1u);
+    }
+  d.tokens (1, 19, 2, MAX_TOKENS);
+  d.stream_end (1, 19, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
 }
 
 TEST (EntryStream, EachTokenPostponesStallTimeout)
