Bound the tokens in a row that a stream may repeat

What callers saw (native mode): a stream whose engine sent tokens without end that the caller had, or beyond the last, stood still until the stall timeout, and without another engine until its deadline; the router read and decoded all of it meanwhile.

Cause: such tokens were dropped and counted, without a bound.

Change: after as many in a row as the caller has tokens, and 64, the attempt counts as wrong and is replaced. An engine that repeats the whole answer once is tolerated.

--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -96,6 +96,7 @@
   uint64_t first_token_at_us;      /* Of the current attempt.  */
   uint64_t last_token_at_us;       /* Of the current attempt.  */
   uint32_t gaps[MQ_REQUEST_GAP_SAMPLES]; /* Last gaps between tokens, us.  */
+  uint32_t ignored_tokens;      /* Dropped in a row in the current attempt.  */
   uint32_t attempt_tokens;      /* Delivered in the current attempt.  */
   uint32_t expected_tokens;     /* In the complete answer; 0: not known.  */
   uint64_t plan_requested_us;   /* When its plan was requested.  */
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -33,6 +33,9 @@
 #define FIRST_TOKEN_TIMEOUT_FACTOR 3
 /* Timeout for the plan of a replacement.  */
 #define REPLACEMENT_PLAN_TIMEOUT_US 500000
+/* Tokens in a row that are not the next one, beyond those that the caller has,
+   before the attempt counts as wrong.  */
+#define MAX_IGNORED_TOKENS 64
 /* Consecutive plan requests without a reply before a request ends.  */
 #define MAX_PLAN_TIMEOUTS 2
 
@@ -548,6 +551,7 @@
     }
   entry->counters.streams++;
   request->opened_us = entry->now_us;
+  request->ignored_tokens = 0;
   request->back_pressure = false;
   mq_entry_set_state (entry, request, MQ_REQUEST_OPENING);
   a = mq_entry_emit (entry, request, MQ_ENTRY_OPEN_STREAM);
@@ -599,6 +603,18 @@
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
 }
 
+/* Drop a token that the caller has, or that is beyond the last.  */
+static void
+stream_ignore_token (mq_entry *entry, mq_request *request)
+{
+  entry->counters.duplicate_tokens++;
+  if (++request->ignored_tokens > request->tokens + MAX_IGNORED_TOKENS)
+    stream_abandon_attempt (entry, request,
+                            (stream_failure){ .end = MQ_ATTEMPT_STAGE_WRONG,
+                                              .stage = 0,
+                                              .still_open = true });
+}
+
 void
 mq_stream_token (mq_entry *entry, mq_request *request,
                  const mq_entry_event *event)
@@ -614,7 +630,7 @@
   if ((position < request->tokens || position >= request->max_tokens)
       && !mq_defect_enabled (MQ_DEFECT_POSITION_NOT_COMPARED))
     {
-      entry->counters.duplicate_tokens++;
+      stream_ignore_token (entry, request);
       return;
     }
   request->seen_running = true;
@@ -639,6 +655,7 @@
       return;
     }
   request->backoffs = 0;
+  request->ignored_tokens = 0;
   stream_withdraw_replacement (entry, request);
   mq_request_note_token (request, entry->now_us);
   if (request->attempt_tokens == 1)
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -111,6 +111,26 @@
   EXPECT_EQ (d.counters ().duplicate_tokens, 1u);
 }
 
+/* Guards against a stream of tokens without end that the caller has already,
+   while some may come from the attempt before.  */
+TEST (EntryStream, ReplansAfterDoubledTokensWithoutEnd)
+{
+  Driver d;
+
+  open_long (d);
+  for (int i = 0; i < 3; i++)
+    for (uint32_t p = 0; p < 2; p++)
+      d.token (1, 1, p);
+  EXPECT_EQ (d.actions->len, 0u);
+  d.token (1, 1, 2);
+  for (int i = 0; i < 1000 && d.count (MQ_ENTRY_REQUEST_PLAN) == 0; i++)
+    d.token (1, 1, i % 2 ? 0 : MAX_TOKENS);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_RELEASE_PLAN).u.release.end,
+             MQ_ATTEMPT_STAGE_WRONG);
+  EXPECT_EQ (d.count (MQ_ENTRY_REQUEST_PLAN), 1u);
+}
+
 TEST (EntryStream, ReplansWhenPositionIsSkipped)
 {
   Driver d;
