End a stream from an engine by the size of what is no part of it

What callers saw (native mode): an engine that answered a stream's request with an error and a body without end, or sent empty lines or lines of other streams without end, held the request until the stall timeout, or until its deadline where no other engine was there. The router read all of it as fast as it came.

Cause: the adapter dropped what it had no use for, without a bound: an error's body beyond 4 KiB, empty lines, lines of other streams.

Change: an error's body beyond 4 KiB, and 1 MiB of such lines between two lines of the stream, end the attempt as malformed, so that the request is served elsewhere.

--- a/packages/net/engine_stream.c
+++ b/packages/net/engine_stream.c
@@ -13,6 +13,10 @@
 /* A response with a longer line is malformed.  */
 #define MAX_LINE_BYTES ((size_t)64 * 1024)
 #define MAX_ERROR_BODY_BYTES 4096
+/* Empty lines and lines of other streams between two lines of this one.  Lines
+   of a cancelled attempt may still come, but no more than fit into buffers on
+   the way.  */
+#define MAX_FOREIGN_BYTES ((size_t)1024 * 1024)
 #define CONNECT_TIMEOUT_MS 500
 /* The first engine ends a stream at its deadline; the router aborts it this
    much later.  */
@@ -24,9 +28,10 @@
   mq_engine_line_reader *reader;
   mq_str *request;
   uint32_t attempt;
-  GString *partial; /* An incomplete line, or the body of an error.  */
-  unsigned status;  /* 0 before the headers arrive.  */
-  bool ended;       /* The last event was reported, or it was cancelled.  */
+  GString *partial;     /* An incomplete line, or the body of an error.  */
+  size_t foreign_bytes; /* Since the last line of this stream.  */
+  unsigned status;      /* 0 before the headers arrive.  */
+  bool ended; /* The last event was reported, or it was cancelled.  */
   bool in_sink;
   mq_engine_stream_sink sink;
   void *context;
@@ -96,6 +101,21 @@
          && mq_span_equal (line->request, mq_str_span (stream->request));
 }
 
+static void
+stream_fail_malformed (mq_engine_stream *stream)
+{
+  stream_fail (stream, (mq_send_failure){ .maybe_sent = true });
+}
+
+/* Count bytes that belong to no line of this stream.  */
+static void
+stream_count_foreign (mq_engine_stream *stream, size_t n)
+{
+  stream->foreign_bytes += n;
+  if (stream->foreign_bytes > MAX_FOREIGN_BYTES)
+    stream_fail_malformed (stream);
+}
+
 static void
 stream_handle_line (mq_engine_stream *stream, mq_span text)
 {
@@ -103,15 +123,17 @@
 
   if (mq_engine_line_read (stream->reader, text, &line) < 0)
     {
-      stream_fail (stream, (mq_send_failure){ .maybe_sent = true });
+      stream_fail_malformed (stream);
       return;
     }
   if (!stream_matches (stream, &line))
     {
       if (stream->dropped != NULL)
         ++*stream->dropped;
+      stream_count_foreign (stream, text.size + 1);
       return;
     }
+  stream->foreign_bytes = 0;
   switch (line.kind)
     {
     case MQ_ENGINE_LINE_TOKEN:
@@ -140,13 +162,15 @@
         }
       if (line.size > MAX_LINE_BYTES)
         {
-          stream_fail (stream, (mq_send_failure){ .maybe_sent = true });
+          stream_fail_malformed (stream);
           return;
         }
       if (newline == NULL)
         return;
       if (line.size > 0)
         stream_handle_line (stream, line);
+      else
+        stream_count_foreign (stream, 1);
       g_string_truncate (stream->partial, 0);
       data.data += n + 1;
       data.size -= n + 1;
@@ -166,7 +190,9 @@
 static void
 stream_append_error_body (mq_engine_stream *stream, mq_span data)
 {
-  if (stream->partial->len + data.size <= MAX_ERROR_BODY_BYTES)
+  if (stream->partial->len + data.size > MAX_ERROR_BODY_BYTES)
+    stream_fail_malformed (stream);
+  else
     g_string_append_len (stream->partial, data.data, (gssize)data.size);
 }
 
--- a/tests/support/programs.h
+++ b/tests/support/programs.h
@@ -111,6 +111,20 @@
     return "http://" + address ();
   }
 
+  /* Returns the most memory that the program has had resident, in KiB.  */
+  size_t
+  peak_kib () const
+  {
+    std::ifstream file ("/proc/" + std::to_string (pid_) + "/status");
+    const std::string key = "VmHWM:";
+    std::string line;
+
+    while (std::getline (file, line))
+      if (line.compare (0, key.size (), key) == 0)
+        return std::stoul (line.substr (key.size ()));
+    return 0;
+  }
+
   void
   kill (int signal)
   {
--- a/tests/support/raw_upstream.h
+++ b/tests/support/raw_upstream.h
@@ -42,21 +42,23 @@
   return true;
 }
 
-/* Sends UNIT again and again until the peer closes the connection or BYTES
-   are sent; waits for PAUSE_MS after each.  Returns the bytes sent.  */
-inline size_t
-send_without_end (int fd, const std::string &unit, size_t bytes,
-                  unsigned pause_ms = 0)
+/* Sends UNIT again and again, with PAUSE_MS after each, until BYTES are sent;
+   is silent then until the peer closes the connection.  */
+inline void
+flood_until_closed (int fd, const std::string &unit, size_t bytes,
+                    unsigned pause_ms)
 {
-  size_t sent = 0;
+  char byte;
 
-  while (sent < bytes && send_all (fd, unit))
+  for (size_t sent = 0; sent < bytes; sent += unit.size ())
     {
-      sent += unit.size ();
+      if (!send_all (fd, unit))
+        return;
       if (pause_ms > 0)
         sleep_ms (pause_ms);
     }
-  return sent;
+  while (recv (fd, &byte, 1, 0) > 0)
+    continue;
 }
 
 inline std::string
