Don't end a stream that has begun for attempts that no engine accepted

What callers saw (native mode): a stream that had sent tokens ended with upstream-failed while its engine was silent, when other engines reset new connections for a second or two.

Cause: a request ends after eight lost attempts, also where no engine accepted any of them. Engines that reset or refuse new connections for a moment use them up at once.

Change: once a request has sent tokens, only attempts that an engine accepted count. The others still make their engine back off at the planner, and a refusal of the planner makes the request back off, so that attempts are few; a request that crashes engines is stopped by the quarantine as before.

EntryStream.UnacceptedAttemptsDoNotEndRequestThatHasBegun guards the same.

--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -276,6 +276,15 @@
     mq_entry_suspect (entry, request, request->plan.stages[failure.stage].url);
 }
 
+/* Returns true if the end of the current attempt counts among the lost ones.
+   An engine that does not even accept it is no reason to end a request that
+   has begun.  */
+static bool
+stream_counts_as_lost (const mq_request *request)
+{
+  return request->state == MQ_REQUEST_STREAMING || !request->seen_running;
+}
+
 static void
 stream_abandon_attempt (mq_entry *entry, mq_request *request,
                         stream_failure failure)
@@ -290,7 +299,8 @@
     mq_entry_emit (entry, request, MQ_ENTRY_CANCEL_STREAM);
   if (!failure.not_run)
     request->may_have_run = true;
-  request->lost_attempts++;
+  if (stream_counts_as_lost (request))
+    request->lost_attempts++;
   stream_suspect (entry, request, failure);
   stream_avoid (request, failure.stage);
   stream_release (entry, request, failure.end, failure.stage);
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -459,6 +459,28 @@
   d.expect_end (MQ_OUTCOME_UNKNOWN, MQ_REASON_UPSTREAM_FAILED);
 }
 
+/* Guards against ending a request that has begun for attempts that no engine
+   accepted.  */
+TEST (EntryStream, UnacceptedAttemptsDoNotEndRequestThatHasBegun)
+{
+  Driver d;
+  Plan p;
+
+  open_long (d);
+  d.failed (MQ_ENTRY_STREAM_FAILED, 1, 1, true);
+  for (uint32_t attempt = 2; attempt < 13; attempt++)
+    {
+      d.planned (1, attempt, &p.plan);
+      d.failed (MQ_ENTRY_STREAM_FAILED, 1, attempt, true);
+      ASSERT_EQ (d.count (MQ_ENTRY_REQUEST_PLAN), 1u);
+    }
+  d.planned (1, 13, &p.plan);
+  d.send_event (MQ_ENTRY_STREAM_OPEN, 1, 13);
+  d.tokens (1, 13, 2, MAX_TOKENS);
+  d.stream_end (1, 13, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+}
+
 TEST (EntryStream, OutcomeAtDeadlineTellsWhetherRequestRan)
 {
   Driver d;
--- a/tests/test_silent_upstream.cc
+++ b/tests/test_silent_upstream.cc
@@ -159,6 +159,43 @@
   expect_whole (fetch (testbed.completion ("a", 20, true)), 20);
 }
 
+/* Guards against ending a request that has begun for the connections that
+   other engines reset while its own engine is silent.  */
+TEST (SilentUpstream, ResetReplacementsDoNotEndRequest)
+{
+  std::atomic<int64_t> until_us{ 0 };
+  auto serve = [&] (const Stream &s) {
+    bool silent = g_get_monotonic_time () < until_us;
+
+    if (silent)
+      {
+        raw_upstream::reset_on_close (s.fd);
+        return;
+      }
+    s.begin ();
+    if (s.sent == 0)
+      {
+        s.tokens (0, 10);
+        until_us = g_get_monotonic_time () + 1900000;
+        sleep_ms (1900);
+      }
+    s.tokens (10, 20);
+    s.end ();
+  };
+  std::vector<std::unique_ptr<Engine> > engines;
+  Options o;
+
+  for (int i = 0; i < 12; i++)
+    engines.emplace_back (new Engine (serve));
+  o.whole_engine = engines[0]->url ();
+  for (int i = 1; i < 12; i++)
+    o.other_engines.push_back (engines[i]->url ());
+  o.policy = deployment::quoted ("{ 'stall_ms': 100 }");
+  Deployment testbed (o);
+  ASSERT_TRUE (testbed.ready ());
+  expect_whole (fetch (testbed.completion ("a", 20, true)), 20);
+}
+
 /* A silent engine is replaced where another one can take the stream.  */
 TEST (SilentUpstream, AnotherEngineTakesOverFromSilentOne)
 {
