--- a/tests/test_endless_upstream.cc
+++ b/tests/test_endless_upstream.cc
@@ -255,3 +255,50 @@
 
 INSTANTIATE_TEST_SUITE_P (All, LastingCall, testing::ValuesIn (lasting),
                           flood_name);
+
+namespace
+{
+
+class EndlessReport : public testing::TestWithParam<Flood>
+{
+};
+
+} // namespace
+
+/* One engine floods the router in place of its reports; the other's are read
+   and requests are served by it.  */
+TEST_P (EndlessReport, OtherEngineServes)
+{
+  Flood flood = GetParam ();
+  std::atomic<unsigned> floods{ 0 };
+  Upstream flooding ([&] (int fd, const std::string &) {
+    floods++;
+    send_all (fd, flood.start);
+    flood_until_closed (fd, flood.unit, offered_bytes, flood.pause_ms);
+  });
+  Engine engine ([] (const Stream &s) {
+    s.begin ();
+    s.tokens (s.sent, 20);
+    s.end ();
+  });
+  Options o;
+
+  o.whole_engine = flooding.url ();
+  o.other_engines = { engine.url () };
+  Deployment testbed (o);
+  ASSERT_TRUE (testbed.ready ());
+  size_t before = testbed.router ().peak_kib ();
+  ASSERT_TRUE (programs::eventually ([&] { return floods >= 3; }));
+  for (int i = 0; i < 5; i++)
+    {
+      Reply r = fetch (testbed.completion ("a", 20, true));
+
+      EXPECT_EQ (deployment::read_events (r.body).text,
+                 raw_upstream::text (20));
+    }
+  EXPECT_LT (testbed.router ().peak_kib (), before + memory_kib);
+}
+
+INSTANTIATE_TEST_SUITE_P (Bodies, EndlessReport,
+                          testing::Values (bodies[0], lasting[0], lasting[1]),
+                          flood_name);
