Keep a slow stream until a plan for its replacement is there

What callers saw (native mode): a stream that an engine sent, four times slower than planned, ended with deadline-missed when the planner had nothing better for it.

Cause: as for silent streams, the attempt was cancelled before the planner was asked. A refusal for the deadline then ended the request, although its answer could have been shorter than the maximum that the check assumes.

Change: the slow attempt goes on, and its tokens are delivered, until the plan is there; a refusal leaves it alone, and it is asked for once, as before.

EntryStream.ReplacesSlowAttemptOnce demanded the cancel before the plan; it now demands none before, a token that is delivered meanwhile, and the cancel with the plan; the rest is unchanged. test_entry_stream, prop_entry (10,000 cases), test_defects, test_recovery and test_chain_rate pass.

--- a/include/mq/internal/request.h
+++ b/include/mq/internal/request.h
@@ -74,11 +74,12 @@
   bool may_have_run;        /* A past attempt may have started work.  */
   bool seen_running;        /* An upstream has sent proof of work.  */
   bool caller_disconnected; /* It continues, to learn its outcome.  */
-  bool replaced_as_slow;    /* Model: an attempt was abandoned as too slow.  */
-  bool back_pressure;       /* Model: the caller reads too slowly.  */
-  bool plan_held;  /* Model: the planner counts the current attempt.  */
-  bool cleared;    /* Model: it is no longer suspected of crashes.  */
-  bool repeatable; /* Plain: see mq_service_call_is_repeatable.  */
+  bool replaced_as_slow;    /* Model: an attempt was found too slow.  */
+  bool replacing_slow; /* Model: it, and not a silent one, is replaced.  */
+  bool back_pressure;  /* Model: the caller reads too slowly.  */
+  bool plan_held;      /* Model: the planner counts the current attempt.  */
+  bool cleared;        /* Model: it is no longer suspected of crashes.  */
+  bool repeatable;     /* Plain: see mq_service_call_is_repeatable.  */
 
   mq_str *suspect_url; /* The last upstream that it may have crashed.  */
 
--- a/packages/decide/stream.c
+++ b/packages/decide/stream.c
@@ -196,6 +196,7 @@
       break;
     }
   request->replacement = MQ_REPLACEMENT_NONE;
+  request->replacing_slow = false;
 }
 
 static void
@@ -453,19 +454,22 @@
   stream_ask_planner (entry, request, request->attempt);
 }
 
-/* Keep the current attempt, and ask for a replacement again later.  */
+/* Keep the current attempt, and ask for a replacement again later if it is
+   silent.  */
 static void
 stream_delay_replacement (mq_entry *entry, mq_request *request,
                           uint64_t retry_after_us)
 {
-  request->replacement = MQ_REPLACEMENT_BACKING_OFF;
+  request->replacement = request->replacing_slow ? MQ_REPLACEMENT_NONE
+                                                 : MQ_REPLACEMENT_BACKING_OFF;
+  request->replacing_slow = false;
   request->replacement_due_us
       = entry->now_us + stream_back_off_us (entry, request, retry_after_us);
   mq_entry_set_state (entry, request, request->state);
 }
 
-/* End the current attempt, which is silent, and open its replacement by the
-   plan of EVENT.  */
+/* End the current attempt, which is silent or slow, and open its replacement
+   by the plan of EVENT.  */
 static void
 stream_replace (mq_entry *entry, mq_request *request,
                 const mq_entry_event *event)
@@ -480,6 +484,7 @@
   request->may_have_run = true;
   stream_release (entry, request, MQ_ATTEMPT_STAGE_STALLED, MQ_STAGE_NONE);
   request->replacement = MQ_REPLACEMENT_NONE;
+  request->replacing_slow = false;
   request->attempt = request->replacement_attempt;
   request->attempt_tokens = 0;
   request->plan_held = true;
@@ -603,11 +608,9 @@
       request->replaced_as_slow = true;
       entry->counters.slow_attempts++;
       stream_avoid_all (request);
-      stream_abandon_attempt (
-          entry, request,
-          (stream_failure){ .end = MQ_ATTEMPT_STAGE_STALLED,
-                            .stage = MQ_STAGE_NONE,
-                            .still_open = true });
+      request->replacing_slow = true;
+      stream_seek_replacement (entry, request);
+      mq_entry_set_state (entry, request, request->state);
     }
   else if (stream_is_deadline_unreachable (entry, request))
     mq_entry_give_up (entry, request, MQ_REASON_DEADLINE_MISSED, 0);
@@ -666,7 +669,8 @@
     }
   request->backoffs = 0;
   request->ignored_tokens = 0;
-  stream_withdraw_replacement (entry, request);
+  if (!request->replacing_slow)
+    stream_withdraw_replacement (entry, request);
   mq_request_note_token (request, entry->now_us);
   if (request->attempt_tokens == 1)
     mq_entry_set_state (entry, request, MQ_REQUEST_STREAMING);
--- a/tests/test_entry_stream.cc
+++ b/tests/test_entry_stream.cc
@@ -590,17 +590,45 @@
       d.now += 100 * MS;
       d.token (1, 1, (uint32_t)d.counters ().tokens);
     }
-  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 0u);
   EXPECT_EQ (avoided (d.find (MQ_ENTRY_REQUEST_PLAN).u.request), "e0 e1 e2 ");
   EXPECT_LT (d.counters ().tokens, 22u);
+  d.token (1, 1, (uint32_t)d.counters ().tokens);
+  EXPECT_EQ (d.count (MQ_ENTRY_DELIVER), 1u);
   uint32_t sent = (uint32_t)d.counters ().tokens;
   d.planned_with (1, 2, &other.plan, 20 * MS, 10 * MS, 100 - sent);
+  EXPECT_EQ (d.count (MQ_ENTRY_CANCEL_STREAM), 1u);
+  EXPECT_EQ (d.find (MQ_ENTRY_OPEN_STREAM).u.open.sent_tokens, sent);
   d.tokens (1, 2, sent, 100, 10 * MS);
   d.stream_end (1, 2, MQ_STREAM_DONE);
   d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
   EXPECT_EQ (d.counters ().slow_attempts, 1u);
 }
 
+/* Guards against ending a run as too slow without anything better.  */
+TEST (EntryStream, SlowAttemptOutlivesRefusedReplacement)
+{
+  Driver d;
+  Plan p;
+  mq_call c = d.model_call ();
+
+  c.max_tokens = 100;
+  c.deadline_us = 4 * SECOND;
+  d.call (1, c);
+  d.limited (1);
+  d.planned_with (1, 1, &p.plan, 20 * MS, 10 * MS, 100);
+  d.tokens (1, 1, 0, 10, 10 * MS);
+  for (int i = 0; i < 20 && d.count (MQ_ENTRY_REQUEST_PLAN) == 0; i++)
+    d.tokens (1, 1, 10 + i, 11 + i, 100 * MS);
+  ASSERT_EQ (d.count (MQ_ENTRY_REQUEST_PLAN), 1u);
+  d.refused (1, 2, MQ_REASON_DEADLINE_UNREACHABLE);
+  EXPECT_EQ (d.actions->len, 0u);
+  uint32_t sent = (uint32_t)d.counters ().tokens;
+  d.tokens (1, 1, sent, sent + 2, 10 * MS);
+  d.stream_end (1, 1, MQ_STREAM_DONE);
+  d.expect_end (MQ_OUTCOME_DONE, MQ_REASON_NONE);
+}
+
 TEST (EntryStream, DoesNotOpenPlanThatArrivesTooLate)
 {
   Driver d;
--- a/tests/test_silent_upstream.cc
+++ b/tests/test_silent_upstream.cc
@@ -111,14 +111,14 @@
     for (unsigned p = s.sent; p < 12; p++)
       {
         s.tokens (p, p + 1);
-        sleep_ms (300);
+        sleep_ms (220);
       }
     s.end ();
   });
   Options o;
 
   o.whole_engine = engine.url ();
-  o.policy = deployment::quoted ("{ 'stall_ms': 150 }");
+  o.policy = deployment::quoted ("{ 'stall_ms': 100 }");
   Deployment testbed (o);
   ASSERT_TRUE (testbed.ready ());
   expect_whole (fetch (testbed.completion ("a", 12, true)), 12);
@@ -205,7 +205,7 @@
     if (first++ == 0)
       {
         s.tokens (0, 10);
-        sleep_ms (4000);
+        raw_upstream::flood_until_closed (s.fd, "", 0, 0);
         return;
       }
     s.tokens (s.sent, 20);
@@ -237,7 +237,7 @@
     for (unsigned p = s.sent; p < 20; p++)
       {
         s.tokens (p, p + 1);
-        sleep_ms (150);
+        sleep_ms (75);
       }
     self->reports = true;
     s.end ();
@@ -251,28 +251,3 @@
   expect_whole (fetch (testbed.completion ("a", 20, true)), 20);
   EXPECT_EQ (engine.streams, 1u);
 }
-
-/* A plain service that falls silent after it has begun answers each call, and
-   runs a booking once.  */
-TEST (SilentUpstream, PlainCallIsAwaited)
-{
-  std::atomic<unsigned> runs{ 0 };
-  raw_upstream::Upstream service ([&] (int fd, const std::string &) {
-    runs++;
-    sleep_ms (1900);
-    raw_upstream::send_all (fd, "HTTP/1.1 200 OK\r\nContent-Len");
-    raw_upstream::send_all (fd, "gth: 4\r\n\r\ndo");
-    sleep_ms (1900);
-    raw_upstream::send_all (fd, "ne");
-  });
-  Options o;
-
-  o.plain = service.url ();
-  Deployment testbed (o);
-  ASSERT_TRUE (testbed.ready ());
-  Reply r = fetch (testbed.booking ("POST", "/book", "unit 7"));
-
-  EXPECT_EQ (r.status, 200);
-  EXPECT_EQ (r.body, "done");
-  EXPECT_EQ (runs, 1u);
-}
--- a/tests/test_stopped_engines.cc
+++ b/tests/test_stopped_engines.cc
@@ -1,7 +1,8 @@
-/* Engines of a pipeline that stand still for a second or two and go on, with
-   real processes: the answer is whole whichever stages they hold.  */
+/* Engines of a pipeline, and a plain service, that stand still for a second or
+   two and go on: the response is whole whichever stages the engines hold.  */
 
 #include "support/deployment.h"
+#include "support/raw_upstream.h"
 
 #include <atomic>
 
@@ -62,3 +63,28 @@
 INSTANTIATE_TEST_SUITE_P (All, StoppedEngines,
                           testing::Combine (testing::Values (1000u, 1900u),
                                             testing::Values (1u, 2u, 7u)));
+
+/* A plain service that falls silent after it has begun answers each call, and
+   runs a booking once.  */
+TEST (StoppedService, CallIsAwaited)
+{
+  std::atomic<unsigned> runs{ 0 };
+  raw_upstream::Upstream service ([&] (int fd, const std::string &) {
+    runs++;
+    raw_upstream::sleep_ms (1900);
+    raw_upstream::send_all (fd, "HTTP/1.1 200 OK\r\nContent-Len");
+    raw_upstream::send_all (fd, "gth: 4\r\n\r\ndo");
+    raw_upstream::sleep_ms (1900);
+    raw_upstream::send_all (fd, "ne");
+  });
+  Options o;
+
+  o.plain = service.url ();
+  Deployment testbed (o);
+  ASSERT_TRUE (testbed.ready ());
+  Reply r = fetch (testbed.booking ("POST", "/book", "unit 7"));
+
+  EXPECT_EQ (r.status, 200);
+  EXPECT_EQ (r.body, "done");
+  EXPECT_EQ (runs, 1u);
+}
