Make only a silent run a standby

What callers saw: a 200 without the engine's signature, passed on as a success (MIXED), when an engine sends an unsigned head and its events later, and no other engine takes the stream. Cause: each run whose connection was open was kept as a standby when its request was sent elsewhere, also one that was given up because its response is unsigned, out of order, or without an end; when the retry failed, the request returned to it, and the signature is checked at the head only. A head that came after the run was left was not checked at all.

Now only a run that is silent is kept, and it is dropped if its response can't serve: no success, or unsigned. With it: a request that has returned to its run stays there for 0.3 s, as a refusal that is not foreseen (quarantine, budget) could let it leave and return at each tick; a resumed run does not take the engine of another run off those that ran the request; the head of a standby's response ends its silence.

A head that comes after the parking has no test of its own.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -129,6 +129,9 @@
    missing.  Valid until the sink returns.  */
 mq_span mq_http_call_header (const mq_http_call *call, const char *name);
 
+/* Returns the status of the response, 0 before it is received.  */
+unsigned mq_http_call_status (const mq_http_call *call);
+
 /* Returns the status line and all headers of the response.  Valid until the
    sink returns.  */
 mq_span mq_http_call_head (const mq_http_call *call);
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -359,6 +359,7 @@
                               leaves if that stays silent and it can be sent
                               elsewhere: the reason for the log.  Static; NULL:
                               nothing does.  */
+  uint64_t stay_until_us;  /* It leaves no silent run before.  */
   mq_standby *standby;     /* A silent run that it left (gateway_standby.h),
                               owned; NULL: none.  */
   mq_http_call *call;      /* Borrowed; NULL between sends.  */
@@ -580,6 +581,10 @@
    event.  */
 bool mq_forward_run_has_begun (const mq_forward *forward);
 bool mq_gateway_status_is_success (unsigned status);
+/* Returns true if the response of CALL, whose head has arrived, may serve
+   FORWARD: a signed success.  */
+bool mq_gateway_response_may_serve (const mq_forward *forward,
+                                    const mq_http_call *call);
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
 
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -38,6 +38,10 @@
    than most gaps between two events.  */
 #define MIN_SILENCE_US ((uint64_t)50 * 1000)
 
+/* A request that has returned to a silent run stays there for this long, so
+   that it doesn't leave for the same refusal at each tick.  */
+#define STAY_US ((uint64_t)300 * 1000)
+
 /* Reason of a send that ended only because it was silent for so long.  */
 #define WHY_SILENT "silent"
 
@@ -301,6 +305,7 @@
   if (!mq_standby_resume (forward, "retry-failed"))
     return false;
   forward->stalled_why = why;
+  forward->stay_until_us = mq_gateway_now_us () + STAY_US;
   return true;
 }
 
@@ -357,7 +362,10 @@
   forward_log_elements (f, end);
   if (open)
     mq_gateway_count_left_run (f->gateway, why);
-  if (open && v.verb == MQ_FORWARD_RETRY)
+  /* A run that is broken, or whose response can't serve, is given up.  */
+  if (open && v.verb == MQ_FORWARD_RETRY && end == MQ_SEND_TIMED_OUT
+      && (mq_http_call_head (f->call).size == 0
+          || mq_gateway_response_may_serve (f, f->call)))
     mq_standby_park (f, strcmp (why, WHY_SILENT) == 0);
   mq_forward_drop_send (f);
   mq_forward_release_path (f);
--- a/packages/gateway/gateway_placement.c
+++ b/packages/gateway/gateway_placement.c
@@ -457,8 +457,10 @@
         && !mq_gateway_urgency_yields (forward);
 
   forward->state.now_us = now_us;
-  return mq_forward_decide (&forward->state, MQ_SEND_TIMED_OUT, 0, budget).verb
-         == MQ_FORWARD_RETRY;
+  return now_us >= forward->stay_until_us
+         && mq_forward_decide (&forward->state, MQ_SEND_TIMED_OUT, 0, budget)
+                    .verb
+                == MQ_FORWARD_RETRY;
 }
 
 /* Returns true if an instance that FORWARD was not sent to would take it.  */
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -89,14 +89,28 @@
 }
 
 static bool
-answer_is_signed (const mq_forward *forward)
+call_is_signed (const mq_forward *forward, const mq_http_call *call)
 {
-  return mq_http_call_header (forward->call,
+  return mq_http_call_header (call,
                               forward->gateway->dialect->headers.signature)
              .size
          > 0;
 }
 
+static bool
+answer_is_signed (const mq_forward *forward)
+{
+  return call_is_signed (forward, forward->call);
+}
+
+bool
+mq_gateway_response_may_serve (const mq_forward *forward,
+                               const mq_http_call *call)
+{
+  return mq_gateway_status_is_success (mq_http_call_status (call))
+         && call_is_signed (forward, call);
+}
+
 /* ---- Streams.  */
 
 bool
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -100,6 +100,7 @@
   f->waits_for_budget = false;
   f->awaits_reach = false;
   f->unsent_tries = 0;
+  f->added_to_ran = false;
   mq_gateway_count_resumed_run (f->gateway, why);
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.run-resumed",
@@ -144,18 +145,6 @@
   return found;
 }
 
-/* Returns true if EVENT, of the call of a standby of FORWARD, belongs to a
-   response that may serve the request.  */
-static bool
-response_may_serve (const mq_forward *forward,
-                    const mq_http_client_event *event)
-{
-  mq_span signature = mq_http_call_header (
-      event->call, forward->gateway->dialect->headers.signature);
-
-  return mq_gateway_status_is_success (event->status) && signature.size > 0;
-}
-
 /* Keep DATA of the standby's response.  Returns true if its run goes on.  */
 static bool
 standby_keep (mq_forward *forward, mq_span data)
@@ -199,15 +188,17 @@
     case MQ_HTTP_CLIENT_HEADERS:
       mq_gateway_note_response (f->gateway, s->upstream, event, s->sent_us,
                                 true);
+      s->received_us = mq_gateway_now_us ();
+      if (!mq_gateway_response_may_serve (f, event->call))
+        mq_standby_drop (f);
       return false;
     case MQ_HTTP_CLIENT_DATA:
-      if (!response_may_serve (f, event) || !standby_keep (f, event->data))
+      if (!standby_keep (f, event->data))
         return false;
       event->data.size = 0;
       return mq_standby_resume (f, "response");
     case MQ_HTTP_CLIENT_END:
-      if (f->route->kind != MQ_ROUTE_STREAM && event->result == MQ_HTTP_OK
-          && response_may_serve (f, event))
+      if (f->route->kind != MQ_ROUTE_STREAM && event->result == MQ_HTTP_OK)
         return mq_standby_resume (f, "response");
       standby_end (f, event);
       return false;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -664,6 +664,12 @@
   return (mq_span){ NULL, 0 };
 }
 
+unsigned
+mq_http_call_status (const mq_http_call *call)
+{
+  return call->status;
+}
+
 mq_span
 mq_http_call_head (const mq_http_call *call)
 {
