--- a/tests/support/endless_fixture.h
+++ b/tests/support/endless_fixture.h
@@ -129,8 +129,7 @@
     configure (1, "," + long_route ("/long-safe/", "safe", "app") + ","
                       + long_route ("/long-unsafe/", "unsafe", "app") + ","
                       + long_route ("/long-stream/", "streaming", "model"));
-    std::string text
-        = settings_text (base, "vm-1", "http://" + store.server.address ());
+    std::string text = settings_text (base, "vm-1", "http://" + store_address);
     text.insert (text.find ("\"region\""), "\"memory_mb\":260,");
     router_process = std::make_unique<gateway::RouterProcess> (text);
     ASSERT_TRUE (until ([&] {
@@ -210,6 +209,7 @@
     return router_process->log ().find (text) != std::string::npos;
   }
 
+  std::string store_address = store.server.address (); /* The router's.  */
   std::vector<std::unique_ptr<EndlessEngine> > engines;
   std::unique_ptr<gateway::RouterProcess> router_process;
   size_t start_kib = 0;
