--- a/tests/test_endless_control.cc
+++ b/tests/test_endless_control.cc
@@ -62,7 +62,7 @@
     sound = true;
     for (auto &e : engines)
       expect_sound (*e);
-    /* Each is asked until it reports soundly.  */
+    /* They are asked until as many sound reports have come.  */
     EXPECT_TRUE (until ([&] { return sound_reports >= engines.size (); }));
     expect_streams (4);
     engines.clear (); /* SERVE's variables end here.  */
