--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -2,7 +2,8 @@
    and final response.
 
    A forward exists from the complete request to the complete response, or
-   until its client disconnects.  At most one send is in progress.
+   until its client disconnects.  At most one send is in progress,
+   beside a silent run that was left and may go on (gateway_standby.c).
    mq_forward_decide decides what follows the end of a send.  */
 
 #include <mq/internal/gateway.h>
