review: case 4 shows that a second router is ended, too

Cause: with a restart 0.5 s after its end the same router led each time; with 1 s another one leads meanwhile, and is ended by the same entry.

--- a/review/standins-2/case4.cc
+++ b/review/standins-2/case4.cc
@@ -11,7 +11,7 @@
 constexpr unsigned LAYERS = 80;
 constexpr double ENTRY_S = 0.5; /* The other writer writes, after ready.  */
 constexpr double WATCH_S = 30;  /* Time for which the routers are watched.  */
-constexpr double RESTART_S = 0.5; /* Delay of the platform's restarts.  */
+constexpr double RESTART_S = 1.0; /* Delay of the platform's restarts.  */
 constexpr unsigned MACHINES = 3;
 constexpr unsigned ENGINES = 3;
 constexpr unsigned CLIENTS = 4; /* Of each machine.  */
