--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -961,19 +961,19 @@
   NOT_RUN = 2
 };
 
-/* What each script has: its folder, a temporary one, a store, and a block of
-   loopback addresses that no other run uses.  */
+/* What each script has: its record, a temporary folder, a store, and a block
+   of loopback addresses that no other run uses.  */
 class Script
 {
 public:
-  explicit Script (const std::string &folder)
+  explicit Script (const std::string &record)
   {
     char path[] = "/tmp/mq-review-XXXXXX";
     const char *t = std::getenv ("TROUBLE");
 
     start_time ();
     signal (SIGPIPE, SIG_IGN);
-    Record::get ().open (folder + "/record.txt");
+    Record::get ().open (record);
     temporary = mkdtemp (path) != nullptr ? path : "";
     trouble = t == nullptr || std::string (t) != "0";
     base_ = "127." + std::to_string (20 + getpid () / 250 % 200) + "."
