--- a/review/standins-2/case6.cc
+++ b/review/standins-2/case6.cc
@@ -19,7 +19,7 @@
 int
 main (int argc, char **argv)
 {
-  Script s (argc > 1 ? argv[1] : ".");
+  Script s (argc > 1 ? argv[1] : "record.txt");
   Engine engine;
   Router *router;
   std::vector<std::thread> threads;
