platform: an entry of another writer names no engine

Cause: the decoder of entries asked for service, address, zone and state alone. All else had a fallback: a member that was missing, of another type or out of range became 0, a real number its whole part, and 64 bits were cut to 32 without a word.

Every entry states service, address, zone, version, slots, state, coldRemainingMs and sequence, and every model engine kind, stage, models and layers, null for none; born is there on some deployments only. No whole number of a configuration is written as a real one.

An entry must state what all engines state; what else is in it is not used, as before. Of a report the count of orders, busy, born and layers decide; a number of the load that is wrong is left out and logged. A report that states no layers says nothing of them, where it counted as none. A configuration with a number that is wrong is unusable as a whole, and the last one stays in force. A model has at most 1,024 layers.

Tests: UsersPlatform.RejectsEntriesOfOtherWriters and .RejectsConfigurationsWith InvalidNumbers fail before. The stand-ins of the tests now write whole entries.

Conclusion: what an entry must say has one owner, and no number is cut.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -63,8 +63,12 @@
   uint64_t kv_used;     /* Tokens times layers that can't be evicted.  */
   uint64_t kv_total;    /* Capacity, in tokens times layers.  */
   uint64_t orders;      /* Orders that this incarnation has accepted.  */
-  unsigned layer_first; /* Layers held: [layer_first, layer_end).  */
+  uint64_t born_ms;     /* As in mq_upstream_facts.  */
+  bool has_layers;      /* It states what layers the engine holds: ...  */
+  unsigned layer_first; /* ... [layer_first, layer_end).  */
   unsigned layer_end;
+  char *left_out;  /* What is wrong with a member that is left out; NULL if
+                      nothing is.  Owned.  */
   bool busy;       /* It is carrying out an order.  */
   double slowdown; /* Ratio to its nominal step time; above 1: slower.  */
   GPtrArray *stalled_addresses; /* char *: addresses of engines that requests
--- a/include/mq/routing.h
+++ b/include/mq/routing.h
@@ -56,6 +56,16 @@
   double prefill_factor; /* On the time of prefill.  */
 } mq_card;
 
+/* Bounds what a search over the ranges of a model's layers allocates.  */
+#define MQ_MODEL_MAX_LAYERS 1024
+
+/* Layers [first, end); none when they are equal.  */
+typedef struct mq_layer_range
+{
+  unsigned first;
+  unsigned end;
+} mq_layer_range;
+
 /* The model whose layers the engines of a service share.  A step computes one
    token of each request in the batch.  */
 typedef struct mq_layered_model
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -43,8 +43,9 @@
 {
   uint64_t now = mq_gateway_now_us ();
 
-  if (mq_registry_set_layers (&gateway->registry, upstream,
-                              report->layer_first, report->layer_end, now))
+  if (report->has_layers
+      && mq_registry_set_layers (&gateway->registry, upstream,
+                                 report->layer_first, report->layer_end, now))
     mq_gateway_propagate_layers (gateway, upstream);
   mq_layer_order_reported (upstream, report->orders, report->busy, now);
   gateway->orders_due = true;
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -30,7 +30,13 @@
   GError *error = NULL;
 
   if (call->gateway->dialect->report_decode (body, report, &error) == 0)
-    return 0;
+    {
+      if (report->left_out != NULL)
+        mq_log (G_LOG_LEVEL_WARNING, "upstream.report-incomplete",
+                "upstream=%s error=%s", mq_str_cstr (call->upstream->facts.id),
+                mq_log_quote (report->left_out));
+      return 0;
+    }
   mq_log (G_LOG_LEVEL_WARNING, "upstream.report-unusable",
           "upstream=%s error=%s", mq_str_cstr (call->upstream->facts.id),
           mq_log_quote (error->message));
--- a/tests/support/endless_engine.h
+++ b/tests/support/endless_engine.h
@@ -5,6 +5,7 @@
 #ifndef MQ_TESTS_ENDLESS_ENGINE_H
 #define MQ_TESTS_ENDLESS_ENGINE_H
 
+#include "entry_text.h"
 #include "loopback_listener.h"
 
 #include <algorithm>
@@ -86,11 +87,11 @@
   {
     std::string s = "{\"service\":\"" + service + "\",\"address\":\"" + address
                     + "\",\"zone\":\"" + domain
-                    + "\",\"slots\":40,\"state\":\"ready\"";
+                    + "\",\"slots\":40,\"state\":\"ready\""
+                    + gateway::entry_common;
 
     if (service == "model")
-      s += ",\"kind\":\"big\",\"layers\":{\"from\":0,\"target\":80,"
-           "\"version\":1}";
+      s += gateway::engine_members ("big", 0, 80);
     return s + "}";
   }
 
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -5,6 +5,7 @@
 #ifndef MQ_TESTS_GATEWAY_STANDINS_H
 #define MQ_TESTS_GATEWAY_STANDINS_H
 
+#include "entry_text.h"
 #include <mq/http_client.h>
 #include <mq/http_server.h>
 
@@ -211,7 +212,7 @@
     std::string s = "{\"service\":\"" + service + "\",\"address\":\""
                     + server.address () + "\",\"zone\":\"" + domain
                     + "\",\"slots\":8,\"state\":\""
-                    + (draining ? "draining" : "ready") + "\"";
+                    + (draining ? "draining" : "ready") + "\"" + entry_common;
 
     if (!card.empty ())
       s += ",\"kind\":\"" + card
--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -4,6 +4,7 @@
 #ifndef MQ_TESTS_RAW_ENGINE_H
 #define MQ_TESTS_RAW_ENGINE_H
 
+#include "entry_text.h"
 #include "gateway_standins.h"
 #include "loopback_listener.h"
 
@@ -29,9 +30,8 @@
   entry () const
   {
     return "{\"service\":\"model\",\"address\":\"" + address + "\",\"zone\":\""
-           + domain
-           + "\",\"slots\":8,\"state\":\"ready\",\"kind\":\"big\",\"layers\":"
-             "{\"from\":0,\"target\":80,\"version\":1}}";
+           + domain + "\",\"slots\":8,\"state\":\"ready\"" + entry_common
+           + engine_members ("big", 0, 80) + "}";
   }
 
   /* Accept connections and handle what has arrived.  A request for a report is
--- a/tests/support/silent_engine.h
+++ b/tests/support/silent_engine.h
@@ -7,6 +7,7 @@
 #ifndef MQ_TESTS_SILENT_ENGINE_H
 #define MQ_TESTS_SILENT_ENGINE_H
 
+#include "entry_text.h"
 #include "gateway_standins.h"
 
 #include <arpa/inet.h>
@@ -72,12 +73,12 @@
   entry () const
   {
     std::string s = "{\"service\":\"" + service + "\",\"address\":\"" + address
-                    + "\",\"zone\":\"" + domain + "\",\"slots\":"
-                    + std::to_string (slots) + ",\"state\":\"ready\"";
+                    + "\",\"zone\":\"" + domain
+                    + "\",\"slots\":" + std::to_string (slots)
+                    + ",\"state\":\"ready\"" + gateway::entry_common;
 
     if (end > 0)
-      s += ",\"kind\":\"big\",\"layers\":{\"from\":" + std::to_string (first)
-           + ",\"target\":" + std::to_string (end) + ",\"version\":1}";
+      s += gateway::engine_members ("big", first, end);
     return s + "}";
   }
 
--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -6,7 +6,9 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <map>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -51,6 +53,48 @@
 namespace
 {
 
+/* The error of decoding an engine's entry whose MEMBER is VALUE, or is left
+   out if VALUE is empty; "" if there is none.  */
+std::string
+entry_error (const std::string &member, const std::string &value)
+{
+  std::map<std::string, std::string> members
+      = { { "service", "\"s\"" },
+          { "address", "\"10.0.0.1:80\"" },
+          { "zone", "\"z\"" },
+          { "version", "\"v1\"" },
+          { "slots", "8" },
+          { "state", "\"ready\"" },
+          { "coldRemainingMs", "0" },
+          { "sequence", "1" },
+          { "kind", "\"h100\"" },
+          { "stage", "\"both\"" },
+          { "models", "[]" },
+          { "layers", "{\"from\":0,\"target\":8,\"version\":1}" } };
+  std::string entry = "{";
+  std::string message;
+  mq_upstream_facts f;
+  GError *error = nullptr;
+
+  if (!member.empty ())
+    members[member] = value;
+  for (auto &m : members)
+    if (!m.second.empty ())
+      entry += (entry.size () > 1 ? "," : "") + ("\"" + m.first + "\":")
+               + m.second;
+  entry += "}";
+  if (mq_users_platform.upstream_decode (MQ_SPAN ("i-1"), span (entry), &f,
+                                         &error)
+      == 0)
+    {
+      mq_upstream_facts_finish (&f);
+      return "";
+    }
+  message = error->message;
+  g_error_free (error);
+  return message;
+}
+
 /* Decodes the notice of a response with the header lines HEADERS.  */
 mq_upstream_notice
 notice (const std::string &headers, bool valid = true, unsigned status = 200)
@@ -204,9 +248,11 @@
   ASSERT_EQ (mq_users_platform.upstream_decode (
                  MQ_SPAN ("i-1"),
                  MQ_SPAN ("{\"service\":\"one\",\"address\":\"10.0.0.1:80\","
-                          "\"zone\":\"z\",\"slots\":192,\"state\":"
-                          "\"draining\",\"sequence\":44,\"kind\":\"h100\","
-                          "\"layers\":{\"from\":20,\"target\":31}}"),
+                          "\"zone\":\"z\",\"version\":\"v1\",\"slots\":192,"
+                          "\"state\":\"draining\",\"sequence\":44,"
+                          "\"coldRemainingMs\":0,\"stage\":\"both\","
+                          "\"models\":[],\"kind\":\"h100\",\"layers\":"
+                          "{\"from\":20,\"target\":31,\"version\":1}}"),
                  &f, nullptr),
              0);
   EXPECT_STREQ (f.id->data, "i-1");
@@ -258,27 +304,53 @@
     }
 }
 
-/* An entry with invalid layers must decode as an engine that holds none.  */
-TEST (UsersPlatform, InvalidLayersMeanNoLayers)
+/* An entry that lacks a member which every engine states, or states it as
+   another type or out of range, is not an engine's.  If it were used, the plan
+   would count layers that nobody holds.  */
+TEST (UsersPlatform, RejectsEntriesOfOtherWriters)
 {
-  for (const char *layers :
-       { "null", "7", "[]", "[3]", "\"x\"", "{\"from\":\"a\",\"target\":[]}" })
-    {
-      mq_upstream_facts f;
-      std::string text
-          = "{\"service\":\"s\",\"address\":\"10.0.0.1:80\","
-            "\"zone\":\"z\",\"state\":\"ready\",\"born\":\"?\",\"layers\":"
-            + std::string (layers) + "}";
-
-      ASSERT_EQ (
-          mq_users_platform.upstream_decode (
-              MQ_SPAN ("i-1"), mq_span_from (text.c_str ()), &f, nullptr),
-          0)
-          << layers;
-      EXPECT_EQ (f.layer_first, f.layer_end) << layers;
-      EXPECT_EQ (f.born_ms, 0u);
-      mq_upstream_facts_finish (&f);
-    }
+  const std::map<std::string, std::vector<std::string> > bad = {
+    { "service", { "", "7", "null" } },
+    { "address", { "", "7" } },
+    { "zone", { "", "{}" } },
+    { "version", { "", "1" } },
+    { "slots", { "", "\"8\"", "-1", "1.5", "4294967296" } },
+    { "state", { "", "7", "\"resting\"" } },
+    { "coldRemainingMs", { "", "\"0\"", "-1", "null" } },
+    { "sequence", { "", "1.0", "-1", "\"1\"" } },
+    { "born", { "\"?\"", "1.5", "-1", "1e300", "[]" } },
+    { "kind", { "", "7", "null" } },
+    { "stage", { "", "7" } },
+    { "models", { "", "{}", "null" } },
+    { "layers",
+      { "", "7", "[3]", "\"x\"", "{}", "{\"from\":\"a\",\"target\":[]}",
+        "{\"from\":70.0e9,\"target\":71.75e9}", "{\"from\":0,\"target\":9.0}",
+        "{\"from\":-1,\"target\":9}", "{\"from\":0,\"target\":4294967376}",
+        "{\"from\":9,\"target\":8}", "{\"target\":9}", "{\"from\":0}" } },
+  };
+
+  ASSERT_EQ (entry_error ("", ""), "");
+  for (auto &member : bad)
+    for (auto &value : member.second)
+      {
+        std::string error = entry_error (member.first, value);
+
+        EXPECT_NE (error.find ("entry." + member.first) == std::string::npos
+                       ? error.find (member.first + ".")
+                       : 0u,
+                   std::string::npos)
+            << member.first << ":" << value << ": " << error;
+      }
+}
+
+/* Engines that hold no layers state null, and that of a plain service states
+   no member of an engine.  */
+TEST (UsersPlatform, EntryWithoutLayersIsUsable)
+{
+  EXPECT_EQ (entry_error ("layers", "null"), "");
+  EXPECT_EQ (entry_error ("layers", "[]"), "");
+  EXPECT_EQ (entry_error ("born", "1700000000000"), "");
+  EXPECT_EQ (entry_error ("coldRemainingMs", "0.5"), "");
 }
 
 /* The member of the same name in an entry counts heartbeats.  If that were
@@ -307,6 +379,85 @@
              -1);
 }
 
+/* The count of orders and the layers of an engine decide on orders.  */
+TEST (UsersPlatform, RejectsReportsWithInvalidState)
+{
+  for (const char *bad :
+       { "\"sequence\":1.0", "\"sequence\":-1", "\"sequence\":\"1\"",
+         "\"sequence\":1,\"busy\":\"no\"", "\"sequence\":1,\"born\":1.5",
+         "\"sequence\":1,\"layers\":7",
+         "\"sequence\":1,\"layers\":{\"from\":0,\"target\":4294967376}",
+         "\"sequence\":1,\"layers\":{\"from\":9,\"target\":8}" })
+    {
+      std::string text = "{" + std::string (bad) + "}";
+      GError *error = nullptr;
+      mq_engine_report r;
+
+      EXPECT_EQ (mq_users_platform.report_decode (span (text), &r, &error), -1)
+          << text;
+      ASSERT_NE (error, nullptr) << text;
+      g_error_free (error);
+    }
+}
+
+/* A number of the load that is invalid is left out, and said to be, rather
+   than cut to fewer bits.  */
+TEST (UsersPlatform, ReportTellsOfInvalidLoad)
+{
+  mq_engine_report r;
+
+  ASSERT_EQ (mq_users_platform.report_decode (
+                 MQ_SPAN ("{\"sequence\":2,\"waiting\":4294967297,"
+                          "\"running\":3,\"layers\":null}"),
+                 &r, nullptr),
+             0);
+  EXPECT_EQ (r.waiting, 0u);
+  EXPECT_EQ (r.running, 3u);
+  EXPECT_TRUE (r.has_layers);
+  ASSERT_NE (r.left_out, nullptr);
+  EXPECT_NE (strstr (r.left_out, "waiting"), nullptr) << r.left_out;
+  mq_users_platform.report_finish (&r);
+  ASSERT_EQ (mq_users_platform.report_decode (MQ_SPAN ("{\"sequence\":2}"), &r,
+                                              nullptr),
+             0);
+  EXPECT_FALSE (r.has_layers);
+  EXPECT_EQ (r.left_out, nullptr);
+  mq_users_platform.report_finish (&r);
+}
+
+/* A number that does not fit must not be cut: 4294967297 ms were taken for 1
+   ms, and a model of 4294967295 layers ended the process.  */
+TEST (UsersPlatform, RejectsConfigurationsWithInvalidNumbers)
+{
+  const std::string text (configuration);
+
+  for (auto &change : std::vector<std::pair<std::string, std::string> >{
+           { "\"timeoutMs\": 20000", "\"timeoutMs\": 4294967297" },
+           { "\"timeoutMs\": 20000", "\"timeoutMs\": 20000.5" },
+           { "\"timeoutMs\": 20000", "\"timeoutMs\": \"20000\"" },
+           { "\"timeoutMs\": 20000", "\"timeoutMs\": -1" },
+           { "\"layers\": 80", "\"layers\": 4294967295" },
+           { "\"layers\": 80", "\"layers\": 1025" },
+           { "\"layers\": 80", "\"layers\": 80.5" },
+           { "\"layerMb\": 1750", "\"layerMb\": -1750" },
+           { "\"version\": 7", "\"version\": 7.5" } })
+    {
+      std::string bad = text;
+      GError *error = nullptr;
+      size_t at = bad.find (change.first);
+
+      ASSERT_NE (at, std::string::npos) << change.first;
+      bad.replace (at, change.first.size (), change.second);
+      EXPECT_EQ (mq_users_platform.routing_decode (span (bad), &error),
+                 nullptr)
+          << change.second;
+      ASSERT_NE (error, nullptr) << change.second;
+      EXPECT_NE (strstr (error->message, ": expected "), nullptr)
+          << error->message;
+      g_error_free (error);
+    }
+}
+
 TEST (UsersPlatform, OrderCarriesItsPrecondition)
 {
   GString *out = g_string_new (nullptr);
