route: layers that a model does not have are held by nobody

Cause: the range that an engine states was compared with the model in the search for paths alone. The plan took it as it was: mq_plan_cover_is_at_least read, and mq_plan_domain_mark_spares wrote, past the end of an array over the model's layers, and the question whether a service is loaded counted it. The same range comes from an entry, a report, a peer's message and an order for an earlier model, so that a check of entries alone leaves the others.

Change: mq_layered_model_range is the one owner of "which layers of this model are these"; plan, orders, paths and views ask it. An engine with other layers counts as one that holds nothing, so that after a change of the model a sound engine gets an order and serves. A range that ends before it begins is not recorded.

Conclusion: no range, whoever stated it, reaches an array over the layers.

--- a/include/mq/internal/layer_plan.h
+++ b/include/mq/internal/layer_plan.h
@@ -23,12 +23,7 @@
 /* Ratio of successive levels in a search.  */
 #define MQ_PLAN_LEVEL_FACTOR 0.93
 
-/* Layers [first, end).  */
-typedef struct mq_plan_range
-{
-  unsigned first;
-  unsigned end;
-} mq_plan_range;
+typedef mq_layer_range mq_plan_range;
 
 typedef struct mq_plan_engine
 {
--- a/include/mq/layer_plan.h
+++ b/include/mq/layer_plan.h
@@ -26,7 +26,8 @@
   mq_span domain; /* Borrowed, as is the card.  */
   const mq_card *card;
   unsigned first; /* Layers [first, end): held, or ordered ... */
-  unsigned end;   /* ... and not yet reported.  */
+  unsigned end;   /* ... and not yet reported.  Ignored unless they are layers
+                     of the model.  */
   bool fixed;     /* Gets no order: one is open, or was just refused.  */
   bool awaited;   /* The layers were ordered and are not held yet.  */
   bool used;      /* Requests pass through it, or did until recently.  */
--- a/include/mq/routing.h
+++ b/include/mq/routing.h
@@ -121,6 +121,12 @@
   GHashTable *by_key;  /* Key -> mq_route_organisation.  */
 } mq_routing;
 
+/* The layers [FIRST, END) that an engine states, as a range of MODEL.  None if
+   they are not all layers of MODEL: another writer may state any, and a new
+   configuration may have another model.  */
+mq_layer_range mq_layered_model_range (const mq_layered_model *model,
+                                       unsigned first, unsigned end);
+
 /* Returns an empty routing with one reference, to be filled and sealed.  */
 mq_routing *mq_routing_new (uint64_t version);
 mq_routing *mq_routing_ref (mq_routing *routing);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -144,7 +144,8 @@
 /* Note that UPSTREAM reports to hold layers [FIRST, END).  Returns true if
    this differs from its record.  Returns false, and changes nothing, if it
    does not, or if the platform published other layers within
-   MQ_UPSTREAM_MAX_REPORT_LAG_US, so that the report may be older.  */
+   MQ_UPSTREAM_MAX_REPORT_LAG_US, so that the report may be older, or if FIRST
+   exceeds END.  */
 bool mq_registry_set_layers (mq_registry *registry, mq_upstream *upstream,
                              unsigned first, unsigned end, uint64_t now_us);
 /* Remove the upstream called ID, if there is one.  */
--- a/packages/gateway/gateway_view.c
+++ b/packages/gateway/gateway_view.c
@@ -47,20 +47,35 @@
   return false;
 }
 
-/* Returns true if an engine of GROUP holds layers.  */
+/* Returns true if an engine of GROUP holds layers of MODEL.  */
 static bool
-group_is_loaded (const mq_upstream_group *group)
+group_is_loaded (const mq_upstream_group *group, const mq_layered_model *model)
 {
   for (guint i = 0; i < group->upstreams->len; i++)
     {
       const mq_upstream *u = g_ptr_array_index (group->upstreams, i);
+      mq_layer_range held = mq_layered_model_range (
+          model, u->facts.layer_first, u->facts.layer_end);
 
-      if (u->facts.layer_end > u->facts.layer_first)
+      if (held.first < held.end)
         return true;
     }
   return false;
 }
 
+/* Returns true if an engine of SERVICE holds layers of its model.  */
+static bool
+service_is_loaded (mq_gateway *gateway, const mq_route_service *service)
+{
+  const GPtrArray *groups
+      = mq_registry_groups (&gateway->registry, mq_str_span (service->name));
+
+  for (guint i = 0; groups != NULL && i < groups->len; i++)
+    if (group_is_loaded (g_ptr_array_index (groups, i), &service->model))
+      return true;
+  return false;
+}
+
 static mq_service_facts
 service_facts (mq_gateway *gateway, const mq_route_service *service,
                uint64_t now_us)
@@ -69,17 +84,15 @@
       = mq_registry_groups (&gateway->registry, mq_str_span (service->name));
   mq_service_facts f = { .layered = service->model.layers > 0 };
   bool listed = false;
-  bool loaded = false;
 
   for (guint i = 0; groups != NULL && i < groups->len && !f.served; i++)
     {
       const mq_upstream_group *g = g_ptr_array_index (groups, i);
 
       listed = listed || g->upstreams->len > 0;
-      loaded = loaded || group_is_loaded (g);
       f.served = group_serves (gateway, g, service, now_us);
     }
-  f.unloaded = f.layered && listed && !loaded;
+  f.unloaded = f.layered && listed && !service_is_loaded (gateway, service);
   return f;
 }
 
@@ -288,21 +301,17 @@
 
 /* Returns true if there are signs that engines with layers are running.  */
 static bool
-view_is_running (const mq_gateway *gateway)
+view_is_running (mq_gateway *gateway)
 {
-  GHashTableIter i;
-  gpointer value;
+  const GArray *services
+      = gateway->routing != NULL ? gateway->routing->services : NULL;
 
   if (gateway->store_recovered_us > 0)
     return true;
-  g_hash_table_iter_init (&i, gateway->registry.by_id);
-  while (g_hash_table_iter_next (&i, NULL, &value))
-    {
-      const mq_upstream_facts *f = &((const mq_upstream *)value)->facts;
-
-      if (f->layer_end > f->layer_first)
-        return true;
-    }
+  for (guint i = 0; services != NULL && i < services->len; i++)
+    if (service_is_loaded (gateway,
+                           &g_array_index (services, mq_route_service, i)))
+      return true;
   return false;
 }
 
--- a/packages/route/layer_order.c
+++ b/packages/route/layer_order.c
@@ -2,6 +2,8 @@
 
 #include <mq/layer_order.h>
 
+#include <mq/routing.h>
+
 /* Allowance beside the load itself for the delivery of the order, the lag of
    reports and the delay of the store's watch.  */
 #define ORDER_SLACK_US ((uint64_t)1500 * 1000)
@@ -164,8 +166,8 @@
   mq_layer_holder h = {
     .domain = mq_str_span (f->domain),
     .card = mq_layered_model_find_card (model, mq_str_span (f->card)),
-    .first = f->layer_first,
-    .end = f->layer_end,
+    .first = held.first,
+    .end = held.end,
     .fixed = now_us<engine->no_order_until_us, .used = engine->last_used_us> 0
              && now_us < engine->last_used_us + REQUEST_DRAIN_US,
     .user = engine,
@@ -189,11 +191,15 @@
       engine->orders_unknown = true;
       *ask = true;
       h.loading = false;
+  mq_layer_range held
+      = mq_layered_model_range (model, f->layer_first, f->layer_end);
     }
   else
     {
-      h.first = engine->ordered_first;
-      h.end = engine->ordered_end;
+      held = mq_layered_model_range (model, engine->ordered_first,
+                                     engine->ordered_end);
+      h.first = held.first;
+      h.end = held.end;
       h.awaited = true;
       h.loading = true;
     }
--- a/packages/route/layer_path.c
+++ b/packages/route/layer_path.c
@@ -51,10 +51,11 @@
   for (guint i = 0; i < group->upstreams->len; i++)
     {
       mq_upstream *u = g_ptr_array_index (group->upstreams, i);
+      mq_layer_range held = mq_layered_model_range (
+          model, u->facts.layer_first, u->facts.layer_end);
       mq_path_edge e = { u, NULL };
 
-      if (u == excluded || u->facts.layer_first >= u->facts.layer_end
-          || u->facts.layer_end > model->layers
+      if (u == excluded || held.first == held.end
           || !mq_upstream_accepts_work (u, now_us) || u->facts.card == NULL)
         continue;
       e.card = mq_layered_model_find_card (model, mq_str_span (u->facts.card));
--- a/packages/route/layer_plan.c
+++ b/packages/route/layer_plan.c
@@ -159,7 +159,8 @@
   for (guint i = 0; i < n; i++)
     {
       mq_plan_engine e = { .holder = holders[i],
-                           .range = { holders[i]->first, holders[i]->end } };
+                           .range = mq_layered_model_range (
+                               model, holders[i]->first, holders[i]->end) };
 
       if (holders[i]->card != NULL)
         g_array_append_val (d.engines, e);
--- a/packages/route/routing.c
+++ b/packages/route/routing.c
@@ -87,6 +87,15 @@
     }
 }
 
+mq_layer_range
+mq_layered_model_range (const mq_layered_model *model, unsigned first,
+                        unsigned end)
+{
+  if (first >= end || end > model->layers)
+    return (mq_layer_range){ 0, 0 };
+  return (mq_layer_range){ first, end };
+}
+
 mq_routing *
 mq_routing_new (uint64_t version)
 {
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -324,7 +324,7 @@
 {
   mq_upstream_facts f = upstream->facts;
 
-  if (f.layer_first == first && f.layer_end == end)
+  if (first > end || (f.layer_first == first && f.layer_end == end))
     return false;
   if (upstream->platform_layers_us > 0
       && now_us < upstream->platform_layers_us + MQ_UPSTREAM_MAX_REPORT_LAG_US)
--- a/tests/prop_layer_plan.cc
+++ b/tests/prop_layer_plan.cc
@@ -79,3 +79,42 @@
   for (const char *d : { "one", "two", "three" })
     RC_ASSERT (fleet.tokens (d) > 0);
 }
+
+/* Engines that state any layers, as entries of other writers may, or as they
+   are after a configuration of another model.  The plan read and wrote past
+   the end of its arrays.  */
+RC_GTEST_PROP (LayerPlanProperty, LayersThatModelDoesNotHaveCountAsNone, ())
+{
+  Service service;
+  std::vector<mq_layer_holder> holders;
+  mq_layer_plan plan;
+  GArray *orders = g_array_new (FALSE, FALSE, sizeof (mq_layer_order));
+  auto any = rc::gen::oneOf (rc::gen::inRange (0u, chain::layers + 2),
+                             rc::gen::arbitrary<unsigned> ());
+
+  for (unsigned n = *rc::gen::inRange (1u, 12u); n > 0; n--)
+    {
+      mq_layer_holder h = {};
+
+      h.domain = MQ_SPAN ("one");
+      h.card = service.card_named (
+          *rc::gen::element<std::string> ("h100", "a100s", "l4"));
+      h.first = *any;
+      h.end = *any;
+      h.fixed = *rc::gen::arbitrary<bool> ();
+      holders.push_back (h);
+    }
+  mq_layer_plan_init (&plan);
+  for (uint64_t now_us : { 1000000, 9000000 })
+    mq_layer_plan_compute (&plan, service.model (), holders.data (),
+                           holders.size (), now_us, orders);
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const mq_layer_order &o = g_array_index (orders, mq_layer_order, i);
+
+      RC_ASSERT (o.first < o.end);
+      RC_ASSERT (o.end <= chain::layers);
+    }
+  g_array_unref (orders);
+  mq_layer_plan_finish (&plan);
+}
