gateway: engines are planned with once they have answered

Cause: the plan took an entry's word for an engine. An empty one got an order as the first call to it ever, and its layers counted as ordered until the load was overdue; one with layers counted as holding them for ever, as a query that failed was "requested again when needed" and said nothing. After an ejection an engine came back into the plan by the clock.

Change: a record keeps what the router has heard from the upstream itself (mq_upstream_proof). The leader asks each engine for a report before it plans with it, and waits for the answers of those that are new to it, at most 3 s, as for uncertain counts of orders. Where nothing listens the engine is left out and ejected, which peers hear; after an ejection it is left out until it answers. One that is silent keeps the layers of its entry if it was listed before this router led (others may reach it), and holds nothing if it came later. A report names the engine that it is meant for, and one with another time of start is not an answer. Events upstream.unanswered, upstream.answers and upstream.report-of-other.

Conclusion: an entry alone gets no order and covers nothing.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -271,10 +271,11 @@
   bool member_writing;
   bool members_scanning;
   bool members_scan_stale; /* That scan may miss entries of late.  */
-  bool leads;              /* This router is the leader: it orders layers.  */
-  bool orders_due;         /* A report arrived: order at the next tick.  */
-  bool traffic_seen;       /* Clients have sent requests to the fleet.  */
-  bool store_doubted;      /* At the last tick a feed was in doubt.  */
+  bool leads; /* This router is the leader: it orders layers ... */
+  uint64_t leads_since_us;     /* ... and has been for so long.  */
+  bool orders_due;             /* A report arrived: order at the next tick.  */
+  bool traffic_seen;           /* Clients have sent requests to the fleet.  */
+  bool store_doubted;          /* At the last tick a feed was in doubt.  */
   unsigned open_order_reports; /* Requested for order counts.  */
   uint64_t members_scan_us;    /* Next scan of the member objects.  */
   uint64_t doubt_announced_us; /* When the others were last told so.  */
@@ -763,6 +764,18 @@
 void mq_report_request (mq_gateway *gateway, mq_upstream *upstream,
                         mq_report_sink sink);
 
+/* A connection that fails within this was refused: the machine is up, but
+   nothing listens.  Packet loss shows only after a longer time.  */
+#define MQ_CONNECT_REFUSED_US ((uint64_t)100 * 1000)
+/* Note that UPSTREAM answered a call for control.  */
+void mq_gateway_note_answered (mq_upstream *upstream);
+/* Note the end EVENT of a call for control to UPSTREAM that was sent at
+   SENT_US and failed.  DETOUR: the way that it took, NULL for the direct one.
+ */
+void mq_gateway_note_unanswered (mq_gateway *gateway, mq_upstream *upstream,
+                                 const mq_http_client_event *event,
+                                 const mq_detour *detour, uint64_t sent_us);
+
 /* ---- gateway_stall.c  */
 /* Request a report from HEAD, the head of a silent path, unless one is in
    progress or recent.  An engine that it names as stalled is marked down.  */
--- a/include/mq/layer_order.h
+++ b/include/mq/layer_order.h
@@ -10,7 +10,7 @@
      not count, and an engine without layers that reports to be busy may take a
      few times as long: it has nothing to wait for, so it does load;
    - no order is sent while the count of orders that the engine accepted is
-     uncertain: the engine is queried first;
+     uncertain, or before the engine ever answered: it is queried first;
    - a report describes the engine a few tenths of a second ago: it overrides
      nothing that the engine or the platform stated since.  */
 
@@ -31,6 +31,26 @@
   MQ_ORDER_UNANSWERED    /* No response; it may be carried out, also later.  */
 } mq_order_answer;
 
+/* How a layer plan regards an engine, by what the engine itself has said.  */
+typedef enum mq_layer_standing
+{
+  MQ_LAYER_STANDING_PLANNED,     /* It is part of the plan.  */
+  MQ_LAYER_STANDING_LEFT_OUT,    /* It gets no order, and holds nothing for the
+                                    plan, until it answers.  */
+  MQ_LAYER_STANDING_AWAITED,     /* Left out, and its answer is due.  */
+  MQ_LAYER_STANDING_AWAITED_HELD /* The same, and by its entry it holds layers.
+                                  */
+} mq_layer_standing;
+
+/* The standing of ENGINE in the plans for MODEL of a router that leads since
+   LEADS_SINCE_US.  An engine that never answered is believed to hold what its
+   entry says only if the entry is older than that: then other routers may use
+   it, though this one does not reach it.  */
+mq_layer_standing mq_layer_order_standing (const mq_upstream *engine,
+                                           const mq_layered_model *model,
+                                           uint64_t leads_since_us,
+                                           uint64_t now_us);
+
 /* Note that ENGINE was sent an order to hold layers [FIRST, END).  */
 void mq_layer_order_sent (mq_upstream *engine, unsigned first, unsigned end,
                           uint64_t now_us);
@@ -53,8 +73,9 @@
 void mq_layer_order_reported (mq_upstream *engine, uint64_t orders, bool busy,
                               uint64_t now_us);
 
-/* The view of ENGINE for a layer plan of MODEL; its user is ENGINE.  Sets *ASK
-   when ENGINE should be queried for a report, and does not clear it.  */
+/* The view of ENGINE for a layer plan of MODEL; its user is ENGINE.  It holds
+   nothing if the layers that it states are none of MODEL.  Sets *ASK when
+   ENGINE should be queried for a report, and does not clear it.  */
 mq_layer_holder mq_layer_order_view (mq_upstream *engine,
                                      const mq_layered_model *model,
                                      uint64_t now_us, bool *ask);
--- a/include/mq/upstream.h
+++ b/include/mq/upstream.h
@@ -42,6 +42,17 @@
   bool remote;     /* The router is in another failure domain.  */
 } mq_finding_source;
 
+/* What this router has heard from an upstream itself.  Its entry is only what
+   the platform's list says, in which others may write as well.  */
+typedef enum mq_upstream_proof
+{
+  MQ_PROOF_NONE,     /* It has not been asked, or has yet to answer.  */
+  MQ_PROOF_ANSWERED, /* It has answered.  */
+  MQ_PROOF_SILENT,   /* It left a query unanswered, and never answered one.  */
+  MQ_PROOF_LOST      /* Since its last answer it was ejected, or nothing
+                        listened at its address.  */
+} mq_upstream_proof;
+
 typedef struct mq_upstream
 {
   unsigned refs;
@@ -85,6 +96,8 @@
   mq_finding_source limit_source; /* ... which is this one.  */
   bool announced_leaving; /* It said so in a response, here or to a peer ... */
   mq_finding_source announced_leaving_source; /* ... which is this one.  */
+  mq_upstream_proof proof;
+  uint64_t listed_us;     /* When its present incarnation was listed.  */
   uint64_t restarted_us;  /* When its present incarnation was noticed; 0: it is
                              the first one known.  */
   uint64_t rest_until_us; /* It asked this router to send nothing before.  */
@@ -229,6 +242,14 @@
 void mq_upstream_accepted (mq_upstream *upstream, uint64_t sent_us);
 /* Note that a request sent at SENT_US succeeded.  This ends an ejection.  */
 void mq_upstream_succeeded (mq_upstream *upstream, uint64_t sent_us);
+/* Note that UPSTREAM itself answered a call of this router.  */
+void mq_upstream_answered (mq_upstream *upstream);
+/* Note that UPSTREAM left a call of this router for control unanswered.  */
+void mq_upstream_unanswered (mq_upstream *upstream);
+/* Note that nothing listened at the address of UPSTREAM when this router
+   called it for control.  Ejects it, at the first time if it never answered.
+ */
+void mq_upstream_refused (mq_upstream *upstream, uint64_t now_us);
 /* Note a failure that counts against UPSTREAM: a timeout, a broken connection
    or an invalid response.  Consecutive failures eject it.  */
 void mq_upstream_failed (mq_upstream *upstream, uint64_t now_us);
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -46,10 +46,6 @@
 /* Reason of a send that ended only because it was silent for so long.  */
 #define WHY_SILENT "silent"
 
-/* A connection that fails within this was refused: the machine is up, but
-   nothing listens.  Packet loss shows only after a longer time.  */
-#define CONNECT_REFUSED_US ((uint64_t)100 * 1000)
-
 /* Retry-After when upstreams replied that they did not run the request.  The
    full queue of a plain service has room again after a few calls.  */
 #define NOT_RUN_RETRY_AFTER_MS 500
@@ -185,7 +181,7 @@
 {
   bool refused = forward->detour != NULL
                      ? forward->tunnel_status == MQ_TUNNEL_UNREACHABLE
-                     : now_us - forward->sent_us < CONNECT_REFUSED_US;
+                     : now_us - forward->sent_us < MQ_CONNECT_REFUSED_US;
 
   if (forward->detour != NULL
       && !mq_gateway_tunnel_blames_upstream (forward->tunnel_status))
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -20,6 +20,8 @@
 /* Between two reports of an engine that executes an order, while the store is
    not reached or when the order takes longer than expected.  */
 #define ORDER_POLL_INTERVAL_US ((uint64_t)300 * 1000)
+/* The same of one that has left a query unanswered, or was lost.  */
+#define LOST_POLL_INTERVAL_US ((uint64_t)1000 * 1000)
 #define ORDER_CONNECT_MS 250
 /* Requests for reports that are open at a time.  A new leader has to request
    one of each engine; thousands at once would take all its processor, and time
@@ -27,6 +29,7 @@
 #define MAX_OPEN_REPORTS 64
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
+#define STATUS_MISDIRECTED 421
 
 typedef struct order_call
 {
@@ -91,8 +94,23 @@
   return 0;
 }
 
-/* Request reports of UPSTREAMS (mq_upstream), of each at most once in
-   ORDER_POLL_INTERVAL_US.  The one that was asked longest ago comes first, so
+static uint64_t
+order_poll_interval_us (const mq_upstream *upstream)
+{
+  switch (upstream->proof)
+    {
+    case MQ_PROOF_NONE:
+    case MQ_PROOF_ANSWERED:
+      break;
+    case MQ_PROOF_SILENT:
+    case MQ_PROOF_LOST:
+      return LOST_POLL_INTERVAL_US;
+    }
+  return ORDER_POLL_INTERVAL_US;
+}
+
+/* Request reports of UPSTREAMS (mq_upstream), of each at most once in its
+   interval.  The one that was asked longest ago comes first, so
    that engines that do not answer leave room for the others.  */
 static void
 order_poll (mq_gateway *gateway, GPtrArray *upstreams, uint64_t now_us)
@@ -102,7 +120,7 @@
     {
       mq_upstream *u = g_ptr_array_index (upstreams, i);
 
-      if (now_us - u->reported_us > ORDER_POLL_INTERVAL_US)
+      if (now_us - u->reported_us > order_poll_interval_us (u))
         order_request_count (gateway, u, now_us);
     }
 }
@@ -132,6 +150,18 @@
     }
 }
 
+/* Note what the end EVENT of CALL shows of the engine itself.  */
+static void
+order_note_answer (const order_call *call, const mq_http_client_event *event)
+{
+  if (event->result != MQ_HTTP_OK)
+    mq_gateway_note_unanswered (call->gateway, call->upstream, event,
+                                call->detour, call->sent_us);
+  /* Another engine that has its address gives this status.  */
+  else if (event->status != STATUS_MISDIRECTED)
+    mq_gateway_note_answered (call->upstream);
+}
+
 static void
 order_on_call (void *context, const mq_http_client_event *event)
 {
@@ -146,6 +176,7 @@
     (void)mq_gateway_note_detour_failure (o->detour, event);
   else if (event->result != MQ_HTTP_OK)
     mq_gateway_reach_suspect (o->gateway, o->upstream);
+  order_note_answer (o, event);
   mq_log (G_LOG_LEVEL_INFO, "order.answered",
           "upstream=%s status=%u result=%d",
           mq_str_cstr (o->upstream->facts.id), event->status, event->result);
@@ -242,6 +273,8 @@
   GHashTableIter i;
   gpointer value;
   bool any_held = false;
+  bool awaits_empty = false;
+  bool awaits_held = false;
   bool store_unreached = !mq_members_store_is_reached (gateway, now_us);
   mq_service_state *state = mq_gateway_service_state (gateway, service);
   uint64_t delay = mq_load_queue_delay_us (&state->loads, now_us);
@@ -250,6 +283,7 @@
   while (g_hash_table_iter_next (&i, NULL, &value))
     {
       mq_upstream *u = value;
+      mq_layer_standing standing;
       mq_layer_holder h;
       bool ask = false;
 
@@ -258,6 +292,15 @@
           || !mq_upstream_is_usable (u, now_us)
           || mq_upstream_is_leaving (u, now_us))
         continue;
+      standing = mq_layer_order_standing (u, &service->model,
+                                          gateway->leads_since_us, now_us);
+      awaits_empty |= standing == MQ_LAYER_STANDING_AWAITED;
+      awaits_held |= standing == MQ_LAYER_STANDING_AWAITED_HELD;
+      if (standing != MQ_LAYER_STANDING_PLANNED)
+        {
+          g_ptr_array_add (polled, u);
+          continue;
+        }
       mq_layer_order_delay (u, delay);
       h = mq_layer_order_view (u, &service->model, now_us, &ask);
       /* Request unknown counts before an order needs them: otherwise a plan
@@ -268,6 +311,9 @@
       g_array_append_val (holders, h);
     }
   order_poll (gateway, polled, now_us);
+  /* A plan for some of the engines alone would be another one.  */
+  if (awaits_held || (awaits_empty && !any_held))
+    goto out;
   if (!mq_load_queue_may_begin (&state->loads, any_held,
                                 gateway->registry.last_added_us, now_us))
     goto out;
@@ -332,7 +378,10 @@
                && mq_members_is_leader (gateway, now_us);
 
   if (leads && !gateway->leads)
-    orders_begin_lead (gateway, now_us);
+    {
+      gateway->leads_since_us = now_us;
+      orders_begin_lead (gateway, now_us);
+    }
   gateway->leads = leads;
   gateway->orders_due = false;
   *gateway->counters.loads_open = 0;
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -61,6 +61,37 @@
              : event->result;
 }
 
+/* Returns true if REPORT is of the incarnation of UPSTREAM that is listed: its
+   address may be that of another engine.  */
+static bool
+report_is_of (const mq_engine_report *report, const mq_upstream *upstream)
+{
+  uint64_t born = upstream->facts.born_ms;
+
+  return report->born_ms == 0 || born == 0 || report->born_ms == born;
+}
+
+/* Hand REPORT to the sink of CALL.  */
+static void
+report_receive (const report_call *call, const mq_engine_report *report)
+{
+  mq_upstream *u = call->upstream;
+
+  if (!report_is_of (report, u))
+    {
+      mq_log (G_LOG_LEVEL_WARNING, "upstream.report-of-other",
+              "upstream=%s born=%" G_GUINT64_FORMAT
+              " reported=%" G_GUINT64_FORMAT,
+              mq_str_cstr (u->facts.id), u->facts.born_ms, report->born_ms);
+      mq_upstream_unanswered (u);
+      call->sink (call->gateway, u, MQ_HTTP_OK, NULL);
+      return;
+    }
+  mq_gateway_note_answered (u);
+  mq_upstream_set_slowdown (u, report->slowdown, mq_gateway_now_us ());
+  call->sink (call->gateway, u, MQ_HTTP_OK, report);
+}
+
 static void
 report_on_call (void *context, const mq_http_client_event *event)
 {
@@ -75,12 +106,15 @@
   if (event->result == MQ_HTTP_OK && event->status == STATUS_OK
       && report_decode (c, event->data, &r) == 0)
     {
-      mq_upstream_set_slowdown (c->upstream, r.slowdown, mq_gateway_now_us ());
-      c->sink (c->gateway, c->upstream, event->result, &r);
+      report_receive (c, &r);
       c->gateway->dialect->report_finish (&r);
     }
   else
-    c->sink (c->gateway, c->upstream, report_failure (c, event), NULL);
+    {
+      mq_gateway_note_unanswered (c->gateway, c->upstream, event, c->detour,
+                                  c->sent_us);
+      c->sink (c->gateway, c->upstream, report_failure (c, event), NULL);
+    }
   mq_upstream_unref (c->upstream);
   g_free (c);
 }
@@ -93,7 +127,12 @@
   char *url
       = g_strdup_printf ("http://%s%s", mq_str_cstr (upstream->facts.address),
                          gateway->dialect->report_path);
+  mq_http_header expected
+      = { mq_span_from (gateway->dialect->headers.expect_incarnation),
+          mq_str_span (upstream->facts.id) };
   mq_http_call_options options = { .url = mq_span_from (url),
+                                   .headers = &expected,
+                                   .n_headers = 1,
                                    .connect_ms = REPORT_CONNECT_MS,
                                    .timeout_ms = REPORT_TIMEOUT_MS,
                                    .shares_room = true };
@@ -110,3 +149,33 @@
   (void)mq_http_client_start (gateway->client, &options, report_on_call, c);
   g_free (url);
 }
+
+void
+mq_gateway_note_unanswered (mq_gateway *gateway, mq_upstream *upstream,
+                            const mq_http_client_event *event,
+                            const mq_detour *detour, uint64_t sent_us)
+{
+  uint64_t now = mq_gateway_now_us ();
+  mq_upstream_proof before = upstream->proof;
+
+  if (event->result == MQ_HTTP_CONNECT_FAILED && detour == NULL
+      && now - sent_us < MQ_CONNECT_REFUSED_US
+      && !mq_gateway_has_detour (gateway, upstream, now))
+    mq_upstream_refused (upstream, now);
+  else
+    mq_upstream_unanswered (upstream);
+  if (upstream->proof != before)
+    mq_log (G_LOG_LEVEL_INFO, "upstream.unanswered",
+            "upstream=%s refused=%d result=%d",
+            mq_str_cstr (upstream->facts.id), upstream->proof == MQ_PROOF_LOST,
+            event->result);
+}
+
+void
+mq_gateway_note_answered (mq_upstream *upstream)
+{
+  if (upstream->proof == MQ_PROOF_SILENT || upstream->proof == MQ_PROOF_LOST)
+    mq_log (G_LOG_LEVEL_INFO, "upstream.answers", "upstream=%s",
+            mq_str_cstr (upstream->facts.id));
+  mq_upstream_answered (upstream);
+}
--- a/packages/route/layer_order.c
+++ b/packages/route/layer_order.c
@@ -158,11 +158,41 @@
     engine->no_order_until_us = 0;
 }
 
+mq_layer_standing
+mq_layer_order_standing (const mq_upstream *engine,
+                         const mq_layered_model *model,
+                         uint64_t leads_since_us, uint64_t now_us)
+{
+  mq_layer_range held = mq_layered_model_range (
+      model, engine->facts.layer_first, engine->facts.layer_end);
+  bool holds = held.first < held.end;
+  bool known_before = engine->listed_us <= leads_since_us;
+
+  switch (engine->proof)
+    {
+    case MQ_PROOF_ANSWERED:
+      return MQ_LAYER_STANDING_PLANNED;
+    case MQ_PROOF_LOST:
+      return MQ_LAYER_STANDING_LEFT_OUT;
+    case MQ_PROOF_NONE:
+      if (now_us < MAX (engine->listed_us, leads_since_us) + UNKNOWN_HOLD_US)
+        return holds ? MQ_LAYER_STANDING_AWAITED_HELD
+                     : MQ_LAYER_STANDING_AWAITED;
+      break;
+    case MQ_PROOF_SILENT:
+      break;
+    }
+  return holds && known_before ? MQ_LAYER_STANDING_PLANNED
+                               : MQ_LAYER_STANDING_LEFT_OUT;
+}
+
 mq_layer_holder
 mq_layer_order_view (mq_upstream *engine, const mq_layered_model *model,
                      uint64_t now_us, bool *ask)
 {
   const mq_upstream_facts *f = &engine->facts;
+  mq_layer_range held
+      = mq_layered_model_range (model, f->layer_first, f->layer_end);
   mq_layer_holder h = {
     .domain = mq_str_span (f->domain),
     .card = mq_layered_model_find_card (model, mq_str_span (f->card)),
@@ -191,8 +221,6 @@
       engine->orders_unknown = true;
       *ask = true;
       h.loading = false;
-  mq_layer_range held
-      = mq_layered_model_range (model, f->layer_first, f->layer_end);
     }
   else
     {
--- a/packages/route/upstream.c
+++ b/packages/route/upstream.c
@@ -288,6 +288,7 @@
       u = g_new0 (mq_upstream, 1);
       u->refs = 1;
       u->listed = true;
+      u->listed_us = now_us;
       registry->last_added_us = now_us;
       u->facts = *facts;
       g_hash_table_insert (registry->by_id, u->facts.id->data, u);
@@ -300,6 +301,7 @@
       if (facts_are_from_new_start (facts, &u->facts))
         {
           upstream_reset (u);
+          u->listed_us = now_us;
           u->restarted_us = now_us;
           registry->last_added_us = now_us;
         }
@@ -529,6 +531,8 @@
   upstream->peer_ejection_refuted_us = MAX (upstream->peer_ejection_refuted_us,
                                             upstream->peer_ejected_until_us);
   upstream->crashed = false;
+  if (upstream->proof == MQ_PROOF_LOST)
+    upstream->proof = MQ_PROOF_ANSWERED;
   upstream->failures = 0;
   upstream->ejected_until_us = 0;
   upstream->reported_down_until_us = 0;
@@ -565,6 +569,7 @@
 {
   uint64_t until = now_us + MAX (duration_us, upstream->ejection_duration_us);
 
+  upstream->proof = MQ_PROOF_LOST;
   upstream->ejected_until_us = MAX (upstream->ejected_until_us, until);
 }
 
@@ -626,9 +631,34 @@
     upstream->unreachable_us = now_us;
 }
 
+void
+mq_upstream_answered (mq_upstream *upstream)
+{
+  upstream->proof = MQ_PROOF_ANSWERED;
+}
+
+void
+mq_upstream_unanswered (mq_upstream *upstream)
+{
+  if (upstream->proof == MQ_PROOF_NONE)
+    upstream->proof = MQ_PROOF_SILENT;
+}
+
+void
+mq_upstream_refused (mq_upstream *upstream, uint64_t now_us)
+{
+  if (upstream->proof != MQ_PROOF_ANSWERED)
+    upstream->failures = MAX (upstream->failures, FAILURES_TO_EJECT - 1);
+  upstream->proof = MQ_PROOF_LOST;
+  mq_upstream_unreachable (upstream, now_us);
+}
+
 void
 mq_upstream_retract_failures (mq_upstream *upstream)
 {
+  if (upstream->proof == MQ_PROOF_LOST
+      && upstream->peer_ejected_until_us < upstream->ejected_until_us)
+    upstream->proof = MQ_PROOF_SILENT;
   upstream->crashed = false;
   upstream->failures = 0;
   upstream->ejected_until_us = upstream->peer_ejected_until_us;
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -162,8 +162,9 @@
             + extra_routes
             + "],\"services\":[{\"name\":\"app\"},{\"name\":\"model\","
               "\"engine\":{\"slots\":8,\"kvTokenBytes\":590000,"
-              "\"step_ms\":0.85,\"read_per_s\":196000,\"layers\":80,"
-              "\"layerMb\":1750,\"loads_at_once\":6,\"models\":[{\"name\":"
+              "\"step_ms\":0.85,\"read_per_s\":196000,\"layers\":"
+            + std::to_string (layers)
+            + ",\"layerMb\":1750,\"loads_at_once\":6,\"models\":[{\"name\":"
               "\"m\",\"loadS\":"
             + std::to_string (load_s)
             + "}],\"usual\":{\"prompt\":700,\"answer\":170},"
@@ -307,6 +308,7 @@
   unsigned serial = 0;
   Upstream *a = nullptr, *b = nullptr; /* Of the plain service.  */
   double load_s = 14;                  /* To load all layers.  */
+  unsigned layers = 80;                /* Of the model.  */
   std::string more_limits; /* Further members of the limits of `configure',
                               each after a comma.  */
   unsigned store_followers = 4;
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -215,14 +215,15 @@
                     + (draining ? "draining" : "ready") + "\"" + entry_common;
 
     if (!card.empty ())
-      s += ",\"kind\":\"" + card
-           + "\",\"layers\":{\"from\":" + std::to_string (first)
-           + ",\"target\":" + std::to_string (end) + ",\"version\":1}";
+      s += engine_members (card, first, end);
+    if (born > 0)
+      s += ",\"born\":" + std::to_string (born);
     return s + "}";
   }
 
   std::string id, service, domain, card;
   unsigned first = 0, end = 0;
+  uint64_t born = 0;                /* Stated unless 0.  */
   unsigned orders = 0;              /* Accepted so far.  */
   unsigned order_status = 202;      /* Reply to orders; 202 accepts them.  */
   bool busy = false;                /* Reported.  */
@@ -264,8 +265,9 @@
                     + ",\"sequence\":" + std::to_string (orders)
                     + ",\"waiting\":0,\"running\":0,\"kvUsed\":0,"
                       "\"kvTotal\":1,\"layers\":{\"from\":"
-                    + std::to_string (first) + ",\"target\":"
-                    + std::to_string (end) + "},\"stalled\":[";
+                    + std::to_string (first)
+                    + ",\"target\":" + std::to_string (end)
+                    + "},\"born\":" + std::to_string (born) + ",\"stalled\":[";
 
     for (size_t i = 0; i < stalled.size (); i++)
       s += std::string (i ? "," : "") + "{\"id\":\"x\",\"address\":\""
--- a/tests/test_layer_order.cc
+++ b/tests/test_layer_order.cc
@@ -142,3 +142,109 @@
   EXPECT_EQ (view (2 * s + s / 10).end, 13u);
   EXPECT_TRUE (mq_registry_set_layers (&registry, engine, 0, 0, 3 * s));
 }
+
+/* Layers that the model does not have: those of another writer's entry, or of
+   the model before a change of the configuration.  */
+TEST_F (LayerOrder, LayersThatModelDoesNotHaveAreNotHeld)
+{
+  for (auto &range : std::vector<std::pair<unsigned, unsigned> >{
+           { 5, 81 }, { 0, 4000000000 }, { 1280523264, 1280523270 } })
+    {
+      engine->facts.layer_first = range.first;
+      engine->facts.layer_end = range.second;
+      EXPECT_EQ (view (s).first, view (s).end) << range.first;
+    }
+  EXPECT_FALSE (mq_registry_set_layers (&registry, engine, 9, 8, s));
+}
+
+TEST_F (LayerOrder, OrderForAnotherModelHoldsNothing)
+{
+  mq_layer_order_sent (engine, 54, 81, s);
+  mq_layer_order_answered (engine, MQ_ORDER_STARTED, s);
+  EXPECT_EQ (view (2 * s).first, view (2 * s).end);
+  EXPECT_TRUE (view (2 * s).fixed);
+}
+
+/* ---- Standing: what an entry says is not what its engine says.  */
+
+class LayerStanding : public LayerOrder
+{
+protected:
+  LayerStanding ()
+  {
+    engine->facts.layer_end = 8;
+    engine->listed_us = 5 * s;
+  }
+
+  mq_layer_standing
+  standing (uint64_t leads_since_us, uint64_t now_us)
+  {
+    return mq_layer_order_standing (engine, service.model (), leads_since_us,
+                                    now_us);
+  }
+};
+
+TEST_F (LayerStanding, EngineIsPlannedWithOnceItAnswers)
+{
+  EXPECT_EQ (standing (s, 5 * s), MQ_LAYER_STANDING_AWAITED_HELD);
+  engine->facts.layer_end = 81; /* None of the model's.  */
+  EXPECT_EQ (standing (s, 5 * s), MQ_LAYER_STANDING_AWAITED);
+  mq_upstream_answered (engine);
+  EXPECT_EQ (standing (s, 5 * s), MQ_LAYER_STANDING_PLANNED);
+}
+
+/* The plan waits for a query that is never sent, or never ends, for a bounded
+   time.  */
+TEST_F (LayerStanding, AnswerIsAwaitedForABoundedTime)
+{
+  EXPECT_EQ (standing (s, 7 * s), MQ_LAYER_STANDING_AWAITED_HELD);
+  EXPECT_EQ (standing (s, 8 * s), MQ_LAYER_STANDING_LEFT_OUT);
+}
+
+/* A new leader that does not reach an engine must not give its layers to
+   others, as other routers may use it.  An engine that is listed later and
+   never answers holds nothing.  */
+TEST_F (LayerStanding, SilentEngineIsBelievedIfListedBeforeLead)
+{
+  mq_upstream_unanswered (engine);
+  EXPECT_EQ (standing (6 * s, 7 * s), MQ_LAYER_STANDING_PLANNED);
+  EXPECT_EQ (standing (4 * s, 7 * s), MQ_LAYER_STANDING_LEFT_OUT);
+  engine->facts.layer_end = 0;
+  EXPECT_EQ (standing (6 * s, 7 * s), MQ_LAYER_STANDING_LEFT_OUT);
+}
+
+/* A process that hangs while its entry is renewed: after its ejection it holds
+   nothing for the plan until it answers.  */
+TEST_F (LayerStanding, EjectedEngineIsLeftOutUntilItAnswers)
+{
+  mq_upstream_answered (engine);
+  mq_upstream_reported_down (engine, 7 * s, s);
+  EXPECT_EQ (standing (6 * s, 20 * s), MQ_LAYER_STANDING_LEFT_OUT);
+  mq_upstream_unanswered (engine);
+  EXPECT_EQ (standing (6 * s, 20 * s), MQ_LAYER_STANDING_LEFT_OUT);
+  mq_upstream_answered (engine);
+  EXPECT_EQ (standing (6 * s, 20 * s), MQ_LAYER_STANDING_PLANNED);
+}
+
+/* The same where nothing listens at the address, which ejects an engine that
+   never answered at once.  */
+TEST_F (LayerStanding, RefusedEngineIsLeftOutAndEjected)
+{
+  mq_upstream_refused (engine, 7 * s);
+  EXPECT_FALSE (mq_upstream_is_usable (engine, 7 * s));
+  EXPECT_EQ (standing (6 * s, 20 * s), MQ_LAYER_STANDING_LEFT_OUT);
+}
+
+/* A request that runs on it is an answer; links of this router that fail say
+   nothing about it.  */
+TEST_F (LayerStanding, LostEngineReturns)
+{
+  mq_upstream_reported_down (engine, 7 * s, s);
+  mq_upstream_succeeded (engine, 9 * s);
+  EXPECT_EQ (standing (6 * s, 9 * s), MQ_LAYER_STANDING_PLANNED);
+  mq_upstream_failed (engine, 9 * s);
+  mq_upstream_failed (engine, 9 * s);
+  EXPECT_EQ (standing (6 * s, 9 * s), MQ_LAYER_STANDING_LEFT_OUT);
+  mq_upstream_retract_failures (engine);
+  EXPECT_EQ (standing (6 * s, 9 * s), MQ_LAYER_STANDING_PLANNED);
+}
