gateway: what a stop has taken ends with a response in time

A route with a long limit whose calls take 60 ms was refused in the last 1.5 s as well, for nothing.

Cause: what a router took while it drained followed a constant, the last 1.5 s, and not how long a request may take or usually takes; and at the end the requests that were with their engines were freed, without a word.

A request is taken if the limit of its route and its client ends before the drain does, or if such requests are expected to end before it: their mean time and one mean deviation, four for what must not be repeated, since then the work is lost with the cut; half of the grace period while nothing is known. It decides at arrival and at each further send, for plain calls, streams, requests that wait and retries, and for tunnels in the form of a request that nothing is known of; a router that drains does not let requests wait for their first configuration. A drain brings all deadlines forward to 0.7 s before the kill: engines get no more time than that, and what is unanswered then gets 503 if it has not run, else 502 or 504, which now say in their body that the outcome is unknown. A stream that has begun is broken off. The rest of the grace period but 0.25 s is for writing. Retry-After of a drain is 20 ms, as other routers serve at once; 500 ms made a stream late for certain.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -136,6 +136,8 @@
   mq_load_queue loads;             /* Likewise.  */
   mq_reach reach;              /* Whether this router reaches its upstreams. */
   mq_reach_check *reach_check; /* In progress, owned; NULL: none.  */
+  mq_latency_estimate durations[MQ_ROUTE_KINDS]; /* Of requests that were
+                                                    answered, in ms.  */
 } mq_service_state;
 
 /* The load that this router has put on one path, and the latencies that it
@@ -290,11 +292,11 @@
                                  removed.  */
   unsigned prefilling_ranks;  /* Bits of mq_domain_rank for which prefill was
                                  found to saturate all paths in this tick.  */
-  bool drain_closed; /* Drain: no new connections or streams accepted.  */
-  uint64_t drain_close_us;  /* When that begins.  */
-  uint64_t drain_refuse_us; /* Requests are rejected from then on.  */
-  uint64_t drain_until_us;  /* Latest end of the drain.  */
-  uint64_t drain_idle_us;   /* It ends from then on once nothing is open.  */
+  bool drain_closed;          /* Drain: no new connections accepted.  */
+  uint64_t drain_close_us;    /* When that begins.  */
+  uint64_t drain_answer_us;   /* What is unanswered is answered then.  */
+  uint64_t drain_end_us;      /* Latest end of the drain.  */
+  uint64_t drain_idle_us;     /* It ends from then on once nothing is open.  */
   mq_metrics *metrics;
   mq_gateway_counters counters;
   uint64_t random; /* State of mq_gateway_random.  */
@@ -320,6 +322,8 @@
   const mq_route_service *service;
   const mq_route_organisation *organisation; /* NULL: an anonymous client.  */
   mq_forward_state state;
+  uint64_t limit_us;   /* The deadline without a drain.  */
+  bool stopped;        /* A drain has brought the deadline forward.  */
   uint64_t started_us; /* When the request arrived.  */
   mq_span id;          /* Request id, borrowed from EXCHANGE.  */
   uint64_t *parts;     /* Elements, owned: the content, 0 until it is
@@ -429,6 +433,10 @@
 /* Reply with BODY, whose content type is TYPE.  */
 void mq_gateway_reply_text (mq_http_exchange *exchange, unsigned status,
                             const char *type, mq_span body);
+/* Reply with STATUS, a failure of the request because of WHY.  The body says
+   that the outcome is unknown.  */
+void mq_gateway_reply_unknown (mq_http_exchange *exchange, unsigned status,
+                               const char *why);
 /* Reply with STATUS and no body; with Retry-After unless RETRY_MS is 0.  */
 void mq_gateway_reply_status (mq_http_exchange *exchange, unsigned status,
                               unsigned retry_ms);
@@ -752,6 +760,25 @@
 /* As the leader, order engines to load layers.  */
 void mq_orders_tick (mq_gateway *gateway, uint64_t now_us);
 
+/* ---- gateway_drain.c  */
+/* Check whether a drain has to go on.  */
+void mq_gateway_drain_tick (mq_gateway *gateway, uint64_t now_us);
+/* The time until what is unanswered is answered; UINT64_MAX while this router
+   serves.  */
+uint64_t mq_gateway_drain_left_us (const mq_gateway *gateway, uint64_t now_us);
+/* Returns true unless FORWARD, which would be sent now, is not expected to end
+   before the drain does.  */
+bool mq_gateway_drain_takes (const mq_forward *forward, uint64_t now_us);
+/* The same for a request that nothing is known of.  */
+bool mq_gateway_drain_takes_unknown (const mq_gateway *gateway,
+                                     uint64_t now_us);
+/* Have FORWARD end by the end of a drain.  */
+void mq_gateway_drain_limit (mq_forward *forward);
+/* Note how long FORWARD has taken, which ends.  */
+void mq_gateway_drain_note_duration (const mq_forward *forward);
+/* Retry-After of what a drain refuses: other routers serve.  */
+#define MQ_DRAIN_RETRY_AFTER_MS 20
+
 /* ---- gateway_report.c  */
 /* A report request to UPSTREAM ended with RESULT.  REPORT is borrowed, and
    NULL when no valid report was received.  RESULT is MQ_HTTP_OK also when the
--- a/include/mq/latency_estimate.h
+++ b/include/mq/latency_estimate.h
@@ -8,6 +8,7 @@
 #define MQ_LATENCY_ESTIMATE_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 G_BEGIN_DECLS
 
@@ -22,6 +23,9 @@
 /* Add SAMPLE_MS to ESTIMATE.  */
 void mq_latency_estimate_add (mq_latency_estimate *estimate, double sample_ms);
 
+/* Returns true if ESTIMATE has enough samples to be relied on.  */
+bool mq_latency_estimate_is_known (const mq_latency_estimate *estimate);
+
 /* The time after which a wait is unusually long, between MIN_MS and MAX_MS;
    MAX_MS while there are too few samples.  */
 double mq_latency_estimate_timeout_ms (const mq_latency_estimate *estimate,
--- a/include/mq/routing.h
+++ b/include/mq/routing.h
@@ -23,6 +23,7 @@
   MQ_ROUTE_UNSAFE, /* May run at most once.  */
   MQ_ROUTE_STREAM  /* A stream of events; repeated only if resumable.  */
 } mq_route_kind;
+#define MQ_ROUTE_KINDS 3
 
 typedef struct mq_route_share
 {
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -1,4 +1,4 @@
-/* The gateway as a whole: its timers, listeners, life cycle and drain.  See
+/* The gateway as a whole: its timers, listeners and life cycle.  See
    mq/gateway.h and mq/internal/gateway.h.
 
    One timer drives deadlines, membership and orders.  Its interval is a tenth
@@ -35,24 +35,6 @@
    were idle for up to four fifths of the operator's idle limit.  */
 #define IDLE_TIMEOUT_S 40
 
-/* A drain ends this long before the process is killed ...  */
-#define DRAIN_RESERVE_MS ((uint64_t)700)
-/* ... and lasts at least until clients have dropped this router's address.  */
-#define MIN_DRAIN_MS ((uint64_t)2500)
-/* In the last part of a drain new requests are refused, so that those in
-   flight complete before its end.  */
-#define DRAIN_FINISH_MS ((uint64_t)1500)
-/* Requests that still wait this long before the end of a drain are refused, so
-   that the responses are sent.  */
-#define DRAIN_REFUSE_MS ((uint64_t)200)
-#define DRAIN_RETRY_AFTER_MS 500
-/* New connections are accepted for this long, for clients that queried the
-   directory just before the drain.  After it new streams on open connections
-   are refused, since most would not end before the kill.  */
-#define DRAIN_ACCEPT_MS ((uint64_t)2300)
-/* The drain ends when no request has been in flight for this long.  */
-#define DRAIN_IDLE_MS ((uint64_t)700)
-
 #define MAX_BODY_BYTES ((size_t)8 * 1024 * 1024)
 
 /* Limit of the head of a request that is not forwarded.  */
@@ -159,50 +141,6 @@
          && gateway->upstreams_known;
 }
 
-/* Reject the requests that wait to be sent and whose clients have no part of a
-   response.  */
-static void
-drain_refuse_waiting (mq_gateway *gateway)
-{
-  GList *next;
-
-  for (GList *l = gateway->forwards.head; l != NULL; l = next)
-    {
-      mq_forward *f = l->data;
-
-      next = l->next;
-      if (f->call == NULL && !f->state.response_started)
-        mq_forward_reject (f, DRAIN_RETRY_AFTER_MS, "draining");
-    }
-}
-
-static void
-drain_tick (mq_gateway *gateway, uint64_t now_us)
-{
-  bool busy
-      = gateway->forwards.length > 0 || gateway->early_requests.length > 0
-        || mq_tunnel_server_count_busy (gateway->tunnels, DRAIN_IDLE_MS * 1000)
-               > 0;
-
-  if (now_us >= gateway->drain_close_us && !gateway->drain_closed)
-    {
-      gateway->drain_closed = true;
-      mq_http_server_quiesce (gateway->clients);
-    }
-  if (now_us + DRAIN_REFUSE_MS * 1000 >= gateway->drain_until_us)
-    drain_refuse_waiting (gateway);
-  if (busy)
-    gateway->drain_idle_us
-        = MAX (gateway->drain_idle_us, now_us + DRAIN_IDLE_MS * 1000);
-  if (now_us < gateway->drain_until_us
-      && (now_us < gateway->drain_idle_us || busy))
-    return;
-  mq_log (G_LOG_LEVEL_INFO, "router.drained", "open=%u",
-          gateway->forwards.length);
-  gateway->mode = MQ_GATEWAY_ENDED;
-  ev_break (gateway->loop, EVBREAK_ALL);
-}
-
 /* Notice that this process did not run for a while.  Timers may run before
    what arrived meanwhile has been read.  */
 static void
@@ -237,8 +175,7 @@
     mq_gateway_view_tick (g, now);
   if (g->ticks % ORDER_TICKS == 0 || g->orders_due)
     mq_orders_tick (g, now);
-  if (g->mode == MQ_GATEWAY_DRAINING)
-    drain_tick (g, now);
+  mq_gateway_drain_tick (g, now);
 }
 
 static void
@@ -409,28 +346,3 @@
   mq_metrics_free (g->metrics);
   g_free (g);
 }
-
-void
-mq_gateway_drain (mq_gateway *gateway)
-{
-  uint64_t now = mq_gateway_now_us ();
-  uint64_t grace = gateway->settings->grace_ms;
-
-  if (gateway->mode != MQ_GATEWAY_SERVING)
-    {
-      ev_break (gateway->loop, EVBREAK_ALL);
-      return;
-    }
-  gateway->mode = MQ_GATEWAY_DRAINING;
-  gateway->drain_until_us
-      = now
-        + (grace > DRAIN_RESERVE_MS ? grace - DRAIN_RESERVE_MS : grace) * 1000;
-  gateway->drain_refuse_us = gateway->drain_until_us - DRAIN_FINISH_MS * 1000;
-  gateway->drain_close_us = now + DRAIN_ACCEPT_MS * 1000;
-  gateway->drain_idle_us = now + MIN_DRAIN_MS * 1000;
-  mq_log (G_LOG_LEVEL_INFO, "router.drain",
-          "open=%u grace_ms=%" G_GUINT64_FORMAT, gateway->forwards.length,
-          grace);
-  mq_http_server_announce_close (gateway->clients);
-  mq_gateway_gossip_broadcast (gateway);
-}
--- a/packages/gateway/gateway_detour.c
+++ b/packages/gateway/gateway_detour.c
@@ -29,8 +29,7 @@
 
   if (u == NULL)
     return MQ_TUNNEL_FORBIDDEN;
-  if ((g->mode != MQ_GATEWAY_SERVING
-       && mq_gateway_now_us () >= g->drain_refuse_us)
+  if (!mq_gateway_drain_takes_unknown (g, mq_gateway_now_us ())
       || mq_gateway_is_isolated (g, u))
     return MQ_TUNNEL_UNAVAILABLE;
   return 0;
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -129,6 +129,8 @@
       MQ_SPAN_ARG (f->id), outcome, status, why, mq_str_cstr (f->route->name),
       f->routing->version, f->state.tries, f->split.events, f->first_event_ms,
       f->longest_gap_ms, mq_forward_age_ms (f));
+  if (strcmp (outcome, "answered") == 0)
+    mq_gateway_drain_note_duration (f);
   mq_gateway_count_end (f->gateway, f->route, outcome, why,
                         mq_gateway_now_us () - f->started_us);
   mq_log_buffer_flush (&f->log_buffer, forward_needs_log (f, outcome),
@@ -160,7 +162,10 @@
   if (refused)
     mq_gateway_urgency_note_rejected (forward);
   /* Retry-After promises that the request did not run.  */
-  mq_gateway_reply_status (forward->exchange, status, refused ? retry_ms : 0);
+  if (refused)
+    mq_gateway_reply_status (forward->exchange, status, retry_ms);
+  else
+    mq_gateway_reply_unknown (forward->exchange, status, why);
   mq_forward_end (forward, refused ? "refused" : "failed", status, why);
 }
 
@@ -391,18 +396,22 @@
 
 /* ---- Deadlines and silence.  */
 
+/* The deadline of FORWARD has passed.  */
 static void
-forward_give_up (mq_forward *forward, bool silent, const char *why)
+forward_give_up (mq_forward *forward)
 {
+  const char *why = forward->stopped ? "drain-ended" : "deadline";
   mq_forward_verdict v;
 
   if (forward->call != NULL && mq_http_call_maybe_sent (forward->call))
     forward->state.may_have_run = true;
-  v = mq_forward_give_up (&forward->state, silent);
+  mq_gateway_drain_note_duration (forward);
+  v = mq_forward_give_up (&forward->state, true);
   if (v.verb == MQ_FORWARD_ABORT)
     forward_abort (forward, why);
   else
-    forward_refuse (forward, v.status, 0, why);
+    forward_refuse (forward, v.status,
+                    forward->stopped ? MQ_DRAIN_RETRY_AFTER_MS : 0, why);
 }
 
 /* Returns true if the current send has received any bytes.  */
@@ -535,7 +544,7 @@
 {
   if (now_us >= forward->state.deadline_us)
     {
-      forward_give_up (forward, true, "deadline");
+      forward_give_up (forward);
       return;
     }
   if (forward->call == NULL)
@@ -714,6 +723,8 @@
                                  .attempts = f->route->attempts,
                                  .now_us = arrived_us,
                                  .deadline_us = arrived_us + ms * 1000 };
+  f->limit_us = f->state.deadline_us;
+  mq_gateway_drain_limit (f);
 }
 
 void
@@ -756,7 +767,13 @@
     }
   if (now >= f->state.deadline_us)
     {
-      forward_give_up (f, true, "deadline");
+      forward_give_up (f);
+      return;
+    }
+  if (!mq_gateway_drain_takes (f, now))
+    {
+      forward_refuse (f, MQ_STATUS_UNAVAILABLE, MQ_DRAIN_RETRY_AFTER_MS,
+                      "draining");
       return;
     }
   forward_set_need (f);
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -47,6 +47,18 @@
                           MQ_SPAN (""));
 }
 
+void
+mq_gateway_reply_unknown (mq_http_exchange *exchange, unsigned status,
+                          const char *why)
+{
+  char *body = g_strdup_printf (
+      "{\"error\":{\"code\":\"%s\",\"outcome\":\"unknown\"}}\n", why);
+
+  mq_gateway_reply_text (exchange, status, "application/json",
+                         mq_span_from (body));
+  g_free (body);
+}
+
 /* Returns the value of the credential header, or an empty span when it is
    missing or repeated.  */
 static mq_span
@@ -119,26 +131,6 @@
       status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_AFTER_MS : 0, why);
 }
 
-/* Returns true in the last part of a drain, in which new requests are refused.
- */
-static bool
-drain_is_ending (const mq_gateway *gateway, uint64_t now_us)
-{
-  return gateway->mode != MQ_GATEWAY_SERVING
-         && now_us >= gateway->drain_refuse_us;
-}
-
-/* Returns true if a request of ROUTE that arrives now might not complete
-   before the end of the drain.  */
-static bool
-drain_refuses (const mq_gateway *gateway, const mq_route *route)
-{
-  if (gateway->mode == MQ_GATEWAY_SERVING)
-    return false;
-  return drain_is_ending (gateway, mq_gateway_now_us ())
-         || (gateway->drain_closed && route->kind == MQ_ROUTE_STREAM);
-}
-
 /* Route EXCHANGE, which arrived at ARRIVED_US, by the configuration in force.
  */
 static void
@@ -173,11 +165,6 @@
       refuse_request (gateway, exchange, STATUS_TOO_LARGE, "body-too-large");
       return;
     }
-  if (drain_refuses (gateway, route))
-    {
-      refuse_request (gateway, exchange, MQ_STATUS_UNAVAILABLE, "draining");
-      return;
-    }
   mq_forward_start (gateway, exchange, route, organisation, arrived_us);
 }
 
@@ -203,8 +190,8 @@
 }
 
 /* Returns true if EXCHANGE, which arrived at ARRIVED_US, may wait for the
-   configuration at NOW_US.  WAITS: it does already.  None waits in the last
-   part of a drain.  */
+   configuration at NOW_US.  WAITS: it does already.  None waits in a drain.
+ */
 static bool
 may_wait_for_configuration (const mq_gateway *gateway,
                             const mq_http_exchange *exchange, bool waits,
@@ -212,7 +199,7 @@
 {
   uint64_t left_ms;
 
-  if (drain_is_ending (gateway, now_us))
+  if (gateway->mode != MQ_GATEWAY_SERVING)
     return false;
   if (mq_span_to_u64 (mq_http_exchange_header (
                           exchange, gateway->dialect->headers.time_left_ms),
@@ -228,9 +215,12 @@
 refuse_early_request (mq_gateway *gateway, mq_http_exchange *exchange,
                       uint64_t now_us)
 {
+  bool serves = gateway->mode == MQ_GATEWAY_SERVING;
+
   refuse_request_for (gateway, exchange, MQ_STATUS_UNAVAILABLE,
-                      mq_gateway_view_early_retry_ms (gateway, now_us),
-                      "no-configuration");
+                      serves ? mq_gateway_view_early_retry_ms (gateway, now_us)
+                             : MQ_DRAIN_RETRY_AFTER_MS,
+                      serves ? "no-configuration" : "draining");
 }
 
 static void
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -333,6 +333,11 @@
   uint64_t refused_us;
   mq_place_result result;
 
+  if (!mq_gateway_drain_takes (f, now_us))
+    {
+      mq_forward_reject (f, MQ_DRAIN_RETRY_AFTER_MS, "draining");
+      return;
+    }
   f->awaits_reach = send_awaits_reach (f, now_us);
   if (f->awaits_reach)
     return;
--- a/packages/route/latency_estimate.c
+++ b/packages/route/latency_estimate.c
@@ -3,7 +3,6 @@
 #include <mq/latency_estimate.h>
 
 #include <math.h>
-#include <stdbool.h>
 
 /* Weights of a sample and the factor of the deviation, as in RFC 6298.  */
 #define MEAN_WEIGHT (1 / 8.0)
@@ -35,6 +34,12 @@
     e->samples++;
 }
 
+bool
+mq_latency_estimate_is_known (const mq_latency_estimate *estimate)
+{
+  return estimate->samples >= MIN_SAMPLES;
+}
+
 double
 mq_latency_estimate_timeout_ms (const mq_latency_estimate *estimate,
                                 double min_ms, double max_ms)
@@ -43,7 +48,7 @@
       = fmax (estimate->mean_ms + estimate->deviation_ms * TIMEOUT_DEVIATIONS,
               estimate->mean_ms * TIMEOUT_MIN_FACTOR);
 
-  if (estimate->samples < MIN_SAMPLES || timeout_ms > max_ms)
+  if (!mq_latency_estimate_is_known (estimate) || timeout_ms > max_ms)
     return max_ms;
   return fmax (timeout_ms, min_ms);
 }
--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -6,6 +6,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -42,13 +43,17 @@
   Socket (Socket &&other) noexcept : fd (other.fd) { other.fd = -1; }
   ~Socket () { close (); }
 
-  /* Returns a socket connected to PORT on loopback.  */
+  /* Returns a socket connected to PORT on loopback, which receives as many
+     bytes as RECEIVE_BUFFER before they are read unless that is 0.  */
   static Socket
-  connected (uint16_t port)
+  connected (uint16_t port, int receive_buffer = 0)
   {
     Socket s (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     sockaddr_in a = address (port);
 
+    if (receive_buffer > 0)
+      setsockopt (s.fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                  sizeof receive_buffer);
     EXPECT_EQ (connect (s.fd, reinterpret_cast<sockaddr *> (&a), sizeof a), 0);
     fcntl (s.fd, F_SETFL, O_NONBLOCK);
     return s;
@@ -76,16 +81,19 @@
     return ntohs (a.sin_port);
   }
 
-  /* Returns the bytes received so far.  Sets CLOSED at the end of the
-     stream.  */
+  /* Returns the bytes received so far, at most LIMIT.  Sets CLOSED at the end
+     of the stream.  */
   std::string
-  read (bool *closed)
+  read (bool *closed, size_t limit = SIZE_MAX)
   {
     std::string all;
     char buffer[65536];
-    ssize_t n;
+    ssize_t n = 1;
 
-    while ((n = recv (fd, buffer, sizeof buffer, 0)) > 0)
+    while (all.size () < limit
+           && (n = recv (fd, buffer,
+                         std::min (sizeof buffer, limit - all.size ()), 0))
+                  > 0)
       all.append (buffer, static_cast<size_t> (n));
     if (n == 0 || (errno != EAGAIN && errno != EINTR))
       *closed = true;
--- a/tests/support/router_process.h
+++ b/tests/support/router_process.h
@@ -35,10 +35,30 @@
 
   ~RouterProcess ()
   {
+    if (ended_)
+      return;
     kill (pid_, SIGKILL);
     waitpid (pid_, nullptr, 0);
   }
 
+  void
+  signal (int number)
+  {
+    kill (pid_, number);
+  }
+
+  /* Returns true if the process has ended by itself with status 0.  */
+  bool
+  has_ended ()
+  {
+    int status = 0;
+
+    ended_ = ended_
+             || (waitpid (pid_, &status, WNOHANG) == pid_ && WIFEXITED (status)
+                 && WEXITSTATUS (status) == 0);
+    return ended_;
+  }
+
   /* The largest resident memory so far, in KiB; 0: it has ended.  */
   size_t
   peak_kib () const
@@ -61,6 +81,7 @@
 private:
   programs::Folder folder_;
   pid_t pid_;
+  bool ended_ = false;
 };
 
 } // namespace gateway
