gateway: a second SIGTERM cuts nothing

Cause: mq_gateway_drain broke the loop where it drained already, and the signal handler of the program did not tell a platform's signal from an interrupt.

Change: a further SIGTERM is logged (router.drain-again) and has no effect: the grace period began with the first. A second SIGINT, from a terminal, answers what is left at once and ends within a second.

--- a/include/mq/gateway.h
+++ b/include/mq/gateway.h
@@ -32,8 +32,13 @@
 void mq_gateway_free (mq_gateway *gateway);
 
 /* Start to drain: withdraw from the directory at once, complete the requests
-   in flight, then break the loop.  A second call breaks the loop at once.  */
+   in flight, then break the loop.  At the end of the grace period each that is
+   left gets a response with what is known of its outcome.  A second call has
+   no effect.  */
 void mq_gateway_drain (mq_gateway *gateway);
+bool mq_gateway_is_draining (const mq_gateway *gateway);
+/* Answer the requests that are left at once, then break the loop.  */
+void mq_gateway_drain_abort (mq_gateway *gateway);
 
 G_END_DECLS
 
--- a/packages/gateway/gateway_drain.c
+++ b/packages/gateway/gateway_drain.c
@@ -29,6 +29,9 @@
 #define DRAIN_ACCEPT_MS ((uint64_t)2300)
 /* The drain ends when nothing has been open for this long.  */
 #define DRAIN_IDLE_MS ((uint64_t)700)
+/* For the responses of an aborted drain to be written.  */
+#define DRAIN_ABORT_MS ((uint64_t)1000)
+
 #define US_PER_MS ((uint64_t)1000)
 
 /* Returns how much of the grace period is left MARGIN_MS before its end.  */
@@ -152,7 +155,8 @@
 
   if (gateway->mode != MQ_GATEWAY_SERVING)
     {
-      ev_break (gateway->loop, EVBREAK_ALL);
+      mq_log (G_LOG_LEVEL_INFO, "router.drain-again", "open=%u",
+              gateway->forwards.length);
       return;
     }
   gateway->mode = MQ_GATEWAY_DRAINING;
@@ -167,3 +171,22 @@
   mq_http_server_announce_close (gateway->clients);
   mq_gateway_gossip_broadcast (gateway);
 }
+
+bool
+mq_gateway_is_draining (const mq_gateway *gateway)
+{
+  return gateway->mode == MQ_GATEWAY_DRAINING;
+}
+
+void
+mq_gateway_drain_abort (mq_gateway *gateway)
+{
+  uint64_t now = mq_gateway_now_us ();
+
+  mq_gateway_drain (gateway);
+  gateway->drain_answer_us = MIN (gateway->drain_answer_us, now);
+  gateway->drain_end_us
+      = MIN (gateway->drain_end_us, now + DRAIN_ABORT_MS * US_PER_MS);
+  gateway->drain_idle_us = now;
+  drain_limit_all (gateway);
+}
--- a/programs/marjoramquay/gateway_mode.c
+++ b/programs/marjoramquay/gateway_mode.c
@@ -27,6 +27,19 @@
   mq_gateway_drain (watcher->data);
 }
 
+/* A second interrupt, from a terminal, does not wait for the requests that are
+   left.  */
+static void
+on_interrupt (struct ev_loop *loop, ev_signal *watcher, int revents)
+{
+  (void)loop;
+  (void)revents;
+  if (mq_gateway_is_draining (watcher->data))
+    mq_gateway_drain_abort (watcher->data);
+  else
+    mq_gateway_drain (watcher->data);
+}
+
 /* Only logs the signal.  The settings are fixed for the lifetime of the
    process; what may change is read from the store.  */
 static void
@@ -45,7 +58,7 @@
   signals->term.data = gateway;
   signals->interrupt.data = gateway;
   ev_signal_init (&signals->term, on_term, SIGTERM);
-  ev_signal_init (&signals->interrupt, on_term, SIGINT);
+  ev_signal_init (&signals->interrupt, on_interrupt, SIGINT);
   ev_signal_init (&signals->hangup, on_hangup, SIGHUP);
   ev_signal_start (loop, &signals->term);
   ev_signal_start (loop, &signals->interrupt);
--- a/tests/test_stopped_router.cc
+++ b/tests/test_stopped_router.cc
@@ -171,6 +171,44 @@
     }
 }
 
+/* The second signal ended the process at once.  */
+TEST_F (StoppedRouter, FurtherSignalsCutNothing)
+{
+  Answer busy;
+
+  start_process ();
+  ASSERT_NO_FATAL_FAILURE (stop_busy (busy));
+  for (int signal : { SIGTERM, SIGHUP, SIGTERM, SIGTERM })
+    {
+      wait (0.2);
+      process_->signal (signal);
+    }
+  wait (0.2);
+  answer_first ();
+  ASSERT_TRUE (until ([&] { return busy.ended; }));
+  EXPECT_EQ (busy.status, 200u);
+  EXPECT_TRUE (until ([&] { return process_->has_ended (); }));
+  EXPECT_LT (ev_time () - stopped_, 3.0);
+}
+
+/* From a terminal, the second one does not wait.  It answers as well.  */
+TEST_F (StoppedRouter, SecondInterruptAnswersAtOnce)
+{
+  Answer busy;
+
+  start_process (8000);
+  start_request (busy, "POST", "/slow/busy", key, "", 0, "9000");
+  ASSERT_TRUE (until ([&] { return held_.size () == 1; }));
+  process_->signal (SIGINT);
+  ASSERT_TRUE (until ([&] { return has_logged ("router.drain "); }));
+  ev_tstamp at = ev_time ();
+  process_->signal (SIGINT);
+  ASSERT_TRUE (until ([&] { return busy.ended; }));
+  EXPECT_EQ (busy.status, 504u);
+  EXPECT_TRUE (until ([&] { return process_->has_ended (); }));
+  EXPECT_LT (ev_time () - at, 1.5);
+}
+
 /* A stream that has begun can only be broken off; its client must see that,
    and the log must have its end.  */
 TEST_F (StoppedRouter, BreaksOffStreamAtItsEnd)
