gateway: a drain waits for responses that are being written

Cause: the drain counted requests that are with engines, early ones and tunnels. A request leaves that count when its response is handed to the HTTP server.

Change: a router is busy while a request is being read or a response is not written, which the HTTP server counts. The end of the grace period bounds it.

--- a/packages/gateway/gateway_drain.c
+++ b/packages/gateway/gateway_drain.c
@@ -132,6 +132,7 @@
   if (gateway->mode != MQ_GATEWAY_DRAINING)
     return;
   busy = gateway->forwards.length > 0 || gateway->early_requests.length > 0
+         || mq_http_server_open_count (gateway->clients) > 0
          || mq_tunnel_server_count_busy (gateway->tunnels,
                                          DRAIN_IDLE_MS * US_PER_MS)
                 > 0;
--- a/tests/test_stopped_router.cc
+++ b/tests/test_stopped_router.cc
@@ -232,3 +232,33 @@
   EXPECT_NE (end_of (id).find ("outcome=aborted"), std::string::npos)
       << process_->log ();
 }
+
+/* The router ended when its engines had answered, and clients that read slowly
+   got a part.  */
+TEST_F (StoppedRouter, WaitsForResponsesThatAreBeingWritten)
+{
+  const size_t size = 8 * 1000 * 1000;
+  const std::string body (size, 'x');
+  std::string received;
+  bool closed = false;
+
+  start_process (6000);
+  upstreams[0]->serve = [&] (mq_http_exchange *x) {
+    gateway::Server::reply (x, 200, body, upstreams[0]->response_headers (x));
+  };
+  Socket client = Socket::connected ((uint16_t)clients_port, 64 * 1024);
+  client.write ("POST /slow/1 HTTP/1.1\r\nHost: x.example\r\n"
+                "Marjoramquay-Credential: key-1\r\n"
+                "Marjoramquay-Attempt-Id: large\r\n"
+                "Marjoramquay-Time-Budget-Ms: 9000\r\n"
+                "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE (until ([&] { return !end_of ("large").empty (); }));
+  process_->signal (SIGTERM);
+  wait (3.2);
+  EXPECT_FALSE (process_->has_ended ());
+  EXPECT_TRUE (until ([&] {
+    received += client.read (&closed);
+    return closed;
+  }));
+  EXPECT_GT (received.size (), size);
+}
