gateway: each request that the end of a drain cuts leaves its lines

On-call engineers saw: nothing.

Cause: a request's lines wait in a buffer until it ends, and at the end of the process mq_forward_free_all freed requests without their end.

Change: what is left then ends as any other request does (reason `stopped'), and early requests have their refusal. A response that was still being written, and a request that was still being read, has no such end: the drain logs `request.cut' for each, and their number in `router.drained'.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -129,8 +129,14 @@
 
 uint16_t mq_http_server_port (const mq_http_server *server);
 
-/* Returns the number of exchanges whose response is not complete.  */
+/* Returns the number of exchanges whose response is not complete, or has not
+   been written to the caller's connection as a whole.  */
 unsigned mq_http_server_open_count (const mq_http_server *server);
+typedef void (*mq_http_exchange_visitor) (void *context,
+                                          const mq_http_exchange *exchange);
+/* Calls VISIT with CONTEXT for each of them.  */
+void mq_http_server_visit_open (const mq_http_server *server,
+                                mq_http_exchange_visitor visit, void *context);
 
 /* Returns the number of open connections, how many there may be at present,
    and how many were closed unread because there were as many.  */
@@ -158,6 +164,8 @@
 mq_span mq_http_exchange_query_string (const mq_http_exchange *exchange);
 /* The caller's IP address as text.  */
 mq_span mq_http_exchange_peer (const mq_http_exchange *exchange);
+/* Returns true if the user has given the complete response.  */
+bool mq_http_exchange_is_answered (const mq_http_exchange *exchange);
 /* A pointer for the user's own state, initially NULL.  */
 void mq_http_exchange_set_user (mq_http_exchange *exchange, void *user);
 void *mq_http_exchange_user (const mq_http_exchange *exchange);
--- a/packages/gateway/gateway_drain.c
+++ b/packages/gateway/gateway_drain.c
@@ -115,11 +115,25 @@
         (double)mq_forward_age_ms (forward));
 }
 
+/* Log the request of EXCHANGE, whose response is not complete at the end.  */
+static void
+drain_log_cut (void *context, const mq_http_exchange *exchange)
+{
+  const mq_gateway *g = context;
+  mq_span id
+      = mq_http_exchange_header (exchange, g->dialect->headers.request_id);
+
+  mq_log (G_LOG_LEVEL_WARNING, "request.cut", "request=%.*s answered=%d",
+          MQ_SPAN_ARG (id), mq_http_exchange_is_answered (exchange));
+}
+
 static void
 drain_end (mq_gateway *gateway)
 {
-  mq_log (G_LOG_LEVEL_INFO, "router.drained", "open=%u",
-          gateway->forwards.length);
+  mq_log (G_LOG_LEVEL_INFO, "router.drained", "open=%u unwritten=%u",
+          gateway->forwards.length,
+          mq_http_server_open_count (gateway->clients));
+  mq_http_server_visit_open (gateway->clients, drain_log_cut, gateway);
   gateway->mode = MQ_GATEWAY_ENDED;
   ev_break (gateway->loop, EVBREAK_ALL);
 }
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -812,5 +812,5 @@
   mq_forward *f;
 
   while ((f = g_queue_peek_head (&gateway->forwards)) != NULL)
-    forward_free (f);
+    forward_abort (f, "stopped");
 }
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -281,7 +281,10 @@
   early_request *e;
 
   while ((e = g_queue_pop_head (&gateway->early_requests)) != NULL)
-    early_request_free (e);
+    {
+      note_refusal (gateway, e->exchange, 0, "stopped");
+      early_request_free (e);
+    }
 }
 
 static void
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -385,6 +385,13 @@
   return exchange->user;
 }
 
+bool
+mq_http_exchange_is_answered (const mq_http_exchange *exchange)
+{
+  return exchange->phase == MQ_HTTP_PHASE_ANSWERED
+         || exchange->phase == MQ_HTTP_PHASE_ENDED;
+}
+
 void
 mq_http_exchange_reject (mq_http_exchange *exchange, unsigned status,
                          mq_span body)
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -560,6 +560,14 @@
   return server->exchanges.length;
 }
 
+void
+mq_http_server_visit_open (const mq_http_server *server,
+                           mq_http_exchange_visitor visit, void *context)
+{
+  for (const GList *l = server->exchanges.head; l != NULL; l = l->next)
+    visit (context, l->data);
+}
+
 unsigned
 mq_http_server_connections (const mq_http_server *server)
 {
--- a/tests/test_stopped_router.cc
+++ b/tests/test_stopped_router.cc
@@ -262,3 +262,25 @@
   }));
   EXPECT_GT (received.size (), size);
 }
+
+/* What even the end of the grace period cuts leaves a line.  */
+TEST_F (StoppedRouter, LogsResponsesThatItsEndCuts)
+{
+  const std::string body (8 * 1000 * 1000, 'x');
+
+  start_process ();
+  Socket client = Socket::connected ((uint16_t)clients_port, 64 * 1024);
+  upstreams[0]->serve = [&] (mq_http_exchange *x) {
+    gateway::Server::reply (x, 200, body, upstreams[0]->response_headers (x));
+  };
+  client.write ("POST /slow/1 HTTP/1.1\r\nHost: x.example\r\n"
+                "Marjoramquay-Credential: key-1\r\n"
+                "Marjoramquay-Attempt-Id: unread\r\n"
+                "Marjoramquay-Time-Budget-Ms: 9000\r\n"
+                "Content-Length: 0\r\n\r\n");
+  ASSERT_TRUE (until ([&] { return !end_of ("unread").empty (); }));
+  process_->signal (SIGTERM);
+  ASSERT_TRUE (until ([&] { return process_->has_ended (); }));
+  EXPECT_TRUE (has_logged ("request.cut request=unread answered=1"))
+      << process_->log ();
+}
