gateway: the end of a stream that was left is its end

Each had all its events; the engine was silent for 1.5 s between the last one and the end.

Cause: a stream whose run is silent for 1.4 s moves to another engine, and the run that it left stays open. Its events serve the stream again if they come first. Its end did not: it was dropped as that of a run which served nothing, though nothing of the other run had arrived. The other engine has no event to add; where its answer has neither a length nor chunks, that counted as broken, was held against the engine, and led to further sends until none was left.

Change: a complete response of the run that was left serves the request: a plain one as before, and a stream that has a length or chunks or whose run had begun, unless it ends inside an event. That is what the end of a run that was not left means. An answer without an event to a stream that has begun says that nothing follows: the stream returns to the run that it left, if that is still open, and does not leave it for silence again.

Open: an engine that took a stream over, has written the rest and keeps its connection open, holds the response open until the deadline, as the run that was left is given up with the first event of the other. Read, not run here.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -322,13 +322,14 @@
   const mq_route_service *service;
   const mq_route_organisation *organisation; /* NULL: an anonymous client.  */
   mq_forward_state state;
-  uint64_t limit_us;   /* The deadline without a drain.  */
-  bool stopped;        /* A drain has brought the deadline forward.  */
-  uint64_t started_us; /* When the request arrived.  */
-  mq_span id;          /* Request id, borrowed from EXCHANGE.  */
-  uint64_t *parts;     /* Elements, owned: the content, 0 until it is
-                          computed, and N_PARTS parts of the prompt.  NULL:
-                          not computed yet.  */
+  uint64_t limit_us;    /* The deadline without a drain.  */
+  bool nothing_follows; /* An upstream had no event after the last one.  */
+  bool stopped;         /* A drain has brought the deadline forward.  */
+  uint64_t started_us;  /* When the request arrived.  */
+  mq_span id;           /* Request id, borrowed from EXCHANGE.  */
+  uint64_t *parts;      /* Elements, owned: the content, 0 until it is
+                           computed, and N_PARTS parts of the prompt.  NULL:
+                           not computed yet.  */
   size_t n_parts;
   mq_upstream *upstream; /* Target of the current send, one reference; NULL
                             between sends.  */
@@ -594,6 +595,9 @@
    FORWARD: a signed success.  */
 bool mq_gateway_response_may_serve (const mq_forward *forward,
                                     const mq_http_call *call);
+/* Returns true if the end of the response of CALL is that of its connection,
+   so that a crash of the engine looks like it.  */
+bool mq_gateway_response_is_unframed (const mq_http_call *call);
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
 
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -492,7 +492,8 @@
       mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, "way-lost");
       return;
     }
-  if (silent > MAX_SILENCE_US && mq_forward_can_move (forward, now_us))
+  if (silent > MAX_SILENCE_US && !forward->nothing_follows
+      && mq_forward_can_move (forward, now_us))
     {
       mq_forward_send_ended (forward, MQ_SEND_TIMED_OUT, 0, WHY_SILENT);
       return;
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -297,14 +297,17 @@
   (void)stream_pass (forward, event->status);
 }
 
-/* Returns true if the end of the response is that of its connection, so that a
-   crash of the engine looks like it.  */
+bool
+mq_gateway_response_is_unframed (const mq_http_call *call)
+{
+  return mq_http_call_header (call, "Content-Length").data == NULL
+         && mq_http_call_header (call, "Transfer-Encoding").data == NULL;
+}
+
 static bool
 answer_is_unframed (const mq_forward *forward)
 {
-  return mq_http_call_header (forward->call, "Content-Length").data == NULL
-         && mq_http_call_header (forward->call, "Transfer-Encoding").data
-                == NULL;
+  return mq_gateway_response_is_unframed (forward->call);
 }
 
 static void
@@ -431,7 +434,13 @@
   else if (mq_event_split_has_partial (&f->split))
     mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "half-event");
   else if (answer_is_unframed (f) && !mq_forward_run_has_begun (f))
-    mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "no-event");
+    {
+      /* Nothing follows the last event of the run that was left: its end is
+         what is missing.  */
+      f->nothing_follows = f->state.response_started;
+      if (!f->nothing_follows || !mq_standby_resume (f, "nothing-follows"))
+        mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "no-event");
+    }
   else
     stream_complete (f, event->status);
 }
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -159,6 +159,34 @@
   return false;
 }
 
+/* Returns true if the end of the standby's call, EVENT, is that of a whole
+   response.  One without a length and chunks ends with its connection: it is
+   whole if its run had begun, as that of a run that was not left.  */
+static bool
+standby_is_whole (const mq_forward *forward, const mq_http_client_event *event)
+{
+  const mq_standby *s = forward->standby;
+  mq_event_split split;
+  mq_span event_text;
+  bool is_partial;
+
+  if (event->result != MQ_HTTP_OK)
+    return false;
+  if (forward->route->kind != MQ_ROUTE_STREAM)
+    return true;
+  if (!mq_gateway_response_may_serve (forward, event->call)
+      || (mq_gateway_response_is_unframed (event->call)
+          && forward->last_event_us < s->sent_us))
+    return false;
+  mq_event_split_init (&split, forward->split.last_id);
+  mq_event_split_feed (&split, (mq_span){ s->rest->str, s->rest->len });
+  while (mq_event_split_next (&split, &event_text) == MQ_EVENT_WHOLE)
+    ;
+  is_partial = mq_event_split_has_partial (&split);
+  mq_event_split_finish (&split);
+  return !is_partial;
+}
+
 /* The call of the standby has ended, as EVENT says, without serving the
    request.  */
 static void
@@ -198,7 +226,7 @@
       event->data.size = 0;
       return mq_standby_resume (f, "response");
     case MQ_HTTP_CLIENT_END:
-      if (f->route->kind != MQ_ROUTE_STREAM && event->result == MQ_HTTP_OK)
+      if (standby_is_whole (f, event))
         return mq_standby_resume (f, "response");
       standby_end (f, event);
       return false;
--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -63,13 +63,20 @@
       send (c.first, bytes.data (), bytes.size (), MSG_NOSIGNAL);
   }
 
-  /* Close all sockets, without a reset: what is on the way arrives.  */
+  /* End all connections, in order.  */
   void
-  crash ()
+  hang_up ()
   {
     for (auto &c : connections_)
       close (c.first);
     connections_.clear ();
+  }
+
+  /* Close all sockets, without a reset: what is on the way arrives.  */
+  void
+  crash ()
+  {
+    hang_up ();
     listener_.close ();
   }
 
