--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -322,14 +322,12 @@
   const mq_route_service *service;
   const mq_route_organisation *organisation; /* NULL: an anonymous client.  */
   mq_forward_state state;
-  uint64_t limit_us;    /* The deadline without a drain.  */
-  bool nothing_follows; /* An upstream had no event after the last one.  */
-  bool stopped;         /* A drain has brought the deadline forward.  */
-  uint64_t started_us;  /* When the request arrived.  */
-  mq_span id;           /* Request id, borrowed from EXCHANGE.  */
-  uint64_t *parts;      /* Elements, owned: the content, 0 until it is
-                           computed, and N_PARTS parts of the prompt.  NULL:
-                           not computed yet.  */
+  uint64_t limit_us;   /* The deadline without a drain.  */
+  uint64_t started_us; /* When the request arrived.  */
+  mq_span id;          /* Request id, borrowed from EXCHANGE.  */
+  uint64_t *parts;     /* Elements, owned: the content, 0 until it is
+                          computed, and N_PARTS parts of the prompt.  NULL:
+                          not computed yet.  */
   size_t n_parts;
   mq_upstream *upstream; /* Target of the current send, one reference; NULL
                             between sends.  */
@@ -344,6 +342,8 @@
   double prompt_tokens;    /* Of these, the prompt's.  */
   double prefill_tokens;   /* Counted in PATH_LOAD as not prefilled.  */
   double used_tokens;      /* In flight on PATH when it was chosen.  */
+  bool nothing_follows;    /* An upstream had no event after the last one.  */
+  bool stopped;            /* A drain has brought the deadline forward.  */
   bool limited;            /* An upstream that it could have been sent to has
                               a limit that did not allow it ...  */
   bool resting;            /* ... or accepts nothing from this router.  */
