gateway: a short grace period is shared in the same order

Cause: with a grace period below 0.7 s the time of the last answers would have come after the end of the drain.

Change: what is kept for answers and for the end is at most half and a sixth of the grace period.

--- a/include/mq/drain_rule.h
+++ b/include/mq/drain_rule.h
@@ -22,14 +22,8 @@
   const mq_latency_estimate *durations; /* Of such requests, in ms.  */
 } mq_drain_request;
 
-/* The longest time that REQUEST is expected to take at a router with a grace
-   period of GRACE_US; at most its limit.  Unless enough such requests are
-   known, half of the grace period.  */
-uint64_t mq_drain_expected_us (const mq_drain_request *request,
-                               uint64_t grace_us);
-
 /* Returns true if REQUEST is taken with LEFT_US until the requests that are
-   left are cut.  */
+   left are cut, at a router with a grace period of GRACE_US.  */
 bool mq_drain_takes (const mq_drain_request *request, uint64_t left_us,
                      uint64_t grace_us);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -767,9 +767,6 @@
 /* ---- gateway_drain.c  */
 /* Check whether a drain has to go on.  */
 void mq_gateway_drain_tick (mq_gateway *gateway, uint64_t now_us);
-/* The time until what is unanswered is answered; UINT64_MAX while this router
-   serves.  */
-uint64_t mq_gateway_drain_left_us (const mq_gateway *gateway, uint64_t now_us);
 /* Returns true unless FORWARD, which would be sent now, is not expected to end
    before the drain does.  */
 bool mq_gateway_drain_takes (const mq_forward *forward, uint64_t now_us);
--- a/packages/gateway/gateway_drain.c
+++ b/packages/gateway/gateway_drain.c
@@ -34,13 +34,15 @@
 
 #define US_PER_MS ((uint64_t)1000)
 
-/* Returns how much of the grace period is left MARGIN_MS before its end.  */
+/* Returns the time from the signal until MARGIN_MS before the end of the grace
+   period; a short one is shared in the same order.  */
 static uint64_t
 grace_without_us (const mq_gateway *gateway, uint64_t margin_ms)
 {
   uint64_t grace_ms = gateway->settings->grace_ms;
+  uint64_t share_ms = grace_ms * margin_ms / (2 * DRAIN_ANSWER_MS);
 
-  return (grace_ms > margin_ms ? grace_ms - margin_ms : grace_ms) * US_PER_MS;
+  return (grace_ms - MIN (margin_ms, share_ms)) * US_PER_MS;
 }
 
 /* Have all requests end by the time at which what is unanswered is answered.
@@ -64,8 +66,10 @@
   forward->stopped = true;
 }
 
-uint64_t
-mq_gateway_drain_left_us (const mq_gateway *gateway, uint64_t now_us)
+/* The time until what is unanswered is answered; UINT64_MAX while this router
+   serves.  */
+static uint64_t
+drain_left_us (const mq_gateway *gateway, uint64_t now_us)
 {
   if (gateway->mode == MQ_GATEWAY_SERVING)
     return UINT64_MAX;
@@ -79,7 +83,7 @@
   static const mq_latency_estimate none = { 0 };
   mq_drain_request r = { .limit_us = UINT64_MAX, .durations = &none };
 
-  return mq_drain_takes (&r, mq_gateway_drain_left_us (gateway, now_us),
+  return mq_drain_takes (&r, drain_left_us (gateway, now_us),
                          gateway->settings->grace_ms * US_PER_MS);
 }
 
@@ -88,7 +92,7 @@
 {
   mq_gateway *g = forward->gateway;
   const mq_forward_state *s = &forward->state;
-  uint64_t left_us = mq_gateway_drain_left_us (g, now_us);
+  uint64_t left_us = drain_left_us (g, now_us);
   mq_drain_request r;
 
   if (g->mode == MQ_GATEWAY_SERVING)
--- a/packages/route/drain_rule.c
+++ b/packages/route/drain_rule.c
@@ -9,8 +9,10 @@
 
 #define US_PER_MS 1000
 
-uint64_t
-mq_drain_expected_us (const mq_drain_request *request, uint64_t grace_us)
+/* The longest time that REQUEST is expected to take; at most its limit.  Half
+   of the grace period unless enough such requests are known.  */
+static uint64_t
+drain_expected_us (const mq_drain_request *request, uint64_t grace_us)
 {
   double deviations
       = request->repeatable ? REPEATABLE_DEVIATIONS : UNREPEATABLE_DEVIATIONS;
@@ -27,5 +29,5 @@
 mq_drain_takes (const mq_drain_request *request, uint64_t left_us,
                 uint64_t grace_us)
 {
-  return mq_drain_expected_us (request, grace_us) <= left_us;
+  return drain_expected_us (request, grace_us) <= left_us;
 }
