gateway: a stream that arrives late in a drain is refused

Cause: the rule's margin for what may be repeated, one mean deviation, holds for requests whose cut is a status.

Evidence: StoppedRouter.RefusesLateStreams on: a stream sent 2.6 s after SIGTERM on a connection from before it gets 200.

Change: a stream that arrives after the router has stopped listening is taken only if the limits of its route and its client end in time. What arrived before is as it was.

--- a/packages/gateway/gateway_drain.c
+++ b/packages/gateway/gateway_drain.c
@@ -106,6 +106,9 @@
     .durations
     = &mq_gateway_service_state (g, forward->service)->durations[s->kind]
   };
+  /* Once it has begun, a stream can only be broken off.  */
+  if (s->kind == MQ_ROUTE_STREAM && forward->started_us >= g->drain_close_us)
+    return r.limit_us <= left_us;
   return mq_drain_takes (&r, left_us, g->settings->grace_ms * US_PER_MS);
 }
 
--- a/tests/test_stopped_router.cc
+++ b/tests/test_stopped_router.cc
@@ -284,3 +284,37 @@
   EXPECT_TRUE (has_logged ("request.cut request=unread answered=1"))
       << process_->log ();
 }
+
+/* A stream that has begun can only be broken off, so that one which arrives
+   late is refused although streams are short as a rule.  */
+TEST_F (StoppedRouter, RefusesLateStreams)
+{
+  Answer busy;
+  bool closed = false;
+  std::string received;
+
+  start_process (8000);
+  upstreams[0]->serve = [this] (mq_http_exchange *x) {
+    if (mq_span_equal (mq_http_exchange_path (x), MQ_SPAN ("/slow/busy")))
+      return hold (x);
+    upstreams[0]->begin (x);
+    Upstream::events (x, 1, 2);
+    mq_http_exchange_end (x);
+  };
+  for (unsigned i = 0; i < 10; i++)
+    ASSERT_EQ (fetch ("POST", "/stream-slow/1", key, "", 0, "9000").status,
+               200u);
+  Socket client = Socket::connected ((uint16_t)clients_port);
+  ASSERT_NO_FATAL_FAILURE (stop_busy (busy));
+  wait (2.6);
+  client.write ("POST /stream-slow/1 HTTP/1.1\r\nHost: x.example\r\n"
+                "Marjoramquay-Credential: key-1\r\n"
+                "Marjoramquay-Attempt-Id: late\r\n"
+                "Marjoramquay-Time-Budget-Ms: 9000\r\n"
+                "Content-Length: 0\r\n\r\n");
+  EXPECT_TRUE (until ([&] {
+    received += client.read (&closed);
+    return closed || received.find ("\r\n\r\n") != std::string::npos;
+  }));
+  EXPECT_EQ (received.rfind ("HTTP/1.1 503 ", 0), 0u) << received;
+}
