net: what is wrong with a response is determined, logged and counted

mq_response_check reads each response beside libcurl and names its framing and its fault. So far nothing decides by it. http.response-fault names each such response on all paths that use the HTTP client, request.end and request.send-ended have framing= and fault=, and the end of a request whose response had a fault, or ended with its connection, is always logged. marjoramquay_responses_total{framing}, marjoramquay_response_faults_total {fault}.

libcurl gives the framing of chunks to its debug function alone, which is set for chunked responses only.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -13,6 +13,7 @@
 #include <ev.h>
 #include <glib.h>
 #include <mq/http_server.h>
+#include <mq/response_check.h>
 #include <mq/str.h>
 
 G_BEGIN_DECLS
@@ -45,12 +46,23 @@
   unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none.
                            */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
-  bool too_large;  /* BROKEN, since the body exceeds the limit of the call or
-                      the room of all calls.  */
-  mq_span data;    /* DATA: the piece.  END of a call that is not streamed:
-                      the complete body.  Borrowed.  */
+  mq_response_framing framing; /* Of the response.  */
+  mq_response_fault fault;     /* END: what is wrong with the response; that
+                                  of a call that had none is its head.  */
+  bool too_large; /* BROKEN, since the body exceeds the limit of the call or
+                     the room of all calls.  */
+  mq_span data;   /* DATA: the piece.  END of a call that is not streamed:
+                     the complete body.  Borrowed.  */
 } mq_http_client_event;
 
+/* Responses by what was seen of them, from the start of the client.  Calls
+   that were cancelled or received nothing are not counted.  */
+typedef struct mq_http_client_counters
+{
+  uint64_t framings[MQ_RESPONSE_FRAMINGS];
+  uint64_t faults[MQ_RESPONSE_FAULTS];
+} mq_http_client_counters;
+
 typedef void (*mq_http_client_sink) (void *context,
                                      const mq_http_client_event *event);
 
@@ -60,12 +72,17 @@
   mq_span url;    /* http or https; its host must be an IP address.  */
   const mq_http_header *headers;
   size_t n_headers;
-  mq_span target;      /* Request target to send, byte for byte, in place of
-                          that of URL; empty: as in URL.  */
-  mq_span echo_name;   /* Name of a header that the response must hold ...  */
-  mq_span echo_value;  /* ... with this value.  A response without it belongs
-                          to another request: the call ends as broken and its
-                          connection is closed.  Empty name: no check.  */
+  mq_span target;     /* Request target to send, byte for byte, in place of
+                         that of URL; empty: as in URL.  */
+  mq_span echo_name;  /* Name of a header that the response must hold ...  */
+  mq_span echo_value; /* ... with this value.  A response without it belongs
+                         to another request: the call ends as broken and its
+                         connection is closed.  Empty name: no check.  */
+  const char *const *single; /* Headers of the response that may not occur
+                                with two values, up to a NULL; outlives the
+                                call.  NULL: none.  */
+  const char *not_run; /* Header by which an upstream states that it did not
+                          run the request; outlives the call.  NULL: none.  */
   mq_span body;        /* Copied.  */
   mq_span tunnel;      /* IP:PORT of a tunnel server (mq/tunnel_server.h) that
                           the call goes through; empty: none.  */
@@ -98,6 +115,10 @@
    KiB, which each call may always hold.  */
 void mq_http_client_set_body_room (mq_http_client *client, size_t bytes);
 
+/* Returns the counters of CLIENT, borrowed.  */
+const mq_http_client_counters *
+mq_http_client_get_counters (const mq_http_client *client);
+
 /* Cancels all calls and frees the client.  Not to be called from a sink.  */
 void mq_http_client_free (mq_http_client *client);
 
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -173,6 +173,8 @@
   uint64_t *retries;
   uint64_t *resumed_streams;
   uint64_t *answers_too_large;
+  uint64_t *responses[MQ_RESPONSE_FRAMINGS];
+  uint64_t *response_faults[MQ_RESPONSE_FAULTS];
   uint64_t *budget_granted;
   uint64_t *budget_received;
   uint64_t *orders;
@@ -380,8 +382,10 @@
                               or what came without an id after the last event
                               with one.  */
   mq_event_split split;
-  unsigned tunnel_status;  /* As in the end event of the last call.  */
-  unsigned unsent_tries;   /* Sends in a row that found no connection.  */
+  unsigned tunnel_status;      /* As in the end event of the last call.  */
+  mq_response_framing framing; /* The same.  */
+  mq_response_fault fault;     /* The same.  */
+  unsigned unsent_tries;       /* Sends in a row that found no connection.  */
   unsigned first_event_ms; /* From the request's arrival to its first event. */
   double smoothed_gap_ms;  /* Moving average of the gaps between events.  */
   unsigned longest_gap_ms; /* Between two events.  */
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -102,7 +102,8 @@
 
 /* Returns true if the log of FORWARD must be written even when the log budget
    is short.  Only that of a request that succeeded at its first send within
-   its route's latency targets may be dropped.  */
+   its route's latency targets, with a response that states where it ends, may
+   be dropped.  */
 static bool
 forward_needs_log (const mq_forward *forward, const char *outcome)
 {
@@ -111,7 +112,8 @@
                                            : mq_forward_age_ms (forward);
 
   return strcmp (outcome, "answered") != 0 || forward->state.tries > 1
-         || ms > r->target_ms
+         || forward->fault != MQ_RESPONSE_SOUND
+         || forward->framing == MQ_RESPONSE_TO_CLOSE || ms > r->target_ms
          || (r->gap_ms > 0 && forward->longest_gap_ms > r->gap_ms);
 }
 
@@ -125,10 +127,12 @@
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.end",
       "request=%.*s outcome=%s status=%u why=%s route=%s"
       " version=%" G_GUINT64_FORMAT
-      " sends=%u events=%u first_ms=%u gap_ms=%u ms=%" G_GUINT64_FORMAT,
+      " sends=%u events=%u first_ms=%u gap_ms=%u framing=%s fault=%s"
+      " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id), outcome, status, why, mq_str_cstr (f->route->name),
       f->routing->version, f->state.tries, f->split.events, f->first_event_ms,
-      f->longest_gap_ms, mq_forward_age_ms (f));
+      f->longest_gap_ms, mq_response_framing_name (f->framing),
+      mq_response_fault_name (f->fault), mq_forward_age_ms (f));
   if (strcmp (outcome, "answered") == 0)
     mq_gateway_drain_note_duration (f);
   mq_gateway_count_end (f->gateway, f->route, outcome, why,
@@ -351,12 +355,14 @@
   mq_log_buffer_append (
       &f->log_buffer, G_LOG_LEVEL_INFO, "request.send-ended",
       "request=%.*s upstream=%s via=%s tunnel_status=%u end=%d status=%u"
-      " why=%s open=%d bytes=%" G_GUINT64_FORMAT " verdict=%d limit=%s"
+      " why=%s open=%d bytes=%" G_GUINT64_FORMAT
+      " framing=%s fault=%s verdict=%d limit=%s"
       " events=%u silent_ms=%" G_GUINT64_FORMAT " ms=%" G_GUINT64_FORMAT,
       MQ_SPAN_ARG (f->id),
       f->upstream ? mq_str_cstr (f->upstream->facts.id) : "none",
       f->detour ? mq_str_cstr (f->detour->address) : "none", f->tunnel_status,
       end, status, why, open, f->call ? mq_http_call_received (f->call) : 0,
+      mq_response_framing_name (f->framing), mq_response_fault_name (f->fault),
       v.verb,
       mq_forward_limit_name (mq_forward_limit_of (&f->state, end, budget)),
       f->split.events, forward_silent_us (f, now) / 1000,
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -120,6 +120,31 @@
       "Records of other routers' messages that were dropped.");
 }
 
+/* Create the counters of responses by framing and by fault.  */
+static void
+metrics_init_responses (mq_gateway *gateway)
+{
+  mq_gateway_counters *c = &gateway->counters;
+  char labels[64];
+
+  for (int i = 0; i < MQ_RESPONSE_FRAMINGS; i++)
+    {
+      g_snprintf (labels, sizeof labels, "framing=\"%s\"",
+                  mq_response_framing_name (i));
+      c->responses[i] = mq_metrics_counter (
+          gateway->metrics, "marjoramquay_responses_total", labels,
+          "Responses of upstreams and the store by how their end is found.");
+    }
+  for (int i = MQ_RESPONSE_SOUND + 1; i < MQ_RESPONSE_FAULTS; i++)
+    {
+      g_snprintf (labels, sizeof labels, "fault=\"%s\"",
+                  mq_response_fault_name (i));
+      c->response_faults[i] = mq_metrics_counter (
+          gateway->metrics, "marjoramquay_response_faults_total", labels,
+          "Of these, responses that are cut, contradictory or malformed.");
+    }
+}
+
 void
 mq_gateway_metrics_init (mq_gateway *gateway)
 {
@@ -149,6 +174,7 @@
                                     "Loads at engines, at the leader.");
   c->loads_waiting
       = mq_metrics_gauge (m, "marjoramquay_loads", "state=\"waiting\"", "");
+  metrics_init_responses (gateway);
   metrics_init_store (gateway);
   c->budget_granted
       = mq_metrics_counter (m, "marjoramquay_budget_lent_total", "",
@@ -362,6 +388,19 @@
   g_array_unref (remote);
 }
 
+static void
+metrics_refresh_responses (mq_gateway *gateway)
+{
+  const mq_http_client_counters *from
+      = mq_http_client_get_counters (gateway->client);
+  mq_gateway_counters *c = &gateway->counters;
+
+  for (int i = 0; i < MQ_RESPONSE_FRAMINGS; i++)
+    *c->responses[i] = from->framings[i];
+  for (int i = MQ_RESPONSE_SOUND + 1; i < MQ_RESPONSE_FAULTS; i++)
+    *c->response_faults[i] = from->faults[i];
+}
+
 /* Update the gauges.  This runs on each scrape, which is rare.  */
 static void
 metrics_refresh (mq_gateway *gateway)
@@ -409,6 +448,7 @@
         ++*c->upstreams_resting;
     }
   metrics_refresh_cluster (gateway, now);
+  metrics_refresh_responses (gateway);
   *c->log_lines = mq_log_get_counters ()->lines;
   *c->log_dropped = mq_log_get_counters ()->lines_dropped;
 }
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -449,6 +449,8 @@
 forward_on_call_end (mq_forward *forward, const mq_http_client_event *event)
 {
   forward->tunnel_status = event->tunnel_status;
+  forward->framing = event->framing;
+  forward->fault = event->fault;
   switch (event->result)
     {
     case MQ_HTTP_OK:
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -22,6 +22,7 @@
 #include <mq/internal/http_request.h>
 
 #include <curl/curl.h>
+#include <mq/log.h>
 #include <string.h>
 
 #define DEFAULT_MAX_BODY_BYTES ((size_t)1024 * 1024)
@@ -46,6 +47,7 @@
   mq_str *ca_file;
   size_t body_room; /* Of the calls that share it; 0: no limit.  */
   size_t held;      /* Bytes of it that are taken.  */
+  mq_http_client_counters counters;
 };
 
 /* A socket that is watched for libcurl.  */
@@ -68,6 +70,7 @@
   size_t body_limit;
   mq_str *echo_name; /* NULL: no check.  */
   mq_str *echo_value;
+  mq_response_check check;
   GString *head;     /* Status line and headers of the response.  */
   GString *body;     /* Not yet reported.  */
   CURLcode code;     /* Result, once ENDED.  */
@@ -112,6 +115,7 @@
   curl_slist_free_all (call->headers);
   mq_str_unref (call->echo_name);
   mq_str_unref (call->echo_value);
+  mq_response_check_finish (&call->check);
   g_string_free (call->head, TRUE);
   g_string_free (call->body, TRUE);
   g_free (call);
@@ -134,6 +138,10 @@
   size_t n = unit * count;
 
   call->received += n;
+  (void)mq_response_check_line (&call->check, (mq_span){ data, n });
+  /* libcurl reports the framing of chunks only to its debug function.  */
+  if (call->check.framing == MQ_RESPONSE_CHUNKED)
+    curl_easy_setopt (call->easy, CURLOPT_VERBOSE, 1L);
   if (n >= 5 && memcmp (data, "HTTP/", 5) == 0)
     {
       long status = 0;
@@ -226,6 +234,7 @@
   if (call->paused || call->throttled)
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
   call->received += n;
+  mq_response_check_count_body (&call->check, n);
   if (call->ended)
     return 0;
   if (!call->streamed
@@ -241,6 +250,19 @@
   return n;
 }
 
+/* Debug callback of libcurl, which receives the body as it is on the wire.  */
+static int
+client_store_raw (CURL *easy, curl_infotype type, char *data, size_t size,
+                  void *context)
+{
+  mq_http_call *call = context;
+
+  (void)easy;
+  if (type == CURLINFO_DATA_IN && call->check.framing == MQ_RESPONSE_CHUNKED)
+    (void)mq_response_check_chunks (&call->check, (mq_span){ data, size });
+  return 0;
+}
+
 static int
 client_before_request (void *context, char *remote_address,
                        char *local_address, int remote_port, int local_port)
@@ -283,6 +305,38 @@
   return (unsigned)status;
 }
 
+static void
+client_log_fault (const mq_http_call *call)
+{
+  const mq_response_check *k = &call->check;
+  char *url = NULL;
+
+  curl_easy_getinfo (call->easy, CURLINFO_EFFECTIVE_URL, &url);
+  mq_log (
+      G_LOG_LEVEL_INFO, "http.response-fault",
+      "url=%s fault=%s framing=%s status=%u code=%d bytes=%" G_GUINT64_FORMAT
+      " length=%" G_GUINT64_FORMAT,
+      mq_log_quote (url), mq_response_fault_name (k->fault),
+      mq_response_framing_name (k->framing), k->status, (int)call->code,
+      k->body_bytes, k->length);
+}
+
+/* Note what CALL, which libcurl has finished, shows of its response.  */
+static void
+client_note_response (mq_http_call *call)
+{
+  mq_http_client_counters *c = &call->client->counters;
+
+  if (call->received == 0 || call->code == CURLE_OPERATION_TIMEDOUT
+      || call->too_large)
+    return;
+  (void)mq_response_check_end (&call->check, call->code == CURLE_OK);
+  c->framings[call->check.framing]++;
+  c->faults[call->check.fault]++;
+  if (call->check.fault != MQ_RESPONSE_SOUND)
+    client_log_fault (call);
+}
+
 /* Mark the calls that libcurl has finished as ended.  */
 static void
 client_collect (mq_http_client *client)
@@ -303,6 +357,7 @@
         continue; /* Given up.  */
       call->code = m->data.result;
       call->ended = true;
+      client_note_response (call);
       client_mark_ready (call);
     }
 }
@@ -315,6 +370,8 @@
                                    .result = MQ_HTTP_OK,
                                    .status = call->status,
                                    .maybe_sent = call->maybe_sent,
+                                   .framing = call->check.framing,
+                                   .fault = call->check.fault,
                                    .too_large = call->too_large };
   if (call->head_complete && !call->head_reported)
     {
@@ -511,6 +568,8 @@
   curl_easy_setopt (e, CURLOPT_HEADERDATA, call);
   curl_easy_setopt (e, CURLOPT_WRITEFUNCTION, client_store_body);
   curl_easy_setopt (e, CURLOPT_WRITEDATA, call);
+  curl_easy_setopt (e, CURLOPT_DEBUGFUNCTION, client_store_raw);
+  curl_easy_setopt (e, CURLOPT_DEBUGDATA, call);
   curl_easy_setopt (e, CURLOPT_PREREQFUNCTION, client_before_request);
   curl_easy_setopt (e, CURLOPT_PREREQDATA, call);
   if (call->client->ca_file == NULL)
@@ -547,6 +606,12 @@
   client->body_room = bytes;
 }
 
+const mq_http_client_counters *
+mq_http_client_get_counters (const mq_http_client *client)
+{
+  return &client->counters;
+}
+
 void
 mq_http_client_free (mq_http_client *client)
 {
@@ -570,6 +635,12 @@
                       mq_http_client_sink sink, void *context)
 {
   mq_http_call *call = g_new0 (mq_http_call, 1);
+  const mq_response_rules rules
+      = { .echo_name = options->echo_name,
+          .echo_value = options->echo_value,
+          .single = options->single,
+          .not_run = options->not_run,
+          .has_no_body = mq_span_equal (options->method, MQ_SPAN ("HEAD")) };
 
   call->client = client;
   call->sink = sink;
@@ -586,6 +657,7 @@
       call->echo_name = mq_str_new (options->echo_name);
       call->echo_value = mq_str_new (options->echo_value);
     }
+  mq_response_check_init (&call->check, &rules);
   call->no_resend = options->once || options->no_resend;
   call->head = g_string_new (NULL);
   call->body = g_string_new (NULL);
