CutResponse: responses that are cut or contradictory count as whole (fails)

A router before two instances of a plain service and an engine that write the bytes of their responses and close the connection in order.

--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -16,9 +16,10 @@
   LoopbackListener listener_;
 
 public:
-  RawEngine (std::string id, std::string domain)
+  /* An engine that holds a model, or an instance of the plain SERVICE.  */
+  RawEngine (std::string id, std::string domain, std::string service = "")
       : id (std::move (id)), domain (std::move (domain)),
-        address (listener_.address)
+        service (std::move (service)), address (listener_.address)
   {
   }
 
@@ -29,9 +30,10 @@
   std::string
   entry () const
   {
-    return "{\"service\":\"model\",\"address\":\"" + address + "\",\"zone\":\""
-           + domain + "\",\"slots\":8,\"state\":\"ready\"" + entry_common
-           + engine_members ("big", 0, 80) + "}";
+    return "{\"service\":\"" + (service.empty () ? "model" : service)
+           + "\",\"address\":\"" + address + "\",\"zone\":\"" + domain
+           + "\",\"slots\":8,\"state\":\"ready\"" + entry_common
+           + (service.empty () ? engine_members ("big", 0, 80) : "") + "}";
   }
 
   /* Accept connections and handle what has arrived.  A request for a report is
@@ -99,7 +101,7 @@
            + "\r\n\r\n";
   }
 
-  std::string id, domain, address;
+  std::string id, domain, service, address;
   unsigned runs = 0;       /* Requests that went to `serve'.  */
   bool crash_due = false;  /* Crash at the end of `poll'.  */
   bool stays_open = false; /* Keep connections after a response.  */
--- /dev/null
+++ b/tests/test_cut_response.cc
@@ -0,0 +1,262 @@
+/* Responses of upstreams that are cut at any byte, contradict themselves or
+   are malformed, on connections that are closed in order afterwards.  None is
+   a success, a promise that the request did not run, or the response to
+   another request.  */
+
+#include "support/raw_engine.h"
+#include "support/router_fleet.h"
+
+using gateway::Answer;
+using gateway::RawEngine;
+
+namespace
+{
+
+const std::string body (200, 'b');
+
+class CutResponse : public gateway::RouterFleet
+{
+protected:
+  /* Start a router before two instances of a plain service and an engine.  */
+  void
+  start ()
+  {
+    for (const char *domain : { "one", "two" })
+      engines.push_back (std::make_unique<RawEngine> (
+          std::string ("raw-") + domain, domain, "app"));
+    engines.push_back (std::make_unique<RawEngine> ("raw-model", "one"));
+    for (auto &e : engines)
+      {
+        e->serve
+            = [this] (const std::string &request) { return make (request); };
+        store.put ("servers", e->id, e->entry ());
+      }
+    configure (1);
+    start_router ();
+    wait (0.1);
+  }
+
+  /* Returns the answer to a request for TARGET; MADE is the response to it,
+     where ID stands for its id.  */
+  Answer
+  ask (const std::string &target, const std::string &made)
+  {
+    Answer a;
+    bool polling = true;
+
+    make = [&made] (const std::string &request) {
+      const std::string name = "Marjoramquay-Attempt-Id: ";
+      size_t at = request.find (name) + name.size ();
+      std::string text = made;
+      size_t id = text.find ("ID\r\n");
+
+      if (id != std::string::npos)
+        text.replace (id, 2,
+                      request.substr (at, request.find ("\r\n", at) - at));
+      return text;
+    };
+    start_request (a, "POST", target, gateway::key,
+                   "call " + std::to_string (++sent_), routers[0]->base);
+    EXPECT_TRUE (until ([&] {
+      if (polling)
+        for (auto &e : engines)
+          e->poll ();
+      return a.ended;
+    }));
+    return a;
+  }
+
+  /* Expect that the response MADE to a call is neither passed on as a success
+     nor taken for a promise, and that an unsafe call reaches one upstream.  */
+  void
+  expect_broken (const std::string &made, const std::string &what)
+  {
+    for (const char *target : { "/safe/", "/unsafe/" })
+      {
+        unsigned before = runs ();
+        Answer a = ask (target, made);
+
+        EXPECT_GT (runs (), before) << target << " " << what;
+        EXPECT_EQ (a.status, 502u) << target << " " << what;
+        EXPECT_EQ (a.result, MQ_HTTP_OK) << target << " " << what;
+        EXPECT_EQ (a.signature, "") << target << " " << what;
+        if (target == std::string ("/unsafe/"))
+          {
+            EXPECT_EQ (runs (), before + 1) << what;
+          }
+      }
+  }
+
+  unsigned
+  runs () const
+  {
+    unsigned n = 0;
+
+    for (auto &e : engines)
+      n += e->runs;
+    return n;
+  }
+
+  /* The head of a signed response with STATUS and MORE headers, without its
+     empty line.  */
+  static std::string
+  head (const std::string &status, const std::string &more)
+  {
+    return "HTTP/1.1 " + status
+           + "\r\nMarjoramquay-Attempt-Id: ID\r\n"
+             "Marjoramquay-Response-Signature: s\r\n"
+           + more;
+  }
+
+  std::vector<std::unique_ptr<RawEngine> > engines;
+
+private:
+  std::function<std::string (const std::string &)> make;
+  unsigned sent_ = 0;
+};
+
+} // namespace
+
+TEST_F (CutResponse, WholeOneIsPassedOn)
+{
+  start ();
+  for (const char *target : { "/safe/", "/unsafe/" })
+    for (const std::string &made :
+         { head ("200 OK", "Content-Length: 200\r\n\r\n") + body,
+           head ("200 OK", "Transfer-Encoding: chunked\r\n\r\nc8\r\n") + body
+               + "\r\n0\r\n\r\n",
+           head ("200 OK", "\r\n") + body })
+      {
+        Answer a = ask (target, made);
+
+        EXPECT_EQ (a.status, 200u) << made;
+        EXPECT_EQ (a.body, body) << made;
+        EXPECT_EQ (a.signature, "s") << made;
+      }
+}
+
+/* An engine closed its connection in the middle of the head of its response:
+   clients got a success with an empty body.  */
+TEST_F (CutResponse, InsideHeadIsNoSuccess)
+{
+  const std::string text = head ("200 OK", "Content-Length: 200\r\n\r\n");
+
+  start ();
+  for (size_t n = 0; n < text.size (); n++)
+    expect_broken (text.substr (0, n), std::to_string (n));
+}
+
+/* The same behind an order of headers in which the id comes last.  */
+TEST_F (CutResponse, InsideHeadWithLateIdIsNoSuccess)
+{
+  const std::string text
+      = "HTTP/1.1 200 OK\r\nMarjoramquay-Response-Signature: s\r\n"
+        "Content-Length: 200\r\nMarjoramquay-Attempt-Id: ID\r\n\r\n";
+
+  start ();
+  for (size_t n = 0; n < text.size (); n++)
+    expect_broken (text.substr (0, n), std::to_string (n));
+}
+
+TEST_F (CutResponse, InsideBodyIsNoSuccess)
+{
+  const std::string plain
+      = head ("200 OK", "Content-Length: 200\r\n\r\n") + body;
+  const std::string chunked
+      = head ("200 OK", "Transfer-Encoding: chunked\r\n\r\nc8\r\n") + body
+        + "\r\n0\r\n\r\n";
+
+  start ();
+  for (size_t cut : { 1, 2, 3, 4, 5, 6, 7, 8, 100 })
+    {
+      expect_broken (plain.substr (0, plain.size () - cut),
+                     "length " + std::to_string (cut));
+      expect_broken (chunked.substr (0, chunked.size () - cut),
+                     "chunks " + std::to_string (cut));
+    }
+}
+
+/* A router told a client "not run" because of a head that was cut, or of a
+   body that was.  */
+TEST_F (CutResponse, WithRejectionIsNoPromise)
+{
+  const std::string text
+      = "HTTP/1.1 503 Full\r\nMarjoramquay-Attempt-Id: ID\r\n"
+        "Marjoramquay-Not-Executed: 1\r\n"
+        "Content-Length: 4\r\n\r\nfull";
+
+  start ();
+  for (size_t n = 0; n < text.size (); n++)
+    expect_broken (text.substr (0, n), std::to_string (n));
+}
+
+TEST_F (CutResponse, ThatContradictsItselfIsNoSuccess)
+{
+  start ();
+  for (const char *more :
+       { "Content-Length: 200\r\nContent-Length: 20\r\n\r\n",
+         "Content-Length: 2x00\r\n\r\n", "Content-Length: +200\r\n\r\n",
+         "Content-Length: -1\r\n\r\n",
+         "Content-Length: 99999999999999999999\r\n\r\n",
+         "Content-Length : 200\r\n\r\n",
+         "Content-Length: 200\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "c8\r\n",
+         "Transfer-Encoding: identity\r\n\r\n",
+         "Content-Length: 200\r\nMarjoramquay-Attempt-Id: other\r\n\r\n",
+         "Content-Length: 200\r\nMarjoramquay-Response-Signature: t\r\n\r\n",
+         "Content-Length: 200\r\nMarjoramquay-Not-Executed: 1\r\n\r\n",
+         "Content-Length: 200\r\nX-A: a\r\n b\r\n\r\n",
+         "Content-Length: 200\r\nHTTP/1.1 200 OK\r\n\r\n" })
+    expect_broken (head ("200 OK", more) + body, more);
+}
+
+/* An error of the run itself is none that promises.  */
+TEST_F (CutResponse, OfRunThatDeniesItIsNoPromise)
+{
+  start ();
+  for (const char *status : { "500 Error", "504 Late" })
+    expect_broken (head (status, "Marjoramquay-Not-Executed: 1\r\n"
+                                 "Content-Length: 0\r\n\r\n"),
+                   status);
+}
+
+TEST_F (CutResponse, WithMalformedChunksIsNoSuccess)
+{
+  start ();
+  for (const char *chunks :
+       { "c8x\r\n%\r\n0\r\n\r\n", "c8\n%\n0\n\n", "c8\r\n%\r\n0x5\r\n\r\n",
+         "c8\r\n%\r\r\n0\r\n\r\n", "c7\r\n%\r\n0\r\n\r\n",
+         "-c8\r\n%\r\n0\r\n\r\n", "c8\r\n%\r\n\r\n" })
+    {
+      std::string text = chunks;
+
+      text.replace (text.find ('%'), 1, body);
+      expect_broken (head ("200 OK", "Transfer-Encoding: chunked\r\n\r\n")
+                         + text,
+                     chunks);
+    }
+}
+
+TEST_F (CutResponse, OfStreamIsNotComplete)
+{
+  std::string events = gateway::events (1, 2);
+  char size[16];
+
+  snprintf (size, sizeof size, "%zx\r\n", events.size ());
+  const std::string text
+      = head ("200 OK", "Content-Type: text/event-stream\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n")
+        + size + events + "\r\n0\r\n\r\n";
+
+  start ();
+  Answer whole = ask ("/stream/", text);
+  EXPECT_EQ (whole.status, 200u);
+  EXPECT_EQ (whole.result, MQ_HTTP_OK);
+  EXPECT_EQ (whole.body, events);
+  for (size_t n = 0; n < text.size (); n++)
+    {
+      Answer a = ask ("/stream/", text.substr (0, n));
+
+      EXPECT_FALSE (a.status == 200u && a.result == MQ_HTTP_OK) << n;
+    }
+}
