net: a response counts as whole only by mq_response_check

What callers saw: a success with the engine's signature and 0 bytes, framed by length as whole, where the engine had closed its connection inside the head; 20 of 200 bytes where it gave two lengths; 2 where it gave "2x00"; a 503 that promises that nothing ran, from a head that was cut.

Cause: the HTTP client took the end of a transfer (CURLE_OK) for the end of a response, and the status for one as soon as its line was there. libcurl ends a transfer without an error when the connection is closed in order inside the head or before the last line feed of the last chunk, takes the last of several lengths, the leading digits of one, and ignores what follows the size of a chunk. All users of the client read its verdict: requests, reports, orders, the store, native mode, mqctl.

Now the client asks mq_response_check. No head is reported, and no status and header are known, before the head is complete and sound; no call ends as MQ_HTTP_OK without its verdict. A trailer no longer adds to the head. The check of the echoed id is part of it.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -30,11 +30,13 @@
 
 typedef enum mq_http_result
 {
-  MQ_HTTP_OK,             /* A complete response, of any status.  */
+  MQ_HTTP_OK,             /* A whole response, of any status
+                             (mq/response_check.h).  */
   MQ_HTTP_CONNECT_FAILED, /* Connecting failed or timed out; nothing was sent.
                            */
   MQ_HTTP_TIMEOUT,        /* The time limit of the call has expired.  */
-  MQ_HTTP_BROKEN /* The connection broke or the response is malformed. */
+  MQ_HTTP_BROKEN /* The connection broke, or the response is cut, contradicts
+                    itself or is malformed.  */
 } mq_http_result;
 
 typedef struct mq_http_client_event
@@ -157,10 +159,6 @@
    sink returns.  */
 mq_span mq_http_call_head (const mq_http_call *call);
 
-/* Returns the value of the header NAME in HEAD, a status line and headers,
-   with NULL data if it is missing.  Borrowed from HEAD.  */
-mq_span mq_http_head_find (mq_span head, const char *name);
-
 G_END_DECLS
 
 #endif
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -13,6 +13,11 @@
    own, and with ONCE or NO_RESEND the pre-request callback aborts a second
    attempt.
 
+   Whether a response is whole is decided by mq_response_check alone.  Without
+   its verdict no head is reported, no status is known, and no call ends as
+   MQ_HTTP_OK.  libcurl reports the framing of chunks only to its debug
+   function; should it not do so, a chunked response counts as cut.
+
    A body that is not streamed is held until it is complete.  Where many have
    no end, the limit of each is not enough, so that bodies share a room.
    Invariant: HELD is the sum of the bodies of the calls that share it.  */
@@ -26,8 +31,6 @@
 #include <string.h>
 
 #define DEFAULT_MAX_BODY_BYTES ((size_t)1024 * 1024)
-#define MAX_HEADER_BYTES ((size_t)64 * 1024)
-#define MIN_FINAL_STATUS 200
 /* Bytes of a streamed body that are read before they are reported.  */
 #define MAX_UNREPORTED_BYTES ((size_t)64 * 1024)
 /* Bytes of its body that a call may hold even where there is no room.  */
@@ -68,21 +71,16 @@
   GList ready_link; /* In the client's ready queue.  */
   uint64_t timeout_ms;
   size_t body_limit;
-  mq_str *echo_name; /* NULL: no check.  */
-  mq_str *echo_value;
   mq_response_check check;
-  GString *head;     /* Status line and headers of the response.  */
   GString *body;     /* Not yet reported.  */
   CURLcode code;     /* Result, once ENDED.  */
   uint64_t received; /* Bytes of heads and bodies.  */
-  unsigned status;
   bool streamed;
   bool no_resend;
   bool maybe_sent;
   bool shares_room;
-  bool too_large;     /* The body exceeds BODY_LIMIT or the room.  */
-  bool is_ready;      /* In the ready queue.  */
-  bool head_complete; /* All headers have arrived.  */
+  bool too_large; /* The body exceeds BODY_LIMIT or the room.  */
+  bool is_ready;  /* In the ready queue.  */
   bool head_reported;
   bool ended;        /* libcurl has finished the call.  */
   bool end_reported; /* END was reported.  */
@@ -113,55 +111,27 @@
   curl_multi_remove_handle (c->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
-  mq_str_unref (call->echo_name);
-  mq_str_unref (call->echo_value);
   mq_response_check_finish (&call->check);
-  g_string_free (call->head, TRUE);
   g_string_free (call->body, TRUE);
   g_free (call);
 }
 
-/* Returns false if the response belongs to another request.  */
-static bool
-client_matches_echo (const mq_http_call *call)
-{
-  return call->echo_name == NULL
-         || mq_span_equal (
-             mq_http_call_header (call, mq_str_cstr (call->echo_name)),
-             mq_str_span (call->echo_value));
-}
-
+/* Header callback of libcurl.  A result of 0 has it close the connection.  */
 static size_t
 client_store_header (char *data, size_t unit, size_t count, void *context)
 {
   mq_http_call *call = context;
   size_t n = unit * count;
+  bool had_head = mq_response_check_has_head (&call->check);
 
   call->received += n;
-  (void)mq_response_check_line (&call->check, (mq_span){ data, n });
-  /* libcurl reports the framing of chunks only to its debug function.  */
-  if (call->check.framing == MQ_RESPONSE_CHUNKED)
-    curl_easy_setopt (call->easy, CURLOPT_VERBOSE, 1L);
-  if (n >= 5 && memcmp (data, "HTTP/", 5) == 0)
-    {
-      long status = 0;
-
-      curl_easy_getinfo (call->easy, CURLINFO_RESPONSE_CODE, &status);
-      call->status = (unsigned)status;
-      g_string_truncate (call->head, 0);
-    }
-  if (call->head->len + n > MAX_HEADER_BYTES)
+  if (!mq_response_check_line (&call->check, (mq_span){ data, n }))
     return 0;
-  g_string_append_len (call->head, data, (gssize)n);
-  if (data[0] != '\r' && data[0] != '\n')
+  if (had_head || !mq_response_check_has_head (&call->check))
     return n;
-  if (call->status >= MIN_FINAL_STATUS)
-    {
-      if (!client_matches_echo (call))
-        return 0; /* libcurl closes the connection.  */
-      call->head_complete = true;
-      client_mark_ready (call);
-    }
+  if (call->check.framing == MQ_RESPONSE_CHUNKED)
+    curl_easy_setopt (call->easy, CURLOPT_VERBOSE, 1L);
+  client_mark_ready (call);
   return n;
 }
 
@@ -235,7 +205,7 @@
     return CURL_WRITEFUNC_PAUSE; /* libcurl delivers the bytes again later.  */
   call->received += n;
   mq_response_check_count_body (&call->check, n);
-  if (call->ended)
+  if (call->ended || call->check.fault != MQ_RESPONSE_SOUND)
     return 0;
   if (!call->streamed
       && (call->body->len + n > call->body_limit
@@ -284,7 +254,7 @@
 {
   curl_off_t total_us = 0;
 
-  if (call->code == CURLE_OK)
+  if (call->code == CURLE_OK && call->check.fault == MQ_RESPONSE_SOUND)
     return MQ_HTTP_OK;
   if (call->code != CURLE_OPERATION_TIMEDOUT)
     return call->maybe_sent ? MQ_HTTP_BROKEN : MQ_HTTP_CONNECT_FAILED;
@@ -321,16 +291,17 @@
       k->body_bytes, k->length);
 }
 
-/* Note what CALL, which libcurl has finished, shows of its response.  */
+/* Judge the response to CALL, which libcurl has finished.  */
 static void
-client_note_response (mq_http_call *call)
+client_end_response (mq_http_call *call)
 {
   mq_http_client_counters *c = &call->client->counters;
 
-  if (call->received == 0 || call->code == CURLE_OPERATION_TIMEDOUT
-      || call->too_large)
+  if (call->code == CURLE_OPERATION_TIMEDOUT || call->too_large)
     return;
   (void)mq_response_check_end (&call->check, call->code == CURLE_OK);
+  if (call->received == 0)
+    return;
   c->framings[call->check.framing]++;
   c->faults[call->check.fault]++;
   if (call->check.fault != MQ_RESPONSE_SOUND)
@@ -357,7 +328,7 @@
         continue; /* Given up.  */
       call->code = m->data.result;
       call->ended = true;
-      client_note_response (call);
+      client_end_response (call);
       client_mark_ready (call);
     }
 }
@@ -368,12 +339,12 @@
 {
   *event = (mq_http_client_event){ .call = call,
                                    .result = MQ_HTTP_OK,
-                                   .status = call->status,
+                                   .status = mq_http_call_status (call),
                                    .maybe_sent = call->maybe_sent,
                                    .framing = call->check.framing,
                                    .fault = call->check.fault,
                                    .too_large = call->too_large };
-  if (call->head_complete && !call->head_reported)
+  if (mq_response_check_has_head (&call->check) && !call->head_reported)
     {
       call->head_reported = true;
       event->kind = MQ_HTTP_CLIENT_HEADERS;
@@ -652,14 +623,8 @@
                                               : options->body_limit;
   call->streamed = options->streamed;
   call->shares_room = options->shares_room && !options->streamed;
-  if (options->echo_name.size > 0)
-    {
-      call->echo_name = mq_str_new (options->echo_name);
-      call->echo_value = mq_str_new (options->echo_value);
-    }
   mq_response_check_init (&call->check, &rules);
   call->no_resend = options->once || options->no_resend;
-  call->head = g_string_new (NULL);
   call->body = g_string_new (NULL);
   call->easy = curl_easy_init ();
   client_set_up (call, options);
@@ -715,41 +680,22 @@
   return call->paused;
 }
 
-mq_span
-mq_http_head_find (mq_span head, const char *name)
-{
-  size_t size = strlen (name);
-  const char *line = head.data;
-  const char *stop = head.data + head.size;
-  const char *end;
-
-  for (; line < stop && (end = memchr (line, '\n', (size_t)(stop - line)));
-       line = end + 1)
-    {
-      const char *value = line + size + 1;
-
-      if ((size_t)(end - line) <= size || line[size] != ':'
-          || g_ascii_strncasecmp (line, name, size) != 0)
-        continue;
-      return mq_span_trim ((mq_span){ value, (size_t)(end - value) });
-    }
-  return (mq_span){ NULL, 0 };
-}
-
 unsigned
 mq_http_call_status (const mq_http_call *call)
 {
-  return call->status;
+  return mq_response_check_has_head (&call->check) ? call->check.status : 0;
 }
 
 mq_span
 mq_http_call_head (const mq_http_call *call)
 {
-  return (mq_span){ call->head->str, call->head->len };
+  if (!mq_response_check_has_head (&call->check))
+    return (mq_span){ NULL, 0 };
+  return (mq_span){ call->check.head->str, call->check.head->len };
 }
 
 mq_span
 mq_http_call_header (const mq_http_call *call, const char *name)
 {
-  return mq_http_head_find (mq_http_call_head (call), name);
+  return mq_response_head_find (mq_http_call_head (call), name);
 }
