gateway: the headers of a response may not contradict each other

What callers saw: a success with two signatures was passed on with both; a success, or an error of the run itself (500, 504), that also stated "not executed" was taken for the promise that nothing ran, so that an unsafe call was sent to a second engine and answered 503 in the end.

Cause: each header was looked up by itself and by the first of its name.

--- a/include/mq/dialect.h
+++ b/include/mq/dialect.h
@@ -88,6 +88,9 @@
 typedef struct mq_dialect
 {
   mq_dialect_headers headers;
+  /* Headers of an upstream's response that may not occur with two values, up
+     to a NULL.  */
+  const char *const *single_headers;
   mq_dialect_kinds kinds;
   const char *ready_path;
   const char *resolve_path;
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -199,14 +199,17 @@
       = { { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") },
           { mq_span_from (gateway->dialect->headers.expect_incarnation),
             mq_str_span (upstream->facts.id) } };
-  mq_http_call_options options = { .method = MQ_SPAN ("POST"),
-                                   .url = mq_span_from (url),
-                                   .headers = headers,
-                                   .n_headers = G_N_ELEMENTS (headers),
-                                   .connect_ms = ORDER_CONNECT_MS,
-                                   .timeout_ms = ORDER_TIMEOUT_MS,
-                                   .once = true,
-                                   .shares_room = true };
+  mq_http_call_options options
+      = { .method = MQ_SPAN ("POST"),
+          .url = mq_span_from (url),
+          .headers = headers,
+          .n_headers = G_N_ELEMENTS (headers),
+          .connect_ms = ORDER_CONNECT_MS,
+          .timeout_ms = ORDER_TIMEOUT_MS,
+          .once = true,
+          .single = gateway->dialect->single_headers,
+          .not_run = gateway->dialect->headers.not_run,
+          .shares_room = true };
 
   gateway->dialect->order_encode (order->first, order->end, upstream->orders,
                                   body);
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -130,12 +130,15 @@
   mq_http_header expected
       = { mq_span_from (gateway->dialect->headers.expect_incarnation),
           mq_str_span (upstream->facts.id) };
-  mq_http_call_options options = { .url = mq_span_from (url),
-                                   .headers = &expected,
-                                   .n_headers = 1,
-                                   .connect_ms = REPORT_CONNECT_MS,
-                                   .timeout_ms = REPORT_TIMEOUT_MS,
-                                   .shares_room = true };
+  mq_http_call_options options
+      = { .url = mq_span_from (url),
+          .headers = &expected,
+          .n_headers = 1,
+          .connect_ms = REPORT_CONNECT_MS,
+          .timeout_ms = REPORT_TIMEOUT_MS,
+          .single = gateway->dialect->single_headers,
+          .not_run = gateway->dialect->headers.not_run,
+          .shares_room = true };
 
   c->gateway = gateway;
   c->upstream = mq_upstream_ref (upstream);
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -154,6 +154,8 @@
                              .streamed = f->route->kind == MQ_ROUTE_STREAM,
                              .no_resend = true,
                              .once = !mq_forward_may_repeat (&f->state),
+                             .single = g->dialect->single_headers,
+                             .not_run = g->dialect->headers.not_run,
                              .body_limit = MAX_RESPONSE_BYTES,
                              .shares_room = true };
 
