gateway: a response without a length that a crash cuts is no success

What callers saw: 90 of 200 bytes of a signed success, framed by length as whole, and a stream that ends as complete before its last event, when the process of an engine is killed inside a response that has neither a length nor chunks. The picture is that of the users' cases; which of the two causes theirs had can't be told from their record.

Cause: the kernel closes the connections of a process that ends in order, which is also how such a response ends. The router then stated the length of what it held, which the engine never did.

The upstream of such a response is connected to before it is passed on, 5 ms after its end, as a process closes its sockets one after the other. If that is refused, the process has ended and the response counts as broken: a safe call and a resumable stream go on elsewhere, others get 502 and "unknown". What can't be checked is passed on as before: an upstream that leaves, a router that does not reach it itself, the last 150 ms before the deadline, a process that is back at once or a listener that outlives it.

CutResponse.ByCrashWithoutLengthIsNoSuccess and ByCrashBetweenEventsIsNotComplete fail without the check (200 with 90 bytes, one run; a complete stream of two events) and pass with it. request.close-check and marjoramquay_close_checks_total tell how often it happens.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -174,6 +174,7 @@
   uint64_t *resumed_streams;
   uint64_t *answers_too_large;
   uint64_t *responses[MQ_RESPONSE_FRAMINGS];
+  uint64_t *close_checks[2]; /* 1: the upstream had crashed.  */
   uint64_t *response_faults[MQ_RESPONSE_FAULTS];
   uint64_t *budget_granted;
   uint64_t *budget_received;
@@ -370,17 +371,20 @@
   uint64_t stay_until_us;  /* It leaves no silent run before.  */
   mq_standby *standby;     /* A silent run that it left (gateway_standby.h),
                               owned; NULL: none.  */
-  mq_http_call *call;      /* Borrowed; NULL between sends.  */
-  mq_detour *detour;       /* That the current send goes through, borrowed;
-                              NULL: none.  */
-  uint64_t sent_us;        /* When the last send began.  */
-  uint64_t received_us;    /* When the last progress of a response arrived,
-                              its head or an event with an id; at first, when
-                              forwarding began.  */
-  GString *held;           /* Bytes of a stream's response that are not
-                              forwarded yet: the body of one without success,
-                              or what came without an id after the last event
-                              with one.  */
+  struct mq_close_check *close_check; /* Of the current send, whose call has
+                                         ended (gateway_close_check.h), owned;
+                                         NULL: none.  */
+  mq_http_call *call;                 /* Borrowed; NULL between sends.  */
+  mq_detour *detour;    /* That the current send goes through, borrowed;
+                           NULL: none.  */
+  uint64_t sent_us;     /* When the last send began.  */
+  uint64_t received_us; /* When the last progress of a response arrived,
+                           its head or an event with an id; at first, when
+                           forwarding began.  */
+  GString *held;        /* Bytes of a stream's response that are not
+                           forwarded yet: the body of one without success,
+                           or what came without an id after the last event
+                           with one.  */
   mq_event_split split;
   unsigned tunnel_status;      /* As in the end event of the last call.  */
   mq_response_framing framing; /* The same.  */
@@ -599,9 +603,6 @@
    FORWARD: a signed success.  */
 bool mq_gateway_response_may_serve (const mq_forward *forward,
                                     const mq_http_call *call);
-/* Returns true if the end of the response of CALL is that of its connection,
-   so that a crash of the engine looks like it.  */
-bool mq_gateway_response_is_unframed (const mq_http_call *call);
 /* The sink of a send's HTTP call; CONTEXT is the mq_forward.  */
 void mq_forward_on_call (void *context, const mq_http_client_event *event);
 
--- a/packages/gateway/budget_transfer.c
+++ b/packages/gateway/budget_transfer.c
@@ -241,7 +241,8 @@
 forward_waits (const mq_forward *forward)
 {
   return forward->waits_for_budget
-         || (forward->call == NULL && forward->state.response_started);
+         || (forward->call == NULL && forward->close_check == NULL
+             && forward->state.response_started);
 }
 
 /* Number of forwards of SERVICE, a hash, that wait for their next send.  */
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -8,6 +8,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/gateway_close_check.h>
 #include <mq/internal/gateway_detour.h>
 #include <mq/internal/gateway_reach.h>
 #include <mq/internal/gateway_standby.h>
@@ -58,6 +59,7 @@
 void
 mq_forward_drop_send (mq_forward *forward)
 {
+  mq_close_check_drop (forward);
   if (forward->call != NULL)
     mq_http_call_cancel (forward->call);
   forward->call = NULL;
@@ -554,6 +556,8 @@
       forward_give_up (forward);
       return;
     }
+  if (forward->close_check != NULL)
+    return;
   if (forward->call == NULL)
     {
       mq_forward_send (forward, now_us);
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -135,6 +135,12 @@
           gateway->metrics, "marjoramquay_responses_total", labels,
           "Responses of upstreams and the store by how their end is found.");
     }
+  for (int refused = 0; refused < 2; refused++)
+    c->close_checks[refused] = mq_metrics_counter (
+        gateway->metrics, "marjoramquay_close_checks_total",
+        refused ? "result=\"refused\"" : "result=\"passed\"",
+        "Checks whether the upstream of a response that ended with its "
+        "connection has crashed.");
   for (int i = MQ_RESPONSE_SOUND + 1; i < MQ_RESPONSE_FAULTS; i++)
     {
       g_snprintf (labels, sizeof labels, "fault=\"%s\"",
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -11,6 +11,7 @@
    whole response, shows that it belongs to a sound response.  What is held
    has a bound; a run that exceeds it is broken.  */
 
+#include <mq/internal/gateway_close_check.h>
 #include <mq/internal/gateway_standby.h>
 
 #include <mq/internal/http_header.h>
@@ -297,19 +298,7 @@
   (void)stream_pass (forward, event->status);
 }
 
-bool
-mq_gateway_response_is_unframed (const mq_http_call *call)
-{
-  return mq_http_call_header (call, "Content-Length").data == NULL
-         && mq_http_call_header (call, "Transfer-Encoding").data == NULL;
-}
-
-static bool
-answer_is_unframed (const mq_forward *forward)
-{
-  return mq_gateway_response_is_unframed (forward->call);
-}
-
+/* The response to FORWARD, a stream, is whole.  Frees FORWARD.  */
 static void
 stream_complete (mq_forward *forward, unsigned status)
 {
@@ -318,7 +307,7 @@
   for (unsigned i = 0; i < forward->path.n; i++)
     mq_upstream_succeeded (forward->path.stages[i].upstream, forward->sent_us);
   mq_upstream_succeeded (forward->upstream, forward->sent_us);
-  if (answer_is_unframed (forward))
+  if (forward->framing == MQ_RESPONSE_TO_CLOSE)
     mq_crash_note_unframed_end (forward, mq_gateway_now_us ());
   else
     mq_gateway_note_success (forward);
@@ -332,15 +321,30 @@
 
 /* ---- Ends of sends.  */
 
-/* Forward a complete response with STATUS and BODY.  Frees FORWARD.  */
+/* Forward RESPONSE, which is whole.  Frees FORWARD.  */
 static void
-forward_pass (mq_forward *forward, unsigned status, mq_span body)
+forward_pass (mq_forward *forward, const mq_held_response *response)
 {
   mq_gateway *g = forward->gateway;
-  GArray *headers = answer_headers (mq_http_call_head (forward->call));
-  bool sent = mq_http_exchange_reply (
-      forward->exchange, status, (const mq_http_header *)(void *)headers->data,
-      headers->len, body);
+  GArray *headers = answer_headers (response->head);
+  unsigned status = response->status;
+  bool sent;
+
+  if (forward->route->kind == MQ_ROUTE_STREAM
+      && mq_gateway_status_is_success (status))
+    {
+      g_array_unref (headers);
+      stream_complete (forward, status);
+      return;
+    }
+  if (mq_gateway_status_is_success (status))
+    {
+      mq_upstream_succeeded (forward->upstream, forward->sent_us);
+      mq_gateway_note_success (forward);
+    }
+  sent = mq_http_exchange_reply (forward->exchange, status,
+                                 (const mq_http_header *)(void *)headers->data,
+                                 headers->len, response->body);
 
   g_array_unref (headers);
   if (!sent)
@@ -352,6 +356,18 @@
   mq_forward_end (forward, "answered", status, "whole");
 }
 
+/* Forward the response to FORWARD's call with STATUS and BODY, which has
+   ended, once it is sure to be whole.  May free FORWARD.  */
+static void
+forward_finish (mq_forward *forward, unsigned status, mq_span body)
+{
+  const mq_held_response r
+      = { status, mq_http_call_head (forward->call), body };
+
+  if (!mq_close_check_start (forward, &r, forward_pass))
+    forward_pass (forward, &r);
+}
+
 /* Returns true if the upstream states that it did not run the request.  */
 static bool
 answer_is_not_run (const mq_forward *forward)
@@ -422,18 +438,14 @@
       if (v.verb != MQ_FORWARD_DELIVER)
         mq_forward_send_ended (f, MQ_SEND_REPLIED, event->status, "error");
       else
-        forward_pass (f, event->status, body);
+        forward_finish (f, event->status, body);
       return;
     }
   if (!stream)
-    {
-      mq_upstream_succeeded (f->upstream, f->sent_us);
-      mq_gateway_note_success (f);
-      forward_pass (f, event->status, body);
-    }
+    forward_finish (f, event->status, body);
   else if (mq_event_split_has_partial (&f->split))
     mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "half-event");
-  else if (answer_is_unframed (f) && !mq_forward_run_has_begun (f))
+  else if (f->framing == MQ_RESPONSE_TO_CLOSE && !mq_forward_run_has_begun (f))
     {
       /* Nothing follows the last event of the run that was left: its end is
          what is missing.  */
@@ -442,7 +454,7 @@
         mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "no-event");
     }
   else
-    stream_complete (f, event->status);
+    forward_finish (f, event->status, (mq_span){ NULL, 0 });
 }
 
 static void
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -175,7 +175,7 @@
   if (forward->route->kind != MQ_ROUTE_STREAM)
     return true;
   if (!mq_gateway_response_may_serve (forward, event->call)
-      || (mq_gateway_response_is_unframed (event->call)
+      || (event->framing == MQ_RESPONSE_TO_CLOSE
           && forward->last_event_us < s->sent_us))
     return false;
   mq_event_split_init (&split, forward->split.last_id);
--- a/tests/test_cut_response.cc
+++ b/tests/test_cut_response.cc
@@ -6,6 +6,8 @@
 #include "support/raw_engine.h"
 #include "support/router_fleet.h"
 
+#include <utility>
+
 using gateway::Answer;
 using gateway::RawEngine;
 
@@ -27,8 +29,13 @@
     engines.push_back (std::make_unique<RawEngine> ("raw-model", "one"));
     for (auto &e : engines)
       {
-        e->serve
-            = [this] (const std::string &request) { return make (request); };
+        e->serve = [this, &e = *e] (const std::string &request) {
+          std::string text = make (request);
+          int lost = std::exchange (crash_bytes, -1);
+
+          e.crash_due = lost >= 0;
+          return text.substr (0, text.size () - (size_t)std::max (lost, 0));
+        };
         store.put ("servers", e->id, e->entry ());
       }
     configure (1);
@@ -42,7 +49,6 @@
   ask (const std::string &target, const std::string &made)
   {
     Answer a;
-    bool polling = true;
 
     make = [&made] (const std::string &request) {
       const std::string name = "Marjoramquay-Attempt-Id: ";
@@ -58,9 +64,8 @@
     start_request (a, "POST", target, gateway::key,
                    "call " + std::to_string (++sent_), routers[0]->base);
     EXPECT_TRUE (until ([&] {
-      if (polling)
-        for (auto &e : engines)
-          e->poll ();
+      for (auto &e : engines)
+        e->poll ();
       return a.ended;
     }));
     return a;
@@ -109,6 +114,9 @@
   }
 
   std::vector<std::unique_ptr<RawEngine> > engines;
+  int crash_bytes = -1; /* If not negative, the next engine that responds
+                           crashes so many bytes before the end of its
+                           response.  */
 
 private:
   std::function<std::string (const std::string &)> make;
@@ -237,6 +245,43 @@
     }
 }
 
+/* The process of an engine that is killed closes its connections in order,
+   which ends a response without a length.  */
+TEST_F (CutResponse, ByCrashWithoutLengthIsNoSuccess)
+{
+  start ();
+  crash_bytes = 110;
+  Answer safe = ask ("/safe/", head ("200 OK", "\r\n") + body);
+  EXPECT_EQ (safe.status, 200u);
+  EXPECT_EQ (safe.body, body);
+  EXPECT_EQ (runs (), 2u);
+  crash_bytes = 110;
+  Answer unsafe = ask ("/unsafe/", head ("200 OK", "\r\n") + body);
+  EXPECT_EQ (unsafe.status, 502u);
+  EXPECT_EQ (unsafe.signature, "");
+  EXPECT_EQ (runs (), 3u);
+}
+
+/* An engine that leaves ends after its last response, whose end this is.  */
+TEST_F (CutResponse, WholeOneOfLeavingEngineIsPassedOn)
+{
+  start ();
+  crash_bytes = 0;
+  Answer a
+      = ask ("/unsafe/", head ("200 OK", "Server-Leaving: 1\r\n\r\n") + body);
+  EXPECT_EQ (a.status, 200u);
+  EXPECT_EQ (a.body, body);
+}
+
+TEST_F (CutResponse, ByCrashBetweenEventsIsNotComplete)
+{
+  start ();
+  crash_bytes = (int)gateway::events (3, 3).size ();
+  Answer a
+      = ask ("/stream/", head ("200 OK", "\r\n") + gateway::events (1, 3));
+  EXPECT_FALSE (a.status == 200u && a.result == MQ_HTTP_OK);
+}
+
 TEST_F (CutResponse, OfStreamIsNotComplete)
 {
   std::string events = gateway::events (1, 2);
