net: bytes behind a chunked response do not spoil the next one

What callers saw: an engine that answers a kept connection twice, the first time in chunks, lost the next call on it: 502, or a further send, in all of 24 cases but those in which the second response came as a whole later.

Cause: libcurl drops what it has read behind the last chunk and keeps the connection, so that the rest of a second response stood where the next one is expected. (Behind a body with a length it closes the connection.)

The check sees these bytes; the connection is then not used again.

CutResponse.IsNotThatOfNextRequest failed before and passes.

--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -227,9 +227,13 @@
 {
   mq_http_call *call = context;
 
-  (void)easy;
-  if (type == CURLINFO_DATA_IN && call->check.framing == MQ_RESPONSE_CHUNKED)
-    (void)mq_response_check_chunks (&call->check, (mq_span){ data, size });
+  if (type != CURLINFO_DATA_IN || call->check.framing != MQ_RESPONSE_CHUNKED)
+    return 0;
+  (void)mq_response_check_chunks (&call->check, (mq_span){ data, size });
+  /* libcurl drops what it has read behind the last chunk, and would take the
+     rest of it for the next response.  */
+  if (call->check.has_excess)
+    curl_easy_setopt (easy, CURLOPT_FORBID_REUSE, 1L);
   return 0;
 }
 
--- a/tests/test_cut_response.cc
+++ b/tests/test_cut_response.cc
@@ -305,3 +305,62 @@
       EXPECT_FALSE (a.status == 200u && a.result == MQ_HTTP_OK) << n;
     }
 }
+
+/* An engine that answers twice: what follows a whole response on its
+   connection belongs to no request, and the next one gets a connection of its
+   own.  */
+TEST_F (CutResponse, IsNotThatOfNextRequest)
+{
+  const std::string plain
+      = head ("200 OK", "Content-Length: 200\r\n\r\n") + body;
+  const std::string chunked
+      = head ("200 OK", "Transfer-Encoding: chunked\r\n\r\nc8\r\n") + body
+        + "\r\n0\r\n\r\n";
+
+  start ();
+  for (auto &e : engines)
+    e->stays_open = true;
+  for (const std::string &first : { plain, chunked })
+    for (const std::string &second : { plain, chunked })
+      for (size_t n : { (size_t)1, (size_t)9, (size_t)40, (size_t)120,
+                        second.size () - 1, second.size () })
+        {
+          unsigned before = runs ();
+          Answer a = ask ("/safe/", first + second.substr (0, n));
+
+          EXPECT_EQ (a.status, 200u) << n;
+          EXPECT_EQ (a.body, body) << n;
+          /* The rest of the second response, if the connection is open.  */
+          for (auto &e : engines)
+            e->write (second.substr (n));
+          wait (0.005);
+          Answer b = ask ("/safe/", plain);
+          EXPECT_EQ (b.status, 200u) << n;
+          EXPECT_EQ (b.body, body) << n;
+          EXPECT_EQ (runs (), before + 2) << n;
+        }
+}
+
+/* The second response comes late, whole or cut, when the connection is kept
+   for the next request.  */
+TEST_F (CutResponse, ThatIsLateIsNotThatOfNextRequest)
+{
+  const std::string plain
+      = head ("200 OK", "Content-Length: 200\r\n\r\n") + body;
+  std::string late = plain;
+
+  late.replace (late.find ("ID\r\n"), 2, "a1");
+  std::replace (late.begin (), late.end (), 'b', 'x');
+  start ();
+  for (auto &e : engines)
+    e->stays_open = true;
+  for (size_t n = 1; n <= late.size (); n += 7)
+    {
+      ask ("/safe/", plain);
+      for (auto &e : engines)
+        e->write (late.substr (0, n));
+      wait (0.002);
+      Answer b = ask ("/safe/", plain);
+      EXPECT_TRUE (b.status == 502 || b.body == body) << n;
+    }
+}
