gateway: the check of responses without a length covers the time before the deadline

Found by review: of a call with 140 ms left, 90 of 200 bytes passed as a signed success, as the check was left out in the last 150 ms; and the last response of an engine that has left the platform's list without draining, as some do, became 502.

The check takes some 5 ms and is made up to the deadline, which ends the call as any other. Engines that are off the list count as draining ones do.

--- a/include/mq/internal/gateway_close_check.h
+++ b/include/mq/internal/gateway_close_check.h
@@ -31,7 +31,7 @@
 /* Check the upstream of FORWARD's current send, whose call has ended with
    RESPONSE, which is copied.  SINK is called later if it counts as whole;
    otherwise the send ends as broken.  Returns false, and does nothing, if
-   there is no need, no time or no way to check it.  */
+   there is no need or no way to check it.  */
 bool mq_close_check_start (mq_forward *forward,
                            const mq_held_response *response,
                            mq_close_check_sink sink);
--- a/packages/gateway/gateway_close_check.c
+++ b/packages/gateway/gateway_close_check.c
@@ -3,8 +3,9 @@
 
    A refusal proves that the upstream's process has ended; nothing else that a
    connection attempt meets says anything about the response.  An upstream that
-   leaves may well end right after its last response, and a router that does
-   not reach the upstream itself can't check.  */
+   drains, or has left the platform's list, may well end right after its last
+   response, and a router that does not reach the upstream itself can't
+   check.  */
 
 #include <mq/internal/gateway_close_check.h>
 
@@ -15,8 +16,6 @@
 /* A process that ends closes its sockets one after the other.  */
 #define DELAY_S 0.005
 #define CONNECT_TIMEOUT_MS 100
-/* A response that comes later than this before the deadline is not held.  */
-#define MIN_REMAINING_US ((uint64_t)150 * 1000)
 
 struct mq_close_check
 {
@@ -92,13 +91,11 @@
                       mq_close_check_sink sink)
 {
   mq_forward *f = forward;
-  uint64_t now = mq_gateway_now_us ();
   mq_close_check *c;
 
   if (f->framing != MQ_RESPONSE_TO_CLOSE || f->detour != NULL
-      || mq_upstream_is_draining (f->upstream)
-      || mq_gateway_is_isolated (f->gateway, f->upstream)
-      || now + MIN_REMAINING_US >= f->state.deadline_us)
+      || mq_upstream_is_draining (f->upstream) || !f->upstream->listed
+      || mq_gateway_is_isolated (f->gateway, f->upstream))
     return false;
   c = g_new0 (mq_close_check, 1);
   c->forward = f;
--- a/tests/test_cut_response.cc
+++ b/tests/test_cut_response.cc
@@ -33,6 +33,8 @@
           std::string text = make (request);
           int lost = std::exchange (crash_bytes, -1);
 
+          if (on_serve)
+            on_serve (e);
           e.crash_due = lost >= 0;
           return text.substr (0, text.size () - (size_t)std::max (lost, 0));
         };
@@ -46,7 +48,8 @@
   /* Returns the answer to a request for TARGET; MADE is the response to it,
      where ID stands for its id.  */
   Answer
-  ask (const std::string &target, const std::string &made)
+  ask (const std::string &target, const std::string &made,
+       const std::string &left_ms = "1500")
   {
     Answer a;
 
@@ -62,7 +65,8 @@
       return text;
     };
     start_request (a, "POST", target, gateway::key,
-                   "call " + std::to_string (++sent_), routers[0]->base);
+                   "call " + std::to_string (++sent_), routers[0]->base,
+                   left_ms);
     EXPECT_TRUE (until ([&] {
       for (auto &e : engines)
         e->poll ();
@@ -114,6 +118,7 @@
   }
 
   std::vector<std::unique_ptr<RawEngine> > engines;
+  std::function<void (const RawEngine &)> on_serve;
   int crash_bytes = -1; /* If not negative, the next engine that responds
                            crashes so many bytes before the end of its
                            response.  */
@@ -262,6 +267,30 @@
   EXPECT_EQ (runs (), 3u);
 }
 
+TEST_F (CutResponse, ByCrashNearDeadlineIsNoSuccess)
+{
+  start ();
+  crash_bytes = 110;
+  Answer a = ask ("/unsafe/", head ("200 OK", "\r\n") + body, "140");
+  EXPECT_TRUE (a.status == 502 || a.status == 504) << a.status;
+  EXPECT_EQ (a.signature, "");
+}
+
+/* An engine that has left the list without draining ends after its last
+   response, whose end this is.  */
+TEST_F (CutResponse, WholeOneOfUnlistedEngineIsPassedOn)
+{
+  start ();
+  on_serve = [this] (const RawEngine &e) {
+    store.remove ("servers", e.id);
+    wait (0.3);
+  };
+  crash_bytes = 0;
+  Answer a = ask ("/unsafe/", head ("200 OK", "\r\n") + body);
+  EXPECT_EQ (a.status, 200u);
+  EXPECT_EQ (a.body, body);
+}
+
 /* An engine that leaves ends after its last response, whose end this is.  */
 TEST_F (CutResponse, WholeOneOfLeavingEngineIsPassedOn)
 {
