net: the framing of chunks has bounds of its own

Found by review: an extension of a chunk without end was read until the time limit (some 125 MB in a second), as no callback but the debug function sees it; a head with thousands of equal headers of those that may occur once took 214 ms of the loop, since each was compared with the first one.

Extensions may take 64 KiB in all, and such headers be repeated 16 times. A fault of the chunks ends the call at once. A call that is made again keeps libcurl's result from before its handle was removed, and a connection that was only closed counts as no stray response.

ResponseCheck.FindsMalformedChunks, FindsForeignAndAmbiguousResponses, EndlessToCall.*/InChunkExtension.

--- a/include/mq/internal/socket_table.h
+++ b/include/mq/internal/socket_table.h
@@ -36,8 +36,7 @@
 /* Removes FD, which is about to be closed, if it is there.  */
 void mq_socket_table_remove (mq_socket_table *table, int fd);
 
-/* Returns true if the peer of FD has sent bytes that were not read, or has
-   closed the connection.  */
+/* Returns true if the peer of FD has sent bytes that were not read.  */
 bool mq_socket_has_input (int fd);
 
 G_END_DECLS
--- a/include/mq/response_check.h
+++ b/include/mq/response_check.h
@@ -88,7 +88,9 @@
   mq_response_framing framing;
   GString *head; /* Status line and headers of the response.  */
   size_t trailer_bytes;
-  unsigned status; /* 0: no status line.  */
+  size_t extension_bytes; /* Of chunks.  */
+  unsigned repetitions;   /* Of headers that may occur once.  */
+  unsigned status;        /* 0: no status line.  */
   bool has_length;
   bool has_coding;
   uint64_t length;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -231,6 +231,50 @@
   return n;
 }
 
+static void
+client_log_fault (const mq_http_call *call)
+{
+  const mq_response_check *k = &call->check;
+  char *url = NULL;
+
+  curl_easy_getinfo (call->easy, CURLINFO_EFFECTIVE_URL, &url);
+  mq_log (
+      G_LOG_LEVEL_INFO, "http.response-fault",
+      "url=%s fault=%s framing=%s status=%u code=%d bytes=%" G_GUINT64_FORMAT
+      " length=%" G_GUINT64_FORMAT,
+      mq_log_quote (url), mq_response_fault_name (k->fault),
+      mq_response_framing_name (k->framing), k->status, (int)call->code,
+      k->body_bytes, k->length);
+}
+
+/* Judge the response to CALL, which has ended.  */
+static void
+client_end_response (mq_http_call *call)
+{
+  mq_http_client_counters *c = &call->client->counters;
+
+  if (call->code == CURLE_OPERATION_TIMEDOUT || call->too_large)
+    return;
+  (void)mq_response_check_end (&call->check, call->code == CURLE_OK);
+  if (call->received == 0)
+    return;
+  c->framings[call->check.framing]++;
+  c->faults[call->check.fault]++;
+  if (call->check.fault != MQ_RESPONSE_SOUND)
+    client_log_fault (call);
+}
+
+/* End CALL, which libcurl runs, because of its response.  libcurl is told when
+   that is reported.  */
+static void
+client_end_early (mq_http_call *call)
+{
+  call->code = CURLE_WRITE_ERROR;
+  call->ended = true;
+  client_end_response (call);
+  client_mark_ready (call);
+}
+
 /* Debug callback of libcurl, which receives the body as it is on the wire.  */
 static int
 client_store_raw (CURL *easy, curl_infotype type, char *data, size_t size,
@@ -240,7 +284,9 @@
 
   if (type != CURLINFO_DATA_IN || call->check.framing != MQ_RESPONSE_CHUNKED)
     return 0;
-  (void)mq_response_check_chunks (&call->check, (mq_span){ data, size });
+  if (!mq_response_check_chunks (&call->check, (mq_span){ data, size })
+      && !call->ended)
+    client_end_early (call); /* Bytes without data have no other callback.  */
   /* libcurl drops what it has read behind the last chunk, and would take the
      rest of it for the next response.  */
   if (call->check.has_excess)
@@ -339,39 +385,6 @@
   return (unsigned)status;
 }
 
-static void
-client_log_fault (const mq_http_call *call)
-{
-  const mq_response_check *k = &call->check;
-  char *url = NULL;
-
-  curl_easy_getinfo (call->easy, CURLINFO_EFFECTIVE_URL, &url);
-  mq_log (
-      G_LOG_LEVEL_INFO, "http.response-fault",
-      "url=%s fault=%s framing=%s status=%u code=%d bytes=%" G_GUINT64_FORMAT
-      " length=%" G_GUINT64_FORMAT,
-      mq_log_quote (url), mq_response_fault_name (k->fault),
-      mq_response_framing_name (k->framing), k->status, (int)call->code,
-      k->body_bytes, k->length);
-}
-
-/* Judge the response to CALL, which libcurl has finished.  */
-static void
-client_end_response (mq_http_call *call)
-{
-  mq_http_client_counters *c = &call->client->counters;
-
-  if (call->code == CURLE_OPERATION_TIMEDOUT || call->too_large)
-    return;
-  (void)mq_response_check_end (&call->check, call->code == CURLE_OK);
-  if (call->received == 0)
-    return;
-  c->framings[call->check.framing]++;
-  c->faults[call->check.fault]++;
-  if (call->check.fault != MQ_RESPONSE_SOUND)
-    client_log_fault (call);
-}
-
 /* Make CALL, which libcurl has finished, again on a new connection if that
    which was to be used had stray bytes.  */
 static bool
@@ -396,6 +409,7 @@
 
   while ((m = curl_multi_info_read (client->multi, &left)) != NULL)
     {
+      CURLcode result = m->data.result;
       char *data = NULL;
       mq_http_call *call;
 
@@ -407,7 +421,7 @@
         continue; /* Given up.  */
       if (client_restart (call))
         continue;
-      call->code = m->data.result;
+      call->code = result;
       call->ended = true;
       client_end_response (call);
       client_mark_ready (call);
--- a/packages/net/response_check.c
+++ b/packages/net/response_check.c
@@ -21,6 +21,11 @@
 #define STATUS_UNAVAILABLE 503
 
 #define MAX_HEAD_BYTES ((size_t)64 * 1024)
+/* Bytes of the extensions of all chunks.  */
+#define MAX_EXTENSION_BYTES ((size_t)64 * 1024)
+/* Repetitions of headers that may occur once.  Each is compared with the first
+   one, which is searched for.  */
+#define MAX_REPETITIONS 16
 /* Digits of a chunk's size, so that it fits 63 bits.  */
 #define MAX_CHUNK_DIGITS 15
 
@@ -180,7 +185,10 @@
   mq_span before = mq_response_head_find (check_head (check), name);
 
   g_free (name);
-  if (before.data == NULL || mq_span_equal (before, header->value))
+  if (before.data == NULL)
+    return true;
+  if (mq_span_equal (before, header->value)
+      && ++check->repetitions <= MAX_REPETITIONS)
     return true;
   return check_fail (check, MQ_RESPONSE_AMBIGUOUS);
 }
@@ -385,11 +393,13 @@
       return g_ascii_isxdigit (c) ? chunk_add_digit (check, c)
                                   : chunk_end_digits (check, c);
     case MQ_CHUNK_SPACE:
-      return chunk_end_digits (check, c);
+      return chunk_end_digits (check, c)
+             && ++check->extension_bytes <= MAX_EXTENSION_BYTES;
     case MQ_CHUNK_EXTENSION:
       if (c == '\r')
         check->chunk_state = MQ_CHUNK_SIZE_END;
-      return c != '\n' && c != '\0';
+      return c != '\n' && c != '\0'
+             && ++check->extension_bytes <= MAX_EXTENSION_BYTES;
     case MQ_CHUNK_SIZE_END:
       return chunk_expect (check, c, '\n',
                            check->chunk_left > 0 ? MQ_CHUNK_DATA
--- a/packages/net/socket_table.c
+++ b/packages/net/socket_table.c
@@ -65,5 +65,5 @@
 {
   char byte;
 
-  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
