gateway: what a response states of its upstream counts once it is whole

What callers saw: after a response with Server-Leaving, Server-Limit or Retry-After whose body was cut, an engine got no requests any more, and calls were refused. Found by review.

Cause: the headers were applied when the head had arrived. That an upstream leaves is never taken back, and is passed on to other routers.

They are applied at the end of a whole response, and for a stream with the first event that is passed on. A silent run that its request has left is asked the same; one that is rejected is no longer dropped before its response is there.

CutResponse.StatesNothingOfItsEngine failed before (no request reached the engine after the first cut response) and passes.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -387,6 +387,8 @@
                            or what came without an id after the last event
                            with one.  */
   mq_event_split split;
+  bool notice_taken; /* What the upstream states in the headers of the present
+                        run's response was applied.  */
   unsigned tunnel_status;      /* As in the end event of the last call.  */
   mq_response_framing framing; /* The same.  */
   mq_response_fault fault;     /* The same.  */
@@ -572,12 +574,13 @@
 void mq_gateway_quarantine_note_sent (mq_forward *forward, uint64_t now_us);
 
 /* ---- gateway_notice.c  */
-/* Apply what UPSTREAM states in the headers of its response, which EVENT
-   reports, to a call that was sent at SENT_US.  OF_REQUEST: that was a
-   client's request, rather than an order or a request for a report.  */
+/* Apply what UPSTREAM states in the headers of its response to CALL, which was
+   sent at SENT_US.  The response is whole, or an event of it is passed on.
+   OF_REQUEST: the call was a client's request, rather than an order or a
+   request for a report.  */
 void mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
-                               const mq_http_client_event *event,
-                               uint64_t sent_us, bool of_request);
+                               const mq_http_call *call, uint64_t sent_us,
+                               bool of_request);
 /* Apply that UPSTREAM stated at AT_US, in a response to the router BY, a limit
    of PER_S requests a second, 0 for none.  */
 void mq_gateway_apply_limit (mq_gateway *gateway, mq_upstream *upstream,
--- a/packages/gateway/gateway_notice.c
+++ b/packages/gateway/gateway_notice.c
@@ -46,11 +46,12 @@
 
 void
 mq_gateway_note_response (mq_gateway *gateway, mq_upstream *upstream,
-                          const mq_http_client_event *event, uint64_t sent_us,
+                          const mq_http_call *call, uint64_t sent_us,
                           bool of_request)
 {
   static const mq_finding_source self = { 0, false };
   uint64_t now = mq_gateway_now_us ();
+  unsigned status = mq_http_call_status (call);
   mq_upstream_notice notice;
   GError *error = NULL;
   bool valid;
@@ -58,8 +59,8 @@
   /* What an earlier incarnation said is not true of this one.  */
   if (sent_us < upstream->restarted_us)
     return;
-  valid = gateway->dialect->notice_decode (mq_http_call_head (event->call),
-                                           event->status, &notice, &error)
+  valid = gateway->dialect->notice_decode (mq_http_call_head (call), status,
+                                           &notice, &error)
           == 0;
   if (!valid)
     {
@@ -78,7 +79,7 @@
         MAX (notice.limit_per_s, MQ_UPSTREAM_LIMIT_MIN_PER_S), now, self);
   /* An upstream names its limit in all responses to requests while it has one.
      A failure may come from a part of it that does not add the header.  */
-  else if (valid && of_request && mq_gateway_status_is_success (event->status))
+  else if (valid && of_request && mq_gateway_status_is_success (status))
     mq_gateway_apply_limit (gateway, upstream, 0, now, self);
 }
 
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -167,11 +167,11 @@
 {
   order_call *o = context;
 
-  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
-    mq_gateway_note_response (o->gateway, o->upstream, event, o->sent_us,
-                              false);
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
+  if (event->result == MQ_HTTP_OK)
+    mq_gateway_note_response (o->gateway, o->upstream, event->call, o->sent_us,
+                              false);
   if (event->result != MQ_HTTP_OK && o->detour != NULL)
     (void)mq_gateway_note_detour_failure (o->detour, event);
   else if (event->result != MQ_HTTP_OK)
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -98,11 +98,11 @@
   report_call *c = context;
   mq_engine_report r;
 
-  if (event->kind == MQ_HTTP_CLIENT_HEADERS)
-    mq_gateway_note_response (c->gateway, c->upstream, event, c->sent_us,
-                              false);
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
+  if (event->result == MQ_HTTP_OK)
+    mq_gateway_note_response (c->gateway, c->upstream, event->call, c->sent_us,
+                              false);
   if (event->result == MQ_HTTP_OK && event->status == STATUS_OK
       && report_decode (c, event->data, &r) == 0)
     {
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -183,6 +183,17 @@
                              forward->sent_us);
 }
 
+/* Apply what the upstream of FORWARD states in the headers of its response,
+   once for each run.  */
+static void
+answer_note_headers (mq_forward *forward)
+{
+  if (!forward->notice_taken)
+    mq_gateway_note_response (forward->gateway, forward->upstream,
+                              forward->call, forward->sent_us, true);
+  forward->notice_taken = true;
+}
+
 /* Update what is known of FORWARD and its path by an event that is about to be
    forwarded.  */
 static void
@@ -252,6 +263,7 @@
 {
   if (!forward->state.response_started && stream_begin (forward, status) < 0)
     return -1;
+  answer_note_headers (forward);
   stream_note_event (forward);
   stream_release (forward);
   if (mq_http_exchange_write (forward->exchange, event)
@@ -466,6 +478,7 @@
   switch (event->result)
     {
     case MQ_HTTP_OK:
+      answer_note_headers (forward);
       forward_answered (forward, event);
       break;
     case MQ_HTTP_CONNECT_FAILED:
@@ -500,8 +513,6 @@
     {
     case MQ_HTTP_CLIENT_HEADERS:
       mq_forward_note_received (f);
-      mq_gateway_note_response (f->gateway, f->upstream, event, f->sent_us,
-                                true);
       if (mq_gateway_status_is_success (event->status)
           && f->route->kind == MQ_ROUTE_STREAM && !answer_is_signed (f))
         mq_forward_send_ended (f, MQ_SEND_BROKEN, event->status, "unsigned");
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -389,6 +389,7 @@
   f->state.tries++;
   ++*g->counters.sends;
   f->tunnel_status = 0;
+  f->notice_taken = false;
   f->framing = MQ_RESPONSE_NO_HEAD;
   f->fault = MQ_RESPONSE_SOUND;
   f->detour = mq_gateway_choose_detour (g, f->upstream, now_us);
--- a/packages/gateway/gateway_standby.c
+++ b/packages/gateway/gateway_standby.c
@@ -22,6 +22,7 @@
   uint64_t sent_us;
   uint64_t received_us;
   GString *rest; /* Bytes of its response after its last event with an id.  */
+  bool notice_taken;   /* As of the send that it was.  */
   bool head_is_silent; /* Nothing says which engine of PATH is, so that its
                           head is to be avoided.  */
 };
@@ -58,6 +59,7 @@
   s->path = f->path;
   f->path.n = 0; /* Its references are the standby's now.  */
   s->path_load = f->path_load;
+  s->notice_taken = f->notice_taken;
   s->head_is_silent = head_is_silent;
   s->sent_us = f->sent_us;
   s->received_us = f->received_us;
@@ -93,6 +95,7 @@
   if (f->path_load != NULL)
     f->path_load->tokens += f->need_tokens;
   mq_gateway_urgency_note_sent (f, now);
+  f->notice_taken = s->notice_taken;
   f->sent_us = s->sent_us;
   f->received_us = s->received_us;
   mq_event_split_feed (&f->split, (mq_span){ s->rest->str, s->rest->len });
@@ -170,13 +173,13 @@
   mq_span event_text;
   bool is_partial;
 
-  if (event->result != MQ_HTTP_OK)
+  if (event->result != MQ_HTTP_OK
+      || !mq_gateway_response_may_serve (forward, event->call))
     return false;
   if (forward->route->kind != MQ_ROUTE_STREAM)
     return true;
-  if (!mq_gateway_response_may_serve (forward, event->call)
-      || (event->framing == MQ_RESPONSE_TO_CLOSE
-          && forward->last_event_us < s->sent_us))
+  if (event->framing == MQ_RESPONSE_TO_CLOSE
+      && forward->last_event_us < s->sent_us)
     return false;
   mq_event_split_init (&split, forward->split.last_id);
   mq_event_split_feed (&split, (mq_span){ s->rest->str, s->rest->len });
@@ -200,6 +203,9 @@
       "request=%.*s upstream=%s result=%d status=%u", MQ_SPAN_ARG (f->id),
       mq_str_cstr (f->standby->upstream->facts.id), event->result,
       event->status);
+  if (event->result == MQ_HTTP_OK && !f->standby->notice_taken)
+    mq_gateway_note_response (f->gateway, f->standby->upstream, event->call,
+                              f->standby->sent_us, true);
   if (event->result == MQ_HTTP_BROKEN)
     mq_crash_note_broken_run (f, f->standby->upstream, mq_gateway_now_us ());
   mq_standby_drop (f);
@@ -214,14 +220,15 @@
   switch (event->kind)
     {
     case MQ_HTTP_CLIENT_HEADERS:
-      mq_gateway_note_response (f->gateway, s->upstream, event, s->sent_us,
-                                true);
       s->received_us = mq_gateway_now_us ();
-      if (!mq_gateway_response_may_serve (f, event->call))
+      /* Of a rejection the end tells what the upstream states.  */
+      if (mq_gateway_status_is_success (event->status)
+          && !mq_gateway_response_may_serve (f, event->call))
         mq_standby_drop (f);
       return false;
     case MQ_HTTP_CLIENT_DATA:
-      if (!standby_keep (f, event->data))
+      if (!standby_keep (f, event->data)
+          || !mq_gateway_response_may_serve (f, event->call))
         return false;
       event->data.size = 0;
       return mq_standby_resume (f, "response");
--- a/tests/test_cut_response.cc
+++ b/tests/test_cut_response.cc
@@ -203,6 +203,24 @@
     expect_broken (text.substr (0, n), std::to_string (n));
 }
 
+/* A head was believed before its body was there: the engine got no requests
+   any more.  */
+TEST_F (CutResponse, StatesNothingOfItsEngine)
+{
+  const std::string states = "Server-Leaving: 1\r\nServer-Limit: 0.1\r\n"
+                             "Retry-After: 60\r\n";
+  const std::string cut (50, 'b');
+
+  start ();
+  for (int i = 0; i < 2; i++)
+    for (const char *status : { "200 OK", "503 Full" })
+      expect_broken (
+          head (status, states + "Content-Length: 200\r\n\r\n") + cut, status);
+  Answer a = ask ("/unsafe/",
+                  head ("200 OK", "Content-Length: 200\r\n\r\n") + body);
+  EXPECT_EQ (a.status, 200u);
+}
+
 TEST_F (CutResponse, ThatContradictsItselfIsNoSuccess)
 {
   start ();
