--- a/include/mq/json_split.h
+++ b/include/mq/json_split.h
@@ -22,9 +22,10 @@
 {
   const char *at;
   const char *end;
-  char close;  /* The bracket that ends the text.  */
-  bool first;  /* No value was returned yet.  */
-  bool broken; /* The text ends early, or is no object or array.  */
+  char close;   /* The bracket that ends the text.  */
+  bool first;   /* No value was returned yet.  */
+  bool broken;  /* The text ends early, or is no object or array.  */
+  bool goes_on; /* Something follows the object or array.  */
 } mq_json_split;
 
 /* Begins to split TEXT, an object.  */
@@ -39,6 +40,10 @@
 /* The same for the next element of an array.  */
 bool mq_json_split_element (mq_json_split *split, mq_span *value);
 
+/* Returns true if the end was reached and TEXT is one object or array without
+   anything after it.  */
+bool mq_json_split_is_whole (const mq_json_split *split);
+
 G_END_DECLS
 
 #endif
--- a/packages/base/json_split.c
+++ b/packages/base/json_split.c
@@ -128,6 +128,8 @@
     return false;
   if (split_take_char (split, split->close))
     {
+      split_skip_space (split);
+      split->goes_on = split->at < split->end;
       split->at = NULL;
       return false;
     }
@@ -181,3 +183,9 @@
 {
   return split_next (split) && split_take_value (split, value);
 }
+
+bool
+mq_json_split_is_whole (const mq_json_split *split)
+{
+  return !split->broken && !split->goes_on && split->at == NULL;
+}
--- a/packages/gateway/gateway_report.c
+++ b/packages/gateway/gateway_report.c
@@ -88,7 +88,9 @@
       return;
     }
   mq_gateway_note_answered (u);
-  mq_upstream_set_slowdown (u, report->slowdown, mq_gateway_now_us ());
+  /* Without all of its members it does not show that the upstream is fast. */
+  if (report->left_out == NULL)
+    mq_upstream_set_slowdown (u, report->slowdown, mq_gateway_now_us ());
   call->sink (call->gateway, u, MQ_HTTP_OK, report);
 }
 
--- a/packages/gateway/gateway_stall.c
+++ b/packages/gateway/gateway_stall.c
@@ -96,12 +96,14 @@
 }
 
 /* HEAD replied with REPORT: it works, and so do the engines of its requests'
-   paths that it no longer names.  */
+   paths that it no longer names, if the report could be read whole.  */
 static void
 stall_refute_by_report (const mq_gateway *gateway, mq_upstream *head,
                         const mq_engine_report *report)
 {
   mq_stall_refute (head, "no-report");
+  if (report->left_out != NULL)
+    return;
   for (GList *l = gateway->forwards.head; l != NULL; l = l->next)
     {
       const mq_forward *f = l->data;
--- a/tests/test_json_split.cc
+++ b/tests/test_json_split.cc
@@ -89,3 +89,34 @@
   for (const char *s : { "{\"a\"}", "{\"a\":}", "{1:2}", "{\"a\":1", "[]" })
     EXPECT_EQ (members (s).back (), "broken") << s;
 }
+
+TEST (JsonSplit, TellsWhetherTextGoesOn)
+{
+  auto is_whole = [] (const std::string &s) {
+    mq_json_split split;
+    mq_span key;
+    mq_span value;
+
+    if (s[0] == '[')
+      {
+        mq_json_split_array (&split, { s.data (), s.size () });
+        while (mq_json_split_element (&split, &value))
+          EXPECT_FALSE (mq_json_split_is_whole (&split)) << s;
+      }
+    else
+      {
+        mq_json_split_object (&split, { s.data (), s.size () });
+        while (mq_json_split_member (&split, &key, &value))
+          EXPECT_FALSE (mq_json_split_is_whole (&split)) << s;
+      }
+    return mq_json_split_is_whole (&split);
+  };
+
+  for (const char *s :
+       { "[]x", "[1] ]", "[1][1]", "[],", "[1]\n{}", "{}x",
+         "{\"a\":1}{\"a\":1}", "{\"a\":1} }", "[1", "{", "[1 2]", "x" })
+    EXPECT_FALSE (is_whole (s)) << s;
+  EXPECT_FALSE (is_whole (std::string ("[1]\0", 4)));
+  for (const char *s : { "[]", "[1] \r\n", "{}", " {\"a\":[1]}\t" })
+    EXPECT_TRUE (is_whole (s)) << s;
+}
