store: a reply that contradicts itself or is malformed withdraws nothing

What callers saw: a router stopped using an engine, for good, because of a reply of the store that was whole as HTTP and not as what it has to say: a list or a watch with text after its object, with "items", "events", "at" or "hasMore" twice, with a "hasMore" that is no truth value, with an event whose parts come twice, or with status 201 or 409.

A feed applied what it could read of an unreadable reply with its deletions.

--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -390,16 +390,50 @@
   feed_schedule_call (feed, NO_DELAY_S);
 }
 
+/* Returns true if ENTRY takes an upstream of FEED away from new requests.  */
+static bool
+feed_entry_withdraws (const mq_feed *feed, const mq_platform_entry *entry)
+{
+  mq_upstream_facts facts;
+  bool draining;
+
+  if (entry->deleted)
+    return true;
+  if (feed_is_routing (feed))
+    return false;
+  if (feed->gateway->dialect->upstream_decode (entry->name, entry->value,
+                                               &facts, NULL)
+      < 0)
+    return true;
+  draining = facts.draining;
+  mq_upstream_facts_finish (&facts);
+  return draining;
+}
+
+/* Apply those entries of REPLY, which is unreadable as a whole, that withdraw
+   nothing.  */
+static void
+feed_apply_additions (mq_feed *feed, const mq_platform_reply *reply)
+{
+  GArray *added = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
+
+  for (size_t i = 0; i < reply->n_entries; i++)
+    if (!feed_entry_withdraws (feed, &reply->entries[i]))
+      g_array_append_val (added, reply->entries[i]);
+  feed_apply (feed, entries_data (added), added->len);
+  g_array_unref (added);
+}
+
 /* The store has answered, but its reply can't be read as a whole.  What could
-   be read is used.  The same call may give the same reply again, so that a
-   follower scans, and goes on from there.  */
+   be read is used, but withdraws nothing.  The same call may give the same
+   reply again, so that a follower scans, and goes on from there.  */
 static void
 feed_receive_unreadable (mq_feed *feed, const mq_platform_reply *reply)
 {
   feed->unreadable_replies++;
   mq_gateway_note_unreadable (feed->gateway, feed->kind, reply,
                               feed->unreadable_replies);
-  feed_apply (feed, reply->entries, reply->n_entries);
+  feed_apply_additions (feed, reply);
   feed_begin_scan (feed);
   /* The scans between such replies succeed.  */
   feed->failures = MAX (feed->failures, feed->unreadable_replies - 1);
