platform: a configuration whose routes are no list is unusable

What callers saw: 404 for every route, from a configuration whose "routes" is an object or a text; likewise no organisations or services where these are no list.

Cause: a member that is not a list was read as an empty one.

--- a/tests/test_cut_store.cc
+++ b/tests/test_cut_store.cc
@@ -575,6 +575,34 @@
   expect_unchanged ("scan servers", "HTTP/1.1 204 No Content\r\n\r\n");
 }
 
+TEST_F (CutStore, OfConfigurationWithdrawsNoRoute)
+{
+  const std::string none
+      = "{\"version\":2,\"routes\":[],\"services\":[],\"limits\":{}}";
+  const std::string whole
+      = ScriptedServer::response ("200 OK", list (object ("main", 12, none)));
+
+  start ();
+  for (size_t n : { (size_t)0, (size_t)12, whole.find ("\r\n\r\n") + 2,
+                    whole.find ("\r\n\r\n") + 4, whole.size () - 1 })
+    expect_unchanged ("scan config", whole.substr (0, n));
+  for (const std::string &spec : std::vector<std::string>{
+           none + "x", "{\"version\":2,\"routes\":{}}",
+           "{\"version\":2,\"routes\":\"\"}", "{\"version\":2,\"version\":3}",
+           "{\"version\":2,\"routes\":[],\"services\":7}",
+           "{\"version\":2,\"routes\":[],\"tenants\":{}}",
+           "{\"version\":2,\"routes\":[],\"routes\":[{}]}",
+           "{\"version\":2,\"routes\":[],}", "[" + none + "]" })
+    for (const char *place : { "scan config", "watch config" })
+      expect_unchanged (
+          place,
+          ScriptedServer::response (
+              "200 OK",
+              place[0] == 's'
+                  ? list (object ("main", 12, spec))
+                  : events (event ("false", object ("main", 12, spec)))));
+}
+
 /* A router that starts took a write for done whose reply was cut.  */
 TEST_F (CutStore, OfWriteIsNotDone)
 {
