net: the reply of a tunnel server counts only with a whole head

What callers saw: an isolated router held an upstream for unreachable, or for one that does not reply, because another router's tunnel server closed its connection in the middle of its reply, or gave one that contradicts itself. Requests left the upstream, and not the router whose reply was cut.

Cause: libcurl knows the status of the reply to CONNECT as soon as its line is there, and the client passed that on. 200 from a cut reply did not open a tunnel, but was reported as the tunnel server's.

Now the head of the reply goes to a mq_response_check of its own. Its status is known with a whole head alone, and a malformed one ends the call as not sent. Once the request may have been sent libcurl hides such replies again, so that a tunnel that it opens to resend a request is no part of the response. http.tunnel-fault tells of replies that are cut.

OfSecondTunnelIsNoResponse fails if replies are not hidden again: a response of 200 that no engine gave.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -45,8 +45,8 @@
   mq_http_call *call; /* Borrowed.  */
   mq_http_result result;
   unsigned status;        /* HTTP status; 0 before it is received.  */
-  unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none.
-                           */
+  unsigned tunnel_status; /* Of the tunnel server's reply; 0: there was none
+                             whose head is whole.  */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
   mq_response_framing framing; /* Of the response.  */
   mq_response_fault fault;     /* END: what is wrong with the response; that
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -16,7 +16,9 @@
    Whether a response is whole is decided by mq_response_check alone.  Without
    its verdict no head is reported, no status is known, and no call ends as
    MQ_HTTP_OK.  libcurl reports the framing of chunks only to its debug
-   function; should it not do so, a chunked response counts as cut.
+   function; should it not do so, a chunked response counts as cut.  The same
+   holds for the reply of a tunnel server, which comes before the request is
+   sent: its status counts only with a head that is whole.
 
    A body that is not streamed is held until it is complete.  Where many have
    no end, the limit of each is not enough, so that bodies share a room.
@@ -72,13 +74,15 @@
   uint64_t timeout_ms;
   size_t body_limit;
   mq_response_check check;
-  GString *body;     /* Not yet reported.  */
-  CURLcode code;     /* Result, once ENDED.  */
-  uint64_t received; /* Bytes of heads and bodies.  */
+  mq_response_check tunnel_check; /* Of the tunnel server's reply.  */
+  GString *body;                  /* Not yet reported.  */
+  CURLcode code;                  /* Result, once ENDED.  */
+  uint64_t received;              /* Bytes of heads and bodies.  */
   bool streamed;
   bool no_resend;
   bool maybe_sent;
   bool shares_room;
+  bool tunnelled; /* Goes through a tunnel server.  */
   bool too_large; /* The body exceeds BODY_LIMIT or the room.  */
   bool is_ready;  /* In the ready queue.  */
   bool head_reported;
@@ -112,6 +116,7 @@
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
   mq_response_check_finish (&call->check);
+  mq_response_check_finish (&call->tunnel_check);
   g_string_free (call->body, TRUE);
   g_free (call);
 }
@@ -124,6 +129,10 @@
   size_t n = unit * count;
   bool had_head = mq_response_check_has_head (&call->check);
 
+  if (call->tunnelled && !call->maybe_sent)
+    return mq_response_check_line (&call->tunnel_check, (mq_span){ data, n })
+               ? n
+               : 0;
   call->received += n;
   if (!mq_response_check_line (&call->check, (mq_span){ data, n }))
     return 0;
@@ -250,6 +259,10 @@
   if (call->no_resend && call->maybe_sent)
     return CURL_PREREQFUNC_ABORT;
   call->maybe_sent = true;
+  /* Should libcurl open another tunnel to resend the request, the reply to
+     that is no part of the response.  */
+  if (call->tunnelled)
+    curl_easy_setopt (call->easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
   return CURL_PREREQFUNC_OK;
 }
 
@@ -270,13 +283,14 @@
   return MQ_HTTP_CONNECT_FAILED;
 }
 
+/* Returns the status of the tunnel server's reply, or 0 if there was no whole
+   one.  */
 static unsigned
 client_tunnel_status (const mq_http_call *call)
 {
-  long status = 0;
-
-  curl_easy_getinfo (call->easy, CURLINFO_HTTP_CONNECTCODE, &status);
-  return (unsigned)status;
+  return mq_response_check_has_head (&call->tunnel_check)
+             ? call->tunnel_check.status
+             : 0;
 }
 
 static void
@@ -295,12 +309,29 @@
       k->body_bytes, k->length);
 }
 
+/* Judge the tunnel server's reply to CALL, if one has begun.  */
+static void
+client_end_tunnel_reply (mq_http_call *call)
+{
+  mq_response_check *k = &call->tunnel_check;
+  char *url = NULL;
+
+  if (k->fault == MQ_RESPONSE_SOUND && k->status == 0)
+    return;
+  if (mq_response_check_end (k, true) == MQ_RESPONSE_SOUND)
+    return;
+  curl_easy_getinfo (call->easy, CURLINFO_EFFECTIVE_URL, &url);
+  mq_log (G_LOG_LEVEL_INFO, "http.tunnel-fault", "url=%s fault=%s status=%u",
+          mq_log_quote (url), mq_response_fault_name (k->fault), k->status);
+}
+
 /* Judge the response to CALL, which libcurl has finished.  */
 static void
 client_end_response (mq_http_call *call)
 {
   mq_http_client_counters *c = &call->client->counters;
 
+  client_end_tunnel_reply (call);
   if (call->code == CURLE_OPERATION_TIMEDOUT || call->too_large)
     return;
   (void)mq_response_check_end (&call->check, call->code == CURLE_OK);
@@ -616,6 +647,8 @@
           .single = options->single,
           .not_run = options->not_run,
           .has_no_body = mq_span_equal (options->method, MQ_SPAN ("HEAD")) };
+  /* libcurl passes over the body of a reply that rejects the tunnel.  */
+  const mq_response_rules tunnel_rules = { .has_no_body = true };
 
   call->client = client;
   call->sink = sink;
@@ -627,7 +660,9 @@
                                               : options->body_limit;
   call->streamed = options->streamed;
   call->shares_room = options->shares_room && !options->streamed;
+  call->tunnelled = options->tunnel.size > 0;
   mq_response_check_init (&call->check, &rules);
+  mq_response_check_init (&call->tunnel_check, &tunnel_rules);
   call->no_resend = options->once || options->no_resend;
   call->body = g_string_new (NULL);
   call->easy = curl_easy_init ();
--- a/packages/net/http_request.c
+++ b/packages/net/http_request.c
@@ -174,7 +174,6 @@
   if (tunnel.size == 0)
     return;
   curl_easy_setopt (easy, CURLOPT_HTTPPROXYTUNNEL, 1L);
-  curl_easy_setopt (easy, CURLOPT_SUPPRESS_CONNECT_HEADERS, 1L);
   /* The tunnel server gets none of the request's headers.  */
   curl_easy_setopt (easy, CURLOPT_HEADEROPT, (long)CURLHEADER_SEPARATE);
 }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -54,7 +54,8 @@
 
   const std::string &address = listener_.address;
   unsigned requests = 0;
-  bool resets = false; /* Reset connections in place of closing them.  */
+  bool stays_open = false; /* Keep the connection after a response.  */
+  bool resets = false;     /* Reset connections in place of closing them.  */
   /* Returns the whole response to a request; nothing: it gets none, and its
      connection stays open.  */
   std::function<std::optional<std::string> (const std::string &request)> serve;
@@ -124,7 +125,7 @@
 
         setsockopt (fd, SOL_SOCKET, SO_LINGER, &l, sizeof l);
       }
-    return false;
+    return stays_open;
   }
 
   struct ev_loop *loop_;
