test_operations_page: the events of the HTTP client belong to the page

ListsEachEventThatCanBeLoggedAndNoOther failed since the page lists http.response-fault: it read the events of packages/gateway and of the program alone. It now reads those of packages/net/http_client.c as well, so that these have to be listed, too.

--- a/tests/test_operations_page.cc
+++ b/tests/test_operations_page.cc
@@ -45,6 +45,7 @@
   std::string code = read (root / "programs/marjoramquay/gateway_mode.c");
   std::string page = read (root / "docs/OPERATIONS.md");
 
+  code += read (root / "packages/net/http_client.c");
   for (auto &f :
        std::filesystem::directory_iterator (root / "packages/gateway"))
     code += read (f.path ());
