net: a malformed request for a tunnel opens none

What an operator saw: nothing; a tunnel server connected to an upstream for a request line with another version, with none, or with a part more.

Cause: whatever followed the address and a space was passed over.

Evidence: CutTunnelRequest.ThatIsMalformedOpensNoConnection failed before (five connections). AtAnyByteOpensNoConnection passed before and guards: a request that is cut, with its connection closed in order, opens no connection.

--- a/packages/net/tunnel_server.c
+++ b/packages/net/tunnel_server.c
@@ -382,6 +382,7 @@
 request_address (mq_span text)
 {
   static const char method[] = "CONNECT ";
+  static const mq_span version = { " HTTP/1.1\r\n", 11 };
   size_t skip = sizeof method - 1;
   const char *end;
 
@@ -390,7 +391,9 @@
   text.data += skip;
   text.size -= skip;
   end = memchr (text.data, ' ', text.size);
-  if (end == NULL)
+  if (end == NULL
+      || !mq_span_starts_with (
+          (mq_span){ end, text.size - (size_t)(end - text.data) }, version))
     return (mq_span){ NULL, 0 };
   return (mq_span){ text.data, (size_t)(end - text.data) };
 }
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -53,7 +53,7 @@
   }
 
   const std::string &address = listener_.address;
-  unsigned requests = 0;
+  unsigned connections = 0, requests = 0;
   bool stays_open = false; /* Keep the connection after a response.  */
   bool resets = false;     /* Reset connections in place of closing them.  */
   /* Returns the whole response to a request; nothing: it gets none, and its
@@ -73,7 +73,10 @@
     int fd;
 
     while ((fd = listener_.accept ()) >= 0)
-      connections_[fd] = "";
+      {
+        connections++;
+        connections_[fd] = "";
+      }
     for (auto i = connections_.begin (); i != connections_.end ();)
       {
         bool open = read (i->first, i->second);
