net: an engine's stream is done, or did not run, only by a whole response

What callers saw: a request to a model may be sent again, or be answered with "not run", although the engine's response was cut; and a completion whose engine said "done" in a response that was cut behind that line, or went on with more tokens, was delivered as complete.

Cause: the adapter read "ran": false from the body of any error, whatever the result of the call and the status were, with a parser that takes the last of two values, ignores what follows the value and ends at a null character. Lines were read strictly, but with the last of two values and with members of both kinds. The adapter closed the connection at the line "done", so nobody asked whether the response was whole.

The statement counts only in a whole response with 4xx or 503. "done" is reported at the end of a whole response with nothing more of this stream; other ends promise nothing and are reported at once. An engine that stays silent behind "done" is bound by the entry's final-line and stall timeouts and the deadline of the call, as before.

The test Engine.ReportsNothingAfterTheEnd expected that a token behind "done" is ignored; a stream that contradicts itself is not complete, so Engine.FailsOnTokenAfterTheEnd expects the failure, and that nothing is reported after it.

--- a/include/mq/engine_stream.h
+++ b/include/mq/engine_stream.h
@@ -22,7 +22,9 @@
 {
   MQ_ENGINE_STREAM_OPEN, /* The first engine accepted the stream.  */
   MQ_ENGINE_STREAM_TOKEN,
-  MQ_ENGINE_STREAM_END,   /* The first engine sent its last line.  */
+  MQ_ENGINE_STREAM_END,   /* The first engine sent its last line; if that
+                             states a complete answer, the HTTP response was
+                             whole and held nothing more.  */
   MQ_ENGINE_STREAM_FAILED /* The connection failed, or the response is an
                              error, truncated or malformed.  */
 } mq_engine_stream_event_kind;
--- a/packages/net/engine_line.c
+++ b/packages/net/engine_line.c
@@ -1,17 +1,16 @@
 /* Decoder for the lines of an engine's response stream: see mq/engine_line.h.
 
-   json-c does the parsing.  Invariant: an accepted line has every field that
-   its kind requires, of the right type and in range.  */
+   Invariant: an accepted line has every field that its kind requires, of the
+   right type and in range, and none of the other kind.  */
 
 #include <mq/engine_line.h>
 
 #include <json-c/json.h>
-#include <limits.h>
+#include <mq/json_message.h>
 #include <string.h>
 
 struct mq_engine_line_reader
 {
-  struct json_tokener *tokener;
   json_object *root; /* The last line; owns the memory of its spans.  */
 };
 
@@ -39,26 +38,6 @@
   return 0;
 }
 
-static int
-member_u32 (json_object *object, const char *key, uint32_t *value)
-{
-  json_object *member;
-
-  if (!json_object_object_get_ex (object, key, &member))
-    return -1;
-  return int_u32 (member, value);
-}
-
-static int
-member_span (json_object *object, const char *key, mq_span *value)
-{
-  json_object *member;
-
-  if (!json_object_object_get_ex (object, key, &member))
-    return -1;
-  return string_span (member, value);
-}
-
 /* A receipt is [first, end, "version"].  */
 static int
 receipt_read (json_object *item, mq_receipt *receipt)
@@ -97,8 +76,8 @@
 token_read (json_object *root, mq_engine_line *line)
 {
   line->kind = MQ_ENGINE_LINE_TOKEN;
-  if (member_u32 (root, "p", &line->position) < 0
-      || member_span (root, "t", &line->text) < 0)
+  if (!mq_json_message_u32 (root, "p", &line->position)
+      || !mq_json_message_span (root, "t", &line->text))
     return -1;
   return receipts_read (root, line);
 }
@@ -122,34 +101,38 @@
       {
         line->end = ends[i].end;
         if (line->end == MQ_STREAM_STAGE_LOST)
-          return member_u32 (root, "stage", &line->stage);
+          return mq_json_message_u32 (root, "stage", &line->stage) ? 0 : -1;
         return 0;
       }
   return -1;
 }
 
+static bool
+has_member (json_object *object, const char *key)
+{
+  return json_object_object_get_ex (object, key, NULL);
+}
+
 static int
 root_read (json_object *root, mq_engine_line *line)
 {
   mq_span word;
 
-  if (!json_object_is_type (root, json_type_object)
-      || member_span (root, "request", &line->request) < 0
-      || member_u32 (root, "attempt", &line->attempt) < 0)
+  if (!mq_json_message_span (root, "request", &line->request)
+      || !mq_json_message_u32 (root, "attempt", &line->attempt))
     return -1;
-  if (member_span (root, "end", &word) == 0)
-    return end_read (root, word, line);
-  return token_read (root, line);
+  if (!has_member (root, "end"))
+    return token_read (root, line);
+  if (!mq_json_message_span (root, "end", &word) || has_member (root, "p")
+      || has_member (root, "t"))
+    return -1;
+  return end_read (root, word, line);
 }
 
 mq_engine_line_reader *
 mq_engine_line_reader_new (void)
 {
-  mq_engine_line_reader *r = g_new0 (mq_engine_line_reader, 1);
-
-  r->tokener = json_tokener_new ();
-  json_tokener_set_flags (r->tokener, JSON_TOKENER_STRICT);
-  return r;
+  return g_new0 (mq_engine_line_reader, 1);
 }
 
 void
@@ -158,7 +141,6 @@
   if (reader == NULL)
     return;
   json_object_put (reader->root);
-  json_tokener_free (reader->tokener);
   g_free (reader);
 }
 
@@ -169,12 +151,6 @@
   memset (line, 0, sizeof *line);
   json_object_put (reader->root);
   reader->root = NULL;
-  if (text.size == 0 || text.size > INT_MAX)
-    return -1;
-  json_tokener_reset (reader->tokener);
-  reader->root
-      = json_tokener_parse_ex (reader->tokener, text.data, (int)text.size);
-  if (reader->root == NULL)
-    return -1;
-  return root_read (reader->root, line);
+  reader->root = mq_json_message_parse (text);
+  return reader->root != NULL ? root_read (reader->root, line) : -1;
 }
--- a/packages/net/engine_stream.c
+++ b/packages/net/engine_stream.c
@@ -2,12 +2,15 @@
 
    The adapter splits the response into lines and reports each as an event.
    Invariants: nothing is reported after the last event or a cancel.  A stream
-   that is cancelled from its own sink is freed after that sink returns.  */
+   that is cancelled from its own sink is freed after that sink returns.  The
+   end of a complete answer is reported only once the HTTP response is whole
+   and holds nothing more of this stream.  */
 
 #include <mq/engine_stream.h>
 
 #include <json-c/json.h>
 #include <mq/engine_line.h>
+#include <mq/json_message.h>
 #include <string.h>
 
 /* A response with a longer line is malformed.  */
@@ -31,6 +34,7 @@
   GString *partial;     /* An incomplete line, or the body of an error.  */
   size_t foreign_bytes; /* Since the last line of this stream.  */
   unsigned status;      /* 0 before the headers arrive.  */
+  bool done;  /* The line that ends a complete answer has been read.  */
   bool ended; /* The last event was reported, or it was cancelled.  */
   bool in_sink;
   mq_engine_stream_sink sink;
@@ -85,12 +89,12 @@
 }
 
 static void
-stream_report_end (mq_engine_stream *stream, const mq_engine_line *line)
+stream_report_end (mq_engine_stream *stream, mq_stream_end end, uint32_t stage)
 {
   mq_engine_stream_event event = { .kind = MQ_ENGINE_STREAM_END };
 
-  event.u.end.end = line->end;
-  event.u.end.stage = line->stage;
+  event.u.end.end = end;
+  event.u.end.stage = stage;
   stream_finish (stream, &event);
 }
 
@@ -134,13 +138,21 @@
       return;
     }
   stream->foreign_bytes = 0;
+  if (stream->done)
+    {
+      stream_fail_malformed (stream);
+      return;
+    }
   switch (line.kind)
     {
     case MQ_ENGINE_LINE_TOKEN:
       stream_report_token (stream, &line);
       break;
     case MQ_ENGINE_LINE_END:
-      stream_report_end (stream, &line);
+      if (line.end == MQ_STREAM_DONE)
+        stream->done = true;
+      else
+        stream_report_end (stream, line.end, line.stage);
       break;
     }
 }
@@ -196,20 +208,26 @@
     g_string_append_len (stream->partial, data.data, (gssize)data.size);
 }
 
+/* Returns true if STATUS may come with the statement that nothing was run.  An
+   engine that has failed, or has succeeded, contradicts it.  */
+static bool
+status_rejects (unsigned status)
+{
+  return (status >= 400 && status < 500) || status == 503;
+}
+
 /* Returns true if the error BODY states that nothing was run: its member "ran"
    is false.  */
 static bool
 error_says_not_run (const GString *body)
 {
-  json_object *root = json_tokener_parse (body->str);
-  json_object *ran = NULL;
-  bool not_run;
+  json_object *root
+      = mq_json_message_parse ((mq_span){ body->str, body->len });
+  bool ran = true;
+  bool known = mq_json_message_bool (root, "ran", &ran);
 
-  json_object_object_get_ex (root, "ran", &ran);
-  not_run = ran != NULL && json_object_is_type (ran, json_type_boolean)
-            && !json_object_get_boolean (ran);
   json_object_put (root);
-  return not_run;
+  return known && !ran;
 }
 
 static void
@@ -217,12 +235,18 @@
 {
   mq_send_failure failure = { .maybe_sent = event->maybe_sent,
                               .timed_out = event->result == MQ_HTTP_TIMEOUT };
+  bool whole = event->result == MQ_HTTP_OK;
 
   stream->call = NULL;
   if (stream->ended)
     return;
-  if (stream->status != 0 && stream->status != 200)
-    failure.said_not_run = error_says_not_run (stream->partial);
+  if (whole && stream->done && stream->partial->len == 0)
+    {
+      stream_report_end (stream, MQ_STREAM_DONE, 0);
+      return;
+    }
+  failure.said_not_run = whole && status_rejects (stream->status)
+                         && error_says_not_run (stream->partial);
   stream_fail (stream, failure);
 }
 
--- a/tests/test_engine_stream.cc
+++ b/tests/test_engine_stream.cc
@@ -239,12 +239,15 @@
   EXPECT_EQ (dropped, 2u);
 }
 
-TEST_F (Engine, ReportsNothingAfterTheEnd)
+/* A stream that goes on after its end contradicts itself.  */
+TEST_F (Engine, FailsOnTokenAfterTheEnd)
 {
   pieces = { token_line (0, "a") + token_line (1, "b") + token_line (2, "c")
              + end_line ("done") + token_line (3, "d") };
   run ();
-  EXPECT_EQ (events, whole_answer);
+  EXPECT_EQ (events, "open 0=a 1=b 2=c failed");
+  EXPECT_TRUE (failure.maybe_sent);
+  EXPECT_FALSE (failure.said_not_run);
 }
 
 TEST_F (Engine, FailsOnMalformedLine)
