net: "Marjoramquay-Ran: no" counts only where the response agrees with it

What callers saw: a call that may not run twice could be sent again, or be answered with "not-run", after a success or an error of the run itself that also held the header, or after a response that held it with two values.

Cause: the adapter looked at the first value of the header and at no status.

The header may occur with one value (mq_http_call_options.single). It is a promise in a response with 4xx or 503; beside another status the response contradicts itself, and the call may have run. The option not_run does not fit here: it rejects any value of the header beside a success, and a service may say that it did run.

--- a/packages/net/plain_call.c
+++ b/packages/net/plain_call.c
@@ -6,6 +6,9 @@
 
 #define CONNECT_TIMEOUT_MS 500
 #define MAX_REQUEST_HEADERS 16
+/* By this header with the value "no" an instance states that it did not run
+   the call.  */
+#define RAN_HEADER "Marjoramquay-Ran"
 
 /* The end-to-end headers of a response that are forwarded.  */
 static const char *const forwarded_headers[]
@@ -14,6 +17,8 @@
 G_STATIC_ASSERT (G_N_ELEMENTS (forwarded_headers)
                  <= MQ_PLAIN_CALL_MAX_HEADERS);
 
+static const char *const single_headers[] = { RAN_HEADER, NULL };
+
 struct mq_plain_call
 {
   mq_http_call *call; /* Borrowed.  */
@@ -37,18 +42,27 @@
     }
 }
 
+/* Returns true if STATUS may come with the statement that the call did not
+   run.  Success, and an error of the run itself, contradict it.  */
+static bool
+status_rejects (unsigned status)
+{
+  return (status >= 400 && status < 500) || status == 503;
+}
+
 static void
 event_from_end (const mq_http_client_event *end, mq_plain_call_event *event)
 {
-  mq_span ran = mq_http_call_header (end->call, "Marjoramquay-Ran");
-  bool not_run
+  mq_span ran = mq_http_call_header (end->call, RAN_HEADER);
+  bool denies_run
       = end->result == MQ_HTTP_OK && mq_span_equal (ran, MQ_SPAN ("no"));
 
-  if (end->result != MQ_HTTP_OK || not_run)
+  if (end->result != MQ_HTTP_OK || denies_run)
     {
       event->kind = MQ_PLAIN_CALL_FAILED;
       event->u.failure.maybe_sent = end->maybe_sent;
-      event->u.failure.said_not_run = not_run;
+      event->u.failure.said_not_run
+          = denies_run && status_rejects (end->status);
       event->u.failure.timed_out = end->result == MQ_HTTP_TIMEOUT;
       return;
     }
@@ -102,6 +116,7 @@
     .url = mq_span_from (url),
     .headers = headers,
     .n_headers = n + 1,
+    .single = single_headers,
     .body = options->body,
     .connect_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = MAX (options->deadline_us / 1000, 1),
