platform: a reply that contradicts its call tells nothing

What operators could see: an audit object or a configuration file that was cut read as whole; a write reported as done or as conflicting by a reply with a malformed version; the objects of a list of another prefix deleted as expired records.

Cause: the client classified the status alone, the same for all calls, looked at an ETag's first character but not at its last, took a malformed ETag of a 412 for "no object", did not compare the names of a list with its prefix, and took a value for whole that only the end of its connection ended.

A status must belong to the call; an ETag that is there must be sound and single; a value must be framed by a length or chunks; names must have the prefix and a version above 0. Otherwise a read is unavailable and a write unknown, which their users handle already. The dialect of the users' platform is not touched.

--- a/packages/net/platform.c
+++ b/packages/net/platform.c
@@ -28,6 +28,8 @@
 #define HTTP_SERVER_ERROR 500
 #define HTTP_UNAVAILABLE 503
 
+static const char *const single_headers[] = { "ETag", "Retry-After", NULL };
+
 struct mq_platform
 {
   mq_http_client *client; /* Borrowed.  */
@@ -43,6 +45,7 @@
   mq_platform *platform;
   mq_platform_op op;
   mq_http_call *http; /* Borrowed; invalid once it has ended.  */
+  mq_str *prefix;     /* Of the names of a LIST; NULL for other calls.  */
   mq_platform_sink sink;
   void *context;
 };
@@ -55,6 +58,7 @@
   uint64_t version; /* For If-Match.  */
   mq_span value;
   uint64_t wait_ms; /* How long a watch waits.  */
+  mq_span prefix;   /* Of a LIST.  */
 } platform_request;
 
 static bool
@@ -64,13 +68,13 @@
          || op == MQ_PLATFORM_DELETE;
 }
 
-/* Returns the number in an ETag such as "12", or 0 if there is none.  */
+/* Returns the number in an ETag such as "12", or 0 if it is malformed.  */
 static uint64_t
 platform_version (mq_span etag)
 {
   uint64_t version = 0;
 
-  if (etag.size < 2 || etag.data[0] != '"')
+  if (etag.size < 2 || etag.data[0] != '"' || etag.data[etag.size - 1] != '"')
     return 0;
   if (mq_span_to_u64 ((mq_span){ etag.data + 1, etag.size - 2 }, &version) < 0)
     return 0;
@@ -115,8 +119,51 @@
     }
 }
 
+/* Returns true if a successful or negative RESULT may answer OP.  */
+static bool
+platform_result_fits (mq_platform_op op, mq_platform_result result,
+                      unsigned status)
+{
+  switch (result)
+    {
+    case MQ_PLATFORM_OK:
+      return op == MQ_PLATFORM_DELETE || status == HTTP_OK;
+    case MQ_PLATFORM_UNCHANGED:
+      return op == MQ_PLATFORM_WATCH;
+    case MQ_PLATFORM_MISSING:
+      return op != MQ_PLATFORM_LIST && op != MQ_PLATFORM_VMS;
+    case MQ_PLATFORM_CONFLICT:
+      return platform_op_writes (op);
+    default:
+      return true;
+    }
+}
+
+/* Returns true if the head of EVENT's response agrees with the RESULT that its
+   status states.  A value whose end only the end of its connection shows may
+   be cut.  */
+static bool
+platform_head_is_sound (mq_platform_op op, mq_platform_result result,
+                        const mq_http_client_event *event)
+{
+  mq_span etag = mq_http_call_header (event->call, "ETag");
+  bool has_version = platform_version (etag) > 0;
+  bool has_value = op == MQ_PLATFORM_GET || op == MQ_PLATFORM_WATCH;
+
+  if (!platform_result_fits (op, result, event->status)
+      || (etag.data != NULL && !has_version))
+    return false;
+  if (result != MQ_PLATFORM_OK)
+    return true;
+  if (has_value && event->framing == MQ_RESPONSE_TO_CLOSE)
+    return false;
+  /* A reply without a version is not from the object service.  */
+  return has_version || op == MQ_PLATFORM_DELETE || op == MQ_PLATFORM_LIST
+         || op == MQ_PLATFORM_VMS;
+}
+
 static void
-platform_read_objects (const mq_json *list, GArray *objects)
+platform_read_objects (const mq_json *list, mq_span prefix, GArray *objects)
 {
   for (size_t i = 0; i < mq_json_size (list); i++)
     {
@@ -127,7 +174,9 @@
         return;
       mq_json_require (&json, "name", "version", NULL);
       o.name = mq_json_span (&json, "name", MQ_SPAN (""));
-      o.version = mq_json_u64 (&json, "version", 0, UINT64_MAX, 0);
+      o.version = mq_json_u64 (&json, "version", 1, UINT64_MAX, 0);
+      if (!mq_span_starts_with (o.name, prefix))
+        mq_json_fault (&json, "name", "not of the prefix that was asked for");
       g_array_append_val (objects, o);
     }
 }
@@ -155,8 +204,9 @@
 /* Decode the reply to a LIST or VMS into ITEMS.  Returns the document that
    ITEMS borrows from, or NULL if the reply is invalid.  */
 static mq_json_doc *
-platform_read_list (mq_platform_op op, mq_span body, GArray *items)
+platform_read_list (const mq_platform_call *call, mq_span body, GArray *items)
 {
+  mq_platform_op op = call->op;
   const char *key = op == MQ_PLATFORM_VMS ? "vms" : "objects";
   mq_json_doc *doc = mq_json_parse (MQ_SPAN ("platform"), body, NULL);
   mq_json root;
@@ -171,7 +221,7 @@
       if (op == MQ_PLATFORM_VMS)
         platform_read_vms (&list, items);
       else
-        platform_read_objects (&list, items);
+        platform_read_objects (&list, mq_str_span (call->prefix), items);
     }
   if (mq_json_doc_check (doc, NULL) == 0)
     return doc;
@@ -179,6 +229,15 @@
   return NULL;
 }
 
+static void
+platform_call_free (gpointer data)
+{
+  mq_platform_call *call = data;
+
+  mq_str_unref (call->prefix);
+  g_free (call);
+}
+
 /* Report REPLY to CALL's sink; frees CALL.  */
 static void
 platform_report (mq_platform_call *call, const mq_platform_reply *reply)
@@ -200,7 +259,7 @@
   GArray *items = g_array_new (FALSE, FALSE,
                                vms ? sizeof (mq_platform_vm)
                                    : sizeof (mq_platform_object));
-  mq_json_doc *doc = platform_read_list (call->op, body, items);
+  mq_json_doc *doc = platform_read_list (call, body, items);
 
   if (doc == NULL)
     reply->result = MQ_PLATFORM_UNAVAILABLE;
@@ -229,7 +288,13 @@
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   reply.result = platform_classify (call->op, event);
-  reply.version = platform_version (mq_http_call_header (event->call, "ETag"));
+  if (event->result == MQ_HTTP_OK)
+    {
+      if (!platform_head_is_sound (call->op, reply.result, event))
+        reply.result = platform_failed_result (call->op, true);
+      reply.version
+          = platform_version (mq_http_call_header (event->call, "ETag"));
+    }
   if (reply.result == MQ_PLATFORM_BUSY
       && mq_span_to_u64 (mq_http_call_header (event->call, "Retry-After"),
                          &seconds)
@@ -244,9 +309,6 @@
         }
       if (call->op == MQ_PLATFORM_GET || call->op == MQ_PLATFORM_WATCH)
         reply.value = event->data;
-      /* A reply without a version is not from the object service.  */
-      if (call->op != MQ_PLATFORM_DELETE && reply.version == 0)
-        reply.result = platform_failed_result (call->op, true);
     }
   platform_report (call, &reply);
 }
@@ -304,6 +366,7 @@
           .url = mq_span_from (request->url),
           .headers = &condition,
           .n_headers = platform_op_writes (request->op) ? 1 : 0,
+          .single = single_headers,
           .body = request->value,
           .timeout_ms = p->timeout_ms + request->wait_ms,
           .body_limit = MQ_PLATFORM_MAX_VALUE_BYTES };
@@ -318,6 +381,8 @@
     }
   call->platform = p;
   call->op = request->op;
+  if (request->op == MQ_PLATFORM_LIST)
+    call->prefix = mq_str_new (request->prefix);
   call->sink = sink;
   call->context = context;
   p->counters.calls[request->op]++;
@@ -351,7 +416,7 @@
   p->client = client;
   p->url = mq_str_new (url);
   p->timeout_ms = timeout_ms ? timeout_ms : DEFAULT_TIMEOUT_MS;
-  p->calls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
+  p->calls = g_hash_table_new_full (NULL, NULL, platform_call_free, NULL);
   return p;
 }
 
@@ -433,7 +498,8 @@
 {
   platform_request r
       = { .op = MQ_PLATFORM_LIST,
-          .url = platform_url (platform, "/v1/objects?prefix=", prefix) };
+          .url = platform_url (platform, "/v1/objects?prefix=", prefix),
+          .prefix = prefix };
 
   return platform_start (platform, &r, sink, context);
 }
