engines: a report or a reply to an order counts only if it is complete

What operators could see: an engine whose report lacks figures counts as idle and gets streams; one whose holds lack "loading" counts as loaded, and its order as reached; any 409 to an order, also one whose body was cut or malformed, makes a router give up its lease and stop the order.

Cause: the getters gave 0, false or nothing for a member that was missing or of another type, the parser accepted bytes behind the object and the last of two values, and the body of a 409 was not read.

A message must be one object with every member that docs/UPSTREAMS.md lists and the router reads, of its type and in range. A 409 rejects an order only with a fencing token above the one that was sent; else the order has no reply, and the engine is asked what it holds, as after a lost reply. A list of cache events is taken as a whole or not at all.

Evidence: CutEngineControl, 7 tests. All pass now. test_recovery, test_at_most_once_faults, test_bad_requests and test_order pass.

--- a/programs/marjoramquay/engine_report.c
+++ b/programs/marjoramquay/engine_report.c
@@ -1,90 +1,49 @@
-/* Decodes engines' reports: see engine_report.h.  */
+/* Posts engines' reports: see engine_report.h.  */
 
 #include "engine_report.h"
 
 #include "admission.h"
-#include "json_body.h"
 
-#include <string.h>
-
-#define MAX_HEX_DIGITS 16
-#define HEX_BASE 16
-
-/* Returns the engine's incarnation, which may be a number or a string; a
-   string is hashed.  */
-static uint64_t
-incarnation_read (json_object *root)
+/* The engine whose cache events are posted.  */
+typedef struct cache_report
 {
-  mq_span text = mq_json_body_span (root, "incarnation");
-
-  return text.data != NULL ? mq_span_hash (text)
-                           : mq_json_body_u64 (root, "incarnation");
-}
+  mq_router *router; /* Borrowed.  */
+  mq_span engine;
+} cache_report;
 
 int
-mq_engine_report_load (mq_router *router, mq_span engine, mq_span body)
+mq_engine_report_load (mq_router *router, mq_span engine, json_object *message)
 {
   mq_planner_event event = { .kind = MQ_PLANNER_LOAD };
-  mq_engine_load *load = &event.u.load;
-  json_object *root = mq_json_body_parse (body);
-  int result = -1;
 
-  load->engine = engine;
-  load->version = mq_json_body_span (root, "version");
-  if (load->version.data == NULL)
-    goto out;
-  load->first = mq_json_body_u32 (root, "first");
-  load->end = mq_json_body_u32 (root, "end");
-  load->queue = mq_json_body_u32 (root, "queue");
-  load->batch = mq_json_body_u32 (root, "batch");
-  load->step_us = mq_json_body_u32 (root, "step_us");
-  load->kv_used = mq_json_body_u64 (root, "kv_used");
-  load->kv_limit = mq_json_body_u64 (root, "kv_limit");
-  load->age_us = mq_json_body_u64 (root, "age_ms") * 1000;
-  load->incarnation = incarnation_read (root);
+  event.u.load.engine = engine;
+  if (!mq_engine_control_load (message, &event.u.load))
+    return -1;
   mq_admission_post (router, &event);
-  result = 0;
-out:
-  json_object_put (root);
-  return result;
+  return 0;
 }
 
 static void
-cache_event_post (mq_router *router, mq_span engine, json_object *item)
+on_cache_event (void *context, uint64_t prefix, bool stored)
 {
+  const cache_report *report = context;
   mq_planner_event event = { .kind = MQ_PLANNER_CACHE };
-  mq_span prefix = mq_json_body_span (item, "prefix");
-  mq_span kind = mq_json_body_span (item, "kind");
-  char hex[MAX_HEX_DIGITS + 1];
 
-  if (prefix.size == 0 || prefix.size > MAX_HEX_DIGITS)
-    return;
-  memcpy (hex, prefix.data, prefix.size);
-  hex[prefix.size] = '\0';
-  event.u.cache.engine = engine;
-  event.u.cache.prefix_hash = g_ascii_strtoull (hex, NULL, HEX_BASE);
-  event.u.cache.stored = mq_span_equal (kind, MQ_SPAN ("stored"));
-  mq_admission_post (router, &event);
+  event.u.cache.engine = report->engine;
+  event.u.cache.prefix_hash = prefix;
+  event.u.cache.stored = stored;
+  mq_admission_post (report->router, &event);
 }
 
 int
-mq_engine_report_cache (mq_router *router, mq_span engine, mq_span body,
-                        uint64_t *after)
+mq_engine_report_cache (mq_router *router, mq_span engine,
+                        json_object *message, uint64_t *after)
 {
-  json_object *root = mq_json_body_parse (body);
-  json_object *list;
-  int result = -1;
+  cache_report report = { router, engine };
 
-  if (!json_object_object_get_ex (root, "events", &list)
-      || !json_object_is_type (list, json_type_array))
-    goto out;
-  for (size_t i = 0; i < json_object_array_length (list); i++)
-    cache_event_post (router, engine, json_object_array_get_idx (list, i));
-  *after = mq_json_body_u64 (root, "next");
-  result = 0;
-out:
-  json_object_put (root);
-  return result;
+  return mq_engine_control_cache (message, after, on_cache_event, &report)
+             ? 0
+             : -1;
 }
 
 void
--- a/programs/marjoramquay/load_poller.c
+++ b/programs/marjoramquay/load_poller.c
@@ -76,28 +76,24 @@
   g_free (url);
 }
 
-static bool
-event_is_ok (const mq_http_client_event *event)
-{
-  return event->result == MQ_HTTP_OK && event->status == 200;
-}
-
 static void
 on_cache_events (void *context, const mq_http_client_event *event)
 {
   mq_load_poller *poller = context;
   const char *name = mq_str_cstr (poller->engine);
+  json_object *message;
   uint64_t after;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   poller->call = NULL;
-  if (event_is_ok (event)
-      && mq_engine_report_cache (poller->router, mq_str_span (poller->engine),
-                                 event->data, &after)
-             == 0)
+  message = mq_engine_control_read (event);
+  if (mq_engine_report_cache (poller->router, mq_str_span (poller->engine),
+                              message, &after)
+      == 0)
     g_hash_table_insert (poller->after, g_strdup (name),
                          g_memdup2 (&after, sizeof after));
+  json_object_put (message);
 }
 
 static void
@@ -117,18 +113,20 @@
 {
   mq_load_poller *poller = context;
   mq_span engine = mq_str_span (poller->engine);
+  json_object *message;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
   poller->call = NULL;
-  if (event_is_ok (event)
-      && mq_engine_report_load (poller->router, engine, event->data) == 0)
+  message = mq_engine_control_read (event);
+  if (mq_engine_report_load (poller->router, engine, message) == 0)
     {
       if (poller->round % CACHE_EVENTS_ROUNDS == 0)
         cache_events_poll (poller);
     }
   else
     mq_engine_report_down (poller->router, engine);
+  json_object_put (message);
 }
 
 static bool
--- a/programs/marjoramquay/order_io.c
+++ b/programs/marjoramquay/order_io.c
@@ -5,12 +5,12 @@
 
 #include "order_io.h"
 
+#include <mq/engine_control.h>
 #include <mq/json_text.h>
 #include <mq/log.h>
 #include <mq/order_scope.h>
 
 #include "audit_io.h"
-#include "json_body.h"
 #include "load_poller.h"
 #include "store_io.h"
 
@@ -45,6 +45,7 @@
   GList link;
   mq_http_call *http; /* Borrowed.  */
   uint64_t order;
+  uint64_t fencing; /* The token that was sent.  */
 } order_call;
 
 static void actions_carry_out (mq_order_io *io, GArray *lease_actions,
@@ -154,14 +155,11 @@
   order_call *call = context;
   mq_order_io *io = call->io;
   uint64_t order = call->order;
-  mq_order_reply reply = MQ_ORDER_NO_REPLY;
+  mq_order_reply reply;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
-  if (event->result == MQ_HTTP_OK && event->status == 202)
-    reply = MQ_ORDER_ACCEPTED;
-  else if (event->result == MQ_HTTP_OK && event->status == 409)
-    reply = MQ_ORDER_FENCED;
+  reply = mq_engine_control_order (event, call->fencing);
   call_free (call);
   post_sent (io, order, reply);
 }
@@ -172,25 +170,18 @@
   order_call *call = context;
   mq_order_io *io = call->io;
   mq_order_scope_event e = { .kind = MQ_ORDER_SCOPE_ORDERS };
-  mq_order_holds *holds = &e.u.orders.u.holds.holds;
-  json_object *root = NULL;
+  json_object *message;
 
   if (event->kind != MQ_HTTP_CLIENT_END)
     return;
-  if (event->result == MQ_HTTP_OK && event->status == 200)
-    root = mq_json_body_parse (event->data);
+  message = mq_engine_control_read (event);
   e.u.orders.kind = MQ_ORDERS_READ_REPLY;
   e.u.orders.u.holds.order = call->order;
-  e.u.orders.u.holds.known = root != NULL;
-  holds->model = mq_json_body_span (root, "model");
-  holds->version = mq_json_body_span (root, "version");
-  holds->first = mq_json_body_u32 (root, "first");
-  holds->end = mq_json_body_u32 (root, "end");
-  holds->loading = mq_json_body_bool (root, "loading");
-  holds->fencing = mq_json_body_u64 (root, "fencing");
+  e.u.orders.u.holds.known
+      = mq_engine_control_holds (message, &e.u.orders.u.holds.holds);
   call_free (call);
   ordering_step (io, &e);
-  json_object_put (root);
+  json_object_put (message);
 }
 
 /* Calls PATH at the engine of ACTION: POST with a BODY, else GET.  Returns
@@ -214,6 +205,7 @@
   call = g_new0 (order_call, 1);
   call->io = io;
   call->order = action->order;
+  call->fencing = action->fencing;
   call->link.data = call;
   g_queue_push_tail_link (&io->calls, &call->link);
   url = g_strconcat (mq_str_cstr (engine->url), path, NULL);
