claims, leases, audit: a stored record that contradicts itself says nothing

What callers could see: a call with an idempotency key that ran twice, if the claim of its first run held no number, or a second one, for its expiry. Operators: two routers that give orders, and an audit record that was cut.

Cause: the expiry and the duration were read without a look at their type, which gave 0, an expired record; of two values the last one counted, and bytes behind the object were ignored. An audit record whose newline was missing counted, although the newline shows that nothing of it is missing.

All three are read by mq_json_message_parse and need every member. A claim that can't be read is lost to the caller, and a lease is waited for with the router's own duration, as before for other forms.

--- a/packages/decide/audit.c
+++ b/packages/decide/audit.c
@@ -8,6 +8,7 @@
 
 #include <inttypes.h>
 #include <json-c/json.h>
+#include <mq/json_message.h>
 #include <string.h>
 
 #define DAY_S 86400
@@ -120,18 +121,15 @@
 static int
 line_decode (mq_span text, mq_audit_reader reader, void *context)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  json_object *root
-      = json_tokener_parse_ex (tokener, text.data, (int)text.size);
+  json_object *root = mq_json_message_parse (text);
   mq_audit_record record;
   int result = -1;
 
-  if (json_object_is_type (root, json_type_object))
+  if (root != NULL)
     result = record_parse (root, &record);
   if (result == 0)
     reader (context, &record);
   json_object_put (root);
-  json_tokener_free (tokener);
   return result;
 }
 
@@ -334,7 +332,8 @@
       mq_span one = { text.data, size };
 
       number++;
-      if (line_decode (one, reader, context) < 0)
+      /* Each record ends in a newline; without it the text was cut.  */
+      if (end == NULL || line_decode (one, reader, context) < 0)
         {
           g_set_error (error, MQ_AUDIT_ERROR, MQ_AUDIT_ERROR_FORM,
                        "line %u is not an audit record", number);
--- a/packages/decide/claim.c
+++ b/packages/decide/claim.c
@@ -11,7 +11,7 @@
 #include <mq/claim.h>
 
 #include <inttypes.h>
-#include <json-c/json.h>
+#include <mq/json_message.h>
 #include <mq/internal/bytes.h>
 #include <mq/internal/defect.h>
 #include <sodium.h>
@@ -236,28 +236,20 @@
 static int
 claim_parse (mq_span text, claim_object *object)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  json_object *root
-      = json_tokener_parse_ex (tokener, text.data, (int)text.size);
-  json_object *writer, *body, *expires;
+  struct json_object *root = mq_json_message_parse (text);
+  mq_span writer;
+  mq_span body;
   int result = -1;
 
-  if (json_object_object_get_ex (root, "writer", &writer)
-      && json_object_object_get_ex (root, "body", &body)
-      && json_object_object_get_ex (root, "expires_ms", &expires)
-      && json_object_is_type (writer, json_type_string)
-      && json_object_is_type (body, json_type_string))
+  if (mq_json_message_span (root, "writer", &writer)
+      && mq_json_message_span (root, "body", &body)
+      && mq_json_message_u64 (root, "expires_ms", &object->expires_ms))
     {
-      const char *hash = json_object_get_string (body);
-
-      g_strlcpy (object->writer, json_object_get_string (writer),
-                 sizeof object->writer);
-      object->body_hash = g_ascii_strtoull (hash, NULL, 16);
-      object->expires_ms = json_object_get_uint64 (expires);
+      g_strlcpy (object->writer, writer.data, sizeof object->writer);
+      object->body_hash = g_ascii_strtoull (body.data, NULL, 16);
       result = 0;
     }
   json_object_put (root);
-  json_tokener_free (tokener);
   return result;
 }
 
--- a/packages/decide/lease.c
+++ b/packages/decide/lease.c
@@ -8,7 +8,7 @@
 #include <mq/lease.h>
 
 #include <inttypes.h>
-#include <json-c/json.h>
+#include <mq/json_message.h>
 #include <mq/internal/defect.h>
 #include <string.h>
 
@@ -145,27 +145,20 @@
 static int
 lease_parse (mq_span text, lease_object *object)
 {
-  struct json_tokener *tokener = json_tokener_new ();
-  json_object *root
-      = json_tokener_parse_ex (tokener, text.data, (int)text.size);
-  json_object *holder, *writer, *duration;
+  struct json_object *root = mq_json_message_parse (text);
+  mq_span holder;
+  mq_span writer;
   int result = -1;
 
-  if (json_object_object_get_ex (root, "holder", &holder)
-      && json_object_object_get_ex (root, "writer", &writer)
-      && json_object_object_get_ex (root, "duration_us", &duration)
-      && json_object_is_type (holder, json_type_string)
-      && json_object_is_type (writer, json_type_string))
+  if (mq_json_message_span (root, "holder", &holder)
+      && mq_json_message_span (root, "writer", &writer)
+      && mq_json_message_u64 (root, "duration_us", &object->duration_us))
     {
-      g_strlcpy (object->holder, json_object_get_string (holder),
-                 sizeof object->holder);
-      g_strlcpy (object->writer, json_object_get_string (writer),
-                 sizeof object->writer);
-      object->duration_us = json_object_get_uint64 (duration);
+      g_strlcpy (object->holder, holder.data, sizeof object->holder);
+      g_strlcpy (object->writer, writer.data, sizeof object->writer);
       result = 0;
     }
   json_object_put (root);
-  json_tokener_free (tokener);
   return result;
 }
 
--- a/tests/test_audit.cc
+++ b/tests/test_audit.cc
@@ -204,3 +204,24 @@
     EXPECT_EQ (mq_audit_decode (mq_span_from (bad), collect, &list, NULL), -1)
         << bad;
 }
+
+/* A trail that was cut behind a record's text, or has a key twice.  */
+TEST (AuditDecode, RejectsRecordThatIsCutOrContradictsItself)
+{
+  const std::string whole = "{\"kind\":\"mode\",\"who\":\"a\"}\n";
+  std::vector<DecodedRecord> list;
+
+  EXPECT_EQ (
+      mq_audit_decode ({ whole.data (), whole.size () }, collect, &list, NULL),
+      0);
+  for (size_t n = 1; n < whole.size (); n++)
+    EXPECT_EQ (mq_audit_decode ({ whole.data (), n }, collect, &list, NULL),
+               -1)
+        << n;
+  for (const char *bad :
+       { "{\"kind\":\"mode\",\"kind\":\"order\"}\n", "{\"kind\":\"mode\"}x\n",
+         "{\"kind\":\"mode\"}{\"kind\":\"mode\"}\n" })
+    EXPECT_EQ (mq_audit_decode (mq_span_from (bad), collect, &list, NULL), -1)
+        << bad;
+  EXPECT_EQ (list.size (), 1U);
+}
--- a/tests/test_claim.cc
+++ b/tests/test_claim.cc
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 #include <mq/claim.h>
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -17,10 +18,14 @@
   GArray *actions = mq_claims_actions_new ();
   uint64_t now = 100 * S;
 
-  Claims ()
+  Claims () { restart (); }
+  /* Begin without claims.  */
+  void
+  restart ()
   {
     mq_claims_options o = {};
 
+    mq_claims_free (claims);
     o.router = 0xabc;
     o.give_up_us = 2 * S;
     o.retry_us = 100 * MS;
@@ -258,3 +263,28 @@
   expect_result (MQ_CLAIM_UNAVAILABLE);
   EXPECT_EQ (act ().handle, 4U);
 }
+
+/* A claim without a number for its expiry counted as expired, so that its call
+   could run twice.  */
+TEST_F (Claims, MalformedClaimIsNotExpired)
+{
+  const std::string whole = other ();
+  std::vector<std::string> malformed
+      = { other ("0000000000000007", "\"9999999999\""),
+          other ("0000000000000007", "null"), other ("0000000000000007", "-1"),
+          other ("0000000000000007", "9999999999,\"expires_ms\":0"),
+          other ("0000000000000007", "0") + "x" };
+
+  for (size_t n = 0; n < whole.size (); n++)
+    malformed.push_back (whole.substr (0, n));
+  for (const std::string &value : malformed)
+    {
+      restart ();
+      start ();
+      expect (MQ_CLAIMS_CREATE);
+      reply (MQ_STORE_CONFLICT);
+      expect (MQ_CLAIMS_READ);
+      reply (MQ_STORE_OK, 5, value);
+      expect_result (MQ_CLAIM_LOST);
+    }
+}
--- a/tests/test_lease.cc
+++ b/tests/test_lease.cc
@@ -16,7 +16,9 @@
   GArray *actions = mq_lease_actions_new ();
   uint64_t now = 100 * S;
 
-  Lease ()
+  Lease () : lease (make ()) {}
+  static mq_lease *
+  make ()
   {
     mq_lease_options o = {};
 
@@ -25,7 +27,7 @@
     o.retry_us = 1 * S;
     o.timeout_us = 2 * S;
     o.margin_percent = 10;
-    lease = mq_lease_new (&o);
+    return mq_lease_new (&o);
   }
   ~Lease () override
   {
@@ -243,3 +245,29 @@
   EXPECT_EQ (actions->len, 0U);
   EXPECT_EQ (mq_lease_fencing (lease, now), 0U);
 }
+
+/* A lease without a number for its duration counted as expired.  */
+TEST_F (Lease, MalformedLeaseIsNotExpired)
+{
+  for (const char *duration :
+       { "\"10000000\"", "null", "-1", "10000000,\"duration_us\":0" })
+    {
+      const std::string value
+          = std::string ("{\"holder\":\"b\",\"writer\":\"b-1\","
+                         "\"duration_us\":")
+            + duration + "}";
+
+      mq_lease_free (lease);
+      lease = make ();
+      handle (MQ_LEASE_REQUEST);
+      reply (MQ_STORE_OK, 7, value);
+      EXPECT_EQ (actions->len, 0U) << value;
+      for (unsigned i = 0; i < 9; i++)
+        {
+          tick (1 * S);
+          expect (MQ_LEASE_READ);
+          reply (MQ_STORE_OK, 7, value);
+          ASSERT_EQ (actions->len, 0U) << value;
+        }
+    }
+}
