mqctl: a reply that is cut or malformed is an error, never a result

What operators saw: `entries', `explain' and `drain' printed whatever text a router had sent and exited with 0; a router whose status lacked its figures was listed as serving with zeros; `--wait' counted a router whose "draining" was any text as one that need not follow; `show' printed the text of a file without a look at its digest; a drain whose response was lost "did not accept the request".

Cause: a lenient parser whose failure meant "print the text", getters without a type, and the digest of a fetched file that was not compared.

A body must be one JSON object; a status needs its name, generation, number of requests and state, and the address and state of each member; the text of a file must have the digest of the manifest. A drain without a complete response exits with 5, since it may have begun.

--- a/programs/mqctl/ctl.c
+++ b/programs/mqctl/ctl.c
@@ -92,7 +92,7 @@
 }
 
 /* Returns a new reference to the text of FILE from LOCAL, the cache or the
-   platform; NULL if it can't be fetched.  */
+   platform; NULL if it can't be fetched, or has another digest.  */
 static mq_str *
 ctl_fetch_text (ctl *c, const mq_manifest_file *file, const GArray *local)
 {
@@ -113,8 +113,14 @@
     return mq_str_ref (text);
   name = mq_manifest_file_object (&file->digest);
   if (ctl_get (c, mq_str_span (name), NULL, &text) == MQ_PLATFORM_OK)
-    g_hash_table_insert (c->texts, g_strdup (file->digest.hex),
-                         mq_str_ref (text));
+    {
+      mq_file_digest (mq_str_span (text), digest);
+      if (strcmp (digest, file->digest.hex) == 0)
+        g_hash_table_insert (c->texts, g_strdup (file->digest.hex),
+                             mq_str_ref (text));
+      else
+        g_clear_pointer (&text, mq_str_unref);
+    }
   mq_str_unref (name);
   return text;
 }
--- a/programs/mqctl/router_verbs.c
+++ b/programs/mqctl/router_verbs.c
@@ -4,6 +4,7 @@
 
 #include "table.h"
 #include <inttypes.h>
+#include <mq/json_message.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -100,20 +101,22 @@
   return status;
 }
 
-/* Print BODY, indented unless the output is for programs (--json).  */
-static void
+/* Print BODY, indented unless the output is for programs (--json).  Returns 0,
+   or -1 with nothing printed if it is no JSON object.  */
+static int
 router_print_body (const ctl *c, const mq_str *body)
 {
-  struct json_object *o
-      = c->options.json ? NULL : json_tokener_parse (mq_str_cstr (body));
+  struct json_object *o = mq_json_message_parse (mq_str_span (body));
 
   if (o == NULL)
+    return -1;
+  if (c->options.json)
     fputs (mq_str_cstr (body), stdout);
   else
     puts (json_object_to_json_string_ext (
         o, JSON_C_TO_STRING_PRETTY | JSON_C_TO_STRING_NOSLASHESCAPE));
-  if (o != NULL)
-    json_object_put (o);
+  json_object_put (o);
+  return 0;
 }
 
 /* Print the response to GET PATH from the router at BASE.  Returns an exit
@@ -124,12 +127,16 @@
   ctl_response response = ctl_send_request (c, "GET", base, path);
   int status = CTL_UNAVAILABLE;
 
-  if (response.result != MQ_HTTP_OK)
+  if (response.result == MQ_HTTP_BROKEN)
+    ctl_print_error ("the response of %s is cut or malformed", base);
+  else if (response.result != MQ_HTTP_OK)
     ctl_print_error ("%s does not answer", base);
   else if (response.status == HTTP_OK)
     {
-      router_print_body (c, response.body);
-      status = CTL_OK;
+      if (router_print_body (c, response.body) == 0)
+        status = CTL_OK;
+      else
+        ctl_print_error ("the response of %s is cut or malformed", base);
     }
   else if (response.status == HTTP_NOT_FOUND)
     status = CTL_CONFLICT;
@@ -252,12 +259,36 @@
   return NULL;
 }
 
+/* Ask the router at BASE, which has the name NAME, to drain.  Returns an exit
+   code.  */
+static int
+drain_router (ctl *c, const char *base, const char *name)
+{
+  ctl_response response = ctl_send_request (c, "POST", base, "/v1/drain");
+  int status = CTL_UNAVAILABLE;
+
+  if (response.result == MQ_HTTP_CONNECT_FAILED)
+    ctl_print_error ("%s does not answer", name);
+  else if (response.result != MQ_HTTP_OK)
+    status = CTL_UNKNOWN;
+  else if (response.status != HTTP_ACCEPTED && response.status != HTTP_OK)
+    ctl_print_error ("%s did not accept the drain request: status %u: %s",
+                     name, response.status, mq_str_cstr (response.body));
+  else
+    status = router_print_body (c, response.body) == 0 ? CTL_OK : CTL_UNKNOWN;
+  if (status == CTL_UNKNOWN)
+    ctl_print_error ("no complete response from %s; it may be draining: see "
+                     "`mqctl status`",
+                     name);
+  ctl_response_finish (&response);
+  return status;
+}
+
 int
 ctl_drain (ctl *c, int argc, char **argv)
 {
   GArray *routers;
   const ctl_router *target;
-  ctl_response response;
   int status = CTL_CONFLICT;
 
   (void)argc;
@@ -268,23 +299,7 @@
   if (target == NULL)
     ctl_print_error ("no reachable router has the name %s", argv[0]);
   else
-    {
-      response = ctl_send_request (c, "POST", target->base, "/v1/drain");
-      if (response.result == MQ_HTTP_OK
-          && (response.status == HTTP_ACCEPTED || response.status == HTTP_OK))
-        {
-          router_print_body (c, response.body);
-          status = CTL_OK;
-        }
-      else
-        {
-          ctl_print_error (
-              "%s did not accept the drain request: status %u: %s", argv[0],
-              response.status, mq_str_cstr (response.body));
-          status = CTL_UNAVAILABLE;
-        }
-      ctl_response_finish (&response);
-    }
+    status = drain_router (c, target->base, argv[0]);
   g_array_unref (routers);
   return status;
 }
--- a/programs/mqctl/routers.c
+++ b/programs/mqctl/routers.c
@@ -5,6 +5,7 @@
 
 #include "routers.h"
 
+#include <mq/json_message.h>
 #include <string.h>
 
 #define HTTP_OK 200
@@ -65,10 +66,9 @@
 bool
 ctl_json_flag (struct json_object *object, const char *key)
 {
-  struct json_object *v = NULL;
+  bool v = false;
 
-  json_object_object_get_ex (object, key, &v);
-  return json_object_get_boolean (v);
+  return mq_json_message_bool (object, key, &v) && v;
 }
 
 struct json_object *
@@ -96,6 +96,35 @@
   g_array_append_val (routers, s);
 }
 
+/* Returns true if STATUS, which may be NULL, has what the verbs rely on.  */
+static bool
+routers_check_status (struct json_object *status)
+{
+  struct json_object *members = NULL;
+  mq_span text;
+  uint64_t number;
+  bool flag;
+
+  if (!mq_json_message_span (status, "name", &text)
+      || !mq_json_message_u64 (status, "generation", &number)
+      || !mq_json_message_u64 (status, "in_flight", &number)
+      || !mq_json_message_bool (status, "draining", &flag))
+    return false;
+  if (!json_object_object_get_ex (status, "members", &members))
+    return true;
+  if (!json_object_is_type (members, json_type_array))
+    return false;
+  for (size_t i = 0; i < json_object_array_length (members); i++)
+    {
+      struct json_object *m = json_object_array_get_idx (members, i);
+
+      if (!mq_json_message_span (m, "address", &text)
+          || !mq_json_message_span (m, "state", &text))
+        return false;
+    }
+  return true;
+}
+
 static struct json_object *
 routers_fetch_status (ctl *c, const char *base)
 {
@@ -103,8 +132,8 @@
   struct json_object *status = NULL;
 
   if (response.result == MQ_HTTP_OK && response.status == HTTP_OK)
-    status = json_tokener_parse (mq_str_cstr (response.body));
-  if (status != NULL && !json_object_is_type (status, json_type_object))
+    status = mq_json_message_parse (mq_str_span (response.body));
+  if (!routers_check_status (status))
     g_clear_pointer (&status, json_object_put);
   ctl_response_finish (&response);
   return status;
