net: a request whose head states its end in two ways is rejected

What callers saw: a POST with two lengths that differ, a length beside chunks, chunks in HTTP/1.0, two transfer codings, or "Content-Length :" with a space was taken for a whole request by one of the readings, run by an engine, and the bytes after it were served as a second request that nobody may have sent. With a transfer coding other than chunked, the request never ended and its connection stayed open.

Cause: libmicrohttpd 0.9.75 takes the first length, drops the length beside chunks and ignores names that are no tokens; nothing looked at the headers between it and the gateway.

LargeHeads.ThatContradictThemselvesAreRejectedUnsent shows that nothing reaches an upstream.

Why it works: the head is checked when it is complete and before its body is read, and a reply at that point makes libmicrohttpd close the connection without reading on.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -51,8 +51,10 @@
      an end or an abort.  */
   MQ_HTTP_SERVER_DISCONNECTED,
   /* The server rejects the request with 431, since its head is too large, or
-     libmicrohttpd rejected it, since it is malformed or larger still; then the
-     exchange has no method and no headers.  It needs no reply.  */
+     with 400, since its headers are malformed or state its end in more than
+     one way; or libmicrohttpd rejected it, since it is malformed or larger
+     still; then the exchange has no method and no headers.  It needs no reply,
+     and after a 400 its connection is closed.  */
   MQ_HTTP_SERVER_HEAD_REJECTED
 } mq_http_server_event_kind;
 
@@ -164,6 +166,9 @@
 mq_span mq_http_exchange_query_string (const mq_http_exchange *exchange);
 /* The caller's IP address as text.  */
 mq_span mq_http_exchange_peer (const mq_http_exchange *exchange);
+/* Returns true if the server rejects the request with 400, since its headers
+   are malformed.  */
+bool mq_http_exchange_is_malformed (const mq_http_exchange *exchange);
 /* Returns true if the user has given the complete response.  */
 bool mq_http_exchange_is_answered (const mq_http_exchange *exchange);
 /* A pointer for the user's own state, initially NULL.  */
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -59,6 +59,7 @@
   bool suspended;
   bool over_limit;    /* The body exceeds the limit.  */
   bool head_rejected; /* The head does.  */
+  bool malformed;     /* The headers are.  */
   bool drain_due;     /* Report DRAINED when the queue has shrunk.  */
 
   GStringChunk *text; /* Storage of the spans below.  */
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -10,6 +10,7 @@
 #include <string.h>
 
 #define STATUS_OK 200
+#define STATUS_BAD_REQUEST 400
 #define STATUS_UNAUTHORISED 401
 #define STATUS_NOT_FOUND 404
 #define STATUS_TOO_LARGE 413
@@ -106,11 +107,13 @@
 static void
 note_rejected_head (mq_gateway *gateway, const mq_http_exchange *exchange)
 {
-  bool was_read = mq_http_exchange_method (exchange).size > 0;
-
   ++*gateway->counters.requests;
-  note_refusal (gateway, exchange, was_read ? STATUS_HEAD_TOO_LARGE : 0,
-                was_read ? "head-too-large" : "head-unreadable");
+  if (mq_http_exchange_method (exchange).size == 0)
+    note_refusal (gateway, exchange, 0, "head-unreadable");
+  else if (mq_http_exchange_is_malformed (exchange))
+    note_refusal (gateway, exchange, STATUS_BAD_REQUEST, "head-malformed");
+  else
+    note_refusal (gateway, exchange, STATUS_HEAD_TOO_LARGE, "head-too-large");
 }
 
 /* Reject EXCHANGE with STATUS, and with Retry-After unless RETRY_MS is 0.  */
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -122,7 +122,8 @@
       g_free (name);
       g_free (value);
     }
-  if (exchange->server->closing || exchange->connection->shard->outdated)
+  if (exchange->server->closing || exchange->connection->shard->outdated
+      || exchange->malformed)
     MHD_add_response_header (response, "Connection", "close");
 }
 
@@ -385,6 +386,12 @@
   return exchange->user;
 }
 
+bool
+mq_http_exchange_is_malformed (const mq_http_exchange *exchange)
+{
+  return exchange->malformed;
+}
+
 bool
 mq_http_exchange_is_answered (const mq_http_exchange *exchange)
 {
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -7,6 +7,7 @@
 
 #include <mq/internal/http_exchange.h>
 
+#include <mq/internal/http_framing.h>
 #include <mq/log.h>
 
 #include <arpa/inet.h>
@@ -38,6 +39,10 @@
   "{\"error\":{\"code\":\"body-too-large\",\"reason\":\"the body is larger "  \
   "than this server takes\",\"outcome\":\"not-run\"}}\n"
 
+#define MALFORMED_HEAD                                                        \
+  "{\"error\":{\"code\":\"malformed-request\",\"reason\":\"the headers are "  \
+  "malformed or contradict each other\",\"outcome\":\"not-run\"}}\n"
+
 #define CALLER_LEFT                                                           \
   "{\"error\":{\"code\":\"caller-left\",\"reason\":\"the sender has closed "  \
   "the connection\",\"outcome\":\"not-run\"}}\n"
@@ -163,7 +168,7 @@
 shard_append_body (mq_http_server *server, mq_http_exchange *exchange,
                    const char *data, size_t size)
 {
-  if (exchange->head_rejected || exchange->over_limit
+  if (exchange->head_rejected || exchange->malformed || exchange->over_limit
       || exchange->body->len + size > server->body_limit)
     {
       exchange->over_limit = true;
@@ -184,9 +189,10 @@
   return poll (&p, 1, 0) > 0;
 }
 
-/* The complete request has arrived: report it, or reject it if its head or
-   body is oversized, or if its caller has left: then it need not run.  A
-   caller that has closed its sending side only can still read the reply.  */
+/* The complete request has arrived, or a head that is malformed: report it, or
+   reject it if its head is malformed, if its head or body is oversized, or if
+   its caller has left: then it need not run.  A caller that has closed its
+   sending side only can still read the reply.  */
 static void
 shard_handle_request (mq_http_server *server, mq_http_exchange *exchange)
 {
@@ -195,6 +201,9 @@
     mq_http_exchange_reject (exchange,
                              MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
                              MQ_SPAN (TOO_LARGE_HEAD));
+  else if (exchange->malformed)
+    mq_http_exchange_reject (exchange, MHD_HTTP_BAD_REQUEST,
+                             MQ_SPAN (MALFORMED_HEAD));
   else if (exchange->over_limit)
     mq_http_exchange_reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE,
                              MQ_SPAN (TOO_LARGE_BODY));
@@ -259,6 +268,22 @@
   return false;
 }
 
+/* Check how the request of EXCHANGE, of HTTP VERSION, states its end.  */
+static void
+shard_check_framing (mq_http_shard *shard, mq_http_exchange *exchange,
+                     const char *version)
+{
+  size_t n;
+  const mq_http_header *headers = mq_http_exchange_headers (exchange, &n);
+  bool http10 = strcmp (version, MHD_HTTP_VERSION_1_0) == 0;
+
+  if (exchange->head_rejected || mq_http_framing_is_valid (headers, n, http10))
+    return;
+  exchange->malformed = true;
+  mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
+                         exchange);
+}
+
 /* Access handler of libmicrohttpd: called for the headers, for each piece of
    the body, for the end of the body and after each resume.  */
 static enum MHD_Result
@@ -272,16 +297,16 @@
 
   (void)mhd;
   (void)url;
-  (void)version;
   if (x->phase == MQ_HTTP_PHASE_HEAD)
     {
       mq_http_exchange_read_head (x, method);
       x->phase = MQ_HTTP_PHASE_BODY;
       if (!shard_check_head (shard, x))
         return MHD_NO;
-      if (!shard_replies_early (s, x))
+      shard_check_framing (shard, x, version);
+      if (!x->malformed && !shard_replies_early (s, x))
         return MHD_YES;
-      x->over_limit = true;
+      x->over_limit = !x->malformed;
     }
   if (*size > 0)
     {
--- a/tests/test_large_heads.cc
+++ b/tests/test_large_heads.cc
@@ -229,6 +229,26 @@
   EXPECT_NE (m.find (ended + "head-unreadable\"} 2"), std::string::npos);
 }
 
+/* A head that states the end of its body in two ways is rejected before the
+   request is sent on, its connection is closed, and it is counted.  */
+TEST_F (LargeHeads, ThatContradictThemselvesAreRejectedUnsent)
+{
+  start_heads ();
+  Client c (port ());
+
+  c.send (request ("/unsafe/1", 300, "X-Pad",
+                   "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n"));
+  ASSERT_TRUE (until ([&] { return c.has_ended (); }));
+  EXPECT_EQ (c.received.find ("HTTP/1.1 400 "), 0u) << c.received;
+  EXPECT_NE (c.received.find ("\"outcome\":\"not-run\""), std::string::npos);
+  EXPECT_EQ (raw[0]->runs, 0u);
+  EXPECT_NE (
+      metrics ().find ("marjoramquay_requests_ended_total{kind=\"none\","
+                       "outcome=\"refused\",reason=\"head-malformed\"}"
+                       " 1"),
+      std::string::npos);
+}
+
 /* A response whose head exceeds what the connection has room for is replaced
    by a failure that says so.  */
 TEST_F (LargeHeads, OfResponsesAreAnswered)
