OddEntry: entries that are nested deeply, or have odd numbers or ports

Another operator's routers ended, or stopped following the list, after one entry that was nested very deeply or had a number too large or a port out of range; the tests that stand had some of these forms, in lists or in watches, and none looked at what follows.

The stand-in of the store can put any text in the place of an object, and that of an engine any member into its report.

--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -227,6 +227,7 @@
   unsigned orders = 0;              /* Accepted so far.  */
   unsigned order_status = 202;      /* Reply to orders; 202 accepts them.  */
   bool busy = false;                /* Reported.  */
+  std::string report_members;       /* Further ones, each after a comma.  */
   std::function<void ()> on_order;  /* Runs after an order was accepted.  */
   std::vector<std::string> stalled; /* Reported addresses.  */
   bool silent = false;              /* Answers no request for a report.  */
@@ -267,7 +268,8 @@
                       "\"kvTotal\":1,\"layers\":{\"from\":"
                     + std::to_string (first)
                     + ",\"target\":" + std::to_string (end)
-                    + "},\"born\":" + std::to_string (born) + ",\"stalled\":[";
+                    + "},\"born\":" + std::to_string (born) + report_members
+                    + ",\"stalled\":[";
 
     for (size_t i = 0; i < stalled.size (); i++)
       s += std::string (i ? "," : "") + "{\"id\":\"x\",\"address\":\""
@@ -378,6 +380,15 @@
     change (kind, name, spec, false);
   }
 
+  /* Have ELEMENT stand in the place of the object NAME in lists, and of its
+     event.  */
+  void
+  put_element (const std::string &kind, const std::string &name,
+               const std::string &element)
+  {
+    change (kind, name, "null", false, element);
+  }
+
   void
   remove (const std::string &kind, const std::string &name)
   {
@@ -424,6 +435,7 @@
   {
     uint64_t revision; /* That of its last change.  */
     std::string spec;
+    std::string element; /* What stands in its place; empty: nothing.  */
   };
 
   struct Event
@@ -485,17 +497,20 @@
 
   void
   change (const std::string &kind, const std::string &name,
-          const std::string &spec, bool deleted)
+          const std::string &spec, bool deleted,
+          const std::string &element = "")
   {
     revision_++;
     if (deleted)
       objects_[kind].erase (name);
     else
-      objects_[kind][name] = { revision_, spec };
+      objects_[kind][name] = { revision_, spec, element };
     events_.push_back (
         { revision_, kind,
-          "{\"deleted\":" + std::string (deleted ? "true" : "false")
-              + ",\"object\":" + object (name, spec, revision_) + "}" });
+          element.empty ()
+              ? "{\"deleted\":" + std::string (deleted ? "true" : "false")
+                    + ",\"object\":" + object (name, spec, revision_) + "}"
+              : element });
     if (muted)
       return;
     auto waiting = std::move (waiting_);
@@ -551,7 +566,9 @@
     kind_scans[kind]++;
     for (; o != objects_[kind].end () && (page == 0 || n < page); ++o, n++)
       s += (s.empty () ? "" : ",")
-           + object (o->first, o->second.spec, o->second.revision);
+           + (o->second.element.empty ()
+                  ? object (o->first, o->second.spec, o->second.revision)
+                  : o->second.element);
     Server::reply (x, 200,
                    "{\"items\":[" + s + "],\"hasMore\":"
                        + (o == objects_[kind].end () ? "false" : "true")
