gateway: the record of a router with an invalid address is unusable

What operators saw: an object among the routers' own whose address or client address has a port out of range, is a host name or no address at all counted as a router: it was connected to, sent gossip and kept in the view, and no counter or line told of it.

Cause: only an empty address was rejected.

Why it works: an address is parsed as it is for tunnels (IPv4 and a port from 1 to 65535), which is all that the sockets between routers take. A record that fails is counted as member.unusable, as others are.

--- a/packages/gateway/gateway_members.c
+++ b/packages/gateway/gateway_members.c
@@ -9,6 +9,7 @@
 
 #include <mq/internal/gateway.h>
 
+#include <mq/internal/socket_address.h>
 #include <mq/json.h>
 #include <mq/json_text.h>
 #include <mq/log.h>
@@ -112,8 +113,17 @@
   g_string_free (value, TRUE);
 }
 
+/* Returns true if routers can connect to ADDRESS.  */
+static bool
+member_address_is_valid (mq_span address)
+{
+  struct sockaddr_in to;
+
+  return mq_socket_address_parse (address, &to) == 0;
+}
+
 /* Add the router that the member object ENTRY names.  Returns 0, or -1 when
-   the object lacks an address or a failure domain.  */
+   the object lacks a failure domain, or an address is missing or invalid.  */
 static int
 member_add (mq_gateway *gateway, const mq_platform_entry *entry,
             mq_json_doc *doc)
@@ -127,7 +137,8 @@
                          .capacity = (unsigned)mq_json_u64 (
                              &root, "capacity", 0, UINT32_MAX, 0) };
 
-  if (r.peer.size == 0 || r.domain.size == 0)
+  if (!member_address_is_valid (r.peer) || r.domain.size == 0
+      || (r.client.size > 0 && !member_address_is_valid (r.client)))
     return -1;
   if (mq_span_equal (r.peer, mq_str_span (gateway->cluster.peer)))
     gateway->member_written = true;
--- a/tests/test_odd_entries.cc
+++ b/tests/test_odd_entries.cc
@@ -442,3 +442,58 @@
   expect_served ();
   expect_followed ();
 }
+
+/* The record of a router that is none: routers start as fast, name no such
+   address to clients, and know one another.  */
+TEST_F (OddEntry, MemberIsHarmless)
+{
+  Forms forms = { "{}", "[]", "null", "7" };
+  auto member = [] (const std::string &address, const std::string &clients,
+                    const std::string &capacity) {
+    return "{\"address\":\"" + address + "\",\"clients\":\"" + clients
+           + "\",\"domain\":\"one\",\"capacity\":" + capacity + "}";
+  };
+
+  for (auto &a : odd_addresses)
+    {
+      forms.push_back (member (a, "127.0.0.1:9", "1000"));
+      forms.push_back (member ("127.0.0.1:9", a, "1000"));
+    }
+  for (size_t n : depths)
+    {
+      forms.push_back (nested (n));
+      forms.push_back ("{\"address\":" + nested (n) + "}");
+      forms.push_back ("{\"address\":\"127.0.0.1:9\",\"domain\":\"one\","
+                       "\"unknown\":"
+                       + nested (n) + "}");
+    }
+  put_specs ("marjoramquay-members", forms);
+  size_t unusable = forms.size ();
+  forms.clear ();
+  for (auto &n : odd_numbers)
+    forms.push_back (member ("127.0.0.1:9", "127.0.0.1:9", n));
+  put_specs ("marjoramquay-members", forms);
+
+  add_instances ();
+  add_engines ();
+  start_fleet ({ "two" });
+  ASSERT_TRUE (until ([&] { return is_covered (); }));
+  wait (0.5);
+  EXPECT_GE (unreadable (*routers[0], "member"), unusable);
+  expect_served ();
+  expect_followed ();
+  for (auto &r : routers)
+    {
+      std::string list
+          = fetch ("GET", "/resolve?name=x.example&region=r&zone=one", {}, "",
+                   r->base + 2)
+                .body;
+
+      for (auto &other : routers)
+        if (list.find (at (other->base)) != std::string::npos)
+          list.replace (list.find (at (other->base)), at (other->base).size (),
+                        "");
+      EXPECT_EQ (list.find ("127"), std::string::npos) << list;
+      EXPECT_EQ (list.find (":80"), std::string::npos) << list;
+    }
+}
