gateway: a malformed record of a quarantined request is not used in part

What operators could see: after a start, requests refused because of an object that is malformed: a hexadecimal number with a sign, a blank or 0x, lists of crashes and of their ages that differ in length, a valid first crash before an invalid second, or a time that no clock shows yet, which would never expire.

Cause: strtoull accepts more than digits, each crash was merged as it was read, and an age below zero counted as none.

Why it works: digits are read one by one, all is checked before the first crash is merged, and a time that lies ahead by more than the period of a refusal is invalid. A writer's clock may still be ahead by that much.

--- a/packages/gateway/gateway_quarantine.c
+++ b/packages/gateway/gateway_quarantine.c
@@ -184,15 +184,18 @@
 static int
 hex_decode (mq_span text, uint64_t *n)
 {
-  char buffer[HEX_DIGITS + 1];
-  char *end = NULL;
-
   if (text.size != HEX_DIGITS)
     return -1;
-  memcpy (buffer, text.data, HEX_DIGITS);
-  buffer[HEX_DIGITS] = '\0';
-  *n = g_ascii_strtoull (buffer, &end, 16);
-  return end == buffer + HEX_DIGITS ? 0 : -1;
+  *n = 0;
+  for (size_t i = 0; i < HEX_DIGITS; i++)
+    {
+      int digit = g_ascii_xdigit_value (text.data[i]);
+
+      if (digit < 0)
+        return -1;
+      *n = *n * 16 + (uint64_t)digit;
+    }
+  return 0;
 }
 
 /* Returns the number at place I of TEXT, a list of numbers in HEX_DIGITS
@@ -207,26 +210,31 @@
 
 /* Merge the crashes in ENDS, of which ELEMENT was suspected at the AGES in
    milliseconds, written AGE_MS ago.  Objects of earlier versions have no AGES.
-   Returns -1 when a text is malformed.  */
+   Returns -1, and merges none, when a text is malformed or the lists differ in
+   length.  */
 static int
 apply_crashes (mq_gateway *gateway, uint64_t element, mq_span ends,
                mq_span ages, uint64_t age_ms)
 {
+  mq_quarantine_record records[MQ_QUARANTINE_MAX_CRASHES];
   size_t n = ends.size / HEX_DIGITS;
 
-  if (n == 0 || n > MQ_QUARANTINE_MAX_CRASHES || ends.size % HEX_DIGITS != 0)
+  if (n == 0 || n > MQ_QUARANTINE_MAX_CRASHES || ends.size % HEX_DIGITS != 0
+      || (ages.size > 0 && ages.size != ends.size))
     return -1;
   for (size_t i = 0; i < n; i++)
     {
-      mq_quarantine_record r = { element, 0, 0 };
+      mq_quarantine_record *r = &records[i];
 
-      if (hex_list_decode (ends, i, &r.upstream) < 0 || r.upstream == 0
-          || (ages.size > 0 && hex_list_decode (ages, i, &r.age_ms) < 0))
+      *r = (mq_quarantine_record){ element, 0, 0 };
+      if (hex_list_decode (ends, i, &r->upstream) < 0 || r->upstream == 0
+          || (ages.size > 0 && hex_list_decode (ages, i, &r->age_ms) < 0))
         return -1;
-      r.age_ms = MIN (r.age_ms, UINT64_MAX - age_ms) + age_ms;
-      (void)mq_quarantine_merge (&gateway->quarantine, &r,
-                                 mq_gateway_now_us ());
+      r->age_ms = MIN (r->age_ms, UINT64_MAX - age_ms) + age_ms;
     }
+  for (size_t i = 0; i < n; i++)
+    (void)mq_quarantine_merge (&gateway->quarantine, &records[i],
+                               mq_gateway_now_us ());
   return 0;
 }
 
@@ -260,11 +268,14 @@
   uint64_t period_ms = gateway->settings->quarantine_ms;
   uint64_t at_ms = mq_json_u64 (root, "at_ms", 0, UINT64_MAX, 0);
   uint64_t now_ms = now_wall_ms ();
-  /* The writer's clock may be ahead of ours.  */
+  /* The writer's clock may be ahead of ours, but an object that it says to be
+     newer than any can be would never expire.  */
+  bool plausible
+      = at_ms > 0 && (at_ms <= now_ms || at_ms - now_ms <= period_ms);
   uint64_t age_ms = now_ms > at_ms ? now_ms - at_ms : 0;
   uint64_t element;
 
-  if (at_ms == 0 || hex_decode (entry->name, &element) < 0 || element == 0)
+  if (!plausible || hex_decode (entry->name, &element) < 0 || element == 0)
     return -1;
   if (age_ms >= 2 * period_ms)
     {
--- a/tests/test_odd_entries.cc
+++ b/tests/test_odd_entries.cc
@@ -497,3 +497,59 @@
       EXPECT_EQ (list.find (":80"), std::string::npos) << list;
     }
 }
+
+/* The record of a quarantined request that is none.  */
+TEST_F (OddEntry, RefusalIsUnusable)
+{
+  const std::string kind = "marjoramquay-refusals";
+  const std::string hex = "00000000000000a1";
+  auto value = [] (const std::string &ends, const std::string &ages,
+                   const std::string &at_ms) {
+    return "{\"ends\":\"" + ends + "\",\"ages_ms\":\"" + ages
+           + "\",\"at_ms\":" + at_ms + "}";
+  };
+  const std::string now = std::to_string ((uint64_t)(ev_time () * 1000));
+  unsigned n = 0;
+  auto put = [&] (const std::string &name, const std::string &spec) {
+    store.put (kind, name, spec);
+    n++;
+  };
+  auto name = [&] {
+    char s[17];
+
+    snprintf (s, sizeof s, "%016x", 0x100 + n);
+    return std::string (s);
+  };
+
+  for (const char *odd :
+       { "-0000000000000a1", "+0000000000000a1", "0x000000000000a1",
+         " 000000000000-a1", "              a1", "0000000000000000",
+         "00000000000000g1", "a1", "00000000000000a11" })
+    {
+      put (odd, value (hex, hex, now));
+      put (name (), value (odd, hex, now));
+      if (std::string (odd) != "0000000000000000")
+        put (name (), value (hex, odd, now));
+    }
+  put (name (), value (hex + "0", hex, now));
+  put (name (), value (hex + hex, hex, now));
+  put (name (), value (hex, hex + hex, now));
+  for (auto &number : odd_numbers)
+    if (number != "4294967296")
+      put (name (), value (hex, hex, number));
+  for (size_t depth : depths)
+    {
+      put (name (), nested (depth));
+      put (name (), "{\"ends\":" + nested (depth) + ",\"at_ms\":" + now + "}");
+    }
+  add_instances ();
+  add_engines ();
+  start_fleet ({});
+  ASSERT_TRUE (until ([&] { return is_covered (); }));
+  EXPECT_TRUE (until ([&] {
+    return unreadable (*routers[0], "refusal") >= n;
+  })) << unreadable (*routers[0], "refusal")
+      << " of " << n;
+  expect_served ();
+  expect_followed ();
+}
