net: gossip about a router with an invalid address is not used

What callers could see: the directory's response named what is no address, if another router's gossip said so. Addresses of other routers in a message were any text.

Evidence: ClusterMessage.RejectsInvalidAddresses, which fails without the change for each of 12 forms; CutAtAnyByteIsRejected guards (it passes without).

Why it works: an address is IP:PORT, as everywhere else. That of the sender costs the message, that of a listed router its record, which is counted.

--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -6,6 +6,8 @@
 
 #include <mq/cluster_message.h>
 
+#include <mq/internal/socket_address.h>
+
 #include <math.h>
 #include <news.pb-c.h>
 #include <string.h>
@@ -346,6 +348,19 @@
              : -1;
 }
 
+/* Like get_text, for an empty text or IP:PORT.  */
+static int
+get_address (mq_span *to, ProtobufCBinaryData from)
+{
+  struct sockaddr_in address;
+
+  return get_text (to, from) == 0
+                 && (from.len == 0
+                     || mq_socket_address_parse (*to, &address) == 0)
+             ? 0
+             : -1;
+}
+
 static int
 get_router (mq_gossip_router *to, const Mq__News__Router *from)
 {
@@ -353,8 +368,8 @@
   to->capacity = from->capacity;
   to->tunnel_port = from->tunnel_port;
   if (get_text (&to->name, from->name) < 0
-      || get_text (&to->peer, from->peer) < 0
-      || get_text (&to->client, from->client) < 0
+      || get_address (&to->peer, from->peer) < 0
+      || get_address (&to->client, from->client) < 0
       || get_text (&to->domain, from->domain) < 0
       || from->tunnel_port > UINT16_MAX)
     return -1;
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <vector>
 
 namespace
 {
@@ -87,6 +88,43 @@
     return encode (p);
   }
 
+  /* A message of each kind.  */
+  std::vector<std::string>
+  encode_all ()
+  {
+    const mq_platform_entry list[]
+        = { { MQ_SPAN ("a"), 5, MQ_SPAN ("{\"x\":1}"), false },
+            { MQ_SPAN ("b"), 6, MQ_SPAN (""), true } };
+    std::vector<std::string> all = { encode_gossip () };
+    mq_cluster_message p = {};
+
+    p.kind = MQ_CLUSTER_MESSAGE_ROUTING;
+    p.scope = MQ_SCOPE_RECEIVER;
+    p.u.routing = MQ_SPAN ("{\"version\":3}");
+    all.push_back (encode (p));
+    p.kind = MQ_CLUSTER_MESSAGE_ENTRIES;
+    p.u.entries = { true, 6, list, 2 };
+    all.push_back (encode (p));
+    p.u.entries = { false, 0, list, 2 };
+    all.push_back (encode (p));
+    p.kind = MQ_CLUSTER_MESSAGE_LAYERS;
+    p.u.layers = { MQ_SPAN ("eng"), 20, 31 };
+    all.push_back (encode (p));
+    for (mq_cluster_message_kind kind : { MQ_CLUSTER_MESSAGE_BUDGET_REQUEST,
+                                          MQ_CLUSTER_MESSAGE_BUDGET_GRANT })
+      {
+        p.kind = kind;
+        p.u.budget = { MQ_SPAN ("10.0.0.1:1"),
+                       { MQ_SPAN ("10.0.0.2:1"), MQ_SPAN ("10.0.0.3:1") },
+                       2,
+                       7,
+                       12,
+                       9 };
+        all.push_back (encode (p));
+      }
+    return all;
+  }
+
   static int
   decode (mq_cluster_message_decoded *d, const std::string &s,
           GError **error = nullptr)
@@ -212,6 +250,49 @@
     }
 }
 
+/* A message of any kind that is cut at any byte is none: no list that is cut
+   counts as a whole one.  */
+TEST_F (ClusterMessage, CutAtAnyByteIsRejected)
+{
+  for (const std::string &whole : encode_all ())
+    {
+      mq_cluster_message_decoded d;
+
+      ASSERT_EQ (decode (&d, whole), 0);
+      mq_cluster_message_decoded_finish (&d);
+      for (size_t n = 0; n < whole.size (); n++)
+        EXPECT_EQ (decode (&d, whole.substr (0, n)), -1) << n;
+    }
+}
+
+/* What is no address is none of a sender, and costs a record itself alone.  */
+TEST_F (ClusterMessage, RejectsInvalidAddresses)
+{
+  for (const char *odd :
+       { "10.0.0.1", "10.0.0.1:0", "10.0.0.1:65536", "10.0.0.1:4294967376",
+         "10.0.0.1:80x", "10.0.0.1:-1", "10.0.0.1:+80", "10.0.0.1: 80",
+         "router.example:80", "[::1]:80", ":80", "10.0.0.1:" })
+    {
+      mq_cluster_message_decoded d;
+      mq_gossip_router *r
+          = &g_array_index (gossip.routers, mq_gossip_router, 0);
+      mq_gossip_router sound = *r;
+
+      gossip.from.peer = mq_span_from (odd);
+      EXPECT_EQ (decode (&d, encode_gossip ()), -1) << odd;
+      gossip.from.peer = MQ_SPAN ("10.0.0.1:1");
+      gossip.from.client = mq_span_from (odd);
+      EXPECT_EQ (decode (&d, encode_gossip ()), -1) << odd;
+      gossip.from.client = MQ_SPAN ("10.0.0.1:2");
+      r->client = mq_span_from (odd);
+      ASSERT_EQ (decode (&d, encode_gossip ()), 0);
+      EXPECT_EQ (d.dropped, 1u) << odd;
+      EXPECT_EQ (d.message.u.gossip->serving->len, 1u);
+      mq_cluster_message_decoded_finish (&d);
+      *r = sound;
+    }
+}
+
 TEST_F (ClusterMessage, ReportsUnsupportedVersion)
 {
   std::string s = encode_gossip ();
