net: a message with a version that no change has is rejected

What operators could see: a router that got a revision or a configuration version near 2^64 from another one kept it as the newest: it asked the store for something newer without end, or used no later change of that entry. Changes from the store itself were bounded already.

Evidence: ClusterMessage.RejectsImpossibleVersions, which fails without the change.

Why it works: versions and revisions are bounded as in what the store sends, an entry has one, and none of a complete list is newer than the list.

--- a/include/mq/cluster_message.h
+++ b/include/mq/cluster_message.h
@@ -23,6 +23,8 @@
 #define MQ_CLUSTER_MESSAGE_MAX_TEXT_BYTES MQ_PLATFORM_MAX_NAME_BYTES
 /* Bounds each list in gossip.  */
 #define MQ_CLUSTER_MESSAGE_MAX_ELEMENTS 4096
+/* The largest version of a configuration, and revision of the store.  */
+#define MQ_CLUSTER_MESSAGE_MAX_VERSION ((uint64_t)1000000000000000000)
 
 #define MQ_CLUSTER_MESSAGE_ERROR (mq_cluster_message_error_quark ())
 GQuark mq_cluster_message_error_quark (void);
--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -493,6 +493,8 @@
 get_gossip (mq_gossip *to, const Mq__News__News *from, size_t *dropped)
 {
   if (from->sender == NULL || get_kind (&to->kind, from->kind) < 0
+      || from->routing > MQ_CLUSTER_MESSAGE_MAX_VERSION
+      || from->newest > MQ_CLUSTER_MESSAGE_MAX_VERSION
       || get_router (&to->from, from->sender) < 0 || to->from.peer.size == 0
       || to->from.incarnation == 0)
     return -1;
@@ -529,9 +531,20 @@
   return 0;
 }
 
-static void
+/* Returns true if F, an entry of FROM, may have its version.  A version that
+   no change has would hide all later changes.  */
+static bool
+version_is_valid (const Mq__News__Entries *from, const Mq__News__Entry *f)
+{
+  return f->version > 0 && f->version <= MQ_CLUSTER_MESSAGE_MAX_VERSION
+         && (!from->whole || f->version <= from->at);
+}
+
+static int
 get_entries (mq_cluster_message_decoded *to, const Mq__News__Entries *from)
 {
+  if (from->at > MQ_CLUSTER_MESSAGE_MAX_VERSION)
+    return -1;
   to->entries = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
   for (size_t i = 0; i < from->n_entries; i++)
     {
@@ -540,6 +553,8 @@
                               .value = to_span (f->value),
                               .deleted = f->gone };
 
+      if (!version_is_valid (from, f))
+        return -1;
       if (get_text (&e.name, f->id) < 0 || e.name.size == 0)
         to->dropped++;
       else
@@ -549,6 +564,7 @@
     from->whole, from->at,
     (const mq_platform_entry *)(void *)to->entries->data, to->entries->len
   };
+  return 0;
 }
 
 static int
@@ -618,10 +634,9 @@
       return get_scope (&p->scope, from->routing->scope);
     case MQ__NEWS__PARCEL__BODY_ENTRIES:
       p->kind = MQ_CLUSTER_MESSAGE_ENTRIES;
-      if (get_scope (&p->scope, from->entries->scope) < 0)
-        return -1;
-      get_entries (decoded, from->entries);
-      return 0;
+      return get_scope (&p->scope, from->entries->scope) < 0
+                 ? -1
+                 : get_entries (decoded, from->entries);
     case MQ__NEWS__PARCEL__BODY_LAYERS:
       p->kind = MQ_CLUSTER_MESSAGE_LAYERS;
       return get_scope (&p->scope, from->layers->scope) < 0
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -265,6 +265,36 @@
     }
 }
 
+/* A version that no change of the store has, or that is newer than the list it
+   is in, would hide the changes that follow.  */
+TEST_F (ClusterMessage, RejectsImpossibleVersions)
+{
+  mq_cluster_message_decoded d;
+  mq_cluster_message p = {};
+
+  p.kind = MQ_CLUSTER_MESSAGE_ENTRIES;
+  for (bool whole : { false, true })
+    for (uint64_t version : { UINT64_MAX, MQ_CLUSTER_MESSAGE_MAX_VERSION + 1,
+                              (uint64_t)0, (uint64_t)7 })
+      {
+        const mq_platform_entry list[]
+            = { { MQ_SPAN ("a"), 5, MQ_SPAN ("{}"), false },
+                { MQ_SPAN ("b"), version, MQ_SPAN ("{}"), false } };
+
+        p.u.entries = { whole, whole ? 6u : 0u, list, 2 };
+        if (version == 7 && !whole)
+          continue;
+        EXPECT_EQ (decode (&d, encode (p)), -1) << version;
+      }
+  p.u.entries = { true, UINT64_MAX, nullptr, 0 };
+  EXPECT_EQ (decode (&d, encode (p)), -1);
+  gossip.routing_version = MQ_CLUSTER_MESSAGE_MAX_VERSION + 1;
+  EXPECT_EQ (decode (&d, encode_gossip ()), -1);
+  gossip.routing_version = 41;
+  gossip.upstreams_newest = UINT64_MAX;
+  EXPECT_EQ (decode (&d, encode_gossip ()), -1);
+}
+
 /* What is no address is none of a sender, and costs a record itself alone.  */
 TEST_F (ClusterMessage, RejectsInvalidAddresses)
 {
