net: two messages in one are rejected

Two messages of routers in one, or any field of one that is set twice, counted as the last of them. Such a message contradicts itself.

PeerMessage.CutAtAnyByteIsRejected guards (it passes without).

Why it works: the library's message is as large when it is packed again as the bytes were, unless they held a value that another replaced. Fields that this version does not know are kept and counted.

--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -675,6 +675,11 @@
     g_set_error (error, MQ_CLUSTER_MESSAGE_ERROR,
                  MQ_CLUSTER_MESSAGE_ERROR_VERSION,
                  "unsupported message version %u", p->version);
+  /* The library keeps the last of several values of a field.  */
+  else if (mq__news__parcel__get_packed_size (p) != bytes.size)
+    g_set_error_literal (error, MQ_CLUSTER_MESSAGE_ERROR,
+                         MQ_CLUSTER_MESSAGE_ERROR_MALFORMED,
+                         "a field has several values");
   else if (decode_body (decoded, p) < 0)
     g_set_error (error, MQ_CLUSTER_MESSAGE_ERROR,
                  MQ_CLUSTER_MESSAGE_ERROR_MALFORMED,
--- a/packages/net/peer_decode.c
+++ b/packages/net/peer_decode.c
@@ -407,6 +407,14 @@
                    MQ_PEER_VERSION);
       goto fail;
     }
+  /* The library keeps the last of several values of a field.  */
+  if (mq__peer__envelope__get_packed_size (e) != bytes.size)
+    {
+      g_set_error_literal (error, MQ_PEER_MESSAGE_ERROR,
+                           MQ_PEER_MESSAGE_ERROR_MALFORMED,
+                           "a field has several values");
+      goto fail;
+    }
   decoded->message.sender = e->sender;
   if (e->sender != 0 && get_body (decoded, e) == 0)
     return 0;
--- a/tests/test_cluster_message.cc
+++ b/tests/test_cluster_message.cc
@@ -265,6 +265,19 @@
     }
 }
 
+/* Two messages in one, of the same kind or of different ones, contradict each
+   other: the last one counted.  */
+TEST_F (ClusterMessage, TwoInOneAreRejected)
+{
+  for (const std::string &a : encode_all ())
+    for (const std::string &b : encode_all ())
+      {
+        mq_cluster_message_decoded d;
+
+        EXPECT_EQ (decode (&d, a + b), -1);
+      }
+}
+
 /* A version that no change of the store has, or that is newer than the list it
    is in, would hide the changes that follow.  */
 TEST_F (ClusterMessage, RejectsImpossibleVersions)
--- a/tests/test_peer_message.cc
+++ b/tests/test_peer_message.cc
@@ -318,6 +318,36 @@
   mq_plan_finish (&m.u.plan_answer.plan);
 }
 
+/* A message of any kind that is cut at any byte is none, and the process goes
+   on.  */
+TEST (PeerMessage, CutAtAnyByteIsRejected)
+{
+  std::vector<mq_peer_message> all = all_kinds ();
+
+  for (const mq_peer_message &m : all)
+    {
+      std::string bytes = encode (m);
+
+      ASSERT_TRUE (decodes (bytes)) << m.kind;
+      for (size_t n = 0; n < bytes.size (); n++)
+        EXPECT_FALSE (decodes (bytes.substr (0, n)))
+            << "kind " << m.kind << ", " << n << " bytes";
+    }
+  finish_plans (all);
+}
+
+/* Two messages in one, of the same kind or of different ones, contradict each
+   other: the last one counted.  */
+TEST (PeerMessage, TwoInOneAreRejected)
+{
+  std::vector<mq_peer_message> all = all_kinds ();
+
+  for (const mq_peer_message &a : all)
+    for (const mq_peer_message &b : all)
+      EXPECT_FALSE (decodes (encode (a) + encode (b))) << a.kind << b.kind;
+  finish_plans (all);
+}
+
 /* Decodes mutated messages and random bytes from a fixed seed.  */
 TEST (PeerMessage, DecodesMutatedMessagesSafely)
 {
