tunnel: a malformed CONNECT request opens no tunnel

What another router could get: a tunnel for a request line without a version, with more after the address or the version, or with headers that are none or state a body.

Cause: the address was what stands before the next blank, and nothing after it was read.

Why it works: the request line has exactly the form that routers send, and each line after it is a header of a request without a body.

--- a/packages/net/tunnel_server.c
+++ b/packages/net/tunnel_server.c
@@ -10,6 +10,7 @@
 
 #include <mq/tunnel_server.h>
 
+#include <mq/internal/http_header.h>
 #include <mq/internal/socket_address.h>
 #include <mq/log.h>
 
@@ -27,6 +28,7 @@
    the upstream closed the other.  */
 #define REQUEST_TIMEOUT_S 1.0
 #define CLOSE_TIMEOUT_S 2.0
+#define LINE_END "\r\n"
 #define STATUS_OK 200
 /* Connections beyond the limit of tunnels that are read, to be refused.  */
 #define MAX_REFUSALS 16
@@ -376,23 +378,68 @@
     ev_io_start (t->server->loop, &u->writes);
 }
 
-/* Returns the address that the request line TEXT names, "CONNECT ADDRESS
-   HTTP/1.1", or an empty span if it is no such line.  */
+/* Returns true if LINE is a header that a CONNECT request may have: it has no
+   body, so that a header that states its end contradicts the method.  */
+static bool
+request_header_is_valid (mq_span line)
+{
+  const char *colon
+      = line.size > 0 ? memchr (line.data, ':', line.size) : NULL;
+  mq_http_header h;
+
+  if (colon == NULL)
+    return false;
+  h.name = (mq_span){ line.data, (size_t)(colon - line.data) };
+  h.value = (mq_span){ colon + 1, line.size - h.name.size - 1 };
+  return mq_http_header_is_valid (&h)
+         && !mq_http_header_is (&h, "Content-Length")
+         && !mq_http_header_is (&h, "Transfer-Encoding");
+}
+
+/* Returns the address in LINE, "CONNECT ADDRESS HTTP/1.1", or an empty span if
+   it is no such line.  */
 static mq_span
-request_address (mq_span text)
+request_line_address (mq_span line)
 {
-  static const char method[] = "CONNECT ";
-  size_t skip = sizeof method - 1;
-  const char *end;
+  const mq_span before = MQ_SPAN ("CONNECT ");
+  const mq_span after = MQ_SPAN (" HTTP/1.1");
+  mq_span address;
 
-  if (text.size <= skip || memcmp (text.data, method, skip) != 0)
-    return (mq_span){ NULL, 0 };
-  text.data += skip;
-  text.size -= skip;
-  end = memchr (text.data, ' ', text.size);
-  if (end == NULL)
+  if (line.size <= before.size + after.size
+      || memcmp (line.data, before.data, before.size) != 0
+      || memcmp (line.data + line.size - after.size, after.data, after.size)
+             != 0)
     return (mq_span){ NULL, 0 };
-  return (mq_span){ text.data, (size_t)(end - text.data) };
+  address.data = line.data + before.size;
+  address.size = line.size - before.size - after.size;
+  return address;
+}
+
+/* Removes a line from the front of TEXT, which ends in an empty one, and
+   returns it without its end.  */
+static mq_span
+request_take_line (mq_span *text)
+{
+  const char *end = g_strstr_len (text->data, (gssize)text->size, LINE_END);
+  mq_span line = { text->data, (size_t)(end - text->data) };
+
+  text->data += line.size + strlen (LINE_END);
+  text->size -= line.size + strlen (LINE_END);
+  return line;
+}
+
+/* Returns the address that the CONNECT request with the head TEXT names, or an
+   empty span if it is malformed.  */
+static mq_span
+request_address (mq_span text)
+{
+  mq_span address = request_line_address (request_take_line (&text));
+  mq_span line;
+
+  while (line = request_take_line (&text), line.size > 0)
+    if (!request_header_is_valid (line))
+      return (mq_span){ NULL, 0 };
+  return address;
 }
 
 /* The request of T is complete; its head is SIZE bytes long.  May free T.  */
@@ -440,9 +487,11 @@
       return;
     }
   g_string_append_len (t->request, buffer, n);
-  end = g_strstr_len (t->request->str, (gssize)t->request->len, "\r\n\r\n");
+  end = g_strstr_len (t->request->str, (gssize)t->request->len,
+                      LINE_END LINE_END);
   if (end != NULL)
-    tunnel_open (t, (size_t)(end - t->request->str) + strlen ("\r\n\r\n"));
+    tunnel_open (t,
+                 (size_t)(end - t->request->str) + strlen (LINE_END LINE_END));
   else if (t->request->len > MAX_REQUEST_BYTES)
     tunnel_refuse (t, MQ_TUNNEL_MALFORMED);
 }
--- a/tests/test_tunnel_server.cc
+++ b/tests/test_tunnel_server.cc
@@ -316,3 +316,92 @@
       close (fd);
     }
 }
+
+/* A request that is cut at any byte, or malformed, opens no tunnel and sends
+   nothing to the upstream.  */
+TEST_F (Tunnel, RequestThatIsNotWholeOpensNone)
+{
+  RawServer upstream;
+  const std::string line = "CONNECT " + upstream.address + " HTTP/1.1\r\n";
+  const std::string whole = line + "Host: x\r\n\r\n";
+  const std::string port
+      = upstream.address.substr (upstream.address.find (':') + 1);
+  auto ask = [&] (const std::string &bytes) {
+    sockaddr_in at = {};
+    char buffer[256];
+    std::string reply;
+    int fd = socket (AF_INET, SOCK_STREAM, 0);
+
+    at.sin_family = AF_INET;
+    at.sin_port = htons (mq_tunnel_server_port (server));
+    at.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+    EXPECT_EQ (connect (fd, reinterpret_cast<sockaddr *> (&at), sizeof at), 0);
+    EXPECT_EQ (send (fd, bytes.data (), bytes.size (), 0),
+               (ssize_t)bytes.size ());
+    shutdown (fd, SHUT_WR);
+    EXPECT_TRUE (until ([&] {
+      ssize_t n = recv (fd, buffer, sizeof buffer, MSG_DONTWAIT);
+
+      if (n > 0)
+        reply.append (buffer, (size_t)n);
+      return n == 0 || (n < 0 && errno != EAGAIN);
+    }));
+    close (fd);
+    return reply;
+  };
+
+  for (size_t n = 1; n < whole.size (); n++)
+    EXPECT_EQ (ask (whole.substr (0, n)), "") << n;
+  const std::vector<std::string> malformed
+      = { "CONNECT " + upstream.address + "\r\n",
+          "CONNECT " + upstream.address + " \r\n",
+          "CONNECT " + upstream.address + " HTTP\r\n",
+          "CONNECT " + upstream.address + " HTTP/1.\r\n",
+          "CONNECT " + upstream.address + " HTTP/1.1x\r\n",
+          "CONNECT " + upstream.address + " HTTP/1.1 \r\n",
+          "CONNECT " + upstream.address + " x HTTP/1.1\r\n",
+          "CONNECT  " + upstream.address + " HTTP/1.1\r\n",
+          "CONNECT\t" + upstream.address + " HTTP/1.1\r\n",
+          " CONNECT " + upstream.address + " HTTP/1.1\r\n",
+          "connect " + upstream.address + " HTTP/1.1\r\n",
+          "GET " + upstream.address + " HTTP/1.1\r\n",
+          std::string ("CONNECT  HTTP/1.1\r\n"),
+          std::string ("\r\n"),
+          "CONNECT 127.0.0.1" + std::string (1, '\0') + ":" + port
+              + " HTTP/1.1\r\n",
+          "CONNECT 127.0.0.1:0" + std::string (1, '\0') + " HTTP/1.1\r\n",
+          "CONNECT 127.0.0.1:+" + port + " HTTP/1.1\r\n",
+          "CONNECT 127.0.0.1:" + port + "x HTTP/1.1\r\n",
+          "CONNECT 127.0.0.1:4295" + port + " HTTP/1.1\r\n",
+          "CONNECT localhost:" + port + " HTTP/1.1\r\n",
+          "CONNECT [::1]:" + port + " HTTP/1.1\r\n",
+          "CONNECT http://" + upstream.address + " HTTP/1.1\r\n",
+          "CONNECT 127.0.0.1 HTTP/1.1\r\n",
+          "CONNECT :" + port + " HTTP/1.1\r\n",
+          line + "no header\r\n",
+          line + ": x\r\n",
+          line + "X : y\r\n",
+          line + " folded: x\r\n",
+          line + "X: a\rb\r\n",
+          line + "X: a" + std::string (1, '\0') + "\r\n",
+          line + "Content-Length: 5\r\n",
+          line + "Content-Length: 0\r\n",
+          line + "Transfer-Encoding: chunked\r\n" };
+  for (const std::string &odd : malformed)
+    {
+      std::string reply = ask (odd + "\r\n" + "hidden");
+
+      EXPECT_TRUE (reply.empty () || reply.find ("HTTP/1.1 400 ") == 0)
+          << odd << reply;
+      EXPECT_FALSE (upstream.accepted ()) << odd;
+      if (upstream.fd >= 0)
+        upstream.finish (true);
+    }
+  EXPECT_EQ (mq_tunnel_server_total (server), 0u);
+  Result r;
+  start_call (r, upstream.address);
+  ASSERT_TRUE (until ([&] { return upstream.received ("\r\n\r\n"); }));
+  upstream.write ("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_TRUE (until ([&] { return r.ended; }));
+  EXPECT_EQ (r.event.status, 200u);
+}
