Settings and configuration files that are cut at any byte are errors

Guards only: the three tests pass without a change of the code. Each cut of the gateway's settings, the native settings and a configuration file (alone, and beside a sound one) is an error that names the file and line.

--- a/tests/test_files.cc
+++ b/tests/test_files.cc
@@ -287,3 +287,21 @@
       digest,
       "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b");
 }
+
+/* A file that is cut at any byte is an error that names it and the line, also
+   beside a sound one.  */
+TEST (Files, CutAtAnyByteIsRejected)
+{
+  ASSERT_EQ (load_error ({ { "a.json", complete } }), "");
+  for (size_t n = 0; n < complete.size (); n++)
+    {
+      std::string cut = complete.substr (0, n);
+
+      EXPECT_EQ (load_error ({ { "a.json", cut } }).find ("a.json:"), 0u)
+          << n << " bytes: " << load_error ({ { "a.json", cut } });
+      EXPECT_EQ (load_error ({ { "a.json", complete }, { "b.json", cut } })
+                     .find ("b.json:"),
+                 0u)
+          << n;
+    }
+}
--- a/tests/test_gateway_settings.cc
+++ b/tests/test_gateway_settings.cc
@@ -96,3 +96,16 @@
   EXPECT_NE (fault ("{"), "");
   EXPECT_FALSE (mq_gateway_settings_is_present ("/nowhere/x.json"));
 }
+
+/* A file that is cut at any byte is an error that names the file and the line.
+   The settings are one object, so that no part of the file is another.  */
+TEST (GatewaySettings, FileCutAtAnyByteIsRejected)
+{
+  std::string text = settings (",\n\"seeds\":[\"10.0.0.2:83\"],\n// Comment\n"
+                               "\"grace_ms\":8000,\"memory_mb\":260\n");
+
+  ASSERT_EQ (fault (text), "");
+  for (size_t n = 0; n < text.size (); n++)
+    EXPECT_EQ (fault (text.substr (0, n)).find ("file:"), 0u)
+        << n << " bytes: " << fault (text.substr (0, n));
+}
--- a/tests/test_settings.cc
+++ b/tests/test_settings.cc
@@ -186,3 +186,15 @@
   o.address = "localhost";
   EXPECT_NE (fault (valid, &o).find ("--address"), std::string::npos);
 }
+
+/* A file that is cut at any byte is an error that names the file and the line.
+ */
+TEST (Settings, FileCutAtAnyByteIsRejected)
+{
+  size_t end = valid.rfind ('}');
+
+  ASSERT_EQ (fault (valid.substr (0, end + 1)), "");
+  for (size_t n = 0; n <= end; n++)
+    EXPECT_EQ (fault (valid.substr (0, n)).find ("vm.json:"), 0u)
+        << n << " bytes: " << fault (valid.substr (0, n));
+}
