--- a/tests/test_http_tls.cc
+++ b/tests/test_http_tls.cc
@@ -214,4 +214,44 @@
   EXPECT_EQ (get ().body, "secret");
 }
 
+/* Of a file that is cut at any byte, a chain of certificates too, nothing is
+   used, and the old certificate stays.  */
+TEST_F (HttpTls, KeepsTheOldCertificateWhenAFileIsCut)
+{
+  auto read = [this] (const char *name) {
+    char *bytes = nullptr;
+    size_t size = 0;
+
+    EXPECT_TRUE (
+        g_file_get_contents (file (name).c_str (), &bytes, &size, nullptr));
+    std::string text (bytes, size);
+    g_free (bytes);
+    return text;
+  };
+  auto reload = [this] (const char *name, const std::string &text) {
+    GError *error = nullptr;
+
+    g_file_set_contents (file (name).c_str (), text.data (),
+                         (gssize)text.size (), nullptr);
+    int result = mq_http_server_reload_tls (server, &error);
+    EXPECT_EQ (result == 0, error == nullptr);
+    g_clear_error (&error);
+    return result;
+  };
+  const std::string cert = read ("cert"), key = read ("key");
+  const std::string chain = cert + cert;
+  const size_t mark = strlen ("-----END CERTIFICATE-----");
+
+  for (size_t n = 0; n < cert.rfind ("-----END") + mark; n++)
+    EXPECT_EQ (reload ("cert", cert.substr (0, n)), -1) << n;
+  for (size_t n = cert.size () + 1; n < chain.rfind ("-----END") + mark; n++)
+    EXPECT_EQ (reload ("cert", chain.substr (0, n)), -1) << n;
+  EXPECT_EQ (reload ("cert", cert), 0);
+  for (size_t n = 0; n < key.find_last_not_of ('\n') + 1; n++)
+    EXPECT_EQ (reload ("key", key.substr (0, n)), -1) << n;
+  EXPECT_EQ (get ().body, "secret");
+  EXPECT_EQ (reload ("key", key), 0);
+  EXPECT_EQ (get ().body, "secret");
+}
+
 } // namespace
