platform: a number with more behind it, or two values of a member, is none

An engine's report with "sequence":2x or with two sequences that differ was used with the first number or the last one, and a list of the store with "at":100x as one at 100.

Cause: json-c leaves what follows a value, and the last member of a name replaced the others.

--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -400,6 +400,52 @@
     }
 }
 
+/* A number with more behind it is none, and a member that is there twice with
+   different values has none: the last one counted.  */
+TEST (UsersPlatform, RejectsReportsThatContradictThemselves)
+{
+  for (const char *bad :
+       { "\"sequence\":2x", "\"sequence\":2 3", "\"sequence\":2/**/3",
+         "\"sequence\":2,\"sequence\":3", "\"sequence\":3,\"sequence\":null",
+         "\"sequence\":null,\"sequence\":3",
+         "\"sequence\":3,\"sequence\":2,\"sequence\":3",
+         "\"sequence\":3,\"sequence\":[" })
+    {
+      std::string text = "{" + std::string (bad) + "}";
+      mq_engine_report r;
+
+      EXPECT_EQ (mq_users_platform.report_decode (span (text), &r, nullptr),
+                 -1)
+          << text;
+    }
+  mq_engine_report r;
+  ASSERT_EQ (mq_users_platform.report_decode (
+                 MQ_SPAN ("{\"sequence\":2,\"sequence\":2,\"x\":1,\"x\":2}"),
+                 &r, nullptr),
+             0);
+  EXPECT_EQ (r.orders, 2u);
+  mq_users_platform.report_finish (&r);
+}
+
+/* The revision of a list decides which changes follow.  */
+TEST (UsersPlatform, ListWithMalformedRevisionIsUnreadable)
+{
+  for (const char *at :
+       { "100x", "1e400", "1e2", "-1", "0", "100.5", "\"100\"", "null",
+         "[100]", "99999999999999999999999", "18446744073709551616", "0x64",
+         "+100" })
+    {
+      std::string body
+          = "{\"items\":[],\"hasMore\":false,\"at\":" + std::string (at) + "}";
+      mq_platform_reply reply = {};
+
+      void *decoded
+          = mq_users_store.decode (MQ_PLATFORM_SCAN, 200, span (body), &reply);
+      EXPECT_EQ (reply.result, MQ_PLATFORM_UNREADABLE) << at;
+      mq_users_store.free_decoded (decoded);
+    }
+}
+
 /* A number of the load that is invalid is left out, and said to be, rather
    than cut to fewer bits.  */
 TEST (UsersPlatform, ReportTellsOfInvalidLoad)
