--- a/packages/net/cluster_message.c
+++ b/packages/net/cluster_message.c
@@ -6,6 +6,8 @@
 
 #include <mq/cluster_message.h>
 
+#include <mq/internal/socket_address.h>
+
 #include <math.h>
 #include <news.pb-c.h>
 #include <string.h>
@@ -346,6 +348,19 @@
              : -1;
 }
 
+/* Like get_text, for an empty text or IP:PORT.  */
+static int
+get_address (mq_span *to, ProtobufCBinaryData from)
+{
+  struct sockaddr_in address;
+
+  return get_text (to, from) == 0
+                 && (from.len == 0
+                     || mq_socket_address_parse (*to, &address) == 0)
+             ? 0
+             : -1;
+}
+
 static int
 get_router (mq_gossip_router *to, const Mq__News__Router *from)
 {
@@ -353,8 +368,8 @@
   to->capacity = from->capacity;
   to->tunnel_port = from->tunnel_port;
   if (get_text (&to->name, from->name) < 0
-      || get_text (&to->peer, from->peer) < 0
-      || get_text (&to->client, from->client) < 0
+      || get_address (&to->peer, from->peer) < 0
+      || get_address (&to->client, from->client) < 0
       || get_text (&to->domain, from->domain) < 0
       || from->tunnel_port > UINT16_MAX)
     return -1;
@@ -478,6 +493,8 @@
 get_gossip (mq_gossip *to, const Mq__News__News *from, size_t *dropped)
 {
   if (from->sender == NULL || get_kind (&to->kind, from->kind) < 0
+      || from->routing > MQ_CLUSTER_MESSAGE_MAX_VERSION
+      || from->newest > MQ_CLUSTER_MESSAGE_MAX_VERSION
       || get_router (&to->from, from->sender) < 0 || to->from.peer.size == 0
       || to->from.incarnation == 0)
     return -1;
@@ -514,9 +531,20 @@
   return 0;
 }
 
-static void
+/* Returns true if F, an entry of FROM, may have its version.  A version that
+   no change has would hide all later changes.  */
+static bool
+version_is_valid (const Mq__News__Entries *from, const Mq__News__Entry *f)
+{
+  return f->version > 0 && f->version <= MQ_CLUSTER_MESSAGE_MAX_VERSION
+         && (!from->whole || f->version <= from->at);
+}
+
+static int
 get_entries (mq_cluster_message_decoded *to, const Mq__News__Entries *from)
 {
+  if (from->at > MQ_CLUSTER_MESSAGE_MAX_VERSION)
+    return -1;
   to->entries = g_array_new (FALSE, TRUE, sizeof (mq_platform_entry));
   for (size_t i = 0; i < from->n_entries; i++)
     {
@@ -525,6 +553,8 @@
                               .value = to_span (f->value),
                               .deleted = f->gone };
 
+      if (!version_is_valid (from, f))
+        return -1;
       if (get_text (&e.name, f->id) < 0 || e.name.size == 0)
         to->dropped++;
       else
@@ -534,6 +564,7 @@
     from->whole, from->at,
     (const mq_platform_entry *)(void *)to->entries->data, to->entries->len
   };
+  return 0;
 }
 
 static int
@@ -603,10 +634,9 @@
       return get_scope (&p->scope, from->routing->scope);
     case MQ__NEWS__PARCEL__BODY_ENTRIES:
       p->kind = MQ_CLUSTER_MESSAGE_ENTRIES;
-      if (get_scope (&p->scope, from->entries->scope) < 0)
-        return -1;
-      get_entries (decoded, from->entries);
-      return 0;
+      return get_scope (&p->scope, from->entries->scope) < 0
+                 ? -1
+                 : get_entries (decoded, from->entries);
     case MQ__NEWS__PARCEL__BODY_LAYERS:
       p->kind = MQ_CLUSTER_MESSAGE_LAYERS;
       return get_scope (&p->scope, from->layers->scope) < 0
@@ -645,6 +675,11 @@
     g_set_error (error, MQ_CLUSTER_MESSAGE_ERROR,
                  MQ_CLUSTER_MESSAGE_ERROR_VERSION,
                  "unsupported message version %u", p->version);
+  /* The library keeps the last of several values of a field.  */
+  else if (mq__news__parcel__get_packed_size (p) != bytes.size)
+    g_set_error_literal (error, MQ_CLUSTER_MESSAGE_ERROR,
+                         MQ_CLUSTER_MESSAGE_ERROR_MALFORMED,
+                         "a field has several values");
   else if (decode_body (decoded, p) < 0)
     g_set_error (error, MQ_CLUSTER_MESSAGE_ERROR,
                  MQ_CLUSTER_MESSAGE_ERROR_MALFORMED,
