soak: gateway mode as real processes under faults drawn from a seed

The tests bring about one failure at a time, inside one process.

Everything is drawn from a seed, which is printed.

Evidence: test_soak shows for each promise that the checker reports it and what it must not report, that bad input starts nothing, and that an interrupt or kill ends what was started.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SOURCES = $(shell git ls-files '*.c' '*.h' '*.cc' | grep -v '\.pb-c\.')
 C_SOURCES = $(shell git ls-files '*.c' | grep -v '\.pb-c\.')
 
-.PHONY: regress faults all build deps check check-sanitize check-long demo format format-check lint bench slopes spread install clean
+.PHONY: soak regress faults all build deps check check-sanitize check-long demo format format-check lint bench slopes spread install clean
 
 all: build
 
@@ -24,6 +24,15 @@
 check-long: build
 	tools/check-long.sh $(BUILD) "$(SEED)" "$(TEST)"
 
+# A randomized fault soak of gateway mode: `make soak SEED=N MINUTES=M
+# ROUTERS=R'; by default a new seed, which is printed, 1 minute and 3 routers.
+soak:
+	cmake -S . -B $(BUILD) -G Ninja
+	cmake --build $(BUILD) --target mqsoak
+	MQ_BIN=$(BUILD) $(BUILD)/tests/mqsoak $(if $(SEED),--seed "$(SEED)") \
+	  $(if $(MINUTES),--minutes "$(MINUTES)") \
+	  $(if $(ROUTERS),--routers "$(ROUTERS)")
+
 # All pairs of the fault matrix; writes docs/FAULTS.md from the run.
 faults: build
 	MQ_FAULTS_PAGE=docs/FAULTS.md $(BUILD)/tests/test_fault_matrix
--- /dev/null
+++ b/tests/soak/checker.cc
@@ -0,0 +1,367 @@
+#include "checker.h"
+
+#include <algorithm>
+
+namespace soak
+{
+
+/* RULES.md, LOST: more such losses than this break the rule.  */
+static constexpr size_t losses_allowed = 3;
+/* RULES.md, LOST: a request that has used this share of its time is not
+   counted.  */
+static constexpr double time_used_share = 0.7;
+
+const char *
+end_name (Attempt::End end)
+{
+  switch (end)
+    {
+    case Attempt::End::Answered:
+      return "answered";
+    case Attempt::End::Cut:
+      return "cut";
+    case Attempt::End::Closed:
+      return "closed";
+    case Attempt::End::Malformed:
+      return "malformed";
+    case Attempt::End::TimedOut:
+      return "timed-out";
+    case Attempt::End::Left:
+      return "left";
+    case Attempt::End::NotConnected:
+      return "not-connected";
+    }
+  return "";
+}
+
+static bool
+is_promise (unsigned status)
+{
+  return status == 429 || status == 503 || status == 408 || status == 421;
+}
+
+static bool
+is_idempotent (Kind kind)
+{
+  return kind == Kind::Safe || kind == Kind::Resumable;
+}
+
+void
+Checker::find (const char *rule, const Known &k, const std::string &text)
+{
+  findings.push_back ({ rule, k.attempt.id, text });
+}
+
+void
+Checker::allow (const std::string &prefix, const std::string &service)
+{
+  allowed_.push_back ({ prefix, service });
+}
+
+void
+Checker::add_sent (const Attempt &attempt)
+{
+  known_[attempt.id].attempt = attempt;
+  counts["sent"]++;
+}
+
+void
+Checker::add_run (const Run &run)
+{
+  auto i = known_.find (run.attempt);
+
+  counts["answer " + run.plan]++;
+  if (i == known_.end ())
+    {
+      findings.push_back ({ "UNASKED", run.attempt,
+                            "no client sent what " + run.engine + " runs" });
+      return;
+    }
+  Known &k = i->second;
+  const Attempt &a = k.attempt;
+  if (run.method != a.method || run.target != a.target
+      || run.body_digest != a.body_digest)
+    find ("UNASKED", k,
+          run.engine + " received another method, path or body: " + run.method
+              + " " + run.target);
+  if (std::none_of (allowed_.begin (), allowed_.end (), [&] (auto &p) {
+        return run.target.compare (0, p.first.size (), p.first) == 0
+               && run.service == p.second;
+      }))
+    find ("ROUTE", k,
+          run.engine + " of " + run.service
+              + ", which no configuration allows");
+  k.runs.push_back (run);
+  if (!run.has_run || is_idempotent (a.kind))
+    return;
+  if (std::count_if (k.runs.begin (), k.runs.end (),
+                     [] (auto &r) { return r.has_run; })
+      == 2)
+    find ("TWICE", k, "runs at " + k.runs[0].engine + " and at " + run.engine);
+  if (k.has_ended && a.end == Attempt::End::Answered
+      && is_promise (a.answer.status))
+    find ("REFUSED", k,
+          "runs at " + run.engine + " after status "
+              + std::to_string (a.answer.status));
+}
+
+void
+Checker::add_done (const std::string &attempt, const std::string &signature)
+{
+  auto i = known_.find (attempt);
+
+  if (i == known_.end ())
+    return;
+  for (auto &r : i->second.runs)
+    r.is_done = r.is_done || r.signature == signature;
+}
+
+void
+Checker::add_engine_fault (const std::string &id, double at)
+{
+  engine_faults_[id].push_back (at);
+}
+
+const Run *
+Checker::run_of (const Known &k, const std::string &signature) const
+{
+  for (auto &r : k.runs)
+    if (r.has_run && r.signature == signature)
+      return &r;
+  return nullptr;
+}
+
+void
+Checker::judge_plain (Known &k, const Message &m, const Run &run)
+{
+  std::string whole = body_of (run);
+
+  if (m.body == whole && run.is_whole)
+    return;
+  if (run.is_early && whole.compare (0, m.body.size (), m.body) == 0)
+    {
+      early_unframed++;
+      return;
+    }
+  if (run.is_whole && run.to_close && !run.is_done
+      && whole.compare (0, m.body.size (), m.body) == 0)
+    {
+      unframed_kills_complete++;
+      return;
+    }
+  find ("MIXED", k,
+        "status " + std::to_string (m.status) + " with "
+            + std::to_string (m.body.size ()) + " of "
+            + std::to_string (run.size) + " bytes of " + run.signature
+            + ", answer " + run.plan
+            + (m.body == whole ? ", which is malformed or cut" : ""));
+}
+
+/* Judge the events of a stream, which began with RUN.  */
+void
+Checker::judge_stream (Known &k, const Message &m, const Run &run,
+                       bool complete)
+{
+  const std::string request = request_of (k.attempt.id);
+  const unsigned last = events_of (request, seed_);
+  const Run *now = &run;
+  unsigned n = k.attempt.first;
+  size_t at = 0, size;
+
+  for (; at < m.body.size (); n++, at += size)
+    {
+      size_t end = m.body.find ("\n\n", at);
+      std::string event
+          = m.body.substr (at, end == std::string::npos ? end : end + 2 - at);
+      std::string data
+          = event.substr (0, event.find ('\n', event.find ("data:")));
+      const Run *found = nullptr;
+
+      size = event.size ();
+      if (end == std::string::npos)
+        {
+          /* The beginning of an event.  */
+          for (auto &r : k.runs)
+            if (event_text (request, n, r.signature).compare (0, size, event)
+                == 0)
+              found = &r;
+          if (found == nullptr || n > last)
+            find ("ORDER", k,
+                  "the bytes of event " + std::to_string (n)
+                      + " are of no run: " + event);
+          else if (complete)
+            find ("MIXED", k, "complete inside event " + std::to_string (n));
+          return;
+        }
+      for (auto &r : k.runs)
+        if (event == event_text (request, n, r.signature))
+          found = &r;
+      if (found == nullptr)
+        {
+          find ("ORDER", k,
+                "instead of event " + std::to_string (n) + ": " + event);
+          return;
+        }
+      if (found != now
+          && (k.attempt.kind != Kind::Resumable || found->first != n))
+        {
+          find ("ORDER", k,
+                "event " + std::to_string (n) + " of " + found->signature
+                    + " follows one of " + now->signature);
+          return;
+        }
+      now = found;
+    }
+  if (!complete || (n == last + 1 && now->is_whole))
+    return;
+  if (now->is_early)
+    early_unframed++;
+  else if (now->is_whole && now->to_close && !now->is_done)
+    unframed_kills_complete++;
+  else if (n <= last)
+    find ("ORDER", k,
+          "complete before event " + std::to_string (n) + " of "
+              + std::to_string (last) + ", " + now->signature + ", answer "
+              + now->plan);
+  else
+    find ("MIXED", k,
+          "complete, though " + now->signature + " gave answer " + now->plan);
+}
+
+void
+Checker::judge_success (Known &k, const Message &m)
+{
+  std::string signature = m.header ("marjoramquay-response-signature");
+  const Run *run = run_of (k, signature);
+  bool is_complete = k.attempt.end == Attempt::End::Answered;
+
+  if (signature.empty ())
+    {
+      find ("MIXED", k, "a success without a signature");
+      return;
+    }
+  if (run == nullptr)
+    {
+      find ("MIXED", k, "signature " + signature + " of no run of it");
+      return;
+    }
+  if (m.status != run->status)
+    {
+      find ("MIXED", k,
+            "status " + std::to_string (m.status) + ", but " + signature
+                + " gave " + std::to_string (run->status));
+      return;
+    }
+  if (run->to_close && run->is_whole && !run->is_done)
+    unframed_kills++;
+  if (run->last > 0)
+    judge_stream (k, m, *run, is_complete);
+  else if (is_complete)
+    judge_plain (k, m, *run);
+}
+
+/* Judge an answer of which at least the head has come.  */
+void
+Checker::judge_answer (Known &k, const Message &m)
+{
+  std::string echo = m.header ("marjoramquay-attempt-id");
+  bool has_run = std::any_of (k.runs.begin (), k.runs.end (),
+                              [] (auto &r) { return r.has_run; });
+
+  counts["status " + std::to_string (m.status)]++;
+  if (!echo.empty () && echo != k.attempt.id)
+    find ("MIXED", k, "an answer to " + echo);
+  if (m.count ("marjoramquay-attempt-id") > 1
+      || m.count ("marjoramquay-response-signature") > 1)
+    find ("MIXED", k, "two ids or two signatures");
+  if (m.status / 100 == 2
+      || !m.header ("marjoramquay-response-signature").empty ())
+    judge_success (k, m);
+  if (!is_idempotent (k.attempt.kind) && is_promise (m.status) && has_run)
+    find ("REFUSED", k,
+          "status " + std::to_string (m.status) + " after a run at "
+              + k.runs.back ().engine + ", answer " + k.runs.back ().plan);
+}
+
+/* A request that was passed on to an engine that answered it whole, and that
+   ends with its connection.  */
+void
+Checker::judge_lost (const Known &k)
+{
+  const Attempt &a = k.attempt;
+  auto sound = [&] (const Run &r) {
+    auto i = engine_faults_.find (r.engine);
+
+    return r.is_whole && r.is_done && r.plan == "whole"
+           && (i == engine_faults_.end ()
+               || std::none_of (
+                   i->second.begin (), i->second.end (), [&] (double at) {
+                     return at > a.sent_at - 3 && at < a.ended_at + 1;
+                   }));
+  };
+
+  if ((a.end != Attempt::End::Closed && a.end != Attempt::End::Cut)
+      || !a.router_calm || k.runs.empty ()
+      || a.ended_at - a.sent_at >= time_used_share * a.timeout_s
+      || !std::all_of (k.runs.begin (), k.runs.end (), sound))
+    return;
+  counts["lost"]++;
+  if (a.router_stopping)
+    find ("LOST", k,
+          std::string (end_name (a.end))
+              + " by a router that was told to stop, though "
+              + k.runs.back ().engine + " answered");
+  else if (a.is_kept)
+    lost_.push_back ({ a.id, k.runs.back ().engine });
+}
+
+void
+Checker::add_end (const Attempt &attempt)
+{
+  Known &k = known_[attempt.id];
+
+  k.attempt = attempt;
+  k.has_ended = true;
+  counts[std::string ("end ") + end_name (attempt.end)]++;
+  if (attempt.end == Attempt::End::Malformed)
+    find ("MIXED", k, "bytes that are no answer: " + attempt.answer.start);
+  else if (attempt.answer.has_head)
+    judge_answer (k, attempt.answer);
+  if (attempt.end == Attempt::End::Answered
+      && attempt.answer.status / 100 == 2)
+    counts[std::string ("served ")
+           + (attempt.kind == Kind::Safe     ? "safe"
+              : attempt.kind == Kind::Unsafe ? "unsafe"
+              : attempt.kind == Kind::Stream ? "stream"
+                                             : "resumable")]++;
+  k.attempt.answer.body.clear ();
+}
+
+void
+Checker::add_unasked (const std::string &last_attempt,
+                      const std::string &bytes)
+{
+  Message m = parse_message (bytes, true);
+
+  /* A server may say that it closes an idle connection.  */
+  if (m.has_head && m.status == 408)
+    return;
+  findings.push_back (
+      { "MIXED", last_attempt,
+        "no request waits, and there comes: " + bytes.substr (0, 200) });
+}
+
+void
+Checker::finish ()
+{
+  for (auto &k : known_)
+    if (k.second.has_ended)
+      judge_lost (k.second);
+  if (lost_.size () > losses_allowed)
+    for (auto &l : lost_)
+      findings.push_back (
+          { "LOST", l.first,
+            "a kept connection is closed, though " + l.second + " answered" });
+}
+
+} // namespace soak
--- /dev/null
+++ b/tests/soak/checker.h
@@ -0,0 +1,120 @@
+/* The promises of the users' pages (RULES.md), as code, by their names there.
+   It knows what clients sent and received and what engines report about their
+   runs.  No I/O.  */
+
+#ifndef MQ_SOAK_CHECKER_H
+#define MQ_SOAK_CHECKER_H
+
+#include "message.h"
+
+#include <map>
+#include <set>
+
+namespace soak
+{
+
+enum class Kind
+{
+  Safe,
+  Unsafe,
+  Stream,   /* Not to be repeated.  */
+  Resumable /* A stream.  */
+};
+
+/* One attempt of a client.  */
+struct Attempt
+{
+  enum class End
+  {
+    Answered,  /* Looks complete.  */
+    Cut,       /* The connection ended inside the answer.  */
+    Closed,    /* It ended before the first byte of one.  */
+    Malformed, /* Bytes that are no HTTP.  */
+    TimedOut,
+    Left, /* The client gave up early.  */
+    NotConnected
+  };
+
+  std::string id, method, target;
+  uint64_t body_digest = 0;
+  Kind kind = Kind::Safe;
+  unsigned first = 1;  /* Event at which a stream begins.  */
+  unsigned router = 0; /* That was asked.  */
+  double sent_at = 0;  /* When its last byte was sent.  */
+  double ended_at = 0;
+  double timeout_s = 0;     /* Of its route.  */
+  bool is_kept = false;     /* Sent on a connection that was used before.  */
+  bool router_calm = false; /* Neither killed, started nor paused, from
+                               calm_s before it to its end.  */
+  bool router_stopping = false; /* SIGTERM came before its end.  */
+  End end = End::Closed;
+  Message answer; /* As far as it came.  */
+};
+
+const char *end_name (Attempt::End end);
+
+struct Finding
+{
+  std::string rule, attempt, text;
+};
+
+class Checker
+{
+public:
+  explicit Checker (uint64_t seed) : seed_ (seed) {}
+
+  /* A configuration lets requests whose path begins with PREFIX go to SERVICE.
+   */
+  void allow (const std::string &prefix, const std::string &service);
+  /* A client is about to send ATTEMPT.  */
+  void add_sent (const Attempt &attempt);
+  /* An engine reports a run, or that it has sent all of its answer.  */
+  void add_run (const Run &run);
+  void add_done (const std::string &attempt, const std::string &signature);
+  /* The engine with ID was stopped, paused or killed.  */
+  void add_engine_fault (const std::string &id, double at);
+  /* Judge an attempt that has ended.  All reports that its engines made before
+     have been added.  */
+  void add_end (const Attempt &attempt);
+  /* Bytes came on a connection of a client on which no request waits.  */
+  void add_unasked (const std::string &last_attempt, const std::string &bytes);
+  /* Judge what can be judged only when nothing more runs.  */
+  void finish ();
+
+  std::vector<Finding> findings;
+  std::map<std::string, unsigned> counts; /* Of what was seen, by name.  */
+  /* Responses that end with their connection and whose engine was killed
+     before their end, as clients saw them.  */
+  unsigned unframed_kills = 0, unframed_kills_complete = 0;
+  /* Complete answers whose engine ended them early, in order and without a
+     length, which nobody can notice.  */
+  unsigned early_unframed = 0;
+
+private:
+  struct Known
+  {
+    Attempt attempt; /* Its answer without body.  */
+    std::vector<Run> runs;
+    bool has_ended = false;
+  };
+
+  void find (const char *rule, const Known &k, const std::string &text);
+  const Run *run_of (const Known &k, const std::string &signature) const;
+  void judge_success (Known &k, const Message &m);
+  void judge_plain (Known &k, const Message &m, const Run &run);
+  void judge_stream (Known &k, const Message &m, const Run &run,
+                     bool complete);
+  void judge_answer (Known &k, const Message &m);
+  void judge_lost (const Known &k);
+
+  uint64_t seed_;
+  std::map<std::string, Known> known_;
+  std::vector<std::pair<std::string, std::string> > allowed_;
+  std::map<std::string, std::vector<double> > engine_faults_;
+  std::vector<std::pair<std::string, std::string> >
+      lost_; /* Outside drains. */
+};
+
+} // namespace soak
+
+#endif
--- /dev/null
+++ b/tests/test_soak.cc
@@ -0,0 +1,461 @@
+/* The soak's own tests: that its checker reports each broken promise, and only
+   those, and that bad input starts nothing.  */
+
+#include "soak/answer.h"
+#include "soak/checker.h"
+#include "support/programs.h"
+
+#include <dirent.h>
+
+#include <filesystem>
+
+using soak::Attempt;
+using soak::Kind;
+using soak::Message;
+
+namespace
+{
+
+constexpr uint64_t seed = 1;
+constexpr char id[] = "c1-1-1";
+
+class SoakChecker : public ::testing::Test
+{
+protected:
+  SoakChecker () : checker (seed)
+  {
+    checker.allow ("/p/", "app");
+    checker.allow ("/p/", "model");
+  }
+
+  /* Send an attempt of KIND.  */
+  void
+  send (Kind kind)
+  {
+    attempt.id = id;
+    attempt.kind = kind;
+    attempt.method = "POST";
+    attempt.target = "/p/x";
+    attempt.sent_at = 10;
+    attempt.ended_at = 10.1;
+    attempt.timeout_s = 3;
+    attempt.router_calm = true;
+    checker.add_sent (attempt);
+  }
+
+  /* The N-th engine runs it and answers whole.  */
+  soak::Run
+  run (unsigned n = 1, bool is_stream = false)
+  {
+    soak::Run r;
+
+    r.service = is_stream ? "model" : "app";
+    r.engine = "e" + std::to_string (n);
+    r.attempt = id;
+    r.method = "POST";
+    r.target = "/p/x";
+    r.body_digest = attempt.body_digest;
+    r.plan = "whole";
+    r.signature = "s" + std::to_string (n);
+    r.status = 200;
+    r.has_run = r.is_whole = true;
+    r.size = 50;
+    r.first = 1;
+    if (is_stream)
+      r.last = last;
+    return r;
+  }
+
+  /* The client gets STATUS and BODY with SIGNATURE, complete or not.  */
+  void
+  answer (unsigned status, const std::string &signature,
+          const std::string &body, Attempt::End end = Attempt::End::Answered,
+          const std::string &echo = id)
+  {
+    Message &m = attempt.answer;
+
+    m.has_head = true;
+    m.status = status;
+    m.body = body;
+    m.headers = { { "marjoramquay-attempt-id", echo } };
+    if (!signature.empty ())
+      m.headers.push_back ({ "marjoramquay-response-signature", signature });
+    attempt.end = end;
+    checker.add_end (attempt);
+    checker.finish ();
+  }
+
+  std::string
+  events (unsigned from, unsigned to, const std::string &signature) const
+  {
+    std::string s;
+
+    for (unsigned i = from; i <= to; i++)
+      s += soak::event_text (soak::request_of (id), i, signature);
+    return s;
+  }
+
+  /* Returns the rules that were found broken.  */
+  std::string
+  found () const
+  {
+    std::string s;
+
+    for (auto &f : checker.findings)
+      s += (s.empty () ? "" : " ") + f.rule;
+    return s;
+  }
+
+  soak::Checker checker;
+  Attempt attempt;
+  unsigned last = soak::events_of (soak::request_of (id), seed);
+};
+
+/* Runs the soak with ARGUMENTS that are wrong.  Returns its exit status.  */
+int
+soak_status (const std::string &arguments)
+{
+  std::string command = programs::binary ("tests/mqsoak") + " " + arguments
+                        + " > /dev/null 2>&1";
+  int status = system (command.c_str ());
+
+  return WIFEXITED (status) ? WEXITSTATUS (status) : -1;
+}
+
+} // namespace
+
+TEST_F (SoakChecker, SoundAnswerIsNoFinding)
+{
+  send (Kind::Unsafe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  checker.add_done (id, r.signature);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, ShortBodyIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r).substr (0, 49));
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, BytesThatDifferAreMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  std::string body = soak::body_of (r);
+  body[20] ^= 1;
+  answer (200, r.signature, body);
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, SuccessOfMalformedAnswerIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.is_whole = false;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, SuccessWithoutSignatureIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  answer (200, "", soak::body_of (r));
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, SignatureOfAnotherRequestIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  answer (200, "s7", soak::body_of (r));
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, IdOfAnotherRequestIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r), Attempt::End::Answered,
+          "c1-2-1");
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, FailureThatBecomesSuccessIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.status = 500;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "MIXED");
+}
+
+TEST_F (SoakChecker, BytesWithoutRequestAreMixed)
+{
+  checker.add_unasked (id, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ (found (), "MIXED");
+}
+
+/* Neither has a length; of the first the engine closed the connection in
+   order, the second was cut by the end of its process.  */
+TEST_F (SoakChecker, UnframedAnswerThatEndsInOrderIsNoFinding)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.is_whole = false;
+  r.to_close = r.is_early = true;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r).substr (0, 20));
+  EXPECT_EQ (found (), "");
+  EXPECT_EQ (checker.early_unframed, 1u);
+}
+
+TEST_F (SoakChecker, UnframedAnswerOfKilledEngineIsCountedApart)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.to_close = true;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r).substr (0, 20));
+  EXPECT_EQ (found (), "");
+  EXPECT_EQ (checker.unframed_kills_complete, 1u);
+}
+
+TEST_F (SoakChecker, SecondRunOfUnsafeRequestIsTwice)
+{
+  send (Kind::Unsafe);
+  checker.add_run (run (1));
+  checker.add_run (run (2));
+  EXPECT_EQ (found (), "TWICE");
+}
+
+TEST_F (SoakChecker, SecondRunOfStreamIsTwice)
+{
+  send (Kind::Stream);
+  checker.add_run (run (1, true));
+  checker.add_run (run (2, true));
+  EXPECT_EQ (found (), "TWICE");
+}
+
+TEST_F (SoakChecker, RejectionBeforeRunIsNoFinding)
+{
+  send (Kind::Unsafe);
+  soak::Run r = run (1);
+  r.has_run = false;
+  checker.add_run (r);
+  checker.add_run (run (2));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, RejectionAfterRunIsRefused)
+{
+  send (Kind::Unsafe);
+  checker.add_run (run ());
+  answer (503, "", "");
+  EXPECT_EQ (found (), "REFUSED");
+}
+
+TEST_F (SoakChecker, RunAfterRejectionIsRefused)
+{
+  send (Kind::Unsafe);
+  answer (429, "", "");
+  checker.add_run (run ());
+  EXPECT_EQ (found (), "REFUSED");
+}
+
+TEST_F (SoakChecker, WholeStreamIsNoFinding)
+{
+  send (Kind::Stream);
+  soak::Run r = run (1, true);
+  checker.add_run (r);
+  answer (200, r.signature, events (1, last, r.signature));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, MissingEventIsOrder)
+{
+  send (Kind::Stream);
+  soak::Run r = run (1, true);
+  checker.add_run (r);
+  answer (200, r.signature,
+          events (1, 1, r.signature) + events (3, last, r.signature));
+  EXPECT_EQ (found (), "ORDER");
+}
+
+TEST_F (SoakChecker, RepeatedEventIsOrder)
+{
+  send (Kind::Stream);
+  soak::Run r = run (1, true);
+  checker.add_run (r);
+  answer (200, r.signature,
+          events (1, 2, r.signature) + events (2, last, r.signature));
+  EXPECT_EQ (found (), "ORDER");
+}
+
+TEST_F (SoakChecker, StreamThatEndsEarlyIsOrder)
+{
+  send (Kind::Stream);
+  soak::Run r = run (1, true);
+  checker.add_run (r);
+  answer (200, r.signature, events (1, last - 1, r.signature));
+  EXPECT_EQ (found (), "ORDER");
+}
+
+TEST_F (SoakChecker, StreamThatIsCutIsNoFinding)
+{
+  send (Kind::Stream);
+  soak::Run r = run (1, true);
+  checker.add_run (r);
+  answer (200, r.signature, events (1, 2, r.signature) + "id: 3\nda",
+          Attempt::End::Cut);
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, EventsOfTwoRunsAreOrder)
+{
+  send (Kind::Resumable);
+  checker.add_run (run (1, true));
+  checker.add_run (run (2, true));
+  answer (200, "s1", events (1, 2, "s1") + events (3, last, "s2"));
+  EXPECT_EQ (found (), "ORDER");
+}
+
+TEST_F (SoakChecker, ResumedStreamIsNoFinding)
+{
+  send (Kind::Resumable);
+  soak::Run r = run (2, true);
+  r.first = 3;
+  checker.add_run (run (1, true));
+  checker.add_run (r);
+  answer (200, "s1", events (1, 2, "s1") + events (3, last, "s2"));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, ClosedConnectionOfStoppedRouterIsLost)
+{
+  send (Kind::Unsafe);
+  soak::Run r = run ();
+  checker.add_run (r);
+  checker.add_done (id, r.signature);
+  attempt.router_stopping = true;
+  attempt.end = Attempt::End::Closed;
+  checker.add_end (attempt);
+  checker.finish ();
+  EXPECT_EQ (found (), "LOST");
+}
+
+TEST_F (SoakChecker, ConnectionThatItsEngineBrokeIsNoFinding)
+{
+  send (Kind::Unsafe);
+  checker.add_run (run ());
+  attempt.router_stopping = true;
+  attempt.end = Attempt::End::Closed;
+  checker.add_end (attempt);
+  checker.finish ();
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, OtherBodyIsUnasked)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.body_digest++;
+  checker.add_run (r);
+  EXPECT_EQ (found (), "UNASKED");
+}
+
+TEST_F (SoakChecker, ServiceOfNoConfigurationIsRoute)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.service = "other";
+  checker.add_run (r);
+  EXPECT_EQ (found (), "ROUTE");
+}
+
+/* Two runs from one seed must not differ in what they do.  */
+TEST (SoakAnswer, DependsOnItsSeedAlone)
+{
+  soak::Run r;
+
+  r.attempt = id;
+  r.signature = "s";
+  for (uint64_t i = 0; i < 500; i++)
+    {
+      soak::Random one (i), two (i);
+      r.plan = soak::Faults (i).draw (one);
+      soak::Faults (i).draw (two);
+      auto a = soak::plan_answer (r, i % 2 == 0, seed, one);
+      auto b = soak::plan_answer (r, i % 2 == 0, seed, two);
+      std::string sent_a, sent_b;
+
+      for (auto &s : a.steps)
+        sent_a += s.bytes;
+      for (auto &s : b.steps)
+        sent_b += s.bytes;
+      ASSERT_EQ (sent_a, sent_b);
+      ASSERT_FALSE (a.steps.empty ());
+    }
+}
+
+TEST (SoakProgram, BadInputStartsNothing)
+{
+  for (const char *arguments :
+       { "--sead 1", "--seed", "--seed x", "--seed -1", "--minutes 0",
+         "--minutes nan", "--routers 0", "--routers 1x", "--routers 900",
+         "--router /nowhere", "--out /proc/none" })
+    EXPECT_EQ (soak_status (arguments), 2) << arguments;
+}
+
+/* Returns how many processes have WORD in their command line.  */
+static unsigned
+count_processes (const std::string &word)
+{
+  unsigned n = 0;
+  DIR *d = opendir ("/proc");
+
+  while (dirent *e = readdir (d))
+    {
+      std::ifstream file ("/proc/" + std::string (e->d_name) + "/cmdline");
+      std::string words ((std::istreambuf_iterator<char> (file)), {});
+
+      n += words.find (word) != std::string::npos;
+    }
+  closedir (d);
+  return n;
+}
+
+/* Routers must not outlive a soak that is interrupted or killed.  */
+TEST (SoakProgram, ItsEndEndsWhatItStarted)
+{
+  for (int number : { SIGINT, SIGTERM, SIGKILL })
+    {
+      programs::Folder folder;
+      std::string out = folder.path () + "/out";
+
+      {
+        programs::Program soak ({ programs::binary ("tests/mqsoak"), "--seed",
+                                  "1", "--minutes", "5", "--out", out });
+
+        EXPECT_TRUE (programs::eventually (
+            [&] { return count_processes (out + "/router-") == 3; }));
+        soak.kill (number);
+        EXPECT_EQ (soak.wait (), number == SIGKILL ? -1 : 130);
+      }
+      EXPECT_TRUE (programs::eventually (
+          [&] { return count_processes (out + "/router-") == 0; }));
+      std::filesystem::remove_all (out);
+    }
+}
