--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -46,6 +46,15 @@
   return kind == Kind::Safe || kind == Kind::Resumable;
 }
 
+/* The engine of RUN ended before it could send the rest or reset the
+   connection, which the kernel then closed in order.  */
+static bool
+was_killed_unframed (const Run &run)
+{
+  return run.to_close && !run.is_early
+         && (run.is_whole ? !run.is_done : !run.is_reset);
+}
+
 void
 Checker::find (const char *rule, const Known &k, const std::string &text)
 {
@@ -116,6 +125,17 @@
     r.is_done = r.is_done || r.signature == signature;
 }
 
+void
+Checker::add_reset (const std::string &attempt, const std::string &signature)
+{
+  auto i = known_.find (attempt);
+
+  if (i == known_.end ())
+    return;
+  for (auto &r : i->second.runs)
+    r.is_reset = r.is_reset || r.signature == signature;
+}
+
 void
 Checker::add_engine_fault (const std::string &id, double at)
 {
@@ -143,10 +163,10 @@
       early_unframed++;
       return;
     }
-  if (run.is_whole && run.to_close && !run.is_done
+  if (was_killed_unframed (run)
       && whole.compare (0, m.body.size (), m.body) == 0)
     {
-      unframed_kills_complete++;
+      unframed_kills_complete.push_back (k.attempt.id);
       return;
     }
   find ("MIXED", k,
@@ -212,12 +232,19 @@
         }
       now = found;
     }
-  if (!complete || (n == last + 1 && now->is_whole))
+  /* A run that goes on behind the last event has none, and is the end.  */
+  if (!complete
+      || (n == last + 1
+          && (now->is_whole
+              || std::any_of (k.runs.begin (), k.runs.end (), [&] (auto &r) {
+                   return r.is_whole && r.first == n
+                          && k.attempt.kind == Kind::Resumable;
+                 }))))
     return;
   if (now->is_early)
     early_unframed++;
-  else if (now->is_whole && now->to_close && !now->is_done)
-    unframed_kills_complete++;
+  else if (was_killed_unframed (*now))
+    unframed_kills_complete.push_back (k.attempt.id);
   else if (n <= last)
     find ("ORDER", k,
           "complete before event " + std::to_string (n) + " of "
@@ -252,7 +279,7 @@
                 + " gave " + std::to_string (run->status));
       return;
     }
-  if (run->to_close && run->is_whole && !run->is_done)
+  if (was_killed_unframed (*run))
     unframed_kills++;
   if (run->last > 0)
     judge_stream (k, m, *run, is_complete);
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -68,9 +68,11 @@
   void allow (const std::string &prefix, const std::string &service);
   /* A client is about to send ATTEMPT.  */
   void add_sent (const Attempt &attempt);
-  /* An engine reports a run, or that it has sent all of its answer.  */
+  /* An engine reports a run, or that it has sent all of its answer, or that it
+     resets the connection after that.  */
   void add_run (const Run &run);
   void add_done (const std::string &attempt, const std::string &signature);
+  void add_reset (const std::string &attempt, const std::string &signature);
   /* The engine with ID was stopped, paused or killed.  */
   void add_engine_fault (const std::string &id, double at);
   /* Judge an attempt that has ended.  All reports that its engines made before
@@ -85,7 +87,8 @@
   std::map<std::string, unsigned> counts; /* Of what was seen, by name.  */
   /* Responses that end with their connection and whose engine was killed
      before their end, as clients saw them.  */
-  unsigned unframed_kills = 0, unframed_kills_complete = 0;
+  unsigned unframed_kills = 0;
+  std::vector<std::string> unframed_kills_complete; /* Their attempts.  */
   /* Complete answers whose engine ended them early, in order and without a
      length, which nobody can notice.  */
   unsigned early_unframed = 0;
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -437,6 +437,8 @@
         checker.add_run (run);
       else if (words[0] == "D" && words.size () == 3)
         checker.add_done (words[1], words[2]);
+      else if (words[0] == "E" && words.size () == 3)
+        checker.add_reset (words[1], words[2]);
       else
         checker.findings.push_back (
             { "SOAK", "-", "an engine reports: " + line });
--- a/tests/soak/engine.cc
+++ b/tests/soak/engine.cc
@@ -210,6 +210,8 @@
           continue;
         }
       c.is_answering = false;
+      if (a.end == Answer::End::Reset)
+        send_line ("E " + a.run.attempt + " " + a.run.signature);
       if (a.end != Answer::End::Keep)
         close_connection (c, a.end == Answer::End::Reset);
     }
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -170,9 +170,12 @@
     soak::Checker &c = driver.checker;
     for (auto &k : c.counts)
       printf ("%8u %s\n", k.second, k.first.c_str ());
-    printf ("%8u of %u responses without a length whose engine was killed in "
-            "the middle looked complete (reported, not judged)\n",
-            c.unframed_kills_complete, c.unframed_kills);
+    printf ("%8zu of %u responses without a length whose engine was killed in "
+            "the middle looked complete (reported, not judged):",
+            c.unframed_kills_complete.size (), c.unframed_kills);
+    for (auto &id : c.unframed_kills_complete)
+      printf (" %s", id.c_str ());
+    printf ("\n");
     printf ("%8u the same where the engine closed in order (legitimate)\n",
             c.early_unframed);
     for (auto *kind : { "safe", "unsafe", "stream", "resumable" })
--- a/tests/soak/message.h
+++ b/tests/soak/message.h
@@ -82,6 +82,7 @@
   size_t size = 0;       /* Of the body of a plain answer.  */
   unsigned first = 0, last = 0; /* Events of a stream; last 0: no stream.  */
   bool is_done = false;         /* All of its bytes were sent.  */
+  bool is_reset = false;        /* Then its engine reset the connection.  */
   double at = 0;
 };
 
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -230,7 +230,19 @@
   checker.add_run (r);
   answer (200, r.signature, soak::body_of (r).substr (0, 20));
   EXPECT_EQ (found (), "");
-  EXPECT_EQ (checker.unframed_kills_complete, 1u);
+  EXPECT_EQ (checker.unframed_kills_complete.size (), 1u);
+}
+
+TEST_F (SoakChecker, UnframedAnswerThatWasResetIsMixed)
+{
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.to_close = true;
+  r.is_whole = false;
+  checker.add_run (r);
+  checker.add_reset (id, r.signature);
+  answer (200, r.signature, soak::body_of (r).substr (0, 20));
+  EXPECT_EQ (found (), "MIXED");
 }
 
 TEST_F (SoakChecker, SecondRunOfUnsafeRequestIsTwice)
@@ -343,6 +355,29 @@
   EXPECT_EQ (found (), "");
 }
 
+/* The first run gave all events and was cut before the end of its chunks.  */
+TEST_F (SoakChecker, StreamResumedBehindItsLastEventIsNoFinding)
+{
+  send (Kind::Resumable);
+  soak::Run one = run (1, true), two = run (2, true);
+  one.is_whole = false;
+  two.first = last + 1;
+  checker.add_run (one);
+  checker.add_run (two);
+  answer (200, "s1", events (1, last, "s1"));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, StreamWithoutItsEndIsMixed)
+{
+  send (Kind::Resumable);
+  soak::Run r = run (1, true);
+  r.is_whole = false;
+  checker.add_run (r);
+  answer (200, "s1", events (1, last, "s1"));
+  EXPECT_EQ (found (), "MIXED");
+}
+
 TEST_F (SoakChecker, ClosedConnectionOfStoppedRouterIsLost)
 {
   send (Kind::Unsafe);
