soak: stale configurations, contradictory headers and interim responses

A run that only an older configuration allows later than configApplyMs after the store acknowledged the next one is CONFIG, where the router and the store were in order; so is a 404 for a route that is there. Engines also answer with headers that contradict each other and with interim responses, and the share of answers without a length varies by seed.

--- a/tests/soak/answer.cc
+++ b/tests/soak/answer.cc
@@ -10,11 +10,11 @@
    a stated length, of chunks or of a body without either; "refused-cut" is a
    rejection of which only the beginning arrives, and promises nothing.  */
 static const char *const fault_names[]
-    = { "cut-head",   "cut-length", "cut-chunks", "cut-unframed",
-        "twice",      "twice-late", "extra",      "two-lengths",
-        "bad-length", "bad-chunks", "bad-head",   "length-and-chunks",
-        "failed",     "failed-cut", "refused",    "refused-cut",
-        "silent",     "other-id" };
+    = { "cut-head",   "cut-length", "cut-chunks",  "cut-unframed",
+        "twice",      "twice-late", "extra",       "two-lengths",
+        "bad-length", "bad-chunks", "bad-head",    "length-and-chunks",
+        "failed",     "failed-cut", "refused",     "refused-cut",
+        "silent",     "other-id",   "contradicts", "interim" };
 static constexpr size_t n_faults = sizeof fault_names / sizeof *fault_names;
 
 Faults::Faults (uint64_t seed)
@@ -93,6 +93,7 @@
   void cut (const std::string &bytes, size_t from, size_t to);
   void plan_malformed ();
   void plan_refused ();
+  void plan_contradiction (Framing framing);
   void plan_twice ();
 
   Answer a_;
@@ -283,6 +284,24 @@
     add_split (s);
 }
 
+/* An answer whose headers say two things.  */
+void
+Planner::plan_contradiction (Framing framing)
+{
+  const std::string second[]
+      = { "Marjoramquay-Not-Executed: 1", "Marjoramquay-Attempt-Id: c0-0-0",
+          "Marjoramquay-Response-Signature: another" };
+  std::string s;
+
+  a_.run.is_whole = false;
+  if (!is_stream_ && random_.chance (0.3))
+    a_.run.status = 500;
+  s = framed (framing);
+  s.insert (s.find ("\r\n") + 2,
+            second[a_.run.status == 500 ? 0 : random_.below (3)] + "\r\n");
+  add_split (s);
+}
+
 void
 Planner::plan_twice ()
 {
@@ -310,9 +329,11 @@
 Planner::plan (uint64_t seed)
 {
   Run &r = a_.run;
-  Framing framing = random_.chance (0.4)   ? Framing::Length
-                    : random_.chance (0.6) ? Framing::Chunks
-                                           : Framing::None;
+  /* Engines of some seeds mostly send answers without a length.  */
+  double unframed = Random (digest ("unframed", seed)).between (0.05, 0.7);
+  Framing framing = random_.chance (unframed) ? Framing::None
+                    : random_.chance (0.5)    ? Framing::Length
+                                              : Framing::Chunks;
 
   id_ = r.attempt;
   r.status = 200;
@@ -374,6 +395,11 @@
       r.is_whole = false;
       add_split (framed (framing));
     }
+  else if (is ("contradicts"))
+    plan_contradiction (framing);
+  else if (is ("interim"))
+    add_split ("HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+               + framed (framing));
   else if (is ("whole") || is ("failed"))
     add_split (framed (framing));
   else
--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -10,6 +10,9 @@
 /* RULES.md, LOST: a request that has used this share of its time is not
    counted.  */
 static constexpr double time_used_share = 0.7;
+/* RULES.md, CONFIG: configApplyMs, after which only a newer configuration may
+   decide on a request.  */
+static constexpr double config_apply_s = 2;
 
 const char *
 end_name (Attempt::End end)
@@ -62,9 +65,45 @@
 }
 
 void
-Checker::allow (const std::string &prefix, const std::string &service)
+Checker::add_configuration (double at, const Routes &routes)
 {
-  allowed_.push_back ({ prefix, service });
+  configurations_.push_back ({ at, routes });
+}
+
+/* Returns the service of TARGET by ROUTES, empty for none.  */
+static std::string
+service_of (const Routes &routes, const std::string &target)
+{
+  auto i = routes.find (target.substr (0, target.find ('/', 1) + 1));
+
+  return i == routes.end () ? "" : i->second;
+}
+
+/* Judge whether a configuration that may be in force allows what was done with
+   the request.  Only for a router and a store that are in order.  */
+void
+Checker::judge_configuration (const Known &k)
+{
+  const Attempt &a = k.attempt;
+  std::set<std::string> services;
+
+  for (size_t i = 0; i < configurations_.size (); i++)
+    if (configurations_[i].first <= a.ended_at
+        && (i + 1 == configurations_.size ()
+            || configurations_[i + 1].first >= a.sent_at - config_apply_s))
+      services.insert (service_of (configurations_[i].second, a.target));
+  if (!a.router_calm || !a.store_calm)
+    return;
+  counts["judged for CONFIG"]++;
+  for (auto &r : k.runs)
+    if (r.has_run && services.count (r.service) == 0)
+      find ("CONFIG", k,
+            r.engine
+                + " runs it, as only an older configuration "
+                  "allows");
+  if (a.end == Attempt::End::Answered && a.answer.status == 404
+      && services.count ("") == 0)
+    find ("CONFIG", k, "status 404, though its route is there");
 }
 
 void
@@ -93,10 +132,10 @@
     find ("UNASKED", k,
           run.engine + " received another method, path or body: " + run.method
               + " " + run.target);
-  if (std::none_of (allowed_.begin (), allowed_.end (), [&] (auto &p) {
-        return run.target.compare (0, p.first.size (), p.first) == 0
-               && run.service == p.second;
-      }))
+  if (std::none_of (configurations_.begin (), configurations_.end (),
+                    [&] (auto &c) {
+                      return service_of (c.second, run.target) == run.service;
+                    }))
     find ("ROUTE", k,
           run.engine + " of " + run.service
               + ", which no configuration allows");
@@ -383,7 +422,11 @@
 {
   for (auto &k : known_)
     if (k.second.has_ended)
-      judge_lost (k.second);
+      {
+        judge_lost (k.second);
+        if (has_bounds)
+          judge_configuration (k.second);
+      }
   if (lost_.size () > losses_allowed)
     for (auto &l : lost_)
       findings.push_back (
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -46,6 +46,7 @@
   bool is_kept = false;     /* Sent on a connection that was used before.  */
   bool router_calm = false; /* Neither killed, started nor paused, from
                                calm_s before it to its end.  */
+  bool store_calm = false;  /* The same for the store.  */
   bool router_stopping = false; /* SIGTERM came before its end.  */
   End end = End::Closed;
   Message answer; /* As far as it came.  */
@@ -53,6 +54,9 @@
 
 const char *end_name (Attempt::End end);
 
+/* The service of each path prefix.  */
+using Routes = std::map<std::string, std::string>;
+
 struct Finding
 {
   std::string rule, attempt, text;
@@ -63,9 +67,9 @@
 public:
   explicit Checker (uint64_t seed) : seed_ (seed) {}
 
-  /* A configuration lets requests whose path begins with PREFIX go to SERVICE.
-   */
-  void allow (const std::string &prefix, const std::string &service);
+  /* The store acknowledged a configuration at AT, which is the one in force
+     from then on.  */
+  void add_configuration (double at, const Routes &routes);
   /* A client is about to send ATTEMPT.  */
   void add_sent (const Attempt &attempt);
   /* An engine reports a run, or that it has sent all of its answer, or that it
@@ -92,6 +96,8 @@
   /* Complete answers whose engine ended them early, in order and without a
      length, which nobody can notice.  */
   unsigned early_unframed = 0;
+  /* Judge what has a bound in time that a busy machine may exceed.  */
+  bool has_bounds = true;
 
 private:
   struct Known
@@ -109,10 +115,11 @@
                      bool complete);
   void judge_answer (Known &k, const Message &m);
   void judge_lost (const Known &k);
+  void judge_configuration (const Known &k);
 
   uint64_t seed_;
   std::map<std::string, Known> known_;
-  std::vector<std::pair<std::string, std::string> > allowed_;
+  std::vector<std::pair<double, Routes> > configurations_;
   std::map<std::string, std::vector<double> > engine_faults_;
   std::vector<std::pair<std::string, std::string> >
       lost_; /* Outside drains. */
--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -90,7 +90,10 @@
                            : Kind::Resumable;
   job_.method
       = job_.kind == Kind::Safe && random_.chance (0.6) ? "GET" : "POST";
-  job_.target = std::string (paths[(int)job_.kind]) + "x"
+  const char *path = paths[(int)job_.kind];
+  if (job_.kind == Kind::Safe && random_.chance (0.15))
+    path = "/extra1/";
+  job_.target = std::string (path) + "x"
                 + std::to_string (random_.below (1000)) + "?q=1";
   if (job_.method == "POST")
     {
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -18,6 +18,9 @@
 static constexpr double planned_slack_s = 1;
 /* RULES.md: stableWindowMs, for which a machine must have been sound.  */
 static constexpr double calm_s = 3;
+/* A configuration that came while the store was in trouble may be late by
+   maxSkewMs.  */
+static constexpr double config_calm_s = 5;
 /* PROTOCOL.md: an engine that leaves serves at least for drainMs.  */
 static constexpr double drain_s = 2;
 /* How long the entry of an engine stays that ended without saying so.  */
@@ -331,6 +334,17 @@
     }
 }
 
+/* Write the configuration with the present version.  */
+void
+Driver::configure ()
+{
+  Routes routes;
+  std::string text = configuration_text (o_.seed, version_, routes);
+
+  store_->put ("config", "main", text);
+  checker.add_configuration (now_s (), routes);
+}
+
 void
 Driver::carry_out (const Action &a)
 {
@@ -351,7 +365,7 @@
       break;
     case Action::What::Configuration:
       version_ += 1 + (unsigned)random_.below (3);
-      store_->put ("config", "main", configuration_text (o_.seed, version_));
+      configure ();
       break;
     case Action::What::OddEntry:
       store_->put ("servers", "odd-" + std::to_string (odd_entries_++ % 5),
@@ -359,10 +373,12 @@
       break;
     case Action::What::StoreDown:
       store_->down = true;
+      store_faults_.push_back (now);
       store_back_at_ = now + a.seconds;
       break;
     case Action::What::StoreForgets:
       store_->drop_events ();
+      store_faults_.push_back (now);
       break;
     }
 }
@@ -455,6 +471,11 @@
   for (double at : r.faults)
     a.router_calm
         = a.router_calm && (at < a.sent_at - calm_s || at > a.ended_at);
+  a.store_calm = true;
+  for (double at : store_faults_)
+    a.store_calm
+        = a.store_calm
+          && (at < a.sent_at - calm_s - config_calm_s || at > a.ended_at);
   a.router_stopping = r.term_at > a.sent_at - grace_s - planned_slack_s
                       && r.term_at < a.ended_at;
   note ("attempt " + a.id + " at router-" + std::to_string (a.router) + " "
@@ -478,6 +499,7 @@
   if (store_back_at_ > 0 && now >= store_back_at_)
     {
       store_->down = false;
+      store_faults_.push_back (now);
       store_back_at_ = 0;
     }
   for (size_t i = 0; i < routers_.size (); i++)
@@ -552,6 +574,7 @@
   ClientPort port;
 
   start_ = now_s ();
+  checker.has_bounds = o_.has_bounds;
   if (!prepare ())
     return false;
   schedule_ = draw_schedule (o_.seed, o_.minutes * 60, o_.routers,
@@ -560,12 +583,7 @@
   for (auto &a : schedule_)
     printf ("%s\n", action_text (a).c_str ());
   fflush (stdout);
-  for (auto &p : { "/safe/", "/unsafe/", "/extra1/", "/extra2/", "/extra3/" })
-    for (auto &s : { "app", "desk" })
-      checker.allow (p, s);
-  checker.allow ("/once/", "model");
-  checker.allow ("/stream/", "model");
-  store_->put ("config", "main", configuration_text (o_.seed, version_));
+  configure ();
   port.n_routers = [this] { return o_.routers; };
   port.port_of = [this] (unsigned i) { return routers_[i]->ports->base (); };
   port.on_sent = [this] (const Attempt &a) { checker.add_sent (a); };
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -22,6 +22,7 @@
   uint64_t seed = 0;
   double minutes = 1;
   unsigned routers = 3, clients = 24;
+  bool has_bounds = true; /* Judge what a busy machine may exceed.  */
   unsigned apps = 3, desks = 2, models = 4; /* Engines by service.  */
   std::string router;                       /* Path of the program.  */
   std::string folder;                       /* For logs; exists.  */
@@ -73,6 +74,7 @@
 
   void note (const std::string &line);
   void note_findings ();
+  void configure ();
   bool prepare ();
   pid_t spawn (const std::vector<std::string> &arguments, int listener,
                int reports, const std::string &log);
@@ -106,6 +108,7 @@
   size_t next_action_ = 0, n_noted_ = 0;
   unsigned version_ = 1, odd_entries_ = 0;
   Random random_;
+  std::vector<double> store_faults_;
   double start_ = 0, end_ = 0, stop_ = 0, store_back_at_ = 0;
   int reports_[2] = { -1, -1 };
   std::string report_text_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -84,6 +84,13 @@
             return name + ": \"" + value + "\" is not from 1 to 1000";
           (name == "--routers" ? o.routers : o.clients) = (unsigned)n;
         }
+      else if (name == "--bounds")
+        {
+          o.has_bounds = strcmp (value, "on") == 0;
+          if (!o.has_bounds && strcmp (value, "off") != 0)
+            return "--bounds: \"" + std::string (value)
+                   + "\" is neither on nor off";
+        }
       else if (name == "--router")
         o.router = value;
       else if (name == "--out")
@@ -91,7 +98,8 @@
       else
         return name
                + ": unknown option (there are --seed N, --minutes M, "
-                 "--routers R, --clients C, --router PROGRAM, --out FOLDER)";
+                 "--routers R, --clients C, --bounds on|off, --router "
+                 "PROGRAM, --out FOLDER)";
     }
   return "";
 }
--- a/tests/soak/schedule.cc
+++ b/tests/soak/schedule.cc
@@ -71,7 +71,7 @@
 }
 
 std::string
-configuration_text (uint64_t seed, unsigned version)
+configuration_text (uint64_t seed, unsigned version, Routes &routes)
 {
   Random random (digest ("configuration " + std::to_string (version), seed));
   const char *safe = random.chance (0.5) ? "app" : "desk";
@@ -88,10 +88,17 @@
                       1 + (unsigned)random.below (2), 10000, false)
         + "," + route_text ("/stream/", "streaming", "model", 3, 10000, true);
 
+  routes = { { "/safe/", safe },
+             { "/unsafe/", unsafe },
+             { "/once/", "model" },
+             { "/stream/", "model" } };
   for (size_t i = random.below (4); i > 0; i--)
-    s += ","
-         + route_text ("/extra" + std::to_string (i) + "/", "safe", "app", 2,
-                       3000, true);
+    {
+      routes["/extra" + std::to_string (i) + "/"] = "app";
+      s += ","
+           + route_text ("/extra" + std::to_string (i) + "/", "safe", "app", 2,
+                         3000, true);
+    }
   return s
          + "],\"services\":[{\"name\":\"app\"},{\"name\":\"desk\"},"
            "{\"name\":\"model\",\"engine\":{\"slots\":64,\"kvTokenBytes\":"
--- a/tests/soak/schedule.h
+++ b/tests/soak/schedule.h
@@ -4,7 +4,7 @@
 #ifndef MQ_SOAK_SCHEDULE_H
 #define MQ_SOAK_SCHEDULE_H
 
-#include "message.h"
+#include "checker.h"
 
 namespace soak
 {
@@ -36,8 +36,9 @@
                                    unsigned routers, unsigned engines);
 std::string action_text (const Action &action);
 
-/* A configuration with VERSION, drawn from the seed.  */
-std::string configuration_text (uint64_t seed, unsigned version);
+/* A configuration with VERSION, drawn from the seed, and its routes.  */
+std::string configuration_text (uint64_t seed, unsigned version,
+                                Routes &routes);
 /* An entry of a writer that is not one of the soak's engines.  */
 std::string odd_entry_text (Random &random);
 
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -24,8 +24,9 @@
 protected:
   SoakChecker () : checker (seed)
   {
-    checker.allow ("/p/", "app");
-    checker.allow ("/p/", "model");
+    checker.add_configuration (1, { { "/p/", "model" } });
+    checker.add_configuration (2, { { "/p/", "app" }, { "/q/", "model" } });
+    checker.has_bounds = false;
   }
 
   /* Send an attempt of KIND.  */
@@ -420,6 +421,33 @@
   EXPECT_EQ (found (), "ROUTE");
 }
 
+/* The request is sent at 10.  */
+TEST_F (SoakChecker, RunByOlderConfigurationIsConfig)
+{
+  for (double at : { 7.9, 8.1 })
+    {
+      soak::Checker c (seed);
+      c.add_configuration (1, { { "/p/", "app" } });
+      c.add_configuration (at, { { "/p/", "desk" } });
+      send (Kind::Safe);
+      attempt.store_calm = true;
+      c.add_sent (attempt);
+      c.add_run (run ());
+      c.add_end (attempt);
+      c.finish ();
+      EXPECT_EQ (c.findings.size (), at < 8 ? 1u : 0u);
+    }
+}
+
+TEST_F (SoakChecker, MissingRouteIsConfig)
+{
+  send (Kind::Safe);
+  attempt.store_calm = true;
+  checker.has_bounds = true;
+  answer (404, "", "");
+  EXPECT_EQ (found (), "CONFIG");
+}
+
 /* Two runs from one seed must not differ in what they do.  */
 TEST (SoakAnswer, DependsOnItsSeedAlone)
 {
@@ -450,7 +478,7 @@
   for (const char *arguments :
        { "--sead 1", "--seed", "--seed x", "--seed -1", "--minutes 0",
          "--minutes nan", "--routers 0", "--routers 1x", "--routers 900",
-         "--router /nowhere", "--out /proc/none" })
+         "--bounds maybe", "--router /nowhere", "--out /proc/none" })
     EXPECT_EQ (soak_status (arguments), 2) << arguments;
 }
 
