--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -61,6 +61,8 @@
   {
     std::unique_ptr<ports::Block> ports;
     std::string settings, log;
+    gateway::Store::Door *door = nullptr; /* Its way to the store.  */
+    double hears_at = 0; /* End of the store's silence; 0: not silent.  */
   };
 
   struct Engine : Process
