--- a/tests/soak/client.h
+++ b/tests/soak/client.h
@@ -71,6 +71,7 @@
   unsigned router_ = 0;
   bool has_used_ = false; /* The connection.  */
   std::string in_, out_;
+  int send_error_ = 0; /* Of the connection; recv does not repeat it.  */
   bool has_job_ = false, is_waiting_ = false;
   bool is_impatient_ = false; /* Ignores Retry-After.  */
   Job job_;
