net: a response whose head begins within another one is none

What callers saw: status 503 with the signature of an engine that had answered 200, and the 300 bytes of its stream as the body. 503 also promises that the request did not run.

Cause: an engine had answered an earlier request on that connection twice, and the second response, a 503, broke off inside its status line after the next request had been sent. The rest of that line was the status line of the next response, whose id and signature followed: the head passed for one, with the status of the other.

ResponseCheck.FindsHeadThatBeginsWithinAnother feeds the check with a late response cut at each byte: 8 cuts in the status line and those in a later header's value passed as sound before, none does now. A status line within a line is malformed; "Via: HTTP/1.1 proxy" is none.

--- a/packages/net/response_check.c
+++ b/packages/net/response_check.c
@@ -97,6 +97,19 @@
   return text.size == 12 || text.data[12] == ' ' ? status : 0;
 }
 
+/* Returns true if a status line begins within LINE.  Bytes of a late response
+   to an earlier request then came before it.  */
+static bool
+line_has_inner_head (mq_span line)
+{
+  for (size_t at = 1; at + sizeof "HTTP/1.1 200" - 1 <= line.size; at++)
+    if (status_line_read (
+            line_text ((mq_span){ line.data + at, line.size - at }))
+        != 0)
+      return true;
+  return false;
+}
+
 static bool
 check_status_line (mq_response_check *check, mq_span line)
 {
@@ -330,6 +343,8 @@
     return check_fail (check, MQ_RESPONSE_HEADER);
   if (line.size == 0 || line.data[line.size - 1] != '\n')
     return check_fail (check, MQ_RESPONSE_HEAD_CUT);
+  if (line_has_inner_head (line))
+    return check_fail (check, MQ_RESPONSE_STATUS_LINE);
   if (check->status == 0)
     return check_status_line (check, line);
   if (line_text (line).size == 0)
--- a/tests/test_response_check.cc
+++ b/tests/test_response_check.cc
@@ -147,6 +147,26 @@
   });
 }
 
+/* A second response to an earlier request that breaks off inside a line came
+   just before the response: its status counted, with the other's id.  */
+TEST (ResponseCheck, FindsHeadThatBeginsWithinAnother)
+{
+  const std::string next = ok + "Id: a1\r\nContent-Length: 0\r\n\r\n";
+  const std::string late
+      = "HTTP/1.1 503 Failed\r\nContent-Type: text/plain\r\n";
+  mq_response_rules rules = {};
+
+  rules.echo_name = { "Id", 2 };
+  rules.echo_value = { "a1", 2 };
+  for (size_t n = 1; n <= late.size (); n++)
+    EXPECT_NE (name (judge (late.substr (0, n) + next, rules)),
+               name (MQ_RESPONSE_SOUND))
+        << n;
+  EXPECT_EQ (
+      name (judge (ok + "Via: HTTP/1.1 proxy\r\n" + next.substr (ok.size ()))),
+      name (MQ_RESPONSE_SOUND));
+}
+
 TEST (ResponseCheck, FindsContradictoryFraming)
 {
   const std::string length = "Content-Length: ";
