--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -49,8 +49,8 @@
                              whose head is whole.  */
   bool maybe_sent; /* A byte of the request may have reached the upstream. */
   mq_response_framing framing; /* Of the response.  */
-  mq_response_fault fault;     /* END: what is wrong with the response; that
-                                  of a call that had none is its head.  */
+  mq_response_fault fault;     /* END: what is wrong with the response, if one
+                                  has begun.  */
   bool too_large; /* BROKEN, since the body exceeds the limit of the call or
                      the room of all calls.  */
   mq_span data;   /* DATA: the piece.  END of a call that is not streamed:
