net: which status is a rejection is decided in one place

The rule that 4xx and 503 alone may come with the statement that a request did not run stood in the check of responses, in the streams of engines, in the calls of plain services and in the replies to orders. All four now ask mq_response_status_rejects.

--- a/include/mq/response_check.h
+++ b/include/mq/response_check.h
@@ -128,6 +128,11 @@
 /* Returns true if the head of the response is complete and sound.  */
 bool mq_response_check_has_head (const mq_response_check *check);
 
+/* Returns true for a STATUS that rejects a request, 4xx or 503.  No other one
+   may come with the statement that the request did not run: a success, and an
+   error of the run itself, contradict it.  */
+bool mq_response_status_rejects (unsigned status);
+
 /* Names in logs and labels of metrics, in lower case.  Static.  */
 const char *mq_response_fault_name (mq_response_fault fault);
 const char *mq_response_framing_name (mq_response_framing framing);
--- a/packages/gateway/gateway_orders.c
+++ b/packages/gateway/gateway_orders.c
@@ -29,10 +29,7 @@
 #define MAX_OPEN_REPORTS 64
 #define STATUS_OK 200
 #define STATUS_ACCEPTED 202
-#define STATUS_CLIENT_ERROR 400
 #define STATUS_MISDIRECTED 421
-#define STATUS_SERVER_ERROR 500
-#define STATUS_UNAVAILABLE 503
 
 typedef struct order_call
 {
@@ -148,14 +145,10 @@
       return MQ_ORDER_STARTED;
     case STATUS_OK:
       return MQ_ORDER_ALREADY_HELD;
-    case STATUS_UNAVAILABLE:
-      return MQ_ORDER_REFUSED;
     default:
       /* Others than a rejection do not say whether the order has begun.  */
-      return event->status >= STATUS_CLIENT_ERROR
-                     && event->status < STATUS_SERVER_ERROR
-                 ? MQ_ORDER_REFUSED
-                 : MQ_ORDER_UNANSWERED;
+      return mq_response_status_rejects (event->status) ? MQ_ORDER_REFUSED
+                                                        : MQ_ORDER_UNANSWERED;
     }
 }
 
--- a/packages/net/engine_stream.c
+++ b/packages/net/engine_stream.c
@@ -208,14 +208,6 @@
     g_string_append_len (stream->partial, data.data, (gssize)data.size);
 }
 
-/* Returns true if STATUS may come with the statement that nothing was run.  An
-   engine that has failed, or has succeeded, contradicts it.  */
-static bool
-status_rejects (unsigned status)
-{
-  return (status >= 400 && status < 500) || status == 503;
-}
-
 /* Returns true if the error BODY states that nothing was run: its member "ran"
    is false.  */
 static bool
@@ -245,7 +237,7 @@
       stream_report_end (stream, MQ_STREAM_DONE, 0);
       return;
     }
-  failure.said_not_run = whole && status_rejects (stream->status)
+  failure.said_not_run = whole && mq_response_status_rejects (stream->status)
                          && error_says_not_run (stream->partial);
   stream_fail (stream, failure);
 }
--- a/packages/net/plain_call.c
+++ b/packages/net/plain_call.c
@@ -42,14 +42,6 @@
     }
 }
 
-/* Returns true if STATUS may come with the statement that the call did not
-   run.  Success, and an error of the run itself, contradict it.  */
-static bool
-status_rejects (unsigned status)
-{
-  return (status >= 400 && status < 500) || status == 503;
-}
-
 static void
 event_from_end (const mq_http_client_event *end, mq_plain_call_event *event)
 {
@@ -62,7 +54,7 @@
       event->kind = MQ_PLAIN_CALL_FAILED;
       event->u.failure.maybe_sent = end->maybe_sent;
       event->u.failure.said_not_run
-          = denies_run && status_rejects (end->status);
+          = denies_run && mq_response_status_rejects (end->status);
       event->u.failure.timed_out = end->result == MQ_HTTP_TIMEOUT;
       return;
     }
--- a/packages/net/response_check.c
+++ b/packages/net/response_check.c
@@ -283,16 +283,10 @@
   return check_fail (check, MQ_RESPONSE_FOREIGN);
 }
 
-/* A statement that the request did not run fits a rejection.  A success, and
-   an error of the run itself, contradict it.  */
 static bool
 check_not_run (mq_response_check *check)
 {
-  bool rejects = (check->status >= STATUS_CLIENT_ERROR
-                  && check->status < STATUS_SERVER_ERROR)
-                 || check->status == STATUS_UNAVAILABLE;
-
-  if (check->not_run == NULL || rejects
+  if (check->not_run == NULL || mq_response_status_rejects (check->status)
       || mq_response_head_find (check_head (check), check->not_run).data
              == NULL)
     return true;
@@ -513,6 +507,13 @@
 
 /* ---- The rest.  */
 
+bool
+mq_response_status_rejects (unsigned status)
+{
+  return (status >= STATUS_CLIENT_ERROR && status < STATUS_SERVER_ERROR)
+         || status == STATUS_UNAVAILABLE;
+}
+
 bool
 mq_response_check_has_head (const mq_response_check *check)
 {
