net: the search for a status line within a header line skips to its first bytes

Each byte of each header line of each response was tried as the beginning of a status line. memmem finds the candidates. ResponseCheck (10 tests, with FindsHeadThatBeginsWithinAnother) passes as before.

--- a/packages/net/response_check.c
+++ b/packages/net/response_check.c
@@ -102,9 +102,13 @@
 static bool
 line_has_inner_head (mq_span line)
 {
-  for (size_t at = 1; at + sizeof "HTTP/1.1 200" - 1 <= line.size; at++)
-    if (status_line_read (
-            line_text ((mq_span){ line.data + at, line.size - at }))
+  const char *end = line.data + line.size;
+  const char *at = line.data + 1;
+
+  for (; at < end
+         && (at = memmem (at, (size_t)(end - at), "HTTP/", strlen ("HTTP/")));
+       at++)
+    if (status_line_read (line_text ((mq_span){ at, (size_t)(end - at) }))
         != 0)
       return true;
   return false;
