platform: a member whose name is written with escapes is the same member

What an operator would have seen: of {"sequence":2,"s\u0065quence":3} one of the two values counted, though a message in which a member has two values is none.

Cause: the names were compared as they are written.

Three forms of UsersPlatform.RejectsReportsThatContradictThemselves failed before (a report with such a name before and after the plain one, and inside "layers") and pass.

--- a/tests/test_users_platform.cc
+++ b/tests/test_users_platform.cc
@@ -409,7 +409,12 @@
          "\"sequence\":2,\"sequence\":3", "\"sequence\":3,\"sequence\":null",
          "\"sequence\":null,\"sequence\":3",
          "\"sequence\":3,\"sequence\":2,\"sequence\":3",
-         "\"sequence\":2,\"x\":1,\"x\":2", "\"sequence\":3,\"sequence\":[" })
+         "\"sequence\":2,\"x\":1,\"x\":2",
+         "\"sequence\":2,\"s\\u0065quence\":3",
+         "\"s\\u0065quence\":3,\"sequence\":2",
+         "\"busy\":false,\"sequence\":2,\"layers\":{\"from\":0,\"target\":9,"
+         "\"f\\u0072om\":3}",
+         "\"sequence\":3,\"sequence\":[" })
     {
       std::string text = "{" + std::string (bad) + "}";
       mq_engine_report r;
