tests: stand-ins that write their bytes share the id, the entry and the tunnel server

The search for the id of a request stood in RawEngine, CutResponse and CutNotice, the entry of a scripted instance in CutNotice and CutReport, the options of an open tunnel server in CutTunnelReply and CutTunnelRequest.

--- a/tests/support/raw_engine.h
+++ b/tests/support/raw_engine.h
@@ -7,6 +7,7 @@
 #include "entry_text.h"
 #include "gateway_standins.h"
 #include "loopback_listener.h"
+#include "response_text.h"
 
 #include <netinet/tcp.h>
 
@@ -100,13 +101,10 @@
   static std::string
   unframed_head (const std::string &request)
   {
-    const std::string name = "Marjoramquay-Attempt-Id: ";
-    size_t at = request.find (name) + name.size ();
-
     return "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
            "Connection: close\r\nMarjoramquay-Response-Signature: s\r\n"
-           + name + request.substr (at, request.find ("\r\n", at) - at)
-           + "\r\n\r\n";
+           "Marjoramquay-Attempt-Id: "
+           + request_id (request) + "\r\n\r\n";
   }
 
   std::string id, domain, service, address;
--- a/tests/support/scripted_server.h
+++ b/tests/support/scripted_server.h
@@ -4,6 +4,7 @@
 #ifndef MQ_TESTS_SCRIPTED_SERVER_H
 #define MQ_TESTS_SCRIPTED_SERVER_H
 
+#include "entry_text.h"
 #include "loopback_listener.h"
 
 #include <ev.h>
@@ -43,6 +44,15 @@
     listener_.close ();
   }
 
+  /* The entry of an instance of the service "app" here.  */
+  std::string
+  entry () const
+  {
+    return "{\"service\":\"app\",\"address\":\"" + address
+           + "\",\"zone\":\"one\",\"slots\":8,\"state\":\"ready\""
+           + entry_common + "}";
+  }
+
   /* A response with STATUS, "200 OK", and BODY.  */
   static std::string
   response (const std::string &status, const std::string &body,
--- a/tests/test_cut_notice.cc
+++ b/tests/test_cut_notice.cc
@@ -1,6 +1,7 @@
 /* What upstreams state about themselves in heads that are cut at any byte or
    contradict themselves: it is not applied.  */
 
+#include "support/response_text.h"
 #include "support/router_fleet.h"
 #include "support/scripted_server.h"
 
@@ -29,22 +30,10 @@
   start ()
   {
     engine.serve = [this] (const std::string &request) {
-      const std::string name = "Marjoramquay-Attempt-Id: ";
-      size_t at = request.find (name);
-      std::string text = answer;
-      size_t id = text.find ("ID\r\n");
-
-      if (at != std::string::npos && id != std::string::npos)
-        text.replace (
-            id, 2,
-            request.substr (at + name.size (),
-                            request.find ("\r\n", at) - at - name.size ()));
-      return std::optional<std::string> (text);
+      return std::optional<std::string> (
+          gateway::with_request_id (answer, request));
     };
-    store.put ("servers", "eng",
-               "{\"service\":\"app\",\"address\":\"" + engine.address
-                   + "\",\"zone\":\"one\",\"slots\":8,\"state\":\"ready\""
-                   + gateway::entry_common + "}");
+    store.put ("servers", "eng", engine.entry ());
     configure (1);
     start_router ();
     upstream
--- a/tests/test_cut_report.cc
+++ b/tests/test_cut_report.cc
@@ -44,10 +44,7 @@
   start ()
   {
     engine.serve = [this] (const std::string &) { return answer; };
-    store.put ("servers", "eng",
-               "{\"service\":\"app\",\"address\":\"" + engine.address
-                   + "\",\"zone\":\"one\",\"slots\":8,\"state\":\"ready\""
-                   + gateway::entry_common + "}");
+    store.put ("servers", "eng", engine.entry ());
     configure (1);
     start_router ();
     upstream
--- a/tests/test_cut_response.cc
+++ b/tests/test_cut_response.cc
@@ -54,15 +54,7 @@
     Answer a;
 
     make = [&made] (const std::string &request) {
-      const std::string name = "Marjoramquay-Attempt-Id: ";
-      size_t at = request.find (name) + name.size ();
-      std::string text = made;
-      size_t id = text.find ("ID\r\n");
-
-      if (id != std::string::npos)
-        text.replace (id, 2,
-                      request.substr (at, request.find ("\r\n", at) - at));
-      return text;
+      return gateway::with_request_id (made, request);
     };
     start_request (a, "POST", target, gateway::key,
                    "call " + std::to_string (++sent_), routers[0]->base,
--- a/tests/test_cut_tunnel_reply.cc
+++ b/tests/test_cut_tunnel_reply.cc
@@ -4,6 +4,7 @@
    a tunnel arrive as such.  */
 
 #include "support/gateway_standins.h"
+#include "support/open_tunnel_server.h"
 #include "support/scripted_server.h"
 
 #include <mq/tunnel_server.h>
@@ -38,17 +39,10 @@
 protected:
   CutTunnelReply ()
   {
-    mq_tunnel_server_options o = {};
-
     client = mq_http_client_new (loop, MQ_SPAN (""));
     peer.serve = [this] (const std::string &) { return answer; };
     upstream.serve = [this] (const std::string &) { return answer; };
-    o.address = MQ_SPAN ("127.0.0.1");
-    o.tunnels = 16;
-    o.connect_ms = 500;
-    o.check = [] (void *, mq_span) { return 0u; };
-    o.on_failure = [] (void *, mq_span) {};
-    server = mq_tunnel_server_new (loop, &o, nullptr);
+    server = gateway::start_open_tunnel_server (loop);
   }
 
   ~CutTunnelReply () override
--- a/tests/test_cut_tunnel_request.cc
+++ b/tests/test_cut_tunnel_request.cc
@@ -1,6 +1,7 @@
 /* Requests of other routers for a tunnel that are cut at any byte or
    malformed: none opens a connection to an upstream.  */
 
+#include "support/open_tunnel_server.h"
 #include "support/scripted_server.h"
 
 #include <mq/tunnel_server.h>
@@ -18,15 +19,8 @@
 protected:
   CutTunnelRequest ()
   {
-    mq_tunnel_server_options o = {};
-
     upstream.serve = [] (const std::string &) { return std::nullopt; };
-    o.address = MQ_SPAN ("127.0.0.1");
-    o.tunnels = 16;
-    o.connect_ms = 500;
-    o.check = [] (void *, mq_span) { return 0u; };
-    o.on_failure = [] (void *, mq_span) {};
-    server = mq_tunnel_server_new (loop, &o, nullptr);
+    server = gateway::start_open_tunnel_server (loop);
   }
 
   ~CutTunnelRequest () override
