--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -170,8 +170,8 @@
             + "}],\"usual\":{\"prompt\":700,\"answer\":170},"
               "\"kinds\":[{\"name\":\"big\",\"mb\":300000,\"pace\":1,"
               "\"readX\":1},{\"name\":\"half\",\"mb\":100000,\"pace\":1,"
-              "\"readX\":1}]}}],\"limits\":{\"maxBodyBytes\":4096"
-            + more_limits
+              "\"readX\":1}]}}],\"limits\":{\"maxBodyBytes\":"
+            + std::to_string (body_bytes) + more_limits
             + "},\"tenants\":[{\"name\":\"org\",\"apiKeys\":[\"key-1\"]}]}");
   }
 
@@ -309,6 +309,7 @@
   Upstream *a = nullptr, *b = nullptr; /* Of the plain service.  */
   double load_s = 14;                  /* To load all layers.  */
   unsigned layers = 80;                /* Of the model.  */
+  size_t body_bytes = 4096;            /* Limit of `configure'.  */
   std::string more_limits; /* Further members of the limits of `configure',
                               each after a comma.  */
   unsigned store_followers = 4;
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -47,7 +47,7 @@
     mq_http_server_options o = {};
 
     o.address = MQ_SPAN ("127.0.0.1");
-    o.body_limit = 1 << 20;
+    o.body_limit = 8 << 20;
     o.idle_s = 30;
     server_ = mq_http_server_new (loop, &o, on_event, this, nullptr);
   }
--- a/tests/support/programs.h
+++ b/tests/support/programs.h
@@ -111,6 +111,12 @@
     return "http://" + address ();
   }
 
+  pid_t
+  pid () const
+  {
+    return pid_;
+  }
+
   /* Returns the most memory that the program has had resident, in KiB.  */
   size_t
   peak_kib () const
--- a/tests/support/router_process.h
+++ b/tests/support/router_process.h
@@ -41,6 +41,12 @@
     waitpid (pid_, nullptr, 0);
   }
 
+  pid_t
+  pid () const
+  {
+    return pid_;
+  }
+
   void
   signal (int number)
   {
