soak: no division by zero when an answer is short or empty

Cause: two callers of Random::below passed 0, for the pieces of an answer of one byte and for a length less than that of an empty body; a division by zero traps on x86-64 and gives 0 on arm64, where the soak was written. Both now give what they gave there, from the same random numbers, so that a seed plays as before. No router was involved.

--- a/tests/soak/answer.cc
+++ b/tests/soak/answer.cc
@@ -165,10 +165,12 @@
 
   for (size_t i = 0; i + 1 < pieces && at < bytes.size (); i++)
     {
-      size_t n = 1
-                 + random_.below (std::min (bytes.size () - at,
-                                            2 * bytes.size () / pieces));
+      size_t left = bytes.size () - at;
+      size_t most = std::min (left, 2 * bytes.size () / pieces);
+      size_t n = 1 + random_.below (std::max<size_t> (most, 1));
 
+      if (most == 0)
+        n = left; /* Too few bytes for so many pieces.  */
       a_.steps.push_back ({ random_.between (0, 0.04), bytes.substr (at, n) });
       at += n;
     }
@@ -200,7 +202,9 @@
 Planner::plan_malformed ()
 {
   const std::string n = std::to_string (body_.size ());
-  const std::string less = std::to_string (random_.below (body_.size ()));
+  /* Any other length than that of an empty body.  */
+  const std::string less = std::to_string (
+      body_.empty () ? random_.next () | 1 : random_.below (body_.size ()));
   const std::string more = std::to_string (body_.size () + 7);
   std::string s;
 
