tests: upstreams of the crowd take bodies of 8 MiB

The stand-in's limit of 1 MiB was raised for all tests, with which Tunnel.CopiesRequestsAndResponses got 200 where it asks for 413. It is a parameter of the stand-in now, which only the crowds set.

--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -99,6 +99,7 @@
     hold.replace (hold.find (limit), limit.size (), longer);
     stream.replace (stream.find (limit), limit.size (), longer);
     body_bytes = body;
+    upstream_body_bytes = 8 * mib;
     a = &add ("app-a", "app");
     a->serve = [this] (mq_http_exchange *x) { serve (x); };
     configure (1, "," + hold + "," + stream);
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -134,8 +134,8 @@
   add (const std::string &id, const std::string &service,
        const std::string &domain = "one", const std::string &card = "")
   {
-    upstreams.push_back (
-        std::make_unique<Upstream> (loop, id, service, domain, card));
+    upstreams.push_back (std::make_unique<Upstream> (
+        loop, id, service, domain, card, upstream_body_bytes));
     write_entry (*upstreams.back ());
     return *upstreams.back ();
   }
@@ -306,10 +306,11 @@
   unsigned clients_port = 0, readiness_port = 0, directory_port = 0;
   unsigned peers_port = 0, metrics_port = 0;
   unsigned serial = 0;
-  Upstream *a = nullptr, *b = nullptr; /* Of the plain service.  */
-  double load_s = 14;                  /* To load all layers.  */
-  unsigned layers = 80;                /* Of the model.  */
-  size_t body_bytes = 4096;            /* Limit of `configure'.  */
+  Upstream *a = nullptr, *b = nullptr;  /* Of the plain service.  */
+  double load_s = 14;                   /* To load all layers.  */
+  unsigned layers = 80;                 /* Of the model.  */
+  size_t upstream_body_bytes = 1 << 20; /* Limit of upstreams.  */
+  size_t body_bytes = 4096;             /* Limit of `configure'.  */
   std::string more_limits; /* Further members of the limits of `configure',
                               each after a comma.  */
   unsigned store_followers = 4;
--- a/tests/support/gateway_standins.h
+++ b/tests/support/gateway_standins.h
@@ -41,13 +41,13 @@
 public:
   using Handler = std::function<void (mq_http_exchange *)>;
 
-  Server (struct ev_loop *loop, Handler handler)
+  Server (struct ev_loop *loop, Handler handler, size_t body_limit = 1 << 20)
       : handler_ (std::move (handler))
   {
     mq_http_server_options o = {};
 
     o.address = MQ_SPAN ("127.0.0.1");
-    o.body_limit = 8 << 20;
+    o.body_limit = body_limit;
     o.idle_s = 30;
     server_ = mq_http_server_new (loop, &o, on_event, this, nullptr);
   }
@@ -136,10 +136,13 @@
 {
 public:
   Upstream (struct ev_loop *loop, std::string id, std::string service,
-            std::string domain, std::string card = "")
+            std::string domain, std::string card = "",
+            size_t body_limit = 1 << 20)
       : id (std::move (id)), service (std::move (service)),
         domain (std::move (domain)), card (std::move (card)),
-        server (loop, [this] (mq_http_exchange *x) { handle_call (x); })
+        server (
+            loop, [this] (mq_http_exchange *x) { handle_call (x); },
+            body_limit)
   {
     serve = [this] (mq_http_exchange *x) { answer (x); };
   }
