net, gateway: a body over the limit is rejected while it arrives

What callers saw: a client whose body exceeds the limit of the configuration was told so once it had sent all of it, or was closed after 64 MiB more; what it sent was collected up to 8 MiB, and that buffer stayed when it was cut to nothing. The ports of the directory, the readiness check and the metrics collected bodies that nobody reads.

Cause: the server had one limit, that of the product, and looked at it with the bytes; the limit, the route and the key of the configuration were looked at once the body was whole.

Change: the server has the configuration's limit. It looks at the announced length with the head and at the bytes as they come, frees the body, asks the gateway for the status (404 and 401 go before 413, as before), writes the response past libmicrohttpd, which can send none before the body has ended, and drops the rest for 5 s or 64 MiB. Ports without a use for bodies drop them.

With TLS the response comes after the body, as before, of which nothing is kept.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -50,6 +50,10 @@
      the complete response.  Reported at most once, and never after a reply,
      an end or an abort.  */
   MQ_HTTP_SERVER_DISCONNECTED,
+  /* The body is larger than the server's limit, by its announced length or by
+     what has arrived: the server rejects the request with 413, or with the
+     status that the user sets.  It needs no reply.  */
+  MQ_HTTP_SERVER_BODY_REJECTED,
   /* The server rejects the request with 431, since its head is too large, or
      with 400, since its headers are malformed or state its end in more than
      one way; or libmicrohttpd rejected it, since it is malformed or larger
@@ -86,6 +90,7 @@
                            limit.  */
   size_t memory;        /* Bytes that all connections may take; 0 means half
                            of the machine's memory.  */
+  bool ignores_bodies;  /* Bodies are read and dropped.  */
   unsigned idle_s;      /* Seconds of inactivity after which a connection is
                            closed, unless it waits for the user's reply.  */
   unsigned connections; /* Concurrent connections, 0 means 16384, or as many
@@ -125,6 +130,9 @@
    response.  */
 void mq_http_server_set_head_limit (mq_http_server *server, size_t bytes);
 
+/* Sets the limit of a body to BYTES, also for requests that are arriving.  */
+void mq_http_server_set_body_limit (mq_http_server *server, size_t bytes);
+
 /* Reads the certificate and key again for use by new connections.  Returns 0,
    or -1 with ERROR set; the previous ones then stay in use.  */
 int mq_http_server_reload_tls (mq_http_server *server, GError **error);
@@ -171,6 +179,10 @@
 bool mq_http_exchange_is_malformed (const mq_http_exchange *exchange);
 /* Returns true if the user has given the complete response.  */
 bool mq_http_exchange_is_answered (const mq_http_exchange *exchange);
+/* Sets the status with which the server rejects the request: only while
+   MQ_HTTP_SERVER_BODY_REJECTED is reported.  */
+void mq_http_exchange_set_rejection (mq_http_exchange *exchange,
+                                     unsigned status);
 /* A pointer for the user's own state, initially NULL.  */
 void mq_http_exchange_set_user (mq_http_exchange *exchange, void *user);
 void *mq_http_exchange_user (const mq_http_exchange *exchange);
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -53,13 +53,16 @@
   mq_http_connection *connection; /* Borrowed; NULL when MHD is.  */
   struct MHD_Connection *mhd;     /* Borrowed.  */
   struct MHD_Response *response;  /* Owned until queued with libmicrohttpd.  */
-  unsigned status;                /* Of the response.  */
+  unsigned status;                /* Of the response, or of the rejection of an
+                                     oversized body.  */
   GList link;                     /* In the server's list.  */
   void *user;
   bool suspended;
   bool over_limit;    /* The body exceeds the limit.  */
   bool head_rejected; /* The head does.  */
   bool malformed;     /* The headers are.  */
+  bool told;          /* A rejection was written to the connection, past
+                         libmicrohttpd.  */
   bool drain_due;     /* Report DRAINED when the queue has shrunk.  */
 
   GStringChunk *text; /* Storage of the spans below.  */
@@ -70,6 +73,8 @@
   mq_span query_string;
   mq_span peer;
   GString *body;
+  size_t body_bytes; /* That have arrived of it.  */
+  ev_tstamp told_at;
   size_t discarded;       /* Bytes of the body of a rejected request that were
                              discarded.  */
   mq_http_head_size head; /* Of the request.  */
@@ -99,6 +104,12 @@
 void mq_http_exchange_reject (mq_http_exchange *exchange, unsigned status,
                               mq_span body);
 
+/* In http_shard.c: writes a complete response with STATUS, HEADERS (lines) and
+   BODY, JSON text or empty, past libmicrohttpd, unless that isn't possible.
+   Nothing more is written to the connection.  */
+void mq_http_exchange_tell (mq_http_exchange *exchange, unsigned status,
+                            const char *headers, mq_span body);
+
 /* In http_server.c: reports an event about EXCHANGE to the sink.  */
 void mq_http_server_report (mq_http_server *server,
                             mq_http_server_event_kind kind,
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -62,6 +62,7 @@
   size_t head_limit;
   size_t block; /* For each connection of a new shard; it only grows.  */
   size_t body_limit;
+  bool ignores_bodies;
   uint16_t port;
   bool closing; /* Responses ask callers to close the connection.  */
   bool freeing; /* Being freed; reports nothing.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -200,7 +200,8 @@
                                        : mq_http_machine_memory ();
 }
 
-/* Listen at AT.  Connections may take 1/MEMORY_DIVISOR of the memory.  */
+/* Listen at AT.  Connections may take 1/MEMORY_DIVISOR of the memory.  Only
+   requests of clients have a use for their bodies.  */
 static mq_http_server *
 gateway_listen (mq_gateway *gateway, const mq_listen *at, size_t head_limit,
                 size_t memory_divisor, mq_http_server_sink sink,
@@ -212,6 +213,7 @@
           .body_limit = MAX_BODY_BYTES,
           .head_limit = head_limit,
           .memory = gateway_memory (gateway) / memory_divisor,
+          .ignores_bodies = sink != mq_gateway_on_client,
           .idle_s = IDLE_TIMEOUT_S,
           .connections = gateway->settings->max_connections };
   GError *cause = NULL;
@@ -227,6 +229,26 @@
   return s;
 }
 
+static void
+server_set_limits (mq_http_server *server, const mq_route_limits *limits)
+{
+  size_t body = limits->body_bytes > 0
+                    ? MIN (limits->body_bytes, MAX_BODY_BYTES)
+                    : MAX_BODY_BYTES;
+
+  mq_http_server_set_body_limit (server, body);
+}
+
+void
+mq_gateway_set_limits (mq_gateway *gateway, const mq_route_limits *limits)
+{
+  server_set_limits (gateway->clients, limits);
+  server_set_limits (gateway->readiness, limits);
+  server_set_limits (gateway->directory, limits);
+  if (gateway->metrics_server != NULL)
+    server_set_limits (gateway->metrics_server, limits);
+}
+
 static int
 gateway_listen_all (mq_gateway *g, GError **error)
 {
--- a/packages/gateway/gateway_feed.c
+++ b/packages/gateway/gateway_feed.c
@@ -709,6 +709,7 @@
                                  r->limits.header_bytes > 0
                                      ? r->limits.header_bytes
                                      : MQ_HTTP_DEFAULT_HEAD_BYTES);
+  mq_gateway_set_limits (gateway, &r->limits);
   mq_gateway_urgency_log_levels (gateway);
   /* Announce it at the next heartbeat, so that peers do not send it again.  */
   gateway->reported_us = 0;
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -134,41 +134,78 @@
       status == MQ_STATUS_UNAVAILABLE ? UNREADY_RETRY_AFTER_MS : 0, why);
 }
 
+/* What the configuration in force says of a request.  */
+typedef struct request_match
+{
+  const mq_route *route;
+  const mq_route_organisation *organisation; /* NULL: anonymous.  */
+  unsigned status; /* 0, or that with which it is refused ...  */
+  const char *why; /* ... and why.  */
+} request_match;
+
+static request_match
+match_request (const mq_gateway *gateway, mq_http_exchange *exchange)
+{
+  const mq_routing *r = gateway->routing;
+  request_match m = { 0 };
+
+  m.route = mq_routing_match (r, mq_http_exchange_header (exchange, "Host"),
+                              mq_http_exchange_path (exchange));
+  if (m.route == NULL)
+    {
+      m.status = STATUS_NOT_FOUND;
+      m.why = "no-route";
+      return m;
+    }
+  if (!mq_routing_has_keys (r))
+    return m;
+  m.organisation = mq_routing_find_organisation (
+      r, request_credential (gateway, exchange));
+  if (m.organisation == NULL && !m.route->anonymous)
+    {
+      m.status = STATUS_UNAUTHORISED;
+      m.why = "unknown-key";
+    }
+  return m;
+}
+
 /* Route EXCHANGE, which arrived at ARRIVED_US, by the configuration in force.
  */
 static void
 route_request (mq_gateway *gateway, mq_http_exchange *exchange,
                uint64_t arrived_us)
 {
-  const mq_route_organisation *organisation = NULL;
   const mq_routing *r = gateway->routing;
-  const mq_route *route;
+  request_match m = match_request (gateway, exchange);
 
-  route = mq_routing_match (r, mq_http_exchange_header (exchange, "Host"),
-                            mq_http_exchange_path (exchange));
-  if (route == NULL)
+  if (m.status != 0)
     {
-      refuse_request (gateway, exchange, STATUS_NOT_FOUND, "no-route");
+      refuse_request (gateway, exchange, m.status, m.why);
       return;
     }
-  if (mq_routing_has_keys (r))
-    {
-      organisation = mq_routing_find_organisation (
-          r, request_credential (gateway, exchange));
-      if (organisation == NULL && !route->anonymous)
-        {
-          refuse_request (gateway, exchange, STATUS_UNAUTHORISED,
-                          "unknown-key");
-          return;
-        }
-    }
   if (r->limits.body_bytes > 0
       && mq_http_exchange_body (exchange).size > r->limits.body_bytes)
     {
       refuse_request (gateway, exchange, STATUS_TOO_LARGE, "body-too-large");
       return;
     }
-  mq_forward_start (gateway, exchange, route, organisation, arrived_us);
+  mq_forward_start (gateway, exchange, m.route, m.organisation, arrived_us);
+}
+
+/* The HTTP server refuses the request of EXCHANGE, whose body is too large.
+   The route and the key are what is wrong with it first.  */
+static void
+note_rejected_body (mq_gateway *gateway, mq_http_exchange *exchange)
+{
+  request_match m = { 0 };
+
+  if (gateway->routing != NULL)
+    m = match_request (gateway, exchange);
+  if (m.status != 0)
+    mq_http_exchange_set_rejection (exchange, m.status);
+  ++*gateway->counters.requests;
+  note_refusal (gateway, exchange, m.status != 0 ? m.status : STATUS_TOO_LARGE,
+                m.status != 0 ? m.why : "body-too-large");
 }
 
 /* ---- Requests that arrive before the configuration.  */
@@ -324,6 +361,9 @@
       else
         early_request_remove (context, event->exchange);
       break;
+    case MQ_HTTP_SERVER_BODY_REJECTED:
+      note_rejected_body (context, event->exchange);
+      break;
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       note_rejected_head (context, event->exchange);
       break;
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -374,6 +374,12 @@
   return exchange->peer;
 }
 
+void
+mq_http_exchange_set_rejection (mq_http_exchange *exchange, unsigned status)
+{
+  exchange->status = status;
+}
+
 void
 mq_http_exchange_set_user (mq_http_exchange *exchange, void *user)
 {
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -39,6 +39,13 @@
    caller can't hold a connection by sending single bytes.  */
 #define REQUEST_TIMEOUT_FACTOR 3
 
+/* Interval of the search for connections that have taken too long.  */
+#define SWEEP_INTERVAL_S 1.
+
+/* A connection whose request was rejected is closed after this time, in which
+   its caller may read the response.  */
+#define REJECTED_TIMEOUT_S 5.
+
 typedef union server_address
 {
   struct sockaddr any;
@@ -279,24 +286,35 @@
     }
 }
 
+/* Returns true if the request of C has taken too long to arrive at NOW.  */
+static bool
+connection_is_overdue (const mq_http_server *server,
+                       const mq_http_connection *c, ev_tstamp now)
+{
+  const mq_http_exchange *x = c->exchange;
+
+  if (x != NULL && x->told)
+    return now - x->told_at > REJECTED_TIMEOUT_S;
+  if (x != NULL && x->phase > MQ_HTTP_PHASE_BODY)
+    return false;
+  return now - c->since > (ev_tstamp)REQUEST_TIMEOUT_FACTOR * server->idle_s;
+}
+
 /* Close connections whose request takes too long to arrive.  */
 static void
 server_sweep (struct ev_loop *loop, ev_timer *watcher, int events)
 {
   mq_http_server *s = watcher->data;
-  ev_tstamp limit
-      = ev_now (loop) - (ev_tstamp)REQUEST_TIMEOUT_FACTOR * s->idle_s;
+  ev_tstamp now = ev_now (loop);
   unsigned closed = 0;
   unsigned unread = 0;
 
   (void)events;
   for (GList *l = s->connections.head; l != NULL; l = l->next)
     {
-      mq_http_connection *c = l->data;
-      bool waits
-          = c->exchange == NULL || c->exchange->phase <= MQ_HTTP_PHASE_BODY;
+      const mq_http_connection *c = l->data;
 
-      if (!waits || c->since >= limit)
+      if (!connection_is_overdue (s, c, now))
         continue;
       closed++;
       unread += connection_unread (c) > 0;
@@ -332,7 +350,8 @@
   ev_io_init (&server->hangup, server_hangup_ready, server->hangup_fd,
               EV_READ);
   ev_timer_init (&server->accept_pause, server_accept_pause_over, 0., 0.);
-  ev_timer_init (&server->sweep, server_sweep, server->idle_s, server->idle_s);
+  ev_timer_init (&server->sweep, server_sweep, SWEEP_INTERVAL_S,
+                 SWEEP_INTERVAL_S);
   ev_prepare_init (&server->prepare, server_prepare);
   /* Run after all other watchers, which may write responses.  */
   ev_set_priority (&server->prepare, EV_MINPRI);
@@ -434,6 +453,7 @@
   s->memory = options->memory > 0
                   ? options->memory
                   : mq_http_machine_memory () / MACHINE_MEMORY_DIVISOR;
+  s->ignores_bodies = options->ignores_bodies;
   s->idle_s = options->idle_s;
   s->connection_limit = MQ_HTTP_MAX_CONNECTIONS;
   if (options->connections > 0)
@@ -528,6 +548,12 @@
   server_close_outdated (server);
 }
 
+void
+mq_http_server_set_body_limit (mq_http_server *server, size_t bytes)
+{
+  server->body_limit = bytes;
+}
+
 int
 mq_http_server_reload_tls (mq_http_server *server, GError **error)
 {
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -47,6 +47,13 @@
   "{\"error\":{\"code\":\"caller-left\",\"reason\":\"the sender has closed "  \
   "the connection\",\"outcome\":\"not-run\"}}\n"
 
+#define OWN_RESPONSE_BYTES 512
+/* The status line of a response that is written past libmicrohttpd, and its
+   headers and body.  */
+#define OWN_RESPONSE                                                          \
+  "HTTP/1.1 %u %s\r\n%sConnection: close\r\n"                                 \
+  "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n%.*s"
+
 /* Write the IP address of ADDRESS to TEXT.  */
 static void
 shard_print_address (const struct sockaddr *address, char *text, size_t size)
@@ -164,19 +171,52 @@
   mq_http_exchange_unref (x);
 }
 
+/* Returns the body of the response that rejects EXCHANGE for its body.  */
+static mq_span
+shard_rejection (const mq_http_exchange *exchange)
+{
+  return exchange->status == MHD_HTTP_CONTENT_TOO_LARGE
+             ? MQ_SPAN (TOO_LARGE_BODY)
+             : MQ_SPAN ("");
+}
+
+/* Reject the request of EXCHANGE, as its body is larger than the limit.  */
+static void
+shard_reject_body (mq_http_exchange *exchange)
+{
+  exchange->over_limit = true;
+  g_string_free (exchange->body, TRUE);
+  exchange->body = g_string_new (NULL);
+  exchange->status = MHD_HTTP_CONTENT_TOO_LARGE;
+  mq_http_server_report (exchange->server, MQ_HTTP_SERVER_BODY_REJECTED,
+                         exchange);
+  mq_http_exchange_tell (exchange, exchange->status, "",
+                         shard_rejection (exchange));
+}
+
+/* Returns true if the body of EXCHANGE is read for its sender's sake only.  */
+static bool
+shard_discards_body (const mq_http_exchange *exchange)
+{
+  return exchange->head_rejected || exchange->malformed
+         || exchange->over_limit;
+}
+
 static void
 shard_append_body (mq_http_server *server, mq_http_exchange *exchange,
                    const char *data, size_t size)
 {
-  if (exchange->head_rejected || exchange->malformed || exchange->over_limit
-      || exchange->body->len + size > server->body_limit)
+  if (!shard_discards_body (exchange)
+      && exchange->body_bytes + size > server->body_limit)
+    shard_reject_body (exchange);
+  if (shard_discards_body (exchange))
     {
-      exchange->over_limit = true;
       exchange->discarded += size;
-      g_string_truncate (exchange->body, 0);
       return;
     }
-  g_string_append_len (exchange->body, data, (gssize)size);
+  exchange->body_bytes += size;
+  if (!server->ignores_bodies)
+    g_string_append_len (exchange->body, data, (gssize)size);
 }
 
 /* Returns true if the caller of EXCHANGE has closed its connection, or its
@@ -205,8 +245,8 @@
     mq_http_exchange_reject (exchange, MHD_HTTP_BAD_REQUEST,
                              MQ_SPAN (MALFORMED_HEAD));
   else if (exchange->over_limit)
-    mq_http_exchange_reject (exchange, MHD_HTTP_CONTENT_TOO_LARGE,
-                             MQ_SPAN (TOO_LARGE_BODY));
+    mq_http_exchange_reject (exchange, exchange->status,
+                             shard_rejection (exchange));
   else if (shard_caller_has_left (exchange))
     mq_http_exchange_reject (exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
                              MQ_SPAN (CALLER_LEFT));
@@ -233,18 +273,26 @@
   return r;
 }
 
+/* Returns true if the head of EXCHANGE announces a body over the limit.  */
+static bool
+shard_body_is_too_large (const mq_http_server *server,
+                         const mq_http_exchange *exchange)
+{
+  mq_span length = mq_http_exchange_header (exchange, "Content-Length");
+  uint64_t n;
+
+  return mq_span_to_u64 (length, &n) == 0 && n > server->body_limit;
+}
+
 /* Returns true if the caller waits for "100 Continue" before it sends the body
    of a request that is rejected, so that it need not send it.  */
 static bool
 shard_replies_early (const mq_http_server *server,
                      const mq_http_exchange *exchange)
 {
-  mq_span length = mq_http_exchange_header (exchange, "Content-Length");
-  uint64_t n;
-
   return mq_http_exchange_header (exchange, "Expect").data != NULL
          && (exchange->head_rejected
-             || (mq_span_to_u64 (length, &n) == 0 && n > server->body_limit));
+             || shard_body_is_too_large (server, exchange));
 }
 
 /* Reject EXCHANGE if its head is too large.  Returns false if the connection
@@ -305,8 +353,16 @@
         return MHD_NO;
       shard_check_framing (shard, x, version);
       if (!x->malformed && !shard_replies_early (s, x))
-        return MHD_YES;
+        {
+          if (!x->head_rejected && shard_body_is_too_large (s, x))
+            shard_reject_body (x);
+          return MHD_YES;
+        }
+      /* The rest is replied to as if the body had arrived.  */
       x->over_limit = !x->malformed;
+      x->status = MHD_HTTP_CONTENT_TOO_LARGE;
+      if (x->over_limit && !x->head_rejected)
+        mq_http_server_report (s, MQ_HTTP_SERVER_BODY_REJECTED, x);
     }
   if (*size > 0)
     {
@@ -314,6 +370,8 @@
       *size = 0;
       return x->discarded > MAX_DISCARDED_BYTES ? MHD_NO : MHD_YES;
     }
+  if (x->told)
+    return MHD_NO;
   if (x->phase == MQ_HTTP_PHASE_BODY)
     shard_handle_request (s, x);
   return shard_answer (x);
@@ -378,6 +436,23 @@
       MHD_OPTION_END);
 }
 
+void
+mq_http_exchange_tell (mq_http_exchange *exchange, unsigned status,
+                       const char *headers, mq_span body)
+{
+  const mq_http_connection *c = exchange->connection;
+  char text[OWN_RESPONSE_BYTES];
+  int n = g_snprintf (text, sizeof text, OWN_RESPONSE, status,
+                      MHD_get_reason_phrase_for (status), headers, body.size,
+                      MQ_SPAN_ARG (body));
+
+  if (exchange->told || c->tls != NULL)
+    return;
+  (void)!send (c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
+  exchange->told = true;
+  exchange->told_at = ev_now (exchange->server->loop);
+}
+
 mq_http_shard *
 mq_http_shard_new (mq_http_server *server)
 {
--- a/programs/marjoramquay/routes.c
+++ b/programs/marjoramquay/routes.c
@@ -108,6 +108,14 @@
           MQ_SPAN_ARG (mq_http_exchange_peer (exchange)));
 }
 
+/* The HTTP server refuses a request before it is complete.  */
+static void
+log_refused_body (const mq_http_exchange *exchange, const char *why)
+{
+  mq_log (G_LOG_LEVEL_INFO, "http.refused", "peer=%.*s why=%s",
+          MQ_SPAN_ARG (mq_http_exchange_peer (exchange)), why);
+}
+
 void
 mq_routes_on_http (void *context, const mq_http_server_event *event)
 {
@@ -127,6 +135,9 @@
       if (request != NULL)
         client_disconnected (request);
       break;
+    case MQ_HTTP_SERVER_BODY_REJECTED:
+      log_refused_body (event->exchange, "body-too-large");
+      break;
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       log_rejected_head (event->exchange);
       break;
--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -101,6 +101,7 @@
         if (t->on_disconnect)
           t->on_disconnect (event->exchange);
         break;
+      case MQ_HTTP_SERVER_BODY_REJECTED:
       case MQ_HTTP_SERVER_HEAD_REJECTED:
         t->rejected_heads++;
         break;
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -814,6 +814,24 @@
   EXPECT_EQ (got.find ("HTTP/1.1 413"), 0u) << got;
 }
 
+/* A body over the limit is rejected while it is still arriving, and nothing of
+   it is kept.  */
+TEST_F (HttpRaw, RejectsAnOversizedBodyWhileItArrives)
+{
+  on_request = [] (mq_http_exchange *) { FAIL (); };
+  std::string announced = exchange_bytes (
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 10000000\r\n\r\nxx",
+      "body-too-large");
+  std::string sent = exchange_bytes (
+      "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "989680\r\n"
+          + std::string (1 << 20, 'x') + std::string (1000, 'x'),
+      "body-too-large");
+
+  EXPECT_EQ (announced.find ("HTTP/1.1 413"), 0u) << announced;
+  EXPECT_EQ (sent.find ("HTTP/1.1 413"), 0u) << sent;
+}
+
 TEST_F (HttpRaw, ReassemblesAChunkedBody)
 {
   on_request = [] (mq_http_exchange *x) {
--- a/tools/bench/relay/relay.c
+++ b/tools/bench/relay/relay.c
@@ -148,6 +148,7 @@
       relay_stream_free (s);
       break;
     case MQ_HTTP_SERVER_DRAINED:
+    case MQ_HTTP_SERVER_BODY_REJECTED:
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       break;
     }
--- a/tools/bench/relay/upstream.c
+++ b/tools/bench/relay/upstream.c
@@ -33,6 +33,7 @@
       g_ptr_array_remove_fast (u->streams, event->exchange);
       break;
     case MQ_HTTP_SERVER_DRAINED:
+    case MQ_HTTP_SERVER_BODY_REJECTED:
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       break;
     }
--- a/tools/standin/engine.c
+++ b/tools/standin/engine.c
@@ -640,6 +640,7 @@
       engine_handle_disconnect (e, event->exchange);
       return;
     case MQ_HTTP_SERVER_DRAINED:
+    case MQ_HTTP_SERVER_BODY_REJECTED:
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       return;
     }
