net, gateway: what is held for clients is added up against the memory

What callers saw: clients that send bodies without their end, or nothing, or much behind a request, or that don't read their responses, took memory in proportion to what they sent until the process ended; 2,000 silent connections kept ordinary clients out until they timed out; each of four ports could take half of the descriptors.

Cause: each connection, port and state had a limit of its own, or none, and no one added them up: bodies arriving and waiting, bytes received behind a request and not read, responses handed to libmicrohttpd, those being received, and blocks.

Change: connections are holders of one account of the process (half of memory_mb, half of max_files), in the states idle, arriving, unread, ahead and busy; so are the bodies that the client of upstreams collects. For a new connection, a body or a response those that hold much for long are closed. A request that is arriving gets 503, which is true: nothing of it was sent. A ready response is never refused for itself. The second epoll set also tells of bytes behind a request. The receive buffer of a connection is fixed, so that what the system holds is bounded while the process is busy; large buffers are returned to the system when they are freed.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -119,6 +119,11 @@
    KiB, which each call may always hold.  */
 void mq_http_client_set_body_room (mq_http_client *client, size_t bytes);
 
+/* Has the bodies of these calls take their memory from ACCOUNT too, which must
+   outlive CLIENT.  */
+void mq_http_client_set_account (mq_http_client *client,
+                                 mq_resource_account *account);
+
 /* Returns the counters of CLIENT, borrowed.  */
 const mq_http_client_counters *
 mq_http_client_get_counters (const mq_http_client *client);
--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -12,6 +12,7 @@
 
 #include <ev.h>
 #include <glib.h>
+#include <mq/resource_account.h>
 #include <mq/str.h>
 #include <stdbool.h>
 
@@ -54,6 +55,10 @@
      what has arrived: the server rejects the request with 413, or with the
      status that the user sets.  It needs no reply.  */
   MQ_HTTP_SERVER_BODY_REJECTED,
+  /* The server gives up the request, since there is no memory for it.  What
+     has arrived of it is not run: it receives a 503, or its connection is
+     closed.  It needs no reply.  */
+  MQ_HTTP_SERVER_EVICTED,
   /* The server rejects the request with 431, since its head is too large, or
      with 400, since its headers are malformed or state its end in more than
      one way; or libmicrohttpd rejected it, since it is malformed or larger
@@ -79,23 +84,28 @@
 
 typedef struct mq_http_server_options
 {
-  mq_span address;      /* IP address to listen on.  */
-  uint16_t port;        /* 0 lets the system choose.  */
-  size_t body_limit;    /* Bytes; a larger body is rejected with 413.  */
-  size_t head_limit;    /* Bytes of a request's head, from its first line to
-                           the empty line; 0 means 16384.  A larger one is
-                           rejected with 431, and so is one whose headers,
-                           query arguments and cookies, at 64 bytes each and
-                           with a copy of the cookies, exceed 1.5 times the
-                           limit.  */
-  size_t memory;        /* Bytes that all connections may take; 0 means half
-                           of the machine's memory.  */
-  bool ignores_bodies;  /* Bodies are read and dropped.  */
+  mq_span address;   /* IP address to listen on.  */
+  uint16_t port;     /* 0 lets the system choose.  */
+  size_t body_limit; /* Bytes; a larger body is rejected with 413.  */
+  size_t head_limit; /* Bytes of a request's head, from its first line to
+                        the empty line; 0 means 16384.  A larger one is
+                        rejected with 431, and so is one whose headers,
+                        query arguments and cookies, at 64 bytes each and
+                        with a copy of the cookies, exceed 1.5 times the
+                        limit.  */
+  size_t memory;     /* Bytes that all connections may take; 0 means half
+                        of the machine's memory.  */
+  mq_resource_account *account; /* For what connections hold, shared with other
+                           servers; borrowed.  NULL: one of its own, with
+                           MEMORY.  */
+  bool ignores_bodies;          /* Bodies are read and dropped.  */
   unsigned idle_s;      /* Seconds of inactivity after which a connection is
                            closed, unless it waits for the user's reply.  */
   unsigned connections; /* Concurrent connections, 0 means 16384, or as many
-                           as MEMORY allows; others are closed unread, which a
-                           caller may treat as "not run".  */
+                           as MEMORY allows.  For another one, one that waits
+                           for its client is closed; if all wait for the user,
+                           the new one is, unread.  A caller may treat either
+                           as "not run".  */
   mq_span certificate;  /* PEM file path; empty means no TLS.  */
   mq_span key;          /* PEM file path.  */
 } mq_http_server_options;
--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -198,6 +198,10 @@
   uint64_t *connections;
   uint64_t *connection_limit;
   uint64_t *refused_connections;
+  uint64_t *held_bytes;
+  uint64_t *held_limit;
+  uint64_t *evictions[MQ_RESOURCE_STATES];
+  uint64_t *account_refusals;
   uint64_t *upstreams;
   uint64_t *upstreams_ejected;
   uint64_t *upstreams_rejecting;
@@ -237,6 +241,7 @@
   const mq_gateway_settings *settings; /* Borrowed.  */
   uint64_t started_us;
   mq_gateway_mode mode;
+  mq_resource_account account;    /* What is held for clients, at all ports. */
   mq_http_client *client;         /* For calls to upstreams.  */
   mq_http_server *clients;        /* Serves clients' requests.  */
   mq_http_server *readiness;      /* Serves the readiness check.  */
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -42,6 +42,9 @@
   ev_tstamp since;            /* When it began to wait for a request.  */
   int fd;
   mq_http_tls *tls; /* Its credentials, one reference; NULL without TLS.  */
+  mq_resource_holder holder; /* What it takes of the server's account.  */
+  size_t unread; /* Bytes that arrived behind a request in progress, as last
+                    seen.  */
   char peer[64];
 } mq_http_connection;
 
@@ -63,6 +66,7 @@
   bool malformed;     /* The headers are.  */
   bool told;          /* A rejection was written to the connection, past
                          libmicrohttpd.  */
+  bool evicted;       /* What it held was given up; nothing more is held.  */
   bool drain_due;     /* Report DRAINED when the queue has shrunk.  */
 
   GStringChunk *text; /* Storage of the spans below.  */
@@ -73,7 +77,8 @@
   mq_span query_string;
   mq_span peer;
   GString *body;
-  size_t body_bytes; /* That have arrived of it.  */
+  size_t body_bytes;  /* That have arrived of it.  */
+  size_t reply_bytes; /* Of a complete reply, which libmicrohttpd holds.  */
   ev_tstamp told_at;
   size_t discarded;       /* Bytes of the body of a rejected request that were
                              discarded.  */
@@ -104,6 +109,22 @@
 void mq_http_exchange_reject (mq_http_exchange *exchange, unsigned status,
                               mq_span body);
 
+/* In http_holding.c: what CONNECTION holds.
+
+   Enters CONNECTION, of which SHARD and FD are set, into the account of its
+   server, and takes it out.  */
+void mq_http_connection_enter (mq_http_connection *connection);
+void mq_http_connection_leave (mq_http_connection *connection);
+/* Accounts for what CONNECTION holds now, and has others evicted where that is
+   too much.  */
+void mq_http_connection_account (mq_http_connection *connection);
+/* Makes room for SIZE more bytes of the body of CONNECTION's request.  Returns
+   false if there is none, or if the request was evicted.  */
+bool mq_http_connection_make_room (mq_http_connection *connection,
+                                   size_t size);
+/* Notes that bytes have arrived behind a request in progress.  */
+void mq_http_connection_note_unread (mq_http_connection *connection);
+
 /* In http_shard.c: writes a complete response with STATUS, HEADERS (lines) and
    BODY, JSON text or empty, past libmicrohttpd, unless that isn't possible.
    Nothing more is written to the connection.  */
--- a/include/mq/internal/http_memory.h
+++ b/include/mq/internal/http_memory.h
@@ -43,6 +43,9 @@
    sends nothing after it.  */
 bool mq_http_memory_can_reject (size_t block, const mq_http_head_size *head);
 
+/* Returns what a connection with such a BLOCK takes in all.  */
+size_t mq_http_memory_connection_size (size_t block);
+
 /* Returns how many connections with such a BLOCK fit into MEMORY, at least 1.
  */
 unsigned mq_http_memory_max_connections (size_t memory, size_t block);
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -40,10 +40,11 @@
 /* Limit of the head of a request that is not forwarded.  */
 #define SMALL_HEAD_BYTES ((size_t)8 * 1024)
 
-/* The parts of the memory that the connections of the listeners may take:
-   clients', those of the directory, and those of the readiness check and of
-   the metrics; and the part that bodies of responses may take, whose buffers
-   may be twice as large.  */
+/* The part of the memory that may be held for clients, and the parts of it for
+   the connections of the listeners: clients', those of the directory, and
+   those of the readiness check and of the metrics; and the part that bodies of
+   responses may take, whose buffers may be twice as large.  */
+#define HELD_MEMORY_DIVISOR 2
 #define CLIENT_MEMORY_DIVISOR 2
 #define DIRECTORY_MEMORY_DIVISOR 8
 #define CHECK_MEMORY_DIVISOR 32
@@ -213,6 +214,7 @@
           .body_limit = MAX_BODY_BYTES,
           .head_limit = head_limit,
           .memory = gateway_memory (gateway) / memory_divisor,
+          .account = &gateway->account,
           .ignores_bodies = sink != mq_gateway_on_client,
           .idle_s = IDLE_TIMEOUT_S,
           .connections = gateway->settings->max_connections };
@@ -293,6 +295,9 @@
   mq_entry_list_init (&g->upstream_list);
   g_queue_init (&g->forwards);
   g_queue_init (&g->early_requests);
+  mq_resource_account_init (&g->account,
+                            gateway_memory (g) / HELD_MEMORY_DIVISOR,
+                            settings->max_connections);
   g->metrics = mq_metrics_new ();
   mq_gateway_metrics_init (g);
   mq_gateway_view_init (g);
@@ -308,6 +313,7 @@
   g->client = mq_http_client_new (loop, MQ_SPAN (""));
   mq_http_client_set_body_room (g->client,
                                 gateway_memory (g) / BODY_MEMORY_DIVISOR);
+  mq_http_client_set_account (g->client, &g->account);
   g->store = mq_platform_new_dialect (g->client,
                                       mq_str_span (settings->platform_url),
                                       STORE_TIMEOUT_MS, dialect->store);
--- a/packages/gateway/gateway_listeners.c
+++ b/packages/gateway/gateway_listeners.c
@@ -208,6 +208,15 @@
                 m.status != 0 ? m.why : "body-too-large");
 }
 
+/* The HTTP server gives up the request of EXCHANGE, which has not arrived as a
+   whole, for want of memory.  */
+static void
+note_evicted_request (mq_gateway *gateway, const mq_http_exchange *exchange)
+{
+  ++*gateway->counters.requests;
+  note_refusal (gateway, exchange, MQ_STATUS_UNAVAILABLE, "no-memory");
+}
+
 /* ---- Requests that arrive before the configuration.  */
 
 typedef struct early_request
@@ -364,6 +373,9 @@
     case MQ_HTTP_SERVER_BODY_REJECTED:
       note_rejected_body (context, event->exchange);
       break;
+    case MQ_HTTP_SERVER_EVICTED:
+      note_evicted_request (context, event->exchange);
+      break;
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       note_rejected_head (context, event->exchange);
       break;
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -45,6 +45,8 @@
 /* Bytes of its body that a call may hold even where there is no room.  */
 #define OWN_ROOM_BYTES ((size_t)64 * 1024)
 
+#define US_PER_S 1e6
+
 /* Idle connections kept for reuse, over all upstreams.  */
 #define MAX_IDLE_CONNECTIONS 1024L
 
@@ -57,8 +59,9 @@
   GQueue ready;        /* Those with an event to report, borrowed.  */
   GString *spare_body; /* Swapped with a call's body while that is reported. */
   mq_str *ca_file;
-  size_t body_room; /* Of the calls that share it; 0: no limit.  */
-  size_t held;      /* Bytes of it that are taken.  */
+  size_t body_room;          /* Of the calls that share it; 0: no limit.  */
+  size_t held;               /* Bytes of it that are taken.  */
+  mq_resource_holder holder; /* For HELD.  */
   mq_http_client_counters counters;
   mq_socket_table sockets; /* Of all connections but those with TLS.  */
 };
@@ -112,6 +115,36 @@
   g_queue_push_tail_link (&call->client->ready, &call->ready_link);
 }
 
+/* Take N more bytes of the room.  Returns false if there are none.  */
+static bool
+client_take_room (mq_http_client *client, size_t n)
+{
+  if (client->body_room > 0 && client->held + n > client->body_room)
+    return false;
+  if (client->holder.account != NULL
+      && !mq_resource_holder_grow (
+          &client->holder, client->held + n,
+          (uint64_t)(ev_now (client->loop) * US_PER_S)))
+    return false;
+  client->held += n;
+  return true;
+}
+
+/* Take N more bytes, whether there are any or not.  */
+static void
+client_overdraw_room (mq_http_client *client, size_t n)
+{
+  client->held += n;
+  mq_resource_holder_set (&client->holder, client->held);
+}
+
+static void
+client_give_room (mq_http_client *client, size_t n)
+{
+  client->held -= n;
+  mq_resource_holder_set (&client->holder, client->held);
+}
+
 /* Free CALL, which may be in progress.  */
 static void
 client_free_call (mq_http_call *call)
@@ -122,7 +155,7 @@
     g_queue_unlink (&c->ready, &call->ready_link);
   g_queue_unlink (&c->calls, &call->link);
   if (call->shares_room)
-    c->held -= call->body->len;
+    client_give_room (c, call->body->len);
   curl_multi_remove_handle (c->multi, call->easy);
   curl_easy_cleanup (call->easy);
   curl_slist_free_all (call->headers);
@@ -180,7 +213,7 @@
 static void
 client_give_up (mq_http_call *call)
 {
-  call->client->held -= call->body->len;
+  client_give_room (call->client, call->body->len);
   g_string_free (call->body, TRUE);
   call->body = g_string_new (NULL);
   call->code = CURLE_WRITE_ERROR;
@@ -198,17 +231,19 @@
 
   if (!call->shares_room)
     return true;
-  while (c->body_room > 0 && c->held + n > c->body_room)
+  while (!client_take_room (c, n))
     {
       mq_http_call *largest = client_largest (call, n);
 
       if (largest->body->len + (largest == call ? n : 0) <= OWN_ROOM_BYTES)
-        break;
+        {
+          client_overdraw_room (c, n);
+          return true;
+        }
       if (largest == call)
         return false;
       client_give_up (largest);
     }
-  c->held += n;
   return true;
 }
 
@@ -708,6 +743,16 @@
   client->body_room = bytes;
 }
 
+void
+mq_http_client_set_account (mq_http_client *client,
+                            mq_resource_account *account)
+{
+  client->holder.is_pool = true;
+  mq_resource_holder_enter (&client->holder, account,
+                            (uint64_t)(ev_now (client->loop) * US_PER_S));
+  mq_resource_holder_set_state (&client->holder, MQ_RESOURCE_BUSY, 0);
+}
+
 const mq_http_client_counters *
 mq_http_client_get_counters (const mq_http_client *client)
 {
@@ -726,6 +771,7 @@
   curl_multi_cleanup (client->multi);
   mq_socket_table_finish (&client->sockets);
   ev_timer_stop (client->loop, &client->timer);
+  mq_resource_holder_leave (&client->holder);
   g_string_free (client->spare_body, TRUE);
   mq_str_unref (client->ca_file);
   g_free (client);
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -148,6 +148,8 @@
   exchange_add_headers (exchange, exchange->response, headers, n_headers);
   exchange->phase = MQ_HTTP_PHASE_ANSWERED;
   exchange->status = status;
+  exchange->reply_bytes = body.size;
+  mq_http_connection_account (exchange->connection);
   exchange_wake (exchange);
 }
 
@@ -204,6 +206,7 @@
   x->queue_head += n;
   if (x->queue_head == x->queue->len)
     exchange_clear_queue (x);
+  mq_http_connection_account (x->connection);
   exchange_report_drained (x);
   return (ssize_t)n;
 }
@@ -460,10 +463,12 @@
 {
   size_t n;
 
-  if (exchange->phase != MQ_HTTP_PHASE_STREAMING || exchange->mhd == NULL)
+  if (exchange->phase != MQ_HTTP_PHASE_STREAMING || exchange->mhd == NULL
+      || exchange->evicted)
     return 0;
   exchange_compact (exchange);
   g_string_append_len (exchange->queue, data.data, (gssize)data.size);
+  mq_http_connection_account (exchange->connection);
   n = exchange_queued (exchange);
   if (n >= MQ_HTTP_STREAM_HIGH_WATER_BYTES / 2)
     exchange->drain_due = true;
@@ -478,8 +483,10 @@
   if (exchange->phase != MQ_HTTP_PHASE_STREAMING)
     return;
   exchange->phase = MQ_HTTP_PHASE_ENDED;
-  if (exchange->mhd != NULL)
-    exchange_wake (exchange);
+  if (exchange->mhd == NULL)
+    return;
+  mq_http_connection_account (exchange->connection);
+  exchange_wake (exchange);
 }
 
 void
--- a/packages/net/http_memory.c
+++ b/packages/net/http_memory.c
@@ -60,10 +60,16 @@
   return head->bytes + records_size (head) + REJECTION_BYTES <= block;
 }
 
+size_t
+mq_http_memory_connection_size (size_t block)
+{
+  return block + CONNECTION_BYTES;
+}
+
 unsigned
 mq_http_memory_max_connections (size_t memory, size_t block)
 {
-  size_t n = memory / (block + CONNECTION_BYTES);
+  size_t n = memory / mq_http_memory_connection_size (block);
 
   return (unsigned)CLAMP (n, 1, G_MAXUINT);
 }
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -26,6 +26,10 @@
 #define MAX_CONNECTIONS_PER_SHARD 128
 #define MAX_HANGUPS_PER_EVENT 64
 
+/* What the system receives on a connection before it is read; it doubles the
+   size for its own needs.  */
+#define RECEIVE_BUFFER_BYTES (48 * 1024)
+
 /* Connections may take this part of the machine's memory by default.  */
 #define MACHINE_MEMORY_DIVISOR 2
 
@@ -46,6 +50,8 @@
    its caller may read the response.  */
 #define REJECTED_TIMEOUT_S 5.
 
+#define US_PER_S 1e6
+
 typedef union server_address
 {
   struct sockaddr any;
@@ -90,6 +96,7 @@
   server_address a;
   socklen_t size = server_address_parse (&a, text, options->port);
   int on = 1;
+  int buffer = RECEIVE_BUFFER_BYTES;
   int fd = -1;
 
   if (size == 0)
@@ -99,6 +106,9 @@
       goto out;
     }
   fd = socket (a.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  /* Connections inherit it.  */
+  if (fd >= 0)
+    (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
   if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0
       || bind (fd, &a.any, size) < 0 || listen (fd, MAX_LISTEN_BACKLOG) < 0
       || getsockname (fd, &a.any, &size) < 0)
@@ -163,6 +173,23 @@
   ev_timer_start (server->loop, &server->accept_pause);
 }
 
+/* Make room for another connection.  Returns false if there is none.  */
+static bool
+server_admit (mq_http_server *server)
+{
+  uint64_t now_us = (uint64_t)(ev_now (server->loop) * US_PER_S);
+
+  if (server->connections.length >= mq_http_server_connection_limit (server)
+      && !mq_resource_account_evict (server->account, server, now_us))
+    {
+      server->account->refusals++;
+      return false;
+    }
+  return mq_resource_account_admit (
+      server->account, mq_http_memory_connection_size (server->block), 1,
+      now_us);
+}
+
 /* Accept at most LIMIT pending connections.  */
 static void
 server_accept (mq_http_server *s, int limit)
@@ -179,7 +206,7 @@
           server_accept_failed (s, errno);
           return;
         }
-      if (s->connections.length >= mq_http_server_connection_limit (s))
+      if (!server_admit (s))
         {
           s->refused_connections++;
           close (fd);
@@ -286,6 +313,28 @@
     }
 }
 
+/* Log what the account of SERVER has evicted and refused since it was logged
+   last.  */
+static void
+server_log_evictions (mq_http_server *server)
+{
+  mq_resource_account *a = server->account;
+  uint64_t evictions = mq_resource_account_evictions (a);
+
+  if (evictions == server->logged_evictions
+      && a->refusals == server->logged_refusals)
+    return;
+  mq_log (G_LOG_LEVEL_WARNING, "http.evicted",
+          "port=%u evictions=%" G_GUINT64_FORMAT " refusals=%" G_GUINT64_FORMAT
+          " held=%zu limit=%zu large=%zu"
+          " connections=%u connections_limit=%u",
+          server->port, evictions - server->logged_evictions,
+          a->refusals - server->logged_refusals, a->held, a->memory, a->large,
+          a->held_files, a->files);
+  server->logged_evictions = evictions;
+  server->logged_refusals = a->refusals;
+}
+
 /* Returns true if the request of C has taken too long to arrive at NOW.  */
 static bool
 connection_is_overdue (const mq_http_server *server,
@@ -322,6 +371,7 @@
     }
   server_log_closed ("overdue", closed, unread, 0);
   server_close_outdated (s);
+  server_log_evictions (s);
 }
 
 static void
@@ -335,9 +385,11 @@
   (void)events;
   for (int i = 0; i < n; i++)
     {
-      const mq_http_connection *c = batch[i].data.ptr;
+      mq_http_connection *c = batch[i].data.ptr;
 
-      if (c->exchange != NULL)
+      if (batch[i].events == EPOLLIN)
+        mq_http_connection_note_unread (c);
+      else if (c->exchange != NULL)
         mq_http_exchange_on_disconnect (c->exchange);
     }
 }
@@ -454,6 +506,12 @@
                   ? options->memory
                   : mq_http_machine_memory () / MACHINE_MEMORY_DIVISOR;
   s->ignores_bodies = options->ignores_bodies;
+  s->account = options->account;
+  if (s->account == NULL)
+    {
+      mq_resource_account_init (&s->own_account, s->memory, 0);
+      s->account = &s->own_account;
+    }
   s->idle_s = options->idle_s;
   s->connection_limit = MQ_HTTP_MAX_CONNECTIONS;
   if (options->connections > 0)
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -76,7 +76,8 @@
   mq_http_connection *c = g_new0 (mq_http_connection, 1);
   const union MHD_ConnectionInfo *session
       = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_GNUTLS_SESSION);
-  struct epoll_event e = { .events = EPOLLRDHUP | EPOLLET, .data.ptr = c };
+  struct epoll_event e
+      = { .events = EPOLLIN | EPOLLRDHUP | EPOLLET, .data.ptr = c };
 
   c->shard = shard;
   c->link.data = c;
@@ -97,6 +98,7 @@
     mq_log (G_LOG_LEVEL_WARNING, "http.hangup-watch-failed", "errno=%d",
             errno);
   shard->n_connections++;
+  mq_http_connection_enter (c);
   *slot = c;
 }
 
@@ -106,6 +108,7 @@
   mq_http_connection *c = *slot;
 
   epoll_ctl (shard->server->hangup_fd, EPOLL_CTL_DEL, c->fd, NULL);
+  mq_http_connection_leave (c);
   shard->n_connections--;
   g_queue_unlink (&shard->server->connections, &c->link);
   mq_http_tls_unref (c->tls);
@@ -142,6 +145,7 @@
 
   c->exchange = x;
   g_queue_push_tail_link (&s->exchanges, &x->link);
+  mq_http_connection_account (c);
   return x;
 }
 
@@ -164,6 +168,7 @@
     mq_http_server_report (s, MQ_HTTP_SERVER_HEAD_REJECTED, x);
   x->connection->exchange = NULL;
   x->connection->since = ev_now (s->loop);
+  mq_http_connection_account (x->connection);
   g_queue_unlink (&s->exchanges, &x->link);
   mq_http_exchange_detach (x);
   if (code != MHD_REQUEST_TERMINATED_COMPLETED_OK)
@@ -192,14 +197,15 @@
                          exchange);
   mq_http_exchange_tell (exchange, exchange->status, "",
                          shard_rejection (exchange));
+  mq_http_connection_account (exchange->connection);
 }
 
 /* Returns true if the body of EXCHANGE is read for its sender's sake only.  */
 static bool
 shard_discards_body (const mq_http_exchange *exchange)
 {
-  return exchange->head_rejected || exchange->malformed
-         || exchange->over_limit;
+  return exchange->head_rejected || exchange->malformed || exchange->over_limit
+         || exchange->evicted;
 }
 
 static void
@@ -215,18 +221,26 @@
       return;
     }
   exchange->body_bytes += size;
-  if (!server->ignores_bodies)
+  if (!server->ignores_bodies
+      && mq_http_connection_make_room (exchange->connection, size))
     g_string_append_len (exchange->body, data, (gssize)size);
 }
 
 /* Returns true if the caller of EXCHANGE has closed its connection, or its
-   sending side.  The event that tells so may still be due.  */
+   sending side.  The event that tells so may still be due.  Notes what has
+   arrived behind the request.  */
 static bool
 shard_caller_has_left (const mq_http_exchange *exchange)
 {
-  struct pollfd p = { .fd = exchange->connection->fd, .events = POLLRDHUP };
+  struct pollfd p
+      = { .fd = exchange->connection->fd, .events = POLLIN | POLLRDHUP };
 
-  return poll (&p, 1, 0) > 0;
+  if (poll (&p, 1, 0) <= 0)
+    return false;
+  if (p.revents != POLLIN)
+    return true;
+  mq_http_connection_note_unread (exchange->connection);
+  return false;
 }
 
 /* The complete request has arrived, or a head that is malformed: report it, or
@@ -237,6 +251,7 @@
 shard_handle_request (mq_http_server *server, mq_http_exchange *exchange)
 {
   exchange->phase = MQ_HTTP_PHASE_WAITING;
+  mq_http_connection_account (exchange->connection);
   if (exchange->head_rejected)
     mq_http_exchange_reject (exchange,
                              MHD_HTTP_REQUEST_HEADER_FIELDS_TOO_LARGE,
@@ -370,7 +385,7 @@
       *size = 0;
       return x->discarded > MAX_DISCARDED_BYTES ? MHD_NO : MHD_YES;
     }
-  if (x->told)
+  if (x->told || x->evicted)
     return MHD_NO;
   if (x->phase == MQ_HTTP_PHASE_BODY)
     shard_handle_request (s, x);
--- a/programs/marjoramquay/main.c
+++ b/programs/marjoramquay/main.c
@@ -8,6 +8,7 @@
 #include <ev.h>
 #include <glib.h>
 #include <locale.h>
+#include <malloc.h>
 #include <mq/gateway_settings.h>
 #include <mq/log.h>
 #include <mq/settings.h>
@@ -22,6 +23,13 @@
 #include "gateway_mode.h"
 
 #define EXIT_USAGE 2
+
+/* Buffers from this size on are mapped, and returned to the system when they
+   are freed, whatever is allocated after them.  glibc would raise the size by
+   itself.  */
+#define MAPPED_BUFFER_BYTES (256 * 1024)
+/* Unused memory at the end of the heap that is kept.  */
+#define MAX_UNUSED_HEAP_BYTES (1024 * 1024)
 #define SETTINGS_VARIABLE "MQ_SETTINGS"
 
 typedef struct command_line
@@ -210,6 +218,8 @@
 
   (void)setlocale (LC_ALL, "C.UTF-8");
   (void)signal (SIGPIPE, SIG_IGN);
+  (void)mallopt (M_MMAP_THRESHOLD, MAPPED_BUFFER_BYTES);
+  (void)mallopt (M_TRIM_THRESHOLD, MAX_UNUSED_HEAP_BYTES);
   if (sodium_init () < 0)
     return EXIT_FAILURE;
   if (command_line_parse (&line, &argc, &argv) < 0)
--- a/programs/marjoramquay/routes.c
+++ b/programs/marjoramquay/routes.c
@@ -138,6 +138,9 @@
     case MQ_HTTP_SERVER_BODY_REJECTED:
       log_refused_body (event->exchange, "body-too-large");
       break;
+    case MQ_HTTP_SERVER_EVICTED:
+      log_refused_body (event->exchange, "no-memory");
+      break;
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       log_rejected_head (event->exchange);
       break;
--- a/programs/mqctl/explain_log.c
+++ b/programs/mqctl/explain_log.c
@@ -94,6 +94,11 @@
   { "unknown-key", "no organisation in that version has its key",
     "compare version with the one that added or removed the key" },
   { "body-too-large", "the body exceeds the configured limit", "nothing" },
+  { "no-memory",
+    "the router held as much for clients as its memory allows, and closed "
+    "what held most for longest",
+    "http.evicted and marjoramquay_held_bytes show how much; look for clients "
+    "that do not finish their requests, or raise memory_mb" },
   { "draining", "the router was shutting down",
     "nothing: other routers serve" },
   { "deadline", "the deadline of the client or of the route had passed",
--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -102,6 +102,7 @@
           t->on_disconnect (event->exchange);
         break;
       case MQ_HTTP_SERVER_BODY_REJECTED:
+      case MQ_HTTP_SERVER_EVICTED:
       case MQ_HTTP_SERVER_HEAD_REJECTED:
         t->rejected_heads++;
         break;
--- a/tools/bench/relay/relay.c
+++ b/tools/bench/relay/relay.c
@@ -149,6 +149,7 @@
       break;
     case MQ_HTTP_SERVER_DRAINED:
     case MQ_HTTP_SERVER_BODY_REJECTED:
+    case MQ_HTTP_SERVER_EVICTED:
     case MQ_HTTP_SERVER_HEAD_REJECTED:
       break;
     }
