--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -87,7 +87,9 @@
                                 call.  NULL: none.  */
   const char *not_run; /* Header by which an upstream states that it did not
                           run the request; outlives the call.  NULL: none.  */
-  mq_span body;        /* Copied.  */
+  mq_span body;        /* Copied, unless BODY_STAYS.  */
+  bool body_stays;     /* BODY is valid until END is reported or the call is
+                          cancelled.  */
   mq_span tunnel;      /* IP:PORT of a tunnel server (mq/tunnel_server.h) that
                           the call goes through; empty: none.  */
   uint64_t connect_ms; /* 0 means 1000.  */
--- a/include/mq/plain_call.h
+++ b/include/mq/plain_call.h
@@ -52,7 +52,7 @@
   mq_span request;               /* Request id as text.  */
   const mq_http_header *headers; /* Headers of the caller to forward.  */
   size_t n_headers;
-  mq_span body;
+  mq_span body;         /* Valid as long as the call.  */
   uint64_t deadline_us; /* Time left.  */
   size_t body_limit;    /* Bytes of the response.  */
 } mq_plain_call_options;
--- a/packages/gateway/gateway_send.c
+++ b/packages/gateway/gateway_send.c
@@ -150,6 +150,7 @@
                              .url = mq_span_from (url),
                              .target = mq_span_from (target),
                              .body = mq_http_exchange_body (f->exchange),
+                             .body_stays = true,
                              .connect_ms = CONNECT_TIMEOUT_MS,
                              .streamed = f->route->kind == MQ_ROUTE_STREAM,
                              .no_resend = true,
--- a/packages/net/http_request.c
+++ b/packages/net/http_request.c
@@ -72,11 +72,14 @@
 }
 
 static void
-request_set_body (CURL *easy, mq_span body)
+request_set_body (CURL *easy, const mq_http_call_options *options)
 {
+  mq_span body = options->body;
+
   curl_easy_setopt (easy, CURLOPT_POSTFIELDSIZE_LARGE, (curl_off_t)body.size);
-  curl_easy_setopt (easy, CURLOPT_COPYPOSTFIELDS,
-                    body.size == 0 ? "" : body.data);
+  curl_easy_setopt (
+      easy, options->body_stays ? CURLOPT_POSTFIELDS : CURLOPT_COPYPOSTFIELDS,
+      body.size == 0 ? "" : body.data);
 }
 
 /* Returns true for a method whose requests usually have no body.  */
@@ -101,7 +104,7 @@
       return;
     }
   if (options->body.size > 0 || !request_method_omits_body (method))
-    request_set_body (easy, options->body);
+    request_set_body (easy, options);
   curl_easy_setopt (easy, CURLOPT_CUSTOMREQUEST, method);
   g_free (method);
 }
