net, gateway: clients that don't read their streams hold little each

What callers saw: 200 clients that don't read their streams took 191 MiB of a machine of 64. Cause: beside the queue of 256 KiB, which the account counts, three buffers kept their size once they had been full: the piece that a call reports, the events that wait to be split, and what the system receives from the upstream while nothing is read. Change: buffers over 16 KiB are freed when they are empty, the queue ends at 64 KiB, the receive buffer of upstreams' connections is fixed, and a paused call counts for what may still arrive.

--- a/include/mq/http_client.h
+++ b/include/mq/http_client.h
@@ -21,6 +21,10 @@
 typedef struct mq_http_client mq_http_client;
 typedef struct mq_http_call mq_http_call;
 
+/* What may wait of a response in this process while its call is paused, in
+   bytes: unreported, and received by the system and not yet read.  */
+#define MQ_HTTP_MAX_PAUSED_BYTES ((size_t)192 * 1024)
+
 typedef enum mq_http_client_event_kind
 {
   MQ_HTTP_CLIENT_HEADERS, /* Status and all headers have arrived.  */
--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -80,7 +80,7 @@
 #define MQ_HTTP_MAX_HEAD_BYTES ((size_t)256 * 1024)
 
 /* The producer of a stream should pause while more than this is queued.  */
-#define MQ_HTTP_STREAM_HIGH_WATER_BYTES ((size_t)256 * 1024)
+#define MQ_HTTP_STREAM_HIGH_WATER_BYTES ((size_t)64 * 1024)
 
 typedef struct mq_http_server_options
 {
@@ -193,6 +193,10 @@
    MQ_HTTP_SERVER_BODY_REJECTED is reported.  */
 void mq_http_exchange_set_rejection (mq_http_exchange *exchange,
                                      unsigned status);
+/* The user holds BYTES of an upstream's response for the exchange, which its
+   caller is slow to read.  */
+void mq_http_exchange_set_upstream_bytes (mq_http_exchange *exchange,
+                                          size_t bytes);
 /* A pointer for the user's own state, initially NULL.  */
 void mq_http_exchange_set_user (mq_http_exchange *exchange, void *user);
 void *mq_http_exchange_user (const mq_http_exchange *exchange);
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -77,8 +77,9 @@
   mq_span query_string;
   mq_span peer;
   GString *body;
-  size_t body_bytes;  /* That have arrived of it.  */
-  size_t reply_bytes; /* Of a complete reply, which libmicrohttpd holds.  */
+  size_t body_bytes;     /* That have arrived of it.  */
+  size_t reply_bytes;    /* Of a complete reply, which libmicrohttpd holds.  */
+  size_t upstream_bytes; /* See mq_http_exchange_set_upstream_bytes.  */
   ev_tstamp told_at;
   size_t discarded;       /* Bytes of the body of a rejected request that were
                              discarded.  */
--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -602,6 +602,7 @@
     return;
   forward->received_us = mq_gateway_now_us ();
   mq_http_call_pause (forward->call, false);
+  mq_http_exchange_set_upstream_bytes (forward->exchange, 0);
 }
 
 void
--- a/packages/gateway/gateway_response.c
+++ b/packages/gateway/gateway_response.c
@@ -268,7 +268,11 @@
   stream_release (forward);
   if (mq_http_exchange_write (forward->exchange, event)
       >= MQ_HTTP_STREAM_HIGH_WATER_BYTES)
-    mq_http_call_pause (forward->call, true);
+    {
+      mq_http_call_pause (forward->call, true);
+      mq_http_exchange_set_upstream_bytes (forward->exchange,
+                                           MQ_HTTP_MAX_PAUSED_BYTES);
+    }
   return 0;
 }
 
--- a/packages/net/http_client.c
+++ b/packages/net/http_client.c
@@ -40,8 +40,13 @@
 #include <unistd.h>
 
 #define DEFAULT_MAX_BODY_BYTES ((size_t)1024 * 1024)
+/* A reported body with more allocated memory than this is freed.  */
+#define MAX_KEPT_BODY_BYTES ((size_t)16 * 1024)
 /* Bytes of a streamed body that are read before they are reported.  */
 #define MAX_UNREPORTED_BYTES ((size_t)64 * 1024)
+/* Of a connection: what the system receives of a response before it is read.
+ */
+#define RECEIVE_BUFFER_BYTES (64 * 1024)
 /* Bytes of its body that a call may hold even where there is no room.  */
 #define OWN_ROOM_BYTES ((size_t)64 * 1024)
 
@@ -361,10 +366,14 @@
                     struct curl_sockaddr *address)
 {
   mq_http_call *call = context;
+  int size = RECEIVE_BUFFER_BYTES;
 
   (void)purpose;
   call->fd = socket (address->family, address->socktype | SOCK_CLOEXEC,
                      address->protocol);
+  /* The system doubles it for its own needs.  */
+  if (call->fd >= 0)
+    (void)setsockopt (call->fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
   return call->fd;
 }
 
@@ -546,6 +555,10 @@
     }
   call->sink (call->context, event);
   g_string_truncate (body, 0);
+  if (body->allocated_len <= MAX_KEPT_BODY_BYTES)
+    return;
+  g_string_free (body, TRUE);
+  c->spare_body = g_string_new (NULL);
 }
 
 /* Report the next event of CALL.  */
--- a/packages/net/http_holding.c
+++ b/packages/net/http_holding.c
@@ -56,7 +56,7 @@
   if (x == NULL || x->evicted)
     return 0;
   return buffer_cost (body) + buffer_cost (exchange_queued (x))
-         + x->reply_bytes + connection->unread;
+         + x->reply_bytes + x->upstream_bytes + connection->unread;
 }
 
 static mq_resource_state
@@ -191,3 +191,13 @@
   connection->unread = (size_t)n;
   mq_http_connection_account (connection);
 }
+
+void
+mq_http_exchange_set_upstream_bytes (mq_http_exchange *exchange, size_t bytes)
+{
+  if (exchange->upstream_bytes == bytes)
+    return;
+  exchange->upstream_bytes = bytes;
+  if (exchange->connection != NULL)
+    mq_http_connection_account (exchange->connection);
+}
--- a/packages/route/event_split.c
+++ b/packages/route/event_split.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define ID_FIELD "id:"
+/* A buffer with no more memory than this keeps it.  */
+#define MAX_KEPT_BYTES ((size_t)16 * 1024)
 
 void
 mq_event_split_init (mq_event_split *split, uint64_t last_id)
@@ -98,6 +100,21 @@
                     split->bytes->len - split->taken };
 }
 
+/* Free the memory that the buffer has for more than what is left in it.  */
+static void
+split_compact (mq_event_split *split)
+{
+  GString *bytes = split->bytes;
+  mq_span rest = mq_event_split_rest (split);
+
+  if (bytes->allocated_len <= MAX_KEPT_BYTES
+      || rest.size > bytes->allocated_len / 2)
+    return;
+  split->bytes = g_string_new_len (rest.data, (gssize)rest.size);
+  split->taken = 0;
+  g_string_free (bytes, TRUE);
+}
+
 mq_event_result
 mq_event_split_next (mq_event_split *split, mq_span *event)
 {
@@ -105,8 +122,13 @@
   size_t n = event_size (rest);
   uint64_t id;
 
+  if (n == 0 && rest.size > MQ_EVENT_MAX_BYTES)
+    return MQ_EVENT_FAULT;
   if (n == 0)
-    return rest.size > MQ_EVENT_MAX_BYTES ? MQ_EVENT_FAULT : MQ_EVENT_NONE;
+    {
+      split_compact (split);
+      return MQ_EVENT_NONE;
+    }
   *event = (mq_span){ rest.data, n };
   if (event_id (*event, &id))
     {
