net: a line before a chunk without an end causes no busy loop

What was seen: one client that sends a chunk line of 200,000 bytes and stays took the whole processor until its connection timed out, also after it had left. Change: a shard that is due at once 16 times in a row looks for connections on which bytes wait that it hasn't read since the last look, answers 400 and shuts them down, which libmicrohttpd notices.

--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -45,6 +45,9 @@
   mq_resource_holder holder; /* What it takes of the server's account.  */
   size_t unread; /* Bytes that arrived behind a request in progress, as last
                     seen.  */
+  size_t stalled_unread; /* Bytes that waited to be read, and those read of the
+                            body, at the last check whether it is read.  */
+  size_t stalled_read;
   char peer[64];
 } mq_http_connection;
 
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -16,14 +16,18 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* libmicrohttpd fills the buffer of a resumed connection in one run and sends
    it in the next.  */
 #define MAX_CONSECUTIVE_RUNS 2
 
-/* An oversized body is read up to this size, so that its sender receives the
-   413; then the connection is closed.  */
+/* After so many runs that each left work, connections may be stalled.  */
+#define MAX_IMMEDIATE_RUNS 16
+
+/* The body of a rejected request is read up to this size, so that its sender
+   receives the response; then the connection is closed.  */
 #define MAX_DISCARDED_BYTES ((size_t)64 * 1024 * 1024)
 
 #define TOO_LARGE_HEAD                                                        \
@@ -522,6 +526,58 @@
   g_queue_push_tail_link (&shard->server->due, &shard->due_link);
 }
 
+/* Returns true if libmicrohttpd has read nothing of the request of C since the
+   last call, though bytes wait.  */
+static bool
+connection_is_stalled (mq_http_connection *c)
+{
+  const mq_http_exchange *x = c->exchange;
+  size_t before_unread = c->stalled_unread;
+  size_t before_read = c->stalled_read;
+  int n = 0;
+
+  if (x == NULL || x->phase != MQ_HTTP_PHASE_BODY
+      || ioctl (c->fd, FIONREAD, &n) < 0)
+    n = 0;
+  c->stalled_unread = (size_t)n;
+  c->stalled_read = n > 0 ? x->body_bytes + x->discarded : 0;
+  return n > 0 && c->stalled_unread == before_unread
+         && c->stalled_read == before_read;
+}
+
+/* Close the connections whose request libmicrohttpd can't read on, as the line
+   before a chunk doesn't fit into their block.  It would try so again and
+   again until they time out.  */
+static void
+shard_close_stalled (mq_http_shard *shard)
+{
+  for (GList *l = shard->server->connections.head; l != NULL; l = l->next)
+    {
+      mq_http_connection *c = l->data;
+
+      if (c->shard != shard || !connection_is_stalled (c))
+        continue;
+      c->exchange->malformed = true;
+      mq_http_exchange_tell (c->exchange, MHD_HTTP_BAD_REQUEST, "",
+                             MQ_SPAN (MALFORMED_HEAD));
+      mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
+                             c->exchange);
+      shutdown (c->fd, SHUT_RDWR);
+    }
+}
+
+/* SHARD has run.  Check whether its connections are read if it is DUE again at
+   once too often.  */
+static void
+shard_note_run (mq_http_shard *shard, bool due)
+{
+  shard->immediate_runs = due ? shard->immediate_runs + 1 : 0;
+  if (shard->immediate_runs < MAX_IMMEDIATE_RUNS)
+    return;
+  shard->immediate_runs = 0;
+  shard_close_stalled (shard);
+}
+
 void
 mq_http_shard_run (mq_http_shard *shard)
 {
@@ -535,6 +591,7 @@
       has_timeout = MHD_get_timeout (shard->daemon, &ms) == MHD_YES;
     }
   ev_timer_stop (loop, &shard->timer);
+  shard_note_run (shard, has_timeout && ms == 0);
   if (!has_timeout)
     return;
   ev_timer_set (&shard->timer, (ev_tstamp)ms / 1000., 0.);
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -814,6 +814,34 @@
   EXPECT_EQ (got.find ("HTTP/1.1 413"), 0u) << got;
 }
 
+/* A line before a chunk that doesn't fit into the memory of the connection:
+   the server doesn't try to read it again and again.  */
+TEST_F (HttpRaw, EndlessChunkLineCausesNoBusyLoop)
+{
+  for (const std::string filler : { "1;", "0" })
+    {
+      Socket s = Socket::connected (mq_http_server_port (server));
+      std::string bytes
+          = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + filler + std::string (200000, filler == "0" ? '0' : 'x');
+      size_t sent = 0;
+      bool closed = false;
+      unsigned turns = 0;
+
+      on_request = [] (mq_http_exchange *) { FAIL (); };
+      /* Each turn of the loop that has nothing to wait for counts.  */
+      ASSERT_TRUE (until ([&] {
+        ssize_t n = send (s.fd, bytes.data () + sent, bytes.size () - sent,
+                          MSG_NOSIGNAL);
+
+        sent += n > 0 ? (size_t)n : 0;
+        s.read (&closed);
+        return closed || ++turns > 1000;
+      }));
+      EXPECT_TRUE (closed);
+    }
+}
+
 /* A body over the limit is rejected while it is still arriving, and nothing of
    it is kept.  */
 TEST_F (HttpRaw, RejectsAnOversizedBodyWhileItArrives)
