net, gateway: headerTimeoutMs and idleTimeoutMs are in force

What was seen: both were decoded and used nowhere; silent connections and half a head stayed for 40 s, whatever the configuration says. Without them, and for bodies, nothing changes. Http.ClosesConnectionsAfterItsTimeouts asks for both.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -143,6 +143,11 @@
 /* Sets the limit of a body to BYTES, also for requests that are arriving.  */
 void mq_http_server_set_body_limit (mq_http_server *server, size_t bytes);
 
+/* Sets after how many ms a connection is closed on which a head has begun to
+   arrive, and one that is idle; 0: as at first, by IDLE_S of the options.  */
+void mq_http_server_set_timeouts (mq_http_server *server, uint64_t head_ms,
+                                  uint64_t idle_ms);
+
 /* Reads the certificate and key again for use by new connections.  Returns 0,
    or -1 with ERROR set; the previous ones then stay in use.  */
 int mq_http_server_reload_tls (mq_http_server *server, GError **error);
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -57,6 +57,8 @@
   char *pem_key;
   mq_http_tls *tls; /* For new connections; one reference, or NULL.  */
   unsigned idle_s;
+  ev_tstamp head_timeout_s; /* Of the head of a request; 0: by IDLE_S.  */
+  ev_tstamp idle_timeout_s; /* Of a connection without one; 0: likewise.  */
   unsigned connection_limit;
   uint64_t refused_connections; /* Closed unread at the limit.  */
   mq_resource_account *account; /* Borrowed, or OWN_ACCOUNT.  */
--- a/packages/gateway/gateway.c
+++ b/packages/gateway/gateway.c
@@ -239,6 +239,7 @@
                     : MAX_BODY_BYTES;
 
   mq_http_server_set_body_limit (server, body);
+  mq_http_server_set_timeouts (server, limits->header_ms, limits->idle_ms);
 }
 
 void
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -242,6 +242,7 @@
   x->connection = connection;
   x->mhd = mhd;
   x->link.data = x;
+  x->started = ev_now (x->server->loop);
   x->text = g_string_chunk_new (TEXT_CHUNK_BYTES);
   x->headers = g_array_new (FALSE, FALSE, sizeof (mq_http_header));
   x->query = g_array_new (FALSE, FALSE, sizeof (mq_http_header));
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -51,6 +51,7 @@
 #define REJECTED_TIMEOUT_S 5.
 
 #define US_PER_S 1e6
+#define MS_PER_S 1000.
 
 typedef union server_address
 {
@@ -346,6 +347,11 @@
     return now - x->told_at > REJECTED_TIMEOUT_S;
   if (x != NULL && x->phase > MQ_HTTP_PHASE_BODY)
     return false;
+  if (x == NULL && server->idle_timeout_s > 0)
+    return now - c->since > server->idle_timeout_s;
+  if (x != NULL && x->phase == MQ_HTTP_PHASE_HEAD
+      && server->head_timeout_s > 0)
+    return now - x->started > server->head_timeout_s;
   return now - c->since > (ev_tstamp)REQUEST_TIMEOUT_FACTOR * server->idle_s;
 }
 
@@ -612,6 +618,14 @@
   server->body_limit = bytes;
 }
 
+void
+mq_http_server_set_timeouts (mq_http_server *server, uint64_t head_ms,
+                             uint64_t idle_ms)
+{
+  server->head_timeout_s = (ev_tstamp)head_ms / MS_PER_S;
+  server->idle_timeout_s = (ev_tstamp)idle_ms / MS_PER_S;
+}
+
 int
 mq_http_server_reload_tls (mq_http_server *server, GError **error)
 {
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -860,6 +860,25 @@
   EXPECT_EQ (sent.find ("HTTP/1.1 413"), 0u) << sent;
 }
 
+TEST_F (Http, ClosesConnectionsAfterItsTimeouts)
+{
+  bool idle_closed = false, head_closed = false, body_closed = false;
+
+  mq_http_server_set_timeouts (server, 300, 600);
+  Socket idle = Socket::connected (mq_http_server_port (server));
+  Socket head = Socket::connected (mq_http_server_port (server));
+  Socket body = Socket::connected (mq_http_server_port (server));
+  head.write ("GET / HTTP/1.1\r\nHost: x\r\n");
+  body.write ("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n123");
+  EXPECT_TRUE (until ([&] {
+    idle.read (&idle_closed);
+    head.read (&head_closed);
+    body.read (&body_closed);
+    return idle_closed && head_closed;
+  }));
+  EXPECT_FALSE (body_closed);
+}
+
 TEST_F (HttpRaw, ReassemblesAChunkedBody)
 {
   on_request = [] (mq_http_exchange *x) {
