marjoramquay: native mode has a memory, and the same account

What callers saw: in native mode 60 bodies without their last chunk took 250 MiB, and nothing could bound it: there was no setting, and half of the machine's memory was for connections' blocks alone.

--- a/include/mq/settings.h
+++ b/include/mq/settings.h
@@ -42,6 +42,7 @@
   mq_str *log_level;
   /* Limits.  */
   size_t body_bytes; /* Of a request and of a plain service's response.  */
+  size_t memory;     /* Of the process; 0: as much as the machine has.  */
   uint32_t requests; /* In flight in this process.  */
   uint32_t idle_s;   /* Timeout of an incomplete request.  */
   /* Paths of key files; each may be NULL.  */
--- a/packages/config/settings.c
+++ b/packages/config/settings.c
@@ -10,6 +10,8 @@
 #define DEFAULT_IDLE_S 30
 #define MAX_BODY_BYTES ((size_t)64 * 1024 * 1024)
 #define MAX_REQUESTS 100000
+#define MAX_MEMORY_MB ((uint64_t)1 << 24)
+#define BYTES_PER_MB ((size_t)1024 * 1024)
 #define MAX_IDLE_S 3600
 #define SHA256_HEX_DIGITS 64
 
@@ -137,6 +139,8 @@
                                       MAX_BODY_BYTES, DEFAULT_BODY_BYTES);
   settings->requests = (uint32_t)mq_json_u64 (&object, "requests", 1,
                                               MAX_REQUESTS, DEFAULT_REQUESTS);
+  settings->memory
+      = mq_json_u64 (&object, "memory_mb", 0, MAX_MEMORY_MB, 0) * BYTES_PER_MB;
   settings->idle_s = (uint32_t)mq_json_u64 (&object, "idle_s", 1, MAX_IDLE_S,
                                             DEFAULT_IDLE_S);
   mq_json_reject_unknown (&object);
--- a/programs/marjoramquay/router.c
+++ b/programs/marjoramquay/router.c
@@ -28,6 +28,10 @@
    bits, so that routers that start at the same time differ.  */
 #define INCARNATION_RANDOM_BITS 22
 #define PLATFORM_TIMEOUT_MS 2000
+/* The parts of the memory that may be held for callers, and that bodies of
+   responses may take.  */
+#define HELD_MEMORY_DIVISOR 2
+#define BODY_MEMORY_DIVISOR 16
 
 uint64_t
 mq_router_now_us (void)
@@ -66,14 +70,20 @@
 server_open (mq_router *router, GError **error)
 {
   const mq_settings *s = router->settings;
+  size_t memory = s->memory > 0 ? s->memory : mq_http_machine_memory ();
   mq_http_server_options options
       = { .address = mq_str_span (s->callers.address),
           .port = s->callers.port,
           .body_limit = s->body_bytes,
           .idle_s = s->idle_s,
+          .memory = memory / HELD_MEMORY_DIVISOR,
+          .account = &router->account,
           .certificate = mq_str_span (s->tls_certificate),
           .key = mq_str_span (s->tls_key) };
 
+  mq_resource_account_init (&router->account, options.memory, 0);
+  mq_http_client_set_body_room (router->client, memory / BODY_MEMORY_DIVISOR);
+  mq_http_client_set_account (router->client, &router->account);
   router->server = mq_http_server_new (router->loop, &options,
                                        mq_routes_on_http, router, error);
   if (router->server == NULL)
--- a/programs/marjoramquay/router.h
+++ b/programs/marjoramquay/router.h
@@ -81,6 +81,7 @@
   mq_ticker entry_tick;
   ev_timer planner_tick;
 
+  mq_resource_account account; /* What is held for callers.  */
   mq_http_server *server;
   mq_http_client *client;
   mq_platform *platform;
