net: out of descriptors, idle connections make room

What was seen: where the system gives the process fewer descriptors than max_files says, or max_files is not set, a crowd of silent connections kept ordinary clients out: accepting stopped for 0.1 s, again and again, and nothing was closed. Cause: the limit that holds is the system's, which the account doesn't know. Change: a failure for want of descriptors or memory evicts 16 connections that wait for their clients, which leaves some for the request of the next one.

--- a/include/mq/resource_account.h
+++ b/include/mq/resource_account.h
@@ -81,7 +81,8 @@
 bool mq_resource_account_admit (mq_resource_account *account, size_t fixed,
                                 unsigned files, uint64_t now_us);
 
-/* Evict the holder of GROUP that comes first.  Returns false if there is none.
+/* Evict the holder of GROUP, or of all if that is NULL, that comes first.
+   Returns false if there is none.
  */
 bool mq_resource_account_evict (mq_resource_account *account,
                                 const void *group, uint64_t now_us);
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -35,6 +35,8 @@
 
 /* Pause in accepting when the process is out of descriptors.  */
 #define ACCEPT_PAUSE_S 0.1
+/* Connections that are closed then.  */
+#define EVICTIONS_PER_FAILURE 16
 
 /* Runs of shards before the loop handles other events again.  */
 #define MAX_RUNS_PER_ITERATION 1024
@@ -161,14 +163,23 @@
   return best;
 }
 
+/* A connection waits, but can't be accepted because of ERROR, an errno.  If
+   the system is out of descriptors or memory, close some that wait for their
+   clients: the new one and what its request needs take their place.  */
 static void
 server_accept_failed (mq_http_server *server, int error)
 {
+  uint64_t now_us = (uint64_t)(ev_now (server->loop) * US_PER_S);
+
   if (error != EMFILE && error != ENFILE && error != ENOBUFS
       && error != ENOMEM)
     return;
   mq_log (G_LOG_LEVEL_WARNING, "http.accept-failed", "errno=%d connections=%u",
           error, server->connections.length);
+  for (int i = 0; i < EVICTIONS_PER_FAILURE
+                  && mq_resource_account_evict (server->account, NULL, now_us);
+       i++)
+    ;
   ev_io_stop (server->loop, &server->listen);
   ev_timer_set (&server->accept_pause, ACCEPT_PAUSE_S, 0.);
   ev_timer_start (server->loop, &server->accept_pause);
--- a/tests/test_crowd_bodies.cc
+++ b/tests/test_crowd_bodies.cc
@@ -115,6 +115,22 @@
   expect_sound ();
 }
 
+/* A drain ends although a crowd doesn't finish its requests.  */
+TEST_F (CrowdOfBodies, WhileRouterDrains)
+{
+  start_small (64, limit);
+  join (30, clients_port, crowd_chunks ("/safe/x", chunk, 8));
+  send_all ();
+  process->signal (SIGTERM);
+  join (30, clients_port, crowd_chunks ("/safe/x", chunk, chunks));
+  send_all ();
+  EXPECT_TRUE (until ([&] {
+    usage->sample ();
+    return process->has_ended ();
+  }));
+  EXPECT_LT (usage->peak_bytes (), memory_mb * mib);
+}
+
 TEST_F (CrowdOfBodies, InAllFormsAtOnce)
 {
   start_small (64, limit);
--- a/tests/test_crowd_connections.cc
+++ b/tests/test_crowd_connections.cc
@@ -4,6 +4,8 @@
 
 #include "support/crowd.h"
 
+#include <sys/resource.h>
+
 using gateway::crowd_head;
 using gateway::crowd_length;
 using gateway::Sending;
@@ -78,6 +80,18 @@
   expect_sound ();
 }
 
+/* The system gives the process fewer descriptors than its settings say.  */
+TEST_F (CrowdOfConnections, ThatLeaveNoDescriptors)
+{
+  start_small (64, limit);
+  usage->sample ();
+  rlimit few = { usage->peak_files () + 60, usage->peak_files () + 60 };
+  ASSERT_EQ (prlimit (process->pid (), RLIMIT_NOFILE, &few, nullptr), 0);
+  join (200, clients_port, {});
+  send_all ();
+  expect_sound ();
+}
+
 TEST_F (CrowdOfConnections, ThatSendOnBehindRequest)
 {
   Sending s = crowd_length ("/hold/x", 0, 0);
