net: an evicted response never ends as whole, and each refusal counts once

Found by reading, without a failing test: after the queue of an ended stream was evicted, the reader of its content could have written the last chunk before the connection was closed, had the socket not been shut down; it ends with an error now. A request that was rejected for its head or body and then evicted, or found stalled, was counted and logged a second time. The comment of mq_gateway_is_ready is back where it belongs.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -431,12 +431,12 @@
 double mq_gateway_cluster_load_ratio (mq_gateway *gateway,
                                       const mq_route_service *service,
                                       uint64_t now_us);
-/* Returns true when the gateway serves and knows both its configuration and
-   the list of upstreams.  */
 /* Has all ports keep the LIMITS of a configuration.  */
 void mq_gateway_set_limits (mq_gateway *gateway,
                             const mq_route_limits *limits);
 
+/* Returns true when the gateway serves and knows both its configuration and
+   the list of upstreams.  */
 bool mq_gateway_is_ready (const mq_gateway *gateway);
 
 /* ---- gateway_listeners.c  */
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -192,7 +192,8 @@
   size_t n = MIN (max, exchange_queued (x));
 
   (void)position;
-  if (x->phase == MQ_HTTP_PHASE_ABORTED)
+  /* What was evicted of a response is missing.  */
+  if (x->phase == MQ_HTTP_PHASE_ABORTED || x->evicted)
     return MHD_CONTENT_READER_END_WITH_ERROR;
   if (n == 0 && x->phase == MQ_HTTP_PHASE_ENDED)
     return MHD_CONTENT_READER_END_OF_STREAM;
--- a/packages/net/http_holding.c
+++ b/packages/net/http_holding.c
@@ -94,12 +94,21 @@
   *buffer = g_string_new (NULL);
 }
 
+/* Returns true if the request of EXCHANGE was rejected while it arrived.  */
+static bool
+exchange_is_rejected (const mq_http_exchange *exchange)
+{
+  return exchange->head_rejected || exchange->malformed
+         || exchange->over_limit;
+}
+
 /* Give up what EXCHANGE holds.  Its body stays once it was reported.  */
 static void
 exchange_evict (mq_http_exchange *exchange)
 {
   exchange->evicted = true;
-  if (exchange->phase <= MQ_HTTP_PHASE_BODY)
+  if (exchange->phase <= MQ_HTTP_PHASE_BODY
+      && !exchange_is_rejected (exchange))
     {
       exchange_drop_buffer (&exchange->body);
       mq_http_exchange_tell (exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -557,11 +557,14 @@
 
       if (c->shard != shard || !connection_is_stalled (c))
         continue;
-      c->exchange->malformed = true;
-      mq_http_exchange_tell (c->exchange, MHD_HTTP_BAD_REQUEST, "",
-                             MQ_SPAN (MALFORMED_HEAD));
-      mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
-                             c->exchange);
+      if (!shard_discards_body (c->exchange))
+        {
+          c->exchange->malformed = true;
+          mq_http_exchange_tell (c->exchange, MHD_HTTP_BAD_REQUEST, "",
+                                 MQ_SPAN (MALFORMED_HEAD));
+          mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
+                                 c->exchange);
+        }
       shutdown (c->fd, SHUT_RDWR);
     }
 }
