net: names of the account in the terms of the field

A rejection that is written past libmicrohttpd is sent, not told; the account reclaims memory; the connections' accounting is named for it. No change of behaviour: the objects differ in names alone.

--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -64,13 +64,13 @@
   GList link;                     /* In the server's list.  */
   void *user;
   bool suspended;
-  bool over_limit;    /* The body exceeds the limit.  */
-  bool head_rejected; /* The head does.  */
-  bool malformed;     /* The headers are.  */
-  bool told;          /* A rejection was written to the connection, past
-                         libmicrohttpd.  */
-  bool evicted;       /* What it held was given up; nothing more is held.  */
-  bool drain_due;     /* Report DRAINED when the queue has shrunk.  */
+  bool over_limit;     /* The body exceeds the limit.  */
+  bool head_rejected;  /* The head does.  */
+  bool malformed;      /* The headers are.  */
+  bool rejection_sent; /* A rejection was written to the connection, past
+                   libmicrohttpd.  */
+  bool evicted;        /* What it held was given up; nothing more is held.  */
+  bool drain_due;      /* Report DRAINED when the queue has shrunk.  */
 
   GStringChunk *text; /* Storage of the spans below.  */
   GArray *headers;    /* mq_http_header.  */
@@ -83,7 +83,7 @@
   size_t body_bytes;     /* That have arrived of it.  */
   size_t reply_bytes;    /* Of a complete reply, which libmicrohttpd holds.  */
   size_t upstream_bytes; /* See mq_http_exchange_set_upstream_bytes.  */
-  ev_tstamp told_at;
+  ev_tstamp rejection_sent_at;
   ev_tstamp started;      /* The request line had arrived.  */
   size_t discarded;       /* Bytes of the body of a rejected request that were
                              discarded.  */
@@ -114,7 +114,7 @@
 void mq_http_exchange_reject (mq_http_exchange *exchange, unsigned status,
                               mq_span body);
 
-/* In http_holding.c: what CONNECTION holds.
+/* In http_accounting.c: what CONNECTION holds.
 
    Enters CONNECTION, of which SHARD and FD are set, into the account of its
    server, and takes it out.  */
@@ -133,8 +133,9 @@
 /* In http_shard.c: writes a complete response with STATUS, HEADERS (lines) and
    BODY, JSON text or empty, past libmicrohttpd, unless that isn't possible.
    Nothing more is written to the connection.  */
-void mq_http_exchange_tell (mq_http_exchange *exchange, unsigned status,
-                            const char *headers, mq_span body);
+void mq_http_exchange_send_rejection (mq_http_exchange *exchange,
+                                      unsigned status, const char *headers,
+                                      mq_span body);
 
 /* In http_server.c: reports an event about EXCHANGE to the sink.  */
 void mq_http_server_report (mq_http_server *server,
--- a/include/mq/resource_account.h
+++ b/include/mq/resource_account.h
@@ -116,9 +116,9 @@
 
 /* Evict holders while more is held than may be, but not KEEP, if that is not
    NULL.  */
-void mq_resource_account_settle (mq_resource_account *account,
-                                 const mq_resource_holder *keep,
-                                 uint64_t now_us);
+void mq_resource_account_reclaim (mq_resource_account *account,
+                                  const mq_resource_holder *keep,
+                                  uint64_t now_us);
 
 G_END_DECLS
 
--- a/packages/base/resource_account.c
+++ b/packages/base/resource_account.c
@@ -40,7 +40,7 @@
              || account->large + large_more <= large_limit (account));
 }
 
-/* What HOLDER with BYTES keeps from others: what it holds, times how long it
+/* The order of evictions: what HOLDER takes if it has BYTES, times how long it
    has waited for its client.  */
 static double
 holder_weight (const mq_resource_holder *holder, size_t bytes, uint64_t now_us)
@@ -59,7 +59,8 @@
 } eviction_choice;
 
 static bool
-choice_holds (const eviction_choice *choice, const mq_resource_holder *holder)
+choice_matches (const eviction_choice *choice,
+                const mq_resource_holder *holder)
 {
   return (choice->group == NULL || holder->group == choice->group)
          && holder != choice->keep
@@ -80,7 +81,7 @@
         mq_resource_holder *h = l->data;
         double weight;
 
-        if (!choice_holds (choice, h))
+        if (!choice_matches (choice, h))
           continue;
         weight = holder_weight (h, h->bytes, now_us);
         if (weight <= most)
@@ -109,8 +110,8 @@
   unsigned files;
 } room_request;
 
-/* Returns true if HOLDER is to make room for ROOM: it keeps more from others
-   than what grows would.  */
+/* Returns true if HOLDER is to be evicted for ROOM, as it comes before what
+   grows would.  */
 static bool
 room_goes_before (const room_request *room, const mq_resource_holder *holder,
                   uint64_t now_us)
@@ -177,8 +178,8 @@
 }
 
 void
-mq_resource_account_settle (mq_resource_account *account,
-                            const mq_resource_holder *keep, uint64_t now_us)
+mq_resource_account_reclaim (mq_resource_account *account,
+                             const mq_resource_holder *keep, uint64_t now_us)
 {
   while (account->memory > 0
          && (account->held > account->memory
--- a/packages/net/http_holding.c
+++ b/packages/net/http_accounting.c
@@ -111,8 +111,9 @@
       && !exchange_is_rejected (exchange))
     {
       exchange_drop_buffer (&exchange->body);
-      mq_http_exchange_tell (exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
-                             "Retry-After: 0.500\r\n", MQ_SPAN (NO_MEMORY));
+      mq_http_exchange_send_rejection (exchange, MHD_HTTP_SERVICE_UNAVAILABLE,
+                                       "Retry-After: 0.500\r\n",
+                                       MQ_SPAN (NO_MEMORY));
       mq_http_server_report (exchange->server, MQ_HTTP_SERVER_EVICTED,
                              exchange);
     }
@@ -166,7 +167,7 @@
   mq_resource_holder_set (&c->holder,
                           connection_bytes (c, x == NULL ? 0 : x->body->len));
   /* What is ready for a client goes before what others wait with.  */
-  mq_resource_account_settle (
+  mq_resource_account_reclaim (
       c->shard->server->account,
       c->holder.state == MQ_RESOURCE_UNREAD ? &c->holder : NULL, now);
 }
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -354,8 +354,8 @@
 {
   const mq_http_exchange *x = c->exchange;
 
-  if (x != NULL && x->told)
-    return now - x->told_at > REJECTED_TIMEOUT_S;
+  if (x != NULL && x->rejection_sent)
+    return now - x->rejection_sent_at > REJECTED_TIMEOUT_S;
   if (x != NULL && x->phase > MQ_HTTP_PHASE_BODY)
     return false;
   if (x == NULL && server->idle_timeout_s > 0)
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -199,8 +199,8 @@
   exchange->status = MHD_HTTP_CONTENT_TOO_LARGE;
   mq_http_server_report (exchange->server, MQ_HTTP_SERVER_BODY_REJECTED,
                          exchange);
-  mq_http_exchange_tell (exchange, exchange->status, "",
-                         shard_rejection (exchange));
+  mq_http_exchange_send_rejection (exchange, exchange->status, "",
+                                   shard_rejection (exchange));
   mq_http_connection_account (exchange->connection);
 }
 
@@ -389,7 +389,7 @@
       *size = 0;
       return x->discarded > MAX_DISCARDED_BYTES ? MHD_NO : MHD_YES;
     }
-  if (x->told || x->evicted)
+  if (x->rejection_sent || x->evicted)
     return MHD_NO;
   if (x->phase == MQ_HTTP_PHASE_BODY)
     shard_handle_request (s, x);
@@ -456,8 +456,8 @@
 }
 
 void
-mq_http_exchange_tell (mq_http_exchange *exchange, unsigned status,
-                       const char *headers, mq_span body)
+mq_http_exchange_send_rejection (mq_http_exchange *exchange, unsigned status,
+                                 const char *headers, mq_span body)
 {
   const mq_http_connection *c = exchange->connection;
   char text[OWN_RESPONSE_BYTES];
@@ -465,11 +465,11 @@
                       MHD_get_reason_phrase_for (status), headers, body.size,
                       MQ_SPAN_ARG (body));
 
-  if (exchange->told || c->tls != NULL)
+  if (exchange->rejection_sent || c->tls != NULL)
     return;
   (void)!send (c->fd, text, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL);
-  exchange->told = true;
-  exchange->told_at = ev_now (exchange->server->loop);
+  exchange->rejection_sent = true;
+  exchange->rejection_sent_at = ev_now (exchange->server->loop);
 }
 
 mq_http_shard *
@@ -560,8 +560,8 @@
       if (!shard_discards_body (c->exchange))
         {
           c->exchange->malformed = true;
-          mq_http_exchange_tell (c->exchange, MHD_HTTP_BAD_REQUEST, "",
-                                 MQ_SPAN (MALFORMED_HEAD));
+          mq_http_exchange_send_rejection (c->exchange, MHD_HTTP_BAD_REQUEST,
+                                           "", MQ_SPAN (MALFORMED_HEAD));
           mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
                                  c->exchange);
         }
--- a/tests/test_resource_account.cc
+++ b/tests/test_resource_account.cc
@@ -144,13 +144,13 @@
 }
 
 /* What is ready for a client goes before what others wait with.  */
-TEST_F (ResourceAccount, SettlesWithoutTheOneThatIsKept)
+TEST_F (ResourceAccount, ReclaimsFromOthersThanTheOneThatIsKept)
 {
   start (100 * kib);
   Holder &old = enter_as (MQ_RESOURCE_UNREAD, 50 * kib, 0);
   Holder &self = enter_as (MQ_RESOURCE_UNREAD, 60 * kib, second);
 
-  mq_resource_account_settle (&account, &self.holder, 2 * second);
+  mq_resource_account_reclaim (&account, &self.holder, 2 * second);
   EXPECT_TRUE (old.evicted);
   EXPECT_FALSE (self.evicted);
 }
