net: a connection with an endless chunk line stops taking the processor

Change: the time limit of such a connection becomes 1 s, the least that libmicrohttpd knows, and which it checks on each run.

--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -25,6 +25,8 @@
 
 /* After so many runs that each left work, connections may be stalled.  */
 #define MAX_IMMEDIATE_RUNS 16
+/* Time limit of a stalled connection, the least that libmicrohttpd knows.  */
+#define STALLED_TIMEOUT_S 1U
 
 /* The body of a rejected request is read up to this size, so that its sender
    receives the response; then the connection is closed.  */
@@ -565,6 +567,11 @@
           mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
                                  c->exchange);
         }
+      /* libmicrohttpd doesn't see the shutdown of a socket that it can't read,
+         but it checks the time limit of the connection.  */
+      MHD_set_connection_option (c->exchange->mhd,
+                                 MHD_CONNECTION_OPTION_TIMEOUT,
+                                 STALLED_TIMEOUT_S);
       shutdown (c->fd, SHUT_RDWR);
     }
 }
