--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -569,9 +569,8 @@
         }
       /* libmicrohttpd doesn't see the shutdown of a socket that it can't read,
          but it checks the time limit of the connection.  */
-      MHD_set_connection_option (c->exchange->mhd,
-                                 MHD_CONNECTION_OPTION_TIMEOUT,
-                                 STALLED_TIMEOUT_S);
+      MHD_set_connection_option (
+          c->exchange->mhd, MHD_CONNECTION_OPTION_TIMEOUT, STALLED_TIMEOUT_S);
       shutdown (c->fd, SHUT_RDWR);
     }
 }
