tests: CutNotice waits until a new router has a share of a limit

Cause: a router uses no slack and has no share of the requests in the first fifth of its window (LEARN_SHARE), 4 ms of 20 ms in the fixture, so that a limit allows it no sends; on a fast machine the test's requests all came within these 4 ms. Change: the test waits, as the fixture of one router does for the same reason. Its checks are unchanged.

--- a/tests/test_cut_notice.cc
+++ b/tests/test_cut_notice.cc
@@ -148,6 +148,8 @@
   };
 
   start ();
+  /* A new router has no share of a limit for the first fifth of the window. */
+  wait (0.01);
   /* The share of the limit follows the requests so far.  */
   answer = sound;
   ASSERT_EQ (post ().status, 200u);
