net: a request that can't be read on causes no busy loop while its connection ends

Change: a shard whose last 16 runs made no callback and read nothing of what waits at its connections is run again after 10 ms, or with the next event, whatever causes it. What a TLS session has decrypted counts as waiting to be read, as it does in the account now.

Evidence: HttpRaw.EndOfEndlessChunkLineCausesNoBusyLoop counts the turns of the loop until the connection has gone.

Why it holds: a run is needed at once only for what libmicrohttpd did not finish in the last one, which shows as a callback or as fewer bytes that wait. A head or chunk line that it reads in small steps, 16 bytes a run near the end of a block, is not slowed down. Bytes that arrive, and responses that are resumed, wake the shard as before.

--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -41,13 +41,14 @@
   GList link;                 /* In the server's list.  */
   ev_tstamp since;            /* When it began to wait for a request.  */
   int fd;
-  mq_http_tls *tls; /* Its credentials, one reference; NULL without TLS.  */
+  mq_http_tls *tls;  /* Its credentials, one reference; NULL without TLS.  */
+  void *tls_session; /* libmicrohttpd's; NULL without TLS.  */
   mq_resource_holder holder; /* What it takes of the server's account.  */
   size_t unread; /* Bytes that arrived behind a request in progress, as last
                     seen.  */
-  size_t stalled_unread; /* Bytes that waited to be read, and those read of the
-                            body, at the last check whether it is read.  */
-  size_t stalled_read;
+  size_t checked_unread; /* Bytes that waited to be read, and those read of the
+                            body, when it was last checked that it is read.  */
+  size_t checked_read;
   char peer[64];
 } mq_http_connection;
 
@@ -127,6 +128,9 @@
    false if there is none, or if the request was evicted.  */
 bool mq_http_connection_make_room (mq_http_connection *connection,
                                    size_t size);
+/* Returns the bytes that CONNECTION has received and libmicrohttpd has not
+   read.  */
+size_t mq_http_connection_unread (const mq_http_connection *connection);
 /* Notes that bytes have arrived behind a request in progress.  */
 void mq_http_connection_note_unread (mq_http_connection *connection);
 
--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -29,7 +29,9 @@
   bool due;       /* In the server's queue of shards to run.  */
   GList due_link;
   unsigned n_connections;
-  unsigned immediate_runs; /* In a row, after which it was due at once.  */
+  unsigned immediate_runs; /* In a row, after which it was due at once ...  */
+  unsigned idle_runs;      /* ... of which so many last ones did nothing.  */
+  unsigned callbacks;      /* From libmicrohttpd, so far.  */
   size_t block;            /* Memory of each of its connections, in bytes.  */
   bool outdated; /* BLOCK is smaller than the server's: the shard takes no
                     connections, and closes those it has.  */
--- a/include/mq/internal/http_tls.h
+++ b/include/mq/internal/http_tls.h
@@ -24,6 +24,10 @@
    handshake.  TLS must outlive SESSION.  */
 void mq_http_tls_use (mq_http_tls *tls, void *session);
 
+/* Returns the bytes that SESSION, a gnutls_session_t, has received and
+   decrypted, and that nobody has read.  */
+size_t mq_http_tls_pending (void *session);
+
 G_END_DECLS
 
 #endif
--- a/packages/net/http_accounting.c
+++ b/packages/net/http_accounting.c
@@ -189,16 +189,27 @@
   return true;
 }
 
+size_t
+mq_http_connection_unread (const mq_http_connection *connection)
+{
+  size_t decrypted = connection->tls_session == NULL
+                         ? 0
+                         : mq_http_tls_pending (connection->tls_session);
+  int n = 0;
+
+  if (ioctl (connection->fd, FIONREAD, &n) < 0)
+    n = 0;
+  return decrypted + (size_t)n;
+}
+
 void
 mq_http_connection_note_unread (mq_http_connection *connection)
 {
   const mq_http_exchange *x = connection->exchange;
-  int n = 0;
 
-  if (x == NULL || x->phase < MQ_HTTP_PHASE_WAITING || x->evicted
-      || ioctl (connection->fd, FIONREAD, &n) < 0)
+  if (x == NULL || x->phase < MQ_HTTP_PHASE_WAITING || x->evicted)
     return;
-  connection->unread = (size_t)n;
+  connection->unread = mq_http_connection_unread (connection);
   mq_http_connection_account (connection);
 }
 
--- a/packages/net/http_exchange.c
+++ b/packages/net/http_exchange.c
@@ -192,6 +192,7 @@
   size_t n = MIN (max, exchange_queued (x));
 
   (void)position;
+  x->connection->shard->callbacks++;
   /* What was evicted of a response is missing.  */
   if (x->phase == MQ_HTTP_PHASE_ABORTED || x->evicted)
     return MHD_CONTENT_READER_END_WITH_ERROR;
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -17,7 +17,6 @@
 #include <netinet/in.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -268,15 +267,6 @@
     ev_feed_event (loop, &s->prepare, EV_PREPARE);
 }
 
-/* Returns the number of bytes that C has received and nobody has read.  */
-static int
-connection_unread (const mq_http_connection *c)
-{
-  int n = 0;
-
-  return ioctl (c->fd, FIONREAD, &n) == 0 ? n : 0;
-}
-
 /* Log that N connections without a request in progress were closed because of
    WHY, UNREAD of them with bytes that had not been read, and that KEPT others
    are closed after their next response.  */
@@ -305,7 +295,7 @@
 
       if (!c->shard->outdated)
         continue;
-      if (c->exchange != NULL || connection_unread (c) > 0)
+      if (c->exchange != NULL || mq_http_connection_unread (c) > 0)
         {
           kept++;
           continue;
@@ -383,7 +373,7 @@
       if (!connection_is_overdue (s, c, now))
         continue;
       closed++;
-      unread += connection_unread (c) > 0;
+      unread += mq_http_connection_unread (c) > 0;
       shutdown (c->fd, SHUT_RDWR);
     }
   server_log_closed ("overdue", closed, unread, 0);
--- a/packages/net/http_shard.c
+++ b/packages/net/http_shard.c
@@ -16,7 +16,6 @@
 #include <poll.h>
 #include <string.h>
 #include <sys/epoll.h>
-#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* libmicrohttpd fills the buffer of a resumed connection in one run and sends
@@ -25,6 +24,8 @@
 
 /* After so many runs that each left work, connections may be stalled.  */
 #define MAX_IMMEDIATE_RUNS 16
+/* Pause between runs after so many in which libmicrohttpd did nothing.  */
+#define IDLE_RUN_DELAY_S 0.01
 /* Time limit of a stalled connection, the least that libmicrohttpd knows.  */
 #define STALLED_TIMEOUT_S 1U
 
@@ -92,6 +93,7 @@
   if (server->tls != NULL && session != NULL)
     {
       c->tls = mq_http_tls_ref (server->tls);
+      c->tls_session = session->tls_session;
       mq_http_tls_use (c->tls, session->tls_session);
     }
   c->fd = MHD_get_connection_info (mhd, MHD_CONNECTION_INFO_CONNECTION_FD)
@@ -126,6 +128,7 @@
 shard_notify_connection (void *context, struct MHD_Connection *mhd,
                          void **slot, enum MHD_ConnectionNotificationCode code)
 {
+  ((mq_http_shard *)context)->callbacks++;
   switch (code)
     {
     case MHD_CONNECTION_NOTIFY_STARTED:
@@ -149,6 +152,7 @@
             ->socket_context;
   mq_http_exchange *x = mq_http_exchange_new (c, mhd, uri);
 
+  shard->callbacks++;
   c->exchange = x;
   g_queue_push_tail_link (&s->exchanges, &x->link);
   mq_http_connection_account (c);
@@ -165,6 +169,7 @@
   mq_http_exchange *x = *slot;
 
   (void)mhd;
+  shard->callbacks++;
   if (x == NULL)
     return;
   *slot = NULL;
@@ -366,6 +371,7 @@
 
   (void)mhd;
   (void)url;
+  shard->callbacks++;
   if (x->phase == MQ_HTTP_PHASE_HEAD)
     {
       mq_http_exchange_read_head (x, method);
@@ -528,63 +534,98 @@
   g_queue_push_tail_link (&shard->server->due, &shard->due_link);
 }
 
-/* Returns true if libmicrohttpd has read nothing of the request of C since the
-   last call, though bytes wait.  */
-static bool
-connection_is_stalled (mq_http_connection *c)
+/* What libmicrohttpd has done with what arrived on a connection since the last
+   check.  */
+typedef enum read_progress
+{
+  READ_NOTHING, /* There is nothing to read.  */
+  READ_ON,
+  READ_STALLED
+} read_progress;
+
+static read_progress
+connection_check_reading (mq_http_connection *c)
 {
   const mq_http_exchange *x = c->exchange;
-  size_t before_unread = c->stalled_unread;
-  size_t before_read = c->stalled_read;
-  int n = 0;
-
-  if (x == NULL || x->phase != MQ_HTTP_PHASE_BODY
-      || ioctl (c->fd, FIONREAD, &n) < 0)
-    n = 0;
-  c->stalled_unread = (size_t)n;
-  c->stalled_read = n > 0 ? x->body_bytes + x->discarded : 0;
-  return n > 0 && c->stalled_unread == before_unread
-         && c->stalled_read == before_read;
-}
-
-/* Close the connections whose request libmicrohttpd can't read on, as the line
-   before a chunk doesn't fit into their block.  It would try so again and
-   again until they time out.  */
+  size_t unread = mq_http_connection_unread (c);
+  size_t read = x == NULL ? 0 : x->body_bytes + x->discarded;
+  bool same = unread == c->checked_unread && read == c->checked_read;
+
+  c->checked_unread = unread;
+  c->checked_read = read;
+  if (unread == 0)
+    return READ_NOTHING;
+  return same ? READ_STALLED : READ_ON;
+}
+
+/* Close C, whose request libmicrohttpd can't read on, as the line before a
+   chunk doesn't fit into its block.  It would try so again and again until C
+   times out.  */
 static void
-shard_close_stalled (mq_http_shard *shard)
+connection_close_stalled (mq_http_connection *c)
+{
+  mq_http_exchange *x = c->exchange;
+
+  if (!shard_discards_body (x))
+    {
+      x->malformed = true;
+      mq_http_exchange_send_rejection (x, MHD_HTTP_BAD_REQUEST, "",
+                                       MQ_SPAN (MALFORMED_HEAD));
+      mq_http_server_report (x->server, MQ_HTTP_SERVER_HEAD_REJECTED, x);
+    }
+  /* libmicrohttpd doesn't see the shutdown of a socket that it can't read,
+     but it checks the time limit of the connection.  */
+  MHD_set_connection_option (x->mhd, MHD_CONNECTION_OPTION_TIMEOUT,
+                             STALLED_TIMEOUT_S);
+  shutdown (c->fd, SHUT_RDWR);
+}
+
+/* Check whether the connections of SHARD are read, and close those whose
+   request is not.  Returns true if any is.  */
+static bool
+shard_check_reading (mq_http_shard *shard)
 {
+  bool reads = false;
+
   for (GList *l = shard->server->connections.head; l != NULL; l = l->next)
     {
       mq_http_connection *c = l->data;
+      read_progress progress;
 
-      if (c->shard != shard || !connection_is_stalled (c))
+      if (c->shard != shard)
         continue;
-      if (!shard_discards_body (c->exchange))
-        {
-          c->exchange->malformed = true;
-          mq_http_exchange_send_rejection (c->exchange, MHD_HTTP_BAD_REQUEST,
-                                           "", MQ_SPAN (MALFORMED_HEAD));
-          mq_http_server_report (shard->server, MQ_HTTP_SERVER_HEAD_REJECTED,
-                                 c->exchange);
-        }
-      /* libmicrohttpd doesn't see the shutdown of a socket that it can't read,
-         but it checks the time limit of the connection.  */
-      MHD_set_connection_option (
-          c->exchange->mhd, MHD_CONNECTION_OPTION_TIMEOUT, STALLED_TIMEOUT_S);
-      shutdown (c->fd, SHUT_RDWR);
+      progress = connection_check_reading (c);
+      reads = reads || progress == READ_ON;
+      if (progress == READ_STALLED && c->exchange != NULL
+          && c->exchange->phase == MQ_HTTP_PHASE_BODY)
+        connection_close_stalled (c);
     }
+  return reads;
 }
 
-/* SHARD has run.  Check whether its connections are read if it is DUE again at
-   once too often.  */
+/* SHARD has run, and libmicrohttpd made callbacks if it PROGRESSED.  Check
+   what it does if it is DUE again at once too often.  */
 static void
-shard_note_run (mq_http_shard *shard, bool due)
+shard_note_run (mq_http_shard *shard, bool due, bool progressed)
 {
   shard->immediate_runs = due ? shard->immediate_runs + 1 : 0;
-  if (shard->immediate_runs < MAX_IMMEDIATE_RUNS)
+  shard->idle_runs = due && !progressed ? shard->idle_runs + 1 : 0;
+  if (shard->immediate_runs < MAX_IMMEDIATE_RUNS
+      && shard->idle_runs < MAX_IMMEDIATE_RUNS)
     return;
   shard->immediate_runs = 0;
-  shard_close_stalled (shard);
+  if (shard_check_reading (shard))
+    shard->idle_runs = 0;
+}
+
+/* Returns after how many seconds SHARD is to run again, which libmicrohttpd
+   asks for in MS.  If the last runs did nothing, whatever another one could do
+   comes with an event.  */
+static ev_tstamp
+shard_delay (const mq_http_shard *shard, MHD_UNSIGNED_LONG_LONG ms)
+{
+  return shard->idle_runs >= MAX_IMMEDIATE_RUNS ? IDLE_RUN_DELAY_S
+                                                : (ev_tstamp)ms / 1000.;
 }
 
 void
@@ -593,6 +634,7 @@
   struct ev_loop *loop = shard->server->loop;
   MHD_UNSIGNED_LONG_LONG ms = 0;
   bool has_timeout = true;
+  unsigned before = shard->callbacks;
 
   for (int i = 0; i < MAX_CONSECUTIVE_RUNS && has_timeout && ms == 0; i++)
     {
@@ -600,9 +642,9 @@
       has_timeout = MHD_get_timeout (shard->daemon, &ms) == MHD_YES;
     }
   ev_timer_stop (loop, &shard->timer);
-  shard_note_run (shard, has_timeout && ms == 0);
+  shard_note_run (shard, has_timeout && ms == 0, shard->callbacks != before);
   if (!has_timeout)
     return;
-  ev_timer_set (&shard->timer, (ev_tstamp)ms / 1000., 0.);
+  ev_timer_set (&shard->timer, shard_delay (shard, ms), 0.);
   ev_timer_start (loop, &shard->timer);
 }
--- a/packages/net/http_tls.c
+++ b/packages/net/http_tls.c
@@ -142,3 +142,9 @@
 {
   gnutls_credentials_set (session, GNUTLS_CRD_CERTIFICATE, tls->credentials);
 }
+
+size_t
+mq_http_tls_pending (void *session)
+{
+  return gnutls_record_check_pending (session);
+}
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -842,6 +842,44 @@
     }
 }
 
+/* The connection of such a client ends without a busy loop too, whether the
+   client closes it or not.  */
+TEST_F (HttpRaw, EndOfEndlessChunkLineCausesNoBusyLoop)
+{
+  const std::pair<size_t, bool> cases[]
+      = { { 65340, false }, { 200000, false }, { 200000, true } };
+
+  for (auto [size, leaves] : cases)
+    {
+      Socket s = Socket::connected (mq_http_server_port (server));
+      std::string bytes = "POST / HTTP/1.1\r\nHost: x\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n1;"
+                          + std::string (size, 'x');
+      size_t sent = 0;
+      bool closed = false;
+      unsigned turns = 0;
+
+      on_request = [] (mq_http_exchange *) { FAIL (); };
+      ASSERT_TRUE (until ([&] {
+        ssize_t n = send (s.fd, bytes.data () + sent, bytes.size () - sent,
+                          MSG_NOSIGNAL);
+
+        sent += n > 0 ? (size_t)n : 0;
+        s.read (&closed);
+        return closed
+               || (sent == bytes.size ()
+                   && mq_http_server_connections (server) > 0);
+      }));
+      if (leaves)
+        s.close ();
+      /* Without the timer of until (), each turn has an event.  */
+      while (mq_http_server_connections (server) > 0 && ++turns <= 1000)
+        ev_run (loop, EVRUN_ONCE);
+      EXPECT_LE (turns, 1000u) << size << (leaves ? ", left" : "");
+      start (5);
+    }
+}
+
 /* A body over the limit is rejected while it is still arriving, and nothing of
    it is kept.  */
 TEST_F (HttpRaw, RejectsAnOversizedBodyWhileItArrives)
