net: a connection is not charged for a body that was refused for want of memory

What callers saw: none yet; found by reading. Cause: the account was not told. Evidence: HttpMemory.RefusedBodyIsNotCharged; before, 35,738 bytes were held for a connection of 19,456. Why it holds: what has been freed is taken out of the account in the same call.

--- a/packages/net/http_accounting.c
+++ b/packages/net/http_accounting.c
@@ -184,6 +184,7 @@
     {
       if (!x->evicted)
         exchange_evict (x);
+      mq_resource_holder_set (&connection->holder, 0);
       return false;
     }
   return true;
--- a/tests/test_http_memory.cc
+++ b/tests/test_http_memory.cc
@@ -322,6 +322,42 @@
     }
 }
 
+/* A body for which there is no memory is not held, and its connection is not
+   charged for it while the client may read the response.  */
+TEST_F (HttpMemory, RefusedBodyIsNotCharged)
+{
+  const size_t block = mq_http_memory_block_size (kLimit);
+  const size_t connection = mq_http_memory_connection_size (block);
+  mq_resource_account account;
+  mq_http_server_options options = {};
+  bool closed = false;
+
+  mq_resource_account_init (&account, connection + 24 * 1024, 0);
+  mq_http_server_free (server);
+  options.address = MQ_SPAN ("127.0.0.1");
+  options.body_limit = 64 * 1024;
+  options.head_limit = kLimit;
+  options.account = &account;
+  options.memory = 1024 * 1024;
+  options.idle_s = 30;
+  server = mq_http_server_new (loop, &options, sink, this, nullptr);
+  ASSERT_NE (server, nullptr);
+  on_request = [] (mq_http_exchange *) { FAIL (); };
+  Socket s = Socket::connected (mq_http_server_port (server));
+  std::string r = exchange (
+      s,
+      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
+          + std::string (50000, 'b'),
+      &closed, is_complete_response);
+  EXPECT_EQ (r.find ("HTTP/1.1 503"), 0u) << r;
+  EXPECT_EQ (account.refusals, 1u);
+  EXPECT_EQ (mq_http_server_connections (server), 1u);
+  EXPECT_EQ (account.held, connection);
+  mq_http_server_free (server);
+  server = nullptr;
+  EXPECT_EQ (account.held, 0u);
+}
+
 /* A connection that has carried a large request takes no more memory than it
    is counted for.  */
 TEST_F (HttpMemory, OfConnectionIsWithinItsShare)
