gateway: a stream that moves is not charged for what its former send held

What callers saw: none yet; found by reading, without a failing test. A connection whose client doesn't read its stream is charged 192 KiB for what the paused send may hold. If that send was given up for another engine, the charge stayed until the stream ended, though the memory was freed. Cause: the charge was taken back only when the paused call goes on. Change: it goes with the send, in the one place where sends are dropped. test_gateway, test_gateway_layers, test_engine_stream and test_cut_engine_stream pass.

--- a/packages/gateway/gateway_forward.c
+++ b/packages/gateway/gateway_forward.c
@@ -63,6 +63,7 @@
   if (forward->call != NULL)
     mq_http_call_cancel (forward->call);
   forward->call = NULL;
+  mq_http_exchange_set_upstream_bytes (forward->exchange, 0);
   forward->stalled_why = NULL;
   if (forward->detour != NULL)
     forward->detour->in_flight--;
