net: what the account evicts is logged once, not by each port

What operators saw: after an eviction one line http.evicted for each port of the process, each with the same count, so that four times as much seemed to be evicted. Cause: each server compared the counts of the shared account with its own record of what was logged. Change: the account keeps that record, and the line names no port, as what is evicted may be at any. Evidence: HttpMemory.EvictionsAreLoggedOnce, two lines before, one now.

--- a/include/mq/internal/http_server.h
+++ b/include/mq/internal/http_server.h
@@ -65,8 +65,6 @@
   uint64_t refused_connections; /* Closed unread at the limit.  */
   mq_resource_account *account; /* Borrowed, or OWN_ACCOUNT.  */
   mq_resource_account own_account;
-  uint64_t logged_evictions; /* Of the account, as last logged.  */
-  uint64_t logged_refusals;
   size_t memory; /* For all connections.  */
   size_t head_limit;
   size_t block; /* For each connection of a new shard; it only grows.  */
--- a/include/mq/resource_account.h
+++ b/include/mq/resource_account.h
@@ -69,6 +69,8 @@
   GQueue holders[MQ_RESOURCE_STATES]; /* mq_resource_holder, borrowed.  */
   uint64_t evictions[MQ_RESOURCE_STATES];
   uint64_t refusals; /* What was not let in, as nothing could be evicted.  */
+  uint64_t logged_evictions; /* For the caller's log: as last written.  */
+  uint64_t logged_refusals;
 };
 
 /* Initialise ACCOUNT with room for MEMORY bytes and FILES descriptors; 0 means
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -315,26 +315,24 @@
     }
 }
 
-/* Log what the account of SERVER has evicted and refused since it was logged
-   last.  */
+/* Log what ACCOUNT has evicted and refused since it was logged last, by
+   whichever of its servers.  */
 static void
-server_log_evictions (mq_http_server *server)
+account_log_evictions (mq_resource_account *account)
 {
-  mq_resource_account *a = server->account;
+  mq_resource_account *a = account;
   uint64_t evictions = mq_resource_account_evictions (a);
 
-  if (evictions == server->logged_evictions
-      && a->refusals == server->logged_refusals)
+  if (evictions == a->logged_evictions && a->refusals == a->logged_refusals)
     return;
   mq_log (G_LOG_LEVEL_WARNING, "http.evicted",
-          "port=%u evictions=%" G_GUINT64_FORMAT " refusals=%" G_GUINT64_FORMAT
+          "evictions=%" G_GUINT64_FORMAT " refusals=%" G_GUINT64_FORMAT
           " held=%zu limit=%zu large=%zu"
           " connections=%u connections_limit=%u",
-          server->port, evictions - server->logged_evictions,
-          a->refusals - server->logged_refusals, a->held, a->memory, a->large,
-          a->held_files, a->files);
-  server->logged_evictions = evictions;
-  server->logged_refusals = a->refusals;
+          evictions - a->logged_evictions, a->refusals - a->logged_refusals,
+          a->held, a->memory, a->large, a->held_files, a->files);
+  a->logged_evictions = evictions;
+  a->logged_refusals = a->refusals;
 }
 
 /* Returns true if the request of C has taken too long to arrive at NOW.  */
@@ -378,7 +376,7 @@
     }
   server_log_closed ("overdue", closed, unread, 0);
   server_close_outdated (s);
-  server_log_evictions (s);
+  account_log_evictions (s->account);
 }
 
 static void
--- a/tests/test_http_memory.cc
+++ b/tests/test_http_memory.cc
@@ -5,6 +5,7 @@
 #include "http_fixture.hh"
 
 #include <mq/internal/http_memory.h>
+#include <mq/log.h>
 
 #include <fstream>
 #include <rapidcheck.h>
@@ -344,11 +345,11 @@
   ASSERT_NE (server, nullptr);
   on_request = [] (mq_http_exchange *) { FAIL (); };
   Socket s = Socket::connected (mq_http_server_port (server));
-  std::string r = exchange (
-      s,
-      "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
-          + std::string (50000, 'b'),
-      &closed, is_complete_response);
+  std::string r
+      = exchange (s,
+                  "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 60000\r\n\r\n"
+                      + std::string (50000, 'b'),
+                  &closed, is_complete_response);
   EXPECT_EQ (r.find ("HTTP/1.1 503"), 0u) << r;
   EXPECT_EQ (account.refusals, 1u);
   EXPECT_EQ (mq_http_server_connections (server), 1u);
@@ -358,6 +359,46 @@
   EXPECT_EQ (account.held, 0u);
 }
 
+/* Servers that share an account log each eviction once.  */
+TEST_F (HttpMemory, EvictionsAreLoggedOnce)
+{
+  const size_t block = mq_http_memory_block_size (kLimit);
+  mq_resource_account account;
+  mq_http_server_options options = {};
+  mq_http_server *other;
+  size_t lines = 0;
+
+  mq_resource_account_init (&account, mq_http_memory_connection_size (block),
+                            0);
+  mq_http_server_free (server);
+  options.address = MQ_SPAN ("127.0.0.1");
+  options.head_limit = kLimit;
+  options.account = &account;
+  options.memory = 1024 * 1024;
+  options.idle_s = 30;
+  server = mq_http_server_new (loop, &options, sink, this, nullptr);
+  other = mq_http_server_new (loop, &options, sink, this, nullptr);
+  mq_log_init ("info");
+  testing::internal::CaptureStderr ();
+  Socket first = Socket::connected (mq_http_server_port (server));
+  EXPECT_TRUE (
+      until ([&] { return mq_http_server_connections (server) == 1; }));
+  Socket second = Socket::connected (mq_http_server_port (other));
+  EXPECT_TRUE (until ([&] {
+    return mq_http_server_connections (server) == 0
+           && mq_http_server_connections (other) == 1;
+  }));
+  /* Each server has looked twice.  */
+  ev_tstamp end = ev_time () + 2.5;
+  EXPECT_TRUE (until ([&] { return ev_time () > end; }));
+  const std::string log = testing::internal::GetCapturedStderr ();
+  for (size_t at = log.find ("event=http.evicted"); at != std::string::npos;
+       at = log.find ("event=http.evicted", at + 1))
+    lines++;
+  EXPECT_EQ (lines, 1u) << log;
+  mq_http_server_free (other);
+}
+
 /* A connection that has carried a large request takes no more memory than it
    is counted for.  */
 TEST_F (HttpMemory, OfConnectionIsWithinItsShare)
