--- a/tests/support/deployment.h
+++ b/tests/support/deployment.h
@@ -60,6 +60,8 @@
   unsigned work_us = 0; /* Time of a call to the plain service.  */
   unsigned routers = 1;
   std::string settings; /* Further members of the routers' settings.  */
+  std::string ca;       /* Path of the certificate with which these have the
+                           routers serve; empty: without TLS.  */
   std::string policy = "{}";
   std::string organisation; /* Further members of the organisation.  */
   unsigned deadline_ms = 60000;
@@ -192,7 +194,8 @@
     programs::Request r;
 
     r.method = "POST";
-    r.url = this->router (router).url () + "/v1/completions";
+    r.url = router_url (this->router (router)) + "/v1/completions";
+    r.ca = options_.ca;
     r.headers = { std::string ("Authorization: Bearer ") + token,
                   "Content-Type: application/json" };
     r.body = quoted ("{'model':'reports','prompt':'" + prompt
@@ -208,13 +211,20 @@
     programs::Request r;
 
     r.method = method;
-    r.url = this->router (router).url () + "/v1/services/booking" + path;
+    r.url = router_url (this->router (router)) + "/v1/services/booking" + path;
+    r.ca = options_.ca;
     r.headers = { std::string ("Authorization: Bearer ") + token };
     r.body = body;
     return r;
   }
 
 private:
+  std::string
+  router_url (Program &router) const
+  {
+    return (options_.ca.empty () ? "http://" : "https://") + router.address ();
+  }
+
   static std::unique_ptr<Program>
   start (std::vector<std::string> arguments)
   {
@@ -328,12 +338,15 @@
         << output;
   }
 
-  static bool
-  wait_ready (Program &router)
+  bool
+  wait_ready (Program &router) const
   {
-    return programs::eventually ([&] {
-      return programs::get (router.url () + "/readyz").status == 200;
-    });
+    programs::Request r;
+
+    r.url = router_url (router) + "/readyz";
+    r.ca = options_.ca;
+    return programs::eventually (
+        [&] { return programs::fetch (r).status == 200; });
   }
 
   Options options_;
--- a/tests/test_crowd_bodies.cc
+++ b/tests/test_crowd_bodies.cc
@@ -101,6 +101,25 @@
   expect_sound ();
 }
 
+/* As many requests as there can be connections, each of which is sent on.  */
+TEST_F (CrowdOfBodies, SmallWholeToSlowUpstream)
+{
+  constexpr size_t small = 60000;
+
+  start_small (64, limit);
+  join (480, clients_port, crowd_length ("/hold/x", small, small));
+  send_all ();
+  expect_sound ();
+}
+
+TEST_F (CrowdOfBodies, EmptyToSlowUpstream)
+{
+  start_small (64, limit);
+  join (480, clients_port, crowd_length ("/hold/x", 0, 0));
+  send_all ();
+  expect_sound ();
+}
+
 TEST_F (CrowdOfBodies, BeforeConfiguration)
 {
   start_unconfigured (64);
--- a/tests/test_http_tls.cc
+++ b/tests/test_http_tls.cc
@@ -3,6 +3,7 @@
 
 #include "http_fixture.hh"
 #include "support/certificate.h"
+#include "support/tls_crowd_client.h"
 
 #include <cstdlib>
 
@@ -254,4 +255,35 @@
   EXPECT_EQ (get ().body, "secret");
 }
 
+/* A line before a chunk that doesn't fit into the memory of the connection,
+   all of which may be decrypted: the loop has nothing to do for it.  */
+TEST_F (HttpTls, EndlessChunkLineCausesNoBusyLoop)
+{
+  gnutls_certificate_credentials_t credentials;
+
+  gnutls_certificate_allocate_credentials (&credentials);
+  on_request = [] (mq_http_exchange *) { FAIL (); };
+  for (size_t size : { 66000, 75000, 200000 })
+    {
+      crowd::Sending sending;
+      unsigned turns = 0;
+
+      sending.head = "POST / HTTP/1.1\r\nHost: x\r\n"
+                     "Transfer-Encoding: chunked\r\n\r\n1;"
+                     + std::string (size, 'x');
+      crowd::TlsCrowdClient c (
+          Socket::connected (mq_http_server_port (server)), &sending,
+          credentials, false);
+      ASSERT_TRUE (until ([&] {
+        c.write (size);
+        return c.is_done () && mq_http_server_connections (server) > 0;
+      }));
+      /* Without the timer of until (), each turn has an event.  */
+      while (mq_http_server_connections (server) > 0 && ++turns <= 1000)
+        ev_run (loop, EVRUN_ONCE);
+      EXPECT_LE (turns, 1000u) << size;
+    }
+  gnutls_certificate_free_credentials (credentials);
+}
+
 } // namespace
