marjoramquay: the prompts of native mode are in the account, and held twice instead of four times

What callers saw: 40 clients of native mode that send prompts of 3 MiB took a router with 64 MiB to 84 MiB; a larger crowd ends it. Cause: the body of a request stayed beside the prompt that was read from it, and each send made two more copies, in a tree of values and in libcurl; only the body was in the account. Change: the body is freed once it is read; the text that is sent is written directly and lent to libcurl; and the connection is charged for the prompt and for that text. If there is no room for them, the request, of which nothing has run, gets 503 with Retry-After.

Why it holds: what a prompt takes until its request ends is charged before anything else is allocated for it, by the one account, which evicts what waits for its clients first.

--- a/include/mq/http_server.h
+++ b/include/mq/http_server.h
@@ -202,6 +202,10 @@
    caller is slow to read.  */
 void mq_http_exchange_set_upstream_bytes (mq_http_exchange *exchange,
                                           size_t bytes);
+/* The user holds BYTES for the request of the exchange, until it ends, in
+   place of its body, which is freed.  Returns false if there is no room for
+   them; the body stays then.  */
+bool mq_http_exchange_replace_body (mq_http_exchange *exchange, size_t bytes);
 /* A pointer for the user's own state, initially NULL.  */
 void mq_http_exchange_set_user (mq_http_exchange *exchange, void *user);
 void *mq_http_exchange_user (const mq_http_exchange *exchange);
--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -84,6 +84,7 @@
   size_t body_bytes;     /* That have arrived of it.  */
   size_t reply_bytes;    /* Of a complete reply, which libmicrohttpd holds.  */
   size_t upstream_bytes; /* See mq_http_exchange_set_upstream_bytes.  */
+  size_t user_bytes;     /* See mq_http_exchange_replace_body.  */
   ev_tstamp rejection_sent_at;
   ev_tstamp started;      /* The request line had arrived.  */
   size_t discarded;       /* Bytes of the body of a rejected request that were
--- a/packages/net/engine_stream.c
+++ b/packages/net/engine_stream.c
@@ -11,6 +11,7 @@
 #include <json-c/json.h>
 #include <mq/engine_line.h>
 #include <mq/json_message.h>
+#include <mq/json_text.h>
 #include <string.h>
 
 /* A response with a longer line is malformed.  */
@@ -31,6 +32,7 @@
   mq_engine_line_reader *reader;
   mq_str *request;
   uint32_t attempt;
+  GString *sent;        /* The body of the request.  */
   GString *partial;     /* An incomplete line, or the body of an error.  */
   size_t foreign_bytes; /* Since the last line of this stream.  */
   unsigned status;      /* 0 before the headers arrive.  */
@@ -48,6 +50,7 @@
   mq_engine_line_reader_free (stream->reader);
   mq_str_unref (stream->request);
   g_string_free (stream->partial, TRUE);
+  g_string_free (stream->sent, TRUE);
   g_free (stream);
 }
 
@@ -268,69 +271,61 @@
     stream_free (stream);
 }
 
-static json_object *
-span_object (mq_span span)
-{
-  return json_object_new_string_len (span.data == NULL ? "" : span.data,
-                                     (int)span.size);
-}
-
-static json_object *
-plan_object (const mq_plan *plan)
+static void
+plan_append (GString *out, const mq_plan *plan)
 {
-  json_object *list = json_object_new_array ();
-
+  mq_json_text_key (out, "plan");
+  g_string_append_c (out, '[');
   for (uint32_t i = 0; i < plan->n_stages; i++)
     {
       const mq_stage *s = &plan->stages[i];
-      json_object *stage = json_object_new_object ();
-
-      json_object_object_add (stage, "engine",
-                              span_object (mq_str_span (s->engine)));
-      json_object_object_add (stage, "url",
-                              span_object (mq_str_span (s->url)));
-      json_object_object_add (stage, "first",
-                              json_object_new_int64 (s->first));
-      json_object_object_add (stage, "end", json_object_new_int64 (s->end));
-      json_object_array_add (list, stage);
+
+      g_string_append (out, i == 0 ? "{" : ",{");
+      mq_json_text_member (out, "engine", mq_str_span (s->engine));
+      mq_json_text_member (out, "url", mq_str_span (s->url));
+      mq_json_text_number (out, "first", s->first);
+      mq_json_text_number (out, "end", s->end);
+      g_string_append_c (out, '}');
     }
-  return list;
+  g_string_append_c (out, ']');
 }
 
-static json_object *
-sent_object (const mq_engine_stream_options *options)
+static void
+sent_append (GString *out, const mq_engine_stream_options *options)
 {
-  json_object *list = json_object_new_array ();
-
+  mq_json_text_key (out, "sent");
+  g_string_append_c (out, '[');
   for (size_t i = 0; i < options->n_sent; i++)
-    json_object_array_add (list, span_object (options->sent[i]));
-  return list;
+    {
+      if (i > 0)
+        g_string_append_c (out, ',');
+      mq_json_text_string (out, options->sent[i]);
+    }
+  g_string_append_c (out, ']');
 }
 
-static json_object *
-request_object (const mq_engine_stream_options *options)
+/* Returns the body of the request.  A prompt may be large, so that the text is
+   written directly rather than from a tree of values with another copy.  */
+static GString *
+request_text (const mq_engine_stream_options *options)
 {
-  json_object *root = json_object_new_object ();
-
-  json_object_object_add (root, "request", span_object (options->request));
-  json_object_object_add (root, "attempt",
-                          json_object_new_int64 (options->attempt));
-  json_object_object_add (root, "router", span_object (options->router));
-  json_object_object_add (root, "model",
-                          span_object (mq_str_span (options->plan->model)));
-  json_object_object_add (root, "version",
-                          span_object (mq_str_span (options->plan->version)));
-  json_object_object_add (root, "prompt", span_object (options->prompt));
-  json_object_object_add (root, "sent", sent_object (options));
-  json_object_object_add (root, "max_tokens",
-                          json_object_new_int64 (options->max_tokens));
-  json_object_object_add (root, "priority",
-                          json_object_new_int (options->priority));
-  json_object_object_add (
-      root, "deadline_ms",
-      json_object_new_int64 ((int64_t)(options->deadline_us / 1000)));
-  json_object_object_add (root, "plan", plan_object (options->plan));
-  return root;
+  GString *out = g_string_sized_new (options->prompt.size);
+
+  g_string_append_c (out, '{');
+  mq_json_text_member (out, "request", options->request);
+  mq_json_text_number (out, "attempt", options->attempt);
+  mq_json_text_member (out, "router", options->router);
+  mq_json_text_member (out, "model", mq_str_span (options->plan->model));
+  mq_json_text_member (out, "version", mq_str_span (options->plan->version));
+  mq_json_text_member (out, "prompt", options->prompt);
+  sent_append (out, options);
+  mq_json_text_number (out, "max_tokens", options->max_tokens);
+  mq_json_text_key (out, "priority");
+  g_string_append_printf (out, "%d", options->priority);
+  mq_json_text_number (out, "deadline_ms", options->deadline_us / 1000);
+  plan_append (out, options->plan);
+  g_string_append_c (out, '}');
+  return out;
 }
 
 static void
@@ -339,18 +334,15 @@
 {
   const mq_http_header type
       = { MQ_SPAN ("Content-Type"), MQ_SPAN ("application/json") };
-  json_object *root = request_object (options);
   char *url = g_strconcat (mq_str_cstr (options->plan->stages[0].url),
                            "/v1/streams", NULL);
-  size_t size;
-  const char *body = json_object_to_json_string_length (
-      root, JSON_C_TO_STRING_PLAIN, &size);
   mq_http_call_options call = {
     .method = MQ_SPAN ("POST"),
     .url = mq_span_from (url),
     .headers = &type,
     .n_headers = 1,
-    .body = { body, size },
+    .body = { stream->sent->str, stream->sent->len },
+    .body_stays = true,
     .connect_ms = CONNECT_TIMEOUT_MS,
     .timeout_ms = options->deadline_us / 1000 + DEADLINE_GRACE_MS,
     .streamed = true,
@@ -358,7 +350,6 @@
   };
 
   stream->call = mq_http_client_start (client, &call, stream_on_http, stream);
-  json_object_put (root);
   g_free (url);
 }
 
@@ -374,6 +365,7 @@
   s->request = mq_str_new (options->request);
   s->attempt = options->attempt;
   s->partial = g_string_new (NULL);
+  s->sent = request_text (options);
   s->sink = sink;
   s->context = context;
   s->dropped = dropped;
--- a/packages/net/http_accounting.c
+++ b/packages/net/http_accounting.c
@@ -56,7 +56,8 @@
   if (x == NULL || x->evicted)
     return 0;
   return buffer_cost (body) + buffer_cost (exchange_queued (x))
-         + x->reply_bytes + x->upstream_bytes + connection->unread;
+         + x->reply_bytes + x->upstream_bytes + x->user_bytes
+         + connection->unread;
 }
 
 static mq_resource_state
@@ -223,3 +224,17 @@
   if (exchange->connection != NULL)
     mq_http_connection_account (exchange->connection);
 }
+
+bool
+mq_http_exchange_replace_body (mq_http_exchange *exchange, size_t bytes)
+{
+  mq_http_connection *c = exchange->connection;
+
+  if (c != NULL
+      && !mq_resource_holder_grow (&c->holder, connection_bytes (c, 0) + bytes,
+                                   connection_now_us (c)))
+    return false;
+  exchange->user_bytes = bytes;
+  exchange_drop_buffer (&exchange->body);
+  return true;
+}
--- a/programs/marjoramquay/completion.c
+++ b/programs/marjoramquay/completion.c
@@ -21,6 +21,10 @@
    (docs/UPSTREAMS.md).  */
 #define PREFIX_BYTES 1024
 
+/* A prompt is held once for the request and once in what is sent on.  */
+#define PROMPT_COPIES 2
+#define NO_MEMORY_RETRY_US ((uint64_t)500 * 1000)
+
 #define FRAME_END "\",\"finish_reason\":null}]}\n\n"
 
 static uint32_t
@@ -70,6 +74,24 @@
   return mq_element_of_content (mq_content_hash (texts, G_N_ELEMENTS (texts)));
 }
 
+/* Hold BODY in place of the text that it was read from.  Rejects the request
+   if there is no memory for it.  */
+static int
+completion_hold (mq_router *router, mq_http_exchange *exchange,
+                 const mq_completion_body *body)
+{
+  mq_reply_error error = { .outcome = MQ_OUTCOME_NOT_RUN,
+                           .reason = MQ_REASON_OVERLOADED,
+                           .detail = "no memory for the prompt",
+                           .retry_after_us = NO_MEMORY_RETRY_US };
+
+  if (mq_http_exchange_replace_body (exchange,
+                                     PROMPT_COPIES * body->prompt->size))
+    return 0;
+  mq_reply_refuse (router, exchange, &error);
+  return -1;
+}
+
 void
 mq_completion_start (mq_router *router, mq_http_exchange *exchange)
 {
@@ -87,13 +109,18 @@
       mq_reply_bad_request (router, exchange, MQ_REASON_BAD_REQUEST, error);
       return;
     }
+  event.u.call.body_hash = mq_span_hash (text);
+  event.u.call.content = completion_content_hash (&event.u.call, text);
+  if (completion_hold (router, exchange, &body) < 0)
+    {
+      mq_completion_body_finish (&body);
+      return;
+    }
   r = completion_new (router, exchange, &body);
   event.handle = r->handle;
   event.u.call.handle = r->handle;
   event.u.call.service = mq_str_span (r->u.completion.service);
   event.u.call.priority = body.priority;
-  event.u.call.body_hash = mq_span_hash (text);
-  event.u.call.content = completion_content_hash (&event.u.call, text);
   event.u.call.prompt_tokens = r->u.completion.prompt_tokens;
   event.u.call.max_tokens = r->u.completion.max_tokens;
   event.u.call.prefix_hash = prefix_hash (mq_str_span (body.prompt));
--- a/tests/test_crowd_native.cc
+++ b/tests/test_crowd_native.cc
@@ -129,6 +129,27 @@
                                     3 * mib));
 }
 
+/* Prompts are held by the router as long as engines work on them.  */
+TEST_F (CrowdNative, SendsWholePrompts)
+{
+  Sending s = crowd::plain (
+      head ("/v1/completions",
+            std::string ("Authorization: Bearer ") + deployment::token
+                + "\r\nContent-Type: application/json\r\nContent-Length: "
+                + std::to_string (3 * mib)),
+      0);
+  const std::string begin = deployment::quoted (
+      "{'model':'reports','max_tokens':1000,'stream':true,'prompt':'");
+
+  s.head += begin;
+  s.unit = std::string (65536, 'x');
+  s.units = (3 * mib - begin.size () - 2) / s.unit.size ();
+  s.tail = std::string (3 * mib - begin.size () - 2 - s.unit.size () * s.units,
+                        'x')
+           + "\"}";
+  expect_bounded (40, s);
+}
+
 TEST_F (CrowdNative, SendsBodiesToPathThatIsNone)
 {
   expect_bounded (
