--- a/tests/test_crowd_bodies.cc
+++ b/tests/test_crowd_bodies.cc
@@ -120,6 +120,18 @@
   expect_sound ();
 }
 
+TEST_F (CrowdOfBodies, EmptyWithLargeHeadsToSlowUpstream)
+{
+  Sending s = crowd_length ("/hold/x", 0, 0);
+
+  s.head.insert (s.head.find ("Content-Length"),
+                 "X-Filler: " + std::string (15500, 'x') + "\r\n");
+  start_small (64, limit);
+  join (480, clients_port, s);
+  send_all ();
+  expect_sound ();
+}
+
 TEST_F (CrowdOfBodies, BeforeConfiguration)
 {
   start_unconfigured (64);
