--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -801,6 +801,18 @@
     })) << got;
     return got;
   }
+
+  /* Send over S what it takes of BYTES from SENT on, and read.  Sets CLOSED at
+     the end of the stream.  */
+  static void
+  send_some (Socket &s, const std::string &bytes, size_t &sent, bool *closed)
+  {
+    ssize_t n = send (s.fd, bytes.data () + sent, bytes.size () - sent,
+                      MSG_NOSIGNAL);
+
+    sent += n > 0 ? (size_t)n : 0;
+    s.read (closed);
+  }
 };
 
 TEST_F (HttpRaw, RejectsAnOversizedBodyBeforeItIsSent)
@@ -831,11 +843,7 @@
       on_request = [] (mq_http_exchange *) { FAIL (); };
       /* Each turn of the loop that has nothing to wait for counts.  */
       ASSERT_TRUE (until ([&] {
-        ssize_t n = send (s.fd, bytes.data () + sent, bytes.size () - sent,
-                          MSG_NOSIGNAL);
-
-        sent += n > 0 ? (size_t)n : 0;
-        s.read (&closed);
+        send_some (s, bytes, sent, &closed);
         return closed || ++turns > 1000;
       }));
       EXPECT_TRUE (closed);
@@ -861,11 +869,7 @@
 
       on_request = [] (mq_http_exchange *) { FAIL (); };
       ASSERT_TRUE (until ([&] {
-        ssize_t n = send (s.fd, bytes.data () + sent, bytes.size () - sent,
-                          MSG_NOSIGNAL);
-
-        sent += n > 0 ? (size_t)n : 0;
-        s.read (&closed);
+        send_some (s, bytes, sent, &closed);
         return closed
                || (sent == bytes.size ()
                    && mq_http_server_connections (server) > 0);
