--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -28,6 +28,10 @@
 /* What still runs when the clients are done gets so long to be reported.  */
 static constexpr double settle_s = 2;
 static constexpr double tick_s = 0.005;
+/* The memory of a router's machine where there are crowds, and how often it is
+   looked at.  */
+static constexpr size_t memory_mb = 64;
+static constexpr double watch_interval_s = 0.1;
 
 static const char *const domains[] = { "one", "two", "three" };
 
@@ -50,6 +54,7 @@
 {
   end_all ();
   clients_.clear ();
+  crowds_.clear ();
   store_->close ();
   store_.reset ();
   for (int fd : reports_)
@@ -136,6 +141,11 @@
   r.is_stopping = r.is_killed = false;
   r.start_at = r.kill_at = r.resume_at = 0;
   r.faults.push_back (now_s ());
+  if (!o_.has_crowds)
+    return;
+  const unsigned base = r.ports->base ();
+  r.usage = std::make_unique<gateway::ProcessUsage> (
+      r.pid, std::vector<unsigned>{ base, base + 1, base + 2 });
 }
 
 /* Returns a listening socket at PORT, or at any port if that is taken.  */
@@ -249,6 +259,8 @@
           << "\",\"platform_url\":\"http://"
           << routers_[i]->door->server.address () << "\",\"seeds\":[" << seeds
           << "],\"metrics_port\":" << routers_[i]->ports->base () + 4
+          << (o_.has_crowds ? ",\"memory_mb\":" + std::to_string (memory_mb)
+                            : "")
           << ",\"grace_ms\":" << (unsigned)(grace_s * 1000)
           << ",\"further_sends_slack\":196,\"further_sends_window_ms\":10000}}"
           << "\n";
@@ -438,6 +450,56 @@
   p.start_at = now_s () + p.restart_s;
 }
 
+/* Judge what each router has used of its memory.  */
+void
+Driver::watch_memory ()
+{
+  if (now_s () < watch_at_)
+    return;
+  watch_at_ = now_s () + watch_interval_s;
+  for (size_t i = 0; i < routers_.size (); i++)
+    {
+      Router &r = *routers_[i];
+
+      if (r.pid <= 0 || r.usage == nullptr)
+        continue;
+      r.usage->sample ();
+      size_t mib = r.usage->peak_bytes () >> 20;
+      unsigned &most = checker.counts["MiB that a router used at most"];
+
+      most = std::max (most, (unsigned)mib);
+      if (mib < memory_mb)
+        continue;
+      checker.findings.push_back ({ "MEMORY", "router-" + std::to_string (i),
+                                    "used " + std::to_string (mib) + " of "
+                                        + std::to_string (memory_mb)
+                                        + " MiB" });
+      r.usage.reset ();
+    }
+}
+
+void
+Driver::tick_crowds ()
+{
+  double now = now_s ();
+
+  for (; next_crowd_ < crowd_plans_.size ()
+         && now >= start_ + crowd_plans_[next_crowd_].at;
+       next_crowd_++)
+    {
+      const CrowdPlan &p = crowd_plans_[next_crowd_];
+
+      note ("do " + crowd_text (p));
+      crowds_.emplace_back ();
+      crowds_.back ().crowd = std::make_unique<Crowd> (
+          p, routers_[p.router]->ports->base () + p.port);
+      crowds_.back ().end_at = now + p.seconds;
+    }
+  crowds_.remove_if ([&] (auto &c) { return now >= c.end_at; });
+  for (auto &c : crowds_)
+    c.crowd->tick ();
+}
+
 void
 Driver::read_reports ()
 {
@@ -543,6 +605,8 @@
       if (e->pid == 0 && now >= e->start_at)
         start_engine (*e);
     }
+  tick_crowds ();
+  watch_memory ();
   if (checker.findings.size () > n_noted_)
     note_findings ();
   for (auto &c : clients_)
@@ -595,6 +659,10 @@
   printf ("faults of engines: %s\n", Faults (o_.seed).text ().c_str ());
   for (auto &a : schedule_)
     printf ("%s\n", action_text (a).c_str ());
+  if (o_.has_crowds)
+    crowd_plans_ = draw_crowds (o_.seed, o_.minutes * 60, o_.routers);
+  for (auto &p : crowd_plans_)
+    printf ("%s\n", crowd_text (p).c_str ());
   fflush (stdout);
   configure ();
   port.n_routers = [this] { return o_.routers; };
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -7,8 +7,10 @@
 
 #include "../support/gateway_standins.h"
 #include "../support/port_block.h"
+#include "../support/process_usage.h"
 #include "checker.h"
 #include "client.h"
+#include "crowd.h"
 #include "schedule.h"
 
 #include <fstream>
@@ -23,6 +25,7 @@
   double minutes = 1;
   unsigned routers = 3, clients = 24;
   bool has_bounds = true; /* Judge what a busy machine may exceed.  */
+  bool has_crowds = true; /* Of clients that don't behave.  */
   unsigned apps = 3, desks = 2, models = 4; /* Engines by service.  */
   std::string router;                       /* Path of the program.  */
   std::string folder;                       /* For logs; exists.  */
@@ -63,6 +66,13 @@
     std::string settings, log;
     gateway::Store::Door *door = nullptr; /* Its way to the store.  */
     double hears_at = 0; /* End of the store's silence; 0: not silent.  */
+    std::unique_ptr<gateway::ProcessUsage> usage; /* NULL: not watched.  */
+  };
+
+  struct PresentCrowd
+  {
+    std::unique_ptr<Crowd> crowd;
+    double end_at;
   };
 
   struct Engine : Process
@@ -92,6 +102,8 @@
   void reap (Process &p, const std::string &name, bool is_router);
   void read_reports ();
   void on_end (Attempt &a);
+  void watch_memory ();
+  void tick_crowds ();
   void tick ();
   void end_all ();
   static void on_tick (struct ev_loop *, ev_timer *timer, int);
@@ -108,6 +120,10 @@
   std::vector<std::unique_ptr<Client> > clients_;
   std::vector<Action> schedule_;
   size_t next_action_ = 0, n_noted_ = 0;
+  std::vector<CrowdPlan> crowd_plans_;
+  size_t next_crowd_ = 0;
+  std::list<PresentCrowd> crowds_;
+  double watch_at_ = 0; /* When memory is looked at next.  */
   unsigned version_ = 1, odd_entries_ = 0;
   Random random_;
   std::vector<double> store_faults_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -10,6 +10,7 @@
 #include <mq/log.h>
 
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -84,12 +85,13 @@
             return name + ": \"" + value + "\" is not from 1 to 1000";
           (name == "--routers" ? o.routers : o.clients) = (unsigned)n;
         }
-      else if (name == "--bounds")
+      else if (name == "--bounds" || name == "--crowds")
         {
-          o.has_bounds = strcmp (value, "on") == 0;
-          if (!o.has_bounds && strcmp (value, "off") != 0)
-            return "--bounds: \"" + std::string (value)
-                   + "\" is neither on nor off";
+          bool is_on = strcmp (value, "on") == 0;
+
+          if (!is_on && strcmp (value, "off") != 0)
+            return name + ": \"" + value + "\" is neither on nor off";
+          (name == "--bounds" ? o.has_bounds : o.has_crowds) = is_on;
         }
       else if (name == "--router")
         o.router = value;
@@ -98,8 +100,8 @@
       else
         return name
                + ": unknown option (there are --seed N, --minutes M, "
-                 "--routers R, --clients C, --bounds on|off, --router "
-                 "PROGRAM, --out FOLDER)";
+                 "--routers R, --clients C, --bounds on|off, --crowds on|off, "
+                 "--router PROGRAM, --out FOLDER)";
     }
   return "";
 }
@@ -142,6 +144,18 @@
   return false;
 }
 
+/* Let the crowds have as many descriptors as the system allows.  */
+void
+allow_descriptors ()
+{
+  rlimit files;
+
+  if (getrlimit (RLIMIT_NOFILE, &files) != 0)
+    return;
+  files.rlim_cur = files.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &files);
+}
+
 int
 run_soak (int argc, char **argv)
 {
@@ -163,6 +177,7 @@
   o.folder = std::filesystem::absolute (o.folder);
   mq_log_init ("error");
   signal (SIGPIPE, SIG_IGN);
+  allow_descriptors ();
   printf ("seed %llu, %.2f minutes, %u routers, %u clients, %u engines; logs "
           "in %s\n",
           (unsigned long long)o.seed, o.minutes, o.routers, o.clients,
@@ -203,8 +218,9 @@
   if (status == 0 && is_temporary)
     std::filesystem::remove_all (o.folder, code);
   else if (status != 0)
-    printf ("replay with --seed %llu --minutes %g --routers %u\n",
-            (unsigned long long)o.seed, o.minutes, o.routers);
+    printf ("replay with --seed %llu --minutes %g --routers %u%s\n",
+            (unsigned long long)o.seed, o.minutes, o.routers,
+            o.has_crowds ? "" : " --crowds off");
   return status;
 }
 
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -492,7 +492,8 @@
   for (const char *arguments :
        { "--sead 1", "--seed", "--seed x", "--seed -1", "--minutes 0",
          "--minutes nan", "--routers 0", "--routers 1x", "--routers 900",
-         "--bounds maybe", "--router /nowhere", "--out /proc/none" })
+         "--bounds maybe", "--crowds maybe", "--router /nowhere",
+         "--out /proc/none" })
     EXPECT_EQ (soak_status (arguments), 2) << arguments;
 }
 
