net: what connections receive while the process does not run stays within its memory

Cause: the system goes on to receive on each connection, up to 96 KiB, and nothing bounds the sum. Change: a connection's receive buffer is a quarter of the memory that it may take, at most 48 KiB as before; the system doubles it, so that all of them take half of the connections' memory at most. MEMORY of the soak says how much was not read, and whether the router was paused.

Why it holds: the sum follows from the limit of connections, which follows from the memory.

--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -25,9 +25,12 @@
 #define MAX_CONNECTIONS_PER_SHARD 128
 #define MAX_HANGUPS_PER_EVENT 64
 
-/* What the system receives on a connection before it is read; it doubles the
-   size for its own needs.  */
-#define RECEIVE_BUFFER_BYTES (48 * 1024)
+/* What the system receives on a connection before it is read: at most this,
+   and at most this part of the memory that a connection may take.  It doubles
+   the size for its own needs, so that all buffers together take half of the
+   connections' memory at most, also while the process does not run.  */
+#define MAX_RECEIVE_BUFFER_BYTES ((size_t)48 * 1024)
+#define RECEIVE_BUFFER_DIVISOR 4
 
 /* Connections may take this part of the machine's memory by default.  */
 #define MACHINE_MEMORY_DIVISOR 2
@@ -88,17 +91,29 @@
   return 0;
 }
 
-/* Returns a listening socket for OPTIONS, with its port in *PORT; or -1 with
-   ERROR set.  */
+/* Returns the size of the system's buffer for what SERVER's connections
+   receive.  */
+static int
+server_receive_buffer (const mq_http_server *server)
+{
+  size_t share = server->memory / mq_http_server_connection_limit (server)
+                 / RECEIVE_BUFFER_DIVISOR;
+
+  return (int)(server->memory == 0 ? MAX_RECEIVE_BUFFER_BYTES
+                                   : MIN (share, MAX_RECEIVE_BUFFER_BYTES));
+}
+
+/* Returns a socket for OPTIONS that listens, with its port in *PORT; or -1
+   with ERROR set.  Its connections receive up to RECEIVE_BUFFER bytes before
+   they are read.  */
 static int
-server_listen (const mq_http_server_options *options, uint16_t *port,
-               GError **error)
+server_listen (const mq_http_server_options *options, int receive_buffer,
+               uint16_t *port, GError **error)
 {
   char *text = g_strndup (options->address.data, options->address.size);
   server_address a;
   socklen_t size = server_address_parse (&a, text, options->port);
   int on = 1;
-  int buffer = RECEIVE_BUFFER_BYTES;
   int fd = -1;
 
   if (size == 0)
@@ -110,7 +125,8 @@
   fd = socket (a.any.sa_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   /* Connections inherit it.  */
   if (fd >= 0)
-    (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+    (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                      sizeof receive_buffer);
   if (fd < 0 || setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on) < 0
       || bind (fd, &a.any, size) < 0 || listen (fd, MAX_LISTEN_BACKLOG) < 0
       || getsockname (fd, &a.any, &size) < 0)
@@ -535,7 +551,8 @@
     }
   if (server_read_tls (s, options, error) < 0)
     goto fail;
-  s->listen_fd = server_listen (options, &s->port, error);
+  s->listen_fd
+      = server_listen (options, server_receive_buffer (s), &s->port, error);
   if (s->listen_fd < 0)
     goto fail;
   /* Create one shard now, so that an error is detected at the start.  */
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -470,10 +470,13 @@
       most = std::max (most, (unsigned)mib);
       if (mib < memory_mb)
         continue;
-      checker.findings.push_back ({ "MEMORY", "router-" + std::to_string (i),
-                                    "used " + std::to_string (mib) + " of "
-                                        + std::to_string (memory_mb)
-                                        + " MiB" });
+      checker.findings.push_back (
+          { "MEMORY", "router-" + std::to_string (i),
+            "used " + std::to_string (mib) + " of "
+                + std::to_string (memory_mb) + " MiB, of which "
+                + std::to_string (r.usage->peak_unread () >> 20)
+                + " were not read, pid " + std::to_string (r.pid)
+                + (r.resume_at > 0 ? ", paused" : "") });
       r.usage.reset ();
     }
 }
--- a/tests/support/process_usage.h
+++ b/tests/support/process_usage.h
@@ -29,8 +29,19 @@
   void
   sample ()
   {
-    bytes_ = std::max (bytes_, status ("VmRSS:") + unread ());
-    bytes_ = std::max (bytes_, status ("VmHWM:"));
+    size_t waiting = unread ();
+    size_t now = status ("VmRSS:") + waiting;
+
+    if (now > bytes_)
+      {
+        bytes_ = now;
+        unread_ = waiting;
+      }
+    if (size_t most = status ("VmHWM:"); most > bytes_)
+      {
+        bytes_ = most;
+        unread_ = 0;
+      }
     files_ = std::max (files_, count_files ());
   }
 
@@ -42,6 +53,13 @@
     return bytes_;
   }
 
+  /* Of these, the bytes that were not yet read.  */
+  size_t
+  peak_unread () const
+  {
+    return unread_;
+  }
+
   /* The most open descriptors seen so far.  */
   size_t
   peak_files () const
@@ -134,6 +152,7 @@
   std::string folder_;
   std::vector<unsigned> ports_;
   size_t bytes_ = 0;
+  size_t unread_ = 0; /* Of BYTES_.  */
   size_t files_ = 0;
 };
 
--- a/tests/test_crowd_connections.cc
+++ b/tests/test_crowd_connections.cc
@@ -110,6 +110,30 @@
   expect_sound ();
 }
 
+/* The system goes on to receive for a process that gets no processor time,
+   whatever an earlier crowd has left of its memory.  */
+TEST_F (CrowdOfConnections, ThatSendWhileProcessIsSuspended)
+{
+  start_small (64, limit);
+  join (480, clients_port, crowd_length ("/safe/x", 65536, 60000));
+  send_all ();
+  clients.clear ();
+  settle ();
+  join (480, clients_port, crowd_length ("/safe/x", limit, 1024 * 1024));
+  settle ();
+  process->signal (SIGSTOP);
+  for (unsigned i = 0; i < 50; i++)
+    {
+      for (auto &c : clients)
+        c.write (65536);
+      usage->sample ();
+      wait (0.01);
+    }
+  process->signal (SIGCONT);
+  send_all ();
+  expect_sound ();
+}
+
 TEST_F (CrowdOfConnections, ThatDoNotReadResponses)
 {
   start_small (64, limit);
