tests: a condition that has held is not asked again

Trace (log of the router): until () asked its condition once more after it had held; the request of that second time met app-b, which refuses each third one by the fixture's design, on a route with one attempt. No fault of the router. Change: the fixture returns what its condition said when it ended the wait; no check is changed.

--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -192,14 +192,17 @@
   {
     ev_tstamp limit = ev_time () + 10;
     ev_timer tick;
+    bool met;
 
     ev_timer_init (
         &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.005, 0.005);
     ev_timer_start (loop, &tick);
-    while (!test () && ev_time () < limit)
+    /* TEST may have effects: what it has found true once is not asked again.
+     */
+    while (!(met = test ()) && ev_time () < limit)
       ev_run (loop, EVRUN_ONCE);
     ev_timer_stop (loop, &tick);
-    return test ();
+    return met;
   }
 
   void
