marjoramquay: native mode counts what it evicts and refuses, as gateway mode does

What operators saw: in native mode the limits of the account had a log line but no counter. Cause: only gateway mode copied the account into its metrics. Change: one function does it for both (mq/resource_metrics.h); names and values are the same. Test: CrowdNative.ShowsInMetrics. Gateway mode runs the changed lines at its start and for a fetch of its metrics alone.

--- a/include/mq/internal/gateway.h
+++ b/include/mq/internal/gateway.h
@@ -198,10 +198,6 @@
   uint64_t *connections;
   uint64_t *connection_limit;
   uint64_t *refused_connections;
-  uint64_t *held_bytes;
-  uint64_t *held_limit;
-  uint64_t *evictions[MQ_RESOURCE_STATES];
-  uint64_t *account_refusals;
   uint64_t *upstreams;
   uint64_t *upstreams_ejected;
   uint64_t *upstreams_rejecting;
--- a/packages/gateway/gateway_metrics.c
+++ b/packages/gateway/gateway_metrics.c
@@ -8,6 +8,7 @@
 #include <mq/internal/gateway.h>
 
 #include <mq/log.h>
+#include <mq/resource_metrics.h>
 
 #define STATUS_OK 200
 
@@ -154,44 +155,6 @@
     }
 }
 
-/* Create the metrics of what is held for clients.  */
-static void
-metrics_init_account (mq_gateway *gateway)
-{
-  mq_gateway_counters *c = &gateway->counters;
-  mq_metrics *m = gateway->metrics;
-  char labels[64];
-
-  c->held_bytes = mq_metrics_gauge (m, "marjoramquay_held_bytes", "",
-                                    "Memory held for clients.");
-  c->held_limit = mq_metrics_gauge (m, "marjoramquay_held_limit_bytes", "",
-                                    "How much of it there may be.");
-  for (int i = 0; i < MQ_RESOURCE_BUSY; i++)
-    {
-      g_snprintf (labels, sizeof labels, "state=\"%s\"",
-                  mq_resource_state_name (i));
-      c->evictions[i] = mq_metrics_counter (
-          m, "marjoramquay_evictions_total", labels,
-          "Connections closed for want of memory or descriptors.");
-    }
-  c->account_refusals = mq_metrics_counter (
-      m, "marjoramquay_memory_refusals_total", "",
-      "Connections and requests that were not taken for want of memory or "
-      "descriptors.");
-}
-
-static void
-metrics_read_account (mq_gateway *gateway)
-{
-  mq_gateway_counters *c = &gateway->counters;
-
-  *c->held_bytes = gateway->account.held;
-  *c->held_limit = gateway->account.memory;
-  for (int i = 0; i < MQ_RESOURCE_BUSY; i++)
-    *c->evictions[i] = gateway->account.evictions[i];
-  *c->account_refusals = gateway->account.refusals;
-}
-
 void
 mq_gateway_metrics_init (mq_gateway *gateway)
 {
@@ -222,7 +185,7 @@
   c->loads_waiting
       = mq_metrics_gauge (m, "marjoramquay_loads", "state=\"waiting\"", "");
   metrics_init_responses (gateway);
-  metrics_init_account (gateway);
+  mq_resource_metrics_update (m, &gateway->account);
   metrics_init_store (gateway);
   c->budget_granted
       = mq_metrics_counter (m, "marjoramquay_budget_lent_total", "",
@@ -471,7 +434,7 @@
   *c->connection_limit = mq_http_server_connection_limit (gateway->clients);
   *c->refused_connections
       = mq_http_server_refused_connections (gateway->clients);
-  metrics_read_account (gateway);
+  mq_resource_metrics_update (gateway->metrics, &gateway->account);
   *c->upstreams = g_hash_table_size (gateway->registry.by_id);
   *c->upstreams_ejected = 0;
   *c->upstreams_rejecting = 0;
--- a/programs/marjoramquay/status.c
+++ b/programs/marjoramquay/status.c
@@ -3,6 +3,7 @@
 #include "status.h"
 
 #include <mq/json_text.h>
+#include <mq/resource_metrics.h>
 #include <stdio.h>
 #include <sys/resource.h>
 
@@ -159,6 +160,7 @@
              "Processor time used by this process.", cpu_ms ());
   entry_counters_copy (router);
   mq_fleet_node_update_metrics (router->fleet);
+  mq_resource_metrics_update (router->metrics, &router->account);
   mq_crash_tracker_update_metrics (router->crash_tracker);
   mq_fleet_plans_update_metrics (router->plans);
   mq_metrics_render (router->metrics, out);
--- a/tests/test_crowd_native.cc
+++ b/tests/test_crowd_native.cc
@@ -101,8 +101,9 @@
     expect_sound ();
   }
 
-private:
   std::unique_ptr<Deployment> deployment_;
+
+private:
   std::unique_ptr<gateway::ProcessUsage> usage_;
   std::vector<std::unique_ptr<Sending> > sendings_;
   std::vector<CrowdClient> clients_;
@@ -159,4 +160,18 @@
 
 TEST_F (CrowdNative, IsSilent) { expect_bounded (700, {}); }
 
+/* What was closed for it is counted.  */
+TEST_F (CrowdNative, ShowsInMetrics)
+{
+  expect_bounded (700, {});
+  const std::string metrics
+      = programs::get (deployment_->router ().url () + "/metrics").body;
+  const std::string idle = "\nmarjoramquay_evictions_total{state=\"idle\"} ";
+  const size_t at = metrics.find (idle);
+
+  ASSERT_NE (at, std::string::npos) << metrics;
+  EXPECT_GT (std::stoul (metrics.substr (at + idle.size ())), 0u);
+  EXPECT_NE (metrics.find ("\nmarjoramquay_held_bytes "), std::string::npos);
+}
+
 } // namespace
