tests: the upstream of a crowd's router is registered before it starts

Cause, by elimination: the test wrote the upstream's entry and the configuration while the router ran. The router learns each kind by a watch of its own, in no fixed order, and is ready once it has a configuration and a whole list of upstreams, here the empty one. A request between the two is refused as no-room, with a 503 without a body and a Retry-After, truthfully.

A refusal or eviction for want of memory has a body, and "no-configuration" can't follow readiness.

The upstream is now registered before the process starts, as in all other crowds; the crowd, its bounds and what is asserted are unchanged.

--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -63,9 +63,8 @@
       mq_http_exchange_unref (x);
   }
 
-  /* Start a router on a machine with MEMORY MiB, without a configuration.  */
   void
-  start_unconfigured (unsigned memory, unsigned files = 0)
+  start_process (unsigned memory, unsigned files)
   {
     unsigned base = free_ports ();
     std::string text
@@ -86,8 +85,20 @@
         std::vector<unsigned>{ base, base + 1, base + 2, base + 4 });
   }
 
-  /* Write a configuration with bodies of up to BODY bytes; an upstream answers
-     what is sent to /safe/ and holds what is sent to /hold/.  */
+  /* Start a router on a machine with MEMORY MiB, without a configuration.  Its
+     upstream answers what is sent to /safe/ and holds what is sent to /hold/.
+     The upstream is registered first: the router learns entries and the
+     configuration in no fixed order.  */
+  void
+  start_unconfigured (unsigned memory, unsigned files = 0)
+  {
+    upstream_body_bytes = 8 * mib;
+    a = &add ("app-a", "app");
+    a->serve = [this] (mq_http_exchange *x) { serve (x); };
+    start_process (memory, files);
+  }
+
+  /* Write a configuration with bodies of up to BODY bytes.  */
   void
   write_configuration (size_t body)
   {
@@ -99,9 +110,6 @@
     hold.replace (hold.find (limit), limit.size (), longer);
     stream.replace (stream.find (limit), limit.size (), longer);
     body_bytes = body;
-    upstream_body_bytes = 8 * mib;
-    a = &add ("app-a", "app");
-    a->serve = [this] (mq_http_exchange *x) { serve (x); };
     configure (1, "," + hold + "," + stream);
   }
 
@@ -163,13 +171,22 @@
       }
   }
 
+  /* What the router logged last.  */
+  std::string
+  log_tail () const
+  {
+    const std::string log = process->log ();
+
+    return log.substr (log.size () - std::min<size_t> (log.size (), 4096));
+  }
+
   void
   expect_sound ()
   {
     Answer ordinary = fetch ("POST", "/safe/x", key, "an ordinary body");
 
     usage->sample ();
-    EXPECT_EQ (ordinary.status, 200u);
+    EXPECT_EQ (ordinary.status, 200u) << log_tail ();
     EXPECT_EQ (ordinary.body, "answer of app-a");
     EXPECT_FALSE (process->has_ended ());
     EXPECT_GT (usage->peak_bytes (), 0u);
