soak: judges DRAIN, GONE and BUDGET

DRAIN: a request reaches an engine more than drainMs (2 s) after the store acknowledged that it leaves. Judged where nothing was done to the router or the store from 3 s before that on. GONE: more than three requests reach an engine over 0.5 s after their clients have left, through routers to which nothing was done since 3 s before. Both only with bounds, as CONFIG. BUDGET: in some 10 s a service gets more arrivals beyond the first of each request than 0.2 x its requests + 196, as RULES.md counts them.

--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -13,6 +13,19 @@
 /* RULES.md, CONFIG: configApplyMs, after which only a newer configuration may
    decide on a request.  */
 static constexpr double config_apply_s = 2;
+/* RULES.md, DRAIN: drainMs, after which nothing may reach an engine that
+   leaves.  */
+static constexpr double drain_s = 2;
+/* RULES.md, GONE: so long after its client has left a request may still reach
+   an engine, and more later ones than this break the rule.  */
+static constexpr double gone_s = 0.5;
+static constexpr size_t gone_allowed = 3;
+/* RULES.md, BUDGET: budgetWindowS, retryBudgetRatio and budgetSlack.  */
+static constexpr double budget_window_s = 10;
+static constexpr double budget_ratio = 0.2;
+static constexpr double budget_slack = 196;
+/* RULES.md: stableWindowMs, for which a machine must have been sound.  */
+static constexpr double stable_s = 3;
 
 const char *
 end_name (Attempt::End end)
@@ -79,12 +92,11 @@
   return i == routes.end () ? "" : i->second;
 }
 
-/* Judge whether a configuration that may be in force allows what was done with
-   the request.  Only for a router and a store that are in order.  */
-void
-Checker::judge_configuration (const Known &k)
+/* Returns the services that a configuration that may be in force has for A,
+   one of them empty where one has no route.  */
+std::set<std::string>
+Checker::services_of (const Attempt &a) const
 {
-  const Attempt &a = k.attempt;
   std::set<std::string> services;
 
   for (size_t i = 0; i < configurations_.size (); i++)
@@ -92,6 +104,17 @@
         && (i + 1 == configurations_.size ()
             || configurations_[i + 1].first >= a.sent_at - config_apply_s))
       services.insert (service_of (configurations_[i].second, a.target));
+  return services;
+}
+
+/* Judge whether a configuration that may be in force allows what was done with
+   the request.  Only for a router and a store that are in order.  */
+void
+Checker::judge_configuration (const Known &k)
+{
+  const Attempt &a = k.attempt;
+  std::set<std::string> services = services_of (a);
+
   if (!a.router_calm || !a.store_calm)
     return;
   counts["judged for CONFIG"]++;
@@ -181,6 +204,30 @@
   engine_faults_[id].push_back (at);
 }
 
+void
+Checker::add_engine_leaving (const std::string &id, double at)
+{
+  engine_states_[id].push_back ({ at, false });
+}
+
+void
+Checker::add_engine_ready (const std::string &id, double at)
+{
+  engine_states_[id].push_back ({ at, true });
+}
+
+void
+Checker::add_router_fault (unsigned router, double at)
+{
+  router_faults_[router].push_back (at);
+}
+
+void
+Checker::add_store_fault (double at)
+{
+  store_faults_.push_back (at);
+}
+
 const Run *
 Checker::run_of (const Known &k, const std::string &signature) const
 {
@@ -381,6 +428,122 @@
     lost_.push_back ({ a.id, k.runs.back ().engine });
 }
 
+/* Returns true if none of FAULTS was from FROM to TO.  */
+static bool
+is_calm (const std::vector<double> &faults, double from, double to)
+{
+  return std::none_of (faults.begin (), faults.end (),
+                       [&] (double at) { return at > from && at < to; });
+}
+
+/* Returns true if nothing was done to ROUTER from FROM to TO.  */
+bool
+Checker::is_router_calm (unsigned router, double from, double to) const
+{
+  auto i = router_faults_.find (router);
+
+  return i == router_faults_.end () || is_calm (i->second, from, to);
+}
+
+/* Judge whether a request reached an engine that was leaving.  Only for a
+   router and a store that were in order from before that on.  */
+void
+Checker::judge_drain (const Known &k)
+{
+  for (auto &r : k.runs)
+    {
+      auto i = engine_states_.find (r.engine);
+      double leaving_at = 0;
+
+      if (i == engine_states_.end ())
+        continue;
+      for (auto &s : i->second)
+        if (s.first < r.at)
+          leaving_at = s.second ? 0 : s.first;
+      if (leaving_at == 0
+          || !is_router_calm (k.attempt.router, leaving_at - stable_s, r.at)
+          || !is_calm (store_faults_, leaving_at - stable_s, r.at))
+        continue;
+      counts["reached an engine that leaves"]++;
+      if (r.at > leaving_at + drain_s)
+        find ("DRAIN", k,
+              "reaches " + r.engine + " " + std::to_string (r.at - leaving_at)
+                  + " s after it began to leave");
+    }
+}
+
+/* See whether a request reached an engine long after its client had left.  */
+void
+Checker::judge_gone (const Known &k)
+{
+  const Attempt &a = k.attempt;
+
+  if (a.end != Attempt::End::Left && a.end != Attempt::End::TimedOut)
+    return;
+  for (auto &r : k.runs)
+    if (r.at > a.ended_at + gone_s
+        && is_router_calm (a.router, a.sent_at - stable_s, r.at))
+      gone_.push_back (a.id);
+}
+
+/* Returns how many of TIMES, which are sorted, are in the window that begins
+   at FROM.  */
+static size_t
+count_in_window (const std::vector<double> &times, double from)
+{
+  return (size_t)(std::lower_bound (times.begin (), times.end (),
+                                    from + budget_window_s)
+                  - std::lower_bound (times.begin (), times.end (), from));
+}
+
+/* Judge what all routers together sent beyond the first of each request.  A
+   window that breaks the rule can be moved until it begins with one of
+   these.  */
+void
+Checker::judge_budget ()
+{
+  std::map<std::string, Load> loads;
+
+  for (auto &i : known_)
+    {
+      const Known &k = i.second;
+      std::map<std::string, unsigned> arrivals;
+
+      for (auto &service : services_of (k.attempt))
+        if (!service.empty ())
+          loads[service].requests.push_back (k.attempt.sent_at);
+      for (auto &r : k.runs)
+        if (++arrivals[r.service] > 1)
+          loads[r.service].further.push_back (r.at);
+    }
+  for (auto &i : loads)
+    {
+      Load &l = i.second;
+
+      std::sort (l.requests.begin (), l.requests.end ());
+      std::sort (l.further.begin (), l.further.end ());
+      counts["sent again to " + i.first] += (unsigned)l.further.size ();
+      for (double from : l.further)
+        {
+          size_t further = count_in_window (l.further, from);
+          size_t requests = std::max (
+              { count_in_window (l.requests, from),
+                count_in_window (l.requests, from - budget_window_s),
+                count_in_window (l.requests, from - budget_window_s / 2) });
+
+          if ((double)further
+              <= budget_ratio * (double)requests + budget_slack)
+            continue;
+          findings.push_back (
+              { "BUDGET", "-",
+                std::to_string (further) + " further sends to " + i.first
+                    + " in " + std::to_string ((unsigned)budget_window_s)
+                    + " s, for " + std::to_string (requests) + " requests" });
+          break;
+        }
+    }
+}
+
 void
 Checker::add_end (const Attempt &attempt)
 {
@@ -424,9 +587,18 @@
     if (k.second.has_ended)
       {
         judge_lost (k.second);
-        if (has_bounds)
-          judge_configuration (k.second);
+        if (!has_bounds)
+          continue;
+        judge_configuration (k.second);
+        judge_drain (k.second);
+        judge_gone (k.second);
       }
+  judge_budget ();
+  counts["sent on after their clients had left"] = (unsigned)gone_.size ();
+  if (gone_.size () > gone_allowed)
+    for (auto &id : gone_)
+      findings.push_back (
+          { "GONE", id, "reaches an engine after its client has left" });
   if (lost_.size () > losses_allowed)
     for (auto &l : lost_)
       findings.push_back ({ "LOST", l.first,
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -79,6 +79,14 @@
   void add_reset (const std::string &attempt, const std::string &signature);
   /* The engine with ID was stopped, paused or killed.  */
   void add_engine_fault (const std::string &id, double at);
+  /* The store acknowledged at AT that the engine with ID leaves, or that it is
+     there (again).  */
+  void add_engine_leaving (const std::string &id, double at);
+  void add_engine_ready (const std::string &id, double at);
+  /* ROUTER was killed, started, paused or resumed.  */
+  void add_router_fault (unsigned router, double at);
+  /* The store began or ceased to fail.  */
+  void add_store_fault (double at);
   /* Judge an attempt that has ended.  All reports that its engines made before
      have been added.  */
   void add_end (const Attempt &attempt);
@@ -107,6 +115,13 @@
     bool has_ended = false;
   };
 
+  /* What arrived for one service, by time.  */
+  struct Load
+  {
+    std::vector<double> requests; /* Sent by clients.  */
+    std::vector<double> further;  /* At engines, beyond the first.  */
+  };
+
   void find (const char *rule, const Known &k, const std::string &text);
   const Run *run_of (const Known &k, const std::string &signature) const;
   void judge_success (Known &k, const Message &m);
@@ -116,11 +131,21 @@
   void judge_answer (Known &k, const Message &m);
   void judge_lost (const Known &k);
   void judge_configuration (const Known &k);
+  void judge_drain (const Known &k);
+  void judge_gone (const Known &k);
+  void judge_budget ();
+  std::set<std::string> services_of (const Attempt &a) const;
+  bool is_router_calm (unsigned router, double from, double to) const;
 
   uint64_t seed_;
   std::map<std::string, Known> known_;
   std::vector<std::pair<double, Routes> > configurations_;
   std::map<std::string, std::vector<double> > engine_faults_;
+  /* When each engine was ready (true) or leaving (false), by time.  */
+  std::map<std::string, std::vector<std::pair<double, bool> > > engine_states_;
+  std::map<unsigned, std::vector<double> > router_faults_;
+  std::vector<double> store_faults_;
+  std::vector<std::string> gone_; /* Attempts that were sent on too late.  */
   std::vector<std::pair<std::string, std::string> >
       lost_; /* Outside drains. */
 };
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -201,6 +201,7 @@
   e.is_stopping = e.is_killed = false;
   e.start_at = e.kill_at = e.resume_at = e.remove_at = e.leave_at = 0;
   store_->put ("servers", e.id, entry (e, false));
+  checker.add_engine_ready (e.id, now_s ());
   note ("start " + e.id + " at " + e.address + " pid "
         + std::to_string (e.pid));
 }
@@ -316,6 +317,7 @@
   else if (e.leave_at == 0 && !e.is_stopping)
     {
       store_->put ("servers", e.id, entry (e, true));
+      checker.add_engine_leaving (e.id, now_s ());
       e.leave_at = now_s () + drain_s + a.seconds;
       e.restart_s = a.seconds;
     }
@@ -684,6 +686,11 @@
   read_reports ();
   end_all ();
   read_reports ();
+  for (unsigned i = 0; i < routers_.size (); i++)
+    for (double at : routers_[i]->faults)
+      checker.add_router_fault (i, at);
+  for (double at : store_faults_)
+    checker.add_store_fault (at);
   if (is_interrupted_)
     error = "interrupted";
   else
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -96,6 +96,9 @@
     return s;
   }
 
+  void leave (unsigned n, double at);
+  void send_again (unsigned n, unsigned further);
+
   /* Returns the rules that were found broken.  */
   std::string
   found () const
@@ -462,6 +465,143 @@
   EXPECT_EQ (found (), "CONFIG");
 }
 
+/* An engine that is ready at 1 and leaves at 8; the request is sent at 10.  */
+TEST_F (SoakChecker, RunAtLeavingEngineIsDrain)
+{
+  checker.has_bounds = true;
+  checker.add_engine_ready ("e1", 1);
+  checker.add_engine_leaving ("e1", 7.9);
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.at = 10.05;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "DRAIN");
+}
+
+TEST_F (SoakChecker, RunAtEngineThatHasJustLeftIsNoFinding)
+{
+  checker.has_bounds = true;
+  checker.add_engine_leaving ("e1", 8.2);
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.at = 10.05;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, RunAtEngineThatIsBackIsNoFinding)
+{
+  checker.has_bounds = true;
+  checker.add_engine_leaving ("e1", 5);
+  checker.add_engine_ready ("e1", 9);
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.at = 10.05;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, RunAtLeavingEngineByDisturbedRouterIsNoFinding)
+{
+  checker.has_bounds = true;
+  checker.add_engine_leaving ("e1", 7);
+  checker.add_router_fault (0, 6);
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.at = 10.05;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, RunAtLeavingEngineWithDisturbedStoreIsNoFinding)
+{
+  checker.has_bounds = true;
+  checker.add_engine_leaving ("e1", 7);
+  checker.add_store_fault (6);
+  send (Kind::Safe);
+  soak::Run r = run ();
+  r.at = 10.05;
+  checker.add_run (r);
+  answer (200, r.signature, soak::body_of (r));
+  EXPECT_EQ (found (), "");
+}
+
+/* Sends N requests whose clients leave at 10.1 and that reach an engine at
+   AT.  */
+void
+SoakChecker::leave (unsigned n, double at)
+{
+  checker.has_bounds = true;
+  for (unsigned i = 0; i < n; i++)
+    {
+      send (Kind::Safe);
+      attempt.id = "c1-" + std::to_string (i) + "-1";
+      attempt.end = Attempt::End::Left;
+      checker.add_sent (attempt);
+      checker.add_end (attempt);
+      soak::Run r = run ();
+      r.attempt = attempt.id;
+      r.at = at;
+      checker.add_run (r);
+    }
+  checker.finish ();
+}
+
+TEST_F (SoakChecker, ManyRunsAfterClientsHaveLeftAreGone)
+{
+  leave (4, 10.7);
+  EXPECT_EQ (found (), "GONE GONE GONE GONE");
+}
+
+TEST_F (SoakChecker, FewRunsAfterClientsHaveLeftAreNoFinding)
+{
+  leave (3, 10.7);
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, RunsSoonAfterClientsHaveLeftAreNoFinding)
+{
+  leave (20, 10.5);
+  EXPECT_EQ (found (), "");
+}
+
+/* Sends N requests, and each FURTHER more times to another engine.  */
+void
+SoakChecker::send_again (unsigned n, unsigned further)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      send (Kind::Safe);
+      attempt.id = "c1-" + std::to_string (i) + "-1";
+      checker.add_sent (attempt);
+      for (unsigned j = 0; j <= further; j++)
+        {
+          soak::Run r = run (j);
+          r.attempt = attempt.id;
+          r.at = 10 + 0.01 * j;
+          checker.add_run (r);
+        }
+    }
+  checker.finish ();
+}
+
+/* 0.2 of 100 requests and 196 are allowed.  */
+TEST_F (SoakChecker, FurtherSendsOverBoundAreBudget)
+{
+  send_again (100, 3);
+  EXPECT_EQ (found (), "BUDGET");
+}
+
+TEST_F (SoakChecker, FurtherSendsWithinBoundAreNoFinding)
+{
+  send_again (100, 2);
+  EXPECT_EQ (found (), "");
+}
+
 /* Two runs from one seed must not differ in what they do.  */
 TEST (SoakAnswer, DependsOnItsSeedAlone)
 {
