soak: half of the clients ask the directory

Half of them now do as PROTOCOL.md says: ask a router, or soon after another one, for one second each, keep the answer for its time (some three times as long) and longer if there is no new one, choose among the listed routers but the one that failed last, and leave a connection to one that is no longer listed. An answer that is malformed, lists an address of no router or one twice is a finding (DIRECTORY). They draw from a random source of their own, so that the requests of a seed stay as they were.

The line `replay with' names the clients too.

--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -566,6 +566,14 @@
   k.attempt.answer.body.clear ();
 }
 
+void
+Checker::add_look_up (bool is_answered, const std::string &wrong)
+{
+  counts[is_answered ? "look-ups answered" : "look-ups failed"]++;
+  if (!wrong.empty ())
+    findings.push_back ({ "DIRECTORY", "-", wrong });
+}
+
 void
 Checker::add_unasked (const std::string &last_attempt,
                       const std::string &bytes)
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -90,6 +90,9 @@
   /* Judge an attempt that has ended.  All reports that its engines made before
      have been added.  */
   void add_end (const Attempt &attempt);
+  /* A look-up at the directory has ended; WRONG says what is wrong with its
+     answer, empty for nothing.  */
+  void add_look_up (bool is_answered, const std::string &wrong);
   /* Bytes came on a connection of a client on which no request waits.  */
   void add_unasked (const std::string &last_attempt, const std::string &bytes);
   /* Judge what can be judged only when nothing more runs.  */
--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -15,6 +15,8 @@
 /* The timeouts of the routes, as the configuration has them.  */
 static constexpr double plain_timeout_s = 3, stream_timeout_s = 10;
 static constexpr unsigned tries_max = 4;
+/* Of the clients, those that ask the directory.  */
+static constexpr double directory_share = 0.5;
 /* PROTOCOL.md: the share of the time left that Retry-After is obeyed for.  */
 static constexpr double retry_after_share = 1.0 / 3;
 
@@ -28,6 +30,11 @@
   io_.data = this;
   is_impatient_ = random_.chance (0.2);
   next_at_ = now_s () + random_.between (0, 0.5);
+  if (port.has_directory
+      && Random (digest ("uses directory " + std::to_string (number), seed))
+             .chance (directory_share))
+    directory_
+        = std::make_unique<Directory> (loop, number, seed, port.routers);
 }
 
 Client::~Client () { close_connection (); }
@@ -56,11 +63,13 @@
   struct sockaddr_in to = {};
 
   do
-    router_ = (unsigned)random_.below (port_.n_routers ());
-  while (router_ == avoid_ && port_.n_routers () > 1);
+    router_ = (unsigned)random_.below (port_.routers.n_routers ());
+  while (router_ == avoid_ && port_.routers.n_routers () > 1);
+  if (directory_ != nullptr)
+    router_ = directory_->choose (avoid_);
   fd_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   to.sin_family = AF_INET;
-  to.sin_port = htons ((uint16_t)port_.port_of (router_));
+  to.sin_port = htons ((uint16_t)port_.routers.port_of (router_));
   to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
   if (connect (fd_, reinterpret_cast<struct sockaddr *> (&to), sizeof to) != 0
       && errno != EINPROGRESS)
@@ -334,6 +343,8 @@
 void
 Client::tick (double now, bool may_begin)
 {
+  if (directory_ != nullptr)
+    directory_->tick (now, may_begin);
   if (is_waiting_)
     {
       if (leave_at_ > 0 && now >= leave_at_)
@@ -342,6 +353,8 @@
         end_attempt (Attempt::End::TimedOut);
       return;
     }
+  if (directory_ != nullptr && !directory_->lists (router_))
+    close_connection ();
   if (now < next_at_ || (!may_begin && !has_job_))
     return;
   if (!has_job_)
--- a/tests/soak/client.h
+++ b/tests/soak/client.h
@@ -1,15 +1,18 @@
-/* A client of the soak, on the event loop of the driver.  It keeps a
-   connection until the router closes it, sends one request at a time, retries
-   as PROTOCOL.md says, and now and then gives up early.  */
+/* A client of the soak, on the event loop of the driver.  It asks the
+   directory for routers or tries them all, keeps a connection until the router
+   closes it, sends one request at a time, retries as PROTOCOL.md says, and now
+   and then gives up early.  */
 
 #ifndef MQ_SOAK_CLIENT_H
 #define MQ_SOAK_CLIENT_H
 
 #include "checker.h"
+#include "directory.h"
 
 #include <ev.h>
 
 #include <functional>
+#include <memory>
 
 namespace soak
 {
@@ -28,8 +31,8 @@
 /* What a client needs from its surroundings.  */
 struct ClientPort
 {
-  std::function<unsigned ()> n_routers;
-  std::function<unsigned (unsigned)> port_of; /* Of a router.  */
+  DirectoryPort routers;
+  bool has_directory = true; /* Some clients ask it.  */
   std::function<void (const Attempt &)> on_sent;
   std::function<void (Attempt &)> on_end;
   std::function<void (const std::string &, const std::string &)> on_unasked;
@@ -67,6 +70,7 @@
   uint64_t seed_;
   Random random_;
   ClientPort port_;
+  std::unique_ptr<Directory> directory_; /* NULL: it tries all routers.  */
   int fd_ = -1;
   unsigned router_ = 0;
   bool has_used_ = false; /* The connection.  */
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -670,8 +670,15 @@
     printf ("%s\n", crowd_text (p).c_str ());
   fflush (stdout);
   configure ();
-  port.n_routers = [this] { return o_.routers; };
-  port.port_of = [this] (unsigned i) { return routers_[i]->ports->base (); };
+  port.has_directory = o_.has_directory;
+  port.routers.n_routers = [this] { return o_.routers; };
+  port.routers.port_of
+      = [this] (unsigned i) { return routers_[i]->ports->base (); };
+  port.routers.directory_port_of
+      = [this] (unsigned i) { return routers_[i]->ports->base () + 2; };
+  port.routers.on_end = [this] (bool is_answered, const std::string &wrong) {
+    checker.add_look_up (is_answered, wrong);
+  };
   port.on_sent = [this] (const Attempt &a) { checker.add_sent (a); };
   port.on_end = [this] (Attempt &a) { on_end (a); };
   port.on_unasked = [this] (const std::string &id, const std::string &bytes) {
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -24,8 +24,9 @@
   uint64_t seed = 0;
   double minutes = 1;
   unsigned routers = 3, clients = 24;
-  bool has_bounds = true; /* Judge what a busy machine may exceed.  */
-  bool has_crowds = true; /* Of clients that don't behave.  */
+  bool has_bounds = true;    /* Judge what a busy machine may exceed.  */
+  bool has_crowds = true;    /* Of clients that don't behave.  */
+  bool has_directory = true; /* Some clients ask it.  */
   unsigned apps = 3, desks = 2, models = 4; /* Engines by service.  */
   std::string router;                       /* Path of the program.  */
   std::string folder;                       /* For logs; exists.  */
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -85,13 +85,17 @@
             return name + ": \"" + value + "\" is not from 1 to 1000";
           (name == "--routers" ? o.routers : o.clients) = (unsigned)n;
         }
-      else if (name == "--bounds" || name == "--crowds")
+      else if (name == "--bounds" || name == "--crowds"
+               || name == "--directory")
         {
           bool is_on = strcmp (value, "on") == 0;
 
           if (!is_on && strcmp (value, "off") != 0)
             return name + ": \"" + value + "\" is neither on nor off";
-          (name == "--bounds" ? o.has_bounds : o.has_crowds) = is_on;
+          (name == "--bounds"   ? o.has_bounds
+           : name == "--crowds" ? o.has_crowds
+                                : o.has_directory)
+              = is_on;
         }
       else if (name == "--router")
         o.router = value;
@@ -101,7 +105,7 @@
         return name
                + ": unknown option (there are --seed N, --minutes M, "
                  "--routers R, --clients C, --bounds on|off, --crowds on|off, "
-                 "--router PROGRAM, --out FOLDER)";
+                 "--directory on|off, --router PROGRAM, --out FOLDER)";
     }
   return "";
 }
@@ -218,9 +222,11 @@
   if (status == 0 && is_temporary)
     std::filesystem::remove_all (o.folder, code);
   else if (status != 0)
-    printf ("replay with --seed %llu --minutes %g --routers %u%s\n",
-            (unsigned long long)o.seed, o.minutes, o.routers,
-            o.has_crowds ? "" : " --crowds off");
+    printf ("replay with --seed %llu --minutes %g --routers %u --clients %u"
+            "%s%s\n",
+            (unsigned long long)o.seed, o.minutes, o.routers, o.clients,
+            o.has_crowds ? "" : " --crowds off",
+            o.has_directory ? "" : " --directory off");
   return status;
 }
 
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -3,6 +3,7 @@
 
 #include "soak/answer.h"
 #include "soak/checker.h"
+#include "soak/directory.h"
 #include "support/programs.h"
 
 #include <dirent.h>
@@ -603,6 +604,39 @@
 }
 
 /* Two runs from one seed must not differ in what they do.  */
+TEST (SoakDirectory, AnswerIsRead)
+{
+  std::vector<unsigned> ports;
+  unsigned ttl_s = 0;
+
+  ASSERT_TRUE (soak::directory_answer_parse (
+      "{\"addresses\":[\"127.0.0.1:80\",\"127.0.0.1:8081\"],\"ttlS\":2}",
+      ports, ttl_s));
+  EXPECT_EQ (ports, (std::vector<unsigned>{ 80, 8081 }));
+  EXPECT_EQ (ttl_s, 2u);
+}
+
+TEST (SoakDirectory, BytesThatAreNoAnswerAreNoticed)
+{
+  std::vector<unsigned> ports;
+  unsigned ttl_s = 0;
+
+  for (const char *text :
+       { "", "{}", "{\"addresses\":[\"127.0.0.1:80\"]}",
+         "{\"addresses\":[\"127.0.0.1:80\"],\"ttlS\":2",
+         "{\"addresses\":[\"nowhere\"],\"ttlS\":2}",
+         "{\"addresses\":[\"127.0.0.1:80\"],\"ttlS\":2}{}" })
+    EXPECT_FALSE (soak::directory_answer_parse (text, ports, ttl_s)) << text;
+}
+
+TEST_F (SoakChecker, WrongAnswerOfDirectoryIsFound)
+{
+  checker.add_look_up (true, "lists port 1, which is no router's");
+  checker.add_look_up (false, "");
+  checker.add_look_up (true, "");
+  EXPECT_EQ (found (), "DIRECTORY");
+}
+
 TEST (SoakAnswer, DependsOnItsSeedAlone)
 {
   soak::Run r;
