--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -163,16 +163,19 @@
   {
     ev_timer tick;
     ev_tstamp end;
+    bool met;
 
     ev_now_update (loop);
     end = ev_now (loop) + kMaxWait_s;
     ev_timer_init (
         &tick, [] (struct ev_loop *, ev_timer *, int) {}, kTick_s, kTick_s);
     ev_timer_start (loop, &tick);
-    while (!done () && ev_now (loop) < end)
+    /* DONE may have effects: what it has found true once is not asked again.
+     */
+    while (!(met = done ()) && ev_now (loop) < end)
       ev_run (loop, EVRUN_ONCE);
     ev_timer_stop (loop, &tick);
-    return done ();
+    return met;
   }
 };
 
--- a/tests/test_tunnel_server.cc
+++ b/tests/test_tunnel_server.cc
@@ -134,14 +134,15 @@
   {
     ev_tstamp limit = ev_time () + 5;
     ev_timer tick;
+    bool met;
 
     ev_timer_init (
         &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.002, 0.002);
     ev_timer_start (loop, &tick);
-    while (!test () && ev_time () < limit)
+    while (!(met = test ()) && ev_time () < limit)
       ev_run (loop, EVRUN_ONCE);
     ev_timer_stop (loop, &tick);
-    return test ();
+    return met;
   }
 
   mq_http_call *
