soak: what ends is noticed and started again

The soak never noticed that a process had ended: a router that ended by itself was no finding (ENDED), and what its schedule killed or stopped stayed down, so that later clients met fewer and fewer routers and engines.

Cause: the driver ran on libev's default loop, which reaps all children of the process itself. waitpid () of the driver found none.

Both new tests failed before: SoakProgram.RouterThatEndsByItselfIsFound (a router that exits with status 3 was no finding) and SoakProgram.WhatIsKilledIsStartedAgain (9 starts).

Change: a loop of its own. Both tests pass.

--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -35,8 +35,9 @@
 
 static const char *const domains[] = { "one", "two", "three" };
 
+/* Not the default loop: that one reaps all children by itself.  */
 Driver::Driver (const Options &options)
-    : checker (options.seed), o_ (options), loop_ (ev_default_loop (0)),
+    : checker (options.seed), o_ (options), loop_ (ev_loop_new (EVFLAG_AUTO)),
       store_ (std::make_unique<gateway::Store> (loop_)),
       random_ (digest ("driver", options.seed)),
       journal_ (options.folder + "/journal")
@@ -62,6 +63,7 @@
       close (fd);
   ev_signal_stop (loop_, &interrupt_);
   ev_signal_stop (loop_, &terminate_);
+  ev_loop_destroy (loop_);
 }
 
 void
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -690,6 +690,47 @@
 }
 
 /* Routers must not outlive a soak that is interrupted or killed.  */
+/* Returns what the soak with ARGUMENTS prints and writes to its journal.  */
+std::string
+soak_text (const std::string &arguments)
+{
+  programs::Folder folder;
+  std::string printed = folder.write ("printed", "");
+  std::string command = programs::binary ("tests/mqsoak") + " " + arguments
+                        + " --crowds off --bounds off --out " + folder.path ()
+                        + "/out > " + printed + " 2>&1";
+
+  EXPECT_NE (system (command.c_str ()), -1);
+  std::string text = folder.read ("printed") + folder.read ("out/journal");
+  std::filesystem::remove_all (folder.path () + "/out");
+  return text;
+}
+
+TEST (SoakProgram, RouterThatEndsByItselfIsFound)
+{
+  programs::Folder folder;
+  std::string router = folder.write ("router", "#!/bin/sh\nexit 3\n");
+
+  std::filesystem::permissions (router, std::filesystem::perms::owner_all);
+  EXPECT_NE (
+      soak_text ("--seed 1 --minutes 0.02 --router " + router)
+          .find ("BROKEN ENDED router-0: ended by itself with status 3"),
+      std::string::npos);
+}
+
+/* The first engine that this seed's schedule kills is to be there again.  */
+TEST (SoakProgram, WhatIsKilledIsStartedAgain)
+{
+  std::string text = soak_text ("--seed 1 --minutes 0.2");
+
+  EXPECT_NE (text.find (" signal 9\n"), std::string::npos);
+  size_t starts = 0;
+  for (size_t at = 0; (at = text.find (" start ", at)) != std::string::npos;
+       at++)
+    starts++;
+  EXPECT_GT (starts, 9u);
+}
+
 TEST (SoakProgram, ItsEndEndsWhatItStarted)
 {
   for (int number : { SIGINT, SIGTERM, SIGKILL })
