soak: judges RECOVER

Now all are killed when the schedule is over, are down for 0.5 s, and requests go on until recoveryS (12 s) and 4 s more. RECOVER: less than a quarter of the requests of these 4 s is served, though a quarter or more was before the kill. Only with bounds, so that the tests `soak' and `soak_crowds' are as they were.

Three new tests of SoakChecker pass.

--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -1,6 +1,7 @@
 #include "checker.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace soak
 {
@@ -24,6 +25,9 @@
 static constexpr double budget_window_s = 10;
 static constexpr double budget_ratio = 0.2;
 static constexpr double budget_slack = 196;
+/* RULES.md, RECOVER: the share of requests that is served, if it was before
+   the final fault.  */
+static constexpr double recovered_share = 0.25;
 /* RULES.md: stableWindowMs, for which a machine must have been sound.  */
 static constexpr double stable_s = 3;
 
@@ -566,6 +570,13 @@
   k.attempt.answer.body.clear ();
 }
 
+void
+Checker::add_final_fault (double fault_at, double back_at)
+{
+  final_fault_at_ = fault_at;
+  back_at_ = back_at;
+}
+
 void
 Checker::add_look_up (bool is_answered, const std::string &wrong)
 {
@@ -588,6 +599,53 @@
         "no request waits, and there comes: " + bytes.substr (0, 200) });
 }
 
+/* Judge how many requests are served before the final fault, and long after
+   it.  */
+void
+Checker::judge_recovery ()
+{
+  struct Request
+  {
+    double sent_at = HUGE_VAL; /* Its first attempt.  */
+    bool is_served = false;
+  };
+  std::map<std::string, Request> requests;
+  unsigned sent[2] = {}, served[2] = {}; /* Before and after.  */
+
+  for (auto &i : known_)
+    {
+      const Attempt &a = i.second.attempt;
+      Request &r = requests[request_of (a.id)];
+
+      r.sent_at = std::min (r.sent_at, a.sent_at);
+      r.is_served
+          = r.is_served
+            || (a.end == Attempt::End::Answered && a.answer.status / 100 == 2);
+    }
+  for (auto &i : requests)
+    {
+      const Request &r = i.second;
+      bool is_after = r.sent_at > back_at_ + recovery_s;
+
+      if (!is_after && r.sent_at >= final_fault_at_)
+        continue;
+      sent[is_after]++;
+      served[is_after] += r.is_served;
+    }
+  counts["requests before the final fault"] = sent[0];
+  counts["requests served before the final fault"] = served[0];
+  counts["requests after it"] = sent[1];
+  counts["requests served after it"] = served[1];
+  if (served[0] >= recovered_share * sent[0]
+      && served[1] < recovered_share * sent[1])
+    findings.push_back ({ "RECOVER", "-",
+                          std::to_string (served[1]) + " of "
+                              + std::to_string (sent[1])
+                              + " requests are served after the final fault, "
+                              + std::to_string (served[0]) + " of "
+                              + std::to_string (sent[0]) + " before" });
+}
+
 void
 Checker::finish ()
 {
@@ -602,6 +660,8 @@
         judge_gone (k.second);
       }
   judge_budget ();
+  if (final_fault_at_ > 0)
+    judge_recovery ();
   counts["sent on after their clients had left"] = (unsigned)gone_.size ();
   if (gone_.size () > gone_allowed)
     for (auto &id : gone_)
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -13,6 +13,10 @@
 namespace soak
 {
 
+/* DEPLOY.md: recoveryS, from the end of the final fault until requests are
+   served.  */
+constexpr double recovery_s = 12;
+
 enum class Kind
 {
   Safe,
@@ -90,6 +94,9 @@
   /* Judge an attempt that has ended.  All reports that its engines made before
      have been added.  */
   void add_end (const Attempt &attempt);
+  /* All routers were killed at FAULT_AT, after which nothing more was done,
+     and were back at BACK_AT.  */
+  void add_final_fault (double fault_at, double back_at);
   /* A look-up at the directory has ended; WRONG says what is wrong with its
      answer, empty for nothing.  */
   void add_look_up (bool is_answered, const std::string &wrong);
@@ -137,6 +144,7 @@
   void judge_drain (const Known &k);
   void judge_gone (const Known &k);
   void judge_budget ();
+  void judge_recovery ();
   std::set<std::string> services_of (const Attempt &a) const;
   bool is_router_calm (unsigned router, double from, double to) const;
 
@@ -148,6 +156,7 @@
   std::map<std::string, std::vector<std::pair<double, bool> > > engine_states_;
   std::map<unsigned, std::vector<double> > router_faults_;
   std::vector<double> store_faults_;
+  double final_fault_at_ = 0, back_at_ = 0; /* 0: there was none.  */
   std::vector<std::string> gone_; /* Attempts that were sent on too late.  */
   std::vector<std::pair<std::string, std::string> >
       lost_; /* Outside drains. */
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -32,6 +32,10 @@
    looked at.  */
 static constexpr size_t memory_mb = 64;
 static constexpr double watch_interval_s = 0.1;
+/* How long routers stay down that are all killed at the end, and how long
+   requests are sent once they must have recovered.  */
+static constexpr double final_down_s = 0.5;
+static constexpr double recovered_s = 4;
 
 static const char *const domains[] = { "one", "two", "three" };
 
@@ -560,6 +564,35 @@
   checker.add_end (a);
 }
 
+/* Kill all routers when the schedule is over, and see when they are back.  */
+void
+Driver::tick_final_fault ()
+{
+  double now = now_s ();
+
+  if (!o_.has_bounds || now < start_ + o_.minutes * 60 || back_at_ > 0)
+    return;
+  if (final_fault_at_ == 0)
+    {
+      note ("do kill all routers");
+      final_fault_at_ = now;
+      for (auto &r : routers_)
+        {
+          r->is_killed = true;
+          r->restart_s = final_down_s;
+          r->faults.push_back (now);
+          send_signal (*r, SIGKILL);
+        }
+      return;
+    }
+  if (now < final_fault_at_ + final_down_s
+      || std::any_of (routers_.begin (), routers_.end (),
+                      [] (auto &r) { return r->pid == 0 || r->is_killed; }))
+    return;
+  back_at_ = now;
+  checker.add_final_fault (final_fault_at_, back_at_);
+}
+
 void
 Driver::tick ()
 {
@@ -612,6 +645,7 @@
       if (e->pid == 0 && now >= e->start_at)
         start_engine (*e);
     }
+  tick_final_fault ();
   tick_crowds ();
   watch_memory ();
   if (checker.findings.size () > n_noted_)
@@ -689,6 +723,8 @@
   for (unsigned i = 0; i < o_.clients; i++)
     clients_.push_back (std::make_unique<Client> (loop_, i, o_.seed, port));
   end_ = start_ + o_.minutes * 60;
+  if (o_.has_bounds)
+    end_ += final_down_s + recovery_s + recovered_s;
   ev_timer_set (&timer_, tick_s, tick_s);
   ev_timer_start (loop_, &timer_);
   ev_run (loop_, 0);
--- a/tests/soak/driver.h
+++ b/tests/soak/driver.h
@@ -105,6 +105,7 @@
   void on_end (Attempt &a);
   void watch_memory ();
   void tick_crowds ();
+  void tick_final_fault ();
   void tick ();
   void end_all ();
   static void on_tick (struct ev_loop *, ev_timer *timer, int);
@@ -128,6 +129,7 @@
   unsigned version_ = 1, odd_entries_ = 0;
   Random random_;
   std::vector<double> store_faults_;
+  double final_fault_at_ = 0, back_at_ = 0; /* Of all routers.  */
   double start_ = 0, end_ = 0, stop_ = 0, store_back_at_ = 0;
   int reports_[2] = { -1, -1 };
   std::string report_text_;
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -99,6 +99,7 @@
 
   void leave (unsigned n, double at);
   void send_again (unsigned n, unsigned further);
+  void serve (unsigned n, double at, unsigned served);
 
   /* Returns the rules that were found broken.  */
   std::string
@@ -629,6 +630,68 @@
     EXPECT_FALSE (soak::directory_answer_parse (text, ports, ttl_s)) << text;
 }
 
+/* Sends N requests at AT of which SERVED are served.  */
+void
+SoakChecker::serve (unsigned n, double at, unsigned served)
+{
+  for (unsigned i = 0; i < n; i++)
+    {
+      soak::Run r = run ();
+
+      attempt.id
+          = "c1-" + std::to_string (at) + "." + std::to_string (i) + "-1";
+      attempt.kind = Kind::Safe;
+      attempt.method = "POST";
+      attempt.target = "/p/x";
+      attempt.sent_at = at;
+      attempt.ended_at = at + 0.1;
+      attempt.end = Attempt::End::NotConnected;
+      attempt.answer = Message ();
+      checker.add_sent (attempt);
+      if (i < served)
+        {
+          r.attempt = attempt.id;
+          checker.add_run (r);
+          attempt.end = Attempt::End::Answered;
+          attempt.answer.has_head = true;
+          attempt.answer.status = 200;
+          attempt.answer.body = soak::body_of (r);
+          attempt.answer.headers
+              = { { "marjoramquay-response-signature", r.signature } };
+        }
+      checker.add_end (attempt);
+    }
+}
+
+/* All routers are killed at 20 and back at 21; 12 s later service is due.  */
+TEST_F (SoakChecker, FleetThatDoesNotComeBackIsRecover)
+{
+  checker.add_final_fault (20, 21);
+  serve (100, 10, 25);
+  serve (100, 33.5, 24);
+  checker.finish ();
+  EXPECT_EQ (found (), "RECOVER");
+}
+
+TEST_F (SoakChecker, FleetThatComesBackInTimeIsNoFinding)
+{
+  checker.add_final_fault (20, 21);
+  serve (100, 10, 90);
+  serve (100, 32.5, 0);
+  serve (100, 33.5, 25);
+  checker.finish ();
+  EXPECT_EQ (found (), "");
+}
+
+TEST_F (SoakChecker, FleetThatDidNotServeBeforeIsNoFinding)
+{
+  checker.add_final_fault (20, 21);
+  serve (100, 10, 24);
+  serve (100, 33.5, 0);
+  checker.finish ();
+  EXPECT_EQ (found (), "");
+}
+
 TEST_F (SoakChecker, WrongAnswerOfDirectoryIsFound)
 {
   checker.add_look_up (true, "lists port 1, which is no router's");
