soak: a request that waited for a paused engine is not late

Read, not seen: an engine that is paused for up to 3 s reports a request when it reads it, so that one which reached it before its client left, or before the router knew that it leaves, would have counted for GONE or DRAIN. Runs on an engine that was paused between the sending of the attempt and its report are left out of both.

--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -87,6 +87,8 @@
      there (again).  */
   void add_engine_leaving (const std::string &id, double at);
   void add_engine_ready (const std::string &id, double at);
+  /* The engine with ID is paused from FROM to TO.  */
+  void add_engine_pause (const std::string &id, double from, double to);
   /* ROUTER was killed, started, paused or resumed.  */
   void add_router_fault (unsigned router, double at);
   /* The store began or ceased to fail.  */
@@ -146,6 +148,7 @@
   void judge_budget ();
   void judge_recovery ();
   std::set<std::string> services_of (const Attempt &a) const;
+  bool was_paused (const Run &run, double from) const;
   bool is_router_calm (unsigned router, double from, double to) const;
 
   uint64_t seed_;
@@ -154,6 +157,8 @@
   std::map<std::string, std::vector<double> > engine_faults_;
   /* When each engine was ready (true) or leaving (false), by time.  */
   std::map<std::string, std::vector<std::pair<double, bool> > > engine_states_;
+  std::map<std::string, std::vector<std::pair<double, double> > >
+      engine_pauses_;
   std::map<unsigned, std::vector<double> > router_faults_;
   std::vector<double> store_faults_;
   double final_fault_at_ = 0, back_at_ = 0; /* 0: there was none.  */
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -312,7 +312,10 @@
     return;
   checker.add_engine_fault (e.id, now_s ());
   if (a.what == Action::What::EnginePause)
-    pause (e, a.seconds);
+    {
+      pause (e, a.seconds);
+      checker.add_engine_pause (e.id, now_s (), e.resume_at);
+    }
   else if (a.what == Action::What::EngineKill)
     {
       e.is_killed = true;
