--- a/tests/soak/checker.cc
+++ b/tests/soak/checker.cc
@@ -14,9 +14,6 @@
 /* RULES.md, CONFIG: configApplyMs, after which only a newer configuration may
    decide on a request.  */
 static constexpr double config_apply_s = 2;
-/* RULES.md, DRAIN: drainMs, after which nothing may reach an engine that
-   leaves.  */
-static constexpr double drain_s = 2;
 /* RULES.md, GONE: so long after its client has left a request may still reach
    an engine, and more later ones than this break the rule.  */
 static constexpr double gone_s = 0.5;
@@ -28,8 +25,6 @@
 /* RULES.md, RECOVER: the share of requests that is served, if it was before
    the final fault.  */
 static constexpr double recovered_share = 0.25;
-/* RULES.md: stableWindowMs, for which a machine must have been sound.  */
-static constexpr double stable_s = 3;
 
 const char *
 end_name (Attempt::End end)
@@ -406,6 +401,14 @@
               + k.runs.back ().engine + ", answer " + k.runs.back ().plan);
 }
 
+/* Returns true if none of FAULTS was from FROM to TO.  */
+static bool
+is_calm (const std::vector<double> &faults, double from, double to)
+{
+  return std::none_of (faults.begin (), faults.end (),
+                       [&] (double at) { return at > from && at < to; });
+}
+
 /* A request that was passed on to an engine that answers whole unless it is
    left, and that ends with its connection.  */
 void
@@ -417,10 +420,7 @@
 
     return r.plan == "whole"
            && (i == engine_faults_.end ()
-               || std::none_of (
-                   i->second.begin (), i->second.end (), [&] (double at) {
-                     return at > a.sent_at - 3 && at < a.ended_at + 1;
-                   }));
+               || is_calm (i->second, a.sent_at - 3, a.ended_at + 1));
   };
 
   if ((a.end != Attempt::End::Closed && a.end != Attempt::End::Cut)
@@ -438,14 +438,6 @@
     lost_.push_back ({ a.id, k.runs.back ().engine });
 }
 
-/* Returns true if none of FAULTS was from FROM to TO.  */
-static bool
-is_calm (const std::vector<double> &faults, double from, double to)
-{
-  return std::none_of (faults.begin (), faults.end (),
-                       [&] (double at) { return at > from && at < to; });
-}
-
 /* Returns true if nothing was done to ROUTER from FROM to TO.  */
 bool
 Checker::is_router_calm (unsigned router, double from, double to) const
--- a/tests/soak/checker.h
+++ b/tests/soak/checker.h
@@ -13,8 +13,11 @@
 namespace soak
 {
 
-/* DEPLOY.md: recoveryS, from the end of the final fault until requests are
-   served.  */
+/* DEPLOY.md: stableWindowMs, for which a machine must have been sound;
+   drainMs, after which nothing may reach an engine that leaves; and recoveryS,
+   from the end of the final fault until requests are served.  */
+constexpr double stable_s = 3;
+constexpr double drain_s = 2;
 constexpr double recovery_s = 12;
 
 enum class Kind
@@ -49,7 +52,7 @@
   double timeout_s = 0;     /* Of its route.  */
   bool is_kept = false;     /* Sent on a connection that was used before.  */
   bool router_calm = false; /* Neither killed, started nor paused, from
-                               calm_s before it to its end.  */
+                               stable_s before it to its end.  */
   bool store_calm = false;  /* The same for the store.  */
   bool router_stopping = false; /* SIGTERM came before its end.  */
   End end = End::Closed;
--- a/tests/soak/driver.cc
+++ b/tests/soak/driver.cc
@@ -16,13 +16,9 @@
 static constexpr double grace_s = 8;
 /* RULES.md, LOST: planned work lasts until so long after the grace period.  */
 static constexpr double planned_slack_s = 1;
-/* RULES.md: stableWindowMs, for which a machine must have been sound.  */
-static constexpr double calm_s = 3;
 /* A configuration that came while the store was in trouble may be late by
    maxSkewMs.  */
 static constexpr double config_calm_s = 5;
-/* PROTOCOL.md: an engine that leaves serves at least for drainMs.  */
-static constexpr double drain_s = 2;
 /* How long the entry of an engine stays that ended without saying so.  */
 static constexpr double entry_stays_s = 2;
 /* What still runs when the clients are done gets so long to be reported.  */
@@ -552,12 +548,12 @@
   a.router_calm = r.pid > 0 || r.is_stopping;
   for (double at : r.faults)
     a.router_calm
-        = a.router_calm && (at < a.sent_at - calm_s || at > a.ended_at);
+        = a.router_calm && (at < a.sent_at - stable_s || at > a.ended_at);
   a.store_calm = true;
   for (double at : store_faults_)
     a.store_calm
         = a.store_calm
-          && (at < a.sent_at - calm_s - config_calm_s || at > a.ended_at);
+          && (at < a.sent_at - stable_s - config_calm_s || at > a.ended_at);
   a.router_stopping = r.term_at > a.sent_at - grace_s - planned_slack_s
                       && r.term_at < a.ended_at;
   note ("attempt " + a.id + " at router-" + std::to_string (a.router) + " "
--- a/tests/test_soak.cc
+++ b/tests/test_soak.cc
@@ -97,6 +97,19 @@
     return s;
   }
 
+  /* The client gets the whole answer of the first engine, which reads the
+     request at AT.  */
+  void
+  answer_at (double at)
+  {
+    checker.has_bounds = true;
+    send (Kind::Safe);
+    soak::Run r = run ();
+    r.at = at;
+    checker.add_run (r);
+    answer (200, r.signature, soak::body_of (r));
+  }
+
   void leave (unsigned n, double at);
   void send_again (unsigned n, unsigned further);
   void serve (unsigned n, double at, unsigned served);
@@ -467,81 +480,52 @@
   EXPECT_EQ (found (), "CONFIG");
 }
 
-/* An engine that is ready at 1 and leaves at 8; the request is sent at 10.  */
+/* The request is sent at 10; the engine may get it until 2 s after it began to
+   leave.  */
 TEST_F (SoakChecker, RunAtLeavingEngineIsDrain)
 {
-  checker.has_bounds = true;
   checker.add_engine_ready ("e1", 1);
   checker.add_engine_leaving ("e1", 7.9);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "DRAIN");
 }
 
 TEST_F (SoakChecker, RunAtEngineThatHasJustLeftIsNoFinding)
 {
-  checker.has_bounds = true;
   checker.add_engine_leaving ("e1", 8.2);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "");
 }
 
 TEST_F (SoakChecker, RunAtEngineThatIsBackIsNoFinding)
 {
-  checker.has_bounds = true;
   checker.add_engine_leaving ("e1", 5);
   checker.add_engine_ready ("e1", 9);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "");
 }
 
 TEST_F (SoakChecker, RunAtLeavingEngineByDisturbedRouterIsNoFinding)
 {
-  checker.has_bounds = true;
   checker.add_engine_leaving ("e1", 7);
   checker.add_router_fault (0, 6);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "");
 }
 
 TEST_F (SoakChecker, RunAtLeavingEngineWithDisturbedStoreIsNoFinding)
 {
-  checker.has_bounds = true;
   checker.add_engine_leaving ("e1", 7);
   checker.add_store_fault (6);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "");
 }
 
 TEST_F (SoakChecker, RunThatWaitedForPausedEngineIsNoFinding)
 {
-  checker.has_bounds = true;
   checker.add_engine_leaving ("e1", 7);
   checker.add_engine_pause ("e1", 9.5, 10.02);
-  send (Kind::Safe);
-  soak::Run r = run ();
-  r.at = 10.05;
-  checker.add_run (r);
-  answer (200, r.signature, soak::body_of (r));
+  answer_at (10.05);
   EXPECT_EQ (found (), "");
 }
 
@@ -617,7 +601,6 @@
   EXPECT_EQ (found (), "");
 }
 
-/* Two runs from one seed must not differ in what they do.  */
 TEST (SoakDirectory, AnswerIsRead)
 {
   std::vector<unsigned> ports;
@@ -713,6 +696,7 @@
   EXPECT_EQ (found (), "DIRECTORY");
 }
 
+/* Two runs from one seed must not differ in what they do.  */
 TEST (SoakAnswer, DependsOnItsSeedAlone)
 {
   soak::Run r;
@@ -742,8 +726,8 @@
   for (const char *arguments :
        { "--sead 1", "--seed", "--seed x", "--seed -1", "--minutes 0",
          "--minutes nan", "--routers 0", "--routers 1x", "--routers 900",
-         "--bounds maybe", "--crowds maybe", "--router /nowhere",
-         "--out /proc/none" })
+         "--bounds maybe", "--crowds maybe", "--directory maybe",
+         "--router /nowhere", "--out /proc/none" })
     EXPECT_EQ (soak_status (arguments), 2) << arguments;
 }
 
@@ -765,7 +749,6 @@
   return n;
 }
 
-/* Routers must not outlive a soak that is interrupted or killed.  */
 /* Returns what the soak with ARGUMENTS prints and writes to its journal.  */
 std::string
 soak_text (const std::string &arguments)
@@ -795,7 +778,7 @@
       std::string::npos);
 }
 
-/* The first engine that this seed's schedule kills is to be there again.  */
+/* The schedule of this seed kills engines before its end.  */
 TEST (SoakProgram, WhatIsKilledIsStartedAgain)
 {
   std::string text = soak_text ("--seed 1 --minutes 0.2");
@@ -808,6 +791,7 @@
   EXPECT_GT (starts, 9u);
 }
 
+/* Routers must not outlive a soak that is interrupted or killed.  */
 TEST (SoakProgram, ItsEndEndsWhatItStarted)
 {
   for (int number : { SIGINT, SIGTERM, SIGKILL })
