soak: one function begins a connection

The clients, the crowds and the look-ups at the directory each began a connection to loopback in the same lines; Socket::connecting () does now. A look-up without a descriptor ends as failed, where it went on with none.

--- a/tests/raw_socket.hh
+++ b/tests/raw_socket.hh
@@ -14,6 +14,7 @@
 #include <string>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 /* Returns true if RECEIVED holds a complete response, with a length or in
    chunks.  */
@@ -59,6 +60,27 @@
     return s;
   }
 
+  /* Returns a socket whose connection to PORT on loopback is under way, or one
+     without a descriptor if there can't be one.  Checks nothing.  */
+  static Socket
+  connecting (uint16_t port)
+  {
+    Socket s (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    sockaddr_in a = address (port);
+
+    if (connect (s.fd, reinterpret_cast<sockaddr *> (&a), sizeof a) != 0
+        && errno != EINPROGRESS)
+      s.close ();
+    return s;
+  }
+
+  /* Gives up the descriptor, which the caller closes.  */
+  int
+  release ()
+  {
+    return std::exchange (fd, -1);
+  }
+
   /* Returns a socket that listens on a port chosen by the system.  */
   static Socket
   listening (int backlog)
--- a/tests/soak/client.cc
+++ b/tests/soak/client.cc
@@ -1,9 +1,6 @@
 #include "client.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "../raw_socket.hh"
 
 #include <cerrno>
 
@@ -60,24 +57,15 @@
 bool
 Client::open_connection ()
 {
-  struct sockaddr_in to = {};
-
   do
     router_ = (unsigned)random_.below (port_.routers.n_routers ());
   while (router_ == avoid_ && port_.routers.n_routers () > 1);
   if (directory_ != nullptr)
     router_ = directory_->choose (avoid_);
-  fd_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  to.sin_family = AF_INET;
-  to.sin_port = htons ((uint16_t)port_.routers.port_of (router_));
-  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  if (connect (fd_, reinterpret_cast<struct sockaddr *> (&to), sizeof to) != 0
-      && errno != EINPROGRESS)
-    {
-      close (fd_);
-      fd_ = -1;
-      return false;
-    }
+  fd_ = Socket::connecting ((uint16_t)port_.routers.port_of (router_))
+            .release ();
+  if (fd_ < 0)
+    return false;
   has_used_ = false;
   send_error_ = 0;
   ev_io_set (&io_, fd_, EV_READ | EV_WRITE);
--- a/tests/soak/crowd.cc
+++ b/tests/soak/crowd.cc
@@ -104,16 +104,10 @@
 void
 Crowd::connect_one ()
 {
-  Socket s (socket (AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
-  sockaddr_in a = {};
+  Socket s = Socket::connecting ((uint16_t)port_);
 
-  a.sin_family = AF_INET;
-  a.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  a.sin_port = htons ((uint16_t)port_);
   missing_--;
-  if (s.fd >= 0
-      && (connect (s.fd, reinterpret_cast<sockaddr *> (&a), sizeof a) == 0
-          || errno == EINPROGRESS))
+  if (s.fd >= 0)
     clients_.emplace_back (std::move (s), &sending_);
 }
 
--- a/tests/soak/directory.cc
+++ b/tests/soak/directory.cc
@@ -1,9 +1,6 @@
 #include "directory.h"
 
-#include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include "../raw_socket.hh"
 
 #include <algorithm>
 #include <cerrno>
@@ -164,22 +161,21 @@
 void
 Directory::ask (double now)
 {
-  struct sockaddr_in to = {};
   unsigned router = (unsigned)random_.below (port_.n_routers ());
 
   ask_at_ = now + again_s;
   give_up_at_ = now + look_up_s;
-  fd_ = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
-  to.sin_family = AF_INET;
-  to.sin_port = htons ((uint16_t)port_.directory_port_of (router));
-  to.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  fd_ = Socket::connecting ((uint16_t)port_.directory_port_of (router))
+            .release ();
+  if (fd_ < 0)
+    {
+      port_.on_end (false, "");
+      return;
+    }
   out_ = "GET /resolve?name=x.example&region=r&zone=one HTTP/1.1\r\n"
          "Host: x.example\r\nConnection: close\r\n\r\n";
   ev_io_set (&io_, fd_, EV_READ | EV_WRITE);
   ev_io_start (loop_, &io_);
-  if (connect (fd_, reinterpret_cast<struct sockaddr *> (&to), sizeof to) != 0
-      && errno != EINPROGRESS)
-    end (false, "");
 }
 
 void
