tests: the crowds of native mode and of TLS share their fixture

Both had the same constants, the same start of a small router and the same checks. These are in support/deployment_crowd.h now. Crowds, forms, bounds and assertions are unchanged: 64 MiB of the settings, one ordinary request answered.

--- a/tests/test_crowd_native.cc
+++ b/tests/test_crowd_native.cc
@@ -2,23 +2,14 @@
    small machine.  What is checked doesn't depend on the speed of the machine.
  */
 
-#include "support/crowd_client.h"
-#include "support/deployment.h"
-#include "support/process_usage.h"
+#include "support/deployment_crowd.h"
 
 using crowd::CrowdClient;
 using crowd::Sending;
-using deployment::Deployment;
-using deployment::Options;
 
 namespace
 {
 
-constexpr size_t mib = 1024 * 1024;
-constexpr unsigned memory_mb = 64;
-constexpr size_t chunk = 65536;
-constexpr size_t chunks = 62;
-
 std::string
 head (const std::string &target, const std::string &framing)
 {
@@ -26,36 +17,18 @@
          + (framing.empty () ? "" : framing + "\r\n") + "\r\n";
 }
 
-class CrowdNative : public testing::Test
+class CrowdNative : public deployment::CrowdFixture
 {
 protected:
-  CrowdNative ()
-  {
-    Options options;
-
-    options.settings
-        = ", 'limits': { 'memory_mb': " + std::to_string (memory_mb)
-          + ", 'body_bytes': 4194304 }";
-    deployment_ = std::make_unique<Deployment> (options);
-    usage_ = std::make_unique<gateway::ProcessUsage> (
-        deployment_->router ().pid (), std::vector<unsigned>{ port () });
-  }
-
-  uint16_t
-  port ()
-  {
-    const std::string address = deployment_->router ().address ();
-
-    return (uint16_t)std::stoul (address.substr (address.rfind (':') + 1));
-  }
+  CrowdNative () { start ({}); }
 
   void
   join (unsigned n, Sending sending)
   {
-    sendings_.push_back (std::make_unique<Sending> (std::move (sending)));
+    const Sending *kept = keep (std::move (sending));
+
     for (unsigned i = 0; i < n; i++)
-      clients_.emplace_back (Socket::connected (port ()),
-                             sendings_.back ().get ());
+      clients_.emplace_back (Socket::connected (port ()), kept);
   }
 
   void
@@ -80,18 +53,6 @@
       }
   }
 
-  void
-  expect_sound ()
-  {
-    EXPECT_EQ (
-        programs::fetch (deployment_->booking ("GET", "/units/7")).status,
-        200);
-    usage_->sample ();
-    RecordProperty ("peak_mib", std::to_string (usage_->peak_bytes () / mib));
-    EXPECT_GT (usage_->peak_bytes (), 0u);
-    EXPECT_LT (usage_->peak_bytes (), memory_mb * mib);
-  }
-
   void
   expect_bounded (unsigned n, Sending sending)
   {
@@ -101,11 +62,7 @@
     expect_sound ();
   }
 
-  std::unique_ptr<Deployment> deployment_;
-
 private:
-  std::unique_ptr<gateway::ProcessUsage> usage_;
-  std::vector<std::unique_ptr<Sending> > sendings_;
   std::vector<CrowdClient> clients_;
 };
 
--- a/tests/test_crowd_tls.cc
+++ b/tests/test_crowd_tls.cc
@@ -3,22 +3,16 @@
    machine.  */
 
 #include "support/certificate.h"
-#include "support/deployment.h"
-#include "support/process_usage.h"
+#include "support/deployment_crowd.h"
 #include "support/tls_crowd_client.h"
 
 using crowd::Sending;
 using crowd::TlsCrowdClient;
-using deployment::Deployment;
 using deployment::Options;
 
 namespace
 {
 
-constexpr size_t mib = 1024 * 1024;
-constexpr unsigned memory_mb = 64;
-constexpr size_t chunk = 65536;
-constexpr size_t chunks = 62;
 constexpr unsigned rounds = 100;
 
 std::string
@@ -28,7 +22,7 @@
          + "\r\n\r\n";
 }
 
-class CrowdTls : public testing::Test
+class CrowdTls : public deployment::CrowdFixture
 {
 protected:
   CrowdTls ()
@@ -40,13 +34,9 @@
     gnutls_certificate_allocate_credentials (&credentials_);
     certificate::make_certificate (certificate, key, 1);
     options.ca = certificate;
-    options.settings
-        = ", 'limits': { 'memory_mb': " + std::to_string (memory_mb)
-          + ", 'body_bytes': 4194304 }, 'tls': { 'certificate': '"
-          + certificate + "', 'key': '" + key + "' }";
-    deployment_ = std::make_unique<Deployment> (options);
-    usage_ = std::make_unique<gateway::ProcessUsage> (
-        deployment_->router ().pid (), std::vector<unsigned>{ port () });
+    options.settings = ", 'tls': { 'certificate': '" + certificate
+                       + "', 'key': '" + key + "' }";
+    start (options);
   }
 
   ~CrowdTls () override
@@ -55,23 +45,15 @@
     gnutls_certificate_free_credentials (credentials_);
   }
 
-  uint16_t
-  port ()
-  {
-    const std::string address = deployment_->router ().address ();
-
-    return (uint16_t)std::stoul (address.substr (address.rfind (':') + 1));
-  }
-
   void
   join (unsigned n, Sending sending, bool hello_only = false)
   {
-    sendings_.push_back (std::make_unique<Sending> (std::move (sending)));
+    const Sending *kept = keep (std::move (sending));
+
     for (unsigned i = 0; i < n; i++)
       {
         clients_.push_back (std::make_unique<TlsCrowdClient> (
-            Socket::connected (port ()), sendings_.back ().get (),
-            credentials_, hello_only));
+            Socket::connected (port ()), kept, credentials_, hello_only));
         if (i % 16 == 15)
           send_round ();
       }
@@ -102,21 +84,12 @@
         std::this_thread::sleep_for (std::chrono::milliseconds (10));
         send_round ();
       }
-    EXPECT_EQ (
-        programs::fetch (deployment_->booking ("GET", "/units/7")).status,
-        200);
-    usage_->sample ();
-    RecordProperty ("peak_mib", std::to_string (usage_->peak_bytes () / mib));
-    EXPECT_GT (usage_->peak_bytes (), 0u);
-    EXPECT_LT (usage_->peak_bytes (), memory_mb * mib);
+    expect_sound ();
   }
 
 private:
   programs::Folder files_;
   gnutls_certificate_credentials_t credentials_ = nullptr;
-  std::unique_ptr<Deployment> deployment_;
-  std::unique_ptr<gateway::ProcessUsage> usage_;
-  std::vector<std::unique_ptr<Sending> > sendings_;
   std::vector<std::unique_ptr<TlsCrowdClient> > clients_;
 };
 
