--- a/tests/http_fixture.hh
+++ b/tests/http_fixture.hh
@@ -12,6 +12,7 @@
 #include <mq/http_server.h>
 
 #include "raw_socket.hh"
+#include "support/run_until.h"
 
 #include <algorithm>
 #include <functional>
@@ -70,6 +71,10 @@
     a->on_event (*event);
 }
 
+/* The head of a request whose body comes in chunks.  */
+const std::string kChunkedHead = "POST / HTTP/1.1\r\nHost: x\r\n"
+                                 "Transfer-Encoding: chunked\r\n\r\n";
+
 class Http : public ::testing::Test
 {
 protected:
@@ -161,21 +166,7 @@
   bool
   until (const std::function<bool ()> &done)
   {
-    ev_timer tick;
-    ev_tstamp end;
-    bool met;
-
-    ev_now_update (loop);
-    end = ev_now (loop) + kMaxWait_s;
-    ev_timer_init (
-        &tick, [] (struct ev_loop *, ev_timer *, int) {}, kTick_s, kTick_s);
-    ev_timer_start (loop, &tick);
-    /* DONE may have effects: what it has found true once is not asked again.
-     */
-    while (!(met = done ()) && ev_now (loop) < end)
-      ev_run (loop, EVRUN_ONCE);
-    ev_timer_stop (loop, &tick);
-    return met;
+    return run_until (loop, done, kMaxWait_s, kTick_s);
   }
 };
 
--- a/tests/support/gateway_fixture.h
+++ b/tests/support/gateway_fixture.h
@@ -7,6 +7,7 @@
 #include "../../platform/platform.h"
 #include "gateway_standins.h"
 #include "port_block.h"
+#include "run_until.h"
 
 #include <mq/gateway.h>
 #include <mq/log.h>
@@ -190,19 +191,7 @@
   bool
   until (const std::function<bool ()> &test)
   {
-    ev_tstamp limit = ev_time () + 10;
-    ev_timer tick;
-    bool met;
-
-    ev_timer_init (
-        &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.005, 0.005);
-    ev_timer_start (loop, &tick);
-    /* TEST may have effects: what it has found true once is not asked again.
-     */
-    while (!(met = test ()) && ev_time () < limit)
-      ev_run (loop, EVRUN_ONCE);
-    ev_timer_stop (loop, &tick);
-    return met;
+    return run_until (loop, test, 10, 0.005);
   }
 
   void
--- a/tests/test_http.cc
+++ b/tests/test_http.cc
@@ -833,9 +833,8 @@
   for (const std::string filler : { "1;", "0" })
     {
       Socket s = Socket::connected (mq_http_server_port (server));
-      std::string bytes
-          = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
-            + filler + std::string (200000, filler == "0" ? '0' : 'x');
+      std::string bytes = kChunkedHead + filler
+                          + std::string (200000, filler == "0" ? '0' : 'x');
       size_t sent = 0;
       bool closed = false;
       unsigned turns = 0;
@@ -860,9 +859,7 @@
   for (auto [size, leaves] : cases)
     {
       Socket s = Socket::connected (mq_http_server_port (server));
-      std::string bytes = "POST / HTTP/1.1\r\nHost: x\r\n"
-                          "Transfer-Encoding: chunked\r\n\r\n1;"
-                          + std::string (size, 'x');
+      std::string bytes = kChunkedHead + "1;" + std::string (size, 'x');
       size_t sent = 0;
       bool closed = false;
       unsigned turns = 0;
--- a/tests/test_http_tls.cc
+++ b/tests/test_http_tls.cc
@@ -268,9 +268,7 @@
       crowd::Sending sending;
       unsigned turns = 0;
 
-      sending.head = "POST / HTTP/1.1\r\nHost: x\r\n"
-                     "Transfer-Encoding: chunked\r\n\r\n1;"
-                     + std::string (size, 'x');
+      sending.head = kChunkedHead + "1;" + std::string (size, 'x');
       crowd::TlsCrowdClient c (
           Socket::connected (mq_http_server_port (server)), &sending,
           credentials, false);
--- a/tests/test_tunnel_server.cc
+++ b/tests/test_tunnel_server.cc
@@ -2,6 +2,7 @@
 
 #include "support/gateway_standins.h"
 #include "support/loopback_listener.h"
+#include "support/run_until.h"
 
 #include <mq/tunnel_server.h>
 
@@ -132,17 +133,7 @@
   bool
   until (const std::function<bool ()> &test)
   {
-    ev_tstamp limit = ev_time () + 5;
-    ev_timer tick;
-    bool met;
-
-    ev_timer_init (
-        &tick, [] (struct ev_loop *, ev_timer *, int) {}, 0.002, 0.002);
-    ev_timer_start (loop, &tick);
-    while (!(met = test ()) && ev_time () < limit)
-      ev_run (loop, EVRUN_ONCE);
-    ev_timer_stop (loop, &tick);
-    return met;
+    return run_until (loop, test, 5, 0.002);
   }
 
   mq_http_call *
