net: a second name for one parameter, and the indentation of a comment

account_log_evictions () named its parameter twice, and a comment of mq_http_exchange was not aligned.

--- a/include/mq/internal/http_exchange.h
+++ b/include/mq/internal/http_exchange.h
@@ -69,7 +69,7 @@
   bool head_rejected;  /* The head does.  */
   bool malformed;      /* The headers are.  */
   bool rejection_sent; /* A rejection was written to the connection, past
-                   libmicrohttpd.  */
+                          libmicrohttpd.  */
   bool evicted;        /* What it held was given up; nothing more is held.  */
   bool drain_due;      /* Report DRAINED when the queue has shrunk.  */
 
--- a/packages/net/http_server.c
+++ b/packages/net/http_server.c
@@ -331,12 +331,11 @@
     }
 }
 
-/* Log what ACCOUNT has evicted and refused since it was logged last, by
+/* Log what A has evicted and refused since it was logged last, by
    whichever of its servers.  */
 static void
-account_log_evictions (mq_resource_account *account)
+account_log_evictions (mq_resource_account *a)
 {
-  mq_resource_account *a = account;
   uint64_t evictions = mq_resource_account_evictions (a);
 
   if (evictions == a->logged_evictions && a->refusals == a->logged_refusals)
